--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -25,7 +25,7 @@
 }
 
 /// First bytes of a snapshot: a change of StoredState's layout needs another number.
-constexpr std::string_view kSnapshotFormat = "fernlift cell 1\n";
+constexpr std::string_view kSnapshotFormat = "fernlift cell 2\n";
 
 /// Layout of a snapshot.
 /// The members are written from where they are: a copy of a large claim table takes long.
@@ -33,6 +33,7 @@
   const ConfigurationIdentity& configuration;
   const std::string& configurationText;
   const ReplicaTable& replicas;
+  const ServiceInstances& instances;
   const ClaimTable& claims;
   const DecisionJournal& journal;
   const base::UnixMilliseconds& time;
@@ -40,7 +41,8 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) const {
-    archive& configuration& configurationText& replicas& claims& journal& time& appliedIndex;
+    archive& configuration& configurationText& replicas& instances& claims& journal& time&
+        appliedIndex;
   }
 };
 
@@ -49,6 +51,7 @@
   ConfigurationIdentity configuration;
   std::string configurationText;
   ReplicaTable replicas;
+  ServiceInstances instances;
   ClaimTable claims;
   DecisionJournal journal;
   base::UnixMilliseconds time = 0;
@@ -56,7 +59,8 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& configuration& configurationText& replicas& claims& journal& time& appliedIndex;
+    archive& configuration& configurationText& replicas& instances& claims& journal& time&
+        appliedIndex;
   }
 };
 
@@ -166,6 +170,18 @@
   return ChangeResult{changed};
 }
 
+ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const AddInstance& command) {
+  return ChangeResult{instances_.add(command.instance)};
+}
+
+ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const DrainInstance& command) {
+  return ChangeResult{instances_.drain(command.instance)};
+}
+
+ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const RemoveInstance& command) {
+  return ChangeResult{instances_.remove(command.instance, command.isDeregistered)};
+}
+
 void CellState::note(base::LogIndex index, base::UnixMilliseconds at, DecisionKind kind,
                      const Replica* replica, std::string_view outcome, const std::string& reason) {
   DecisionRecord record;
@@ -195,6 +211,7 @@
   const StoredStateView stored{configuration_.identity(),
                                configuration_.text(),
                                replicas_,
+                               instances_,
                                forgetsClaims ? noClaims : claims_,
                                journal_,
                                time_,
@@ -205,7 +222,7 @@
 base::Result<void> CellState::restore(std::string_view bytes) {
   if (!bytes.starts_with(kSnapshotFormat)) {
     return base::fail(base::ErrorKind::kStorageFormatUnknown,
-                      "the state was not stored in format 1 of this program");
+                      "the state was not stored in format 2 of this program");
   }
   auto decoded = wire::decodeValue<StoredState>(bytes.substr(kSnapshotFormat.size()));
   if (!decoded) return decoded.error();
@@ -215,6 +232,7 @@
     return base::fail(base::ErrorKind::kMessageInvalid, "stored configuration does not parse");
   }
   replicas_.replaceWith(std::move(stored.replicas));
+  instances_ = std::move(stored.instances);
   claims_ = std::move(stored.claims);
   journal_ = std::move(stored.journal);
   time_ = stored.time;
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -17,6 +17,7 @@
 #include "cell/DecisionJournal.h"
 #include "cell/PlantedFault.h"
 #include "cell/ReplicaTable.h"
+#include "cell/ServiceInstances.h"
 
 namespace fernlift::cell {
 
@@ -63,6 +64,7 @@
 
   [[nodiscard]] const ConfigurationState& configuration() const { return configuration_; }
   [[nodiscard]] const ReplicaTable& replicas() const { return replicas_; }
+  [[nodiscard]] const ServiceInstances& instances() const { return instances_; }
   [[nodiscard]] const ClaimTable& claims() const { return claims_; }
   [[nodiscard]] const DecisionJournal& journal() const { return journal_; }
   /// Latest time any proposer stated; never goes back.
@@ -86,6 +88,9 @@
   ApplyResult applyCommand(base::LogIndex index, const ClaimKeys& command);
   ApplyResult applyCommand(base::LogIndex index, const RecordOutcomes& command);
   ApplyResult applyCommand(base::LogIndex index, const SetDraining& command);
+  ApplyResult applyCommand(base::LogIndex index, const AddInstance& command);
+  ApplyResult applyCommand(base::LogIndex index, const DrainInstance& command);
+  ApplyResult applyCommand(base::LogIndex index, const RemoveInstance& command);
   void note(base::LogIndex index, base::UnixMilliseconds at, DecisionKind kind,
             const Replica* replica, std::string_view outcome, const std::string& reason);
   void noteReleased(base::LogIndex index, base::UnixMilliseconds at,
@@ -94,6 +99,7 @@
   PlantedFault fault_;
   ConfigurationState configuration_;
   ReplicaTable replicas_;
+  ServiceInstances instances_;
   ClaimTable claims_;
   DecisionJournal journal_;
   base::UnixMilliseconds time_ = 0;
--- a/src/cell/Commands.h
+++ b/src/cell/Commands.h
@@ -12,6 +12,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "cell/ServiceInstances.h"
 #include "engine/EngineApi.h"
 
 namespace fernlift::cell {
@@ -172,8 +173,42 @@
   }
 };
 
-using Command =
-    std::variant<ApplyConfiguration, ObserveRunner, RemoveRunner, DecideLoad, DecideUnload,
-                 ReplicaReady, ReplicaReleased, ClaimKeys, RecordOutcomes, SetDraining>;
+/// A runner registered itself.
+struct AddInstance {
+  ServiceInstance instance;
+  base::UnixMilliseconds proposedAt = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& instance& proposedAt;
+  }
+};
+
+/// A registered runner said that it is leaving: it gets no new requests.
+struct DrainInstance {
+  std::string instance;
+  base::UnixMilliseconds proposedAt = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& instance& proposedAt;
+  }
+};
+
+/// A registered runner is gone: it said so, or was silent for long.
+struct RemoveInstance {
+  std::string instance;
+  bool isDeregistered = false;  ///< It said so itself; final.
+  base::UnixMilliseconds proposedAt = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& instance& isDeregistered& proposedAt;
+  }
+};
+
+using Command = std::variant<ApplyConfiguration, ObserveRunner, RemoveRunner, DecideLoad,
+                             DecideUnload, ReplicaReady, ReplicaReleased, ClaimKeys, RecordOutcomes,
+                             SetDraining, AddInstance, DrainInstance, RemoveInstance>;
 
 }  // namespace fernlift::cell
--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -12,6 +12,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "cell/Commands.h"
+#include "consensus/Messages.h"
 
 namespace fernlift::cell {
 
@@ -106,8 +107,46 @@
   }
 };
 
-using RouterToController = std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest,
-                                        OutcomeReport, RunnerLeavingSeen>;
+/// Forwarded requests for one model (and adapter) of a service at one router.
+struct EngineDemand {
+  std::string service;
+  std::string model;
+  std::string adapter;         ///< Empty: the model itself.
+  std::uint32_t waiting = 0;   ///< For a runner that holds it.
+  std::uint32_t running = 0;   ///< At runners.
+  std::uint32_t arrivals = 0;  ///< Since the router's previous report.
+
+  bool operator==(const EngineDemand&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& service& model& adapter& waiting& running& arrivals;
+  }
+};
+
+/// Sent at once when a request begins to wait, and at a steady interval while there is demand.
+struct EngineDemandReport {
+  std::vector<EngineDemand> demands;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& demands;
+  }
+};
+
+/// A controller that is not a voter asks to become one. Sent until it is.
+struct MemberJoinRequest {
+  base::CellId cell;
+  consensus::Member member;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& cell& member;
+  }
+};
+
+using RouterToController =
+    std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest, OutcomeReport,
+                 RunnerLeavingSeen, EngineDemandReport, MemberJoinRequest>;
 
 /// This controller does not lead; try `leaderAddress` ("ip:port", empty when unknown).
 struct NotLeaderReply {
@@ -253,7 +292,60 @@
   }
 };
 
-using ControllerToRouter =
-    std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant, ReplicaUpdate, ClaimReply>;
+/// A model that a registered runner holds.
+struct HeldModel {
+  std::string model;
+  std::uint64_t version = 0;
+  std::vector<std::string> adapters;
+
+  bool operator==(const HeldModel&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& model& version& adapters;
+  }
+};
+
+/// One registered runner as routers see it.
+struct RoutableInstance {
+  ServiceInstance instance;
+  bool isSilent = false;    ///< Its heartbeats have stopped.
+  bool isReported = false;  ///< `models` is known to this leader.
+  std::vector<HeldModel> models;
+
+  bool operator==(const RoutableInstance&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& instance& isSilent& isReported& models;
+  }
+};
+
+/// Change of the table of registered runners; fromVersion 0 replaces it whole.
+struct InstanceUpdate {
+  base::Term term = 0;  ///< Of the leader; versions count within one term.
+  std::uint64_t fromVersion = 0;
+  std::uint64_t toVersion = 0;
+  std::vector<RoutableInstance> upserts;
+  std::vector<std::string> removals;     ///< Ids.
+  std::vector<std::string> controllers;  ///< Peer addresses of the members.
+  std::uint32_t routers = 1;             ///< Connected to the leader.
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& term& fromVersion& toVersion& upserts& removals& controllers& routers;
+  }
+};
+
+/// Answer to MemberJoinRequest.
+struct MemberJoinReply {
+  bool isVoter = false;  ///< The sender is a voter now, as this leader has committed it.
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& isVoter;
+  }
+};
+
+using ControllerToRouter = std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant,
+                                        ReplicaUpdate, ClaimReply, InstanceUpdate, MemberJoinReply>;
 
 }  // namespace fernlift::cell
--- a/src/config/Catalogue.h
+++ b/src/config/Catalogue.h
@@ -12,6 +12,7 @@
 #include "base/Error.h"
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "config/ServiceCatalogue.h"
 
 namespace fernlift::config {
 
@@ -90,6 +91,7 @@
   std::vector<Application> applications;
   Prices prices;
   WeightStoreLimits weightStore;
+  ServiceCatalogue services;  ///< Routes of forwarded requests and the services behind them.
 
   bool operator==(const Catalogue&) const = default;
 
--- a/src/config/CommandLine.cpp
+++ b/src/config/CommandLine.cpp
@@ -20,6 +20,8 @@
 
 using Setting = SettingsSchema::Setting;
 
+/// Names the settings file when the command line does not.
+constexpr const char* kSettingsVariable = "FERNLIFT_CONFIG";
 constexpr int kHelpOption = 1;
 constexpr int kVersionOption = 2;
 constexpr int kCheckConfigOption = 3;
@@ -292,7 +294,12 @@
     return outcome;
   }
   Assigner assigner(schema);
-  if (arguments.settingsFile) assigner.readFile(*arguments.settingsFile);
+  const char* const fromEnvironment = std::getenv(kSettingsVariable);
+  if (arguments.settingsFile) {
+    assigner.readFile(*arguments.settingsFile);
+  } else if (fromEnvironment != nullptr) {
+    assigner.readFile(fromEnvironment);
+  }
   assigner.assignFlags(arguments.values);
   assigner.checkAll();
   outcome.exitCode = finish(arguments, schema, assigner);
--- a/src/controller/ControllerAdmin.cpp
+++ b/src/controller/ControllerAdmin.cpp
@@ -18,7 +18,7 @@
     answer(ticket, notLeaderAnswer(status_));
     return;
   }
-  const config::CatalogueOutcome parsed = config::parseCatalogue(request.text);
+  const config::CatalogueOutcome parsed = options_.catalogueParser(request.text);
   if (!parsed.catalogue) {
     answer(ticket, problemsAnswer(parsed.problems));
     return;
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -33,7 +33,7 @@
       options_(std::move(options)),
       now_(now),
       unixNow_(unixNow),
-      state_(&config::parseCatalogue, options_.plantedFault),
+      state_(options_.catalogueParser, options_.plantedFault),
       raft_(self, options_.raft, std::move(recovered), randomSeed, now) {
   drain();
 }
@@ -76,6 +76,7 @@
     sendOrders();
     placeIfDue();
     if (leader_->isTableDue && !leader_->isTableShared) sendTablesIfDue();
+    sendInstancesIfDue();
     answerInForceWaits();
   } while (takeRaftOutput());
   updateLeadership();
@@ -283,6 +284,9 @@
     if (const auto* apply = std::get_if<ForApply>(&purpose)) ticket = apply->ticket;
     if (const auto* drainPurpose = std::get_if<ForDrain>(&purpose)) ticket = drainPurpose->ticket;
     if (const auto* members = std::get_if<ForMembers>(&purpose)) ticket = members->ticket;
+    if (const auto* request = std::get_if<ForControl>(&purpose)) {
+      answerControl(request->ticket, {ControlVerdict::kUnavailable, "", ""});
+    }
     if (ticket == 0) continue;
     answer(ticket, errorAnswer({base::ErrorKind::kNoQuorum,
                                 "leadership was lost before the outcome was known; send again"}));
@@ -321,6 +325,16 @@
   return leader_->unixSince + base::toMilliseconds(now_ - leader_->since);
 }
 
+void ControllerCore::Implementation::addContact(const std::string& peerAddress) {
+  const bool isKnown = std::ranges::any_of(
+      options_.contacts,
+      [&](const consensus::Member& contact) { return contact.peerAddress == peerAddress; });
+  if (isKnown) return;
+  consensus::Member contact;
+  contact.peerAddress = peerAddress;
+  options_.contacts.push_back(contact);
+}
+
 void ControllerCore::Implementation::beginStop() {
   isStopping_ = true;
   stopDeadline_ = now_ + kStopTimeout;
@@ -388,6 +402,12 @@
 void ControllerCore::onAdmin(AdminTicket ticket, const AdminRequest& request) {
   implementation_->onAdmin(ticket, request);
 }
+void ControllerCore::onControl(ControlTicket ticket, const ControlRequest& request) {
+  implementation_->onControl(ticket, request);
+}
+void ControllerCore::addContact(const std::string& peerAddress) {
+  implementation_->addContact(peerAddress);
+}
 void ControllerCore::beginStop() { implementation_->beginStop(); }
 bool ControllerCore::isStopped() const { return implementation_->isStopped(); }
 std::vector<Effect> ControllerCore::takeEffects() { return implementation_->takeEffects(); }
--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -15,6 +15,7 @@
 #include "cell/PlantedFault.h"
 #include "cell/RouterMessages.h"
 #include "consensus/RaftNode.h"
+#include "controller/ControlRequests.h"
 #include "engine/EngineApi.h"
 
 namespace fernlift::controller {
@@ -41,6 +42,14 @@
   /// Addresses of members that are answered while the member set does not name them: a member that
   /// joins learns the set only from the leader that it must answer.
   std::vector<consensus::Member> contacts;
+  /// Reads the operator's file.
+  cell::CatalogueParser catalogueParser = &config::parseCatalogue;
+  /// Whether the platform has a machine list to ask.
+  bool hasMachineList = true;
+  /// Whether members that ask to join are taken in, and lost ones are replaced, without an operator.
+  bool managesMembers = false;
+  /// Silence after which a registered runner is told as silent to routers.
+  base::Duration instanceSilence = base::milliseconds(3500);
   cell::PlantedFault plantedFault = cell::PlantedFault::kNone;  ///< For tests only.
 };
 
@@ -109,8 +118,13 @@
   std::string json;
 };
 
+struct AnswerControl {
+  ControlTicket ticket = 0;
+  ControlAnswer answer;
+};
+
 using Effect = std::variant<PersistEffect, SendToMember, SendToRouter, SendOrder, PollRunner,
-                            PollMachineList, AnswerAdmin>;
+                            PollMachineList, AnswerAdmin, AnswerControl>;
 
 /// The state machine. Single-threaded; every call may produce effects, taken by takeEffects().
 class ControllerCore {
@@ -143,6 +157,10 @@
   void onMachineListFailed();
 
   void onAdmin(AdminTicket ticket, const AdminRequest& request);
+  void onControl(ControlTicket ticket, const ControlRequest& request);
+
+  /// An address at which members are answered that the member set does not name.
+  void addContact(const std::string& peerAddress);
 
   /// Begins a planned stop: hands leadership over. Done when isStopped().
   void beginStop();
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -19,7 +19,9 @@
 #include "controller/ControllerCore.h"
 #include "controller/CreditShare.h"
 #include "controller/DemandTable.h"
+#include "controller/InstanceTable.h"
 #include "controller/LoadEstimates.h"
+#include "controller/MemberAdmission.h"
 #include "controller/OrderQueue.h"
 #include "controller/Reconciliation.h"
 #include "controller/RoutableTable.h"
@@ -62,8 +64,14 @@
   StrayReplica stray;
 };
 struct ForNothing {};
+/// A request of the control interface, answered once it is committed.
+struct ForControl {
+  ControlTicket ticket = 0;
+};
+/// A change of the members that no operator asked for.
+struct ForOwnMembers {};
 using Purpose = std::variant<ForPlacement, ForApply, ForDrain, ForMembers, ForClaims, ForReplica,
-                             ForRunner, ForStray, ForNothing>;
+                             ForRunner, ForStray, ForNothing, ForControl, ForOwnMembers>;
 
 /// An apply that is committed and whose operator waits until it is in force everywhere.
 struct InForceWait {
@@ -85,7 +93,8 @@
         since(now),
         watch(options.reportInterval, now),
         orders(options.orderTimeout, options.plantedFault),
-        sessions(options.routerLease) {}
+        sessions(options.routerLease),
+        instances(leadTerm, options.instanceSilence) {}
 
   base::Term term = 0;
   base::TimePoint since{};
@@ -126,6 +135,9 @@
   /// Replicas that load from the weight store, not from their runner's memory or disk.
   std::map<base::ReplicaId, bool> usesStore;
   ReadyEstimates estimates;  ///< As last stated to routers.
+  InstanceTable instances;
+  bool isInstanceTableDue = true;  ///< Routers may have to hear of a change of the instances.
+  MemberAdmission admission;
 };
 
 /// Counters for /metrics.
@@ -171,7 +183,9 @@
   void onMachineListFailed();
 
   void onAdmin(AdminTicket ticket, const AdminRequest& request);
+  void onControl(ControlTicket ticket, const ControlRequest& request);
 
+  void addContact(const std::string& peerAddress);
   void beginStop();
   [[nodiscard]] bool isStopped() const;
 
@@ -198,6 +212,8 @@
   void finish(const ForRunner& purpose, base::LogIndex index, const cell::ApplyResult& result);
   void finish(const ForStray& purpose, base::LogIndex index, const cell::ApplyResult& result);
   void finish(const ForNothing& purpose, base::LogIndex index, const cell::ApplyResult& result);
+  void finish(const ForControl& purpose, base::LogIndex index, const cell::ApplyResult& result);
+  void finish(const ForOwnMembers& purpose, base::LogIndex index, const cell::ApplyResult& result);
   void updateLeadership();
   void beginLeadership();
   void endLeadership();
@@ -266,6 +282,23 @@
   void answerInForceWaits();
   [[nodiscard]] AdminView adminView(const consensus::RaftStatus& status) const;
 
+  // ControllerInstances.cpp
+  void control(ControlTicket ticket, const InstanceHeartbeat& heartbeat);
+  void control(ControlTicket ticket, const InstanceDeregistration& request);
+  void control(ControlTicket ticket, const ReplaceConfiguration& request);
+  void control(ControlTicket ticket, const ReadConfiguration& request);
+  void proposeFor(ControlTicket ticket, const cell::Command& command);
+  void sendInstancesIfDue();
+  void sendInstances(RouterConnection connection, RouterSession& session);
+  void runInstanceRoutine();
+  [[nodiscard]] std::string ownAdminAddress() const;
+  void answerNotLeader(ControlTicket ticket);
+  void answerControl(ControlTicket ticket, ControlAnswer answer);
+
+  // ControllerMembers.cpp
+  void onJoinRequest(RouterConnection connection, const cell::MemberJoinRequest& request);
+  void changeMembersIfDue();
+
   base::MemberId self_;
   ControllerOptions options_;
   base::TimePoint now_;
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -5,6 +5,8 @@
 
 #include "base/Overloaded.h"
 #include "consensus/Durable.h"
+#include "consensus/Membership.h"
+#include "controller/CellFormation.h"
 #include "controller/MemberStart.h"
 #include "log/Log.h"
 
@@ -12,6 +14,7 @@
 namespace {
 
 constexpr base::milliseconds kTickInterval(10);
+constexpr base::Duration kLeaderlessBeforeAsking = base::seconds(2);
 constexpr double kMicrosecondsInSecond = 1e6;
 
 std::uint64_t drawSeed() {
@@ -29,6 +32,7 @@
 }  // namespace
 
 ControllerProcess::ControllerProcess(ControllerSettings settings,
+                                     std::shared_ptr<const ControlCodec> codec,
                                      std::function<void(int)> onFinished)
     : settings_(std::move(settings)),
       onFinished_(std::move(onFinished)),
@@ -46,17 +50,23 @@
                 feed([&](ControllerCore& core) { core.onAdmin(ticket, request); });
               },
               [this] { return core_ && core_->raftStatus().leader != 0; }},
-             metrics_) {}
+             metrics_) {
+  if (!codec || settings_.controlAddress.host.empty()) return;
+  control_ = std::make_unique<ControlHttp>(
+      std::move(codec), [this](ControlTicket ticket, const ControlRequest& request) {
+        feed([&](ControllerCore& core) { core.onControl(ticket, request); });
+      });
+}
 
 base::Result<void> ControllerProcess::start() {
   BOOST_LEAF_ASSIGN(openedStorage_, storage::openFileStorage(settings_.dataDirectory));
-  BOOST_LEAF_AUTO(recovered, startMember(*openedStorage_, settings_));
-  createCore(std::move(recovered));
+  BOOST_LEAF_AUTO(recovered, openedStorage_->recover());
+  if (formsFromSeeds(settings_)) settings_ = withIdentity(settings_, recovered, drawSeed());
+  BOOST_LEAF_AUTO(state, startMember(*openedStorage_, settings_, std::move(recovered)));
+  createCore(std::move(state));
   createMetrics();
-  BOOST_LEAF_AUTO(peerAddress, listener_.listen(settings_.peerAddress));
-  BOOST_LEAF_AUTO(httpAddress, admin_.listen(settings_.httpAddress));
-  log::write(log::Event::kControllerListening,
-             {{"peer_address", peerAddress.toString()}, {"http_address", httpAddress.toString()}});
+  BOOST_LEAF_CHECK(listen());
+  if (formsFromSeeds(settings_)) startJoiner();
   QObject::connect(&ticker_, &QTimer::timeout, &context_, [this] {
     feed([](ControllerCore& core) { core.onTick(); });
     noteLeadership();
@@ -67,13 +77,60 @@
   return {};
 }
 
+base::Result<void> ControllerProcess::listen() {
+  BOOST_LEAF_AUTO(peerAddress, listener_.listen(settings_.peerAddress));
+  BOOST_LEAF_AUTO(httpAddress, admin_.listen(settings_.httpAddress));
+  if (control_) BOOST_LEAF_CHECK(control_->listen(settings_.controlAddress));
+  log::write(log::Event::kControllerListening,
+             {{"peer_address", peerAddress.toString()}, {"http_address", httpAddress.toString()}});
+  return {};
+}
+
+void ControllerProcess::startJoiner() {
+  leaderSeenAt_ = clock_.now();
+  cell::MemberJoinRequest request{base::CellId(settings_.cell), selfMember(settings_)};
+  CellJoiner::Handlers handlers;
+  handlers.mustAsk = [this] { return mustAskToJoin(); };
+  handlers.controllers = [this] { return knownControllers(); };
+  handlers.onLeaderFound = [this](const std::string& address) {
+    feed([&](ControllerCore& core) { core.addContact(address); });
+  };
+  joiner_ = std::make_unique<CellJoiner>(std::move(request), std::move(handlers));
+  joiner_->start();
+}
+
+bool ControllerProcess::mustAskToJoin() const {
+  const consensus::RaftStatus status = core_->raftStatus();
+  const auto self = static_cast<base::MemberId>(settings_.id);
+  if (!consensus::isVoter(status.members, self)) return true;
+  // A voter that hears no leader for long may have been removed without having learnt it.
+  return status.leader == 0 && clock_.now() - leaderSeenAt_ > kLeaderlessBeforeAsking;
+}
+
+std::vector<base::SocketAddress> ControllerProcess::knownControllers() const {
+  std::vector<base::SocketAddress> controllers = seedPeers(settings_);
+  for (const consensus::Member& member : core_->raftStatus().members.members) {
+    base::handleErrors(
+        [&]() -> base::Result<void> {
+          BOOST_LEAF_AUTO(address, base::SocketAddress::parse(member.peerAddress));
+          controllers.push_back(address);
+          return {};
+        },
+        [](const base::Error&) {});
+  }
+  std::erase(controllers, settings_.peerAddress);
+  return controllers;
+}
+
 void ControllerProcess::createCore(consensus::RecoveredState recovered) {
   const auto self = static_cast<base::MemberId>(settings_.id);
   log::write(log::Event::kControllerRecovered, {{"member", self},
                                                 {"snapshot_index", recovered.snapshot.lastIndex},
                                                 {"entries", recovered.entries.size()},
                                                 {"term", recovered.hardState.term}});
-  core_.emplace(self, coreOptions(settings_), std::move(recovered), drawSeed(), clock_.now(),
+  ControllerOptions options = coreOptions(settings_);
+  if (formsFromSeeds(settings_)) options.contacts = seedContacts(settings_);
+  core_.emplace(self, std::move(options), std::move(recovered), drawSeed(), clock_.now(),
                 clock_.unixNow());
   StorageThread::Handlers handlers;
   handlers.onPersisted = [this](std::uint64_t sequence) {
@@ -121,6 +178,9 @@
                  [this](const PollRunner& poll) { pollRunner(poll); },
                  [this](const PollMachineList&) { pollMachineList(); },
                  [this](const AnswerAdmin& answer) { admin_.answer(answer); },
+                 [this](const AnswerControl& answer) {
+                   if (control_) control_->answer(answer.ticket, answer.answer);
+                 },
              },
              effect);
 }
@@ -180,6 +240,7 @@
 
 void ControllerProcess::noteLeadership() {
   const consensus::RaftStatus status = core_->raftStatus();
+  if (status.leader != 0) leaderSeenAt_ = clock_.now();
   if (status.role == lastRole_ && status.leader == lastLeader_) return;
   const bool isLeader = status.role == consensus::Role::kLeader;
   const bool wasLeader = lastRole_ == consensus::Role::kLeader;
@@ -200,16 +261,19 @@
   log::write(log::Event::kProcessStopping);
   stopDeadline_ = clock_.now() + settings_.stopTimeout;
   admin_.stopListening();
+  if (control_) control_->stopListening();
   feed([](ControllerCore& core) { core.beginStop(); });
 }
 
 void ControllerProcess::checkStop() {
   if (!stopDeadline_ || isFinished_) return;
-  const bool isDone = core_->isStopped() && admin_.openRequests() == 0;
+  const std::size_t openRequests =
+      admin_.openRequests() + (control_ ? control_->openRequests() : 0);
+  const bool isDone = core_->isStopped() && openRequests == 0;
   if (isDone) {
     finish(0);
   } else if (clock_.now() >= *stopDeadline_) {
-    log::write(log::Event::kStopTimedOut, {{"open_requests", admin_.openRequests()}});
+    log::write(log::Event::kStopTimedOut, {{"open_requests", openRequests}});
     finish(0);
   }
 }
--- a/src/controller/ControllerProcess.h
+++ b/src/controller/ControllerProcess.h
@@ -11,6 +11,8 @@
 
 #include "base/Error.h"
 #include "controller/AdminHttp.h"
+#include "controller/CellJoiner.h"
+#include "controller/ControlHttp.h"
 #include "controller/ControlTraffic.h"
 #include "controller/ControllerCore.h"
 #include "controller/ControllerSettings.h"
@@ -25,9 +27,10 @@
 /// Lives on the thread of the Qt event loop; only StorageThread has a thread of its own.
 class ControllerProcess {
  public:
-  /// `onFinished` is called once with the exit code, when a planned stop is done or the disk
-  /// failed.
-  ControllerProcess(ControllerSettings settings, std::function<void(int exitCode)> onFinished);
+  /// `codec` is the protocol of the control interface; null: there is none. `onFinished` is called
+  /// once with the exit code, when a planned stop is done or the disk failed.
+  ControllerProcess(ControllerSettings settings, std::shared_ptr<const ControlCodec> codec,
+                    std::function<void(int exitCode)> onFinished);
 
   /// Opens the data folder, recovers, then listens.
   base::Result<void> start();
@@ -37,6 +40,10 @@
 
  private:
   void createCore(consensus::RecoveredState recovered);
+  base::Result<void> listen();
+  void startJoiner();
+  [[nodiscard]] bool mustAskToJoin() const;
+  [[nodiscard]] std::vector<base::SocketAddress> knownControllers() const;
   void createMetrics();
   [[nodiscard]] std::string storageMetrics() const;
 
@@ -65,6 +72,9 @@
   RunnerClient runners_;
   PeerListener listener_;
   AdminHttp admin_;
+  std::unique_ptr<ControlHttp> control_;  ///< Null without a control interface.
+  std::unique_ptr<CellJoiner> joiner_;    ///< Null when an operator manages the members.
+  base::TimePoint leaderSeenAt_{};
   std::optional<base::TimePoint> stopDeadline_;
   bool isFinished_ = false;
   consensus::Role lastRole_ = consensus::Role::kFollower;
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -25,6 +25,11 @@
     replyNotLeader(connection);
     return;
   }
+  if (const auto* join = std::get_if<cell::MemberJoinRequest>(&message)) {
+    onJoinRequest(connection, *join);
+    drain();
+    return;
+  }
   if (const auto* hello = std::get_if<cell::RouterHello>(&message)) {
     onHello(connection, *hello);
   } else if (leader_->sessions.find(connection) == nullptr) {
@@ -81,6 +86,7 @@
   }
   sendConfiguration(connection, session);
   sendTable(connection, session);
+  sendInstances(connection, session);
 }
 
 void ControllerCore::Implementation::onLeaseRequest(RouterConnection connection,
@@ -98,6 +104,7 @@
     sendConfiguration(connection, session);
   }
   sendTable(connection, session);
+  sendInstances(connection, session);
   // Nothing can be granted before there is a configuration.
   if (inForce.version == 0) return;
   ++counters_.leasesGranted;
--- a/src/controller/ControllerRunners.cpp
+++ b/src/controller/ControllerRunners.cpp
@@ -23,6 +23,8 @@
   if (now_ < leader_->nextRoutineAt) return;
   leader_->nextRoutineAt = now_ + kRoutineInterval;
   leader_->demands.expire(now_);
+  runInstanceRoutine();
+  changeMembersIfDue();
   leader_->isPlacementDue = true;
   placeIfDue();
   if (options_.plantedFault == cell::PlantedFault::kReplicaReleasedOnSilence) {
@@ -34,7 +36,7 @@
 }
 
 void ControllerCore::Implementation::pollMachineList() {
-  if (leader_->isMachineListPolled || now_ < leader_->nextMachineListAt) return;
+  if (!options_.hasMachineList || leader_->isMachineListPolled || now_ < leader_->nextMachineListAt) return;
   leader_->isMachineListPolled = true;
   leader_->nextMachineListAt = now_ + options_.machineListInterval;
   effects_.emplace_back(PollMachineList{});
--- a/src/controller/ControllerSettings.cpp
+++ b/src/controller/ControllerSettings.cpp
@@ -10,6 +10,7 @@
 using base::seconds;
 
 constexpr std::int64_t kLargestId = 1'000'000'000'000;
+constexpr std::int64_t kLargestPort = 65535;
 constexpr std::int64_t kMostEntriesBetweenSnapshots = 10'000'000;
 constexpr base::Duration kShortest = milliseconds(1);
 constexpr base::Duration kLongest = std::chrono::hours(24);
@@ -26,9 +27,9 @@
 }
 
 void declareIdentity(config::SettingsSchema& schema, ControllerSettings& settings) {
-  schema.addInteger("id", &settings.id, 1, kLargestId,
-                    "identity of this member's disk; never reused after the disk is lost");
-  schema.required();
+  schema.addInteger("id", &settings.id, 0, kLargestId,
+                    "identity of this member's disk, never reused after the disk is lost; 0, only "
+                    "with seeds: drawn at the first start");
   schema.addString("cell", &settings.cell, "name of the cell").required();
   schema.addString("zone", &settings.zone, "zone of this machine").required();
   schema.addString("data_dir", &settings.dataDirectory, "folder of the durable state").required();
@@ -38,9 +39,19 @@
   schema.addAddress("http_address", &settings.httpAddress,
                     "listens for operators, health checks and metrics");
   schema.required();
+  schema.addAddress("control_address", &settings.controlAddress,
+                    "listens for runners that register themselves and for the operator of their "
+                    "services; not set: nowhere");
   schema.addAddress("machines_address", &settings.machinesAddress,
-                    "address of the platform's machine list");
-  schema.required();
+                    "address of the platform's machine list; not set: there is none");
+}
+
+void declareSeeds(config::SettingsSchema& schema, ControllerSettings& settings) {
+  schema.addAddressList("seeds", &settings.seeds,
+                        "control addresses of the controllers that found the cell (with bootstrap) "
+                        "and are asked to join it; when set, members are managed by the cell");
+  schema.addInteger("seed_peer_port", &settings.seedPeerPort, 0, kLargestPort,
+                    "port of peer_address at every seed");
 }
 
 void declareStart(config::SettingsSchema& schema, ControllerSettings& settings) {
@@ -91,9 +102,20 @@
 
 std::vector<std::string> checkTogether(const ControllerSettings& settings) {
   std::vector<std::string> problems = config::findAddressClashes(
-      {{"peer_address", settings.peerAddress}, {"http_address", settings.httpAddress}});
+      {{"peer_address", settings.peerAddress},
+       {"http_address", settings.httpAddress},
+       {"control_address", settings.controlAddress}});
   const consensus::RaftOptions& raft = settings.core.raft;
-  if (settings.isBootstrap && settings.isJoining) {
+  if (settings.id == 0 && !formsFromSeeds(settings)) {
+    problems.emplace_back("id: missing (key id or flag --id), allowed: integer from 1; 0 only with "
+                          "seeds");
+  }
+  if (formsFromSeeds(settings)) {
+    if (settings.seedPeerPort == 0) problems.emplace_back("seed_peer_port: missing with seeds");
+    if (settings.isJoining || !settings.members.empty()) {
+      problems.emplace_back("seeds excludes join and members");
+    }
+  } else if (settings.isBootstrap && settings.isJoining) {
     problems.emplace_back("bootstrap and join exclude each other");
   }
   if (raft.electionTimeoutMaximum < raft.electionTimeoutMinimum) {
@@ -105,7 +127,9 @@
   if (raft.leaseMargin >= raft.electionTimeoutMinimum) {
     problems.emplace_back("lease_margin_ms is not below election_timeout_min_ms");
   }
-  if (settings.isBootstrap || settings.isJoining || !settings.members.empty()) {
+  const bool namesMembers =
+      settings.isBootstrap || settings.isJoining || !settings.members.empty();
+  if (namesMembers && !formsFromSeeds(settings)) {
     base::handleErrors(
         [&]() -> base::Result<void> {
           BOOST_LEAF_CHECK(initialMembers(settings));
@@ -121,6 +145,7 @@
 void declareSettings(config::SettingsSchema& schema, ControllerSettings& settings) {
   declareIdentity(schema, settings);
   declareStart(schema, settings);
+  declareSeeds(schema, settings);
   declareConsensusTiming(schema, settings);
   declareCellTiming(schema, settings);
   config::addLoggingSettings(schema, &settings.logging);
@@ -183,10 +208,14 @@
       [](const base::Error&) { return std::vector<consensus::Member>(); });
 }
 
+bool formsFromSeeds(const ControllerSettings& settings) { return !settings.seeds.empty(); }
+
 ControllerOptions coreOptions(const ControllerSettings& settings) {
   ControllerOptions options = settings.core;
   options.cell = base::CellId(settings.cell);
   if (settings.isJoining) options.contacts = membersOrNone(settings);
+  options.hasMachineList = !settings.machinesAddress.host.empty();
+  options.managesMembers = formsFromSeeds(settings);
   options.entriesBetweenSnapshots = static_cast<std::size_t>(settings.entriesBetweenSnapshots);
   return options;
 }
--- /dev/null
+++ b/src/controller/MemberAdmission.cpp
@@ -0,0 +1,118 @@
+#include "controller/MemberAdmission.h"
+
+#include <algorithm>
+
+namespace fernlift::controller {
+namespace {
+
+/// A member that answered within this time is alive.
+constexpr base::Duration kAliveWithin = base::milliseconds(1000);
+/// A request to join counts this long.
+constexpr base::Duration kRequestLife = base::seconds(3);
+constexpr base::Duration kSilentLearner = base::seconds(5);
+/// A cut, a freeze or a restart is over by then, as a rule.
+constexpr base::Duration kLostVoter = base::seconds(12);
+/// Below this many voters that answer, a silent one stays: it may hold what another lost.
+constexpr std::size_t kFewestVoters = 3;
+
+consensus::MemberSet without(const consensus::MemberSet& members, base::MemberId id) {
+  consensus::MemberSet changed = members;
+  std::erase_if(changed.members,
+                [&](const consensus::Member& member) { return member.id == id; });
+  return changed;
+}
+
+consensus::MemberSet withVoter(const consensus::MemberSet& members, base::MemberId id) {
+  consensus::MemberSet changed = members;
+  for (consensus::Member& member : changed.members) {
+    if (member.id == id) member.isVoter = true;
+  }
+  return changed;
+}
+
+/// The leader's view of who answers.
+class Liveness {
+ public:
+  explicit Liveness(const consensus::RaftStatus& status) : status_(status) {}
+
+  [[nodiscard]] base::Duration silenceOf(base::MemberId id) const {
+    for (const consensus::MemberProgress& progress : status_.progress) {
+      if (progress.member.id == id) return progress.sinceLastReply;
+    }
+    return base::Duration::zero();  // The leader itself.
+  }
+
+  [[nodiscard]] bool isAlive(base::MemberId id) const { return silenceOf(id) < kAliveWithin; }
+
+  [[nodiscard]] std::size_t liveVoters() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(status_.members.members, [&](const consensus::Member& member) {
+          return member.isVoter && isAlive(member.id);
+        }));
+  }
+
+  /// Whether a voter that answers has the address of this one.
+  [[nodiscard]] bool isReplaced(const consensus::Member& member) const {
+    return std::ranges::any_of(status_.members.members, [&](const consensus::Member& other) {
+      return other.id != member.id && other.isVoter && other.peerAddress == member.peerAddress &&
+             isAlive(other.id);
+    });
+  }
+
+ private:
+  const consensus::RaftStatus& status_;
+};
+
+bool hasCaughtUp(const consensus::RaftStatus& status, base::MemberId id) {
+  for (const consensus::MemberProgress& progress : status.progress) {
+    if (progress.member.id != id) continue;
+    return !progress.isReceivingSnapshot && progress.matchIndex >= status.commitIndex;
+  }
+  return false;
+}
+
+}  // namespace
+
+void MemberAdmission::onJoinRequest(const consensus::Member& member, base::TimePoint now) {
+  candidates_[member.id] = {member, now};
+}
+
+std::optional<consensus::MemberSet> MemberAdmission::nextChange(const consensus::RaftStatus& status,
+                                                                base::TimePoint now) {
+  std::erase_if(candidates_, [&](const auto& item) {
+    return now - item.second.askedAt > kRequestLife;
+  });
+  const Liveness liveness(status);
+  const consensus::MemberSet& members = status.members;
+  for (const consensus::Member& member : members.members) {
+    const bool isReady =
+        !member.isVoter && liveness.isAlive(member.id) && hasCaughtUp(status, member.id);
+    if (isReady) return withVoter(members, member.id);
+  }
+  for (const consensus::Member& member : members.members) {
+    const base::Duration silence = liveness.silenceOf(member.id);
+    const bool isSilent = silence >= kAliveWithin;
+    if (!isSilent) continue;
+    if (!member.isVoter) {
+      if (silence >= kSilentLearner) return without(members, member.id);
+      continue;
+    }
+    if (liveness.isReplaced(member)) return without(members, member.id);
+    if (silence >= kLostVoter && liveness.liveVoters() >= kFewestVoters) {
+      return without(members, member.id);
+    }
+  }
+  for (const auto& [id, candidate] : candidates_) {
+    const bool isKnown = std::ranges::any_of(
+        members.members, [&](const consensus::Member& member) { return member.id == id; });
+    if (isKnown) continue;
+    consensus::MemberSet changed = members;
+    changed.members.push_back(candidate.member);
+    changed.members.back().isVoter = false;
+    std::ranges::sort(changed.members, {}, &consensus::Member::id);
+    return changed;
+  }
+  return std::nullopt;
+}
+
+}  // namespace fernlift::controller
--- /dev/null
+++ b/src/controller/MemberAdmission.h
@@ -0,0 +1,40 @@
+#pragma once
+
+/// Decides which change of the members the leader makes by itself: members that ask are taken in as
+/// learners and become voters, members that were replaced or are lost are removed.
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/Time.h"
+#include "consensus/RaftNode.h"
+
+namespace fernlift::controller {
+
+/// Lives as long as one term of leadership. Pure; the caller proposes what it returns.
+class MemberAdmission {
+ public:
+  /// Notes that a controller asked to become a voter.
+  void onJoinRequest(const consensus::Member& member, base::TimePoint now);
+
+  /// The member set to propose next; nothing when no change is due. `status` is the leader's.
+  ///  - A caught-up learner becomes a voter.
+  ///  - A silent voter is removed when a voter that answers has its address (its disk was lost),
+  ///    or when it was silent for long and at least three voters that answer remain.
+  ///  - A silent learner is removed.
+  ///  - A controller that asked becomes a learner.
+  [[nodiscard]] std::optional<consensus::MemberSet> nextChange(const consensus::RaftStatus& status,
+                                                               base::TimePoint now);
+
+ private:
+  struct Candidate {
+    consensus::Member member;
+    base::TimePoint askedAt{};
+  };
+
+  std::map<base::MemberId, Candidate> candidates_;
+};
+
+}  // namespace fernlift::controller
--- a/src/controller/MemberStart.cpp
+++ b/src/controller/MemberStart.cpp
@@ -72,6 +72,12 @@
 base::Result<consensus::RecoveredState> startMember(storage::Storage& storage,
                                                     const ControllerSettings& settings) {
   BOOST_LEAF_AUTO(recovered, storage.recover());
+  return startMember(storage, settings, std::move(recovered));
+}
+
+base::Result<consensus::RecoveredState> startMember(storage::Storage& storage,
+                                                    const ControllerSettings& settings,
+                                                    storage::Recovered recovered) {
   BOOST_LEAF_AUTO(kind, decideStart(recovered, settings));
   if (recovered.tornBytesCut > 0) {
     log::write(log::Event::kTornRecordCut, {{"bytes", recovered.tornBytesCut}});
--- a/src/controller/MemberStart.h
+++ b/src/controller/MemberStart.h
@@ -27,4 +27,8 @@
 [[nodiscard]] base::Result<consensus::RecoveredState> startMember(
     storage::Storage& storage, const ControllerSettings& settings);
 
+/// The same for a folder that was recovered before.
+[[nodiscard]] base::Result<consensus::RecoveredState> startMember(
+    storage::Storage& storage, const ControllerSettings& settings, storage::Recovered recovered);
+
 }  // namespace fernlift::controller
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -39,6 +39,8 @@
   base::TimePoint wholeTableSentAt{};
   bool isTableShared = false;  ///< The version is one of the table that all routers share.
 
+  std::uint64_t instanceVersion = 0;  ///< Of the instances last sent; 0: none.
+
   // While not shared: the table as the router has it once it has read everything sent.
   using ReplicaKey = std::tuple<base::ReplicaId, base::RunnerId, std::string>;
   std::map<ReplicaKey, cell::RoutableReplica> table;
--- a/src/programs/fernlift-controller.cpp
+++ b/src/programs/fernlift-controller.cpp
@@ -6,6 +6,8 @@
 #include "controller/ControllerSettings.h"
 #include "http/SignalWatcher.h"
 #include "log/Log.h"
+#include "platform/Configuration.h"
+#include "platform/Control.h"
 
 namespace {
 
@@ -45,7 +47,12 @@
   log::initialize(settings.logging);
   log::write(log::Event::kProcessStarted, {{"cell", settings.cell}, {"zone", settings.zone}});
 
-  ControllerProcess process(settings, [](int exitCode) { QCoreApplication::exit(exitCode); });
+  std::shared_ptr<const fernlift::controller::ControlCodec> codec;
+  if (!settings.controlAddress.host.empty()) {
+    codec = fernlift::platform::controlCodec();
+    settings.core.catalogueParser = &fernlift::platform::parseConfiguration;
+  }
+  ControllerProcess process(settings, codec, [](int exitCode) { QCoreApplication::exit(exitCode); });
   if (const auto exitCode = startOrExplain(process)) return *exitCode;
   const fernlift::http::SignalWatcher signalWatcher([&process] { process.beginStop(); });
   const int exitCode = QCoreApplication::exec();
--- a/src/programs/fernlift-router.cpp
+++ b/src/programs/fernlift-router.cpp
@@ -1,11 +1,17 @@
-/// One router of a cell: takes callers' requests and sends each to a replica.
+/// One router of a cell: takes callers' requests and sends each to a replica, or, as
+/// `fernlift-router forward`, to a runner of a registered service.
 
 #include <QCoreApplication>
 #include <optional>
 #include <random>
+#include <string_view>
 
 #include "http/SignalWatcher.h"
 #include "log/Log.h"
+#include "platform/Configuration.h"
+#include "platform/Forwarding.h"
+#include "proxy/ProxyProcess.h"
+#include "proxy/ProxySettings.h"
 #include "router/RouterProcess.h"
 #include "router/RouterSettings.h"
 
@@ -23,7 +29,8 @@
 }
 
 /// Starts the process; the exit code when it cannot start.
-std::optional<int> startOrExplain(RouterProcess& process) {
+template <class Process>
+std::optional<int> startOrExplain(Process& process) {
   return fernlift::base::handleErrors(
       [&]() -> fernlift::base::Result<std::optional<int>> {
         BOOST_LEAF_CHECK(process.start());
@@ -35,29 +42,60 @@
       });
 }
 
-}  // namespace
+/// Runs a process until its planned stop is done; the exit code.
+template <class Process>
+int runUntilStopped(Process& process) {
+  if (const auto exitCode = startOrExplain(process)) return *exitCode;
+  const fernlift::http::SignalWatcher signalWatcher([&process] { process.beginStop(); });
+  const int exitCode = QCoreApplication::exec();
+  log::write(log::Event::kProcessStopped, {{"exit_code", exitCode}});
+  return exitCode;
+}
 
-int main(int argc, char** argv) {
+/// Sets up the log for a program whose settings are read.
+template <class Settings>
+void beginLog(Settings& settings) {
+  settings.logging.program = "fernlift-router";
+  settings.logging.instance = settings.id;
+  log::initialize(settings.logging);
+  log::write(log::Event::kProcessStarted, {{"cell", settings.cell}, {"zone", settings.zone}});
+}
+
+int runRouter(int argc, char** argv) {
   RouterSettings settings;
   fernlift::config::SettingsSchema schema("fernlift-router", "One router of a cell.");
   fernlift::router::declareSettings(schema, settings);
   const auto outcome = fernlift::config::parseCommandLine(argc, argv, schema);
   if (outcome.exitCode) return *outcome.exitCode;
-
-  // Qt's own event dispatcher takes less time for each event than the one over GLib.
-  qputenv("QT_NO_GLIB", "1");
   const QCoreApplication application(argc, argv);
-  settings.logging.program = "fernlift-router";
-  settings.logging.instance = settings.id;
-  log::initialize(settings.logging);
-  log::write(log::Event::kProcessStarted, {{"cell", settings.cell}, {"zone", settings.zone}});
-
+  beginLog(settings);
   const fernlift::base::SystemClock clock;
   RouterProcess process(settings, clock, drawSeed(),
                         [](int exitCode) { QCoreApplication::exit(exitCode); });
-  if (const auto exitCode = startOrExplain(process)) return *exitCode;
-  const fernlift::http::SignalWatcher signalWatcher([&process] { process.beginStop(); });
-  const int exitCode = QCoreApplication::exec();
-  log::write(log::Event::kProcessStopped, {{"exit_code", exitCode}});
-  return exitCode;
+  return runUntilStopped(process);
+}
+
+int runForwarder(int argc, char** argv) {
+  fernlift::proxy::ProxySettings settings;
+  fernlift::config::SettingsSchema schema("fernlift-router forward",
+                                          "One router that forwards to registered services.");
+  fernlift::proxy::declareSettings(schema, settings);
+  const auto outcome = fernlift::config::parseCommandLine(argc, argv, schema);
+  if (outcome.exitCode) return *outcome.exitCode;
+  const QCoreApplication application(argc, argv);
+  beginLog(settings);
+  const fernlift::base::SystemClock clock;
+  fernlift::proxy::ProxyProcess process(
+      settings, fernlift::platform::protocolNames(), &fernlift::platform::parseConfiguration, clock,
+      drawSeed(), [](int exitCode) { QCoreApplication::exit(exitCode); });
+  return runUntilStopped(process);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  // Qt's own event dispatcher takes less time for each event than the one over GLib.
+  qputenv("QT_NO_GLIB", "1");
+  const bool isForwarder = argc > 1 && std::string_view(argv[1]) == "forward";
+  return isForwarder ? runForwarder(argc - 1, argv + 1) : runRouter(argc, argv);
 }
--- /dev/null
+++ b/src/proxy/Exchange.h
@@ -0,0 +1,103 @@
+#pragma once
+
+/// One request of a caller from its arrival to its end: the route, the attempts at runners, what is
+/// passed on, and what is answered when no runner's answer can be.
+
+#include <QTimer>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/Error.h"
+#include "proxy/AnswerParser.h"
+#include "proxy/CallerConnection.h"
+#include "proxy/EventSplitter.h"
+#include "proxy/ProxyContext.h"
+#include "proxy/RequestParser.h"
+#include "proxy/RunnerConnection.h"
+
+namespace fernlift::proxy {
+
+class Exchange final : public AnswerListener {
+ public:
+  /// `onEnd` is called once; the exchange may be destroyed once control is back in the event loop.
+  Exchange(ProxyContext& context, CallerConnection& caller, ParsedRequest request,
+           std::function<void(Exchange& exchange)> onEnd);
+  ~Exchange() override;
+
+  void begin();
+  /// The runners or what they hold changed: a request that waits for one looks again.
+  void onDirectoryChanged();
+  /// The caller went away: the runner's work is cancelled.
+  void onCallerLeft();
+  [[nodiscard]] bool isWaiting() const { return isWaiting_; }
+
+  void onSent() override;
+  void onHead(AnswerHead head) override;
+  void onBody(std::string_view data) override;
+  void onDone() override;
+  void onFailed(RunnerFailure failure) override;
+
+ private:
+  /// What is done with the answer that is being read.
+  enum class AnswerUse : std::uint8_t {
+    kNone,     ///< No head yet.
+    kCollect,  ///< Kept until it is whole.
+    kPass,     ///< Passed on as it comes.
+    kEvents,   ///< Passed on event by event.
+    kRefusal,  ///< The runner has not run the request.
+    kRetry,    ///< A failure of the runner; the request is sent again.
+  };
+
+  [[nodiscard]] base::TimePoint now() const { return context_.clock.now(); }
+  void readModel();
+  void tryNext();
+  void beginWait(NoChoice reason);
+  void endWait();
+  void startAttempt(const InstanceChoice& choice);
+  void armTimer();
+  void onTimer();
+  /// Ends the attempt; its connection is kept when `mayReuse`.
+  void endAttempt(AttemptEnd end, bool mayReuse);
+  [[nodiscard]] bool mayRunAgain();
+  void afterRefusal();
+  void afterFailure();
+  void passHead();
+  void noteLoad(const AnswerHead& head);
+  void finishAnswer();
+  void refuse(base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
+  void fail(base::ErrorKind kind, const std::string& message);
+  void sendError(const base::Error& error, std::optional<base::Duration> retryAfter);
+  void cut();
+  void end();
+
+  ProxyContext& context_;
+  CallerConnection& caller_;
+  ParsedRequest request_;
+  std::function<void(Exchange&)> onEnd_;
+  std::shared_ptr<const RouteTable> routes_;
+  const config::Route* route_ = nullptr;
+  InstanceQuery query_;
+  EngineTarget target_;
+  base::TimePoint arrivedAt_{};
+  base::TimePoint deadline_{};
+  base::TimePoint attemptDeadline_{};
+  std::uint32_t sent_ = 0;          ///< Attempts whose bytes left.
+  std::uint32_t unreachable_ = 0;   ///< Attempts that found no connection.
+  bool isAttemptSent_ = false;      ///< The present attempt's bytes left.
+  bool mayHaveRun_ = false;         ///< An attempt ended whose runner did not deny having run it.
+  bool isWaiting_ = false;
+  bool isAnswerBegun_ = false;
+  bool isEnded_ = false;
+  std::string instance_;
+  std::shared_ptr<RunnerConnection> connection_;
+  AnswerUse use_ = AnswerUse::kNone;
+  AnswerHead head_;
+  std::string collected_;
+  std::optional<EventSplitter> events_;
+  QTimer timer_;
+};
+
+}  // namespace fernlift::proxy
--- /dev/null
+++ b/src/proxy/InstanceDirectory.cpp
@@ -0,0 +1,162 @@
+#include "proxy/InstanceDirectory.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace fernlift::proxy {
+namespace {
+
+/// A load that a runner stated longer ago says little.
+constexpr base::Duration kLoadLife = base::milliseconds(500);
+constexpr base::Duration kNotHeldLife = base::milliseconds(1500);
+constexpr base::Duration kFirstAvoidance = base::milliseconds(300);
+constexpr base::Duration kLongestAvoidance = base::seconds(4);
+constexpr base::Duration kUnreachableAvoidance = base::milliseconds(500);
+constexpr std::uint32_t kFailuresBeforeAvoidance = 3;
+constexpr double kFailureWeight = 0.2;
+/// Costs are in shares of a runner's slots.
+constexpr double kOtherZoneCost = 0.02;
+constexpr double kFailureCost = 2.0;
+constexpr double kSilentCost = 1.0;
+constexpr double kAvoidedCost = 100.0;
+/// The runner that a request's affinity points to may be this much busier than the idlest.
+constexpr double kAffinityGain = 0.25;
+
+double hashShare(const std::string& id, const std::string& affinity) {
+  const std::size_t hash = std::hash<std::string>()(id + '\n' + affinity);
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(hash) / kRange;
+}
+
+const cell::HeldModel* findModel(const cell::RoutableInstance& row, const std::string& name) {
+  const auto found = std::ranges::find(row.models, name, &cell::HeldModel::model);
+  return found == row.models.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+bool InstanceDirectory::apply(const cell::InstanceUpdate& update) {
+  const bool isWhole = update.fromVersion == 0;
+  const bool fits = update.term == term_ && update.fromVersion == version_;
+  if (update.term < term_ || (!isWhole && !fits)) return false;
+  if (isWhole) {
+    std::set<std::string> present;
+    for (const cell::RoutableInstance& row : update.upserts) present.insert(row.instance.id);
+    std::erase_if(views_, [&](const auto& item) { return !present.contains(item.first); });
+  }
+  for (const std::string& id : update.removals) views_.erase(id);
+  for (const cell::RoutableInstance& row : update.upserts) put(row);
+  term_ = update.term;
+  version_ = update.toVersion;
+  routers_ = std::max(update.routers, 1U);
+  controllers_ = update.controllers;
+  return true;
+}
+
+void InstanceDirectory::put(const cell::RoutableInstance& row) {
+  View& view = views_[row.instance.id];
+  // A new leader knows the models only once it has heard the runner.
+  std::vector<cell::HeldModel> known = std::move(view.row.models);
+  const bool isNews = row.isReported && row.models != known;
+  view.row = row;
+  if (!row.isReported) view.row.models = std::move(known);
+  if (isNews) view.notHeldUntil.clear();
+}
+
+bool InstanceDirectory::holds(const View& view, const InstanceQuery& query, base::TimePoint now) {
+  if (query.model.empty()) return true;
+  const cell::HeldModel* model = findModel(view.row, query.model);
+  if (model == nullptr) return false;
+  const bool hasAdapter =
+      query.adapter.empty() ||
+      std::ranges::find(model->adapters, query.adapter) != model->adapters.end();
+  if (!hasAdapter) return false;
+  const auto doubt = view.notHeldUntil.find(query.model + "/" + query.adapter);
+  return doubt == view.notHeldUntil.end() || now >= doubt->second;
+}
+
+double InstanceDirectory::loadOf(const View& view, base::TimePoint now) const {
+  const double slots = std::max(view.row.instance.slots, 1U);
+  double load = view.inFlight;
+  if (now - view.loadStatedAt < kLoadLife) {
+    load = std::max(load, static_cast<double>(view.statedLoad));
+  }
+  return load / slots;
+}
+
+double InstanceDirectory::costOf(const View& view, const InstanceQuery& query,
+                                 base::TimePoint now) const {
+  double cost = loadOf(view, now) + kFailureCost * view.failureShare;
+  if (view.row.instance.zone != zone_) cost += kOtherZoneCost;
+  if (view.row.isSilent) cost += kSilentCost;
+  if (now < view.avoidedUntil || view.row.instance.id == query.avoidedInstance) {
+    cost += kAvoidedCost;
+  }
+  if (!query.affinity.empty()) {
+    cost -= kAffinityGain * hashShare(view.row.instance.id, query.affinity);
+  }
+  return cost;
+}
+
+InstanceChoice InstanceDirectory::choose(const InstanceQuery& query, base::TimePoint now) const {
+  InstanceChoice choice;
+  double lowest = 0;
+  for (const auto& [id, view] : views_) {
+    const bool takesRequests = view.row.instance.service == query.service &&
+                               !view.row.instance.isDraining;
+    if (!takesRequests) continue;
+    if (choice.reason == NoChoice::kUnknown) choice.reason = NoChoice::kNotLoaded;
+    if (!holds(view, query, now)) continue;
+    const double cost = costOf(view, query, now);
+    if (choice.reason == NoChoice::kNone && cost >= lowest) continue;
+    lowest = cost;
+    choice.reason = NoChoice::kNone;
+    choice.id = id;
+    choice.address = view.row.instance.address;
+  }
+  return choice;
+}
+
+void InstanceDirectory::onAttemptBegin(const std::string& id) {
+  const auto found = views_.find(id);
+  if (found != views_.end()) ++found->second.inFlight;
+}
+
+void InstanceDirectory::onAttemptEnd(const std::string& id, AttemptEnd end, base::TimePoint now) {
+  const auto found = views_.find(id);
+  if (found == views_.end()) return;
+  View& view = found->second;
+  if (view.inFlight > 0) --view.inFlight;
+  if (end == AttemptEnd::kAbandoned || end == AttemptEnd::kNotHeld) return;
+  const bool isFailure = end != AttemptEnd::kAnswered;
+  view.failureShare += kFailureWeight * ((isFailure ? 1.0 : 0.0) - view.failureShare);
+  view.consecutiveFailures = isFailure ? view.consecutiveFailures + 1 : 0;
+  if (end == AttemptEnd::kUnreachable) {
+    view.avoidedUntil = std::max(view.avoidedUntil, now + kUnreachableAvoidance);
+  }
+  if (view.consecutiveFailures >= kFailuresBeforeAvoidance) {
+    const std::uint32_t doublings =
+        std::min(view.consecutiveFailures - kFailuresBeforeAvoidance, 4U);
+    const base::Duration pause =
+        std::min<base::Duration>(kFirstAvoidance * (1U << doublings), kLongestAvoidance);
+    view.avoidedUntil = std::max(view.avoidedUntil, now + pause);
+  }
+}
+
+void InstanceDirectory::onLoad(const std::string& id, std::uint32_t running, std::uint32_t waiting,
+                               base::TimePoint now) {
+  const auto found = views_.find(id);
+  if (found == views_.end()) return;
+  found->second.statedLoad = running + waiting;
+  found->second.loadStatedAt = now;
+}
+
+void InstanceDirectory::onNotHeld(const std::string& id, const std::string& model,
+                                  const std::string& adapter, base::TimePoint now) {
+  const auto found = views_.find(id);
+  if (found == views_.end()) return;
+  found->second.notHeldUntil[model + "/" + adapter] = now + kNotHeldLife;
+}
+
+}  // namespace fernlift::proxy
--- /dev/null
+++ b/src/proxy/InstanceDirectory.h
@@ -0,0 +1,105 @@
+#pragma once
+
+/// The router's view of the runners of services, and the choice of a runner for a request. Pure:
+/// time is passed in.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/Time.h"
+#include "cell/RouterMessages.h"
+
+namespace fernlift::proxy {
+
+/// What a request needs of a runner.
+struct InstanceQuery {
+  std::string service;
+  std::string model;    ///< Empty: any runner of the service.
+  std::string adapter;  ///< Empty: none.
+  /// Requests with the same text here do best at the same runner, which keeps what they share;
+  /// empty: anywhere.
+  std::string affinity;
+  std::string avoidedInstance;  ///< Chosen only when there is no other; may be empty.
+};
+
+enum class NoChoice : std::uint8_t {
+  kNone,       ///< A runner was chosen.
+  kUnknown,    ///< No runner of the service takes requests.
+  kNotLoaded,  ///< None of them holds the model and adapter.
+  kFull,       ///< All that could take it are full.
+};
+
+struct InstanceChoice {
+  NoChoice reason = NoChoice::kUnknown;
+  std::string id;
+  std::string address;
+};
+
+/// How an attempt at a runner ended, as far as the choice of runners cares.
+enum class AttemptEnd : std::uint8_t {
+  kAnswered,     ///< A proper answer came.
+  kRefused,      ///< The runner said that it has not run the request: it is full or leaving.
+  kNotHeld,      ///< The runner does not hold what was asked for, or is another instance.
+  kFailed,       ///< It broke off, sent something else or answered with a failure of its own.
+  kUnreachable,  ///< No connection could be opened.
+  kAbandoned,    ///< The router gave it up for reasons of its own; says nothing.
+};
+
+class InstanceDirectory {
+ public:
+  explicit InstanceDirectory(std::string zone) : zone_(std::move(zone)) {}
+
+  /// Takes over a change of the table. False when it does not fit what is held: the whole table is
+  /// needed then.
+  bool apply(const cell::InstanceUpdate& update);
+
+  [[nodiscard]] InstanceChoice choose(const InstanceQuery& query, base::TimePoint now) const;
+
+  void onAttemptBegin(const std::string& id);
+  void onAttemptEnd(const std::string& id, AttemptEnd end, base::TimePoint now);
+  /// The runner stated its load: requests running, waiting and slots.
+  void onLoad(const std::string& id, std::uint32_t running, std::uint32_t waiting,
+              base::TimePoint now);
+  /// The runner was found not to hold a model or adapter that the table says it holds.
+  void onNotHeld(const std::string& id, const std::string& model, const std::string& adapter,
+                 base::TimePoint now);
+
+  [[nodiscard]] std::uint32_t routers() const { return routers_; }
+  [[nodiscard]] const std::vector<std::string>& controllers() const { return controllers_; }
+  [[nodiscard]] std::size_t size() const { return views_.size(); }
+  [[nodiscard]] bool hasTable() const { return version_ != 0; }
+
+ private:
+  struct View {
+    cell::RoutableInstance row;
+    std::uint32_t inFlight = 0;  ///< Of this router.
+    double failureShare = 0;     ///< Of late attempts, decaying.
+    std::uint32_t consecutiveFailures = 0;
+    base::TimePoint avoidedUntil{};
+    std::uint32_t statedLoad = 0;
+    base::TimePoint loadStatedAt{};
+    std::map<std::string, base::TimePoint> notHeldUntil;  ///< By MODEL/ADAPTER.
+  };
+
+  void put(const cell::RoutableInstance& row);
+  [[nodiscard]] static bool holds(const View& view, const InstanceQuery& query,
+                                  base::TimePoint now);
+  /// Estimated share of the runner's slots that is taken; above 1 requests wait there.
+  [[nodiscard]] double loadOf(const View& view, base::TimePoint now) const;
+  [[nodiscard]] double costOf(const View& view, const InstanceQuery& query,
+                              base::TimePoint now) const;
+
+  std::string zone_;
+  base::Term term_ = 0;
+  std::uint64_t version_ = 0;
+  std::uint32_t routers_ = 1;
+  std::vector<std::string> controllers_;
+  std::map<std::string, View> views_;
+};
+
+}  // namespace fernlift::proxy
--- /dev/null
+++ b/src/proxy/ProxyContext.h
@@ -0,0 +1,45 @@
+#pragma once
+
+/// What all exchanges of one router share.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "base/Random.h"
+#include "base/Time.h"
+#include "dispatch/RetryBudget.h"
+#include "proxy/EngineDemands.h"
+#include "proxy/InstanceDirectory.h"
+#include "proxy/ProtocolNames.h"
+#include "proxy/RouteTable.h"
+#include "proxy/RunnerPool.h"
+
+namespace fernlift::proxy {
+
+/// Counts since the start of the process.
+struct ProxyCounters {
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;  ///< Answers of runners passed on whole.
+  std::uint64_t refused = 0;   ///< Not run, and said so.
+  std::uint64_t failed = 0;    ///< Ended without an answer of a runner, and may have run.
+  std::uint64_t left = 0;      ///< The caller went away.
+  std::uint64_t attempts = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t resumed = 0;
+};
+
+struct ProxyContext {
+  const ProtocolNames& names;
+  const base::Clock& clock;
+  base::Random& random;
+  InstanceDirectory& directory;
+  RunnerPool& pool;
+  dispatch::RetryBudget& retryBudget;
+  EngineDemands& demands;
+  ProxyCounters& counters;
+  std::function<void()> onUrgentDemand;      ///< A request began to wait.
+  std::shared_ptr<const RouteTable> routes;  ///< Null before the first configuration.
+};
+
+}  // namespace fernlift::proxy
--- /dev/null
+++ b/src/proxy/ProxyProcess.h
@@ -0,0 +1,86 @@
+#pragma once
+
+/// A router that forwards requests to registered services, as a process.
+
+#include <QObject>
+#include <QTimer>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/Error.h"
+#include "base/Random.h"
+#include "base/Time.h"
+#include "cell/ConfigurationDelta.h"
+#include "cell/ConfigurationState.h"
+#include "cell/RouterMessages.h"
+#include "http/Metrics.h"
+#include "http/Server.h"
+#include "proxy/ProtocolNames.h"
+#include "proxy/ProxyContext.h"
+#include "proxy/ProxyServer.h"
+#include "proxy/ProxySettings.h"
+#include "proxy/ReadinessServer.h"
+#include "router/ControllerLink.h"
+#include "router/ControllerSession.h"
+
+namespace fernlift::proxy {
+
+/// Lives on the thread of the Qt event loop.
+class ProxyProcess {
+ public:
+  /// `parser` reads the operator's file; `onFinished` is called once, with the exit code, when a
+  /// planned stop is done. `clock` must outlive the process.
+  ProxyProcess(ProxySettings settings, ProtocolNames names, cell::CatalogueParser parser,
+               const base::Clock& clock, std::uint64_t randomSeed,
+               std::function<void(int exitCode)> onFinished);
+
+  /// Listens and begins to look for the leader of the cell.
+  base::Result<void> start();
+  /// Begins a planned stop: not ready, serves on for the grace, then finishes what is open. A second
+  /// call ends it at once.
+  void beginStop();
+
+ private:
+  void connectController(const std::string& address);
+  void sendHello();
+  void onControllerMessage(const cell::ControllerToRouter& message);
+  void takeConfiguration(const cell::ConfigurationUpdate& update);
+  void takeInstances(const cell::InstanceUpdate& update);
+  void pollController();
+  void reportDemand();
+  void onTick();
+  void checkStop();
+  void createMetrics();
+  [[nodiscard]] bool isReady() const;
+  void finish(int exitCode);
+
+  ProxySettings settings_;
+  ProtocolNames names_;
+  cell::CatalogueParser parser_;
+  const base::Clock& clock_;
+  base::Random random_;
+  std::function<void(int)> onFinished_;
+  InstanceDirectory directory_;
+  RunnerPool pool_;
+  dispatch::RetryBudget retryBudget_;
+  EngineDemands demands_;
+  ProxyCounters counters_;
+  ProxyContext context_;
+  router::ControllerSession session_;
+  router::ControllerLink link_;
+  cell::HeldConfiguration held_;
+  std::optional<base::TimePoint> stopBegan_;
+  bool isClosing_ = false;
+  bool isFinished_ = false;
+  http::Metrics metrics_;
+  std::unique_ptr<http::Server> metricsServer_;
+  ProxyServer server_;
+  ReadinessServer readiness_;
+  QTimer demandTimer_;  ///< Sends an urgent report of demand once control is in the event loop.
+  QTimer ticker_;
+};
+
+}  // namespace fernlift::proxy
--- /dev/null
+++ b/src/proxy/RunnerConnection.h
@@ -0,0 +1,96 @@
+#pragma once
+
+/// One connection to a runner, which carries one request at a time.
+
+#include <QTcpSocket>
+#include <memory>
+#include <string>
+
+#include "base/SocketAddress.h"
+#include "base/Time.h"
+#include "proxy/AnswerParser.h"
+
+namespace fernlift::proxy {
+
+/// What became of the connection.
+enum class RunnerFailure : std::uint8_t {
+  kNotConnected,  ///< Nothing was sent.
+  kClosed,        ///< It closed before the answer was whole.
+  kNotAnAnswer,   ///< What came is no answer to the request.
+};
+
+/// Takes the answer to one request. May drop the connection from within every call.
+class AnswerListener {
+ public:
+  virtual ~AnswerListener() = default;
+  AnswerListener() = default;
+  AnswerListener(const AnswerListener&) = delete;
+  AnswerListener& operator=(const AnswerListener&) = delete;
+
+  /// The connection is open and the request has been written.
+  virtual void onSent() = 0;
+  virtual void onHead(AnswerHead head) = 0;
+  virtual void onBody(std::string_view data) = 0;
+  virtual void onDone() = 0;
+  virtual void onFailed(RunnerFailure failure) = 0;
+};
+
+/// Sends a request and hands on its answer. An answer with another request's id belongs to an
+/// earlier request and is dropped.
+class RunnerConnection : public std::enable_shared_from_this<RunnerConnection> {
+ public:
+
+  /// A request as bytes, and what identifies its answer.
+  struct Call {
+    std::string bytes;
+    bool answerHasBody = true;    ///< False for HEAD.
+    std::string requestIdHeader;  ///< Field in which the runner repeats the request's id.
+    std::string requestId;
+  };
+
+  RunnerConnection(base::SocketAddress address, base::Duration connectTimeout);
+  ~RunnerConnection();
+  RunnerConnection(const RunnerConnection&) = delete;
+  RunnerConnection& operator=(const RunnerConnection&) = delete;
+
+  /// `listener` must outlive the call or detach itself.
+  void send(Call call, AnswerListener* listener);
+  /// Calls the listener no more; the connection must be dropped unless its answer was whole.
+  void detach();
+  /// Whether another request may be sent: the last answer was whole, in good order, and nothing
+  /// came after it.
+  [[nodiscard]] bool isReusable(base::TimePoint now) const;
+  /// Notes that the connection rests from now on.
+  void rest(base::TimePoint now);
+  [[nodiscard]] const base::SocketAddress& address() const { return address_; }
+  [[nodiscard]] bool wasUsedBefore() const { return callsSent_ > 1; }
+
+ private:
+  void connectSignals();
+  void write();
+  void onReadable();
+  void parse();
+  void beginAnswer();
+  void onHead(AnswerHead head);
+  void onClosed();
+  void finish();
+  void fail(RunnerFailure failure);
+
+  base::SocketAddress address_;
+  base::Duration connectTimeout_;
+  std::unique_ptr<QTcpSocket> socket_;
+  Call call_;
+  AnswerListener* listener_ = nullptr;
+  std::unique_ptr<AnswerParser> parser_;
+  std::string buffer_;
+  bool isActive_ = false;           ///< A call waits for its answer.
+  bool isSurplus_ = false;          ///< The answer being read belongs to an earlier request.
+  bool isClosed_ = false;
+  bool isPersistent_ = false;
+  bool isHeadRead_ = false;
+  std::size_t callsSent_ = 0;
+  base::Duration keepAlive_{};      ///< As stated by the runner.
+  base::TimePoint restsSince_{};
+};
+
+}  // namespace fernlift::proxy
--- a/src/router/ActiveConfiguration.cpp
+++ b/src/router/ActiveConfiguration.cpp
@@ -1,20 +1,17 @@
 #include "router/ActiveConfiguration.h"
 
+#include <optional>
 #include <utility>
 
-#include "base/Digest.h"
-
 namespace fernlift::router {
 
 bool ActiveConfiguration::apply(const cell::ConfigurationUpdate& update) {
-  if (update.version <= version_) return false;
-  std::optional<std::string> text = wholeText(update);
+  if (update.version <= held_.version) return false;
+  std::optional<std::string> text = cell::wholeText(update, held_);
   if (!text) return false;
   config::CatalogueOutcome outcome = config::parseCatalogue(*text);
   if (!outcome.catalogue) return false;
-  text_ = std::move(*text);
-  version_ = update.version;
-  digest_ = update.digest;
+  held_ = {update.version, update.digest, std::move(*text)};
   catalogue_ = std::move(*outcome.catalogue);
   reservation_ = admission::SlotReservation(catalogue_.classes);
   models_.clear();
@@ -29,20 +26,6 @@
   return true;
 }
 
-std::optional<std::string> ActiveConfiguration::wholeText(
-    const cell::ConfigurationUpdate& update) const {
-  if (update.baseVersion == 0) return update.text;
-  const bool isBaseHeld = update.baseVersion == version_ && update.baseDigest == digest_;
-  const bool isWithin =
-      update.keptPrefix <= text_.size() && update.keptSuffix <= text_.size() - update.keptPrefix;
-  if (!isBaseHeld || !isWithin) return std::nullopt;
-  std::string text = text_.substr(0, update.keptPrefix);
-  text += update.text;
-  text.append(text_, text_.size() - update.keptSuffix);
-  if (base::sha256Hex(text) != update.digest) return std::nullopt;
-  return text;
-}
-
 bool ActiveConfiguration::hasTarget(Protocol protocol, const std::string& target) const {
   const DefaultClasses& known = protocol == Protocol::kApplication ? applications_ : models_;
   return known.contains(target);
--- a/src/router/ActiveConfiguration.h
+++ b/src/router/ActiveConfiguration.h
@@ -3,12 +3,12 @@
 /// The configuration in force at a router. It never goes back to a lower version.
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "admission/SlotReservation.h"
+#include "cell/ConfigurationDelta.h"
 #include "cell/RouterMessages.h"
 #include "config/Catalogue.h"
 #include "router/RouterCore.h"
@@ -21,8 +21,8 @@
   /// configuration, or it cannot be parsed. True if it was taken.
   bool apply(const cell::ConfigurationUpdate& update);
 
-  [[nodiscard]] std::uint64_t version() const { return version_; }
-  [[nodiscard]] const std::string& digest() const { return digest_; }
+  [[nodiscard]] std::uint64_t version() const { return held_.version; }
+  [[nodiscard]] const std::string& digest() const { return held_.digest; }
   [[nodiscard]] const admission::SlotReservation& reservation() const { return reservation_; }
 
   [[nodiscard]] bool hasTarget(Protocol protocol, const std::string& target) const;
@@ -33,14 +33,9 @@
   [[nodiscard]] std::vector<std::string> targets() const;
 
  private:
-  /// The whole text that an update stands for; nothing when it does not follow on the one held.
-  [[nodiscard]] std::optional<std::string> wholeText(const cell::ConfigurationUpdate& update) const;
-
   using DefaultClasses = std::unordered_map<std::string, base::RequestClassName>;
 
-  std::uint64_t version_ = 0;
-  std::string digest_;
-  std::string text_;
+  cell::HeldConfiguration held_;
   config::Catalogue catalogue_;
   DefaultClasses models_;  ///< And adapters.
   DefaultClasses applications_;
--- a/src/router/ControllerLink.cpp
+++ b/src/router/ControllerLink.cpp
@@ -33,6 +33,12 @@
       wire::FrameConnection::connectTo(nextAddress(address), {}, std::move(handlers), &traffic_);
 }
 
+void ControllerLink::setControllers(std::vector<base::SocketAddress> controllers) {
+  if (controllers.empty()) return;
+  controllers_ = std::move(controllers);
+  nextIndex_ %= controllers_.size();
+}
+
 void ControllerLink::send(const cell::RouterToController& message) {
   if (!connection_) return;
   connection_->send(wire::Channel::kRouterToController, wire::encodeMessage(message));
--- a/src/router/ControllerLink.h
+++ b/src/router/ControllerLink.h
@@ -27,6 +27,8 @@
 
   /// Closes the connection and opens one to `address`; empty: the next configured.
   void connect(const std::string& address);
+  /// Replaces the addresses that are tried in turn; does nothing with an empty list.
+  void setControllers(std::vector<base::SocketAddress> controllers);
   /// Does nothing without a connection.
   void send(const cell::RouterToController& message);
   void close();
--- a/src/router/RouterCoreImplementation.h
+++ b/src/router/RouterCoreImplementation.h
@@ -72,6 +72,10 @@
   void handle(const cell::LeaseGrant& grant);
   void handle(const cell::ReplicaUpdate& update);
   void handle(const cell::ClaimReply& reply);
+  /// Registered services are the business of routers that forward.
+  void handle(const cell::InstanceUpdate& /*update*/) {}
+  /// Only controllers ask to join.
+  void handle(const cell::MemberJoinReply& /*reply*/) {}
   /// The cell's time as the leader last told it; 0 before. It goes on with the monotonic clock, so
   /// that a step of this machine's wall clock changes nothing.
   [[nodiscard]] base::UnixMilliseconds cellTime() const;
--- a/src/router/RouterProcessTestSupport.h
+++ b/src/router/RouterProcessTestSupport.h
@@ -87,6 +87,8 @@
     outcomes.insert(outcomes.end(), report.outcomes.begin(), report.outcomes.end());
   }
   void handle(const cell::DemandReport& /*report*/) {}
+  void handle(const cell::EngineDemandReport& /*report*/) {}
+  void handle(const cell::MemberJoinRequest& /*request*/) {}
   void handle(const cell::RunnerLeavingSeen& seen) { leavingSeen.push_back(seen); }
 
   std::vector<cell::RoutableReplica> replicas_;
