--- a/src/cell/ConfigurationDelta.cpp
+++ b/src/cell/ConfigurationDelta.cpp
@@ -7,8 +7,7 @@
 std::optional<std::string> wholeText(const ConfigurationUpdate& update,
                                      const HeldConfiguration& held) {
   if (update.baseVersion == 0) return update.text;
-  const bool isBaseHeld =
-      update.baseVersion == held.version && update.baseDigest == held.digest;
+  const bool isBaseHeld = update.baseVersion == held.version && update.baseDigest == held.digest;
   const bool isWithin = update.keptPrefix <= held.text.size() &&
                         update.keptSuffix <= held.text.size() - update.keptPrefix;
   if (!isBaseHeld || !isWithin) return std::nullopt;
--- a/src/controller/CellFormation.h
+++ b/src/controller/CellFormation.h
@@ -24,10 +24,10 @@
 /// Peer addresses of the seeds.
 [[nodiscard]] std::vector<base::SocketAddress> seedPeers(const ControllerSettings& settings);
 
-/// Fills in id, members and kind of start of a controller of a cell that forms itself. A folder with
-/// an identity keeps it. On an empty folder, a seed at the first start of the cell founds it; every
-/// other controller draws a new identity with `randomId` and joins, also at an address that had a
-/// member before: its votes are forgotten with its disk.
+/// Fills in id, members and kind of start of a controller of a cell that forms itself. A folder
+/// with an identity keeps it. On an empty folder, a seed at the first start of the cell founds it;
+/// every other controller draws a new identity with `randomId` and joins, also at an address that
+/// had a member before: its votes are forgotten with its disk.
 [[nodiscard]] ControllerSettings withIdentity(const ControllerSettings& settings,
                                               const storage::Recovered& recovered,
                                               std::uint64_t randomId);
--- a/src/controller/CellJoiner.h
+++ b/src/controller/CellJoiner.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Asks the leader of the cell to take this controller in, while it is not a voter that follows one.
+/// Asks the leader of the cell to take this controller in, while it is not a voter that follows
+/// one.
 
 #include <QObject>
 #include <QTimer>
--- a/src/controller/ControlHttp.cpp
+++ b/src/controller/ControlHttp.cpp
@@ -6,18 +6,17 @@
 
 ControlHttp::ControlHttp(std::shared_ptr<const ControlCodec> codec, Handler handler)
     : codec_(std::move(codec)), handler_(std::move(handler)) {
-  server_.setHandler([this](const http::Request& request,
-                            std::shared_ptr<http::Responder> responder) {
-    handle(request, std::move(responder));
-  });
+  server_.setHandler(
+      [this](const http::Request& request, std::shared_ptr<http::Responder> responder) {
+        handle(request, std::move(responder));
+      });
 }
 
 base::Result<base::SocketAddress> ControlHttp::listen(const base::SocketAddress& address) {
   return server_.listen(address);
 }
 
-void ControlHttp::handle(const http::Request& request,
-                         std::shared_ptr<http::Responder> responder) {
+void ControlHttp::handle(const http::Request& request, std::shared_ptr<http::Responder> responder) {
   base::handleErrors(
       [&]() -> base::Result<void> {
         BOOST_LEAF_AUTO(parsed, codec_->parse(request));
--- a/src/controller/ControlRequests.h
+++ b/src/controller/ControlRequests.h
@@ -22,6 +22,8 @@
   cell::ServiceInstance instance;
   std::uint64_t sequence = 0;  ///< Rises with each heartbeat of the instance.
   std::vector<cell::HeldModel> models;
+  std::vector<std::string> inMemory;  ///< Models it can load from its host memory.
+  std::vector<std::string> onDisk;    ///< Models it can load from its own disk.
 };
 
 /// A runner tells that it ends.
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -76,6 +76,7 @@
     sendOrders();
     placeIfDue();
     if (leader_->isTableDue && !leader_->isTableShared) sendTablesIfDue();
+    placeOnEngines();
     sendInstancesIfDue();
     answerInForceWaits();
   } while (takeRaftOutput());
@@ -268,7 +269,7 @@
 
 void ControllerCore::Implementation::beginLeadership() {
   ++counters_.leaderships;
-  leader_.emplace(options_, status_.term, now_);
+  leader_.emplace(options_, self_, status_.term, now_);
   leader_->unixSince = std::max(unixNow_, state_.time());
   // Claims expire by the cell's time: a wall clock that stepped must not let them go early.
   if (state_.time() != 0) {
@@ -405,6 +406,14 @@
 void ControllerCore::onControl(ControlTicket ticket, const ControlRequest& request) {
   implementation_->onControl(ticket, request);
 }
+void ControllerCore::onEngineOrderAnswer(const engine::ServiceOrder& order,
+                                         engine::OrderOutcome outcome) {
+  implementation_->onEngineOrderAnswer(order, outcome);
+}
+void ControllerCore::onEngineReport(const std::string& instance,
+                                    const engine::ServiceReport* report) {
+  implementation_->onEngineReport(instance, report);
+}
 void ControllerCore::addContact(const std::string& peerAddress) {
   implementation_->addContact(peerAddress);
 }
--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -17,6 +17,8 @@
 #include "consensus/RaftNode.h"
 #include "controller/ControlRequests.h"
 #include "engine/EngineApi.h"
+#include "engine/ServiceEngine.h"
+#include "placement/EnginePlacement.h"
 
 namespace fernlift::controller {
 
@@ -46,8 +48,11 @@
   cell::CatalogueParser catalogueParser = &config::parseCatalogue;
   /// Whether the platform has a machine list to ask.
   bool hasMachineList = true;
-  /// Whether members that ask to join are taken in, and lost ones are replaced, without an operator.
+  /// Whether members that ask to join are taken in, and lost ones are replaced, without an
+  /// operator.
   bool managesMembers = false;
+  /// Time between the orders of two leaders to registered engines.
+  base::Duration orderPause = base::milliseconds(3000);
   /// Silence after which a registered runner is told as silent to routers.
   base::Duration instanceSilence = base::milliseconds(3500);
   cell::PlantedFault plantedFault = cell::PlantedFault::kNone;  ///< For tests only.
@@ -123,8 +128,9 @@
   ControlAnswer answer;
 };
 
-using Effect = std::variant<PersistEffect, SendToMember, SendToRouter, SendOrder, PollRunner,
-                            PollMachineList, AnswerAdmin, AnswerControl>;
+using Effect =
+    std::variant<PersistEffect, SendToMember, SendToRouter, SendOrder, PollRunner, PollMachineList,
+                 AnswerAdmin, AnswerControl, placement::SendEngineOrder, placement::PollEngine>;
 
 /// The state machine. Single-threaded; every call may produce effects, taken by takeEffects().
 class ControllerCore {
@@ -159,6 +165,10 @@
   void onAdmin(AdminTicket ticket, const AdminRequest& request);
   void onControl(ControlTicket ticket, const ControlRequest& request);
 
+  /// Answers of registered engines. `report` is null when there is none.
+  void onEngineOrderAnswer(const engine::ServiceOrder& order, engine::OrderOutcome outcome);
+  void onEngineReport(const std::string& instance, const engine::ServiceReport* report);
+
   /// An address at which members are answered that the member set does not name.
   void addContact(const std::string& peerAddress);
 
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -88,13 +88,25 @@
 
 /// Everything that lasts only as long as one term of leadership.
 struct Leadership {
-  Leadership(const ControllerOptions& options, base::Term leadTerm, base::TimePoint now)
+  Leadership(const ControllerOptions& options, base::MemberId self, base::Term leadTerm,
+             base::TimePoint now)
       : term(leadTerm),
         since(now),
         watch(options.reportInterval, now),
         orders(options.orderTimeout, options.plantedFault),
         sessions(options.routerLease),
-        instances(leadTerm, options.instanceSilence) {}
+        instances(leadTerm, options.instanceSilence),
+        engines(engineOptions(options, self, leadTerm, now)) {}
+
+  static placement::EnginePlacementOptions engineOptions(const ControllerOptions& options,
+                                                         base::MemberId self, base::Term leadTerm,
+                                                         base::TimePoint now) {
+    placement::EnginePlacementOptions engineOptions;
+    engineOptions.holder = std::to_string(self);
+    engineOptions.fence = leadTerm;
+    engineOptions.ordersFrom = now + options.orderPause;
+    return engineOptions;
+  }
 
   base::Term term = 0;
   base::TimePoint since{};
@@ -138,6 +150,8 @@
   InstanceTable instances;
   bool isInstanceTableDue = true;  ///< Routers may have to hear of a change of the instances.
   MemberAdmission admission;
+  placement::EnginePlacement engines;
+  bool isEnginePlacementDue = true;
 };
 
 /// Counters for /metrics.
@@ -185,6 +199,8 @@
   void onAdmin(AdminTicket ticket, const AdminRequest& request);
   void onControl(ControlTicket ticket, const ControlRequest& request);
 
+  void onEngineOrderAnswer(const engine::ServiceOrder& order, engine::OrderOutcome outcome);
+  void onEngineReport(const std::string& instance, const engine::ServiceReport* report);
   void addContact(const std::string& peerAddress);
   void beginStop();
   [[nodiscard]] bool isStopped() const;
@@ -295,6 +311,11 @@
   void answerNotLeader(ControlTicket ticket);
   void answerControl(ControlTicket ticket, ControlAnswer answer);
 
+  // ControllerEngines.cpp
+  void placeOnEngines();
+  void refreshEngines();
+  void publishHoldings();
+
   // ControllerMembers.cpp
   void onJoinRequest(RouterConnection connection, const cell::MemberJoinRequest& request);
   void changeMembersIfDue();
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -25,7 +25,14 @@
 
 void ControllerCore::Implementation::control(ControlTicket ticket,
                                              const InstanceHeartbeat& heartbeat) {
-  leader_->instances.onHeartbeat(heartbeat, now_);
+  if (leader_->instances.onHeartbeat(heartbeat, now_)) {
+    placement::EngineHoldings holdings;
+    holdings.models = heartbeat.models;
+    holdings.inMemory.insert(heartbeat.inMemory.begin(), heartbeat.inMemory.end());
+    holdings.onDisk.insert(heartbeat.onDisk.begin(), heartbeat.onDisk.end());
+    leader_->engines.onHeartbeat(heartbeat.instance.id, holdings, now_);
+    leader_->isEnginePlacementDue = true;
+  }
   leader_->isInstanceTableDue = true;
   const cell::ServiceInstance* known = state_.instances().find(heartbeat.instance.id);
   if (known == nullptr) {
@@ -71,7 +78,8 @@
   }
 }
 
-void ControllerCore::Implementation::proposeFor(ControlTicket ticket, const cell::Command& command) {
+void ControllerCore::Implementation::proposeFor(ControlTicket ticket,
+                                                const cell::Command& command) {
   if (!propose(command, ForControl{ticket})) answerNotLeader(ticket);
 }
 
@@ -94,6 +102,7 @@
   if (!leader_->isInstanceTableDue || !holdsLease()) return;
   leader_->isInstanceTableDue = false;
   leader_->instances.refresh(state_.instances(), now_);
+  refreshEngines();
   for (auto& [connection, session] : leader_->sessions.sessions()) {
     sendInstances(connection, session);
   }
@@ -115,6 +124,7 @@
 
 void ControllerCore::Implementation::runInstanceRoutine() {
   leader_->isInstanceTableDue = true;
+  leader_->isEnginePlacementDue = true;
   sendInstancesIfDue();
   for (const std::string& id : leader_->instances.silentFor(kRemovalSilence, now_)) {
     propose(cell::RemoveInstance{id, false, cellTime()}, ForNothing{});
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -15,6 +15,7 @@
 
 constexpr base::milliseconds kTickInterval(10);
 constexpr base::Duration kLeaderlessBeforeAsking = base::seconds(2);
+constexpr base::Duration kEngineCallTimeout = base::milliseconds(800);
 constexpr double kMicrosecondsInSecond = 1e6;
 
 std::uint64_t drawSeed() {
@@ -31,8 +32,7 @@
 
 }  // namespace
 
-ControllerProcess::ControllerProcess(ControllerSettings settings,
-                                     std::shared_ptr<const ControlCodec> codec,
+ControllerProcess::ControllerProcess(ControllerSettings settings, ServiceProtocol protocol,
                                      std::function<void(int)> onFinished)
     : settings_(std::move(settings)),
       onFinished_(std::move(onFinished)),
@@ -51,9 +51,10 @@
               },
               [this] { return core_ && core_->raftStatus().leader != 0; }},
              metrics_) {
-  if (!codec || settings_.controlAddress.host.empty()) return;
+  if (!protocol.control || settings_.controlAddress.host.empty()) return;
+  engines_ = std::make_unique<EngineClient>(protocol.engine, kEngineCallTimeout);
   control_ = std::make_unique<ControlHttp>(
-      std::move(codec), [this](ControlTicket ticket, const ControlRequest& request) {
+      protocol.control, [this](ControlTicket ticket, const ControlRequest& request) {
         feed([&](ControllerCore& core) { core.onControl(ticket, request); });
       });
 }
@@ -181,6 +182,8 @@
                  [this](const AnswerControl& answer) {
                    if (control_) control_->answer(answer.ticket, answer.answer);
                  },
+                 [this](const placement::SendEngineOrder& send) { sendEngineOrder(send); },
+                 [this](const placement::PollEngine& poll) { pollEngine(poll); },
              },
              effect);
 }
@@ -225,6 +228,32 @@
       [this] { feed([](ControllerCore& core) { core.onMachineListFailed(); }); });
 }
 
+void ControllerProcess::sendEngineOrder(const placement::SendEngineOrder& effect) {
+  if (!engines_) return;
+  const engine::ServiceOrder order = effect.order;
+  log::write(log::Event::kEngineOrdered, {{"instance", order.instance},
+                                          {"operation", order.isLoad ? "load" : "unload"},
+                                          {"model", order.model},
+                                          {"adapter", order.adapter},
+                                          {"fence", order.fence}});
+  engines_->sendOrder(effect.address, order, [this, order](engine::OrderOutcome outcome) {
+    log::write(log::Event::kEngineOrderAnswered, {{"instance", order.instance},
+                                                  {"model", order.model},
+                                                  {"adapter", order.adapter},
+                                                  {"outcome", engine::nameOf(outcome)}});
+    feed([&](ControllerCore& core) { core.onEngineOrderAnswer(order, outcome); });
+  });
+}
+
+void ControllerProcess::pollEngine(const placement::PollEngine& effect) {
+  if (!engines_) return;
+  const std::string instance = effect.instance;
+  engines_->pollReport(instance, effect.address,
+                       [this, instance](const engine::ServiceReport* report) {
+                         feed([&](ControllerCore& core) { core.onEngineReport(instance, report); });
+                       });
+}
+
 void ControllerProcess::onMemberMessage(const consensus::Message& message) {
   // An address may have belonged to another member before: its messages are not for this one.
   if (message.to != static_cast<base::MemberId>(settings_.id)) return;
--- a/src/controller/ControllerProcess.h
+++ b/src/controller/ControllerProcess.h
@@ -16,6 +16,7 @@
 #include "controller/ControlTraffic.h"
 #include "controller/ControllerCore.h"
 #include "controller/ControllerSettings.h"
+#include "controller/EngineClient.h"
 #include "controller/PeerListener.h"
 #include "controller/PeerTransport.h"
 #include "controller/RunnerClient.h"
@@ -27,9 +28,15 @@
 /// Lives on the thread of the Qt event loop; only StorageThread has a thread of its own.
 class ControllerProcess {
  public:
-  /// `codec` is the protocol of the control interface; null: there is none. `onFinished` is called
-  /// once with the exit code, when a planned stop is done or the disk failed.
-  ControllerProcess(ControllerSettings settings, std::shared_ptr<const ControlCodec> codec,
+  /// Protocols of registered services; null: there is no control interface.
+  struct ServiceProtocol {
+    std::shared_ptr<const ControlCodec> control;
+    std::shared_ptr<const EngineCodec> engine;
+  };
+
+  /// `onFinished` is called once with the exit code, when a planned stop is done or the disk
+  /// failed.
+  ControllerProcess(ControllerSettings settings, ServiceProtocol protocol,
                     std::function<void(int exitCode)> onFinished);
 
   /// Opens the data folder, recovers, then listens.
@@ -55,6 +62,8 @@
   void sendOrder(const SendOrder& effect);
   void pollRunner(const PollRunner& effect);
   void pollMachineList();
+  void sendEngineOrder(const placement::SendEngineOrder& effect);
+  void pollEngine(const placement::PollEngine& effect);
   void onMemberMessage(const consensus::Message& message);
   void onStorageFailed(const base::Error& error);
   void noteLeadership();
@@ -72,8 +81,9 @@
   RunnerClient runners_;
   PeerListener listener_;
   AdminHttp admin_;
-  std::unique_ptr<ControlHttp> control_;  ///< Null without a control interface.
-  std::unique_ptr<CellJoiner> joiner_;    ///< Null when an operator manages the members.
+  std::unique_ptr<ControlHttp> control_;   ///< Null without a control interface.
+  std::unique_ptr<EngineClient> engines_;  ///< Null without a control interface.
+  std::unique_ptr<CellJoiner> joiner_;     ///< Null when an operator manages the members.
   base::TimePoint leaderSeenAt_{};
   std::optional<base::TimePoint> stopDeadline_;
   bool isFinished_ = false;
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -45,6 +45,9 @@
     }
   } else if (const auto* outcome = std::get_if<cell::OutcomeReport>(&message)) {
     leader_->claims.add(*outcome);
+  } else if (const auto* engineDemand = std::get_if<cell::EngineDemandReport>(&message)) {
+    leader_->engines.onDemand(connection, engineDemand->demands, now_);
+    leader_->isEnginePlacementDue = true;
   } else if (const auto* seen = std::get_if<cell::RunnerLeavingSeen>(&message)) {
     onLeavingSeen(*seen);
   }
@@ -67,6 +70,7 @@
   if (!leader_) return;
   leader_->sessions.close(connection);
   leader_->demands.forget(connection);
+  leader_->engines.onRouterGone(connection);
   leader_->isTableDue = true;
 }
 
--- a/src/controller/ControllerRunners.cpp
+++ b/src/controller/ControllerRunners.cpp
@@ -36,7 +36,8 @@
 }
 
 void ControllerCore::Implementation::pollMachineList() {
-  if (!options_.hasMachineList || leader_->isMachineListPolled || now_ < leader_->nextMachineListAt) return;
+  if (!options_.hasMachineList || leader_->isMachineListPolled || now_ < leader_->nextMachineListAt)
+    return;
   leader_->isMachineListPolled = true;
   leader_->nextMachineListAt = now_ + options_.machineListInterval;
   effects_.emplace_back(PollMachineList{});
--- a/src/controller/ControllerSettings.cpp
+++ b/src/controller/ControllerSettings.cpp
@@ -90,6 +90,8 @@
                      seconds(600), "interval of the calls for the machine list");
   schema.addDuration("order_timeout_ms", &core.orderTimeout, milliseconds(10), seconds(600),
                      "an order without an answer is sent again after this");
+  schema.addDuration("order_pause_ms", &core.orderPause, milliseconds(0), seconds(600),
+                     "a new leader sends registered engines no order for this time");
   schema.addDuration("keep_alive_ms", &core.keepAlive, kShortest, kLongest,
                      "idle time before a replica may be unloaded");
   schema.addDuration("claim_window_ms", &core.claimWindow, seconds(1), kLongest,
@@ -101,14 +103,15 @@
 }
 
 std::vector<std::string> checkTogether(const ControllerSettings& settings) {
-  std::vector<std::string> problems = config::findAddressClashes(
-      {{"peer_address", settings.peerAddress},
-       {"http_address", settings.httpAddress},
-       {"control_address", settings.controlAddress}});
+  std::vector<std::string> problems =
+      config::findAddressClashes({{"peer_address", settings.peerAddress},
+                                  {"http_address", settings.httpAddress},
+                                  {"control_address", settings.controlAddress}});
   const consensus::RaftOptions& raft = settings.core.raft;
   if (settings.id == 0 && !formsFromSeeds(settings)) {
-    problems.emplace_back("id: missing (key id or flag --id), allowed: integer from 1; 0 only with "
-                          "seeds");
+    problems.emplace_back(
+        "id: missing (key id or flag --id), allowed: integer from 1; 0 only with "
+        "seeds");
   }
   if (formsFromSeeds(settings)) {
     if (settings.seedPeerPort == 0) problems.emplace_back("seed_peer_port: missing with seeds");
@@ -127,8 +130,7 @@
   if (raft.leaseMargin >= raft.electionTimeoutMinimum) {
     problems.emplace_back("lease_margin_ms is not below election_timeout_min_ms");
   }
-  const bool namesMembers =
-      settings.isBootstrap || settings.isJoining || !settings.members.empty();
+  const bool namesMembers = settings.isBootstrap || settings.isJoining || !settings.members.empty();
   if (namesMembers && !formsFromSeeds(settings)) {
     base::handleErrors(
         [&]() -> base::Result<void> {
--- a/src/controller/ControllerSettings.h
+++ b/src/controller/ControllerSettings.h
@@ -28,7 +28,7 @@
   /// Control addresses of the controllers that found the cell and are asked to join it. When set,
   /// the cell manages its members by itself.
   std::vector<base::SocketAddress> seeds;
-  std::int64_t seedPeerPort = 0;  ///< Port of `peer_address` at every seed.
+  std::int64_t seedPeerPort = 0;     ///< Port of `peer_address` at every seed.
   std::vector<std::string> members;  ///< Each "ID=PEER_IP:PORT=HTTP_IP:PORT=ZONE".
   bool isBootstrap = false;          ///< First start of the cell with an empty folder.
   bool isJoining = false;            ///< First start of a member that will be added to the cell.
--- /dev/null
+++ b/src/controller/EngineClient.h
@@ -0,0 +1,42 @@
+#pragma once
+
+/// Sends orders and report calls to engines of registered services, each on a connection of its own
+/// and never twice.
+
+#include <QTimer>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/Time.h"
+#include "controller/EngineCodec.h"
+#include "http/BackEndConnection.h"
+
+namespace fernlift::controller {
+
+class EngineClient {
+ public:
+  EngineClient(std::shared_ptr<const EngineCodec> codec, base::Duration timeout);
+  ~EngineClient();
+
+  void sendOrder(const std::string& address, const engine::ServiceOrder& order,
+                 std::function<void(engine::OrderOutcome outcome)> onAnswer);
+  /// `onReport` is called with null when there is no proper report.
+  void pollReport(const std::string& instance, const std::string& address,
+                  std::function<void(const engine::ServiceReport* report)> onReport);
+
+ private:
+  class Call;
+
+  void start(const std::string& address, std::string request,
+             std::function<void(const http::AnswerHead* head, const std::string& body)> onEnd);
+
+  std::shared_ptr<const EngineCodec> codec_;
+  base::Duration timeout_;
+  std::uint64_t lastCall_ = 0;
+  std::map<std::uint64_t, std::unique_ptr<Call>> calls_;
+  QObject context_;
+};
+
+}  // namespace fernlift::controller
--- a/src/controller/MemberAdmission.cpp
+++ b/src/controller/MemberAdmission.cpp
@@ -17,8 +17,7 @@
 
 consensus::MemberSet without(const consensus::MemberSet& members, base::MemberId id) {
   consensus::MemberSet changed = members;
-  std::erase_if(changed.members,
-                [&](const consensus::Member& member) { return member.id == id; });
+  std::erase_if(changed.members, [&](const consensus::Member& member) { return member.id == id; });
   return changed;
 }
 
@@ -45,10 +44,9 @@
   [[nodiscard]] bool isAlive(base::MemberId id) const { return silenceOf(id) < kAliveWithin; }
 
   [[nodiscard]] std::size_t liveVoters() const {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(status_.members.members, [&](const consensus::Member& member) {
-          return member.isVoter && isAlive(member.id);
-        }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        status_.members.members,
+        [&](const consensus::Member& member) { return member.isVoter && isAlive(member.id); }));
   }
 
   /// Whether a voter that answers has the address of this one.
@@ -79,9 +77,8 @@
 
 std::optional<consensus::MemberSet> MemberAdmission::nextChange(const consensus::RaftStatus& status,
                                                                 base::TimePoint now) {
-  std::erase_if(candidates_, [&](const auto& item) {
-    return now - item.second.askedAt > kRequestLife;
-  });
+  std::erase_if(candidates_,
+                [&](const auto& item) { return now - item.second.askedAt > kRequestLife; });
   const Liveness liveness(status);
   const consensus::MemberSet& members = status.members;
   for (const consensus::Member& member : members.members) {
--- a/src/engine/ServiceEngine.h
+++ b/src/engine/ServiceEngine.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fernlift::engine {
@@ -33,6 +34,9 @@
   kUnknown,        ///< No answer: taken, not taken or to be taken later.
 };
 
+/// For logs, for example "under_way".
+[[nodiscard]] std::string_view nameOf(OrderOutcome outcome);
+
 /// One model in an engine's report.
 struct ReportedModel {
   std::string name;
--- a/src/proxy/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -1,11 +1,11 @@
-#include "proxy/AnswerParser.h"
+#include "http/AnswerParser.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <utility>
 
-namespace fernlift::proxy {
+namespace fernlift::http {
 
 namespace beast = boost::beast;
 
@@ -104,4 +104,4 @@
 
 bool AnswerParser::isDone() const { return implementation_->is_done(); }
 
-}  // namespace fernlift::proxy
+}  // namespace fernlift::http
--- a/src/proxy/AnswerParser.h
+++ b/src/http/AnswerParser.h
@@ -13,12 +13,12 @@
 #include "base/Error.h"
 #include "http/Message.h"
 
-namespace fernlift::proxy {
+namespace fernlift::http {
 
 /// Status line and header fields of an answer.
 struct AnswerHead {
   int status = 0;
-  http::Headers headers;
+  Headers headers;
   bool hasLength = false;     ///< The body's length is stated.
   std::uint64_t length = 0;   ///< When stated.
   bool endsByClose = false;   ///< Neither length nor chunks: the body ends with the connection.
@@ -50,4 +50,4 @@
   std::unique_ptr<Implementation> implementation_;
 };
 
-}  // namespace fernlift::proxy
+}  // namespace fernlift::http
--- a/src/proxy/RunnerConnection.cpp
+++ b/src/http/BackEndConnection.cpp
@@ -1,4 +1,4 @@
-#include "proxy/RunnerConnection.h"
+#include "http/BackEndConnection.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -10,7 +10,7 @@
 #include <optional>
 #include <utility>
 
-namespace fernlift::proxy {
+namespace fernlift::http {
 namespace {
 
 constexpr qint64 kReadBufferBytes = 256LL * 1024;
@@ -34,7 +34,7 @@
 
 }  // namespace
 
-RunnerConnection::RunnerConnection(base::SocketAddress address, base::Duration connectTimeout)
+BackEndConnection::BackEndConnection(base::SocketAddress address, base::Duration connectTimeout)
     : address_(std::move(address)),
       connectTimeout_(connectTimeout),
       socket_(std::make_unique<QTcpSocket>()) {
@@ -42,14 +42,14 @@
   connectSignals();
 }
 
-RunnerConnection::~RunnerConnection() {
+BackEndConnection::~BackEndConnection() {
   socket_->disconnect();
   socket_->abort();
   // The socket may be in the middle of emitting the signal that led here.
   socket_.release()->deleteLater();
 }
 
-void RunnerConnection::connectSignals() {
+void BackEndConnection::connectSignals() {
   QTcpSocket* socket = socket_.get();
   // Listeners may drop the connection: each call holds on to it.
   QObject::connect(socket, &QTcpSocket::connected, socket, [this] {
@@ -66,7 +66,7 @@
   });
 }
 
-void RunnerConnection::send(Call call, AnswerListener* listener) {
+void BackEndConnection::send(Call call, AnswerListener* listener) {
   call_ = std::move(call);
   listener_ = listener;
   isActive_ = true;
@@ -82,12 +82,12 @@
                      [this] {
                        const auto self = shared_from_this();
                        if (socket_->state() != QAbstractSocket::ConnectedState) {
-                         fail(RunnerFailure::kNotConnected);
+                         fail(BackEndFailure::kNotConnected);
                        }
                      });
 }
 
-void RunnerConnection::write() {
+void BackEndConnection::write() {
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   ::setsockopt(static_cast<int>(socket_->socketDescriptor()), IPPROTO_TCP, TCP_USER_TIMEOUT,
                &kUnacknowledgedTimeoutMs, sizeof kUnacknowledgedTimeoutMs);
@@ -96,7 +96,7 @@
   if (listener_ != nullptr) listener_->onSent();
 }
 
-void RunnerConnection::beginAnswer() {
+void BackEndConnection::beginAnswer() {
   isHeadRead_ = false;
   isSurplus_ = false;
   AnswerParser::Handlers handlers;
@@ -107,7 +107,7 @@
   parser_ = std::make_unique<AnswerParser>(call_.answerHasBody, std::move(handlers));
 }
 
-void RunnerConnection::onReadable() {
+void BackEndConnection::onReadable() {
   if (!isActive_) {
     // Bytes that nobody asked for: they belong to no request.
     isPersistent_ = false;
@@ -118,7 +118,7 @@
   parse();
 }
 
-void RunnerConnection::parse() {
+void BackEndConnection::parse() {
   while (isActive_ && !buffer_.empty()) {
     const bool isSound = base::handleErrors(
         [&]() -> base::Result<bool> {
@@ -127,7 +127,7 @@
         },
         [](const base::Error&) { return false; });
     if (!isSound) {
-      fail(RunnerFailure::kNotAnAnswer);
+      fail(BackEndFailure::kNotAnAnswer);
       return;
     }
     if (!parser_->isDone()) return;
@@ -140,7 +140,7 @@
   }
 }
 
-void RunnerConnection::onHead(AnswerHead head) {
+void BackEndConnection::onHead(AnswerHead head) {
   constexpr int kFirstFinalStatus = 200;
   const bool isInterim = head.status < kFirstFinalStatus;
   const std::string id = head.headers.value(call_.requestIdHeader);
@@ -154,12 +154,12 @@
   if (listener_ != nullptr) listener_->onHead(std::move(head));
 }
 
-void RunnerConnection::onClosed() {
+void BackEndConnection::onClosed() {
   const bool isOrderly = socket_->error() == QAbstractSocket::RemoteHostClosedError;
   isClosed_ = true;
   if (!isActive_) return;
   if (callsSent_ == 1 && socket_->error() == QAbstractSocket::ConnectionRefusedError) {
-    fail(RunnerFailure::kNotConnected);
+    fail(BackEndFailure::kNotConnected);
     return;
   }
   if (socket_->bytesAvailable() > 0) onReadable();
@@ -170,38 +170,38 @@
   if (isWhole) {
     finish();
   } else {
-    fail(RunnerFailure::kClosed);
+    fail(BackEndFailure::kClosed);
   }
 }
 
-void RunnerConnection::finish() {
+void BackEndConnection::finish() {
   isActive_ = false;
   // Surplus bytes belong to no request, and a body that is not sent yet would run into the next.
   if (!buffer_.empty() || socket_->bytesToWrite() > 0) isPersistent_ = false;
   if (listener_ != nullptr) listener_->onDone();
 }
 
-void RunnerConnection::fail(RunnerFailure failure) {
+void BackEndConnection::fail(BackEndFailure failure) {
   if (!isActive_) return;
   isActive_ = false;
   isPersistent_ = false;
   if (listener_ != nullptr) listener_->onFailed(failure);
 }
 
-void RunnerConnection::detach() {
+void BackEndConnection::detach() {
   listener_ = nullptr;
   if (isActive_) isPersistent_ = false;
   isActive_ = false;
 }
 
-bool RunnerConnection::isReusable(base::TimePoint now) const {
+bool BackEndConnection::isReusable(base::TimePoint now) const {
   const bool isSound = !isActive_ && !isClosed_ && isPersistent_ && buffer_.empty() &&
                        socket_->bytesAvailable() == 0 &&
                        socket_->state() == QAbstractSocket::ConnectedState;
-  return isSound && (restsSince_ == base::TimePoint{} ||
-                     now - restsSince_ < keepAlive_ - kKeepAliveMargin);
+  return isSound &&
+         (restsSince_ == base::TimePoint{} || now - restsSince_ < keepAlive_ - kKeepAliveMargin);
 }
 
-void RunnerConnection::rest(base::TimePoint now) { restsSince_ = now; }
+void BackEndConnection::rest(base::TimePoint now) { restsSince_ = now; }
 
-}  // namespace fernlift::proxy
+}  // namespace fernlift::http
--- a/src/proxy/RunnerConnection.h
+++ b/src/http/BackEndConnection.h
@@ -8,12 +8,12 @@
 
 #include "base/SocketAddress.h"
 #include "base/Time.h"
-#include "proxy/AnswerParser.h"
+#include "http/AnswerParser.h"
 
-namespace fernlift::proxy {
+namespace fernlift::http {
 
 /// What became of the connection.
-enum class RunnerFailure : std::uint8_t {
+enum class BackEndFailure : std::uint8_t {
   kNotConnected,  ///< Nothing was sent.
   kClosed,        ///< It closed before the answer was whole.
   kNotAnAnswer,   ///< What came is no answer to the request.
@@ -32,14 +32,13 @@
   virtual void onHead(AnswerHead head) = 0;
   virtual void onBody(std::string_view data) = 0;
   virtual void onDone() = 0;
-  virtual void onFailed(RunnerFailure failure) = 0;
+  virtual void onFailed(BackEndFailure failure) = 0;
 };
 
 /// Sends a request and hands on its answer. An answer with another request's id belongs to an
 /// earlier request and is dropped.
-class RunnerConnection : public std::enable_shared_from_this<RunnerConnection> {
+class BackEndConnection : public std::enable_shared_from_this<BackEndConnection> {
  public:
-
   /// A request as bytes, and what identifies its answer.
   struct Call {
     std::string bytes;
@@ -48,10 +47,10 @@
     std::string requestId;
   };
 
-  RunnerConnection(base::SocketAddress address, base::Duration connectTimeout);
-  ~RunnerConnection();
-  RunnerConnection(const RunnerConnection&) = delete;
-  RunnerConnection& operator=(const RunnerConnection&) = delete;
+  BackEndConnection(base::SocketAddress address, base::Duration connectTimeout);
+  ~BackEndConnection();
+  BackEndConnection(const BackEndConnection&) = delete;
+  BackEndConnection& operator=(const BackEndConnection&) = delete;
 
   /// `listener` must outlive the call or detach itself.
   void send(Call call, AnswerListener* listener);
@@ -74,7 +73,7 @@
   void onHead(AnswerHead head);
   void onClosed();
   void finish();
-  void fail(RunnerFailure failure);
+  void fail(BackEndFailure failure);
 
   base::SocketAddress address_;
   base::Duration connectTimeout_;
@@ -83,14 +82,14 @@
   AnswerListener* listener_ = nullptr;
   std::unique_ptr<AnswerParser> parser_;
   std::string buffer_;
-  bool isActive_ = false;           ///< A call waits for its answer.
-  bool isSurplus_ = false;          ///< The answer being read belongs to an earlier request.
+  bool isActive_ = false;   ///< A call waits for its answer.
+  bool isSurplus_ = false;  ///< The answer being read belongs to an earlier request.
   bool isClosed_ = false;
   bool isPersistent_ = false;
   bool isHeadRead_ = false;
   std::size_t callsSent_ = 0;
-  base::Duration keepAlive_{};      ///< As stated by the runner.
+  base::Duration keepAlive_{};  ///< As stated by the runner.
   base::TimePoint restsSince_{};
 };
 
-}  // namespace fernlift::proxy
+}  // namespace fernlift::http
--- a/src/proxy/RunnerPool.cpp
+++ b/src/http/BackEndPool.cpp
@@ -1,30 +1,30 @@
-#include "proxy/RunnerPool.h"
+#include "http/BackEndPool.h"
 
 #include <utility>
 
-namespace fernlift::proxy {
+namespace fernlift::http {
 
-std::shared_ptr<RunnerConnection> RunnerPool::acquire(const base::SocketAddress& address,
-                                                      base::TimePoint now) {
+std::shared_ptr<BackEndConnection> BackEndPool::acquire(const base::SocketAddress& address,
+                                                        base::TimePoint now) {
   Resting& resting = resting_[address];
   while (!resting.empty()) {
     // The one used last: the others may age and go.
-    std::shared_ptr<RunnerConnection> connection = std::move(resting.back());
+    std::shared_ptr<BackEndConnection> connection = std::move(resting.back());
     resting.pop_back();
     if (connection->isReusable(now)) return connection;
   }
   ++opened_;
-  return std::make_shared<RunnerConnection>(address, connectTimeout_);
+  return std::make_shared<BackEndConnection>(address, connectTimeout_);
 }
 
-void RunnerPool::release(std::shared_ptr<RunnerConnection> connection, base::TimePoint now) {
+void BackEndPool::release(std::shared_ptr<BackEndConnection> connection, base::TimePoint now) {
   connection->detach();
   connection->rest(now);
   if (!connection->isReusable(now)) return;
   resting_[connection->address()].push_back(std::move(connection));
 }
 
-void RunnerPool::expire(base::TimePoint now) {
+void BackEndPool::expire(base::TimePoint now) {
   for (auto item = resting_.begin(); item != resting_.end();) {
     std::erase_if(item->second,
                   [&](const auto& connection) { return !connection->isReusable(now); });
@@ -32,4 +32,4 @@
   }
 }
 
-}  // namespace fernlift::proxy
+}  // namespace fernlift::http
--- /dev/null
+++ b/src/placement/EnginePlacement.cpp
@@ -0,0 +1,407 @@
+#include "placement/EnginePlacement.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "placement/EnginePlacementFigures.h"
+
+namespace fernlift::placement {
+namespace {
+
+using engine::OrderOutcome;
+using engine::ServiceOrder;
+
+std::string adapterKey(const std::string& model, const std::string& adapter) {
+  return model + "/" + adapter;
+}
+
+}  // namespace
+
+EnginePlacement::EnginePlacement(EnginePlacementOptions options) : options_(std::move(options)) {
+  storeLoads_.assign(kUnknownEarlierLoads, options_.ordersFrom);
+}
+
+void EnginePlacement::refresh(const config::ServiceCatalogue& catalogue,
+                              const std::map<std::string, cell::RoutableInstance>& rows,
+                              base::TimePoint now) {
+  catalogue_ = catalogue;
+  for (const auto& [id, row] : rows) {
+    const config::Service* service = catalogue_.findService(row.instance.service);
+    if (service == nullptr || !service->engine) continue;
+    Engine& engine = engines_[id];
+    if (engine.id.empty()) engine.pollAt = now;
+    engine.id = id;
+    engine.address = row.instance.address;
+    engine.service = row.instance.service;
+    engine.isUsable = !row.instance.isDraining && !row.isSilent;
+  }
+  std::erase_if(engines_, [&](const auto& item) { return !rows.contains(item.first); });
+}
+
+void EnginePlacement::take(Engine& engine, const EngineHoldings& holdings, base::TimePoint now) {
+  std::map<std::string, HeldState> held;
+  for (const cell::HeldModel& model : holdings.models) {
+    HeldState& state = held[model.model];
+    state.version = model.version;
+    state.adapters.insert(model.adapters.begin(), model.adapters.end());
+    state.confirmedAt = now;
+  }
+  // What was told was seen a while ago: what is newer than that stays.
+  for (const auto& [name, state] : engine.models) {
+    const bool isFresh = now - state.confirmedAt < kHoldingsAge && !isUnloading(engine, name);
+    if (isFresh) held.try_emplace(name, state);
+  }
+  std::erase_if(engine.adaptersDue,
+                [&](const auto& item) { return now - item.second > kHoldingsAge; });
+  engine.models = std::move(held);
+  if (!engine.modelOrder) return;
+  const ServiceOrder& order = engine.modelOrder->order;
+  const bool isHeld = engine.models.contains(order.model);
+  if (isHeld == order.isLoad) engine.modelOrder.reset();
+}
+
+bool EnginePlacement::isUnloading(const Engine& engine, const std::string& model) {
+  const auto unloads = [&](const std::optional<PendingOrder>& pending) {
+    return pending && !pending->order.isLoad && pending->order.model == model;
+  };
+  return unloads(engine.modelOrder) || unloads(engine.unanswered);
+}
+
+void EnginePlacement::onHeartbeat(const std::string& instance, const EngineHoldings& holdings,
+                                  base::TimePoint now) {
+  const auto found = engines_.find(instance);
+  if (found == engines_.end()) return;
+  found->second.inMemory = holdings.inMemory;
+  found->second.onDisk = holdings.onDisk;
+  take(found->second, holdings, now);
+}
+
+void EnginePlacement::onDemand(std::uint64_t router, const std::vector<cell::EngineDemand>& demands,
+                               base::TimePoint now) {
+  for (const cell::EngineDemand& demand : demands) {
+    TargetDemand& target = demands_[{demand.service, demand.model, demand.adapter}];
+    if (demand.arrivals > 0 || demand.waiting > 0 || demand.running > 0) target.askedAt = now;
+    target.byRouter[router] = demand;
+  }
+}
+
+void EnginePlacement::onRouterGone(std::uint64_t router) {
+  for (auto& [key, target] : demands_) target.byRouter.erase(router);
+}
+
+void EnginePlacement::onOrderAnswer(const ServiceOrder& order, OrderOutcome outcome,
+                                    base::TimePoint now) {
+  const auto found = engines_.find(order.instance);
+  if (found == engines_.end()) return;
+  Engine& engine = found->second;
+  const bool isExpected = engine.unanswered && engine.unanswered->order == order;
+  if (!isExpected) return;
+  PendingOrder pending = std::move(*engine.unanswered);
+  engine.unanswered.reset();
+  switch (outcome) {
+    case OrderOutcome::kUnderWay:
+      engine.sequence = order.expectedSequence.value_or(0) + 1;
+      noteUnderWay(engine, std::move(pending), now);
+      return;
+    case OrderOutcome::kAlreadyHolds:
+      noteDone(engine, order, now);
+      return;
+    case OrderOutcome::kOtherInstance:
+      engine.isUsable = false;
+      return;
+    case OrderOutcome::kInvalid:
+      engine.reservedFor.clear();
+      engine.withdrawn.clear();
+      return;
+    case OrderOutcome::kUnknown:
+    case OrderOutcome::kBusy:
+    case OrderOutcome::kFenced:
+      engine.sequence.reset();
+      engine.doubtful = std::move(pending);
+      engine.pollAt = now + kReportAge;
+      return;
+  }
+}
+
+void EnginePlacement::noteUnderWay(Engine& engine, PendingOrder pending, base::TimePoint now) {
+  const ServiceOrder& order = pending.order;
+  if (order.adapter.empty()) {
+    pending.sentAt = now;
+    engine.modelOrder = std::move(pending);
+    return;
+  }
+  if (order.isLoad) {
+    engine.adaptersDue[adapterKey(order.model, order.adapter)] = now + kAdapterLoadTime;
+  } else {
+    noteDone(engine, order, now);
+  }
+}
+
+void EnginePlacement::noteDone(Engine& engine, const ServiceOrder& order, base::TimePoint now) {
+  // An order that is answered as held may have moved the sequence or not.
+  engine.sequence.reset();
+  engine.pollAt = now + kReportAge;
+  if (order.adapter.empty()) {
+    if (order.isLoad) {
+      engine.models[order.model].confirmedAt = now;
+    } else {
+      engine.models.erase(order.model);
+    }
+    return;
+  }
+  const std::string key = adapterKey(order.model, order.adapter);
+  if (order.isLoad) {
+    engine.adaptersDue[key] = now;
+    return;
+  }
+  engine.adaptersDue.erase(key);
+  const auto model = engine.models.find(order.model);
+  if (model != engine.models.end()) model->second.adapters.erase(order.adapter);
+}
+
+void EnginePlacement::onReport(const std::string& instance, const engine::ServiceReport& report,
+                               base::TimePoint now) {
+  const auto found = engines_.find(instance);
+  if (found == engines_.end()) return;
+  Engine& engine = found->second;
+  engine.isPolled = false;
+  if (engine.unanswered) return;  // An order went out meanwhile.
+  engine.sequence = report.sequence;
+  EngineHoldings holdings;
+  for (const engine::ReportedModel& model : report.models) {
+    holdings.models.push_back({model.name, model.version, model.adapters});
+  }
+  const bool wasTaken =
+      engine.doubtful && report.sequence > engine.doubtful->order.expectedSequence.value_or(0);
+  if (wasTaken && report.isBusy && engine.doubtful->order.adapter.empty()) {
+    engine.modelOrder = std::move(engine.doubtful);
+  }
+  engine.doubtful.reset();
+  take(engine, holdings, now);
+  const bool isSettled =
+      engine.modelOrder && !report.isBusy && now - engine.modelOrder->sentAt > kReportAge;
+  if (isSettled) engine.modelOrder.reset();
+  if (report.isBusy && !engine.modelOrder) {
+    engine.sequence.reset();  // Somebody else's order: look again.
+    engine.pollAt = now + kReportAge;
+  }
+}
+
+void EnginePlacement::onReportFailed(const std::string& instance, base::TimePoint now) {
+  const auto found = engines_.find(instance);
+  if (found == engines_.end()) return;
+  found->second.isPolled = false;
+  found->second.pollAt = now + kPollPause;
+}
+
+std::uint32_t EnginePlacement::waitingFor(const TargetKey& key) const {
+  const auto found = demands_.find(key);
+  if (found == demands_.end()) return 0;
+  std::uint32_t waiting = 0;
+  for (const auto& [router, demand] : found->second.byRouter) waiting += demand.waiting;
+  return waiting;
+}
+
+EnginePlacement::ModelDemand EnginePlacement::demandFor(const std::string& service,
+                                                        const std::string& model) const {
+  ModelDemand total;
+  // Keys with the same service and model stand together, the model itself first.
+  for (auto item = demands_.lower_bound({service, model, ""});
+       item != demands_.end() && item->first.service == service && item->first.model == model;
+       ++item) {
+    total.askedAt = std::max(total.askedAt, item->second.askedAt);
+    for (const auto& [router, demand] : item->second.byRouter) {
+      total.waiting += demand.waiting;
+      total.running += demand.running;
+    }
+  }
+  return total;
+}
+
+std::size_t EnginePlacement::holdersOf(const std::string& service, const std::string& model) const {
+  return static_cast<std::size_t>(std::ranges::count_if(engines_, [&](const auto& item) {
+    const Engine& engine = item.second;
+    return engine.service == service && engine.isUsable && engine.models.contains(model) &&
+           !engine.withdrawn.contains(model);
+  }));
+}
+
+bool EnginePlacement::isModelOnItsWay(const std::string& service, const std::string& model) const {
+  return std::ranges::any_of(engines_, [&](const auto& item) {
+    const Engine& engine = item.second;
+    if (engine.service != service || !engine.isUsable) return false;
+    const auto loads = [&](const std::optional<PendingOrder>& pending) {
+      return pending && pending->order.isLoad && pending->order.model == model &&
+             pending->order.adapter.empty();
+    };
+    return engine.reservedFor == model || loads(engine.unanswered) || loads(engine.modelOrder);
+  });
+}
+
+const config::EngineSpec* EnginePlacement::specOf(const Engine& engine) const {
+  const config::Service* service = catalogue_.findService(engine.service);
+  return service == nullptr || !service->engine ? nullptr : &*service->engine;
+}
+
+double EnginePlacement::usedMemory(const Engine& engine, const config::EngineSpec& spec) {
+  double used = 0;
+  std::set<std::string> counted;
+  const auto count = [&](const std::string& name) {
+    const config::EngineModel* model = spec.findModel(name);
+    if (model != nullptr && counted.insert(name).second) used += model->memoryMb;
+  };
+  for (const auto& [name, state] : engine.models) count(name);
+  for (const auto* pending : {&engine.unanswered, &engine.modelOrder, &engine.doubtful}) {
+    if (*pending && (*pending)->order.isLoad) count((*pending)->order.model);
+  }
+  return used;
+}
+
+double EnginePlacement::adapterReserve(const config::EngineSpec& spec) {
+  double largest = 0;
+  for (const config::EngineModel& model : spec.models) {
+    if (model.adapters > 0) largest = std::max(largest, model.adapterMemoryMb);
+  }
+  return largest * spec.adapterSlots;
+}
+
+std::set<std::string> EnginePlacement::adaptersOf(const Engine& engine) {
+  std::set<std::string> adapters;
+  for (const auto& [name, state] : engine.models) {
+    for (const std::string& adapter : state.adapters) adapters.insert(adapterKey(name, adapter));
+  }
+  for (const auto& [key, due] : engine.adaptersDue) adapters.insert(key);
+  return adapters;
+}
+
+bool EnginePlacement::mayTakeOrder(const Engine& engine) {
+  return engine.isUsable && engine.sequence && !engine.unanswered && !engine.modelOrder;
+}
+
+bool EnginePlacement::isLocal(const Engine& engine, const std::string& model) {
+  return engine.inMemory.contains(model) || engine.onDisk.contains(model);
+}
+
+bool EnginePlacement::mayLoadFromStore(const std::string& service, base::TimePoint now) {
+  while (!storeLoads_.empty() && now - storeLoads_.front() >= options_.storeWindow) {
+    storeLoads_.pop_front();
+  }
+  const config::Service* found = catalogue_.findService(service);
+  const double seconds = std::chrono::duration<double>(options_.storeWindow).count();
+  const double allowed = options_.storeShare * found->engine->loadsPerSecond * seconds;
+  const auto loading = std::ranges::count_if(engines_, [](const auto& item) {
+    const Engine& engine = item.second;
+    return engine.modelOrder && engine.modelOrder->order.isLoad;
+  });
+  return static_cast<double>(storeLoads_.size()) + 1 <= allowed &&
+         loading < static_cast<std::ptrdiff_t>(options_.concurrentLoads);
+}
+
+std::vector<EngineCommand> EnginePlacement::decide(base::TimePoint now) {
+  std::vector<EngineCommand> commands;
+  pollWhereNeeded(commands, now);
+  if (now < options_.ordersFrom) return commands;
+  expireOrders(now);
+  continuePlans(commands, now);
+  planModels(commands, now);
+  planAdapters(commands, now);
+  return commands;
+}
+
+void EnginePlacement::pollWhereNeeded(std::vector<EngineCommand>& commands, base::TimePoint now) {
+  for (auto& [id, engine] : engines_) {
+    const bool isLate = engine.modelOrder && now - engine.modelOrder->sentAt > kLatestModelOrder;
+    const bool isNeeded = engine.isUsable && (!engine.sequence || isLate) && !engine.unanswered;
+    if (!isNeeded || engine.isPolled || now < engine.pollAt) continue;
+    engine.isPolled = true;
+    engine.pollAt = now + kPollPause;
+    commands.emplace_back(PollEngine{id, engine.address});
+  }
+}
+
+void EnginePlacement::expireOrders(base::TimePoint now) {
+  for (auto& [id, engine] : engines_) {
+    if (!engine.unanswered || now - engine.unanswered->sentAt < kOrderTimeout) continue;
+    engine.doubtful = std::move(engine.unanswered);
+    engine.unanswered.reset();
+    engine.sequence.reset();
+    engine.pollAt = now + kReportAge;
+  }
+}
+
+void EnginePlacement::continuePlans(std::vector<EngineCommand>& commands, base::TimePoint now) {
+  for (auto& [id, engine] : engines_) {
+    if (engine.reservedFor.empty()) continue;
+    const config::EngineSpec* spec = specOf(engine);
+    const config::EngineModel* model =
+        spec == nullptr ? nullptr : spec->findModel(engine.reservedFor);
+    if (!engine.isUsable || model == nullptr) {
+      dropPlan(engine);
+      continue;
+    }
+    if (!mayTakeOrder(engine)) continue;
+    continuePlan(engine, *spec, *model, commands, now);
+  }
+}
+
+void EnginePlacement::continuePlan(Engine& engine, const config::EngineSpec& spec,
+                                   const config::EngineModel& model,
+                                   std::vector<EngineCommand>& commands, base::TimePoint now) {
+  for (const std::string& victim : engine.withdrawn) {
+    if (!engine.models.contains(victim)) continue;
+    // Routers hear that the model goes before it does.
+    if (now - engine.withdrawnAt >= kWithdrawalTime) send(engine, false, victim, "", commands, now);
+    return;
+  }
+  const bool fits =
+      usedMemory(engine, spec) + model.memoryMb + adapterReserve(spec) <= spec.memoryMb;
+  if (!fits || engine.models.contains(model.name)) {
+    dropPlan(engine);
+    return;
+  }
+  const bool isFromStore = !isLocal(engine, model.name);
+  if (isFromStore && !mayLoadFromStore(engine.service, now)) return;
+  if (isFromStore) storeLoads_.push_back(now);
+  send(engine, true, model.name, "", commands, now);
+  dropPlan(engine);
+}
+
+void EnginePlacement::dropPlan(Engine& engine) {
+  engine.reservedFor.clear();
+  engine.withdrawn.clear();
+}
+
+void EnginePlacement::send(Engine& engine, bool isLoad, const std::string& model,
+                           const std::string& adapter, std::vector<EngineCommand>& commands,
+                           base::TimePoint now) {
+  ServiceOrder order;
+  order.isLoad = isLoad;
+  order.instance = engine.id;
+  order.model = model;
+  order.adapter = adapter;
+  order.holder = options_.holder;
+  order.fence = options_.fence;
+  order.expectedSequence = engine.sequence;
+  engine.unanswered = PendingOrder{order, now};
+  commands.emplace_back(SendEngineOrder{engine.address, std::move(order)});
+}
+
+std::optional<std::vector<cell::HeldModel>> EnginePlacement::routableModels(
+    const std::string& instance, base::TimePoint now) const {
+  const auto found = engines_.find(instance);
+  if (found == engines_.end()) return std::nullopt;
+  const Engine& engine = found->second;
+  std::vector<cell::HeldModel> models;
+  for (const auto& [name, state] : engine.models) {
+    if (engine.withdrawn.contains(name) || isUnloading(engine, name)) continue;
+    std::set<std::string> adapters = state.adapters;
+    for (const auto& [key, due] : engine.adaptersDue) {
+      const std::size_t slash = key.find('/');
+      if (key.substr(0, slash) == name && now >= due) adapters.insert(key.substr(slash + 1));
+    }
+    models.push_back({name, state.version, {adapters.begin(), adapters.end()}});
+  }
+  return models;
+}
+
+}  // namespace fernlift::placement
--- /dev/null
+++ b/src/placement/EnginePlacementFigures.h
@@ -0,0 +1,30 @@
+#pragma once
+
+/// Figures of the placement on registered engines.
+
+#include "base/Time.h"
+
+namespace fernlift::placement {
+
+/// A report or heartbeat shows an engine as it was up to this long ago.
+constexpr base::Duration kReportAge = base::milliseconds(350);
+/// What an order has changed is believed for this long against reports that do not show it.
+constexpr base::Duration kHoldingsAge = base::seconds(4);
+constexpr base::Duration kPollPause = base::milliseconds(500);
+/// An order without an answer is in doubt after this.
+constexpr base::Duration kOrderTimeout = base::milliseconds(1000);
+/// An order for a model that is not seen to be done by then is asked after.
+constexpr base::Duration kLatestModelOrder = base::seconds(6);
+/// Time for an adapter to come.
+constexpr base::Duration kAdapterLoadTime = base::milliseconds(60);
+/// Time for all routers to hear that a model is going to be unloaded.
+constexpr base::Duration kWithdrawalTime = base::milliseconds(60);
+/// A model that was asked for within this time stays unless another engine holds it too.
+constexpr base::Duration kRecentUse = base::milliseconds(1500);
+/// More requests for each replica than this share of an engine's slots ask for another one.
+constexpr double kCrowdedShare = 0.35;
+constexpr base::Duration kReplicaPause = base::seconds(1);
+/// Loads of an earlier leader that may have begun just now.
+constexpr int kUnknownEarlierLoads = 5;
+
+}  // namespace fernlift::placement
--- a/src/programs/fernlift-controller.cpp
+++ b/src/programs/fernlift-controller.cpp
@@ -8,6 +8,7 @@
 #include "log/Log.h"
 #include "platform/Configuration.h"
 #include "platform/Control.h"
+#include "platform/Engine.h"
 
 namespace {
 
@@ -47,12 +48,12 @@
   log::initialize(settings.logging);
   log::write(log::Event::kProcessStarted, {{"cell", settings.cell}, {"zone", settings.zone}});
 
-  std::shared_ptr<const fernlift::controller::ControlCodec> codec;
+  ControllerProcess::ServiceProtocol protocol;
   if (!settings.controlAddress.host.empty()) {
-    codec = fernlift::platform::controlCodec();
+    protocol = {fernlift::platform::controlCodec(), fernlift::platform::engineCodec()};
     settings.core.catalogueParser = &fernlift::platform::parseConfiguration;
   }
-  ControllerProcess process(settings, codec, [](int exitCode) { QCoreApplication::exit(exitCode); });
+  ControllerProcess process(settings, protocol, [](int exitCode) { QCoreApplication::exit(exitCode); });
   if (const auto exitCode = startOrExplain(process)) return *exitCode;
   const fernlift::http::SignalWatcher signalWatcher([&process] { process.beginStop(); });
   const int exitCode = QCoreApplication::exec();
--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -28,10 +28,7 @@
 
 CallerConnection::CallerConnection(std::unique_ptr<QTcpSocket> socket, CallerLimits limits,
                                    const Handlers& handlers)
-    : socket_(std::move(socket)),
-      limits_(limits),
-      handlers_(handlers),
-      parser_(limits.request) {
+    : socket_(std::move(socket)), limits_(limits), handlers_(handlers), parser_(limits.request) {
   socket_->setReadBufferSize(kReadBufferBytes);
   socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
   ::setsockopt(static_cast<int>(socket_->socketDescriptor()), IPPROTO_TCP, TCP_USER_TIMEOUT,
@@ -184,8 +181,7 @@
   });
 }
 
-void CallerConnection::sendAnswer(int status, const http::Headers& headers,
-                                  std::string_view body) {
+void CallerConnection::sendAnswer(int status, const http::Headers& headers, std::string_view body) {
   beginAnswer(status, headers, {true, body.size()});
   writeBody(body);
   endAnswer();
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -73,8 +73,7 @@
     sendError({ErrorKind::kNotFound, "no route leads there"}, std::nullopt);
     return;
   }
-  const base::Duration stated =
-      statedDeadline(request_, context_.names).value_or(kDefaultDeadline);
+  const base::Duration stated = statedDeadline(request_, context_.names).value_or(kDefaultDeadline);
   deadline_ = arrivedAt_ + std::min(stated, route_->timeout);
   query_.service = RouteTable::chooseService(*route_, context_.random.uniformReal());
   readModel();
@@ -89,8 +88,7 @@
   const std::size_t slash = name.find('/');
   query_.model = name.substr(0, slash);
   if (slash != std::string::npos) query_.adapter = name.substr(slash + 1);
-  query_.affinity =
-      name + "," + sharedParts(request_.headers.value(context_.names.promptParts));
+  query_.affinity = name + "," + sharedParts(request_.headers.value(context_.names.promptParts));
   target_ = {query_.service, query_.model, query_.adapter};
   if (!query_.model.empty()) context_.demands.onArrival(target_);
 }
@@ -133,8 +131,9 @@
 }
 
 void Exchange::startAttempt(const InstanceChoice& choice) {
-  const auto address = base::handleErrors([&] { return base::SocketAddress::parse(choice.address); },
-                                          [](const base::Error&) { return base::SocketAddress(); });
+  const auto address =
+      base::handleErrors([&] { return base::SocketAddress::parse(choice.address); },
+                         [](const base::Error&) { return base::SocketAddress(); });
   instance_ = choice.id;
   use_ = AnswerUse::kNone;
   collected_.clear();
@@ -144,7 +143,7 @@
   fields.left = std::max<base::Duration>(deadline_ - now() - kAnswerTravel, base::milliseconds(1));
   fields.priority = route_->priority;
   if (events_) fields.lastEventId = events_->lastId();
-  RunnerConnection::Call call;
+  http::BackEndConnection::Call call;
   call.bytes = requestBytes(request_, context_.names, fields);
   call.answerHasBody = request_.method != "HEAD";
   call.requestIdHeader = context_.names.requestId;
@@ -198,7 +197,7 @@
 }
 
 void Exchange::endAttempt(AttemptEnd end, bool mayReuse) {
-  std::shared_ptr<RunnerConnection> connection = std::move(connection_);
+  std::shared_ptr<http::BackEndConnection> connection = std::move(connection_);
   connection_.reset();
   if (!connection) return;
   connection->detach();
@@ -208,7 +207,7 @@
   if (mayReuse) context_.pool.release(std::move(connection), now());
 }
 
-void Exchange::noteLoad(const AnswerHead& head) {
+void Exchange::noteLoad(const http::AnswerHead& head) {
   if (context_.names.load.empty()) return;
   const std::string text = head.headers.value(context_.names.load);
   std::uint32_t running = 0;
@@ -221,7 +220,7 @@
   context_.directory.onLoad(instance_, running, waiting, now());
 }
 
-void Exchange::onHead(AnswerHead head) {
+void Exchange::onHead(http::AnswerHead head) {
   noteLoad(head);
   head_ = std::move(head);
   const bool isRefusal =
@@ -315,8 +314,8 @@
   end();
 }
 
-void Exchange::onFailed(RunnerFailure failure) {
-  if (failure == RunnerFailure::kNotConnected) {
+void Exchange::onFailed(http::BackEndFailure failure) {
+  if (failure == http::BackEndFailure::kNotConnected) {
     endAttempt(AttemptEnd::kUnreachable, false);
     query_.avoidedInstance = instance_;
     if (++unreachable_ < kMostUnreachable) {
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -11,16 +11,16 @@
 #include <string>
 
 #include "base/Error.h"
-#include "proxy/AnswerParser.h"
+#include "http/AnswerParser.h"
+#include "http/BackEndConnection.h"
 #include "proxy/CallerConnection.h"
 #include "proxy/EventSplitter.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/RequestParser.h"
-#include "proxy/RunnerConnection.h"
 
 namespace fernlift::proxy {
 
-class Exchange final : public AnswerListener {
+class Exchange final : public http::AnswerListener {
  public:
   /// `onEnd` is called once; the exchange may be destroyed once control is back in the event loop.
   Exchange(ProxyContext& context, CallerConnection& caller, ParsedRequest request,
@@ -35,10 +35,10 @@
   [[nodiscard]] bool isWaiting() const { return isWaiting_; }
 
   void onSent() override;
-  void onHead(AnswerHead head) override;
+  void onHead(http::AnswerHead head) override;
   void onBody(std::string_view data) override;
   void onDone() override;
-  void onFailed(RunnerFailure failure) override;
+  void onFailed(http::BackEndFailure failure) override;
 
  private:
   /// What is done with the answer that is being read.
@@ -65,7 +65,7 @@
   void afterRefusal();
   void afterFailure();
   void passHead();
-  void noteLoad(const AnswerHead& head);
+  void noteLoad(const http::AnswerHead& head);
   void finishAnswer();
   void refuse(base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
   void fail(base::ErrorKind kind, const std::string& message);
@@ -84,17 +84,17 @@
   base::TimePoint arrivedAt_{};
   base::TimePoint deadline_{};
   base::TimePoint attemptDeadline_{};
-  std::uint32_t sent_ = 0;          ///< Attempts whose bytes left.
-  std::uint32_t unreachable_ = 0;   ///< Attempts that found no connection.
-  bool isAttemptSent_ = false;      ///< The present attempt's bytes left.
-  bool mayHaveRun_ = false;         ///< An attempt ended whose runner did not deny having run it.
+  std::uint32_t sent_ = 0;         ///< Attempts whose bytes left.
+  std::uint32_t unreachable_ = 0;  ///< Attempts that found no connection.
+  bool isAttemptSent_ = false;     ///< The present attempt's bytes left.
+  bool mayHaveRun_ = false;        ///< An attempt ended whose runner did not deny having run it.
   bool isWaiting_ = false;
   bool isAnswerBegun_ = false;
   bool isEnded_ = false;
   std::string instance_;
-  std::shared_ptr<RunnerConnection> connection_;
+  std::shared_ptr<http::BackEndConnection> connection_;
   AnswerUse use_ = AnswerUse::kNone;
-  AnswerHead head_;
+  http::AnswerHead head_;
   std::string collected_;
   std::optional<EventSplitter> events_;
   QTimer timer_;
--- a/src/proxy/ForwardedMessage.cpp
+++ b/src/proxy/ForwardedMessage.cpp
@@ -10,10 +10,17 @@
 namespace {
 
 /// Fields that concern one connection only, and those of framing.
-constexpr std::array<std::string_view, 11> kConnectionFields{
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",           "Content-Length",
-    "Expect"};
+constexpr std::array<std::string_view, 11> kConnectionFields{"Connection",
+                                                             "Keep-Alive",
+                                                             "Proxy-Connection",
+                                                             "Proxy-Authenticate",
+                                                             "Proxy-Authorization",
+                                                             "TE",
+                                                             "Trailer",
+                                                             "Transfer-Encoding",
+                                                             "Upgrade",
+                                                             "Content-Length",
+                                                             "Expect"};
 
 /// Names in the fields `Connection`: they too concern one connection only.
 std::vector<std::string> namedByConnection(const http::Headers& headers) {
@@ -70,8 +77,8 @@
   }
 
   void addOwnFields() {
-    add(names_.deadline, std::to_string(std::max<std::int64_t>(
-                             base::toMilliseconds(fields_.left), 1)));
+    add(names_.deadline,
+        std::to_string(std::max<std::int64_t>(base::toMilliseconds(fields_.left), 1)));
     add(names_.targetInstance, fields_.instance);
     add(names_.priority, std::to_string(fields_.priority));
     if (fields_.lastEventId) add(names_.lastEventId, *fields_.lastEventId);
@@ -108,8 +115,7 @@
                                              const ProtocolNames& names) {
   const std::string text = request.headers.value(names.deadline);
   double milliseconds = 0;
-  const auto [end, status] =
-      std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
   constexpr double kLongest = 1e9;
   if (status != std::errc() || milliseconds <= 0 || milliseconds > kLongest) return std::nullopt;
   return base::Duration(static_cast<std::int64_t>(milliseconds * 1000));
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -103,8 +103,8 @@
   InstanceChoice choice;
   double lowest = 0;
   for (const auto& [id, view] : views_) {
-    const bool takesRequests = view.row.instance.service == query.service &&
-                               !view.row.instance.isDraining;
+    const bool takesRequests =
+        view.row.instance.service == query.service && !view.row.instance.isDraining;
     if (!takesRequests) continue;
     if (choice.reason == NoChoice::kUnknown) choice.reason = NoChoice::kNotLoaded;
     if (!holds(view, query, now)) continue;
--- a/src/proxy/ProtocolNames.h
+++ b/src/proxy/ProtocolNames.h
@@ -10,10 +10,10 @@
 /// Header fields of forwarded requests and of their answers.
 struct ProtocolNames {
   // From callers; passed on unchanged.
-  std::string requestId;     ///< Identifies one attempt of a caller.
-  std::string deadline;      ///< Milliseconds that the receiver may take; rewritten to what is left.
-  std::string model;         ///< MODEL or MODEL/ADAPTER.
-  std::string promptParts;   ///< Parts of the prompt in order, as ID:TOKENS, separated by commas.
+  std::string requestId;    ///< Identifies one attempt of a caller.
+  std::string deadline;     ///< Milliseconds that the receiver may take; rewritten to what is left.
+  std::string model;        ///< MODEL or MODEL/ADAPTER.
+  std::string promptParts;  ///< Parts of the prompt in order, as ID:TOKENS, separated by commas.
   std::string promptTokens;  ///< Tokens of the prompt and most tokens out, separated by a comma.
   // Set by the router.
   std::string targetInstance;  ///< Every other instance refuses the request.
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -9,11 +9,11 @@
 #include "base/Random.h"
 #include "base/Time.h"
 #include "dispatch/RetryBudget.h"
+#include "http/BackEndPool.h"
 #include "proxy/EngineDemands.h"
 #include "proxy/InstanceDirectory.h"
 #include "proxy/ProtocolNames.h"
 #include "proxy/RouteTable.h"
-#include "proxy/RunnerPool.h"
 
 namespace fernlift::proxy {
 
@@ -34,7 +34,7 @@
   const base::Clock& clock;
   base::Random& random;
   InstanceDirectory& directory;
-  RunnerPool& pool;
+  http::BackEndPool& pool;
   dispatch::RetryBudget& retryBudget;
   EngineDemands& demands;
   ProxyCounters& counters;
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -36,9 +36,9 @@
 
 }  // namespace
 
-ProxyProcess::ProxyProcess(ProxySettings settings, ProtocolNames names, cell::CatalogueParser parser,
-                           const base::Clock& clock, std::uint64_t randomSeed,
-                           std::function<void(int)> onFinished)
+ProxyProcess::ProxyProcess(ProxySettings settings, ProtocolNames names,
+                           cell::CatalogueParser parser, const base::Clock& clock,
+                           std::uint64_t randomSeed, std::function<void(int)> onFinished)
     : settings_(std::move(settings)),
       names_(std::move(names)),
       parser_(parser),
@@ -48,9 +48,10 @@
       directory_(settings_.zone),
       pool_(settings_.connectTimeout),
       retryBudget_(settings_.retryShare, static_cast<double>(settings_.retryReserve)),
-      context_{names_,    clock_,       random_,   directory_,
-               pool_,     retryBudget_, demands_,  counters_,
-               [this] { demandTimer_.start(0); }, nullptr},
+      context_{names_,     clock_,    random_,
+               directory_, pool_,     retryBudget_,
+               demands_,   counters_, [this] { demandTimer_.start(0); },
+               nullptr},
       session_(clock.now()),
       link_(peersOf(settings_), random_.bits() % peersOf(settings_).size(),
             {[this] {
@@ -144,8 +145,8 @@
   if (!outcome.catalogue) return;
   held_ = {update.version, update.digest, std::move(*text)};
   server_.setLimits(outcome.catalogue->services.limits);
-  context_.routes = std::make_shared<const RouteTable>(held_.version,
-                                                       std::move(outcome.catalogue->services));
+  context_.routes =
+      std::make_shared<const RouteTable>(held_.version, std::move(outcome.catalogue->services));
   log::write(log::Event::kConfigurationTaken,
              {{"version", held_.version}, {"digest", held_.digest}});
   session_.requestSoon(clock_.now());
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -39,8 +39,8 @@
 
   /// Listens and begins to look for the leader of the cell.
   base::Result<void> start();
-  /// Begins a planned stop: not ready, serves on for the grace, then finishes what is open. A second
-  /// call ends it at once.
+  /// Begins a planned stop: not ready, serves on for the grace, then finishes what is open. A
+  /// second call ends it at once.
   void beginStop();
 
  private:
@@ -64,7 +64,7 @@
   base::Random random_;
   std::function<void(int)> onFinished_;
   InstanceDirectory directory_;
-  RunnerPool pool_;
+  http::BackEndPool pool_;
   dispatch::RetryBudget retryBudget_;
   EngineDemands demands_;
   ProxyCounters counters_;
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -66,14 +66,14 @@
 
 void ProxyServer::onRequest(CallerConnection& connection, ParsedRequest request) {
   if (isClosing_) connection.closeAfterAnswer();
-  auto exchange = std::make_unique<Exchange>(
-      context_, connection, std::move(request), [this, caller = &connection](Exchange&) {
-        const auto found = exchanges_.find(caller);
-        if (found == exchanges_.end()) return;
-        ended_.push_back(std::move(found->second));
-        exchanges_.erase(found);
-        sweepSoon();
-      });
+  auto exchange = std::make_unique<Exchange>(context_, connection, std::move(request),
+                                             [this, caller = &connection](Exchange&) {
+                                               const auto found = exchanges_.find(caller);
+                                               if (found == exchanges_.end()) return;
+                                               ended_.push_back(std::move(found->second));
+                                               exchanges_.erase(found);
+                                               sweepSoon();
+                                             });
   Exchange& begun = *exchange;
   exchanges_[&connection] = std::move(exchange);
   begun.begin();
@@ -114,8 +114,8 @@
 void ProxyServer::stopListening() { server_.close(); }
 
 std::size_t ProxyServer::waitingExchanges() const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      exchanges_, [](const auto& item) { return item.second->isWaiting(); }));
+  return static_cast<std::size_t>(
+      std::ranges::count_if(exchanges_, [](const auto& item) { return item.second->isWaiting(); }));
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -38,10 +38,10 @@
                      "longest planned stop");
   config::addLoggingSettings(schema, &settings.logging);
   schema.addCheck([&settings] {
-    std::vector<std::string> problems = config::findAddressClashes(
-        {{"front_address", settings.frontAddress},
-         {"readiness_address", settings.readinessAddress},
-         {"metrics_address", settings.metricsAddress}});
+    std::vector<std::string> problems =
+        config::findAddressClashes({{"front_address", settings.frontAddress},
+                                    {"readiness_address", settings.readinessAddress},
+                                    {"metrics_address", settings.metricsAddress}});
     if (settings.stopTimeout < settings.stopGrace) {
       problems.emplace_back("stop_timeout_ms is below stop_grace_ms");
     }
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -21,8 +21,8 @@
   base::SocketAddress metricsAddress;    ///< Without host: no metrics are served.
   std::vector<base::SocketAddress> seeds;
   std::int64_t seedPeerPort = 0;
-  double retryShare = 0.1;             ///< Of this router's requests.
-  std::int64_t retryReserve = 4;       ///< Retries that are allowed without any requests.
+  double retryShare = 0.1;        ///< Of this router's requests.
+  std::int64_t retryReserve = 4;  ///< Retries that are allowed without any requests.
   base::Duration connectTimeout = base::milliseconds(250);
   base::Duration stopGrace = base::milliseconds(4000);  ///< Serves on, not ready.
   base::Duration stopTimeout = base::milliseconds(7500);
--- a/src/proxy/RequestParser.h
+++ b/src/proxy/RequestParser.h
@@ -24,9 +24,9 @@
   std::string target;  ///< Path and query, as sent.
   http::Headers headers;
   std::string body;
-  bool wantsClose = false;       ///< The connection ends after the answer.
-  bool isHttp10 = false;         ///< The caller cannot read chunks.
-  bool hasBodyFraming = false;   ///< A length or chunks were stated, also for an empty body.
+  bool wantsClose = false;      ///< The connection ends after the answer.
+  bool isHttp10 = false;        ///< The caller cannot read chunks.
+  bool hasBodyFraming = false;  ///< A length or chunks were stated, also for an empty body.
 
   /// The target without its query.
   [[nodiscard]] std::string_view path() const {
