Come back quickly after all processes were killed

Ruled out: the disk (recovery took 0.35 s), the election itself (0.35 s).

The catalogue is no longer copied at every refresh of the engines.

--- a/src/controller/ControllerEngines.cpp
+++ b/src/controller/ControllerEngines.cpp
@@ -9,7 +9,8 @@
 void ControllerCore::Implementation::refreshEngines() {
   const config::Catalogue* catalogue = state_.configuration().catalogue();
   if (catalogue == nullptr) return;
-  leader_->engines.refresh(catalogue->services, leader_->instances.rows(), now_);
+  leader_->engines.setServices(catalogue->version, catalogue->services.services);
+  leader_->engines.refresh(leader_->instances.rows(), now_);
   publishHoldings();
 }
 
@@ -17,7 +18,7 @@
   bool isChanged = false;
   for (const auto& [id, row] : leader_->instances.rows()) {
     auto models = leader_->engines.routableModels(id, now_);
-    if (!models || !row.isReported || *models == row.models) continue;
+    if (!models || (row.isReported && *models == row.models)) continue;
     leader_->instances.setModels(id, std::move(*models));
     isChanged = true;
   }
--- a/src/controller/SnapshotSchedule.cpp
+++ b/src/controller/SnapshotSchedule.cpp
@@ -14,7 +14,9 @@
 }
 
 bool SnapshotSchedule::isDue() const {
-  if (entries_ < entriesBetween_) return false;
+  const bool isLong = entries_ >= entriesBetween_ || logBytes_ >= kLongLogBytes;
+  if (!isLong) return false;
+  if (entries_ < entriesBetween_) return logBytes_ >= kLogToSnapshot * snapshotBytes_;
   return snapshotBytes_ <= kSmallSnapshotBytes || logBytes_ >= kLogToSnapshot * snapshotBytes_;
 }
 
--- a/src/controller/SnapshotSchedule.h
+++ b/src/controller/SnapshotSchedule.h
@@ -6,13 +6,16 @@
 
 namespace fernlift::controller {
 
-/// A snapshot is due after a number of entries. A large state is written out whole each time, which
-/// holds up the member: it is due only once the log since the last snapshot is several times as
-/// large, so that the cost of each log byte stays bounded.
+/// A snapshot is due after a number of entries, or once the log is so long that a restart would take
+/// long to read and apply it. A large state is written out whole each time, which holds up the
+/// member: it is due only once the log since the last snapshot is several times as large, so that
+/// the cost of each log byte stays bounded.
 class SnapshotSchedule {
  public:
   /// States up to this size are cheap to write.
   static constexpr std::size_t kSmallSnapshotBytes = 1024UL * 1024;
+  /// A log of this size is slow to apply on a small machine.
+  static constexpr std::size_t kLongLogBytes = 1024UL * 1024;
   /// Log bytes for each byte of the last large snapshot.
   static constexpr std::size_t kLogToSnapshot = 4;
 
--- a/src/controller/SnapshotScheduleTest.cpp
+++ b/src/controller/SnapshotScheduleTest.cpp
@@ -28,5 +28,14 @@
   EXPECT_TRUE(schedule.isDue());
 }
 
+TEST(SnapshotScheduleTest, ALongLogIsDueBeforeItsEntriesAreMany) {
+  SnapshotSchedule schedule(1000);
+  schedule.onSnapshot(10);
+  schedule.onEntry(SnapshotSchedule::kLongLogBytes - 1);
+  EXPECT_FALSE(schedule.isDue());
+  schedule.onEntry(1);
+  EXPECT_TRUE(schedule.isDue());
+}
+
 }  // namespace
 }  // namespace fernlift::controller
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -21,10 +21,15 @@
   storeLoads_.assign(kUnknownEarlierLoads, options_.ordersFrom);
 }
 
-void EnginePlacement::refresh(const config::ServiceCatalogue& catalogue,
-                              const std::map<std::string, cell::RoutableInstance>& rows,
+void EnginePlacement::setServices(std::uint64_t version,
+                                  const std::vector<config::Service>& services) {
+  if (version == servicesVersion_) return;
+  servicesVersion_ = version;
+  catalogue_.services = services;
+}
+
+void EnginePlacement::refresh(const std::map<std::string, cell::RoutableInstance>& rows,
                               base::TimePoint now) {
-  catalogue_ = catalogue;
   for (const auto& [id, row] : rows) {
     const config::Service* service = catalogue_.findService(row.instance.service);
     if (service == nullptr || !service->engine) continue;
@@ -39,6 +44,7 @@
 }
 
 void EnginePlacement::take(Engine& engine, const EngineHoldings& holdings, base::TimePoint now) {
+  engine.hasTold = true;
   std::map<std::string, HeldState> held;
   for (const cell::HeldModel& model : holdings.models) {
     HeldState& state = held[model.model];
@@ -389,7 +395,7 @@
 std::optional<std::vector<cell::HeldModel>> EnginePlacement::routableModels(
     const std::string& instance, base::TimePoint now) const {
   const auto found = engines_.find(instance);
-  if (found == engines_.end()) return std::nullopt;
+  if (found == engines_.end() || !found->second.hasTold) return std::nullopt;
   const Engine& engine = found->second;
   std::vector<cell::HeldModel> models;
   for (const auto& [name, state] : engine.models) {
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -55,9 +55,10 @@
  public:
   explicit EnginePlacement(EnginePlacementOptions options);
 
-  /// Takes over services and instances. Engines that are gone or drain get no orders.
-  void refresh(const config::ServiceCatalogue& catalogue,
-               const std::map<std::string, cell::RoutableInstance>& rows, base::TimePoint now);
+  /// Takes over the services of a configuration; nothing is done when it is the one held.
+  void setServices(std::uint64_t version, const std::vector<config::Service>& services);
+  /// Takes over the instances. Engines that are gone or drain get no orders.
+  void refresh(const std::map<std::string, cell::RoutableInstance>& rows, base::TimePoint now);
   void onHeartbeat(const std::string& instance, const EngineHoldings& holdings,
                    base::TimePoint now);
   /// Replaces what one router reported before.
@@ -74,7 +75,7 @@
   [[nodiscard]] std::vector<EngineCommand> decide(base::TimePoint now);
 
   /// What routers may be told that the engine holds; without what is about to be unloaded. None
-  /// for an engine that is not known.
+  /// for an engine that is not known or has not told yet.
   [[nodiscard]] std::optional<std::vector<cell::HeldModel>> routableModels(
       const std::string& instance, base::TimePoint now) const;
 
@@ -96,6 +97,7 @@
     std::string address;
     std::string service;
     bool isUsable = false;                  ///< Takes requests and orders.
+    bool hasTold = false;                   ///< A heartbeat or report has come.
     std::optional<std::uint64_t> sequence;  ///< Orders it has taken, as far as is known.
     std::map<std::string, HeldState> models;
     std::set<std::string> inMemory;
@@ -189,7 +191,8 @@
   static void noteDone(Engine& engine, const engine::ServiceOrder& order, base::TimePoint now);
 
   EnginePlacementOptions options_;
-  config::ServiceCatalogue catalogue_;
+  std::uint64_t servicesVersion_ = 0;
+  config::ServiceCatalogue catalogue_;  ///< Services only.
   std::map<std::string, Engine> engines_;
   std::map<TargetKey, TargetDemand> demands_;
   std::deque<base::TimePoint> storeLoads_;  ///< When loads from the store were ordered.
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -22,6 +22,7 @@
 constexpr int kFirstServerError = 500;
 constexpr base::Duration kRetrySoon = base::milliseconds(100);
 constexpr base::Duration kRetryAfterLoad = base::milliseconds(1000);
+constexpr base::Duration kLongestWaitForRoutes = base::seconds(3);
 constexpr base::Duration kDefaultDeadline = base::seconds(30);
 /// The runner is told a little less than what is left, so that its answer still arrives.
 constexpr base::Duration kAnswerTravel = base::milliseconds(5);
@@ -63,22 +64,31 @@
 
 void Exchange::begin() {
   ++context_.counters.requests;
+  stated_ = statedDeadline(request_, context_.names).value_or(kDefaultDeadline);
+  deadline_ = arrivedAt_ + stated_;
+  if (findRoute()) tryNext();
+}
+
+bool Exchange::findRoute() {
+  routes_ = context_.routes;
   if (!routes_) {
-    deadline_ = arrivedAt_ + kDefaultDeadline;
-    refuse(ErrorKind::kLeaseExpired, "no configuration is known yet", kRetrySoon);
-    return;
+    // A router that has just started hears of the configuration in a moment.
+    isWaitingForRoutes_ = true;
+    deadline_ = arrivedAt_ + std::min<base::Duration>(stated_ / 2, kLongestWaitForRoutes);
+    armTimer();
+    return false;
   }
+  isWaitingForRoutes_ = false;
   route_ = routes_->find(request_.headers.value("Host"), request_.path());
   if (route_ == nullptr) {
     sendError({ErrorKind::kNotFound, "no route leads there"}, std::nullopt);
-    return;
+    return false;
   }
-  const base::Duration stated = statedDeadline(request_, context_.names).value_or(kDefaultDeadline);
-  deadline_ = arrivedAt_ + std::min(stated, route_->timeout);
+  deadline_ = arrivedAt_ + std::min(stated_, route_->timeout);
   query_.service = RouteTable::chooseService(*route_, context_.random.uniformReal());
   readModel();
   context_.retryBudget.onFirstAttempt();
-  tryNext();
+  return true;
 }
 
 void Exchange::readModel() {
@@ -127,7 +137,12 @@
 }
 
 void Exchange::onDirectoryChanged() {
-  if (isWaiting_ && !isEnded_) tryNext();
+  if (isEnded_) return;
+  if (isWaitingForRoutes_ && context_.routes) {
+    if (findRoute()) tryNext();
+  } else if (isWaiting_) {
+    tryNext();
+  }
 }
 
 void Exchange::startAttempt(const InstanceChoice& choice) {
@@ -169,7 +184,7 @@
 }
 
 void Exchange::armTimer() {
-  const base::TimePoint due = isWaiting_ ? deadline_ : std::min(deadline_, attemptDeadline_);
+  const base::TimePoint due = isWaiting() ? deadline_ : std::min(deadline_, attemptDeadline_);
   const auto wait = std::max<base::Duration>(due - now(), base::Duration::zero());
   timer_.start(std::chrono::ceil<base::milliseconds>(wait));
 }
@@ -185,6 +200,10 @@
     armTimer();
     return;
   }
+  if (isWaitingForRoutes_) {
+    refuse(ErrorKind::kLeaseExpired, "no configuration is known yet", kRetrySoon);
+    return;
+  }
   if (connection_) endAttempt(AttemptEnd::kAbandoned, false);
   if (isAnswerBegun_) {
     cut();
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -28,11 +28,11 @@
   ~Exchange() override;
 
   void begin();
-  /// The runners or what they hold changed: a request that waits for one looks again.
+  /// The configuration, the runners or what they hold changed: a request that waits looks again.
   void onDirectoryChanged();
   /// The caller went away: the runner's work is cancelled.
   void onCallerLeft();
-  [[nodiscard]] bool isWaiting() const { return isWaiting_; }
+  [[nodiscard]] bool isWaiting() const { return isWaiting_ || isWaitingForRoutes_; }
 
   void onSent() override;
   void onHead(http::AnswerHead head) override;
@@ -52,6 +52,8 @@
   };
 
   [[nodiscard]] base::TimePoint now() const { return context_.clock.now(); }
+  /// Finds the route; false when the request ended or waits for a configuration.
+  bool findRoute();
   void readModel();
   void tryNext();
   void beginWait(NoChoice reason);
@@ -82,13 +84,15 @@
   InstanceQuery query_;
   EngineTarget target_;
   base::TimePoint arrivedAt_{};
+  base::Duration stated_{};  ///< What the caller waits.
   base::TimePoint deadline_{};
   base::TimePoint attemptDeadline_{};
-  std::uint32_t sent_ = 0;         ///< Attempts whose bytes left.
-  std::uint32_t unreachable_ = 0;  ///< Attempts that found no connection.
-  bool isAttemptSent_ = false;     ///< The present attempt's bytes left.
-  bool mayHaveRun_ = false;        ///< An attempt ended whose runner did not deny having run it.
-  bool isWaiting_ = false;
+  std::uint32_t sent_ = 0;           ///< Attempts whose bytes left.
+  std::uint32_t unreachable_ = 0;    ///< Attempts that found no connection.
+  bool isAttemptSent_ = false;       ///< The present attempt's bytes left.
+  bool mayHaveRun_ = false;          ///< An attempt ended whose runner did not deny having run it.
+  bool isWaiting_ = false;           ///< For a runner.
+  bool isWaitingForRoutes_ = false;  ///< No configuration is known yet.
   bool isAnswerBegun_ = false;
   bool isEnded_ = false;
   std::string instance_;
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -18,8 +18,8 @@
 TEST_F(ExchangeTest, PassesMethodTargetBodyAndEndToEndFieldsOn) {
   proxy.addRunner("i-1", runner);
   RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("app.test", "r1",
-                                     "X-Extra: 7\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"));
+  caller.write(
+      ProxyFixture::request("app.test", "r1", "X-Extra: 7\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"));
   ASSERT_TRUE(runner.waitForRequest(0, "body"));
   const std::string& received = runner.connections[0]->received;
   EXPECT_TRUE(received.starts_with("POST /path?q=1 HTTP/1.1\r\n"));
@@ -106,9 +106,7 @@
   proxy.addRunner("i-2", other);
   RawCaller caller(proxy.listening);
   caller.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(waitUntil([&] {
-    return runner.connections.size() + other.connections.size() == 1;
-  }));
+  ASSERT_TRUE(waitUntil([&] { return runner.connections.size() + other.connections.size() == 1; }));
   StubRunner& first = runner.connections.empty() ? other : runner;
   ASSERT_TRUE(first.waitForRequest());
   first.connections[0]->reset();
@@ -121,9 +119,7 @@
   proxy.addRunner("i-2", other);
   RawCaller caller(proxy.listening);
   caller.write(ProxyFixture::request("app.test"));
-  ASSERT_TRUE(waitUntil([&] {
-    return runner.connections.size() + other.connections.size() == 1;
-  }));
+  ASSERT_TRUE(waitUntil([&] { return runner.connections.size() + other.connections.size() == 1; }));
   StubRunner& first = runner.connections.empty() ? other : runner;
   StubRunner& second = runner.connections.empty() ? runner : other;
   ASSERT_TRUE(first.waitForRequest());
@@ -159,9 +155,7 @@
   proxy.addRunner("i-2", other);
   RawCaller caller(proxy.listening);
   caller.write(ProxyFixture::request("resume.test"));
-  ASSERT_TRUE(waitUntil([&] {
-    return runner.connections.size() + other.connections.size() == 1;
-  }));
+  ASSERT_TRUE(waitUntil([&] { return runner.connections.size() + other.connections.size() == 1; }));
   StubRunner& first = runner.connections.empty() ? other : runner;
   StubRunner& second = runner.connections.empty() ? runner : other;
   ASSERT_TRUE(first.waitForRequest());
@@ -189,6 +183,20 @@
   ASSERT_TRUE(second.waitFor("HTTP/1.1 503"));
 }
 
+TEST_F(ExchangeTest, ARequestWaitsForTheFirstConfigurationAndIsThenServed) {
+  proxy.addRunner("i-1", runner);
+  const auto routes = std::exchange(proxy.context.routes, nullptr);
+  RawCaller caller(proxy.listening);
+  caller.write(ProxyFixture::request("once.test"));
+  runFor(std::chrono::milliseconds(50));
+  EXPECT_EQ(caller.received(), "");
+  proxy.context.routes = routes;
+  proxy.server.onDirectoryChanged();
+  ASSERT_TRUE(runner.waitForRequest());
+  runner.connections[0]->write(kAnswer);
+  EXPECT_TRUE(caller.waitFor("hello"));
+}
+
 TEST_F(ExchangeTest, AnUnreachableRunnerCostsNoAttempt) {
   auto gone = std::make_unique<StubRunner>();
   proxy.addRunner("i-0", *gone);
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -149,6 +149,7 @@
       std::make_shared<const RouteTable>(held_.version, std::move(outcome.catalogue->services));
   log::write(log::Event::kConfigurationTaken,
              {{"version", held_.version}, {"digest", held_.digest}});
+  server_.onDirectoryChanged();
   session_.requestSoon(clock_.now());
 }
 
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -88,8 +88,11 @@
   ProxyFixture() {
     http::test::application();
     context.routes = std::make_shared<const RouteTable>(1, catalogue());
-    listening = base::handleErrors([&] { return server.listen({"127.0.0.1", 0}); },
-                                   [](const base::Error&) { return base::SocketAddress(); });
+    listening = base::handleErrors(
+        [&] {
+          return server.listen({"127.0.0.1", 0});
+        },
+        [](const base::Error&) { return base::SocketAddress(); });
   }
 
   static ProtocolNames testNames() {
