Replace lost members at once and refuse in time while stopping

Changes: the set of members carries the size that the cell should have, and a silent voter goes once there are more; answers of a stopping router end their connection, and from 2.5 s on requests are refused as not run.

--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -137,10 +137,11 @@
 struct MemberJoinRequest {
   base::CellId cell;
   consensus::Member member;
+  bool isFounding = false;  ///< It starts with the cell, and replaces no other member.
 
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& cell& member;
+    archive& cell& member& isFounding;
   }
 };
 
--- a/src/consensus/Messages.h
+++ b/src/consensus/Messages.h
@@ -41,11 +41,14 @@
 /// Members in force from a log index on.
 struct MemberSet {
   std::vector<Member> members;  ///< Sorted by id.
+  /// Voters that a cell which manages its members should have; 0: an operator decides. Consensus
+  /// itself passes it over.
+  std::uint32_t targetSize = 0;
 
   bool operator==(const MemberSet&) const = default;
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& members;
+    archive& members& targetSize;
   }
 };
 
--- a/src/controller/CellFormation.cpp
+++ b/src/controller/CellFormation.cpp
@@ -58,6 +58,7 @@
   const bool mayFound = settings.isBootstrap && seed != nullptr && !holdsState(recovered);
   const bool isFounder =
       mayFound && (recovered.memberId == 0 || recovered.memberId == foundingId(*seed));
+  own.isFounding = settings.isBootstrap && !holdsState(recovered);
   own.isBootstrap = isFounder;
   own.isJoining = !isFounder && !holdsState(recovered);
   if (isFounder) {
--- a/src/controller/ControllerMembers.cpp
+++ b/src/controller/ControllerMembers.cpp
@@ -13,7 +13,7 @@
   for (const consensus::Member& member : status_.members.members) {
     if (member.id == request.member.id) reply.isVoter = member.isVoter;
   }
-  if (!reply.isVoter) leader_->admission.onJoinRequest(request.member, now_);
+  if (!reply.isVoter) leader_->admission.onJoinRequest(request.member, request.isFounding, now_);
   sendToRouter(connection, reply);
   changeMembersIfDue();
 }
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -89,7 +89,8 @@
 
 void ControllerProcess::startJoiner() {
   leaderSeenAt_ = clock_.now();
-  cell::MemberJoinRequest request{base::CellId(settings_.cell), selfMember(settings_)};
+  cell::MemberJoinRequest request{base::CellId(settings_.cell), selfMember(settings_),
+                                  settings_.isFounding};
   CellJoiner::Handlers handlers;
   handlers.mustAsk = [this] { return mustAskToJoin(); };
   handlers.controllers = [this] { return knownControllers(); };
--- a/src/controller/ControllerSettings.h
+++ b/src/controller/ControllerSettings.h
@@ -31,6 +31,7 @@
   std::int64_t seedPeerPort = 0;     ///< Port of `peer_address` at every seed.
   std::vector<std::string> members;  ///< Each "ID=PEER_IP:PORT=HTTP_IP:PORT=ZONE".
   bool isBootstrap = false;          ///< First start of the cell with an empty folder.
+  bool isFounding = false;           ///< Starts with the cell; set by withIdentity().
   bool isJoining = false;            ///< First start of a member that will be added to the cell.
   ControllerOptions core;
   std::int64_t entriesBetweenSnapshots = 4096;
--- a/src/controller/MemberAdmission.cpp
+++ b/src/controller/MemberAdmission.cpp
@@ -10,10 +10,6 @@
 /// A request to join counts this long.
 constexpr base::Duration kRequestLife = base::seconds(3);
 constexpr base::Duration kSilentLearner = base::seconds(5);
-/// A cut, a freeze or a restart is over by then, as a rule.
-constexpr base::Duration kLostVoter = base::seconds(12);
-/// Below this many voters that answer, a silent one stays: it may hold what another lost.
-constexpr std::size_t kFewestVoters = 3;
 
 consensus::MemberSet without(const consensus::MemberSet& members, base::MemberId id) {
   consensus::MemberSet changed = members;
@@ -43,12 +39,23 @@
 
   [[nodiscard]] bool isAlive(base::MemberId id) const { return silenceOf(id) < kAliveWithin; }
 
-  [[nodiscard]] std::size_t liveVoters() const {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        status_.members.members,
-        [&](const consensus::Member& member) { return member.isVoter && isAlive(member.id); }));
+  /// The silent voter to remove; null when none has a successor.
+  [[nodiscard]] const consensus::Member* replacedVoter() const {
+    const consensus::Member* replaced = nullptr;
+    std::size_t voters = 0;
+    for (const consensus::Member& member : status_.members.members) {
+      if (!member.isVoter) continue;
+      ++voters;
+      if (isAlive(member.id)) continue;
+      if (isReplaced(member)) return &member;
+      if (replaced == nullptr || silenceOf(member.id) > silenceOf(replaced->id)) {
+        replaced = &member;
+      }
+    }
+    return voters > status_.members.targetSize ? replaced : nullptr;
   }
 
+ private:
   /// Whether a voter that answers has the address of this one.
   [[nodiscard]] bool isReplaced(const consensus::Member& member) const {
     return std::ranges::any_of(status_.members.members, [&](const consensus::Member& other) {
@@ -57,7 +64,6 @@
     });
   }
 
- private:
   const consensus::RaftStatus& status_;
 };
 
@@ -71,8 +77,9 @@
 
 }  // namespace
 
-void MemberAdmission::onJoinRequest(const consensus::Member& member, base::TimePoint now) {
-  candidates_[member.id] = {member, now};
+void MemberAdmission::onJoinRequest(const consensus::Member& member, bool isFounding,
+                                    base::TimePoint now) {
+  candidates_[member.id] = {member, isFounding, now};
 }
 
 std::optional<consensus::MemberSet> MemberAdmission::nextChange(const consensus::RaftStatus& status,
@@ -86,18 +93,12 @@
         !member.isVoter && liveness.isAlive(member.id) && hasCaughtUp(status, member.id);
     if (isReady) return withVoter(members, member.id);
   }
+  if (const consensus::Member* replaced = liveness.replacedVoter()) {
+    return without(members, replaced->id);
+  }
   for (const consensus::Member& member : members.members) {
-    const base::Duration silence = liveness.silenceOf(member.id);
-    const bool isSilent = silence >= kAliveWithin;
-    if (!isSilent) continue;
-    if (!member.isVoter) {
-      if (silence >= kSilentLearner) return without(members, member.id);
-      continue;
-    }
-    if (liveness.isReplaced(member)) return without(members, member.id);
-    if (silence >= kLostVoter && liveness.liveVoters() >= kFewestVoters) {
-      return without(members, member.id);
-    }
+    const bool isLost = !member.isVoter && liveness.silenceOf(member.id) >= kSilentLearner;
+    if (isLost) return without(members, member.id);
   }
   for (const auto& [id, candidate] : candidates_) {
     const bool isKnown = std::ranges::any_of(
@@ -106,6 +107,7 @@
     consensus::MemberSet changed = members;
     changed.members.push_back(candidate.member);
     changed.members.back().isVoter = false;
+    if (candidate.isFounding) ++changed.targetSize;
     std::ranges::sort(changed.members, {}, &consensus::Member::id);
     return changed;
   }
--- a/src/controller/MemberStart.cpp
+++ b/src/controller/MemberStart.cpp
@@ -32,6 +32,9 @@
 base::Result<consensus::RecoveredState> bootstrap(storage::Storage& storage,
                                                   const ControllerSettings& settings) {
   BOOST_LEAF_AUTO(members, initialMembers(settings));
+  if (formsFromSeeds(settings)) {
+    members.targetSize = static_cast<std::uint32_t>(members.members.size());
+  }
   const consensus::PersistRequest request = bootstrapWrite(members);
   BOOST_LEAF_CHECK(storage.write({consensus::toWriteBatch(request)}));
   consensus::RecoveredState state;
--- a/src/controller/SnapshotSchedule.h
+++ b/src/controller/SnapshotSchedule.h
@@ -6,8 +6,8 @@
 
 namespace fernlift::controller {
 
-/// A snapshot is due after a number of entries, or once the log is so long that a restart would take
-/// long to read and apply it. A large state is written out whole each time, which holds up the
+/// A snapshot is due after a number of entries, or once the log is so long that a restart would
+/// take long to read and apply it. A large state is written out whole each time, which holds up the
 /// member: it is due only once the log since the last snapshot is several times as large, so that
 /// the cost of each log byte stays bounded.
 class SnapshotSchedule {
--- a/src/lab/RouterStub.h
+++ b/src/lab/RouterStub.h
@@ -43,6 +43,9 @@
   void on(const cell::LeaseGrant& grant);
   void on(const cell::ReplicaUpdate& update);
   void on(const cell::ClaimReply& reply);
+  // Registered services and members that join are not its business.
+  void on(const cell::InstanceUpdate& /*update*/) {}
+  void on(const cell::MemberJoinReply& /*reply*/) {}
   void reconnectSoon(const base::SocketAddress& address);
 
   std::string id_;
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -220,6 +220,7 @@
       "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
   ASSERT_TRUE(busy.waitFor("data: a"));
   proxy.server.beginClosing();
+  proxy.server.beginRefusing();
   EXPECT_TRUE(resting.waitForClose());
   EXPECT_FALSE(busy.isClosed());
   runner.connections[0]->write("0\r\n\r\n");
@@ -227,5 +228,23 @@
   EXPECT_TRUE(busy.waitForClose());
 }
 
+TEST_F(ExchangeTest, AStoppingRouterServesOnAndThenRefusesAsNotRun) {
+  proxy.addRunner("i-1", runner);
+  RawCaller early(proxy.listening);
+  RawCaller late(proxy.listening);
+  proxy.server.beginClosing();
+  early.write(ProxyFixture::request("once.test"));
+  ASSERT_TRUE(runner.waitForRequest());
+  proxy.server.beginRefusing();
+  runner.connections[0]->write(kAnswer);
+  ASSERT_TRUE(early.waitFor("hello"));
+  EXPECT_NE(early.received().find("Connection: close\r\n"), std::string::npos);
+  EXPECT_TRUE(early.waitForClose());
+  RawCaller refused(proxy.listening);
+  refused.write(ProxyFixture::request("once.test"));
+  ASSERT_TRUE(refused.waitFor("HTTP/1.1 503"));
+  EXPECT_NE(refused.received().find("Retry-After: "), std::string::npos);
+}
+
 }  // namespace
 }  // namespace fernlift::proxy::test
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -203,13 +203,16 @@
   }
   log::write(log::Event::kProcessStopping);
   stopBegan_ = clock_.now();
+  server_.beginClosing();
 }
 
 void ProxyProcess::checkStop() {
   if (!stopBegan_ || isFinished_) return;
   const base::Duration passed = clock_.now() - *stopBegan_;
-  if (passed >= settings_.stopGrace && !std::exchange(isClosing_, true)) server_.beginClosing();
-  const bool isDone = isClosing_ && server_.openExchanges() == 0 && server_.openConnections() == 0;
+  if (passed >= settings_.stopGrace && !std::exchange(isRefusing_, true)) {
+    server_.beginRefusing();
+  }
+  const bool isDone = isRefusing_ && server_.openExchanges() == 0 && server_.openConnections() == 0;
   if (isDone || passed >= settings_.stopTimeout) finish(0);
 }
 
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -75,7 +75,7 @@
   router::ControllerLink link_;
   cell::HeldConfiguration held_;
   std::optional<base::TimePoint> stopBegan_;
-  bool isClosing_ = false;
+  bool isRefusing_ = false;
   bool isFinished_ = false;
   http::Metrics metrics_;
   std::unique_ptr<http::Server> metricsServer_;
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int kListenBacklog = 512;
+/// Seconds after which a caller reaches another router.
+constexpr const char* kRetryElsewhere = "0.05";
 
 }  // namespace
 
@@ -66,6 +68,11 @@
 
 void ProxyServer::onRequest(CallerConnection& connection, ParsedRequest request) {
   if (isClosing_) connection.closeAfterAnswer();
+  if (isRefusing_) {
+    ++context_.counters.refused;
+    refuseStopping(connection);
+    return;
+  }
   auto exchange = std::make_unique<Exchange>(context_, connection, std::move(request),
                                              [this, caller = &connection](Exchange&) {
                                                const auto found = exchanges_.find(caller);
@@ -84,6 +91,13 @@
   connection.sendAnswer(response.status, response.headers, response.body);
 }
 
+void ProxyServer::refuseStopping(CallerConnection& connection) {
+  http::Response response =
+      http::errorResponse({base::ErrorKind::kStopping, "this router is stopping"});
+  response.headers.set("Retry-After", kRetryElsewhere);
+  connection.sendAnswer(response.status, response.headers, response.body);
+}
+
 void ProxyServer::sweepSoon() {
   if (!sweeper_.isActive()) sweeper_.start(0);
 }
@@ -105,8 +119,10 @@
   for (const auto& [key, connection] : connections_) connection->setLimits(limits_);
 }
 
-void ProxyServer::beginClosing() {
-  isClosing_ = true;
+void ProxyServer::beginClosing() { isClosing_ = true; }
+
+void ProxyServer::beginRefusing() {
+  isRefusing_ = true;
   const auto connections = connections_;  // Closing changes the map.
   for (const auto& [key, connection] : connections) connection->closeAfterAnswer();
 }
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -29,9 +29,11 @@
   void onDirectoryChanged();
   /// Limits of connections accepted or at rest from now on.
   void setLimits(const config::ClientLimits& limits);
-  /// Closes each connection after its present answer, resting ones at once. New connections are
-  /// still taken, for one request each.
+  /// Closes each connection after its next answer, so that callers move to other routers. New
+  /// connections are still taken, for one request each.
   void beginClosing();
+  /// Refuses new requests as not run and closes resting connections.
+  void beginRefusing();
   /// Takes no new connection.
   void stopListening();
 
@@ -43,6 +45,7 @@
   void acceptAll();
   void onRequest(CallerConnection& connection, ParsedRequest request);
   void onInvalid(CallerConnection& connection, const base::Error& error);
+  static void refuseStopping(CallerConnection& connection);
   /// Drops what ended; not from within its own calls.
   void sweepSoon();
 
@@ -50,6 +53,7 @@
   CallerConnection::Handlers handlers_;
   CallerLimits limits_;
   bool isClosing_ = false;
+  bool isRefusing_ = false;
   std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
   std::map<CallerConnection*, std::unique_ptr<Exchange>> exchanges_;
   std::vector<std::unique_ptr<Exchange>> ended_;
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -24,8 +24,8 @@
   double retryShare = 0.1;        ///< Of this router's requests.
   std::int64_t retryReserve = 4;  ///< Retries that are allowed without any requests.
   base::Duration connectTimeout = base::milliseconds(250);
-  base::Duration stopGrace = base::milliseconds(4000);  ///< Serves on, not ready.
-  base::Duration stopTimeout = base::milliseconds(7500);
+  base::Duration stopGrace = base::milliseconds(2500);  ///< Serves on, not ready.
+  base::Duration stopTimeout = base::milliseconds(7800);
   log::Options logging;
 };
 
