--- a/src/log/Log.cpp
+++ b/src/log/Log.cpp
@@ -1,23 +1,25 @@
 #include "log/Log.h"
 
+#include <unistd.h>
+
 #include <array>
-#include <boost/core/null_deleter.hpp>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/attributes/value_extraction.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/manipulators/add_value.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <cstdlib>
-#include <iostream>
 #include <mutex>
 
+#include "base/Time.h"
 #include "log/Format.h"
+#include "log/LineOutput.h"
 
 namespace fernlift::log {
 namespace {
@@ -25,7 +27,8 @@
 namespace boostlog = boost::log;
 
 using Fields = std::vector<Field>;
-using Sink = boostlog::sinks::synchronous_sink<boostlog::sinks::text_ostream_backend>;
+class LineBackend;
+using Sink = boostlog::sinks::synchronous_sink<LineBackend>;
 using Logger = boostlog::sources::severity_logger_mt<Severity>;
 
 constexpr const char* kTimestampAttribute = "Timestamp";
@@ -39,6 +42,8 @@
 #undef FERNLIFT_EVENT
 };
 
+void noteOmitted(Event event);
+
 std::string timestampOf(const boostlog::record_view& view) {
   const auto time = boostlog::extract<boost::posix_time::ptime>(kTimestampAttribute, view);
   return time ? boost::posix_time::to_iso_extended_string(*time) + "Z" : std::string();
@@ -54,10 +59,27 @@
   stream << (options.format == Format::kJson ? formatJson(record) : formatText(record));
 }
 
+/// Sink backend that drops lines rather than wait for the reader.
+class LineBackend final
+    : public boostlog::sinks::basic_formatted_sink_backend<
+          char,
+          boostlog::sinks::combine_requirements<boostlog::sinks::synchronized_feeding>::type> {
+ public:
+  explicit LineBackend(Destination destination)
+      : output_(destination == Destination::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO) {}
+
+  void consume(const boostlog::record_view& view, const string_type& line) {
+    if (output_.write(line)) return;
+    const auto event = boostlog::extract<Event>(kEventAttribute, view);
+    if (event) noteOmitted(*event);
+  }
+
+ private:
+  LineOutput output_;
+};
+
 boost::shared_ptr<Sink> makeSink(const Options& options) {
-  auto backend = boost::make_shared<boostlog::sinks::text_ostream_backend>();
-  backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
-  backend->auto_flush(true);
+  auto backend = boost::make_shared<LineBackend>(options.destination);
   auto sink = boost::make_shared<Sink>(backend);
   sink->set_formatter(
       [options](const boostlog::record_view& view, boostlog::formatting_ostream& stream) {
@@ -87,10 +109,25 @@
 
   Logger& logger() { return logger_; }
 
+  /// Whether a line may be written; `omitted` gets the counts that are due to be told.
+  bool admit(const EventTraits& traits, std::vector<OmittedLines>* omitted) {
+    const std::lock_guard lock(budgetMutex_);
+    const base::TimePoint now = clock_.now();
+    *omitted = budget_.takeOmitted(now);
+    return budget_.admit(traits, now);
+  }
+  void noteOmitted(Event event) {
+    const std::lock_guard lock(budgetMutex_);
+    budget_.noteOmitted(event);
+  }
+
  private:
   std::mutex mutex_;
   boost::shared_ptr<Sink> sink_;
   Logger logger_;
+  std::mutex budgetMutex_;
+  base::SystemClock clock_;
+  LineBudget budget_;
 };
 
 /// Lives until the process ends, so that events can be written from any destructor.
@@ -103,6 +140,14 @@
   return *instance;
 }
 
+void noteOmitted(Event event) { output().noteOmitted(event); }
+
+void writeRecord(Event event, const EventTraits& traits, Fields fields) {
+  BOOST_LOG_SEV(output().logger(), traits.severity)
+      << boostlog::add_value(kEventAttribute, event)
+      << boostlog::add_value(kFieldsAttribute, std::move(fields));
+}
+
 }  // namespace
 
 std::span<const EventTraits> allEvents() { return kEvents; }
@@ -117,9 +162,14 @@
 void initialize(const Options& options) { output().replaceSink(options); }
 
 void write(Event event, std::initializer_list<Field> fields) {
-  BOOST_LOG_SEV(output().logger(), traitsOf(event).severity)
-      << boostlog::add_value(kEventAttribute, event)
-      << boostlog::add_value(kFieldsAttribute, Fields(fields));
+  const EventTraits& traits = traitsOf(event);
+  std::vector<OmittedLines> omitted;
+  const bool isAdmitted = output().admit(traits, &omitted);
+  for (const OmittedLines& lines : omitted) {
+    writeRecord(Event::kLogLinesOmitted, traitsOf(Event::kLogLinesOmitted),
+                {{"event", traitsOf(lines.event).name}, {"count", lines.count}});
+  }
+  if (isAdmitted) writeRecord(event, traits, Fields(fields));
 }
 
 }  // namespace fernlift::log
--- a/src/log/Log.h
+++ b/src/log/Log.h
@@ -52,18 +52,23 @@
 
 enum class Format : std::uint8_t { kText, kJson };
 
+/// Standard stream that log lines go to.
+enum class Destination : std::uint8_t { kStandardError, kStandardOutput };
+
 struct Options {
   Format format = Format::kText;
+  Destination destination = Destination::kStandardError;
   Severity minimumSeverity = Severity::kInfo;
   std::string program;   ///< Written with each event.
   std::string instance;  ///< Identifier of this process, written with each event.
 };
 
-/// Sets up the process-wide sink (standard error). Without it, events at kInfo and above are
-/// written as text.
+/// Sets up the process-wide sink. Without it, events at kInfo and above are written as text to
+/// standard error.
 void initialize(const Options& options);
 
-/// Writes one event. Safe from any thread.
+/// Writes one event. Safe from any thread. Never blocks: lines beyond a bound a second for each
+/// event, and those that the reader of the stream does not take, are left out and counted.
 void write(Event event, std::initializer_list<Field> fields = {});
 
 }  // namespace fernlift::log
--- a/src/log/LogTest.cpp
+++ b/src/log/LogTest.cpp
@@ -1,10 +1,13 @@
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <array>
 #include <set>
 
 #include "log/Format.h"
+#include "log/LineOutput.h"
 #include "log/Log.h"
 
 namespace fernlift::log {
@@ -79,5 +82,35 @@
   EXPECT_NE(captured(options, Event::kListenFailed), "");
 }
 
+TEST(LogTest, EventsHaveABoundASecondAndTheRestIsCounted) {
+  LineBudget budget;
+  const EventTraits& ordinary = traitsOf(Event::kProcessStarted);
+  const base::TimePoint start{base::seconds(7)};
+  for (std::uint64_t line = 0; line < LineBudget::kOrdinaryLinesASecond; ++line) {
+    EXPECT_TRUE(budget.admit(ordinary, start));
+  }
+  EXPECT_FALSE(budget.admit(ordinary, start));
+  EXPECT_TRUE(budget.admit(traitsOf(Event::kListenFailed), start));
+  EXPECT_TRUE(budget.takeOmitted(start).empty());
+  const auto omitted = budget.takeOmitted(start + base::seconds(1));
+  ASSERT_EQ(omitted.size(), 1U);
+  EXPECT_EQ(omitted[0].event, Event::kProcessStarted);
+  EXPECT_EQ(omitted[0].count, 1U);
+  EXPECT_TRUE(budget.admit(ordinary, start + base::seconds(1)));
+}
+
+TEST(LogTest, AFullPipeDropsLinesAndHoldsNothingUp) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(::pipe(ends.data()), 0);
+  const LineOutput output(ends[1]);
+  const std::string line(1000, 'x');
+  int written = 0;
+  while (written < 1000 && output.write(line)) ++written;
+  EXPECT_GT(written, 10);
+  EXPECT_LT(written, 1000);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
 }  // namespace
 }  // namespace fernlift::log
--- a/src/programs/fernlift-controller.cpp
+++ b/src/programs/fernlift-controller.cpp
@@ -49,6 +49,7 @@
   if (const auto exitCode = readSettings(argc, argv, settings)) return *exitCode;
 
   const QCoreApplication application(argc, argv);
+  settings.logging.destination = log::Destination::kStandardOutput;
   settings.logging.program = "fernlift-controller";
   settings.logging.instance =
       settings.id != 0 ? std::to_string(settings.id) : settings.peerAddress.toString();
--- a/src/programs/fernlift-router.cpp
+++ b/src/programs/fernlift-router.cpp
@@ -57,6 +57,7 @@
 /// Sets up the log for a program whose settings are read.
 template <class Settings>
 void beginLog(Settings& settings) {
+  settings.logging.destination = log::Destination::kStandardOutput;
   settings.logging.program = "fernlift-router";
   settings.logging.instance = settings.id;
   log::initialize(settings.logging);
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -21,7 +21,11 @@
 constexpr int kFirstErrorStatus = 400;
 constexpr int kFirstServerError = 500;
 constexpr base::Duration kRetrySoon = base::milliseconds(100);
-constexpr base::Duration kRetryAfterLoad = base::milliseconds(1000);
+constexpr base::Duration kRetryAfterWait = base::milliseconds(200);
+constexpr base::Duration kLongestLoad = base::seconds(3);
+/// Share of a request's time that it may wait for a runner, in hundredths.
+constexpr int kWaitShare = 45;
+constexpr int kWhole = 100;
 constexpr base::Duration kLongestWaitForRoutes = base::seconds(3);
 constexpr base::Duration kDefaultDeadline = base::seconds(30);
 /// The runner is told a little less than what is left, so that its answer still arrives.
@@ -124,6 +128,18 @@
     return;
   }
   isWaiting_ = true;
+  waitBegan_ = now();
+  // A runner that comes later than this would answer too late; the caller had better ask again.
+  const base::Duration limit =
+      std::min<base::Duration>(stated_ * kWaitShare / kWhole, route_->targetLatency + kLongestLoad);
+  waitDeadline_ = std::min(deadline_, std::max(arrivedAt_ + limit, now()));
+  log::write(log::Event::kRequestWaits,
+             {{"request", request_.headers.value(context_.names.requestId)},
+              {"service", query_.service},
+              {"model", query_.model},
+              {"adapter", query_.adapter},
+              {"cause", nameOf(reason)},
+              {"table", context_.directory.version()}});
   if (!query_.model.empty()) {
     context_.demands.onWaiting(target_);
     context_.onUrgentDemand();
@@ -133,6 +149,7 @@
 
 void Exchange::endWait() {
   if (!std::exchange(isWaiting_, false)) return;
+  waited_ += now() - waitBegan_;
   if (!query_.model.empty()) context_.demands.onWaitEnd(target_);
 }
 
@@ -184,13 +201,28 @@
 }
 
 void Exchange::armTimer() {
-  const base::TimePoint due = isWaiting() ? deadline_ : std::min(deadline_, attemptDeadline_);
+  const base::TimePoint due = isWaiting_ ? waitDeadline_ : std::min(deadline_, attemptDeadline_);
   const auto wait = std::max<base::Duration>(due - now(), base::Duration::zero());
   timer_.start(std::chrono::ceil<base::milliseconds>(wait));
 }
 
+void Exchange::onWaitOver() {
+  if (isAnswerBegun_) {
+    cut();
+  } else if (mayHaveRun_) {
+    fail(ErrorKind::kUpstreamBroken, "no other runner could take the request in time");
+  } else {
+    refuse(ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
+           kRetryAfterWait);
+  }
+}
+
 void Exchange::onTimer() {
   if (isEnded_) return;
+  if (isWaiting_ && now() >= waitDeadline_) {
+    onWaitOver();
+    return;
+  }
   if (now() < deadline_) {
     if (connection_ && use_ == AnswerUse::kNone && now() >= attemptDeadline_) {
       endAttempt(AttemptEnd::kFailed, false);
@@ -211,7 +243,7 @@
     fail(ErrorKind::kUpstreamTimeout, "the time of the request is over");
   } else {
     refuse(ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
-           kRetryAfterLoad);
+           kRetryAfterWait);
   }
 }
 
@@ -241,6 +273,7 @@
 
 void Exchange::onHead(http::AnswerHead head) {
   noteLoad(head);
+  if (!isAnswerBegun_) answeredAt_ = now();
   head_ = std::move(head);
   const bool isRefusal =
       head_.status == kMisdirected || head_.headers.contains(context_.names.notExecuted);
@@ -330,6 +363,7 @@
   const bool isFailure = head_.status >= kFirstServerError;
   endAttempt(isFailure ? AttemptEnd::kFailed : AttemptEnd::kAnswered, true);
   ++context_.counters.answered;
+  logEnd(log::Event::kRequestAnswered, std::to_string(head_.status));
   end();
 }
 
@@ -363,6 +397,7 @@
   const bool hasAttempts = sent_ < route_->maximumAttempts;
   if (hasAttempts && context_.retryBudget.tryRetry()) {
     ++context_.counters.retries;
+    logMove(log::Event::kRequestResent);
     tryNext();
   } else if (isAnswerBegun_) {
     cut();
@@ -379,6 +414,7 @@
   const bool mayGoOn = mayRunAgain() && context_.retryBudget.tryRetry();
   if (mayGoOn) {
     ++(isAnswerBegun_ ? context_.counters.resumed : context_.counters.retries);
+    logMove(isAnswerBegun_ ? log::Event::kRequestResumed : log::Event::kRequestResent);
     tryNext();
   } else if (isAnswerBegun_) {
     cut();
@@ -387,13 +423,44 @@
   }
 }
 
+void Exchange::logEnd(log::Event event, const std::string& cause) const {
+  const auto sinceArrival = [this](base::TimePoint time) {
+    return time == base::TimePoint{} ? -1 : base::toMilliseconds(time - arrivedAt_);
+  };
+  log::write(event, {{"request", request_.headers.value(context_.names.requestId)},
+                     {"route", route_ == nullptr ? std::string() : route_->name},
+                     {"configuration", routes_ ? routes_->version() : 0},
+                     {"service", query_.service},
+                     {"model", query_.model},
+                     {"adapter", query_.adapter},
+                     {"runner", instance_},
+                     {"table", context_.directory.version()},
+                     {"table_age_ms", context_.directory.ageMilliseconds(now())},
+                     {"attempts", sent_},
+                     {"unreachable", unreachable_},
+                     {"waited_ms", base::toMilliseconds(waited_)},
+                     {"head_ms", sinceArrival(answeredAt_)},
+                     {"total_ms", sinceArrival(now())},
+                     {"cause", cause}});
+}
+
+void Exchange::logMove(log::Event event) const {
+  log::write(event, {{"request", request_.headers.value(context_.names.requestId)},
+                     {"from_runner", instance_},
+                     {"status", head_.status},
+                     {"attempts", sent_},
+                     {"last_event", events_ ? events_->lastId().value_or("") : std::string()}});
+}
+
 void Exchange::refuse(ErrorKind kind, const std::string& message, base::Duration retryAfter) {
   ++context_.counters.refused;
+  logEnd(log::Event::kRequestRefused, message);
   sendError({kind, message}, retryAfter);
 }
 
 void Exchange::fail(ErrorKind kind, const std::string& message) {
   ++context_.counters.failed;
+  logEnd(log::Event::kRequestFailed, message);
   sendError({kind, message}, std::nullopt);
 }
 
@@ -408,6 +475,7 @@
 
 void Exchange::cut() {
   ++context_.counters.failed;
+  logEnd(log::Event::kRequestFailed, "the stream broke off and cannot go on");
   caller_.abort();
   end();
 }
@@ -415,6 +483,7 @@
 void Exchange::onCallerLeft() {
   if (isEnded_) return;
   ++context_.counters.left;
+  logEnd(log::Event::kCallerLeft, "the caller left");
   if (connection_) endAttempt(AttemptEnd::kAbandoned, false);
   end();
 }
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -13,6 +13,7 @@
 #include "base/Error.h"
 #include "http/AnswerParser.h"
 #include "http/BackEndConnection.h"
+#include "log/Log.h"
 #include "proxy/CallerConnection.h"
 #include "proxy/EventSplitter.h"
 #include "proxy/ProxyContext.h"
@@ -61,6 +62,8 @@
   void startAttempt(const InstanceChoice& choice);
   void armTimer();
   void onTimer();
+  /// No runner came in time.
+  void onWaitOver();
   /// Ends the attempt; its connection is kept when `mayReuse`.
   void endAttempt(AttemptEnd end, bool mayReuse);
   [[nodiscard]] bool mayRunAgain();
@@ -72,6 +75,8 @@
   void refuse(base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
   void fail(base::ErrorKind kind, const std::string& message);
   void sendError(const base::Error& error, std::optional<base::Duration> retryAfter);
+  void logEnd(log::Event event, const std::string& cause) const;
+  void logMove(log::Event event) const;
   void cut();
   void end();
 
@@ -86,6 +91,10 @@
   base::TimePoint arrivedAt_{};
   base::Duration stated_{};  ///< What the caller waits.
   base::TimePoint deadline_{};
+  base::TimePoint waitBegan_{};
+  base::TimePoint waitDeadline_{};
+  base::Duration waited_{};       ///< For runners, before the last attempt.
+  base::TimePoint answeredAt_{};  ///< When the head of the answer came.
   base::TimePoint attemptDeadline_{};
   std::uint32_t sent_ = 0;           ///< Attempts whose bytes left.
   std::uint32_t unreachable_ = 0;    ///< Attempts that found no connection.
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -36,7 +36,21 @@
 
 }  // namespace
 
-bool InstanceDirectory::apply(const cell::InstanceUpdate& update) {
+std::string_view nameOf(NoChoice reason) {
+  switch (reason) {
+    case NoChoice::kNone:
+      return "none";
+    case NoChoice::kUnknown:
+      return "no_runner";
+    case NoChoice::kNotLoaded:
+      return "not_loaded";
+    case NoChoice::kFull:
+      break;
+  }
+  return "full";
+}
+
+bool InstanceDirectory::apply(const cell::InstanceUpdate& update, base::TimePoint now) {
   const bool isWhole = update.fromVersion == 0;
   const bool fits = update.term == term_ && update.fromVersion == version_;
   if (update.term < term_ || (!isWhole && !fits)) return false;
@@ -49,6 +63,7 @@
   for (const cell::RoutableInstance& row : update.upserts) put(row);
   term_ = update.term;
   version_ = update.toVersion;
+  appliedAt_ = now;
   routers_ = std::max(update.routers, 1U);
   controllers_ = update.controllers;
   return true;
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -40,6 +40,9 @@
   std::string address;
 };
 
+/// For logs, for example "not_loaded".
+[[nodiscard]] std::string_view nameOf(NoChoice reason);
+
 /// How an attempt at a runner ended, as far as the choice of runners cares.
 enum class AttemptEnd : std::uint8_t {
   kAnswered,     ///< A proper answer came.
@@ -56,7 +59,7 @@
 
   /// Takes over a change of the table. False when it does not fit what is held: the whole table is
   /// needed then.
-  bool apply(const cell::InstanceUpdate& update);
+  bool apply(const cell::InstanceUpdate& update, base::TimePoint now);
 
   [[nodiscard]] InstanceChoice choose(const InstanceQuery& query, base::TimePoint now) const;
 
@@ -73,6 +76,11 @@
   [[nodiscard]] const std::vector<std::string>& controllers() const { return controllers_; }
   [[nodiscard]] std::size_t size() const { return views_.size(); }
   [[nodiscard]] bool hasTable() const { return version_ != 0; }
+  [[nodiscard]] std::uint64_t version() const { return version_; }
+  /// Time since the table last changed.
+  [[nodiscard]] std::int64_t ageMilliseconds(base::TimePoint now) const {
+    return base::toMilliseconds(now - appliedAt_);
+  }
 
  private:
   struct View {
@@ -97,6 +105,7 @@
   std::string zone_;
   base::Term term_ = 0;
   std::uint64_t version_ = 0;
+  base::TimePoint appliedAt_{};
   std::uint32_t routers_ = 1;
   std::vector<std::string> controllers_;
   std::map<std::string, View> views_;
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -127,6 +127,7 @@
     session_.onNotLeader(*other, clock_.now(), random_);
   } else if (const auto* grant = std::get_if<cell::LeaseGrant>(&message)) {
     session_.onGrant(*grant);
+    noteController(true);
   } else if (const auto* configuration = std::get_if<cell::ConfigurationUpdate>(&message)) {
     takeConfiguration(*configuration);
   } else if (const auto* instances = std::get_if<cell::InstanceUpdate>(&message)) {
@@ -154,20 +155,34 @@
 }
 
 void ProxyProcess::takeInstances(const cell::InstanceUpdate& update) {
-  if (!directory_.apply(update)) {
+  if (!directory_.apply(update, clock_.now())) {
     // A gap: a new connection gets the whole table.
     link_.close();
     session_.onLost(clock_.now(), random_);
     return;
   }
+  log::write(log::Event::kInstancesTaken, {{"term", update.term},
+                                           {"from", update.fromVersion},
+                                           {"to", update.toVersion},
+                                           {"changed", update.upserts.size()},
+                                           {"removed", update.removals.size()},
+                                           {"runners", directory_.size()}});
   link_.setControllers(parseAll(update.controllers));
   server_.onDirectoryChanged();
 }
 
+void ProxyProcess::noteController(bool isAnswering) {
+  if (hasController_ == isAnswering) return;
+  hasController_ = isAnswering;
+  const auto event = isAnswering ? log::Event::kControllerFound : log::Event::kControllerLost;
+  log::write(event, {{"configuration", held_.version}, {"table", directory_.version()}});
+}
+
 void ProxyProcess::pollController() {
   const auto due = session_.poll(clock_.now());
   if (!due) return;
   if (const auto* connect = std::get_if<router::ConnectController>(&*due)) {
+    noteController(false);
     link_.connect(connect->address);
     return;
   }
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -52,6 +52,8 @@
   void takeConfiguration(const cell::ConfigurationUpdate& update);
   void takeInstances(const cell::InstanceUpdate& update);
   void pollController();
+  /// Logs when the leader begins or ceases to answer.
+  void noteController(bool isAnswering);
   void reportDemand();
   void onTick();
   void checkStop();
@@ -76,6 +78,7 @@
   cell::HeldConfiguration held_;
   std::optional<base::TimePoint> stopBegan_;
   bool isRefusing_ = false;
+  bool hasController_ = false;
   bool isFinished_ = false;
   http::Metrics metrics_;
   std::unique_ptr<http::Server> metricsServer_;
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -143,7 +143,7 @@
     cell::RoutableInstance row;
     row.instance = {id, "service", runner.address(), "z1", 8, false};
     update.upserts.push_back(row);
-    directory.apply(update);
+    directory.apply(update, clock.now());
     server.onDirectoryChanged();
   }
 
