Choose runners by expected time, hold crowded models more than once, keep loads off engines whose adapters are in use

Changes: costs of a choice in milliseconds (requests, prompt tokens not read yet, zone, failures, what is shared); another replica above four requests each; a price on loading beside used adapters; heartbeats no longer overwrite what placement knows.

--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -11,7 +11,7 @@
   sighting.heardAt = now;
   sighting.sequence = heartbeat.sequence;
   sighting.isReported = true;
-  sighting.models = heartbeat.models;
+  if (!sighting.isPlaced) sighting.models = heartbeat.models;
   return true;
 }
 
@@ -19,13 +19,14 @@
   const auto found = sightings_.find(id);
   if (found == sightings_.end()) return;
   found->second.isReported = true;
+  found->second.isPlaced = true;
   found->second.models = std::move(models);
 }
 
 void InstanceTable::refresh(const cell::ServiceInstances& agreed, base::TimePoint now) {
   for (const auto& [id, instance] : agreed.all()) {
     // A new leader counts silence from when it first looked.
-    Sighting& sighting = sightings_.try_emplace(id, Sighting{now, 0, false, {}}).first->second;
+    Sighting& sighting = sightings_.try_emplace(id, Sighting{now, 0, false, false, {}}).first->second;
     cell::RoutableInstance row;
     row.instance = instance;
     row.isSilent = now - sighting.heardAt >= silence_;
--- a/src/controller/InstanceTable.h
+++ b/src/controller/InstanceTable.h
@@ -40,6 +40,7 @@
     base::TimePoint heardAt{};
     std::uint64_t sequence = 0;
     bool isReported = false;
+    bool isPlaced = false;  ///< The models were set by setModels(), which knows more.
     std::vector<cell::HeldModel> models;
   };
 
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -155,6 +155,10 @@
   [[nodiscard]] static bool isUnloading(const Engine& engine, const std::string& model);
   [[nodiscard]] static double loadSeconds(const Engine& engine, const config::EngineModel& model);
 
+  /// What a load costs those who want adapters of models that the engine holds.
+  [[nodiscard]] double adapterTrouble(const Engine& engine, const config::EngineSpec& spec,
+                                      base::TimePoint now) const;
+
   // Steps of a decision.
   void pollWhereNeeded(std::vector<EngineCommand>& commands, base::TimePoint now);
   void expireOrders(base::TimePoint now);
--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -2,6 +2,8 @@
 
 /// Figures of the placement on registered engines.
 
+#include <cstdint>
+
 #include "base/Time.h"
 
 namespace fernlift::placement {
@@ -16,13 +18,14 @@
 /// An order for a model that is not seen to be done by then is asked after.
 constexpr base::Duration kLatestModelOrder = base::seconds(6);
 /// Time for an adapter to come.
-constexpr base::Duration kAdapterLoadTime = base::milliseconds(60);
+constexpr base::Duration kAdapterLoadTime = base::milliseconds(30);
 /// Time for all routers to hear that a model is going to be unloaded.
 constexpr base::Duration kWithdrawalTime = base::milliseconds(60);
 /// A model that was asked for within this time stays unless another engine holds it too.
 constexpr base::Duration kRecentUse = base::milliseconds(1500);
-/// More requests for each replica than this share of an engine's slots ask for another one.
-constexpr double kCrowdedShare = 0.35;
+/// More requests for each replica than this ask for another one: prompts are read one after the
+/// other, long before an engine's slots are taken.
+constexpr std::uint32_t kCrowdedRequests = 4;
 constexpr base::Duration kReplicaPause = base::seconds(1);
 /// Loads of an earlier leader that may have begun just now.
 constexpr int kUnknownEarlierLoads = 5;
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -14,6 +14,8 @@
 constexpr double kSpareReplicaCost = 0.2;
 constexpr double kLastReplicaCost = 4.0;
 constexpr double kCheapestLastReplicaCost = 0.3;
+constexpr double kAdapterTroubleCost = 1.5;
+constexpr base::Duration kAdapterUse = base::seconds(10);
 /// Seconds of silence after which the last replica of a model is worth the least.
 constexpr double kForgottenAfter = 20.0;
 
@@ -43,8 +45,7 @@
   if (holders == 0 || service == nullptr || !service->engine) return false;
   const auto added = replicaAddedAt_.find(key.model);
   if (added != replicaAddedAt_.end() && now - added->second < kReplicaPause) return false;
-  const double room = static_cast<double>(holders) * service->engine->slots * kCrowdedShare;
-  return demand.running + demand.waiting > room;
+  return demand.running + demand.waiting > holders * kCrowdedRequests;
 }
 
 bool EnginePlacement::planModel(const TargetKey& key, base::TimePoint now) {
@@ -60,7 +61,8 @@
     if (model == nullptr) return false;
     const std::optional<Victims> victims = victimsFor(engine, *spec, *model, now);
     if (!victims) continue;
-    const double cost = victims->cost + loadSeconds(engine, *model);
+    const double cost =
+        victims->cost + loadSeconds(engine, *model) + adapterTrouble(engine, *spec, now);
     if (best != nullptr && cost >= lowest) continue;
     best = &engine;
     bestVictims = victims->models;
@@ -73,6 +75,19 @@
   return true;
 }
 
+double EnginePlacement::adapterTrouble(const Engine& engine, const config::EngineSpec& spec,
+                                       base::TimePoint now) const {
+  // No adapter can come to an engine while it loads a model.
+  for (const auto& [name, state] : engine.models) {
+    const config::EngineModel* model = spec.findModel(name);
+    if (model == nullptr || model->adapters == 0) continue;
+    const base::TimePoint askedAt = demandFor(engine.service, name).askedAt;
+    const bool isInUse = askedAt != base::TimePoint{} && now - askedAt < kAdapterUse;
+    if (isInUse) return kAdapterTroubleCost;
+  }
+  return 0;
+}
+
 double EnginePlacement::loadSeconds(const Engine& engine, const config::EngineModel& model) {
   if (engine.inMemory.contains(model.name)) return secondsOf(model.warmLoadTime);
   if (engine.onDisk.contains(model.name)) return secondsOf(model.diskLoadTime);
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdint>
 #include <cstdio>
+#include <string_view>
 #include <utility>
 
 #include "http/ErrorResponse.h"
@@ -47,6 +49,24 @@
   return comma == std::string::npos ? std::string() : parts.substr(0, comma);
 }
 
+/// Tokens of the parts of a prompt, each ID:TOKENS.
+std::uint64_t tokensOf(std::string_view parts) {
+  std::uint64_t total = 0;
+  while (!parts.empty()) {
+    const std::size_t comma = parts.find(',');
+    const std::string_view part = parts.substr(0, comma);
+    const std::size_t colon = part.find(':');
+    std::uint64_t tokens = 0;
+    if (colon != std::string_view::npos) {
+      const std::string_view text = part.substr(colon + 1);
+      std::from_chars(text.data(), text.data() + text.size(), tokens);
+    }
+    total += tokens;
+    parts.remove_prefix(comma == std::string_view::npos ? parts.size() : comma + 1);
+  }
+  return total;
+}
+
 }  // namespace
 
 Exchange::Exchange(ProxyContext& context, CallerConnection& caller, ParsedRequest request,
@@ -102,7 +122,11 @@
   const std::size_t slash = name.find('/');
   query_.model = name.substr(0, slash);
   if (slash != std::string::npos) query_.adapter = name.substr(slash + 1);
-  query_.affinity = name + "," + sharedParts(request_.headers.value(context_.names.promptParts));
+  const std::string parts = request_.headers.value(context_.names.promptParts);
+  const std::string shared = sharedParts(parts);
+  query_.affinity = name + "," + shared;
+  query_.sharedTokens = tokensOf(shared);
+  query_.promptTokens = tokensOf(parts);
   target_ = {query_.service, query_.model, query_.adapter};
   if (!query_.model.empty()) context_.demands.onArrival(target_);
 }
@@ -181,7 +205,8 @@
   call.requestIdHeader = context_.names.requestId;
   call.requestId = request_.headers.value(context_.names.requestId);
   ++context_.counters.attempts;
-  context_.directory.onAttemptBegin(instance_);
+  context_.directory.onAttemptBegin(instance_, query_.promptTokens);
+  isPromptRead_ = false;
   if (!query_.model.empty()) context_.demands.onRunning(target_);
   connection_ = context_.pool.acquire(address, now());
   armTimer();
@@ -253,11 +278,17 @@
   if (!connection) return;
   connection->detach();
   if (std::exchange(isAttemptSent_, false)) mayHaveRun_ = true;
+  notePromptRead();
   context_.directory.onAttemptEnd(instance_, end, now());
   if (!query_.model.empty()) context_.demands.onRunEnd(target_);
   if (mayReuse) context_.pool.release(std::move(connection), now());
 }
 
+void Exchange::notePromptRead() {
+  if (std::exchange(isPromptRead_, true)) return;
+  context_.directory.onAnswerBegun(instance_, query_.promptTokens);
+}
+
 void Exchange::noteLoad(const http::AnswerHead& head) {
   if (context_.names.load.empty()) return;
   const std::string text = head.headers.value(context_.names.load);
@@ -273,6 +304,7 @@
 
 void Exchange::onHead(http::AnswerHead head) {
   noteLoad(head);
+  notePromptRead();
   if (!isAnswerBegun_) answeredAt_ = now();
   head_ = std::move(head);
   const bool isRefusal =
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -70,6 +70,7 @@
   void afterRefusal();
   void afterFailure();
   void passHead();
+  void notePromptRead();
   void noteLoad(const http::AnswerHead& head);
   void finishAnswer();
   void refuse(base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
@@ -99,6 +100,7 @@
   std::uint32_t sent_ = 0;           ///< Attempts whose bytes left.
   std::uint32_t unreachable_ = 0;    ///< Attempts that found no connection.
   bool isAttemptSent_ = false;       ///< The present attempt's bytes left.
+  bool isPromptRead_ = true;         ///< The present attempt's answer has begun.
   bool mayHaveRun_ = false;          ///< An attempt ended whose runner did not deny having run it.
   bool isWaiting_ = false;           ///< For a runner.
   bool isWaitingForRoutes_ = false;  ///< No configuration is known yet.
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -15,13 +15,17 @@
 constexpr base::Duration kUnreachableAvoidance = base::milliseconds(500);
 constexpr std::uint32_t kFailuresBeforeAvoidance = 3;
 constexpr double kFailureWeight = 0.2;
-/// Costs are in shares of a runner's slots.
-constexpr double kOtherZoneCost = 0.02;
-constexpr double kFailureCost = 2.0;
-constexpr double kSilentCost = 1.0;
-constexpr double kAvoidedCost = 100.0;
-/// The runner that a request's affinity points to may be this much busier than the idlest.
-constexpr double kAffinityGain = 0.25;
+// Costs in milliseconds.
+constexpr double kOtherZoneCost = 3;
+constexpr double kFailureCost = 500;
+constexpr double kSilentCost = 300;
+constexpr double kAvoidedCost = 100'000;
+/// Work of an application's request, of which as many run at once as there are slots.
+constexpr double kApplicationWork = 30;
+/// Delay by each request that an engine works on.
+constexpr double kEngineWork = 25;
+/// Time to read one token of a prompt.
+constexpr double kTokenReading = 0.026;
 
 double hashShare(const std::string& id, const std::string& affinity) {
   const std::size_t hash = std::hash<std::string>()(id + '\n' + affinity);
@@ -91,39 +95,56 @@
   return doubt == view.notHeldUntil.end() || now >= doubt->second;
 }
 
-double InstanceDirectory::loadOf(const View& view, base::TimePoint now) const {
-  const double slots = std::max(view.row.instance.slots, 1U);
-  double load = view.inFlight;
-  if (now - view.loadStatedAt < kLoadLife) {
-    load = std::max(load, static_cast<double>(view.statedLoad));
-  }
-  return load / slots;
+double InstanceDirectory::loadOf(const View& view, base::TimePoint now) {
+  const double own = view.inFlight;
+  const bool isStated = now - view.loadStatedAt < kLoadLife;
+  return isStated ? std::max(own, static_cast<double>(view.statedLoad)) : own;
 }
 
 double InstanceDirectory::costOf(const View& view, const InstanceQuery& query,
                                  base::TimePoint now) const {
-  double cost = loadOf(view, now) + kFailureCost * view.failureShare;
+  const double load = loadOf(view, now);
+  const double slots = std::max(view.row.instance.slots, 1U);
+  double cost = kFailureCost * view.failureShare;
+  if (query.model.empty()) {
+    cost += kApplicationWork * load / slots;
+  } else {
+    cost += kEngineWork * load + kTokenReading * static_cast<double>(view.tokensToRead);
+  }
   if (view.row.instance.zone != zone_) cost += kOtherZoneCost;
   if (view.row.isSilent) cost += kSilentCost;
-  if (now < view.avoidedUntil || view.row.instance.id == query.avoidedInstance) {
-    cost += kAvoidedCost;
-  }
-  if (!query.affinity.empty()) {
-    cost -= kAffinityGain * hashShare(view.row.instance.id, query.affinity);
+  const bool isAvoided = now < view.avoidedUntil || view.row.instance.id == query.avoidedInstance;
+  return isAvoided ? cost + kAvoidedCost : cost;
+}
+
+std::string InstanceDirectory::homeOf(const InstanceQuery& query, base::TimePoint now) const {
+  std::string home;
+  if (query.affinity.empty()) return home;
+  double highest = -1;
+  for (const auto& [id, view] : views_) {
+    const bool isCandidate = view.row.instance.service == query.service &&
+                             !view.row.instance.isDraining && holds(view, query, now);
+    if (!isCandidate) continue;
+    const double share = hashShare(id, query.affinity);
+    if (share <= highest) continue;
+    highest = share;
+    home = id;
   }
-  return cost;
+  return home;
 }
 
 InstanceChoice InstanceDirectory::choose(const InstanceQuery& query, base::TimePoint now) const {
   InstanceChoice choice;
   double lowest = 0;
+  const std::string home = homeOf(query, now);
   for (const auto& [id, view] : views_) {
     const bool takesRequests =
         view.row.instance.service == query.service && !view.row.instance.isDraining;
     if (!takesRequests) continue;
     if (choice.reason == NoChoice::kUnknown) choice.reason = NoChoice::kNotLoaded;
     if (!holds(view, query, now)) continue;
-    const double cost = costOf(view, query, now);
+    double cost = costOf(view, query, now);
+    if (id == home) cost -= kTokenReading * static_cast<double>(query.sharedTokens);
     if (choice.reason == NoChoice::kNone && cost >= lowest) continue;
     lowest = cost;
     choice.reason = NoChoice::kNone;
@@ -133,9 +154,17 @@
   return choice;
 }
 
-void InstanceDirectory::onAttemptBegin(const std::string& id) {
+void InstanceDirectory::onAttemptBegin(const std::string& id, std::uint64_t promptTokens) {
+  const auto found = views_.find(id);
+  if (found == views_.end()) return;
+  ++found->second.inFlight;
+  found->second.tokensToRead += promptTokens;
+}
+
+void InstanceDirectory::onAnswerBegun(const std::string& id, std::uint64_t promptTokens) {
   const auto found = views_.find(id);
-  if (found != views_.end()) ++found->second.inFlight;
+  if (found == views_.end()) return;
+  found->second.tokensToRead -= std::min(found->second.tokensToRead, promptTokens);
 }
 
 void InstanceDirectory::onAttemptEnd(const std::string& id, AttemptEnd end, base::TimePoint now) {
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -24,7 +24,9 @@
   /// Requests with the same text here do best at the same runner, which keeps what they share;
   /// empty: anywhere.
   std::string affinity;
-  std::string avoidedInstance;  ///< Chosen only when there is no other; may be empty.
+  std::uint64_t sharedTokens = 0;  ///< Of the prompt, that such requests share.
+  std::uint64_t promptTokens = 0;  ///< Of the whole prompt.
+  std::string avoidedInstance;     ///< Chosen only when there is no other; may be empty.
 };
 
 enum class NoChoice : std::uint8_t {
@@ -63,7 +65,9 @@
 
   [[nodiscard]] InstanceChoice choose(const InstanceQuery& query, base::TimePoint now) const;
 
-  void onAttemptBegin(const std::string& id);
+  /// `promptTokens` are read there until the answer begins.
+  void onAttemptBegin(const std::string& id, std::uint64_t promptTokens);
+  void onAnswerBegun(const std::string& id, std::uint64_t promptTokens);
   void onAttemptEnd(const std::string& id, AttemptEnd end, base::TimePoint now);
   /// The runner stated its load: requests running, waiting and slots.
   void onLoad(const std::string& id, std::uint32_t running, std::uint32_t waiting,
@@ -85,8 +89,9 @@
  private:
   struct View {
     cell::RoutableInstance row;
-    std::uint32_t inFlight = 0;  ///< Of this router.
-    double failureShare = 0;     ///< Of late attempts, decaying.
+    std::uint32_t inFlight = 0;      ///< Of this router.
+    std::uint64_t tokensToRead = 0;  ///< Of prompts whose answer has not begun.
+    double failureShare = 0;         ///< Of late attempts, decaying.
     std::uint32_t consecutiveFailures = 0;
     base::TimePoint avoidedUntil{};
     std::uint32_t statedLoad = 0;
@@ -97,10 +102,13 @@
   void put(const cell::RoutableInstance& row);
   [[nodiscard]] static bool holds(const View& view, const InstanceQuery& query,
                                   base::TimePoint now);
-  /// Estimated share of the runner's slots that is taken; above 1 requests wait there.
-  [[nodiscard]] double loadOf(const View& view, base::TimePoint now) const;
+  /// Requests at the runner, as far as this router knows.
+  [[nodiscard]] static double loadOf(const View& view, base::TimePoint now);
+  /// Expected time until an answer begins, in milliseconds, with what else speaks against a runner.
   [[nodiscard]] double costOf(const View& view, const InstanceQuery& query,
                               base::TimePoint now) const;
+  /// Id of the runner where requests like this one meet; empty without affinity.
+  [[nodiscard]] std::string homeOf(const InstanceQuery& query, base::TimePoint now) const;
 
   std::string zone_;
   base::Term term_ = 0;
