--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -133,6 +133,17 @@
   }
 };
 
+/// A router found that a registered runner takes no connections, or that another one answers at its
+/// address.
+struct InstanceUnreachable {
+  std::string instance;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& instance;
+  }
+};
+
 /// A controller that is not a voter asks to become one. Sent until it is.
 struct MemberJoinRequest {
   base::CellId cell;
@@ -147,7 +158,7 @@
 
 using RouterToController =
     std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest, OutcomeReport,
-                 RunnerLeavingSeen, EngineDemandReport, MemberJoinRequest>;
+                 RunnerLeavingSeen, EngineDemandReport, MemberJoinRequest, InstanceUnreachable>;
 
 /// This controller does not lead; try `leaderAddress` ("ip:port", empty when unknown).
 struct NotLeaderReply {
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -15,7 +15,7 @@
 
 constexpr base::milliseconds kTickInterval(10);
 constexpr base::Duration kLeaderlessBeforeAsking = base::seconds(2);
-constexpr base::Duration kEngineCallTimeout = base::milliseconds(800);
+constexpr base::Duration kEngineCallTimeout = base::milliseconds(300);
 constexpr double kMicrosecondsInSecond = 1e6;
 
 std::uint64_t drawSeed() {
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -48,6 +48,10 @@
   } else if (const auto* engineDemand = std::get_if<cell::EngineDemandReport>(&message)) {
     leader_->engines.onDemand(connection, engineDemand->demands, now_);
     leader_->isEnginePlacementDue = true;
+  } else if (const auto* unreachable = std::get_if<cell::InstanceUnreachable>(&message)) {
+    leader_->instances.onUnreachable(unreachable->instance, now_);
+    leader_->isInstanceTableDue = true;
+    leader_->isEnginePlacementDue = true;
   } else if (const auto* seen = std::get_if<cell::RunnerLeavingSeen>(&message)) {
     onLeavingSeen(*seen);
   }
--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -8,6 +8,8 @@
   Sighting& sighting = sightings_[heartbeat.instance.id];
   const bool isLate = sighting.isReported && heartbeat.sequence <= sighting.sequence;
   if (isLate) return false;
+  const bool isFirst = !sighting.isReported;
+  if (isFirst) noteSuccessor(heartbeat, now);
   sighting.heardAt = now;
   sighting.sequence = heartbeat.sequence;
   sighting.isReported = true;
@@ -15,6 +17,19 @@
   return true;
 }
 
+void InstanceTable::noteSuccessor(const InstanceHeartbeat& heartbeat, base::TimePoint now) {
+  for (const auto& [id, row] : rows_) {
+    const bool isReplaced =
+        id != heartbeat.instance.id && row.instance.address == heartbeat.instance.address;
+    if (isReplaced) onUnreachable(id, now);
+  }
+}
+
+void InstanceTable::onUnreachable(const std::string& id, base::TimePoint now) {
+  const auto found = sightings_.find(id);
+  if (found != sightings_.end()) found->second.unreachableAt = now;
+}
+
 void InstanceTable::setModels(const std::string& id, std::vector<cell::HeldModel> models) {
   const auto found = sightings_.find(id);
   if (found == sightings_.end()) return;
@@ -26,10 +41,11 @@
 void InstanceTable::refresh(const cell::ServiceInstances& agreed, base::TimePoint now) {
   for (const auto& [id, instance] : agreed.all()) {
     // A new leader counts silence from when it first looked.
-    Sighting& sighting = sightings_.try_emplace(id, Sighting{now, 0, false, false, {}}).first->second;
+    Sighting& sighting =
+        sightings_.try_emplace(id, Sighting{now, {}, 0, false, false, {}}).first->second;
     cell::RoutableInstance row;
     row.instance = instance;
-    row.isSilent = now - sighting.heardAt >= silence_;
+    row.isSilent = now - sighting.heardAt >= silence_ || sighting.unreachableAt > sighting.heardAt;
     row.isReported = sighting.isReported;
     row.models = sighting.models;
     put(row);
--- a/src/controller/InstanceTable.h
+++ b/src/controller/InstanceTable.h
@@ -23,6 +23,8 @@
 
   /// Notes a heartbeat; false when a later one was noted before.
   bool onHeartbeat(const InstanceHeartbeat& heartbeat, base::TimePoint now);
+  /// A router could not reach the instance: it counts as silent until it is heard again.
+  void onUnreachable(const std::string& id, base::TimePoint now);
   /// Replaces what is known of an engine's models by a report or a finished order.
   void setModels(const std::string& id, std::vector<cell::HeldModel> models);
   /// Takes over the agreed table and the silence of each instance.
@@ -38,6 +40,7 @@
  private:
   struct Sighting {
     base::TimePoint heardAt{};
+    base::TimePoint unreachableAt{};
     std::uint64_t sequence = 0;
     bool isReported = false;
     bool isPlaced = false;  ///< The models were set by setModels(), which knows more.
@@ -45,6 +48,8 @@
   };
 
   void put(const cell::RoutableInstance& row);
+  /// Another instance that is heard at the same address has taken the place of this one.
+  void noteSuccessor(const InstanceHeartbeat& heartbeat, base::TimePoint now);
 
   base::Term term_;
   base::Duration silence_;
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -1,6 +1,7 @@
 #include "placement/EnginePlacement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "placement/EnginePlacementFigures.h"
@@ -86,11 +87,18 @@
                                base::TimePoint now) {
   for (const cell::EngineDemand& demand : demands) {
     TargetDemand& target = demands_[{demand.service, demand.model, demand.adapter}];
+    target.arrivals = decayedArrivals(target, now) + demand.arrivals;
+    target.countedAt = now;
     if (demand.arrivals > 0 || demand.waiting > 0 || demand.running > 0) target.askedAt = now;
     target.byRouter[router] = demand;
   }
 }
 
+double EnginePlacement::decayedArrivals(const TargetDemand& target, base::TimePoint now) {
+  const double seconds = std::chrono::duration<double>(now - target.countedAt).count();
+  return target.arrivals * std::exp(-seconds / kRateMemorySeconds);
+}
+
 void EnginePlacement::onRouterGone(std::uint64_t router) {
   for (auto& [key, target] : demands_) target.byRouter.erase(router);
 }
@@ -144,9 +152,9 @@
 }
 
 void EnginePlacement::noteDone(Engine& engine, const ServiceOrder& order, base::TimePoint now) {
-  // An order that is answered as held may have moved the sequence or not.
-  engine.sequence.reset();
-  engine.pollAt = now + kReportAge;
+  // Where this guess about the sequence is wrong, the next order is refused and a report asked for.
+  const bool wasCounted = !order.isLoad;
+  engine.sequence = order.expectedSequence.value_or(0) + (wasCounted ? 1 : 0);
   if (order.adapter.empty()) {
     if (order.isLoad) {
       engine.models[order.model].confirmedAt = now;
@@ -209,13 +217,15 @@
 }
 
 EnginePlacement::ModelDemand EnginePlacement::demandFor(const std::string& service,
-                                                        const std::string& model) const {
+                                                        const std::string& model,
+                                                        base::TimePoint now) const {
   ModelDemand total;
   // Keys with the same service and model stand together, the model itself first.
   for (auto item = demands_.lower_bound({service, model, ""});
        item != demands_.end() && item->first.service == service && item->first.model == model;
        ++item) {
     total.askedAt = std::max(total.askedAt, item->second.askedAt);
+    total.perSecond += decayedArrivals(item->second, now) / kRateMemorySeconds;
     for (const auto& [router, demand] : item->second.byRouter) {
       total.waiting += demand.waiting;
       total.running += demand.running;
@@ -297,10 +307,18 @@
   const double allowed = options_.storeShare * found->engine->loadsPerSecond * seconds;
   const auto loading = std::ranges::count_if(engines_, [](const auto& item) {
     const Engine& engine = item.second;
-    return engine.modelOrder && engine.modelOrder->order.isLoad;
+    return engine.modelOrder && engine.modelOrder->isFromStore;
   });
   return static_cast<double>(storeLoads_.size()) + 1 <= allowed &&
-         loading < static_cast<std::ptrdiff_t>(options_.concurrentLoads);
+         static_cast<double>(loading) < concurrentLoads(*found->engine);
+}
+
+double EnginePlacement::concurrentLoads(const config::EngineSpec& spec) {
+  double seconds = 0;
+  for (const config::EngineModel& model : spec.models) {
+    seconds = std::max(seconds, std::chrono::duration<double>(model.loadTime).count());
+  }
+  return std::max(spec.loadsPerSecond * seconds, 1.0);
 }
 
 std::vector<EngineCommand> EnginePlacement::decide(base::TimePoint now) {
@@ -311,6 +329,7 @@
   continuePlans(commands, now);
   planModels(commands, now);
   planAdapters(commands, now);
+  fillFreeMemory(commands, now);
   return commands;
 }
 
@@ -388,7 +407,8 @@
   order.holder = options_.holder;
   order.fence = options_.fence;
   order.expectedSequence = engine.sequence;
-  engine.unanswered = PendingOrder{order, now};
+  const bool isFromStore = isLoad && adapter.empty() && !isLocal(engine, model);
+  engine.unanswered = PendingOrder{order, now, isFromStore};
   commands.emplace_back(SendEngineOrder{engine.address, std::move(order)});
 }
 
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -27,10 +27,8 @@
   base::TimePoint ordersFrom{};
   /// Loads from the weight store that may begin in `storeWindow`, in shares of what its rate
   /// allows.
-  double storeShare = 0.7;
+  double storeShare = 0.9;
   base::Duration storeWindow = base::seconds(5);
-  /// Loads from the weight store at once.
-  std::uint32_t concurrentLoads = 6;
 };
 
 /// What an engine told in a heartbeat or report about its models.
@@ -84,6 +82,7 @@
   struct PendingOrder {
     engine::ServiceOrder order;
     base::TimePoint sentAt{};
+    bool isFromStore = false;  ///< A load that takes from the weight store's rate.
   };
 
   struct HeldState {
@@ -123,6 +122,8 @@
   struct TargetDemand {
     std::map<std::uint64_t, cell::EngineDemand> byRouter;
     base::TimePoint askedAt{};  ///< Last time that anybody asked for it.
+    double arrivals = 0;        ///< Decaying count, as of `countedAt`.
+    base::TimePoint countedAt{};
   };
 
   /// Requests for a model with all its adapters.
@@ -130,6 +131,7 @@
     std::uint32_t waiting = 0;
     std::uint32_t running = 0;
     base::TimePoint askedAt{};  ///< Zero: never.
+    double perSecond = 0;       ///< Requests that arrive.
   };
 
   /// Models of an engine that make way, and what losing them costs in seconds of waiting.
@@ -139,8 +141,12 @@
   };
 
   // Views of demand and holdings.
+  [[nodiscard]] static double decayedArrivals(const TargetDemand& target, base::TimePoint now);
   [[nodiscard]] std::uint32_t waitingFor(const TargetKey& key) const;
-  [[nodiscard]] ModelDemand demandFor(const std::string& service, const std::string& model) const;
+  [[nodiscard]] ModelDemand demandFor(const std::string& service, const std::string& model,
+                                      base::TimePoint now) const;
+  /// Replicas that the demand asks for.
+  [[nodiscard]] static std::size_t wantedReplicas(const ModelDemand& demand);
   [[nodiscard]] std::size_t holdersOf(const std::string& service, const std::string& model) const;
   [[nodiscard]] bool isModelOnItsWay(const std::string& service, const std::string& model) const;
   [[nodiscard]] const config::EngineSpec* specOf(const Engine& engine) const;
@@ -151,6 +157,8 @@
   /// Adapters that are held or on their way, as MODEL/ADAPTER.
   [[nodiscard]] static std::set<std::string> adaptersOf(const Engine& engine);
   [[nodiscard]] static bool mayTakeOrder(const Engine& engine);
+  /// Loads that the weight store serves at once at full speed, as its rate implies.
+  [[nodiscard]] static double concurrentLoads(const config::EngineSpec& spec);
   [[nodiscard]] static bool isLocal(const Engine& engine, const std::string& model);
   [[nodiscard]] static bool isUnloading(const Engine& engine, const std::string& model);
   [[nodiscard]] static double loadSeconds(const Engine& engine, const config::EngineModel& model);
@@ -171,8 +179,13 @@
   /// Whether so many ask for a model that it should be held once more.
   [[nodiscard]] bool isCrowded(const TargetKey& key, const ModelDemand& demand, std::size_t holders,
                                base::TimePoint now) const;
-  /// Reserves an engine for the model; false when none can take it now.
-  bool planModel(const TargetKey& key, base::TimePoint now);
+  /// Reserves an engine for the model unless that costs more than `highestCost`; false when none
+  /// can take it now.
+  bool planModel(const TargetKey& key, double highestCost, base::TimePoint now);
+  /// Loads models that nobody holds from engines' own copies into memory that is free.
+  void fillFreeMemory(std::vector<EngineCommand>& commands, base::TimePoint now);
+  [[nodiscard]] const config::EngineModel* modelToFillWith(const Engine& engine,
+                                                           const config::EngineSpec& spec) const;
   void planAdapters(std::vector<EngineCommand>& commands, base::TimePoint now);
   bool planAdapter(const TargetKey& key, std::vector<EngineCommand>& commands, base::TimePoint now);
   /// Orders the adapter that was not asked for longest to go.
--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -2,6 +2,7 @@
 
 /// Figures of the placement on registered engines.
 
+#include <cstddef>
 #include <cstdint>
 
 #include "base/Time.h"
@@ -14,7 +15,7 @@
 constexpr base::Duration kHoldingsAge = base::seconds(4);
 constexpr base::Duration kPollPause = base::milliseconds(500);
 /// An order without an answer is in doubt after this.
-constexpr base::Duration kOrderTimeout = base::milliseconds(1000);
+constexpr base::Duration kOrderTimeout = base::milliseconds(500);
 /// An order for a model that is not seen to be done by then is asked after.
 constexpr base::Duration kLatestModelOrder = base::seconds(6);
 /// Time for an adapter to come.
@@ -26,6 +27,11 @@
 /// More requests for each replica than this ask for another one: prompts are read one after the
 /// other, long before an engine's slots are taken.
 constexpr std::uint32_t kCrowdedRequests = 4;
+/// Requests a second that ask for one more replica, so that a crash or a burst finds another.
+constexpr double kRequestsForReplica = 1.5;
+constexpr std::size_t kMostReplicasByRate = 3;
+/// The rate of requests is that of about the last so many seconds.
+constexpr double kRateMemorySeconds = 4.0;
 constexpr base::Duration kReplicaPause = base::seconds(1);
 /// Loads of an earlier leader that may have begun just now.
 constexpr int kUnknownEarlierLoads = 5;
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -12,9 +12,13 @@
 // Costs are in seconds of a request that waits.
 constexpr double kUnloadCost = 0.3;
 constexpr double kSpareReplicaCost = 0.2;
+/// A further replica may cost this much, its load included.
+constexpr double kHighestReplicaCost = 4.5;
+constexpr double kAnyCost = 1e9;
+constexpr double kNeededReplicaCost = 3.0;
 constexpr double kLastReplicaCost = 4.0;
 constexpr double kCheapestLastReplicaCost = 0.3;
-constexpr double kAdapterTroubleCost = 1.5;
+constexpr double kAdapterTroubleCost = 4.0;
 constexpr base::Duration kAdapterUse = base::seconds(10);
 /// Seconds of silence after which the last replica of a model is worth the least.
 constexpr double kForgottenAfter = 20.0;
@@ -29,12 +33,13 @@
   std::set<std::pair<std::string, std::string>> seen;
   for (const auto& [key, target] : demands_) {
     if (!seen.emplace(key.service, key.model).second) continue;
-    const ModelDemand demand = demandFor(key.service, key.model);
+    const ModelDemand demand = demandFor(key.service, key.model, now);
     const std::size_t holders = holdersOf(key.service, key.model);
     const bool isMissing = holders == 0 && demand.waiting > 0;
     if (!isMissing && !isCrowded(key, demand, holders, now)) continue;
     if (isModelOnItsWay(key.service, key.model)) continue;
-    if (planModel(key, now) && !isMissing) replicaAddedAt_[key.model] = now;
+    const double highestCost = isMissing ? kAnyCost : kHighestReplicaCost;
+    if (planModel(key, highestCost, now) && !isMissing) replicaAddedAt_[key.model] = now;
   }
   continuePlans(commands, now);
 }
@@ -45,10 +50,17 @@
   if (holders == 0 || service == nullptr || !service->engine) return false;
   const auto added = replicaAddedAt_.find(key.model);
   if (added != replicaAddedAt_.end() && now - added->second < kReplicaPause) return false;
-  return demand.running + demand.waiting > holders * kCrowdedRequests;
+  return holders < wantedReplicas(demand);
 }
 
-bool EnginePlacement::planModel(const TargetKey& key, base::TimePoint now) {
+std::size_t EnginePlacement::wantedReplicas(const ModelDemand& demand) {
+  const std::size_t byRequests =
+      (demand.running + demand.waiting + kCrowdedRequests - 1) / kCrowdedRequests;
+  const auto byRate = static_cast<std::size_t>(1 + demand.perSecond / kRequestsForReplica);
+  return std::max(byRequests, std::min(byRate, kMostReplicasByRate));
+}
+
+bool EnginePlacement::planModel(const TargetKey& key, double highestCost, base::TimePoint now) {
   Engine* best = nullptr;
   std::vector<std::string> bestVictims;
   double lowest = 0;
@@ -63,7 +75,7 @@
     if (!victims) continue;
     const double cost =
         victims->cost + loadSeconds(engine, *model) + adapterTrouble(engine, *spec, now);
-    if (best != nullptr && cost >= lowest) continue;
+    if (cost > highestCost || (best != nullptr && cost >= lowest)) continue;
     best = &engine;
     bestVictims = victims->models;
     lowest = cost;
@@ -81,7 +93,7 @@
   for (const auto& [name, state] : engine.models) {
     const config::EngineModel* model = spec.findModel(name);
     if (model == nullptr || model->adapters == 0) continue;
-    const base::TimePoint askedAt = demandFor(engine.service, name).askedAt;
+    const base::TimePoint askedAt = demandFor(engine.service, name, now).askedAt;
     const bool isInUse = askedAt != base::TimePoint{} && now - askedAt < kAdapterUse;
     if (isInUse) return kAdapterTroubleCost;
   }
@@ -118,9 +130,13 @@
 
 std::optional<double> EnginePlacement::costOfLosing(const Engine& engine, const std::string& model,
                                                     base::TimePoint now) const {
-  const ModelDemand demand = demandFor(engine.service, model);
-  const bool isSpare = holdersOf(engine.service, model) > 1;
-  if (isSpare) return kSpareReplicaCost + 0.05 * (demand.running + demand.waiting);
+  const ModelDemand demand = demandFor(engine.service, model, now);
+  const std::size_t holders = holdersOf(engine.service, model);
+  if (holders > 1) {
+    // Without this one the others would be crowded, and it would be loaded again.
+    const bool isNeeded = wantedReplicas(demand) >= holders;
+    return isNeeded ? kNeededReplicaCost : kSpareReplicaCost;
+  }
   const bool isInUse = demand.running > 0 || demand.waiting > 0;
   const bool isRecent = demand.askedAt != base::TimePoint{} && now - demand.askedAt < kRecentUse;
   if (isInUse || isRecent) return std::nullopt;
@@ -129,6 +145,33 @@
   return std::max(kLastReplicaCost * (1 - idle / kForgottenAfter), kCheapestLastReplicaCost);
 }
 
+void EnginePlacement::fillFreeMemory(std::vector<EngineCommand>& commands, base::TimePoint now) {
+  for (auto& [id, engine] : engines_) {
+    if (!engine.reservedFor.empty() || !mayTakeOrder(engine) || !engine.hasTold) continue;
+    const config::EngineSpec* spec = specOf(engine);
+    if (spec == nullptr) continue;
+    const config::EngineModel* model = modelToFillWith(engine, *spec);
+    if (model != nullptr) send(engine, true, model->name, "", commands, now);
+  }
+}
+
+const config::EngineModel* EnginePlacement::modelToFillWith(const Engine& engine,
+                                                            const config::EngineSpec& spec) const {
+  const double free = spec.memoryMb - adapterReserve(spec) - usedMemory(engine, spec);
+  const config::EngineModel* largest = nullptr;
+  for (const auto* names : {&engine.inMemory, &engine.onDisk}) {
+    for (const std::string& name : *names) {
+      const config::EngineModel* model = spec.findModel(name);
+      const bool isUseful = model != nullptr && model->memoryMb <= free &&
+                            !engine.models.contains(name) && holdersOf(engine.service, name) == 0 &&
+                            !isModelOnItsWay(engine.service, name);
+      if (!isUseful) continue;
+      if (largest == nullptr || model->memoryMb > largest->memoryMb) largest = model;
+    }
+  }
+  return largest;
+}
+
 void EnginePlacement::planAdapters(std::vector<EngineCommand>& commands, base::TimePoint now) {
   for (const auto& [key, target] : demands_) {
     if (key.adapter.empty() || waitingFor(key) == 0) continue;
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -18,7 +18,7 @@
 
 /// Answers up to this size are passed on once they are whole, so that a cut one can be replaced.
 constexpr std::size_t kCollectedBytes = 256UL * 1024;
-constexpr std::uint32_t kMostUnreachable = 4;
+constexpr std::uint32_t kMostUnreachable = 16;
 constexpr int kMisdirected = 421;
 constexpr int kFirstErrorStatus = 400;
 constexpr int kFirstServerError = 500;
@@ -147,10 +147,6 @@
 
 void Exchange::beginWait(NoChoice reason) {
   if (isWaiting_) return;
-  if (query_.model.empty() && reason != NoChoice::kUnknown) {
-    refuse(ErrorKind::kNoCapacity, "no runner takes the request", kRetrySoon);
-    return;
-  }
   isWaiting_ = true;
   waitBegan_ = now();
   // A runner that comes later than this would answer too late; the caller had better ask again.
@@ -232,6 +228,7 @@
 }
 
 void Exchange::onWaitOver() {
+  endWait();
   if (isAnswerBegun_) {
     cut();
   } else if (mayHaveRun_) {
@@ -373,6 +370,8 @@
         context_.directory.onNotHeld(instance_, query_.model, query_.adapter, now());
       }
       endAttempt(isNotHeld ? AttemptEnd::kNotHeld : AttemptEnd::kRefused, true);
+      // A runner that does not hold what it was asked for, or is another instance, is no attempt.
+      if (isNotHeld) --sent_;
       afterRefusal();
       return;
     }
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -14,6 +14,7 @@
 constexpr base::Duration kLongestAvoidance = base::seconds(4);
 constexpr base::Duration kUnreachableAvoidance = base::milliseconds(500);
 constexpr std::uint32_t kFailuresBeforeAvoidance = 3;
+constexpr std::uint32_t kUnreachableBeforeReport = 2;
 constexpr double kFailureWeight = 0.2;
 // Costs in milliseconds.
 constexpr double kOtherZoneCost = 3;
@@ -95,6 +96,12 @@
   return doubt == view.notHeldUntil.end() || now >= doubt->second;
 }
 
+bool InstanceDirectory::isCandidate(const View& view, const InstanceQuery& query,
+                                    base::TimePoint now) {
+  return view.row.instance.service == query.service && !view.row.instance.isDraining &&
+         now >= view.unreachableUntil;
+}
+
 double InstanceDirectory::loadOf(const View& view, base::TimePoint now) {
   const double own = view.inFlight;
   const bool isStated = now - view.loadStatedAt < kLoadLife;
@@ -122,9 +129,7 @@
   if (query.affinity.empty()) return home;
   double highest = -1;
   for (const auto& [id, view] : views_) {
-    const bool isCandidate = view.row.instance.service == query.service &&
-                             !view.row.instance.isDraining && holds(view, query, now);
-    if (!isCandidate) continue;
+    if (!isCandidate(view, query, now) || !holds(view, query, now)) continue;
     const double share = hashShare(id, query.affinity);
     if (share <= highest) continue;
     highest = share;
@@ -138,9 +143,7 @@
   double lowest = 0;
   const std::string home = homeOf(query, now);
   for (const auto& [id, view] : views_) {
-    const bool takesRequests =
-        view.row.instance.service == query.service && !view.row.instance.isDraining;
-    if (!takesRequests) continue;
+    if (!isCandidate(view, query, now)) continue;
     if (choice.reason == NoChoice::kUnknown) choice.reason = NoChoice::kNotLoaded;
     if (!holds(view, query, now)) continue;
     double cost = costOf(view, query, now);
@@ -177,7 +180,9 @@
   view.failureShare += kFailureWeight * ((isFailure ? 1.0 : 0.0) - view.failureShare);
   view.consecutiveFailures = isFailure ? view.consecutiveFailures + 1 : 0;
   if (end == AttemptEnd::kUnreachable) {
-    view.avoidedUntil = std::max(view.avoidedUntil, now + kUnreachableAvoidance);
+    noteUnreachable(view, now);
+  } else {
+    view.unreachableCount = 0;
   }
   if (view.consecutiveFailures >= kFailuresBeforeAvoidance) {
     const std::uint32_t doublings =
@@ -188,6 +193,14 @@
   }
 }
 
+void InstanceDirectory::noteUnreachable(View& view, base::TimePoint now) {
+  view.unreachableUntil = now + kUnreachableAvoidance;
+  // A single packet that was lost is no reason to tell the leader.
+  if (++view.unreachableCount == kUnreachableBeforeReport) {
+    unreachable_.push_back(view.row.instance.id);
+  }
+}
+
 void InstanceDirectory::onLoad(const std::string& id, std::uint32_t running, std::uint32_t waiting,
                                base::TimePoint now) {
   const auto found = views_.find(id);
@@ -200,7 +213,9 @@
                                   const std::string& adapter, base::TimePoint now) {
   const auto found = views_.find(id);
   if (found == views_.end()) return;
-  found->second.notHeldUntil[model + "/" + adapter] = now + kNotHeldLife;
+  View& view = found->second;
+  view.notHeldUntil[model + "/" + adapter] = now + kNotHeldLife;
+  if (model.empty()) noteUnreachable(view, now);  // Another instance answers there.
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/Time.h"
@@ -69,6 +70,10 @@
   void onAttemptBegin(const std::string& id, std::uint64_t promptTokens);
   void onAnswerBegun(const std::string& id, std::uint64_t promptTokens);
   void onAttemptEnd(const std::string& id, AttemptEnd end, base::TimePoint now);
+  /// Instances that were found unreachable since the last call, for the leader.
+  [[nodiscard]] std::vector<std::string> takeUnreachable() {
+    return std::exchange(unreachable_, {});
+  }
   /// The runner stated its load: requests running, waiting and slots.
   void onLoad(const std::string& id, std::uint32_t running, std::uint32_t waiting,
               base::TimePoint now);
@@ -93,13 +98,19 @@
     std::uint64_t tokensToRead = 0;  ///< Of prompts whose answer has not begun.
     double failureShare = 0;         ///< Of late attempts, decaying.
     std::uint32_t consecutiveFailures = 0;
-    base::TimePoint avoidedUntil{};
+    base::TimePoint avoidedUntil{};      ///< Chosen only when there is no other.
+    base::TimePoint unreachableUntil{};  ///< Not chosen.
+    std::uint32_t unreachableCount = 0;  ///< Connections in a row that could not be opened.
     std::uint32_t statedLoad = 0;
     base::TimePoint loadStatedAt{};
     std::map<std::string, base::TimePoint> notHeldUntil;  ///< By MODEL/ADAPTER.
   };
 
   void put(const cell::RoutableInstance& row);
+  void noteUnreachable(View& view, base::TimePoint now);
+  /// Whether a runner may be chosen for requests of the service at all.
+  [[nodiscard]] static bool isCandidate(const View& view, const InstanceQuery& query,
+                                        base::TimePoint now);
   [[nodiscard]] static bool holds(const View& view, const InstanceQuery& query,
                                   base::TimePoint now);
   /// Requests at the runner, as far as this router knows.
@@ -117,6 +128,7 @@
   std::uint32_t routers_ = 1;
   std::vector<std::string> controllers_;
   std::map<std::string, View> views_;
+  std::vector<std::string> unreachable_;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -196,12 +196,17 @@
   if (!session_.isConnected()) return;
   std::vector<cell::EngineDemand> demands = demands_.takeDue(clock_.now(), kDemandInterval);
   if (!demands.empty()) link_.send(cell::EngineDemandReport{std::move(demands)});
+  for (std::string& id : directory_.takeUnreachable()) {
+    link_.send(cell::InstanceUnreachable{std::move(id)});
+  }
 }
 
 void ProxyProcess::onTick() {
   pollController();
   reportDemand();
   pool_.expire(clock_.now());
+  // Runners that were avoided for a while may be tried again.
+  if (server_.waitingExchanges() > 0) server_.onDirectoryChanged();
   checkStop();
 }
 
--- a/src/router/RouterProcessTestSupport.h
+++ b/src/router/RouterProcessTestSupport.h
@@ -89,6 +89,7 @@
   void handle(const cell::DemandReport& /*report*/) {}
   void handle(const cell::EngineDemandReport& /*report*/) {}
   void handle(const cell::MemberJoinRequest& /*request*/) {}
+  void handle(const cell::InstanceUnreachable& /*report*/) {}
   void handle(const cell::RunnerLeavingSeen& seen) { leavingSeen.push_back(seen); }
 
   std::vector<cell::RoutableReplica> replicas_;
