--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -27,7 +27,7 @@
   base::TimePoint ordersFrom{};
   /// Loads from the weight store that may begin in `storeWindow`, in shares of what its rate
   /// allows.
-  double storeShare = 0.9;
+  double storeShare = 1.05;
   base::Duration storeWindow = base::seconds(5);
 };
 
@@ -167,6 +167,15 @@
   [[nodiscard]] double adapterTrouble(const Engine& engine, const config::EngineSpec& spec,
                                       base::TimePoint now) const;
 
+  /// A model that should be loaded once more.
+  struct ModelNeed {
+    TargetKey key;
+    bool isMissing = false;  ///< Nobody holds it and requests wait.
+    double requestsForReplica = 0;
+  };
+  /// What should be loaded, the most pressing first.
+  [[nodiscard]] std::vector<ModelNeed> modelNeeds(base::TimePoint now) const;
+
   // Steps of a decision.
   void pollWhereNeeded(std::vector<EngineCommand>& commands, base::TimePoint now);
   void expireOrders(base::TimePoint now);
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -1,6 +1,7 @@
 // Which model or adapter goes to which engine, and what makes way.
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "placement/EnginePlacement.h"
@@ -15,7 +16,7 @@
 /// A further replica may cost this much, its load included.
 constexpr double kHighestReplicaCost = 4.5;
 constexpr double kAnyCost = 1e9;
-constexpr double kNeededReplicaCost = 3.0;
+constexpr double kNeededReplicaCost = 6.0;
 constexpr double kLastReplicaCost = 4.0;
 constexpr double kCheapestLastReplicaCost = 0.3;
 constexpr double kAdapterTroubleCost = 4.0;
@@ -30,6 +31,16 @@
 }  // namespace
 
 void EnginePlacement::planModels(std::vector<EngineCommand>& commands, base::TimePoint now) {
+  for (const ModelNeed& need : modelNeeds(now)) {
+    const double highestCost = need.isMissing ? kAnyCost : kHighestReplicaCost;
+    if (!planModel(need.key, highestCost, now)) continue;
+    if (!need.isMissing) replicaAddedAt_[need.key.model] = now;
+  }
+  continuePlans(commands, now);
+}
+
+std::vector<EnginePlacement::ModelNeed> EnginePlacement::modelNeeds(base::TimePoint now) const {
+  std::vector<ModelNeed> needs;
   std::set<std::pair<std::string, std::string>> seen;
   for (const auto& [key, target] : demands_) {
     if (!seen.emplace(key.service, key.model).second) continue;
@@ -38,10 +49,11 @@
     const bool isMissing = holders == 0 && demand.waiting > 0;
     if (!isMissing && !isCrowded(key, demand, holders, now)) continue;
     if (isModelOnItsWay(key.service, key.model)) continue;
-    const double highestCost = isMissing ? kAnyCost : kHighestReplicaCost;
-    if (planModel(key, highestCost, now) && !isMissing) replicaAddedAt_[key.model] = now;
+    const double requests = demand.waiting + demand.running + demand.perSecond;
+    needs.push_back({key, isMissing, requests / static_cast<double>(holders + 1)});
   }
-  continuePlans(commands, now);
+  std::ranges::stable_sort(needs, std::greater<>(), &ModelNeed::requestsForReplica);
+  return needs;
 }
 
 bool EnginePlacement::isCrowded(const TargetKey& key, const ModelDemand& demand,
