--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -182,6 +182,14 @@
   return ChangeResult{instances_.remove(command.instance, command.isDeregistered)};
 }
 
+ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const NoteHoldings& command) {
+  bool changed = false;
+  for (const InstanceHoldings& holdings : command.holdings) {
+    changed = instances_.noteModels(holdings.instance, holdings.models) || changed;
+  }
+  return ChangeResult{changed};
+}
+
 void CellState::note(base::LogIndex index, base::UnixMilliseconds at, DecisionKind kind,
                      const Replica* replica, std::string_view outcome, const std::string& reason) {
   DecisionRecord record;
--- a/src/cell/Commands.h
+++ b/src/cell/Commands.h
@@ -207,8 +207,30 @@
   }
 };
 
+/// What one registered runner holds.
+struct InstanceHoldings {
+  std::string instance;
+  std::vector<HeldModel> models;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& instance& models;
+  }
+};
+
+/// The leader's knowledge of what runners hold, so that the next leader has it at once.
+struct NoteHoldings {
+  std::vector<InstanceHoldings> holdings;
+  base::UnixMilliseconds proposedAt = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& holdings& proposedAt;
+  }
+};
+
 using Command = std::variant<ApplyConfiguration, ObserveRunner, RemoveRunner, DecideLoad,
                              DecideUnload, ReplicaReady, ReplicaReleased, ClaimKeys, RecordOutcomes,
-                             SetDraining, AddInstance, DrainInstance, RemoveInstance>;
+                             SetDraining, AddInstance, DrainInstance, RemoveInstance, NoteHoldings>;
 
 }  // namespace fernlift::cell
--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -304,30 +304,15 @@
   }
 };
 
-/// A model that a registered runner holds.
-struct HeldModel {
-  std::string model;
-  std::uint64_t version = 0;
-  std::vector<std::string> adapters;
-
-  bool operator==(const HeldModel&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& model& version& adapters;
-  }
-};
-
 /// One registered runner as routers see it.
 struct RoutableInstance {
   ServiceInstance instance;
-  bool isSilent = false;    ///< Its heartbeats have stopped.
-  bool isReported = false;  ///< `models` is known to this leader.
-  std::vector<HeldModel> models;
+  bool isSilent = false;  ///< Its heartbeats have stopped.
 
   bool operator==(const RoutableInstance&) const = default;
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& instance& isSilent& isReported& models;
+    archive& instance& isSilent;
   }
 };
 
--- a/src/cell/ServiceInstances.cpp
+++ b/src/cell/ServiceInstances.cpp
@@ -20,6 +20,16 @@
   return true;
 }
 
+bool ServiceInstances::noteModels(const std::string& id, const std::vector<HeldModel>& models) {
+  const auto found = instances_.find(id);
+  if (found == instances_.end()) return false;
+  ServiceInstance& instance = found->second;
+  if (instance.isReported && instance.models == models) return false;
+  instance.isReported = true;
+  instance.models = models;
+  return true;
+}
+
 bool ServiceInstances::remove(const std::string& id, bool isDeregistered) {
   const bool wasKnown = instances_.erase(id) != 0;
   if (!isDeregistered || this->isDeregistered(id)) return wasKnown;
--- a/src/cell/ServiceInstances.h
+++ b/src/cell/ServiceInstances.h
@@ -4,12 +4,27 @@
 
 #include <boost/serialization/map.hpp>
 #include <boost/serialization/string.hpp>
+#include <boost/serialization/vector.hpp>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace fernlift::cell {
 
+/// A model that a registered runner holds.
+struct HeldModel {
+  std::string model;
+  std::uint64_t version = 0;
+  std::vector<std::string> adapters;
+
+  bool operator==(const HeldModel&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& model& version& adapters;
+  }
+};
+
 /// One start of a runner. A restarted runner is another instance.
 struct ServiceInstance {
   std::string id;
@@ -18,11 +33,13 @@
   std::string zone;
   std::uint32_t slots = 1;  ///< Requests it can run at once.
   bool isDraining = false;  ///< Gets no new requests.
+  bool isReported = false;  ///< `models` is known.
+  std::vector<HeldModel> models;
 
   bool operator==(const ServiceInstance&) const = default;
   template <class Archive>
   void serialize(Archive& archive, unsigned /*version*/) {
-    archive& id& service& address& zone& slots& isDraining;
+    archive& id& service& address& zone& slots& isDraining& isReported& models;
   }
 };
 
@@ -35,6 +52,8 @@
   bool add(const ServiceInstance& instance);
   /// Marks an instance as draining; false when it is unknown or drains already.
   bool drain(const std::string& id);
+  /// Notes what an instance holds; false when it is unknown or that was known.
+  bool noteModels(const std::string& id, const std::vector<HeldModel>& models);
   /// Removes an instance; false when it was unknown. One that is removed as deregistered is never
   /// added again.
   bool remove(const std::string& id, bool isDeregistered);
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -76,6 +76,7 @@
     sendOrders();
     placeIfDue();
     if (leader_->isTableDue && !leader_->isTableShared) sendTablesIfDue();
+    announceConfiguration();
     placeOnEngines();
     sendInstancesIfDue();
     answerInForceWaits();
--- a/src/controller/ControllerEngines.cpp
+++ b/src/controller/ControllerEngines.cpp
@@ -18,7 +18,7 @@
   bool isChanged = false;
   for (const auto& [id, row] : leader_->instances.rows()) {
     auto models = leader_->engines.routableModels(id, now_);
-    if (!models || (row.isReported && *models == row.models)) continue;
+    if (!models || (row.instance.isReported && *models == row.instance.models)) continue;
     leader_->instances.setModels(id, std::move(*models));
     isChanged = true;
   }
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -148,7 +148,9 @@
   std::map<base::ReplicaId, bool> usesStore;
   ReadyEstimates estimates;  ///< As last stated to routers.
   InstanceTable instances;
-  bool isInstanceTableDue = true;  ///< Routers may have to hear of a change of the instances.
+  base::TimePoint nextHoldingsAt{};
+  std::uint64_t announcedVersion = 0;  ///< Configuration last sent to all routers.
+  bool isInstanceTableDue = true;      ///< Routers may have to hear of a change of the instances.
   MemberAdmission admission;
   placement::EnginePlacement engines;
   bool isEnginePlacementDue = true;
@@ -270,6 +272,8 @@
   void onLeavingSeen(const cell::RunnerLeavingSeen& seen);
   void sendConfiguration(RouterConnection connection, RouterSession& session);
   void sendConfigurationToAll();
+  /// Sends a configuration that came into force since, also by entries of an earlier leader.
+  void announceConfiguration();
   void onDemand(RouterConnection connection, const cell::DemandReport& report);
   void sendTablesIfDue();
   void refreshTable();
@@ -307,6 +311,8 @@
   void sendInstancesIfDue();
   void sendInstances(RouterConnection connection, RouterSession& session);
   void runInstanceRoutine();
+  /// Proposes what changed of runners' holdings, so that the next leader knows it.
+  void noteHoldingsIfDue();
   [[nodiscard]] std::string ownAdminAddress() const;
   void answerNotLeader(ControlTicket ticket);
   void answerControl(ControlTicket ticket, ControlAnswer answer);
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 /// Silence after which an instance is removed; it registers again when it is heard.
+constexpr base::Duration kHoldingsInterval = base::milliseconds(300);
 constexpr base::Duration kRemovalSilence = base::seconds(30);
 
 }  // namespace
@@ -36,7 +37,10 @@
   leader_->isInstanceTableDue = true;
   const cell::ServiceInstance* known = state_.instances().find(heartbeat.instance.id);
   if (known == nullptr) {
-    proposeFor(ticket, cell::AddInstance{heartbeat.instance, cellTime()});
+    cell::ServiceInstance instance = heartbeat.instance;
+    instance.isReported = true;
+    instance.models = heartbeat.models;
+    proposeFor(ticket, cell::AddInstance{std::move(instance), cellTime()});
   } else if (heartbeat.instance.isDraining && !known->isDraining) {
     proposeFor(ticket, cell::DrainInstance{heartbeat.instance.id, cellTime()});
   } else {
@@ -126,11 +130,28 @@
   leader_->isInstanceTableDue = true;
   leader_->isEnginePlacementDue = true;
   sendInstancesIfDue();
+  noteHoldingsIfDue();
   for (const std::string& id : leader_->instances.silentFor(kRemovalSilence, now_)) {
     propose(cell::RemoveInstance{id, false, cellTime()}, ForNothing{});
   }
 }
 
+void ControllerCore::Implementation::noteHoldingsIfDue() {
+  if (now_ < leader_->nextHoldingsAt) return;
+  cell::NoteHoldings command;
+  for (const auto& [id, row] : leader_->instances.rows()) {
+    const cell::ServiceInstance* agreed = state_.instances().find(id);
+    const bool isKnown = agreed != nullptr && row.instance.isReported;
+    if (isKnown && agreed->models != row.instance.models) {
+      command.holdings.push_back({id, row.instance.models});
+    }
+  }
+  if (command.holdings.empty()) return;
+  leader_->nextHoldingsAt = now_ + kHoldingsInterval;
+  command.proposedAt = cellTime();
+  propose(command, ForNothing{});
+}
+
 std::string ControllerCore::Implementation::ownAdminAddress() const {
   for (const consensus::Member& member : status_.members.members) {
     if (member.id == self_) return member.adminAddress;
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -143,6 +143,13 @@
   sendToRouter(connection, std::move(update));
 }
 
+void ControllerCore::Implementation::announceConfiguration() {
+  const std::uint64_t version = state_.configuration().identity().version;
+  if (leader_->announcedVersion == version || !holdsLease()) return;
+  leader_->announcedVersion = version;
+  sendConfigurationToAll();
+}
+
 void ControllerCore::Implementation::sendConfigurationToAll() {
   for (auto& [connection, session] : leader_->sessions.sessions()) {
     sendConfiguration(connection, session);
--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -46,8 +46,10 @@
     cell::RoutableInstance row;
     row.instance = instance;
     row.isSilent = now - sighting.heardAt >= silence_ || sighting.unreachableAt > sighting.heardAt;
-    row.isReported = sighting.isReported;
-    row.models = sighting.models;
+    if (sighting.isReported) {
+      row.instance.isReported = true;
+      row.instance.models = sighting.models;
+    }
     put(row);
   }
   for (auto row = rows_.begin(); row != rows_.end();) {
--- a/src/controller/SnapshotSchedule.cpp
+++ b/src/controller/SnapshotSchedule.cpp
@@ -16,7 +16,7 @@
 bool SnapshotSchedule::isDue() const {
   const bool isLong = entries_ >= entriesBetween_ || logBytes_ >= kLongLogBytes;
   if (!isLong) return false;
-  if (entries_ < entriesBetween_) return logBytes_ >= kLogToSnapshot * snapshotBytes_;
+  if (entries_ < entriesBetween_) return logBytes_ >= kLongLogToSnapshot * snapshotBytes_;
   return snapshotBytes_ <= kSmallSnapshotBytes || logBytes_ >= kLogToSnapshot * snapshotBytes_;
 }
 
--- a/src/controller/SnapshotSchedule.h
+++ b/src/controller/SnapshotSchedule.h
@@ -15,7 +15,9 @@
   /// States up to this size are cheap to write.
   static constexpr std::size_t kSmallSnapshotBytes = 1024UL * 1024;
   /// A log of this size is slow to apply on a small machine.
-  static constexpr std::size_t kLongLogBytes = 1024UL * 1024;
+  static constexpr std::size_t kLongLogBytes = 256UL * 1024;
+  /// Log bytes for each byte of the last snapshot that make a log long.
+  static constexpr std::size_t kLongLogToSnapshot = 2;
   /// Log bytes for each byte of the last large snapshot.
   static constexpr std::size_t kLogToSnapshot = 4;
 
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -35,8 +35,8 @@
 }
 
 const cell::HeldModel* findModel(const cell::RoutableInstance& row, const std::string& name) {
-  const auto found = std::ranges::find(row.models, name, &cell::HeldModel::model);
-  return found == row.models.end() ? nullptr : &*found;
+  const auto found = std::ranges::find(row.instance.models, name, &cell::HeldModel::model);
+  return found == row.instance.models.end() ? nullptr : &*found;
 }
 
 }  // namespace
@@ -77,10 +77,10 @@
 void InstanceDirectory::put(const cell::RoutableInstance& row) {
   View& view = views_[row.instance.id];
   // A new leader knows the models only once it has heard the runner.
-  std::vector<cell::HeldModel> known = std::move(view.row.models);
-  const bool isNews = row.isReported && row.models != known;
+  std::vector<cell::HeldModel> known = std::move(view.row.instance.models);
+  const bool isNews = row.instance.isReported && row.instance.models != known;
   view.row = row;
-  if (!row.isReported) view.row.models = std::move(known);
+  if (!row.instance.isReported) view.row.instance.models = std::move(known);
   if (isNews) view.notHeldUntil.clear();
 }
 
