--- a/src/config/LoggingSettings.cpp
+++ b/src/config/LoggingSettings.cpp
@@ -34,7 +34,7 @@
   SettingsSchema::Setting format;
   format.key = "log_format";
   format.typeName = "one of text, json";
-  format.help = "Form of the log on standard error.";
+  format.help = "Form of the log.";
   format.defaultText = target->format == log::Format::kJson ? "json" : "text";
   format.assign = [target](const std::string& text) { return assignFormat(target, text); };
   schema.add(format);
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -79,6 +79,9 @@
   [[nodiscard]] bool admits(base::TimePoint now) const {
     return configurationVersion != 0 && now < leaseUntil;
   }
+  /// Registered runners, by id, as this router was told of them.
+  std::map<std::string, cell::RoutableInstance> instances;
+
   [[nodiscard]] bool knows(const std::string& target) const;
 };
 
@@ -119,6 +122,20 @@
   /// Applies a configuration at the leader; its HTTP status, 0 without an answer.
   int apply(const std::string& text, bool waitInForce = false);
 
+  /// Sends a request of a registered runner or of the operator of services, and waits for its
+  /// answer.
+  std::optional<ControlAnswer> askControl(base::MemberId member, ControlRequest request,
+                                          base::Duration limit = base::seconds(3));
+  /// Orders to registered engines, in the order in which they arrived. Each is taken.
+  struct ArrivedEngineOrder {
+    base::MemberId from = 0;
+    base::TimePoint at{};
+    engine::ServiceOrder order;
+  };
+  std::vector<ArrivedEngineOrder> engineOrders;
+  /// What registered engines report, by instance; without an entry they do not answer.
+  std::map<std::string, engine::ServiceReport> engineReports;
+
   TestEngine& engine(const std::string& runner);
   TestRouter& router(std::size_t number) { return *routers_[number]; }
   void setDemand(std::size_t router, const std::string& target, std::uint32_t waiting,
@@ -181,10 +198,9 @@
   void carryOut(Node& node, PollRunner effect);
   void carryOut(Node& node, PollMachineList effect);
   void carryOut(Node& node, AnswerAdmin effect);
-  // Registered services have tests of their own.
-  void carryOut(Node& /*node*/, AnswerControl /*effect*/) {}
-  void carryOut(Node& /*node*/, placement::SendEngineOrder /*effect*/) {}
-  void carryOut(Node& /*node*/, placement::PollEngine /*effect*/) {}
+  void carryOut(Node& node, AnswerControl effect);
+  void carryOut(Node& node, placement::SendEngineOrder effect);
+  void carryOut(Node& node, placement::PollEngine effect);
   void tickRouter(TestRouter& router);
   void connect(TestRouter& router, base::MemberId member);
   void toController(TestRouter& router, cell::RouterToController message);
@@ -201,6 +217,7 @@
   std::map<base::RunnerId, std::unique_ptr<TestEngine>> engines_;
   std::vector<std::unique_ptr<TestRouter>> routers_;
   std::map<AdminTicket, AnswerAdmin> answers_;
+  std::map<ControlTicket, ControlAnswer> controlAnswers_;
   AdminTicket nextTicket_ = 1;
   RouterConnection nextConnection_ = 1;
 };
--- a/src/controller/TestCellTest.cpp
+++ b/src/controller/TestCellTest.cpp
@@ -273,6 +273,38 @@
   return found == answers_.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::optional<ControlAnswer> TestCell::askControl(base::MemberId member, ControlRequest request,
+                                                  base::Duration limit) {
+  const ControlTicket ticket = nextTicket_++;
+  with(member, [&](ControllerCore& core) { core.onControl(ticket, request); });
+  runUntil([&] { return controlAnswers_.count(ticket) != 0; }, limit);
+  const auto found = controlAnswers_.find(ticket);
+  return found == controlAnswers_.end() ? std::nullopt : std::optional(found->second);
+}
+
+void TestCell::carryOut(Node& /*node*/, AnswerControl effect) {
+  controlAnswers_[effect.ticket] = std::move(effect.answer);
+}
+
+void TestCell::carryOut(Node& node, placement::SendEngineOrder effect) {
+  const base::MemberId from = node.id;
+  schedule(kNetworkDelay, [this, from, order = std::move(effect.order)] {
+    engineOrders.push_back({from, now_, order});
+    const auto report = engineReports.find(order.instance);
+    if (report != engineReports.end()) ++report->second.sequence;
+    later(from, kNetworkDelay, [order](ControllerCore& core) {
+      core.onEngineOrderAnswer(order, engine::OrderOutcome::kUnderWay);
+    });
+  });
+}
+
+void TestCell::carryOut(Node& node, placement::PollEngine effect) {
+  later(node.id, 2 * kNetworkDelay, [this, id = effect.instance](ControllerCore& core) {
+    const auto report = engineReports.find(id);
+    core.onEngineReport(id, report == engineReports.end() ? nullptr : &report->second);
+  });
+}
+
 int TestCell::apply(const std::string& text, bool waitInForce) {
   const auto answer = ask(leader(), AdminApply{text, waitInForce, base::seconds(10)});
   return answer ? answer->httpStatus : 0;
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -128,6 +128,12 @@
     onUpdate(router, *table);
   } else if (const auto* claims = std::get_if<cell::ClaimReply>(&message)) {
     router.claimReplies.push_back(*claims);
+  } else if (const auto* instances = std::get_if<cell::InstanceUpdate>(&message)) {
+    if (instances->fromVersion == 0) router.instances.clear();
+    for (const std::string& id : instances->removals) router.instances.erase(id);
+    for (const cell::RoutableInstance& row : instances->upserts) {
+      router.instances[row.instance.id] = row;
+    }
   }
 }
 
--- a/src/lab/SettingsPageTest.cpp
+++ b/src/lab/SettingsPageTest.cpp
@@ -37,13 +37,17 @@
   const std::vector<std::string> programs{
       "fernlift-controller", "fernlift-router",     "fernliftctl", "fernlift-fleet",
       "fernlift-load",       "fernlift-faultproxy", "fernlift-sim"};
+  const std::string forwarder = outputOf(
+      "fernlift-router", {QStringLiteral("forward"), QStringLiteral("--settings-reference")});
+  EXPECT_TRUE(forwarder.starts_with("## fernlift-router forward\n")) << forwarder;
+  EXPECT_NE(page.find(forwarder), std::string::npos) << "run scripts/settings-reference";
   for (const std::string& program : programs) {
     const std::string reference = outputOf(program, {QStringLiteral("--settings-reference")});
     EXPECT_NE(reference.find("| `log_level` |"), std::string::npos) << program << ": " << reference;
     EXPECT_NE(page.find(reference), std::string::npos)
         << "run scripts/settings-reference; it writes the page anew for " << program;
   }
-  EXPECT_EQ(countOf(page, "## fernlift"), programs.size());
+  EXPECT_EQ(countOf(page, "## fernlift"), programs.size() + 1);
 }
 
 }  // namespace
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -34,6 +34,8 @@
 constexpr base::Duration kAnswerTravel = base::milliseconds(5);
 /// A repeatable request is tried elsewhere when a runner is silent for this many times its target.
 constexpr int kSilenceInTargets = 2;
+constexpr base::Duration kShortestStreamSilence = base::milliseconds(800);
+constexpr base::Duration kShortestFirstEvent = base::milliseconds(1500);
 constexpr base::Duration kShortestSilence = base::milliseconds(150);
 
 std::string retryAfterText(base::Duration duration) {
@@ -201,7 +203,7 @@
   call.requestIdHeader = context_.names.requestId;
   call.requestId = request_.headers.value(context_.names.requestId);
   ++context_.counters.attempts;
-  context_.directory.onAttemptBegin(instance_, query_.promptTokens);
+  context_.directory.onAttemptBegin(instance_, query_.promptTokens, now());
   isPromptRead_ = false;
   if (!query_.model.empty()) context_.demands.onRunning(target_);
   connection_ = context_.pool.acquire(address, now());
@@ -212,15 +214,27 @@
 void Exchange::onSent() {
   ++sent_;
   isAttemptSent_ = true;
-  const bool mayTryElsewhere = route_->kind == config::RouteKind::kRepeatable &&
-                               sent_ < route_->maximumAttempts && query_.model.empty();
-  if (!mayTryElsewhere) return;
-  const base::Duration silence =
-      std::max<base::Duration>(route_->targetLatency * kSilenceInTargets, kShortestSilence);
-  attemptDeadline_ = std::min(deadline_, now() + silence);
+  noteProgress();
   armTimer();
 }
 
+void Exchange::noteProgress() {
+  const std::optional<base::Duration> silence = longestSilence();
+  attemptDeadline_ = silence ? std::min(deadline_, now() + *silence) : deadline_;
+}
+
+std::optional<base::Duration> Exchange::longestSilence() const {
+  const bool mayTryElsewhere = route_->isRepeatable() && sent_ < route_->maximumAttempts;
+  if (!mayTryElsewhere) return std::nullopt;
+  if (route_->kind == config::RouteKind::kRepeatable) {
+    return std::max<base::Duration>(route_->targetLatency * kSilenceInTargets, kShortestSilence);
+  }
+  if (isAnswerBegun_) {
+    return std::max<base::Duration>(route_->gapTarget * kSilenceInTargets, kShortestStreamSilence);
+  }
+  return std::max<base::Duration>(route_->targetLatency / 2, kShortestFirstEvent);
+}
+
 void Exchange::armTimer() {
   const base::TimePoint due = isWaiting_ ? waitDeadline_ : std::min(deadline_, attemptDeadline_);
   const auto wait = std::max<base::Duration>(due - now(), base::Duration::zero());
@@ -246,7 +260,8 @@
     return;
   }
   if (now() < deadline_) {
-    if (connection_ && use_ == AnswerUse::kNone && now() >= attemptDeadline_) {
+    const bool isSilent = connection_ && isAttemptSent_ && now() >= attemptDeadline_;
+    if (isSilent) {
       endAttempt(AttemptEnd::kFailed, false);
       afterFailure();
       return;
@@ -302,6 +317,7 @@
 void Exchange::onHead(http::AnswerHead head) {
   noteLoad(head);
   notePromptRead();
+  context_.directory.onBytes(instance_, now());
   if (!isAnswerBegun_) answeredAt_ = now();
   head_ = std::move(head);
   const bool isRefusal =
@@ -339,6 +355,8 @@
 }
 
 void Exchange::onBody(std::string_view data) {
+  context_.directory.onBytes(instance_, now());
+  noteProgress();
   switch (use_) {
     case AnswerUse::kCollect:
       collected_.append(data);
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -60,6 +60,10 @@
   void beginWait(NoChoice reason);
   void endWait();
   void startAttempt(const InstanceChoice& choice);
+  /// Something came from the runner, or the request went there.
+  void noteProgress();
+  /// Silence after which the request is tried at another runner; none when it may not be.
+  [[nodiscard]] std::optional<base::Duration> longestSilence() const;
   void armTimer();
   void onTimer();
   /// No runner came in time.
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -173,6 +173,23 @@
   EXPECT_TRUE(caller.received().ends_with(expected)) << caller.received();
 }
 
+TEST_F(ExchangeTest, AResumableStreamThatFallsSilentGoesOnElsewhere) {
+  proxy.addRunner("i-1", runner);
+  proxy.addRunner("i-2", other);
+  RawCaller caller(proxy.listening);
+  caller.write(ProxyFixture::request("resume.test"));
+  ASSERT_TRUE(waitUntil([&] { return runner.connections.size() + other.connections.size() == 1; }));
+  StubRunner& first = runner.connections.empty() ? other : runner;
+  StubRunner& second = runner.connections.empty() ? runner : other;
+  ASSERT_TRUE(first.waitForRequest());
+  first.connections[0]->write(
+      "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n"
+      "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
+  ASSERT_TRUE(second.waitForRequest());
+  EXPECT_NE(second.connections[0]->received.find("Last-Event-Id: 1\r\n"), std::string::npos);
+  EXPECT_TRUE(waitUntil([&] { return first.connections[0]->isClosed(); }));
+}
+
 TEST_F(ExchangeTest, AnUnknownRouteIsNotFoundAndNoConfigurationIsUnavailable) {
   RawCaller caller(proxy.listening);
   caller.write(ProxyFixture::request("nowhere.test"));
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -19,7 +19,9 @@
 // Costs in milliseconds.
 constexpr double kOtherZoneCost = 3;
 constexpr double kFailureCost = 500;
-constexpr double kSilentCost = 300;
+constexpr double kSilentCost = 500;
+/// A runner that works on requests and sent nothing for this long may be dead.
+constexpr base::Duration kQuietAfter = base::milliseconds(700);
 constexpr double kAvoidedCost = 100'000;
 /// Work of an application's request, of which as many run at once as there are slots.
 constexpr double kApplicationWork = 30;
@@ -119,7 +121,8 @@
     cost += kEngineWork * load + kTokenReading * static_cast<double>(view.tokensToRead);
   }
   if (view.row.instance.zone != zone_) cost += kOtherZoneCost;
-  if (view.row.isSilent) cost += kSilentCost;
+  const bool isQuiet = view.inFlight > 0 && now - view.heardAt > kQuietAfter;
+  if (view.row.isSilent || isQuiet) cost += kSilentCost;
   const bool isAvoided = now < view.avoidedUntil || view.row.instance.id == query.avoidedInstance;
   return isAvoided ? cost + kAvoidedCost : cost;
 }
@@ -157,9 +160,16 @@
   return choice;
 }
 
-void InstanceDirectory::onAttemptBegin(const std::string& id, std::uint64_t promptTokens) {
+void InstanceDirectory::onBytes(const std::string& id, base::TimePoint now) {
+  const auto found = views_.find(id);
+  if (found != views_.end()) found->second.heardAt = now;
+}
+
+void InstanceDirectory::onAttemptBegin(const std::string& id, std::uint64_t promptTokens,
+                                       base::TimePoint now) {
   const auto found = views_.find(id);
   if (found == views_.end()) return;
+  if (found->second.inFlight == 0) found->second.heardAt = now;
   ++found->second.inFlight;
   found->second.tokensToRead += promptTokens;
 }
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -67,7 +67,9 @@
   [[nodiscard]] InstanceChoice choose(const InstanceQuery& query, base::TimePoint now) const;
 
   /// `promptTokens` are read there until the answer begins.
-  void onAttemptBegin(const std::string& id, std::uint64_t promptTokens);
+  void onAttemptBegin(const std::string& id, std::uint64_t promptTokens, base::TimePoint now);
+  /// Something of an answer came from the runner.
+  void onBytes(const std::string& id, base::TimePoint now);
   void onAnswerBegun(const std::string& id, std::uint64_t promptTokens);
   void onAttemptEnd(const std::string& id, AttemptEnd end, base::TimePoint now);
   /// Instances that were found unreachable since the last call, for the leader.
@@ -95,6 +97,7 @@
   struct View {
     cell::RoutableInstance row;
     std::uint32_t inFlight = 0;      ///< Of this router.
+    base::TimePoint heardAt{};       ///< Last bytes of an answer, or first of the open attempts.
     std::uint64_t tokensToRead = 0;  ///< Of prompts whose answer has not begun.
     double failureShare = 0;         ///< Of late attempts, decaying.
     std::uint32_t consecutiveFailures = 0;
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -141,7 +141,11 @@
     update.fromVersion = tableVersion_;
     update.toVersion = ++tableVersion_;
     cell::RoutableInstance row;
-    row.instance = {id, "service", runner.address(), "z1", 8, false};
+    row.instance.id = id;
+    row.instance.service = "service";
+    row.instance.address = runner.address();
+    row.instance.zone = "z1";
+    row.instance.slots = 8;
     update.upserts.push_back(row);
     directory.apply(update, clock.now());
     server.onDirectoryChanged();
