--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -106,9 +106,9 @@
   std::vector<std::string> positionals;
 };
 
-/// Reads `--settings FILE` (TOML), or else the file that the variable FERNLIFT_CONFIG names, and then
-/// the flags, which go before the file. Prints help,
-/// version or every error (with file, line, key, what was found, what is allowed) as needed.
+/// Reads `--settings FILE` (TOML), or else the file that the variable FERNLIFT_CONFIG names, and
+/// then the flags, which go before the file. Prints help, version or every error (with file, line,
+/// key, what was found, what is allowed) as needed.
 [[nodiscard]] CommandLineOutcome parseCommandLine(int argc, char** argv, SettingsSchema& schema);
 
 }  // namespace fernlift::config
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-ControllerProcess::ControllerProcess(ControllerSettings settings, ServiceProtocol protocol,
+ControllerProcess::ControllerProcess(ControllerSettings settings, const ServiceProtocol& protocol,
                                      std::function<void(int)> onFinished)
     : settings_(std::move(settings)),
       onFinished_(std::move(onFinished)),
--- a/src/controller/ControllerProcess.h
+++ b/src/controller/ControllerProcess.h
@@ -36,7 +36,7 @@
 
   /// `onFinished` is called once with the exit code, when a planned stop is done or the disk
   /// failed.
-  ControllerProcess(ControllerSettings settings, ServiceProtocol protocol,
+  ControllerProcess(ControllerSettings settings, const ServiceProtocol& protocol,
                     std::function<void(int exitCode)> onFinished);
 
   /// Opens the data folder, recovers, then listens.
--- a/src/controller/MemberAdmission.cpp
+++ b/src/controller/MemberAdmission.cpp
@@ -100,9 +100,11 @@
     const bool isLost = !member.isVoter && liveness.silenceOf(member.id) >= kSilentLearner;
     if (isLost) return without(members, member.id);
   }
-  for (const auto& [id, candidate] : candidates_) {
-    const bool isKnown = std::ranges::any_of(
-        members.members, [&](const consensus::Member& member) { return member.id == id; });
+  for (const auto& item : candidates_) {
+    const Candidate& candidate = item.second;
+    const bool isKnown = std::ranges::any_of(members.members, [&](const consensus::Member& member) {
+      return member.id == candidate.member.id;
+    });
     if (isKnown) continue;
     consensus::MemberSet changed = members;
     changed.members.push_back(candidate.member);
--- a/src/engine/ServiceEngine.h
+++ b/src/engine/ServiceEngine.h
@@ -10,8 +10,8 @@
 
 namespace fernlift::engine {
 
-/// Order to one engine. It is refused by any other instance than `instance`, and when the engine has
-/// taken another number of orders than `expectedSequence`.
+/// Order to one engine. It is refused by any other instance than `instance`, and when the engine
+/// has taken another number of orders than `expectedSequence`.
 struct ServiceOrder {
   bool isLoad = true;
   std::string instance;
--- a/src/http/BackEndConnection.h
+++ b/src/http/BackEndConnection.h
@@ -50,7 +50,7 @@
   };
 
   BackEndConnection(base::SocketAddress address, base::Duration connectTimeout);
-  ~BackEndConnection();
+  ~BackEndConnection() override;
   BackEndConnection(const BackEndConnection&) = delete;
   BackEndConnection& operator=(const BackEndConnection&) = delete;
 
--- a/src/http/SignalWatcher.cpp
+++ b/src/http/SignalWatcher.cpp
@@ -82,8 +82,7 @@
 };
 
 SignalWatcher::SignalWatcher(std::function<void()> onStop, std::function<void()> onReload)
-    : implementation_(
-          std::make_unique<Implementation>(std::move(onStop), std::move(onReload))) {}
+    : implementation_(std::make_unique<Implementation>(std::move(onStop), std::move(onReload))) {}
 
 SignalWatcher::~SignalWatcher() = default;
 
--- a/src/log/Log.cpp
+++ b/src/log/Log.cpp
@@ -142,10 +142,10 @@
 
 void noteOmitted(Event event) { output().noteOmitted(event); }
 
-void writeRecord(Event event, const EventTraits& traits, Fields fields) {
+void writeRecord(Event event, const EventTraits& traits, const Fields& fields) {
   BOOST_LOG_SEV(output().logger(), traits.severity)
       << boostlog::add_value(kEventAttribute, event)
-      << boostlog::add_value(kFieldsAttribute, std::move(fields));
+      << boostlog::add_value(kFieldsAttribute, fields);
 }
 
 }  // namespace
--- a/src/programs/fernlift-router.cpp
+++ b/src/programs/fernlift-router.cpp
@@ -92,9 +92,9 @@
   const QCoreApplication application(argc, argv);
   beginLog(settings);
   const fernlift::base::SystemClock clock;
-  fernlift::proxy::ProxyProcess process(
-      settings, fernlift::platform::protocolNames(), &fernlift::platform::parseConfiguration, clock,
-      drawSeed(), [](int exitCode) { QCoreApplication::exit(exitCode); });
+  fernlift::proxy::ProxyProcess process(settings, fernlift::platform::protocolNames(),
+                                        &fernlift::platform::parseConfiguration, clock, drawSeed(),
+                                        [](int exitCode) { QCoreApplication::exit(exitCode); });
   return runUntilStopped(process, [&] {
     fernlift::proxy::ProxySettings changed;
     if (readSettings(argc, argv, changed)) {
