--- a/src/config/CommandLine.cpp
+++ b/src/config/CommandLine.cpp
@@ -296,10 +296,11 @@
   Assigner assigner(schema);
   const char* const fromEnvironment = std::getenv(kSettingsVariable);
   if (arguments.settingsFile) {
-    assigner.readFile(*arguments.settingsFile);
+    outcome.settingsFile = *arguments.settingsFile;
   } else if (fromEnvironment != nullptr) {
-    assigner.readFile(fromEnvironment);
+    outcome.settingsFile = fromEnvironment;
   }
+  if (!outcome.settingsFile.empty()) assigner.readFile(outcome.settingsFile);
   assigner.assignFlags(arguments.values);
   assigner.checkAll();
   outcome.exitCode = finish(arguments, schema, assigner);
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -104,6 +104,7 @@
   /// an error; the text was already printed).
   std::optional<int> exitCode;
   std::vector<std::string> positionals;
+  std::string settingsFile;  ///< The file that was read; empty: none.
 };
 
 /// Reads `--settings FILE` (TOML), or else the file that the variable FERNLIFT_CONFIG names, and
--- a/src/programs/fernlift-controller.cpp
+++ b/src/programs/fernlift-controller.cpp
@@ -4,6 +4,7 @@
 
 #include "controller/ControllerProcess.h"
 #include "controller/ControllerSettings.h"
+#include "http/FileWatcher.h"
 #include "http/SignalWatcher.h"
 #include "log/Log.h"
 #include "platform/Configuration.h"
@@ -32,12 +33,15 @@
       });
 }
 
-/// Reads the settings; the exit code when the program should end.
-std::optional<int> readSettings(int argc, char** argv, ControllerSettings& settings) {
+/// How often the settings file is looked at.
+constexpr fernlift::base::milliseconds kSettingsInterval(2000);
+
+fernlift::config::CommandLineOutcome readSettings(int argc, char** argv,
+                                                  ControllerSettings& settings) {
   fernlift::config::SettingsSchema schema("fernlift-controller",
                                           "One member of the controller quorum of a cell.");
   fernlift::controller::declareSettings(schema, settings);
-  return fernlift::config::parseCommandLine(argc, argv, schema).exitCode;
+  return fernlift::config::parseCommandLine(argc, argv, schema);
 }
 
 }  // namespace
@@ -46,7 +50,8 @@
   // Qt's own event dispatcher takes less time for each event than the one over GLib.
   qputenv("QT_NO_GLIB", "1");
   ControllerSettings settings;
-  if (const auto exitCode = readSettings(argc, argv, settings)) return *exitCode;
+  const auto outcome = readSettings(argc, argv, settings);
+  if (outcome.exitCode) return *outcome.exitCode;
 
   const QCoreApplication application(argc, argv);
   settings.logging.destination = log::Destination::kStandardOutput;
@@ -64,17 +69,17 @@
   ControllerProcess process(settings, protocol,
                             [](int exitCode) { QCoreApplication::exit(exitCode); });
   if (const auto exitCode = startOrExplain(process)) return *exitCode;
-  const fernlift::http::SignalWatcher signalWatcher(
-      [&process] { process.beginStop(); },
-      [&] {
-        ControllerSettings changed;
-        if (readSettings(argc, argv, changed)) {
-          log::write(log::Event::kSettingsReloadFailed);
-          return;
-        }
-        log::write(log::Event::kSettingsReloaded);
-        process.reload(changed);
-      });
+  const auto reload = [&] {
+    ControllerSettings changed;
+    if (readSettings(argc, argv, changed).exitCode) {
+      log::write(log::Event::kSettingsReloadFailed);
+      return;
+    }
+    log::write(log::Event::kSettingsReloaded);
+    process.reload(changed);
+  };
+  const fernlift::http::FileWatcher watcher(outcome.settingsFile, kSettingsInterval, reload);
+  const fernlift::http::SignalWatcher signalWatcher([&process] { process.beginStop(); }, reload);
   const int exitCode = QCoreApplication::exec();
   log::write(log::Event::kProcessStopped, {{"exit_code", exitCode}});
   return exitCode;
--- a/src/programs/fernlift-router.cpp
+++ b/src/programs/fernlift-router.cpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <string_view>
 
+#include "http/FileWatcher.h"
 #include "http/SignalWatcher.h"
 #include "log/Log.h"
 #include "platform/Configuration.h"
@@ -23,6 +24,9 @@
 using fernlift::router::RouterSettings;
 namespace log = fernlift::log;
 
+/// How often the settings file is looked at.
+constexpr fernlift::base::milliseconds kSettingsInterval(2000);
+
 std::uint64_t drawSeed() {
   std::random_device device;
   constexpr unsigned kBitsInDraw = 32;
@@ -78,32 +82,36 @@
   return runUntilStopped(process);
 }
 
-/// Reads the settings of a forwarding router; the exit code when the program should end.
-std::optional<int> readSettings(int argc, char** argv, fernlift::proxy::ProxySettings& settings) {
+/// Reads the settings of a forwarding router.
+fernlift::config::CommandLineOutcome readSettings(int argc, char** argv,
+                                                  fernlift::proxy::ProxySettings& settings) {
   fernlift::config::SettingsSchema schema("fernlift-router forward",
                                           "One router that forwards to registered services.");
   fernlift::proxy::declareSettings(schema, settings);
-  return fernlift::config::parseCommandLine(argc, argv, schema).exitCode;
+  return fernlift::config::parseCommandLine(argc, argv, schema);
 }
 
 int runForwarder(int argc, char** argv) {
   fernlift::proxy::ProxySettings settings;
-  if (const auto exitCode = readSettings(argc, argv, settings)) return *exitCode;
+  const auto outcome = readSettings(argc, argv, settings);
+  if (outcome.exitCode) return *outcome.exitCode;
   const QCoreApplication application(argc, argv);
   beginLog(settings);
   const fernlift::base::SystemClock clock;
   fernlift::proxy::ProxyProcess process(settings, fernlift::platform::protocolNames(),
                                         &fernlift::platform::parseConfiguration, clock, drawSeed(),
                                         [](int exitCode) { QCoreApplication::exit(exitCode); });
-  return runUntilStopped(process, [&] {
+  const auto reload = [&] {
     fernlift::proxy::ProxySettings changed;
-    if (readSettings(argc, argv, changed)) {
+    if (readSettings(argc, argv, changed).exitCode) {
       log::write(log::Event::kSettingsReloadFailed);
       return;
     }
     log::write(log::Event::kSettingsReloaded);
     process.reload(changed);
-  });
+  };
+  const fernlift::http::FileWatcher watcher(outcome.settingsFile, kSettingsInterval, reload);
+  return runUntilStopped(process, reload);
 }
 
 }  // namespace
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -88,9 +88,9 @@
   [[nodiscard]] std::size_t size() const { return views_.size(); }
   [[nodiscard]] bool hasTable() const { return version_ != 0; }
   [[nodiscard]] std::uint64_t version() const { return version_; }
-  /// Time since the table last changed.
+  /// Time since the table last changed; -1 without one.
   [[nodiscard]] std::int64_t ageMilliseconds(base::TimePoint now) const {
-    return base::toMilliseconds(now - appliedAt_);
+    return hasTable() ? base::toMilliseconds(now - appliedAt_) : -1;
   }
 
  private:
