--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -1,27 +1,17 @@
 #include "proxy/Exchange.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <cstdint>
-#include <cstdio>
-#include <string_view>
 #include <utility>
 
-#include "http/ErrorResponse.h"
 #include "proxy/ForwardedMessage.h"
+#include "proxy/PromptParts.h"
 
 namespace fernlift::proxy {
 namespace {
 
 using base::ErrorKind;
 
-/// Answers up to this size are passed on once they are whole, so that a cut one can be replaced.
-constexpr std::size_t kCollectedBytes = 256UL * 1024;
 constexpr std::uint32_t kMostUnreachable = 16;
-constexpr int kMisdirected = 421;
-constexpr int kFirstErrorStatus = 400;
-constexpr int kFirstServerError = 500;
 constexpr base::Duration kRetrySoon = base::milliseconds(100);
 constexpr base::Duration kRetryAfterWait = base::milliseconds(200);
 constexpr base::Duration kLongestLoad = base::seconds(3);
@@ -38,37 +28,6 @@
 constexpr base::Duration kShortestFirstEvent = base::milliseconds(1500);
 constexpr base::Duration kShortestSilence = base::milliseconds(150);
 
-std::string retryAfterText(base::Duration duration) {
-  std::array<char, 32> text{};
-  const double seconds = std::chrono::duration<double>(duration).count();
-  const int length = std::snprintf(text.data(), text.size(), "%.3f", seconds);
-  return {text.data(), static_cast<std::size_t>(length)};
-}
-
-/// The parts of a prompt but the last, which is the request's own.
-std::string sharedParts(const std::string& parts) {
-  const std::size_t comma = parts.rfind(',');
-  return comma == std::string::npos ? std::string() : parts.substr(0, comma);
-}
-
-/// Tokens of the parts of a prompt, each ID:TOKENS.
-std::uint64_t tokensOf(std::string_view parts) {
-  std::uint64_t total = 0;
-  while (!parts.empty()) {
-    const std::size_t comma = parts.find(',');
-    const std::string_view part = parts.substr(0, comma);
-    const std::size_t colon = part.find(':');
-    std::uint64_t tokens = 0;
-    if (colon != std::string_view::npos) {
-      const std::string_view text = part.substr(colon + 1);
-      std::from_chars(text.data(), text.data() + text.size(), tokens);
-    }
-    total += tokens;
-    parts.remove_prefix(comma == std::string_view::npos ? parts.size() : comma + 1);
-  }
-  return total;
-}
-
 }  // namespace
 
 Exchange::Exchange(ProxyContext& context, CallerConnection& caller, ParsedRequest request,
@@ -296,126 +255,6 @@
   if (mayReuse) context_.pool.release(std::move(connection), now());
 }
 
-void Exchange::notePromptRead() {
-  if (std::exchange(isPromptRead_, true)) return;
-  context_.directory.onAnswerBegun(instance_, query_.promptTokens);
-}
-
-void Exchange::noteLoad(const http::AnswerHead& head) {
-  if (context_.names.load.empty()) return;
-  const std::string text = head.headers.value(context_.names.load);
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
-  const char* const end = text.data() + text.size();
-  const auto first = std::from_chars(text.data(), end, running);
-  if (first.ec != std::errc() || first.ptr == end) return;
-  const auto second = std::from_chars(first.ptr + 1, end, waiting);
-  if (second.ec != std::errc()) return;
-  context_.directory.onLoad(instance_, running, waiting, now());
-}
-
-void Exchange::onHead(http::AnswerHead head) {
-  noteLoad(head);
-  notePromptRead();
-  context_.directory.onBytes(instance_, now());
-  if (!isAnswerBegun_) answeredAt_ = now();
-  head_ = std::move(head);
-  const bool isRefusal =
-      head_.status == kMisdirected || head_.headers.contains(context_.names.notExecuted);
-  if (isRefusal) {
-    use_ = AnswerUse::kRefusal;
-    return;
-  }
-  if (events_) {  // A resumed stream keeps the head of its first runner.
-    const bool isStream = head_.status < kFirstErrorStatus;
-    use_ = isStream ? AnswerUse::kEvents : AnswerUse::kRetry;
-    return;
-  }
-  if (head_.status >= kFirstServerError && mayRunAgain()) {
-    use_ = AnswerUse::kRetry;
-    return;
-  }
-  const bool isEventStream = head_.headers.value("Content-Type").starts_with("text/event-stream") &&
-                             route_->kind == config::RouteKind::kStream;
-  if (isEventStream) {
-    use_ = AnswerUse::kEvents;
-    events_.emplace();
-    passHead();
-    return;
-  }
-  const bool isSmall = !head_.hasLength || head_.length <= kCollectedBytes;
-  use_ = isSmall ? AnswerUse::kCollect : AnswerUse::kPass;
-  if (!isSmall) passHead();
-}
-
-void Exchange::passHead() {
-  isAnswerBegun_ = true;
-  const AnswerFraming framing{head_.hasLength, head_.length};
-  caller_.beginAnswer(head_.status, passedAnswerHeaders(head_.headers), framing);
-}
-
-void Exchange::onBody(std::string_view data) {
-  context_.directory.onBytes(instance_, now());
-  noteProgress();
-  switch (use_) {
-    case AnswerUse::kCollect:
-      collected_.append(data);
-      if (collected_.size() > kCollectedBytes) {
-        use_ = AnswerUse::kPass;
-        passHead();
-        caller_.writeBody(std::exchange(collected_, {}));
-      }
-      return;
-    case AnswerUse::kPass:
-      caller_.writeBody(data);
-      return;
-    case AnswerUse::kEvents:
-      caller_.writeBody(events_->feed(data));
-      return;
-    case AnswerUse::kNone:
-    case AnswerUse::kRefusal:
-    case AnswerUse::kRetry:
-      return;
-  }
-}
-
-void Exchange::onDone() {
-  switch (use_) {
-    case AnswerUse::kRefusal: {
-      isAttemptSent_ = false;
-      const bool isNotHeld = head_.status == kMisdirected;
-      if (isNotHeld) {
-        context_.directory.onNotHeld(instance_, query_.model, query_.adapter, now());
-      }
-      endAttempt(isNotHeld ? AttemptEnd::kNotHeld : AttemptEnd::kRefused, true);
-      // A runner that does not hold what it was asked for, or is another instance, is no attempt.
-      if (isNotHeld) --sent_;
-      afterRefusal();
-      return;
-    }
-    case AnswerUse::kRetry:
-      endAttempt(AttemptEnd::kFailed, true);
-      afterFailure();
-      return;
-    default:
-      finishAnswer();
-  }
-}
-
-void Exchange::finishAnswer() {
-  if (use_ == AnswerUse::kCollect) {
-    caller_.sendAnswer(head_.status, passedAnswerHeaders(head_.headers), collected_);
-  } else {
-    if (use_ == AnswerUse::kEvents) caller_.writeBody(events_->rest());
-    caller_.endAnswer();
-  }
-  const bool isFailure = head_.status >= kFirstServerError;
-  endAttempt(isFailure ? AttemptEnd::kFailed : AttemptEnd::kAnswered, true);
-  ++context_.counters.answered;
-  logEnd(log::Event::kRequestAnswered, std::to_string(head_.status));
-  end();
-}
-
 void Exchange::onFailed(http::BackEndFailure failure) {
   if (failure == http::BackEndFailure::kNotConnected) {
     endAttempt(AttemptEnd::kUnreachable, false);
@@ -472,76 +311,4 @@
   }
 }
 
-void Exchange::logEnd(log::Event event, const std::string& cause) const {
-  const auto sinceArrival = [this](base::TimePoint time) {
-    return time == base::TimePoint{} ? -1 : base::toMilliseconds(time - arrivedAt_);
-  };
-  log::write(event, {{"request", request_.headers.value(context_.names.requestId)},
-                     {"route", route_ == nullptr ? std::string() : route_->name},
-                     {"configuration", routes_ ? routes_->version() : 0},
-                     {"service", query_.service},
-                     {"model", query_.model},
-                     {"adapter", query_.adapter},
-                     {"runner", instance_},
-                     {"table", context_.directory.version()},
-                     {"table_age_ms", context_.directory.ageMilliseconds(now())},
-                     {"attempts", sent_},
-                     {"unreachable", unreachable_},
-                     {"waited_ms", base::toMilliseconds(waited_)},
-                     {"head_ms", sinceArrival(answeredAt_)},
-                     {"total_ms", sinceArrival(now())},
-                     {"cause", cause}});
-}
-
-void Exchange::logMove(log::Event event) const {
-  log::write(event, {{"request", request_.headers.value(context_.names.requestId)},
-                     {"from_runner", instance_},
-                     {"status", head_.status},
-                     {"attempts", sent_},
-                     {"last_event", events_ ? events_->lastId().value_or("") : std::string()}});
-}
-
-void Exchange::refuse(ErrorKind kind, const std::string& message, base::Duration retryAfter) {
-  ++context_.counters.refused;
-  logEnd(log::Event::kRequestRefused, message);
-  sendError({kind, message}, retryAfter);
-}
-
-void Exchange::fail(ErrorKind kind, const std::string& message) {
-  ++context_.counters.failed;
-  logEnd(log::Event::kRequestFailed, message);
-  sendError({kind, message}, std::nullopt);
-}
-
-void Exchange::sendError(const base::Error& error, std::optional<base::Duration> retryAfter) {
-  http::Response response = http::errorResponse(error);
-  if (retryAfter) response.headers.set("Retry-After", retryAfterText(*retryAfter));
-  const std::string id = request_.headers.value(context_.names.requestId);
-  if (!id.empty()) response.headers.set(context_.names.requestId, id);
-  caller_.sendAnswer(response.status, response.headers, response.body);
-  end();
-}
-
-void Exchange::cut() {
-  ++context_.counters.failed;
-  logEnd(log::Event::kRequestFailed, "the stream broke off and cannot go on");
-  caller_.abort();
-  end();
-}
-
-void Exchange::onCallerLeft() {
-  if (isEnded_) return;
-  ++context_.counters.left;
-  logEnd(log::Event::kCallerLeft, "the caller left");
-  if (connection_) endAttempt(AttemptEnd::kAbandoned, false);
-  end();
-}
-
-void Exchange::end() {
-  if (std::exchange(isEnded_, true)) return;
-  timer_.stop();
-  endWait();
-  onEnd_(*this);
-}
-
 }  // namespace fernlift::proxy
