--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -182,6 +182,10 @@
   return ChangeResult{instances_.remove(command.instance, command.isDeregistered)};
 }
 
+ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const NoteOrders& /*command*/) {
+  return ChangeResult{false};
+}
+
 ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const NoteHoldings& command) {
   bool changed = false;
   for (const InstanceHoldings& holdings : command.holdings) {
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -92,6 +92,7 @@
   ApplyResult applyCommand(base::LogIndex index, const DrainInstance& command);
   ApplyResult applyCommand(base::LogIndex index, const RemoveInstance& command);
   ApplyResult applyCommand(base::LogIndex index, const NoteHoldings& command);
+  ApplyResult applyCommand(base::LogIndex index, const NoteOrders& command);
   void note(base::LogIndex index, base::UnixMilliseconds at, DecisionKind kind,
             const Replica* replica, std::string_view outcome, const std::string& reason);
   void noteReleased(base::LogIndex index, base::UnixMilliseconds at,
--- a/src/cell/Commands.h
+++ b/src/cell/Commands.h
@@ -229,8 +229,32 @@
   }
 };
 
-using Command = std::variant<ApplyConfiguration, ObserveRunner, RemoveRunner, DecideLoad,
-                             DecideUnload, ReplicaReady, ReplicaReleased, ClaimKeys, RecordOutcomes,
-                             SetDraining, AddInstance, DrainInstance, RemoveInstance, NoteHoldings>;
+/// An order that the leader is about to send to a registered engine.
+struct NotedOrder {
+  std::string instance;
+  bool isFromStore = false;  ///< A load that takes from the weight store's rate.
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& instance& isFromStore;
+  }
+};
+
+/// Committed before the orders leave, so that the next leader knows which engines may have had one
+/// lately. Changes no state; members note when they apply it.
+struct NoteOrders {
+  std::vector<NotedOrder> orders;
+  base::UnixMilliseconds proposedAt = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& orders& proposedAt;
+  }
+};
+
+using Command =
+    std::variant<ApplyConfiguration, ObserveRunner, RemoveRunner, DecideLoad, DecideUnload,
+                 ReplicaReady, ReplicaReleased, ClaimKeys, RecordOutcomes, SetDraining, AddInstance,
+                 DrainInstance, RemoveInstance, NoteHoldings, NoteOrders>;
 
 }  // namespace fernlift::cell
--- a/src/controller/ControlRequestsTest.cpp
+++ b/src/controller/ControlRequestsTest.cpp
@@ -204,5 +204,25 @@
   }
 }
 
+TEST_F(ControlRequestsTest, ANewLeaderOrdersAnEngineThatHadNoOrderLatelyAtOnce) {
+  ask(ReplaceConfiguration{"1 a"});
+  cell_.engineReports["i-1"].models = {{"m1", 1, {}}};
+  cell_.run(base::seconds(6));
+  ask(heartbeatOf("i-1", 1));
+  const base::MemberId before = cell_.leader();
+  cell_.kill(before);
+  ASSERT_TRUE(cell_.awaitLeader());
+  const base::TimePoint ledFrom = cell_.now();
+  ask(heartbeatOf("i-1", 2));
+  ASSERT_TRUE(cell_.runUntil(
+      [&] {
+        demand("m2");
+        return !cell_.engineOrders.empty();
+      },
+      base::seconds(2)));
+  EXPECT_LT(cell_.engineOrders[0].at - ledFrom, base::seconds(2));
+  EXPECT_NE(cell_.engineOrders[0].from, before);
+}
+
 }  // namespace
 }  // namespace fernlift::controller
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -34,7 +34,8 @@
       now_(now),
       unixNow_(unixNow),
       state_(options_.catalogueParser, options_.plantedFault),
-      raft_(self, options_.raft, std::move(recovered), randomSeed, now) {
+      raft_(self, options_.raft, std::move(recovered), randomSeed, now),
+      orderNotes_(now) {
   drain();
 }
 
@@ -102,6 +103,7 @@
         },
         [](const base::Error&) { return false; });
     if (!isRestored) raft_.onStorageFailed();
+    orderNotes_.forget(now_);
     snapshots_.onSnapshot(output.installedSnapshot->data.size());
   }
   for (const consensus::Entry& entry : output.committed) applyEntry(entry);
@@ -146,6 +148,7 @@
     return;
   }
   const cell::ApplyResult result = state_.apply(entry.index, *command);
+  if (const auto* note = std::get_if<cell::NoteOrders>(&*command)) orderNotes_.onNote(*note, now_);
   if (!leader_) return;
   const bool isAboutClaims = std::holds_alternative<cell::ClaimKeys>(*command) ||
                              std::holds_alternative<cell::RecordOutcomes>(*command);
@@ -270,7 +273,7 @@
 
 void ControllerCore::Implementation::beginLeadership() {
   ++counters_.leaderships;
-  leader_.emplace(options_, self_, status_.term, now_);
+  leader_.emplace(options_, status_.term, now_, engineOptions());
   leader_->unixSince = std::max(unixNow_, state_.time());
   // Claims expire by the cell's time: a wall clock that stepped must not let them go early.
   if (state_.time() != 0) {
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -22,6 +22,7 @@
 #include "controller/InstanceTable.h"
 #include "controller/LoadEstimates.h"
 #include "controller/MemberAdmission.h"
+#include "controller/OrderNotes.h"
 #include "controller/OrderQueue.h"
 #include "controller/Reconciliation.h"
 #include "controller/RoutableTable.h"
@@ -70,8 +71,14 @@
 };
 /// A change of the members that no operator asked for.
 struct ForOwnMembers {};
-using Purpose = std::variant<ForPlacement, ForApply, ForDrain, ForMembers, ForClaims, ForReplica,
-                             ForRunner, ForStray, ForNothing, ForControl, ForOwnMembers>;
+/// Orders to registered engines that leave once their note is committed.
+struct ForEngineOrders {
+  std::vector<placement::SendEngineOrder> orders;
+  base::TimePoint notedAt{};
+};
+using Purpose =
+    std::variant<ForPlacement, ForApply, ForDrain, ForMembers, ForClaims, ForReplica, ForRunner,
+                 ForStray, ForNothing, ForControl, ForOwnMembers, ForEngineOrders>;
 
 /// An apply that is committed and whose operator waits until it is in force everywhere.
 struct InForceWait {
@@ -88,25 +95,15 @@
 
 /// Everything that lasts only as long as one term of leadership.
 struct Leadership {
-  Leadership(const ControllerOptions& options, base::MemberId self, base::Term leadTerm,
-             base::TimePoint now)
+  Leadership(const ControllerOptions& options, base::Term leadTerm, base::TimePoint now,
+             placement::EnginePlacementOptions engineOptions)
       : term(leadTerm),
         since(now),
         watch(options.reportInterval, now),
         orders(options.orderTimeout, options.plantedFault),
         sessions(options.routerLease),
         instances(leadTerm, options.instanceSilence),
-        engines(engineOptions(options, self, leadTerm, now)) {}
-
-  static placement::EnginePlacementOptions engineOptions(const ControllerOptions& options,
-                                                         base::MemberId self, base::Term leadTerm,
-                                                         base::TimePoint now) {
-    placement::EnginePlacementOptions engineOptions;
-    engineOptions.holder = std::to_string(self);
-    engineOptions.fence = leadTerm;
-    engineOptions.ordersFrom = now + options.orderPause;
-    return engineOptions;
-  }
+        engines(std::move(engineOptions)) {}
 
   base::Term term = 0;
   base::TimePoint since{};
@@ -232,6 +229,8 @@
   void finish(const ForNothing& purpose, base::LogIndex index, const cell::ApplyResult& result);
   void finish(const ForControl& purpose, base::LogIndex index, const cell::ApplyResult& result);
   void finish(const ForOwnMembers& purpose, base::LogIndex index, const cell::ApplyResult& result);
+  void finish(const ForEngineOrders& purpose, base::LogIndex index,
+              const cell::ApplyResult& result);
   void updateLeadership();
   void beginLeadership();
   void endLeadership();
@@ -318,7 +317,10 @@
   void answerControl(ControlTicket ticket, ControlAnswer answer);
 
   // ControllerEngines.cpp
+  [[nodiscard]] placement::EnginePlacementOptions engineOptions() const;
   void placeOnEngines();
+  /// Orders leave once every later leader will know of them.
+  void noteAndSend(std::vector<placement::SendEngineOrder> orders);
   void refreshEngines();
   void publishHoldings();
 
@@ -334,6 +336,7 @@
   consensus::RaftNode raft_;
   consensus::RaftStatus status_;  ///< As of the last drain.
   std::optional<Leadership> leader_;
+  OrderNotes orderNotes_;
   std::vector<Effect> effects_;
   SnapshotSchedule snapshots_{options_.entriesBetweenSnapshots};
   bool isStopping_ = false;
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -18,9 +18,8 @@
 
 }  // namespace
 
-EnginePlacement::EnginePlacement(EnginePlacementOptions options) : options_(std::move(options)) {
-  storeLoads_.assign(kUnknownEarlierLoads, options_.ordersFrom);
-}
+EnginePlacement::EnginePlacement(EnginePlacementOptions options)
+    : options_(std::move(options)), storeLoads_(options_.earlierStoreLoads) {}
 
 void EnginePlacement::setServices(std::uint64_t version,
                                   const std::vector<config::Service>& services) {
@@ -35,7 +34,10 @@
     const config::Service* service = catalogue_.findService(row.instance.service);
     if (service == nullptr || !service->engine) continue;
     Engine& engine = engines_[id];
-    if (engine.id.empty()) engine.pollAt = now;
+    if (engine.id.empty()) {
+      engine.pollAt = now;
+      engine.ordersFrom = options_.ordersFrom(id);
+    }
     engine.id = id;
     engine.address = row.instance.address;
     engine.service = row.instance.service;
@@ -291,7 +293,8 @@
 }
 
 bool EnginePlacement::mayTakeOrder(const Engine& engine) {
-  return engine.isUsable && engine.sequence && !engine.unanswered && !engine.modelOrder;
+  return engine.isUsable && !engine.isPaused && engine.sequence && !engine.unanswered &&
+         !engine.modelOrder;
 }
 
 bool EnginePlacement::isLocal(const Engine& engine, const std::string& model) {
@@ -323,8 +326,8 @@
 
 std::vector<EngineCommand> EnginePlacement::decide(base::TimePoint now) {
   std::vector<EngineCommand> commands;
+  endPauses(now);
   pollWhereNeeded(commands, now);
-  if (now < options_.ordersFrom) return commands;
   expireOrders(now);
   continuePlans(commands, now);
   planModels(commands, now);
@@ -344,6 +347,10 @@
   }
 }
 
+void EnginePlacement::endPauses(base::TimePoint now) {
+  for (auto& [id, engine] : engines_) engine.isPaused = now < engine.ordersFrom;
+}
+
 void EnginePlacement::expireOrders(base::TimePoint now) {
   for (auto& [id, engine] : engines_) {
     if (!engine.unanswered || now - engine.unanswered->sentAt < kOrderTimeout) continue;
@@ -409,7 +416,7 @@
   order.expectedSequence = engine.sequence;
   const bool isFromStore = isLoad && adapter.empty() && !isLocal(engine, model);
   engine.unanswered = PendingOrder{order, now, isFromStore};
-  commands.emplace_back(SendEngineOrder{engine.address, std::move(order)});
+  commands.emplace_back(SendEngineOrder{engine.address, std::move(order), isFromStore});
 }
 
 std::optional<std::vector<cell::HeldModel>> EnginePlacement::routableModels(
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -23,8 +24,10 @@
 struct EnginePlacementOptions {
   std::string holder;       ///< Name of this controller in orders.
   std::uint64_t fence = 0;  ///< Term of this leader.
-  /// No order goes out before this time: an earlier leader may have ordered until now.
-  base::TimePoint ordersFrom{};
+  /// The time from which an engine may be ordered: an earlier leader may have ordered it lately.
+  std::function<base::TimePoint(const std::string& instance)> ordersFrom;
+  /// Loads from the weight store by earlier leaders, oldest first.
+  std::deque<base::TimePoint> earlierStoreLoads;
   /// Loads from the weight store that may begin in `storeWindow`, in shares of what its rate
   /// allows.
   double storeShare = 1.05;
@@ -41,6 +44,7 @@
 struct SendEngineOrder {
   std::string address;
   engine::ServiceOrder order;
+  bool isFromStore = false;  ///< A load that takes from the weight store's rate.
 };
 struct PollEngine {
   std::string instance;
@@ -96,6 +100,8 @@
     std::string address;
     std::string service;
     bool isUsable = false;                  ///< Takes requests and orders.
+    base::TimePoint ordersFrom{};           ///< No order goes out before.
+    bool isPaused = true;                   ///< That time has not come.
     bool hasTold = false;                   ///< A heartbeat or report has come.
     std::optional<std::uint64_t> sequence;  ///< Orders it has taken, as far as is known.
     std::map<std::string, HeldState> models;
@@ -178,6 +184,7 @@
 
   // Steps of a decision.
   void pollWhereNeeded(std::vector<EngineCommand>& commands, base::TimePoint now);
+  void endPauses(base::TimePoint now);
   void expireOrders(base::TimePoint now);
   void continuePlans(std::vector<EngineCommand>& commands, base::TimePoint now);
   void continuePlan(Engine& engine, const config::EngineSpec& spec,
--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -33,7 +33,5 @@
 /// The rate of requests is that of about the last so many seconds.
 constexpr double kRateMemorySeconds = 4.0;
 constexpr base::Duration kReplicaPause = base::seconds(1);
-/// Loads of an earlier leader that may have begun just now.
-constexpr int kUnknownEarlierLoads = 5;
 
 }  // namespace fernlift::placement
--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -7,11 +7,18 @@
 namespace {
 
 constexpr base::TimePoint kStart{base::seconds(100)};
+constexpr base::TimePoint kLate{base::seconds(200)};
 constexpr double kModelMemory = 40;
 
 class EnginePlacementTest : public ::testing::Test {
  protected:
-  EnginePlacementTest() : placement_({"c1", 7, kStart, 1.0, base::seconds(5)}) {
+  EnginePlacementTest()
+      : placement_({"c1",
+                    7,
+                    [](const std::string& id) { return id == "e-late" ? kLate : kStart; },
+                    {},
+                    1.0,
+                    base::seconds(5)}) {
     config::Service service;
     service.name = "llm";
     service.engine.emplace();
@@ -95,6 +102,16 @@
   EXPECT_EQ(orders().size(), 1U);
 }
 
+TEST_F(EnginePlacementTest, ThePauseIsThatOfEachEngine) {
+  addEngine("e-late", {});
+  demand("m2", 1);
+  EXPECT_TRUE(orders().empty());
+  addEngine("e1", {"m1"});
+  const auto sent = orders();
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent[0].instance, "e1");
+}
+
 TEST_F(EnginePlacementTest, AnEngineWhoseSequenceIsNotKnownIsAskedFirst) {
   cell::RoutableInstance row;
   row.instance = {"e1", "llm", "e1:80", "z", 8, false, false, {}};
