--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -236,7 +236,9 @@
                                           {"operation", order.isLoad ? "load" : "unload"},
                                           {"model", order.model},
                                           {"adapter", order.adapter},
-                                          {"fence", order.fence}});
+                                          {"fence", order.fence},
+                                          {"sequence", order.expectedSequence.value_or(0)},
+                                          {"reason", effect.reason}});
   engines_->sendOrder(effect.address, order, [this, order](engine::OrderOutcome outcome) {
     log::write(log::Event::kEngineOrderAnswered, {{"instance", order.instance},
                                                   {"model", order.model},
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -382,7 +382,9 @@
   for (const std::string& victim : engine.withdrawn) {
     if (!engine.models.contains(victim)) continue;
     // Routers hear that the model goes before it does.
-    if (now - engine.withdrawnAt >= kWithdrawalTime) send(engine, false, victim, "", commands, now);
+    if (now - engine.withdrawnAt >= kWithdrawalTime) {
+      send(engine, {false, victim, "", "makes way for " + model.name}, commands, now);
+    }
     return;
   }
   const bool fits =
@@ -394,7 +396,7 @@
   const bool isFromStore = !isLocal(engine, model.name);
   if (isFromStore && !mayLoadFromStore(engine.service, now)) return;
   if (isFromStore) storeLoads_.push_back(now);
-  send(engine, true, model.name, "", commands, now);
+  send(engine, {true, model.name, "", "requests want it"}, commands, now);
   dropPlan(engine);
 }
 
@@ -403,20 +405,21 @@
   engine.withdrawn.clear();
 }
 
-void EnginePlacement::send(Engine& engine, bool isLoad, const std::string& model,
-                           const std::string& adapter, std::vector<EngineCommand>& commands,
-                           base::TimePoint now) {
+void EnginePlacement::send(Engine& engine, const Intention& intention,
+                           std::vector<EngineCommand>& commands, base::TimePoint now) {
   ServiceOrder order;
-  order.isLoad = isLoad;
+  order.isLoad = intention.isLoad;
   order.instance = engine.id;
-  order.model = model;
-  order.adapter = adapter;
+  order.model = intention.model;
+  order.adapter = intention.adapter;
   order.holder = options_.holder;
   order.fence = options_.fence;
   order.expectedSequence = engine.sequence;
-  const bool isFromStore = isLoad && adapter.empty() && !isLocal(engine, model);
+  const bool isFromStore =
+      order.isLoad && order.adapter.empty() && !isLocal(engine, intention.model);
   engine.unanswered = PendingOrder{order, now, isFromStore};
-  commands.emplace_back(SendEngineOrder{engine.address, std::move(order), isFromStore});
+  commands.emplace_back(
+      SendEngineOrder{engine.address, std::move(order), isFromStore, intention.reason});
 }
 
 std::optional<std::vector<cell::HeldModel>> EnginePlacement::routableModels(
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -45,6 +45,7 @@
   std::string address;
   engine::ServiceOrder order;
   bool isFromStore = false;  ///< A load that takes from the weight store's rate.
+  std::string reason;        ///< For the log.
 };
 struct PollEngine {
   std::string instance;
@@ -215,8 +216,15 @@
   [[nodiscard]] std::optional<double> costOfLosing(const Engine& engine, const std::string& model,
                                                    base::TimePoint now) const;
   [[nodiscard]] bool mayLoadFromStore(const std::string& service, base::TimePoint now);
-  void send(Engine& engine, bool isLoad, const std::string& model, const std::string& adapter,
-            std::vector<EngineCommand>& commands, base::TimePoint now);
+  /// What to order, and why.
+  struct Intention {
+    bool isLoad = true;
+    std::string model;
+    std::string adapter;
+    std::string reason;
+  };
+  void send(Engine& engine, const Intention& intention, std::vector<EngineCommand>& commands,
+            base::TimePoint now);
 
   // What answers and reports change.
   void take(Engine& engine, const EngineHoldings& holdings, base::TimePoint now);
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -10,6 +10,7 @@
 namespace fernlift::placement {
 namespace {
 
+constexpr const char* kAdapterMakesWay = "not asked for longest";
 // Costs are in seconds of a request that waits.
 constexpr double kUnloadCost = 0.3;
 constexpr double kSpareReplicaCost = 0.2;
@@ -163,7 +164,7 @@
     const config::EngineSpec* spec = specOf(engine);
     if (spec == nullptr) continue;
     const config::EngineModel* model = modelToFillWith(engine, *spec);
-    if (model != nullptr) send(engine, true, model->name, "", commands, now);
+    if (model != nullptr) send(engine, {true, model->name, "", "memory is free"}, commands, now);
   }
 }
 
@@ -215,7 +216,7 @@
   const config::EngineSpec* spec = specOf(*best);
   if (spec == nullptr) return false;
   if (fewest < spec->adapterSlots) {
-    send(*best, true, key.model, key.adapter, commands, now);
+    send(*best, {true, key.model, key.adapter, "requests wait for it"}, commands, now);
     return true;
   }
   return evictAdapter(*best, commands, now);
@@ -230,7 +231,7 @@
     TargetKey key{engine.service, adapter.substr(0, slash), adapter.substr(slash + 1)};
     const auto found = demands_.find(key);
     if (found == demands_.end()) {
-      send(engine, false, key.model, key.adapter, commands, now);
+      send(engine, {false, key.model, key.adapter, kAdapterMakesWay}, commands, now);
       return true;
     }
     const bool isUsed = std::ranges::any_of(found->second.byRouter, [](const auto& item) {
@@ -241,7 +242,7 @@
     oldestAskedAt = found->second.askedAt;
   }
   if (oldest == nullptr) return false;
-  send(engine, false, oldest->model, oldest->adapter, commands, now);
+  send(engine, {false, oldest->model, oldest->adapter, kAdapterMakesWay}, commands, now);
   return true;
 }
 
