--- a/src/admission/AdmissionQueues.h
+++ b/src/admission/AdmissionQueues.h
@@ -12,68 +12,74 @@
 
 #include "admission/RequestQueue.h"
 
-namespace fernlift::admission {
+namespace fernlift::admission
+{
 
-struct QueueLimits {
-  std::size_t requests = 0;
-  std::size_t bytes = 0;
-  std::size_t requestsPerTarget = 0;
+struct QueueLimits
+{
+    std::size_t requests = 0;
+    std::size_t bytes = 0;
+    std::size_t requestsPerTarget = 0;
 };
 
 /// What became of a request that was offered.
-struct Enqueued {
-  bool isAccepted = false;
-  /// Less urgent requests that gave up their room; they are out of the queues.
-  std::vector<Ticket> displaced;
+struct Enqueued
+{
+    bool isAccepted = false;
+    /// Less urgent requests that gave up their room; they are out of the queues.
+    std::vector<Ticket> displaced;
 };
 
-class AdmissionQueues {
- public:
-  explicit AdmissionQueues(QueueLimits limits) : limits_(limits) {}
+class AdmissionQueues
+{
+public:
+    explicit AdmissionQueues (QueueLimits limits) : limits_ (limits) {}
 
-  /// Adds a request. Without room, the least urgent waiting requests give way if they are less
-  /// urgent than this one and that makes room enough; otherwise it is not accepted.
-  Enqueued push(const std::string& target, int urgency, const QueuedRequest& request);
-  /// Adds a request that was here before, whatever the bounds.
-  void pushAgain(const std::string& target, int urgency, const QueuedRequest& request);
+    /// Adds a request. Without room, the least urgent waiting requests give way if they are less
+    /// urgent than this one and that makes room enough; otherwise it is not accepted.
+    Enqueued push (const std::string& target, int urgency, const QueuedRequest& request);
+    /// Adds a request that was here before, whatever the bounds.
+    void pushAgain (const std::string& target, int urgency, const QueuedRequest& request);
 
-  [[nodiscard]] std::optional<Ticket> front(const std::string& target, int urgency) const;
-  void popServed(Ticket ticket);
-  bool remove(Ticket ticket);
+    [[nodiscard]] std::optional<Ticket> front (const std::string& target, int urgency) const;
+    void popServed (Ticket ticket);
+    bool remove (Ticket ticket);
 
-  /// Targets with waiting requests of this urgency, starting after the one served last.
-  [[nodiscard]] std::vector<std::string> targetsWaiting(int urgency) const;
-  [[nodiscard]] std::vector<int> urgenciesWaiting() const;
-  /// Requests of the target that go before a new one of this urgency.
-  [[nodiscard]] std::size_t countAhead(const std::string& target, int urgency) const;
-  [[nodiscard]] std::size_t countWaiting(const std::string& target) const;
-  /// The target's requests in the order in which they would be served.
-  [[nodiscard]] std::vector<Ticket> inServiceOrder(const std::string& target) const;
-  /// Targets with waiting requests.
-  [[nodiscard]] std::vector<std::string> targetsWaiting() const;
-  [[nodiscard]] std::size_t size() const { return places_.size(); }
-  [[nodiscard]] std::size_t bytes() const { return bytes_; }
+    /// Targets with waiting requests of this urgency, starting after the one served last.
+    [[nodiscard]] std::vector<std::string> targetsWaiting (int urgency) const;
+    [[nodiscard]] std::vector<int> urgenciesWaiting() const;
+    /// Requests of the target that go before a new one of this urgency.
+    [[nodiscard]] std::size_t countAhead (const std::string& target, int urgency) const;
+    [[nodiscard]] std::size_t countWaiting (const std::string& target) const;
+    /// The target's requests in the order in which they would be served.
+    [[nodiscard]] std::vector<Ticket> inServiceOrder (const std::string& target) const;
+    /// Targets with waiting requests.
+    [[nodiscard]] std::vector<std::string> targetsWaiting() const;
+    [[nodiscard]] std::size_t size() const { return places_.size(); }
+    [[nodiscard]] std::size_t bytes() const { return bytes_; }
 
- private:
-  struct Place {
-    std::string target;
-    int urgency = 0;
-    std::size_t bytes = 0;
-  };
-  using TargetQueues = std::map<std::string, RequestQueue>;
+private:
+    struct Place
+    {
+        std::string target;
+        int urgency = 0;
+        std::size_t bytes = 0;
+    };
+    using TargetQueues = std::map<std::string, RequestQueue>;
 
-  [[nodiscard]] bool hasRoom(const std::string& target, std::size_t bytes) const;
-  [[nodiscard]] bool canMakeRoom(const std::string& target, int urgency, std::size_t bytes) const;
-  [[nodiscard]] std::optional<Ticket> leastUrgent(const std::string& target, int urgency) const;
-  void takeOut(Ticket ticket, bool isServed);
+    [[nodiscard]] bool hasRoom (const std::string& target, std::size_t bytes) const;
+    [[nodiscard]] bool canMakeRoom (const std::string& target, int urgency,
+                                    std::size_t bytes) const;
+    [[nodiscard]] std::optional<Ticket> leastUrgent (const std::string& target, int urgency) const;
+    void takeOut (Ticket ticket, bool isServed);
 
-  QueueLimits limits_;
-  std::map<int, TargetQueues> queues_;
-  std::map<Ticket, Place> places_;
-  std::map<std::string, std::size_t> waitingOfTarget_;
-  std::map<int, std::size_t> bytesOfUrgency_;
-  std::map<int, std::string> lastServed_;
-  std::size_t bytes_ = 0;
+    QueueLimits limits_;
+    std::map<int, TargetQueues> queues_;
+    std::map<Ticket, Place> places_;
+    std::map<std::string, std::size_t> waitingOfTarget_;
+    std::map<int, std::size_t> bytesOfUrgency_;
+    std::map<int, std::string> lastServed_;
+    std::size_t bytes_ = 0;
 };
 
 }  // namespace fernlift::admission
--- a/src/admission/RetryAfter.cpp
+++ b/src/admission/RetryAfter.cpp
@@ -2,18 +2,21 @@
 
 #include <algorithm>
 
-namespace fernlift::admission {
-namespace {
+namespace fernlift::admission
+{
+namespace
+{
 
-constexpr base::Duration kShortest = base::milliseconds(100);
-constexpr base::Duration kSmallestSpread = base::milliseconds(500);
+constexpr base::Duration kShortest = base::milliseconds (100);
+constexpr base::Duration kSmallestSpread = base::milliseconds (500);
 
 }  // namespace
 
-base::Duration retryAfter(base::Duration estimate, base::Random& random) {
-  const base::Duration lower = std::max(estimate, kShortest);
-  const base::Duration spread = std::max(lower / 2, kSmallestSpread);
-  return lower + base::Duration(random.uniformInteger(0, spread.count()));
+base::Duration retryAfter (base::Duration estimate, base::Random& random)
+{
+    const base::Duration lower = std::max (estimate, kShortest);
+    const base::Duration spread = std::max (lower / 2, kSmallestSpread);
+    return lower + base::Duration (random.uniformInteger (0, spread.count()));
 }
 
 }  // namespace fernlift::admission
--- a/src/admission/RetryAfter.h
+++ b/src/admission/RetryAfter.h
@@ -5,9 +5,10 @@
 #include "base/Random.h"
 #include "base/Time.h"
 
-namespace fernlift::admission {
+namespace fernlift::admission
+{
 
 /// The estimate plus a random share of it, so that refused callers do not come back together.
-[[nodiscard]] base::Duration retryAfter(base::Duration estimate, base::Random& random);
+[[nodiscard]] base::Duration retryAfter (base::Duration estimate, base::Random& random);
 
 }  // namespace fernlift::admission
--- a/src/admission/SlotReservation.cpp
+++ b/src/admission/SlotReservation.cpp
@@ -3,39 +3,49 @@
 #include <algorithm>
 #include <cmath>
 
-namespace fernlift::admission {
+namespace fernlift::admission
+{
 
-SlotReservation::SlotReservation(const std::vector<config::RequestClass>& classes) {
-  for (const config::RequestClass& requestClass : classes) {
-    if (requestClass.reservedSlotShare <= 0) continue;
-    shares_[requestClass.urgency] += requestClass.reservedSlotShare;
-  }
+SlotReservation::SlotReservation (const std::vector<config::RequestClass>& classes)
+{
+    for (const config::RequestClass& requestClass : classes)
+    {
+        if (requestClass.reservedSlotShare <= 0)
+            continue;
+        shares_[requestClass.urgency] += requestClass.reservedSlotShare;
+    }
 }
 
-std::uint32_t SlotReservation::reservedSlots(int urgency, std::uint32_t capacity) const {
-  const auto share = shares_.find(urgency);
-  if (share == shares_.end()) return 0;
-  return static_cast<std::uint32_t>(std::lround(share->second * capacity));
+std::uint32_t SlotReservation::reservedSlots (int urgency, std::uint32_t capacity) const
+{
+    const auto share = shares_.find (urgency);
+    if (share == shares_.end())
+        return 0;
+    return static_cast<std::uint32_t> (std::lround (share->second * capacity));
 }
 
-std::uint32_t SlotReservation::keptFree(int urgency, std::uint32_t capacity,
-                                        const InFlightByUrgency& inFlight) const {
-  std::uint32_t kept = 0;
-  for (const auto& entry : shares_) {
-    const int moreUrgent = entry.first;
-    if (moreUrgent >= urgency) break;
-    const std::uint32_t reserved = reservedSlots(moreUrgent, capacity);
-    const auto taken = inFlight.find(moreUrgent);
-    const std::uint32_t used = taken == inFlight.end() ? 0 : taken->second;
-    kept += reserved - std::min(reserved, used);
-  }
-  // One slot is always left, or small runners would never serve the other classes.
-  return std::min(kept, capacity == 0 ? 0 : capacity - 1);
+std::uint32_t SlotReservation::keptFree (int urgency, std::uint32_t capacity,
+                                         const InFlightByUrgency& inFlight) const
+{
+    std::uint32_t kept = 0;
+    for (const auto& entry : shares_)
+    {
+        const int moreUrgent = entry.first;
+        if (moreUrgent >= urgency)
+            break;
+        const std::uint32_t reserved = reservedSlots (moreUrgent, capacity);
+        const auto taken = inFlight.find (moreUrgent);
+        const std::uint32_t used = taken == inFlight.end() ? 0 : taken->second;
+        kept += reserved - std::min (reserved, used);
+    }
+    // One slot is always left, or small runners would never serve the other classes.
+    return std::min (kept, capacity == 0 ? 0 : capacity - 1);
 }
 
-bool SlotReservation::mayStart(int urgency, std::uint32_t capacity, std::uint32_t used,
-                               const InFlightByUrgency& inFlight) const {
-  return used + 1 + keptFree(urgency, capacity, inFlight) <= capacity;
+bool SlotReservation::mayStart (int urgency, std::uint32_t capacity, std::uint32_t used,
+                                const InFlightByUrgency& inFlight) const
+{
+    return used + 1 + keptFree (urgency, capacity, inFlight) <= capacity;
 }
 
 }  // namespace fernlift::admission
--- a/src/admission/SlotReservation.h
+++ b/src/admission/SlotReservation.h
@@ -8,31 +8,33 @@
 
 #include "config/Catalogue.h"
 
-namespace fernlift::admission {
+namespace fernlift::admission
+{
 
 /// Requests in flight by urgency.
 using InFlightByUrgency = std::map<int, std::uint32_t>;
 
-class SlotReservation {
- public:
-  SlotReservation() = default;
-  explicit SlotReservation(const std::vector<config::RequestClass>& classes);
-
-  /// Whether a request of `urgency` may take one more of `capacity` slots of which `used` are
-  /// taken, by `inFlight` as far as urgencies are known. Slots that more urgent classes have
-  /// reserved and not taken stay free.
-  [[nodiscard]] bool mayStart(int urgency, std::uint32_t capacity, std::uint32_t used,
-                              const InFlightByUrgency& inFlight) const;
-  /// Whether a class of this urgency has reserved slots.
-  [[nodiscard]] bool hasReservation(int urgency) const { return shares_.contains(urgency); }
-  /// Slots of `capacity` that are reserved for this urgency.
-  [[nodiscard]] std::uint32_t reservedSlots(int urgency, std::uint32_t capacity) const;
-
- private:
-  [[nodiscard]] std::uint32_t keptFree(int urgency, std::uint32_t capacity,
-                                       const InFlightByUrgency& inFlight) const;
-
-  std::map<int, double> shares_;  ///< By urgency; several classes of one urgency add up.
+class SlotReservation
+{
+public:
+    SlotReservation() = default;
+    explicit SlotReservation (const std::vector<config::RequestClass>& classes);
+
+    /// Whether a request of `urgency` may take one more of `capacity` slots of which `used` are
+    /// taken, by `inFlight` as far as urgencies are known. Slots that more urgent classes have
+    /// reserved and not taken stay free.
+    [[nodiscard]] bool mayStart (int urgency, std::uint32_t capacity, std::uint32_t used,
+                                 const InFlightByUrgency& inFlight) const;
+    /// Whether a class of this urgency has reserved slots.
+    [[nodiscard]] bool hasReservation (int urgency) const { return shares_.contains (urgency); }
+    /// Slots of `capacity` that are reserved for this urgency.
+    [[nodiscard]] std::uint32_t reservedSlots (int urgency, std::uint32_t capacity) const;
+
+private:
+    [[nodiscard]] std::uint32_t keptFree (int urgency, std::uint32_t capacity,
+                                          const InFlightByUrgency& inFlight) const;
+
+    std::map<int, double> shares_;  ///< By urgency; several classes of one urgency add up.
 };
 
 }  // namespace fernlift::admission
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -10,129 +10,139 @@
 #include <string_view>
 #include <utility>
 
-namespace fernlift::base {
+namespace fernlift::base
+{
 
 /// Every way in which an operation of fernlift can fail. docs/errors.md lists them for callers.
-enum class ErrorKind : std::uint8_t {
-  // Errors of the caller's request.
-  kInvalidRequest,
-  kUnsupportedFraming,
-  kBodyTooLarge,
-  kHeaderTooLarge,
-  kRequestTimeout,
-  kNotFound,
-  kMethodNotAllowed,
-  kModelNotFound,
-  kIdempotencyKeyRequired,
-  kIdempotencyKeyConflict,
-  kIdempotencyWindowPassed,
-  kAlreadyRun,
-  // Refusals: the request was not run.
-  kQueueFull,
-  kDeadlineUnreachable,
-  kDeadlinePassed,
-  kNoCapacity,
-  kLoadFailed,
-  kStopping,
-  kLeaseExpired,
-  kRetryBudgetSpent,
-  kTooManyConnections,
-  // Failures of a back end.
-  kUpstreamUnreachable,
-  kUpstreamRefused,
-  kUpstreamBroken,
-  kUpstreamTimeout,
-  kOutcomeUnknown,
-  kCallerGone,
-  // Control.
-  kNotLeader,
-  kNoQuorum,
-  kConfigurationInvalid,
-  kConfigurationConflict,
-  kConfigurationStale,
-  kMembershipChangeRefused,
-  kFenceStale,
-  kIncarnationMismatch,
-  kInsufficientMemory,
-  // Local environment.
-  kSettingsInvalid,
-  kUsage,
-  kStorageCorrupt,
-  kStorageFull,
-  kStorageFailed,
-  kStorageLocked,
-  kStorageFormatUnknown,
-  kMessageInvalid,
-  kConnectionFailed,
-  kInternal,
+enum class ErrorKind : std::uint8_t
+{
+    // Errors of the caller's request.
+    kInvalidRequest,
+    kUnsupportedFraming,
+    kBodyTooLarge,
+    kHeaderTooLarge,
+    kRequestTimeout,
+    kNotFound,
+    kMethodNotAllowed,
+    kModelNotFound,
+    kIdempotencyKeyRequired,
+    kIdempotencyKeyConflict,
+    kIdempotencyWindowPassed,
+    kAlreadyRun,
+    // Refusals: the request was not run.
+    kQueueFull,
+    kDeadlineUnreachable,
+    kDeadlinePassed,
+    kNoCapacity,
+    kLoadFailed,
+    kStopping,
+    kLeaseExpired,
+    kRetryBudgetSpent,
+    kTooManyConnections,
+    // Failures of a back end.
+    kUpstreamUnreachable,
+    kUpstreamRefused,
+    kUpstreamBroken,
+    kUpstreamTimeout,
+    kOutcomeUnknown,
+    kCallerGone,
+    // Control.
+    kNotLeader,
+    kNoQuorum,
+    kConfigurationInvalid,
+    kConfigurationConflict,
+    kConfigurationStale,
+    kMembershipChangeRefused,
+    kFenceStale,
+    kIncarnationMismatch,
+    kInsufficientMemory,
+    // Local environment.
+    kSettingsInvalid,
+    kUsage,
+    kStorageCorrupt,
+    kStorageFull,
+    kStorageFailed,
+    kStorageLocked,
+    kStorageFormatUnknown,
+    kMessageInvalid,
+    kConnectionFailed,
+    kInternal,
 };
 
 /// What is known about whether the request's work was performed.
-enum class Execution : std::uint8_t {
-  kNotRun,   ///< No back end performed it.
-  kRan,      ///< A back end performed it.
-  kUnknown,  ///< It may or may not have been performed.
+enum class Execution : std::uint8_t
+{
+    kNotRun,   ///< No back end performed it.
+    kRan,      ///< A back end performed it.
+    kUnknown,  ///< It may or may not have been performed.
 };
 
 /// One row of the table from error kind to answer.
-struct ErrorTraits {
-  ErrorKind kind;
-  std::string_view name;     ///< Stable name in answers, logs and metrics.
-  int httpStatus;            ///< Status code of the answer.
-  Execution execution;       ///< What the answer says when the request's own history is silent.
-  bool retryable;            ///< Whether the caller may usefully send the request again.
-  int exitCode;              ///< Exit code of a command that ends with this error.
-  std::string_view meaning;  ///< One sentence for the documentation.
+struct ErrorTraits
+{
+    ErrorKind kind;
+    std::string_view name;     ///< Stable name in answers, logs and metrics.
+    int httpStatus;            ///< Status code of the answer.
+    Execution execution;       ///< What the answer says when the request's own history is silent.
+    bool retryable;            ///< Whether the caller may usefully send the request again.
+    int exitCode;              ///< Exit code of a command that ends with this error.
+    std::string_view meaning;  ///< One sentence for the documentation.
 };
 
 /// An error with its kind and a message for a person.
-struct Error {
-  ErrorKind kind = ErrorKind::kInternal;
-  std::string message;
+struct Error
+{
+    ErrorKind kind = ErrorKind::kInternal;
+    std::string message;
 
-  bool operator==(const Error&) const = default;
+    bool operator== (const Error&) const = default;
 };
 
 /// The row of `kind`.
-[[nodiscard]] const ErrorTraits& traitsOf(ErrorKind kind);
+[[nodiscard]] const ErrorTraits& traitsOf (ErrorKind kind);
 /// All rows, in the order of the enumeration.
 [[nodiscard]] std::span<const ErrorTraits> allErrorTraits();
 /// "not_run", "ran" or "unknown".
-[[nodiscard]] std::string_view nameOf(Execution execution);
+[[nodiscard]] std::string_view nameOf (Execution execution);
 
 template <class T>
 using Result = boost::leaf::result<T>;
 
 /// Fails the current operation with an error of `kind`.
-inline boost::leaf::error_id fail(ErrorKind kind, std::string message) {
-  return boost::leaf::new_error(Error{kind, std::move(message)});
+inline boost::leaf::error_id fail (ErrorKind kind, std::string message)
+{
+    return boost::leaf::new_error (Error{ kind, std::move (message) });
 }
 
 /// Runs `operation` (which returns a `Result`) and returns its value, or what `onError` makes of
 /// the `Error` it failed with.
 template <class Operation, class OnError>
-auto handleErrors(Operation&& operation, OnError&& onError) {
-  return boost::leaf::try_handle_all(
-      std::forward<Operation>(operation), [&](const Error& error) { return onError(error); },
-      [&] {
-        return onError(Error{ErrorKind::kInternal, "error without a description"});
-      });
+auto handleErrors (Operation&& operation, OnError&& onError)
+{
+    return boost::leaf::try_handle_all (
+        std::forward<Operation> (operation), [&] (const Error& error) { return onError (error); },
+        [&] {
+            return onError (Error{ ErrorKind::kInternal, "error without a description" });
+        });
 }
 
 /// Runs `operation` (which returns a `Result`); when it fails, returns what `recover` makes of the
 /// `Error`: a value or another failure. Use it in place of boost::leaf::try_handle_some, which
 /// passes the first error on and loses one that its handler fails with.
 template <class Operation, class Recover>
-auto recoverError(Operation&& operation, Recover&& recover) -> decltype(operation()) {
-  using Outcome = decltype(operation());
-  std::optional<Error> failure;
-  Outcome outcome = boost::leaf::try_handle_some(std::forward<Operation>(operation),
-                                                 [&](const Error& error) -> Outcome {
-                                                   failure = error;
-                                                   return boost::leaf::new_error();
-                                                 });
-  if (failure) return recover(*failure);
-  return outcome;
+auto recoverError (Operation&& operation, Recover&& recover) -> decltype (operation())
+{
+    using Outcome = decltype (operation());
+    std::optional<Error> failure;
+    Outcome outcome = boost::leaf::try_handle_some (std::forward<Operation> (operation),
+                                                    [&] (const Error& error) -> Outcome
+                                                    {
+                                                        failure = error;
+                                                        return boost::leaf::new_error();
+                                                    });
+    if (failure)
+        return recover (*failure);
+    return outcome;
 }
 
 }  // namespace fernlift::base
--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -10,29 +10,33 @@
 #include <string>
 #include <utility>
 
-namespace fernlift::base {
+namespace fernlift::base
+{
 
 /// A name of one kind. `Tag` only tells the kinds apart.
 template <class Tag>
-struct Name {
-  std::string value;
+struct Name
+{
+    std::string value;
 
-  Name() = default;
-  explicit Name(std::string text) : value(std::move(text)) {}
+    Name() = default;
+    explicit Name (std::string text) : value (std::move (text)) {}
 
-  [[nodiscard]] bool empty() const { return value.empty(); }
-  // clang-tidy 14 takes the zero of a defaulted comparison for a pointer.
-  auto operator<=>(const Name&) const = default;  // NOLINT(modernize-use-nullptr)
+    [[nodiscard]] bool empty() const { return value.empty(); }
+    // clang-tidy 14 takes the zero of a defaulted comparison for a pointer.
+    auto operator<=> (const Name&) const = default;  // NOLINT(modernize-use-nullptr)
 
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& value;
-  }
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& value;
+    }
 };
 
 template <class Tag>
-std::ostream& operator<<(std::ostream& stream, const Name<Tag>& name) {
-  return stream << name.value;
+std::ostream& operator<< (std::ostream& stream, const Name<Tag>& name)
+{
+    return stream << name.value;
 }
 
 /// One controller quorum with the routers and runners it serves.
@@ -67,8 +71,10 @@
 }  // namespace fernlift::base
 
 template <class Tag>
-struct std::hash<fernlift::base::Name<Tag>> {
-  std::size_t operator()(const fernlift::base::Name<Tag>& name) const {
-    return std::hash<std::string>()(name.value);
-  }
+struct std::hash<fernlift::base::Name<Tag>>
+{
+    std::size_t operator() (const fernlift::base::Name<Tag>& name) const
+    {
+        return std::hash<std::string>() (name.value);
+    }
 };
--- a/src/base/Overloaded.h
+++ b/src/base/Overloaded.h
@@ -2,13 +2,15 @@
 
 /// A visitor for std::visit made of one function for each alternative.
 
-namespace fernlift::base {
+namespace fernlift::base
+{
 
 template <class... Cases>
-struct Overloaded : Cases... {
-  using Cases::operator()...;
+struct Overloaded : Cases...
+{
+    using Cases::operator()...;
 };
 template <class... Cases>
-Overloaded(Cases...) -> Overloaded<Cases...>;
+Overloaded (Cases...) -> Overloaded<Cases...>;
 
 }  // namespace fernlift::base
--- a/src/base/Random.h
+++ b/src/base/Random.h
@@ -8,30 +8,34 @@
 #include <boost/random/uniform_int_distribution.hpp>
 #include <cstdint>
 
-namespace fernlift::base {
+namespace fernlift::base
+{
 
 /// Source of random numbers, passed to decision code. Not safe for use by several threads.
-class Random {
- public:
-  explicit Random(std::uint64_t seed) : engine_(seed) {}
+class Random
+{
+public:
+    explicit Random (std::uint64_t seed) : engine_ (seed) {}
 
-  /// A whole number from `low` to `high`, both included. Requires low <= high.
-  std::int64_t uniformInteger(std::int64_t low, std::int64_t high) {
-    return boost::random::uniform_int_distribution<std::int64_t>(low, high)(engine_);
-  }
-  /// A real number in [0, 1).
-  double uniformReal() { return boost::random::uniform_01<double>()(engine_); }
-  /// True with the given probability.
-  bool chance(double probability) { return uniformReal() < probability; }
-  /// A draw from the exponential distribution with the given mean.
-  double exponential(double mean) {
-    return boost::random::exponential_distribution<double>(1.0 / mean)(engine_);
-  }
-  /// 64 random bits.
-  std::uint64_t bits() { return engine_(); }
+    /// A whole number from `low` to `high`, both included. Requires low <= high.
+    std::int64_t uniformInteger (std::int64_t low, std::int64_t high)
+    {
+        return boost::random::uniform_int_distribution<std::int64_t> (low, high) (engine_);
+    }
+    /// A real number in [0, 1).
+    double uniformReal() { return boost::random::uniform_01<double>() (engine_); }
+    /// True with the given probability.
+    bool chance (double probability) { return uniformReal() < probability; }
+    /// A draw from the exponential distribution with the given mean.
+    double exponential (double mean)
+    {
+        return boost::random::exponential_distribution<double> (1.0 / mean) (engine_);
+    }
+    /// 64 random bits.
+    std::uint64_t bits() { return engine_(); }
 
- private:
-  boost::random::mt19937_64 engine_;
+private:
+    boost::random::mt19937_64 engine_;
 };
 
 }  // namespace fernlift::base
--- a/src/base/SocketAddress.h
+++ b/src/base/SocketAddress.h
@@ -10,24 +10,27 @@
 
 #include "base/Error.h"
 
-namespace fernlift::base {
+namespace fernlift::base
+{
 
 /// Numeric IPv4 address and port of a TCP endpoint. Names are never resolved.
-struct SocketAddress {
-  std::string host;
-  std::uint16_t port = 0;
-
-  // clang-tidy 14 takes the zero of a defaulted comparison for a pointer.
-  auto operator<=>(const SocketAddress&) const = default;  // NOLINT(modernize-use-nullptr)
-  /// "host:port".
-  [[nodiscard]] std::string toString() const;
-  /// Parses "host:port"; fails with kInvalidRequest on anything but a numeric IPv4 and a port.
-  static Result<SocketAddress> parse(std::string_view text);
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& host& port;
-  }
+struct SocketAddress
+{
+    std::string host;
+    std::uint16_t port = 0;
+
+    // clang-tidy 14 takes the zero of a defaulted comparison for a pointer.
+    auto operator<=> (const SocketAddress&) const = default;  // NOLINT(modernize-use-nullptr)
+    /// "host:port".
+    [[nodiscard]] std::string toString() const;
+    /// Parses "host:port"; fails with kInvalidRequest on anything but a numeric IPv4 and a port.
+    static Result<SocketAddress> parse (std::string_view text);
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& host& port;
+    }
 };
 
 }  // namespace fernlift::base
--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -5,23 +5,27 @@
 
 #include "wire/Codec.h"
 
-namespace fernlift::cell {
-namespace {
-
-std::string_view nameOf(ConfigurationOutcome outcome) {
-  switch (outcome) {
-    case ConfigurationOutcome::kAccepted:
-      return "accepted";
-    case ConfigurationOutcome::kUnchanged:
-      return "unchanged";
-    case ConfigurationOutcome::kConflict:
-      return "conflict";
-    case ConfigurationOutcome::kStale:
-      return "stale";
-    case ConfigurationOutcome::kInvalid:
-      return "invalid";
-  }
-  return "unknown";
+namespace fernlift::cell
+{
+namespace
+{
+
+std::string_view nameOf (ConfigurationOutcome outcome)
+{
+    switch (outcome)
+    {
+        case ConfigurationOutcome::kAccepted:
+            return "accepted";
+        case ConfigurationOutcome::kUnchanged:
+            return "unchanged";
+        case ConfigurationOutcome::kConflict:
+            return "conflict";
+        case ConfigurationOutcome::kStale:
+            return "stale";
+        case ConfigurationOutcome::kInvalid:
+            return "invalid";
+    }
+    return "unknown";
 }
 
 /// First bytes of a snapshot: a change of StoredState's layout needs another number.
@@ -29,227 +33,269 @@
 
 /// Layout of a snapshot.
 /// The members are written from where they are: a copy of a large claim table takes long.
-struct StoredStateView {
-  const ConfigurationIdentity& configuration;
-  const std::string& configurationText;
-  const ReplicaTable& replicas;
-  const ServiceInstances& instances;
-  const ClaimTable& claims;
-  const DecisionJournal& journal;
-  const base::UnixMilliseconds& time;
-  const base::LogIndex& appliedIndex;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) const {
-    archive& configuration& configurationText& replicas& instances& claims& journal& time&
-        appliedIndex;
-  }
+struct StoredStateView
+{
+    const ConfigurationIdentity& configuration;
+    const std::string& configurationText;
+    const ReplicaTable& replicas;
+    const ServiceInstances& instances;
+    const ClaimTable& claims;
+    const DecisionJournal& journal;
+    const base::UnixMilliseconds& time;
+    const base::LogIndex& appliedIndex;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/) const
+    {
+        archive& configuration& configurationText& replicas& instances& claims& journal& time&
+            appliedIndex;
+    }
 };
 
 /// The same layout, to read into.
-struct StoredState {
-  ConfigurationIdentity configuration;
-  std::string configurationText;
-  ReplicaTable replicas;
-  ServiceInstances instances;
-  ClaimTable claims;
-  DecisionJournal journal;
-  base::UnixMilliseconds time = 0;
-  base::LogIndex appliedIndex = 0;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& configuration& configurationText& replicas& instances& claims& journal& time&
-        appliedIndex;
-  }
+struct StoredState
+{
+    ConfigurationIdentity configuration;
+    std::string configurationText;
+    ReplicaTable replicas;
+    ServiceInstances instances;
+    ClaimTable claims;
+    DecisionJournal journal;
+    base::UnixMilliseconds time = 0;
+    base::LogIndex appliedIndex = 0;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& configuration& configurationText& replicas& instances& claims& journal& time&
+            appliedIndex;
+    }
 };
 
 }  // namespace
 
-ApplyResult CellState::apply(base::LogIndex index, const Command& command) {
-  appliedIndex_ = index;
-  return std::visit(
-      [&](const auto& value) {
-        time_ = std::max(time_, value.proposedAt);
-        return applyCommand(index, value);
-      },
-      command);
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex index, const ApplyConfiguration& command) {
-  ConfigurationResult result = configuration_.apply(index, command);
-  note(index, command.proposedAt, DecisionKind::kConfiguration, nullptr, nameOf(result.outcome),
-       "version " + std::to_string(command.version) + " digest " + command.digest);
-  return result;
+ApplyResult CellState::apply (base::LogIndex index, const Command& command)
+{
+    appliedIndex_ = index;
+    return std::visit (
+        [&] (const auto& value)
+        {
+            time_ = std::max (time_, value.proposedAt);
+            return applyCommand (index, value);
+        },
+        command);
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex index, const ApplyConfiguration& command)
+{
+    ConfigurationResult result = configuration_.apply (index, command);
+    note (index, command.proposedAt, DecisionKind::kConfiguration, nullptr, nameOf (result.outcome),
+          "version " + std::to_string (command.version) + " digest " + command.digest);
+    return result;
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex index, const ObserveRunner& command)
+{
+    std::vector<Replica> released;
+    const bool changed = replicas_.observe (command, &released);
+    if (changed)
+    {
+        DecisionRecord record{
+            index, command.proposedAt, DecisionKind::kRunnerObserved, "", {}, 0, "", ""
+        };
+        record.runner = command.machine.runner;
+        record.outcome = "granted";
+        record.reason = std::string (command.isLeaving ? "leaving" : "live") + ", incarnation "
+                        + std::to_string (command.incarnation);
+        journal_.add (std::move (record));
+    }
+    noteReleased (index, command.proposedAt, released, "the runner restarted");
+    return ChangeResult{ changed };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex index, const RemoveRunner& command)
+{
+    std::vector<Replica> released;
+    const bool changed = replicas_.removeRunner (command.runner, &released);
+    if (changed)
+    {
+        journal_.add ({ index, command.proposedAt, DecisionKind::kRunnerRemoved, "", command.runner,
+                        0, "granted", "the machine list no longer names it" });
+    }
+    noteReleased (index, command.proposedAt, released, "the machine is gone");
+    return ChangeResult{ changed };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex index, const DecideLoad& command)
+{
+    const LoadRefusal refusal = replicas_.load (index, command, configuration_.catalogue());
+    const std::string& target =
+        command.adapter.empty() ? command.model.value : command.adapter.value;
+    journal_.add ({ index, command.proposedAt, DecisionKind::kLoad, target, command.runner,
+                    refusal == LoadRefusal::kNone ? index : 0, std::string (cell::nameOf (refusal)),
+                    command.reason });
+    return LoadResult{ refusal };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex index, const DecideUnload& command)
+{
+    const UnloadRefusal refusal = replicas_.unload (index, command.replica);
+    note (index, command.proposedAt, DecisionKind::kUnload, replicas_.findReplica (command.replica),
+          cell::nameOf (refusal), command.reason);
+    return UnloadResult{ refusal };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex index, const ReplicaReady& command)
+{
+    const bool changed = replicas_.ready (command.replica, command.proposedAt);
+    if (changed)
+    {
+        note (index, command.proposedAt, DecisionKind::kReady,
+              replicas_.findReplica (command.replica), "granted", "the engine reported it ready");
+    }
+    return ChangeResult{ changed };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex index, const ReplicaReleased& command)
+{
+    const Replica* found = replicas_.findReplica (command.replica);
+    if (found == nullptr)
+        return ChangeResult{ false };
+    const Replica replica = *found;
+    const bool changed = replicas_.release (command.replica);
+    if (changed)
+        noteReleased (index, command.proposedAt, { replica }, command.reason);
+    return ChangeResult{ changed };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const ClaimKeys& command)
+{
+    claims_.expire (time_);
+    ClaimResult result;
+    result.answers.reserve (command.claims.size());
+    for (const Claim& claim : command.claims)
+        result.answers.push_back (claims_.claim (claim, time_));
+    return result;
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const RecordOutcomes& command)
+{
+    claims_.expire (time_);
+    bool changed = false;
+    for (const OutcomeRecord& outcome : command.outcomes)
+    {
+        changed = claims_.record (outcome) || changed;
+    }
+    return ChangeResult{ changed };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex index, const SetDraining& command)
+{
+    const bool changed = replicas_.setDraining (command.runner, command.isDraining);
+    if (changed)
+    {
+        journal_.add ({ index, command.proposedAt, DecisionKind::kDraining, "", command.runner, 0,
+                        command.isDraining ? "draining" : "in service",
+                        "an operator asked for it" });
+    }
+    return ChangeResult{ changed };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const AddInstance& command)
+{
+    return ChangeResult{ instances_.add (command.instance) };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const DrainInstance& command)
+{
+    return ChangeResult{ instances_.drain (command.instance) };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const RemoveInstance& command)
+{
+    return ChangeResult{ instances_.remove (command.instance, command.isDeregistered) };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const NoteOrders& /*command*/)
+{
+    return ChangeResult{ false };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const NoteHoldings& command)
+{
+    bool changed = false;
+    for (const InstanceHoldings& holdings : command.holdings)
+    {
+        changed = instances_.noteModels (holdings.instance, holdings.models) || changed;
+    }
+    return ChangeResult{ changed };
+}
+
+void CellState::note (base::LogIndex index, base::UnixMilliseconds at, DecisionKind kind,
+                      const Replica* replica, std::string_view outcome, const std::string& reason)
+{
+    DecisionRecord record;
+    record.index = index;
+    record.at = at;
+    record.kind = kind;
+    if (replica != nullptr)
+    {
+        record.target = replica->target();
+        record.runner = replica->runner;
+        record.replica = replica->id;
+    }
+    record.outcome = outcome;
+    record.reason = reason;
+    journal_.add (std::move (record));
+}
+
+void CellState::noteReleased (base::LogIndex index, base::UnixMilliseconds at,
+                              const std::vector<Replica>& released, const std::string& reason)
+{
+    for (const Replica& replica : released)
+    {
+        note (index, at, DecisionKind::kReleased, &replica, "granted", reason);
+    }
 }
 
-ApplyResult CellState::applyCommand(base::LogIndex index, const ObserveRunner& command) {
-  std::vector<Replica> released;
-  const bool changed = replicas_.observe(command, &released);
-  if (changed) {
-    DecisionRecord record{index, command.proposedAt, DecisionKind::kRunnerObserved, "", {}, 0, "",
-                          ""};
-    record.runner = command.machine.runner;
-    record.outcome = "granted";
-    record.reason = std::string(command.isLeaving ? "leaving" : "live") + ", incarnation " +
-                    std::to_string(command.incarnation);
-    journal_.add(std::move(record));
-  }
-  noteReleased(index, command.proposedAt, released, "the runner restarted");
-  return ChangeResult{changed};
+std::string CellState::encode() const
+{
+    const ClaimTable noClaims;
+    const bool forgetsClaims = fault_ == PlantedFault::kClaimsNotSnapshotted;
+    const StoredStateView stored{ configuration_.identity(),
+                                  configuration_.text(),
+                                  replicas_,
+                                  instances_,
+                                  forgetsClaims ? noClaims : claims_,
+                                  journal_,
+                                  time_,
+                                  appliedIndex_ };
+    return std::string (kSnapshotFormat) + wire::encodeValue (stored);
 }
 
-ApplyResult CellState::applyCommand(base::LogIndex index, const RemoveRunner& command) {
-  std::vector<Replica> released;
-  const bool changed = replicas_.removeRunner(command.runner, &released);
-  if (changed) {
-    journal_.add({index, command.proposedAt, DecisionKind::kRunnerRemoved, "", command.runner, 0,
-                  "granted", "the machine list no longer names it"});
-  }
-  noteReleased(index, command.proposedAt, released, "the machine is gone");
-  return ChangeResult{changed};
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex index, const DecideLoad& command) {
-  const LoadRefusal refusal = replicas_.load(index, command, configuration_.catalogue());
-  const std::string& target = command.adapter.empty() ? command.model.value : command.adapter.value;
-  journal_.add({index, command.proposedAt, DecisionKind::kLoad, target, command.runner,
-                refusal == LoadRefusal::kNone ? index : 0, std::string(cell::nameOf(refusal)),
-                command.reason});
-  return LoadResult{refusal};
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex index, const DecideUnload& command) {
-  const UnloadRefusal refusal = replicas_.unload(index, command.replica);
-  note(index, command.proposedAt, DecisionKind::kUnload, replicas_.findReplica(command.replica),
-       cell::nameOf(refusal), command.reason);
-  return UnloadResult{refusal};
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex index, const ReplicaReady& command) {
-  const bool changed = replicas_.ready(command.replica, command.proposedAt);
-  if (changed) {
-    note(index, command.proposedAt, DecisionKind::kReady, replicas_.findReplica(command.replica),
-         "granted", "the engine reported it ready");
-  }
-  return ChangeResult{changed};
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex index, const ReplicaReleased& command) {
-  const Replica* found = replicas_.findReplica(command.replica);
-  if (found == nullptr) return ChangeResult{false};
-  const Replica replica = *found;
-  const bool changed = replicas_.release(command.replica);
-  if (changed) noteReleased(index, command.proposedAt, {replica}, command.reason);
-  return ChangeResult{changed};
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const ClaimKeys& command) {
-  claims_.expire(time_);
-  ClaimResult result;
-  result.answers.reserve(command.claims.size());
-  for (const Claim& claim : command.claims) result.answers.push_back(claims_.claim(claim, time_));
-  return result;
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const RecordOutcomes& command) {
-  claims_.expire(time_);
-  bool changed = false;
-  for (const OutcomeRecord& outcome : command.outcomes) {
-    changed = claims_.record(outcome) || changed;
-  }
-  return ChangeResult{changed};
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex index, const SetDraining& command) {
-  const bool changed = replicas_.setDraining(command.runner, command.isDraining);
-  if (changed) {
-    journal_.add({index, command.proposedAt, DecisionKind::kDraining, "", command.runner, 0,
-                  command.isDraining ? "draining" : "in service", "an operator asked for it"});
-  }
-  return ChangeResult{changed};
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const AddInstance& command) {
-  return ChangeResult{instances_.add(command.instance)};
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const DrainInstance& command) {
-  return ChangeResult{instances_.drain(command.instance)};
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const RemoveInstance& command) {
-  return ChangeResult{instances_.remove(command.instance, command.isDeregistered)};
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const NoteOrders& /*command*/) {
-  return ChangeResult{false};
-}
-
-ApplyResult CellState::applyCommand(base::LogIndex /*index*/, const NoteHoldings& command) {
-  bool changed = false;
-  for (const InstanceHoldings& holdings : command.holdings) {
-    changed = instances_.noteModels(holdings.instance, holdings.models) || changed;
-  }
-  return ChangeResult{changed};
-}
-
-void CellState::note(base::LogIndex index, base::UnixMilliseconds at, DecisionKind kind,
-                     const Replica* replica, std::string_view outcome, const std::string& reason) {
-  DecisionRecord record;
-  record.index = index;
-  record.at = at;
-  record.kind = kind;
-  if (replica != nullptr) {
-    record.target = replica->target();
-    record.runner = replica->runner;
-    record.replica = replica->id;
-  }
-  record.outcome = outcome;
-  record.reason = reason;
-  journal_.add(std::move(record));
-}
-
-void CellState::noteReleased(base::LogIndex index, base::UnixMilliseconds at,
-                             const std::vector<Replica>& released, const std::string& reason) {
-  for (const Replica& replica : released) {
-    note(index, at, DecisionKind::kReleased, &replica, "granted", reason);
-  }
-}
-
-std::string CellState::encode() const {
-  const ClaimTable noClaims;
-  const bool forgetsClaims = fault_ == PlantedFault::kClaimsNotSnapshotted;
-  const StoredStateView stored{configuration_.identity(),
-                               configuration_.text(),
-                               replicas_,
-                               instances_,
-                               forgetsClaims ? noClaims : claims_,
-                               journal_,
-                               time_,
-                               appliedIndex_};
-  return std::string(kSnapshotFormat) + wire::encodeValue(stored);
-}
-
-base::Result<void> CellState::restore(std::string_view bytes) {
-  if (!bytes.starts_with(kSnapshotFormat)) {
-    return base::fail(base::ErrorKind::kStorageFormatUnknown,
-                      "the state was not stored in format 2 of this program");
-  }
-  auto decoded = wire::decodeValue<StoredState>(bytes.substr(kSnapshotFormat.size()));
-  if (!decoded) return decoded.error();
-  StoredState& stored = decoded.value();
-  if (!configuration_.restore(std::move(stored.configuration),
-                              std::move(stored.configurationText))) {
-    return base::fail(base::ErrorKind::kMessageInvalid, "stored configuration does not parse");
-  }
-  replicas_.replaceWith(std::move(stored.replicas));
-  instances_ = std::move(stored.instances);
-  claims_ = std::move(stored.claims);
-  journal_ = std::move(stored.journal);
-  time_ = stored.time;
-  appliedIndex_ = stored.appliedIndex;
-  return {};
+base::Result<void> CellState::restore (std::string_view bytes)
+{
+    if (! bytes.starts_with (kSnapshotFormat))
+    {
+        return base::fail (base::ErrorKind::kStorageFormatUnknown,
+                           "the state was not stored in format 2 of this program");
+    }
+    auto decoded = wire::decodeValue<StoredState> (bytes.substr (kSnapshotFormat.size()));
+    if (! decoded)
+        return decoded.error();
+    StoredState& stored = decoded.value();
+    if (! configuration_.restore (std::move (stored.configuration),
+                                  std::move (stored.configurationText)))
+    {
+        return base::fail (base::ErrorKind::kMessageInvalid, "stored configuration does not parse");
+    }
+    replicas_.replaceWith (std::move (stored.replicas));
+    instances_ = std::move (stored.instances);
+    claims_ = std::move (stored.claims);
+    journal_ = std::move (stored.journal);
+    time_ = stored.time;
+    appliedIndex_ = stored.appliedIndex;
+    return {};
 }
 
 }  // namespace fernlift::cell
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -19,93 +19,101 @@
 #include "cell/ReplicaTable.h"
 #include "cell/ServiceInstances.h"
 
-namespace fernlift::cell {
+namespace fernlift::cell
+{
 
 /// Answer to DecideLoad. When granted, the replica's id is the command's log index.
-struct LoadResult {
-  LoadRefusal refusal = LoadRefusal::kNone;
+struct LoadResult
+{
+    LoadRefusal refusal = LoadRefusal::kNone;
 
-  bool operator==(const LoadResult&) const = default;
+    bool operator== (const LoadResult&) const = default;
 };
 
 /// Answer to DecideUnload.
-struct UnloadResult {
-  UnloadRefusal refusal = UnloadRefusal::kNone;
+struct UnloadResult
+{
+    UnloadRefusal refusal = UnloadRefusal::kNone;
 
-  bool operator==(const UnloadResult&) const = default;
+    bool operator== (const UnloadResult&) const = default;
 };
 
 /// Answer to ClaimKeys: one answer a claim, in order.
-struct ClaimResult {
-  std::vector<ClaimAnswer> answers;
+struct ClaimResult
+{
+    std::vector<ClaimAnswer> answers;
 
-  bool operator==(const ClaimResult&) const = default;
+    bool operator== (const ClaimResult&) const = default;
 };
 
 /// Answer to every other command.
-struct ChangeResult {
-  bool changed = false;
+struct ChangeResult
+{
+    bool changed = false;
 
-  bool operator==(const ChangeResult&) const = default;
+    bool operator== (const ChangeResult&) const = default;
 };
 
 using ApplyResult =
     std::variant<ConfigurationResult, LoadResult, UnloadResult, ClaimResult, ChangeResult>;
 
 /// The state. Deterministic: no clock, no randomness, no I/O.
-class CellState {
- public:
-  explicit CellState(CatalogueParser parser = &config::parseCatalogue,
-                     PlantedFault fault = PlantedFault::kNone)
-      : fault_(fault), configuration_(parser, fault), replicas_(fault) {}
-
-  /// Applies the command at a log index. Indexes must grow from call to call.
-  ApplyResult apply(base::LogIndex index, const Command& command);
-
-  [[nodiscard]] const ConfigurationState& configuration() const { return configuration_; }
-  [[nodiscard]] const ReplicaTable& replicas() const { return replicas_; }
-  [[nodiscard]] const ServiceInstances& instances() const { return instances_; }
-  [[nodiscard]] const ClaimTable& claims() const { return claims_; }
-  [[nodiscard]] const DecisionJournal& journal() const { return journal_; }
-  /// Latest time any proposer stated; never goes back.
-  [[nodiscard]] base::UnixMilliseconds time() const { return time_; }
-  [[nodiscard]] base::LogIndex appliedIndex() const { return appliedIndex_; }
-
-  /// Bytes from which restore() makes an equal state; equal states give equal bytes.
-  [[nodiscard]] std::string encode() const;
-  /// Replaces the state. Fails and changes nothing on bytes that encode() did not make
-  /// (kMessageInvalid) or that another format's encode() made (kStorageFormatUnknown).
-  base::Result<void> restore(std::string_view bytes);
-
- private:
-  ApplyResult applyCommand(base::LogIndex index, const ApplyConfiguration& command);
-  ApplyResult applyCommand(base::LogIndex index, const ObserveRunner& command);
-  ApplyResult applyCommand(base::LogIndex index, const RemoveRunner& command);
-  ApplyResult applyCommand(base::LogIndex index, const DecideLoad& command);
-  ApplyResult applyCommand(base::LogIndex index, const DecideUnload& command);
-  ApplyResult applyCommand(base::LogIndex index, const ReplicaReady& command);
-  ApplyResult applyCommand(base::LogIndex index, const ReplicaReleased& command);
-  ApplyResult applyCommand(base::LogIndex index, const ClaimKeys& command);
-  ApplyResult applyCommand(base::LogIndex index, const RecordOutcomes& command);
-  ApplyResult applyCommand(base::LogIndex index, const SetDraining& command);
-  ApplyResult applyCommand(base::LogIndex index, const AddInstance& command);
-  ApplyResult applyCommand(base::LogIndex index, const DrainInstance& command);
-  ApplyResult applyCommand(base::LogIndex index, const RemoveInstance& command);
-  ApplyResult applyCommand(base::LogIndex index, const NoteHoldings& command);
-  ApplyResult applyCommand(base::LogIndex index, const NoteOrders& command);
-  void note(base::LogIndex index, base::UnixMilliseconds at, DecisionKind kind,
-            const Replica* replica, std::string_view outcome, const std::string& reason);
-  void noteReleased(base::LogIndex index, base::UnixMilliseconds at,
-                    const std::vector<Replica>& released, const std::string& reason);
-
-  PlantedFault fault_;
-  ConfigurationState configuration_;
-  ReplicaTable replicas_;
-  ServiceInstances instances_;
-  ClaimTable claims_;
-  DecisionJournal journal_;
-  base::UnixMilliseconds time_ = 0;
-  base::LogIndex appliedIndex_ = 0;
+class CellState
+{
+public:
+    explicit CellState (CatalogueParser parser = &config::parseCatalogue,
+                        PlantedFault fault = PlantedFault::kNone)
+        : fault_ (fault), configuration_ (parser, fault), replicas_ (fault)
+    {
+    }
+
+    /// Applies the command at a log index. Indexes must grow from call to call.
+    ApplyResult apply (base::LogIndex index, const Command& command);
+
+    [[nodiscard]] const ConfigurationState& configuration() const { return configuration_; }
+    [[nodiscard]] const ReplicaTable& replicas() const { return replicas_; }
+    [[nodiscard]] const ServiceInstances& instances() const { return instances_; }
+    [[nodiscard]] const ClaimTable& claims() const { return claims_; }
+    [[nodiscard]] const DecisionJournal& journal() const { return journal_; }
+    /// Latest time any proposer stated; never goes back.
+    [[nodiscard]] base::UnixMilliseconds time() const { return time_; }
+    [[nodiscard]] base::LogIndex appliedIndex() const { return appliedIndex_; }
+
+    /// Bytes from which restore() makes an equal state; equal states give equal bytes.
+    [[nodiscard]] std::string encode() const;
+    /// Replaces the state. Fails and changes nothing on bytes that encode() did not make
+    /// (kMessageInvalid) or that another format's encode() made (kStorageFormatUnknown).
+    base::Result<void> restore (std::string_view bytes);
+
+private:
+    ApplyResult applyCommand (base::LogIndex index, const ApplyConfiguration& command);
+    ApplyResult applyCommand (base::LogIndex index, const ObserveRunner& command);
+    ApplyResult applyCommand (base::LogIndex index, const RemoveRunner& command);
+    ApplyResult applyCommand (base::LogIndex index, const DecideLoad& command);
+    ApplyResult applyCommand (base::LogIndex index, const DecideUnload& command);
+    ApplyResult applyCommand (base::LogIndex index, const ReplicaReady& command);
+    ApplyResult applyCommand (base::LogIndex index, const ReplicaReleased& command);
+    ApplyResult applyCommand (base::LogIndex index, const ClaimKeys& command);
+    ApplyResult applyCommand (base::LogIndex index, const RecordOutcomes& command);
+    ApplyResult applyCommand (base::LogIndex index, const SetDraining& command);
+    ApplyResult applyCommand (base::LogIndex index, const AddInstance& command);
+    ApplyResult applyCommand (base::LogIndex index, const DrainInstance& command);
+    ApplyResult applyCommand (base::LogIndex index, const RemoveInstance& command);
+    ApplyResult applyCommand (base::LogIndex index, const NoteHoldings& command);
+    ApplyResult applyCommand (base::LogIndex index, const NoteOrders& command);
+    void note (base::LogIndex index, base::UnixMilliseconds at, DecisionKind kind,
+               const Replica* replica, std::string_view outcome, const std::string& reason);
+    void noteReleased (base::LogIndex index, base::UnixMilliseconds at,
+                       const std::vector<Replica>& released, const std::string& reason);
+
+    PlantedFault fault_;
+    ConfigurationState configuration_;
+    ReplicaTable replicas_;
+    ServiceInstances instances_;
+    ClaimTable claims_;
+    DecisionJournal journal_;
+    base::UnixMilliseconds time_ = 0;
+    base::LogIndex appliedIndex_ = 0;
 };
 
 }  // namespace fernlift::cell
--- a/src/cell/ClaimTable.cpp
+++ b/src/cell/ClaimTable.cpp
@@ -1,90 +1,109 @@
 #include "cell/ClaimTable.h"
 
-namespace fernlift::cell {
-namespace {
+namespace fernlift::cell
+{
+namespace
+{
 
 /// Verdict for a claim of a key that is already held.
-ClaimVerdict verdictFor(const ClaimRecord& held, const Claim& claim) {
-  if (held.requestDigest != claim.requestDigest) return ClaimVerdict::kConflict;
-  switch (held.outcome) {
-    case ClaimOutcome::kPending:
-      break;
-    case ClaimOutcome::kRan:
-      return ClaimVerdict::kAlreadyRan;
-    case ClaimOutcome::kNotRun:
-    case ClaimOutcome::kUnknown:
-      return ClaimVerdict::kOutcomeUnknown;
-  }
-  const bool isHolder = held.request == claim.request && held.router == claim.router;
-  return isHolder ? ClaimVerdict::kGranted : ClaimVerdict::kInProgress;
+ClaimVerdict verdictFor (const ClaimRecord& held, const Claim& claim)
+{
+    if (held.requestDigest != claim.requestDigest)
+        return ClaimVerdict::kConflict;
+    switch (held.outcome)
+    {
+        case ClaimOutcome::kPending:
+            break;
+        case ClaimOutcome::kRan:
+            return ClaimVerdict::kAlreadyRan;
+        case ClaimOutcome::kNotRun:
+        case ClaimOutcome::kUnknown:
+            return ClaimVerdict::kOutcomeUnknown;
+    }
+    const bool isHolder = held.request == claim.request && held.router == claim.router;
+    return isHolder ? ClaimVerdict::kGranted : ClaimVerdict::kInProgress;
 }
 
-bool isTooLong(const Claim& claim) {
-  return claim.key.value.size() > ClaimTable::kMaximumKeyBytes ||
-         claim.requestDigest.size() > ClaimTable::kMaximumFieldBytes ||
-         claim.router.value.size() > ClaimTable::kMaximumFieldBytes ||
-         claim.request.value.size() > ClaimTable::kMaximumFieldBytes;
+bool isTooLong (const Claim& claim)
+{
+    return claim.key.value.size() > ClaimTable::kMaximumKeyBytes
+           || claim.requestDigest.size() > ClaimTable::kMaximumFieldBytes
+           || claim.router.value.size() > ClaimTable::kMaximumFieldBytes
+           || claim.request.value.size() > ClaimTable::kMaximumFieldBytes;
 }
 
 }  // namespace
 
-ClaimAnswer ClaimTable::claim(const Claim& claim, base::UnixMilliseconds now) {
-  ClaimAnswer answer{claim.key, claim.request, ClaimVerdict::kWindowPassed, 0};
-  const auto held = claims_.find(claim.key);
-  if (held != claims_.end()) {
-    answer.verdict = verdictFor(held->second, claim);
-    answer.httpStatus = held->second.httpStatus;
+ClaimAnswer ClaimTable::claim (const Claim& claim, base::UnixMilliseconds now)
+{
+    ClaimAnswer answer{ claim.key, claim.request, ClaimVerdict::kWindowPassed, 0 };
+    const auto held = claims_.find (claim.key);
+    if (held != claims_.end())
+    {
+        answer.verdict = verdictFor (held->second, claim);
+        answer.httpStatus = held->second.httpStatus;
+        return answer;
+    }
+    const bool isOutsideWindow = claim.expiresAt < now || claim.expiresAt > now + kMaximumLifetime;
+    if (isOutsideWindow || isTooLong (claim))
+        return answer;
+    if (claims_.size() >= kMaximumKeys)
+    {
+        answer.verdict = ClaimVerdict::kTableFull;
+        return answer;
+    }
+    claims_[claim.key] = ClaimRecord{ claim.requestDigest, claim.router,           claim.request,
+                                      claim.expiresAt,     ClaimOutcome::kPending, 0 };
+    expiries_.emplace (claim.expiresAt, claim.key);
+    answer.verdict = ClaimVerdict::kGranted;
     return answer;
-  }
-  const bool isOutsideWindow = claim.expiresAt < now || claim.expiresAt > now + kMaximumLifetime;
-  if (isOutsideWindow || isTooLong(claim)) return answer;
-  if (claims_.size() >= kMaximumKeys) {
-    answer.verdict = ClaimVerdict::kTableFull;
-    return answer;
-  }
-  claims_[claim.key] = ClaimRecord{claim.requestDigest, claim.router,           claim.request,
-                                   claim.expiresAt,     ClaimOutcome::kPending, 0};
-  expiries_.emplace(claim.expiresAt, claim.key);
-  answer.verdict = ClaimVerdict::kGranted;
-  return answer;
 }
 
-bool ClaimTable::record(const OutcomeRecord& outcome) {
-  const auto held = claims_.find(outcome.key);
-  if (held == claims_.end() || held->second.request != outcome.request) return false;
-  ClaimRecord& record = held->second;
-  const bool isPending = record.outcome == ClaimOutcome::kPending;
-  const bool isUnknown = record.outcome == ClaimOutcome::kUnknown;
-  switch (outcome.outcome) {
-    case ClaimOutcome::kPending:
-      return false;
-    case ClaimOutcome::kNotRun:
-      if (!isPending) return false;
-      expiries_.erase({record.expiresAt, outcome.key});
-      claims_.erase(held);
-      return true;
-    case ClaimOutcome::kUnknown:
-      if (!isPending) return false;
-      break;
-    case ClaimOutcome::kRan:
-      if (!isPending && !isUnknown) return false;
-      break;
-  }
-  record.outcome = outcome.outcome;
-  record.httpStatus = outcome.httpStatus;
-  return true;
+bool ClaimTable::record (const OutcomeRecord& outcome)
+{
+    const auto held = claims_.find (outcome.key);
+    if (held == claims_.end() || held->second.request != outcome.request)
+        return false;
+    ClaimRecord& record = held->second;
+    const bool isPending = record.outcome == ClaimOutcome::kPending;
+    const bool isUnknown = record.outcome == ClaimOutcome::kUnknown;
+    switch (outcome.outcome)
+    {
+        case ClaimOutcome::kPending:
+            return false;
+        case ClaimOutcome::kNotRun:
+            if (! isPending)
+                return false;
+            expiries_.erase ({ record.expiresAt, outcome.key });
+            claims_.erase (held);
+            return true;
+        case ClaimOutcome::kUnknown:
+            if (! isPending)
+                return false;
+            break;
+        case ClaimOutcome::kRan:
+            if (! isPending && ! isUnknown)
+                return false;
+            break;
+    }
+    record.outcome = outcome.outcome;
+    record.httpStatus = outcome.httpStatus;
+    return true;
 }
 
-void ClaimTable::expire(base::UnixMilliseconds now) {
-  while (!expiries_.empty() && expiries_.begin()->first < now) {
-    claims_.erase(expiries_.begin()->second);
-    expiries_.erase(expiries_.begin());
-  }
+void ClaimTable::expire (base::UnixMilliseconds now)
+{
+    while (! expiries_.empty() && expiries_.begin()->first < now)
+    {
+        claims_.erase (expiries_.begin()->second);
+        expiries_.erase (expiries_.begin());
+    }
 }
 
-const ClaimRecord* ClaimTable::find(const base::IdempotencyKey& key) const {
-  const auto found = claims_.find(key);
-  return found == claims_.end() ? nullptr : &found->second;
+const ClaimRecord* ClaimTable::find (const base::IdempotencyKey& key) const
+{
+    const auto found = claims_.find (key);
+    return found == claims_.end() ? nullptr : &found->second;
 }
 
 }  // namespace fernlift::cell
--- a/src/cell/ClaimTableTest.cpp
+++ b/src/cell/ClaimTableTest.cpp
@@ -4,144 +4,170 @@
 #include "cell/CellTestSupport.h"
 #include "cell/ClaimTable.h"
 
-namespace fernlift::cell {
-namespace {
+namespace fernlift::cell
+{
+namespace
+{
 
 using enum ClaimVerdict;
 
 constexpr base::UnixMilliseconds kNow = 1000;
 constexpr base::UnixMilliseconds kExpiry = 5000;
 
-Claim claimOf(const std::string& key, const std::string& request,
-              base::UnixMilliseconds expiresAt = kExpiry, const std::string& digest = "digest") {
-  return {base::IdempotencyKey(key), digest, base::RouterId("router"), base::RequestId(request),
-          expiresAt};
+Claim claimOf (const std::string& key, const std::string& request,
+               base::UnixMilliseconds expiresAt = kExpiry, const std::string& digest = "digest")
+{
+    return { base::IdempotencyKey (key), digest, base::RouterId ("router"),
+             base::RequestId (request), expiresAt };
 }
 
-OutcomeRecord outcomeOf(const std::string& key, const std::string& request, ClaimOutcome outcome,
-                        std::int32_t status = 0) {
-  return {base::IdempotencyKey(key), base::RequestId(request), outcome, status};
+OutcomeRecord outcomeOf (const std::string& key, const std::string& request, ClaimOutcome outcome,
+                         std::int32_t status = 0)
+{
+    return { base::IdempotencyKey (key), base::RequestId (request), outcome, status };
 }
 
-class ClaimTableTest : public ::testing::Test {
- protected:
-  ClaimVerdict claim(const Claim& claim, base::UnixMilliseconds now = kNow) {
-    table_.expire(now);
-    return table_.claim(claim, now).verdict;
-  }
-  ClaimTable table_;
+class ClaimTableTest : public ::testing::Test
+{
+protected:
+    ClaimVerdict claim (const Claim& claim, base::UnixMilliseconds now = kNow)
+    {
+        table_.expire (now);
+        return table_.claim (claim, now).verdict;
+    }
+    ClaimTable table_;
 };
 
-TEST_F(ClaimTableTest, SameClaimAgainGetsTheSameVerdict) {
-  EXPECT_EQ(claim(claimOf("k", "first")), kGranted);
-  EXPECT_EQ(claim(claimOf("k", "first")), kGranted);
-  EXPECT_EQ(claim(claimOf("k", "second")), kInProgress);
-  EXPECT_EQ(claim(claimOf("k", "second")), kInProgress);
-  EXPECT_EQ(claim(claimOf("k", "first", kExpiry, "other")), kConflict);
-  Claim otherRouter = claimOf("k", "first");
-  otherRouter.router = base::RouterId("other");
-  EXPECT_EQ(claim(otherRouter), kInProgress);
+TEST_F (ClaimTableTest, SameClaimAgainGetsTheSameVerdict)
+{
+    EXPECT_EQ (claim (claimOf ("k", "first")), kGranted);
+    EXPECT_EQ (claim (claimOf ("k", "first")), kGranted);
+    EXPECT_EQ (claim (claimOf ("k", "second")), kInProgress);
+    EXPECT_EQ (claim (claimOf ("k", "second")), kInProgress);
+    EXPECT_EQ (claim (claimOf ("k", "first", kExpiry, "other")), kConflict);
+    Claim otherRouter = claimOf ("k", "first");
+    otherRouter.router = base::RouterId ("other");
+    EXPECT_EQ (claim (otherRouter), kInProgress);
 }
 
-TEST_F(ClaimTableTest, OutcomeDecidesLaterVerdicts) {
-  claim(claimOf("ran", "first"));
-  claim(claimOf("lost", "first"));
-  claim(claimOf("free", "first"));
-  table_.record(outcomeOf("ran", "first", ClaimOutcome::kRan, 201));
-  table_.record(outcomeOf("lost", "first", ClaimOutcome::kUnknown));
-  table_.record(outcomeOf("free", "first", ClaimOutcome::kNotRun));
-  const ClaimAnswer answer = table_.claim(claimOf("ran", "second"), kNow);
-  EXPECT_EQ(answer.verdict, kAlreadyRan);
-  EXPECT_EQ(answer.httpStatus, 201);
-  EXPECT_EQ(claim(claimOf("lost", "second")), kOutcomeUnknown);
-  EXPECT_EQ(claim(claimOf("free", "second")), kGranted);
-  // A late outcome of the request that gave the key back does not touch its next holder.
-  EXPECT_FALSE(table_.record(outcomeOf("free", "first", ClaimOutcome::kNotRun)));
-  EXPECT_EQ(claim(claimOf("free", "third")), kInProgress);
+TEST_F (ClaimTableTest, OutcomeDecidesLaterVerdicts)
+{
+    claim (claimOf ("ran", "first"));
+    claim (claimOf ("lost", "first"));
+    claim (claimOf ("free", "first"));
+    table_.record (outcomeOf ("ran", "first", ClaimOutcome::kRan, 201));
+    table_.record (outcomeOf ("lost", "first", ClaimOutcome::kUnknown));
+    table_.record (outcomeOf ("free", "first", ClaimOutcome::kNotRun));
+    const ClaimAnswer answer = table_.claim (claimOf ("ran", "second"), kNow);
+    EXPECT_EQ (answer.verdict, kAlreadyRan);
+    EXPECT_EQ (answer.httpStatus, 201);
+    EXPECT_EQ (claim (claimOf ("lost", "second")), kOutcomeUnknown);
+    EXPECT_EQ (claim (claimOf ("free", "second")), kGranted);
+    // A late outcome of the request that gave the key back does not touch its next holder.
+    EXPECT_FALSE (table_.record (outcomeOf ("free", "first", ClaimOutcome::kNotRun)));
+    EXPECT_EQ (claim (claimOf ("free", "third")), kInProgress);
 }
 
-TEST_F(ClaimTableTest, OutcomesOnlyGrowMoreCertain) {
-  claim(claimOf("k", "first"));
-  EXPECT_FALSE(table_.record(outcomeOf("k", "second", ClaimOutcome::kNotRun)));
-  EXPECT_TRUE(table_.record(outcomeOf("k", "first", ClaimOutcome::kUnknown)));
-  EXPECT_FALSE(table_.record(outcomeOf("k", "first", ClaimOutcome::kNotRun)));
-  EXPECT_TRUE(table_.record(outcomeOf("k", "first", ClaimOutcome::kRan, 200)));
-  EXPECT_FALSE(table_.record(outcomeOf("k", "first", ClaimOutcome::kUnknown)));
-  EXPECT_EQ(claim(claimOf("k", "second")), kAlreadyRan);
+TEST_F (ClaimTableTest, OutcomesOnlyGrowMoreCertain)
+{
+    claim (claimOf ("k", "first"));
+    EXPECT_FALSE (table_.record (outcomeOf ("k", "second", ClaimOutcome::kNotRun)));
+    EXPECT_TRUE (table_.record (outcomeOf ("k", "first", ClaimOutcome::kUnknown)));
+    EXPECT_FALSE (table_.record (outcomeOf ("k", "first", ClaimOutcome::kNotRun)));
+    EXPECT_TRUE (table_.record (outcomeOf ("k", "first", ClaimOutcome::kRan, 200)));
+    EXPECT_FALSE (table_.record (outcomeOf ("k", "first", ClaimOutcome::kUnknown)));
+    EXPECT_EQ (claim (claimOf ("k", "second")), kAlreadyRan);
 }
 
-TEST_F(ClaimTableTest, ClaimOutsideTheWindowIsRefused) {
-  EXPECT_EQ(claim(claimOf("late", "first", kNow - 1)), kWindowPassed);
-  EXPECT_EQ(claim(claimOf("far", "first", kNow + ClaimTable::kMaximumLifetime + 1)), kWindowPassed);
-  EXPECT_EQ(claim(claimOf("edge", "first", kNow)), kGranted);
-  EXPECT_EQ(table_.size(), 1U);
+TEST_F (ClaimTableTest, ClaimOutsideTheWindowIsRefused)
+{
+    EXPECT_EQ (claim (claimOf ("late", "first", kNow - 1)), kWindowPassed);
+    EXPECT_EQ (claim (claimOf ("far", "first", kNow + ClaimTable::kMaximumLifetime + 1)),
+               kWindowPassed);
+    EXPECT_EQ (claim (claimOf ("edge", "first", kNow)), kGranted);
+    EXPECT_EQ (table_.size(), 1U);
 }
 
-TEST_F(ClaimTableTest, KeyLivesUntilItsExpiryAndNoLonger) {
-  claim(claimOf("k", "first"));
-  EXPECT_EQ(claim(claimOf("k", "second"), kExpiry), kInProgress);
-  EXPECT_EQ(claim(claimOf("k", "second", kExpiry + 10), kExpiry + 1), kGranted);
-  EXPECT_EQ(table_.size(), 1U);
+TEST_F (ClaimTableTest, KeyLivesUntilItsExpiryAndNoLonger)
+{
+    claim (claimOf ("k", "first"));
+    EXPECT_EQ (claim (claimOf ("k", "second"), kExpiry), kInProgress);
+    EXPECT_EQ (claim (claimOf ("k", "second", kExpiry + 10), kExpiry + 1), kGranted);
+    EXPECT_EQ (table_.size(), 1U);
 }
 
-TEST_F(ClaimTableTest, MemoryIsBounded) {
-  const std::string longKey(ClaimTable::kMaximumKeyBytes + 1, 'k');
-  EXPECT_EQ(claim(claimOf(longKey, "first")), kWindowPassed);
-  Claim longFields = claimOf("k", std::string(ClaimTable::kMaximumFieldBytes + 1, 'r'));
-  EXPECT_EQ(claim(longFields), kWindowPassed);
-  for (std::size_t number = 0; number < ClaimTable::kMaximumKeys; ++number) {
-    table_.claim(claimOf(std::to_string(number), "first", kExpiry + (number == 0 ? 0 : 1)), kNow);
-  }
-  ASSERT_EQ(table_.size(), ClaimTable::kMaximumKeys);
-  EXPECT_EQ(claim(claimOf("one more", "first")), kTableFull);
-  EXPECT_EQ(claim(claimOf("1", "first")), kGranted) << "a held key still gets its verdict";
-  EXPECT_EQ(claim(claimOf("one more", "first", kExpiry + 9), kExpiry + 1), kGranted);
+TEST_F (ClaimTableTest, MemoryIsBounded)
+{
+    const std::string longKey (ClaimTable::kMaximumKeyBytes + 1, 'k');
+    EXPECT_EQ (claim (claimOf (longKey, "first")), kWindowPassed);
+    Claim longFields = claimOf ("k", std::string (ClaimTable::kMaximumFieldBytes + 1, 'r'));
+    EXPECT_EQ (claim (longFields), kWindowPassed);
+    for (std::size_t number = 0; number < ClaimTable::kMaximumKeys; ++number)
+    {
+        table_.claim (claimOf (std::to_string (number), "first", kExpiry + (number == 0 ? 0 : 1)),
+                      kNow);
+    }
+    ASSERT_EQ (table_.size(), ClaimTable::kMaximumKeys);
+    EXPECT_EQ (claim (claimOf ("one more", "first")), kTableFull);
+    EXPECT_EQ (claim (claimOf ("1", "first")), kGranted) << "a held key still gets its verdict";
+    EXPECT_EQ (claim (claimOf ("one more", "first", kExpiry + 9), kExpiry + 1), kGranted);
 }
 
 /// Runs claims, outcomes and restarts from a snapshot; true when two requests got the same key
 /// without the first giving it back or its time running out.
-bool grantsTwice(PlantedFault fault, const std::vector<std::uint32_t>& words) {
-  CellState state(&test::parseTestCatalogue, fault);
-  std::map<base::IdempotencyKey, Claim> holders;
-  base::LogIndex index = 0;
-  base::UnixMilliseconds at = test::kStart;
-  for (const std::uint32_t word : words) {
-    at += word % 10;
-    if (word % 7 == 0) {
-      const std::string bytes = state.encode();
-      if (!state.restore(bytes)) return true;
-    }
-    // Only claims and outcomes: kinds 13 to 15 of commandFrom().
-    const Command command = test::commandFrom(word / 24 * 24 + 13 + word % 3, state, at);
-    const ApplyResult result = state.apply(++index, command);
-    if (const auto* outcomes = std::get_if<RecordOutcomes>(&command)) {
-      const OutcomeRecord& outcome = outcomes->outcomes.front();
-      const auto held = holders.find(outcome.key);
-      const bool isOver = std::get<ChangeResult>(result).changed && held != holders.end();
-      if (isOver && outcome.outcome == ClaimOutcome::kNotRun) holders.erase(held);
-      continue;
+bool grantsTwice (PlantedFault fault, const std::vector<std::uint32_t>& words)
+{
+    CellState state (&test::parseTestCatalogue, fault);
+    std::map<base::IdempotencyKey, Claim> holders;
+    base::LogIndex index = 0;
+    base::UnixMilliseconds at = test::kStart;
+    for (const std::uint32_t word : words)
+    {
+        at += word % 10;
+        if (word % 7 == 0)
+        {
+            const std::string bytes = state.encode();
+            if (! state.restore (bytes))
+                return true;
+        }
+        // Only claims and outcomes: kinds 13 to 15 of commandFrom().
+        const Command command = test::commandFrom (word / 24 * 24 + 13 + word % 3, state, at);
+        const ApplyResult result = state.apply (++index, command);
+        if (const auto* outcomes = std::get_if<RecordOutcomes> (&command))
+        {
+            const OutcomeRecord& outcome = outcomes->outcomes.front();
+            const auto held = holders.find (outcome.key);
+            const bool isOver = std::get<ChangeResult> (result).changed && held != holders.end();
+            if (isOver && outcome.outcome == ClaimOutcome::kNotRun)
+                holders.erase (held);
+            continue;
+        }
+        const Claim& claim = std::get<ClaimKeys> (command).claims.front();
+        if (std::get<ClaimResult> (result).answers.front().verdict != kGranted)
+            continue;
+        const auto held = holders.find (claim.key);
+        const bool isHeld = held != holders.end() && held->second.expiresAt >= state.time();
+        if (isHeld && held->second.request != claim.request)
+            return true;
+        if (! isHeld)
+            holders.insert_or_assign (claim.key, claim);
     }
-    const Claim& claim = std::get<ClaimKeys>(command).claims.front();
-    if (std::get<ClaimResult>(result).answers.front().verdict != kGranted) continue;
-    const auto held = holders.find(claim.key);
-    const bool isHeld = held != holders.end() && held->second.expiresAt >= state.time();
-    if (isHeld && held->second.request != claim.request) return true;
-    if (!isHeld) holders.insert_or_assign(claim.key, claim);
-  }
-  return false;
+    return false;
 }
 
-RC_GTEST_PROP(ClaimTablePropertyTest, KeyIsGrantedToOneRequestAtATime, ()) {
-  const auto words = *rc::gen::resize(300, rc::gen::container<std::vector<std::uint32_t>>(
-                                               rc::gen::inRange<std::uint32_t>(0, 1U << 31)));
-  RC_ASSERT(!grantsTwice(PlantedFault::kNone, words));
+RC_GTEST_PROP (ClaimTablePropertyTest, KeyIsGrantedToOneRequestAtATime, ())
+{
+    const auto words = *rc::gen::resize (300, rc::gen::container<std::vector<std::uint32_t>> (
+                                                  rc::gen::inRange<std::uint32_t> (0, 1U << 31)));
+    RC_ASSERT (! grantsTwice (PlantedFault::kNone, words));
 }
 
-TEST(ClaimTableSequencesTest, CatchesClaimsMissingFromSnapshots) {
-  base::Random random(20261202);
-  const std::vector<std::uint32_t> words = test::randomWords(random, 500);
-  EXPECT_FALSE(grantsTwice(PlantedFault::kNone, words));
-  EXPECT_TRUE(grantsTwice(PlantedFault::kClaimsNotSnapshotted, words));
+TEST (ClaimTableSequencesTest, CatchesClaimsMissingFromSnapshots)
+{
+    base::Random random (20261202);
+    const std::vector<std::uint32_t> words = test::randomWords (random, 500);
+    EXPECT_FALSE (grantsTwice (PlantedFault::kNone, words));
+    EXPECT_TRUE (grantsTwice (PlantedFault::kClaimsNotSnapshotted, words));
 }
 
 }  // namespace
--- a/src/cell/ConfigurationState.h
+++ b/src/cell/ConfigurationState.h
@@ -14,68 +14,77 @@
 #include "cell/PlantedFault.h"
 #include "config/Catalogue.h"
 
-namespace fernlift::cell {
+namespace fernlift::cell
+{
 
 /// What became of a proposed configuration.
-enum class ConfigurationOutcome : std::uint8_t {
-  kAccepted,   ///< It is now in force.
-  kUnchanged,  ///< Version and digest equal those in force: the earlier answer again.
-  kConflict,   ///< Another file with this version was accepted before.
-  kStale,      ///< The version is lower than the one in force.
-  kInvalid,    ///< The text does not parse or does not carry the stated version and digest.
+enum class ConfigurationOutcome : std::uint8_t
+{
+    kAccepted,   ///< It is now in force.
+    kUnchanged,  ///< Version and digest equal those in force: the earlier answer again.
+    kConflict,   ///< Another file with this version was accepted before.
+    kStale,      ///< The version is lower than the one in force.
+    kInvalid,    ///< The text does not parse or does not carry the stated version and digest.
 };
 
 /// Identity of a configuration in force.
-struct ConfigurationIdentity {
-  std::uint64_t version = 0;  ///< 0: none accepted yet.
-  std::string digest;
-  base::UnixMilliseconds acceptedAt = 0;
-  base::LogIndex acceptedIndex = 0;
-
-  bool operator==(const ConfigurationIdentity&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& version& digest& acceptedAt& acceptedIndex;
-  }
+struct ConfigurationIdentity
+{
+    std::uint64_t version = 0;  ///< 0: none accepted yet.
+    std::string digest;
+    base::UnixMilliseconds acceptedAt = 0;
+    base::LogIndex acceptedIndex = 0;
+
+    bool operator== (const ConfigurationIdentity&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& version& digest& acceptedAt& acceptedIndex;
+    }
 };
 
 /// Answer to ApplyConfiguration; `inForce` names the winner.
-struct ConfigurationResult {
-  ConfigurationOutcome outcome = ConfigurationOutcome::kInvalid;
-  ConfigurationIdentity inForce;
+struct ConfigurationResult
+{
+    ConfigurationOutcome outcome = ConfigurationOutcome::kInvalid;
+    ConfigurationIdentity inForce;
 
-  bool operator==(const ConfigurationResult&) const = default;
+    bool operator== (const ConfigurationResult&) const = default;
 };
 
 /// Parses a catalogue file; replaceable so that tests can build catalogues in code.
-using CatalogueParser = config::CatalogueOutcome (*)(std::string_view text);
+using CatalogueParser = config::CatalogueOutcome (*) (std::string_view text);
 
 /// The configuration in force, as text and parsed.
-class ConfigurationState {
- public:
-  explicit ConfigurationState(CatalogueParser parser, PlantedFault fault = PlantedFault::kNone)
-      : parser_(parser), fault_(fault) {}
-
-  ConfigurationResult apply(base::LogIndex index, const ApplyConfiguration& command);
-
-  [[nodiscard]] const ConfigurationIdentity& identity() const { return identity_; }
-  [[nodiscard]] const std::string& text() const { return text_; }
-  /// The parsed file; null while none is in force.
-  [[nodiscard]] const config::Catalogue* catalogue() const {
-    return catalogue_ ? &*catalogue_ : nullptr;
-  }
-
-  /// Replaces the state with a stored one. Returns false when the text does not parse.
-  bool restore(ConfigurationIdentity identity, std::string text);
-
- private:
-  [[nodiscard]] bool isSameFile(const ApplyConfiguration& command) const;
-
-  CatalogueParser parser_;
-  PlantedFault fault_;
-  ConfigurationIdentity identity_;
-  std::string text_;
-  std::optional<config::Catalogue> catalogue_;
+class ConfigurationState
+{
+public:
+    explicit ConfigurationState (CatalogueParser parser, PlantedFault fault = PlantedFault::kNone)
+        : parser_ (parser), fault_ (fault)
+    {
+    }
+
+    ConfigurationResult apply (base::LogIndex index, const ApplyConfiguration& command);
+
+    [[nodiscard]] const ConfigurationIdentity& identity() const { return identity_; }
+    [[nodiscard]] const std::string& text() const { return text_; }
+    /// The parsed file; null while none is in force.
+    [[nodiscard]] const config::Catalogue* catalogue() const
+    {
+        return catalogue_ ? &*catalogue_ : nullptr;
+    }
+
+    /// Replaces the state with a stored one. Returns false when the text does not parse.
+    bool restore (ConfigurationIdentity identity, std::string text);
+
+private:
+    [[nodiscard]] bool isSameFile (const ApplyConfiguration& command) const;
+
+    CatalogueParser parser_;
+    PlantedFault fault_;
+    ConfigurationIdentity identity_;
+    std::string text_;
+    std::optional<config::Catalogue> catalogue_;
 };
 
 }  // namespace fernlift::cell
--- a/src/cell/ConfigurationStateTest.cpp
+++ b/src/cell/ConfigurationStateTest.cpp
@@ -4,85 +4,101 @@
 #include "cell/CellTestSupport.h"
 #include "cell/ConfigurationState.h"
 
-namespace fernlift::cell {
-namespace {
+namespace fernlift::cell
+{
+namespace
+{
 
 using test::configurationOf;
 using test::kStart;
 using enum ConfigurationOutcome;
 
-class ConfigurationStateTest : public ::testing::Test {
- protected:
-  explicit ConfigurationStateTest(PlantedFault fault = PlantedFault::kNone)
-      : state_(&test::parseTestCatalogue, fault) {}
+class ConfigurationStateTest : public ::testing::Test
+{
+protected:
+    explicit ConfigurationStateTest (PlantedFault fault = PlantedFault::kNone)
+        : state_ (&test::parseTestCatalogue, fault)
+    {
+    }
 
-  ConfigurationResult apply(std::uint64_t version, const std::string& note,
-                            base::UnixMilliseconds at = kStart) {
-    return state_.apply(++index_, configurationOf(version, note, at));
-  }
+    ConfigurationResult apply (std::uint64_t version, const std::string& note,
+                               base::UnixMilliseconds at = kStart)
+    {
+        return state_.apply (++index_, configurationOf (version, note, at));
+    }
 
-  ConfigurationState state_;
-  base::LogIndex index_ = 0;
+    ConfigurationState state_;
+    base::LogIndex index_ = 0;
 };
 
-class ConfigurationByVersionOnlyTest : public ConfigurationStateTest {
- protected:
-  ConfigurationByVersionOnlyTest()
-      : ConfigurationStateTest(PlantedFault::kConfigurationByVersionOnly) {}
+class ConfigurationByVersionOnlyTest : public ConfigurationStateTest
+{
+protected:
+    ConfigurationByVersionOnlyTest()
+        : ConfigurationStateTest (PlantedFault::kConfigurationByVersionOnly)
+    {
+    }
 };
 
-TEST_F(ConfigurationStateTest, SameFileAgainGetsTheEarlierAnswer) {
-  const ConfigurationResult first = apply(3, "file");
-  EXPECT_EQ(first.outcome, kAccepted);
-  const ConfigurationResult again = apply(3, "file", kStart + 1000);
-  EXPECT_EQ(again.outcome, kUnchanged);
-  EXPECT_EQ(again.inForce, first.inForce);
-  EXPECT_EQ(again.inForce.acceptedAt, kStart);
-  EXPECT_EQ(again.inForce.acceptedIndex, 1U);
+TEST_F (ConfigurationStateTest, SameFileAgainGetsTheEarlierAnswer)
+{
+    const ConfigurationResult first = apply (3, "file");
+    EXPECT_EQ (first.outcome, kAccepted);
+    const ConfigurationResult again = apply (3, "file", kStart + 1000);
+    EXPECT_EQ (again.outcome, kUnchanged);
+    EXPECT_EQ (again.inForce, first.inForce);
+    EXPECT_EQ (again.inForce.acceptedAt, kStart);
+    EXPECT_EQ (again.inForce.acceptedIndex, 1U);
 }
 
-TEST_F(ConfigurationStateTest, ConflictNamesTheWinner) {
-  const ConfigurationResult winner = apply(3, "file");
-  const ConfigurationResult loser = apply(3, "other", kStart + 5);
-  EXPECT_EQ(loser.outcome, kConflict);
-  EXPECT_EQ(loser.inForce.digest, base::sha256Hex("3 file"));
-  EXPECT_EQ(loser.inForce.acceptedAt, kStart);
-  EXPECT_EQ(state_.identity(), winner.inForce);
-  EXPECT_EQ(state_.text(), "3 file");
+TEST_F (ConfigurationStateTest, ConflictNamesTheWinner)
+{
+    const ConfigurationResult winner = apply (3, "file");
+    const ConfigurationResult loser = apply (3, "other", kStart + 5);
+    EXPECT_EQ (loser.outcome, kConflict);
+    EXPECT_EQ (loser.inForce.digest, base::sha256Hex ("3 file"));
+    EXPECT_EQ (loser.inForce.acceptedAt, kStart);
+    EXPECT_EQ (state_.identity(), winner.inForce);
+    EXPECT_EQ (state_.text(), "3 file");
 }
 
-TEST_F(ConfigurationByVersionOnlyTest, IsNoticedByTheConflict) {
-  apply(3, "file");
-  EXPECT_EQ(apply(3, "other").outcome, kUnchanged) << "the planted fault shows no longer";
+TEST_F (ConfigurationByVersionOnlyTest, IsNoticedByTheConflict)
+{
+    apply (3, "file");
+    EXPECT_EQ (apply (3, "other").outcome, kUnchanged) << "the planted fault shows no longer";
 }
 
-TEST_F(ConfigurationStateTest, LowerVersionIsStaleEvenWhenItWasInForce) {
-  apply(3, "file");
-  apply(4, "file");
-  const ConfigurationResult stale = apply(3, "file");
-  EXPECT_EQ(stale.outcome, kStale);
-  EXPECT_EQ(stale.inForce.version, 4U);
-  EXPECT_EQ(state_.catalogue()->version, 4U);
+TEST_F (ConfigurationStateTest, LowerVersionIsStaleEvenWhenItWasInForce)
+{
+    apply (3, "file");
+    apply (4, "file");
+    const ConfigurationResult stale = apply (3, "file");
+    EXPECT_EQ (stale.outcome, kStale);
+    EXPECT_EQ (stale.inForce.version, 4U);
+    EXPECT_EQ (state_.catalogue()->version, 4U);
 }
 
-TEST_F(ConfigurationStateTest, NothingIsAppliedByHalf) {
-  apply(3, "file");
-  ApplyConfiguration otherDigest = configurationOf(4, "file", kStart);
-  otherDigest.digest = base::sha256Hex("something else");
-  ApplyConfiguration otherVersion = configurationOf(5, "file", kStart);
-  otherVersion.version = 6;
-  ApplyConfiguration unreadable{7, base::sha256Hex("no number"), "no number", kStart};
-  for (const ApplyConfiguration& command : {otherDigest, otherVersion, unreadable}) {
-    EXPECT_EQ(state_.apply(++index_, command).outcome, kInvalid);
-    EXPECT_EQ(state_.identity().version, 3U);
-    EXPECT_EQ(state_.text(), "3 file");
-    EXPECT_EQ(*state_.catalogue(), test::catalogueOf(3));
-  }
+TEST_F (ConfigurationStateTest, NothingIsAppliedByHalf)
+{
+    apply (3, "file");
+    ApplyConfiguration otherDigest = configurationOf (4, "file", kStart);
+    otherDigest.digest = base::sha256Hex ("something else");
+    ApplyConfiguration otherVersion = configurationOf (5, "file", kStart);
+    otherVersion.version = 6;
+    ApplyConfiguration unreadable{ 7, base::sha256Hex ("no number"), "no number", kStart };
+    for (const ApplyConfiguration& command : { otherDigest, otherVersion, unreadable })
+    {
+        EXPECT_EQ (state_.apply (++index_, command).outcome, kInvalid);
+        EXPECT_EQ (state_.identity().version, 3U);
+        EXPECT_EQ (state_.text(), "3 file");
+        EXPECT_EQ (*state_.catalogue(), test::catalogueOf (3));
+    }
 }
 
-TEST_F(ConfigurationStateTest, VersionZeroIsNeverInForce) {
-  EXPECT_EQ(apply(0, "file").outcome, kInvalid);
-  EXPECT_EQ(state_.catalogue(), nullptr);
+TEST_F (ConfigurationStateTest, VersionZeroIsNeverInForce)
+{
+    EXPECT_EQ (apply (0, "file").outcome, kInvalid);
+    EXPECT_EQ (state_.catalogue(), nullptr);
 }
 
 }  // namespace
--- a/src/cell/DecisionJournal.cpp
+++ b/src/cell/DecisionJournal.cpp
@@ -2,34 +2,40 @@
 
 #include <utility>
 
-namespace fernlift::cell {
+namespace fernlift::cell
+{
 
-std::string_view nameOf(DecisionKind kind) {
-  switch (kind) {
-    case DecisionKind::kConfiguration:
-      return "configuration";
-    case DecisionKind::kRunnerObserved:
-      return "runner_observed";
-    case DecisionKind::kRunnerRemoved:
-      return "runner_removed";
-    case DecisionKind::kDraining:
-      return "draining";
-    case DecisionKind::kLoad:
-      return "load";
-    case DecisionKind::kUnload:
-      return "unload";
-    case DecisionKind::kReady:
-      return "ready";
-    case DecisionKind::kReleased:
-      return "released";
-  }
-  return "unknown";
+std::string_view nameOf (DecisionKind kind)
+{
+    switch (kind)
+    {
+        case DecisionKind::kConfiguration:
+            return "configuration";
+        case DecisionKind::kRunnerObserved:
+            return "runner_observed";
+        case DecisionKind::kRunnerRemoved:
+            return "runner_removed";
+        case DecisionKind::kDraining:
+            return "draining";
+        case DecisionKind::kLoad:
+            return "load";
+        case DecisionKind::kUnload:
+            return "unload";
+        case DecisionKind::kReady:
+            return "ready";
+        case DecisionKind::kReleased:
+            return "released";
+    }
+    return "unknown";
 }
 
-void DecisionJournal::add(DecisionRecord record) {
-  if (record.reason.size() > kMaximumReasonBytes) record.reason.resize(kMaximumReasonBytes);
-  records_.push_back(std::move(record));
-  if (records_.size() > kMaximumRecords) records_.pop_front();
+void DecisionJournal::add (DecisionRecord record)
+{
+    if (record.reason.size() > kMaximumReasonBytes)
+        record.reason.resize (kMaximumReasonBytes);
+    records_.push_back (std::move (record));
+    if (records_.size() > kMaximumRecords)
+        records_.pop_front();
 }
 
 }  // namespace fernlift::cell
--- a/src/cell/DecisionJournal.h
+++ b/src/cell/DecisionJournal.h
@@ -12,56 +12,62 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 
-namespace fernlift::cell {
+namespace fernlift::cell
+{
 
-enum class DecisionKind : std::uint8_t {
-  kConfiguration,
-  kRunnerObserved,
-  kRunnerRemoved,
-  kDraining,
-  kLoad,
-  kUnload,
-  kReady,
-  kReleased,
+enum class DecisionKind : std::uint8_t
+{
+    kConfiguration,
+    kRunnerObserved,
+    kRunnerRemoved,
+    kDraining,
+    kLoad,
+    kUnload,
+    kReady,
+    kReleased,
 };
-[[nodiscard]] std::string_view nameOf(DecisionKind kind);
+[[nodiscard]] std::string_view nameOf (DecisionKind kind);
 
 /// One decision and what became of it.
-struct DecisionRecord {
-  base::LogIndex index = 0;
-  base::UnixMilliseconds at = 0;
-  DecisionKind kind = DecisionKind::kConfiguration;
-  std::string target;  ///< Model or adapter; empty when the decision is about none.
-  base::RunnerId runner;
-  base::ReplicaId replica = 0;
-  std::string outcome;  ///< "granted" or the refusal.
-  std::string reason;   ///< Why it was proposed.
+struct DecisionRecord
+{
+    base::LogIndex index = 0;
+    base::UnixMilliseconds at = 0;
+    DecisionKind kind = DecisionKind::kConfiguration;
+    std::string target;  ///< Model or adapter; empty when the decision is about none.
+    base::RunnerId runner;
+    base::ReplicaId replica = 0;
+    std::string outcome;  ///< "granted" or the refusal.
+    std::string reason;   ///< Why it was proposed.
 
-  bool operator==(const DecisionRecord&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& index& at& kind& target& runner& replica& outcome& reason;
-  }
+    bool operator== (const DecisionRecord&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& index& at& kind& target& runner& replica& outcome& reason;
+    }
 };
 
 /// Bounded list of records, oldest first.
-class DecisionJournal {
- public:
-  static constexpr std::size_t kMaximumRecords = 2000;
-  /// A longer reason is cut.
-  static constexpr std::size_t kMaximumReasonBytes = 1000;
+class DecisionJournal
+{
+public:
+    static constexpr std::size_t kMaximumRecords = 2000;
+    /// A longer reason is cut.
+    static constexpr std::size_t kMaximumReasonBytes = 1000;
 
-  void add(DecisionRecord record);
-  [[nodiscard]] const std::deque<DecisionRecord>& records() const { return records_; }
+    void add (DecisionRecord record);
+    [[nodiscard]] const std::deque<DecisionRecord>& records() const { return records_; }
 
-  bool operator==(const DecisionJournal&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& records_;
-  }
+    bool operator== (const DecisionJournal&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& records_;
+    }
 
- private:
-  std::deque<DecisionRecord> records_;
+private:
+    std::deque<DecisionRecord> records_;
 };
 
 }  // namespace fernlift::cell
--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -14,146 +14,169 @@
 #include "cell/Commands.h"
 #include "consensus/Messages.h"
 
-namespace fernlift::cell {
+namespace fernlift::cell
+{
 
 /// First message of a router on a new connection.
-struct RouterHello {
-  base::RouterId router;
-  base::CellId cell;
-  base::ZoneName zone;
-  std::string address;                     ///< "ip:port" of its HTTP interface.
-  std::uint64_t configurationVersion = 0;  ///< 0: none yet.
-  std::string configurationDigest;
-  base::Term replicaTableTerm = 0;        ///< Of the leader that sent the replica table held.
-  std::uint64_t replicaTableVersion = 0;  ///< 0: no table is held.
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& router& cell& zone& address& configurationVersion& configurationDigest&
-        replicaTableTerm& replicaTableVersion;
-  }
+struct RouterHello
+{
+    base::RouterId router;
+    base::CellId cell;
+    base::ZoneName zone;
+    std::string address;                     ///< "ip:port" of its HTTP interface.
+    std::uint64_t configurationVersion = 0;  ///< 0: none yet.
+    std::string configurationDigest;
+    base::Term replicaTableTerm = 0;        ///< Of the leader that sent the replica table held.
+    std::uint64_t replicaTableVersion = 0;  ///< 0: no table is held.
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& router& cell& zone& address& configurationVersion& configurationDigest&
+            replicaTableTerm& replicaTableVersion;
+    }
 };
 
 /// Asks for a lease on the configuration; sent every third of the lease's length.
-struct LeaseRequest {
-  std::uint64_t sequence = 0;
-  std::uint64_t configurationVersion = 0;  ///< In force at the router.
-  std::string configurationDigest;
-  std::uint64_t replicaTableVersion = 0;  ///< Last ReplicaUpdate applied.
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& configurationVersion& configurationDigest& replicaTableVersion;
-  }
+struct LeaseRequest
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t configurationVersion = 0;  ///< In force at the router.
+    std::string configurationDigest;
+    std::uint64_t replicaTableVersion = 0;  ///< Last ReplicaUpdate applied.
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& sequence& configurationVersion& configurationDigest& replicaTableVersion;
+    }
 };
 
 /// Requests that wait at one router for one model, adapter included; absolute, not a difference.
-struct Demand {
-  std::string target;  ///< Model or adapter name.
-  std::uint32_t waiting = 0;
-  std::uint32_t running = 0;
-  int mostUrgent = 9;          ///< Smallest urgency among the waiting.
-  std::uint32_t arrivals = 0;  ///< Since the router's previous report of this target.
-  std::int64_t oldestWaitMilliseconds = 0;
-  std::int64_t nearestDeadlineMilliseconds = 0;  ///< From now; of the waiting.
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& target& waiting& running& mostUrgent& arrivals& oldestWaitMilliseconds&
-        nearestDeadlineMilliseconds;
-  }
+struct Demand
+{
+    std::string target;  ///< Model or adapter name.
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    int mostUrgent = 9;          ///< Smallest urgency among the waiting.
+    std::uint32_t arrivals = 0;  ///< Since the router's previous report of this target.
+    std::int64_t oldestWaitMilliseconds = 0;
+    std::int64_t nearestDeadlineMilliseconds = 0;  ///< From now; of the waiting.
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& target& waiting& running& mostUrgent& arrivals& oldestWaitMilliseconds&
+            nearestDeadlineMilliseconds;
+    }
 };
 
 /// Sent at once when the first request waits for a target without a ready replica, and then at a
 /// steady interval. Holds the targets whose demand has changed much since they were last reported,
 /// those for which requests wait, and now and then the others.
-struct DemandReport {
-  std::vector<Demand> demands;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& demands;
-  }
+struct DemandReport
+{
+    std::vector<Demand> demands;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& demands;
+    }
 };
 
 /// Asks to commit claims; answered by ClaimReply with the same sequence.
-struct ClaimRequest {
-  std::uint64_t sequence = 0;
-  std::vector<Claim> claims;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& claims;
-  }
+struct ClaimRequest
+{
+    std::uint64_t sequence = 0;
+    std::vector<Claim> claims;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& sequence& claims;
+    }
 };
 
-struct OutcomeReport {
-  std::vector<OutcomeRecord> outcomes;
+struct OutcomeReport
+{
+    std::vector<OutcomeRecord> outcomes;
 
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& outcomes;
-  }
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& outcomes;
+    }
 };
 
 /// A router saw a sign that a runner is leaving (in an answer of the runner itself).
-struct RunnerLeavingSeen {
-  base::RunnerId runner;
-  base::Incarnation incarnation = 0;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& runner& incarnation;
-  }
+struct RunnerLeavingSeen
+{
+    base::RunnerId runner;
+    base::Incarnation incarnation = 0;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& runner& incarnation;
+    }
 };
 
 /// Forwarded requests for one model (and adapter) of a service at one router.
-struct EngineDemand {
-  std::string service;
-  std::string model;
-  std::string adapter;         ///< Empty: the model itself.
-  std::uint32_t waiting = 0;   ///< For a runner that holds it.
-  std::uint32_t running = 0;   ///< At runners.
-  std::uint32_t arrivals = 0;  ///< Since the router's previous report.
-
-  bool operator==(const EngineDemand&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& service& model& adapter& waiting& running& arrivals;
-  }
+struct EngineDemand
+{
+    std::string service;
+    std::string model;
+    std::string adapter;         ///< Empty: the model itself.
+    std::uint32_t waiting = 0;   ///< For a runner that holds it.
+    std::uint32_t running = 0;   ///< At runners.
+    std::uint32_t arrivals = 0;  ///< Since the router's previous report.
+
+    bool operator== (const EngineDemand&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& service& model& adapter& waiting& running& arrivals;
+    }
 };
 
 /// Sent at once when a request begins to wait, and at a steady interval while there is demand.
-struct EngineDemandReport {
-  std::vector<EngineDemand> demands;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& demands;
-  }
+struct EngineDemandReport
+{
+    std::vector<EngineDemand> demands;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& demands;
+    }
 };
 
 /// A router found that a registered runner takes no connections, or that another one answers at its
 /// address.
-struct InstanceUnreachable {
-  std::string instance;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& instance;
-  }
+struct InstanceUnreachable
+{
+    std::string instance;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& instance;
+    }
 };
 
 /// A controller that is not a voter asks to become one. Sent until it is.
-struct MemberJoinRequest {
-  base::CellId cell;
-  consensus::Member member;
-  bool isFounding = false;  ///< It starts with the cell, and replaces no other member.
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& cell& member& isFounding;
-  }
+struct MemberJoinRequest
+{
+    base::CellId cell;
+    consensus::Member member;
+    bool isFounding = false;  ///< It starts with the cell, and replaces no other member.
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& cell& member& isFounding;
+    }
 };
 
 using RouterToController =
@@ -161,185 +184,211 @@
                  RunnerLeavingSeen, EngineDemandReport, MemberJoinRequest, InstanceUnreachable>;
 
 /// This controller does not lead; try `leaderAddress` ("ip:port", empty when unknown).
-struct NotLeaderReply {
-  std::string leaderAddress;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& leaderAddress;
-  }
+struct NotLeaderReply
+{
+    std::string leaderAddress;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& leaderAddress;
+    }
 };
 
 /// The configuration in force: whole, or as a change of the one that the router was sent before.
-struct ConfigurationUpdate {
-  std::uint64_t version = 0;
-  std::string digest;
-  std::string text;  ///< Of a change: what stands between the kept parts.
-  /// 0: `text` is whole. Else the text of that version is kept but for its middle.
-  std::uint64_t baseVersion = 0;
-  std::string baseDigest{};
-  std::uint64_t keptPrefix = 0;  ///< Bytes kept at the begin.
-  std::uint64_t keptSuffix = 0;  ///< Bytes kept at the end.
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& version& digest& text& baseVersion& baseDigest& keptPrefix& keptSuffix;
-  }
+struct ConfigurationUpdate
+{
+    std::uint64_t version = 0;
+    std::string digest;
+    std::string text;  ///< Of a change: what stands between the kept parts.
+    /// 0: `text` is whole. Else the text of that version is kept but for its middle.
+    std::uint64_t baseVersion = 0;
+    std::string baseDigest{};
+    std::uint64_t keptPrefix = 0;  ///< Bytes kept at the begin.
+    std::uint64_t keptSuffix = 0;  ///< Bytes kept at the end.
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& version& digest& text& baseVersion& baseDigest& keptPrefix& keptSuffix;
+    }
 };
 
 /// The configuration named is in force until `duration` after the router SENT the request with this
 /// sequence. A router without a valid lease admits no new request.
-struct LeaseGrant {
-  std::uint64_t sequence = 0;
-  std::uint64_t configurationVersion = 0;
-  std::string configurationDigest;
-  base::Term term = 0;
-  std::int64_t durationMilliseconds = 0;
-  std::uint64_t replicaTableVersion = 0;
-  base::UnixMilliseconds cellTime = 0;  ///< Of the leader; claims expire by this clock.
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& configurationVersion& configurationDigest& term& durationMilliseconds&
-        replicaTableVersion& cellTime;
-  }
+struct LeaseGrant
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t configurationVersion = 0;
+    std::string configurationDigest;
+    base::Term term = 0;
+    std::int64_t durationMilliseconds = 0;
+    std::uint64_t replicaTableVersion = 0;
+    base::UnixMilliseconds cellTime = 0;  ///< Of the leader; claims expire by this clock.
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& sequence& configurationVersion& configurationDigest& term& durationMilliseconds&
+            replicaTableVersion& cellTime;
+    }
 };
 
 /// One replica that routers may use, or one application runner (model empty).
-struct RoutableReplica {
-  base::ReplicaId replica = 0;  ///< 0 for an application runner.
-  base::RunnerId runner;
-  base::Incarnation incarnation = 0;
-  base::ZoneName zone;
-  std::string address;  ///< "ip:port".
-  std::string target;   ///< Model, adapter or application name.
-  bool isApplication = false;
-  std::string baseModel;      ///< Adapters: the model they ride on.
-  std::uint32_t slots = 0;    ///< Requests the runner can run at once.
-  std::uint32_t load = 0;     ///< Running and waiting requests; lags, small changes are left out.
-  std::uint32_t credits = 0;  ///< Requests there at once of a router that has stated demand for it.
-  std::uint32_t entryCredits = 0;  ///< The same for a router that has not.
-
-  bool operator==(const RoutableReplica&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& replica& runner& incarnation& zone& address& target& isApplication& baseModel& slots&
-        load& credits& entryCredits;
-  }
+struct RoutableReplica
+{
+    base::ReplicaId replica = 0;  ///< 0 for an application runner.
+    base::RunnerId runner;
+    base::Incarnation incarnation = 0;
+    base::ZoneName zone;
+    std::string address;  ///< "ip:port".
+    std::string target;   ///< Model, adapter or application name.
+    bool isApplication = false;
+    std::string baseModel;    ///< Adapters: the model they ride on.
+    std::uint32_t slots = 0;  ///< Requests the runner can run at once.
+    std::uint32_t load = 0;   ///< Running and waiting requests; lags, small changes are left out.
+    std::uint32_t credits =
+        0;  ///< Requests there at once of a router that has stated demand for it.
+    std::uint32_t entryCredits = 0;  ///< The same for a router that has not.
+
+    bool operator== (const RoutableReplica&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& replica& runner& incarnation& zone& address& target& isApplication& baseModel&
+            slots& load& credits& entryCredits;
+    }
 };
 
 /// New load of a runner, for all its rows.
-struct RunnerLoad {
-  base::RunnerId runner;
-  std::uint32_t load = 0;
-
-  bool operator==(const RunnerLoad&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& runner& load;
-  }
+struct RunnerLoad
+{
+    base::RunnerId runner;
+    std::uint32_t load = 0;
+
+    bool operator== (const RunnerLoad&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& runner& load;
+    }
 };
 
 /// What the leader expects of a target without a ready replica, for Retry-After.
-struct TargetEstimate {
-  std::string target;
-  bool canBeServed = true;               ///< False: no runner may hold it now.
-  std::int64_t readyInMilliseconds = 0;  ///< Expected time until a replica is ready.
-
-  bool operator==(const TargetEstimate&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& target& canBeServed& readyInMilliseconds;
-  }
+struct TargetEstimate
+{
+    std::string target;
+    bool canBeServed = true;               ///< False: no runner may hold it now.
+    std::int64_t readyInMilliseconds = 0;  ///< Expected time until a replica is ready.
+
+    bool operator== (const TargetEstimate&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& target& canBeServed& readyInMilliseconds;
+    }
 };
 
 /// Change of the replica table from `fromVersion` to `toVersion`; fromVersion 0 replaces it whole.
-struct ReplicaUpdate {
-  std::uint64_t fromVersion = 0;
-  std::uint64_t toVersion = 0;
-  std::vector<RoutableReplica> upserts;   ///< Keyed by (replica, runner, target).
-  std::vector<RoutableReplica> removals;  ///< Only the key fields are set.
-  std::vector<TargetEstimate> estimates;  ///< Replaces the estimates of the named targets.
-  std::vector<RunnerLoad> loads;          ///< Of runners whose rows are the same but for the load.
-  base::Term term = 0;                    ///< Of the leader; versions count within one term.
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& fromVersion& toVersion& upserts& removals& estimates& loads& term;
-  }
+struct ReplicaUpdate
+{
+    std::uint64_t fromVersion = 0;
+    std::uint64_t toVersion = 0;
+    std::vector<RoutableReplica> upserts;   ///< Keyed by (replica, runner, target).
+    std::vector<RoutableReplica> removals;  ///< Only the key fields are set.
+    std::vector<TargetEstimate> estimates;  ///< Replaces the estimates of the named targets.
+    std::vector<RunnerLoad> loads;  ///< Of runners whose rows are the same but for the load.
+    base::Term term = 0;            ///< Of the leader; versions count within one term.
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& fromVersion& toVersion& upserts& removals& estimates& loads& term;
+    }
 };
 
-enum class ClaimVerdict : std::uint8_t {
-  kGranted,         ///< The caller may send the request once.
-  kInProgress,      ///< Another request holds the key; its outcome is not known yet.
-  kAlreadyRan,      ///< A request with this key was performed.
-  kOutcomeUnknown,  ///< A request with this key may have been performed.
-  kConflict,        ///< The key was used for a different request.
-  kWindowPassed,    ///< The request is older than the window in which keys are kept.
-  kTableFull,       ///< Too many keys are held; nothing was claimed and nothing may be sent.
+enum class ClaimVerdict : std::uint8_t
+{
+    kGranted,         ///< The caller may send the request once.
+    kInProgress,      ///< Another request holds the key; its outcome is not known yet.
+    kAlreadyRan,      ///< A request with this key was performed.
+    kOutcomeUnknown,  ///< A request with this key may have been performed.
+    kConflict,        ///< The key was used for a different request.
+    kWindowPassed,    ///< The request is older than the window in which keys are kept.
+    kTableFull,       ///< Too many keys are held; nothing was claimed and nothing may be sent.
 };
 
-struct ClaimAnswer {
-  base::IdempotencyKey key;
-  base::RequestId request;
-  ClaimVerdict verdict = ClaimVerdict::kGranted;
-  std::int32_t httpStatus = 0;  ///< Of the earlier answer, for kAlreadyRan.
-
-  bool operator==(const ClaimAnswer&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& key& request& verdict& httpStatus;
-  }
+struct ClaimAnswer
+{
+    base::IdempotencyKey key;
+    base::RequestId request;
+    ClaimVerdict verdict = ClaimVerdict::kGranted;
+    std::int32_t httpStatus = 0;  ///< Of the earlier answer, for kAlreadyRan.
+
+    bool operator== (const ClaimAnswer&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& key& request& verdict& httpStatus;
+    }
 };
 
 /// Sent only once the claims are committed. No reply means unknown: the router then treats each
 /// claim as held by itself without having sent anything, and reports kNotRun.
-struct ClaimReply {
-  std::uint64_t sequence = 0;
-  std::vector<ClaimAnswer> answers;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& sequence& answers;
-  }
+struct ClaimReply
+{
+    std::uint64_t sequence = 0;
+    std::vector<ClaimAnswer> answers;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& sequence& answers;
+    }
 };
 
 /// One registered runner as routers see it.
-struct RoutableInstance {
-  ServiceInstance instance;
-  bool isSilent = false;  ///< Its heartbeats have stopped.
-
-  bool operator==(const RoutableInstance&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& instance& isSilent;
-  }
+struct RoutableInstance
+{
+    ServiceInstance instance;
+    bool isSilent = false;  ///< Its heartbeats have stopped.
+
+    bool operator== (const RoutableInstance&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& instance& isSilent;
+    }
 };
 
 /// Change of the table of registered runners; fromVersion 0 replaces it whole.
-struct InstanceUpdate {
-  base::Term term = 0;  ///< Of the leader; versions count within one term.
-  std::uint64_t fromVersion = 0;
-  std::uint64_t toVersion = 0;
-  std::vector<RoutableInstance> upserts;
-  std::vector<std::string> removals;     ///< Ids.
-  std::vector<std::string> controllers;  ///< Peer addresses of the members.
-  std::uint32_t routers = 1;             ///< Connected to the leader.
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& term& fromVersion& toVersion& upserts& removals& controllers& routers;
-  }
+struct InstanceUpdate
+{
+    base::Term term = 0;  ///< Of the leader; versions count within one term.
+    std::uint64_t fromVersion = 0;
+    std::uint64_t toVersion = 0;
+    std::vector<RoutableInstance> upserts;
+    std::vector<std::string> removals;     ///< Ids.
+    std::vector<std::string> controllers;  ///< Peer addresses of the members.
+    std::uint32_t routers = 1;             ///< Connected to the leader.
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& term& fromVersion& toVersion& upserts& removals& controllers& routers;
+    }
 };
 
 /// Answer to MemberJoinRequest.
-struct MemberJoinReply {
-  bool isVoter = false;  ///< The sender is a voter now, as this leader has committed it.
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& isVoter;
-  }
+struct MemberJoinReply
+{
+    bool isVoter = false;  ///< The sender is a voter now, as this leader has committed it.
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& isVoter;
+    }
 };
 
 using ControllerToRouter = std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant,
--- a/src/cell/ServiceInstancesTest.cpp
+++ b/src/cell/ServiceInstancesTest.cpp
@@ -3,64 +3,73 @@
 #include "cell/ServiceInstances.h"
 #include "wire/Codec.h"
 
-namespace fernlift::cell {
-namespace {
+namespace fernlift::cell
+{
+namespace
+{
 
-ServiceInstance instanceOf(const std::string& id) {
-  ServiceInstance instance;
-  instance.id = id;
-  instance.service = "service";
-  instance.address = "10.0.0.1:80";
-  return instance;
+ServiceInstance instanceOf (const std::string& id)
+{
+    ServiceInstance instance;
+    instance.id = id;
+    instance.service = "service";
+    instance.address = "10.0.0.1:80";
+    return instance;
 }
 
-TEST(ServiceInstancesTest, DrainingIsFinal) {
-  ServiceInstances instances;
-  EXPECT_TRUE(instances.add(instanceOf("i-1")));
-  EXPECT_TRUE(instances.drain("i-1"));
-  EXPECT_FALSE(instances.drain("i-1"));
-  EXPECT_FALSE(instances.add(instanceOf("i-1")));
-  EXPECT_TRUE(instances.find("i-1")->isDraining);
+TEST (ServiceInstancesTest, DrainingIsFinal)
+{
+    ServiceInstances instances;
+    EXPECT_TRUE (instances.add (instanceOf ("i-1")));
+    EXPECT_TRUE (instances.drain ("i-1"));
+    EXPECT_FALSE (instances.drain ("i-1"));
+    EXPECT_FALSE (instances.add (instanceOf ("i-1")));
+    EXPECT_TRUE (instances.find ("i-1")->isDraining);
 }
 
-TEST(ServiceInstancesTest, ALateHeartbeatDoesNotBringADeregisteredInstanceBack) {
-  ServiceInstances instances;
-  instances.add(instanceOf("i-1"));
-  EXPECT_TRUE(instances.remove("i-1", true));
-  EXPECT_FALSE(instances.add(instanceOf("i-1")));
+TEST (ServiceInstancesTest, ALateHeartbeatDoesNotBringADeregisteredInstanceBack)
+{
+    ServiceInstances instances;
+    instances.add (instanceOf ("i-1"));
+    EXPECT_TRUE (instances.remove ("i-1", true));
+    EXPECT_FALSE (instances.add (instanceOf ("i-1")));
 }
 
-TEST(ServiceInstancesTest, AnInstanceThatWasOnlySilentRegistersAgain) {
-  ServiceInstances instances;
-  instances.add(instanceOf("i-1"));
-  EXPECT_TRUE(instances.remove("i-1", false));
-  EXPECT_TRUE(instances.add(instanceOf("i-1")));
+TEST (ServiceInstancesTest, AnInstanceThatWasOnlySilentRegistersAgain)
+{
+    ServiceInstances instances;
+    instances.add (instanceOf ("i-1"));
+    EXPECT_TRUE (instances.remove ("i-1", false));
+    EXPECT_TRUE (instances.add (instanceOf ("i-1")));
 }
 
-TEST(ServiceInstancesTest, DeregistrationBeforeTheFirstHeartbeatHolds) {
-  ServiceInstances instances;
-  EXPECT_FALSE(instances.remove("i-1", true));
-  EXPECT_FALSE(instances.add(instanceOf("i-1")));
+TEST (ServiceInstancesTest, DeregistrationBeforeTheFirstHeartbeatHolds)
+{
+    ServiceInstances instances;
+    EXPECT_FALSE (instances.remove ("i-1", true));
+    EXPECT_FALSE (instances.add (instanceOf ("i-1")));
 }
 
-TEST(ServiceInstancesTest, HoldingsAreNotedOnce) {
-  ServiceInstances instances;
-  instances.add(instanceOf("i-1"));
-  const std::vector<HeldModel> models{{"m", 1, {"a1"}}};
-  EXPECT_TRUE(instances.noteModels("i-1", models));
-  EXPECT_FALSE(instances.noteModels("i-1", models));
-  EXPECT_FALSE(instances.noteModels("i-2", models));
+TEST (ServiceInstancesTest, HoldingsAreNotedOnce)
+{
+    ServiceInstances instances;
+    instances.add (instanceOf ("i-1"));
+    const std::vector<HeldModel> models{ { "m", 1, { "a1" } } };
+    EXPECT_TRUE (instances.noteModels ("i-1", models));
+    EXPECT_FALSE (instances.noteModels ("i-1", models));
+    EXPECT_FALSE (instances.noteModels ("i-2", models));
 }
 
-TEST(ServiceInstancesTest, SurvivesEncoding) {
-  ServiceInstances instances;
-  instances.add(instanceOf("i-1"));
-  instances.noteModels("i-1", {{"m", 2, {"a1", "a2"}}});
-  instances.drain("i-1");
-  instances.remove("i-2", true);
-  auto decoded = wire::decodeValue<ServiceInstances>(wire::encodeValue(instances));
-  ASSERT_TRUE(decoded);
-  EXPECT_EQ(decoded.value(), instances);
+TEST (ServiceInstancesTest, SurvivesEncoding)
+{
+    ServiceInstances instances;
+    instances.add (instanceOf ("i-1"));
+    instances.noteModels ("i-1", { { "m", 2, { "a1", "a2" } } });
+    instances.drain ("i-1");
+    instances.remove ("i-2", true);
+    auto decoded = wire::decodeValue<ServiceInstances> (wire::encodeValue (instances));
+    ASSERT_TRUE (decoded);
+    EXPECT_EQ (decoded.value(), instances);
 }
 
 }  // namespace
--- a/src/config/CatalogueLimits.h
+++ b/src/config/CatalogueLimits.h
@@ -5,7 +5,8 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace fernlift::config {
+namespace fernlift::config
+{
 
 constexpr std::size_t kMaximumCatalogueBytes = 1024UL * 1024;
 constexpr std::size_t kMaximumZones = 64;
--- a/src/config/ServiceCatalogue.cpp
+++ b/src/config/ServiceCatalogue.cpp
@@ -4,78 +4,102 @@
 #include <set>
 #include <utility>
 
-namespace fernlift::config {
-namespace {
+namespace fernlift::config
+{
+namespace
+{
 
 template <class Item>
-const Item* findNamed(const std::vector<Item>& items, std::string_view name) {
-  const auto found = std::ranges::find(items, name, &Item::name);
-  return found == items.end() ? nullptr : &*found;
+const Item* findNamed (const std::vector<Item>& items, std::string_view name)
+{
+    const auto found = std::ranges::find (items, name, &Item::name);
+    return found == items.end() ? nullptr : &*found;
 }
 
-class ProblemFinder {
- public:
-  explicit ProblemFinder(const ServiceCatalogue& catalogue) : catalogue_(catalogue) {
-    for (const Service& service : catalogue.services) {
-      if (service.name.empty()) problems_.emplace_back("a service has no name");
-      if (!serviceNames_.insert(service.name).second) {
-        problems_.push_back("service '" + service.name + "' stands twice");
-      }
+class ProblemFinder
+{
+public:
+    explicit ProblemFinder (const ServiceCatalogue& catalogue) : catalogue_ (catalogue)
+    {
+        for (const Service& service : catalogue.services)
+        {
+            if (service.name.empty())
+                problems_.emplace_back ("a service has no name");
+            if (! serviceNames_.insert (service.name).second)
+            {
+                problems_.push_back ("service '" + service.name + "' stands twice");
+            }
+        }
     }
-  }
 
-  std::vector<std::string> find() {
-    for (const Route& route : catalogue_.routes) check(route);
-    return std::move(problems_);
-  }
-
- private:
-  void check(const Route& route) {
-    if (route.host.empty()) report(route, "has no host");
-    const std::string& prefix = route.pathPrefix;
-    if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/') {
-      report(route, "has the path prefix '" + prefix + "'; it must begin and end with a slash");
+    std::vector<std::string> find()
+    {
+        for (const Route& route : catalogue_.routes)
+            check (route);
+        return std::move (problems_);
     }
-    if (!places_.emplace(route.host, prefix).second) {
-      report(route, "has the host and path prefix of another route");
+
+private:
+    void check (const Route& route)
+    {
+        if (route.host.empty())
+            report (route, "has no host");
+        const std::string& prefix = route.pathPrefix;
+        if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/')
+        {
+            report (route,
+                    "has the path prefix '" + prefix + "'; it must begin and end with a slash");
+        }
+        if (! places_.emplace (route.host, prefix).second)
+        {
+            report (route, "has the host and path prefix of another route");
+        }
+        if (route.timeout <= base::Duration::zero())
+            report (route, "has no time limit");
+        checkBackends (route);
     }
-    if (route.timeout <= base::Duration::zero()) report(route, "has no time limit");
-    checkBackends(route);
-  }
 
-  void checkBackends(const Route& route) {
-    std::uint64_t weights = 0;
-    for (const RouteBackend& backend : route.backends) {
-      weights += backend.weight;
-      if (!serviceNames_.contains(backend.service)) {
-        report(route, "names the unknown service '" + backend.service + "'");
-      }
+    void checkBackends (const Route& route)
+    {
+        std::uint64_t weights = 0;
+        for (const RouteBackend& backend : route.backends)
+        {
+            weights += backend.weight;
+            if (! serviceNames_.contains (backend.service))
+            {
+                report (route, "names the unknown service '" + backend.service + "'");
+            }
+        }
+        if (weights == 0)
+            report (route, "has weights that sum to 0");
     }
-    if (weights == 0) report(route, "has weights that sum to 0");
-  }
 
-  void report(const Route& route, const std::string& what) {
-    problems_.push_back("route '" + route.name + "' " + what);
-  }
+    void report (const Route& route, const std::string& what)
+    {
+        problems_.push_back ("route '" + route.name + "' " + what);
+    }
 
-  const ServiceCatalogue& catalogue_;
-  std::set<std::string_view> serviceNames_;
-  std::set<std::pair<std::string_view, std::string_view>> places_;
-  std::vector<std::string> problems_;
+    const ServiceCatalogue& catalogue_;
+    std::set<std::string_view> serviceNames_;
+    std::set<std::pair<std::string_view, std::string_view>> places_;
+    std::vector<std::string> problems_;
 };
 
 }  // namespace
 
-const EngineModel* EngineSpec::findModel(std::string_view name) const {
-  return findNamed(models, name);
+const EngineModel* EngineSpec::findModel (std::string_view name) const
+{
+    return findNamed (models, name);
 }
 
-const Service* ServiceCatalogue::findService(std::string_view name) const {
-  return findNamed(services, name);
+const Service* ServiceCatalogue::findService (std::string_view name) const
+{
+    return findNamed (services, name);
 }
 
-std::vector<std::string> findServiceProblems(const ServiceCatalogue& catalogue) {
-  return ProblemFinder(catalogue).find();
+std::vector<std::string> findServiceProblems (const ServiceCatalogue& catalogue)
+{
+    return ProblemFinder (catalogue).find();
 }
 
 }  // namespace fernlift::config
--- a/src/config/TableReader.h
+++ b/src/config/TableReader.h
@@ -13,67 +13,76 @@
 
 #include "config/Catalogue.h"
 
-namespace fernlift::config {
+namespace fernlift::config
+{
 
 /// Faults found so far, and the line of every key that was read.
-class ProblemList {
- public:
-  void report(int line, const std::string& key, std::string message);
-  /// Reports a fault of a key that was read before.
-  void reportAt(const std::string& key, std::string message);
-  void rememberLine(const std::string& key, int line) { lines_.emplace(key, line); }
-  /// All faults in the order of their lines.
-  [[nodiscard]] std::vector<CatalogueProblem> takeSorted();
-
- private:
-  std::vector<CatalogueProblem> problems_;
-  std::map<std::string, int> lines_;
+class ProblemList
+{
+public:
+    void report (int line, const std::string& key, std::string message);
+    /// Reports a fault of a key that was read before.
+    void reportAt (const std::string& key, std::string message);
+    void rememberLine (const std::string& key, int line) { lines_.emplace (key, line); }
+    /// All faults in the order of their lines.
+    [[nodiscard]] std::vector<CatalogueProblem> takeSorted();
+
+private:
+    std::vector<CatalogueProblem> problems_;
+    std::map<std::string, int> lines_;
 };
 
-enum class Presence : std::uint8_t { kRequired, kOptional };
+enum class Presence : std::uint8_t
+{
+    kRequired,
+    kOptional
+};
 
-struct IntegerRange {
-  std::int64_t minimum = 0;
-  std::int64_t maximum = 0;
+struct IntegerRange
+{
+    std::int64_t minimum = 0;
+    std::int64_t maximum = 0;
 };
 
-struct RealRange {
-  double minimum = 0;
-  double maximum = 0;
+struct RealRange
+{
+    double minimum = 0;
+    double maximum = 0;
 };
 
 /// Reads the keys of one table. A faulty or missing value is reported and read as its fallback.
-class TableReader {
- public:
-  /// `path` stands before the keys in reports, for example "model[3]"; empty for the whole file.
-  TableReader(const toml::table& table, std::string path, ProblemList& problems);
-
-  /// A name: letters, digits and "._-:", the first a letter or digit.
-  std::string readName(std::string_view key);
-  std::vector<std::string> readNames(std::string_view key, std::size_t maximumCount,
-                                     Presence presence);
-  std::int64_t readInteger(std::string_view key, IntegerRange range, Presence presence,
-                           std::int64_t fallback);
-  double readReal(std::string_view key, RealRange range, double fallback);
-  bool readBoolean(std::string_view key, bool fallback);
-  /// The tables of an array of tables [[key]], in order.
-  std::vector<const toml::table*> readTables(std::string_view key, std::size_t maximumCount);
-  /// The table [key], or null.
-  const toml::table* readTable(std::string_view key);
-  /// Reports every key that no read asked for.
-  void reportUnknownKeys();
-
-  [[nodiscard]] std::string pathOf(std::string_view key) const;
-
- private:
-  const toml::node* find(std::string_view key, Presence presence, std::string_view allowed);
-  void reportFound(const std::string& path, const toml::node& node, std::string_view allowed);
-  std::string checkName(const std::string& path, const toml::node& node);
-
-  const toml::table& table_;
-  std::string path_;
-  ProblemList& problems_;
-  std::set<std::string, std::less<>> readKeys_;
+class TableReader
+{
+public:
+    /// `path` stands before the keys in reports, for example "model[3]"; empty for the whole file.
+    TableReader (const toml::table& table, std::string path, ProblemList& problems);
+
+    /// A name: letters, digits and "._-:", the first a letter or digit.
+    std::string readName (std::string_view key);
+    std::vector<std::string> readNames (std::string_view key, std::size_t maximumCount,
+                                        Presence presence);
+    std::int64_t readInteger (std::string_view key, IntegerRange range, Presence presence,
+                              std::int64_t fallback);
+    double readReal (std::string_view key, RealRange range, double fallback);
+    bool readBoolean (std::string_view key, bool fallback);
+    /// The tables of an array of tables [[key]], in order.
+    std::vector<const toml::table*> readTables (std::string_view key, std::size_t maximumCount);
+    /// The table [key], or null.
+    const toml::table* readTable (std::string_view key);
+    /// Reports every key that no read asked for.
+    void reportUnknownKeys();
+
+    [[nodiscard]] std::string pathOf (std::string_view key) const;
+
+private:
+    const toml::node* find (std::string_view key, Presence presence, std::string_view allowed);
+    void reportFound (const std::string& path, const toml::node& node, std::string_view allowed);
+    std::string checkName (const std::string& path, const toml::node& node);
+
+    const toml::table& table_;
+    std::string path_;
+    ProblemList& problems_;
+    std::set<std::string, std::less<>> readKeys_;
 };
 
 }  // namespace fernlift::config
--- a/src/config/Version.cpp
+++ b/src/config/Version.cpp
@@ -1,6 +1,7 @@
 #include "config/Version.h"
 
-namespace fernlift::config {
+namespace fernlift::config
+{
 
 std::string_view version() { return FERNLIFT_VERSION; }
 
--- a/src/config/Version.h
+++ b/src/config/Version.h
@@ -4,7 +4,8 @@
 
 #include <string_view>
 
-namespace fernlift::config {
+namespace fernlift::config
+{
 
 /// For example "0.1.0".
 [[nodiscard]] std::string_view version();
--- a/src/consensus/ClusterOperatorTest.cpp
+++ b/src/consensus/ClusterOperatorTest.cpp
@@ -5,149 +5,196 @@
 #include "consensus/ClusterSimulation.h"
 #include "consensus/Membership.h"
 
-namespace fernlift::consensus {
-namespace {
+namespace fernlift::consensus
+{
+namespace
+{
 
 using base::Duration;
 using base::milliseconds;
 
-constexpr Duration kOperatorInterval = milliseconds(80);
+constexpr Duration kOperatorInterval = milliseconds (80);
 constexpr std::int64_t kMeanProposalMilliseconds = 40;
 constexpr int kOperatorSteps = 3;  ///< Tried back to back.
 
-MemberSet withoutMember(MemberSet members, MemberId id) {
-  std::erase_if(members.members, [id](const Member& member) { return member.id == id; });
-  return members;
+MemberSet withoutMember (MemberSet members, MemberId id)
+{
+    std::erase_if (members.members, [id] (const Member& member) { return member.id == id; });
+    return members;
 }
 
 }  // namespace
 
-void ClusterSimulation::proposeForever() {
-  after(randomDuration(1, 2 * kMeanProposalMilliseconds), [this] { proposeForever(); });
-  // A caller may reach any member that believes it leads, and reads there when it holds its lease.
-  for (auto& item : processes_) {
-    Process& process = item.second;
-    if (!process.node || process.isFrozen) continue;
-    if (process.node->holdsLease(clockOf(process))) {
-      count("lease reads");
-      invariants_.onLeaseRead(process.id, process.state.lastIndex);
+void ClusterSimulation::proposeForever()
+{
+    after (randomDuration (1, 2 * kMeanProposalMilliseconds), [this] { proposeForever(); });
+    // A caller may reach any member that believes it leads, and reads there when it holds its
+    // lease.
+    for (auto& item : processes_)
+    {
+        Process& process = item.second;
+        if (! process.node || process.isFrozen)
+            continue;
+        if (process.node->holdsLease (clockOf (process)))
+        {
+            count ("lease reads");
+            invariants_.onLeaseRead (process.id, process.state.lastIndex);
+        }
+        if (now_ < quietUntil_)
+            continue;
+        const std::string data = "command " + std::to_string (++commandCount_);
+        const Term term = process.node->status (clockOf (process)).term;
+        const LogIndex index =
+            base::handleErrors ([&]() -> base::Result<LogIndex>
+                                { return process.node->propose (data, clockOf (process)); },
+                                [] (const base::Error&) { return LogIndex{ 0 }; });
+        if (index == 0)
+            continue;
+        process.proposals[index] = term;
+        drain (process);
     }
-    if (now_ < quietUntil_) continue;
-    const std::string data = "command " + std::to_string(++commandCount_);
-    const Term term = process.node->status(clockOf(process)).term;
-    const LogIndex index = base::handleErrors(
-        [&]() -> base::Result<LogIndex> { return process.node->propose(data, clockOf(process)); },
-        [](const base::Error&) { return LogIndex{0}; });
-    if (index == 0) continue;
-    process.proposals[index] = term;
-    drain(process);
-  }
 }
 
-ClusterSimulation::Process* ClusterSimulation::findLeader() {
-  std::vector<Process*> leaders;
-  for (auto& [id, process] : processes_) {
-    if (!process.node || process.isFrozen) continue;
-    if (process.node->status(clockOf(process)).role == Role::kLeader) leaders.push_back(&process);
-  }
-  if (leaders.empty()) return nullptr;
-  const auto last = static_cast<std::int64_t>(leaders.size()) - 1;
-  return leaders[static_cast<std::size_t>(random_.uniformInteger(0, last))];
+ClusterSimulation::Process* ClusterSimulation::findLeader()
+{
+    std::vector<Process*> leaders;
+    for (auto& [id, process] : processes_)
+    {
+        if (! process.node || process.isFrozen)
+            continue;
+        if (process.node->status (clockOf (process)).role == Role::kLeader)
+            leaders.push_back (&process);
+    }
+    if (leaders.empty())
+        return nullptr;
+    const auto last = static_cast<std::int64_t> (leaders.size()) - 1;
+    return leaders[static_cast<std::size_t> (random_.uniformInteger (0, last))];
 }
 
-ClusterSimulation::Process* ClusterSimulation::randomProcess() {
-  std::vector<Process*> running;
-  for (auto& [id, process] : processes_) {
-    if (process.node) running.push_back(&process);
-  }
-  if (running.empty()) return nullptr;
-  const auto last = static_cast<std::int64_t>(running.size()) - 1;
-  return running[static_cast<std::size_t>(random_.uniformInteger(0, last))];
+ClusterSimulation::Process* ClusterSimulation::randomProcess()
+{
+    std::vector<Process*> running;
+    for (auto& [id, process] : processes_)
+    {
+        if (process.node)
+            running.push_back (&process);
+    }
+    if (running.empty())
+        return nullptr;
+    const auto last = static_cast<std::int64_t> (running.size()) - 1;
+    return running[static_cast<std::size_t> (random_.uniformInteger (0, last))];
 }
 
-void ClusterSimulation::operateForever() {
-  after(kOperatorInterval, [this] { operateForever(); });
-  Process* leader = findLeader();
-  if (leader != nullptr) operate(*leader);
+void ClusterSimulation::operateForever()
+{
+    after (kOperatorInterval, [this] { operateForever(); });
+    Process* leader = findLeader();
+    if (leader != nullptr)
+        operate (*leader);
 }
 
-void ClusterSimulation::operate(Process& leader) {
-  int accepted = 0;
-  for (int step = 0; step < kOperatorSteps; ++step) {
-    if (takeOperatorStep(leader)) ++accepted;
-  }
-  if (accepted > 0) {
-    count("membership changes");
-    trace(leader, "changes the members");
-  }
-  drain(leader);
-  const bool isUnlucky = accepted > 0 && !isHealing_ && random_.chance(0.3);
-  if (isUnlucky) isolateWithMinority(leader.id);
-  const RaftStatus status = leader.node->status(clockOf(leader));
-  std::set<MemberId> voters;
-  for (const Member& member : status.members.members) {
-    if (member.isVoter) voters.insert(member.id);
-  }
-  const bool isSettled = voters == desired_ && status.commitIndex == status.lastIndex &&
-                         leader.node->holdsLease(clockOf(leader));
-  if (isSettled) isReconfigured_ = true;
-  if (isSettled && isLossDue_ && !isHealing_) loseDisk();
+void ClusterSimulation::operate (Process& leader)
+{
+    int accepted = 0;
+    for (int step = 0; step < kOperatorSteps; ++step)
+    {
+        if (takeOperatorStep (leader))
+            ++accepted;
+    }
+    if (accepted > 0)
+    {
+        count ("membership changes");
+        trace (leader, "changes the members");
+    }
+    drain (leader);
+    const bool isUnlucky = accepted > 0 && ! isHealing_ && random_.chance (0.3);
+    if (isUnlucky)
+        isolateWithMinority (leader.id);
+    const RaftStatus status = leader.node->status (clockOf (leader));
+    std::set<MemberId> voters;
+    for (const Member& member : status.members.members)
+    {
+        if (member.isVoter)
+            voters.insert (member.id);
+    }
+    const bool isSettled = voters == desired_ && status.commitIndex == status.lastIndex
+                           && leader.node->holdsLease (clockOf (leader));
+    if (isSettled)
+        isReconfigured_ = true;
+    if (isSettled && isLossDue_ && ! isHealing_)
+        loseDisk();
 }
 
 /// Proposes the first change that leads towards `desired_`; true when it was accepted.
-bool ClusterSimulation::takeOperatorStep(Process& leader) {
-  const MemberSet members = leader.node->status(clockOf(leader)).members;
-  std::vector<MemberSet> candidates;
-  for (const MemberId id : desired_) {
-    MemberSet changed = members;
-    const Member* present = findMember(members, id);
-    if (present == nullptr) changed.members.push_back(memberOf(id, false));
-    if (present != nullptr && present->isVoter) continue;
-    for (Member& member : changed.members) member.isVoter |= present != nullptr && member.id == id;
-    candidates.push_back(std::move(changed));
-  }
-  const bool isComplete = candidates.empty();
-  for (const Member& member : members.members) {
-    if (!isComplete || desired_.contains(member.id)) continue;
-    candidates.push_back(withoutMember(members, member.id));
-  }
-  for (MemberSet& candidate : candidates) {
-    const bool isAccepted = base::handleErrors(
-        [&]() -> base::Result<bool> {
-          BOOST_LEAF_CHECK(leader.node->proposeMembers(candidate, clockOf(leader)));
-          return true;
-        },
-        [](const base::Error&) { return false; });
-    if (isAccepted) return true;
-  }
-  return false;
+bool ClusterSimulation::takeOperatorStep (Process& leader)
+{
+    const MemberSet members = leader.node->status (clockOf (leader)).members;
+    std::vector<MemberSet> candidates;
+    for (const MemberId id : desired_)
+    {
+        MemberSet changed = members;
+        const Member* present = findMember (members, id);
+        if (present == nullptr)
+            changed.members.push_back (memberOf (id, false));
+        if (present != nullptr && present->isVoter)
+            continue;
+        for (Member& member : changed.members)
+            member.isVoter |= present != nullptr && member.id == id;
+        candidates.push_back (std::move (changed));
+    }
+    const bool isComplete = candidates.empty();
+    for (const Member& member : members.members)
+    {
+        if (! isComplete || desired_.contains (member.id))
+            continue;
+        candidates.push_back (withoutMember (members, member.id));
+    }
+    for (MemberSet& candidate : candidates)
+    {
+        const bool isAccepted = base::handleErrors (
+            [&]() -> base::Result<bool>
+            {
+                BOOST_LEAF_CHECK (leader.node->proposeMembers (candidate, clockOf (leader)));
+                return true;
+            },
+            [] (const base::Error&) { return false; });
+        if (isAccepted)
+            return true;
+    }
+    return false;
 }
 
 /// After the healing the quorum has one leader that every wanted member follows, and all of them
 /// have applied nearly everything.
-void ClusterSimulation::checkLiveness() {
-  if (!isReconfigured_) {
-    invariants_.fail("liveness", 0, "the operator's change of members was not carried out");
-    return;
-  }
-  constexpr LogIndex kMaximumLag = 30;
-  MemberId leader = 0;
-  for (const MemberId id : desired_) {
-    const Process& process = processes_.at(id);
-    const RaftStatus status = process.node->status(clockOf(process));
-    if (leader == 0) leader = status.leader;
-    const bool follows = status.leader != 0 && status.leader == leader;
-    if (!follows || status.appliedIndex + kMaximumLag < invariants_.committedIndex()) {
-      invariants_.fail("liveness", id,
-                       "follows " + std::to_string(status.leader) + ", applied " +
-                           std::to_string(status.appliedIndex) + " of " +
-                           std::to_string(invariants_.committedIndex()));
+void ClusterSimulation::checkLiveness()
+{
+    if (! isReconfigured_)
+    {
+        invariants_.fail ("liveness", 0, "the operator's change of members was not carried out");
+        return;
+    }
+    constexpr LogIndex kMaximumLag = 30;
+    MemberId leader = 0;
+    for (const MemberId id : desired_)
+    {
+        const Process& process = processes_.at (id);
+        const RaftStatus status = process.node->status (clockOf (process));
+        if (leader == 0)
+            leader = status.leader;
+        const bool follows = status.leader != 0 && status.leader == leader;
+        if (! follows || status.appliedIndex + kMaximumLag < invariants_.committedIndex())
+        {
+            invariants_.fail ("liveness", id,
+                              "follows " + std::to_string (status.leader) + ", applied "
+                                  + std::to_string (status.appliedIndex) + " of "
+                                  + std::to_string (invariants_.committedIndex()));
+        }
+    }
+    const Process& leading = processes_.at (leader == 0 ? *desired_.begin() : leader);
+    if (leader == 0 || ! leading.node->holdsLease (clockOf (leading)))
+    {
+        invariants_.fail ("liveness", leader, "no leader with a lease");
     }
-  }
-  const Process& leading = processes_.at(leader == 0 ? *desired_.begin() : leader);
-  if (leader == 0 || !leading.node->holdsLease(clockOf(leading))) {
-    invariants_.fail("liveness", leader, "no leader with a lease");
-  }
 }
 
 }  // namespace fernlift::consensus
--- a/src/consensus/ClusterSimulation.h
+++ b/src/consensus/ClusterSimulation.h
@@ -20,153 +20,161 @@
 #include "consensus/RaftNode.h"
 #include "consensus/SimulatedDisk.h"
 
-namespace fernlift::consensus {
-
-[[nodiscard]] Member memberOf(MemberId id, bool isVoter);
-
-struct ClusterOptions {
-  std::uint64_t seed = 1;
-  MemberId memberCount = 3;
-  PlantedFault fault = PlantedFault::kNone;
-  base::Duration faultTime = base::seconds(10);
-  base::Duration healTime = base::seconds(6);
-  bool isTraced = false;  ///< Keep the last events for ClusterReport::trace.
+namespace fernlift::consensus
+{
+
+[[nodiscard]] Member memberOf (MemberId id, bool isVoter);
+
+struct ClusterOptions
+{
+    std::uint64_t seed = 1;
+    MemberId memberCount = 3;
+    PlantedFault fault = PlantedFault::kNone;
+    base::Duration faultTime = base::seconds (10);
+    base::Duration healTime = base::seconds (6);
+    bool isTraced = false;  ///< Keep the last events for ClusterReport::trace.
 };
 
 /// How often something was brought about, or was seen, in a run.
-struct ClusterCounts {
-  std::map<std::string, std::uint64_t> counts;
-  void add(const ClusterCounts& other);
+struct ClusterCounts
+{
+    std::map<std::string, std::uint64_t> counts;
+    void add (const ClusterCounts& other);
 };
 
-struct ClusterReport {
-  std::vector<std::string> violations;  ///< The first one ends the run.
-  std::deque<std::string> trace;        ///< The last events before the end, oldest first.
-  ClusterCounts seen;
-  std::uint64_t digest = 0;  ///< Of the whole run.
+struct ClusterReport
+{
+    std::vector<std::string> violations;  ///< The first one ends the run.
+    std::deque<std::string> trace;        ///< The last events before the end, oldest first.
+    ClusterCounts seen;
+    std::uint64_t digest = 0;  ///< Of the whole run.
 };
 
 /// Time, processes and the network are in ClusterSimulationTest.cpp, callers and the operator in
 /// ClusterOperatorTest.cpp, faults in ClusterFaultsTest.cpp.
-class ClusterSimulation {
- public:
-  explicit ClusterSimulation(const ClusterOptions& options);
-  ClusterReport run();
-
- private:
-  /// One process with its disk. Its clock runs at `clockRate` of true time.
-  struct Process {
-    MemberId id = 0;
-    std::unique_ptr<RaftNode> node;  ///< None while the process is down.
-    SimulatedDisk disk;
-    MemberSet initialMembers;
-    DigestState state;
-    std::map<LogIndex, Term> proposals;
-    LogIndex commitIndex = 0;
-    Role role = Role::kFollower;
-    std::uint64_t incarnation = 0;  ///< Events of an earlier one are void.
-    bool isDiskLost = false;
-    bool isFrozen = false;
-    std::vector<std::function<void()>> whileFrozen;
-    bool isSyncing = false;
-    bool hasDiskFailed = false;  ///< Until the next start nothing more is written.
-    base::Duration syncTime = base::milliseconds(1);
-    double clockRate = 1.0;
-    base::TimePoint clockBase;
-    base::TimePoint trueBase;
-  };
-  struct Event {
-    base::TimePoint at;
-    std::uint64_t order = 0;
-    std::function<void()> action;
-    bool operator<(const Event& other) const {
-      return at != other.at ? at > other.at : order > other.order;
-    }
-  };
-
-  // Time and processes.
-  void after(base::Duration delay, std::function<void()> action);
-  /// Runs `action` for a process that is up, once it is not frozen; void after a crash.
-  void onProcess(MemberId id, base::Duration delay, std::function<void(Process&)> action);
-  [[nodiscard]] base::TimePoint clockOf(const Process& process) const;
-  void setClockRate(Process& process, double rate);
-  void addProcess(MemberId id, MemberSet initialMembers);
-  void start(Process& process);
-  void tickForever(MemberId id);
-  void crash(Process& process);
-  void restartAfter(MemberId id, base::Duration delay);
-
-  // Input and output of the members.
-  void drain(Process& process);
-  void persist(Process& process, PersistRequest request);
-  void beginSync(Process& process);
-  void apply(Process& process, const Entry& entry);
-  void compactIfDue(Process& process);
-  void observe(Process& process);
-  void transmit(const Message& message);
-  void deliver(const Message& message, base::Duration delay);
-
-  // Callers and operator.
-  void proposeForever();
-  void operateForever();
-  void operate(Process& leader);
-  bool takeOperatorStep(Process& leader);
-  /// A present leader, chosen at random; none if there is none.
-  Process* findLeader();
-  Process* randomProcess();
-
-  // Faults.
-  void injectForever();
-  void injectFault();
-  void cutRandomly();
-  void isolateWithMinority(MemberId id);
-  /// One follower hears the leader no more, while all others do and no log grows.
-  void deafenFollower();
-  /// Cuts the leader off at the moment another member campaigns.
-  void isolateLeaderOf(const Process& campaigner);
-  void freezeRandomly();
-  void crashRandomly();
-  void powerLoss();
-  void slowDisk();
-  void failDisk();
-  void loseDisk();
-  void changeMembers();
-  void transferLeadership();
-  void disturbNetwork();
-  void healAll();
-  void checkLiveness();
-  void count(const std::string& what);
-  void trace(const std::string& what);
-  void trace(const Process& process, const std::string& what);
-
-  double randomClockRate();
-  base::Duration randomDuration(std::int64_t lowMilliseconds, std::int64_t highMilliseconds);
-
-  const ClusterOptions options_;
-  RaftOptions raftOptions_;
-  base::Random random_;
-  ClusterInvariants invariants_;
-  ClusterReport report_;
-  std::priority_queue<Event> events_;
-  std::uint64_t eventCount_ = 0;
-  base::TimePoint now_;
-  std::map<MemberId, Process> processes_;
-  std::set<std::pair<MemberId, MemberId>> cuts_;  ///< From, to.
-  double dropChance_ = 0;
-  double duplicateChance_ = 0;
-  double lateChance_ = 0;
-  LogIndex entriesBetweenSnapshots_ = 30;
-  std::uint64_t commandCount_ = 0;
-  base::TimePoint quietUntil_;  ///< Callers send no commands, so that no log lags.
-  MemberId nextId_ = 1;
-  std::set<MemberId> desired_;  ///< Voters that the operator wants.
-  bool isReconfigured_ = true;  ///< They are the voters, and that is committed.
-  bool isLossDue_ = false;      ///< Lose a second disk as soon as the first is replaced.
-  bool isHealing_ = false;
-  std::uint64_t digest_ = 0;
+class ClusterSimulation
+{
+public:
+    explicit ClusterSimulation (const ClusterOptions& options);
+    ClusterReport run();
+
+private:
+    /// One process with its disk. Its clock runs at `clockRate` of true time.
+    struct Process
+    {
+        MemberId id = 0;
+        std::unique_ptr<RaftNode> node;  ///< None while the process is down.
+        SimulatedDisk disk;
+        MemberSet initialMembers;
+        DigestState state;
+        std::map<LogIndex, Term> proposals;
+        LogIndex commitIndex = 0;
+        Role role = Role::kFollower;
+        std::uint64_t incarnation = 0;  ///< Events of an earlier one are void.
+        bool isDiskLost = false;
+        bool isFrozen = false;
+        std::vector<std::function<void()>> whileFrozen;
+        bool isSyncing = false;
+        bool hasDiskFailed = false;  ///< Until the next start nothing more is written.
+        base::Duration syncTime = base::milliseconds (1);
+        double clockRate = 1.0;
+        base::TimePoint clockBase;
+        base::TimePoint trueBase;
+    };
+    struct Event
+    {
+        base::TimePoint at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        bool operator<(const Event& other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    // Time and processes.
+    void after (base::Duration delay, std::function<void()> action);
+    /// Runs `action` for a process that is up, once it is not frozen; void after a crash.
+    void onProcess (MemberId id, base::Duration delay, std::function<void (Process&)> action);
+    [[nodiscard]] base::TimePoint clockOf (const Process& process) const;
+    void setClockRate (Process& process, double rate);
+    void addProcess (MemberId id, MemberSet initialMembers);
+    void start (Process& process);
+    void tickForever (MemberId id);
+    void crash (Process& process);
+    void restartAfter (MemberId id, base::Duration delay);
+
+    // Input and output of the members.
+    void drain (Process& process);
+    void persist (Process& process, PersistRequest request);
+    void beginSync (Process& process);
+    void apply (Process& process, const Entry& entry);
+    void compactIfDue (Process& process);
+    void observe (Process& process);
+    void transmit (const Message& message);
+    void deliver (const Message& message, base::Duration delay);
+
+    // Callers and operator.
+    void proposeForever();
+    void operateForever();
+    void operate (Process& leader);
+    bool takeOperatorStep (Process& leader);
+    /// A present leader, chosen at random; none if there is none.
+    Process* findLeader();
+    Process* randomProcess();
+
+    // Faults.
+    void injectForever();
+    void injectFault();
+    void cutRandomly();
+    void isolateWithMinority (MemberId id);
+    /// One follower hears the leader no more, while all others do and no log grows.
+    void deafenFollower();
+    /// Cuts the leader off at the moment another member campaigns.
+    void isolateLeaderOf (const Process& campaigner);
+    void freezeRandomly();
+    void crashRandomly();
+    void powerLoss();
+    void slowDisk();
+    void failDisk();
+    void loseDisk();
+    void changeMembers();
+    void transferLeadership();
+    void disturbNetwork();
+    void healAll();
+    void checkLiveness();
+    void count (const std::string& what);
+    void trace (const std::string& what);
+    void trace (const Process& process, const std::string& what);
+
+    double randomClockRate();
+    base::Duration randomDuration (std::int64_t lowMilliseconds, std::int64_t highMilliseconds);
+
+    const ClusterOptions options_;
+    RaftOptions raftOptions_;
+    base::Random random_;
+    ClusterInvariants invariants_;
+    ClusterReport report_;
+    std::priority_queue<Event> events_;
+    std::uint64_t eventCount_ = 0;
+    base::TimePoint now_;
+    std::map<MemberId, Process> processes_;
+    std::set<std::pair<MemberId, MemberId>> cuts_;  ///< From, to.
+    double dropChance_ = 0;
+    double duplicateChance_ = 0;
+    double lateChance_ = 0;
+    LogIndex entriesBetweenSnapshots_ = 30;
+    std::uint64_t commandCount_ = 0;
+    base::TimePoint quietUntil_;  ///< Callers send no commands, so that no log lags.
+    MemberId nextId_ = 1;
+    std::set<MemberId> desired_;  ///< Voters that the operator wants.
+    bool isReconfigured_ = true;  ///< They are the voters, and that is committed.
+    bool isLossDue_ = false;      ///< Lose a second disk as soon as the first is replaced.
+    bool isHealing_ = false;
+    std::uint64_t digest_ = 0;
 };
 
 /// Text to run a failing seed again.
-[[nodiscard]] std::string replayHint(const ClusterOptions& options);
+[[nodiscard]] std::string replayHint (const ClusterOptions& options);
 
 }  // namespace fernlift::consensus
--- a/src/consensus/Durable.h
+++ b/src/consensus/Durable.h
@@ -10,18 +10,19 @@
 #include "consensus/RaftNode.h"
 #include "storage/Storage.h"
 
-namespace fernlift::consensus {
+namespace fernlift::consensus
+{
 
-[[nodiscard]] storage::WriteBatch toWriteBatch(const PersistRequest& request);
+[[nodiscard]] storage::WriteBatch toWriteBatch (const PersistRequest& request);
 
 /// The state of a member from what storage read back; kStorageCorrupt when it cannot be decoded.
 /// `initialMembers` are used only while neither snapshot nor log names members.
-[[nodiscard]] base::Result<RecoveredState> toRecoveredState(const storage::Recovered& recovered,
-                                                            MemberSet initialMembers);
+[[nodiscard]] base::Result<RecoveredState> toRecoveredState (const storage::Recovered& recovered,
+                                                             MemberSet initialMembers);
 
 /// Bytes of a message between members.
-[[nodiscard]] std::string encode(const Message& message);
+[[nodiscard]] std::string encode (const Message& message);
 /// Inverse of encode; kMessageInvalid.
-[[nodiscard]] base::Result<Message> decode(std::string_view bytes);
+[[nodiscard]] base::Result<Message> decode (std::string_view bytes);
 
 }  // namespace fernlift::consensus
--- a/src/consensus/Messages.h
+++ b/src/consensus/Messages.h
@@ -11,177 +11,207 @@
 
 #include "base/Ids.h"
 
-namespace fernlift::consensus {
+namespace fernlift::consensus
+{
 
 using base::LogIndex;
 using base::MemberId;
 using base::Term;
 
-enum class EntryKind : std::uint8_t {
-  kCommand,      ///< Opaque to consensus; applied by the state machine.
-  kNoOperation,  ///< Written by a new leader to commit entries of earlier terms.
-  kMembership,   ///< `data` is an encoded MemberSet.
+enum class EntryKind : std::uint8_t
+{
+    kCommand,      ///< Opaque to consensus; applied by the state machine.
+    kNoOperation,  ///< Written by a new leader to commit entries of earlier terms.
+    kMembership,   ///< `data` is an encoded MemberSet.
 };
 
 /// One member of the quorum.
-struct Member {
-  MemberId id = 0;
-  std::string peerAddress;   ///< "ip:port" for messages between members and from routers.
-  std::string adminAddress;  ///< "ip:port" of its HTTP interface.
-  std::string zone;
-  bool isVoter = true;  ///< False for a learner, which receives the log but does not vote.
-
-  bool operator==(const Member&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& id& peerAddress& adminAddress& zone& isVoter;
-  }
+struct Member
+{
+    MemberId id = 0;
+    std::string peerAddress;   ///< "ip:port" for messages between members and from routers.
+    std::string adminAddress;  ///< "ip:port" of its HTTP interface.
+    std::string zone;
+    bool isVoter = true;  ///< False for a learner, which receives the log but does not vote.
+
+    bool operator== (const Member&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& id& peerAddress& adminAddress& zone& isVoter;
+    }
 };
 
 /// Members in force from a log index on.
-struct MemberSet {
-  std::vector<Member> members;  ///< Sorted by id.
-  /// Voters that a cell which manages its members should have; 0: an operator decides. Consensus
-  /// itself passes it over.
-  std::uint32_t targetSize = 0;
-
-  bool operator==(const MemberSet&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& members& targetSize;
-  }
+struct MemberSet
+{
+    std::vector<Member> members;  ///< Sorted by id.
+    /// Voters that a cell which manages its members should have; 0: an operator decides. Consensus
+    /// itself passes it over.
+    std::uint32_t targetSize = 0;
+
+    bool operator== (const MemberSet&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& members& targetSize;
+    }
 };
 
-struct Entry {
-  LogIndex index = 0;
-  Term term = 0;
-  EntryKind kind = EntryKind::kCommand;
-  std::string data;
-
-  bool operator==(const Entry&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& index& term& kind& data;
-  }
+struct Entry
+{
+    LogIndex index = 0;
+    Term term = 0;
+    EntryKind kind = EntryKind::kCommand;
+    std::string data;
+
+    bool operator== (const Entry&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& index& term& kind& data;
+    }
 };
 
 /// What a member must have on disk before it answers for it.
-struct HardState {
-  Term term = 0;
-  MemberId votedFor = 0;  ///< 0: none in this term.
-
-  bool operator==(const HardState&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& term& votedFor;
-  }
+struct HardState
+{
+    Term term = 0;
+    MemberId votedFor = 0;  ///< 0: none in this term.
+
+    bool operator== (const HardState&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& term& votedFor;
+    }
 };
 
 /// The state machine at `lastIndex`, with the members in force there.
-struct Snapshot {
-  LogIndex lastIndex = 0;  ///< 0: no snapshot.
-  Term lastTerm = 0;
-  MemberSet members;
-  std::string data;
-
-  bool operator==(const Snapshot&) const = default;
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& lastIndex& lastTerm& members& data;
-  }
+struct Snapshot
+{
+    LogIndex lastIndex = 0;  ///< 0: no snapshot.
+    Term lastTerm = 0;
+    MemberSet members;
+    std::string data;
+
+    bool operator== (const Snapshot&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& lastIndex& lastTerm& members& data;
+    }
 };
 
 /// Asks whether the receiver would vote (isPreVote) or for its vote.
-struct VoteRequest {
-  bool isPreVote = false;
-  bool isLeadershipTransfer = false;  ///< The leader asked for this election: ignore its lease.
-  LogIndex lastIndex = 0;
-  Term lastTerm = 0;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& isPreVote& isLeadershipTransfer& lastIndex& lastTerm;
-  }
+struct VoteRequest
+{
+    bool isPreVote = false;
+    bool isLeadershipTransfer = false;  ///< The leader asked for this election: ignore its lease.
+    LogIndex lastIndex = 0;
+    Term lastTerm = 0;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& isPreVote& isLeadershipTransfer& lastIndex& lastTerm;
+    }
 };
 
-struct VoteReply {
-  bool isPreVote = false;
-  bool granted = false;
+struct VoteReply
+{
+    bool isPreVote = false;
+    bool granted = false;
 
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& isPreVote& granted;
-  }
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& isPreVote& granted;
+    }
 };
 
 /// Replicates entries; without entries it is a heartbeat.
-struct AppendRequest {
-  LogIndex previousIndex = 0;
-  Term previousTerm = 0;
-  LogIndex commitIndex = 0;
-  std::uint64_t round = 0;  ///< Counts the leader's messages to this member; echoed in the reply.
-  std::vector<Entry> entries;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& previousIndex& previousTerm& commitIndex& round& entries;
-  }
+struct AppendRequest
+{
+    LogIndex previousIndex = 0;
+    Term previousTerm = 0;
+    LogIndex commitIndex = 0;
+    std::uint64_t round = 0;  ///< Counts the leader's messages to this member; echoed in the reply.
+    std::vector<Entry> entries;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& previousIndex& previousTerm& commitIndex& round& entries;
+    }
 };
 
-struct AppendReply {
-  bool accepted = false;
-  LogIndex matchIndex = 0;  ///< When accepted: last index known equal to the leader's, and synced.
-  LogIndex hintIndex = 0;   ///< When refused: where the leader should try next.
-  std::uint64_t round = 0;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& accepted& matchIndex& hintIndex& round;
-  }
+struct AppendReply
+{
+    bool accepted = false;
+    LogIndex matchIndex =
+        0;                   ///< When accepted: last index known equal to the leader's, and synced.
+    LogIndex hintIndex = 0;  ///< When refused: where the leader should try next.
+    std::uint64_t round = 0;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& accepted& matchIndex& hintIndex& round;
+    }
 };
 
 /// One chunk of an encoded Snapshot.
-struct SnapshotChunk {
-  LogIndex lastIndex = 0;
-  Term lastTerm = 0;
-  std::uint64_t offset = 0;
-  std::uint64_t totalBytes = 0;
-  std::uint64_t round = 0;
-  std::string data;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& lastIndex& lastTerm& offset& totalBytes& round& data;
-  }
+struct SnapshotChunk
+{
+    LogIndex lastIndex = 0;
+    Term lastTerm = 0;
+    std::uint64_t offset = 0;
+    std::uint64_t totalBytes = 0;
+    std::uint64_t round = 0;
+    std::string data;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& lastIndex& lastTerm& offset& totalBytes& round& data;
+    }
 };
 
-struct SnapshotReply {
-  LogIndex lastIndex = 0;
-  std::uint64_t nextOffset = 0;  ///< Equal to totalBytes once the snapshot is installed and synced.
-  bool installed = false;
-  std::uint64_t round = 0;
-
-  template <class Archive>
-  void serialize(Archive& archive, unsigned /*version*/) {
-    archive& lastIndex& nextOffset& installed& round;
-  }
+struct SnapshotReply
+{
+    LogIndex lastIndex = 0;
+    std::uint64_t nextOffset =
+        0;  ///< Equal to totalBytes once the snapshot is installed and synced.
+    bool installed = false;
+    std::uint64_t round = 0;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& lastIndex& nextOffset& installed& round;
+    }
 };
 
 /// The leader asks the receiver to start an election at once (planned stop).
-struct TransferLeadership {
-  template <class Archive>
-  void serialize(Archive& /*archive*/, unsigned /*version*/) {}
+struct TransferLeadership
+{
+    template <class Archive>
+    void serialize (Archive& /*archive*/, unsigned /*version*/)
+    {
+    }
 };
 
 using Payload = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk,
                              SnapshotReply, TransferLeadership>;
 
 /// A message between two members.
-struct Message {
-  MemberId from = 0;
-  MemberId to = 0;
-  Term term = 0;
-  Payload payload;
+struct Message
+{
+    MemberId from = 0;
+    MemberId to = 0;
+    Term term = 0;
+    Payload payload;
 };
 
 }  // namespace fernlift::consensus
--- a/src/consensus/PersistQueue.h
+++ b/src/consensus/PersistQueue.h
@@ -7,7 +7,8 @@
 
 #include "consensus/RaftNode.h"
 
-namespace fernlift::consensus {
+namespace fernlift::consensus
+{
 
 /**
  * Collects changes of the durable state into as few writes as their order allows, and holds back
@@ -18,55 +19,58 @@
  *
  * Threading: none; owned by RaftNode. The thread that writes sees only copies.
  */
-class PersistQueue {
- public:
-  /// `stableIndex`: last log index that is on disk at the start.
-  explicit PersistQueue(LogIndex stableIndex) : stableIndex_(stableIndex) {}
+class PersistQueue
+{
+public:
+    /// `stableIndex`: last log index that is on disk at the start.
+    explicit PersistQueue (LogIndex stableIndex) : stableIndex_ (stableIndex) {}
 
-  void setHardState(const HardState& hardState);
-  /// Drops stored entries with index >= `index`.
-  void truncateFrom(LogIndex index);
-  void append(const Entry& entry);
-  /// Stores a snapshot of the log's own prefix.
-  void storeSnapshot(const Snapshot& snapshot);
-  /// Stores a snapshot that replaces everything after `commitIndex`, which is before it.
-  void replaceBySnapshot(const Snapshot& snapshot, LogIndex commitIndex);
+    void setHardState (const HardState& hardState);
+    /// Drops stored entries with index >= `index`.
+    void truncateFrom (LogIndex index);
+    void append (const Entry& entry);
+    /// Stores a snapshot of the log's own prefix.
+    void storeSnapshot (const Snapshot& snapshot);
+    /// Stores a snapshot that replaces everything after `commitIndex`, which is before it.
+    void replaceBySnapshot (const Snapshot& snapshot, LogIndex commitIndex);
 
-  /// Keeps `message` until every change made so far is synced.
-  void hold(Message message);
-  /// Every write up to `sequence` is synced: returns the messages that may leave now.
-  [[nodiscard]] std::vector<Message> confirm(std::uint64_t sequence);
-  /// Takes the writes to carry out.
-  [[nodiscard]] std::vector<PersistRequest> take();
+    /// Keeps `message` until every change made so far is synced.
+    void hold (Message message);
+    /// Every write up to `sequence` is synced: returns the messages that may leave now.
+    [[nodiscard]] std::vector<Message> confirm (std::uint64_t sequence);
+    /// Takes the writes to carry out.
+    [[nodiscard]] std::vector<PersistRequest> take();
 
-  /// No change waits for its sync.
-  [[nodiscard]] bool isSynced() const { return pending_.empty(); }
-  /// The latest hard state is on disk.
-  [[nodiscard]] bool isHardStateSynced() const { return hardStateSequence_ <= confirmed_; }
-  /// Last log index up to which this member's present log is on disk.
-  [[nodiscard]] LogIndex stableIndex() const { return stableIndex_; }
+    /// No change waits for its sync.
+    [[nodiscard]] bool isSynced() const { return pending_.empty(); }
+    /// The latest hard state is on disk.
+    [[nodiscard]] bool isHardStateSynced() const { return hardStateSequence_ <= confirmed_; }
+    /// Last log index up to which this member's present log is on disk.
+    [[nodiscard]] LogIndex stableIndex() const { return stableIndex_; }
 
- private:
-  struct Pending {
-    std::uint64_t sequence = 0;
-    LogIndex stableIndexAfter = 0;
-  };
-  struct Held {
-    std::uint64_t sequence = 0;
-    Message message;
-  };
+private:
+    struct Pending
+    {
+        std::uint64_t sequence = 0;
+        LogIndex stableIndexAfter = 0;
+    };
+    struct Held
+    {
+        std::uint64_t sequence = 0;
+        Message message;
+    };
 
-  PersistRequest& openRequest();
-  PersistRequest& newRequest();
+    PersistRequest& openRequest();
+    PersistRequest& newRequest();
 
-  std::vector<PersistRequest> untaken_;  ///< In order of sequence; the last one is open.
-  std::deque<Pending> pending_;          ///< Taken or not, but not confirmed.
-  std::deque<Held> held_;                ///< In order of sequence, all above confirmed_.
-  std::uint64_t lastSequence_ = 0;       ///< Of the write begun last.
-  std::uint64_t confirmed_ = 0;          ///< Every write up to it is synced.
-  std::uint64_t hardStateSequence_ = 0;  ///< Of the write with the latest hard state.
-  LogIndex stableIndex_ =
-      0;  ///< Never beyond the present log, though truncated entries were synced.
+    std::vector<PersistRequest> untaken_;  ///< In order of sequence; the last one is open.
+    std::deque<Pending> pending_;          ///< Taken or not, but not confirmed.
+    std::deque<Held> held_;                ///< In order of sequence, all above confirmed_.
+    std::uint64_t lastSequence_ = 0;       ///< Of the write begun last.
+    std::uint64_t confirmed_ = 0;          ///< Every write up to it is synced.
+    std::uint64_t hardStateSequence_ = 0;  ///< Of the write with the latest hard state.
+    LogIndex stableIndex_ =
+        0;  ///< Never beyond the present log, though truncated entries were synced.
 };
 
 }  // namespace fernlift::consensus
--- a/src/consensus/RaftElectionTest.cpp
+++ b/src/consensus/RaftElectionTest.cpp
@@ -4,297 +4,337 @@
 
 #include "consensus/RaftTestSupport.h"
 
-namespace fernlift::consensus {
-namespace {
+namespace fernlift::consensus
+{
+namespace
+{
 
 using base::milliseconds;
 
-VoteRequest preVote(LogIndex lastIndex, Term lastTerm) {
-  return {true, false, lastIndex, lastTerm};
+VoteRequest preVote (LogIndex lastIndex, Term lastTerm)
+{
+    return { true, false, lastIndex, lastTerm };
 }
-VoteRequest vote(LogIndex lastIndex, Term lastTerm) { return {false, false, lastIndex, lastTerm}; }
-
-bool grantedAny(const LoneMember& member) {
-  for (const VoteReply& reply : member.sent<VoteReply>()) {
-    if (reply.granted) return true;
-  }
-  return false;
+VoteRequest vote (LogIndex lastIndex, Term lastTerm)
+{
+    return { false, false, lastIndex, lastTerm };
 }
 
-TEST(RaftVote, aRestartedMemberGrantsNothingWithinALeaseItMayHaveConfirmed) {
-  LoneMember member(testVoters(3), recoveredLog({5, 0}, {5}));
-  member.advance(milliseconds(299));
-  member.receive(2, 6, preVote(9, 5));
-  member.receive(2, 6, vote(9, 5));
-  EXPECT_TRUE(member.messages().empty());
-  EXPECT_EQ(member.status().term, 5U) << "an ignored request raises no term";
-  member.advance(milliseconds(1));
-  member.receive(2, 6, preVote(9, 5));
-  EXPECT_TRUE(grantedAny(member));
+bool grantedAny (const LoneMember& member)
+{
+    for (const VoteReply& reply : member.sent<VoteReply>())
+    {
+        if (reply.granted)
+            return true;
+    }
+    return false;
 }
 
-TEST(RaftVote, aMemberThatHeardALeaderGrantsNothingForTheShortestElectionTimeout) {
-  LoneMember member(testVoters(3), recoveredLog({5, 0}, {5}));
-  member.advance(milliseconds(290));
-  member.receive(3, 5, AppendRequest{1, 5, 0, 1, {}});
-  member.forgetSent();
-  member.advance(milliseconds(299));
-  member.receive(2, 6, preVote(9, 5));
-  member.receive(2, 6, vote(9, 5));
-  EXPECT_TRUE(member.sent<VoteReply>().empty());
-  member.advance(milliseconds(1));
-  member.receive(2, 6, vote(9, 5));
-  member.sync();
-  EXPECT_TRUE(grantedAny(member));
+TEST (RaftVote, aRestartedMemberGrantsNothingWithinALeaseItMayHaveConfirmed)
+{
+    LoneMember member (testVoters (3), recoveredLog ({ 5, 0 }, { 5 }));
+    member.advance (milliseconds (299));
+    member.receive (2, 6, preVote (9, 5));
+    member.receive (2, 6, vote (9, 5));
+    EXPECT_TRUE (member.messages().empty());
+    EXPECT_EQ (member.status().term, 5U) << "an ignored request raises no term";
+    member.advance (milliseconds (1));
+    member.receive (2, 6, preVote (9, 5));
+    EXPECT_TRUE (grantedAny (member));
 }
 
-TEST(RaftVote, aPreVoteChangesNothing) {
-  LoneMember member(testVoters(3), recoveredLog({5, 2}, {5}));
-  member.advance(milliseconds(300));
-  member.receive(3, 6, preVote(9, 5));
-  EXPECT_TRUE(grantedAny(member));
-  EXPECT_TRUE(member.writes().empty());
-  EXPECT_EQ(member.status().term, 5U);
+TEST (RaftVote, aMemberThatHeardALeaderGrantsNothingForTheShortestElectionTimeout)
+{
+    LoneMember member (testVoters (3), recoveredLog ({ 5, 0 }, { 5 }));
+    member.advance (milliseconds (290));
+    member.receive (3, 5, AppendRequest{ 1, 5, 0, 1, {} });
+    member.forgetSent();
+    member.advance (milliseconds (299));
+    member.receive (2, 6, preVote (9, 5));
+    member.receive (2, 6, vote (9, 5));
+    EXPECT_TRUE (member.sent<VoteReply>().empty());
+    member.advance (milliseconds (1));
+    member.receive (2, 6, vote (9, 5));
+    member.sync();
+    EXPECT_TRUE (grantedAny (member));
 }
 
-TEST(RaftVote, isGivenOnceATerm) {
-  LoneMember member(testVoters(3), recoveredLog({5, 0}, {5}));
-  member.advance(milliseconds(300));
-  member.receive(2, 6, vote(1, 5));
-  member.sync();
-  ASSERT_TRUE(grantedAny(member));
-  member.forgetSent();
-  member.receive(3, 6, vote(9, 5));
-  member.sync();
-  ASSERT_EQ(member.sent<VoteReply>().size(), 1U);
-  EXPECT_FALSE(grantedAny(member));
-  member.receive(2, 6, vote(1, 5));
-  EXPECT_TRUE(grantedAny(member)) << "the same candidate may ask again";
+TEST (RaftVote, aPreVoteChangesNothing)
+{
+    LoneMember member (testVoters (3), recoveredLog ({ 5, 2 }, { 5 }));
+    member.advance (milliseconds (300));
+    member.receive (3, 6, preVote (9, 5));
+    EXPECT_TRUE (grantedAny (member));
+    EXPECT_TRUE (member.writes().empty());
+    EXPECT_EQ (member.status().term, 5U);
 }
 
-TEST(RaftVote, goesToNoCandidateWhoseLogIsBehind) {
-  LoneMember member(testVoters(3), recoveredLog({5, 0}, {3, 5}));
-  member.advance(milliseconds(300));
-  for (const bool isPreVote : {true, false}) {
-    member.receive(2, 6, VoteRequest{isPreVote, false, 1, 5});
-    member.receive(2, 6, VoteRequest{isPreVote, false, 9, 4});
-  }
-  member.sync();
-  EXPECT_EQ(member.sent<VoteReply>().size(), 4U);
-  EXPECT_FALSE(grantedAny(member));
+TEST (RaftVote, isGivenOnceATerm)
+{
+    LoneMember member (testVoters (3), recoveredLog ({ 5, 0 }, { 5 }));
+    member.advance (milliseconds (300));
+    member.receive (2, 6, vote (1, 5));
+    member.sync();
+    ASSERT_TRUE (grantedAny (member));
+    member.forgetSent();
+    member.receive (3, 6, vote (9, 5));
+    member.sync();
+    ASSERT_EQ (member.sent<VoteReply>().size(), 1U);
+    EXPECT_FALSE (grantedAny (member));
+    member.receive (2, 6, vote (1, 5));
+    EXPECT_TRUE (grantedAny (member)) << "the same candidate may ask again";
 }
 
-TEST(RaftVote, ofAnOldTermIsIgnored) {
-  LoneMember member(testVoters(3), recoveredLog({5, 0}, {5}));
-  while (member.status().role != Role::kPreCandidate) member.advance(milliseconds(5));
-  member.receive(2, 5, VoteReply{true, true});
-  EXPECT_EQ(member.status().role, Role::kPreCandidate) << "a pre-vote for an earlier term";
-  member.receive(2, 6, VoteReply{true, true});
-  member.sync();
-  ASSERT_EQ(member.status().role, Role::kCandidate);
-  member.receive(2, 5, VoteReply{false, true});
-  member.receive(3, 6, VoteReply{true, true});
-  EXPECT_EQ(member.status().role, Role::kCandidate) << "a pre-vote is no vote";
-  member.receive(2, 6, VoteReply{false, true});
-  EXPECT_TRUE(member.leads());
+TEST (RaftVote, goesToNoCandidateWhoseLogIsBehind)
+{
+    LoneMember member (testVoters (3), recoveredLog ({ 5, 0 }, { 3, 5 }));
+    member.advance (milliseconds (300));
+    for (const bool isPreVote : { true, false })
+    {
+        member.receive (2, 6, VoteRequest{ isPreVote, false, 1, 5 });
+        member.receive (2, 6, VoteRequest{ isPreVote, false, 9, 4 });
+    }
+    member.sync();
+    EXPECT_EQ (member.sent<VoteReply>().size(), 4U);
+    EXPECT_FALSE (grantedAny (member));
 }
 
-TEST(RaftVote, ofACandidateForItselfCountsOnlyOnceSynced) {
-  LoneMember member(testVoters(3));
-  while (member.status().role != Role::kPreCandidate) member.advance(milliseconds(5));
-  member.forgetSent();
-  member.receive(2, 1, VoteReply{true, true});
-  EXPECT_TRUE(member.sent<VoteRequest>().empty()) << "asked only once its own vote is synced";
-  member.receive(2, 1, VoteReply{false, true});
-  EXPECT_EQ(member.status().role, Role::kCandidate);
-  member.sync();
-  EXPECT_TRUE(member.leads());
+TEST (RaftVote, ofAnOldTermIsIgnored)
+{
+    LoneMember member (testVoters (3), recoveredLog ({ 5, 0 }, { 5 }));
+    while (member.status().role != Role::kPreCandidate)
+        member.advance (milliseconds (5));
+    member.receive (2, 5, VoteReply{ true, true });
+    EXPECT_EQ (member.status().role, Role::kPreCandidate) << "a pre-vote for an earlier term";
+    member.receive (2, 6, VoteReply{ true, true });
+    member.sync();
+    ASSERT_EQ (member.status().role, Role::kCandidate);
+    member.receive (2, 5, VoteReply{ false, true });
+    member.receive (3, 6, VoteReply{ true, true });
+    EXPECT_EQ (member.status().role, Role::kCandidate) << "a pre-vote is no vote";
+    member.receive (2, 6, VoteReply{ false, true });
+    EXPECT_TRUE (member.leads());
 }
 
-TEST(RaftVote, ofALearnerOrStrangerDoesNotCount) {
-  MemberSet members = testVoters(5);
-  members.members.push_back(testMember(6, false));
-  LoneMember member(members);
-  while (member.status().role != Role::kPreCandidate) member.advance(milliseconds(5));
-  EXPECT_TRUE(member.sent<VoteRequest>(6).empty()) << "a learner is not asked";
-  for (const MemberId id : {2, 6, 7, 8}) member.receive(id, 1, VoteReply{true, true});
-  EXPECT_EQ(member.status().role, Role::kPreCandidate);
-  member.receive(3, 1, VoteReply{true, true});
-  member.sync();
-  ASSERT_EQ(member.status().role, Role::kCandidate);
-  EXPECT_TRUE(member.sent<VoteRequest>(6).empty());
-  for (const MemberId id : {2, 6, 7, 8}) member.receive(id, 1, VoteReply{false, true});
-  EXPECT_EQ(member.status().role, Role::kCandidate);
-  member.receive(3, 1, VoteReply{false, true});
-  EXPECT_TRUE(member.leads());
+TEST (RaftVote, ofACandidateForItselfCountsOnlyOnceSynced)
+{
+    LoneMember member (testVoters (3));
+    while (member.status().role != Role::kPreCandidate)
+        member.advance (milliseconds (5));
+    member.forgetSent();
+    member.receive (2, 1, VoteReply{ true, true });
+    EXPECT_TRUE (member.sent<VoteRequest>().empty()) << "asked only once its own vote is synced";
+    member.receive (2, 1, VoteReply{ false, true });
+    EXPECT_EQ (member.status().role, Role::kCandidate);
+    member.sync();
+    EXPECT_TRUE (member.leads());
 }
 
-TEST(RaftVote, isNeverAskedForByALearnerOrANewOrRemovedMember) {
-  MemberSet asLearner = testVoters(3);
-  asLearner.members[0].isVoter = false;
-  MemberSet withoutSelf = testVoters(3);
-  withoutSelf.members.erase(withoutSelf.members.begin());
-  for (const MemberSet& members : {asLearner, withoutSelf, MemberSet{}}) {
-    LoneMember member(members);
-    member.receive(2, 1, AppendRequest{0, 0, 0, 1, {}});
+TEST (RaftVote, ofALearnerOrStrangerDoesNotCount)
+{
+    MemberSet members = testVoters (5);
+    members.members.push_back (testMember (6, false));
+    LoneMember member (members);
+    while (member.status().role != Role::kPreCandidate)
+        member.advance (milliseconds (5));
+    EXPECT_TRUE (member.sent<VoteRequest> (6).empty()) << "a learner is not asked";
+    for (const MemberId id : { 2, 6, 7, 8 })
+        member.receive (id, 1, VoteReply{ true, true });
+    EXPECT_EQ (member.status().role, Role::kPreCandidate);
+    member.receive (3, 1, VoteReply{ true, true });
     member.sync();
-    member.forgetSent();
-    member.receive(2, 1, TransferLeadership{});
-    member.advance(milliseconds(3000));
-    EXPECT_TRUE(member.messages().empty());
-    EXPECT_EQ(member.status().term, 1U);
-  }
+    ASSERT_EQ (member.status().role, Role::kCandidate);
+    EXPECT_TRUE (member.sent<VoteRequest> (6).empty());
+    for (const MemberId id : { 2, 6, 7, 8 })
+        member.receive (id, 1, VoteReply{ false, true });
+    EXPECT_EQ (member.status().role, Role::kCandidate);
+    member.receive (3, 1, VoteReply{ false, true });
+    EXPECT_TRUE (member.leads());
 }
 
-TEST(RaftVote, requestOfARemovedMemberDisturbsNobody) {
-  LoneMember leader(testVoters(3));
-  leader.lead({2});
-  leader.acknowledge(2, 1);
-  const Term term = leader.status().term;
-  leader.receive(9, term + 5, vote(99, term + 4));
-  leader.receive(9, term + 5, preVote(99, term + 4));
-  EXPECT_TRUE(leader.leads());
-  leader.receive(9, term + 5, VoteReply{false, false});
-  leader.receive(9, term + 5, AppendReply{});
-  leader.receive(9, term + 5, SnapshotReply{});
-  EXPECT_TRUE(leader.leads()) << "replies of a member that was removed";
-  EXPECT_EQ(leader.status().term, term);
-  leader.receive(3, term + 5, AppendReply{});
-  EXPECT_FALSE(leader.leads()) << "a present member knows of a later term";
+TEST (RaftVote, isNeverAskedForByALearnerOrANewOrRemovedMember)
+{
+    MemberSet asLearner = testVoters (3);
+    asLearner.members[0].isVoter = false;
+    MemberSet withoutSelf = testVoters (3);
+    withoutSelf.members.erase (withoutSelf.members.begin());
+    for (const MemberSet& members : { asLearner, withoutSelf, MemberSet{} })
+    {
+        LoneMember member (members);
+        member.receive (2, 1, AppendRequest{ 0, 0, 0, 1, {} });
+        member.sync();
+        member.forgetSent();
+        member.receive (2, 1, TransferLeadership{});
+        member.advance (milliseconds (3000));
+        EXPECT_TRUE (member.messages().empty());
+        EXPECT_EQ (member.status().term, 1U);
+    }
+}
+
+TEST (RaftVote, requestOfARemovedMemberDisturbsNobody)
+{
+    LoneMember leader (testVoters (3));
+    leader.lead ({ 2 });
+    leader.acknowledge (2, 1);
+    const Term term = leader.status().term;
+    leader.receive (9, term + 5, vote (99, term + 4));
+    leader.receive (9, term + 5, preVote (99, term + 4));
+    EXPECT_TRUE (leader.leads());
+    leader.receive (9, term + 5, VoteReply{ false, false });
+    leader.receive (9, term + 5, AppendReply{});
+    leader.receive (9, term + 5, SnapshotReply{});
+    EXPECT_TRUE (leader.leads()) << "replies of a member that was removed";
+    EXPECT_EQ (leader.status().term, term);
+    leader.receive (3, term + 5, AppendReply{});
+    EXPECT_FALSE (leader.leads()) << "a present member knows of a later term";
 }
 
-TEST(RaftLease, endsBeforeVotersAreFreeCountedFromTheSending) {
-  LoneMember leader(testVoters(3));
-  leader.lead({2});
-  EXPECT_FALSE(leader.holdsLease()) << "nobody confirmed this leader yet";
-  const std::uint64_t earlierRound = leader.lastRoundTo(2);
-  while (leader.lastRoundTo(2) == earlierRound) leader.advance(milliseconds(5));
-  const auto sentAt = leader.now();
-  leader.advance(milliseconds(45));
-  leader.acknowledge(2, 1);
-  ASSERT_TRUE(leader.holdsLease());
-  leader.advance(milliseconds(100));
-  EXPECT_TRUE(leader.node().holdsLease(sentAt + milliseconds(239)));
-  EXPECT_FALSE(leader.node().holdsLease(sentAt + milliseconds(240)));
+TEST (RaftLease, endsBeforeVotersAreFreeCountedFromTheSending)
+{
+    LoneMember leader (testVoters (3));
+    leader.lead ({ 2 });
+    EXPECT_FALSE (leader.holdsLease()) << "nobody confirmed this leader yet";
+    const std::uint64_t earlierRound = leader.lastRoundTo (2);
+    while (leader.lastRoundTo (2) == earlierRound)
+        leader.advance (milliseconds (5));
+    const auto sentAt = leader.now();
+    leader.advance (milliseconds (45));
+    leader.acknowledge (2, 1);
+    ASSERT_TRUE (leader.holdsLease());
+    leader.advance (milliseconds (100));
+    EXPECT_TRUE (leader.node().holdsLease (sentAt + milliseconds (239)));
+    EXPECT_FALSE (leader.node().holdsLease (sentAt + milliseconds (240)));
 }
 
-TEST(RaftLease, isNotExtendedByALateReplyToAnEarlierRound) {
-  LoneMember leader(testVoters(3));
-  leader.lead({2});
-  const std::uint64_t round = leader.lastRoundTo(2);
-  leader.acknowledge(2, 1);
-  leader.advance(milliseconds(200));
-  ASSERT_TRUE(leader.holdsLease());
-  ASSERT_GT(leader.lastRoundTo(2), round);
-  leader.receive(2, leader.status().term, AppendReply{true, 1, 0, round});
-  leader.receive(3, leader.status().term, AppendReply{true, 1, 0, round});
-  leader.advance(milliseconds(45));
-  EXPECT_FALSE(leader.holdsLease());
+TEST (RaftLease, isNotExtendedByALateReplyToAnEarlierRound)
+{
+    LoneMember leader (testVoters (3));
+    leader.lead ({ 2 });
+    const std::uint64_t round = leader.lastRoundTo (2);
+    leader.acknowledge (2, 1);
+    leader.advance (milliseconds (200));
+    ASSERT_TRUE (leader.holdsLease());
+    ASSERT_GT (leader.lastRoundTo (2), round);
+    leader.receive (2, leader.status().term, AppendReply{ true, 1, 0, round });
+    leader.receive (3, leader.status().term, AppendReply{ true, 1, 0, round });
+    leader.advance (milliseconds (45));
+    EXPECT_FALSE (leader.holdsLease());
 }
 
-TEST(RaftLease, needsAMajorityOfTheVoters) {
-  MemberSet members = testVoters(5);
-  members.members.push_back(testMember(6, false));
-  LoneMember leader(members);
-  leader.lead({2, 3});
-  leader.acknowledge(2, 1);
-  leader.acknowledge(3, 1);
-  ASSERT_TRUE(leader.holdsLease());
-  leader.advance(milliseconds(250));
-  leader.acknowledge(2, 1);
-  leader.acknowledge(6, 1);
-  EXPECT_FALSE(leader.holdsLease()) << "itself, one voter and a learner";
-  leader.acknowledge(4, 1);
-  EXPECT_TRUE(leader.holdsLease());
+TEST (RaftLease, needsAMajorityOfTheVoters)
+{
+    MemberSet members = testVoters (5);
+    members.members.push_back (testMember (6, false));
+    LoneMember leader (members);
+    leader.lead ({ 2, 3 });
+    leader.acknowledge (2, 1);
+    leader.acknowledge (3, 1);
+    ASSERT_TRUE (leader.holdsLease());
+    leader.advance (milliseconds (250));
+    leader.acknowledge (2, 1);
+    leader.acknowledge (6, 1);
+    EXPECT_FALSE (leader.holdsLease()) << "itself, one voter and a learner";
+    leader.acknowledge (4, 1);
+    EXPECT_TRUE (leader.holdsLease());
 }
 
-TEST(RaftLease, needsAnAppliedEntryOfTheOwnTerm) {
-  LoneMember leader(testVoters(3), recoveredLog({1, 0}, {1, 1}));
-  leader.lead({2});
-  leader.acknowledge(2, 2);
-  EXPECT_FALSE(leader.holdsLease()) << "entry 3, of its own term, is not committed";
-  leader.acknowledge(2, 3);
-  EXPECT_TRUE(leader.holdsLease());
+TEST (RaftLease, needsAnAppliedEntryOfTheOwnTerm)
+{
+    LoneMember leader (testVoters (3), recoveredLog ({ 1, 0 }, { 1, 1 }));
+    leader.lead ({ 2 });
+    leader.acknowledge (2, 2);
+    EXPECT_FALSE (leader.holdsLease()) << "entry 3, of its own term, is not committed";
+    leader.acknowledge (2, 3);
+    EXPECT_TRUE (leader.holdsLease());
 }
 
-TEST(RaftLease, isNotExtendedByRepliesToAnEarlierMembershipOfTheSameMember) {
-  LoneMember leader(testVoters(3));
-  leader.lead({2});
-  leader.acknowledge(2, 1);
-  leader.advance(milliseconds(500));
-  leader.acknowledge(2, 1);
-  const std::uint64_t earlierRound = leader.lastRoundTo(3);
-  MemberSet members = testVoters(3);
-  members.members.pop_back();
-  ASSERT_EQ(leader.proposeMembers(members), std::nullopt);
-  leader.acknowledge(2, 2);
-  leader.sync();
-  members.members.push_back(testMember(3, false));
-  ASSERT_EQ(leader.proposeMembers(members), std::nullopt);
-  leader.forgetSent();
-  leader.advance(milliseconds(50));
-  ASSERT_GT(leader.lastRoundTo(3), 0U);
-  EXPECT_GT(leader.lastRoundTo(3), earlierRound) << "a round names one message of this leader";
+TEST (RaftLease, isNotExtendedByRepliesToAnEarlierMembershipOfTheSameMember)
+{
+    LoneMember leader (testVoters (3));
+    leader.lead ({ 2 });
+    leader.acknowledge (2, 1);
+    leader.advance (milliseconds (500));
+    leader.acknowledge (2, 1);
+    const std::uint64_t earlierRound = leader.lastRoundTo (3);
+    MemberSet members = testVoters (3);
+    members.members.pop_back();
+    ASSERT_EQ (leader.proposeMembers (members), std::nullopt);
+    leader.acknowledge (2, 2);
+    leader.sync();
+    members.members.push_back (testMember (3, false));
+    ASSERT_EQ (leader.proposeMembers (members), std::nullopt);
+    leader.forgetSent();
+    leader.advance (milliseconds (50));
+    ASSERT_GT (leader.lastRoundTo (3), 0U);
+    EXPECT_GT (leader.lastRoundTo (3), earlierRound) << "a round names one message of this leader";
 }
 
 /// Whether a voter ever grants a vote while the leader it confirmed still holds its lease, when the
 /// voter's clock runs `ratio` times as fast as the leader's.
-bool leaseOutlivesPromise(double ratio) {
-  LoneMember leader(testVoters(3));
-  leader.lead({2});
-  leader.acknowledge(2, 1);
-  LoneMember voter(testVoters(3), recoveredLog({1, 2}, {1}));
-  voter.receive(2, 1, AppendRequest{1, 1, 1, 1, {}});
-  const auto leaderStart = leader.now();
-  const auto voterStart = voter.now();
-  for (int step = 1; step <= 400; ++step) {
-    const auto leaderTime = milliseconds(step);
-    const auto voterTime = base::Duration(static_cast<std::int64_t>(step * 1000 * ratio));
-    voter.node().receive({3, 1, 2, preVote(9, 1)}, voterStart + voterTime);
-    bool isGranted = false;
-    for (const Message& message : voter.node().takeOutput().messages) {
-      const auto* reply = std::get_if<VoteReply>(&message.payload);
-      isGranted = isGranted || (reply != nullptr && reply->granted);
+bool leaseOutlivesPromise (double ratio)
+{
+    LoneMember leader (testVoters (3));
+    leader.lead ({ 2 });
+    leader.acknowledge (2, 1);
+    LoneMember voter (testVoters (3), recoveredLog ({ 1, 2 }, { 1 }));
+    voter.receive (2, 1, AppendRequest{ 1, 1, 1, 1, {} });
+    const auto leaderStart = leader.now();
+    const auto voterStart = voter.now();
+    for (int step = 1; step <= 400; ++step)
+    {
+        const auto leaderTime = milliseconds (step);
+        const auto voterTime = base::Duration (static_cast<std::int64_t> (step * 1000 * ratio));
+        voter.node().receive ({ 3, 1, 2, preVote (9, 1) }, voterStart + voterTime);
+        bool isGranted = false;
+        for (const Message& message : voter.node().takeOutput().messages)
+        {
+            const auto* reply = std::get_if<VoteReply> (&message.payload);
+            isGranted = isGranted || (reply != nullptr && reply->granted);
+        }
+        if (isGranted)
+            return leader.node().holdsLease (leaderStart + leaderTime);
     }
-    if (isGranted) return leader.node().holdsLease(leaderStart + leaderTime);
-  }
-  return false;
+    return false;
 }
 
-TEST(RaftLease, holdsUpToTheStatedClockDrift) {
-  const RaftOptions options;
-  const double bound =
-      static_cast<double>(options.electionTimeoutMinimum.count()) /
-      static_cast<double>((options.electionTimeoutMinimum - options.leaseMargin).count());
-  EXPECT_DOUBLE_EQ(bound, 1.25);
-  EXPECT_FALSE(leaseOutlivesPromise(1.0));
-  EXPECT_FALSE(leaseOutlivesPromise(bound));
-  EXPECT_TRUE(leaseOutlivesPromise(bound + 0.05)) << "this check can fail";
+TEST (RaftLease, holdsUpToTheStatedClockDrift)
+{
+    const RaftOptions options;
+    const double bound =
+        static_cast<double> (options.electionTimeoutMinimum.count())
+        / static_cast<double> ((options.electionTimeoutMinimum - options.leaseMargin).count());
+    EXPECT_DOUBLE_EQ (bound, 1.25);
+    EXPECT_FALSE (leaseOutlivesPromise (1.0));
+    EXPECT_FALSE (leaseOutlivesPromise (bound));
+    EXPECT_TRUE (leaseOutlivesPromise (bound + 0.05)) << "this check can fail";
 }
 
-TEST(RaftCheckQuorum, aLeaderThatHearsNoMajorityStepsDown) {
-  MemberSet members = testVoters(3);
-  members.members.push_back(testMember(4, false));
-  LoneMember leader(members);
-  leader.lead({2});
-  leader.acknowledge(2, 1);
-  leader.advance(milliseconds(595));
-  EXPECT_TRUE(leader.leads());
-  leader.acknowledge(4, 1);
-  leader.advance(milliseconds(10));
-  EXPECT_FALSE(leader.leads()) << "a learner is not part of the majority";
-  EXPECT_FALSE(leader.propose("x"));
+TEST (RaftCheckQuorum, aLeaderThatHearsNoMajorityStepsDown)
+{
+    MemberSet members = testVoters (3);
+    members.members.push_back (testMember (4, false));
+    LoneMember leader (members);
+    leader.lead ({ 2 });
+    leader.acknowledge (2, 1);
+    leader.advance (milliseconds (595));
+    EXPECT_TRUE (leader.leads());
+    leader.acknowledge (4, 1);
+    leader.advance (milliseconds (10));
+    EXPECT_FALSE (leader.leads()) << "a learner is not part of the majority";
+    EXPECT_FALSE (leader.propose ("x"));
 }
 
-TEST(RaftCheckQuorum, aLeaderThatHearsAMajorityStays) {
-  LoneMember leader(testVoters(5));
-  leader.lead({2, 3});
-  for (int step = 0; step < 20; ++step) {
-    leader.acknowledge(2, 1);
-    leader.acknowledge(5, 1);
-    leader.advance(milliseconds(500));
-  }
-  EXPECT_TRUE(leader.leads());
+TEST (RaftCheckQuorum, aLeaderThatHearsAMajorityStays)
+{
+    LoneMember leader (testVoters (5));
+    leader.lead ({ 2, 3 });
+    for (int step = 0; step < 20; ++step)
+    {
+        leader.acknowledge (2, 1);
+        leader.acknowledge (5, 1);
+        leader.advance (milliseconds (500));
+    }
+    EXPECT_TRUE (leader.leads());
 }
 
 }  // namespace
