--- a/src/consensus/RaftImplementation.h
+++ b/src/consensus/RaftImplementation.h
@@ -17,7 +17,8 @@
 #include "consensus/RaftNode.h"
 #include "consensus/SnapshotReceiver.h"
 
-namespace fernlift::consensus {
+namespace fernlift::consensus
+{
 
 /**
  * Decides for one member what it writes, sends and applies.
@@ -34,129 +35,132 @@
  * only once that state is synced (`sendWhenSynced`), nothing at or below `commitIndex_` is ever
  * truncated, and a leader commits by counting only entries of its own term.
  */
-class RaftNode::Implementation {
- public:
-  Implementation(MemberId self, RaftOptions options, RecoveredState recovered,
-                 std::uint64_t randomSeed, base::TimePoint now);
-
-  void receive(const Message& message, base::TimePoint now);
-  void tick(base::TimePoint now);
-  void onPersisted(std::uint64_t sequence, base::TimePoint now);
-  void onStorageFailed();
-  base::Result<LogIndex> propose(std::string data, base::TimePoint now);
-  base::Result<LogIndex> proposeMembers(MemberSet members, base::TimePoint now);
-  base::Result<void> transferLeadership(base::TimePoint now);
-  [[nodiscard]] bool holdsLease(base::TimePoint now) const;
-  void compact(LogIndex appliedIndex, std::string stateMachineData);
-  RaftOutput takeOutput();
-  [[nodiscard]] RaftStatus status(base::TimePoint now) const;
-
- private:
-  /// A planned hand-over of leadership.
-  struct Transfer {
-    MemberId target = 0;         ///< The voter that was furthest when the transfer began.
-    base::TimePoint deadline;    ///< The term ends then, if the target has not taken over.
-    bool isRequestSent = false;  ///< The target has everything and was asked to campaign.
-  };
-
-  // Common parts (RaftImplementation.cpp).
-  void observe(base::TimePoint now);
-  [[nodiscard]] bool isLeader() const { return role_ == Role::kLeader; }
-  [[nodiscard]] bool isSelfVoter() const;
-  void send(MemberId to, Payload payload);
-  void sendWithTerm(MemberId to, Term term, Payload payload);
-  /// Sends once everything decided so far is synced.
-  void sendWhenSynced(MemberId to, Payload payload);
-  void setHardState(Term term, MemberId votedFor);
-  void becomeFollower(Term term, MemberId leader);
-  void appendToLog(EntryKind kind, std::string data);
-  void advanceCommit(LogIndex index);
-  [[nodiscard]] base::Result<void> requireLeader() const;
-  void dispatch(const Message& message);
-  /// A reply of a member that this one would not ask: it was removed, perhaps with a later term.
-  [[nodiscard]] bool isReplyOfStranger(const Message& message) const;
-
-  // Elections (RaftElection.cpp).
-  void resetElectionTimer();
-  void onElectionTimeout();
-  void startPreVote();
-  void startElection(bool isLeadershipTransfer);
-  void requestVotes(bool isPreVote, bool isLeadershipTransfer);
-  void becomeLeader();
-  void countVotes();
-  /// A leader was heard so lately that its lease may still hold.
-  [[nodiscard]] bool mayLeaderHoldLease() const;
-  [[nodiscard]] bool isUpToDate(const VoteRequest& request) const;
-  void onVoteRequest(const Message& message, const VoteRequest& request);
-  void onPreVoteRequest(const Message& message, const VoteRequest& request);
-  void onVoteReply(const Message& message, const VoteReply& reply);
-
-  // Leader (RaftReplication.cpp).
-  /// Number for the next message to `member`, sent now.
-  std::uint64_t beginRound(MemberReplication& member);
-  void leaderTick();
-  void checkQuorum();
-  void sendHeartbeat(MemberId id, MemberReplication& member);
-  void replicate();
-  void replicateTo(MemberId id, MemberReplication& member);
-  void sendEntries(MemberId id, MemberReplication& member);
-  void onAppendReply(MemberId from, const AppendReply& reply);
-  void commitByMajority();
-  /// When the last round confirmed by a majority was sent; none before the first.
-  [[nodiscard]] std::optional<base::TimePoint> majorityConfirmedAt() const;
-
-  // Follower (RaftFollower.cpp).
-  void noteLeader(MemberId leader);
-  void onAppendRequest(const Message& message, const AppendRequest& request);
-  /// Index to try next when the request does not fit this log; none when it does.
-  [[nodiscard]] std::optional<LogIndex> findMismatch(const AppendRequest& request) const;
-  void storeEntries(const std::vector<Entry>& entries);
-  void acknowledge(MemberId leader, const AppendRequest& request, LogIndex matchedIndex);
-
-  // Snapshots (RaftSnapshot.cpp).
-  void startSnapshot(MemberId id, MemberReplication& member);
-  void sendSnapshotChunk(MemberId id, MemberReplication& member);
-  void onSnapshotReply(MemberId from, const SnapshotReply& reply);
-  void onSnapshotChunk(MemberId from, const SnapshotChunk& chunk);
-  void installSnapshot(Snapshot snapshot);
-
-  // Members and leadership (RaftMembership.cpp).
-  void updateMemberReplications();
-  [[nodiscard]] base::Result<void> checkPromotion(MemberId id) const;
-  void leaveIfRemoved();
-  void progressTransfer();
-  void onTransferLeadership(const Message& message);
-
-  const MemberId self_;        ///< Never 0; never reused after a lost disk.
-  const RaftOptions options_;  ///< Equal on all members.
-  base::Random random_;        ///< Spreads election timeouts; no rule of safety rests on it.
-  RaftLog log_;                ///< As written, synced or not; holds everything up to commitIndex_.
-  PersistQueue persist_;       ///< Every change of log_ and hardState_ passes through it, in order.
-  HardState hardState_;        ///< Latest, synced or not; the term never goes back.
-  Role role_ = Role::kFollower;    ///< kLeader only in a term whose vote for itself is synced.
-  MemberId leader_ = 0;            ///< Leader of the present term; 0 until it is heard.
-  LogIndex commitIndex_ = 0;       ///< Never goes back; at least log_.snapshot().lastIndex.
-  LogIndex appliedIndex_ = 0;      ///< Handed over for applying; never beyond commitIndex_.
-  bool hasStorageFailed_ = false;  ///< For good: from then on this member is silent.
-
-  base::TimePoint now_;               ///< Latest time seen; never goes back.
-  base::TimePoint leaderHeardAt_;     ///< Or the start: promises made before it are not known.
-  base::TimePoint electionDeadline_;  ///< Without a leader until then, a voter campaigns.
-  base::TimePoint preVoteResendAt_;   ///< A pre-candidate asks again then.
-  std::set<MemberId> votes_;          ///< Granted to this campaign, of pre-votes or votes by role_.
-
-  // Leader only; without meaning in other roles.
-  std::map<MemberId, MemberReplication>
-      replications_;                   ///< Of every other member in log_.members().
-  std::uint64_t lastRound_ = 0;        ///< Of the messages to all members; never goes back.
-  LogIndex firstIndexOfTerm_ = 0;      ///< The entry with which this leader began its term.
-  std::optional<Transfer> transfer_;   ///< While set: no proposals and no lease.
-  std::string encodedSnapshot_;        ///< Snapshot being sent; that of encodedSnapshotIndex_.
-  LogIndex encodedSnapshotIndex_ = 0;  ///< 0: none is encoded.
-
-  SnapshotReceiver snapshotReceiver_;  ///< Chunks received so far; lost in a crash, then sent anew.
-  std::vector<Message> messages_;      ///< Vouch for synced state only.
-  std::optional<Snapshot> installedSnapshot_;  ///< Goes out before any entry after it.
+class RaftNode::Implementation
+{
+public:
+    Implementation (MemberId self, RaftOptions options, RecoveredState recovered,
+                    std::uint64_t randomSeed, base::TimePoint now);
+
+    void receive (const Message& message, base::TimePoint now);
+    void tick (base::TimePoint now);
+    void onPersisted (std::uint64_t sequence, base::TimePoint now);
+    void onStorageFailed();
+    base::Result<LogIndex> propose (std::string data, base::TimePoint now);
+    base::Result<LogIndex> proposeMembers (MemberSet members, base::TimePoint now);
+    base::Result<void> transferLeadership (base::TimePoint now);
+    [[nodiscard]] bool holdsLease (base::TimePoint now) const;
+    void compact (LogIndex appliedIndex, std::string stateMachineData);
+    RaftOutput takeOutput();
+    [[nodiscard]] RaftStatus status (base::TimePoint now) const;
+
+private:
+    /// A planned hand-over of leadership.
+    struct Transfer
+    {
+        MemberId target = 0;         ///< The voter that was furthest when the transfer began.
+        base::TimePoint deadline;    ///< The term ends then, if the target has not taken over.
+        bool isRequestSent = false;  ///< The target has everything and was asked to campaign.
+    };
+
+    // Common parts (RaftImplementation.cpp).
+    void observe (base::TimePoint now);
+    [[nodiscard]] bool isLeader() const { return role_ == Role::kLeader; }
+    [[nodiscard]] bool isSelfVoter() const;
+    void send (MemberId to, Payload payload);
+    void sendWithTerm (MemberId to, Term term, Payload payload);
+    /// Sends once everything decided so far is synced.
+    void sendWhenSynced (MemberId to, Payload payload);
+    void setHardState (Term term, MemberId votedFor);
+    void becomeFollower (Term term, MemberId leader);
+    void appendToLog (EntryKind kind, std::string data);
+    void advanceCommit (LogIndex index);
+    [[nodiscard]] base::Result<void> requireLeader() const;
+    void dispatch (const Message& message);
+    /// A reply of a member that this one would not ask: it was removed, perhaps with a later term.
+    [[nodiscard]] bool isReplyOfStranger (const Message& message) const;
+
+    // Elections (RaftElection.cpp).
+    void resetElectionTimer();
+    void onElectionTimeout();
+    void startPreVote();
+    void startElection (bool isLeadershipTransfer);
+    void requestVotes (bool isPreVote, bool isLeadershipTransfer);
+    void becomeLeader();
+    void countVotes();
+    /// A leader was heard so lately that its lease may still hold.
+    [[nodiscard]] bool mayLeaderHoldLease() const;
+    [[nodiscard]] bool isUpToDate (const VoteRequest& request) const;
+    void onVoteRequest (const Message& message, const VoteRequest& request);
+    void onPreVoteRequest (const Message& message, const VoteRequest& request);
+    void onVoteReply (const Message& message, const VoteReply& reply);
+
+    // Leader (RaftReplication.cpp).
+    /// Number for the next message to `member`, sent now.
+    std::uint64_t beginRound (MemberReplication& member);
+    void leaderTick();
+    void checkQuorum();
+    void sendHeartbeat (MemberId id, MemberReplication& member);
+    void replicate();
+    void replicateTo (MemberId id, MemberReplication& member);
+    void sendEntries (MemberId id, MemberReplication& member);
+    void onAppendReply (MemberId from, const AppendReply& reply);
+    void commitByMajority();
+    /// When the last round confirmed by a majority was sent; none before the first.
+    [[nodiscard]] std::optional<base::TimePoint> majorityConfirmedAt() const;
+
+    // Follower (RaftFollower.cpp).
+    void noteLeader (MemberId leader);
+    void onAppendRequest (const Message& message, const AppendRequest& request);
+    /// Index to try next when the request does not fit this log; none when it does.
+    [[nodiscard]] std::optional<LogIndex> findMismatch (const AppendRequest& request) const;
+    void storeEntries (const std::vector<Entry>& entries);
+    void acknowledge (MemberId leader, const AppendRequest& request, LogIndex matchedIndex);
+
+    // Snapshots (RaftSnapshot.cpp).
+    void startSnapshot (MemberId id, MemberReplication& member);
+    void sendSnapshotChunk (MemberId id, MemberReplication& member);
+    void onSnapshotReply (MemberId from, const SnapshotReply& reply);
+    void onSnapshotChunk (MemberId from, const SnapshotChunk& chunk);
+    void installSnapshot (Snapshot snapshot);
+
+    // Members and leadership (RaftMembership.cpp).
+    void updateMemberReplications();
+    [[nodiscard]] base::Result<void> checkPromotion (MemberId id) const;
+    void leaveIfRemoved();
+    void progressTransfer();
+    void onTransferLeadership (const Message& message);
+
+    const MemberId self_;        ///< Never 0; never reused after a lost disk.
+    const RaftOptions options_;  ///< Equal on all members.
+    base::Random random_;        ///< Spreads election timeouts; no rule of safety rests on it.
+    RaftLog log_;           ///< As written, synced or not; holds everything up to commitIndex_.
+    PersistQueue persist_;  ///< Every change of log_ and hardState_ passes through it, in order.
+    HardState hardState_;   ///< Latest, synced or not; the term never goes back.
+    Role role_ = Role::kFollower;    ///< kLeader only in a term whose vote for itself is synced.
+    MemberId leader_ = 0;            ///< Leader of the present term; 0 until it is heard.
+    LogIndex commitIndex_ = 0;       ///< Never goes back; at least log_.snapshot().lastIndex.
+    LogIndex appliedIndex_ = 0;      ///< Handed over for applying; never beyond commitIndex_.
+    bool hasStorageFailed_ = false;  ///< For good: from then on this member is silent.
+
+    base::TimePoint now_;               ///< Latest time seen; never goes back.
+    base::TimePoint leaderHeardAt_;     ///< Or the start: promises made before it are not known.
+    base::TimePoint electionDeadline_;  ///< Without a leader until then, a voter campaigns.
+    base::TimePoint preVoteResendAt_;   ///< A pre-candidate asks again then.
+    std::set<MemberId> votes_;  ///< Granted to this campaign, of pre-votes or votes by role_.
+
+    // Leader only; without meaning in other roles.
+    std::map<MemberId, MemberReplication>
+        replications_;                   ///< Of every other member in log_.members().
+    std::uint64_t lastRound_ = 0;        ///< Of the messages to all members; never goes back.
+    LogIndex firstIndexOfTerm_ = 0;      ///< The entry with which this leader began its term.
+    std::optional<Transfer> transfer_;   ///< While set: no proposals and no lease.
+    std::string encodedSnapshot_;        ///< Snapshot being sent; that of encodedSnapshotIndex_.
+    LogIndex encodedSnapshotIndex_ = 0;  ///< 0: none is encoded.
+
+    SnapshotReceiver
+        snapshotReceiver_;           ///< Chunks received so far; lost in a crash, then sent anew.
+    std::vector<Message> messages_;  ///< Vouch for synced state only.
+    std::optional<Snapshot> installedSnapshot_;  ///< Goes out before any entry after it.
 };
 
 }  // namespace fernlift::consensus
--- a/src/consensus/RaftLog.h
+++ b/src/consensus/RaftLog.h
@@ -11,7 +11,8 @@
 
 #include "consensus/Messages.h"
 
-namespace fernlift::consensus {
+namespace fernlift::consensus
+{
 
 /**
  * Keeps the entries of one member and answers for terms and members at an index.
@@ -21,52 +22,53 @@
  *
  * Threading: none; owned by RaftNode.
  */
-class RaftLog {
- public:
-  /// `entries` are contiguous and start after the snapshot.
-  RaftLog(Snapshot snapshot, std::vector<Entry> entries, MemberSet initialMembers);
+class RaftLog
+{
+public:
+    /// `entries` are contiguous and start after the snapshot.
+    RaftLog (Snapshot snapshot, std::vector<Entry> entries, MemberSet initialMembers);
 
-  /// Index of the first entry held; entries before it are only in the snapshot.
-  [[nodiscard]] LogIndex firstIndex() const { return precedingIndex_ + 1; }
-  [[nodiscard]] LogIndex lastIndex() const { return precedingIndex_ + entries_.size(); }
-  [[nodiscard]] Term lastTerm() const;
-  /// Term of the entry at `index`, also of the one just before firstIndex(); none elsewhere.
-  [[nodiscard]] std::optional<Term> termAt(LogIndex index) const;
-  /// Requires firstIndex() <= index <= lastIndex().
-  [[nodiscard]] const Entry& at(LogIndex index) const;
-  /// Entries from `from` on, at least one if there is one, up to about `maximumBytes` of data.
-  [[nodiscard]] std::vector<Entry> slice(LogIndex from, std::size_t maximumBytes) const;
-  /// First index held that has the same term as the entry at `index`.
-  [[nodiscard]] LogIndex firstIndexOfTermAt(LogIndex index) const;
+    /// Index of the first entry held; entries before it are only in the snapshot.
+    [[nodiscard]] LogIndex firstIndex() const { return precedingIndex_ + 1; }
+    [[nodiscard]] LogIndex lastIndex() const { return precedingIndex_ + entries_.size(); }
+    [[nodiscard]] Term lastTerm() const;
+    /// Term of the entry at `index`, also of the one just before firstIndex(); none elsewhere.
+    [[nodiscard]] std::optional<Term> termAt (LogIndex index) const;
+    /// Requires firstIndex() <= index <= lastIndex().
+    [[nodiscard]] const Entry& at (LogIndex index) const;
+    /// Entries from `from` on, at least one if there is one, up to about `maximumBytes` of data.
+    [[nodiscard]] std::vector<Entry> slice (LogIndex from, std::size_t maximumBytes) const;
+    /// First index held that has the same term as the entry at `index`.
+    [[nodiscard]] LogIndex firstIndexOfTermAt (LogIndex index) const;
 
-  /// Requires entry.index == lastIndex() + 1.
-  void append(Entry entry);
-  /// Drops the entries with index >= `index`.
-  void truncateFrom(LogIndex index);
-  /// Keeps a snapshot of this log's own prefix; `keptEntries` of the entries it covers
-  /// stay for members that lag a little.
-  void compact(Snapshot snapshot, std::size_t keptEntries);
-  /// Replaces the whole log by a received snapshot.
-  void replaceBy(Snapshot snapshot);
+    /// Requires entry.index == lastIndex() + 1.
+    void append (Entry entry);
+    /// Drops the entries with index >= `index`.
+    void truncateFrom (LogIndex index);
+    /// Keeps a snapshot of this log's own prefix; `keptEntries` of the entries it covers
+    /// stay for members that lag a little.
+    void compact (Snapshot snapshot, std::size_t keptEntries);
+    /// Replaces the whole log by a received snapshot.
+    void replaceBy (Snapshot snapshot);
 
-  [[nodiscard]] const Snapshot& snapshot() const { return snapshot_; }
-  /// The latest members in the log, committed or not: those are in force.
-  [[nodiscard]] const MemberSet& members() const { return memberHistory_.back().second; }
-  /// Index of the entry that named members(); 0 for the initial ones.
-  [[nodiscard]] LogIndex membersIndex() const { return memberHistory_.back().first; }
-  /// Members in force at `index`, which is not before the snapshot.
-  [[nodiscard]] const MemberSet& membersAt(LogIndex index) const;
+    [[nodiscard]] const Snapshot& snapshot() const { return snapshot_; }
+    /// The latest members in the log, committed or not: those are in force.
+    [[nodiscard]] const MemberSet& members() const { return memberHistory_.back().second; }
+    /// Index of the entry that named members(); 0 for the initial ones.
+    [[nodiscard]] LogIndex membersIndex() const { return memberHistory_.back().first; }
+    /// Members in force at `index`, which is not before the snapshot.
+    [[nodiscard]] const MemberSet& membersAt (LogIndex index) const;
 
- private:
-  void noteMembers(const Entry& entry);
+private:
+    void noteMembers (const Entry& entry);
 
-  Snapshot snapshot_;            ///< Its lastIndex lies between precedingIndex_ and lastIndex().
-  LogIndex precedingIndex_ = 0;  ///< Index and term of the entry just before entries_.
-  Term precedingTerm_ = 0;
-  std::deque<Entry> entries_;  ///< Indexes precedingIndex_ + 1 and on, without a gap.
-  /// Member sets by the index that named them, ascending and never empty; the first one is from the
-  /// snapshot or the start.
-  std::vector<std::pair<LogIndex, MemberSet>> memberHistory_;
+    Snapshot snapshot_;            ///< Its lastIndex lies between precedingIndex_ and lastIndex().
+    LogIndex precedingIndex_ = 0;  ///< Index and term of the entry just before entries_.
+    Term precedingTerm_ = 0;
+    std::deque<Entry> entries_;  ///< Indexes precedingIndex_ + 1 and on, without a gap.
+    /// Member sets by the index that named them, ascending and never empty; the first one is from
+    /// the snapshot or the start.
+    std::vector<std::pair<LogIndex, MemberSet>> memberHistory_;
 };
 
 }  // namespace fernlift::consensus
--- a/src/consensus/RaftNodeTest.cpp
+++ b/src/consensus/RaftNodeTest.cpp
@@ -10,283 +10,330 @@
 #include "consensus/Membership.h"
 #include "consensus/RaftNode.h"
 
-namespace fernlift::consensus {
-namespace {
+namespace fernlift::consensus
+{
+namespace
+{
 
 using base::milliseconds;
 using base::TimePoint;
 
 /// Members joined by a network without delay and disks that sync at once, unless told otherwise.
-class RaftNodeTest : public ::testing::Test {
- protected:
-  struct Slot {
-    std::unique_ptr<RaftNode> node;
-    std::vector<Entry> applied;
-    std::optional<Snapshot> installed;
-    bool isCut = false;
-    bool isDiskStopped = false;
-    std::uint64_t unconfirmed = 0;
-  };
+class RaftNodeTest : public ::testing::Test
+{
+protected:
+    struct Slot
+    {
+        std::unique_ptr<RaftNode> node;
+        std::vector<Entry> applied;
+        std::optional<Snapshot> installed;
+        bool isCut = false;
+        bool isDiskStopped = false;
+        std::uint64_t unconfirmed = 0;
+    };
 
-  static Member member(MemberId id, bool isVoter = true) {
-    return {id, "127.0.0.1:" + std::to_string(id), "", "zone", isVoter};
-  }
-  static MemberSet voters(MemberId count) {
-    MemberSet set;
-    for (MemberId id = 1; id <= count; ++id) set.members.push_back(member(id));
-    return set;
-  }
-  void startAll(MemberId count) {
-    for (MemberId id = 1; id <= count; ++id) start(id, voters(count));
-  }
-  void start(MemberId id, MemberSet initialMembers, RecoveredState state = {}) {
-    state.initialMembers = std::move(initialMembers);
-    slots_[id] = Slot();
-    slots_[id].node = std::make_unique<RaftNode>(id, options_, std::move(state), id, now_);
-  }
+    static Member member (MemberId id, bool isVoter = true)
+    {
+        return { id, "127.0.0.1:" + std::to_string (id), "", "zone", isVoter };
+    }
+    static MemberSet voters (MemberId count)
+    {
+        MemberSet set;
+        for (MemberId id = 1; id <= count; ++id)
+            set.members.push_back (member (id));
+        return set;
+    }
+    void startAll (MemberId count)
+    {
+        for (MemberId id = 1; id <= count; ++id)
+            start (id, voters (count));
+    }
+    void start (MemberId id, MemberSet initialMembers, RecoveredState state = {})
+    {
+        state.initialMembers = std::move (initialMembers);
+        slots_[id] = Slot();
+        slots_[id].node = std::make_unique<RaftNode> (id, options_, std::move (state), id, now_);
+    }
 
-  void run(base::Duration duration) {
-    const TimePoint end = now_ + duration;
-    while (now_ < end) {
-      now_ += milliseconds(5);
-      for (auto& [id, slot] : slots_) slot.node->tick(now_);
-      pump();
+    void run (base::Duration duration)
+    {
+        const TimePoint end = now_ + duration;
+        while (now_ < end)
+        {
+            now_ += milliseconds (5);
+            for (auto& [id, slot] : slots_)
+                slot.node->tick (now_);
+            pump();
+        }
+    }
+    void pump()
+    {
+        bool isBusy = true;
+        while (isBusy)
+        {
+            isBusy = false;
+            for (auto& [id, slot] : slots_)
+                isBusy |= take (slot);
+            while (! wire_.empty())
+            {
+                const Message message = wire_.front();
+                wire_.pop_front();
+                const auto to = slots_.find (message.to);
+                if (to == slots_.end() || to->second.isCut || slots_[message.from].isCut)
+                    continue;
+                to->second.node->receive (message, now_);
+                isBusy = true;
+            }
+        }
     }
-  }
-  void pump() {
-    bool isBusy = true;
-    while (isBusy) {
-      isBusy = false;
-      for (auto& [id, slot] : slots_) isBusy |= take(slot);
-      while (!wire_.empty()) {
-        const Message message = wire_.front();
-        wire_.pop_front();
-        const auto to = slots_.find(message.to);
-        if (to == slots_.end() || to->second.isCut || slots_[message.from].isCut) continue;
-        to->second.node->receive(message, now_);
-        isBusy = true;
-      }
+    bool take (Slot& slot)
+    {
+        RaftOutput output = slot.node->takeOutput();
+        if (output.installedSnapshot)
+            slot.installed = output.installedSnapshot;
+        for (Entry& entry : output.committed)
+            slot.applied.push_back (std::move (entry));
+        for (Message& message : output.messages)
+            wire_.push_back (std::move (message));
+        if (! output.writes.empty())
+            slot.unconfirmed = output.writes.back().sequence;
+        if (slot.isDiskStopped || slot.unconfirmed == 0)
+            return false;
+        slot.node->onPersisted (std::exchange (slot.unconfirmed, 0), now_);
+        return true;
     }
-  }
-  bool take(Slot& slot) {
-    RaftOutput output = slot.node->takeOutput();
-    if (output.installedSnapshot) slot.installed = output.installedSnapshot;
-    for (Entry& entry : output.committed) slot.applied.push_back(std::move(entry));
-    for (Message& message : output.messages) wire_.push_back(std::move(message));
-    if (!output.writes.empty()) slot.unconfirmed = output.writes.back().sequence;
-    if (slot.isDiskStopped || slot.unconfirmed == 0) return false;
-    slot.node->onPersisted(std::exchange(slot.unconfirmed, 0), now_);
-    return true;
-  }
-  MemberId leader() {
-    MemberId found = 0;
-    for (auto& [id, slot] : slots_) {
-      if (!slot.isCut && slot.node->status(now_).role == Role::kLeader) found = id;
+    MemberId leader()
+    {
+        MemberId found = 0;
+        for (auto& [id, slot] : slots_)
+        {
+            if (! slot.isCut && slot.node->status (now_).role == Role::kLeader)
+                found = id;
+        }
+        return found;
     }
-    return found;
-  }
-  RaftNode& node(MemberId id) { return *slots_.at(id).node; }
-  RaftStatus statusOf(MemberId id) { return node(id).status(now_); }
+    RaftNode& node (MemberId id) { return *slots_.at (id).node; }
+    RaftStatus statusOf (MemberId id) { return node (id).status (now_); }
 
-  std::optional<base::ErrorKind> propose(MemberId id, const std::string& data) {
-    return failureOf([&] { return node(id).propose(data, now_); });
-  }
-  std::optional<base::ErrorKind> proposeMembers(MemberId id, const MemberSet& members) {
-    return failureOf([&] { return node(id).proposeMembers(members, now_); });
-  }
-  template <class Operation>
-  static std::optional<base::ErrorKind> failureOf(Operation&& operation) {
-    using Kind = std::optional<base::ErrorKind>;
-    return base::handleErrors(
-        [&]() -> base::Result<Kind> {
-          BOOST_LEAF_CHECK(operation());
-          return Kind();
-        },
-        [](const base::Error& error) { return Kind(error.kind); });
-  }
-  static std::size_t commandCount(const Slot& slot) {
-    return static_cast<std::size_t>(
-        std::count_if(slot.applied.begin(), slot.applied.end(),
-                      [](const Entry& entry) { return entry.kind == EntryKind::kCommand; }));
-  }
+    std::optional<base::ErrorKind> propose (MemberId id, const std::string& data)
+    {
+        return failureOf ([&] { return node (id).propose (data, now_); });
+    }
+    std::optional<base::ErrorKind> proposeMembers (MemberId id, const MemberSet& members)
+    {
+        return failureOf ([&] { return node (id).proposeMembers (members, now_); });
+    }
+    template <class Operation>
+    static std::optional<base::ErrorKind> failureOf (Operation&& operation)
+    {
+        using Kind = std::optional<base::ErrorKind>;
+        return base::handleErrors (
+            [&]() -> base::Result<Kind>
+            {
+                BOOST_LEAF_CHECK (operation());
+                return Kind();
+            },
+            [] (const base::Error& error) { return Kind (error.kind); });
+    }
+    static std::size_t commandCount (const Slot& slot)
+    {
+        return static_cast<std::size_t> (
+            std::count_if (slot.applied.begin(), slot.applied.end(),
+                           [] (const Entry& entry) { return entry.kind == EntryKind::kCommand; }));
+    }
 
-  RaftOptions options_;
-  TimePoint now_{milliseconds(1000)};
-  std::map<MemberId, Slot> slots_;
-  std::deque<Message> wire_;
+    RaftOptions options_;
+    TimePoint now_{ milliseconds (1000) };
+    std::map<MemberId, Slot> slots_;
+    std::deque<Message> wire_;
 };
 
-TEST_F(RaftNodeTest, ASingleMemberLeadsAndCommits) {
-  startAll(1);
-  run(milliseconds(700));
-  ASSERT_EQ(leader(), 1U);
-  EXPECT_EQ(propose(1, "a"), std::nullopt);
-  pump();
-  EXPECT_EQ(commandCount(slots_[1]), 1U);
-  EXPECT_TRUE(node(1).holdsLease(now_));
+TEST_F (RaftNodeTest, ASingleMemberLeadsAndCommits)
+{
+    startAll (1);
+    run (milliseconds (700));
+    ASSERT_EQ (leader(), 1U);
+    EXPECT_EQ (propose (1, "a"), std::nullopt);
+    pump();
+    EXPECT_EQ (commandCount (slots_[1]), 1U);
+    EXPECT_TRUE (node (1).holdsLease (now_));
 }
 
-TEST_F(RaftNodeTest, ASingleMemberCommitsNothingBeforeItsDiskIsSynced) {
-  startAll(1);
-  run(milliseconds(700));
-  slots_[1].isDiskStopped = true;
-  EXPECT_EQ(propose(1, "a"), std::nullopt);
-  run(milliseconds(100));
-  EXPECT_EQ(commandCount(slots_[1]), 0U);
+TEST_F (RaftNodeTest, ASingleMemberCommitsNothingBeforeItsDiskIsSynced)
+{
+    startAll (1);
+    run (milliseconds (700));
+    slots_[1].isDiskStopped = true;
+    EXPECT_EQ (propose (1, "a"), std::nullopt);
+    run (milliseconds (100));
+    EXPECT_EQ (commandCount (slots_[1]), 0U);
 }
 
-TEST_F(RaftNodeTest, ThreeMembersElectOneLeaderAndApplyTheSameLog) {
-  startAll(3);
-  run(milliseconds(2000));
-  const MemberId first = leader();
-  ASSERT_NE(first, 0U);
-  for (int count = 0; count < 100; ++count) EXPECT_EQ(propose(first, "x"), std::nullopt);
-  run(milliseconds(100));
-  for (auto& [id, slot] : slots_) {
-    EXPECT_EQ(commandCount(slot), 100U);
-    EXPECT_EQ(slot.applied, slots_[1].applied);
-  }
-  slots_[first].isCut = true;
-  run(milliseconds(2500));
-  const MemberId second = leader();
-  ASSERT_NE(second, 0U);
-  EXPECT_NE(statusOf(first).role, Role::kLeader) << "check-quorum";
-  EXPECT_FALSE(node(first).holdsLease(now_));
-  EXPECT_EQ(propose(first, "x"), base::ErrorKind::kNotLeader);
-  EXPECT_EQ(propose(second, "y"), std::nullopt);
-  slots_[first].isCut = false;
-  run(milliseconds(1000));
-  EXPECT_EQ(leader(), second) << "a returning member must not disturb the leader";
-  EXPECT_EQ(slots_[first].applied, slots_[second].applied);
+TEST_F (RaftNodeTest, ThreeMembersElectOneLeaderAndApplyTheSameLog)
+{
+    startAll (3);
+    run (milliseconds (2000));
+    const MemberId first = leader();
+    ASSERT_NE (first, 0U);
+    for (int count = 0; count < 100; ++count)
+        EXPECT_EQ (propose (first, "x"), std::nullopt);
+    run (milliseconds (100));
+    for (auto& [id, slot] : slots_)
+    {
+        EXPECT_EQ (commandCount (slot), 100U);
+        EXPECT_EQ (slot.applied, slots_[1].applied);
+    }
+    slots_[first].isCut = true;
+    run (milliseconds (2500));
+    const MemberId second = leader();
+    ASSERT_NE (second, 0U);
+    EXPECT_NE (statusOf (first).role, Role::kLeader) << "check-quorum";
+    EXPECT_FALSE (node (first).holdsLease (now_));
+    EXPECT_EQ (propose (first, "x"), base::ErrorKind::kNotLeader);
+    EXPECT_EQ (propose (second, "y"), std::nullopt);
+    slots_[first].isCut = false;
+    run (milliseconds (1000));
+    EXPECT_EQ (leader(), second) << "a returning member must not disturb the leader";
+    EXPECT_EQ (slots_[first].applied, slots_[second].applied);
 }
 
-TEST_F(RaftNodeTest, AVoteIsSentOnlyOnceItIsSynced) {
-  start(1, voters(3));
-  now_ += milliseconds(1000);
-  node(1).receive({2, 1, 5, VoteRequest{false, false, 0, 0}}, now_);
-  RaftOutput output = node(1).takeOutput();
-  EXPECT_TRUE(output.messages.empty());
-  ASSERT_EQ(output.writes.size(), 1U);
-  EXPECT_EQ(output.writes[0].hardState, (HardState{5, 2}));
-  node(1).onPersisted(output.writes[0].sequence, now_);
-  output = node(1).takeOutput();
-  ASSERT_EQ(output.messages.size(), 1U);
-  EXPECT_TRUE(std::get<VoteReply>(output.messages[0].payload).granted);
+TEST_F (RaftNodeTest, AVoteIsSentOnlyOnceItIsSynced)
+{
+    start (1, voters (3));
+    now_ += milliseconds (1000);
+    node (1).receive ({ 2, 1, 5, VoteRequest{ false, false, 0, 0 } }, now_);
+    RaftOutput output = node (1).takeOutput();
+    EXPECT_TRUE (output.messages.empty());
+    ASSERT_EQ (output.writes.size(), 1U);
+    EXPECT_EQ (output.writes[0].hardState, (HardState{ 5, 2 }));
+    node (1).onPersisted (output.writes[0].sequence, now_);
+    output = node (1).takeOutput();
+    ASSERT_EQ (output.messages.size(), 1U);
+    EXPECT_TRUE (std::get<VoteReply> (output.messages[0].payload).granted);
 }
 
-TEST_F(RaftNodeTest, ARestartedMemberKeepsItsVote) {
-  RecoveredState state;
-  state.hardState = {5, 2};
-  start(1, voters(3), state);
-  now_ += milliseconds(1000);
-  node(1).receive({3, 1, 5, VoteRequest{false, false, 9, 4}}, now_);
-  const RaftOutput output = node(1).takeOutput();
-  ASSERT_EQ(output.messages.size(), 1U);
-  EXPECT_FALSE(std::get<VoteReply>(output.messages[0].payload).granted);
+TEST_F (RaftNodeTest, ARestartedMemberKeepsItsVote)
+{
+    RecoveredState state;
+    state.hardState = { 5, 2 };
+    start (1, voters (3), state);
+    now_ += milliseconds (1000);
+    node (1).receive ({ 3, 1, 5, VoteRequest{ false, false, 9, 4 } }, now_);
+    const RaftOutput output = node (1).takeOutput();
+    ASSERT_EQ (output.messages.size(), 1U);
+    EXPECT_FALSE (std::get<VoteReply> (output.messages[0].payload).granted);
 }
 
-TEST_F(RaftNodeTest, AMemberThatHeardALeaderOrJustStartedRefusesToVote) {
-  start(1, voters(3));
-  node(1).receive({3, 1, 9, VoteRequest{false, false, 9, 4}}, now_ + milliseconds(299));
-  EXPECT_TRUE(node(1).takeOutput().messages.empty()) << "promises before the start are not known";
-  node(1).receive({3, 1, 9, VoteRequest{false, true, 9, 4}}, now_ + milliseconds(299));
-  EXPECT_EQ(node(1).takeOutput().writes.size(), 1U) << "leadership transfer";
+TEST_F (RaftNodeTest, AMemberThatHeardALeaderOrJustStartedRefusesToVote)
+{
+    start (1, voters (3));
+    node (1).receive ({ 3, 1, 9, VoteRequest{ false, false, 9, 4 } }, now_ + milliseconds (299));
+    EXPECT_TRUE (node (1).takeOutput().messages.empty())
+        << "promises before the start are not known";
+    node (1).receive ({ 3, 1, 9, VoteRequest{ false, true, 9, 4 } }, now_ + milliseconds (299));
+    EXPECT_EQ (node (1).takeOutput().writes.size(), 1U) << "leadership transfer";
 }
 
-TEST_F(RaftNodeTest, EntriesAreAcknowledgedOnlyOnceSynced) {
-  start(1, voters(3));
-  AppendRequest request;
-  request.entries = {{1, 1, EntryKind::kCommand, "a"}, {2, 1, EntryKind::kCommand, "b"}};
-  node(1).receive({2, 1, 1, request}, now_);
-  RaftOutput output = node(1).takeOutput();
-  EXPECT_TRUE(output.messages.empty());
-  ASSERT_EQ(output.writes.size(), 1U) << "one write for term and entries";
-  node(1).onPersisted(output.writes[0].sequence, now_);
-  output = node(1).takeOutput();
-  ASSERT_EQ(output.messages.size(), 1U);
-  EXPECT_EQ(std::get<AppendReply>(output.messages[0].payload).matchIndex, 2U);
+TEST_F (RaftNodeTest, EntriesAreAcknowledgedOnlyOnceSynced)
+{
+    start (1, voters (3));
+    AppendRequest request;
+    request.entries = { { 1, 1, EntryKind::kCommand, "a" }, { 2, 1, EntryKind::kCommand, "b" } };
+    node (1).receive ({ 2, 1, 1, request }, now_);
+    RaftOutput output = node (1).takeOutput();
+    EXPECT_TRUE (output.messages.empty());
+    ASSERT_EQ (output.writes.size(), 1U) << "one write for term and entries";
+    node (1).onPersisted (output.writes[0].sequence, now_);
+    output = node (1).takeOutput();
+    ASSERT_EQ (output.messages.size(), 1U);
+    EXPECT_EQ (std::get<AppendReply> (output.messages[0].payload).matchIndex, 2U);
 }
 
-TEST_F(RaftNodeTest, AFailedDiskStopsTheMember) {
-  startAll(3);
-  run(milliseconds(2000));
-  const MemberId first = leader();
-  node(first).onStorageFailed();
-  EXPECT_EQ(propose(first, "x"), base::ErrorKind::kNotLeader);
-  run(milliseconds(2500));
-  EXPECT_NE(leader(), 0U);
-  EXPECT_NE(leader(), first);
+TEST_F (RaftNodeTest, AFailedDiskStopsTheMember)
+{
+    startAll (3);
+    run (milliseconds (2000));
+    const MemberId first = leader();
+    node (first).onStorageFailed();
+    EXPECT_EQ (propose (first, "x"), base::ErrorKind::kNotLeader);
+    run (milliseconds (2500));
+    EXPECT_NE (leader(), 0U);
+    EXPECT_NE (leader(), first);
 }
 
-TEST_F(RaftNodeTest, LeadershipIsHandedOverAtOnce) {
-  startAll(3);
-  run(milliseconds(2000));
-  const MemberId first = leader();
-  ASSERT_TRUE(node(first).holdsLease(now_));
-  EXPECT_EQ(failureOf([&] { return node(first).transferLeadership(now_); }), std::nullopt);
-  EXPECT_FALSE(node(first).holdsLease(now_)) << "the next leader does not wait for this lease";
-  run(milliseconds(100));
-  EXPECT_NE(leader(), first);
-  EXPECT_NE(leader(), 0U);
+TEST_F (RaftNodeTest, LeadershipIsHandedOverAtOnce)
+{
+    startAll (3);
+    run (milliseconds (2000));
+    const MemberId first = leader();
+    ASSERT_TRUE (node (first).holdsLease (now_));
+    EXPECT_EQ (failureOf ([&] { return node (first).transferLeadership (now_); }), std::nullopt);
+    EXPECT_FALSE (node (first).holdsLease (now_)) << "the next leader does not wait for this lease";
+    run (milliseconds (100));
+    EXPECT_NE (leader(), first);
+    EXPECT_NE (leader(), 0U);
 }
 
-TEST_F(RaftNodeTest, ALearnerWithAnEmptyDiskGetsASnapshotAndIsPromoted) {
-  options_.snapshotChunkBytes = 1000;
-  startAll(3);
-  run(milliseconds(2000));
-  const MemberId first = leader();
-  for (int count = 0; count < 3000; ++count) EXPECT_EQ(propose(first, "x"), std::nullopt);
-  run(milliseconds(200));
-  node(first).compact(statusOf(first).appliedIndex, std::string(25000, 's'));
+TEST_F (RaftNodeTest, ALearnerWithAnEmptyDiskGetsASnapshotAndIsPromoted)
+{
+    options_.snapshotChunkBytes = 1000;
+    startAll (3);
+    run (milliseconds (2000));
+    const MemberId first = leader();
+    for (int count = 0; count < 3000; ++count)
+        EXPECT_EQ (propose (first, "x"), std::nullopt);
+    run (milliseconds (200));
+    node (first).compact (statusOf (first).appliedIndex, std::string (25000, 's'));
 
-  MemberSet members = voters(3);
-  members.members.push_back(member(4));
-  EXPECT_EQ(proposeMembers(first, members), base::ErrorKind::kMembershipChangeRefused);
-  members.members[3].isVoter = false;
-  EXPECT_EQ(proposeMembers(first, members), std::nullopt);
-  members.members[3].isVoter = true;
-  EXPECT_EQ(proposeMembers(first, members), base::ErrorKind::kMembershipChangeRefused)
-      << "the first change is not committed yet";
-  run(milliseconds(100));
-  EXPECT_EQ(proposeMembers(first, members), base::ErrorKind::kMembershipChangeRefused)
-      << "the learner has not caught up";
+    MemberSet members = voters (3);
+    members.members.push_back (member (4));
+    EXPECT_EQ (proposeMembers (first, members), base::ErrorKind::kMembershipChangeRefused);
+    members.members[3].isVoter = false;
+    EXPECT_EQ (proposeMembers (first, members), std::nullopt);
+    members.members[3].isVoter = true;
+    EXPECT_EQ (proposeMembers (first, members), base::ErrorKind::kMembershipChangeRefused)
+        << "the first change is not committed yet";
+    run (milliseconds (100));
+    EXPECT_EQ (proposeMembers (first, members), base::ErrorKind::kMembershipChangeRefused)
+        << "the learner has not caught up";
 
-  start(4, {});
-  run(milliseconds(500));
-  ASSERT_TRUE(slots_[4].installed.has_value());
-  EXPECT_EQ(slots_[4].installed->data, std::string(25000, 's'));
-  EXPECT_EQ(proposeMembers(first, members), std::nullopt);
-  run(milliseconds(100));
-  EXPECT_TRUE(isVoter(statusOf(4).members, 4));
+    start (4, {});
+    run (milliseconds (500));
+    ASSERT_TRUE (slots_[4].installed.has_value());
+    EXPECT_EQ (slots_[4].installed->data, std::string (25000, 's'));
+    EXPECT_EQ (proposeMembers (first, members), std::nullopt);
+    run (milliseconds (100));
+    EXPECT_TRUE (isVoter (statusOf (4).members, 4));
 
-  // The member replaced leaves, and one more is lost: the quorum goes on.
-  const MemberId removed = first == 1 ? 2 : 1;
-  std::erase_if(members.members, [&](const Member& item) { return item.id == removed; });
-  EXPECT_EQ(proposeMembers(first, members), std::nullopt);
-  run(milliseconds(100));
-  const Term term = statusOf(first).term;
-  run(milliseconds(3000));
-  EXPECT_EQ(statusOf(first).term, term) << "a removed member must not disturb the leader";
-  slots_[removed].isCut = true;
-  slots_[first].isCut = true;
-  run(milliseconds(3000));
-  ASSERT_NE(leader(), 0U);
-  EXPECT_EQ(propose(leader(), "y"), std::nullopt);
-  run(milliseconds(100));
-  EXPECT_EQ(statusOf(leader()).commitIndex, statusOf(leader()).lastIndex);
+    // The member replaced leaves, and one more is lost: the quorum goes on.
+    const MemberId removed = first == 1 ? 2 : 1;
+    std::erase_if (members.members, [&] (const Member& item) { return item.id == removed; });
+    EXPECT_EQ (proposeMembers (first, members), std::nullopt);
+    run (milliseconds (100));
+    const Term term = statusOf (first).term;
+    run (milliseconds (3000));
+    EXPECT_EQ (statusOf (first).term, term) << "a removed member must not disturb the leader";
+    slots_[removed].isCut = true;
+    slots_[first].isCut = true;
+    run (milliseconds (3000));
+    ASSERT_NE (leader(), 0U);
+    EXPECT_EQ (propose (leader(), "y"), std::nullopt);
+    run (milliseconds (100));
+    EXPECT_EQ (statusOf (leader()).commitIndex, statusOf (leader()).lastIndex);
 }
 
-TEST_F(RaftNodeTest, ALeaderThatRemovesItselfLeavesOnceThatIsCommitted) {
-  startAll(3);
-  run(milliseconds(2000));
-  const MemberId first = leader();
-  MemberSet members = voters(3);
-  std::erase_if(members.members, [&](const Member& item) { return item.id == first; });
-  EXPECT_EQ(proposeMembers(first, members), std::nullopt);
-  run(milliseconds(2500));
-  EXPECT_NE(leader(), 0U);
-  EXPECT_NE(leader(), first);
-  EXPECT_EQ(voterCount(statusOf(leader()).members), 2U);
+TEST_F (RaftNodeTest, ALeaderThatRemovesItselfLeavesOnceThatIsCommitted)
+{
+    startAll (3);
+    run (milliseconds (2000));
+    const MemberId first = leader();
+    MemberSet members = voters (3);
+    std::erase_if (members.members, [&] (const Member& item) { return item.id == first; });
+    EXPECT_EQ (proposeMembers (first, members), std::nullopt);
+    run (milliseconds (2500));
+    EXPECT_NE (leader(), 0U);
+    EXPECT_NE (leader(), first);
+    EXPECT_EQ (voterCount (statusOf (leader()).members), 2U);
 }
 
 }  // namespace
--- a/src/controller/AdminAnswers.h
+++ b/src/controller/AdminAnswers.h
@@ -15,41 +15,44 @@
 #include "controller/RouterSessions.h"
 #include "controller/RunnerWatch.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 /// HTTP status and body.
-struct AdminAnswer {
-  int httpStatus = 200;
-  std::string json;
+struct AdminAnswer
+{
+    int httpStatus = 200;
+    std::string json;
 };
 
 /// {"error":{"kind","message","execution"}} with the status of the error's kind.
-[[nodiscard]] AdminAnswer errorAnswer(const base::Error& error);
+[[nodiscard]] AdminAnswer errorAnswer (const base::Error& error);
 /// kNotLeader, with "leader": the leader's HTTP address, empty when unknown.
-[[nodiscard]] AdminAnswer notLeaderAnswer(const consensus::RaftStatus& status);
+[[nodiscard]] AdminAnswer notLeaderAnswer (const consensus::RaftStatus& status);
 /// kConfigurationInvalid with "problems": [{"line","key","message"}].
-[[nodiscard]] AdminAnswer problemsAnswer(const std::vector<config::CatalogueProblem>& problems);
+[[nodiscard]] AdminAnswer problemsAnswer (const std::vector<config::CatalogueProblem>& problems);
 /// Outcome of an apply. `inForceEverywhere` is set when the operator asked to wait for it.
-[[nodiscard]] AdminAnswer configurationAnswer(const cell::ConfigurationResult& result,
-                                              std::optional<bool> inForceEverywhere);
+[[nodiscard]] AdminAnswer configurationAnswer (const cell::ConfigurationResult& result,
+                                               std::optional<bool> inForceEverywhere);
 /// {"result":"ok"}
 [[nodiscard]] AdminAnswer doneAnswer();
 
 /// What a leader (or follower, without the volatile parts) can show.
-struct AdminView {
-  const cell::CellState& state;
-  const consensus::RaftStatus& raft;
-  const RunnerWatch* watch = nullptr;        ///< Leader only.
-  const RouterSessions* sessions = nullptr;  ///< Leader only.
-  const DemandTable* demands = nullptr;      ///< Leader only.
-  base::TimePoint now{};
+struct AdminView
+{
+    const cell::CellState& state;
+    const consensus::RaftStatus& raft;
+    const RunnerWatch* watch = nullptr;        ///< Leader only.
+    const RouterSessions* sessions = nullptr;  ///< Leader only.
+    const DemandTable* demands = nullptr;      ///< Leader only.
+    base::TimePoint now{};
 };
 
-[[nodiscard]] AdminAnswer membersAnswer(const consensus::RaftStatus& status);
-[[nodiscard]] AdminAnswer statusAnswer(const AdminView& view);
+[[nodiscard]] AdminAnswer membersAnswer (const consensus::RaftStatus& status);
+[[nodiscard]] AdminAnswer statusAnswer (const AdminView& view);
 /// Kind "model" (also adapters and applications), "runner" or "configuration"; kNotFound for
 /// others.
-[[nodiscard]] AdminAnswer explainAnswer(const AdminView& view, const std::string& kind,
-                                        const std::string& name);
+[[nodiscard]] AdminAnswer explainAnswer (const AdminView& view, const std::string& kind,
+                                         const std::string& name);
 
 }  // namespace fernlift::controller
--- a/src/controller/AdminHttp.h
+++ b/src/controller/AdminHttp.h
@@ -10,34 +10,37 @@
 #include "http/Metrics.h"
 #include "http/Server.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 /// Turns HTTP requests into requests of operators and answers them when the core has decided.
-class AdminHttp {
- public:
-  struct Handlers {
-    std::function<void(AdminTicket ticket, const AdminRequest& request)> onRequest;
-    std::function<bool()> isReady;
-  };
-
-  /// `metrics` must outlive the object.
-  AdminHttp(Handlers handlers, http::Metrics& metrics);
-
-  /// Listens; returns the real address or fails with kConnectionFailed.
-  base::Result<base::SocketAddress> listen(const base::SocketAddress& address);
-  void answer(const AnswerAdmin& answer);
-  /// Takes no new connections.
-  void stopListening();
-  /// Requests whose answer is not sent yet.
-  [[nodiscard]] std::size_t openRequests() const;
-
- private:
-  void handle(const http::Request& request, std::shared_ptr<http::Responder> responder);
-
-  Handlers handlers_;
-  AdminTicket lastTicket_ = 0;
-  std::map<AdminTicket, std::shared_ptr<http::Responder>> pending_;
-  http::Server server_;
+class AdminHttp
+{
+public:
+    struct Handlers
+    {
+        std::function<void (AdminTicket ticket, const AdminRequest& request)> onRequest;
+        std::function<bool()> isReady;
+    };
+
+    /// `metrics` must outlive the object.
+    AdminHttp (Handlers handlers, http::Metrics& metrics);
+
+    /// Listens; returns the real address or fails with kConnectionFailed.
+    base::Result<base::SocketAddress> listen (const base::SocketAddress& address);
+    void answer (const AnswerAdmin& answer);
+    /// Takes no new connections.
+    void stopListening();
+    /// Requests whose answer is not sent yet.
+    [[nodiscard]] std::size_t openRequests() const;
+
+private:
+    void handle (const http::Request& request, std::shared_ptr<http::Responder> responder);
+
+    Handlers handlers_;
+    AdminTicket lastTicket_ = 0;
+    std::map<AdminTicket, std::shared_ptr<http::Responder>> pending_;
+    http::Server server_;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/AdminRequests.h
+++ b/src/controller/AdminRequests.h
@@ -8,7 +8,8 @@
 #include "controller/ControllerCore.h"
 #include "http/Message.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 /// Parses a request under /admin/v1/. Fails with kNotFound, kMethodNotAllowed or kInvalidRequest.
 ///   POST configuration?wait=1&timeout_ms=N   the body is the configuration file
@@ -19,6 +20,6 @@
 ///   POST members   {"add":{"id","peer_address","admin_address","zone"}} | {"promote":id} |
 ///                  {"remove":id}
 ///   POST drain     {"runner","draining"}
-[[nodiscard]] base::Result<AdminRequest> parseAdminRequest(const http::Request& request);
+[[nodiscard]] base::Result<AdminRequest> parseAdminRequest (const http::Request& request);
 
 }  // namespace fernlift::controller
--- a/src/controller/CellJoiner.h
+++ b/src/controller/CellJoiner.h
@@ -15,38 +15,41 @@
 #include "cell/RouterMessages.h"
 #include "wire/FrameConnection.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 /// Thin adapter: one connection at a time, to each known controller in turn or to the leader that
 /// one of them names.
-class CellJoiner {
- public:
-  struct Handlers {
-    /// Whether this controller has to ask now.
-    std::function<bool()> mustAsk;
-    /// Controllers to ask, by peer address.
-    std::function<std::vector<base::SocketAddress>()> controllers;
-    /// The leader answered from this peer address.
-    std::function<void(const std::string& leaderAddress)> onLeaderFound;
-  };
-
-  CellJoiner(cell::MemberJoinRequest request, Handlers handlers);
-  void start();
-
- private:
-  void askIfDue();
-  void connectTo(const base::SocketAddress& address);
-  void onFrame(const wire::Frame& frame);
-  [[nodiscard]] base::SocketAddress nextAddress();
-
-  cell::MemberJoinRequest request_;
-  Handlers handlers_;
-  std::size_t nextIndex_ = 0;
-  base::SocketAddress leader_;   ///< As last named; without host: unknown.
-  base::SocketAddress current_;  ///< At the other end of the connection.
-  std::unique_ptr<wire::FrameConnection> connection_;
-  QObject context_;
-  QTimer timer_;
+class CellJoiner
+{
+public:
+    struct Handlers
+    {
+        /// Whether this controller has to ask now.
+        std::function<bool()> mustAsk;
+        /// Controllers to ask, by peer address.
+        std::function<std::vector<base::SocketAddress>()> controllers;
+        /// The leader answered from this peer address.
+        std::function<void (const std::string& leaderAddress)> onLeaderFound;
+    };
+
+    CellJoiner (cell::MemberJoinRequest request, Handlers handlers);
+    void start();
+
+private:
+    void askIfDue();
+    void connectTo (const base::SocketAddress& address);
+    void onFrame (const wire::Frame& frame);
+    [[nodiscard]] base::SocketAddress nextAddress();
+
+    cell::MemberJoinRequest request_;
+    Handlers handlers_;
+    std::size_t nextIndex_ = 0;
+    base::SocketAddress leader_;   ///< As last named; without host: unknown.
+    base::SocketAddress current_;  ///< At the other end of the connection.
+    std::unique_ptr<wire::FrameConnection> connection_;
+    QObject context_;
+    QTimer timer_;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ClaimBatcher.cpp
+++ b/src/controller/ClaimBatcher.cpp
@@ -3,67 +3,83 @@
 #include <iterator>
 #include <utility>
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
-std::optional<cell::ClaimReply> ClaimBatcher::add(ClaimSource source,
-                                                  const cell::ClaimRequest& request) {
-  if (waitingClaims_ + request.claims.size() > kMaximumWaitingClaims) {
-    cell::ClaimReply refusal{request.sequence, {}};
-    for (const cell::Claim& claim : request.claims) {
-      refusal.answers.push_back({claim.key, claim.request, cell::ClaimVerdict::kTableFull, 0});
+std::optional<cell::ClaimReply> ClaimBatcher::add (ClaimSource source,
+                                                   const cell::ClaimRequest& request)
+{
+    if (waitingClaims_ + request.claims.size() > kMaximumWaitingClaims)
+    {
+        cell::ClaimReply refusal{ request.sequence, {} };
+        for (const cell::Claim& claim : request.claims)
+        {
+            refusal.answers.push_back (
+                { claim.key, claim.request, cell::ClaimVerdict::kTableFull, 0 });
+        }
+        return refusal;
     }
-    return refusal;
-  }
-  waitingClaims_ += request.claims.size();
-  waiting_.push_back(Waiting{source, request.sequence, request.claims});
-  return std::nullopt;
+    waitingClaims_ += request.claims.size();
+    waiting_.push_back (Waiting{ source, request.sequence, request.claims });
+    return std::nullopt;
 }
 
-void ClaimBatcher::add(const cell::OutcomeReport& report) {
-  outcomes_.insert(outcomes_.end(), report.outcomes.begin(), report.outcomes.end());
+void ClaimBatcher::add (const cell::OutcomeReport& report)
+{
+    outcomes_.insert (outcomes_.end(), report.outcomes.begin(), report.outcomes.end());
 }
 
-std::optional<cell::ClaimKeys> ClaimBatcher::takeClaims(std::uint64_t* batch) {
-  if (waiting_.empty() || inFlight_.size() >= kMaximumBatchesInFlight) return std::nullopt;
-  cell::ClaimKeys command;
-  std::vector<Part> parts;
-  std::size_t taken = 0;
-  for (Waiting& waiting : waiting_) {
-    const bool isFull = command.claims.size() + waiting.claims.size() > kMaximumClaimsPerBatch;
-    if (isFull && taken > 0) break;
-    ++taken;
-    parts.push_back(Part{waiting.source, waiting.sequence, waiting.claims.size()});
-    std::move(waiting.claims.begin(), waiting.claims.end(), std::back_inserter(command.claims));
-  }
-  waiting_.erase(waiting_.begin(), waiting_.begin() + static_cast<std::ptrdiff_t>(taken));
-  waitingClaims_ -= command.claims.size();
-  *batch = nextBatch_++;
-  inFlight_[*batch] = std::move(parts);
-  return command;
+std::optional<cell::ClaimKeys> ClaimBatcher::takeClaims (std::uint64_t* batch)
+{
+    if (waiting_.empty() || inFlight_.size() >= kMaximumBatchesInFlight)
+        return std::nullopt;
+    cell::ClaimKeys command;
+    std::vector<Part> parts;
+    std::size_t taken = 0;
+    for (Waiting& waiting : waiting_)
+    {
+        const bool isFull = command.claims.size() + waiting.claims.size() > kMaximumClaimsPerBatch;
+        if (isFull && taken > 0)
+            break;
+        ++taken;
+        parts.push_back (Part{ waiting.source, waiting.sequence, waiting.claims.size() });
+        std::move (waiting.claims.begin(), waiting.claims.end(),
+                   std::back_inserter (command.claims));
+    }
+    waiting_.erase (waiting_.begin(), waiting_.begin() + static_cast<std::ptrdiff_t> (taken));
+    waitingClaims_ -= command.claims.size();
+    *batch = nextBatch_++;
+    inFlight_[*batch] = std::move (parts);
+    return command;
 }
 
-std::optional<cell::RecordOutcomes> ClaimBatcher::takeOutcomes() {
-  if (outcomes_.empty()) return std::nullopt;
-  cell::RecordOutcomes command;
-  command.outcomes.swap(outcomes_);
-  return command;
+std::optional<cell::RecordOutcomes> ClaimBatcher::takeOutcomes()
+{
+    if (outcomes_.empty())
+        return std::nullopt;
+    cell::RecordOutcomes command;
+    command.outcomes.swap (outcomes_);
+    return command;
 }
 
-std::vector<DueClaimReply> ClaimBatcher::onCommitted(std::uint64_t batch,
-                                                     const cell::ClaimResult& result) {
-  const auto found = inFlight_.find(batch);
-  if (found == inFlight_.end()) return {};
-  std::vector<DueClaimReply> replies;
-  auto answer = result.answers.begin();
-  for (const Part& part : found->second) {
-    DueClaimReply due{part.source, {part.sequence, {}}};
-    const auto end = answer + static_cast<std::ptrdiff_t>(part.count);
-    due.reply.answers.assign(answer, end);
-    answer = end;
-    replies.push_back(std::move(due));
-  }
-  inFlight_.erase(found);
-  return replies;
+std::vector<DueClaimReply> ClaimBatcher::onCommitted (std::uint64_t batch,
+                                                      const cell::ClaimResult& result)
+{
+    const auto found = inFlight_.find (batch);
+    if (found == inFlight_.end())
+        return {};
+    std::vector<DueClaimReply> replies;
+    auto answer = result.answers.begin();
+    for (const Part& part : found->second)
+    {
+        DueClaimReply due{ part.source, { part.sequence, {} } };
+        const auto end = answer + static_cast<std::ptrdiff_t> (part.count);
+        due.reply.answers.assign (answer, end);
+        answer = end;
+        replies.push_back (std::move (due));
+    }
+    inFlight_.erase (found);
+    return replies;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/ClaimBatcher.h
+++ b/src/controller/ClaimBatcher.h
@@ -11,55 +11,60 @@
 #include "cell/Commands.h"
 #include "cell/RouterMessages.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 /// Identifies a connection of a router, as in ControllerCore.h.
 using ClaimSource = std::uint64_t;
 
 /// A reply that is due to a router.
-struct DueClaimReply {
-  ClaimSource source = 0;
-  cell::ClaimReply reply;
+struct DueClaimReply
+{
+    ClaimSource source = 0;
+    cell::ClaimReply reply;
 };
 
 /// Commands that wait while others are being committed are committed together next.
-class ClaimBatcher {
- public:
-  /// Batches that may be in the log, not yet committed, at the same time.
-  static constexpr std::size_t kMaximumBatchesInFlight = 4;
-  static constexpr std::size_t kMaximumClaimsPerBatch = 2000;
-  /// Claims that may wait for a batch; further ones are refused.
-  static constexpr std::size_t kMaximumWaitingClaims = 50'000;
+class ClaimBatcher
+{
+public:
+    /// Batches that may be in the log, not yet committed, at the same time.
+    static constexpr std::size_t kMaximumBatchesInFlight = 4;
+    static constexpr std::size_t kMaximumClaimsPerBatch = 2000;
+    /// Claims that may wait for a batch; further ones are refused.
+    static constexpr std::size_t kMaximumWaitingClaims = 50'000;
 
-  /// Takes the claims, or returns the reply that refuses them because too many wait.
-  std::optional<cell::ClaimReply> add(ClaimSource source, const cell::ClaimRequest& request);
-  void add(const cell::OutcomeReport& report);
+    /// Takes the claims, or returns the reply that refuses them because too many wait.
+    std::optional<cell::ClaimReply> add (ClaimSource source, const cell::ClaimRequest& request);
+    void add (const cell::OutcomeReport& report);
 
-  /// The next batch of claims to propose, unless nothing waits or enough is in flight. `batch`
-  /// receives its number for onCommitted.
-  [[nodiscard]] std::optional<cell::ClaimKeys> takeClaims(std::uint64_t* batch);
-  [[nodiscard]] std::optional<cell::RecordOutcomes> takeOutcomes();
-  /// Matches the answers of a committed batch to the requests in it.
-  [[nodiscard]] std::vector<DueClaimReply> onCommitted(std::uint64_t batch,
-                                                       const cell::ClaimResult& result);
+    /// The next batch of claims to propose, unless nothing waits or enough is in flight. `batch`
+    /// receives its number for onCommitted.
+    [[nodiscard]] std::optional<cell::ClaimKeys> takeClaims (std::uint64_t* batch);
+    [[nodiscard]] std::optional<cell::RecordOutcomes> takeOutcomes();
+    /// Matches the answers of a committed batch to the requests in it.
+    [[nodiscard]] std::vector<DueClaimReply> onCommitted (std::uint64_t batch,
+                                                          const cell::ClaimResult& result);
 
- private:
-  struct Waiting {
-    ClaimSource source = 0;
-    std::uint64_t sequence = 0;
-    std::vector<cell::Claim> claims;
-  };
-  struct Part {
-    ClaimSource source = 0;
-    std::uint64_t sequence = 0;
-    std::size_t count = 0;
-  };
+private:
+    struct Waiting
+    {
+        ClaimSource source = 0;
+        std::uint64_t sequence = 0;
+        std::vector<cell::Claim> claims;
+    };
+    struct Part
+    {
+        ClaimSource source = 0;
+        std::uint64_t sequence = 0;
+        std::size_t count = 0;
+    };
 
-  std::vector<Waiting> waiting_;
-  std::size_t waitingClaims_ = 0;
-  std::vector<cell::OutcomeRecord> outcomes_;
-  std::map<std::uint64_t, std::vector<Part>> inFlight_;
-  std::uint64_t nextBatch_ = 1;
+    std::vector<Waiting> waiting_;
+    std::size_t waitingClaims_ = 0;
+    std::vector<cell::OutcomeRecord> outcomes_;
+    std::map<std::uint64_t, std::vector<Part>> inFlight_;
+    std::uint64_t nextBatch_ = 1;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ClaimFiguresTest.cpp
+++ b/src/controller/ClaimFiguresTest.cpp
@@ -8,104 +8,128 @@
 #include "controller/ControllerCore.h"
 #include "wire/Codec.h"
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
 constexpr std::uint64_t kRequests = 400;
 constexpr std::uint64_t kClaimsPerRequest = 50;
 
 /// One controller whose writes are confirmed at once.
-class LoneController {
- public:
-  LoneController() : core_(1, options(), recovered(), 1, now_, kUnixStart) {
-    while (core_.raftStatus().role != consensus::Role::kLeader) pass(base::milliseconds(10));
-    pass(base::milliseconds(10));
-  }
-  void pass(base::Duration duration) {
-    now_ += duration;
-    core_.setTime(now_, kUnixStart);
-    core_.onTick();
-    settle();
-  }
-  void receive(const cell::RouterToController& message) {
-    core_.onRouterMessage(1, message);
-    settle();
-  }
+class LoneController
+{
+public:
+    LoneController() : core_ (1, options(), recovered(), 1, now_, kUnixStart)
+    {
+        while (core_.raftStatus().role != consensus::Role::kLeader)
+            pass (base::milliseconds (10));
+        pass (base::milliseconds (10));
+    }
+    void pass (base::Duration duration)
+    {
+        now_ += duration;
+        core_.setTime (now_, kUnixStart);
+        core_.onTick();
+        settle();
+    }
+    void receive (const cell::RouterToController& message)
+    {
+        core_.onRouterMessage (1, message);
+        settle();
+    }
 
-  std::uint64_t granted = 0;
-  std::uint64_t bytesWritten = 0;
-  std::uint64_t writes = 0;
+    std::uint64_t granted = 0;
+    std::uint64_t bytesWritten = 0;
+    std::uint64_t writes = 0;
 
-  static constexpr base::UnixMilliseconds kUnixStart = 1'800'000'000'000;
+    static constexpr base::UnixMilliseconds kUnixStart = 1'800'000'000'000;
 
- private:
-  static ControllerOptions options() {
-    ControllerOptions options;
-    options.cell = base::CellId("c");
-    return options;
-  }
-  static consensus::RecoveredState recovered() {
-    consensus::RecoveredState state;
-    state.initialMembers.members = {{1, "a:1", "a:2", "z1", true}};
-    return state;
-  }
-  void settle() {
-    for (bool isBusy = true; isBusy;) {
-      isBusy = false;
-      for (const Effect& effect : core_.takeEffects()) {
-        if (const auto* write = std::get_if<PersistEffect>(&effect)) {
-          isBusy = true;
-          ++writes;
-          for (const auto& entry : write->request.entries) bytesWritten += entry.data.size();
-          core_.onPersisted(write->request.sequence);
-        } else if (const auto* sent = std::get_if<SendToRouter>(&effect)) {
-          count(sent->message);
+private:
+    static ControllerOptions options()
+    {
+        ControllerOptions options;
+        options.cell = base::CellId ("c");
+        return options;
+    }
+    static consensus::RecoveredState recovered()
+    {
+        consensus::RecoveredState state;
+        state.initialMembers.members = { { 1, "a:1", "a:2", "z1", true } };
+        return state;
+    }
+    void settle()
+    {
+        for (bool isBusy = true; isBusy;)
+        {
+            isBusy = false;
+            for (const Effect& effect : core_.takeEffects())
+            {
+                if (const auto* write = std::get_if<PersistEffect> (&effect))
+                {
+                    isBusy = true;
+                    ++writes;
+                    for (const auto& entry : write->request.entries)
+                        bytesWritten += entry.data.size();
+                    core_.onPersisted (write->request.sequence);
+                }
+                else if (const auto* sent = std::get_if<SendToRouter> (&effect))
+                {
+                    count (sent->message);
+                }
+            }
         }
-      }
     }
-  }
-  void count(const cell::ControllerToRouter& message) {
-    const auto* reply = std::get_if<cell::ClaimReply>(&message);
-    if (reply == nullptr) return;
-    for (const cell::ClaimAnswer& answer : reply->answers) {
-      if (answer.verdict == cell::ClaimVerdict::kGranted) ++granted;
+    void count (const cell::ControllerToRouter& message)
+    {
+        const auto* reply = std::get_if<cell::ClaimReply> (&message);
+        if (reply == nullptr)
+            return;
+        for (const cell::ClaimAnswer& answer : reply->answers)
+        {
+            if (answer.verdict == cell::ClaimVerdict::kGranted)
+                ++granted;
+        }
     }
-  }
 
-  base::TimePoint now_{base::seconds(1)};
-  ControllerCore core_;
+    base::TimePoint now_{ base::seconds (1) };
+    ControllerCore core_;
 };
 
-cell::ClaimRequest requestOf(std::uint64_t sequence) {
-  cell::ClaimRequest request{sequence, {}};
-  for (std::uint64_t number = 0; number < kClaimsPerRequest; ++number) {
-    const std::string id = std::to_string(sequence) + "-" + std::to_string(number);
-    request.claims.push_back({base::IdempotencyKey(std::string(30, 'k') + id), std::string(64, 'd'),
-                              base::RouterId("router-1"),
-                              base::RequestId(std::string(40, 'q') + id),
-                              LoneController::kUnixStart + 600'000});
-  }
-  return request;
+cell::ClaimRequest requestOf (std::uint64_t sequence)
+{
+    cell::ClaimRequest request{ sequence, {} };
+    for (std::uint64_t number = 0; number < kClaimsPerRequest; ++number)
+    {
+        const std::string id = std::to_string (sequence) + "-" + std::to_string (number);
+        request.claims.push_back ({ base::IdempotencyKey (std::string (30, 'k') + id),
+                                    std::string (64, 'd'), base::RouterId ("router-1"),
+                                    base::RequestId (std::string (40, 'q') + id),
+                                    LoneController::kUnixStart + 600'000 });
+    }
+    return request;
 }
 
-TEST(ClaimFigures, PrintsProcessorTimeOfClaims) {
-  LoneController controller;
-  cell::RouterHello hello;
-  hello.cell = base::CellId("c");
-  controller.receive(hello);
-  const std::uint64_t bytesBefore = controller.bytesWritten;
-  const std::uint64_t writesBefore = controller.writes;
-  const std::clock_t begin = std::clock();
-  for (std::uint64_t sequence = 1; sequence <= kRequests; ++sequence) {
-    controller.receive(requestOf(sequence));
-  }
-  const double seconds = static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
-  constexpr std::uint64_t kClaims = kRequests * kClaimsPerRequest;
-  EXPECT_EQ(controller.granted, kClaims);
-  std::cout << kClaims << " claims in requests of " << kClaimsPerRequest << ": " << seconds
-            << " s of processor time, " << static_cast<double>(kClaims) / seconds
-            << " claims a second, " << (controller.bytesWritten - bytesBefore) / kClaims
-            << " bytes each in the log, " << controller.writes - writesBefore << " writes\n";
+TEST (ClaimFigures, PrintsProcessorTimeOfClaims)
+{
+    LoneController controller;
+    cell::RouterHello hello;
+    hello.cell = base::CellId ("c");
+    controller.receive (hello);
+    const std::uint64_t bytesBefore = controller.bytesWritten;
+    const std::uint64_t writesBefore = controller.writes;
+    const std::clock_t begin = std::clock();
+    for (std::uint64_t sequence = 1; sequence <= kRequests; ++sequence)
+    {
+        controller.receive (requestOf (sequence));
+    }
+    const double seconds = static_cast<double> (std::clock() - begin) / CLOCKS_PER_SEC;
+    constexpr std::uint64_t kClaims = kRequests * kClaimsPerRequest;
+    EXPECT_EQ (controller.granted, kClaims);
+    std::cout << kClaims << " claims in requests of " << kClaimsPerRequest << ": " << seconds
+              << " s of processor time, " << static_cast<double> (kClaims) / seconds
+              << " claims a second, " << (controller.bytesWritten - bytesBefore) / kClaims
+              << " bytes each in the log, " << controller.writes - writesBefore << " writes\n";
 }
 
 }  // namespace
--- a/src/controller/ConfigurationChangeTest.cpp
+++ b/src/controller/ConfigurationChangeTest.cpp
@@ -4,57 +4,65 @@
 
 #include "controller/ConfigurationChange.h"
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
-cell::ConfigurationIdentity identity(std::uint64_t version) {
-  return {version, "digest-" + std::to_string(version), 0, 0};
+cell::ConfigurationIdentity identity (std::uint64_t version)
+{
+    return { version, "digest-" + std::to_string (version), 0, 0 };
 }
 
-std::string applied(const std::string& base, const cell::ConfigurationUpdate& update) {
-  return base.substr(0, update.keptPrefix) + update.text +
-         base.substr(base.size() - update.keptSuffix);
+std::string applied (const std::string& base, const cell::ConfigurationUpdate& update)
+{
+    return base.substr (0, update.keptPrefix) + update.text
+           + base.substr (base.size() - update.keptSuffix);
 }
 
-TEST(ConfigurationChangeTest, OnlyTheMiddleGoesToAHolderOfTheBase) {
-  ConfigurationChange change;
-  change.note(identity(1), "head\nvalue = 1\ntail\n");
-  change.note(identity(2), "head\nvalue = 27\ntail\n");
-  const auto update = change.updateFrom(1, "digest-1");
-  EXPECT_EQ(update.version, 2U);
-  EXPECT_EQ(update.baseVersion, 1U);
-  EXPECT_EQ(update.text, "27");
+TEST (ConfigurationChangeTest, OnlyTheMiddleGoesToAHolderOfTheBase)
+{
+    ConfigurationChange change;
+    change.note (identity (1), "head\nvalue = 1\ntail\n");
+    change.note (identity (2), "head\nvalue = 27\ntail\n");
+    const auto update = change.updateFrom (1, "digest-1");
+    EXPECT_EQ (update.version, 2U);
+    EXPECT_EQ (update.baseVersion, 1U);
+    EXPECT_EQ (update.text, "27");
 }
 
-TEST(ConfigurationChangeTest, OthersGetTheWholeText) {
-  ConfigurationChange change;
-  change.note(identity(1), "one");
-  EXPECT_EQ(change.updateFrom(0, "").text, "one");
-  change.note(identity(2), "two");
-  EXPECT_EQ(change.updateFrom(0, "").text, "two");
-  EXPECT_EQ(change.updateFrom(1, "another digest").baseVersion, 0U);
-  change.note(identity(3), "three");
-  EXPECT_EQ(change.updateFrom(1, "digest-1").text, "three");
+TEST (ConfigurationChangeTest, OthersGetTheWholeText)
+{
+    ConfigurationChange change;
+    change.note (identity (1), "one");
+    EXPECT_EQ (change.updateFrom (0, "").text, "one");
+    change.note (identity (2), "two");
+    EXPECT_EQ (change.updateFrom (0, "").text, "two");
+    EXPECT_EQ (change.updateFrom (1, "another digest").baseVersion, 0U);
+    change.note (identity (3), "three");
+    EXPECT_EQ (change.updateFrom (1, "digest-1").text, "three");
 }
 
-TEST(ConfigurationChangeTest, TheSameConfigurationTwiceKeepsTheChange) {
-  ConfigurationChange change;
-  change.note(identity(1), "one");
-  change.note(identity(2), "two");
-  change.note(identity(2), "two");
-  EXPECT_EQ(change.updateFrom(1, "digest-1").baseVersion, 1U);
+TEST (ConfigurationChangeTest, TheSameConfigurationTwiceKeepsTheChange)
+{
+    ConfigurationChange change;
+    change.note (identity (1), "one");
+    change.note (identity (2), "two");
+    change.note (identity (2), "two");
+    EXPECT_EQ (change.updateFrom (1, "digest-1").baseVersion, 1U);
 }
 
-RC_GTEST_PROP(ConfigurationChangeTest, TheChangeGivesTheNewText, ()) {
-  const auto text = rc::gen::container<std::string>(rc::gen::elementOf(std::string("ab")));
-  const std::string before = *text;
-  const std::string after = *text;
-  ConfigurationChange change;
-  change.note(identity(1), before);
-  change.note(identity(2), after);
-  const auto update = change.updateFrom(1, "digest-1");
-  RC_ASSERT(update.keptPrefix + update.keptSuffix <= before.size());
-  RC_ASSERT(applied(before, update) == after);
+RC_GTEST_PROP (ConfigurationChangeTest, TheChangeGivesTheNewText, ())
+{
+    const auto text = rc::gen::container<std::string> (rc::gen::elementOf (std::string ("ab")));
+    const std::string before = *text;
+    const std::string after = *text;
+    ConfigurationChange change;
+    change.note (identity (1), before);
+    change.note (identity (2), after);
+    const auto update = change.updateFrom (1, "digest-1");
+    RC_ASSERT (update.keptPrefix + update.keptSuffix <= before.size());
+    RC_ASSERT (applied (before, update) == after);
 }
 
 }  // namespace
--- a/src/controller/ControlCodec.h
+++ b/src/controller/ControlCodec.h
@@ -9,21 +9,24 @@
 #include "http/ErrorResponse.h"
 #include "http/Server.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 /// One protocol of runners and operators. Stateless.
-class ControlCodec {
- public:
-  virtual ~ControlCodec() = default;
-  ControlCodec() = default;
-  ControlCodec(const ControlCodec&) = delete;
-  ControlCodec& operator=(const ControlCodec&) = delete;
+class ControlCodec
+{
+public:
+    virtual ~ControlCodec() = default;
+    ControlCodec() = default;
+    ControlCodec (const ControlCodec&) = delete;
+    ControlCodec& operator= (const ControlCodec&) = delete;
 
-  /// Fails with kNotFound, kMethodNotAllowed or kInvalidRequest.
-  [[nodiscard]] virtual base::Result<ControlRequest> parse(const http::Request& request) const = 0;
-  /// The answer to `request`, which parse() has taken.
-  [[nodiscard]] virtual http::Response format(const http::Request& request,
-                                              const ControlAnswer& answer) const = 0;
+    /// Fails with kNotFound, kMethodNotAllowed or kInvalidRequest.
+    [[nodiscard]] virtual base::Result<ControlRequest> parse (
+        const http::Request& request) const = 0;
+    /// The answer to `request`, which parse() has taken.
+    [[nodiscard]] virtual http::Response format (const http::Request& request,
+                                                 const ControlAnswer& answer) const = 0;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ControlHttp.h
+++ b/src/controller/ControlHttp.h
@@ -9,35 +9,38 @@
 #include "controller/ControlCodec.h"
 #include "http/Server.h"
 
-namespace fernlift::controller {
-
-class ControlHttp {
- public:
-  using Handler = std::function<void(ControlTicket ticket, const ControlRequest& request)>;
-
-  ControlHttp(std::shared_ptr<const ControlCodec> codec, Handler handler);
-
-  /// Listens; returns the real address or fails with kConnectionFailed.
-  base::Result<base::SocketAddress> listen(const base::SocketAddress& address);
-  void answer(ControlTicket ticket, const ControlAnswer& answer);
-  /// Takes no new connections.
-  void stopListening();
-  /// Requests whose answer is not sent yet.
-  [[nodiscard]] std::size_t openRequests() const;
-
- private:
-  struct Pending {
-    http::Request request;  ///< Without its body.
-    std::shared_ptr<http::Responder> responder;
-  };
-
-  void handle(const http::Request& request, std::shared_ptr<http::Responder> responder);
-
-  std::shared_ptr<const ControlCodec> codec_;
-  Handler handler_;
-  ControlTicket lastTicket_ = 0;
-  std::map<ControlTicket, Pending> pending_;
-  http::Server server_;
+namespace fernlift::controller
+{
+
+class ControlHttp
+{
+public:
+    using Handler = std::function<void (ControlTicket ticket, const ControlRequest& request)>;
+
+    ControlHttp (std::shared_ptr<const ControlCodec> codec, Handler handler);
+
+    /// Listens; returns the real address or fails with kConnectionFailed.
+    base::Result<base::SocketAddress> listen (const base::SocketAddress& address);
+    void answer (ControlTicket ticket, const ControlAnswer& answer);
+    /// Takes no new connections.
+    void stopListening();
+    /// Requests whose answer is not sent yet.
+    [[nodiscard]] std::size_t openRequests() const;
+
+private:
+    struct Pending
+    {
+        http::Request request;  ///< Without its body.
+        std::shared_ptr<http::Responder> responder;
+    };
+
+    void handle (const http::Request& request, std::shared_ptr<http::Responder> responder);
+
+    std::shared_ptr<const ControlCodec> codec_;
+    Handler handler_;
+    ControlTicket lastTicket_ = 0;
+    std::map<ControlTicket, Pending> pending_;
+    http::Server server_;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ControlRequestsTest.cpp
+++ b/src/controller/ControlRequestsTest.cpp
@@ -5,223 +5,250 @@
 #include "controller/ControllerCore.h"
 #include "controller/TestCell.h"
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
 using test::TestCell;
 
 /// A configuration text is its version, a blank and anything; "bad" is invalid.
-config::CatalogueOutcome parseTestConfiguration(std::string_view text) {
-  config::CatalogueOutcome outcome;
-  std::uint64_t version = 0;
-  std::from_chars(text.data(), text.data() + text.size(), version);
-  if (version == 0 || text.find("bad") != std::string_view::npos) {
-    outcome.problems.push_back({0, "configuration", "bad"});
+config::CatalogueOutcome parseTestConfiguration (std::string_view text)
+{
+    config::CatalogueOutcome outcome;
+    std::uint64_t version = 0;
+    std::from_chars (text.data(), text.data() + text.size(), version);
+    if (version == 0 || text.find ("bad") != std::string_view::npos)
+    {
+        outcome.problems.push_back ({ 0, "configuration", "bad" });
+        return outcome;
+    }
+    outcome.catalogue.emplace();
+    outcome.catalogue->version = version;
+    config::Service service;
+    service.name = "llm";
+    service.engine.emplace();
+    service.engine->slots = 8;
+    service.engine->memoryMb = 100;
+    service.engine->adapterSlots = 2;
+    service.engine->loadsPerSecond = 4;
+    for (const char* name : { "m1", "m2", "m3" })
+    {
+        config::EngineModel model;
+        model.name = name;
+        model.memoryMb = 40;
+        model.loadTime = base::seconds (1);
+        model.adapters = 4;
+        service.engine->models.push_back (model);
+    }
+    outcome.catalogue->services.services.push_back (service);
     return outcome;
-  }
-  outcome.catalogue.emplace();
-  outcome.catalogue->version = version;
-  config::Service service;
-  service.name = "llm";
-  service.engine.emplace();
-  service.engine->slots = 8;
-  service.engine->memoryMb = 100;
-  service.engine->adapterSlots = 2;
-  service.engine->loadsPerSecond = 4;
-  for (const char* name : {"m1", "m2", "m3"}) {
-    config::EngineModel model;
-    model.name = name;
-    model.memoryMb = 40;
-    model.loadTime = base::seconds(1);
-    model.adapters = 4;
-    service.engine->models.push_back(model);
-  }
-  outcome.catalogue->services.services.push_back(service);
-  return outcome;
 }
 
-InstanceHeartbeat heartbeatOf(const std::string& id, std::uint64_t sequence) {
-  InstanceHeartbeat heartbeat;
-  heartbeat.instance.id = id;
-  heartbeat.instance.service = "llm";
-  heartbeat.instance.address = "10.0.0.1:" + id.substr(2);
-  heartbeat.instance.slots = 8;
-  heartbeat.sequence = sequence;
-  heartbeat.models = {{"m1", 1, {}}};
-  return heartbeat;
+InstanceHeartbeat heartbeatOf (const std::string& id, std::uint64_t sequence)
+{
+    InstanceHeartbeat heartbeat;
+    heartbeat.instance.id = id;
+    heartbeat.instance.service = "llm";
+    heartbeat.instance.address = "10.0.0.1:" + id.substr (2);
+    heartbeat.instance.slots = 8;
+    heartbeat.sequence = sequence;
+    heartbeat.models = { { "m1", 1, {} } };
+    return heartbeat;
 }
 
-class ControlRequestsTest : public ::testing::Test {
- protected:
-  ControlRequestsTest() : cell_(options()) { EXPECT_TRUE(cell_.awaitLeader()); }
-
-  static TestCell::Options options() {
-    TestCell::Options options = test::testOptions();
-    options.controller.catalogueParser = &parseTestConfiguration;
-    options.controller.hasMachineList = false;
-    options.controller.orderPause = base::seconds(3);
-    return options;
-  }
-  ControlVerdict ask(ControlRequest request) {
-    const auto answer = cell_.askControl(cell_.leader(), std::move(request));
-    return answer ? answer->verdict : ControlVerdict::kUnavailable;
-  }
-  std::string readBack() {
-    const auto answer = cell_.askControl(cell_.leader(), ReadConfiguration{});
-    return answer ? answer->text : "";
-  }
-  void demand(const std::string& model) {
-    cell::EngineDemandReport report;
-    report.demands.push_back({"llm", model, "", 1, 0, 1});
-    cell_.sendFromRouter(0, report);
-  }
-  base::MemberId follower() {
-    const base::MemberId leader = cell_.leader();
-    return leader == 1 ? 2 : 1;
-  }
-
-  TestCell cell_;
+class ControlRequestsTest : public ::testing::Test
+{
+protected:
+    ControlRequestsTest() : cell_ (options()) { EXPECT_TRUE (cell_.awaitLeader()); }
+
+    static TestCell::Options options()
+    {
+        TestCell::Options options = test::testOptions();
+        options.controller.catalogueParser = &parseTestConfiguration;
+        options.controller.hasMachineList = false;
+        options.controller.orderPause = base::seconds (3);
+        return options;
+    }
+    ControlVerdict ask (ControlRequest request)
+    {
+        const auto answer = cell_.askControl (cell_.leader(), std::move (request));
+        return answer ? answer->verdict : ControlVerdict::kUnavailable;
+    }
+    std::string readBack()
+    {
+        const auto answer = cell_.askControl (cell_.leader(), ReadConfiguration{});
+        return answer ? answer->text : "";
+    }
+    void demand (const std::string& model)
+    {
+        cell::EngineDemandReport report;
+        report.demands.push_back ({ "llm", model, "", 1, 0, 1 });
+        cell_.sendFromRouter (0, report);
+    }
+    base::MemberId follower()
+    {
+        const base::MemberId leader = cell_.leader();
+        return leader == 1 ? 2 : 1;
+    }
+
+    TestCell cell_;
 };
 
-TEST_F(ControlRequestsTest, AFollowerNamesTheLeader) {
-  const auto answer = cell_.askControl(follower(), heartbeatOf("i-1", 1));
-  ASSERT_TRUE(answer);
-  EXPECT_EQ(answer->verdict, ControlVerdict::kNotLeader);
+TEST_F (ControlRequestsTest, AFollowerNamesTheLeader)
+{
+    const auto answer = cell_.askControl (follower(), heartbeatOf ("i-1", 1));
+    ASSERT_TRUE (answer);
+    EXPECT_EQ (answer->verdict, ControlVerdict::kNotLeader);
 }
 
-TEST_F(ControlRequestsTest, TheHighestVersionPrevailsAndOthersAreAcknowledged) {
-  EXPECT_EQ(ask(ReplaceConfiguration{"5 a"}), ControlVerdict::kDone);
-  EXPECT_EQ(ask(ReplaceConfiguration{"5 other"}), ControlVerdict::kDone);
-  EXPECT_EQ(ask(ReplaceConfiguration{"4 older"}), ControlVerdict::kDone);
-  EXPECT_EQ(ask(ReplaceConfiguration{"6 bad"}), ControlVerdict::kInvalid);
-  EXPECT_EQ(readBack(), "5 a");
-  EXPECT_EQ(ask(ReplaceConfiguration{"7 b"}), ControlVerdict::kDone);
-  EXPECT_EQ(readBack(), "7 b");
-  cell_.run(base::milliseconds(200));
-  EXPECT_EQ(cell_.router(0).configurationVersion, 7U);
+TEST_F (ControlRequestsTest, TheHighestVersionPrevailsAndOthersAreAcknowledged)
+{
+    EXPECT_EQ (ask (ReplaceConfiguration{ "5 a" }), ControlVerdict::kDone);
+    EXPECT_EQ (ask (ReplaceConfiguration{ "5 other" }), ControlVerdict::kDone);
+    EXPECT_EQ (ask (ReplaceConfiguration{ "4 older" }), ControlVerdict::kDone);
+    EXPECT_EQ (ask (ReplaceConfiguration{ "6 bad" }), ControlVerdict::kInvalid);
+    EXPECT_EQ (readBack(), "5 a");
+    EXPECT_EQ (ask (ReplaceConfiguration{ "7 b" }), ControlVerdict::kDone);
+    EXPECT_EQ (readBack(), "7 b");
+    cell_.run (base::milliseconds (200));
+    EXPECT_EQ (cell_.router (0).configurationVersion, 7U);
 }
 
-TEST_F(ControlRequestsTest, NothingIsReadBeforeThereIsAConfiguration) {
-  EXPECT_EQ(ask(ReadConfiguration{}), ControlVerdict::kUnavailable);
+TEST_F (ControlRequestsTest, NothingIsReadBeforeThereIsAConfiguration)
+{
+    EXPECT_EQ (ask (ReadConfiguration{}), ControlVerdict::kUnavailable);
 }
 
-TEST_F(ControlRequestsTest, ADrainIsAcknowledgedOnceItIsCommittedAndRoutersHearOfIt) {
-  EXPECT_EQ(ask(heartbeatOf("i-1", 1)), ControlVerdict::kDone);
-  cell_.run(base::milliseconds(200));
-  EXPECT_FALSE(cell_.router(1).instances.at("i-1").instance.isDraining);
-  InstanceHeartbeat draining = heartbeatOf("i-1", 2);
-  draining.instance.isDraining = true;
-  EXPECT_EQ(ask(draining), ControlVerdict::kDone);
-  cell_.run(base::milliseconds(50));
-  EXPECT_TRUE(cell_.router(0).instances.at("i-1").instance.isDraining);
-  EXPECT_TRUE(cell_.router(1).instances.at("i-1").instance.isDraining);
+TEST_F (ControlRequestsTest, ADrainIsAcknowledgedOnceItIsCommittedAndRoutersHearOfIt)
+{
+    EXPECT_EQ (ask (heartbeatOf ("i-1", 1)), ControlVerdict::kDone);
+    cell_.run (base::milliseconds (200));
+    EXPECT_FALSE (cell_.router (1).instances.at ("i-1").instance.isDraining);
+    InstanceHeartbeat draining = heartbeatOf ("i-1", 2);
+    draining.instance.isDraining = true;
+    EXPECT_EQ (ask (draining), ControlVerdict::kDone);
+    cell_.run (base::milliseconds (50));
+    EXPECT_TRUE (cell_.router (0).instances.at ("i-1").instance.isDraining);
+    EXPECT_TRUE (cell_.router (1).instances.at ("i-1").instance.isDraining);
 }
 
-TEST_F(ControlRequestsTest, ADrainOutlivesItsLeaderAndALateHeartbeat) {
-  ask(heartbeatOf("i-1", 1));
-  InstanceHeartbeat draining = heartbeatOf("i-1", 3);
-  draining.instance.isDraining = true;
-  EXPECT_EQ(ask(draining), ControlVerdict::kDone);
-  cell_.kill(cell_.leader());
-  ASSERT_TRUE(cell_.awaitLeader());
-  EXPECT_EQ(ask(heartbeatOf("i-1", 2)), ControlVerdict::kDone);
-  const cell::ServiceInstance* instance =
-      cell_.core(cell_.leader()).state().instances().find("i-1");
-  ASSERT_NE(instance, nullptr);
-  EXPECT_TRUE(instance->isDraining);
+TEST_F (ControlRequestsTest, ADrainOutlivesItsLeaderAndALateHeartbeat)
+{
+    ask (heartbeatOf ("i-1", 1));
+    InstanceHeartbeat draining = heartbeatOf ("i-1", 3);
+    draining.instance.isDraining = true;
+    EXPECT_EQ (ask (draining), ControlVerdict::kDone);
+    cell_.kill (cell_.leader());
+    ASSERT_TRUE (cell_.awaitLeader());
+    EXPECT_EQ (ask (heartbeatOf ("i-1", 2)), ControlVerdict::kDone);
+    const cell::ServiceInstance* instance =
+        cell_.core (cell_.leader()).state().instances().find ("i-1");
+    ASSERT_NE (instance, nullptr);
+    EXPECT_TRUE (instance->isDraining);
 }
 
-TEST_F(ControlRequestsTest, AnIsolatedLeaderAcknowledgesNothing) {
-  const base::MemberId leader = cell_.leader();
-  ask(heartbeatOf("i-1", 1));
-  cell_.isolate(leader, true);
-  InstanceHeartbeat draining = heartbeatOf("i-1", 2);
-  draining.instance.isDraining = true;
-  const auto answer = cell_.askControl(leader, draining, base::seconds(5));
-  EXPECT_TRUE(!answer || answer->verdict != ControlVerdict::kDone);
-  const auto read = cell_.askControl(leader, ReadConfiguration{}, base::seconds(1));
-  EXPECT_TRUE(!read || read->verdict != ControlVerdict::kDone);
+TEST_F (ControlRequestsTest, AnIsolatedLeaderAcknowledgesNothing)
+{
+    const base::MemberId leader = cell_.leader();
+    ask (heartbeatOf ("i-1", 1));
+    cell_.isolate (leader, true);
+    InstanceHeartbeat draining = heartbeatOf ("i-1", 2);
+    draining.instance.isDraining = true;
+    const auto answer = cell_.askControl (leader, draining, base::seconds (5));
+    EXPECT_TRUE (! answer || answer->verdict != ControlVerdict::kDone);
+    const auto read = cell_.askControl (leader, ReadConfiguration{}, base::seconds (1));
+    EXPECT_TRUE (! read || read->verdict != ControlVerdict::kDone);
 }
 
-TEST_F(ControlRequestsTest, ANewLeaderKnowsWhatRunnersHold) {
-  ask(ReplaceConfiguration{"1 a"});
-  ask(heartbeatOf("i-1", 1));
-  cell_.kill(cell_.leader());
-  ASSERT_TRUE(cell_.awaitLeader());
-  const cell::ServiceInstance* instance =
-      cell_.core(cell_.leader()).state().instances().find("i-1");
-  ASSERT_NE(instance, nullptr);
-  ASSERT_EQ(instance->models.size(), 1U);
-  EXPECT_EQ(instance->models[0].model, "m1");
+TEST_F (ControlRequestsTest, ANewLeaderKnowsWhatRunnersHold)
+{
+    ask (ReplaceConfiguration{ "1 a" });
+    ask (heartbeatOf ("i-1", 1));
+    cell_.kill (cell_.leader());
+    ASSERT_TRUE (cell_.awaitLeader());
+    const cell::ServiceInstance* instance =
+        cell_.core (cell_.leader()).state().instances().find ("i-1");
+    ASSERT_NE (instance, nullptr);
+    ASSERT_EQ (instance->models.size(), 1U);
+    EXPECT_EQ (instance->models[0].model, "m1");
 }
 
-TEST_F(ControlRequestsTest, AModelThatRequestsWaitForIsLoaded) {
-  ask(ReplaceConfiguration{"1 a"});
-  cell_.engineReports["i-1"].models = {{"m1", 1, {}}};
-  cell_.run(base::seconds(4));
-  ask(heartbeatOf("i-1", 1));
-  cell_.run(base::milliseconds(200));
-  demand("m2");
-  ASSERT_TRUE(cell_.runUntil([&] { return !cell_.engineOrders.empty(); }, base::seconds(2)));
-  const engine::ServiceOrder& order = cell_.engineOrders[0].order;
-  EXPECT_TRUE(order.isLoad);
-  EXPECT_EQ(order.model, "m2");
-  EXPECT_EQ(order.instance, "i-1");
-  EXPECT_EQ(order.expectedSequence, 0U);
+TEST_F (ControlRequestsTest, AModelThatRequestsWaitForIsLoaded)
+{
+    ask (ReplaceConfiguration{ "1 a" });
+    cell_.engineReports["i-1"].models = { { "m1", 1, {} } };
+    cell_.run (base::seconds (4));
+    ask (heartbeatOf ("i-1", 1));
+    cell_.run (base::milliseconds (200));
+    demand ("m2");
+    ASSERT_TRUE (cell_.runUntil ([&] { return ! cell_.engineOrders.empty(); }, base::seconds (2)));
+    const engine::ServiceOrder& order = cell_.engineOrders[0].order;
+    EXPECT_TRUE (order.isLoad);
+    EXPECT_EQ (order.model, "m2");
+    EXPECT_EQ (order.instance, "i-1");
+    EXPECT_EQ (order.expectedSequence, 0U);
 }
 
-TEST_F(ControlRequestsTest, TwoLeadersNeverOrderWithinThePause) {
-  ask(ReplaceConfiguration{"1 a"});
-  cell_.engineReports["i-1"].models = {{"m1", 1, {}}};
-  cell_.run(base::seconds(4));
-  ask(heartbeatOf("i-1", 1));
-  cell_.run(base::milliseconds(200));
-  demand("m2");
-  ASSERT_TRUE(cell_.runUntil([&] { return !cell_.engineOrders.empty(); }, base::seconds(2)));
-  cell_.kill(cell_.leader());
-  ASSERT_TRUE(cell_.awaitLeader());
-  cell_.engineReports["i-1"].models = {{"m1", 1, {}}};
-  ask(heartbeatOf("i-1", 2));
-  std::uint64_t sequence = 3;
-  base::TimePoint askedAt = cell_.now();
-  ASSERT_TRUE(cell_.runUntil(
-      [&] {
-        if (cell_.now() - askedAt >= base::milliseconds(500)) {
-          askedAt = cell_.now();
-          const base::MemberId leader = cell_.leader();
-          cell_.core(leader).onControl(0, heartbeatOf("i-1", sequence++));
-          demand("m3");
-        }
-        return cell_.engineOrders.back().from != cell_.engineOrders.front().from;
-      },
-      base::seconds(10)));
-  for (std::size_t index = 1; index < cell_.engineOrders.size(); ++index) {
-    const auto& before = cell_.engineOrders[index - 1];
-    const auto& after = cell_.engineOrders[index];
-    if (before.from == after.from) continue;
-    EXPECT_GE(after.at - before.at, base::seconds(3));
-    EXPECT_GT(after.order.fence, before.order.fence);
-  }
+TEST_F (ControlRequestsTest, TwoLeadersNeverOrderWithinThePause)
+{
+    ask (ReplaceConfiguration{ "1 a" });
+    cell_.engineReports["i-1"].models = { { "m1", 1, {} } };
+    cell_.run (base::seconds (4));
+    ask (heartbeatOf ("i-1", 1));
+    cell_.run (base::milliseconds (200));
+    demand ("m2");
+    ASSERT_TRUE (cell_.runUntil ([&] { return ! cell_.engineOrders.empty(); }, base::seconds (2)));
+    cell_.kill (cell_.leader());
+    ASSERT_TRUE (cell_.awaitLeader());
+    cell_.engineReports["i-1"].models = { { "m1", 1, {} } };
+    ask (heartbeatOf ("i-1", 2));
+    std::uint64_t sequence = 3;
+    base::TimePoint askedAt = cell_.now();
+    ASSERT_TRUE (cell_.runUntil (
+        [&]
+        {
+            if (cell_.now() - askedAt >= base::milliseconds (500))
+            {
+                askedAt = cell_.now();
+                const base::MemberId leader = cell_.leader();
+                cell_.core (leader).onControl (0, heartbeatOf ("i-1", sequence++));
+                demand ("m3");
+            }
+            return cell_.engineOrders.back().from != cell_.engineOrders.front().from;
+        },
+        base::seconds (10)));
+    for (std::size_t index = 1; index < cell_.engineOrders.size(); ++index)
+    {
+        const auto& before = cell_.engineOrders[index - 1];
+        const auto& after = cell_.engineOrders[index];
+        if (before.from == after.from)
+            continue;
+        EXPECT_GE (after.at - before.at, base::seconds (3));
+        EXPECT_GT (after.order.fence, before.order.fence);
+    }
 }
 
-TEST_F(ControlRequestsTest, ANewLeaderOrdersAnEngineThatHadNoOrderLatelyAtOnce) {
-  ask(ReplaceConfiguration{"1 a"});
-  cell_.engineReports["i-1"].models = {{"m1", 1, {}}};
-  cell_.run(base::seconds(6));
-  ask(heartbeatOf("i-1", 1));
-  const base::MemberId before = cell_.leader();
-  cell_.kill(before);
-  ASSERT_TRUE(cell_.awaitLeader());
-  const base::TimePoint ledFrom = cell_.now();
-  ask(heartbeatOf("i-1", 2));
-  ASSERT_TRUE(cell_.runUntil(
-      [&] {
-        demand("m2");
-        return !cell_.engineOrders.empty();
-      },
-      base::seconds(2)));
-  EXPECT_LT(cell_.engineOrders[0].at - ledFrom, base::seconds(2));
-  EXPECT_NE(cell_.engineOrders[0].from, before);
+TEST_F (ControlRequestsTest, ANewLeaderOrdersAnEngineThatHadNoOrderLatelyAtOnce)
+{
+    ask (ReplaceConfiguration{ "1 a" });
+    cell_.engineReports["i-1"].models = { { "m1", 1, {} } };
+    cell_.run (base::seconds (6));
+    ask (heartbeatOf ("i-1", 1));
+    const base::MemberId before = cell_.leader();
+    cell_.kill (before);
+    ASSERT_TRUE (cell_.awaitLeader());
+    const base::TimePoint ledFrom = cell_.now();
+    ask (heartbeatOf ("i-1", 2));
+    ASSERT_TRUE (cell_.runUntil (
+        [&]
+        {
+            demand ("m2");
+            return ! cell_.engineOrders.empty();
+        },
+        base::seconds (2)));
+    EXPECT_LT (cell_.engineOrders[0].at - ledFrom, base::seconds (2));
+    EXPECT_NE (cell_.engineOrders[0].from, before);
 }
 
 }  // namespace
--- a/src/controller/ControlTraffic.cpp
+++ b/src/controller/ControlTraffic.cpp
@@ -2,59 +2,72 @@
 
 #include <array>
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
 // In the order of the alternatives of each variant.
 constexpr std::array<std::string_view, std::variant_size_v<consensus::Payload>> kMemberKinds{
     "vote_request",   "vote_reply",     "append_request",     "append_reply",
-    "snapshot_chunk", "snapshot_reply", "transfer_leadership"};
+    "snapshot_chunk", "snapshot_reply", "transfer_leadership"
+};
 constexpr std::array<std::string_view, std::variant_size_v<cell::RouterToController>>
-    kFromRouterKinds{"router_hello",  "lease_request",  "demand_report",
-                     "claim_request", "outcome_report", "runner_leaving_seen",
-                     "engine_demand", "member_join",    "instance_unreachable"};
+    kFromRouterKinds{ "router_hello",  "lease_request",  "demand_report",
+                      "claim_request", "outcome_report", "runner_leaving_seen",
+                      "engine_demand", "member_join",    "instance_unreachable" };
 constexpr std::array<std::string_view, std::variant_size_v<cell::ControllerToRouter>>
-    kToRouterKinds{"not_leader_reply", "configuration_update", "lease_grant",      "replica_update",
-                   "claim_reply",      "instance_update",      "member_join_reply"};
+    kToRouterKinds{ "not_leader_reply", "configuration_update", "lease_grant",
+                    "replica_update",   "claim_reply",          "instance_update",
+                    "member_join_reply" };
 
-std::string_view nameOf(Direction direction) { return direction == Direction::kIn ? "in" : "out"; }
+std::string_view nameOf (Direction direction) { return direction == Direction::kIn ? "in" : "out"; }
 
 }  // namespace
 
-std::string_view kindOf(const consensus::Payload& payload) { return kMemberKinds[payload.index()]; }
+std::string_view kindOf (const consensus::Payload& payload)
+{
+    return kMemberKinds[payload.index()];
+}
 
-std::string_view kindOf(const cell::RouterToController& message) {
-  return kFromRouterKinds[message.index()];
+std::string_view kindOf (const cell::RouterToController& message)
+{
+    return kFromRouterKinds[message.index()];
 }
 
-std::string_view kindOf(const cell::ControllerToRouter& message) {
-  return kToRouterKinds[message.index()];
+std::string_view kindOf (const cell::ControllerToRouter& message)
+{
+    return kToRouterKinds[message.index()];
 }
 
-void ControlTraffic::record(Direction direction, std::string_view kind, std::size_t bytes) {
-  Totals& totals = totals_[Key(direction, std::string(kind))];
-  ++totals.messages;
-  totals.bytes += bytes;
+void ControlTraffic::record (Direction direction, std::string_view kind, std::size_t bytes)
+{
+    Totals& totals = totals_[Key (direction, std::string (kind))];
+    ++totals.messages;
+    totals.bytes += bytes;
 }
 
-std::string ControlTraffic::metricsText() const {
-  return familyText("fernlift_control_messages_total", "Messages of control, by kind.",
-                    &Totals::messages) +
-         familyText("fernlift_control_bytes_total", "Bytes of control messages, by kind.",
-                    &Totals::bytes);
+std::string ControlTraffic::metricsText() const
+{
+    return familyText ("fernlift_control_messages_total", "Messages of control, by kind.",
+                       &Totals::messages)
+           + familyText ("fernlift_control_bytes_total", "Bytes of control messages, by kind.",
+                         &Totals::bytes);
 }
 
-std::string ControlTraffic::familyText(std::string_view name, std::string_view help,
-                                       std::uint64_t Totals::*value) const {
-  std::string text;
-  text.append("# HELP ").append(name).append(" ").append(help).append("\n");
-  text.append("# TYPE ").append(name).append(" counter\n");
-  for (const auto& [key, totals] : totals_) {
-    text.append(name).append("{direction=\"").append(nameOf(key.first));
-    text.append("\",kind=\"").append(key.second).append("\"} ");
-    text.append(std::to_string(totals.*value)).append("\n");
-  }
-  return text;
+std::string ControlTraffic::familyText (std::string_view name, std::string_view help,
+                                        std::uint64_t Totals::*value) const
+{
+    std::string text;
+    text.append ("# HELP ").append (name).append (" ").append (help).append ("\n");
+    text.append ("# TYPE ").append (name).append (" counter\n");
+    for (const auto& [key, totals] : totals_)
+    {
+        text.append (name).append ("{direction=\"").append (nameOf (key.first));
+        text.append ("\",kind=\"").append (key.second).append ("\"} ");
+        text.append (std::to_string (totals.*value)).append ("\n");
+    }
+    return text;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/ControlTraffic.h
+++ b/src/controller/ControlTraffic.h
@@ -10,33 +10,40 @@
 #include "cell/RouterMessages.h"
 #include "consensus/Messages.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
-enum class Direction : std::uint8_t { kIn, kOut };
+enum class Direction : std::uint8_t
+{
+    kIn,
+    kOut
+};
 
 /// Name of a message in metrics, for example "append_request".
-[[nodiscard]] std::string_view kindOf(const consensus::Payload& payload);
-[[nodiscard]] std::string_view kindOf(const cell::RouterToController& message);
-[[nodiscard]] std::string_view kindOf(const cell::ControllerToRouter& message);
+[[nodiscard]] std::string_view kindOf (const consensus::Payload& payload);
+[[nodiscard]] std::string_view kindOf (const cell::RouterToController& message);
+[[nodiscard]] std::string_view kindOf (const cell::ControllerToRouter& message);
 
 /// Counters for /metrics.
-class ControlTraffic {
- public:
-  /// Counts one message of `bytes` bytes, frame header excluded.
-  void record(Direction direction, std::string_view kind, std::size_t bytes);
-  /// Families fernlift_control_messages_total and fernlift_control_bytes_total.
-  [[nodiscard]] std::string metricsText() const;
-
- private:
-  struct Totals {
-    std::uint64_t messages = 0;
-    std::uint64_t bytes = 0;
-  };
-  using Key = std::pair<Direction, std::string>;
-  [[nodiscard]] std::string familyText(std::string_view name, std::string_view help,
-                                       std::uint64_t Totals::*value) const;
-
-  std::map<Key, Totals> totals_;
+class ControlTraffic
+{
+public:
+    /// Counts one message of `bytes` bytes, frame header excluded.
+    void record (Direction direction, std::string_view kind, std::size_t bytes);
+    /// Families fernlift_control_messages_total and fernlift_control_bytes_total.
+    [[nodiscard]] std::string metricsText() const;
+
+private:
+    struct Totals
+    {
+        std::uint64_t messages = 0;
+        std::uint64_t bytes = 0;
+    };
+    using Key = std::pair<Direction, std::string>;
+    [[nodiscard]] std::string familyText (std::string_view name, std::string_view help,
+                                          std::uint64_t Totals::*value) const;
+
+    std::map<Key, Totals> totals_;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerAdmin.cpp
+++ b/src/controller/ControllerAdmin.cpp
@@ -6,162 +6,196 @@
 #include "base/Digest.h"
 #include "controller/ControllerImplementation.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
-void ControllerCore::Implementation::onAdmin(AdminTicket ticket, const AdminRequest& request) {
-  std::visit([&](const auto& value) { admin(ticket, value); }, request);
-  drain();
+void ControllerCore::Implementation::onAdmin (AdminTicket ticket, const AdminRequest& request)
+{
+    std::visit ([&] (const auto& value) { admin (ticket, value); }, request);
+    drain();
 }
 
-void ControllerCore::Implementation::admin(AdminTicket ticket, const AdminApply& request) {
-  if (!leader_) {
-    answer(ticket, notLeaderAnswer(status_));
-    return;
-  }
-  const config::CatalogueOutcome parsed = options_.catalogueParser(request.text);
-  if (!parsed.catalogue) {
-    answer(ticket, problemsAnswer(parsed.problems));
-    return;
-  }
-  if (parsed.catalogue->cell != options_.cell) {
-    answer(ticket, problemsAnswer({{0, "cell",
-                                    "the file is for cell '" + parsed.catalogue->cell.value +
-                                        "', this is '" + options_.cell.value + "'"}}));
-    return;
-  }
-  cell::ApplyConfiguration command;
-  command.version = parsed.catalogue->version;
-  command.digest = base::sha256Hex(request.text);
-  command.text = request.text;
-  command.proposedAt = cellTime();
-  const ForApply purpose{ticket, request.waitInForce, now_ + request.timeout};
-  if (!propose(command, purpose)) answer(ticket, notLeaderAnswer(status_));
+void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminApply& request)
+{
+    if (! leader_)
+    {
+        answer (ticket, notLeaderAnswer (status_));
+        return;
+    }
+    const config::CatalogueOutcome parsed = options_.catalogueParser (request.text);
+    if (! parsed.catalogue)
+    {
+        answer (ticket, problemsAnswer (parsed.problems));
+        return;
+    }
+    if (parsed.catalogue->cell != options_.cell)
+    {
+        answer (ticket, problemsAnswer ({ { 0, "cell",
+                                            "the file is for cell '" + parsed.catalogue->cell.value
+                                                + "', this is '" + options_.cell.value + "'" } }));
+        return;
+    }
+    cell::ApplyConfiguration command;
+    command.version = parsed.catalogue->version;
+    command.digest = base::sha256Hex (request.text);
+    command.text = request.text;
+    command.proposedAt = cellTime();
+    const ForApply purpose{ ticket, request.waitInForce, now_ + request.timeout };
+    if (! propose (command, purpose))
+        answer (ticket, notLeaderAnswer (status_));
 }
 
-void ControllerCore::Implementation::admin(AdminTicket ticket, const AdminStatus& /*request*/) {
-  const consensus::RaftStatus status = raft_.status(now_);
-  answer(ticket, statusAnswer(adminView(status)));
+void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminStatus& /*request*/)
+{
+    const consensus::RaftStatus status = raft_.status (now_);
+    answer (ticket, statusAnswer (adminView (status)));
 }
 
-void ControllerCore::Implementation::admin(AdminTicket ticket, const AdminExplain& request) {
-  const bool mayRead =
-      (leader_ && holdsLease()) || options_.plantedFault == cell::PlantedFault::kStaleRead;
-  if (!mayRead) {
-    answer(ticket, notLeaderAnswer(status_));
-    return;
-  }
-  const consensus::RaftStatus status = raft_.status(now_);
-  answer(ticket, explainAnswer(adminView(status), request.kind, request.name));
+void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminExplain& request)
+{
+    const bool mayRead =
+        (leader_ && holdsLease()) || options_.plantedFault == cell::PlantedFault::kStaleRead;
+    if (! mayRead)
+    {
+        answer (ticket, notLeaderAnswer (status_));
+        return;
+    }
+    const consensus::RaftStatus status = raft_.status (now_);
+    answer (ticket, explainAnswer (adminView (status), request.kind, request.name));
 }
 
-void ControllerCore::Implementation::admin(AdminTicket ticket, const AdminMembers& /*request*/) {
-  answer(ticket, membersAnswer(raft_.status(now_)));
+void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminMembers& /*request*/)
+{
+    answer (ticket, membersAnswer (raft_.status (now_)));
 }
 
-void ControllerCore::Implementation::admin(AdminTicket ticket, const AdminAddMember& request) {
-  consensus::MemberSet members = status_.members;
-  const bool isKnown =
-      std::any_of(members.members.begin(), members.members.end(),
-                  [&](const consensus::Member& member) { return member.id == request.member.id; });
-  if (isKnown) {
-    answer(ticket, errorAnswer({base::ErrorKind::kMembershipChangeRefused,
-                                "a member with this id is present already"}));
-    return;
-  }
-  members.members.push_back(request.member);
-  std::sort(members.members.begin(), members.members.end(),
-            [](const auto& left, const auto& right) { return left.id < right.id; });
-  changeMembers(ticket, std::move(members));
+void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminAddMember& request)
+{
+    consensus::MemberSet members = status_.members;
+    const bool isKnown = std::any_of (members.members.begin(), members.members.end(),
+                                      [&] (const consensus::Member& member)
+                                      { return member.id == request.member.id; });
+    if (isKnown)
+    {
+        answer (ticket, errorAnswer ({ base::ErrorKind::kMembershipChangeRefused,
+                                       "a member with this id is present already" }));
+        return;
+    }
+    members.members.push_back (request.member);
+    std::sort (members.members.begin(), members.members.end(),
+               [] (const auto& left, const auto& right) { return left.id < right.id; });
+    changeMembers (ticket, std::move (members));
 }
 
-void ControllerCore::Implementation::admin(AdminTicket ticket, const AdminPromoteMember& request) {
-  consensus::MemberSet members = status_.members;
-  const auto found = std::ranges::find(members.members, request.id, &consensus::Member::id);
-  if (found == members.members.end()) {
-    answer(ticket, errorAnswer({base::ErrorKind::kNotFound,
-                                "no member " + std::to_string(request.id) + " is known"}));
-    return;
-  }
-  found->isVoter = true;
-  changeMembers(ticket, std::move(members));
+void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminPromoteMember& request)
+{
+    consensus::MemberSet members = status_.members;
+    const auto found = std::ranges::find (members.members, request.id, &consensus::Member::id);
+    if (found == members.members.end())
+    {
+        answer (ticket, errorAnswer ({ base::ErrorKind::kNotFound,
+                                       "no member " + std::to_string (request.id) + " is known" }));
+        return;
+    }
+    found->isVoter = true;
+    changeMembers (ticket, std::move (members));
 }
 
-void ControllerCore::Implementation::admin(AdminTicket ticket, const AdminRemoveMember& request) {
-  consensus::MemberSet members = status_.members;
-  std::erase_if(members.members,
-                [&](const consensus::Member& member) { return member.id == request.id; });
-  changeMembers(ticket, std::move(members));
+void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminRemoveMember& request)
+{
+    consensus::MemberSet members = status_.members;
+    std::erase_if (members.members,
+                   [&] (const consensus::Member& member) { return member.id == request.id; });
+    changeMembers (ticket, std::move (members));
 }
 
-void ControllerCore::Implementation::changeMembers(AdminTicket ticket,
-                                                   consensus::MemberSet members) {
-  if (!leader_) {
-    answer(ticket, notLeaderAnswer(status_));
-    return;
-  }
-  base::handleErrors(
-      [&]() -> base::Result<void> {
-        if (members == status_.members) {
-          // An equal change may not be committed yet: an answer now could be untrue later.
-          if (!holdsLease() || isMembersChangePending()) {
-            return base::fail(base::ErrorKind::kMembershipChangeRefused,
-                              "this change is in progress; send again");
-          }
-          answer(ticket, doneAnswer());
-          return {};
-        }
-        BOOST_LEAF_AUTO(index, raft_.proposeMembers(std::move(members), now_));
-        leader_->proposals.emplace(index, ForMembers{ticket});
-        return {};
-      },
-      [&](const base::Error& error) { answer(ticket, errorAnswer(error)); });
+void ControllerCore::Implementation::changeMembers (AdminTicket ticket,
+                                                    consensus::MemberSet members)
+{
+    if (! leader_)
+    {
+        answer (ticket, notLeaderAnswer (status_));
+        return;
+    }
+    base::handleErrors (
+        [&]() -> base::Result<void>
+        {
+            if (members == status_.members)
+            {
+                // An equal change may not be committed yet: an answer now could be untrue later.
+                if (! holdsLease() || isMembersChangePending())
+                {
+                    return base::fail (base::ErrorKind::kMembershipChangeRefused,
+                                       "this change is in progress; send again");
+                }
+                answer (ticket, doneAnswer());
+                return {};
+            }
+            BOOST_LEAF_AUTO (index, raft_.proposeMembers (std::move (members), now_));
+            leader_->proposals.emplace (index, ForMembers{ ticket });
+            return {};
+        },
+        [&] (const base::Error& error) { answer (ticket, errorAnswer (error)); });
 }
 
-bool ControllerCore::Implementation::isMembersChangePending() const {
-  return std::ranges::any_of(leader_->proposals, [](const auto& item) {
-    return std::holds_alternative<ForMembers>(item.second);
-  });
+bool ControllerCore::Implementation::isMembersChangePending() const
+{
+    return std::ranges::any_of (leader_->proposals, [] (const auto& item)
+                                { return std::holds_alternative<ForMembers> (item.second); });
 }
 
-void ControllerCore::Implementation::admin(AdminTicket ticket, const AdminDrain& request) {
-  if (!leader_) {
-    answer(ticket, notLeaderAnswer(status_));
-    return;
-  }
-  if (state_.replicas().findRunner(request.runner) == nullptr) {
-    answer(ticket, errorAnswer({base::ErrorKind::kNotFound,
-                                "no runner '" + request.runner.value + "' is known"}));
-    return;
-  }
-  const cell::SetDraining command{request.runner, request.isDraining, cellTime()};
-  if (!propose(command, ForDrain{ticket})) answer(ticket, notLeaderAnswer(status_));
+void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminDrain& request)
+{
+    if (! leader_)
+    {
+        answer (ticket, notLeaderAnswer (status_));
+        return;
+    }
+    if (state_.replicas().findRunner (request.runner) == nullptr)
+    {
+        answer (ticket, errorAnswer ({ base::ErrorKind::kNotFound,
+                                       "no runner '" + request.runner.value + "' is known" }));
+        return;
+    }
+    const cell::SetDraining command{ request.runner, request.isDraining, cellTime() };
+    if (! propose (command, ForDrain{ ticket }))
+        answer (ticket, notLeaderAnswer (status_));
 }
 
-void ControllerCore::Implementation::answer(AdminTicket ticket, AdminAnswer answer) {
-  effects_.emplace_back(AnswerAdmin{ticket, answer.httpStatus, std::move(answer.json)});
+void ControllerCore::Implementation::answer (AdminTicket ticket, AdminAnswer answer)
+{
+    effects_.emplace_back (AnswerAdmin{ ticket, answer.httpStatus, std::move (answer.json) });
 }
 
-void ControllerCore::Implementation::answerInForceWaits() {
-  if (leader_->inForceWaits.empty()) return;
-  const cell::ConfigurationIdentity& inForce = state_.configuration().identity();
-  const bool isEverywhere =
-      holdsLease() && leader_->sessions.isInForceEverywhere(inForce, leader_->since, now_);
-  std::erase_if(leader_->inForceWaits, [&](const InForceWait& wait) {
-    // A later configuration that is in force everywhere has replaced this one everywhere too.
-    if (!isEverywhere && now_ < wait.deadline) return false;
-    answer(wait.ticket, configurationAnswer(wait.result, isEverywhere));
-    return true;
-  });
+void ControllerCore::Implementation::answerInForceWaits()
+{
+    if (leader_->inForceWaits.empty())
+        return;
+    const cell::ConfigurationIdentity& inForce = state_.configuration().identity();
+    const bool isEverywhere =
+        holdsLease() && leader_->sessions.isInForceEverywhere (inForce, leader_->since, now_);
+    std::erase_if (leader_->inForceWaits,
+                   [&] (const InForceWait& wait)
+                   {
+                       // A later configuration that is in force everywhere has replaced this one
+                       // everywhere too.
+                       if (! isEverywhere && now_ < wait.deadline)
+                           return false;
+                       answer (wait.ticket, configurationAnswer (wait.result, isEverywhere));
+                       return true;
+                   });
 }
 
-AdminView ControllerCore::Implementation::adminView(const consensus::RaftStatus& status) const {
-  AdminView view{state_, status, nullptr, nullptr, nullptr, now_};
-  if (leader_) {
-    view.watch = &leader_->watch;
-    view.sessions = &leader_->sessions;
-    view.demands = &leader_->demands;
-  }
-  return view;
+AdminView ControllerCore::Implementation::adminView (const consensus::RaftStatus& status) const
+{
+    AdminView view{ state_, status, nullptr, nullptr, nullptr, now_ };
+    if (leader_)
+    {
+        view.watch = &leader_->watch;
+        view.sessions = &leader_->sessions;
+        view.demands = &leader_->demands;
+    }
+    return view;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -20,70 +20,82 @@
 #include "engine/ServiceEngine.h"
 #include "placement/EnginePlacement.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 /// Identifies one connection of a router; the adapter numbers them.
 using RouterConnection = std::uint64_t;
 /// Identifies one pending operator request; the adapter numbers them.
 using AdminTicket = std::uint64_t;
 
-struct ControllerOptions {
-  base::CellId cell;
-  consensus::RaftOptions raft;
-  base::Duration routerLease = base::milliseconds(2000);
-  base::Duration reportInterval = base::milliseconds(250);
-  base::Duration machineListInterval = base::milliseconds(1000);
-  base::Duration orderTimeout = base::milliseconds(2000);
-  /// Longest idle time before a replica is dropped; the operator's prices may make it shorter.
-  base::Duration keepAlive = base::seconds(3600);
-  std::size_t entriesBetweenSnapshots = 4096;
-  base::Duration claimWindow = base::seconds(600);
-  /// Above this many routers times rows, all routers get one replica table with shares in powers of
-  /// two; below, each gets its exact share of the slots.
-  std::size_t exactShareLimit = 4096;
-  /// Addresses of members that are answered while the member set does not name them: a member that
-  /// joins learns the set only from the leader that it must answer.
-  std::vector<consensus::Member> contacts;
-  /// Reads the operator's file.
-  cell::CatalogueParser catalogueParser = &config::parseCatalogue;
-  /// Whether the platform has a machine list to ask.
-  bool hasMachineList = true;
-  /// Whether members that ask to join are taken in, and lost ones are replaced, without an
-  /// operator.
-  bool managesMembers = false;
-  /// Time between the orders of two leaders to registered engines.
-  base::Duration orderPause = base::milliseconds(3000);
-  /// Silence after which a registered runner is told as silent to routers.
-  base::Duration instanceSilence = base::milliseconds(3500);
-  cell::PlantedFault plantedFault = cell::PlantedFault::kNone;  ///< For tests only.
+struct ControllerOptions
+{
+    base::CellId cell;
+    consensus::RaftOptions raft;
+    base::Duration routerLease = base::milliseconds (2000);
+    base::Duration reportInterval = base::milliseconds (250);
+    base::Duration machineListInterval = base::milliseconds (1000);
+    base::Duration orderTimeout = base::milliseconds (2000);
+    /// Longest idle time before a replica is dropped; the operator's prices may make it shorter.
+    base::Duration keepAlive = base::seconds (3600);
+    std::size_t entriesBetweenSnapshots = 4096;
+    base::Duration claimWindow = base::seconds (600);
+    /// Above this many routers times rows, all routers get one replica table with shares in powers
+    /// of two; below, each gets its exact share of the slots.
+    std::size_t exactShareLimit = 4096;
+    /// Addresses of members that are answered while the member set does not name them: a member
+    /// that joins learns the set only from the leader that it must answer.
+    std::vector<consensus::Member> contacts;
+    /// Reads the operator's file.
+    cell::CatalogueParser catalogueParser = &config::parseCatalogue;
+    /// Whether the platform has a machine list to ask.
+    bool hasMachineList = true;
+    /// Whether members that ask to join are taken in, and lost ones are replaced, without an
+    /// operator.
+    bool managesMembers = false;
+    /// Time between the orders of two leaders to registered engines.
+    base::Duration orderPause = base::milliseconds (3000);
+    /// Silence after which a registered runner is told as silent to routers.
+    base::Duration instanceSilence = base::milliseconds (3500);
+    cell::PlantedFault plantedFault = cell::PlantedFault::kNone;  ///< For tests only.
 };
 
 // Requests of operators.
 
-struct AdminApply {
-  std::string text;
-  bool waitInForce = false;  ///< Answer only once every live router has it in force.
-  base::Duration timeout{};
+struct AdminApply
+{
+    std::string text;
+    bool waitInForce = false;  ///< Answer only once every live router has it in force.
+    base::Duration timeout{};
 };
-struct AdminStatus {};
-struct AdminExplain {
-  std::string kind;  ///< "model", "runner" or "configuration".
-  std::string name;
+struct AdminStatus
+{
 };
-struct AdminMembers {};
-struct AdminAddMember {
-  consensus::Member member;
+struct AdminExplain
+{
+    std::string kind;  ///< "model", "runner" or "configuration".
+    std::string name;
+};
+struct AdminMembers
+{
+};
+struct AdminAddMember
+{
+    consensus::Member member;
 };
 /// Makes a learner that has caught up a voter. The core may also do so by itself.
-struct AdminPromoteMember {
-  base::MemberId id = 0;
+struct AdminPromoteMember
+{
+    base::MemberId id = 0;
 };
-struct AdminRemoveMember {
-  base::MemberId id = 0;
+struct AdminRemoveMember
+{
+    base::MemberId id = 0;
 };
-struct AdminDrain {
-  base::RunnerId runner;
-  bool isDraining = true;
+struct AdminDrain
+{
+    base::RunnerId runner;
+    bool isDraining = true;
 };
 using AdminRequest =
     std::variant<AdminApply, AdminStatus, AdminExplain, AdminMembers, AdminAddMember,
@@ -92,40 +104,49 @@
 // Effects the adapter carries out.
 
 /// Write to storage; then call onPersisted(sequence).
-struct PersistEffect {
-  consensus::PersistRequest request;
+struct PersistEffect
+{
+    consensus::PersistRequest request;
 };
-struct SendToMember {
-  consensus::Message message;
-  std::string address;  ///< "ip:port" of the receiver.
+struct SendToMember
+{
+    consensus::Message message;
+    std::string address;  ///< "ip:port" of the receiver.
 };
-struct SendToRouter {
-  RouterConnection connection = 0;
-  cell::ControllerToRouter message;
+struct SendToRouter
+{
+    RouterConnection connection = 0;
+    cell::ControllerToRouter message;
 };
 /// POST the order to the runner; then call onOrderAnswer or onOrderFailed.
-struct SendOrder {
-  base::RunnerId runner;
-  std::string address;
-  engine::Order order;
+struct SendOrder
+{
+    base::RunnerId runner;
+    std::string address;
+    engine::Order order;
 };
 /// GET /engine/report of the runner; then call onReport or onReportFailed.
-struct PollRunner {
-  base::RunnerId runner;
-  std::string address;
+struct PollRunner
+{
+    base::RunnerId runner;
+    std::string address;
 };
 /// GET the machine list; then call onMachineList or onMachineListFailed.
-struct PollMachineList {};
+struct PollMachineList
+{
+};
 /// Answer to an operator: HTTP status and JSON body.
-struct AnswerAdmin {
-  AdminTicket ticket = 0;
-  int httpStatus = 200;
-  std::string json;
+struct AnswerAdmin
+{
+    AdminTicket ticket = 0;
+    int httpStatus = 200;
+    std::string json;
 };
 
-struct AnswerControl {
-  ControlTicket ticket = 0;
-  ControlAnswer answer;
+struct AnswerControl
+{
+    ControlTicket ticket = 0;
+    ControlAnswer answer;
 };
 
 using Effect =
@@ -133,61 +154,62 @@
                  AnswerAdmin, AnswerControl, placement::SendEngineOrder, placement::PollEngine>;
 
 /// The state machine. Single-threaded; every call may produce effects, taken by takeEffects().
-class ControllerCore {
- public:
-  ControllerCore(base::MemberId self, ControllerOptions options,
-                 consensus::RecoveredState recovered, std::uint64_t randomSeed, base::TimePoint now,
-                 base::UnixMilliseconds unixNow);
-  ~ControllerCore();
-  ControllerCore(ControllerCore&&) noexcept;
-  ControllerCore& operator=(ControllerCore&&) noexcept;
-
-  /// Time for this and the following calls. Call before every other input.
-  void setTime(base::TimePoint now, base::UnixMilliseconds unixNow);
-
-  /// Advances timers; call at least every 10 ms.
-  void onTick();
-  void onMemberMessage(const consensus::Message& message);
-  void onPersisted(std::uint64_t sequence);
-  void onStorageFailed();
-
-  void onRouterMessage(RouterConnection connection, const cell::RouterToController& message);
-  void onRouterGone(RouterConnection connection);
-
-  void onOrderAnswer(const base::RunnerId& runner, const engine::Order& order,
-                     const engine::OrderAnswer& answer);
-  void onOrderFailed(const base::RunnerId& runner, const engine::Order& order);
-  void onReport(const base::RunnerId& runner, const engine::Report& report);
-  void onReportFailed(const base::RunnerId& runner);
-  void onMachineList(const engine::MachineList& list);
-  void onMachineListFailed();
-
-  void onAdmin(AdminTicket ticket, const AdminRequest& request);
-  void onControl(ControlTicket ticket, const ControlRequest& request);
-
-  /// Answers of registered engines. `report` is null when there is none.
-  void onEngineOrderAnswer(const engine::ServiceOrder& order, engine::OrderOutcome outcome);
-  void onEngineReport(const std::string& instance, const engine::ServiceReport* report);
-
-  /// An address at which members are answered that the member set does not name.
-  void addContact(const std::string& peerAddress);
-
-  /// Begins a planned stop: hands leadership over. Done when isStopped().
-  void beginStop();
-  [[nodiscard]] bool isStopped() const;
-
-  [[nodiscard]] std::vector<Effect> takeEffects();
-  [[nodiscard]] consensus::RaftStatus raftStatus() const;
-  /// Whether this controller leads and holds the leader's lease at the time set last.
-  [[nodiscard]] bool holdsLease() const;
-  /// The replicated state as applied so far.
-  [[nodiscard]] const cell::CellState& state() const;
-  /// Text of /metrics that only the core knows.
-  [[nodiscard]] std::string metricsText() const;
-
- private:
-  class Implementation;
-  std::unique_ptr<Implementation> implementation_;
+class ControllerCore
+{
+public:
+    ControllerCore (base::MemberId self, ControllerOptions options,
+                    consensus::RecoveredState recovered, std::uint64_t randomSeed,
+                    base::TimePoint now, base::UnixMilliseconds unixNow);
+    ~ControllerCore();
+    ControllerCore (ControllerCore&&) noexcept;
+    ControllerCore& operator= (ControllerCore&&) noexcept;
+
+    /// Time for this and the following calls. Call before every other input.
+    void setTime (base::TimePoint now, base::UnixMilliseconds unixNow);
+
+    /// Advances timers; call at least every 10 ms.
+    void onTick();
+    void onMemberMessage (const consensus::Message& message);
+    void onPersisted (std::uint64_t sequence);
+    void onStorageFailed();
+
+    void onRouterMessage (RouterConnection connection, const cell::RouterToController& message);
+    void onRouterGone (RouterConnection connection);
+
+    void onOrderAnswer (const base::RunnerId& runner, const engine::Order& order,
+                        const engine::OrderAnswer& answer);
+    void onOrderFailed (const base::RunnerId& runner, const engine::Order& order);
+    void onReport (const base::RunnerId& runner, const engine::Report& report);
+    void onReportFailed (const base::RunnerId& runner);
+    void onMachineList (const engine::MachineList& list);
+    void onMachineListFailed();
+
+    void onAdmin (AdminTicket ticket, const AdminRequest& request);
+    void onControl (ControlTicket ticket, const ControlRequest& request);
+
+    /// Answers of registered engines. `report` is null when there is none.
+    void onEngineOrderAnswer (const engine::ServiceOrder& order, engine::OrderOutcome outcome);
+    void onEngineReport (const std::string& instance, const engine::ServiceReport* report);
+
+    /// An address at which members are answered that the member set does not name.
+    void addContact (const std::string& peerAddress);
+
+    /// Begins a planned stop: hands leadership over. Done when isStopped().
+    void beginStop();
+    [[nodiscard]] bool isStopped() const;
+
+    [[nodiscard]] std::vector<Effect> takeEffects();
+    [[nodiscard]] consensus::RaftStatus raftStatus() const;
+    /// Whether this controller leads and holds the leader's lease at the time set last.
+    [[nodiscard]] bool holdsLease() const;
+    /// The replicated state as applied so far.
+    [[nodiscard]] const cell::CellState& state() const;
+    /// Text of /metrics that only the core knows.
+    [[nodiscard]] std::string metricsText() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation_;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -32,316 +32,341 @@
 #include "placement/Placement.h"
 #include "placement/StorePace.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 // What a proposal is for: decides what happens once it is committed.
 
 /// A decision of placement; the next round waits for it.
-struct ForPlacement {};
-struct ForApply {
-  AdminTicket ticket = 0;
-  bool waitInForce = false;
-  base::TimePoint deadline{};
+struct ForPlacement
+{
 };
-struct ForDrain {
-  AdminTicket ticket = 0;
+struct ForApply
+{
+    AdminTicket ticket = 0;
+    bool waitInForce = false;
+    base::TimePoint deadline{};
 };
-struct ForMembers {
-  AdminTicket ticket = 0;
+struct ForDrain
+{
+    AdminTicket ticket = 0;
 };
-struct ForClaims {
-  std::uint64_t batch = 0;
+struct ForMembers
+{
+    AdminTicket ticket = 0;
+};
+struct ForClaims
+{
+    std::uint64_t batch = 0;
 };
 /// A fact about a replica (ready, failed, released).
-struct ForReplica {
-  base::ReplicaId replica = 0;
+struct ForReplica
+{
+    base::ReplicaId replica = 0;
 };
 /// A fact about a runner (seen, gone).
-struct ForRunner {
-  base::RunnerId runner;
+struct ForRunner
+{
+    base::RunnerId runner;
 };
 /// The index becomes the fence of an unload of a replica that the state does not know.
-struct ForStray {
-  StrayReplica stray;
+struct ForStray
+{
+    StrayReplica stray;
+};
+struct ForNothing
+{
 };
-struct ForNothing {};
 /// A request of the control interface, answered once it is committed.
-struct ForControl {
-  ControlTicket ticket = 0;
+struct ForControl
+{
+    ControlTicket ticket = 0;
 };
 /// A change of the members that no operator asked for.
-struct ForOwnMembers {};
+struct ForOwnMembers
+{
+};
 /// Orders to registered engines that leave once their note is committed.
-struct ForEngineOrders {
-  std::vector<placement::SendEngineOrder> orders;
-  base::TimePoint notedAt{};
+struct ForEngineOrders
+{
+    std::vector<placement::SendEngineOrder> orders;
+    base::TimePoint notedAt{};
 };
 using Purpose =
     std::variant<ForPlacement, ForApply, ForDrain, ForMembers, ForClaims, ForReplica, ForRunner,
                  ForStray, ForNothing, ForControl, ForOwnMembers, ForEngineOrders>;
 
 /// An apply that is committed and whose operator waits until it is in force everywhere.
-struct InForceWait {
-  AdminTicket ticket = 0;
-  cell::ConfigurationResult result;
-  base::TimePoint deadline{};
+struct InForceWait
+{
+    AdminTicket ticket = 0;
+    cell::ConfigurationResult result;
+    base::TimePoint deadline{};
 };
 
 /// A load that failed on a runner lately.
-struct LoadFailure {
-  std::uint32_t count = 0;
-  base::TimePoint avoidedUntil{};
+struct LoadFailure
+{
+    std::uint32_t count = 0;
+    base::TimePoint avoidedUntil{};
 };
 
 /// Everything that lasts only as long as one term of leadership.
-struct Leadership {
-  Leadership(const ControllerOptions& options, base::Term leadTerm, base::TimePoint now,
-             placement::EnginePlacementOptions engineOptions)
-      : term(leadTerm),
-        since(now),
-        watch(options.reportInterval, now),
-        orders(options.orderTimeout, options.plantedFault),
-        sessions(options.routerLease),
-        instances(leadTerm, options.instanceSilence),
-        engines(std::move(engineOptions)) {}
+struct Leadership
+{
+    Leadership (const ControllerOptions& options, base::Term leadTerm, base::TimePoint now,
+                placement::EnginePlacementOptions engineOptions)
+        : term (leadTerm),
+          since (now),
+          watch (options.reportInterval, now),
+          orders (options.orderTimeout, options.plantedFault),
+          sessions (options.routerLease),
+          instances (leadTerm, options.instanceSilence),
+          engines (std::move (engineOptions))
+    {
+    }
 
-  base::Term term = 0;
-  base::TimePoint since{};
-  base::UnixMilliseconds unixSince = 0;
-  RunnerWatch watch;
-  OrderQueue orders;
-  RouterSessions sessions;
-  bool isTableShared = false;                    ///< One table for all routers; see RoutableTable.
-  RoutableTable table;                           ///< While shared.
-  std::vector<cell::RoutableReplica> rows;       ///< While not shared.
-  std::optional<CreditShare> exactShare;         ///< While not shared.
-  std::map<std::string, std::uint32_t> sharers;  ///< Routers told to share a target's replicas.
-  std::uint32_t enteringSharers = 0;             ///< The same for routers without stated demand.
-  ConfigurationChange configurationChange;
-  DemandTable demands;
-  ClaimBatcher claims;
-  std::map<base::LogIndex, Purpose> proposals;
-  std::set<base::ReplicaId> busyReplicas;  ///< With a proposal about them under way.
-  std::set<base::RunnerId> busyRunners;
-  std::set<std::pair<base::RunnerId, base::ReplicaId>> busyStrays;
-  /// Replicas whose unload was decided without their being known; until then reports may lag.
-  std::map<std::pair<base::RunnerId, base::ReplicaId>, base::TimePoint> strayPauses;
-  std::set<base::RunnerId> ordersDue;  ///< Runners to which a new order may go.
-  std::size_t placementProposals = 0;  ///< Under way.
-  bool isPlacementDue = true;
-  base::TimePoint nextPlacementAt{};
-  bool isTableDue = true;  ///< Routers should hear of a change at the next tick.
-  base::TimePoint nextTableAt{};
-  base::TimePoint nextWholeTableAt{};
-  base::TimePoint nextRoutineAt{};
-  base::TimePoint nextMachineListAt{};
-  bool isMachineListPolled = false;
-  std::vector<InForceWait> inForceWaits;
-  std::map<std::pair<std::string, base::RunnerId>, LoadFailure> failures;
-  /// When each replica was last in use or asked for.
-  std::map<base::ReplicaId, base::TimePoint> lastUse;
-  placement::StorePace storePace;
-  /// Replicas that load from the weight store, not from their runner's memory or disk.
-  std::map<base::ReplicaId, bool> usesStore;
-  ReadyEstimates estimates;  ///< As last stated to routers.
-  InstanceTable instances;
-  base::TimePoint nextHoldingsAt{};
-  std::uint64_t announcedVersion = 0;  ///< Configuration last sent to all routers.
-  bool isInstanceTableDue = true;      ///< Routers may have to hear of a change of the instances.
-  MemberAdmission admission;
-  placement::EnginePlacement engines;
-  bool isEnginePlacementDue = true;
+    base::Term term = 0;
+    base::TimePoint since{};
+    base::UnixMilliseconds unixSince = 0;
+    RunnerWatch watch;
+    OrderQueue orders;
+    RouterSessions sessions;
+    bool isTableShared = false;               ///< One table for all routers; see RoutableTable.
+    RoutableTable table;                      ///< While shared.
+    std::vector<cell::RoutableReplica> rows;  ///< While not shared.
+    std::optional<CreditShare> exactShare;    ///< While not shared.
+    std::map<std::string, std::uint32_t> sharers;  ///< Routers told to share a target's replicas.
+    std::uint32_t enteringSharers = 0;             ///< The same for routers without stated demand.
+    ConfigurationChange configurationChange;
+    DemandTable demands;
+    ClaimBatcher claims;
+    std::map<base::LogIndex, Purpose> proposals;
+    std::set<base::ReplicaId> busyReplicas;  ///< With a proposal about them under way.
+    std::set<base::RunnerId> busyRunners;
+    std::set<std::pair<base::RunnerId, base::ReplicaId>> busyStrays;
+    /// Replicas whose unload was decided without their being known; until then reports may lag.
+    std::map<std::pair<base::RunnerId, base::ReplicaId>, base::TimePoint> strayPauses;
+    std::set<base::RunnerId> ordersDue;  ///< Runners to which a new order may go.
+    std::size_t placementProposals = 0;  ///< Under way.
+    bool isPlacementDue = true;
+    base::TimePoint nextPlacementAt{};
+    bool isTableDue = true;  ///< Routers should hear of a change at the next tick.
+    base::TimePoint nextTableAt{};
+    base::TimePoint nextWholeTableAt{};
+    base::TimePoint nextRoutineAt{};
+    base::TimePoint nextMachineListAt{};
+    bool isMachineListPolled = false;
+    std::vector<InForceWait> inForceWaits;
+    std::map<std::pair<std::string, base::RunnerId>, LoadFailure> failures;
+    /// When each replica was last in use or asked for.
+    std::map<base::ReplicaId, base::TimePoint> lastUse;
+    placement::StorePace storePace;
+    /// Replicas that load from the weight store, not from their runner's memory or disk.
+    std::map<base::ReplicaId, bool> usesStore;
+    ReadyEstimates estimates;  ///< As last stated to routers.
+    InstanceTable instances;
+    base::TimePoint nextHoldingsAt{};
+    std::uint64_t announcedVersion = 0;  ///< Configuration last sent to all routers.
+    bool isInstanceTableDue = true;      ///< Routers may have to hear of a change of the instances.
+    MemberAdmission admission;
+    placement::EnginePlacement engines;
+    bool isEnginePlacementDue = true;
 };
 
 /// Counters for /metrics.
-struct ControllerCounters {
-  std::uint64_t proposals = 0;
-  std::uint64_t entriesApplied = 0;
-  std::uint64_t ordersSent = 0;
-  std::uint64_t ordersAccepted = 0;
-  std::uint64_t ordersRefused = 0;
-  std::uint64_t ordersFailed = 0;
-  std::uint64_t reports = 0;
-  std::uint64_t reportsFailed = 0;
-  std::uint64_t leasesGranted = 0;
-  std::uint64_t leasesWithheld = 0;
-  std::uint64_t claims = 0;
-  std::uint64_t replicaUpdates = 0;
-  std::uint64_t placementRounds = 0;
-  std::uint64_t strayReplicas = 0;
-  std::uint64_t leaderships = 0;
+struct ControllerCounters
+{
+    std::uint64_t proposals = 0;
+    std::uint64_t entriesApplied = 0;
+    std::uint64_t ordersSent = 0;
+    std::uint64_t ordersAccepted = 0;
+    std::uint64_t ordersRefused = 0;
+    std::uint64_t ordersFailed = 0;
+    std::uint64_t reports = 0;
+    std::uint64_t reportsFailed = 0;
+    std::uint64_t leasesGranted = 0;
+    std::uint64_t leasesWithheld = 0;
+    std::uint64_t claims = 0;
+    std::uint64_t replicaUpdates = 0;
+    std::uint64_t placementRounds = 0;
+    std::uint64_t strayReplicas = 0;
+    std::uint64_t leaderships = 0;
 };
 
-class ControllerCore::Implementation {
- public:
-  Implementation(base::MemberId self, ControllerOptions options,
-                 consensus::RecoveredState recovered, std::uint64_t randomSeed, base::TimePoint now,
-                 base::UnixMilliseconds unixNow);
+class ControllerCore::Implementation
+{
+public:
+    Implementation (base::MemberId self, ControllerOptions options,
+                    consensus::RecoveredState recovered, std::uint64_t randomSeed,
+                    base::TimePoint now, base::UnixMilliseconds unixNow);
 
-  void setTime(base::TimePoint now, base::UnixMilliseconds unixNow);
-  void onTick();
-  void onMemberMessage(const consensus::Message& message);
-  void onPersisted(std::uint64_t sequence);
-  void onStorageFailed();
+    void setTime (base::TimePoint now, base::UnixMilliseconds unixNow);
+    void onTick();
+    void onMemberMessage (const consensus::Message& message);
+    void onPersisted (std::uint64_t sequence);
+    void onStorageFailed();
 
-  void onRouterMessage(RouterConnection connection, const cell::RouterToController& message);
-  void onRouterGone(RouterConnection connection);
+    void onRouterMessage (RouterConnection connection, const cell::RouterToController& message);
+    void onRouterGone (RouterConnection connection);
 
-  void onOrderAnswer(const base::RunnerId& runner, const engine::Order& order,
-                     const engine::OrderAnswer& answer);
-  void onOrderFailed(const base::RunnerId& runner, const engine::Order& order);
-  void onReport(const base::RunnerId& runner, const engine::Report& report);
-  void onReportFailed(const base::RunnerId& runner);
-  void onMachineList(const engine::MachineList& list);
-  void onMachineListFailed();
+    void onOrderAnswer (const base::RunnerId& runner, const engine::Order& order,
+                        const engine::OrderAnswer& answer);
+    void onOrderFailed (const base::RunnerId& runner, const engine::Order& order);
+    void onReport (const base::RunnerId& runner, const engine::Report& report);
+    void onReportFailed (const base::RunnerId& runner);
+    void onMachineList (const engine::MachineList& list);
+    void onMachineListFailed();
 
-  void onAdmin(AdminTicket ticket, const AdminRequest& request);
-  void onControl(ControlTicket ticket, const ControlRequest& request);
+    void onAdmin (AdminTicket ticket, const AdminRequest& request);
+    void onControl (ControlTicket ticket, const ControlRequest& request);
 
-  void onEngineOrderAnswer(const engine::ServiceOrder& order, engine::OrderOutcome outcome);
-  void onEngineReport(const std::string& instance, const engine::ServiceReport* report);
-  void addContact(const std::string& peerAddress);
-  void beginStop();
-  [[nodiscard]] bool isStopped() const;
+    void onEngineOrderAnswer (const engine::ServiceOrder& order, engine::OrderOutcome outcome);
+    void onEngineReport (const std::string& instance, const engine::ServiceReport* report);
+    void addContact (const std::string& peerAddress);
+    void beginStop();
+    [[nodiscard]] bool isStopped() const;
 
-  [[nodiscard]] std::vector<Effect> takeEffects();
-  [[nodiscard]] consensus::RaftStatus raftStatus() const { return raft_.status(now_); }
-  [[nodiscard]] bool holdsLease() const { return raft_.holdsLease(now_); }
-  [[nodiscard]] const cell::CellState& state() const { return state_; }
-  [[nodiscard]] std::string metricsText() const;
+    [[nodiscard]] std::vector<Effect> takeEffects();
+    [[nodiscard]] consensus::RaftStatus raftStatus() const { return raft_.status (now_); }
+    [[nodiscard]] bool holdsLease() const { return raft_.holdsLease (now_); }
+    [[nodiscard]] const cell::CellState& state() const { return state_; }
+    [[nodiscard]] std::string metricsText() const;
 
- private:
-  // ControllerCore.cpp: consensus and leadership.
-  void drain();
-  bool takeRaftOutput();
-  void sendToMember(consensus::Message message);
-  void sendToUnknownMember(const consensus::Message& message);
-  void applyEntry(const consensus::Entry& entry);
-  void finishProposal(const consensus::Entry& entry, const cell::ApplyResult& result);
-  void finish(const ForPlacement& purpose, base::LogIndex index, const cell::ApplyResult& result);
-  void finish(const ForApply& purpose, base::LogIndex index, const cell::ApplyResult& result);
-  void finish(const ForDrain& purpose, base::LogIndex index, const cell::ApplyResult& result);
-  void finish(const ForMembers& purpose, base::LogIndex index, const cell::ApplyResult& result);
-  void finish(const ForClaims& purpose, base::LogIndex index, const cell::ApplyResult& result);
-  void finish(const ForReplica& purpose, base::LogIndex index, const cell::ApplyResult& result);
-  void finish(const ForRunner& purpose, base::LogIndex index, const cell::ApplyResult& result);
-  void finish(const ForStray& purpose, base::LogIndex index, const cell::ApplyResult& result);
-  void finish(const ForNothing& purpose, base::LogIndex index, const cell::ApplyResult& result);
-  void finish(const ForControl& purpose, base::LogIndex index, const cell::ApplyResult& result);
-  void finish(const ForOwnMembers& purpose, base::LogIndex index, const cell::ApplyResult& result);
-  void finish(const ForEngineOrders& purpose, base::LogIndex index,
-              const cell::ApplyResult& result);
-  void updateLeadership();
-  void beginLeadership();
-  void endLeadership();
-  void compactIfDue();
-  bool propose(const cell::Command& command, Purpose purpose);
-  /// Time of the cell: wall-clock time at the begin of leadership plus monotonic time since, so
-  /// that a step of the wall clock changes nothing.
-  [[nodiscard]] base::UnixMilliseconds cellTime() const;
+private:
+    // ControllerCore.cpp: consensus and leadership.
+    void drain();
+    bool takeRaftOutput();
+    void sendToMember (consensus::Message message);
+    void sendToUnknownMember (const consensus::Message& message);
+    void applyEntry (const consensus::Entry& entry);
+    void finishProposal (const consensus::Entry& entry, const cell::ApplyResult& result);
+    void finish (const ForPlacement& purpose, base::LogIndex index,
+                 const cell::ApplyResult& result);
+    void finish (const ForApply& purpose, base::LogIndex index, const cell::ApplyResult& result);
+    void finish (const ForDrain& purpose, base::LogIndex index, const cell::ApplyResult& result);
+    void finish (const ForMembers& purpose, base::LogIndex index, const cell::ApplyResult& result);
+    void finish (const ForClaims& purpose, base::LogIndex index, const cell::ApplyResult& result);
+    void finish (const ForReplica& purpose, base::LogIndex index, const cell::ApplyResult& result);
+    void finish (const ForRunner& purpose, base::LogIndex index, const cell::ApplyResult& result);
+    void finish (const ForStray& purpose, base::LogIndex index, const cell::ApplyResult& result);
+    void finish (const ForNothing& purpose, base::LogIndex index, const cell::ApplyResult& result);
+    void finish (const ForControl& purpose, base::LogIndex index, const cell::ApplyResult& result);
+    void finish (const ForOwnMembers& purpose, base::LogIndex index,
+                 const cell::ApplyResult& result);
+    void finish (const ForEngineOrders& purpose, base::LogIndex index,
+                 const cell::ApplyResult& result);
+    void updateLeadership();
+    void beginLeadership();
+    void endLeadership();
+    void compactIfDue();
+    bool propose (const cell::Command& command, Purpose purpose);
+    /// Time of the cell: wall-clock time at the begin of leadership plus monotonic time since, so
+    /// that a step of the wall clock changes nothing.
+    [[nodiscard]] base::UnixMilliseconds cellTime() const;
 
-  // ControllerRunners.cpp
-  void runRoutine();
-  void pollRunners();
-  void pollMachineList();
-  void reconcile(const base::RunnerId& runner);
-  void observe(const base::RunnerId& runner);
-  void removeRunner(const base::RunnerId& runner);
-  void noteUse(const engine::Report& report);
-  void failReplica(base::ReplicaId replica, const std::string& reason);
-  void proposeForReplica(base::ReplicaId replica, const cell::Command& command);
-  void proposeStray(const StrayReplica& stray);
-  void sendOrders();
-  void sendOrders(const base::RunnerId& runner);
-  void onOrderRefused(const base::RunnerId& runner, const engine::Order& order,
-                      const engine::OrderAnswer& answer);
+    // ControllerRunners.cpp
+    void runRoutine();
+    void pollRunners();
+    void pollMachineList();
+    void reconcile (const base::RunnerId& runner);
+    void observe (const base::RunnerId& runner);
+    void removeRunner (const base::RunnerId& runner);
+    void noteUse (const engine::Report& report);
+    void failReplica (base::ReplicaId replica, const std::string& reason);
+    void proposeForReplica (base::ReplicaId replica, const cell::Command& command);
+    void proposeStray (const StrayReplica& stray);
+    void sendOrders();
+    void sendOrders (const base::RunnerId& runner);
+    void onOrderRefused (const base::RunnerId& runner, const engine::Order& order,
+                         const engine::OrderAnswer& answer);
 
-  // ControllerPlacement.cpp
-  void placeIfDue();
-  [[nodiscard]] placement::Snapshot placementSnapshot();
-  void addRunnerViews(placement::Snapshot& snapshot) const;
-  void addReplicaViews(placement::Snapshot& snapshot);
-  void forgetGoneReplicas();
-  [[nodiscard]] bool loadsFromStore(const cell::Replica& replica) const;
-  void proposeDecision(const placement::Decision& decision);
+    // ControllerPlacement.cpp
+    void placeIfDue();
+    [[nodiscard]] placement::Snapshot placementSnapshot();
+    void addRunnerViews (placement::Snapshot& snapshot) const;
+    void addReplicaViews (placement::Snapshot& snapshot);
+    void forgetGoneReplicas();
+    [[nodiscard]] bool loadsFromStore (const cell::Replica& replica) const;
+    void proposeDecision (const placement::Decision& decision);
 
-  // ControllerRouters.cpp
-  void onHello(RouterConnection connection, const cell::RouterHello& hello);
-  void onLeaseRequest(RouterConnection connection, const cell::LeaseRequest& request);
-  void onLeavingSeen(const cell::RunnerLeavingSeen& seen);
-  void sendConfiguration(RouterConnection connection, RouterSession& session);
-  void sendConfigurationToAll();
-  /// Sends a configuration that came into force since, also by entries of an earlier leader.
-  void announceConfiguration();
-  void onDemand(RouterConnection connection, const cell::DemandReport& report);
-  void sendTablesIfDue();
-  void refreshTable();
-  void sendTable(RouterConnection connection, RouterSession& session);
-  void sendExactTable(RouterConnection connection, RouterSession& session);
-  void sendSharedTable(RouterConnection connection, RouterSession& session);
-  [[nodiscard]] std::vector<cell::RoutableReplica> routableReplicas() const;
-  void refreshEstimates();
-  void shareCredits(std::vector<cell::RoutableReplica>& replicas);
-  void flushClaims();
-  void replyNotLeader(RouterConnection connection);
-  void sendToRouter(RouterConnection connection, cell::ControllerToRouter message);
+    // ControllerRouters.cpp
+    void onHello (RouterConnection connection, const cell::RouterHello& hello);
+    void onLeaseRequest (RouterConnection connection, const cell::LeaseRequest& request);
+    void onLeavingSeen (const cell::RunnerLeavingSeen& seen);
+    void sendConfiguration (RouterConnection connection, RouterSession& session);
+    void sendConfigurationToAll();
+    /// Sends a configuration that came into force since, also by entries of an earlier leader.
+    void announceConfiguration();
+    void onDemand (RouterConnection connection, const cell::DemandReport& report);
+    void sendTablesIfDue();
+    void refreshTable();
+    void sendTable (RouterConnection connection, RouterSession& session);
+    void sendExactTable (RouterConnection connection, RouterSession& session);
+    void sendSharedTable (RouterConnection connection, RouterSession& session);
+    [[nodiscard]] std::vector<cell::RoutableReplica> routableReplicas() const;
+    void refreshEstimates();
+    void shareCredits (std::vector<cell::RoutableReplica>& replicas);
+    void flushClaims();
+    void replyNotLeader (RouterConnection connection);
+    void sendToRouter (RouterConnection connection, cell::ControllerToRouter message);
 
-  // ControllerAdmin.cpp
-  void admin(AdminTicket ticket, const AdminApply& request);
-  void admin(AdminTicket ticket, const AdminStatus& request);
-  void admin(AdminTicket ticket, const AdminExplain& request);
-  void admin(AdminTicket ticket, const AdminMembers& request);
-  void admin(AdminTicket ticket, const AdminAddMember& request);
-  void admin(AdminTicket ticket, const AdminPromoteMember& request);
-  void admin(AdminTicket ticket, const AdminRemoveMember& request);
-  void admin(AdminTicket ticket, const AdminDrain& request);
-  [[nodiscard]] bool isMembersChangePending() const;
-  void changeMembers(AdminTicket ticket, consensus::MemberSet members);
-  void answer(AdminTicket ticket, AdminAnswer answer);
-  void answerInForceWaits();
-  [[nodiscard]] AdminView adminView(const consensus::RaftStatus& status) const;
+    // ControllerAdmin.cpp
+    void admin (AdminTicket ticket, const AdminApply& request);
+    void admin (AdminTicket ticket, const AdminStatus& request);
+    void admin (AdminTicket ticket, const AdminExplain& request);
+    void admin (AdminTicket ticket, const AdminMembers& request);
+    void admin (AdminTicket ticket, const AdminAddMember& request);
+    void admin (AdminTicket ticket, const AdminPromoteMember& request);
+    void admin (AdminTicket ticket, const AdminRemoveMember& request);
+    void admin (AdminTicket ticket, const AdminDrain& request);
+    [[nodiscard]] bool isMembersChangePending() const;
+    void changeMembers (AdminTicket ticket, consensus::MemberSet members);
+    void answer (AdminTicket ticket, AdminAnswer answer);
+    void answerInForceWaits();
+    [[nodiscard]] AdminView adminView (const consensus::RaftStatus& status) const;
 
-  // ControllerInstances.cpp
-  void control(ControlTicket ticket, const InstanceHeartbeat& heartbeat);
-  void control(ControlTicket ticket, const InstanceDeregistration& request);
-  void control(ControlTicket ticket, const ReplaceConfiguration& request);
-  void control(ControlTicket ticket, const ReadConfiguration& request);
-  void proposeFor(ControlTicket ticket, const cell::Command& command);
-  void sendInstancesIfDue();
-  void sendInstances(RouterConnection connection, RouterSession& session);
-  void runInstanceRoutine();
-  /// Proposes what changed of runners' holdings, so that the next leader knows it.
-  void noteHoldingsIfDue();
-  [[nodiscard]] std::string ownAdminAddress() const;
-  void answerNotLeader(ControlTicket ticket);
-  void answerControl(ControlTicket ticket, ControlAnswer answer);
+    // ControllerInstances.cpp
+    void control (ControlTicket ticket, const InstanceHeartbeat& heartbeat);
+    void control (ControlTicket ticket, const InstanceDeregistration& request);
+    void control (ControlTicket ticket, const ReplaceConfiguration& request);
+    void control (ControlTicket ticket, const ReadConfiguration& request);
+    void proposeFor (ControlTicket ticket, const cell::Command& command);
+    void sendInstancesIfDue();
+    void sendInstances (RouterConnection connection, RouterSession& session);
+    void runInstanceRoutine();
+    /// Proposes what changed of runners' holdings, so that the next leader knows it.
+    void noteHoldingsIfDue();
+    [[nodiscard]] std::string ownAdminAddress() const;
+    void answerNotLeader (ControlTicket ticket);
+    void answerControl (ControlTicket ticket, ControlAnswer answer);
 
-  // ControllerEngines.cpp
-  [[nodiscard]] placement::EnginePlacementOptions engineOptions() const;
-  void placeOnEngines();
-  /// Orders leave once every later leader will know of them.
-  void noteAndSend(std::vector<placement::SendEngineOrder> orders);
-  void refreshEngines();
-  void publishHoldings();
+    // ControllerEngines.cpp
+    [[nodiscard]] placement::EnginePlacementOptions engineOptions() const;
+    void placeOnEngines();
+    /// Orders leave once every later leader will know of them.
+    void noteAndSend (std::vector<placement::SendEngineOrder> orders);
+    void refreshEngines();
+    void publishHoldings();
 
-  // ControllerMembers.cpp
-  void onJoinRequest(RouterConnection connection, const cell::MemberJoinRequest& request);
-  void changeMembersIfDue();
+    // ControllerMembers.cpp
+    void onJoinRequest (RouterConnection connection, const cell::MemberJoinRequest& request);
+    void changeMembersIfDue();
 
-  base::MemberId self_;
-  ControllerOptions options_;
-  base::TimePoint now_;
-  base::UnixMilliseconds unixNow_;
-  cell::CellState state_;
-  consensus::RaftNode raft_;
-  consensus::RaftStatus status_;  ///< As of the last drain.
-  std::optional<Leadership> leader_;
-  OrderNotes orderNotes_;
-  std::vector<Effect> effects_;
-  SnapshotSchedule snapshots_{options_.entriesBetweenSnapshots};
-  bool isStopping_ = false;
-  base::TimePoint stopDeadline_{};
-  ControllerCounters counters_;
+    base::MemberId self_;
+    ControllerOptions options_;
+    base::TimePoint now_;
+    base::UnixMilliseconds unixNow_;
+    cell::CellState state_;
+    consensus::RaftNode raft_;
+    consensus::RaftStatus status_;  ///< As of the last drain.
+    std::optional<Leadership> leader_;
+    OrderNotes orderNotes_;
+    std::vector<Effect> effects_;
+    SnapshotSchedule snapshots_{ options_.entriesBetweenSnapshots };
+    bool isStopping_ = false;
+    base::TimePoint stopDeadline_{};
+    ControllerCounters counters_;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerMetrics.cpp
+++ b/src/controller/ControllerMetrics.cpp
@@ -4,63 +4,69 @@
 
 #include "controller/ControllerImplementation.h"
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
-void addMetric(std::string& text, std::string_view name, std::string_view type,
-               std::string_view help, std::uint64_t value) {
-  const std::string fullName = "fernlift_controller_" + std::string(name);
-  text += "# HELP " + fullName + ' ';
-  text += help;
-  text += "\n# TYPE " + fullName + ' ';
-  text += type;
-  text += '\n' + fullName + ' ' + std::to_string(value) + '\n';
+void addMetric (std::string& text, std::string_view name, std::string_view type,
+                std::string_view help, std::uint64_t value)
+{
+    const std::string fullName = "fernlift_controller_" + std::string (name);
+    text += "# HELP " + fullName + ' ';
+    text += help;
+    text += "\n# TYPE " + fullName + ' ';
+    text += type;
+    text += '\n' + fullName + ' ' + std::to_string (value) + '\n';
 }
 
-void addCounter(std::string& text, std::string_view name, std::string_view help,
-                std::uint64_t value) {
-  addMetric(text, name, "counter", help, value);
+void addCounter (std::string& text, std::string_view name, std::string_view help,
+                 std::uint64_t value)
+{
+    addMetric (text, name, "counter", help, value);
 }
 
-void addGauge(std::string& text, std::string_view name, std::string_view help,
-              std::uint64_t value) {
-  addMetric(text, name, "gauge", help, value);
+void addGauge (std::string& text, std::string_view name, std::string_view help, std::uint64_t value)
+{
+    addMetric (text, name, "gauge", help, value);
 }
 
 }  // namespace
 
-std::string ControllerCore::Implementation::metricsText() const {
-  std::string text;
-  const ControllerCounters& c = counters_;
-  addCounter(text, "proposals_total", "Commands proposed to the log.", c.proposals);
-  addCounter(text, "entries_applied_total", "Log entries applied.", c.entriesApplied);
-  addCounter(text, "orders_sent_total", "Orders sent to runners.", c.ordersSent);
-  addCounter(text, "orders_accepted_total", "Orders that runners accepted.", c.ordersAccepted);
-  addCounter(text, "orders_refused_total", "Orders that runners refused.", c.ordersRefused);
-  addCounter(text, "orders_failed_total", "Orders without an answer.", c.ordersFailed);
-  addCounter(text, "reports_total", "Reports of runners.", c.reports);
-  addCounter(text, "reports_failed_total", "Polls of runners without a report.", c.reportsFailed);
-  addCounter(text, "leases_granted_total", "Leases granted to routers.", c.leasesGranted);
-  addCounter(text, "leases_withheld_total", "Lease requests left unanswered.", c.leasesWithheld);
-  addCounter(text, "claims_total", "Idempotency keys that routers asked for.", c.claims);
-  addCounter(text, "replica_updates_total", "Replica tables sent to routers.", c.replicaUpdates);
-  addCounter(text, "placement_rounds_total", "Runs of the placement policy.", c.placementRounds);
-  addCounter(text, "stray_replicas_total", "Replicas that engines held without a decision.",
-             c.strayReplicas);
-  addCounter(text, "leaderships_total", "Terms in which this controller led.", c.leaderships);
-  addGauge(text, "leading", "1 while this controller leads.", leader_ ? 1 : 0);
-  addGauge(text, "term", "Current term.", status_.term);
-  addGauge(text, "commit_index", "Last committed log index.", status_.commitIndex);
-  addGauge(text, "applied_index", "Last applied log index.", status_.appliedIndex);
-  addGauge(text, "last_index", "Last log index.", status_.lastIndex);
-  addGauge(text, "configuration_version", "Version of the configuration in force.",
-           state_.configuration().identity().version);
-  addGauge(text, "runners", "Runners known.", state_.replicas().runners().size());
-  addGauge(text, "replicas", "Replicas that count.", state_.replicas().replicas().size());
-  addGauge(text, "claims_held", "Idempotency keys held.", state_.claims().size());
-  addGauge(text, "router_sessions", "Routers connected to this leader.",
-           leader_ ? leader_->sessions.sessions().size() : 0);
-  return text;
+std::string ControllerCore::Implementation::metricsText() const
+{
+    std::string text;
+    const ControllerCounters& c = counters_;
+    addCounter (text, "proposals_total", "Commands proposed to the log.", c.proposals);
+    addCounter (text, "entries_applied_total", "Log entries applied.", c.entriesApplied);
+    addCounter (text, "orders_sent_total", "Orders sent to runners.", c.ordersSent);
+    addCounter (text, "orders_accepted_total", "Orders that runners accepted.", c.ordersAccepted);
+    addCounter (text, "orders_refused_total", "Orders that runners refused.", c.ordersRefused);
+    addCounter (text, "orders_failed_total", "Orders without an answer.", c.ordersFailed);
+    addCounter (text, "reports_total", "Reports of runners.", c.reports);
+    addCounter (text, "reports_failed_total", "Polls of runners without a report.",
+                c.reportsFailed);
+    addCounter (text, "leases_granted_total", "Leases granted to routers.", c.leasesGranted);
+    addCounter (text, "leases_withheld_total", "Lease requests left unanswered.", c.leasesWithheld);
+    addCounter (text, "claims_total", "Idempotency keys that routers asked for.", c.claims);
+    addCounter (text, "replica_updates_total", "Replica tables sent to routers.", c.replicaUpdates);
+    addCounter (text, "placement_rounds_total", "Runs of the placement policy.", c.placementRounds);
+    addCounter (text, "stray_replicas_total", "Replicas that engines held without a decision.",
+                c.strayReplicas);
+    addCounter (text, "leaderships_total", "Terms in which this controller led.", c.leaderships);
+    addGauge (text, "leading", "1 while this controller leads.", leader_ ? 1 : 0);
+    addGauge (text, "term", "Current term.", status_.term);
+    addGauge (text, "commit_index", "Last committed log index.", status_.commitIndex);
+    addGauge (text, "applied_index", "Last applied log index.", status_.appliedIndex);
+    addGauge (text, "last_index", "Last log index.", status_.lastIndex);
+    addGauge (text, "configuration_version", "Version of the configuration in force.",
+              state_.configuration().identity().version);
+    addGauge (text, "runners", "Runners known.", state_.replicas().runners().size());
+    addGauge (text, "replicas", "Replicas that count.", state_.replicas().replicas().size());
+    addGauge (text, "claims_held", "Idempotency keys held.", state_.claims().size());
+    addGauge (text, "router_sessions", "Routers connected to this leader.",
+              leader_ ? leader_->sessions.sessions().size() : 0);
+    return text;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/CreditShare.cpp
+++ b/src/controller/CreditShare.cpp
@@ -2,39 +2,48 @@
 
 #include <algorithm>
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
 /// Equal parts of the slots; the first ranks share what division leaves over. At least one.
-std::uint32_t partOf(std::uint32_t slots, std::uint32_t parts, std::uint32_t rank) {
-  const std::uint32_t extra = rank < slots % parts ? 1 : 0;
-  return std::max(slots / parts + extra, 1U);
+std::uint32_t partOf (std::uint32_t slots, std::uint32_t parts, std::uint32_t rank)
+{
+    const std::uint32_t extra = rank < slots % parts ? 1 : 0;
+    return std::max (slots / parts + extra, 1U);
 }
 
 }  // namespace
 
-CreditShare::CreditShare(const std::vector<cell::RoutableReplica>& replicas,
-                         const DemandTable& demands, std::size_t sources)
-    : sources_(static_cast<std::uint32_t>(std::max<std::size_t>(sources, 1))) {
-  for (const cell::RoutableReplica& replica : replicas) {
-    Runner& runner = runners_[replica.runner];
-    ++runner.replicas;
-    for (const DemandSource source : demands.sourcesOf(replica.target)) {
-      const auto rank = static_cast<std::uint32_t>(runner.ranks.size());
-      runner.ranks.emplace(Pair{source, replica.replica, replica.target}, rank);
+CreditShare::CreditShare (const std::vector<cell::RoutableReplica>& replicas,
+                          const DemandTable& demands, std::size_t sources)
+    : sources_ (static_cast<std::uint32_t> (std::max<std::size_t> (sources, 1)))
+{
+    for (const cell::RoutableReplica& replica : replicas)
+    {
+        Runner& runner = runners_[replica.runner];
+        ++runner.replicas;
+        for (const DemandSource source : demands.sourcesOf (replica.target))
+        {
+            const auto rank = static_cast<std::uint32_t> (runner.ranks.size());
+            runner.ranks.emplace (Pair{ source, replica.replica, replica.target }, rank);
+        }
     }
-  }
 }
 
-std::uint32_t CreditShare::creditsFor(DemandSource source,
-                                      const cell::RoutableReplica& replica) const {
-  const auto found = runners_.find(replica.runner);
-  if (found == runners_.end()) return 1;
-  const Runner& runner = found->second;
-  const auto pairs = static_cast<std::uint32_t>(runner.ranks.size());
-  if (pairs == 0) return partOf(replica.slots, sources_ * runner.replicas, replica.slots);
-  const auto rank = runner.ranks.find({source, replica.replica, replica.target});
-  return rank == runner.ranks.end() ? 1 : partOf(replica.slots, pairs, rank->second);
+std::uint32_t CreditShare::creditsFor (DemandSource source,
+                                       const cell::RoutableReplica& replica) const
+{
+    const auto found = runners_.find (replica.runner);
+    if (found == runners_.end())
+        return 1;
+    const Runner& runner = found->second;
+    const auto pairs = static_cast<std::uint32_t> (runner.ranks.size());
+    if (pairs == 0)
+        return partOf (replica.slots, sources_ * runner.replicas, replica.slots);
+    const auto rank = runner.ranks.find ({ source, replica.replica, replica.target });
+    return rank == runner.ranks.end() ? 1 : partOf (replica.slots, pairs, rank->second);
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/DemandTableTest.cpp
+++ b/src/controller/DemandTableTest.cpp
@@ -2,68 +2,78 @@
 
 #include "controller/DemandTable.h"
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
-cell::Demand demandOf(const std::string& target, std::uint32_t waiting, std::uint32_t running,
-                      int urgency = 9) {
-  cell::Demand demand;
-  demand.target = target;
-  demand.waiting = waiting;
-  demand.running = running;
-  demand.mostUrgent = urgency;
-  return demand;
+cell::Demand demandOf (const std::string& target, std::uint32_t waiting, std::uint32_t running,
+                       int urgency = 9)
+{
+    cell::Demand demand;
+    demand.target = target;
+    demand.waiting = waiting;
+    demand.running = running;
+    demand.mostUrgent = urgency;
+    return demand;
 }
 
-class DemandTableTest : public ::testing::Test {
- protected:
-  void report(DemandSource source, const cell::Demand& demand) {
-    table_.report(source, {{demand}}, now_);
-  }
-  DemandTable table_;
-  base::TimePoint now_{base::seconds(1)};
+class DemandTableTest : public ::testing::Test
+{
+protected:
+    void report (DemandSource source, const cell::Demand& demand)
+    {
+        table_.report (source, { { demand } }, now_);
+    }
+    DemandTable table_;
+    base::TimePoint now_{ base::seconds (1) };
 };
 
-TEST_F(DemandTableTest, AddsUpSourcesAndReplacesWhatEachSaid) {
-  report(1, demandOf("a", 3, 1, 5));
-  report(2, demandOf("a", 2, 0, 1));
-  report(1, demandOf("a", 4, 2, 5));
-  const placement::TargetDemand total = table_.total("a");
-  EXPECT_EQ(total.waiting, 6U);
-  EXPECT_EQ(total.running, 2U);
-  EXPECT_EQ(total.mostUrgent, 1);
-  EXPECT_EQ(table_.sourcesOf("a"), (std::vector<DemandSource>{1, 2}));
+TEST_F (DemandTableTest, AddsUpSourcesAndReplacesWhatEachSaid)
+{
+    report (1, demandOf ("a", 3, 1, 5));
+    report (2, demandOf ("a", 2, 0, 1));
+    report (1, demandOf ("a", 4, 2, 5));
+    const placement::TargetDemand total = table_.total ("a");
+    EXPECT_EQ (total.waiting, 6U);
+    EXPECT_EQ (total.running, 2U);
+    EXPECT_EQ (total.mostUrgent, 1);
+    EXPECT_EQ (table_.sourcesOf ("a"), (std::vector<DemandSource>{ 1, 2 }));
 }
 
-TEST_F(DemandTableTest, EndsWithAStatementOfNoneWithTheSourceOrWithTime) {
-  report(1, demandOf("a", 1, 0));
-  report(1, demandOf("a", 0, 0));
-  EXPECT_TRUE(table_.totals().empty());
-  report(1, demandOf("a", 1, 0));
-  table_.forget(1);
-  EXPECT_TRUE(table_.totals().empty());
-  report(1, demandOf("a", 1, 0));
-  now_ += base::seconds(31);
-  table_.expire(now_);
-  EXPECT_TRUE(table_.totals().empty());
+TEST_F (DemandTableTest, EndsWithAStatementOfNoneWithTheSourceOrWithTime)
+{
+    report (1, demandOf ("a", 1, 0));
+    report (1, demandOf ("a", 0, 0));
+    EXPECT_TRUE (table_.totals().empty());
+    report (1, demandOf ("a", 1, 0));
+    table_.forget (1);
+    EXPECT_TRUE (table_.totals().empty());
+    report (1, demandOf ("a", 1, 0));
+    now_ += base::seconds (31);
+    table_.expire (now_);
+    EXPECT_TRUE (table_.totals().empty());
 }
 
-TEST_F(DemandTableTest, RunningRequestsKeepTheUrgencyTheyWaitedWith) {
-  report(1, demandOf("a", 1, 0, 0));
-  report(1, demandOf("a", 0, 1));
-  EXPECT_EQ(table_.total("a").mostUrgent, 0);
-  report(1, demandOf("a", 1, 1, 4));
-  EXPECT_EQ(table_.total("a").mostUrgent, 4);
+TEST_F (DemandTableTest, RunningRequestsKeepTheUrgencyTheyWaitedWith)
+{
+    report (1, demandOf ("a", 1, 0, 0));
+    report (1, demandOf ("a", 0, 1));
+    EXPECT_EQ (table_.total ("a").mostUrgent, 0);
+    report (1, demandOf ("a", 1, 1, 4));
+    EXPECT_EQ (table_.total ("a").mostUrgent, 4);
 }
 
-TEST_F(DemandTableTest, NumberOfTargetsIsBounded) {
-  for (std::size_t number = 0; number < DemandTable::kMaximumTargets; ++number) {
-    report(1, demandOf(std::to_string(number), 1, 0));
-  }
-  report(1, demandOf("one more", 1, 0));
-  EXPECT_EQ(table_.totals().size(), DemandTable::kMaximumTargets);
-  report(2, demandOf("1", 4, 0));
-  EXPECT_EQ(table_.total("1").waiting, 5U);
+TEST_F (DemandTableTest, NumberOfTargetsIsBounded)
+{
+    for (std::size_t number = 0; number < DemandTable::kMaximumTargets; ++number)
+    {
+        report (1, demandOf (std::to_string (number), 1, 0));
+    }
+    report (1, demandOf ("one more", 1, 0));
+    EXPECT_EQ (table_.totals().size(), DemandTable::kMaximumTargets);
+    report (2, demandOf ("1", 4, 0));
+    EXPECT_EQ (table_.total ("1").waiting, 5U);
 }
 
 }  // namespace
--- a/src/controller/EngineClient.h
+++ b/src/controller/EngineClient.h
@@ -13,30 +13,32 @@
 #include "controller/EngineCodec.h"
 #include "http/BackEndConnection.h"
 
-namespace fernlift::controller {
-
-class EngineClient {
- public:
-  EngineClient(std::shared_ptr<const EngineCodec> codec, base::Duration timeout);
-  ~EngineClient();
-
-  void sendOrder(const std::string& address, const engine::ServiceOrder& order,
-                 std::function<void(engine::OrderOutcome outcome)> onAnswer);
-  /// `onReport` is called with null when there is no proper report.
-  void pollReport(const std::string& instance, const std::string& address,
-                  std::function<void(const engine::ServiceReport* report)> onReport);
-
- private:
-  class Call;
-
-  void start(const std::string& address, std::string request,
-             std::function<void(const http::AnswerHead* head, const std::string& body)> onEnd);
-
-  std::shared_ptr<const EngineCodec> codec_;
-  base::Duration timeout_;
-  std::uint64_t lastCall_ = 0;
-  std::map<std::uint64_t, std::unique_ptr<Call>> calls_;
-  QObject context_;
+namespace fernlift::controller
+{
+
+class EngineClient
+{
+public:
+    EngineClient (std::shared_ptr<const EngineCodec> codec, base::Duration timeout);
+    ~EngineClient();
+
+    void sendOrder (const std::string& address, const engine::ServiceOrder& order,
+                    std::function<void (engine::OrderOutcome outcome)> onAnswer);
+    /// `onReport` is called with null when there is no proper report.
+    void pollReport (const std::string& instance, const std::string& address,
+                     std::function<void (const engine::ServiceReport* report)> onReport);
+
+private:
+    class Call;
+
+    void start (const std::string& address, std::string request,
+                std::function<void (const http::AnswerHead* head, const std::string& body)> onEnd);
+
+    std::shared_ptr<const EngineCodec> codec_;
+    base::Duration timeout_;
+    std::uint64_t lastCall_ = 0;
+    std::map<std::uint64_t, std::unique_ptr<Call>> calls_;
+    QObject context_;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/EngineClientTest.cpp
+++ b/src/controller/EngineClientTest.cpp
@@ -7,75 +7,96 @@
 #include "controller/EngineClient.h"
 #include "http/HttpTestSupport.h"
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
-class TestCodec final : public EngineCodec {
- public:
-  [[nodiscard]] std::string orderRequest(const engine::ServiceOrder& /*order*/,
-                                         const std::string& /*address*/) const override {
-    return "POST /order HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
-  }
-  [[nodiscard]] engine::OrderOutcome orderOutcome(const http::AnswerHead& head) const override {
-    return head.status == 202 ? engine::OrderOutcome::kUnderWay : engine::OrderOutcome::kInvalid;
-  }
-  [[nodiscard]] std::string reportRequest(const std::string& /*instance*/,
-                                          const std::string& /*address*/) const override {
-    return "GET /report HTTP/1.1\r\n\r\n";
-  }
-  [[nodiscard]] base::Result<engine::ServiceReport> parseReport(
-      std::string_view /*body*/) const override {
-    return engine::ServiceReport{};
-  }
+class TestCodec final : public EngineCodec
+{
+public:
+    [[nodiscard]] std::string orderRequest (const engine::ServiceOrder& /*order*/,
+                                            const std::string& /*address*/) const override
+    {
+        return "POST /order HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+    }
+    [[nodiscard]] engine::OrderOutcome orderOutcome (const http::AnswerHead& head) const override
+    {
+        return head.status == 202 ? engine::OrderOutcome::kUnderWay
+                                  : engine::OrderOutcome::kInvalid;
+    }
+    [[nodiscard]] std::string reportRequest (const std::string& /*instance*/,
+                                             const std::string& /*address*/) const override
+    {
+        return "GET /report HTTP/1.1\r\n\r\n";
+    }
+    [[nodiscard]] base::Result<engine::ServiceReport> parseReport (
+        std::string_view /*body*/) const override
+    {
+        return engine::ServiceReport{};
+    }
 };
 
 /// A port that takes one connection and then answers no attempt to connect.
-class DarkPort {
- public:
-  DarkPort() : listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof address;
-    ::bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
-    ::listen(listener_, 0);
-    ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
-    port_ = ntohs(address.sin_port);
-    for (int& filler : fillers_) {
-      filler = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      ::connect(filler, reinterpret_cast<sockaddr*>(&address), sizeof address);
+class DarkPort
+{
+public:
+    DarkPort() : listener_ (::socket (AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+        socklen_t length = sizeof address;
+        ::bind (listener_, reinterpret_cast<sockaddr*> (&address), length);
+        ::listen (listener_, 0);
+        ::getsockname (listener_, reinterpret_cast<sockaddr*> (&address), &length);
+        port_ = ntohs (address.sin_port);
+        for (int& filler : fillers_)
+        {
+            filler = ::socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            ::connect (filler, reinterpret_cast<sockaddr*> (&address), sizeof address);
+        }
+    }
+    ~DarkPort()
+    {
+        for (const int filler : fillers_)
+            ::close (filler);
+        ::close (listener_);
     }
-  }
-  ~DarkPort() {
-    for (const int filler : fillers_) ::close(filler);
-    ::close(listener_);
-  }
-  [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string (port_); }
 
- private:
-  int listener_;
-  std::uint16_t port_ = 0;
-  int fillers_[3] = {-1, -1, -1};
+private:
+    int listener_;
+    std::uint16_t port_ = 0;
+    int fillers_[3] = { -1, -1, -1 };
 };
 
-TEST(EngineClientTest, ACallThatIsNotAnsweredEndsOnceAsUnknown) {
-  http::test::application();
-  const DarkPort port;
-  EngineClient client(std::make_shared<TestCodec>(), base::milliseconds(30));
-  int unknown = 0;
-  int noReport = 0;
-  for (int call = 0; call < 20; ++call) {
-    client.sendOrder(port.address(), {}, [&](engine::OrderOutcome outcome) {
-      if (outcome == engine::OrderOutcome::kUnknown) ++unknown;
-    });
-    client.pollReport("i-1", port.address(), [&](const engine::ServiceReport* report) {
-      if (report == nullptr) ++noReport;
-    });
-  }
-  EXPECT_TRUE(http::test::waitUntil([&] { return unknown == 20 && noReport == 20; }));
-  http::test::runFor(std::chrono::milliseconds(100));
-  EXPECT_EQ(unknown, 20);
-  EXPECT_EQ(noReport, 20);
+TEST (EngineClientTest, ACallThatIsNotAnsweredEndsOnceAsUnknown)
+{
+    http::test::application();
+    const DarkPort port;
+    EngineClient client (std::make_shared<TestCodec>(), base::milliseconds (30));
+    int unknown = 0;
+    int noReport = 0;
+    for (int call = 0; call < 20; ++call)
+    {
+        client.sendOrder (port.address(), {},
+                          [&] (engine::OrderOutcome outcome)
+                          {
+                              if (outcome == engine::OrderOutcome::kUnknown)
+                                  ++unknown;
+                          });
+        client.pollReport ("i-1", port.address(),
+                           [&] (const engine::ServiceReport* report)
+                           {
+                               if (report == nullptr)
+                                   ++noReport;
+                           });
+    }
+    EXPECT_TRUE (http::test::waitUntil ([&] { return unknown == 20 && noReport == 20; }));
+    http::test::runFor (std::chrono::milliseconds (100));
+    EXPECT_EQ (unknown, 20);
+    EXPECT_EQ (noReport, 20);
 }
 
 }  // namespace
--- a/src/controller/InstanceTable.h
+++ b/src/controller/InstanceTable.h
@@ -14,50 +14,57 @@
 #include "cell/ServiceInstances.h"
 #include "controller/ControlRequests.h"
 
-namespace fernlift::controller {
-
-class InstanceTable {
- public:
-  /// An instance that was not heard for `silence` is told as silent to routers.
-  InstanceTable(base::Term term, base::Duration silence) : term_(term), silence_(silence) {}
-
-  /// Notes a heartbeat; false when a later one was noted before.
-  bool onHeartbeat(const InstanceHeartbeat& heartbeat, base::TimePoint now);
-  /// A router could not reach the instance: it counts as silent until it is heard again.
-  void onUnreachable(const std::string& id, base::TimePoint now);
-  /// Replaces what is known of an engine's models by a report or a finished order.
-  void setModels(const std::string& id, std::vector<cell::HeldModel> models);
-  /// Takes over the agreed table and the silence of each instance.
-  void refresh(const cell::ServiceInstances& agreed, base::TimePoint now);
-
-  /// Instances that have been silent for longer than `limit`.
-  [[nodiscard]] std::vector<std::string> silentFor(base::Duration limit, base::TimePoint now) const;
-  [[nodiscard]] const std::map<std::string, cell::RoutableInstance>& rows() const { return rows_; }
-  [[nodiscard]] std::uint64_t version() const { return version_; }
-  /// What changed since a version of this term; 0: the whole table.
-  [[nodiscard]] cell::InstanceUpdate updateSince(std::uint64_t version) const;
-
- private:
-  struct Sighting {
-    base::TimePoint heardAt{};
-    base::TimePoint unreachableAt{};
-    std::uint64_t sequence = 0;
-    bool isReported = false;
-    bool isPlaced = false;  ///< The models were set by setModels(), which knows more.
-    std::vector<cell::HeldModel> models;
-  };
-
-  void put(const cell::RoutableInstance& row);
-  /// Another instance that is heard at the same address has taken the place of this one.
-  void noteSuccessor(const InstanceHeartbeat& heartbeat, base::TimePoint now);
-
-  base::Term term_;
-  base::Duration silence_;
-  std::uint64_t version_ = 1;
-  std::map<std::string, Sighting> sightings_;
-  std::map<std::string, cell::RoutableInstance> rows_;
-  std::map<std::string, std::uint64_t> changedAt_;  ///< Version in which a row last changed.
-  std::map<std::string, std::uint64_t> removedAt_;  ///< The same for rows that are gone.
+namespace fernlift::controller
+{
+
+class InstanceTable
+{
+public:
+    /// An instance that was not heard for `silence` is told as silent to routers.
+    InstanceTable (base::Term term, base::Duration silence) : term_ (term), silence_ (silence) {}
+
+    /// Notes a heartbeat; false when a later one was noted before.
+    bool onHeartbeat (const InstanceHeartbeat& heartbeat, base::TimePoint now);
+    /// A router could not reach the instance: it counts as silent until it is heard again.
+    void onUnreachable (const std::string& id, base::TimePoint now);
+    /// Replaces what is known of an engine's models by a report or a finished order.
+    void setModels (const std::string& id, std::vector<cell::HeldModel> models);
+    /// Takes over the agreed table and the silence of each instance.
+    void refresh (const cell::ServiceInstances& agreed, base::TimePoint now);
+
+    /// Instances that have been silent for longer than `limit`.
+    [[nodiscard]] std::vector<std::string> silentFor (base::Duration limit,
+                                                      base::TimePoint now) const;
+    [[nodiscard]] const std::map<std::string, cell::RoutableInstance>& rows() const
+    {
+        return rows_;
+    }
+    [[nodiscard]] std::uint64_t version() const { return version_; }
+    /// What changed since a version of this term; 0: the whole table.
+    [[nodiscard]] cell::InstanceUpdate updateSince (std::uint64_t version) const;
+
+private:
+    struct Sighting
+    {
+        base::TimePoint heardAt{};
+        base::TimePoint unreachableAt{};
+        std::uint64_t sequence = 0;
+        bool isReported = false;
+        bool isPlaced = false;  ///< The models were set by setModels(), which knows more.
+        std::vector<cell::HeldModel> models;
+    };
+
+    void put (const cell::RoutableInstance& row);
+    /// Another instance that is heard at the same address has taken the place of this one.
+    void noteSuccessor (const InstanceHeartbeat& heartbeat, base::TimePoint now);
+
+    base::Term term_;
+    base::Duration silence_;
+    std::uint64_t version_ = 1;
+    std::map<std::string, Sighting> sightings_;
+    std::map<std::string, cell::RoutableInstance> rows_;
+    std::map<std::string, std::uint64_t> changedAt_;  ///< Version in which a row last changed.
+    std::map<std::string, std::uint64_t> removedAt_;  ///< The same for rows that are gone.
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/LoadEstimates.h
+++ b/src/controller/LoadEstimates.h
@@ -11,14 +11,16 @@
 #include "cell/RouterMessages.h"
 #include "config/Catalogue.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 /// What the leader expects of one target without a ready replica.
-struct ReadyEstimate {
-  bool canBeServed = true;
-  base::TimePoint readyAt{};  ///< By the leader's monotonic clock.
+struct ReadyEstimate
+{
+    bool canBeServed = true;
+    base::TimePoint readyAt{};  ///< By the leader's monotonic clock.
 
-  bool operator==(const ReadyEstimate&) const = default;
+    bool operator== (const ReadyEstimate&) const = default;
 };
 
 /// Estimates by target name.
@@ -29,17 +31,17 @@
 /// model (with its adapters) that no known runner could hold even if it were empty. `cellTime` and
 /// `now` are the same moment on the clock of the replicated state and on the monotonic clock. No
 /// target is called unservable while no runner is known at all.
-[[nodiscard]] ReadyEstimates estimateTargets(const cell::ReplicaTable& table,
-                                             const config::Catalogue& catalogue,
-                                             base::UnixMilliseconds cellTime, base::TimePoint now);
+[[nodiscard]] ReadyEstimates estimateTargets (const cell::ReplicaTable& table,
+                                              const config::Catalogue& catalogue,
+                                              base::UnixMilliseconds cellTime, base::TimePoint now);
 
 /// `fresh` with every estimate that differs from `stated` by no more than routers care about
 /// replaced by the stated one, so that a countdown alone is never sent again.
-[[nodiscard]] ReadyEstimates keepStated(const ReadyEstimates& stated, ReadyEstimates fresh,
-                                        base::TimePoint now);
+[[nodiscard]] ReadyEstimates keepStated (const ReadyEstimates& stated, ReadyEstimates fresh,
+                                         base::TimePoint now);
 
 /// The wire form; a time in the past becomes zero.
-[[nodiscard]] cell::TargetEstimate toMessage(const std::string& target,
-                                             const ReadyEstimate& estimate, base::TimePoint now);
+[[nodiscard]] cell::TargetEstimate toMessage (const std::string& target,
+                                              const ReadyEstimate& estimate, base::TimePoint now);
 
 }  // namespace fernlift::controller
--- a/src/controller/MemberAdmission.cpp
+++ b/src/controller/MemberAdmission.cpp
@@ -2,118 +2,152 @@
 
 #include <algorithm>
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
 /// A member that answered within this time is alive.
-constexpr base::Duration kAliveWithin = base::milliseconds(1000);
+constexpr base::Duration kAliveWithin = base::milliseconds (1000);
 /// A request to join counts this long.
-constexpr base::Duration kRequestLife = base::seconds(3);
-constexpr base::Duration kSilentLearner = base::seconds(5);
+constexpr base::Duration kRequestLife = base::seconds (3);
+constexpr base::Duration kSilentLearner = base::seconds (5);
 
-consensus::MemberSet without(const consensus::MemberSet& members, base::MemberId id) {
-  consensus::MemberSet changed = members;
-  std::erase_if(changed.members, [&](const consensus::Member& member) { return member.id == id; });
-  return changed;
+consensus::MemberSet without (const consensus::MemberSet& members, base::MemberId id)
+{
+    consensus::MemberSet changed = members;
+    std::erase_if (changed.members,
+                   [&] (const consensus::Member& member) { return member.id == id; });
+    return changed;
 }
 
-consensus::MemberSet withVoter(const consensus::MemberSet& members, base::MemberId id) {
-  consensus::MemberSet changed = members;
-  for (consensus::Member& member : changed.members) {
-    if (member.id == id) member.isVoter = true;
-  }
-  return changed;
+consensus::MemberSet withVoter (const consensus::MemberSet& members, base::MemberId id)
+{
+    consensus::MemberSet changed = members;
+    for (consensus::Member& member : changed.members)
+    {
+        if (member.id == id)
+            member.isVoter = true;
+    }
+    return changed;
 }
 
 /// The leader's view of who answers.
-class Liveness {
- public:
-  explicit Liveness(const consensus::RaftStatus& status) : status_(status) {}
+class Liveness
+{
+public:
+    explicit Liveness (const consensus::RaftStatus& status) : status_ (status) {}
+
+    [[nodiscard]] base::Duration silenceOf (base::MemberId id) const
+    {
+        for (const consensus::MemberProgress& progress : status_.progress)
+        {
+            if (progress.member.id == id)
+                return progress.sinceLastReply;
+        }
+        return base::Duration::zero();  // The leader itself.
+    }
 
-  [[nodiscard]] base::Duration silenceOf(base::MemberId id) const {
-    for (const consensus::MemberProgress& progress : status_.progress) {
-      if (progress.member.id == id) return progress.sinceLastReply;
+    [[nodiscard]] bool isAlive (base::MemberId id) const { return silenceOf (id) < kAliveWithin; }
+
+    /// The silent voter to remove; null when none has a successor.
+    [[nodiscard]] const consensus::Member* replacedVoter() const
+    {
+        const consensus::Member* replaced = nullptr;
+        std::size_t voters = 0;
+        for (const consensus::Member& member : status_.members.members)
+        {
+            if (! member.isVoter)
+                continue;
+            ++voters;
+            if (isAlive (member.id))
+                continue;
+            if (isReplaced (member))
+                return &member;
+            if (replaced == nullptr || silenceOf (member.id) > silenceOf (replaced->id))
+            {
+                replaced = &member;
+            }
+        }
+        return voters > status_.members.targetSize ? replaced : nullptr;
     }
-    return base::Duration::zero();  // The leader itself.
-  }
-
-  [[nodiscard]] bool isAlive(base::MemberId id) const { return silenceOf(id) < kAliveWithin; }
-
-  /// The silent voter to remove; null when none has a successor.
-  [[nodiscard]] const consensus::Member* replacedVoter() const {
-    const consensus::Member* replaced = nullptr;
-    std::size_t voters = 0;
-    for (const consensus::Member& member : status_.members.members) {
-      if (!member.isVoter) continue;
-      ++voters;
-      if (isAlive(member.id)) continue;
-      if (isReplaced(member)) return &member;
-      if (replaced == nullptr || silenceOf(member.id) > silenceOf(replaced->id)) {
-        replaced = &member;
-      }
+
+private:
+    /// Whether a voter that answers has the address of this one.
+    [[nodiscard]] bool isReplaced (const consensus::Member& member) const
+    {
+        return std::ranges::any_of (status_.members.members,
+                                    [&] (const consensus::Member& other)
+                                    {
+                                        return other.id != member.id && other.isVoter
+                                               && other.peerAddress == member.peerAddress
+                                               && isAlive (other.id);
+                                    });
     }
-    return voters > status_.members.targetSize ? replaced : nullptr;
-  }
-
- private:
-  /// Whether a voter that answers has the address of this one.
-  [[nodiscard]] bool isReplaced(const consensus::Member& member) const {
-    return std::ranges::any_of(status_.members.members, [&](const consensus::Member& other) {
-      return other.id != member.id && other.isVoter && other.peerAddress == member.peerAddress &&
-             isAlive(other.id);
-    });
-  }
-
-  const consensus::RaftStatus& status_;
+
+    const consensus::RaftStatus& status_;
 };
 
-bool hasCaughtUp(const consensus::RaftStatus& status, base::MemberId id) {
-  for (const consensus::MemberProgress& progress : status.progress) {
-    if (progress.member.id != id) continue;
-    return !progress.isReceivingSnapshot && progress.matchIndex >= status.commitIndex;
-  }
-  return false;
+bool hasCaughtUp (const consensus::RaftStatus& status, base::MemberId id)
+{
+    for (const consensus::MemberProgress& progress : status.progress)
+    {
+        if (progress.member.id != id)
+            continue;
+        return ! progress.isReceivingSnapshot && progress.matchIndex >= status.commitIndex;
+    }
+    return false;
 }
 
 }  // namespace
 
-void MemberAdmission::onJoinRequest(const consensus::Member& member, bool isFounding,
-                                    base::TimePoint now) {
-  candidates_[member.id] = {member, isFounding, now};
+void MemberAdmission::onJoinRequest (const consensus::Member& member, bool isFounding,
+                                     base::TimePoint now)
+{
+    candidates_[member.id] = { member, isFounding, now };
 }
 
-std::optional<consensus::MemberSet> MemberAdmission::nextChange(const consensus::RaftStatus& status,
-                                                                base::TimePoint now) {
-  std::erase_if(candidates_,
-                [&](const auto& item) { return now - item.second.askedAt > kRequestLife; });
-  const Liveness liveness(status);
-  const consensus::MemberSet& members = status.members;
-  for (const consensus::Member& member : members.members) {
-    const bool isReady =
-        !member.isVoter && liveness.isAlive(member.id) && hasCaughtUp(status, member.id);
-    if (isReady) return withVoter(members, member.id);
-  }
-  if (const consensus::Member* replaced = liveness.replacedVoter()) {
-    return without(members, replaced->id);
-  }
-  for (const consensus::Member& member : members.members) {
-    const bool isLost = !member.isVoter && liveness.silenceOf(member.id) >= kSilentLearner;
-    if (isLost) return without(members, member.id);
-  }
-  for (const auto& item : candidates_) {
-    const Candidate& candidate = item.second;
-    const bool isKnown = std::ranges::any_of(members.members, [&](const consensus::Member& member) {
-      return member.id == candidate.member.id;
-    });
-    if (isKnown) continue;
-    consensus::MemberSet changed = members;
-    changed.members.push_back(candidate.member);
-    changed.members.back().isVoter = false;
-    if (candidate.isFounding) ++changed.targetSize;
-    std::ranges::sort(changed.members, {}, &consensus::Member::id);
-    return changed;
-  }
-  return std::nullopt;
+std::optional<consensus::MemberSet> MemberAdmission::nextChange (
+    const consensus::RaftStatus& status, base::TimePoint now)
+{
+    std::erase_if (candidates_,
+                   [&] (const auto& item) { return now - item.second.askedAt > kRequestLife; });
+    const Liveness liveness (status);
+    const consensus::MemberSet& members = status.members;
+    for (const consensus::Member& member : members.members)
+    {
+        const bool isReady =
+            ! member.isVoter && liveness.isAlive (member.id) && hasCaughtUp (status, member.id);
+        if (isReady)
+            return withVoter (members, member.id);
+    }
+    if (const consensus::Member* replaced = liveness.replacedVoter())
+    {
+        return without (members, replaced->id);
+    }
+    for (const consensus::Member& member : members.members)
+    {
+        const bool isLost = ! member.isVoter && liveness.silenceOf (member.id) >= kSilentLearner;
+        if (isLost)
+            return without (members, member.id);
+    }
+    for (const auto& item : candidates_)
+    {
+        const Candidate& candidate = item.second;
+        const bool isKnown =
+            std::ranges::any_of (members.members, [&] (const consensus::Member& member)
+                                 { return member.id == candidate.member.id; });
+        if (isKnown)
+            continue;
+        consensus::MemberSet changed = members;
+        changed.members.push_back (candidate.member);
+        changed.members.back().isVoter = false;
+        if (candidate.isFounding)
+            ++changed.targetSize;
+        std::ranges::sort (changed.members, {}, &consensus::Member::id);
+        return changed;
+    }
+    return std::nullopt;
 }
 
 }  // namespace fernlift::controller
