--- a/src/controller/MemberAdmissionTest.cpp
+++ b/src/controller/MemberAdmissionTest.cpp
@@ -2,107 +2,128 @@
 
 #include "controller/MemberAdmission.h"
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
-constexpr base::TimePoint kNow{base::seconds(100)};
-constexpr base::Duration kSilent = base::seconds(2);
+constexpr base::TimePoint kNow{ base::seconds (100) };
+constexpr base::Duration kSilent = base::seconds (2);
 
-consensus::Member memberOf(base::MemberId id, const std::string& address, bool isVoter = true) {
-  return {id, address, "", "z1", isVoter};
+consensus::Member memberOf (base::MemberId id, const std::string& address, bool isVoter = true)
+{
+    return { id, address, "", "z1", isVoter };
 }
 
-class MemberAdmissionTest : public ::testing::Test {
- protected:
-  MemberAdmissionTest() {
-    status_.self = 1;
-    status_.commitIndex = 10;
-    status_.members.targetSize = 3;
-    add(memberOf(1, "a"), {});
-    add(memberOf(2, "b"), {});
-    add(memberOf(3, "c"), {});
-  }
-
-  void add(const consensus::Member& member, base::Duration silence) {
-    status_.members.members.push_back(member);
-    if (member.id == status_.self) return;
-    status_.progress.push_back({member, status_.commitIndex, silence, false});
-  }
-  void silence(base::MemberId id, base::Duration duration) {
-    for (consensus::MemberProgress& progress : status_.progress) {
-      if (progress.member.id == id) progress.sinceLastReply = duration;
+class MemberAdmissionTest : public ::testing::Test
+{
+protected:
+    MemberAdmissionTest()
+    {
+        status_.self = 1;
+        status_.commitIndex = 10;
+        status_.members.targetSize = 3;
+        add (memberOf (1, "a"), {});
+        add (memberOf (2, "b"), {});
+        add (memberOf (3, "c"), {});
     }
-  }
-  std::vector<base::MemberId> nextIds() {
-    std::vector<base::MemberId> ids;
-    const auto change = admission_.nextChange(status_, kNow);
-    if (!change) return ids;
-    for (const consensus::Member& member : change->members) ids.push_back(member.id);
-    return ids;
-  }
-
-  consensus::RaftStatus status_;
-  MemberAdmission admission_;
+
+    void add (const consensus::Member& member, base::Duration silence)
+    {
+        status_.members.members.push_back (member);
+        if (member.id == status_.self)
+            return;
+        status_.progress.push_back ({ member, status_.commitIndex, silence, false });
+    }
+    void silence (base::MemberId id, base::Duration duration)
+    {
+        for (consensus::MemberProgress& progress : status_.progress)
+        {
+            if (progress.member.id == id)
+                progress.sinceLastReply = duration;
+        }
+    }
+    std::vector<base::MemberId> nextIds()
+    {
+        std::vector<base::MemberId> ids;
+        const auto change = admission_.nextChange (status_, kNow);
+        if (! change)
+            return ids;
+        for (const consensus::Member& member : change->members)
+            ids.push_back (member.id);
+        return ids;
+    }
+
+    consensus::RaftStatus status_;
+    MemberAdmission admission_;
 };
 
 using Ids = std::vector<base::MemberId>;
 
-TEST_F(MemberAdmissionTest, ASilentVoterWithoutSuccessorStays) {
-  silence(3, base::seconds(60));
-  EXPECT_TRUE(nextIds().empty());
+TEST_F (MemberAdmissionTest, ASilentVoterWithoutSuccessorStays)
+{
+    silence (3, base::seconds (60));
+    EXPECT_TRUE (nextIds().empty());
 }
 
-TEST_F(MemberAdmissionTest, AControllerThatAsksBecomesALearnerAndThenAVoter) {
-  admission_.onJoinRequest(memberOf(9, "d"), false, kNow);
-  const auto added = admission_.nextChange(status_, kNow);
-  ASSERT_TRUE(added);
-  EXPECT_FALSE(added->members.back().isVoter);
-  EXPECT_EQ(added->targetSize, 3U);
-  add(memberOf(9, "d", false), {});
-  const auto promoted = admission_.nextChange(status_, kNow);
-  ASSERT_TRUE(promoted);
-  EXPECT_TRUE(promoted->members.back().isVoter);
+TEST_F (MemberAdmissionTest, AControllerThatAsksBecomesALearnerAndThenAVoter)
+{
+    admission_.onJoinRequest (memberOf (9, "d"), false, kNow);
+    const auto added = admission_.nextChange (status_, kNow);
+    ASSERT_TRUE (added);
+    EXPECT_FALSE (added->members.back().isVoter);
+    EXPECT_EQ (added->targetSize, 3U);
+    add (memberOf (9, "d", false), {});
+    const auto promoted = admission_.nextChange (status_, kNow);
+    ASSERT_TRUE (promoted);
+    EXPECT_TRUE (promoted->members.back().isVoter);
 }
 
-TEST_F(MemberAdmissionTest, AFounderAddsToTheSizeOfTheCell) {
-  admission_.onJoinRequest(memberOf(9, "d"), true, kNow);
-  const auto added = admission_.nextChange(status_, kNow);
-  ASSERT_TRUE(added);
-  EXPECT_EQ(added->targetSize, 4U);
+TEST_F (MemberAdmissionTest, AFounderAddsToTheSizeOfTheCell)
+{
+    admission_.onJoinRequest (memberOf (9, "d"), true, kNow);
+    const auto added = admission_.nextChange (status_, kNow);
+    ASSERT_TRUE (added);
+    EXPECT_EQ (added->targetSize, 4U);
 }
 
-TEST_F(MemberAdmissionTest, ALearnerThatLagsIsNotPromoted) {
-  add(memberOf(9, "d", false), {});
-  status_.progress.back().matchIndex = 9;
-  EXPECT_TRUE(nextIds().empty());
+TEST_F (MemberAdmissionTest, ALearnerThatLagsIsNotPromoted)
+{
+    add (memberOf (9, "d", false), {});
+    status_.progress.back().matchIndex = 9;
+    EXPECT_TRUE (nextIds().empty());
 }
 
-TEST_F(MemberAdmissionTest, ALostVoterIsRemovedOnceItsSuccessorVotes) {
-  silence(3, kSilent);
-  add(memberOf(9, "d", false), {});
-  EXPECT_EQ(nextIds(), (Ids{1, 2, 3, 9}));  // Promoted first.
-  status_.members.members.back().isVoter = true;
-  EXPECT_EQ(nextIds(), (Ids{1, 2, 9}));
+TEST_F (MemberAdmissionTest, ALostVoterIsRemovedOnceItsSuccessorVotes)
+{
+    silence (3, kSilent);
+    add (memberOf (9, "d", false), {});
+    EXPECT_EQ (nextIds(), (Ids{ 1, 2, 3, 9 }));  // Promoted first.
+    status_.members.members.back().isVoter = true;
+    EXPECT_EQ (nextIds(), (Ids{ 1, 2, 9 }));
 }
 
-TEST_F(MemberAdmissionTest, TheVoterThatWasSilentLongestGoesFirst) {
-  silence(2, kSilent);
-  silence(3, 2 * kSilent);
-  add(memberOf(9, "d"), {});
-  EXPECT_EQ(nextIds(), (Ids{1, 2, 9}));
+TEST_F (MemberAdmissionTest, TheVoterThatWasSilentLongestGoesFirst)
+{
+    silence (2, kSilent);
+    silence (3, 2 * kSilent);
+    add (memberOf (9, "d"), {});
+    EXPECT_EQ (nextIds(), (Ids{ 1, 2, 9 }));
 }
 
-TEST_F(MemberAdmissionTest, AMemberThatLostItsDiskGivesWayToTheOneAtItsAddress) {
-  silence(2, 2 * kSilent);
-  silence(3, kSilent);
-  status_.members.targetSize = 4;
-  add(memberOf(9, "c"), {});
-  EXPECT_EQ(nextIds(), (Ids{1, 2, 9}));
+TEST_F (MemberAdmissionTest, AMemberThatLostItsDiskGivesWayToTheOneAtItsAddress)
+{
+    silence (2, 2 * kSilent);
+    silence (3, kSilent);
+    status_.members.targetSize = 4;
+    add (memberOf (9, "c"), {});
+    EXPECT_EQ (nextIds(), (Ids{ 1, 2, 9 }));
 }
 
-TEST_F(MemberAdmissionTest, ARequestToJoinIsForgottenAfterAWhile) {
-  admission_.onJoinRequest(memberOf(9, "d"), false, kNow - base::seconds(10));
-  EXPECT_TRUE(nextIds().empty());
+TEST_F (MemberAdmissionTest, ARequestToJoinIsForgottenAfterAWhile)
+{
+    admission_.onJoinRequest (memberOf (9, "d"), false, kNow - base::seconds (10));
+    EXPECT_TRUE (nextIds().empty());
 }
 
 }  // namespace
--- a/src/controller/MembersAdminTest.cpp
+++ b/src/controller/MembersAdminTest.cpp
@@ -7,71 +7,79 @@
 
 #include "controller/TestCell.h"
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
-class MembersAdminTest : public testing::Test {
- protected:
-  MembersAdminTest() {
-    test::TestCell::Options options;
-    options.controller.cell = base::CellId("c");
-    cell_ = std::make_unique<test::TestCell>(options);
-  }
+class MembersAdminTest : public testing::Test
+{
+protected:
+    MembersAdminTest()
+    {
+        test::TestCell::Options options;
+        options.controller.cell = base::CellId ("c");
+        cell_ = std::make_unique<test::TestCell> (options);
+    }
 
-  std::unique_ptr<test::TestCell> cell_;
+    std::unique_ptr<test::TestCell> cell_;
 };
 
-TEST_F(MembersAdminTest, PromotionOfAnUnknownMemberIsNotFound) {
-  ASSERT_TRUE(cell_->awaitLeader());
-  const auto answer = cell_->ask(cell_->leader(), AdminPromoteMember{77});
-  ASSERT_TRUE(answer);
-  EXPECT_EQ(answer->httpStatus, kNotFound) << answer->json;
+TEST_F (MembersAdminTest, PromotionOfAnUnknownMemberIsNotFound)
+{
+    ASSERT_TRUE (cell_->awaitLeader());
+    const auto answer = cell_->ask (cell_->leader(), AdminPromoteMember{ 77 });
+    ASSERT_TRUE (answer);
+    EXPECT_EQ (answer->httpStatus, kNotFound) << answer->json;
 }
 
-TEST_F(MembersAdminTest, ChangeIsAnsweredOnlyOnceCommitted) {
-  ASSERT_TRUE(cell_->awaitLeader());
-  const base::MemberId leader = cell_->leader();
-  const base::MemberId first = leader % 3 + 1;
-  const base::MemberId second = first % 3 + 1;
-  cell_->cut(first, true);
-  cell_->cut(second, true);
-  const auto uncommitted = cell_->ask(leader, AdminRemoveMember{first});
-  ASSERT_TRUE(uncommitted) << "the end of leadership answers it";
-  EXPECT_EQ(uncommitted->httpStatus, kUnavailable) << uncommitted->json;
-  cell_->cut(first, false);
-  cell_->cut(second, false);
-  ASSERT_TRUE(cell_->awaitLeader());
-  const base::MemberId removed = cell_->leader() % 3 + 1;
-  const auto committed = cell_->ask(cell_->leader(), AdminRemoveMember{removed});
-  ASSERT_TRUE(committed);
-  EXPECT_EQ(committed->httpStatus, kOk) << committed->json;
+TEST_F (MembersAdminTest, ChangeIsAnsweredOnlyOnceCommitted)
+{
+    ASSERT_TRUE (cell_->awaitLeader());
+    const base::MemberId leader = cell_->leader();
+    const base::MemberId first = leader % 3 + 1;
+    const base::MemberId second = first % 3 + 1;
+    cell_->cut (first, true);
+    cell_->cut (second, true);
+    const auto uncommitted = cell_->ask (leader, AdminRemoveMember{ first });
+    ASSERT_TRUE (uncommitted) << "the end of leadership answers it";
+    EXPECT_EQ (uncommitted->httpStatus, kUnavailable) << uncommitted->json;
+    cell_->cut (first, false);
+    cell_->cut (second, false);
+    ASSERT_TRUE (cell_->awaitLeader());
+    const base::MemberId removed = cell_->leader() % 3 + 1;
+    const auto committed = cell_->ask (cell_->leader(), AdminRemoveMember{ removed });
+    ASSERT_TRUE (committed);
+    EXPECT_EQ (committed->httpStatus, kOk) << committed->json;
 }
 
-TEST_F(MembersAdminTest, ErrorsCarryTheLeaderAndTheProblems) {
-  ASSERT_TRUE(cell_->awaitLeader());
-  const base::MemberId follower = cell_->leader() % 3 + 1;
-  const auto refused = cell_->ask(follower, AdminApply{"version = 1", false, base::seconds(1)});
-  ASSERT_TRUE(refused);
-  const QJsonObject error = QJsonDocument::fromJson(QByteArray::fromStdString(refused->json))
-                                .object()
-                                .value(u"error")
-                                .toObject();
-  EXPECT_FALSE(error.value(u"leader").toString().isEmpty()) << refused->json;
-  const auto invalid =
-      cell_->ask(cell_->leader(), AdminApply{"version = 1", false, base::seconds(1)});
-  ASSERT_TRUE(invalid);
-  EXPECT_FALSE(QJsonDocument::fromJson(QByteArray::fromStdString(invalid->json))
-                   .object()
-                   .value(u"error")
-                   .toObject()
-                   .value(u"problems")
-                   .toArray()
-                   .isEmpty())
-      << invalid->json;
+TEST_F (MembersAdminTest, ErrorsCarryTheLeaderAndTheProblems)
+{
+    ASSERT_TRUE (cell_->awaitLeader());
+    const base::MemberId follower = cell_->leader() % 3 + 1;
+    const auto refused =
+        cell_->ask (follower, AdminApply{ "version = 1", false, base::seconds (1) });
+    ASSERT_TRUE (refused);
+    const QJsonObject error = QJsonDocument::fromJson (QByteArray::fromStdString (refused->json))
+                                  .object()
+                                  .value (u"error")
+                                  .toObject();
+    EXPECT_FALSE (error.value (u"leader").toString().isEmpty()) << refused->json;
+    const auto invalid =
+        cell_->ask (cell_->leader(), AdminApply{ "version = 1", false, base::seconds (1) });
+    ASSERT_TRUE (invalid);
+    EXPECT_FALSE (QJsonDocument::fromJson (QByteArray::fromStdString (invalid->json))
+                      .object()
+                      .value (u"error")
+                      .toObject()
+                      .value (u"problems")
+                      .toArray()
+                      .isEmpty())
+        << invalid->json;
 }
 
 }  // namespace
--- a/src/controller/OrderNotes.h
+++ b/src/controller/OrderNotes.h
@@ -10,28 +10,30 @@
 #include "base/Time.h"
 #include "cell/Commands.h"
 
-namespace fernlift::controller {
-
-class OrderNotes {
- public:
-  /// Nothing is known of orders before `now`.
-  explicit OrderNotes(base::TimePoint now) : knownFrom_(now) {}
-
-  /// A committed note was applied. Orders leave at that time or shortly after.
-  void onNote(const cell::NoteOrders& note, base::TimePoint now);
-  /// The state was replaced: what was noted meanwhile is not known.
-  void forget(base::TimePoint now);
-
-  /// Latest time at which an order to the instance may have been noted.
-  [[nodiscard]] base::TimePoint orderedAt(const std::string& instance) const;
-  /// Times of loads from the weight store that were noted lately, oldest first.
-  [[nodiscard]] const std::deque<base::TimePoint>& storeLoads() const { return storeLoads_; }
-  [[nodiscard]] base::TimePoint knownFrom() const { return knownFrom_; }
-
- private:
-  base::TimePoint knownFrom_;
-  std::map<std::string, base::TimePoint> orderedAt_;
-  std::deque<base::TimePoint> storeLoads_;
+namespace fernlift::controller
+{
+
+class OrderNotes
+{
+public:
+    /// Nothing is known of orders before `now`.
+    explicit OrderNotes (base::TimePoint now) : knownFrom_ (now) {}
+
+    /// A committed note was applied. Orders leave at that time or shortly after.
+    void onNote (const cell::NoteOrders& note, base::TimePoint now);
+    /// The state was replaced: what was noted meanwhile is not known.
+    void forget (base::TimePoint now);
+
+    /// Latest time at which an order to the instance may have been noted.
+    [[nodiscard]] base::TimePoint orderedAt (const std::string& instance) const;
+    /// Times of loads from the weight store that were noted lately, oldest first.
+    [[nodiscard]] const std::deque<base::TimePoint>& storeLoads() const { return storeLoads_; }
+    [[nodiscard]] base::TimePoint knownFrom() const { return knownFrom_; }
+
+private:
+    base::TimePoint knownFrom_;
+    std::map<std::string, base::TimePoint> orderedAt_;
+    std::deque<base::TimePoint> storeLoads_;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/OrderQueue.cpp
+++ b/src/controller/OrderQueue.cpp
@@ -3,121 +3,152 @@
 #include <algorithm>
 #include <limits>
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
-constexpr base::Duration kRetryPause = base::milliseconds(200);
+constexpr base::Duration kRetryPause = base::milliseconds (200);
 
 }  // namespace
 
-std::optional<engine::Order> orderFor(const cell::Replica& replica) {
-  using engine::OrderKind;
-  if (replica.stage == cell::ReplicaStage::kReady) return std::nullopt;
-  const bool isLoad = replica.stage == cell::ReplicaStage::kLoading;
-  engine::Order order;
-  if (replica.isAdapter()) {
-    order.kind = isLoad ? OrderKind::kLoadAdapter : OrderKind::kUnloadAdapter;
-  } else {
-    order.kind = isLoad ? OrderKind::kLoadModel : OrderKind::kUnloadModel;
-  }
-  order.fence = replica.fence;
-  order.incarnation = replica.incarnation;
-  order.replica = replica.id;
-  order.baseReplica = replica.baseReplica;
-  order.model = replica.model;
-  order.version = replica.version;
-  order.adapter = replica.adapter;
-  order.memory = replica.memory;
-  return order;
+std::optional<engine::Order> orderFor (const cell::Replica& replica)
+{
+    using engine::OrderKind;
+    if (replica.stage == cell::ReplicaStage::kReady)
+        return std::nullopt;
+    const bool isLoad = replica.stage == cell::ReplicaStage::kLoading;
+    engine::Order order;
+    if (replica.isAdapter())
+    {
+        order.kind = isLoad ? OrderKind::kLoadAdapter : OrderKind::kUnloadAdapter;
+    }
+    else
+    {
+        order.kind = isLoad ? OrderKind::kLoadModel : OrderKind::kUnloadModel;
+    }
+    order.fence = replica.fence;
+    order.incarnation = replica.incarnation;
+    order.replica = replica.id;
+    order.baseReplica = replica.baseReplica;
+    order.model = replica.model;
+    order.version = replica.version;
+    order.adapter = replica.adapter;
+    order.memory = replica.memory;
+    return order;
 }
 
-void OrderQueue::addStray(const base::RunnerId& runner, const engine::Order& order) {
-  queues_[runner].strays[order.fence] = order;
+void OrderQueue::addStray (const base::RunnerId& runner, const engine::Order& order)
+{
+    queues_[runner].strays[order.fence] = order;
 }
 
-bool OrderQueue::hasStray(const base::RunnerId& runner, base::ReplicaId replica) const {
-  const auto found = queues_.find(runner);
-  if (found == queues_.end()) return false;
-  const auto& strays = found->second.strays;
-  return std::any_of(strays.begin(), strays.end(),
-                     [&](const auto& entry) { return entry.second.replica == replica; });
+bool OrderQueue::hasStray (const base::RunnerId& runner, base::ReplicaId replica) const
+{
+    const auto found = queues_.find (runner);
+    if (found == queues_.end())
+        return false;
+    const auto& strays = found->second.strays;
+    return std::any_of (strays.begin(), strays.end(),
+                        [&] (const auto& entry) { return entry.second.replica == replica; });
 }
 
-std::optional<engine::Order> OrderQueue::next(const base::RunnerId& runner,
-                                              const cell::ReplicaTable& table,
-                                              base::TimePoint now) {
-  Queue& queue = queues_[runner];
-  pruneAnswered(queue, runner, table);
-  pruneStrays(queue, runner, table);
-  std::optional<engine::Order> order = firstUnanswered(queue, runner, table);
-  if (!order) {
-    if (queue.answered.empty()) queues_.erase(runner);
-    return std::nullopt;
-  }
-  if (queue.sentFence == order->fence && now < queue.resendAt) return std::nullopt;
-  queue.sentFence = order->fence;
-  queue.resendAt = now + orderTimeout_;
-  if (fault_ == cell::PlantedFault::kOrderWithoutFence) {
-    order->fence = static_cast<base::Fence>(std::numeric_limits<std::int64_t>::max());
-  }
-  return order;
+std::optional<engine::Order> OrderQueue::next (const base::RunnerId& runner,
+                                               const cell::ReplicaTable& table, base::TimePoint now)
+{
+    Queue& queue = queues_[runner];
+    pruneAnswered (queue, runner, table);
+    pruneStrays (queue, runner, table);
+    std::optional<engine::Order> order = firstUnanswered (queue, runner, table);
+    if (! order)
+    {
+        if (queue.answered.empty())
+            queues_.erase (runner);
+        return std::nullopt;
+    }
+    if (queue.sentFence == order->fence && now < queue.resendAt)
+        return std::nullopt;
+    queue.sentFence = order->fence;
+    queue.resendAt = now + orderTimeout_;
+    if (fault_ == cell::PlantedFault::kOrderWithoutFence)
+    {
+        order->fence = static_cast<base::Fence> (std::numeric_limits<std::int64_t>::max());
+    }
+    return order;
 }
 
-std::optional<engine::Order> OrderQueue::firstUnanswered(const Queue& queue,
-                                                         const base::RunnerId& runner,
-                                                         const cell::ReplicaTable& table) const {
-  std::optional<engine::Order> first;
-  for (const base::ReplicaId id : table.replicasOn(runner)) {
-    std::optional<engine::Order> order = orderFor(*table.findReplica(id));
-    if (!order || queue.answered.count(order->fence) != 0) continue;
-    if (!first || order->fence < first->fence) first = std::move(order);
-  }
-  if (!queue.strays.empty() && (!first || queue.strays.begin()->first < first->fence)) {
-    first = queue.strays.begin()->second;
-  }
-  return first;
+std::optional<engine::Order> OrderQueue::firstUnanswered (const Queue& queue,
+                                                          const base::RunnerId& runner,
+                                                          const cell::ReplicaTable& table) const
+{
+    std::optional<engine::Order> first;
+    for (const base::ReplicaId id : table.replicasOn (runner))
+    {
+        std::optional<engine::Order> order = orderFor (*table.findReplica (id));
+        if (! order || queue.answered.count (order->fence) != 0)
+            continue;
+        if (! first || order->fence < first->fence)
+            first = std::move (order);
+    }
+    if (! queue.strays.empty() && (! first || queue.strays.begin()->first < first->fence))
+    {
+        first = queue.strays.begin()->second;
+    }
+    return first;
 }
 
-void OrderQueue::pruneAnswered(Queue& queue, const base::RunnerId& runner,
-                               const cell::ReplicaTable& table) {
-  std::set<base::Fence> current;
-  for (const base::ReplicaId id : table.replicasOn(runner)) {
-    const base::Fence fence = table.findReplica(id)->fence;
-    if (queue.answered.count(fence) != 0) current.insert(fence);
-  }
-  queue.answered = std::move(current);
+void OrderQueue::pruneAnswered (Queue& queue, const base::RunnerId& runner,
+                                const cell::ReplicaTable& table)
+{
+    std::set<base::Fence> current;
+    for (const base::ReplicaId id : table.replicasOn (runner))
+    {
+        const base::Fence fence = table.findReplica (id)->fence;
+        if (queue.answered.count (fence) != 0)
+            current.insert (fence);
+    }
+    queue.answered = std::move (current);
 }
 
-void OrderQueue::pruneStrays(Queue& queue, const base::RunnerId& runner,
-                             const cell::ReplicaTable& table) {
-  const cell::Runner* known = table.findRunner(runner);
-  std::erase_if(queue.strays, [&](const auto& entry) {
-    return known == nullptr || entry.second.incarnation != known->incarnation;
-  });
+void OrderQueue::pruneStrays (Queue& queue, const base::RunnerId& runner,
+                              const cell::ReplicaTable& table)
+{
+    const cell::Runner* known = table.findRunner (runner);
+    std::erase_if (queue.strays, [&] (const auto& entry)
+                   { return known == nullptr || entry.second.incarnation != known->incarnation; });
 }
 
-void OrderQueue::onAnswered(const base::RunnerId& runner, base::Fence fence) {
-  const auto found = queues_.find(runner);
-  if (found == queues_.end()) return;
-  Queue& queue = found->second;
-  if (fault_ == cell::PlantedFault::kOrderWithoutFence) fence = queue.sentFence;
-  queue.answered.insert(fence);
-  queue.strays.erase(fence);
-  if (queue.sentFence == fence) queue.sentFence = 0;
+void OrderQueue::onAnswered (const base::RunnerId& runner, base::Fence fence)
+{
+    const auto found = queues_.find (runner);
+    if (found == queues_.end())
+        return;
+    Queue& queue = found->second;
+    if (fault_ == cell::PlantedFault::kOrderWithoutFence)
+        fence = queue.sentFence;
+    queue.answered.insert (fence);
+    queue.strays.erase (fence);
+    if (queue.sentFence == fence)
+        queue.sentFence = 0;
 }
 
-void OrderQueue::onFailed(const base::RunnerId& runner, base::Fence fence, base::TimePoint now) {
-  const auto found = queues_.find(runner);
-  if (found == queues_.end()) return;
-  const bool isCurrent =
-      found->second.sentFence == fence || fault_ == cell::PlantedFault::kOrderWithoutFence;
-  if (isCurrent) found->second.resendAt = now + kRetryPause;
+void OrderQueue::onFailed (const base::RunnerId& runner, base::Fence fence, base::TimePoint now)
+{
+    const auto found = queues_.find (runner);
+    if (found == queues_.end())
+        return;
+    const bool isCurrent =
+        found->second.sentFence == fence || fault_ == cell::PlantedFault::kOrderWithoutFence;
+    if (isCurrent)
+        found->second.resendAt = now + kRetryPause;
 }
 
-std::vector<base::RunnerId> OrderQueue::waitingRunners() const {
-  std::vector<base::RunnerId> runners;
-  for (const auto& [runner, queue] : queues_) runners.push_back(runner);
-  return runners;
+std::vector<base::RunnerId> OrderQueue::waitingRunners() const
+{
+    std::vector<base::RunnerId> runners;
+    for (const auto& [runner, queue] : queues_)
+        runners.push_back (runner);
+    return runners;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/PeerListener.h
+++ b/src/controller/PeerListener.h
@@ -14,46 +14,50 @@
 #include "controller/ControllerCore.h"
 #include "wire/FrameConnection.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 /// Decodes what arrives and hands it on. A connection that sends anything that cannot be decoded is
 /// closed.
-class PeerListener {
- public:
-  struct Handlers {
-    std::function<void(const consensus::Message& message)> onMemberMessage;
-    std::function<void(RouterConnection connection, const cell::RouterToController& message)>
-        onRouterMessage;
-    std::function<void(RouterConnection connection)> onRouterGone;
-  };
-
-  /// `traffic` must outlive the listener.
-  PeerListener(Handlers handlers, ControlTraffic* traffic);
-
-  /// Listens; port 0 lets the system choose. Returns the real address; fails with
-  /// kConnectionFailed.
-  base::Result<base::SocketAddress> listen(const base::SocketAddress& address);
-  /// Sends to a router; does nothing when its connection is gone.
-  void sendToRouter(RouterConnection connection, const cell::ControllerToRouter& message);
-  [[nodiscard]] std::size_t openConnections() const { return connections_.size(); }
-
- private:
-  struct Connection {
-    std::unique_ptr<wire::FrameConnection> frames;
-    bool isRouter = false;
-  };
-
-  void acceptAll();
-  void onFrame(RouterConnection number, const wire::Frame& frame);
-  /// Decodes and hands on one frame; fails with kMessageInvalid.
-  base::Result<void> dispatch(RouterConnection number, const wire::Frame& frame);
-  void forget(RouterConnection number);
-
-  Handlers handlers_;
-  ControlTraffic* traffic_;
-  RouterConnection lastNumber_ = 0;
-  std::map<RouterConnection, Connection> connections_;
-  QTcpServer server_;
+class PeerListener
+{
+public:
+    struct Handlers
+    {
+        std::function<void (const consensus::Message& message)> onMemberMessage;
+        std::function<void (RouterConnection connection, const cell::RouterToController& message)>
+            onRouterMessage;
+        std::function<void (RouterConnection connection)> onRouterGone;
+    };
+
+    /// `traffic` must outlive the listener.
+    PeerListener (Handlers handlers, ControlTraffic* traffic);
+
+    /// Listens; port 0 lets the system choose. Returns the real address; fails with
+    /// kConnectionFailed.
+    base::Result<base::SocketAddress> listen (const base::SocketAddress& address);
+    /// Sends to a router; does nothing when its connection is gone.
+    void sendToRouter (RouterConnection connection, const cell::ControllerToRouter& message);
+    [[nodiscard]] std::size_t openConnections() const { return connections_.size(); }
+
+private:
+    struct Connection
+    {
+        std::unique_ptr<wire::FrameConnection> frames;
+        bool isRouter = false;
+    };
+
+    void acceptAll();
+    void onFrame (RouterConnection number, const wire::Frame& frame);
+    /// Decodes and hands on one frame; fails with kMessageInvalid.
+    base::Result<void> dispatch (RouterConnection number, const wire::Frame& frame);
+    void forget (RouterConnection number);
+
+    Handlers handlers_;
+    ControlTraffic* traffic_;
+    RouterConnection lastNumber_ = 0;
+    std::map<RouterConnection, Connection> connections_;
+    QTcpServer server_;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/PeerTransport.cpp
+++ b/src/controller/PeerTransport.cpp
@@ -6,65 +6,78 @@
 
 #include "base/SocketAddress.h"
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
-constexpr base::Duration kFirstBackoff = base::milliseconds(20);
-constexpr base::Duration kLongestBackoff = base::milliseconds(500);
+constexpr base::Duration kFirstBackoff = base::milliseconds (20);
+constexpr base::Duration kLongestBackoff = base::milliseconds (500);
 constexpr std::size_t kMaximumWaitingBytes = 1024UL * 1024;
 constexpr double kBackoffSpread = 0.5;
 
 }  // namespace
 
-PeerTransport::PeerTransport(std::uint64_t randomSeed) : random_(randomSeed) {}
+PeerTransport::PeerTransport (std::uint64_t randomSeed) : random_ (randomSeed) {}
 
-void PeerTransport::send(const std::string& address, std::string payload) {
-  Peer& peer = peers_[address];
-  if (peer.connection && peer.connection->isOpen()) {
-    peer.connection->send(wire::Channel::kMember, payload);
-    return;
-  }
-  if (peer.isBackingOff) return;
-  if (!peer.connection) connect(address, peer);
-  if (peer.unsentBytes + payload.size() > kMaximumWaitingBytes) return;
-  peer.unsentBytes += payload.size();
-  peer.unsent.push_back(std::move(payload));
+void PeerTransport::send (const std::string& address, std::string payload)
+{
+    Peer& peer = peers_[address];
+    if (peer.connection && peer.connection->isOpen())
+    {
+        peer.connection->send (wire::Channel::kMember, payload);
+        return;
+    }
+    if (peer.isBackingOff)
+        return;
+    if (! peer.connection)
+        connect (address, peer);
+    if (peer.unsentBytes + payload.size() > kMaximumWaitingBytes)
+        return;
+    peer.unsentBytes += payload.size();
+    peer.unsent.push_back (std::move (payload));
 }
 
-void PeerTransport::connect(const std::string& address, Peer& peer) {
-  const base::SocketAddress parsed =
-      base::handleErrors([&] { return base::SocketAddress::parse(address); },
-                         [](const base::Error&) { return base::SocketAddress(); });
-  wire::FrameConnection::Handlers handlers;
-  handlers.onConnected = [this, address] { onConnected(address); };
-  handlers.onClosed = [this, address] { onClosed(address); };
-  peer.connection = wire::FrameConnection::connectTo(parsed, {}, std::move(handlers), nullptr);
+void PeerTransport::connect (const std::string& address, Peer& peer)
+{
+    const base::SocketAddress parsed =
+        base::handleErrors ([&] { return base::SocketAddress::parse (address); },
+                            [] (const base::Error&) { return base::SocketAddress(); });
+    wire::FrameConnection::Handlers handlers;
+    handlers.onConnected = [this, address] { onConnected (address); };
+    handlers.onClosed = [this, address] { onClosed (address); };
+    peer.connection = wire::FrameConnection::connectTo (parsed, {}, std::move (handlers), nullptr);
 }
 
-void PeerTransport::onConnected(const std::string& address) {
-  Peer& peer = peers_[address];
-  peer.backoff = {};
-  for (const std::string& payload : peer.unsent) {
-    peer.connection->send(wire::Channel::kMember, payload);
-  }
-  peer.unsent.clear();
-  peer.unsentBytes = 0;
+void PeerTransport::onConnected (const std::string& address)
+{
+    Peer& peer = peers_[address];
+    peer.backoff = {};
+    for (const std::string& payload : peer.unsent)
+    {
+        peer.connection->send (wire::Channel::kMember, payload);
+    }
+    peer.unsent.clear();
+    peer.unsentBytes = 0;
 }
 
-void PeerTransport::onClosed(const std::string& address) {
-  Peer& peer = peers_[address];
-  peer.connection.reset();
-  peer.unsent.clear();
-  peer.unsentBytes = 0;
-  peer.isBackingOff = true;
-  const auto pause = std::chrono::duration_cast<base::milliseconds>(nextBackoff(peer));
-  QTimer::singleShot(pause, &context_, [this, address] { peers_[address].isBackingOff = false; });
+void PeerTransport::onClosed (const std::string& address)
+{
+    Peer& peer = peers_[address];
+    peer.connection.reset();
+    peer.unsent.clear();
+    peer.unsentBytes = 0;
+    peer.isBackingOff = true;
+    const auto pause = std::chrono::duration_cast<base::milliseconds> (nextBackoff (peer));
+    QTimer::singleShot (pause, &context_,
+                        [this, address] { peers_[address].isBackingOff = false; });
 }
 
-base::Duration PeerTransport::nextBackoff(Peer& peer) {
-  peer.backoff = std::clamp(2 * peer.backoff, kFirstBackoff, kLongestBackoff);
-  const double factor = 1.0 - kBackoffSpread * random_.uniformReal();
-  return std::chrono::duration_cast<base::Duration>(peer.backoff * factor);
+base::Duration PeerTransport::nextBackoff (Peer& peer)
+{
+    peer.backoff = std::clamp (2 * peer.backoff, kFirstBackoff, kLongestBackoff);
+    const double factor = 1.0 - kBackoffSpread * random_.uniformReal();
+    return std::chrono::duration_cast<base::Duration> (peer.backoff * factor);
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/PeerTransport.h
+++ b/src/controller/PeerTransport.h
@@ -13,35 +13,38 @@
 #include "base/Time.h"
 #include "wire/FrameConnection.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 /// Sends messages to addresses, connecting as needed. Delivery is not promised: while a peer cannot
 /// be reached its messages are dropped, and consensus sends again.
-class PeerTransport {
- public:
-  explicit PeerTransport(std::uint64_t randomSeed);
-
-  /// Sends one member message to `address` ("ip:port").
-  void send(const std::string& address, std::string payload);
-
- private:
-  struct Peer {
-    std::unique_ptr<wire::FrameConnection> connection;
-    std::deque<std::string> unsent;  ///< Waiting for the connection to open.
-    std::size_t unsentBytes = 0;
-    bool isBackingOff = false;
-    base::Duration backoff{};
-  };
-
-  void connect(const std::string& address, Peer& peer);
-  void onConnected(const std::string& address);
-  void onClosed(const std::string& address);
-  /// The pause before the next attempt: doubles up to a limit, spread at random.
-  base::Duration nextBackoff(Peer& peer);
-
-  base::Random random_;
-  std::map<std::string, Peer> peers_;
-  QObject context_;  ///< Last member: its timers end before the peers go.
+class PeerTransport
+{
+public:
+    explicit PeerTransport (std::uint64_t randomSeed);
+
+    /// Sends one member message to `address` ("ip:port").
+    void send (const std::string& address, std::string payload);
+
+private:
+    struct Peer
+    {
+        std::unique_ptr<wire::FrameConnection> connection;
+        std::deque<std::string> unsent;  ///< Waiting for the connection to open.
+        std::size_t unsentBytes = 0;
+        bool isBackingOff = false;
+        base::Duration backoff{};
+    };
+
+    void connect (const std::string& address, Peer& peer);
+    void onConnected (const std::string& address);
+    void onClosed (const std::string& address);
+    /// The pause before the next attempt: doubles up to a limit, spread at random.
+    base::Duration nextBackoff (Peer& peer);
+
+    base::Random random_;
+    std::map<std::string, Peer> peers_;
+    QObject context_;  ///< Last member: its timers end before the peers go.
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/RoutableTable.cpp
+++ b/src/controller/RoutableTable.cpp
@@ -4,134 +4,170 @@
 #include <bit>
 #include <utility>
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
 /// Changes kept for routers that were not told at once.
 constexpr std::size_t kKeptChanges = 32;
 constexpr std::uint32_t kLoadStepDivisor = 4;
 constexpr std::uint32_t kSharersShrinkFactor = 4;
 
-cell::RoutableReplica keyFields(const cell::RoutableReplica& row) {
-  cell::RoutableReplica key;
-  key.replica = row.replica;
-  key.runner = row.runner;
-  key.target = row.target;
-  return key;
+cell::RoutableReplica keyFields (const cell::RoutableReplica& row)
+{
+    cell::RoutableReplica key;
+    key.replica = row.replica;
+    key.runner = row.runner;
+    key.target = row.target;
+    return key;
 }
 
-bool differsInLoadOnly(const cell::RoutableReplica& told, cell::RoutableReplica row) {
-  row.load = told.load;
-  return row == told;
+bool differsInLoadOnly (const cell::RoutableReplica& told, cell::RoutableReplica row)
+{
+    row.load = told.load;
+    return row == told;
 }
 
 }  // namespace
 
-bool isLoadNews(std::uint32_t told, std::uint32_t load) {
-  if ((told == 0) != (load == 0)) return true;
-  const std::uint32_t difference = told > load ? told - load : load - told;
-  return difference > std::max(told / kLoadStepDivisor, 1U);
+bool isLoadNews (std::uint32_t told, std::uint32_t load)
+{
+    if ((told == 0) != (load == 0))
+        return true;
+    const std::uint32_t difference = told > load ? told - load : load - told;
+    return difference > std::max (told / kLoadStepDivisor, 1U);
 }
 
-std::uint32_t steadySharers(std::uint32_t told, std::uint32_t sharers) {
-  const std::uint32_t wanted = std::bit_ceil(std::max(sharers, 1U));
-  if (told == 0 || sharers > told) return wanted;
-  return sharers <= told / kSharersShrinkFactor ? wanted : told;
+std::uint32_t steadySharers (std::uint32_t told, std::uint32_t sharers)
+{
+    const std::uint32_t wanted = std::bit_ceil (std::max (sharers, 1U));
+    if (told == 0 || sharers > told)
+        return wanted;
+    return sharers <= told / kSharersShrinkFactor ? wanted : told;
 }
 
-RoutableTable::Key RoutableTable::keyOf(const cell::RoutableReplica& row) {
-  return {row.replica, row.runner, row.target};
+RoutableTable::Key RoutableTable::keyOf (const cell::RoutableReplica& row)
+{
+    return { row.replica, row.runner, row.target };
 }
 
-bool RoutableTable::replace(std::vector<cell::RoutableReplica> rows,
-                            const ReadyEstimates& estimates, base::TimePoint now) {
-  cell::ReplicaUpdate update;
-  settleLoads(rows);
-  collectRows(std::move(rows), update);
-  collectEstimates(estimates, now, update);
-  const bool isEmpty = update.upserts.empty() && update.removals.empty() && update.loads.empty() &&
-                       update.estimates.empty();
-  if (isEmpty && version_ != 0) return false;
-  update.fromVersion = version_;
-  update.toVersion = ++version_;
-  changes_.push_back(std::move(update));
-  if (changes_.size() > kKeptChanges) changes_.pop_front();
-  return true;
+bool RoutableTable::replace (std::vector<cell::RoutableReplica> rows,
+                             const ReadyEstimates& estimates, base::TimePoint now)
+{
+    cell::ReplicaUpdate update;
+    settleLoads (rows);
+    collectRows (std::move (rows), update);
+    collectEstimates (estimates, now, update);
+    const bool isEmpty = update.upserts.empty() && update.removals.empty() && update.loads.empty()
+                         && update.estimates.empty();
+    if (isEmpty && version_ != 0)
+        return false;
+    update.fromVersion = version_;
+    update.toVersion = ++version_;
+    changes_.push_back (std::move (update));
+    if (changes_.size() > kKeptChanges)
+        changes_.pop_front();
+    return true;
 }
 
-void RoutableTable::settleLoads(std::vector<cell::RoutableReplica>& rows) {
-  std::map<base::RunnerId, std::uint32_t> loads;
-  for (cell::RoutableReplica& row : rows) {
-    auto settled = loads.find(row.runner);
-    if (settled == loads.end()) {
-      const auto told = loads_.find(row.runner);
-      const bool isNews = told == loads_.end() || isLoadNews(told->second, row.load);
-      settled = loads.emplace(row.runner, isNews ? row.load : told->second).first;
+void RoutableTable::settleLoads (std::vector<cell::RoutableReplica>& rows)
+{
+    std::map<base::RunnerId, std::uint32_t> loads;
+    for (cell::RoutableReplica& row : rows)
+    {
+        auto settled = loads.find (row.runner);
+        if (settled == loads.end())
+        {
+            const auto told = loads_.find (row.runner);
+            const bool isNews = told == loads_.end() || isLoadNews (told->second, row.load);
+            settled = loads.emplace (row.runner, isNews ? row.load : told->second).first;
+        }
+        row.load = settled->second;
     }
-    row.load = settled->second;
-  }
-  loads_ = std::move(loads);
+    loads_ = std::move (loads);
 }
 
-void RoutableTable::collectRows(std::vector<cell::RoutableReplica> rows,
-                                cell::ReplicaUpdate& update) {
-  std::map<Key, cell::RoutableReplica> current;
-  std::map<base::RunnerId, std::uint32_t> changedLoads;
-  for (cell::RoutableReplica& row : rows) {
-    const Key key = keyOf(row);
-    const auto told = rows_.find(key);
-    if (told == rows_.end() || !differsInLoadOnly(told->second, row)) {
-      update.upserts.push_back(row);
-    } else if (told->second.load != row.load) {
-      changedLoads[row.runner] = row.load;
+void RoutableTable::collectRows (std::vector<cell::RoutableReplica> rows,
+                                 cell::ReplicaUpdate& update)
+{
+    std::map<Key, cell::RoutableReplica> current;
+    std::map<base::RunnerId, std::uint32_t> changedLoads;
+    for (cell::RoutableReplica& row : rows)
+    {
+        const Key key = keyOf (row);
+        const auto told = rows_.find (key);
+        if (told == rows_.end() || ! differsInLoadOnly (told->second, row))
+        {
+            update.upserts.push_back (row);
+        }
+        else if (told->second.load != row.load)
+        {
+            changedLoads[row.runner] = row.load;
+        }
+        current.emplace (key, std::move (row));
     }
-    current.emplace(key, std::move(row));
-  }
-  for (const auto& [key, row] : rows_) {
-    if (!current.contains(key)) update.removals.push_back(keyFields(row));
-  }
-  for (const auto& [runner, load] : changedLoads) update.loads.push_back({runner, load});
-  rows_ = std::move(current);
+    for (const auto& [key, row] : rows_)
+    {
+        if (! current.contains (key))
+            update.removals.push_back (keyFields (row));
+    }
+    for (const auto& [runner, load] : changedLoads)
+        update.loads.push_back ({ runner, load });
+    rows_ = std::move (current);
 }
 
-void RoutableTable::collectEstimates(const ReadyEstimates& estimates, base::TimePoint now,
-                                     cell::ReplicaUpdate& update) {
-  for (const auto& [target, estimate] : estimates) {
-    const auto known = estimates_.find(target);
-    if (known != estimates_.end() && known->second == estimate) continue;
-    update.estimates.push_back(toMessage(target, estimate, now));
-  }
-  for (const auto& [target, estimate] : estimates_) {
-    // Withdrawn: nothing more is known than that requests may wait.
-    if (estimates.contains(target)) continue;
-    update.estimates.push_back(toMessage(target, ReadyEstimate{true, now}, now));
-  }
-  estimates_ = estimates;
+void RoutableTable::collectEstimates (const ReadyEstimates& estimates, base::TimePoint now,
+                                      cell::ReplicaUpdate& update)
+{
+    for (const auto& [target, estimate] : estimates)
+    {
+        const auto known = estimates_.find (target);
+        if (known != estimates_.end() && known->second == estimate)
+            continue;
+        update.estimates.push_back (toMessage (target, estimate, now));
+    }
+    for (const auto& [target, estimate] : estimates_)
+    {
+        // Withdrawn: nothing more is known than that requests may wait.
+        if (estimates.contains (target))
+            continue;
+        update.estimates.push_back (toMessage (target, ReadyEstimate{ true, now }, now));
+    }
+    estimates_ = estimates;
 }
 
-cell::ReplicaUpdate RoutableTable::whole(base::TimePoint now) const {
-  cell::ReplicaUpdate update;
-  update.toVersion = version_;
-  for (const auto& [key, row] : rows_) update.upserts.push_back(row);
-  for (const auto& [target, estimate] : estimates_) {
-    update.estimates.push_back(toMessage(target, estimate, now));
-  }
-  return update;
+cell::ReplicaUpdate RoutableTable::whole (base::TimePoint now) const
+{
+    cell::ReplicaUpdate update;
+    update.toVersion = version_;
+    for (const auto& [key, row] : rows_)
+        update.upserts.push_back (row);
+    for (const auto& [target, estimate] : estimates_)
+    {
+        update.estimates.push_back (toMessage (target, estimate, now));
+    }
+    return update;
 }
 
-bool RoutableTable::keepsChangesSince(std::uint64_t version) const {
-  if (version == version_) return true;
-  return version != 0 && !changes_.empty() && version >= changes_.front().fromVersion &&
-         version < version_;
+bool RoutableTable::keepsChangesSince (std::uint64_t version) const
+{
+    if (version == version_)
+        return true;
+    return version != 0 && ! changes_.empty() && version >= changes_.front().fromVersion
+           && version < version_;
 }
 
-std::vector<cell::ReplicaUpdate> RoutableTable::updatesSince(std::uint64_t version,
-                                                             base::TimePoint now) const {
-  if (version == version_) return {};
-  if (!keepsChangesSince(version)) return {whole(now)};
-  // Each change follows on the one before it.
-  const auto kept = static_cast<std::ptrdiff_t>(version_ - version);
-  return {changes_.end() - kept, changes_.end()};
+std::vector<cell::ReplicaUpdate> RoutableTable::updatesSince (std::uint64_t version,
+                                                              base::TimePoint now) const
+{
+    if (version == version_)
+        return {};
+    if (! keepsChangesSince (version))
+        return { whole (now) };
+    // Each change follows on the one before it.
+    const auto kept = static_cast<std::ptrdiff_t> (version_ - version);
+    return { changes_.end() - kept, changes_.end() };
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/RouterSessions.cpp
+++ b/src/controller/RouterSessions.cpp
@@ -3,159 +3,192 @@
 #include <algorithm>
 #include <utility>
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
 /// A table that a router does not confirm for this long is sent whole again.
-constexpr base::Duration kConfirmationTimeout = base::seconds(2);
+constexpr base::Duration kConfirmationTimeout = base::seconds (2);
 /// A router's clock may run this much slower than the leader's: one part in this many.
 constexpr int kClockDriftParts = 100;
 
-bool hasInForce(const RouterSession& session, const cell::ConfigurationIdentity& inForce) {
-  return session.configurationVersion == inForce.version &&
-         session.configurationDigest == inForce.digest;
+bool hasInForce (const RouterSession& session, const cell::ConfigurationIdentity& inForce)
+{
+    return session.configurationVersion == inForce.version
+           && session.configurationDigest == inForce.digest;
 }
 
-RouterSession::ReplicaKey keyOf(const cell::RoutableReplica& replica) {
-  return {replica.replica, replica.runner, replica.target};
+RouterSession::ReplicaKey keyOf (const cell::RoutableReplica& replica)
+{
+    return { replica.replica, replica.runner, replica.target };
 }
 
-cell::RoutableReplica keyFields(const cell::RoutableReplica& replica) {
-  cell::RoutableReplica key;
-  key.replica = replica.replica;
-  key.runner = replica.runner;
-  key.target = replica.target;
-  return key;
+cell::RoutableReplica keyFields (const cell::RoutableReplica& replica)
+{
+    cell::RoutableReplica key;
+    key.replica = replica.replica;
+    key.runner = replica.runner;
+    key.target = replica.target;
+    return key;
 }
 
-void collectUpserts(RouterSession& session, std::vector<cell::RoutableReplica>& replicas,
-                    std::map<RouterSession::ReplicaKey, cell::RoutableReplica>& table,
-                    cell::ReplicaUpdate& update) {
-  for (cell::RoutableReplica& replica : replicas) {
-    const RouterSession::ReplicaKey key = keyOf(replica);
-    const auto known = session.table.find(key);
-    if (known == session.table.end() || !(known->second == replica)) {
-      update.upserts.push_back(replica);
+void collectUpserts (RouterSession& session, std::vector<cell::RoutableReplica>& replicas,
+                     std::map<RouterSession::ReplicaKey, cell::RoutableReplica>& table,
+                     cell::ReplicaUpdate& update)
+{
+    for (cell::RoutableReplica& replica : replicas)
+    {
+        const RouterSession::ReplicaKey key = keyOf (replica);
+        const auto known = session.table.find (key);
+        if (known == session.table.end() || ! (known->second == replica))
+        {
+            update.upserts.push_back (replica);
+        }
+        table.emplace (key, std::move (replica));
     }
-    table.emplace(key, std::move(replica));
-  }
 }
 
-void collectEstimates(RouterSession& session, const ReadyEstimates& estimates, base::TimePoint now,
-                      cell::ReplicaUpdate& update) {
-  for (const auto& [target, estimate] : estimates) {
-    const auto known = session.estimates.find(target);
-    if (known != session.estimates.end() && known->second == estimate) continue;
-    update.estimates.push_back(toMessage(target, estimate, now));
-  }
-  for (const auto& [target, estimate] : session.estimates) {
-    // Withdrawn: nothing more is known than that requests may wait.
-    if (estimates.count(target) == 0) {
-      update.estimates.push_back(toMessage(target, ReadyEstimate{true, now}, now));
+void collectEstimates (RouterSession& session, const ReadyEstimates& estimates, base::TimePoint now,
+                       cell::ReplicaUpdate& update)
+{
+    for (const auto& [target, estimate] : estimates)
+    {
+        const auto known = session.estimates.find (target);
+        if (known != session.estimates.end() && known->second == estimate)
+            continue;
+        update.estimates.push_back (toMessage (target, estimate, now));
     }
-  }
-  session.estimates = estimates;
+    for (const auto& [target, estimate] : session.estimates)
+    {
+        // Withdrawn: nothing more is known than that requests may wait.
+        if (estimates.count (target) == 0)
+        {
+            update.estimates.push_back (toMessage (target, ReadyEstimate{ true, now }, now));
+        }
+    }
+    session.estimates = estimates;
 }
 
 }  // namespace
 
-std::optional<cell::ReplicaUpdate> updateTable(RouterSession& session,
-                                               std::vector<cell::RoutableReplica> replicas,
-                                               const ReadyEstimates& estimates,
-                                               base::TimePoint now) {
-  cell::ReplicaUpdate update;
-  std::map<RouterSession::ReplicaKey, cell::RoutableReplica> table;
-  collectUpserts(session, replicas, table, update);
-  for (const auto& [key, replica] : session.table) {
-    if (table.count(key) == 0) update.removals.push_back(keyFields(replica));
-  }
-  collectEstimates(session, estimates, now, update);
-  const bool isFirst = session.tableVersion == 0;
-  const bool isEmpty =
-      update.upserts.empty() && update.removals.empty() && update.estimates.empty();
-  if (isEmpty && !isFirst) return std::nullopt;
-  session.table = std::move(table);
-  update.fromVersion = session.tableVersion;
-  update.toVersion = ++session.tableVersion;
-  session.tableSentAt = now;
-  if (isFirst) session.wholeTableSentAt = now;
-  return update;
+std::optional<cell::ReplicaUpdate> updateTable (RouterSession& session,
+                                                std::vector<cell::RoutableReplica> replicas,
+                                                const ReadyEstimates& estimates,
+                                                base::TimePoint now)
+{
+    cell::ReplicaUpdate update;
+    std::map<RouterSession::ReplicaKey, cell::RoutableReplica> table;
+    collectUpserts (session, replicas, table, update);
+    for (const auto& [key, replica] : session.table)
+    {
+        if (table.count (key) == 0)
+            update.removals.push_back (keyFields (replica));
+    }
+    collectEstimates (session, estimates, now, update);
+    const bool isFirst = session.tableVersion == 0;
+    const bool isEmpty =
+        update.upserts.empty() && update.removals.empty() && update.estimates.empty();
+    if (isEmpty && ! isFirst)
+        return std::nullopt;
+    session.table = std::move (table);
+    update.fromVersion = session.tableVersion;
+    update.toVersion = ++session.tableVersion;
+    session.tableSentAt = now;
+    if (isFirst)
+        session.wholeTableSentAt = now;
+    return update;
 }
 
-void RouterSession::forgetTable() {
-  tableVersion = 0;
-  table.clear();
-  estimates.clear();
+void RouterSession::forgetTable()
+{
+    tableVersion = 0;
+    table.clear();
+    estimates.clear();
 }
 
-RouterSession& RouterSessions::open(SessionId id, const cell::RouterHello& hello,
-                                    base::TimePoint now) {
-  close(id);
-  RouterSession& session = sessions_[id];
-  session.router = hello.router;
-  session.zone = hello.zone;
-  session.address = hello.address;
-  session.configurationVersion = session.sentVersion = hello.configurationVersion;
-  session.configurationDigest = session.sentDigest = hello.configurationDigest;
-  session.heardAt = now;
-  return session;
+RouterSession& RouterSessions::open (SessionId id, const cell::RouterHello& hello,
+                                     base::TimePoint now)
+{
+    close (id);
+    RouterSession& session = sessions_[id];
+    session.router = hello.router;
+    session.zone = hello.zone;
+    session.address = hello.address;
+    session.configurationVersion = session.sentVersion = hello.configurationVersion;
+    session.configurationDigest = session.sentDigest = hello.configurationDigest;
+    session.heardAt = now;
+    return session;
 }
 
-void RouterSessions::close(SessionId id) {
-  const auto found = sessions_.find(id);
-  if (found == sessions_.end()) return;
-  departedLeaseUntil_ = std::max(departedLeaseUntil_, found->second.leaseUntil);
-  sessions_.erase(found);
+void RouterSessions::close (SessionId id)
+{
+    const auto found = sessions_.find (id);
+    if (found == sessions_.end())
+        return;
+    departedLeaseUntil_ = std::max (departedLeaseUntil_, found->second.leaseUntil);
+    sessions_.erase (found);
 }
 
-RouterSession* RouterSessions::find(SessionId id) {
-  const auto found = sessions_.find(id);
-  return found == sessions_.end() ? nullptr : &found->second;
+RouterSession* RouterSessions::find (SessionId id)
+{
+    const auto found = sessions_.find (id);
+    return found == sessions_.end() ? nullptr : &found->second;
 }
 
-bool RouterSessions::onLeaseRequest(RouterSession& session, const cell::LeaseRequest& request,
-                                    const cell::ConfigurationIdentity& inForce,
-                                    base::TimePoint now) {
-  session.heardAt = now;
-  session.configurationVersion = request.configurationVersion;
-  session.configurationDigest = request.configurationDigest;
-  const bool isBehind = request.replicaTableVersion != session.tableVersion &&
-                        now - session.tableSentAt > kConfirmationTimeout;
-  // A router without a table asks for it however often changes go out.
-  const bool asksForWhole =
-      request.replicaTableVersion == 0 && now - session.wholeTableSentAt > kConfirmationTimeout;
-  if (isBehind || asksForWhole) session.forgetTable();
-  const bool wasSent =
-      session.sentVersion == inForce.version && session.sentDigest == inForce.digest;
-  if (!wasSent) return true;
-  return !hasInForce(session, inForce) && now - session.configurationSentAt > kConfirmationTimeout;
+bool RouterSessions::onLeaseRequest (RouterSession& session, const cell::LeaseRequest& request,
+                                     const cell::ConfigurationIdentity& inForce,
+                                     base::TimePoint now)
+{
+    session.heardAt = now;
+    session.configurationVersion = request.configurationVersion;
+    session.configurationDigest = request.configurationDigest;
+    const bool isBehind = request.replicaTableVersion != session.tableVersion
+                          && now - session.tableSentAt > kConfirmationTimeout;
+    // A router without a table asks for it however often changes go out.
+    const bool asksForWhole =
+        request.replicaTableVersion == 0 && now - session.wholeTableSentAt > kConfirmationTimeout;
+    if (isBehind || asksForWhole)
+        session.forgetTable();
+    const bool wasSent =
+        session.sentVersion == inForce.version && session.sentDigest == inForce.digest;
+    if (! wasSent)
+        return true;
+    return ! hasInForce (session, inForce)
+           && now - session.configurationSentAt > kConfirmationTimeout;
 }
 
-cell::LeaseGrant RouterSessions::grant(RouterSession& session, const cell::LeaseRequest& request,
-                                       const cell::ConfigurationIdentity& inForce, base::Term term,
-                                       base::TimePoint now) const {
-  session.leaseUntil = now + longestLease();
-  cell::LeaseGrant grant;
-  grant.sequence = request.sequence;
-  grant.configurationVersion = inForce.version;
-  grant.configurationDigest = inForce.digest;
-  grant.term = term;
-  grant.durationMilliseconds = base::toMilliseconds(leaseDuration_);
-  grant.replicaTableVersion = session.tableVersion;
-  return grant;
+cell::LeaseGrant RouterSessions::grant (RouterSession& session, const cell::LeaseRequest& request,
+                                        const cell::ConfigurationIdentity& inForce, base::Term term,
+                                        base::TimePoint now) const
+{
+    session.leaseUntil = now + longestLease();
+    cell::LeaseGrant grant;
+    grant.sequence = request.sequence;
+    grant.configurationVersion = inForce.version;
+    grant.configurationDigest = inForce.digest;
+    grant.term = term;
+    grant.durationMilliseconds = base::toMilliseconds (leaseDuration_);
+    grant.replicaTableVersion = session.tableVersion;
+    return grant;
 }
 
-bool RouterSessions::isInForceEverywhere(const cell::ConfigurationIdentity& inForce,
-                                         base::TimePoint leaderSince, base::TimePoint now) const {
-  if (now < leaderSince + longestLease() || now < departedLeaseUntil_) return false;
-  return std::all_of(sessions_.begin(), sessions_.end(), [&](const auto& entry) {
-    const RouterSession& session = entry.second;
-    return hasInForce(session, inForce) || now >= session.leaseUntil;
-  });
+bool RouterSessions::isInForceEverywhere (const cell::ConfigurationIdentity& inForce,
+                                          base::TimePoint leaderSince, base::TimePoint now) const
+{
+    if (now < leaderSince + longestLease() || now < departedLeaseUntil_)
+        return false;
+    return std::all_of (sessions_.begin(), sessions_.end(),
+                        [&] (const auto& entry)
+                        {
+                            const RouterSession& session = entry.second;
+                            return hasInForce (session, inForce) || now >= session.leaseUntil;
+                        });
 }
 
-base::Duration RouterSessions::longestLease() const {
-  return leaseDuration_ + leaseDuration_ / kClockDriftParts;
+base::Duration RouterSessions::longestLease() const
+{
+    return leaseDuration_ + leaseDuration_ / kClockDriftParts;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -16,76 +16,79 @@
 #include "cell/RouterMessages.h"
 #include "controller/LoadEstimates.h"
 
-namespace fernlift::controller {
+namespace fernlift::controller
+{
 
 /// Identifies a connection of a router, as in ControllerCore.h.
 using SessionId = std::uint64_t;
 
-struct RouterSession {
-  base::RouterId router;
-  base::ZoneName zone;
-  std::string address;
-  std::uint64_t configurationVersion = 0;  ///< In force there, as last stated.
-  std::string configurationDigest;
-  std::uint64_t sentVersion = 0;  ///< Configuration last sent or stated.
-  std::string sentDigest;
-  base::TimePoint configurationSentAt{};
-  base::TimePoint leaseUntil{};  ///< No lease granted to it runs longer than this.
-  base::TimePoint heardAt{};
-
-  /// Version of the replica table that the router has once it has read everything sent; 0: none.
-  std::uint64_t tableVersion = 0;
-  base::TimePoint tableSentAt{};
-  base::TimePoint wholeTableSentAt{};
-  bool isTableShared = false;  ///< The version is one of the table that all routers share.
-
-  std::uint64_t instanceVersion = 0;  ///< Of the instances last sent; 0: none.
-
-  // While not shared: the table as the router has it once it has read everything sent.
-  using ReplicaKey = std::tuple<base::ReplicaId, base::RunnerId, std::string>;
-  std::map<ReplicaKey, cell::RoutableReplica> table;
-  ReadyEstimates estimates;
-
-  /// The next update will hold the whole table.
-  void forgetTable();
+struct RouterSession
+{
+    base::RouterId router;
+    base::ZoneName zone;
+    std::string address;
+    std::uint64_t configurationVersion = 0;  ///< In force there, as last stated.
+    std::string configurationDigest;
+    std::uint64_t sentVersion = 0;  ///< Configuration last sent or stated.
+    std::string sentDigest;
+    base::TimePoint configurationSentAt{};
+    base::TimePoint leaseUntil{};  ///< No lease granted to it runs longer than this.
+    base::TimePoint heardAt{};
+
+    /// Version of the replica table that the router has once it has read everything sent; 0: none.
+    std::uint64_t tableVersion = 0;
+    base::TimePoint tableSentAt{};
+    base::TimePoint wholeTableSentAt{};
+    bool isTableShared = false;  ///< The version is one of the table that all routers share.
+
+    std::uint64_t instanceVersion = 0;  ///< Of the instances last sent; 0: none.
+
+    // While not shared: the table as the router has it once it has read everything sent.
+    using ReplicaKey = std::tuple<base::ReplicaId, base::RunnerId, std::string>;
+    std::map<ReplicaKey, cell::RoutableReplica> table;
+    ReadyEstimates estimates;
+
+    /// The next update will hold the whole table.
+    void forgetTable();
 };
 
 /// Difference between what a session was sent and what it should have; none when equal. The session
 /// is taken as having it. For tables that are not shared.
-[[nodiscard]] std::optional<cell::ReplicaUpdate> updateTable(
+[[nodiscard]] std::optional<cell::ReplicaUpdate> updateTable (
     RouterSession& session, std::vector<cell::RoutableReplica> replicas,
     const ReadyEstimates& estimates, base::TimePoint now);
 
-class RouterSessions {
- public:
-  explicit RouterSessions(base::Duration leaseDuration) : leaseDuration_(leaseDuration) {}
-
-  RouterSession& open(SessionId id, const cell::RouterHello& hello, base::TimePoint now);
-  void close(SessionId id);
-  [[nodiscard]] RouterSession* find(SessionId id);
-  [[nodiscard]] std::map<SessionId, RouterSession>& sessions() { return sessions_; }
-  [[nodiscard]] const std::map<SessionId, RouterSession>& sessions() const { return sessions_; }
-
-  /// Notes a lease request. Returns true when the router needs the configuration (again).
-  bool onLeaseRequest(RouterSession& session, const cell::LeaseRequest& request,
-                      const cell::ConfigurationIdentity& inForce, base::TimePoint now);
-  /// The grant that answers the request; the caller must hold the leader's lease.
-  [[nodiscard]] cell::LeaseGrant grant(RouterSession& session, const cell::LeaseRequest& request,
-                                       const cell::ConfigurationIdentity& inForce, base::Term term,
-                                       base::TimePoint now) const;
-
-  /// True when no router can admit requests under another configuration than `inForce`: each
-  /// connected one stated it, and leases of the others, of earlier leaders too, have run out.
-  [[nodiscard]] bool isInForceEverywhere(const cell::ConfigurationIdentity& inForce,
-                                         base::TimePoint leaderSince, base::TimePoint now) const;
-
- private:
-  [[nodiscard]] base::Duration longestLease() const;
-
-  base::Duration leaseDuration_;
-  std::map<SessionId, RouterSession> sessions_;
-  /// Latest end of a lease of a router that is no longer connected.
-  base::TimePoint departedLeaseUntil_{};
+class RouterSessions
+{
+public:
+    explicit RouterSessions (base::Duration leaseDuration) : leaseDuration_ (leaseDuration) {}
+
+    RouterSession& open (SessionId id, const cell::RouterHello& hello, base::TimePoint now);
+    void close (SessionId id);
+    [[nodiscard]] RouterSession* find (SessionId id);
+    [[nodiscard]] std::map<SessionId, RouterSession>& sessions() { return sessions_; }
+    [[nodiscard]] const std::map<SessionId, RouterSession>& sessions() const { return sessions_; }
+
+    /// Notes a lease request. Returns true when the router needs the configuration (again).
+    bool onLeaseRequest (RouterSession& session, const cell::LeaseRequest& request,
+                         const cell::ConfigurationIdentity& inForce, base::TimePoint now);
+    /// The grant that answers the request; the caller must hold the leader's lease.
+    [[nodiscard]] cell::LeaseGrant grant (RouterSession& session, const cell::LeaseRequest& request,
+                                          const cell::ConfigurationIdentity& inForce,
+                                          base::Term term, base::TimePoint now) const;
+
+    /// True when no router can admit requests under another configuration than `inForce`: each
+    /// connected one stated it, and leases of the others, of earlier leaders too, have run out.
+    [[nodiscard]] bool isInForceEverywhere (const cell::ConfigurationIdentity& inForce,
+                                            base::TimePoint leaderSince, base::TimePoint now) const;
+
+private:
+    [[nodiscard]] base::Duration longestLease() const;
+
+    base::Duration leaseDuration_;
+    std::map<SessionId, RouterSession> sessions_;
+    /// Latest end of a lease of a router that is no longer connected.
+    base::TimePoint departedLeaseUntil_{};
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/RunnerWatch.cpp
+++ b/src/controller/RunnerWatch.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 
-namespace fernlift::controller {
-namespace {
+namespace fernlift::controller
+{
+namespace
+{
 
 /// A runner without a report for this many intervals is not responsive.
 constexpr int kMissedReports = 8;
@@ -16,107 +18,134 @@
 constexpr std::size_t kPollsAtOnce = 16;
 
 /// A load or unload is under way: its end is news that requests wait for.
-bool isChanging(const engine::Report& report) {
-  return std::any_of(report.replicas.begin(), report.replicas.end(),
-                     [](const engine::ReplicaReport& replica) {
-                       return replica.phase != engine::ReplicaPhase::kReady;
-                     });
+bool isChanging (const engine::Report& report)
+{
+    return std::any_of (report.replicas.begin(), report.replicas.end(),
+                        [] (const engine::ReplicaReport& replica)
+                        { return replica.phase != engine::ReplicaPhase::kReady; });
 }
 
 }  // namespace
 
-void RunnerWatch::addKnown(const std::map<base::RunnerId, cell::Runner>& runners) {
-  for (const auto& [id, runner] : runners) sights_[id];
+void RunnerWatch::addKnown (const std::map<base::RunnerId, cell::Runner>& runners)
+{
+    for (const auto& [id, runner] : runners)
+        sights_[id];
 }
 
-std::vector<base::RunnerId> RunnerWatch::onMachineList(const engine::MachineList& list) {
-  if (list.machines.empty()) return {};
-  std::set<base::RunnerId> present;
-  for (const engine::Machine& machine : list.machines) {
-    RunnerSight& sight = sights_[machine.runner];
-    sight.listed = machine;
-    sight.omissions = 0;
-    present.insert(machine.runner);
-  }
-  std::vector<base::RunnerId> gone;
-  for (auto& [runner, sight] : sights_) {
-    if (present.count(runner) != 0) continue;
-    ++sight.omissions;
-    if (sight.omissions >= kOmissionsUntilGone) gone.push_back(runner);
-  }
-  return gone;
+std::vector<base::RunnerId> RunnerWatch::onMachineList (const engine::MachineList& list)
+{
+    if (list.machines.empty())
+        return {};
+    std::set<base::RunnerId> present;
+    for (const engine::Machine& machine : list.machines)
+    {
+        RunnerSight& sight = sights_[machine.runner];
+        sight.listed = machine;
+        sight.omissions = 0;
+        present.insert (machine.runner);
+    }
+    std::vector<base::RunnerId> gone;
+    for (auto& [runner, sight] : sights_)
+    {
+        if (present.count (runner) != 0)
+            continue;
+        ++sight.omissions;
+        if (sight.omissions >= kOmissionsUntilGone)
+            gone.push_back (runner);
+    }
+    return gone;
 }
 
-void RunnerWatch::onReport(const base::RunnerId& runner, const engine::Report& report,
-                           base::TimePoint now) {
-  RunnerSight& sight = sights_[runner];
-  sight.isPolled = false;
-  sight.nextPollAt = now + (isChanging(report) ? reportInterval_ : steadyInterval());
-  sight.omissions = 0;
-  sight.reportedAt = now;
-  sight.report = report;
-  sight.checkpoints.clear();
-  for (const engine::CheckpointReport& checkpoint : report.checkpoints) {
-    sight.checkpoints[checkpoint.artifact] = checkpoint.place;
-  }
+void RunnerWatch::onReport (const base::RunnerId& runner, const engine::Report& report,
+                            base::TimePoint now)
+{
+    RunnerSight& sight = sights_[runner];
+    sight.isPolled = false;
+    sight.nextPollAt = now + (isChanging (report) ? reportInterval_ : steadyInterval());
+    sight.omissions = 0;
+    sight.reportedAt = now;
+    sight.report = report;
+    sight.checkpoints.clear();
+    for (const engine::CheckpointReport& checkpoint : report.checkpoints)
+    {
+        sight.checkpoints[checkpoint.artifact] = checkpoint.place;
+    }
 }
 
-void RunnerWatch::onReportFailed(const base::RunnerId& runner, base::TimePoint now) {
-  const auto found = sights_.find(runner);
-  if (found == sights_.end()) return;
-  found->second.isPolled = false;
-  found->second.nextPollAt = now + reportInterval_;
+void RunnerWatch::onReportFailed (const base::RunnerId& runner, base::TimePoint now)
+{
+    const auto found = sights_.find (runner);
+    if (found == sights_.end())
+        return;
+    found->second.isPolled = false;
+    found->second.nextPollAt = now + reportInterval_;
 }
 
-void RunnerWatch::onLeavingSign(const base::RunnerId& runner, base::Incarnation incarnation) {
-  sights_[runner].leavingIncarnations.insert(incarnation);
+void RunnerWatch::onLeavingSign (const base::RunnerId& runner, base::Incarnation incarnation)
+{
+    sights_[runner].leavingIncarnations.insert (incarnation);
 }
 
-void RunnerWatch::forget(const base::RunnerId& runner) { sights_.erase(runner); }
-
-std::vector<base::RunnerId> RunnerWatch::takeDuePolls(base::TimePoint now) {
-  std::vector<base::RunnerId> due;
-  auto next = sights_.upper_bound(lastPolled_);
-  for (std::size_t seen = 0; seen < sights_.size() && due.size() < kPollsAtOnce; ++seen) {
-    if (next == sights_.end()) next = sights_.begin();
-    auto& [runner, sight] = *next++;
-    if (sight.isPolled || now < sight.nextPollAt) continue;
-    sight.isPolled = true;
-    due.push_back(runner);
-  }
-  if (!due.empty()) lastPolled_ = due.back();
-  return due;
+void RunnerWatch::forget (const base::RunnerId& runner) { sights_.erase (runner); }
+
+std::vector<base::RunnerId> RunnerWatch::takeDuePolls (base::TimePoint now)
+{
+    std::vector<base::RunnerId> due;
+    auto next = sights_.upper_bound (lastPolled_);
+    for (std::size_t seen = 0; seen < sights_.size() && due.size() < kPollsAtOnce; ++seen)
+    {
+        if (next == sights_.end())
+            next = sights_.begin();
+        auto& [runner, sight] = *next++;
+        if (sight.isPolled || now < sight.nextPollAt)
+            continue;
+        sight.isPolled = true;
+        due.push_back (runner);
+    }
+    if (! due.empty())
+        lastPolled_ = due.back();
+    return due;
 }
 
-void RunnerWatch::pollSoon(const base::RunnerId& runner, base::TimePoint now) {
-  const auto found = sights_.find(runner);
-  if (found != sights_.end()) found->second.nextPollAt = std::min(found->second.nextPollAt, now);
+void RunnerWatch::pollSoon (const base::RunnerId& runner, base::TimePoint now)
+{
+    const auto found = sights_.find (runner);
+    if (found != sights_.end())
+        found->second.nextPollAt = std::min (found->second.nextPollAt, now);
 }
 
-const RunnerSight* RunnerWatch::find(const base::RunnerId& runner) const {
-  const auto found = sights_.find(runner);
-  return found == sights_.end() ? nullptr : &found->second;
+const RunnerSight* RunnerWatch::find (const base::RunnerId& runner) const
+{
+    const auto found = sights_.find (runner);
+    return found == sights_.end() ? nullptr : &found->second;
 }
 
-bool RunnerWatch::isResponsive(const base::RunnerId& runner, base::TimePoint now) const {
-  const RunnerSight* sight = find(runner);
-  if (sight == nullptr || !sight->report) return false;
-  const base::Duration longerByRate = steadyInterval() - reportInterval_;
-  return now - sight->reportedAt < kMissedReports * reportInterval_ + longerByRate;
+bool RunnerWatch::isResponsive (const base::RunnerId& runner, base::TimePoint now) const
+{
+    const RunnerSight* sight = find (runner);
+    if (sight == nullptr || ! sight->report)
+        return false;
+    const base::Duration longerByRate = steadyInterval() - reportInterval_;
+    return now - sight->reportedAt < kMissedReports * reportInterval_ + longerByRate;
 }
 
-base::Duration RunnerWatch::steadyInterval() const {
-  const base::Duration ofAll = base::Duration(base::seconds(1)) *
-                               static_cast<std::int64_t>(sights_.size()) / kSteadyReportsPerSecond;
-  return std::max(reportInterval_, ofAll);
+base::Duration RunnerWatch::steadyInterval() const
+{
+    const base::Duration ofAll = base::Duration (base::seconds (1))
+                                 * static_cast<std::int64_t> (sights_.size())
+                                 / kSteadyReportsPerSecond;
+    return std::max (reportInterval_, ofAll);
 }
 
-bool RunnerWatch::isLeaving(const RunnerSight& sight, base::Incarnation incarnation) {
-  const bool isListedLeaving =
-      sight.listed && sight.listed->state == engine::MachineState::kLeaving;
-  const bool isReportedLeaving =
-      sight.report && sight.report->incarnation == incarnation && sight.report->isLeaving;
-  return isListedLeaving || isReportedLeaving || sight.leavingIncarnations.count(incarnation) != 0;
+bool RunnerWatch::isLeaving (const RunnerSight& sight, base::Incarnation incarnation)
+{
+    const bool isListedLeaving =
+        sight.listed && sight.listed->state == engine::MachineState::kLeaving;
+    const bool isReportedLeaving =
+        sight.report && sight.report->incarnation == incarnation && sight.report->isLeaving;
+    return isListedLeaving || isReportedLeaving
+           || sight.leavingIncarnations.count (incarnation) != 0;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/TestCellTest.cpp
+++ b/src/controller/TestCellTest.cpp
@@ -4,330 +4,418 @@
 
 #include "controller/TestCell.h"
 
-namespace fernlift::controller::test {
-namespace {
-
-constexpr base::Duration kStep = base::milliseconds(5);
-constexpr base::Duration kNetworkDelay = base::milliseconds(1);
-constexpr base::Duration kDiskDelay = base::milliseconds(1);
-constexpr base::Duration kLostAfter = base::milliseconds(300);
+namespace fernlift::controller::test
+{
+namespace
+{
+
+constexpr base::Duration kStep = base::milliseconds (5);
+constexpr base::Duration kNetworkDelay = base::milliseconds (1);
+constexpr base::Duration kDiskDelay = base::milliseconds (1);
+constexpr base::Duration kLostAfter = base::milliseconds (300);
 constexpr base::UnixMilliseconds kUnixOrigin = 1'800'000'000'000;
 
 }  // namespace
 
 // TestCell
 
-TestCell::TestCell(Options options) : options_(std::move(options)) {
-  consensus::MemberSet members;
-  for (std::size_t number = 1; number <= options_.controllers; ++number) {
-    consensus::Member member;
-    member.id = number;
-    member.peerAddress = "c" + std::to_string(number) + ":1";
-    member.adminAddress = "c" + std::to_string(number) + ":2";
-    member.zone = "z1";
-    members.members.push_back(member);
-  }
-  for (const consensus::Member& member : members.members) {
-    Node& created = nodes_[member.id];
-    created.id = member.id;
-    created.disk.state.initialMembers = members;
-    start(created);
-  }
-  for (const engine::Machine& machine : options_.machines) {
-    engines_[machine.runner] = std::make_unique<TestEngine>(machine);
-  }
-  for (std::size_t number = 0; number < options_.routers; ++number) {
-    routers_.push_back(std::make_unique<TestRouter>());
-    routers_.back()->id = base::RouterId("router" + std::to_string(number));
-  }
+TestCell::TestCell (Options options) : options_ (std::move (options))
+{
+    consensus::MemberSet members;
+    for (std::size_t number = 1; number <= options_.controllers; ++number)
+    {
+        consensus::Member member;
+        member.id = number;
+        member.peerAddress = "c" + std::to_string (number) + ":1";
+        member.adminAddress = "c" + std::to_string (number) + ":2";
+        member.zone = "z1";
+        members.members.push_back (member);
+    }
+    for (const consensus::Member& member : members.members)
+    {
+        Node& created = nodes_[member.id];
+        created.id = member.id;
+        created.disk.state.initialMembers = members;
+        start (created);
+    }
+    for (const engine::Machine& machine : options_.machines)
+    {
+        engines_[machine.runner] = std::make_unique<TestEngine> (machine);
+    }
+    for (std::size_t number = 0; number < options_.routers; ++number)
+    {
+        routers_.push_back (std::make_unique<TestRouter>());
+        routers_.back()->id = base::RouterId ("router" + std::to_string (number));
+    }
 }
 
 TestCell::~TestCell() = default;
 
-base::UnixMilliseconds TestCell::unixNow() const {
-  return kUnixOrigin + base::toMilliseconds(now_.time_since_epoch());
+base::UnixMilliseconds TestCell::unixNow() const
+{
+    return kUnixOrigin + base::toMilliseconds (now_.time_since_epoch());
 }
 
-void TestCell::start(Node& node) {
-  ++node.generation;
-  node.core = std::make_unique<ControllerCore>(node.id, options_.controller, node.disk.state,
-                                               options_.seed + node.id, now_, unixNow());
-  carryOut(node);
+void TestCell::start (Node& node)
+{
+    ++node.generation;
+    node.core = std::make_unique<ControllerCore> (node.id, options_.controller, node.disk.state,
+                                                  options_.seed + node.id, now_, unixNow());
+    carryOut (node);
 }
 
-void TestCell::schedule(base::Duration delay, std::function<void()> action) {
-  events_.push(Event{now_ + delay, nextSequence_++, std::move(action)});
+void TestCell::schedule (base::Duration delay, std::function<void()> action)
+{
+    events_.push (Event{ now_ + delay, nextSequence_++, std::move (action) });
 }
 
-void TestCell::step() {
-  const base::TimePoint end = now_ + kStep;
-  while (!events_.empty() && events_.top().at <= end) {
-    const Event event = events_.top();
-    events_.pop();
-    now_ = std::max(now_, event.at);
-    event.action();
-  }
-  now_ = end;
-  for (auto& [runner, engine] : engines_) engine->advance(now_);
-  for (auto& [member, entry] : nodes_) {
-    if (entry.isFrozen) continue;
-    with(member, [](ControllerCore& core) { core.onTick(); });
-  }
-  for (auto& router : routers_) tickRouter(*router);
-  if (onStep) onStep();
+void TestCell::step()
+{
+    const base::TimePoint end = now_ + kStep;
+    while (! events_.empty() && events_.top().at <= end)
+    {
+        const Event event = events_.top();
+        events_.pop();
+        now_ = std::max (now_, event.at);
+        event.action();
+    }
+    now_ = end;
+    for (auto& [runner, engine] : engines_)
+        engine->advance (now_);
+    for (auto& [member, entry] : nodes_)
+    {
+        if (entry.isFrozen)
+            continue;
+        with (member, [] (ControllerCore& core) { core.onTick(); });
+    }
+    for (auto& router : routers_)
+        tickRouter (*router);
+    if (onStep)
+        onStep();
+}
+
+void TestCell::run (base::Duration duration)
+{
+    const base::TimePoint end = now_ + duration;
+    while (now_ < end)
+        step();
+}
+
+bool TestCell::runUntil (const std::function<bool()>& condition, base::Duration limit)
+{
+    const base::TimePoint end = now_ + limit;
+    while (! condition())
+    {
+        if (now_ >= end)
+            return false;
+        step();
+    }
+    return true;
+}
+
+base::MemberId TestCell::leader() const
+{
+    base::MemberId leader = 0;
+    base::Term term = 0;
+    for (const auto& [member, node] : nodes_)
+    {
+        if (! node.core || isOff (member))
+            continue;
+        const consensus::RaftStatus status = node.core->raftStatus();
+        if (status.role != consensus::Role::kLeader || status.term < term)
+            continue;
+        leader = member;
+        term = status.term;
+    }
+    return leader;
+}
+
+bool TestCell::awaitLeader()
+{
+    return runUntil (
+        [&]
+        {
+            const base::MemberId member = leader();
+            return member != 0
+                   && nodes_.at (member).core->metricsText().find ("fernlift_controller_leading 1")
+                          != std::string::npos;
+        },
+        base::seconds (10));
+}
+
+void TestCell::kill (base::MemberId member)
+{
+    node (member).core.reset();
+    ++node (member).generation;
+    for (auto& router : routers_)
+    {
+        if (router->connectedTo == member)
+            router->connectedTo.reset();
+    }
 }
 
-void TestCell::run(base::Duration duration) {
-  const base::TimePoint end = now_ + duration;
-  while (now_ < end) step();
-}
+void TestCell::restart (base::MemberId member) { start (node (member)); }
 
-bool TestCell::runUntil(const std::function<bool()>& condition, base::Duration limit) {
-  const base::TimePoint end = now_ + limit;
-  while (!condition()) {
-    if (now_ >= end) return false;
-    step();
-  }
-  return true;
+bool TestCell::isOff (base::MemberId member) const
+{
+    const Node& node = nodes_.at (member);
+    return node.isCut || node.isIsolated || node.isFrozen;
 }
 
-base::MemberId TestCell::leader() const {
-  base::MemberId leader = 0;
-  base::Term term = 0;
-  for (const auto& [member, node] : nodes_) {
-    if (!node.core || isOff(member)) continue;
-    const consensus::RaftStatus status = node.core->raftStatus();
-    if (status.role != consensus::Role::kLeader || status.term < term) continue;
-    leader = member;
-    term = status.term;
-  }
-  return leader;
+void TestCell::isolate (base::MemberId member, bool isIsolated)
+{
+    node (member).isIsolated = isIsolated;
 }
 
-bool TestCell::awaitLeader() {
-  return runUntil(
-      [&] {
-        const base::MemberId member = leader();
-        return member != 0 && nodes_.at(member).core->metricsText().find(
-                                  "fernlift_controller_leading 1") != std::string::npos;
-      },
-      base::seconds(10));
-}
+void TestCell::freeze (base::MemberId member, bool isFrozen) { node (member).isFrozen = isFrozen; }
 
-void TestCell::kill(base::MemberId member) {
-  node(member).core.reset();
-  ++node(member).generation;
-  for (auto& router : routers_) {
-    if (router->connectedTo == member) router->connectedTo.reset();
-  }
-}
+void TestCell::cut (base::MemberId member, bool isCut) { node (member).isCut = isCut; }
 
-void TestCell::restart(base::MemberId member) { start(node(member)); }
+bool TestCell::isAlive (base::MemberId member) const { return nodes_.at (member).core != nullptr; }
 
-bool TestCell::isOff(base::MemberId member) const {
-  const Node& node = nodes_.at(member);
-  return node.isCut || node.isIsolated || node.isFrozen;
-}
+ControllerCore& TestCell::core (base::MemberId member) { return *node (member).core; }
 
-void TestCell::isolate(base::MemberId member, bool isIsolated) {
-  node(member).isIsolated = isIsolated;
+void TestCell::with (base::MemberId member, const std::function<void (ControllerCore&)>& input)
+{
+    Node& target = node (member);
+    if (! target.core)
+        return;
+    target.core->setTime (now_, unixNow());
+    input (*target.core);
+    carryOut (target);
 }
 
-void TestCell::freeze(base::MemberId member, bool isFrozen) { node(member).isFrozen = isFrozen; }
-
-void TestCell::cut(base::MemberId member, bool isCut) { node(member).isCut = isCut; }
-
-bool TestCell::isAlive(base::MemberId member) const { return nodes_.at(member).core != nullptr; }
-
-ControllerCore& TestCell::core(base::MemberId member) { return *node(member).core; }
-
-void TestCell::with(base::MemberId member, const std::function<void(ControllerCore&)>& input) {
-  Node& target = node(member);
-  if (!target.core) return;
-  target.core->setTime(now_, unixNow());
-  input(*target.core);
-  carryOut(target);
+void TestCell::later (base::MemberId member, base::Duration delay,
+                      std::function<void (ControllerCore&)> input)
+{
+    const std::uint64_t generation = node (member).generation;
+    schedule (delay,
+              [this, member, generation, input = std::move (input)]
+              {
+                  if (node (member).generation == generation)
+                      with (member, input);
+              });
 }
 
-void TestCell::later(base::MemberId member, base::Duration delay,
-                     std::function<void(ControllerCore&)> input) {
-  const std::uint64_t generation = node(member).generation;
-  schedule(delay, [this, member, generation, input = std::move(input)] {
-    if (node(member).generation == generation) with(member, input);
-  });
-}
+void TestCell::carryOut (Node& node)
+{
+    for (Effect& effect : node.core->takeEffects())
+    {
+        std::visit ([&] (auto& value) { carryOut (node, std::move (value)); }, effect);
+    }
+}
 
-void TestCell::carryOut(Node& node) {
-  for (Effect& effect : node.core->takeEffects()) {
-    std::visit([&](auto& value) { carryOut(node, std::move(value)); }, effect);
-  }
-}
-
-void TestCell::carryOut(Node& node, PersistEffect effect) {
-  const std::uint64_t sequence = effect.request.sequence;
-  const base::MemberId member = node.id;
-  const std::uint64_t generation = node.generation;
-  schedule(kDiskDelay, [this, member, generation, sequence, request = std::move(effect.request)] {
-    Node& written = this->node(member);
-    if (written.generation != generation) return;
-    consensus::RecoveredState& disk = written.disk.state;
-    if (request.hardState) disk.hardState = *request.hardState;
-    if (request.truncateFrom) {
-      std::erase_if(disk.entries,
-                    [&](const auto& entry) { return entry.index >= *request.truncateFrom; });
+void TestCell::carryOut (Node& node, PersistEffect effect)
+{
+    const std::uint64_t sequence = effect.request.sequence;
+    const base::MemberId member = node.id;
+    const std::uint64_t generation = node.generation;
+    schedule (kDiskDelay,
+              [this, member, generation, sequence, request = std::move (effect.request)]
+              {
+                  Node& written = this->node (member);
+                  if (written.generation != generation)
+                      return;
+                  consensus::RecoveredState& disk = written.disk.state;
+                  if (request.hardState)
+                      disk.hardState = *request.hardState;
+                  if (request.truncateFrom)
+                  {
+                      std::erase_if (disk.entries, [&] (const auto& entry)
+                                     { return entry.index >= *request.truncateFrom; });
+                  }
+                  disk.entries.insert (disk.entries.end(), request.entries.begin(),
+                                       request.entries.end());
+                  if (request.snapshot)
+                  {
+                      disk.snapshot = *request.snapshot;
+                      std::erase_if (disk.entries, [&] (const auto& entry)
+                                     { return entry.index <= disk.snapshot.lastIndex; });
+                  }
+                  with (member, [&] (ControllerCore& core) { core.onPersisted (sequence); });
+              });
+}
+
+void TestCell::carryOut (Node& node, SendToMember effect)
+{
+    const base::MemberId from = node.id;
+    schedule (kNetworkDelay,
+              [this, from, effect = std::move (effect)]
+              {
+                  const base::MemberId to = effect.message.to;
+                  // A member of an earlier configuration, or one that a test never starts.
+                  if (nodes_.count (to) == 0)
+                      return;
+                  if (isOff (from) || isOff (to))
+                      return;
+                  with (to, [&] (ControllerCore& core) { core.onMemberMessage (effect.message); });
+              });
+}
+
+void TestCell::carryOut (Node& node, SendToRouter effect)
+{
+    const base::MemberId from = node.id;
+    schedule (kNetworkDelay,
+              [this, from, effect = std::move (effect)]
+              {
+                  for (auto& router : routers_)
+                  {
+                      const bool isConnected =
+                          router->connection == effect.connection && router->connectedTo == from;
+                      if (isConnected && ! router->isCut && ! this->node (from).isCut)
+                      {
+                          onMessage (*router, effect.message);
+                      }
+                  }
+              });
+}
+
+void TestCell::carryOut (Node& node, SendOrder effect)
+{
+    if (holdsOrdersOf == node.id)
+    {
+        heldOrders.emplace_back (effect.runner, effect.order);
+        later (node.id, kLostAfter,
+               [runner = effect.runner, order = effect.order] (auto& core)
+               { core.onOrderFailed (runner, order); });
+        return;
     }
-    disk.entries.insert(disk.entries.end(), request.entries.begin(), request.entries.end());
-    if (request.snapshot) {
-      disk.snapshot = *request.snapshot;
-      std::erase_if(disk.entries,
-                    [&](const auto& entry) { return entry.index <= disk.snapshot.lastIndex; });
+    const base::MemberId member = node.id;
+    schedule (kNetworkDelay,
+              [this, member, effect = std::move (effect)]
+              {
+                  TestEngine* engine = findEngine (effect.runner);
+                  if (engine == nullptr || ! engine->isAlive || this->node (member).isCut)
+                  {
+                      later (member, kLostAfter,
+                             [effect] (ControllerCore& core)
+                             { core.onOrderFailed (effect.runner, effect.order); });
+                      return;
+                  }
+                  ++ordersDelivered;
+                  const engine::OrderAnswer answer = engine->take (effect.order, now_);
+                  later (member, kNetworkDelay,
+                         [effect, answer] (ControllerCore& core)
+                         { core.onOrderAnswer (effect.runner, effect.order, answer); });
+              });
+}
+
+void TestCell::carryOut (Node& node, PollRunner effect)
+{
+    const base::MemberId member = node.id;
+    TestEngine* engine = findEngine (effect.runner);
+    if (engine == nullptr || ! engine->isAlive || node.isCut)
+    {
+        later (member, kLostAfter,
+               [effect] (ControllerCore& core) { core.onReportFailed (effect.runner); });
+        return;
     }
-    with(member, [&](ControllerCore& core) { core.onPersisted(sequence); });
-  });
-}
-
-void TestCell::carryOut(Node& node, SendToMember effect) {
-  const base::MemberId from = node.id;
-  schedule(kNetworkDelay, [this, from, effect = std::move(effect)] {
-    const base::MemberId to = effect.message.to;
-    // A member of an earlier configuration, or one that a test never starts.
-    if (nodes_.count(to) == 0) return;
-    if (isOff(from) || isOff(to)) return;
-    with(to, [&](ControllerCore& core) { core.onMemberMessage(effect.message); });
-  });
-}
-
-void TestCell::carryOut(Node& node, SendToRouter effect) {
-  const base::MemberId from = node.id;
-  schedule(kNetworkDelay, [this, from, effect = std::move(effect)] {
-    for (auto& router : routers_) {
-      const bool isConnected =
-          router->connection == effect.connection && router->connectedTo == from;
-      if (isConnected && !router->isCut && !this->node(from).isCut) {
-        onMessage(*router, effect.message);
-      }
+    later (member, kNetworkDelay,
+           [effect = std::move (effect), report = engine->report()] (ControllerCore& core)
+           { core.onReport (effect.runner, report); });
+}
+
+void TestCell::carryOut (Node& node, PollMachineList /*effect*/)
+{
+    engine::MachineList list;
+    for (const auto& [runner, engine] : engines_)
+    {
+        if (unlisted.count (runner) == 0)
+            list.machines.push_back (engine->machine());
     }
-  });
-}
-
-void TestCell::carryOut(Node& node, SendOrder effect) {
-  if (holdsOrdersOf == node.id) {
-    heldOrders.emplace_back(effect.runner, effect.order);
-    later(node.id, kLostAfter, [runner = effect.runner, order = effect.order](auto& core) {
-      core.onOrderFailed(runner, order);
-    });
-    return;
-  }
-  const base::MemberId member = node.id;
-  schedule(kNetworkDelay, [this, member, effect = std::move(effect)] {
-    TestEngine* engine = findEngine(effect.runner);
-    if (engine == nullptr || !engine->isAlive || this->node(member).isCut) {
-      later(member, kLostAfter,
-            [effect](ControllerCore& core) { core.onOrderFailed(effect.runner, effect.order); });
-      return;
+    if (node.isCut)
+    {
+        later (node.id, kLostAfter, [] (ControllerCore& core) { core.onMachineListFailed(); });
+        return;
     }
-    ++ordersDelivered;
-    const engine::OrderAnswer answer = engine->take(effect.order, now_);
-    later(member, kNetworkDelay, [effect, answer](ControllerCore& core) {
-      core.onOrderAnswer(effect.runner, effect.order, answer);
-    });
-  });
-}
-
-void TestCell::carryOut(Node& node, PollRunner effect) {
-  const base::MemberId member = node.id;
-  TestEngine* engine = findEngine(effect.runner);
-  if (engine == nullptr || !engine->isAlive || node.isCut) {
-    later(member, kLostAfter,
-          [effect](ControllerCore& core) { core.onReportFailed(effect.runner); });
-    return;
-  }
-  later(member, kNetworkDelay,
-        [effect = std::move(effect), report = engine->report()](ControllerCore& core) {
-          core.onReport(effect.runner, report);
-        });
-}
-
-void TestCell::carryOut(Node& node, PollMachineList /*effect*/) {
-  engine::MachineList list;
-  for (const auto& [runner, engine] : engines_) {
-    if (unlisted.count(runner) == 0) list.machines.push_back(engine->machine());
-  }
-  if (node.isCut) {
-    later(node.id, kLostAfter, [](ControllerCore& core) { core.onMachineListFailed(); });
-    return;
-  }
-  later(node.id, kNetworkDelay, [list](ControllerCore& core) { core.onMachineList(list); });
+    later (node.id, kNetworkDelay, [list] (ControllerCore& core) { core.onMachineList (list); });
 }
 
-void TestCell::carryOut(Node& /*node*/, AnswerAdmin effect) {
-  answers_[effect.ticket] = std::move(effect);
+void TestCell::carryOut (Node& /*node*/, AnswerAdmin effect)
+{
+    answers_[effect.ticket] = std::move (effect);
 }
 
-std::optional<AnswerAdmin> TestCell::ask(base::MemberId member, AdminRequest request,
-                                         base::Duration limit) {
-  const AdminTicket ticket = nextTicket_++;
-  with(member, [&](ControllerCore& core) { core.onAdmin(ticket, request); });
-  runUntil([&] { return answers_.count(ticket) != 0; }, limit);
-  const auto found = answers_.find(ticket);
-  return found == answers_.end() ? std::nullopt : std::optional(found->second);
+std::optional<AnswerAdmin> TestCell::ask (base::MemberId member, AdminRequest request,
+                                          base::Duration limit)
+{
+    const AdminTicket ticket = nextTicket_++;
+    with (member, [&] (ControllerCore& core) { core.onAdmin (ticket, request); });
+    runUntil ([&] { return answers_.count (ticket) != 0; }, limit);
+    const auto found = answers_.find (ticket);
+    return found == answers_.end() ? std::nullopt : std::optional (found->second);
 }
 
-std::optional<ControlAnswer> TestCell::askControl(base::MemberId member, ControlRequest request,
-                                                  base::Duration limit) {
-  const ControlTicket ticket = nextTicket_++;
-  with(member, [&](ControllerCore& core) { core.onControl(ticket, request); });
-  runUntil([&] { return controlAnswers_.count(ticket) != 0; }, limit);
-  const auto found = controlAnswers_.find(ticket);
-  return found == controlAnswers_.end() ? std::nullopt : std::optional(found->second);
+std::optional<ControlAnswer> TestCell::askControl (base::MemberId member, ControlRequest request,
+                                                   base::Duration limit)
+{
+    const ControlTicket ticket = nextTicket_++;
+    with (member, [&] (ControllerCore& core) { core.onControl (ticket, request); });
+    runUntil ([&] { return controlAnswers_.count (ticket) != 0; }, limit);
+    const auto found = controlAnswers_.find (ticket);
+    return found == controlAnswers_.end() ? std::nullopt : std::optional (found->second);
 }
 
-void TestCell::carryOut(Node& /*node*/, AnswerControl effect) {
-  controlAnswers_[effect.ticket] = std::move(effect.answer);
+void TestCell::carryOut (Node& /*node*/, AnswerControl effect)
+{
+    controlAnswers_[effect.ticket] = std::move (effect.answer);
 }
 
-void TestCell::carryOut(Node& node, placement::SendEngineOrder effect) {
-  const base::MemberId from = node.id;
-  schedule(kNetworkDelay, [this, from, order = std::move(effect.order)] {
-    engineOrders.push_back({from, now_, order});
-    const auto report = engineReports.find(order.instance);
-    if (report != engineReports.end()) ++report->second.sequence;
-    later(from, kNetworkDelay, [order](ControllerCore& core) {
-      core.onEngineOrderAnswer(order, engine::OrderOutcome::kUnderWay);
-    });
-  });
+void TestCell::carryOut (Node& node, placement::SendEngineOrder effect)
+{
+    const base::MemberId from = node.id;
+    schedule (kNetworkDelay,
+              [this, from, order = std::move (effect.order)]
+              {
+                  engineOrders.push_back ({ from, now_, order });
+                  const auto report = engineReports.find (order.instance);
+                  if (report != engineReports.end())
+                      ++report->second.sequence;
+                  later (from, kNetworkDelay,
+                         [order] (ControllerCore& core)
+                         { core.onEngineOrderAnswer (order, engine::OrderOutcome::kUnderWay); });
+              });
 }
 
-void TestCell::carryOut(Node& node, placement::PollEngine effect) {
-  later(node.id, 2 * kNetworkDelay, [this, id = effect.instance](ControllerCore& core) {
-    const auto report = engineReports.find(id);
-    core.onEngineReport(id, report == engineReports.end() ? nullptr : &report->second);
-  });
+void TestCell::carryOut (Node& node, placement::PollEngine effect)
+{
+    later (node.id, 2 * kNetworkDelay,
+           [this, id = effect.instance] (ControllerCore& core)
+           {
+               const auto report = engineReports.find (id);
+               core.onEngineReport (id, report == engineReports.end() ? nullptr : &report->second);
+           });
 }
 
-int TestCell::apply(const std::string& text, bool waitInForce) {
-  const auto answer = ask(leader(), AdminApply{text, waitInForce, base::seconds(10)});
-  return answer ? answer->httpStatus : 0;
+int TestCell::apply (const std::string& text, bool waitInForce)
+{
+    const auto answer = ask (leader(), AdminApply{ text, waitInForce, base::seconds (10) });
+    return answer ? answer->httpStatus : 0;
 }
 
-TestEngine& TestCell::engine(const std::string& runner) {
-  return *engines_.at(base::RunnerId(runner));
+TestEngine& TestCell::engine (const std::string& runner)
+{
+    return *engines_.at (base::RunnerId (runner));
 }
 
-TestEngine* TestCell::findEngine(const base::RunnerId& runner) {
-  const auto found = engines_.find(runner);
-  return found == engines_.end() ? nullptr : found->second.get();
+TestEngine* TestCell::findEngine (const base::RunnerId& runner)
+{
+    const auto found = engines_.find (runner);
+    return found == engines_.end() ? nullptr : found->second.get();
 }
 
-std::uint32_t TestCell::held(const std::string& target) const {
-  std::uint32_t held = 0;
-  for (const auto& [runner, engine] : engines_) held += engine->holds(target);
-  return held;
+std::uint32_t TestCell::held (const std::string& target) const
+{
+    std::uint32_t held = 0;
+    for (const auto& [runner, engine] : engines_)
+        held += engine->holds (target);
+    return held;
 }
 
-bool TestCell::isReadySomewhere(const std::string& target) const {
-  return std::any_of(engines_.begin(), engines_.end(),
-                     [&](const auto& entry) { return entry.second->isReady(target); });
+bool TestCell::isReadySomewhere (const std::string& target) const
+{
+    return std::any_of (engines_.begin(), engines_.end(),
+                        [&] (const auto& entry) { return entry.second->isReady (target); });
 }
 
 }  // namespace fernlift::controller::test
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -4,152 +4,202 @@
 
 #include "controller/TestCell.h"
 
-namespace fernlift::controller::test {
-namespace {
+namespace fernlift::controller::test
+{
+namespace
+{
 
-constexpr base::Duration kNetworkDelay = base::milliseconds(1);
+constexpr base::Duration kNetworkDelay = base::milliseconds (1);
 
 }  // namespace
 
-bool TestRouter::knows(const std::string& target) const {
-  return std::any_of(table.begin(), table.end(),
-                     [&](const auto& entry) { return entry.first.second == target; });
+bool TestRouter::knows (const std::string& target) const
+{
+    return std::any_of (table.begin(), table.end(),
+                        [&] (const auto& entry) { return entry.first.second == target; });
 }
 
-void TestCell::setDemand(std::size_t number, const std::string& target, std::uint32_t waiting,
-                         std::uint32_t running, int urgency) {
-  cell::Demand demand;
-  demand.target = target;
-  demand.waiting = waiting;
-  demand.running = running;
-  demand.mostUrgent = urgency;
-  TestRouter& router = *routers_[number];
-  router.demands[target] = demand;
-  toController(router, cell::DemandReport{{demand}});
+void TestCell::setDemand (std::size_t number, const std::string& target, std::uint32_t waiting,
+                          std::uint32_t running, int urgency)
+{
+    cell::Demand demand;
+    demand.target = target;
+    demand.waiting = waiting;
+    demand.running = running;
+    demand.mostUrgent = urgency;
+    TestRouter& router = *routers_[number];
+    router.demands[target] = demand;
+    toController (router, cell::DemandReport{ { demand } });
 }
 
-void TestCell::claim(std::size_t router, std::uint64_t sequence, std::vector<cell::Claim> claims) {
-  toController(*routers_[router], cell::ClaimRequest{sequence, std::move(claims)});
+void TestCell::claim (std::size_t router, std::uint64_t sequence, std::vector<cell::Claim> claims)
+{
+    toController (*routers_[router], cell::ClaimRequest{ sequence, std::move (claims) });
 }
 
-void TestCell::sendFromRouter(std::size_t router, const cell::RouterToController& message) {
-  toController(*routers_[router], message);
+void TestCell::sendFromRouter (std::size_t router, const cell::RouterToController& message)
+{
+    toController (*routers_[router], message);
 }
 
-void TestCell::reconnect(std::size_t router, base::MemberId member) {
-  connect(*routers_[router], member);
+void TestCell::reconnect (std::size_t router, base::MemberId member)
+{
+    connect (*routers_[router], member);
 }
 
-void TestCell::tickRouter(TestRouter& router) {
-  if (router.isCut) return;
-  if (!router.connectedTo) {
-    for (auto& [member, node] : nodes_) {
-      if (node.core && !node.isCut) {
-        connect(router, member);
-        break;
-      }
+void TestCell::tickRouter (TestRouter& router)
+{
+    if (router.isCut)
+        return;
+    if (! router.connectedTo)
+    {
+        for (auto& [member, node] : nodes_)
+        {
+            if (node.core && ! node.isCut)
+            {
+                connect (router, member);
+                break;
+            }
+        }
+        return;
     }
-    return;
-  }
-  if (now_ < router.nextLeaseAt) return;
-  router.nextLeaseAt = now_ + base::milliseconds(600);
-  cell::LeaseRequest request;
-  request.sequence = ++router.leaseSequence;
-  request.configurationVersion = router.configurationVersion;
-  request.configurationDigest = router.configurationDigest;
-  request.replicaTableVersion = router.tableVersion;
-  router.leaseSentAt[request.sequence] = now_;
-  toController(router, request);
-  cell::DemandReport report;
-  for (const auto& [target, demand] : router.demands) report.demands.push_back(demand);
-  if (!report.demands.empty()) toController(router, report);
+    if (now_ < router.nextLeaseAt)
+        return;
+    router.nextLeaseAt = now_ + base::milliseconds (600);
+    cell::LeaseRequest request;
+    request.sequence = ++router.leaseSequence;
+    request.configurationVersion = router.configurationVersion;
+    request.configurationDigest = router.configurationDigest;
+    request.replicaTableVersion = router.tableVersion;
+    router.leaseSentAt[request.sequence] = now_;
+    toController (router, request);
+    cell::DemandReport report;
+    for (const auto& [target, demand] : router.demands)
+        report.demands.push_back (demand);
+    if (! report.demands.empty())
+        toController (router, report);
 }
 
-void TestCell::connect(TestRouter& router, base::MemberId member) {
-  if (router.connectedTo) {
-    const RouterConnection old = router.connection;
-    with(*router.connectedTo, [&](ControllerCore& core) { core.onRouterGone(old); });
-  }
-  router.connectedTo = member;
-  router.connection = nextConnection_++;
-  router.tableVersion = 0;
-  router.table.clear();
-  router.nextLeaseAt = now_;
-  cell::RouterHello hello;
-  hello.router = router.id;
-  hello.cell = options_.controller.cell;
-  hello.configurationVersion = router.configurationVersion;
-  hello.configurationDigest = router.configurationDigest;
-  toController(router, hello);
+void TestCell::connect (TestRouter& router, base::MemberId member)
+{
+    if (router.connectedTo)
+    {
+        const RouterConnection old = router.connection;
+        with (*router.connectedTo, [&] (ControllerCore& core) { core.onRouterGone (old); });
+    }
+    router.connectedTo = member;
+    router.connection = nextConnection_++;
+    router.tableVersion = 0;
+    router.table.clear();
+    router.nextLeaseAt = now_;
+    cell::RouterHello hello;
+    hello.router = router.id;
+    hello.cell = options_.controller.cell;
+    hello.configurationVersion = router.configurationVersion;
+    hello.configurationDigest = router.configurationDigest;
+    toController (router, hello);
 }
 
-void TestCell::toController(TestRouter& router, cell::RouterToController message) {
-  if (!router.connectedTo) return;
-  const base::MemberId member = *router.connectedTo;
-  if (!node(member).core) {
-    router.connectedTo.reset();
-    return;
-  }
-  const RouterConnection connection = router.connection;
-  schedule(kNetworkDelay, [this, &router, member, connection, message = std::move(message)] {
-    if (router.isCut || node(member).isCut || router.connection != connection) return;
-    with(member, [&](ControllerCore& core) { core.onRouterMessage(connection, message); });
-  });
+void TestCell::toController (TestRouter& router, cell::RouterToController message)
+{
+    if (! router.connectedTo)
+        return;
+    const base::MemberId member = *router.connectedTo;
+    if (! node (member).core)
+    {
+        router.connectedTo.reset();
+        return;
+    }
+    const RouterConnection connection = router.connection;
+    schedule (kNetworkDelay,
+              [this, &router, member, connection, message = std::move (message)]
+              {
+                  if (router.isCut || node (member).isCut || router.connection != connection)
+                      return;
+                  with (member,
+                        [&] (ControllerCore& core) { core.onRouterMessage (connection, message); });
+              });
 }
 
-base::MemberId TestCell::memberAt(const std::string& address) const {
-  for (const auto& [member, node] : nodes_) {
-    if (address == "c" + std::to_string(member) + ":1") return member;
-  }
-  return 0;
+base::MemberId TestCell::memberAt (const std::string& address) const
+{
+    for (const auto& [member, node] : nodes_)
+    {
+        if (address == "c" + std::to_string (member) + ":1")
+            return member;
+    }
+    return 0;
 }
 
-void TestCell::onMessage(TestRouter& router, const cell::ControllerToRouter& message) {
-  if (const auto* reply = std::get_if<cell::NotLeaderReply>(&message)) {
-    const base::MemberId member = memberAt(reply->leaderAddress);
-    const base::MemberId next =
-        member != 0 ? member : *router.connectedTo % options_.controllers + 1;
-    schedule(base::milliseconds(20), [this, &router, next] { connect(router, next); });
-  } else if (const auto* update = std::get_if<cell::ConfigurationUpdate>(&message)) {
-    if (update->version < router.configurationVersion) {
-      ++router.regressions;
-      return;
+void TestCell::onMessage (TestRouter& router, const cell::ControllerToRouter& message)
+{
+    if (const auto* reply = std::get_if<cell::NotLeaderReply> (&message))
+    {
+        const base::MemberId member = memberAt (reply->leaderAddress);
+        const base::MemberId next =
+            member != 0 ? member : *router.connectedTo % options_.controllers + 1;
+        schedule (base::milliseconds (20), [this, &router, next] { connect (router, next); });
+    }
+    else if (const auto* update = std::get_if<cell::ConfigurationUpdate> (&message))
+    {
+        if (update->version < router.configurationVersion)
+        {
+            ++router.regressions;
+            return;
+        }
+        router.configurationVersion = update->version;
+        router.configurationDigest = update->digest;
+    }
+    else if (const auto* grant = std::get_if<cell::LeaseGrant> (&message))
+    {
+        const bool isForMine = grant->configurationVersion == router.configurationVersion
+                               && grant->configurationDigest == router.configurationDigest;
+        if (! isForMine)
+            return;
+        const base::TimePoint sentAt = router.leaseSentAt[grant->sequence];
+        router.leaseUntil =
+            std::max (router.leaseUntil, sentAt + base::milliseconds (grant->durationMilliseconds));
     }
-    router.configurationVersion = update->version;
-    router.configurationDigest = update->digest;
-  } else if (const auto* grant = std::get_if<cell::LeaseGrant>(&message)) {
-    const bool isForMine = grant->configurationVersion == router.configurationVersion &&
-                           grant->configurationDigest == router.configurationDigest;
-    if (!isForMine) return;
-    const base::TimePoint sentAt = router.leaseSentAt[grant->sequence];
-    router.leaseUntil =
-        std::max(router.leaseUntil, sentAt + base::milliseconds(grant->durationMilliseconds));
-  } else if (const auto* table = std::get_if<cell::ReplicaUpdate>(&message)) {
-    onUpdate(router, *table);
-  } else if (const auto* claims = std::get_if<cell::ClaimReply>(&message)) {
-    router.claimReplies.push_back(*claims);
-  } else if (const auto* instances = std::get_if<cell::InstanceUpdate>(&message)) {
-    if (instances->fromVersion == 0) router.instances.clear();
-    for (const std::string& id : instances->removals) router.instances.erase(id);
-    for (const cell::RoutableInstance& row : instances->upserts) {
-      router.instances[row.instance.id] = row;
+    else if (const auto* table = std::get_if<cell::ReplicaUpdate> (&message))
+    {
+        onUpdate (router, *table);
+    }
+    else if (const auto* claims = std::get_if<cell::ClaimReply> (&message))
+    {
+        router.claimReplies.push_back (*claims);
+    }
+    else if (const auto* instances = std::get_if<cell::InstanceUpdate> (&message))
+    {
+        if (instances->fromVersion == 0)
+            router.instances.clear();
+        for (const std::string& id : instances->removals)
+            router.instances.erase (id);
+        for (const cell::RoutableInstance& row : instances->upserts)
+        {
+            router.instances[row.instance.id] = row;
+        }
     }
-  }
 }
 
-void TestCell::onUpdate(TestRouter& router, const cell::ReplicaUpdate& update) {
-  if (update.fromVersion == 0) router.table.clear();
-  if (update.fromVersion != 0 && update.fromVersion != router.tableVersion) return;
-  router.tableVersion = update.toVersion;
-  for (const cell::RoutableReplica& replica : update.removals) {
-    router.table.erase({replica.replica, replica.target});
-  }
-  for (const cell::RoutableReplica& replica : update.upserts) {
-    router.table[{replica.replica, replica.target}] = replica;
-  }
-  for (const cell::TargetEstimate& estimate : update.estimates) {
-    router.estimates[estimate.target] = estimate;
-  }
+void TestCell::onUpdate (TestRouter& router, const cell::ReplicaUpdate& update)
+{
+    if (update.fromVersion == 0)
+        router.table.clear();
+    if (update.fromVersion != 0 && update.fromVersion != router.tableVersion)
+        return;
+    router.tableVersion = update.toVersion;
+    for (const cell::RoutableReplica& replica : update.removals)
+    {
+        router.table.erase ({ replica.replica, replica.target });
+    }
+    for (const cell::RoutableReplica& replica : update.upserts)
+    {
+        router.table[{ replica.replica, replica.target }] = replica;
+    }
+    for (const cell::TargetEstimate& estimate : update.estimates)
+    {
+        router.estimates[estimate.target] = estimate;
+    }
 }
 
 }  // namespace fernlift::controller::test
--- a/src/ctl/Ctl.h
+++ b/src/ctl/Ctl.h
@@ -9,7 +9,8 @@
 
 #include "ctl/Command.h"
 
-namespace fernlift::ctl {
+namespace fernlift::ctl
+{
 
 [[nodiscard]] std::span<const Command> allCommands();
 /// Help text before the flags: one line for each command.
@@ -17,7 +18,7 @@
 
 /// Runs the command named by the first positional and returns the exit code. Results go to
 /// `output`; errors go to `errors`, or to `output` as an object {"error":...} with --output json.
-int runCommand(const CtlOptions& options, const std::vector<std::string>& positionals,
-               AdminTransport& transport, std::ostream& output, std::ostream& errors);
+int runCommand (const CtlOptions& options, const std::vector<std::string>& positionals,
+                AdminTransport& transport, std::ostream& output, std::ostream& errors);
 
 }  // namespace fernlift::ctl
--- a/src/ctl/HttpTransport.cpp
+++ b/src/ctl/HttpTransport.cpp
@@ -6,64 +6,77 @@
 #include <chrono>
 #include <optional>
 
-namespace fernlift::ctl {
-namespace {
+namespace fernlift::ctl
+{
+namespace
+{
 
-constexpr base::Duration kConnectTimeout = base::seconds(1);
+constexpr base::Duration kConnectTimeout = base::seconds (1);
 
-std::chrono::milliseconds toTimerInterval(base::Duration duration) {
-  return std::chrono::ceil<std::chrono::milliseconds>(std::max(duration, base::Duration::zero()));
+std::chrono::milliseconds toTimerInterval (base::Duration duration)
+{
+    return std::chrono::ceil<std::chrono::milliseconds> (
+        std::max (duration, base::Duration::zero()));
 }
 
-http::ClientRequest requestOf(const base::SocketAddress& address, const AdminCall& call,
-                              base::Duration timeout) {
-  http::ClientRequest request;
-  request.address = address;
-  request.method = call.method;
-  request.path = call.path;
-  request.body = call.body;
-  if (!call.body.empty()) request.headers.add("Content-Type", "application/octet-stream");
-  request.connectTimeout = std::min(timeout, kConnectTimeout);
-  request.headersTimeout = timeout;
-  request.idleTimeout = timeout;
-  request.needsFreshConnection = true;
-  return request;
+http::ClientRequest requestOf (const base::SocketAddress& address, const AdminCall& call,
+                               base::Duration timeout)
+{
+    http::ClientRequest request;
+    request.address = address;
+    request.method = call.method;
+    request.path = call.path;
+    request.body = call.body;
+    if (! call.body.empty())
+        request.headers.add ("Content-Type", "application/octet-stream");
+    request.connectTimeout = std::min (timeout, kConnectTimeout);
+    request.headersTimeout = timeout;
+    request.idleTimeout = timeout;
+    request.needsFreshConnection = true;
+    return request;
 }
 
 }  // namespace
 
-AdminCallOutcome HttpTransport::send(const base::SocketAddress& address, const AdminCall& call,
-                                     base::Duration timeout) {
-  std::optional<AdminCallOutcome> outcome;
-  QEventLoop loop;
-  const auto finish = [&](AdminCallOutcome result) {
-    outcome = std::move(result);
-    loop.quit();
-  };
-  const std::shared_ptr<http::Exchange> exchange = client_.fetch(
-      requestOf(address, call, timeout),
-      [&](const http::WholeResponse& response) {
-        finish(AdminReply{response.status, response.body});
-      },
-      [&](const http::ClientError& error) {
-        const bool mayHaveArrived = error.kind != http::ClientErrorKind::kNotSent;
-        finish(AdminCallFailure{mayHaveArrived, error.message});
-      });
-  QTimer::singleShot(toTimerInterval(timeout), &loop, [&] {
-    if (outcome) return;
-    exchange->cancel();
-    finish(AdminCallFailure{true, "no whole answer in time"});
-  });
-  loop.exec();
-  return *std::move(outcome);
+AdminCallOutcome HttpTransport::send (const base::SocketAddress& address, const AdminCall& call,
+                                      base::Duration timeout)
+{
+    std::optional<AdminCallOutcome> outcome;
+    QEventLoop loop;
+    const auto finish = [&] (AdminCallOutcome result)
+    {
+        outcome = std::move (result);
+        loop.quit();
+    };
+    const std::shared_ptr<http::Exchange> exchange = client_.fetch (
+        requestOf (address, call, timeout),
+        [&] (const http::WholeResponse& response) {
+            finish (AdminReply{ response.status, response.body });
+        },
+        [&] (const http::ClientError& error)
+        {
+            const bool mayHaveArrived = error.kind != http::ClientErrorKind::kNotSent;
+            finish (AdminCallFailure{ mayHaveArrived, error.message });
+        });
+    QTimer::singleShot (toTimerInterval (timeout), &loop,
+                        [&]
+                        {
+                            if (outcome)
+                                return;
+                            exchange->cancel();
+                            finish (AdminCallFailure{ true, "no whole answer in time" });
+                        });
+    loop.exec();
+    return *std::move (outcome);
 }
 
 base::TimePoint HttpTransport::now() { return clock_.now(); }
 
-void HttpTransport::pause(base::Duration duration) {
-  QEventLoop loop;
-  QTimer::singleShot(toTimerInterval(duration), &loop, [&] { loop.quit(); });
-  loop.exec();
+void HttpTransport::pause (base::Duration duration)
+{
+    QEventLoop loop;
+    QTimer::singleShot (toTimerInterval (duration), &loop, [&] { loop.quit(); });
+    loop.exec();
 }
 
 }  // namespace fernlift::ctl
--- a/src/ctl/HttpTransport.h
+++ b/src/ctl/HttpTransport.h
@@ -5,19 +5,21 @@
 #include "ctl/AdminTransport.h"
 #include "http/Client.h"
 
-namespace fernlift::ctl {
+namespace fernlift::ctl
+{
 
 /// Needs a QCoreApplication.
-class HttpTransport final : public AdminTransport {
- public:
-  AdminCallOutcome send(const base::SocketAddress& address, const AdminCall& call,
-                        base::Duration timeout) override;
-  [[nodiscard]] base::TimePoint now() override;
-  void pause(base::Duration duration) override;
+class HttpTransport final : public AdminTransport
+{
+public:
+    AdminCallOutcome send (const base::SocketAddress& address, const AdminCall& call,
+                           base::Duration timeout) override;
+    [[nodiscard]] base::TimePoint now() override;
+    void pause (base::Duration duration) override;
 
- private:
-  base::SystemClock clock_;
-  http::Client client_;
+private:
+    base::SystemClock clock_;
+    http::Client client_;
 };
 
 }  // namespace fernlift::ctl
--- a/src/ctl/HttpTransportTest.cpp
+++ b/src/ctl/HttpTransportTest.cpp
@@ -11,103 +11,120 @@
 #include "ctl/HttpTransport.h"
 #include "http/Server.h"
 
-namespace fernlift::ctl {
-namespace {
+namespace fernlift::ctl
+{
+namespace
+{
 
-constexpr base::Duration kGuard = base::seconds(20);
+constexpr base::Duration kGuard = base::seconds (20);
 
-class HttpTransportTest : public testing::Test {
- protected:
-  HttpTransportTest() : application_(argumentCount_, arguments_) {}
+class HttpTransportTest : public testing::Test
+{
+protected:
+    HttpTransportTest() : application_ (argumentCount_, arguments_) {}
 
-  static base::SocketAddress listen(http::Server& server, http::Handler handler) {
-    server.setHandler(std::move(handler));
-    return base::handleErrors([&] { return server.listen(test::addressAt(0)); },
-                              [](const base::Error& error) {
-                                ADD_FAILURE() << error.message;
-                                return base::SocketAddress();
-                              });
-  }
+    static base::SocketAddress listen (http::Server& server, http::Handler handler)
+    {
+        server.setHandler (std::move (handler));
+        return base::handleErrors ([&] { return server.listen (test::addressAt (0)); },
+                                   [] (const base::Error& error)
+                                   {
+                                       ADD_FAILURE() << error.message;
+                                       return base::SocketAddress();
+                                   });
+    }
 
-  int argumentCount_ = 1;
-  char name_[5] = "test";
-  char* arguments_[2] = {name_, nullptr};
-  QCoreApplication application_;
-  HttpTransport transport_;
+    int argumentCount_ = 1;
+    char name_[5] = "test";
+    char* arguments_[2] = { name_, nullptr };
+    QCoreApplication application_;
+    HttpTransport transport_;
 };
 
-TEST_F(HttpTransportTest, SendsTheCallAndReturnsTheWholeAnswer) {
-  http::Server server;
-  http::Request received;
-  const auto address = listen(
-      server, [&](const http::Request& request, const std::shared_ptr<http::Responder>& responder) {
-        received = request;
-        responder->send(409, {}, std::string(100'000, 'x'));
-      });
-  const AdminCallOutcome outcome =
-      transport_.send(address, AdminCall{"POST", "/a?b=c", "body"}, kGuard);
-  ASSERT_TRUE(std::holds_alternative<AdminReply>(outcome));
-  EXPECT_EQ(std::get<AdminReply>(outcome).status, 409);
-  EXPECT_EQ(std::get<AdminReply>(outcome).body.size(), 100'000U);
-  EXPECT_EQ(received.method, "POST");
-  EXPECT_EQ(received.path, "/a");
-  EXPECT_EQ(received.query, "b=c");
-  EXPECT_EQ(received.body, "body");
+TEST_F (HttpTransportTest, SendsTheCallAndReturnsTheWholeAnswer)
+{
+    http::Server server;
+    http::Request received;
+    const auto address = listen (
+        server,
+        [&] (const http::Request& request, const std::shared_ptr<http::Responder>& responder)
+        {
+            received = request;
+            responder->send (409, {}, std::string (100'000, 'x'));
+        });
+    const AdminCallOutcome outcome =
+        transport_.send (address, AdminCall{ "POST", "/a?b=c", "body" }, kGuard);
+    ASSERT_TRUE (std::holds_alternative<AdminReply> (outcome));
+    EXPECT_EQ (std::get<AdminReply> (outcome).status, 409);
+    EXPECT_EQ (std::get<AdminReply> (outcome).body.size(), 100'000U);
+    EXPECT_EQ (received.method, "POST");
+    EXPECT_EQ (received.path, "/a");
+    EXPECT_EQ (received.query, "b=c");
+    EXPECT_EQ (received.body, "body");
 }
 
-TEST_F(HttpTransportTest, RefusedConnectionDidNotArrive) {
-  QTcpServer listener;
-  ASSERT_TRUE(listener.listen(QHostAddress::LocalHost, 0));
-  const auto address = test::addressAt(listener.serverPort());
-  listener.close();
-  const AdminCallOutcome outcome = transport_.send(address, AdminCall{"GET", "/", ""}, kGuard);
-  ASSERT_TRUE(std::holds_alternative<AdminCallFailure>(outcome));
-  EXPECT_FALSE(std::get<AdminCallFailure>(outcome).mayHaveArrived);
+TEST_F (HttpTransportTest, RefusedConnectionDidNotArrive)
+{
+    QTcpServer listener;
+    ASSERT_TRUE (listener.listen (QHostAddress::LocalHost, 0));
+    const auto address = test::addressAt (listener.serverPort());
+    listener.close();
+    const AdminCallOutcome outcome = transport_.send (address, AdminCall{ "GET", "/", "" }, kGuard);
+    ASSERT_TRUE (std::holds_alternative<AdminCallFailure> (outcome));
+    EXPECT_FALSE (std::get<AdminCallFailure> (outcome).mayHaveArrived);
 }
 
-TEST_F(HttpTransportTest, ConnectionClosedAfterTheRequestMayHaveArrivedAndIsSentOnce) {
-  http::Server server;
-  int requests = 0;
-  const auto address =
-      listen(server, [&](const http::Request&, const std::shared_ptr<http::Responder>& responder) {
-        ++requests;
-        responder->abort();
-      });
-  const AdminCallOutcome outcome = transport_.send(address, AdminCall{"POST", "/", "body"}, kGuard);
-  ASSERT_TRUE(std::holds_alternative<AdminCallFailure>(outcome));
-  EXPECT_TRUE(std::get<AdminCallFailure>(outcome).mayHaveArrived);
-  EXPECT_EQ(requests, 1);
+TEST_F (HttpTransportTest, ConnectionClosedAfterTheRequestMayHaveArrivedAndIsSentOnce)
+{
+    http::Server server;
+    int requests = 0;
+    const auto address =
+        listen (server,
+                [&] (const http::Request&, const std::shared_ptr<http::Responder>& responder)
+                {
+                    ++requests;
+                    responder->abort();
+                });
+    const AdminCallOutcome outcome =
+        transport_.send (address, AdminCall{ "POST", "/", "body" }, kGuard);
+    ASSERT_TRUE (std::holds_alternative<AdminCallFailure> (outcome));
+    EXPECT_TRUE (std::get<AdminCallFailure> (outcome).mayHaveArrived);
+    EXPECT_EQ (requests, 1);
 }
 
-TEST_F(HttpTransportTest, SilentServerEndsAtTheTimeout) {
-  QTcpServer listener;
-  ASSERT_TRUE(listener.listen(QHostAddress::LocalHost, 0));
-  const AdminCallOutcome outcome = transport_.send(
-      test::addressAt(listener.serverPort()), AdminCall{"GET", "/", ""}, base::milliseconds(100));
-  ASSERT_TRUE(std::holds_alternative<AdminCallFailure>(outcome));
-  EXPECT_TRUE(std::get<AdminCallFailure>(outcome).mayHaveArrived);
+TEST_F (HttpTransportTest, SilentServerEndsAtTheTimeout)
+{
+    QTcpServer listener;
+    ASSERT_TRUE (listener.listen (QHostAddress::LocalHost, 0));
+    const AdminCallOutcome outcome =
+        transport_.send (test::addressAt (listener.serverPort()), AdminCall{ "GET", "/", "" },
+                         base::milliseconds (100));
+    ASSERT_TRUE (std::holds_alternative<AdminCallFailure> (outcome));
+    EXPECT_TRUE (std::get<AdminCallFailure> (outcome).mayHaveArrived);
 }
 
-TEST_F(HttpTransportTest, CommandReachesTheLeaderThroughAFollower) {
-  http::Server leader;
-  http::Server follower;
-  const auto leaderAddress =
-      listen(leader, [](const http::Request&, const std::shared_ptr<http::Responder>& responder) {
-        responder->send(200, {}, R"({"leader":"me"})");
-      });
-  const auto followerAddress = listen(
-      follower, [&](const http::Request&, const std::shared_ptr<http::Responder>& responder) {
-        responder->send(503, {},
-                        R"({"error":{"kind":"not_leader","message":"m","leader":")" +
-                            leaderAddress.toString() + R"("}})");
-      });
-  CtlOptions options;
-  options.controllers = {followerAddress};
-  options.output = "json";
-  std::ostringstream output;
-  std::ostringstream errors;
-  EXPECT_EQ(runCommand(options, {"status"}, transport_, output, errors), 0) << errors.str();
-  EXPECT_EQ(output.str(), "{\"leader\":\"me\"}\n");
+TEST_F (HttpTransportTest, CommandReachesTheLeaderThroughAFollower)
+{
+    http::Server leader;
+    http::Server follower;
+    const auto leaderAddress =
+        listen (leader, [] (const http::Request&, const std::shared_ptr<http::Responder>& responder)
+                { responder->send (200, {}, R"({"leader":"me"})"); });
+    const auto followerAddress =
+        listen (follower,
+                [&] (const http::Request&, const std::shared_ptr<http::Responder>& responder)
+                {
+                    responder->send (503, {},
+                                     R"({"error":{"kind":"not_leader","message":"m","leader":")"
+                                         + leaderAddress.toString() + R"("}})");
+                });
+    CtlOptions options;
+    options.controllers = { followerAddress };
+    options.output = "json";
+    std::ostringstream output;
+    std::ostringstream errors;
+    EXPECT_EQ (runCommand (options, { "status" }, transport_, output, errors), 0) << errors.str();
+    EXPECT_EQ (output.str(), "{\"leader\":\"me\"}\n");
 }
 
 }  // namespace
--- a/src/ctl/ReferenceCommands.h
+++ b/src/ctl/ReferenceCommands.h
@@ -4,11 +4,12 @@
 
 #include "ctl/Command.h"
 
-namespace fernlift::ctl {
+namespace fernlift::ctl
+{
 
 /// `events`: every event of the logs.
-base::Result<CommandReport> eventsCommand(CommandContext& context);
+base::Result<CommandReport> eventsCommand (CommandContext& context);
 /// `errors`: every kind of error with its HTTP status and exit code.
-base::Result<CommandReport> errorsCommand(CommandContext& context);
+base::Result<CommandReport> errorsCommand (CommandContext& context);
 
 }  // namespace fernlift::ctl
--- a/src/ctl/Text.h
+++ b/src/ctl/Text.h
@@ -8,15 +8,18 @@
 #include <string>
 #include <string_view>
 
-namespace fernlift::ctl {
+namespace fernlift::ctl
+{
 
-inline QString toQString(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+inline QString toQString (std::string_view text)
+{
+    return QString::fromUtf8 (text.data(), static_cast<qsizetype> (text.size()));
 }
 
 /// One line without its end.
-inline std::string toCompactJson(const QJsonObject& object) {
-  return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+inline std::string toCompactJson (const QJsonObject& object)
+{
+    return QJsonDocument (object).toJson (QJsonDocument::Compact).toStdString();
 }
 
 }  // namespace fernlift::ctl
--- a/src/dispatch/RetryPolicy.h
+++ b/src/dispatch/RetryPolicy.h
@@ -6,36 +6,45 @@
 
 #include "base/Error.h"
 
-namespace fernlift::dispatch {
-
-enum class AttemptFailure : std::uint8_t {
-  kNotSent,       ///< No byte of the request left.
-  kRefused,       ///< The back end said that it performed nothing.
-  kBroken,        ///< The connection broke, or the answer was damaged.
-  kTimedOut,      ///< No byte of the answer in time.
-  kServerFailed,  ///< The back end answered 502, 503 or 504 without saying "not run".
+namespace fernlift::dispatch
+{
+
+enum class AttemptFailure : std::uint8_t
+{
+    kNotSent,       ///< No byte of the request left.
+    kRefused,       ///< The back end said that it performed nothing.
+    kBroken,        ///< The connection broke, or the answer was damaged.
+    kTimedOut,      ///< No byte of the answer in time.
+    kServerFailed,  ///< The back end answered 502, 503 or 504 without saying "not run".
 };
 
 /// True when the failure proves that the back end performed nothing.
-[[nodiscard]] constexpr bool provesNotRun(AttemptFailure failure) {
-  return failure == AttemptFailure::kNotSent || failure == AttemptFailure::kRefused;
+[[nodiscard]] constexpr bool provesNotRun (AttemptFailure failure)
+{
+    return failure == AttemptFailure::kNotSent || failure == AttemptFailure::kRefused;
 }
 
 /// State of the request whose attempt failed.
-struct RetryQuestion {
-  AttemptFailure failure = AttemptFailure::kBroken;
-  bool isRepeatable = false;
-  bool hasReachedCaller = false;  ///< Part of the answer went to the caller.
-  bool canResume = false;         ///< The answer can be continued from an offset.
-  std::uint32_t attemptsMade = 0;
-  std::uint32_t maximumAttempts = 0;
+struct RetryQuestion
+{
+    AttemptFailure failure = AttemptFailure::kBroken;
+    bool isRepeatable = false;
+    bool hasReachedCaller = false;  ///< Part of the answer went to the caller.
+    bool canResume = false;         ///< The answer can be continued from an offset.
+    std::uint32_t attemptsMade = 0;
+    std::uint32_t maximumAttempts = 0;
 };
 
-enum class RetryDecision : std::uint8_t { kRetry, kResume, kFail };
+enum class RetryDecision : std::uint8_t
+{
+    kRetry,
+    kResume,
+    kFail
+};
 
-[[nodiscard]] RetryDecision decideRetry(const RetryQuestion& question);
+[[nodiscard]] RetryDecision decideRetry (const RetryQuestion& question);
 
 /// Kind of the error a caller gets when no attempt follows.
-[[nodiscard]] base::ErrorKind errorKindOf(AttemptFailure failure, bool isRepeatable);
+[[nodiscard]] base::ErrorKind errorKindOf (AttemptFailure failure, bool isRepeatable);
 
 }  // namespace fernlift::dispatch
--- a/src/dispatch/StreamAssembler.h
+++ b/src/dispatch/StreamAssembler.h
@@ -4,26 +4,29 @@
 
 #include <cstdint>
 
-namespace fernlift::dispatch {
+namespace fernlift::dispatch
+{
 
 /// What to do with a part.
-enum class PartVerdict : std::uint8_t {
-  kPass,       ///< It is the next one.
-  kDuplicate,  ///< All of it was passed before.
-  kGap,        ///< Something before it is missing, or it straddles what was passed.
+enum class PartVerdict : std::uint8_t
+{
+    kPass,       ///< It is the next one.
+    kDuplicate,  ///< All of it was passed before.
+    kGap,        ///< Something before it is missing, or it straddles what was passed.
 };
 
-class StreamAssembler {
- public:
-  /// Judges a part of `count` units (tokens or bytes) from `offset`, and moves on if it passes.
-  PartVerdict accept(std::uint64_t offset, std::uint64_t count);
-  /// Offset of the next unit wanted.
-  [[nodiscard]] std::uint64_t nextOffset() const { return nextOffset_; }
-  /// Starts again; allowed only while nothing was passed on to the caller.
-  void restart() { nextOffset_ = 0; }
+class StreamAssembler
+{
+public:
+    /// Judges a part of `count` units (tokens or bytes) from `offset`, and moves on if it passes.
+    PartVerdict accept (std::uint64_t offset, std::uint64_t count);
+    /// Offset of the next unit wanted.
+    [[nodiscard]] std::uint64_t nextOffset() const { return nextOffset_; }
+    /// Starts again; allowed only while nothing was passed on to the caller.
+    void restart() { nextOffset_ = 0; }
 
- private:
-  std::uint64_t nextOffset_ = 0;
+private:
+    std::uint64_t nextOffset_ = 0;
 };
 
 }  // namespace fernlift::dispatch
--- a/src/http/AnswerParserTest.cpp
+++ b/src/http/AnswerParserTest.cpp
@@ -4,83 +4,100 @@
 
 #include "http/AnswerParser.h"
 
-namespace fernlift::http {
-namespace {
+namespace fernlift::http
+{
+namespace
+{
 
 /// Feeds an answer in two parts and notes what comes out.
-struct Reading {
-  std::optional<AnswerHead> head;
-  std::string body;
-  bool isDone = false;
-  bool isSound = true;
-  bool isWholeByClose = false;
-  std::string left;
+struct Reading
+{
+    std::optional<AnswerHead> head;
+    std::string body;
+    bool isDone = false;
+    bool isSound = true;
+    bool isWholeByClose = false;
+    std::string left;
 };
 
-Reading read(const std::string& bytes, std::size_t cut, bool closes = false) {
-  Reading reading;
-  AnswerParser::Handlers handlers;
-  handlers.onHead = [&](AnswerHead head) { reading.head = std::move(head); };
-  handlers.onBody = [&](std::string_view data) { reading.body.append(data); };
-  AnswerParser parser(true, std::move(handlers));
-  std::string buffer;
-  for (const std::string& part : {bytes.substr(0, cut), bytes.substr(cut)}) {
-    buffer += part;
-    base::handleErrors(
-        [&]() -> base::Result<void> {
-          BOOST_LEAF_CHECK(parser.parse(buffer));
-          return {};
-        },
-        [&](const base::Error&) { reading.isSound = false; });
-  }
-  reading.isDone = parser.isDone();
-  if (closes && reading.isSound) reading.isWholeByClose = parser.finishByClose();
-  reading.left = buffer;
-  return reading;
+Reading read (const std::string& bytes, std::size_t cut, bool closes = false)
+{
+    Reading reading;
+    AnswerParser::Handlers handlers;
+    handlers.onHead = [&] (AnswerHead head) { reading.head = std::move (head); };
+    handlers.onBody = [&] (std::string_view data) { reading.body.append (data); };
+    AnswerParser parser (true, std::move (handlers));
+    std::string buffer;
+    for (const std::string& part : { bytes.substr (0, cut), bytes.substr (cut) })
+    {
+        buffer += part;
+        base::handleErrors (
+            [&]() -> base::Result<void>
+            {
+                BOOST_LEAF_CHECK (parser.parse (buffer));
+                return {};
+            },
+            [&] (const base::Error&) { reading.isSound = false; });
+    }
+    reading.isDone = parser.isDone();
+    if (closes && reading.isSound)
+        reading.isWholeByClose = parser.finishByClose();
+    reading.left = buffer;
+    return reading;
 }
 
 constexpr const char* kWithLength = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
 constexpr const char* kChunked =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
 
-TEST(AnswerParserTest, AnAnswerIsTheSameWhereverItIsCut) {
-  for (const std::string bytes : {kWithLength, kChunked}) {
-    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
-      const Reading reading = read(bytes, cut);
-      ASSERT_TRUE(reading.isSound && reading.isDone) << cut;
-      EXPECT_EQ(reading.body, "hello");
-      EXPECT_EQ(reading.head->status, 200);
+TEST (AnswerParserTest, AnAnswerIsTheSameWhereverItIsCut)
+{
+    for (const std::string bytes : { kWithLength, kChunked })
+    {
+        for (std::size_t cut = 0; cut <= bytes.size(); ++cut)
+        {
+            const Reading reading = read (bytes, cut);
+            ASSERT_TRUE (reading.isSound && reading.isDone) << cut;
+            EXPECT_EQ (reading.body, "hello");
+            EXPECT_EQ (reading.head->status, 200);
+        }
     }
-  }
 }
 
-TEST(AnswerParserTest, NoBeginOfAnAnswerIsWhole) {
-  for (const std::string bytes : {kWithLength, kChunked}) {
-    for (std::size_t length = 0; length < bytes.size(); ++length) {
-      const Reading reading = read(bytes.substr(0, length), 0, true);
-      EXPECT_FALSE(reading.isDone || reading.isWholeByClose) << length;
+TEST (AnswerParserTest, NoBeginOfAnAnswerIsWhole)
+{
+    for (const std::string bytes : { kWithLength, kChunked })
+    {
+        for (std::size_t length = 0; length < bytes.size(); ++length)
+        {
+            const Reading reading = read (bytes.substr (0, length), 0, true);
+            EXPECT_FALSE (reading.isDone || reading.isWholeByClose) << length;
+        }
     }
-  }
 }
 
-TEST(AnswerParserTest, WithoutLengthOnlyTheCloseEndsIt) {
-  const Reading reading = read("HTTP/1.1 200 OK\r\n\r\nhello", 3, true);
-  EXPECT_FALSE(reading.isDone);
-  EXPECT_TRUE(reading.isWholeByClose);
-  EXPECT_TRUE(reading.head->endsByClose);
-  EXPECT_FALSE(reading.head->isPersistent);
+TEST (AnswerParserTest, WithoutLengthOnlyTheCloseEndsIt)
+{
+    const Reading reading = read ("HTTP/1.1 200 OK\r\n\r\nhello", 3, true);
+    EXPECT_FALSE (reading.isDone);
+    EXPECT_TRUE (reading.isWholeByClose);
+    EXPECT_TRUE (reading.head->endsByClose);
+    EXPECT_FALSE (reading.head->isPersistent);
 }
 
-TEST(AnswerParserTest, SurplusBytesAreLeft) {
-  const Reading reading = read(std::string(kWithLength) + "surplus", 0);
-  EXPECT_TRUE(reading.isDone);
-  EXPECT_EQ(reading.left, "surplus");
+TEST (AnswerParserTest, SurplusBytesAreLeft)
+{
+    const Reading reading = read (std::string (kWithLength) + "surplus", 0);
+    EXPECT_TRUE (reading.isDone);
+    EXPECT_EQ (reading.left, "surplus");
 }
 
-TEST(AnswerParserTest, BytesThatAreNoAnswerFail) {
-  EXPECT_FALSE(read("garbage\r\n\r\n", 0).isSound);
-  EXPECT_FALSE(read("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", 0)
-                   .isSound);
+TEST (AnswerParserTest, BytesThatAreNoAnswerFail)
+{
+    EXPECT_FALSE (read ("garbage\r\n\r\n", 0).isSound);
+    EXPECT_FALSE (
+        read ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", 0)
+            .isSound);
 }
 
 }  // namespace
--- a/src/http/BackEndPool.h
+++ b/src/http/BackEndPool.h
@@ -11,29 +11,31 @@
 #include "base/Time.h"
 #include "http/BackEndConnection.h"
 
-namespace fernlift::http {
-
-class BackEndPool {
- public:
-  /// A connection that cannot be opened within `connectTimeout` counts as unreachable.
-  explicit BackEndPool(base::Duration connectTimeout) : connectTimeout_(connectTimeout) {}
-
-  /// A connection to `address`: one that rests, or a new one. Requests that must not run twice get
-  /// a new one where a resting one may be about to be closed by the runner.
-  [[nodiscard]] std::shared_ptr<BackEndConnection> acquire(const base::SocketAddress& address,
-                                                           base::TimePoint now);
-  /// Takes a connection back. It is kept when it can be used again.
-  void release(std::shared_ptr<BackEndConnection> connection, base::TimePoint now);
-  /// Drops the connections that rested for too long.
-  void expire(base::TimePoint now);
-  [[nodiscard]] std::uint64_t opened() const { return opened_; }
-
- private:
-  using Resting = std::vector<std::shared_ptr<BackEndConnection>>;
-
-  base::Duration connectTimeout_;
-  std::map<base::SocketAddress, Resting> resting_;
-  std::uint64_t opened_ = 0;
+namespace fernlift::http
+{
+
+class BackEndPool
+{
+public:
+    /// A connection that cannot be opened within `connectTimeout` counts as unreachable.
+    explicit BackEndPool (base::Duration connectTimeout) : connectTimeout_ (connectTimeout) {}
+
+    /// A connection to `address`: one that rests, or a new one. Requests that must not run twice
+    /// get a new one where a resting one may be about to be closed by the runner.
+    [[nodiscard]] std::shared_ptr<BackEndConnection> acquire (const base::SocketAddress& address,
+                                                              base::TimePoint now);
+    /// Takes a connection back. It is kept when it can be used again.
+    void release (std::shared_ptr<BackEndConnection> connection, base::TimePoint now);
+    /// Drops the connections that rested for too long.
+    void expire (base::TimePoint now);
+    [[nodiscard]] std::uint64_t opened() const { return opened_; }
+
+private:
+    using Resting = std::vector<std::shared_ptr<BackEndConnection>>;
+
+    base::Duration connectTimeout_;
+    std::map<base::SocketAddress, Resting> resting_;
+    std::uint64_t opened_ = 0;
 };
 
 }  // namespace fernlift::http
--- a/src/http/BodySource.h
+++ b/src/http/BodySource.h
@@ -5,28 +5,30 @@
 #include <QIODevice>
 #include <string>
 
-namespace fernlift::http {
+namespace fernlift::http
+{
 
 /// A sequential device: Qt's network access cannot rewind it and so cannot send a request again.
-class BodySource final : public QIODevice {
- public:
-  explicit BodySource(std::string body);
-
-  /// Whether any byte was taken.
-  [[nodiscard]] bool wasRead() const { return position_ > 0; }
-  [[nodiscard]] bool isSequential() const override { return true; }
-  [[nodiscard]] qint64 bytesAvailable() const override;
-  [[nodiscard]] bool atEnd() const override { return bytesAvailable() == 0; }
-  /// Always refused. Qt asks for it when a connection closes without an answer.
-  bool seek(qint64 /*position*/) override { return false; }
-
- protected:
-  qint64 readData(char* data, qint64 maximumSize) override;
-  qint64 writeData(const char* data, qint64 size) override;
-
- private:
-  std::string body_;
-  std::size_t position_ = 0;
+class BodySource final : public QIODevice
+{
+public:
+    explicit BodySource (std::string body);
+
+    /// Whether any byte was taken.
+    [[nodiscard]] bool wasRead() const { return position_ > 0; }
+    [[nodiscard]] bool isSequential() const override { return true; }
+    [[nodiscard]] qint64 bytesAvailable() const override;
+    [[nodiscard]] bool atEnd() const override { return bytesAvailable() == 0; }
+    /// Always refused. Qt asks for it when a connection closes without an answer.
+    bool seek (qint64 /*position*/) override { return false; }
+
+protected:
+    qint64 readData (char* data, qint64 maximumSize) override;
+    qint64 writeData (const char* data, qint64 size) override;
+
+private:
+    std::string body_;
+    std::size_t position_ = 0;
 };
 
 }  // namespace fernlift::http
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -10,85 +10,99 @@
 #include "http/ClientExchange.h"
 #include "http/ConnectionSlots.h"
 
-namespace fernlift::http {
-namespace {
+namespace fernlift::http
+{
+namespace
+{
 
 /// Names the proxy of the whole program, of which there is none. With QNetworkProxy::NoProxy Qt
 /// would open sockets without a buffer and read the header of each answer byte by byte from the
 /// system.
-class DirectConnections final : public QNetworkProxyFactory {
- public:
-  QList<QNetworkProxy> queryProxy(const QNetworkProxyQuery& /*query*/) override {
-    return {QNetworkProxy(QNetworkProxy::DefaultProxy)};
-  }
+class DirectConnections final : public QNetworkProxyFactory
+{
+public:
+    QList<QNetworkProxy> queryProxy (const QNetworkProxyQuery& /*query*/) override
+    {
+        return { QNetworkProxy (QNetworkProxy::DefaultProxy) };
+    }
 };
 
 }  // namespace
 
-class Client::Implementation {
- public:
-  Implementation() {
-    QNetworkProxy::setApplicationProxy(QNetworkProxy(QNetworkProxy::NoProxy));
-    manager_.setProxyFactory(new DirectConnections);
-    manager_.setRedirectPolicy(QNetworkRequest::ManualRedirectPolicy);
-    manager_.setAutoDeleteReplies(false);
-  }
+class Client::Implementation
+{
+public:
+    Implementation()
+    {
+        QNetworkProxy::setApplicationProxy (QNetworkProxy (QNetworkProxy::NoProxy));
+        manager_.setProxyFactory (new DirectConnections);
+        manager_.setRedirectPolicy (QNetworkRequest::ManualRedirectPolicy);
+        manager_.setAutoDeleteReplies (false);
+    }
 
-  ~Implementation() {
-    const auto exchanges = std::exchange(exchanges_, {});
-    for (const auto& [key, exchange] : exchanges) exchange->cancel();
-  }
-  Implementation(const Implementation&) = delete;
-  Implementation& operator=(const Implementation&) = delete;
+    ~Implementation()
+    {
+        const auto exchanges = std::exchange (exchanges_, {});
+        for (const auto& [key, exchange] : exchanges)
+            exchange->cancel();
+    }
+    Implementation (const Implementation&) = delete;
+    Implementation& operator= (const Implementation&) = delete;
 
-  std::shared_ptr<Exchange> send(ClientRequest request, ClientCallbacks callbacks) {
-    const base::SocketAddress address = request.address;
-    const auto slot = slots_[address].acquire(clock_.now(), request.needsFreshConnection);
-    const std::uint64_t key = nextKey_++;
-    auto onDone = [this, address, slot, key](bool isReusable, bool isOpen) {
-      if (isReusable) slots_[address].release(slot, isOpen, clock_.now());
-      forget(key);
-    };
-    const std::shared_ptr<ClientExchange> exchange(
-        new ClientExchange(std::move(request), std::move(callbacks), std::move(onDone)),
-        [](ClientExchange* unused) { unused->deleteLater(); });
-    exchanges_.emplace(key, exchange);
-    exchange->start(manager_, slot.name());
-    return exchange;
-  }
+    std::shared_ptr<Exchange> send (ClientRequest request, ClientCallbacks callbacks)
+    {
+        const base::SocketAddress address = request.address;
+        const auto slot = slots_[address].acquire (clock_.now(), request.needsFreshConnection);
+        const std::uint64_t key = nextKey_++;
+        auto onDone = [this, address, slot, key] (bool isReusable, bool isOpen)
+        {
+            if (isReusable)
+                slots_[address].release (slot, isOpen, clock_.now());
+            forget (key);
+        };
+        const std::shared_ptr<ClientExchange> exchange (
+            new ClientExchange (std::move (request), std::move (callbacks), std::move (onDone)),
+            [] (ClientExchange* unused) { unused->deleteLater(); });
+        exchanges_.emplace (key, exchange);
+        exchange->start (manager_, slot.name());
+        return exchange;
+    }
 
- private:
-  void forget(std::uint64_t key) { exchanges_.erase(key); }
+private:
+    void forget (std::uint64_t key) { exchanges_.erase (key); }
 
-  base::SystemClock clock_;
-  QNetworkAccessManager manager_;
-  std::map<base::SocketAddress, ConnectionSlots> slots_;
-  /// Exchanges on their way; they live on without a handle.
-  std::unordered_map<std::uint64_t, std::shared_ptr<ClientExchange>> exchanges_;
-  std::uint64_t nextKey_ = 0;
+    base::SystemClock clock_;
+    QNetworkAccessManager manager_;
+    std::map<base::SocketAddress, ConnectionSlots> slots_;
+    /// Exchanges on their way; they live on without a handle.
+    std::unordered_map<std::uint64_t, std::shared_ptr<ClientExchange>> exchanges_;
+    std::uint64_t nextKey_ = 0;
 };
 
-Client::Client() : implementation_(std::make_unique<Implementation>()) {}
+Client::Client() : implementation_ (std::make_unique<Implementation>()) {}
 
 Client::~Client() = default;
 
-std::shared_ptr<Exchange> Client::send(ClientRequest request, ClientCallbacks callbacks) {
-  return implementation_->send(std::move(request), std::move(callbacks));
+std::shared_ptr<Exchange> Client::send (ClientRequest request, ClientCallbacks callbacks)
+{
+    return implementation_->send (std::move (request), std::move (callbacks));
 }
 
-std::shared_ptr<Exchange> Client::fetch(ClientRequest request,
-                                        std::function<void(const WholeResponse&)> onResponse,
-                                        std::function<void(const ClientError&)> onError) {
-  const auto whole = std::make_shared<WholeResponse>();
-  ClientCallbacks callbacks;
-  callbacks.onHeaders = [whole](const ClientResponse& response) {
-    whole->status = response.status;
-    whole->headers = response.headers;
-  };
-  callbacks.onData = [whole](std::string_view data) { whole->body += data; };
-  callbacks.onEnd = [whole, onResponse = std::move(onResponse)] { onResponse(*whole); };
-  callbacks.onError = std::move(onError);
-  return send(std::move(request), std::move(callbacks));
+std::shared_ptr<Exchange> Client::fetch (ClientRequest request,
+                                         std::function<void (const WholeResponse&)> onResponse,
+                                         std::function<void (const ClientError&)> onError)
+{
+    const auto whole = std::make_shared<WholeResponse>();
+    ClientCallbacks callbacks;
+    callbacks.onHeaders = [whole] (const ClientResponse& response)
+    {
+        whole->status = response.status;
+        whole->headers = response.headers;
+    };
+    callbacks.onData = [whole] (std::string_view data) { whole->body += data; };
+    callbacks.onEnd = [whole, onResponse = std::move (onResponse)] { onResponse (*whole); };
+    callbacks.onError = std::move (onError);
+    return send (std::move (request), std::move (callbacks));
 }
 
 }  // namespace fernlift::http
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -13,87 +13,96 @@
 #include "base/Time.h"
 #include "http/Message.h"
 
-namespace fernlift::http {
-
-struct ClientRequest {
-  base::SocketAddress address;
-  std::string method = "GET";
-  std::string path = "/";  ///< Percent-encoded, with the query if any.
-  Headers headers;
-  std::string body;
-  base::Duration connectTimeout = base::seconds(2);   ///< Until the request is on its way.
-  base::Duration headersTimeout = base::seconds(10);  ///< Until the headers of the answer.
-  base::Duration idleTimeout = base::seconds(30);     ///< Between two parts of the answer.
-  /// Unread bytes of the answer held in memory; more stay in the network.
-  std::size_t readBufferBytes = 256UL * 1024;
-  /// Never reuses a connection, so that the back end's closing of an idle one cannot lose it.
-  bool needsFreshConnection = false;
+namespace fernlift::http
+{
+
+struct ClientRequest
+{
+    base::SocketAddress address;
+    std::string method = "GET";
+    std::string path = "/";  ///< Percent-encoded, with the query if any.
+    Headers headers;
+    std::string body;
+    base::Duration connectTimeout = base::seconds (2);   ///< Until the request is on its way.
+    base::Duration headersTimeout = base::seconds (10);  ///< Until the headers of the answer.
+    base::Duration idleTimeout = base::seconds (30);     ///< Between two parts of the answer.
+    /// Unread bytes of the answer held in memory; more stay in the network.
+    std::size_t readBufferBytes = 256UL * 1024;
+    /// Never reuses a connection, so that the back end's closing of an idle one cannot lose it.
+    bool needsFreshConnection = false;
 };
 
-struct ClientResponse {
-  int status = 0;
-  Headers headers;
+struct ClientResponse
+{
+    int status = 0;
+    Headers headers;
 };
 
-enum class ClientErrorKind : std::uint8_t {
-  kNotSent,  ///< The TCP connection was never established: no byte left this process.
-  kBroken,   ///< The connection broke; whether the back end acted on the request is not known.
-  kTimeout,  ///< One of the timeouts passed; whether the back end acted is not known.
+enum class ClientErrorKind : std::uint8_t
+{
+    kNotSent,  ///< The TCP connection was never established: no byte left this process.
+    kBroken,   ///< The connection broke; whether the back end acted on the request is not known.
+    kTimeout,  ///< One of the timeouts passed; whether the back end acted is not known.
 };
 
-struct ClientError {
-  ClientErrorKind kind = ClientErrorKind::kBroken;
-  std::string message;
+struct ClientError
+{
+    ClientErrorKind kind = ClientErrorKind::kBroken;
+    std::string message;
 };
 
 /// Called on the client's thread, never from within send(). Exactly one of onEnd and onError comes
 /// last, unless the exchange is cancelled: then nothing comes any more.
-struct ClientCallbacks {
-  std::function<void(const ClientResponse&)> onHeaders;
-  std::function<void(std::string_view)> onData;
-  std::function<void()> onEnd;
-  std::function<void(const ClientError&)> onError;
+struct ClientCallbacks
+{
+    std::function<void (const ClientResponse&)> onHeaders;
+    std::function<void (std::string_view)> onData;
+    std::function<void()> onEnd;
+    std::function<void (const ClientError&)> onError;
 };
 
 /// A request on its way. Dropping the handle does not cancel it.
-class Exchange {
- public:
-  virtual ~Exchange() = default;
-  Exchange() = default;
-  Exchange(const Exchange&) = delete;
-  Exchange& operator=(const Exchange&) = delete;
-
-  /// Closes the connection if the answer is not whole. No callback runs afterwards.
-  virtual void cancel() = 0;
-  /// Stops and restarts the delivery of data; while paused, the idle timeout does not run.
-  virtual void setPaused(bool isPaused) = 0;
+class Exchange
+{
+public:
+    virtual ~Exchange() = default;
+    Exchange() = default;
+    Exchange (const Exchange&) = delete;
+    Exchange& operator= (const Exchange&) = delete;
+
+    /// Closes the connection if the answer is not whole. No callback runs afterwards.
+    virtual void cancel() = 0;
+    /// Stops and restarts the delivery of data; while paused, the idle timeout does not run.
+    virtual void setPaused (bool isPaused) = 0;
 };
 
 /// A whole answer of a small request.
-struct WholeResponse {
-  int status = 0;
-  Headers headers;
-  std::string body;
+struct WholeResponse
+{
+    int status = 0;
+    Headers headers;
+    std::string body;
 };
 
-class Client {
- public:
-  Client();
-  ~Client();
-  Client(const Client&) = delete;
-  Client& operator=(const Client&) = delete;
-
-  /// Sends the request once.
-  std::shared_ptr<Exchange> send(ClientRequest request, ClientCallbacks callbacks);
-  /// Sends the request once and collects the whole answer.
-  std::shared_ptr<Exchange> fetch(ClientRequest request,
-                                  std::function<void(const WholeResponse&)> onResponse,
-                                  std::function<void(const ClientError&)> onError);
-
-  class Implementation;
-
- private:
-  std::unique_ptr<Implementation> implementation_;
+class Client
+{
+public:
+    Client();
+    ~Client();
+    Client (const Client&) = delete;
+    Client& operator= (const Client&) = delete;
+
+    /// Sends the request once.
+    std::shared_ptr<Exchange> send (ClientRequest request, ClientCallbacks callbacks);
+    /// Sends the request once and collects the whole answer.
+    std::shared_ptr<Exchange> fetch (ClientRequest request,
+                                     std::function<void (const WholeResponse&)> onResponse,
+                                     std::function<void (const ClientError&)> onError);
+
+    class Implementation;
+
+private:
+    std::unique_ptr<Implementation> implementation_;
 };
 
 }  // namespace fernlift::http
--- a/src/http/ClientExchange.h
+++ b/src/http/ClientExchange.h
@@ -13,50 +13,52 @@
 #include "http/BodySource.h"
 #include "http/Client.h"
 
-namespace fernlift::http {
-
-class ClientExchange final : public QObject, public Exchange {
- public:
-  /// `onDone` runs once, after the last callback; `isReusable` tells whether the exchange left a
-  /// connection in a known state, `isOpen` whether that connection stays open.
-  using DoneCallback = std::function<void(bool isReusable, bool isOpen)>;
-
-  ClientExchange(ClientRequest request, ClientCallbacks callbacks, DoneCallback onDone);
-  ~ClientExchange() override;
-
-  void start(QNetworkAccessManager& manager, const std::string& slotName);
-  void cancel() override;
-  void setPaused(bool isPaused) override;
-
- private:
-  [[nodiscard]] QNetworkRequest buildRequest(const std::string& slotName) const;
-  void onRequestSent();
-  void onReadable();
-  void onFinished();
-  void onTimeout();
-  void deliverHeaders();
-  void deliverData();
-  void complete();
-  [[nodiscard]] bool isWhole() const;
-  [[nodiscard]] ClientError errorOfReply() const;
-  void failWith(const ClientError& error);
-  void finish(bool isReusable);
-  void startTimer(base::Duration duration);
-
-  ClientRequest request_;
-  ClientCallbacks callbacks_;
-  DoneCallback onDone_;
-  BodySource body_;
-  bool hasBody_;
-  QNetworkReply* reply_ = nullptr;
-  QTimer timer_;
-  ClientResponse response_;
-  std::uint64_t received_ = 0;
-  bool wasSent_ = false;
-  bool hasHeaders_ = false;
-  bool isPaused_ = false;
-  bool isFinished_ = false;  ///< Qt has reported the end of the reply.
-  bool isDone_ = false;      ///< The last callback has run, or the exchange was cancelled.
+namespace fernlift::http
+{
+
+class ClientExchange final : public QObject, public Exchange
+{
+public:
+    /// `onDone` runs once, after the last callback; `isReusable` tells whether the exchange left a
+    /// connection in a known state, `isOpen` whether that connection stays open.
+    using DoneCallback = std::function<void (bool isReusable, bool isOpen)>;
+
+    ClientExchange (ClientRequest request, ClientCallbacks callbacks, DoneCallback onDone);
+    ~ClientExchange() override;
+
+    void start (QNetworkAccessManager& manager, const std::string& slotName);
+    void cancel() override;
+    void setPaused (bool isPaused) override;
+
+private:
+    [[nodiscard]] QNetworkRequest buildRequest (const std::string& slotName) const;
+    void onRequestSent();
+    void onReadable();
+    void onFinished();
+    void onTimeout();
+    void deliverHeaders();
+    void deliverData();
+    void complete();
+    [[nodiscard]] bool isWhole() const;
+    [[nodiscard]] ClientError errorOfReply() const;
+    void failWith (const ClientError& error);
+    void finish (bool isReusable);
+    void startTimer (base::Duration duration);
+
+    ClientRequest request_;
+    ClientCallbacks callbacks_;
+    DoneCallback onDone_;
+    BodySource body_;
+    bool hasBody_;
+    QNetworkReply* reply_ = nullptr;
+    QTimer timer_;
+    ClientResponse response_;
+    std::uint64_t received_ = 0;
+    bool wasSent_ = false;
+    bool hasHeaders_ = false;
+    bool isPaused_ = false;
+    bool isFinished_ = false;  ///< Qt has reported the end of the reply.
+    bool isDone_ = false;      ///< The last callback has run, or the exchange was cancelled.
 };
 
 }  // namespace fernlift::http
--- a/src/http/ClientTest.cpp
+++ b/src/http/ClientTest.cpp
@@ -8,368 +8,450 @@
 #include "http/HttpTestSupport.h"
 #include "http/Server.h"
 
-namespace fernlift::http {
-namespace {
+namespace fernlift::http
+{
+namespace
+{
 
 using test::waitUntil;
 
-base::SocketAddress listenOnLoopback(Server& server) {
-  return base::handleErrors(
-      [&] {
-        return server.listen({"127.0.0.1", 0});
-      },
-      [](const base::Error& error) {
-        ADD_FAILURE() << error.message;
-        return base::SocketAddress{};
-      });
+base::SocketAddress listenOnLoopback (Server& server)
+{
+    return base::handleErrors (
+        [&] {
+            return server.listen ({ "127.0.0.1", 0 });
+        },
+        [] (const base::Error& error)
+        {
+            ADD_FAILURE() << error.message;
+            return base::SocketAddress{};
+        });
 }
 
 /// What came of one exchange.
-struct Outcome {
-  std::optional<WholeResponse> response;
-  std::optional<ClientError> error;
+struct Outcome
+{
+    std::optional<WholeResponse> response;
+    std::optional<ClientError> error;
 
-  [[nodiscard]] bool isDone() const { return response || error; }
+    [[nodiscard]] bool isDone() const { return response || error; }
 };
 
-std::shared_ptr<Exchange> fetchInto(Client& client, ClientRequest request, Outcome& outcome) {
-  return client.fetch(
-      std::move(request), [&](const WholeResponse& response) { outcome.response = response; },
-      [&](const ClientError& error) { outcome.error = error; });
+std::shared_ptr<Exchange> fetchInto (Client& client, ClientRequest request, Outcome& outcome)
+{
+    return client.fetch (
+        std::move (request), [&] (const WholeResponse& response) { outcome.response = response; },
+        [&] (const ClientError& error) { outcome.error = error; });
 }
 
-ClientRequest post(const base::SocketAddress& address, std::string body) {
-  ClientRequest request;
-  request.address = address;
-  request.method = "POST";
-  request.body = std::move(body);
-  return request;
+ClientRequest post (const base::SocketAddress& address, std::string body)
+{
+    ClientRequest request;
+    request.address = address;
+    request.method = "POST";
+    request.body = std::move (body);
+    return request;
 }
 
 /// A back end that speaks raw bytes: it counts requests and lets a function answer each.
-class RawBackEnd {
- public:
-  using Answer = std::function<void(QTcpSocket&, int requestNumber)>;
+class RawBackEnd
+{
+public:
+    using Answer = std::function<void (QTcpSocket&, int requestNumber)>;
 
-  explicit RawBackEnd(Answer answer) : answer_(std::move(answer)) {
-    server_.listen(QHostAddress::LocalHost, 0);
-    QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] { onConnection(); });
-  }
-  [[nodiscard]] base::SocketAddress address() const { return {"127.0.0.1", server_.serverPort()}; }
-  [[nodiscard]] int requests() const { return requests_; }
-  [[nodiscard]] int connections() const { return connections_; }
+    explicit RawBackEnd (Answer answer) : answer_ (std::move (answer))
+    {
+        server_.listen (QHostAddress::LocalHost, 0);
+        QObject::connect (&server_, &QTcpServer::newConnection, &server_,
+                          [this] { onConnection(); });
+    }
+    [[nodiscard]] base::SocketAddress address() const
+    {
+        return { "127.0.0.1", server_.serverPort() };
+    }
+    [[nodiscard]] int requests() const { return requests_; }
+    [[nodiscard]] int connections() const { return connections_; }
 
- private:
-  void onConnection() {
-    while (QTcpSocket* const socket = server_.nextPendingConnection()) {
-      ++connections_;
-      QObject::connect(socket, &QTcpSocket::readyRead, &server_, [this, socket] {
-        QByteArray received = socket->property("received").toByteArray() + socket->readAll();
-        while (received.contains("\r\n\r\n") && received.endsWith("end")) {
-          received.clear();
-          answer_(*socket, ++requests_);
+private:
+    void onConnection()
+    {
+        while (QTcpSocket* const socket = server_.nextPendingConnection())
+        {
+            ++connections_;
+            QObject::connect (
+                socket, &QTcpSocket::readyRead, &server_,
+                [this, socket]
+                {
+                    QByteArray received =
+                        socket->property ("received").toByteArray() + socket->readAll();
+                    while (received.contains ("\r\n\r\n") && received.endsWith ("end"))
+                    {
+                        received.clear();
+                        answer_ (*socket, ++requests_);
+                    }
+                    socket->setProperty ("received", received);
+                });
         }
-        socket->setProperty("received", received);
-      });
     }
-  }
 
-  Answer answer_;
-  QTcpServer server_;
-  int requests_ = 0;
-  int connections_ = 0;
+    Answer answer_;
+    QTcpServer server_;
+    int requests_ = 0;
+    int connections_ = 0;
 };
 
-void answerOk(QTcpSocket& socket) {
-  socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+void answerOk (QTcpSocket& socket)
+{
+    socket.write ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 }
 
-TEST(Client, SendsTheRequestAsGivenAndReadsTheAnswer) {
-  Server server;
-  Request seen;
-  server.setHandler([&](const Request& request, const std::shared_ptr<Responder>& responder) {
-    seen = request;
-    responder->send(404, {{"X-Answer", "a"}}, "gone");
-  });
-  Client client;
-  Outcome outcome;
-  ClientRequest request = post(listenOnLoopback(server), "body");
-  request.method = "PATCH";
-  request.path = "/a%20b?x=%2F";
-  request.headers.add("X-One", "1");
-  fetchInto(client, request, outcome);
-  ASSERT_TRUE(waitUntil([&] { return outcome.isDone(); }));
-  ASSERT_TRUE(outcome.response) << outcome.error->message;
-  EXPECT_EQ(outcome.response->status, 404);
-  EXPECT_EQ(outcome.response->body, "gone");
-  EXPECT_EQ(outcome.response->headers.value("x-answer"), "a");
-  EXPECT_EQ(seen.method, "PATCH");
-  EXPECT_EQ(seen.path, "/a%20b");
-  EXPECT_EQ(seen.query, "x=%2F");
-  EXPECT_EQ(seen.body, "body");
-  EXPECT_EQ(seen.headers.value("X-One"), "1");
-  EXPECT_EQ(seen.headers.value("User-Agent"), "fernlift");
-  EXPECT_EQ(seen.headers.value("Accept-Encoding"), "identity");
+TEST (Client, SendsTheRequestAsGivenAndReadsTheAnswer)
+{
+    Server server;
+    Request seen;
+    server.setHandler (
+        [&] (const Request& request, const std::shared_ptr<Responder>& responder)
+        {
+            seen = request;
+            responder->send (404, { { "X-Answer", "a" } }, "gone");
+        });
+    Client client;
+    Outcome outcome;
+    ClientRequest request = post (listenOnLoopback (server), "body");
+    request.method = "PATCH";
+    request.path = "/a%20b?x=%2F";
+    request.headers.add ("X-One", "1");
+    fetchInto (client, request, outcome);
+    ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+    ASSERT_TRUE (outcome.response) << outcome.error->message;
+    EXPECT_EQ (outcome.response->status, 404);
+    EXPECT_EQ (outcome.response->body, "gone");
+    EXPECT_EQ (outcome.response->headers.value ("x-answer"), "a");
+    EXPECT_EQ (seen.method, "PATCH");
+    EXPECT_EQ (seen.path, "/a%20b");
+    EXPECT_EQ (seen.query, "x=%2F");
+    EXPECT_EQ (seen.body, "body");
+    EXPECT_EQ (seen.headers.value ("X-One"), "1");
+    EXPECT_EQ (seen.headers.value ("User-Agent"), "fernlift");
+    EXPECT_EQ (seen.headers.value ("Accept-Encoding"), "identity");
+}
+
+TEST (Client, DeliversAnswersOfEveryStatus)
+{
+    int status = 0;
+    Server server;
+    server.setHandler ([&] (const Request&, const std::shared_ptr<Responder>& responder)
+                       { responder->send (status, {}, "body"); });
+    const auto address = listenOnLoopback (server);
+    Client client;
+    for (status = 200; status < 600; ++status)
+    {
+        if (status == 204 || status == 205 || (status > 300 && status < 309))
+            continue;
+        Outcome outcome;
+        fetchInto (client, post (address, "end"), outcome);
+        ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+        ASSERT_TRUE (outcome.response) << status << ": " << outcome.error->message;
+        EXPECT_EQ (outcome.response->status, status);
+        EXPECT_EQ (outcome.response->body, "body");
+    }
 }
 
-TEST(Client, DeliversAnswersOfEveryStatus) {
-  int status = 0;
-  Server server;
-  server.setHandler([&](const Request&, const std::shared_ptr<Responder>& responder) {
-    responder->send(status, {}, "body");
-  });
-  const auto address = listenOnLoopback(server);
-  Client client;
-  for (status = 200; status < 600; ++status) {
-    if (status == 204 || status == 205 || (status > 300 && status < 309)) continue;
+TEST (Client, TakesTheAnswerToAHeadRequestWithoutABody)
+{
+    Server server;
+    std::string method;
+    server.setHandler (
+        [&] (const Request& request, const std::shared_ptr<Responder>& responder)
+        {
+            method = request.method;
+            responder->send (200, { { "X-Answer", "a" } }, "hidden");
+        });
+    Client client;
     Outcome outcome;
-    fetchInto(client, post(address, "end"), outcome);
-    ASSERT_TRUE(waitUntil([&] { return outcome.isDone(); }));
-    ASSERT_TRUE(outcome.response) << status << ": " << outcome.error->message;
-    EXPECT_EQ(outcome.response->status, status);
-    EXPECT_EQ(outcome.response->body, "body");
-  }
+    ClientRequest request;
+    request.address = listenOnLoopback (server);
+    request.method = "HEAD";
+    request.idleTimeout = base::milliseconds (500);
+    fetchInto (client, request, outcome);
+    ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+    ASSERT_TRUE (outcome.response) << outcome.error->message;
+    EXPECT_EQ (method, "HEAD");
+    EXPECT_EQ (outcome.response->headers.value ("X-Answer"), "a");
+    EXPECT_EQ (outcome.response->headers.value ("Content-Length"), "6");
+    EXPECT_EQ (outcome.response->body, "");
 }
 
-TEST(Client, TakesTheAnswerToAHeadRequestWithoutABody) {
-  Server server;
-  std::string method;
-  server.setHandler([&](const Request& request, const std::shared_ptr<Responder>& responder) {
-    method = request.method;
-    responder->send(200, {{"X-Answer", "a"}}, "hidden");
-  });
-  Client client;
-  Outcome outcome;
-  ClientRequest request;
-  request.address = listenOnLoopback(server);
-  request.method = "HEAD";
-  request.idleTimeout = base::milliseconds(500);
-  fetchInto(client, request, outcome);
-  ASSERT_TRUE(waitUntil([&] { return outcome.isDone(); }));
-  ASSERT_TRUE(outcome.response) << outcome.error->message;
-  EXPECT_EQ(method, "HEAD");
-  EXPECT_EQ(outcome.response->headers.value("X-Answer"), "a");
-  EXPECT_EQ(outcome.response->headers.value("Content-Length"), "6");
-  EXPECT_EQ(outcome.response->body, "");
+TEST (Client, SendsAPostOnceWhenAFreshConnectionCloses)
+{
+    RawBackEnd backEnd ([] (QTcpSocket& socket, int) { socket.abort(); });
+    Client client;
+    Outcome outcome;
+    fetchInto (client, post (backEnd.address(), "end"), outcome);
+    ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+    test::runFor (std::chrono::milliseconds (300));
+    ASSERT_TRUE (outcome.error);
+    EXPECT_EQ (outcome.error->kind, ClientErrorKind::kBroken);
+    EXPECT_EQ (backEnd.requests(), 1);
 }
 
-TEST(Client, SendsAPostOnceWhenAFreshConnectionCloses) {
-  RawBackEnd backEnd([](QTcpSocket& socket, int) { socket.abort(); });
-  Client client;
-  Outcome outcome;
-  fetchInto(client, post(backEnd.address(), "end"), outcome);
-  ASSERT_TRUE(waitUntil([&] { return outcome.isDone(); }));
-  test::runFor(std::chrono::milliseconds(300));
-  ASSERT_TRUE(outcome.error);
-  EXPECT_EQ(outcome.error->kind, ClientErrorKind::kBroken);
-  EXPECT_EQ(backEnd.requests(), 1);
+TEST (Client, SendsAPostOnceWhenAReusedConnectionCloses)
+{
+    for (const bool isGraceful : { true, false })
+    {
+        RawBackEnd backEnd (
+            [isGraceful] (QTcpSocket& socket, int number)
+            {
+                if (number == 1)
+                {
+                    answerOk (socket);
+                }
+                else if (isGraceful)
+                {
+                    socket.disconnectFromHost();
+                }
+                else
+                {
+                    socket.abort();
+                }
+            });
+        Client client;
+        Outcome first;
+        fetchInto (client, post (backEnd.address(), "end"), first);
+        ASSERT_TRUE (waitUntil ([&] { return first.isDone(); }));
+        ASSERT_TRUE (first.response);
+        Outcome second;
+        fetchInto (client, post (backEnd.address(), "end"), second);
+        ASSERT_TRUE (waitUntil ([&] { return second.isDone(); }));
+        test::runFor (std::chrono::milliseconds (300));
+        ASSERT_TRUE (second.error);
+        EXPECT_EQ (second.error->kind, ClientErrorKind::kBroken);
+        EXPECT_EQ (backEnd.requests(), 2);
+        EXPECT_EQ (backEnd.connections(), 1)
+            << "the second request was not on the reused connection";
+    }
 }
 
-TEST(Client, SendsAPostOnceWhenAReusedConnectionCloses) {
-  for (const bool isGraceful : {true, false}) {
-    RawBackEnd backEnd([isGraceful](QTcpSocket& socket, int number) {
-      if (number == 1) {
-        answerOk(socket);
-      } else if (isGraceful) {
-        socket.disconnectFromHost();
-      } else {
-        socket.abort();
-      }
-    });
-    Client client;
-    Outcome first;
-    fetchInto(client, post(backEnd.address(), "end"), first);
-    ASSERT_TRUE(waitUntil([&] { return first.isDone(); }));
-    ASSERT_TRUE(first.response);
-    Outcome second;
-    fetchInto(client, post(backEnd.address(), "end"), second);
-    ASSERT_TRUE(waitUntil([&] { return second.isDone(); }));
-    test::runFor(std::chrono::milliseconds(300));
-    ASSERT_TRUE(second.error);
-    EXPECT_EQ(second.error->kind, ClientErrorKind::kBroken);
-    EXPECT_EQ(backEnd.requests(), 2);
-    EXPECT_EQ(backEnd.connections(), 1) << "the second request was not on the reused connection";
-  }
+TEST (Client, SendsARequestWithoutBodyOnce)
+{
+    for (const char* method : { "POST", "DELETE" })
+    {
+        int heads = 0;
+        QTcpServer server;
+        server.listen (QHostAddress::LocalHost, 0);
+        QObject::connect (&server, &QTcpServer::newConnection, &server,
+                          [&]
+                          {
+                              QTcpSocket* const socket = server.nextPendingConnection();
+                              QObject::connect (socket, &QTcpSocket::readyRead, &server,
+                                                [&heads, socket]
+                                                {
+                                                    if (socket->readAll().contains ("\r\n\r\n"))
+                                                        ++heads;
+                                                    socket->abort();
+                                                });
+                          });
+        Client client;
+        Outcome outcome;
+        ClientRequest request = post ({ "127.0.0.1", server.serverPort() }, "");
+        request.method = method;
+        fetchInto (client, request, outcome);
+        ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+        test::runFor (std::chrono::milliseconds (300));
+        ASSERT_TRUE (outcome.error);
+        EXPECT_EQ (outcome.error->kind, ClientErrorKind::kBroken);
+        EXPECT_EQ (heads, 1) << method;
+    }
 }
 
-TEST(Client, SendsARequestWithoutBodyOnce) {
-  for (const char* method : {"POST", "DELETE"}) {
-    int heads = 0;
-    QTcpServer server;
-    server.listen(QHostAddress::LocalHost, 0);
-    QObject::connect(&server, &QTcpServer::newConnection, &server, [&] {
-      QTcpSocket* const socket = server.nextPendingConnection();
-      QObject::connect(socket, &QTcpSocket::readyRead, &server, [&heads, socket] {
-        if (socket->readAll().contains("\r\n\r\n")) ++heads;
-        socket->abort();
-      });
-    });
+TEST (Client, SaysNotSentOnlyWhenTheConnectionIsRefused)
+{
+    QTcpServer closed;
+    closed.listen (QHostAddress::LocalHost, 0);
+    const base::SocketAddress address{ "127.0.0.1", closed.serverPort() };
+    closed.close();
     Client client;
     Outcome outcome;
-    ClientRequest request = post({"127.0.0.1", server.serverPort()}, "");
-    request.method = method;
-    fetchInto(client, request, outcome);
-    ASSERT_TRUE(waitUntil([&] { return outcome.isDone(); }));
-    test::runFor(std::chrono::milliseconds(300));
-    ASSERT_TRUE(outcome.error);
-    EXPECT_EQ(outcome.error->kind, ClientErrorKind::kBroken);
-    EXPECT_EQ(heads, 1) << method;
-  }
+    fetchInto (client, post (address, "end"), outcome);
+    ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+    ASSERT_TRUE (outcome.error);
+    EXPECT_EQ (outcome.error->kind, ClientErrorKind::kNotSent);
 }
 
-TEST(Client, SaysNotSentOnlyWhenTheConnectionIsRefused) {
-  QTcpServer closed;
-  closed.listen(QHostAddress::LocalHost, 0);
-  const base::SocketAddress address{"127.0.0.1", closed.serverPort()};
-  closed.close();
-  Client client;
-  Outcome outcome;
-  fetchInto(client, post(address, "end"), outcome);
-  ASSERT_TRUE(waitUntil([&] { return outcome.isDone(); }));
-  ASSERT_TRUE(outcome.error);
-  EXPECT_EQ(outcome.error->kind, ClientErrorKind::kNotSent);
+TEST (Client, DoesNotSayNotSentWhenTheBackEndDiesAfterReading)
+{
+    auto backEnd = std::make_unique<QTcpServer>();
+    backEnd->listen (QHostAddress::LocalHost, 0);
+    int requests = 0;
+    QObject::connect (backEnd.get(), &QTcpServer::newConnection, backEnd.get(),
+                      [&]
+                      {
+                          QTcpSocket* const socket = backEnd->nextPendingConnection();
+                          QObject::connect (socket, &QTcpSocket::readyRead, socket,
+                                            [&, socket]
+                                            {
+                                                ++requests;
+                                                socket->readAll();
+                                                if (requests == 1)
+                                                {
+                                                    answerOk (*socket);
+                                                    return;
+                                                }
+                                                backEnd->close();
+                                                socket->abort();
+                                            });
+                      });
+    const base::SocketAddress address{ "127.0.0.1", backEnd->serverPort() };
+    Client client;
+    for (int attempt = 1; attempt <= 2; ++attempt)
+    {
+        Outcome outcome;
+        fetchInto (client, post (address, "end"), outcome);
+        ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+        if (attempt == 2)
+        {
+            ASSERT_TRUE (outcome.error);
+            EXPECT_EQ (outcome.error->kind, ClientErrorKind::kBroken);
+        }
+    }
 }
 
-TEST(Client, DoesNotSayNotSentWhenTheBackEndDiesAfterReading) {
-  auto backEnd = std::make_unique<QTcpServer>();
-  backEnd->listen(QHostAddress::LocalHost, 0);
-  int requests = 0;
-  QObject::connect(backEnd.get(), &QTcpServer::newConnection, backEnd.get(), [&] {
-    QTcpSocket* const socket = backEnd->nextPendingConnection();
-    QObject::connect(socket, &QTcpSocket::readyRead, socket, [&, socket] {
-      ++requests;
-      socket->readAll();
-      if (requests == 1) {
-        answerOk(*socket);
-        return;
-      }
-      backEnd->close();
-      socket->abort();
-    });
-  });
-  const base::SocketAddress address{"127.0.0.1", backEnd->serverPort()};
-  Client client;
-  for (int attempt = 1; attempt <= 2; ++attempt) {
-    Outcome outcome;
-    fetchInto(client, post(address, "end"), outcome);
-    ASSERT_TRUE(waitUntil([&] { return outcome.isDone(); }));
-    if (attempt == 2) {
-      ASSERT_TRUE(outcome.error);
-      EXPECT_EQ(outcome.error->kind, ClientErrorKind::kBroken);
-    }
-  }
+TEST (Client, RunsManyExchangesWithOneBackEndAtOnce)
+{
+    constexpr std::size_t kExchanges = 40;
+    Server server;
+    std::vector<std::shared_ptr<Responder>> waiting;
+    server.setHandler (
+        [&] (const Request&, const std::shared_ptr<Responder>& responder)
+        {
+            waiting.push_back (responder);
+            if (waiting.size() < kExchanges)
+                return;
+            for (const auto& each : waiting)
+                each->send (200, {}, "all");
+        });
+    const base::SocketAddress address = listenOnLoopback (server);
+    Client client;
+    std::vector<Outcome> outcomes (kExchanges);
+    for (Outcome& outcome : outcomes)
+        fetchInto (client, post (address, "x"), outcome);
+    EXPECT_TRUE (waitUntil (
+        [&]
+        {
+            return std::all_of (outcomes.begin(), outcomes.end(),
+                                [] (const Outcome& outcome)
+                                { return outcome.response.has_value(); });
+        }));
 }
 
-TEST(Client, RunsManyExchangesWithOneBackEndAtOnce) {
-  constexpr std::size_t kExchanges = 40;
-  Server server;
-  std::vector<std::shared_ptr<Responder>> waiting;
-  server.setHandler([&](const Request&, const std::shared_ptr<Responder>& responder) {
-    waiting.push_back(responder);
-    if (waiting.size() < kExchanges) return;
-    for (const auto& each : waiting) each->send(200, {}, "all");
-  });
-  const base::SocketAddress address = listenOnLoopback(server);
-  Client client;
-  std::vector<Outcome> outcomes(kExchanges);
-  for (Outcome& outcome : outcomes) fetchInto(client, post(address, "x"), outcome);
-  EXPECT_TRUE(waitUntil([&] {
-    return std::all_of(outcomes.begin(), outcomes.end(),
-                       [](const Outcome& outcome) { return outcome.response.has_value(); });
-  }));
+TEST (Client, ReportsATruncatedAnswerAsBroken)
+{
+    for (const char* answer :
+         { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nshort" })
+    {
+        RawBackEnd backEnd (
+            [answer] (QTcpSocket& socket, int)
+            {
+                socket.write (answer);
+                socket.disconnectFromHost();
+            });
+        Client client;
+        Outcome outcome;
+        fetchInto (client, post (backEnd.address(), "end"), outcome);
+        ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+        ASSERT_TRUE (outcome.error) << answer;
+        EXPECT_EQ (outcome.error->kind, ClientErrorKind::kBroken);
+    }
 }
 
-TEST(Client, ReportsATruncatedAnswerAsBroken) {
-  for (const char* answer : {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
-                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
-                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nshort"}) {
-    RawBackEnd backEnd([answer](QTcpSocket& socket, int) {
-      socket.write(answer);
-      socket.disconnectFromHost();
-    });
+TEST (Client, TimesOutWhenNoAnswerComes)
+{
+    RawBackEnd backEnd ([] (QTcpSocket&, int) {});
     Client client;
     Outcome outcome;
-    fetchInto(client, post(backEnd.address(), "end"), outcome);
-    ASSERT_TRUE(waitUntil([&] { return outcome.isDone(); }));
-    ASSERT_TRUE(outcome.error) << answer;
-    EXPECT_EQ(outcome.error->kind, ClientErrorKind::kBroken);
-  }
+    ClientRequest request = post (backEnd.address(), "end");
+    request.headersTimeout = base::milliseconds (50);
+    fetchInto (client, request, outcome);
+    ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+    ASSERT_TRUE (outcome.error);
+    EXPECT_EQ (outcome.error->kind, ClientErrorKind::kTimeout);
 }
 
-TEST(Client, TimesOutWhenNoAnswerComes) {
-  RawBackEnd backEnd([](QTcpSocket&, int) {});
-  Client client;
-  Outcome outcome;
-  ClientRequest request = post(backEnd.address(), "end");
-  request.headersTimeout = base::milliseconds(50);
-  fetchInto(client, request, outcome);
-  ASSERT_TRUE(waitUntil([&] { return outcome.isDone(); }));
-  ASSERT_TRUE(outcome.error);
-  EXPECT_EQ(outcome.error->kind, ClientErrorKind::kTimeout);
-}
-
-TEST(Client, CancelClosesTheConnectionAndSilencesTheCallbacks) {
-  Server server;
-  int closed = 0;
-  std::shared_ptr<Responder> kept;
-  server.setHandler([&](const Request&, const std::shared_ptr<Responder>& responder) {
-    kept = responder;
-    responder->onClosed([&] { ++closed; });
-    responder->begin(200, {});
-    responder->write("part");
-  });
-  Client client;
-  std::string received;
-  bool isFinished = false;
-  ClientCallbacks callbacks;
-  callbacks.onData = [&](std::string_view data) { received += data; };
-  callbacks.onEnd = [&] { isFinished = true; };
-  callbacks.onError = [&](const ClientError&) { isFinished = true; };
-  const auto exchange = client.send(post(listenOnLoopback(server), "x"), callbacks);
-  ASSERT_TRUE(waitUntil([&] { return received == "part"; }));
-  exchange->cancel();
-  ASSERT_TRUE(waitUntil([&] { return closed == 1; }));
-  EXPECT_FALSE(isFinished);
+TEST (Client, CancelClosesTheConnectionAndSilencesTheCallbacks)
+{
+    Server server;
+    int closed = 0;
+    std::shared_ptr<Responder> kept;
+    server.setHandler (
+        [&] (const Request&, const std::shared_ptr<Responder>& responder)
+        {
+            kept = responder;
+            responder->onClosed ([&] { ++closed; });
+            responder->begin (200, {});
+            responder->write ("part");
+        });
+    Client client;
+    std::string received;
+    bool isFinished = false;
+    ClientCallbacks callbacks;
+    callbacks.onData = [&] (std::string_view data) { received += data; };
+    callbacks.onEnd = [&] { isFinished = true; };
+    callbacks.onError = [&] (const ClientError&) { isFinished = true; };
+    const auto exchange = client.send (post (listenOnLoopback (server), "x"), callbacks);
+    ASSERT_TRUE (waitUntil ([&] { return received == "part"; }));
+    exchange->cancel();
+    ASSERT_TRUE (waitUntil ([&] { return closed == 1; }));
+    EXPECT_FALSE (isFinished);
 }
 
-TEST(Client, PausingHoldsBackTheBackEnd) {
-  constexpr std::size_t kTotal = 64UL * 1024 * 1024;
-  Server server;
-  std::shared_ptr<Responder> kept;
-  std::size_t written = 0;
-  const std::string block(64UL * 1024, 'x');
-  const auto refill = [&] {
-    while (written < kTotal && kept->bytesToWrite() < block.size()) {
-      kept->write(block);
-      written += block.size();
-    }
-    if (written == kTotal) kept->end();
-  };
-  server.setHandler([&](const Request&, const std::shared_ptr<Responder>& responder) {
-    kept = responder;
-    responder->onDrained(refill);
-    responder->begin(200, {{"Content-Length", std::to_string(kTotal)}});
-    refill();
-  });
-  Client client;
-  std::size_t received = 0;
-  bool isWhole = false;
-  std::shared_ptr<Exchange> exchange;
-  ClientCallbacks callbacks;
-  callbacks.onData = [&](std::string_view data) {
-    if (received == 0) exchange->setPaused(true);
-    received += data.size();
-  };
-  callbacks.onEnd = [&] { isWhole = true; };
-  exchange = client.send(post(listenOnLoopback(server), "x"), callbacks);
-  ASSERT_TRUE(waitUntil([&] { return received > 0; }));
-  const std::size_t receivedBefore = received;
-  test::runFor(std::chrono::milliseconds(500));
-  EXPECT_EQ(received, receivedBefore);
-  EXPECT_LT(written, kTotal / 4) << "the back end was not held back";
-  exchange->setPaused(false);
-  ASSERT_TRUE(waitUntil([&] { return isWhole; }));
-  EXPECT_EQ(received, kTotal);
+TEST (Client, PausingHoldsBackTheBackEnd)
+{
+    constexpr std::size_t kTotal = 64UL * 1024 * 1024;
+    Server server;
+    std::shared_ptr<Responder> kept;
+    std::size_t written = 0;
+    const std::string block (64UL * 1024, 'x');
+    const auto refill = [&]
+    {
+        while (written < kTotal && kept->bytesToWrite() < block.size())
+        {
+            kept->write (block);
+            written += block.size();
+        }
+        if (written == kTotal)
+            kept->end();
+    };
+    server.setHandler (
+        [&] (const Request&, const std::shared_ptr<Responder>& responder)
+        {
+            kept = responder;
+            responder->onDrained (refill);
+            responder->begin (200, { { "Content-Length", std::to_string (kTotal) } });
+            refill();
+        });
+    Client client;
+    std::size_t received = 0;
+    bool isWhole = false;
+    std::shared_ptr<Exchange> exchange;
+    ClientCallbacks callbacks;
+    callbacks.onData = [&] (std::string_view data)
+    {
+        if (received == 0)
+            exchange->setPaused (true);
+        received += data.size();
+    };
+    callbacks.onEnd = [&] { isWhole = true; };
+    exchange = client.send (post (listenOnLoopback (server), "x"), callbacks);
+    ASSERT_TRUE (waitUntil ([&] { return received > 0; }));
+    const std::size_t receivedBefore = received;
+    test::runFor (std::chrono::milliseconds (500));
+    EXPECT_EQ (received, receivedBefore);
+    EXPECT_LT (written, kTotal / 4) << "the back end was not held back";
+    exchange->setPaused (false);
+    ASSERT_TRUE (waitUntil ([&] { return isWhole; }));
+    EXPECT_EQ (received, kTotal);
 }
 
 }  // namespace
--- a/src/http/Connection.h
+++ b/src/http/Connection.h
@@ -15,80 +15,90 @@
 #include "http/RequestReader.h"
 #include "http/Server.h"
 
-namespace fernlift::http {
+namespace fernlift::http
+{
 
 class ConnectionResponder;
 
 /// Owns the caller's socket. The next request is read only once the answer to the one before has
 /// been handed over, so answers never interleave.
-class Connection final : public QObject {
- public:
-  Connection(const ServerLimits& limits, Handler& handler, ServerCounters& counters);
-  ~Connection() override;
+class Connection final : public QObject
+{
+public:
+    Connection (const ServerLimits& limits, Handler& handler, ServerCounters& counters);
+    ~Connection() override;
 
-  /// Takes over an accepted socket; false when the system refuses.
-  bool open(qintptr descriptor);
-  /// Answers with an error before any request was read, and closes.
-  void reject(const base::Error& error);
-  [[nodiscard]] FeedSocket* feedSocket() { return &feed_; }
-  /// Qt's HTTP server has parsed the request that was delivered.
-  void onParsed(const std::string& body);
-  /// Closes after the answer in progress; when idle, closes now, or a moment later if no request
-  /// was read yet: it may be on its way.
-  void closeWhenIdle();
-  [[nodiscard]] bool isAnswering() const { return isAnswering_ || socket_.bytesToWrite() > 0; }
-  /// `callback` runs once when the connection is closed and may be deleted.
-  void onFinished(std::function<void()> callback) { finished_ = std::move(callback); }
+    /// Takes over an accepted socket; false when the system refuses.
+    bool open (qintptr descriptor);
+    /// Answers with an error before any request was read, and closes.
+    void reject (const base::Error& error);
+    [[nodiscard]] FeedSocket* feedSocket() { return &feed_; }
+    /// Qt's HTTP server has parsed the request that was delivered.
+    void onParsed (const std::string& body);
+    /// Closes after the answer in progress; when idle, closes now, or a moment later if no request
+    /// was read yet: it may be on its way.
+    void closeWhenIdle();
+    [[nodiscard]] bool isAnswering() const { return isAnswering_ || socket_.bytesToWrite() > 0; }
+    /// `callback` runs once when the connection is closed and may be deleted.
+    void onFinished (std::function<void()> callback) { finished_ = std::move (callback); }
 
-  // Used by the responder.
-  void beginAnswer(int status, const Headers& headers, bool hasKnownLength);
-  void writeAnswer(std::string_view data);
-  void endAnswer();
-  void abortAnswer();
-  [[nodiscard]] std::size_t bytesToWrite() const {
-    return static_cast<std::size_t>(socket_.bytesToWrite());
-  }
+    // Used by the responder.
+    void beginAnswer (int status, const Headers& headers, bool hasKnownLength);
+    void writeAnswer (std::string_view data);
+    void endAnswer();
+    void abortAnswer();
+    [[nodiscard]] std::size_t bytesToWrite() const
+    {
+        return static_cast<std::size_t> (socket_.bytesToWrite());
+    }
 
- private:
-  enum class Phase : std::uint8_t { kIdle, kReading, kAnswering, kLingering, kClosed };
+private:
+    enum class Phase : std::uint8_t
+    {
+        kIdle,
+        kReading,
+        kAnswering,
+        kLingering,
+        kClosed
+    };
 
-  void onReadyRead();
-  void processInput();
-  void feedReader();
-  void sendContinue();
-  void dispatch();
-  void onBytesWritten(qint64 bytes);
-  void onTimeout();
-  void onDisconnected();
-  void startTimer(base::Duration duration);
-  void beginLingering();
-  void discardInput();
-  void writeRaw(std::string_view bytes);
-  [[nodiscard]] bool bodyIsAllowed(int status) const;
+    void onReadyRead();
+    void processInput();
+    void feedReader();
+    void sendContinue();
+    void dispatch();
+    void onBytesWritten (qint64 bytes);
+    void onTimeout();
+    void onDisconnected();
+    void startTimer (base::Duration duration);
+    void beginLingering();
+    void discardInput();
+    void writeRaw (std::string_view bytes);
+    [[nodiscard]] bool bodyIsAllowed (int status) const;
 
-  const ServerLimits& limits_;
-  Handler& handler_;
-  ServerCounters& counters_;
-  QTcpSocket socket_;
-  FeedSocket feed_;
-  QTimer timer_;
-  RequestReader reader_;
-  std::string unread_;  ///< Received bytes that belong to later requests.
-  std::function<void()> finished_;
-  std::weak_ptr<ConnectionResponder> responder_;
+    const ServerLimits& limits_;
+    Handler& handler_;
+    ServerCounters& counters_;
+    QTcpSocket socket_;
+    FeedSocket feed_;
+    QTimer timer_;
+    RequestReader reader_;
+    std::string unread_;  ///< Received bytes that belong to later requests.
+    std::function<void()> finished_;
+    std::weak_ptr<ConnectionResponder> responder_;
 
-  Phase phase_ = Phase::kIdle;
-  bool isProcessing_ = false;
-  bool isAnswering_ = false;
-  bool hasServed_ = false;  ///< At least one whole request was read.
-  bool wasParsed_ = false;
-  bool headersDone_ = false;  ///< The header block of the request being read is complete.
-  bool closesAfterAnswer_ = false;
-  bool isChunked_ = false;  ///< Framing of the answer in progress.
-  bool hidesBody_ = false;  ///< The answer may not have a body (HEAD, 204, 304).
-  bool hasKnownLength_ = false;
-  std::size_t remainingLength_ = 0;
-  std::size_t discarded_ = 0;
+    Phase phase_ = Phase::kIdle;
+    bool isProcessing_ = false;
+    bool isAnswering_ = false;
+    bool hasServed_ = false;  ///< At least one whole request was read.
+    bool wasParsed_ = false;
+    bool headersDone_ = false;  ///< The header block of the request being read is complete.
+    bool closesAfterAnswer_ = false;
+    bool isChunked_ = false;  ///< Framing of the answer in progress.
+    bool hidesBody_ = false;  ///< The answer may not have a body (HEAD, 204, 304).
+    bool hasKnownLength_ = false;
+    std::size_t remainingLength_ = 0;
+    std::size_t discarded_ = 0;
 };
 
 }  // namespace fernlift::http
