--- a/src/http/ConnectionResponder.h
+++ b/src/http/ConnectionResponder.h
@@ -9,37 +9,44 @@
 #include "http/Connection.h"
 #include "http/Server.h"
 
-namespace fernlift::http {
+namespace fernlift::http
+{
 
 /// Survives its connection: every call after the connection has closed does nothing.
-class ConnectionResponder final : public Responder {
- public:
-  explicit ConnectionResponder(Connection* connection) : connection_(connection) {}
-  ~ConnectionResponder() override;
-
-  void send(int status, const Headers& headers, std::string_view body) override;
-  void begin(int status, const Headers& headers) override;
-  void write(std::string_view data) override;
-  void end() override;
-  void abort() override;
-  [[nodiscard]] std::size_t bytesToWrite() const override;
-  [[nodiscard]] bool isOpen() const override { return state_ != State::kDone && connection_; }
-  void onClosed(std::function<void()> callback) override { closed_ = std::move(callback); }
-  void onDrained(std::function<void()> callback) override { drained_ = std::move(callback); }
-
-  /// The connection closed before the answer was finished.
-  void notifyClosed();
-  void notifyDrained();
-
- private:
-  enum class State : std::uint8_t { kNew, kBegun, kDone };
-
-  void finish();
-
-  QPointer<Connection> connection_;
-  State state_ = State::kNew;
-  std::function<void()> closed_;
-  std::function<void()> drained_;
+class ConnectionResponder final : public Responder
+{
+public:
+    explicit ConnectionResponder (Connection* connection) : connection_ (connection) {}
+    ~ConnectionResponder() override;
+
+    void send (int status, const Headers& headers, std::string_view body) override;
+    void begin (int status, const Headers& headers) override;
+    void write (std::string_view data) override;
+    void end() override;
+    void abort() override;
+    [[nodiscard]] std::size_t bytesToWrite() const override;
+    [[nodiscard]] bool isOpen() const override { return state_ != State::kDone && connection_; }
+    void onClosed (std::function<void()> callback) override { closed_ = std::move (callback); }
+    void onDrained (std::function<void()> callback) override { drained_ = std::move (callback); }
+
+    /// The connection closed before the answer was finished.
+    void notifyClosed();
+    void notifyDrained();
+
+private:
+    enum class State : std::uint8_t
+    {
+        kNew,
+        kBegun,
+        kDone
+    };
+
+    void finish();
+
+    QPointer<Connection> connection_;
+    State state_ = State::kNew;
+    std::function<void()> closed_;
+    std::function<void()> drained_;
 };
 
 }  // namespace fernlift::http
--- a/src/http/ConnectionSlots.h
+++ b/src/http/ConnectionSlots.h
@@ -8,29 +8,33 @@
 
 #include "base/Time.h"
 
-namespace fernlift::http {
+namespace fernlift::http
+{
 
 /// Qt's network access keeps at most six connections for each peer name; with one name for each
 /// slot and one exchange for each slot at a time, there is no such limit and no queueing.
-class ConnectionSlots {
- public:
-  struct Slot {
-    std::uint64_t number = 0;
-    bool isOpen = false;  ///< Its connection was open when last used.
-    base::TimePoint lastUsed;
-
-    [[nodiscard]] std::string name() const { return "slot-" + std::to_string(number); }
-  };
-
-  /// A slot whose connection was used a moment ago if there is one, else one without a connection.
-  Slot acquire(base::TimePoint now, bool needsFreshConnection);
-  /// Gives a slot back. Slots of broken or cancelled exchanges are not given back.
-  void release(Slot slot, bool isOpen, base::TimePoint now);
-
- private:
-  std::vector<Slot> open_;    ///< The most recently used one last.
-  std::vector<Slot> closed_;  ///< Their connections were closed by the back end's own wish.
-  std::uint64_t next_ = 0;
+class ConnectionSlots
+{
+public:
+    struct Slot
+    {
+        std::uint64_t number = 0;
+        bool isOpen = false;  ///< Its connection was open when last used.
+        base::TimePoint lastUsed;
+
+        [[nodiscard]] std::string name() const { return "slot-" + std::to_string (number); }
+    };
+
+    /// A slot whose connection was used a moment ago if there is one, else one without a
+    /// connection.
+    Slot acquire (base::TimePoint now, bool needsFreshConnection);
+    /// Gives a slot back. Slots of broken or cancelled exchanges are not given back.
+    void release (Slot slot, bool isOpen, base::TimePoint now);
+
+private:
+    std::vector<Slot> open_;    ///< The most recently used one last.
+    std::vector<Slot> closed_;  ///< Their connections were closed by the back end's own wish.
+    std::uint64_t next_ = 0;
 };
 
 }  // namespace fernlift::http
--- a/src/http/ErrorResponse.h
+++ b/src/http/ErrorResponse.h
@@ -9,29 +9,31 @@
 #include "base/Time.h"
 #include "http/Server.h"
 
-namespace fernlift::http {
+namespace fernlift::http
+{
 
 /// A whole answer, ready for Responder::send.
-struct Response {
-  int status = 200;
-  Headers headers;
-  std::string body;
+struct Response
+{
+    int status = 200;
+    Headers headers;
+    std::string body;
 
-  void sendTo(Responder& responder) const { responder.send(status, headers, body); }
+    void sendTo (Responder& responder) const { responder.send (status, headers, body); }
 };
 
 /// The JSON object of an error: {"error":{"kind","message","execution","request_id",
 /// "retry_after_ms"}}; the last two only when known.
-[[nodiscard]] std::string errorJson(const base::Error& error, base::Execution execution,
-                                    const std::string& requestId,
-                                    std::optional<base::Duration> retryAfter);
+[[nodiscard]] std::string errorJson (const base::Error& error, base::Execution execution,
+                                     const std::string& requestId,
+                                     std::optional<base::Duration> retryAfter);
 /// The answer with that object, the status of the error's kind, and Retry-After in whole seconds.
-[[nodiscard]] Response errorResponse(const base::Error& error, base::Execution execution,
-                                     const std::string& requestId = {},
-                                     std::optional<base::Duration> retryAfter = std::nullopt);
+[[nodiscard]] Response errorResponse (const base::Error& error, base::Execution execution,
+                                      const std::string& requestId = {},
+                                      std::optional<base::Duration> retryAfter = std::nullopt);
 /// The same with the execution of the error's kind.
-[[nodiscard]] Response errorResponse(const base::Error& error);
+[[nodiscard]] Response errorResponse (const base::Error& error);
 /// An answer with a JSON body.
-[[nodiscard]] Response jsonResponse(int status, std::string json);
+[[nodiscard]] Response jsonResponse (int status, std::string json);
 
 }  // namespace fernlift::http
--- a/src/http/FeedSocket.cpp
+++ b/src/http/FeedSocket.cpp
@@ -4,43 +4,50 @@
 #include <cstring>
 #include <utility>
 
-namespace fernlift::http {
-
-FeedSocket::FeedSocket(Connection* connection) : connection_(connection) {
-  setOpenMode(QIODevice::ReadWrite);
-  // The HTTP server deletes sockets that aren't connected.
-  setSocketState(QAbstractSocket::ConnectedState);
+namespace fernlift::http
+{
+
+FeedSocket::FeedSocket (Connection* connection) : connection_ (connection)
+{
+    setOpenMode (QIODevice::ReadWrite);
+    // The HTTP server deletes sockets that aren't connected.
+    setSocketState (QAbstractSocket::ConnectedState);
 }
 
-void FeedSocket::setPeer(const QHostAddress& address, quint16 port) {
-  setPeerAddress(address);
-  setPeerPort(port);
+void FeedSocket::setPeer (const QHostAddress& address, quint16 port)
+{
+    setPeerAddress (address);
+    setPeerPort (port);
 }
 
-void FeedSocket::deliver(std::string bytes) {
-  pending_ = std::move(bytes);
-  position_ = 0;
-  Q_EMIT readyRead();
+void FeedSocket::deliver (std::string bytes)
+{
+    pending_ = std::move (bytes);
+    position_ = 0;
+    Q_EMIT readyRead();
 }
 
-qint64 FeedSocket::bytesAvailable() const {
-  // The socket base class would ask its native socket, which this one has not.
-  // NOLINTNEXTLINE(bugprone-parent-virtual-call)
-  return QIODevice::bytesAvailable() + static_cast<qint64>(pending_.size() - position_);
+qint64 FeedSocket::bytesAvailable() const
+{
+    // The socket base class would ask its native socket, which this one has not.
+    // NOLINTNEXTLINE(bugprone-parent-virtual-call)
+    return QIODevice::bytesAvailable() + static_cast<qint64> (pending_.size() - position_);
 }
 
-qint64 FeedSocket::readData(char* data, qint64 maximumSize) {
-  const std::size_t size =
-      std::min(static_cast<std::size_t>(maximumSize), pending_.size() - position_);
-  std::memcpy(data, pending_.data() + position_, size);
-  position_ += size;
-  if (position_ == pending_.size()) {
-    pending_ = {};
-    position_ = 0;
-  }
-  return static_cast<qint64>(size);
+qint64 FeedSocket::readData (char* data, qint64 maximumSize)
+{
+    const std::size_t size =
+        std::min (static_cast<std::size_t> (maximumSize), pending_.size() - position_);
+    std::memcpy (data, pending_.data() + position_, size);
+    position_ += size;
+    if (position_ == pending_.size())
+    {
+        pending_ = {};
+        position_ = 0;
+    }
+    return static_cast<qint64> (size);
 }
 
-qint64 FeedSocket::writeData(const char* /*data*/, qint64 size) { return size; }
+qint64 FeedSocket::writeData (const char* /*data*/, qint64 size) { return size; }
 
 }  // namespace fernlift::http
--- a/src/http/FeedSocket.h
+++ b/src/http/FeedSocket.h
@@ -5,37 +5,39 @@
 #include <QTcpSocket>
 #include <string>
 
-namespace fernlift::http {
+namespace fernlift::http
+{
 
 class Connection;
 
 /// A socket without a network connection. The bytes it yields are those given to deliver().
-class FeedSocket final : public QTcpSocket {
- public:
-  explicit FeedSocket(Connection* connection);
-  ~FeedSocket() override { setSocketState(QAbstractSocket::UnconnectedState); }
-  FeedSocket(const FeedSocket&) = delete;
-  FeedSocket& operator=(const FeedSocket&) = delete;
-
-  [[nodiscard]] Connection* connection() const { return connection_; }
-  void setPeer(const QHostAddress& address, quint16 port);
-  /// Lets the HTTP server read `bytes`; it has done so when this returns.
-  void deliver(std::string bytes);
-  /// Whether the HTTP server refused what it read.
-  [[nodiscard]] bool wasRefused() const { return wasRefused_; }
-
-  [[nodiscard]] qint64 bytesAvailable() const override;
-  void disconnectFromHost() override { wasRefused_ = true; }
-
- protected:
-  qint64 readData(char* data, qint64 maximumSize) override;
-  qint64 writeData(const char* data, qint64 size) override;
-
- private:
-  Connection* connection_;
-  std::string pending_;
-  std::size_t position_ = 0;
-  bool wasRefused_ = false;
+class FeedSocket final : public QTcpSocket
+{
+public:
+    explicit FeedSocket (Connection* connection);
+    ~FeedSocket() override { setSocketState (QAbstractSocket::UnconnectedState); }
+    FeedSocket (const FeedSocket&) = delete;
+    FeedSocket& operator= (const FeedSocket&) = delete;
+
+    [[nodiscard]] Connection* connection() const { return connection_; }
+    void setPeer (const QHostAddress& address, quint16 port);
+    /// Lets the HTTP server read `bytes`; it has done so when this returns.
+    void deliver (std::string bytes);
+    /// Whether the HTTP server refused what it read.
+    [[nodiscard]] bool wasRefused() const { return wasRefused_; }
+
+    [[nodiscard]] qint64 bytesAvailable() const override;
+    void disconnectFromHost() override { wasRefused_ = true; }
+
+protected:
+    qint64 readData (char* data, qint64 maximumSize) override;
+    qint64 writeData (const char* data, qint64 size) override;
+
+private:
+    Connection* connection_;
+    std::string pending_;
+    std::size_t position_ = 0;
+    bool wasRefused_ = false;
 };
 
 }  // namespace fernlift::http
--- a/src/http/FileWatcher.h
+++ b/src/http/FileWatcher.h
@@ -9,27 +9,31 @@
 
 #include "base/Time.h"
 
-namespace fernlift::http {
-
-class FileWatcher {
- public:
-  /// `onChanged` runs on the event loop when time or size of the file differ from those seen last.
-  FileWatcher(std::string path, base::milliseconds interval, std::function<void()> onChanged);
-
- private:
-  struct Seen {
-    QDateTime modified;
-    qint64 size = -1;
-
-    bool operator==(const Seen&) const = default;
-  };
-
-  [[nodiscard]] Seen look() const;
-
-  std::string path_;
-  std::function<void()> onChanged_;
-  Seen seen_;
-  QTimer timer_;
+namespace fernlift::http
+{
+
+class FileWatcher
+{
+public:
+    /// `onChanged` runs on the event loop when time or size of the file differ from those seen
+    /// last.
+    FileWatcher (std::string path, base::milliseconds interval, std::function<void()> onChanged);
+
+private:
+    struct Seen
+    {
+        QDateTime modified;
+        qint64 size = -1;
+
+        bool operator== (const Seen&) const = default;
+    };
+
+    [[nodiscard]] Seen look() const;
+
+    std::string path_;
+    std::function<void()> onChanged_;
+    Seen seen_;
+    QTimer timer_;
 };
 
 }  // namespace fernlift::http
--- a/src/http/Metrics.h
+++ b/src/http/Metrics.h
@@ -9,78 +9,84 @@
 #include <string>
 #include <vector>
 
-namespace fernlift::http {
+namespace fernlift::http
+{
 
 /// Label names and values of one series, for example {{"kind", "lease"}}.
 using Labels = std::vector<std::pair<std::string, std::string>>;
 
-class Counter {
- public:
-  void add(std::uint64_t amount = 1) { value_ += amount; }
-  [[nodiscard]] std::uint64_t value() const { return value_; }
+class Counter
+{
+public:
+    void add (std::uint64_t amount = 1) { value_ += amount; }
+    [[nodiscard]] std::uint64_t value() const { return value_; }
 
- private:
-  std::uint64_t value_ = 0;
+private:
+    std::uint64_t value_ = 0;
 };
 
-class Gauge {
- public:
-  void set(double value) { value_ = value; }
-  [[nodiscard]] double value() const { return value_; }
+class Gauge
+{
+public:
+    void set (double value) { value_ = value; }
+    [[nodiscard]] double value() const { return value_; }
 
- private:
-  double value_ = 0;
+private:
+    double value_ = 0;
 };
 
 /// Counts of observations at most as large as each bound.
-class Histogram {
- public:
-  explicit Histogram(std::vector<double> bounds);
-  void observe(double value);
-  [[nodiscard]] const std::vector<double>& bounds() const { return bounds_; }
-  /// Observations in each bucket alone; the last is beyond all bounds.
-  [[nodiscard]] const std::vector<std::uint64_t>& counts() const { return counts_; }
-  [[nodiscard]] double sum() const { return sum_; }
-
- private:
-  std::vector<double> bounds_;
-  std::vector<std::uint64_t> counts_;
-  double sum_ = 0;
+class Histogram
+{
+public:
+    explicit Histogram (std::vector<double> bounds);
+    void observe (double value);
+    [[nodiscard]] const std::vector<double>& bounds() const { return bounds_; }
+    /// Observations in each bucket alone; the last is beyond all bounds.
+    [[nodiscard]] const std::vector<std::uint64_t>& counts() const { return counts_; }
+    [[nodiscard]] double sum() const { return sum_; }
+
+private:
+    std::vector<double> bounds_;
+    std::vector<std::uint64_t> counts_;
+    double sum_ = 0;
 };
 
 /// Upper bounds in seconds from 0.5 ms to 60 s, for latencies.
 [[nodiscard]] std::vector<double> latencyBounds();
 
 /// The metrics of one process. References stay valid for the registry's life. Not thread-safe.
-class Metrics {
- public:
-  /// Each call with the same name and labels returns the same object.
-  Counter& counter(const std::string& name, const std::string& help, const Labels& labels = {});
-  Gauge& gauge(const std::string& name, const std::string& help, const Labels& labels = {});
-  Histogram& histogram(const std::string& name, const std::string& help,
-                       const std::vector<double>& bounds, const Labels& labels = {});
-  /// `update` runs before each writing, to set gauges from elsewhere.
-  void addUpdate(std::function<void()> update);
-  /// Appends ready text (whole families in the same format) at each writing.
-  void addText(std::function<std::string()> text);
-  /// Adds processor time, resident memory and start time of this process.
-  void addProcessMetrics();
-
-  [[nodiscard]] std::string text();
-
- private:
-  struct Series;
-  struct Family {
-    std::string help;
-    std::string type;
-    std::map<std::string, std::shared_ptr<Series>> series;  ///< Keyed by the written labels.
-  };
-  Series& seriesOf(const std::string& name, const std::string& help, const std::string& type,
-                   const Labels& labels);
-
-  std::map<std::string, Family> families_;
-  std::vector<std::function<void()>> updates_;
-  std::vector<std::function<std::string()>> texts_;
+class Metrics
+{
+public:
+    /// Each call with the same name and labels returns the same object.
+    Counter& counter (const std::string& name, const std::string& help, const Labels& labels = {});
+    Gauge& gauge (const std::string& name, const std::string& help, const Labels& labels = {});
+    Histogram& histogram (const std::string& name, const std::string& help,
+                          const std::vector<double>& bounds, const Labels& labels = {});
+    /// `update` runs before each writing, to set gauges from elsewhere.
+    void addUpdate (std::function<void()> update);
+    /// Appends ready text (whole families in the same format) at each writing.
+    void addText (std::function<std::string()> text);
+    /// Adds processor time, resident memory and start time of this process.
+    void addProcessMetrics();
+
+    [[nodiscard]] std::string text();
+
+private:
+    struct Series;
+    struct Family
+    {
+        std::string help;
+        std::string type;
+        std::map<std::string, std::shared_ptr<Series>> series;  ///< Keyed by the written labels.
+    };
+    Series& seriesOf (const std::string& name, const std::string& help, const std::string& type,
+                      const Labels& labels);
+
+    std::map<std::string, Family> families_;
+    std::vector<std::function<void()>> updates_;
+    std::vector<std::function<std::string()>> texts_;
 };
 
 }  // namespace fernlift::http
--- a/src/http/ProcessEndpoints.h
+++ b/src/http/ProcessEndpoints.h
@@ -8,11 +8,12 @@
 #include "http/Metrics.h"
 #include "http/Server.h"
 
-namespace fernlift::http {
+namespace fernlift::http
+{
 
 /// Wraps `next` in a handler that answers GET /healthz (200 while the process lives), GET /readyz
 /// (200 or 503 by `isReady`) and GET /metrics itself. `metrics` must outlive the handler.
-[[nodiscard]] Handler addProcessEndpoints(Handler next, std::function<bool()> isReady,
-                                          Metrics& metrics);
+[[nodiscard]] Handler addProcessEndpoints (Handler next, std::function<bool()> isReady,
+                                           Metrics& metrics);
 
 }  // namespace fernlift::http
--- a/src/http/RequestReader.cpp
+++ b/src/http/RequestReader.cpp
@@ -5,8 +5,10 @@
 #include <optional>
 #include <utility>
 
-namespace fernlift::http {
-namespace {
+namespace fernlift::http
+{
+namespace
+{
 
 using base::ErrorKind;
 
@@ -16,290 +18,372 @@
 constexpr std::size_t kMaximumChunkLine = 256;
 constexpr int kHexadecimal = 16;
 
-bool isTokenCharacter(char character) {
-  const bool isDigit = character >= '0' && character <= '9';
-  const bool isUpper = character >= 'A' && character <= 'Z';
-  const bool isLower = character >= 'a' && character <= 'z';
-  constexpr std::string_view kOthers = "!#$%&'*+-.^_`|~";
-  return isDigit || isUpper || isLower || kOthers.find(character) != std::string_view::npos;
+bool isTokenCharacter (char character)
+{
+    const bool isDigit = character >= '0' && character <= '9';
+    const bool isUpper = character >= 'A' && character <= 'Z';
+    const bool isLower = character >= 'a' && character <= 'z';
+    constexpr std::string_view kOthers = "!#$%&'*+-.^_`|~";
+    return isDigit || isUpper || isLower || kOthers.find (character) != std::string_view::npos;
 }
 
-bool isToken(std::string_view text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+bool isToken (std::string_view text)
+{
+    return ! text.empty() && std::all_of (text.begin(), text.end(), isTokenCharacter);
 }
 
-bool isTargetCharacter(char character) { return character > ' ' && character != '\x7f'; }
+bool isTargetCharacter (char character) { return character > ' ' && character != '\x7f'; }
 
-bool isValueCharacter(char character) {
-  const auto code = static_cast<unsigned char>(character);
-  return code == '\t' || (code >= ' ' && code != 0x7f);
+bool isValueCharacter (char character)
+{
+    const auto code = static_cast<unsigned char> (character);
+    return code == '\t' || (code >= ' ' && code != 0x7f);
 }
 
-std::string_view trim(std::string_view text) {
-  const std::size_t first = text.find_first_not_of(" \t");
-  if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+std::string_view trim (std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of (" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr (first, text.find_last_not_of (" \t") - first + 1);
 }
 
 /// The whole of `text` as a number; nothing on any other character or on overflow.
-std::optional<std::size_t> parseNumber(std::string_view text, int numberBase) {
-  std::size_t number = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stop, status] = std::from_chars(text.data(), end, number, numberBase);
-  if (text.empty() || status != std::errc() || stop != end) return std::nullopt;
-  return number;
+std::optional<std::size_t> parseNumber (std::string_view text, int numberBase)
+{
+    std::size_t number = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, status] = std::from_chars (text.data(), end, number, numberBase);
+    if (text.empty() || status != std::errc() || stop != end)
+        return std::nullopt;
+    return number;
 }
 
 /// Whether a comma-separated list of tokens names `token`.
-bool listContains(std::string_view list, std::string_view token) {
-  while (!list.empty()) {
-    const std::size_t comma = std::min(list.find(','), list.size());
-    if (equalsIgnoringCase(trim(list.substr(0, comma)), token)) return true;
-    list.remove_prefix(std::min(comma + 1, list.size()));
-  }
-  return false;
+bool listContains (std::string_view list, std::string_view token)
+{
+    while (! list.empty())
+    {
+        const std::size_t comma = std::min (list.find (','), list.size());
+        if (equalsIgnoringCase (trim (list.substr (0, comma)), token))
+            return true;
+        list.remove_prefix (std::min (comma + 1, list.size()));
+    }
+    return false;
 }
 
 /// Fields that are not passed on because the reader has dealt with them.
-bool isFramingField(std::string_view name) {
-  return equalsIgnoringCase(name, "Transfer-Encoding") ||
-         equalsIgnoringCase(name, "Content-Length") || equalsIgnoringCase(name, "Expect") ||
-         equalsIgnoringCase(name, "Upgrade") || equalsIgnoringCase(name, "Connection");
+bool isFramingField (std::string_view name)
+{
+    return equalsIgnoringCase (name, "Transfer-Encoding")
+           || equalsIgnoringCase (name, "Content-Length") || equalsIgnoringCase (name, "Expect")
+           || equalsIgnoringCase (name, "Upgrade") || equalsIgnoringCase (name, "Connection");
 }
 
 }  // namespace
 
-std::size_t RequestReader::feed(std::string_view bytes) {
-  std::size_t consumed = 0;
-  while (consumed < bytes.size()) {
-    const std::string_view rest = bytes.substr(consumed);
-    if (state_ == State::kIdle || state_ == State::kHeaders) {
-      consumed += feedHeaders(rest);
-    } else if (state_ == State::kBody) {
-      consumed += feedBody(rest);
-    } else {
-      break;
+std::size_t RequestReader::feed (std::string_view bytes)
+{
+    std::size_t consumed = 0;
+    while (consumed < bytes.size())
+    {
+        const std::string_view rest = bytes.substr (consumed);
+        if (state_ == State::kIdle || state_ == State::kHeaders)
+        {
+            consumed += feedHeaders (rest);
+        }
+        else if (state_ == State::kBody)
+        {
+            consumed += feedBody (rest);
+        }
+        else
+        {
+            break;
+        }
     }
-  }
-  return consumed;
+    return consumed;
 }
 
-std::size_t RequestReader::feedHeaders(std::string_view bytes) {
-  if (state_ == State::kIdle && (bytes.front() == '\r' || bytes.front() == '\n')) return 1;
-  state_ = State::kHeaders;
-  const std::size_t before = headerBlock_.size();
-  const std::size_t room = limits_.headerBytes + 1 - std::min(before, limits_.headerBytes);
-  headerBlock_ += bytes.substr(0, room);
-  const std::size_t searchFrom = before < kHeaderEnd.size() ? 0 : before - kHeaderEnd.size() + 1;
-  const std::size_t end = headerBlock_.find(kHeaderEnd, searchFrom);
-  if (end == std::string::npos) {
-    if (headerBlock_.size() > limits_.headerBytes) {
-      fail(ErrorKind::kHeaderTooLarge,
-           "the header block is larger than " + std::to_string(limits_.headerBytes) + " bytes");
+std::size_t RequestReader::feedHeaders (std::string_view bytes)
+{
+    if (state_ == State::kIdle && (bytes.front() == '\r' || bytes.front() == '\n'))
+        return 1;
+    state_ = State::kHeaders;
+    const std::size_t before = headerBlock_.size();
+    const std::size_t room = limits_.headerBytes + 1 - std::min (before, limits_.headerBytes);
+    headerBlock_ += bytes.substr (0, room);
+    const std::size_t searchFrom = before < kHeaderEnd.size() ? 0 : before - kHeaderEnd.size() + 1;
+    const std::size_t end = headerBlock_.find (kHeaderEnd, searchFrom);
+    if (end == std::string::npos)
+    {
+        if (headerBlock_.size() > limits_.headerBytes)
+        {
+            fail (ErrorKind::kHeaderTooLarge, "the header block is larger than "
+                                                  + std::to_string (limits_.headerBytes)
+                                                  + " bytes");
+        }
+        return headerBlock_.size() - before;
     }
-    return headerBlock_.size() - before;
-  }
-  headerBlock_.resize(end + kLineEnd.size());
-  parseHeaderBlock();
-  return end + kHeaderEnd.size() - before;
+    headerBlock_.resize (end + kLineEnd.size());
+    parseHeaderBlock();
+    return end + kHeaderEnd.size() - before;
 }
 
-void RequestReader::parseHeaderBlock() {
-  std::string_view rest = headerBlock_;
-  bool isRequestLine = true;
-  while (!rest.empty()) {
-    const std::size_t end = rest.find(kLineEnd);
-    const std::string_view line = rest.substr(0, end);
-    rest.remove_prefix(end + kLineEnd.size());
-    if (!(isRequestLine ? parseRequestLine(line) : parseHeaderLine(line))) return;
-    isRequestLine = false;
-  }
-  beginBody();
+void RequestReader::parseHeaderBlock()
+{
+    std::string_view rest = headerBlock_;
+    bool isRequestLine = true;
+    while (! rest.empty())
+    {
+        const std::size_t end = rest.find (kLineEnd);
+        const std::string_view line = rest.substr (0, end);
+        rest.remove_prefix (end + kLineEnd.size());
+        if (! (isRequestLine ? parseRequestLine (line) : parseHeaderLine (line)))
+            return;
+        isRequestLine = false;
+    }
+    beginBody();
 }
 
-bool RequestReader::parseRequestLine(std::string_view line) {
-  const std::size_t firstSpace = line.find(' ');
-  const std::size_t lastSpace = line.rfind(' ');
-  const bool hasThreeParts = firstSpace != std::string_view::npos && firstSpace < lastSpace;
-  if (!hasThreeParts) {
-    fail(ErrorKind::kInvalidRequest, "the request line is malformed");
-    return false;
-  }
-  const std::string_view version = line.substr(lastSpace + 1);
-  method_ = line.substr(0, firstSpace);
-  target_ = line.substr(firstSpace + 1, lastSpace - firstSpace - 1);
-  isVersion10_ = version == "HTTP/1.0";
-  const bool isVersionKnown = isVersion10_ || version == "HTTP/1.1";
-  const bool isTargetValid = (target_.starts_with('/') || target_ == "*") &&
-                             std::all_of(target_.begin(), target_.end(), isTargetCharacter);
-  if (!isToken(method_) || !isTargetValid || !isVersionKnown) {
-    fail(ErrorKind::kInvalidRequest, "the request line is malformed");
-    return false;
-  }
-  return true;
+bool RequestReader::parseRequestLine (std::string_view line)
+{
+    const std::size_t firstSpace = line.find (' ');
+    const std::size_t lastSpace = line.rfind (' ');
+    const bool hasThreeParts = firstSpace != std::string_view::npos && firstSpace < lastSpace;
+    if (! hasThreeParts)
+    {
+        fail (ErrorKind::kInvalidRequest, "the request line is malformed");
+        return false;
+    }
+    const std::string_view version = line.substr (lastSpace + 1);
+    method_ = line.substr (0, firstSpace);
+    target_ = line.substr (firstSpace + 1, lastSpace - firstSpace - 1);
+    isVersion10_ = version == "HTTP/1.0";
+    const bool isVersionKnown = isVersion10_ || version == "HTTP/1.1";
+    const bool isTargetValid = (target_.starts_with ('/') || target_ == "*")
+                               && std::all_of (target_.begin(), target_.end(), isTargetCharacter);
+    if (! isToken (method_) || ! isTargetValid || ! isVersionKnown)
+    {
+        fail (ErrorKind::kInvalidRequest, "the request line is malformed");
+        return false;
+    }
+    return true;
 }
 
-bool RequestReader::parseHeaderLine(std::string_view line) {
-  const std::size_t colon = std::min(line.find(':'), line.size());
-  const std::string_view name = line.substr(0, colon);
-  const std::string_view value = colon < line.size() ? line.substr(colon + 1) : std::string_view();
-  const bool isValid = colon < line.size() && isToken(name) &&
-                       std::all_of(value.begin(), value.end(), isValueCharacter);
-  if (!isValid) {
-    fail(ErrorKind::kInvalidRequest, "a header field is malformed");
-    return false;
-  }
-  if (headers_.fields().size() >= kMaximumHeaderFields) {
-    fail(ErrorKind::kHeaderTooLarge,
-         "more than " + std::to_string(kMaximumHeaderFields) + " header fields");
-    return false;
-  }
-  headers_.add(std::string(name), std::string(trim(value)));
-  return true;
+bool RequestReader::parseHeaderLine (std::string_view line)
+{
+    const std::size_t colon = std::min (line.find (':'), line.size());
+    const std::string_view name = line.substr (0, colon);
+    const std::string_view value =
+        colon < line.size() ? line.substr (colon + 1) : std::string_view();
+    const bool isValid = colon < line.size() && isToken (name)
+                         && std::all_of (value.begin(), value.end(), isValueCharacter);
+    if (! isValid)
+    {
+        fail (ErrorKind::kInvalidRequest, "a header field is malformed");
+        return false;
+    }
+    if (headers_.fields().size() >= kMaximumHeaderFields)
+    {
+        fail (ErrorKind::kHeaderTooLarge,
+              "more than " + std::to_string (kMaximumHeaderFields) + " header fields");
+        return false;
+    }
+    headers_.add (std::string (name), std::string (trim (value)));
+    return true;
 }
 
-void RequestReader::beginBody() {
-  const bool hasLength = headers_.contains("Content-Length");
-  const bool hasEncoding = headers_.contains("Transfer-Encoding");
-  if (hasLength && hasEncoding) {
-    fail(ErrorKind::kUnsupportedFraming, "both Content-Length and Transfer-Encoding");
-    return;
-  }
-  if (headers_.count("Host") > 1 || (headers_.count("Host") == 0 && !isVersion10_)) {
-    fail(ErrorKind::kInvalidRequest, "exactly one Host field is required");
-    return;
-  }
-  state_ = State::kBody;
-  if (hasEncoding) {
-    beginChunkedBody();
-  } else if (hasLength) {
-    beginPlainBody();
-  } else {
-    state_ = State::kComplete;
-  }
+void RequestReader::beginBody()
+{
+    const bool hasLength = headers_.contains ("Content-Length");
+    const bool hasEncoding = headers_.contains ("Transfer-Encoding");
+    if (hasLength && hasEncoding)
+    {
+        fail (ErrorKind::kUnsupportedFraming, "both Content-Length and Transfer-Encoding");
+        return;
+    }
+    if (headers_.count ("Host") > 1 || (headers_.count ("Host") == 0 && ! isVersion10_))
+    {
+        fail (ErrorKind::kInvalidRequest, "exactly one Host field is required");
+        return;
+    }
+    state_ = State::kBody;
+    if (hasEncoding)
+    {
+        beginChunkedBody();
+    }
+    else if (hasLength)
+    {
+        beginPlainBody();
+    }
+    else
+    {
+        state_ = State::kComplete;
+    }
 }
 
-void RequestReader::beginPlainBody() {
-  const auto length = parseNumber(headers_.value("Content-Length"), 10);
-  if (headers_.count("Content-Length") > 1 || !length) {
-    fail(ErrorKind::kUnsupportedFraming, "Content-Length is not one whole number");
-    return;
-  }
-  if (*length > limits_.bodyBytes) {
-    fail(ErrorKind::kBodyTooLarge,
-         "the body is larger than " + std::to_string(limits_.bodyBytes) + " bytes");
-    return;
-  }
-  bodyPart_ = BodyPart::kPlain;
-  remaining_ = *length;
-  if (remaining_ == 0) state_ = State::kComplete;
+void RequestReader::beginPlainBody()
+{
+    const auto length = parseNumber (headers_.value ("Content-Length"), 10);
+    if (headers_.count ("Content-Length") > 1 || ! length)
+    {
+        fail (ErrorKind::kUnsupportedFraming, "Content-Length is not one whole number");
+        return;
+    }
+    if (*length > limits_.bodyBytes)
+    {
+        fail (ErrorKind::kBodyTooLarge,
+              "the body is larger than " + std::to_string (limits_.bodyBytes) + " bytes");
+        return;
+    }
+    bodyPart_ = BodyPart::kPlain;
+    remaining_ = *length;
+    if (remaining_ == 0)
+        state_ = State::kComplete;
 }
 
-void RequestReader::beginChunkedBody() {
-  const bool isChunked = headers_.count("Transfer-Encoding") == 1 &&
-                         equalsIgnoringCase(headers_.value("Transfer-Encoding"), "chunked");
-  if (!isChunked || isVersion10_) {
-    fail(ErrorKind::kUnsupportedFraming, "the only transfer coding understood is chunked");
-    return;
-  }
-  bodyPart_ = BodyPart::kChunkSize;
+void RequestReader::beginChunkedBody()
+{
+    const bool isChunked = headers_.count ("Transfer-Encoding") == 1
+                           && equalsIgnoringCase (headers_.value ("Transfer-Encoding"), "chunked");
+    if (! isChunked || isVersion10_)
+    {
+        fail (ErrorKind::kUnsupportedFraming, "the only transfer coding understood is chunked");
+        return;
+    }
+    bodyPart_ = BodyPart::kChunkSize;
 }
 
-std::size_t RequestReader::feedBody(std::string_view bytes) {
-  const bool isData = bodyPart_ == BodyPart::kPlain || bodyPart_ == BodyPart::kChunkData;
-  return isData ? feedData(bytes) : feedLine(bytes);
+std::size_t RequestReader::feedBody (std::string_view bytes)
+{
+    const bool isData = bodyPart_ == BodyPart::kPlain || bodyPart_ == BodyPart::kChunkData;
+    return isData ? feedData (bytes) : feedLine (bytes);
 }
 
-std::size_t RequestReader::feedData(std::string_view bytes) {
-  const std::string_view part = bytes.substr(0, remaining_);
-  body_ += part;
-  remaining_ -= part.size();
-  if (remaining_ > 0) return part.size();
-  if (bodyPart_ == BodyPart::kPlain) {
-    state_ = State::kComplete;
-  } else {
-    bodyPart_ = BodyPart::kChunkEnd;
-  }
-  return part.size();
+std::size_t RequestReader::feedData (std::string_view bytes)
+{
+    const std::string_view part = bytes.substr (0, remaining_);
+    body_ += part;
+    remaining_ -= part.size();
+    if (remaining_ > 0)
+        return part.size();
+    if (bodyPart_ == BodyPart::kPlain)
+    {
+        state_ = State::kComplete;
+    }
+    else
+    {
+        bodyPart_ = BodyPart::kChunkEnd;
+    }
+    return part.size();
 }
 
-std::size_t RequestReader::feedLine(std::string_view bytes) {
-  const std::size_t feedPosition = bytes.find('\n');
-  const std::size_t taken =
-      feedPosition == std::string_view::npos ? bytes.size() : feedPosition + 1;
-  if (line_.size() + taken > kMaximumChunkLine) {
-    fail(ErrorKind::kInvalidRequest, "a line of the chunked body is too long");
-    return taken;
-  }
-  line_ += bytes.substr(0, taken);
-  if (feedPosition == std::string_view::npos) return taken;
-  if (!line_.ends_with(kLineEnd)) {
-    fail(ErrorKind::kInvalidRequest, "a line of the chunked body ends without CR");
+std::size_t RequestReader::feedLine (std::string_view bytes)
+{
+    const std::size_t feedPosition = bytes.find ('\n');
+    const std::size_t taken =
+        feedPosition == std::string_view::npos ? bytes.size() : feedPosition + 1;
+    if (line_.size() + taken > kMaximumChunkLine)
+    {
+        fail (ErrorKind::kInvalidRequest, "a line of the chunked body is too long");
+        return taken;
+    }
+    line_ += bytes.substr (0, taken);
+    if (feedPosition == std::string_view::npos)
+        return taken;
+    if (! line_.ends_with (kLineEnd))
+    {
+        fail (ErrorKind::kInvalidRequest, "a line of the chunked body ends without CR");
+        return taken;
+    }
+    const std::string line = std::exchange (line_, {});
+    onChunkLine (std::string_view (line).substr (0, line.size() - kLineEnd.size()));
     return taken;
-  }
-  const std::string line = std::exchange(line_, {});
-  onChunkLine(std::string_view(line).substr(0, line.size() - kLineEnd.size()));
-  return taken;
 }
 
-void RequestReader::onChunkLine(std::string_view line) {
-  if (bodyPart_ == BodyPart::kChunkSize) {
-    onChunkSize(line);
-  } else if (bodyPart_ == BodyPart::kChunkEnd) {
-    if (line.empty()) {
-      bodyPart_ = BodyPart::kChunkSize;
-    } else {
-      fail(ErrorKind::kInvalidRequest, "a chunk is longer than its size");
+void RequestReader::onChunkLine (std::string_view line)
+{
+    if (bodyPart_ == BodyPart::kChunkSize)
+    {
+        onChunkSize (line);
+    }
+    else if (bodyPart_ == BodyPart::kChunkEnd)
+    {
+        if (line.empty())
+        {
+            bodyPart_ = BodyPart::kChunkSize;
+        }
+        else
+        {
+            fail (ErrorKind::kInvalidRequest, "a chunk is longer than its size");
+        }
     }
-  } else if (line.empty()) {
-    state_ = State::kComplete;
-  } else {
-    trailerBytes_ += line.size();
-    if (trailerBytes_ > limits_.headerBytes) {
-      fail(ErrorKind::kHeaderTooLarge, "the trailer section is too large");
+    else if (line.empty())
+    {
+        state_ = State::kComplete;
+    }
+    else
+    {
+        trailerBytes_ += line.size();
+        if (trailerBytes_ > limits_.headerBytes)
+        {
+            fail (ErrorKind::kHeaderTooLarge, "the trailer section is too large");
+        }
     }
-  }
 }
 
-void RequestReader::onChunkSize(std::string_view line) {
-  const std::string_view digits = trim(line.substr(0, std::min(line.find(';'), line.size())));
-  const auto size = parseNumber(digits, kHexadecimal);
-  if (!size) {
-    fail(ErrorKind::kInvalidRequest, "a chunk size is malformed");
-  } else if (*size > limits_.bodyBytes - body_.size()) {
-    fail(ErrorKind::kBodyTooLarge,
-         "the body is larger than " + std::to_string(limits_.bodyBytes) + " bytes");
-  } else {
-    remaining_ = *size;
-    bodyPart_ = *size == 0 ? BodyPart::kTrailers : BodyPart::kChunkData;
-  }
+void RequestReader::onChunkSize (std::string_view line)
+{
+    const std::string_view digits = trim (line.substr (0, std::min (line.find (';'), line.size())));
+    const auto size = parseNumber (digits, kHexadecimal);
+    if (! size)
+    {
+        fail (ErrorKind::kInvalidRequest, "a chunk size is malformed");
+    }
+    else if (*size > limits_.bodyBytes - body_.size())
+    {
+        fail (ErrorKind::kBodyTooLarge,
+              "the body is larger than " + std::to_string (limits_.bodyBytes) + " bytes");
+    }
+    else
+    {
+        remaining_ = *size;
+        bodyPart_ = *size == 0 ? BodyPart::kTrailers : BodyPart::kChunkData;
+    }
 }
 
-bool RequestReader::wantsClose() const {
-  const std::string connection = headers_.value("Connection");
-  if (listContains(connection, "close")) return true;
-  return isVersion10_ && !listContains(connection, "keep-alive");
+bool RequestReader::wantsClose() const
+{
+    const std::string connection = headers_.value ("Connection");
+    if (listContains (connection, "close"))
+        return true;
+    return isVersion10_ && ! listContains (connection, "keep-alive");
 }
 
-bool RequestReader::expectsContinue() const {
-  return !isVersion10_ && equalsIgnoringCase(headers_.value("Expect"), "100-continue");
+bool RequestReader::expectsContinue() const
+{
+    return ! isVersion10_ && equalsIgnoringCase (headers_.value ("Expect"), "100-continue");
 }
 
-std::string RequestReader::takeCanonicalBytes() {
-  std::string bytes = method_ + ' ' + target_ + " HTTP/1.1\r\n";
-  for (const Header& field : headers_.fields()) {
-    if (!isFramingField(field.name)) bytes += field.name + ": " + field.value + "\r\n";
-  }
-  bytes += "Content-Length: " + std::to_string(body_.size()) + "\r\n\r\n";
-  bytes += std::exchange(body_, {});
-  return bytes;
+std::string RequestReader::takeCanonicalBytes()
+{
+    std::string bytes = method_ + ' ' + target_ + " HTTP/1.1\r\n";
+    for (const Header& field : headers_.fields())
+    {
+        if (! isFramingField (field.name))
+            bytes += field.name + ": " + field.value + "\r\n";
+    }
+    bytes += "Content-Length: " + std::to_string (body_.size()) + "\r\n\r\n";
+    bytes += std::exchange (body_, {});
+    return bytes;
 }
 
-void RequestReader::reset() { *this = RequestReader(limits_); }
+void RequestReader::reset() { *this = RequestReader (limits_); }
 
-void RequestReader::fail(base::ErrorKind kind, std::string message) {
-  state_ = State::kFailed;
-  error_ = base::Error{kind, std::move(message)};
+void RequestReader::fail (base::ErrorKind kind, std::string message)
+{
+    state_ = State::kFailed;
+    error_ = base::Error{ kind, std::move (message) };
 }
 
 }  // namespace fernlift::http
--- a/src/http/RequestReader.h
+++ b/src/http/RequestReader.h
@@ -10,79 +10,90 @@
 #include "base/Error.h"
 #include "http/Message.h"
 
-namespace fernlift::http {
+namespace fernlift::http
+{
 
 /// Bounds on one request.
-struct ReaderLimits {
-  std::size_t headerBytes = 0;
-  std::size_t bodyBytes = 0;
+struct ReaderLimits
+{
+    std::size_t headerBytes = 0;
+    std::size_t bodyBytes = 0;
 };
 
 /// Reads one request at a time and holds at most its limits in memory. Anything that two parsers
 /// could understand differently is refused: bare line feeds, folded lines, more than one
 /// Content-Length, both Content-Length and Transfer-Encoding, codings other than chunked.
-class RequestReader {
- public:
-  enum class State : std::uint8_t { kIdle, kHeaders, kBody, kComplete, kFailed };
+class RequestReader
+{
+public:
+    enum class State : std::uint8_t
+    {
+        kIdle,
+        kHeaders,
+        kBody,
+        kComplete,
+        kFailed
+    };
 
-  explicit RequestReader(ReaderLimits limits) : limits_(limits) {}
+    explicit RequestReader (ReaderLimits limits) : limits_ (limits) {}
 
-  /// Consumes bytes up to the end of the current request and returns how many.
-  std::size_t feed(std::string_view bytes);
-  [[nodiscard]] State state() const { return state_; }
-  /// What was wrong; valid in kFailed.
-  [[nodiscard]] const base::Error& error() const { return error_; }
+    /// Consumes bytes up to the end of the current request and returns how many.
+    std::size_t feed (std::string_view bytes);
+    [[nodiscard]] State state() const { return state_; }
+    /// What was wrong; valid in kFailed.
+    [[nodiscard]] const base::Error& error() const { return error_; }
 
-  // Valid from kBody on.
-  [[nodiscard]] const std::string& method() const { return method_; }
-  [[nodiscard]] const std::string& target() const { return target_; }
-  [[nodiscard]] const Headers& headers() const { return headers_; }
-  [[nodiscard]] bool isVersion10() const { return isVersion10_; }
-  [[nodiscard]] bool wantsClose() const;
-  [[nodiscard]] bool expectsContinue() const;
+    // Valid from kBody on.
+    [[nodiscard]] const std::string& method() const { return method_; }
+    [[nodiscard]] const std::string& target() const { return target_; }
+    [[nodiscard]] const Headers& headers() const { return headers_; }
+    [[nodiscard]] bool isVersion10() const { return isVersion10_; }
+    [[nodiscard]] bool wantsClose() const;
+    [[nodiscard]] bool expectsContinue() const;
 
-  /// The complete request in one plain form: with Content-Length, without Transfer-Encoding,
-  /// Upgrade and Expect. Leaves the body empty.
-  [[nodiscard]] std::string takeCanonicalBytes();
-  /// Starts over with the next request.
-  void reset();
+    /// The complete request in one plain form: with Content-Length, without Transfer-Encoding,
+    /// Upgrade and Expect. Leaves the body empty.
+    [[nodiscard]] std::string takeCanonicalBytes();
+    /// Starts over with the next request.
+    void reset();
 
- private:
-  enum class BodyPart : std::uint8_t {
-    kPlain,
-    kChunkSize,
-    kChunkData,
-    kChunkEnd,
-    kTrailers,
-  };
+private:
+    enum class BodyPart : std::uint8_t
+    {
+        kPlain,
+        kChunkSize,
+        kChunkData,
+        kChunkEnd,
+        kTrailers,
+    };
 
-  std::size_t feedHeaders(std::string_view bytes);
-  std::size_t feedBody(std::string_view bytes);
-  std::size_t feedData(std::string_view bytes);
-  std::size_t feedLine(std::string_view bytes);
-  void parseHeaderBlock();
-  bool parseRequestLine(std::string_view line);
-  bool parseHeaderLine(std::string_view line);
-  void beginBody();
-  void beginPlainBody();
-  void beginChunkedBody();
-  void onChunkLine(std::string_view line);
-  void onChunkSize(std::string_view line);
-  void fail(base::ErrorKind kind, std::string message);
+    std::size_t feedHeaders (std::string_view bytes);
+    std::size_t feedBody (std::string_view bytes);
+    std::size_t feedData (std::string_view bytes);
+    std::size_t feedLine (std::string_view bytes);
+    void parseHeaderBlock();
+    bool parseRequestLine (std::string_view line);
+    bool parseHeaderLine (std::string_view line);
+    void beginBody();
+    void beginPlainBody();
+    void beginChunkedBody();
+    void onChunkLine (std::string_view line);
+    void onChunkSize (std::string_view line);
+    void fail (base::ErrorKind kind, std::string message);
 
-  ReaderLimits limits_;
-  State state_ = State::kIdle;
-  base::Error error_;
-  std::string headerBlock_;
-  std::string method_;
-  std::string target_;
-  Headers headers_;
-  bool isVersion10_ = false;
-  std::string body_;
-  BodyPart bodyPart_ = BodyPart::kPlain;
-  std::size_t remaining_ = 0;  ///< Bytes of the plain body or of the current chunk to come.
-  std::string line_;           ///< Unfinished chunk-size or trailer line.
-  std::size_t trailerBytes_ = 0;
+    ReaderLimits limits_;
+    State state_ = State::kIdle;
+    base::Error error_;
+    std::string headerBlock_;
+    std::string method_;
+    std::string target_;
+    Headers headers_;
+    bool isVersion10_ = false;
+    std::string body_;
+    BodyPart bodyPart_ = BodyPart::kPlain;
+    std::size_t remaining_ = 0;  ///< Bytes of the plain body or of the current chunk to come.
+    std::string line_;           ///< Unfinished chunk-size or trailer line.
+    std::size_t trailerBytes_ = 0;
 };
 
 }  // namespace fernlift::http
--- a/src/http/SignalWatcher.cpp
+++ b/src/http/SignalWatcher.cpp
@@ -10,79 +10,96 @@
 #include <csignal>
 #include <utility>
 
-namespace fernlift::http {
-namespace {
+namespace fernlift::http
+{
+namespace
+{
 
 // The write end of the pipe; a signal handler can only reach it through a global variable.
 volatile std::sig_atomic_t signalPipe = -1;
 
-extern "C" void writeToSignalPipe(int signal) {
-  const int savedError = errno;
-  const char byte = static_cast<char>(signal);
-  [[maybe_unused]] const auto written = ::write(signalPipe, &byte, 1);
-  errno = savedError;
+extern "C" void writeToSignalPipe (int signal)
+{
+    const int savedError = errno;
+    const char byte = static_cast<char> (signal);
+    [[maybe_unused]] const auto written = ::write (signalPipe, &byte, 1);
+    errno = savedError;
 }
 
-void installHandler(int signal, void (*handler)(int)) {
-  struct sigaction action = {};
-  action.sa_handler = handler;
-  action.sa_flags = SA_RESTART;
-  sigemptyset(&action.sa_mask);
-  sigaction(signal, &action, nullptr);
+void installHandler (int signal, void (*handler) (int))
+{
+    struct sigaction action = {};
+    action.sa_handler = handler;
+    action.sa_flags = SA_RESTART;
+    sigemptyset (&action.sa_mask);
+    sigaction (signal, &action, nullptr);
 }
 
 }  // namespace
 
-class SignalWatcher::Implementation {
- public:
-  Implementation(std::function<void()> onStop, std::function<void()> onReload)
-      : onStop_(std::move(onStop)), onReload_(std::move(onReload)) {
-    if (::pipe2(ends_.data(), O_CLOEXEC | O_NONBLOCK) != 0) return;
-    signalPipe = ends_[1];
-    notifier_ = std::make_unique<QSocketNotifier>(ends_[0], QSocketNotifier::Read);
-    QObject::connect(notifier_.get(), &QSocketNotifier::activated, notifier_.get(),
-                     [this] { drainPipe(); });
-    installHandler(SIGTERM, &writeToSignalPipe);
-    installHandler(SIGINT, &writeToSignalPipe);
-    installHandler(SIGHUP, &writeToSignalPipe);
-  }
+class SignalWatcher::Implementation
+{
+public:
+    Implementation (std::function<void()> onStop, std::function<void()> onReload)
+        : onStop_ (std::move (onStop)), onReload_ (std::move (onReload))
+    {
+        if (::pipe2 (ends_.data(), O_CLOEXEC | O_NONBLOCK) != 0)
+            return;
+        signalPipe = ends_[1];
+        notifier_ = std::make_unique<QSocketNotifier> (ends_[0], QSocketNotifier::Read);
+        QObject::connect (notifier_.get(), &QSocketNotifier::activated, notifier_.get(),
+                          [this] { drainPipe(); });
+        installHandler (SIGTERM, &writeToSignalPipe);
+        installHandler (SIGINT, &writeToSignalPipe);
+        installHandler (SIGHUP, &writeToSignalPipe);
+    }
 
-  ~Implementation() {
-    installHandler(SIGTERM, SIG_DFL);
-    installHandler(SIGINT, SIG_DFL);
-    installHandler(SIGHUP, SIG_DFL);
-    signalPipe = -1;
-    for (const int end : ends_) {
-      if (end >= 0) ::close(end);
+    ~Implementation()
+    {
+        installHandler (SIGTERM, SIG_DFL);
+        installHandler (SIGINT, SIG_DFL);
+        installHandler (SIGHUP, SIG_DFL);
+        signalPipe = -1;
+        for (const int end : ends_)
+        {
+            if (end >= 0)
+                ::close (end);
+        }
     }
-  }
 
-  Implementation(const Implementation&) = delete;
-  Implementation& operator=(const Implementation&) = delete;
+    Implementation (const Implementation&) = delete;
+    Implementation& operator= (const Implementation&) = delete;
 
- private:
-  void drainPipe() {
-    std::array<char, 16> bytes{};
-    bool mustStop = false;
-    bool mustReload = false;
-    for (ssize_t count = 0; (count = ::read(ends_[0], bytes.data(), bytes.size())) > 0;) {
-      for (ssize_t index = 0; index < count; ++index) {
-        const bool isReload = bytes.at(static_cast<std::size_t>(index)) == SIGHUP;
-        (isReload ? mustReload : mustStop) = true;
-      }
+private:
+    void drainPipe()
+    {
+        std::array<char, 16> bytes{};
+        bool mustStop = false;
+        bool mustReload = false;
+        for (ssize_t count = 0; (count = ::read (ends_[0], bytes.data(), bytes.size())) > 0;)
+        {
+            for (ssize_t index = 0; index < count; ++index)
+            {
+                const bool isReload = bytes.at (static_cast<std::size_t> (index)) == SIGHUP;
+                (isReload ? mustReload : mustStop) = true;
+            }
+        }
+        if (mustReload && onReload_)
+            onReload_();
+        if (mustStop)
+            onStop_();
     }
-    if (mustReload && onReload_) onReload_();
-    if (mustStop) onStop_();
-  }
 
-  std::function<void()> onStop_;
-  std::function<void()> onReload_;
-  std::array<int, 2> ends_{-1, -1};
-  std::unique_ptr<QSocketNotifier> notifier_;
+    std::function<void()> onStop_;
+    std::function<void()> onReload_;
+    std::array<int, 2> ends_{ -1, -1 };
+    std::unique_ptr<QSocketNotifier> notifier_;
 };
 
-SignalWatcher::SignalWatcher(std::function<void()> onStop, std::function<void()> onReload)
-    : implementation_(std::make_unique<Implementation>(std::move(onStop), std::move(onReload))) {}
+SignalWatcher::SignalWatcher (std::function<void()> onStop, std::function<void()> onReload)
+    : implementation_ (std::make_unique<Implementation> (std::move (onStop), std::move (onReload)))
+{
+}
 
 SignalWatcher::~SignalWatcher() = default;
 
--- a/src/http/SignalWatcher.h
+++ b/src/http/SignalWatcher.h
@@ -6,21 +6,23 @@
 #include <functional>
 #include <memory>
 
-namespace fernlift::http {
+namespace fernlift::http
+{
 
 /// At most one watcher may exist in a process.
-class SignalWatcher {
- public:
-  /// `onStop` runs on the event loop at each SIGTERM or SIGINT, `onReload` at each SIGHUP; without
-  /// `onReload` a SIGHUP is passed over.
-  explicit SignalWatcher(std::function<void()> onStop, std::function<void()> onReload = {});
-  ~SignalWatcher();
-  SignalWatcher(const SignalWatcher&) = delete;
-  SignalWatcher& operator=(const SignalWatcher&) = delete;
+class SignalWatcher
+{
+public:
+    /// `onStop` runs on the event loop at each SIGTERM or SIGINT, `onReload` at each SIGHUP;
+    /// without `onReload` a SIGHUP is passed over.
+    explicit SignalWatcher (std::function<void()> onStop, std::function<void()> onReload = {});
+    ~SignalWatcher();
+    SignalWatcher (const SignalWatcher&) = delete;
+    SignalWatcher& operator= (const SignalWatcher&) = delete;
 
- private:
-  class Implementation;
-  std::unique_ptr<Implementation> implementation_;
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation_;
 };
 
 }  // namespace fernlift::http
--- a/src/http/StreamSocket.h
+++ b/src/http/StreamSocket.h
@@ -15,66 +15,76 @@
 #include "base/SocketAddress.h"
 #include "base/Time.h"
 
-namespace fernlift::http {
+namespace fernlift::http
+{
 
 /// How a connection ended.
-enum class StreamEnd : std::uint8_t {
-  kRefused,  ///< It never opened.
-  kOrderly,  ///< The peer closed it after all that it sent.
-  kBroken,   ///< It was reset, timed out or failed otherwise.
+enum class StreamEnd : std::uint8_t
+{
+    kRefused,  ///< It never opened.
+    kOrderly,  ///< The peer closed it after all that it sent.
+    kBroken,   ///< It was reset, timed out or failed otherwise.
 };
 
 /// Takes what happens on a socket. May destroy the socket from within each call.
-class StreamListener {
- public:
-  virtual ~StreamListener() = default;
-  StreamListener() = default;
-  StreamListener(const StreamListener&) = delete;
-  StreamListener& operator=(const StreamListener&) = delete;
+class StreamListener
+{
+public:
+    virtual ~StreamListener() = default;
+    StreamListener() = default;
+    StreamListener (const StreamListener&) = delete;
+    StreamListener& operator= (const StreamListener&) = delete;
 
-  virtual void onConnected() = 0;
-  virtual void onData(std::string_view data) = 0;
-  /// Called at most once; nothing follows.
-  virtual void onEnd(StreamEnd end) = 0;
+    virtual void onConnected() = 0;
+    virtual void onData (std::string_view data) = 0;
+    /// Called at most once; nothing follows.
+    virtual void onEnd (StreamEnd end) = 0;
 };
 
-class StreamSocket {
- public:
-  /// `listener` must outlive the socket.
-  explicit StreamSocket(StreamListener* listener) : listener_(listener) {}
-  ~StreamSocket() { close(); }
-  StreamSocket(const StreamSocket&) = delete;
-  StreamSocket& operator=(const StreamSocket&) = delete;
+class StreamSocket
+{
+public:
+    /// `listener` must outlive the socket.
+    explicit StreamSocket (StreamListener* listener) : listener_ (listener) {}
+    ~StreamSocket() { close(); }
+    StreamSocket (const StreamSocket&) = delete;
+    StreamSocket& operator= (const StreamSocket&) = delete;
 
-  /// Begins to connect; onConnected or onEnd follows from the event loop.
-  void connectTo(const base::SocketAddress& address);
-  /// Sends now what the system takes, the rest later. Only on an open connection.
-  void write(std::string_view data);
-  /// Closes at once; the listener is not called any more.
-  void close();
+    /// Begins to connect; onConnected or onEnd follows from the event loop.
+    void connectTo (const base::SocketAddress& address);
+    /// Sends now what the system takes, the rest later. Only on an open connection.
+    void write (std::string_view data);
+    /// Closes at once; the listener is not called any more.
+    void close();
 
-  [[nodiscard]] bool isOpen() const { return state_ == State::kOpen; }
-  [[nodiscard]] std::size_t bytesToWrite() const { return unsent_.size(); }
+    [[nodiscard]] bool isOpen() const { return state_ == State::kOpen; }
+    [[nodiscard]] std::size_t bytesToWrite() const { return unsent_.size(); }
 
- private:
-  enum class State : std::uint8_t { kNew, kConnecting, kOpen, kClosed };
+private:
+    enum class State : std::uint8_t
+    {
+        kNew,
+        kConnecting,
+        kOpen,
+        kClosed
+    };
 
-  void onWritable();
-  void onReadable();
-  void flush();
-  void finish(StreamEnd end);
-  /// Calls finish() from the event loop.
-  void finishLater(StreamEnd end);
+    void onWritable();
+    void onReadable();
+    void flush();
+    void finish (StreamEnd end);
+    /// Calls finish() from the event loop.
+    void finishLater (StreamEnd end);
 
-  StreamListener* listener_;
-  int descriptor_ = -1;
-  State state_ = State::kNew;
-  bool hasWriteFailed_ = false;
-  std::string unsent_;
-  std::unique_ptr<QSocketNotifier> readNotifier_;
-  std::unique_ptr<QSocketNotifier> writeNotifier_;
-  std::unique_ptr<QTimer> lateEnd_;
-  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);  ///< Ends with the socket.
+    StreamListener* listener_;
+    int descriptor_ = -1;
+    State state_ = State::kNew;
+    bool hasWriteFailed_ = false;
+    std::string unsent_;
+    std::unique_ptr<QSocketNotifier> readNotifier_;
+    std::unique_ptr<QSocketNotifier> writeNotifier_;
+    std::unique_ptr<QTimer> lateEnd_;
+    std::shared_ptr<bool> lifetime_ = std::make_shared<bool> (true);  ///< Ends with the socket.
 };
 
 }  // namespace fernlift::http
--- a/src/lab/Demo.h
+++ b/src/lab/Demo.h
@@ -9,10 +9,11 @@
 #include "lab/Fleet.h"
 #include "lab/FleetSpec.h"
 
-namespace fernlift::lab {
+namespace fernlift::lab
+{
 
 /// Runs the demo. Returns 0 when every step did what it should; fails with the first fault found.
-[[nodiscard]] base::Result<int> runDemo(FleetSpec spec, const FleetFolders& folders,
-                                        const std::string& catalogue, std::ostream& output);
+[[nodiscard]] base::Result<int> runDemo (FleetSpec spec, const FleetFolders& folders,
+                                         const std::string& catalogue, std::ostream& output);
 
 }  // namespace fernlift::lab
--- a/src/lab/FaultProxy.cpp
+++ b/src/lab/FaultProxy.cpp
@@ -8,304 +8,381 @@
 #include <algorithm>
 #include <utility>
 
-namespace fernlift::lab {
-namespace {
+namespace fernlift::lab
+{
+namespace
+{
 
 constexpr qint64 kReadBufferBytes = 64LL * 1024;
 constexpr qint64 kMaximumUnwrittenBytes = 256LL * 1024;
 
 /// Closes with a reset instead of an orderly end.
-void resetSocket(QTcpSocket& socket) {
-  const linger noLinger{.l_onoff = 1, .l_linger = 0};
-  if (socket.socketDescriptor() >= 0) {
-    setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &noLinger,
-               sizeof(noLinger));
-  }
-  socket.abort();
+void resetSocket (QTcpSocket& socket)
+{
+    const linger noLinger{ .l_onoff = 1, .l_linger = 0 };
+    if (socket.socketDescriptor() >= 0)
+    {
+        setsockopt (static_cast<int> (socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &noLinger,
+                    sizeof (noLinger));
+    }
+    socket.abort();
 }
 
-base::Result<void> parseDirection(const QJsonValue& value, DirectionFaults& faults) {
-  if (value.isUndefined()) {
-    return {};
-  }
-  if (!value.isObject()) {
-    return base::fail(base::ErrorKind::kMessageInvalid, "a direction must be an object");
-  }
-  const QJsonObject object = value.toObject();
-  for (const QString& key : object.keys()) {
-    const QJsonValue entry = object.value(key);
-    const bool isCount = entry.isDouble() && entry.toDouble() >= 0;
-    if (key == QStringLiteral("cut") && entry.isBool()) {
-      faults.isCut = entry.toBool();
-    } else if (key == QStringLiteral("delay_ms") && isCount) {
-      faults.delay = base::milliseconds(entry.toInteger());
-    } else if (key == QStringLiteral("bytes_per_second") && isCount) {
-      faults.bytesPerSecond = static_cast<std::uint64_t>(entry.toInteger());
-    } else if (key == QStringLiteral("reset_after_bytes") && isCount) {
-      faults.resetAfterBytes = static_cast<std::uint64_t>(entry.toInteger());
-    } else if (key == QStringLiteral("cut_after_bytes") && isCount) {
-      faults.cutAfterBytes = static_cast<std::uint64_t>(entry.toInteger());
-    } else {
-      return base::fail(base::ErrorKind::kMessageInvalid,
-                        "unknown key or wrong type: " + key.toStdString());
+base::Result<void> parseDirection (const QJsonValue& value, DirectionFaults& faults)
+{
+    if (value.isUndefined())
+    {
+        return {};
+    }
+    if (! value.isObject())
+    {
+        return base::fail (base::ErrorKind::kMessageInvalid, "a direction must be an object");
+    }
+    const QJsonObject object = value.toObject();
+    for (const QString& key : object.keys())
+    {
+        const QJsonValue entry = object.value (key);
+        const bool isCount = entry.isDouble() && entry.toDouble() >= 0;
+        if (key == QStringLiteral ("cut") && entry.isBool())
+        {
+            faults.isCut = entry.toBool();
+        }
+        else if (key == QStringLiteral ("delay_ms") && isCount)
+        {
+            faults.delay = base::milliseconds (entry.toInteger());
+        }
+        else if (key == QStringLiteral ("bytes_per_second") && isCount)
+        {
+            faults.bytesPerSecond = static_cast<std::uint64_t> (entry.toInteger());
+        }
+        else if (key == QStringLiteral ("reset_after_bytes") && isCount)
+        {
+            faults.resetAfterBytes = static_cast<std::uint64_t> (entry.toInteger());
+        }
+        else if (key == QStringLiteral ("cut_after_bytes") && isCount)
+        {
+            faults.cutAfterBytes = static_cast<std::uint64_t> (entry.toInteger());
+        }
+        else
+        {
+            return base::fail (base::ErrorKind::kMessageInvalid,
+                               "unknown key or wrong type: " + key.toStdString());
+        }
     }
-  }
-  return {};
+    return {};
 }
 
-QJsonObject directionJson(const DirectionFaults& faults) {
-  QJsonObject object;
-  if (faults.isCut) {
-    object[QStringLiteral("cut")] = true;
-  }
-  if (faults.delay > base::Duration::zero()) {
-    object[QStringLiteral("delay_ms")] = static_cast<qint64>(base::toMilliseconds(faults.delay));
-  }
-  if (faults.bytesPerSecond > 0) {
-    object[QStringLiteral("bytes_per_second")] = static_cast<qint64>(faults.bytesPerSecond);
-  }
-  if (faults.resetAfterBytes) {
-    object[QStringLiteral("reset_after_bytes")] = static_cast<qint64>(*faults.resetAfterBytes);
-  }
-  if (faults.cutAfterBytes) {
-    object[QStringLiteral("cut_after_bytes")] = static_cast<qint64>(*faults.cutAfterBytes);
-  }
-  return object;
+QJsonObject directionJson (const DirectionFaults& faults)
+{
+    QJsonObject object;
+    if (faults.isCut)
+    {
+        object[QStringLiteral ("cut")] = true;
+    }
+    if (faults.delay > base::Duration::zero())
+    {
+        object[QStringLiteral ("delay_ms")] =
+            static_cast<qint64> (base::toMilliseconds (faults.delay));
+    }
+    if (faults.bytesPerSecond > 0)
+    {
+        object[QStringLiteral ("bytes_per_second")] = static_cast<qint64> (faults.bytesPerSecond);
+    }
+    if (faults.resetAfterBytes)
+    {
+        object[QStringLiteral ("reset_after_bytes")] =
+            static_cast<qint64> (*faults.resetAfterBytes);
+    }
+    if (faults.cutAfterBytes)
+    {
+        object[QStringLiteral ("cut_after_bytes")] = static_cast<qint64> (*faults.cutAfterBytes);
+    }
+    return object;
 }
 
 }  // namespace
 
-std::string toJson(const ProxyFaults& faults) {
-  const QJsonObject object{{QStringLiteral("to_target"), directionJson(faults.toTarget)},
-                           {QStringLiteral("to_caller"), directionJson(faults.toCaller)},
-                           {QStringLiteral("refuse"), faults.refuses}};
-  return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+std::string toJson (const ProxyFaults& faults)
+{
+    const QJsonObject object{ { QStringLiteral ("to_target"), directionJson (faults.toTarget) },
+                              { QStringLiteral ("to_caller"), directionJson (faults.toCaller) },
+                              { QStringLiteral ("refuse"), faults.refuses } };
+    return QJsonDocument (object).toJson (QJsonDocument::Compact).toStdString();
 }
 
-std::string toJson(const ProxyCounters& counters) {
-  const QJsonObject object{
-      {QStringLiteral("connections"), static_cast<qint64>(counters.connections)},
-      {QStringLiteral("open_connections"), static_cast<qint64>(counters.openConnections)},
-      {QStringLiteral("resets"), static_cast<qint64>(counters.resets)},
-      {QStringLiteral("bytes_to_target"), static_cast<qint64>(counters.bytesToTarget)},
-      {QStringLiteral("bytes_to_caller"), static_cast<qint64>(counters.bytesToCaller)},
-  };
-  return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+std::string toJson (const ProxyCounters& counters)
+{
+    const QJsonObject object{
+        { QStringLiteral ("connections"), static_cast<qint64> (counters.connections) },
+        { QStringLiteral ("open_connections"), static_cast<qint64> (counters.openConnections) },
+        { QStringLiteral ("resets"), static_cast<qint64> (counters.resets) },
+        { QStringLiteral ("bytes_to_target"), static_cast<qint64> (counters.bytesToTarget) },
+        { QStringLiteral ("bytes_to_caller"), static_cast<qint64> (counters.bytesToCaller) },
+    };
+    return QJsonDocument (object).toJson (QJsonDocument::Compact).toStdString();
 }
 
-base::Result<ProxyCounters> parseProxyCounters(std::string_view json) {
-  const QJsonDocument document = QJsonDocument::fromJson(
-      QByteArray::fromRawData(json.data(), static_cast<qsizetype>(json.size())));
-  if (!document.isObject()) {
-    return base::fail(base::ErrorKind::kMessageInvalid, "expected a JSON object");
-  }
-  const auto count = [object = document.object()](QLatin1String key) {
-    return static_cast<std::uint64_t>(object.value(key).toInteger());
-  };
-  ProxyCounters counters;
-  counters.connections = count(QLatin1String("connections"));
-  counters.openConnections = count(QLatin1String("open_connections"));
-  counters.resets = count(QLatin1String("resets"));
-  counters.bytesToTarget = count(QLatin1String("bytes_to_target"));
-  counters.bytesToCaller = count(QLatin1String("bytes_to_caller"));
-  return counters;
+base::Result<ProxyCounters> parseProxyCounters (std::string_view json)
+{
+    const QJsonDocument document = QJsonDocument::fromJson (
+        QByteArray::fromRawData (json.data(), static_cast<qsizetype> (json.size())));
+    if (! document.isObject())
+    {
+        return base::fail (base::ErrorKind::kMessageInvalid, "expected a JSON object");
+    }
+    const auto count = [object = document.object()] (QLatin1String key)
+    { return static_cast<std::uint64_t> (object.value (key).toInteger()); };
+    ProxyCounters counters;
+    counters.connections = count (QLatin1String ("connections"));
+    counters.openConnections = count (QLatin1String ("open_connections"));
+    counters.resets = count (QLatin1String ("resets"));
+    counters.bytesToTarget = count (QLatin1String ("bytes_to_target"));
+    counters.bytesToCaller = count (QLatin1String ("bytes_to_caller"));
+    return counters;
 }
 
-base::Result<ProxyFaults> parseProxyFaults(std::string_view json) {
-  const QJsonDocument document = QJsonDocument::fromJson(
-      QByteArray::fromRawData(json.data(), static_cast<qsizetype>(json.size())));
-  if (!document.isObject()) {
-    return base::fail(base::ErrorKind::kMessageInvalid, "expected a JSON object");
-  }
-  const QJsonObject object = document.object();
-  for (const QString& key : object.keys()) {
-    if (key != QStringLiteral("to_target") && key != QStringLiteral("to_caller") &&
-        key != QStringLiteral("refuse")) {
-      return base::fail(base::ErrorKind::kMessageInvalid, "unknown key: " + key.toStdString());
+base::Result<ProxyFaults> parseProxyFaults (std::string_view json)
+{
+    const QJsonDocument document = QJsonDocument::fromJson (
+        QByteArray::fromRawData (json.data(), static_cast<qsizetype> (json.size())));
+    if (! document.isObject())
+    {
+        return base::fail (base::ErrorKind::kMessageInvalid, "expected a JSON object");
+    }
+    const QJsonObject object = document.object();
+    for (const QString& key : object.keys())
+    {
+        if (key != QStringLiteral ("to_target") && key != QStringLiteral ("to_caller")
+            && key != QStringLiteral ("refuse"))
+        {
+            return base::fail (base::ErrorKind::kMessageInvalid,
+                               "unknown key: " + key.toStdString());
+        }
     }
-  }
-  ProxyFaults faults;
-  faults.refuses = object.value(QStringLiteral("refuse")).toBool();
-  BOOST_LEAF_CHECK(parseDirection(object.value(QStringLiteral("to_target")), faults.toTarget));
-  BOOST_LEAF_CHECK(parseDirection(object.value(QStringLiteral("to_caller")), faults.toCaller));
-  return faults;
+    ProxyFaults faults;
+    faults.refuses = object.value (QStringLiteral ("refuse")).toBool();
+    BOOST_LEAF_CHECK (
+        parseDirection (object.value (QStringLiteral ("to_target")), faults.toTarget));
+    BOOST_LEAF_CHECK (
+        parseDirection (object.value (QStringLiteral ("to_caller")), faults.toCaller));
+    return faults;
 }
 
 /// One caller's connection with its connection to the target.
-class FaultProxy::Link {
- public:
-  Link(FaultProxy& proxy, QTcpSocket* caller) : proxy_(proxy), caller_(caller) {
-    applyFaults();
-    for (QTcpSocket* socket : {caller_.get(), &target_}) {
-      socket->setReadBufferSize(kReadBufferBytes);
-      const auto pump = [this] { this->pump(); };
-      QObject::connect(socket, &QTcpSocket::readyRead, pump);
-      QObject::connect(socket, &QTcpSocket::bytesWritten, pump);
-      QObject::connect(socket, &QTcpSocket::connected, pump);
-      QObject::connect(socket, &QTcpSocket::disconnected, pump);
-      QObject::connect(socket, &QTcpSocket::errorOccurred, pump);
+class FaultProxy::Link
+{
+public:
+    Link (FaultProxy& proxy, QTcpSocket* caller) : proxy_ (proxy), caller_ (caller)
+    {
+        applyFaults();
+        for (QTcpSocket* socket : { caller_.get(), &target_ })
+        {
+            socket->setReadBufferSize (kReadBufferBytes);
+            const auto pump = [this] { this->pump(); };
+            QObject::connect (socket, &QTcpSocket::readyRead, pump);
+            QObject::connect (socket, &QTcpSocket::bytesWritten, pump);
+            QObject::connect (socket, &QTcpSocket::connected, pump);
+            QObject::connect (socket, &QTcpSocket::disconnected, pump);
+            QObject::connect (socket, &QTcpSocket::errorOccurred, pump);
+        }
+        wakeUp_.setSingleShot (true);
+        QObject::connect (&wakeUp_, &QTimer::timeout, [this] { pump(); });
+        target_.connectToHost (QHostAddress (QString::fromStdString (proxy.target_.host)),
+                               proxy.target_.port);
     }
-    wakeUp_.setSingleShot(true);
-    QObject::connect(&wakeUp_, &QTimer::timeout, [this] { pump(); });
-    target_.connectToHost(QHostAddress(QString::fromStdString(proxy.target_.host)),
-                          proxy.target_.port);
-  }
-
-  ~Link() {
-    caller_->disconnect();
-    target_.disconnect();
-    caller_->abort();
-    target_.abort();
-  }
-  Link(const Link&) = delete;
-  Link& operator=(const Link&) = delete;
 
-  void applyFaults() {
-    toTarget_.setFaults(proxy_.faults_.toTarget);
-    toCaller_.setFaults(proxy_.faults_.toCaller);
-  }
-
-  void reset() {
-    resetSocket(*caller_);
-    resetSocket(target_);
-  }
-
-  /// Moves what may pass, then ends what has ended.
-  void pump() {
-    if (isPumping_) {
-      return;
+    ~Link()
+    {
+        caller_->disconnect();
+        target_.disconnect();
+        caller_->abort();
+        target_.abort();
     }
-    isPumping_ = true;
-    const bool mustReset = move(*caller_, toTarget_, target_, proxy_.counters_.bytesToTarget) ||
-                           move(target_, toCaller_, *caller_, proxy_.counters_.bytesToCaller);
-    if (mustReset) {
-      ++proxy_.counters_.resets;
-      reset();
-    } else {
-      passOnEnd(*caller_, toTarget_, target_);
-      passOnEnd(target_, toCaller_, *caller_);
-      scheduleWakeUp();
-    }
-    isPumping_ = false;
-  }
+    Link (const Link&) = delete;
+    Link& operator= (const Link&) = delete;
 
-  [[nodiscard]] bool isClosed() const {
-    return caller_->state() == QAbstractSocket::UnconnectedState &&
-           target_.state() == QAbstractSocket::UnconnectedState;
-  }
+    void applyFaults()
+    {
+        toTarget_.setFaults (proxy_.faults_.toTarget);
+        toCaller_.setFaults (proxy_.faults_.toCaller);
+    }
 
- private:
-  /// True when the connection is to be reset.
-  bool move(QTcpSocket& from, FaultPipe& pipe, QTcpSocket& to, std::uint64_t& counter) {
-    const base::TimePoint now = proxy_.clock_.now();
-    if (pipe.hasRoom() && from.bytesAvailable() > 0) {
-      const QByteArray bytes = from.read(kReadBufferBytes);
-      pipe.push(now, std::string_view(bytes.constData(), static_cast<std::size_t>(bytes.size())));
+    void reset()
+    {
+        resetSocket (*caller_);
+        resetSocket (target_);
     }
-    const bool canWrite =
-        to.state() == QAbstractSocket::ConnectedState && to.bytesToWrite() < kMaximumUnwrittenBytes;
-    if (!canWrite) {
-      return false;
+
+    /// Moves what may pass, then ends what has ended.
+    void pump()
+    {
+        if (isPumping_)
+        {
+            return;
+        }
+        isPumping_ = true;
+        const bool mustReset =
+            move (*caller_, toTarget_, target_, proxy_.counters_.bytesToTarget)
+            || move (target_, toCaller_, *caller_, proxy_.counters_.bytesToCaller);
+        if (mustReset)
+        {
+            ++proxy_.counters_.resets;
+            reset();
+        }
+        else
+        {
+            passOnEnd (*caller_, toTarget_, target_);
+            passOnEnd (target_, toCaller_, *caller_);
+            scheduleWakeUp();
+        }
+        isPumping_ = false;
     }
-    const FaultPipe::Released released = pipe.take(now);
-    if (!released.bytes.empty()) {
-      to.write(released.bytes.data(), static_cast<qint64>(released.bytes.size()));
-      to.flush();
-      counter += released.bytes.size();
+
+    [[nodiscard]] bool isClosed() const
+    {
+        return caller_->state() == QAbstractSocket::UnconnectedState
+               && target_.state() == QAbstractSocket::UnconnectedState;
     }
-    return released.mustReset;
-  }
 
-  static void passOnEnd(QTcpSocket& from, const FaultPipe& pipe, QTcpSocket& to) {
-    const bool hasEnded = from.state() == QAbstractSocket::UnconnectedState &&
-                          from.bytesAvailable() == 0 && pipe.isEmpty() && !pipe.isCut();
-    if (hasEnded && to.state() == QAbstractSocket::ConnectedState) {
-      to.disconnectFromHost();
-    } else if (hasEnded && to.state() != QAbstractSocket::UnconnectedState &&
-               to.state() != QAbstractSocket::ClosingState) {
-      to.abort();
+private:
+    /// True when the connection is to be reset.
+    bool move (QTcpSocket& from, FaultPipe& pipe, QTcpSocket& to, std::uint64_t& counter)
+    {
+        const base::TimePoint now = proxy_.clock_.now();
+        if (pipe.hasRoom() && from.bytesAvailable() > 0)
+        {
+            const QByteArray bytes = from.read (kReadBufferBytes);
+            pipe.push (
+                now, std::string_view (bytes.constData(), static_cast<std::size_t> (bytes.size())));
+        }
+        const bool canWrite = to.state() == QAbstractSocket::ConnectedState
+                              && to.bytesToWrite() < kMaximumUnwrittenBytes;
+        if (! canWrite)
+        {
+            return false;
+        }
+        const FaultPipe::Released released = pipe.take (now);
+        if (! released.bytes.empty())
+        {
+            to.write (released.bytes.data(), static_cast<qint64> (released.bytes.size()));
+            to.flush();
+            counter += released.bytes.size();
+        }
+        return released.mustReset;
     }
-  }
 
-  void scheduleWakeUp() {
-    const base::TimePoint now = proxy_.clock_.now();
-    std::optional<base::TimePoint> next = toTarget_.nextRelease(now);
-    const std::optional<base::TimePoint> other = toCaller_.nextRelease(now);
-    if (other && (!next || *other < *next)) {
-      next = other;
+    static void passOnEnd (QTcpSocket& from, const FaultPipe& pipe, QTcpSocket& to)
+    {
+        const bool hasEnded = from.state() == QAbstractSocket::UnconnectedState
+                              && from.bytesAvailable() == 0 && pipe.isEmpty() && ! pipe.isCut();
+        if (hasEnded && to.state() == QAbstractSocket::ConnectedState)
+        {
+            to.disconnectFromHost();
+        }
+        else if (hasEnded && to.state() != QAbstractSocket::UnconnectedState
+                 && to.state() != QAbstractSocket::ClosingState)
+        {
+            to.abort();
+        }
     }
-    if (next) {
-      wakeUp_.start(static_cast<int>(base::toMilliseconds(*next - now)) + 1);
+
+    void scheduleWakeUp()
+    {
+        const base::TimePoint now = proxy_.clock_.now();
+        std::optional<base::TimePoint> next = toTarget_.nextRelease (now);
+        const std::optional<base::TimePoint> other = toCaller_.nextRelease (now);
+        if (other && (! next || *other < *next))
+        {
+            next = other;
+        }
+        if (next)
+        {
+            wakeUp_.start (static_cast<int> (base::toMilliseconds (*next - now)) + 1);
+        }
     }
-  }
 
-  FaultProxy& proxy_;
-  std::unique_ptr<QTcpSocket> caller_;
-  QTcpSocket target_;
-  FaultPipe toTarget_;
-  FaultPipe toCaller_;
-  QTimer wakeUp_;
-  bool isPumping_ = false;
+    FaultProxy& proxy_;
+    std::unique_ptr<QTcpSocket> caller_;
+    QTcpSocket target_;
+    FaultPipe toTarget_;
+    FaultPipe toCaller_;
+    QTimer wakeUp_;
+    bool isPumping_ = false;
 };
 
-FaultProxy::FaultProxy(base::SocketAddress target) : target_(std::move(target)) {
-  QObject::connect(&server_, &QTcpServer::newConnection, [this] { accept(); });
+FaultProxy::FaultProxy (base::SocketAddress target) : target_ (std::move (target))
+{
+    QObject::connect (&server_, &QTcpServer::newConnection, [this] { accept(); });
 }
 
 FaultProxy::~FaultProxy() { server_.close(); }
 
-base::Result<base::SocketAddress> FaultProxy::listen(const base::SocketAddress& address) {
-  if (!server_.listen(QHostAddress(QString::fromStdString(address.host)), address.port)) {
-    return base::fail(base::ErrorKind::kConnectionFailed,
-                      address.toString() + ": " + server_.errorString().toStdString());
-  }
-  address_ = {address.host, server_.serverPort()};
-  return address_;
+base::Result<base::SocketAddress> FaultProxy::listen (const base::SocketAddress& address)
+{
+    if (! server_.listen (QHostAddress (QString::fromStdString (address.host)), address.port))
+    {
+        return base::fail (base::ErrorKind::kConnectionFailed,
+                           address.toString() + ": " + server_.errorString().toStdString());
+    }
+    address_ = { address.host, server_.serverPort() };
+    return address_;
 }
 
-base::Result<void> FaultProxy::setFaults(const ProxyFaults& faults) {
-  faults_ = faults;
-  for (const std::unique_ptr<Link>& link : links_) {
-    link->applyFaults();
-    link->pump();
-  }
-  if (faults.refuses) {
-    server_.close();
-  } else if (!server_.isListening() && address_.port != 0) {
-    BOOST_LEAF_CHECK(listen(address_));
-  }
-  return {};
+base::Result<void> FaultProxy::setFaults (const ProxyFaults& faults)
+{
+    faults_ = faults;
+    for (const std::unique_ptr<Link>& link : links_)
+    {
+        link->applyFaults();
+        link->pump();
+    }
+    if (faults.refuses)
+    {
+        server_.close();
+    }
+    else if (! server_.isListening() && address_.port != 0)
+    {
+        BOOST_LEAF_CHECK (listen (address_));
+    }
+    return {};
 }
 
-void FaultProxy::resetConnections() {
-  for (const std::unique_ptr<Link>& link : links_) {
-    if (!link->isClosed()) {
-      ++counters_.resets;
-      link->reset();
+void FaultProxy::resetConnections()
+{
+    for (const std::unique_ptr<Link>& link : links_)
+    {
+        if (! link->isClosed())
+        {
+            ++counters_.resets;
+            link->reset();
+        }
     }
-  }
-  removeClosedLinks();
+    removeClosedLinks();
 }
 
-ProxyCounters FaultProxy::counters() const {
-  ProxyCounters counters = counters_;
-  counters.openConnections = static_cast<std::size_t>(std::count_if(
-      links_.begin(), links_.end(), [](const auto& link) { return !link->isClosed(); }));
-  return counters;
+ProxyCounters FaultProxy::counters() const
+{
+    ProxyCounters counters = counters_;
+    counters.openConnections = static_cast<std::size_t> (std::count_if (
+        links_.begin(), links_.end(), [] (const auto& link) { return ! link->isClosed(); }));
+    return counters;
 }
 
-void FaultProxy::accept() {
-  removeClosedLinks();
-  while (QTcpSocket* socket = server_.nextPendingConnection()) {
-    socket->setParent(nullptr);
-    ++counters_.connections;
-    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    links_.push_back(std::make_unique<Link>(*this, socket));
-  }
+void FaultProxy::accept()
+{
+    removeClosedLinks();
+    while (QTcpSocket* socket = server_.nextPendingConnection())
+    {
+        socket->setParent (nullptr);
+        ++counters_.connections;
+        socket->setSocketOption (QAbstractSocket::LowDelayOption, 1);
+        links_.push_back (std::make_unique<Link> (*this, socket));
+    }
 }
 
-void FaultProxy::removeClosedLinks() {
-  std::erase_if(links_, [](const std::unique_ptr<Link>& link) { return link->isClosed(); });
+void FaultProxy::removeClosedLinks()
+{
+    std::erase_if (links_, [] (const std::unique_ptr<Link>& link) { return link->isClosed(); });
 }
 
 }  // namespace fernlift::lab
--- a/src/lab/FleetControl.cpp
+++ b/src/lab/FleetControl.cpp
@@ -11,143 +11,179 @@
 #include "lab/HttpCall.h"
 #include "log/Log.h"
 
-namespace fernlift::lab {
-namespace {
+namespace fernlift::lab
+{
+namespace
+{
 
 constexpr int kOk = 200;
 /// A restart waits for a planned stop and for the new process to be healthy.
-constexpr base::Duration kCommandTimeout = base::seconds(60);
-constexpr base::Duration kPingTimeout = base::seconds(2);
-
-std::string controlFile(const std::string& runFolder) { return runFolder + "/control"; }
-
-base::Result<base::SocketAddress> readControlAddress(const std::string& runFolder) {
-  QFile file(QString::fromStdString(controlFile(runFolder)));
-  if (!file.open(QIODevice::ReadOnly)) {
-    return base::fail(base::ErrorKind::kConnectionFailed, "no fleet runs in " + runFolder);
-  }
-  return base::SocketAddress::parse(file.readAll().trimmed().toStdString());
+constexpr base::Duration kCommandTimeout = base::seconds (60);
+constexpr base::Duration kPingTimeout = base::seconds (2);
+
+std::string controlFile (const std::string& runFolder) { return runFolder + "/control"; }
+
+base::Result<base::SocketAddress> readControlAddress (const std::string& runFolder)
+{
+    QFile file (QString::fromStdString (controlFile (runFolder)));
+    if (! file.open (QIODevice::ReadOnly))
+    {
+        return base::fail (base::ErrorKind::kConnectionFailed, "no fleet runs in " + runFolder);
+    }
+    return base::SocketAddress::parse (file.readAll().trimmed().toStdString());
 }
 
-std::string answerJson(const std::string& node) {
-  const QJsonObject object{{QStringLiteral("node"), QString::fromStdString(node)}};
-  return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+std::string answerJson (const std::string& node)
+{
+    const QJsonObject object{ { QStringLiteral ("node"), QString::fromStdString (node) } };
+    return QJsonDocument (object).toJson (QJsonDocument::Compact).toStdString();
 }
 
 }  // namespace
 
-FleetControl::FleetControl(Fleet& fleet, std::function<void()> onStop)
-    : fleet_(fleet), onStop_(std::move(onStop)) {
-  next_.setSingleShot(true);
-  QObject::connect(&next_, &QTimer::timeout, [this] { runNext(); });
-  server_.setHandler(
-      [this](const http::Request& request, const std::shared_ptr<http::Responder>& responder) {
-        handle(request, responder);
-      });
+FleetControl::FleetControl (Fleet& fleet, std::function<void()> onStop)
+    : fleet_ (fleet), onStop_ (std::move (onStop))
+{
+    next_.setSingleShot (true);
+    QObject::connect (&next_, &QTimer::timeout, [this] { runNext(); });
+    server_.setHandler (
+        [this] (const http::Request& request, const std::shared_ptr<http::Responder>& responder)
+        { handle (request, responder); });
 }
 
-FleetControl::~FleetControl() {
-  if (!file_.empty()) {
-    std::filesystem::remove(file_);
-  }
+FleetControl::~FleetControl()
+{
+    if (! file_.empty())
+    {
+        std::filesystem::remove (file_);
+    }
 }
 
-base::Result<void> FleetControl::listen(const std::string& runFolder) {
-  BOOST_LEAF_AUTO(address, server_.listen({"127.0.0.1", 0}));
-  QSaveFile file(QString::fromStdString(controlFile(runFolder)));
-  if (!file.open(QIODevice::WriteOnly)) {
-    return base::fail(base::ErrorKind::kInternal, "cannot write " + controlFile(runFolder));
-  }
-  file.write(QByteArray::fromStdString(address.toString() + "\n"));
-  if (!file.commit()) {
-    return base::fail(base::ErrorKind::kInternal, "cannot write " + controlFile(runFolder));
-  }
-  file_ = controlFile(runFolder);
-  return {};
+base::Result<void> FleetControl::listen (const std::string& runFolder)
+{
+    BOOST_LEAF_AUTO (address, server_.listen ({ "127.0.0.1", 0 }));
+    QSaveFile file (QString::fromStdString (controlFile (runFolder)));
+    if (! file.open (QIODevice::WriteOnly))
+    {
+        return base::fail (base::ErrorKind::kInternal, "cannot write " + controlFile (runFolder));
+    }
+    file.write (QByteArray::fromStdString (address.toString() + "\n"));
+    if (! file.commit())
+    {
+        return base::fail (base::ErrorKind::kInternal, "cannot write " + controlFile (runFolder));
+    }
+    file_ = controlFile (runFolder);
+    return {};
 }
 
-void FleetControl::handle(const http::Request& request,
-                          const std::shared_ptr<http::Responder>& responder) {
-  const std::string verb = request.path.substr(1);
-  pending_.push_back({{verb, request.queryValue("node")}, responder});
-  // Carrying out a command handles events; the handler must have returned before.
-  next_.start(0);
+void FleetControl::handle (const http::Request& request,
+                           const std::shared_ptr<http::Responder>& responder)
+{
+    const std::string verb = request.path.substr (1);
+    pending_.push_back ({ { verb, request.queryValue ("node") }, responder });
+    // Carrying out a command handles events; the handler must have returned before.
+    next_.start (0);
 }
 
-void FleetControl::runNext() {
-  if (isBusy_ || pending_.empty()) {
-    return;
-  }
-  isBusy_ = true;
-  const Pending next = std::move(pending_.front());
-  pending_.pop_front();
-  log::write(log::Event::kFleetCommand,
-             {{"command", next.command.verb}, {"node", next.command.node}});
-  base::handleErrors(
-      [&]() -> base::Result<void> {
-        BOOST_LEAF_AUTO(json, carryOut(next.command));
-        http::jsonResponse(kOk, json).sendTo(*next.responder);
-        return {};
-      },
-      [&](const base::Error& error) { http::errorResponse(error).sendTo(*next.responder); });
-  isBusy_ = false;
-  if (isStopAsked_) {
-    onStop_();
-  }
-  next_.start(0);
+void FleetControl::runNext()
+{
+    if (isBusy_ || pending_.empty())
+    {
+        return;
+    }
+    isBusy_ = true;
+    const Pending next = std::move (pending_.front());
+    pending_.pop_front();
+    log::write (log::Event::kFleetCommand,
+                { { "command", next.command.verb }, { "node", next.command.node } });
+    base::handleErrors (
+        [&]() -> base::Result<void>
+        {
+            BOOST_LEAF_AUTO (json, carryOut (next.command));
+            http::jsonResponse (kOk, json).sendTo (*next.responder);
+            return {};
+        },
+        [&] (const base::Error& error) { http::errorResponse (error).sendTo (*next.responder); });
+    isBusy_ = false;
+    if (isStopAsked_)
+    {
+        onStop_();
+    }
+    next_.start (0);
 }
 
-base::Result<std::string> FleetControl::carryOut(const FleetCommand& command) {
-  if (command.verb == "status") {
-    return fleet_.stateJson();
-  }
-  if (command.verb == "stop") {
-    isStopAsked_ = true;
-    return answerJson("");
-  }
-  std::string node = command.node;
-  if (command.verb == "kill") {
-    BOOST_LEAF_CHECK(fleet_.kill(node));
-  } else if (command.verb == "freeze") {
-    BOOST_LEAF_CHECK(fleet_.freeze(node));
-  } else if (command.verb == "thaw") {
-    BOOST_LEAF_CHECK(fleet_.thaw(node));
-  } else if (command.verb == "restart") {
-    BOOST_LEAF_CHECK(fleet_.restart(node));
-  } else if (command.verb == "replace") {
-    BOOST_LEAF_ASSIGN(node, fleet_.replace(node));
-  } else {
-    return base::fail(base::ErrorKind::kNotFound, "unknown command " + command.verb);
-  }
-  return answerJson(node);
+base::Result<std::string> FleetControl::carryOut (const FleetCommand& command)
+{
+    if (command.verb == "status")
+    {
+        return fleet_.stateJson();
+    }
+    if (command.verb == "stop")
+    {
+        isStopAsked_ = true;
+        return answerJson ("");
+    }
+    std::string node = command.node;
+    if (command.verb == "kill")
+    {
+        BOOST_LEAF_CHECK (fleet_.kill (node));
+    }
+    else if (command.verb == "freeze")
+    {
+        BOOST_LEAF_CHECK (fleet_.freeze (node));
+    }
+    else if (command.verb == "thaw")
+    {
+        BOOST_LEAF_CHECK (fleet_.thaw (node));
+    }
+    else if (command.verb == "restart")
+    {
+        BOOST_LEAF_CHECK (fleet_.restart (node));
+    }
+    else if (command.verb == "replace")
+    {
+        BOOST_LEAF_ASSIGN (node, fleet_.replace (node));
+    }
+    else
+    {
+        return base::fail (base::ErrorKind::kNotFound, "unknown command " + command.verb);
+    }
+    return answerJson (node);
 }
 
-base::Result<std::string> sendFleetCommand(const std::string& runFolder,
-                                           const FleetCommand& command) {
-  BOOST_LEAF_AUTO(address, readControlAddress(runFolder));
-  const std::string query = command.node.empty() ? "" : "?node=" + command.node;
-  const HttpOutcome outcome = callAndWait({.address = address,
-                                           .method = "POST",
-                                           .path = "/" + command.verb + query,
-                                           .timeout = kCommandTimeout});
-  if (outcome.end != CallEnd::kWhole) {
-    return base::fail(base::ErrorKind::kConnectionFailed, "no fleet answers in " + runFolder);
-  }
-  if (outcome.status != kOk) {
-    return base::fail(base::ErrorKind::kNotFound, outcome.body);
-  }
-  return outcome.body;
+base::Result<std::string> sendFleetCommand (const std::string& runFolder,
+                                            const FleetCommand& command)
+{
+    BOOST_LEAF_AUTO (address, readControlAddress (runFolder));
+    const std::string query = command.node.empty() ? "" : "?node=" + command.node;
+    const HttpOutcome outcome = callAndWait ({ .address = address,
+                                               .method = "POST",
+                                               .path = "/" + command.verb + query,
+                                               .timeout = kCommandTimeout });
+    if (outcome.end != CallEnd::kWhole)
+    {
+        return base::fail (base::ErrorKind::kConnectionFailed, "no fleet answers in " + runFolder);
+    }
+    if (outcome.status != kOk)
+    {
+        return base::fail (base::ErrorKind::kNotFound, outcome.body);
+    }
+    return outcome.body;
 }
 
-bool isFleetRunning(const std::string& runFolder) {
-  return base::handleErrors(
-      [&]() -> base::Result<bool> {
-        BOOST_LEAF_AUTO(address, readControlAddress(runFolder));
-        const HttpOutcome outcome = callAndWait(
-            {.address = address, .method = "POST", .path = "/status", .timeout = kPingTimeout});
-        return outcome.end != CallEnd::kNotConnected;
-      },
-      [](const base::Error&) { return false; });
+bool isFleetRunning (const std::string& runFolder)
+{
+    return base::handleErrors (
+        [&]() -> base::Result<bool>
+        {
+            BOOST_LEAF_AUTO (address, readControlAddress (runFolder));
+            const HttpOutcome outcome = callAndWait ({ .address = address,
+                                                       .method = "POST",
+                                                       .path = "/status",
+                                                       .timeout = kPingTimeout });
+            return outcome.end != CallEnd::kNotConnected;
+        },
+        [] (const base::Error&) { return false; });
 }
 
 }  // namespace fernlift::lab
--- a/src/lab/FleetControl.h
+++ b/src/lab/FleetControl.h
@@ -14,52 +14,56 @@
 #include "http/Server.h"
 #include "lab/Fleet.h"
 
-namespace fernlift::lab {
+namespace fernlift::lab
+{
 
 /// One command, for example {"kill", "engine-1"}.
-struct FleetCommand {
-  std::string verb;
-  std::string node;  ///< Empty for "status" and "stop".
+struct FleetCommand
+{
+    std::string verb;
+    std::string node;  ///< Empty for "status" and "stop".
 };
 
 /// Takes commands and carries them out one after the other.
-class FleetControl {
- public:
-  /// `onStop` is called once a stop is asked for; the answer to it has been sent by then.
-  FleetControl(Fleet& fleet, std::function<void()> onStop);
-  /// Removes FOLDER/control: the fleet does not run any more.
-  ~FleetControl();
-  FleetControl(const FleetControl&) = delete;
-  FleetControl& operator=(const FleetControl&) = delete;
+class FleetControl
+{
+public:
+    /// `onStop` is called once a stop is asked for; the answer to it has been sent by then.
+    FleetControl (Fleet& fleet, std::function<void()> onStop);
+    /// Removes FOLDER/control: the fleet does not run any more.
+    ~FleetControl();
+    FleetControl (const FleetControl&) = delete;
+    FleetControl& operator= (const FleetControl&) = delete;
 
-  /// Listens on a free port of loopback and writes the address to FOLDER/control.
-  [[nodiscard]] base::Result<void> listen(const std::string& runFolder);
+    /// Listens on a free port of loopback and writes the address to FOLDER/control.
+    [[nodiscard]] base::Result<void> listen (const std::string& runFolder);
 
- private:
-  struct Pending {
-    FleetCommand command;
-    std::shared_ptr<http::Responder> responder;
-  };
+private:
+    struct Pending
+    {
+        FleetCommand command;
+        std::shared_ptr<http::Responder> responder;
+    };
 
-  void handle(const http::Request& request, const std::shared_ptr<http::Responder>& responder);
-  void runNext();
-  [[nodiscard]] base::Result<std::string> carryOut(const FleetCommand& command);
+    void handle (const http::Request& request, const std::shared_ptr<http::Responder>& responder);
+    void runNext();
+    [[nodiscard]] base::Result<std::string> carryOut (const FleetCommand& command);
 
-  Fleet& fleet_;
-  std::function<void()> onStop_;
-  http::Server server_;
-  std::string file_;  ///< FOLDER/control once it listens.
-  std::deque<Pending> pending_;
-  QTimer next_;  ///< Carries out a command outside the handler of its request.
-  bool isBusy_ = false;
-  bool isStopAsked_ = false;
+    Fleet& fleet_;
+    std::function<void()> onStop_;
+    http::Server server_;
+    std::string file_;  ///< FOLDER/control once it listens.
+    std::deque<Pending> pending_;
+    QTimer next_;  ///< Carries out a command outside the handler of its request.
+    bool isBusy_ = false;
+    bool isStopAsked_ = false;
 };
 
 /// Sends a command to the fleet of a run folder and returns its answer. Fails with
 /// kConnectionFailed when no fleet runs there.
-[[nodiscard]] base::Result<std::string> sendFleetCommand(const std::string& runFolder,
-                                                         const FleetCommand& command);
+[[nodiscard]] base::Result<std::string> sendFleetCommand (const std::string& runFolder,
+                                                          const FleetCommand& command);
 /// True while a fleet of that folder answers.
-[[nodiscard]] bool isFleetRunning(const std::string& runFolder);
+[[nodiscard]] bool isFleetRunning (const std::string& runFolder);
 
 }  // namespace fernlift::lab
--- a/src/lab/FleetProgram.h
+++ b/src/lab/FleetProgram.h
@@ -2,9 +2,10 @@
 
 /// The program fernlift-fleet.
 
-namespace fernlift::lab {
+namespace fernlift::lab
+{
 
 /// Runs one command; returns the exit code of the process.
-int runFleetProgram(int argc, char** argv);
+int runFleetProgram (int argc, char** argv);
 
 }  // namespace fernlift::lab
--- a/src/lab/FleetProgramTest.cpp
+++ b/src/lab/FleetProgramTest.cpp
@@ -14,8 +14,10 @@
 
 #include "lab/TestSupport.h"
 
-namespace fernlift::lab {
-namespace {
+namespace fernlift::lab
+{
+namespace
+{
 
 constexpr int kPatienceMilliseconds = 90'000;
 
@@ -40,65 +42,76 @@
 applications = ["portal"]
 )";
 
-class FleetProgramTest : public testing::Test {
- protected:
-  void SetUp() override {
-    ensureApplication();
-    std::ofstream(path("fleet.toml")) << kSmallestFleet;
-  }
+class FleetProgramTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ensureApplication();
+        std::ofstream (path ("fleet.toml")) << kSmallestFleet;
+    }
 
-  void TearDown() override {
-    if (HasFailure()) {
-      run({"stop"});
+    void TearDown() override
+    {
+        if (HasFailure())
+        {
+            run ({ "stop" });
+        }
     }
-  }
 
-  [[nodiscard]] std::string path(const std::string& name) const {
-    return folder_.filePath(QString::fromStdString(name)).toStdString();
-  }
+    [[nodiscard]] std::string path (const std::string& name) const
+    {
+        return folder_.filePath (QString::fromStdString (name)).toStdString();
+    }
 
-  /// Exit code of a command of the fleet tool.
-  int run(const std::vector<std::string>& arguments) const {
-    const char* programs = std::getenv("FERNLIFT_BIN_DIR");
-    QStringList list;
-    for (const std::string& argument : arguments) {
-      list.append(QString::fromStdString(argument));
+    /// Exit code of a command of the fleet tool.
+    int run (const std::vector<std::string>& arguments) const
+    {
+        const char* programs = std::getenv ("FERNLIFT_BIN_DIR");
+        QStringList list;
+        for (const std::string& argument : arguments)
+        {
+            list.append (QString::fromStdString (argument));
+        }
+        list << QStringLiteral ("--run-folder") << folder_.filePath (QStringLiteral ("run"));
+        QProcess process;
+        process.start (QString::fromStdString (std::string (programs == nullptr ? "bin" : programs)
+                                               + "/fernlift-fleet"),
+                       list);
+        return process.waitForFinished (kPatienceMilliseconds) ? process.exitCode() : -1;
     }
-    list << QStringLiteral("--run-folder") << folder_.filePath(QStringLiteral("run"));
-    QProcess process;
-    process.start(QString::fromStdString(std::string(programs == nullptr ? "bin" : programs) +
-                                         "/fernlift-fleet"),
-                  list);
-    return process.waitForFinished(kPatienceMilliseconds) ? process.exitCode() : -1;
-  }
 
-  [[nodiscard]] std::vector<std::int64_t> processIds() const {
-    QFile file(folder_.filePath(QStringLiteral("run/state.json")));
-    EXPECT_TRUE(file.open(QIODevice::ReadOnly));
-    const QJsonArray processes = QJsonDocument::fromJson(file.readAll())
-                                     .object()
-                                     .value(QStringLiteral("processes"))
-                                     .toArray();
-    std::vector<std::int64_t> ids;
-    for (const auto& process : processes) {
-      ids.push_back(process.toObject().value(QStringLiteral("pid")).toInteger());
+    [[nodiscard]] std::vector<std::int64_t> processIds() const
+    {
+        QFile file (folder_.filePath (QStringLiteral ("run/state.json")));
+        EXPECT_TRUE (file.open (QIODevice::ReadOnly));
+        const QJsonArray processes = QJsonDocument::fromJson (file.readAll())
+                                         .object()
+                                         .value (QStringLiteral ("processes"))
+                                         .toArray();
+        std::vector<std::int64_t> ids;
+        for (const auto& process : processes)
+        {
+            ids.push_back (process.toObject().value (QStringLiteral ("pid")).toInteger());
+        }
+        return ids;
     }
-    return ids;
-  }
 
-  QTemporaryDir folder_;
+    QTemporaryDir folder_;
 };
 
-TEST_F(FleetProgramTest, NoProcessLivesOnceStopHasReturned) {
-  ASSERT_EQ(run({"start", path("fleet.toml"), "--detach"}), 0);
-  const std::vector<std::int64_t> ids = processIds();
-  EXPECT_EQ(ids.size(), 6U);
-  EXPECT_EQ(run({"status"}), 0);
-  EXPECT_EQ(run({"stop"}), 0);
-  for (const std::int64_t id : ids) {
-    EXPECT_FALSE(std::filesystem::exists("/proc/" + std::to_string(id))) << id;
-  }
-  EXPECT_NE(run({"status"}), 0);
+TEST_F (FleetProgramTest, NoProcessLivesOnceStopHasReturned)
+{
+    ASSERT_EQ (run ({ "start", path ("fleet.toml"), "--detach" }), 0);
+    const std::vector<std::int64_t> ids = processIds();
+    EXPECT_EQ (ids.size(), 6U);
+    EXPECT_EQ (run ({ "status" }), 0);
+    EXPECT_EQ (run ({ "stop" }), 0);
+    for (const std::int64_t id : ids)
+    {
+        EXPECT_FALSE (std::filesystem::exists ("/proc/" + std::to_string (id))) << id;
+    }
+    EXPECT_NE (run ({ "status" }), 0);
 }
 
 }  // namespace
--- a/src/lab/FleetSpec.h
+++ b/src/lab/FleetSpec.h
@@ -10,67 +10,75 @@
 #include "base/Error.h"
 #include "base/Ids.h"
 
-namespace fernlift::lab {
+namespace fernlift::lab
+{
 
-struct ControllerSpec {
-  base::MemberId id = 0;
-  base::ZoneName zone;
-  bool hasFaultProxy = false;  ///< Before its peer address, for routers only.
+struct ControllerSpec
+{
+    base::MemberId id = 0;
+    base::ZoneName zone;
+    bool hasFaultProxy = false;  ///< Before its peer address, for routers only.
 };
 
-struct RouterSpec {
-  base::RouterId id;
-  base::ZoneName zone;
-  bool hasFaultProxy = false;  ///< Before its HTTP address, for callers only.
+struct RouterSpec
+{
+    base::RouterId id;
+    base::ZoneName zone;
+    bool hasFaultProxy = false;  ///< Before its HTTP address, for callers only.
 };
 
-struct EngineSpec {
-  base::RunnerId id;
-  base::ZoneName zone;
-  std::uint64_t memoryMegabytes = 0;
-  std::uint32_t slots = 0;
-  bool hasFaultProxy = false;  ///< Before its HTTP address, for all but the fleet tool.
+struct EngineSpec
+{
+    base::RunnerId id;
+    base::ZoneName zone;
+    std::uint64_t memoryMegabytes = 0;
+    std::uint32_t slots = 0;
+    bool hasFaultProxy = false;  ///< Before its HTTP address, for all but the fleet tool.
 };
 
-struct ApplicationRunnerSpec {
-  base::RunnerId id;
-  base::ZoneName zone;
-  std::uint32_t slots = 0;
-  std::vector<std::string> applications;
-  bool hasFaultProxy = false;  ///< Before its HTTP address, for all but the fleet tool.
+struct ApplicationRunnerSpec
+{
+    base::RunnerId id;
+    base::ZoneName zone;
+    std::uint32_t slots = 0;
+    std::vector<std::string> applications;
+    bool hasFaultProxy = false;  ///< Before its HTTP address, for all but the fleet tool.
 };
 
-struct WeightStoreSpec {
-  double loadsPerSecond = 3;
-  std::uint32_t concurrentLoads = 6;
+struct WeightStoreSpec
+{
+    double loadsPerSecond = 3;
+    std::uint32_t concurrentLoads = 6;
 };
 
 /// Flags that are passed on to every process of a role, after the fleet's own.
-struct ExtraFlags {
-  std::vector<std::string> controllers;
-  std::vector<std::string> routers;
-  std::vector<std::string> engines;
-  std::vector<std::string> applications;
-  std::vector<std::string> weights;
-  std::vector<std::string> machines;
+struct ExtraFlags
+{
+    std::vector<std::string> controllers;
+    std::vector<std::string> routers;
+    std::vector<std::string> engines;
+    std::vector<std::string> applications;
+    std::vector<std::string> weights;
+    std::vector<std::string> machines;
 };
 
 /// A whole fleet: one cell with its back ends and platform stand-ins.
-struct FleetSpec {
-  base::CellId cell;
-  double timeScale = 1;  ///< Speed of the stand-ins: 0.1 takes a tenth of the real time.
-  std::vector<ControllerSpec> controllers;
-  std::vector<RouterSpec> routers;
-  std::vector<EngineSpec> engines;
-  std::vector<ApplicationRunnerSpec> applicationRunners;
-  WeightStoreSpec weightStore;
-  ExtraFlags extraFlags;
+struct FleetSpec
+{
+    base::CellId cell;
+    double timeScale = 1;  ///< Speed of the stand-ins: 0.1 takes a tenth of the real time.
+    std::vector<ControllerSpec> controllers;
+    std::vector<RouterSpec> routers;
+    std::vector<EngineSpec> engines;
+    std::vector<ApplicationRunnerSpec> applicationRunners;
+    WeightStoreSpec weightStore;
+    ExtraFlags extraFlags;
 };
 
 /// Parses a fleet file. Fails with kSettingsInvalid, naming line and key, on unknown keys, wrong
 /// types, missing parts and names that stand twice.
-[[nodiscard]] base::Result<FleetSpec> parseFleetSpec(std::string_view tomlText);
+[[nodiscard]] base::Result<FleetSpec> parseFleetSpec (std::string_view tomlText);
 /// Reads and parses `path`.
-[[nodiscard]] base::Result<FleetSpec> readFleetSpec(const std::string& path);
+[[nodiscard]] base::Result<FleetSpec> readFleetSpec (const std::string& path);
 
 }  // namespace fernlift::lab
--- a/src/lab/FleetTestSupport.h
+++ b/src/lab/FleetTestSupport.h
@@ -15,10 +15,11 @@
 #include "lab/LoadRunner.h"
 #include "lab/TestSupport.h"
 
-namespace fernlift::lab {
+namespace fernlift::lab
+{
 
 /// Longest wait for something that must come; no test measures time.
-inline constexpr base::Duration kGuard = base::seconds(60);
+inline constexpr base::Duration kGuard = base::seconds (60);
 
 /// Names of the processes and of the model that is loaded on both engines.
 inline constexpr const char* kFirstEngine = "engine-1";
@@ -37,40 +38,42 @@
 /// Three controllers, two routers, two engines and two application runners; a fault proxy before
 /// each back end and router. One fleet serves all tests of a suite: each begins without faults and
 /// with idle routers.
-class FleetTest : public testing::Test {
- protected:
-  static void SetUpTestSuite() { startFleet(true); }
-  static void TearDownTestSuite();
-  void SetUp() override;
-  void TearDown() override;
+class FleetTest : public testing::Test
+{
+protected:
+    static void SetUpTestSuite() { startFleet (true); }
+    static void TearDownTestSuite();
+    void SetUp() override;
+    void TearDown() override;
 
-  /// What is done while a load runs.
-  using Fault = std::function<base::Result<void>()>;
+    /// What is done while a load runs.
+    using Fault = std::function<base::Result<void>()>;
 
-  /// Makes `calls` calls at both routers within about a second, brings about the fault in the
-  /// middle and waits until every call has ended.
-  std::vector<CallRecord> runLoad(std::vector<TraceTarget> targets, std::size_t calls,
-                                  const Fault& fault);
-  /// Calls with the same idempotency key as `first`, made by its caller again at `router`.
-  CallRecord repeatAt(const std::string& router, CallRecord first);
-  /// Requires that the history has no violation and that the routers have nothing left.
-  void requireNoViolation(const std::vector<CallRecord>& history, const CheckOptions& options = {});
-  /// Runs of a back end so far.
-  static std::vector<LedgerRun> runsAt(const std::string& node);
+    /// Makes `calls` calls at both routers within about a second, brings about the fault in the
+    /// middle and waits until every call has ended.
+    std::vector<CallRecord> runLoad (std::vector<TraceTarget> targets, std::size_t calls,
+                                     const Fault& fault);
+    /// Calls with the same idempotency key as `first`, made by its caller again at `router`.
+    CallRecord repeatAt (const std::string& router, CallRecord first);
+    /// Requires that the history has no violation and that the routers have nothing left.
+    void requireNoViolation (const std::vector<CallRecord>& history,
+                             const CheckOptions& options = {});
+    /// Runs of a back end so far.
+    static std::vector<LedgerRun> runsAt (const std::string& node);
 
-  static Fleet& fleet() { return *runningFleet; }
-  /// Without proxies, connections to a process that does not run are refused as usual.
-  static void startFleet(bool hasProxies);
+    static Fleet& fleet() { return *runningFleet; }
+    /// Without proxies, connections to a process that does not run are refused as usual.
+    static void startFleet (bool hasProxies);
 
- private:
-  static std::unique_ptr<QTemporaryDir> folder;
-  static std::unique_ptr<Fleet> runningFleet;
-  static int loadCount;
+private:
+    static std::unique_ptr<QTemporaryDir> folder;
+    static std::unique_ptr<Fleet> runningFleet;
+    static int loadCount;
 };
 
 /// Calls that were not answered, without those that were made again elsewhere.
-[[nodiscard]] std::size_t countUnanswered(const std::vector<CallRecord>& history);
+[[nodiscard]] std::size_t countUnanswered (const std::vector<CallRecord>& history);
 /// One line for each call without a whole answer, for messages of failed tests.
-[[nodiscard]] std::string describeUnanswered(const std::vector<CallRecord>& history);
+[[nodiscard]] std::string describeUnanswered (const std::vector<CallRecord>& history);
 
 }  // namespace fernlift::lab
--- a/src/lab/FleetTestSupportTest.cpp
+++ b/src/lab/FleetTestSupportTest.cpp
@@ -10,8 +10,10 @@
 #include "lab/FleetTestSupport.h"
 #include "lab/Ledgers.h"
 
-namespace fernlift::lab {
-namespace {
+namespace fernlift::lab
+{
+namespace
+{
 
 constexpr std::string_view kFleetFile = R"(
 cell = "test"
@@ -91,43 +93,53 @@
 class = "approval"
 )";
 
-constexpr base::Duration kLoadLength = base::milliseconds(1000);
+constexpr base::Duration kLoadLength = base::milliseconds (1000);
 constexpr std::uint64_t kTokens = 16;
 
-std::string programFolder() {
-  const char* folder = std::getenv("FERNLIFT_BIN_DIR");
-  return folder == nullptr ? "bin" : folder;
+std::string programFolder()
+{
+    const char* folder = std::getenv ("FERNLIFT_BIN_DIR");
+    return folder == nullptr ? "bin" : folder;
 }
 
-void removeProxies(FleetSpec& spec) {
-  const auto remove = [](auto& items) {
-    for (auto& item : items) {
-      item.hasFaultProxy = false;
-    }
-  };
-  remove(spec.controllers);
-  remove(spec.routers);
-  remove(spec.engines);
-  remove(spec.applicationRunners);
+void removeProxies (FleetSpec& spec)
+{
+    const auto remove = [] (auto& items)
+    {
+        for (auto& item : items)
+        {
+            item.hasFaultProxy = false;
+        }
+    };
+    remove (spec.controllers);
+    remove (spec.routers);
+    remove (spec.engines);
+    remove (spec.applicationRunners);
 }
 
-std::vector<Violation> checkIdleRouters(const Fleet& fleet) {
-  std::vector<Violation> all;
-  for (const NodeStatus& node : fleet.status()) {
-    if (node.role == NodeRole::kRouter && node.state == NodeState::kRunning) {
-      const auto violations = checkIdleRouter(node.name, fetchMetrics(node.httpAddress));
-      all.insert(all.end(), violations.begin(), violations.end());
+std::vector<Violation> checkIdleRouters (const Fleet& fleet)
+{
+    std::vector<Violation> all;
+    for (const NodeStatus& node : fleet.status())
+    {
+        if (node.role == NodeRole::kRouter && node.state == NodeState::kRunning)
+        {
+            const auto violations = checkIdleRouter (node.name, fetchMetrics (node.httpAddress));
+            all.insert (all.end(), violations.begin(), violations.end());
+        }
     }
-  }
-  return all;
+    return all;
 }
 
-std::string describe(const std::vector<Violation>& violations) {
-  std::ostringstream text;
-  for (const Violation& violation : violations) {
-    text << nameOf(violation.kind) << " " << violation.requestId << " " << violation.detail << "\n";
-  }
-  return text.str();
+std::string describe (const std::vector<Violation>& violations)
+{
+    std::ostringstream text;
+    for (const Violation& violation : violations)
+    {
+        text << nameOf (violation.kind) << " " << violation.requestId << " " << violation.detail
+             << "\n";
+    }
+    return text.str();
 }
 
 }  // namespace
@@ -136,122 +148,150 @@
 std::unique_ptr<Fleet> FleetTest::runningFleet;
 int FleetTest::loadCount = 0;
 
-TraceTarget chatTarget() { return {CallKind::kChat, kModel, "standard", 1, true}; }
+TraceTarget chatTarget() { return { CallKind::kChat, kModel, "standard", 1, true }; }
 
-TraceTarget onceTarget() { return {CallKind::kApplication, "portal", "approval", 1, false}; }
+TraceTarget onceTarget() { return { CallKind::kApplication, "portal", "approval", 1, false }; }
 
-void FleetTest::startFleet(bool hasProxies) {
-  ensureApplication();
-  folder = std::make_unique<QTemporaryDir>();
-  const std::string run = folder->path().toStdString();
-  const bool isUp = succeeds([&]() -> base::Result<void> {
-    BOOST_LEAF_AUTO(spec, parseFleetSpec(kFleetFile));
-    if (!hasProxies) {
-      removeProxies(spec);
-    }
-    runningFleet = std::make_unique<Fleet>(std::move(spec), FleetFolders{programFolder(), run});
-    BOOST_LEAF_CHECK(runningFleet->start());
-    BOOST_LEAF_CHECK(waitForLeader(*runningFleet, kGuard));
-    std::ofstream(run + "/catalogue.toml") << kCatalogue;
-    const CtlOutcome applied = runCtl(*runningFleet, {"apply", run + "/catalogue.toml", "--wait"});
-    EXPECT_EQ(applied.exitCode, 0) << applied.output;
-    return waitForRouters(*runningFleet, kGuard);
-  });
-  ASSERT_TRUE(isUp);
+void FleetTest::startFleet (bool hasProxies)
+{
+    ensureApplication();
+    folder = std::make_unique<QTemporaryDir>();
+    const std::string run = folder->path().toStdString();
+    const bool isUp = succeeds (
+        [&]() -> base::Result<void>
+        {
+            BOOST_LEAF_AUTO (spec, parseFleetSpec (kFleetFile));
+            if (! hasProxies)
+            {
+                removeProxies (spec);
+            }
+            runningFleet =
+                std::make_unique<Fleet> (std::move (spec), FleetFolders{ programFolder(), run });
+            BOOST_LEAF_CHECK (runningFleet->start());
+            BOOST_LEAF_CHECK (waitForLeader (*runningFleet, kGuard));
+            std::ofstream (run + "/catalogue.toml") << kCatalogue;
+            const CtlOutcome applied =
+                runCtl (*runningFleet, { "apply", run + "/catalogue.toml", "--wait" });
+            EXPECT_EQ (applied.exitCode, 0) << applied.output;
+            return waitForRouters (*runningFleet, kGuard);
+        });
+    ASSERT_TRUE (isUp);
 }
 
-void FleetTest::TearDownTestSuite() {
-  if (runningFleet) {
-    EXPECT_TRUE(succeeds([] { return runningFleet->stop(); }));
-  }
-  runningFleet.reset();
-  folder.reset();
+void FleetTest::TearDownTestSuite()
+{
+    if (runningFleet)
+    {
+        EXPECT_TRUE (succeeds ([] { return runningFleet->stop(); }));
+    }
+    runningFleet.reset();
+    folder.reset();
 }
 
-void FleetTest::SetUp() {
-  ASSERT_TRUE(runningFleet);
-  ASSERT_TRUE(succeeds([] { return clearFaults(fleet()); }));
-  ASSERT_TRUE(succeeds([] { return waitForRouters(fleet(), kGuard); }));
-  ASSERT_TRUE(waitUntil([] { return countReadyReplicas(fleet(), kModel) == 2; }, kGuard));
+void FleetTest::SetUp()
+{
+    ASSERT_TRUE (runningFleet);
+    ASSERT_TRUE (succeeds ([] { return clearFaults (fleet()); }));
+    ASSERT_TRUE (succeeds ([] { return waitForRouters (fleet(), kGuard); }));
+    ASSERT_TRUE (waitUntil ([] { return countReadyReplicas (fleet(), kModel) == 2; }, kGuard));
 }
 
-void FleetTest::TearDown() {
-  EXPECT_TRUE(succeeds([] { return clearFaults(fleet()); }));
-  if (HasFailure()) {
-    folder->setAutoRemove(false);
-    std::cerr << "logs of the fleet: " << folder->path().toStdString() << "\n";
-  }
+void FleetTest::TearDown()
+{
+    EXPECT_TRUE (succeeds ([] { return clearFaults (fleet()); }));
+    if (HasFailure())
+    {
+        folder->setAutoRemove (false);
+        std::cerr << "logs of the fleet: " << folder->path().toStdString() << "\n";
+    }
 }
 
-std::vector<CallRecord> FleetTest::runLoad(std::vector<TraceTarget> targets, std::size_t calls,
-                                           const Fault& fault) {
-  LoadOptions options;
-  options.routers = fleet().callerAddresses(NodeRole::kRouter);
-  options.idPrefix = "load" + std::to_string(++loadCount);
-  options.callTimeout = kGuard;
-  for (std::size_t index = 0; index < calls; ++index) {
-    const auto at =
-        kLoadLength * static_cast<std::int64_t>(index) / static_cast<std::int64_t>(calls);
-    options.arrivals.push_back({at, index / 2 % targets.size(), index / 4 % 2 == 0, kTokens});
-  }
-  options.targets = std::move(targets);
-  LoadRunner runner(std::move(options));
-  runner.start();
-  EXPECT_TRUE(
-      waitUntil([&] { return runner.history().size() + runner.openCalls() >= calls / 2; }, kGuard));
-  EXPECT_TRUE(succeeds(fault));
-  EXPECT_TRUE(waitUntil([&] { return runner.isFinished(); }, 2 * kGuard)) << "calls are open";
-  return runner.history();
+std::vector<CallRecord> FleetTest::runLoad (std::vector<TraceTarget> targets, std::size_t calls,
+                                            const Fault& fault)
+{
+    LoadOptions options;
+    options.routers = fleet().callerAddresses (NodeRole::kRouter);
+    options.idPrefix = "load" + std::to_string (++loadCount);
+    options.callTimeout = kGuard;
+    for (std::size_t index = 0; index < calls; ++index)
+    {
+        const auto at =
+            kLoadLength * static_cast<std::int64_t> (index) / static_cast<std::int64_t> (calls);
+        options.arrivals.push_back (
+            { at, index / 2 % targets.size(), index / 4 % 2 == 0, kTokens });
+    }
+    options.targets = std::move (targets);
+    LoadRunner runner (std::move (options));
+    runner.start();
+    EXPECT_TRUE (waitUntil (
+        [&] { return runner.history().size() + runner.openCalls() >= calls / 2; }, kGuard));
+    EXPECT_TRUE (succeeds (fault));
+    EXPECT_TRUE (waitUntil ([&] { return runner.isFinished(); }, 2 * kGuard)) << "calls are open";
+    return runner.history();
 }
 
-CallRecord FleetTest::repeatAt(const std::string& router, CallRecord first) {
-  first.requestId += "-again";
-  EXPECT_TRUE(succeeds([&]() -> base::Result<void> {
-    BOOST_LEAF_AUTO(address, fleet().httpAddress(router));
-    first.router = address.toString();
-    readOutcome(callAndWait(requestOf(first, address, kGuard)), first);
-    return {};
-  }));
-  return first;
+CallRecord FleetTest::repeatAt (const std::string& router, CallRecord first)
+{
+    first.requestId += "-again";
+    EXPECT_TRUE (succeeds (
+        [&]() -> base::Result<void>
+        {
+            BOOST_LEAF_AUTO (address, fleet().httpAddress (router));
+            first.router = address.toString();
+            readOutcome (callAndWait (requestOf (first, address, kGuard)), first);
+            return {};
+        }));
+    return first;
 }
 
-void FleetTest::requireNoViolation(const std::vector<CallRecord>& history,
-                                   const CheckOptions& options) {
-  EXPECT_TRUE(waitUntil([] { return checkIdleRouters(fleet()).empty(); }, kGuard))
-      << describe(checkIdleRouters(fleet()));
-  EXPECT_TRUE(succeeds([&]() -> base::Result<void> {
-    BOOST_LEAF_AUTO(ledger, fetchLedgers(fleet()));
-    const auto violations = checkHistory(history, ledger, standinAnswerDigest, options);
-    EXPECT_TRUE(violations.empty()) << describe(violations);
-    return {};
-  }));
+void FleetTest::requireNoViolation (const std::vector<CallRecord>& history,
+                                    const CheckOptions& options)
+{
+    EXPECT_TRUE (waitUntil ([] { return checkIdleRouters (fleet()).empty(); }, kGuard))
+        << describe (checkIdleRouters (fleet()));
+    EXPECT_TRUE (succeeds (
+        [&]() -> base::Result<void>
+        {
+            BOOST_LEAF_AUTO (ledger, fetchLedgers (fleet()));
+            const auto violations = checkHistory (history, ledger, standinAnswerDigest, options);
+            EXPECT_TRUE (violations.empty()) << describe (violations);
+            return {};
+        }));
 }
 
-std::vector<LedgerRun> FleetTest::runsAt(const std::string& node) {
-  std::vector<LedgerRun> runs;
-  EXPECT_TRUE(succeeds([&]() -> base::Result<void> {
-    BOOST_LEAF_AUTO(address, fleet().httpAddress(node));
-    BOOST_LEAF_ASSIGN(runs, fetchLedger(node, address));
-    return {};
-  }));
-  return runs;
+std::vector<LedgerRun> FleetTest::runsAt (const std::string& node)
+{
+    std::vector<LedgerRun> runs;
+    EXPECT_TRUE (succeeds (
+        [&]() -> base::Result<void>
+        {
+            BOOST_LEAF_AUTO (address, fleet().httpAddress (node));
+            BOOST_LEAF_ASSIGN (runs, fetchLedger (node, address));
+            return {};
+        }));
+    return runs;
 }
 
-std::size_t countUnanswered(const std::vector<CallRecord>& history) {
-  return static_cast<std::size_t>(
-      std::count_if(history.begin(), history.end(),
-                    [](const CallRecord& call) { return !call.isAnswerWhole && !call.isResent; }));
+std::size_t countUnanswered (const std::vector<CallRecord>& history)
+{
+    return static_cast<std::size_t> (std::count_if (
+        history.begin(), history.end(),
+        [] (const CallRecord& call) { return ! call.isAnswerWhole && ! call.isResent; }));
 }
 
-std::string describeUnanswered(const std::vector<CallRecord>& history) {
-  std::ostringstream text;
-  for (const CallRecord& call : history) {
-    if (!call.isAnswerWhole) {
-      text << call.requestId << " at " << call.router << ": " << nameOf(call.end) << ", status "
-           << call.status << " " << call.errorKind << " " << call.execution << "\n";
+std::string describeUnanswered (const std::vector<CallRecord>& history)
+{
+    std::ostringstream text;
+    for (const CallRecord& call : history)
+    {
+        if (! call.isAnswerWhole)
+        {
+            text << call.requestId << " at " << call.router << ": " << nameOf (call.end)
+                 << ", status " << call.status << " " << call.errorKind << " " << call.execution
+                 << "\n";
+        }
     }
-  }
-  return text.str();
+    return text.str();
 }
 
 }  // namespace fernlift::lab
--- a/src/lab/HistoryCheckTest.cpp
+++ b/src/lab/HistoryCheckTest.cpp
@@ -2,93 +2,108 @@
 
 #include "lab/HistoryCheck.h"
 
-namespace fernlift::lab {
-namespace {
+namespace fernlift::lab
+{
+namespace
+{
 
 /// A run without any violation; each test plants one.
-class HistoryCheckTest : public testing::Test {
- protected:
-  HistoryCheckTest() {
-    CallRecord answered;
-    answered.requestId = "r1";
-    answered.idempotencyKey = "k1";
-    answered.target = "small";
-    answered.end = CallEnd::kWhole;
-    answered.status = 200;
-    answered.execution = "ran";
-    answered.textDigest = "digest of r1";
-    answered.isAnswerWhole = true;
-    CallRecord refused = answered;
-    refused.requestId = "r2";
-    refused.idempotencyKey = "k2";
-    refused.status = 503;
-    refused.execution = "not_run";
-    refused.errorKind = "queue_full";
-    refused.isAnswerWhole = false;
-    history_ = {answered, refused};
-    ledger_ = {{"engine-1", "r1", "k1", "small"}};
-  }
-
-  std::vector<ViolationKind> check(const CheckOptions& options = {}) {
-    std::vector<ViolationKind> kinds;
-    const auto expected = [](const CallRecord& call) { return "digest of " + call.requestId; };
-    for (const Violation& violation : checkHistory(history_, ledger_, expected, options)) {
-      kinds.push_back(violation.kind);
+class HistoryCheckTest : public testing::Test
+{
+protected:
+    HistoryCheckTest()
+    {
+        CallRecord answered;
+        answered.requestId = "r1";
+        answered.idempotencyKey = "k1";
+        answered.target = "small";
+        answered.end = CallEnd::kWhole;
+        answered.status = 200;
+        answered.execution = "ran";
+        answered.textDigest = "digest of r1";
+        answered.isAnswerWhole = true;
+        CallRecord refused = answered;
+        refused.requestId = "r2";
+        refused.idempotencyKey = "k2";
+        refused.status = 503;
+        refused.execution = "not_run";
+        refused.errorKind = "queue_full";
+        refused.isAnswerWhole = false;
+        history_ = { answered, refused };
+        ledger_ = { { "engine-1", "r1", "k1", "small" } };
     }
-    return kinds;
-  }
 
-  using Kinds = std::vector<ViolationKind>;
-  std::vector<CallRecord> history_;
-  std::vector<LedgerRun> ledger_;
+    std::vector<ViolationKind> check (const CheckOptions& options = {})
+    {
+        std::vector<ViolationKind> kinds;
+        const auto expected = [] (const CallRecord& call) { return "digest of " + call.requestId; };
+        for (const Violation& violation : checkHistory (history_, ledger_, expected, options))
+        {
+            kinds.push_back (violation.kind);
+        }
+        return kinds;
+    }
+
+    using Kinds = std::vector<ViolationKind>;
+    std::vector<CallRecord> history_;
+    std::vector<LedgerRun> ledger_;
 };
 
-TEST_F(HistoryCheckTest, AGoodRunPasses) { EXPECT_EQ(check(), Kinds{}); }
+TEST_F (HistoryCheckTest, AGoodRunPasses) { EXPECT_EQ (check(), Kinds{}); }
 
-TEST_F(HistoryCheckTest, FindsAWrongText) {
-  history_[0].textDigest = "digest of r2";
-  EXPECT_EQ(check(), Kinds{ViolationKind::kWrongText});
+TEST_F (HistoryCheckTest, FindsAWrongText)
+{
+    history_[0].textDigest = "digest of r2";
+    EXPECT_EQ (check(), Kinds{ ViolationKind::kWrongText });
 }
 
-TEST_F(HistoryCheckTest, FindsACallWithoutAnEnd) {
-  history_[0].end = CallEnd::kBroken;
-  EXPECT_EQ(check(), Kinds{ViolationKind::kNoFinalAnswer});
-  EXPECT_EQ(check({.allowsBrokenCalls = true}), Kinds{});
+TEST_F (HistoryCheckTest, FindsACallWithoutAnEnd)
+{
+    history_[0].end = CallEnd::kBroken;
+    EXPECT_EQ (check(), Kinds{ ViolationKind::kNoFinalAnswer });
+    EXPECT_EQ (check ({ .allowsBrokenCalls = true }), Kinds{});
 }
 
-TEST_F(HistoryCheckTest, FindsAStreamThatEndsWithoutDoneOrError) {
-  history_[0].isAnswerWhole = false;
-  EXPECT_EQ(check(), Kinds{ViolationKind::kNoFinalAnswer});
+TEST_F (HistoryCheckTest, FindsAStreamThatEndsWithoutDoneOrError)
+{
+    history_[0].isAnswerWhole = false;
+    EXPECT_EQ (check(), Kinds{ ViolationKind::kNoFinalAnswer });
 }
 
-TEST_F(HistoryCheckTest, FindsTwoAnswersToOneRequest) {
-  history_.push_back(history_[0]);
-  EXPECT_EQ(check(), Kinds{ViolationKind::kAnsweredTwice});
+TEST_F (HistoryCheckTest, FindsTwoAnswersToOneRequest)
+{
+    history_.push_back (history_[0]);
+    EXPECT_EQ (check(), Kinds{ ViolationKind::kAnsweredTwice });
 }
 
-TEST_F(HistoryCheckTest, FindsARunThatWasDenied) {
-  ledger_.push_back({"engine-2", "r2", "", "small"});
-  EXPECT_EQ(check(), Kinds{ViolationKind::kNotRunButRan});
+TEST_F (HistoryCheckTest, FindsARunThatWasDenied)
+{
+    ledger_.push_back ({ "engine-2", "r2", "", "small" });
+    EXPECT_EQ (check(), Kinds{ ViolationKind::kNotRunButRan });
 }
 
-TEST_F(HistoryCheckTest, FindsAKeyThatRanTwice) {
-  ledger_.push_back({"engine-2", "r9", "k1", "small"});
-  EXPECT_EQ(check(), Kinds{ViolationKind::kKeyRanTwice});
+TEST_F (HistoryCheckTest, FindsAKeyThatRanTwice)
+{
+    ledger_.push_back ({ "engine-2", "r9", "k1", "small" });
+    EXPECT_EQ (check(), Kinds{ ViolationKind::kKeyRanTwice });
 }
 
-TEST_F(HistoryCheckTest, FindsAnErrorThatDoesNotSayWhetherItRan) {
-  history_[1].execution.clear();
-  EXPECT_EQ(check(), Kinds{ViolationKind::kExecutionMissing});
+TEST_F (HistoryCheckTest, FindsAnErrorThatDoesNotSayWhetherItRan)
+{
+    history_[1].execution.clear();
+    EXPECT_EQ (check(), Kinds{ ViolationKind::kExecutionMissing });
 }
 
-TEST_F(HistoryCheckTest, FindsAnAnswerThatNoBackEndGave) {
-  ledger_.clear();
-  EXPECT_EQ(check(), Kinds{ViolationKind::kRanNowhere});
-  EXPECT_EQ(check({.isLedgerComplete = false}), Kinds{});
+TEST_F (HistoryCheckTest, FindsAnAnswerThatNoBackEndGave)
+{
+    ledger_.clear();
+    EXPECT_EQ (check(), Kinds{ ViolationKind::kRanNowhere });
+    EXPECT_EQ (check ({ .isLedgerComplete = false }), Kinds{});
 }
 
-std::string routerMetrics(int admitted, int answered, int open, int waiting) {
-  return "fernlift_router_requests_admitted_total " + std::to_string(admitted) +
+std::string routerMetrics (int admitted, int answered, int open, int waiting)
+{
+    return "fernlift_router_requests_admitted_total " + std::to_string(admitted) +
          "\nfernlift_router_requests_answered_total " + std::to_string(answered) +
          "\nfernlift_router_requests_refused_total 1\nfernlift_router_callers_gone_total 2"
          "\nfernlift_router_requests_open " +
@@ -96,24 +111,27 @@
          "\nfernlift_router_waiting_bytes 0\n";
 }
 
-TEST(CheckIdleRouter, FindsWhatIsLeft) {
-  EXPECT_EQ(checkIdleRouter("r", routerMetrics(8, 5, 0, 0)).size(), 0U);
-  EXPECT_EQ(checkIdleRouter("r", routerMetrics(8, 4, 0, 0)).size(), 1U) << "one was lost";
-  EXPECT_EQ(checkIdleRouter("r", routerMetrics(8, 4, 1, 0)).size(), 2U) << "one is open";
-  EXPECT_EQ(checkIdleRouter("r", routerMetrics(8, 5, 0, 1)).size(), 1U) << "one waits";
-  EXPECT_GT(checkIdleRouter("r", "").size(), 0U) << "the router does not answer";
+TEST (CheckIdleRouter, FindsWhatIsLeft)
+{
+    EXPECT_EQ (checkIdleRouter ("r", routerMetrics (8, 5, 0, 0)).size(), 0U);
+    EXPECT_EQ (checkIdleRouter ("r", routerMetrics (8, 4, 0, 0)).size(), 1U) << "one was lost";
+    EXPECT_EQ (checkIdleRouter ("r", routerMetrics (8, 4, 1, 0)).size(), 2U) << "one is open";
+    EXPECT_EQ (checkIdleRouter ("r", routerMetrics (8, 5, 0, 1)).size(), 1U) << "one waits";
+    EXPECT_GT (checkIdleRouter ("r", "").size(), 0U) << "the router does not answer";
 }
 
-TEST_F(HistoryCheckTest, AHistorySurvivesItsFile) {
-  history_[1].isResent = true;
-  std::string lines;
-  for (const CallRecord& record : history_) {
-    lines += toJsonLine(record) + "\n";
-  }
-  const auto read =
-      base::handleErrors([&] { return parseHistory(lines); },
-                         [](const base::Error&) { return std::vector<CallRecord>(); });
-  EXPECT_EQ(read, history_);
+TEST_F (HistoryCheckTest, AHistorySurvivesItsFile)
+{
+    history_[1].isResent = true;
+    std::string lines;
+    for (const CallRecord& record : history_)
+    {
+        lines += toJsonLine (record) + "\n";
+    }
+    const auto read =
+        base::handleErrors ([&] { return parseHistory (lines); },
+                            [] (const base::Error&) { return std::vector<CallRecord>(); });
+    EXPECT_EQ (read, history_);
 }
 
 }  // namespace
--- a/src/lab/HttpCall.cpp
+++ b/src/lab/HttpCall.cpp
@@ -2,113 +2,133 @@
 
 #include "lab/EventWait.h"
 
-namespace fernlift::lab {
-namespace {
+namespace fernlift::lab
+{
+namespace
+{
 
 /// Beyond the call's own timeout, which always comes first.
-constexpr base::Duration kWaitMargin = base::seconds(5);
+constexpr base::Duration kWaitMargin = base::seconds (5);
 
-http::ClientRequest clientRequest(const HttpRequest& request) {
-  http::ClientRequest sent;
-  sent.address = request.address;
-  sent.method = request.method;
-  sent.path = request.path;
-  sent.headers = request.headers;
-  sent.body = request.body;
-  // The call has one timeout for everything; those of the parts come later.
-  sent.connectTimeout = request.timeout + kWaitMargin;
-  sent.headersTimeout = request.timeout + kWaitMargin;
-  sent.idleTimeout = request.timeout + kWaitMargin;
-  sent.needsFreshConnection = true;
-  return sent;
+http::ClientRequest clientRequest (const HttpRequest& request)
+{
+    http::ClientRequest sent;
+    sent.address = request.address;
+    sent.method = request.method;
+    sent.path = request.path;
+    sent.headers = request.headers;
+    sent.body = request.body;
+    // The call has one timeout for everything; those of the parts come later.
+    sent.connectTimeout = request.timeout + kWaitMargin;
+    sent.headersTimeout = request.timeout + kWaitMargin;
+    sent.idleTimeout = request.timeout + kWaitMargin;
+    sent.needsFreshConnection = true;
+    return sent;
 }
 
-CallEnd endOf(http::ClientErrorKind kind) {
-  switch (kind) {
-    case http::ClientErrorKind::kNotSent:
-      return CallEnd::kNotConnected;
-    case http::ClientErrorKind::kBroken:
-      return CallEnd::kBroken;
-    case http::ClientErrorKind::kTimeout:
-      return CallEnd::kTimeout;
-  }
-  return CallEnd::kBroken;
+CallEnd endOf (http::ClientErrorKind kind)
+{
+    switch (kind)
+    {
+        case http::ClientErrorKind::kNotSent:
+            return CallEnd::kNotConnected;
+        case http::ClientErrorKind::kBroken:
+            return CallEnd::kBroken;
+        case http::ClientErrorKind::kTimeout:
+            return CallEnd::kTimeout;
+    }
+    return CallEnd::kBroken;
 }
 
-base::Duration elapsedTime(const QElapsedTimer& timer) {
-  return std::chrono::duration_cast<base::Duration>(std::chrono::nanoseconds(timer.nsecsElapsed()));
+base::Duration elapsedTime (const QElapsedTimer& timer)
+{
+    return std::chrono::duration_cast<base::Duration> (
+        std::chrono::nanoseconds (timer.nsecsElapsed()));
 }
 
 }  // namespace
 
-std::string_view nameOf(CallEnd end) {
-  switch (end) {
-    case CallEnd::kWhole:
-      return "whole";
-    case CallEnd::kNotConnected:
-      return "not_connected";
-    case CallEnd::kBroken:
-      return "broken";
-    case CallEnd::kTimeout:
-      return "timeout";
-  }
-  return "";
+std::string_view nameOf (CallEnd end)
+{
+    switch (end)
+    {
+        case CallEnd::kWhole:
+            return "whole";
+        case CallEnd::kNotConnected:
+            return "not_connected";
+        case CallEnd::kBroken:
+            return "broken";
+        case CallEnd::kTimeout:
+            return "timeout";
+    }
+    return "";
 }
 
-HttpCall::HttpCall(http::Client& client, const HttpRequest& request, OnEnd onEnd)
-    : onEnd_(std::move(onEnd)) {
-  elapsed_.start();
-  timeout_.setSingleShot(true);
-  QObject::connect(&timeout_, &QTimer::timeout, [this] { end(CallEnd::kTimeout); });
-  http::ClientCallbacks callbacks;
-  callbacks.onHeaders = [this](const http::ClientResponse& response) { onHeaders(response); };
-  callbacks.onData = [this](std::string_view data) { onData(data); };
-  callbacks.onEnd = [this] { end(CallEnd::kWhole); };
-  callbacks.onError = [this](const http::ClientError& error) { end(endOf(error.kind)); };
-  timeout_.start(static_cast<int>(base::toMilliseconds(request.timeout)));
-  exchange_ = client.send(clientRequest(request), std::move(callbacks));
+HttpCall::HttpCall (http::Client& client, const HttpRequest& request, OnEnd onEnd)
+    : onEnd_ (std::move (onEnd))
+{
+    elapsed_.start();
+    timeout_.setSingleShot (true);
+    QObject::connect (&timeout_, &QTimer::timeout, [this] { end (CallEnd::kTimeout); });
+    http::ClientCallbacks callbacks;
+    callbacks.onHeaders = [this] (const http::ClientResponse& response) { onHeaders (response); };
+    callbacks.onData = [this] (std::string_view data) { onData (data); };
+    callbacks.onEnd = [this] { end (CallEnd::kWhole); };
+    callbacks.onError = [this] (const http::ClientError& error) { end (endOf (error.kind)); };
+    timeout_.start (static_cast<int> (base::toMilliseconds (request.timeout)));
+    exchange_ = client.send (clientRequest (request), std::move (callbacks));
 }
 
-HttpCall::~HttpCall() {
-  if (!hasEnded_) {
-    exchange_->cancel();
-  }
+HttpCall::~HttpCall()
+{
+    if (! hasEnded_)
+    {
+        exchange_->cancel();
+    }
 }
 
-void HttpCall::onHeaders(const http::ClientResponse& response) {
-  outcome_.status = response.status;
-  outcome_.headers = response.headers;
+void HttpCall::onHeaders (const http::ClientResponse& response)
+{
+    outcome_.status = response.status;
+    outcome_.headers = response.headers;
 }
 
-void HttpCall::onData(std::string_view data) {
-  if (outcome_.body.empty()) {
-    outcome_.toFirstBodyByte = elapsedTime(elapsed_);
-  }
-  outcome_.body += data;
+void HttpCall::onData (std::string_view data)
+{
+    if (outcome_.body.empty())
+    {
+        outcome_.toFirstBodyByte = elapsedTime (elapsed_);
+    }
+    outcome_.body += data;
 }
 
-void HttpCall::end(CallEnd how) {
-  if (hasEnded_) {
-    return;
-  }
-  hasEnded_ = true;
-  timeout_.stop();
-  exchange_->cancel();
-  outcome_.end = how;
-  outcome_.toEnd = elapsedTime(elapsed_);
-  onEnd_(outcome_);
+void HttpCall::end (CallEnd how)
+{
+    if (hasEnded_)
+    {
+        return;
+    }
+    hasEnded_ = true;
+    timeout_.stop();
+    exchange_->cancel();
+    outcome_.end = how;
+    outcome_.toEnd = elapsedTime (elapsed_);
+    onEnd_ (outcome_);
 }
 
-HttpOutcome callAndWait(const HttpRequest& request) {
-  HttpOutcome outcome;
-  bool hasEnded = false;
-  http::Client client;
-  const HttpCall call(client, request, [&](const HttpOutcome& result) {
-    outcome = result;
-    hasEnded = true;
-  });
-  waitUntil([&] { return hasEnded; }, request.timeout + kWaitMargin);
-  return outcome;
+HttpOutcome callAndWait (const HttpRequest& request)
+{
+    HttpOutcome outcome;
+    bool hasEnded = false;
+    http::Client client;
+    const HttpCall call (client, request,
+                         [&] (const HttpOutcome& result)
+                         {
+                             outcome = result;
+                             hasEnded = true;
+                         });
+    waitUntil ([&] { return hasEnded; }, request.timeout + kWaitMargin);
+    return outcome;
 }
 
 }  // namespace fernlift::lab
--- a/src/lab/HttpCallTest.cpp
+++ b/src/lab/HttpCallTest.cpp
@@ -11,8 +11,10 @@
 #include "lab/LoadRunner.h"
 #include "lab/TestSupport.h"
 
-namespace fernlift::lab {
-namespace {
+namespace fernlift::lab
+{
+namespace
+{
 
 constexpr std::string_view kChunked =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Request-Id: r1\r\n\r\n"
@@ -21,187 +23,233 @@
 
 constexpr std::string_view kChunkEnd = "\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
-constexpr base::Duration kStalled = base::milliseconds(500);
-
-std::string chunkedAnswer(const std::vector<std::string>& parts) {
-  std::ostringstream answer;
-  answer << "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" << std::hex;
-  for (const std::string& part : parts) {
-    answer << part.size() << "\r\n" << part << "\r\n";
-  }
-  answer << kLastChunk;
-  return answer.str();
+constexpr base::Duration kStalled = base::milliseconds (500);
+
+std::string chunkedAnswer (const std::vector<std::string>& parts)
+{
+    std::ostringstream answer;
+    answer << "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" << std::hex;
+    for (const std::string& part : parts)
+    {
+        answer << part.size() << "\r\n" << part << "\r\n";
+    }
+    answer << kLastChunk;
+    return answer.str();
 }
 
-enum class After : std::uint8_t { kClose, kReset, kStayOpen };
+enum class After : std::uint8_t
+{
+    kClose,
+    kReset,
+    kStayOpen
+};
 
 /// Answers each connection's request with given bytes, in parts, and then closes it or not.
-class HttpCallTest : public testing::Test {
- protected:
-  void SetUp() override {
-    ensureApplication();
-    ASSERT_TRUE(server_.listen(QHostAddress(QHostAddress::LocalHost)));
-    QObject::connect(&server_, &QTcpServer::newConnection, [this] {
-      ++connections_;
-      QTcpSocket* const socket = server_.nextPendingConnection();
-      QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] { answer(*socket); });
-    });
-  }
-
-  void answer(QTcpSocket& socket) {
-    received_ += socket.readAll().toStdString();
-    if (!received_.ends_with("question")) {
-      return;
+class HttpCallTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ensureApplication();
+        ASSERT_TRUE (server_.listen (QHostAddress (QHostAddress::LocalHost)));
+        QObject::connect (&server_, &QTcpServer::newConnection,
+                          [this]
+                          {
+                              ++connections_;
+                              QTcpSocket* const socket = server_.nextPendingConnection();
+                              QObject::connect (socket, &QTcpSocket::readyRead, socket,
+                                                [this, socket] { answer (*socket); });
+                          });
     }
-    ++requests_;
-    std::string_view rest = answer_;
-    while (!rest.empty()) {
-      const std::string_view part = rest.substr(0, partSize_);
-      socket.write(part.data(), static_cast<qint64>(part.size()));
-      socket.flush();
-      rest.remove_prefix(part.size());
+
+    void answer (QTcpSocket& socket)
+    {
+        received_ += socket.readAll().toStdString();
+        if (! received_.ends_with ("question"))
+        {
+            return;
+        }
+        ++requests_;
+        std::string_view rest = answer_;
+        while (! rest.empty())
+        {
+            const std::string_view part = rest.substr (0, partSize_);
+            socket.write (part.data(), static_cast<qint64> (part.size()));
+            socket.flush();
+            rest.remove_prefix (part.size());
+        }
+        if (after_ == After::kClose)
+        {
+            socket.disconnectFromHost();
+        }
+        else if (after_ == After::kReset)
+        {
+            socket.abort();
+        }
     }
-    if (after_ == After::kClose) {
-      socket.disconnectFromHost();
-    } else if (after_ == After::kReset) {
-      socket.abort();
+
+    HttpOutcome call (std::string_view bytes, After after,
+                      base::Duration timeout = base::seconds (20))
+    {
+        answer_ = bytes;
+        after_ = after;
+        received_.clear();
+        return callAndWait ({ .address = { "127.0.0.1", server_.serverPort() },
+                              .path = "/path",
+                              .headers = { { "X-Request-Id", "r1" } },
+                              .body = "question",
+                              .timeout = timeout });
     }
-  }
-
-  HttpOutcome call(std::string_view bytes, After after,
-                   base::Duration timeout = base::seconds(20)) {
-    answer_ = bytes;
-    after_ = after;
-    received_.clear();
-    return callAndWait({.address = {"127.0.0.1", server_.serverPort()},
-                        .path = "/path",
-                        .headers = {{"X-Request-Id", "r1"}},
-                        .body = "question",
-                        .timeout = timeout});
-  }
-
-  QTcpServer server_;
-  std::string answer_;
-  After after_ = After::kClose;
-  std::size_t partSize_ = 1024;
-  std::string received_;
-  int connections_ = 0;
-  int requests_ = 0;
+
+    QTcpServer server_;
+    std::string answer_;
+    After after_ = After::kClose;
+    std::size_t partSize_ = 1024;
+    std::string received_;
+    int connections_ = 0;
+    int requests_ = 0;
 };
 
-TEST_F(HttpCallTest, ReadsAnAnswerWithALength) {
-  const HttpOutcome outcome = call(kWithLength, After::kStayOpen);
-  EXPECT_EQ(outcome.end, CallEnd::kWhole);
-  EXPECT_EQ(outcome.status, 404);
-  EXPECT_EQ(outcome.body, "abc");
-  EXPECT_NE(received_.find("X-Request-Id: r1\r\n"), std::string::npos);
-  EXPECT_NE(received_.find("Connection: close\r\n"), std::string::npos);
+TEST_F (HttpCallTest, ReadsAnAnswerWithALength)
+{
+    const HttpOutcome outcome = call (kWithLength, After::kStayOpen);
+    EXPECT_EQ (outcome.end, CallEnd::kWhole);
+    EXPECT_EQ (outcome.status, 404);
+    EXPECT_EQ (outcome.body, "abc");
+    EXPECT_NE (received_.find ("X-Request-Id: r1\r\n"), std::string::npos);
+    EXPECT_NE (received_.find ("Connection: close\r\n"), std::string::npos);
 }
 
-TEST_F(HttpCallTest, ReadsChunksHoweverTheBytesAreCut) {
-  for (partSize_ = 1; partSize_ <= kChunked.size(); partSize_ += 3) {
-    const HttpOutcome outcome = call(kChunked, After::kStayOpen);
-    EXPECT_EQ(outcome.end, CallEnd::kWhole);
-    EXPECT_EQ(outcome.body, "hello world");
-    EXPECT_EQ(outcome.headers.value("x-request-id"), "r1");
-  }
+TEST_F (HttpCallTest, ReadsChunksHoweverTheBytesAreCut)
+{
+    for (partSize_ = 1; partSize_ <= kChunked.size(); partSize_ += 3)
+    {
+        const HttpOutcome outcome = call (kChunked, After::kStayOpen);
+        EXPECT_EQ (outcome.end, CallEnd::kWhole);
+        EXPECT_EQ (outcome.body, "hello world");
+        EXPECT_EQ (outcome.headers.value ("x-request-id"), "r1");
+    }
 }
 
-TEST_F(HttpCallTest, FindsABrokenEndAtEveryByteOfAnAnswerWithALength) {
-  for (const After after : {After::kClose, After::kReset}) {
-    for (std::size_t length = 0; length < kWithLength.size(); ++length) {
-      EXPECT_EQ(call(kWithLength.substr(0, length), after).end, CallEnd::kBroken)
-          << "cut after " << length << " bytes";
+TEST_F (HttpCallTest, FindsABrokenEndAtEveryByteOfAnAnswerWithALength)
+{
+    for (const After after : { After::kClose, After::kReset })
+    {
+        for (std::size_t length = 0; length < kWithLength.size(); ++length)
+        {
+            EXPECT_EQ (call (kWithLength.substr (0, length), after).end, CallEnd::kBroken)
+                << "cut after " << length << " bytes";
+        }
     }
-  }
-  EXPECT_EQ(connections_, requests_) << "a request was sent again";
+    EXPECT_EQ (connections_, requests_) << "a request was sent again";
 }
 
 /// The library may take a chunked answer for whole that is cut between two chunks, or wait on, so
 /// that the text itself and the timeout have to show it.
-TEST_F(HttpCallTest, NoCutOfAChunkedAnswerIsReadAsAWholeAnswer) {
-  CallRecord streamed;
-  streamed.isStreaming = true;
-  CallRecord application;
-  application.kind = CallKind::kApplication;
-  const std::vector<std::pair<CallRecord, std::string>> answers{
-      {streamed, chunkedAnswer({R"(data: {"offset":0,"choices":[{"delta":{"content":"a "}}]})",
-                                "\n\ndata: [DONE]", "\n\n"})},
-      {CallRecord{}, chunkedAnswer({R"({"choices":[{"message":)", R"({"content":"a "}}]})"})},
-      {application, chunkedAnswer({R"({"body_digest")", R"(:"abc"})"})}};
-  for (const auto& [record, answer] : answers) {
-    // From there on the whole text has arrived.
-    const std::size_t last = answer.size() - kLastChunk.size() - kChunkEnd.size();
-    for (const After after : {After::kClose, After::kReset}) {
-      for (std::size_t length = 0; length < last; ++length) {
+TEST_F (HttpCallTest, NoCutOfAChunkedAnswerIsReadAsAWholeAnswer)
+{
+    CallRecord streamed;
+    streamed.isStreaming = true;
+    CallRecord application;
+    application.kind = CallKind::kApplication;
+    const std::vector<std::pair<CallRecord, std::string>> answers{
+        { streamed, chunkedAnswer ({ R"(data: {"offset":0,"choices":[{"delta":{"content":"a "}}]})",
+                                     "\n\ndata: [DONE]", "\n\n" }) },
+        { CallRecord{},
+          chunkedAnswer ({ R"({"choices":[{"message":)", R"({"content":"a "}}]})" }) },
+        { application, chunkedAnswer ({ R"({"body_digest")", R"(:"abc"})" }) }
+    };
+    for (const auto& [record, answer] : answers)
+    {
+        // From there on the whole text has arrived.
+        const std::size_t last = answer.size() - kLastChunk.size() - kChunkEnd.size();
+        for (const After after : { After::kClose, After::kReset })
+        {
+            for (std::size_t length = 0; length < last; ++length)
+            {
+                CallRecord read = record;
+                readOutcome (call (answer.substr (0, length), after, kStalled), read);
+                EXPECT_FALSE (read.isAnswerWhole)
+                    << "cut after " << length << " bytes of " << answer;
+            }
+        }
         CallRecord read = record;
-        readOutcome(call(answer.substr(0, length), after, kStalled), read);
-        EXPECT_FALSE(read.isAnswerWhole) << "cut after " << length << " bytes of " << answer;
-      }
+        readOutcome (call (answer, After::kClose), read);
+        EXPECT_TRUE (read.isAnswerWhole) << answer;
     }
-    CallRecord read = record;
-    readOutcome(call(answer, After::kClose), read);
-    EXPECT_TRUE(read.isAnswerWhole) << answer;
-  }
-  EXPECT_EQ(connections_, requests_) << "a request was sent again";
+    EXPECT_EQ (connections_, requests_) << "a request was sent again";
 }
 
 /// Answers that end with the connection: the library may call them broken even when they are not,
 /// so that only the text shows the end.
-TEST_F(HttpCallTest, NoCutOfAnAnswerWithoutLengthIsReadAsAWholeAnswer) {
-  CallRecord application;
-  application.kind = CallKind::kApplication;
-  for (const auto& [record, text] : std::vector<std::pair<CallRecord, std::string>>{
-           {CallRecord{}, R"({"choices":[{"message":{"content":"a "}}]})"},
-           {application, R"({"body_digest":"abc"})"}}) {
-    const std::string answer = "HTTP/1.0 200 OK\r\n\r\n" + text;
-    for (std::size_t length = 0; length < answer.size(); ++length) {
-      CallRecord read = record;
-      readOutcome(call(answer.substr(0, length), After::kClose, kStalled), read);
-      EXPECT_FALSE(read.isAnswerWhole) << "cut after " << length << " bytes of " << answer;
+TEST_F (HttpCallTest, NoCutOfAnAnswerWithoutLengthIsReadAsAWholeAnswer)
+{
+    CallRecord application;
+    application.kind = CallKind::kApplication;
+    for (const auto& [record, text] : std::vector<std::pair<CallRecord, std::string>>{
+             { CallRecord{}, R"({"choices":[{"message":{"content":"a "}}]})" },
+             { application, R"({"body_digest":"abc"})" } })
+    {
+        const std::string answer = "HTTP/1.0 200 OK\r\n\r\n" + text;
+        for (std::size_t length = 0; length < answer.size(); ++length)
+        {
+            CallRecord read = record;
+            readOutcome (call (answer.substr (0, length), After::kClose, kStalled), read);
+            EXPECT_FALSE (read.isAnswerWhole) << "cut after " << length << " bytes of " << answer;
+        }
     }
-  }
 }
 
-TEST_F(HttpCallTest, BytesAfterTheEndAreNoPartOfTheAnswer) {
-  const HttpOutcome outcome = call(std::string(kChunked) + "HTTP/1.1 200 OK\r\n", After::kClose);
-  EXPECT_EQ(outcome.body, "hello world");
+TEST_F (HttpCallTest, BytesAfterTheEndAreNoPartOfTheAnswer)
+{
+    const HttpOutcome outcome =
+        call (std::string (kChunked) + "HTTP/1.1 200 OK\r\n", After::kClose);
+    EXPECT_EQ (outcome.body, "hello world");
 }
 
-TEST_F(HttpCallTest, EndsWithItsTimeoutWhenNothingComes) {
-  for (const std::size_t length : {std::size_t{0}, kChunked.size() - 2}) {
-    const HttpOutcome outcome =
-        call(kChunked.substr(0, length), After::kStayOpen, base::milliseconds(50));
-    EXPECT_EQ(outcome.end, CallEnd::kTimeout);
-  }
+TEST_F (HttpCallTest, EndsWithItsTimeoutWhenNothingComes)
+{
+    for (const std::size_t length : { std::size_t{ 0 }, kChunked.size() - 2 })
+    {
+        const HttpOutcome outcome =
+            call (kChunked.substr (0, length), After::kStayOpen, base::milliseconds (50));
+        EXPECT_EQ (outcome.end, CallEnd::kTimeout);
+    }
 }
 
-TEST_F(HttpCallTest, SaysNotConnectedWhenTheConnectionIsRefused) {
-  server_.pauseAccepting();
-  const quint16 port = server_.serverPort();
-  server_.close();
-  const HttpOutcome outcome =
-      callAndWait({.address = {"127.0.0.1", port}, .path = "/", .body = "question"});
-  EXPECT_EQ(outcome.end, CallEnd::kNotConnected);
-  EXPECT_EQ(outcome.status, 0);
+TEST_F (HttpCallTest, SaysNotConnectedWhenTheConnectionIsRefused)
+{
+    server_.pauseAccepting();
+    const quint16 port = server_.serverPort();
+    server_.close();
+    const HttpOutcome outcome =
+        callAndWait ({ .address = { "127.0.0.1", port }, .path = "/", .body = "question" });
+    EXPECT_EQ (outcome.end, CallEnd::kNotConnected);
+    EXPECT_EQ (outcome.status, 0);
 }
 
-TEST_F(HttpCallTest, AnAbandonedCallClosesItsConnection) {
-  after_ = After::kStayOpen;
-  bool isClosed = false;
-  QObject::connect(&server_, &QTcpServer::newConnection, [&] {
-    for (QTcpSocket* const socket : server_.findChildren<QTcpSocket*>()) {
-      QObject::connect(socket, &QTcpSocket::disconnected, [&] { isClosed = true; });
-    }
-  });
-  http::Client client;
-  auto abandoned = std::make_unique<HttpCall>(
-      client,
-      HttpRequest{.address = {"127.0.0.1", server_.serverPort()}, .path = "/", .body = "question"},
-      [](const HttpOutcome&) { ADD_FAILURE() << "an abandoned call ended"; });
-  ASSERT_TRUE(waitUntil([&] { return requests_ == 1; }, base::seconds(20)));
-  abandoned.reset();
-  EXPECT_TRUE(waitUntil([&] { return isClosed; }, base::seconds(20)));
+TEST_F (HttpCallTest, AnAbandonedCallClosesItsConnection)
+{
+    after_ = After::kStayOpen;
+    bool isClosed = false;
+    QObject::connect (&server_, &QTcpServer::newConnection,
+                      [&]
+                      {
+                          for (QTcpSocket* const socket : server_.findChildren<QTcpSocket*>())
+                          {
+                              QObject::connect (socket, &QTcpSocket::disconnected,
+                                                [&] { isClosed = true; });
+                          }
+                      });
+    http::Client client;
+    auto abandoned = std::make_unique<HttpCall> (
+        client,
+        HttpRequest{
+            .address = { "127.0.0.1", server_.serverPort() }, .path = "/", .body = "question" },
+        [] (const HttpOutcome&) { ADD_FAILURE() << "an abandoned call ended"; });
+    ASSERT_TRUE (waitUntil ([&] { return requests_ == 1; }, base::seconds (20)));
+    abandoned.reset();
+    EXPECT_TRUE (waitUntil ([&] { return isClosed; }, base::seconds (20)));
 }
 
 }  // namespace
--- a/src/lab/LoadRunner.h
+++ b/src/lab/LoadRunner.h
@@ -16,64 +16,68 @@
 #include "lab/HttpCall.h"
 #include "lab/Trace.h"
 
-namespace fernlift::lab {
+namespace fernlift::lab
+{
 
-struct LoadOptions {
-  std::vector<base::SocketAddress> routers;  ///< Called in turn; at least one.
-  std::vector<TraceTarget> targets;
-  std::vector<Arrival> arrivals;
-  std::string idPrefix = "load";  ///< Request ids begin with it.
-  std::string keyPrefix;          ///< Idempotency keys begin with it; empty: as request ids.
-  base::Duration callTimeout = base::seconds(60);
+struct LoadOptions
+{
+    std::vector<base::SocketAddress> routers;  ///< Called in turn; at least one.
+    std::vector<TraceTarget> targets;
+    std::vector<Arrival> arrivals;
+    std::string idPrefix = "load";  ///< Request ids begin with it.
+    std::string keyPrefix;          ///< Idempotency keys begin with it; empty: as request ids.
+    base::Duration callTimeout = base::seconds (60);
 };
 
 /// Open loop: every call is made at its time, whatever became of the others. A router that does not
 /// accept the connection is passed over for the next one, since no byte was sent. A router that
 /// refuses because it is stopping or lacks a lease is passed over too: the refused call stays in
 /// the history and is made again under another request id. Needs a Qt event loop.
-class LoadRunner {
- public:
-  explicit LoadRunner(LoadOptions options);
-  LoadRunner(const LoadRunner&) = delete;
-  LoadRunner& operator=(const LoadRunner&) = delete;
+class LoadRunner
+{
+public:
+    explicit LoadRunner (LoadOptions options);
+    LoadRunner (const LoadRunner&) = delete;
+    LoadRunner& operator= (const LoadRunner&) = delete;
 
-  void start();
-  [[nodiscard]] bool isFinished() const;
-  /// Calls made and not ended yet.
-  [[nodiscard]] std::size_t openCalls() const { return calls_.size(); }
-  /// Ended calls, in the order of their end.
-  [[nodiscard]] const std::vector<CallRecord>& history() const { return history_; }
+    void start();
+    [[nodiscard]] bool isFinished() const;
+    /// Calls made and not ended yet.
+    [[nodiscard]] std::size_t openCalls() const { return calls_.size(); }
+    /// Ended calls, in the order of their end.
+    [[nodiscard]] const std::vector<CallRecord>& history() const { return history_; }
 
- private:
-  struct OpenCall {
-    CallRecord record;
-    std::unique_ptr<HttpCall> call;
-    std::size_t passedOver = 0;  ///< Routers that could not serve.
-    std::size_t router = 0;
-    std::int64_t attemptStart = 0;  ///< Microseconds from the first sending to this one.
-  };
+private:
+    struct OpenCall
+    {
+        CallRecord record;
+        std::unique_ptr<HttpCall> call;
+        std::size_t passedOver = 0;  ///< Routers that could not serve.
+        std::size_t router = 0;
+        std::int64_t attemptStart = 0;  ///< Microseconds from the first sending to this one.
+    };
 
-  void startDueCalls();
-  void begin(std::size_t index);
-  void send(std::uint64_t id);
-  void onEnd(std::uint64_t id, const HttpOutcome& outcome);
-  /// Keeps the refused call in the history and makes it again at the next router.
-  void resend(std::uint64_t id);
+    void startDueCalls();
+    void begin (std::size_t index);
+    void send (std::uint64_t id);
+    void onEnd (std::uint64_t id, const HttpOutcome& outcome);
+    /// Keeps the refused call in the history and makes it again at the next router.
+    void resend (std::uint64_t id);
 
-  LoadOptions options_;
-  http::Client client_;
-  QElapsedTimer elapsed_;
-  QTimer timer_;
-  std::size_t next_ = 0;
-  std::map<std::uint64_t, OpenCall> calls_;
-  std::vector<std::unique_ptr<HttpCall>> ended_;  ///< Destroyed outside their own callbacks.
-  std::vector<CallRecord> history_;
+    LoadOptions options_;
+    http::Client client_;
+    QElapsedTimer elapsed_;
+    QTimer timer_;
+    std::size_t next_ = 0;
+    std::map<std::uint64_t, OpenCall> calls_;
+    std::vector<std::unique_ptr<HttpCall>> ended_;  ///< Destroyed outside their own callbacks.
+    std::vector<CallRecord> history_;
 };
 
 /// The HTTP request of a call, addressed to `router`.
-[[nodiscard]] HttpRequest requestOf(const CallRecord& record, const base::SocketAddress& router,
-                                    base::Duration timeout);
+[[nodiscard]] HttpRequest requestOf (const CallRecord& record, const base::SocketAddress& router,
+                                     base::Duration timeout);
 /// Fills in what the outcome says.
-void readOutcome(const HttpOutcome& outcome, CallRecord& record);
+void readOutcome (const HttpOutcome& outcome, CallRecord& record);
 
 }  // namespace fernlift::lab
--- a/src/lab/LoadRunnerTest.cpp
+++ b/src/lab/LoadRunnerTest.cpp
@@ -9,91 +9,110 @@
 #include "lab/LoadRunner.h"
 #include "lab/TestSupport.h"
 
-namespace fernlift::lab {
-namespace {
+namespace fernlift::lab
+{
+namespace
+{
 
-constexpr base::Duration kWait = base::seconds(30);
+constexpr base::Duration kWait = base::seconds (30);
 
 /// A router that answers application calls, or refuses every call with one kind.
-class FakeRouter {
- public:
-  explicit FakeRouter(std::optional<base::ErrorKind> refusal = {}) : refusal_(refusal) {
-    server_.setHandler(
-        [this](const http::Request& request, const std::shared_ptr<http::Responder>& responder) {
-          requests_.push_back(request);
-          if (refusal_) {
-            http::errorResponse({*refusal_, "refused"}).sendTo(*responder);
-          } else {
-            responder->send(200, {}, R"({"body_digest":")" + base::sha256Hex(request.body) + "\"}");
-          }
-        });
-    EXPECT_TRUE(succeeds([this]() -> base::Result<void> {
-      BOOST_LEAF_ASSIGN(address_, server_.listen({"127.0.0.1", 0}));
-      return {};
-    }));
-  }
+class FakeRouter
+{
+public:
+    explicit FakeRouter (std::optional<base::ErrorKind> refusal = {}) : refusal_ (refusal)
+    {
+        server_.setHandler (
+            [this] (const http::Request& request, const std::shared_ptr<http::Responder>& responder)
+            {
+                requests_.push_back (request);
+                if (refusal_)
+                {
+                    http::errorResponse ({ *refusal_, "refused" }).sendTo (*responder);
+                }
+                else
+                {
+                    responder->send (
+                        200, {}, R"({"body_digest":")" + base::sha256Hex (request.body) + "\"}");
+                }
+            });
+        EXPECT_TRUE (succeeds (
+            [this]() -> base::Result<void>
+            {
+                BOOST_LEAF_ASSIGN (address_, server_.listen ({ "127.0.0.1", 0 }));
+                return {};
+            }));
+    }
 
-  [[nodiscard]] const base::SocketAddress& address() const { return address_; }
-  [[nodiscard]] const std::vector<http::Request>& requests() const { return requests_; }
+    [[nodiscard]] const base::SocketAddress& address() const { return address_; }
+    [[nodiscard]] const std::vector<http::Request>& requests() const { return requests_; }
 
- private:
-  std::optional<base::ErrorKind> refusal_;
-  http::Server server_;
-  base::SocketAddress address_;
-  std::vector<http::Request> requests_;
+private:
+    std::optional<base::ErrorKind> refusal_;
+    http::Server server_;
+    base::SocketAddress address_;
+    std::vector<http::Request> requests_;
 };
 
-class LoadRunnerTest : public testing::Test {
- protected:
-  void SetUp() override { ensureApplication(); }
+class LoadRunnerTest : public testing::Test
+{
+protected:
+    void SetUp() override { ensureApplication(); }
 
-  static std::vector<CallRecord> run(std::vector<base::SocketAddress> routers) {
-    LoadOptions options;
-    options.routers = std::move(routers);
-    options.targets = {{CallKind::kApplication, "portal", "approval", 1, false}};
-    options.arrivals = {{{}, 0, false, 1}};
-    LoadRunner runner(std::move(options));
-    runner.start();
-    EXPECT_TRUE(waitUntil([&] { return runner.isFinished(); }, kWait));
-    return runner.history();
-  }
+    static std::vector<CallRecord> run (std::vector<base::SocketAddress> routers)
+    {
+        LoadOptions options;
+        options.routers = std::move (routers);
+        options.targets = { { CallKind::kApplication, "portal", "approval", 1, false } };
+        options.arrivals = { { {}, 0, false, 1 } };
+        LoadRunner runner (std::move (options));
+        runner.start();
+        EXPECT_TRUE (waitUntil ([&] { return runner.isFinished(); }, kWait));
+        return runner.history();
+    }
 };
 
-TEST_F(LoadRunnerTest, MakesACallAgainAtAnotherRouterWhenTheFirstIsStopping) {
-  for (const base::ErrorKind kind : {base::ErrorKind::kStopping, base::ErrorKind::kLeaseExpired}) {
-    const FakeRouter stopping(kind);
-    const FakeRouter serving;
-    const auto history = run({stopping.address(), serving.address()});
-    ASSERT_EQ(history.size(), 2U);
-    EXPECT_TRUE(history[0].isResent);
-    EXPECT_EQ(history[0].execution, "not_run");
-    EXPECT_TRUE(history[1].isAnswerWhole);
-    EXPECT_FALSE(history[1].isResent);
-    EXPECT_NE(history[0].requestId, history[1].requestId);
-    EXPECT_EQ(history[0].idempotencyKey, history[1].idempotencyKey);
-    EXPECT_GE(history[1].endMicroseconds, history[0].endMicroseconds);
-  }
+TEST_F (LoadRunnerTest, MakesACallAgainAtAnotherRouterWhenTheFirstIsStopping)
+{
+    for (const base::ErrorKind kind :
+         { base::ErrorKind::kStopping, base::ErrorKind::kLeaseExpired })
+    {
+        const FakeRouter stopping (kind);
+        const FakeRouter serving;
+        const auto history = run ({ stopping.address(), serving.address() });
+        ASSERT_EQ (history.size(), 2U);
+        EXPECT_TRUE (history[0].isResent);
+        EXPECT_EQ (history[0].execution, "not_run");
+        EXPECT_TRUE (history[1].isAnswerWhole);
+        EXPECT_FALSE (history[1].isResent);
+        EXPECT_NE (history[0].requestId, history[1].requestId);
+        EXPECT_EQ (history[0].idempotencyKey, history[1].idempotencyKey);
+        EXPECT_GE (history[1].endMicroseconds, history[0].endMicroseconds);
+    }
 }
 
-TEST_F(LoadRunnerTest, DoesNotRepeatOtherRefusals) {
-  for (const base::ErrorKind kind : {base::ErrorKind::kQueueFull, base::ErrorKind::kAlreadyRun,
-                                     base::ErrorKind::kOutcomeUnknown}) {
-    const FakeRouter refusing(kind);
-    const FakeRouter serving;
-    const auto history = run({refusing.address(), serving.address()});
-    ASSERT_EQ(history.size(), 1U);
-    EXPECT_FALSE(history[0].isResent);
-    EXPECT_TRUE(serving.requests().empty());
-  }
+TEST_F (LoadRunnerTest, DoesNotRepeatOtherRefusals)
+{
+    for (const base::ErrorKind kind : { base::ErrorKind::kQueueFull, base::ErrorKind::kAlreadyRun,
+                                        base::ErrorKind::kOutcomeUnknown })
+    {
+        const FakeRouter refusing (kind);
+        const FakeRouter serving;
+        const auto history = run ({ refusing.address(), serving.address() });
+        ASSERT_EQ (history.size(), 1U);
+        EXPECT_FALSE (history[0].isResent);
+        EXPECT_TRUE (serving.requests().empty());
+    }
 }
 
-TEST_F(LoadRunnerTest, KeepsTheRefusalOfTheLastRouter) {
-  const FakeRouter first(base::ErrorKind::kStopping);
-  const FakeRouter second(base::ErrorKind::kStopping);
-  const auto history = run({first.address(), second.address()});
-  ASSERT_EQ(history.size(), 2U);
-  EXPECT_FALSE(history[1].isResent);
-  EXPECT_EQ(history[1].errorKind, "stopping");
+TEST_F (LoadRunnerTest, KeepsTheRefusalOfTheLastRouter)
+{
+    const FakeRouter first (base::ErrorKind::kStopping);
+    const FakeRouter second (base::ErrorKind::kStopping);
+    const auto history = run ({ first.address(), second.address() });
+    ASSERT_EQ (history.size(), 2U);
+    EXPECT_FALSE (history[1].isResent);
+    EXPECT_EQ (history[1].errorKind, "stopping");
 }
 
 }  // namespace
--- a/src/lab/MeasureApply.cpp
+++ b/src/lab/MeasureApply.cpp
@@ -10,130 +10,155 @@
 #include "lab/Measure.h"
 #include "lab/RouterStub.h"
 
-namespace fernlift::lab {
-namespace {
+namespace fernlift::lab
+{
+namespace
+{
 
 constexpr int kOk = 200;
-constexpr base::Duration kPatience = base::seconds(30);
+constexpr base::Duration kPatience = base::seconds (30);
 
-base::Result<std::string> readFile(const std::string& path) {
-  std::ifstream stream(path, std::ios::binary);
-  std::string text{std::istreambuf_iterator<char>(stream), {}};
-  if (!stream.is_open()) return base::fail(base::ErrorKind::kNotFound, path + ": cannot be read");
-  return text;
+base::Result<std::string> readFile (const std::string& path)
+{
+    std::ifstream stream (path, std::ios::binary);
+    std::string text{ std::istreambuf_iterator<char> (stream), {} };
+    if (! stream.is_open())
+        return base::fail (base::ErrorKind::kNotFound, path + ": cannot be read");
+    return text;
 }
 
 /// The file's text under another version of the configuration.
-std::string withVersion(const std::string& text, std::uint64_t version) {
-  static const QRegularExpression line(QStringLiteral("^version = [0-9]+$"),
-                                       QRegularExpression::MultilineOption);
-  QString changed = QString::fromStdString(text);
-  const QRegularExpressionMatch match = line.match(changed);
-  changed.replace(match.capturedStart(), match.capturedLength(),
-                  QStringLiteral("version = %1").arg(version));
-  return changed.toStdString();
+std::string withVersion (const std::string& text, std::uint64_t version)
+{
+    static const QRegularExpression line (QStringLiteral ("^version = [0-9]+$"),
+                                          QRegularExpression::MultilineOption);
+    QString changed = QString::fromStdString (text);
+    const QRegularExpressionMatch match = line.match (changed);
+    changed.replace (match.capturedStart(), match.capturedLength(),
+                     QStringLiteral ("version = %1").arg (version));
+    return changed.toStdString();
 }
 
 /// The routers and when each took which version.
-class ConnectedRouters {
- public:
-  ConnectedRouters(std::int64_t count, const std::string& cell, const ControllerCluster& cluster) {
-    for (std::int64_t number = 0; number < count; ++number) {
-      RouterStub::Handlers handlers;
-      handlers.onConfiguration = [this](std::uint64_t version) { onConfiguration(version); };
-      routers_.push_back(std::make_unique<RouterStub>("router-" + std::to_string(number), cell,
-                                                      std::move(handlers)));
-      routers_.back()->connectTo(cluster.peerAddress(1 + static_cast<std::uint64_t>(number) % 3));
+class ConnectedRouters
+{
+public:
+    ConnectedRouters (std::int64_t count, const std::string& cell, const ControllerCluster& cluster)
+    {
+        for (std::int64_t number = 0; number < count; ++number)
+        {
+            RouterStub::Handlers handlers;
+            handlers.onConfiguration = [this] (std::uint64_t version)
+            { onConfiguration (version); };
+            routers_.push_back (std::make_unique<RouterStub> ("router-" + std::to_string (number),
+                                                              cell, std::move (handlers)));
+            routers_.back()->connectTo (
+                cluster.peerAddress (1 + static_cast<std::uint64_t> (number) % 3));
+        }
     }
-  }
 
-  void expect(std::uint64_t version) {
-    expected_ = version;
-    begin_ = clock_.now();
-    taken_.clear();
-  }
+    void expect (std::uint64_t version)
+    {
+        expected_ = version;
+        begin_ = clock_.now();
+        taken_.clear();
+    }
 
-  [[nodiscard]] bool areReady() const {
-    return std::all_of(routers_.begin(), routers_.end(),
-                       [](const auto& router) { return router->isReady(); });
-  }
-  [[nodiscard]] bool haveAllTaken() const { return taken_.size() >= routers_.size(); }
-  [[nodiscard]] const std::vector<base::Duration>& taken() const { return taken_; }
+    [[nodiscard]] bool areReady() const
+    {
+        return std::all_of (routers_.begin(), routers_.end(),
+                            [] (const auto& router) { return router->isReady(); });
+    }
+    [[nodiscard]] bool haveAllTaken() const { return taken_.size() >= routers_.size(); }
+    [[nodiscard]] const std::vector<base::Duration>& taken() const { return taken_; }
 
- private:
-  void onConfiguration(std::uint64_t version) {
-    if (version == expected_) taken_.push_back(clock_.now() - begin_);
-  }
+private:
+    void onConfiguration (std::uint64_t version)
+    {
+        if (version == expected_)
+            taken_.push_back (clock_.now() - begin_);
+    }
 
-  base::SystemClock clock_;
-  std::uint64_t expected_ = 0;
-  base::TimePoint begin_{};
-  std::vector<base::Duration> taken_;
-  std::vector<std::unique_ptr<RouterStub>> routers_;
+    base::SystemClock clock_;
+    std::uint64_t expected_ = 0;
+    base::TimePoint begin_{};
+    std::vector<base::Duration> taken_;
+    std::vector<std::unique_ptr<RouterStub>> routers_;
 };
 
-struct ApplyFigures {
-  Samples atRouters;
-  Samples told;
+struct ApplyFigures
+{
+    Samples atRouters;
+    Samples told;
 };
 
-base::Result<void> runApply(const ControllerCluster& cluster, ConnectedRouters& routers,
-                            base::MemberId leader, const std::string& text, std::uint64_t version,
-                            ApplyFigures& figures, std::vector<std::string>& rows) {
-  HttpRequest request = cluster.adminRequest(leader, "POST", "configuration", text);
-  request.path += "?wait=1&timeout_ms=20000";
-  routers.expect(version);
-  const HttpOutcome outcome = callAndWait(request);
-  const bool isTaken = waitUntil([&] { return routers.haveAllTaken(); }, kPatience);
-  if (outcome.status != kOk || !isTaken) {
-    return base::fail(base::ErrorKind::kInternal,
-                      "version " + std::to_string(version) + " is not in force everywhere");
-  }
-  figures.told.add(outcome.toEnd);
-  const double told = std::chrono::duration<double, std::milli>(outcome.toEnd).count();
-  for (const base::Duration duration : routers.taken()) {
-    figures.atRouters.add(duration);
-    rows.push_back(std::to_string(version) + "," +
-                   std::to_string(std::chrono::duration<double, std::milli>(duration).count()) +
-                   "," + std::to_string(told));
-  }
-  return {};
+base::Result<void> runApply (const ControllerCluster& cluster, ConnectedRouters& routers,
+                             base::MemberId leader, const std::string& text, std::uint64_t version,
+                             ApplyFigures& figures, std::vector<std::string>& rows)
+{
+    HttpRequest request = cluster.adminRequest (leader, "POST", "configuration", text);
+    request.path += "?wait=1&timeout_ms=20000";
+    routers.expect (version);
+    const HttpOutcome outcome = callAndWait (request);
+    const bool isTaken = waitUntil ([&] { return routers.haveAllTaken(); }, kPatience);
+    if (outcome.status != kOk || ! isTaken)
+    {
+        return base::fail (base::ErrorKind::kInternal,
+                           "version " + std::to_string (version) + " is not in force everywhere");
+    }
+    figures.told.add (outcome.toEnd);
+    const double told = std::chrono::duration<double, std::milli> (outcome.toEnd).count();
+    for (const base::Duration duration : routers.taken())
+    {
+        figures.atRouters.add (duration);
+        rows.push_back (
+            std::to_string (version) + ","
+            + std::to_string (std::chrono::duration<double, std::milli> (duration).count()) + ","
+            + std::to_string (told));
+    }
+    return {};
 }
 
 }  // namespace
 
-base::Result<int> measureApply(const MeasureOptions& options, std::ostream& out) {
-  BOOST_LEAF_AUTO(text, readFile(options.catalogue));
-  const config::CatalogueOutcome parsed = config::parseCatalogue(text);
-  if (!parsed.catalogue) {
-    return base::fail(base::ErrorKind::kConfigurationInvalid, options.catalogue + " is not valid");
-  }
-  const std::string cell = parsed.catalogue->cell.value;
-  ControllerCluster cluster({.programs = options.programs,
-                             .run = options.run,
-                             .hasProxies = false,
-                             .cell = cell,
-                             .flags = options.controllerFlags});
-  BOOST_LEAF_CHECK(cluster.start());
-  if (cluster.apply(withVersion(text, 1)).status != kOk) {
-    return base::fail(base::ErrorKind::kInternal, "the first apply was not taken");
-  }
-  ConnectedRouters routers(options.routers, cell, cluster);
-  if (!waitUntil([&] { return routers.areReady(); }, kPatience)) {
-    return base::fail(base::ErrorKind::kRequestTimeout, "a router did not get a lease");
-  }
-  handleEventsFor(base::seconds(3));
-  std::vector<std::string> rows{"version,milliseconds_to_router,milliseconds_to_operator"};
-  ApplyFigures figures;
-  for (std::int64_t trial = 0; trial < options.trials; ++trial) {
-    const auto version = static_cast<std::uint64_t>(trial) + 2;
-    BOOST_LEAF_CHECK(runApply(cluster, routers, cluster.leader(), withVersion(text, version),
-                              version, figures, rows));
-  }
-  out << summaryLine("apply until in force at a router", figures.atRouters);
-  out << summaryLine("apply until the operator is told", figures.told);
-  BOOST_LEAF_CHECK(writeCsv(options.csvFile, rows));
-  return 0;
+base::Result<int> measureApply (const MeasureOptions& options, std::ostream& out)
+{
+    BOOST_LEAF_AUTO (text, readFile (options.catalogue));
+    const config::CatalogueOutcome parsed = config::parseCatalogue (text);
+    if (! parsed.catalogue)
+    {
+        return base::fail (base::ErrorKind::kConfigurationInvalid,
+                           options.catalogue + " is not valid");
+    }
+    const std::string cell = parsed.catalogue->cell.value;
+    ControllerCluster cluster ({ .programs = options.programs,
+                                 .run = options.run,
+                                 .hasProxies = false,
+                                 .cell = cell,
+                                 .flags = options.controllerFlags });
+    BOOST_LEAF_CHECK (cluster.start());
+    if (cluster.apply (withVersion (text, 1)).status != kOk)
+    {
+        return base::fail (base::ErrorKind::kInternal, "the first apply was not taken");
+    }
+    ConnectedRouters routers (options.routers, cell, cluster);
+    if (! waitUntil ([&] { return routers.areReady(); }, kPatience))
+    {
+        return base::fail (base::ErrorKind::kRequestTimeout, "a router did not get a lease");
+    }
+    handleEventsFor (base::seconds (3));
+    std::vector<std::string> rows{ "version,milliseconds_to_router,milliseconds_to_operator" };
+    ApplyFigures figures;
+    for (std::int64_t trial = 0; trial < options.trials; ++trial)
+    {
+        const auto version = static_cast<std::uint64_t> (trial) + 2;
+        BOOST_LEAF_CHECK (runApply (cluster, routers, cluster.leader(), withVersion (text, version),
+                                    version, figures, rows));
+    }
+    out << summaryLine ("apply until in force at a router", figures.atRouters);
+    out << summaryLine ("apply until the operator is told", figures.told);
+    BOOST_LEAF_CHECK (writeCsv (options.csvFile, rows));
+    return 0;
 }
 
 }  // namespace fernlift::lab
--- a/src/lab/PortReservations.cpp
+++ b/src/lab/PortReservations.cpp
@@ -4,45 +4,55 @@
 #include <QRandomGenerator>
 #include <QTcpServer>
 
-namespace fernlift::lab {
-namespace {
+namespace fernlift::lab
+{
+namespace
+{
 
 constexpr std::uint16_t kFirstPort = 12000;
 constexpr std::uint16_t kPastLastPort = 32000;
 
-bool isTcpPortFree(std::uint16_t port) {
-  QTcpServer server;
-  return server.listen(QHostAddress(QHostAddress::LocalHost), port);
+bool isTcpPortFree (std::uint16_t port)
+{
+    QTcpServer server;
+    return server.listen (QHostAddress (QHostAddress::LocalHost), port);
 }
 
 }  // namespace
 
-base::Result<base::SocketAddress> PortReservations::reserve() {
-  if (next_ == 0) {
-    next_ = static_cast<std::uint16_t>(
-        QRandomGenerator::global()->bounded(int{kFirstPort}, int{kPastLastPort}));
-  }
-  for (int attempt = 0; attempt < kPastLastPort - kFirstPort; ++attempt) {
-    const std::uint16_t port = next_;
-    next_ = port + 1 < kPastLastPort ? static_cast<std::uint16_t>(port + 1) : kFirstPort;
-    if (tryReserve(port)) {
-      return base::SocketAddress{"127.0.0.1", port};
+base::Result<base::SocketAddress> PortReservations::reserve()
+{
+    if (next_ == 0)
+    {
+        next_ = static_cast<std::uint16_t> (
+            QRandomGenerator::global()->bounded (int{ kFirstPort }, int{ kPastLastPort }));
     }
-  }
-  return base::fail(base::ErrorKind::kConnectionFailed, "no free port on 127.0.0.1");
+    for (int attempt = 0; attempt < kPastLastPort - kFirstPort; ++attempt)
+    {
+        const std::uint16_t port = next_;
+        next_ = port + 1 < kPastLastPort ? static_cast<std::uint16_t> (port + 1) : kFirstPort;
+        if (tryReserve (port))
+        {
+            return base::SocketAddress{ "127.0.0.1", port };
+        }
+    }
+    return base::fail (base::ErrorKind::kConnectionFailed, "no free port on 127.0.0.1");
 }
 
-bool PortReservations::tryReserve(std::uint16_t port) {
-  auto holder = std::make_unique<QUdpSocket>();
-  if (!holder->bind(QHostAddress(QHostAddress::LocalHost), port,
-                    QAbstractSocket::DontShareAddress)) {
-    return false;
-  }
-  if (!isTcpPortFree(port)) {
-    return false;
-  }
-  held_.push_back(std::move(holder));
-  return true;
+bool PortReservations::tryReserve (std::uint16_t port)
+{
+    auto holder = std::make_unique<QUdpSocket>();
+    if (! holder->bind (QHostAddress (QHostAddress::LocalHost), port,
+                        QAbstractSocket::DontShareAddress))
+    {
+        return false;
+    }
+    if (! isTcpPortFree (port))
+    {
+        return false;
+    }
+    held_.push_back (std::move (holder));
+    return true;
 }
 
 }  // namespace fernlift::lab
--- a/src/lab/PortReservations.h
+++ b/src/lab/PortReservations.h
@@ -10,21 +10,23 @@
 #include "base/Error.h"
 #include "base/SocketAddress.h"
 
-namespace fernlift::lab {
+namespace fernlift::lab
+{
 
 /// Hands out TCP ports of 127.0.0.1 that nobody listens on. Ports lie below the range that the
 /// kernel gives to outgoing connections. Each stays reserved among the fleets of this machine for
 /// the life of this object: the UDP port of the same number is held.
-class PortReservations {
- public:
-  /// Fails with kConnectionFailed when no port is free.
-  [[nodiscard]] base::Result<base::SocketAddress> reserve();
+class PortReservations
+{
+public:
+    /// Fails with kConnectionFailed when no port is free.
+    [[nodiscard]] base::Result<base::SocketAddress> reserve();
 
- private:
-  bool tryReserve(std::uint16_t port);
+private:
+    bool tryReserve (std::uint16_t port);
 
-  std::uint16_t next_ = 0;
-  std::vector<std::unique_ptr<QUdpSocket>> held_;
+    std::uint16_t next_ = 0;
+    std::vector<std::unique_ptr<QUdpSocket>> held_;
 };
 
 }  // namespace fernlift::lab
--- a/src/lab/RouterFaultsTest.cpp
+++ b/src/lab/RouterFaultsTest.cpp
@@ -7,95 +7,118 @@
 #include "lab/FleetProbes.h"
 #include "lab/FleetTestSupport.h"
 
-namespace fernlift::lab {
-namespace {
+namespace fernlift::lab
+{
+namespace
+{
 
 constexpr std::size_t kCalls = 60;
 constexpr std::size_t kKeys = 20;
 constexpr std::uint64_t kWithinStream = 700;
 
-class RouterFaultsTest : public FleetTest {
- protected:
-  static std::size_t runsOf(const std::string& key) {
-    std::size_t count = 0;
-    for (const char* node : {kFirstApplication, kSecondApplication}) {
-      for (const LedgerRun& run : runsAt(node)) {
-        count += run.idempotencyKey == key ? 1 : 0;
-      }
+class RouterFaultsTest : public FleetTest
+{
+protected:
+    static std::size_t runsOf (const std::string& key)
+    {
+        std::size_t count = 0;
+        for (const char* node : { kFirstApplication, kSecondApplication })
+        {
+            for (const LedgerRun& run : runsAt (node))
+            {
+                count += run.idempotencyKey == key ? 1 : 0;
+            }
+        }
+        return count;
     }
-    return count;
-  }
 
-  static base::Result<void> slowApplications() {
-    constexpr const char* kSlow = R"({"fault":"slow","factor":200})";
-    BOOST_LEAF_CHECK(setStandinFault(fleet(), kFirstApplication, kSlow));
-    return setStandinFault(fleet(), kSecondApplication, kSlow);
-  }
+    static base::Result<void> slowApplications()
+    {
+        constexpr const char* kSlow = R"({"fault":"slow","factor":200})";
+        BOOST_LEAF_CHECK (setStandinFault (fleet(), kFirstApplication, kSlow));
+        return setStandinFault (fleet(), kSecondApplication, kSlow);
+    }
 };
 
-TEST_F(RouterFaultsTest, AFrozenRouterAnswersOrRefusesOnceItRunsAgain) {
-  const auto history = runLoad({chatTarget(), onceTarget()}, kCalls, []() -> base::Result<void> {
-    BOOST_LEAF_CHECK(fleet().freeze(kFirstRouter));
-    handleEventsFor(base::seconds(3));  // Longer than the lease.
-    return fleet().thaw(kFirstRouter);
-  });
-  EXPECT_GE(history.size(), kCalls);
-  requireNoViolation(history);
+TEST_F (RouterFaultsTest, AFrozenRouterAnswersOrRefusesOnceItRunsAgain)
+{
+    const auto history =
+        runLoad ({ chatTarget(), onceTarget() }, kCalls,
+                 []() -> base::Result<void>
+                 {
+                     BOOST_LEAF_CHECK (fleet().freeze (kFirstRouter));
+                     handleEventsFor (base::seconds (3));  // Longer than the lease.
+                     return fleet().thaw (kFirstRouter);
+                 });
+    EXPECT_GE (history.size(), kCalls);
+    requireNoViolation (history);
 }
 
-TEST_F(RouterFaultsTest, AKilledRouterLosesNoClaim) {
-  ASSERT_TRUE(succeeds(slowApplications));
-  const auto history = runLoad({onceTarget()}, kCalls, []() -> base::Result<void> {
-    const auto hasBegun = [] { return !runsAt(kFirstApplication).empty(); };
-    EXPECT_TRUE(waitUntil(hasBegun, kGuard));
-    return fleet().kill(kFirstRouter);
-  });
-  requireNoViolation(history, {.allowsBrokenCalls = true});
-  std::vector<CallRecord> all = history;
-  std::size_t broken = 0;
-  for (const CallRecord& call : history) {
-    if (call.end == CallEnd::kBroken) {
-      ++broken;
-      all.push_back(repeatAt(kSecondRouter, call));
-      EXPECT_LE(runsOf(call.idempotencyKey), 1U);
+TEST_F (RouterFaultsTest, AKilledRouterLosesNoClaim)
+{
+    ASSERT_TRUE (succeeds (slowApplications));
+    const auto history =
+        runLoad ({ onceTarget() }, kCalls,
+                 []() -> base::Result<void>
+                 {
+                     const auto hasBegun = [] { return ! runsAt (kFirstApplication).empty(); };
+                     EXPECT_TRUE (waitUntil (hasBegun, kGuard));
+                     return fleet().kill (kFirstRouter);
+                 });
+    requireNoViolation (history, { .allowsBrokenCalls = true });
+    std::vector<CallRecord> all = history;
+    std::size_t broken = 0;
+    for (const CallRecord& call : history)
+    {
+        if (call.end == CallEnd::kBroken)
+        {
+            ++broken;
+            all.push_back (repeatAt (kSecondRouter, call));
+            EXPECT_LE (runsOf (call.idempotencyKey), 1U);
+        }
     }
-  }
-  EXPECT_GT(broken, 0U) << "the router was killed too late";
-  ASSERT_TRUE(succeeds([] { return fleet().restart(kFirstRouter); }));
-  requireNoViolation(all, {.allowsBrokenCalls = true});
+    EXPECT_GT (broken, 0U) << "the router was killed too late";
+    ASSERT_TRUE (succeeds ([] { return fleet().restart (kFirstRouter); }));
+    requireNoViolation (all, { .allowsBrokenCalls = true });
 }
 
-TEST_F(RouterFaultsTest, OneKeyAtTwoRoutersAtOnceRunsOnce) {
-  std::vector<Arrival> arrivals(kKeys, Arrival{{}, 0, false, 1});
-  std::vector<std::unique_ptr<LoadRunner>> callers;
-  for (const base::SocketAddress& router : fleet().callerAddresses(NodeRole::kRouter)) {
-    LoadOptions options;
-    options.routers = {router};
-    options.targets = {onceTarget()};
-    options.arrivals = arrivals;
-    options.idPrefix = "pair-" + std::to_string(callers.size());
-    options.keyPrefix = "pair";
-    callers.push_back(std::make_unique<LoadRunner>(std::move(options)));
-    callers.back()->start();
-  }
-  std::vector<CallRecord> history;
-  for (const auto& caller : callers) {
-    ASSERT_TRUE(waitUntil([&] { return caller->isFinished(); }, kGuard));
-    history.insert(history.end(), caller->history().begin(), caller->history().end());
-  }
-  requireNoViolation(history);
-  EXPECT_EQ(countUnanswered(history), kKeys) << describeUnanswered(history);
+TEST_F (RouterFaultsTest, OneKeyAtTwoRoutersAtOnceRunsOnce)
+{
+    std::vector<Arrival> arrivals (kKeys, Arrival{ {}, 0, false, 1 });
+    std::vector<std::unique_ptr<LoadRunner>> callers;
+    for (const base::SocketAddress& router : fleet().callerAddresses (NodeRole::kRouter))
+    {
+        LoadOptions options;
+        options.routers = { router };
+        options.targets = { onceTarget() };
+        options.arrivals = arrivals;
+        options.idPrefix = "pair-" + std::to_string (callers.size());
+        options.keyPrefix = "pair";
+        callers.push_back (std::make_unique<LoadRunner> (std::move (options)));
+        callers.back()->start();
+    }
+    std::vector<CallRecord> history;
+    for (const auto& caller : callers)
+    {
+        ASSERT_TRUE (waitUntil ([&] { return caller->isFinished(); }, kGuard));
+        history.insert (history.end(), caller->history().begin(), caller->history().end());
+    }
+    requireNoViolation (history);
+    EXPECT_EQ (countUnanswered (history), kKeys) << describeUnanswered (history);
 }
 
-TEST_F(RouterFaultsTest, CallersThatAreCutOffLeaveNothingBehind) {
-  for (const ProxyFaults& faults :
-       {ProxyFaults{.toTarget = {}, .toCaller = {.resetAfterBytes = kWithinStream}},
-        ProxyFaults{.toTarget = {.resetAfterBytes = 100}, .toCaller = {}}}) {
-    const auto history = runLoad({chatTarget(), onceTarget()}, kCalls,
-                                 [&] { return setProxyFaults(fleet(), kFirstRouter, faults); });
-    ASSERT_TRUE(succeeds([] { return clearFaults(fleet()); }));
-    requireNoViolation(history, {.allowsBrokenCalls = true});
-  }
+TEST_F (RouterFaultsTest, CallersThatAreCutOffLeaveNothingBehind)
+{
+    for (const ProxyFaults& faults :
+         { ProxyFaults{ .toTarget = {}, .toCaller = { .resetAfterBytes = kWithinStream } },
+           ProxyFaults{ .toTarget = { .resetAfterBytes = 100 }, .toCaller = {} } })
+    {
+        const auto history =
+            runLoad ({ chatTarget(), onceTarget() }, kCalls,
+                     [&] { return setProxyFaults (fleet(), kFirstRouter, faults); });
+        ASSERT_TRUE (succeeds ([] { return clearFaults (fleet()); }));
+        requireNoViolation (history, { .allowsBrokenCalls = true });
+    }
 }
 
 }  // namespace
--- a/src/lab/RouterStub.h
+++ b/src/lab/RouterStub.h
@@ -14,53 +14,56 @@
 #include "cell/RouterMessages.h"
 #include "wire/FrameConnection.h"
 
-namespace fernlift::lab {
+namespace fernlift::lab
+{
 
 /// Keeps its lease and takes configurations. Lives on the thread of the Qt event loop.
-class RouterStub {
- public:
-  struct Handlers {
-    std::function<void(std::uint64_t version)> onConfiguration;  ///< It is in force here now.
-    std::function<void(const cell::ClaimReply& reply)> onClaims;
-  };
+class RouterStub
+{
+public:
+    struct Handlers
+    {
+        std::function<void (std::uint64_t version)> onConfiguration;  ///< It is in force here now.
+        std::function<void (const cell::ClaimReply& reply)> onClaims;
+    };
 
-  RouterStub(std::string id, std::string cell, Handlers handlers);
+    RouterStub (std::string id, std::string cell, Handlers handlers);
 
-  /// Connects to the peer address of a controller, and to the leader that it names.
-  void connectTo(const base::SocketAddress& controller);
-  /// True once it holds a lease.
-  [[nodiscard]] bool isReady() const { return isReady_; }
-  [[nodiscard]] std::uint64_t configurationVersion() const { return version_; }
-  [[nodiscard]] const std::string& id() const { return id_; }
-  void send(const cell::RouterToController& message);
+    /// Connects to the peer address of a controller, and to the leader that it names.
+    void connectTo (const base::SocketAddress& controller);
+    /// True once it holds a lease.
+    [[nodiscard]] bool isReady() const { return isReady_; }
+    [[nodiscard]] std::uint64_t configurationVersion() const { return version_; }
+    [[nodiscard]] const std::string& id() const { return id_; }
+    void send (const cell::RouterToController& message);
 
- private:
-  void sendHello();
-  void requestLease();
-  void onFrame(const wire::Frame& frame);
-  void on(const cell::NotLeaderReply& reply);
-  void on(const cell::ConfigurationUpdate& update);
-  void on(const cell::LeaseGrant& grant);
-  void on(const cell::ReplicaUpdate& update);
-  void on(const cell::ClaimReply& reply);
-  // Registered services and members that join are not its business.
-  void on(const cell::InstanceUpdate& /*update*/) {}
-  void on(const cell::MemberJoinReply& /*reply*/) {}
-  void reconnectSoon(const base::SocketAddress& address);
+private:
+    void sendHello();
+    void requestLease();
+    void onFrame (const wire::Frame& frame);
+    void on (const cell::NotLeaderReply& reply);
+    void on (const cell::ConfigurationUpdate& update);
+    void on (const cell::LeaseGrant& grant);
+    void on (const cell::ReplicaUpdate& update);
+    void on (const cell::ClaimReply& reply);
+    // Registered services and members that join are not its business.
+    void on (const cell::InstanceUpdate& /*update*/) {}
+    void on (const cell::MemberJoinReply& /*reply*/) {}
+    void reconnectSoon (const base::SocketAddress& address);
 
-  std::string id_;
-  std::string cell_;
-  Handlers handlers_;
-  base::SocketAddress address_;
-  std::uint64_t version_ = 0;
-  std::string digest_;
-  std::uint64_t tableVersion_ = 0;
-  std::uint64_t leaseSequence_ = 0;
-  bool isReady_ = false;
-  QObject context_;
-  QTimer leaseTimer_;
-  QTimer reconnectTimer_;
-  std::unique_ptr<wire::FrameConnection> connection_;
+    std::string id_;
+    std::string cell_;
+    Handlers handlers_;
+    base::SocketAddress address_;
+    std::uint64_t version_ = 0;
+    std::string digest_;
+    std::uint64_t tableVersion_ = 0;
+    std::uint64_t leaseSequence_ = 0;
+    bool isReady_ = false;
+    QObject context_;
+    QTimer leaseTimer_;
+    QTimer reconnectTimer_;
+    std::unique_ptr<wire::FrameConnection> connection_;
 };
 
 }  // namespace fernlift::lab
--- a/src/lab/TestSupport.h
+++ b/src/lab/TestSupport.h
@@ -8,12 +8,13 @@
 
 #include "base/Error.h"
 
-namespace fernlift::lab {
+namespace fernlift::lab
+{
 
 /// Makes the process's QCoreApplication once.
 void ensureApplication();
 
 /// True when the operation succeeds; prints its error otherwise.
-bool succeeds(const std::function<base::Result<void>()>& operation);
+bool succeeds (const std::function<base::Result<void>()>& operation);
 
 }  // namespace fernlift::lab
