--- a/src/log/Log.cpp
+++ b/src/log/Log.cpp
@@ -21,8 +21,10 @@
 #include "log/Format.h"
 #include "log/LineOutput.h"
 
-namespace fernlift::log {
-namespace {
+namespace fernlift::log
+{
+namespace
+{
 
 namespace boostlog = boost::log;
 
@@ -37,139 +39,164 @@
 
 constexpr std::array kEvents{
 #define FERNLIFT_EVENT(number, name, severity, summary, action) \
-  EventTraits{number, #name, Severity::k##severity, summary, action},
+    EventTraits{ number, #name, Severity::k##severity, summary, action },
 #include "log/events/AllEvents.def"
 #undef FERNLIFT_EVENT
 };
 
-void noteOmitted(Event event);
+void noteOmitted (Event event);
 
-std::string timestampOf(const boostlog::record_view& view) {
-  const auto time = boostlog::extract<boost::posix_time::ptime>(kTimestampAttribute, view);
-  return time ? boost::posix_time::to_iso_extended_string(*time) + "Z" : std::string();
+std::string timestampOf (const boostlog::record_view& view)
+{
+    const auto time = boostlog::extract<boost::posix_time::ptime> (kTimestampAttribute, view);
+    return time ? boost::posix_time::to_iso_extended_string (*time) + "Z" : std::string();
 }
 
-void formatRecord(const Options& options, const boostlog::record_view& view,
-                  boostlog::formatting_ostream& stream) {
-  const auto event = boostlog::extract<Event>(kEventAttribute, view);
-  const auto fields = boostlog::extract<Fields>(kFieldsAttribute, view);
-  if (!event || !fields) return;
-  const Record record{timestampOf(view), options.program, options.instance, traitsOf(*event),
-                      *fields};
-  stream << (options.format == Format::kJson ? formatJson(record) : formatText(record));
+void formatRecord (const Options& options, const boostlog::record_view& view,
+                   boostlog::formatting_ostream& stream)
+{
+    const auto event = boostlog::extract<Event> (kEventAttribute, view);
+    const auto fields = boostlog::extract<Fields> (kFieldsAttribute, view);
+    if (! event || ! fields)
+        return;
+    const Record record{ timestampOf (view), options.program, options.instance, traitsOf (*event),
+                         *fields };
+    stream << (options.format == Format::kJson ? formatJson (record) : formatText (record));
 }
 
 /// Sink backend that drops lines rather than wait for the reader.
 class LineBackend final
     : public boostlog::sinks::basic_formatted_sink_backend<
-          char,
-          boostlog::sinks::combine_requirements<boostlog::sinks::synchronized_feeding>::type> {
- public:
-  explicit LineBackend(Destination destination)
-      : output_(destination == Destination::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO) {}
-
-  void consume(const boostlog::record_view& view, const string_type& line) {
-    if (output_.write(line)) return;
-    const auto event = boostlog::extract<Event>(kEventAttribute, view);
-    if (event) noteOmitted(*event);
-  }
-
- private:
-  LineOutput output_;
+          char, boostlog::sinks::combine_requirements<boostlog::sinks::synchronized_feeding>::type>
+{
+public:
+    explicit LineBackend (Destination destination)
+        : output_ (destination == Destination::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO)
+    {
+    }
+
+    void consume (const boostlog::record_view& view, const string_type& line)
+    {
+        if (output_.write (line))
+            return;
+        const auto event = boostlog::extract<Event> (kEventAttribute, view);
+        if (event)
+            noteOmitted (*event);
+    }
+
+private:
+    LineOutput output_;
 };
 
-boost::shared_ptr<Sink> makeSink(const Options& options) {
-  auto backend = boost::make_shared<LineBackend>(options.destination);
-  auto sink = boost::make_shared<Sink>(backend);
-  sink->set_formatter(
-      [options](const boostlog::record_view& view, boostlog::formatting_ostream& stream) {
-        formatRecord(options, view, stream);
-      });
-  sink->set_filter([minimum = options.minimumSeverity](const boostlog::attribute_value_set& set) {
-    const auto severity = boostlog::extract<Severity>("Severity", set);
-    return severity && *severity >= minimum;
-  });
-  return sink;
+boost::shared_ptr<Sink> makeSink (const Options& options)
+{
+    auto backend = boost::make_shared<LineBackend> (options.destination);
+    auto sink = boost::make_shared<Sink> (backend);
+    sink->set_formatter (
+        [options] (const boostlog::record_view& view, boostlog::formatting_ostream& stream)
+        { formatRecord (options, view, stream); });
+    sink->set_filter (
+        [minimum = options.minimumSeverity] (const boostlog::attribute_value_set& set)
+        {
+            const auto severity = boostlog::extract<Severity> ("Severity", set);
+            return severity && *severity >= minimum;
+        });
+    return sink;
 }
 
 /// The sink of this process.
-class Output {
- public:
-  void replaceSink(const Options& options) {
-    const std::lock_guard lock(mutex_);
-    const auto core = boostlog::core::get();
-    if (sink_ == nullptr) {
-      core->add_global_attribute(kTimestampAttribute, boostlog::attributes::utc_clock());
-    } else {
-      core->remove_sink(sink_);
+class Output
+{
+public:
+    void replaceSink (const Options& options)
+    {
+        const std::lock_guard lock (mutex_);
+        const auto core = boostlog::core::get();
+        if (sink_ == nullptr)
+        {
+            core->add_global_attribute (kTimestampAttribute, boostlog::attributes::utc_clock());
+        }
+        else
+        {
+            core->remove_sink (sink_);
+        }
+        sink_ = makeSink (options);
+        core->add_sink (sink_);
     }
-    sink_ = makeSink(options);
-    core->add_sink(sink_);
-  }
-
-  Logger& logger() { return logger_; }
-
-  /// Whether a line may be written; `omitted` gets the counts that are due to be told.
-  bool admit(const EventTraits& traits, std::vector<OmittedLines>* omitted) {
-    const std::lock_guard lock(budgetMutex_);
-    const base::TimePoint now = clock_.now();
-    *omitted = budget_.takeOmitted(now);
-    return budget_.admit(traits, now);
-  }
-  void noteOmitted(Event event) {
-    const std::lock_guard lock(budgetMutex_);
-    budget_.noteOmitted(event);
-  }
-
- private:
-  std::mutex mutex_;
-  boost::shared_ptr<Sink> sink_;
-  Logger logger_;
-  std::mutex budgetMutex_;
-  base::SystemClock clock_;
-  LineBudget budget_;
+
+    Logger& logger() { return logger_; }
+
+    /// Whether a line may be written; `omitted` gets the counts that are due to be told.
+    bool admit (const EventTraits& traits, std::vector<OmittedLines>* omitted)
+    {
+        const std::lock_guard lock (budgetMutex_);
+        const base::TimePoint now = clock_.now();
+        *omitted = budget_.takeOmitted (now);
+        return budget_.admit (traits, now);
+    }
+    void noteOmitted (Event event)
+    {
+        const std::lock_guard lock (budgetMutex_);
+        budget_.noteOmitted (event);
+    }
+
+private:
+    std::mutex mutex_;
+    boost::shared_ptr<Sink> sink_;
+    Logger logger_;
+    std::mutex budgetMutex_;
+    base::SystemClock clock_;
+    LineBudget budget_;
 };
 
 /// Lives until the process ends, so that events can be written from any destructor.
-Output& output() {
-  static Output* const instance = [] {
-    auto* const created = new Output;  // NOLINT(cppcoreguidelines-owning-memory)
-    created->replaceSink(Options{});
-    return created;
-  }();
-  return *instance;
+Output& output()
+{
+    static Output* const instance = []
+    {
+        auto* const created = new Output;  // NOLINT(cppcoreguidelines-owning-memory)
+        created->replaceSink (Options{});
+        return created;
+    }();
+    return *instance;
 }
 
-void noteOmitted(Event event) { output().noteOmitted(event); }
+void noteOmitted (Event event) { output().noteOmitted (event); }
 
-void writeRecord(Event event, const EventTraits& traits, const Fields& fields) {
-  BOOST_LOG_SEV(output().logger(), traits.severity)
-      << boostlog::add_value(kEventAttribute, event)
-      << boostlog::add_value(kFieldsAttribute, fields);
+void writeRecord (Event event, const EventTraits& traits, const Fields& fields)
+{
+    BOOST_LOG_SEV (output().logger(), traits.severity) << boostlog::add_value (
+        kEventAttribute, event) << boostlog::add_value (kFieldsAttribute, fields);
 }
 
 }  // namespace
 
 std::span<const EventTraits> allEvents() { return kEvents; }
 
-const EventTraits& traitsOf(Event event) {
-  for (const EventTraits& traits : kEvents) {
-    if (traits.number == static_cast<int>(event)) return traits;
-  }
-  std::abort();  // Every enumerator comes from the same list as the table.
+const EventTraits& traitsOf (Event event)
+{
+    for (const EventTraits& traits : kEvents)
+    {
+        if (traits.number == static_cast<int> (event))
+            return traits;
+    }
+    std::abort();  // Every enumerator comes from the same list as the table.
 }
 
-void initialize(const Options& options) { output().replaceSink(options); }
-
-void write(Event event, std::initializer_list<Field> fields) {
-  const EventTraits& traits = traitsOf(event);
-  std::vector<OmittedLines> omitted;
-  const bool isAdmitted = output().admit(traits, &omitted);
-  for (const OmittedLines& lines : omitted) {
-    writeRecord(Event::kLogLinesOmitted, traitsOf(Event::kLogLinesOmitted),
-                {{"event", traitsOf(lines.event).name}, {"count", lines.count}});
-  }
-  if (isAdmitted) writeRecord(event, traits, Fields(fields));
+void initialize (const Options& options) { output().replaceSink (options); }
+
+void write (Event event, std::initializer_list<Field> fields)
+{
+    const EventTraits& traits = traitsOf (event);
+    std::vector<OmittedLines> omitted;
+    const bool isAdmitted = output().admit (traits, &omitted);
+    for (const OmittedLines& lines : omitted)
+    {
+        writeRecord (Event::kLogLinesOmitted, traitsOf (Event::kLogLinesOmitted),
+                     { { "event", traitsOf (lines.event).name }, { "count", lines.count } });
+    }
+    if (isAdmitted)
+        writeRecord (event, traits, Fields (fields));
 }
 
 }  // namespace fernlift::log
--- a/src/log/Log.h
+++ b/src/log/Log.h
@@ -11,22 +11,31 @@
 #include <utility>
 #include <vector>
 
-namespace fernlift::log {
+namespace fernlift::log
+{
 
-enum class Severity : std::uint8_t { kDebug, kInfo, kWarning, kError };
+enum class Severity : std::uint8_t
+{
+    kDebug,
+    kInfo,
+    kWarning,
+    kError
+};
 
 /// One row of the catalogue of events.
-struct EventTraits {
-  int number = 0;         ///< Stable number; thousands tell the module.
-  std::string_view name;  ///< For example "RouterStarted"; kRouterStarted in the code.
-  Severity severity = Severity::kInfo;
-  std::string_view summary;  ///< The message of the event.
-  std::string_view action;   ///< What an operator should make of it.
+struct EventTraits
+{
+    int number = 0;         ///< Stable number; thousands tell the module.
+    std::string_view name;  ///< For example "RouterStarted"; kRouterStarted in the code.
+    Severity severity = Severity::kInfo;
+    std::string_view summary;  ///< The message of the event.
+    std::string_view action;   ///< What an operator should make of it.
 };
 
 /// The closed list of events. Rows live in log/events/*.def, one file a module:
 /// FERNLIFT_EVENT(number, Name, Severity, "summary", "action")
-enum class Event : int {
+enum class Event : int
+{
 // An enumerator takes no parentheses.
 // NOLINTNEXTLINE(bugprone-macro-parentheses)
 #define FERNLIFT_EVENT(number, name, severity, summary, action) k##name = number,
@@ -35,40 +44,55 @@
 };
 
 [[nodiscard]] std::span<const EventTraits> allEvents();
-[[nodiscard]] const EventTraits& traitsOf(Event event);
+[[nodiscard]] const EventTraits& traitsOf (Event event);
 
 /// A named value of an event, for example {"runner", runner.value}.
-struct Field {
-  std::string_view name;
-  std::string value;
+struct Field
+{
+    std::string_view name;
+    std::string value;
 
-  Field(std::string_view fieldName, std::string text) : name(fieldName), value(std::move(text)) {}
-  Field(std::string_view fieldName, const char* text) : name(fieldName), value(text) {}
-  Field(std::string_view fieldName, std::string_view text) : name(fieldName), value(text) {}
-  template <class Number>
-  requires std::is_arithmetic_v<Number> Field(std::string_view fieldName, Number number)
-      : name(fieldName), value(std::to_string(number)) {}
+    Field (std::string_view fieldName, std::string text)
+        : name (fieldName), value (std::move (text))
+    {
+    }
+    Field (std::string_view fieldName, const char* text) : name (fieldName), value (text) {}
+    Field (std::string_view fieldName, std::string_view text) : name (fieldName), value (text) {}
+    template <class Number>
+    requires std::is_arithmetic_v<Number> Field (std::string_view fieldName, Number number)
+        : name (fieldName), value (std::to_string (number))
+    {
+    }
 };
 
-enum class Format : std::uint8_t { kText, kJson };
+enum class Format : std::uint8_t
+{
+    kText,
+    kJson
+};
 
 /// Standard stream that log lines go to.
-enum class Destination : std::uint8_t { kStandardError, kStandardOutput };
+enum class Destination : std::uint8_t
+{
+    kStandardError,
+    kStandardOutput
+};
 
-struct Options {
-  Format format = Format::kText;
-  Destination destination = Destination::kStandardError;
-  Severity minimumSeverity = Severity::kInfo;
-  std::string program;   ///< Written with each event.
-  std::string instance;  ///< Identifier of this process, written with each event.
+struct Options
+{
+    Format format = Format::kText;
+    Destination destination = Destination::kStandardError;
+    Severity minimumSeverity = Severity::kInfo;
+    std::string program;   ///< Written with each event.
+    std::string instance;  ///< Identifier of this process, written with each event.
 };
 
 /// Sets up the process-wide sink. Without it, events at kInfo and above are written as text to
 /// standard error.
-void initialize(const Options& options);
+void initialize (const Options& options);
 
 /// Writes one event. Safe from any thread. Never blocks: lines beyond a bound a second for each
 /// event, and those that the reader of the stream does not take, are left out and counted.
-void write(Event event, std::initializer_list<Field> fields = {});
+void write (Event event, std::initializer_list<Field> fields = {});
 
 }  // namespace fernlift::log
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -6,438 +6,560 @@
 
 #include "placement/EnginePlacementFigures.h"
 
-namespace fernlift::placement {
-namespace {
+namespace fernlift::placement
+{
+namespace
+{
 
 using engine::OrderOutcome;
 using engine::ServiceOrder;
 
-std::string adapterKey(const std::string& model, const std::string& adapter) {
-  return model + "/" + adapter;
+std::string adapterKey (const std::string& model, const std::string& adapter)
+{
+    return model + "/" + adapter;
 }
 
 }  // namespace
 
-EnginePlacement::EnginePlacement(EnginePlacementOptions options)
-    : options_(std::move(options)), storeLoads_(options_.earlierStoreLoads) {}
-
-void EnginePlacement::setServices(std::uint64_t version,
-                                  const std::vector<config::Service>& services) {
-  if (version == servicesVersion_) return;
-  servicesVersion_ = version;
-  catalogue_.services = services;
-}
-
-void EnginePlacement::refresh(const std::map<std::string, cell::RoutableInstance>& rows,
-                              base::TimePoint now) {
-  for (const auto& [id, row] : rows) {
-    const config::Service* service = catalogue_.findService(row.instance.service);
-    if (service == nullptr || !service->engine) continue;
-    Engine& engine = engines_[id];
-    if (engine.id.empty()) {
-      engine.pollAt = now;
-      engine.ordersFrom = options_.ordersFrom(id);
+EnginePlacement::EnginePlacement (EnginePlacementOptions options)
+    : options_ (std::move (options)), storeLoads_ (options_.earlierStoreLoads)
+{
+}
+
+void EnginePlacement::setServices (std::uint64_t version,
+                                   const std::vector<config::Service>& services)
+{
+    if (version == servicesVersion_)
+        return;
+    servicesVersion_ = version;
+    catalogue_.services = services;
+}
+
+void EnginePlacement::refresh (const std::map<std::string, cell::RoutableInstance>& rows,
+                               base::TimePoint now)
+{
+    for (const auto& [id, row] : rows)
+    {
+        const config::Service* service = catalogue_.findService (row.instance.service);
+        if (service == nullptr || ! service->engine)
+            continue;
+        Engine& engine = engines_[id];
+        if (engine.id.empty())
+        {
+            engine.pollAt = now;
+            engine.ordersFrom = options_.ordersFrom (id);
+        }
+        engine.id = id;
+        engine.address = row.instance.address;
+        engine.service = row.instance.service;
+        engine.isUsable = ! row.instance.isDraining && ! row.isSilent;
     }
-    engine.id = id;
-    engine.address = row.instance.address;
-    engine.service = row.instance.service;
-    engine.isUsable = !row.instance.isDraining && !row.isSilent;
-  }
-  std::erase_if(engines_, [&](const auto& item) { return !rows.contains(item.first); });
-}
-
-void EnginePlacement::take(Engine& engine, const EngineHoldings& holdings, base::TimePoint now) {
-  engine.hasTold = true;
-  std::map<std::string, HeldState> held;
-  for (const cell::HeldModel& model : holdings.models) {
-    HeldState& state = held[model.model];
-    state.version = model.version;
-    state.adapters.insert(model.adapters.begin(), model.adapters.end());
-    state.confirmedAt = now;
-  }
-  // What was told was seen a while ago: what is newer than that stays.
-  for (const auto& [name, state] : engine.models) {
-    const bool isFresh = now - state.confirmedAt < kHoldingsAge && !isUnloading(engine, name);
-    if (isFresh) held.try_emplace(name, state);
-  }
-  std::erase_if(engine.adaptersDue,
-                [&](const auto& item) { return now - item.second > kHoldingsAge; });
-  engine.models = std::move(held);
-  if (!engine.modelOrder) return;
-  const ServiceOrder& order = engine.modelOrder->order;
-  const bool isHeld = engine.models.contains(order.model);
-  if (isHeld == order.isLoad) engine.modelOrder.reset();
-}
-
-bool EnginePlacement::isUnloading(const Engine& engine, const std::string& model) {
-  const auto unloads = [&](const std::optional<PendingOrder>& pending) {
-    return pending && !pending->order.isLoad && pending->order.model == model;
-  };
-  return unloads(engine.modelOrder) || unloads(engine.unanswered);
-}
-
-void EnginePlacement::onHeartbeat(const std::string& instance, const EngineHoldings& holdings,
-                                  base::TimePoint now) {
-  const auto found = engines_.find(instance);
-  if (found == engines_.end()) return;
-  found->second.inMemory = holdings.inMemory;
-  found->second.onDisk = holdings.onDisk;
-  take(found->second, holdings, now);
-}
-
-void EnginePlacement::onDemand(std::uint64_t router, const std::vector<cell::EngineDemand>& demands,
-                               base::TimePoint now) {
-  for (const cell::EngineDemand& demand : demands) {
-    TargetDemand& target = demands_[{demand.service, demand.model, demand.adapter}];
-    target.arrivals = decayedArrivals(target, now) + demand.arrivals;
-    target.countedAt = now;
-    if (demand.arrivals > 0 || demand.waiting > 0 || demand.running > 0) target.askedAt = now;
-    target.byRouter[router] = demand;
-  }
-}
-
-double EnginePlacement::decayedArrivals(const TargetDemand& target, base::TimePoint now) {
-  const double seconds = std::chrono::duration<double>(now - target.countedAt).count();
-  return target.arrivals * std::exp(-seconds / kRateMemorySeconds);
-}
-
-void EnginePlacement::onRouterGone(std::uint64_t router) {
-  for (auto& [key, target] : demands_) target.byRouter.erase(router);
-}
-
-void EnginePlacement::onOrderAnswer(const ServiceOrder& order, OrderOutcome outcome,
-                                    base::TimePoint now) {
-  const auto found = engines_.find(order.instance);
-  if (found == engines_.end()) return;
-  Engine& engine = found->second;
-  const bool isExpected = engine.unanswered && engine.unanswered->order == order;
-  if (!isExpected) return;
-  PendingOrder pending = std::move(*engine.unanswered);
-  engine.unanswered.reset();
-  switch (outcome) {
-    case OrderOutcome::kUnderWay:
-      engine.sequence = order.expectedSequence.value_or(0) + 1;
-      noteUnderWay(engine, std::move(pending), now);
-      return;
-    case OrderOutcome::kAlreadyHolds:
-      noteDone(engine, order, now);
-      return;
-    case OrderOutcome::kOtherInstance:
-      engine.isUsable = false;
-      return;
-    case OrderOutcome::kInvalid:
-      engine.reservedFor.clear();
-      engine.withdrawn.clear();
-      return;
-    case OrderOutcome::kUnknown:
-    case OrderOutcome::kBusy:
-    case OrderOutcome::kFenced:
-      engine.sequence.reset();
-      engine.doubtful = std::move(pending);
-      engine.pollAt = now + kReportAge;
-      return;
-  }
-}
-
-void EnginePlacement::noteUnderWay(Engine& engine, PendingOrder pending, base::TimePoint now) {
-  const ServiceOrder& order = pending.order;
-  if (order.adapter.empty()) {
-    pending.sentAt = now;
-    engine.modelOrder = std::move(pending);
-    return;
-  }
-  if (order.isLoad) {
-    engine.adaptersDue[adapterKey(order.model, order.adapter)] = now + kAdapterLoadTime;
-  } else {
-    noteDone(engine, order, now);
-  }
-}
-
-void EnginePlacement::noteDone(Engine& engine, const ServiceOrder& order, base::TimePoint now) {
-  // Where this guess about the sequence is wrong, the next order is refused and a report asked for.
-  const bool wasCounted = !order.isLoad;
-  engine.sequence = order.expectedSequence.value_or(0) + (wasCounted ? 1 : 0);
-  if (order.adapter.empty()) {
-    if (order.isLoad) {
-      engine.models[order.model].confirmedAt = now;
-    } else {
-      engine.models.erase(order.model);
+    std::erase_if (engines_, [&] (const auto& item) { return ! rows.contains (item.first); });
+}
+
+void EnginePlacement::take (Engine& engine, const EngineHoldings& holdings, base::TimePoint now)
+{
+    engine.hasTold = true;
+    std::map<std::string, HeldState> held;
+    for (const cell::HeldModel& model : holdings.models)
+    {
+        HeldState& state = held[model.model];
+        state.version = model.version;
+        state.adapters.insert (model.adapters.begin(), model.adapters.end());
+        state.confirmedAt = now;
     }
-    return;
-  }
-  const std::string key = adapterKey(order.model, order.adapter);
-  if (order.isLoad) {
-    engine.adaptersDue[key] = now;
-    return;
-  }
-  engine.adaptersDue.erase(key);
-  const auto model = engine.models.find(order.model);
-  if (model != engine.models.end()) model->second.adapters.erase(order.adapter);
-}
-
-void EnginePlacement::onReport(const std::string& instance, const engine::ServiceReport& report,
-                               base::TimePoint now) {
-  const auto found = engines_.find(instance);
-  if (found == engines_.end()) return;
-  Engine& engine = found->second;
-  engine.isPolled = false;
-  if (engine.unanswered) return;  // An order went out meanwhile.
-  engine.sequence = report.sequence;
-  EngineHoldings holdings;
-  for (const engine::ReportedModel& model : report.models) {
-    holdings.models.push_back({model.name, model.version, model.adapters});
-  }
-  const bool wasTaken =
-      engine.doubtful && report.sequence > engine.doubtful->order.expectedSequence.value_or(0);
-  if (wasTaken && report.isBusy && engine.doubtful->order.adapter.empty()) {
-    engine.modelOrder = std::move(engine.doubtful);
-  }
-  engine.doubtful.reset();
-  take(engine, holdings, now);
-  const bool isSettled =
-      engine.modelOrder && !report.isBusy && now - engine.modelOrder->sentAt > kReportAge;
-  if (isSettled) engine.modelOrder.reset();
-  if (report.isBusy && !engine.modelOrder) {
-    engine.sequence.reset();  // Somebody else's order: look again.
-    engine.pollAt = now + kReportAge;
-  }
-}
-
-void EnginePlacement::onReportFailed(const std::string& instance, base::TimePoint now) {
-  const auto found = engines_.find(instance);
-  if (found == engines_.end()) return;
-  found->second.isPolled = false;
-  found->second.pollAt = now + kPollPause;
-}
-
-std::uint32_t EnginePlacement::waitingFor(const TargetKey& key) const {
-  const auto found = demands_.find(key);
-  if (found == demands_.end()) return 0;
-  std::uint32_t waiting = 0;
-  for (const auto& [router, demand] : found->second.byRouter) waiting += demand.waiting;
-  return waiting;
-}
-
-EnginePlacement::ModelDemand EnginePlacement::demandFor(const std::string& service,
-                                                        const std::string& model,
-                                                        base::TimePoint now) const {
-  ModelDemand total;
-  // Keys with the same service and model stand together, the model itself first.
-  for (auto item = demands_.lower_bound({service, model, ""});
-       item != demands_.end() && item->first.service == service && item->first.model == model;
-       ++item) {
-    total.askedAt = std::max(total.askedAt, item->second.askedAt);
-    total.perSecond += decayedArrivals(item->second, now) / kRateMemorySeconds;
-    for (const auto& [router, demand] : item->second.byRouter) {
-      total.waiting += demand.waiting;
-      total.running += demand.running;
+    // What was told was seen a while ago: what is newer than that stays.
+    for (const auto& [name, state] : engine.models)
+    {
+        const bool isFresh = now - state.confirmedAt < kHoldingsAge && ! isUnloading (engine, name);
+        if (isFresh)
+            held.try_emplace (name, state);
+    }
+    std::erase_if (engine.adaptersDue,
+                   [&] (const auto& item) { return now - item.second > kHoldingsAge; });
+    engine.models = std::move (held);
+    if (! engine.modelOrder)
+        return;
+    const ServiceOrder& order = engine.modelOrder->order;
+    const bool isHeld = engine.models.contains (order.model);
+    if (isHeld == order.isLoad)
+        engine.modelOrder.reset();
+}
+
+bool EnginePlacement::isUnloading (const Engine& engine, const std::string& model)
+{
+    const auto unloads = [&] (const std::optional<PendingOrder>& pending)
+    { return pending && ! pending->order.isLoad && pending->order.model == model; };
+    return unloads (engine.modelOrder) || unloads (engine.unanswered);
+}
+
+void EnginePlacement::onHeartbeat (const std::string& instance, const EngineHoldings& holdings,
+                                   base::TimePoint now)
+{
+    const auto found = engines_.find (instance);
+    if (found == engines_.end())
+        return;
+    found->second.inMemory = holdings.inMemory;
+    found->second.onDisk = holdings.onDisk;
+    take (found->second, holdings, now);
+}
+
+void EnginePlacement::onDemand (std::uint64_t router,
+                                const std::vector<cell::EngineDemand>& demands, base::TimePoint now)
+{
+    for (const cell::EngineDemand& demand : demands)
+    {
+        TargetDemand& target = demands_[{ demand.service, demand.model, demand.adapter }];
+        target.arrivals = decayedArrivals (target, now) + demand.arrivals;
+        target.countedAt = now;
+        if (demand.arrivals > 0 || demand.waiting > 0 || demand.running > 0)
+            target.askedAt = now;
+        target.byRouter[router] = demand;
     }
-  }
-  return total;
 }
 
-std::size_t EnginePlacement::holdersOf(const std::string& service, const std::string& model) const {
-  return static_cast<std::size_t>(std::ranges::count_if(engines_, [&](const auto& item) {
-    const Engine& engine = item.second;
-    return engine.service == service && engine.isUsable && engine.models.contains(model) &&
-           !engine.withdrawn.contains(model);
-  }));
+double EnginePlacement::decayedArrivals (const TargetDemand& target, base::TimePoint now)
+{
+    const double seconds = std::chrono::duration<double> (now - target.countedAt).count();
+    return target.arrivals * std::exp (-seconds / kRateMemorySeconds);
 }
 
-bool EnginePlacement::isModelOnItsWay(const std::string& service, const std::string& model) const {
-  return std::ranges::any_of(engines_, [&](const auto& item) {
-    const Engine& engine = item.second;
-    if (engine.service != service || !engine.isUsable) return false;
-    const auto loads = [&](const std::optional<PendingOrder>& pending) {
-      return pending && pending->order.isLoad && pending->order.model == model &&
-             pending->order.adapter.empty();
-    };
-    return engine.reservedFor == model || loads(engine.unanswered) || loads(engine.modelOrder);
-  });
-}
-
-const config::EngineSpec* EnginePlacement::specOf(const Engine& engine) const {
-  const config::Service* service = catalogue_.findService(engine.service);
-  return service == nullptr || !service->engine ? nullptr : &*service->engine;
-}
-
-double EnginePlacement::usedMemory(const Engine& engine, const config::EngineSpec& spec) {
-  double used = 0;
-  std::set<std::string> counted;
-  const auto count = [&](const std::string& name) {
-    const config::EngineModel* model = spec.findModel(name);
-    if (model != nullptr && counted.insert(name).second) used += model->memoryMb;
-  };
-  for (const auto& [name, state] : engine.models) count(name);
-  for (const auto* pending : {&engine.unanswered, &engine.modelOrder, &engine.doubtful}) {
-    if (*pending && (*pending)->order.isLoad) count((*pending)->order.model);
-  }
-  return used;
-}
-
-double EnginePlacement::adapterReserve(const config::EngineSpec& spec) {
-  double largest = 0;
-  for (const config::EngineModel& model : spec.models) {
-    if (model.adapters > 0) largest = std::max(largest, model.adapterMemoryMb);
-  }
-  return largest * spec.adapterSlots;
-}
-
-std::set<std::string> EnginePlacement::adaptersOf(const Engine& engine) {
-  std::set<std::string> adapters;
-  for (const auto& [name, state] : engine.models) {
-    for (const std::string& adapter : state.adapters) adapters.insert(adapterKey(name, adapter));
-  }
-  for (const auto& [key, due] : engine.adaptersDue) adapters.insert(key);
-  return adapters;
-}
-
-bool EnginePlacement::mayTakeOrder(const Engine& engine) {
-  return engine.isUsable && !engine.isPaused && engine.sequence && !engine.unanswered &&
-         !engine.modelOrder;
-}
-
-bool EnginePlacement::isLocal(const Engine& engine, const std::string& model) {
-  return engine.inMemory.contains(model) || engine.onDisk.contains(model);
-}
-
-bool EnginePlacement::mayLoadFromStore(const std::string& service, base::TimePoint now) {
-  while (!storeLoads_.empty() && now - storeLoads_.front() >= options_.storeWindow) {
-    storeLoads_.pop_front();
-  }
-  const config::Service* found = catalogue_.findService(service);
-  const double seconds = std::chrono::duration<double>(options_.storeWindow).count();
-  const double allowed = options_.storeShare * found->engine->loadsPerSecond * seconds;
-  const auto loading = std::ranges::count_if(engines_, [](const auto& item) {
-    const Engine& engine = item.second;
-    return engine.modelOrder && engine.modelOrder->isFromStore;
-  });
-  return static_cast<double>(storeLoads_.size()) + 1 <= allowed &&
-         static_cast<double>(loading) < concurrentLoads(*found->engine);
-}
-
-double EnginePlacement::concurrentLoads(const config::EngineSpec& spec) {
-  double seconds = 0;
-  for (const config::EngineModel& model : spec.models) {
-    seconds = std::max(seconds, std::chrono::duration<double>(model.loadTime).count());
-  }
-  return std::max(spec.loadsPerSecond * seconds, 1.0);
-}
-
-std::vector<EngineCommand> EnginePlacement::decide(base::TimePoint now) {
-  std::vector<EngineCommand> commands;
-  endPauses(now);
-  pollWhereNeeded(commands, now);
-  expireOrders(now);
-  continuePlans(commands, now);
-  planModels(commands, now);
-  planAdapters(commands, now);
-  fillFreeMemory(commands, now);
-  return commands;
-}
-
-void EnginePlacement::pollWhereNeeded(std::vector<EngineCommand>& commands, base::TimePoint now) {
-  for (auto& [id, engine] : engines_) {
-    const bool isLate = engine.modelOrder && now - engine.modelOrder->sentAt > kLatestModelOrder;
-    const bool isNeeded = engine.isUsable && (!engine.sequence || isLate) && !engine.unanswered;
-    if (!isNeeded || engine.isPolled || now < engine.pollAt) continue;
-    engine.isPolled = true;
-    engine.pollAt = now + kPollPause;
-    commands.emplace_back(PollEngine{id, engine.address});
-  }
-}
-
-void EnginePlacement::endPauses(base::TimePoint now) {
-  for (auto& [id, engine] : engines_) engine.isPaused = now < engine.ordersFrom;
-}
-
-void EnginePlacement::expireOrders(base::TimePoint now) {
-  for (auto& [id, engine] : engines_) {
-    if (!engine.unanswered || now - engine.unanswered->sentAt < kOrderTimeout) continue;
-    engine.doubtful = std::move(engine.unanswered);
+void EnginePlacement::onRouterGone (std::uint64_t router)
+{
+    for (auto& [key, target] : demands_)
+        target.byRouter.erase (router);
+}
+
+void EnginePlacement::onOrderAnswer (const ServiceOrder& order, OrderOutcome outcome,
+                                     base::TimePoint now)
+{
+    const auto found = engines_.find (order.instance);
+    if (found == engines_.end())
+        return;
+    Engine& engine = found->second;
+    const bool isExpected = engine.unanswered && engine.unanswered->order == order;
+    if (! isExpected)
+        return;
+    PendingOrder pending = std::move (*engine.unanswered);
     engine.unanswered.reset();
-    engine.sequence.reset();
-    engine.pollAt = now + kReportAge;
-  }
-}
-
-void EnginePlacement::continuePlans(std::vector<EngineCommand>& commands, base::TimePoint now) {
-  for (auto& [id, engine] : engines_) {
-    if (engine.reservedFor.empty()) continue;
-    const config::EngineSpec* spec = specOf(engine);
-    const config::EngineModel* model =
-        spec == nullptr ? nullptr : spec->findModel(engine.reservedFor);
-    if (!engine.isUsable || model == nullptr) {
-      dropPlan(engine);
-      continue;
+    switch (outcome)
+    {
+        case OrderOutcome::kUnderWay:
+            engine.sequence = order.expectedSequence.value_or (0) + 1;
+            noteUnderWay (engine, std::move (pending), now);
+            return;
+        case OrderOutcome::kAlreadyHolds:
+            noteDone (engine, order, now);
+            return;
+        case OrderOutcome::kOtherInstance:
+            engine.isUsable = false;
+            return;
+        case OrderOutcome::kInvalid:
+            engine.reservedFor.clear();
+            engine.withdrawn.clear();
+            return;
+        case OrderOutcome::kUnknown:
+        case OrderOutcome::kBusy:
+        case OrderOutcome::kFenced:
+            engine.sequence.reset();
+            engine.doubtful = std::move (pending);
+            engine.pollAt = now + kReportAge;
+            return;
+    }
+}
+
+void EnginePlacement::noteUnderWay (Engine& engine, PendingOrder pending, base::TimePoint now)
+{
+    const ServiceOrder& order = pending.order;
+    if (order.adapter.empty())
+    {
+        pending.sentAt = now;
+        engine.modelOrder = std::move (pending);
+        return;
+    }
+    if (order.isLoad)
+    {
+        engine.adaptersDue[adapterKey (order.model, order.adapter)] = now + kAdapterLoadTime;
+    }
+    else
+    {
+        noteDone (engine, order, now);
+    }
+}
+
+void EnginePlacement::noteDone (Engine& engine, const ServiceOrder& order, base::TimePoint now)
+{
+    // Where this guess about the sequence is wrong, the next order is refused and a report asked
+    // for.
+    const bool wasCounted = ! order.isLoad;
+    engine.sequence = order.expectedSequence.value_or (0) + (wasCounted ? 1 : 0);
+    if (order.adapter.empty())
+    {
+        if (order.isLoad)
+        {
+            engine.models[order.model].confirmedAt = now;
+        }
+        else
+        {
+            engine.models.erase (order.model);
+        }
+        return;
+    }
+    const std::string key = adapterKey (order.model, order.adapter);
+    if (order.isLoad)
+    {
+        engine.adaptersDue[key] = now;
+        return;
+    }
+    engine.adaptersDue.erase (key);
+    const auto model = engine.models.find (order.model);
+    if (model != engine.models.end())
+        model->second.adapters.erase (order.adapter);
+}
+
+void EnginePlacement::onReport (const std::string& instance, const engine::ServiceReport& report,
+                                base::TimePoint now)
+{
+    const auto found = engines_.find (instance);
+    if (found == engines_.end())
+        return;
+    Engine& engine = found->second;
+    engine.isPolled = false;
+    if (engine.unanswered)
+        return;  // An order went out meanwhile.
+    engine.sequence = report.sequence;
+    EngineHoldings holdings;
+    for (const engine::ReportedModel& model : report.models)
+    {
+        holdings.models.push_back ({ model.name, model.version, model.adapters });
+    }
+    const bool wasTaken =
+        engine.doubtful && report.sequence > engine.doubtful->order.expectedSequence.value_or (0);
+    if (wasTaken && report.isBusy && engine.doubtful->order.adapter.empty())
+    {
+        engine.modelOrder = std::move (engine.doubtful);
+    }
+    engine.doubtful.reset();
+    take (engine, holdings, now);
+    const bool isSettled =
+        engine.modelOrder && ! report.isBusy && now - engine.modelOrder->sentAt > kReportAge;
+    if (isSettled)
+        engine.modelOrder.reset();
+    if (report.isBusy && ! engine.modelOrder)
+    {
+        engine.sequence.reset();  // Somebody else's order: look again.
+        engine.pollAt = now + kReportAge;
+    }
+}
+
+void EnginePlacement::onReportFailed (const std::string& instance, base::TimePoint now)
+{
+    const auto found = engines_.find (instance);
+    if (found == engines_.end())
+        return;
+    found->second.isPolled = false;
+    found->second.pollAt = now + kPollPause;
+}
+
+std::uint32_t EnginePlacement::waitingFor (const TargetKey& key) const
+{
+    const auto found = demands_.find (key);
+    if (found == demands_.end())
+        return 0;
+    std::uint32_t waiting = 0;
+    for (const auto& [router, demand] : found->second.byRouter)
+        waiting += demand.waiting;
+    return waiting;
+}
+
+EnginePlacement::ModelDemand EnginePlacement::demandFor (const std::string& service,
+                                                         const std::string& model,
+                                                         base::TimePoint now) const
+{
+    ModelDemand total;
+    // Keys with the same service and model stand together, the model itself first.
+    for (auto item = demands_.lower_bound ({ service, model, "" });
+         item != demands_.end() && item->first.service == service && item->first.model == model;
+         ++item)
+    {
+        total.askedAt = std::max (total.askedAt, item->second.askedAt);
+        total.perSecond += decayedArrivals (item->second, now) / kRateMemorySeconds;
+        for (const auto& [router, demand] : item->second.byRouter)
+        {
+            total.waiting += demand.waiting;
+            total.running += demand.running;
+        }
+    }
+    return total;
+}
+
+std::size_t EnginePlacement::holdersOf (const std::string& service, const std::string& model) const
+{
+    return static_cast<std::size_t> (std::ranges::count_if (
+        engines_,
+        [&] (const auto& item)
+        {
+            const Engine& engine = item.second;
+            return engine.service == service && engine.isUsable && engine.models.contains (model)
+                   && ! engine.withdrawn.contains (model);
+        }));
+}
+
+bool EnginePlacement::isModelOnItsWay (const std::string& service, const std::string& model) const
+{
+    return std::ranges::any_of (
+        engines_,
+        [&] (const auto& item)
+        {
+            const Engine& engine = item.second;
+            if (engine.service != service || ! engine.isUsable)
+                return false;
+            const auto loads = [&] (const std::optional<PendingOrder>& pending)
+            {
+                return pending && pending->order.isLoad && pending->order.model == model
+                       && pending->order.adapter.empty();
+            };
+            return engine.reservedFor == model || loads (engine.unanswered)
+                   || loads (engine.modelOrder);
+        });
+}
+
+const config::EngineSpec* EnginePlacement::specOf (const Engine& engine) const
+{
+    const config::Service* service = catalogue_.findService (engine.service);
+    return service == nullptr || ! service->engine ? nullptr : &*service->engine;
+}
+
+double EnginePlacement::usedMemory (const Engine& engine, const config::EngineSpec& spec)
+{
+    double used = 0;
+    std::set<std::string> counted;
+    const auto count = [&] (const std::string& name)
+    {
+        const config::EngineModel* model = spec.findModel (name);
+        if (model != nullptr && counted.insert (name).second)
+            used += model->memoryMb;
+    };
+    for (const auto& [name, state] : engine.models)
+        count (name);
+    for (const auto* pending : { &engine.unanswered, &engine.modelOrder, &engine.doubtful })
+    {
+        if (*pending && (*pending)->order.isLoad)
+            count ((*pending)->order.model);
+    }
+    return used;
+}
+
+double EnginePlacement::adapterReserve (const config::EngineSpec& spec)
+{
+    double largest = 0;
+    for (const config::EngineModel& model : spec.models)
+    {
+        if (model.adapters > 0)
+            largest = std::max (largest, model.adapterMemoryMb);
+    }
+    return largest * spec.adapterSlots;
+}
+
+std::set<std::string> EnginePlacement::adaptersOf (const Engine& engine)
+{
+    std::set<std::string> adapters;
+    for (const auto& [name, state] : engine.models)
+    {
+        for (const std::string& adapter : state.adapters)
+            adapters.insert (adapterKey (name, adapter));
+    }
+    for (const auto& [key, due] : engine.adaptersDue)
+        adapters.insert (key);
+    return adapters;
+}
+
+bool EnginePlacement::mayTakeOrder (const Engine& engine)
+{
+    return engine.isUsable && ! engine.isPaused && engine.sequence && ! engine.unanswered
+           && ! engine.modelOrder;
+}
+
+bool EnginePlacement::isLocal (const Engine& engine, const std::string& model)
+{
+    return engine.inMemory.contains (model) || engine.onDisk.contains (model);
+}
+
+bool EnginePlacement::mayLoadFromStore (const std::string& service, base::TimePoint now)
+{
+    while (! storeLoads_.empty() && now - storeLoads_.front() >= options_.storeWindow)
+    {
+        storeLoads_.pop_front();
+    }
+    const config::Service* found = catalogue_.findService (service);
+    const double seconds = std::chrono::duration<double> (options_.storeWindow).count();
+    const double allowed = options_.storeShare * found->engine->loadsPerSecond * seconds;
+    const auto loading =
+        std::ranges::count_if (engines_,
+                               [] (const auto& item)
+                               {
+                                   const Engine& engine = item.second;
+                                   return engine.modelOrder && engine.modelOrder->isFromStore;
+                               });
+    return static_cast<double> (storeLoads_.size()) + 1 <= allowed
+           && static_cast<double> (loading) < concurrentLoads (*found->engine);
+}
+
+double EnginePlacement::concurrentLoads (const config::EngineSpec& spec)
+{
+    double seconds = 0;
+    for (const config::EngineModel& model : spec.models)
+    {
+        seconds = std::max (seconds, std::chrono::duration<double> (model.loadTime).count());
+    }
+    return std::max (spec.loadsPerSecond * seconds, 1.0);
+}
+
+std::vector<EngineCommand> EnginePlacement::decide (base::TimePoint now)
+{
+    std::vector<EngineCommand> commands;
+    endPauses (now);
+    pollWhereNeeded (commands, now);
+    expireOrders (now);
+    continuePlans (commands, now);
+    planModels (commands, now);
+    planAdapters (commands, now);
+    fillFreeMemory (commands, now);
+    return commands;
+}
+
+void EnginePlacement::pollWhereNeeded (std::vector<EngineCommand>& commands, base::TimePoint now)
+{
+    for (auto& [id, engine] : engines_)
+    {
+        const bool isLate =
+            engine.modelOrder && now - engine.modelOrder->sentAt > kLatestModelOrder;
+        const bool isNeeded =
+            engine.isUsable && (! engine.sequence || isLate) && ! engine.unanswered;
+        if (! isNeeded || engine.isPolled || now < engine.pollAt)
+            continue;
+        engine.isPolled = true;
+        engine.pollAt = now + kPollPause;
+        commands.emplace_back (PollEngine{ id, engine.address });
+    }
+}
+
+void EnginePlacement::endPauses (base::TimePoint now)
+{
+    for (auto& [id, engine] : engines_)
+        engine.isPaused = now < engine.ordersFrom;
+}
+
+void EnginePlacement::expireOrders (base::TimePoint now)
+{
+    for (auto& [id, engine] : engines_)
+    {
+        if (! engine.unanswered || now - engine.unanswered->sentAt < kOrderTimeout)
+            continue;
+        engine.doubtful = std::move (engine.unanswered);
+        engine.unanswered.reset();
+        engine.sequence.reset();
+        engine.pollAt = now + kReportAge;
+    }
+}
+
+void EnginePlacement::continuePlans (std::vector<EngineCommand>& commands, base::TimePoint now)
+{
+    for (auto& [id, engine] : engines_)
+    {
+        if (engine.reservedFor.empty())
+            continue;
+        const config::EngineSpec* spec = specOf (engine);
+        const config::EngineModel* model =
+            spec == nullptr ? nullptr : spec->findModel (engine.reservedFor);
+        if (! engine.isUsable || model == nullptr)
+        {
+            dropPlan (engine);
+            continue;
+        }
+        if (! mayTakeOrder (engine))
+            continue;
+        continuePlan (engine, *spec, *model, commands, now);
+    }
+}
+
+void EnginePlacement::continuePlan (Engine& engine, const config::EngineSpec& spec,
+                                    const config::EngineModel& model,
+                                    std::vector<EngineCommand>& commands, base::TimePoint now)
+{
+    for (const std::string& victim : engine.withdrawn)
+    {
+        if (! engine.models.contains (victim))
+            continue;
+        // Routers hear that the model goes before it does.
+        if (now - engine.withdrawnAt >= kWithdrawalTime)
+        {
+            send (engine, { false, victim, "", "makes way for " + model.name }, commands, now);
+        }
+        return;
     }
-    if (!mayTakeOrder(engine)) continue;
-    continuePlan(engine, *spec, *model, commands, now);
-  }
-}
-
-void EnginePlacement::continuePlan(Engine& engine, const config::EngineSpec& spec,
-                                   const config::EngineModel& model,
-                                   std::vector<EngineCommand>& commands, base::TimePoint now) {
-  for (const std::string& victim : engine.withdrawn) {
-    if (!engine.models.contains(victim)) continue;
-    // Routers hear that the model goes before it does.
-    if (now - engine.withdrawnAt >= kWithdrawalTime) {
-      send(engine, {false, victim, "", "makes way for " + model.name}, commands, now);
+    const bool fits =
+        usedMemory (engine, spec) + model.memoryMb + adapterReserve (spec) <= spec.memoryMb;
+    if (! fits || engine.models.contains (model.name))
+    {
+        dropPlan (engine);
+        return;
     }
-    return;
-  }
-  const bool fits =
-      usedMemory(engine, spec) + model.memoryMb + adapterReserve(spec) <= spec.memoryMb;
-  if (!fits || engine.models.contains(model.name)) {
-    dropPlan(engine);
-    return;
-  }
-  const bool isFromStore = !isLocal(engine, model.name);
-  if (isFromStore && !mayLoadFromStore(engine.service, now)) return;
-  if (isFromStore) storeLoads_.push_back(now);
-  send(engine, {true, model.name, "", "requests want it"}, commands, now);
-  dropPlan(engine);
-}
-
-void EnginePlacement::dropPlan(Engine& engine) {
-  engine.reservedFor.clear();
-  engine.withdrawn.clear();
-}
-
-void EnginePlacement::send(Engine& engine, const Intention& intention,
-                           std::vector<EngineCommand>& commands, base::TimePoint now) {
-  ServiceOrder order;
-  order.isLoad = intention.isLoad;
-  order.instance = engine.id;
-  order.model = intention.model;
-  order.adapter = intention.adapter;
-  order.holder = options_.holder;
-  order.fence = options_.fence;
-  order.expectedSequence = engine.sequence;
-  const bool isFromStore =
-      order.isLoad && order.adapter.empty() && !isLocal(engine, intention.model);
-  engine.unanswered = PendingOrder{order, now, isFromStore};
-  commands.emplace_back(
-      SendEngineOrder{engine.address, std::move(order), isFromStore, intention.reason});
-}
-
-std::optional<std::vector<cell::HeldModel>> EnginePlacement::routableModels(
-    const std::string& instance, base::TimePoint now) const {
-  const auto found = engines_.find(instance);
-  if (found == engines_.end() || !found->second.hasTold) return std::nullopt;
-  const Engine& engine = found->second;
-  std::vector<cell::HeldModel> models;
-  for (const auto& [name, state] : engine.models) {
-    if (engine.withdrawn.contains(name) || isUnloading(engine, name)) continue;
-    std::set<std::string> adapters = state.adapters;
-    for (const auto& [key, due] : engine.adaptersDue) {
-      const std::size_t slash = key.find('/');
-      if (key.substr(0, slash) == name && now >= due) adapters.insert(key.substr(slash + 1));
+    const bool isFromStore = ! isLocal (engine, model.name);
+    if (isFromStore && ! mayLoadFromStore (engine.service, now))
+        return;
+    if (isFromStore)
+        storeLoads_.push_back (now);
+    send (engine, { true, model.name, "", "requests want it" }, commands, now);
+    dropPlan (engine);
+}
+
+void EnginePlacement::dropPlan (Engine& engine)
+{
+    engine.reservedFor.clear();
+    engine.withdrawn.clear();
+}
+
+void EnginePlacement::send (Engine& engine, const Intention& intention,
+                            std::vector<EngineCommand>& commands, base::TimePoint now)
+{
+    ServiceOrder order;
+    order.isLoad = intention.isLoad;
+    order.instance = engine.id;
+    order.model = intention.model;
+    order.adapter = intention.adapter;
+    order.holder = options_.holder;
+    order.fence = options_.fence;
+    order.expectedSequence = engine.sequence;
+    const bool isFromStore =
+        order.isLoad && order.adapter.empty() && ! isLocal (engine, intention.model);
+    engine.unanswered = PendingOrder{ order, now, isFromStore };
+    commands.emplace_back (
+        SendEngineOrder{ engine.address, std::move (order), isFromStore, intention.reason });
+}
+
+std::optional<std::vector<cell::HeldModel>> EnginePlacement::routableModels (
+    const std::string& instance, base::TimePoint now) const
+{
+    const auto found = engines_.find (instance);
+    if (found == engines_.end() || ! found->second.hasTold)
+        return std::nullopt;
+    const Engine& engine = found->second;
+    std::vector<cell::HeldModel> models;
+    for (const auto& [name, state] : engine.models)
+    {
+        if (engine.withdrawn.contains (name) || isUnloading (engine, name))
+            continue;
+        std::set<std::string> adapters = state.adapters;
+        for (const auto& [key, due] : engine.adaptersDue)
+        {
+            const std::size_t slash = key.find ('/');
+            if (key.substr (0, slash) == name && now >= due)
+                adapters.insert (key.substr (slash + 1));
+        }
+        models.push_back ({ name, state.version, { adapters.begin(), adapters.end() } });
     }
-    models.push_back({name, state.version, {adapters.begin(), adapters.end()}});
-  }
-  return models;
+    return models;
 }
 
 }  // namespace fernlift::placement
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -19,225 +19,244 @@
 #include "config/ServiceCatalogue.h"
 #include "engine/ServiceEngine.h"
 
-namespace fernlift::placement {
-
-struct EnginePlacementOptions {
-  std::string holder;       ///< Name of this controller in orders.
-  std::uint64_t fence = 0;  ///< Term of this leader.
-  /// The time from which an engine may be ordered: an earlier leader may have ordered it lately.
-  std::function<base::TimePoint(const std::string& instance)> ordersFrom;
-  /// Loads from the weight store by earlier leaders, oldest first.
-  std::deque<base::TimePoint> earlierStoreLoads;
-  /// Loads from the weight store that may begin in `storeWindow`, in shares of what its rate
-  /// allows.
-  double storeShare = 1.05;
-  base::Duration storeWindow = base::seconds(5);
+namespace fernlift::placement
+{
+
+struct EnginePlacementOptions
+{
+    std::string holder;       ///< Name of this controller in orders.
+    std::uint64_t fence = 0;  ///< Term of this leader.
+    /// The time from which an engine may be ordered: an earlier leader may have ordered it lately.
+    std::function<base::TimePoint (const std::string& instance)> ordersFrom;
+    /// Loads from the weight store by earlier leaders, oldest first.
+    std::deque<base::TimePoint> earlierStoreLoads;
+    /// Loads from the weight store that may begin in `storeWindow`, in shares of what its rate
+    /// allows.
+    double storeShare = 1.05;
+    base::Duration storeWindow = base::seconds (5);
 };
 
 /// What an engine told in a heartbeat or report about its models.
-struct EngineHoldings {
-  std::vector<cell::HeldModel> models;
-  std::set<std::string> inMemory;  ///< Models it can load from host memory.
-  std::set<std::string> onDisk;    ///< Models it can load from its own disk.
+struct EngineHoldings
+{
+    std::vector<cell::HeldModel> models;
+    std::set<std::string> inMemory;  ///< Models it can load from host memory.
+    std::set<std::string> onDisk;    ///< Models it can load from its own disk.
 };
 
-struct SendEngineOrder {
-  std::string address;
-  engine::ServiceOrder order;
-  bool isFromStore = false;  ///< A load that takes from the weight store's rate.
-  std::string reason;        ///< For the log.
+struct SendEngineOrder
+{
+    std::string address;
+    engine::ServiceOrder order;
+    bool isFromStore = false;  ///< A load that takes from the weight store's rate.
+    std::string reason;        ///< For the log.
 };
-struct PollEngine {
-  std::string instance;
-  std::string address;
+struct PollEngine
+{
+    std::string instance;
+    std::string address;
 };
 using EngineCommand = std::variant<SendEngineOrder, PollEngine>;
 
 /// Lives as long as one term of leadership.
-class EnginePlacement {
- public:
-  explicit EnginePlacement(EnginePlacementOptions options);
-
-  /// Takes over the services of a configuration; nothing is done when it is the one held.
-  void setServices(std::uint64_t version, const std::vector<config::Service>& services);
-  /// Takes over the instances. Engines that are gone or drain get no orders.
-  void refresh(const std::map<std::string, cell::RoutableInstance>& rows, base::TimePoint now);
-  void onHeartbeat(const std::string& instance, const EngineHoldings& holdings,
+class EnginePlacement
+{
+public:
+    explicit EnginePlacement (EnginePlacementOptions options);
+
+    /// Takes over the services of a configuration; nothing is done when it is the one held.
+    void setServices (std::uint64_t version, const std::vector<config::Service>& services);
+    /// Takes over the instances. Engines that are gone or drain get no orders.
+    void refresh (const std::map<std::string, cell::RoutableInstance>& rows, base::TimePoint now);
+    void onHeartbeat (const std::string& instance, const EngineHoldings& holdings,
+                      base::TimePoint now);
+    /// Replaces what one router reported before.
+    void onDemand (std::uint64_t router, const std::vector<cell::EngineDemand>& demands,
                    base::TimePoint now);
-  /// Replaces what one router reported before.
-  void onDemand(std::uint64_t router, const std::vector<cell::EngineDemand>& demands,
-                base::TimePoint now);
-  void onRouterGone(std::uint64_t router);
-  void onOrderAnswer(const engine::ServiceOrder& order, engine::OrderOutcome outcome,
-                     base::TimePoint now);
-  void onReport(const std::string& instance, const engine::ServiceReport& report,
-                base::TimePoint now);
-  void onReportFailed(const std::string& instance, base::TimePoint now);
-
-  /// What is to be sent now.
-  [[nodiscard]] std::vector<EngineCommand> decide(base::TimePoint now);
-
-  /// What routers may be told that the engine holds; without what is about to be unloaded. None
-  /// for an engine that is not known or has not told yet.
-  [[nodiscard]] std::optional<std::vector<cell::HeldModel>> routableModels(
-      const std::string& instance, base::TimePoint now) const;
-
- private:
-  /// An order that is under way at an engine, or may be.
-  struct PendingOrder {
-    engine::ServiceOrder order;
-    base::TimePoint sentAt{};
-    bool isFromStore = false;  ///< A load that takes from the weight store's rate.
-  };
+    void onRouterGone (std::uint64_t router);
+    void onOrderAnswer (const engine::ServiceOrder& order, engine::OrderOutcome outcome,
+                        base::TimePoint now);
+    void onReport (const std::string& instance, const engine::ServiceReport& report,
+                   base::TimePoint now);
+    void onReportFailed (const std::string& instance, base::TimePoint now);
 
-  struct HeldState {
-    std::uint64_t version = 0;
-    std::set<std::string> adapters;
-    base::TimePoint confirmedAt{};  ///< When it was last told or done.
-  };
+    /// What is to be sent now.
+    [[nodiscard]] std::vector<EngineCommand> decide (base::TimePoint now);
 
-  struct Engine {
-    std::string id;
-    std::string address;
-    std::string service;
-    bool isUsable = false;                  ///< Takes requests and orders.
-    base::TimePoint ordersFrom{};           ///< No order goes out before.
-    bool isPaused = true;                   ///< That time has not come.
-    bool hasTold = false;                   ///< A heartbeat or report has come.
-    std::optional<std::uint64_t> sequence;  ///< Orders it has taken, as far as is known.
-    std::map<std::string, HeldState> models;
-    std::set<std::string> inMemory;
-    std::set<std::string> onDisk;
-    std::optional<PendingOrder> unanswered;              ///< One at a time.
-    std::optional<PendingOrder> modelOrder;              ///< Taken, for a model, not finished.
-    std::optional<PendingOrder> doubtful;                ///< Perhaps taken; the next report tells.
-    std::map<std::string, base::TimePoint> adaptersDue;  ///< MODEL/ADAPTER; held from then on.
-    std::string reservedFor;          ///< Model that is to be loaded after unloads.
-    std::set<std::string> withdrawn;  ///< Models that routers no longer are told of.
-    base::TimePoint withdrawnAt{};
-    bool isPolled = false;
-    base::TimePoint pollAt{};
-  };
-
-  struct TargetKey {
-    std::string service;
-    std::string model;
-    std::string adapter;
-    auto operator<=>(const TargetKey&) const = default;  // NOLINT(modernize-use-nullptr)
-  };
-
-  struct TargetDemand {
-    std::map<std::uint64_t, cell::EngineDemand> byRouter;
-    base::TimePoint askedAt{};  ///< Last time that anybody asked for it.
-    double arrivals = 0;        ///< Decaying count, as of `countedAt`.
-    base::TimePoint countedAt{};
-  };
-
-  /// Requests for a model with all its adapters.
-  struct ModelDemand {
-    std::uint32_t waiting = 0;
-    std::uint32_t running = 0;
-    base::TimePoint askedAt{};  ///< Zero: never.
-    double perSecond = 0;       ///< Requests that arrive.
-  };
-
-  /// Models of an engine that make way, and what losing them costs in seconds of waiting.
-  struct Victims {
-    std::vector<std::string> models;
-    double cost = 0;
-  };
-
-  // Views of demand and holdings.
-  [[nodiscard]] static double decayedArrivals(const TargetDemand& target, base::TimePoint now);
-  [[nodiscard]] std::uint32_t waitingFor(const TargetKey& key) const;
-  [[nodiscard]] ModelDemand demandFor(const std::string& service, const std::string& model,
-                                      base::TimePoint now) const;
-  /// Replicas that the demand asks for.
-  [[nodiscard]] static std::size_t wantedReplicas(const ModelDemand& demand);
-  [[nodiscard]] std::size_t holdersOf(const std::string& service, const std::string& model) const;
-  [[nodiscard]] bool isModelOnItsWay(const std::string& service, const std::string& model) const;
-  [[nodiscard]] const config::EngineSpec* specOf(const Engine& engine) const;
-  /// Memory of models that are held or may be, without adapters.
-  [[nodiscard]] static double usedMemory(const Engine& engine, const config::EngineSpec& spec);
-  /// Memory kept free for adapters in all places.
-  [[nodiscard]] static double adapterReserve(const config::EngineSpec& spec);
-  /// Adapters that are held or on their way, as MODEL/ADAPTER.
-  [[nodiscard]] static std::set<std::string> adaptersOf(const Engine& engine);
-  [[nodiscard]] static bool mayTakeOrder(const Engine& engine);
-  /// Loads that the weight store serves at once at full speed, as its rate implies.
-  [[nodiscard]] static double concurrentLoads(const config::EngineSpec& spec);
-  [[nodiscard]] static bool isLocal(const Engine& engine, const std::string& model);
-  [[nodiscard]] static bool isUnloading(const Engine& engine, const std::string& model);
-  [[nodiscard]] static double loadSeconds(const Engine& engine, const config::EngineModel& model);
-
-  /// What a load costs those who want adapters of models that the engine holds.
-  [[nodiscard]] double adapterTrouble(const Engine& engine, const config::EngineSpec& spec,
-                                      base::TimePoint now) const;
-
-  /// A model that should be loaded once more.
-  struct ModelNeed {
-    TargetKey key;
-    bool isMissing = false;  ///< Nobody holds it and requests wait.
-    double requestsForReplica = 0;
-  };
-  /// What should be loaded, the most pressing first.
-  [[nodiscard]] std::vector<ModelNeed> modelNeeds(base::TimePoint now) const;
-
-  // Steps of a decision.
-  void pollWhereNeeded(std::vector<EngineCommand>& commands, base::TimePoint now);
-  void endPauses(base::TimePoint now);
-  void expireOrders(base::TimePoint now);
-  void continuePlans(std::vector<EngineCommand>& commands, base::TimePoint now);
-  void continuePlan(Engine& engine, const config::EngineSpec& spec,
-                    const config::EngineModel& model, std::vector<EngineCommand>& commands,
-                    base::TimePoint now);
-  static void dropPlan(Engine& engine);
-  void planModels(std::vector<EngineCommand>& commands, base::TimePoint now);
-  /// Whether so many ask for a model that it should be held once more.
-  [[nodiscard]] bool isCrowded(const TargetKey& key, const ModelDemand& demand, std::size_t holders,
-                               base::TimePoint now) const;
-  /// Reserves an engine for the model unless that costs more than `highestCost`; false when none
-  /// can take it now.
-  bool planModel(const TargetKey& key, double highestCost, base::TimePoint now);
-  /// Loads models that nobody holds from engines' own copies into memory that is free.
-  void fillFreeMemory(std::vector<EngineCommand>& commands, base::TimePoint now);
-  [[nodiscard]] const config::EngineModel* modelToFillWith(const Engine& engine,
-                                                           const config::EngineSpec& spec) const;
-  void planAdapters(std::vector<EngineCommand>& commands, base::TimePoint now);
-  bool planAdapter(const TargetKey& key, std::vector<EngineCommand>& commands, base::TimePoint now);
-  /// Orders the adapter that was not asked for longest to go.
-  bool evictAdapter(Engine& engine, std::vector<EngineCommand>& commands, base::TimePoint now);
-  /// What must make way for a model; none when it cannot be done.
-  [[nodiscard]] std::optional<Victims> victimsFor(const Engine& engine,
-                                                  const config::EngineSpec& spec,
-                                                  const config::EngineModel& model,
-                                                  base::TimePoint now) const;
-  /// What losing a model here costs; none when it must stay.
-  [[nodiscard]] std::optional<double> costOfLosing(const Engine& engine, const std::string& model,
-                                                   base::TimePoint now) const;
-  [[nodiscard]] bool mayLoadFromStore(const std::string& service, base::TimePoint now);
-  /// What to order, and why.
-  struct Intention {
-    bool isLoad = true;
-    std::string model;
-    std::string adapter;
-    std::string reason;
-  };
-  void send(Engine& engine, const Intention& intention, std::vector<EngineCommand>& commands,
-            base::TimePoint now);
-
-  // What answers and reports change.
-  void take(Engine& engine, const EngineHoldings& holdings, base::TimePoint now);
-  static void noteUnderWay(Engine& engine, PendingOrder pending, base::TimePoint now);
-  static void noteDone(Engine& engine, const engine::ServiceOrder& order, base::TimePoint now);
-
-  EnginePlacementOptions options_;
-  std::uint64_t servicesVersion_ = 0;
-  config::ServiceCatalogue catalogue_;  ///< Services only.
-  std::map<std::string, Engine> engines_;
-  std::map<TargetKey, TargetDemand> demands_;
-  std::deque<base::TimePoint> storeLoads_;  ///< When loads from the store were ordered.
-  std::map<std::string, base::TimePoint> replicaAddedAt_;  ///< By model.
+    /// What routers may be told that the engine holds; without what is about to be unloaded. None
+    /// for an engine that is not known or has not told yet.
+    [[nodiscard]] std::optional<std::vector<cell::HeldModel>> routableModels (
+        const std::string& instance, base::TimePoint now) const;
+
+private:
+    /// An order that is under way at an engine, or may be.
+    struct PendingOrder
+    {
+        engine::ServiceOrder order;
+        base::TimePoint sentAt{};
+        bool isFromStore = false;  ///< A load that takes from the weight store's rate.
+    };
+
+    struct HeldState
+    {
+        std::uint64_t version = 0;
+        std::set<std::string> adapters;
+        base::TimePoint confirmedAt{};  ///< When it was last told or done.
+    };
+
+    struct Engine
+    {
+        std::string id;
+        std::string address;
+        std::string service;
+        bool isUsable = false;                  ///< Takes requests and orders.
+        base::TimePoint ordersFrom{};           ///< No order goes out before.
+        bool isPaused = true;                   ///< That time has not come.
+        bool hasTold = false;                   ///< A heartbeat or report has come.
+        std::optional<std::uint64_t> sequence;  ///< Orders it has taken, as far as is known.
+        std::map<std::string, HeldState> models;
+        std::set<std::string> inMemory;
+        std::set<std::string> onDisk;
+        std::optional<PendingOrder> unanswered;  ///< One at a time.
+        std::optional<PendingOrder> modelOrder;  ///< Taken, for a model, not finished.
+        std::optional<PendingOrder> doubtful;    ///< Perhaps taken; the next report tells.
+        std::map<std::string, base::TimePoint> adaptersDue;  ///< MODEL/ADAPTER; held from then on.
+        std::string reservedFor;          ///< Model that is to be loaded after unloads.
+        std::set<std::string> withdrawn;  ///< Models that routers no longer are told of.
+        base::TimePoint withdrawnAt{};
+        bool isPolled = false;
+        base::TimePoint pollAt{};
+    };
+
+    struct TargetKey
+    {
+        std::string service;
+        std::string model;
+        std::string adapter;
+        auto operator<=> (const TargetKey&) const = default;  // NOLINT(modernize-use-nullptr)
+    };
+
+    struct TargetDemand
+    {
+        std::map<std::uint64_t, cell::EngineDemand> byRouter;
+        base::TimePoint askedAt{};  ///< Last time that anybody asked for it.
+        double arrivals = 0;        ///< Decaying count, as of `countedAt`.
+        base::TimePoint countedAt{};
+    };
+
+    /// Requests for a model with all its adapters.
+    struct ModelDemand
+    {
+        std::uint32_t waiting = 0;
+        std::uint32_t running = 0;
+        base::TimePoint askedAt{};  ///< Zero: never.
+        double perSecond = 0;       ///< Requests that arrive.
+    };
+
+    /// Models of an engine that make way, and what losing them costs in seconds of waiting.
+    struct Victims
+    {
+        std::vector<std::string> models;
+        double cost = 0;
+    };
+
+    // Views of demand and holdings.
+    [[nodiscard]] static double decayedArrivals (const TargetDemand& target, base::TimePoint now);
+    [[nodiscard]] std::uint32_t waitingFor (const TargetKey& key) const;
+    [[nodiscard]] ModelDemand demandFor (const std::string& service, const std::string& model,
+                                         base::TimePoint now) const;
+    /// Replicas that the demand asks for.
+    [[nodiscard]] static std::size_t wantedReplicas (const ModelDemand& demand);
+    [[nodiscard]] std::size_t holdersOf (const std::string& service,
+                                         const std::string& model) const;
+    [[nodiscard]] bool isModelOnItsWay (const std::string& service, const std::string& model) const;
+    [[nodiscard]] const config::EngineSpec* specOf (const Engine& engine) const;
+    /// Memory of models that are held or may be, without adapters.
+    [[nodiscard]] static double usedMemory (const Engine& engine, const config::EngineSpec& spec);
+    /// Memory kept free for adapters in all places.
+    [[nodiscard]] static double adapterReserve (const config::EngineSpec& spec);
+    /// Adapters that are held or on their way, as MODEL/ADAPTER.
+    [[nodiscard]] static std::set<std::string> adaptersOf (const Engine& engine);
+    [[nodiscard]] static bool mayTakeOrder (const Engine& engine);
+    /// Loads that the weight store serves at once at full speed, as its rate implies.
+    [[nodiscard]] static double concurrentLoads (const config::EngineSpec& spec);
+    [[nodiscard]] static bool isLocal (const Engine& engine, const std::string& model);
+    [[nodiscard]] static bool isUnloading (const Engine& engine, const std::string& model);
+    [[nodiscard]] static double loadSeconds (const Engine& engine,
+                                             const config::EngineModel& model);
+
+    /// What a load costs those who want adapters of models that the engine holds.
+    [[nodiscard]] double adapterTrouble (const Engine& engine, const config::EngineSpec& spec,
+                                         base::TimePoint now) const;
+
+    /// A model that should be loaded once more.
+    struct ModelNeed
+    {
+        TargetKey key;
+        bool isMissing = false;  ///< Nobody holds it and requests wait.
+        double requestsForReplica = 0;
+    };
+    /// What should be loaded, the most pressing first.
+    [[nodiscard]] std::vector<ModelNeed> modelNeeds (base::TimePoint now) const;
+
+    // Steps of a decision.
+    void pollWhereNeeded (std::vector<EngineCommand>& commands, base::TimePoint now);
+    void endPauses (base::TimePoint now);
+    void expireOrders (base::TimePoint now);
+    void continuePlans (std::vector<EngineCommand>& commands, base::TimePoint now);
+    void continuePlan (Engine& engine, const config::EngineSpec& spec,
+                       const config::EngineModel& model, std::vector<EngineCommand>& commands,
+                       base::TimePoint now);
+    static void dropPlan (Engine& engine);
+    void planModels (std::vector<EngineCommand>& commands, base::TimePoint now);
+    /// Whether so many ask for a model that it should be held once more.
+    [[nodiscard]] bool isCrowded (const TargetKey& key, const ModelDemand& demand,
+                                  std::size_t holders, base::TimePoint now) const;
+    /// Reserves an engine for the model unless that costs more than `highestCost`; false when none
+    /// can take it now.
+    bool planModel (const TargetKey& key, double highestCost, base::TimePoint now);
+    /// Loads models that nobody holds from engines' own copies into memory that is free.
+    void fillFreeMemory (std::vector<EngineCommand>& commands, base::TimePoint now);
+    [[nodiscard]] const config::EngineModel* modelToFillWith (const Engine& engine,
+                                                              const config::EngineSpec& spec) const;
+    void planAdapters (std::vector<EngineCommand>& commands, base::TimePoint now);
+    bool planAdapter (const TargetKey& key, std::vector<EngineCommand>& commands,
+                      base::TimePoint now);
+    /// Orders the adapter that was not asked for longest to go.
+    bool evictAdapter (Engine& engine, std::vector<EngineCommand>& commands, base::TimePoint now);
+    /// What must make way for a model; none when it cannot be done.
+    [[nodiscard]] std::optional<Victims> victimsFor (const Engine& engine,
+                                                     const config::EngineSpec& spec,
+                                                     const config::EngineModel& model,
+                                                     base::TimePoint now) const;
+    /// What losing a model here costs; none when it must stay.
+    [[nodiscard]] std::optional<double> costOfLosing (const Engine& engine,
+                                                      const std::string& model,
+                                                      base::TimePoint now) const;
+    [[nodiscard]] bool mayLoadFromStore (const std::string& service, base::TimePoint now);
+    /// What to order, and why.
+    struct Intention
+    {
+        bool isLoad = true;
+        std::string model;
+        std::string adapter;
+        std::string reason;
+    };
+    void send (Engine& engine, const Intention& intention, std::vector<EngineCommand>& commands,
+               base::TimePoint now);
+
+    // What answers and reports change.
+    void take (Engine& engine, const EngineHoldings& holdings, base::TimePoint now);
+    static void noteUnderWay (Engine& engine, PendingOrder pending, base::TimePoint now);
+    static void noteDone (Engine& engine, const engine::ServiceOrder& order, base::TimePoint now);
+
+    EnginePlacementOptions options_;
+    std::uint64_t servicesVersion_ = 0;
+    config::ServiceCatalogue catalogue_;  ///< Services only.
+    std::map<std::string, Engine> engines_;
+    std::map<TargetKey, TargetDemand> demands_;
+    std::deque<base::TimePoint> storeLoads_;  ///< When loads from the store were ordered.
+    std::map<std::string, base::TimePoint> replicaAddedAt_;  ///< By model.
 };
 
 }  // namespace fernlift::placement
--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -7,23 +7,24 @@
 
 #include "base/Time.h"
 
-namespace fernlift::placement {
+namespace fernlift::placement
+{
 
 /// A report or heartbeat shows an engine as it was up to this long ago.
-constexpr base::Duration kReportAge = base::milliseconds(350);
+constexpr base::Duration kReportAge = base::milliseconds (350);
 /// What an order has changed is believed for this long against reports that do not show it.
-constexpr base::Duration kHoldingsAge = base::seconds(4);
-constexpr base::Duration kPollPause = base::milliseconds(500);
+constexpr base::Duration kHoldingsAge = base::seconds (4);
+constexpr base::Duration kPollPause = base::milliseconds (500);
 /// An order without an answer is in doubt after this.
-constexpr base::Duration kOrderTimeout = base::milliseconds(500);
+constexpr base::Duration kOrderTimeout = base::milliseconds (500);
 /// An order for a model that is not seen to be done by then is asked after.
-constexpr base::Duration kLatestModelOrder = base::seconds(6);
+constexpr base::Duration kLatestModelOrder = base::seconds (6);
 /// Time for an adapter to come.
-constexpr base::Duration kAdapterLoadTime = base::milliseconds(30);
+constexpr base::Duration kAdapterLoadTime = base::milliseconds (30);
 /// Time for all routers to hear that a model is going to be unloaded.
-constexpr base::Duration kWithdrawalTime = base::milliseconds(60);
+constexpr base::Duration kWithdrawalTime = base::milliseconds (60);
 /// A model that was asked for within this time stays unless another engine holds it too.
-constexpr base::Duration kRecentUse = base::milliseconds(1500);
+constexpr base::Duration kRecentUse = base::milliseconds (1500);
 /// More requests for each replica than this ask for another one: prompts are read one after the
 /// other, long before an engine's slots are taken.
 constexpr std::uint32_t kCrowdedRequests = 4;
@@ -32,6 +33,6 @@
 constexpr std::size_t kMostReplicasByRate = 3;
 /// The rate of requests is that of about the last so many seconds.
 constexpr double kRateMemorySeconds = 4.0;
-constexpr base::Duration kReplicaPause = base::seconds(1);
+constexpr base::Duration kReplicaPause = base::seconds (1);
 
 }  // namespace fernlift::placement
--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -3,266 +3,304 @@
 #include "placement/EnginePlacement.h"
 #include "placement/EnginePlacementFigures.h"
 
-namespace fernlift::placement {
-namespace {
+namespace fernlift::placement
+{
+namespace
+{
 
-constexpr base::TimePoint kStart{base::seconds(100)};
-constexpr base::TimePoint kLate{base::seconds(200)};
+constexpr base::TimePoint kStart{ base::seconds (100) };
+constexpr base::TimePoint kLate{ base::seconds (200) };
 constexpr double kModelMemory = 40;
 
-class EnginePlacementTest : public ::testing::Test {
- protected:
-  EnginePlacementTest()
-      : placement_({"c1",
-                    7,
-                    [](const std::string& id) { return id == "e-late" ? kLate : kStart; },
-                    {},
-                    1.0,
-                    base::seconds(5)}) {
-    config::Service service;
-    service.name = "llm";
-    service.engine.emplace();
-    service.engine->memoryMb = 100;  // Two models.
-    service.engine->slots = 8;
-    service.engine->adapterSlots = 2;
-    service.engine->loadsPerSecond = 4;
-    for (int number = 1; number <= 30; ++number) {
-      config::EngineModel model;
-      model.name = "m" + std::to_string(number);
-      model.memoryMb = kModelMemory;
-      model.loadTime = base::seconds(1);
-      model.diskLoadTime = base::milliseconds(300);
-      model.adapters = 4;
-      service.engine->models.push_back(model);
+class EnginePlacementTest : public ::testing::Test
+{
+protected:
+    EnginePlacementTest()
+        : placement_ ({ "c1",
+                        7,
+                        [] (const std::string& id) { return id == "e-late" ? kLate : kStart; },
+                        {},
+                        1.0,
+                        base::seconds (5) })
+    {
+        config::Service service;
+        service.name = "llm";
+        service.engine.emplace();
+        service.engine->memoryMb = 100;  // Two models.
+        service.engine->slots = 8;
+        service.engine->adapterSlots = 2;
+        service.engine->loadsPerSecond = 4;
+        for (int number = 1; number <= 30; ++number)
+        {
+            config::EngineModel model;
+            model.name = "m" + std::to_string (number);
+            model.memoryMb = kModelMemory;
+            model.loadTime = base::seconds (1);
+            model.diskLoadTime = base::milliseconds (300);
+            model.adapters = 4;
+            service.engine->models.push_back (model);
+        }
+        placement_.setServices (1, { service });
     }
-    placement_.setServices(1, {service});
-  }
 
-  /// Registers an engine that has told what it holds, and answers the call for its report.
-  void addEngine(const std::string& id, const std::vector<std::string>& models) {
-    cell::RoutableInstance row;
-    row.instance.id = id;
-    row.instance.service = "llm";
-    row.instance.address = id + ":80";
-    rows_[id] = row;
-    placement_.refresh(rows_, now_);
-    hear(id, models);
-    report(id, models, 0);
-  }
-  void hear(const std::string& id, const std::vector<std::string>& models,
-            const std::set<std::string>& onDisk = {}) {
-    EngineHoldings holdings;
-    for (const std::string& model : models) holdings.models.push_back({model, 1, {}});
-    holdings.onDisk = onDisk;
-    placement_.onHeartbeat(id, holdings, now_);
-  }
-  void report(const std::string& id, const std::vector<std::string>& models, std::uint64_t sequence,
-              bool isBusy = false) {
-    engine::ServiceReport report;
-    for (const std::string& model : models) report.models.push_back({model, 1, {}});
-    report.sequence = sequence;
-    report.isBusy = isBusy;
-    placement_.onReport(id, report, now_);
-  }
-  void demand(const std::string& model, std::uint32_t waiting, std::uint32_t running = 0,
-              const std::string& adapter = "") {
-    placement_.onDemand(1, {{"llm", model, adapter, waiting, running, waiting}}, now_);
-  }
-  /// Orders that go out now.
-  std::vector<engine::ServiceOrder> orders() {
-    std::vector<engine::ServiceOrder> found;
-    for (const EngineCommand& command : placement_.decide(now_)) {
-      if (const auto* order = std::get_if<SendEngineOrder>(&command)) found.push_back(order->order);
+    /// Registers an engine that has told what it holds, and answers the call for its report.
+    void addEngine (const std::string& id, const std::vector<std::string>& models)
+    {
+        cell::RoutableInstance row;
+        row.instance.id = id;
+        row.instance.service = "llm";
+        row.instance.address = id + ":80";
+        rows_[id] = row;
+        placement_.refresh (rows_, now_);
+        hear (id, models);
+        report (id, models, 0);
+    }
+    void hear (const std::string& id, const std::vector<std::string>& models,
+               const std::set<std::string>& onDisk = {})
+    {
+        EngineHoldings holdings;
+        for (const std::string& model : models)
+            holdings.models.push_back ({ model, 1, {} });
+        holdings.onDisk = onDisk;
+        placement_.onHeartbeat (id, holdings, now_);
+    }
+    void report (const std::string& id, const std::vector<std::string>& models,
+                 std::uint64_t sequence, bool isBusy = false)
+    {
+        engine::ServiceReport report;
+        for (const std::string& model : models)
+            report.models.push_back ({ model, 1, {} });
+        report.sequence = sequence;
+        report.isBusy = isBusy;
+        placement_.onReport (id, report, now_);
+    }
+    void demand (const std::string& model, std::uint32_t waiting, std::uint32_t running = 0,
+                 const std::string& adapter = "")
+    {
+        placement_.onDemand (1, { { "llm", model, adapter, waiting, running, waiting } }, now_);
+    }
+    /// Orders that go out now.
+    std::vector<engine::ServiceOrder> orders()
+    {
+        std::vector<engine::ServiceOrder> found;
+        for (const EngineCommand& command : placement_.decide (now_))
+        {
+            if (const auto* order = std::get_if<SendEngineOrder> (&command))
+                found.push_back (order->order);
+        }
+        return found;
     }
-    return found;
-  }
-  bool polls(const std::string& id) {
-    for (const EngineCommand& command : placement_.decide(now_)) {
-      const auto* poll = std::get_if<PollEngine>(&command);
-      if (poll != nullptr && poll->instance == id) return true;
+    bool polls (const std::string& id)
+    {
+        for (const EngineCommand& command : placement_.decide (now_))
+        {
+            const auto* poll = std::get_if<PollEngine> (&command);
+            if (poll != nullptr && poll->instance == id)
+                return true;
+        }
+        return false;
     }
-    return false;
-  }
-  void answer(const engine::ServiceOrder& order, engine::OrderOutcome outcome) {
-    placement_.onOrderAnswer(order, outcome, now_);
-  }
-  void wait(base::Duration duration) { now_ += duration; }
+    void answer (const engine::ServiceOrder& order, engine::OrderOutcome outcome)
+    {
+        placement_.onOrderAnswer (order, outcome, now_);
+    }
+    void wait (base::Duration duration) { now_ += duration; }
 
-  EnginePlacement placement_;
-  std::map<std::string, cell::RoutableInstance> rows_;
-  base::TimePoint now_ = kStart + base::seconds(10);
+    EnginePlacement placement_;
+    std::map<std::string, cell::RoutableInstance> rows_;
+    base::TimePoint now_ = kStart + base::seconds (10);
 };
 
-TEST_F(EnginePlacementTest, NothingIsOrderedBeforeThePauseIsOver) {
-  now_ = kStart - base::milliseconds(1);
-  addEngine("e1", {"m1"});
-  demand("m2", 1);
-  EXPECT_TRUE(orders().empty());
-  now_ = kStart;
-  EXPECT_EQ(orders().size(), 1U);
+TEST_F (EnginePlacementTest, NothingIsOrderedBeforeThePauseIsOver)
+{
+    now_ = kStart - base::milliseconds (1);
+    addEngine ("e1", { "m1" });
+    demand ("m2", 1);
+    EXPECT_TRUE (orders().empty());
+    now_ = kStart;
+    EXPECT_EQ (orders().size(), 1U);
 }
 
-TEST_F(EnginePlacementTest, ThePauseIsThatOfEachEngine) {
-  addEngine("e-late", {});
-  demand("m2", 1);
-  EXPECT_TRUE(orders().empty());
-  addEngine("e1", {"m1"});
-  const auto sent = orders();
-  ASSERT_EQ(sent.size(), 1U);
-  EXPECT_EQ(sent[0].instance, "e1");
+TEST_F (EnginePlacementTest, ThePauseIsThatOfEachEngine)
+{
+    addEngine ("e-late", {});
+    demand ("m2", 1);
+    EXPECT_TRUE (orders().empty());
+    addEngine ("e1", { "m1" });
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    EXPECT_EQ (sent[0].instance, "e1");
 }
 
-TEST_F(EnginePlacementTest, AnEngineWhoseSequenceIsNotKnownIsAskedFirst) {
-  cell::RoutableInstance row;
-  row.instance = {"e1", "llm", "e1:80", "z", 8, false, false, {}};
-  rows_["e1"] = row;
-  placement_.refresh(rows_, now_);
-  hear("e1", {"m1"});
-  demand("m2", 1);
-  EXPECT_TRUE(polls("e1"));
-  EXPECT_TRUE(orders().empty());
-  report("e1", {"m1"}, 5);
-  const auto sent = orders();
-  ASSERT_EQ(sent.size(), 1U);
-  EXPECT_EQ(sent[0].expectedSequence, 5U);
-  EXPECT_EQ(sent[0].fence, 7U);
+TEST_F (EnginePlacementTest, AnEngineWhoseSequenceIsNotKnownIsAskedFirst)
+{
+    cell::RoutableInstance row;
+    row.instance = { "e1", "llm", "e1:80", "z", 8, false, false, {} };
+    rows_["e1"] = row;
+    placement_.refresh (rows_, now_);
+    hear ("e1", { "m1" });
+    demand ("m2", 1);
+    EXPECT_TRUE (polls ("e1"));
+    EXPECT_TRUE (orders().empty());
+    report ("e1", { "m1" }, 5);
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    EXPECT_EQ (sent[0].expectedSequence, 5U);
+    EXPECT_EQ (sent[0].fence, 7U);
 }
 
-TEST_F(EnginePlacementTest, OneOrderAtATimeAndNoneWhileAModelLoads) {
-  addEngine("e1", {"m1"});
-  demand("m2", 1);
-  const auto sent = orders();
-  ASSERT_EQ(sent.size(), 1U);
-  demand("m1", 1, 0, "a1");
-  EXPECT_TRUE(orders().empty());
-  answer(sent[0], engine::OrderOutcome::kUnderWay);
-  EXPECT_TRUE(orders().empty());
-  hear("e1", {"m1", "m2"});
-  const auto next = orders();
-  ASSERT_EQ(next.size(), 1U);
-  EXPECT_EQ(next[0].adapter, "a1");
-  EXPECT_EQ(next[0].expectedSequence, 1U);
+TEST_F (EnginePlacementTest, OneOrderAtATimeAndNoneWhileAModelLoads)
+{
+    addEngine ("e1", { "m1" });
+    demand ("m2", 1);
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    demand ("m1", 1, 0, "a1");
+    EXPECT_TRUE (orders().empty());
+    answer (sent[0], engine::OrderOutcome::kUnderWay);
+    EXPECT_TRUE (orders().empty());
+    hear ("e1", { "m1", "m2" });
+    const auto next = orders();
+    ASSERT_EQ (next.size(), 1U);
+    EXPECT_EQ (next[0].adapter, "a1");
+    EXPECT_EQ (next[0].expectedSequence, 1U);
 }
 
-TEST_F(EnginePlacementTest, MemoryIsNeverOvercommitted) {
-  addEngine("e1", {"m1", "m2"});
-  wait(base::seconds(30));
-  hear("e1", {"m1", "m2"});
-  demand("m3", 1);
-  EXPECT_TRUE(orders().empty());  // Routers hear of the withdrawal first.
-  const auto held = placement_.routableModels("e1", now_);
-  ASSERT_TRUE(held);
-  EXPECT_EQ(held->size(), 1U);
-  wait(kWithdrawalTime);
-  const auto unload = orders();
-  ASSERT_EQ(unload.size(), 1U);
-  EXPECT_FALSE(unload[0].isLoad);
-  answer(unload[0], engine::OrderOutcome::kUnderWay);
-  EXPECT_TRUE(orders().empty());  // Still held.
-  hear("e1", {unload[0].model == "m1" ? "m2" : "m1"});
-  const auto load = orders();
-  ASSERT_EQ(load.size(), 1U);
-  EXPECT_TRUE(load[0].isLoad);
-  EXPECT_EQ(load[0].model, "m3");
+TEST_F (EnginePlacementTest, MemoryIsNeverOvercommitted)
+{
+    addEngine ("e1", { "m1", "m2" });
+    wait (base::seconds (30));
+    hear ("e1", { "m1", "m2" });
+    demand ("m3", 1);
+    EXPECT_TRUE (orders().empty());  // Routers hear of the withdrawal first.
+    const auto held = placement_.routableModels ("e1", now_);
+    ASSERT_TRUE (held);
+    EXPECT_EQ (held->size(), 1U);
+    wait (kWithdrawalTime);
+    const auto unload = orders();
+    ASSERT_EQ (unload.size(), 1U);
+    EXPECT_FALSE (unload[0].isLoad);
+    answer (unload[0], engine::OrderOutcome::kUnderWay);
+    EXPECT_TRUE (orders().empty());  // Still held.
+    hear ("e1", { unload[0].model == "m1" ? "m2" : "m1" });
+    const auto load = orders();
+    ASSERT_EQ (load.size(), 1U);
+    EXPECT_TRUE (load[0].isLoad);
+    EXPECT_EQ (load[0].model, "m3");
 }
 
-TEST_F(EnginePlacementTest, AModelInUseDoesNotMakeWay) {
-  addEngine("e1", {"m1", "m2"});
-  demand("m1", 0, 1);
-  placement_.onDemand(2, {{"llm", "m2", "", 0, 1, 1}}, now_);
-  demand("m3", 1);
-  wait(kWithdrawalTime);
-  EXPECT_TRUE(orders().empty());
+TEST_F (EnginePlacementTest, AModelInUseDoesNotMakeWay)
+{
+    addEngine ("e1", { "m1", "m2" });
+    demand ("m1", 0, 1);
+    placement_.onDemand (2, { { "llm", "m2", "", 0, 1, 1 } }, now_);
+    demand ("m3", 1);
+    wait (kWithdrawalTime);
+    EXPECT_TRUE (orders().empty());
 }
 
-TEST_F(EnginePlacementTest, AnUnansweredOrderIsReservedUntilAReportClearsIt) {
-  addEngine("e1", {"m1"});
-  demand("m2", 1);
-  const auto sent = orders();
-  ASSERT_EQ(sent.size(), 1U);
-  answer(sent[0], engine::OrderOutcome::kUnknown);
-  EXPECT_TRUE(orders().empty());
-  wait(kReportAge);
-  EXPECT_TRUE(polls("e1"));
-  report("e1", {"m1"}, 0);  // Not taken so far.
-  const auto again = orders();
-  ASSERT_EQ(again.size(), 1U);
-  EXPECT_EQ(again[0].expectedSequence, 0U);  // A late one then finds another sequence.
+TEST_F (EnginePlacementTest, AnUnansweredOrderIsReservedUntilAReportClearsIt)
+{
+    addEngine ("e1", { "m1" });
+    demand ("m2", 1);
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    answer (sent[0], engine::OrderOutcome::kUnknown);
+    EXPECT_TRUE (orders().empty());
+    wait (kReportAge);
+    EXPECT_TRUE (polls ("e1"));
+    report ("e1", { "m1" }, 0);  // Not taken so far.
+    const auto again = orders();
+    ASSERT_EQ (again.size(), 1U);
+    EXPECT_EQ (again[0].expectedSequence, 0U);  // A late one then finds another sequence.
 }
 
-TEST_F(EnginePlacementTest, AnUnansweredOrderThatWasTakenIsAwaited) {
-  addEngine("e1", {"m1"});
-  demand("m2", 1);
-  const auto sent = orders();
-  answer(sent.at(0), engine::OrderOutcome::kUnknown);
-  wait(kReportAge);
-  EXPECT_TRUE(polls("e1"));
-  report("e1", {"m1"}, 1, true);
-  EXPECT_TRUE(orders().empty());
-  hear("e1", {"m1", "m2"});
-  EXPECT_TRUE(orders().empty());
+TEST_F (EnginePlacementTest, AnUnansweredOrderThatWasTakenIsAwaited)
+{
+    addEngine ("e1", { "m1" });
+    demand ("m2", 1);
+    const auto sent = orders();
+    answer (sent.at (0), engine::OrderOutcome::kUnknown);
+    wait (kReportAge);
+    EXPECT_TRUE (polls ("e1"));
+    report ("e1", { "m1" }, 1, true);
+    EXPECT_TRUE (orders().empty());
+    hear ("e1", { "m1", "m2" });
+    EXPECT_TRUE (orders().empty());
 }
 
-TEST_F(EnginePlacementTest, LoadsFromTheStoreStayBelowItsRate) {
-  for (int number = 1; number <= 30; ++number) addEngine("e" + std::to_string(number), {});
-  for (int number = 1; number <= 30; ++number) demand("m" + std::to_string(number), 1);
-  std::size_t loads = 0;
-  for (int round = 0; round < 50; ++round) {
-    for (const auto& order : orders()) {
-      ++loads;
-      answer(order, engine::OrderOutcome::kUnderWay);
-      hear(order.instance, {order.model});  // Done at once: only the rate holds back.
+TEST_F (EnginePlacementTest, LoadsFromTheStoreStayBelowItsRate)
+{
+    for (int number = 1; number <= 30; ++number)
+        addEngine ("e" + std::to_string (number), {});
+    for (int number = 1; number <= 30; ++number)
+        demand ("m" + std::to_string (number), 1);
+    std::size_t loads = 0;
+    for (int round = 0; round < 50; ++round)
+    {
+        for (const auto& order : orders())
+        {
+            ++loads;
+            answer (order, engine::OrderOutcome::kUnderWay);
+            hear (order.instance, { order.model });  // Done at once: only the rate holds back.
+        }
+        wait (base::milliseconds (90));
     }
-    wait(base::milliseconds(90));
-  }
-  EXPECT_LE(loads, 20U);  // 4 a second in 4.5 s, and none of an earlier leader.
-  EXPECT_GE(loads, 15U);
+    EXPECT_LE (loads, 20U);  // 4 a second in 4.5 s, and none of an earlier leader.
+    EXPECT_GE (loads, 15U);
 }
 
-TEST_F(EnginePlacementTest, LoadsFromAnEnginesOwnDiskAreNotBoundByTheStore) {
-  for (int number = 1; number <= 30; ++number) {
-    const std::string id = "e" + std::to_string(number);
-    addEngine(id, {});
-    hear(id, {}, {"m" + std::to_string(number)});
-  }
-  EXPECT_EQ(orders().size(), 30U);  // Free memory is filled with what nobody holds.
+TEST_F (EnginePlacementTest, LoadsFromAnEnginesOwnDiskAreNotBoundByTheStore)
+{
+    for (int number = 1; number <= 30; ++number)
+    {
+        const std::string id = "e" + std::to_string (number);
+        addEngine (id, {});
+        hear (id, {}, { "m" + std::to_string (number) });
+    }
+    EXPECT_EQ (orders().size(), 30U);  // Free memory is filled with what nobody holds.
 }
 
-TEST_F(EnginePlacementTest, ACrowdedModelIsHeldOnceMore) {
-  addEngine("e1", {"m1"});
-  addEngine("e2", {"m2"});
-  demand("m1", 0, kCrowdedRequests + 1);
-  const auto sent = orders();
-  ASSERT_EQ(sent.size(), 1U);
-  EXPECT_EQ(sent[0].instance, "e2");
-  EXPECT_EQ(sent[0].model, "m1");
+TEST_F (EnginePlacementTest, ACrowdedModelIsHeldOnceMore)
+{
+    addEngine ("e1", { "m1" });
+    addEngine ("e2", { "m2" });
+    demand ("m1", 0, kCrowdedRequests + 1);
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    EXPECT_EQ (sent[0].instance, "e2");
+    EXPECT_EQ (sent[0].model, "m1");
 }
 
-TEST_F(EnginePlacementTest, TheAdapterThatWasNotAskedForLongestMakesWay) {
-  addEngine("e1", {"m1"});
-  for (const char* adapter : {"a1", "a2"}) {
-    demand("m1", 1, 0, adapter);
-    for (const auto& order : orders()) answer(order, engine::OrderOutcome::kUnderWay);
-    placement_.onDemand(1, {{"llm", "m1", adapter, 0, 0, 0}}, now_);
-    wait(base::seconds(1));
-  }
-  demand("m1", 1, 0, "a3");
-  const auto unload = orders();
-  ASSERT_EQ(unload.size(), 1U);
-  EXPECT_FALSE(unload[0].isLoad);
-  EXPECT_EQ(unload[0].adapter, "a1");
-  answer(unload[0], engine::OrderOutcome::kAlreadyHolds);
-  const auto load = orders();
-  ASSERT_EQ(load.size(), 1U);
-  EXPECT_EQ(load[0].adapter, "a3");
+TEST_F (EnginePlacementTest, TheAdapterThatWasNotAskedForLongestMakesWay)
+{
+    addEngine ("e1", { "m1" });
+    for (const char* adapter : { "a1", "a2" })
+    {
+        demand ("m1", 1, 0, adapter);
+        for (const auto& order : orders())
+            answer (order, engine::OrderOutcome::kUnderWay);
+        placement_.onDemand (1, { { "llm", "m1", adapter, 0, 0, 0 } }, now_);
+        wait (base::seconds (1));
+    }
+    demand ("m1", 1, 0, "a3");
+    const auto unload = orders();
+    ASSERT_EQ (unload.size(), 1U);
+    EXPECT_FALSE (unload[0].isLoad);
+    EXPECT_EQ (unload[0].adapter, "a1");
+    answer (unload[0], engine::OrderOutcome::kAlreadyHolds);
+    const auto load = orders();
+    ASSERT_EQ (load.size(), 1U);
+    EXPECT_EQ (load[0].adapter, "a3");
 }
 
-TEST_F(EnginePlacementTest, ADrainingEngineGetsNoOrders) {
-  addEngine("e1", {"m1"});
-  rows_["e1"].instance.isDraining = true;
-  placement_.refresh(rows_, now_);
-  demand("m2", 1);
-  EXPECT_TRUE(orders().empty());
+TEST_F (EnginePlacementTest, ADrainingEngineGetsNoOrders)
+{
+    addEngine ("e1", { "m1" });
+    rows_["e1"].instance.isDraining = true;
+    placement_.refresh (rows_, now_);
+    demand ("m2", 1);
+    EXPECT_TRUE (orders().empty());
 }
 
 }  // namespace
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -7,8 +7,10 @@
 #include "placement/EnginePlacement.h"
 #include "placement/EnginePlacementFigures.h"
 
-namespace fernlift::placement {
-namespace {
+namespace fernlift::placement
+{
+namespace
+{
 
 constexpr const char* kAdapterMakesWay = "not asked for longest";
 // Costs are in seconds of a request that waits.
@@ -21,229 +23,296 @@
 constexpr double kLastReplicaCost = 4.0;
 constexpr double kCheapestLastReplicaCost = 0.3;
 constexpr double kAdapterTroubleCost = 4.0;
-constexpr base::Duration kAdapterUse = base::seconds(10);
+constexpr base::Duration kAdapterUse = base::seconds (10);
 /// Seconds of silence after which the last replica of a model is worth the least.
 constexpr double kForgottenAfter = 20.0;
 
-double secondsOf(base::Duration duration) {
-  return std::chrono::duration<double>(duration).count();
+double secondsOf (base::Duration duration)
+{
+    return std::chrono::duration<double> (duration).count();
 }
 
 }  // namespace
 
-void EnginePlacement::planModels(std::vector<EngineCommand>& commands, base::TimePoint now) {
-  for (const ModelNeed& need : modelNeeds(now)) {
-    const double highestCost = need.isMissing ? kAnyCost : kHighestReplicaCost;
-    if (!planModel(need.key, highestCost, now)) continue;
-    if (!need.isMissing) replicaAddedAt_[need.key.model] = now;
-  }
-  continuePlans(commands, now);
+void EnginePlacement::planModels (std::vector<EngineCommand>& commands, base::TimePoint now)
+{
+    for (const ModelNeed& need : modelNeeds (now))
+    {
+        const double highestCost = need.isMissing ? kAnyCost : kHighestReplicaCost;
+        if (! planModel (need.key, highestCost, now))
+            continue;
+        if (! need.isMissing)
+            replicaAddedAt_[need.key.model] = now;
+    }
+    continuePlans (commands, now);
 }
 
-std::vector<EnginePlacement::ModelNeed> EnginePlacement::modelNeeds(base::TimePoint now) const {
-  std::vector<ModelNeed> needs;
-  std::set<std::pair<std::string, std::string>> seen;
-  for (const auto& [key, target] : demands_) {
-    if (!seen.emplace(key.service, key.model).second) continue;
-    const ModelDemand demand = demandFor(key.service, key.model, now);
-    const std::size_t holders = holdersOf(key.service, key.model);
-    const bool isMissing = holders == 0 && demand.waiting > 0;
-    if (!isMissing && !isCrowded(key, demand, holders, now)) continue;
-    if (isModelOnItsWay(key.service, key.model)) continue;
-    const double requests = demand.waiting + demand.running + demand.perSecond;
-    needs.push_back({key, isMissing, requests / static_cast<double>(holders + 1)});
-  }
-  std::ranges::stable_sort(needs, std::greater<>(), &ModelNeed::requestsForReplica);
-  return needs;
+std::vector<EnginePlacement::ModelNeed> EnginePlacement::modelNeeds (base::TimePoint now) const
+{
+    std::vector<ModelNeed> needs;
+    std::set<std::pair<std::string, std::string>> seen;
+    for (const auto& [key, target] : demands_)
+    {
+        if (! seen.emplace (key.service, key.model).second)
+            continue;
+        const ModelDemand demand = demandFor (key.service, key.model, now);
+        const std::size_t holders = holdersOf (key.service, key.model);
+        const bool isMissing = holders == 0 && demand.waiting > 0;
+        if (! isMissing && ! isCrowded (key, demand, holders, now))
+            continue;
+        if (isModelOnItsWay (key.service, key.model))
+            continue;
+        const double requests = demand.waiting + demand.running + demand.perSecond;
+        needs.push_back ({ key, isMissing, requests / static_cast<double> (holders + 1) });
+    }
+    std::ranges::stable_sort (needs, std::greater<>(), &ModelNeed::requestsForReplica);
+    return needs;
 }
 
-bool EnginePlacement::isCrowded(const TargetKey& key, const ModelDemand& demand,
-                                std::size_t holders, base::TimePoint now) const {
-  const config::Service* service = catalogue_.findService(key.service);
-  if (holders == 0 || service == nullptr || !service->engine) return false;
-  const auto added = replicaAddedAt_.find(key.model);
-  if (added != replicaAddedAt_.end() && now - added->second < kReplicaPause) return false;
-  return holders < wantedReplicas(demand);
+bool EnginePlacement::isCrowded (const TargetKey& key, const ModelDemand& demand,
+                                 std::size_t holders, base::TimePoint now) const
+{
+    const config::Service* service = catalogue_.findService (key.service);
+    if (holders == 0 || service == nullptr || ! service->engine)
+        return false;
+    const auto added = replicaAddedAt_.find (key.model);
+    if (added != replicaAddedAt_.end() && now - added->second < kReplicaPause)
+        return false;
+    return holders < wantedReplicas (demand);
 }
 
-std::size_t EnginePlacement::wantedReplicas(const ModelDemand& demand) {
-  const std::size_t byRequests =
-      (demand.running + demand.waiting + kCrowdedRequests - 1) / kCrowdedRequests;
-  const auto byRate = static_cast<std::size_t>(1 + demand.perSecond / kRequestsForReplica);
-  return std::max(byRequests, std::min(byRate, kMostReplicasByRate));
+std::size_t EnginePlacement::wantedReplicas (const ModelDemand& demand)
+{
+    const std::size_t byRequests =
+        (demand.running + demand.waiting + kCrowdedRequests - 1) / kCrowdedRequests;
+    const auto byRate = static_cast<std::size_t> (1 + demand.perSecond / kRequestsForReplica);
+    return std::max (byRequests, std::min (byRate, kMostReplicasByRate));
 }
 
-bool EnginePlacement::planModel(const TargetKey& key, double highestCost, base::TimePoint now) {
-  Engine* best = nullptr;
-  std::vector<std::string> bestVictims;
-  double lowest = 0;
-  for (auto& [id, engine] : engines_) {
-    const bool isCandidate = engine.service == key.service && engine.reservedFor.empty() &&
-                             mayTakeOrder(engine) && !engine.models.contains(key.model);
-    if (!isCandidate) continue;
-    const config::EngineSpec* spec = specOf(engine);
-    const config::EngineModel* model = spec == nullptr ? nullptr : spec->findModel(key.model);
-    if (model == nullptr) return false;
-    const std::optional<Victims> victims = victimsFor(engine, *spec, *model, now);
-    if (!victims) continue;
-    const double cost =
-        victims->cost + loadSeconds(engine, *model) + adapterTrouble(engine, *spec, now);
-    if (cost > highestCost || (best != nullptr && cost >= lowest)) continue;
-    best = &engine;
-    bestVictims = victims->models;
-    lowest = cost;
-  }
-  if (best == nullptr) return false;
-  best->reservedFor = key.model;
-  best->withdrawn = {bestVictims.begin(), bestVictims.end()};
-  best->withdrawnAt = now;
-  return true;
+bool EnginePlacement::planModel (const TargetKey& key, double highestCost, base::TimePoint now)
+{
+    Engine* best = nullptr;
+    std::vector<std::string> bestVictims;
+    double lowest = 0;
+    for (auto& [id, engine] : engines_)
+    {
+        const bool isCandidate = engine.service == key.service && engine.reservedFor.empty()
+                                 && mayTakeOrder (engine) && ! engine.models.contains (key.model);
+        if (! isCandidate)
+            continue;
+        const config::EngineSpec* spec = specOf (engine);
+        const config::EngineModel* model = spec == nullptr ? nullptr : spec->findModel (key.model);
+        if (model == nullptr)
+            return false;
+        const std::optional<Victims> victims = victimsFor (engine, *spec, *model, now);
+        if (! victims)
+            continue;
+        const double cost =
+            victims->cost + loadSeconds (engine, *model) + adapterTrouble (engine, *spec, now);
+        if (cost > highestCost || (best != nullptr && cost >= lowest))
+            continue;
+        best = &engine;
+        bestVictims = victims->models;
+        lowest = cost;
+    }
+    if (best == nullptr)
+        return false;
+    best->reservedFor = key.model;
+    best->withdrawn = { bestVictims.begin(), bestVictims.end() };
+    best->withdrawnAt = now;
+    return true;
 }
 
-double EnginePlacement::adapterTrouble(const Engine& engine, const config::EngineSpec& spec,
-                                       base::TimePoint now) const {
-  // No adapter can come to an engine while it loads a model.
-  for (const auto& [name, state] : engine.models) {
-    const config::EngineModel* model = spec.findModel(name);
-    if (model == nullptr || model->adapters == 0) continue;
-    const base::TimePoint askedAt = demandFor(engine.service, name, now).askedAt;
-    const bool isInUse = askedAt != base::TimePoint{} && now - askedAt < kAdapterUse;
-    if (isInUse) return kAdapterTroubleCost;
-  }
-  return 0;
+double EnginePlacement::adapterTrouble (const Engine& engine, const config::EngineSpec& spec,
+                                        base::TimePoint now) const
+{
+    // No adapter can come to an engine while it loads a model.
+    for (const auto& [name, state] : engine.models)
+    {
+        const config::EngineModel* model = spec.findModel (name);
+        if (model == nullptr || model->adapters == 0)
+            continue;
+        const base::TimePoint askedAt = demandFor (engine.service, name, now).askedAt;
+        const bool isInUse = askedAt != base::TimePoint{} && now - askedAt < kAdapterUse;
+        if (isInUse)
+            return kAdapterTroubleCost;
+    }
+    return 0;
 }
 
-double EnginePlacement::loadSeconds(const Engine& engine, const config::EngineModel& model) {
-  if (engine.inMemory.contains(model.name)) return secondsOf(model.warmLoadTime);
-  if (engine.onDisk.contains(model.name)) return secondsOf(model.diskLoadTime);
-  return secondsOf(model.loadTime);
+double EnginePlacement::loadSeconds (const Engine& engine, const config::EngineModel& model)
+{
+    if (engine.inMemory.contains (model.name))
+        return secondsOf (model.warmLoadTime);
+    if (engine.onDisk.contains (model.name))
+        return secondsOf (model.diskLoadTime);
+    return secondsOf (model.loadTime);
 }
 
-std::optional<EnginePlacement::Victims> EnginePlacement::victimsFor(
+std::optional<EnginePlacement::Victims> EnginePlacement::victimsFor (
     const Engine& engine, const config::EngineSpec& spec, const config::EngineModel& model,
-    base::TimePoint now) const {
-  Victims victims;
-  double free = spec.memoryMb - adapterReserve(spec) - usedMemory(engine, spec);
-  std::vector<std::pair<double, std::string>> candidates;
-  for (const auto& [name, state] : engine.models) {
-    if (const auto cost = costOfLosing(engine, name, now)) candidates.emplace_back(*cost, name);
-  }
-  std::ranges::sort(candidates);
-  for (const auto& [cost, name] : candidates) {
-    if (free >= model.memoryMb) break;
-    const config::EngineModel* held = spec.findModel(name);
-    if (held == nullptr) continue;
-    free += held->memoryMb;
-    victims.cost += cost + kUnloadCost;
-    victims.models.push_back(name);
-  }
-  if (free < model.memoryMb) return std::nullopt;
-  return victims;
+    base::TimePoint now) const
+{
+    Victims victims;
+    double free = spec.memoryMb - adapterReserve (spec) - usedMemory (engine, spec);
+    std::vector<std::pair<double, std::string>> candidates;
+    for (const auto& [name, state] : engine.models)
+    {
+        if (const auto cost = costOfLosing (engine, name, now))
+            candidates.emplace_back (*cost, name);
+    }
+    std::ranges::sort (candidates);
+    for (const auto& [cost, name] : candidates)
+    {
+        if (free >= model.memoryMb)
+            break;
+        const config::EngineModel* held = spec.findModel (name);
+        if (held == nullptr)
+            continue;
+        free += held->memoryMb;
+        victims.cost += cost + kUnloadCost;
+        victims.models.push_back (name);
+    }
+    if (free < model.memoryMb)
+        return std::nullopt;
+    return victims;
 }
 
-std::optional<double> EnginePlacement::costOfLosing(const Engine& engine, const std::string& model,
-                                                    base::TimePoint now) const {
-  const ModelDemand demand = demandFor(engine.service, model, now);
-  const std::size_t holders = holdersOf(engine.service, model);
-  if (holders > 1) {
-    // Without this one the others would be crowded, and it would be loaded again.
-    const bool isNeeded = wantedReplicas(demand) >= holders;
-    return isNeeded ? kNeededReplicaCost : kSpareReplicaCost;
-  }
-  const bool isInUse = demand.running > 0 || demand.waiting > 0;
-  const bool isRecent = demand.askedAt != base::TimePoint{} && now - demand.askedAt < kRecentUse;
-  if (isInUse || isRecent) return std::nullopt;
-  if (demand.askedAt == base::TimePoint{}) return kCheapestLastReplicaCost;
-  const double idle = secondsOf(now - demand.askedAt);
-  return std::max(kLastReplicaCost * (1 - idle / kForgottenAfter), kCheapestLastReplicaCost);
+std::optional<double> EnginePlacement::costOfLosing (const Engine& engine, const std::string& model,
+                                                     base::TimePoint now) const
+{
+    const ModelDemand demand = demandFor (engine.service, model, now);
+    const std::size_t holders = holdersOf (engine.service, model);
+    if (holders > 1)
+    {
+        // Without this one the others would be crowded, and it would be loaded again.
+        const bool isNeeded = wantedReplicas (demand) >= holders;
+        return isNeeded ? kNeededReplicaCost : kSpareReplicaCost;
+    }
+    const bool isInUse = demand.running > 0 || demand.waiting > 0;
+    const bool isRecent = demand.askedAt != base::TimePoint{} && now - demand.askedAt < kRecentUse;
+    if (isInUse || isRecent)
+        return std::nullopt;
+    if (demand.askedAt == base::TimePoint{})
+        return kCheapestLastReplicaCost;
+    const double idle = secondsOf (now - demand.askedAt);
+    return std::max (kLastReplicaCost * (1 - idle / kForgottenAfter), kCheapestLastReplicaCost);
 }
 
-void EnginePlacement::fillFreeMemory(std::vector<EngineCommand>& commands, base::TimePoint now) {
-  for (auto& [id, engine] : engines_) {
-    if (!engine.reservedFor.empty() || !mayTakeOrder(engine) || !engine.hasTold) continue;
-    const config::EngineSpec* spec = specOf(engine);
-    if (spec == nullptr) continue;
-    const config::EngineModel* model = modelToFillWith(engine, *spec);
-    if (model != nullptr) send(engine, {true, model->name, "", "memory is free"}, commands, now);
-  }
+void EnginePlacement::fillFreeMemory (std::vector<EngineCommand>& commands, base::TimePoint now)
+{
+    for (auto& [id, engine] : engines_)
+    {
+        if (! engine.reservedFor.empty() || ! mayTakeOrder (engine) || ! engine.hasTold)
+            continue;
+        const config::EngineSpec* spec = specOf (engine);
+        if (spec == nullptr)
+            continue;
+        const config::EngineModel* model = modelToFillWith (engine, *spec);
+        if (model != nullptr)
+            send (engine, { true, model->name, "", "memory is free" }, commands, now);
+    }
 }
 
-const config::EngineModel* EnginePlacement::modelToFillWith(const Engine& engine,
-                                                            const config::EngineSpec& spec) const {
-  const double free = spec.memoryMb - adapterReserve(spec) - usedMemory(engine, spec);
-  const config::EngineModel* largest = nullptr;
-  for (const auto* names : {&engine.inMemory, &engine.onDisk}) {
-    for (const std::string& name : *names) {
-      const config::EngineModel* model = spec.findModel(name);
-      const bool isUseful = model != nullptr && model->memoryMb <= free &&
-                            !engine.models.contains(name) && holdersOf(engine.service, name) == 0 &&
-                            !isModelOnItsWay(engine.service, name);
-      if (!isUseful) continue;
-      if (largest == nullptr || model->memoryMb > largest->memoryMb) largest = model;
+const config::EngineModel* EnginePlacement::modelToFillWith (const Engine& engine,
+                                                             const config::EngineSpec& spec) const
+{
+    const double free = spec.memoryMb - adapterReserve (spec) - usedMemory (engine, spec);
+    const config::EngineModel* largest = nullptr;
+    for (const auto* names : { &engine.inMemory, &engine.onDisk })
+    {
+        for (const std::string& name : *names)
+        {
+            const config::EngineModel* model = spec.findModel (name);
+            const bool isUseful = model != nullptr && model->memoryMb <= free
+                                  && ! engine.models.contains (name)
+                                  && holdersOf (engine.service, name) == 0
+                                  && ! isModelOnItsWay (engine.service, name);
+            if (! isUseful)
+                continue;
+            if (largest == nullptr || model->memoryMb > largest->memoryMb)
+                largest = model;
+        }
     }
-  }
-  return largest;
+    return largest;
 }
 
-void EnginePlacement::planAdapters(std::vector<EngineCommand>& commands, base::TimePoint now) {
-  for (const auto& [key, target] : demands_) {
-    if (key.adapter.empty() || waitingFor(key) == 0) continue;
-    planAdapter(key, commands, now);
-  }
+void EnginePlacement::planAdapters (std::vector<EngineCommand>& commands, base::TimePoint now)
+{
+    for (const auto& [key, target] : demands_)
+    {
+        if (key.adapter.empty() || waitingFor (key) == 0)
+            continue;
+        planAdapter (key, commands, now);
+    }
 }
 
-bool EnginePlacement::planAdapter(const TargetKey& key, std::vector<EngineCommand>& commands,
-                                  base::TimePoint now) {
-  const std::string wanted = key.model + "/" + key.adapter;
-  Engine* best = nullptr;
-  std::size_t fewest = 0;
-  for (auto& [id, engine] : engines_) {
-    const bool holdsModel = engine.service == key.service && engine.isUsable &&
-                            engine.models.contains(key.model) &&
-                            !engine.withdrawn.contains(key.model);
-    if (!holdsModel) continue;
-    const std::set<std::string> adapters = adaptersOf(engine);
-    const bool isThere = adapters.contains(wanted);
-    const bool isComing = engine.unanswered && engine.unanswered->order.model == key.model &&
-                          engine.unanswered->order.adapter == key.adapter;
-    if (isThere || isComing) return false;
-    if (!mayTakeOrder(engine)) continue;
-    if (best != nullptr && adapters.size() >= fewest) continue;
-    best = &engine;
-    fewest = adapters.size();
-  }
-  if (best == nullptr) return false;
-  const config::EngineSpec* spec = specOf(*best);
-  if (spec == nullptr) return false;
-  if (fewest < spec->adapterSlots) {
-    send(*best, {true, key.model, key.adapter, "requests wait for it"}, commands, now);
-    return true;
-  }
-  return evictAdapter(*best, commands, now);
+bool EnginePlacement::planAdapter (const TargetKey& key, std::vector<EngineCommand>& commands,
+                                   base::TimePoint now)
+{
+    const std::string wanted = key.model + "/" + key.adapter;
+    Engine* best = nullptr;
+    std::size_t fewest = 0;
+    for (auto& [id, engine] : engines_)
+    {
+        const bool holdsModel = engine.service == key.service && engine.isUsable
+                                && engine.models.contains (key.model)
+                                && ! engine.withdrawn.contains (key.model);
+        if (! holdsModel)
+            continue;
+        const std::set<std::string> adapters = adaptersOf (engine);
+        const bool isThere = adapters.contains (wanted);
+        const bool isComing = engine.unanswered && engine.unanswered->order.model == key.model
+                              && engine.unanswered->order.adapter == key.adapter;
+        if (isThere || isComing)
+            return false;
+        if (! mayTakeOrder (engine))
+            continue;
+        if (best != nullptr && adapters.size() >= fewest)
+            continue;
+        best = &engine;
+        fewest = adapters.size();
+    }
+    if (best == nullptr)
+        return false;
+    const config::EngineSpec* spec = specOf (*best);
+    if (spec == nullptr)
+        return false;
+    if (fewest < spec->adapterSlots)
+    {
+        send (*best, { true, key.model, key.adapter, "requests wait for it" }, commands, now);
+        return true;
+    }
+    return evictAdapter (*best, commands, now);
 }
 
-bool EnginePlacement::evictAdapter(Engine& engine, std::vector<EngineCommand>& commands,
-                                   base::TimePoint now) {
-  const TargetKey* oldest = nullptr;
-  base::TimePoint oldestAskedAt{};
-  for (const std::string& adapter : adaptersOf(engine)) {
-    const std::size_t slash = adapter.find('/');
-    TargetKey key{engine.service, adapter.substr(0, slash), adapter.substr(slash + 1)};
-    const auto found = demands_.find(key);
-    if (found == demands_.end()) {
-      send(engine, {false, key.model, key.adapter, kAdapterMakesWay}, commands, now);
-      return true;
+bool EnginePlacement::evictAdapter (Engine& engine, std::vector<EngineCommand>& commands,
+                                    base::TimePoint now)
+{
+    const TargetKey* oldest = nullptr;
+    base::TimePoint oldestAskedAt{};
+    for (const std::string& adapter : adaptersOf (engine))
+    {
+        const std::size_t slash = adapter.find ('/');
+        TargetKey key{ engine.service, adapter.substr (0, slash), adapter.substr (slash + 1) };
+        const auto found = demands_.find (key);
+        if (found == demands_.end())
+        {
+            send (engine, { false, key.model, key.adapter, kAdapterMakesWay }, commands, now);
+            return true;
+        }
+        const bool isUsed =
+            std::ranges::any_of (found->second.byRouter, [] (const auto& item)
+                                 { return item.second.waiting > 0 || item.second.running > 0; });
+        if (isUsed || (oldest != nullptr && found->second.askedAt >= oldestAskedAt))
+            continue;
+        oldest = &found->first;
+        oldestAskedAt = found->second.askedAt;
     }
-    const bool isUsed = std::ranges::any_of(found->second.byRouter, [](const auto& item) {
-      return item.second.waiting > 0 || item.second.running > 0;
-    });
-    if (isUsed || (oldest != nullptr && found->second.askedAt >= oldestAskedAt)) continue;
-    oldest = &found->first;
-    oldestAskedAt = found->second.askedAt;
-  }
-  if (oldest == nullptr) return false;
-  send(engine, {false, oldest->model, oldest->adapter, kAdapterMakesWay}, commands, now);
-  return true;
+    if (oldest == nullptr)
+        return false;
+    send (engine, { false, oldest->model, oldest->adapter, kAdapterMakesWay }, commands, now);
+    return true;
 }
 
 }  // namespace fernlift::placement
--- a/src/placement/Eviction.cpp
+++ b/src/placement/Eviction.cpp
@@ -3,90 +3,112 @@
 #include <algorithm>
 #include <tuple>
 
-namespace fernlift::placement {
-namespace {
+namespace fernlift::placement
+{
+namespace
+{
 
 /// A replica in use is not given up before it was ready this long, to avoid load and unload in
 /// turn.
-constexpr base::Duration kShortestResidence = base::seconds(10);
+constexpr base::Duration kShortestResidence = base::seconds (10);
 
 /// A replica together with the adapters that would go with it.
-struct Candidate {
-  const ReplicaView* view = nullptr;
-  bool isInUse = false;
-  base::Duration idleFor{};
-  engine::Megabytes memory = 0;
+struct Candidate
+{
+    const ReplicaView* view = nullptr;
+    bool isInUse = false;
+    base::Duration idleFor{};
+    engine::Megabytes memory = 0;
 };
 
-bool mayGo(const Plan& plan, const ReplicaView& view, int urgency) {
-  if (plan.isAbandonedLoad(view)) return true;
-  if (view.replica.stage != cell::ReplicaStage::kReady || plan.isUnloading(view)) return false;
-  if (plan.isKeptByMinimum(view)) return false;
-  if (!plan.isInUse(view)) return true;
-  return plan.urgencyOf(view.replica.target()) > urgency && view.readyFor >= kShortestResidence;
+bool mayGo (const Plan& plan, const ReplicaView& view, int urgency)
+{
+    if (plan.isAbandonedLoad (view))
+        return true;
+    if (view.replica.stage != cell::ReplicaStage::kReady || plan.isUnloading (view))
+        return false;
+    if (plan.isKeptByMinimum (view))
+        return false;
+    if (! plan.isInUse (view))
+        return true;
+    return plan.urgencyOf (view.replica.target()) > urgency && view.readyFor >= kShortestResidence;
 }
 
-std::optional<Candidate> candidateFor(const Plan& plan, const ReplicaView& view, int urgency) {
-  if (!mayGo(plan, view, urgency)) return std::nullopt;
-  Candidate candidate{&view, plan.isInUse(view), view.idleFor, view.replica.memory};
-  for (const ReplicaView* adapter : plan.adaptersOn(view.replica.id)) {
-    if (plan.isUnloading(*adapter)) continue;
-    if (!mayGo(plan, *adapter, urgency)) return std::nullopt;
-    candidate.isInUse = candidate.isInUse || plan.isInUse(*adapter);
-    candidate.idleFor = std::min(candidate.idleFor, adapter->idleFor);
-    candidate.memory += adapter->replica.memory;
-  }
-  return candidate;
+std::optional<Candidate> candidateFor (const Plan& plan, const ReplicaView& view, int urgency)
+{
+    if (! mayGo (plan, view, urgency))
+        return std::nullopt;
+    Candidate candidate{ &view, plan.isInUse (view), view.idleFor, view.replica.memory };
+    for (const ReplicaView* adapter : plan.adaptersOn (view.replica.id))
+    {
+        if (plan.isUnloading (*adapter))
+            continue;
+        if (! mayGo (plan, *adapter, urgency))
+            return std::nullopt;
+        candidate.isInUse = candidate.isInUse || plan.isInUse (*adapter);
+        candidate.idleFor = std::min (candidate.idleFor, adapter->idleFor);
+        candidate.memory += adapter->replica.memory;
+    }
+    return candidate;
 }
 
-std::vector<Candidate> candidatesOn(const Plan& plan, const Plan::Room& room, int urgency,
-                                    base::ReplicaId kept) {
-  std::vector<Candidate> candidates;
-  for (const ReplicaView* view : room.replicas) {
-    if (view->replica.id == kept) continue;
-    if (auto candidate = candidateFor(plan, *view, urgency)) candidates.push_back(*candidate);
-  }
-  const auto order = [](const Candidate& candidate) {
-    return std::tuple(candidate.isInUse, -candidate.idleFor, candidate.view->replica.id);
-  };
-  std::sort(
-      candidates.begin(), candidates.end(),
-      [&](const Candidate& left, const Candidate& right) { return order(left) < order(right); });
-  return candidates;
+std::vector<Candidate> candidatesOn (const Plan& plan, const Plan::Room& room, int urgency,
+                                     base::ReplicaId kept)
+{
+    std::vector<Candidate> candidates;
+    for (const ReplicaView* view : room.replicas)
+    {
+        if (view->replica.id == kept)
+            continue;
+        if (auto candidate = candidateFor (plan, *view, urgency))
+            candidates.push_back (*candidate);
+    }
+    const auto order = [] (const Candidate& candidate)
+    { return std::tuple (candidate.isInUse, -candidate.idleFor, candidate.view->replica.id); };
+    std::sort (candidates.begin(), candidates.end(),
+               [&] (const Candidate& left, const Candidate& right)
+               { return order (left) < order (right); });
+    return candidates;
 }
 
-bool isCovered(const EvictionChoice& choice, const ReplicaView& view) {
-  return std::any_of(choice.victims.begin(), choice.victims.end(), [&](const ReplicaView* victim) {
-    return victim->replica.id == view.replica.baseReplica;
-  });
+bool isCovered (const EvictionChoice& choice, const ReplicaView& view)
+{
+    return std::any_of (choice.victims.begin(), choice.victims.end(),
+                        [&] (const ReplicaView* victim)
+                        { return victim->replica.id == view.replica.baseReplica; });
 }
 
 }  // namespace
 
-std::optional<EvictionChoice> chooseVictims(const Plan& plan, const Plan::Room& room,
-                                            engine::Megabytes memory, int urgency,
-                                            base::ReplicaId kept) {
-  EvictionChoice choice;
-  choice.runner = room.runner->runner;
-  choice.shortestIdle = base::Duration::max();
-  const engine::Megabytes available = room.free + room.comingFree;
-  for (const Candidate& candidate : candidatesOn(plan, room, urgency, kept)) {
-    if (available + choice.memoryFreed >= memory) break;
-    if (isCovered(choice, *candidate.view)) continue;
-    choice.victims.push_back(candidate.view);
-    choice.interruptsUse = choice.interruptsUse || candidate.isInUse;
-    choice.shortestIdle = std::min(choice.shortestIdle, candidate.idleFor);
-    choice.memoryFreed += candidate.memory;
-  }
-  if (choice.victims.empty() || available + choice.memoryFreed < memory) return std::nullopt;
-  return choice;
+std::optional<EvictionChoice> chooseVictims (const Plan& plan, const Plan::Room& room,
+                                             engine::Megabytes memory, int urgency,
+                                             base::ReplicaId kept)
+{
+    EvictionChoice choice;
+    choice.runner = room.runner->runner;
+    choice.shortestIdle = base::Duration::max();
+    const engine::Megabytes available = room.free + room.comingFree;
+    for (const Candidate& candidate : candidatesOn (plan, room, urgency, kept))
+    {
+        if (available + choice.memoryFreed >= memory)
+            break;
+        if (isCovered (choice, *candidate.view))
+            continue;
+        choice.victims.push_back (candidate.view);
+        choice.interruptsUse = choice.interruptsUse || candidate.isInUse;
+        choice.shortestIdle = std::min (choice.shortestIdle, candidate.idleFor);
+        choice.memoryFreed += candidate.memory;
+    }
+    if (choice.victims.empty() || available + choice.memoryFreed < memory)
+        return std::nullopt;
+    return choice;
 }
 
-bool isBetter(const EvictionChoice& left, const EvictionChoice& right) {
-  const auto order = [](const EvictionChoice& choice) {
-    return std::tuple(choice.interruptsUse, -choice.shortestIdle, choice.memoryFreed);
-  };
-  return order(left) < order(right);
+bool isBetter (const EvictionChoice& left, const EvictionChoice& right)
+{
+    const auto order = [] (const EvictionChoice& choice)
+    { return std::tuple (choice.interruptsUse, -choice.shortestIdle, choice.memoryFreed); };
+    return order (left) < order (right);
 }
 
 }  // namespace fernlift::placement
--- a/src/placement/KeepAlive.cpp
+++ b/src/placement/KeepAlive.cpp
@@ -2,33 +2,40 @@
 
 #include <algorithm>
 
-namespace fernlift::placement {
-namespace {
+namespace fernlift::placement
+{
+namespace
+{
 
 /// A replica is kept idle at least this long, but never longer than the bound given.
-constexpr base::Duration kShortestKeepAlive = base::seconds(10);
+constexpr base::Duration kShortestKeepAlive = base::seconds (10);
 constexpr double kSecondsPerHour = 3600.0;
 constexpr std::int64_t kAssumedMegabytesPerSecond = 1000;
-constexpr base::Duration kAssumedLoadOverhead = base::seconds(1);
+constexpr base::Duration kAssumedLoadOverhead = base::seconds (1);
 
 }  // namespace
 
-base::Duration keepAliveFor(const config::Prices& prices, base::Duration loadTime,
-                            double acceleratorShare, base::Duration longest) {
-  const double loadSeconds = std::chrono::duration<double>(loadTime).count();
-  const double coldStartCost = loadSeconds * prices.coldStartSecond;
-  const double idleCostPerSecond = acceleratorShare * prices.idleAcceleratorHour / kSecondsPerHour;
-  const double longestSeconds = std::chrono::duration<double>(longest).count();
-  // Free idle time is kept for as long as allowed.
-  if (coldStartCost >= idleCostPerSecond * longestSeconds) return longest;
-  const std::chrono::duration<double> breakEven(coldStartCost / idleCostPerSecond);
-  const auto kept = std::chrono::duration_cast<base::Duration>(breakEven);
-  return std::clamp(kept, std::min(kShortestKeepAlive, longest), longest);
+base::Duration keepAliveFor (const config::Prices& prices, base::Duration loadTime,
+                             double acceleratorShare, base::Duration longest)
+{
+    const double loadSeconds = std::chrono::duration<double> (loadTime).count();
+    const double coldStartCost = loadSeconds * prices.coldStartSecond;
+    const double idleCostPerSecond =
+        acceleratorShare * prices.idleAcceleratorHour / kSecondsPerHour;
+    const double longestSeconds = std::chrono::duration<double> (longest).count();
+    // Free idle time is kept for as long as allowed.
+    if (coldStartCost >= idleCostPerSecond * longestSeconds)
+        return longest;
+    const std::chrono::duration<double> breakEven (coldStartCost / idleCostPerSecond);
+    const auto kept = std::chrono::duration_cast<base::Duration> (breakEven);
+    return std::clamp (kept, std::min (kShortestKeepAlive, longest), longest);
 }
 
-base::Duration assumedLoadTime(config::Megabytes memory) {
-  const auto megabytes = static_cast<std::int64_t>(memory);
-  return kAssumedLoadOverhead + base::milliseconds(megabytes * 1000 / kAssumedMegabytesPerSecond);
+base::Duration assumedLoadTime (config::Megabytes memory)
+{
+    const auto megabytes = static_cast<std::int64_t> (memory);
+    return kAssumedLoadOverhead
+           + base::milliseconds (megabytes * 1000 / kAssumedMegabytesPerSecond);
 }
 
 }  // namespace fernlift::placement
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -10,299 +10,386 @@
 #include "placement/Needs.h"
 #include "placement/Plan.h"
 
-namespace fernlift::placement {
-namespace {
+namespace fernlift::placement
+{
+namespace
+{
 
 using cell::ReplicaStage;
 using engine::CheckpointPlace;
 
-const char* describe(CheckpointPlace place) {
-  switch (place) {
-    case CheckpointPlace::kMemory:
-      return "checkpoint in memory";
-    case CheckpointPlace::kDisk:
-      return "checkpoint on disk";
-    case CheckpointPlace::kRemote:
-      break;
-  }
-  return "checkpoint remote";
+const char* describe (CheckpointPlace place)
+{
+    switch (place)
+    {
+        case CheckpointPlace::kMemory:
+            return "checkpoint in memory";
+        case CheckpointPlace::kDisk:
+            return "checkpoint on disk";
+        case CheckpointPlace::kRemote:
+            break;
+    }
+    return "checkpoint remote";
 }
 
-bool isOutOfService(const Plan& plan, const ReplicaView& view) {
-  const Plan::Room* room = plan.roomOf(view.replica.runner);
-  return room != nullptr && !room->runner->takesNewWork;
+bool isOutOfService (const Plan& plan, const ReplicaView& view)
+{
+    const Plan::Room* room = plan.roomOf (view.replica.runner);
+    return room != nullptr && ! room->runner->takesNewWork;
 }
 
 // Unloads that need no competitor.
 
-void dropOutdated(Plan& plan) {
-  for (const ReplicaView& view : plan.snapshot().replicas) {
-    if (plan.isOutdated(view)) {
-      plan.unload(view, "the configuration no longer has it in this form here");
+void dropOutdated (Plan& plan)
+{
+    for (const ReplicaView& view : plan.snapshot().replicas)
+    {
+        if (plan.isOutdated (view))
+        {
+            plan.unload (view, "the configuration no longer has it in this form here");
+        }
     }
-  }
 }
 
-void dropAboveBound(Plan& plan, const Target& target) {
-  std::uint32_t counted = 0;
-  std::vector<const ReplicaView*> loaded;
-  for (const ReplicaView* view : plan.all(target.name())) {
-    ++counted;
-    if (!plan.isUnloading(*view)) loaded.push_back(view);
-  }
-  if (counted <= target.maximumReplicas()) return;
-  const std::size_t keep = target.maximumReplicas();
-  if (loaded.size() <= keep) return;
-  const auto order = [&](const ReplicaView* view) {
-    return std::tuple(!isOutOfService(plan, *view), view->replica.stage == ReplicaStage::kReady,
-                      view->activeRequests, -view->idleFor, view->replica.id);
-  };
-  std::sort(loaded.begin(), loaded.end(), [&](const ReplicaView* left, const ReplicaView* right) {
-    return order(left) < order(right);
-  });
-  loaded.resize(loaded.size() - keep);
-  for (const ReplicaView* view : loaded) plan.unload(*view, "above max_replicas");
+void dropAboveBound (Plan& plan, const Target& target)
+{
+    std::uint32_t counted = 0;
+    std::vector<const ReplicaView*> loaded;
+    for (const ReplicaView* view : plan.all (target.name()))
+    {
+        ++counted;
+        if (! plan.isUnloading (*view))
+            loaded.push_back (view);
+    }
+    if (counted <= target.maximumReplicas())
+        return;
+    const std::size_t keep = target.maximumReplicas();
+    if (loaded.size() <= keep)
+        return;
+    const auto order = [&] (const ReplicaView* view)
+    {
+        return std::tuple (! isOutOfService (plan, *view),
+                           view->replica.stage == ReplicaStage::kReady, view->activeRequests,
+                           -view->idleFor, view->replica.id);
+    };
+    std::sort (loaded.begin(), loaded.end(),
+               [&] (const ReplicaView* left, const ReplicaView* right)
+               { return order (left) < order (right); });
+    loaded.resize (loaded.size() - keep);
+    for (const ReplicaView* view : loaded)
+        plan.unload (*view, "above max_replicas");
 }
 
-void dropAllAboveBound(Plan& plan) {
-  const config::Catalogue& catalogue = *plan.snapshot().catalogue;
-  for (const config::Model& model : catalogue.models) dropAboveBound(plan, {&model, nullptr});
-  for (const config::Adapter& adapter : catalogue.adapters) {
-    const config::Model* base = catalogue.findModel(adapter.base);
-    if (base != nullptr) dropAboveBound(plan, {base, &adapter});
-  }
+void dropAllAboveBound (Plan& plan)
+{
+    const config::Catalogue& catalogue = *plan.snapshot().catalogue;
+    for (const config::Model& model : catalogue.models)
+        dropAboveBound (plan, { &model, nullptr });
+    for (const config::Adapter& adapter : catalogue.adapters)
+    {
+        const config::Model* base = catalogue.findModel (adapter.base);
+        if (base != nullptr)
+            dropAboveBound (plan, { base, &adapter });
+    }
 }
 
 /// Part of a runner's accelerators that a replica blocks, in accelerators.
-double acceleratorShare(const RunnerView& runner, engine::Megabytes memory) {
-  if (runner.totalMemory == 0) return runner.accelerators;
-  return runner.accelerators * static_cast<double>(memory) /
-         static_cast<double>(runner.totalMemory);
+double acceleratorShare (const RunnerView& runner, engine::Megabytes memory)
+{
+    if (runner.totalMemory == 0)
+        return runner.accelerators;
+    return runner.accelerators * static_cast<double> (memory)
+           / static_cast<double> (runner.totalMemory);
 }
 
-base::Duration keepAliveOf(const Plan& plan, const ReplicaView& view) {
-  const Snapshot& snapshot = plan.snapshot();
-  const Plan::Room* room = plan.roomOf(view.replica.runner);
-  if (room == nullptr) return snapshot.keepAlive;
-  const base::UnixMilliseconds took = view.replica.readyAt - view.replica.decidedAt;
-  const base::Duration loadTime =
-      took > 0 ? base::milliseconds(took) : assumedLoadTime(view.replica.memory);
-  return keepAliveFor(snapshot.catalogue->prices, loadTime,
-                      acceleratorShare(*room->runner, view.replica.memory), snapshot.keepAlive);
+base::Duration keepAliveOf (const Plan& plan, const ReplicaView& view)
+{
+    const Snapshot& snapshot = plan.snapshot();
+    const Plan::Room* room = plan.roomOf (view.replica.runner);
+    if (room == nullptr)
+        return snapshot.keepAlive;
+    const base::UnixMilliseconds took = view.replica.readyAt - view.replica.decidedAt;
+    const base::Duration loadTime =
+        took > 0 ? base::milliseconds (took) : assumedLoadTime (view.replica.memory);
+    return keepAliveFor (snapshot.catalogue->prices, loadTime,
+                         acceleratorShare (*room->runner, view.replica.memory), snapshot.keepAlive);
 }
 
-void dropIdle(Plan& plan) {
-  for (const ReplicaView& view : plan.snapshot().replicas) {
-    const bool isIdle = view.replica.stage == ReplicaStage::kReady && !plan.isUnloading(view) &&
-                        !plan.isInUse(view) && plan.adaptersOn(view.replica.id).empty();
-    if (!isIdle) continue;
-    if (isOutOfService(plan, view)) {
-      plan.unload(view, "idle on a runner that takes no new work");
-      continue;
+void dropIdle (Plan& plan)
+{
+    for (const ReplicaView& view : plan.snapshot().replicas)
+    {
+        const bool isIdle = view.replica.stage == ReplicaStage::kReady && ! plan.isUnloading (view)
+                            && ! plan.isInUse (view) && plan.adaptersOn (view.replica.id).empty();
+        if (! isIdle)
+            continue;
+        if (isOutOfService (plan, view))
+        {
+            plan.unload (view, "idle on a runner that takes no new work");
+            continue;
+        }
+        const base::Duration keepAlive = keepAliveOf (plan, view);
+        if (view.idleFor < keepAlive || plan.isKeptByMinimum (view))
+            continue;
+        plan.unload (view, "idle for " + std::to_string (base::toMilliseconds (view.idleFor))
+                               + " ms, kept for "
+                               + std::to_string (base::toMilliseconds (keepAlive))
+                               + " ms by the prices");
     }
-    const base::Duration keepAlive = keepAliveOf(plan, view);
-    if (view.idleFor < keepAlive || plan.isKeptByMinimum(view)) continue;
-    plan.unload(view, "idle for " + std::to_string(base::toMilliseconds(view.idleFor)) +
-                          " ms, kept for " + std::to_string(base::toMilliseconds(keepAlive)) +
-                          " ms by the prices");
-  }
 }
 
 // Loads.
 
 /// Stops a load that nobody waits for any more, or else the latest of those that are less urgent,
 /// when the weight store carries as many as it can.
-void freeStore(Plan& plan, const Need& need) {
-  if (!need.isRequested || !plan.isStoreFull()) return;
-  const ReplicaView* victim = nullptr;
-  const auto order = [&](const ReplicaView& view) {
-    return std::tuple(plan.isAbandonedLoad(view), plan.urgencyOf(view.replica.target()),
-                      view.replica.id);
-  };
-  for (const ReplicaView& view : plan.snapshot().replicas) {
-    const bool isLoading =
-        view.replica.stage == ReplicaStage::kLoading && view.usesStore && !plan.isUnloading(view);
-    if (!isLoading) continue;
-    const bool isLessUrgent = plan.urgencyOf(view.replica.target()) > need.urgency;
-    if (!plan.isAbandonedLoad(view) && !isLessUrgent) continue;
-    if (victim == nullptr || order(view) > order(*victim)) victim = &view;
-  }
-  if (victim == nullptr) return;
-  plan.unload(*victim,
-              "gives its place at the weight store to " + need.target.name() + ": " + need.reason);
+void freeStore (Plan& plan, const Need& need)
+{
+    if (! need.isRequested || ! plan.isStoreFull())
+        return;
+    const ReplicaView* victim = nullptr;
+    const auto order = [&] (const ReplicaView& view)
+    {
+        return std::tuple (plan.isAbandonedLoad (view), plan.urgencyOf (view.replica.target()),
+                           view.replica.id);
+    };
+    for (const ReplicaView& view : plan.snapshot().replicas)
+    {
+        const bool isLoading = view.replica.stage == ReplicaStage::kLoading && view.usesStore
+                               && ! plan.isUnloading (view);
+        if (! isLoading)
+            continue;
+        const bool isLessUrgent = plan.urgencyOf (view.replica.target()) > need.urgency;
+        if (! plan.isAbandonedLoad (view) && ! isLessUrgent)
+            continue;
+        if (victim == nullptr || order (view) > order (*victim))
+            victim = &view;
+    }
+    if (victim == nullptr)
+        return;
+    plan.unload (*victim, "gives its place at the weight store to " + need.target.name() + ": "
+                              + need.reason);
 }
 
 /// Gives up a replica on a runner that takes no new work, so that the bound allows another.
-void freeBound(Plan& plan, const Need& need) {
-  if (!need.isRequested) return;
-  for (const ReplicaView* view : plan.all(need.target.name())) {
-    if (plan.isUnloading(*view) || !isOutOfService(plan, *view)) continue;
-    plan.unload(*view, "replaced: its runner takes no new work and the replica bound is reached");
-    return;
-  }
+void freeBound (Plan& plan, const Need& need)
+{
+    if (! need.isRequested)
+        return;
+    for (const ReplicaView* view : plan.all (need.target.name()))
+    {
+        if (plan.isUnloading (*view) || ! isOutOfService (plan, *view))
+            continue;
+        plan.unload (*view,
+                     "replaced: its runner takes no new work and the replica bound is reached");
+        return;
+    }
 }
 
-std::vector<const Plan::Room*> allowedRooms(const Plan& plan, const Target& target) {
-  std::vector<const Plan::Room*> rooms;
-  for (const Plan::Room& room : plan.rooms()) {
-    const RunnerView& runner = *room.runner;
-    const bool holdsOne =
-        std::any_of(room.replicas.begin(), room.replicas.end(), [&](const ReplicaView* view) {
-          return view->replica.target() == target.name() && !plan.isUnloading(*view);
-        });
-    const bool isOpen = runner.takesNewWork && runner.isResponsive && !holdsOne;
-    if (isOpen && config::allowsZone(target.model->zones, runner.zone) &&
-        !plan.isAvoided(target.name(), runner.runner)) {
-      rooms.push_back(&room);
+std::vector<const Plan::Room*> allowedRooms (const Plan& plan, const Target& target)
+{
+    std::vector<const Plan::Room*> rooms;
+    for (const Plan::Room& room : plan.rooms())
+    {
+        const RunnerView& runner = *room.runner;
+        const bool holdsOne = std::any_of (
+            room.replicas.begin(), room.replicas.end(),
+            [&] (const ReplicaView* view)
+            { return view->replica.target() == target.name() && ! plan.isUnloading (*view); });
+        const bool isOpen = runner.takesNewWork && runner.isResponsive && ! holdsOne;
+        if (isOpen && config::allowsZone (target.model->zones, runner.zone)
+            && ! plan.isAvoided (target.name(), runner.runner))
+        {
+            rooms.push_back (&room);
+        }
     }
-  }
-  return rooms;
+    return rooms;
 }
 
 /// The nearest checkpoint first, then a zone without a replica of the target, then the most room.
-const Plan::Room* bestWithRoom(const Plan& plan, const std::vector<const Plan::Room*>& rooms,
-                               const Target& target, engine::Megabytes memory) {
-  std::set<base::ZoneName> zones;
-  for (const ReplicaView* view : plan.usable(target.name())) {
-    zones.insert(plan.roomOf(view->replica.runner)->runner->zone);
-  }
-  for (const base::ZoneName& zone : plan.plannedZones(target.name())) zones.insert(zone);
-  const auto order = [&](const Plan::Room* room) {
-    return std::tuple(Plan::placeOf(*room->runner, target.name()),
-                      zones.count(room->runner->zone) == 0, room->free);
-  };
-  const Plan::Room* best = nullptr;
-  for (const Plan::Room* room : rooms) {
-    if (room->free < memory) continue;
-    if (best == nullptr || order(room) > order(best)) best = room;
-  }
-  return best;
+const Plan::Room* bestWithRoom (const Plan& plan, const std::vector<const Plan::Room*>& rooms,
+                                const Target& target, engine::Megabytes memory)
+{
+    std::set<base::ZoneName> zones;
+    for (const ReplicaView* view : plan.usable (target.name()))
+    {
+        zones.insert (plan.roomOf (view->replica.runner)->runner->zone);
+    }
+    for (const base::ZoneName& zone : plan.plannedZones (target.name()))
+        zones.insert (zone);
+    const auto order = [&] (const Plan::Room* room)
+    {
+        return std::tuple (Plan::placeOf (*room->runner, target.name()),
+                           zones.count (room->runner->zone) == 0, room->free);
+    };
+    const Plan::Room* best = nullptr;
+    for (const Plan::Room* room : rooms)
+    {
+        if (room->free < memory)
+            continue;
+        if (best == nullptr || order (room) > order (best))
+            best = room;
+    }
+    return best;
 }
 
 /// Waits for memory that is being freed, or else frees some.
-void makeRoom(Plan& plan, const std::vector<const Plan::Room*>& rooms, const Need& need,
-              engine::Megabytes memory, base::ReplicaId kept) {
-  for (const Plan::Room* room : rooms) {
-    if (room->free + room->comingFree < memory) continue;
-    plan.setAside(room->runner->runner, memory);
-    return;
-  }
-  std::optional<EvictionChoice> best;
-  for (const Plan::Room* room : rooms) {
-    auto choice = chooseVictims(plan, *room, memory, need.urgency, kept);
-    if (choice && (!best || isBetter(*choice, *best))) best = std::move(choice);
-  }
-  if (!best) return;
-  const std::string reason = "evicted for " + need.target.name() + ": " + need.reason;
-  for (const ReplicaView* victim : best->victims) plan.unload(*victim, reason);
-  plan.setAside(best->runner, memory);
+void makeRoom (Plan& plan, const std::vector<const Plan::Room*>& rooms, const Need& need,
+               engine::Megabytes memory, base::ReplicaId kept)
+{
+    for (const Plan::Room* room : rooms)
+    {
+        if (room->free + room->comingFree < memory)
+            continue;
+        plan.setAside (room->runner->runner, memory);
+        return;
+    }
+    std::optional<EvictionChoice> best;
+    for (const Plan::Room* room : rooms)
+    {
+        auto choice = chooseVictims (plan, *room, memory, need.urgency, kept);
+        if (choice && (! best || isBetter (*choice, *best)))
+            best = std::move (choice);
+    }
+    if (! best)
+        return;
+    const std::string reason = "evicted for " + need.target.name() + ": " + need.reason;
+    for (const ReplicaView* victim : best->victims)
+        plan.unload (*victim, reason);
+    plan.setAside (best->runner, memory);
 }
 
 /// `extraMemory` is kept free beside the model for the adapter that needs it.
-void placeModel(Plan& plan, const Need& need, engine::Megabytes extraMemory) {
-  const Target model{need.target.model, nullptr};
-  const bool isForAdapter = need.target.adapter != nullptr;
-  if (!isForAdapter && plan.takeBaseLoad(model.model->name)) return;
-  if (plan.counted(model) >= model.maximumReplicas()) {
-    freeBound(plan, need);
-    return;
-  }
-  const std::vector<const Plan::Room*> rooms = allowedRooms(plan, model);
-  const engine::Megabytes memory = model.memory() + extraMemory;
-  const Plan::Room* best = bestWithRoom(plan, rooms, model, memory);
-  if (best == nullptr) {
-    makeRoom(plan, rooms, need, memory, 0);
-    return;
-  }
-  if (!plan.mayLoad(model.name(), *best->runner)) {
-    freeStore(plan, need);
-    return;
-  }
-  const base::RunnerId runner = best->runner->runner;
-  const char* place = describe(Plan::placeOf(*best->runner, model.name()));
-  plan.load(model, runner, 0, need.reason + "; " + place);
-  if (!isForAdapter) return;
-  plan.addBaseLoad(model.model->name);
-  plan.setAside(runner, extraMemory);
+void placeModel (Plan& plan, const Need& need, engine::Megabytes extraMemory)
+{
+    const Target model{ need.target.model, nullptr };
+    const bool isForAdapter = need.target.adapter != nullptr;
+    if (! isForAdapter && plan.takeBaseLoad (model.model->name))
+        return;
+    if (plan.counted (model) >= model.maximumReplicas())
+    {
+        freeBound (plan, need);
+        return;
+    }
+    const std::vector<const Plan::Room*> rooms = allowedRooms (plan, model);
+    const engine::Megabytes memory = model.memory() + extraMemory;
+    const Plan::Room* best = bestWithRoom (plan, rooms, model, memory);
+    if (best == nullptr)
+    {
+        makeRoom (plan, rooms, need, memory, 0);
+        return;
+    }
+    if (! plan.mayLoad (model.name(), *best->runner))
+    {
+        freeStore (plan, need);
+        return;
+    }
+    const base::RunnerId runner = best->runner->runner;
+    const char* place = describe (Plan::placeOf (*best->runner, model.name()));
+    plan.load (model, runner, 0, need.reason + "; " + place);
+    if (! isForAdapter)
+        return;
+    plan.addBaseLoad (model.model->name);
+    plan.setAside (runner, extraMemory);
 }
 
-struct BaseChoice {
-  const ReplicaView* ready = nullptr;  ///< With room for the adapter.
-  const ReplicaView* full = nullptr;   ///< Ready, but without room.
-  const ReplicaView* loading = nullptr;
+struct BaseChoice
+{
+    const ReplicaView* ready = nullptr;  ///< With room for the adapter.
+    const ReplicaView* full = nullptr;   ///< Ready, but without room.
+    const ReplicaView* loading = nullptr;
 };
 
-BaseChoice findBase(const Plan& plan, const Target& target) {
-  BaseChoice choice;
-  const std::vector<const Plan::Room*> rooms = allowedRooms(plan, target);
-  for (const ReplicaView* base : plan.usable(target.model->name.value)) {
-    if (base->replica.stage == ReplicaStage::kLoading) {
-      choice.loading = base;
-      continue;
+BaseChoice findBase (const Plan& plan, const Target& target)
+{
+    BaseChoice choice;
+    const std::vector<const Plan::Room*> rooms = allowedRooms (plan, target);
+    for (const ReplicaView* base : plan.usable (target.model->name.value))
+    {
+        if (base->replica.stage == ReplicaStage::kLoading)
+        {
+            choice.loading = base;
+            continue;
+        }
+        const Plan::Room* room = plan.roomOf (base->replica.runner);
+        if (std::find (rooms.begin(), rooms.end(), room) == rooms.end())
+            continue;
+        if (room->free < target.memory())
+        {
+            if (choice.full == nullptr)
+                choice.full = base;
+            continue;
+        }
+        const bool isBetter = choice.ready == nullptr
+                              || room->free > plan.roomOf (choice.ready->replica.runner)->free;
+        if (isBetter)
+            choice.ready = base;
     }
-    const Plan::Room* room = plan.roomOf(base->replica.runner);
-    if (std::find(rooms.begin(), rooms.end(), room) == rooms.end()) continue;
-    if (room->free < target.memory()) {
-      if (choice.full == nullptr) choice.full = base;
-      continue;
-    }
-    const bool isBetter =
-        choice.ready == nullptr || room->free > plan.roomOf(choice.ready->replica.runner)->free;
-    if (isBetter) choice.ready = base;
-  }
-  return choice;
+    return choice;
 }
 
-void placeAdapter(Plan& plan, const Need& need) {
-  const Target& target = need.target;
-  if (plan.counted(target) >= target.maximumReplicas()) {
-    freeBound(plan, need);
-    return;
-  }
-  const BaseChoice base = findBase(plan, target);
-  if (base.ready != nullptr) {
-    const RunnerView& runner = *plan.roomOf(base.ready->replica.runner)->runner;
-    if (!plan.mayLoad(target.name(), runner)) {
-      freeStore(plan, need);
-      plan.setAside(runner.runner, target.memory());
-      return;
+void placeAdapter (Plan& plan, const Need& need)
+{
+    const Target& target = need.target;
+    if (plan.counted (target) >= target.maximumReplicas())
+    {
+        freeBound (plan, need);
+        return;
+    }
+    const BaseChoice base = findBase (plan, target);
+    if (base.ready != nullptr)
+    {
+        const RunnerView& runner = *plan.roomOf (base.ready->replica.runner)->runner;
+        if (! plan.mayLoad (target.name(), runner))
+        {
+            freeStore (plan, need);
+            plan.setAside (runner.runner, target.memory());
+            return;
+        }
+        plan.load (target, runner.runner, base.ready->replica.id,
+                   need.reason + "; " + describe (Plan::placeOf (runner, target.name())));
+        return;
+    }
+    if (base.loading != nullptr)
+    {
+        // The base was placed where the adapter fits too; a later need must not take that room.
+        plan.setAside (base.loading->replica.runner, target.memory());
+        return;
+    }
+    if (plan.plansLoad (target.model->name))
+        return;
+    if (base.full != nullptr)
+    {
+        makeRoom (plan, { plan.roomOf (base.full->replica.runner) }, need, target.memory(),
+                  base.full->replica.id);
+        return;
     }
-    plan.load(target, runner.runner, base.ready->replica.id,
-              need.reason + "; " + describe(Plan::placeOf(runner, target.name())));
-    return;
-  }
-  if (base.loading != nullptr) {
-    // The base was placed where the adapter fits too; a later need must not take that room.
-    plan.setAside(base.loading->replica.runner, target.memory());
-    return;
-  }
-  if (plan.plansLoad(target.model->name)) return;
-  if (base.full != nullptr) {
-    makeRoom(plan, {plan.roomOf(base.full->replica.runner)}, need, target.memory(),
-             base.full->replica.id);
-    return;
-  }
-  Need baseNeed = need;
-  baseNeed.reason = "base of adapter " + target.name() + ": " + need.reason;
-  placeModel(plan, baseNeed, target.memory());
+    Need baseNeed = need;
+    baseNeed.reason = "base of adapter " + target.name() + ": " + need.reason;
+    placeModel (plan, baseNeed, target.memory());
 }
 
 }  // namespace
 
-std::vector<Decision> decide(const Snapshot& snapshot) {
-  if (snapshot.catalogue == nullptr) return {};
-  Plan plan(snapshot);
-  dropOutdated(plan);
-  dropAllAboveBound(plan);
-  dropIdle(plan);
-  for (const Need& need : findNeeds(plan)) {
-    if (need.target.adapter != nullptr) {
-      placeAdapter(plan, need);
-    } else {
-      placeModel(plan, need, 0);
+std::vector<Decision> decide (const Snapshot& snapshot)
+{
+    if (snapshot.catalogue == nullptr)
+        return {};
+    Plan plan (snapshot);
+    dropOutdated (plan);
+    dropAllAboveBound (plan);
+    dropIdle (plan);
+    for (const Need& need : findNeeds (plan))
+    {
+        if (need.target.adapter != nullptr)
+        {
+            placeAdapter (plan, need);
+        }
+        else
+        {
+            placeModel (plan, need, 0);
+        }
     }
-  }
-  return plan.takeDecisions();
+    return plan.takeDecisions();
 }
 
 }  // namespace fernlift::placement
--- a/src/placement/PlacementTestSupport.h
+++ b/src/placement/PlacementTestSupport.h
@@ -10,55 +10,57 @@
 
 #include "placement/Placement.h"
 
-namespace fernlift::placement::test {
+namespace fernlift::placement::test
+{
 
 /// Everything decide() sees, with the loads and unloads that follow from its decisions.
-class TestWorld {
- public:
-  static constexpr int kRoundsToLoad = 3;
-  static constexpr base::Duration kRound = base::seconds(1);
+class TestWorld
+{
+public:
+    static constexpr int kRoundsToLoad = 3;
+    static constexpr base::Duration kRound = base::seconds (1);
 
-  TestWorld();
+    TestWorld();
 
-  config::Model& addModel(const std::string& name, engine::Megabytes memory, std::uint32_t bound,
-                          const std::string& requestClass = "normal");
-  config::Adapter& addAdapter(const std::string& name, const std::string& model,
-                              engine::Megabytes memory, std::uint32_t bound);
-  RunnerView& addRunner(const std::string& name, engine::Megabytes memory,
-                        const std::string& zone = "z1");
-  /// A replica that is loaded already; its id.
-  base::ReplicaId addReplica(const std::string& target, const std::string& runner,
-                             cell::ReplicaStage stage = cell::ReplicaStage::kReady,
-                             base::ReplicaId baseReplica = 0);
-  void setDemand(const std::string& target, std::uint32_t waiting, std::uint32_t running = 0,
-                 int urgency = 5);
-  void setCheckpoint(const std::string& runner, const std::string& target,
-                     engine::CheckpointPlace place);
+    config::Model& addModel (const std::string& name, engine::Megabytes memory, std::uint32_t bound,
+                             const std::string& requestClass = "normal");
+    config::Adapter& addAdapter (const std::string& name, const std::string& model,
+                                 engine::Megabytes memory, std::uint32_t bound);
+    RunnerView& addRunner (const std::string& name, engine::Megabytes memory,
+                           const std::string& zone = "z1");
+    /// A replica that is loaded already; its id.
+    base::ReplicaId addReplica (const std::string& target, const std::string& runner,
+                                cell::ReplicaStage stage = cell::ReplicaStage::kReady,
+                                base::ReplicaId baseReplica = 0);
+    void setDemand (const std::string& target, std::uint32_t waiting, std::uint32_t running = 0,
+                    int urgency = 5);
+    void setCheckpoint (const std::string& runner, const std::string& target,
+                        engine::CheckpointPlace place);
 
-  ReplicaView& replica(base::ReplicaId id);
-  RunnerView& runner(const std::string& name);
+    ReplicaView& replica (base::ReplicaId id);
+    RunnerView& runner (const std::string& name);
 
-  /// Decisions on the present snapshot; nothing is carried out.
-  std::vector<Decision> decide();
-  std::vector<LoadDecision> loads();
-  std::vector<UnloadDecision> unloads();
-  /// Decides, carries out and lets one round pass: loads become ready after kRoundsToLoad rounds,
-  /// unloads end after one. Returns the decisions.
-  std::vector<Decision> step();
-  /// What is wrong with the replicas held, empty when nothing is.
-  std::string violation() const;
+    /// Decisions on the present snapshot; nothing is carried out.
+    std::vector<Decision> decide();
+    std::vector<LoadDecision> loads();
+    std::vector<UnloadDecision> unloads();
+    /// Decides, carries out and lets one round pass: loads become ready after kRoundsToLoad rounds,
+    /// unloads end after one. Returns the decisions.
+    std::vector<Decision> step();
+    /// What is wrong with the replicas held, empty when nothing is.
+    std::string violation() const;
 
-  config::Catalogue catalogue;
-  Snapshot snapshot;
+    config::Catalogue catalogue;
+    Snapshot snapshot;
 
- private:
-  void prepare();
-  void carryOut(const Decision& decision);
-  void pass();
+private:
+    void prepare();
+    void carryOut (const Decision& decision);
+    void pass();
 
-  std::map<std::string, std::map<std::string, engine::CheckpointPlace>> checkpoints_;
-  std::map<base::ReplicaId, int> roundsLoading_;
-  base::ReplicaId lastReplica_ = 0;
+    std::map<std::string, std::map<std::string, engine::CheckpointPlace>> checkpoints_;
+    std::map<base::ReplicaId, int> roundsLoading_;
+    base::ReplicaId lastReplica_ = 0;
 };
 
 }  // namespace fernlift::placement::test
--- a/src/placement/Plan.cpp
+++ b/src/placement/Plan.cpp
@@ -2,234 +2,301 @@
 
 #include <algorithm>
 
-namespace fernlift::placement {
-namespace {
+namespace fernlift::placement
+{
+namespace
+{
 
 using cell::ReplicaStage;
 
 /// A base model that became ready for an adapter counts as in use this long without it.
-constexpr base::Duration kAdapterGrace = base::seconds(10);
+constexpr base::Duration kAdapterGrace = base::seconds (10);
 /// Time without anyone waiting after which a load counts as abandoned.
-constexpr base::Duration kAbandonedAfter = base::seconds(2);
+constexpr base::Duration kAbandonedAfter = base::seconds (2);
 
 }  // namespace
 
-Plan::Plan(const Snapshot& snapshot)
-    : snapshot_(snapshot),
-      storeStarts_(snapshot.storeStarts),
-      storeConcurrency_(
-          std::min(snapshot.storeConcurrency, snapshot.catalogue->weightStore.concurrentLoads)) {
-  for (const RunnerView& runner : snapshot.runners) {
-    roomIndex_[runner.runner] = rooms_.size();
-    const engine::Megabytes free =
-        runner.totalMemory > runner.reservedMemory ? runner.totalMemory - runner.reservedMemory : 0;
-    rooms_.push_back(Room{&runner, free, 0, {}});
-  }
-  for (const ReplicaView& view : snapshot.replicas) {
-    const cell::Replica& replica = view.replica;
-    ++counts_[replica.target()];
-    byTarget_[replica.target()].push_back(&view);
-    byId_[replica.id] = &view;
-    if (replica.isAdapter()) adapters_[replica.baseReplica].push_back(&view);
-    if (replica.stage == ReplicaStage::kLoading && view.usesStore) ++storeLoads_;
-    const auto room = roomIndex_.find(replica.runner);
-    if (room == roomIndex_.end()) continue;
-    rooms_[room->second].replicas.push_back(&view);
-    if (replica.stage == ReplicaStage::kUnloading) {
-      rooms_[room->second].comingFree += replica.memory;
+Plan::Plan (const Snapshot& snapshot)
+    : snapshot_ (snapshot),
+      storeStarts_ (snapshot.storeStarts),
+      storeConcurrency_ (
+          std::min (snapshot.storeConcurrency, snapshot.catalogue->weightStore.concurrentLoads))
+{
+    for (const RunnerView& runner : snapshot.runners)
+    {
+        roomIndex_[runner.runner] = rooms_.size();
+        const engine::Megabytes free = runner.totalMemory > runner.reservedMemory
+                                           ? runner.totalMemory - runner.reservedMemory
+                                           : 0;
+        rooms_.push_back (Room{ &runner, free, 0, {} });
+    }
+    for (const ReplicaView& view : snapshot.replicas)
+    {
+        const cell::Replica& replica = view.replica;
+        ++counts_[replica.target()];
+        byTarget_[replica.target()].push_back (&view);
+        byId_[replica.id] = &view;
+        if (replica.isAdapter())
+            adapters_[replica.baseReplica].push_back (&view);
+        if (replica.stage == ReplicaStage::kLoading && view.usesStore)
+            ++storeLoads_;
+        const auto room = roomIndex_.find (replica.runner);
+        if (room == roomIndex_.end())
+            continue;
+        rooms_[room->second].replicas.push_back (&view);
+        if (replica.stage == ReplicaStage::kUnloading)
+        {
+            rooms_[room->second].comingFree += replica.memory;
+        }
     }
-  }
 }
 
-const Plan::Room* Plan::roomOf(const base::RunnerId& runner) const {
-  const auto found = roomIndex_.find(runner);
-  return found == roomIndex_.end() ? nullptr : &rooms_[found->second];
+const Plan::Room* Plan::roomOf (const base::RunnerId& runner) const
+{
+    const auto found = roomIndex_.find (runner);
+    return found == roomIndex_.end() ? nullptr : &rooms_[found->second];
 }
 
-Plan::Room& Plan::mutableRoom(const base::RunnerId& runner) {
-  return rooms_[roomIndex_.at(runner)];
+Plan::Room& Plan::mutableRoom (const base::RunnerId& runner)
+{
+    return rooms_[roomIndex_.at (runner)];
 }
 
-Target Plan::targetNamed(const std::string& name) const {
-  const config::Catalogue& catalogue = *snapshot_.catalogue;
-  if (const config::Model* model = catalogue.findModel(base::ModelName(name))) {
-    return {model, nullptr};
-  }
-  const config::Adapter* adapter = catalogue.findAdapter(base::AdapterName(name));
-  if (adapter == nullptr) return {};
-  return {catalogue.findModel(adapter->base), adapter};
+Target Plan::targetNamed (const std::string& name) const
+{
+    const config::Catalogue& catalogue = *snapshot_.catalogue;
+    if (const config::Model* model = catalogue.findModel (base::ModelName (name)))
+    {
+        return { model, nullptr };
+    }
+    const config::Adapter* adapter = catalogue.findAdapter (base::AdapterName (name));
+    if (adapter == nullptr)
+        return {};
+    return { catalogue.findModel (adapter->base), adapter };
 }
 
-const TargetDemand& Plan::demandOf(const std::string& target) const {
-  static const TargetDemand kNone;
-  const auto found = snapshot_.demands.find(target);
-  return found == snapshot_.demands.end() ? kNone : found->second;
+const TargetDemand& Plan::demandOf (const std::string& target) const
+{
+    static const TargetDemand kNone;
+    const auto found = snapshot_.demands.find (target);
+    return found == snapshot_.demands.end() ? kNone : found->second;
 }
 
-int Plan::urgencyOf(const std::string& name) const {
-  const Target target = targetNamed(name);
-  if (target.model == nullptr) return kLeastUrgency;
-  const base::RequestClassName& className =
-      target.adapter != nullptr ? target.adapter->defaultClass : target.model->defaultClass;
-  const config::RequestClass* requestClass = snapshot_.catalogue->findClass(className);
-  const TargetDemand& demand = demandOf(name);
-  int urgency = requestClass == nullptr ? kLeastUrgency : requestClass->urgency;
-  if (demand.running > 0) urgency = std::min(urgency, demand.mostUrgent);
-  if (demand.running == 0 && demand.waiting > 0) urgency = demand.mostUrgent;
-  if (target.adapter != nullptr) return urgency;
-  for (const config::Adapter& adapter : snapshot_.catalogue->adapters) {
-    if (adapter.base != target.model->name) continue;
-    const TargetDemand& adapterDemand = demandOf(adapter.name.value);
-    if (adapterDemand.waiting > 0) urgency = std::min(urgency, adapterDemand.mostUrgent);
-  }
-  return urgency;
+int Plan::urgencyOf (const std::string& name) const
+{
+    const Target target = targetNamed (name);
+    if (target.model == nullptr)
+        return kLeastUrgency;
+    const base::RequestClassName& className =
+        target.adapter != nullptr ? target.adapter->defaultClass : target.model->defaultClass;
+    const config::RequestClass* requestClass = snapshot_.catalogue->findClass (className);
+    const TargetDemand& demand = demandOf (name);
+    int urgency = requestClass == nullptr ? kLeastUrgency : requestClass->urgency;
+    if (demand.running > 0)
+        urgency = std::min (urgency, demand.mostUrgent);
+    if (demand.running == 0 && demand.waiting > 0)
+        urgency = demand.mostUrgent;
+    if (target.adapter != nullptr)
+        return urgency;
+    for (const config::Adapter& adapter : snapshot_.catalogue->adapters)
+    {
+        if (adapter.base != target.model->name)
+            continue;
+        const TargetDemand& adapterDemand = demandOf (adapter.name.value);
+        if (adapterDemand.waiting > 0)
+            urgency = std::min (urgency, adapterDemand.mostUrgent);
+    }
+    return urgency;
 }
 
-std::uint32_t Plan::counted(const Target& target) const {
-  const auto found = counts_.find(target.name());
-  return found == counts_.end() ? 0 : found->second;
+std::uint32_t Plan::counted (const Target& target) const
+{
+    const auto found = counts_.find (target.name());
+    return found == counts_.end() ? 0 : found->second;
 }
 
-std::vector<const ReplicaView*> Plan::all(const std::string& target) const {
-  const auto found = byTarget_.find(target);
-  return found == byTarget_.end() ? std::vector<const ReplicaView*>() : found->second;
+std::vector<const ReplicaView*> Plan::all (const std::string& target) const
+{
+    const auto found = byTarget_.find (target);
+    return found == byTarget_.end() ? std::vector<const ReplicaView*>() : found->second;
 }
 
-std::vector<const ReplicaView*> Plan::usable(const std::string& target) const {
-  std::vector<const ReplicaView*> result;
-  for (const ReplicaView* view : all(target)) {
-    const Room* room = roomOf(view->replica.runner);
-    const bool isServing = room != nullptr && room->runner->takesNewWork &&
-                           room->runner->isResponsive && !isUnloading(*view) && !isOutdated(*view);
-    if (isServing) result.push_back(view);
-  }
-  return result;
+std::vector<const ReplicaView*> Plan::usable (const std::string& target) const
+{
+    std::vector<const ReplicaView*> result;
+    for (const ReplicaView* view : all (target))
+    {
+        const Room* room = roomOf (view->replica.runner);
+        const bool isServing = room != nullptr && room->runner->takesNewWork
+                               && room->runner->isResponsive && ! isUnloading (*view)
+                               && ! isOutdated (*view);
+        if (isServing)
+            result.push_back (view);
+    }
+    return result;
 }
 
-const std::vector<const ReplicaView*>& Plan::adaptersOn(base::ReplicaId replica) const {
-  static const std::vector<const ReplicaView*> kNone;
-  const auto found = adapters_.find(replica);
-  return found == adapters_.end() ? kNone : found->second;
+const std::vector<const ReplicaView*>& Plan::adaptersOn (base::ReplicaId replica) const
+{
+    static const std::vector<const ReplicaView*> kNone;
+    const auto found = adapters_.find (replica);
+    return found == adapters_.end() ? kNone : found->second;
 }
 
-bool Plan::isUnloading(const ReplicaView& view) const {
-  return view.replica.stage == ReplicaStage::kUnloading || unloaded_.count(view.replica.id) != 0;
+bool Plan::isUnloading (const ReplicaView& view) const
+{
+    return view.replica.stage == ReplicaStage::kUnloading || unloaded_.count (view.replica.id) != 0;
 }
 
-bool Plan::isOutdated(const ReplicaView& view) const {
-  const cell::Replica& replica = view.replica;
-  if (!hasCurrentVersion(replica)) return true;
-  if (!replica.isAdapter()) return false;
-  const auto base = byId_.find(replica.baseReplica);
-  return base == byId_.end() || !hasCurrentVersion(base->second->replica);
+bool Plan::isOutdated (const ReplicaView& view) const
+{
+    const cell::Replica& replica = view.replica;
+    if (! hasCurrentVersion (replica))
+        return true;
+    if (! replica.isAdapter())
+        return false;
+    const auto base = byId_.find (replica.baseReplica);
+    return base == byId_.end() || ! hasCurrentVersion (base->second->replica);
 }
 
-bool Plan::hasCurrentVersion(const cell::Replica& replica) const {
-  const Target target = targetNamed(replica.target());
-  if (target.model == nullptr || target.model->name != replica.model) return false;
-  if ((target.adapter != nullptr) != replica.isAdapter()) return false;
-  if (target.memory() != replica.memory || target.model->version != replica.version) return false;
-  const Room* room = roomOf(replica.runner);
-  return room == nullptr || config::allowsZone(target.model->zones, room->runner->zone);
+bool Plan::hasCurrentVersion (const cell::Replica& replica) const
+{
+    const Target target = targetNamed (replica.target());
+    if (target.model == nullptr || target.model->name != replica.model)
+        return false;
+    if ((target.adapter != nullptr) != replica.isAdapter())
+        return false;
+    if (target.memory() != replica.memory || target.model->version != replica.version)
+        return false;
+    const Room* room = roomOf (replica.runner);
+    return room == nullptr || config::allowsZone (target.model->zones, room->runner->zone);
 }
 
-bool Plan::isInUse(const ReplicaView& view) const {
-  const TargetDemand& demand = demandOf(view.replica.target());
-  const bool isRequested = view.activeRequests > 0 || demand.waiting > 0 || demand.running > 0;
-  return isRequested || isWantedForAdapter(view);
+bool Plan::isInUse (const ReplicaView& view) const
+{
+    const TargetDemand& demand = demandOf (view.replica.target());
+    const bool isRequested = view.activeRequests > 0 || demand.waiting > 0 || demand.running > 0;
+    return isRequested || isWantedForAdapter (view);
 }
 
-bool Plan::isWantedForAdapter(const ReplicaView& view) const {
-  const bool isFresh =
-      view.replica.stage == ReplicaStage::kLoading || view.readyFor < kAdapterGrace;
-  if (view.replica.isAdapter() || !isFresh) return false;
-  const std::vector<config::Adapter>& adapters = snapshot_.catalogue->adapters;
-  return std::any_of(adapters.begin(), adapters.end(), [&](const config::Adapter& adapter) {
-    return adapter.base == view.replica.model && demandOf(adapter.name.value).waiting > 0;
-  });
+bool Plan::isWantedForAdapter (const ReplicaView& view) const
+{
+    const bool isFresh =
+        view.replica.stage == ReplicaStage::kLoading || view.readyFor < kAdapterGrace;
+    if (view.replica.isAdapter() || ! isFresh)
+        return false;
+    const std::vector<config::Adapter>& adapters = snapshot_.catalogue->adapters;
+    return std::any_of (adapters.begin(), adapters.end(),
+                        [&] (const config::Adapter& adapter) {
+                            return adapter.base == view.replica.model
+                                   && demandOf (adapter.name.value).waiting > 0;
+                        });
 }
 
-bool Plan::isAbandonedLoad(const ReplicaView& view) const {
-  return view.replica.stage == ReplicaStage::kLoading && !isUnloading(view) && !isInUse(view) &&
-         !isKeptByMinimum(view) && view.idleFor >= kAbandonedAfter;
+bool Plan::isAbandonedLoad (const ReplicaView& view) const
+{
+    return view.replica.stage == ReplicaStage::kLoading && ! isUnloading (view) && ! isInUse (view)
+           && ! isKeptByMinimum (view) && view.idleFor >= kAbandonedAfter;
 }
 
-bool Plan::isKeptByMinimum(const ReplicaView& view) const {
-  if (view.replica.isAdapter()) return false;
-  const Target target = targetNamed(view.replica.target());
-  if (target.model == nullptr) return false;
-  return usable(view.replica.target()).size() <= target.model->minReplicas;
+bool Plan::isKeptByMinimum (const ReplicaView& view) const
+{
+    if (view.replica.isAdapter())
+        return false;
+    const Target target = targetNamed (view.replica.target());
+    if (target.model == nullptr)
+        return false;
+    return usable (view.replica.target()).size() <= target.model->minReplicas;
 }
 
-engine::CheckpointPlace Plan::placeOf(const RunnerView& runner, const std::string& target) {
-  if (runner.checkpoints == nullptr) return engine::CheckpointPlace::kRemote;
-  const auto found = runner.checkpoints->find(target);
-  return found == runner.checkpoints->end() ? engine::CheckpointPlace::kRemote : found->second;
+engine::CheckpointPlace Plan::placeOf (const RunnerView& runner, const std::string& target)
+{
+    if (runner.checkpoints == nullptr)
+        return engine::CheckpointPlace::kRemote;
+    const auto found = runner.checkpoints->find (target);
+    return found == runner.checkpoints->end() ? engine::CheckpointPlace::kRemote : found->second;
 }
-
-bool Plan::mayLoad(const std::string& target, const RunnerView& runner) const {
-  if (placeOf(runner, target) != engine::CheckpointPlace::kRemote) return true;
-  return !isStoreFull() && storeStarts_ > 0;
+
+bool Plan::mayLoad (const std::string& target, const RunnerView& runner) const
+{
+    if (placeOf (runner, target) != engine::CheckpointPlace::kRemote)
+        return true;
+    return ! isStoreFull() && storeStarts_ > 0;
 }
 
-bool Plan::isAvoided(const std::string& target, const base::RunnerId& runner) const {
-  return snapshot_.avoided.count({target, runner}) != 0;
+bool Plan::isAvoided (const std::string& target, const base::RunnerId& runner) const
+{
+    return snapshot_.avoided.count ({ target, runner }) != 0;
 }
 
-void Plan::load(const Target& target, const base::RunnerId& runner, base::ReplicaId baseReplica,
-                std::string reason) {
-  Room& room = mutableRoom(runner);
-  const base::AdapterName adapter =
-      target.adapter != nullptr ? target.adapter->name : base::AdapterName();
-  room.free -= std::min(room.free, target.memory());
-  ++counts_[target.name()];
-  plannedZones_[target.name()].insert(room.runner->zone);
-  if (placeOf(*room.runner, target.name()) == engine::CheckpointPlace::kRemote) {
-    ++storeLoads_;
-    --storeStarts_;
-  }
-  if (target.adapter == nullptr) plannedModels_.insert(target.model->name);
-  decisions_.emplace_back(LoadDecision{runner, room.runner->incarnation, target.model->name,
-                                       adapter, baseReplica, std::move(reason)});
+void Plan::load (const Target& target, const base::RunnerId& runner, base::ReplicaId baseReplica,
+                 std::string reason)
+{
+    Room& room = mutableRoom (runner);
+    const base::AdapterName adapter =
+        target.adapter != nullptr ? target.adapter->name : base::AdapterName();
+    room.free -= std::min (room.free, target.memory());
+    ++counts_[target.name()];
+    plannedZones_[target.name()].insert (room.runner->zone);
+    if (placeOf (*room.runner, target.name()) == engine::CheckpointPlace::kRemote)
+    {
+        ++storeLoads_;
+        --storeStarts_;
+    }
+    if (target.adapter == nullptr)
+        plannedModels_.insert (target.model->name);
+    decisions_.emplace_back (LoadDecision{ runner, room.runner->incarnation, target.model->name,
+                                           adapter, baseReplica, std::move (reason) });
 }
 
-std::set<base::ZoneName> Plan::plannedZones(const std::string& target) const {
-  const auto found = plannedZones_.find(target);
-  return found == plannedZones_.end() ? std::set<base::ZoneName>() : found->second;
+std::set<base::ZoneName> Plan::plannedZones (const std::string& target) const
+{
+    const auto found = plannedZones_.find (target);
+    return found == plannedZones_.end() ? std::set<base::ZoneName>() : found->second;
 }
 
-bool Plan::takeBaseLoad(const base::ModelName& model) {
-  const auto found = baseLoads_.find(model);
-  if (found == baseLoads_.end() || found->second == 0) return false;
-  --found->second;
-  return true;
+bool Plan::takeBaseLoad (const base::ModelName& model)
+{
+    const auto found = baseLoads_.find (model);
+    if (found == baseLoads_.end() || found->second == 0)
+        return false;
+    --found->second;
+    return true;
 }
 
-void Plan::unload(const ReplicaView& view, const std::string& reason) {
-  bool adaptersRide = false;
-  for (const ReplicaView* adapter : adaptersOn(view.replica.id)) {
-    adaptersRide = true;
-    unloadOne(*adapter, reason);
-  }
-  if (!adaptersRide) unloadOne(view, reason);
+void Plan::unload (const ReplicaView& view, const std::string& reason)
+{
+    bool adaptersRide = false;
+    for (const ReplicaView* adapter : adaptersOn (view.replica.id))
+    {
+        adaptersRide = true;
+        unloadOne (*adapter, reason);
+    }
+    if (! adaptersRide)
+        unloadOne (view, reason);
 }
 
-void Plan::unloadOne(const ReplicaView& view, const std::string& reason) {
-  if (isUnloading(view)) return;
-  unloaded_.insert(view.replica.id);
-  const bool givesBackStore = view.replica.stage == ReplicaStage::kLoading && view.usesStore;
-  if (givesBackStore) --storeLoads_;
-  if (roomIndex_.count(view.replica.runner) != 0) {
-    mutableRoom(view.replica.runner).comingFree += view.replica.memory;
-  }
-  decisions_.emplace_back(UnloadDecision{view.replica.id, reason});
+void Plan::unloadOne (const ReplicaView& view, const std::string& reason)
+{
+    if (isUnloading (view))
+        return;
+    unloaded_.insert (view.replica.id);
+    const bool givesBackStore = view.replica.stage == ReplicaStage::kLoading && view.usesStore;
+    if (givesBackStore)
+        --storeLoads_;
+    if (roomIndex_.count (view.replica.runner) != 0)
+    {
+        mutableRoom (view.replica.runner).comingFree += view.replica.memory;
+    }
+    decisions_.emplace_back (UnloadDecision{ view.replica.id, reason });
 }
 
-void Plan::setAside(const base::RunnerId& runner, engine::Megabytes memory) {
-  Room& room = mutableRoom(runner);
-  const engine::Megabytes fromFree = std::min(room.free, memory);
-  room.free -= fromFree;
-  room.comingFree -= std::min(room.comingFree, memory - fromFree);
+void Plan::setAside (const base::RunnerId& runner, engine::Megabytes memory)
+{
+    Room& room = mutableRoom (runner);
+    const engine::Megabytes fromFree = std::min (room.free, memory);
+    room.free -= fromFree;
+    room.comingFree -= std::min (room.comingFree, memory - fromFree);
 }
 
 }  // namespace fernlift::placement
--- a/src/placement/StorePace.h
+++ b/src/placement/StorePace.h
@@ -11,41 +11,44 @@
 #include "config/Catalogue.h"
 #include "placement/Placement.h"
 
-namespace fernlift::placement {
+namespace fernlift::placement
+{
 
 /// Additive increase, multiplicative decrease below the concurrency that the catalogue allows, and
 /// a token bucket at its rate. Lost with leadership; a new leader starts from the catalogue.
-class StorePace {
- public:
-  /// Takes note of loads that began, ended or were given up since the last call.
-  void observe(const config::WeightStoreLimits& limits, const std::vector<ReplicaView>& replicas,
-               base::TimePoint now);
-
-  /// Loads that may use the store at once; at least one.
-  [[nodiscard]] std::uint32_t concurrency() const { return concurrency_; }
-  /// Further loads that may begin now without passing the store's rate.
-  [[nodiscard]] std::uint32_t startsAllowed() const;
-
- private:
-  struct Load {
-    base::TimePoint startedAt{};
-    engine::Megabytes memory = 0;
-  };
-
-  void refill(const config::WeightStoreLimits& limits, base::TimePoint now);
-  void onReady(const Load& load, base::TimePoint now);
-  /// A load that is not ready although it should be is a sign that the store has slowed.
-  void findOverdue(base::TimePoint now);
-  void noteSample(double secondsPerMegabyte, const Load& load, base::TimePoint now);
-  void slowDown(base::TimePoint now);
-
-  std::uint32_t limit_ = 0;  ///< Of the catalogue; 0 before the first observation.
-  std::uint32_t concurrency_ = 1;
-  double tokens_ = 0;
-  base::TimePoint refilledAt_{};
-  base::TimePoint slowedAt_{};
-  double usualSecondsPerMegabyte_ = 0;  ///< 0: no load has ended yet.
-  std::map<base::ReplicaId, Load> loads_;
+class StorePace
+{
+public:
+    /// Takes note of loads that began, ended or were given up since the last call.
+    void observe (const config::WeightStoreLimits& limits, const std::vector<ReplicaView>& replicas,
+                  base::TimePoint now);
+
+    /// Loads that may use the store at once; at least one.
+    [[nodiscard]] std::uint32_t concurrency() const { return concurrency_; }
+    /// Further loads that may begin now without passing the store's rate.
+    [[nodiscard]] std::uint32_t startsAllowed() const;
+
+private:
+    struct Load
+    {
+        base::TimePoint startedAt{};
+        engine::Megabytes memory = 0;
+    };
+
+    void refill (const config::WeightStoreLimits& limits, base::TimePoint now);
+    void onReady (const Load& load, base::TimePoint now);
+    /// A load that is not ready although it should be is a sign that the store has slowed.
+    void findOverdue (base::TimePoint now);
+    void noteSample (double secondsPerMegabyte, const Load& load, base::TimePoint now);
+    void slowDown (base::TimePoint now);
+
+    std::uint32_t limit_ = 0;  ///< Of the catalogue; 0 before the first observation.
+    std::uint32_t concurrency_ = 1;
+    double tokens_ = 0;
+    base::TimePoint refilledAt_{};
+    base::TimePoint slowedAt_{};
+    double usualSecondsPerMegabyte_ = 0;  ///< 0: no load has ended yet.
+    std::map<base::ReplicaId, Load> loads_;
 };
 
 }  // namespace fernlift::placement
--- a/src/programs/fernlift-faultproxy.cpp
+++ b/src/programs/fernlift-faultproxy.cpp
@@ -1,3 +1,3 @@
 #include "lab/FaultProxyProcess.h"
 
-int main(int argc, char** argv) { return fernlift::lab::runFaultProxy(argc, argv); }
+int main (int argc, char** argv) { return fernlift::lab::runFaultProxy (argc, argv); }
--- a/src/programs/fernlift-load.cpp
+++ b/src/programs/fernlift-load.cpp
@@ -1,3 +1,3 @@
 #include "lab/LoadProgram.h"
 
-int main(int argc, char** argv) { return fernlift::lab::runLoadProgram(argc, argv); }
+int main (int argc, char** argv) { return fernlift::lab::runLoadProgram (argc, argv); }
--- a/src/programs/fernlift-sim.cpp
+++ b/src/programs/fernlift-sim.cpp
@@ -1,3 +1,3 @@
 #include "sim/SimProgram.h"
 
-int main(int argc, char** argv) { return fernlift::sim::runSimProgram(argc, argv); }
+int main (int argc, char** argv) { return fernlift::sim::runSimProgram (argc, argv); }
--- a/src/programs/fernlift-standin.cpp
+++ b/src/programs/fernlift-standin.cpp
@@ -1,3 +1,3 @@
 #include "standin/StandinProcess.h"
 
-int main(int argc, char** argv) { return fernlift::standin::runStandin(argc, argv); }
+int main (int argc, char** argv) { return fernlift::standin::runStandin (argc, argv); }
--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -15,84 +15,89 @@
 #include "http/Message.h"
 #include "proxy/RequestParser.h"
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
 /// What a caller may send and how slowly.
-struct CallerLimits {
-  RequestLimits request;
-  base::Duration headerTimeout = base::seconds(3);  ///< First byte to the end of the request.
-  base::Duration idleTimeout = base::seconds(15);   ///< Between requests.
+struct CallerLimits
+{
+    RequestLimits request;
+    base::Duration headerTimeout = base::seconds (3);  ///< First byte to the end of the request.
+    base::Duration idleTimeout = base::seconds (15);   ///< Between requests.
 };
 
 /// How the body of an answer is framed towards the caller.
-struct AnswerFraming {
-  bool hasLength = false;
-  std::uint64_t length = 0;
+struct AnswerFraming
+{
+    bool hasLength = false;
+    std::uint64_t length = 0;
 };
 
-class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
- public:
-  struct Handlers {
-    std::function<void(CallerConnection& connection, ParsedRequest request)> onRequest;
-    /// The caller went away while its request was open.
-    std::function<void(CallerConnection& connection)> onLeft;
-    /// The caller sent something that is no proper request; the handler answers it.
-    std::function<void(CallerConnection& connection, const base::Error& error)> onInvalid;
-    std::function<void(CallerConnection& connection)> onClosed;
-  };
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+{
+public:
+    struct Handlers
+    {
+        std::function<void (CallerConnection& connection, ParsedRequest request)> onRequest;
+        /// The caller went away while its request was open.
+        std::function<void (CallerConnection& connection)> onLeft;
+        /// The caller sent something that is no proper request; the handler answers it.
+        std::function<void (CallerConnection& connection, const base::Error& error)> onInvalid;
+        std::function<void (CallerConnection& connection)> onClosed;
+    };
 
-  CallerConnection(std::unique_ptr<QTcpSocket> socket, CallerLimits limits,
-                   const Handlers& handlers);
-  ~CallerConnection();
-  CallerConnection(const CallerConnection&) = delete;
-  CallerConnection& operator=(const CallerConnection&) = delete;
+    CallerConnection (std::unique_ptr<QTcpSocket> socket, CallerLimits limits,
+                      const Handlers& handlers);
+    ~CallerConnection();
+    CallerConnection (const CallerConnection&) = delete;
+    CallerConnection& operator= (const CallerConnection&) = delete;
 
-  /// Reads what arrived before the handlers were connected. Call once.
-  void start();
+    /// Reads what arrived before the handlers were connected. Call once.
+    void start();
 
-  /// Begins the answer to the open request. `Connection` and the framing are added.
-  void beginAnswer(int status, const http::Headers& headers, AnswerFraming framing);
-  void writeBody(std::string_view data);
-  /// The answer is whole. The next request may follow.
-  void endAnswer();
-  /// Ends the connection in the middle of an answer, so that the caller sees it cut.
-  void abort();
-  /// A whole answer.
-  void sendAnswer(int status, const http::Headers& headers, std::string_view body);
+    /// Begins the answer to the open request. `Connection` and the framing are added.
+    void beginAnswer (int status, const http::Headers& headers, AnswerFraming framing);
+    void writeBody (std::string_view data);
+    /// The answer is whole. The next request may follow.
+    void endAnswer();
+    /// Ends the connection in the middle of an answer, so that the caller sees it cut.
+    void abort();
+    /// A whole answer.
+    void sendAnswer (int status, const http::Headers& headers, std::string_view body);
 
-  /// No further request is read after the present answer; a resting connection closes.
-  void closeAfterAnswer();
-  /// Closes at once if no request is open and none is being read.
-  void closeIfIdle();
-  [[nodiscard]] bool isAnswering() const { return hasOpenRequest_; }
-  [[nodiscard]] bool hasBegunAnswer() const { return hasBegunAnswer_; }
-  [[nodiscard]] std::size_t bytesToWrite() const;
-  void setLimits(const CallerLimits& limits);
+    /// No further request is read after the present answer; a resting connection closes.
+    void closeAfterAnswer();
+    /// Closes at once if no request is open and none is being read.
+    void closeIfIdle();
+    [[nodiscard]] bool isAnswering() const { return hasOpenRequest_; }
+    [[nodiscard]] bool hasBegunAnswer() const { return hasBegunAnswer_; }
+    [[nodiscard]] std::size_t bytesToWrite() const;
+    void setLimits (const CallerLimits& limits);
 
- private:
-  void connectSignals();
-  void onReadable();
-  void readOn();
-  void onGone();
-  void parse();
-  void handOn();
-  void armTimer();
-  void onTimeout();
-  void closeOrderly();
+private:
+    void connectSignals();
+    void onReadable();
+    void readOn();
+    void onGone();
+    void parse();
+    void handOn();
+    void armTimer();
+    void onTimeout();
+    void closeOrderly();
 
-  std::unique_ptr<QTcpSocket> socket_;
-  CallerLimits limits_;
-  const Handlers& handlers_;
-  RequestParser parser_;
-  std::string buffer_;
-  bool hasOpenRequest_ = false;
-  bool hasBegunAnswer_ = false;
-  bool isChunked_ = false;
-  bool answerHasBody_ = true;
-  bool closesAfterAnswer_ = false;
-  bool isClosed_ = false;
-  bool isHttp10_ = false;
-  QTimer timer_;
+    std::unique_ptr<QTcpSocket> socket_;
+    CallerLimits limits_;
+    const Handlers& handlers_;
+    RequestParser parser_;
+    std::string buffer_;
+    bool hasOpenRequest_ = false;
+    bool hasBegunAnswer_ = false;
+    bool isChunked_ = false;
+    bool answerHasBody_ = true;
+    bool closesAfterAnswer_ = false;
+    bool isClosed_ = false;
+    bool isHttp10_ = false;
+    QTimer timer_;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/EngineDemands.h
+++ b/src/proxy/EngineDemands.h
@@ -11,42 +11,46 @@
 #include "base/Time.h"
 #include "cell/RouterMessages.h"
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
 /// A model of a service, or an adapter of it.
-struct EngineTarget {
-  std::string service;
-  std::string model;
-  std::string adapter;  ///< Empty: the model itself.
-
-  // clang-tidy 14 takes the zero of a defaulted comparison for a pointer.
-  auto operator<=>(const EngineTarget&) const = default;  // NOLINT(modernize-use-nullptr)
+struct EngineTarget
+{
+    std::string service;
+    std::string model;
+    std::string adapter;  ///< Empty: the model itself.
+
+    // clang-tidy 14 takes the zero of a defaulted comparison for a pointer.
+    auto operator<=> (const EngineTarget&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
-class EngineDemands {
- public:
-  void onArrival(const EngineTarget& target);
-  void onWaiting(const EngineTarget& target);
-  void onWaitEnd(const EngineTarget& target);
-  void onRunning(const EngineTarget& target);
-  void onRunEnd(const EngineTarget& target);
-
-  /// The report that is due; nothing when there is none. One is due at once when a request began to
-  /// wait, else every `interval` while there is or was demand.
-  [[nodiscard]] std::vector<cell::EngineDemand> takeDue(base::TimePoint now,
-                                                        base::Duration interval);
-
- private:
-  struct Counts {
-    std::uint32_t waiting = 0;
-    std::uint32_t running = 0;
-    std::uint32_t arrivals = 0;
-    bool isChanged = false;
-  };
-
-  std::map<EngineTarget, Counts> counts_;
-  bool isUrgent_ = false;
-  base::TimePoint reportedAt_{};
+class EngineDemands
+{
+public:
+    void onArrival (const EngineTarget& target);
+    void onWaiting (const EngineTarget& target);
+    void onWaitEnd (const EngineTarget& target);
+    void onRunning (const EngineTarget& target);
+    void onRunEnd (const EngineTarget& target);
+
+    /// The report that is due; nothing when there is none. One is due at once when a request began
+    /// to wait, else every `interval` while there is or was demand.
+    [[nodiscard]] std::vector<cell::EngineDemand> takeDue (base::TimePoint now,
+                                                           base::Duration interval);
+
+private:
+    struct Counts
+    {
+        std::uint32_t waiting = 0;
+        std::uint32_t running = 0;
+        std::uint32_t arrivals = 0;
+        bool isChanged = false;
+    };
+
+    std::map<EngineTarget, Counts> counts_;
+    bool isUrgent_ = false;
+    base::TimePoint reportedAt_{};
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/EventSplitter.cpp
+++ b/src/proxy/EventSplitter.cpp
@@ -1,46 +1,58 @@
 #include "proxy/EventSplitter.h"
 
-namespace fernlift::proxy {
-namespace {
+namespace fernlift::proxy
+{
+namespace
+{
 
 constexpr std::string_view kIdField = "id:";
 
 /// Position after the last empty line of `text`; 0 when there is none.
-std::size_t endOfLastEvent(std::string_view text) {
-  const std::size_t plain = text.rfind("\n\n");
-  const std::size_t carriage = text.rfind("\n\r\n");
-  std::size_t end = 0;
-  if (plain != std::string_view::npos) end = plain + 2;
-  if (carriage != std::string_view::npos) end = std::max(end, carriage + 3);
-  return end;
+std::size_t endOfLastEvent (std::string_view text)
+{
+    const std::size_t plain = text.rfind ("\n\n");
+    const std::size_t carriage = text.rfind ("\n\r\n");
+    std::size_t end = 0;
+    if (plain != std::string_view::npos)
+        end = plain + 2;
+    if (carriage != std::string_view::npos)
+        end = std::max (end, carriage + 3);
+    return end;
 }
 
-std::string_view trimmed(std::string_view text) {
-  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
-  while (!text.empty() && (text.back() == '\r' || text.back() == ' ')) text.remove_suffix(1);
-  return text;
+std::string_view trimmed (std::string_view text)
+{
+    while (! text.empty() && text.front() == ' ')
+        text.remove_prefix (1);
+    while (! text.empty() && (text.back() == '\r' || text.back() == ' '))
+        text.remove_suffix (1);
+    return text;
 }
 
 }  // namespace
 
-std::string_view EventSplitter::feed(std::string_view data) {
-  buffer_.erase(0, taken_);
-  buffer_.append(data);
-  taken_ = endOfLastEvent(buffer_);
-  const std::string_view events = std::string_view(buffer_).substr(0, taken_);
-  noteIds(events);
-  return events;
+std::string_view EventSplitter::feed (std::string_view data)
+{
+    buffer_.erase (0, taken_);
+    buffer_.append (data);
+    taken_ = endOfLastEvent (buffer_);
+    const std::string_view events = std::string_view (buffer_).substr (0, taken_);
+    noteIds (events);
+    return events;
 }
 
-void EventSplitter::dropRest() { buffer_.resize(taken_); }
-
-void EventSplitter::noteIds(std::string_view events) {
-  while (!events.empty()) {
-    const std::size_t end = events.find('\n');
-    const std::string_view line = events.substr(0, end);
-    if (line.starts_with(kIdField)) lastId_ = std::string(trimmed(line.substr(kIdField.size())));
-    events.remove_prefix(end == std::string_view::npos ? events.size() : end + 1);
-  }
+void EventSplitter::dropRest() { buffer_.resize (taken_); }
+
+void EventSplitter::noteIds (std::string_view events)
+{
+    while (! events.empty())
+    {
+        const std::size_t end = events.find ('\n');
+        const std::string_view line = events.substr (0, end);
+        if (line.starts_with (kIdField))
+            lastId_ = std::string (trimmed (line.substr (kIdField.size())));
+        events.remove_prefix (end == std::string_view::npos ? events.size() : end + 1);
+    }
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/EventSplitter.h
+++ b/src/proxy/EventSplitter.h
@@ -6,25 +6,31 @@
 #include <string>
 #include <string_view>
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
-class EventSplitter {
- public:
-  /// Adds received bytes; returns the whole events among all bytes not yet returned, as they came.
-  [[nodiscard]] std::string_view feed(std::string_view data);
-  /// Id of the last whole event; none while no event with an id has passed.
-  [[nodiscard]] const std::optional<std::string>& lastId() const { return lastId_; }
-  /// Bytes of an event that is not whole.
-  [[nodiscard]] std::string_view rest() const { return std::string_view(buffer_).substr(taken_); }
-  /// Drops the bytes of an event that is not whole: its stream broke off.
-  void dropRest();
+class EventSplitter
+{
+public:
+    /// Adds received bytes; returns the whole events among all bytes not yet returned, as they
+    /// came.
+    [[nodiscard]] std::string_view feed (std::string_view data);
+    /// Id of the last whole event; none while no event with an id has passed.
+    [[nodiscard]] const std::optional<std::string>& lastId() const { return lastId_; }
+    /// Bytes of an event that is not whole.
+    [[nodiscard]] std::string_view rest() const
+    {
+        return std::string_view (buffer_).substr (taken_);
+    }
+    /// Drops the bytes of an event that is not whole: its stream broke off.
+    void dropRest();
 
- private:
-  void noteIds(std::string_view events);
+private:
+    void noteIds (std::string_view events);
 
-  std::string buffer_;
-  std::size_t taken_ = 0;  ///< Bytes at the front of the buffer that were returned.
-  std::optional<std::string> lastId_;
+    std::string buffer_;
+    std::size_t taken_ = 0;  ///< Bytes at the front of the buffer that were returned.
+    std::optional<std::string> lastId_;
 };
 
 }  // namespace fernlift::proxy
