--- a/src/proxy/EventSplitterTest.cpp
+++ b/src/proxy/EventSplitterTest.cpp
@@ -3,42 +3,49 @@
 
 #include "proxy/EventSplitter.h"
 
-namespace fernlift::proxy {
-namespace {
+namespace fernlift::proxy
+{
+namespace
+{
 
-TEST(EventSplitterTest, HalfAnEventIsHeldBackAndDroppedWithItsStream) {
-  EventSplitter splitter;
-  EXPECT_EQ(splitter.feed("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
-  EXPECT_EQ(splitter.lastId(), "1");
-  EXPECT_EQ(splitter.rest(), "id: 2\nda");
-  splitter.dropRest();
-  EXPECT_EQ(splitter.feed("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
-  EXPECT_EQ(splitter.lastId(), "2");
+TEST (EventSplitterTest, HalfAnEventIsHeldBackAndDroppedWithItsStream)
+{
+    EventSplitter splitter;
+    EXPECT_EQ (splitter.feed ("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    EXPECT_EQ (splitter.lastId(), "1");
+    EXPECT_EQ (splitter.rest(), "id: 2\nda");
+    splitter.dropRest();
+    EXPECT_EQ (splitter.feed ("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+    EXPECT_EQ (splitter.lastId(), "2");
 }
 
-TEST(EventSplitterTest, NoIdIsKnownBeforeTheFirstEvent) {
-  EventSplitter splitter;
-  EXPECT_EQ(splitter.feed("data: a"), "");
-  EXPECT_FALSE(splitter.lastId());
+TEST (EventSplitterTest, NoIdIsKnownBeforeTheFirstEvent)
+{
+    EventSplitter splitter;
+    EXPECT_EQ (splitter.feed ("data: a"), "");
+    EXPECT_FALSE (splitter.lastId());
 }
 
-RC_GTEST_PROP(EventSplitterTest, AnyCutsGiveTheSameBytesAndTheSameId,
-              (const std::vector<std::uint8_t>& cuts)) {
-  std::string stream;
-  for (int event = 1; event <= 9; ++event) {
-    stream += "id: " + std::to_string(event) + "\r\ndata: x\r\n\r\n";
-  }
-  EventSplitter splitter;
-  std::string passed;
-  std::size_t position = 0;
-  for (const std::uint8_t cut : cuts) {
-    const std::size_t length = std::min<std::size_t>(cut, stream.size() - position);
-    passed += splitter.feed(std::string_view(stream).substr(position, length));
-    position += length;
-  }
-  passed += splitter.feed(std::string_view(stream).substr(position));
-  RC_ASSERT(passed == stream);
-  RC_ASSERT(splitter.lastId() == std::optional<std::string>("9"));
+RC_GTEST_PROP (EventSplitterTest, AnyCutsGiveTheSameBytesAndTheSameId,
+               (const std::vector<std::uint8_t>& cuts))
+{
+    std::string stream;
+    for (int event = 1; event <= 9; ++event)
+    {
+        stream += "id: " + std::to_string (event) + "\r\ndata: x\r\n\r\n";
+    }
+    EventSplitter splitter;
+    std::string passed;
+    std::size_t position = 0;
+    for (const std::uint8_t cut : cuts)
+    {
+        const std::size_t length = std::min<std::size_t> (cut, stream.size() - position);
+        passed += splitter.feed (std::string_view (stream).substr (position, length));
+        position += length;
+    }
+    passed += splitter.feed (std::string_view (stream).substr (position));
+    RC_ASSERT (passed == stream);
+    RC_ASSERT (splitter.lastId() == std::optional<std::string> ("9"));
 }
 
 }  // namespace
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -19,104 +19,108 @@
 #include "proxy/ProxyContext.h"
 #include "proxy/RequestParser.h"
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
-class Exchange final : public http::AnswerListener {
- public:
-  /// `onEnd` is called once; the exchange may be destroyed once control is back in the event loop.
-  Exchange(ProxyContext& context, CallerConnection& caller, ParsedRequest request,
-           std::function<void(Exchange& exchange)> onEnd);
-  ~Exchange() override;
+class Exchange final : public http::AnswerListener
+{
+public:
+    /// `onEnd` is called once; the exchange may be destroyed once control is back in the event
+    /// loop.
+    Exchange (ProxyContext& context, CallerConnection& caller, ParsedRequest request,
+              std::function<void (Exchange& exchange)> onEnd);
+    ~Exchange() override;
 
-  void begin();
-  /// The configuration, the runners or what they hold changed: a request that waits looks again.
-  void onDirectoryChanged();
-  /// The caller went away: the runner's work is cancelled.
-  void onCallerLeft();
-  [[nodiscard]] bool isWaiting() const { return isWaiting_ || isWaitingForRoutes_; }
+    void begin();
+    /// The configuration, the runners or what they hold changed: a request that waits looks again.
+    void onDirectoryChanged();
+    /// The caller went away: the runner's work is cancelled.
+    void onCallerLeft();
+    [[nodiscard]] bool isWaiting() const { return isWaiting_ || isWaitingForRoutes_; }
 
-  void onSent() override;
-  void onHead(http::AnswerHead head) override;
-  void onBody(std::string_view data) override;
-  void onDone() override;
-  void onFailed(http::BackEndFailure failure) override;
+    void onSent() override;
+    void onHead (http::AnswerHead head) override;
+    void onBody (std::string_view data) override;
+    void onDone() override;
+    void onFailed (http::BackEndFailure failure) override;
 
- private:
-  /// What is done with the answer that is being read.
-  enum class AnswerUse : std::uint8_t {
-    kNone,     ///< No head yet.
-    kCollect,  ///< Kept until it is whole.
-    kPass,     ///< Passed on as it comes.
-    kEvents,   ///< Passed on event by event.
-    kRefusal,  ///< The runner has not run the request.
-    kRetry,    ///< A failure of the runner; the request is sent again.
-  };
+private:
+    /// What is done with the answer that is being read.
+    enum class AnswerUse : std::uint8_t
+    {
+        kNone,     ///< No head yet.
+        kCollect,  ///< Kept until it is whole.
+        kPass,     ///< Passed on as it comes.
+        kEvents,   ///< Passed on event by event.
+        kRefusal,  ///< The runner has not run the request.
+        kRetry,    ///< A failure of the runner; the request is sent again.
+    };
 
-  [[nodiscard]] base::TimePoint now() const { return context_.clock.now(); }
-  /// Finds the route; false when the request ended or waits for a configuration.
-  bool findRoute();
-  void readModel();
-  void tryNext();
-  void beginWait(NoChoice reason);
-  void endWait();
-  void startAttempt(const InstanceChoice& choice);
-  /// Something came from the runner, or the request went there.
-  void noteProgress();
-  /// Silence after which the request is tried at another runner; none when it may not be.
-  [[nodiscard]] std::optional<base::Duration> longestSilence() const;
-  void armTimer();
-  void onTimer();
-  /// No runner came in time.
-  void onWaitOver();
-  /// Ends the attempt; its connection is kept when `mayReuse`.
-  void endAttempt(AttemptEnd end, bool mayReuse);
-  [[nodiscard]] bool mayRunAgain();
-  void afterRefusal();
-  void afterFailure();
-  void passHead();
-  void notePromptRead();
-  void noteLoad(const http::AnswerHead& head);
-  void finishAnswer();
-  void refuse(base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
-  void fail(base::ErrorKind kind, const std::string& message);
-  void sendError(const base::Error& error, std::optional<base::Duration> retryAfter);
-  void logEnd(log::Event event, const std::string& cause) const;
-  void logMove(log::Event event) const;
-  void cut();
-  void end();
+    [[nodiscard]] base::TimePoint now() const { return context_.clock.now(); }
+    /// Finds the route; false when the request ended or waits for a configuration.
+    bool findRoute();
+    void readModel();
+    void tryNext();
+    void beginWait (NoChoice reason);
+    void endWait();
+    void startAttempt (const InstanceChoice& choice);
+    /// Something came from the runner, or the request went there.
+    void noteProgress();
+    /// Silence after which the request is tried at another runner; none when it may not be.
+    [[nodiscard]] std::optional<base::Duration> longestSilence() const;
+    void armTimer();
+    void onTimer();
+    /// No runner came in time.
+    void onWaitOver();
+    /// Ends the attempt; its connection is kept when `mayReuse`.
+    void endAttempt (AttemptEnd end, bool mayReuse);
+    [[nodiscard]] bool mayRunAgain();
+    void afterRefusal();
+    void afterFailure();
+    void passHead();
+    void notePromptRead();
+    void noteLoad (const http::AnswerHead& head);
+    void finishAnswer();
+    void refuse (base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
+    void fail (base::ErrorKind kind, const std::string& message);
+    void sendError (const base::Error& error, std::optional<base::Duration> retryAfter);
+    void logEnd (log::Event event, const std::string& cause) const;
+    void logMove (log::Event event) const;
+    void cut();
+    void end();
 
-  ProxyContext& context_;
-  CallerConnection& caller_;
-  ParsedRequest request_;
-  std::function<void(Exchange&)> onEnd_;
-  std::shared_ptr<const RouteTable> routes_;
-  const config::Route* route_ = nullptr;
-  InstanceQuery query_;
-  EngineTarget target_;
-  base::TimePoint arrivedAt_{};
-  base::Duration stated_{};  ///< What the caller waits.
-  base::TimePoint deadline_{};
-  base::TimePoint waitBegan_{};
-  base::TimePoint waitDeadline_{};
-  base::Duration waited_{};       ///< For runners, before the last attempt.
-  base::TimePoint answeredAt_{};  ///< When the head of the answer came.
-  base::TimePoint attemptDeadline_{};
-  std::uint32_t sent_ = 0;           ///< Attempts whose bytes left.
-  std::uint32_t unreachable_ = 0;    ///< Attempts that found no connection.
-  bool isAttemptSent_ = false;       ///< The present attempt's bytes left.
-  bool isPromptRead_ = true;         ///< The present attempt's answer has begun.
-  bool mayHaveRun_ = false;          ///< An attempt ended whose runner did not deny having run it.
-  bool isWaiting_ = false;           ///< For a runner.
-  bool isWaitingForRoutes_ = false;  ///< No configuration is known yet.
-  bool isAnswerBegun_ = false;
-  bool isEnded_ = false;
-  std::string instance_;
-  std::shared_ptr<http::BackEndConnection> connection_;
-  AnswerUse use_ = AnswerUse::kNone;
-  http::AnswerHead head_;
-  std::string collected_;
-  std::optional<EventSplitter> events_;
-  QTimer timer_;
+    ProxyContext& context_;
+    CallerConnection& caller_;
+    ParsedRequest request_;
+    std::function<void (Exchange&)> onEnd_;
+    std::shared_ptr<const RouteTable> routes_;
+    const config::Route* route_ = nullptr;
+    InstanceQuery query_;
+    EngineTarget target_;
+    base::TimePoint arrivedAt_{};
+    base::Duration stated_{};  ///< What the caller waits.
+    base::TimePoint deadline_{};
+    base::TimePoint waitBegan_{};
+    base::TimePoint waitDeadline_{};
+    base::Duration waited_{};       ///< For runners, before the last attempt.
+    base::TimePoint answeredAt_{};  ///< When the head of the answer came.
+    base::TimePoint attemptDeadline_{};
+    std::uint32_t sent_ = 0;         ///< Attempts whose bytes left.
+    std::uint32_t unreachable_ = 0;  ///< Attempts that found no connection.
+    bool isAttemptSent_ = false;     ///< The present attempt's bytes left.
+    bool isPromptRead_ = true;       ///< The present attempt's answer has begun.
+    bool mayHaveRun_ = false;        ///< An attempt ended whose runner did not deny having run it.
+    bool isWaiting_ = false;         ///< For a runner.
+    bool isWaitingForRoutes_ = false;  ///< No configuration is known yet.
+    bool isAnswerBegun_ = false;
+    bool isEnded_ = false;
+    std::string instance_;
+    std::shared_ptr<http::BackEndConnection> connection_;
+    AnswerUse use_ = AnswerUse::kNone;
+    http::AnswerHead head_;
+    std::string collected_;
+    std::optional<EventSplitter> events_;
+    QTimer timer_;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -2,265 +2,290 @@
 
 #include "proxy/ProxyTestSupport.h"
 
-namespace fernlift::proxy::test {
-namespace {
+namespace fernlift::proxy::test
+{
+namespace
+{
 
 constexpr const char* kAnswer =
     "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Length: 5\r\nX-Own: 1\r\n\r\nhello";
 
-class ExchangeTest : public ::testing::Test {
- protected:
-  ProxyFixture proxy;
-  StubRunner runner;
-  StubRunner other;
+class ExchangeTest : public ::testing::Test
+{
+protected:
+    ProxyFixture proxy;
+    StubRunner runner;
+    StubRunner other;
 };
 
-TEST_F(ExchangeTest, PassesMethodTargetBodyAndEndToEndFieldsOn) {
-  proxy.addRunner("i-1", runner);
-  RawCaller caller(proxy.listening);
-  caller.write(
-      ProxyFixture::request("app.test", "r1", "X-Extra: 7\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"));
-  ASSERT_TRUE(runner.waitForRequest(0, "body"));
-  const std::string& received = runner.connections[0]->received;
-  EXPECT_TRUE(received.starts_with("POST /path?q=1 HTTP/1.1\r\n"));
-  EXPECT_NE(received.find("X-Extra: 7\r\n"), std::string::npos);
-  EXPECT_NE(received.find("Test-Target: i-1\r\n"), std::string::npos);
-  EXPECT_EQ(received.find("X-Hop"), std::string::npos);
-  runner.connections[0]->write(kAnswer);
-  ASSERT_TRUE(caller.waitFor("hello"));
-  EXPECT_NE(caller.received().find("X-Own: 1\r\n"), std::string::npos);
+TEST_F (ExchangeTest, PassesMethodTargetBodyAndEndToEndFieldsOn)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test", "r1",
+                                         "X-Extra: 7\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"));
+    ASSERT_TRUE (runner.waitForRequest (0, "body"));
+    const std::string& received = runner.connections[0]->received;
+    EXPECT_TRUE (received.starts_with ("POST /path?q=1 HTTP/1.1\r\n"));
+    EXPECT_NE (received.find ("X-Extra: 7\r\n"), std::string::npos);
+    EXPECT_NE (received.find ("Test-Target: i-1\r\n"), std::string::npos);
+    EXPECT_EQ (received.find ("X-Hop"), std::string::npos);
+    runner.connections[0]->write (kAnswer);
+    ASSERT_TRUE (caller.waitFor ("hello"));
+    EXPECT_NE (caller.received().find ("X-Own: 1\r\n"), std::string::npos);
 }
 
-TEST_F(ExchangeTest, AChunkedAnswerCutAtAChunkIsNeverWhole) {
-  proxy.addRunner("i-1", runner);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(runner.waitForRequest());
-  runner.connections[0]->write(
-      "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
-  runFor(std::chrono::milliseconds(50));
-  runner.connections[0]->close();
-  ASSERT_TRUE(caller.waitFor("HTTP/1.1 502"));
+TEST_F (ExchangeTest, AChunkedAnswerCutAtAChunkIsNeverWhole)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+    runFor (std::chrono::milliseconds (50));
+    runner.connections[0]->close();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 502"));
 }
 
-TEST_F(ExchangeTest, AnAnswerWithoutLengthIsWholeOnlyWhenItsConnectionClosesInGoodOrder) {
-  proxy.addRunner("i-1", runner);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(runner.waitForRequest());
-  runner.connections[0]->write("HTTP/1.1 200 OK\r\nTest-Id: r1\r\n\r\nhello");
-  runFor(std::chrono::milliseconds(50));
-  runner.connections[0]->close();
-  ASSERT_TRUE(caller.waitFor("hello"));
-  EXPECT_NE(caller.received().find("HTTP/1.1 200"), std::string::npos);
+TEST_F (ExchangeTest, AnAnswerWithoutLengthIsWholeOnlyWhenItsConnectionClosesInGoodOrder)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write ("HTTP/1.1 200 OK\r\nTest-Id: r1\r\n\r\nhello");
+    runFor (std::chrono::milliseconds (50));
+    runner.connections[0]->close();
+    ASSERT_TRUE (caller.waitFor ("hello"));
+    EXPECT_NE (caller.received().find ("HTTP/1.1 200"), std::string::npos);
 }
 
-TEST_F(ExchangeTest, AnAnswerWithoutLengthIsNotWholeAfterAReset) {
-  proxy.addRunner("i-1", runner);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(runner.waitForRequest());
-  runner.connections[0]->write("HTTP/1.1 200 OK\r\nTest-Id: r1\r\n\r\nhello");
-  runFor(std::chrono::milliseconds(50));
-  runner.connections[0]->reset();
-  ASSERT_TRUE(caller.waitFor("HTTP/1.1 502"));
-  EXPECT_EQ(caller.received().find("hello"), std::string::npos);
+TEST_F (ExchangeTest, AnAnswerWithoutLengthIsNotWholeAfterAReset)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write ("HTTP/1.1 200 OK\r\nTest-Id: r1\r\n\r\nhello");
+    runFor (std::chrono::milliseconds (50));
+    runner.connections[0]->reset();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 502"));
+    EXPECT_EQ (caller.received().find ("hello"), std::string::npos);
 }
 
-TEST_F(ExchangeTest, AnAnswerWithAnotherIdIsDroppedAndTheRightOneTaken) {
-  proxy.addRunner("i-1", runner);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(runner.waitForRequest());
-  runner.connections[0]->write(
-      std::string("HTTP/1.1 200 OK\r\nTest-Id: r0\r\nContent-Length: 5\r\n\r\nwrong") + kAnswer);
-  ASSERT_TRUE(caller.waitFor("hello"));
-  EXPECT_EQ(caller.received().find("wrong"), std::string::npos);
+TEST_F (ExchangeTest, AnAnswerWithAnotherIdIsDroppedAndTheRightOneTaken)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (
+        std::string ("HTTP/1.1 200 OK\r\nTest-Id: r0\r\nContent-Length: 5\r\n\r\nwrong") + kAnswer);
+    ASSERT_TRUE (caller.waitFor ("hello"));
+    EXPECT_EQ (caller.received().find ("wrong"), std::string::npos);
 }
 
-TEST_F(ExchangeTest, AConnectionWithSurplusBytesIsNotUsedAgain) {
-  proxy.addRunner("i-1", runner);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(runner.waitForRequest());
-  runner.connections[0]->write(std::string(kAnswer) + "HTTP/1.1 200 OK\r\n");
-  ASSERT_TRUE(caller.waitFor("hello"));
-  caller.write(ProxyFixture::request("once.test", "r2"));
-  ASSERT_TRUE(runner.waitForRequest(1));
+TEST_F (ExchangeTest, AConnectionWithSurplusBytesIsNotUsedAgain)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (std::string (kAnswer) + "HTTP/1.1 200 OK\r\n");
+    ASSERT_TRUE (caller.waitFor ("hello"));
+    caller.write (ProxyFixture::request ("once.test", "r2"));
+    ASSERT_TRUE (runner.waitForRequest (1));
 }
 
-TEST_F(ExchangeTest, AWholeAnswerLetsTheConnectionBeUsedAgain) {
-  proxy.addRunner("i-1", runner);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(runner.waitForRequest());
-  runner.connections[0]->write(kAnswer);
-  ASSERT_TRUE(caller.waitFor("hello"));
-  caller.write(ProxyFixture::request("once.test", "r2"));
-  ASSERT_TRUE(runner.waitForRequest(0, "Test-Id: r2"));
-  EXPECT_EQ(runner.connections.size(), 1U);
+TEST_F (ExchangeTest, AWholeAnswerLetsTheConnectionBeUsedAgain)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (kAnswer);
+    ASSERT_TRUE (caller.waitFor ("hello"));
+    caller.write (ProxyFixture::request ("once.test", "r2"));
+    ASSERT_TRUE (runner.waitForRequest (0, "Test-Id: r2"));
+    EXPECT_EQ (runner.connections.size(), 1U);
 }
 
-TEST_F(ExchangeTest, ARequestThatMayRunOnceIsNotSentAgainAfterALostAnswer) {
-  proxy.addRunner("i-1", runner);
-  proxy.addRunner("i-2", other);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(waitUntil([&] { return runner.connections.size() + other.connections.size() == 1; }));
-  StubRunner& first = runner.connections.empty() ? other : runner;
-  ASSERT_TRUE(first.waitForRequest());
-  first.connections[0]->reset();
-  ASSERT_TRUE(caller.waitFor("HTTP/1.1 502"));
-  EXPECT_EQ(runner.connections.size() + other.connections.size(), 1U);
+TEST_F (ExchangeTest, ARequestThatMayRunOnceIsNotSentAgainAfterALostAnswer)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.addRunner ("i-2", other);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (
+        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
+    StubRunner& first = runner.connections.empty() ? other : runner;
+    ASSERT_TRUE (first.waitForRequest());
+    first.connections[0]->reset();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 502"));
+    EXPECT_EQ (runner.connections.size() + other.connections.size(), 1U);
 }
 
-TEST_F(ExchangeTest, ARepeatableRequestIsSentElsewhereAfterALostAnswer) {
-  proxy.addRunner("i-1", runner);
-  proxy.addRunner("i-2", other);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("app.test"));
-  ASSERT_TRUE(waitUntil([&] { return runner.connections.size() + other.connections.size() == 1; }));
-  StubRunner& first = runner.connections.empty() ? other : runner;
-  StubRunner& second = runner.connections.empty() ? runner : other;
-  ASSERT_TRUE(first.waitForRequest());
-  first.connections[0]->reset();
-  ASSERT_TRUE(second.waitForRequest());
-  second.connections[0]->write(kAnswer);
-  EXPECT_TRUE(caller.waitFor("hello"));
+TEST_F (ExchangeTest, ARepeatableRequestIsSentElsewhereAfterALostAnswer)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.addRunner ("i-2", other);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (
+        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
+    StubRunner& first = runner.connections.empty() ? other : runner;
+    StubRunner& second = runner.connections.empty() ? runner : other;
+    ASSERT_TRUE (first.waitForRequest());
+    first.connections[0]->reset();
+    ASSERT_TRUE (second.waitForRequest());
+    second.connections[0]->write (kAnswer);
+    EXPECT_TRUE (caller.waitFor ("hello"));
 }
 
-TEST_F(ExchangeTest, ARefusalOfTheRunnerIsPassedOnAsNotRunWithATimeToComeBack) {
-  proxy.addRunner("i-1", runner);
-  RawCaller caller(proxy.listening);
-  proxy.retryBudget = dispatch::RetryBudget(0, 0);
-  caller.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(runner.waitForRequest());
-  runner.connections[0]->write(
-      "HTTP/1.1 503 X\r\nTest-Id: r1\r\nTest-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-  ASSERT_TRUE(caller.waitFor("HTTP/1.1 503"));
-  EXPECT_NE(caller.received().find("Retry-After: "), std::string::npos);
+TEST_F (ExchangeTest, ARefusalOfTheRunnerIsPassedOnAsNotRunWithATimeToComeBack)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    proxy.retryBudget = dispatch::RetryBudget (0, 0);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (
+        "HTTP/1.1 503 X\r\nTest-Id: r1\r\nTest-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 503"));
+    EXPECT_NE (caller.received().find ("Retry-After: "), std::string::npos);
 }
 
-TEST_F(ExchangeTest, TheRunnersWorkIsCancelledWhenTheCallerLeaves) {
-  proxy.addRunner("i-1", runner);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(runner.waitForRequest());
-  caller.close();
-  EXPECT_TRUE(waitUntil([&] { return runner.connections[0]->isClosed(); }));
+TEST_F (ExchangeTest, TheRunnersWorkIsCancelledWhenTheCallerLeaves)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    caller.close();
+    EXPECT_TRUE (waitUntil ([&] { return runner.connections[0]->isClosed(); }));
 }
 
-TEST_F(ExchangeTest, AResumableStreamGoesOnAfterTheLastWholeEvent) {
-  proxy.addRunner("i-1", runner);
-  proxy.addRunner("i-2", other);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("resume.test"));
-  ASSERT_TRUE(waitUntil([&] { return runner.connections.size() + other.connections.size() == 1; }));
-  StubRunner& first = runner.connections.empty() ? other : runner;
-  StubRunner& second = runner.connections.empty() ? runner : other;
-  ASSERT_TRUE(first.waitForRequest());
-  const std::string head =
-      "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n";
-  first.connections[0]->write(head + "11\r\nid: 1\ndata: a\n\nid:\r\n");
-  ASSERT_TRUE(caller.waitFor("data: a"));
-  first.connections[0]->reset();
-  ASSERT_TRUE(second.waitForRequest());
-  EXPECT_NE(second.connections[0]->received.find("Last-Event-Id: 1\r\n"), std::string::npos);
-  second.connections[0]->write(head + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
-  ASSERT_TRUE(caller.waitFor("0\r\n\r\n"));
-  const std::string expected = "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
-  EXPECT_TRUE(caller.received().ends_with(expected)) << caller.received();
+TEST_F (ExchangeTest, AResumableStreamGoesOnAfterTheLastWholeEvent)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.addRunner ("i-2", other);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("resume.test"));
+    ASSERT_TRUE (
+        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
+    StubRunner& first = runner.connections.empty() ? other : runner;
+    StubRunner& second = runner.connections.empty() ? runner : other;
+    ASSERT_TRUE (first.waitForRequest());
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n";
+    first.connections[0]->write (head + "11\r\nid: 1\ndata: a\n\nid:\r\n");
+    ASSERT_TRUE (caller.waitFor ("data: a"));
+    first.connections[0]->reset();
+    ASSERT_TRUE (second.waitForRequest());
+    EXPECT_NE (second.connections[0]->received.find ("Last-Event-Id: 1\r\n"), std::string::npos);
+    second.connections[0]->write (head + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+    ASSERT_TRUE (caller.waitFor ("0\r\n\r\n"));
+    const std::string expected = "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+    EXPECT_TRUE (caller.received().ends_with (expected)) << caller.received();
 }
 
-TEST_F(ExchangeTest, AResumableStreamThatFallsSilentGoesOnElsewhere) {
-  proxy.addRunner("i-1", runner);
-  proxy.addRunner("i-2", other);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("resume.test"));
-  ASSERT_TRUE(waitUntil([&] { return runner.connections.size() + other.connections.size() == 1; }));
-  StubRunner& first = runner.connections.empty() ? other : runner;
-  StubRunner& second = runner.connections.empty() ? runner : other;
-  ASSERT_TRUE(first.waitForRequest());
-  first.connections[0]->write(
-      "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n"
-      "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
-  ASSERT_TRUE(second.waitForRequest());
-  EXPECT_NE(second.connections[0]->received.find("Last-Event-Id: 1\r\n"), std::string::npos);
-  EXPECT_TRUE(waitUntil([&] { return first.connections[0]->isClosed(); }));
+TEST_F (ExchangeTest, AResumableStreamThatFallsSilentGoesOnElsewhere)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.addRunner ("i-2", other);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("resume.test"));
+    ASSERT_TRUE (
+        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
+    StubRunner& first = runner.connections.empty() ? other : runner;
+    StubRunner& second = runner.connections.empty() ? runner : other;
+    ASSERT_TRUE (first.waitForRequest());
+    first.connections[0]->write (
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
+    ASSERT_TRUE (second.waitForRequest());
+    EXPECT_NE (second.connections[0]->received.find ("Last-Event-Id: 1\r\n"), std::string::npos);
+    EXPECT_TRUE (waitUntil ([&] { return first.connections[0]->isClosed(); }));
 }
 
-TEST_F(ExchangeTest, AnUnknownRouteIsNotFoundAndNoConfigurationIsUnavailable) {
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("nowhere.test"));
-  ASSERT_TRUE(caller.waitFor("HTTP/1.1 404"));
-  proxy.context.routes = nullptr;
-  RawCaller second(proxy.listening);
-  second.write(ProxyFixture::request("app.test"));
-  ASSERT_TRUE(second.waitFor("HTTP/1.1 503"));
+TEST_F (ExchangeTest, AnUnknownRouteIsNotFoundAndNoConfigurationIsUnavailable)
+{
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("nowhere.test"));
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 404"));
+    proxy.context.routes = nullptr;
+    RawCaller second (proxy.listening);
+    second.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (second.waitFor ("HTTP/1.1 503"));
 }
 
-TEST_F(ExchangeTest, ARequestWaitsForTheFirstConfigurationAndIsThenServed) {
-  proxy.addRunner("i-1", runner);
-  const auto routes = std::exchange(proxy.context.routes, nullptr);
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("once.test"));
-  runFor(std::chrono::milliseconds(50));
-  EXPECT_EQ(caller.received(), "");
-  proxy.context.routes = routes;
-  proxy.server.onDirectoryChanged();
-  ASSERT_TRUE(runner.waitForRequest());
-  runner.connections[0]->write(kAnswer);
-  EXPECT_TRUE(caller.waitFor("hello"));
+TEST_F (ExchangeTest, ARequestWaitsForTheFirstConfigurationAndIsThenServed)
+{
+    proxy.addRunner ("i-1", runner);
+    const auto routes = std::exchange (proxy.context.routes, nullptr);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    runFor (std::chrono::milliseconds (50));
+    EXPECT_EQ (caller.received(), "");
+    proxy.context.routes = routes;
+    proxy.server.onDirectoryChanged();
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (kAnswer);
+    EXPECT_TRUE (caller.waitFor ("hello"));
 }
 
-TEST_F(ExchangeTest, AnUnreachableRunnerCostsNoAttempt) {
-  auto gone = std::make_unique<StubRunner>();
-  proxy.addRunner("i-0", *gone);
-  gone.reset();
-  RawCaller caller(proxy.listening);
-  caller.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(caller.waitFor("HTTP/1.1 503"));
-  EXPECT_NE(caller.received().find("Retry-After: "), std::string::npos);
+TEST_F (ExchangeTest, AnUnreachableRunnerCostsNoAttempt)
+{
+    auto gone = std::make_unique<StubRunner>();
+    proxy.addRunner ("i-0", *gone);
+    gone.reset();
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 503"));
+    EXPECT_NE (caller.received().find ("Retry-After: "), std::string::npos);
 }
 
-TEST_F(ExchangeTest, ClosingFinishesOpenRequestsAndClosesRestingConnections) {
-  proxy.addRunner("i-1", runner);
-  RawCaller resting(proxy.listening);
-  RawCaller reading(proxy.listening);
-  RawCaller busy(proxy.listening);
-  reading.write("POST / HT");
-  busy.write(ProxyFixture::request("stream.test"));
-  ASSERT_TRUE(runner.waitForRequest());
-  runner.connections[0]->write(
-      "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n"
-      "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
-  ASSERT_TRUE(busy.waitFor("data: a"));
-  proxy.server.beginClosing();
-  proxy.server.beginRefusing();
-  EXPECT_TRUE(resting.waitForClose());
-  EXPECT_FALSE(busy.isClosed());
-  runner.connections[0]->write("0\r\n\r\n");
-  ASSERT_TRUE(busy.waitFor("0\r\n\r\n"));
-  EXPECT_TRUE(busy.waitForClose());
+TEST_F (ExchangeTest, ClosingFinishesOpenRequestsAndClosesRestingConnections)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller resting (proxy.listening);
+    RawCaller reading (proxy.listening);
+    RawCaller busy (proxy.listening);
+    reading.write ("POST / HT");
+    busy.write (ProxyFixture::request ("stream.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
+    ASSERT_TRUE (busy.waitFor ("data: a"));
+    proxy.server.beginClosing();
+    proxy.server.beginRefusing();
+    EXPECT_TRUE (resting.waitForClose());
+    EXPECT_FALSE (busy.isClosed());
+    runner.connections[0]->write ("0\r\n\r\n");
+    ASSERT_TRUE (busy.waitFor ("0\r\n\r\n"));
+    EXPECT_TRUE (busy.waitForClose());
 }
 
-TEST_F(ExchangeTest, AStoppingRouterServesOnAndThenRefusesAsNotRun) {
-  proxy.addRunner("i-1", runner);
-  RawCaller early(proxy.listening);
-  RawCaller late(proxy.listening);
-  proxy.server.beginClosing();
-  early.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(runner.waitForRequest());
-  proxy.server.beginRefusing();
-  runner.connections[0]->write(kAnswer);
-  ASSERT_TRUE(early.waitFor("hello"));
-  EXPECT_NE(early.received().find("Connection: close\r\n"), std::string::npos);
-  EXPECT_TRUE(early.waitForClose());
-  RawCaller refused(proxy.listening);
-  refused.write(ProxyFixture::request("once.test"));
-  ASSERT_TRUE(refused.waitFor("HTTP/1.1 503"));
-  EXPECT_NE(refused.received().find("Retry-After: "), std::string::npos);
+TEST_F (ExchangeTest, AStoppingRouterServesOnAndThenRefusesAsNotRun)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller early (proxy.listening);
+    RawCaller late (proxy.listening);
+    proxy.server.beginClosing();
+    early.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    proxy.server.beginRefusing();
+    runner.connections[0]->write (kAnswer);
+    ASSERT_TRUE (early.waitFor ("hello"));
+    EXPECT_NE (early.received().find ("Connection: close\r\n"), std::string::npos);
+    EXPECT_TRUE (early.waitForClose());
+    RawCaller refused (proxy.listening);
+    refused.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (refused.waitFor ("HTTP/1.1 503"));
+    EXPECT_NE (refused.received().find ("Retry-After: "), std::string::npos);
 }
 
 }  // namespace
--- a/src/proxy/ForwardedMessage.h
+++ b/src/proxy/ForwardedMessage.h
@@ -12,25 +12,27 @@
 #include "proxy/ProtocolNames.h"
 #include "proxy/RequestParser.h"
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
 /// What the router sets on one attempt.
-struct AttemptFields {
-  std::string instance;  ///< The only instance that may run it.
-  base::Duration left{};
-  int priority = 0;
-  std::optional<std::string> lastEventId;  ///< A stream goes on after this event.
+struct AttemptFields
+{
+    std::string instance;  ///< The only instance that may run it.
+    base::Duration left{};
+    int priority = 0;
+    std::optional<std::string> lastEventId;  ///< A stream goes on after this event.
 };
 
 /// The request as the runner gets it: method, target and body unchanged.
-[[nodiscard]] std::string requestBytes(const ParsedRequest& request, const ProtocolNames& names,
-                                       const AttemptFields& fields);
+[[nodiscard]] std::string requestBytes (const ParsedRequest& request, const ProtocolNames& names,
+                                        const AttemptFields& fields);
 
 /// The fields of a runner's answer that the caller gets; framing is left to the connection.
-[[nodiscard]] http::Headers passedAnswerHeaders(const http::Headers& headers);
+[[nodiscard]] http::Headers passedAnswerHeaders (const http::Headers& headers);
 
 /// Milliseconds that the caller waits, as its request states; none when it does not.
-[[nodiscard]] std::optional<base::Duration> statedDeadline(const ParsedRequest& request,
-                                                           const ProtocolNames& names);
+[[nodiscard]] std::optional<base::Duration> statedDeadline (const ParsedRequest& request,
+                                                            const ProtocolNames& names);
 
 }  // namespace fernlift::proxy
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -4,15 +4,17 @@
 #include <functional>
 #include <utility>
 
-namespace fernlift::proxy {
-namespace {
+namespace fernlift::proxy
+{
+namespace
+{
 
 /// A load that a runner stated longer ago says little.
-constexpr base::Duration kLoadLife = base::milliseconds(500);
-constexpr base::Duration kNotHeldLife = base::milliseconds(1500);
-constexpr base::Duration kFirstAvoidance = base::milliseconds(300);
-constexpr base::Duration kLongestAvoidance = base::seconds(4);
-constexpr base::Duration kUnreachableAvoidance = base::milliseconds(500);
+constexpr base::Duration kLoadLife = base::milliseconds (500);
+constexpr base::Duration kNotHeldLife = base::milliseconds (1500);
+constexpr base::Duration kFirstAvoidance = base::milliseconds (300);
+constexpr base::Duration kLongestAvoidance = base::seconds (4);
+constexpr base::Duration kUnreachableAvoidance = base::milliseconds (500);
 constexpr std::uint32_t kFailuresBeforeAvoidance = 3;
 constexpr std::uint32_t kUnreachableBeforeReport = 2;
 constexpr double kFailureWeight = 0.2;
@@ -21,7 +23,7 @@
 constexpr double kFailureCost = 500;
 constexpr double kSilentCost = 500;
 /// A runner that works on requests and sent nothing for this long may be dead.
-constexpr base::Duration kQuietAfter = base::milliseconds(700);
+constexpr base::Duration kQuietAfter = base::milliseconds (700);
 constexpr double kAvoidedCost = 100'000;
 /// Work of an application's request, of which as many run at once as there are slots.
 constexpr double kApplicationWork = 30;
@@ -30,202 +32,261 @@
 /// Time to read one token of a prompt.
 constexpr double kTokenReading = 0.026;
 
-double hashShare(const std::string& id, const std::string& affinity) {
-  const std::size_t hash = std::hash<std::string>()(id + '\n' + affinity);
-  constexpr double kRange = 18446744073709551616.0;
-  return static_cast<double>(hash) / kRange;
+double hashShare (const std::string& id, const std::string& affinity)
+{
+    const std::size_t hash = std::hash<std::string>() (id + '\n' + affinity);
+    constexpr double kRange = 18446744073709551616.0;
+    return static_cast<double> (hash) / kRange;
 }
 
-const cell::HeldModel* findModel(const cell::RoutableInstance& row, const std::string& name) {
-  const auto found = std::ranges::find(row.instance.models, name, &cell::HeldModel::model);
-  return found == row.instance.models.end() ? nullptr : &*found;
+const cell::HeldModel* findModel (const cell::RoutableInstance& row, const std::string& name)
+{
+    const auto found = std::ranges::find (row.instance.models, name, &cell::HeldModel::model);
+    return found == row.instance.models.end() ? nullptr : &*found;
 }
 
 }  // namespace
 
-std::string_view nameOf(NoChoice reason) {
-  switch (reason) {
-    case NoChoice::kNone:
-      return "none";
-    case NoChoice::kUnknown:
-      return "no_runner";
-    case NoChoice::kNotLoaded:
-      return "not_loaded";
-    case NoChoice::kFull:
-      break;
-  }
-  return "full";
-}
-
-bool InstanceDirectory::apply(const cell::InstanceUpdate& update, base::TimePoint now) {
-  const bool isWhole = update.fromVersion == 0;
-  const bool fits = update.term == term_ && update.fromVersion == version_;
-  if (update.term < term_ || (!isWhole && !fits)) return false;
-  if (isWhole) {
-    std::set<std::string> present;
-    for (const cell::RoutableInstance& row : update.upserts) present.insert(row.instance.id);
-    std::erase_if(views_, [&](const auto& item) { return !present.contains(item.first); });
-  }
-  for (const std::string& id : update.removals) views_.erase(id);
-  for (const cell::RoutableInstance& row : update.upserts) put(row);
-  term_ = update.term;
-  version_ = update.toVersion;
-  appliedAt_ = now;
-  routers_ = std::max(update.routers, 1U);
-  controllers_ = update.controllers;
-  return true;
-}
-
-void InstanceDirectory::put(const cell::RoutableInstance& row) {
-  View& view = views_[row.instance.id];
-  // A new leader knows the models only once it has heard the runner.
-  std::vector<cell::HeldModel> known = std::move(view.row.instance.models);
-  const bool isNews = row.instance.isReported && row.instance.models != known;
-  view.row = row;
-  if (!row.instance.isReported) view.row.instance.models = std::move(known);
-  if (isNews) view.notHeldUntil.clear();
-}
-
-bool InstanceDirectory::holds(const View& view, const InstanceQuery& query, base::TimePoint now) {
-  if (query.model.empty()) return true;
-  const cell::HeldModel* model = findModel(view.row, query.model);
-  if (model == nullptr) return false;
-  const bool hasAdapter =
-      query.adapter.empty() ||
-      std::ranges::find(model->adapters, query.adapter) != model->adapters.end();
-  if (!hasAdapter) return false;
-  const auto doubt = view.notHeldUntil.find(query.model + "/" + query.adapter);
-  return doubt == view.notHeldUntil.end() || now >= doubt->second;
-}
-
-bool InstanceDirectory::isCandidate(const View& view, const InstanceQuery& query,
-                                    base::TimePoint now) {
-  return view.row.instance.service == query.service && !view.row.instance.isDraining &&
-         now >= view.unreachableUntil;
-}
-
-double InstanceDirectory::loadOf(const View& view, base::TimePoint now) {
-  const double own = view.inFlight;
-  const bool isStated = now - view.loadStatedAt < kLoadLife;
-  return isStated ? std::max(own, static_cast<double>(view.statedLoad)) : own;
-}
-
-double InstanceDirectory::costOf(const View& view, const InstanceQuery& query,
-                                 base::TimePoint now) const {
-  const double load = loadOf(view, now);
-  const double slots = std::max(view.row.instance.slots, 1U);
-  double cost = kFailureCost * view.failureShare;
-  if (query.model.empty()) {
-    cost += kApplicationWork * load / slots;
-  } else {
-    cost += kEngineWork * load + kTokenReading * static_cast<double>(view.tokensToRead);
-  }
-  if (view.row.instance.zone != zone_) cost += kOtherZoneCost;
-  const bool isQuiet = view.inFlight > 0 && now - view.heardAt > kQuietAfter;
-  if (view.row.isSilent || isQuiet) cost += kSilentCost;
-  const bool isAvoided = now < view.avoidedUntil || view.row.instance.id == query.avoidedInstance;
-  return isAvoided ? cost + kAvoidedCost : cost;
-}
-
-std::string InstanceDirectory::homeOf(const InstanceQuery& query, base::TimePoint now) const {
-  std::string home;
-  if (query.affinity.empty()) return home;
-  double highest = -1;
-  for (const auto& [id, view] : views_) {
-    if (!isCandidate(view, query, now) || !holds(view, query, now)) continue;
-    const double share = hashShare(id, query.affinity);
-    if (share <= highest) continue;
-    highest = share;
-    home = id;
-  }
-  return home;
-}
-
-InstanceChoice InstanceDirectory::choose(const InstanceQuery& query, base::TimePoint now) const {
-  InstanceChoice choice;
-  double lowest = 0;
-  const std::string home = homeOf(query, now);
-  for (const auto& [id, view] : views_) {
-    if (!isCandidate(view, query, now)) continue;
-    if (choice.reason == NoChoice::kUnknown) choice.reason = NoChoice::kNotLoaded;
-    if (!holds(view, query, now)) continue;
-    double cost = costOf(view, query, now);
-    if (id == home) cost -= kTokenReading * static_cast<double>(query.sharedTokens);
-    if (choice.reason == NoChoice::kNone && cost >= lowest) continue;
-    lowest = cost;
-    choice.reason = NoChoice::kNone;
-    choice.id = id;
-    choice.address = view.row.instance.address;
-  }
-  return choice;
-}
-
-void InstanceDirectory::onBytes(const std::string& id, base::TimePoint now) {
-  const auto found = views_.find(id);
-  if (found != views_.end()) found->second.heardAt = now;
-}
-
-void InstanceDirectory::onAttemptBegin(const std::string& id, std::uint64_t promptTokens,
-                                       base::TimePoint now) {
-  const auto found = views_.find(id);
-  if (found == views_.end()) return;
-  if (found->second.inFlight == 0) found->second.heardAt = now;
-  ++found->second.inFlight;
-  found->second.tokensToRead += promptTokens;
-}
-
-void InstanceDirectory::onAnswerBegun(const std::string& id, std::uint64_t promptTokens) {
-  const auto found = views_.find(id);
-  if (found == views_.end()) return;
-  found->second.tokensToRead -= std::min(found->second.tokensToRead, promptTokens);
-}
-
-void InstanceDirectory::onAttemptEnd(const std::string& id, AttemptEnd end, base::TimePoint now) {
-  const auto found = views_.find(id);
-  if (found == views_.end()) return;
-  View& view = found->second;
-  if (view.inFlight > 0) --view.inFlight;
-  if (end == AttemptEnd::kAbandoned || end == AttemptEnd::kNotHeld) return;
-  const bool isFailure = end != AttemptEnd::kAnswered;
-  view.failureShare += kFailureWeight * ((isFailure ? 1.0 : 0.0) - view.failureShare);
-  view.consecutiveFailures = isFailure ? view.consecutiveFailures + 1 : 0;
-  if (end == AttemptEnd::kUnreachable) {
-    noteUnreachable(view, now);
-  } else {
-    view.unreachableCount = 0;
-  }
-  if (view.consecutiveFailures >= kFailuresBeforeAvoidance) {
-    const std::uint32_t doublings =
-        std::min(view.consecutiveFailures - kFailuresBeforeAvoidance, 4U);
-    const base::Duration pause =
-        std::min<base::Duration>(kFirstAvoidance * (1U << doublings), kLongestAvoidance);
-    view.avoidedUntil = std::max(view.avoidedUntil, now + pause);
-  }
-}
-
-void InstanceDirectory::noteUnreachable(View& view, base::TimePoint now) {
-  view.unreachableUntil = now + kUnreachableAvoidance;
-  // A single packet that was lost is no reason to tell the leader.
-  if (++view.unreachableCount == kUnreachableBeforeReport) {
-    unreachable_.push_back(view.row.instance.id);
-  }
-}
-
-void InstanceDirectory::onLoad(const std::string& id, std::uint32_t running, std::uint32_t waiting,
-                               base::TimePoint now) {
-  const auto found = views_.find(id);
-  if (found == views_.end()) return;
-  found->second.statedLoad = running + waiting;
-  found->second.loadStatedAt = now;
-}
-
-void InstanceDirectory::onNotHeld(const std::string& id, const std::string& model,
-                                  const std::string& adapter, base::TimePoint now) {
-  const auto found = views_.find(id);
-  if (found == views_.end()) return;
-  View& view = found->second;
-  view.notHeldUntil[model + "/" + adapter] = now + kNotHeldLife;
-  if (model.empty()) noteUnreachable(view, now);  // Another instance answers there.
+std::string_view nameOf (NoChoice reason)
+{
+    switch (reason)
+    {
+        case NoChoice::kNone:
+            return "none";
+        case NoChoice::kUnknown:
+            return "no_runner";
+        case NoChoice::kNotLoaded:
+            return "not_loaded";
+        case NoChoice::kFull:
+            break;
+    }
+    return "full";
+}
+
+bool InstanceDirectory::apply (const cell::InstanceUpdate& update, base::TimePoint now)
+{
+    const bool isWhole = update.fromVersion == 0;
+    const bool fits = update.term == term_ && update.fromVersion == version_;
+    if (update.term < term_ || (! isWhole && ! fits))
+        return false;
+    if (isWhole)
+    {
+        std::set<std::string> present;
+        for (const cell::RoutableInstance& row : update.upserts)
+            present.insert (row.instance.id);
+        std::erase_if (views_, [&] (const auto& item) { return ! present.contains (item.first); });
+    }
+    for (const std::string& id : update.removals)
+        views_.erase (id);
+    for (const cell::RoutableInstance& row : update.upserts)
+        put (row);
+    term_ = update.term;
+    version_ = update.toVersion;
+    appliedAt_ = now;
+    routers_ = std::max (update.routers, 1U);
+    controllers_ = update.controllers;
+    return true;
+}
+
+void InstanceDirectory::put (const cell::RoutableInstance& row)
+{
+    View& view = views_[row.instance.id];
+    // A new leader knows the models only once it has heard the runner.
+    std::vector<cell::HeldModel> known = std::move (view.row.instance.models);
+    const bool isNews = row.instance.isReported && row.instance.models != known;
+    view.row = row;
+    if (! row.instance.isReported)
+        view.row.instance.models = std::move (known);
+    if (isNews)
+        view.notHeldUntil.clear();
+}
+
+bool InstanceDirectory::holds (const View& view, const InstanceQuery& query, base::TimePoint now)
+{
+    if (query.model.empty())
+        return true;
+    const cell::HeldModel* model = findModel (view.row, query.model);
+    if (model == nullptr)
+        return false;
+    const bool hasAdapter =
+        query.adapter.empty()
+        || std::ranges::find (model->adapters, query.adapter) != model->adapters.end();
+    if (! hasAdapter)
+        return false;
+    const auto doubt = view.notHeldUntil.find (query.model + "/" + query.adapter);
+    return doubt == view.notHeldUntil.end() || now >= doubt->second;
+}
+
+bool InstanceDirectory::isCandidate (const View& view, const InstanceQuery& query,
+                                     base::TimePoint now)
+{
+    return view.row.instance.service == query.service && ! view.row.instance.isDraining
+           && now >= view.unreachableUntil;
+}
+
+double InstanceDirectory::loadOf (const View& view, base::TimePoint now)
+{
+    const double own = view.inFlight;
+    const bool isStated = now - view.loadStatedAt < kLoadLife;
+    return isStated ? std::max (own, static_cast<double> (view.statedLoad)) : own;
+}
+
+double InstanceDirectory::costOf (const View& view, const InstanceQuery& query,
+                                  base::TimePoint now) const
+{
+    const double load = loadOf (view, now);
+    const double slots = std::max (view.row.instance.slots, 1U);
+    double cost = kFailureCost * view.failureShare;
+    if (query.model.empty())
+    {
+        cost += kApplicationWork * load / slots;
+    }
+    else
+    {
+        cost += kEngineWork * load + kTokenReading * static_cast<double> (view.tokensToRead);
+    }
+    if (view.row.instance.zone != zone_)
+        cost += kOtherZoneCost;
+    const bool isQuiet = view.inFlight > 0 && now - view.heardAt > kQuietAfter;
+    if (view.row.isSilent || isQuiet)
+        cost += kSilentCost;
+    const bool isAvoided = now < view.avoidedUntil || view.row.instance.id == query.avoidedInstance;
+    return isAvoided ? cost + kAvoidedCost : cost;
+}
+
+std::string InstanceDirectory::homeOf (const InstanceQuery& query, base::TimePoint now) const
+{
+    std::string home;
+    if (query.affinity.empty())
+        return home;
+    double highest = -1;
+    for (const auto& [id, view] : views_)
+    {
+        if (! isCandidate (view, query, now) || ! holds (view, query, now))
+            continue;
+        const double share = hashShare (id, query.affinity);
+        if (share <= highest)
+            continue;
+        highest = share;
+        home = id;
+    }
+    return home;
+}
+
+InstanceChoice InstanceDirectory::choose (const InstanceQuery& query, base::TimePoint now) const
+{
+    InstanceChoice choice;
+    double lowest = 0;
+    const std::string home = homeOf (query, now);
+    for (const auto& [id, view] : views_)
+    {
+        if (! isCandidate (view, query, now))
+            continue;
+        if (choice.reason == NoChoice::kUnknown)
+            choice.reason = NoChoice::kNotLoaded;
+        if (! holds (view, query, now))
+            continue;
+        double cost = costOf (view, query, now);
+        if (id == home)
+            cost -= kTokenReading * static_cast<double> (query.sharedTokens);
+        if (choice.reason == NoChoice::kNone && cost >= lowest)
+            continue;
+        lowest = cost;
+        choice.reason = NoChoice::kNone;
+        choice.id = id;
+        choice.address = view.row.instance.address;
+    }
+    return choice;
+}
+
+void InstanceDirectory::onBytes (const std::string& id, base::TimePoint now)
+{
+    const auto found = views_.find (id);
+    if (found != views_.end())
+        found->second.heardAt = now;
+}
+
+void InstanceDirectory::onAttemptBegin (const std::string& id, std::uint64_t promptTokens,
+                                        base::TimePoint now)
+{
+    const auto found = views_.find (id);
+    if (found == views_.end())
+        return;
+    if (found->second.inFlight == 0)
+        found->second.heardAt = now;
+    ++found->second.inFlight;
+    found->second.tokensToRead += promptTokens;
+}
+
+void InstanceDirectory::onAnswerBegun (const std::string& id, std::uint64_t promptTokens)
+{
+    const auto found = views_.find (id);
+    if (found == views_.end())
+        return;
+    found->second.tokensToRead -= std::min (found->second.tokensToRead, promptTokens);
+}
+
+void InstanceDirectory::onAttemptEnd (const std::string& id, AttemptEnd end, base::TimePoint now)
+{
+    const auto found = views_.find (id);
+    if (found == views_.end())
+        return;
+    View& view = found->second;
+    if (view.inFlight > 0)
+        --view.inFlight;
+    if (end == AttemptEnd::kAbandoned || end == AttemptEnd::kNotHeld)
+        return;
+    const bool isFailure = end != AttemptEnd::kAnswered;
+    view.failureShare += kFailureWeight * ((isFailure ? 1.0 : 0.0) - view.failureShare);
+    view.consecutiveFailures = isFailure ? view.consecutiveFailures + 1 : 0;
+    if (end == AttemptEnd::kUnreachable)
+    {
+        noteUnreachable (view, now);
+    }
+    else
+    {
+        view.unreachableCount = 0;
+    }
+    if (view.consecutiveFailures >= kFailuresBeforeAvoidance)
+    {
+        const std::uint32_t doublings =
+            std::min (view.consecutiveFailures - kFailuresBeforeAvoidance, 4U);
+        const base::Duration pause =
+            std::min<base::Duration> (kFirstAvoidance * (1U << doublings), kLongestAvoidance);
+        view.avoidedUntil = std::max (view.avoidedUntil, now + pause);
+    }
+}
+
+void InstanceDirectory::noteUnreachable (View& view, base::TimePoint now)
+{
+    view.unreachableUntil = now + kUnreachableAvoidance;
+    // A single packet that was lost is no reason to tell the leader.
+    if (++view.unreachableCount == kUnreachableBeforeReport)
+    {
+        unreachable_.push_back (view.row.instance.id);
+    }
+}
+
+void InstanceDirectory::onLoad (const std::string& id, std::uint32_t running, std::uint32_t waiting,
+                                base::TimePoint now)
+{
+    const auto found = views_.find (id);
+    if (found == views_.end())
+        return;
+    found->second.statedLoad = running + waiting;
+    found->second.loadStatedAt = now;
+}
+
+void InstanceDirectory::onNotHeld (const std::string& id, const std::string& model,
+                                   const std::string& adapter, base::TimePoint now)
+{
+    const auto found = views_.find (id);
+    if (found == views_.end())
+        return;
+    View& view = found->second;
+    view.notHeldUntil[model + "/" + adapter] = now + kNotHeldLife;
+    if (model.empty())
+        noteUnreachable (view, now);  // Another instance answers there.
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -15,123 +15,133 @@
 #include "base/Time.h"
 #include "cell/RouterMessages.h"
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
 /// What a request needs of a runner.
-struct InstanceQuery {
-  std::string service;
-  std::string model;    ///< Empty: any runner of the service.
-  std::string adapter;  ///< Empty: none.
-  /// Requests with the same text here do best at the same runner, which keeps what they share;
-  /// empty: anywhere.
-  std::string affinity;
-  std::uint64_t sharedTokens = 0;  ///< Of the prompt, that such requests share.
-  std::uint64_t promptTokens = 0;  ///< Of the whole prompt.
-  std::string avoidedInstance;     ///< Chosen only when there is no other; may be empty.
+struct InstanceQuery
+{
+    std::string service;
+    std::string model;    ///< Empty: any runner of the service.
+    std::string adapter;  ///< Empty: none.
+    /// Requests with the same text here do best at the same runner, which keeps what they share;
+    /// empty: anywhere.
+    std::string affinity;
+    std::uint64_t sharedTokens = 0;  ///< Of the prompt, that such requests share.
+    std::uint64_t promptTokens = 0;  ///< Of the whole prompt.
+    std::string avoidedInstance;     ///< Chosen only when there is no other; may be empty.
 };
 
-enum class NoChoice : std::uint8_t {
-  kNone,       ///< A runner was chosen.
-  kUnknown,    ///< No runner of the service takes requests.
-  kNotLoaded,  ///< None of them holds the model and adapter.
-  kFull,       ///< All that could take it are full.
+enum class NoChoice : std::uint8_t
+{
+    kNone,       ///< A runner was chosen.
+    kUnknown,    ///< No runner of the service takes requests.
+    kNotLoaded,  ///< None of them holds the model and adapter.
+    kFull,       ///< All that could take it are full.
 };
 
-struct InstanceChoice {
-  NoChoice reason = NoChoice::kUnknown;
-  std::string id;
-  std::string address;
+struct InstanceChoice
+{
+    NoChoice reason = NoChoice::kUnknown;
+    std::string id;
+    std::string address;
 };
 
 /// For logs, for example "not_loaded".
-[[nodiscard]] std::string_view nameOf(NoChoice reason);
+[[nodiscard]] std::string_view nameOf (NoChoice reason);
 
 /// How an attempt at a runner ended, as far as the choice of runners cares.
-enum class AttemptEnd : std::uint8_t {
-  kAnswered,     ///< A proper answer came.
-  kRefused,      ///< The runner said that it has not run the request: it is full or leaving.
-  kNotHeld,      ///< The runner does not hold what was asked for, or is another instance.
-  kFailed,       ///< It broke off, sent something else or answered with a failure of its own.
-  kUnreachable,  ///< No connection could be opened.
-  kAbandoned,    ///< The router gave it up for reasons of its own; says nothing.
+enum class AttemptEnd : std::uint8_t
+{
+    kAnswered,     ///< A proper answer came.
+    kRefused,      ///< The runner said that it has not run the request: it is full or leaving.
+    kNotHeld,      ///< The runner does not hold what was asked for, or is another instance.
+    kFailed,       ///< It broke off, sent something else or answered with a failure of its own.
+    kUnreachable,  ///< No connection could be opened.
+    kAbandoned,    ///< The router gave it up for reasons of its own; says nothing.
 };
 
-class InstanceDirectory {
- public:
-  explicit InstanceDirectory(std::string zone) : zone_(std::move(zone)) {}
-
-  /// Takes over a change of the table. False when it does not fit what is held: the whole table is
-  /// needed then.
-  bool apply(const cell::InstanceUpdate& update, base::TimePoint now);
-
-  [[nodiscard]] InstanceChoice choose(const InstanceQuery& query, base::TimePoint now) const;
-
-  /// `promptTokens` are read there until the answer begins.
-  void onAttemptBegin(const std::string& id, std::uint64_t promptTokens, base::TimePoint now);
-  /// Something of an answer came from the runner.
-  void onBytes(const std::string& id, base::TimePoint now);
-  void onAnswerBegun(const std::string& id, std::uint64_t promptTokens);
-  void onAttemptEnd(const std::string& id, AttemptEnd end, base::TimePoint now);
-  /// Instances that were found unreachable since the last call, for the leader.
-  [[nodiscard]] std::vector<std::string> takeUnreachable() {
-    return std::exchange(unreachable_, {});
-  }
-  /// The runner stated its load: requests running, waiting and slots.
-  void onLoad(const std::string& id, std::uint32_t running, std::uint32_t waiting,
-              base::TimePoint now);
-  /// The runner was found not to hold a model or adapter that the table says it holds.
-  void onNotHeld(const std::string& id, const std::string& model, const std::string& adapter,
+class InstanceDirectory
+{
+public:
+    explicit InstanceDirectory (std::string zone) : zone_ (std::move (zone)) {}
+
+    /// Takes over a change of the table. False when it does not fit what is held: the whole table
+    /// is needed then.
+    bool apply (const cell::InstanceUpdate& update, base::TimePoint now);
+
+    [[nodiscard]] InstanceChoice choose (const InstanceQuery& query, base::TimePoint now) const;
+
+    /// `promptTokens` are read there until the answer begins.
+    void onAttemptBegin (const std::string& id, std::uint64_t promptTokens, base::TimePoint now);
+    /// Something of an answer came from the runner.
+    void onBytes (const std::string& id, base::TimePoint now);
+    void onAnswerBegun (const std::string& id, std::uint64_t promptTokens);
+    void onAttemptEnd (const std::string& id, AttemptEnd end, base::TimePoint now);
+    /// Instances that were found unreachable since the last call, for the leader.
+    [[nodiscard]] std::vector<std::string> takeUnreachable()
+    {
+        return std::exchange (unreachable_, {});
+    }
+    /// The runner stated its load: requests running, waiting and slots.
+    void onLoad (const std::string& id, std::uint32_t running, std::uint32_t waiting,
                  base::TimePoint now);
-
-  [[nodiscard]] std::uint32_t routers() const { return routers_; }
-  [[nodiscard]] const std::vector<std::string>& controllers() const { return controllers_; }
-  [[nodiscard]] std::size_t size() const { return views_.size(); }
-  [[nodiscard]] bool hasTable() const { return version_ != 0; }
-  [[nodiscard]] std::uint64_t version() const { return version_; }
-  /// Time since the table last changed; -1 without one.
-  [[nodiscard]] std::int64_t ageMilliseconds(base::TimePoint now) const {
-    return hasTable() ? base::toMilliseconds(now - appliedAt_) : -1;
-  }
-
- private:
-  struct View {
-    cell::RoutableInstance row;
-    std::uint32_t inFlight = 0;      ///< Of this router.
-    base::TimePoint heardAt{};       ///< Last bytes of an answer, or first of the open attempts.
-    std::uint64_t tokensToRead = 0;  ///< Of prompts whose answer has not begun.
-    double failureShare = 0;         ///< Of late attempts, decaying.
-    std::uint32_t consecutiveFailures = 0;
-    base::TimePoint avoidedUntil{};      ///< Chosen only when there is no other.
-    base::TimePoint unreachableUntil{};  ///< Not chosen.
-    std::uint32_t unreachableCount = 0;  ///< Connections in a row that could not be opened.
-    std::uint32_t statedLoad = 0;
-    base::TimePoint loadStatedAt{};
-    std::map<std::string, base::TimePoint> notHeldUntil;  ///< By MODEL/ADAPTER.
-  };
-
-  void put(const cell::RoutableInstance& row);
-  void noteUnreachable(View& view, base::TimePoint now);
-  /// Whether a runner may be chosen for requests of the service at all.
-  [[nodiscard]] static bool isCandidate(const View& view, const InstanceQuery& query,
-                                        base::TimePoint now);
-  [[nodiscard]] static bool holds(const View& view, const InstanceQuery& query,
-                                  base::TimePoint now);
-  /// Requests at the runner, as far as this router knows.
-  [[nodiscard]] static double loadOf(const View& view, base::TimePoint now);
-  /// Expected time until an answer begins, in milliseconds, with what else speaks against a runner.
-  [[nodiscard]] double costOf(const View& view, const InstanceQuery& query,
-                              base::TimePoint now) const;
-  /// Id of the runner where requests like this one meet; empty without affinity.
-  [[nodiscard]] std::string homeOf(const InstanceQuery& query, base::TimePoint now) const;
-
-  std::string zone_;
-  base::Term term_ = 0;
-  std::uint64_t version_ = 0;
-  base::TimePoint appliedAt_{};
-  std::uint32_t routers_ = 1;
-  std::vector<std::string> controllers_;
-  std::map<std::string, View> views_;
-  std::vector<std::string> unreachable_;
+    /// The runner was found not to hold a model or adapter that the table says it holds.
+    void onNotHeld (const std::string& id, const std::string& model, const std::string& adapter,
+                    base::TimePoint now);
+
+    [[nodiscard]] std::uint32_t routers() const { return routers_; }
+    [[nodiscard]] const std::vector<std::string>& controllers() const { return controllers_; }
+    [[nodiscard]] std::size_t size() const { return views_.size(); }
+    [[nodiscard]] bool hasTable() const { return version_ != 0; }
+    [[nodiscard]] std::uint64_t version() const { return version_; }
+    /// Time since the table last changed; -1 without one.
+    [[nodiscard]] std::int64_t ageMilliseconds (base::TimePoint now) const
+    {
+        return hasTable() ? base::toMilliseconds (now - appliedAt_) : -1;
+    }
+
+private:
+    struct View
+    {
+        cell::RoutableInstance row;
+        std::uint32_t inFlight = 0;  ///< Of this router.
+        base::TimePoint heardAt{};   ///< Last bytes of an answer, or first of the open attempts.
+        std::uint64_t tokensToRead = 0;  ///< Of prompts whose answer has not begun.
+        double failureShare = 0;         ///< Of late attempts, decaying.
+        std::uint32_t consecutiveFailures = 0;
+        base::TimePoint avoidedUntil{};      ///< Chosen only when there is no other.
+        base::TimePoint unreachableUntil{};  ///< Not chosen.
+        std::uint32_t unreachableCount = 0;  ///< Connections in a row that could not be opened.
+        std::uint32_t statedLoad = 0;
+        base::TimePoint loadStatedAt{};
+        std::map<std::string, base::TimePoint> notHeldUntil;  ///< By MODEL/ADAPTER.
+    };
+
+    void put (const cell::RoutableInstance& row);
+    void noteUnreachable (View& view, base::TimePoint now);
+    /// Whether a runner may be chosen for requests of the service at all.
+    [[nodiscard]] static bool isCandidate (const View& view, const InstanceQuery& query,
+                                           base::TimePoint now);
+    [[nodiscard]] static bool holds (const View& view, const InstanceQuery& query,
+                                     base::TimePoint now);
+    /// Requests at the runner, as far as this router knows.
+    [[nodiscard]] static double loadOf (const View& view, base::TimePoint now);
+    /// Expected time until an answer begins, in milliseconds, with what else speaks against a
+    /// runner.
+    [[nodiscard]] double costOf (const View& view, const InstanceQuery& query,
+                                 base::TimePoint now) const;
+    /// Id of the runner where requests like this one meet; empty without affinity.
+    [[nodiscard]] std::string homeOf (const InstanceQuery& query, base::TimePoint now) const;
+
+    std::string zone_;
+    base::Term term_ = 0;
+    std::uint64_t version_ = 0;
+    base::TimePoint appliedAt_{};
+    std::uint32_t routers_ = 1;
+    std::vector<std::string> controllers_;
+    std::map<std::string, View> views_;
+    std::vector<std::string> unreachable_;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/InstanceDirectoryTest.cpp
+++ b/src/proxy/InstanceDirectoryTest.cpp
@@ -2,137 +2,160 @@
 
 #include "proxy/InstanceDirectory.h"
 
-namespace fernlift::proxy {
-namespace {
-
-constexpr base::TimePoint kStart{base::seconds(100)};
-
-cell::RoutableInstance rowOf(const std::string& id, const std::string& zone = "z1") {
-  cell::RoutableInstance row;
-  row.instance.id = id;
-  row.instance.service = "service";
-  row.instance.address = "10.0.0.1:" + id.substr(2);
-  row.instance.zone = zone;
-  row.instance.slots = 64;
-  row.instance.isReported = true;
-  row.instance.models = {{"m", 1, {"a1"}}};
-  return row;
+namespace fernlift::proxy
+{
+namespace
+{
+
+constexpr base::TimePoint kStart{ base::seconds (100) };
+
+cell::RoutableInstance rowOf (const std::string& id, const std::string& zone = "z1")
+{
+    cell::RoutableInstance row;
+    row.instance.id = id;
+    row.instance.service = "service";
+    row.instance.address = "10.0.0.1:" + id.substr (2);
+    row.instance.zone = zone;
+    row.instance.slots = 64;
+    row.instance.isReported = true;
+    row.instance.models = { { "m", 1, { "a1" } } };
+    return row;
 }
 
-class InstanceDirectoryTest : public ::testing::Test {
- protected:
-  void put(const std::vector<cell::RoutableInstance>& rows) {
-    cell::InstanceUpdate update;
-    update.term = 1;
-    update.fromVersion = version_;
-    update.toVersion = ++version_;
-    update.upserts = rows;
-    ASSERT_TRUE(directory_.apply(update, kStart));
-  }
-  std::string choose(const std::string& model = "", base::TimePoint now = kStart) {
-    InstanceQuery query;
-    query.service = "service";
-    query.model = model;
-    return directory_.choose(query, now).id;
-  }
-  NoChoice reason(const InstanceQuery& query) { return directory_.choose(query, kStart).reason; }
-
-  InstanceDirectory directory_{"z1"};
-  std::uint64_t version_ = 0;
+class InstanceDirectoryTest : public ::testing::Test
+{
+protected:
+    void put (const std::vector<cell::RoutableInstance>& rows)
+    {
+        cell::InstanceUpdate update;
+        update.term = 1;
+        update.fromVersion = version_;
+        update.toVersion = ++version_;
+        update.upserts = rows;
+        ASSERT_TRUE (directory_.apply (update, kStart));
+    }
+    std::string choose (const std::string& model = "", base::TimePoint now = kStart)
+    {
+        InstanceQuery query;
+        query.service = "service";
+        query.model = model;
+        return directory_.choose (query, now).id;
+    }
+    NoChoice reason (const InstanceQuery& query)
+    {
+        return directory_.choose (query, kStart).reason;
+    }
+
+    InstanceDirectory directory_{ "z1" };
+    std::uint64_t version_ = 0;
 };
 
-TEST_F(InstanceDirectoryTest, AGapInTheTableIsNoticed) {
-  put({rowOf("i-1")});
-  cell::InstanceUpdate update;
-  update.term = 1;
-  update.fromVersion = 5;
-  update.toVersion = 6;
-  EXPECT_FALSE(directory_.apply(update, kStart));
-  update.term = 2;
-  EXPECT_FALSE(directory_.apply(update, kStart));
-  update.fromVersion = 0;
-  EXPECT_TRUE(directory_.apply(update, kStart));
-  EXPECT_EQ(directory_.size(), 0U);
-  update.term = 1;
-  EXPECT_FALSE(directory_.apply(update, kStart));  // Of an earlier leader.
+TEST_F (InstanceDirectoryTest, AGapInTheTableIsNoticed)
+{
+    put ({ rowOf ("i-1") });
+    cell::InstanceUpdate update;
+    update.term = 1;
+    update.fromVersion = 5;
+    update.toVersion = 6;
+    EXPECT_FALSE (directory_.apply (update, kStart));
+    update.term = 2;
+    EXPECT_FALSE (directory_.apply (update, kStart));
+    update.fromVersion = 0;
+    EXPECT_TRUE (directory_.apply (update, kStart));
+    EXPECT_EQ (directory_.size(), 0U);
+    update.term = 1;
+    EXPECT_FALSE (directory_.apply (update, kStart));  // Of an earlier leader.
 }
 
-TEST_F(InstanceDirectoryTest, PrefersTheIdleRunnerAndItsOwnZone) {
-  put({rowOf("i-1"), rowOf("i-2", "z2")});
-  EXPECT_EQ(choose(), "i-1");
-  for (int request = 0; request < 10; ++request) directory_.onAttemptBegin("i-1", 0, kStart);
-  EXPECT_EQ(choose(), "i-2");
+TEST_F (InstanceDirectoryTest, PrefersTheIdleRunnerAndItsOwnZone)
+{
+    put ({ rowOf ("i-1"), rowOf ("i-2", "z2") });
+    EXPECT_EQ (choose(), "i-1");
+    for (int request = 0; request < 10; ++request)
+        directory_.onAttemptBegin ("i-1", 0, kStart);
+    EXPECT_EQ (choose(), "i-2");
 }
 
-TEST_F(InstanceDirectoryTest, DrainingRunnersGetNothing) {
-  cell::RoutableInstance draining = rowOf("i-1");
-  draining.instance.isDraining = true;
-  put({draining});
-  EXPECT_EQ(reason({"service", "", "", "", 0, 0, ""}), NoChoice::kUnknown);
+TEST_F (InstanceDirectoryTest, DrainingRunnersGetNothing)
+{
+    cell::RoutableInstance draining = rowOf ("i-1");
+    draining.instance.isDraining = true;
+    put ({ draining });
+    EXPECT_EQ (reason ({ "service", "", "", "", 0, 0, "" }), NoChoice::kUnknown);
 }
 
-TEST_F(InstanceDirectoryTest, OnlyHoldersOfModelAndAdapterAreChosen) {
-  put({rowOf("i-1")});
-  EXPECT_EQ(reason({"service", "m", "a1", "", 0, 0, ""}), NoChoice::kNone);
-  EXPECT_EQ(reason({"service", "m", "a2", "", 0, 0, ""}), NoChoice::kNotLoaded);
-  EXPECT_EQ(reason({"service", "x", "", "", 0, 0, ""}), NoChoice::kNotLoaded);
-  EXPECT_EQ(reason({"other", "", "", "", 0, 0, ""}), NoChoice::kUnknown);
+TEST_F (InstanceDirectoryTest, OnlyHoldersOfModelAndAdapterAreChosen)
+{
+    put ({ rowOf ("i-1") });
+    EXPECT_EQ (reason ({ "service", "m", "a1", "", 0, 0, "" }), NoChoice::kNone);
+    EXPECT_EQ (reason ({ "service", "m", "a2", "", 0, 0, "" }), NoChoice::kNotLoaded);
+    EXPECT_EQ (reason ({ "service", "x", "", "", 0, 0, "" }), NoChoice::kNotLoaded);
+    EXPECT_EQ (reason ({ "other", "", "", "", 0, 0, "" }), NoChoice::kUnknown);
 }
 
-TEST_F(InstanceDirectoryTest, ARunnerFoundNotToHoldAModelIsPassedOverForAWhile) {
-  put({rowOf("i-1")});
-  directory_.onNotHeld("i-1", "m", "", kStart);
-  EXPECT_EQ(choose("m"), "");
-  EXPECT_EQ(choose("m", kStart + base::seconds(2)), "i-1");
+TEST_F (InstanceDirectoryTest, ARunnerFoundNotToHoldAModelIsPassedOverForAWhile)
+{
+    put ({ rowOf ("i-1") });
+    directory_.onNotHeld ("i-1", "m", "", kStart);
+    EXPECT_EQ (choose ("m"), "");
+    EXPECT_EQ (choose ("m", kStart + base::seconds (2)), "i-1");
 }
 
-TEST_F(InstanceDirectoryTest, AnUnreachableRunnerIsPassedOverAndToldOnce) {
-  put({rowOf("i-1")});
-  for (int attempt = 0; attempt < 3; ++attempt) {
-    directory_.onAttemptBegin("i-1", 0, kStart);
-    directory_.onAttemptEnd("i-1", AttemptEnd::kUnreachable, kStart);
-  }
-  EXPECT_EQ(choose(), "");
-  EXPECT_EQ(directory_.takeUnreachable(), std::vector<std::string>{"i-1"});
-  EXPECT_TRUE(directory_.takeUnreachable().empty());
-  EXPECT_EQ(choose("", kStart + base::seconds(1)), "i-1");
+TEST_F (InstanceDirectoryTest, AnUnreachableRunnerIsPassedOverAndToldOnce)
+{
+    put ({ rowOf ("i-1") });
+    for (int attempt = 0; attempt < 3; ++attempt)
+    {
+        directory_.onAttemptBegin ("i-1", 0, kStart);
+        directory_.onAttemptEnd ("i-1", AttemptEnd::kUnreachable, kStart);
+    }
+    EXPECT_EQ (choose(), "");
+    EXPECT_EQ (directory_.takeUnreachable(), std::vector<std::string>{ "i-1" });
+    EXPECT_TRUE (directory_.takeUnreachable().empty());
+    EXPECT_EQ (choose ("", kStart + base::seconds (1)), "i-1");
 }
 
-TEST_F(InstanceDirectoryTest, ARunnerThatFailsIsAvoidedWhileThereIsAnother) {
-  put({rowOf("i-1"), rowOf("i-2", "z2")});
-  for (int attempt = 0; attempt < 3; ++attempt) {
-    directory_.onAttemptBegin("i-1", 0, kStart);
-    directory_.onAttemptEnd("i-1", AttemptEnd::kFailed, kStart);
-  }
-  EXPECT_EQ(choose(), "i-2");
+TEST_F (InstanceDirectoryTest, ARunnerThatFailsIsAvoidedWhileThereIsAnother)
+{
+    put ({ rowOf ("i-1"), rowOf ("i-2", "z2") });
+    for (int attempt = 0; attempt < 3; ++attempt)
+    {
+        directory_.onAttemptBegin ("i-1", 0, kStart);
+        directory_.onAttemptEnd ("i-1", AttemptEnd::kFailed, kStart);
+    }
+    EXPECT_EQ (choose(), "i-2");
 }
 
-TEST_F(InstanceDirectoryTest, AQuietRunnerIsAvoidedWhileItHasRequests) {
-  put({rowOf("i-1"), rowOf("i-2", "z2")});
-  directory_.onAttemptBegin("i-1", 0, kStart);
-  const base::TimePoint later = kStart + base::seconds(1);
-  EXPECT_EQ(choose("", later), "i-2");
-  directory_.onBytes("i-1", later);
-  EXPECT_EQ(choose("", later), "i-1");
+TEST_F (InstanceDirectoryTest, AQuietRunnerIsAvoidedWhileItHasRequests)
+{
+    put ({ rowOf ("i-1"), rowOf ("i-2", "z2") });
+    directory_.onAttemptBegin ("i-1", 0, kStart);
+    const base::TimePoint later = kStart + base::seconds (1);
+    EXPECT_EQ (choose ("", later), "i-2");
+    directory_.onBytes ("i-1", later);
+    EXPECT_EQ (choose ("", later), "i-1");
 }
 
-TEST_F(InstanceDirectoryTest, RequestsThatShareAPromptMeetUntilTheirRunnerIsBusy) {
-  put({rowOf("i-1"), rowOf("i-2"), rowOf("i-3"), rowOf("i-4")});
-  InstanceQuery query{"service", "m", "", "m,part", 6000, 9000, ""};
-  const std::string home = directory_.choose(query, kStart).id;
-  directory_.onAttemptBegin(home, 0, kStart);
-  EXPECT_EQ(directory_.choose(query, kStart).id, home);
-  for (int request = 0; request < 10; ++request) directory_.onAttemptBegin(home, 9000, kStart);
-  EXPECT_NE(directory_.choose(query, kStart).id, home);
+TEST_F (InstanceDirectoryTest, RequestsThatShareAPromptMeetUntilTheirRunnerIsBusy)
+{
+    put ({ rowOf ("i-1"), rowOf ("i-2"), rowOf ("i-3"), rowOf ("i-4") });
+    InstanceQuery query{ "service", "m", "", "m,part", 6000, 9000, "" };
+    const std::string home = directory_.choose (query, kStart).id;
+    directory_.onAttemptBegin (home, 0, kStart);
+    EXPECT_EQ (directory_.choose (query, kStart).id, home);
+    for (int request = 0; request < 10; ++request)
+        directory_.onAttemptBegin (home, 9000, kStart);
+    EXPECT_NE (directory_.choose (query, kStart).id, home);
 }
 
-TEST_F(InstanceDirectoryTest, WhatARunnerHoldsIsKeptWhenANewLeaderDoesNotKnowItYet) {
-  put({rowOf("i-1")});
-  cell::RoutableInstance unknown = rowOf("i-1");
-  unknown.instance.isReported = false;
-  unknown.instance.models.clear();
-  put({unknown});
-  EXPECT_EQ(choose("m"), "i-1");
+TEST_F (InstanceDirectoryTest, WhatARunnerHoldsIsKeptWhenANewLeaderDoesNotKnowItYet)
+{
+    put ({ rowOf ("i-1") });
+    cell::RoutableInstance unknown = rowOf ("i-1");
+    unknown.instance.isReported = false;
+    unknown.instance.models.clear();
+    put ({ unknown });
+    EXPECT_EQ (choose ("m"), "i-1");
 }
 
 }  // namespace
--- a/src/proxy/PromptPartsTest.cpp
+++ b/src/proxy/PromptPartsTest.cpp
@@ -2,19 +2,23 @@
 
 #include "proxy/PromptParts.h"
 
-namespace fernlift::proxy {
-namespace {
+namespace fernlift::proxy
+{
+namespace
+{
 
-TEST(PromptPartsTest, TheLastPartIsTheRequestsOwn) {
-  EXPECT_EQ(sharedParts("a:800,b:410,c:250"), "a:800,b:410");
-  EXPECT_EQ(sharedParts("a:800"), "");
-  EXPECT_EQ(sharedParts(""), "");
+TEST (PromptPartsTest, TheLastPartIsTheRequestsOwn)
+{
+    EXPECT_EQ (sharedParts ("a:800,b:410,c:250"), "a:800,b:410");
+    EXPECT_EQ (sharedParts ("a:800"), "");
+    EXPECT_EQ (sharedParts (""), "");
 }
 
-TEST(PromptPartsTest, TokensAreSummedAndWhatIsNoNumberCountsAsNone) {
-  EXPECT_EQ(tokensOf("a:800,b:410,c:250"), 1460U);
-  EXPECT_EQ(tokensOf("a:800,b,c:x,,d:"), 800U);
-  EXPECT_EQ(tokensOf(""), 0U);
+TEST (PromptPartsTest, TokensAreSummedAndWhatIsNoNumberCountsAsNone)
+{
+    EXPECT_EQ (tokensOf ("a:800,b:410,c:250"), 1460U);
+    EXPECT_EQ (tokensOf ("a:800,b,c:x,,d:"), 800U);
+    EXPECT_EQ (tokensOf (""), 0U);
 }
 
 }  // namespace
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -15,31 +15,34 @@
 #include "proxy/ProtocolNames.h"
 #include "proxy/RouteTable.h"
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
 /// Counts since the start of the process.
-struct ProxyCounters {
-  std::uint64_t requests = 0;
-  std::uint64_t answered = 0;  ///< Answers of runners passed on whole.
-  std::uint64_t refused = 0;   ///< Not run, and said so.
-  std::uint64_t failed = 0;    ///< Ended without an answer of a runner, and may have run.
-  std::uint64_t left = 0;      ///< The caller went away.
-  std::uint64_t attempts = 0;
-  std::uint64_t retries = 0;
-  std::uint64_t resumed = 0;
+struct ProxyCounters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;  ///< Answers of runners passed on whole.
+    std::uint64_t refused = 0;   ///< Not run, and said so.
+    std::uint64_t failed = 0;    ///< Ended without an answer of a runner, and may have run.
+    std::uint64_t left = 0;      ///< The caller went away.
+    std::uint64_t attempts = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t resumed = 0;
 };
 
-struct ProxyContext {
-  const ProtocolNames& names;
-  const base::Clock& clock;
-  base::Random& random;
-  InstanceDirectory& directory;
-  http::BackEndPool& pool;
-  dispatch::RetryBudget& retryBudget;
-  EngineDemands& demands;
-  ProxyCounters& counters;
-  std::function<void()> onUrgentDemand;      ///< A request began to wait.
-  std::shared_ptr<const RouteTable> routes;  ///< Null before the first configuration.
+struct ProxyContext
+{
+    const ProtocolNames& names;
+    const base::Clock& clock;
+    base::Random& random;
+    InstanceDirectory& directory;
+    http::BackEndPool& pool;
+    dispatch::RetryBudget& retryBudget;
+    EngineDemands& demands;
+    ProxyCounters& counters;
+    std::function<void()> onUrgentDemand;      ///< A request began to wait.
+    std::shared_ptr<const RouteTable> routes;  ///< Null before the first configuration.
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -26,66 +26,68 @@
 #include "router/ControllerLink.h"
 #include "router/ControllerSession.h"
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
 /// Lives on the thread of the Qt event loop.
-class ProxyProcess {
- public:
-  /// `parser` reads the operator's file; `onFinished` is called once, with the exit code, when a
-  /// planned stop is done. `clock` must outlive the process.
-  ProxyProcess(ProxySettings settings, ProtocolNames names, cell::CatalogueParser parser,
-               const base::Clock& clock, std::uint64_t randomSeed,
-               std::function<void(int exitCode)> onFinished);
+class ProxyProcess
+{
+public:
+    /// `parser` reads the operator's file; `onFinished` is called once, with the exit code, when a
+    /// planned stop is done. `clock` must outlive the process.
+    ProxyProcess (ProxySettings settings, ProtocolNames names, cell::CatalogueParser parser,
+                  const base::Clock& clock, std::uint64_t randomSeed,
+                  std::function<void (int exitCode)> onFinished);
 
-  /// Listens and begins to look for the leader of the cell.
-  base::Result<void> start();
-  /// Takes over what may change while the process runs: the seeds.
-  void reload(const ProxySettings& changed);
-  /// Begins a planned stop: not ready, serves on for the grace, then finishes what is open. A
-  /// second call ends it at once.
-  void beginStop();
+    /// Listens and begins to look for the leader of the cell.
+    base::Result<void> start();
+    /// Takes over what may change while the process runs: the seeds.
+    void reload (const ProxySettings& changed);
+    /// Begins a planned stop: not ready, serves on for the grace, then finishes what is open. A
+    /// second call ends it at once.
+    void beginStop();
 
- private:
-  void connectController(const std::string& address);
-  void sendHello();
-  void onControllerMessage(const cell::ControllerToRouter& message);
-  void takeConfiguration(const cell::ConfigurationUpdate& update);
-  void takeInstances(const cell::InstanceUpdate& update);
-  void pollController();
-  /// Logs when the leader begins or ceases to answer.
-  void noteController(bool isAnswering);
-  void reportDemand();
-  void onTick();
-  void checkStop();
-  void createMetrics();
-  [[nodiscard]] bool isReady() const;
-  void finish(int exitCode);
+private:
+    void connectController (const std::string& address);
+    void sendHello();
+    void onControllerMessage (const cell::ControllerToRouter& message);
+    void takeConfiguration (const cell::ConfigurationUpdate& update);
+    void takeInstances (const cell::InstanceUpdate& update);
+    void pollController();
+    /// Logs when the leader begins or ceases to answer.
+    void noteController (bool isAnswering);
+    void reportDemand();
+    void onTick();
+    void checkStop();
+    void createMetrics();
+    [[nodiscard]] bool isReady() const;
+    void finish (int exitCode);
 
-  ProxySettings settings_;
-  ProtocolNames names_;
-  cell::CatalogueParser parser_;
-  const base::Clock& clock_;
-  base::Random random_;
-  std::function<void(int)> onFinished_;
-  InstanceDirectory directory_;
-  http::BackEndPool pool_;
-  dispatch::RetryBudget retryBudget_;
-  EngineDemands demands_;
-  ProxyCounters counters_;
-  ProxyContext context_;
-  router::ControllerSession session_;
-  router::ControllerLink link_;
-  cell::HeldConfiguration held_;
-  std::optional<base::TimePoint> stopBegan_;
-  bool isRefusing_ = false;
-  bool hasController_ = false;
-  bool isFinished_ = false;
-  http::Metrics metrics_;
-  std::unique_ptr<http::Server> metricsServer_;
-  ProxyServer server_;
-  ReadinessServer readiness_;
-  QTimer demandTimer_;  ///< Sends an urgent report of demand once control is in the event loop.
-  QTimer ticker_;
+    ProxySettings settings_;
+    ProtocolNames names_;
+    cell::CatalogueParser parser_;
+    const base::Clock& clock_;
+    base::Random random_;
+    std::function<void (int)> onFinished_;
+    InstanceDirectory directory_;
+    http::BackEndPool pool_;
+    dispatch::RetryBudget retryBudget_;
+    EngineDemands demands_;
+    ProxyCounters counters_;
+    ProxyContext context_;
+    router::ControllerSession session_;
+    router::ControllerLink link_;
+    cell::HeldConfiguration held_;
+    std::optional<base::TimePoint> stopBegan_;
+    bool isRefusing_ = false;
+    bool hasController_ = false;
+    bool isFinished_ = false;
+    http::Metrics metrics_;
+    std::unique_ptr<http::Server> metricsServer_;
+    ProxyServer server_;
+    ReadinessServer readiness_;
+    QTimer demandTimer_;  ///< Sends an urgent report of demand once control is in the event loop.
+    QTimer ticker_;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -15,51 +15,53 @@
 #include "proxy/Exchange.h"
 #include "proxy/ProxyContext.h"
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
-class ProxyServer {
- public:
-  /// `context` must outlive the server.
-  explicit ProxyServer(ProxyContext& context);
-  ~ProxyServer();
+class ProxyServer
+{
+public:
+    /// `context` must outlive the server.
+    explicit ProxyServer (ProxyContext& context);
+    ~ProxyServer();
 
-  /// Listens; returns the real address or fails with kConnectionFailed.
-  base::Result<base::SocketAddress> listen(const base::SocketAddress& address);
-  /// Requests that wait for a runner look again.
-  void onDirectoryChanged();
-  /// Limits of connections accepted or at rest from now on.
-  void setLimits(const config::ClientLimits& limits);
-  /// Closes each connection after its next answer, so that callers move to other routers. New
-  /// connections are still taken, for one request each.
-  void beginClosing();
-  /// Refuses new requests as not run and closes resting connections.
-  void beginRefusing();
-  /// Takes no new connection.
-  void stopListening();
+    /// Listens; returns the real address or fails with kConnectionFailed.
+    base::Result<base::SocketAddress> listen (const base::SocketAddress& address);
+    /// Requests that wait for a runner look again.
+    void onDirectoryChanged();
+    /// Limits of connections accepted or at rest from now on.
+    void setLimits (const config::ClientLimits& limits);
+    /// Closes each connection after its next answer, so that callers move to other routers. New
+    /// connections are still taken, for one request each.
+    void beginClosing();
+    /// Refuses new requests as not run and closes resting connections.
+    void beginRefusing();
+    /// Takes no new connection.
+    void stopListening();
 
-  [[nodiscard]] std::size_t openExchanges() const { return exchanges_.size(); }
-  [[nodiscard]] std::size_t waitingExchanges() const;
-  [[nodiscard]] std::size_t openConnections() const { return connections_.size(); }
+    [[nodiscard]] std::size_t openExchanges() const { return exchanges_.size(); }
+    [[nodiscard]] std::size_t waitingExchanges() const;
+    [[nodiscard]] std::size_t openConnections() const { return connections_.size(); }
 
- private:
-  void acceptAll();
-  void onRequest(CallerConnection& connection, ParsedRequest request);
-  void onInvalid(CallerConnection& connection, const base::Error& error);
-  static void refuseStopping(CallerConnection& connection);
-  /// Drops what ended; not from within its own calls.
-  void sweepSoon();
+private:
+    void acceptAll();
+    void onRequest (CallerConnection& connection, ParsedRequest request);
+    void onInvalid (CallerConnection& connection, const base::Error& error);
+    static void refuseStopping (CallerConnection& connection);
+    /// Drops what ended; not from within its own calls.
+    void sweepSoon();
 
-  ProxyContext& context_;
-  CallerConnection::Handlers handlers_;
-  CallerLimits limits_;
-  bool isClosing_ = false;
-  bool isRefusing_ = false;
-  std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
-  std::map<CallerConnection*, std::unique_ptr<Exchange>> exchanges_;
-  std::vector<std::unique_ptr<Exchange>> ended_;
-  std::vector<std::shared_ptr<CallerConnection>> closed_;
-  QTimer sweeper_;
-  QTcpServer server_;
+    ProxyContext& context_;
+    CallerConnection::Handlers handlers_;
+    CallerLimits limits_;
+    bool isClosing_ = false;
+    bool isRefusing_ = false;
+    std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
+    std::map<CallerConnection*, std::unique_ptr<Exchange>> exchanges_;
+    std::vector<std::unique_ptr<Exchange>> ended_;
+    std::vector<std::shared_ptr<CallerConnection>> closed_;
+    QTimer sweeper_;
+    QTcpServer server_;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -1,7 +1,9 @@
 #include "proxy/ProxySettings.h"
 
-namespace fernlift::proxy {
-namespace {
+namespace fernlift::proxy
+{
+namespace
+{
 
 using base::milliseconds;
 using base::seconds;
@@ -11,42 +13,47 @@
 
 }  // namespace
 
-void declareSettings(config::SettingsSchema& schema, ProxySettings& settings) {
-  schema.addString("id", &settings.id, "name of this router, unique in its cell").required();
-  schema.addString("cell", &settings.cell, "name of the cell").required();
-  schema.addString("zone", &settings.zone, "zone of this machine").required();
-  schema.addAddress("front_address", &settings.frontAddress, "listens for callers").required();
-  schema.addAddress("readiness_address", &settings.readinessAddress,
-                    "listens for the platform's readiness checks");
-  schema.required();
-  schema.addAddress("metrics_address", &settings.metricsAddress,
-                    "listens for metrics and health checks; not set: nowhere");
-  schema.addAddressList("seeds", &settings.seeds, "control addresses of some controllers");
-  schema.required();
-  schema.addInteger("seed_peer_port", &settings.seedPeerPort, 1, kLargestPort,
-                    "port at which every controller listens for routers");
-  schema.required();
-  schema.addReal("retry_share", &settings.retryShare, 0, 1,
-                 "share of this router's requests that may be sent a second time");
-  schema.addInteger("retry_reserve", &settings.retryReserve, 0, kLargestReserve,
-                    "second sends that are allowed before there were requests");
-  schema.addDuration("connect_timeout_ms", &settings.connectTimeout, milliseconds(1), seconds(60),
-                     "a runner that takes no connection within this time is unreachable");
-  schema.addDuration("stop_grace_ms", &settings.stopGrace, milliseconds(0), seconds(600),
-                     "a stopping router serves on for this time while it is not ready");
-  schema.addDuration("stop_timeout_ms", &settings.stopTimeout, milliseconds(1), seconds(600),
-                     "longest planned stop");
-  config::addLoggingSettings(schema, &settings.logging);
-  schema.addCheck([&settings] {
-    std::vector<std::string> problems =
-        config::findAddressClashes({{"front_address", settings.frontAddress},
-                                    {"readiness_address", settings.readinessAddress},
-                                    {"metrics_address", settings.metricsAddress}});
-    if (settings.stopTimeout < settings.stopGrace) {
-      problems.emplace_back("stop_timeout_ms is below stop_grace_ms");
-    }
-    return problems;
-  });
+void declareSettings (config::SettingsSchema& schema, ProxySettings& settings)
+{
+    schema.addString ("id", &settings.id, "name of this router, unique in its cell").required();
+    schema.addString ("cell", &settings.cell, "name of the cell").required();
+    schema.addString ("zone", &settings.zone, "zone of this machine").required();
+    schema.addAddress ("front_address", &settings.frontAddress, "listens for callers").required();
+    schema.addAddress ("readiness_address", &settings.readinessAddress,
+                       "listens for the platform's readiness checks");
+    schema.required();
+    schema.addAddress ("metrics_address", &settings.metricsAddress,
+                       "listens for metrics and health checks; not set: nowhere");
+    schema.addAddressList ("seeds", &settings.seeds, "control addresses of some controllers");
+    schema.required();
+    schema.addInteger ("seed_peer_port", &settings.seedPeerPort, 1, kLargestPort,
+                       "port at which every controller listens for routers");
+    schema.required();
+    schema.addReal ("retry_share", &settings.retryShare, 0, 1,
+                    "share of this router's requests that may be sent a second time");
+    schema.addInteger ("retry_reserve", &settings.retryReserve, 0, kLargestReserve,
+                       "second sends that are allowed before there were requests");
+    schema.addDuration ("connect_timeout_ms", &settings.connectTimeout, milliseconds (1),
+                        seconds (60),
+                        "a runner that takes no connection within this time is unreachable");
+    schema.addDuration ("stop_grace_ms", &settings.stopGrace, milliseconds (0), seconds (600),
+                        "a stopping router serves on for this time while it is not ready");
+    schema.addDuration ("stop_timeout_ms", &settings.stopTimeout, milliseconds (1), seconds (600),
+                        "longest planned stop");
+    config::addLoggingSettings (schema, &settings.logging);
+    schema.addCheck (
+        [&settings]
+        {
+            std::vector<std::string> problems =
+                config::findAddressClashes ({ { "front_address", settings.frontAddress },
+                                              { "readiness_address", settings.readinessAddress },
+                                              { "metrics_address", settings.metricsAddress } });
+            if (settings.stopTimeout < settings.stopGrace)
+            {
+                problems.emplace_back ("stop_timeout_ms is below stop_grace_ms");
+            }
+            return problems;
+        });
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -10,26 +10,28 @@
 #include "config/Settings.h"
 #include "log/Log.h"
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
-struct ProxySettings {
-  std::string id;
-  std::string cell;
-  std::string zone;
-  base::SocketAddress frontAddress;      ///< For callers.
-  base::SocketAddress readinessAddress;  ///< For the platform's readiness checks.
-  base::SocketAddress metricsAddress;    ///< Without host: no metrics are served.
-  std::vector<base::SocketAddress> seeds;
-  std::int64_t seedPeerPort = 0;
-  double retryShare = 0.1;        ///< Of this router's requests.
-  std::int64_t retryReserve = 4;  ///< Retries that are allowed without any requests.
-  base::Duration connectTimeout = base::milliseconds(250);
-  base::Duration stopGrace = base::milliseconds(2500);  ///< Serves on, not ready.
-  base::Duration stopTimeout = base::milliseconds(7800);
-  log::Options logging;
+struct ProxySettings
+{
+    std::string id;
+    std::string cell;
+    std::string zone;
+    base::SocketAddress frontAddress;      ///< For callers.
+    base::SocketAddress readinessAddress;  ///< For the platform's readiness checks.
+    base::SocketAddress metricsAddress;    ///< Without host: no metrics are served.
+    std::vector<base::SocketAddress> seeds;
+    std::int64_t seedPeerPort = 0;
+    double retryShare = 0.1;        ///< Of this router's requests.
+    std::int64_t retryReserve = 4;  ///< Retries that are allowed without any requests.
+    base::Duration connectTimeout = base::milliseconds (250);
+    base::Duration stopGrace = base::milliseconds (2500);  ///< Serves on, not ready.
+    base::Duration stopTimeout = base::milliseconds (7800);
+    log::Options logging;
 };
 
 /// Declares every setting and the checks over them. `settings` must outlive `schema`.
-void declareSettings(config::SettingsSchema& schema, ProxySettings& settings);
+void declareSettings (config::SettingsSchema& schema, ProxySettings& settings);
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -16,162 +16,184 @@
 #include "proxy/ProxyContext.h"
 #include "proxy/ProxyServer.h"
 
-namespace fernlift::proxy::test {
+namespace fernlift::proxy::test
+{
 
 using http::test::RawCaller;
 using http::test::runFor;
 using http::test::waitUntil;
 
 /// One connection that a runner accepted.
-class StubConnection {
- public:
-  explicit StubConnection(QTcpSocket* socket) : socket_(socket) {
-    socket_->setParent(nullptr);
-    QObject::connect(socket_.get(), &QTcpSocket::readyRead, socket_.get(),
-                     [this] { received += socket_->readAll().toStdString(); });
-  }
-  void write(const std::string& bytes) {
-    socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
-    socket_->flush();
-  }
-  /// Closes in good order.
-  void close() { socket_->disconnectFromHost(); }
-  /// Closes so that the peer sees a reset.
-  void reset() {
-    const linger immediate{1, 0};
-    ::setsockopt(static_cast<int>(socket_->socketDescriptor()), SOL_SOCKET, SO_LINGER, &immediate,
-                 sizeof immediate);
-    socket_->abort();
-  }
-  [[nodiscard]] bool isClosed() const {
-    return socket_->state() == QAbstractSocket::UnconnectedState;
-  }
-
-  std::string received;
-
- private:
-  std::unique_ptr<QTcpSocket> socket_;
+class StubConnection
+{
+public:
+    explicit StubConnection (QTcpSocket* socket) : socket_ (socket)
+    {
+        socket_->setParent (nullptr);
+        QObject::connect (socket_.get(), &QTcpSocket::readyRead, socket_.get(),
+                          [this] { received += socket_->readAll().toStdString(); });
+    }
+    void write (const std::string& bytes)
+    {
+        socket_->write (bytes.data(), static_cast<qint64> (bytes.size()));
+        socket_->flush();
+    }
+    /// Closes in good order.
+    void close() { socket_->disconnectFromHost(); }
+    /// Closes so that the peer sees a reset.
+    void reset()
+    {
+        const linger immediate{ 1, 0 };
+        ::setsockopt (static_cast<int> (socket_->socketDescriptor()), SOL_SOCKET, SO_LINGER,
+                      &immediate, sizeof immediate);
+        socket_->abort();
+    }
+    [[nodiscard]] bool isClosed() const
+    {
+        return socket_->state() == QAbstractSocket::UnconnectedState;
+    }
+
+    std::string received;
+
+private:
+    std::unique_ptr<QTcpSocket> socket_;
 };
 
 /// A runner whose answers the test writes byte by byte.
-class StubRunner {
- public:
-  StubRunner() {
-    QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] {
-      while (QTcpSocket* socket = server_.nextPendingConnection()) {
-        connections.push_back(std::make_unique<StubConnection>(socket));
-      }
-    });
-    server_.listen(QHostAddress::LocalHost);
-  }
-  [[nodiscard]] std::string address() const {
-    return "127.0.0.1:" + std::to_string(server_.serverPort());
-  }
-  /// Waits until a request has come on the connection with this number.
-  [[nodiscard]] bool waitForRequest(std::size_t number = 0, const std::string& part = "\r\n\r\n") {
-    return waitUntil([&] {
-      return connections.size() > number &&
-             connections[number]->received.find(part) != std::string::npos;
-    });
-  }
-
-  std::vector<std::unique_ptr<StubConnection>> connections;
-
- private:
-  QTcpServer server_;
+class StubRunner
+{
+public:
+    StubRunner()
+    {
+        QObject::connect (&server_, &QTcpServer::newConnection, &server_,
+                          [this]
+                          {
+                              while (QTcpSocket* socket = server_.nextPendingConnection())
+                              {
+                                  connections.push_back (std::make_unique<StubConnection> (socket));
+                              }
+                          });
+        server_.listen (QHostAddress::LocalHost);
+    }
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string (server_.serverPort());
+    }
+    /// Waits until a request has come on the connection with this number.
+    [[nodiscard]] bool waitForRequest (std::size_t number = 0, const std::string& part = "\r\n\r\n")
+    {
+        return waitUntil (
+            [&]
+            {
+                return connections.size() > number
+                       && connections[number]->received.find (part) != std::string::npos;
+            });
+    }
+
+    std::vector<std::unique_ptr<StubConnection>> connections;
+
+private:
+    QTcpServer server_;
 };
 
 /// A proxy with one service behind two hosts: "app.test" may repeat, "once.test" may not,
 /// "stream.test" streams and "resume.test" streams that may be resumed.
-class ProxyFixture {
- public:
-  ProxyFixture() {
-    http::test::application();
-    context.routes = std::make_shared<const RouteTable>(1, catalogue());
-    listening = base::handleErrors(
-        [&] {
-          return server.listen({"127.0.0.1", 0});
-        },
-        [](const base::Error&) { return base::SocketAddress(); });
-  }
-
-  static ProtocolNames testNames() {
-    ProtocolNames names;
-    names.requestId = "Test-Id";
-    names.deadline = "Test-Deadline";
-    names.model = "Test-Model";
-    names.promptParts = "Test-Parts";
-    names.promptTokens = "Test-Tokens";
-    names.targetInstance = "Test-Target";
-    names.priority = "Test-Priority";
-    names.notExecuted = "Test-Not-Executed";
-    names.load = "Test-Load";
-    names.readinessPath = "/ready";
-    return names;
-  }
-
-  static config::Route route(const std::string& host, config::RouteKind kind, bool isResumable) {
-    config::Route route;
-    route.name = host;
-    route.host = host;
-    route.pathPrefix = "/";
-    route.kind = kind;
-    route.isResumable = isResumable;
-    route.timeout = base::seconds(5);
-    route.targetLatency = base::seconds(1);
-    route.maximumAttempts = 2;
-    route.backends.push_back({"service", 1});
-    return route;
-  }
-
-  static config::ServiceCatalogue catalogue() {
-    config::ServiceCatalogue catalogue;
-    catalogue.services.push_back({"service", "/health", 100, std::nullopt});
-    catalogue.routes = {route("app.test", config::RouteKind::kRepeatable, false),
-                        route("once.test", config::RouteKind::kAtMostOnce, false),
-                        route("stream.test", config::RouteKind::kStream, false),
-                        route("resume.test", config::RouteKind::kStream, true)};
-    return catalogue;
-  }
-
-  /// Registers a runner under this id.
-  void addRunner(const std::string& id, const StubRunner& runner) {
-    cell::InstanceUpdate update;
-    update.term = 1;
-    update.fromVersion = tableVersion_;
-    update.toVersion = ++tableVersion_;
-    cell::RoutableInstance row;
-    row.instance.id = id;
-    row.instance.service = "service";
-    row.instance.address = runner.address();
-    row.instance.zone = "z1";
-    row.instance.slots = 8;
-    update.upserts.push_back(row);
-    directory.apply(update, clock.now());
-    server.onDirectoryChanged();
-  }
-
-  static std::string request(const std::string& host, const std::string& id = "r1",
-                             const std::string& extra = "") {
-    return "POST /path?q=1 HTTP/1.1\r\nHost: " + host + "\r\nTest-Id: " + id +
-           "\r\nTest-Deadline: 3000\r\n" + extra + "Content-Length: 4\r\n\r\nbody";
-  }
-
-  ProtocolNames names = testNames();
-  base::SystemClock clock;
-  base::Random random{1};
-  InstanceDirectory directory{"z1"};
-  http::BackEndPool pool{base::milliseconds(500)};
-  dispatch::RetryBudget retryBudget{0.1, 10};
-  EngineDemands demands;
-  ProxyCounters counters;
-  ProxyContext context{names,       clock,   random,   directory, pool,
-                       retryBudget, demands, counters, [] {},     nullptr};
-  ProxyServer server{context};
-  base::SocketAddress listening;
-
- private:
-  std::uint64_t tableVersion_ = 0;
+class ProxyFixture
+{
+public:
+    ProxyFixture()
+    {
+        http::test::application();
+        context.routes = std::make_shared<const RouteTable> (1, catalogue());
+        listening = base::handleErrors (
+            [&] {
+                return server.listen ({ "127.0.0.1", 0 });
+            },
+            [] (const base::Error&) { return base::SocketAddress(); });
+    }
+
+    static ProtocolNames testNames()
+    {
+        ProtocolNames names;
+        names.requestId = "Test-Id";
+        names.deadline = "Test-Deadline";
+        names.model = "Test-Model";
+        names.promptParts = "Test-Parts";
+        names.promptTokens = "Test-Tokens";
+        names.targetInstance = "Test-Target";
+        names.priority = "Test-Priority";
+        names.notExecuted = "Test-Not-Executed";
+        names.load = "Test-Load";
+        names.readinessPath = "/ready";
+        return names;
+    }
+
+    static config::Route route (const std::string& host, config::RouteKind kind, bool isResumable)
+    {
+        config::Route route;
+        route.name = host;
+        route.host = host;
+        route.pathPrefix = "/";
+        route.kind = kind;
+        route.isResumable = isResumable;
+        route.timeout = base::seconds (5);
+        route.targetLatency = base::seconds (1);
+        route.maximumAttempts = 2;
+        route.backends.push_back ({ "service", 1 });
+        return route;
+    }
+
+    static config::ServiceCatalogue catalogue()
+    {
+        config::ServiceCatalogue catalogue;
+        catalogue.services.push_back ({ "service", "/health", 100, std::nullopt });
+        catalogue.routes = { route ("app.test", config::RouteKind::kRepeatable, false),
+                             route ("once.test", config::RouteKind::kAtMostOnce, false),
+                             route ("stream.test", config::RouteKind::kStream, false),
+                             route ("resume.test", config::RouteKind::kStream, true) };
+        return catalogue;
+    }
+
+    /// Registers a runner under this id.
+    void addRunner (const std::string& id, const StubRunner& runner)
+    {
+        cell::InstanceUpdate update;
+        update.term = 1;
+        update.fromVersion = tableVersion_;
+        update.toVersion = ++tableVersion_;
+        cell::RoutableInstance row;
+        row.instance.id = id;
+        row.instance.service = "service";
+        row.instance.address = runner.address();
+        row.instance.zone = "z1";
+        row.instance.slots = 8;
+        update.upserts.push_back (row);
+        directory.apply (update, clock.now());
+        server.onDirectoryChanged();
+    }
+
+    static std::string request (const std::string& host, const std::string& id = "r1",
+                                const std::string& extra = "")
+    {
+        return "POST /path?q=1 HTTP/1.1\r\nHost: " + host + "\r\nTest-Id: " + id
+               + "\r\nTest-Deadline: 3000\r\n" + extra + "Content-Length: 4\r\n\r\nbody";
+    }
+
+    ProtocolNames names = testNames();
+    base::SystemClock clock;
+    base::Random random{ 1 };
+    InstanceDirectory directory{ "z1" };
+    http::BackEndPool pool{ base::milliseconds (500) };
+    dispatch::RetryBudget retryBudget{ 0.1, 10 };
+    EngineDemands demands;
+    ProxyCounters counters;
+    ProxyContext context{ names,       clock,   random,   directory, pool,
+                          retryBudget, demands, counters, [] {},     nullptr };
+    ProxyServer server{ context };
+    base::SocketAddress listening;
+
+private:
+    std::uint64_t tableVersion_ = 0;
 };
 
 }  // namespace fernlift::proxy::test
--- a/src/proxy/ReadinessServer.h
+++ b/src/proxy/ReadinessServer.h
@@ -13,25 +13,27 @@
 #include "base/SocketAddress.h"
 #include "proxy/CallerConnection.h"
 
-namespace fernlift::proxy {
-
-class ReadinessServer {
- public:
-  /// `path` is answered by `isReady`; every other path is unknown.
-  ReadinessServer(std::string path, std::function<bool()> isReady);
-
-  /// Listens; fails with kConnectionFailed.
-  base::Result<void> listen(const base::SocketAddress& address);
-
- private:
-  void acceptAll();
-  void answer(CallerConnection& connection, const ParsedRequest& request);
-
-  std::string path_;
-  std::function<bool()> isReady_;
-  CallerConnection::Handlers handlers_;
-  std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
-  QTcpServer server_;
+namespace fernlift::proxy
+{
+
+class ReadinessServer
+{
+public:
+    /// `path` is answered by `isReady`; every other path is unknown.
+    ReadinessServer (std::string path, std::function<bool()> isReady);
+
+    /// Listens; fails with kConnectionFailed.
+    base::Result<void> listen (const base::SocketAddress& address);
+
+private:
+    void acceptAll();
+    void answer (CallerConnection& connection, const ParsedRequest& request);
+
+    std::string path_;
+    std::function<bool()> isReady_;
+    CallerConnection::Handlers handlers_;
+    std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
+    QTcpServer server_;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/RequestParser.cpp
+++ b/src/proxy/RequestParser.cpp
@@ -5,131 +5,158 @@
 #include <boost/beast/http/error.hpp>
 #include <utility>
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
 namespace beast = boost::beast;
 
 /// Callbacks of Beast's parser that build the request.
-class RequestParser::Implementation final : public beast::http::basic_parser<true> {
- public:
-  explicit Implementation(const RequestLimits& limits) {
-    header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-    body_limit(limits.bodyBytes);
-    eager(true);
-  }
-
-  [[nodiscard]] ParsedRequest& request() { return request_; }
-  [[nodiscard]] bool takeExpectsContinue() { return std::exchange(expectsContinue_, false); }
-
- private:
-  using ErrorCode = beast::error_code;
-
-  void on_request_impl(beast::http::verb /*verb*/, beast::string_view method,
-                       beast::string_view target, int version, ErrorCode& error) override {
-    constexpr int kVersion10 = 10;
-    request_.method.assign(method.data(), method.size());
-    request_.target.assign(target.data(), target.size());
-    request_.isHttp10 = version == kVersion10;
-    error = {};
-  }
-  void on_response_impl(int /*status*/, beast::string_view /*reason*/, int /*version*/,
-                        ErrorCode& error) override {
-    error = {};
-  }
-  void on_field_impl(beast::http::field field, beast::string_view name, beast::string_view value,
-                     ErrorCode& error) override {
-    if (field == beast::http::field::expect && beast::iequals(value, "100-continue")) {
-      expectsContinue_ = true;
+class RequestParser::Implementation final : public beast::http::basic_parser<true>
+{
+public:
+    explicit Implementation (const RequestLimits& limits)
+    {
+        header_limit (static_cast<std::uint32_t> (limits.headerBytes));
+        body_limit (limits.bodyBytes);
+        eager (true);
     }
-    request_.headers.add(std::string(name.data(), name.size()),
-                         std::string(value.data(), value.size()));
-    error = {};
-  }
-  void on_header_impl(ErrorCode& error) override { error = {}; }
-  void on_body_init_impl(boost::optional<std::uint64_t> const& length, ErrorCode& error) override {
-    if (length) request_.body.reserve(static_cast<std::size_t>(*length));
-    error = {};
-  }
-  std::size_t on_body_impl(beast::string_view body, ErrorCode& error) override {
-    request_.body.append(body.data(), body.size());
-    error = {};
-    return body.size();
-  }
-  void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/,
-                            ErrorCode& error) override {
-    error = {};
-  }
-  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast::string_view body,
-                                 ErrorCode& error) override {
-    request_.body.append(body.data(), body.size());
-    error = {};
-    return body.size();
-  }
-  void on_finish_impl(ErrorCode& error) override { error = {}; }
-
-  ParsedRequest request_;
-  bool expectsContinue_ = false;
+
+    [[nodiscard]] ParsedRequest& request() { return request_; }
+    [[nodiscard]] bool takeExpectsContinue() { return std::exchange (expectsContinue_, false); }
+
+private:
+    using ErrorCode = beast::error_code;
+
+    void on_request_impl (beast::http::verb /*verb*/, beast::string_view method,
+                          beast::string_view target, int version, ErrorCode& error) override
+    {
+        constexpr int kVersion10 = 10;
+        request_.method.assign (method.data(), method.size());
+        request_.target.assign (target.data(), target.size());
+        request_.isHttp10 = version == kVersion10;
+        error = {};
+    }
+    void on_response_impl (int /*status*/, beast::string_view /*reason*/, int /*version*/,
+                           ErrorCode& error) override
+    {
+        error = {};
+    }
+    void on_field_impl (beast::http::field field, beast::string_view name, beast::string_view value,
+                        ErrorCode& error) override
+    {
+        if (field == beast::http::field::expect && beast::iequals (value, "100-continue"))
+        {
+            expectsContinue_ = true;
+        }
+        request_.headers.add (std::string (name.data(), name.size()),
+                              std::string (value.data(), value.size()));
+        error = {};
+    }
+    void on_header_impl (ErrorCode& error) override { error = {}; }
+    void on_body_init_impl (boost::optional<std::uint64_t> const& length, ErrorCode& error) override
+    {
+        if (length)
+            request_.body.reserve (static_cast<std::size_t> (*length));
+        error = {};
+    }
+    std::size_t on_body_impl (beast::string_view body, ErrorCode& error) override
+    {
+        request_.body.append (body.data(), body.size());
+        error = {};
+        return body.size();
+    }
+    void on_chunk_header_impl (std::uint64_t /*size*/, beast::string_view /*extensions*/,
+                               ErrorCode& error) override
+    {
+        error = {};
+    }
+    std::size_t on_chunk_body_impl (std::uint64_t /*remain*/, beast::string_view body,
+                                    ErrorCode& error) override
+    {
+        request_.body.append (body.data(), body.size());
+        error = {};
+        return body.size();
+    }
+    void on_finish_impl (ErrorCode& error) override { error = {}; }
+
+    ParsedRequest request_;
+    bool expectsContinue_ = false;
 };
 
-namespace {
-
-boost::leaf::error_id failOf(const beast::error_code& error) {
-  using base::ErrorKind;
-  if (error == beast::http::error::header_limit) {
-    return base::fail(ErrorKind::kHeaderTooLarge, "the header is too large");
-  }
-  if (error == beast::http::error::body_limit) {
-    return base::fail(ErrorKind::kBodyTooLarge, "the body is too large");
-  }
-  const bool isFraming = error == beast::http::error::bad_content_length ||
-                         error == beast::http::error::bad_transfer_encoding ||
-                         error == beast::http::error::multiple_content_length;
-  return base::fail(isFraming ? ErrorKind::kUnsupportedFraming : ErrorKind::kInvalidRequest,
-                    error.message());
+namespace
+{
+
+boost::leaf::error_id failOf (const beast::error_code& error)
+{
+    using base::ErrorKind;
+    if (error == beast::http::error::header_limit)
+    {
+        return base::fail (ErrorKind::kHeaderTooLarge, "the header is too large");
+    }
+    if (error == beast::http::error::body_limit)
+    {
+        return base::fail (ErrorKind::kBodyTooLarge, "the body is too large");
+    }
+    const bool isFraming = error == beast::http::error::bad_content_length
+                           || error == beast::http::error::bad_transfer_encoding
+                           || error == beast::http::error::multiple_content_length;
+    return base::fail (isFraming ? ErrorKind::kUnsupportedFraming : ErrorKind::kInvalidRequest,
+                       error.message());
 }
 
 }  // namespace
 
-RequestParser::RequestParser(RequestLimits limits) : limits_(limits) {}
+RequestParser::RequestParser (RequestLimits limits) : limits_ (limits) {}
 RequestParser::~RequestParser() = default;
 
-base::Result<void> RequestParser::parse(std::string& buffer) {
-  if (buffer.empty() || state() == State::kDone) return {};
-  if (!implementation_) implementation_ = std::make_unique<Implementation>(limits_);
-  std::size_t used = 0;
-  while (used < buffer.size() && !implementation_->is_done()) {
-    beast::error_code error;
-    const std::size_t count = implementation_->put(
-        boost::asio::const_buffer(buffer.data() + used, buffer.size() - used), error);
-    used += count;
-    if (error == beast::http::error::need_more) break;
-    if (error) {
-      buffer.erase(0, used);
-      return failOf(error);
+base::Result<void> RequestParser::parse (std::string& buffer)
+{
+    if (buffer.empty() || state() == State::kDone)
+        return {};
+    if (! implementation_)
+        implementation_ = std::make_unique<Implementation> (limits_);
+    std::size_t used = 0;
+    while (used < buffer.size() && ! implementation_->is_done())
+    {
+        beast::error_code error;
+        const std::size_t count = implementation_->put (
+            boost::asio::const_buffer (buffer.data() + used, buffer.size() - used), error);
+        used += count;
+        if (error == beast::http::error::need_more)
+            break;
+        if (error)
+        {
+            buffer.erase (0, used);
+            return failOf (error);
+        }
+        if (count == 0)
+            break;
     }
-    if (count == 0) break;
-  }
-  buffer.erase(0, used);
-  return {};
+    buffer.erase (0, used);
+    return {};
 }
 
-RequestParser::State RequestParser::state() const {
-  if (!implementation_) return State::kIdle;
-  return implementation_->is_done() ? State::kDone : State::kReading;
+RequestParser::State RequestParser::state() const
+{
+    if (! implementation_)
+        return State::kIdle;
+    return implementation_->is_done() ? State::kDone : State::kReading;
 }
 
-bool RequestParser::takeExpectsContinue() {
-  const bool isHeaderRead = implementation_ && implementation_->is_header_done();
-  return isHeaderRead && !implementation_->is_done() && implementation_->takeExpectsContinue();
+bool RequestParser::takeExpectsContinue()
+{
+    const bool isHeaderRead = implementation_ && implementation_->is_header_done();
+    return isHeaderRead && ! implementation_->is_done() && implementation_->takeExpectsContinue();
 }
 
-ParsedRequest RequestParser::take() {
-  ParsedRequest request = std::move(implementation_->request());
-  request.wantsClose = !implementation_->keep_alive();
-  request.hasBodyFraming =
-      implementation_->chunked() || implementation_->content_length().has_value();
-  implementation_.reset();
-  return request;
+ParsedRequest RequestParser::take()
+{
+    ParsedRequest request = std::move (implementation_->request());
+    request.wantsClose = ! implementation_->keep_alive();
+    request.hasBodyFraming =
+        implementation_->chunked() || implementation_->content_length().has_value();
+    implementation_.reset();
+    return request;
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/RouteTable.h
+++ b/src/proxy/RouteTable.h
@@ -9,30 +9,32 @@
 
 #include "config/ServiceCatalogue.h"
 
-namespace fernlift::proxy {
+namespace fernlift::proxy
+{
 
 /// One configuration of services, ready for look-ups. Immutable.
-class RouteTable {
- public:
-  RouteTable(std::uint64_t version, config::ServiceCatalogue catalogue);
-  RouteTable(const RouteTable&) = delete;
-  RouteTable& operator=(const RouteTable&) = delete;
-
-  /// The route of a request to `host` (a port is passed over; case does not count) and `path`; null
-  /// if there is none.
-  [[nodiscard]] const config::Route* find(std::string_view host, std::string_view path) const;
-  /// The service of a backend of the route, chosen by weight with `draw` from [0, 1).
-  [[nodiscard]] static const std::string& chooseService(const config::Route& route, double draw);
-
-  [[nodiscard]] std::uint64_t version() const { return version_; }
-  [[nodiscard]] const config::ServiceCatalogue& catalogue() const { return catalogue_; }
-
- private:
-  using RoutesByPrefix = std::map<std::string, const config::Route*, std::less<>>;
-
-  std::uint64_t version_;
-  config::ServiceCatalogue catalogue_;
-  std::map<std::string, RoutesByPrefix, std::less<>> hosts_;
+class RouteTable
+{
+public:
+    RouteTable (std::uint64_t version, config::ServiceCatalogue catalogue);
+    RouteTable (const RouteTable&) = delete;
+    RouteTable& operator= (const RouteTable&) = delete;
+
+    /// The route of a request to `host` (a port is passed over; case does not count) and `path`;
+    /// null if there is none.
+    [[nodiscard]] const config::Route* find (std::string_view host, std::string_view path) const;
+    /// The service of a backend of the route, chosen by weight with `draw` from [0, 1).
+    [[nodiscard]] static const std::string& chooseService (const config::Route& route, double draw);
+
+    [[nodiscard]] std::uint64_t version() const { return version_; }
+    [[nodiscard]] const config::ServiceCatalogue& catalogue() const { return catalogue_; }
+
+private:
+    using RoutesByPrefix = std::map<std::string, const config::Route*, std::less<>>;
+
+    std::uint64_t version_;
+    config::ServiceCatalogue catalogue_;
+    std::map<std::string, RoutesByPrefix, std::less<>> hosts_;
 };
 
 }  // namespace fernlift::proxy
--- a/src/router/ActiveConfiguration.h
+++ b/src/router/ActiveConfiguration.h
@@ -13,33 +13,35 @@
 #include "config/Catalogue.h"
 #include "router/RouterCore.h"
 
-namespace fernlift::router {
-
-class ActiveConfiguration {
- public:
-  /// Takes an update unless its version is not above the one held, it is a change of another
-  /// configuration, or it cannot be parsed. True if it was taken.
-  bool apply(const cell::ConfigurationUpdate& update);
-
-  [[nodiscard]] std::uint64_t version() const { return held_.version; }
-  [[nodiscard]] const std::string& digest() const { return held_.digest; }
-  [[nodiscard]] const admission::SlotReservation& reservation() const { return reservation_; }
-
-  [[nodiscard]] bool hasTarget(Protocol protocol, const std::string& target) const;
-  /// The class a request falls into: the one it names, else its target's default. Null when there
-  /// is no such class.
-  [[nodiscard]] const config::RequestClass* classOf(const RequestHead& head) const;
-  /// Models and adapters.
-  [[nodiscard]] std::vector<std::string> targets() const;
-
- private:
-  using DefaultClasses = std::unordered_map<std::string, base::RequestClassName>;
-
-  cell::HeldConfiguration held_;
-  config::Catalogue catalogue_;
-  DefaultClasses models_;  ///< And adapters.
-  DefaultClasses applications_;
-  admission::SlotReservation reservation_;
+namespace fernlift::router
+{
+
+class ActiveConfiguration
+{
+public:
+    /// Takes an update unless its version is not above the one held, it is a change of another
+    /// configuration, or it cannot be parsed. True if it was taken.
+    bool apply (const cell::ConfigurationUpdate& update);
+
+    [[nodiscard]] std::uint64_t version() const { return held_.version; }
+    [[nodiscard]] const std::string& digest() const { return held_.digest; }
+    [[nodiscard]] const admission::SlotReservation& reservation() const { return reservation_; }
+
+    [[nodiscard]] bool hasTarget (Protocol protocol, const std::string& target) const;
+    /// The class a request falls into: the one it names, else its target's default. Null when there
+    /// is no such class.
+    [[nodiscard]] const config::RequestClass* classOf (const RequestHead& head) const;
+    /// Models and adapters.
+    [[nodiscard]] std::vector<std::string> targets() const;
+
+private:
+    using DefaultClasses = std::unordered_map<std::string, base::RequestClassName>;
+
+    cell::HeldConfiguration held_;
+    config::Catalogue catalogue_;
+    DefaultClasses models_;  ///< And adapters.
+    DefaultClasses applications_;
+    admission::SlotReservation reservation_;
 };
 
 }  // namespace fernlift::router
--- a/src/router/AnswerReader.cpp
+++ b/src/router/AnswerReader.cpp
@@ -8,83 +8,103 @@
 
 #include "http/Message.h"
 
-namespace fernlift::router {
-namespace {
+namespace fernlift::router
+{
+namespace
+{
 
 constexpr std::size_t kMaximumEventBytes = 1024UL * 1024;
 constexpr std::string_view kDataField = "data:";
 constexpr std::string_view kDone = "[DONE]";
 
 /// The part that one event of an engine carries; nothing when it is not one of a stream.
-std::optional<AttemptData> partOf(const std::string& data) {
-  const QJsonDocument document = QJsonDocument::fromJson(http::byteView(data));
-  const QJsonObject object = document.object();
-  const qint64 offset = object.value(QLatin1String("offset")).toInteger(-1);
-  const qint64 tokens = object.value(QLatin1String("tokens")).toInteger(1);
-  if (offset < 0 || tokens < 0) return std::nullopt;
-  AttemptData part;
-  part.offset = static_cast<std::uint64_t>(offset);
-  part.count = static_cast<std::uint64_t>(tokens);
-  part.data = "data: " + data + "\n\n";
-  return part;
+std::optional<AttemptData> partOf (const std::string& data)
+{
+    const QJsonDocument document = QJsonDocument::fromJson (http::byteView (data));
+    const QJsonObject object = document.object();
+    const qint64 offset = object.value (QLatin1String ("offset")).toInteger (-1);
+    const qint64 tokens = object.value (QLatin1String ("tokens")).toInteger (1);
+    if (offset < 0 || tokens < 0)
+        return std::nullopt;
+    AttemptData part;
+    part.offset = static_cast<std::uint64_t> (offset);
+    part.count = static_cast<std::uint64_t> (tokens);
+    part.data = "data: " + data + "\n\n";
+    return part;
 }
 
 }  // namespace
 
-std::vector<AttemptEvent> PlainBodyReader::read(std::string_view bytes) {
-  AttemptData part{offset_, bytes.size(), std::string(bytes)};
-  offset_ += bytes.size();
-  return {std::move(part)};
+std::vector<AttemptEvent> PlainBodyReader::read (std::string_view bytes)
+{
+    AttemptData part{ offset_, bytes.size(), std::string (bytes) };
+    offset_ += bytes.size();
+    return { std::move (part) };
 }
 
 AttemptEvent PlainBodyReader::readEnd() { return AttemptEnded{}; }
 
-std::vector<AttemptEvent> TokenStreamReader::read(std::string_view bytes) {
-  std::vector<AttemptEvent> events;
-  while (!bytes.empty() && !isFinished_) {
-    const std::size_t lineEnd = bytes.find('\n');
-    line_ += bytes.substr(0, lineEnd);
-    if (line_.size() + data_.size() > kMaximumEventBytes) {
-      isFinished_ = true;
-      events.emplace_back(AttemptBroken{});
-      break;
+std::vector<AttemptEvent> TokenStreamReader::read (std::string_view bytes)
+{
+    std::vector<AttemptEvent> events;
+    while (! bytes.empty() && ! isFinished_)
+    {
+        const std::size_t lineEnd = bytes.find ('\n');
+        line_ += bytes.substr (0, lineEnd);
+        if (line_.size() + data_.size() > kMaximumEventBytes)
+        {
+            isFinished_ = true;
+            events.emplace_back (AttemptBroken{});
+            break;
+        }
+        if (lineEnd == std::string_view::npos)
+            break;
+        bytes.remove_prefix (lineEnd + 1);
+        if (line_.ends_with ('\r'))
+            line_.pop_back();
+        takeLine (line_, events);
+        line_.clear();
     }
-    if (lineEnd == std::string_view::npos) break;
-    bytes.remove_prefix(lineEnd + 1);
-    if (line_.ends_with('\r')) line_.pop_back();
-    takeLine(line_, events);
-    line_.clear();
-  }
-  return events;
+    return events;
 }
 
-void TokenStreamReader::takeLine(std::string_view line, std::vector<AttemptEvent>& events) {
-  if (line.empty()) {
-    finishEvent(events);
-    return;
-  }
-  // Comments and fields other than data carry nothing of the answer.
-  if (!line.starts_with(kDataField)) return;
-  line.remove_prefix(kDataField.size());
-  if (line.starts_with(' ')) line.remove_prefix(1);
-  data_ += line;
+void TokenStreamReader::takeLine (std::string_view line, std::vector<AttemptEvent>& events)
+{
+    if (line.empty())
+    {
+        finishEvent (events);
+        return;
+    }
+    // Comments and fields other than data carry nothing of the answer.
+    if (! line.starts_with (kDataField))
+        return;
+    line.remove_prefix (kDataField.size());
+    if (line.starts_with (' '))
+        line.remove_prefix (1);
+    data_ += line;
 }
 
-void TokenStreamReader::finishEvent(std::vector<AttemptEvent>& events) {
-  const std::string data = std::exchange(data_, {});
-  if (data.empty()) return;
-  if (data == kDone) {
-    isFinished_ = true;
-    events.emplace_back(AttemptEnded{});
-    return;
-  }
-  auto part = partOf(data);
-  if (part) {
-    events.emplace_back(std::move(*part));
-  } else {
-    isFinished_ = true;
-    events.emplace_back(AttemptBroken{});
-  }
+void TokenStreamReader::finishEvent (std::vector<AttemptEvent>& events)
+{
+    const std::string data = std::exchange (data_, {});
+    if (data.empty())
+        return;
+    if (data == kDone)
+    {
+        isFinished_ = true;
+        events.emplace_back (AttemptEnded{});
+        return;
+    }
+    auto part = partOf (data);
+    if (part)
+    {
+        events.emplace_back (std::move (*part));
+    }
+    else
+    {
+        isFinished_ = true;
+        events.emplace_back (AttemptBroken{});
+    }
 }
 
 AttemptEvent TokenStreamReader::readEnd() { return AttemptBroken{}; }
--- a/src/router/AnswerReader.h
+++ b/src/router/AnswerReader.h
@@ -10,48 +10,52 @@
 
 #include "router/RouterCore.h"
 
-namespace fernlift::router {
+namespace fernlift::router
+{
 
 /// Reader of one answer's body. After an AttemptEnded or AttemptBroken nothing more is wanted.
-class AnswerReader {
- public:
-  virtual ~AnswerReader() = default;
-  AnswerReader() = default;
-  AnswerReader(const AnswerReader&) = delete;
-  AnswerReader& operator=(const AnswerReader&) = delete;
-
-  /// The events that `bytes` complete.
-  [[nodiscard]] virtual std::vector<AttemptEvent> read(std::string_view bytes) = 0;
-  /// The event that follows from the end of the body: AttemptEnded or AttemptBroken.
-  [[nodiscard]] virtual AttemptEvent readEnd() = 0;
+class AnswerReader
+{
+public:
+    virtual ~AnswerReader() = default;
+    AnswerReader() = default;
+    AnswerReader (const AnswerReader&) = delete;
+    AnswerReader& operator= (const AnswerReader&) = delete;
+
+    /// The events that `bytes` complete.
+    [[nodiscard]] virtual std::vector<AttemptEvent> read (std::string_view bytes) = 0;
+    /// The event that follows from the end of the body: AttemptEnded or AttemptBroken.
+    [[nodiscard]] virtual AttemptEvent readEnd() = 0;
 };
 
 /// A body that is passed on as it comes; offsets are bytes.
-class PlainBodyReader final : public AnswerReader {
- public:
-  [[nodiscard]] std::vector<AttemptEvent> read(std::string_view bytes) override;
-  [[nodiscard]] AttemptEvent readEnd() override;
-
- private:
-  std::uint64_t offset_ = 0;
+class PlainBodyReader final : public AnswerReader
+{
+public:
+    [[nodiscard]] std::vector<AttemptEvent> read (std::string_view bytes) override;
+    [[nodiscard]] AttemptEvent readEnd() override;
+
+private:
+    std::uint64_t offset_ = 0;
 };
 
 /// A stream of server-sent events from an engine; offsets are tokens. Each event is passed on as
 /// one line of data. The stream is whole only with its last event, `[DONE]`, which is not passed
 /// on.
-class TokenStreamReader final : public AnswerReader {
- public:
-  [[nodiscard]] std::vector<AttemptEvent> read(std::string_view bytes) override;
-  [[nodiscard]] AttemptEvent readEnd() override;
-
- private:
-  /// Takes one line without its end; an empty line ends the event.
-  void takeLine(std::string_view line, std::vector<AttemptEvent>& events);
-  void finishEvent(std::vector<AttemptEvent>& events);
-
-  std::string line_;  ///< The line not yet complete.
-  std::string data_;  ///< Data of the event not yet complete.
-  bool isFinished_ = false;
+class TokenStreamReader final : public AnswerReader
+{
+public:
+    [[nodiscard]] std::vector<AttemptEvent> read (std::string_view bytes) override;
+    [[nodiscard]] AttemptEvent readEnd() override;
+
+private:
+    /// Takes one line without its end; an empty line ends the event.
+    void takeLine (std::string_view line, std::vector<AttemptEvent>& events);
+    void finishEvent (std::vector<AttemptEvent>& events);
+
+    std::string line_;  ///< The line not yet complete.
+    std::string data_;  ///< Data of the event not yet complete.
+    bool isFinished_ = false;
 };
 
 }  // namespace fernlift::router
--- a/src/router/BackEndAttempts.h
+++ b/src/router/BackEndAttempts.h
@@ -10,47 +10,51 @@
 #include "router/AnswerReader.h"
 #include "router/CallerRequest.h"
 
-namespace fernlift::router {
+namespace fernlift::router
+{
 
 /// Sends each attempt once, and reports what becomes of it until it ends or is cancelled.
-class BackEndAttempts {
- public:
-  struct Handlers {
-    std::function<void(AttemptId, const AttemptEvent&)> onEvent;
-    /// The header fields of an answer that is no refusal; comes before its AttemptHeaders.
-    std::function<void(RequestTicket, AttemptId, const http::Headers&)> onHeaders;
-  };
-
-  /// `client` must outlive this object.
-  BackEndAttempts(http::Client& client, std::size_t bufferBytes, Handlers handlers);
-
-  void start(const StartAttempt& attempt, const CallerRequest& request);
-  /// Closes the connection of an attempt, which cancels the request at the back end.
-  void cancel(AttemptId attempt);
-  /// Stops or restarts reading the answers to a request.
-  void setPaused(RequestTicket ticket, bool isPaused);
-  [[nodiscard]] std::size_t countOpen() const { return attempts_.size(); }
-
- private:
-  struct OpenAttempt {
-    RequestTicket ticket = 0;
-    bool isTokenStream = false;  ///< The caller asked for a stream of tokens.
-    std::shared_ptr<http::Exchange> exchange;
-    std::unique_ptr<AnswerReader> reader;
-  };
-
-  void onHeaders(AttemptId id, const http::ClientResponse& response);
-  void onData(AttemptId id, std::string_view data);
-  void onEnd(AttemptId id);
-  void onError(AttemptId id, const http::ClientError& error);
-  /// Reports an event; after a final one the attempt is forgotten and what is left of its answer
-  /// ignored.
-  void report(AttemptId id, const AttemptEvent& event);
-
-  http::Client& client_;
-  std::size_t bufferBytes_;
-  Handlers handlers_;
-  std::map<AttemptId, OpenAttempt> attempts_;
+class BackEndAttempts
+{
+public:
+    struct Handlers
+    {
+        std::function<void (AttemptId, const AttemptEvent&)> onEvent;
+        /// The header fields of an answer that is no refusal; comes before its AttemptHeaders.
+        std::function<void (RequestTicket, AttemptId, const http::Headers&)> onHeaders;
+    };
+
+    /// `client` must outlive this object.
+    BackEndAttempts (http::Client& client, std::size_t bufferBytes, Handlers handlers);
+
+    void start (const StartAttempt& attempt, const CallerRequest& request);
+    /// Closes the connection of an attempt, which cancels the request at the back end.
+    void cancel (AttemptId attempt);
+    /// Stops or restarts reading the answers to a request.
+    void setPaused (RequestTicket ticket, bool isPaused);
+    [[nodiscard]] std::size_t countOpen() const { return attempts_.size(); }
+
+private:
+    struct OpenAttempt
+    {
+        RequestTicket ticket = 0;
+        bool isTokenStream = false;  ///< The caller asked for a stream of tokens.
+        std::shared_ptr<http::Exchange> exchange;
+        std::unique_ptr<AnswerReader> reader;
+    };
+
+    void onHeaders (AttemptId id, const http::ClientResponse& response);
+    void onData (AttemptId id, std::string_view data);
+    void onEnd (AttemptId id);
+    void onError (AttemptId id, const http::ClientError& error);
+    /// Reports an event; after a final one the attempt is forgotten and what is left of its answer
+    /// ignored.
+    void report (AttemptId id, const AttemptEvent& event);
+
+    http::Client& client_;
+    std::size_t bufferBytes_;
+    Handlers handlers_;
+    std::map<AttemptId, OpenAttempt> attempts_;
 };
 
 }  // namespace fernlift::router
--- a/src/router/BackEndRequest.cpp
+++ b/src/router/BackEndRequest.cpp
@@ -5,83 +5,102 @@
 #include <optional>
 #include <string>
 
-namespace fernlift::router {
-namespace {
+namespace fernlift::router
+{
+namespace
+{
 
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 constexpr std::string_view kOwnHeaderPrefix = "X-Fernlift-";
 constexpr std::int64_t kLongestRetryAfterSeconds = 3600;
 /// The core times attempts; the client's own limits only guard against a fault of it.
-constexpr base::Duration kUnlimited = std::chrono::hours(7 * 24);
+constexpr base::Duration kUnlimited = std::chrono::hours (7 * 24);
 
-std::optional<base::Duration> retryAfterOf(const http::Headers& headers) {
-  const std::string text = headers.value("Retry-After");
-  std::int64_t seconds = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stop, status] = std::from_chars(text.data(), end, seconds);
-  if (text.empty() || status != std::errc() || stop != end || seconds < 0) return std::nullopt;
-  return base::seconds(std::min(seconds, kLongestRetryAfterSeconds));
+std::optional<base::Duration> retryAfterOf (const http::Headers& headers)
+{
+    const std::string text = headers.value ("Retry-After");
+    std::int64_t seconds = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, status] = std::from_chars (text.data(), end, seconds);
+    if (text.empty() || status != std::errc() || stop != end || seconds < 0)
+        return std::nullopt;
+    return base::seconds (std::min (seconds, kLongestRetryAfterSeconds));
 }
 
-bool isLeaving(const http::Headers& headers) { return headers.value("X-Fernlift-Leaving") == "1"; }
+bool isLeaving (const http::Headers& headers)
+{
+    return headers.value ("X-Fernlift-Leaving") == "1";
+}
 
-void addEngineHeaders(const StartAttempt& attempt, http::Headers& headers) {
-  headers.set("X-Fernlift-Replica", std::to_string(attempt.replica.replica));
-  headers.set("X-Fernlift-Priority", std::to_string(attempt.urgency));
-  if (attempt.resumeFrom > 0) {
-    headers.set("X-Fernlift-Resume-From", std::to_string(attempt.resumeFrom));
-  }
+void addEngineHeaders (const StartAttempt& attempt, http::Headers& headers)
+{
+    headers.set ("X-Fernlift-Replica", std::to_string (attempt.replica.replica));
+    headers.set ("X-Fernlift-Priority", std::to_string (attempt.urgency));
+    if (attempt.resumeFrom > 0)
+    {
+        headers.set ("X-Fernlift-Resume-From", std::to_string (attempt.resumeFrom));
+    }
 }
 
 }  // namespace
 
-http::ClientRequest backEndRequest(const StartAttempt& attempt, const CallerRequest& request,
-                                   const base::SocketAddress& address) {
-  http::ClientRequest sent;
-  sent.address = address;
-  sent.method = request.method;
-  sent.path = request.path;
-  sent.headers = request.headers;
-  sent.headers.set("X-Request-Id", request.head.id.value);
-  const bool hasKey = !request.head.idempotencyKey.empty();
-  if (hasKey) sent.headers.set("Idempotency-Key", request.head.idempotencyKey.value);
-  if (request.head.protocol == Protocol::kCompletions) addEngineHeaders(attempt, sent.headers);
-  sent.body = request.body;
-  sent.connectTimeout = attempt.connectTimeout;
-  sent.headersTimeout = kUnlimited;
-  sent.idleTimeout = kUnlimited;
-  sent.needsFreshConnection = hasKey;
-  return sent;
+http::ClientRequest backEndRequest (const StartAttempt& attempt, const CallerRequest& request,
+                                    const base::SocketAddress& address)
+{
+    http::ClientRequest sent;
+    sent.address = address;
+    sent.method = request.method;
+    sent.path = request.path;
+    sent.headers = request.headers;
+    sent.headers.set ("X-Request-Id", request.head.id.value);
+    const bool hasKey = ! request.head.idempotencyKey.empty();
+    if (hasKey)
+        sent.headers.set ("Idempotency-Key", request.head.idempotencyKey.value);
+    if (request.head.protocol == Protocol::kCompletions)
+        addEngineHeaders (attempt, sent.headers);
+    sent.body = request.body;
+    sent.connectTimeout = attempt.connectTimeout;
+    sent.headersTimeout = kUnlimited;
+    sent.idleTimeout = kUnlimited;
+    sent.needsFreshConnection = hasKey;
+    return sent;
 }
 
-AttemptEvent headEventOf(const http::ClientResponse& response) {
-  const bool isRefusal =
-      (response.status == kTooManyRequests || response.status == kServiceUnavailable) &&
-      response.headers.value("X-Fernlift-Execution") == "not_run";
-  if (!isRefusal) return AttemptHeaders{response.status, isLeaving(response.headers)};
-  return AttemptRefused{response.status, isLeaving(response.headers),
-                        retryAfterOf(response.headers)};
+AttemptEvent headEventOf (const http::ClientResponse& response)
+{
+    const bool isRefusal =
+        (response.status == kTooManyRequests || response.status == kServiceUnavailable)
+        && response.headers.value ("X-Fernlift-Execution") == "not_run";
+    if (! isRefusal)
+        return AttemptHeaders{ response.status, isLeaving (response.headers) };
+    return AttemptRefused{ response.status, isLeaving (response.headers),
+                           retryAfterOf (response.headers) };
 }
 
-bool isEventStream(const http::Headers& headers) {
-  const std::string type = headers.value("Content-Type");
-  return http::equalsIgnoringCase(type.substr(0, type.find(';')), "text/event-stream");
+bool isEventStream (const http::Headers& headers)
+{
+    const std::string type = headers.value ("Content-Type");
+    return http::equalsIgnoringCase (type.substr (0, type.find (';')), "text/event-stream");
 }
 
-http::Headers answerHeaders(const http::Headers& backEndHeaders, const base::RequestId& id) {
-  http::Headers passed;
-  for (const http::Header& field : backEndHeaders.fields()) {
-    const std::string_view name = field.name;
-    const bool isOwn =
-        http::equalsIgnoringCase(name.substr(0, kOwnHeaderPrefix.size()), kOwnHeaderPrefix) ||
-        http::equalsIgnoringCase(name, "X-Request-Id");
-    const bool isLength = http::equalsIgnoringCase(name, "Content-Length");
-    if (!isOwn && (isLength || !isHopByHop(name))) passed.add(field.name, field.value);
-  }
-  if (isEventStream(backEndHeaders)) passed.remove("Content-Length");
-  passed.set("X-Request-Id", id.value);
-  return passed;
+http::Headers answerHeaders (const http::Headers& backEndHeaders, const base::RequestId& id)
+{
+    http::Headers passed;
+    for (const http::Header& field : backEndHeaders.fields())
+    {
+        const std::string_view name = field.name;
+        const bool isOwn =
+            http::equalsIgnoringCase (name.substr (0, kOwnHeaderPrefix.size()), kOwnHeaderPrefix)
+            || http::equalsIgnoringCase (name, "X-Request-Id");
+        const bool isLength = http::equalsIgnoringCase (name, "Content-Length");
+        if (! isOwn && (isLength || ! isHopByHop (name)))
+            passed.add (field.name, field.value);
+    }
+    if (isEventStream (backEndHeaders))
+        passed.remove ("Content-Length");
+    passed.set ("X-Request-Id", id.value);
+    return passed;
 }
 
 }  // namespace fernlift::router
--- a/src/router/CacheEventPoller.cpp
+++ b/src/router/CacheEventPoller.cpp
@@ -5,107 +5,133 @@
 
 #include "engine/JsonFields.h"
 
-namespace fernlift::router {
-namespace {
+namespace fernlift::router
+{
+namespace
+{
 
 constexpr int kOk = 200;
-constexpr base::Duration kCallTimeout = base::seconds(2);
-constexpr std::array<engine::JsonName<bool>, 2> kKinds{{{true, "stored"}, {false, "removed"}}};
-
-void readEvent(engine::JsonFields& fields, routing::CacheEvent& event) {
-  fields.readInteger("sequence", &event.sequence)
-      .readEnumeration("kind", kKinds, &event.isStored)
-      .readText("model", &event.target)
-      .readInteger("block", &event.block);
+constexpr base::Duration kCallTimeout = base::seconds (2);
+constexpr std::array<engine::JsonName<bool>, 2> kKinds{ { { true, "stored" },
+                                                          { false, "removed" } } };
+
+void readEvent (engine::JsonFields& fields, routing::CacheEvent& event)
+{
+    fields.readInteger ("sequence", &event.sequence)
+        .readEnumeration ("kind", kKinds, &event.isStored)
+        .readText ("model", &event.target)
+        .readInteger ("block", &event.block);
 }
 
-base::SocketAddress parseOrEmpty(const std::string& address) {
-  return base::handleErrors([&] { return base::SocketAddress::parse(address); },
-                            [](const base::Error&) { return base::SocketAddress(); });
+base::SocketAddress parseOrEmpty (const std::string& address)
+{
+    return base::handleErrors ([&] { return base::SocketAddress::parse (address); },
+                               [] (const base::Error&) { return base::SocketAddress(); });
 }
 
 }  // namespace
 
-base::Result<std::vector<routing::CacheEvent>> parseCacheEvents(std::string_view json) {
-  BOOST_LEAF_AUTO(object, engine::parseJsonObject(json));
-  engine::JsonFields fields(object);
-  std::vector<routing::CacheEvent> events;
-  fields.readObjects<routing::CacheEvent>("events", &events, readEvent);
-  BOOST_LEAF_CHECK(fields.finish());
-  return events;
+base::Result<std::vector<routing::CacheEvent>> parseCacheEvents (std::string_view json)
+{
+    BOOST_LEAF_AUTO (object, engine::parseJsonObject (json));
+    engine::JsonFields fields (object);
+    std::vector<routing::CacheEvent> events;
+    fields.readObjects<routing::CacheEvent> ("events", &events, readEvent);
+    BOOST_LEAF_CHECK (fields.finish());
+    return events;
 }
 
-CacheEventPoller::CacheEventPoller(http::Client& client, EventHandler onEvents)
-    : client_(client), onEvents_(std::move(onEvents)) {
-  QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { poll(); });
+CacheEventPoller::CacheEventPoller (http::Client& client, EventHandler onEvents)
+    : client_ (client), onEvents_ (std::move (onEvents))
+{
+    QObject::connect (&timer_, &QTimer::timeout, &timer_, [this] { poll(); });
 }
 
-void CacheEventPoller::start(base::Duration interval) {
-  if (interval <= base::Duration::zero()) return;
-  timer_.start(std::chrono::duration_cast<base::milliseconds>(interval));
+void CacheEventPoller::start (base::Duration interval)
+{
+    if (interval <= base::Duration::zero())
+        return;
+    timer_.start (std::chrono::duration_cast<base::milliseconds> (interval));
 }
 
-void CacheEventPoller::onReplicas(const cell::ReplicaUpdate& update) {
-  if (update.fromVersion == 0) rows_.clear();
-  for (const cell::RoutableReplica& row : update.removals) {
-    rows_[row.runner].erase({row.replica, row.target});
-  }
-  for (const cell::RoutableReplica& row : update.upserts) {
-    if (row.isApplication) continue;
-    rows_[row.runner].emplace(row.replica, row.target);
-    Runner& runner = runners_[row.runner];
-    const bool isSame = runner.incarnation == row.incarnation && runner.address == row.address;
-    if (!isSame) runner = Runner{row.incarnation, row.address, 0, false};
-  }
-  std::erase_if(rows_, [](const auto& entry) { return entry.second.empty(); });
-  std::erase_if(runners_, [this](const auto& entry) { return !rows_.contains(entry.first); });
+void CacheEventPoller::onReplicas (const cell::ReplicaUpdate& update)
+{
+    if (update.fromVersion == 0)
+        rows_.clear();
+    for (const cell::RoutableReplica& row : update.removals)
+    {
+        rows_[row.runner].erase ({ row.replica, row.target });
+    }
+    for (const cell::RoutableReplica& row : update.upserts)
+    {
+        if (row.isApplication)
+            continue;
+        rows_[row.runner].emplace (row.replica, row.target);
+        Runner& runner = runners_[row.runner];
+        const bool isSame = runner.incarnation == row.incarnation && runner.address == row.address;
+        if (! isSame)
+            runner = Runner{ row.incarnation, row.address, 0, false };
+    }
+    std::erase_if (rows_, [] (const auto& entry) { return entry.second.empty(); });
+    std::erase_if (runners_, [this] (const auto& entry) { return ! rows_.contains (entry.first); });
 }
 
-void CacheEventPoller::poll() {
-  for (auto& [id, runner] : runners_) {
-    if (!runner.isAsked) ask(id, runner);
-  }
+void CacheEventPoller::poll()
+{
+    for (auto& [id, runner] : runners_)
+    {
+        if (! runner.isAsked)
+            ask (id, runner);
+    }
 }
 
-void CacheEventPoller::ask(const base::RunnerId& id, Runner& runner) {
-  runner.isAsked = true;
-  http::ClientRequest request;
-  request.address = parseOrEmpty(runner.address);
-  request.path = "/engine/cache-events?after=" + std::to_string(runner.after);
-  request.connectTimeout = kCallTimeout;
-  request.headersTimeout = kCallTimeout;
-  request.idleTimeout = kCallTimeout;
-  const base::Incarnation incarnation = runner.incarnation;
-  client_.fetch(
-      std::move(request),
-      [this, id, incarnation](const http::WholeResponse& response) {
-        onAnswer(id, incarnation, response);
-      },
-      [this, id, incarnation](const http::ClientError&) {
-        if (Runner* asked = findAsked(id, incarnation)) asked->isAsked = false;
-      });
+void CacheEventPoller::ask (const base::RunnerId& id, Runner& runner)
+{
+    runner.isAsked = true;
+    http::ClientRequest request;
+    request.address = parseOrEmpty (runner.address);
+    request.path = "/engine/cache-events?after=" + std::to_string (runner.after);
+    request.connectTimeout = kCallTimeout;
+    request.headersTimeout = kCallTimeout;
+    request.idleTimeout = kCallTimeout;
+    const base::Incarnation incarnation = runner.incarnation;
+    client_.fetch (
+        std::move (request),
+        [this, id, incarnation] (const http::WholeResponse& response)
+        { onAnswer (id, incarnation, response); },
+        [this, id, incarnation] (const http::ClientError&)
+        {
+            if (Runner* asked = findAsked (id, incarnation))
+                asked->isAsked = false;
+        });
 }
 
-void CacheEventPoller::onAnswer(const base::RunnerId& id, base::Incarnation incarnation,
-                                const http::WholeResponse& response) {
-  Runner* const runner = findAsked(id, incarnation);
-  if (runner == nullptr) return;
-  runner->isAsked = false;
-  if (response.status != kOk) return;
-  base::handleErrors(
-      [&]() -> base::Result<void> {
-        BOOST_LEAF_AUTO(events, parseCacheEvents(response.body));
-        runner->after = onEvents_(id, incarnation, events);
-        return {};
-      },
-      [](const base::Error&) {});
+void CacheEventPoller::onAnswer (const base::RunnerId& id, base::Incarnation incarnation,
+                                 const http::WholeResponse& response)
+{
+    Runner* const runner = findAsked (id, incarnation);
+    if (runner == nullptr)
+        return;
+    runner->isAsked = false;
+    if (response.status != kOk)
+        return;
+    base::handleErrors (
+        [&]() -> base::Result<void>
+        {
+            BOOST_LEAF_AUTO (events, parseCacheEvents (response.body));
+            runner->after = onEvents_ (id, incarnation, events);
+            return {};
+        },
+        [] (const base::Error&) {});
 }
 
-CacheEventPoller::Runner* CacheEventPoller::findAsked(const base::RunnerId& id,
-                                                      base::Incarnation incarnation) {
-  const auto found = runners_.find(id);
-  if (found == runners_.end() || found->second.incarnation != incarnation) return nullptr;
-  return &found->second;
+CacheEventPoller::Runner* CacheEventPoller::findAsked (const base::RunnerId& id,
+                                                       base::Incarnation incarnation)
+{
+    const auto found = runners_.find (id);
+    if (found == runners_.end() || found->second.incarnation != incarnation)
+        return nullptr;
+    return &found->second;
 }
 
 }  // namespace fernlift::router
--- a/src/router/CacheEventPoller.h
+++ b/src/router/CacheEventPoller.h
@@ -18,47 +18,50 @@
 #include "http/Client.h"
 #include "routing/PrefixIndex.h"
 
-namespace fernlift::router {
+namespace fernlift::router
+{
 
 /// Reads the answer to GET /engine/cache-events; fails with kMessageInvalid.
-[[nodiscard]] base::Result<std::vector<routing::CacheEvent>> parseCacheEvents(
+[[nodiscard]] base::Result<std::vector<routing::CacheEvent>> parseCacheEvents (
     std::string_view json);
 
 /// Follows the replica table, so that every engine that routers may use is asked.
-class CacheEventPoller {
- public:
-  /// Takes the events of one engine and returns the sequence to ask after next.
-  using EventHandler = std::function<std::uint64_t(const base::RunnerId&, base::Incarnation,
-                                                   const std::vector<routing::CacheEvent>&)>;
+class CacheEventPoller
+{
+public:
+    /// Takes the events of one engine and returns the sequence to ask after next.
+    using EventHandler = std::function<std::uint64_t (const base::RunnerId&, base::Incarnation,
+                                                      const std::vector<routing::CacheEvent>&)>;
 
-  /// `client` must outlive this object.
-  CacheEventPoller(http::Client& client, EventHandler onEvents);
+    /// `client` must outlive this object.
+    CacheEventPoller (http::Client& client, EventHandler onEvents);
 
-  /// Polls at this interval from now on; zero: never.
-  void start(base::Duration interval);
-  void onReplicas(const cell::ReplicaUpdate& update);
+    /// Polls at this interval from now on; zero: never.
+    void start (base::Duration interval);
+    void onReplicas (const cell::ReplicaUpdate& update);
 
- private:
-  struct Runner {
-    base::Incarnation incarnation = 0;
-    std::string address;
-    std::uint64_t after = 0;
-    bool isAsked = false;  ///< An answer is awaited.
-  };
-  using RowKey = std::pair<base::ReplicaId, std::string>;
+private:
+    struct Runner
+    {
+        base::Incarnation incarnation = 0;
+        std::string address;
+        std::uint64_t after = 0;
+        bool isAsked = false;  ///< An answer is awaited.
+    };
+    using RowKey = std::pair<base::ReplicaId, std::string>;
 
-  void poll();
-  void ask(const base::RunnerId& id, Runner& runner);
-  void onAnswer(const base::RunnerId& id, base::Incarnation incarnation,
-                const http::WholeResponse& response);
-  /// The runner if it is still in the incarnation that was asked.
-  Runner* findAsked(const base::RunnerId& id, base::Incarnation incarnation);
+    void poll();
+    void ask (const base::RunnerId& id, Runner& runner);
+    void onAnswer (const base::RunnerId& id, base::Incarnation incarnation,
+                   const http::WholeResponse& response);
+    /// The runner if it is still in the incarnation that was asked.
+    Runner* findAsked (const base::RunnerId& id, base::Incarnation incarnation);
 
-  http::Client& client_;
-  EventHandler onEvents_;
-  std::map<base::RunnerId, Runner> runners_;
-  std::map<base::RunnerId, std::set<RowKey>> rows_;  ///< Engine rows of the replica table.
-  QTimer timer_;
+    http::Client& client_;
+    EventHandler onEvents_;
+    std::map<base::RunnerId, Runner> runners_;
+    std::map<base::RunnerId, std::set<RowKey>> rows_;  ///< Engine rows of the replica table.
+    QTimer timer_;
 };
 
 }  // namespace fernlift::router
--- a/src/router/CallerExchanges.cpp
+++ b/src/router/CallerExchanges.cpp
@@ -5,122 +5,156 @@
 #include "http/ErrorResponse.h"
 #include "router/BackEndRequest.h"
 
-namespace fernlift::router {
-namespace {
+namespace fernlift::router
+{
+namespace
+{
 
 constexpr std::string_view kLastEvent = "data: [DONE]\n\n";
 
-std::string errorEvent(const AnswerError& effect, const base::RequestId& id) {
-  return "data: " + http::errorJson(effect.error, effect.execution, id.value, effect.retryAfter) +
-         "\n\n";
+std::string errorEvent (const AnswerError& effect, const base::RequestId& id)
+{
+    return "data: " + http::errorJson (effect.error, effect.execution, id.value, effect.retryAfter)
+           + "\n\n";
 }
 
 }  // namespace
 
-CallerExchanges::CallerExchanges(std::size_t bufferBytes, const base::Clock& clock,
-                                 http::Metrics& metrics, Handlers handlers)
-    : bufferBytes_(bufferBytes),
-      clock_(clock),
-      handlers_(std::move(handlers)),
-      firstByteSeconds_(metrics.histogram("fernlift_router_first_byte_seconds",
-                                          "Arrival of a request to the begin of its answer.",
-                                          http::latencyBounds())),
-      answerSeconds_(metrics.histogram("fernlift_router_answer_seconds",
-                                       "Arrival of a request to the end of its whole answer.",
-                                       http::latencyBounds())),
-      pauses_(metrics.counter("fernlift_router_slow_caller_pauses_total",
-                              "Times an answer was paused for a caller that did not read.")) {}
-
-void CallerExchanges::add(RequestTicket ticket, CallerRequest request,
-                          std::shared_ptr<http::Responder> responder) {
-  responder->onClosed([this, ticket] {
-    if (take(ticket)) handlers_.onGone(ticket);
-  });
-  responder->onDrained([this, ticket] { onDrained(ticket); });
-  Caller caller;
-  caller.request = std::move(request);
-  caller.responder = std::move(responder);
-  caller.arrivedAt = clock_.now();
-  callers_.emplace(ticket, std::move(caller));
+CallerExchanges::CallerExchanges (std::size_t bufferBytes, const base::Clock& clock,
+                                  http::Metrics& metrics, Handlers handlers)
+    : bufferBytes_ (bufferBytes),
+      clock_ (clock),
+      handlers_ (std::move (handlers)),
+      firstByteSeconds_ (metrics.histogram ("fernlift_router_first_byte_seconds",
+                                            "Arrival of a request to the begin of its answer.",
+                                            http::latencyBounds())),
+      answerSeconds_ (metrics.histogram ("fernlift_router_answer_seconds",
+                                         "Arrival of a request to the end of its whole answer.",
+                                         http::latencyBounds())),
+      pauses_ (metrics.counter ("fernlift_router_slow_caller_pauses_total",
+                                "Times an answer was paused for a caller that did not read."))
+{
 }
 
-const CallerRequest* CallerExchanges::requestOf(RequestTicket ticket) const {
-  const auto found = callers_.find(ticket);
-  return found == callers_.end() ? nullptr : &found->second.request;
+void CallerExchanges::add (RequestTicket ticket, CallerRequest request,
+                           std::shared_ptr<http::Responder> responder)
+{
+    responder->onClosed (
+        [this, ticket]
+        {
+            if (take (ticket))
+                handlers_.onGone (ticket);
+        });
+    responder->onDrained ([this, ticket] { onDrained (ticket); });
+    Caller caller;
+    caller.request = std::move (request);
+    caller.responder = std::move (responder);
+    caller.arrivedAt = clock_.now();
+    callers_.emplace (ticket, std::move (caller));
 }
 
-void CallerExchanges::noteHeaders(RequestTicket ticket, AttemptId attempt,
-                                  const http::Headers& headers) {
-  const auto found = callers_.find(ticket);
-  if (found == callers_.end() || found->second.hasBegun) return;
-  found->second.headersOfAttempts[attempt] = headers;
+const CallerRequest* CallerExchanges::requestOf (RequestTicket ticket) const
+{
+    const auto found = callers_.find (ticket);
+    return found == callers_.end() ? nullptr : &found->second.request;
 }
 
-void CallerExchanges::begin(const AnswerHeaders& effect) {
-  const auto found = callers_.find(effect.ticket);
-  if (found == callers_.end()) return;
-  Caller& caller = found->second;
-  const http::Headers& headers = caller.headersOfAttempts[effect.attempt];
-  const RequestHead& head = caller.request.head;
-  caller.hasBegun = true;
-  caller.isEventStream =
-      head.isStreaming && head.protocol == Protocol::kCompletions && isEventStream(headers);
-  firstByteSeconds_.observe(secondsSince(caller.arrivedAt));
-  caller.responder->begin(effect.httpStatus, answerHeaders(headers, head.id));
+void CallerExchanges::noteHeaders (RequestTicket ticket, AttemptId attempt,
+                                   const http::Headers& headers)
+{
+    const auto found = callers_.find (ticket);
+    if (found == callers_.end() || found->second.hasBegun)
+        return;
+    found->second.headersOfAttempts[attempt] = headers;
 }
 
-void CallerExchanges::write(const AnswerData& effect) {
-  const auto found = callers_.find(effect.ticket);
-  if (found == callers_.end()) return;
-  Caller& caller = found->second;
-  caller.responder->write(effect.data);
-  if (caller.responder->bytesToWrite() <= bufferBytes_) return;
-  if (!std::exchange(caller.isPaused, true)) pauses_.add();
-  handlers_.onPaused(effect.ticket, true);
+void CallerExchanges::begin (const AnswerHeaders& effect)
+{
+    const auto found = callers_.find (effect.ticket);
+    if (found == callers_.end())
+        return;
+    Caller& caller = found->second;
+    const http::Headers& headers = caller.headersOfAttempts[effect.attempt];
+    const RequestHead& head = caller.request.head;
+    caller.hasBegun = true;
+    caller.isEventStream =
+        head.isStreaming && head.protocol == Protocol::kCompletions && isEventStream (headers);
+    firstByteSeconds_.observe (secondsSince (caller.arrivedAt));
+    caller.responder->begin (effect.httpStatus, answerHeaders (headers, head.id));
 }
 
-void CallerExchanges::onDrained(RequestTicket ticket) {
-  const auto found = callers_.find(ticket);
-  if (found == callers_.end() || !std::exchange(found->second.isPaused, false)) return;
-  handlers_.onPaused(ticket, false);
+void CallerExchanges::write (const AnswerData& effect)
+{
+    const auto found = callers_.find (effect.ticket);
+    if (found == callers_.end())
+        return;
+    Caller& caller = found->second;
+    caller.responder->write (effect.data);
+    if (caller.responder->bytesToWrite() <= bufferBytes_)
+        return;
+    if (! std::exchange (caller.isPaused, true))
+        pauses_.add();
+    handlers_.onPaused (effect.ticket, true);
 }
 
-std::optional<CallerExchanges::Caller> CallerExchanges::take(RequestTicket ticket) {
-  const auto found = callers_.find(ticket);
-  if (found == callers_.end()) return std::nullopt;
-  std::optional<Caller> caller = std::move(found->second);
-  callers_.erase(found);
-  // The outcome of a request that may not be repeated is awaited without its caller.
-  if (caller->isPaused) handlers_.onPaused(ticket, false);
-  return caller;
+void CallerExchanges::onDrained (RequestTicket ticket)
+{
+    const auto found = callers_.find (ticket);
+    if (found == callers_.end() || ! std::exchange (found->second.isPaused, false))
+        return;
+    handlers_.onPaused (ticket, false);
 }
 
-void CallerExchanges::end(const AnswerEnd& effect) {
-  const std::optional<Caller> caller = take(effect.ticket);
-  if (!caller) return;
-  answerSeconds_.observe(secondsSince(caller->arrivedAt));
-  if (caller->isEventStream) caller->responder->write(kLastEvent);
-  caller->responder->end();
+std::optional<CallerExchanges::Caller> CallerExchanges::take (RequestTicket ticket)
+{
+    const auto found = callers_.find (ticket);
+    if (found == callers_.end())
+        return std::nullopt;
+    std::optional<Caller> caller = std::move (found->second);
+    callers_.erase (found);
+    // The outcome of a request that may not be repeated is awaited without its caller.
+    if (caller->isPaused)
+        handlers_.onPaused (ticket, false);
+    return caller;
 }
 
-void CallerExchanges::fail(const AnswerError& effect) {
-  const std::optional<Caller> caller = take(effect.ticket);
-  if (!caller) return;
-  const base::RequestId& id = caller->request.head.id;
-  if (!caller->hasBegun) {
-    http::errorResponse(effect.error, effect.execution, id.value, effect.retryAfter)
-        .sendTo(*caller->responder);
-  } else if (caller->isEventStream) {
-    caller->responder->write(errorEvent(effect, id));
+void CallerExchanges::end (const AnswerEnd& effect)
+{
+    const std::optional<Caller> caller = take (effect.ticket);
+    if (! caller)
+        return;
+    answerSeconds_.observe (secondsSince (caller->arrivedAt));
+    if (caller->isEventStream)
+        caller->responder->write (kLastEvent);
     caller->responder->end();
-  } else {
-    // Only a broken connection can still tell the caller.
-    caller->responder->abort();
-  }
 }
 
-double CallerExchanges::secondsSince(base::TimePoint start) const {
-  return std::chrono::duration<double>(clock_.now() - start).count();
+void CallerExchanges::fail (const AnswerError& effect)
+{
+    const std::optional<Caller> caller = take (effect.ticket);
+    if (! caller)
+        return;
+    const base::RequestId& id = caller->request.head.id;
+    if (! caller->hasBegun)
+    {
+        http::errorResponse (effect.error, effect.execution, id.value, effect.retryAfter)
+            .sendTo (*caller->responder);
+    }
+    else if (caller->isEventStream)
+    {
+        caller->responder->write (errorEvent (effect, id));
+        caller->responder->end();
+    }
+    else
+    {
+        // Only a broken connection can still tell the caller.
+        caller->responder->abort();
+    }
+}
+
+double CallerExchanges::secondsSince (base::TimePoint start) const
+{
+    return std::chrono::duration<double> (clock_.now() - start).count();
 }
 
 }  // namespace fernlift::router
--- a/src/router/CallerExchanges.h
+++ b/src/router/CallerExchanges.h
@@ -12,58 +12,63 @@
 #include "http/Server.h"
 #include "router/CallerRequest.h"
 
-namespace fernlift::router {
+namespace fernlift::router
+{
 
 /// Memory is bounded: a caller that does not read pauses its request.
-class CallerExchanges {
- public:
-  struct Handlers {
-    /// The caller closed its connection before its answer was whole.
-    std::function<void(RequestTicket)> onGone;
-    /// The caller takes its answer too slowly (or has caught up). May come again while paused.
-    std::function<void(RequestTicket, bool isPaused)> onPaused;
-  };
+class CallerExchanges
+{
+public:
+    struct Handlers
+    {
+        /// The caller closed its connection before its answer was whole.
+        std::function<void (RequestTicket)> onGone;
+        /// The caller takes its answer too slowly (or has caught up). May come again while paused.
+        std::function<void (RequestTicket, bool isPaused)> onPaused;
+    };
 
-  /// Answers with more than `bufferBytes` unsent are paused. `clock` and `metrics` must outlive
-  /// this object.
-  CallerExchanges(std::size_t bufferBytes, const base::Clock& clock, http::Metrics& metrics,
-                  Handlers handlers);
+    /// Answers with more than `bufferBytes` unsent are paused. `clock` and `metrics` must outlive
+    /// this object.
+    CallerExchanges (std::size_t bufferBytes, const base::Clock& clock, http::Metrics& metrics,
+                     Handlers handlers);
 
-  void add(RequestTicket ticket, CallerRequest request, std::shared_ptr<http::Responder> responder);
-  /// Null when the caller was answered or has left.
-  [[nodiscard]] const CallerRequest* requestOf(RequestTicket ticket) const;
-  /// Remembers the header fields of an attempt's answer.
-  void noteHeaders(RequestTicket ticket, AttemptId attempt, const http::Headers& headers);
+    void add (RequestTicket ticket, CallerRequest request,
+              std::shared_ptr<http::Responder> responder);
+    /// Null when the caller was answered or has left.
+    [[nodiscard]] const CallerRequest* requestOf (RequestTicket ticket) const;
+    /// Remembers the header fields of an attempt's answer.
+    void noteHeaders (RequestTicket ticket, AttemptId attempt, const http::Headers& headers);
 
-  void begin(const AnswerHeaders& effect);
-  void write(const AnswerData& effect);
-  void end(const AnswerEnd& effect);
-  void fail(const AnswerError& effect);
-  [[nodiscard]] std::size_t countOpen() const { return callers_.size(); }
+    void begin (const AnswerHeaders& effect);
+    void write (const AnswerData& effect);
+    void end (const AnswerEnd& effect);
+    void fail (const AnswerError& effect);
+    [[nodiscard]] std::size_t countOpen() const { return callers_.size(); }
 
- private:
-  struct Caller {
-    CallerRequest request;
-    std::shared_ptr<http::Responder> responder;
-    std::map<AttemptId, http::Headers> headersOfAttempts;
-    base::TimePoint arrivedAt{};
-    bool hasBegun = false;
-    bool isEventStream = false;
-    bool isPaused = false;
-  };
+private:
+    struct Caller
+    {
+        CallerRequest request;
+        std::shared_ptr<http::Responder> responder;
+        std::map<AttemptId, http::Headers> headersOfAttempts;
+        base::TimePoint arrivedAt{};
+        bool hasBegun = false;
+        bool isEventStream = false;
+        bool isPaused = false;
+    };
 
-  /// Forgets a caller; nothing of its request is paused any more.
-  std::optional<Caller> take(RequestTicket ticket);
-  void onDrained(RequestTicket ticket);
-  [[nodiscard]] double secondsSince(base::TimePoint start) const;
+    /// Forgets a caller; nothing of its request is paused any more.
+    std::optional<Caller> take (RequestTicket ticket);
+    void onDrained (RequestTicket ticket);
+    [[nodiscard]] double secondsSince (base::TimePoint start) const;
 
-  std::size_t bufferBytes_;
-  const base::Clock& clock_;
-  Handlers handlers_;
-  http::Histogram& firstByteSeconds_;
-  http::Histogram& answerSeconds_;
-  http::Counter& pauses_;
-  std::map<RequestTicket, Caller> callers_;
+    std::size_t bufferBytes_;
+    const base::Clock& clock_;
+    Handlers handlers_;
+    http::Histogram& firstByteSeconds_;
+    http::Histogram& answerSeconds_;
+    http::Counter& pauses_;
+    std::map<RequestTicket, Caller> callers_;
 };
 
 }  // namespace fernlift::router
--- a/src/router/CallerRequest.h
+++ b/src/router/CallerRequest.h
@@ -11,31 +11,33 @@
 #include "http/Message.h"
 #include "router/RouterCore.h"
 
-namespace fernlift::router {
+namespace fernlift::router
+{
 
 /// A request of a caller and the form in which back ends get it.
-struct CallerRequest {
-  RequestHead head;
-  std::string method;
-  std::string path;       ///< At the back end, with the query.
-  http::Headers headers;  ///< To pass on, without those of single attempts.
-  std::string body;
+struct CallerRequest
+{
+    RequestHead head;
+    std::string method;
+    std::string path;       ///< At the back end, with the query.
+    http::Headers headers;  ///< To pass on, without those of single attempts.
+    std::string body;
 };
 
 /// Whether `path` is one that back ends serve.
-[[nodiscard]] bool isServedByBackEnds(std::string_view path);
+[[nodiscard]] bool isServedByBackEnds (std::string_view path);
 
 /// The identifier a caller gave its request in X-Request-Id, else `fallback`. Fails with
 /// kInvalidRequest when it is too long or has other characters than letters, digits and "._:-".
-[[nodiscard]] base::Result<base::RequestId> requestIdOf(const http::Request& request,
-                                                        const base::RequestId& fallback);
+[[nodiscard]] base::Result<base::RequestId> requestIdOf (const http::Request& request,
+                                                         const base::RequestId& fallback);
 
 /// Reads a request to a path of isServedByBackEnds(). Fails with kInvalidRequest or
 /// kMethodNotAllowed.
-[[nodiscard]] base::Result<CallerRequest> parseCallerRequest(const http::Request& request,
-                                                             const base::RequestId& id);
+[[nodiscard]] base::Result<CallerRequest> parseCallerRequest (const http::Request& request,
+                                                              const base::RequestId& id);
 
 /// Whether a header field concerns one connection only and is never passed on.
-[[nodiscard]] bool isHopByHop(std::string_view headerName);
+[[nodiscard]] bool isHopByHop (std::string_view headerName);
 
 }  // namespace fernlift::router
--- a/src/router/ControllerLink.h
+++ b/src/router/ControllerLink.h
@@ -11,39 +11,42 @@
 #include "cell/RouterMessages.h"
 #include "wire/FrameConnection.h"
 
-namespace fernlift::router {
-
-class ControllerLink {
- public:
-  struct Handlers {
-    std::function<void()> onConnected;
-    std::function<void(const cell::ControllerToRouter&)> onMessage;
-    std::function<void()> onLost;
-  };
-
-  /// `firstIndex` chooses the first of the configured addresses, so that routers spread.
-  ControllerLink(std::vector<base::SocketAddress> controllers, std::size_t firstIndex,
-                 Handlers handlers);
-
-  /// Closes the connection and opens one to `address`; empty: the next configured.
-  void connect(const std::string& address);
-  /// Replaces the addresses that are tried in turn; does nothing with an empty list.
-  void setControllers(std::vector<base::SocketAddress> controllers);
-  /// Does nothing without a connection.
-  void send(const cell::RouterToController& message);
-  void close();
-  [[nodiscard]] const wire::FrameTraffic& traffic() const { return traffic_; }
-
- private:
-  [[nodiscard]] base::SocketAddress nextAddress(const std::string& address);
-  void onFrame(const wire::Frame& frame);
-  void onClosed();
-
-  std::vector<base::SocketAddress> controllers_;
-  std::size_t nextIndex_;
-  Handlers handlers_;
-  wire::FrameTraffic traffic_;
-  std::unique_ptr<wire::FrameConnection> connection_;
+namespace fernlift::router
+{
+
+class ControllerLink
+{
+public:
+    struct Handlers
+    {
+        std::function<void()> onConnected;
+        std::function<void (const cell::ControllerToRouter&)> onMessage;
+        std::function<void()> onLost;
+    };
+
+    /// `firstIndex` chooses the first of the configured addresses, so that routers spread.
+    ControllerLink (std::vector<base::SocketAddress> controllers, std::size_t firstIndex,
+                    Handlers handlers);
+
+    /// Closes the connection and opens one to `address`; empty: the next configured.
+    void connect (const std::string& address);
+    /// Replaces the addresses that are tried in turn; does nothing with an empty list.
+    void setControllers (std::vector<base::SocketAddress> controllers);
+    /// Does nothing without a connection.
+    void send (const cell::RouterToController& message);
+    void close();
+    [[nodiscard]] const wire::FrameTraffic& traffic() const { return traffic_; }
+
+private:
+    [[nodiscard]] base::SocketAddress nextAddress (const std::string& address);
+    void onFrame (const wire::Frame& frame);
+    void onClosed();
+
+    std::vector<base::SocketAddress> controllers_;
+    std::size_t nextIndex_;
+    Handlers handlers_;
+    wire::FrameTraffic traffic_;
+    std::unique_ptr<wire::FrameConnection> connection_;
 };
 
 }  // namespace fernlift::router
--- a/src/router/ControllerSession.h
+++ b/src/router/ControllerSession.h
@@ -15,47 +15,50 @@
 #include "cell/RouterMessages.h"
 #include "router/RouterCore.h"
 
-namespace fernlift::router {
-
-class ControllerSession {
- public:
-  explicit ControllerSession(base::TimePoint now) : connectAt_(now) {}
-
-  void onConnected(base::TimePoint now);
-  void onLost(base::TimePoint now, base::Random& random);
-  void onNotLeader(const cell::NotLeaderReply& reply, base::TimePoint now, base::Random& random);
-  void onGrant(const cell::LeaseGrant& grant);
-  /// The next call of `poll` asks for a lease, for example because the replica table has a gap.
-  void requestSoon(base::TimePoint now);
-
-  /// What is due: a connection to open, or a lease request to send.
-  [[nodiscard]] std::optional<std::variant<ConnectController, cell::LeaseRequest>> poll(
-      base::TimePoint now);
-
-  [[nodiscard]] bool isConnected() const { return isConnected_; }
-  /// Whether the configuration held may be served from. A grant for a newer one does not count.
-  [[nodiscard]] bool hasLease(base::TimePoint now, std::uint64_t heldVersion,
-                              const std::string& heldDigest) const;
-  [[nodiscard]] base::TimePoint leaseEnd() const { return lease_.until; }
-
- private:
-  struct Lease {
-    std::uint64_t version = 0;
-    std::string digest;
-    base::TimePoint until{};
-  };
-
-  void scheduleConnect(base::TimePoint at, std::string address);
-
-  bool isConnected_ = false;
-  std::optional<base::TimePoint> connectAt_;  ///< Set while a connection is wanted.
-  std::string connectAddress_;
-  base::TimePoint requestAt_{};
-  base::Duration requestInterval_ = base::milliseconds(600);
-  std::uint64_t lastSequence_ = 0;
-  std::map<std::uint64_t, base::TimePoint> unanswered_;  ///< By sequence; when it was sent.
-  base::Term highestTerm_ = 0;
-  Lease lease_;
+namespace fernlift::router
+{
+
+class ControllerSession
+{
+public:
+    explicit ControllerSession (base::TimePoint now) : connectAt_ (now) {}
+
+    void onConnected (base::TimePoint now);
+    void onLost (base::TimePoint now, base::Random& random);
+    void onNotLeader (const cell::NotLeaderReply& reply, base::TimePoint now, base::Random& random);
+    void onGrant (const cell::LeaseGrant& grant);
+    /// The next call of `poll` asks for a lease, for example because the replica table has a gap.
+    void requestSoon (base::TimePoint now);
+
+    /// What is due: a connection to open, or a lease request to send.
+    [[nodiscard]] std::optional<std::variant<ConnectController, cell::LeaseRequest>> poll (
+        base::TimePoint now);
+
+    [[nodiscard]] bool isConnected() const { return isConnected_; }
+    /// Whether the configuration held may be served from. A grant for a newer one does not count.
+    [[nodiscard]] bool hasLease (base::TimePoint now, std::uint64_t heldVersion,
+                                 const std::string& heldDigest) const;
+    [[nodiscard]] base::TimePoint leaseEnd() const { return lease_.until; }
+
+private:
+    struct Lease
+    {
+        std::uint64_t version = 0;
+        std::string digest;
+        base::TimePoint until{};
+    };
+
+    void scheduleConnect (base::TimePoint at, std::string address);
+
+    bool isConnected_ = false;
+    std::optional<base::TimePoint> connectAt_;  ///< Set while a connection is wanted.
+    std::string connectAddress_;
+    base::TimePoint requestAt_{};
+    base::Duration requestInterval_ = base::milliseconds (600);
+    std::uint64_t lastSequence_ = 0;
+    std::map<std::uint64_t, base::TimePoint> unanswered_;  ///< By sequence; when it was sent.
+    base::Term highestTerm_ = 0;
+    Lease lease_;
 };
 
 }  // namespace fernlift::router
--- a/src/router/DemandReporter.cpp
+++ b/src/router/DemandReporter.cpp
@@ -2,62 +2,79 @@
 
 #include <algorithm>
 
-namespace fernlift::router {
-namespace {
+namespace fernlift::router
+{
+namespace
+{
 
 /// The controller forgets statements that are not repeated for three times this long.
-constexpr base::Duration kRepeatInterval = base::seconds(10);
+constexpr base::Duration kRepeatInterval = base::seconds (10);
 constexpr std::uint32_t kSmallestChange = 2;
 constexpr std::uint32_t kChangeDivisor = 4;
 
-bool isNil(const cell::Demand& demand) {
-  return demand.waiting == 0 && demand.running == 0 && demand.arrivals == 0;
+bool isNil (const cell::Demand& demand)
+{
+    return demand.waiting == 0 && demand.running == 0 && demand.arrivals == 0;
 }
 
-bool differsMuch(std::uint32_t stated, std::uint32_t current) {
-  if ((stated == 0) != (current == 0)) return true;
-  const std::uint32_t difference = stated > current ? stated - current : current - stated;
-  return difference >= std::max(stated / kChangeDivisor, kSmallestChange);
+bool differsMuch (std::uint32_t stated, std::uint32_t current)
+{
+    if ((stated == 0) != (current == 0))
+        return true;
+    const std::uint32_t difference = stated > current ? stated - current : current - stated;
+    return difference >= std::max (stated / kChangeDivisor, kSmallestChange);
 }
 
 }  // namespace
 
-void DemandReporter::onConnected() {
-  nextReport_ = base::TimePoint{};
-  stated_.clear();
+void DemandReporter::onConnected()
+{
+    nextReport_ = base::TimePoint{};
+    stated_.clear();
 }
 
-bool DemandReporter::isDue(base::TimePoint now) const { return isUrgent_ || now >= nextReport_; }
-
-std::optional<cell::DemandReport> DemandReporter::report(DemandByTarget current,
-                                                         base::TimePoint now) {
-  nextReport_ = now + interval_;
-  isUrgent_ = false;
-  for (const auto& [target, count] : arrivals_) current[target].arrivals = count;
-  // Targets that were reported and now have no demand are reported once more, as nil.
-  for (const auto& [target, statement] : stated_) current.try_emplace(target);
-  cell::DemandReport report;
-  for (auto& [target, demand] : current) {
-    demand.target = target;
-    if (!isWorthStating(demand, now)) continue;
-    arrivals_.erase(target);
-    report.demands.push_back(demand);
-    if (isNil(demand)) {
-      stated_.erase(target);
-    } else {
-      stated_[target] = {demand, now};
+bool DemandReporter::isDue (base::TimePoint now) const { return isUrgent_ || now >= nextReport_; }
+
+std::optional<cell::DemandReport> DemandReporter::report (DemandByTarget current,
+                                                          base::TimePoint now)
+{
+    nextReport_ = now + interval_;
+    isUrgent_ = false;
+    for (const auto& [target, count] : arrivals_)
+        current[target].arrivals = count;
+    // Targets that were reported and now have no demand are reported once more, as nil.
+    for (const auto& [target, statement] : stated_)
+        current.try_emplace (target);
+    cell::DemandReport report;
+    for (auto& [target, demand] : current)
+    {
+        demand.target = target;
+        if (! isWorthStating (demand, now))
+            continue;
+        arrivals_.erase (target);
+        report.demands.push_back (demand);
+        if (isNil (demand))
+        {
+            stated_.erase (target);
+        }
+        else
+        {
+            stated_[target] = { demand, now };
+        }
     }
-  }
-  if (report.demands.empty()) return std::nullopt;
-  return report;
+    if (report.demands.empty())
+        return std::nullopt;
+    return report;
 }
 
-bool DemandReporter::isWorthStating(const cell::Demand& demand, base::TimePoint now) const {
-  const auto stated = stated_.find(demand.target);
-  if (stated == stated_.end() || demand.waiting > 0) return true;
-  const cell::Demand& last = stated->second.demand;
-  return last.waiting > 0 || differsMuch(last.running, demand.running) ||
-         now - stated->second.statedAt >= kRepeatInterval;
+bool DemandReporter::isWorthStating (const cell::Demand& demand, base::TimePoint now) const
+{
+    const auto stated = stated_.find (demand.target);
+    if (stated == stated_.end() || demand.waiting > 0)
+        return true;
+    const cell::Demand& last = stated->second.demand;
+    return last.waiting > 0 || differsMuch (last.running, demand.running)
+           || now - stated->second.statedAt >= kRepeatInterval;
 }
 
 }  // namespace fernlift::router
