--- a/src/router/FleetExperimentTest.cpp
+++ b/src/router/FleetExperimentTest.cpp
@@ -10,8 +10,10 @@
 
 #include "router/FleetExperimentTestSupport.h"
 
-namespace fernlift::router {
-namespace {
+namespace fernlift::router
+{
+namespace
+{
 
 using base::milliseconds;
 using base::seconds;
@@ -25,296 +27,360 @@
 constexpr int kPrompts = 8;
 
 /// Arrivals at random times with a mean rate.
-class PoissonSource {
- public:
-  PoissonSource(double perSecond, base::TimePoint start) : perSecond_(perSecond), next_(start) {}
-  /// Arrivals up to `now`.
-  int due(base::TimePoint now, base::Random& random) {
-    int count = 0;
-    for (; next_ <= now; ++count) {
-      next_ += base::Duration(static_cast<std::int64_t>(random.exponential(1e6 / perSecond_)));
+class PoissonSource
+{
+public:
+    PoissonSource (double perSecond, base::TimePoint start) : perSecond_ (perSecond), next_ (start)
+    {
+    }
+    /// Arrivals up to `now`.
+    int due (base::TimePoint now, base::Random& random)
+    {
+        int count = 0;
+        for (; next_ <= now; ++count)
+        {
+            next_ +=
+                base::Duration (static_cast<std::int64_t> (random.exponential (1e6 / perSecond_)));
+        }
+        return count;
     }
-    return count;
-  }
 
- private:
-  double perSecond_;
-  base::TimePoint next_;
+private:
+    double perSecond_;
+    base::TimePoint next_;
 };
 
-double millisecondsOf(base::Duration duration) {
-  return static_cast<double>(duration.count()) / 1000;
+double millisecondsOf (base::Duration duration)
+{
+    return static_cast<double> (duration.count()) / 1000;
 }
 
-Call urgentCall(base::Random& random) {
-  Call call;
-  call.router = static_cast<int>(random.uniformInteger(0, 5));
-  const auto prompt = static_cast<std::uint64_t>(random.uniformInteger(1, kPrompts));
-  for (std::uint64_t block = 0; block < 20; ++block) call.blocks.push_back(prompt * 100 + block);
-  const auto own = random.uniformInteger(5, 30);
-  for (std::int64_t block = 0; block < own; ++block) call.blocks.push_back(random.bits());
-  call.tokens = 5;
-  return call;
+Call urgentCall (base::Random& random)
+{
+    Call call;
+    call.router = static_cast<int> (random.uniformInteger (0, 5));
+    const auto prompt = static_cast<std::uint64_t> (random.uniformInteger (1, kPrompts));
+    for (std::uint64_t block = 0; block < 20; ++block)
+        call.blocks.push_back (prompt * 100 + block);
+    const auto own = random.uniformInteger (5, 30);
+    for (std::int64_t block = 0; block < own; ++block)
+        call.blocks.push_back (random.bits());
+    call.tokens = 5;
+    return call;
 }
 
-Call deepCall(base::Random& random) {
-  Call call = urgentCall(random);
-  call.target = "deep-model";
-  call.tokens = 100 + static_cast<int>(random.exponential(200));
-  return call;
+Call deepCall (base::Random& random)
+{
+    Call call = urgentCall (random);
+    call.target = "deep-model";
+    call.tokens = 100 + static_cast<int> (random.exponential (200));
+    return call;
 }
 
-struct UrgentFigures {
-  double idle99 = 0;
-  double saturated99 = 0;
-  double slotsInUse = 0;  ///< Share, while saturated.
-  int refused = 0;
-  double idle50 = 0;
-  double saturated50 = 0;
+struct UrgentFigures
+{
+    double idle99 = 0;
+    double saturated99 = 0;
+    double slotsInUse = 0;  ///< Share, while saturated.
+    int refused = 0;
+    double idle50 = 0;
+    double saturated50 = 0;
 };
 
 /// Times to the first byte of urgent calls asked within a span.
-std::vector<double> urgentTimes(const FleetExperiment& fleet, base::TimePoint from,
-                                base::TimePoint until) {
-  std::vector<double> times;
-  for (const Call& call : fleet.calls) {
-    const bool isWanted = call.target == "m" && call.askedAt >= from && call.askedAt < until;
-    if (!isWanted || !call.firstByteAt) continue;
-    times.push_back(millisecondsOf(*call.firstByteAt - call.askedAt));
-  }
-  return times;
+std::vector<double> urgentTimes (const FleetExperiment& fleet, base::TimePoint from,
+                                 base::TimePoint until)
+{
+    std::vector<double> times;
+    for (const Call& call : fleet.calls)
+    {
+        const bool isWanted = call.target == "m" && call.askedAt >= from && call.askedAt < until;
+        if (! isWanted || ! call.firstByteAt)
+            continue;
+        times.push_back (millisecondsOf (*call.firstByteAt - call.askedAt));
+    }
+    return times;
 }
 
-std::uint64_t stepsRun(const FleetExperiment& fleet) {
-  std::uint64_t steps = 0;
-  for (const auto& engine : fleet.engines) steps += engine.stepsRun;
-  return steps;
+std::uint64_t stepsRun (const FleetExperiment& fleet)
+{
+    std::uint64_t steps = 0;
+    for (const auto& engine : fleet.engines)
+        steps += engine.stepsRun;
+    return steps;
 }
 
-UrgentFigures runUrgentBesideDeep(std::uint64_t seed) {
-  FleetExperiment fleet({}, seed);
-  base::Random random(seed);
-  const base::TimePoint start = fleet.now();
-  const base::TimePoint saturatedFrom = start + seconds(20);
-  const base::TimePoint measuredFrom = saturatedFrom + seconds(5);
-  const base::TimePoint end = start + seconds(85);
-  PoissonSource urgent(30, start);
-  PoissonSource deep(60, saturatedFrom);  // About twice what the engines can do.
-  const auto callers = [&] {
-    for (int made = urgent.due(fleet.now(), random); made > 0; --made) {
-      fleet.ask(urgentCall(random));
+UrgentFigures runUrgentBesideDeep (std::uint64_t seed)
+{
+    FleetExperiment fleet ({}, seed);
+    base::Random random (seed);
+    const base::TimePoint start = fleet.now();
+    const base::TimePoint saturatedFrom = start + seconds (20);
+    const base::TimePoint measuredFrom = saturatedFrom + seconds (5);
+    const base::TimePoint end = start + seconds (85);
+    PoissonSource urgent (30, start);
+    PoissonSource deep (60, saturatedFrom);  // About twice what the engines can do.
+    const auto callers = [&]
+    {
+        for (int made = urgent.due (fleet.now(), random); made > 0; --made)
+        {
+            fleet.ask (urgentCall (random));
+        }
+        for (int made = deep.due (fleet.now(), random); made > 0; --made)
+            fleet.ask (deepCall (random));
+    };
+    fleet.runUntil (measuredFrom, callers);
+    const std::uint64_t stepsBefore = stepsRun (fleet);
+    fleet.runUntil (end, callers);
+    auto idle = urgentTimes (fleet, start + seconds (5), saturatedFrom);
+    auto saturated = urgentTimes (fleet, measuredFrom, end - seconds (2));
+    UrgentFigures figures;
+    figures.idle50 = quantile (idle, 0.5);
+    figures.idle99 = quantile (idle, 0.99);
+    figures.saturated50 = quantile (saturated, 0.5);
+    figures.saturated99 = quantile (saturated, 0.99);
+    const double steps = static_cast<double> ((end - measuredFrom) / routing::testing::kEngineStep);
+    figures.slotsInUse = static_cast<double> (stepsRun (fleet) - stepsBefore) / (steps * 20 * 8);
+    for (const Call& call : fleet.calls)
+    {
+        if (call.target == "m" && call.error)
+            figures.refused += 1;
     }
-    for (int made = deep.due(fleet.now(), random); made > 0; --made) fleet.ask(deepCall(random));
-  };
-  fleet.runUntil(measuredFrom, callers);
-  const std::uint64_t stepsBefore = stepsRun(fleet);
-  fleet.runUntil(end, callers);
-  auto idle = urgentTimes(fleet, start + seconds(5), saturatedFrom);
-  auto saturated = urgentTimes(fleet, measuredFrom, end - seconds(2));
-  UrgentFigures figures;
-  figures.idle50 = quantile(idle, 0.5);
-  figures.idle99 = quantile(idle, 0.99);
-  figures.saturated50 = quantile(saturated, 0.5);
-  figures.saturated99 = quantile(saturated, 0.99);
-  const double steps = static_cast<double>((end - measuredFrom) / routing::testing::kEngineStep);
-  figures.slotsInUse = static_cast<double>(stepsRun(fleet) - stepsBefore) / (steps * 20 * 8);
-  for (const Call& call : fleet.calls) {
-    if (call.target == "m" && call.error) figures.refused += 1;
-  }
-  return figures;
+    return figures;
 }
 
-TEST(FleetExperimentTest, UrgentRequestsHardlyNoticeDeepWork) {
-  for (int seed = 1; seed <= kSeeds; ++seed) {
-    const UrgentFigures figures = runUrgentBesideDeep(static_cast<std::uint64_t>(seed));
-    std::printf(
-        "seed %d: urgent p50 / p99 idle %.0f / %.0f ms, beside deep work %.0f / %.0f ms, slots in "
-        "use %.0f%%\n",
-        seed, figures.idle50, figures.idle99, figures.saturated50, figures.saturated99,
-        100 * figures.slotsInUse);
-    EXPECT_LE(figures.saturated99, 1.2 * figures.idle99);
-    EXPECT_GT(figures.slotsInUse, 0.7);
-    EXPECT_EQ(figures.refused, 0);
-  }
+TEST (FleetExperimentTest, UrgentRequestsHardlyNoticeDeepWork)
+{
+    for (int seed = 1; seed <= kSeeds; ++seed)
+    {
+        const UrgentFigures figures = runUrgentBesideDeep (static_cast<std::uint64_t> (seed));
+        std::printf (
+            "seed %d: urgent p50 / p99 idle %.0f / %.0f ms, beside deep work %.0f / %.0f ms, slots "
+            "in "
+            "use %.0f%%\n",
+            seed, figures.idle50, figures.idle99, figures.saturated50, figures.saturated99,
+            100 * figures.slotsInUse);
+        EXPECT_LE (figures.saturated99, 1.2 * figures.idle99);
+        EXPECT_GT (figures.slotsInUse, 0.7);
+        EXPECT_EQ (figures.refused, 0);
+    }
 }
 
-TEST(FleetExperimentTest, AStormOnAColdModelIsOneDemandAndStarvesNoRouter) {
-  FleetOptions options;
-  options.coldStart = seconds(6);
-  FleetExperiment fleet(options, 1);
-  base::Random random(1);
-  const base::TimePoint start = fleet.now();
-  PoissonSource callers(200, start);
-  fleet.runUntil(start + seconds(60), [&] {
-    for (int made = callers.due(fleet.now(), random); made > 0; --made) {
-      Call call = urgentCall(random);
-      call.requestClass = base::RequestClassName("deep");  // May wait for the load.
-      fleet.ask(call);
+TEST (FleetExperimentTest, AStormOnAColdModelIsOneDemandAndStarvesNoRouter)
+{
+    FleetOptions options;
+    options.coldStart = seconds (6);
+    FleetExperiment fleet (options, 1);
+    base::Random random (1);
+    const base::TimePoint start = fleet.now();
+    PoissonSource callers (200, start);
+    fleet.runUntil (start + seconds (60),
+                    [&]
+                    {
+                        for (int made = callers.due (fleet.now(), random); made > 0; --made)
+                        {
+                            Call call = urgentCall (random);
+                            call.requestClass =
+                                base::RequestClassName ("deep");  // May wait for the load.
+                            fleet.ask (call);
+                        }
+                    });
+    fleet.runUntil (fleet.now() + seconds (20), [] {});
+    EXPECT_EQ (fleet.loadDecisions, 1);
+    EXPECT_LE (*fleet.firstDemandAt - fleet.calls.front().askedAt, milliseconds (5));
+    std::vector<int> answered (6);
+    std::vector<int> asked (6);
+    std::vector<std::vector<double>> waits (6);
+    for (const Call& call : fleet.calls)
+    {
+        const auto router = static_cast<std::size_t> (call.router);
+        asked[router] += 1;
+        ASSERT_TRUE (call.endedAt);
+        if (call.error)
+            continue;
+        answered[router] += 1;
+        waits[router].push_back (millisecondsOf (*call.firstByteAt - call.askedAt));
+    }
+    for (std::size_t router = 0; router < 6; ++router)
+    {
+        std::printf ("router %zu: asked %d, answered %d, first byte p50 %.0f ms, p99 %.0f ms\n",
+                     router, asked[router], answered[router], quantile (waits[router], 0.5),
+                     quantile (waits[router], 0.99));
+        EXPECT_EQ (answered[router], asked[router]);
     }
-  });
-  fleet.runUntil(fleet.now() + seconds(20), [] {});
-  EXPECT_EQ(fleet.loadDecisions, 1);
-  EXPECT_LE(*fleet.firstDemandAt - fleet.calls.front().askedAt, milliseconds(5));
-  std::vector<int> answered(6);
-  std::vector<int> asked(6);
-  std::vector<std::vector<double>> waits(6);
-  for (const Call& call : fleet.calls) {
-    const auto router = static_cast<std::size_t>(call.router);
-    asked[router] += 1;
-    ASSERT_TRUE(call.endedAt);
-    if (call.error) continue;
-    answered[router] += 1;
-    waits[router].push_back(millisecondsOf(*call.firstByteAt - call.askedAt));
-  }
-  for (std::size_t router = 0; router < 6; ++router) {
-    std::printf("router %zu: asked %d, answered %d, first byte p50 %.0f ms, p99 %.0f ms\n", router,
-                asked[router], answered[router], quantile(waits[router], 0.5),
-                quantile(waits[router], 0.99));
-    EXPECT_EQ(answered[router], asked[router]);
-  }
 }
 
 /// Callers that are refused and come back when they are told to, until they are served.
-class ReturningCallers {
- public:
-  explicit ReturningCallers(FleetExperiment& fleet) : fleet_(fleet), start_(fleet.now()) {}
+class ReturningCallers
+{
+public:
+    explicit ReturningCallers (FleetExperiment& fleet) : fleet_ (fleet), start_ (fleet.now()) {}
 
-  /// A new caller asks.
-  void begin() {
-    begun += 1;
-    ask();
-  }
-  /// Those whose time has come ask again; answers are taken.
-  void step() {
-    while (!comeBack_.empty() && *comeBack_.begin() <= fleet_.now()) {
-      comeBack_.erase(comeBack_.begin());
-      returnsByTenth_[(fleet_.now() - start_) / milliseconds(100)] += 1;
-      ask();
+    /// A new caller asks.
+    void begin()
+    {
+        begun += 1;
+        ask();
+    }
+    /// Those whose time has come ask again; answers are taken.
+    void step()
+    {
+        while (! comeBack_.empty() && *comeBack_.begin() <= fleet_.now())
+        {
+            comeBack_.erase (comeBack_.begin());
+            returnsByTenth_[(fleet_.now() - start_) / milliseconds (100)] += 1;
+            ask();
+        }
+        std::erase_if (open_, [this] (CallId id) { return takeAnswer (fleet_.calls[id]); });
+    }
+    [[nodiscard]] int busiestTenth() const
+    {
+        int busiest = 0;
+        for (const auto& [tenth, count] : returnsByTenth_)
+            busiest = std::max (busiest, count);
+        return busiest;
     }
-    std::erase_if(open_, [this](CallId id) { return takeAnswer(fleet_.calls[id]); });
-  }
-  [[nodiscard]] int busiestTenth() const {
-    int busiest = 0;
-    for (const auto& [tenth, count] : returnsByTenth_) busiest = std::max(busiest, count);
-    return busiest;
-  }
 
-  int begun = 0;
-  int tries = 0;
-  int served = 0;
+    int begun = 0;
+    int tries = 0;
+    int served = 0;
 
- private:
-  void ask() {
-    tries += 1;
-    open_.push_back(fleet_.ask(urgentCall(random_)));
-  }
-  bool takeAnswer(const Call& call) {
-    if (!call.endedAt) return false;
-    if (!call.error) served += 1;
-    const bool comesBack = call.error && call.error->retryAfter;
-    if (comesBack) comeBack_.insert(fleet_.now() + *call.error->retryAfter);
-    return true;
-  }
+private:
+    void ask()
+    {
+        tries += 1;
+        open_.push_back (fleet_.ask (urgentCall (random_)));
+    }
+    bool takeAnswer (const Call& call)
+    {
+        if (! call.endedAt)
+            return false;
+        if (! call.error)
+            served += 1;
+        const bool comesBack = call.error && call.error->retryAfter;
+        if (comesBack)
+            comeBack_.insert (fleet_.now() + *call.error->retryAfter);
+        return true;
+    }
 
-  FleetExperiment& fleet_;
-  base::TimePoint start_;
-  base::Random random_{1};
-  std::vector<CallId> open_;
-  std::multiset<base::TimePoint> comeBack_;
-  std::map<std::int64_t, int> returnsByTenth_;
+    FleetExperiment& fleet_;
+    base::TimePoint start_;
+    base::Random random_{ 1 };
+    std::vector<CallId> open_;
+    std::multiset<base::TimePoint> comeBack_;
+    std::map<std::int64_t, int> returnsByTenth_;
 };
 
-TEST(FleetExperimentTest, RefusedCallersComeBackSpreadAndAreServed) {
-  constexpr int kCallers = 1500;
-  FleetOptions options;
-  options.coldStart = seconds(6);
-  FleetExperiment fleet(options, 1);
-  base::Random random(1);
-  PoissonSource source(kCallers, fleet.now());
-  ReturningCallers callers(fleet);
-  fleet.runUntil(fleet.now() + seconds(60), [&] {
-    const int due = source.due(fleet.now(), random);
-    for (int made = 0; made < due && callers.begun < kCallers; ++made) callers.begin();
-    callers.step();
-  });
-  std::printf("%d callers, %d tries, %d served, busiest 100 ms of returns %d\n", callers.begun,
-              callers.tries, callers.served, callers.busiestTenth());
-  EXPECT_EQ(callers.served, kCallers);
-  EXPECT_LE(callers.tries, 3 * kCallers);
-  EXPECT_LE(callers.busiestTenth(), kCallers / 10) << "returns are spread";
+TEST (FleetExperimentTest, RefusedCallersComeBackSpreadAndAreServed)
+{
+    constexpr int kCallers = 1500;
+    FleetOptions options;
+    options.coldStart = seconds (6);
+    FleetExperiment fleet (options, 1);
+    base::Random random (1);
+    PoissonSource source (kCallers, fleet.now());
+    ReturningCallers callers (fleet);
+    fleet.runUntil (fleet.now() + seconds (60),
+                    [&]
+                    {
+                        const int due = source.due (fleet.now(), random);
+                        for (int made = 0; made < due && callers.begun < kCallers; ++made)
+                            callers.begin();
+                        callers.step();
+                    });
+    std::printf ("%d callers, %d tries, %d served, busiest 100 ms of returns %d\n", callers.begun,
+                 callers.tries, callers.served, callers.busiestTenth());
+    EXPECT_EQ (callers.served, kCallers);
+    EXPECT_LE (callers.tries, 3 * kCallers);
+    EXPECT_LE (callers.busiestTenth(), kCallers / 10) << "returns are spread";
 }
 
-struct HedgeFigures {
-  double p50 = 0;
-  double p99 = 0;
-  double p999 = 0;
-  double attemptsPerCall = 0;
-  double engineWork = 0;
+struct HedgeFigures
+{
+    double p50 = 0;
+    double p99 = 0;
+    double p999 = 0;
+    double attemptsPerCall = 0;
+    double engineWork = 0;
 };
 
-HedgeFigures runHedging(std::optional<base::Duration> hedgeAfter, std::uint64_t seed) {
-  FleetOptions options;
-  options.hedgeAfter = hedgeAfter;
-  FleetExperiment fleet(options, seed);
-  base::Random random(seed);
-  base::Random stalls(seed + 1000);
-  const base::TimePoint start = fleet.now();
-  PoissonSource callers(150, start);
-  std::vector<base::TimePoint> stalledUntil(fleet.engines.size());
-  fleet.runUntil(start + seconds(30), [&] {
-    for (std::size_t runner = 0; runner < fleet.engines.size(); ++runner) {
-      const bool begins = stalls.chance(0.005 / 20);  // Once in 20 s on average.
-      if (begins) stalledUntil[runner] = fleet.now() + milliseconds(400);
-      fleet.engines[runner].isStalled = fleet.now() < stalledUntil[runner];
-    }
-    for (int made = callers.due(fleet.now(), random); made > 0; --made) {
-      Call call = urgentCall(random);
-      call.isStreaming = false;
-      fleet.ask(call);
+HedgeFigures runHedging (std::optional<base::Duration> hedgeAfter, std::uint64_t seed)
+{
+    FleetOptions options;
+    options.hedgeAfter = hedgeAfter;
+    FleetExperiment fleet (options, seed);
+    base::Random random (seed);
+    base::Random stalls (seed + 1000);
+    const base::TimePoint start = fleet.now();
+    PoissonSource callers (150, start);
+    std::vector<base::TimePoint> stalledUntil (fleet.engines.size());
+    fleet.runUntil (start + seconds (30),
+                    [&]
+                    {
+                        for (std::size_t runner = 0; runner < fleet.engines.size(); ++runner)
+                        {
+                            const bool begins =
+                                stalls.chance (0.005 / 20);  // Once in 20 s on average.
+                            if (begins)
+                                stalledUntil[runner] = fleet.now() + milliseconds (400);
+                            fleet.engines[runner].isStalled = fleet.now() < stalledUntil[runner];
+                        }
+                        for (int made = callers.due (fleet.now(), random); made > 0; --made)
+                        {
+                            Call call = urgentCall (random);
+                            call.isStreaming = false;
+                            fleet.ask (call);
+                        }
+                    });
+    fleet.runUntil (fleet.now() + seconds (3), [] {});
+    std::vector<double> times;
+    for (const Call& call : fleet.calls)
+    {
+        if (! call.error)
+            times.push_back (millisecondsOf (*call.endedAt - call.askedAt));
     }
-  });
-  fleet.runUntil(fleet.now() + seconds(3), [] {});
-  std::vector<double> times;
-  for (const Call& call : fleet.calls) {
-    if (!call.error) times.push_back(millisecondsOf(*call.endedAt - call.askedAt));
-  }
-  HedgeFigures figures;
-  figures.p50 = quantile(times, 0.5);
-  figures.p99 = quantile(times, 0.99);
-  figures.p999 = quantile(times, 0.999);
-  std::uint64_t attempts = 0;
-  for (int router = 0; router < 6; ++router) attempts += fleet.counters(router).attempts;
-  const double calls = static_cast<double>(fleet.calls.size());
-  figures.attemptsPerCall = static_cast<double>(attempts) / calls;
-  for (const auto& engine : fleet.engines)
-    figures.engineWork += static_cast<double>(engine.stepsRun);
-  figures.engineWork /= calls;
-  return figures;
+    HedgeFigures figures;
+    figures.p50 = quantile (times, 0.5);
+    figures.p99 = quantile (times, 0.99);
+    figures.p999 = quantile (times, 0.999);
+    std::uint64_t attempts = 0;
+    for (int router = 0; router < 6; ++router)
+        attempts += fleet.counters (router).attempts;
+    const double calls = static_cast<double> (fleet.calls.size());
+    figures.attemptsPerCall = static_cast<double> (attempts) / calls;
+    for (const auto& engine : fleet.engines)
+        figures.engineWork += static_cast<double> (engine.stepsRun);
+    figures.engineWork /= calls;
+    return figures;
 }
 
-TEST(FleetExperimentTest, HedgingCutsTheTailOfStalledEngines) {
-  const std::vector<std::optional<base::Duration>> settings{std::nullopt, milliseconds(80),
-                                                            milliseconds(150), milliseconds(300)};
-  std::vector<HedgeFigures> all;
-  for (const auto& setting : settings) {
-    HedgeFigures mean;
-    for (int seed = 1; seed <= kSeeds; ++seed) {
-      const HedgeFigures figures = runHedging(setting, static_cast<std::uint64_t>(seed));
-      mean.p50 += figures.p50 / kSeeds;
-      mean.p99 += figures.p99 / kSeeds;
-      mean.p999 += figures.p999 / kSeeds;
-      mean.attemptsPerCall += figures.attemptsPerCall / kSeeds;
-      mean.engineWork += figures.engineWork / kSeeds;
+TEST (FleetExperimentTest, HedgingCutsTheTailOfStalledEngines)
+{
+    const std::vector<std::optional<base::Duration>> settings{ std::nullopt, milliseconds (80),
+                                                               milliseconds (150),
+                                                               milliseconds (300) };
+    std::vector<HedgeFigures> all;
+    for (const auto& setting : settings)
+    {
+        HedgeFigures mean;
+        for (int seed = 1; seed <= kSeeds; ++seed)
+        {
+            const HedgeFigures figures = runHedging (setting, static_cast<std::uint64_t> (seed));
+            mean.p50 += figures.p50 / kSeeds;
+            mean.p99 += figures.p99 / kSeeds;
+            mean.p999 += figures.p999 / kSeeds;
+            mean.attemptsPerCall += figures.attemptsPerCall / kSeeds;
+            mean.engineWork += figures.engineWork / kSeeds;
+        }
+        std::printf (
+            "hedge after %4.0f ms: p50 %.1f, p99 %.1f, p999 %.1f ms, attempts per call %.3f, "
+            "engine steps per call %.2f\n",
+            setting ? millisecondsOf (*setting) : 0.0, mean.p50, mean.p99, mean.p999,
+            mean.attemptsPerCall, mean.engineWork);
+        all.push_back (mean);
     }
-    std::printf(
-        "hedge after %4.0f ms: p50 %.1f, p99 %.1f, p999 %.1f ms, attempts per call %.3f, "
-        "engine steps per call %.2f\n",
-        setting ? millisecondsOf(*setting) : 0.0, mean.p50, mean.p99, mean.p999,
-        mean.attemptsPerCall, mean.engineWork);
-    all.push_back(mean);
-  }
-  EXPECT_LT(all[2].p99, all[0].p99);
-  EXPECT_LE(all[2].attemptsPerCall, 1.2) << "within the retry budget";
+    EXPECT_LT (all[2].p99, all[0].p99);
+    EXPECT_LE (all[2].attemptsPerCall, 1.2) << "within the retry budget";
 }
 
 }  // namespace
--- a/src/router/FleetExperimentTestSupport.h
+++ b/src/router/FleetExperimentTestSupport.h
@@ -15,233 +15,286 @@
 #include "router/RouterTestHarness.h"
 #include "routing/EngineExperimentTestSupport.h"
 
-namespace fernlift::router::testing {
-
-struct FleetOptions {
-  int routers = 6;
-  int runners = 20;
-  std::optional<base::Duration> hedgeAfter;
-  /// The model "m" is loaded this long after the first demand for it; nothing: from the start.
-  std::optional<base::Duration> coldStart;
+namespace fernlift::router::testing
+{
+
+struct FleetOptions
+{
+    int routers = 6;
+    int runners = 20;
+    std::optional<base::Duration> hedgeAfter;
+    /// The model "m" is loaded this long after the first demand for it; nothing: from the start.
+    std::optional<base::Duration> coldStart;
 };
 
 /// What a caller asks for and what it saw.
-struct Call {
-  std::string target = "m";
-  std::optional<base::RequestClassName> requestClass;
-  bool isStreaming = true;
-  std::vector<std::uint64_t> blocks;
-  int tokens = 10;
-  int router = 0;
-  base::TimePoint askedAt{};
-  std::optional<base::TimePoint> firstByteAt;
-  std::optional<base::TimePoint> endedAt;
-  std::optional<AnswerError> error;
+struct Call
+{
+    std::string target = "m";
+    std::optional<base::RequestClassName> requestClass;
+    bool isStreaming = true;
+    std::vector<std::uint64_t> blocks;
+    int tokens = 10;
+    int router = 0;
+    base::TimePoint askedAt{};
+    std::optional<base::TimePoint> firstByteAt;
+    std::optional<base::TimePoint> endedAt;
+    std::optional<AnswerError> error;
 };
 using CallId = std::size_t;
 
-class FleetExperiment {
- public:
-  FleetExperiment(const FleetOptions& options, std::uint64_t seed) : options_(options) {
-    for (int number = 0; number < options.runners; ++number) engines.emplace_back(engineSettings());
-    for (int number = 0; number < options.routers; ++number) {
-      RouterOptions routerOptions = RouterHarness::defaultOptions();
-      routerOptions.router = base::RouterId("router-" + std::to_string(number));
-      routerOptions.zone = zoneOf(number);
-      routerOptions.hedgeAfter = options.hedgeAfter;
-      const std::uint64_t routerSeed = seed * 100 + static_cast<std::uint64_t>(number);
-      routers_.push_back(Router{
-          std::make_unique<RouterCore>(routerOptions, routerSeed, now_, kUnixStart), {}, 0, {}});
-      connect(number);
-    }
-  }
-
-  CallId ask(Call call) {
-    Router& router = routers_[static_cast<std::size_t>(call.router)];
-    const CallId id = calls.size();
-    RequestHead head = RouterHarness::completion(std::to_string(id), call.target, call.isStreaming);
-    head.requestClass = call.requestClass;
-    head.caller = "caller-" + std::to_string(id % 50);
-    head.prefixHashes = call.blocks;
-    call.askedAt = now_;
-    calls.push_back(std::move(call));
-    asking_ = id;
-    const RequestTicket ticket = router.core->onRequest(head);
-    router.callOfTicket[ticket] = id;
-    takeEffects(calls[id].router);
-    return id;
-  }
-
-  /// Runs until `end`; `beforeStep` adds what callers do.
-  void runUntil(base::TimePoint end, const std::function<void()>& beforeStep) {
-    for (; now_ < end; now_ += routing::testing::kEngineStep) {
-      for (int number = 0; number < options_.routers; ++number) {
-        RouterCore& core = *routers_[static_cast<std::size_t>(number)].core;
-        core.setTime(now_, kUnixStart + base::toMilliseconds(now_.time_since_epoch()));
-        core.onTick();
-        takeEffects(number);
-      }
-      beforeStep();
-      if (now_ >= nextTable_) tellTable();
-      for (std::size_t runner = 0; runner < engines.size(); ++runner) stepEngine(runner);
-    }
-  }
-
-  [[nodiscard]] base::TimePoint now() const { return now_; }
-  [[nodiscard]] RouterCounters counters(int router) const {
-    return routers_[static_cast<std::size_t>(router)].core->counters();
-  }
-
-  std::vector<routing::testing::ExperimentEngine> engines;
-  std::vector<Call> calls;
-  int loadDecisions = 0;
-  std::optional<base::TimePoint> firstDemandAt;
-
- private:
-  static constexpr base::UnixMilliseconds kUnixStart = 1'800'000'000'000;
-  static constexpr base::Duration kTableInterval = base::milliseconds(200);
-
-  struct Router {
-    std::unique_ptr<RouterCore> core;
-    std::map<RequestTicket, CallId> callOfTicket;
-    std::uint64_t tableVersion = 0;
-    std::map<RequestTicket, std::vector<AttemptId>> attempts;
-  };
-  struct Running {
-    int router = 0;
-    AttemptId attempt = 0;
-    std::size_t runner = 0;
-    std::uint64_t tokens = 0;
-  };
-
-  static routing::testing::EngineSettings engineSettings() { return {}; }
-  static base::ZoneName zoneOf(int number) {
-    return base::ZoneName("z" + std::to_string(1 + number % 2));
-  }
-
-  void connect(int number) {
-    RouterCore& core = *routers_[static_cast<std::size_t>(number)].core;
-    core.onControllerConnected();
-    core.onControllerMessage(cell::ConfigurationUpdate{1, "digest-1", kCatalogueText});
-    takeEffects(number);
-    tell(number, table());
-  }
-
-  void tell(int number, const cell::ControllerToRouter& message) {
-    routers_[static_cast<std::size_t>(number)].core->onControllerMessage(message);
-    takeEffects(number);
-  }
-
-  [[nodiscard]] bool isLoaded() const {
-    return !options_.coldStart || (readyAt_ && now_ >= *readyAt_);
-  }
-
-  cell::ReplicaUpdate table() {
-    cell::ReplicaUpdate update;
-    update.toVersion = ++tableVersion_;
-    for (std::size_t runner = 0; runner < engines.size(); ++runner) {
-      for (const std::string target : {"m", "deep-model"}) {
-        if (target == "m" && !isLoaded()) continue;
-        auto row = RouterHarness::replica("r" + std::to_string(runner), target);
-        row.zone = zoneOf(static_cast<int>(runner));
-        row.address = std::to_string(runner);
-        row.load = engines[runner].reportedLoad();
-        row.credits = std::max(row.slots / static_cast<std::uint32_t>(options_.routers), 1U);
-        update.upserts.push_back(row);
-      }
-    }
-    if (readyAt_ && !isLoaded()) {
-      update.estimates.push_back({"m", true, base::toMilliseconds(*readyAt_ - now_)});
-    }
-    return update;
-  }
-
-  void tellTable() {
-    nextTable_ = now_ + kTableInterval;
-    const cell::ReplicaUpdate update = table();
-    for (int number = 0; number < options_.routers; ++number) tell(number, update);
-  }
-
-  void stepEngine(std::size_t runner) {
-    for (const auto& progress : engines[runner].step(now_)) {
-      const auto entry = running_.find(progress.id);
-      if (entry == running_.end()) continue;
-      Running& running = entry->second;
-      RouterCore& core = *routers_[static_cast<std::size_t>(running.router)].core;
-      const int router = running.router;
-      if (progress.isFirstToken) {
-        core.onAttemptEvent(running.attempt, AttemptHeaders{200, false});
-        core.onAttemptEvent(running.attempt, AttemptData{0, 1, "x"});
-      } else {
-        core.onAttemptEvent(running.attempt, AttemptEnded{});
-        running_.erase(progress.id);
-      }
-      takeEffects(router);
-    }
-  }
-
-  void takeEffects(int router) {
-    for (Effect& effect : routers_[static_cast<std::size_t>(router)].core->takeEffects()) {
-      std::visit([&](auto& content) { take(router, content); }, effect);
-    }
-  }
-  Call& callOf(int router, RequestTicket ticket) {
-    const auto& known = routers_[static_cast<std::size_t>(router)].callOfTicket;
-    const auto entry = known.find(ticket);
-    return calls[entry == known.end() ? asking_ : entry->second];
-  }
-  static std::uint64_t runningId(int router, AttemptId attempt) {
-    return attempt * 100 + static_cast<std::uint64_t>(router);
-  }
-
-  void take(int router, const SendToController& send) {
-    if (const auto* request = std::get_if<cell::LeaseRequest>(&send.message)) {
-      tell(router, cell::LeaseGrant{request->sequence, request->configurationVersion,
-                                    request->configurationDigest, 1, 2000, tableVersion_});
-    }
-    const auto* report = std::get_if<cell::DemandReport>(&send.message);
-    if (report == nullptr || !options_.coldStart) return;
-    for (const cell::Demand& demand : report->demands) {
-      if (demand.target != "m" || demand.waiting == 0 || readyAt_) continue;
-      loadDecisions += 1;
-      firstDemandAt = now_;
-      readyAt_ = now_ + *options_.coldStart;
-      nextTable_ = now_;
-    }
-  }
-  void take(int /*router*/, const ConnectController& /*connect*/) {}
-  void take(int router, const StartAttempt& start) {
-    const Call& call = callOf(router, start.ticket);
-    const auto runner = static_cast<std::size_t>(std::stoi(start.replica.address));
-    const std::uint64_t id = runningId(router, start.attempt);
-    running_[id] = Running{router, start.attempt, runner, 0};
-    engines[runner].submit({id, start.replica.target, start.urgency, call.blocks, call.tokens});
-  }
-  void take(int router, const CancelAttempt& cancel) {
-    const auto entry = running_.find(runningId(router, cancel.attempt));
-    if (entry == running_.end()) return;
-    engines[entry->second.runner].cancel(entry->first);
-    running_.erase(entry);
-  }
-  void take(int router, const AnswerHeaders& headers) {
-    callOf(router, headers.ticket).firstByteAt = now_;
-  }
-  void take(int /*router*/, const AnswerData& /*data*/) {}
-  void take(int router, const AnswerEnd& end) { callOf(router, end.ticket).endedAt = now_; }
-  void take(int router, const AnswerError& error) {
-    Call& call = callOf(router, error.ticket);
-    call.endedAt = now_;
-    call.error = error;
-  }
-
-  FleetOptions options_;
-  base::TimePoint now_{base::seconds(1)};
-  std::vector<Router> routers_;
-  std::map<std::uint64_t, Running> running_;
-  CallId asking_ = 0;
-  std::uint64_t tableVersion_ = 0;
-  base::TimePoint nextTable_{};
-  std::optional<base::TimePoint> readyAt_;
+class FleetExperiment
+{
+public:
+    FleetExperiment (const FleetOptions& options, std::uint64_t seed) : options_ (options)
+    {
+        for (int number = 0; number < options.runners; ++number)
+            engines.emplace_back (engineSettings());
+        for (int number = 0; number < options.routers; ++number)
+        {
+            RouterOptions routerOptions = RouterHarness::defaultOptions();
+            routerOptions.router = base::RouterId ("router-" + std::to_string (number));
+            routerOptions.zone = zoneOf (number);
+            routerOptions.hedgeAfter = options.hedgeAfter;
+            const std::uint64_t routerSeed = seed * 100 + static_cast<std::uint64_t> (number);
+            routers_.push_back (
+                Router{ std::make_unique<RouterCore> (routerOptions, routerSeed, now_, kUnixStart),
+                        {},
+                        0,
+                        {} });
+            connect (number);
+        }
+    }
+
+    CallId ask (Call call)
+    {
+        Router& router = routers_[static_cast<std::size_t> (call.router)];
+        const CallId id = calls.size();
+        RequestHead head =
+            RouterHarness::completion (std::to_string (id), call.target, call.isStreaming);
+        head.requestClass = call.requestClass;
+        head.caller = "caller-" + std::to_string (id % 50);
+        head.prefixHashes = call.blocks;
+        call.askedAt = now_;
+        calls.push_back (std::move (call));
+        asking_ = id;
+        const RequestTicket ticket = router.core->onRequest (head);
+        router.callOfTicket[ticket] = id;
+        takeEffects (calls[id].router);
+        return id;
+    }
+
+    /// Runs until `end`; `beforeStep` adds what callers do.
+    void runUntil (base::TimePoint end, const std::function<void()>& beforeStep)
+    {
+        for (; now_ < end; now_ += routing::testing::kEngineStep)
+        {
+            for (int number = 0; number < options_.routers; ++number)
+            {
+                RouterCore& core = *routers_[static_cast<std::size_t> (number)].core;
+                core.setTime (now_, kUnixStart + base::toMilliseconds (now_.time_since_epoch()));
+                core.onTick();
+                takeEffects (number);
+            }
+            beforeStep();
+            if (now_ >= nextTable_)
+                tellTable();
+            for (std::size_t runner = 0; runner < engines.size(); ++runner)
+                stepEngine (runner);
+        }
+    }
+
+    [[nodiscard]] base::TimePoint now() const { return now_; }
+    [[nodiscard]] RouterCounters counters (int router) const
+    {
+        return routers_[static_cast<std::size_t> (router)].core->counters();
+    }
+
+    std::vector<routing::testing::ExperimentEngine> engines;
+    std::vector<Call> calls;
+    int loadDecisions = 0;
+    std::optional<base::TimePoint> firstDemandAt;
+
+private:
+    static constexpr base::UnixMilliseconds kUnixStart = 1'800'000'000'000;
+    static constexpr base::Duration kTableInterval = base::milliseconds (200);
+
+    struct Router
+    {
+        std::unique_ptr<RouterCore> core;
+        std::map<RequestTicket, CallId> callOfTicket;
+        std::uint64_t tableVersion = 0;
+        std::map<RequestTicket, std::vector<AttemptId>> attempts;
+    };
+    struct Running
+    {
+        int router = 0;
+        AttemptId attempt = 0;
+        std::size_t runner = 0;
+        std::uint64_t tokens = 0;
+    };
+
+    static routing::testing::EngineSettings engineSettings() { return {}; }
+    static base::ZoneName zoneOf (int number)
+    {
+        return base::ZoneName ("z" + std::to_string (1 + number % 2));
+    }
+
+    void connect (int number)
+    {
+        RouterCore& core = *routers_[static_cast<std::size_t> (number)].core;
+        core.onControllerConnected();
+        core.onControllerMessage (cell::ConfigurationUpdate{ 1, "digest-1", kCatalogueText });
+        takeEffects (number);
+        tell (number, table());
+    }
+
+    void tell (int number, const cell::ControllerToRouter& message)
+    {
+        routers_[static_cast<std::size_t> (number)].core->onControllerMessage (message);
+        takeEffects (number);
+    }
+
+    [[nodiscard]] bool isLoaded() const
+    {
+        return ! options_.coldStart || (readyAt_ && now_ >= *readyAt_);
+    }
+
+    cell::ReplicaUpdate table()
+    {
+        cell::ReplicaUpdate update;
+        update.toVersion = ++tableVersion_;
+        for (std::size_t runner = 0; runner < engines.size(); ++runner)
+        {
+            for (const std::string target : { "m", "deep-model" })
+            {
+                if (target == "m" && ! isLoaded())
+                    continue;
+                auto row = RouterHarness::replica ("r" + std::to_string (runner), target);
+                row.zone = zoneOf (static_cast<int> (runner));
+                row.address = std::to_string (runner);
+                row.load = engines[runner].reportedLoad();
+                row.credits =
+                    std::max (row.slots / static_cast<std::uint32_t> (options_.routers), 1U);
+                update.upserts.push_back (row);
+            }
+        }
+        if (readyAt_ && ! isLoaded())
+        {
+            update.estimates.push_back ({ "m", true, base::toMilliseconds (*readyAt_ - now_) });
+        }
+        return update;
+    }
+
+    void tellTable()
+    {
+        nextTable_ = now_ + kTableInterval;
+        const cell::ReplicaUpdate update = table();
+        for (int number = 0; number < options_.routers; ++number)
+            tell (number, update);
+    }
+
+    void stepEngine (std::size_t runner)
+    {
+        for (const auto& progress : engines[runner].step (now_))
+        {
+            const auto entry = running_.find (progress.id);
+            if (entry == running_.end())
+                continue;
+            Running& running = entry->second;
+            RouterCore& core = *routers_[static_cast<std::size_t> (running.router)].core;
+            const int router = running.router;
+            if (progress.isFirstToken)
+            {
+                core.onAttemptEvent (running.attempt, AttemptHeaders{ 200, false });
+                core.onAttemptEvent (running.attempt, AttemptData{ 0, 1, "x" });
+            }
+            else
+            {
+                core.onAttemptEvent (running.attempt, AttemptEnded{});
+                running_.erase (progress.id);
+            }
+            takeEffects (router);
+        }
+    }
+
+    void takeEffects (int router)
+    {
+        for (Effect& effect : routers_[static_cast<std::size_t> (router)].core->takeEffects())
+        {
+            std::visit ([&] (auto& content) { take (router, content); }, effect);
+        }
+    }
+    Call& callOf (int router, RequestTicket ticket)
+    {
+        const auto& known = routers_[static_cast<std::size_t> (router)].callOfTicket;
+        const auto entry = known.find (ticket);
+        return calls[entry == known.end() ? asking_ : entry->second];
+    }
+    static std::uint64_t runningId (int router, AttemptId attempt)
+    {
+        return attempt * 100 + static_cast<std::uint64_t> (router);
+    }
+
+    void take (int router, const SendToController& send)
+    {
+        if (const auto* request = std::get_if<cell::LeaseRequest> (&send.message))
+        {
+            tell (router, cell::LeaseGrant{ request->sequence, request->configurationVersion,
+                                            request->configurationDigest, 1, 2000, tableVersion_ });
+        }
+        const auto* report = std::get_if<cell::DemandReport> (&send.message);
+        if (report == nullptr || ! options_.coldStart)
+            return;
+        for (const cell::Demand& demand : report->demands)
+        {
+            if (demand.target != "m" || demand.waiting == 0 || readyAt_)
+                continue;
+            loadDecisions += 1;
+            firstDemandAt = now_;
+            readyAt_ = now_ + *options_.coldStart;
+            nextTable_ = now_;
+        }
+    }
+    void take (int /*router*/, const ConnectController& /*connect*/) {}
+    void take (int router, const StartAttempt& start)
+    {
+        const Call& call = callOf (router, start.ticket);
+        const auto runner = static_cast<std::size_t> (std::stoi (start.replica.address));
+        const std::uint64_t id = runningId (router, start.attempt);
+        running_[id] = Running{ router, start.attempt, runner, 0 };
+        engines[runner].submit (
+            { id, start.replica.target, start.urgency, call.blocks, call.tokens });
+    }
+    void take (int router, const CancelAttempt& cancel)
+    {
+        const auto entry = running_.find (runningId (router, cancel.attempt));
+        if (entry == running_.end())
+            return;
+        engines[entry->second.runner].cancel (entry->first);
+        running_.erase (entry);
+    }
+    void take (int router, const AnswerHeaders& headers)
+    {
+        callOf (router, headers.ticket).firstByteAt = now_;
+    }
+    void take (int /*router*/, const AnswerData& /*data*/) {}
+    void take (int router, const AnswerEnd& end) { callOf (router, end.ticket).endedAt = now_; }
+    void take (int router, const AnswerError& error)
+    {
+        Call& call = callOf (router, error.ticket);
+        call.endedAt = now_;
+        call.error = error;
+    }
+
+    FleetOptions options_;
+    base::TimePoint now_{ base::seconds (1) };
+    std::vector<Router> routers_;
+    std::map<std::uint64_t, Running> running_;
+    CallId asking_ = 0;
+    std::uint64_t tableVersion_ = 0;
+    base::TimePoint nextTable_{};
+    std::optional<base::TimePoint> readyAt_;
 };
 
 }  // namespace fernlift::router::testing
--- a/src/router/ModelControllerTestSupport.h
+++ b/src/router/ModelControllerTestSupport.h
@@ -12,156 +12,199 @@
 
 #include "router/RouterTestHarness.h"
 
-namespace fernlift::router::testing {
+namespace fernlift::router::testing
+{
 
 /// Claims, leases and the replica table of a leader, with a connection that can be lost.
-class ModelController {
- public:
-  bool isConnected = false;
-
-  void onSent(const cell::RouterToController& message, base::TimePoint now) {
-    if (const auto* request = std::get_if<cell::LeaseRequest>(&message)) {
-      leaseRequests_.emplace_back(*request, now);
-    } else if (const auto* claims = std::get_if<cell::ClaimRequest>(&message)) {
-      claimRequests_.push_back(*claims);
-    } else if (const auto* report = std::get_if<cell::OutcomeReport>(&message)) {
-      outcomes_.insert(outcomes_.end(), report->outcomes.begin(), report->outcomes.end());
-    }
-  }
-
-  /// The connection is lost. What was on its way is lost, or committed with the reply lost.
-  void lose(bool commits) {
-    isConnected = false;
-    leaseRequests_.clear();
-    if (commits) commit();
-    claimRequests_.clear();
-    outcomes_.clear();
-  }
-
-  /// Grants of every lease request not answered yet.
-  std::vector<cell::ControllerToRouter> grantLeases(std::int64_t milliseconds) {
-    std::vector<cell::ControllerToRouter> grants;
-    for (const auto& [request, sentAt] : std::exchange(leaseRequests_, {})) {
-      leaseUntil_ =
-          std::max<base::TimePoint>(leaseUntil_, sentAt + base::milliseconds(milliseconds));
-      grants.emplace_back(cell::LeaseGrant{request.sequence, configurationVersion,
-                                           digestOf(configurationVersion), 1, milliseconds,
-                                           tableVersion_});
-      if (request.replicaTableVersion == 0) grants.emplace_back(wholeTable());
-    }
-    return grants;
-  }
-  /// No lease that was granted holds at `now`.
-  [[nodiscard]] bool hasNoLease(base::TimePoint now) const { return now >= leaseUntil_; }
-
-  /// Commits what arrived; the replies to its claims.
-  std::vector<cell::ControllerToRouter> commit() {
-    for (const auto& outcome : std::exchange(outcomes_, {})) recordOutcome(outcome);
-    std::vector<cell::ControllerToRouter> replies;
-    for (const auto& request : std::exchange(claimRequests_, {})) {
-      replies.emplace_back(decide(request));
-    }
-    return replies;
-  }
-  /// Whether the claim of this request of the router holds its key.
-  [[nodiscard]] bool isGranted(const base::IdempotencyKey& key, const std::string& id) const {
-    const auto entry = keys_.find(key);
-    return entry != keys_.end() && entry->second.outcome == cell::ClaimOutcome::kPending &&
-           entry->second.request.value.rfind(id + "/", 0) == 0;
-  }
-
-  [[nodiscard]] cell::ControllerToRouter configuration(std::uint64_t version) const {
-    std::string text = kCatalogueText;
-    text.replace(text.find("version = 1"), 11, "version = " + std::to_string(version));
-    return cell::ConfigurationUpdate{version, digestOf(version), text};
-  }
-  std::uint64_t configurationVersion = 1;
-
-  /// Adds, replaces (under a new start) or removes a row; the change as a difference.
-  cell::ReplicaUpdate upsert(const cell::RoutableReplica& row) {
-    rows_[row.runner.value + row.target] = row;
-    return difference({row}, {});
-  }
-  cell::ReplicaUpdate remove(const std::string& runner, const std::string& target) {
-    const auto entry = rows_.find(runner + target);
-    if (entry == rows_.end()) return difference({}, {});
-    const cell::RoutableReplica row = entry->second;
-    rows_.erase(entry);
-    return difference({}, {row});
-  }
-  cell::ReplicaUpdate estimate(const cell::TargetEstimate& estimate) {
-    estimates_[estimate.target] = estimate;
-    cell::ReplicaUpdate update = difference({}, {});
-    update.estimates = {estimate};
-    return update;
-  }
-  [[nodiscard]] cell::ReplicaUpdate wholeTable() const {
-    cell::ReplicaUpdate update;
-    update.toVersion = tableVersion_;
-    for (const auto& [key, row] : rows_) update.upserts.push_back(row);
-    for (const auto& [target, estimate] : estimates_) update.estimates.push_back(estimate);
-    return update;
-  }
-  using RunnerStart = std::pair<base::RunnerId, base::Incarnation>;
-  /// Whether there is a row of the target at a runner that is not leaving.
-  [[nodiscard]] bool hasRow(const std::string& target, const std::set<RunnerStart>& leaving) const {
-    return std::any_of(rows_.begin(), rows_.end(), [&](const auto& entry) {
-      const cell::RoutableReplica& row = entry.second;
-      return row.target == target && !leaving.contains({row.runner, row.incarnation});
-    });
-  }
-
- private:
-  struct Key {
-    base::RequestId request;
-    cell::ClaimOutcome outcome = cell::ClaimOutcome::kPending;
-  };
-
-  static std::string digestOf(std::uint64_t version) { return "digest-" + std::to_string(version); }
-
-  cell::ReplicaUpdate difference(std::vector<cell::RoutableReplica> upserts,
-                                 std::vector<cell::RoutableReplica> removals) {
-    cell::ReplicaUpdate update;
-    update.fromVersion = tableVersion_;
-    update.toVersion = ++tableVersion_;
-    update.upserts = std::move(upserts);
-    update.removals = std::move(removals);
-    return update;
-  }
-
-  cell::ClaimReply decide(const cell::ClaimRequest& request) {
-    cell::ClaimReply reply{request.sequence, {}};
-    for (const cell::Claim& claim : request.claims) {
-      reply.answers.push_back({claim.key, claim.request, verdictOf(claim), 200});
-    }
-    return reply;
-  }
-
-  cell::ClaimVerdict verdictOf(const cell::Claim& claim) {
-    const auto [entry, isNew] = keys_.try_emplace(claim.key, Key{claim.request});
-    Key& key = entry->second;
-    if (!isNew && key.outcome == cell::ClaimOutcome::kNotRun) key = Key{claim.request};
-    if (key.outcome == cell::ClaimOutcome::kRan) return cell::ClaimVerdict::kAlreadyRan;
-    if (key.outcome == cell::ClaimOutcome::kUnknown) return cell::ClaimVerdict::kOutcomeUnknown;
-    const bool isOwn = key.request == claim.request;
-    return isOwn ? cell::ClaimVerdict::kGranted : cell::ClaimVerdict::kInProgress;
-  }
-
-  void recordOutcome(const cell::OutcomeRecord& record) {
-    const auto entry = keys_.find(record.key);
-    if (entry == keys_.end() || entry->second.request != record.request) return;
-    if (entry->second.outcome == cell::ClaimOutcome::kPending)
-      entry->second.outcome = record.outcome;
-  }
-
-  std::vector<std::pair<cell::LeaseRequest, base::TimePoint>> leaseRequests_;
-  std::vector<cell::ClaimRequest> claimRequests_;
-  std::vector<cell::OutcomeRecord> outcomes_;
-  base::TimePoint leaseUntil_{};
-  std::map<base::IdempotencyKey, Key> keys_;
-  std::map<std::string, cell::RoutableReplica> rows_;
-  std::map<std::string, cell::TargetEstimate> estimates_;
-  std::uint64_t tableVersion_ = 1;
+class ModelController
+{
+public:
+    bool isConnected = false;
+
+    void onSent (const cell::RouterToController& message, base::TimePoint now)
+    {
+        if (const auto* request = std::get_if<cell::LeaseRequest> (&message))
+        {
+            leaseRequests_.emplace_back (*request, now);
+        }
+        else if (const auto* claims = std::get_if<cell::ClaimRequest> (&message))
+        {
+            claimRequests_.push_back (*claims);
+        }
+        else if (const auto* report = std::get_if<cell::OutcomeReport> (&message))
+        {
+            outcomes_.insert (outcomes_.end(), report->outcomes.begin(), report->outcomes.end());
+        }
+    }
+
+    /// The connection is lost. What was on its way is lost, or committed with the reply lost.
+    void lose (bool commits)
+    {
+        isConnected = false;
+        leaseRequests_.clear();
+        if (commits)
+            commit();
+        claimRequests_.clear();
+        outcomes_.clear();
+    }
+
+    /// Grants of every lease request not answered yet.
+    std::vector<cell::ControllerToRouter> grantLeases (std::int64_t milliseconds)
+    {
+        std::vector<cell::ControllerToRouter> grants;
+        for (const auto& [request, sentAt] : std::exchange (leaseRequests_, {}))
+        {
+            leaseUntil_ =
+                std::max<base::TimePoint> (leaseUntil_, sentAt + base::milliseconds (milliseconds));
+            grants.emplace_back (cell::LeaseGrant{ request.sequence, configurationVersion,
+                                                   digestOf (configurationVersion), 1, milliseconds,
+                                                   tableVersion_ });
+            if (request.replicaTableVersion == 0)
+                grants.emplace_back (wholeTable());
+        }
+        return grants;
+    }
+    /// No lease that was granted holds at `now`.
+    [[nodiscard]] bool hasNoLease (base::TimePoint now) const { return now >= leaseUntil_; }
+
+    /// Commits what arrived; the replies to its claims.
+    std::vector<cell::ControllerToRouter> commit()
+    {
+        for (const auto& outcome : std::exchange (outcomes_, {}))
+            recordOutcome (outcome);
+        std::vector<cell::ControllerToRouter> replies;
+        for (const auto& request : std::exchange (claimRequests_, {}))
+        {
+            replies.emplace_back (decide (request));
+        }
+        return replies;
+    }
+    /// Whether the claim of this request of the router holds its key.
+    [[nodiscard]] bool isGranted (const base::IdempotencyKey& key, const std::string& id) const
+    {
+        const auto entry = keys_.find (key);
+        return entry != keys_.end() && entry->second.outcome == cell::ClaimOutcome::kPending
+               && entry->second.request.value.rfind (id + "/", 0) == 0;
+    }
+
+    [[nodiscard]] cell::ControllerToRouter configuration (std::uint64_t version) const
+    {
+        std::string text = kCatalogueText;
+        text.replace (text.find ("version = 1"), 11, "version = " + std::to_string (version));
+        return cell::ConfigurationUpdate{ version, digestOf (version), text };
+    }
+    std::uint64_t configurationVersion = 1;
+
+    /// Adds, replaces (under a new start) or removes a row; the change as a difference.
+    cell::ReplicaUpdate upsert (const cell::RoutableReplica& row)
+    {
+        rows_[row.runner.value + row.target] = row;
+        return difference ({ row }, {});
+    }
+    cell::ReplicaUpdate remove (const std::string& runner, const std::string& target)
+    {
+        const auto entry = rows_.find (runner + target);
+        if (entry == rows_.end())
+            return difference ({}, {});
+        const cell::RoutableReplica row = entry->second;
+        rows_.erase (entry);
+        return difference ({}, { row });
+    }
+    cell::ReplicaUpdate estimate (const cell::TargetEstimate& estimate)
+    {
+        estimates_[estimate.target] = estimate;
+        cell::ReplicaUpdate update = difference ({}, {});
+        update.estimates = { estimate };
+        return update;
+    }
+    [[nodiscard]] cell::ReplicaUpdate wholeTable() const
+    {
+        cell::ReplicaUpdate update;
+        update.toVersion = tableVersion_;
+        for (const auto& [key, row] : rows_)
+            update.upserts.push_back (row);
+        for (const auto& [target, estimate] : estimates_)
+            update.estimates.push_back (estimate);
+        return update;
+    }
+    using RunnerStart = std::pair<base::RunnerId, base::Incarnation>;
+    /// Whether there is a row of the target at a runner that is not leaving.
+    [[nodiscard]] bool hasRow (const std::string& target,
+                               const std::set<RunnerStart>& leaving) const
+    {
+        return std::any_of (
+            rows_.begin(), rows_.end(),
+            [&] (const auto& entry)
+            {
+                const cell::RoutableReplica& row = entry.second;
+                return row.target == target && ! leaving.contains ({ row.runner, row.incarnation });
+            });
+    }
+
+private:
+    struct Key
+    {
+        base::RequestId request;
+        cell::ClaimOutcome outcome = cell::ClaimOutcome::kPending;
+    };
+
+    static std::string digestOf (std::uint64_t version)
+    {
+        return "digest-" + std::to_string (version);
+    }
+
+    cell::ReplicaUpdate difference (std::vector<cell::RoutableReplica> upserts,
+                                    std::vector<cell::RoutableReplica> removals)
+    {
+        cell::ReplicaUpdate update;
+        update.fromVersion = tableVersion_;
+        update.toVersion = ++tableVersion_;
+        update.upserts = std::move (upserts);
+        update.removals = std::move (removals);
+        return update;
+    }
+
+    cell::ClaimReply decide (const cell::ClaimRequest& request)
+    {
+        cell::ClaimReply reply{ request.sequence, {} };
+        for (const cell::Claim& claim : request.claims)
+        {
+            reply.answers.push_back ({ claim.key, claim.request, verdictOf (claim), 200 });
+        }
+        return reply;
+    }
+
+    cell::ClaimVerdict verdictOf (const cell::Claim& claim)
+    {
+        const auto [entry, isNew] = keys_.try_emplace (claim.key, Key{ claim.request });
+        Key& key = entry->second;
+        if (! isNew && key.outcome == cell::ClaimOutcome::kNotRun)
+            key = Key{ claim.request };
+        if (key.outcome == cell::ClaimOutcome::kRan)
+            return cell::ClaimVerdict::kAlreadyRan;
+        if (key.outcome == cell::ClaimOutcome::kUnknown)
+            return cell::ClaimVerdict::kOutcomeUnknown;
+        const bool isOwn = key.request == claim.request;
+        return isOwn ? cell::ClaimVerdict::kGranted : cell::ClaimVerdict::kInProgress;
+    }
+
+    void recordOutcome (const cell::OutcomeRecord& record)
+    {
+        const auto entry = keys_.find (record.key);
+        if (entry == keys_.end() || entry->second.request != record.request)
+            return;
+        if (entry->second.outcome == cell::ClaimOutcome::kPending)
+            entry->second.outcome = record.outcome;
+    }
+
+    std::vector<std::pair<cell::LeaseRequest, base::TimePoint>> leaseRequests_;
+    std::vector<cell::ClaimRequest> claimRequests_;
+    std::vector<cell::OutcomeRecord> outcomes_;
+    base::TimePoint leaseUntil_{};
+    std::map<base::IdempotencyKey, Key> keys_;
+    std::map<std::string, cell::RoutableReplica> rows_;
+    std::map<std::string, cell::TargetEstimate> estimates_;
+    std::uint64_t tableVersion_ = 1;
 };
 
 }  // namespace fernlift::router::testing
--- a/src/router/RequestTraces.cpp
+++ b/src/router/RequestTraces.cpp
@@ -5,49 +5,60 @@
 #include <QJsonObject>
 #include <utility>
 
-namespace fernlift::router {
-namespace {
+namespace fernlift::router
+{
+namespace
+{
 
 constexpr std::size_t kMaximumSteps = 64;
 
 }  // namespace
 
-void RequestTraces::begin(const base::RequestId& id, const std::string& target, base::TimePoint now,
-                          base::UnixMilliseconds unixNow) {
-  if (maximum_ == 0) return;
-  const bool isNew = !traces_.contains(id);
-  if (isNew && order_.size() == maximum_) {
-    traces_.erase(order_.front());
-    order_.pop_front();
-  }
-  if (isNew) order_.push_back(id);
-  traces_[id] = Trace{target, now, unixNow, {}};
+void RequestTraces::begin (const base::RequestId& id, const std::string& target,
+                           base::TimePoint now, base::UnixMilliseconds unixNow)
+{
+    if (maximum_ == 0)
+        return;
+    const bool isNew = ! traces_.contains (id);
+    if (isNew && order_.size() == maximum_)
+    {
+        traces_.erase (order_.front());
+        order_.pop_front();
+    }
+    if (isNew)
+        order_.push_back (id);
+    traces_[id] = Trace{ target, now, unixNow, {} };
 }
 
-void RequestTraces::add(const base::RequestId& id, base::TimePoint now, std::string step) {
-  const auto trace = traces_.find(id);
-  if (trace == traces_.end() || trace->second.steps.size() >= kMaximumSteps) return;
-  trace->second.steps.push_back(Step{now, std::move(step)});
+void RequestTraces::add (const base::RequestId& id, base::TimePoint now, std::string step)
+{
+    const auto trace = traces_.find (id);
+    if (trace == traces_.end() || trace->second.steps.size() >= kMaximumSteps)
+        return;
+    trace->second.steps.push_back (Step{ now, std::move (step) });
 }
 
-std::string RequestTraces::toJson(const base::RequestId& id) const {
-  const auto entry = traces_.find(id);
-  if (entry == traces_.end()) return "";
-  const Trace& trace = entry->second;
-  QJsonArray steps;
-  for (const Step& step : trace.steps) {
-    QJsonObject object;
-    object[QStringLiteral("at_ms")] =
-        static_cast<qint64>(base::toMilliseconds(step.at - trace.arrivedAt));
-    object[QStringLiteral("step")] = QString::fromStdString(step.text);
-    steps.append(object);
-  }
-  QJsonObject document;
-  document[QStringLiteral("request")] = QString::fromStdString(id.value);
-  document[QStringLiteral("target")] = QString::fromStdString(trace.target);
-  document[QStringLiteral("arrived_unix_ms")] = static_cast<qint64>(trace.arrivedUnix);
-  document[QStringLiteral("steps")] = steps;
-  return QJsonDocument(document).toJson(QJsonDocument::Compact).toStdString();
+std::string RequestTraces::toJson (const base::RequestId& id) const
+{
+    const auto entry = traces_.find (id);
+    if (entry == traces_.end())
+        return "";
+    const Trace& trace = entry->second;
+    QJsonArray steps;
+    for (const Step& step : trace.steps)
+    {
+        QJsonObject object;
+        object[QStringLiteral ("at_ms")] =
+            static_cast<qint64> (base::toMilliseconds (step.at - trace.arrivedAt));
+        object[QStringLiteral ("step")] = QString::fromStdString (step.text);
+        steps.append (object);
+    }
+    QJsonObject document;
+    document[QStringLiteral ("request")] = QString::fromStdString (id.value);
+    document[QStringLiteral ("target")] = QString::fromStdString (trace.target);
+    document[QStringLiteral ("arrived_unix_ms")] = static_cast<qint64> (trace.arrivedUnix);
+    document[QStringLiteral ("steps")] = steps;
+    return QJsonDocument (document).toJson (QJsonDocument::Compact).toStdString();
 }
 
 }  // namespace fernlift::router
--- a/src/router/RequestTraces.h
+++ b/src/router/RequestTraces.h
@@ -11,35 +11,39 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 
-namespace fernlift::router {
-
-class RequestTraces {
- public:
-  explicit RequestTraces(std::size_t maximum) : maximum_(maximum) {}
-
-  /// Begins the trace of a request; the oldest trace goes when there are too many.
-  void begin(const base::RequestId& id, const std::string& target, base::TimePoint now,
-             base::UnixMilliseconds unixNow);
-  /// Adds a step to a trace that is still remembered.
-  void add(const base::RequestId& id, base::TimePoint now, std::string step);
-  /// The trace as JSON; empty when it is not remembered.
-  [[nodiscard]] std::string toJson(const base::RequestId& id) const;
-
- private:
-  struct Step {
-    base::TimePoint at{};
-    std::string text;
-  };
-  struct Trace {
-    std::string target;
-    base::TimePoint arrivedAt{};
-    base::UnixMilliseconds arrivedUnix = 0;
-    std::vector<Step> steps;
-  };
-
-  std::size_t maximum_;
-  std::deque<base::RequestId> order_;
-  std::unordered_map<base::RequestId, Trace> traces_;
+namespace fernlift::router
+{
+
+class RequestTraces
+{
+public:
+    explicit RequestTraces (std::size_t maximum) : maximum_ (maximum) {}
+
+    /// Begins the trace of a request; the oldest trace goes when there are too many.
+    void begin (const base::RequestId& id, const std::string& target, base::TimePoint now,
+                base::UnixMilliseconds unixNow);
+    /// Adds a step to a trace that is still remembered.
+    void add (const base::RequestId& id, base::TimePoint now, std::string step);
+    /// The trace as JSON; empty when it is not remembered.
+    [[nodiscard]] std::string toJson (const base::RequestId& id) const;
+
+private:
+    struct Step
+    {
+        base::TimePoint at{};
+        std::string text;
+    };
+    struct Trace
+    {
+        std::string target;
+        base::TimePoint arrivedAt{};
+        base::UnixMilliseconds arrivedUnix = 0;
+        std::vector<Step> steps;
+    };
+
+    std::size_t maximum_;
+    std::deque<base::RequestId> order_;
+    std::unordered_map<base::RequestId, Trace> traces_;
 };
 
 }  // namespace fernlift::router
--- a/src/router/RouterAdmission.cpp
+++ b/src/router/RouterAdmission.cpp
@@ -6,263 +6,329 @@
 #include "admission/RetryAfter.h"
 #include "router/RouterCoreImplementation.h"
 
-namespace fernlift::router {
-namespace {
+namespace fernlift::router
+{
+namespace
+{
 
 using base::ErrorKind;
 
 /// Retry-After where nothing is known of the target.
-constexpr base::Duration kDefaultEstimate = base::seconds(2);
-constexpr base::Duration kStoppingEstimate = base::milliseconds(200);
-constexpr base::Duration kLeaseEstimate = base::seconds(1);
+constexpr base::Duration kDefaultEstimate = base::seconds (2);
+constexpr base::Duration kStoppingEstimate = base::milliseconds (200);
+constexpr base::Duration kLeaseEstimate = base::seconds (1);
 /// How often waiting requests are checked against the pace of their queue.
-constexpr base::Duration kPaceCheckInterval = base::milliseconds(100);
+constexpr base::Duration kPaceCheckInterval = base::milliseconds (100);
 
 }  // namespace
 
-RequestTicket RouterCore::Implementation::onRequest(const RequestHead& head) {
-  const RequestTicket ticket = ++lastTicket_;
-  counters_.admitted += 1;
-  traces_.begin(head.id, head.target, now_, unixNow_);
-  if (const auto refusal = reasonToRefuseAtOnce(head)) {
-    RouterRequest refused;
-    refused.ticket = ticket;
-    refused.head = head;
-    failNotRun(refused, *refusal);
+RequestTicket RouterCore::Implementation::onRequest (const RequestHead& head)
+{
+    const RequestTicket ticket = ++lastTicket_;
+    counters_.admitted += 1;
+    traces_.begin (head.id, head.target, now_, unixNow_);
+    if (const auto refusal = reasonToRefuseAtOnce (head))
+    {
+        RouterRequest refused;
+        refused.ticket = ticket;
+        refused.head = head;
+        failNotRun (refused, *refusal);
+        return ticket;
+    }
+    demand_.onArrival (head.target);
+    RouterRequest& request = admit (head, *configuration_.classOf (head));
+    enqueueNew (request);
+    settle();
     return ticket;
-  }
-  demand_.onArrival(head.target);
-  RouterRequest& request = admit(head, *configuration_.classOf(head));
-  enqueueNew(request);
-  settle();
-  return ticket;
 }
 
-std::optional<RouterCore::Implementation::Refusal> RouterCore::Implementation::reasonToRefuseAtOnce(
-    const RequestHead& head) const {
-  if (stoppingSince_) return Refusal{ErrorKind::kStopping, "router is stopping", kStoppingEstimate};
-  const bool needsLease = options_.plantedFault != PlantedFault::kIgnoreLease;
-  if (needsLease && !isReady()) {
-    return Refusal{ErrorKind::kLeaseExpired, "no lease on the configuration", kLeaseEstimate};
-  }
-  if (!configuration_.hasTarget(head.protocol, head.target)) {
-    return Refusal{ErrorKind::kModelNotFound, "'" + head.target + "' is not configured", {}};
-  }
-  const config::RequestClass* requestClass = configuration_.classOf(head);
-  if (requestClass == nullptr) {
-    return Refusal{ErrorKind::kInvalidRequest, "no such request class", {}};
-  }
-  const bool isRepeatable = requestClass->repeatable || head.isSafeMethod;
-  if (!isRepeatable && head.idempotencyKey.empty()) {
-    return Refusal{ErrorKind::kIdempotencyKeyRequired,
-                   "class '" + requestClass->name.value + "' needs an Idempotency-Key",
-                   {}};
-  }
-  if (head.deadline && *head.deadline <= base::Duration::zero()) {
-    return Refusal{ErrorKind::kDeadlinePassed, "the deadline had passed on arrival", {}};
-  }
-  return std::nullopt;
+std::optional<RouterCore::Implementation::Refusal>
+RouterCore::Implementation::reasonToRefuseAtOnce (const RequestHead& head) const
+{
+    if (stoppingSince_)
+        return Refusal{ ErrorKind::kStopping, "router is stopping", kStoppingEstimate };
+    const bool needsLease = options_.plantedFault != PlantedFault::kIgnoreLease;
+    if (needsLease && ! isReady())
+    {
+        return Refusal{ ErrorKind::kLeaseExpired, "no lease on the configuration", kLeaseEstimate };
+    }
+    if (! configuration_.hasTarget (head.protocol, head.target))
+    {
+        return Refusal{ ErrorKind::kModelNotFound, "'" + head.target + "' is not configured", {} };
+    }
+    const config::RequestClass* requestClass = configuration_.classOf (head);
+    if (requestClass == nullptr)
+    {
+        return Refusal{ ErrorKind::kInvalidRequest, "no such request class", {} };
+    }
+    const bool isRepeatable = requestClass->repeatable || head.isSafeMethod;
+    if (! isRepeatable && head.idempotencyKey.empty())
+    {
+        return Refusal{ ErrorKind::kIdempotencyKeyRequired,
+                        "class '" + requestClass->name.value + "' needs an Idempotency-Key",
+                        {} };
+    }
+    if (head.deadline && *head.deadline <= base::Duration::zero())
+    {
+        return Refusal{ ErrorKind::kDeadlinePassed, "the deadline had passed on arrival", {} };
+    }
+    return std::nullopt;
 }
 
-RouterRequest& RouterCore::Implementation::admit(const RequestHead& head,
-                                                 const config::RequestClass& requestClass) {
-  RouterRequest& request = requests_[lastTicket_];
-  request.ticket = lastTicket_;
-  request.head = head;
-  request.urgency = requestClass.urgency;
-  request.isRepeatable = requestClass.repeatable || head.isSafeMethod;
-  request.arrivedAt = now_;
-  // A caller may ask for less time than its class has, not for more.
-  const base::Duration allowed = requestClass.deadline;
-  request.deadline = now_ + std::min(head.deadline.value_or(allowed), allowed);
-  request.wholeBy = request.deadline + options_.wholeAnswerTimeout;
-  return request;
+RouterRequest& RouterCore::Implementation::admit (const RequestHead& head,
+                                                  const config::RequestClass& requestClass)
+{
+    RouterRequest& request = requests_[lastTicket_];
+    request.ticket = lastTicket_;
+    request.head = head;
+    request.urgency = requestClass.urgency;
+    request.isRepeatable = requestClass.repeatable || head.isSafeMethod;
+    request.arrivedAt = now_;
+    // A caller may ask for less time than its class has, not for more.
+    const base::Duration allowed = requestClass.deadline;
+    request.deadline = now_ + std::min (head.deadline.value_or (allowed), allowed);
+    request.wholeBy = request.deadline + options_.wholeAnswerTimeout;
+    return request;
 }
 
-admission::QueuedRequest RouterCore::Implementation::queueEntry(
-    const RouterRequest& request) const {
-  return admission::QueuedRequest{request.ticket, request.head.caller, request.deadline,
-                                  request.head.bodyBytes};
+admission::QueuedRequest RouterCore::Implementation::queueEntry (const RouterRequest& request) const
+{
+    return admission::QueuedRequest{ request.ticket, request.head.caller, request.deadline,
+                                     request.head.bodyBytes };
 }
 
-void RouterCore::Implementation::enqueueNew(RouterRequest& request) {
-  const std::string target = request.head.target;
-  const std::size_t ahead = queues_.countAhead(target, request.urgency);
-  if (const auto refusal = reasonNotServable(request, ahead)) {
-    failNotRun(request, *refusal);
-    return;
-  }
-  const auto outcome = queues_.push(target, request.urgency, queueEntry(request));
-  for (const admission::Ticket displaced : outcome.displaced) {
-    RouterRequest& victim = requests_.at(displaced);
-    failNotRun(victim,
-               {ErrorKind::kQueueFull, "gave way to a more urgent request", waitEstimate(victim)});
-  }
-  if (!outcome.isAccepted) {
-    failNotRun(request, {ErrorKind::kQueueFull, "too many requests wait", waitEstimate(request)});
-    return;
-  }
-  const RequestTicket ticket = request.ticket;
-  setTimer(request);
-  serveTarget(target, request.urgency);
-  const auto still = requests_.find(ticket);
-  const bool isWaiting = still != requests_.end() && still->second.state == RequestState::kQueued;
-  const bool isFirst = queues_.countWaiting(target) == 1;
-  if (isWaiting && isFirst && !table_.hasUsableReplica(target)) demand_.onColdTarget();
+void RouterCore::Implementation::enqueueNew (RouterRequest& request)
+{
+    const std::string target = request.head.target;
+    const std::size_t ahead = queues_.countAhead (target, request.urgency);
+    if (const auto refusal = reasonNotServable (request, ahead))
+    {
+        failNotRun (request, *refusal);
+        return;
+    }
+    const auto outcome = queues_.push (target, request.urgency, queueEntry (request));
+    for (const admission::Ticket displaced : outcome.displaced)
+    {
+        RouterRequest& victim = requests_.at (displaced);
+        failNotRun (victim, { ErrorKind::kQueueFull, "gave way to a more urgent request",
+                              waitEstimate (victim) });
+    }
+    if (! outcome.isAccepted)
+    {
+        failNotRun (request,
+                    { ErrorKind::kQueueFull, "too many requests wait", waitEstimate (request) });
+        return;
+    }
+    const RequestTicket ticket = request.ticket;
+    setTimer (request);
+    serveTarget (target, request.urgency);
+    const auto still = requests_.find (ticket);
+    const bool isWaiting = still != requests_.end() && still->second.state == RequestState::kQueued;
+    const bool isFirst = queues_.countWaiting (target) == 1;
+    if (isWaiting && isFirst && ! table_.hasUsableReplica (target))
+        demand_.onColdTarget();
 }
 
-void RouterCore::Implementation::enqueueAgain(RouterRequest& request) {
-  request.state = RequestState::kQueued;
-  queues_.pushAgain(request.head.target, request.urgency, queueEntry(request));
-  setTimer(request);
-  mustServe_ = true;
+void RouterCore::Implementation::enqueueAgain (RouterRequest& request)
+{
+    request.state = RequestState::kQueued;
+    queues_.pushAgain (request.head.target, request.urgency, queueEntry (request));
+    setTimer (request);
+    mustServe_ = true;
 }
 
-std::optional<RouterCore::Implementation::Refusal> RouterCore::Implementation::reasonNotServable(
-    const RouterRequest& request, std::size_t ahead) const {
-  const std::string& target = request.head.target;
-  if (options_.plantedFault == PlantedFault::kHoldHopeless) return std::nullopt;
-  if (table_.hasUsableReplica(target)) {
-    const auto wait = waits_.waitBehind(target, ahead, now_);
-    if (!wait || now_ + *wait <= request.deadline) return std::nullopt;
-    return Refusal{ErrorKind::kDeadlineUnreachable, "the queue is longer than the deadline", *wait};
-  }
-  const auto estimate = table_.estimateOf(target);
-  if (!estimate) return std::nullopt;
-  const base::Duration untilReady =
-      std::max<base::Duration>(estimate->readyAt - now_, base::Duration::zero());
-  if (!estimate->canBeServed) {
-    return Refusal{ErrorKind::kNoCapacity, "no runner may hold '" + target + "' now",
-                   std::max(untilReady, kDefaultEstimate)};
-  }
-  if (now_ + untilReady <= request.deadline) return std::nullopt;
-  return Refusal{ErrorKind::kDeadlineUnreachable, "'" + target + "' is not loaded in time",
-                 untilReady};
+std::optional<RouterCore::Implementation::Refusal> RouterCore::Implementation::reasonNotServable (
+    const RouterRequest& request, std::size_t ahead) const
+{
+    const std::string& target = request.head.target;
+    if (options_.plantedFault == PlantedFault::kHoldHopeless)
+        return std::nullopt;
+    if (table_.hasUsableReplica (target))
+    {
+        const auto wait = waits_.waitBehind (target, ahead, now_);
+        if (! wait || now_ + *wait <= request.deadline)
+            return std::nullopt;
+        return Refusal{ ErrorKind::kDeadlineUnreachable, "the queue is longer than the deadline",
+                        *wait };
+    }
+    const auto estimate = table_.estimateOf (target);
+    if (! estimate)
+        return std::nullopt;
+    const base::Duration untilReady =
+        std::max<base::Duration> (estimate->readyAt - now_, base::Duration::zero());
+    if (! estimate->canBeServed)
+    {
+        return Refusal{ ErrorKind::kNoCapacity, "no runner may hold '" + target + "' now",
+                        std::max (untilReady, kDefaultEstimate) };
+    }
+    if (now_ + untilReady <= request.deadline)
+        return std::nullopt;
+    return Refusal{ ErrorKind::kDeadlineUnreachable, "'" + target + "' is not loaded in time",
+                    untilReady };
 }
 
-void RouterCore::Implementation::refuseUnservable() {
-  std::vector<RequestTicket> waiting;
-  for (const auto& [ticket, request] : requests_) {
-    const bool isWaiting =
-        request.state == RequestState::kQueued || request.state == RequestState::kBackingOff;
-    if (isWaiting && !request.hasReachedCaller) waiting.push_back(ticket);
-  }
-  for (const RequestTicket ticket : waiting) {
-    RouterRequest& request = requests_.at(ticket);
-    if (!configuration_.hasTarget(request.head.protocol, request.head.target)) {
-      failNotRun(request, {ErrorKind::kModelNotFound, "no longer configured", {}});
-    } else if (const auto refusal = reasonNotServable(request, 0)) {
-      failNotRun(request, *refusal);
+void RouterCore::Implementation::refuseUnservable()
+{
+    std::vector<RequestTicket> waiting;
+    for (const auto& [ticket, request] : requests_)
+    {
+        const bool isWaiting =
+            request.state == RequestState::kQueued || request.state == RequestState::kBackingOff;
+        if (isWaiting && ! request.hasReachedCaller)
+            waiting.push_back (ticket);
+    }
+    for (const RequestTicket ticket : waiting)
+    {
+        RouterRequest& request = requests_.at (ticket);
+        if (! configuration_.hasTarget (request.head.protocol, request.head.target))
+        {
+            failNotRun (request, { ErrorKind::kModelNotFound, "no longer configured", {} });
+        }
+        else if (const auto refusal = reasonNotServable (request, 0))
+        {
+            failNotRun (request, *refusal);
+        }
     }
-  }
 }
 
-void RouterCore::Implementation::checkPace() {
-  if (now_ < nextPaceCheck_) return;
-  nextPaceCheck_ = now_ + kPaceCheckInterval;
-  for (const std::string& target : queues_.targetsWaiting()) {
-    std::size_t ahead = 0;
-    for (const admission::Ticket ticket : queues_.inServiceOrder(target)) {
-      RouterRequest& request = requests_.at(ticket);
-      const auto refusal = reasonNotServable(request, ahead);
-      if (refusal && !request.hasReachedCaller) {
-        failNotRun(request, *refusal);
-      } else {
-        ahead += 1;
-      }
+void RouterCore::Implementation::checkPace()
+{
+    if (now_ < nextPaceCheck_)
+        return;
+    nextPaceCheck_ = now_ + kPaceCheckInterval;
+    for (const std::string& target : queues_.targetsWaiting())
+    {
+        std::size_t ahead = 0;
+        for (const admission::Ticket ticket : queues_.inServiceOrder (target))
+        {
+            RouterRequest& request = requests_.at (ticket);
+            const auto refusal = reasonNotServable (request, ahead);
+            if (refusal && ! request.hasReachedCaller)
+            {
+                failNotRun (request, *refusal);
+            }
+            else
+            {
+                ahead += 1;
+            }
+        }
     }
-  }
 }
 
-void RouterCore::Implementation::refuseWaiting(ErrorKind kind, const std::string& message,
-                                               base::Duration estimate) {
-  std::vector<RequestTicket> waiting;
-  for (const auto& [ticket, request] : requests_) {
-    if (!request.wasDispatched && !request.isDetached) waiting.push_back(ticket);
-  }
-  for (const RequestTicket ticket : waiting) {
-    failNotRun(requests_.at(ticket), {kind, message, estimate});
-  }
+void RouterCore::Implementation::refuseWaiting (ErrorKind kind, const std::string& message,
+                                                base::Duration estimate)
+{
+    std::vector<RequestTicket> waiting;
+    for (const auto& [ticket, request] : requests_)
+    {
+        if (! request.wasDispatched && ! request.isDetached)
+            waiting.push_back (ticket);
+    }
+    for (const RequestTicket ticket : waiting)
+    {
+        failNotRun (requests_.at (ticket), { kind, message, estimate });
+    }
 }
 
-void RouterCore::Implementation::serveQueues() {
-  // Serving may free room again, for example when a request is refused on the way.
-  while (std::exchange(mustServe_, false)) {
-    std::vector<int> urgencies = queues_.urgenciesWaiting();
-    if (options_.plantedFault == PlantedFault::kStarveUrgent) std::ranges::reverse(urgencies);
-    for (const int urgency : urgencies) {
-      for (const std::string& target : queues_.targetsWaiting(urgency)) {
-        serveTarget(target, urgency);
-      }
+void RouterCore::Implementation::serveQueues()
+{
+    // Serving may free room again, for example when a request is refused on the way.
+    while (std::exchange (mustServe_, false))
+    {
+        std::vector<int> urgencies = queues_.urgenciesWaiting();
+        if (options_.plantedFault == PlantedFault::kStarveUrgent)
+            std::ranges::reverse (urgencies);
+        for (const int urgency : urgencies)
+        {
+            for (const std::string& target : queues_.targetsWaiting (urgency))
+            {
+                serveTarget (target, urgency);
+            }
+        }
     }
-  }
 }
 
-void RouterCore::Implementation::serveTarget(const std::string& target, int urgency) {
-  while (const auto ticket = queues_.front(target, urgency)) {
-    RouterRequest& request = requests_.at(*ticket);
-    const auto replica = chooseReplica(request);
-    if (!replica) return;
-    queues_.popServed(*ticket);
-    const bool othersWait = queues_.countWaiting(target) > 0;
-    waits_.onDispatch(target, othersWait, now_);
-    beginService(request, *replica);
-  }
+void RouterCore::Implementation::serveTarget (const std::string& target, int urgency)
+{
+    while (const auto ticket = queues_.front (target, urgency))
+    {
+        RouterRequest& request = requests_.at (*ticket);
+        const auto replica = chooseReplica (request);
+        if (! replica)
+            return;
+        queues_.popServed (*ticket);
+        const bool othersWait = queues_.countWaiting (target) > 0;
+        waits_.onDispatch (target, othersWait, now_);
+        beginService (request, *replica);
+    }
 }
 
-std::optional<cell::RoutableReplica> RouterCore::Implementation::chooseReplica(
-    const RouterRequest& request) {
-  std::vector<const routing::ReplicaState*> candidates = table_.usableReplicas(request.head.target);
-  std::erase_if(candidates, [&](const routing::ReplicaState* state) {
-    return !hasRoom(*state, request.urgency);
-  });
-  routing::ChoiceRequest choice{request.head.prefixHashes, request.avoid, std::nullopt};
-  const bool isReserved = configuration_.reservation().hasReservation(request.urgency);
-  if (isReserved) choice.pausesLessUrgentThan = request.urgency;
-  const routing::ReplicaState* chosen =
-      chooser_.choose(candidates, choice, table_, outliers_, prefixes_, now_, random_);
-  if (chosen == nullptr) return std::nullopt;
-  return chosen->info;
+std::optional<cell::RoutableReplica> RouterCore::Implementation::chooseReplica (
+    const RouterRequest& request)
+{
+    std::vector<const routing::ReplicaState*> candidates =
+        table_.usableReplicas (request.head.target);
+    std::erase_if (candidates, [&] (const routing::ReplicaState* state)
+                   { return ! hasRoom (*state, request.urgency); });
+    routing::ChoiceRequest choice{ request.head.prefixHashes, request.avoid, std::nullopt };
+    const bool isReserved = configuration_.reservation().hasReservation (request.urgency);
+    if (isReserved)
+        choice.pausesLessUrgentThan = request.urgency;
+    const routing::ReplicaState* chosen =
+        chooser_.choose (candidates, choice, table_, outliers_, prefixes_, now_, random_);
+    if (chosen == nullptr)
+        return std::nullopt;
+    return chosen->info;
 }
 
-bool RouterCore::Implementation::hasRoom(const routing::ReplicaState& state, int urgency) const {
-  const admission::SlotReservation& reservation = configuration_.reservation();
-  const cell::RoutableReplica& info = state.info;
-  const bool isReserved = reservation.hasReservation(urgency);
-  const bool isEntering = info.entryCredits != 0 && !demand_.isStated(info.target);
-  const std::uint32_t share = isEntering ? info.entryCredits : info.credits;
-  std::uint32_t credits = share == 0 ? std::max(info.slots, 1U) : share;
-  std::uint32_t used = state.inFlightTotal();
-  if (isReserved) {
-    // Credits may be as few as one. Less urgent requests take none from a class with reserved
-    // slots, which engines run first, and it may have as many requests as there are such slots.
-    used = routing::countUpTo(state.inFlight, urgency);
-    credits = std::max(credits, reservation.reservedSlots(urgency, info.slots));
-  }
-  if (!reservation.mayStart(urgency, credits, used, state.inFlight)) return false;
-  // Urgent requests may go beyond a load that is only estimated: engines serve them first.
-  if (info.slots == 0 || isReserved) return true;
-  return reservation.mayStart(urgency, info.slots, table_.estimatedLoad(info.runner),
-                              table_.inFlightAtRunner(info.runner));
+bool RouterCore::Implementation::hasRoom (const routing::ReplicaState& state, int urgency) const
+{
+    const admission::SlotReservation& reservation = configuration_.reservation();
+    const cell::RoutableReplica& info = state.info;
+    const bool isReserved = reservation.hasReservation (urgency);
+    const bool isEntering = info.entryCredits != 0 && ! demand_.isStated (info.target);
+    const std::uint32_t share = isEntering ? info.entryCredits : info.credits;
+    std::uint32_t credits = share == 0 ? std::max (info.slots, 1U) : share;
+    std::uint32_t used = state.inFlightTotal();
+    if (isReserved)
+    {
+        // Credits may be as few as one. Less urgent requests take none from a class with reserved
+        // slots, which engines run first, and it may have as many requests as there are such slots.
+        used = routing::countUpTo (state.inFlight, urgency);
+        credits = std::max (credits, reservation.reservedSlots (urgency, info.slots));
+    }
+    if (! reservation.mayStart (urgency, credits, used, state.inFlight))
+        return false;
+    // Urgent requests may go beyond a load that is only estimated: engines serve them first.
+    if (info.slots == 0 || isReserved)
+        return true;
+    return reservation.mayStart (urgency, info.slots, table_.estimatedLoad (info.runner),
+                                 table_.inFlightAtRunner (info.runner));
 }
 
-base::Duration RouterCore::Implementation::waitEstimate(const RouterRequest& request) const {
-  const std::string& target = request.head.target;
-  if (table_.hasUsableReplica(target)) {
-    const std::size_t ahead = queues_.countAhead(target, request.urgency);
-    return waits_.waitBehind(target, ahead, now_).value_or(kDefaultEstimate);
-  }
-  const auto estimate = table_.estimateOf(target);
-  if (!estimate || estimate->readyAt <= now_) return kDefaultEstimate;
-  return estimate->readyAt - now_;
+base::Duration RouterCore::Implementation::waitEstimate (const RouterRequest& request) const
+{
+    const std::string& target = request.head.target;
+    if (table_.hasUsableReplica (target))
+    {
+        const std::size_t ahead = queues_.countAhead (target, request.urgency);
+        return waits_.waitBehind (target, ahead, now_).value_or (kDefaultEstimate);
+    }
+    const auto estimate = table_.estimateOf (target);
+    if (! estimate || estimate->readyAt <= now_)
+        return kDefaultEstimate;
+    return estimate->readyAt - now_;
 }
 
-void RouterCore::Implementation::failNotRun(RouterRequest& request, const Refusal& refusal) {
-  const bool isRetryable = base::traitsOf(refusal.kind).retryable;
-  std::optional<base::Duration> retryAfter;
-  if (isRetryable) retryAfter = admission::retryAfter(refusal.estimate, random_);
-  const auto execution = request.mayHaveRun ? base::Execution::kUnknown : base::Execution::kNotRun;
-  fail(request, base::Error{refusal.kind, refusal.message}, execution, retryAfter);
+void RouterCore::Implementation::failNotRun (RouterRequest& request, const Refusal& refusal)
+{
+    const bool isRetryable = base::traitsOf (refusal.kind).retryable;
+    std::optional<base::Duration> retryAfter;
+    if (isRetryable)
+        retryAfter = admission::retryAfter (refusal.estimate, random_);
+    const auto execution =
+        request.mayHaveRun ? base::Execution::kUnknown : base::Execution::kNotRun;
+    fail (request, base::Error{ refusal.kind, refusal.message }, execution, retryAfter);
 }
 
 }  // namespace fernlift::router
--- a/src/router/RouterCoreImplementation.h
+++ b/src/router/RouterCoreImplementation.h
@@ -27,163 +27,166 @@
 #include "routing/ReplicaChooser.h"
 #include "routing/ReplicaTable.h"
 
-namespace fernlift::router {
-
-class RouterCore::Implementation {
- public:
-  Implementation(RouterOptions options, std::uint64_t randomSeed, base::TimePoint now,
-                 base::UnixMilliseconds unixNow);
-
-  void setTime(base::TimePoint now, base::UnixMilliseconds unixNow);
-  void onTick();
-  void onControllerConnected();
-  void onControllerLost();
-  void onControllerMessage(const cell::ControllerToRouter& message);
-  RequestTicket onRequest(const RequestHead& head);
-  void onCallerGone(RequestTicket ticket);
-  void onCallerPaused(RequestTicket ticket, bool isPaused);
-  void onAttemptEvent(AttemptId attempt, const AttemptEvent& event);
-  std::uint64_t onCacheEvents(const base::RunnerId& runner, base::Incarnation incarnation,
-                              const std::vector<routing::CacheEvent>& events);
-  void beginStop();
-  [[nodiscard]] bool isIdle() const;
-  [[nodiscard]] bool isReady() const;
-  [[nodiscard]] std::uint64_t configurationVersion() const { return configuration_.version(); }
-  [[nodiscard]] const std::string& configurationDigest() const { return configuration_.digest(); }
-  std::vector<Effect> takeEffects();
-  [[nodiscard]] RouterCounters counters() const;
-  [[nodiscard]] std::vector<std::string> targets() const { return configuration_.targets(); }
-  [[nodiscard]] std::string explainRequest(const base::RequestId& id) const;
-  [[nodiscard]] std::string metricsText() const;
-
- private:
-  using Requests = std::map<RequestTicket, RouterRequest>;
-
-  /// Why a request cannot be served, and when it could be.
-  struct Refusal {
-    base::ErrorKind kind = base::ErrorKind::kInternal;
-    std::string message;
-    base::Duration estimate{};
-  };
-
-  // The controller's side.
-  void handle(const cell::NotLeaderReply& reply);
-  void handle(const cell::ConfigurationUpdate& update);
-  void handle(const cell::LeaseGrant& grant);
-  void handle(const cell::ReplicaUpdate& update);
-  void handle(const cell::ClaimReply& reply);
-  /// Registered services are the business of routers that forward.
-  void handle(const cell::InstanceUpdate& /*update*/) {}
-  /// Only controllers ask to join.
-  void handle(const cell::MemberJoinReply& /*reply*/) {}
-  /// The cell's time as the leader last told it; 0 before. It goes on with the monotonic clock, so
-  /// that a step of this machine's wall clock changes nothing.
-  [[nodiscard]] base::UnixMilliseconds cellTime() const;
-  void pollController();
-  void sendToController(cell::RouterToController message);
-  void sendDemand();
-  [[nodiscard]] DemandByTarget currentDemand() const;
-  void checkLease();
-  /// Brings everything to rest after an input: serves the queues and sends what is due.
-  void settle();
-
-  // Waiting and refusing.
-  [[nodiscard]] std::optional<Refusal> reasonToRefuseAtOnce(const RequestHead& head) const;
-  [[nodiscard]] std::optional<Refusal> reasonNotServable(const RouterRequest& request,
-                                                         std::size_t ahead) const;
-  RouterRequest& admit(const RequestHead& head, const config::RequestClass& requestClass);
-  void enqueueNew(RouterRequest& request);
-  void enqueueAgain(RouterRequest& request);
-  [[nodiscard]] admission::QueuedRequest queueEntry(const RouterRequest& request) const;
-  /// Refuses waiting requests that the table or the configuration rules out.
-  void refuseUnservable();
-  /// Refuses waiting requests whose queue has become too slow for their deadlines.
-  void checkPace();
-  void refuseWaiting(base::ErrorKind kind, const std::string& message, base::Duration estimate);
-  void serveQueues();
-  void serveTarget(const std::string& target, int urgency);
-  [[nodiscard]] std::optional<cell::RoutableReplica> chooseReplica(const RouterRequest& request);
-  [[nodiscard]] bool hasRoom(const routing::ReplicaState& state, int urgency) const;
-  [[nodiscard]] base::Duration waitEstimate(const RouterRequest& request) const;
-
-  // Attempts and answers.
-  void beginService(RouterRequest& request, const cell::RoutableReplica& replica);
-  void requestClaim(RouterRequest& request, const cell::RoutableReplica& replica);
-  void onClaimAnswer(const cell::ClaimAnswer& answer);
-  void onClaimGranted(RouterRequest& request);
-  void startAttempt(RouterRequest& request, const cell::RoutableReplica& replica);
-  void startHedge(RouterRequest& request);
-  [[nodiscard]] base::TimePoint firstByteBy(const RouterRequest& request) const;
-  void handle(RouterRequest& request, AttemptId id, const AttemptNotSent& event);
-  void handle(RouterRequest& request, AttemptId id, const AttemptRefused& event);
-  void handle(RouterRequest& request, AttemptId id, const AttemptHeaders& event);
-  void handle(RouterRequest& request, AttemptId id, const AttemptData& event);
-  void handle(RouterRequest& request, AttemptId id, const AttemptEnded& event);
-  void handle(RouterRequest& request, AttemptId id, const AttemptBroken& event);
-  bool takeLead(RouterRequest& request, AttemptId id);
-  void passPart(RouterRequest& request, const AttemptData& part);
-  void beginAnswer(RouterRequest& request);
-  void onAttemptFailed(RouterRequest& request, AttemptId id, dispatch::AttemptFailure failure,
-                       std::optional<base::Duration> retryAfter = std::nullopt);
-  void retry(RouterRequest& request, dispatch::AttemptFailure failure);
-  void failAfterAttempt(RouterRequest& request, dispatch::AttemptFailure failure,
-                        std::optional<base::Duration> retryAfter);
-  void noteLeaving(const cell::RoutableReplica& replica);
-  /// Forgets an attempt; with `cancel` the back end is told to stop.
-  void dropAttempt(RouterRequest& request, AttemptId id, bool cancel);
-
-  // Ends and timers.
-  void fail(RouterRequest& request, base::Error error, base::Execution execution,
-            std::optional<base::Duration> retryAfter);
-  void failNotRun(RouterRequest& request, const Refusal& refusal);
-  void answerError(const RouterRequest& request, base::Error error, base::Execution execution,
-                   std::optional<base::Duration> retryAfter);
-  void recordOutcome(RouterRequest& request, cell::ClaimOutcome outcome, int httpStatus);
-  /// Frees everything a request holds and forgets it.
-  void forget(RouterRequest& request);
-  void detach(RouterRequest& request);
-  void onDeadline(RouterRequest& request);
-  void onRequestTimer(RouterRequest& request);
-  void setTimer(RouterRequest& request);
-  [[nodiscard]] std::optional<base::TimePoint> nextTimer(const RouterRequest& request) const;
-  [[nodiscard]] bool awaitsFirstByte(const RouterRequest& request) const;
-  void runTimers();
-  void trace(const RouterRequest& request, std::string step);
-
-  RouterOptions options_;
-  base::Random random_;
-  base::TimePoint now_;
-  base::UnixMilliseconds unixNow_;
-  base::UnixMilliseconds cellTimeKnown_ = 0;  ///< 0: the leader has not told it yet.
-  base::TimePoint cellTimeKnownAt_{};
-  std::string processNonce_;  ///< Makes claims of this process unlike those of an earlier one.
-
-  ControllerSession session_;
-  ActiveConfiguration configuration_;
-  routing::ReplicaTable table_;
-  routing::OutlierDetector outliers_;
-  routing::PrefixIndex prefixes_;
-  routing::ReplicaChooser chooser_;
-  admission::AdmissionQueues queues_;
-  admission::WaitEstimator waits_;
-  dispatch::RetryBudget retryBudget_;
-  dispatch::ClaimTracker claims_;
-  DemandReporter demand_;
-  RequestTraces traces_;
-
-  Requests requests_;
-  std::map<AttemptId, RequestTicket> attemptOwners_;
-  std::map<base::RequestId, RequestTicket> claimOwners_;
-  std::set<std::pair<base::TimePoint, RequestTicket>> timers_;
-  RequestTicket lastTicket_ = 0;
-  AttemptId lastAttempt_ = 0;
-  bool hadLease_ = false;
-  base::TimePoint nextPaceCheck_{};
-  bool mustServe_ = false;  ///< Something changed that may let a waiting request go.
-  std::optional<base::TimePoint> stoppingSince_;
-  RouterCounters counters_;
-  std::map<base::ErrorKind, std::uint64_t> errorsByKind_;
-  std::vector<Effect> effects_;
+namespace fernlift::router
+{
+
+class RouterCore::Implementation
+{
+public:
+    Implementation (RouterOptions options, std::uint64_t randomSeed, base::TimePoint now,
+                    base::UnixMilliseconds unixNow);
+
+    void setTime (base::TimePoint now, base::UnixMilliseconds unixNow);
+    void onTick();
+    void onControllerConnected();
+    void onControllerLost();
+    void onControllerMessage (const cell::ControllerToRouter& message);
+    RequestTicket onRequest (const RequestHead& head);
+    void onCallerGone (RequestTicket ticket);
+    void onCallerPaused (RequestTicket ticket, bool isPaused);
+    void onAttemptEvent (AttemptId attempt, const AttemptEvent& event);
+    std::uint64_t onCacheEvents (const base::RunnerId& runner, base::Incarnation incarnation,
+                                 const std::vector<routing::CacheEvent>& events);
+    void beginStop();
+    [[nodiscard]] bool isIdle() const;
+    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] std::uint64_t configurationVersion() const { return configuration_.version(); }
+    [[nodiscard]] const std::string& configurationDigest() const { return configuration_.digest(); }
+    std::vector<Effect> takeEffects();
+    [[nodiscard]] RouterCounters counters() const;
+    [[nodiscard]] std::vector<std::string> targets() const { return configuration_.targets(); }
+    [[nodiscard]] std::string explainRequest (const base::RequestId& id) const;
+    [[nodiscard]] std::string metricsText() const;
+
+private:
+    using Requests = std::map<RequestTicket, RouterRequest>;
+
+    /// Why a request cannot be served, and when it could be.
+    struct Refusal
+    {
+        base::ErrorKind kind = base::ErrorKind::kInternal;
+        std::string message;
+        base::Duration estimate{};
+    };
+
+    // The controller's side.
+    void handle (const cell::NotLeaderReply& reply);
+    void handle (const cell::ConfigurationUpdate& update);
+    void handle (const cell::LeaseGrant& grant);
+    void handle (const cell::ReplicaUpdate& update);
+    void handle (const cell::ClaimReply& reply);
+    /// Registered services are the business of routers that forward.
+    void handle (const cell::InstanceUpdate& /*update*/) {}
+    /// Only controllers ask to join.
+    void handle (const cell::MemberJoinReply& /*reply*/) {}
+    /// The cell's time as the leader last told it; 0 before. It goes on with the monotonic clock,
+    /// so that a step of this machine's wall clock changes nothing.
+    [[nodiscard]] base::UnixMilliseconds cellTime() const;
+    void pollController();
+    void sendToController (cell::RouterToController message);
+    void sendDemand();
+    [[nodiscard]] DemandByTarget currentDemand() const;
+    void checkLease();
+    /// Brings everything to rest after an input: serves the queues and sends what is due.
+    void settle();
+
+    // Waiting and refusing.
+    [[nodiscard]] std::optional<Refusal> reasonToRefuseAtOnce (const RequestHead& head) const;
+    [[nodiscard]] std::optional<Refusal> reasonNotServable (const RouterRequest& request,
+                                                            std::size_t ahead) const;
+    RouterRequest& admit (const RequestHead& head, const config::RequestClass& requestClass);
+    void enqueueNew (RouterRequest& request);
+    void enqueueAgain (RouterRequest& request);
+    [[nodiscard]] admission::QueuedRequest queueEntry (const RouterRequest& request) const;
+    /// Refuses waiting requests that the table or the configuration rules out.
+    void refuseUnservable();
+    /// Refuses waiting requests whose queue has become too slow for their deadlines.
+    void checkPace();
+    void refuseWaiting (base::ErrorKind kind, const std::string& message, base::Duration estimate);
+    void serveQueues();
+    void serveTarget (const std::string& target, int urgency);
+    [[nodiscard]] std::optional<cell::RoutableReplica> chooseReplica (const RouterRequest& request);
+    [[nodiscard]] bool hasRoom (const routing::ReplicaState& state, int urgency) const;
+    [[nodiscard]] base::Duration waitEstimate (const RouterRequest& request) const;
+
+    // Attempts and answers.
+    void beginService (RouterRequest& request, const cell::RoutableReplica& replica);
+    void requestClaim (RouterRequest& request, const cell::RoutableReplica& replica);
+    void onClaimAnswer (const cell::ClaimAnswer& answer);
+    void onClaimGranted (RouterRequest& request);
+    void startAttempt (RouterRequest& request, const cell::RoutableReplica& replica);
+    void startHedge (RouterRequest& request);
+    [[nodiscard]] base::TimePoint firstByteBy (const RouterRequest& request) const;
+    void handle (RouterRequest& request, AttemptId id, const AttemptNotSent& event);
+    void handle (RouterRequest& request, AttemptId id, const AttemptRefused& event);
+    void handle (RouterRequest& request, AttemptId id, const AttemptHeaders& event);
+    void handle (RouterRequest& request, AttemptId id, const AttemptData& event);
+    void handle (RouterRequest& request, AttemptId id, const AttemptEnded& event);
+    void handle (RouterRequest& request, AttemptId id, const AttemptBroken& event);
+    bool takeLead (RouterRequest& request, AttemptId id);
+    void passPart (RouterRequest& request, const AttemptData& part);
+    void beginAnswer (RouterRequest& request);
+    void onAttemptFailed (RouterRequest& request, AttemptId id, dispatch::AttemptFailure failure,
+                          std::optional<base::Duration> retryAfter = std::nullopt);
+    void retry (RouterRequest& request, dispatch::AttemptFailure failure);
+    void failAfterAttempt (RouterRequest& request, dispatch::AttemptFailure failure,
+                           std::optional<base::Duration> retryAfter);
+    void noteLeaving (const cell::RoutableReplica& replica);
+    /// Forgets an attempt; with `cancel` the back end is told to stop.
+    void dropAttempt (RouterRequest& request, AttemptId id, bool cancel);
+
+    // Ends and timers.
+    void fail (RouterRequest& request, base::Error error, base::Execution execution,
+               std::optional<base::Duration> retryAfter);
+    void failNotRun (RouterRequest& request, const Refusal& refusal);
+    void answerError (const RouterRequest& request, base::Error error, base::Execution execution,
+                      std::optional<base::Duration> retryAfter);
+    void recordOutcome (RouterRequest& request, cell::ClaimOutcome outcome, int httpStatus);
+    /// Frees everything a request holds and forgets it.
+    void forget (RouterRequest& request);
+    void detach (RouterRequest& request);
+    void onDeadline (RouterRequest& request);
+    void onRequestTimer (RouterRequest& request);
+    void setTimer (RouterRequest& request);
+    [[nodiscard]] std::optional<base::TimePoint> nextTimer (const RouterRequest& request) const;
+    [[nodiscard]] bool awaitsFirstByte (const RouterRequest& request) const;
+    void runTimers();
+    void trace (const RouterRequest& request, std::string step);
+
+    RouterOptions options_;
+    base::Random random_;
+    base::TimePoint now_;
+    base::UnixMilliseconds unixNow_;
+    base::UnixMilliseconds cellTimeKnown_ = 0;  ///< 0: the leader has not told it yet.
+    base::TimePoint cellTimeKnownAt_{};
+    std::string processNonce_;  ///< Makes claims of this process unlike those of an earlier one.
+
+    ControllerSession session_;
+    ActiveConfiguration configuration_;
+    routing::ReplicaTable table_;
+    routing::OutlierDetector outliers_;
+    routing::PrefixIndex prefixes_;
+    routing::ReplicaChooser chooser_;
+    admission::AdmissionQueues queues_;
+    admission::WaitEstimator waits_;
+    dispatch::RetryBudget retryBudget_;
+    dispatch::ClaimTracker claims_;
+    DemandReporter demand_;
+    RequestTraces traces_;
+
+    Requests requests_;
+    std::map<AttemptId, RequestTicket> attemptOwners_;
+    std::map<base::RequestId, RequestTicket> claimOwners_;
+    std::set<std::pair<base::TimePoint, RequestTicket>> timers_;
+    RequestTicket lastTicket_ = 0;
+    AttemptId lastAttempt_ = 0;
+    bool hadLease_ = false;
+    base::TimePoint nextPaceCheck_{};
+    bool mustServe_ = false;  ///< Something changed that may let a waiting request go.
+    std::optional<base::TimePoint> stoppingSince_;
+    RouterCounters counters_;
+    std::map<base::ErrorKind, std::uint64_t> errorsByKind_;
+    std::vector<Effect> effects_;
 };
 
 }  // namespace fernlift::router
--- a/src/router/RouterEnds.cpp
+++ b/src/router/RouterEnds.cpp
@@ -5,187 +5,238 @@
 
 #include "router/RouterCoreImplementation.h"
 
-namespace fernlift::router {
-namespace {
+namespace fernlift::router
+{
+namespace
+{
 
 using base::ErrorKind;
 
 }  // namespace
 
-void RouterCore::Implementation::fail(RouterRequest& request, base::Error error,
-                                      base::Execution execution,
-                                      std::optional<base::Duration> retryAfter) {
-  const bool isProvenNotRun = !request.mayHaveRun && request.attempts.empty();
-  if (request.isClaimed) {
-    recordOutcome(request,
-                  isProvenNotRun ? cell::ClaimOutcome::kNotRun : cell::ClaimOutcome::kUnknown, 0);
-  }
-  trace(request, "ended as " + std::string(base::traitsOf(error.kind).name));
-  answerError(request, std::move(error), execution, retryAfter);
-  forget(request);
+void RouterCore::Implementation::fail (RouterRequest& request, base::Error error,
+                                       base::Execution execution,
+                                       std::optional<base::Duration> retryAfter)
+{
+    const bool isProvenNotRun = ! request.mayHaveRun && request.attempts.empty();
+    if (request.isClaimed)
+    {
+        recordOutcome (request,
+                       isProvenNotRun ? cell::ClaimOutcome::kNotRun : cell::ClaimOutcome::kUnknown,
+                       0);
+    }
+    trace (request, "ended as " + std::string (base::traitsOf (error.kind).name));
+    answerError (request, std::move (error), execution, retryAfter);
+    forget (request);
 }
 
-void RouterCore::Implementation::answerError(const RouterRequest& request, base::Error error,
-                                             base::Execution execution,
-                                             std::optional<base::Duration> retryAfter) {
-  if (options_.plantedFault == PlantedFault::kDropRefusal) return;
-  if (options_.plantedFault == PlantedFault::kNotRunAfterBytes) {
-    execution = base::Execution::kNotRun;
-  }
-  counters_.refused += 1;
-  errorsByKind_[error.kind] += 1;
-  effects_.emplace_back(AnswerError{request.ticket, std::move(error), execution, retryAfter});
+void RouterCore::Implementation::answerError (const RouterRequest& request, base::Error error,
+                                              base::Execution execution,
+                                              std::optional<base::Duration> retryAfter)
+{
+    if (options_.plantedFault == PlantedFault::kDropRefusal)
+        return;
+    if (options_.plantedFault == PlantedFault::kNotRunAfterBytes)
+    {
+        execution = base::Execution::kNotRun;
+    }
+    counters_.refused += 1;
+    errorsByKind_[error.kind] += 1;
+    effects_.emplace_back (AnswerError{ request.ticket, std::move (error), execution, retryAfter });
 }
 
-void RouterCore::Implementation::recordOutcome(RouterRequest& request, cell::ClaimOutcome outcome,
-                                               int httpStatus) {
-  if (!request.isClaimed) return;
-  request.isClaimed = false;
-  claims_.recordOutcome({request.claim->key, request.claim->request, outcome, httpStatus}, now_);
+void RouterCore::Implementation::recordOutcome (RouterRequest& request, cell::ClaimOutcome outcome,
+                                                int httpStatus)
+{
+    if (! request.isClaimed)
+        return;
+    request.isClaimed = false;
+    claims_.recordOutcome ({ request.claim->key, request.claim->request, outcome, httpStatus },
+                           now_);
 }
 
-void RouterCore::Implementation::forget(RouterRequest& request) {
-  const RequestTicket ticket = request.ticket;
-  if (queues_.remove(ticket) && queues_.countWaiting(request.head.target) == 0) {
-    waits_.onQueueEmpty(request.head.target);
-  }
-  while (!request.attempts.empty()) dropAttempt(request, request.attempts.front().id(), true);
-  if (request.reserved) {
-    table_.removeInFlight(*request.reserved, request.urgency);
-    mustServe_ = true;
-  }
-  if (request.claim) {
-    claims_.abandon(*request.claim);
-    claimOwners_.erase(request.claim->request);
-  }
-  if (request.timerAt) timers_.erase({*request.timerAt, ticket});
-  requests_.erase(ticket);
+void RouterCore::Implementation::forget (RouterRequest& request)
+{
+    const RequestTicket ticket = request.ticket;
+    if (queues_.remove (ticket) && queues_.countWaiting (request.head.target) == 0)
+    {
+        waits_.onQueueEmpty (request.head.target);
+    }
+    while (! request.attempts.empty())
+        dropAttempt (request, request.attempts.front().id(), true);
+    if (request.reserved)
+    {
+        table_.removeInFlight (*request.reserved, request.urgency);
+        mustServe_ = true;
+    }
+    if (request.claim)
+    {
+        claims_.abandon (*request.claim);
+        claimOwners_.erase (request.claim->request);
+    }
+    if (request.timerAt)
+        timers_.erase ({ *request.timerAt, ticket });
+    requests_.erase (ticket);
 }
 
 /// Keeps a request that may not be repeated only to learn its outcome.
-void RouterCore::Implementation::detach(RouterRequest& request) {
-  request.isDetached = true;
-  request.detachedUntil = now_ + options_.outcomeWait;
-  request.buffered.clear();
-  setTimer(request);
+void RouterCore::Implementation::detach (RouterRequest& request)
+{
+    request.isDetached = true;
+    request.detachedUntil = now_ + options_.outcomeWait;
+    request.buffered.clear();
+    setTimer (request);
 }
 
-void RouterCore::Implementation::onCallerGone(RequestTicket ticket) {
-  const auto entry = requests_.find(ticket);
-  if (entry == requests_.end() || entry->second.isDetached) return;
-  RouterRequest& request = entry->second;
-  counters_.callersGone += 1;
-  trace(request, "caller left");
-  if (!request.isRepeatable && request.state == RequestState::kDispatched) {
-    detach(request);
-  } else {
-    const auto outcome =
-        request.mayHaveRun ? cell::ClaimOutcome::kUnknown : cell::ClaimOutcome::kNotRun;
-    recordOutcome(request, outcome, 0);
-    forget(request);
-  }
-  settle();
+void RouterCore::Implementation::onCallerGone (RequestTicket ticket)
+{
+    const auto entry = requests_.find (ticket);
+    if (entry == requests_.end() || entry->second.isDetached)
+        return;
+    RouterRequest& request = entry->second;
+    counters_.callersGone += 1;
+    trace (request, "caller left");
+    if (! request.isRepeatable && request.state == RequestState::kDispatched)
+    {
+        detach (request);
+    }
+    else
+    {
+        const auto outcome =
+            request.mayHaveRun ? cell::ClaimOutcome::kUnknown : cell::ClaimOutcome::kNotRun;
+        recordOutcome (request, outcome, 0);
+        forget (request);
+    }
+    settle();
 }
 
 /// Whether nothing of the answer has reached the caller.
-bool RouterCore::Implementation::awaitsFirstByte(const RouterRequest& request) const {
-  return !request.hasReachedCaller && !request.isDetached;
+bool RouterCore::Implementation::awaitsFirstByte (const RouterRequest& request) const
+{
+    return ! request.hasReachedCaller && ! request.isDetached;
 }
 
-std::optional<base::TimePoint> RouterCore::Implementation::nextTimer(
-    const RouterRequest& request) const {
-  std::optional<base::TimePoint> next;
-  const auto consider = [&next](base::TimePoint at) { next = next ? std::min(*next, at) : at; };
-  if (request.isDetached) {
-    consider(request.detachedUntil);
+std::optional<base::TimePoint> RouterCore::Implementation::nextTimer (
+    const RouterRequest& request) const
+{
+    std::optional<base::TimePoint> next;
+    const auto consider = [&next] (base::TimePoint at) { next = next ? std::min (*next, at) : at; };
+    if (request.isDetached)
+    {
+        consider (request.detachedUntil);
+        return next;
+    }
+    consider (awaitsFirstByte (request) ? request.deadline : request.wholeBy);
+    if (request.state == RequestState::kBackingOff)
+        consider (request.nextAttemptAt);
+    if (request.resumeBy)
+        consider (*request.resumeBy);
+    if (request.hedgeAt)
+        consider (*request.hedgeAt);
+    for (const dispatch::Attempt& attempt : request.attempts)
+        consider (attempt.timeoutAt());
     return next;
-  }
-  consider(awaitsFirstByte(request) ? request.deadline : request.wholeBy);
-  if (request.state == RequestState::kBackingOff) consider(request.nextAttemptAt);
-  if (request.resumeBy) consider(*request.resumeBy);
-  if (request.hedgeAt) consider(*request.hedgeAt);
-  for (const dispatch::Attempt& attempt : request.attempts) consider(attempt.timeoutAt());
-  return next;
 }
 
-void RouterCore::Implementation::setTimer(RouterRequest& request) {
-  if (request.timerAt) timers_.erase({*request.timerAt, request.ticket});
-  request.timerAt = nextTimer(request);
-  if (request.timerAt) timers_.emplace(*request.timerAt, request.ticket);
+void RouterCore::Implementation::setTimer (RouterRequest& request)
+{
+    if (request.timerAt)
+        timers_.erase ({ *request.timerAt, request.ticket });
+    request.timerAt = nextTimer (request);
+    if (request.timerAt)
+        timers_.emplace (*request.timerAt, request.ticket);
 }
 
-void RouterCore::Implementation::runTimers() {
-  while (!timers_.empty() && timers_.begin()->first <= now_) {
-    RouterRequest& request = requests_.at(timers_.begin()->second);
-    timers_.erase(timers_.begin());
-    request.timerAt.reset();
-    onRequestTimer(request);
-  }
+void RouterCore::Implementation::runTimers()
+{
+    while (! timers_.empty() && timers_.begin()->first <= now_)
+    {
+        RouterRequest& request = requests_.at (timers_.begin()->second);
+        timers_.erase (timers_.begin());
+        request.timerAt.reset();
+        onRequestTimer (request);
+    }
 }
 
-void RouterCore::Implementation::onRequestTimer(RouterRequest& request) {
-  if (request.isDetached) {
-    recordOutcome(request, cell::ClaimOutcome::kUnknown, 0);
-    forget(request);
-    return;
-  }
-  if (awaitsFirstByte(request) && now_ >= request.deadline) {
-    const bool isAnswering = std::any_of(
-        request.attempts.begin(), request.attempts.end(),
-        [&](const dispatch::Attempt& attempt) { return attempt.id() == request.answeringAttempt; });
-    if (isAnswering && !request.buffered.empty()) {
-      // What was kept back for the case of another attempt must wait no longer.
-      beginAnswer(request);
-      setTimer(request);
-    } else {
-      onDeadline(request);
-    }
-    return;
-  }
-  if (!awaitsFirstByte(request) && now_ >= request.wholeBy) {
-    onDeadline(request);
-    return;
-  }
-  if (request.resumeBy && now_ >= *request.resumeBy) {
-    fail(request, {ErrorKind::kUpstreamBroken, "the stream could not be resumed in time"},
-         base::Execution::kUnknown, std::nullopt);
-    return;
-  }
-  for (const dispatch::Attempt& attempt : request.attempts) {
-    if (attempt.timeoutAt() > now_) continue;
-    const AttemptId id = attempt.id();
-    effects_.emplace_back(CancelAttempt{id});
-    onAttemptFailed(request, id, dispatch::AttemptFailure::kTimedOut);
-    return;
-  }
-  if (request.state == RequestState::kBackingOff && now_ >= request.nextAttemptAt) {
-    request.avoid.clear();
-    enqueueAgain(request);
-    return;
-  }
-  if (request.hedgeAt && now_ >= *request.hedgeAt) startHedge(request);
-  setTimer(request);
+void RouterCore::Implementation::onRequestTimer (RouterRequest& request)
+{
+    if (request.isDetached)
+    {
+        recordOutcome (request, cell::ClaimOutcome::kUnknown, 0);
+        forget (request);
+        return;
+    }
+    if (awaitsFirstByte (request) && now_ >= request.deadline)
+    {
+        const bool isAnswering = std::any_of (request.attempts.begin(), request.attempts.end(),
+                                              [&] (const dispatch::Attempt& attempt)
+                                              { return attempt.id() == request.answeringAttempt; });
+        if (isAnswering && ! request.buffered.empty())
+        {
+            // What was kept back for the case of another attempt must wait no longer.
+            beginAnswer (request);
+            setTimer (request);
+        }
+        else
+        {
+            onDeadline (request);
+        }
+        return;
+    }
+    if (! awaitsFirstByte (request) && now_ >= request.wholeBy)
+    {
+        onDeadline (request);
+        return;
+    }
+    if (request.resumeBy && now_ >= *request.resumeBy)
+    {
+        fail (request, { ErrorKind::kUpstreamBroken, "the stream could not be resumed in time" },
+              base::Execution::kUnknown, std::nullopt);
+        return;
+    }
+    for (const dispatch::Attempt& attempt : request.attempts)
+    {
+        if (attempt.timeoutAt() > now_)
+            continue;
+        const AttemptId id = attempt.id();
+        effects_.emplace_back (CancelAttempt{ id });
+        onAttemptFailed (request, id, dispatch::AttemptFailure::kTimedOut);
+        return;
+    }
+    if (request.state == RequestState::kBackingOff && now_ >= request.nextAttemptAt)
+    {
+        request.avoid.clear();
+        enqueueAgain (request);
+        return;
+    }
+    if (request.hedgeAt && now_ >= *request.hedgeAt)
+        startHedge (request);
+    setTimer (request);
 }
 
-void RouterCore::Implementation::onDeadline(RouterRequest& request) {
-  if (request.state != RequestState::kDispatched && !request.mayHaveRun) {
-    failNotRun(request, {ErrorKind::kDeadlinePassed, "the deadline passed while waiting",
-                         waitEstimate(request)});
-    return;
-  }
-  if (request.isRepeatable) {
-    fail(request, {ErrorKind::kUpstreamTimeout, "the back end did not answer in time"},
-         base::Execution::kUnknown, std::nullopt);
-    return;
-  }
-  answerError(request, {ErrorKind::kOutcomeUnknown, "the back end did not answer in time"},
+void RouterCore::Implementation::onDeadline (RouterRequest& request)
+{
+    if (request.state != RequestState::kDispatched && ! request.mayHaveRun)
+    {
+        failNotRun (request, { ErrorKind::kDeadlinePassed, "the deadline passed while waiting",
+                               waitEstimate (request) });
+        return;
+    }
+    if (request.isRepeatable)
+    {
+        fail (request, { ErrorKind::kUpstreamTimeout, "the back end did not answer in time" },
               base::Execution::kUnknown, std::nullopt);
-  trace(request, "deadline passed; outcome awaited");
-  detach(request);
+        return;
+    }
+    answerError (request, { ErrorKind::kOutcomeUnknown, "the back end did not answer in time" },
+                 base::Execution::kUnknown, std::nullopt);
+    trace (request, "deadline passed; outcome awaited");
+    detach (request);
 }
 
-void RouterCore::Implementation::trace(const RouterRequest& request, std::string step) {
-  traces_.add(request.head.id, now_, std::move(step));
+void RouterCore::Implementation::trace (const RouterRequest& request, std::string step)
+{
+    traces_.add (request.head.id, now_, std::move (step));
 }
 
 }  // namespace fernlift::router
--- a/src/router/RouterModelChecksTest.cpp
+++ b/src/router/RouterModelChecksTest.cpp
@@ -2,111 +2,135 @@
 
 #include "router/RouterModelTestSupport.h"
 
-namespace fernlift::router::testing {
+namespace fernlift::router::testing
+{
 
-void RouterModel::take(const StartAttempt& start) {
-  const auto known = requests_.find(start.ticket);
-  if (known == requests_.end()) requests_[start.ticket] = *arriving_;
-  Request& request = requests_.at(start.ticket);
-  checkStart(request, start);
-  request.attempts.push_back(start.attempt);
-  attempts_[start.attempt] = BackEndAttempt{start};
+void RouterModel::take (const StartAttempt& start)
+{
+    const auto known = requests_.find (start.ticket);
+    if (known == requests_.end())
+        requests_[start.ticket] = *arriving_;
+    Request& request = requests_.at (start.ticket);
+    checkStart (request, start);
+    request.attempts.push_back (start.attempt);
+    attempts_[start.attempt] = BackEndAttempt{ start };
 }
 
-void RouterModel::checkStart(const Request& request, const StartAttempt& start) const {
-  const cell::RoutableReplica& replica = start.replica;
-  require(request.isOpen(), "no attempt for a request that was answered");
-  require(!leaving_.contains({replica.runner, replica.incarnation}),
-          "a leaving runner gets nothing new");
-  require(!request.attempts.empty() || !controller_.hasNoLease(now_),
-          "no request is dispatched first without a lease");
-  if (!request.isRepeatable) {
-    require(isProvenNotRun(request), "a request that may not be repeated is sent once");
-    require(controller_.isGranted(request.head.idempotencyKey, request.head.id.value),
-            "bytes leave only under a granted claim");
-  }
-  // A request that may not be repeated holds its room from the moment it asks for its claim.
-  if (!request.isRepeatable || !request.attempts.empty()) return;
-  for (const auto& [ticket, other] : requests_) {
-    const bool waits = other.isOpen() && other.isRepeatable && other.attempts.empty() &&
-                       other.head.target == request.head.target && ticket != start.ticket;
-    require(!waits || other.urgency >= request.urgency,
-            "an urgent request goes before others of its model");
-  }
+void RouterModel::checkStart (const Request& request, const StartAttempt& start) const
+{
+    const cell::RoutableReplica& replica = start.replica;
+    require (request.isOpen(), "no attempt for a request that was answered");
+    require (! leaving_.contains ({ replica.runner, replica.incarnation }),
+             "a leaving runner gets nothing new");
+    require (! request.attempts.empty() || ! controller_.hasNoLease (now_),
+             "no request is dispatched first without a lease");
+    if (! request.isRepeatable)
+    {
+        require (isProvenNotRun (request), "a request that may not be repeated is sent once");
+        require (controller_.isGranted (request.head.idempotencyKey, request.head.id.value),
+                 "bytes leave only under a granted claim");
+    }
+    // A request that may not be repeated holds its room from the moment it asks for its claim.
+    if (! request.isRepeatable || ! request.attempts.empty())
+        return;
+    for (const auto& [ticket, other] : requests_)
+    {
+        const bool waits = other.isOpen() && other.isRepeatable && other.attempts.empty()
+                           && other.head.target == request.head.target && ticket != start.ticket;
+        require (! waits || other.urgency >= request.urgency,
+                 "an urgent request goes before others of its model");
+    }
 }
 
-void RouterModel::take(const AnswerHeaders& headers) {
-  Request& request = requests_.at(headers.ticket);
-  require(request.isOpen() && !request.hasHeaders, "one begin to each answer");
-  request.hasHeaders = true;
+void RouterModel::take (const AnswerHeaders& headers)
+{
+    Request& request = requests_.at (headers.ticket);
+    require (request.isOpen() && ! request.hasHeaders, "one begin to each answer");
+    request.hasHeaders = true;
 }
 
-void RouterModel::take(const AnswerData& data) {
-  Request& request = requests_.at(data.ticket);
-  require(request.isOpen() && request.hasHeaders, "parts come inside of an answer");
-  request.text += data.data;
-  checkText(request, false);
+void RouterModel::take (const AnswerData& data)
+{
+    Request& request = requests_.at (data.ticket);
+    require (request.isOpen() && request.hasHeaders, "parts come inside of an answer");
+    request.text += data.data;
+    checkText (request, false);
 }
 
-void RouterModel::checkText(const Request& request, bool isWhole) const {
-  const bool matches =
-      std::any_of(request.attempts.begin(), request.attempts.end(), [&](AttemptId id) {
-        std::string whole;
-        for (int number = 0; number < kTokens; ++number) whole += token(request, id, number);
-        return isWhole ? request.text == whole : whole.rfind(request.text, 0) == 0;
-      });
-  require(matches, "a caller gets the answer of one attempt, each part once");
+void RouterModel::checkText (const Request& request, bool isWhole) const
+{
+    const bool matches = std::any_of (request.attempts.begin(), request.attempts.end(),
+                                      [&] (AttemptId id)
+                                      {
+                                          std::string whole;
+                                          for (int number = 0; number < kTokens; ++number)
+                                              whole += token (request, id, number);
+                                          return isWhole ? request.text == whole
+                                                         : whole.rfind (request.text, 0) == 0;
+                                      });
+    require (matches, "a caller gets the answer of one attempt, each part once");
 }
 
-void RouterModel::take(const AnswerEnd& end) {
-  Request& request = requests_.at(end.ticket);
-  require(request.isOpen(), "one final answer to each request");
-  request.ends += 1;
-  checkText(request, true);
+void RouterModel::take (const AnswerEnd& end)
+{
+    Request& request = requests_.at (end.ticket);
+    require (request.isOpen(), "one final answer to each request");
+    request.ends += 1;
+    checkText (request, true);
 }
 
-void RouterModel::take(const AnswerError& error) {
-  const auto known = requests_.find(error.ticket);
-  if (known == requests_.end()) requests_[error.ticket] = *arriving_;
-  Request& request = requests_.at(error.ticket);
-  require(request.isOpen(), "one final answer to each request");
-  request.ends += 1;
-  if (error.execution == base::Execution::kNotRun) {
-    require(isProvenNotRun(request), "\"not run\" is said only of what no back end can have run");
-    const bool isRetryable = base::traitsOf(error.error.kind).retryable;
-    require(!isRetryable || (error.retryAfter && *error.retryAfter > base::Duration::zero()),
-            "a refusal says when to come back");
-  }
+void RouterModel::take (const AnswerError& error)
+{
+    const auto known = requests_.find (error.ticket);
+    if (known == requests_.end())
+        requests_[error.ticket] = *arriving_;
+    Request& request = requests_.at (error.ticket);
+    require (request.isOpen(), "one final answer to each request");
+    request.ends += 1;
+    if (error.execution == base::Execution::kNotRun)
+    {
+        require (isProvenNotRun (request),
+                 "\"not run\" is said only of what no back end can have run");
+        const bool isRetryable = base::traitsOf (error.error.kind).retryable;
+        require (! isRetryable || (error.retryAfter && *error.retryAfter > base::Duration::zero()),
+                 "a refusal says when to come back");
+    }
 }
 
-void RouterModel::checkAll() const {
-  const RouterCounters counters = core_.counters();
-  require(counters.admitted ==
-              counters.answered + counters.refused + counters.callersGone + counters.open,
-          "every request is counted once");
-  std::uint64_t open = 0;
-  for (const auto& [ticket, request] : requests_) {
-    if (!request.isOpen()) continue;
-    open += 1;
-    checkNotHopeless(request);
-    const bool hasBegun =
-        request.hasHeaders ||
-        std::any_of(request.attempts.begin(), request.attempts.end(), [this](AttemptId id) {
-          return attempts_.at(id).isLive && attempts_.at(id).hasHeaders;
-        });
-    require(hasBegun || now_ < request.deadline + base::milliseconds(20),
-            "a request is answered by its deadline");
-  }
-  require(open == counters.open, "the router knows the requests that are open");
+void RouterModel::checkAll() const
+{
+    const RouterCounters counters = core_.counters();
+    require (counters.admitted
+                 == counters.answered + counters.refused + counters.callersGone + counters.open,
+             "every request is counted once");
+    std::uint64_t open = 0;
+    for (const auto& [ticket, request] : requests_)
+    {
+        if (! request.isOpen())
+            continue;
+        open += 1;
+        checkNotHopeless (request);
+        const bool hasBegun =
+            request.hasHeaders
+            || std::any_of (request.attempts.begin(), request.attempts.end(),
+                            [this] (AttemptId id)
+                            { return attempts_.at (id).isLive && attempts_.at (id).hasHeaders; });
+        require (hasBegun || now_ < request.deadline + base::milliseconds (20),
+                 "a request is answered by its deadline");
+    }
+    require (open == counters.open, "the router knows the requests that are open");
 }
 
-void RouterModel::checkNotHopeless(const Request& request) const {
-  const auto estimate = estimates_.find(request.head.target);
-  const bool waits = request.isRepeatable && request.attempts.empty();
-  if (!waits || !hasTable_ || estimate == estimates_.end()) return;
-  if (controller_.hasRow(request.head.target, leaving_)) return;
-  const bool isMet = estimate->second.canBeServed && estimate->second.readyAt <= request.deadline;
-  require(isMet, "a request that cannot be met is refused at once");
+void RouterModel::checkNotHopeless (const Request& request) const
+{
+    const auto estimate = estimates_.find (request.head.target);
+    const bool waits = request.isRepeatable && request.attempts.empty();
+    if (! waits || ! hasTable_ || estimate == estimates_.end())
+        return;
+    if (controller_.hasRow (request.head.target, leaving_))
+        return;
+    const bool isMet = estimate->second.canBeServed && estimate->second.readyAt <= request.deadline;
+    require (isMet, "a request that cannot be met is refused at once");
 }
 
 }  // namespace fernlift::router::testing
--- a/src/router/RouterModelTestSupport.h
+++ b/src/router/RouterModelTestSupport.h
@@ -16,155 +16,182 @@
 #include "router/ModelControllerTestSupport.h"
 #include "routing/ReplicaTable.h"
 
-namespace fernlift::router::testing {
+namespace fernlift::router::testing
+{
 
 /// One input, chosen by numbers so that any sequence makes sense and can be shortened.
-struct ModelStep {
-  int kind = 0;
-  int choice = 0;
-  int detail = 0;
+struct ModelStep
+{
+    int kind = 0;
+    int choice = 0;
+    int detail = 0;
 };
 inline constexpr int kModelStepKinds = 30;
 
-struct Violation : std::runtime_error {
-  using std::runtime_error::runtime_error;
+struct Violation : std::runtime_error
+{
+    using std::runtime_error::runtime_error;
 };
 
-class RouterModel {
- public:
-  explicit RouterModel(const RouterOptions& options) : core_(options, 1, now_, kUnixStart) {
-    connect();
-    controller_.upsert(row("r1", "m", 0));
-    controller_.upsert(row("r2", "m", 0));
-    controller_.upsert(row("a1", "portal", 0));
-    tell(controller_.wholeTable());
-  }
-
-  /// Carries out one input and checks what must hold after each.
-  void run(const ModelStep& step);
-  /// Mends everything, lets it come to rest and checks that nothing is left.
-  void healAndFinish();
-
- private:
-  struct Request {
-    RequestHead head;
-    int urgency = 0;
-    bool isRepeatable = true;
-    base::TimePoint deadline{};
-    std::string text;  ///< What the caller got.
-    bool hasHeaders = false;
-    int ends = 0;
-    bool isGone = false;
-    std::vector<AttemptId> attempts;
-    [[nodiscard]] bool isOpen() const { return ends == 0 && !isGone; }
-  };
-  struct BackEndAttempt {
-    StartAttempt start;
-    int tokens = 0;  ///< Given so far.
-    bool hasHeaders = false;
-    bool isOver = false;          ///< For the back end.
-    bool isLive = true;           ///< For the router.
-    bool isProvenNotRun = false;  ///< It was told so.
-  };
-
-  static constexpr base::UnixMilliseconds kUnixStart = 1'800'000'000'000;
-  static constexpr int kTokens = 4;  ///< Of every answer.
-
-  static void require(bool holds, const std::string& promise) {
-    if (!holds) throw Violation(promise);
-  }
-  static cell::RoutableReplica row(const std::string& runner, const std::string& target,
-                                   base::Incarnation restarts) {
-    cell::RoutableReplica made = RouterHarness::replica(runner, target, 2);
-    made.incarnation = 1 + restarts;
-    made.isApplication = target == "portal";
-    made.replica = made.isApplication ? 0 : 10;
-    return made;
-  }
-  /// Streams of tokens are the same at every back end; other answers tell the attempt.
-  [[nodiscard]] static std::string token(const Request& request, AttemptId attempt, int number) {
-    const bool isStream =
-        request.head.isStreaming && request.head.protocol == Protocol::kCompletions;
-    const std::string source = isStream ? "" : "@" + std::to_string(attempt);
-    return request.head.id.value + source + "." + std::to_string(number) + " ";
-  }
-
-  // Inputs.
-  void advance(base::Duration duration);
-  void connect();
-  void tell(const cell::ControllerToRouter& message) {
-    const auto* update = std::get_if<cell::ReplicaUpdate>(&message);
-    if (update != nullptr) noteTable(*update);
-    if (!controller_.isConnected) return;
-    core_.onControllerMessage(message);
-    takeEffects();
-  }
-  /// Follows which table the router has.
-  void noteTable(const cell::ReplicaUpdate& update) {
-    const bool isWhole = update.fromVersion == 0;
-    hasTable_ = controller_.isConnected && (isWhole || hasTable_);
-    if (!hasTable_) return;
-    if (isWhole) estimates_.clear();
-    for (const auto& estimate : update.estimates) {
-      const auto readyAt = now_ + base::milliseconds(estimate.readyInMilliseconds);
-      estimates_[estimate.target] = {estimate.canBeServed, readyAt};
+class RouterModel
+{
+public:
+    explicit RouterModel (const RouterOptions& options) : core_ (options, 1, now_, kUnixStart)
+    {
+        connect();
+        controller_.upsert (row ("r1", "m", 0));
+        controller_.upsert (row ("r2", "m", 0));
+        controller_.upsert (row ("a1", "portal", 0));
+        tell (controller_.wholeTable());
     }
-  }
-  void tellAll(const std::vector<cell::ControllerToRouter>& messages) {
-    for (const auto& message : messages) tell(message);
-  }
-  void request(const ModelStep& step);
-  void callerGone(const ModelStep& step);
-  void attemptEvent(const ModelStep& step);
-  void give(AttemptId id, const AttemptEvent& event);
-  void finishAttempt(AttemptId id);
-  void changeReplicas(const ModelStep& step);
-  void changeControl(const ModelStep& step);
-
-  // Effects.
-  void takeEffects() {
-    for (Effect& effect : core_.takeEffects()) {
-      std::visit([this](auto& content) { take(content); }, effect);
+
+    /// Carries out one input and checks what must hold after each.
+    void run (const ModelStep& step);
+    /// Mends everything, lets it come to rest and checks that nothing is left.
+    void healAndFinish();
+
+private:
+    struct Request
+    {
+        RequestHead head;
+        int urgency = 0;
+        bool isRepeatable = true;
+        base::TimePoint deadline{};
+        std::string text;  ///< What the caller got.
+        bool hasHeaders = false;
+        int ends = 0;
+        bool isGone = false;
+        std::vector<AttemptId> attempts;
+        [[nodiscard]] bool isOpen() const { return ends == 0 && ! isGone; }
+    };
+    struct BackEndAttempt
+    {
+        StartAttempt start;
+        int tokens = 0;  ///< Given so far.
+        bool hasHeaders = false;
+        bool isOver = false;          ///< For the back end.
+        bool isLive = true;           ///< For the router.
+        bool isProvenNotRun = false;  ///< It was told so.
+    };
+
+    static constexpr base::UnixMilliseconds kUnixStart = 1'800'000'000'000;
+    static constexpr int kTokens = 4;  ///< Of every answer.
+
+    static void require (bool holds, const std::string& promise)
+    {
+        if (! holds)
+            throw Violation (promise);
+    }
+    static cell::RoutableReplica row (const std::string& runner, const std::string& target,
+                                      base::Incarnation restarts)
+    {
+        cell::RoutableReplica made = RouterHarness::replica (runner, target, 2);
+        made.incarnation = 1 + restarts;
+        made.isApplication = target == "portal";
+        made.replica = made.isApplication ? 0 : 10;
+        return made;
+    }
+    /// Streams of tokens are the same at every back end; other answers tell the attempt.
+    [[nodiscard]] static std::string token (const Request& request, AttemptId attempt, int number)
+    {
+        const bool isStream =
+            request.head.isStreaming && request.head.protocol == Protocol::kCompletions;
+        const std::string source = isStream ? "" : "@" + std::to_string (attempt);
+        return request.head.id.value + source + "." + std::to_string (number) + " ";
+    }
+
+    // Inputs.
+    void advance (base::Duration duration);
+    void connect();
+    void tell (const cell::ControllerToRouter& message)
+    {
+        const auto* update = std::get_if<cell::ReplicaUpdate> (&message);
+        if (update != nullptr)
+            noteTable (*update);
+        if (! controller_.isConnected)
+            return;
+        core_.onControllerMessage (message);
+        takeEffects();
+    }
+    /// Follows which table the router has.
+    void noteTable (const cell::ReplicaUpdate& update)
+    {
+        const bool isWhole = update.fromVersion == 0;
+        hasTable_ = controller_.isConnected && (isWhole || hasTable_);
+        if (! hasTable_)
+            return;
+        if (isWhole)
+            estimates_.clear();
+        for (const auto& estimate : update.estimates)
+        {
+            const auto readyAt = now_ + base::milliseconds (estimate.readyInMilliseconds);
+            estimates_[estimate.target] = { estimate.canBeServed, readyAt };
+        }
     }
-  }
-  void take(const SendToController& send) {
-    if (controller_.isConnected) controller_.onSent(send.message, now_);
-  }
-  void take(const ConnectController& /*connect*/) {
-    if (controller_.isConnected) controller_.lose(false);
-  }
-  void take(const StartAttempt& start);
-  void take(const CancelAttempt& cancel) { attempts_.at(cancel.attempt).isLive = false; }
-  void take(const AnswerHeaders& headers);
-  void take(const AnswerData& data);
-  void take(const AnswerEnd& end);
-  void take(const AnswerError& error);
-
-  // Checks.
-  void checkStart(const Request& request, const StartAttempt& start) const;
-  void checkText(const Request& request, bool isWhole) const;
-  void checkAll() const;
-  void checkNotHopeless(const Request& request) const;
-  [[nodiscard]] bool isProvenNotRun(const Request& request) const {
-    return std::all_of(request.attempts.begin(), request.attempts.end(),
-                       [this](AttemptId id) { return attempts_.at(id).isProvenNotRun; });
-  }
-
-  base::TimePoint now_{base::seconds(1000)};
-  ModelController controller_;
-  std::map<RequestTicket, Request> requests_;
-  std::map<AttemptId, BackEndAttempt> attempts_;
-  std::set<std::pair<base::RunnerId, base::Incarnation>> leaving_;
-  std::map<std::string, base::Incarnation> restarts_;
-  std::optional<Request> arriving_;  ///< Its ticket is not known until onRequest returns.
-  bool isStopping_ = false;
-  bool hasTable_ = false;  ///< The router has the controller's present table.
-  std::map<std::string, routing::ReadyEstimate> estimates_;
-  RouterCore core_;
+    void tellAll (const std::vector<cell::ControllerToRouter>& messages)
+    {
+        for (const auto& message : messages)
+            tell (message);
+    }
+    void request (const ModelStep& step);
+    void callerGone (const ModelStep& step);
+    void attemptEvent (const ModelStep& step);
+    void give (AttemptId id, const AttemptEvent& event);
+    void finishAttempt (AttemptId id);
+    void changeReplicas (const ModelStep& step);
+    void changeControl (const ModelStep& step);
+
+    // Effects.
+    void takeEffects()
+    {
+        for (Effect& effect : core_.takeEffects())
+        {
+            std::visit ([this] (auto& content) { take (content); }, effect);
+        }
+    }
+    void take (const SendToController& send)
+    {
+        if (controller_.isConnected)
+            controller_.onSent (send.message, now_);
+    }
+    void take (const ConnectController& /*connect*/)
+    {
+        if (controller_.isConnected)
+            controller_.lose (false);
+    }
+    void take (const StartAttempt& start);
+    void take (const CancelAttempt& cancel) { attempts_.at (cancel.attempt).isLive = false; }
+    void take (const AnswerHeaders& headers);
+    void take (const AnswerData& data);
+    void take (const AnswerEnd& end);
+    void take (const AnswerError& error);
+
+    // Checks.
+    void checkStart (const Request& request, const StartAttempt& start) const;
+    void checkText (const Request& request, bool isWhole) const;
+    void checkAll() const;
+    void checkNotHopeless (const Request& request) const;
+    [[nodiscard]] bool isProvenNotRun (const Request& request) const
+    {
+        return std::all_of (request.attempts.begin(), request.attempts.end(),
+                            [this] (AttemptId id) { return attempts_.at (id).isProvenNotRun; });
+    }
+
+    base::TimePoint now_{ base::seconds (1000) };
+    ModelController controller_;
+    std::map<RequestTicket, Request> requests_;
+    std::map<AttemptId, BackEndAttempt> attempts_;
+    std::set<std::pair<base::RunnerId, base::Incarnation>> leaving_;
+    std::map<std::string, base::Incarnation> restarts_;
+    std::optional<Request> arriving_;  ///< Its ticket is not known until onRequest returns.
+    bool isStopping_ = false;
+    bool hasTable_ = false;  ///< The router has the controller's present table.
+    std::map<std::string, routing::ReadyEstimate> estimates_;
+    RouterCore core_;
 };
 
 /// The promise that the inputs break, if any.
-std::optional<std::string> violationOf(const std::vector<ModelStep>& steps,
-                                       const RouterOptions& options);
+std::optional<std::string> violationOf (const std::vector<ModelStep>& steps,
+                                        const RouterOptions& options);
 
 }  // namespace fernlift::router::testing
--- a/src/router/RouterProcess.h
+++ b/src/router/RouterProcess.h
@@ -23,72 +23,74 @@
 #include "router/RouterCore.h"
 #include "router/RouterSettings.h"
 
-namespace fernlift::router {
+namespace fernlift::router
+{
 
 /// Lives on the thread of the Qt event loop.
-class RouterProcess {
- public:
-  /// `onFinished` is called once, with the exit code, when a planned stop is done. `clock` must
-  /// outlive the process.
-  RouterProcess(RouterSettings settings, const base::Clock& clock, std::uint64_t randomSeed,
-                std::function<void(int exitCode)> onFinished);
-  ~RouterProcess();
-  RouterProcess(const RouterProcess&) = delete;
-  RouterProcess& operator=(const RouterProcess&) = delete;
+class RouterProcess
+{
+public:
+    /// `onFinished` is called once, with the exit code, when a planned stop is done. `clock` must
+    /// outlive the process.
+    RouterProcess (RouterSettings settings, const base::Clock& clock, std::uint64_t randomSeed,
+                   std::function<void (int exitCode)> onFinished);
+    ~RouterProcess();
+    RouterProcess (const RouterProcess&) = delete;
+    RouterProcess& operator= (const RouterProcess&) = delete;
 
-  /// Listens and begins to look for the leader of the cell. Returns the address for callers.
-  base::Result<base::SocketAddress> start();
-  /// Begins a planned stop: refuses new requests and finishes open ones. A second call ends it at
-  /// once.
-  void beginStop();
+    /// Listens and begins to look for the leader of the cell. Returns the address for callers.
+    base::Result<base::SocketAddress> start();
+    /// Begins a planned stop: refuses new requests and finishes open ones. A second call ends it at
+    /// once.
+    void beginStop();
 
- private:
-  // Callers.
-  void handle(const http::Request& request, const std::shared_ptr<http::Responder>& responder);
-  void handleOwn(const http::Request& request, const base::RequestId& id,
-                 http::Responder& responder);
-  [[nodiscard]] base::RequestId newRequestId();
-  [[nodiscard]] std::string modelsJson() const;
-  void setCallerPaused(RequestTicket ticket, bool isPaused);
+private:
+    // Callers.
+    void handle (const http::Request& request, const std::shared_ptr<http::Responder>& responder);
+    void handleOwn (const http::Request& request, const base::RequestId& id,
+                    http::Responder& responder);
+    [[nodiscard]] base::RequestId newRequestId();
+    [[nodiscard]] std::string modelsJson() const;
+    void setCallerPaused (RequestTicket ticket, bool isPaused);
 
-  // The core.
-  void createCore(const base::SocketAddress& address);
-  /// Gives one input to the core and carries out the effects. Inputs that arise while effects are
-  /// carried out are taken at once, and their effects come after.
-  void feed(const std::function<void(RouterCore& core)>& input);
-  void carryOut(const Effect& effect);
-  void startAttempt(const StartAttempt& effect);
-  void onControllerMessage(const cell::ControllerToRouter& message);
+    // The core.
+    void createCore (const base::SocketAddress& address);
+    /// Gives one input to the core and carries out the effects. Inputs that arise while effects are
+    /// carried out are taken at once, and their effects come after.
+    void feed (const std::function<void (RouterCore& core)>& input);
+    void carryOut (const Effect& effect);
+    void startAttempt (const StartAttempt& effect);
+    void onControllerMessage (const cell::ControllerToRouter& message);
 
-  // Life of the process.
-  void createMetrics();
-  [[nodiscard]] std::string trafficMetrics() const;
-  void onTick();
-  void noteReadiness();
-  void checkStop();
-  void finish(int exitCode);
+    // Life of the process.
+    void createMetrics();
+    [[nodiscard]] std::string trafficMetrics() const;
+    void onTick();
+    void noteReadiness();
+    void checkStop();
+    void finish (int exitCode);
 
-  RouterSettings settings_;
-  const base::Clock& clock_;
-  base::Random random_;
-  std::function<void(int)> onFinished_;
-  std::string requestIdPrefix_;
-  std::uint64_t lastRequestId_ = 0;
-  http::Metrics metrics_;
-  std::optional<RouterCore> core_;
-  bool isDraining_ = false;
-  bool isFinished_ = false;
-  bool wasReady_ = false;
-  std::optional<base::TimePoint> stopBegan_;
-  std::optional<base::TimePoint> listeningEnded_;
-  http::Client client_;
-  BackEndAttempts attempts_;
-  CallerExchanges callers_;
-  CacheEventPoller cacheEvents_;
-  ControllerLink controller_;
-  http::Server server_;
-  QObject context_;
-  QTimer ticker_;
+    RouterSettings settings_;
+    const base::Clock& clock_;
+    base::Random random_;
+    std::function<void (int)> onFinished_;
+    std::string requestIdPrefix_;
+    std::uint64_t lastRequestId_ = 0;
+    http::Metrics metrics_;
+    std::optional<RouterCore> core_;
+    bool isDraining_ = false;
+    bool isFinished_ = false;
+    bool wasReady_ = false;
+    std::optional<base::TimePoint> stopBegan_;
+    std::optional<base::TimePoint> listeningEnded_;
+    http::Client client_;
+    BackEndAttempts attempts_;
+    CallerExchanges callers_;
+    CacheEventPoller cacheEvents_;
+    ControllerLink controller_;
+    http::Server server_;
+    QObject context_;
+    QTimer ticker_;
 };
 
 }  // namespace fernlift::router
--- a/src/router/RouterStandinTest.cpp
+++ b/src/router/RouterStandinTest.cpp
@@ -11,8 +11,10 @@
 #include "http/Client.h"
 #include "router/RouterProcessTestSupport.h"
 
-namespace fernlift::router {
-namespace {
+namespace fernlift::router
+{
+namespace
+{
 
 using http::test::RawCaller;
 using http::test::waitUntil;
@@ -22,204 +24,235 @@
 constexpr base::ReplicaId kReplica = 10;
 
 /// A stand-in engine process with the model "m" loaded.
-class StandinEngine {
- public:
-  explicit StandinEngine(const std::string& runner) : runner_(runner) {
-    http::test::application();
-    process_.setProcessChannelMode(QProcess::MergedChannels);
-    process_.start(
-        qEnvironmentVariable("FERNLIFT_BIN_DIR") + QLatin1String("/fernlift-standin"),
-        {QLatin1String("engine"), QLatin1String("--runner"), QString::fromStdString(runner),
-         QLatin1String("--http-address"), QLatin1String("127.0.0.1:0"),
-         QLatin1String("--time-scale"), QLatin1String("0.1")});
-    findAddress();
-    load();
-  }
-  ~StandinEngine() {
-    process_.kill();
-    process_.waitForFinished();
-  }
-  StandinEngine(const StandinEngine&) = delete;
-  StandinEngine& operator=(const StandinEngine&) = delete;
-
-  [[nodiscard]] cell::RoutableReplica row() const {
-    cell::RoutableReplica row = testing::RouterHarness::replica(runner_, "m");
-    row.replica = kReplica;
-    row.address = address_.toString();
-    return row;
-  }
-  void setFault(const std::string& json) { call("POST", "/standin/faults", json); }
-  /// Body of the answer; empty when there is none.
-  std::string call(const std::string& method, const std::string& path,
-                   const std::string& body = {}) {
-    http::ClientRequest request;
-    request.address = address_;
-    request.method = method;
-    request.path = path;
-    request.body = body;
-    std::optional<std::string> answer;
-    client_.fetch(
-        request, [&](const http::WholeResponse& response) { answer = response.body; },
-        [&](const http::ClientError&) { answer.emplace(); });
-    waitUntil([&] { return answer.has_value(); });
-    return answer.value_or(std::string());
-  }
-
- private:
-  void findAddress() {
-    QByteArray output;
-    const QByteArray mark("address=");
-    waitUntil([&] {
-      output += process_.readAll();
-      const auto at = output.indexOf(mark);
-      return at >= 0 && output.indexOf('\n', at) > 0;
-    });
-    const std::string text = output.mid(output.indexOf(mark) + mark.size()).toStdString();
-    address_ = base::handleErrors(
-        [&] { return base::SocketAddress::parse(text.substr(0, text.find_first_of(" \n"))); },
-        [&](const base::Error&) {
-          ADD_FAILURE() << "no address in '" << output.toStdString() << "'";
-          return base::SocketAddress();
-        });
-  }
-  engine::Report report() {
-    const std::string body = call("GET", "/engine/report");
-    return base::handleErrors([&] { return engine::parseReport(body); },
-                              [](const base::Error&) { return engine::Report(); });
-  }
-  void load() {
-    engine::Order order;
-    order.fence = kReplica;
-    order.incarnation = report().incarnation;
-    order.replica = kReplica;
-    order.model = base::ModelName("m");
-    order.version = "1";
-    order.memory = 1000;
-    call("POST", "/engine/orders", engine::toJson(order));
-    EXPECT_TRUE(waitUntil([&] {
-      const engine::Report current = report();
-      return !current.replicas.empty() && current.replicas[0].phase == engine::ReplicaPhase::kReady;
-    }));
-  }
-
-  std::string runner_;
-  base::SocketAddress address_;
-  http::Client client_;
-  QProcess process_;
+class StandinEngine
+{
+public:
+    explicit StandinEngine (const std::string& runner) : runner_ (runner)
+    {
+        http::test::application();
+        process_.setProcessChannelMode (QProcess::MergedChannels);
+        process_.start (
+            qEnvironmentVariable ("FERNLIFT_BIN_DIR") + QLatin1String ("/fernlift-standin"),
+            { QLatin1String ("engine"), QLatin1String ("--runner"), QString::fromStdString (runner),
+              QLatin1String ("--http-address"), QLatin1String ("127.0.0.1:0"),
+              QLatin1String ("--time-scale"), QLatin1String ("0.1") });
+        findAddress();
+        load();
+    }
+    ~StandinEngine()
+    {
+        process_.kill();
+        process_.waitForFinished();
+    }
+    StandinEngine (const StandinEngine&) = delete;
+    StandinEngine& operator= (const StandinEngine&) = delete;
+
+    [[nodiscard]] cell::RoutableReplica row() const
+    {
+        cell::RoutableReplica row = testing::RouterHarness::replica (runner_, "m");
+        row.replica = kReplica;
+        row.address = address_.toString();
+        return row;
+    }
+    void setFault (const std::string& json) { call ("POST", "/standin/faults", json); }
+    /// Body of the answer; empty when there is none.
+    std::string call (const std::string& method, const std::string& path,
+                      const std::string& body = {})
+    {
+        http::ClientRequest request;
+        request.address = address_;
+        request.method = method;
+        request.path = path;
+        request.body = body;
+        std::optional<std::string> answer;
+        client_.fetch (
+            request, [&] (const http::WholeResponse& response) { answer = response.body; },
+            [&] (const http::ClientError&) { answer.emplace(); });
+        waitUntil ([&] { return answer.has_value(); });
+        return answer.value_or (std::string());
+    }
+
+private:
+    void findAddress()
+    {
+        QByteArray output;
+        const QByteArray mark ("address=");
+        waitUntil (
+            [&]
+            {
+                output += process_.readAll();
+                const auto at = output.indexOf (mark);
+                return at >= 0 && output.indexOf ('\n', at) > 0;
+            });
+        const std::string text = output.mid (output.indexOf (mark) + mark.size()).toStdString();
+        address_ = base::handleErrors (
+            [&]
+            { return base::SocketAddress::parse (text.substr (0, text.find_first_of (" \n"))); },
+            [&] (const base::Error&)
+            {
+                ADD_FAILURE() << "no address in '" << output.toStdString() << "'";
+                return base::SocketAddress();
+            });
+    }
+    engine::Report report()
+    {
+        const std::string body = call ("GET", "/engine/report");
+        return base::handleErrors ([&] { return engine::parseReport (body); },
+                                   [] (const base::Error&) { return engine::Report(); });
+    }
+    void load()
+    {
+        engine::Order order;
+        order.fence = kReplica;
+        order.incarnation = report().incarnation;
+        order.replica = kReplica;
+        order.model = base::ModelName ("m");
+        order.version = "1";
+        order.memory = 1000;
+        call ("POST", "/engine/orders", engine::toJson (order));
+        EXPECT_TRUE (waitUntil (
+            [&]
+            {
+                const engine::Report current = report();
+                return ! current.replicas.empty()
+                       && current.replicas[0].phase == engine::ReplicaPhase::kReady;
+            }));
+    }
+
+    std::string runner_;
+    base::SocketAddress address_;
+    http::Client client_;
+    QProcess process_;
 };
 
 /// Text and offsets of a stream; fails the test when an offset is not the next.
-std::string textOfStream(const std::string& answer) {
-  std::string text;
-  qint64 nextOffset = 0;
-  for (auto at = answer.find("data: {"); at != std::string::npos;
-       at = answer.find("data: {", at + 1)) {
-    const std::string json = answer.substr(at + 6, answer.find('\n', at) - at - 6);
-    const QJsonObject event = QJsonDocument::fromJson(QByteArray::fromStdString(json)).object();
-    EXPECT_EQ(event.value(QLatin1String("offset")).toInteger(-1), nextOffset++) << json;
-    const QJsonObject choice = event.value(QLatin1String("choices")).toArray().at(0).toObject();
-    text += choice.value(QLatin1String("delta"))
-                .toObject()
-                .value(QLatin1String("content"))
-                .toString()
-                .toStdString();
-  }
-  return text;
+std::string textOfStream (const std::string& answer)
+{
+    std::string text;
+    qint64 nextOffset = 0;
+    for (auto at = answer.find ("data: {"); at != std::string::npos;
+         at = answer.find ("data: {", at + 1))
+    {
+        const std::string json = answer.substr (at + 6, answer.find ('\n', at) - at - 6);
+        const QJsonObject event =
+            QJsonDocument::fromJson (QByteArray::fromStdString (json)).object();
+        EXPECT_EQ (event.value (QLatin1String ("offset")).toInteger (-1), nextOffset++) << json;
+        const QJsonObject choice =
+            event.value (QLatin1String ("choices")).toArray().at (0).toObject();
+        text += choice.value (QLatin1String ("delta"))
+                    .toObject()
+                    .value (QLatin1String ("content"))
+                    .toString()
+                    .toStdString();
+    }
+    return text;
 }
 
-std::string streamOf(const RunningRouter& router) {
-  std::string answer = router.ask(chatRequest("m", true), "0\r\n\r\n");
-  EXPECT_NE(answer.find("data: [DONE]\n\n"), std::string::npos) << answer;
-  return answer;
+std::string streamOf (const RunningRouter& router)
+{
+    std::string answer = router.ask (chatRequest ("m", true), "0\r\n\r\n");
+    EXPECT_NE (answer.find ("data: [DONE]\n\n"), std::string::npos) << answer;
+    return answer;
 }
 
 /// Value of a counter of the router's metrics; -1 when there is none.
-int counterOf(const RunningRouter& router, const std::string& name) {
-  const std::string text =
-      router.ask("GET /metrics HTTP/1.1\r\nHost: t\r\n\r\n", "caller_bytes_total{direction=\"out");
-  const std::size_t at = text.find("\n" + name + " ");
-  return at == std::string::npos ? -1 : std::stoi(text.substr(at + name.size() + 2));
+int counterOf (const RunningRouter& router, const std::string& name)
+{
+    const std::string text = router.ask ("GET /metrics HTTP/1.1\r\nHost: t\r\n\r\n",
+                                         "caller_bytes_total{direction=\"out");
+    const std::size_t at = text.find ("\n" + name + " ");
+    return at == std::string::npos ? -1 : std::stoi (text.substr (at + name.size() + 2));
 }
 
 /// Two engines with the same model.
-class RouterStandin : public ::testing::Test {
- protected:
-  /// Streams through a new router, whose retry budget no other fault has used.
-  void expectSameAnswers(const std::string& fault) {
-    const RunningRouter router({first.row(), second.row()}, [](RouterSettings& settings) {
-      settings.core.retryBudgetShare = 1;
-    });
-    for (int round = 0; round < kRounds; ++round) {
-      const std::string answer = streamOf(router);
-      EXPECT_EQ(textOfStream(answer), expected) << fault << "\n" << answer;
+class RouterStandin : public ::testing::Test
+{
+protected:
+    /// Streams through a new router, whose retry budget no other fault has used.
+    void expectSameAnswers (const std::string& fault)
+    {
+        const RunningRouter router ({ first.row(), second.row() }, [] (RouterSettings& settings)
+                                    { settings.core.retryBudgetShare = 1; });
+        for (int round = 0; round < kRounds; ++round)
+        {
+            const std::string answer = streamOf (router);
+            EXPECT_EQ (textOfStream (answer), expected) << fault << "\n" << answer;
+        }
+        resumes = counterOf (router, "fernlift_router_resumes_total");
+        attempts += counterOf (router, "fernlift_router_attempts_total");
+        leavingSeen += router.controller.leavingSeen.size();
+    }
+    void SetUp() override
+    {
+        const RunningRouter router ({ first.row(), second.row() });
+        expected = textOfStream (streamOf (router));
+        ASSERT_FALSE (expected.empty());
     }
-    resumes = counterOf(router, "fernlift_router_resumes_total");
-    attempts += counterOf(router, "fernlift_router_attempts_total");
-    leavingSeen += router.controller.leavingSeen.size();
-  }
-  void SetUp() override {
-    const RunningRouter router({first.row(), second.row()});
-    expected = textOfStream(streamOf(router));
-    ASSERT_FALSE(expected.empty());
-  }
-
-  static constexpr int kRounds = 4;
-  StandinEngine first{"r1"};
-  StandinEngine second{"r2"};
-  std::string expected;
-  int resumes = 0;
-  int attempts = 0;
-  std::size_t leavingSeen = 0;
+
+    static constexpr int kRounds = 4;
+    StandinEngine first{ "r1" };
+    StandinEngine second{ "r2" };
+    std::string expected;
+    int resumes = 0;
+    int attempts = 0;
+    std::size_t leavingSeen = 0;
 };
 
-TEST_F(RouterStandin, ResumesBrokenStreams) {
-  const std::string fault = "{\"fault\":\"break_streams\",\"tokens\":5}";
-  first.setFault(fault);
-  second.setFault(fault);
-  expectSameAnswers(fault);
-  // Of 16 tokens each attempt gives at most 5, so that each answer is resumed three times at least.
-  EXPECT_GE(resumes, 3 * kRounds);
+TEST_F (RouterStandin, ResumesBrokenStreams)
+{
+    const std::string fault = "{\"fault\":\"break_streams\",\"tokens\":5}";
+    first.setFault (fault);
+    second.setFault (fault);
+    expectSameAnswers (fault);
+    // Of 16 tokens each attempt gives at most 5, so that each answer is resumed three times at
+    // least.
+    EXPECT_GE (resumes, 3 * kRounds);
 }
 
-TEST_F(RouterStandin, DropsRepeatedParts) {
-  first.setFault("{\"fault\":\"repeat_chunks\"}");
-  second.setFault("{\"fault\":\"repeat_chunks\"}");
-  expectSameAnswers("repeat_chunks");
+TEST_F (RouterStandin, DropsRepeatedParts)
+{
+    first.setFault ("{\"fault\":\"repeat_chunks\"}");
+    second.setFault ("{\"fault\":\"repeat_chunks\"}");
+    expectSameAnswers ("repeat_chunks");
 }
 
-TEST_F(RouterStandin, NeverPassesPartsOutOfOrder) {
-  for (StandinEngine* const engine : {&first, &second}) {
-    engine->setFault("{\"fault\":\"reorder_chunks\"}");
-    expectSameAnswers("reorder_chunks");
-    engine->setFault("{\"fault\":\"clear\"}");
-  }
+TEST_F (RouterStandin, NeverPassesPartsOutOfOrder)
+{
+    for (StandinEngine* const engine : { &first, &second })
+    {
+        engine->setFault ("{\"fault\":\"reorder_chunks\"}");
+        expectSameAnswers ("reorder_chunks");
+        engine->setFault ("{\"fault\":\"clear\"}");
+    }
 }
 
-TEST_F(RouterStandin, GoesElsewhereWhenAnEngineLeaves) {
-  for (StandinEngine* const engine : {&first, &second}) {
-    engine->setFault("{\"fault\":\"leaving\"}");
-    expectSameAnswers("leaving");
-    engine->setFault("{\"fault\":\"leaving\",\"enabled\":false}");
-  }
-  // One refusal is enough: the router tells the controller and sends nothing more there.
-  EXPECT_GE(leavingSeen, 1U);
-  EXPECT_EQ(attempts, 2 * kRounds + static_cast<int>(leavingSeen));
+TEST_F (RouterStandin, GoesElsewhereWhenAnEngineLeaves)
+{
+    for (StandinEngine* const engine : { &first, &second })
+    {
+        engine->setFault ("{\"fault\":\"leaving\"}");
+        expectSameAnswers ("leaving");
+        engine->setFault ("{\"fault\":\"leaving\",\"enabled\":false}");
+    }
+    // One refusal is enough: the router tells the controller and sends nothing more there.
+    EXPECT_GE (leavingSeen, 1U);
+    EXPECT_EQ (attempts, 2 * kRounds + static_cast<int> (leavingSeen));
 }
 
-TEST(RouterStandinCaller, FreesTheEngineWhenItLeaves) {
-  StandinEngine engine("r1");
-  const RunningRouter router({engine.row()});
-  const std::string body =
-      "{\"model\":\"m\",\"stream\":true,\"max_tokens\":1000000,\"prompt\":\"endless\"}";
-  RawCaller caller(router.address);
-  caller.write(testing::postRequest("/v1/completions", body));
-  ASSERT_TRUE(caller.waitFor("\"offset\":3"));
-  const auto isRunning = [&] {
-    return engine.call("GET", "/standin/state").find("\"running\":1") != std::string::npos;
-  };
-  EXPECT_TRUE(isRunning());
-  caller.close();
-  EXPECT_TRUE(waitUntil([&] { return !isRunning(); }));
+TEST (RouterStandinCaller, FreesTheEngineWhenItLeaves)
+{
+    StandinEngine engine ("r1");
+    const RunningRouter router ({ engine.row() });
+    const std::string body =
+        "{\"model\":\"m\",\"stream\":true,\"max_tokens\":1000000,\"prompt\":\"endless\"}";
+    RawCaller caller (router.address);
+    caller.write (testing::postRequest ("/v1/completions", body));
+    ASSERT_TRUE (caller.waitFor ("\"offset\":3"));
+    const auto isRunning = [&]
+    { return engine.call ("GET", "/standin/state").find ("\"running\":1") != std::string::npos; };
+    EXPECT_TRUE (isRunning());
+    caller.close();
+    EXPECT_TRUE (waitUntil ([&] { return ! isRunning(); }));
 }
 
 }  // namespace
--- a/src/router/RouterTestHarness.h
+++ b/src/router/RouterTestHarness.h
@@ -11,7 +11,8 @@
 
 #include "router/RouterCore.h"
 
-namespace fernlift::router::testing {
+namespace fernlift::router::testing
+{
 
 inline constexpr const char* kCatalogueText = R"(
 cell = "test"
@@ -64,215 +65,249 @@
 )";
 
 /// What a caller got so far.
-struct CallerView {
-  std::optional<AnswerHeaders> headers;
-  std::string text;
-  int ends = 0;  ///< Final events: AnswerEnd or AnswerError.
-  std::optional<AnswerError> error;
+struct CallerView
+{
+    std::optional<AnswerHeaders> headers;
+    std::string text;
+    int ends = 0;  ///< Final events: AnswerEnd or AnswerError.
+    std::optional<AnswerError> error;
 };
 
-class RouterHarness {
- public:
-  explicit RouterHarness(RouterOptions options = defaultOptions(), std::uint64_t seed = 1)
-      : core_(std::move(options), seed, now_, kUnixStart) {}
-
-  static RouterOptions defaultOptions() {
-    RouterOptions options;
-    options.router = base::RouterId("router-1");
-    options.cell = base::CellId("test");
-    options.zone = base::ZoneName("z1");
-    options.address = "127.0.0.1:1";
-    return options;
-  }
-
-  static cell::RoutableReplica replica(const std::string& runner, const std::string& target,
-                                       std::uint32_t slots = 8) {
-    cell::RoutableReplica row;
-    row.replica = 10;
-    row.runner = base::RunnerId(runner);
-    row.incarnation = 1;
-    row.zone = base::ZoneName("z1");
-    row.address = "127.0.0.1:9000";
-    row.target = target;
-    row.slots = slots;
-    row.credits = slots;
-    return row;
-  }
-
-  static cell::RoutableReplica application(const std::string& runner, std::uint32_t slots = 8) {
-    cell::RoutableReplica row = replica(runner, "portal", slots);
-    row.replica = 0;
-    row.isApplication = true;
-    return row;
-  }
-
-  RouterCore& core() { return core_; }
-  [[nodiscard]] base::TimePoint now() const { return now_; }
-
-  /// Moves time on in steps of at most 10 ms, with a tick at each.
-  void advance(base::Duration duration) {
-    const base::TimePoint end = now_ + duration;
-    while (now_ < end) {
-      now_ = std::min<base::TimePoint>(end, now_ + base::milliseconds(10));
-      core_.setTime(now_, kUnixStart + base::toMilliseconds(now_.time_since_epoch()));
-      core_.onTick();
-      collect();
-      if (grantsLeases) answerLeases();
+class RouterHarness
+{
+public:
+    explicit RouterHarness (RouterOptions options = defaultOptions(), std::uint64_t seed = 1)
+        : core_ (std::move (options), seed, now_, kUnixStart)
+    {
     }
-  }
-
-  /// Connects and hands out configuration, lease and replicas.
-  void connect(std::vector<cell::RoutableReplica> replicas) {
-    core_.onControllerConnected();
-    collect();
-    fromController(cell::ConfigurationUpdate{1, "digest-1", kCatalogueText});
-    answerLeases();
-    setReplicas(std::move(replicas));
-  }
-
-  void setReplicas(std::vector<cell::RoutableReplica> replicas,
-                   std::vector<cell::TargetEstimate> estimates = {}) {
-    cell::ReplicaUpdate update;
-    update.toVersion = ++tableVersion_;
-    update.upserts = std::move(replicas);
-    update.estimates = std::move(estimates);
-    fromController(update);
-  }
-
-  void fromController(const cell::ControllerToRouter& message) {
-    core_.onControllerMessage(message);
-    collect();
-  }
-
-  /// Grants every lease request not answered yet.
-  void answerLeases() {
-    for (const cell::LeaseRequest& request : std::exchange(leaseRequests, {})) {
-      fromController(cell::LeaseGrant{request.sequence, request.configurationVersion,
-                                      request.configurationDigest, 1, leaseMilliseconds,
-                                      request.replicaTableVersion});
+
+    static RouterOptions defaultOptions()
+    {
+        RouterOptions options;
+        options.router = base::RouterId ("router-1");
+        options.cell = base::CellId ("test");
+        options.zone = base::ZoneName ("z1");
+        options.address = "127.0.0.1:1";
+        return options;
+    }
+
+    static cell::RoutableReplica replica (const std::string& runner, const std::string& target,
+                                          std::uint32_t slots = 8)
+    {
+        cell::RoutableReplica row;
+        row.replica = 10;
+        row.runner = base::RunnerId (runner);
+        row.incarnation = 1;
+        row.zone = base::ZoneName ("z1");
+        row.address = "127.0.0.1:9000";
+        row.target = target;
+        row.slots = slots;
+        row.credits = slots;
+        return row;
+    }
+
+    static cell::RoutableReplica application (const std::string& runner, std::uint32_t slots = 8)
+    {
+        cell::RoutableReplica row = replica (runner, "portal", slots);
+        row.replica = 0;
+        row.isApplication = true;
+        return row;
+    }
+
+    RouterCore& core() { return core_; }
+    [[nodiscard]] base::TimePoint now() const { return now_; }
+
+    /// Moves time on in steps of at most 10 ms, with a tick at each.
+    void advance (base::Duration duration)
+    {
+        const base::TimePoint end = now_ + duration;
+        while (now_ < end)
+        {
+            now_ = std::min<base::TimePoint> (end, now_ + base::milliseconds (10));
+            core_.setTime (now_, kUnixStart + base::toMilliseconds (now_.time_since_epoch()));
+            core_.onTick();
+            collect();
+            if (grantsLeases)
+                answerLeases();
+        }
+    }
+
+    /// Connects and hands out configuration, lease and replicas.
+    void connect (std::vector<cell::RoutableReplica> replicas)
+    {
+        core_.onControllerConnected();
+        collect();
+        fromController (cell::ConfigurationUpdate{ 1, "digest-1", kCatalogueText });
+        answerLeases();
+        setReplicas (std::move (replicas));
+    }
+
+    void setReplicas (std::vector<cell::RoutableReplica> replicas,
+                      std::vector<cell::TargetEstimate> estimates = {})
+    {
+        cell::ReplicaUpdate update;
+        update.toVersion = ++tableVersion_;
+        update.upserts = std::move (replicas);
+        update.estimates = std::move (estimates);
+        fromController (update);
+    }
+
+    void fromController (const cell::ControllerToRouter& message)
+    {
+        core_.onControllerMessage (message);
+        collect();
+    }
+
+    /// Grants every lease request not answered yet.
+    void answerLeases()
+    {
+        for (const cell::LeaseRequest& request : std::exchange (leaseRequests, {}))
+        {
+            fromController (cell::LeaseGrant{ request.sequence, request.configurationVersion,
+                                              request.configurationDigest, 1, leaseMilliseconds,
+                                              request.replicaTableVersion });
+        }
+    }
+
+    /// Answers every claim not answered yet with the same verdict.
+    void answerClaims (cell::ClaimVerdict verdict)
+    {
+        for (const cell::ClaimRequest& request : std::exchange (claimRequests, {}))
+        {
+            cell::ClaimReply reply{ request.sequence, {} };
+            for (const cell::Claim& claim : request.claims)
+            {
+                reply.answers.push_back ({ claim.key, claim.request, verdict, 200 });
+            }
+            fromController (reply);
+        }
+    }
+
+    static RequestHead completion (const std::string& id, const std::string& target = "m",
+                                   bool isStreaming = true)
+    {
+        RequestHead head;
+        head.id = base::RequestId (id);
+        head.target = target;
+        head.caller = "caller";
+        head.isStreaming = isStreaming;
+        head.bodyBytes = 100;
+        return head;
+    }
+
+    static RequestHead payment (const std::string& id, const std::string& key)
+    {
+        RequestHead head = completion (id, "portal", false);
+        head.protocol = Protocol::kApplication;
+        head.idempotencyKey = base::IdempotencyKey (key);
+        head.requestDigest = "digest of " + key;
+        return head;
+    }
+
+    RequestTicket request (const RequestHead& head)
+    {
+        const RequestTicket ticket = core_.onRequest (head);
+        collect();
+        return ticket;
+    }
+    void callerGone (RequestTicket ticket)
+    {
+        core_.onCallerGone (ticket);
+        collect();
+    }
+    void event (AttemptId attempt, const AttemptEvent& event)
+    {
+        core_.onAttemptEvent (attempt, event);
+        collect();
+    }
+    /// A stream or body of one part.
+    void answerWhole (AttemptId attempt, const std::string& text, int httpStatus = 200)
+    {
+        event (attempt, AttemptHeaders{ httpStatus, false });
+        event (attempt, AttemptData{ 0, 1, text });
+        event (attempt, AttemptEnded{});
+    }
+
+    /// Attempts of a request, in order.
+    [[nodiscard]] std::vector<StartAttempt> attemptsOf (RequestTicket ticket) const
+    {
+        std::vector<StartAttempt> attempts;
+        for (const StartAttempt& start : starts)
+        {
+            if (start.ticket == ticket)
+                attempts.push_back (start);
+        }
+        return attempts;
+    }
+    [[nodiscard]] bool isCancelled (AttemptId attempt) const
+    {
+        return std::find (cancelled.begin(), cancelled.end(), attempt) != cancelled.end();
     }
-  }
-
-  /// Answers every claim not answered yet with the same verdict.
-  void answerClaims(cell::ClaimVerdict verdict) {
-    for (const cell::ClaimRequest& request : std::exchange(claimRequests, {})) {
-      cell::ClaimReply reply{request.sequence, {}};
-      for (const cell::Claim& claim : request.claims) {
-        reply.answers.push_back({claim.key, claim.request, verdict, 200});
-      }
-      fromController(reply);
+    [[nodiscard]] bool isLeakFree() const
+    {
+        const RouterCounters counters = core_.counters();
+        return counters.admitted
+               == counters.answered + counters.refused + counters.callersGone + counters.open;
     }
-  }
-
-  static RequestHead completion(const std::string& id, const std::string& target = "m",
-                                bool isStreaming = true) {
-    RequestHead head;
-    head.id = base::RequestId(id);
-    head.target = target;
-    head.caller = "caller";
-    head.isStreaming = isStreaming;
-    head.bodyBytes = 100;
-    return head;
-  }
-
-  static RequestHead payment(const std::string& id, const std::string& key) {
-    RequestHead head = completion(id, "portal", false);
-    head.protocol = Protocol::kApplication;
-    head.idempotencyKey = base::IdempotencyKey(key);
-    head.requestDigest = "digest of " + key;
-    return head;
-  }
-
-  RequestTicket request(const RequestHead& head) {
-    const RequestTicket ticket = core_.onRequest(head);
-    collect();
-    return ticket;
-  }
-  void callerGone(RequestTicket ticket) {
-    core_.onCallerGone(ticket);
-    collect();
-  }
-  void event(AttemptId attempt, const AttemptEvent& event) {
-    core_.onAttemptEvent(attempt, event);
-    collect();
-  }
-  /// A stream or body of one part.
-  void answerWhole(AttemptId attempt, const std::string& text, int httpStatus = 200) {
-    event(attempt, AttemptHeaders{httpStatus, false});
-    event(attempt, AttemptData{0, 1, text});
-    event(attempt, AttemptEnded{});
-  }
-
-  /// Attempts of a request, in order.
-  [[nodiscard]] std::vector<StartAttempt> attemptsOf(RequestTicket ticket) const {
-    std::vector<StartAttempt> attempts;
-    for (const StartAttempt& start : starts) {
-      if (start.ticket == ticket) attempts.push_back(start);
+
+    bool grantsLeases = true;
+    std::int64_t leaseMilliseconds = 2000;
+    std::map<RequestTicket, CallerView> callers;
+    std::vector<StartAttempt> starts;
+    std::vector<AttemptId> cancelled;
+    std::vector<ConnectController> connects;
+    std::vector<cell::RouterHello> hellos;
+    std::vector<cell::LeaseRequest> leaseRequests;
+    std::vector<cell::ClaimRequest> claimRequests;
+    std::vector<cell::OutcomeRecord> outcomes;
+    std::vector<cell::DemandReport> demands;
+    std::vector<cell::RunnerLeavingSeen> leavingSeen;
+
+    /// Sorts what the core wants done.
+    void collect()
+    {
+        for (Effect& effect : core_.takeEffects())
+        {
+            std::visit ([this] (auto& content) { take (content); }, effect);
+        }
     }
-    return attempts;
-  }
-  [[nodiscard]] bool isCancelled(AttemptId attempt) const {
-    return std::find(cancelled.begin(), cancelled.end(), attempt) != cancelled.end();
-  }
-  [[nodiscard]] bool isLeakFree() const {
-    const RouterCounters counters = core_.counters();
-    return counters.admitted ==
-           counters.answered + counters.refused + counters.callersGone + counters.open;
-  }
-
-  bool grantsLeases = true;
-  std::int64_t leaseMilliseconds = 2000;
-  std::map<RequestTicket, CallerView> callers;
-  std::vector<StartAttempt> starts;
-  std::vector<AttemptId> cancelled;
-  std::vector<ConnectController> connects;
-  std::vector<cell::RouterHello> hellos;
-  std::vector<cell::LeaseRequest> leaseRequests;
-  std::vector<cell::ClaimRequest> claimRequests;
-  std::vector<cell::OutcomeRecord> outcomes;
-  std::vector<cell::DemandReport> demands;
-  std::vector<cell::RunnerLeavingSeen> leavingSeen;
-
-  /// Sorts what the core wants done.
-  void collect() {
-    for (Effect& effect : core_.takeEffects()) {
-      std::visit([this](auto& content) { take(content); }, effect);
+
+private:
+    static constexpr base::UnixMilliseconds kUnixStart = 1'800'000'000'000;
+
+    void take (const SendToController& send)
+    {
+        std::visit ([this] (const auto& message) { takeMessage (message); }, send.message);
     }
-  }
-
- private:
-  static constexpr base::UnixMilliseconds kUnixStart = 1'800'000'000'000;
-
-  void take(const SendToController& send) {
-    std::visit([this](const auto& message) { takeMessage(message); }, send.message);
-  }
-  void take(const ConnectController& connect) { connects.push_back(connect); }
-  void take(const StartAttempt& start) { starts.push_back(start); }
-  void take(const CancelAttempt& cancel) { cancelled.push_back(cancel.attempt); }
-  void take(const AnswerHeaders& headers) { callers[headers.ticket].headers = headers; }
-  void take(const AnswerData& data) { callers[data.ticket].text += data.data; }
-  void take(const AnswerEnd& end) { callers[end.ticket].ends += 1; }
-  void take(const AnswerError& error) {
-    callers[error.ticket].ends += 1;
-    callers[error.ticket].error = error;
-  }
-
-  void takeMessage(const cell::RouterHello& hello) { hellos.push_back(hello); }
-  // A router of the completions interface sends neither.
-  void takeMessage(const cell::EngineDemandReport& /*report*/) {}
-  void takeMessage(const cell::MemberJoinRequest& /*request*/) {}
-  void takeMessage(const cell::InstanceUnreachable& /*report*/) {}
-  void takeMessage(const cell::LeaseRequest& request) { leaseRequests.push_back(request); }
-  void takeMessage(const cell::DemandReport& report) { demands.push_back(report); }
-  void takeMessage(const cell::ClaimRequest& request) { claimRequests.push_back(request); }
-  void takeMessage(const cell::OutcomeReport& report) {
-    outcomes.insert(outcomes.end(), report.outcomes.begin(), report.outcomes.end());
-  }
-  void takeMessage(const cell::RunnerLeavingSeen& seen) { leavingSeen.push_back(seen); }
-
-  base::TimePoint now_{base::seconds(1000)};
-  std::uint64_t tableVersion_ = 0;
-  RouterCore core_;
+    void take (const ConnectController& connect) { connects.push_back (connect); }
+    void take (const StartAttempt& start) { starts.push_back (start); }
+    void take (const CancelAttempt& cancel) { cancelled.push_back (cancel.attempt); }
+    void take (const AnswerHeaders& headers) { callers[headers.ticket].headers = headers; }
+    void take (const AnswerData& data) { callers[data.ticket].text += data.data; }
+    void take (const AnswerEnd& end) { callers[end.ticket].ends += 1; }
+    void take (const AnswerError& error)
+    {
+        callers[error.ticket].ends += 1;
+        callers[error.ticket].error = error;
+    }
+
+    void takeMessage (const cell::RouterHello& hello) { hellos.push_back (hello); }
+    // A router of the completions interface sends neither.
+    void takeMessage (const cell::EngineDemandReport& /*report*/) {}
+    void takeMessage (const cell::MemberJoinRequest& /*request*/) {}
+    void takeMessage (const cell::InstanceUnreachable& /*report*/) {}
+    void takeMessage (const cell::LeaseRequest& request) { leaseRequests.push_back (request); }
+    void takeMessage (const cell::DemandReport& report) { demands.push_back (report); }
+    void takeMessage (const cell::ClaimRequest& request) { claimRequests.push_back (request); }
+    void takeMessage (const cell::OutcomeReport& report)
+    {
+        outcomes.insert (outcomes.end(), report.outcomes.begin(), report.outcomes.end());
+    }
+    void takeMessage (const cell::RunnerLeavingSeen& seen) { leavingSeen.push_back (seen); }
+
+    base::TimePoint now_{ base::seconds (1000) };
+    std::uint64_t tableVersion_ = 0;
+    RouterCore core_;
 };
 
 }  // namespace fernlift::router::testing
--- a/src/routing/OutlierDetector.h
+++ b/src/routing/OutlierDetector.h
@@ -8,36 +8,40 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 
-namespace fernlift::routing {
-
-struct OutlierOptions {
-  std::uint32_t failuresToEject = 3;  ///< Consecutive failures.
-  base::Duration firstEjection = base::seconds(1);
-  base::Duration longestEjection = base::seconds(30);  ///< Ejections double up to this.
-  base::Duration slowReturn = base::seconds(10);       ///< Time to full weight afterwards.
-  double returnWeight = 0.1;                           ///< Weight at the end of an ejection.
+namespace fernlift::routing
+{
+
+struct OutlierOptions
+{
+    std::uint32_t failuresToEject = 3;  ///< Consecutive failures.
+    base::Duration firstEjection = base::seconds (1);
+    base::Duration longestEjection = base::seconds (30);  ///< Ejections double up to this.
+    base::Duration slowReturn = base::seconds (10);       ///< Time to full weight afterwards.
+    double returnWeight = 0.1;                            ///< Weight at the end of an ejection.
 };
 
-class OutlierDetector {
- public:
-  explicit OutlierDetector(OutlierOptions options = {}) : options_(options) {}
+class OutlierDetector
+{
+public:
+    explicit OutlierDetector (OutlierOptions options = {}) : options_ (options) {}
 
-  void onSuccess(const base::RunnerId& runner, base::TimePoint now);
-  void onFailure(const base::RunnerId& runner, base::TimePoint now);
+    void onSuccess (const base::RunnerId& runner, base::TimePoint now);
+    void onFailure (const base::RunnerId& runner, base::TimePoint now);
 
-  [[nodiscard]] bool isEjected(const base::RunnerId& runner, base::TimePoint now) const;
-  /// 0 while ejected, then rising from `returnWeight` to 1.
-  [[nodiscard]] double weightOf(const base::RunnerId& runner, base::TimePoint now) const;
+    [[nodiscard]] bool isEjected (const base::RunnerId& runner, base::TimePoint now) const;
+    /// 0 while ejected, then rising from `returnWeight` to 1.
+    [[nodiscard]] double weightOf (const base::RunnerId& runner, base::TimePoint now) const;
 
- private:
-  struct State {
-    std::uint32_t consecutiveFailures = 0;
-    std::uint32_t ejections = 0;
-    base::TimePoint ejectedUntil{};
-  };
+private:
+    struct State
+    {
+        std::uint32_t consecutiveFailures = 0;
+        std::uint32_t ejections = 0;
+        base::TimePoint ejectedUntil{};
+    };
 
-  OutlierOptions options_;
-  std::map<base::RunnerId, State> states_;
+    OutlierOptions options_;
+    std::map<base::RunnerId, State> states_;
 };
 
 }  // namespace fernlift::routing
--- a/src/routing/PrefixIndex.cpp
+++ b/src/routing/PrefixIndex.cpp
@@ -4,86 +4,109 @@
 
 #include "base/Digest.h"
 
-namespace fernlift::routing {
-namespace {
+namespace fernlift::routing
+{
+namespace
+{
 
 /// Equal prompts of two targets are different blocks.
-PrefixHash blockOf(std::uint64_t targetHash, PrefixHash block) { return targetHash ^ block; }
+PrefixHash blockOf (std::uint64_t targetHash, PrefixHash block) { return targetHash ^ block; }
 
 }  // namespace
 
-void PrefixIndex::RunnerBlocks::touch(PrefixHash block, std::size_t maximumBlocks) {
-  const auto known = positions.find(block);
-  if (known != positions.end()) {
-    byRecency.splice(byRecency.begin(), byRecency, known->second);
-    return;
-  }
-  byRecency.push_front(block);
-  positions[block] = byRecency.begin();
-  if (positions.size() > maximumBlocks) {
-    positions.erase(byRecency.back());
-    byRecency.pop_back();
-  }
+void PrefixIndex::RunnerBlocks::touch (PrefixHash block, std::size_t maximumBlocks)
+{
+    const auto known = positions.find (block);
+    if (known != positions.end())
+    {
+        byRecency.splice (byRecency.begin(), byRecency, known->second);
+        return;
+    }
+    byRecency.push_front (block);
+    positions[block] = byRecency.begin();
+    if (positions.size() > maximumBlocks)
+    {
+        positions.erase (byRecency.back());
+        byRecency.pop_back();
+    }
 }
 
-void PrefixIndex::RunnerBlocks::remove(PrefixHash block) {
-  const auto known = positions.find(block);
-  if (known == positions.end()) return;
-  byRecency.erase(known->second);
-  positions.erase(known);
+void PrefixIndex::RunnerBlocks::remove (PrefixHash block)
+{
+    const auto known = positions.find (block);
+    if (known == positions.end())
+        return;
+    byRecency.erase (known->second);
+    positions.erase (known);
 }
 
-void PrefixIndex::RunnerBlocks::clear() {
-  byRecency.clear();
-  positions.clear();
+void PrefixIndex::RunnerBlocks::clear()
+{
+    byRecency.clear();
+    positions.clear();
 }
 
-void PrefixIndex::onSent(const base::RunnerId& runner, const std::string& target,
-                         const std::vector<PrefixHash>& blocks) {
-  if (blocks.empty()) return;
-  const std::uint64_t targetHash = base::stableHash(target);
-  RunnerBlocks& known = runners_[runner];
-  // Later blocks are of use only with the earlier ones, so the earliest are the most recent.
-  for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
-    known.touch(blockOf(targetHash, *block), maximumBlocks_);
-  }
+void PrefixIndex::onSent (const base::RunnerId& runner, const std::string& target,
+                          const std::vector<PrefixHash>& blocks)
+{
+    if (blocks.empty())
+        return;
+    const std::uint64_t targetHash = base::stableHash (target);
+    RunnerBlocks& known = runners_[runner];
+    // Later blocks are of use only with the earlier ones, so the earliest are the most recent.
+    for (auto block = blocks.rbegin(); block != blocks.rend(); ++block)
+    {
+        known.touch (blockOf (targetHash, *block), maximumBlocks_);
+    }
 }
 
-std::uint64_t PrefixIndex::onEvents(const base::RunnerId& runner, base::Incarnation incarnation,
-                                    const std::vector<CacheEvent>& events) {
-  RunnerBlocks& known = runners_[runner];
-  if (known.incarnation != incarnation) {
-    // What was learned under incarnation 0 came from this router's own requests.
-    if (known.incarnation != 0) known.clear();
-    known.incarnation = incarnation;
-    known.lastSequence = 0;
-  }
-  for (const CacheEvent& event : events) {
-    if (event.sequence <= known.lastSequence) continue;
-    const bool isGap = known.lastSequence != 0 && event.sequence != known.lastSequence + 1;
-    if (isGap) known.clear();
-    known.lastSequence = event.sequence;
-    const PrefixHash block = blockOf(base::stableHash(event.target), event.block);
-    if (event.isStored) {
-      known.touch(block, maximumBlocks_);
-    } else {
-      known.remove(block);
+std::uint64_t PrefixIndex::onEvents (const base::RunnerId& runner, base::Incarnation incarnation,
+                                     const std::vector<CacheEvent>& events)
+{
+    RunnerBlocks& known = runners_[runner];
+    if (known.incarnation != incarnation)
+    {
+        // What was learned under incarnation 0 came from this router's own requests.
+        if (known.incarnation != 0)
+            known.clear();
+        known.incarnation = incarnation;
+        known.lastSequence = 0;
+    }
+    for (const CacheEvent& event : events)
+    {
+        if (event.sequence <= known.lastSequence)
+            continue;
+        const bool isGap = known.lastSequence != 0 && event.sequence != known.lastSequence + 1;
+        if (isGap)
+            known.clear();
+        known.lastSequence = event.sequence;
+        const PrefixHash block = blockOf (base::stableHash (event.target), event.block);
+        if (event.isStored)
+        {
+            known.touch (block, maximumBlocks_);
+        }
+        else
+        {
+            known.remove (block);
+        }
     }
-  }
-  return known.lastSequence;
+    return known.lastSequence;
 }
 
-void PrefixIndex::forget(const base::RunnerId& runner) { runners_.erase(runner); }
+void PrefixIndex::forget (const base::RunnerId& runner) { runners_.erase (runner); }
 
-std::size_t PrefixIndex::matchingBlocks(const base::RunnerId& runner, const std::string& target,
-                                        const std::vector<PrefixHash>& blocks) const {
-  const auto known = runners_.find(runner);
-  if (known == runners_.end()) return 0;
-  const std::uint64_t targetHash = base::stableHash(target);
-  const auto firstUnknown = std::find_if_not(blocks.begin(), blocks.end(), [&](PrefixHash block) {
-    return known->second.positions.contains(blockOf(targetHash, block));
-  });
-  return static_cast<std::size_t>(firstUnknown - blocks.begin());
+std::size_t PrefixIndex::matchingBlocks (const base::RunnerId& runner, const std::string& target,
+                                         const std::vector<PrefixHash>& blocks) const
+{
+    const auto known = runners_.find (runner);
+    if (known == runners_.end())
+        return 0;
+    const std::uint64_t targetHash = base::stableHash (target);
+    const auto firstUnknown = std::find_if_not (
+        blocks.begin(), blocks.end(),
+        [&] (PrefixHash block)
+        { return known->second.positions.contains (blockOf (targetHash, block)); });
+    return static_cast<std::size_t> (firstUnknown - blocks.begin());
 }
 
 }  // namespace fernlift::routing
--- a/src/scale/HollowDemand.h
+++ b/src/scale/HollowDemand.h
@@ -10,44 +10,48 @@
 #include "router/RouterCore.h"
 #include "scale/ScaleSizes.h"
 
-namespace fernlift::scale {
-
-struct HollowDemandOptions {
-  ScaleSizes sizes{};
-  double requestsPerSecond = 20;  ///< At one router.
-  double adapterShare = 0.2;      ///< Requests for adapters that are in use.
-  double claimShare = 0.01;       ///< Requests that may run at most once.
-  std::int64_t router = 0;        ///< Number of this router, from 0.
-  base::Duration meanService = base::seconds(4);
+namespace fernlift::scale
+{
+
+struct HollowDemandOptions
+{
+    ScaleSizes sizes{};
+    double requestsPerSecond = 20;  ///< At one router.
+    double adapterShare = 0.2;      ///< Requests for adapters that are in use.
+    double claimShare = 0.01;       ///< Requests that may run at most once.
+    std::int64_t router = 0;        ///< Number of this router, from 0.
+    base::Duration meanService = base::seconds (4);
 };
 
 /// One generated request and how long its answer takes.
-struct GeneratedRequest {
-  router::RequestHead head;
-  base::Duration service{};
+struct GeneratedRequest
+{
+    router::RequestHead head;
+    base::Duration service{};
 };
 
 /// Poisson arrivals. Models are drawn with weights that fall as 1/rank; loads are brought about by
 /// requests for idle adapters, each router asking for its own share of them in turn.
-class HollowDemand {
- public:
-  HollowDemand(HollowDemandOptions options, std::uint64_t seed, base::TimePoint now);
-
-  /// The next request that is due at `now`, if any.
-  [[nodiscard]] std::optional<GeneratedRequest> next(base::TimePoint now);
-
- private:
-  [[nodiscard]] std::string warmTarget();
-  [[nodiscard]] std::string coldTarget();
-  [[nodiscard]] GeneratedRequest make(std::string target);
-  [[nodiscard]] base::Duration drawn(double meanSeconds);
-
-  HollowDemandOptions options_;
-  base::Random random_;
-  base::TimePoint nextWarm_;
-  base::TimePoint nextCold_;
-  std::int64_t coldRequests_ = 0;
-  std::uint64_t requests_ = 0;
+class HollowDemand
+{
+public:
+    HollowDemand (HollowDemandOptions options, std::uint64_t seed, base::TimePoint now);
+
+    /// The next request that is due at `now`, if any.
+    [[nodiscard]] std::optional<GeneratedRequest> next (base::TimePoint now);
+
+private:
+    [[nodiscard]] std::string warmTarget();
+    [[nodiscard]] std::string coldTarget();
+    [[nodiscard]] GeneratedRequest make (std::string target);
+    [[nodiscard]] base::Duration drawn (double meanSeconds);
+
+    HollowDemandOptions options_;
+    base::Random random_;
+    base::TimePoint nextWarm_;
+    base::TimePoint nextCold_;
+    std::int64_t coldRequests_ = 0;
+    std::uint64_t requests_ = 0;
 };
 
 }  // namespace fernlift::scale
--- a/src/scale/HollowRunners.h
+++ b/src/scale/HollowRunners.h
@@ -15,36 +15,41 @@
 #include "scale/HollowRunner.h"
 #include "scale/LoadWalk.h"
 
-namespace fernlift::scale {
-
-struct HollowRunnersOptions {
-  std::int64_t runners = 0;
-  LoadWalkOptions load;
-  std::uint64_t seed = 1;
+namespace fernlift::scale
+{
+
+struct HollowRunnersOptions
+{
+    std::int64_t runners = 0;
+    LoadWalkOptions load;
+    std::uint64_t seed = 1;
 };
 
 /// Lives on the thread of the Qt event loop.
-class HollowRunners {
- public:
-  explicit HollowRunners(HollowRunnersOptions options);
-
-  /// Listens on ports of 127.0.0.1 that the kernel picks. Returns the address of the machine list.
-  [[nodiscard]] base::Result<base::SocketAddress> start();
-
- private:
-  struct Node {
-    std::unique_ptr<HollowRunner> runner;
-    std::unique_ptr<http::Server> server;
-  };
-
-  [[nodiscard]] base::Result<void> add(std::int64_t index);
-  void handle(HollowRunner& runner, const http::Request& request, http::Responder& responder);
-
-  HollowRunnersOptions options_;
-  base::SystemClock clock_;
-  engine::MachineList machines_;
-  std::vector<Node> nodes_;
-  http::Server listServer_;
+class HollowRunners
+{
+public:
+    explicit HollowRunners (HollowRunnersOptions options);
+
+    /// Listens on ports of 127.0.0.1 that the kernel picks. Returns the address of the machine
+    /// list.
+    [[nodiscard]] base::Result<base::SocketAddress> start();
+
+private:
+    struct Node
+    {
+        std::unique_ptr<HollowRunner> runner;
+        std::unique_ptr<http::Server> server;
+    };
+
+    [[nodiscard]] base::Result<void> add (std::int64_t index);
+    void handle (HollowRunner& runner, const http::Request& request, http::Responder& responder);
+
+    HollowRunnersOptions options_;
+    base::SystemClock clock_;
+    engine::MachineList machines_;
+    std::vector<Node> nodes_;
+    http::Server listServer_;
 };
 
 }  // namespace fernlift::scale
--- a/src/scale/LoadWalk.h
+++ b/src/scale/LoadWalk.h
@@ -7,29 +7,32 @@
 #include "base/Random.h"
 #include "base/Time.h"
 
-namespace fernlift::scale {
+namespace fernlift::scale
+{
 
-struct LoadWalkOptions {
-  double arrivalsPerSecond = 3.7;
-  base::Duration meanService = base::seconds(10);
+struct LoadWalkOptions
+{
+    double arrivalsPerSecond = 3.7;
+    base::Duration meanService = base::seconds (10);
 };
 
 /// A birth and death process: Poisson arrivals, exponential service times, as many servers as
 /// needed.
-class LoadWalk {
- public:
-  /// Starts near the mean.
-  LoadWalk(LoadWalkOptions options, std::uint64_t seed, base::TimePoint now);
-
-  /// Moves on to `now` and returns how many requests run.
-  std::uint32_t advance(base::TimePoint now);
-
- private:
-  LoadWalkOptions options_;
-  base::Random random_;
-  base::TimePoint now_;
-  double untilArrival_ = 0;  ///< Seconds.
-  std::uint32_t running_ = 0;
+class LoadWalk
+{
+public:
+    /// Starts near the mean.
+    LoadWalk (LoadWalkOptions options, std::uint64_t seed, base::TimePoint now);
+
+    /// Moves on to `now` and returns how many requests run.
+    std::uint32_t advance (base::TimePoint now);
+
+private:
+    LoadWalkOptions options_;
+    base::Random random_;
+    base::TimePoint now_;
+    double untilArrival_ = 0;  ///< Seconds.
+    std::uint32_t running_ = 0;
 };
 
 }  // namespace fernlift::scale
