--- a/src/scale/ScaleStep.cpp
+++ b/src/scale/ScaleStep.cpp
@@ -14,34 +14,36 @@
 #include "scale/ScaleCatalogue.h"
 #include "scale/ScaleProbe.h"
 
-namespace fernlift::scale {
-namespace {
+namespace fernlift::scale
+{
+namespace
+{
 
 using base::ErrorKind;
 
 constexpr std::int64_t kControllers = 3;
-constexpr base::Duration kStartTimeout = base::seconds(30);
-constexpr base::Duration kReadyTimeout = base::seconds(120);
-constexpr base::Duration kStopTimeout = base::seconds(10);
-constexpr base::Duration kChangeTimeout = base::seconds(60);
-constexpr base::Duration kProbeInterval = base::milliseconds(200);
+constexpr base::Duration kStartTimeout = base::seconds (30);
+constexpr base::Duration kReadyTimeout = base::seconds (120);
+constexpr base::Duration kStopTimeout = base::seconds (10);
+constexpr base::Duration kChangeTimeout = base::seconds (60);
+constexpr base::Duration kProbeInterval = base::milliseconds (200);
 constexpr int kChangesAfterMeasuring = 3;
 constexpr int kMissedChanges = 5;
 constexpr int kOk = 200;
 constexpr double kSecondsInDay = 86'400;
 constexpr const char* kKeepAliveMilliseconds = "5000";
 
-const std::vector<std::string> kControllerCounters{"fernlift_controller_proposals_total",
-                                                   "fernlift_controller_entries_applied_total",
-                                                   "fernlift_controller_orders_accepted_total",
-                                                   "fernlift_controller_orders_refused_total",
-                                                   "fernlift_controller_reports_total",
-                                                   "fernlift_controller_reports_failed_total",
-                                                   "fernlift_controller_leases_granted_total",
-                                                   "fernlift_controller_replica_updates_total",
-                                                   "fernlift_controller_placement_rounds_total",
-                                                   "fernlift_controller_claims_total",
-                                                   "fernlift_storage_syncs_total"};
+const std::vector<std::string> kControllerCounters{ "fernlift_controller_proposals_total",
+                                                    "fernlift_controller_entries_applied_total",
+                                                    "fernlift_controller_orders_accepted_total",
+                                                    "fernlift_controller_orders_refused_total",
+                                                    "fernlift_controller_reports_total",
+                                                    "fernlift_controller_reports_failed_total",
+                                                    "fernlift_controller_leases_granted_total",
+                                                    "fernlift_controller_replica_updates_total",
+                                                    "fernlift_controller_placement_rounds_total",
+                                                    "fernlift_controller_claims_total",
+                                                    "fernlift_storage_syncs_total" };
 const std::vector<std::string> kRouterCounters{
     "fernlift_hollow_control_seconds_total", "fernlift_hollow_request_seconds_total",
     "fernlift_hollow_frame_bytes_in_total",  "fernlift_hollow_frame_bytes_out_total",
@@ -49,303 +51,366 @@
     "fernlift_hollow_admitted_total",        "fernlift_hollow_answered_total",
     "fernlift_hollow_refused_total",         "fernlift_hollow_claims_total",
     "fernlift_hollow_rows_told_total",       "fernlift_hollow_loads_told_total",
-    "fernlift_hollow_whole_tables_total",    "fernlift_hollow_connections_total"};
+    "fernlift_hollow_whole_tables_total",    "fernlift_hollow_connections_total"
+};
 
-std::string textOf(double value) { return std::to_string(value); }
+std::string textOf (double value) { return std::to_string (value); }
 
-std::string readText(const std::string& path) {
-  std::ifstream file(path);
-  std::string text;
-  std::getline(file, text);
-  return text;
+std::string readText (const std::string& path)
+{
+    std::ifstream file (path);
+    std::string text;
+    std::getline (file, text);
+    return text;
 }
 
-double machineLoad() { return std::strtod(readText("/proc/loadavg").c_str(), nullptr); }
+double machineLoad() { return std::strtod (readText ("/proc/loadavg").c_str(), nullptr); }
 
 /// Hollow routers that share a process.
-struct RouterProcess {
-  HollowProcess process;
-  std::int64_t count = 0;
+struct RouterProcess
+{
+    HollowProcess process;
+    std::int64_t count = 0;
 };
 
 /// One change of the configuration on its way.
-struct Change {
-  std::unique_ptr<lab::HttpCall> call;
-  std::optional<lab::HttpOutcome> outcome;
+struct Change
+{
+    std::unique_ptr<lab::HttpCall> call;
+    std::optional<lab::HttpOutcome> outcome;
 };
 
-class Step {
- public:
-  explicit Step(const StepOptions& options) : options_(options) {}
-
-  base::Result<std::vector<Measurement>> run() {
-    std::filesystem::create_directories(options_.folders.run);
-    BOOST_LEAF_CHECK(startRunners());
-    BOOST_LEAF_CHECK(startControllers());
-    BOOST_LEAF_CHECK(applyFirst());
-    BOOST_LEAF_CHECK(startRouters());
-    BOOST_LEAF_CHECK(waitUntilReady());
-    lab::handleEventsFor(options_.settle);
-    BOOST_LEAF_CHECK(measure());
-    BOOST_LEAF_CHECK(measureInForce());
-    BOOST_LEAF_CHECK(stop());
-    return std::move(rows_);
-  }
-
- private:
-  base::Result<HollowProcess> startHollow(const std::string& role, const std::string& name,
-                                          std::vector<std::string> arguments) {
-    HollowProcessPlan plan;
-    plan.program = options_.program;
-    plan.role = role;
-    plan.filePrefix = options_.folders.run + "/" + name;
-    plan.sizes = options_.sizes;
-    plan.seed = options_.seed;
-    plan.arguments = std::move(arguments);
-    return startHollowProcess(plan, kStartTimeout);
-  }
-
-  base::Result<void> startRunners() {
-    BOOST_LEAF_ASSIGN(runners_, startHollow("scale-runners", "runners",
-                                            {"--runner-arrivals-per-second",
-                                             textOf(options_.runnerArrivalsPerSecond)}));
-    return {};
-  }
-
-  base::Result<void> startControllers() {
-    lab::FleetSpec spec;
-    spec.cell = base::CellId(kCellName);
-    for (std::int64_t index = 0; index < kControllers; ++index) {
-      spec.controllers.push_back(
-          {static_cast<base::MemberId>(index) + 1, base::ZoneName(zoneName(index))});
+class Step
+{
+public:
+    explicit Step (const StepOptions& options) : options_ (options) {}
+
+    base::Result<std::vector<Measurement>> run()
+    {
+        std::filesystem::create_directories (options_.folders.run);
+        BOOST_LEAF_CHECK (startRunners());
+        BOOST_LEAF_CHECK (startControllers());
+        BOOST_LEAF_CHECK (applyFirst());
+        BOOST_LEAF_CHECK (startRouters());
+        BOOST_LEAF_CHECK (waitUntilReady());
+        lab::handleEventsFor (options_.settle);
+        BOOST_LEAF_CHECK (measure());
+        BOOST_LEAF_CHECK (measureInForce());
+        BOOST_LEAF_CHECK (stop());
+        return std::move (rows_);
+    }
+
+private:
+    base::Result<HollowProcess> startHollow (const std::string& role, const std::string& name,
+                                             std::vector<std::string> arguments)
+    {
+        HollowProcessPlan plan;
+        plan.program = options_.program;
+        plan.role = role;
+        plan.filePrefix = options_.folders.run + "/" + name;
+        plan.sizes = options_.sizes;
+        plan.seed = options_.seed;
+        plan.arguments = std::move (arguments);
+        return startHollowProcess (plan, kStartTimeout);
+    }
+
+    base::Result<void> startRunners()
+    {
+        BOOST_LEAF_ASSIGN (runners_, startHollow ("scale-runners", "runners",
+                                                  { "--runner-arrivals-per-second",
+                                                    textOf (options_.runnerArrivalsPerSecond) }));
+        return {};
+    }
+
+    base::Result<void> startControllers()
+    {
+        lab::FleetSpec spec;
+        spec.cell = base::CellId (kCellName);
+        for (std::int64_t index = 0; index < kControllers; ++index)
+        {
+            spec.controllers.push_back (
+                { static_cast<base::MemberId> (index) + 1, base::ZoneName (zoneName (index)) });
+        }
+        spec.extraFlags.controllers = { "--machines-address", runners_.address.toString(),
+                                        "--keep-alive-ms", kKeepAliveMilliseconds };
+        spec.extraFlags.controllers.insert (spec.extraFlags.controllers.end(),
+                                            options_.controllerFlags.begin(),
+                                            options_.controllerFlags.end());
+        fleet_.emplace (std::move (spec), options_.folders);
+        BOOST_LEAF_CHECK (fleet_->start());
+        BOOST_LEAF_ASSIGN (leader_, lab::waitForLeader (*fleet_, kStartTimeout));
+        return {};
+    }
+
+    base::Result<lab::HttpRequest> changeRequest (bool waitsInForce)
+    {
+        BOOST_LEAF_AUTO (address, fleet_->httpAddress (leader_));
+        lab::HttpRequest request;
+        request.address = address;
+        request.path = "/admin/v1/configuration?timeout_ms=60000";
+        if (waitsInForce)
+            request.path += "&wait=1";
+        request.headers = { { "Content-Type", "application/toml" } };
+        request.body = catalogueText (options_.sizes, ++version_);
+        request.timeout = kChangeTimeout;
+        return request;
+    }
+
+    base::Result<void> applyFirst()
+    {
+        BOOST_LEAF_AUTO (request, changeRequest (false));
+        const lab::HttpOutcome outcome = lab::callAndWait (request);
+        if (outcome.status == kOk)
+            return {};
+        return base::fail (ErrorKind::kInternal, "the catalogue was not taken: " + outcome.body);
+    }
+
+    base::Result<void> startRouters()
+    {
+        for (std::int64_t first = 0; first < options_.sizes.routers;
+             first += options_.routersPerProcess)
+        {
+            const std::int64_t count =
+                std::min (options_.routersPerProcess, options_.sizes.routers - first);
+            std::vector<std::string> arguments{
+                "--requests-per-second", textOf (options_.requestsPerSecond),
+                "--first-router",        std::to_string (first),
+                "--router-count",        std::to_string (count)
+            };
+            for (const base::SocketAddress& controller : fleet_->peerAddresses())
+            {
+                arguments.insert (arguments.end(), { "--controllers", controller.toString() });
+            }
+            BOOST_LEAF_AUTO (process,
+                             startHollow ("scale-routers", "routers-" + std::to_string (first),
+                                          std::move (arguments)));
+            routers_.push_back ({ std::move (process), count });
+        }
+        return {};
+    }
+
+    double readyRouters() const
+    {
+        double ready = 0;
+        for (const RouterProcess& routers : routers_)
+        {
+            const std::string metrics = lab::fetchMetrics (routers.process.address);
+            ready += lab::metricValue (metrics, "fernlift_hollow_routers_ready").value_or (0);
+        }
+        return ready;
     }
-    spec.extraFlags.controllers = {"--machines-address", runners_.address.toString(),
-                                   "--keep-alive-ms", kKeepAliveMilliseconds};
-    spec.extraFlags.controllers.insert(spec.extraFlags.controllers.end(),
-                                       options_.controllerFlags.begin(),
-                                       options_.controllerFlags.end());
-    fleet_.emplace(std::move(spec), options_.folders);
-    BOOST_LEAF_CHECK(fleet_->start());
-    BOOST_LEAF_ASSIGN(leader_, lab::waitForLeader(*fleet_, kStartTimeout));
-    return {};
-  }
-
-  base::Result<lab::HttpRequest> changeRequest(bool waitsInForce) {
-    BOOST_LEAF_AUTO(address, fleet_->httpAddress(leader_));
-    lab::HttpRequest request;
-    request.address = address;
-    request.path = "/admin/v1/configuration?timeout_ms=60000";
-    if (waitsInForce) request.path += "&wait=1";
-    request.headers = {{"Content-Type", "application/toml"}};
-    request.body = catalogueText(options_.sizes, ++version_);
-    request.timeout = kChangeTimeout;
-    return request;
-  }
-
-  base::Result<void> applyFirst() {
-    BOOST_LEAF_AUTO(request, changeRequest(false));
-    const lab::HttpOutcome outcome = lab::callAndWait(request);
-    if (outcome.status == kOk) return {};
-    return base::fail(ErrorKind::kInternal, "the catalogue was not taken: " + outcome.body);
-  }
-
-  base::Result<void> startRouters() {
-    for (std::int64_t first = 0; first < options_.sizes.routers;
-         first += options_.routersPerProcess) {
-      const std::int64_t count =
-          std::min(options_.routersPerProcess, options_.sizes.routers - first);
-      std::vector<std::string> arguments{
-          "--requests-per-second", textOf(options_.requestsPerSecond),
-          "--first-router",        std::to_string(first),
-          "--router-count",        std::to_string(count)};
-      for (const base::SocketAddress& controller : fleet_->peerAddresses()) {
-        arguments.insert(arguments.end(), {"--controllers", controller.toString()});
-      }
-      BOOST_LEAF_AUTO(process, startHollow("scale-routers", "routers-" + std::to_string(first),
-                                           std::move(arguments)));
-      routers_.push_back({std::move(process), count});
+
+    /// True once every router has its lease and every kept replica is loaded.
+    bool isReady() const
+    {
+        if (readyRouters() < static_cast<double> (options_.sizes.routers))
+            return false;
+        const auto leader = fleet_->httpAddress (leader_);
+        if (! leader)
+            return false;
+        const auto replicas =
+            lab::metricValue (lab::fetchMetrics (leader.value()), "fernlift_controller_replicas");
+        return replicas.value_or (0) >= static_cast<double> (keptReplicas (options_.sizes));
     }
-    return {};
-  }
-
-  double readyRouters() const {
-    double ready = 0;
-    for (const RouterProcess& routers : routers_) {
-      const std::string metrics = lab::fetchMetrics(routers.process.address);
-      ready += lab::metricValue(metrics, "fernlift_hollow_routers_ready").value_or(0);
+
+    base::Result<void> waitUntilReady()
+    {
+        const bool isUp = lab::waitUntil (
+            [&]
+            {
+                if (isReady())
+                    return true;
+                lab::handleEventsFor (kProbeInterval);
+                return false;
+            },
+            kReadyTimeout);
+        if (isUp)
+            return {};
+        return base::fail (ErrorKind::kRequestTimeout,
+                           "the cell did not become ready; logs in " + options_.folders.run);
     }
-    return ready;
-  }
-
-  /// True once every router has its lease and every kept replica is loaded.
-  bool isReady() const {
-    if (readyRouters() < static_cast<double>(options_.sizes.routers)) return false;
-    const auto leader = fleet_->httpAddress(leader_);
-    if (!leader) return false;
-    const auto replicas =
-        lab::metricValue(lab::fetchMetrics(leader.value()), "fernlift_controller_replicas");
-    return replicas.value_or(0) >= static_cast<double>(keptReplicas(options_.sizes));
-  }
-
-  base::Result<void> waitUntilReady() {
-    const bool isUp = lab::waitUntil(
-        [&] {
-          if (isReady()) return true;
-          lab::handleEventsFor(kProbeInterval);
-          return false;
-        },
-        kReadyTimeout);
-    if (isUp) return {};
-    return base::fail(ErrorKind::kRequestTimeout,
-                      "the cell did not become ready; logs in " + options_.folders.run);
-  }
-
-  base::Result<std::vector<MeteredProcess>> meteredProcesses() {
-    std::vector<MeteredProcess> processes;
-    for (const lab::NodeStatus& node : fleet_->status()) {
-      if (node.role != lab::NodeRole::kController) continue;
-      const std::string role = node.name == leader_ ? "leader" : "follower";
-      processes.push_back({role, node.processId, node.httpAddress, 1});
+
+    base::Result<std::vector<MeteredProcess>> meteredProcesses()
+    {
+        std::vector<MeteredProcess> processes;
+        for (const lab::NodeStatus& node : fleet_->status())
+        {
+            if (node.role != lab::NodeRole::kController)
+                continue;
+            const std::string role = node.name == leader_ ? "leader" : "follower";
+            processes.push_back ({ role, node.processId, node.httpAddress, 1 });
+        }
+        for (const RouterProcess& routers : routers_)
+        {
+            processes.push_back ({ "router", routers.process.process->processId(),
+                                   routers.process.address, static_cast<double> (routers.count) });
+        }
+        return processes;
     }
-    for (const RouterProcess& routers : routers_) {
-      processes.push_back({"router", routers.process.process->processId(), routers.process.address,
-                           static_cast<double>(routers.count)});
+
+    base::Result<std::vector<Reading>> readAll (const std::vector<MeteredProcess>& processes)
+    {
+        std::vector<Reading> readings;
+        for (const MeteredProcess& process : processes)
+        {
+            BOOST_LEAF_AUTO (reading, readProcess (process, clock_));
+            readings.push_back (std::move (reading));
+        }
+        return readings;
+    }
+
+    base::Result<void> measure()
+    {
+        BOOST_LEAF_ASSIGN (leader_, lab::waitForLeader (*fleet_, kStartTimeout));
+        BOOST_LEAF_AUTO (processes, meteredProcesses());
+        BOOST_LEAF_AUTO (before, readAll (processes));
+        BOOST_LEAF_AUTO (runnersBefore, readProcessUse (runners_.process->processId()));
+        BOOST_LEAF_CHECK (changeWhileMeasuring());
+        BOOST_LEAF_AUTO (after, readAll (processes));
+        BOOST_LEAF_AUTO (runnersAfter, readProcessUse (runners_.process->processId()));
+        BOOST_LEAF_AUTO (leader, lab::waitForLeader (*fleet_, kStartTimeout));
+        if (leader != leader_)
+        {
+            return base::fail (ErrorKind::kInternal, "the leader changed while it was measured");
+        }
+        record (processes, before, after);
+        const double length =
+            std::chrono::duration<double> (after.front().at - before.front().at).count();
+        const double runnerSeconds = runnersAfter.processorSeconds - runnersBefore.processorSeconds;
+        add ("run", "runners_process_processor_share", runnerSeconds / length);
+        add ("run", "machine_load_average", machineLoad());
+        return {};
     }
-    return processes;
-  }
-
-  base::Result<std::vector<Reading>> readAll(const std::vector<MeteredProcess>& processes) {
-    std::vector<Reading> readings;
-    for (const MeteredProcess& process : processes) {
-      BOOST_LEAF_AUTO(reading, readProcess(process, clock_));
-      readings.push_back(std::move(reading));
+
+    /// Waits for the measured interval and applies changes at their rate meanwhile.
+    base::Result<void> changeWhileMeasuring()
+    {
+        const base::TimePoint begin = clock_.now();
+        const base::TimePoint end = begin + options_.measure;
+        const double perSecond = static_cast<double> (options_.sizes.changesPerDay) / kSecondsInDay;
+        std::vector<std::unique_ptr<Change>> changes;
+        while (clock_.now() < end)
+        {
+            const double due =
+                std::chrono::duration<double> (clock_.now() - begin).count() * perSecond;
+            if (static_cast<double> (changes.size()) + 1 <= due)
+            {
+                BOOST_LEAF_AUTO (request, changeRequest (false));
+                auto change = std::make_unique<Change>();
+                Change* state = change.get();
+                change->call = std::make_unique<lab::HttpCall> (
+                    client_, request,
+                    [state] (const lab::HttpOutcome& outcome) { state->outcome = outcome; });
+                changes.push_back (std::move (change));
+            }
+            lab::handleEventsFor (base::milliseconds (20));
+        }
+        const auto accepted = std::count_if (
+            changes.begin(), changes.end(),
+            [] (const auto& change) { return change->outcome && change->outcome->status == kOk; });
+        add ("run", "changes_accepted", static_cast<double> (accepted));
+        return {};
     }
-    return readings;
-  }
-
-  base::Result<void> measure() {
-    BOOST_LEAF_ASSIGN(leader_, lab::waitForLeader(*fleet_, kStartTimeout));
-    BOOST_LEAF_AUTO(processes, meteredProcesses());
-    BOOST_LEAF_AUTO(before, readAll(processes));
-    BOOST_LEAF_AUTO(runnersBefore, readProcessUse(runners_.process->processId()));
-    BOOST_LEAF_CHECK(changeWhileMeasuring());
-    BOOST_LEAF_AUTO(after, readAll(processes));
-    BOOST_LEAF_AUTO(runnersAfter, readProcessUse(runners_.process->processId()));
-    BOOST_LEAF_AUTO(leader, lab::waitForLeader(*fleet_, kStartTimeout));
-    if (leader != leader_) {
-      return base::fail(ErrorKind::kInternal, "the leader changed while it was measured");
+
+    void record (const std::vector<MeteredProcess>& processes, const std::vector<Reading>& before,
+                 const std::vector<Reading>& after)
+    {
+        std::vector<RoleQuantities> readings;
+        for (std::size_t index = 0; index < processes.size(); ++index)
+        {
+            const MeteredProcess& process = processes[index];
+            const auto& counters = process.role == "router" ? kRouterCounters : kControllerCounters;
+            readings.push_back (
+                { process.role, process.nodes,
+                  quantitiesBetween (process, before[index], after[index], counters) });
+            if (process.role == "leader")
+                recordGauges (after[index].metrics);
+        }
+        for (const char* role : { "leader", "follower", "router" })
+        {
+            for (const Quantity& mean : meansOf (role, readings))
+                add (role, mean.name, mean.value);
+        }
     }
-    record(processes, before, after);
-    const double length =
-        std::chrono::duration<double>(after.front().at - before.front().at).count();
-    const double runnerSeconds = runnersAfter.processorSeconds - runnersBefore.processorSeconds;
-    add("run", "runners_process_processor_share", runnerSeconds / length);
-    add("run", "machine_load_average", machineLoad());
-    return {};
-  }
-
-  /// Waits for the measured interval and applies changes at their rate meanwhile.
-  base::Result<void> changeWhileMeasuring() {
-    const base::TimePoint begin = clock_.now();
-    const base::TimePoint end = begin + options_.measure;
-    const double perSecond = static_cast<double>(options_.sizes.changesPerDay) / kSecondsInDay;
-    std::vector<std::unique_ptr<Change>> changes;
-    while (clock_.now() < end) {
-      const double due = std::chrono::duration<double>(clock_.now() - begin).count() * perSecond;
-      if (static_cast<double>(changes.size()) + 1 <= due) {
-        BOOST_LEAF_AUTO(request, changeRequest(false));
-        auto change = std::make_unique<Change>();
-        Change* state = change.get();
-        change->call = std::make_unique<lab::HttpCall>(
-            client_, request,
-            [state](const lab::HttpOutcome& outcome) { state->outcome = outcome; });
-        changes.push_back(std::move(change));
-      }
-      lab::handleEventsFor(base::milliseconds(20));
+
+    void recordGauges (const std::string& metrics)
+    {
+        for (const char* gauge : { "replicas", "runners", "claims_held", "router_sessions" })
+        {
+            const auto value =
+                lab::metricValue (metrics, std::string ("fernlift_controller_") + gauge);
+            add ("leader", gauge, value.value_or (0));
+        }
     }
-    const auto accepted = std::count_if(changes.begin(), changes.end(), [](const auto& change) {
-      return change->outcome && change->outcome->status == kOk;
-    });
-    add("run", "changes_accepted", static_cast<double>(accepted));
-    return {};
-  }
-
-  void record(const std::vector<MeteredProcess>& processes, const std::vector<Reading>& before,
-              const std::vector<Reading>& after) {
-    std::vector<RoleQuantities> readings;
-    for (std::size_t index = 0; index < processes.size(); ++index) {
-      const MeteredProcess& process = processes[index];
-      const auto& counters = process.role == "router" ? kRouterCounters : kControllerCounters;
-      readings.push_back({process.role, process.nodes,
-                          quantitiesBetween(process, before[index], after[index], counters)});
-      if (process.role == "leader") recordGauges(after[index].metrics);
+
+    /// Time from the call of an operator until every router has the change in force. A call that
+    /// meets a change of leadership is counted and made again.
+    base::Result<void> measureInForce()
+    {
+        std::vector<double> times;
+        int missed = 0;
+        while (static_cast<int> (times.size()) < kChangesAfterMeasuring && missed < kMissedChanges)
+        {
+            BOOST_LEAF_ASSIGN (leader_, lab::waitForLeader (*fleet_, kStartTimeout));
+            BOOST_LEAF_AUTO (request, changeRequest (true));
+            const lab::HttpOutcome outcome = lab::callAndWait (request);
+            if (outcome.status == kOk)
+            {
+                times.push_back (std::chrono::duration<double> (outcome.toEnd).count());
+            }
+            else
+            {
+                ++missed;
+            }
+        }
+        add ("run", "in_force_calls_missed", missed);
+        if (times.empty())
+            return {};
+        std::sort (times.begin(), times.end());
+        add ("run", "in_force_seconds_median", times[times.size() / 2]);
+        add ("run", "in_force_seconds_largest", times.back());
+        return {};
     }
-    for (const char* role : {"leader", "follower", "router"}) {
-      for (const Quantity& mean : meansOf(role, readings)) add(role, mean.name, mean.value);
+
+    base::Result<void> stop()
+    {
+        for (const RouterProcess& routers : routers_)
+            routers.process.process->requestStop();
+        for (const RouterProcess& routers : routers_)
+            endProcess (*routers.process.process);
+        runners_.process->requestStop();
+        endProcess (*runners_.process);
+        return fleet_->stop();
     }
-  }
 
-  void recordGauges(const std::string& metrics) {
-    for (const char* gauge : {"replicas", "runners", "claims_held", "router_sessions"}) {
-      const auto value = lab::metricValue(metrics, std::string("fernlift_controller_") + gauge);
-      add("leader", gauge, value.value_or(0));
+    static void endProcess (lab::ChildProcess& process)
+    {
+        if (! process.waitForEnd (kStopTimeout))
+            process.kill();
     }
-  }
-
-  /// Time from the call of an operator until every router has the change in force. A call that
-  /// meets a change of leadership is counted and made again.
-  base::Result<void> measureInForce() {
-    std::vector<double> times;
-    int missed = 0;
-    while (static_cast<int>(times.size()) < kChangesAfterMeasuring && missed < kMissedChanges) {
-      BOOST_LEAF_ASSIGN(leader_, lab::waitForLeader(*fleet_, kStartTimeout));
-      BOOST_LEAF_AUTO(request, changeRequest(true));
-      const lab::HttpOutcome outcome = lab::callAndWait(request);
-      if (outcome.status == kOk) {
-        times.push_back(std::chrono::duration<double>(outcome.toEnd).count());
-      } else {
-        ++missed;
-      }
+
+    void add (const std::string& role, const std::string& quantity, double value)
+    {
+        rows_.push_back (
+            { options_.dimension, options_.sizes, options_.size, role, quantity, value });
     }
-    add("run", "in_force_calls_missed", missed);
-    if (times.empty()) return {};
-    std::sort(times.begin(), times.end());
-    add("run", "in_force_seconds_median", times[times.size() / 2]);
-    add("run", "in_force_seconds_largest", times.back());
-    return {};
-  }
-
-  base::Result<void> stop() {
-    for (const RouterProcess& routers : routers_) routers.process.process->requestStop();
-    for (const RouterProcess& routers : routers_) endProcess(*routers.process.process);
-    runners_.process->requestStop();
-    endProcess(*runners_.process);
-    return fleet_->stop();
-  }
-
-  static void endProcess(lab::ChildProcess& process) {
-    if (!process.waitForEnd(kStopTimeout)) process.kill();
-  }
-
-  void add(const std::string& role, const std::string& quantity, double value) {
-    rows_.push_back({options_.dimension, options_.sizes, options_.size, role, quantity, value});
-  }
-
-  const StepOptions& options_;
-  http::Client client_;
-  base::SystemClock clock_;
-  HollowProcess runners_;
-  std::vector<RouterProcess> routers_;
-  std::optional<lab::Fleet> fleet_;
-  std::string leader_;
-  std::uint64_t version_ = 0;
-  std::vector<Measurement> rows_;
+
+    const StepOptions& options_;
+    http::Client client_;
+    base::SystemClock clock_;
+    HollowProcess runners_;
+    std::vector<RouterProcess> routers_;
+    std::optional<lab::Fleet> fleet_;
+    std::string leader_;
+    std::uint64_t version_ = 0;
+    std::vector<Measurement> rows_;
 };
 
 }  // namespace
 
-base::Result<std::vector<Measurement>> runStep(const StepOptions& options) {
-  return Step(options).run();
+base::Result<std::vector<Measurement>> runStep (const StepOptions& options)
+{
+    return Step (options).run();
 }
 
 }  // namespace fernlift::scale
--- a/src/sim/BackEnd.h
+++ b/src/sim/BackEnd.h
@@ -12,54 +12,61 @@
 #include "sim/Process.h"
 #include "sim/World.h"
 
-namespace fernlift::sim {
+namespace fernlift::sim
+{
 
 class RouterNode;
 
 /// One attempt as it reaches a back end.
-struct Attempt {
-  RouterNode* router = nullptr;
-  std::uint64_t routerLife = 0;
-  router::AttemptId id = 0;
-  ConnectionPointer connection;
-  CallerRequestPointer request;
-  cell::RoutableReplica replica;
-  int urgency = 0;
-  std::uint64_t resumeFrom = 0;
+struct Attempt
+{
+    RouterNode* router = nullptr;
+    std::uint64_t routerLife = 0;
+    router::AttemptId id = 0;
+    ConnectionPointer connection;
+    CallerRequestPointer request;
+    cell::RoutableReplica replica;
+    int urgency = 0;
+    std::uint64_t resumeFrom = 0;
 
-  /// Sends an event of the attempt to its router.
-  void tell(router::AttemptEvent event) const;
+    /// Sends an event of the attempt to its router.
+    void tell (router::AttemptEvent event) const;
 };
 
-class BackEnd : public Process {
- public:
-  BackEnd(World& world, NodeId node, const std::string& name, engine::Machine machine);
+class BackEnd : public Process
+{
+public:
+    BackEnd (World& world, NodeId node, const std::string& name, engine::Machine machine);
 
-  virtual void start() = 0;
-  virtual engine::OrderAnswer onOrder(const engine::Order& order) = 0;
-  virtual engine::Report report() = 0;
-  virtual void submit(Attempt attempt) = 0;
-  virtual void setLeaving(bool isLeaving) = 0;
-  [[nodiscard]] virtual bool isLeaving() const = 0;
-  [[nodiscard]] virtual bool isBusy() = 0;
+    virtual void start() = 0;
+    virtual engine::OrderAnswer onOrder (const engine::Order& order) = 0;
+    virtual engine::Report report() = 0;
+    virtual void submit (Attempt attempt) = 0;
+    virtual void setLeaving (bool isLeaving) = 0;
+    [[nodiscard]] virtual bool isLeaving() const = 0;
+    [[nodiscard]] virtual bool isBusy() = 0;
 
-  [[nodiscard]] const engine::Machine& machine() const { return machine_; }
-  [[nodiscard]] base::Incarnation incarnation() const { return incarnation_; }
-  /// The machine was reclaimed and another one of the same size, with another name and address,
-  /// takes its place.
-  void replaceMachine(const base::RunnerId& runner, const std::string& address) {
-    machine_.runner = runner;
-    machine_.address = address;
-  }
+    [[nodiscard]] const engine::Machine& machine() const { return machine_; }
+    [[nodiscard]] base::Incarnation incarnation() const { return incarnation_; }
+    /// The machine was reclaimed and another one of the same size, with another name and address,
+    /// takes its place.
+    void replaceMachine (const base::RunnerId& runner, const std::string& address)
+    {
+        machine_.runner = runner;
+        machine_.address = address;
+    }
 
- protected:
-  [[nodiscard]] World& world() { return world_; }
-  void drawIncarnation() { incarnation_ = static_cast<base::Incarnation>(random().bits() >> 11); }
+protected:
+    [[nodiscard]] World& world() { return world_; }
+    void drawIncarnation()
+    {
+        incarnation_ = static_cast<base::Incarnation> (random().bits() >> 11);
+    }
 
- private:
-  World& world_;
-  engine::Machine machine_;
-  base::Incarnation incarnation_ = 0;
+private:
+    World& world_;
+    engine::Machine machine_;
+    base::Incarnation incarnation_ = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/Callers.cpp
+++ b/src/sim/Callers.cpp
@@ -11,10 +11,12 @@
 #include "sim/RouterNode.h"
 #include "standin/AnswerText.h"
 
-namespace fernlift::sim {
-namespace {
+namespace fernlift::sim
+{
+namespace
+{
 
-constexpr base::Duration kAnswerSlack = base::milliseconds(1000);
+constexpr base::Duration kAnswerSlack = base::milliseconds (1000);
 constexpr int kOk = 200;
 constexpr int kMaximumRepetitions = 3;
 constexpr double kApplicationShare = 0.4;
@@ -26,253 +28,328 @@
 
 }  // namespace
 
-void Callers::begin(base::TimePoint end) {
-  for (std::size_t router = 0; router < world_.routers.size(); ++router) {
-    scheduleNext(router, end);
-  }
+void Callers::begin (base::TimePoint end)
+{
+    for (std::size_t router = 0; router < world_.routers.size(); ++router)
+    {
+        scheduleNext (router, end);
+    }
 }
 
-void Callers::scheduleNext(std::size_t router, base::TimePoint end) {
-  const double mean = static_cast<double>(world_.options.meanRequestInterval.count());
-  const auto pause = base::Duration(static_cast<std::int64_t>(world_.random.exponential(mean)));
-  world_.queue.after(pause, [this, router, end] {
-    if (world_.now() >= end) return;
-    sendNew(router);
-    scheduleNext(router, end);
-  });
+void Callers::scheduleNext (std::size_t router, base::TimePoint end)
+{
+    const double mean = static_cast<double> (world_.options.meanRequestInterval.count());
+    const auto pause =
+        base::Duration (static_cast<std::int64_t> (world_.random.exponential (mean)));
+    world_.queue.after (pause,
+                        [this, router, end]
+                        {
+                            if (world_.now() >= end)
+                                return;
+                            sendNew (router);
+                            scheduleNext (router, end);
+                        });
 }
 
-CallerRequestPointer Callers::makeRequest(const SimulatedTarget& target) {
-  auto request = std::make_shared<CallerRequest>();
-  router::RequestHead& head = request->head;
-  const std::string number = std::to_string(++lastId_);
-  head.id = base::RequestId("request-" + number);
-  head.target = target.name;
-  head.caller = "caller-" + std::to_string(world_.random.uniformInteger(1, 5));
-  head.bodyBytes = 200;
-  request->deadline = base::milliseconds(target.deadlineMilliseconds);
-  if (target.isApplication) {
-    head.protocol = router::Protocol::kApplication;
-    request->expectedText = "done for " + number;
-    if (!target.isRepeatable) head.idempotencyKey = base::IdempotencyKey("key-" + number);
-  } else {
-    head.isStreaming = world_.random.chance(0.6);
-    request->prompt = "user: question " + number + "\n";
-    request->maxTokens = static_cast<std::uint64_t>(world_.random.uniformInteger(2, 24));
-    request->expectedText =
-        standin::expectedAnswer(head.target, request->prompt, request->maxTokens);
-  }
-  head.requestDigest = base::sha256Hex(head.target + number);
-  return request;
+CallerRequestPointer Callers::makeRequest (const SimulatedTarget& target)
+{
+    auto request = std::make_shared<CallerRequest>();
+    router::RequestHead& head = request->head;
+    const std::string number = std::to_string (++lastId_);
+    head.id = base::RequestId ("request-" + number);
+    head.target = target.name;
+    head.caller = "caller-" + std::to_string (world_.random.uniformInteger (1, 5));
+    head.bodyBytes = 200;
+    request->deadline = base::milliseconds (target.deadlineMilliseconds);
+    if (target.isApplication)
+    {
+        head.protocol = router::Protocol::kApplication;
+        request->expectedText = "done for " + number;
+        if (! target.isRepeatable)
+            head.idempotencyKey = base::IdempotencyKey ("key-" + number);
+    }
+    else
+    {
+        head.isStreaming = world_.random.chance (0.6);
+        request->prompt = "user: question " + number + "\n";
+        request->maxTokens = static_cast<std::uint64_t> (world_.random.uniformInteger (2, 24));
+        request->expectedText =
+            standin::expectedAnswer (head.target, request->prompt, request->maxTokens);
+    }
+    head.requestDigest = base::sha256Hex (head.target + number);
+    return request;
 }
 
-void Callers::sendNew(std::size_t router) {
-  const auto& targets = simulatedTargets();
-  const bool isApplication = world_.random.chance(kApplicationShare);
-  // A few targets are wanted often, most seldom.
-  const double skewed = world_.random.uniformReal() * world_.random.uniformReal();
-  const auto models = static_cast<double>(targets.size() - 2);
-  const std::size_t number = isApplication ? static_cast<std::size_t>(world_.random.chance(0.4))
-                                           : 2 + static_cast<std::size_t>(skewed * models);
-  const CallerRequestPointer request = makeRequest(targets[number]);
-  send(router, request);
-  if (!request->head.idempotencyKey.empty() && world_.random.chance(0.1)) sendAgain(request);
+void Callers::sendNew (std::size_t router)
+{
+    const auto& targets = simulatedTargets();
+    const bool isApplication = world_.random.chance (kApplicationShare);
+    // A few targets are wanted often, most seldom.
+    const double skewed = world_.random.uniformReal() * world_.random.uniformReal();
+    const auto models = static_cast<double> (targets.size() - 2);
+    const std::size_t number = isApplication ? static_cast<std::size_t> (world_.random.chance (0.4))
+                                             : 2 + static_cast<std::size_t> (skewed * models);
+    const CallerRequestPointer request = makeRequest (targets[number]);
+    send (router, request);
+    if (! request->head.idempotencyKey.empty() && world_.random.chance (0.1))
+        sendAgain (request);
 }
 
-void Callers::send(std::size_t router, const CallerRequestPointer& request, bool isPatient) {
-  history_.push_back(request);
-  request->router = router;
-  RouterNode* node = world_.routers[router].get();
-  if (!node->isAlive()) {
-    onRouterLost(request);
-    return;
-  }
-  request->routerLife = node->life();
-  world_.queue.after(base::milliseconds(1), [this, node, request, life = node->life()] {
-    if (!node->isAlive() || life != node->life()) {
-      onRouterLost(request);
-      return;
+void Callers::send (std::size_t router, const CallerRequestPointer& request, bool isPatient)
+{
+    history_.push_back (request);
+    request->router = router;
+    RouterNode* node = world_.routers[router].get();
+    if (! node->isAlive())
+    {
+        onRouterLost (request);
+        return;
     }
-    node->post([node, request] { node->onRequest(request); });
-  });
-  if (isPatient || !world_.random.chance(kLeavingShare)) return;
-  const auto stays = base::Duration(world_.random.uniformInteger(1000, 1'500'000));
-  world_.queue.after(stays, [node, request, life = node->life()] {
-    if (request->isOver()) return;
-    node->postTo(life, [node, request] { node->onCallerGone(request); });
-  });
+    request->routerLife = node->life();
+    world_.queue.after (base::milliseconds (1),
+                        [this, node, request, life = node->life()]
+                        {
+                            if (! node->isAlive() || life != node->life())
+                            {
+                                onRouterLost (request);
+                                return;
+                            }
+                            node->post ([node, request] { node->onRequest (request); });
+                        });
+    if (isPatient || ! world_.random.chance (kLeavingShare))
+        return;
+    const auto stays = base::Duration (world_.random.uniformInteger (1000, 1'500'000));
+    world_.queue.after (stays,
+                        [node, request, life = node->life()]
+                        {
+                            if (request->isOver())
+                                return;
+                            node->postTo (life, [node, request] { node->onCallerGone (request); });
+                        });
 }
 
-void Callers::burst() {
-  const auto& targets = simulatedTargets();
-  if (world_.random.chance(0.5)) {
-    for (const SimulatedTarget& target : targets) {
-      for (std::size_t router = 0; router < world_.routers.size(); router += 2) {
-        send(router, makeRequest(target));
-      }
+void Callers::burst()
+{
+    const auto& targets = simulatedTargets();
+    if (world_.random.chance (0.5))
+    {
+        for (const SimulatedTarget& target : targets)
+        {
+            for (std::size_t router = 0; router < world_.routers.size(); router += 2)
+            {
+                send (router, makeRequest (target));
+            }
+        }
+        return;
+    }
+    const auto number = static_cast<std::size_t> (
+        world_.random.uniformInteger (0, static_cast<std::int64_t> (targets.size()) - 1));
+    for (std::size_t router = 0; router < world_.routers.size(); ++router)
+    {
+        for (int copy = 0; copy < 4; ++copy)
+            send (router, makeRequest (targets[number]));
     }
-    return;
-  }
-  const auto number = static_cast<std::size_t>(
-      world_.random.uniformInteger(0, static_cast<std::int64_t>(targets.size()) - 1));
-  for (std::size_t router = 0; router < world_.routers.size(); ++router) {
-    for (int copy = 0; copy < 4; ++copy) send(router, makeRequest(targets[number]));
-  }
 }
 
-void Callers::sendAgain(const CallerRequestPointer& request) {
-  if (request->repetition >= kMaximumRepetitions) return;
-  auto again = std::make_shared<CallerRequest>();
-  again->head = request->head;
-  again->head.id = base::RequestId("request-" + std::to_string(++lastId_));
-  again->expectedText = request->expectedText;
-  again->deadline = request->deadline;
-  again->repetition = request->repetition + 1;
-  const auto pause = base::Duration(world_.random.uniformInteger(0, 2'000'000));
-  const auto router = static_cast<std::size_t>(
-      world_.random.uniformInteger(0, static_cast<std::int64_t>(world_.routers.size()) - 1));
-  world_.queue.after(pause, [this, router, again] { send(router, again); });
+void Callers::sendAgain (const CallerRequestPointer& request)
+{
+    if (request->repetition >= kMaximumRepetitions)
+        return;
+    auto again = std::make_shared<CallerRequest>();
+    again->head = request->head;
+    again->head.id = base::RequestId ("request-" + std::to_string (++lastId_));
+    again->expectedText = request->expectedText;
+    again->deadline = request->deadline;
+    again->repetition = request->repetition + 1;
+    const auto pause = base::Duration (world_.random.uniformInteger (0, 2'000'000));
+    const auto router = static_cast<std::size_t> (
+        world_.random.uniformInteger (0, static_cast<std::int64_t> (world_.routers.size()) - 1));
+    world_.queue.after (pause, [this, router, again] { send (router, again); });
 }
 
-void Callers::onRouterLost(const CallerRequestPointer& request) {
-  request->isRouterLost = true;
-  if (!request->head.idempotencyKey.empty()) sendAgain(request);
+void Callers::onRouterLost (const CallerRequestPointer& request)
+{
+    request->isRouterLost = true;
+    if (! request->head.idempotencyKey.empty())
+        sendAgain (request);
 }
 
-void Callers::onArrived(RouterNode& router, const CallerRequestPointer& request) {
-  const base::Duration allowed = request->deadline + kAnswerSlack;
-  world_.queue.after(allowed,
-                     [this, &router, request, life = router.life(), frozen = router.frozenTime()] {
-                       checkInTime(router, life, frozen, request);
-                     });
+void Callers::onArrived (RouterNode& router, const CallerRequestPointer& request)
+{
+    const base::Duration allowed = request->deadline + kAnswerSlack;
+    world_.queue.after (allowed,
+                        [this, &router, request, life = router.life(), frozen = router.frozenTime()]
+                        { checkInTime (router, life, frozen, request); });
 }
 
-void Callers::checkInTime(RouterNode& router, std::uint64_t life, base::Duration frozenBefore,
-                          const CallerRequestPointer& request) {
-  const bool hasAnswer = request->isOver() || request->httpStatus != 0;
-  if (hasAnswer || !router.isAlive() || life != router.life()) return;
-  const base::Duration frozen = router.frozenTime() - frozenBefore;
-  if (frozen > base::Duration::zero()) {
-    world_.queue.after(frozen, [this, &router, request, life, now = router.frozenTime()] {
-      checkInTime(router, life, now, request);
-    });
-    return;
-  }
-  world_.violations.add(
-      kOneAnswer, request->head.id.value + " for " + request->head.target + " at " + router.name() +
-                      " has no answer in time: " + router.core()->explainRequest(request->head.id));
+void Callers::checkInTime (RouterNode& router, std::uint64_t life, base::Duration frozenBefore,
+                           const CallerRequestPointer& request)
+{
+    const bool hasAnswer = request->isOver() || request->httpStatus != 0;
+    if (hasAnswer || ! router.isAlive() || life != router.life())
+        return;
+    const base::Duration frozen = router.frozenTime() - frozenBefore;
+    if (frozen > base::Duration::zero())
+    {
+        world_.queue.after (frozen, [this, &router, request, life, now = router.frozenTime()]
+                            { checkInTime (router, life, now, request); });
+        return;
+    }
+    world_.violations.add (kOneAnswer, request->head.id.value + " for " + request->head.target
+                                           + " at " + router.name() + " has no answer in time: "
+                                           + router.core()->explainRequest (request->head.id));
 }
 
-void Callers::onFinal(RouterNode& router, const CallerRequestPointer& request) {
-  if (request->finals > 1) {
-    world_.violations.add(kOneAnswer, request->head.id.value + " got " +
-                                          std::to_string(request->finals) + " final answers from " +
-                                          router.name());
-  }
-  checkText(request);
-  const bool isUnrepeatable = !request->head.idempotencyKey.empty();
-  if (isUnrepeatable && request->error && world_.random.chance(0.6)) sendAgain(request);
+void Callers::onFinal (RouterNode& router, const CallerRequestPointer& request)
+{
+    if (request->finals > 1)
+    {
+        world_.violations.add (kOneAnswer, request->head.id.value + " got "
+                                               + std::to_string (request->finals)
+                                               + " final answers from " + router.name());
+    }
+    checkText (request);
+    const bool isUnrepeatable = ! request->head.idempotencyKey.empty();
+    if (isUnrepeatable && request->error && world_.random.chance (0.6))
+        sendAgain (request);
 }
 
-void Callers::checkText(const CallerRequestPointer& request) {
-  const bool isWhole = !request->error;
-  const bool isRight = isWhole
-                           ? request->httpStatus != kOk || request->text == request->expectedText
-                           : request->expectedText.starts_with(request->text);
-  if (isRight) return;
-  world_.violations.add(kWholeText, request->head.id.value + " for " + request->head.target +
-                                        " got '" + request->text + "' instead of '" +
-                                        request->expectedText + "'");
+void Callers::checkText (const CallerRequestPointer& request)
+{
+    const bool isWhole = ! request->error;
+    const bool isRight = isWhole
+                             ? request->httpStatus != kOk || request->text == request->expectedText
+                             : request->expectedText.starts_with (request->text);
+    if (isRight)
+        return;
+    world_.violations.add (kWholeText, request->head.id.value + " for " + request->head.target
+                                           + " got '" + request->text + "' instead of '"
+                                           + request->expectedText + "'");
 }
 
-void Callers::checkLedgers() {
-  std::set<std::string> run;
-  std::map<std::string, std::uint64_t> keys;
-  for (const auto& engine : world_.engines) run.merge(engine->requestsRun());
-  for (const auto& application : world_.applications) {
-    run.merge(application->requestsRun());
-    for (const auto& [key, count] : application->keyCounts()) keys[key] += count;
-  }
-  for (const CallerRequestPointer& request : history_) {
-    const bool saidNotRun = request->error && request->execution == base::Execution::kNotRun;
-    if (!saidNotRun || !run.contains(request->head.id.value)) continue;
-    world_.violations.add("'not run' is true",
-                          request->head.id.value + " for " + request->head.target +
-                              " is in a ledger; its answer was " + request->error->message);
-  }
-  for (const auto& [key, count] : keys) {
-    if (count <= 1) continue;
-    world_.violations.add("no key runs twice", key + " ran " + std::to_string(count) + " times");
-  }
+void Callers::checkLedgers()
+{
+    std::set<std::string> run;
+    std::map<std::string, std::uint64_t> keys;
+    for (const auto& engine : world_.engines)
+        run.merge (engine->requestsRun());
+    for (const auto& application : world_.applications)
+    {
+        run.merge (application->requestsRun());
+        for (const auto& [key, count] : application->keyCounts())
+            keys[key] += count;
+    }
+    for (const CallerRequestPointer& request : history_)
+    {
+        const bool saidNotRun = request->error && request->execution == base::Execution::kNotRun;
+        if (! saidNotRun || ! run.contains (request->head.id.value))
+            continue;
+        world_.violations.add ("'not run' is true",
+                               request->head.id.value + " for " + request->head.target
+                                   + " is in a ledger; its answer was " + request->error->message);
+    }
+    for (const auto& [key, count] : keys)
+    {
+        if (count <= 1)
+            continue;
+        world_.violations.add ("no key runs twice",
+                               key + " ran " + std::to_string (count) + " times");
+    }
 }
 
-void Callers::checkQueues() {
-  for (const auto& router : world_.routers) {
-    if (!router->isAlive() || router->isFrozen()) continue;
-    const router::RouterCounters counters = router->core()->counters();
-    const std::uint64_t ended = counters.answered + counters.refused + counters.callersGone;
-    if (counters.open != 0 || counters.admitted != ended || !router->core()->isIdle()) {
-      world_.violations.add("nothing is left in any queue",
-                            router->name() + " has " + std::to_string(counters.open) +
-                                " open requests, " + std::to_string(counters.admitted) +
-                                " admitted, " + std::to_string(ended) + " ended");
+void Callers::checkQueues()
+{
+    for (const auto& router : world_.routers)
+    {
+        if (! router->isAlive() || router->isFrozen())
+            continue;
+        const router::RouterCounters counters = router->core()->counters();
+        const std::uint64_t ended = counters.answered + counters.refused + counters.callersGone;
+        if (counters.open != 0 || counters.admitted != ended || ! router->core()->isIdle())
+        {
+            world_.violations.add ("nothing is left in any queue",
+                                   router->name() + " has " + std::to_string (counters.open)
+                                       + " open requests, " + std::to_string (counters.admitted)
+                                       + " admitted, " + std::to_string (ended) + " ended");
+        }
     }
-  }
-  const auto checkBackEnd = [this](BackEnd& backEnd) {
-    if (!backEnd.isAlive() || !backEnd.isBusy()) return;
-    world_.violations.add("nothing is left in any queue", backEnd.name() + " still has requests");
-  };
-  for (const auto& engine : world_.engines) checkBackEnd(*engine);
-  for (const auto& application : world_.applications) checkBackEnd(*application);
+    const auto checkBackEnd = [this] (BackEnd& backEnd)
+    {
+        if (! backEnd.isAlive() || ! backEnd.isBusy())
+            return;
+        world_.violations.add ("nothing is left in any queue",
+                               backEnd.name() + " still has requests");
+    };
+    for (const auto& engine : world_.engines)
+        checkBackEnd (*engine);
+    for (const auto& application : world_.applications)
+        checkBackEnd (*application);
 }
 
-void Callers::checkEnd() {
-  for (const CallerRequestPointer& request : history_) {
-    const bool waitedAtKilledRouter =
-        !request->hasReachedRouter &&
-        world_.routers[request->router]->life() != request->routerLife;
-    if (request->isOver() || waitedAtKilledRouter) continue;
-    world_.violations.add(kOneAnswer, request->head.id.value + " for " + request->head.target +
-                                          " never got a final answer");
-  }
-  for (const CallerRequestPointer& probe : probes_) {
-    if (probe->finals == 1 && !probe->error) continue;
-    world_.violations.add(
-        "the cell heals",
-        "a request for " + probe->head.target + " at router " + std::to_string(probe->router + 1) +
-            " is not served: " + (probe->error ? probe->error->message : "no answer"));
-  }
-  checkLedgers();
-  checkQueues();
+void Callers::checkEnd()
+{
+    for (const CallerRequestPointer& request : history_)
+    {
+        const bool waitedAtKilledRouter =
+            ! request->hasReachedRouter
+            && world_.routers[request->router]->life() != request->routerLife;
+        if (request->isOver() || waitedAtKilledRouter)
+            continue;
+        world_.violations.add (kOneAnswer, request->head.id.value + " for " + request->head.target
+                                               + " never got a final answer");
+    }
+    for (const CallerRequestPointer& probe : probes_)
+    {
+        if (probe->finals == 1 && ! probe->error)
+            continue;
+        world_.violations.add ("the cell heals",
+                               "a request for " + probe->head.target + " at router "
+                                   + std::to_string (probe->router + 1) + " is not served: "
+                                   + (probe->error ? probe->error->message : "no answer"));
+    }
+    checkLedgers();
+    checkQueues();
 }
 
-RequestTotals Callers::totals() const {
-  RequestTotals totals;
-  for (const CallerRequestPointer& request : history_) {
-    ++totals.sent;
-    if (request->finals > 0 && !request->error) {
-      ++totals.served;
-    } else if (request->finals > 0) {
-      const bool isNotRun = request->execution == base::Execution::kNotRun;
-      isNotRun ? ++totals.refusedNotRun : ++totals.failedUnknown;
-    } else if (request->hasCallerLeft) {
-      ++totals.callersLeft;
-    } else if (request->isRouterLost) {
-      ++totals.lostWithRouter;
+RequestTotals Callers::totals() const
+{
+    RequestTotals totals;
+    for (const CallerRequestPointer& request : history_)
+    {
+        ++totals.sent;
+        if (request->finals > 0 && ! request->error)
+        {
+            ++totals.served;
+        }
+        else if (request->finals > 0)
+        {
+            const bool isNotRun = request->execution == base::Execution::kNotRun;
+            isNotRun ? ++totals.refusedNotRun : ++totals.failedUnknown;
+        }
+        else if (request->hasCallerLeft)
+        {
+            ++totals.callersLeft;
+        }
+        else if (request->isRouterLost)
+        {
+            ++totals.lostWithRouter;
+        }
     }
-  }
-  return totals;
+    return totals;
 }
 
-void Callers::sendProbes() {
-  for (std::size_t router = 0; router < world_.routers.size(); ++router) {
-    const auto& targets = simulatedTargets();
-    for (std::size_t number = 0; number < kProbedTargets; ++number) {
-      const CallerRequestPointer request = makeRequest(targets[number]);
-      probes_.push_back(request);
-      send(router, request, true);
+void Callers::sendProbes()
+{
+    for (std::size_t router = 0; router < world_.routers.size(); ++router)
+    {
+        const auto& targets = simulatedTargets();
+        for (std::size_t number = 0; number < kProbedTargets; ++number)
+        {
+            const CallerRequestPointer request = makeRequest (targets[number]);
+            probes_.push_back (request);
+            send (router, request, true);
+        }
     }
-  }
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/Callers.h
+++ b/src/sim/Callers.h
@@ -12,53 +12,56 @@
 #include "sim/Process.h"
 #include "sim/World.h"
 
-namespace fernlift::sim {
+namespace fernlift::sim
+{
 
 /// What became of the requests of a run.
-struct RequestTotals {
-  std::uint64_t sent = 0;
-  std::uint64_t served = 0;
-  std::uint64_t refusedNotRun = 0;
-  std::uint64_t failedUnknown = 0;  ///< Outcome unknown, or known to have run.
-  std::uint64_t callersLeft = 0;
-  std::uint64_t lostWithRouter = 0;  ///< Their router was killed.
+struct RequestTotals
+{
+    std::uint64_t sent = 0;
+    std::uint64_t served = 0;
+    std::uint64_t refusedNotRun = 0;
+    std::uint64_t failedUnknown = 0;  ///< Outcome unknown, or known to have run.
+    std::uint64_t callersLeft = 0;
+    std::uint64_t lostWithRouter = 0;  ///< Their router was killed.
 };
 
-class Callers {
- public:
-  explicit Callers(World& world) : world_(world) {}
+class Callers
+{
+public:
+    explicit Callers (World& world) : world_ (world) {}
 
-  /// Sends requests until `end`.
-  void begin(base::TimePoint end);
-  /// Many requests for one target, or some for each, at many routers at once.
-  void burst();
-  /// Some requests at each router of a healed cell, all of which must be served.
-  void sendProbes();
+    /// Sends requests until `end`.
+    void begin (base::TimePoint end);
+    /// Many requests for one target, or some for each, at many routers at once.
+    void burst();
+    /// Some requests at each router of a healed cell, all of which must be served.
+    void sendProbes();
 
-  void onArrived(RouterNode& router, const CallerRequestPointer& request);
-  void onFinal(RouterNode& router, const CallerRequestPointer& request);
-  void onRouterLost(const CallerRequestPointer& request);
-  void checkEnd();
-  [[nodiscard]] RequestTotals totals() const;
+    void onArrived (RouterNode& router, const CallerRequestPointer& request);
+    void onFinal (RouterNode& router, const CallerRequestPointer& request);
+    void onRouterLost (const CallerRequestPointer& request);
+    void checkEnd();
+    [[nodiscard]] RequestTotals totals() const;
 
- private:
-  void scheduleNext(std::size_t router, base::TimePoint end);
-  CallerRequestPointer makeRequest(const SimulatedTarget& target);
-  /// A patient caller does not leave before its answer.
-  void send(std::size_t router, const CallerRequestPointer& request, bool isPatient = false);
-  void sendNew(std::size_t router);
-  /// Sends the key of a request again, at another router, as a caller without an answer does.
-  void sendAgain(const CallerRequestPointer& request);
-  void checkText(const CallerRequestPointer& request);
-  void checkInTime(RouterNode& router, std::uint64_t life, base::Duration frozenBefore,
-                   const CallerRequestPointer& request);
-  void checkLedgers();
-  void checkQueues();
+private:
+    void scheduleNext (std::size_t router, base::TimePoint end);
+    CallerRequestPointer makeRequest (const SimulatedTarget& target);
+    /// A patient caller does not leave before its answer.
+    void send (std::size_t router, const CallerRequestPointer& request, bool isPatient = false);
+    void sendNew (std::size_t router);
+    /// Sends the key of a request again, at another router, as a caller without an answer does.
+    void sendAgain (const CallerRequestPointer& request);
+    void checkText (const CallerRequestPointer& request);
+    void checkInTime (RouterNode& router, std::uint64_t life, base::Duration frozenBefore,
+                      const CallerRequestPointer& request);
+    void checkLedgers();
+    void checkQueues();
 
-  World& world_;
-  std::vector<CallerRequestPointer> history_;
-  std::vector<CallerRequestPointer> probes_;
-  std::uint64_t lastId_ = 0;
+    World& world_;
+    std::vector<CallerRequestPointer> history_;
+    std::vector<CallerRequestPointer> probes_;
+    std::uint64_t lastId_ = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/ConsensusChecker.h
+++ b/src/sim/ConsensusChecker.h
@@ -15,51 +15,54 @@
 #include "engine/EngineApi.h"
 #include "sim/World.h"
 
-namespace fernlift::sim {
+namespace fernlift::sim
+{
 
-class ConsensusChecker {
- public:
-  explicit ConsensusChecker(World& world) : world_(world) {}
+class ConsensusChecker
+{
+public:
+    explicit ConsensusChecker (World& world) : world_ (world) {}
 
-  void onStarted(base::MemberId member, const consensus::RecoveredState& recovered);
-  void onEnded(base::MemberId member);
-  void onPersist(base::MemberId member, const consensus::PersistRequest& request);
-  /// After every input of a controller.
-  void onProgress(ControllerNode& controller);
-  /// A member sends its vote.
-  void onVoteSent(const consensus::Message& message);
-  /// A controller sends something to a router.
-  void onActed(ControllerNode& controller, const cell::ControllerToRouter& message);
-  void onOrderSent(ControllerNode& controller, const engine::Order& order);
-  /// Once the cell has healed: states are equal, a leader exists.
-  void checkEnd();
+    void onStarted (base::MemberId member, const consensus::RecoveredState& recovered);
+    void onEnded (base::MemberId member);
+    void onPersist (base::MemberId member, const consensus::PersistRequest& request);
+    /// After every input of a controller.
+    void onProgress (ControllerNode& controller);
+    /// A member sends its vote.
+    void onVoteSent (const consensus::Message& message);
+    /// A controller sends something to a router.
+    void onActed (ControllerNode& controller, const cell::ControllerToRouter& message);
+    void onOrderSent (ControllerNode& controller, const engine::Order& order);
+    /// Once the cell has healed: states are equal, a leader exists.
+    void checkEnd();
 
-  /// The state after every entry committed anywhere.
-  [[nodiscard]] const cell::CellState& state() const { return state_; }
-  /// The command at an index of the committed log; none for other entries.
-  [[nodiscard]] std::optional<cell::Command> commandAt(base::LogIndex index) const;
-  [[nodiscard]] base::LogIndex committedIndex() const { return committed_.size(); }
-  [[nodiscard]] std::size_t terms() const { return leaders_.size(); }
+    /// The state after every entry committed anywhere.
+    [[nodiscard]] const cell::CellState& state() const { return state_; }
+    /// The command at an index of the committed log; none for other entries.
+    [[nodiscard]] std::optional<cell::Command> commandAt (base::LogIndex index) const;
+    [[nodiscard]] base::LogIndex committedIndex() const { return committed_.size(); }
+    [[nodiscard]] std::size_t terms() const { return leaders_.size(); }
 
- private:
-  struct MemberLog {
-    std::map<base::LogIndex, consensus::Entry> entries;
-    base::LogIndex checkedIndex = 0;
-    bool holdsLease = false;
-  };
+private:
+    struct MemberLog
+    {
+        std::map<base::LogIndex, consensus::Entry> entries;
+        base::LogIndex checkedIndex = 0;
+        bool holdsLease = false;
+    };
 
-  void checkApplied(base::MemberId member, MemberLog& log, const consensus::RaftStatus& status);
-  void commit(const consensus::Entry& entry);
-  void checkLeases(ControllerNode& controller, const consensus::RaftStatus& status);
-  void checkNotDeposed(ControllerNode& controller, const std::string& act);
+    void checkApplied (base::MemberId member, MemberLog& log, const consensus::RaftStatus& status);
+    void commit (const consensus::Entry& entry);
+    void checkLeases (ControllerNode& controller, const consensus::RaftStatus& status);
+    void checkNotDeposed (ControllerNode& controller, const std::string& act);
 
-  World& world_;
-  std::map<base::MemberId, MemberLog> logs_;
-  std::vector<consensus::Entry> committed_;
-  cell::CellState state_;
-  std::map<base::Term, base::MemberId> leaders_;
-  std::map<std::pair<base::MemberId, base::Term>, base::MemberId> votes_;
-  base::Term highestLeaseTerm_ = 0;
+    World& world_;
+    std::map<base::MemberId, MemberLog> logs_;
+    std::vector<consensus::Entry> committed_;
+    cell::CellState state_;
+    std::map<base::Term, base::MemberId> leaders_;
+    std::map<std::pair<base::MemberId, base::Term>, base::MemberId> votes_;
+    base::Term highestLeaseTerm_ = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/ControllerNode.cpp
+++ b/src/sim/ControllerNode.cpp
@@ -9,299 +9,372 @@
 #include "sim/Platform.h"
 #include "sim/RouterNode.h"
 
-namespace fernlift::sim {
-namespace {
-
-constexpr base::Duration kTickInterval = base::milliseconds(10);
-constexpr base::Duration kCallTimeout = base::milliseconds(2000);
-constexpr base::Duration kUsualSync = base::microseconds(1500);
+namespace fernlift::sim
+{
+namespace
+{
+
+constexpr base::Duration kTickInterval = base::milliseconds (10);
+constexpr base::Duration kCallTimeout = base::milliseconds (2000);
+constexpr base::Duration kUsualSync = base::microseconds (1500);
 constexpr std::int64_t kShortestSyncMicroseconds = 200;
 constexpr std::int64_t kLongestRestartMicroseconds = 400'000;
 
-consensus::PlantedFault consensusFault(PlantedFault fault) {
-  switch (fault) {
-    case PlantedFault::kVoteBeforeSync:
-      return consensus::PlantedFault::kVoteBeforeSync;
-    case PlantedFault::kAppendReplyBeforeSync:
-      return consensus::PlantedFault::kAppendReplyBeforeSync;
-    case PlantedFault::kLeaseWithoutMajority:
-      return consensus::PlantedFault::kLeaseWithoutMajority;
-    case PlantedFault::kLeaseWithoutVoteDelay:
-      return consensus::PlantedFault::kLeaseWithoutVoteDelay;
-    default:
-      return consensus::PlantedFault::kNone;
-  }
+consensus::PlantedFault consensusFault (PlantedFault fault)
+{
+    switch (fault)
+    {
+        case PlantedFault::kVoteBeforeSync:
+            return consensus::PlantedFault::kVoteBeforeSync;
+        case PlantedFault::kAppendReplyBeforeSync:
+            return consensus::PlantedFault::kAppendReplyBeforeSync;
+        case PlantedFault::kLeaseWithoutMajority:
+            return consensus::PlantedFault::kLeaseWithoutMajority;
+        case PlantedFault::kLeaseWithoutVoteDelay:
+            return consensus::PlantedFault::kLeaseWithoutVoteDelay;
+        default:
+            return consensus::PlantedFault::kNone;
+    }
 }
 
-cell::PlantedFault cellFault(PlantedFault fault) {
-  switch (fault) {
-    case PlantedFault::kOrderWithoutFence:
-      return cell::PlantedFault::kOrderWithoutFence;
-    case PlantedFault::kReplicaReleasedOnSilence:
-      return cell::PlantedFault::kReplicaReleasedOnSilence;
-    case PlantedFault::kConfigurationByVersionOnly:
-      return cell::PlantedFault::kConfigurationByVersionOnly;
-    case PlantedFault::kLeaseWithoutLeaderLease:
-      return cell::PlantedFault::kLeaseWithoutLeaderLease;
-    case PlantedFault::kStaleRead:
-      return cell::PlantedFault::kStaleRead;
-    case PlantedFault::kMemoryCountedWhenReady:
-      return cell::PlantedFault::kMemoryCountedWhenReady;
-    case PlantedFault::kClaimsNotSnapshotted:
-      return cell::PlantedFault::kClaimsNotSnapshotted;
-    default:
-      return cell::PlantedFault::kNone;
-  }
+cell::PlantedFault cellFault (PlantedFault fault)
+{
+    switch (fault)
+    {
+        case PlantedFault::kOrderWithoutFence:
+            return cell::PlantedFault::kOrderWithoutFence;
+        case PlantedFault::kReplicaReleasedOnSilence:
+            return cell::PlantedFault::kReplicaReleasedOnSilence;
+        case PlantedFault::kConfigurationByVersionOnly:
+            return cell::PlantedFault::kConfigurationByVersionOnly;
+        case PlantedFault::kLeaseWithoutLeaderLease:
+            return cell::PlantedFault::kLeaseWithoutLeaderLease;
+        case PlantedFault::kStaleRead:
+            return cell::PlantedFault::kStaleRead;
+        case PlantedFault::kMemoryCountedWhenReady:
+            return cell::PlantedFault::kMemoryCountedWhenReady;
+        case PlantedFault::kClaimsNotSnapshotted:
+            return cell::PlantedFault::kClaimsNotSnapshotted;
+        default:
+            return cell::PlantedFault::kNone;
+    }
 }
 
 }  // namespace
 
-ControllerNode::ControllerNode(World& world, NodeId node, base::MemberId member)
-    : Process(world.network, world.trace, node, "controller-" + std::to_string(node),
-              drawDrift(world.random)),
-      world_(world),
-      member_(member),
-      address_("127.1.0." + std::to_string(node) + ":7000"),
-      entriesBetweenSnapshots_(world.random.chance(0.5) ? 60 : 4096),
-      longestSync_(kUsualSync) {}
-
-controller::ControllerOptions ControllerNode::coreOptions() const {
-  controller::ControllerOptions options;
-  options.cell = base::CellId("simulated");
-  options.keepAlive = base::seconds(4);
-  options.entriesBetweenSnapshots = entriesBetweenSnapshots_;
-  options.raft.snapshotChunkBytes = 8UL * 1024;
-  options.raft.plantedFault = consensusFault(world_.options.plantedFault);
-  options.plantedFault = cellFault(world_.options.plantedFault);
-  for (const auto& controller : world_.controllers) {
-    options.contacts.push_back(controller->asMember(true));
-  }
-  return options;
+ControllerNode::ControllerNode (World& world, NodeId node, base::MemberId member)
+    : Process (world.network, world.trace, node, "controller-" + std::to_string (node),
+               drawDrift (world.random)),
+      world_ (world),
+      member_ (member),
+      address_ ("127.1.0." + std::to_string (node) + ":7000"),
+      entriesBetweenSnapshots_ (world.random.chance (0.5) ? 60 : 4096),
+      longestSync_ (kUsualSync)
+{
+}
+
+controller::ControllerOptions ControllerNode::coreOptions() const
+{
+    controller::ControllerOptions options;
+    options.cell = base::CellId ("simulated");
+    options.keepAlive = base::seconds (4);
+    options.entriesBetweenSnapshots = entriesBetweenSnapshots_;
+    options.raft.snapshotChunkBytes = 8UL * 1024;
+    options.raft.plantedFault = consensusFault (world_.options.plantedFault);
+    options.plantedFault = cellFault (world_.options.plantedFault);
+    for (const auto& controller : world_.controllers)
+    {
+        options.contacts.push_back (controller->asMember (true));
+    }
+    return options;
 }
 
-void ControllerNode::start() {
-  begin();
-  isStopping_ = false;
-  consensus::RecoveredState recovered = disk_.recover();
-  note("starts as member " + std::to_string(member_) + " with " +
-       std::to_string(recovered.entries.size()) + " entries");
-  world_.consensus->onStarted(member_, recovered);
-  core_.emplace(member_, coreOptions(), std::move(recovered), random().bits(), clock().now(),
-                clock().unixNow());
-  feed([](controller::ControllerCore&) {});
-  tick(life());
+void ControllerNode::start()
+{
+    begin();
+    isStopping_ = false;
+    consensus::RecoveredState recovered = disk_.recover();
+    note ("starts as member " + std::to_string (member_) + " with "
+          + std::to_string (recovered.entries.size()) + " entries");
+    world_.consensus->onStarted (member_, recovered);
+    core_.emplace (member_, coreOptions(), std::move (recovered), random().bits(), clock().now(),
+                   clock().unixNow());
+    feed ([] (controller::ControllerCore&) {});
+    tick (life());
 }
 
-void ControllerNode::replaceDisk(base::MemberId member) {
-  note("disk lost");
-  disk_.wipe();
-  member_ = member;
+void ControllerNode::replaceDisk (base::MemberId member)
+{
+    note ("disk lost");
+    disk_.wipe();
+    member_ = member;
 }
 
-void ControllerNode::stopAndRestart() {
-  if (!isAlive() || isFrozen() || isStopping_) return;
-  note("planned stop");
-  isStopping_ = true;
-  feed([](controller::ControllerCore& core) { core.beginStop(); });
+void ControllerNode::stopAndRestart()
+{
+    if (! isAlive() || isFrozen() || isStopping_)
+        return;
+    note ("planned stop");
+    isStopping_ = true;
+    feed ([] (controller::ControllerCore& core) { core.beginStop(); });
 }
 
-void ControllerNode::onKilled() {
-  if (disk_.crash(random())) note("record torn");
-  world_.consensus->onEnded(member_);
-  core_.reset();
-  routers_.clear();
-  tickets_.clear();
+void ControllerNode::onKilled()
+{
+    if (disk_.crash (random()))
+        note ("record torn");
+    world_.consensus->onEnded (member_);
+    core_.reset();
+    routers_.clear();
+    tickets_.clear();
 }
 
-void ControllerNode::tick(std::uint64_t life) {
-  if (!isAlive() || life != this->life()) return;
-  queue().after(kTickInterval, [this, life] { tick(life); });
-  if (isFrozen()) return;
-  feed([](controller::ControllerCore& core) { core.onTick(); });
-  if (!isStopping_ || !core_ || !core_->isStopped()) return;
-  kill(base::Duration::zero());
-  const auto pause = base::Duration(random().uniformInteger(0, kLongestRestartMicroseconds));
-  queue().after(pause, [this, stopped = this->life()] {
-    if (!isAlive() && stopped == this->life()) start();
-  });
+void ControllerNode::tick (std::uint64_t life)
+{
+    if (! isAlive() || life != this->life())
+        return;
+    queue().after (kTickInterval, [this, life] { tick (life); });
+    if (isFrozen())
+        return;
+    feed ([] (controller::ControllerCore& core) { core.onTick(); });
+    if (! isStopping_ || ! core_ || ! core_->isStopped())
+        return;
+    kill (base::Duration::zero());
+    const auto pause = base::Duration (random().uniformInteger (0, kLongestRestartMicroseconds));
+    queue().after (pause,
+                   [this, stopped = this->life()]
+                   {
+                       if (! isAlive() && stopped == this->life())
+                           start();
+                   });
 }
 
-void ControllerNode::feed(const Input& input) {
-  if (!core_) return;
-  core_->setTime(clock().now(), clock().unixNow());
-  input(*core_);
-  const std::uint64_t current = life();
-  const std::vector<controller::Effect> effects = core_->takeEffects();
-  for (const controller::Effect& effect : effects) {
-    if (const auto* persist = std::get_if<controller::PersistEffect>(&effect)) {
-      world_.consensus->onPersist(member_, persist->request);
+void ControllerNode::feed (const Input& input)
+{
+    if (! core_)
+        return;
+    core_->setTime (clock().now(), clock().unixNow());
+    input (*core_);
+    const std::uint64_t current = life();
+    const std::vector<controller::Effect> effects = core_->takeEffects();
+    for (const controller::Effect& effect : effects)
+    {
+        if (const auto* persist = std::get_if<controller::PersistEffect> (&effect))
+        {
+            world_.consensus->onPersist (member_, persist->request);
+        }
+    }
+    world_.consensus->onProgress (*this);
+    for (const controller::Effect& effect : effects)
+    {
+        if (! isAlive() || current != life())
+            return;
+        carryOut (effect);
     }
-  }
-  world_.consensus->onProgress(*this);
-  for (const controller::Effect& effect : effects) {
-    if (!isAlive() || current != life()) return;
-    carryOut(effect);
-  }
 }
 
-bool ControllerNode::leadsNow() {
-  if (!isAlive() || isFrozen()) return false;
-  core_->setTime(clock().now(), clock().unixNow());
-  return core_->holdsLease();
+bool ControllerNode::leadsNow()
+{
+    if (! isAlive() || isFrozen())
+        return false;
+    core_->setTime (clock().now(), clock().unixNow());
+    return core_->holdsLease();
 }
 
-consensus::Member ControllerNode::asMember(bool isVoter) const {
-  return {member_, address_, address_, "z" + std::to_string(node() % 3 + 1), isVoter};
+consensus::Member ControllerNode::asMember (bool isVoter) const
+{
+    return { member_, address_, address_, "z" + std::to_string (node() % 3 + 1), isVoter };
 }
 
-controller::RouterConnection ControllerNode::accept(RouterNode& router,
-                                                    ConnectionPointer connection) {
-  const controller::RouterConnection number = ++lastConnection_;
-  connection->onEnded(Side::kAcceptor, [this, number, life = life()] {
-    postTo(life, [this, number] { onRouterGone(number); });
-  });
-  routers_[number] = {&router, std::move(connection)};
-  return number;
+controller::RouterConnection ControllerNode::accept (RouterNode& router,
+                                                     ConnectionPointer connection)
+{
+    const controller::RouterConnection number = ++lastConnection_;
+    connection->onEnded (Side::kAcceptor, [this, number, life = life()]
+                         { postTo (life, [this, number] { onRouterGone (number); }); });
+    routers_[number] = { &router, std::move (connection) };
+    return number;
 }
 
-void ControllerNode::onRouterMessage(controller::RouterConnection connection,
-                                     const cell::RouterToController& message) {
-  if (!routers_.contains(connection)) return;
-  feed([&](controller::ControllerCore& core) { core.onRouterMessage(connection, message); });
+void ControllerNode::onRouterMessage (controller::RouterConnection connection,
+                                      const cell::RouterToController& message)
+{
+    if (! routers_.contains (connection))
+        return;
+    feed ([&] (controller::ControllerCore& core) { core.onRouterMessage (connection, message); });
 }
 
-void ControllerNode::onRouterGone(controller::RouterConnection connection) {
-  if (routers_.erase(connection) == 0) return;
-  feed([&](controller::ControllerCore& core) { core.onRouterGone(connection); });
+void ControllerNode::onRouterGone (controller::RouterConnection connection)
+{
+    if (routers_.erase (connection) == 0)
+        return;
+    feed ([&] (controller::ControllerCore& core) { core.onRouterGone (connection); });
 }
 
-void ControllerNode::admin(const controller::AdminRequest& request,
-                           std::function<void(const controller::AnswerAdmin&)> onAnswer) {
-  const controller::AdminTicket ticket = ++lastTicket_;
-  tickets_[ticket] = std::move(onAnswer);
-  feed([&](controller::ControllerCore& core) { core.onAdmin(ticket, request); });
+void ControllerNode::admin (const controller::AdminRequest& request,
+                            std::function<void (const controller::AnswerAdmin&)> onAnswer)
+{
+    const controller::AdminTicket ticket = ++lastTicket_;
+    tickets_[ticket] = std::move (onAnswer);
+    feed ([&] (controller::ControllerCore& core) { core.onAdmin (ticket, request); });
 }
 
-void ControllerNode::carryOut(const controller::Effect& effect) {
-  std::visit([this](const auto& content) { apply(content); }, effect);
+void ControllerNode::carryOut (const controller::Effect& effect)
+{
+    std::visit ([this] (const auto& content) { apply (content); }, effect);
 }
 
-void ControllerNode::apply(const controller::PersistEffect& effect) {
-  disk_.submit(effect.request);
-  writeIfIdle();
+void ControllerNode::apply (const controller::PersistEffect& effect)
+{
+    disk_.submit (effect.request);
+    writeIfIdle();
 }
 
-void ControllerNode::writeIfIdle() {
-  if (!disk_.isIdle() || !disk_.hasWaiting()) return;
-  disk_.beginWrite();
-  const auto length =
-      base::Duration(random().uniformInteger(kShortestSyncMicroseconds, longestSync_.count()));
-  queue().after(length, [this, life = life()] {
-    if (!isAlive() || life != this->life()) return;
-    // A sync that was begun ends in the kernel even while the process is frozen.
-    const std::uint64_t sequence = disk_.endWrite();
-    postTo(life, [this, sequence] {
-      writeIfIdle();
-      feed([&](controller::ControllerCore& core) { core.onPersisted(sequence); });
-    });
-  });
+void ControllerNode::writeIfIdle()
+{
+    if (! disk_.isIdle() || ! disk_.hasWaiting())
+        return;
+    disk_.beginWrite();
+    const auto length =
+        base::Duration (random().uniformInteger (kShortestSyncMicroseconds, longestSync_.count()));
+    queue().after (length,
+                   [this, life = life()]
+                   {
+                       if (! isAlive() || life != this->life())
+                           return;
+                       // A sync that was begun ends in the kernel even while the process is frozen.
+                       const std::uint64_t sequence = disk_.endWrite();
+                       postTo (life,
+                               [this, sequence]
+                               {
+                                   writeIfIdle();
+                                   feed ([&] (controller::ControllerCore& core)
+                                         { core.onPersisted (sequence); });
+                               });
+                   });
 }
 
-void ControllerNode::apply(const controller::SendToMember& effect) {
-  ControllerNode* receiver = world_.controllerAt(effect.address);
-  if (receiver == nullptr) return;
-  network().datagram(node(), receiver->node(), [receiver, message = effect.message] {
-    receiver->post([receiver, message] {
-      if (message.to != receiver->member_) return;
-      receiver->feed([&](controller::ControllerCore& core) { core.onMemberMessage(message); });
-    });
-  });
-  const auto* vote = std::get_if<consensus::VoteReply>(&effect.message.payload);
-  if (vote == nullptr || !vote->granted || vote->isPreVote) return;
-  world_.consensus->onVoteSent(effect.message);
-  world_.faults->onVote(*this);
+void ControllerNode::apply (const controller::SendToMember& effect)
+{
+    ControllerNode* receiver = world_.controllerAt (effect.address);
+    if (receiver == nullptr)
+        return;
+    network().datagram (node(), receiver->node(),
+                        [receiver, message = effect.message]
+                        {
+                            receiver->post (
+                                [receiver, message]
+                                {
+                                    if (message.to != receiver->member_)
+                                        return;
+                                    receiver->feed ([&] (controller::ControllerCore& core)
+                                                    { core.onMemberMessage (message); });
+                                });
+                        });
+    const auto* vote = std::get_if<consensus::VoteReply> (&effect.message.payload);
+    if (vote == nullptr || ! vote->granted || vote->isPreVote)
+        return;
+    world_.consensus->onVoteSent (effect.message);
+    world_.faults->onVote (*this);
 }
 
-void ControllerNode::apply(const controller::SendToRouter& effect) {
-  const auto found = routers_.find(effect.connection);
-  if (found == routers_.end()) return;
-  world_.consensus->onActed(*this, effect.message);
-  RouterNode* router = found->second.router;
-  const ConnectionPointer connection = found->second.connection;
-  connection->send(Side::kAcceptor,
-                   [router, connection, life = router->life(), message = effect.message] {
-                     router->postTo(life, [router, connection, message] {
-                       router->onControllerMessage(connection, message);
-                     });
-                   });
+void ControllerNode::apply (const controller::SendToRouter& effect)
+{
+    const auto found = routers_.find (effect.connection);
+    if (found == routers_.end())
+        return;
+    world_.consensus->onActed (*this, effect.message);
+    RouterNode* router = found->second.router;
+    const ConnectionPointer connection = found->second.connection;
+    connection->send (Side::kAcceptor,
+                      [router, connection, life = router->life(), message = effect.message]
+                      {
+                          router->postTo (life, [router, connection, message]
+                                          { router->onControllerMessage (connection, message); });
+                      });
 }
 
 /// Nobody is at the address that was called.
-void ControllerNode::failLater(const Action& onFailed) {
-  queue().after(kCallTimeout, [this, onFailed, life = life()] { postTo(life, onFailed); });
+void ControllerNode::failLater (const Action& onFailed)
+{
+    queue().after (kCallTimeout, [this, onFailed, life = life()] { postTo (life, onFailed); });
 }
 
-void ControllerNode::apply(const controller::SendOrder& effect) {
-  world_.consensus->onOrderSent(*this, effect.order);
-  BackEnd* backEnd = world_.backEndAt(effect.address);
-  const auto onFailed = [this, runner = effect.runner, order = effect.order] {
-    feed([&](controller::ControllerCore& core) { core.onOrderFailed(runner, order); });
-  };
-  if (backEnd == nullptr) {
-    failLater(onFailed);
-    return;
-  }
-  const auto serve = [backEnd, order = effect.order, runner = effect.runner,
-                      this](const Respond& respond) {
-    const engine::OrderAnswer answer = backEnd->onOrder(order);
-    respond([this, runner, order, answer] {
-      feed([&](controller::ControllerCore& core) { core.onOrderAnswer(runner, order, answer); });
-    });
-  };
-  call(network(), *this, *backEnd, kCallTimeout, serve, onFailed);
-  // The same bytes may arrive twice when a connection is opened anew.
-  if (!random().chance(world_.faults->orderDuplication())) return;
-  network().queue().after(base::Duration(random().uniformInteger(0, 3'000'000)),
-                          [backEnd, order = effect.order] {
-                            backEnd->post([backEnd, order] { (void)backEnd->onOrder(order); });
-                          });
+void ControllerNode::apply (const controller::SendOrder& effect)
+{
+    world_.consensus->onOrderSent (*this, effect.order);
+    BackEnd* backEnd = world_.backEndAt (effect.address);
+    const auto onFailed = [this, runner = effect.runner, order = effect.order]
+    { feed ([&] (controller::ControllerCore& core) { core.onOrderFailed (runner, order); }); };
+    if (backEnd == nullptr)
+    {
+        failLater (onFailed);
+        return;
+    }
+    const auto serve =
+        [backEnd, order = effect.order, runner = effect.runner, this] (const Respond& respond)
+    {
+        const engine::OrderAnswer answer = backEnd->onOrder (order);
+        respond (
+            [this, runner, order, answer] {
+                feed ([&] (controller::ControllerCore& core)
+                      { core.onOrderAnswer (runner, order, answer); });
+            });
+    };
+    call (network(), *this, *backEnd, kCallTimeout, serve, onFailed);
+    // The same bytes may arrive twice when a connection is opened anew.
+    if (! random().chance (world_.faults->orderDuplication()))
+        return;
+    network().queue().after (
+        base::Duration (random().uniformInteger (0, 3'000'000)), [backEnd, order = effect.order]
+        { backEnd->post ([backEnd, order] { (void)backEnd->onOrder (order); }); });
 }
 
-void ControllerNode::apply(const controller::PollRunner& effect) {
-  BackEnd* backEnd = world_.backEndAt(effect.address);
-  const auto onFailed = [this, runner = effect.runner] {
-    feed([&](controller::ControllerCore& core) { core.onReportFailed(runner); });
-  };
-  if (backEnd == nullptr) {
-    failLater(onFailed);
-    return;
-  }
-  const auto serve = [backEnd, runner = effect.runner, this](const Respond& respond) {
-    respond([this, runner, report = backEnd->report()] {
-      world_.leaving->onReport(*this, report);
-      feed([&](controller::ControllerCore& core) { core.onReport(runner, report); });
-    });
-  };
-  call(network(), *this, *backEnd, kCallTimeout, serve, onFailed);
+void ControllerNode::apply (const controller::PollRunner& effect)
+{
+    BackEnd* backEnd = world_.backEndAt (effect.address);
+    const auto onFailed = [this, runner = effect.runner]
+    { feed ([&] (controller::ControllerCore& core) { core.onReportFailed (runner); }); };
+    if (backEnd == nullptr)
+    {
+        failLater (onFailed);
+        return;
+    }
+    const auto serve = [backEnd, runner = effect.runner, this] (const Respond& respond)
+    {
+        respond (
+            [this, runner, report = backEnd->report()]
+            {
+                world_.leaving->onReport (*this, report);
+                feed ([&] (controller::ControllerCore& core) { core.onReport (runner, report); });
+            });
+    };
+    call (network(), *this, *backEnd, kCallTimeout, serve, onFailed);
 }
 
-void ControllerNode::apply(const controller::PollMachineList& /*effect*/) {
-  const auto serve = [this](const Respond& respond) {
-    respond([this, list = world_.platform->machineList()] {
-      world_.leaving->onMachineList(*this, list);
-      feed([&](controller::ControllerCore& core) { core.onMachineList(list); });
-    });
-  };
-  call(network(), *this, *world_.platform, kCallTimeout, serve,
-       [this] { feed([](controller::ControllerCore& core) { core.onMachineListFailed(); }); });
+void ControllerNode::apply (const controller::PollMachineList& /*effect*/)
+{
+    const auto serve = [this] (const Respond& respond)
+    {
+        respond (
+            [this, list = world_.platform->machineList()]
+            {
+                world_.leaving->onMachineList (*this, list);
+                feed ([&] (controller::ControllerCore& core) { core.onMachineList (list); });
+            });
+    };
+    call (network(), *this, *world_.platform, kCallTimeout, serve,
+          [this] { feed ([] (controller::ControllerCore& core) { core.onMachineListFailed(); }); });
 }
 
-void ControllerNode::apply(const controller::AnswerAdmin& effect) {
-  const auto found = tickets_.find(effect.ticket);
-  if (found == tickets_.end()) return;
-  const auto onAnswer = std::move(found->second);
-  tickets_.erase(found);
-  onAnswer(effect);
+void ControllerNode::apply (const controller::AnswerAdmin& effect)
+{
+    const auto found = tickets_.find (effect.ticket);
+    if (found == tickets_.end())
+        return;
+    const auto onAnswer = std::move (found->second);
+    tickets_.erase (found);
+    onAnswer (effect);
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/ControllerNode.h
+++ b/src/sim/ControllerNode.h
@@ -13,83 +13,88 @@
 #include "sim/SimulatedDisk.h"
 #include "sim/World.h"
 
-namespace fernlift::sim {
+namespace fernlift::sim
+{
 
 class RouterNode;
 
-class ControllerNode final : public Process {
- public:
-  ControllerNode(World& world, NodeId node, base::MemberId member);
+class ControllerNode final : public Process
+{
+public:
+    ControllerNode (World& world, NodeId node, base::MemberId member);
 
-  /// Writes the first entry of a new cell.
-  void bootstrap(const consensus::MemberSet& members) { disk_.bootstrap(members); }
-  /// Starts on what the disk holds.
-  void start();
-  /// The disk is lost; a member with another identity takes the machine. The process must be dead.
-  void replaceDisk(base::MemberId member);
-  /// Planned stop: hands leadership over, ends and starts again.
-  void stopAndRestart();
-  /// Every sync takes up to this long from now on.
-  void setDiskDelay(base::Duration longest) { longestSync_ = longest; }
+    /// Writes the first entry of a new cell.
+    void bootstrap (const consensus::MemberSet& members) { disk_.bootstrap (members); }
+    /// Starts on what the disk holds.
+    void start();
+    /// The disk is lost; a member with another identity takes the machine. The process must be
+    /// dead.
+    void replaceDisk (base::MemberId member);
+    /// Planned stop: hands leadership over, ends and starts again.
+    void stopAndRestart();
+    /// Every sync takes up to this long from now on.
+    void setDiskDelay (base::Duration longest) { longestSync_ = longest; }
 
-  /// Accepts a connection of a router; its number.
-  controller::RouterConnection accept(RouterNode& router, ConnectionPointer connection);
-  void onRouterMessage(controller::RouterConnection connection,
-                       const cell::RouterToController& message);
-  void onRouterGone(controller::RouterConnection connection);
+    /// Accepts a connection of a router; its number.
+    controller::RouterConnection accept (RouterNode& router, ConnectionPointer connection);
+    void onRouterMessage (controller::RouterConnection connection,
+                          const cell::RouterToController& message);
+    void onRouterGone (controller::RouterConnection connection);
 
-  /// Handles an operator's request; `onAnswer` runs here.
-  void admin(const controller::AdminRequest& request,
-             std::function<void(const controller::AnswerAdmin&)> onAnswer);
+    /// Handles an operator's request; `onAnswer` runs here.
+    void admin (const controller::AdminRequest& request,
+                std::function<void (const controller::AnswerAdmin&)> onAnswer);
 
-  [[nodiscard]] base::MemberId member() const { return member_; }
-  [[nodiscard]] const std::string& address() const { return address_; }
-  [[nodiscard]] bool hasCore() const { return core_.has_value(); }
-  [[nodiscard]] controller::ControllerCore& core() { return *core_; }
-  /// Alive, running and holding the leader's lease at this moment.
-  [[nodiscard]] bool leadsNow();
-  [[nodiscard]] consensus::Member asMember(bool isVoter) const;
+    [[nodiscard]] base::MemberId member() const { return member_; }
+    [[nodiscard]] const std::string& address() const { return address_; }
+    [[nodiscard]] bool hasCore() const { return core_.has_value(); }
+    [[nodiscard]] controller::ControllerCore& core() { return *core_; }
+    /// Alive, running and holding the leader's lease at this moment.
+    [[nodiscard]] bool leadsNow();
+    [[nodiscard]] consensus::Member asMember (bool isVoter) const;
 
- protected:
-  void onKilled() override;
+protected:
+    void onKilled() override;
 
- private:
-  struct RouterLink {
-    RouterNode* router = nullptr;
-    ConnectionPointer connection;
-  };
-  using Input = std::function<void(controller::ControllerCore&)>;
+private:
+    struct RouterLink
+    {
+        RouterNode* router = nullptr;
+        ConnectionPointer connection;
+    };
+    using Input = std::function<void (controller::ControllerCore&)>;
 
-  void feed(const Input& input);
-  void tick(std::uint64_t life);
-  void carryOut(const controller::Effect& effect);
-  void apply(const controller::PersistEffect& effect);
-  void apply(const controller::SendToMember& effect);
-  void apply(const controller::SendToRouter& effect);
-  void apply(const controller::SendOrder& effect);
-  void apply(const controller::PollRunner& effect);
-  void apply(const controller::PollMachineList& effect);
-  void apply(const controller::AnswerAdmin& effect);
-  // The simulated cell has no registered services.
-  void apply(const controller::AnswerControl& /*effect*/) {}
-  void apply(const placement::SendEngineOrder& /*effect*/) {}
-  void apply(const placement::PollEngine& /*effect*/) {}
-  void failLater(const Action& onFailed);
-  void writeIfIdle();
-  [[nodiscard]] controller::ControllerOptions coreOptions() const;
+    void feed (const Input& input);
+    void tick (std::uint64_t life);
+    void carryOut (const controller::Effect& effect);
+    void apply (const controller::PersistEffect& effect);
+    void apply (const controller::SendToMember& effect);
+    void apply (const controller::SendToRouter& effect);
+    void apply (const controller::SendOrder& effect);
+    void apply (const controller::PollRunner& effect);
+    void apply (const controller::PollMachineList& effect);
+    void apply (const controller::AnswerAdmin& effect);
+    // The simulated cell has no registered services.
+    void apply (const controller::AnswerControl& /*effect*/) {}
+    void apply (const placement::SendEngineOrder& /*effect*/) {}
+    void apply (const placement::PollEngine& /*effect*/) {}
+    void failLater (const Action& onFailed);
+    void writeIfIdle();
+    [[nodiscard]] controller::ControllerOptions coreOptions() const;
 
-  World& world_;
-  base::MemberId member_;
-  std::string address_;
-  std::size_t entriesBetweenSnapshots_;
-  SimulatedDisk disk_;
-  base::Duration longestSync_;
-  std::optional<controller::ControllerCore> core_;
-  bool isStopping_ = false;
-  std::map<controller::RouterConnection, RouterLink> routers_;
-  controller::RouterConnection lastConnection_ = 0;
-  std::map<controller::AdminTicket, std::function<void(const controller::AnswerAdmin&)>> tickets_;
-  controller::AdminTicket lastTicket_ = 0;
+    World& world_;
+    base::MemberId member_;
+    std::string address_;
+    std::size_t entriesBetweenSnapshots_;
+    SimulatedDisk disk_;
+    base::Duration longestSync_;
+    std::optional<controller::ControllerCore> core_;
+    bool isStopping_ = false;
+    std::map<controller::RouterConnection, RouterLink> routers_;
+    controller::RouterConnection lastConnection_ = 0;
+    std::map<controller::AdminTicket, std::function<void (const controller::AnswerAdmin&)>>
+        tickets_;
+    controller::AdminTicket lastTicket_ = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/EngineNode.h
+++ b/src/sim/EngineNode.h
@@ -11,58 +11,61 @@
 #include "sim/BackEnd.h"
 #include "standin/EngineModel.h"
 
-namespace fernlift::sim {
+namespace fernlift::sim
+{
 
-class EngineNode final : public BackEnd {
- public:
-  EngineNode(World& world, NodeId node, const engine::Machine& machine);
+class EngineNode final : public BackEnd
+{
+public:
+    EngineNode (World& world, NodeId node, const engine::Machine& machine);
 
-  void start() override;
-  engine::OrderAnswer onOrder(const engine::Order& order) override;
-  engine::Report report() override;
-  void submit(Attempt attempt) override;
-  void setLeaving(bool isLeaving) override;
-  [[nodiscard]] bool isLeaving() const override { return model_ && model_->isLeaving(); }
-  [[nodiscard]] bool isBusy() override;
+    void start() override;
+    engine::OrderAnswer onOrder (const engine::Order& order) override;
+    engine::Report report() override;
+    void submit (Attempt attempt) override;
+    void setLeaving (bool isLeaving) override;
+    [[nodiscard]] bool isLeaving() const override { return model_ && model_->isLeaving(); }
+    [[nodiscard]] bool isBusy() override;
 
-  /// The state at this moment, as the engine itself knows it.
-  [[nodiscard]] engine::Report truth();
-  void setFaults(const standin::EngineFaults& faults);
-  void onFetched(standin::FetchId fetch);
-  void onFetchRefused(standin::FetchId fetch, base::Duration retryAfter);
-  /// Requests that this machine's engines ever began to run.
-  [[nodiscard]] std::set<std::string> requestsRun() const;
+    /// The state at this moment, as the engine itself knows it.
+    [[nodiscard]] engine::Report truth();
+    void setFaults (const standin::EngineFaults& faults);
+    void onFetched (standin::FetchId fetch);
+    void onFetchRefused (standin::FetchId fetch, base::Duration retryAfter);
+    /// Requests that this machine's engines ever began to run.
+    [[nodiscard]] std::set<std::string> requestsRun() const;
 
- protected:
-  void onKilled() override;
+protected:
+    void onKilled() override;
 
- private:
-  struct Answer {
-    Attempt attempt;
-    bool hasBegun = false;
-    std::map<std::uint64_t, std::string> parts;
-  };
+private:
+    struct Answer
+    {
+        Attempt attempt;
+        bool hasBegun = false;
+        std::map<std::uint64_t, std::string> parts;
+    };
 
-  void settle();
-  void armWake();
-  void cancel(standin::RequestHandle handle);
-  void apply(const standin::FetchWeights& effect);
-  void apply(const standin::CancelFetch& effect);
-  void apply(const standin::TokenChunk& effect);
-  void apply(const standin::AnswerEnded& effect);
-  void apply(const standin::AnswerRefused& effect);
-  void apply(const standin::AnswerBroken& effect);
-  void apply(const standin::ExitProcess& effect);
-  std::optional<Answer> takeAnswer(standin::RequestHandle handle);
-  [[nodiscard]] standin::EngineOptions modelOptions() const;
+    void settle();
+    void armWake();
+    void cancel (standin::RequestHandle handle);
+    void apply (const standin::FetchWeights& effect);
+    void apply (const standin::CancelFetch& effect);
+    void apply (const standin::TokenChunk& effect);
+    void apply (const standin::AnswerEnded& effect);
+    void apply (const standin::AnswerRefused& effect);
+    void apply (const standin::AnswerBroken& effect);
+    void apply (const standin::ExitProcess& effect);
+    std::optional<Answer> takeAnswer (standin::RequestHandle handle);
+    [[nodiscard]] standin::EngineOptions modelOptions() const;
 
-  std::vector<standin::Checkpoint> disk_;
-  std::optional<standin::EngineModel> model_;
-  std::map<standin::RequestHandle, Answer> answers_;
-  std::map<standin::FetchId, std::uint64_t> transfers_;
-  base::TimePoint wakeAt_{};
-  std::uint64_t wakeNumber_ = 0;
-  std::set<std::string> formerRuns_;
+    std::vector<standin::Checkpoint> disk_;
+    std::optional<standin::EngineModel> model_;
+    std::map<standin::RequestHandle, Answer> answers_;
+    std::map<standin::FetchId, std::uint64_t> transfers_;
+    base::TimePoint wakeAt_{};
+    std::uint64_t wakeNumber_ = 0;
+    std::set<std::string> formerRuns_;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/EventQueue.h
+++ b/src/sim/EventQueue.h
@@ -8,42 +8,48 @@
 
 #include "base/Time.h"
 
-namespace fernlift::sim {
+namespace fernlift::sim
+{
 
 using Action = std::function<void()>;
 
 /// Single-threaded. Events of one time run in the order of their scheduling.
-class EventQueue {
- public:
-  [[nodiscard]] base::TimePoint now() const { return now_; }
-  void at(base::TimePoint time, Action action);
-  void after(base::Duration delay, Action action) { at(now_ + delay, std::move(action)); }
-  /// Runs every event up to `end`, and ends with the clock there.
-  void runUntil(base::TimePoint end);
-  [[nodiscard]] std::uint64_t executed() const { return executed_; }
-
- private:
-  struct Event {
-    base::TimePoint time{};
-    std::uint64_t sequence = 0;
-    Action action;
-  };
-  /// Orders a heap so that the earliest event is on top.
-  struct IsLater {
-    bool operator()(const Event& left, const Event& right) const {
-      if (left.time != right.time) return left.time > right.time;
-      return left.sequence > right.sequence;
-    }
-  };
-
-  /// More events at one time than this: the simulation makes no progress.
-  static constexpr std::uint64_t kMaximumEventsAtOneTime = 1'000'000;
-
-  base::TimePoint now_{base::seconds(1000)};
-  std::vector<Event> heap_;
-  std::uint64_t nextSequence_ = 0;
-  std::uint64_t executed_ = 0;
-  std::uint64_t eventsAtThisTime_ = 0;
+class EventQueue
+{
+public:
+    [[nodiscard]] base::TimePoint now() const { return now_; }
+    void at (base::TimePoint time, Action action);
+    void after (base::Duration delay, Action action) { at (now_ + delay, std::move (action)); }
+    /// Runs every event up to `end`, and ends with the clock there.
+    void runUntil (base::TimePoint end);
+    [[nodiscard]] std::uint64_t executed() const { return executed_; }
+
+private:
+    struct Event
+    {
+        base::TimePoint time{};
+        std::uint64_t sequence = 0;
+        Action action;
+    };
+    /// Orders a heap so that the earliest event is on top.
+    struct IsLater
+    {
+        bool operator() (const Event& left, const Event& right) const
+        {
+            if (left.time != right.time)
+                return left.time > right.time;
+            return left.sequence > right.sequence;
+        }
+    };
+
+    /// More events at one time than this: the simulation makes no progress.
+    static constexpr std::uint64_t kMaximumEventsAtOneTime = 1'000'000;
+
+    base::TimePoint now_{ base::seconds (1000) };
+    std::vector<Event> heap_;
+    std::uint64_t nextSequence_ = 0;
+    std::uint64_t executed_ = 0;
+    std::uint64_t eventsAtThisTime_ = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/FaultPlan.h
+++ b/src/sim/FaultPlan.h
@@ -10,74 +10,78 @@
 #include "sim/RouterNode.h"
 #include "sim/World.h"
 
-namespace fernlift::sim {
+namespace fernlift::sim
+{
 
 using FaultCounts = std::array<std::uint64_t, kFaultKinds>;
 
-class FaultPlan {
- public:
-  explicit FaultPlan(World& world) : world_(world) {}
+class FaultPlan
+{
+public:
+    explicit FaultPlan (World& world) : world_ (world) {}
 
-  /// Brings faults about until `end`.
-  void begin(base::TimePoint end);
-  /// Ends every fault and starts what is not running.
-  void heal();
-  /// A controller sends its vote.
-  void onVote(ControllerNode& controller);
-  /// Share of orders that arrive a second time, late.
-  [[nodiscard]] double orderDuplication() const { return isOver_ ? 0 : 0.05; }
-  [[nodiscard]] const FaultCounts& counts() const { return counts_; }
+    /// Brings faults about until `end`.
+    void begin (base::TimePoint end);
+    /// Ends every fault and starts what is not running.
+    void heal();
+    /// A controller sends its vote.
+    void onVote (ControllerNode& controller);
+    /// Share of orders that arrive a second time, late.
+    [[nodiscard]] double orderDuplication() const { return isOver_ ? 0 : 0.05; }
+    [[nodiscard]] const FaultCounts& counts() const { return counts_; }
 
- private:
-  void scheduleNext(base::TimePoint end);
-  [[nodiscard]] FaultKind drawKind();
-  /// True when the fault could be brought about now.
-  bool bringAbout(FaultKind kind);
-  bool hitControllers(FaultKind kind);
-  bool hitNetwork(FaultKind kind);
-  bool hitRouter(FaultKind kind);
-  bool hitEngine(FaultKind kind);
-  bool hitPlatform(FaultKind kind);
+private:
+    void scheduleNext (base::TimePoint end);
+    [[nodiscard]] FaultKind drawKind();
+    /// True when the fault could be brought about now.
+    bool bringAbout (FaultKind kind);
+    bool hitControllers (FaultKind kind);
+    bool hitNetwork (FaultKind kind);
+    bool hitRouter (FaultKind kind);
+    bool hitEngine (FaultKind kind);
+    bool hitPlatform (FaultKind kind);
 
-  bool killController(ControllerNode& controller);
-  bool killAllControllers();
-  bool killVoters();
-  void slowDisks(base::Duration duration);
-  bool loseDisk();
-  bool loseDiskBehindPartition();
-  void restartAfterDiskLoss(ControllerNode& controller);
-  bool cutLeaderOff();
-  bool cutLeaderFromMember();
-  bool cutOneWay();
-  bool partition();
-  bool slowLinks();
-  bool makeEngineMisbehave(EngineNode& engine);
-  bool makeApplicationMisbehave();
-  bool makeMachineLeave();
-  void reclaim(BackEnd& backEnd);
-  void killAndRestart(Process& process, base::Duration longestPause, const Action& start);
-  bool stepClock();
+    bool killController (ControllerNode& controller);
+    bool killAllControllers();
+    bool killVoters();
+    void slowDisks (base::Duration duration);
+    bool loseDisk();
+    bool loseDiskBehindPartition();
+    void restartAfterDiskLoss (ControllerNode& controller);
+    bool cutLeaderOff();
+    bool cutLeaderFromMember();
+    bool cutOneWay();
+    bool partition();
+    bool slowLinks();
+    bool makeEngineMisbehave (EngineNode& engine);
+    bool makeApplicationMisbehave();
+    bool makeMachineLeave();
+    void reclaim (BackEnd& backEnd);
+    void killAndRestart (Process& process, base::Duration longestPause, const Action& start);
+    bool stepClock();
 
-  /// Cuts a link for a while; the cut ends by itself or with all faults.
-  void cutFor(NodeId from, NodeId to, base::Duration duration);
-  void cutBothFor(NodeId first, NodeId second, base::Duration duration);
-  [[nodiscard]] base::Duration draw(std::int64_t lowMilliseconds, std::int64_t highMilliseconds);
-  template <class Item>
-  Item& pick(const std::vector<std::unique_ptr<Item>>& items);
-  [[nodiscard]] base::Duration drawSilence();
+    /// Cuts a link for a while; the cut ends by itself or with all faults.
+    void cutFor (NodeId from, NodeId to, base::Duration duration);
+    void cutBothFor (NodeId first, NodeId second, base::Duration duration);
+    [[nodiscard]] base::Duration draw (std::int64_t lowMilliseconds, std::int64_t highMilliseconds);
+    template <class Item>
+    Item& pick (const std::vector<std::unique_ptr<Item>>& items);
+    [[nodiscard]] base::Duration drawSilence();
 
-  World& world_;
-  FaultCounts counts_{};
-  bool isOver_ = false;
-  std::uint64_t healNumber_ = 0;
-  base::TimePoint votersDieUntil_{};
-  std::uint64_t lastMachine_ = 0;
+    World& world_;
+    FaultCounts counts_{};
+    bool isOver_ = false;
+    std::uint64_t healNumber_ = 0;
+    base::TimePoint votersDieUntil_{};
+    std::uint64_t lastMachine_ = 0;
 };
 
 template <class Item>
-Item& FaultPlan::pick(const std::vector<std::unique_ptr<Item>>& items) {
-  const auto number = world_.random.uniformInteger(0, static_cast<std::int64_t>(items.size()) - 1);
-  return *items[static_cast<std::size_t>(number)];
+Item& FaultPlan::pick (const std::vector<std::unique_ptr<Item>>& items)
+{
+    const auto number =
+        world_.random.uniformInteger (0, static_cast<std::int64_t> (items.size()) - 1);
+    return *items[static_cast<std::size_t> (number)];
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/LeavingChecker.cpp
+++ b/src/sim/LeavingChecker.cpp
@@ -6,74 +6,103 @@
 #include "sim/ControllerNode.h"
 #include "sim/RouterNode.h"
 
-namespace fernlift::sim {
-namespace {
+namespace fernlift::sim
+{
+namespace
+{
 
-constexpr base::Duration kCommitWithin = base::seconds(1);
+constexpr base::Duration kCommitWithin = base::seconds (1);
 /// The lease of a router, with drift.
-constexpr base::Duration kKnownEverywhereWithin = base::milliseconds(2010);
+constexpr base::Duration kKnownEverywhereWithin = base::milliseconds (2010);
 
 constexpr const char* kInvariant = "nothing new to a leaving back end";
 
 }  // namespace
 
-void LeavingChecker::onReport(ControllerNode& controller, const engine::Report& report) {
-  if (report.isLeaving) onSign(controller, {report.runner, report.incarnation});
+void LeavingChecker::onReport (ControllerNode& controller, const engine::Report& report)
+{
+    if (report.isLeaving)
+        onSign (controller, { report.runner, report.incarnation });
 }
 
-void LeavingChecker::onMachineList(ControllerNode& controller, const engine::MachineList& list) {
-  for (const engine::Machine& machine : list.machines) {
-    if (machine.state != engine::MachineState::kLeaving) continue;
-    const cell::Runner* known = world_.consensus->state().replicas().findRunner(machine.runner);
-    if (known != nullptr) onSign(controller, {machine.runner, known->incarnation});
-  }
+void LeavingChecker::onMachineList (ControllerNode& controller, const engine::MachineList& list)
+{
+    for (const engine::Machine& machine : list.machines)
+    {
+        if (machine.state != engine::MachineState::kLeaving)
+            continue;
+        const cell::Runner* known =
+            world_.consensus->state().replicas().findRunner (machine.runner);
+        if (known != nullptr)
+            onSign (controller, { machine.runner, known->incarnation });
+    }
 }
 
-void LeavingChecker::onSign(ControllerNode& controller, const RunnerLife& runner) {
-  const cell::Runner* known = world_.consensus->state().replicas().findRunner(runner.first);
-  const bool isCurrent = known != nullptr && known->incarnation == runner.second;
-  if (!isCurrent || known->isLeaving || !controller.leadsNow()) return;
-  if (!awaited_.insert(runner).second) return;
-  const base::Term term = controller.core().raftStatus().term;
-  const base::Duration frozen = controller.frozenTime();
-  world_.queue.after(kCommitWithin, [this, runner, term, frozen, node = &controller] {
-    awaited_.erase(runner);
-    const cell::Runner* now = world_.consensus->state().replicas().findRunner(runner.first);
-    const bool isDone = now == nullptr || now->incarnation != runner.second || now->isLeaving;
-    const bool ledOn =
-        node->leadsNow() && node->core().raftStatus().term == term && node->frozenTime() == frozen;
-    if (isDone || !ledOn) return;
-    world_.violations.add(kInvariant, node->name() + " leads, knows that " + runner.first.value +
-                                          " leaves and has not decided it within 1 s");
-  });
+void LeavingChecker::onSign (ControllerNode& controller, const RunnerLife& runner)
+{
+    const cell::Runner* known = world_.consensus->state().replicas().findRunner (runner.first);
+    const bool isCurrent = known != nullptr && known->incarnation == runner.second;
+    if (! isCurrent || known->isLeaving || ! controller.leadsNow())
+        return;
+    if (! awaited_.insert (runner).second)
+        return;
+    const base::Term term = controller.core().raftStatus().term;
+    const base::Duration frozen = controller.frozenTime();
+    world_.queue.after (
+        kCommitWithin,
+        [this, runner, term, frozen, node = &controller]
+        {
+            awaited_.erase (runner);
+            const cell::Runner* now =
+                world_.consensus->state().replicas().findRunner (runner.first);
+            const bool isDone =
+                now == nullptr || now->incarnation != runner.second || now->isLeaving;
+            const bool ledOn = node->leadsNow() && node->core().raftStatus().term == term
+                               && node->frozenTime() == frozen;
+            if (isDone || ! ledOn)
+                return;
+            world_.violations.add (kInvariant, node->name() + " leads, knows that "
+                                                   + runner.first.value
+                                                   + " leaves and has not decided it within 1 s");
+        });
 }
 
-void LeavingChecker::onCommitted(const cell::Command& command) {
-  const auto* observed = std::get_if<cell::ObserveRunner>(&command);
-  if (observed == nullptr || !observed->isLeaving) return;
-  const RunnerLife runner{observed->machine.runner, observed->incarnation};
-  if (committedAt_.emplace(runner, world_.now()).second) {
-    world_.note(runner.first.value + " is known to leave");
-  }
+void LeavingChecker::onCommitted (const cell::Command& command)
+{
+    const auto* observed = std::get_if<cell::ObserveRunner> (&command);
+    if (observed == nullptr || ! observed->isLeaving)
+        return;
+    const RunnerLife runner{ observed->machine.runner, observed->incarnation };
+    if (committedAt_.emplace (runner, world_.now()).second)
+    {
+        world_.note (runner.first.value + " is known to leave");
+    }
 }
 
-void LeavingChecker::onRouterSaw(RouterNode& router, const cell::RoutableReplica& replica) {
-  seenByRouter_.insert({router.name(), router.life(), {replica.runner, replica.incarnation}});
+void LeavingChecker::onRouterSaw (RouterNode& router, const cell::RoutableReplica& replica)
+{
+    seenByRouter_.insert (
+        { router.name(), router.life(), { replica.runner, replica.incarnation } });
 }
 
-void LeavingChecker::onDispatch(RouterNode& router, const cell::RoutableReplica& replica) {
-  const RunnerLife runner{replica.runner, replica.incarnation};
-  if (seenByRouter_.contains({router.name(), router.life(), runner})) {
-    world_.violations.add(kInvariant, router.name() + " sends to " + replica.runner.value +
-                                          " although it saw that it leaves");
-  }
-  // Without a lease a router admits nothing; for what it has it knows no better.
-  if (!router.core()->isReady()) return;
-  const auto committed = committedAt_.find(runner);
-  if (committed == committedAt_.end()) return;
-  if (world_.now() - committed->second <= kKnownEverywhereWithin) return;
-  world_.violations.add(kInvariant, router.name() + " sends to " + replica.runner.value +
-                                        " long after it was decided that it leaves");
+void LeavingChecker::onDispatch (RouterNode& router, const cell::RoutableReplica& replica)
+{
+    const RunnerLife runner{ replica.runner, replica.incarnation };
+    if (seenByRouter_.contains ({ router.name(), router.life(), runner }))
+    {
+        world_.violations.add (kInvariant, router.name() + " sends to " + replica.runner.value
+                                               + " although it saw that it leaves");
+    }
+    // Without a lease a router admits nothing; for what it has it knows no better.
+    if (! router.core()->isReady())
+        return;
+    const auto committed = committedAt_.find (runner);
+    if (committed == committedAt_.end())
+        return;
+    if (world_.now() - committed->second <= kKnownEverywhereWithin)
+        return;
+    world_.violations.add (kInvariant, router.name() + " sends to " + replica.runner.value
+                                           + " long after it was decided that it leaves");
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/LeavingChecker.h
+++ b/src/sim/LeavingChecker.h
@@ -19,29 +19,31 @@
 #include "engine/EngineApi.h"
 #include "sim/World.h"
 
-namespace fernlift::sim {
+namespace fernlift::sim
+{
 
-class LeavingChecker {
- public:
-  explicit LeavingChecker(World& world) : world_(world) {}
+class LeavingChecker
+{
+public:
+    explicit LeavingChecker (World& world) : world_ (world) {}
 
-  void onReport(ControllerNode& controller, const engine::Report& report);
-  void onMachineList(ControllerNode& controller, const engine::MachineList& list);
-  void onCommitted(const cell::Command& command);
-  void onRouterSaw(RouterNode& router, const cell::RoutableReplica& replica);
-  void onDispatch(RouterNode& router, const cell::RoutableReplica& replica);
+    void onReport (ControllerNode& controller, const engine::Report& report);
+    void onMachineList (ControllerNode& controller, const engine::MachineList& list);
+    void onCommitted (const cell::Command& command);
+    void onRouterSaw (RouterNode& router, const cell::RoutableReplica& replica);
+    void onDispatch (RouterNode& router, const cell::RoutableReplica& replica);
 
-  [[nodiscard]] std::size_t leftCount() const { return committedAt_.size(); }
+    [[nodiscard]] std::size_t leftCount() const { return committedAt_.size(); }
 
- private:
-  using RunnerLife = std::pair<base::RunnerId, base::Incarnation>;
+private:
+    using RunnerLife = std::pair<base::RunnerId, base::Incarnation>;
 
-  void onSign(ControllerNode& controller, const RunnerLife& runner);
+    void onSign (ControllerNode& controller, const RunnerLife& runner);
 
-  World& world_;
-  std::set<RunnerLife> awaited_;  ///< A leader saw the sign; the commit is being watched.
-  std::map<RunnerLife, base::TimePoint> committedAt_;
-  std::set<std::tuple<std::string, std::uint64_t, RunnerLife>> seenByRouter_;
+    World& world_;
+    std::set<RunnerLife> awaited_;  ///< A leader saw the sign; the commit is being watched.
+    std::map<RunnerLife, base::TimePoint> committedAt_;
+    std::set<std::tuple<std::string, std::uint64_t, RunnerLife>> seenByRouter_;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/Network.cpp
+++ b/src/sim/Network.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-namespace fernlift::sim {
-namespace {
+namespace fernlift::sim
+{
+namespace
+{
 
 constexpr std::int64_t kShortestDelayMicroseconds = 200;
 constexpr std::int64_t kLongestDelayMicroseconds = 1800;
@@ -13,186 +15,254 @@
 
 }  // namespace
 
-Connection::Connection(Network& network, NodeId opener, NodeId acceptor) : network_(network) {
-  sides_[0].node = opener;
-  sides_[1].node = acceptor;
-}
-
-void Connection::send(Side from, Action action) {
-  if (!isOpen(from)) return;
-  const Side to = other(from);
-  End& end = sides_[index(to)];
-  if (!end.held.empty() || network_.isCut(node(from), node(to))) {
-    end.held.push_back(std::move(action));
-    return;
-  }
-  const base::TimePoint arrival = network_.queue().now() + network_.delay(node(from), node(to));
-  end.lastArrival = std::max(arrival, end.lastArrival);
-  network_.queue().at(end.lastArrival,
-                      [self = shared_from_this(), to, epoch = end.epoch,
-                       action = std::move(action)] { self->arrive(to, epoch, action); });
-}
-
-void Connection::arrive(Side to, std::uint64_t epoch, const Action& action) {
-  End& end = sides_[index(to)];
-  if (epoch != end.epoch) return;
-  if (!end.held.empty() || network_.isCut(node(other(to)), node(to))) {
-    end.held.push_back(action);
-    return;
-  }
-  if (!end.isClosed) action();
-}
-
-void Connection::flush(Side to) {
-  End& end = sides_[index(to)];
-  while (!end.held.empty() && !network_.isCut(node(other(to)), node(to))) {
-    const Action action = std::move(end.held.front());
-    end.held.pop_front();
-    if (!end.isClosed) action();
-  }
-}
-
-void Connection::loseAll(Side to) {
-  sides_[index(to)].held.clear();
-  sides_[index(to)].epoch += 1;
-}
-
-void Connection::hearEnd(Side side) {
-  End& end = sides_[index(side)];
-  if (end.isClosed) return;
-  end.isClosed = true;
-  if (end.onEnded) end.onEnded();
-}
-
-void Connection::close(Side from, bool discardsUnsent) {
-  if (!isOpen(from)) return;
-  if (discardsUnsent) sides_[index(other(from))].held.clear();
-  send(from, [self = weak_from_this(), to = other(from)] {
-    if (const auto connection = self.lock()) connection->hearEnd(to);
-  });
-  sides_[index(from)].isClosed = true;
-  sides_[index(from)].onEnded = nullptr;
-}
-
-void Connection::reset() {
-  for (const Side side : {Side::kOpener, Side::kAcceptor}) {
-    if (!isOpen(side)) continue;
-    loseAll(side);
-    send(other(side), [self = weak_from_this(), side] {
-      if (const auto connection = self.lock()) connection->hearEnd(side);
-    });
-  }
-}
-
-Network::Network(EventQueue& queue, base::Random& random, std::size_t nodes)
-    : queue_(queue), random_(random), nodes_(nodes), links_(nodes * nodes) {}
-
-Network::~Network() {
-  // What waits at a connection refers to the connection itself.
-  for (const auto& entry : connections_) {
-    const ConnectionPointer connection = entry.lock();
-    if (!connection) continue;
-    for (Connection::End& end : connection->sides_) {
-      end.held.clear();
-      end.onEnded = nullptr;
+Connection::Connection (Network& network, NodeId opener, NodeId acceptor) : network_ (network)
+{
+    sides_[0].node = opener;
+    sides_[1].node = acceptor;
+}
+
+void Connection::send (Side from, Action action)
+{
+    if (! isOpen (from))
+        return;
+    const Side to = other (from);
+    End& end = sides_[index (to)];
+    if (! end.held.empty() || network_.isCut (node (from), node (to)))
+    {
+        end.held.push_back (std::move (action));
+        return;
+    }
+    const base::TimePoint arrival =
+        network_.queue().now() + network_.delay (node (from), node (to));
+    end.lastArrival = std::max (arrival, end.lastArrival);
+    network_.queue().at (end.lastArrival,
+                         [self = shared_from_this(), to, epoch = end.epoch,
+                          action = std::move (action)] { self->arrive (to, epoch, action); });
+}
+
+void Connection::arrive (Side to, std::uint64_t epoch, const Action& action)
+{
+    End& end = sides_[index (to)];
+    if (epoch != end.epoch)
+        return;
+    if (! end.held.empty() || network_.isCut (node (other (to)), node (to)))
+    {
+        end.held.push_back (action);
+        return;
+    }
+    if (! end.isClosed)
+        action();
+}
+
+void Connection::flush (Side to)
+{
+    End& end = sides_[index (to)];
+    while (! end.held.empty() && ! network_.isCut (node (other (to)), node (to)))
+    {
+        const Action action = std::move (end.held.front());
+        end.held.pop_front();
+        if (! end.isClosed)
+            action();
+    }
+}
+
+void Connection::loseAll (Side to)
+{
+    sides_[index (to)].held.clear();
+    sides_[index (to)].epoch += 1;
+}
+
+void Connection::hearEnd (Side side)
+{
+    End& end = sides_[index (side)];
+    if (end.isClosed)
+        return;
+    end.isClosed = true;
+    if (end.onEnded)
+        end.onEnded();
+}
+
+void Connection::close (Side from, bool discardsUnsent)
+{
+    if (! isOpen (from))
+        return;
+    if (discardsUnsent)
+        sides_[index (other (from))].held.clear();
+    send (from,
+          [self = weak_from_this(), to = other (from)]
+          {
+              if (const auto connection = self.lock())
+                  connection->hearEnd (to);
+          });
+    sides_[index (from)].isClosed = true;
+    sides_[index (from)].onEnded = nullptr;
+}
+
+void Connection::reset()
+{
+    for (const Side side : { Side::kOpener, Side::kAcceptor })
+    {
+        if (! isOpen (side))
+            continue;
+        loseAll (side);
+        send (other (side),
+              [self = weak_from_this(), side]
+              {
+                  if (const auto connection = self.lock())
+                      connection->hearEnd (side);
+              });
+    }
+}
+
+Network::Network (EventQueue& queue, base::Random& random, std::size_t nodes)
+    : queue_ (queue), random_ (random), nodes_ (nodes), links_ (nodes * nodes)
+{
+}
+
+Network::~Network()
+{
+    // What waits at a connection refers to the connection itself.
+    for (const auto& entry : connections_)
+    {
+        const ConnectionPointer connection = entry.lock();
+        if (! connection)
+            continue;
+        for (Connection::End& end : connection->sides_)
+        {
+            end.held.clear();
+            end.onEnded = nullptr;
+        }
     }
-  }
-}
-
-bool Network::isCut(NodeId from, NodeId to) const { return links_[from * nodes_ + to].cuts > 0; }
-
-void Network::heal(NodeId from, NodeId to) {
-  Link& healed = link(from, to);
-  if (healed.cuts == 0) return;
-  healed.cuts -= 1;
-  if (healed.cuts > 0) return;
-  for (const ConnectionPointer& connection : connectionsOf(from)) {
-    for (const Side side : {Side::kOpener, Side::kAcceptor}) {
-      const bool isDirection =
-          connection->node(other(side)) == from && connection->node(side) == to;
-      if (!isDirection || connection->sides_[Connection::index(side)].held.empty()) continue;
-      const auto wait =
-          base::Duration(random_.uniformInteger(0, kLongestRetransmissionMicroseconds));
-      queue_.after(wait, [connection, side] { connection->flush(side); });
+}
+
+bool Network::isCut (NodeId from, NodeId to) const { return links_[from * nodes_ + to].cuts > 0; }
+
+void Network::heal (NodeId from, NodeId to)
+{
+    Link& healed = link (from, to);
+    if (healed.cuts == 0)
+        return;
+    healed.cuts -= 1;
+    if (healed.cuts > 0)
+        return;
+    for (const ConnectionPointer& connection : connectionsOf (from))
+    {
+        for (const Side side : { Side::kOpener, Side::kAcceptor })
+        {
+            const bool isDirection =
+                connection->node (other (side)) == from && connection->node (side) == to;
+            if (! isDirection || connection->sides_[Connection::index (side)].held.empty())
+                continue;
+            const auto wait =
+                base::Duration (random_.uniformInteger (0, kLongestRetransmissionMicroseconds));
+            queue_.after (wait, [connection, side] { connection->flush (side); });
+        }
     }
-  }
 }
 
-void Network::healAll() {
-  for (NodeId from = 0; from < nodes_; ++from) {
-    for (NodeId to = 0; to < nodes_; ++to) {
-      while (isCut(from, to)) heal(from, to);
-      link(from, to).extraDelay = base::Duration::zero();
+void Network::healAll()
+{
+    for (NodeId from = 0; from < nodes_; ++from)
+    {
+        for (NodeId to = 0; to < nodes_; ++to)
+        {
+            while (isCut (from, to))
+                heal (from, to);
+            link (from, to).extraDelay = base::Duration::zero();
+        }
     }
-  }
-  turbulence_ = {};
-}
-
-base::Duration Network::delay(NodeId from, NodeId to) {
-  auto delay =
-      base::Duration(random_.uniformInteger(kShortestDelayMicroseconds, kLongestDelayMicroseconds));
-  const base::Duration extra = link(from, to).extraDelay + turbulence_.extraDelay;
-  if (extra > base::Duration::zero()) {
-    delay += base::Duration(random_.uniformInteger(0, extra.count()));
-  }
-  return delay;
-}
-
-void Network::datagram(NodeId from, NodeId to, const Action& action) {
-  if (isCut(from, to)) return;
-  if (turbulence_.loss > 0 && random_.chance(turbulence_.loss)) return;
-  const bool isTwice = turbulence_.duplication > 0 && random_.chance(turbulence_.duplication);
-  for (int copy = 0; copy < (isTwice ? 2 : 1); ++copy) {
-    queue_.after(delay(from, to), [this, from, to, action] {
-      if (!isCut(from, to)) action();
-    });
-  }
-}
-
-ConnectionPointer Network::open(NodeId from, NodeId to) {
-  if (isCut(from, to) || isCut(to, from)) return nullptr;
-  if (connections_.size() >= purgeAt_) {
-    std::erase_if(connections_, [](const auto& entry) { return entry.expired(); });
-    purgeAt_ = connections_.size() * 2 + 1024;
-  }
-  auto connection = std::make_shared<Connection>(*this, from, to);
-  connections_.push_back(connection);
-  return connection;
-}
-
-std::vector<ConnectionPointer> Network::connectionsOf(NodeId node) {
-  std::vector<ConnectionPointer> found;
-  for (const auto& entry : connections_) {
-    ConnectionPointer connection = entry.lock();
-    if (!connection) continue;
-    const bool isAtNode =
-        connection->node(Side::kOpener) == node || connection->node(Side::kAcceptor) == node;
-    if (isAtNode) found.push_back(std::move(connection));
-  }
-  return found;
-}
-
-void Network::onProcessEnded(NodeId node, base::Duration silence) {
-  for (const ConnectionPointer& connection : connectionsOf(node)) {
-    const Side side = connection->node(Side::kOpener) == node ? Side::kOpener : Side::kAcceptor;
-    if (!connection->isOpen(side)) continue;
-    connection->sides_[Connection::index(side)].onEnded = nullptr;
-    if (silence == base::Duration::zero()) {
-      connection->close(side, true);
-      continue;
+    turbulence_ = {};
+}
+
+base::Duration Network::delay (NodeId from, NodeId to)
+{
+    auto delay = base::Duration (
+        random_.uniformInteger (kShortestDelayMicroseconds, kLongestDelayMicroseconds));
+    const base::Duration extra = link (from, to).extraDelay + turbulence_.extraDelay;
+    if (extra > base::Duration::zero())
+    {
+        delay += base::Duration (random_.uniformInteger (0, extra.count()));
+    }
+    return delay;
+}
+
+void Network::datagram (NodeId from, NodeId to, const Action& action)
+{
+    if (isCut (from, to))
+        return;
+    if (turbulence_.loss > 0 && random_.chance (turbulence_.loss))
+        return;
+    const bool isTwice = turbulence_.duplication > 0 && random_.chance (turbulence_.duplication);
+    for (int copy = 0; copy < (isTwice ? 2 : 1); ++copy)
+    {
+        queue_.after (delay (from, to),
+                      [this, from, to, action]
+                      {
+                          if (! isCut (from, to))
+                              action();
+                      });
+    }
+}
+
+ConnectionPointer Network::open (NodeId from, NodeId to)
+{
+    if (isCut (from, to) || isCut (to, from))
+        return nullptr;
+    if (connections_.size() >= purgeAt_)
+    {
+        std::erase_if (connections_, [] (const auto& entry) { return entry.expired(); });
+        purgeAt_ = connections_.size() * 2 + 1024;
+    }
+    auto connection = std::make_shared<Connection> (*this, from, to);
+    connections_.push_back (connection);
+    return connection;
+}
+
+std::vector<ConnectionPointer> Network::connectionsOf (NodeId node)
+{
+    std::vector<ConnectionPointer> found;
+    for (const auto& entry : connections_)
+    {
+        ConnectionPointer connection = entry.lock();
+        if (! connection)
+            continue;
+        const bool isAtNode =
+            connection->node (Side::kOpener) == node || connection->node (Side::kAcceptor) == node;
+        if (isAtNode)
+            found.push_back (std::move (connection));
+    }
+    return found;
+}
+
+void Network::onProcessEnded (NodeId node, base::Duration silence)
+{
+    for (const ConnectionPointer& connection : connectionsOf (node))
+    {
+        const Side side =
+            connection->node (Side::kOpener) == node ? Side::kOpener : Side::kAcceptor;
+        if (! connection->isOpen (side))
+            continue;
+        connection->sides_[Connection::index (side)].onEnded = nullptr;
+        if (silence == base::Duration::zero())
+        {
+            connection->close (side, true);
+            continue;
+        }
+        connection->loseAll (other (side));
+        queue_.after (silence, [connection, side] { connection->close (side, true); });
+        connection->loseAll (side);
+    }
+}
+
+void Network::resetBetween (NodeId first, NodeId second)
+{
+    for (const ConnectionPointer& connection : connectionsOf (first))
+    {
+        const bool isBetween = connection->node (Side::kOpener) == second
+                               || connection->node (Side::kAcceptor) == second;
+        if (isBetween)
+            connection->reset();
     }
-    connection->loseAll(other(side));
-    queue_.after(silence, [connection, side] { connection->close(side, true); });
-    connection->loseAll(side);
-  }
-}
-
-void Network::resetBetween(NodeId first, NodeId second) {
-  for (const ConnectionPointer& connection : connectionsOf(first)) {
-    const bool isBetween =
-        connection->node(Side::kOpener) == second || connection->node(Side::kAcceptor) == second;
-    if (isBetween) connection->reset();
-  }
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/Operators.cpp
+++ b/src/sim/Operators.cpp
@@ -11,202 +11,248 @@
 #include "base/Digest.h"
 #include "sim/CatalogueText.h"
 
-namespace fernlift::sim {
-namespace {
+namespace fernlift::sim
+{
+namespace
+{
 
-constexpr base::Duration kAnswerTimeout = base::seconds(4);
-constexpr base::Duration kInForceTimeout = base::seconds(3);
+constexpr base::Duration kAnswerTimeout = base::seconds (4);
+constexpr base::Duration kInForceTimeout = base::seconds (3);
 constexpr double kMeanApplyMilliseconds = 1500;
 constexpr double kMeanReadMilliseconds = 150;
 constexpr double kMeanApplyMillisecondsInHour = 30'000;
 constexpr double kMeanReadMillisecondsInHour = 5'000;
-constexpr base::Duration kReplacementPause = base::milliseconds(250);
+constexpr base::Duration kReplacementPause = base::milliseconds (250);
 constexpr int kMaximumSendings = 8;
 constexpr double kLostAnswerShare = 0.1;
 
-QJsonObject parse(const std::string& json) {
-  return QJsonDocument::fromJson(
-             QByteArray::fromRawData(json.data(), static_cast<qsizetype>(json.size())))
-      .object();
+QJsonObject parse (const std::string& json)
+{
+    return QJsonDocument::fromJson (
+               QByteArray::fromRawData (json.data(), static_cast<qsizetype> (json.size())))
+        .object();
 }
 
-std::string textOf(const QJsonObject& object, const char* key) {
-  return object.value(QLatin1String(key)).toString().toStdString();
+std::string textOf (const QJsonObject& object, const char* key)
+{
+    return object.value (QLatin1String (key)).toString().toStdString();
 }
 
-OperatorAnswer toAnswer(const controller::AnswerAdmin& answer, OperatorCall call) {
-  const QJsonObject object = parse(answer.json);
-  OperatorAnswer result;
-  result.httpStatus = answer.httpStatus;
-  result.result = textOf(object, "result");
-  if (object.contains(QLatin1String("error"))) {
-    result.result = textOf(object.value(QLatin1String("error")).toObject(), "kind");
-  }
-  const bool isRead = call == OperatorCall::kRead && answer.httpStatus == 200;
-  const QJsonObject named =
-      isRead ? object : object.value(QLatin1String("configuration")).toObject();
-  result.namesState = isRead || !named.isEmpty();
-  result.inForceVersion =
-      static_cast<std::uint64_t>(named.value(QLatin1String("version")).toInteger());
-  result.inForceDigest = textOf(named, "digest");
-  result.isInForceEverywhere = object.value(QLatin1String("in_force_everywhere")).toBool();
-  return result;
+OperatorAnswer toAnswer (const controller::AnswerAdmin& answer, OperatorCall call)
+{
+    const QJsonObject object = parse (answer.json);
+    OperatorAnswer result;
+    result.httpStatus = answer.httpStatus;
+    result.result = textOf (object, "result");
+    if (object.contains (QLatin1String ("error")))
+    {
+        result.result = textOf (object.value (QLatin1String ("error")).toObject(), "kind");
+    }
+    const bool isRead = call == OperatorCall::kRead && answer.httpStatus == 200;
+    const QJsonObject named =
+        isRead ? object : object.value (QLatin1String ("configuration")).toObject();
+    result.namesState = isRead || ! named.isEmpty();
+    result.inForceVersion =
+        static_cast<std::uint64_t> (named.value (QLatin1String ("version")).toInteger());
+    result.inForceDigest = textOf (named, "digest");
+    result.isInForceEverywhere = object.value (QLatin1String ("in_force_everywhere")).toBool();
+    return result;
 }
 
 /// Whether a member is there and votes, as the leader lists it.
-std::optional<bool> findVoter(const QJsonObject& members, base::MemberId id) {
-  for (const auto& value : members.value(QLatin1String("members")).toArray()) {
-    const QJsonObject member = value.toObject();
-    if (textOf(member, "id") != std::to_string(id)) continue;
-    return member.value(QLatin1String("voter")).toBool();
-  }
-  return std::nullopt;
+std::optional<bool> findVoter (const QJsonObject& members, base::MemberId id)
+{
+    for (const auto& value : members.value (QLatin1String ("members")).toArray())
+    {
+        const QJsonObject member = value.toObject();
+        if (textOf (member, "id") != std::to_string (id))
+            continue;
+        return member.value (QLatin1String ("voter")).toBool();
+    }
+    return std::nullopt;
 }
 
 }  // namespace
 
-Operators::Operators(World& world, NodeId node)
-    : Process(world.network, world.trace, node, "operators", 0), world_(world) {
-  Process::begin();
+Operators::Operators (World& world, NodeId node)
+    : Process (world.network, world.trace, node, "operators", 0), world_ (world)
+{
+    Process::begin();
 }
 
-void Operators::begin(base::TimePoint end) {
-  applyNext();
-  scheduleApply(end);
-  scheduleRead(end);
+void Operators::begin (base::TimePoint end)
+{
+    applyNext();
+    scheduleApply (end);
+    scheduleRead (end);
 }
 
-void Operators::scheduleApply(base::TimePoint end) {
-  const double mean =
-      world_.options.hasHourCut ? kMeanApplyMillisecondsInHour : kMeanApplyMilliseconds;
-  const auto pause = base::milliseconds(static_cast<std::int64_t>(random().exponential(mean)));
-  queue().after(pause, [this, end] {
-    if (queue().now() >= end) return;
-    applyNext();
-    // Another operator with the same idea at the same time.
-    if (random().chance(0.4)) applyNext();
-    scheduleApply(end);
-  });
+void Operators::scheduleApply (base::TimePoint end)
+{
+    const double mean =
+        world_.options.hasHourCut ? kMeanApplyMillisecondsInHour : kMeanApplyMilliseconds;
+    const auto pause = base::milliseconds (static_cast<std::int64_t> (random().exponential (mean)));
+    queue().after (pause,
+                   [this, end]
+                   {
+                       if (queue().now() >= end)
+                           return;
+                       applyNext();
+                       // Another operator with the same idea at the same time.
+                       if (random().chance (0.4))
+                           applyNext();
+                       scheduleApply (end);
+                   });
 }
 
-void Operators::scheduleRead(base::TimePoint end) {
-  const double mean =
-      world_.options.hasHourCut ? kMeanReadMillisecondsInHour : kMeanReadMilliseconds;
-  const auto pause = base::milliseconds(1 + static_cast<std::int64_t>(random().exponential(mean)));
-  queue().after(pause, [this, end] {
-    if (queue().now() >= end) return;
-    read();
-    scheduleRead(end);
-  });
+void Operators::scheduleRead (base::TimePoint end)
+{
+    const double mean =
+        world_.options.hasHourCut ? kMeanReadMillisecondsInHour : kMeanReadMilliseconds;
+    const auto pause =
+        base::milliseconds (1 + static_cast<std::int64_t> (random().exponential (mean)));
+    queue().after (pause,
+                   [this, end]
+                   {
+                       if (queue().now() >= end)
+                           return;
+                       read();
+                       scheduleRead (end);
+                   });
 }
 
-void Operators::applyNext() {
-  Apply apply;
-  apply.record.version = knownVersion_ + 1;
-  // Some operators work with an old file.
-  if (knownVersion_ > 1 && random().chance(0.1)) apply.record.version = knownVersion_ - 1;
-  apply.text = catalogueText(apply.record.version, ++variants_, random());
-  apply.record.digest = base::sha256Hex(apply.text);
-  sendApply(std::move(apply));
+void Operators::applyNext()
+{
+    Apply apply;
+    apply.record.version = knownVersion_ + 1;
+    // Some operators work with an old file.
+    if (knownVersion_ > 1 && random().chance (0.1))
+        apply.record.version = knownVersion_ - 1;
+    apply.text = catalogueText (apply.record.version, ++variants_, random());
+    apply.record.digest = base::sha256Hex (apply.text);
+    sendApply (std::move (apply));
 }
 
-void Operators::sendApply(Apply apply) {
-  if (++apply.sendings > kMaximumSendings) return;
-  apply.record.sentAt = queue().now();
-  const bool waits = random().chance(0.3);
-  const auto again = [this, apply] {
-    queue().after(base::Duration(random().uniformInteger(1000, 400'000)),
-                  [this, apply] { sendApply(apply); });
-  };
-  const auto onAnswer = [this, apply, again](const controller::AnswerAdmin& json) {
-    const OperatorAnswer answer = toAnswer(json, OperatorCall::kApply);
-    if (!answer.namesState) {
-      again();  // Not the leader, or the leader lost its quorum.
-      return;
-    }
-    world_.configuration->onOperatorAnswer(apply.record, answer);
-    knownVersion_ = std::max(knownVersion_, answer.inForceVersion);
-    ++appliesAnswered_;
-    // As if the answer had been lost: the same file is sent again.
-    if (random().chance(kLostAnswerShare)) again();
-  };
-  ask(likelyLeader(), controller::AdminApply{apply.text, waits, kInForceTimeout}, onAnswer, again);
+void Operators::sendApply (Apply apply)
+{
+    if (++apply.sendings > kMaximumSendings)
+        return;
+    apply.record.sentAt = queue().now();
+    const bool waits = random().chance (0.3);
+    const auto again = [this, apply]
+    {
+        queue().after (base::Duration (random().uniformInteger (1000, 400'000)),
+                       [this, apply] { sendApply (apply); });
+    };
+    const auto onAnswer = [this, apply, again] (const controller::AnswerAdmin& json)
+    {
+        const OperatorAnswer answer = toAnswer (json, OperatorCall::kApply);
+        if (! answer.namesState)
+        {
+            again();  // Not the leader, or the leader lost its quorum.
+            return;
+        }
+        world_.configuration->onOperatorAnswer (apply.record, answer);
+        knownVersion_ = std::max (knownVersion_, answer.inForceVersion);
+        ++appliesAnswered_;
+        // As if the answer had been lost: the same file is sent again.
+        if (random().chance (kLostAnswerShare))
+            again();
+    };
+    ask (likelyLeader(), controller::AdminApply{ apply.text, waits, kInForceTimeout }, onAnswer,
+         again);
 }
 
-void Operators::read() {
-  OperatorRecord record;
-  record.call = OperatorCall::kRead;
-  record.sentAt = queue().now();
-  ControllerNode& anyone = *world_.controllers[static_cast<std::size_t>(
-      random().uniformInteger(0, static_cast<std::int64_t>(world_.controllers.size()) - 1))];
-  const auto onAnswer = [this, record](const controller::AnswerAdmin& json) {
-    const OperatorAnswer answer = toAnswer(json, OperatorCall::kRead);
-    if (json.httpStatus != 200) return;
-    ++readsAnswered_;
-    world_.configuration->onOperatorAnswer(record, answer);
-    knownVersion_ = std::max(knownVersion_, answer.inForceVersion);
-  };
-  ask(anyone, controller::AdminExplain{"configuration", ""}, onAnswer, [] {});
+void Operators::read()
+{
+    OperatorRecord record;
+    record.call = OperatorCall::kRead;
+    record.sentAt = queue().now();
+    ControllerNode& anyone = *world_.controllers[static_cast<std::size_t> (
+        random().uniformInteger (0, static_cast<std::int64_t> (world_.controllers.size()) - 1))];
+    const auto onAnswer = [this, record] (const controller::AnswerAdmin& json)
+    {
+        const OperatorAnswer answer = toAnswer (json, OperatorCall::kRead);
+        if (json.httpStatus != 200)
+            return;
+        ++readsAnswered_;
+        world_.configuration->onOperatorAnswer (record, answer);
+        knownVersion_ = std::max (knownVersion_, answer.inForceVersion);
+    };
+    ask (anyone, controller::AdminExplain{ "configuration", "" }, onAnswer, [] {});
 }
 
-ControllerNode& Operators::likelyLeader() {
-  ControllerNode* leader = world_.leader();
-  if (leader != nullptr && random().chance(0.8)) return *leader;
-  const auto any =
-      random().uniformInteger(0, static_cast<std::int64_t>(world_.controllers.size()) - 1);
-  return *world_.controllers[static_cast<std::size_t>(any)];
+ControllerNode& Operators::likelyLeader()
+{
+    ControllerNode* leader = world_.leader();
+    if (leader != nullptr && random().chance (0.8))
+        return *leader;
+    const auto any =
+        random().uniformInteger (0, static_cast<std::int64_t> (world_.controllers.size()) - 1);
+    return *world_.controllers[static_cast<std::size_t> (any)];
 }
 
-void Operators::ask(ControllerNode& controller, const controller::AdminRequest& request,
-                    OnAnswer onAnswer, Action onFailed) {
-  const auto serve = [&controller, request,
-                      onAnswer = std::move(onAnswer)](const Respond& respond) {
-    controller.admin(request, [respond, onAnswer](const controller::AnswerAdmin& answer) {
-      respond([onAnswer, answer] { onAnswer(answer); });
-    });
-  };
-  call(network(), *this, controller, kAnswerTimeout, serve, std::move(onFailed));
+void Operators::ask (ControllerNode& controller, const controller::AdminRequest& request,
+                     OnAnswer onAnswer, Action onFailed)
+{
+    const auto serve =
+        [&controller, request, onAnswer = std::move (onAnswer)] (const Respond& respond)
+    {
+        controller.admin (request, [respond, onAnswer] (const controller::AnswerAdmin& answer)
+                          { respond ([onAnswer, answer] { onAnswer (answer); }); });
+    };
+    call (network(), *this, controller, kAnswerTimeout, serve, std::move (onFailed));
 }
 
-void Operators::replaceMember(ControllerNode& controller) {
-  Replacement replacement;
-  replacement.former = controller.member();
-  controller.replaceDisk(++lastMember_);
-  controller.start();
-  replacement.member = controller.asMember(false);
-  ++replacing_;
-  continueReplacement(replacement);
+void Operators::replaceMember (ControllerNode& controller)
+{
+    Replacement replacement;
+    replacement.former = controller.member();
+    controller.replaceDisk (++lastMember_);
+    controller.start();
+    replacement.member = controller.asMember (false);
+    ++replacing_;
+    continueReplacement (replacement);
 }
 
 /// Looks at the members that a leader lists and takes the next step towards the wanted ones.
-void Operators::continueReplacement(Replacement replacement) {
-  const auto again = [this, replacement] {
-    queue().after(kReplacementPause, [this, replacement] { continueReplacement(replacement); });
-  };
-  const auto step = [this, replacement = std::move(replacement),
-                     again](const controller::AnswerAdmin& json) {
-    const QJsonObject members = parse(json.json);
-    if (textOf(members, "role") != "leader") {
-      again();
-      return;
-    }
-    controller::AdminRequest next = controller::AdminRemoveMember{replacement.former};
-    const std::optional<bool> isVoter = findVoter(members, replacement.member.id);
-    if (!isVoter) {
-      next = controller::AdminAddMember{replacement.member};
-    } else if (!*isVoter) {
-      next = controller::AdminPromoteMember{replacement.member.id};
-    } else if (!findVoter(members, replacement.former)) {
-      note("member " + std::to_string(replacement.former) + " replaced by " +
-           std::to_string(replacement.member.id));
-      ++membersReplaced_;
-      --replacing_;
-      return;
-    }
-    ask(
-        likelyLeader(), next, [again](const controller::AnswerAdmin&) { again(); }, again);
-  };
-  ask(likelyLeader(), controller::AdminMembers{}, step, again);
+void Operators::continueReplacement (Replacement replacement)
+{
+    const auto again = [this, replacement] {
+        queue().after (kReplacementPause,
+                       [this, replacement] { continueReplacement (replacement); });
+    };
+    const auto step =
+        [this, replacement = std::move (replacement), again] (const controller::AnswerAdmin& json)
+    {
+        const QJsonObject members = parse (json.json);
+        if (textOf (members, "role") != "leader")
+        {
+            again();
+            return;
+        }
+        controller::AdminRequest next = controller::AdminRemoveMember{ replacement.former };
+        const std::optional<bool> isVoter = findVoter (members, replacement.member.id);
+        if (! isVoter)
+        {
+            next = controller::AdminAddMember{ replacement.member };
+        }
+        else if (! *isVoter)
+        {
+            next = controller::AdminPromoteMember{ replacement.member.id };
+        }
+        else if (! findVoter (members, replacement.former))
+        {
+            note ("member " + std::to_string (replacement.former) + " replaced by "
+                  + std::to_string (replacement.member.id));
+            ++membersReplaced_;
+            --replacing_;
+            return;
+        }
+        ask (
+            likelyLeader(), next, [again] (const controller::AnswerAdmin&) { again(); }, again);
+    };
+    ask (likelyLeader(), controller::AdminMembers{}, step, again);
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/Platform.h
+++ b/src/sim/Platform.h
@@ -10,37 +10,41 @@
 #include "standin/MachineListModel.h"
 #include "standin/WeightStoreModel.h"
 
-namespace fernlift::sim {
-
-class Platform final : public Process {
- public:
-  Platform(World& world, NodeId node, engine::MachineList machines);
-
-  [[nodiscard]] const engine::MachineList& machineList() { return list_.visible(queue().now()); }
-  void setLeaving(const base::RunnerId& runner);
-  void remove(const base::RunnerId& runner);
-  void put(const engine::Machine& machine);
-  void setLag(base::Duration lag) { list_.setLag(lag); }
-
-  /// Begins a transfer to an engine, which hears of its end or refusal. Returns its number.
-  std::uint64_t beginTransfer(EngineNode& engine, standin::FetchId fetch, engine::Megabytes size);
-  void cancelTransfer(std::uint64_t transfer);
-  void setWeightStoreFaults(const standin::WeightStoreFaults& faults);
-
- private:
-  struct Transfer {
-    EngineNode* engine = nullptr;
-    std::uint64_t life = 0;
-    standin::FetchId fetch = 0;
-  };
-
-  void settle();
-
-  standin::MachineListModel list_;
-  standin::WeightStoreModel weights_;
-  std::map<std::uint64_t, Transfer> transfers_;
-  std::uint64_t lastTransfer_ = 0;
-  std::uint64_t wakeNumber_ = 0;
+namespace fernlift::sim
+{
+
+class Platform final : public Process
+{
+public:
+    Platform (World& world, NodeId node, engine::MachineList machines);
+
+    [[nodiscard]] const engine::MachineList& machineList() { return list_.visible (queue().now()); }
+    void setLeaving (const base::RunnerId& runner);
+    void remove (const base::RunnerId& runner);
+    void put (const engine::Machine& machine);
+    void setLag (base::Duration lag) { list_.setLag (lag); }
+
+    /// Begins a transfer to an engine, which hears of its end or refusal. Returns its number.
+    std::uint64_t beginTransfer (EngineNode& engine, standin::FetchId fetch,
+                                 engine::Megabytes size);
+    void cancelTransfer (std::uint64_t transfer);
+    void setWeightStoreFaults (const standin::WeightStoreFaults& faults);
+
+private:
+    struct Transfer
+    {
+        EngineNode* engine = nullptr;
+        std::uint64_t life = 0;
+        standin::FetchId fetch = 0;
+    };
+
+    void settle();
+
+    standin::MachineListModel list_;
+    standin::WeightStoreModel weights_;
+    std::map<std::uint64_t, Transfer> transfers_;
+    std::uint64_t lastTransfer_ = 0;
+    std::uint64_t wakeNumber_ = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/ReplicaChecker.h
+++ b/src/sim/ReplicaChecker.h
@@ -10,32 +10,34 @@
 #include "engine/EngineApi.h"
 #include "sim/World.h"
 
-namespace fernlift::sim {
-
-class ReplicaChecker {
- public:
-  explicit ReplicaChecker(World& world) : world_(world) {}
-
-  void onCommitted(base::LogIndex index, const cell::Command& command,
-                   const cell::ApplyResult& result);
-  /// An engine answered an order; `fenceBefore` is the highest it had taken until then.
-  void onOrder(EngineNode& engine, const engine::Order& order, const engine::OrderAnswer& answer,
-               base::Fence fenceBefore);
-  /// An engine took an order, or ended.
-  void onEngineChanged(EngineNode& engine);
-
-  [[nodiscard]] std::uint64_t loads() const { return loads_; }
-
- private:
-  void checkAll();
-  void checkEngine(EngineNode& engine);
-  void checkBounds();
-  void checkLoadResult(base::LogIndex index, const cell::DecideLoad& command,
-                       const cell::ApplyResult& result);
-  void checkDecision(EngineNode& engine, const engine::Order& order);
-
-  World& world_;
-  std::uint64_t loads_ = 0;
+namespace fernlift::sim
+{
+
+class ReplicaChecker
+{
+public:
+    explicit ReplicaChecker (World& world) : world_ (world) {}
+
+    void onCommitted (base::LogIndex index, const cell::Command& command,
+                      const cell::ApplyResult& result);
+    /// An engine answered an order; `fenceBefore` is the highest it had taken until then.
+    void onOrder (EngineNode& engine, const engine::Order& order, const engine::OrderAnswer& answer,
+                  base::Fence fenceBefore);
+    /// An engine took an order, or ended.
+    void onEngineChanged (EngineNode& engine);
+
+    [[nodiscard]] std::uint64_t loads() const { return loads_; }
+
+private:
+    void checkAll();
+    void checkEngine (EngineNode& engine);
+    void checkBounds();
+    void checkLoadResult (base::LogIndex index, const cell::DecideLoad& command,
+                          const cell::ApplyResult& result);
+    void checkDecision (EngineNode& engine, const engine::Order& order);
+
+    World& world_;
+    std::uint64_t loads_ = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/RouterNode.cpp
+++ b/src/sim/RouterNode.cpp
@@ -8,347 +8,454 @@
 #include "sim/ControllerNode.h"
 #include "sim/LeavingChecker.h"
 
-namespace fernlift::sim {
-namespace {
+namespace fernlift::sim
+{
+namespace
+{
 
-constexpr base::Duration kTickInterval = base::milliseconds(10);
+constexpr base::Duration kTickInterval = base::milliseconds (10);
 constexpr std::int64_t kLongestRestartMicroseconds = 500'000;
 
-router::PlantedFault routerFault(PlantedFault fault) {
-  switch (fault) {
-    case PlantedFault::kRetrySentUnrepeatable:
-      return router::PlantedFault::kRetrySentUnrepeatable;
-    case PlantedFault::kPassDuplicateChunks:
-      return router::PlantedFault::kPassDuplicateChunks;
-    case PlantedFault::kDropRefusal:
-      return router::PlantedFault::kDropRefusal;
-    case PlantedFault::kIgnoreLease:
-      return router::PlantedFault::kIgnoreLease;
-    case PlantedFault::kNotRunAfterBytes:
-      return router::PlantedFault::kNotRunAfterBytes;
-    case PlantedFault::kDispatchToLeaving:
-      return router::PlantedFault::kDispatchToLeaving;
-    default:
-      return router::PlantedFault::kNone;
-  }
+router::PlantedFault routerFault (PlantedFault fault)
+{
+    switch (fault)
+    {
+        case PlantedFault::kRetrySentUnrepeatable:
+            return router::PlantedFault::kRetrySentUnrepeatable;
+        case PlantedFault::kPassDuplicateChunks:
+            return router::PlantedFault::kPassDuplicateChunks;
+        case PlantedFault::kDropRefusal:
+            return router::PlantedFault::kDropRefusal;
+        case PlantedFault::kIgnoreLease:
+            return router::PlantedFault::kIgnoreLease;
+        case PlantedFault::kNotRunAfterBytes:
+            return router::PlantedFault::kNotRunAfterBytes;
+        case PlantedFault::kDispatchToLeaving:
+            return router::PlantedFault::kDispatchToLeaving;
+        default:
+            return router::PlantedFault::kNone;
+    }
 }
 
-void addTo(router::RouterCounters& sum, const router::RouterCounters& counters) {
-  sum.admitted += counters.admitted;
-  sum.answered += counters.answered;
-  sum.refused += counters.refused;
-  sum.callersGone += counters.callersGone;
-  sum.open += counters.open;
-  sum.attempts += counters.attempts;
-  sum.retries += counters.retries;
-  sum.resumes += counters.resumes;
-  sum.claims += counters.claims;
+void addTo (router::RouterCounters& sum, const router::RouterCounters& counters)
+{
+    sum.admitted += counters.admitted;
+    sum.answered += counters.answered;
+    sum.refused += counters.refused;
+    sum.callersGone += counters.callersGone;
+    sum.open += counters.open;
+    sum.attempts += counters.attempts;
+    sum.retries += counters.retries;
+    sum.resumes += counters.resumes;
+    sum.claims += counters.claims;
 }
 
 }  // namespace
 
-RouterNode::RouterNode(World& world, NodeId node, std::size_t number)
-    : Process(world.network, world.trace, node, "router-" + std::to_string(number + 1),
-              drawDrift(world.random)),
-      world_(world),
-      id_(name()) {}
-
-router::RouterOptions RouterNode::coreOptions() const {
-  router::RouterOptions options;
-  options.router = id_;
-  options.cell = base::CellId("simulated");
-  options.zone = base::ZoneName("z" + std::to_string(node() % 3 + 1));
-  options.address = "127.2.0." + std::to_string(node()) + ":8000";
-  options.outcomeWait = base::seconds(5);
-  options.hedgeAfter = base::milliseconds(400);
-  options.plantedFault = routerFault(world_.options.plantedFault);
-  return options;
+RouterNode::RouterNode (World& world, NodeId node, std::size_t number)
+    : Process (world.network, world.trace, node, "router-" + std::to_string (number + 1),
+               drawDrift (world.random)),
+      world_ (world),
+      id_ (name())
+{
 }
 
-void RouterNode::start() {
-  begin();
-  isStopping_ = false;
-  note("starts");
-  core_.emplace(coreOptions(), random().bits(), clock().now(), clock().unixNow());
-  world_.configuration->onRouterStarted(*this);
-  nextController_ = node();
-  tick(life());
+router::RouterOptions RouterNode::coreOptions() const
+{
+    router::RouterOptions options;
+    options.router = id_;
+    options.cell = base::CellId ("simulated");
+    options.zone = base::ZoneName ("z" + std::to_string (node() % 3 + 1));
+    options.address = "127.2.0." + std::to_string (node()) + ":8000";
+    options.outcomeWait = base::seconds (5);
+    options.hedgeAfter = base::milliseconds (400);
+    options.plantedFault = routerFault (world_.options.plantedFault);
+    return options;
 }
 
-void RouterNode::stopAndRestart() {
-  if (!isAlive() || isFrozen() || isStopping_) return;
-  note("planned stop");
-  isStopping_ = true;
-  feed([](router::RouterCore& core) { core.beginStop(); });
+void RouterNode::start()
+{
+    begin();
+    isStopping_ = false;
+    note ("starts");
+    core_.emplace (coreOptions(), random().bits(), clock().now(), clock().unixNow());
+    world_.configuration->onRouterStarted (*this);
+    nextController_ = node();
+    tick (life());
 }
 
-void RouterNode::onKilled() {
-  addTo(formerCounters_, core_->counters());
-  for (const auto& [ticket, request] : requests_) {
-    request->isRouterLost = true;
-    world_.callers->onRouterLost(request);
-  }
-  if (isStopping_ && !requests_.empty()) {
-    note(std::to_string(requests_.size()) + " requests lost while stopping");
-  }
-  requests_.clear();
-  detached_.clear();
-  attempts_.clear();
-  core_.reset();
-  controllerConnection_.reset();
-  controller_ = nullptr;
+void RouterNode::stopAndRestart()
+{
+    if (! isAlive() || isFrozen() || isStopping_)
+        return;
+    note ("planned stop");
+    isStopping_ = true;
+    feed ([] (router::RouterCore& core) { core.beginStop(); });
 }
 
-router::RouterCounters RouterNode::totalCounters() const {
-  router::RouterCounters sum = formerCounters_;
-  if (core_) addTo(sum, core_->counters());
-  return sum;
+void RouterNode::onKilled()
+{
+    addTo (formerCounters_, core_->counters());
+    for (const auto& [ticket, request] : requests_)
+    {
+        request->isRouterLost = true;
+        world_.callers->onRouterLost (request);
+    }
+    if (isStopping_ && ! requests_.empty())
+    {
+        note (std::to_string (requests_.size()) + " requests lost while stopping");
+    }
+    requests_.clear();
+    detached_.clear();
+    attempts_.clear();
+    core_.reset();
+    controllerConnection_.reset();
+    controller_ = nullptr;
 }
 
-void RouterNode::tick(std::uint64_t life) {
-  if (!isAlive() || life != this->life()) return;
-  queue().after(kTickInterval, [this, life] { tick(life); });
-  if (isFrozen()) return;
-  feed([](router::RouterCore& core) { core.onTick(); });
-  if (!isStopping_ || !core_->isIdle()) return;
-  if (!requests_.empty()) {
-    world_.violations.add("planned stop cuts nothing", name() + " is idle with open requests");
-  }
-  kill(base::Duration::zero());
-  const auto pause = base::Duration(random().uniformInteger(0, kLongestRestartMicroseconds));
-  queue().after(pause, [this, stopped = this->life()] {
-    if (!isAlive() && stopped == this->life()) start();
-  });
+router::RouterCounters RouterNode::totalCounters() const
+{
+    router::RouterCounters sum = formerCounters_;
+    if (core_)
+        addTo (sum, core_->counters());
+    return sum;
 }
 
-void RouterNode::feed(const Input& input) {
-  if (!core_) return;
-  core_->setTime(clock().now(), clock().unixNow());
-  input(*core_);
-  const std::vector<router::Effect> effects = core_->takeEffects();
-  world_.configuration->onRouterInput(*this);
-  for (const router::Effect& effect : effects) carryOut(effect);
+void RouterNode::tick (std::uint64_t life)
+{
+    if (! isAlive() || life != this->life())
+        return;
+    queue().after (kTickInterval, [this, life] { tick (life); });
+    if (isFrozen())
+        return;
+    feed ([] (router::RouterCore& core) { core.onTick(); });
+    if (! isStopping_ || ! core_->isIdle())
+        return;
+    if (! requests_.empty())
+    {
+        world_.violations.add ("planned stop cuts nothing", name() + " is idle with open requests");
+    }
+    kill (base::Duration::zero());
+    const auto pause = base::Duration (random().uniformInteger (0, kLongestRestartMicroseconds));
+    queue().after (pause,
+                   [this, stopped = this->life()]
+                   {
+                       if (! isAlive() && stopped == this->life())
+                           start();
+                   });
 }
 
-bool RouterNode::isReadyNow() {
-  if (!isAlive() || isFrozen()) return false;
-  core_->setTime(clock().now(), clock().unixNow());
-  return core_->isReady();
+void RouterNode::feed (const Input& input)
+{
+    if (! core_)
+        return;
+    core_->setTime (clock().now(), clock().unixNow());
+    input (*core_);
+    const std::vector<router::Effect> effects = core_->takeEffects();
+    world_.configuration->onRouterInput (*this);
+    for (const router::Effect& effect : effects)
+        carryOut (effect);
 }
 
-void RouterNode::onRequest(const CallerRequestPointer& request) {
-  request->hasReachedRouter = true;
-  world_.callers->onArrived(*this, request);
-  core_->setTime(clock().now(), clock().unixNow());
-  const router::RequestTicket ticket = core_->onRequest(request->head);
-  requests_[ticket] = request;
-  feed([](router::RouterCore&) {});
+bool RouterNode::isReadyNow()
+{
+    if (! isAlive() || isFrozen())
+        return false;
+    core_->setTime (clock().now(), clock().unixNow());
+    return core_->isReady();
 }
 
-void RouterNode::onCallerGone(const CallerRequestPointer& request) {
-  for (const auto& [ticket, open] : requests_) {
-    if (open != request) continue;
-    request->hasCallerLeft = true;
-    const router::RequestTicket gone = ticket;
-    endAnswer(gone);
-    feed([gone](router::RouterCore& core) { core.onCallerGone(gone); });
-    return;
-  }
+void RouterNode::onRequest (const CallerRequestPointer& request)
+{
+    request->hasReachedRouter = true;
+    world_.callers->onArrived (*this, request);
+    core_->setTime (clock().now(), clock().unixNow());
+    const router::RequestTicket ticket = core_->onRequest (request->head);
+    requests_[ticket] = request;
+    feed ([] (router::RouterCore&) {});
 }
 
-void RouterNode::onControllerMessage(const ConnectionPointer& connection,
-                                     const cell::ControllerToRouter& message) {
-  if (connection != controllerConnection_) return;
-  feed([&](router::RouterCore& core) { core.onControllerMessage(message); });
+void RouterNode::onCallerGone (const CallerRequestPointer& request)
+{
+    for (const auto& [ticket, open] : requests_)
+    {
+        if (open != request)
+            continue;
+        request->hasCallerLeft = true;
+        const router::RequestTicket gone = ticket;
+        endAnswer (gone);
+        feed ([gone] (router::RouterCore& core) { core.onCallerGone (gone); });
+        return;
+    }
 }
 
-void RouterNode::onAttemptEvent(router::AttemptId attempt, const router::AttemptEvent& event) {
-  const auto found = attempts_.find(attempt);
-  if (found == attempts_.end()) return;
-  const cell::RoutableReplica replica = found->second.replica;
-  const bool isLast = std::holds_alternative<router::AttemptEnded>(event) ||
-                      std::holds_alternative<router::AttemptRefused>(event) ||
-                      std::holds_alternative<router::AttemptBroken>(event) ||
-                      std::holds_alternative<router::AttemptNotSent>(event);
-  if (isLast) {
-    if (found->second.connection) found->second.connection->close(Side::kOpener, true);
-    attempts_.erase(found);
-  }
-  const auto* headers = std::get_if<router::AttemptHeaders>(&event);
-  const auto* refused = std::get_if<router::AttemptRefused>(&event);
-  const bool saysLeaving = (headers != nullptr && headers->runnerIsLeaving) ||
-                           (refused != nullptr && refused->runnerIsLeaving);
-  feed([&](router::RouterCore& core) { core.onAttemptEvent(attempt, event); });
-  if (saysLeaving) world_.leaving->onRouterSaw(*this, replica);
+void RouterNode::onControllerMessage (const ConnectionPointer& connection,
+                                      const cell::ControllerToRouter& message)
+{
+    if (connection != controllerConnection_)
+        return;
+    feed ([&] (router::RouterCore& core) { core.onControllerMessage (message); });
 }
 
-void RouterNode::carryOut(const router::Effect& effect) {
-  std::visit([this](const auto& content) { apply(content); }, effect);
+void RouterNode::onAttemptEvent (router::AttemptId attempt, const router::AttemptEvent& event)
+{
+    const auto found = attempts_.find (attempt);
+    if (found == attempts_.end())
+        return;
+    const cell::RoutableReplica replica = found->second.replica;
+    const bool isLast = std::holds_alternative<router::AttemptEnded> (event)
+                        || std::holds_alternative<router::AttemptRefused> (event)
+                        || std::holds_alternative<router::AttemptBroken> (event)
+                        || std::holds_alternative<router::AttemptNotSent> (event);
+    if (isLast)
+    {
+        if (found->second.connection)
+            found->second.connection->close (Side::kOpener, true);
+        attempts_.erase (found);
+    }
+    const auto* headers = std::get_if<router::AttemptHeaders> (&event);
+    const auto* refused = std::get_if<router::AttemptRefused> (&event);
+    const bool saysLeaving = (headers != nullptr && headers->runnerIsLeaving)
+                             || (refused != nullptr && refused->runnerIsLeaving);
+    feed ([&] (router::RouterCore& core) { core.onAttemptEvent (attempt, event); });
+    if (saysLeaving)
+        world_.leaving->onRouterSaw (*this, replica);
 }
 
-void RouterNode::apply(const router::SendToController& effect) {
-  if (!controllerConnection_) return;
-  controllerConnection_->send(
-      Side::kOpener, [controller = controller_, life = controllerLife_, number = controllerNumber_,
-                      message = effect.message] {
-        controller->postTo(
-            life, [controller, number, message] { controller->onRouterMessage(number, message); });
-      });
+void RouterNode::carryOut (const router::Effect& effect)
+{
+    std::visit ([this] (const auto& content) { apply (content); }, effect);
 }
 
-void RouterNode::closeController() {
-  if (controllerConnection_) controllerConnection_->close(Side::kOpener, random().chance(0.5));
-  controllerConnection_.reset();
-  controller_ = nullptr;
+void RouterNode::apply (const router::SendToController& effect)
+{
+    if (! controllerConnection_)
+        return;
+    controllerConnection_->send (Side::kOpener,
+                                 [controller = controller_, life = controllerLife_,
+                                  number = controllerNumber_, message = effect.message]
+                                 {
+                                     controller->postTo (
+                                         life, [controller, number, message]
+                                         { controller->onRouterMessage (number, message); });
+                                 });
 }
 
-void RouterNode::apply(const router::ConnectController& effect) {
-  closeController();
-  ControllerNode* controller = world_.controllerAt(effect.address);
-  if (controller == nullptr) {
-    controller = world_.controllers[nextController_++ % world_.controllers.size()].get();
-  }
-  connect(*controller);
+void RouterNode::closeController()
+{
+    if (controllerConnection_)
+        controllerConnection_->close (Side::kOpener, random().chance (0.5));
+    controllerConnection_.reset();
+    controller_ = nullptr;
 }
 
-void RouterNode::connect(ControllerNode& controller) {
-  const std::uint64_t attempt = ++connectNumber_;
-  if (controller.hasVanished()) return;
-  const ConnectionPointer connection = network().open(node(), controller.node());
-  if (!connection) return;
-  const base::Duration roundTrip =
-      network().delay(node(), controller.node()) + network().delay(controller.node(), node());
-  queue().after(roundTrip, [this, attempt, connection, &controller, life = life()] {
-    postTo(life, [this, attempt, connection, &controller] {
-      if (attempt != connectNumber_) return;
-      if (!controller.isAlive()) {
-        feed([](router::RouterCore& core) { core.onControllerLost(); });
+void RouterNode::apply (const router::ConnectController& effect)
+{
+    closeController();
+    ControllerNode* controller = world_.controllerAt (effect.address);
+    if (controller == nullptr)
+    {
+        controller = world_.controllers[nextController_++ % world_.controllers.size()].get();
+    }
+    connect (*controller);
+}
+
+void RouterNode::connect (ControllerNode& controller)
+{
+    const std::uint64_t attempt = ++connectNumber_;
+    if (controller.hasVanished())
+        return;
+    const ConnectionPointer connection = network().open (node(), controller.node());
+    if (! connection)
         return;
-      }
-      const std::uint64_t number = controller.accept(*this, connection);
-      onConnected(controller, connection, controller.life(), number);
-    });
-  });
+    const base::Duration roundTrip =
+        network().delay (node(), controller.node()) + network().delay (controller.node(), node());
+    queue().after (
+        roundTrip,
+        [this, attempt, connection, &controller, life = life()]
+        {
+            postTo (life,
+                    [this, attempt, connection, &controller]
+                    {
+                        if (attempt != connectNumber_)
+                            return;
+                        if (! controller.isAlive())
+                        {
+                            feed ([] (router::RouterCore& core) { core.onControllerLost(); });
+                            return;
+                        }
+                        const std::uint64_t number = controller.accept (*this, connection);
+                        onConnected (controller, connection, controller.life(), number);
+                    });
+        });
 }
 
-void RouterNode::onConnected(ControllerNode& controller, const ConnectionPointer& connection,
-                             std::uint64_t controllerLife, std::uint64_t number) {
-  controller_ = &controller;
-  controllerLife_ = controllerLife;
-  controllerNumber_ = number;
-  controllerConnection_ = connection;
-  connection->onEnded(Side::kOpener, [this, life = life(), weak = std::weak_ptr(connection)] {
-    postTo(life, [this, weak] {
-      if (weak.lock() != controllerConnection_ || !controllerConnection_) return;
-      controllerConnection_.reset();
-      feed([](router::RouterCore& core) { core.onControllerLost(); });
-    });
-  });
-  feed([](router::RouterCore& core) { core.onControllerConnected(); });
+void RouterNode::onConnected (ControllerNode& controller, const ConnectionPointer& connection,
+                              std::uint64_t controllerLife, std::uint64_t number)
+{
+    controller_ = &controller;
+    controllerLife_ = controllerLife;
+    controllerNumber_ = number;
+    controllerConnection_ = connection;
+    connection->onEnded (
+        Side::kOpener,
+        [this, life = life(), weak = std::weak_ptr (connection)]
+        {
+            postTo (life,
+                    [this, weak]
+                    {
+                        if (weak.lock() != controllerConnection_ || ! controllerConnection_)
+                            return;
+                        controllerConnection_.reset();
+                        feed ([] (router::RouterCore& core) { core.onControllerLost(); });
+                    });
+        });
+    feed ([] (router::RouterCore& core) { core.onControllerConnected(); });
 }
 
-void RouterNode::apply(const router::StartAttempt& effect) {
-  const CallerRequestPointer request = findRequest(effect.ticket);
-  if (!request) return;
-  if (!std::exchange(request->isFirstAttemptMade, true)) {
-    world_.configuration->onFirstDispatch(*this);
-  }
-  world_.leaving->onDispatch(*this, effect.replica);
-  attempts_[effect.attempt] = {nullptr, effect.replica, effect.ticket};
-  openAttempt(effect.attempt, effect);
+void RouterNode::apply (const router::StartAttempt& effect)
+{
+    const CallerRequestPointer request = findRequest (effect.ticket);
+    if (! request)
+        return;
+    if (! std::exchange (request->isFirstAttemptMade, true))
+    {
+        world_.configuration->onFirstDispatch (*this);
+    }
+    world_.leaving->onDispatch (*this, effect.replica);
+    attempts_[effect.attempt] = { nullptr, effect.replica, effect.ticket };
+    openAttempt (effect.attempt, effect);
 }
 
-void RouterNode::openAttempt(router::AttemptId id, const router::StartAttempt& effect) {
-  BackEnd* backEnd = world_.backEndAt(effect.replica.address);
-  const auto failAfter = [this, id](base::Duration wait) {
-    queue().after(wait, [this, id, life = life()] {
-      postTo(life, [this, id] { onAttemptEvent(id, router::AttemptNotSent{}); });
-    });
-  };
-  const ConnectionPointer connection = backEnd == nullptr || backEnd->hasVanished()
-                                           ? nullptr
-                                           : network().open(node(), backEnd->node());
-  if (!connection) {
-    failAfter(effect.connectTimeout);
-    return;
-  }
-  const base::Duration roundTrip =
-      network().delay(node(), backEnd->node()) + network().delay(backEnd->node(), node());
-  if (!backEnd->isAlive()) {
-    failAfter(roundTrip);
-    return;
-  }
-  const Attempt attempt{
-      this,           life(),           id, connection, findRequest(effect.ticket), effect.replica,
-      effect.urgency, effect.resumeFrom};
-  queue().after(roundTrip, [this, attempt, backEnd, life = life()] {
-    postTo(life, [this, attempt, backEnd] {
-      const auto found = attempts_.find(attempt.id);
-      if (found == attempts_.end()) return;
-      found->second.connection = attempt.connection;
-      attempt.connection->onEnded(Side::kOpener, [this, id = attempt.id, life = this->life()] {
-        postTo(life, [this, id] { onAttemptEvent(id, router::AttemptBroken{}); });
-      });
-      attempt.connection->send(Side::kOpener, [attempt, backEnd] {
-        if (!backEnd->isAlive()) {
-          if (!backEnd->hasVanished()) attempt.connection->close(Side::kAcceptor, true);
-          return;
-        }
-        backEnd->post([attempt, backEnd] { backEnd->submit(attempt); });
-      });
-    });
-  });
+void RouterNode::openAttempt (router::AttemptId id, const router::StartAttempt& effect)
+{
+    BackEnd* backEnd = world_.backEndAt (effect.replica.address);
+    const auto failAfter = [this, id] (base::Duration wait)
+    {
+        queue().after (
+            wait, [this, id, life = life()]
+            { postTo (life, [this, id] { onAttemptEvent (id, router::AttemptNotSent{}); }); });
+    };
+    const ConnectionPointer connection = backEnd == nullptr || backEnd->hasVanished()
+                                             ? nullptr
+                                             : network().open (node(), backEnd->node());
+    if (! connection)
+    {
+        failAfter (effect.connectTimeout);
+        return;
+    }
+    const base::Duration roundTrip =
+        network().delay (node(), backEnd->node()) + network().delay (backEnd->node(), node());
+    if (! backEnd->isAlive())
+    {
+        failAfter (roundTrip);
+        return;
+    }
+    const Attempt attempt{ this,
+                           life(),
+                           id,
+                           connection,
+                           findRequest (effect.ticket),
+                           effect.replica,
+                           effect.urgency,
+                           effect.resumeFrom };
+    queue().after (
+        roundTrip,
+        [this, attempt, backEnd, life = life()]
+        {
+            postTo (life,
+                    [this, attempt, backEnd]
+                    {
+                        const auto found = attempts_.find (attempt.id);
+                        if (found == attempts_.end())
+                            return;
+                        found->second.connection = attempt.connection;
+                        attempt.connection->onEnded (
+                            Side::kOpener,
+                            [this, id = attempt.id, life = this->life()] {
+                                postTo (life, [this, id]
+                                        { onAttemptEvent (id, router::AttemptBroken{}); });
+                            });
+                        attempt.connection->send (
+                            Side::kOpener,
+                            [attempt, backEnd]
+                            {
+                                if (! backEnd->isAlive())
+                                {
+                                    if (! backEnd->hasVanished())
+                                        attempt.connection->close (Side::kAcceptor, true);
+                                    return;
+                                }
+                                backEnd->post ([attempt, backEnd] { backEnd->submit (attempt); });
+                            });
+                    });
+        });
 }
 
-void RouterNode::apply(const router::CancelAttempt& effect) {
-  const auto found = attempts_.find(effect.attempt);
-  if (found == attempts_.end()) return;
-  if (found->second.connection) {
-    found->second.connection->close(Side::kOpener, random().chance(0.5));
-  }
-  attempts_.erase(found);
+void RouterNode::apply (const router::CancelAttempt& effect)
+{
+    const auto found = attempts_.find (effect.attempt);
+    if (found == attempts_.end())
+        return;
+    if (found->second.connection)
+    {
+        found->second.connection->close (Side::kOpener, random().chance (0.5));
+    }
+    attempts_.erase (found);
 }
 
-CallerRequestPointer RouterNode::findRequest(router::RequestTicket ticket) const {
-  const auto found = requests_.find(ticket);
-  if (found != requests_.end()) return found->second;
-  const auto detached = detached_.find(ticket);
-  return detached == detached_.end() ? nullptr : detached->second;
+CallerRequestPointer RouterNode::findRequest (router::RequestTicket ticket) const
+{
+    const auto found = requests_.find (ticket);
+    if (found != requests_.end())
+        return found->second;
+    const auto detached = detached_.find (ticket);
+    return detached == detached_.end() ? nullptr : detached->second;
 }
 
-void RouterNode::endAnswer(router::RequestTicket ticket) {
-  const auto found = requests_.find(ticket);
-  if (found == requests_.end()) return;
-  detached_[ticket] = found->second;
-  requests_.erase(found);
+void RouterNode::endAnswer (router::RequestTicket ticket)
+{
+    const auto found = requests_.find (ticket);
+    if (found == requests_.end())
+        return;
+    detached_[ticket] = found->second;
+    requests_.erase (found);
 }
 
-void RouterNode::apply(const router::AnswerHeaders& effect) {
-  const CallerRequestPointer request = findRequest(effect.ticket);
-  if (request) request->httpStatus = effect.httpStatus;
+void RouterNode::apply (const router::AnswerHeaders& effect)
+{
+    const CallerRequestPointer request = findRequest (effect.ticket);
+    if (request)
+        request->httpStatus = effect.httpStatus;
 }
 
-void RouterNode::apply(const router::AnswerData& effect) {
-  const CallerRequestPointer request = findRequest(effect.ticket);
-  if (request) request->text += effect.data;
+void RouterNode::apply (const router::AnswerData& effect)
+{
+    const CallerRequestPointer request = findRequest (effect.ticket);
+    if (request)
+        request->text += effect.data;
 }
 
-void RouterNode::apply(const router::AnswerEnd& effect) {
-  const CallerRequestPointer request = findRequest(effect.ticket);
-  if (!request) return;
-  request->finals += 1;
-  world_.callers->onFinal(*this, request);
-  endAnswer(effect.ticket);
+void RouterNode::apply (const router::AnswerEnd& effect)
+{
+    const CallerRequestPointer request = findRequest (effect.ticket);
+    if (! request)
+        return;
+    request->finals += 1;
+    world_.callers->onFinal (*this, request);
+    endAnswer (effect.ticket);
 }
 
-void RouterNode::apply(const router::AnswerError& effect) {
-  const CallerRequestPointer request = findRequest(effect.ticket);
-  if (!request) return;
-  request->finals += 1;
-  request->error = effect.error;
-  request->execution = effect.execution;
-  world_.callers->onFinal(*this, request);
-  endAnswer(effect.ticket);
+void RouterNode::apply (const router::AnswerError& effect)
+{
+    const CallerRequestPointer request = findRequest (effect.ticket);
+    if (! request)
+        return;
+    request->finals += 1;
+    request->error = effect.error;
+    request->execution = effect.execution;
+    world_.callers->onFinal (*this, request);
+    endAnswer (effect.ticket);
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/Simulation.h
+++ b/src/sim/Simulation.h
@@ -11,26 +11,28 @@
 #include "sim/SimulationOptions.h"
 #include "sim/Violations.h"
 
-namespace fernlift::sim {
+namespace fernlift::sim
+{
 
 /// What came out of a run.
-struct SimulationReport {
-  std::uint64_t seed = 0;
-  std::vector<Violation> violations;
-  std::vector<std::string> trace;  ///< The last events.
-  std::uint64_t digest = 0;        ///< Of all events: equal for equal runs.
-  FaultCounts faults{};
-  RequestTotals requests;
-  std::uint64_t events = 0;
-  std::uint64_t committedEntries = 0;
-  std::uint64_t terms = 0;
-  std::uint64_t loads = 0;
-  std::uint64_t appliesAnswered = 0;
-  std::uint64_t readsAnswered = 0;
-  std::uint64_t membersReplaced = 0;
-  std::uint64_t backEndsLeft = 0;
+struct SimulationReport
+{
+    std::uint64_t seed = 0;
+    std::vector<Violation> violations;
+    std::vector<std::string> trace;  ///< The last events.
+    std::uint64_t digest = 0;        ///< Of all events: equal for equal runs.
+    FaultCounts faults{};
+    RequestTotals requests;
+    std::uint64_t events = 0;
+    std::uint64_t committedEntries = 0;
+    std::uint64_t terms = 0;
+    std::uint64_t loads = 0;
+    std::uint64_t appliesAnswered = 0;
+    std::uint64_t readsAnswered = 0;
+    std::uint64_t membersReplaced = 0;
+    std::uint64_t backEndsLeft = 0;
 };
 
-[[nodiscard]] SimulationReport simulate(const SimulationOptions& options);
+[[nodiscard]] SimulationReport simulate (const SimulationOptions& options);
 
 }  // namespace fernlift::sim
--- a/src/sim/SimulationOptions.cpp
+++ b/src/sim/SimulationOptions.cpp
@@ -2,8 +2,10 @@
 
 #include <array>
 
-namespace fernlift::sim {
-namespace {
+namespace fernlift::sim
+{
+namespace
+{
 
 constexpr std::array kPlantedFaultNames = {
     "none",
@@ -59,37 +61,47 @@
     "machine list lags",
     "request burst",
 };
-static_assert(kFaultKindNames.size() == kFaultKinds);
+static_assert (kFaultKindNames.size() == kFaultKinds);
 
 }  // namespace
 
-const std::vector<PlantedFault>& allPlantedFaults() {
-  static const std::vector<PlantedFault> faults = [] {
-    std::vector<PlantedFault> all;
-    for (std::size_t number = 1; number < kPlantedFaultNames.size(); ++number) {
-      const auto fault = static_cast<PlantedFault>(number);
-      // Not found by sweeps so far (see docs/design/simulation.md); src/cell has a test for it.
-      if (fault == PlantedFault::kMemoryCountedWhenReady) continue;
-      all.push_back(fault);
-    }
-    return all;
-  }();
-  return faults;
+const std::vector<PlantedFault>& allPlantedFaults()
+{
+    static const std::vector<PlantedFault> faults = []
+    {
+        std::vector<PlantedFault> all;
+        for (std::size_t number = 1; number < kPlantedFaultNames.size(); ++number)
+        {
+            const auto fault = static_cast<PlantedFault> (number);
+            // Not found by sweeps so far (see docs/design/simulation.md); src/cell has a test for
+            // it.
+            if (fault == PlantedFault::kMemoryCountedWhenReady)
+                continue;
+            all.push_back (fault);
+        }
+        return all;
+    }();
+    return faults;
 }
 
-std::string_view nameOf(PlantedFault fault) {
-  return kPlantedFaultNames.at(static_cast<std::size_t>(fault));
+std::string_view nameOf (PlantedFault fault)
+{
+    return kPlantedFaultNames.at (static_cast<std::size_t> (fault));
 }
 
-std::optional<PlantedFault> plantedFaultNamed(std::string_view name) {
-  for (std::size_t number = 0; number < kPlantedFaultNames.size(); ++number) {
-    if (name == kPlantedFaultNames.at(number)) return static_cast<PlantedFault>(number);
-  }
-  return std::nullopt;
+std::optional<PlantedFault> plantedFaultNamed (std::string_view name)
+{
+    for (std::size_t number = 0; number < kPlantedFaultNames.size(); ++number)
+    {
+        if (name == kPlantedFaultNames.at (number))
+            return static_cast<PlantedFault> (number);
+    }
+    return std::nullopt;
 }
 
-std::string_view nameOf(FaultKind kind) {
-  return kFaultKindNames.at(static_cast<std::size_t>(kind));
+std::string_view nameOf (FaultKind kind)
+{
+    return kFaultKindNames.at (static_cast<std::size_t> (kind));
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/Trace.cpp
+++ b/src/sim/Trace.cpp
@@ -4,32 +4,40 @@
 #include <cstdio>
 #include <utility>
 
-namespace fernlift::sim {
-namespace {
+namespace fernlift::sim
+{
+namespace
+{
 
 constexpr std::uint64_t kFnvPrime = 0x100000001b3;
 
-std::string formatTime(base::TimePoint at) {
-  std::array<char, 32> buffer{};
-  const double seconds = static_cast<double>(at.time_since_epoch().count()) / 1e6;
-  std::snprintf(buffer.data(), buffer.size(), "%.6f", seconds);
-  return buffer.data();
+std::string formatTime (base::TimePoint at)
+{
+    std::array<char, 32> buffer{};
+    const double seconds = static_cast<double> (at.time_since_epoch().count()) / 1e6;
+    std::snprintf (buffer.data(), buffer.size(), "%.6f", seconds);
+    return buffer.data();
 }
 
 }  // namespace
 
-void Trace::add(base::TimePoint at, std::string line) {
-  const auto mix = [this](std::uint64_t value) { digest_ = (digest_ ^ value) * kFnvPrime; };
-  mix(static_cast<std::uint64_t>(at.time_since_epoch().count()));
-  for (const char letter : line) mix(static_cast<unsigned char>(letter));
-  lines_.push_back({at, std::move(line)});
-  if (lines_.size() > maximumLines_) lines_.pop_front();
+void Trace::add (base::TimePoint at, std::string line)
+{
+    const auto mix = [this] (std::uint64_t value) { digest_ = (digest_ ^ value) * kFnvPrime; };
+    mix (static_cast<std::uint64_t> (at.time_since_epoch().count()));
+    for (const char letter : line)
+        mix (static_cast<unsigned char> (letter));
+    lines_.push_back ({ at, std::move (line) });
+    if (lines_.size() > maximumLines_)
+        lines_.pop_front();
 }
 
-std::vector<std::string> Trace::lines() const {
-  std::vector<std::string> formatted;
-  for (const Line& line : lines_) formatted.push_back(formatTime(line.at) + " " + line.text);
-  return formatted;
+std::vector<std::string> Trace::lines() const
+{
+    std::vector<std::string> formatted;
+    for (const Line& line : lines_)
+        formatted.push_back (formatTime (line.at) + " " + line.text);
+    return formatted;
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/World.cpp
+++ b/src/sim/World.cpp
@@ -13,45 +13,55 @@
 #include "sim/ReplicaChecker.h"
 #include "sim/RouterNode.h"
 
-namespace fernlift::sim {
-namespace {
+namespace fernlift::sim
+{
+namespace
+{
 
 constexpr double kLargestDrift = 500e-6;
 
-std::size_t countNodes(const SimulationOptions& options) {
-  constexpr std::size_t kPlatformAndOperators = 2;
-  return options.controllers + options.routers + options.engines + options.applications +
-         kPlatformAndOperators;
+std::size_t countNodes (const SimulationOptions& options)
+{
+    constexpr std::size_t kPlatformAndOperators = 2;
+    return options.controllers + options.routers + options.engines + options.applications
+           + kPlatformAndOperators;
 }
 
 }  // namespace
 
-World::World(const SimulationOptions& simulationOptions)
-    : options(simulationOptions),
-      random(simulationOptions.seed),
-      trace(simulationOptions.traceLines),
-      network(queue, random, countNodes(simulationOptions)),
-      violations(queue, trace) {}
+World::World (const SimulationOptions& simulationOptions)
+    : options (simulationOptions),
+      random (simulationOptions.seed),
+      trace (simulationOptions.traceLines),
+      network (queue, random, countNodes (simulationOptions)),
+      violations (queue, trace)
+{
+}
 
 World::~World() = default;
 
-ControllerNode* World::controllerAt(const std::string& address) const {
-  const auto found = controllersByAddress.find(address);
-  return found == controllersByAddress.end() ? nullptr : found->second;
+ControllerNode* World::controllerAt (const std::string& address) const
+{
+    const auto found = controllersByAddress.find (address);
+    return found == controllersByAddress.end() ? nullptr : found->second;
 }
 
-BackEnd* World::backEndAt(const std::string& address) const {
-  const auto found = backEndsByAddress.find(address);
-  return found == backEndsByAddress.end() ? nullptr : found->second;
+BackEnd* World::backEndAt (const std::string& address) const
+{
+    const auto found = backEndsByAddress.find (address);
+    return found == backEndsByAddress.end() ? nullptr : found->second;
 }
 
-ControllerNode* World::leader() const {
-  for (const auto& controller : controllers) {
-    if (controller->leadsNow()) return controller.get();
-  }
-  return nullptr;
+ControllerNode* World::leader() const
+{
+    for (const auto& controller : controllers)
+    {
+        if (controller->leadsNow())
+            return controller.get();
+    }
+    return nullptr;
 }
 
-double drawDrift(base::Random& random) { return (random.uniformReal() * 2 - 1) * kLargestDrift; }
+double drawDrift (base::Random& random) { return (random.uniformReal() * 2 - 1) * kLargestDrift; }
 
 }  // namespace fernlift::sim
--- a/src/sim/World.h
+++ b/src/sim/World.h
@@ -15,7 +15,8 @@
 #include "sim/Trace.h"
 #include "sim/Violations.h"
 
-namespace fernlift::sim {
+namespace fernlift::sim
+{
 
 class ControllerNode;
 class RouterNode;
@@ -31,44 +32,45 @@
 class LeavingChecker;
 class FaultPlan;
 
-struct World {
-  explicit World(const SimulationOptions& simulationOptions);
-  ~World();
-  World(const World&) = delete;
-  World& operator=(const World&) = delete;
+struct World
+{
+    explicit World (const SimulationOptions& simulationOptions);
+    ~World();
+    World (const World&) = delete;
+    World& operator= (const World&) = delete;
 
-  [[nodiscard]] base::TimePoint now() const { return queue.now(); }
-  void note(std::string text) { trace.add(queue.now(), std::move(text)); }
-  [[nodiscard]] ControllerNode* controllerAt(const std::string& address) const;
-  [[nodiscard]] BackEnd* backEndAt(const std::string& address) const;
-  /// The controller that leads with a lease; null when none does.
-  [[nodiscard]] ControllerNode* leader() const;
+    [[nodiscard]] base::TimePoint now() const { return queue.now(); }
+    void note (std::string text) { trace.add (queue.now(), std::move (text)); }
+    [[nodiscard]] ControllerNode* controllerAt (const std::string& address) const;
+    [[nodiscard]] BackEnd* backEndAt (const std::string& address) const;
+    /// The controller that leads with a lease; null when none does.
+    [[nodiscard]] ControllerNode* leader() const;
 
-  SimulationOptions options;
-  EventQueue queue;
-  base::Random random;
-  Trace trace;
-  Network network;
-  Violations violations;
+    SimulationOptions options;
+    EventQueue queue;
+    base::Random random;
+    Trace trace;
+    Network network;
+    Violations violations;
 
-  std::unique_ptr<ConsensusChecker> consensus;
-  std::unique_ptr<ReplicaChecker> replicas;
-  std::unique_ptr<ConfigurationChecker> configuration;
-  std::unique_ptr<LeavingChecker> leaving;
+    std::unique_ptr<ConsensusChecker> consensus;
+    std::unique_ptr<ReplicaChecker> replicas;
+    std::unique_ptr<ConfigurationChecker> configuration;
+    std::unique_ptr<LeavingChecker> leaving;
 
-  std::unique_ptr<Platform> platform;
-  std::vector<std::unique_ptr<ControllerNode>> controllers;
-  std::vector<std::unique_ptr<EngineNode>> engines;
-  std::vector<std::unique_ptr<ApplicationNode>> applications;
-  std::vector<std::unique_ptr<RouterNode>> routers;
-  std::unique_ptr<Operators> operators;
-  std::unique_ptr<Callers> callers;
-  std::unique_ptr<FaultPlan> faults;
-  std::map<std::string, ControllerNode*> controllersByAddress;
-  std::map<std::string, BackEnd*> backEndsByAddress;
+    std::unique_ptr<Platform> platform;
+    std::vector<std::unique_ptr<ControllerNode>> controllers;
+    std::vector<std::unique_ptr<EngineNode>> engines;
+    std::vector<std::unique_ptr<ApplicationNode>> applications;
+    std::vector<std::unique_ptr<RouterNode>> routers;
+    std::unique_ptr<Operators> operators;
+    std::unique_ptr<Callers> callers;
+    std::unique_ptr<FaultPlan> faults;
+    std::map<std::string, ControllerNode*> controllersByAddress;
+    std::map<std::string, BackEnd*> backEndsByAddress;
 };
 
 /// Drift of the clock of a process, drawn for each.
-[[nodiscard]] double drawDrift(base::Random& random);
+[[nodiscard]] double drawDrift (base::Random& random);
 
 }  // namespace fernlift::sim
