--- a/src/standin/AnswerText.cpp
+++ b/src/standin/AnswerText.cpp
@@ -2,15 +2,18 @@
 
 #include "base/Digest.h"
 
-namespace fernlift::standin {
-namespace {
+namespace fernlift::standin
+{
+namespace
+{
 
 /// Spreads the bits of a counter (the finalizer of the SplitMix64 generator).
-std::uint64_t mix(std::uint64_t value) {
-  value += 0x9e3779b97f4a7c15ULL;
-  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
-  return value ^ (value >> 31U);
+std::uint64_t mix (std::uint64_t value)
+{
+    value += 0x9e3779b97f4a7c15ULL;
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31U);
 }
 
 constexpr std::string_view kLetters = "abcdefghijklmnop";
@@ -19,32 +22,38 @@
 
 }  // namespace
 
-AnswerText::AnswerText(std::string_view model, std::string_view prompt) {
-  std::string input(model);
-  input += '\0';
-  input += prompt;
-  seed_ = base::stableHash(input);
+AnswerText::AnswerText (std::string_view model, std::string_view prompt)
+{
+    std::string input (model);
+    input += '\0';
+    input += prompt;
+    seed_ = base::stableHash (input);
 }
 
-std::string AnswerText::token(std::uint64_t offset) const {
-  std::uint64_t bits = mix(seed_ ^ mix(offset));
-  std::string text;
-  for (int letter = 0; letter < kTokenLetters; ++letter) {
-    text += kLetters[bits % kLetters.size()];
-    bits >>= kBitsPerLetter;
-  }
-  return text + ' ';
+std::string AnswerText::token (std::uint64_t offset) const
+{
+    std::uint64_t bits = mix (seed_ ^ mix (offset));
+    std::string text;
+    for (int letter = 0; letter < kTokenLetters; ++letter)
+    {
+        text += kLetters[bits % kLetters.size()];
+        bits >>= kBitsPerLetter;
+    }
+    return text + ' ';
 }
 
-std::string AnswerText::tokens(std::uint64_t offset, std::uint64_t count) const {
-  std::string text;
-  for (std::uint64_t index = 0; index < count; ++index) text += token(offset + index);
-  return text;
+std::string AnswerText::tokens (std::uint64_t offset, std::uint64_t count) const
+{
+    std::string text;
+    for (std::uint64_t index = 0; index < count; ++index)
+        text += token (offset + index);
+    return text;
 }
 
-std::string expectedAnswer(std::string_view model, std::string_view prompt,
-                           std::uint64_t maxTokens) {
-  return AnswerText(model, prompt).tokens(0, maxTokens);
+std::string expectedAnswer (std::string_view model, std::string_view prompt,
+                            std::uint64_t maxTokens)
+{
+    return AnswerText (model, prompt).tokens (0, maxTokens);
 }
 
 }  // namespace fernlift::standin
--- a/src/standin/ApplicationModel.h
+++ b/src/standin/ApplicationModel.h
@@ -14,77 +14,88 @@
 #include "standin/EngineTypes.h"
 #include "standin/Ledger.h"
 
-namespace fernlift::standin {
+namespace fernlift::standin
+{
 
-struct ApplicationOptions {
-  base::RunnerId runner;
-  base::Incarnation incarnation = 1;
-  std::uint32_t slots = 32;
-  std::uint32_t maximumWaiting = 256;
-  base::Duration serviceTime = base::milliseconds(5);
+struct ApplicationOptions
+{
+    base::RunnerId runner;
+    base::Incarnation incarnation = 1;
+    std::uint32_t slots = 32;
+    std::uint32_t maximumWaiting = 256;
+    base::Duration serviceTime = base::milliseconds (5);
 };
 
-struct ApplicationFaults {
-  bool closesAfterBody = false;  ///< Performs requests and closes without an answer.
-  bool isSilent = false;         ///< Performs requests and never answers.
-  bool refusesAll = false;
-  double slowdown = 1.0;  ///< Factor on the service time.
+struct ApplicationFaults
+{
+    bool closesAfterBody = false;  ///< Performs requests and closes without an answer.
+    bool isSilent = false;         ///< Performs requests and never answers.
+    bool refusesAll = false;
+    double slowdown = 1.0;  ///< Factor on the service time.
 };
 
-struct ApplicationRequest {
-  std::string id;
-  std::string idempotencyKey;
-  std::string path;
+struct ApplicationRequest
+{
+    std::string id;
+    std::string idempotencyKey;
+    std::string path;
 };
 
 /// A request is performed; answer it (or close, by the faults).
-struct ApplicationDone {
-  RequestHandle handle = 0;
-  bool closesWithoutAnswer = false;
+struct ApplicationDone
+{
+    RequestHandle handle = 0;
+    bool closesWithoutAnswer = false;
 };
 
 /// Single-threaded. Call advance() before every other input.
-class ApplicationModel {
- public:
-  explicit ApplicationModel(const ApplicationOptions& options) : options_(options) {}
+class ApplicationModel
+{
+public:
+    explicit ApplicationModel (const ApplicationOptions& options) : options_ (options) {}
 
-  SubmitOutcome submit(const ApplicationRequest& request, base::TimePoint now);
-  /// The caller's connection closed. A request that has begun runs on.
-  void cancel(RequestHandle handle);
-  void advance(base::TimePoint now);
-  [[nodiscard]] std::optional<base::TimePoint> nextEvent() const;
-  [[nodiscard]] std::vector<ApplicationDone> takeDone();
+    SubmitOutcome submit (const ApplicationRequest& request, base::TimePoint now);
+    /// The caller's connection closed. A request that has begun runs on.
+    void cancel (RequestHandle handle);
+    void advance (base::TimePoint now);
+    [[nodiscard]] std::optional<base::TimePoint> nextEvent() const;
+    [[nodiscard]] std::vector<ApplicationDone> takeDone();
 
-  [[nodiscard]] engine::Report report() const;
-  [[nodiscard]] const std::vector<LedgerEntry>& ledger() const { return ledger_; }
-  /// How often each idempotency key was run.
-  [[nodiscard]] const std::map<std::string, std::uint64_t>& keyCounts() const { return keyCounts_; }
-  void setFaults(const ApplicationFaults& faults) { faults_ = faults; }
-  [[nodiscard]] const ApplicationFaults& faults() const { return faults_; }
-  void setLeaving(bool isLeaving) { isLeaving_ = isLeaving; }
-  [[nodiscard]] bool isLeaving() const { return isLeaving_; }
+    [[nodiscard]] engine::Report report() const;
+    [[nodiscard]] const std::vector<LedgerEntry>& ledger() const { return ledger_; }
+    /// How often each idempotency key was run.
+    [[nodiscard]] const std::map<std::string, std::uint64_t>& keyCounts() const
+    {
+        return keyCounts_;
+    }
+    void setFaults (const ApplicationFaults& faults) { faults_ = faults; }
+    [[nodiscard]] const ApplicationFaults& faults() const { return faults_; }
+    void setLeaving (bool isLeaving) { isLeaving_ = isLeaving; }
+    [[nodiscard]] bool isLeaving() const { return isLeaving_; }
 
- private:
-  struct Waiting {
-    RequestHandle handle = 0;
-    ApplicationRequest request;
-  };
-  struct Running {
-    RequestHandle handle = 0;
-    std::size_t ledgerIndex = 0;
-  };
+private:
+    struct Waiting
+    {
+        RequestHandle handle = 0;
+        ApplicationRequest request;
+    };
+    struct Running
+    {
+        RequestHandle handle = 0;
+        std::size_t ledgerIndex = 0;
+    };
 
-  void startWaiting(base::TimePoint now);
+    void startWaiting (base::TimePoint now);
 
-  ApplicationOptions options_;
-  ApplicationFaults faults_;
-  bool isLeaving_ = false;
-  RequestHandle lastHandle_ = 0;
-  std::deque<Waiting> waiting_;
-  std::multimap<base::TimePoint, Running> running_;  ///< By the end of the service.
-  std::vector<LedgerEntry> ledger_;
-  std::map<std::string, std::uint64_t> keyCounts_;
-  std::vector<ApplicationDone> done_;
+    ApplicationOptions options_;
+    ApplicationFaults faults_;
+    bool isLeaving_ = false;
+    RequestHandle lastHandle_ = 0;
+    std::deque<Waiting> waiting_;
+    std::multimap<base::TimePoint, Running> running_;  ///< By the end of the service.
+    std::vector<LedgerEntry> ledger_;
+    std::map<std::string, std::uint64_t> keyCounts_;
+    std::vector<ApplicationDone> done_;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/ApplicationServer.cpp
+++ b/src/standin/ApplicationServer.cpp
@@ -7,117 +7,152 @@
 #include "log/Log.h"
 #include "standin/Faults.h"
 
-namespace fernlift::standin {
-namespace {
+namespace fernlift::standin
+{
+namespace
+{
 
 /// Lets the caller check that the answer belongs to its own request.
-std::string echoJson(const http::Request& request) {
-  QJsonObject object;
-  object[QLatin1String("request_id")] = engine::jsonText(request.headers.value("X-Request-Id"));
-  object[QLatin1String("idempotency_key")] =
-      engine::jsonText(request.headers.value("Idempotency-Key"));
-  object[QLatin1String("method")] = engine::jsonText(request.method);
-  object[QLatin1String("path")] = engine::jsonText(request.path);
-  object[QLatin1String("query")] = engine::jsonText(request.query);
-  object[QLatin1String("body_digest")] = engine::jsonText(base::sha256Hex(request.body));
-  object[QLatin1String("body")] = engine::jsonText(request.body);
-  return engine::writeJson(object);
+std::string echoJson (const http::Request& request)
+{
+    QJsonObject object;
+    object[QLatin1String ("request_id")] =
+        engine::jsonText (request.headers.value ("X-Request-Id"));
+    object[QLatin1String ("idempotency_key")] =
+        engine::jsonText (request.headers.value ("Idempotency-Key"));
+    object[QLatin1String ("method")] = engine::jsonText (request.method);
+    object[QLatin1String ("path")] = engine::jsonText (request.path);
+    object[QLatin1String ("query")] = engine::jsonText (request.query);
+    object[QLatin1String ("body_digest")] = engine::jsonText (base::sha256Hex (request.body));
+    object[QLatin1String ("body")] = engine::jsonText (request.body);
+    return engine::writeJson (object);
 }
 
 }  // namespace
 
-ApplicationServer::ApplicationServer(const ApplicationOptions& options, const SimulatedClock& clock)
-    : clock_(clock), model_(options), timer_(clock, [this] { settle(); }) {}
+ApplicationServer::ApplicationServer (const ApplicationOptions& options,
+                                      const SimulatedClock& clock)
+    : clock_ (clock), model_ (options), timer_ (clock, [this] { settle(); })
+{
+}
 
-void ApplicationServer::handle(const http::Request& request,
-                               const std::shared_ptr<http::Responder>& responder) {
-  model_.advance(clock_.now());
-  if (request.path.starts_with("/standin/")) {
-    routeStandin(request, *responder);
-  } else if (request.path == "/engine/report") {
-    responder->send(200, commonHeaders(), engine::toJson(model_.report()));
-  } else {
-    perform(request, responder);
-  }
-  settle();
+void ApplicationServer::handle (const http::Request& request,
+                                const std::shared_ptr<http::Responder>& responder)
+{
+    model_.advance (clock_.now());
+    if (request.path.starts_with ("/standin/"))
+    {
+        routeStandin (request, *responder);
+    }
+    else if (request.path == "/engine/report")
+    {
+        responder->send (200, commonHeaders(), engine::toJson (model_.report()));
+    }
+    else
+    {
+        perform (request, responder);
+    }
+    settle();
 }
 
-std::string ApplicationServer::ledgerJson() const {
-  QJsonObject counts;
-  for (const auto& [key, count] : model_.keyCounts()) {
-    counts[QString::fromStdString(key)] = engine::jsonInteger(count);
-  }
-  // The entries are an object already; the counts go beside them.
-  std::string json = toJson(model_.ledger());
-  json.pop_back();
-  return json + ",\"keys\":" + engine::writeJson(counts) + "}";
+std::string ApplicationServer::ledgerJson() const
+{
+    QJsonObject counts;
+    for (const auto& [key, count] : model_.keyCounts())
+    {
+        counts[QString::fromStdString (key)] = engine::jsonInteger (count);
+    }
+    // The entries are an object already; the counts go beside them.
+    std::string json = toJson (model_.ledger());
+    json.pop_back();
+    return json + ",\"keys\":" + engine::writeJson (counts) + "}";
 }
 
-void ApplicationServer::routeStandin(const http::Request& request, http::Responder& responder) {
-  if (request.path == "/standin/ledger") {
-    http::jsonResponse(200, ledgerJson()).sendTo(responder);
-    return;
-  }
-  if (request.path != "/standin/faults" || request.method != "POST") {
-    answerNotFound(responder, request.path);
-    return;
-  }
-  withBody(
-      responder, [&] { return parseFaultCommand(request.body); },
-      [&](const FaultCommand& command) {
-        ApplicationFaults faults = model_.faults();
-        if (command.fault == "leaving") {
-          model_.setLeaving(command.isEnabled);
-        } else if (!applyFault(command, faults)) {
-          return false;
-        }
-        model_.setFaults(faults);
-        log::write(log::Event::kStandinFault, {{"fault", command.fault}});
-        answerDone(responder);
-        return true;
-      });
+void ApplicationServer::routeStandin (const http::Request& request, http::Responder& responder)
+{
+    if (request.path == "/standin/ledger")
+    {
+        http::jsonResponse (200, ledgerJson()).sendTo (responder);
+        return;
+    }
+    if (request.path != "/standin/faults" || request.method != "POST")
+    {
+        answerNotFound (responder, request.path);
+        return;
+    }
+    withBody (
+        responder, [&] { return parseFaultCommand (request.body); },
+        [&] (const FaultCommand& command)
+        {
+            ApplicationFaults faults = model_.faults();
+            if (command.fault == "leaving")
+            {
+                model_.setLeaving (command.isEnabled);
+            }
+            else if (! applyFault (command, faults))
+            {
+                return false;
+            }
+            model_.setFaults (faults);
+            log::write (log::Event::kStandinFault, { { "fault", command.fault } });
+            answerDone (responder);
+            return true;
+        });
 }
 
-void ApplicationServer::perform(const http::Request& request,
-                                const std::shared_ptr<http::Responder>& responder) {
-  ApplicationRequest input;
-  input.id = request.headers.value("X-Request-Id");
-  input.idempotencyKey = request.headers.value("Idempotency-Key");
-  input.path = request.path;
-  const auto outcome = model_.submit(input, clock_.now());
-  if (!outcome.accepted) {
-    answerRefused(*responder, outcome.refusal, model_.isLeaving());
-    return;
-  }
-  const RequestHandle handle = outcome.handle;
-  answers_[handle] = {request, responder};
-  responder->onClosed([this, handle] {
-    if (answers_.erase(handle) != 0) model_.cancel(handle);
-  });
+void ApplicationServer::perform (const http::Request& request,
+                                 const std::shared_ptr<http::Responder>& responder)
+{
+    ApplicationRequest input;
+    input.id = request.headers.value ("X-Request-Id");
+    input.idempotencyKey = request.headers.value ("Idempotency-Key");
+    input.path = request.path;
+    const auto outcome = model_.submit (input, clock_.now());
+    if (! outcome.accepted)
+    {
+        answerRefused (*responder, outcome.refusal, model_.isLeaving());
+        return;
+    }
+    const RequestHandle handle = outcome.handle;
+    answers_[handle] = { request, responder };
+    responder->onClosed (
+        [this, handle]
+        {
+            if (answers_.erase (handle) != 0)
+                model_.cancel (handle);
+        });
 }
 
-void ApplicationServer::settle() {
-  model_.advance(clock_.now());
-  for (const auto& done : model_.takeDone()) answer(done);
-  if (const auto next = model_.nextEvent()) timer_.setNext(*next);
+void ApplicationServer::settle()
+{
+    model_.advance (clock_.now());
+    for (const auto& done : model_.takeDone())
+        answer (done);
+    if (const auto next = model_.nextEvent())
+        timer_.setNext (*next);
 }
 
-void ApplicationServer::answer(const ApplicationDone& done) {
-  const auto found = answers_.find(done.handle);
-  if (found == answers_.end()) return;
-  const OpenAnswer open = std::move(found->second);
-  answers_.erase(found);
-  if (done.closesWithoutAnswer) {
-    open.responder->abort();
-    return;
-  }
-  open.responder->send(200, commonHeaders(), echoJson(open.request));
+void ApplicationServer::answer (const ApplicationDone& done)
+{
+    const auto found = answers_.find (done.handle);
+    if (found == answers_.end())
+        return;
+    const OpenAnswer open = std::move (found->second);
+    answers_.erase (found);
+    if (done.closesWithoutAnswer)
+    {
+        open.responder->abort();
+        return;
+    }
+    open.responder->send (200, commonHeaders(), echoJson (open.request));
 }
 
-http::Headers ApplicationServer::commonHeaders() const {
-  http::Headers headers{{"Content-Type", "application/json"}};
-  if (model_.isLeaving()) headers.set(kLeavingHeader, "1");
-  return headers;
+http::Headers ApplicationServer::commonHeaders() const
+{
+    http::Headers headers{ { "Content-Type", "application/json" } };
+    if (model_.isLeaving())
+        headers.set (kLeavingHeader, "1");
+    return headers;
 }
 
 }  // namespace fernlift::standin
--- a/src/standin/ApplicationServer.h
+++ b/src/standin/ApplicationServer.h
@@ -8,35 +8,38 @@
 #include "standin/SimulatedClock.h"
 #include "standin/StandinServer.h"
 
-namespace fernlift::standin {
+namespace fernlift::standin
+{
 
 /// Answers any request under its own paths with a JSON echo of it.
-class ApplicationServer final : public StandinServer {
- public:
-  ApplicationServer(const ApplicationOptions& options, const SimulatedClock& clock);
-
-  void handle(const http::Request& request,
-              const std::shared_ptr<http::Responder>& responder) override;
-  void beginStop() override { model_.setLeaving(true); }
-  [[nodiscard]] bool isIdle() const override { return answers_.empty(); }
-  [[nodiscard]] std::string ledgerJson() const override;
-
- private:
-  struct OpenAnswer {
-    http::Request request;
-    std::shared_ptr<http::Responder> responder;
-  };
-
-  void routeStandin(const http::Request& request, http::Responder& responder);
-  void perform(const http::Request& request, const std::shared_ptr<http::Responder>& responder);
-  void settle();
-  void answer(const ApplicationDone& done);
-  [[nodiscard]] http::Headers commonHeaders() const;
-
-  const SimulatedClock& clock_;
-  ApplicationModel model_;
-  SimulatedTimer timer_;
-  std::map<RequestHandle, OpenAnswer> answers_;
+class ApplicationServer final : public StandinServer
+{
+public:
+    ApplicationServer (const ApplicationOptions& options, const SimulatedClock& clock);
+
+    void handle (const http::Request& request,
+                 const std::shared_ptr<http::Responder>& responder) override;
+    void beginStop() override { model_.setLeaving (true); }
+    [[nodiscard]] bool isIdle() const override { return answers_.empty(); }
+    [[nodiscard]] std::string ledgerJson() const override;
+
+private:
+    struct OpenAnswer
+    {
+        http::Request request;
+        std::shared_ptr<http::Responder> responder;
+    };
+
+    void routeStandin (const http::Request& request, http::Responder& responder);
+    void perform (const http::Request& request, const std::shared_ptr<http::Responder>& responder);
+    void settle();
+    void answer (const ApplicationDone& done);
+    [[nodiscard]] http::Headers commonHeaders() const;
+
+    const SimulatedClock& clock_;
+    ApplicationModel model_;
+    SimulatedTimer timer_;
+    std::map<RequestHandle, OpenAnswer> answers_;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/CheckpointCache.h
+++ b/src/standin/CheckpointCache.h
@@ -8,55 +8,61 @@
 
 #include "engine/EngineApi.h"
 
-namespace fernlift::standin {
+namespace fernlift::standin
+{
 
 using engine::Megabytes;
 
 /// One kept checkpoint.
-struct Checkpoint {
-  std::string artifact;  ///< Model or adapter name.
-  std::string version;
-  Megabytes size = 0;
+struct Checkpoint
+{
+    std::string artifact;  ///< Model or adapter name.
+    std::string version;
+    Megabytes size = 0;
 
-  bool operator==(const Checkpoint&) const = default;
+    bool operator== (const Checkpoint&) const = default;
 };
 
 /// Checkpoints in one place; the least recently used go first when room is needed.
-class CheckpointTier {
- public:
-  explicit CheckpointTier(Megabytes capacity) : capacity_(capacity) {}
-
-  /// True when that version is here; marks it as used.
-  bool use(const std::string& artifact, const std::string& version);
-  /// Adds a checkpoint, replacing another version of it. One above the capacity is not kept.
-  void put(const Checkpoint& checkpoint);
-  [[nodiscard]] const std::list<Checkpoint>& checkpoints() const { return checkpoints_; }
-
- private:
-  void remove(const std::string& artifact);
-
-  Megabytes capacity_;
-  Megabytes used_ = 0;
-  std::list<Checkpoint> checkpoints_;  ///< Most recently used first.
+class CheckpointTier
+{
+public:
+    explicit CheckpointTier (Megabytes capacity) : capacity_ (capacity) {}
+
+    /// True when that version is here; marks it as used.
+    bool use (const std::string& artifact, const std::string& version);
+    /// Adds a checkpoint, replacing another version of it. One above the capacity is not kept.
+    void put (const Checkpoint& checkpoint);
+    [[nodiscard]] const std::list<Checkpoint>& checkpoints() const { return checkpoints_; }
+
+private:
+    void remove (const std::string& artifact);
+
+    Megabytes capacity_;
+    Megabytes used_ = 0;
+    std::list<Checkpoint> checkpoints_;  ///< Most recently used first.
 };
 
 /// Disk and memory of one machine.
-class CheckpointCache {
- public:
-  CheckpointCache(Megabytes diskCapacity, Megabytes memoryCapacity)
-      : disk_(diskCapacity), memory_(memoryCapacity) {}
-
-  /// The fastest place that holds the checkpoint; marks it as used there.
-  engine::CheckpointPlace use(const std::string& artifact, const std::string& version);
-  void putOnDisk(const Checkpoint& checkpoint) { disk_.put(checkpoint); }
-  void putInMemory(const Checkpoint& checkpoint) { memory_.put(checkpoint); }
-  /// Each kept checkpoint once, at its fastest place.
-  [[nodiscard]] std::vector<engine::CheckpointReport> report() const;
-  [[nodiscard]] const std::list<Checkpoint>& onDisk() const { return disk_.checkpoints(); }
-
- private:
-  CheckpointTier disk_;
-  CheckpointTier memory_;
+class CheckpointCache
+{
+public:
+    CheckpointCache (Megabytes diskCapacity, Megabytes memoryCapacity)
+        : disk_ (diskCapacity), memory_ (memoryCapacity)
+    {
+    }
+
+    /// The fastest place that holds the checkpoint; marks it as used there.
+    engine::CheckpointPlace use (const std::string& artifact, const std::string& version);
+    void putOnDisk (const Checkpoint& checkpoint) { disk_.put (checkpoint); }
+    void putInMemory (const Checkpoint& checkpoint) { memory_.put (checkpoint); }
+    /// Each kept checkpoint once, at its fastest place.
+    [[nodiscard]] std::vector<engine::CheckpointReport> report() const;
+    [[nodiscard]] const std::list<Checkpoint>& onDisk() const { return disk_.checkpoints(); }
+
+private:
+    CheckpointTier disk_;
+    CheckpointTier memory_;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/EngineServer.h
+++ b/src/standin/EngineServer.h
@@ -14,65 +14,70 @@
 #include "standin/SimulatedClock.h"
 #include "standin/StandinServer.h"
 
-namespace fernlift::standin {
+namespace fernlift::standin
+{
 
-class EngineServer final : public StandinServer {
- public:
-  /// Without a weight store, remote checkpoints arrive after the time of a plain transfer.
-  EngineServer(const EngineOptions& options, const SimulatedClock& clock,
-               std::optional<base::SocketAddress> weightStore);
+class EngineServer final : public StandinServer
+{
+public:
+    /// Without a weight store, remote checkpoints arrive after the time of a plain transfer.
+    EngineServer (const EngineOptions& options, const SimulatedClock& clock,
+                  std::optional<base::SocketAddress> weightStore);
 
-  void handle(const http::Request& request,
-              const std::shared_ptr<http::Responder>& responder) override;
-  void beginStop() override;
-  [[nodiscard]] bool isIdle() const override;
-  [[nodiscard]] std::string ledgerJson() const override;
+    void handle (const http::Request& request,
+                 const std::shared_ptr<http::Responder>& responder) override;
+    void beginStop() override;
+    [[nodiscard]] bool isIdle() const override;
+    [[nodiscard]] std::string ledgerJson() const override;
 
- private:
-  using ResponderPointer = std::shared_ptr<http::Responder>;
-  /// An accepted request whose answer is not finished.
-  struct OpenAnswer {
-    CompletionRequest request;
-    std::string id;
-    ResponderPointer responder;
-    bool hasBegun = false;
-    std::map<std::uint64_t, std::string> parts;  ///< Of an answer that isn't streamed, by offset.
-  };
+private:
+    using ResponderPointer = std::shared_ptr<http::Responder>;
+    /// An accepted request whose answer is not finished.
+    struct OpenAnswer
+    {
+        CompletionRequest request;
+        std::string id;
+        ResponderPointer responder;
+        bool hasBegun = false;
+        std::map<std::uint64_t, std::string>
+            parts;  ///< Of an answer that isn't streamed, by offset.
+    };
 
-  void route(const http::Request& request, const ResponderPointer& responder);
-  void routeStandin(const http::Request& request, const ResponderPointer& responder);
-  void handleOrder(const http::Request& request, http::Responder& responder);
-  void handleInference(const http::Request& request, const ResponderPointer& responder,
-                       bool isChat);
-  void submit(const EngineRequest& input, const CompletionRequest& completion,
-              const ResponderPointer& responder);
-  void handleCache(const http::Request& request, const std::string& id, http::Responder& responder);
-  void handleCacheEvents(const http::Request& request, http::Responder& responder);
-  bool handleFault(const FaultCommand& command, http::Responder& responder);
-  void sendJson(http::Responder& responder, int status, const std::string& json) const;
-  [[nodiscard]] http::Headers commonHeaders(const std::string& contentType) const;
+    void route (const http::Request& request, const ResponderPointer& responder);
+    void routeStandin (const http::Request& request, const ResponderPointer& responder);
+    void handleOrder (const http::Request& request, http::Responder& responder);
+    void handleInference (const http::Request& request, const ResponderPointer& responder,
+                          bool isChat);
+    void submit (const EngineRequest& input, const CompletionRequest& completion,
+                 const ResponderPointer& responder);
+    void handleCache (const http::Request& request, const std::string& id,
+                      http::Responder& responder);
+    void handleCacheEvents (const http::Request& request, http::Responder& responder);
+    bool handleFault (const FaultCommand& command, http::Responder& responder);
+    void sendJson (http::Responder& responder, int status, const std::string& json) const;
+    [[nodiscard]] http::Headers commonHeaders (const std::string& contentType) const;
 
-  /// Carries out what the model wants and sets the timer anew.
-  void settle();
-  void apply(const FetchWeights& effect);
-  void apply(const CancelFetch& effect);
-  void apply(const TokenChunk& effect);
-  void apply(const AnswerEnded& effect);
-  void apply(const AnswerRefused& effect);
-  void apply(const AnswerBroken& effect);
-  void apply(const ExitProcess& effect);
-  void onFetchAnswer(FetchId fetch, const http::WholeResponse& response);
-  void onFetchRefused(FetchId fetch, base::Duration retryAfter);
+    /// Carries out what the model wants and sets the timer anew.
+    void settle();
+    void apply (const FetchWeights& effect);
+    void apply (const CancelFetch& effect);
+    void apply (const TokenChunk& effect);
+    void apply (const AnswerEnded& effect);
+    void apply (const AnswerRefused& effect);
+    void apply (const AnswerBroken& effect);
+    void apply (const ExitProcess& effect);
+    void onFetchAnswer (FetchId fetch, const http::WholeResponse& response);
+    void onFetchRefused (FetchId fetch, base::Duration retryAfter);
 
-  const SimulatedClock& clock_;
-  std::optional<base::SocketAddress> weightStore_;
-  EngineModel model_;
-  SimulatedTimer timer_;
-  http::Client client_;
-  std::map<RequestHandle, OpenAnswer> answers_;
-  std::map<FetchId, std::shared_ptr<http::Exchange>> fetches_;
-  bool isHanging_ = false;                    ///< Nothing is answered at all.
-  std::vector<ResponderPointer> unanswered_;  ///< Requests that came while hanging.
+    const SimulatedClock& clock_;
+    std::optional<base::SocketAddress> weightStore_;
+    EngineModel model_;
+    SimulatedTimer timer_;
+    http::Client client_;
+    std::map<RequestHandle, OpenAnswer> answers_;
+    std::map<FetchId, std::shared_ptr<http::Exchange>> fetches_;
+    bool isHanging_ = false;                    ///< Nothing is answered at all.
+    std::vector<ResponderPointer> unanswered_;  ///< Requests that came while hanging.
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/MachineListServer.h
+++ b/src/standin/MachineListServer.h
@@ -6,20 +6,23 @@
 #include "standin/SimulatedClock.h"
 #include "standin/StandinServer.h"
 
-namespace fernlift::standin {
+namespace fernlift::standin
+{
 
-class MachineListServer final : public StandinServer {
- public:
-  MachineListServer(engine::MachineList machines, base::Duration lag, const SimulatedClock& clock);
+class MachineListServer final : public StandinServer
+{
+public:
+    MachineListServer (engine::MachineList machines, base::Duration lag,
+                       const SimulatedClock& clock);
 
-  void handle(const http::Request& request,
-              const std::shared_ptr<http::Responder>& responder) override;
+    void handle (const http::Request& request,
+                 const std::shared_ptr<http::Responder>& responder) override;
 
- private:
-  void handleChange(const http::Request& request, http::Responder& responder);
+private:
+    void handleChange (const http::Request& request, http::Responder& responder);
 
-  const SimulatedClock& clock_;
-  MachineListModel model_;
+    const SimulatedClock& clock_;
+    MachineListModel model_;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/PrefixCache.h
+++ b/src/standin/PrefixCache.h
@@ -13,55 +13,60 @@
 
 #include "base/Time.h"
 
-namespace fernlift::standin {
+namespace fernlift::standin
+{
 
 /// A block was stored or removed.
-struct CacheEvent {
-  std::uint64_t sequence = 0;  ///< A jump tells that events are missing.
-  bool isStored = true;
-  std::string model;
-  std::uint64_t block = 0;
-  base::TimePoint at{};
+struct CacheEvent
+{
+    std::uint64_t sequence = 0;  ///< A jump tells that events are missing.
+    bool isStored = true;
+    std::string model;
+    std::uint64_t block = 0;
+    base::TimePoint at{};
 };
 
 /// Least recently used cache of prompt blocks, for all models of one engine.
-class PrefixCache {
- public:
-  /// `capacity` in blocks; events show `eventDelay` after the change.
-  PrefixCache(std::size_t capacity, base::Duration eventDelay)
-      : capacity_(capacity), eventDelay_(eventDelay) {}
+class PrefixCache
+{
+public:
+    /// `capacity` in blocks; events show `eventDelay` after the change.
+    PrefixCache (std::size_t capacity, base::Duration eventDelay)
+        : capacity_ (capacity), eventDelay_ (eventDelay)
+    {
+    }
 
-  /// Number of leading blocks that are cached; marks them as used.
-  std::size_t match(const std::string& model, const std::vector<std::uint64_t>& blocks);
-  /// Stores the blocks of a prompt that was computed.
-  void store(const std::string& model, const std::vector<std::uint64_t>& blocks,
-             base::TimePoint now);
-  /// Removes all blocks of a model that is being unloaded.
-  void removeModel(const std::string& model, base::TimePoint now);
-  /// Blocks that running requests need: the cache shrinks by them.
-  void setReserved(std::size_t blocks, base::TimePoint now);
-  /// Loses the next `count` events, leaving a gap.
-  void dropEvents(std::uint64_t count) { eventsToDrop_ += count; }
+    /// Number of leading blocks that are cached; marks them as used.
+    std::size_t match (const std::string& model, const std::vector<std::uint64_t>& blocks);
+    /// Stores the blocks of a prompt that was computed.
+    void store (const std::string& model, const std::vector<std::uint64_t>& blocks,
+                base::TimePoint now);
+    /// Removes all blocks of a model that is being unloaded.
+    void removeModel (const std::string& model, base::TimePoint now);
+    /// Blocks that running requests need: the cache shrinks by them.
+    void setReserved (std::size_t blocks, base::TimePoint now);
+    /// Loses the next `count` events, leaving a gap.
+    void dropEvents (std::uint64_t count) { eventsToDrop_ += count; }
 
-  /// Visible events after `sequence`, oldest first, at most 1000.
-  [[nodiscard]] std::vector<CacheEvent> eventsAfter(std::uint64_t sequence,
-                                                    base::TimePoint now) const;
-  [[nodiscard]] std::size_t size() const { return order_.size(); }
+    /// Visible events after `sequence`, oldest first, at most 1000.
+    [[nodiscard]] std::vector<CacheEvent> eventsAfter (std::uint64_t sequence,
+                                                       base::TimePoint now) const;
+    [[nodiscard]] std::size_t size() const { return order_.size(); }
 
- private:
-  using Key = std::pair<std::string, std::uint64_t>;
+private:
+    using Key = std::pair<std::string, std::uint64_t>;
 
-  void evictToFit(base::TimePoint now);
-  void addEvent(bool isStored, const Key& key, base::TimePoint now);
+    void evictToFit (base::TimePoint now);
+    void addEvent (bool isStored, const Key& key, base::TimePoint now);
 
-  std::size_t capacity_;
-  std::size_t reserved_ = 0;
-  base::Duration eventDelay_;
-  std::list<Key> order_;  ///< Most recently used first.
-  std::map<Key, std::list<Key>::iterator> entries_;
-  std::deque<CacheEvent> events_;
-  std::uint64_t lastSequence_ = 0;
-  std::uint64_t eventsToDrop_ = 0;
+    std::size_t capacity_;
+    std::size_t reserved_ = 0;
+    base::Duration eventDelay_;
+    std::list<Key> order_;  ///< Most recently used first.
+    std::map<Key, std::list<Key>::iterator> entries_;
+    std::deque<CacheEvent> events_;
+    std::uint64_t lastSequence_ = 0;
+    std::uint64_t eventsToDrop_ = 0;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/ReplicaTable.cpp
+++ b/src/standin/ReplicaTable.cpp
@@ -3,252 +3,334 @@
 #include <algorithm>
 #include <utility>
 
-namespace fernlift::standin {
+namespace fernlift::standin
+{
 
 using engine::OrderKind;
 using engine::ReplicaPhase;
 
-ReplicaTable::ReplicaTable(const EngineOptions& options)
-    : options_(options), checkpoints_(options.diskCapacity, options.memoryCapacity) {
-  for (const auto& checkpoint : options.checkpointsOnDisk) checkpoints_.putOnDisk(checkpoint);
-}
-
-engine::OrderAnswer ReplicaTable::onOrder(const engine::Order& order, const EngineFaults& faults,
-                                          base::TimePoint now) {
-  if (order.incarnation != options_.incarnation) {
-    return answer(false, base::ErrorKind::kIncarnationMismatch);
-  }
-  if (order.fence < highestFence_) return answer(false, base::ErrorKind::kFenceStale);
-  if (order.fence == highestFence_ && lastAnswer_) return *lastAnswer_;
-  // A refused order uses up its fence as well: sent again later it must not be carried out.
-  highestFence_ = order.fence;
-  slowdown_ = faults.loadSlowdown;
-  lastAnswer_ = take(order, now);
-  return *lastAnswer_;
-}
-
-engine::OrderAnswer ReplicaTable::answer(bool accepted, base::ErrorKind refusal) const {
-  engine::OrderAnswer answer;
-  answer.accepted = accepted;
-  if (!accepted) answer.refusal = refusal;
-  answer.highestFence = highestFence_;
-  answer.incarnation = options_.incarnation;
-  return answer;
-}
-
-engine::OrderAnswer ReplicaTable::take(const engine::Order& order, base::TimePoint now) {
-  const bool isLoad = order.kind == OrderKind::kLoadModel || order.kind == OrderKind::kLoadAdapter;
-  if (isLoad) return load(order, now);
-  unload(order.replica);
-  return answer(true, {});
-}
-
-engine::OrderAnswer ReplicaTable::load(const engine::Order& order, base::TimePoint now) {
-  if (replicas_.contains(order.replica)) return answer(true, {});
-  if (order.memory > options_.totalMemory - usedMemory()) {
-    return answer(false, base::ErrorKind::kInsufficientMemory);
-  }
-  Replica replica;
-  replica.report.replica = order.replica;
-  replica.report.model = order.model;
-  replica.report.version = order.version;
-  replica.report.adapter = order.adapter;
-  replica.report.memory = order.memory;
-  replica.size = order.memory;
-  replica.baseReplica = order.kind == OrderKind::kLoadAdapter ? order.baseReplica : 0;
-  Replica& stored = replicas_.emplace(order.replica, std::move(replica)).first->second;
-  if (order.kind == OrderKind::kLoadAdapter) {
-    stored.step = Step::kWaitForBase;
-  } else {
-    beginLoad(stored, now);
-  }
-  return answer(true, {});
-}
-
-void ReplicaTable::unload(base::ReplicaId id) {
-  const auto found = replicas_.find(id);
-  if (found == replicas_.end()) return;
-  Replica& replica = found->second;
-  if (replica.report.phase == ReplicaPhase::kUnloading) return;
-  if (replica.step == Step::kFetch) effects_.emplace_back(CancelFetch{replica.fetch});
-  if (replica.report.phase == ReplicaPhase::kReady) closed_.push_back(replica.report);
-  replica.fetch = 0;
-  replica.report.phase = ReplicaPhase::kUnloading;
-  replica.step = Step::kFinish;
-  replica.stepEnds.reset();
-  for (const auto& [otherId, other] : replicas_) {
-    if (other.baseReplica == id) unload(otherId);
-  }
-}
-
-void ReplicaTable::beginLoad(Replica& replica, base::TimePoint now) {
-  switch (checkpoints_.use(artifactOf(replica), replica.report.version)) {
-    case engine::CheckpointPlace::kRemote:
-      beginFetch(replica);
-      return;
-    case engine::CheckpointPlace::kDisk:
-      beginStep(replica, Step::kReadDisk, readTime(replica, options_.diskMegabytesPerSecond), now);
-      return;
-    case engine::CheckpointPlace::kMemory:
-      beginStep(replica, Step::kReadMemory, readTime(replica, options_.memoryMegabytesPerSecond),
-                now);
-      return;
-  }
-}
-
-void ReplicaTable::beginFetch(Replica& replica) {
-  replica.step = Step::kFetch;
-  replica.stepEnds.reset();
-  replica.fetch = ++lastFetch_;
-  effects_.emplace_back(FetchWeights{replica.fetch, artifactOf(replica), replica.size});
-}
-
-void ReplicaTable::beginStep(Replica& replica, Step step, base::Duration duration,
-                             base::TimePoint now) {
-  replica.step = step;
-  replica.stepEnds = now + duration;
-}
-
-void ReplicaTable::onFetched(FetchId fetch, base::TimePoint now) {
-  Replica* replica = findFetch(fetch);
-  if (replica == nullptr) return;
-  checkpoints_.putOnDisk({artifactOf(*replica), replica->report.version, replica->size});
-  replica->fetch = 0;
-  beginStep(*replica, Step::kReadDisk, readTime(*replica, options_.diskMegabytesPerSecond), now);
-}
-
-void ReplicaTable::onFetchRefused(FetchId fetch, base::Duration retryAfter, base::TimePoint now) {
-  Replica* replica = findFetch(fetch);
-  if (replica == nullptr) return;
-  replica->fetch = 0;
-  beginStep(*replica, Step::kWaitToFetch, retryAfter, now);
-}
-
-void ReplicaTable::advance(base::TimePoint now, const std::function<bool(base::ReplicaId)>& isBusy,
-                           EngineFaults& faults) {
-  slowdown_ = faults.loadSlowdown;
-  for (auto& [id, replica] : replicas_) advanceReplica(replica, now, isBusy, faults);
-  std::erase_if(replicas_, [&](const auto& entry) {
-    const Replica& replica = entry.second;
-    return replica.step == Step::kRelease && replica.stepEnds && *replica.stepEnds <= now;
-  });
-}
-
-void ReplicaTable::advanceReplica(Replica& replica, base::TimePoint now,
-                                  const std::function<bool(base::ReplicaId)>& isBusy,
-                                  EngineFaults& faults) {
-  if (replica.step == Step::kWaitForBase) advanceAdapter(replica, now);
-  if (replica.step == Step::kFinish && !isBusy(replica.report.replica) &&
-      !hasAdapters(replica.report.replica)) {
-    beginStep(replica, Step::kRelease, options_.unloadTime, now);
-  }
-  while (replica.step != Step::kRelease && replica.stepEnds && *replica.stepEnds <= now) {
-    endStep(replica, faults);
-  }
-}
-
-void ReplicaTable::advanceAdapter(Replica& replica, base::TimePoint now) {
-  const auto base = replicas_.find(replica.baseReplica);
-  const bool isMissing = base == replicas_.end() ||
-                         base->second.report.phase == ReplicaPhase::kFailed ||
-                         base->second.report.phase == ReplicaPhase::kUnloading;
-  if (isMissing) {
-    fail(replica);
-  } else if (base->second.report.phase == ReplicaPhase::kReady) {
-    beginLoad(replica, now);
-  }
-}
-
-void ReplicaTable::endStep(Replica& replica, EngineFaults& faults) {
-  const base::TimePoint ended = *replica.stepEnds;
-  replica.stepEnds.reset();
-  if (replica.step == Step::kWaitToFetch) {
-    beginFetch(replica);
-  } else if (replica.step == Step::kReadDisk) {
-    if (faults.diesDuringLoad) effects_.emplace_back(ExitProcess{});
-    checkpoints_.putInMemory({artifactOf(replica), replica.report.version, replica.size});
-    beginStep(replica, Step::kReadMemory, readTime(replica, options_.memoryMegabytesPerSecond),
-              ended);
-  } else if (replica.step == Step::kReadMemory) {
-    endLoad(replica, faults);
-  }
-}
-
-void ReplicaTable::endLoad(Replica& replica, EngineFaults& faults) {
-  if (faults.diesDuringLoad) effects_.emplace_back(ExitProcess{});
-  if (faults.loadsToFail > 0) {
-    --faults.loadsToFail;
-    fail(replica);
-    return;
-  }
-  replica.step = Step::kServe;
-  replica.report.phase = ReplicaPhase::kReady;
-}
-
-void ReplicaTable::fail(Replica& replica) {
-  replica.step = Step::kNone;
-  replica.stepEnds.reset();
-  replica.report.phase = ReplicaPhase::kFailed;
-  replica.baseReplica = 0;
-  replica.report.memory = 0;
+ReplicaTable::ReplicaTable (const EngineOptions& options)
+    : options_ (options), checkpoints_ (options.diskCapacity, options.memoryCapacity)
+{
+    for (const auto& checkpoint : options.checkpointsOnDisk)
+        checkpoints_.putOnDisk (checkpoint);
 }
 
-std::optional<base::TimePoint> ReplicaTable::nextEvent() const {
-  std::optional<base::TimePoint> next;
-  for (const auto& [id, replica] : replicas_) {
-    if (replica.stepEnds && (!next || *replica.stepEnds < *next)) next = replica.stepEnds;
-  }
-  return next;
+engine::OrderAnswer ReplicaTable::onOrder (const engine::Order& order, const EngineFaults& faults,
+                                           base::TimePoint now)
+{
+    if (order.incarnation != options_.incarnation)
+    {
+        return answer (false, base::ErrorKind::kIncarnationMismatch);
+    }
+    if (order.fence < highestFence_)
+        return answer (false, base::ErrorKind::kFenceStale);
+    if (order.fence == highestFence_ && lastAnswer_)
+        return *lastAnswer_;
+    // A refused order uses up its fence as well: sent again later it must not be carried out.
+    highestFence_ = order.fence;
+    slowdown_ = faults.loadSlowdown;
+    lastAnswer_ = take (order, now);
+    return *lastAnswer_;
+}
+
+engine::OrderAnswer ReplicaTable::answer (bool accepted, base::ErrorKind refusal) const
+{
+    engine::OrderAnswer answer;
+    answer.accepted = accepted;
+    if (! accepted)
+        answer.refusal = refusal;
+    answer.highestFence = highestFence_;
+    answer.incarnation = options_.incarnation;
+    return answer;
+}
+
+engine::OrderAnswer ReplicaTable::take (const engine::Order& order, base::TimePoint now)
+{
+    const bool isLoad =
+        order.kind == OrderKind::kLoadModel || order.kind == OrderKind::kLoadAdapter;
+    if (isLoad)
+        return load (order, now);
+    unload (order.replica);
+    return answer (true, {});
+}
+
+engine::OrderAnswer ReplicaTable::load (const engine::Order& order, base::TimePoint now)
+{
+    if (replicas_.contains (order.replica))
+        return answer (true, {});
+    if (order.memory > options_.totalMemory - usedMemory())
+    {
+        return answer (false, base::ErrorKind::kInsufficientMemory);
+    }
+    Replica replica;
+    replica.report.replica = order.replica;
+    replica.report.model = order.model;
+    replica.report.version = order.version;
+    replica.report.adapter = order.adapter;
+    replica.report.memory = order.memory;
+    replica.size = order.memory;
+    replica.baseReplica = order.kind == OrderKind::kLoadAdapter ? order.baseReplica : 0;
+    Replica& stored = replicas_.emplace (order.replica, std::move (replica)).first->second;
+    if (order.kind == OrderKind::kLoadAdapter)
+    {
+        stored.step = Step::kWaitForBase;
+    }
+    else
+    {
+        beginLoad (stored, now);
+    }
+    return answer (true, {});
+}
+
+void ReplicaTable::unload (base::ReplicaId id)
+{
+    const auto found = replicas_.find (id);
+    if (found == replicas_.end())
+        return;
+    Replica& replica = found->second;
+    if (replica.report.phase == ReplicaPhase::kUnloading)
+        return;
+    if (replica.step == Step::kFetch)
+        effects_.emplace_back (CancelFetch{ replica.fetch });
+    if (replica.report.phase == ReplicaPhase::kReady)
+        closed_.push_back (replica.report);
+    replica.fetch = 0;
+    replica.report.phase = ReplicaPhase::kUnloading;
+    replica.step = Step::kFinish;
+    replica.stepEnds.reset();
+    for (const auto& [otherId, other] : replicas_)
+    {
+        if (other.baseReplica == id)
+            unload (otherId);
+    }
+}
+
+void ReplicaTable::beginLoad (Replica& replica, base::TimePoint now)
+{
+    switch (checkpoints_.use (artifactOf (replica), replica.report.version))
+    {
+        case engine::CheckpointPlace::kRemote:
+            beginFetch (replica);
+            return;
+        case engine::CheckpointPlace::kDisk:
+            beginStep (replica, Step::kReadDisk,
+                       readTime (replica, options_.diskMegabytesPerSecond), now);
+            return;
+        case engine::CheckpointPlace::kMemory:
+            beginStep (replica, Step::kReadMemory,
+                       readTime (replica, options_.memoryMegabytesPerSecond), now);
+            return;
+    }
+}
+
+void ReplicaTable::beginFetch (Replica& replica)
+{
+    replica.step = Step::kFetch;
+    replica.stepEnds.reset();
+    replica.fetch = ++lastFetch_;
+    effects_.emplace_back (FetchWeights{ replica.fetch, artifactOf (replica), replica.size });
+}
+
+void ReplicaTable::beginStep (Replica& replica, Step step, base::Duration duration,
+                              base::TimePoint now)
+{
+    replica.step = step;
+    replica.stepEnds = now + duration;
+}
+
+void ReplicaTable::onFetched (FetchId fetch, base::TimePoint now)
+{
+    Replica* replica = findFetch (fetch);
+    if (replica == nullptr)
+        return;
+    checkpoints_.putOnDisk ({ artifactOf (*replica), replica->report.version, replica->size });
+    replica->fetch = 0;
+    beginStep (*replica, Step::kReadDisk, readTime (*replica, options_.diskMegabytesPerSecond),
+               now);
+}
+
+void ReplicaTable::onFetchRefused (FetchId fetch, base::Duration retryAfter, base::TimePoint now)
+{
+    Replica* replica = findFetch (fetch);
+    if (replica == nullptr)
+        return;
+    replica->fetch = 0;
+    beginStep (*replica, Step::kWaitToFetch, retryAfter, now);
+}
+
+void ReplicaTable::advance (base::TimePoint now,
+                            const std::function<bool (base::ReplicaId)>& isBusy,
+                            EngineFaults& faults)
+{
+    slowdown_ = faults.loadSlowdown;
+    for (auto& [id, replica] : replicas_)
+        advanceReplica (replica, now, isBusy, faults);
+    std::erase_if (replicas_,
+                   [&] (const auto& entry)
+                   {
+                       const Replica& replica = entry.second;
+                       return replica.step == Step::kRelease && replica.stepEnds
+                              && *replica.stepEnds <= now;
+                   });
+}
+
+void ReplicaTable::advanceReplica (Replica& replica, base::TimePoint now,
+                                   const std::function<bool (base::ReplicaId)>& isBusy,
+                                   EngineFaults& faults)
+{
+    if (replica.step == Step::kWaitForBase)
+        advanceAdapter (replica, now);
+    if (replica.step == Step::kFinish && ! isBusy (replica.report.replica)
+        && ! hasAdapters (replica.report.replica))
+    {
+        beginStep (replica, Step::kRelease, options_.unloadTime, now);
+    }
+    while (replica.step != Step::kRelease && replica.stepEnds && *replica.stepEnds <= now)
+    {
+        endStep (replica, faults);
+    }
+}
+
+void ReplicaTable::advanceAdapter (Replica& replica, base::TimePoint now)
+{
+    const auto base = replicas_.find (replica.baseReplica);
+    const bool isMissing = base == replicas_.end()
+                           || base->second.report.phase == ReplicaPhase::kFailed
+                           || base->second.report.phase == ReplicaPhase::kUnloading;
+    if (isMissing)
+    {
+        fail (replica);
+    }
+    else if (base->second.report.phase == ReplicaPhase::kReady)
+    {
+        beginLoad (replica, now);
+    }
+}
+
+void ReplicaTable::endStep (Replica& replica, EngineFaults& faults)
+{
+    const base::TimePoint ended = *replica.stepEnds;
+    replica.stepEnds.reset();
+    if (replica.step == Step::kWaitToFetch)
+    {
+        beginFetch (replica);
+    }
+    else if (replica.step == Step::kReadDisk)
+    {
+        if (faults.diesDuringLoad)
+            effects_.emplace_back (ExitProcess{});
+        checkpoints_.putInMemory ({ artifactOf (replica), replica.report.version, replica.size });
+        beginStep (replica, Step::kReadMemory,
+                   readTime (replica, options_.memoryMegabytesPerSecond), ended);
+    }
+    else if (replica.step == Step::kReadMemory)
+    {
+        endLoad (replica, faults);
+    }
+}
+
+void ReplicaTable::endLoad (Replica& replica, EngineFaults& faults)
+{
+    if (faults.diesDuringLoad)
+        effects_.emplace_back (ExitProcess{});
+    if (faults.loadsToFail > 0)
+    {
+        --faults.loadsToFail;
+        fail (replica);
+        return;
+    }
+    replica.step = Step::kServe;
+    replica.report.phase = ReplicaPhase::kReady;
+}
+
+void ReplicaTable::fail (Replica& replica)
+{
+    replica.step = Step::kNone;
+    replica.stepEnds.reset();
+    replica.report.phase = ReplicaPhase::kFailed;
+    replica.baseReplica = 0;
+    replica.report.memory = 0;
 }
 
-const engine::ReplicaReport* ReplicaTable::findReady(base::ReplicaId id,
-                                                     const std::string& target) const {
-  for (const auto& [replicaId, replica] : replicas_) {
-    if (id != 0 && replicaId != id) continue;
-    if (replica.report.phase == ReplicaPhase::kReady && artifactOf(replica) == target) {
-      return &replica.report;
+std::optional<base::TimePoint> ReplicaTable::nextEvent() const
+{
+    std::optional<base::TimePoint> next;
+    for (const auto& [id, replica] : replicas_)
+    {
+        if (replica.stepEnds && (! next || *replica.stepEnds < *next))
+            next = replica.stepEnds;
     }
-  }
-  return nullptr;
-}
-
-Megabytes ReplicaTable::usedMemory() const {
-  Megabytes used = 0;
-  for (const auto& [id, replica] : replicas_) used += replica.report.memory;
-  return used;
-}
-
-std::vector<engine::ReplicaReport> ReplicaTable::replicas() const {
-  std::vector<engine::ReplicaReport> reports;
-  for (const auto& [id, replica] : replicas_) reports.push_back(replica.report);
-  return reports;
+    return next;
 }
-
-std::vector<engine::ReplicaReport> ReplicaTable::takeClosed() { return std::exchange(closed_, {}); }
-
-std::vector<EngineEffect> ReplicaTable::takeEffects() { return std::exchange(effects_, {}); }
-
-ReplicaTable::Replica* ReplicaTable::findFetch(FetchId fetch) {
-  for (auto& [id, replica] : replicas_) {
-    if (replica.step == Step::kFetch && replica.fetch == fetch) return &replica;
-  }
-  return nullptr;
-}
-
-bool ReplicaTable::hasAdapters(base::ReplicaId base) const {
-  return std::any_of(replicas_.begin(), replicas_.end(), [base](const auto& entry) {
-    return entry.second.baseReplica == base && entry.second.step != Step::kNone;
-  });
+
+const engine::ReplicaReport* ReplicaTable::findReady (base::ReplicaId id,
+                                                      const std::string& target) const
+{
+    for (const auto& [replicaId, replica] : replicas_)
+    {
+        if (id != 0 && replicaId != id)
+            continue;
+        if (replica.report.phase == ReplicaPhase::kReady && artifactOf (replica) == target)
+        {
+            return &replica.report;
+        }
+    }
+    return nullptr;
+}
+
+Megabytes ReplicaTable::usedMemory() const
+{
+    Megabytes used = 0;
+    for (const auto& [id, replica] : replicas_)
+        used += replica.report.memory;
+    return used;
+}
+
+std::vector<engine::ReplicaReport> ReplicaTable::replicas() const
+{
+    std::vector<engine::ReplicaReport> reports;
+    for (const auto& [id, replica] : replicas_)
+        reports.push_back (replica.report);
+    return reports;
+}
+
+std::vector<engine::ReplicaReport> ReplicaTable::takeClosed()
+{
+    return std::exchange (closed_, {});
+}
+
+std::vector<EngineEffect> ReplicaTable::takeEffects() { return std::exchange (effects_, {}); }
+
+ReplicaTable::Replica* ReplicaTable::findFetch (FetchId fetch)
+{
+    for (auto& [id, replica] : replicas_)
+    {
+        if (replica.step == Step::kFetch && replica.fetch == fetch)
+            return &replica;
+    }
+    return nullptr;
+}
+
+bool ReplicaTable::hasAdapters (base::ReplicaId base) const
+{
+    return std::any_of (
+        replicas_.begin(), replicas_.end(),
+        [base] (const auto& entry)
+        { return entry.second.baseReplica == base && entry.second.step != Step::kNone; });
 }
 
-base::Duration ReplicaTable::readTime(const Replica& replica, double megabytesPerSecond) const {
-  const double transfer = static_cast<double>(replica.size) / megabytesPerSecond * 1e6;
-  const auto overhead = static_cast<double>(options_.loadOverhead.count());
-  return base::Duration(static_cast<std::int64_t>((transfer + overhead) * slowdown_));
+base::Duration ReplicaTable::readTime (const Replica& replica, double megabytesPerSecond) const
+{
+    const double transfer = static_cast<double> (replica.size) / megabytesPerSecond * 1e6;
+    const auto overhead = static_cast<double> (options_.loadOverhead.count());
+    return base::Duration (static_cast<std::int64_t> ((transfer + overhead) * slowdown_));
 }
 
-const std::string& ReplicaTable::artifactOf(const Replica& replica) {
-  return replica.report.adapter.empty() ? replica.report.model.value : replica.report.adapter.value;
+const std::string& ReplicaTable::artifactOf (const Replica& replica)
+{
+    return replica.report.adapter.empty() ? replica.report.model.value
+                                          : replica.report.adapter.value;
 }
 
 }  // namespace fernlift::standin
--- a/src/standin/SimulatedClock.h
+++ b/src/standin/SimulatedClock.h
@@ -8,34 +8,37 @@
 
 #include "base/Time.h"
 
-namespace fernlift::standin {
+namespace fernlift::standin
+{
 
 /// Converts between real and simulated time. With factor 0.1 everything is ten times quicker.
-class SimulatedClock {
- public:
-  explicit SimulatedClock(double timeScale);
-
-  [[nodiscard]] base::TimePoint now() const;
-  [[nodiscard]] base::Duration toReal(base::Duration simulated) const;
-  [[nodiscard]] base::Duration toSimulated(base::Duration real) const;
-
- private:
-  base::SystemClock clock_;
-  double timeScale_;
-  base::TimePoint start_;
+class SimulatedClock
+{
+public:
+    explicit SimulatedClock (double timeScale);
+
+    [[nodiscard]] base::TimePoint now() const;
+    [[nodiscard]] base::Duration toReal (base::Duration simulated) const;
+    [[nodiscard]] base::Duration toSimulated (base::Duration real) const;
+
+private:
+    base::SystemClock clock_;
+    double timeScale_;
+    base::TimePoint start_;
 };
 
 /// Calls back at a simulated time; setting a new time replaces the former.
-class SimulatedTimer {
- public:
-  SimulatedTimer(const SimulatedClock& clock, std::function<void()> callback);
+class SimulatedTimer
+{
+public:
+    SimulatedTimer (const SimulatedClock& clock, std::function<void()> callback);
 
-  void setNext(base::TimePoint simulated);
-  void stop() { timer_.stop(); }
+    void setNext (base::TimePoint simulated);
+    void stop() { timer_.stop(); }
 
- private:
-  const SimulatedClock& clock_;
-  QTimer timer_;
+private:
+    const SimulatedClock& clock_;
+    QTimer timer_;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/StandinSettings.h
+++ b/src/standin/StandinSettings.h
@@ -12,63 +12,69 @@
 #include "standin/EngineTypes.h"
 #include "standin/WeightStoreModel.h"
 
-namespace fernlift::standin {
+namespace fernlift::standin
+{
 
 /// Settings that every kind has.
-struct CommonSettings {
-  base::SocketAddress httpAddress{"127.0.0.1", 0};
-  double timeScale = 1.0;
-  base::Duration stopGrace{};  ///< Least time between a stop signal and the end.
-  std::string ledgerFile;      ///< Gets the ledger as a line at a planned stop; empty: none.
-  log::Options log;
-
-  void declare(config::SettingsSchema& schema);
+struct CommonSettings
+{
+    base::SocketAddress httpAddress{ "127.0.0.1", 0 };
+    double timeScale = 1.0;
+    base::Duration stopGrace{};  ///< Least time between a stop signal and the end.
+    std::string ledgerFile;      ///< Gets the ledger as a line at a planned stop; empty: none.
+    log::Options log;
+
+    void declare (config::SettingsSchema& schema);
 };
 
 /// Settings of `engine`. Integers as the schema takes them; see EngineOptions for their meaning.
-struct EngineSettings {
-  std::string runner;
-  std::string weightStore;  ///< "ip:port"; empty: none.
-  std::int64_t totalMemory = 80000;
-  std::int64_t slots = 32;
-  std::int64_t maximumWaiting = 256;
-  std::int64_t diskCapacity = 400000;
-  std::int64_t memoryCapacity = 100000;
-  std::int64_t cacheBlocks = 4096;
-  std::int64_t prefillBlocksPerStep = 8;
-  std::vector<std::string> checkpoints;  ///< "artifact,version,size_mb", on disk at the start.
-  EngineOptions options;
-
-  void declare(config::SettingsSchema& schema);
-  /// The options, with a random incarnation. Fails with kSettingsInvalid.
-  [[nodiscard]] base::Result<EngineOptions> toOptions() const;
+struct EngineSettings
+{
+    std::string runner;
+    std::string weightStore;  ///< "ip:port"; empty: none.
+    std::int64_t totalMemory = 80000;
+    std::int64_t slots = 32;
+    std::int64_t maximumWaiting = 256;
+    std::int64_t diskCapacity = 400000;
+    std::int64_t memoryCapacity = 100000;
+    std::int64_t cacheBlocks = 4096;
+    std::int64_t prefillBlocksPerStep = 8;
+    std::vector<std::string> checkpoints;  ///< "artifact,version,size_mb", on disk at the start.
+    EngineOptions options;
+
+    void declare (config::SettingsSchema& schema);
+    /// The options, with a random incarnation. Fails with kSettingsInvalid.
+    [[nodiscard]] base::Result<EngineOptions> toOptions() const;
 };
 
-struct ApplicationSettings {
-  std::string runner;
-  std::int64_t slots = 32;
-  std::int64_t maximumWaiting = 256;
-  ApplicationOptions options;
+struct ApplicationSettings
+{
+    std::string runner;
+    std::int64_t slots = 32;
+    std::int64_t maximumWaiting = 256;
+    ApplicationOptions options;
 
-  void declare(config::SettingsSchema& schema);
-  [[nodiscard]] ApplicationOptions toOptions() const;
+    void declare (config::SettingsSchema& schema);
+    [[nodiscard]] ApplicationOptions toOptions() const;
 };
 
-struct WeightStoreSettings {
-  std::int64_t fullSpeedTransfers = 6;
-  WeightStoreOptions options;
+struct WeightStoreSettings
+{
+    std::int64_t fullSpeedTransfers = 6;
+    WeightStoreOptions options;
 
-  void declare(config::SettingsSchema& schema);
-  [[nodiscard]] WeightStoreOptions toOptions() const;
+    void declare (config::SettingsSchema& schema);
+    [[nodiscard]] WeightStoreOptions toOptions() const;
 };
 
-struct MachineListSettings {
-  std::vector<std::string> machines;
-  base::Duration lag = base::seconds(1);
+struct MachineListSettings
+{
+    std::vector<std::string> machines;
+    base::Duration lag = base::seconds (1);
 
-  void declare(config::SettingsSchema& schema);
-  /// Fails with kSettingsInvalid.
-  [[nodiscard]] base::Result<engine::MachineList> toList() const;
+    void declare (config::SettingsSchema& schema);
+    /// Fails with kSettingsInvalid.
+    [[nodiscard]] base::Result<engine::MachineList> toList() const;
 };
 
 /// A random number below 2^53, drawn anew at each start.
--- a/src/standin/WeightStoreModel.h
+++ b/src/standin/WeightStoreModel.h
@@ -11,50 +11,54 @@
 #include "base/Time.h"
 #include "engine/EngineApi.h"
 
-namespace fernlift::standin {
+namespace fernlift::standin
+{
 
 using TransferId = std::uint64_t;
 
-struct WeightStoreOptions {
-  double loadsPerSecond = 3.0;
-  std::uint32_t fullSpeedTransfers = 6;
-  double megabytesPerSecond = 2000;  ///< Of each transfer at full speed.
+struct WeightStoreOptions
+{
+    double loadsPerSecond = 3.0;
+    std::uint32_t fullSpeedTransfers = 6;
+    double megabytesPerSecond = 2000;  ///< Of each transfer at full speed.
 };
 
-struct WeightStoreFaults {
-  bool isStalled = false;  ///< No transfer makes progress.
-  double slowdown = 1.0;   ///< Divides the speed of each transfer.
+struct WeightStoreFaults
+{
+    bool isStalled = false;  ///< No transfer makes progress.
+    double slowdown = 1.0;   ///< Divides the speed of each transfer.
 };
 
 /// Single-threaded. Call advance() before every other input.
-class WeightStoreModel {
- public:
-  WeightStoreModel(const WeightStoreOptions& options, base::TimePoint now);
-
-  /// Begins a transfer. Empty on success, else the time after which to ask again.
-  std::optional<base::Duration> begin(TransferId transfer, engine::Megabytes size);
-  void cancel(TransferId transfer);
-  void setFaults(const WeightStoreFaults& faults) { faults_ = faults; }
-  [[nodiscard]] const WeightStoreFaults& faults() const { return faults_; }
-
-  /// Moves time on.
-  void advance(base::TimePoint now);
-  /// When the next transfer ends if nothing changes; empty when none will.
-  [[nodiscard]] std::optional<base::TimePoint> nextEvent() const;
-  /// Transfers that ended since the last call.
-  [[nodiscard]] std::vector<TransferId> takeFinished();
-  [[nodiscard]] std::size_t transfers() const { return remaining_.size(); }
-
- private:
-  /// Megabytes each transfer receives in a microsecond.
-  [[nodiscard]] double speed() const;
-
-  WeightStoreOptions options_;
-  WeightStoreFaults faults_;
-  base::TimePoint now_;
-  double tokens_;                           ///< Transfers that may begin now.
-  std::map<TransferId, double> remaining_;  ///< Megabytes.
-  std::vector<TransferId> finished_;
+class WeightStoreModel
+{
+public:
+    WeightStoreModel (const WeightStoreOptions& options, base::TimePoint now);
+
+    /// Begins a transfer. Empty on success, else the time after which to ask again.
+    std::optional<base::Duration> begin (TransferId transfer, engine::Megabytes size);
+    void cancel (TransferId transfer);
+    void setFaults (const WeightStoreFaults& faults) { faults_ = faults; }
+    [[nodiscard]] const WeightStoreFaults& faults() const { return faults_; }
+
+    /// Moves time on.
+    void advance (base::TimePoint now);
+    /// When the next transfer ends if nothing changes; empty when none will.
+    [[nodiscard]] std::optional<base::TimePoint> nextEvent() const;
+    /// Transfers that ended since the last call.
+    [[nodiscard]] std::vector<TransferId> takeFinished();
+    [[nodiscard]] std::size_t transfers() const { return remaining_.size(); }
+
+private:
+    /// Megabytes each transfer receives in a microsecond.
+    [[nodiscard]] double speed() const;
+
+    WeightStoreOptions options_;
+    WeightStoreFaults faults_;
+    base::TimePoint now_;
+    double tokens_;                           ///< Transfers that may begin now.
+    std::map<TransferId, double> remaining_;  ///< Megabytes.
+    std::vector<TransferId> finished_;
 };
 
 }  // namespace fernlift::standin
--- a/src/storage/FileStorage.h
+++ b/src/storage/FileStorage.h
@@ -16,7 +16,8 @@
 #include "storage/LogImage.h"
 #include "storage/Storage.h"
 
-namespace fernlift::storage {
+namespace fernlift::storage
+{
 
 /// A segment is closed and a new one begun when it is larger than this.
 constexpr std::uint64_t kDefaultSegmentBytes = 16UL * 1024 * 1024;
@@ -31,49 +32,53 @@
  *
  * Threading: one thread at a time; every call may block on the disk.
  */
-class FileStorage final : public Storage {
- public:
-  /// Creates the folder if needed, locks it and checks its format.
-  static base::Result<std::unique_ptr<FileStorage>> open(
-      const std::string& folder, std::uint64_t segmentBytes = kDefaultSegmentBytes,
-      FileSystem& files = systemFiles());
+class FileStorage final : public Storage
+{
+public:
+    /// Creates the folder if needed, locks it and checks its format.
+    static base::Result<std::unique_ptr<FileStorage>> open (
+        const std::string& folder, std::uint64_t segmentBytes = kDefaultSegmentBytes,
+        FileSystem& files = systemFiles());
 
-  base::Result<Recovered> recover() override;
-  base::Result<void> initialize(std::uint64_t memberId) override;
-  base::Result<void> write(const std::vector<WriteBatch>& batches) override;
+    base::Result<Recovered> recover() override;
+    base::Result<void> initialize (std::uint64_t memberId) override;
+    base::Result<void> write (const std::vector<WriteBatch>& batches) override;
 
- private:
-  FileStorage(std::string folder, std::uint64_t segmentBytes, FileSystem& files);
+private:
+    FileStorage (std::string folder, std::uint64_t segmentBytes, FileSystem& files);
 
-  base::Result<void> readIdentity();
-  base::Result<Recovered> recoverInitialized();
-  base::Result<void> recoverSegments(const std::vector<std::uint64_t>& numbers,
-                                     std::uint64_t& tornBytes);
-  base::Result<std::uint64_t> findCheckpoint(const std::vector<std::uint64_t>& numbers) const;
-  base::Result<std::uint64_t> replaySegment(std::uint64_t number, bool isLast);
-  base::Result<std::string> readSnapshot() const;
-  base::Result<void> removeLeftovers();
-  base::Result<void> checkUnused() const;
+    base::Result<void> readIdentity();
+    base::Result<Recovered> recoverInitialized();
+    base::Result<void> recoverSegments (const std::vector<std::uint64_t>& numbers,
+                                        std::uint64_t& tornBytes);
+    base::Result<std::uint64_t> findCheckpoint (const std::vector<std::uint64_t>& numbers) const;
+    base::Result<std::uint64_t> replaySegment (std::uint64_t number, bool isLast);
+    base::Result<std::string> readSnapshot() const;
+    base::Result<void> removeLeftovers();
+    base::Result<void> checkUnused() const;
 
-  base::Result<void> writeChecked(const std::vector<WriteBatch>& batches);
-  base::Result<bool> storeSnapshots(const std::vector<WriteBatch>& batches);
-  base::Result<void> appendRecord(const BatchesRecord& record);
-  /// Begins a new segment: a checkpoint, or a continuation of the last one.
-  base::Result<void> beginSegment(bool isCheckpoint);
+    base::Result<void> writeChecked (const std::vector<WriteBatch>& batches);
+    base::Result<bool> storeSnapshots (const std::vector<WriteBatch>& batches);
+    base::Result<void> appendRecord (const BatchesRecord& record);
+    /// Begins a new segment: a checkpoint, or a continuation of the last one.
+    base::Result<void> beginSegment (bool isCheckpoint);
 
-  [[nodiscard]] std::string pathOf(const std::string& name) const { return folder_ + "/" + name; }
+    [[nodiscard]] std::string pathOf (const std::string& name) const
+    {
+        return folder_ + "/" + name;
+    }
 
-  const std::string folder_;
-  const std::uint64_t segmentBytes_;  ///< Size above which a segment is closed.
-  FileSystem& files_;
-  std::unique_ptr<FileLock> lock_;      ///< Held as long as this object lives.
-  std::uint64_t memberId_ = 0;          ///< 0 until the identity is synced.
-  bool isReady_ = false;                ///< Recovered or initialised, and no write has failed.
-  LogImage image_;                      ///< What a start would read back after the last write.
-  std::unique_ptr<File> segment_;       ///< The last segment, open for appending.
-  std::uint64_t segmentNumber_ = 0;     ///< Of segment_; numbers only grow, without a gap.
-  std::uint64_t checkpointNumber_ = 0;  ///< Of the last segment that restates the whole log.
-  std::uint64_t segmentSize_ = 0;       ///< Bytes of whole records in segment_.
+    const std::string folder_;
+    const std::uint64_t segmentBytes_;  ///< Size above which a segment is closed.
+    FileSystem& files_;
+    std::unique_ptr<FileLock> lock_;      ///< Held as long as this object lives.
+    std::uint64_t memberId_ = 0;          ///< 0 until the identity is synced.
+    bool isReady_ = false;                ///< Recovered or initialised, and no write has failed.
+    LogImage image_;                      ///< What a start would read back after the last write.
+    std::unique_ptr<File> segment_;       ///< The last segment, open for appending.
+    std::uint64_t segmentNumber_ = 0;     ///< Of segment_; numbers only grow, without a gap.
+    std::uint64_t checkpointNumber_ = 0;  ///< Of the last segment that restates the whole log.
+    std::uint64_t segmentSize_ = 0;       ///< Bytes of whole records in segment_.
 };
 
 }  // namespace fernlift::storage
--- a/src/storage/FileStorageRecovery.cpp
+++ b/src/storage/FileStorageRecovery.cpp
@@ -8,180 +8,224 @@
 #include "storage/Record.h"
 #include "wire/Codec.h"
 
-namespace fernlift::storage {
-namespace {
-
-boost::leaf::error_id corrupt(const std::string& path, const std::string& problem) {
-  return base::fail(base::ErrorKind::kStorageCorrupt,
-                    path + ": " + problem + "; this member must be replaced by a new one");
+namespace fernlift::storage
+{
+namespace
+{
+
+boost::leaf::error_id corrupt (const std::string& path, const std::string& problem)
+{
+    return base::fail (base::ErrorKind::kStorageCorrupt,
+                       path + ": " + problem + "; this member must be replaced by a new one");
 }
 
-boost::leaf::error_id formatUnknown(const std::string& path, std::uint32_t version) {
-  return base::fail(base::ErrorKind::kStorageFormatUnknown,
-                    path + " has format " + std::to_string(version) + "; this program knows " +
-                        std::to_string(kFormatVersion));
+boost::leaf::error_id formatUnknown (const std::string& path, std::uint32_t version)
+{
+    return base::fail (base::ErrorKind::kStorageFormatUnknown,
+                       path + " has format " + std::to_string (version) + "; this program knows "
+                           + std::to_string (kFormatVersion));
 }
 
 /// The payload of a record that must be whole, because the file got its name after a sync.
-base::Result<std::string_view> requireRecord(const std::string& path, std::string_view bytes,
-                                             RecordKind kind) {
-  const ReadRecord record = readRecord(bytes, 0);
-  if (record.verdict == RecordVerdict::kFormatUnknown) {
-    return formatUnknown(path, record.formatVersion);
-  }
-  if (record.verdict != RecordVerdict::kWhole || record.kind != kind) {
-    return corrupt(path, "its first record is damaged");
-  }
-  return record.payload;
+base::Result<std::string_view> requireRecord (const std::string& path, std::string_view bytes,
+                                              RecordKind kind)
+{
+    const ReadRecord record = readRecord (bytes, 0);
+    if (record.verdict == RecordVerdict::kFormatUnknown)
+    {
+        return formatUnknown (path, record.formatVersion);
+    }
+    if (record.verdict != RecordVerdict::kWhole || record.kind != kind)
+    {
+        return corrupt (path, "its first record is damaged");
+    }
+    return record.payload;
 }
 
 template <class Value>
-base::Result<Value> decodePayload(const std::string& path, std::string_view payload) {
-  return base::recoverError([&] { return wire::decodeValue<Value>(payload); },
-                            [&](const base::Error& error) -> base::Result<Value> {
-                              return corrupt(path, "a record cannot be decoded: " + error.message);
-                            });
+base::Result<Value> decodePayload (const std::string& path, std::string_view payload)
+{
+    return base::recoverError (
+        [&] { return wire::decodeValue<Value> (payload); },
+        [&] (const base::Error& error) -> base::Result<Value>
+        { return corrupt (path, "a record cannot be decoded: " + error.message); });
 }
 
-base::Result<SegmentHeader> readSegmentHeader(const std::string& path, std::string_view bytes) {
-  BOOST_LEAF_AUTO(payload, requireRecord(path, bytes, RecordKind::kSegmentHeader));
-  return decodePayload<SegmentHeader>(path, payload);
+base::Result<SegmentHeader> readSegmentHeader (const std::string& path, std::string_view bytes)
+{
+    BOOST_LEAF_AUTO (payload, requireRecord (path, bytes, RecordKind::kSegmentHeader));
+    return decodePayload<SegmentHeader> (path, payload);
 }
 
 }  // namespace
 
-base::Result<void> FileStorage::readIdentity() {
-  BOOST_LEAF_AUTO(names, files_.listFolder(folder_));
-  const bool isNew = std::find(names.begin(), names.end(), kIdentityName) == names.end();
-  if (isNew) return {};
-  const std::string path = pathOf(kIdentityName);
-  BOOST_LEAF_AUTO(bytes, files_.readFile(path));
-  BOOST_LEAF_AUTO(payload, requireRecord(path, bytes, RecordKind::kIdentity));
-  BOOST_LEAF_ASSIGN(memberId_, decodePayload<std::uint64_t>(path, payload));
-  return {};
+base::Result<void> FileStorage::readIdentity()
+{
+    BOOST_LEAF_AUTO (names, files_.listFolder (folder_));
+    const bool isNew = std::find (names.begin(), names.end(), kIdentityName) == names.end();
+    if (isNew)
+        return {};
+    const std::string path = pathOf (kIdentityName);
+    BOOST_LEAF_AUTO (bytes, files_.readFile (path));
+    BOOST_LEAF_AUTO (payload, requireRecord (path, bytes, RecordKind::kIdentity));
+    BOOST_LEAF_ASSIGN (memberId_, decodePayload<std::uint64_t> (path, payload));
+    return {};
 }
 
-base::Result<Recovered> FileStorage::recover() {
-  if (memberId_ != 0) return recoverInitialized();
-  BOOST_LEAF_CHECK(checkUnused());
-  return Recovered{};
+base::Result<Recovered> FileStorage::recover()
+{
+    if (memberId_ != 0)
+        return recoverInitialized();
+    BOOST_LEAF_CHECK (checkUnused());
+    return Recovered{};
 }
 
 /// Without an identity there may be the first segment, from a start that did not finish, and no
 /// more: otherwise the identity was lost.
-base::Result<void> FileStorage::checkUnused() const {
-  BOOST_LEAF_AUTO(names, files_.listFolder(folder_));
-  const auto isUsed = [](const std::string& name) {
-    const auto number = segmentNumberOf(name);
-    return snapshotIndexOf(name).has_value() || (number.has_value() && *number > 1);
-  };
-  if (std::any_of(names.begin(), names.end(), isUsed)) {
-    return corrupt(folder_, "it holds a log but no identity");
-  }
-  const std::string first = segmentName(1);
-  if (std::find(names.begin(), names.end(), first) == names.end()) return {};
-  BOOST_LEAF_AUTO(bytes, files_.readFile(pathOf(first)));
-  const ReadRecord header = readRecord(bytes, 0);
-  const bool isBegun = header.verdict == RecordVerdict::kWhole && header.nextOffset < bytes.size();
-  if (isBegun) return corrupt(folder_, "it holds a log but no identity");
-  return {};
+base::Result<void> FileStorage::checkUnused() const
+{
+    BOOST_LEAF_AUTO (names, files_.listFolder (folder_));
+    const auto isUsed = [] (const std::string& name)
+    {
+        const auto number = segmentNumberOf (name);
+        return snapshotIndexOf (name).has_value() || (number.has_value() && *number > 1);
+    };
+    if (std::any_of (names.begin(), names.end(), isUsed))
+    {
+        return corrupt (folder_, "it holds a log but no identity");
+    }
+    const std::string first = segmentName (1);
+    if (std::find (names.begin(), names.end(), first) == names.end())
+        return {};
+    BOOST_LEAF_AUTO (bytes, files_.readFile (pathOf (first)));
+    const ReadRecord header = readRecord (bytes, 0);
+    const bool isBegun =
+        header.verdict == RecordVerdict::kWhole && header.nextOffset < bytes.size();
+    if (isBegun)
+        return corrupt (folder_, "it holds a log but no identity");
+    return {};
 }
 
-base::Result<Recovered> FileStorage::recoverInitialized() {
-  BOOST_LEAF_AUTO(names, files_.listFolder(folder_));
-  Recovered recovered;
-  recovered.memberId = memberId_;
-  BOOST_LEAF_CHECK(recoverSegments(segmentNumbers(names), recovered.tornBytesCut));
-  recovered.hardState = image_.hardState();
-  recovered.entries = image_.entries();
-  recovered.snapshot.lastIndex = image_.snapshotIndex();
-  if (image_.snapshotIndex() > 0) {
-    BOOST_LEAF_ASSIGN(recovered.snapshot.data, readSnapshot());
-  }
-  BOOST_LEAF_CHECK(removeLeftovers());
-  isReady_ = true;
-  return recovered;
+base::Result<Recovered> FileStorage::recoverInitialized()
+{
+    BOOST_LEAF_AUTO (names, files_.listFolder (folder_));
+    Recovered recovered;
+    recovered.memberId = memberId_;
+    BOOST_LEAF_CHECK (recoverSegments (segmentNumbers (names), recovered.tornBytesCut));
+    recovered.hardState = image_.hardState();
+    recovered.entries = image_.entries();
+    recovered.snapshot.lastIndex = image_.snapshotIndex();
+    if (image_.snapshotIndex() > 0)
+    {
+        BOOST_LEAF_ASSIGN (recovered.snapshot.data, readSnapshot());
+    }
+    BOOST_LEAF_CHECK (removeLeftovers());
+    isReady_ = true;
+    return recovered;
 }
 
-base::Result<void> FileStorage::recoverSegments(const std::vector<std::uint64_t>& numbers,
-                                                std::uint64_t& tornBytes) {
-  BOOST_LEAF_ASSIGN(checkpointNumber_, findCheckpoint(numbers));
-  segmentNumber_ = checkpointNumber_ - 1;
-  for (const std::uint64_t number : numbers) {
-    if (number < checkpointNumber_) continue;
-    if (number != segmentNumber_ + 1) {
-      return corrupt(folder_, segmentName(segmentNumber_ + 1) + " is missing");
+base::Result<void> FileStorage::recoverSegments (const std::vector<std::uint64_t>& numbers,
+                                                 std::uint64_t& tornBytes)
+{
+    BOOST_LEAF_ASSIGN (checkpointNumber_, findCheckpoint (numbers));
+    segmentNumber_ = checkpointNumber_ - 1;
+    for (const std::uint64_t number : numbers)
+    {
+        if (number < checkpointNumber_)
+            continue;
+        if (number != segmentNumber_ + 1)
+        {
+            return corrupt (folder_, segmentName (segmentNumber_ + 1) + " is missing");
+        }
+        const bool isLast = number == numbers.back();
+        BOOST_LEAF_ASSIGN (tornBytes, replaySegment (number, isLast));
+        segmentNumber_ = number;
     }
-    const bool isLast = number == numbers.back();
-    BOOST_LEAF_ASSIGN(tornBytes, replaySegment(number, isLast));
-    segmentNumber_ = number;
-  }
-  BOOST_LEAF_ASSIGN(segment_, files_.open(pathOf(segmentName(segmentNumber_)), OpenMode::kAppend));
-  if (tornBytes > 0) BOOST_LEAF_CHECK(segment_->truncate(segmentSize_));
-  // A process that was killed may have left bytes and names that are not synced. They are acted
-  // upon from now on, so they must last.
-  BOOST_LEAF_CHECK(segment_->sync());
-  return files_.syncFolder(folder_);
+    BOOST_LEAF_ASSIGN (segment_,
+                       files_.open (pathOf (segmentName (segmentNumber_)), OpenMode::kAppend));
+    if (tornBytes > 0)
+        BOOST_LEAF_CHECK (segment_->truncate (segmentSize_));
+    // A process that was killed may have left bytes and names that are not synced. They are acted
+    // upon from now on, so they must last.
+    BOOST_LEAF_CHECK (segment_->sync());
+    return files_.syncFolder (folder_);
 }
 
 /// Number of the last segment that restates the whole log.
-base::Result<std::uint64_t> FileStorage::findCheckpoint(
-    const std::vector<std::uint64_t>& numbers) const {
-  for (auto number = numbers.rbegin(); number != numbers.rend(); ++number) {
-    const std::string path = pathOf(segmentName(*number));
-    BOOST_LEAF_AUTO(bytes, files_.readFile(path));
-    BOOST_LEAF_AUTO(header, readSegmentHeader(path, bytes));
-    if (header.number != *number) return corrupt(path, "it is not the segment its name says");
-    if (header.isCheckpoint) return *number;
-  }
-  return corrupt(folder_, "the beginning of its log is missing");
+base::Result<std::uint64_t> FileStorage::findCheckpoint (
+    const std::vector<std::uint64_t>& numbers) const
+{
+    for (auto number = numbers.rbegin(); number != numbers.rend(); ++number)
+    {
+        const std::string path = pathOf (segmentName (*number));
+        BOOST_LEAF_AUTO (bytes, files_.readFile (path));
+        BOOST_LEAF_AUTO (header, readSegmentHeader (path, bytes));
+        if (header.number != *number)
+            return corrupt (path, "it is not the segment its name says");
+        if (header.isCheckpoint)
+            return *number;
+    }
+    return corrupt (folder_, "the beginning of its log is missing");
 }
 
 /// Replays a segment and returns how many bytes at its end are of an unfinished record.
-base::Result<std::uint64_t> FileStorage::replaySegment(std::uint64_t number, bool isLast) {
-  const std::string path = pathOf(segmentName(number));
-  BOOST_LEAF_AUTO(bytes, files_.readFile(path));
-  BOOST_LEAF_AUTO(header, readSegmentHeader(path, bytes));
-  if (header.isCheckpoint) BOOST_LEAF_CHECK(image_.load(header));
-
-  segmentSize_ = readRecord(bytes, 0).nextOffset;
-  while (true) {
-    const ReadRecord record = readRecord(bytes, segmentSize_);
-    const std::string place = " at offset " + std::to_string(segmentSize_);
-    if (record.verdict == RecordVerdict::kEnd) return std::uint64_t{0};
-    if (record.verdict == RecordVerdict::kFormatUnknown) {
-      return formatUnknown(path, record.formatVersion);
-    }
-    if (record.verdict == RecordVerdict::kTorn && isLast) return bytes.size() - segmentSize_;
-    if (record.verdict != RecordVerdict::kWhole || record.kind != RecordKind::kBatches) {
-      return corrupt(path, "damaged record" + place);
+base::Result<std::uint64_t> FileStorage::replaySegment (std::uint64_t number, bool isLast)
+{
+    const std::string path = pathOf (segmentName (number));
+    BOOST_LEAF_AUTO (bytes, files_.readFile (path));
+    BOOST_LEAF_AUTO (header, readSegmentHeader (path, bytes));
+    if (header.isCheckpoint)
+        BOOST_LEAF_CHECK (image_.load (header));
+
+    segmentSize_ = readRecord (bytes, 0).nextOffset;
+    while (true)
+    {
+        const ReadRecord record = readRecord (bytes, segmentSize_);
+        const std::string place = " at offset " + std::to_string (segmentSize_);
+        if (record.verdict == RecordVerdict::kEnd)
+            return std::uint64_t{ 0 };
+        if (record.verdict == RecordVerdict::kFormatUnknown)
+        {
+            return formatUnknown (path, record.formatVersion);
+        }
+        if (record.verdict == RecordVerdict::kTorn && isLast)
+            return bytes.size() - segmentSize_;
+        if (record.verdict != RecordVerdict::kWhole || record.kind != RecordKind::kBatches)
+        {
+            return corrupt (path, "damaged record" + place);
+        }
+        BOOST_LEAF_AUTO (batches, decodePayload<BatchesRecord> (path, record.payload));
+        for (const BatchRecord& batch : batches.batches)
+            BOOST_LEAF_CHECK (image_.apply (batch));
+        segmentSize_ = record.nextOffset;
     }
-    BOOST_LEAF_AUTO(batches, decodePayload<BatchesRecord>(path, record.payload));
-    for (const BatchRecord& batch : batches.batches) BOOST_LEAF_CHECK(image_.apply(batch));
-    segmentSize_ = record.nextOffset;
-  }
 }
 
-base::Result<std::string> FileStorage::readSnapshot() const {
-  const std::string path = pathOf(snapshotName(image_.snapshotIndex()));
-  BOOST_LEAF_AUTO(bytes, files_.readFile(path));
-  BOOST_LEAF_AUTO(payload, requireRecord(path, bytes, RecordKind::kSnapshot));
-  return std::string(payload);
+base::Result<std::string> FileStorage::readSnapshot() const
+{
+    const std::string path = pathOf (snapshotName (image_.snapshotIndex()));
+    BOOST_LEAF_AUTO (bytes, files_.readFile (path));
+    BOOST_LEAF_AUTO (payload, requireRecord (path, bytes, RecordKind::kSnapshot));
+    return std::string (payload);
 }
 
 /// Removes unfinished files and what the last checkpoint made superfluous.
-base::Result<void> FileStorage::removeLeftovers() {
-  BOOST_LEAF_AUTO(names, files_.listFolder(folder_));
-  for (const std::uint64_t number : segmentNumbers(names)) {
-    if (number < checkpointNumber_)
-      BOOST_LEAF_CHECK(files_.removeFile(pathOf(segmentName(number))));
-  }
-  for (const std::string& name : names) {
-    const auto index = snapshotIndexOf(name);
-    const bool isOldSnapshot = index.has_value() && *index != image_.snapshotIndex();
-    if (isOldSnapshot || isUnfinished(name)) BOOST_LEAF_CHECK(files_.removeFile(pathOf(name)));
-  }
-  return {};
+base::Result<void> FileStorage::removeLeftovers()
+{
+    BOOST_LEAF_AUTO (names, files_.listFolder (folder_));
+    for (const std::uint64_t number : segmentNumbers (names))
+    {
+        if (number < checkpointNumber_)
+            BOOST_LEAF_CHECK (files_.removeFile (pathOf (segmentName (number))));
+    }
+    for (const std::string& name : names)
+    {
+        const auto index = snapshotIndexOf (name);
+        const bool isOldSnapshot = index.has_value() && *index != image_.snapshotIndex();
+        if (isOldSnapshot || isUnfinished (name))
+            BOOST_LEAF_CHECK (files_.removeFile (pathOf (name)));
+    }
+    return {};
 }
 
 }  // namespace fernlift::storage
--- a/src/storage/FileStorageTest.cpp
+++ b/src/storage/FileStorageTest.cpp
@@ -12,346 +12,400 @@
 #include "storage/FileStorage.h"
 #include "storage/Record.h"
 
-namespace fernlift::storage {
-namespace {
+namespace fernlift::storage
+{
+namespace
+{
 
 using base::ErrorKind;
 
 /// The whole error; none when it succeeds.
 template <class Operation>
-std::optional<base::Error> errorOf(Operation&& operation) {
-  using Failure = std::optional<base::Error>;
-  return base::handleErrors(
-      [&]() -> base::Result<Failure> {
-        BOOST_LEAF_CHECK(operation());
-        return Failure();
-      },
-      [](const base::Error& error) { return Failure(error); });
+std::optional<base::Error> errorOf (Operation&& operation)
+{
+    using Failure = std::optional<base::Error>;
+    return base::handleErrors (
+        [&]() -> base::Result<Failure>
+        {
+            BOOST_LEAF_CHECK (operation());
+            return Failure();
+        },
+        [] (const base::Error& error) { return Failure (error); });
 }
 
 /// The kind with which `operation` fails; none when it succeeds.
 template <class Operation>
-std::optional<ErrorKind> failureOf(Operation&& operation) {
-  const std::optional<base::Error> error = errorOf(operation);
-  return error ? std::optional(error->kind) : std::nullopt;
+std::optional<ErrorKind> failureOf (Operation&& operation)
+{
+    const std::optional<base::Error> error = errorOf (operation);
+    return error ? std::optional (error->kind) : std::nullopt;
 }
 
-class FileStorageTest : public ::testing::Test {
- protected:
-  void SetUp() override {
-    std::string pattern = (std::filesystem::temp_directory_path() / "fernlift-XXXXXX").string();
-    ASSERT_NE(::mkdtemp(pattern.data()), nullptr);
-    root_ = pattern;
-    folder_ = root_ / "data";
-  }
-  void TearDown() override { std::filesystem::remove_all(root_); }
+class FileStorageTest : public ::testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "fernlift-XXXXXX").string();
+        ASSERT_NE (::mkdtemp (pattern.data()), nullptr);
+        root_ = pattern;
+        folder_ = root_ / "data";
+    }
+    void TearDown() override { std::filesystem::remove_all (root_); }
 
-  std::optional<ErrorKind> open(std::uint64_t segmentBytes = kDefaultSegmentBytes) {
-    storage_.reset();
-    return failureOf([&]() -> base::Result<void> {
-      BOOST_LEAF_ASSIGN(storage_, FileStorage::open(folder_, segmentBytes));
-      return {};
-    });
-  }
-  std::optional<ErrorKind> recover() {
-    return failureOf([&]() -> base::Result<void> {
-      BOOST_LEAF_ASSIGN(recovered_, storage_->recover());
-      return {};
-    });
-  }
-  void start(std::uint64_t segmentBytes = kDefaultSegmentBytes) {
-    ASSERT_EQ(open(segmentBytes), std::nullopt);
-    ASSERT_EQ(recover(), std::nullopt);
-    if (recovered_.memberId == 0) {
-      ASSERT_EQ(failureOf([&] { return storage_->initialize(7); }), std::nullopt);
+    std::optional<ErrorKind> open (std::uint64_t segmentBytes = kDefaultSegmentBytes)
+    {
+        storage_.reset();
+        return failureOf (
+            [&]() -> base::Result<void>
+            {
+                BOOST_LEAF_ASSIGN (storage_, FileStorage::open (folder_, segmentBytes));
+                return {};
+            });
+    }
+    std::optional<ErrorKind> recover()
+    {
+        return failureOf (
+            [&]() -> base::Result<void>
+            {
+                BOOST_LEAF_ASSIGN (recovered_, storage_->recover());
+                return {};
+            });
+    }
+    void start (std::uint64_t segmentBytes = kDefaultSegmentBytes)
+    {
+        ASSERT_EQ (open (segmentBytes), std::nullopt);
+        ASSERT_EQ (recover(), std::nullopt);
+        if (recovered_.memberId == 0)
+        {
+            ASSERT_EQ (failureOf ([&] { return storage_->initialize (7); }), std::nullopt);
+        }
+    }
+    std::optional<ErrorKind> write (const std::vector<WriteBatch>& batches)
+    {
+        return failureOf ([&] { return storage_->write (batches); });
     }
-  }
-  std::optional<ErrorKind> write(const std::vector<WriteBatch>& batches) {
-    return failureOf([&] { return storage_->write(batches); });
-  }
-  std::filesystem::path lastSegment() const {
-    std::filesystem::path last;
-    for (const auto& item : std::filesystem::directory_iterator(folder_)) {
-      const std::string name = item.path().filename();
-      if (segmentNumberOf(name) && item.path() > last) last = item.path();
+    std::filesystem::path lastSegment() const
+    {
+        std::filesystem::path last;
+        for (const auto& item : std::filesystem::directory_iterator (folder_))
+        {
+            const std::string name = item.path().filename();
+            if (segmentNumberOf (name) && item.path() > last)
+                last = item.path();
+        }
+        return last;
     }
-    return last;
-  }
-  std::size_t segmentCount() const {
-    std::size_t count = 0;
-    for (const auto& item : std::filesystem::directory_iterator(folder_)) {
-      if (segmentNumberOf(item.path().filename())) ++count;
+    std::size_t segmentCount() const
+    {
+        std::size_t count = 0;
+        for (const auto& item : std::filesystem::directory_iterator (folder_))
+        {
+            if (segmentNumberOf (item.path().filename()))
+                ++count;
+        }
+        return count;
+    }
+    static void flipByte (const std::filesystem::path& path, std::uint64_t offset)
+    {
+        std::fstream file (path, std::ios::in | std::ios::out | std::ios::binary);
+        file.seekg (static_cast<std::streamoff> (offset));
+        const int byte = file.get();
+        file.seekp (static_cast<std::streamoff> (offset));
+        file.put (static_cast<char> (byte ^ 0x55));
     }
-    return count;
-  }
-  static void flipByte(const std::filesystem::path& path, std::uint64_t offset) {
-    std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
-    file.seekg(static_cast<std::streamoff>(offset));
-    const int byte = file.get();
-    file.seekp(static_cast<std::streamoff>(offset));
-    file.put(static_cast<char>(byte ^ 0x55));
-  }
 
-  /// Damages one byte of the last segment, in the record at `recordAt`: a start must refuse it and
-  /// name file and record. The byte is put back afterwards.
-  void expectDamageIsReported(std::uint64_t offset, std::uint64_t recordAt) {
-    storage_.reset();
-    flipByte(lastSegment(), offset);
-    ASSERT_EQ(open(), std::nullopt);
-    const auto error = errorOf([&] { return storage_->recover(); });
-    ASSERT_TRUE(error.has_value()) << offset;
-    EXPECT_EQ(error->kind, ErrorKind::kStorageCorrupt) << offset;
-    EXPECT_NE(error->message.find(lastSegment().string()), std::string::npos) << error->message;
-    EXPECT_NE(error->message.find("offset " + std::to_string(recordAt)), std::string::npos)
-        << error->message;
-    storage_.reset();
-    flipByte(lastSegment(), offset);
-  }
+    /// Damages one byte of the last segment, in the record at `recordAt`: a start must refuse it
+    /// and name file and record. The byte is put back afterwards.
+    void expectDamageIsReported (std::uint64_t offset, std::uint64_t recordAt)
+    {
+        storage_.reset();
+        flipByte (lastSegment(), offset);
+        ASSERT_EQ (open(), std::nullopt);
+        const auto error = errorOf ([&] { return storage_->recover(); });
+        ASSERT_TRUE (error.has_value()) << offset;
+        EXPECT_EQ (error->kind, ErrorKind::kStorageCorrupt) << offset;
+        EXPECT_NE (error->message.find (lastSegment().string()), std::string::npos)
+            << error->message;
+        EXPECT_NE (error->message.find ("offset " + std::to_string (recordAt)), std::string::npos)
+            << error->message;
+        storage_.reset();
+        flipByte (lastSegment(), offset);
+    }
 
-  static WriteBatch entries(std::uint64_t from, std::uint64_t to, std::size_t bytes = 10) {
-    WriteBatch batch;
-    for (std::uint64_t index = from; index <= to; ++index) {
-      batch.entries.push_back({index, std::string(bytes, static_cast<char>('a' + index % 26))});
+    static WriteBatch entries (std::uint64_t from, std::uint64_t to, std::size_t bytes = 10)
+    {
+        WriteBatch batch;
+        for (std::uint64_t index = from; index <= to; ++index)
+        {
+            batch.entries.push_back (
+                { index, std::string (bytes, static_cast<char> ('a' + index % 26)) });
+        }
+        return batch;
+    }
+    static WriteBatch hardState (std::string text)
+    {
+        WriteBatch batch;
+        batch.hasHardState = true;
+        batch.hardState = std::move (text);
+        return batch;
+    }
+    static WriteBatch snapshot (std::uint64_t lastIndex, std::string data)
+    {
+        WriteBatch batch;
+        batch.hasSnapshot = true;
+        batch.snapshot = { lastIndex, std::move (data) };
+        return batch;
     }
-    return batch;
-  }
-  static WriteBatch hardState(std::string text) {
-    WriteBatch batch;
-    batch.hasHardState = true;
-    batch.hardState = std::move(text);
-    return batch;
-  }
-  static WriteBatch snapshot(std::uint64_t lastIndex, std::string data) {
-    WriteBatch batch;
-    batch.hasSnapshot = true;
-    batch.snapshot = {lastIndex, std::move(data)};
-    return batch;
-  }
 
-  std::filesystem::path root_;
-  std::filesystem::path folder_;
-  std::unique_ptr<FileStorage> storage_;
-  Recovered recovered_;
+    std::filesystem::path root_;
+    std::filesystem::path folder_;
+    std::unique_ptr<FileStorage> storage_;
+    Recovered recovered_;
 };
 
-TEST_F(FileStorageTest, ANewFolderHasNoIdentity) {
-  ASSERT_EQ(open(), std::nullopt);
-  ASSERT_EQ(recover(), std::nullopt);
-  EXPECT_EQ(recovered_.memberId, 0U);
-  EXPECT_EQ(write({hardState("x")}), ErrorKind::kStorageFailed);
+TEST_F (FileStorageTest, ANewFolderHasNoIdentity)
+{
+    ASSERT_EQ (open(), std::nullopt);
+    ASSERT_EQ (recover(), std::nullopt);
+    EXPECT_EQ (recovered_.memberId, 0U);
+    EXPECT_EQ (write ({ hardState ("x") }), ErrorKind::kStorageFailed);
 }
 
-TEST_F(FileStorageTest, KeepsWhatWasWritten) {
-  start();
-  ASSERT_EQ(write({hardState("one"), entries(1, 5)}), std::nullopt);
-  WriteBatch rewrite = entries(4, 4, 3);
-  rewrite.truncateFrom = 4;
-  ASSERT_EQ(write({rewrite, hardState("two")}), std::nullopt);
-  start();
-  EXPECT_EQ(recovered_.memberId, 7U);
-  EXPECT_EQ(recovered_.hardState, "two");
-  ASSERT_EQ(recovered_.entries.size(), 4U);
-  EXPECT_EQ(recovered_.entries[3].data.size(), 3U);
-  EXPECT_EQ(recovered_.tornBytesCut, 0U);
+TEST_F (FileStorageTest, KeepsWhatWasWritten)
+{
+    start();
+    ASSERT_EQ (write ({ hardState ("one"), entries (1, 5) }), std::nullopt);
+    WriteBatch rewrite = entries (4, 4, 3);
+    rewrite.truncateFrom = 4;
+    ASSERT_EQ (write ({ rewrite, hardState ("two") }), std::nullopt);
+    start();
+    EXPECT_EQ (recovered_.memberId, 7U);
+    EXPECT_EQ (recovered_.hardState, "two");
+    ASSERT_EQ (recovered_.entries.size(), 4U);
+    EXPECT_EQ (recovered_.entries[3].data.size(), 3U);
+    EXPECT_EQ (recovered_.tornBytesCut, 0U);
 }
 
-TEST_F(FileStorageTest, ASnapshotReplacesTheLogItCovers) {
-  start();
-  ASSERT_EQ(write({hardState("one"), entries(1, 10)}), std::nullopt);
-  ASSERT_EQ(write({snapshot(8, "state")}), std::nullopt);
-  EXPECT_EQ(segmentCount(), 1U);
-  ASSERT_EQ(write({entries(11, 12)}), std::nullopt);
-  start();
-  EXPECT_EQ(recovered_.hardState, "one");
-  EXPECT_EQ(recovered_.snapshot, (StoredSnapshot{8, "state"}));
-  ASSERT_EQ(recovered_.entries.size(), 4U);
-  EXPECT_EQ(recovered_.entries.front().index, 9U);
+TEST_F (FileStorageTest, ASnapshotReplacesTheLogItCovers)
+{
+    start();
+    ASSERT_EQ (write ({ hardState ("one"), entries (1, 10) }), std::nullopt);
+    ASSERT_EQ (write ({ snapshot (8, "state") }), std::nullopt);
+    EXPECT_EQ (segmentCount(), 1U);
+    ASSERT_EQ (write ({ entries (11, 12) }), std::nullopt);
+    start();
+    EXPECT_EQ (recovered_.hardState, "one");
+    EXPECT_EQ (recovered_.snapshot, (StoredSnapshot{ 8, "state" }));
+    ASSERT_EQ (recovered_.entries.size(), 4U);
+    EXPECT_EQ (recovered_.entries.front().index, 9U);
 }
 
-TEST_F(FileStorageTest, AReceivedSnapshotMayLeaveAGap) {
-  start();
-  ASSERT_EQ(write({entries(1, 10)}), std::nullopt);
-  WriteBatch received = snapshot(500, "state");
-  received.truncateFrom = 6;
-  ASSERT_EQ(write({received, entries(501, 501)}), std::nullopt);
-  start();
-  EXPECT_EQ(recovered_.snapshot.lastIndex, 500U);
-  ASSERT_EQ(recovered_.entries.size(), 1U);
+TEST_F (FileStorageTest, AReceivedSnapshotMayLeaveAGap)
+{
+    start();
+    ASSERT_EQ (write ({ entries (1, 10) }), std::nullopt);
+    WriteBatch received = snapshot (500, "state");
+    received.truncateFrom = 6;
+    ASSERT_EQ (write ({ received, entries (501, 501) }), std::nullopt);
+    start();
+    EXPECT_EQ (recovered_.snapshot.lastIndex, 500U);
+    ASSERT_EQ (recovered_.entries.size(), 1U);
 }
 
-TEST_F(FileStorageTest, SegmentsRollAndAreDeletedAfterASnapshot) {
-  start(1000);
-  for (std::uint64_t index = 1; index <= 50; ++index) {
-    ASSERT_EQ(write({entries(index, index, 100)}), std::nullopt);
-  }
-  EXPECT_GT(segmentCount(), 3U);
-  start(1000);
-  EXPECT_EQ(recovered_.entries.size(), 50U);
-  ASSERT_EQ(write({snapshot(50, "state")}), std::nullopt);
-  EXPECT_EQ(segmentCount(), 1U);
-  start(1000);
-  EXPECT_TRUE(recovered_.entries.empty());
+TEST_F (FileStorageTest, SegmentsRollAndAreDeletedAfterASnapshot)
+{
+    start (1000);
+    for (std::uint64_t index = 1; index <= 50; ++index)
+    {
+        ASSERT_EQ (write ({ entries (index, index, 100) }), std::nullopt);
+    }
+    EXPECT_GT (segmentCount(), 3U);
+    start (1000);
+    EXPECT_EQ (recovered_.entries.size(), 50U);
+    ASSERT_EQ (write ({ snapshot (50, "state") }), std::nullopt);
+    EXPECT_EQ (segmentCount(), 1U);
+    start (1000);
+    EXPECT_TRUE (recovered_.entries.empty());
 }
 
-TEST_F(FileStorageTest, CutsATornTailAtEveryLength) {
-  start();
-  ASSERT_EQ(write({entries(1, 3)}), std::nullopt);
-  const auto whole = std::filesystem::file_size(lastSegment());
-  ASSERT_EQ(write({entries(4, 6)}), std::nullopt);
-  const auto longer = std::filesystem::file_size(lastSegment());
-  storage_.reset();
-  const auto copy = root_ / "copy";
-  std::filesystem::copy(folder_, copy, std::filesystem::copy_options::recursive);
-  for (auto size = whole; size < longer; ++size) {
-    storage_.reset();
-    std::filesystem::remove_all(folder_);
-    std::filesystem::copy(copy, folder_, std::filesystem::copy_options::recursive);
-    std::filesystem::resize_file(lastSegment(), size);
-    start();
-    EXPECT_EQ(recovered_.entries.size(), 3U) << size;
-    EXPECT_EQ(recovered_.tornBytesCut, size - whole);
-    ASSERT_EQ(write({entries(4, 4)}), std::nullopt);
+TEST_F (FileStorageTest, CutsATornTailAtEveryLength)
+{
     start();
-    EXPECT_EQ(recovered_.entries.size(), 4U) << size;
-  }
+    ASSERT_EQ (write ({ entries (1, 3) }), std::nullopt);
+    const auto whole = std::filesystem::file_size (lastSegment());
+    ASSERT_EQ (write ({ entries (4, 6) }), std::nullopt);
+    const auto longer = std::filesystem::file_size (lastSegment());
+    storage_.reset();
+    const auto copy = root_ / "copy";
+    std::filesystem::copy (folder_, copy, std::filesystem::copy_options::recursive);
+    for (auto size = whole; size < longer; ++size)
+    {
+        storage_.reset();
+        std::filesystem::remove_all (folder_);
+        std::filesystem::copy (copy, folder_, std::filesystem::copy_options::recursive);
+        std::filesystem::resize_file (lastSegment(), size);
+        start();
+        EXPECT_EQ (recovered_.entries.size(), 3U) << size;
+        EXPECT_EQ (recovered_.tornBytesCut, size - whole);
+        ASSERT_EQ (write ({ entries (4, 4) }), std::nullopt);
+        start();
+        EXPECT_EQ (recovered_.entries.size(), 4U) << size;
+    }
 }
 
-TEST_F(FileStorageTest, RefusesDamageInTheMiddle) {
-  start();
-  ASSERT_EQ(write({entries(1, 3)}), std::nullopt);
-  const auto first = std::filesystem::file_size(lastSegment());
-  ASSERT_EQ(write({entries(4, 6)}), std::nullopt);
-  const auto second = std::filesystem::file_size(lastSegment());
-  ASSERT_EQ(write({entries(7, 9)}), std::nullopt);
-  for (auto offset = first; offset < second; ++offset) {
-    ASSERT_NO_FATAL_FAILURE(expectDamageIsReported(offset, first));
-  }
-  start();
-  EXPECT_EQ(recovered_.entries.size(), 9U);
+TEST_F (FileStorageTest, RefusesDamageInTheMiddle)
+{
+    start();
+    ASSERT_EQ (write ({ entries (1, 3) }), std::nullopt);
+    const auto first = std::filesystem::file_size (lastSegment());
+    ASSERT_EQ (write ({ entries (4, 6) }), std::nullopt);
+    const auto second = std::filesystem::file_size (lastSegment());
+    ASSERT_EQ (write ({ entries (7, 9) }), std::nullopt);
+    for (auto offset = first; offset < second; ++offset)
+    {
+        ASSERT_NO_FATAL_FAILURE (expectDamageIsReported (offset, first));
+    }
+    start();
+    EXPECT_EQ (recovered_.entries.size(), 9U);
 }
 
-TEST_F(FileStorageTest, RefusesDamageInALastRecordThatIsWhole) {
-  start();
-  ASSERT_EQ(write({entries(1, 3)}), std::nullopt);
-  const auto first = std::filesystem::file_size(lastSegment());
-  ASSERT_EQ(write({entries(4, 6)}), std::nullopt);
-  const auto end = std::filesystem::file_size(lastSegment());
-  for (auto offset = first; offset < end; ++offset) {
-    // A length that reaches beyond the end looks like a torn write only if the header's own
-    // checksum fits, which one changed byte does not.
-    ASSERT_NO_FATAL_FAILURE(expectDamageIsReported(offset, first));
-  }
+TEST_F (FileStorageTest, RefusesDamageInALastRecordThatIsWhole)
+{
+    start();
+    ASSERT_EQ (write ({ entries (1, 3) }), std::nullopt);
+    const auto first = std::filesystem::file_size (lastSegment());
+    ASSERT_EQ (write ({ entries (4, 6) }), std::nullopt);
+    const auto end = std::filesystem::file_size (lastSegment());
+    for (auto offset = first; offset < end; ++offset)
+    {
+        // A length that reaches beyond the end looks like a torn write only if the header's own
+        // checksum fits, which one changed byte does not.
+        ASSERT_NO_FATAL_FAILURE (expectDamageIsReported (offset, first));
+    }
 }
 
-TEST_F(FileStorageTest, CutsALastRecordOfWhichASectorWasNeverWritten) {
-  constexpr std::uint64_t kSector = 512;
-  start();
-  ASSERT_EQ(write({entries(1, 3)}), std::nullopt);
-  const auto first = std::filesystem::file_size(lastSegment());
-  ASSERT_EQ(write({entries(4, 6, 1000)}), std::nullopt);
-  const auto end = std::filesystem::file_size(lastSegment());
-  storage_.reset();
-  const auto copy = root_ / "copy";
-  std::filesystem::copy(folder_, copy, std::filesystem::copy_options::recursive);
-  for (auto from = first; from < end; from = (from / kSector + 1) * kSector) {
-    std::filesystem::remove_all(folder_);
-    std::filesystem::copy(copy, folder_, std::filesystem::copy_options::recursive);
-    const auto to = std::min<std::uint64_t>(end, (from / kSector + 1) * kSector);
-    std::fstream file(lastSegment(), std::ios::in | std::ios::out | std::ios::binary);
-    file.seekp(static_cast<std::streamoff>(from));
-    file << std::string(to - from, '\0');
-    file.close();
+TEST_F (FileStorageTest, CutsALastRecordOfWhichASectorWasNeverWritten)
+{
+    constexpr std::uint64_t kSector = 512;
     start();
-    EXPECT_EQ(recovered_.entries.size(), 3U) << from;
-    EXPECT_EQ(recovered_.tornBytesCut, end - first);
+    ASSERT_EQ (write ({ entries (1, 3) }), std::nullopt);
+    const auto first = std::filesystem::file_size (lastSegment());
+    ASSERT_EQ (write ({ entries (4, 6, 1000) }), std::nullopt);
+    const auto end = std::filesystem::file_size (lastSegment());
     storage_.reset();
-  }
+    const auto copy = root_ / "copy";
+    std::filesystem::copy (folder_, copy, std::filesystem::copy_options::recursive);
+    for (auto from = first; from < end; from = (from / kSector + 1) * kSector)
+    {
+        std::filesystem::remove_all (folder_);
+        std::filesystem::copy (copy, folder_, std::filesystem::copy_options::recursive);
+        const auto to = std::min<std::uint64_t> (end, (from / kSector + 1) * kSector);
+        std::fstream file (lastSegment(), std::ios::in | std::ios::out | std::ios::binary);
+        file.seekp (static_cast<std::streamoff> (from));
+        file << std::string (to - from, '\0');
+        file.close();
+        start();
+        EXPECT_EQ (recovered_.entries.size(), 3U) << from;
+        EXPECT_EQ (recovered_.tornBytesCut, end - first);
+        storage_.reset();
+    }
 }
 
-TEST_F(FileStorageTest, RefusesDamageInAClosedSegmentOrASnapshotOrAMissingSegment) {
-  start(100);
-  ASSERT_EQ(write({entries(1, 2)}), std::nullopt);
-  ASSERT_EQ(write({snapshot(2, "state")}), std::nullopt);
-  const auto closed = lastSegment();
-  ASSERT_EQ(write({entries(3, 9, 100)}), std::nullopt);
-  ASSERT_NE(closed, lastSegment());
-  const auto stored = folder_ / snapshotName(2);
-  for (const auto& path : {closed, stored}) {
-    storage_.reset();
-    const auto offset = std::filesystem::file_size(path) - 1;
-    flipByte(path, offset);
-    ASSERT_EQ(open(), std::nullopt);
-    EXPECT_EQ(recover(), ErrorKind::kStorageCorrupt) << path;
-    storage_.reset();
-    flipByte(path, offset);
-  }
-  std::filesystem::remove(closed);
-  ASSERT_EQ(open(), std::nullopt);
-  EXPECT_EQ(recover(), ErrorKind::kStorageCorrupt);
+TEST_F (FileStorageTest, RefusesDamageInAClosedSegmentOrASnapshotOrAMissingSegment)
+{
+    start (100);
+    ASSERT_EQ (write ({ entries (1, 2) }), std::nullopt);
+    ASSERT_EQ (write ({ snapshot (2, "state") }), std::nullopt);
+    const auto closed = lastSegment();
+    ASSERT_EQ (write ({ entries (3, 9, 100) }), std::nullopt);
+    ASSERT_NE (closed, lastSegment());
+    const auto stored = folder_ / snapshotName (2);
+    for (const auto& path : { closed, stored })
+    {
+        storage_.reset();
+        const auto offset = std::filesystem::file_size (path) - 1;
+        flipByte (path, offset);
+        ASSERT_EQ (open(), std::nullopt);
+        EXPECT_EQ (recover(), ErrorKind::kStorageCorrupt) << path;
+        storage_.reset();
+        flipByte (path, offset);
+    }
+    std::filesystem::remove (closed);
+    ASSERT_EQ (open(), std::nullopt);
+    EXPECT_EQ (recover(), ErrorKind::kStorageCorrupt);
 }
 
-TEST_F(FileStorageTest, RefusesALogWithoutIdentity) {
-  start();
-  ASSERT_EQ(write({entries(1, 2)}), std::nullopt);
-  std::filesystem::remove(folder_ / kIdentityName);
-  ASSERT_EQ(open(), std::nullopt);
-  EXPECT_EQ(recover(), ErrorKind::kStorageCorrupt);
-  EXPECT_EQ(failureOf([&] { return storage_->initialize(8); }), ErrorKind::kStorageCorrupt);
+TEST_F (FileStorageTest, RefusesALogWithoutIdentity)
+{
+    start();
+    ASSERT_EQ (write ({ entries (1, 2) }), std::nullopt);
+    std::filesystem::remove (folder_ / kIdentityName);
+    ASSERT_EQ (open(), std::nullopt);
+    EXPECT_EQ (recover(), ErrorKind::kStorageCorrupt);
+    EXPECT_EQ (failureOf ([&] { return storage_->initialize (8); }), ErrorKind::kStorageCorrupt);
 }
 
-TEST_F(FileStorageTest, RefusesAnUnknownFormat) {
-  start();
-  storage_.reset();
-  std::string bytes = encodeRecord(RecordKind::kIdentity, "later", kFormatVersion + 1);
-  std::ofstream(folder_ / kIdentityName, std::ios::binary) << bytes;
-  EXPECT_EQ(open(), ErrorKind::kStorageFormatUnknown);
+TEST_F (FileStorageTest, RefusesAnUnknownFormat)
+{
+    start();
+    storage_.reset();
+    std::string bytes = encodeRecord (RecordKind::kIdentity, "later", kFormatVersion + 1);
+    std::ofstream (folder_ / kIdentityName, std::ios::binary) << bytes;
+    EXPECT_EQ (open(), ErrorKind::kStorageFormatUnknown);
 }
 
-TEST_F(FileStorageTest, OneProcessAFolder) {
-  start();
-  const auto second = failureOf([&]() -> base::Result<void> {
-    BOOST_LEAF_CHECK(FileStorage::open(folder_));
-    return {};
-  });
-  EXPECT_EQ(second, ErrorKind::kStorageLocked);
+TEST_F (FileStorageTest, OneProcessAFolder)
+{
+    start();
+    const auto second = failureOf (
+        [&]() -> base::Result<void>
+        {
+            BOOST_LEAF_CHECK (FileStorage::open (folder_));
+            return {};
+        });
+    EXPECT_EQ (second, ErrorKind::kStorageLocked);
 }
 
-TEST_F(FileStorageTest, RemovesWhatACrashLeftBehind) {
-  start();
-  ASSERT_EQ(write({entries(1, 2)}), std::nullopt);
-  storage_.reset();
-  // As after a crash between storing a snapshot and the checkpoint that refers to it.
-  std::ofstream(folder_ / snapshotName(2)) << "never referred to";
-  std::ofstream(folder_ / (segmentName(2) + ".new")) << "unfinished";
-  start();
-  EXPECT_EQ(recovered_.snapshot.lastIndex, 0U);
-  EXPECT_EQ(recovered_.entries.size(), 2U);
-  EXPECT_FALSE(std::filesystem::exists(folder_ / snapshotName(2)));
-  EXPECT_FALSE(std::filesystem::exists(folder_ / (segmentName(2) + ".new")));
+TEST_F (FileStorageTest, RemovesWhatACrashLeftBehind)
+{
+    start();
+    ASSERT_EQ (write ({ entries (1, 2) }), std::nullopt);
+    storage_.reset();
+    // As after a crash between storing a snapshot and the checkpoint that refers to it.
+    std::ofstream (folder_ / snapshotName (2)) << "never referred to";
+    std::ofstream (folder_ / (segmentName (2) + ".new")) << "unfinished";
+    start();
+    EXPECT_EQ (recovered_.snapshot.lastIndex, 0U);
+    EXPECT_EQ (recovered_.entries.size(), 2U);
+    EXPECT_FALSE (std::filesystem::exists (folder_ / snapshotName (2)));
+    EXPECT_FALSE (std::filesystem::exists (folder_ / (segmentName (2) + ".new")));
 }
 
-TEST_F(FileStorageTest, AFullDiskFailsTheWriteAndAllLaterOnes) {
-  start();
-  ASSERT_EQ(write({entries(1, 2)}), std::nullopt);
-  rlimit before{};
-  ASSERT_EQ(::getrlimit(RLIMIT_FSIZE, &before), 0);
-  const auto previousHandler = std::signal(SIGXFSZ, SIG_IGN);
-  rlimit limited = before;
-  limited.rlim_cur = std::filesystem::file_size(lastSegment()) + 100;
-  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &limited), 0);
-  const auto failure = write({entries(3, 3, 5000)});
-  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &before), 0);
-  std::signal(SIGXFSZ, previousHandler);
-  EXPECT_EQ(failure, ErrorKind::kStorageFull);
-  EXPECT_EQ(write({entries(3, 3)}), ErrorKind::kStorageFailed);
-  start();
-  EXPECT_EQ(recovered_.entries.size(), 2U);
-  EXPECT_GT(recovered_.tornBytesCut, 0U);
+TEST_F (FileStorageTest, AFullDiskFailsTheWriteAndAllLaterOnes)
+{
+    start();
+    ASSERT_EQ (write ({ entries (1, 2) }), std::nullopt);
+    rlimit before{};
+    ASSERT_EQ (::getrlimit (RLIMIT_FSIZE, &before), 0);
+    const auto previousHandler = std::signal (SIGXFSZ, SIG_IGN);
+    rlimit limited = before;
+    limited.rlim_cur = std::filesystem::file_size (lastSegment()) + 100;
+    ASSERT_EQ (::setrlimit (RLIMIT_FSIZE, &limited), 0);
+    const auto failure = write ({ entries (3, 3, 5000) });
+    ASSERT_EQ (::setrlimit (RLIMIT_FSIZE, &before), 0);
+    std::signal (SIGXFSZ, previousHandler);
+    EXPECT_EQ (failure, ErrorKind::kStorageFull);
+    EXPECT_EQ (write ({ entries (3, 3) }), ErrorKind::kStorageFailed);
+    start();
+    EXPECT_EQ (recovered_.entries.size(), 2U);
+    EXPECT_GT (recovered_.tornBytesCut, 0U);
 }
 
-TEST_F(FileStorageTest, AReadOnlyFolderFailsAtOpening) {
-  folder_ = "/proc/fernlift";
-  EXPECT_EQ(open(), ErrorKind::kStorageFailed);
+TEST_F (FileStorageTest, AReadOnlyFolderFailsAtOpening)
+{
+    folder_ = "/proc/fernlift";
+    EXPECT_EQ (open(), ErrorKind::kStorageFailed);
 }
 
 }  // namespace
--- a/src/storage/SimulatedFiles.h
+++ b/src/storage/SimulatedFiles.h
@@ -14,79 +14,89 @@
 #include "base/Random.h"
 #include "storage/FileSystem.h"
 
-namespace fernlift::storage {
+namespace fernlift::storage
+{
 
 /// What is left of changes that were not synced.
-enum class CrashKind : std::uint8_t {
-  kProcessKilled,    ///< Everything; but nothing more is synced than before.
-  kNothingSurvives,  ///< Loss of power: only what was synced.
-  kPartSurvives,     ///< Loss of power: by chance a part of the bytes and of the names.
+enum class CrashKind : std::uint8_t
+{
+    kProcessKilled,    ///< Everything; but nothing more is synced than before.
+    kNothingSurvives,  ///< Loss of power: only what was synced.
+    kPartSurvives,     ///< Loss of power: by chance a part of the bytes and of the names.
 };
 
 /// Rules of the disk that a test breaks on purpose.
-enum class DiskFault : std::uint8_t { kNone, kFileSyncDoesNothing, kFolderSyncDoesNothing };
+enum class DiskFault : std::uint8_t
+{
+    kNone,
+    kFileSyncDoesNothing,
+    kFolderSyncDoesNothing
+};
 
-class SimulatedFiles final : public FileSystem {
- public:
-  base::Result<std::unique_ptr<File>> open(const std::string& path, OpenMode mode) override;
-  base::Result<std::string> readFile(const std::string& path) override;
-  base::Result<void> renameFile(const std::string& from, const std::string& to) override;
-  base::Result<void> removeFile(const std::string& path) override;
-  base::Result<std::vector<std::string>> listFolder(const std::string& folder) override;
-  base::Result<void> createFolder(const std::string& folder) override;
-  base::Result<void> syncFolder(const std::string& folder) override;
-  base::Result<std::unique_ptr<FileLock>> lockFile(const std::string& path) override;
+class SimulatedFiles final : public FileSystem
+{
+public:
+    base::Result<std::unique_ptr<File>> open (const std::string& path, OpenMode mode) override;
+    base::Result<std::string> readFile (const std::string& path) override;
+    base::Result<void> renameFile (const std::string& from, const std::string& to) override;
+    base::Result<void> removeFile (const std::string& path) override;
+    base::Result<std::vector<std::string>> listFolder (const std::string& folder) override;
+    base::Result<void> createFolder (const std::string& folder) override;
+    base::Result<void> syncFolder (const std::string& folder) override;
+    base::Result<std::unique_ptr<FileLock>> lockFile (const std::string& path) override;
 
-  /// Number of changing operations so far.
-  [[nodiscard]] std::uint64_t steps() const { return steps_; }
-  /// The process dies in operation number `step`, which is carried out in part; all later ones
-  /// fail.
-  void crashAt(std::uint64_t step) { crashStep_ = step; }
-  [[nodiscard]] bool hasCrashed() const { return hasCrashed_; }
-  /// Makes the files what the next start of the process finds.
-  void restart(CrashKind kind, std::uint64_t seed);
-  void setFault(DiskFault fault) { fault_ = fault; }
-  /// Bytes that may still be written before the disk is full.
-  void setRoom(std::optional<std::uint64_t> bytes) { room_ = bytes; }
-  void setReadOnly(bool isReadOnly) { isReadOnly_ = isReadOnly; }
-  /// Every sync fails from now on, as on a broken disk.
-  void setSyncFails(bool fails) { syncFails_ = fails; }
+    /// Number of changing operations so far.
+    [[nodiscard]] std::uint64_t steps() const { return steps_; }
+    /// The process dies in operation number `step`, which is carried out in part; all later ones
+    /// fail.
+    void crashAt (std::uint64_t step) { crashStep_ = step; }
+    [[nodiscard]] bool hasCrashed() const { return hasCrashed_; }
+    /// Makes the files what the next start of the process finds.
+    void restart (CrashKind kind, std::uint64_t seed);
+    void setFault (DiskFault fault) { fault_ = fault; }
+    /// Bytes that may still be written before the disk is full.
+    void setRoom (std::optional<std::uint64_t> bytes) { room_ = bytes; }
+    void setReadOnly (bool isReadOnly) { isReadOnly_ = isReadOnly; }
+    /// Every sync fails from now on, as on a broken disk.
+    void setSyncFails (bool fails) { syncFails_ = fails; }
 
- private:
-  friend class SimulatedFile;
-  friend class SimulatedLock;
+private:
+    friend class SimulatedFile;
+    friend class SimulatedLock;
 
-  struct Node {
-    std::string bytes;
-    std::string synced;
-  };
-  using Names = std::map<std::string, std::shared_ptr<Node>>;
-  /// One change of names, in the order in which they reach the disk.
-  struct NameChange {
-    std::string folder;
-    std::string removed;
-    std::string added;
-    std::shared_ptr<Node> node;
-  };
+    struct Node
+    {
+        std::string bytes;
+        std::string synced;
+    };
+    using Names = std::map<std::string, std::shared_ptr<Node>>;
+    /// One change of names, in the order in which they reach the disk.
+    struct NameChange
+    {
+        std::string folder;
+        std::string removed;
+        std::string added;
+        std::shared_ptr<Node> node;
+    };
 
-  /// Counts a changing operation; fails after a crash, or at the one that crashes.
-  base::Result<void> step(const std::string& path);
-  base::Result<void> append(Node& node, const std::string& path, std::string_view bytes);
-  base::Result<void> sync(Node& node, const std::string& path);
-  static void apply(Names& names, const NameChange& change);
-  void change(NameChange change);
+    /// Counts a changing operation; fails after a crash, or at the one that crashes.
+    base::Result<void> step (const std::string& path);
+    base::Result<void> append (Node& node, const std::string& path, std::string_view bytes);
+    base::Result<void> sync (Node& node, const std::string& path);
+    static void apply (Names& names, const NameChange& change);
+    void change (NameChange change);
 
-  Names names_;        ///< Path to file, as the process sees it.
-  Names syncedNames_;  ///< As after a loss of power.
-  std::vector<NameChange> unsyncedNames_;
-  std::map<std::string, bool> locks_;
-  std::uint64_t steps_ = 0;
-  std::uint64_t crashStep_ = 0;
-  bool hasCrashed_ = false;
-  bool isReadOnly_ = false;
-  bool syncFails_ = false;
-  DiskFault fault_ = DiskFault::kNone;
-  std::optional<std::uint64_t> room_;
+    Names names_;        ///< Path to file, as the process sees it.
+    Names syncedNames_;  ///< As after a loss of power.
+    std::vector<NameChange> unsyncedNames_;
+    std::map<std::string, bool> locks_;
+    std::uint64_t steps_ = 0;
+    std::uint64_t crashStep_ = 0;
+    bool hasCrashed_ = false;
+    bool isReadOnly_ = false;
+    bool syncFails_ = false;
+    DiskFault fault_ = DiskFault::kNone;
+    std::optional<std::uint64_t> room_;
 };
 
 }  // namespace fernlift::storage
--- a/src/wire/Frame.cpp
+++ b/src/wire/Frame.cpp
@@ -4,8 +4,10 @@
 
 #include "base/Digest.h"
 
-namespace fernlift::wire {
-namespace {
+namespace fernlift::wire
+{
+namespace
+{
 
 // A frame is a header of 12 bytes, then the payload:
 //   0  magic
@@ -24,75 +26,90 @@
 constexpr std::size_t kBytesInWord = 4;
 constexpr unsigned kBitsInByte = 8;
 
-void appendWord(std::string& bytes, std::uint32_t word) {
-  for (std::size_t position = 0; position < kBytesInWord; ++position) {
-    bytes.push_back(static_cast<char>((word >> (kBitsInByte * position)) & 0xFFU));
-  }
+void appendWord (std::string& bytes, std::uint32_t word)
+{
+    for (std::size_t position = 0; position < kBytesInWord; ++position)
+    {
+        bytes.push_back (static_cast<char> ((word >> (kBitsInByte * position)) & 0xFFU));
+    }
 }
 
-std::uint32_t wordAt(std::string_view bytes, std::size_t offset) {
-  std::uint32_t word = 0;
-  for (std::size_t position = 0; position < kBytesInWord; ++position) {
-    const auto byte = static_cast<std::uint8_t>(bytes[offset + position]);
-    word |= static_cast<std::uint32_t>(byte) << (kBitsInByte * position);
-  }
-  return word;
+std::uint32_t wordAt (std::string_view bytes, std::size_t offset)
+{
+    std::uint32_t word = 0;
+    for (std::size_t position = 0; position < kBytesInWord; ++position)
+    {
+        const auto byte = static_cast<std::uint8_t> (bytes[offset + position]);
+        word |= static_cast<std::uint32_t> (byte) << (kBitsInByte * position);
+    }
+    return word;
 }
 
-std::uint32_t checksumOf(std::string_view prefix, std::string_view payload) {
-  return base::crc32(prefix) ^ base::crc32(payload);
+std::uint32_t checksumOf (std::string_view prefix, std::string_view payload)
+{
+    return base::crc32 (prefix) ^ base::crc32 (payload);
 }
 
-bool isKnownChannel(char channel) {
-  return channel >= static_cast<char>(Channel::kMember) &&
-         channel <= static_cast<char>(Channel::kControllerToRouter);
+bool isKnownChannel (char channel)
+{
+    return channel >= static_cast<char> (Channel::kMember)
+           && channel <= static_cast<char> (Channel::kControllerToRouter);
 }
 
-base::Result<void> checkPrefix(std::string_view header) {
-  using base::ErrorKind;
-  if (header[0] != kMagic || header[1] != kVersion || header[kReservedOffset] != 0) {
-    return base::fail(ErrorKind::kMessageInvalid, "not a frame of this format");
-  }
-  if (!isKnownChannel(header[kChannelOffset])) {
-    return base::fail(ErrorKind::kMessageInvalid, "frame of an unknown channel");
-  }
-  if (wordAt(header, kLengthOffset) > kMaximumFrameBytes) {
-    return base::fail(ErrorKind::kMessageInvalid, "frame above the size limit");
-  }
-  return {};
+base::Result<void> checkPrefix (std::string_view header)
+{
+    using base::ErrorKind;
+    if (header[0] != kMagic || header[1] != kVersion || header[kReservedOffset] != 0)
+    {
+        return base::fail (ErrorKind::kMessageInvalid, "not a frame of this format");
+    }
+    if (! isKnownChannel (header[kChannelOffset]))
+    {
+        return base::fail (ErrorKind::kMessageInvalid, "frame of an unknown channel");
+    }
+    if (wordAt (header, kLengthOffset) > kMaximumFrameBytes)
+    {
+        return base::fail (ErrorKind::kMessageInvalid, "frame above the size limit");
+    }
+    return {};
 }
 
 }  // namespace
 
-std::string encodeFrame(Channel channel, std::string_view payload) {
-  std::string bytes;
-  bytes.reserve(kHeaderBytes + payload.size());
-  bytes.push_back(kMagic);
-  bytes.push_back(kVersion);
-  bytes.push_back(static_cast<char>(channel));
-  bytes.push_back(0);
-  appendWord(bytes, static_cast<std::uint32_t>(payload.size()));
-  appendWord(bytes, checksumOf(bytes, payload));
-  bytes += payload;
-  return bytes;
+std::string encodeFrame (Channel channel, std::string_view payload)
+{
+    std::string bytes;
+    bytes.reserve (kHeaderBytes + payload.size());
+    bytes.push_back (kMagic);
+    bytes.push_back (kVersion);
+    bytes.push_back (static_cast<char> (channel));
+    bytes.push_back (0);
+    appendWord (bytes, static_cast<std::uint32_t> (payload.size()));
+    appendWord (bytes, checksumOf (bytes, payload));
+    bytes += payload;
+    return bytes;
 }
 
-base::Result<void> FrameReader::feed(std::string_view bytes, std::vector<Frame>& frames) {
-  buffer_ += bytes;
-  std::string_view rest = buffer_;
-  while (rest.size() >= kHeaderBytes) {
-    BOOST_LEAF_CHECK(checkPrefix(rest));
-    const std::size_t length = wordAt(rest, kLengthOffset);
-    if (rest.size() < kHeaderBytes + length) break;
-    const std::string_view payload = rest.substr(kHeaderBytes, length);
-    if (wordAt(rest, kPrefixBytes) != checksumOf(rest.substr(0, kPrefixBytes), payload)) {
-      return base::fail(base::ErrorKind::kMessageInvalid, "frame with a bad checksum");
+base::Result<void> FrameReader::feed (std::string_view bytes, std::vector<Frame>& frames)
+{
+    buffer_ += bytes;
+    std::string_view rest = buffer_;
+    while (rest.size() >= kHeaderBytes)
+    {
+        BOOST_LEAF_CHECK (checkPrefix (rest));
+        const std::size_t length = wordAt (rest, kLengthOffset);
+        if (rest.size() < kHeaderBytes + length)
+            break;
+        const std::string_view payload = rest.substr (kHeaderBytes, length);
+        if (wordAt (rest, kPrefixBytes) != checksumOf (rest.substr (0, kPrefixBytes), payload))
+        {
+            return base::fail (base::ErrorKind::kMessageInvalid, "frame with a bad checksum");
+        }
+        frames.push_back ({ static_cast<Channel> (rest[kChannelOffset]), std::string (payload) });
+        rest.remove_prefix (kHeaderBytes + length);
     }
-    frames.push_back({static_cast<Channel>(rest[kChannelOffset]), std::string(payload)});
-    rest.remove_prefix(kHeaderBytes + length);
-  }
-  buffer_.erase(0, buffer_.size() - rest.size());
-  return {};
+    buffer_.erase (0, buffer_.size() - rest.size());
+    return {};
 }
 
 }  // namespace fernlift::wire
--- a/src/wire/FrameConnection.h
+++ b/src/wire/FrameConnection.h
@@ -13,96 +13,104 @@
 #include "base/Time.h"
 #include "wire/Frame.h"
 
-namespace fernlift::wire {
+namespace fernlift::wire
+{
 
 /// Messages and bytes of one channel, frame headers included.
-struct ChannelTraffic {
-  std::uint64_t messagesIn = 0;
-  std::uint64_t messagesOut = 0;
-  std::uint64_t bytesIn = 0;
-  std::uint64_t bytesOut = 0;
+struct ChannelTraffic
+{
+    std::uint64_t messagesIn = 0;
+    std::uint64_t messagesOut = 0;
+    std::uint64_t bytesIn = 0;
+    std::uint64_t bytesOut = 0;
 };
 
 /// Traffic of all channels; several connections may share one.
-class FrameTraffic {
- public:
-  /// The counters of `channel`.
-  [[nodiscard]] ChannelTraffic& of(Channel channel) {
-    return channels_[static_cast<std::size_t>(channel) - 1];
-  }
-  [[nodiscard]] const ChannelTraffic& of(Channel channel) const {
-    return channels_[static_cast<std::size_t>(channel) - 1];
-  }
+class FrameTraffic
+{
+public:
+    /// The counters of `channel`.
+    [[nodiscard]] ChannelTraffic& of (Channel channel)
+    {
+        return channels_[static_cast<std::size_t> (channel) - 1];
+    }
+    [[nodiscard]] const ChannelTraffic& of (Channel channel) const
+    {
+        return channels_[static_cast<std::size_t> (channel) - 1];
+    }
 
- private:
-  static constexpr std::size_t kChannels = 3;
-  std::array<ChannelTraffic, kChannels> channels_;
+private:
+    static constexpr std::size_t kChannels = 3;
+    std::array<ChannelTraffic, kChannels> channels_;
 };
 
 /// Limits of one connection.
-struct FrameConnectionOptions {
-  /// Bytes that may wait for a peer that does not read; more closes the connection.
-  std::size_t maximumUnsentBytes = 16UL * 1024 * 1024;
-  /// The connection closes when sent bytes stay unacknowledged for this long.
-  base::Duration unacknowledgedTimeout = base::milliseconds(3000);
-  /// `connectTo` gives up after this long.
-  base::Duration connectTimeout = base::milliseconds(1000);
-  /// The connection closes when nothing is received for this long; zero: never.
-  base::Duration idleTimeout{};
+struct FrameConnectionOptions
+{
+    /// Bytes that may wait for a peer that does not read; more closes the connection.
+    std::size_t maximumUnsentBytes = 16UL * 1024 * 1024;
+    /// The connection closes when sent bytes stay unacknowledged for this long.
+    base::Duration unacknowledgedTimeout = base::milliseconds (3000);
+    /// `connectTo` gives up after this long.
+    base::Duration connectTimeout = base::milliseconds (1000);
+    /// The connection closes when nothing is received for this long; zero: never.
+    base::Duration idleTimeout{};
 };
 
 /// Sends and receives frames over one socket. Handlers run on the thread of the event loop and may
 /// destroy the connection. `onClosed` is called at most once, never from within `send`, and not
 /// after `close`.
-class FrameConnection {
- public:
-  struct Handlers {
-    std::function<void()> onConnected;  ///< Only for connections made by `connectTo`.
-    std::function<void(Frame frame)> onFrame;
-    std::function<void()> onClosed;
-  };
+class FrameConnection
+{
+public:
+    struct Handlers
+    {
+        std::function<void()> onConnected;  ///< Only for connections made by `connectTo`.
+        std::function<void (Frame frame)> onFrame;
+        std::function<void()> onClosed;
+    };
 
-  /// Takes over a connected socket. `traffic` may be null and must outlive the connection.
-  FrameConnection(std::unique_ptr<QTcpSocket> socket, FrameConnectionOptions options,
-                  Handlers handlers, FrameTraffic* traffic);
-  ~FrameConnection();
-  FrameConnection(const FrameConnection&) = delete;
-  FrameConnection& operator=(const FrameConnection&) = delete;
+    /// Takes over a connected socket. `traffic` may be null and must outlive the connection.
+    FrameConnection (std::unique_ptr<QTcpSocket> socket, FrameConnectionOptions options,
+                     Handlers handlers, FrameTraffic* traffic);
+    ~FrameConnection();
+    FrameConnection (const FrameConnection&) = delete;
+    FrameConnection& operator= (const FrameConnection&) = delete;
 
-  /// Begins to connect to `address`; `onConnected` or `onClosed` follows.
-  static std::unique_ptr<FrameConnection> connectTo(const base::SocketAddress& address,
-                                                    FrameConnectionOptions options,
-                                                    Handlers handlers, FrameTraffic* traffic);
+    /// Begins to connect to `address`; `onConnected` or `onClosed` follows.
+    static std::unique_ptr<FrameConnection> connectTo (const base::SocketAddress& address,
+                                                       FrameConnectionOptions options,
+                                                       Handlers handlers, FrameTraffic* traffic);
 
-  /// Queues one frame. Does nothing when the connection isn't open; closes it when too many bytes
-  /// wait already.
-  void send(Channel channel, std::string_view payload);
-  /// Closes at once, without a call of `onClosed`. Frames not yet sent may be lost.
-  void close();
-  [[nodiscard]] bool isOpen() const;
-  /// Bytes that wait for the peer to read.
-  [[nodiscard]] std::size_t unsentBytes() const;
+    /// Queues one frame. Does nothing when the connection isn't open; closes it when too many bytes
+    /// wait already.
+    void send (Channel channel, std::string_view payload);
+    /// Closes at once, without a call of `onClosed`. Frames not yet sent may be lost.
+    void close();
+    [[nodiscard]] bool isOpen() const;
+    /// Bytes that wait for the peer to read.
+    [[nodiscard]] std::size_t unsentBytes() const;
 
- private:
-  void connectSignals();
-  void configureSocket();
-  /// Runs `step` from the event loop after `delay`, unless the connection is closed by then.
-  void runLater(base::Duration delay, void (FrameConnection::*step)());
-  void readFrames();
-  void deliver(std::vector<Frame>& frames);
-  void closeAndReport();
-  void closeUnlessConnected();
-  void closeWhenSilent();
+private:
+    void connectSignals();
+    void configureSocket();
+    /// Runs `step` from the event loop after `delay`, unless the connection is closed by then.
+    void runLater (base::Duration delay, void (FrameConnection::*step)());
+    void readFrames();
+    void deliver (std::vector<Frame>& frames);
+    void closeAndReport();
+    void closeUnlessConnected();
+    void closeWhenSilent();
 
-  std::unique_ptr<QTcpSocket> socket_;
-  FrameConnectionOptions options_;
-  Handlers handlers_;
-  FrameTraffic* traffic_;
-  FrameReader reader_;
-  bool isClosed_ = false;
-  bool hasReceivedSinceWatch_ = false;
-  /// Expires with the connection, so that handlers may destroy it.
-  std::shared_ptr<bool> lifetime_ = std::make_shared<bool>(true);
+    std::unique_ptr<QTcpSocket> socket_;
+    FrameConnectionOptions options_;
+    Handlers handlers_;
+    FrameTraffic* traffic_;
+    FrameReader reader_;
+    bool isClosed_ = false;
+    bool hasReceivedSinceWatch_ = false;
+    /// Expires with the connection, so that handlers may destroy it.
+    std::shared_ptr<bool> lifetime_ = std::make_shared<bool> (true);
 };
 
 }  // namespace fernlift::wire
--- a/src/wire/FrameConnectionTest.cpp
+++ b/src/wire/FrameConnectionTest.cpp
@@ -6,144 +6,163 @@
 
 #include "wire/FrameConnection.h"
 
-namespace fernlift::wire {
-namespace {
+namespace fernlift::wire
+{
+namespace
+{
 
 constexpr int kGuardMilliseconds = 20000;
 
 /// One connected pair of frame connections over a real socket.
-class FrameConnectionTest : public testing::Test {
- protected:
-  FrameConnectionTest() {
-    if (QCoreApplication::instance() == nullptr) {
-      static int argc = 1;
-      static char name[] = "wire_test";
-      static char* argv[] = {name, nullptr};
-      static QCoreApplication application(argc, argv);
+class FrameConnectionTest : public testing::Test
+{
+protected:
+    FrameConnectionTest()
+    {
+        if (QCoreApplication::instance() == nullptr)
+        {
+            static int argc = 1;
+            static char name[] = "wire_test";
+            static char* argv[] = { name, nullptr };
+            static QCoreApplication application (argc, argv);
+        }
+        server_.listen (QHostAddress::LocalHost, 0);
     }
-    server_.listen(QHostAddress::LocalHost, 0);
-  }
 
-  base::SocketAddress address() const { return {"127.0.0.1", server_.serverPort()}; }
-
-  template <class Condition>
-  bool waitFor(Condition condition) {
-    const QDeadlineTimer deadline(kGuardMilliseconds);
-    while (!condition() && !deadline.hasExpired()) {
-      QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 20);
+    base::SocketAddress address() const { return { "127.0.0.1", server_.serverPort() }; }
+
+    template <class Condition>
+    bool waitFor (Condition condition)
+    {
+        const QDeadlineTimer deadline (kGuardMilliseconds);
+        while (! condition() && ! deadline.hasExpired())
+        {
+            QCoreApplication::processEvents (QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents,
+                                             20);
+        }
+        return condition();
     }
-    return condition();
-  }
 
-  std::unique_ptr<QTcpSocket> acceptSocket() {
-    EXPECT_TRUE(waitFor([&] { return server_.hasPendingConnections(); }));
-    QTcpSocket* socket = server_.nextPendingConnection();
-    socket->setParent(nullptr);
-    return std::unique_ptr<QTcpSocket>(socket);
-  }
+    std::unique_ptr<QTcpSocket> acceptSocket()
+    {
+        EXPECT_TRUE (waitFor ([&] { return server_.hasPendingConnections(); }));
+        QTcpSocket* socket = server_.nextPendingConnection();
+        socket->setParent (nullptr);
+        return std::unique_ptr<QTcpSocket> (socket);
+    }
 
-  QTcpServer server_;
+    QTcpServer server_;
 };
 
-TEST_F(FrameConnectionTest, carriesFramesBothWaysInOrderAndCountsThem) {
-  std::vector<std::string> atServer;
-  std::vector<std::string> atClient;
-  FrameTraffic clientTraffic;
-  FrameTraffic serverTraffic;
-  auto client = FrameConnection::connectTo(
-      address(), {}, {{}, [&](const Frame& frame) { atClient.push_back(frame.payload); }, {}},
-      &clientTraffic);
-  FrameConnection server(acceptSocket(), {},
-                         {{}, [&](const Frame& frame) { atServer.push_back(frame.payload); }, {}},
-                         &serverTraffic);
-  ASSERT_TRUE(waitFor([&] { return client->isOpen(); }));
-  const std::string large(3'000'000, 'x');
-  client->send(Channel::kRouterToController, "first");
-  client->send(Channel::kRouterToController, large);
-  client->send(Channel::kMember, "last");
-  server.send(Channel::kControllerToRouter, "back");
-  ASSERT_TRUE(waitFor([&] { return atServer.size() == 3 && atClient.size() == 1; }));
-  EXPECT_EQ(atServer, (std::vector<std::string>{"first", large, "last"}));
-  EXPECT_EQ(serverTraffic.of(Channel::kRouterToController).messagesIn, 2U);
-  EXPECT_EQ(serverTraffic.of(Channel::kRouterToController).bytesIn,
-            clientTraffic.of(Channel::kRouterToController).bytesOut);
-  EXPECT_EQ(clientTraffic.of(Channel::kMember).messagesOut, 1U);
-  EXPECT_EQ(clientTraffic.of(Channel::kControllerToRouter).messagesIn, 1U);
+TEST_F (FrameConnectionTest, carriesFramesBothWaysInOrderAndCountsThem)
+{
+    std::vector<std::string> atServer;
+    std::vector<std::string> atClient;
+    FrameTraffic clientTraffic;
+    FrameTraffic serverTraffic;
+    auto client = FrameConnection::connectTo (
+        address(), {}, { {}, [&] (const Frame& frame) { atClient.push_back (frame.payload); }, {} },
+        &clientTraffic);
+    FrameConnection server (
+        acceptSocket(), {},
+        { {}, [&] (const Frame& frame) { atServer.push_back (frame.payload); }, {} },
+        &serverTraffic);
+    ASSERT_TRUE (waitFor ([&] { return client->isOpen(); }));
+    const std::string large (3'000'000, 'x');
+    client->send (Channel::kRouterToController, "first");
+    client->send (Channel::kRouterToController, large);
+    client->send (Channel::kMember, "last");
+    server.send (Channel::kControllerToRouter, "back");
+    ASSERT_TRUE (waitFor ([&] { return atServer.size() == 3 && atClient.size() == 1; }));
+    EXPECT_EQ (atServer, (std::vector<std::string>{ "first", large, "last" }));
+    EXPECT_EQ (serverTraffic.of (Channel::kRouterToController).messagesIn, 2U);
+    EXPECT_EQ (serverTraffic.of (Channel::kRouterToController).bytesIn,
+               clientTraffic.of (Channel::kRouterToController).bytesOut);
+    EXPECT_EQ (clientTraffic.of (Channel::kMember).messagesOut, 1U);
+    EXPECT_EQ (clientTraffic.of (Channel::kControllerToRouter).messagesIn, 1U);
 }
 
-TEST_F(FrameConnectionTest, closesWhenThePeerSendsSomethingElse) {
-  QTcpSocket raw;
-  raw.connectToHost(QHostAddress::LocalHost, server_.serverPort());
-  int closed = 0;
-  FrameConnection server(acceptSocket(), {}, {{}, {}, [&] { ++closed; }}, nullptr);
-  raw.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-  EXPECT_TRUE(waitFor([&] { return closed == 1; }));
-  EXPECT_FALSE(server.isOpen());
+TEST_F (FrameConnectionTest, closesWhenThePeerSendsSomethingElse)
+{
+    QTcpSocket raw;
+    raw.connectToHost (QHostAddress::LocalHost, server_.serverPort());
+    int closed = 0;
+    FrameConnection server (acceptSocket(), {}, { {}, {}, [&] { ++closed; } }, nullptr);
+    raw.write ("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE (waitFor ([&] { return closed == 1; }));
+    EXPECT_FALSE (server.isOpen());
 }
 
-TEST_F(FrameConnectionTest, closesWhenThePeerDoesNotRead) {
-  QTcpSocket raw;
-  raw.setReadBufferSize(1);
-  raw.connectToHost(QHostAddress::LocalHost, server_.serverPort());
-  int closed = 0;
-  FrameConnectionOptions options;
-  options.maximumUnsentBytes = 1024UL * 1024;
-  FrameConnection server(acceptSocket(), options, {{}, {}, [&] { ++closed; }}, nullptr);
-  const std::string payload(256UL * 1024, 'x');
-  constexpr std::size_t kMostBytes = 256UL * 1024 * 1024;
-  std::size_t sent = 0;
-  while (closed == 0 && sent < kMostBytes) {
-    server.send(Channel::kMember, payload);
-    sent += payload.size();
-    EXPECT_LE(server.unsentBytes(), options.maximumUnsentBytes + 2 * payload.size());
-    QCoreApplication::processEvents();
-  }
-  EXPECT_EQ(closed, 1);
+TEST_F (FrameConnectionTest, closesWhenThePeerDoesNotRead)
+{
+    QTcpSocket raw;
+    raw.setReadBufferSize (1);
+    raw.connectToHost (QHostAddress::LocalHost, server_.serverPort());
+    int closed = 0;
+    FrameConnectionOptions options;
+    options.maximumUnsentBytes = 1024UL * 1024;
+    FrameConnection server (acceptSocket(), options, { {}, {}, [&] { ++closed; } }, nullptr);
+    const std::string payload (256UL * 1024, 'x');
+    constexpr std::size_t kMostBytes = 256UL * 1024 * 1024;
+    std::size_t sent = 0;
+    while (closed == 0 && sent < kMostBytes)
+    {
+        server.send (Channel::kMember, payload);
+        sent += payload.size();
+        EXPECT_LE (server.unsentBytes(), options.maximumUnsentBytes + 2 * payload.size());
+        QCoreApplication::processEvents();
+    }
+    EXPECT_EQ (closed, 1);
 }
 
-TEST_F(FrameConnectionTest, reportsARefusedConnection) {
-  const base::SocketAddress unused = address();
-  server_.close();
-  int closed = 0;
-  auto client = FrameConnection::connectTo(unused, {}, {{}, {}, [&] { ++closed; }}, nullptr);
-  EXPECT_TRUE(waitFor([&] { return closed == 1; }));
+TEST_F (FrameConnectionTest, reportsARefusedConnection)
+{
+    const base::SocketAddress unused = address();
+    server_.close();
+    int closed = 0;
+    auto client = FrameConnection::connectTo (unused, {}, { {}, {}, [&] { ++closed; } }, nullptr);
+    EXPECT_TRUE (waitFor ([&] { return closed == 1; }));
 }
 
-TEST_F(FrameConnectionTest, closesWhenThePeerIsSilentForTooLong) {
-  auto client = FrameConnection::connectTo(address(), {}, {}, nullptr);
-  FrameConnectionOptions options;
-  options.idleTimeout = base::milliseconds(30);
-  int closed = 0;
-  FrameConnection server(acceptSocket(), options, {{}, {}, [&] { ++closed; }}, nullptr);
-  EXPECT_TRUE(waitFor([&] { return closed == 1 && !client->isOpen(); }));
+TEST_F (FrameConnectionTest, closesWhenThePeerIsSilentForTooLong)
+{
+    auto client = FrameConnection::connectTo (address(), {}, {}, nullptr);
+    FrameConnectionOptions options;
+    options.idleTimeout = base::milliseconds (30);
+    int closed = 0;
+    FrameConnection server (acceptSocket(), options, { {}, {}, [&] { ++closed; } }, nullptr);
+    EXPECT_TRUE (waitFor ([&] { return closed == 1 && ! client->isOpen(); }));
 }
 
-TEST_F(FrameConnectionTest, mayBeDestroyedByItsOwnHandler) {
-  auto client = FrameConnection::connectTo(address(), {}, {}, nullptr);
-  int received = 0;
-  std::unique_ptr<FrameConnection> server;
-  server = std::make_unique<FrameConnection>(acceptSocket(), FrameConnectionOptions{},
-                                             FrameConnection::Handlers{{},
-                                                                       [&](const Frame&) {
-                                                                         ++received;
-                                                                         server.reset();
-                                                                       },
-                                                                       {}},
-                                             nullptr);
-  ASSERT_TRUE(waitFor([&] { return client->isOpen(); }));
-  client->send(Channel::kMember, "one");
-  client->send(Channel::kMember, "two");
-  EXPECT_TRUE(waitFor([&] { return received == 1 && !client->isOpen(); }));
-  EXPECT_EQ(received, 1);
+TEST_F (FrameConnectionTest, mayBeDestroyedByItsOwnHandler)
+{
+    auto client = FrameConnection::connectTo (address(), {}, {}, nullptr);
+    int received = 0;
+    std::unique_ptr<FrameConnection> server;
+    server = std::make_unique<FrameConnection> (acceptSocket(), FrameConnectionOptions{},
+                                                FrameConnection::Handlers{ {},
+                                                                           [&] (const Frame&)
+                                                                           {
+                                                                               ++received;
+                                                                               server.reset();
+                                                                           },
+                                                                           {} },
+                                                nullptr);
+    ASSERT_TRUE (waitFor ([&] { return client->isOpen(); }));
+    client->send (Channel::kMember, "one");
+    client->send (Channel::kMember, "two");
+    EXPECT_TRUE (waitFor ([&] { return received == 1 && ! client->isOpen(); }));
+    EXPECT_EQ (received, 1);
 }
 
-TEST_F(FrameConnectionTest, reportsTheEndOfThePeer) {
-  auto client = FrameConnection::connectTo(address(), {}, {}, nullptr);
-  int closed = 0;
-  FrameConnection server(acceptSocket(), {}, {{}, {}, [&] { ++closed; }}, nullptr);
-  ASSERT_TRUE(waitFor([&] { return client->isOpen(); }));
-  client.reset();
-  EXPECT_TRUE(waitFor([&] { return closed == 1; }));
+TEST_F (FrameConnectionTest, reportsTheEndOfThePeer)
+{
+    auto client = FrameConnection::connectTo (address(), {}, {}, nullptr);
+    int closed = 0;
+    FrameConnection server (acceptSocket(), {}, { {}, {}, [&] { ++closed; } }, nullptr);
+    ASSERT_TRUE (waitFor ([&] { return client->isOpen(); }));
+    client.reset();
+    EXPECT_TRUE (waitFor ([&] { return closed == 1; }));
 }
 
 }  // namespace
