--- a/src/admission/AdmissionQueues.cpp
+++ b/src/admission/AdmissionQueues.cpp
@@ -7,8 +7,8 @@
 
 bool AdmissionQueues::hasRoom (const std::string& target, std::size_t bytes) const
 {
-    return places_.size() < limits_.requests && bytes_ + bytes <= limits_.bytes
-           && countWaiting (target) < limits_.requestsPerTarget;
+    return m_places.size() < m_limits.requests && m_bytes + bytes <= m_limits.bytes
+           && countWaiting (target) < m_limits.requestsPerTarget;
 }
 
 /// Whether there would be room if all less urgent requests gave way.
@@ -16,24 +16,24 @@
 {
     std::size_t staying = 0;
     std::size_t bytesStaying = 0;
-    for (const auto& [queueUrgency, queues] : queues_)
+    for (const auto& [queueUrgency, queues] : m_queues)
     {
         if (queueUrgency > urgency)
             break;
         for (const auto& [name, queue] : queues)
             staying += queue.size();
-        bytesStaying += bytesOfUrgency_.at (queueUrgency);
+        bytesStaying += m_bytesOfUrgency.at (queueUrgency);
     }
-    return staying < limits_.requests && bytesStaying + bytes <= limits_.bytes
-           && countAhead (target, urgency) < limits_.requestsPerTarget;
+    return staying < m_limits.requests && bytesStaying + bytes <= m_limits.bytes
+           && countAhead (target, urgency) < m_limits.requestsPerTarget;
 }
 
 /// The request to displace for one of `urgency`: of the same target when only the target's own
 /// bound is reached.
 std::optional<Ticket> AdmissionQueues::leastUrgent (const std::string& target, int urgency) const
 {
-    const bool isTargetFull = countWaiting (target) >= limits_.requestsPerTarget;
-    for (auto entry = queues_.rbegin(); entry != queues_.rend(); ++entry)
+    const bool isTargetFull = countWaiting (target) >= m_limits.requestsPerTarget;
+    for (auto entry = m_queues.rbegin(); entry != m_queues.rend(); ++entry)
     {
         if (entry->first <= urgency)
             return std::nullopt;
@@ -75,17 +75,17 @@
 void AdmissionQueues::pushAgain (const std::string& target, int urgency,
                                  const QueuedRequest& request)
 {
-    queues_[urgency][target].push (request);
-    places_[request.ticket] = Place{ target, urgency, request.bytes };
-    waitingOfTarget_[target] += 1;
-    bytesOfUrgency_[urgency] += request.bytes;
-    bytes_ += request.bytes;
+    m_queues[urgency][target].push (request);
+    m_places[request.ticket] = Place{ target, urgency, request.bytes };
+    m_waitingOfTarget[target] += 1;
+    m_bytesOfUrgency[urgency] += request.bytes;
+    m_bytes += request.bytes;
 }
 
 std::optional<Ticket> AdmissionQueues::front (const std::string& target, int urgency) const
 {
-    const auto queues = queues_.find (urgency);
-    if (queues == queues_.end())
+    const auto queues = m_queues.find (urgency);
+    if (queues == m_queues.end())
         return std::nullopt;
     const auto queue = queues->second.find (target);
     return queue == queues->second.end() ? std::nullopt : queue->second.front();
@@ -93,14 +93,14 @@
 
 void AdmissionQueues::takeOut (Ticket ticket, bool isServed)
 {
-    const auto entry = places_.find (ticket);
+    const auto entry = m_places.find (ticket);
     const Place place = entry->second;
-    TargetQueues& queues = queues_.at (place.urgency);
+    TargetQueues& queues = m_queues.at (place.urgency);
     RequestQueue& queue = queues.at (place.target);
     if (isServed)
     {
         queue.popServed (ticket);
-        lastServed_[place.urgency] = place.target;
+        m_lastServed[place.urgency] = place.target;
     }
     else
     {
@@ -109,24 +109,24 @@
     if (queue.empty())
         queues.erase (place.target);
     if (queues.empty())
-        queues_.erase (place.urgency);
-    const auto waiting = waitingOfTarget_.find (place.target);
+        m_queues.erase (place.urgency);
+    const auto waiting = m_waitingOfTarget.find (place.target);
     if (--waiting->second == 0)
-        waitingOfTarget_.erase (waiting);
-    bytesOfUrgency_.at (place.urgency) -= place.bytes;
-    bytes_ -= place.bytes;
-    places_.erase (entry);
+        m_waitingOfTarget.erase (waiting);
+    m_bytesOfUrgency.at (place.urgency) -= place.bytes;
+    m_bytes -= place.bytes;
+    m_places.erase (entry);
 }
 
 void AdmissionQueues::popServed (Ticket ticket)
 {
-    if (places_.contains (ticket))
+    if (m_places.contains (ticket))
         takeOut (ticket, true);
 }
 
 bool AdmissionQueues::remove (Ticket ticket)
 {
-    if (! places_.contains (ticket))
+    if (! m_places.contains (ticket))
         return false;
     takeOut (ticket, false);
     return true;
@@ -135,13 +135,13 @@
 std::vector<std::string> AdmissionQueues::targetsWaiting (int urgency) const
 {
     std::vector<std::string> targets;
-    const auto queues = queues_.find (urgency);
-    if (queues == queues_.end())
+    const auto queues = m_queues.find (urgency);
+    if (queues == m_queues.end())
         return targets;
     for (const auto& [target, queue] : queues->second)
         targets.push_back (target);
-    const auto last = lastServed_.find (urgency);
-    if (last == lastServed_.end())
+    const auto last = m_lastServed.find (urgency);
+    if (last == m_lastServed.end())
         return targets;
     const auto next = std::upper_bound (targets.begin(), targets.end(), last->second);
     std::rotate (targets.begin(), next, targets.end());
@@ -151,7 +151,7 @@
 std::vector<int> AdmissionQueues::urgenciesWaiting() const
 {
     std::vector<int> urgencies;
-    for (const auto& [urgency, queues] : queues_)
+    for (const auto& [urgency, queues] : m_queues)
         urgencies.push_back (urgency);
     return urgencies;
 }
@@ -159,7 +159,7 @@
 std::size_t AdmissionQueues::countAhead (const std::string& target, int urgency) const
 {
     std::size_t count = 0;
-    for (const auto& [queueUrgency, queues] : queues_)
+    for (const auto& [queueUrgency, queues] : m_queues)
     {
         if (queueUrgency > urgency)
             break;
@@ -173,7 +173,7 @@
 std::vector<Ticket> AdmissionQueues::inServiceOrder (const std::string& target) const
 {
     std::vector<Ticket> order;
-    for (const auto& [urgency, queues] : queues_)
+    for (const auto& [urgency, queues] : m_queues)
     {
         const auto queue = queues.find (target);
         if (queue == queues.end())
@@ -187,15 +187,15 @@
 std::vector<std::string> AdmissionQueues::targetsWaiting() const
 {
     std::vector<std::string> targets;
-    for (const auto& [target, count] : waitingOfTarget_)
+    for (const auto& [target, count] : m_waitingOfTarget)
         targets.push_back (target);
     return targets;
 }
 
 std::size_t AdmissionQueues::countWaiting (const std::string& target) const
 {
-    const auto waiting = waitingOfTarget_.find (target);
-    return waiting == waitingOfTarget_.end() ? 0 : waiting->second;
+    const auto waiting = m_waitingOfTarget.find (target);
+    return waiting == m_waitingOfTarget.end() ? 0 : waiting->second;
 }
 
 }  // namespace fernlift::admission
--- a/src/admission/AdmissionQueues.h
+++ b/src/admission/AdmissionQueues.h
@@ -33,7 +33,7 @@
 class AdmissionQueues
 {
 public:
-    explicit AdmissionQueues (QueueLimits limits) : limits_ (limits) {}
+    explicit AdmissionQueues (QueueLimits limits) : m_limits (limits) {}
 
     /// Adds a request. Without room, the least urgent waiting requests give way if they are less
     /// urgent than this one and that makes room enough; otherwise it is not accepted.
@@ -55,8 +55,8 @@
     [[nodiscard]] std::vector<Ticket> inServiceOrder (const std::string& target) const;
     /// Targets with waiting requests.
     [[nodiscard]] std::vector<std::string> targetsWaiting() const;
-    [[nodiscard]] std::size_t size() const { return places_.size(); }
-    [[nodiscard]] std::size_t bytes() const { return bytes_; }
+    [[nodiscard]] std::size_t size() const { return m_places.size(); }
+    [[nodiscard]] std::size_t bytes() const { return m_bytes; }
 
 private:
     struct Place
@@ -73,13 +73,13 @@
     [[nodiscard]] std::optional<Ticket> leastUrgent (const std::string& target, int urgency) const;
     void takeOut (Ticket ticket, bool isServed);
 
-    QueueLimits limits_;
-    std::map<int, TargetQueues> queues_;
-    std::map<Ticket, Place> places_;
-    std::map<std::string, std::size_t> waitingOfTarget_;
-    std::map<int, std::size_t> bytesOfUrgency_;
-    std::map<int, std::string> lastServed_;
-    std::size_t bytes_ = 0;
+    QueueLimits m_limits;
+    std::map<int, TargetQueues> m_queues;
+    std::map<Ticket, Place> m_places;
+    std::map<std::string, std::size_t> m_waitingOfTarget;
+    std::map<int, std::size_t> m_bytesOfUrgency;
+    std::map<int, std::string> m_lastServed;
+    std::size_t m_bytes = 0;
 };
 
 }  // namespace fernlift::admission
--- a/src/admission/RequestQueue.cpp
+++ b/src/admission/RequestQueue.cpp
@@ -12,63 +12,63 @@
 
 void RequestQueue::push (const QueuedRequest& request)
 {
-    const auto [entry, isNew] = callers_.try_emplace (request.caller);
+    const auto [entry, isNew] = m_callers.try_emplace (request.caller);
     Caller& caller = entry->second;
     if (isNew)
     {
-        caller.turns = currentTurn_ + (servedThisTurn_.contains (request.caller) ? 1 : 0);
+        caller.turns = m_currentTurn + (m_servedThisTurn.contains (request.caller) ? 1 : 0);
     }
     else
     {
-        turns_.erase (turnOf (request.caller, caller));
+        m_turns.erase (turnOf (request.caller, caller));
     }
     caller.byDeadline.emplace (request.deadline, request.ticket);
-    turns_.insert (turnOf (request.caller, caller));
-    requests_[request.ticket] = request;
+    m_turns.insert (turnOf (request.caller, caller));
+    m_requests[request.ticket] = request;
 }
 
 std::optional<Ticket> RequestQueue::front() const
 {
-    if (turns_.empty())
+    if (m_turns.empty())
         return std::nullopt;
-    return callers_.at (std::get<std::string> (*turns_.begin())).byDeadline.begin()->second;
+    return m_callers.at (std::get<std::string> (*m_turns.begin())).byDeadline.begin()->second;
 }
 
 void RequestQueue::takeOut (Ticket ticket, std::uint64_t turnsUsed)
 {
-    const auto request = requests_.find (ticket);
+    const auto request = m_requests.find (ticket);
     const std::string name = request->second.caller;
-    Caller& caller = callers_.at (name);
-    turns_.erase (turnOf (name, caller));
-    if (turnsUsed > 0 && caller.turns > currentTurn_)
+    Caller& caller = m_callers.at (name);
+    m_turns.erase (turnOf (name, caller));
+    if (turnsUsed > 0 && caller.turns > m_currentTurn)
     {
-        currentTurn_ = caller.turns;
-        servedThisTurn_.clear();
+        m_currentTurn = caller.turns;
+        m_servedThisTurn.clear();
     }
     caller.turns += turnsUsed;
     caller.byDeadline.erase ({ request->second.deadline, ticket });
-    requests_.erase (request);
+    m_requests.erase (request);
     if (caller.byDeadline.empty())
     {
-        if (caller.turns > currentTurn_)
-            servedThisTurn_.insert (name);
-        callers_.erase (name);
+        if (caller.turns > m_currentTurn)
+            m_servedThisTurn.insert (name);
+        m_callers.erase (name);
     }
     else
     {
-        turns_.insert (turnOf (name, caller));
+        m_turns.insert (turnOf (name, caller));
     }
 }
 
 void RequestQueue::popServed (Ticket ticket)
 {
-    if (requests_.contains (ticket))
+    if (m_requests.contains (ticket))
         takeOut (ticket, 1);
 }
 
 bool RequestQueue::remove (Ticket ticket)
 {
-    if (! requests_.contains (ticket))
+    if (! m_requests.contains (ticket))
         return false;
     takeOut (ticket, 0);
     return true;
@@ -77,8 +77,8 @@
 std::vector<Ticket> RequestQueue::inServiceOrder() const
 {
     std::vector<Ticket> order;
-    std::map<std::string, Caller> left = callers_;
-    std::set<Turn> turns = turns_;
+    std::map<std::string, Caller> left = m_callers;
+    std::set<Turn> turns = m_turns;
     while (! turns.empty())
     {
         const std::string name = std::get<std::string> (*turns.begin());
@@ -96,10 +96,10 @@
 std::optional<Ticket> RequestQueue::lastToServe() const
 {
     const auto largest = std::max_element (
-        callers_.begin(), callers_.end(),
+        m_callers.begin(), m_callers.end(),
         [] (const auto& left, const auto& right)
         { return left.second.byDeadline.size() < right.second.byDeadline.size(); });
-    if (largest == callers_.end())
+    if (largest == m_callers.end())
         return std::nullopt;
     return largest->second.byDeadline.rbegin()->second;
 }
--- a/src/admission/RequestQueue.h
+++ b/src/admission/RequestQueue.h
@@ -48,8 +48,8 @@
     /// All requests in the order in which they would be served if none came or went.
     [[nodiscard]] std::vector<Ticket> inServiceOrder() const;
 
-    [[nodiscard]] std::size_t size() const { return requests_.size(); }
-    [[nodiscard]] bool empty() const { return requests_.empty(); }
+    [[nodiscard]] std::size_t size() const { return m_requests.size(); }
+    [[nodiscard]] bool empty() const { return m_requests.empty(); }
 
 private:
     struct Caller
@@ -63,12 +63,12 @@
     [[nodiscard]] static Turn turnOf (const std::string& name, const Caller& caller);
     void takeOut (Ticket ticket, std::uint64_t turnsUsed);
 
-    std::map<Ticket, QueuedRequest> requests_;
-    std::map<std::string, Caller> callers_;
-    std::set<Turn> turns_;
-    std::uint64_t currentTurn_ = 0;
+    std::map<Ticket, QueuedRequest> m_requests;
+    std::map<std::string, Caller> m_callers;
+    std::set<Turn> m_turns;
+    std::uint64_t m_currentTurn = 0;
     /// Callers without waiting requests that have used their turn.
-    std::set<std::string> servedThisTurn_;
+    std::set<std::string> m_servedThisTurn;
 };
 
 }  // namespace fernlift::admission
--- a/src/admission/SlotReservation.cpp
+++ b/src/admission/SlotReservation.cpp
@@ -12,14 +12,14 @@
     {
         if (requestClass.reservedSlotShare <= 0)
             continue;
-        shares_[requestClass.urgency] += requestClass.reservedSlotShare;
+        m_shares[requestClass.urgency] += requestClass.reservedSlotShare;
     }
 }
 
 std::uint32_t SlotReservation::reservedSlots (int urgency, std::uint32_t capacity) const
 {
-    const auto share = shares_.find (urgency);
-    if (share == shares_.end())
+    const auto share = m_shares.find (urgency);
+    if (share == m_shares.end())
         return 0;
     return static_cast<std::uint32_t> (std::lround (share->second * capacity));
 }
@@ -28,7 +28,7 @@
                                          const InFlightByUrgency& inFlight) const
 {
     std::uint32_t kept = 0;
-    for (const auto& entry : shares_)
+    for (const auto& entry : m_shares)
     {
         const int moreUrgent = entry.first;
         if (moreUrgent >= urgency)
--- a/src/admission/SlotReservation.h
+++ b/src/admission/SlotReservation.h
@@ -26,7 +26,7 @@
     [[nodiscard]] bool mayStart (int urgency, std::uint32_t capacity, std::uint32_t used,
                                  const InFlightByUrgency& inFlight) const;
     /// Whether a class of this urgency has reserved slots.
-    [[nodiscard]] bool hasReservation (int urgency) const { return shares_.contains (urgency); }
+    [[nodiscard]] bool hasReservation (int urgency) const { return m_shares.contains (urgency); }
     /// Slots of `capacity` that are reserved for this urgency.
     [[nodiscard]] std::uint32_t reservedSlots (int urgency, std::uint32_t capacity) const;
 
@@ -34,7 +34,7 @@
     [[nodiscard]] std::uint32_t keptFree (int urgency, std::uint32_t capacity,
                                           const InFlightByUrgency& inFlight) const;
 
-    std::map<int, double> shares_;  ///< By urgency; several classes of one urgency add up.
+    std::map<int, double> m_shares;  ///< By urgency; several classes of one urgency add up.
 };
 
 }  // namespace fernlift::admission
--- a/src/admission/WaitEstimator.cpp
+++ b/src/admission/WaitEstimator.cpp
@@ -15,7 +15,7 @@
 
 void WaitEstimator::onDispatch (const std::string& target, bool othersWait, base::TimePoint now)
 {
-    Pace& pace = paces_[target];
+    Pace& pace = m_paces[target];
     if (pace.lastDispatch)
     {
         const auto interval = static_cast<double> ((now - *pace.lastDispatch).count());
@@ -31,8 +31,8 @@
 
 void WaitEstimator::onQueueEmpty (const std::string& target)
 {
-    const auto pace = paces_.find (target);
-    if (pace != paces_.end())
+    const auto pace = m_paces.find (target);
+    if (pace != m_paces.end())
         pace->second.lastDispatch.reset();
 }
 
@@ -40,8 +40,8 @@
                                                          std::size_t ahead,
                                                          base::TimePoint now) const
 {
-    const auto entry = paces_.find (target);
-    if (entry == paces_.end() || entry->second.samples < kSamplesNeeded)
+    const auto entry = m_paces.find (target);
+    if (entry == m_paces.end() || entry->second.samples < kSamplesNeeded)
         return std::nullopt;
     const Pace& pace = entry->second;
     const bool isOld = ! pace.lastDispatch && now - pace.lastSampleAt > kSamplesKept;
--- a/src/admission/WaitEstimator.h
+++ b/src/admission/WaitEstimator.h
@@ -36,7 +36,7 @@
         base::TimePoint lastSampleAt{};
     };
 
-    std::map<std::string, Pace> paces_;
+    std::map<std::string, Pace> m_paces;
 };
 
 }  // namespace fernlift::admission
--- a/src/base/Random.h
+++ b/src/base/Random.h
@@ -15,27 +15,27 @@
 class Random
 {
 public:
-    explicit Random (std::uint64_t seed) : engine_ (seed) {}
+    explicit Random (std::uint64_t seed) : m_engine (seed) {}
 
     /// A whole number from `low` to `high`, both included. Requires low <= high.
     std::int64_t uniformInteger (std::int64_t low, std::int64_t high)
     {
-        return boost::random::uniform_int_distribution<std::int64_t> (low, high) (engine_);
+        return boost::random::uniform_int_distribution<std::int64_t> (low, high) (m_engine);
     }
     /// A real number in [0, 1).
-    double uniformReal() { return boost::random::uniform_01<double>() (engine_); }
+    double uniformReal() { return boost::random::uniform_01<double>() (m_engine); }
     /// True with the given probability.
     bool chance (double probability) { return uniformReal() < probability; }
     /// A draw from the exponential distribution with the given mean.
     double exponential (double mean)
     {
-        return boost::random::exponential_distribution<double> (1.0 / mean) (engine_);
+        return boost::random::exponential_distribution<double> (1.0 / mean) (m_engine);
     }
     /// 64 random bits.
-    std::uint64_t bits() { return engine_(); }
+    std::uint64_t bits() { return m_engine(); }
 
 private:
-    boost::random::mt19937_64 engine_;
+    boost::random::mt19937_64 m_engine;
 };
 
 }  // namespace fernlift::base
--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -76,11 +76,11 @@
 
 ApplyResult CellState::apply (base::LogIndex index, const Command& command)
 {
-    appliedIndex_ = index;
+    m_appliedIndex = index;
     return std::visit (
         [&] (const auto& value)
         {
-            time_ = std::max (time_, value.proposedAt);
+            m_time = std::max (m_time, value.proposedAt);
             return applyCommand (index, value);
         },
         command);
@@ -88,7 +88,7 @@
 
 ApplyResult CellState::applyCommand (base::LogIndex index, const ApplyConfiguration& command)
 {
-    ConfigurationResult result = configuration_.apply (index, command);
+    ConfigurationResult result = m_configuration.apply (index, command);
     note (index, command.proposedAt, DecisionKind::kConfiguration, nullptr, nameOf (result.outcome),
           "version " + std::to_string (command.version) + " digest " + command.digest);
     return result;
@@ -97,7 +97,7 @@
 ApplyResult CellState::applyCommand (base::LogIndex index, const ObserveRunner& command)
 {
     std::vector<Replica> released;
-    const bool changed = replicas_.observe (command, &released);
+    const bool changed = m_replicas.observe (command, &released);
     if (changed)
     {
         DecisionRecord record{
@@ -107,7 +107,7 @@
         record.outcome = "granted";
         record.reason = std::string (command.isLeaving ? "leaving" : "live") + ", incarnation "
                         + std::to_string (command.incarnation);
-        journal_.add (std::move (record));
+        m_journal.add (std::move (record));
     }
     noteReleased (index, command.proposedAt, released, "the runner restarted");
     return ChangeResult{ changed };
@@ -116,11 +116,11 @@
 ApplyResult CellState::applyCommand (base::LogIndex index, const RemoveRunner& command)
 {
     std::vector<Replica> released;
-    const bool changed = replicas_.removeRunner (command.runner, &released);
+    const bool changed = m_replicas.removeRunner (command.runner, &released);
     if (changed)
     {
-        journal_.add ({ index, command.proposedAt, DecisionKind::kRunnerRemoved, "", command.runner,
-                        0, "granted", "the machine list no longer names it" });
+        m_journal.add ({ index, command.proposedAt, DecisionKind::kRunnerRemoved, "",
+                         command.runner, 0, "granted", "the machine list no longer names it" });
     }
     noteReleased (index, command.proposedAt, released, "the machine is gone");
     return ChangeResult{ changed };
@@ -128,41 +128,41 @@
 
 ApplyResult CellState::applyCommand (base::LogIndex index, const DecideLoad& command)
 {
-    const LoadRefusal refusal = replicas_.load (index, command, configuration_.catalogue());
+    const LoadRefusal refusal = m_replicas.load (index, command, m_configuration.catalogue());
     const std::string& target =
         command.adapter.empty() ? command.model.value : command.adapter.value;
-    journal_.add ({ index, command.proposedAt, DecisionKind::kLoad, target, command.runner,
-                    refusal == LoadRefusal::kNone ? index : 0, std::string (cell::nameOf (refusal)),
-                    command.reason });
+    m_journal.add ({ index, command.proposedAt, DecisionKind::kLoad, target, command.runner,
+                     refusal == LoadRefusal::kNone ? index : 0,
+                     std::string (cell::nameOf (refusal)), command.reason });
     return LoadResult{ refusal };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex index, const DecideUnload& command)
 {
-    const UnloadRefusal refusal = replicas_.unload (index, command.replica);
-    note (index, command.proposedAt, DecisionKind::kUnload, replicas_.findReplica (command.replica),
-          cell::nameOf (refusal), command.reason);
+    const UnloadRefusal refusal = m_replicas.unload (index, command.replica);
+    note (index, command.proposedAt, DecisionKind::kUnload,
+          m_replicas.findReplica (command.replica), cell::nameOf (refusal), command.reason);
     return UnloadResult{ refusal };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex index, const ReplicaReady& command)
 {
-    const bool changed = replicas_.ready (command.replica, command.proposedAt);
+    const bool changed = m_replicas.ready (command.replica, command.proposedAt);
     if (changed)
     {
         note (index, command.proposedAt, DecisionKind::kReady,
-              replicas_.findReplica (command.replica), "granted", "the engine reported it ready");
+              m_replicas.findReplica (command.replica), "granted", "the engine reported it ready");
     }
     return ChangeResult{ changed };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex index, const ReplicaReleased& command)
 {
-    const Replica* found = replicas_.findReplica (command.replica);
+    const Replica* found = m_replicas.findReplica (command.replica);
     if (found == nullptr)
         return ChangeResult{ false };
     const Replica replica = *found;
-    const bool changed = replicas_.release (command.replica);
+    const bool changed = m_replicas.release (command.replica);
     if (changed)
         noteReleased (index, command.proposedAt, { replica }, command.reason);
     return ChangeResult{ changed };
@@ -170,50 +170,50 @@
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const ClaimKeys& command)
 {
-    claims_.expire (time_);
+    m_claims.expire (m_time);
     ClaimResult result;
     result.answers.reserve (command.claims.size());
     for (const Claim& claim : command.claims)
-        result.answers.push_back (claims_.claim (claim, time_));
+        result.answers.push_back (m_claims.claim (claim, m_time));
     return result;
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const RecordOutcomes& command)
 {
-    claims_.expire (time_);
+    m_claims.expire (m_time);
     bool changed = false;
     for (const OutcomeRecord& outcome : command.outcomes)
     {
-        changed = claims_.record (outcome) || changed;
+        changed = m_claims.record (outcome) || changed;
     }
     return ChangeResult{ changed };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex index, const SetDraining& command)
 {
-    const bool changed = replicas_.setDraining (command.runner, command.isDraining);
+    const bool changed = m_replicas.setDraining (command.runner, command.isDraining);
     if (changed)
     {
-        journal_.add ({ index, command.proposedAt, DecisionKind::kDraining, "", command.runner, 0,
-                        command.isDraining ? "draining" : "in service",
-                        "an operator asked for it" });
+        m_journal.add ({ index, command.proposedAt, DecisionKind::kDraining, "", command.runner, 0,
+                         command.isDraining ? "draining" : "in service",
+                         "an operator asked for it" });
     }
     return ChangeResult{ changed };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const AddInstance& command)
 {
-    return ChangeResult{ instances_.add (command.instance) };
+    return ChangeResult{ m_instances.add (command.instance) };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const DrainInstance& command)
 {
-    return ChangeResult{ instances_.drain (command.instance) };
+    return ChangeResult{ m_instances.drain (command.instance) };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const RemoveInstance& command)
 {
-    return ChangeResult{ instances_.remove (command.instance, command.isDeregistered) };
+    return ChangeResult{ m_instances.remove (command.instance, command.isDeregistered) };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const NoteOrders& /*command*/)
@@ -226,7 +226,7 @@
     bool changed = false;
     for (const InstanceHoldings& holdings : command.holdings)
     {
-        changed = instances_.noteModels (holdings.instance, holdings.models) || changed;
+        changed = m_instances.noteModels (holdings.instance, holdings.models) || changed;
     }
     return ChangeResult{ changed };
 }
@@ -246,7 +246,7 @@
     }
     record.outcome = outcome;
     record.reason = reason;
-    journal_.add (std::move (record));
+    m_journal.add (std::move (record));
 }
 
 void CellState::noteReleased (base::LogIndex index, base::UnixMilliseconds at,
@@ -261,15 +261,15 @@
 std::string CellState::encode() const
 {
     const ClaimTable noClaims;
-    const bool forgetsClaims = fault_ == PlantedFault::kClaimsNotSnapshotted;
-    const StoredStateView stored{ configuration_.identity(),
-                                  configuration_.text(),
-                                  replicas_,
-                                  instances_,
-                                  forgetsClaims ? noClaims : claims_,
-                                  journal_,
-                                  time_,
-                                  appliedIndex_ };
+    const bool forgetsClaims = m_fault == PlantedFault::kClaimsNotSnapshotted;
+    const StoredStateView stored{ m_configuration.identity(),
+                                  m_configuration.text(),
+                                  m_replicas,
+                                  m_instances,
+                                  forgetsClaims ? noClaims : m_claims,
+                                  m_journal,
+                                  m_time,
+                                  m_appliedIndex };
     return std::string (kSnapshotFormat) + wire::encodeValue (stored);
 }
 
@@ -284,17 +284,17 @@
     if (! decoded)
         return decoded.error();
     StoredState& stored = decoded.value();
-    if (! configuration_.restore (std::move (stored.configuration),
-                                  std::move (stored.configurationText)))
+    if (! m_configuration.restore (std::move (stored.configuration),
+                                   std::move (stored.configurationText)))
     {
         return base::fail (base::ErrorKind::kMessageInvalid, "stored configuration does not parse");
     }
-    replicas_.replaceWith (std::move (stored.replicas));
-    instances_ = std::move (stored.instances);
-    claims_ = std::move (stored.claims);
-    journal_ = std::move (stored.journal);
-    time_ = stored.time;
-    appliedIndex_ = stored.appliedIndex;
+    m_replicas.replaceWith (std::move (stored.replicas));
+    m_instances = std::move (stored.instances);
+    m_claims = std::move (stored.claims);
+    m_journal = std::move (stored.journal);
+    m_time = stored.time;
+    m_appliedIndex = stored.appliedIndex;
     return {};
 }
 
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -63,21 +63,21 @@
 public:
     explicit CellState (CatalogueParser parser = &config::parseCatalogue,
                         PlantedFault fault = PlantedFault::kNone)
-        : fault_ (fault), configuration_ (parser, fault), replicas_ (fault)
+        : m_fault (fault), m_configuration (parser, fault), m_replicas (fault)
     {
     }
 
     /// Applies the command at a log index. Indexes must grow from call to call.
     ApplyResult apply (base::LogIndex index, const Command& command);
 
-    [[nodiscard]] const ConfigurationState& configuration() const { return configuration_; }
-    [[nodiscard]] const ReplicaTable& replicas() const { return replicas_; }
-    [[nodiscard]] const ServiceInstances& instances() const { return instances_; }
-    [[nodiscard]] const ClaimTable& claims() const { return claims_; }
-    [[nodiscard]] const DecisionJournal& journal() const { return journal_; }
+    [[nodiscard]] const ConfigurationState& configuration() const { return m_configuration; }
+    [[nodiscard]] const ReplicaTable& replicas() const { return m_replicas; }
+    [[nodiscard]] const ServiceInstances& instances() const { return m_instances; }
+    [[nodiscard]] const ClaimTable& claims() const { return m_claims; }
+    [[nodiscard]] const DecisionJournal& journal() const { return m_journal; }
     /// Latest time any proposer stated; never goes back.
-    [[nodiscard]] base::UnixMilliseconds time() const { return time_; }
-    [[nodiscard]] base::LogIndex appliedIndex() const { return appliedIndex_; }
+    [[nodiscard]] base::UnixMilliseconds time() const { return m_time; }
+    [[nodiscard]] base::LogIndex appliedIndex() const { return m_appliedIndex; }
 
     /// Bytes from which restore() makes an equal state; equal states give equal bytes.
     [[nodiscard]] std::string encode() const;
@@ -106,14 +106,14 @@
     void noteReleased (base::LogIndex index, base::UnixMilliseconds at,
                        const std::vector<Replica>& released, const std::string& reason);
 
-    PlantedFault fault_;
-    ConfigurationState configuration_;
-    ReplicaTable replicas_;
-    ServiceInstances instances_;
-    ClaimTable claims_;
-    DecisionJournal journal_;
-    base::UnixMilliseconds time_ = 0;
-    base::LogIndex appliedIndex_ = 0;
+    PlantedFault m_fault;
+    ConfigurationState m_configuration;
+    ReplicaTable m_replicas;
+    ServiceInstances m_instances;
+    ClaimTable m_claims;
+    DecisionJournal m_journal;
+    base::UnixMilliseconds m_time = 0;
+    base::LogIndex m_appliedIndex = 0;
 };
 
 }  // namespace fernlift::cell
--- a/src/cell/CellTestSupportTest.cpp
+++ b/src/cell/CellTestSupportTest.cpp
@@ -42,16 +42,16 @@
 class WordParts
 {
 public:
-    explicit WordParts (std::uint32_t word) : rest_ (word) {}
+    explicit WordParts (std::uint32_t word) : m_rest (word) {}
     std::uint32_t take (std::uint32_t count)
     {
-        const std::uint32_t part = rest_ % count;
-        rest_ /= count;
+        const std::uint32_t part = m_rest % count;
+        m_rest /= count;
         return part;
     }
 
 private:
-    std::uint32_t rest_;
+    std::uint32_t m_rest;
 };
 
 base::RunnerId runnerOf (std::uint32_t number)
--- a/src/cell/ClaimTable.cpp
+++ b/src/cell/ClaimTable.cpp
@@ -37,8 +37,8 @@
 ClaimAnswer ClaimTable::claim (const Claim& claim, base::UnixMilliseconds now)
 {
     ClaimAnswer answer{ claim.key, claim.request, ClaimVerdict::kWindowPassed, 0 };
-    const auto held = claims_.find (claim.key);
-    if (held != claims_.end())
+    const auto held = m_claims.find (claim.key);
+    if (held != m_claims.end())
     {
         answer.verdict = verdictFor (held->second, claim);
         answer.httpStatus = held->second.httpStatus;
@@ -47,22 +47,22 @@
     const bool isOutsideWindow = claim.expiresAt < now || claim.expiresAt > now + kMaximumLifetime;
     if (isOutsideWindow || isTooLong (claim))
         return answer;
-    if (claims_.size() >= kMaximumKeys)
+    if (m_claims.size() >= kMaximumKeys)
     {
         answer.verdict = ClaimVerdict::kTableFull;
         return answer;
     }
-    claims_[claim.key] = ClaimRecord{ claim.requestDigest, claim.router,           claim.request,
-                                      claim.expiresAt,     ClaimOutcome::kPending, 0 };
-    expiries_.emplace (claim.expiresAt, claim.key);
+    m_claims[claim.key] = ClaimRecord{ claim.requestDigest, claim.router,           claim.request,
+                                       claim.expiresAt,     ClaimOutcome::kPending, 0 };
+    m_expiries.emplace (claim.expiresAt, claim.key);
     answer.verdict = ClaimVerdict::kGranted;
     return answer;
 }
 
 bool ClaimTable::record (const OutcomeRecord& outcome)
 {
-    const auto held = claims_.find (outcome.key);
-    if (held == claims_.end() || held->second.request != outcome.request)
+    const auto held = m_claims.find (outcome.key);
+    if (held == m_claims.end() || held->second.request != outcome.request)
         return false;
     ClaimRecord& record = held->second;
     const bool isPending = record.outcome == ClaimOutcome::kPending;
@@ -74,8 +74,8 @@
         case ClaimOutcome::kNotRun:
             if (! isPending)
                 return false;
-            expiries_.erase ({ record.expiresAt, outcome.key });
-            claims_.erase (held);
+            m_expiries.erase ({ record.expiresAt, outcome.key });
+            m_claims.erase (held);
             return true;
         case ClaimOutcome::kUnknown:
             if (! isPending)
@@ -93,17 +93,17 @@
 
 void ClaimTable::expire (base::UnixMilliseconds now)
 {
-    while (! expiries_.empty() && expiries_.begin()->first < now)
+    while (! m_expiries.empty() && m_expiries.begin()->first < now)
     {
-        claims_.erase (expiries_.begin()->second);
-        expiries_.erase (expiries_.begin());
+        m_claims.erase (m_expiries.begin()->second);
+        m_expiries.erase (m_expiries.begin());
     }
 }
 
 const ClaimRecord* ClaimTable::find (const base::IdempotencyKey& key) const
 {
-    const auto found = claims_.find (key);
-    return found == claims_.end() ? nullptr : &found->second;
+    const auto found = m_claims.find (key);
+    return found == m_claims.end() ? nullptr : &found->second;
 }
 
 }  // namespace fernlift::cell
--- a/src/cell/ClaimTable.h
+++ b/src/cell/ClaimTable.h
@@ -57,29 +57,29 @@
     /// Forgets keys that expired before `now`.
     void expire (base::UnixMilliseconds now);
 
-    [[nodiscard]] std::size_t size() const { return claims_.size(); }
+    [[nodiscard]] std::size_t size() const { return m_claims.size(); }
     [[nodiscard]] const ClaimRecord* find (const base::IdempotencyKey& key) const;
 
-    bool operator== (const ClaimTable& other) const { return claims_ == other.claims_; }
+    bool operator== (const ClaimTable& other) const { return m_claims == other.m_claims; }
 
     template <class Archive>
     void save (Archive& archive, unsigned /*version*/) const
     {
-        archive& claims_;
+        archive& m_claims;
     }
     template <class Archive>
     void load (Archive& archive, unsigned /*version*/)
     {
-        archive& claims_;
-        expiries_.clear();
-        for (const auto& [key, record] : claims_)
-            expiries_.emplace (record.expiresAt, key);
+        archive& m_claims;
+        m_expiries.clear();
+        for (const auto& [key, record] : m_claims)
+            m_expiries.emplace (record.expiresAt, key);
     }
     BOOST_SERIALIZATION_SPLIT_MEMBER()
 
 private:
-    std::map<base::IdempotencyKey, ClaimRecord> claims_;
-    std::set<std::pair<base::UnixMilliseconds, base::IdempotencyKey>> expiries_;  ///< Derived.
+    std::map<base::IdempotencyKey, ClaimRecord> m_claims;
+    std::set<std::pair<base::UnixMilliseconds, base::IdempotencyKey>> m_expiries;  ///< Derived.
 };
 
 }  // namespace fernlift::cell
--- a/src/cell/ClaimTableTest.cpp
+++ b/src/cell/ClaimTableTest.cpp
@@ -32,10 +32,10 @@
 protected:
     ClaimVerdict claim (const Claim& claim, base::UnixMilliseconds now = kNow)
     {
-        table_.expire (now);
-        return table_.claim (claim, now).verdict;
+        m_table.expire (now);
+        return m_table.claim (claim, now).verdict;
     }
-    ClaimTable table_;
+    ClaimTable m_table;
 };
 
 TEST_F (ClaimTableTest, SameClaimAgainGetsTheSameVerdict)
@@ -55,27 +55,27 @@
     claim (claimOf ("ran", "first"));
     claim (claimOf ("lost", "first"));
     claim (claimOf ("free", "first"));
-    table_.record (outcomeOf ("ran", "first", ClaimOutcome::kRan, 201));
-    table_.record (outcomeOf ("lost", "first", ClaimOutcome::kUnknown));
-    table_.record (outcomeOf ("free", "first", ClaimOutcome::kNotRun));
-    const ClaimAnswer answer = table_.claim (claimOf ("ran", "second"), kNow);
+    m_table.record (outcomeOf ("ran", "first", ClaimOutcome::kRan, 201));
+    m_table.record (outcomeOf ("lost", "first", ClaimOutcome::kUnknown));
+    m_table.record (outcomeOf ("free", "first", ClaimOutcome::kNotRun));
+    const ClaimAnswer answer = m_table.claim (claimOf ("ran", "second"), kNow);
     EXPECT_EQ (answer.verdict, kAlreadyRan);
     EXPECT_EQ (answer.httpStatus, 201);
     EXPECT_EQ (claim (claimOf ("lost", "second")), kOutcomeUnknown);
     EXPECT_EQ (claim (claimOf ("free", "second")), kGranted);
     // A late outcome of the request that gave the key back does not touch its next holder.
-    EXPECT_FALSE (table_.record (outcomeOf ("free", "first", ClaimOutcome::kNotRun)));
+    EXPECT_FALSE (m_table.record (outcomeOf ("free", "first", ClaimOutcome::kNotRun)));
     EXPECT_EQ (claim (claimOf ("free", "third")), kInProgress);
 }
 
 TEST_F (ClaimTableTest, OutcomesOnlyGrowMoreCertain)
 {
     claim (claimOf ("k", "first"));
-    EXPECT_FALSE (table_.record (outcomeOf ("k", "second", ClaimOutcome::kNotRun)));
-    EXPECT_TRUE (table_.record (outcomeOf ("k", "first", ClaimOutcome::kUnknown)));
-    EXPECT_FALSE (table_.record (outcomeOf ("k", "first", ClaimOutcome::kNotRun)));
-    EXPECT_TRUE (table_.record (outcomeOf ("k", "first", ClaimOutcome::kRan, 200)));
-    EXPECT_FALSE (table_.record (outcomeOf ("k", "first", ClaimOutcome::kUnknown)));
+    EXPECT_FALSE (m_table.record (outcomeOf ("k", "second", ClaimOutcome::kNotRun)));
+    EXPECT_TRUE (m_table.record (outcomeOf ("k", "first", ClaimOutcome::kUnknown)));
+    EXPECT_FALSE (m_table.record (outcomeOf ("k", "first", ClaimOutcome::kNotRun)));
+    EXPECT_TRUE (m_table.record (outcomeOf ("k", "first", ClaimOutcome::kRan, 200)));
+    EXPECT_FALSE (m_table.record (outcomeOf ("k", "first", ClaimOutcome::kUnknown)));
     EXPECT_EQ (claim (claimOf ("k", "second")), kAlreadyRan);
 }
 
@@ -85,7 +85,7 @@
     EXPECT_EQ (claim (claimOf ("far", "first", kNow + ClaimTable::kMaximumLifetime + 1)),
                kWindowPassed);
     EXPECT_EQ (claim (claimOf ("edge", "first", kNow)), kGranted);
-    EXPECT_EQ (table_.size(), 1U);
+    EXPECT_EQ (m_table.size(), 1U);
 }
 
 TEST_F (ClaimTableTest, KeyLivesUntilItsExpiryAndNoLonger)
@@ -93,7 +93,7 @@
     claim (claimOf ("k", "first"));
     EXPECT_EQ (claim (claimOf ("k", "second"), kExpiry), kInProgress);
     EXPECT_EQ (claim (claimOf ("k", "second", kExpiry + 10), kExpiry + 1), kGranted);
-    EXPECT_EQ (table_.size(), 1U);
+    EXPECT_EQ (m_table.size(), 1U);
 }
 
 TEST_F (ClaimTableTest, MemoryIsBounded)
@@ -104,10 +104,10 @@
     EXPECT_EQ (claim (longFields), kWindowPassed);
     for (std::size_t number = 0; number < ClaimTable::kMaximumKeys; ++number)
     {
-        table_.claim (claimOf (std::to_string (number), "first", kExpiry + (number == 0 ? 0 : 1)),
-                      kNow);
+        m_table.claim (claimOf (std::to_string (number), "first", kExpiry + (number == 0 ? 0 : 1)),
+                       kNow);
     }
-    ASSERT_EQ (table_.size(), ClaimTable::kMaximumKeys);
+    ASSERT_EQ (m_table.size(), ClaimTable::kMaximumKeys);
     EXPECT_EQ (claim (claimOf ("one more", "first")), kTableFull);
     EXPECT_EQ (claim (claimOf ("1", "first")), kGranted) << "a held key still gets its verdict";
     EXPECT_EQ (claim (claimOf ("one more", "first", kExpiry + 9), kExpiry + 1), kGranted);
--- a/src/cell/ConfigurationState.cpp
+++ b/src/cell/ConfigurationState.cpp
@@ -11,30 +11,30 @@
                                                const ApplyConfiguration& command)
 {
     using enum ConfigurationOutcome;
-    if (command.version < identity_.version)
-        return { kStale, identity_ };
-    if (command.version == identity_.version && identity_.version != 0)
+    if (command.version < m_identity.version)
+        return { kStale, m_identity };
+    if (command.version == m_identity.version && m_identity.version != 0)
     {
-        return { isSameFile (command) ? kUnchanged : kConflict, identity_ };
+        return { isSameFile (command) ? kUnchanged : kConflict, m_identity };
     }
     if (command.digest != base::sha256Hex (command.text))
-        return { kInvalid, identity_ };
-    config::CatalogueOutcome parsed = parser_ (command.text);
+        return { kInvalid, m_identity };
+    config::CatalogueOutcome parsed = m_parser (command.text);
     if (! parsed.catalogue || parsed.catalogue->version != command.version || command.version == 0)
     {
-        return { kInvalid, identity_ };
+        return { kInvalid, m_identity };
     }
-    catalogue_ = std::move (parsed.catalogue);
-    text_ = command.text;
-    identity_ = { command.version, command.digest, command.proposedAt, index };
-    return { kAccepted, identity_ };
+    m_catalogue = std::move (parsed.catalogue);
+    m_text = command.text;
+    m_identity = { command.version, command.digest, command.proposedAt, index };
+    return { kAccepted, m_identity };
 }
 
 bool ConfigurationState::isSameFile (const ApplyConfiguration& command) const
 {
-    if (fault_ == PlantedFault::kConfigurationByVersionOnly)
+    if (m_fault == PlantedFault::kConfigurationByVersionOnly)
         return true;
-    return command.digest == identity_.digest;
+    return command.digest == m_identity.digest;
 }
 
 bool ConfigurationState::restore (ConfigurationIdentity identity, std::string text)
@@ -42,13 +42,13 @@
     std::optional<config::Catalogue> catalogue;
     if (identity.version != 0)
     {
-        catalogue = parser_ (text).catalogue;
+        catalogue = m_parser (text).catalogue;
         if (! catalogue)
             return false;
     }
-    identity_ = std::move (identity);
-    text_ = std::move (text);
-    catalogue_ = std::move (catalogue);
+    m_identity = std::move (identity);
+    m_text = std::move (text);
+    m_catalogue = std::move (catalogue);
     return true;
 }
 
--- a/src/cell/ConfigurationState.h
+++ b/src/cell/ConfigurationState.h
@@ -60,18 +60,18 @@
 {
 public:
     explicit ConfigurationState (CatalogueParser parser, PlantedFault fault = PlantedFault::kNone)
-        : parser_ (parser), fault_ (fault)
+        : m_parser (parser), m_fault (fault)
     {
     }
 
     ConfigurationResult apply (base::LogIndex index, const ApplyConfiguration& command);
 
-    [[nodiscard]] const ConfigurationIdentity& identity() const { return identity_; }
-    [[nodiscard]] const std::string& text() const { return text_; }
+    [[nodiscard]] const ConfigurationIdentity& identity() const { return m_identity; }
+    [[nodiscard]] const std::string& text() const { return m_text; }
     /// The parsed file; null while none is in force.
     [[nodiscard]] const config::Catalogue* catalogue() const
     {
-        return catalogue_ ? &*catalogue_ : nullptr;
+        return m_catalogue ? &*m_catalogue : nullptr;
     }
 
     /// Replaces the state with a stored one. Returns false when the text does not parse.
@@ -80,11 +80,11 @@
 private:
     [[nodiscard]] bool isSameFile (const ApplyConfiguration& command) const;
 
-    CatalogueParser parser_;
-    PlantedFault fault_;
-    ConfigurationIdentity identity_;
-    std::string text_;
-    std::optional<config::Catalogue> catalogue_;
+    CatalogueParser m_parser;
+    PlantedFault m_fault;
+    ConfigurationIdentity m_identity;
+    std::string m_text;
+    std::optional<config::Catalogue> m_catalogue;
 };
 
 }  // namespace fernlift::cell
--- a/src/cell/ConfigurationStateTest.cpp
+++ b/src/cell/ConfigurationStateTest.cpp
@@ -17,18 +17,18 @@
 {
 protected:
     explicit ConfigurationStateTest (PlantedFault fault = PlantedFault::kNone)
-        : state_ (&test::parseTestCatalogue, fault)
+        : m_state (&test::parseTestCatalogue, fault)
     {
     }
 
     ConfigurationResult apply (std::uint64_t version, const std::string& note,
                                base::UnixMilliseconds at = kStart)
     {
-        return state_.apply (++index_, configurationOf (version, note, at));
+        return m_state.apply (++m_index, configurationOf (version, note, at));
     }
 
-    ConfigurationState state_;
-    base::LogIndex index_ = 0;
+    ConfigurationState m_state;
+    base::LogIndex m_index = 0;
 };
 
 class ConfigurationByVersionOnlyTest : public ConfigurationStateTest
@@ -58,8 +58,8 @@
     EXPECT_EQ (loser.outcome, kConflict);
     EXPECT_EQ (loser.inForce.digest, base::sha256Hex ("3 file"));
     EXPECT_EQ (loser.inForce.acceptedAt, kStart);
-    EXPECT_EQ (state_.identity(), winner.inForce);
-    EXPECT_EQ (state_.text(), "3 file");
+    EXPECT_EQ (m_state.identity(), winner.inForce);
+    EXPECT_EQ (m_state.text(), "3 file");
 }
 
 TEST_F (ConfigurationByVersionOnlyTest, IsNoticedByTheConflict)
@@ -75,7 +75,7 @@
     const ConfigurationResult stale = apply (3, "file");
     EXPECT_EQ (stale.outcome, kStale);
     EXPECT_EQ (stale.inForce.version, 4U);
-    EXPECT_EQ (state_.catalogue()->version, 4U);
+    EXPECT_EQ (m_state.catalogue()->version, 4U);
 }
 
 TEST_F (ConfigurationStateTest, NothingIsAppliedByHalf)
@@ -88,17 +88,17 @@
     ApplyConfiguration unreadable{ 7, base::sha256Hex ("no number"), "no number", kStart };
     for (const ApplyConfiguration& command : { otherDigest, otherVersion, unreadable })
     {
-        EXPECT_EQ (state_.apply (++index_, command).outcome, kInvalid);
-        EXPECT_EQ (state_.identity().version, 3U);
-        EXPECT_EQ (state_.text(), "3 file");
-        EXPECT_EQ (*state_.catalogue(), test::catalogueOf (3));
+        EXPECT_EQ (m_state.apply (++m_index, command).outcome, kInvalid);
+        EXPECT_EQ (m_state.identity().version, 3U);
+        EXPECT_EQ (m_state.text(), "3 file");
+        EXPECT_EQ (*m_state.catalogue(), test::catalogueOf (3));
     }
 }
 
 TEST_F (ConfigurationStateTest, VersionZeroIsNeverInForce)
 {
     EXPECT_EQ (apply (0, "file").outcome, kInvalid);
-    EXPECT_EQ (state_.catalogue(), nullptr);
+    EXPECT_EQ (m_state.catalogue(), nullptr);
 }
 
 }  // namespace
--- a/src/cell/DecisionJournal.cpp
+++ b/src/cell/DecisionJournal.cpp
@@ -33,9 +33,9 @@
 {
     if (record.reason.size() > kMaximumReasonBytes)
         record.reason.resize (kMaximumReasonBytes);
-    records_.push_back (std::move (record));
-    if (records_.size() > kMaximumRecords)
-        records_.pop_front();
+    m_records.push_back (std::move (record));
+    if (m_records.size() > kMaximumRecords)
+        m_records.pop_front();
 }
 
 }  // namespace fernlift::cell
--- a/src/cell/DecisionJournal.h
+++ b/src/cell/DecisionJournal.h
@@ -57,17 +57,17 @@
     static constexpr std::size_t kMaximumReasonBytes = 1000;
 
     void add (DecisionRecord record);
-    [[nodiscard]] const std::deque<DecisionRecord>& records() const { return records_; }
+    [[nodiscard]] const std::deque<DecisionRecord>& records() const { return m_records; }
 
     bool operator== (const DecisionJournal&) const = default;
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
-        archive& records_;
+        archive& m_records;
     }
 
 private:
-    std::deque<DecisionRecord> records_;
+    std::deque<DecisionRecord> m_records;
 };
 
 }  // namespace fernlift::cell
--- a/src/cell/ReplicaTable.cpp
+++ b/src/cell/ReplicaTable.cpp
@@ -71,10 +71,10 @@
 
 bool ReplicaTable::observe (const ObserveRunner& command, std::vector<Replica>* released)
 {
-    const auto found = runners_.find (command.machine.runner);
-    if (found == runners_.end())
+    const auto found = m_runners.find (command.machine.runner);
+    if (found == m_runners.end())
     {
-        runners_[command.machine.runner] =
+        m_runners[command.machine.runner] =
             Runner{ command.machine, command.incarnation, command.isLeaving, false, {} };
         return true;
     }
@@ -96,18 +96,18 @@
 
 bool ReplicaTable::removeRunner (const base::RunnerId& runner, std::vector<Replica>* released)
 {
-    if (runners_.count (runner) == 0)
+    if (m_runners.count (runner) == 0)
         return false;
     eraseAllOn (runner, released);
-    uses_.erase (runner);
-    runners_.erase (runner);
+    m_uses.erase (runner);
+    m_runners.erase (runner);
     return true;
 }
 
 bool ReplicaTable::setDraining (const base::RunnerId& runner, bool isDraining)
 {
-    const auto found = runners_.find (runner);
-    if (found == runners_.end() || found->second.isDraining == isDraining)
+    const auto found = m_runners.find (runner);
+    if (found == m_runners.end() || found->second.isDraining == isDraining)
         return false;
     found->second.isDraining = isDraining;
     return true;
@@ -202,8 +202,8 @@
 
 UnloadRefusal ReplicaTable::unload (base::LogIndex index, base::ReplicaId replica)
 {
-    const auto found = replicas_.find (replica);
-    if (found == replicas_.end())
+    const auto found = m_replicas.find (replica);
+    if (found == m_replicas.end())
         return UnloadRefusal::kUnknownReplica;
     if (hasAdapters (replica))
         return UnloadRefusal::kAdaptersRide;
@@ -214,8 +214,8 @@
 
 bool ReplicaTable::ready (base::ReplicaId replica, base::UnixMilliseconds at)
 {
-    const auto found = replicas_.find (replica);
-    if (found == replicas_.end() || found->second.stage != ReplicaStage::kLoading)
+    const auto found = m_replicas.find (replica);
+    if (found == m_replicas.end() || found->second.stage != ReplicaStage::kLoading)
         return false;
     found->second.stage = ReplicaStage::kReady;
     found->second.readyAt = at;
@@ -224,8 +224,8 @@
 
 bool ReplicaTable::release (base::ReplicaId replica)
 {
-    const auto found = replicas_.find (replica);
-    if (found == replicas_.end() || found->second.stage != ReplicaStage::kUnloading)
+    const auto found = m_replicas.find (replica);
+    if (found == m_replicas.end() || found->second.stage != ReplicaStage::kUnloading)
         return false;
     erase (replica);
     return true;
@@ -233,38 +233,38 @@
 
 const Runner* ReplicaTable::findRunner (const base::RunnerId& runner) const
 {
-    const auto found = runners_.find (runner);
-    return found == runners_.end() ? nullptr : &found->second;
+    const auto found = m_runners.find (runner);
+    return found == m_runners.end() ? nullptr : &found->second;
 }
 
 const Replica* ReplicaTable::findReplica (base::ReplicaId replica) const
 {
-    const auto found = replicas_.find (replica);
-    return found == replicas_.end() ? nullptr : &found->second;
+    const auto found = m_replicas.find (replica);
+    return found == m_replicas.end() ? nullptr : &found->second;
 }
 
 const std::set<base::ReplicaId>& ReplicaTable::replicasOn (const base::RunnerId& runner) const
 {
     static const std::set<base::ReplicaId> kNone;
-    const auto found = uses_.find (runner);
-    return found == uses_.end() ? kNone : found->second.replicas;
+    const auto found = m_uses.find (runner);
+    return found == m_uses.end() ? kNone : found->second.replicas;
 }
 
 std::uint32_t ReplicaTable::count (const std::string& target) const
 {
-    const auto found = counts_.find (target);
-    return found == counts_.end() ? 0 : found->second;
+    const auto found = m_counts.find (target);
+    return found == m_counts.end() ? 0 : found->second;
 }
 
 engine::Megabytes ReplicaTable::reservedMemory (const base::RunnerId& runner) const
 {
-    const auto found = uses_.find (runner);
-    return found == uses_.end() ? 0 : found->second.reserved;
+    const auto found = m_uses.find (runner);
+    return found == m_uses.end() ? 0 : found->second.reserved;
 }
 
 engine::Megabytes ReplicaTable::memoryInTheWay (const base::RunnerId& runner) const
 {
-    if (fault_ != PlantedFault::kMemoryCountedWhenReady)
+    if (m_fault != PlantedFault::kMemoryCountedWhenReady)
         return reservedMemory (runner);
     engine::Megabytes memory = 0;
     for (const base::ReplicaId id : replicasOn (runner))
@@ -278,37 +278,37 @@
 
 bool ReplicaTable::hasAdapters (base::ReplicaId replica) const
 {
-    return adaptersOn_.count (replica) != 0;
+    return m_adaptersOn.count (replica) != 0;
 }
 
 void ReplicaTable::insert (const Replica& replica)
 {
-    replicas_[replica.id] = replica;
-    RunnerUse& use = uses_[replica.runner];
+    m_replicas[replica.id] = replica;
+    RunnerUse& use = m_uses[replica.runner];
     use.replicas.insert (replica.id);
     use.reserved += replica.memory;
-    ++counts_[replica.target()];
+    ++m_counts[replica.target()];
     if (replica.isAdapter())
-        ++adaptersOn_[replica.baseReplica];
+        ++m_adaptersOn[replica.baseReplica];
 }
 
 void ReplicaTable::erase (base::ReplicaId id)
 {
-    const auto found = replicas_.find (id);
+    const auto found = m_replicas.find (id);
     const Replica& replica = found->second;
-    RunnerUse& use = uses_[replica.runner];
+    RunnerUse& use = m_uses[replica.runner];
     use.replicas.erase (id);
     use.reserved -= replica.memory;
-    const auto counted = counts_.find (replica.target());
+    const auto counted = m_counts.find (replica.target());
     if (--counted->second == 0)
-        counts_.erase (counted);
+        m_counts.erase (counted);
     if (replica.isAdapter())
     {
-        const auto riding = adaptersOn_.find (replica.baseReplica);
+        const auto riding = m_adaptersOn.find (replica.baseReplica);
         if (--riding->second == 0)
-            adaptersOn_.erase (riding);
+            m_adaptersOn.erase (riding);
     }
-    replicas_.erase (found);
+    m_replicas.erase (found);
 }
 
 void ReplicaTable::eraseAllOn (const base::RunnerId& runner, std::vector<Replica>* released)
@@ -316,24 +316,24 @@
     const std::set<base::ReplicaId> ids = replicasOn (runner);
     for (const base::ReplicaId id : ids)
     {
-        released->push_back (replicas_.at (id));
+        released->push_back (m_replicas.at (id));
         erase (id);
     }
 }
 
 void ReplicaTable::replaceWith (ReplicaTable other)
 {
-    const PlantedFault fault = fault_;
+    const PlantedFault fault = m_fault;
     *this = std::move (other);
-    fault_ = fault;
+    m_fault = fault;
 }
 
 void ReplicaTable::rebuildIndexes()
 {
-    uses_.clear();
-    counts_.clear();
-    adaptersOn_.clear();
-    const std::map<base::ReplicaId, Replica> replicas = replicas_;
+    m_uses.clear();
+    m_counts.clear();
+    m_adaptersOn.clear();
+    const std::map<base::ReplicaId, Replica> replicas = m_replicas;
     for (const auto& [id, replica] : replicas)
         insert (replica);
 }
--- a/src/cell/ReplicaTable.h
+++ b/src/cell/ReplicaTable.h
@@ -109,7 +109,7 @@
 class ReplicaTable
 {
 public:
-    explicit ReplicaTable (PlantedFault fault = PlantedFault::kNone) : fault_ (fault) {}
+    explicit ReplicaTable (PlantedFault fault = PlantedFault::kNone) : m_fault (fault) {}
 
     /// Takes over the runners and replicas of `other`.
     void replaceWith (ReplicaTable other);
@@ -128,8 +128,8 @@
     /// above the load, so that a delayed load order cannot bring it back.
     bool release (base::ReplicaId replica);
 
-    [[nodiscard]] const std::map<base::RunnerId, Runner>& runners() const { return runners_; }
-    [[nodiscard]] const std::map<base::ReplicaId, Replica>& replicas() const { return replicas_; }
+    [[nodiscard]] const std::map<base::RunnerId, Runner>& runners() const { return m_runners; }
+    [[nodiscard]] const std::map<base::ReplicaId, Replica>& replicas() const { return m_replicas; }
     [[nodiscard]] const Runner* findRunner (const base::RunnerId& runner) const;
     [[nodiscard]] const Replica* findReplica (base::ReplicaId replica) const;
     /// Replicas on a runner, in the order of their ids.
@@ -142,18 +142,18 @@
 
     bool operator== (const ReplicaTable& other) const
     {
-        return runners_ == other.runners_ && replicas_ == other.replicas_;
+        return m_runners == other.m_runners && m_replicas == other.m_replicas;
     }
 
     template <class Archive>
     void save (Archive& archive, unsigned /*version*/) const
     {
-        archive& runners_& replicas_;
+        archive& m_runners& m_replicas;
     }
     template <class Archive>
     void load (Archive& archive, unsigned /*version*/)
     {
-        archive& runners_& replicas_;
+        archive& m_runners& m_replicas;
         rebuildIndexes();
     }
     BOOST_SERIALIZATION_SPLIT_MEMBER()
@@ -183,13 +183,13 @@
     void eraseAllOn (const base::RunnerId& runner, std::vector<Replica>* released);
     void rebuildIndexes();
 
-    PlantedFault fault_;
-    std::map<base::RunnerId, Runner> runners_;
-    std::map<base::ReplicaId, Replica> replicas_;
+    PlantedFault m_fault;
+    std::map<base::RunnerId, Runner> m_runners;
+    std::map<base::ReplicaId, Replica> m_replicas;
     // Derived from the two above.
-    std::map<base::RunnerId, RunnerUse> uses_;
-    std::map<std::string, std::uint32_t> counts_;  ///< By target.
-    std::map<base::ReplicaId, std::uint32_t> adaptersOn_;
+    std::map<base::RunnerId, RunnerUse> m_uses;
+    std::map<std::string, std::uint32_t> m_counts;  ///< By target.
+    std::map<base::ReplicaId, std::uint32_t> m_adaptersOn;
 };
 
 }  // namespace fernlift::cell
--- a/src/cell/ReplicaTableTest.cpp
+++ b/src/cell/ReplicaTableTest.cpp
@@ -20,14 +20,14 @@
 class ReplicaTableTest : public ::testing::Test
 {
 protected:
-    ReplicaTableTest() : state_ (&test::parseTestCatalogue)
+    ReplicaTableTest() : m_state (&test::parseTestCatalogue)
     {
         apply (test::configurationOf (kPlainVersion, "file", kStart));
         for (const char* runner : { "r0", "r1", "r2" })
             apply (test::observationOf (runner, 1, kStart));
     }
 
-    ApplyResult apply (const Command& command) { return state_.apply (++index_, command); }
+    ApplyResult apply (const Command& command) { return m_state.apply (++m_index, command); }
     LoadRefusal load (const std::string& runner, const std::string& model,
                       const std::string& adapter = "", base::ReplicaId baseReplica = 0,
                       base::Incarnation incarnation = 1)
@@ -49,11 +49,11 @@
     void release (base::ReplicaId replica) { apply (ReplicaReleased{ replica, "test", kStart }); }
     [[nodiscard]] engine::Megabytes reserved (const std::string& runner) const
     {
-        return state_.replicas().reservedMemory (base::RunnerId (runner));
+        return m_state.replicas().reservedMemory (base::RunnerId (runner));
     }
 
-    CellState state_;
-    base::LogIndex index_ = 0;
+    CellState m_state;
+    base::LogIndex m_index = 0;
 };
 
 RC_GTEST_PROP (ReplicaTablePropertyTest, NoOrderOfCommandsBreaksBoundMemoryOrFences, ())
@@ -92,7 +92,7 @@
 TEST_F (ReplicaTableTest, LoadAndUnloadCountAtTheirWorst)
 {
     EXPECT_EQ (load ("r1", "a"), LoadRefusal::kNone);
-    const base::ReplicaId first = index_;
+    const base::ReplicaId first = m_index;
     EXPECT_EQ (reserved ("r1"), 400U);
     EXPECT_EQ (load ("r1", "a"), LoadRefusal::kNone);
     EXPECT_EQ (load ("r1", "b"), LoadRefusal::kMemory);
@@ -109,24 +109,24 @@
 TEST_F (ReplicaTableTest, OnlyDecidedUnloadCanBeReleased)
 {
     ASSERT_EQ (load ("r1", "a"), LoadRefusal::kNone);
-    const base::ReplicaId replica = index_;
+    const base::ReplicaId replica = m_index;
     release (replica);
-    EXPECT_NE (state_.replicas().findReplica (replica), nullptr);
+    EXPECT_NE (m_state.replicas().findReplica (replica), nullptr);
     ready (replica);
     release (replica);
-    EXPECT_NE (state_.replicas().findReplica (replica), nullptr);
+    EXPECT_NE (m_state.replicas().findReplica (replica), nullptr);
 }
 
 TEST_F (ReplicaTableTest, AdapterNeedsReadyBaseOnItsRunner)
 {
     ASSERT_EQ (load ("r1", "a"), LoadRefusal::kNone);
-    const base::ReplicaId base = index_;
+    const base::ReplicaId base = m_index;
     EXPECT_EQ (load ("r1", "a", "x", base), LoadRefusal::kBaseNotReady);
     ready (base);
     EXPECT_EQ (load ("r2", "a", "x", base), LoadRefusal::kBaseNotReady);
     EXPECT_EQ (load ("r1", "a", "y", base), LoadRefusal::kUnknownTarget);
     EXPECT_EQ (load ("r1", "a", "x", base), LoadRefusal::kNone);
-    const base::ReplicaId adapter = index_;
+    const base::ReplicaId adapter = m_index;
     EXPECT_EQ (reserved ("r1"), 500U);
     EXPECT_EQ (unload (base), UnloadRefusal::kAdaptersRide);
     unload (adapter);
@@ -139,16 +139,16 @@
 TEST_F (ReplicaTableTest, RestartedRunnerHoldsNothing)
 {
     ASSERT_EQ (load ("r1", "a"), LoadRefusal::kNone);
-    const base::ReplicaId lost = index_;
+    const base::ReplicaId lost = m_index;
     apply (test::observationOf ("r1", 2, kStart));
-    EXPECT_EQ (state_.replicas().findReplica (lost), nullptr);
+    EXPECT_EQ (m_state.replicas().findReplica (lost), nullptr);
     EXPECT_EQ (reserved ("r1"), 0U);
     EXPECT_EQ (load ("r1", "a"), LoadRefusal::kWrongIncarnation);
     // A late sign of the former incarnation changes nothing.
     ASSERT_EQ (load ("r1", "a", "", 0, 2), LoadRefusal::kNone);
-    const base::ReplicaId present = index_;
+    const base::ReplicaId present = m_index;
     EXPECT_FALSE (std::get<ChangeResult> (apply (test::observationOf ("r1", 1, kStart))).changed);
-    EXPECT_NE (state_.replicas().findReplica (present), nullptr);
+    EXPECT_NE (m_state.replicas().findReplica (present), nullptr);
 }
 
 TEST_F (ReplicaTableTest, LeavingOrDrainingRunnerTakesNoLoad)
@@ -169,10 +169,10 @@
 TEST_F (ReplicaTableTest, LoweredBoundStillCountsWhatIsLoaded)
 {
     ASSERT_EQ (load ("r1", "a"), LoadRefusal::kNone);
-    const base::ReplicaId first = index_;
+    const base::ReplicaId first = m_index;
     ASSERT_EQ (load ("r2", "a"), LoadRefusal::kNone);
     apply (test::configurationOf (kPlainVersion + 1, "file", kStart));
-    EXPECT_EQ (state_.replicas().count ("a"), 2U);
+    EXPECT_EQ (m_state.replicas().count ("a"), 2U);
     unload (first);
     release (first);
     EXPECT_EQ (load ("r0", "a"), LoadRefusal::kReplicaBound);
@@ -181,12 +181,12 @@
 TEST_F (ReplicaTableTest, AdapterMovedToAnotherBaseCountsOnBoth)
 {
     ASSERT_EQ (load ("r1", "a"), LoadRefusal::kNone);
-    const base::ReplicaId base = index_;
+    const base::ReplicaId base = m_index;
     ready (base);
     ASSERT_EQ (load ("r1", "a", "x", base), LoadRefusal::kNone);
     apply (test::configurationOf (kPlainVersion + 3, "file", kStart));
     ASSERT_EQ (load ("r2", "b"), LoadRefusal::kNone);
-    const base::ReplicaId otherBase = index_;
+    const base::ReplicaId otherBase = m_index;
     ready (otherBase);
     EXPECT_EQ (load ("r2", "b", "x", otherBase), LoadRefusal::kReplicaBound);
 }
--- a/src/cell/ServiceInstances.cpp
+++ b/src/cell/ServiceInstances.cpp
@@ -7,7 +7,7 @@
 
 bool ServiceInstances::isDeregistered (const std::string& id) const
 {
-    return std::ranges::any_of (deregistered_,
+    return std::ranges::any_of (m_deregistered,
                                 [&] (const auto& item) { return item.second == id; });
 }
 
@@ -15,13 +15,13 @@
 {
     if (isDeregistered (instance.id))
         return false;
-    return instances_.emplace (instance.id, instance).second;
+    return m_instances.emplace (instance.id, instance).second;
 }
 
 bool ServiceInstances::drain (const std::string& id)
 {
-    const auto found = instances_.find (id);
-    if (found == instances_.end() || found->second.isDraining)
+    const auto found = m_instances.find (id);
+    if (found == m_instances.end() || found->second.isDraining)
         return false;
     found->second.isDraining = true;
     return true;
@@ -29,8 +29,8 @@
 
 bool ServiceInstances::noteModels (const std::string& id, const std::vector<HeldModel>& models)
 {
-    const auto found = instances_.find (id);
-    if (found == instances_.end())
+    const auto found = m_instances.find (id);
+    if (found == m_instances.end())
         return false;
     ServiceInstance& instance = found->second;
     if (instance.isReported && instance.models == models)
@@ -42,20 +42,20 @@
 
 bool ServiceInstances::remove (const std::string& id, bool isDeregistered)
 {
-    const bool wasKnown = instances_.erase (id) != 0;
+    const bool wasKnown = m_instances.erase (id) != 0;
     if (! isDeregistered || this->isDeregistered (id))
         return wasKnown;
-    const std::uint64_t next = deregistered_.empty() ? 1 : deregistered_.rbegin()->first + 1;
-    deregistered_.emplace (next, id);
-    if (deregistered_.size() > kRememberedDeregistrations)
-        deregistered_.erase (deregistered_.begin());
+    const std::uint64_t next = m_deregistered.empty() ? 1 : m_deregistered.rbegin()->first + 1;
+    m_deregistered.emplace (next, id);
+    if (m_deregistered.size() > kRememberedDeregistrations)
+        m_deregistered.erase (m_deregistered.begin());
     return wasKnown;
 }
 
 const ServiceInstance* ServiceInstances::find (const std::string& id) const
 {
-    const auto found = instances_.find (id);
-    return found == instances_.end() ? nullptr : &found->second;
+    const auto found = m_instances.find (id);
+    return found == m_instances.end() ? nullptr : &found->second;
 }
 
 }  // namespace fernlift::cell
--- a/src/cell/ServiceInstances.h
+++ b/src/cell/ServiceInstances.h
@@ -66,13 +66,13 @@
     bool remove (const std::string& id, bool isDeregistered);
 
     [[nodiscard]] const ServiceInstance* find (const std::string& id) const;
-    [[nodiscard]] const std::map<std::string, ServiceInstance>& all() const { return instances_; }
+    [[nodiscard]] const std::map<std::string, ServiceInstance>& all() const { return m_instances; }
 
     bool operator== (const ServiceInstances&) const = default;
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
-        archive& instances_& deregistered_;
+        archive& m_instances& m_deregistered;
     }
 
 private:
@@ -80,9 +80,9 @@
 
     [[nodiscard]] bool isDeregistered (const std::string& id) const;
 
-    std::map<std::string, ServiceInstance> instances_;
+    std::map<std::string, ServiceInstance> m_instances;
     /// Ids deregistered lately, by the order of removal.
-    std::map<std::uint64_t, std::string> deregistered_;
+    std::map<std::uint64_t, std::string> m_deregistered;
 };
 
 }  // namespace fernlift::cell
--- a/src/config/CatalogueChecks.cpp
+++ b/src/config/CatalogueChecks.cpp
@@ -21,35 +21,35 @@
 class NameRegister
 {
 public:
-    explicit NameRegister (ProblemList& problems) : problems_ (problems) {}
+    explicit NameRegister (ProblemList& problems) : m_problems (problems) {}
 
     void add (const std::string& name, const std::string& key)
     {
         if (name.empty())
             return;
-        const auto [position, isNew] = keys_.emplace (name, key);
+        const auto [position, isNew] = m_keys.emplace (name, key);
         if (isNew)
             return;
-        problems_.reportAt (key, "found '" + name + "', which " + position->second
-                                     + " has already; allowed: a name of its own");
+        m_problems.reportAt (key, "found '" + name + "', which " + position->second
+                                      + " has already; allowed: a name of its own");
     }
 
-    [[nodiscard]] bool contains (const std::string& name) const { return keys_.count (name) != 0; }
+    [[nodiscard]] bool contains (const std::string& name) const { return m_keys.count (name) != 0; }
 
 private:
-    ProblemList& problems_;
-    std::unordered_map<std::string, std::string> keys_;
+    ProblemList& m_problems;
+    std::unordered_map<std::string, std::string> m_keys;
 };
 
 class Checker
 {
 public:
     Checker (const Catalogue& catalogue, ProblemList& problems)
-        : catalogue_ (catalogue),
-          problems_ (problems),
-          zones_ (problems),
-          classes_ (problems),
-          targets_ (problems)
+        : m_catalogue (catalogue),
+          m_problems (problems),
+          m_zones (problems),
+          m_classes (problems),
+          m_targets (problems)
     {
     }
 
@@ -57,17 +57,17 @@
     {
         registerNames();
         checkClasses();
-        for (std::size_t index = 0; index < catalogue_.models.size(); ++index)
+        for (std::size_t index = 0; index < m_catalogue.models.size(); ++index)
         {
-            checkModel (catalogue_.models[index], element ("model", index));
+            checkModel (m_catalogue.models[index], element ("model", index));
         }
-        for (std::size_t index = 0; index < catalogue_.adapters.size(); ++index)
+        for (std::size_t index = 0; index < m_catalogue.adapters.size(); ++index)
         {
-            checkAdapter (catalogue_.adapters[index], element ("adapter", index));
+            checkAdapter (m_catalogue.adapters[index], element ("adapter", index));
         }
-        for (std::size_t index = 0; index < catalogue_.applications.size(); ++index)
+        for (std::size_t index = 0; index < m_catalogue.applications.size(); ++index)
         {
-            const Application& application = catalogue_.applications[index];
+            const Application& application = m_catalogue.applications[index];
             const std::string key = element ("application", index);
             checkZones (application.zones, key);
             checkClass (application.defaultClass, key);
@@ -77,47 +77,48 @@
 private:
     void registerNames()
     {
-        for (std::size_t index = 0; index < catalogue_.zones.size(); ++index)
+        for (std::size_t index = 0; index < m_catalogue.zones.size(); ++index)
         {
-            zones_.add (catalogue_.zones[index].value, element ("zones", index));
+            m_zones.add (m_catalogue.zones[index].value, element ("zones", index));
         }
-        for (std::size_t index = 0; index < catalogue_.classes.size(); ++index)
+        for (std::size_t index = 0; index < m_catalogue.classes.size(); ++index)
         {
-            classes_.add (catalogue_.classes[index].name.value, element ("class", index) + ".name");
+            m_classes.add (m_catalogue.classes[index].name.value,
+                           element ("class", index) + ".name");
         }
-        for (std::size_t index = 0; index < catalogue_.models.size(); ++index)
+        for (std::size_t index = 0; index < m_catalogue.models.size(); ++index)
         {
-            const Model& model = catalogue_.models[index];
-            targets_.add (model.name.value, element ("model", index) + ".name");
-            models_.emplace (model.name.value, &model);
+            const Model& model = m_catalogue.models[index];
+            m_targets.add (model.name.value, element ("model", index) + ".name");
+            m_models.emplace (model.name.value, &model);
         }
-        for (std::size_t index = 0; index < catalogue_.adapters.size(); ++index)
+        for (std::size_t index = 0; index < m_catalogue.adapters.size(); ++index)
         {
-            targets_.add (catalogue_.adapters[index].name.value,
-                          element ("adapter", index) + ".name");
+            m_targets.add (m_catalogue.adapters[index].name.value,
+                           element ("adapter", index) + ".name");
         }
-        for (std::size_t index = 0; index < catalogue_.applications.size(); ++index)
+        for (std::size_t index = 0; index < m_catalogue.applications.size(); ++index)
         {
-            targets_.add (catalogue_.applications[index].name.value,
-                          element ("application", index) + ".name");
+            m_targets.add (m_catalogue.applications[index].name.value,
+                           element ("application", index) + ".name");
         }
     }
 
     void checkClasses()
     {
-        if (catalogue_.classes.empty())
+        if (m_catalogue.classes.empty())
         {
-            problems_.report (0, "class", "missing, allowed: at least one [[class]]");
+            m_problems.report (0, "class", "missing, allowed: at least one [[class]]");
         }
         double sum = 0;
-        for (const RequestClass& each : catalogue_.classes)
+        for (const RequestClass& each : m_catalogue.classes)
             sum += each.reservedSlotShare;
         constexpr double kRoundingError = 1e-9;
         if (sum <= kMaximumReservedSlotShare + kRoundingError)
             return;
-        problems_.reportAt ("class", "found reserved_slot_share of all classes adding up to "
-                                         + std::to_string (sum) + ", allowed: at most "
-                                         + std::to_string (kMaximumReservedSlotShare));
+        m_problems.reportAt ("class", "found reserved_slot_share of all classes adding up to "
+                                          + std::to_string (sum) + ", allowed: at most "
+                                          + std::to_string (kMaximumReservedSlotShare));
     }
 
     void checkModel (const Model& model, const std::string& key)
@@ -126,9 +127,10 @@
         checkClass (model.defaultClass, key);
         if (model.minReplicas > model.maxReplicas)
         {
-            problems_.reportAt (key + ".min_replicas", "found " + std::to_string (model.minReplicas)
-                                                           + ", allowed: at most max_replicas, "
-                                                           + std::to_string (model.maxReplicas));
+            m_problems.reportAt (key + ".min_replicas", "found "
+                                                            + std::to_string (model.minReplicas)
+                                                            + ", allowed: at most max_replicas, "
+                                                            + std::to_string (model.maxReplicas));
         }
         checkMemory (model.memory, key, "");
     }
@@ -138,11 +140,11 @@
         checkClass (adapter.defaultClass, key);
         if (adapter.base.empty())
             return;
-        const auto base = models_.find (adapter.base.value);
-        if (base == models_.end())
+        const auto base = m_models.find (adapter.base.value);
+        if (base == m_models.end())
         {
-            problems_.reportAt (key + ".base", "found '" + adapter.base.value
-                                                   + "', allowed: the name of a [[model]]");
+            m_problems.reportAt (key + ".base", "found '" + adapter.base.value
+                                                    + "', allowed: the name of a [[model]]");
             return;
         }
         checkMemory (adapter.memory + base->second->memory, key,
@@ -151,45 +153,45 @@
 
     void checkMemory (Megabytes memory, const std::string& key, const std::string& addition)
     {
-        const Megabytes limit = catalogue_.largestRunnerMemory;
+        const Megabytes limit = m_catalogue.largestRunnerMemory;
         if (limit == 0 || memory <= limit)
             return;
-        problems_.reportAt (key + ".memory_mb",
-                            "found " + std::to_string (memory) + addition
-                                + ", allowed: at most largest_runner_memory_mb, "
-                                + std::to_string (limit));
+        m_problems.reportAt (key + ".memory_mb",
+                             "found " + std::to_string (memory) + addition
+                                 + ", allowed: at most largest_runner_memory_mb, "
+                                 + std::to_string (limit));
     }
 
     void checkZones (const std::vector<base::ZoneName>& zones, const std::string& key)
     {
-        NameRegister own (problems_);
+        NameRegister own (m_problems);
         for (std::size_t index = 0; index < zones.size(); ++index)
         {
             const std::string& zone = zones[index].value;
             const std::string elementKey = element (key + ".zones", index);
             own.add (zone, elementKey);
-            if (zone.empty() || zones_.contains (zone))
+            if (zone.empty() || m_zones.contains (zone))
                 continue;
-            problems_.reportAt (elementKey,
-                                "found '" + zone + "', allowed: a zone of the key zones");
+            m_problems.reportAt (elementKey,
+                                 "found '" + zone + "', allowed: a zone of the key zones");
         }
     }
 
     void checkClass (const base::RequestClassName& name, const std::string& key)
     {
-        if (name.empty() || classes_.contains (name.value))
+        if (name.empty() || m_classes.contains (name.value))
             return;
-        problems_.reportAt (key + ".class",
-                            "found '" + name.value + "', allowed: the name of a [[class]]");
+        m_problems.reportAt (key + ".class",
+                             "found '" + name.value + "', allowed: the name of a [[class]]");
     }
 
-    const Catalogue& catalogue_;
-    ProblemList& problems_;
-    NameRegister zones_;
-    NameRegister classes_;
+    const Catalogue& m_catalogue;
+    ProblemList& m_problems;
+    NameRegister m_zones;
+    NameRegister m_classes;
     /// Models, adapters and applications share one space of names.
-    NameRegister targets_;
-    std::unordered_map<std::string, const Model*> models_;
+    NameRegister m_targets;
+    std::unordered_map<std::string, const Model*> m_models;
 };
 
 }  // namespace
--- a/src/config/CommandLine.cpp
+++ b/src/config/CommandLine.cpp
@@ -81,8 +81,8 @@
 public:
     explicit OptionTable (const SettingsSchema& schema)
     {
-        names_.reserve (2 * schema.settings().size());
-        helps_.reserve (schema.settings().size());
+        m_names.reserve (2 * schema.settings().size());
+        m_helps.reserve (schema.settings().size());
         for (std::size_t index = 0; index < schema.settings().size(); ++index)
         {
             addSetting (schema.settings()[index], kFirstSetting + 2 * static_cast<int> (index));
@@ -95,37 +95,38 @@
                   "Print the settings as a table in Markdown.", nullptr);
         addPlain ("help", POPT_ARG_NONE, kHelpOption, "Show this help.", nullptr);
         addPlain ("version", POPT_ARG_NONE, kVersionOption, "Show the version.", nullptr);
-        options_.push_back (poptOption POPT_TABLEEND);
+        m_options.push_back (poptOption POPT_TABLEEND);
     }
 
-    [[nodiscard]] const poptOption* options() const { return options_.data(); }
+    [[nodiscard]] const poptOption* options() const { return m_options.data(); }
 
 private:
     void addSetting (const Setting& setting, int value)
     {
-        names_.push_back (flagNameOf (setting.key));
-        helps_.push_back (helpOf (setting));
-        const char* const name = names_.back().c_str();
-        const char* const help = helps_.back().c_str();
+        m_names.push_back (flagNameOf (setting.key));
+        m_helps.push_back (helpOf (setting));
+        const char* const name = m_names.back().c_str();
+        const char* const help = m_helps.back().c_str();
         if (setting.form != ValueForm::kBoolean)
         {
             addPlain (name, POPT_ARG_STRING, value, help, "VALUE");
             return;
         }
         addPlain (name, POPT_ARG_NONE, value, help, nullptr);
-        names_.push_back ("no-" + names_.back());
-        addPlain (names_.back().c_str(), POPT_ARG_NONE, value + 1, "The opposite.", nullptr);
+        m_names.push_back ("no-" + m_names.back());
+        addPlain (m_names.back().c_str(), POPT_ARG_NONE, value + 1, "The opposite.", nullptr);
     }
 
     void addPlain (const char* name, unsigned argument, int value, const char* help,
                    const char* argumentHelp)
     {
-        options_.push_back (poptOption{ name, '\0', argument, nullptr, value, help, argumentHelp });
+        m_options.push_back (
+            poptOption{ name, '\0', argument, nullptr, value, help, argumentHelp });
     }
 
-    std::vector<std::string> names_;
-    std::vector<std::string> helps_;
-    std::vector<poptOption> options_;
+    std::vector<std::string> m_names;
+    std::vector<std::string> m_helps;
+    std::vector<poptOption> m_options;
 };
 
 /// popt's context; freed at the end of the scope.
@@ -208,26 +209,26 @@
 class Assigner
 {
 public:
-    explicit Assigner (const SettingsSchema& schema) : schema_ (schema) {}
+    explicit Assigner (const SettingsSchema& schema) : m_schema (schema) {}
 
     void readFile (const std::string& path)
     {
         std::ifstream stream (path, std::ios::binary);
         if (! stream)
         {
-            problems_.push_back (path + ": cannot be read");
+            m_problems.push_back (path + ": cannot be read");
             return;
         }
         const std::string text{ std::istreambuf_iterator<char> (stream), {} };
-        SettingsFileOutcome outcome = readSettings (text, schema_);
-        seen_.merge (outcome.keys);
+        SettingsFileOutcome outcome = readSettings (text, m_schema);
+        m_seen.merge (outcome.keys);
         for (const SettingsProblem& problem : outcome.problems)
         {
             std::string line = path;
             line.append (":").append (std::to_string (problem.line)).append (": ");
             if (! problem.key.empty())
                 line.append (problem.key).append (": ");
-            problems_.push_back (line.append (problem.message));
+            m_problems.push_back (line.append (problem.message));
         }
     }
 
@@ -236,38 +237,38 @@
         std::set<std::size_t> cleared;
         for (const FlagValue& value : values)
         {
-            const Setting& setting = schema_.settings()[value.setting];
+            const Setting& setting = m_schema.settings()[value.setting];
             if (setting.isList && cleared.insert (value.setting).second)
                 setting.clear();
-            seen_.insert (setting.key);
+            m_seen.insert (setting.key);
             const std::optional<std::string> message = setting.assign (value.text);
             if (message)
-                problems_.push_back ("--" + flagNameOf (setting.key) + ": " + *message);
+                m_problems.push_back ("--" + flagNameOf (setting.key) + ": " + *message);
         }
     }
 
     void checkAll()
     {
-        for (const Setting& setting : schema_.settings())
+        for (const Setting& setting : m_schema.settings())
         {
-            if (! setting.isRequired || seen_.count (setting.key) != 0)
+            if (! setting.isRequired || m_seen.count (setting.key) != 0)
                 continue;
-            problems_.push_back (setting.key + ": missing (key " + setting.key + " or flag --"
-                                 + flagNameOf (setting.key) + "), allowed: " + setting.typeName);
+            m_problems.push_back (setting.key + ": missing (key " + setting.key + " or flag --"
+                                  + flagNameOf (setting.key) + "), allowed: " + setting.typeName);
         }
-        for (const auto& check : schema_.checks())
+        for (const auto& check : m_schema.checks())
         {
             for (std::string& message : check())
-                problems_.push_back (std::move (message));
+                m_problems.push_back (std::move (message));
         }
     }
 
-    [[nodiscard]] const std::vector<std::string>& problems() const { return problems_; }
+    [[nodiscard]] const std::vector<std::string>& problems() const { return m_problems; }
 
 private:
-    const SettingsSchema& schema_;
-    std::set<std::string> seen_;
-    std::vector<std::string> problems_;
+    const SettingsSchema& m_schema;
+    std::set<std::string> m_seen;
+    std::vector<std::string> m_problems;
 };
 
 int exitCodeOf (base::ErrorKind kind) { return base::traitsOf (kind).exitCode; }
--- a/src/config/ServiceCatalogue.cpp
+++ b/src/config/ServiceCatalogue.cpp
@@ -19,24 +19,24 @@
 class ProblemFinder
 {
 public:
-    explicit ProblemFinder (const ServiceCatalogue& catalogue) : catalogue_ (catalogue)
+    explicit ProblemFinder (const ServiceCatalogue& catalogue) : m_catalogue (catalogue)
     {
         for (const Service& service : catalogue.services)
         {
             if (service.name.empty())
-                problems_.emplace_back ("a service has no name");
-            if (! serviceNames_.insert (service.name).second)
+                m_problems.emplace_back ("a service has no name");
+            if (! m_serviceNames.insert (service.name).second)
             {
-                problems_.push_back ("service '" + service.name + "' stands twice");
+                m_problems.push_back ("service '" + service.name + "' stands twice");
             }
         }
     }
 
     std::vector<std::string> find()
     {
-        for (const Route& route : catalogue_.routes)
+        for (const Route& route : m_catalogue.routes)
             check (route);
-        return std::move (problems_);
+        return std::move (m_problems);
     }
 
 private:
@@ -50,7 +50,7 @@
             report (route,
                     "has the path prefix '" + prefix + "'; it must begin and end with a slash");
         }
-        if (! places_.emplace (route.host, prefix).second)
+        if (! m_places.emplace (route.host, prefix).second)
         {
             report (route, "has the host and path prefix of another route");
         }
@@ -65,7 +65,7 @@
         for (const RouteBackend& backend : route.backends)
         {
             weights += backend.weight;
-            if (! serviceNames_.contains (backend.service))
+            if (! m_serviceNames.contains (backend.service))
             {
                 report (route, "names the unknown service '" + backend.service + "'");
             }
@@ -76,13 +76,13 @@
 
     void report (const Route& route, const std::string& what)
     {
-        problems_.push_back ("route '" + route.name + "' " + what);
+        m_problems.push_back ("route '" + route.name + "' " + what);
     }
 
-    const ServiceCatalogue& catalogue_;
-    std::set<std::string_view> serviceNames_;
-    std::set<std::pair<std::string_view, std::string_view>> places_;
-    std::vector<std::string> problems_;
+    const ServiceCatalogue& m_catalogue;
+    std::set<std::string_view> m_serviceNames;
+    std::set<std::pair<std::string_view, std::string_view>> m_places;
+    std::vector<std::string> m_problems;
 };
 
 }  // namespace
--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -96,13 +96,13 @@
 }  // namespace
 
 SettingsSchema::SettingsSchema (std::string program, std::string summary)
-    : program_ (std::move (program)), summary_ (std::move (summary))
+    : m_program (std::move (program)), m_summary (std::move (summary))
 {
 }
 
 SettingsSchema& SettingsSchema::add (Setting setting)
 {
-    settings_.push_back (std::move (setting));
+    m_settings.push_back (std::move (setting));
     return *this;
 }
 
@@ -279,19 +279,19 @@
 
 SettingsSchema& SettingsSchema::required()
 {
-    settings_.back().isRequired = true;
+    m_settings.back().isRequired = true;
     return *this;
 }
 
 SettingsSchema& SettingsSchema::addCheck (std::function<std::vector<std::string>()> check)
 {
-    checks_.push_back (std::move (check));
+    m_checks.push_back (std::move (check));
     return *this;
 }
 
 SettingsSchema& SettingsSchema::setPositionals (std::string usage)
 {
-    positionalUsage_ = std::move (usage);
+    m_positionalUsage = std::move (usage);
     return *this;
 }
 
--- a/src/config/Settings.h
+++ b/src/config/Settings.h
@@ -61,21 +61,21 @@
     /// Adds a setting of a type that has no method of its own.
     SettingsSchema& add (Setting setting);
 
-    [[nodiscard]] const std::string& program() const { return program_; }
-    [[nodiscard]] const std::string& summary() const { return summary_; }
-    [[nodiscard]] const std::vector<Setting>& settings() const { return settings_; }
-    [[nodiscard]] const std::string& positionalUsage() const { return positionalUsage_; }
+    [[nodiscard]] const std::string& program() const { return m_program; }
+    [[nodiscard]] const std::string& summary() const { return m_summary; }
+    [[nodiscard]] const std::vector<Setting>& settings() const { return m_settings; }
+    [[nodiscard]] const std::string& positionalUsage() const { return m_positionalUsage; }
     [[nodiscard]] const std::vector<std::function<std::vector<std::string>()>>& checks() const
     {
-        return checks_;
+        return m_checks;
     }
 
 private:
-    std::string program_;
-    std::string summary_;
-    std::string positionalUsage_;
-    std::vector<Setting> settings_;
-    std::vector<std::function<std::vector<std::string>()>> checks_;
+    std::string m_program;
+    std::string m_summary;
+    std::string m_positionalUsage;
+    std::vector<Setting> m_settings;
+    std::vector<std::function<std::vector<std::string>()>> m_checks;
 };
 
 /// One declared key.
--- a/src/config/SettingsFile.cpp
+++ b/src/config/SettingsFile.cpp
@@ -47,7 +47,7 @@
 class Reader
 {
 public:
-    explicit Reader (const SettingsSchema& schema) : schema_ (schema) {}
+    explicit Reader (const SettingsSchema& schema) : m_schema (schema) {}
 
     void readAll (const toml::table& table)
     {
@@ -55,12 +55,12 @@
             readKey (std::string (key.str()), node, key.source());
     }
 
-    SettingsFileOutcome takeOutcome() { return std::move (outcome_); }
+    SettingsFileOutcome takeOutcome() { return std::move (m_outcome); }
 
 private:
     void readKey (const std::string& key, const toml::node& node, const toml::source_region& place)
     {
-        const auto& settings = schema_.settings();
+        const auto& settings = m_schema.settings();
         const auto setting = std::find_if (settings.begin(), settings.end(),
                                            [&] (const Setting& each) { return each.key == key; });
         if (setting == settings.end())
@@ -68,7 +68,7 @@
             report (place, key, "unknown key; --help lists the known ones");
             return;
         }
-        outcome_.keys.insert (key);
+        m_outcome.keys.insert (key);
         if (setting->isList)
         {
             readList (*setting, node);
@@ -108,12 +108,12 @@
 
     void report (const toml::source_region& place, const std::string& key, std::string message)
     {
-        outcome_.problems.push_back (
+        m_outcome.problems.push_back (
             SettingsProblem{ static_cast<int> (place.begin.line), key, std::move (message) });
     }
 
-    const SettingsSchema& schema_;
-    SettingsFileOutcome outcome_;
+    const SettingsSchema& m_schema;
+    SettingsFileOutcome m_outcome;
 };
 
 }  // namespace
--- a/src/config/SettingsTest.cpp
+++ b/src/config/SettingsTest.cpp
@@ -63,7 +63,7 @@
 protected:
     std::string writeFile (const std::string& text)
     {
-        std::string path = directory_.filePath (QStringLiteral ("settings.toml")).toStdString();
+        std::string path = m_directory.filePath (QStringLiteral ("settings.toml")).toStdString();
         std::ofstream (path) << text;
         return path;
     }
@@ -77,7 +77,7 @@
             pointers.push_back (argument.data());
         pointers.push_back (nullptr);
         SettingsSchema schema ("fernlift-example", "an example.");
-        example_.declare (schema);
+        m_example.declare (schema);
         testing::internal::CaptureStdout();
         testing::internal::CaptureStderr();
         Invocation result;
@@ -88,8 +88,8 @@
         return result;
     }
 
-    QTemporaryDir directory_;
-    Example example_;
+    QTemporaryDir m_directory;
+    Example m_example;
 };
 
 const int kUsageCode = base::traitsOf (base::ErrorKind::kUsage).exitCode;
@@ -113,17 +113,17 @@
     const Invocation result = run ({ "--settings", path, "rest" });
     ASSERT_FALSE (result.outcome.exitCode) << result.errors;
     EXPECT_EQ (result.outcome.positionals, std::vector<std::string>{ "rest" });
-    EXPECT_EQ (example_.name, "a");
-    EXPECT_EQ (example_.zones, (std::vector<std::string>{ "z2", "z3" }));
-    EXPECT_EQ (example_.workers, 3);
-    EXPECT_EQ (example_.share, 1.0);
-    EXPECT_EQ (example_.timeout, base::milliseconds (20));
-    EXPECT_TRUE (example_.isStrict);
-    EXPECT_EQ (example_.http.toString(), "127.0.0.1:8080");
-    EXPECT_EQ (example_.peers.size(), 2U);
-    EXPECT_EQ (example_.mode, "slow");
-    EXPECT_EQ (example_.logging.format, log::Format::kJson);
-    EXPECT_EQ (example_.logging.minimumSeverity, log::Severity::kWarning);
+    EXPECT_EQ (m_example.name, "a");
+    EXPECT_EQ (m_example.zones, (std::vector<std::string>{ "z2", "z3" }));
+    EXPECT_EQ (m_example.workers, 3);
+    EXPECT_EQ (m_example.share, 1.0);
+    EXPECT_EQ (m_example.timeout, base::milliseconds (20));
+    EXPECT_TRUE (m_example.isStrict);
+    EXPECT_EQ (m_example.http.toString(), "127.0.0.1:8080");
+    EXPECT_EQ (m_example.peers.size(), 2U);
+    EXPECT_EQ (m_example.mode, "slow");
+    EXPECT_EQ (m_example.logging.format, log::Format::kJson);
+    EXPECT_EQ (m_example.logging.minimumSeverity, log::Severity::kWarning);
 }
 
 TEST_F (SettingsTest, FlagsGoBeforeTheFile)
@@ -133,10 +133,10 @@
     const Invocation result = run ({ "--workers=4", "--no-is-strict", "--zones", "z8", "--zones",
                                      "z9", "--settings", path, "--http-address", "127.0.0.1:2" });
     ASSERT_FALSE (result.outcome.exitCode) << result.errors;
-    EXPECT_EQ (example_.workers, 4);
-    EXPECT_FALSE (example_.isStrict);
-    EXPECT_EQ (example_.zones, (std::vector<std::string>{ "z8", "z9" }));
-    EXPECT_EQ (example_.http.port, 2);
+    EXPECT_EQ (m_example.workers, 4);
+    EXPECT_FALSE (m_example.isStrict);
+    EXPECT_EQ (m_example.zones, (std::vector<std::string>{ "z8", "z9" }));
+    EXPECT_EQ (m_example.http.port, 2);
 }
 
 TEST_F (SettingsTest, ReportsEveryFaultAtOnceWithItsPlace)
--- a/src/config/TableReader.cpp
+++ b/src/config/TableReader.cpp
@@ -72,59 +72,59 @@
 
 void ProblemList::report (int line, const std::string& key, std::string message)
 {
-    if (problems_.size() > kMaximumProblems)
+    if (m_problems.size() > kMaximumProblems)
         return;
-    if (problems_.size() == kMaximumProblems)
+    if (m_problems.size() == kMaximumProblems)
         message = "there are more problems than are shown";
-    problems_.push_back (CatalogueProblem{ line, key, std::move (message) });
+    m_problems.push_back (CatalogueProblem{ line, key, std::move (message) });
 }
 
 void ProblemList::reportAt (const std::string& key, std::string message)
 {
-    const auto line = lines_.find (key);
-    report (line == lines_.end() ? 0 : line->second, key, std::move (message));
+    const auto line = m_lines.find (key);
+    report (line == m_lines.end() ? 0 : line->second, key, std::move (message));
 }
 
 std::vector<CatalogueProblem> ProblemList::takeSorted()
 {
-    std::stable_sort (problems_.begin(), problems_.end(),
+    std::stable_sort (m_problems.begin(), m_problems.end(),
                       [] (const CatalogueProblem& left, const CatalogueProblem& right)
                       { return left.line < right.line; });
-    return std::move (problems_);
+    return std::move (m_problems);
 }
 
 TableReader::TableReader (const toml::table& table, std::string path, ProblemList& problems)
-    : table_ (table), path_ (std::move (path)), problems_ (problems)
+    : m_table (table), m_path (std::move (path)), m_problems (problems)
 {
-    if (! path_.empty())
-        problems_.rememberLine (path_, lineOf (table_));
+    if (! m_path.empty())
+        m_problems.rememberLine (m_path, lineOf (m_table));
 }
 
 std::string TableReader::pathOf (std::string_view key) const
 {
-    return path_.empty() ? std::string (key) : path_ + "." + std::string (key);
+    return m_path.empty() ? std::string (key) : m_path + "." + std::string (key);
 }
 
 void TableReader::reportFound (const std::string& path, const toml::node& node,
                                std::string_view allowed)
 {
-    problems_.report (lineOf (node), path,
-                      "found " + describe (node) + ", allowed: " + std::string (allowed));
+    m_problems.report (lineOf (node), path,
+                       "found " + describe (node) + ", allowed: " + std::string (allowed));
 }
 
 const toml::node* TableReader::find (std::string_view key, Presence presence,
                                      std::string_view allowed)
 {
-    readKeys_.emplace (key);
-    const toml::node* const node = table_.get (key);
+    m_readKeys.emplace (key);
+    const toml::node* const node = m_table.get (key);
     const std::string path = pathOf (key);
     if (node != nullptr)
     {
-        problems_.rememberLine (path, lineOf (*node));
+        m_problems.rememberLine (path, lineOf (*node));
     }
     else if (presence == Presence::kRequired)
     {
-        problems_.report (lineOf (table_), path, "missing, allowed: " + std::string (allowed));
+        m_problems.report (lineOf (m_table), path, "missing, allowed: " + std::string (allowed));
     }
     return node;
 }
@@ -159,7 +159,7 @@
     {
         const std::string found =
             array == nullptr ? describe (*node) : std::to_string (array->size()) + " names";
-        problems_.report (lineOf (*node), path, "found " + found + ", allowed: " + allowed);
+        m_problems.report (lineOf (*node), path, "found " + found + ", allowed: " + allowed);
         return {};
     }
     std::vector<std::string> names;
@@ -167,7 +167,7 @@
     {
         const toml::node& element = *array->get (index);
         const std::string elementPath = elementOf (path, index);
-        problems_.rememberLine (elementPath, lineOf (element));
+        m_problems.rememberLine (elementPath, lineOf (element));
         names.push_back (checkName (elementPath, element));
     }
     return names;
@@ -237,8 +237,8 @@
     }
     if (array->size() > maximumCount)
     {
-        problems_.report (lineOf (*node), pathOf (key),
-                          "found " + std::to_string (array->size()) + ", allowed: " + allowed);
+        m_problems.report (lineOf (*node), pathOf (key),
+                           "found " + std::to_string (array->size()) + ", allowed: " + allowed);
     }
     std::vector<const toml::table*> tables;
     for (std::size_t index = 0; index < array->size(); ++index)
@@ -270,14 +270,14 @@
 void TableReader::reportUnknownKeys()
 {
     std::string known;
-    for (const std::string& key : readKeys_)
+    for (const std::string& key : m_readKeys)
         known += (known.empty() ? "" : ", ") + key;
-    for (const auto& [key, node] : table_)
+    for (const auto& [key, node] : m_table)
     {
-        if (readKeys_.find (key.str()) != readKeys_.end())
+        if (m_readKeys.find (key.str()) != m_readKeys.end())
             continue;
-        problems_.report (static_cast<int> (key.source().begin.line), pathOf (key.str()),
-                          "unknown key, allowed: " + known);
+        m_problems.report (static_cast<int> (key.source().begin.line), pathOf (key.str()),
+                           "unknown key, allowed: " + known);
     }
 }
 
--- a/src/config/TableReader.h
+++ b/src/config/TableReader.h
@@ -23,13 +23,13 @@
     void report (int line, const std::string& key, std::string message);
     /// Reports a fault of a key that was read before.
     void reportAt (const std::string& key, std::string message);
-    void rememberLine (const std::string& key, int line) { lines_.emplace (key, line); }
+    void rememberLine (const std::string& key, int line) { m_lines.emplace (key, line); }
     /// All faults in the order of their lines.
     [[nodiscard]] std::vector<CatalogueProblem> takeSorted();
 
 private:
-    std::vector<CatalogueProblem> problems_;
-    std::map<std::string, int> lines_;
+    std::vector<CatalogueProblem> m_problems;
+    std::map<std::string, int> m_lines;
 };
 
 enum class Presence : std::uint8_t
@@ -79,10 +79,10 @@
     void reportFound (const std::string& path, const toml::node& node, std::string_view allowed);
     std::string checkName (const std::string& path, const toml::node& node);
 
-    const toml::table& table_;
-    std::string path_;
-    ProblemList& problems_;
-    std::set<std::string, std::less<>> readKeys_;
+    const toml::table& m_table;
+    std::string m_path;
+    ProblemList& m_problems;
+    std::set<std::string, std::less<>> m_readKeys;
 };
 
 }  // namespace fernlift::config
--- a/src/consensus/ClusterFaultsTest.cpp
+++ b/src/consensus/ClusterFaultsTest.cpp
@@ -21,11 +21,11 @@
 void ClusterSimulation::injectForever()
 {
     const auto wait =
-        static_cast<std::int64_t> (random_.exponential (kMeanFaultMilliseconds) * 1000);
+        static_cast<std::int64_t> (m_random.exponential (kMeanFaultMilliseconds) * 1000);
     after (Duration (wait),
            [this]
            {
-               if (isHealing_)
+               if (m_isHealing)
                    return;
                injectFault();
                injectForever();
@@ -46,29 +46,29 @@
         &ClusterSimulation::deafenFollower, &ClusterSimulation::deafenFollower,
         &ClusterSimulation::failDisk
     };
-    const auto chosen = random_.uniformInteger (0, static_cast<std::int64_t> (kFaults.size()) - 1);
+    const auto chosen = m_random.uniformInteger (0, static_cast<std::int64_t> (kFaults.size()) - 1);
     (this->*kFaults[static_cast<std::size_t> (chosen)])();
 }
 
 void ClusterSimulation::cutRandomly()
 {
     const Process* leader = findLeader();
-    const Process* process = leader != nullptr && random_.chance (0.5) ? leader : randomProcess();
+    const Process* process = leader != nullptr && m_random.chance (0.5) ? leader : randomProcess();
     if (process == nullptr)
         return;
-    if (random_.chance (0.5))
-        quietUntil_ = now_ + randomDuration (300, 900);
-    if (random_.chance (0.4))
+    if (m_random.chance (0.5))
+        m_quietUntil = m_now + randomDuration (300, 900);
+    if (m_random.chance (0.4))
     {
         isolateWithMinority (process->id);
         return;
     }
-    const bool cutsOut = random_.chance (0.6);
-    const bool cutsIn = ! cutsOut || random_.chance (0.4);
-    const bool isOnePeer = random_.chance (0.4);
+    const bool cutsOut = m_random.chance (0.6);
+    const bool cutsIn = ! cutsOut || m_random.chance (0.4);
+    const bool isOnePeer = m_random.chance (0.4);
     const MemberId peer = isOnePeer ? randomProcess()->id : 0;
     std::set<std::pair<MemberId, MemberId>> cuts;
-    for (const auto& [id, other] : processes_)
+    for (const auto& [id, other] : m_processes)
     {
         if (id == process->id || (isOnePeer && id != peer))
             continue;
@@ -78,12 +78,12 @@
             cuts.insert ({ id, process->id });
     }
     count (cutsOut && cutsIn ? "cuts two ways" : "cuts one way");
-    cuts_.insert (cuts.begin(), cuts.end());
+    m_cuts.insert (cuts.begin(), cuts.end());
     after (randomDuration (50, 2500),
            [this, cuts]
            {
                for (const auto& cut : cuts)
-                   cuts_.erase (cut);
+                   m_cuts.erase (cut);
            });
 }
 
@@ -91,27 +91,27 @@
 void ClusterSimulation::isolateWithMinority (MemberId member)
 {
     std::set<MemberId> side{ member };
-    for (const auto& [id, other] : processes_)
+    for (const auto& [id, other] : m_processes)
     {
-        if (random_.chance (0.25))
+        if (m_random.chance (0.25))
             side.insert (id);
     }
     std::set<std::pair<MemberId, MemberId>> cuts;
-    for (const auto& [from, sender] : processes_)
+    for (const auto& [from, sender] : m_processes)
     {
-        for (const auto& [to, receiver] : processes_)
+        for (const auto& [to, receiver] : m_processes)
         {
             if (side.contains (from) != side.contains (to))
                 cuts.insert ({ from, to });
         }
     }
     count ("partitions");
-    cuts_.insert (cuts.begin(), cuts.end());
+    m_cuts.insert (cuts.begin(), cuts.end());
     after (randomDuration (300, 2500),
            [this, cuts]
            {
                for (const auto& cut : cuts)
-                   cuts_.erase (cut);
+                   m_cuts.erase (cut);
            });
 }
 
@@ -121,19 +121,19 @@
     if (leader == nullptr || leader->id == campaigner.id)
         return;
     count ("leaders cut off during a campaign");
-    quietUntil_ = now_;
+    m_quietUntil = m_now;
     std::set<std::pair<MemberId, MemberId>> cuts;
-    for (const auto& [id, other] : processes_)
+    for (const auto& [id, other] : m_processes)
     {
         cuts.insert ({ id, leader->id });
         cuts.insert ({ leader->id, id });
     }
-    cuts_.insert (cuts.begin(), cuts.end());
+    m_cuts.insert (cuts.begin(), cuts.end());
     after (randomDuration (100, 1000),
            [this, cuts]
            {
                for (const auto& cut : cuts)
-                   cuts_.erase (cut);
+                   m_cuts.erase (cut);
            });
 }
 
@@ -145,9 +145,9 @@
         return;
     count ("followers deaf to the leader");
     const std::pair cut (leader->id, follower->id);
-    cuts_.insert (cut);
-    quietUntil_ = now_ + randomDuration (600, 900);
-    after (randomDuration (500, 900), [this, cut] { cuts_.erase (cut); });
+    m_cuts.insert (cut);
+    m_quietUntil = m_now + randomDuration (600, 900);
+    after (randomDuration (500, 900), [this, cut] { m_cuts.erase (cut); });
 }
 
 void ClusterSimulation::freezeRandomly()
@@ -161,7 +161,7 @@
     after (randomDuration (20, 3000),
            [this, id = process->id, incarnation]
            {
-               Process& thawed = processes_.at (id);
+               Process& thawed = m_processes.at (id);
                if (! thawed.node || thawed.incarnation != incarnation)
                    return;
                thawed.isFrozen = false;
@@ -176,7 +176,7 @@
 
 void ClusterSimulation::crashRandomly()
 {
-    Process* process = random_.chance (0.5) ? findLeader() : randomProcess();
+    Process* process = m_random.chance (0.5) ? findLeader() : randomProcess();
     if (process == nullptr)
         return;
     count ("crashes");
@@ -187,7 +187,7 @@
 void ClusterSimulation::powerLoss()
 {
     count ("power losses");
-    for (auto& [id, process] : processes_)
+    for (auto& [id, process] : m_processes)
     {
         crash (process);
         restartAfter (id, randomDuration (1, 800));
@@ -202,7 +202,7 @@
     count ("slow disks");
     process->syncTime = randomDuration (20, 400);
     after (randomDuration (200, 2000),
-           [this, id = process->id] { processes_.at (id).syncTime = milliseconds (1); });
+           [this, id = process->id] { m_processes.at (id).syncTime = milliseconds (1); });
 }
 
 /// A write fails; the member stays up, silent, until it is restarted with a disk that works.
@@ -218,7 +218,7 @@
     after (randomDuration (50, 1500),
            [this, id = process->id, incarnation = process->incarnation]
            {
-               Process& failed = processes_.at (id);
+               Process& failed = m_processes.at (id);
                if (failed.incarnation == incarnation)
                    crash (failed);
                if (! failed.node && ! failed.isDiskLost)
@@ -230,51 +230,52 @@
 /// other voters have their disks: what two losses at once destroy cannot be had back.
 void ClusterSimulation::loseDisk()
 {
-    if (! isReconfigured_)
+    if (! m_isReconfigured)
         return;
-    if (isLossDue_)
+    if (m_isLossDue)
         count ("second disks lost right after a replacement");
-    isLossDue_ = ! isLossDue_ && random_.chance (0.7);
-    const auto chosen = random_.uniformInteger (0, static_cast<std::int64_t> (desired_.size()) - 1);
-    const MemberId id = *std::next (desired_.begin(), chosen);
+    m_isLossDue = ! m_isLossDue && m_random.chance (0.7);
+    const auto chosen =
+        m_random.uniformInteger (0, static_cast<std::int64_t> (m_desired.size()) - 1);
+    const MemberId id = *std::next (m_desired.begin(), chosen);
     count ("disks lost");
-    Process& process = processes_.at (id);
+    Process& process = m_processes.at (id);
     trace (process, "loses its disk");
     crash (process);
     process.disk = SimulatedDisk();
-    if (options_.fault == PlantedFault::kIdentityReusedAfterDiskLoss)
+    if (m_options.fault == PlantedFault::kIdentityReusedAfterDiskLoss)
     {
         process.initialMembers = {};
         restartAfter (id, randomDuration (1, 300));
         return;
     }
     process.isDiskLost = true;
-    isReconfigured_ = false;
-    desired_.erase (id);
-    desired_.insert (nextId_);
-    addProcess (nextId_++, {});
+    m_isReconfigured = false;
+    m_desired.erase (id);
+    m_desired.insert (m_nextId);
+    addProcess (m_nextId++, {});
 }
 
 /// The operator grows or shrinks the quorum by two, so that two changes follow each other.
 void ClusterSimulation::changeMembers()
 {
-    if (! isReconfigured_)
+    if (! m_isReconfigured)
         return;
     constexpr std::size_t kSmall = 3;
-    isReconfigured_ = false;
-    if (desired_.size() > kSmall)
+    m_isReconfigured = false;
+    if (m_desired.size() > kSmall)
     {
-        while (desired_.size() > kSmall)
+        while (m_desired.size() > kSmall)
         {
-            const auto last = static_cast<std::int64_t> (desired_.size()) - 1;
-            desired_.erase (std::next (desired_.begin(), random_.uniformInteger (0, last)));
+            const auto last = static_cast<std::int64_t> (m_desired.size()) - 1;
+            m_desired.erase (std::next (m_desired.begin(), m_random.uniformInteger (0, last)));
         }
         return;
     }
     for (int added = 0; added < 2; ++added)
     {
-        desired_.insert (nextId_);
-        addProcess (nextId_++, {});
+        m_desired.insert (m_nextId);
+        addProcess (m_nextId++, {});
     }
 }
 
@@ -293,10 +294,10 @@
 void ClusterSimulation::disturbNetwork()
 {
     count ("network disturbances");
-    dropChance_ = random_.chance (0.5) ? 0.2 * random_.uniformReal() : 0;
-    duplicateChance_ = random_.chance (0.5) ? 0.2 * random_.uniformReal() : 0;
-    lateChance_ = random_.chance (0.5) ? 0.1 * random_.uniformReal() : 0;
-    for (auto& [id, process] : processes_)
+    m_dropChance = m_random.chance (0.5) ? 0.2 * m_random.uniformReal() : 0;
+    m_duplicateChance = m_random.chance (0.5) ? 0.2 * m_random.uniformReal() : 0;
+    m_lateChance = m_random.chance (0.5) ? 0.1 * m_random.uniformReal() : 0;
+    for (auto& [id, process] : m_processes)
     {
         if (process.node)
             setClockRate (process, randomClockRate());
@@ -305,12 +306,12 @@
 
 void ClusterSimulation::healAll()
 {
-    isHealing_ = true;
-    cuts_.clear();
-    dropChance_ = 0;
-    duplicateChance_ = 0;
-    lateChance_ = 0;
-    for (auto& [id, process] : processes_)
+    m_isHealing = true;
+    m_cuts.clear();
+    m_dropChance = 0;
+    m_duplicateChance = 0;
+    m_lateChance = 0;
+    for (auto& [id, process] : m_processes)
         process.syncTime = milliseconds (1);
 }
 
--- a/src/consensus/ClusterInvariants.h
+++ b/src/consensus/ClusterInvariants.h
@@ -47,17 +47,17 @@
     void onApplied (MemberId id, Term term, const DigestState& state, const Entry& entry);
     void onInstalled (MemberId id, const Snapshot& snapshot);
     /// A caller was told that the command at `index` is committed.
-    void onAcknowledged (LogIndex index) { observed_ = std::max (observed_, index); }
+    void onAcknowledged (LogIndex index) { m_observed = std::max (m_observed, index); }
     /// A leader that holds its lease answered a read from the state at `index`: linearizable if
     /// that includes every write acknowledged and every state read before.
     void onLeaseRead (MemberId id, LogIndex index);
     void fail (const std::string& invariant, MemberId id, const std::string& detail);
 
-    [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
-    [[nodiscard]] LogIndex committedIndex() const { return committed_.size(); }
+    [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
+    [[nodiscard]] LogIndex committedIndex() const { return m_committed.size(); }
     [[nodiscard]] std::uint64_t digestAt (LogIndex index) const
     {
-        return committed_[index - 1].digest;
+        return m_committed[index - 1].digest;
     }
 
 private:
@@ -77,13 +77,13 @@
     void checkAnswer (const Message& message, const DiskState& synced);
     void checkHas (const std::string& what, MemberId id, LogIndex index, const DiskState& synced);
 
-    std::vector<std::string> violations_;
-    std::vector<Committed> committed_;  ///< Entry 1 first.
-    std::map<Term, MemberId> leaders_;
-    std::map<std::pair<LogIndex, Term>, Written> written_;
-    std::map<std::pair<MemberId, Term>, MemberId> votes_;
-    std::map<MemberId, Term> answeredTerms_;
-    LogIndex observed_ = 0;
+    std::vector<std::string> m_violations;
+    std::vector<Committed> m_committed;  ///< Entry 1 first.
+    std::map<Term, MemberId> m_leaders;
+    std::map<std::pair<LogIndex, Term>, Written> m_written;
+    std::map<std::pair<MemberId, Term>, MemberId> m_votes;
+    std::map<MemberId, Term> m_answeredTerms;
+    LogIndex m_observed = 0;
 };
 
 }  // namespace fernlift::consensus
--- a/src/consensus/ClusterInvariantsTest.cpp
+++ b/src/consensus/ClusterInvariantsTest.cpp
@@ -46,7 +46,7 @@
 
 void ClusterInvariants::fail (const std::string& invariant, MemberId id, const std::string& detail)
 {
-    violations_.push_back (invariant + " (member " + std::to_string (id) + "): " + detail);
+    m_violations.push_back (invariant + " (member " + std::to_string (id) + "): " + detail);
 }
 
 void ClusterInvariants::onSent (const Message& message, const DiskState& synced)
@@ -57,7 +57,8 @@
     if (vote != nullptr && vote->granted && ! vote->isPreVote)
     {
         checkAnswer (message, synced);
-        const auto [found, isNew] = votes_.try_emplace ({ message.from, message.term }, message.to);
+        const auto [found, isNew] =
+            m_votes.try_emplace ({ message.from, message.term }, message.to);
         if (! isNew && found->second != message.to)
         {
             fail ("one vote a term", message.from,
@@ -72,7 +73,7 @@
     if (request != nullptr && ! request->isPreVote)
     {
         const auto [found, isNew] =
-            votes_.try_emplace ({ message.from, message.term }, message.from);
+            m_votes.try_emplace ({ message.from, message.term }, message.from);
         if (found->second != message.from)
         {
             fail ("one vote a term", message.from, "votes for itself after another");
@@ -95,7 +96,7 @@
 
 void ClusterInvariants::checkAnswer (const Message& message, const DiskState& synced)
 {
-    Term& answered = answeredTerms_[message.from];
+    Term& answered = m_answeredTerms[message.from];
     if (message.term < answered)
     {
         fail ("terms never go back", message.from,
@@ -121,16 +122,16 @@
 
 void ClusterInvariants::onLeader (MemberId id, Term term, const DiskState& written)
 {
-    const auto [found, isNew] = leaders_.try_emplace (term, id);
+    const auto [found, isNew] = m_leaders.try_emplace (term, id);
     if (! isNew)
     {
         if (found->second == id)
             return;
         fail ("election safety", id, "second leader of term " + std::to_string (term));
     }
-    for (LogIndex index = written.snapshot.lastIndex + 1; index <= committed_.size(); ++index)
+    for (LogIndex index = written.snapshot.lastIndex + 1; index <= m_committed.size(); ++index)
     {
-        const Committed& committed = committed_[index - 1];
+        const Committed& committed = m_committed[index - 1];
         if (committed.committedIn >= term || written.termAt (index) == committed.term)
             continue;
         fail ("leader completeness", id, "leads without committed entry " + std::to_string (index));
@@ -156,7 +157,7 @@
             previousTerm = *term;
         }
         const Written fresh{ previousTerm, base::stableHash (entry.data) };
-        const auto [found, isNew] = written_.try_emplace ({ entry.index, entry.term }, fresh);
+        const auto [found, isNew] = m_written.try_emplace ({ entry.index, entry.term }, fresh);
         if (! isNew && found->second != fresh)
         {
             fail ("log matching", id, "entry " + std::to_string (entry.index) + " differs");
@@ -184,13 +185,13 @@
 void ClusterInvariants::onApplied (MemberId id, Term term, const DigestState& state,
                                    const Entry& entry)
 {
-    if (entry.index == committed_.size() + 1)
+    if (entry.index == m_committed.size() + 1)
     {
-        committed_.push_back ({ entry.term, term, state.digest });
+        m_committed.push_back ({ entry.term, term, state.digest });
         return;
     }
-    const bool isKnown = entry.index <= committed_.size();
-    if (! isKnown || committed_[entry.index - 1].digest != state.digest)
+    const bool isKnown = entry.index <= m_committed.size();
+    if (! isKnown || m_committed[entry.index - 1].digest != state.digest)
     {
         fail ("state-machine safety", id, "applies another entry " + std::to_string (entry.index));
     }
@@ -200,7 +201,7 @@
 {
     const auto state = DigestState::decode (snapshot.data);
     const bool isWhole = state && state->lastIndex == snapshot.lastIndex
-                         && state->lastIndex <= committed_.size()
+                         && state->lastIndex <= m_committed.size()
                          && digestAt (state->lastIndex) == state->digest;
     if (! isWhole)
     {
@@ -211,13 +212,13 @@
 
 void ClusterInvariants::onLeaseRead (MemberId id, LogIndex index)
 {
-    if (index < observed_)
+    if (index < m_observed)
     {
         fail ("linearizable reads", id,
-              "reads " + std::to_string (index) + " after " + std::to_string (observed_)
+              "reads " + std::to_string (index) + " after " + std::to_string (m_observed)
                   + " was seen");
     }
-    observed_ = std::max (observed_, index);
+    m_observed = std::max (m_observed, index);
 }
 
 namespace
--- a/src/consensus/ClusterOperatorTest.cpp
+++ b/src/consensus/ClusterOperatorTest.cpp
@@ -30,7 +30,7 @@
     after (randomDuration (1, 2 * kMeanProposalMilliseconds), [this] { proposeForever(); });
     // A caller may reach any member that believes it leads, and reads there when it holds its
     // lease.
-    for (auto& item : processes_)
+    for (auto& item : m_processes)
     {
         Process& process = item.second;
         if (! process.node || process.isFrozen)
@@ -38,11 +38,11 @@
         if (process.node->holdsLease (clockOf (process)))
         {
             count ("lease reads");
-            invariants_.onLeaseRead (process.id, process.state.lastIndex);
+            m_invariants.onLeaseRead (process.id, process.state.lastIndex);
         }
-        if (now_ < quietUntil_)
+        if (m_now < m_quietUntil)
             continue;
-        const std::string data = "command " + std::to_string (++commandCount_);
+        const std::string data = "command " + std::to_string (++m_commandCount);
         const Term term = process.node->status (clockOf (process)).term;
         const LogIndex index =
             base::handleErrors ([&]() -> base::Result<LogIndex>
@@ -58,7 +58,7 @@
 ClusterSimulation::Process* ClusterSimulation::findLeader()
 {
     std::vector<Process*> leaders;
-    for (auto& [id, process] : processes_)
+    for (auto& [id, process] : m_processes)
     {
         if (! process.node || process.isFrozen)
             continue;
@@ -68,13 +68,13 @@
     if (leaders.empty())
         return nullptr;
     const auto last = static_cast<std::int64_t> (leaders.size()) - 1;
-    return leaders[static_cast<std::size_t> (random_.uniformInteger (0, last))];
+    return leaders[static_cast<std::size_t> (m_random.uniformInteger (0, last))];
 }
 
 ClusterSimulation::Process* ClusterSimulation::randomProcess()
 {
     std::vector<Process*> running;
-    for (auto& [id, process] : processes_)
+    for (auto& [id, process] : m_processes)
     {
         if (process.node)
             running.push_back (&process);
@@ -82,7 +82,7 @@
     if (running.empty())
         return nullptr;
     const auto last = static_cast<std::int64_t> (running.size()) - 1;
-    return running[static_cast<std::size_t> (random_.uniformInteger (0, last))];
+    return running[static_cast<std::size_t> (m_random.uniformInteger (0, last))];
 }
 
 void ClusterSimulation::operateForever()
@@ -107,7 +107,7 @@
         trace (leader, "changes the members");
     }
     drain (leader);
-    const bool isUnlucky = accepted > 0 && ! isHealing_ && random_.chance (0.3);
+    const bool isUnlucky = accepted > 0 && ! m_isHealing && m_random.chance (0.3);
     if (isUnlucky)
         isolateWithMinority (leader.id);
     const RaftStatus status = leader.node->status (clockOf (leader));
@@ -117,20 +117,20 @@
         if (member.isVoter)
             voters.insert (member.id);
     }
-    const bool isSettled = voters == desired_ && status.commitIndex == status.lastIndex
+    const bool isSettled = voters == m_desired && status.commitIndex == status.lastIndex
                            && leader.node->holdsLease (clockOf (leader));
     if (isSettled)
-        isReconfigured_ = true;
-    if (isSettled && isLossDue_ && ! isHealing_)
+        m_isReconfigured = true;
+    if (isSettled && m_isLossDue && ! m_isHealing)
         loseDisk();
 }
 
-/// Proposes the first change that leads towards `desired_`; true when it was accepted.
+/// Proposes the first change that leads towards `m_desired`; true when it was accepted.
 bool ClusterSimulation::takeOperatorStep (Process& leader)
 {
     const MemberSet members = leader.node->status (clockOf (leader)).members;
     std::vector<MemberSet> candidates;
-    for (const MemberId id : desired_)
+    for (const MemberId id : m_desired)
     {
         MemberSet changed = members;
         const Member* present = findMember (members, id);
@@ -145,7 +145,7 @@
     const bool isComplete = candidates.empty();
     for (const Member& member : members.members)
     {
-        if (! isComplete || desired_.contains (member.id))
+        if (! isComplete || m_desired.contains (member.id))
             continue;
         candidates.push_back (withoutMember (members, member.id));
     }
@@ -168,32 +168,32 @@
 /// have applied nearly everything.
 void ClusterSimulation::checkLiveness()
 {
-    if (! isReconfigured_)
+    if (! m_isReconfigured)
     {
-        invariants_.fail ("liveness", 0, "the operator's change of members was not carried out");
+        m_invariants.fail ("liveness", 0, "the operator's change of members was not carried out");
         return;
     }
     constexpr LogIndex kMaximumLag = 30;
     MemberId leader = 0;
-    for (const MemberId id : desired_)
+    for (const MemberId id : m_desired)
     {
-        const Process& process = processes_.at (id);
+        const Process& process = m_processes.at (id);
         const RaftStatus status = process.node->status (clockOf (process));
         if (leader == 0)
             leader = status.leader;
         const bool follows = status.leader != 0 && status.leader == leader;
-        if (! follows || status.appliedIndex + kMaximumLag < invariants_.committedIndex())
+        if (! follows || status.appliedIndex + kMaximumLag < m_invariants.committedIndex())
         {
-            invariants_.fail ("liveness", id,
-                              "follows " + std::to_string (status.leader) + ", applied "
-                                  + std::to_string (status.appliedIndex) + " of "
-                                  + std::to_string (invariants_.committedIndex()));
+            m_invariants.fail ("liveness", id,
+                               "follows " + std::to_string (status.leader) + ", applied "
+                                   + std::to_string (status.appliedIndex) + " of "
+                                   + std::to_string (m_invariants.committedIndex()));
         }
     }
-    const Process& leading = processes_.at (leader == 0 ? *desired_.begin() : leader);
+    const Process& leading = m_processes.at (leader == 0 ? *m_desired.begin() : leader);
     if (leader == 0 || ! leading.node->holdsLease (clockOf (leading)))
     {
-        invariants_.fail ("liveness", leader, "no leader with a lease");
+        m_invariants.fail ("liveness", leader, "no leader with a lease");
     }
 }
 
--- a/src/consensus/ClusterSimulation.h
+++ b/src/consensus/ClusterSimulation.h
@@ -150,28 +150,28 @@
     double randomClockRate();
     base::Duration randomDuration (std::int64_t lowMilliseconds, std::int64_t highMilliseconds);
 
-    const ClusterOptions options_;
-    RaftOptions raftOptions_;
-    base::Random random_;
-    ClusterInvariants invariants_;
-    ClusterReport report_;
-    std::priority_queue<Event> events_;
-    std::uint64_t eventCount_ = 0;
-    base::TimePoint now_;
-    std::map<MemberId, Process> processes_;
-    std::set<std::pair<MemberId, MemberId>> cuts_;  ///< From, to.
-    double dropChance_ = 0;
-    double duplicateChance_ = 0;
-    double lateChance_ = 0;
-    LogIndex entriesBetweenSnapshots_ = 30;
-    std::uint64_t commandCount_ = 0;
-    base::TimePoint quietUntil_;  ///< Callers send no commands, so that no log lags.
-    MemberId nextId_ = 1;
-    std::set<MemberId> desired_;  ///< Voters that the operator wants.
-    bool isReconfigured_ = true;  ///< They are the voters, and that is committed.
-    bool isLossDue_ = false;      ///< Lose a second disk as soon as the first is replaced.
-    bool isHealing_ = false;
-    std::uint64_t digest_ = 0;
+    const ClusterOptions m_options;
+    RaftOptions m_raftOptions;
+    base::Random m_random;
+    ClusterInvariants m_invariants;
+    ClusterReport m_report;
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_eventCount = 0;
+    base::TimePoint m_now;
+    std::map<MemberId, Process> m_processes;
+    std::set<std::pair<MemberId, MemberId>> m_cuts;  ///< From, to.
+    double m_dropChance = 0;
+    double m_duplicateChance = 0;
+    double m_lateChance = 0;
+    LogIndex m_entriesBetweenSnapshots = 30;
+    std::uint64_t m_commandCount = 0;
+    base::TimePoint m_quietUntil;  ///< Callers send no commands, so that no log lags.
+    MemberId m_nextId = 1;
+    std::set<MemberId> m_desired;  ///< Voters that the operator wants.
+    bool m_isReconfigured = true;  ///< They are the voters, and that is committed.
+    bool m_isLossDue = false;      ///< Lose a second disk as soon as the first is replaced.
+    bool m_isHealing = false;
+    std::uint64_t m_digest = 0;
 };
 
 /// Text to run a failing seed again.
--- a/src/consensus/ClusterSimulationTest.cpp
+++ b/src/consensus/ClusterSimulationTest.cpp
@@ -31,24 +31,26 @@
 }
 
 ClusterSimulation::ClusterSimulation (const ClusterOptions& options)
-    : options_ (options), random_ (options.seed), now_ (milliseconds (1000))
+    : m_options (options), m_random (options.seed), m_now (milliseconds (1000))
 {
-    raftOptions_.plantedFault = options.fault;
-    raftOptions_.snapshotChunkBytes = static_cast<std::size_t> (random_.uniformInteger (100, 500));
-    raftOptions_.maximumAppendBytes = static_cast<std::size_t> (random_.uniformInteger (1, 200));
-    raftOptions_.maximumInflightAppends = static_cast<std::size_t> (random_.uniformInteger (1, 8));
-    raftOptions_.entriesKeptByCompaction =
-        static_cast<std::size_t> (random_.uniformInteger (0, 20));
-    entriesBetweenSnapshots_ = static_cast<LogIndex> (random_.uniformInteger (10, 60));
+    m_raftOptions.plantedFault = options.fault;
+    m_raftOptions.snapshotChunkBytes =
+        static_cast<std::size_t> (m_random.uniformInteger (100, 500));
+    m_raftOptions.maximumAppendBytes = static_cast<std::size_t> (m_random.uniformInteger (1, 200));
+    m_raftOptions.maximumInflightAppends =
+        static_cast<std::size_t> (m_random.uniformInteger (1, 8));
+    m_raftOptions.entriesKeptByCompaction =
+        static_cast<std::size_t> (m_random.uniformInteger (0, 20));
+    m_entriesBetweenSnapshots = static_cast<LogIndex> (m_random.uniformInteger (10, 60));
     MemberSet initial;
     for (MemberId id = 1; id <= options.memberCount; ++id)
     {
         initial.members.push_back (memberOf (id, true));
-        desired_.insert (id);
+        m_desired.insert (id);
     }
     for (MemberId id = 1; id <= options.memberCount; ++id)
         addProcess (id, initial);
-    nextId_ = options.memberCount + 1;
+    m_nextId = options.memberCount + 1;
 }
 
 ClusterReport ClusterSimulation::run()
@@ -56,43 +58,43 @@
     proposeForever();
     operateForever();
     injectForever();
-    after (options_.faultTime, [this] { healAll(); });
-    const TimePoint end = now_ + options_.faultTime + options_.healTime;
-    while (now_ < end && invariants_.violations().empty())
+    after (m_options.faultTime, [this] { healAll(); });
+    const TimePoint end = m_now + m_options.faultTime + m_options.healTime;
+    while (m_now < end && m_invariants.violations().empty())
     {
-        const Event event = events_.top();
-        events_.pop();
-        now_ = event.at;
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
         event.action();
     }
-    if (invariants_.violations().empty())
+    if (m_invariants.violations().empty())
         checkLiveness();
-    report_.violations = invariants_.violations();
-    report_.digest = digest_;
-    report_.seen.counts["committed entries"] += invariants_.committedIndex();
-    return report_;
+    m_report.violations = m_invariants.violations();
+    m_report.digest = m_digest;
+    m_report.seen.counts["committed entries"] += m_invariants.committedIndex();
+    return m_report;
 }
 
 void ClusterSimulation::count (const std::string& what)
 {
-    ++report_.seen.counts[what];
+    ++m_report.seen.counts[what];
     trace (what);
 }
 
 void ClusterSimulation::trace (const std::string& what)
 {
     constexpr std::size_t kKeptEvents = 150;
-    if (! options_.isTraced)
+    if (! m_options.isTraced)
         return;
-    const auto time = base::toMilliseconds (now_.time_since_epoch());
-    report_.trace.push_back (std::to_string (time) + " ms " + what);
-    if (report_.trace.size() > kKeptEvents)
-        report_.trace.pop_front();
+    const auto time = base::toMilliseconds (m_now.time_since_epoch());
+    m_report.trace.push_back (std::to_string (time) + " ms " + what);
+    if (m_report.trace.size() > kKeptEvents)
+        m_report.trace.pop_front();
 }
 
 void ClusterSimulation::trace (const Process& process, const std::string& what)
 {
-    if (! options_.isTraced)
+    if (! m_options.isTraced)
         return;
     std::string text = "member " + std::to_string (process.id) + " " + what;
     if (process.node)
@@ -111,17 +113,17 @@
 
 void ClusterSimulation::after (Duration delay, std::function<void()> action)
 {
-    events_.push ({ now_ + delay, ++eventCount_, std::move (action) });
+    m_events.push ({ m_now + delay, ++m_eventCount, std::move (action) });
 }
 
 void ClusterSimulation::onProcess (MemberId id, Duration delay,
                                    std::function<void (Process&)> action)
 {
-    const std::uint64_t incarnation = processes_.at (id).incarnation;
+    const std::uint64_t incarnation = m_processes.at (id).incarnation;
     after (delay,
            [this, id, incarnation, action = std::move (action)]
            {
-               Process& process = processes_.at (id);
+               Process& process = m_processes.at (id);
                if (! process.node || process.incarnation != incarnation)
                    return;
                if (! process.isFrozen)
@@ -135,7 +137,7 @@
 
 TimePoint ClusterSimulation::clockOf (const Process& process) const
 {
-    const auto elapsed = static_cast<double> ((now_ - process.trueBase).count());
+    const auto elapsed = static_cast<double> ((m_now - process.trueBase).count());
     return process.clockBase
            + microseconds (static_cast<std::int64_t> (elapsed * process.clockRate));
 }
@@ -143,16 +145,16 @@
 void ClusterSimulation::setClockRate (Process& process, double rate)
 {
     process.clockBase = clockOf (process);
-    process.trueBase = now_;
+    process.trueBase = m_now;
     process.clockRate = rate;
 }
 
 void ClusterSimulation::addProcess (MemberId id, MemberSet initialMembers)
 {
-    Process& process = processes_[id];
+    Process& process = m_processes[id];
     process.id = id;
     process.initialMembers = std::move (initialMembers);
-    process.trueBase = now_;
+    process.trueBase = m_now;
     process.clockBase = TimePoint (randomDuration (0, 1000000));
     start (process);
 }
@@ -166,9 +168,9 @@
     process.isSyncing = false;
     process.hasDiskFailed = false;
     setClockRate (process, randomClockRate());
-    process.node = std::make_unique<RaftNode> (process.id, raftOptions_,
+    process.node = std::make_unique<RaftNode> (process.id, m_raftOptions,
                                                process.disk.recover (process.initialMembers),
-                                               random_.bits(), clockOf (process));
+                                               m_random.bits(), clockOf (process));
     trace (process, "starts");
     drain (process);
     tickForever (process.id);
@@ -197,7 +199,7 @@
     const auto unsynced = static_cast<std::int64_t> (process.disk.unsyncedCount());
     if (unsynced > 0)
         count ("crashes with unsynced writes");
-    process.disk.crash (static_cast<std::size_t> (random_.uniformInteger (0, unsynced)));
+    process.disk.crash (static_cast<std::size_t> (m_random.uniformInteger (0, unsynced)));
 }
 
 void ClusterSimulation::restartAfter (MemberId id, Duration delay)
@@ -205,7 +207,7 @@
     after (delay,
            [this, id]
            {
-               Process& process = processes_.at (id);
+               Process& process = m_processes.at (id);
                if (! process.node && ! process.isDiskLost)
                    start (process);
            });
@@ -224,12 +226,12 @@
             persist (process, std::move (write));
         for (const Message& message : output.messages)
         {
-            invariants_.onSent (message, process.disk.synced());
+            m_invariants.onSent (message, process.disk.synced());
             transmit (message);
         }
         if (output.installedSnapshot)
         {
-            invariants_.onInstalled (process.id, *output.installedSnapshot);
+            m_invariants.onInstalled (process.id, *output.installedSnapshot);
             process.state =
                 DigestState::decode (output.installedSnapshot->data).value_or (DigestState());
             count ("snapshots installed");
@@ -244,7 +246,7 @@
 
 void ClusterSimulation::persist (Process& process, PersistRequest request)
 {
-    invariants_.onWritten (process.id, request, process.disk.written());
+    m_invariants.onWritten (process.id, request, process.disk.written());
     process.disk.submit (std::move (request));
 }
 
@@ -257,11 +259,11 @@
     const std::uint64_t sequence = process.disk.lastSequence();
     const std::uint64_t incarnation = process.incarnation;
     const Duration time =
-        process.syncTime / 2 + Duration (random_.uniformInteger (0, process.syncTime.count()));
+        process.syncTime / 2 + Duration (m_random.uniformInteger (0, process.syncTime.count()));
     after (time,
            [this, id = process.id, sequence, incarnation]
            {
-               Process& synced = processes_.at (id);
+               Process& synced = m_processes.at (id);
                if (! synced.node || synced.incarnation != incarnation)
                    return;
                synced.disk.sync (sequence);
@@ -279,19 +281,19 @@
 {
     if (entry.index != process.state.lastIndex + 1)
     {
-        invariants_.fail ("state-machine safety", process.id,
-                          "applies entry " + std::to_string (entry.index) + " out of order");
+        m_invariants.fail ("state-machine safety", process.id,
+                           "applies entry " + std::to_string (entry.index) + " out of order");
     }
     process.state.apply (entry);
     const Term term = process.node->status (clockOf (process)).term;
-    invariants_.onApplied (process.id, term, process.state, entry);
-    digest_ = base::stableHash (std::to_string (digest_ ^ process.state.digest ^ process.id));
+    m_invariants.onApplied (process.id, term, process.state, entry);
+    m_digest = base::stableHash (std::to_string (m_digest ^ process.state.digest ^ process.id));
     const auto proposal = process.proposals.find (entry.index);
     if (proposal == process.proposals.end())
         return;
     if (proposal->second == entry.term)
     {
-        invariants_.onAcknowledged (entry.index);
+        m_invariants.onAcknowledged (entry.index);
         count ("commands acknowledged");
     }
     process.proposals.erase (proposal);
@@ -300,7 +302,7 @@
 void ClusterSimulation::compactIfDue (Process& process)
 {
     const LogIndex covered = process.disk.written().snapshot.lastIndex;
-    if (process.state.lastIndex < covered + entriesBetweenSnapshots_)
+    if (process.state.lastIndex < covered + m_entriesBetweenSnapshots)
         return;
     process.node->compact (process.state.lastIndex, process.state.encode (process.id));
     count ("compactions");
@@ -309,32 +311,32 @@
 void ClusterSimulation::observe (Process& process)
 {
     const RaftStatus status = process.node->status (clockOf (process));
-    invariants_.onCommit (process.id, status, process.commitIndex, process.disk.written());
+    m_invariants.onCommit (process.id, status, process.commitIndex, process.disk.written());
     process.commitIndex = status.commitIndex;
     const bool isCampaign = status.role == Role::kPreCandidate && process.role != status.role;
     if (process.role != status.role && status.role == Role::kLeader)
         trace (process, "leads");
     process.role = status.role;
-    if (isCampaign && ! isHealing_ && random_.chance (0.5))
+    if (isCampaign && ! m_isHealing && m_random.chance (0.5))
         isolateLeaderOf (process);
     if (status.role != Role::kLeader)
         return;
-    invariants_.onLeader (process.id, status.term, process.disk.written());
+    m_invariants.onLeader (process.id, status.term, process.disk.written());
 }
 
 void ClusterSimulation::transmit (const Message& message)
 {
-    if (! processes_.contains (message.to) || cuts_.contains ({ message.from, message.to }))
+    if (! m_processes.contains (message.to) || m_cuts.contains ({ message.from, message.to }))
         return;
-    if (random_.chance (dropChance_))
+    if (m_random.chance (m_dropChance))
         return;
-    deliver (message, Duration (random_.uniformInteger (200, 4000)));
-    if (random_.chance (lateChance_))
+    deliver (message, Duration (m_random.uniformInteger (200, 4000)));
+    if (m_random.chance (m_lateChance))
     {
         count ("messages repeated late");
         deliver (message, randomDuration (50, 3000));
     }
-    if (random_.chance (duplicateChance_))
+    if (m_random.chance (m_duplicateChance))
         deliver (message, randomDuration (1, 30));
 }
 
@@ -343,7 +345,7 @@
     after (delay,
            [this, message]
            {
-               Process& process = processes_.at (message.to);
+               Process& process = m_processes.at (message.to);
                if (! process.node)
                    return;
                onProcess (message.to, Duration (0),
@@ -358,14 +360,14 @@
 Duration ClusterSimulation::randomDuration (std::int64_t lowMilliseconds,
                                             std::int64_t highMilliseconds)
 {
-    return microseconds (random_.uniformInteger (lowMilliseconds * 1000, highMilliseconds * 1000));
+    return microseconds (m_random.uniformInteger (lowMilliseconds * 1000, highMilliseconds * 1000));
 }
 
 double ClusterSimulation::randomClockRate()
 {
     /// Clocks run this much slow or fast at most: a ratio of 1.22 between two of them.
     constexpr double kMaximumDrift = 0.1;
-    return 1.0 + kMaximumDrift * (2 * random_.uniformReal() - 1);
+    return 1.0 + kMaximumDrift * (2 * m_random.uniformReal() - 1);
 }
 
 std::string replayHint (const ClusterOptions& options)
--- a/src/consensus/MemberReplication.cpp
+++ b/src/consensus/MemberReplication.cpp
@@ -14,19 +14,19 @@
 
 void MemberReplication::beginRound (std::uint64_t round, base::TimePoint now)
 {
-    unanswered_.push_back ({ round, now });
-    if (unanswered_.size() > kMaximumUnansweredRounds)
-        unanswered_.pop_front();
+    m_unanswered.push_back ({ round, now });
+    if (m_unanswered.size() > kMaximumUnansweredRounds)
+        m_unanswered.pop_front();
 }
 
 void MemberReplication::confirmRound (std::uint64_t round, base::TimePoint now)
 {
     lastReplyAt = now;
-    while (! unanswered_.empty() && unanswered_.front().number <= round)
+    while (! m_unanswered.empty() && m_unanswered.front().number <= round)
     {
-        if (unanswered_.front().number == round)
-            confirmedSentAt_ = unanswered_.front().sentAt;
-        unanswered_.pop_front();
+        if (m_unanswered.front().number == round)
+            m_confirmedSentAt = m_unanswered.front().sentAt;
+        m_unanswered.pop_front();
     }
 }
 
@@ -34,8 +34,8 @@
 {
     matchIndex = std::max (matchIndex, index);
     nextIndex = std::max (nextIndex, matchIndex + 1);
-    while (! inflight_.empty() && inflight_.front() <= matchIndex)
-        inflight_.pop_front();
+    while (! m_inflight.empty() && m_inflight.front() <= matchIndex)
+        m_inflight.pop_front();
 }
 
 void MemberReplication::probeFrom (LogIndex index)
@@ -43,7 +43,7 @@
     mode = ReplicationMode::kProbe;
     nextIndex = std::max (index, matchIndex + 1);
     isProbeSent = false;
-    inflight_.clear();
+    m_inflight.clear();
 }
 
 }  // namespace fernlift::consensus
--- a/src/consensus/MemberReplication.h
+++ b/src/consensus/MemberReplication.h
@@ -52,12 +52,12 @@
     /// the leader at that time or later.
     [[nodiscard]] std::optional<base::TimePoint> confirmedSentAt() const
     {
-        return confirmedSentAt_;
+        return m_confirmedSentAt;
     }
 
     /// Entries up to `lastIndex` were sent and not answered yet.
-    void addInflight (LogIndex lastIndex) { inflight_.push_back (lastIndex); }
-    [[nodiscard]] std::size_t inflightCount() const { return inflight_.size(); }
+    void addInflight (LogIndex lastIndex) { m_inflight.push_back (lastIndex); }
+    [[nodiscard]] std::size_t inflightCount() const { return m_inflight.size(); }
     /// The member has everything up to `index`, synced.
     void acknowledge (LogIndex index);
     /// Goes back to probing from `index`.
@@ -81,9 +81,9 @@
         base::TimePoint sentAt;
     };
 
-    std::deque<Round> unanswered_;  ///< Ascending by number.
-    std::optional<base::TimePoint> confirmedSentAt_;
-    std::deque<LogIndex> inflight_;  ///< Last index of each message on its way, ascending.
+    std::deque<Round> m_unanswered;  ///< Ascending by number.
+    std::optional<base::TimePoint> m_confirmedSentAt;
+    std::deque<LogIndex> m_inflight;  ///< Last index of each message on its way, ascending.
 };
 
 }  // namespace fernlift::consensus
--- a/src/consensus/PersistQueue.cpp
+++ b/src/consensus/PersistQueue.cpp
@@ -9,7 +9,7 @@
 void PersistQueue::setHardState (const HardState& hardState)
 {
     openRequest().hardState = hardState;
-    hardStateSequence_ = lastSequence_;
+    m_hardStateSequence = m_lastSequence;
 }
 
 void PersistQueue::truncateFrom (LogIndex index)
@@ -17,10 +17,10 @@
     const PersistRequest& open = openRequest();
     const bool mustFollow =
         open.truncateFrom.has_value() || ! open.entries.empty() || open.snapshot.has_value();
-    PersistRequest& request = mustFollow ? newRequest() : untaken_.back();
+    PersistRequest& request = mustFollow ? newRequest() : m_untaken.back();
     request.truncateFrom = index;
-    stableIndex_ = std::min (stableIndex_, index - 1);
-    for (Pending& pending : pending_)
+    m_stableIndex = std::min (m_stableIndex, index - 1);
+    for (Pending& pending : m_pending)
     {
         pending.stableIndexAfter = std::min (pending.stableIndexAfter, index - 1);
     }
@@ -29,9 +29,9 @@
 void PersistQueue::append (const Entry& entry)
 {
     const bool mustFollow = openRequest().snapshot.has_value();
-    PersistRequest& request = mustFollow ? newRequest() : untaken_.back();
+    PersistRequest& request = mustFollow ? newRequest() : m_untaken.back();
     request.entries.push_back (entry);
-    pending_.back().stableIndexAfter = entry.index;
+    m_pending.back().stableIndexAfter = entry.index;
 }
 
 void PersistQueue::storeSnapshot (const Snapshot& snapshot) { openRequest().snapshot = snapshot; }
@@ -40,45 +40,45 @@
 {
     truncateFrom (commitIndex + 1);
     openRequest().snapshot = snapshot;
-    pending_.back().stableIndexAfter = snapshot.lastIndex;
+    m_pending.back().stableIndexAfter = snapshot.lastIndex;
 }
 
 void PersistQueue::hold (Message message)
 {
-    held_.push_back ({ lastSequence_, std::move (message) });
+    m_held.push_back ({ m_lastSequence, std::move (message) });
 }
 
 std::vector<Message> PersistQueue::confirm (std::uint64_t sequence)
 {
-    confirmed_ = std::max (confirmed_, sequence);
-    while (! pending_.empty() && pending_.front().sequence <= confirmed_)
+    m_confirmed = std::max (m_confirmed, sequence);
+    while (! m_pending.empty() && m_pending.front().sequence <= m_confirmed)
     {
-        stableIndex_ = pending_.front().stableIndexAfter;
-        pending_.pop_front();
+        m_stableIndex = m_pending.front().stableIndexAfter;
+        m_pending.pop_front();
     }
     std::vector<Message> released;
-    while (! held_.empty() && held_.front().sequence <= confirmed_)
+    while (! m_held.empty() && m_held.front().sequence <= m_confirmed)
     {
-        released.push_back (std::move (held_.front().message));
-        held_.pop_front();
+        released.push_back (std::move (m_held.front().message));
+        m_held.pop_front();
     }
     return released;
 }
 
-std::vector<PersistRequest> PersistQueue::take() { return std::exchange (untaken_, {}); }
+std::vector<PersistRequest> PersistQueue::take() { return std::exchange (m_untaken, {}); }
 
 PersistRequest& PersistQueue::openRequest()
 {
-    return untaken_.empty() ? newRequest() : untaken_.back();
+    return m_untaken.empty() ? newRequest() : m_untaken.back();
 }
 
 PersistRequest& PersistQueue::newRequest()
 {
-    const LogIndex before = pending_.empty() ? stableIndex_ : pending_.back().stableIndexAfter;
-    ++lastSequence_;
-    pending_.push_back ({ lastSequence_, before });
-    PersistRequest& request = untaken_.emplace_back();
-    request.sequence = lastSequence_;
+    const LogIndex before = m_pending.empty() ? m_stableIndex : m_pending.back().stableIndexAfter;
+    ++m_lastSequence;
+    m_pending.push_back ({ m_lastSequence, before });
+    PersistRequest& request = m_untaken.emplace_back();
+    request.sequence = m_lastSequence;
     return request;
 }
 
--- a/src/consensus/PersistQueue.h
+++ b/src/consensus/PersistQueue.h
@@ -23,7 +23,7 @@
 {
 public:
     /// `stableIndex`: last log index that is on disk at the start.
-    explicit PersistQueue (LogIndex stableIndex) : stableIndex_ (stableIndex) {}
+    explicit PersistQueue (LogIndex stableIndex) : m_stableIndex (stableIndex) {}
 
     void setHardState (const HardState& hardState);
     /// Drops stored entries with index >= `index`.
@@ -42,11 +42,11 @@
     [[nodiscard]] std::vector<PersistRequest> take();
 
     /// No change waits for its sync.
-    [[nodiscard]] bool isSynced() const { return pending_.empty(); }
+    [[nodiscard]] bool isSynced() const { return m_pending.empty(); }
     /// The latest hard state is on disk.
-    [[nodiscard]] bool isHardStateSynced() const { return hardStateSequence_ <= confirmed_; }
+    [[nodiscard]] bool isHardStateSynced() const { return m_hardStateSequence <= m_confirmed; }
     /// Last log index up to which this member's present log is on disk.
-    [[nodiscard]] LogIndex stableIndex() const { return stableIndex_; }
+    [[nodiscard]] LogIndex stableIndex() const { return m_stableIndex; }
 
 private:
     struct Pending
@@ -63,13 +63,13 @@
     PersistRequest& openRequest();
     PersistRequest& newRequest();
 
-    std::vector<PersistRequest> untaken_;  ///< In order of sequence; the last one is open.
-    std::deque<Pending> pending_;          ///< Taken or not, but not confirmed.
-    std::deque<Held> held_;                ///< In order of sequence, all above confirmed_.
-    std::uint64_t lastSequence_ = 0;       ///< Of the write begun last.
-    std::uint64_t confirmed_ = 0;          ///< Every write up to it is synced.
-    std::uint64_t hardStateSequence_ = 0;  ///< Of the write with the latest hard state.
-    LogIndex stableIndex_ =
+    std::vector<PersistRequest> m_untaken;  ///< In order of sequence; the last one is open.
+    std::deque<Pending> m_pending;          ///< Taken or not, but not confirmed.
+    std::deque<Held> m_held;                ///< In order of sequence, all above m_confirmed.
+    std::uint64_t m_lastSequence = 0;       ///< Of the write begun last.
+    std::uint64_t m_confirmed = 0;          ///< Every write up to it is synced.
+    std::uint64_t m_hardStateSequence = 0;  ///< Of the write with the latest hard state.
+    LogIndex m_stableIndex =
         0;  ///< Never beyond the present log, though truncated entries were synced.
 };
 
--- a/src/consensus/RaftElection.cpp
+++ b/src/consensus/RaftElection.cpp
@@ -8,34 +8,34 @@
 
 void RaftNode::Implementation::resetElectionTimer()
 {
-    const auto wait = random_.uniformInteger (options_.electionTimeoutMinimum.count(),
-                                              options_.electionTimeoutMaximum.count());
-    electionDeadline_ = now_ + base::Duration (wait);
+    const auto wait = m_random.uniformInteger (m_options.electionTimeoutMinimum.count(),
+                                               m_options.electionTimeoutMaximum.count());
+    m_electionDeadline = m_now + base::Duration (wait);
 }
 
 void RaftNode::Implementation::onElectionTimeout()
 {
     resetElectionTimer();
-    leader_ = 0;
+    m_leader = 0;
     if (isSelfVoter())
         startPreVote();
 }
 
 void RaftNode::Implementation::startPreVote()
 {
-    role_ = Role::kPreCandidate;
-    leader_ = 0;
-    votes_ = { self_ };
+    m_role = Role::kPreCandidate;
+    m_leader = 0;
+    m_votes = { m_self };
     requestVotes (true, false);
     countVotes();
 }
 
 void RaftNode::Implementation::startElection (bool isLeadershipTransfer)
 {
-    role_ = Role::kCandidate;
-    leader_ = 0;
-    setHardState (hardState_.term + 1, self_);
-    votes_ = { self_ };
+    m_role = Role::kCandidate;
+    m_leader = 0;
+    setHardState (m_hardState.term + 1, m_self);
+    m_votes = { m_self };
     resetElectionTimer();
     requestVotes (false, isLeadershipTransfer);
     countVotes();
@@ -43,16 +43,17 @@
 
 void RaftNode::Implementation::requestVotes (bool isPreVote, bool isLeadershipTransfer)
 {
-    const VoteRequest request{ isPreVote, isLeadershipTransfer, log_.lastIndex(), log_.lastTerm() };
+    const VoteRequest request{ isPreVote, isLeadershipTransfer, m_log.lastIndex(),
+                               m_log.lastTerm() };
     // Members that heard the old leader a moment later than this one grant a later request.
-    preVoteResendAt_ = now_ + options_.heartbeatInterval;
-    for (const Member& member : log_.members().members)
+    m_preVoteResendAt = m_now + m_options.heartbeatInterval;
+    for (const Member& member : m_log.members().members)
     {
-        if (! member.isVoter || member.id == self_)
+        if (! member.isVoter || member.id == m_self)
             continue;
         if (isPreVote)
         {
-            sendWithTerm (member.id, hardState_.term + 1, request);
+            sendWithTerm (member.id, m_hardState.term + 1, request);
         }
         else
         {
@@ -64,20 +65,20 @@
 
 void RaftNode::Implementation::countVotes()
 {
-    const MemberSet& members = log_.members();
+    const MemberSet& members = m_log.members();
     std::size_t granted = 0;
-    for (const MemberId id : votes_)
+    for (const MemberId id : m_votes)
     {
         if (isVoter (members, id))
             ++granted;
     }
     if (granted <= voterCount (members) / 2)
         return;
-    if (role_ == Role::kPreCandidate)
+    if (m_role == Role::kPreCandidate)
     {
         startElection (false);
     }
-    else if (persist_.isHardStateSynced())
+    else if (m_persist.isHardStateSynced())
     {
         // Its own vote counts only once it is on disk.
         becomeLeader();
@@ -86,42 +87,42 @@
 
 void RaftNode::Implementation::becomeLeader()
 {
-    role_ = Role::kLeader;
-    leader_ = self_;
-    votes_.clear();
-    transfer_.reset();
-    replications_.clear();
+    m_role = Role::kLeader;
+    m_leader = m_self;
+    m_votes.clear();
+    m_transfer.reset();
+    m_replications.clear();
     appendToLog (EntryKind::kNoOperation, {});
-    firstIndexOfTerm_ = log_.lastIndex();
+    m_firstIndexOfTerm = m_log.lastIndex();
     updateMemberReplications();
 }
 
 bool RaftNode::Implementation::mayLeaderHoldLease() const
 {
-    if (options_.plantedFault == PlantedFault::kLeaseWithoutVoteDelay)
+    if (m_options.plantedFault == PlantedFault::kLeaseWithoutVoteDelay)
         return false;
     if (! isLeader())
-        return now_ < leaderHeardAt_ + options_.electionTimeoutMinimum;
+        return m_now < m_leaderHeardAt + m_options.electionTimeoutMinimum;
     const auto confirmedAt = majorityConfirmedAt();
-    return confirmedAt && now_ < *confirmedAt + options_.electionTimeoutMinimum;
+    return confirmedAt && m_now < *confirmedAt + m_options.electionTimeoutMinimum;
 }
 
 bool RaftNode::Implementation::isUpToDate (const VoteRequest& request) const
 {
-    const Term lastTerm = log_.lastTerm();
+    const Term lastTerm = m_log.lastTerm();
     if (request.lastTerm != lastTerm)
         return request.lastTerm > lastTerm;
-    return request.lastIndex >= log_.lastIndex();
+    return request.lastIndex >= m_log.lastIndex();
 }
 
 void RaftNode::Implementation::onVoteRequest (const Message& message, const VoteRequest& request)
 {
-    if (message.term <= hardState_.term && request.isPreVote)
+    if (message.term <= m_hardState.term && request.isPreVote)
     {
         send (message.from, VoteReply{ true, false });
         return;
     }
-    if (message.term < hardState_.term)
+    if (message.term < m_hardState.term)
     {
         send (message.from, VoteReply{ false, false });
         return;
@@ -133,19 +134,19 @@
         onPreVoteRequest (message, request);
         return;
     }
-    if (message.term > hardState_.term)
+    if (message.term > m_hardState.term)
         becomeFollower (message.term, 0);
-    const bool isVoteFree = hardState_.votedFor == 0 || hardState_.votedFor == message.from;
-    const bool isUndecided = role_ == Role::kFollower || role_ == Role::kPreCandidate;
-    const bool canGrant = isUndecided && leader_ == 0 && isVoteFree;
+    const bool isVoteFree = m_hardState.votedFor == 0 || m_hardState.votedFor == message.from;
+    const bool isUndecided = m_role == Role::kFollower || m_role == Role::kPreCandidate;
+    const bool canGrant = isUndecided && m_leader == 0 && isVoteFree;
     if (! canGrant || ! isUpToDate (request))
     {
         send (message.from, VoteReply{ false, false });
         return;
     }
-    setHardState (hardState_.term, message.from);
+    setHardState (m_hardState.term, message.from);
     resetElectionTimer();
-    if (options_.plantedFault == PlantedFault::kVoteBeforeSync)
+    if (m_options.plantedFault == PlantedFault::kVoteBeforeSync)
     {
         send (message.from, VoteReply{ false, true });
     }
@@ -172,12 +173,12 @@
     if (! reply.granted)
         return;
     const bool isForPreVote =
-        reply.isPreVote && role_ == Role::kPreCandidate && message.term == hardState_.term + 1;
+        reply.isPreVote && m_role == Role::kPreCandidate && message.term == m_hardState.term + 1;
     const bool isForVote =
-        ! reply.isPreVote && role_ == Role::kCandidate && message.term == hardState_.term;
+        ! reply.isPreVote && m_role == Role::kCandidate && message.term == m_hardState.term;
     if (! isForPreVote && ! isForVote)
         return;
-    votes_.insert (message.from);
+    m_votes.insert (message.from);
     countVotes();
 }
 
--- a/src/consensus/RaftFollower.cpp
+++ b/src/consensus/RaftFollower.cpp
@@ -8,9 +8,9 @@
 
 void RaftNode::Implementation::noteLeader (MemberId leader)
 {
-    if (role_ != Role::kFollower || leader_ != leader)
-        becomeFollower (hardState_.term, leader);
-    leaderHeardAt_ = now_;
+    if (m_role != Role::kFollower || m_leader != leader)
+        becomeFollower (m_hardState.term, leader);
+    m_leaderHeardAt = m_now;
     resetElectionTimer();
 }
 
@@ -19,8 +19,8 @@
 {
     AppendReply refusal;
     refusal.round = request.round;
-    refusal.hintIndex = log_.lastIndex() + 1;
-    if (message.term < hardState_.term)
+    refusal.hintIndex = m_log.lastIndex() + 1;
+    if (message.term < m_hardState.term)
     {
         send (message.from, refusal);
         return;
@@ -42,32 +42,32 @@
 std::optional<LogIndex> RaftNode::Implementation::findMismatch (const AppendRequest& request) const
 {
     // Committed entries equal the leader's.
-    if (request.previousIndex <= commitIndex_)
+    if (request.previousIndex <= m_commitIndex)
         return std::nullopt;
-    const auto term = log_.termAt (request.previousIndex);
+    const auto term = m_log.termAt (request.previousIndex);
     if (! term)
-        return log_.lastIndex() + 1;
+        return m_log.lastIndex() + 1;
     if (*term == request.previousTerm)
         return std::nullopt;
-    return std::max (log_.firstIndexOfTermAt (request.previousIndex), commitIndex_ + 1);
+    return std::max (m_log.firstIndexOfTermAt (request.previousIndex), m_commitIndex + 1);
 }
 
 void RaftNode::Implementation::storeEntries (const std::vector<Entry>& entries)
 {
     for (const Entry& entry : entries)
     {
-        if (entry.index <= commitIndex_)
+        if (entry.index <= m_commitIndex)
             continue;
-        const auto storedTerm = log_.termAt (entry.index);
+        const auto storedTerm = m_log.termAt (entry.index);
         if (storedTerm == entry.term)
             continue;
         if (storedTerm)
         {
-            log_.truncateFrom (entry.index);
-            persist_.truncateFrom (entry.index);
+            m_log.truncateFrom (entry.index);
+            m_persist.truncateFrom (entry.index);
         }
-        log_.append (entry);
-        persist_.append (entry);
+        m_log.append (entry);
+        m_persist.append (entry);
     }
 }
 
@@ -78,17 +78,17 @@
     reply.accepted = true;
     reply.round = request.round;
     reply.matchIndex = matchedIndex;
-    if (options_.plantedFault == PlantedFault::kAppendReplyBeforeSync)
+    if (m_options.plantedFault == PlantedFault::kAppendReplyBeforeSync)
     {
         send (leader, reply);
         return;
     }
     const bool isHeartbeat = request.entries.empty();
-    if (isHeartbeat && persist_.isHardStateSynced() && ! persist_.isSynced())
+    if (isHeartbeat && m_persist.isHardStateSynced() && ! m_persist.isSynced())
     {
         // The leader hears at once that this member is alive, whatever its disk is doing.
         AppendReply partial = reply;
-        partial.matchIndex = std::min (matchedIndex, persist_.stableIndex());
+        partial.matchIndex = std::min (matchedIndex, m_persist.stableIndex());
         send (leader, partial);
     }
     sendWhenSynced (leader, reply);
--- a/src/consensus/RaftImplementation.cpp
+++ b/src/consensus/RaftImplementation.cpp
@@ -11,27 +11,27 @@
 RaftNode::Implementation::Implementation (MemberId self, RaftOptions options,
                                           RecoveredState recovered, std::uint64_t randomSeed,
                                           base::TimePoint now)
-    : self_ (self),
-      options_ (options),
-      random_ (randomSeed),
-      log_ (std::move (recovered.snapshot), std::move (recovered.entries),
-            std::move (recovered.initialMembers)),
-      persist_ (log_.lastIndex()),
-      hardState_ (recovered.hardState),
-      commitIndex_ (log_.snapshot().lastIndex),
-      appliedIndex_ (commitIndex_),
-      now_ (now),
-      leaderHeardAt_ (now)
+    : m_self (self),
+      m_options (options),
+      m_random (randomSeed),
+      m_log (std::move (recovered.snapshot), std::move (recovered.entries),
+             std::move (recovered.initialMembers)),
+      m_persist (m_log.lastIndex()),
+      m_hardState (recovered.hardState),
+      m_commitIndex (m_log.snapshot().lastIndex),
+      m_appliedIndex (m_commitIndex),
+      m_now (now),
+      m_leaderHeardAt (now)
 {
-    if (commitIndex_ > 0)
-        installedSnapshot_ = log_.snapshot();
+    if (m_commitIndex > 0)
+        m_installedSnapshot = m_log.snapshot();
     resetElectionTimer();
 }
 
 void RaftNode::Implementation::receive (const Message& message, base::TimePoint now)
 {
     observe (now);
-    if (hasStorageFailed_ || message.to != self_)
+    if (m_hasStorageFailed || message.to != m_self)
         return;
     dispatch (message);
 }
@@ -39,17 +39,17 @@
 void RaftNode::Implementation::tick (base::TimePoint now)
 {
     observe (now);
-    if (hasStorageFailed_)
+    if (m_hasStorageFailed)
         return;
     if (isLeader())
     {
         leaderTick();
     }
-    else if (now_ >= electionDeadline_)
+    else if (m_now >= m_electionDeadline)
     {
         onElectionTimeout();
     }
-    else if (role_ == Role::kPreCandidate && now_ >= preVoteResendAt_)
+    else if (m_role == Role::kPreCandidate && m_now >= m_preVoteResendAt)
     {
         requestVotes (true, false);
     }
@@ -58,11 +58,11 @@
 void RaftNode::Implementation::onPersisted (std::uint64_t sequence, base::TimePoint now)
 {
     observe (now);
-    if (hasStorageFailed_)
+    if (m_hasStorageFailed)
         return;
-    std::vector<Message> released = persist_.confirm (sequence);
-    std::move (released.begin(), released.end(), std::back_inserter (messages_));
-    if (role_ == Role::kCandidate)
+    std::vector<Message> released = m_persist.confirm (sequence);
+    std::move (released.begin(), released.end(), std::back_inserter (m_messages));
+    if (m_role == Role::kCandidate)
     {
         countVotes();
     }
@@ -74,9 +74,9 @@
 
 void RaftNode::Implementation::onStorageFailed()
 {
-    hasStorageFailed_ = true;
-    becomeFollower (hardState_.term, 0);
-    messages_.clear();
+    m_hasStorageFailed = true;
+    becomeFollower (m_hardState.term, 0);
+    m_messages.clear();
 }
 
 base::Result<LogIndex> RaftNode::Implementation::propose (std::string data, base::TimePoint now)
@@ -84,22 +84,22 @@
     observe (now);
     BOOST_LEAF_CHECK (requireLeader());
     appendToLog (EntryKind::kCommand, std::move (data));
-    return log_.lastIndex();
+    return m_log.lastIndex();
 }
 
 bool RaftNode::Implementation::holdsLease (base::TimePoint now) const
 {
-    if (! isLeader() || transfer_.has_value())
+    if (! isLeader() || m_transfer.has_value())
         return false;
-    const bool isCaughtUp = appliedIndex_ >= firstIndexOfTerm_ && appliedIndex_ == commitIndex_;
+    const bool isCaughtUp = m_appliedIndex >= m_firstIndexOfTerm && m_appliedIndex == m_commitIndex;
     if (! isCaughtUp)
         return false;
-    if (options_.plantedFault == PlantedFault::kLeaseWithoutMajority)
+    if (m_options.plantedFault == PlantedFault::kLeaseWithoutMajority)
         return true;
     const auto confirmedAt = majorityConfirmedAt();
     if (! confirmedAt)
         return false;
-    return now < *confirmedAt + options_.electionTimeoutMinimum - options_.leaseMargin;
+    return now < *confirmedAt + m_options.electionTimeoutMinimum - m_options.leaseMargin;
 }
 
 RaftOutput RaftNode::Implementation::takeOutput()
@@ -107,13 +107,13 @@
     RaftOutput output;
     if (isLeader())
         replicate();
-    output.writes = persist_.take();
-    output.messages = std::exchange (messages_, {});
-    output.installedSnapshot = std::exchange (installedSnapshot_, std::nullopt);
-    while (appliedIndex_ < commitIndex_)
+    output.writes = m_persist.take();
+    output.messages = std::exchange (m_messages, {});
+    output.installedSnapshot = std::exchange (m_installedSnapshot, std::nullopt);
+    while (m_appliedIndex < m_commitIndex)
     {
-        ++appliedIndex_;
-        output.committed.push_back (log_.at (appliedIndex_));
+        ++m_appliedIndex;
+        output.committed.push_back (m_log.at (m_appliedIndex));
     }
     return output;
 }
@@ -121,17 +121,17 @@
 RaftStatus RaftNode::Implementation::status (base::TimePoint now) const
 {
     RaftStatus status;
-    status.self = self_;
-    status.role = role_;
-    status.term = hardState_.term;
-    status.leader = leader_;
-    status.commitIndex = commitIndex_;
-    status.appliedIndex = appliedIndex_;
-    status.lastIndex = log_.lastIndex();
-    status.members = log_.members();
-    for (const auto& [id, replication] : replications_)
+    status.self = m_self;
+    status.role = m_role;
+    status.term = m_hardState.term;
+    status.leader = m_leader;
+    status.commitIndex = m_commitIndex;
+    status.appliedIndex = m_appliedIndex;
+    status.lastIndex = m_log.lastIndex();
+    status.members = m_log.members();
+    for (const auto& [id, replication] : m_replications)
     {
-        const Member* member = findMember (log_.members(), id);
+        const Member* member = findMember (m_log.members(), id);
         if (member == nullptr)
             continue;
         status.progress.push_back ({ *member, replication.matchIndex, now - replication.lastReplyAt,
@@ -140,70 +140,70 @@
     return status;
 }
 
-void RaftNode::Implementation::observe (base::TimePoint now) { now_ = std::max (now_, now); }
+void RaftNode::Implementation::observe (base::TimePoint now) { m_now = std::max (m_now, now); }
 
-bool RaftNode::Implementation::isSelfVoter() const { return isVoter (log_.members(), self_); }
+bool RaftNode::Implementation::isSelfVoter() const { return isVoter (m_log.members(), m_self); }
 
 void RaftNode::Implementation::send (MemberId to, Payload payload)
 {
-    sendWithTerm (to, hardState_.term, std::move (payload));
+    sendWithTerm (to, m_hardState.term, std::move (payload));
 }
 
 void RaftNode::Implementation::sendWithTerm (MemberId to, Term term, Payload payload)
 {
-    messages_.push_back ({ self_, to, term, std::move (payload) });
+    m_messages.push_back ({ m_self, to, term, std::move (payload) });
 }
 
 void RaftNode::Implementation::sendWhenSynced (MemberId to, Payload payload)
 {
-    if (persist_.isSynced())
+    if (m_persist.isSynced())
     {
         send (to, std::move (payload));
     }
     else
     {
-        persist_.hold ({ self_, to, hardState_.term, std::move (payload) });
+        m_persist.hold ({ m_self, to, m_hardState.term, std::move (payload) });
     }
 }
 
 void RaftNode::Implementation::setHardState (Term term, MemberId votedFor)
 {
     const HardState changed{ term, votedFor };
-    if (changed == hardState_)
+    if (changed == m_hardState)
         return;
-    hardState_ = changed;
-    persist_.setHardState (hardState_);
+    m_hardState = changed;
+    m_persist.setHardState (m_hardState);
 }
 
 void RaftNode::Implementation::becomeFollower (Term term, MemberId leader)
 {
-    if (term > hardState_.term)
+    if (term > m_hardState.term)
         setHardState (term, 0);
-    role_ = Role::kFollower;
-    leader_ = leader;
-    votes_.clear();
-    replications_.clear();
-    transfer_.reset();
-    encodedSnapshot_.clear();
-    encodedSnapshotIndex_ = 0;
+    m_role = Role::kFollower;
+    m_leader = leader;
+    m_votes.clear();
+    m_replications.clear();
+    m_transfer.reset();
+    m_encodedSnapshot.clear();
+    m_encodedSnapshotIndex = 0;
     resetElectionTimer();
 }
 
 void RaftNode::Implementation::appendToLog (EntryKind kind, std::string data)
 {
-    const Entry entry{ log_.lastIndex() + 1, hardState_.term, kind, std::move (data) };
-    log_.append (entry);
-    persist_.append (entry);
+    const Entry entry{ m_log.lastIndex() + 1, m_hardState.term, kind, std::move (data) };
+    m_log.append (entry);
+    m_persist.append (entry);
 }
 
 void RaftNode::Implementation::advanceCommit (LogIndex index)
 {
-    commitIndex_ = std::max (commitIndex_, std::min (index, log_.lastIndex()));
+    m_commitIndex = std::max (m_commitIndex, std::min (index, m_log.lastIndex()));
 }
 
 base::Result<void> RaftNode::Implementation::requireLeader() const
 {
-    const bool canPropose = isLeader() && ! transfer_.has_value();
+    const bool canPropose = isLeader() && ! m_transfer.has_value();
     if (! canPropose)
         return base::fail (base::ErrorKind::kNotLeader, "this member does not lead");
     return {};
@@ -214,7 +214,7 @@
     const bool isReply = std::holds_alternative<VoteReply> (message.payload)
                          || std::holds_alternative<AppendReply> (message.payload)
                          || std::holds_alternative<SnapshotReply> (message.payload);
-    return isReply && findMember (log_.members(), message.from) == nullptr;
+    return isReply && findMember (m_log.members(), message.from) == nullptr;
 }
 
 void RaftNode::Implementation::dispatch (const Message& message)
@@ -229,7 +229,7 @@
     const auto* voteReply = std::get_if<VoteReply> (&message.payload);
     const bool isGrantedPreVote =
         voteReply != nullptr && voteReply->isPreVote && voteReply->granted;
-    if (message.term > hardState_.term && ! isGrantedPreVote)
+    if (message.term > m_hardState.term && ! isGrantedPreVote)
         becomeFollower (message.term, 0);
 
     if (voteReply != nullptr)
@@ -242,15 +242,15 @@
     }
     else if (const auto* chunk = std::get_if<SnapshotChunk> (&message.payload))
     {
-        if (message.term == hardState_.term)
+        if (message.term == m_hardState.term)
             onSnapshotChunk (message.from, *chunk);
     }
     else if (std::holds_alternative<TransferLeadership> (message.payload))
     {
-        if (message.term == hardState_.term)
+        if (message.term == m_hardState.term)
             onTransferLeadership (message);
     }
-    else if (isLeader() && message.term == hardState_.term)
+    else if (isLeader() && message.term == m_hardState.term)
     {
         if (const auto* reply = std::get_if<AppendReply> (&message.payload))
         {
--- a/src/consensus/RaftImplementation.h
+++ b/src/consensus/RaftImplementation.h
@@ -24,7 +24,7 @@
  * Decides for one member what it writes, sends and applies.
  *
  * Every call is one step: it takes the time as `observe` sees it, changes the state below and
- * leaves writes in `persist_` and messages in `messages_`, which `takeOutput` hands over. Nothing
+ * leaves writes in `m_persist` and messages in `m_messages`, which `takeOutput` hands over. Nothing
  * is written, sent or waited for here, so a step either happens as a whole or, when the process
  * dies, not at all.
  *
@@ -32,7 +32,7 @@
  * reference to anything outside.
  *
  * Safety rests on three rules that every change must keep: a message that vouches for state leaves
- * only once that state is synced (`sendWhenSynced`), nothing at or below `commitIndex_` is ever
+ * only once that state is synced (`sendWhenSynced`), nothing at or below `m_commitIndex` is ever
  * truncated, and a leader commits by counting only entries of its own term.
  */
 class RaftNode::Implementation
@@ -64,7 +64,7 @@
 
     // Common parts (RaftImplementation.cpp).
     void observe (base::TimePoint now);
-    [[nodiscard]] bool isLeader() const { return role_ == Role::kLeader; }
+    [[nodiscard]] bool isLeader() const { return m_role == Role::kLeader; }
     [[nodiscard]] bool isSelfVoter() const;
     void send (MemberId to, Payload payload);
     void sendWithTerm (MemberId to, Term term, Payload payload);
@@ -130,37 +130,37 @@
     void progressTransfer();
     void onTransferLeadership (const Message& message);
 
-    const MemberId self_;        ///< Never 0; never reused after a lost disk.
-    const RaftOptions options_;  ///< Equal on all members.
-    base::Random random_;        ///< Spreads election timeouts; no rule of safety rests on it.
-    RaftLog log_;           ///< As written, synced or not; holds everything up to commitIndex_.
-    PersistQueue persist_;  ///< Every change of log_ and hardState_ passes through it, in order.
-    HardState hardState_;   ///< Latest, synced or not; the term never goes back.
-    Role role_ = Role::kFollower;    ///< kLeader only in a term whose vote for itself is synced.
-    MemberId leader_ = 0;            ///< Leader of the present term; 0 until it is heard.
-    LogIndex commitIndex_ = 0;       ///< Never goes back; at least log_.snapshot().lastIndex.
-    LogIndex appliedIndex_ = 0;      ///< Handed over for applying; never beyond commitIndex_.
-    bool hasStorageFailed_ = false;  ///< For good: from then on this member is silent.
-
-    base::TimePoint now_;               ///< Latest time seen; never goes back.
-    base::TimePoint leaderHeardAt_;     ///< Or the start: promises made before it are not known.
-    base::TimePoint electionDeadline_;  ///< Without a leader until then, a voter campaigns.
-    base::TimePoint preVoteResendAt_;   ///< A pre-candidate asks again then.
-    std::set<MemberId> votes_;  ///< Granted to this campaign, of pre-votes or votes by role_.
+    const MemberId m_self;        ///< Never 0; never reused after a lost disk.
+    const RaftOptions m_options;  ///< Equal on all members.
+    base::Random m_random;        ///< Spreads election timeouts; no rule of safety rests on it.
+    RaftLog m_log;           ///< As written, synced or not; holds everything up to m_commitIndex.
+    PersistQueue m_persist;  ///< Every change of m_log and m_hardState passes through it, in order.
+    HardState m_hardState;   ///< Latest, synced or not; the term never goes back.
+    Role m_role = Role::kFollower;    ///< kLeader only in a term whose vote for itself is synced.
+    MemberId m_leader = 0;            ///< Leader of the present term; 0 until it is heard.
+    LogIndex m_commitIndex = 0;       ///< Never goes back; at least m_log.snapshot().lastIndex.
+    LogIndex m_appliedIndex = 0;      ///< Handed over for applying; never beyond m_commitIndex.
+    bool m_hasStorageFailed = false;  ///< For good: from then on this member is silent.
+
+    base::TimePoint m_now;               ///< Latest time seen; never goes back.
+    base::TimePoint m_leaderHeardAt;     ///< Or the start: promises made before it are not known.
+    base::TimePoint m_electionDeadline;  ///< Without a leader until then, a voter campaigns.
+    base::TimePoint m_preVoteResendAt;   ///< A pre-candidate asks again then.
+    std::set<MemberId> m_votes;  ///< Granted to this campaign, of pre-votes or votes by m_role.
 
     // Leader only; without meaning in other roles.
     std::map<MemberId, MemberReplication>
-        replications_;                   ///< Of every other member in log_.members().
-    std::uint64_t lastRound_ = 0;        ///< Of the messages to all members; never goes back.
-    LogIndex firstIndexOfTerm_ = 0;      ///< The entry with which this leader began its term.
-    std::optional<Transfer> transfer_;   ///< While set: no proposals and no lease.
-    std::string encodedSnapshot_;        ///< Snapshot being sent; that of encodedSnapshotIndex_.
-    LogIndex encodedSnapshotIndex_ = 0;  ///< 0: none is encoded.
+        m_replications;                   ///< Of every other member in m_log.members().
+    std::uint64_t m_lastRound = 0;        ///< Of the messages to all members; never goes back.
+    LogIndex m_firstIndexOfTerm = 0;      ///< The entry with which this leader began its term.
+    std::optional<Transfer> m_transfer;   ///< While set: no proposals and no lease.
+    std::string m_encodedSnapshot;        ///< Snapshot being sent; that of m_encodedSnapshotIndex.
+    LogIndex m_encodedSnapshotIndex = 0;  ///< 0: none is encoded.
 
     SnapshotReceiver
-        snapshotReceiver_;           ///< Chunks received so far; lost in a crash, then sent anew.
-    std::vector<Message> messages_;  ///< Vouch for synced state only.
-    std::optional<Snapshot> installedSnapshot_;  ///< Goes out before any entry after it.
+        m_snapshotReceiver;           ///< Chunks received so far; lost in a crash, then sent anew.
+    std::vector<Message> m_messages;  ///< Vouch for synced state only.
+    std::optional<Snapshot> m_installedSnapshot;  ///< Goes out before any entry after it.
 };
 
 }  // namespace fernlift::consensus
--- a/src/consensus/RaftLog.cpp
+++ b/src/consensus/RaftLog.cpp
@@ -9,24 +9,27 @@
 {
 
 RaftLog::RaftLog (Snapshot snapshot, std::vector<Entry> entries, MemberSet initialMembers)
-    : snapshot_ (std::move (snapshot)),
-      precedingIndex_ (snapshot_.lastIndex),
-      precedingTerm_ (snapshot_.lastTerm)
+    : m_snapshot (std::move (snapshot)),
+      m_precedingIndex (m_snapshot.lastIndex),
+      m_precedingTerm (m_snapshot.lastTerm)
 {
-    const bool hasSnapshot = snapshot_.lastIndex > 0;
-    memberHistory_.emplace_back (snapshot_.lastIndex,
-                                 hasSnapshot ? snapshot_.members : std::move (initialMembers));
+    const bool hasSnapshot = m_snapshot.lastIndex > 0;
+    m_memberHistory.emplace_back (m_snapshot.lastIndex,
+                                  hasSnapshot ? m_snapshot.members : std::move (initialMembers));
     for (Entry& entry : entries)
         append (std::move (entry));
 }
 
-Term RaftLog::lastTerm() const { return entries_.empty() ? precedingTerm_ : entries_.back().term; }
+Term RaftLog::lastTerm() const
+{
+    return m_entries.empty() ? m_precedingTerm : m_entries.back().term;
+}
 
 std::optional<Term> RaftLog::termAt (LogIndex index) const
 {
-    if (index == precedingIndex_)
-        return precedingTerm_;
-    if (index < precedingIndex_ || index > lastIndex())
+    if (index == m_precedingIndex)
+        return m_precedingTerm;
+    if (index < m_precedingIndex || index > lastIndex())
         return std::nullopt;
     return at (index).term;
 }
@@ -34,7 +37,7 @@
 const Entry& RaftLog::at (LogIndex index) const
 {
     assert (index >= firstIndex() && index <= lastIndex());
-    return entries_[index - firstIndex()];
+    return m_entries[index - firstIndex()];
 }
 
 std::vector<Entry> RaftLog::slice (LogIndex from, std::size_t maximumBytes) const
@@ -64,51 +67,51 @@
 {
     assert (entry.index == lastIndex() + 1);
     noteMembers (entry);
-    entries_.push_back (std::move (entry));
+    m_entries.push_back (std::move (entry));
 }
 
 void RaftLog::truncateFrom (LogIndex index)
 {
-    while (! entries_.empty() && lastIndex() >= index)
-        entries_.pop_back();
-    while (memberHistory_.size() > 1 && memberHistory_.back().first >= index)
+    while (! m_entries.empty() && lastIndex() >= index)
+        m_entries.pop_back();
+    while (m_memberHistory.size() > 1 && m_memberHistory.back().first >= index)
     {
-        memberHistory_.pop_back();
+        m_memberHistory.pop_back();
     }
 }
 
 void RaftLog::compact (Snapshot snapshot, std::size_t keptEntries)
 {
     assert (snapshot.lastIndex <= lastIndex());
-    snapshot_ = std::move (snapshot);
-    while (memberHistory_.size() > 1 && memberHistory_[1].first <= snapshot_.lastIndex)
+    m_snapshot = std::move (snapshot);
+    while (m_memberHistory.size() > 1 && m_memberHistory[1].first <= m_snapshot.lastIndex)
     {
-        memberHistory_.erase (memberHistory_.begin());
+        m_memberHistory.erase (m_memberHistory.begin());
     }
     // The log of a learner may begin without naming any members; the snapshot names them.
-    memberHistory_.front().second = snapshot_.members;
-    while (precedingIndex_ + keptEntries < snapshot_.lastIndex)
+    m_memberHistory.front().second = m_snapshot.members;
+    while (m_precedingIndex + keptEntries < m_snapshot.lastIndex)
     {
-        precedingIndex_ = entries_.front().index;
-        precedingTerm_ = entries_.front().term;
-        entries_.pop_front();
+        m_precedingIndex = m_entries.front().index;
+        m_precedingTerm = m_entries.front().term;
+        m_entries.pop_front();
     }
 }
 
 void RaftLog::replaceBy (Snapshot snapshot)
 {
-    snapshot_ = std::move (snapshot);
-    entries_.clear();
-    precedingIndex_ = snapshot_.lastIndex;
-    precedingTerm_ = snapshot_.lastTerm;
-    memberHistory_.assign (1, { snapshot_.lastIndex, snapshot_.members });
+    m_snapshot = std::move (snapshot);
+    m_entries.clear();
+    m_precedingIndex = m_snapshot.lastIndex;
+    m_precedingTerm = m_snapshot.lastTerm;
+    m_memberHistory.assign (1, { m_snapshot.lastIndex, m_snapshot.members });
 }
 
 const MemberSet& RaftLog::membersAt (LogIndex index) const
 {
     auto isLater = [index] (const auto& item) { return item.first > index; };
     const auto firstLater =
-        std::find_if (memberHistory_.begin() + 1, memberHistory_.end(), isLater);
+        std::find_if (m_memberHistory.begin() + 1, m_memberHistory.end(), isLater);
     return std::prev (firstLater)->second;
 }
 
@@ -116,7 +119,7 @@
 {
     if (entry.kind != EntryKind::kMembership)
         return;
-    memberHistory_.emplace_back (entry.index, decodeMembers (entry.data));
+    m_memberHistory.emplace_back (entry.index, decodeMembers (entry.data));
 }
 
 }  // namespace fernlift::consensus
--- a/src/consensus/RaftLog.h
+++ b/src/consensus/RaftLog.h
@@ -29,8 +29,8 @@
     RaftLog (Snapshot snapshot, std::vector<Entry> entries, MemberSet initialMembers);
 
     /// Index of the first entry held; entries before it are only in the snapshot.
-    [[nodiscard]] LogIndex firstIndex() const { return precedingIndex_ + 1; }
-    [[nodiscard]] LogIndex lastIndex() const { return precedingIndex_ + entries_.size(); }
+    [[nodiscard]] LogIndex firstIndex() const { return m_precedingIndex + 1; }
+    [[nodiscard]] LogIndex lastIndex() const { return m_precedingIndex + m_entries.size(); }
     [[nodiscard]] Term lastTerm() const;
     /// Term of the entry at `index`, also of the one just before firstIndex(); none elsewhere.
     [[nodiscard]] std::optional<Term> termAt (LogIndex index) const;
@@ -51,24 +51,24 @@
     /// Replaces the whole log by a received snapshot.
     void replaceBy (Snapshot snapshot);
 
-    [[nodiscard]] const Snapshot& snapshot() const { return snapshot_; }
+    [[nodiscard]] const Snapshot& snapshot() const { return m_snapshot; }
     /// The latest members in the log, committed or not: those are in force.
-    [[nodiscard]] const MemberSet& members() const { return memberHistory_.back().second; }
+    [[nodiscard]] const MemberSet& members() const { return m_memberHistory.back().second; }
     /// Index of the entry that named members(); 0 for the initial ones.
-    [[nodiscard]] LogIndex membersIndex() const { return memberHistory_.back().first; }
+    [[nodiscard]] LogIndex membersIndex() const { return m_memberHistory.back().first; }
     /// Members in force at `index`, which is not before the snapshot.
     [[nodiscard]] const MemberSet& membersAt (LogIndex index) const;
 
 private:
     void noteMembers (const Entry& entry);
 
-    Snapshot snapshot_;            ///< Its lastIndex lies between precedingIndex_ and lastIndex().
-    LogIndex precedingIndex_ = 0;  ///< Index and term of the entry just before entries_.
-    Term precedingTerm_ = 0;
-    std::deque<Entry> entries_;  ///< Indexes precedingIndex_ + 1 and on, without a gap.
+    Snapshot m_snapshot;  ///< Its lastIndex lies between m_precedingIndex and lastIndex().
+    LogIndex m_precedingIndex = 0;  ///< Index and term of the entry just before m_entries.
+    Term m_precedingTerm = 0;
+    std::deque<Entry> m_entries;  ///< Indexes m_precedingIndex + 1 and on, without a gap.
     /// Member sets by the index that named them, ascending and never empty; the first one is from
     /// the snapshot or the start.
-    std::vector<std::pair<LogIndex, MemberSet>> memberHistory_;
+    std::vector<std::pair<LogIndex, MemberSet>> m_memberHistory;
 };
 
 }  // namespace fernlift::consensus
--- a/src/consensus/RaftMembership.cpp
+++ b/src/consensus/RaftMembership.cpp
@@ -25,28 +25,28 @@
     observe (now);
     BOOST_LEAF_CHECK (requireLeader());
     // A majority of the present members must know this leader before the members change.
-    if (commitIndex_ < firstIndexOfTerm_)
+    if (m_commitIndex < m_firstIndexOfTerm)
         return refuse ("the leader has just been elected");
-    const bool isChanging = log_.membersIndex() > commitIndex_
-                            && options_.plantedFault != PlantedFault::kConcurrentMembershipChanges;
+    const bool isChanging = m_log.membersIndex() > m_commitIndex
+                            && m_options.plantedFault != PlantedFault::kConcurrentMembershipChanges;
     if (isChanging)
         return refuse ("another change is in progress");
     std::sort (members.members.begin(), members.members.end(),
                [] (const Member& left, const Member& right) { return left.id < right.id; });
-    BOOST_LEAF_AUTO (change, classifyChange (log_.members(), members));
+    BOOST_LEAF_AUTO (change, classifyChange (m_log.members(), members));
     if (change.step == MembershipStep::kPromote)
         BOOST_LEAF_CHECK (checkPromotion (change.member));
     appendToLog (EntryKind::kMembership, encodeMembers (members));
     updateMemberReplications();
-    return log_.lastIndex();
+    return m_log.lastIndex();
 }
 
 base::Result<void> RaftNode::Implementation::checkPromotion (MemberId id) const
 {
-    const MemberReplication& member = replications_.at (id);
+    const MemberReplication& member = m_replications.at (id);
     const bool isCaughtUp = member.mode == ReplicationMode::kPipeline
-                            && member.matchIndex + kMaximumPromotionLag >= commitIndex_;
-    const bool isAlive = now_ - member.lastReplyAt < options_.electionTimeoutMinimum;
+                            && member.matchIndex + kMaximumPromotionLag >= m_commitIndex;
+    const bool isAlive = m_now - member.lastReplyAt < m_options.electionTimeoutMinimum;
     if (isCaughtUp && isAlive && member.matchIndex > 0)
         return {};
     return refuse ("learner " + std::to_string (id) + " has not caught up");
@@ -54,25 +54,25 @@
 
 void RaftNode::Implementation::updateMemberReplications()
 {
-    const MemberSet& members = log_.members();
-    std::erase_if (replications_,
+    const MemberSet& members = m_log.members();
+    std::erase_if (m_replications,
                    [&] (const auto& item) { return findMember (members, item.first) == nullptr; });
     for (const Member& member : members.members)
     {
-        if (member.id == self_)
+        if (member.id == m_self)
             continue;
-        replications_.try_emplace (member.id, log_.lastIndex(), now_);
+        m_replications.try_emplace (member.id, m_log.lastIndex(), m_now);
     }
 }
 
 void RaftNode::Implementation::leaveIfRemoved()
 {
-    const bool isChangeCommitted = log_.membersIndex() <= commitIndex_;
+    const bool isChangeCommitted = m_log.membersIndex() <= m_commitIndex;
     if (isSelfVoter() || ! isChangeCommitted)
         return;
-    for (auto& [id, member] : replications_)
+    for (auto& [id, member] : m_replications)
         sendHeartbeat (id, member);
-    becomeFollower (hardState_.term, 0);
+    becomeFollower (m_hardState.term, 0);
 }
 
 base::Result<void> RaftNode::Implementation::transferLeadership (base::TimePoint now)
@@ -80,14 +80,14 @@
     observe (now);
     if (! isLeader())
         return base::fail (base::ErrorKind::kNotLeader, "this member does not lead");
-    if (transfer_)
+    if (m_transfer)
         return {};
     MemberId target = 0;
     LogIndex furthest = 0;
-    for (const auto& [id, member] : replications_)
+    for (const auto& [id, member] : m_replications)
     {
-        const bool isAlive = now_ - member.lastReplyAt < options_.electionTimeoutMinimum;
-        if (! isVoter (log_.members(), id) || ! isAlive || member.matchIndex < furthest)
+        const bool isAlive = m_now - member.lastReplyAt < m_options.electionTimeoutMinimum;
+        if (! isVoter (m_log.members(), id) || ! isAlive || member.matchIndex < furthest)
             continue;
         target = id;
         furthest = member.matchIndex;
@@ -96,25 +96,25 @@
     {
         return base::fail (base::ErrorKind::kNoQuorum, "no other voter can take over leadership");
     }
-    transfer_ = Transfer{ target, now_ + options_.electionTimeoutMaximum, false };
+    m_transfer = Transfer{ target, m_now + m_options.electionTimeoutMaximum, false };
     progressTransfer();
     return {};
 }
 
 void RaftNode::Implementation::progressTransfer()
 {
-    if (! isLeader() || ! transfer_ || transfer_->isRequestSent)
+    if (! isLeader() || ! m_transfer || m_transfer->isRequestSent)
         return;
-    const auto found = replications_.find (transfer_->target);
-    if (found == replications_.end() || found->second.matchIndex < log_.lastIndex())
+    const auto found = m_replications.find (m_transfer->target);
+    if (found == m_replications.end() || found->second.matchIndex < m_log.lastIndex())
         return;
-    transfer_->isRequestSent = true;
-    send (transfer_->target, TransferLeadership{});
+    m_transfer->isRequestSent = true;
+    send (m_transfer->target, TransferLeadership{});
 }
 
 void RaftNode::Implementation::onTransferLeadership (const Message& message)
 {
-    const bool isFromLeader = role_ == Role::kFollower && leader_ == message.from;
+    const bool isFromLeader = m_role == Role::kFollower && m_leader == message.from;
     if (isFromLeader && isSelfVoter())
         startElection (true);
 }
