--- a/src/consensus/RaftNodeTest.cpp
+++ b/src/consensus/RaftNodeTest.cpp
@@ -51,18 +51,18 @@
     void start (MemberId id, MemberSet initialMembers, RecoveredState state = {})
     {
         state.initialMembers = std::move (initialMembers);
-        slots_[id] = Slot();
-        slots_[id].node = std::make_unique<RaftNode> (id, options_, std::move (state), id, now_);
+        m_slots[id] = Slot();
+        m_slots[id].node = std::make_unique<RaftNode> (id, m_options, std::move (state), id, m_now);
     }
 
     void run (base::Duration duration)
     {
-        const TimePoint end = now_ + duration;
-        while (now_ < end)
+        const TimePoint end = m_now + duration;
+        while (m_now < end)
         {
-            now_ += milliseconds (5);
-            for (auto& [id, slot] : slots_)
-                slot.node->tick (now_);
+            m_now += milliseconds (5);
+            for (auto& [id, slot] : m_slots)
+                slot.node->tick (m_now);
             pump();
         }
     }
@@ -72,16 +72,16 @@
         while (isBusy)
         {
             isBusy = false;
-            for (auto& [id, slot] : slots_)
+            for (auto& [id, slot] : m_slots)
                 isBusy |= take (slot);
-            while (! wire_.empty())
+            while (! m_wire.empty())
             {
-                const Message message = wire_.front();
-                wire_.pop_front();
-                const auto to = slots_.find (message.to);
-                if (to == slots_.end() || to->second.isCut || slots_[message.from].isCut)
+                const Message message = m_wire.front();
+                m_wire.pop_front();
+                const auto to = m_slots.find (message.to);
+                if (to == m_slots.end() || to->second.isCut || m_slots[message.from].isCut)
                     continue;
-                to->second.node->receive (message, now_);
+                to->second.node->receive (message, m_now);
                 isBusy = true;
             }
         }
@@ -94,34 +94,34 @@
         for (Entry& entry : output.committed)
             slot.applied.push_back (std::move (entry));
         for (Message& message : output.messages)
-            wire_.push_back (std::move (message));
+            m_wire.push_back (std::move (message));
         if (! output.writes.empty())
             slot.unconfirmed = output.writes.back().sequence;
         if (slot.isDiskStopped || slot.unconfirmed == 0)
             return false;
-        slot.node->onPersisted (std::exchange (slot.unconfirmed, 0), now_);
+        slot.node->onPersisted (std::exchange (slot.unconfirmed, 0), m_now);
         return true;
     }
     MemberId leader()
     {
         MemberId found = 0;
-        for (auto& [id, slot] : slots_)
+        for (auto& [id, slot] : m_slots)
         {
-            if (! slot.isCut && slot.node->status (now_).role == Role::kLeader)
+            if (! slot.isCut && slot.node->status (m_now).role == Role::kLeader)
                 found = id;
         }
         return found;
     }
-    RaftNode& node (MemberId id) { return *slots_.at (id).node; }
-    RaftStatus statusOf (MemberId id) { return node (id).status (now_); }
+    RaftNode& node (MemberId id) { return *m_slots.at (id).node; }
+    RaftStatus statusOf (MemberId id) { return node (id).status (m_now); }
 
     std::optional<base::ErrorKind> propose (MemberId id, const std::string& data)
     {
-        return failureOf ([&] { return node (id).propose (data, now_); });
+        return failureOf ([&] { return node (id).propose (data, m_now); });
     }
     std::optional<base::ErrorKind> proposeMembers (MemberId id, const MemberSet& members)
     {
-        return failureOf ([&] { return node (id).proposeMembers (members, now_); });
+        return failureOf ([&] { return node (id).proposeMembers (members, m_now); });
     }
     template <class Operation>
     static std::optional<base::ErrorKind> failureOf (Operation&& operation)
@@ -142,10 +142,10 @@
                            [] (const Entry& entry) { return entry.kind == EntryKind::kCommand; }));
     }
 
-    RaftOptions options_;
-    TimePoint now_{ milliseconds (1000) };
-    std::map<MemberId, Slot> slots_;
-    std::deque<Message> wire_;
+    RaftOptions m_options;
+    TimePoint m_now{ milliseconds (1000) };
+    std::map<MemberId, Slot> m_slots;
+    std::deque<Message> m_wire;
 };
 
 TEST_F (RaftNodeTest, ASingleMemberLeadsAndCommits)
@@ -155,18 +155,18 @@
     ASSERT_EQ (leader(), 1U);
     EXPECT_EQ (propose (1, "a"), std::nullopt);
     pump();
-    EXPECT_EQ (commandCount (slots_[1]), 1U);
-    EXPECT_TRUE (node (1).holdsLease (now_));
+    EXPECT_EQ (commandCount (m_slots[1]), 1U);
+    EXPECT_TRUE (node (1).holdsLease (m_now));
 }
 
 TEST_F (RaftNodeTest, ASingleMemberCommitsNothingBeforeItsDiskIsSynced)
 {
     startAll (1);
     run (milliseconds (700));
-    slots_[1].isDiskStopped = true;
+    m_slots[1].isDiskStopped = true;
     EXPECT_EQ (propose (1, "a"), std::nullopt);
     run (milliseconds (100));
-    EXPECT_EQ (commandCount (slots_[1]), 0U);
+    EXPECT_EQ (commandCount (m_slots[1]), 0U);
 }
 
 TEST_F (RaftNodeTest, ThreeMembersElectOneLeaderAndApplyTheSameLog)
@@ -178,35 +178,35 @@
     for (int count = 0; count < 100; ++count)
         EXPECT_EQ (propose (first, "x"), std::nullopt);
     run (milliseconds (100));
-    for (auto& [id, slot] : slots_)
+    for (auto& [id, slot] : m_slots)
     {
         EXPECT_EQ (commandCount (slot), 100U);
-        EXPECT_EQ (slot.applied, slots_[1].applied);
+        EXPECT_EQ (slot.applied, m_slots[1].applied);
     }
-    slots_[first].isCut = true;
+    m_slots[first].isCut = true;
     run (milliseconds (2500));
     const MemberId second = leader();
     ASSERT_NE (second, 0U);
     EXPECT_NE (statusOf (first).role, Role::kLeader) << "check-quorum";
-    EXPECT_FALSE (node (first).holdsLease (now_));
+    EXPECT_FALSE (node (first).holdsLease (m_now));
     EXPECT_EQ (propose (first, "x"), base::ErrorKind::kNotLeader);
     EXPECT_EQ (propose (second, "y"), std::nullopt);
-    slots_[first].isCut = false;
+    m_slots[first].isCut = false;
     run (milliseconds (1000));
     EXPECT_EQ (leader(), second) << "a returning member must not disturb the leader";
-    EXPECT_EQ (slots_[first].applied, slots_[second].applied);
+    EXPECT_EQ (m_slots[first].applied, m_slots[second].applied);
 }
 
 TEST_F (RaftNodeTest, AVoteIsSentOnlyOnceItIsSynced)
 {
     start (1, voters (3));
-    now_ += milliseconds (1000);
-    node (1).receive ({ 2, 1, 5, VoteRequest{ false, false, 0, 0 } }, now_);
+    m_now += milliseconds (1000);
+    node (1).receive ({ 2, 1, 5, VoteRequest{ false, false, 0, 0 } }, m_now);
     RaftOutput output = node (1).takeOutput();
     EXPECT_TRUE (output.messages.empty());
     ASSERT_EQ (output.writes.size(), 1U);
     EXPECT_EQ (output.writes[0].hardState, (HardState{ 5, 2 }));
-    node (1).onPersisted (output.writes[0].sequence, now_);
+    node (1).onPersisted (output.writes[0].sequence, m_now);
     output = node (1).takeOutput();
     ASSERT_EQ (output.messages.size(), 1U);
     EXPECT_TRUE (std::get<VoteReply> (output.messages[0].payload).granted);
@@ -217,8 +217,8 @@
     RecoveredState state;
     state.hardState = { 5, 2 };
     start (1, voters (3), state);
-    now_ += milliseconds (1000);
-    node (1).receive ({ 3, 1, 5, VoteRequest{ false, false, 9, 4 } }, now_);
+    m_now += milliseconds (1000);
+    node (1).receive ({ 3, 1, 5, VoteRequest{ false, false, 9, 4 } }, m_now);
     const RaftOutput output = node (1).takeOutput();
     ASSERT_EQ (output.messages.size(), 1U);
     EXPECT_FALSE (std::get<VoteReply> (output.messages[0].payload).granted);
@@ -227,10 +227,10 @@
 TEST_F (RaftNodeTest, AMemberThatHeardALeaderOrJustStartedRefusesToVote)
 {
     start (1, voters (3));
-    node (1).receive ({ 3, 1, 9, VoteRequest{ false, false, 9, 4 } }, now_ + milliseconds (299));
+    node (1).receive ({ 3, 1, 9, VoteRequest{ false, false, 9, 4 } }, m_now + milliseconds (299));
     EXPECT_TRUE (node (1).takeOutput().messages.empty())
         << "promises before the start are not known";
-    node (1).receive ({ 3, 1, 9, VoteRequest{ false, true, 9, 4 } }, now_ + milliseconds (299));
+    node (1).receive ({ 3, 1, 9, VoteRequest{ false, true, 9, 4 } }, m_now + milliseconds (299));
     EXPECT_EQ (node (1).takeOutput().writes.size(), 1U) << "leadership transfer";
 }
 
@@ -239,11 +239,11 @@
     start (1, voters (3));
     AppendRequest request;
     request.entries = { { 1, 1, EntryKind::kCommand, "a" }, { 2, 1, EntryKind::kCommand, "b" } };
-    node (1).receive ({ 2, 1, 1, request }, now_);
+    node (1).receive ({ 2, 1, 1, request }, m_now);
     RaftOutput output = node (1).takeOutput();
     EXPECT_TRUE (output.messages.empty());
     ASSERT_EQ (output.writes.size(), 1U) << "one write for term and entries";
-    node (1).onPersisted (output.writes[0].sequence, now_);
+    node (1).onPersisted (output.writes[0].sequence, m_now);
     output = node (1).takeOutput();
     ASSERT_EQ (output.messages.size(), 1U);
     EXPECT_EQ (std::get<AppendReply> (output.messages[0].payload).matchIndex, 2U);
@@ -266,9 +266,10 @@
     startAll (3);
     run (milliseconds (2000));
     const MemberId first = leader();
-    ASSERT_TRUE (node (first).holdsLease (now_));
-    EXPECT_EQ (failureOf ([&] { return node (first).transferLeadership (now_); }), std::nullopt);
-    EXPECT_FALSE (node (first).holdsLease (now_)) << "the next leader does not wait for this lease";
+    ASSERT_TRUE (node (first).holdsLease (m_now));
+    EXPECT_EQ (failureOf ([&] { return node (first).transferLeadership (m_now); }), std::nullopt);
+    EXPECT_FALSE (node (first).holdsLease (m_now))
+        << "the next leader does not wait for this lease";
     run (milliseconds (100));
     EXPECT_NE (leader(), first);
     EXPECT_NE (leader(), 0U);
@@ -276,7 +277,7 @@
 
 TEST_F (RaftNodeTest, ALearnerWithAnEmptyDiskGetsASnapshotAndIsPromoted)
 {
-    options_.snapshotChunkBytes = 1000;
+    m_options.snapshotChunkBytes = 1000;
     startAll (3);
     run (milliseconds (2000));
     const MemberId first = leader();
@@ -299,8 +300,8 @@
 
     start (4, {});
     run (milliseconds (500));
-    ASSERT_TRUE (slots_[4].installed.has_value());
-    EXPECT_EQ (slots_[4].installed->data, std::string (25000, 's'));
+    ASSERT_TRUE (m_slots[4].installed.has_value());
+    EXPECT_EQ (m_slots[4].installed->data, std::string (25000, 's'));
     EXPECT_EQ (proposeMembers (first, members), std::nullopt);
     run (milliseconds (100));
     EXPECT_TRUE (isVoter (statusOf (4).members, 4));
@@ -313,8 +314,8 @@
     const Term term = statusOf (first).term;
     run (milliseconds (3000));
     EXPECT_EQ (statusOf (first).term, term) << "a removed member must not disturb the leader";
-    slots_[removed].isCut = true;
-    slots_[first].isCut = true;
+    m_slots[removed].isCut = true;
+    m_slots[first].isCut = true;
     run (milliseconds (3000));
     ASSERT_NE (leader(), 0U);
     EXPECT_EQ (propose (leader(), "y"), std::nullopt);
--- a/src/consensus/RaftReplication.cpp
+++ b/src/consensus/RaftReplication.cpp
@@ -12,15 +12,15 @@
     checkQuorum();
     if (! isLeader())
         return;
-    if (transfer_ && now_ >= transfer_->deadline)
+    if (m_transfer && m_now >= m_transfer->deadline)
     {
         // The request to take over may still arrive, so this term cannot go on.
-        becomeFollower (hardState_.term, 0);
+        becomeFollower (m_hardState.term, 0);
         return;
     }
-    for (auto& [id, member] : replications_)
+    for (auto& [id, member] : m_replications)
     {
-        if (now_ >= member.heartbeatDueAt)
+        if (m_now >= member.heartbeatDueAt)
             sendHeartbeat (id, member);
     }
 }
@@ -28,27 +28,27 @@
 void RaftNode::Implementation::checkQuorum()
 {
     const auto heardAt = majorityValue (
-        log_.members(), now_,
-        [this] (MemberId id) { return id == self_ ? now_ : replications_.at (id).lastReplyAt; });
-    if (now_ - heardAt > options_.electionTimeoutMaximum)
-        becomeFollower (hardState_.term, 0);
+        m_log.members(), m_now,
+        [this] (MemberId id) { return id == m_self ? m_now : m_replications.at (id).lastReplyAt; });
+    if (m_now - heardAt > m_options.electionTimeoutMaximum)
+        becomeFollower (m_hardState.term, 0);
 }
 
 std::uint64_t RaftNode::Implementation::beginRound (MemberReplication& member)
 {
-    ++lastRound_;
-    member.beginRound (lastRound_, now_);
-    return lastRound_;
+    ++m_lastRound;
+    member.beginRound (m_lastRound, m_now);
+    return m_lastRound;
 }
 
 void RaftNode::Implementation::sendHeartbeat (MemberId id, MemberReplication& member)
 {
-    member.heartbeatDueAt = now_ + options_.heartbeatInterval;
+    member.heartbeatDueAt = m_now + m_options.heartbeatInterval;
     member.isProbeSent = false;
     AppendRequest request;
-    request.commitIndex = commitIndex_;
+    request.commitIndex = m_commitIndex;
     request.round = beginRound (member);
-    const auto previousTerm = log_.termAt (member.nextIndex - 1);
+    const auto previousTerm = m_log.termAt (member.nextIndex - 1);
     const bool isComparing = member.mode != ReplicationMode::kSnapshot && previousTerm.has_value();
     if (isComparing)
     {
@@ -59,22 +59,22 @@
 
     constexpr int kHeartbeatsBeforeResend = 4;
     const auto resendAt =
-        member.snapshot.sentAt + kHeartbeatsBeforeResend * options_.heartbeatInterval;
-    if (member.mode == ReplicationMode::kSnapshot && now_ >= resendAt)
+        member.snapshot.sentAt + kHeartbeatsBeforeResend * m_options.heartbeatInterval;
+    if (member.mode == ReplicationMode::kSnapshot && m_now >= resendAt)
         sendSnapshotChunk (id, member);
 }
 
 void RaftNode::Implementation::replicate()
 {
-    for (auto& [id, member] : replications_)
+    for (auto& [id, member] : m_replications)
         replicateTo (id, member);
 }
 
 void RaftNode::Implementation::replicateTo (MemberId id, MemberReplication& member)
 {
-    while (member.mode != ReplicationMode::kSnapshot && member.nextIndex <= log_.lastIndex())
+    while (member.mode != ReplicationMode::kSnapshot && member.nextIndex <= m_log.lastIndex())
     {
-        if (member.nextIndex < log_.firstIndex())
+        if (member.nextIndex < m_log.firstIndex())
         {
             startSnapshot (id, member);
             return;
@@ -82,7 +82,7 @@
         const bool isProbing = member.mode == ReplicationMode::kProbe;
         if (isProbing && member.isProbeSent)
             return;
-        if (! isProbing && member.inflightCount() >= options_.maximumInflightAppends)
+        if (! isProbing && member.inflightCount() >= m_options.maximumInflightAppends)
             return;
         sendEntries (id, member);
     }
@@ -92,10 +92,10 @@
 {
     AppendRequest request;
     request.previousIndex = member.nextIndex - 1;
-    request.previousTerm = log_.termAt (request.previousIndex).value_or (0);
-    request.commitIndex = commitIndex_;
+    request.previousTerm = m_log.termAt (request.previousIndex).value_or (0);
+    request.commitIndex = m_commitIndex;
     request.round = beginRound (member);
-    request.entries = log_.slice (member.nextIndex, options_.maximumAppendBytes);
+    request.entries = m_log.slice (member.nextIndex, m_options.maximumAppendBytes);
     if (member.mode == ReplicationMode::kProbe)
     {
         member.isProbeSent = true;
@@ -111,11 +111,11 @@
 
 void RaftNode::Implementation::onAppendReply (MemberId from, const AppendReply& reply)
 {
-    const auto found = replications_.find (from);
-    if (found == replications_.end())
+    const auto found = m_replications.find (from);
+    if (found == m_replications.end())
         return;
     MemberReplication& member = found->second;
-    member.confirmRound (reply.round, now_);
+    member.confirmRound (reply.round, m_now);
     if (reply.accepted)
         member.acknowledge (reply.matchIndex);
     if (member.mode == ReplicationMode::kSnapshot)
@@ -139,23 +139,23 @@
 void RaftNode::Implementation::commitByMajority()
 {
     const LogIndex index = majorityValue (
-        log_.members(), LogIndex{ 0 },
+        m_log.members(), LogIndex{ 0 },
         [this] (MemberId id)
-        { return id == self_ ? persist_.stableIndex() : replications_.at (id).matchIndex; });
-    if (index <= commitIndex_)
+        { return id == m_self ? m_persist.stableIndex() : m_replications.at (id).matchIndex; });
+    if (index <= m_commitIndex)
         return;
     // Entries of earlier terms are committed only through one of this term.
-    const bool isOfThisTerm = log_.termAt (index) == hardState_.term;
+    const bool isOfThisTerm = m_log.termAt (index) == m_hardState.term;
     const bool countsAnyTerm =
-        options_.plantedFault == PlantedFault::kCommitOfEarlierTermByCounting;
+        m_options.plantedFault == PlantedFault::kCommitOfEarlierTermByCounting;
     if (! isOfThisTerm && ! countsAnyTerm)
         return;
     advanceCommit (index);
-    for (auto& [id, member] : replications_)
+    for (auto& [id, member] : m_replications)
     {
         // Members learn of the commit at once when no entries are on their way to them.
         if (member.inflightCount() == 0)
-            member.heartbeatDueAt = now_;
+            member.heartbeatDueAt = m_now;
     }
     leaveIfRemoved();
 }
@@ -163,12 +163,12 @@
 std::optional<base::TimePoint> RaftNode::Implementation::majorityConfirmedAt() const
 {
     using Confirmed = std::optional<base::TimePoint>;
-    return majorityValue (log_.members(), Confirmed(),
+    return majorityValue (m_log.members(), Confirmed(),
                           [this] (MemberId id) -> Confirmed
                           {
-                              if (id == self_)
-                                  return now_;
-                              return replications_.at (id).confirmedSentAt();
+                              if (id == m_self)
+                                  return m_now;
+                              return m_replications.at (id).confirmedSentAt();
                           });
 }
 
--- a/src/consensus/RaftSnapshot.cpp
+++ b/src/consensus/RaftSnapshot.cpp
@@ -9,58 +9,59 @@
 
 void RaftNode::Implementation::compact (LogIndex appliedIndex, std::string stateMachineData)
 {
-    const bool isUseful = appliedIndex > log_.snapshot().lastIndex && appliedIndex <= appliedIndex_;
-    if (hasStorageFailed_ || ! isUseful)
+    const bool isUseful =
+        appliedIndex > m_log.snapshot().lastIndex && appliedIndex <= m_appliedIndex;
+    if (m_hasStorageFailed || ! isUseful)
         return;
     Snapshot snapshot;
     snapshot.lastIndex = appliedIndex;
-    snapshot.lastTerm = log_.termAt (appliedIndex).value_or (0);
-    snapshot.members = log_.membersAt (appliedIndex);
+    snapshot.lastTerm = m_log.termAt (appliedIndex).value_or (0);
+    snapshot.members = m_log.membersAt (appliedIndex);
     snapshot.data = std::move (stateMachineData);
-    persist_.storeSnapshot (snapshot);
-    log_.compact (std::move (snapshot), options_.entriesKeptByCompaction);
+    m_persist.storeSnapshot (snapshot);
+    m_log.compact (std::move (snapshot), m_options.entriesKeptByCompaction);
 }
 
 void RaftNode::Implementation::startSnapshot (MemberId id, MemberReplication& member)
 {
     member.mode = ReplicationMode::kSnapshot;
     member.snapshot = {};
-    member.snapshot.lastIndex = log_.snapshot().lastIndex;
-    member.snapshot.lastTerm = log_.snapshot().lastTerm;
+    member.snapshot.lastIndex = m_log.snapshot().lastIndex;
+    member.snapshot.lastTerm = m_log.snapshot().lastTerm;
     sendSnapshotChunk (id, member);
 }
 
 void RaftNode::Implementation::sendSnapshotChunk (MemberId id, MemberReplication& member)
 {
-    if (member.snapshot.lastIndex != log_.snapshot().lastIndex)
+    if (member.snapshot.lastIndex != m_log.snapshot().lastIndex)
     {
         startSnapshot (id, member);
         return;
     }
-    if (encodedSnapshotIndex_ != log_.snapshot().lastIndex)
+    if (m_encodedSnapshotIndex != m_log.snapshot().lastIndex)
     {
-        encodedSnapshot_ = wire::encodeValue (log_.snapshot());
-        encodedSnapshotIndex_ = log_.snapshot().lastIndex;
+        m_encodedSnapshot = wire::encodeValue (m_log.snapshot());
+        m_encodedSnapshotIndex = m_log.snapshot().lastIndex;
     }
     SnapshotChunk chunk;
     chunk.lastIndex = member.snapshot.lastIndex;
     chunk.lastTerm = member.snapshot.lastTerm;
-    chunk.offset = std::min<std::uint64_t> (member.snapshot.offset, encodedSnapshot_.size());
-    chunk.totalBytes = encodedSnapshot_.size();
+    chunk.offset = std::min<std::uint64_t> (member.snapshot.offset, m_encodedSnapshot.size());
+    chunk.totalBytes = m_encodedSnapshot.size();
     chunk.round = beginRound (member);
-    chunk.data = encodedSnapshot_.substr (chunk.offset, options_.snapshotChunkBytes);
+    chunk.data = m_encodedSnapshot.substr (chunk.offset, m_options.snapshotChunkBytes);
     member.snapshot.chunkRound = chunk.round;
-    member.snapshot.sentAt = now_;
+    member.snapshot.sentAt = m_now;
     send (id, std::move (chunk));
 }
 
 void RaftNode::Implementation::onSnapshotReply (MemberId from, const SnapshotReply& reply)
 {
-    const auto found = replications_.find (from);
-    if (found == replications_.end())
+    const auto found = m_replications.find (from);
+    if (found == m_replications.end())
         return;
     MemberReplication& member = found->second;
-    member.confirmRound (reply.round, now_);
+    member.confirmRound (reply.round, m_now);
     const bool isCurrent =
         member.mode == ReplicationMode::kSnapshot && reply.lastIndex == member.snapshot.lastIndex;
     if (! isCurrent)
@@ -81,18 +82,18 @@
 void RaftNode::Implementation::onSnapshotChunk (MemberId from, const SnapshotChunk& chunk)
 {
     noteLeader (from);
-    const bool isNeeded = chunk.lastIndex > commitIndex_;
+    const bool isNeeded = chunk.lastIndex > m_commitIndex;
     if (isNeeded)
     {
-        if (auto snapshot = snapshotReceiver_.add (hardState_.term, chunk))
+        if (auto snapshot = m_snapshotReceiver.add (m_hardState.term, chunk))
             installSnapshot (std::move (*snapshot));
     }
     SnapshotReply reply;
     reply.lastIndex = chunk.lastIndex;
-    reply.installed = chunk.lastIndex <= commitIndex_;
-    reply.nextOffset = reply.installed ? chunk.totalBytes : snapshotReceiver_.nextOffset();
+    reply.installed = chunk.lastIndex <= m_commitIndex;
+    reply.nextOffset = reply.installed ? chunk.totalBytes : m_snapshotReceiver.nextOffset();
     reply.round = chunk.round;
-    if (options_.plantedFault == PlantedFault::kSnapshotReplyBeforeSync)
+    if (m_options.plantedFault == PlantedFault::kSnapshotReplyBeforeSync)
     {
         send (from, reply);
     }
@@ -104,20 +105,20 @@
 
 void RaftNode::Implementation::installSnapshot (Snapshot snapshot)
 {
-    installedSnapshot_ = snapshot;
-    const bool fitsLog = log_.termAt (snapshot.lastIndex) == snapshot.lastTerm;
-    const LogIndex commitBefore = commitIndex_;
-    commitIndex_ = snapshot.lastIndex;
-    appliedIndex_ = snapshot.lastIndex;
+    m_installedSnapshot = snapshot;
+    const bool fitsLog = m_log.termAt (snapshot.lastIndex) == snapshot.lastTerm;
+    const LogIndex commitBefore = m_commitIndex;
+    m_commitIndex = snapshot.lastIndex;
+    m_appliedIndex = snapshot.lastIndex;
     if (fitsLog)
     {
-        persist_.storeSnapshot (snapshot);
-        log_.compact (std::move (snapshot), options_.entriesKeptByCompaction);
+        m_persist.storeSnapshot (snapshot);
+        m_log.compact (std::move (snapshot), m_options.entriesKeptByCompaction);
     }
     else
     {
-        persist_.replaceBySnapshot (snapshot, commitBefore);
-        log_.replaceBy (std::move (snapshot));
+        m_persist.replaceBySnapshot (snapshot, commitBefore);
+        m_log.replaceBy (std::move (snapshot));
     }
 }
 
--- a/src/consensus/RaftTestSupport.h
+++ b/src/consensus/RaftTestSupport.h
@@ -52,50 +52,50 @@
     explicit LoneMember (MemberSet members, RecoveredState state = {}, RaftOptions options = {})
     {
         state.initialMembers = std::move (members);
-        node_ = std::make_unique<RaftNode> (kSelf, options, std::move (state), 1, now_);
+        m_node = std::make_unique<RaftNode> (kSelf, options, std::move (state), 1, m_now);
         collect();
     }
 
-    RaftNode& node() { return *node_; }
-    [[nodiscard]] base::TimePoint now() const { return now_; }
-    [[nodiscard]] RaftStatus status() const { return node_->status (now_); }
+    RaftNode& node() { return *m_node; }
+    [[nodiscard]] base::TimePoint now() const { return m_now; }
+    [[nodiscard]] RaftStatus status() const { return m_node->status (m_now); }
     [[nodiscard]] bool leads() const { return status().role == Role::kLeader; }
-    [[nodiscard]] bool holdsLease() const { return node_->holdsLease (now_); }
+    [[nodiscard]] bool holdsLease() const { return m_node->holdsLease (m_now); }
 
     void receive (MemberId from, Term term, Payload payload)
     {
-        node_->receive ({ from, kSelf, term, std::move (payload) }, now_);
+        m_node->receive ({ from, kSelf, term, std::move (payload) }, m_now);
         collect();
     }
     void advance (base::Duration duration)
     {
-        const base::TimePoint end = now_ + duration;
-        while (now_ < end)
+        const base::TimePoint end = m_now + duration;
+        while (m_now < end)
         {
-            now_ = std::min (end, now_ + base::milliseconds (5));
-            node_->tick (now_);
+            m_now = std::min (end, m_now + base::milliseconds (5));
+            m_node->tick (m_now);
             collect();
         }
     }
     /// Every write asked for so far is synced.
     void sync()
     {
-        if (lastSequence_ == 0)
+        if (m_lastSequence == 0)
             return;
-        node_->onPersisted (std::exchange (lastSequence_, 0), now_);
+        m_node->onPersisted (std::exchange (m_lastSequence, 0), m_now);
         collect();
-        if (lastSequence_ != 0)
+        if (m_lastSequence != 0)
             sync();
     }
     bool propose (const std::string& data)
     {
-        const auto failure = failureOf ([&] { return node_->propose (data, now_); });
+        const auto failure = failureOf ([&] { return m_node->propose (data, m_now); });
         collect();
         return ! failure;
     }
     std::optional<base::ErrorKind> proposeMembers (const MemberSet& members)
     {
-        const auto failure = failureOf ([&] { return node_->proposeMembers (members, now_); });
+        const auto failure = failureOf ([&] { return m_node->proposeMembers (members, m_now); });
         collect();
         return failure;
     }
@@ -124,7 +124,7 @@
     [[nodiscard]] std::uint64_t lastRoundTo (MemberId id) const
     {
         std::uint64_t round = 0;
-        for (const Message& message : sent_)
+        for (const Message& message : m_sent)
         {
             const auto* request = std::get_if<AppendRequest> (&message.payload);
             if (request != nullptr && message.to == id)
@@ -138,7 +138,7 @@
     [[nodiscard]] std::vector<Type> sent (MemberId to = 0) const
     {
         std::vector<Type> found;
-        for (const Message& message : sent_)
+        for (const Message& message : m_sent)
         {
             const auto* payload = std::get_if<Type> (&message.payload);
             if (payload != nullptr && (to == 0 || message.to == to))
@@ -146,33 +146,33 @@
         }
         return found;
     }
-    [[nodiscard]] const std::vector<Message>& messages() const { return sent_; }
-    [[nodiscard]] const std::vector<PersistRequest>& writes() const { return writes_; }
-    [[nodiscard]] const std::vector<Entry>& committed() const { return committed_; }
-    [[nodiscard]] const std::optional<Snapshot>& installed() const { return installed_; }
-    void forgetSent() { sent_.clear(); }
+    [[nodiscard]] const std::vector<Message>& messages() const { return m_sent; }
+    [[nodiscard]] const std::vector<PersistRequest>& writes() const { return m_writes; }
+    [[nodiscard]] const std::vector<Entry>& committed() const { return m_committed; }
+    [[nodiscard]] const std::optional<Snapshot>& installed() const { return m_installed; }
+    void forgetSent() { m_sent.clear(); }
 
 private:
     void collect()
     {
-        RaftOutput output = node_->takeOutput();
+        RaftOutput output = m_node->takeOutput();
         if (! output.writes.empty())
-            lastSequence_ = output.writes.back().sequence;
+            m_lastSequence = output.writes.back().sequence;
         if (output.installedSnapshot)
-            installed_ = std::move (output.installedSnapshot);
-        std::move (output.writes.begin(), output.writes.end(), std::back_inserter (writes_));
-        std::move (output.messages.begin(), output.messages.end(), std::back_inserter (sent_));
+            m_installed = std::move (output.installedSnapshot);
+        std::move (output.writes.begin(), output.writes.end(), std::back_inserter (m_writes));
+        std::move (output.messages.begin(), output.messages.end(), std::back_inserter (m_sent));
         std::move (output.committed.begin(), output.committed.end(),
-                   std::back_inserter (committed_));
+                   std::back_inserter (m_committed));
     }
 
-    base::TimePoint now_{ base::milliseconds (1000) };
-    std::unique_ptr<RaftNode> node_;
-    std::uint64_t lastSequence_ = 0;
-    std::vector<Message> sent_;
-    std::vector<PersistRequest> writes_;
-    std::vector<Entry> committed_;
-    std::optional<Snapshot> installed_;
+    base::TimePoint m_now{ base::milliseconds (1000) };
+    std::unique_ptr<RaftNode> m_node;
+    std::uint64_t m_lastSequence = 0;
+    std::vector<Message> m_sent;
+    std::vector<PersistRequest> m_writes;
+    std::vector<Entry> m_committed;
+    std::optional<Snapshot> m_installed;
 };
 
 /// A recovered log with one command for each of `terms`, from index 1 on.
--- a/src/consensus/SimulatedDisk.h
+++ b/src/consensus/SimulatedDisk.h
@@ -53,45 +53,45 @@
 public:
     void submit (PersistRequest request)
     {
-        written_.apply (request);
-        unsynced_.push_back (std::move (request));
+        m_written.apply (request);
+        m_unsynced.push_back (std::move (request));
     }
-    [[nodiscard]] bool hasUnsynced() const { return ! unsynced_.empty(); }
-    [[nodiscard]] std::uint64_t lastSequence() const { return unsynced_.back().sequence; }
+    [[nodiscard]] bool hasUnsynced() const { return ! m_unsynced.empty(); }
+    [[nodiscard]] std::uint64_t lastSequence() const { return m_unsynced.back().sequence; }
     void sync (std::uint64_t sequence)
     {
-        while (! unsynced_.empty() && unsynced_.front().sequence <= sequence)
+        while (! m_unsynced.empty() && m_unsynced.front().sequence <= sequence)
         {
-            synced_.apply (unsynced_.front());
-            unsynced_.pop_front();
+            m_synced.apply (m_unsynced.front());
+            m_unsynced.pop_front();
         }
     }
-    [[nodiscard]] std::size_t unsyncedCount() const { return unsynced_.size(); }
+    [[nodiscard]] std::size_t unsyncedCount() const { return m_unsynced.size(); }
     /// Loses the unsynced writes but for the first `surviving` of them. The one after those is
     /// torn, which storage cuts.
     void crash (std::size_t surviving)
     {
         if (surviving > 0)
-            sync (unsynced_[surviving - 1].sequence);
-        unsynced_.clear();
-        written_ = synced_;
+            sync (m_unsynced[surviving - 1].sequence);
+        m_unsynced.clear();
+        m_written = m_synced;
     }
     [[nodiscard]] RecoveredState recover (MemberSet initialMembers) const
     {
-        return { synced_.hardState,
-                 synced_.snapshot,
-                 { synced_.entries.begin(), synced_.entries.end() },
+        return { m_synced.hardState,
+                 m_synced.snapshot,
+                 { m_synced.entries.begin(), m_synced.entries.end() },
                  std::move (initialMembers) };
     }
 
-    [[nodiscard]] const DiskState& synced() const { return synced_; }
+    [[nodiscard]] const DiskState& synced() const { return m_synced; }
     /// With the unsynced writes: what the running member believes.
-    [[nodiscard]] const DiskState& written() const { return written_; }
+    [[nodiscard]] const DiskState& written() const { return m_written; }
 
 private:
-    DiskState synced_;
-    DiskState written_;
-    std::deque<PersistRequest> unsynced_;
+    DiskState m_synced;
+    DiskState m_written;
+    std::deque<PersistRequest> m_unsynced;
 };
 
 }  // namespace fernlift::consensus
--- a/src/consensus/SnapshotReceiver.cpp
+++ b/src/consensus/SnapshotReceiver.cpp
@@ -24,27 +24,27 @@
 
 std::optional<Snapshot> SnapshotReceiver::add (Term term, const SnapshotChunk& chunk)
 {
-    const bool isSame = term == leaderTerm_ && chunk.lastIndex == lastIndex_
-                        && chunk.lastTerm == lastTerm_ && chunk.totalBytes == totalBytes_;
+    const bool isSame = term == m_leaderTerm && chunk.lastIndex == m_lastIndex
+                        && chunk.lastTerm == m_lastTerm && chunk.totalBytes == m_totalBytes;
     if (! isSame)
         restart (term, chunk);
-    if (chunk.offset != bytes_.size())
+    if (chunk.offset != m_bytes.size())
         return std::nullopt;
-    bytes_ += chunk.data;
-    if (bytes_.size() < totalBytes_)
+    m_bytes += chunk.data;
+    if (m_bytes.size() < m_totalBytes)
         return std::nullopt;
-    std::optional<Snapshot> snapshot = decodeSnapshot (bytes_);
+    std::optional<Snapshot> snapshot = decodeSnapshot (m_bytes);
     restart (0, SnapshotChunk{});
     return snapshot;
 }
 
 void SnapshotReceiver::restart (Term term, const SnapshotChunk& chunk)
 {
-    leaderTerm_ = term;
-    lastIndex_ = chunk.lastIndex;
-    lastTerm_ = chunk.lastTerm;
-    totalBytes_ = chunk.totalBytes;
-    bytes_.clear();
+    m_leaderTerm = term;
+    m_lastIndex = chunk.lastIndex;
+    m_lastTerm = chunk.lastTerm;
+    m_totalBytes = chunk.totalBytes;
+    m_bytes.clear();
 }
 
 }  // namespace fernlift::consensus
--- a/src/consensus/SnapshotReceiver.h
+++ b/src/consensus/SnapshotReceiver.h
@@ -18,16 +18,16 @@
     /// another snapshot or term starts anew; one that does not follow on is ignored.
     [[nodiscard]] std::optional<Snapshot> add (Term term, const SnapshotChunk& chunk);
     /// Offset of the chunk wanted next.
-    [[nodiscard]] std::uint64_t nextOffset() const { return bytes_.size(); }
+    [[nodiscard]] std::uint64_t nextOffset() const { return m_bytes.size(); }
 
 private:
     void restart (Term term, const SnapshotChunk& chunk);
 
-    Term leaderTerm_ = 0;  ///< A term has one leader.
-    LogIndex lastIndex_ = 0;
-    Term lastTerm_ = 0;
-    std::uint64_t totalBytes_ = 0;  ///< Of the whole encoded snapshot.
-    std::string bytes_;             ///< The chunks so far, without a gap; shorter than totalBytes_.
+    Term m_leaderTerm = 0;  ///< A term has one leader.
+    LogIndex m_lastIndex = 0;
+    Term m_lastTerm = 0;
+    std::uint64_t m_totalBytes = 0;  ///< Of the whole encoded snapshot.
+    std::string m_bytes;  ///< The chunks so far, without a gap; shorter than m_totalBytes.
 };
 
 }  // namespace fernlift::consensus
--- a/src/controller/AdminHttp.cpp
+++ b/src/controller/AdminHttp.cpp
@@ -9,17 +9,17 @@
 namespace fernlift::controller
 {
 
-AdminHttp::AdminHttp (Handlers handlers, http::Metrics& metrics) : handlers_ (std::move (handlers))
+AdminHttp::AdminHttp (Handlers handlers, http::Metrics& metrics) : m_handlers (std::move (handlers))
 {
     auto handler = [this] (const http::Request& request, std::shared_ptr<http::Responder> responder)
     { handle (request, std::move (responder)); };
-    server_.setHandler (
-        http::addProcessEndpoints (std::move (handler), handlers_.isReady, metrics));
+    m_server.setHandler (
+        http::addProcessEndpoints (std::move (handler), m_handlers.isReady, metrics));
 }
 
 base::Result<base::SocketAddress> AdminHttp::listen (const base::SocketAddress& address)
 {
-    return server_.listen (address);
+    return m_server.listen (address);
 }
 
 void AdminHttp::handle (const http::Request& request, std::shared_ptr<http::Responder> responder)
@@ -28,10 +28,10 @@
         [&]() -> base::Result<void>
         {
             BOOST_LEAF_AUTO (parsed, parseAdminRequest (request));
-            const AdminTicket ticket = ++lastTicket_;
-            responder->onClosed ([this, ticket] { pending_.erase (ticket); });
-            pending_.emplace (ticket, responder);
-            handlers_.onRequest (ticket, parsed);
+            const AdminTicket ticket = ++m_lastTicket;
+            responder->onClosed ([this, ticket] { m_pending.erase (ticket); });
+            m_pending.emplace (ticket, responder);
+            m_handlers.onRequest (ticket, parsed);
             return {};
         },
         [&] (const base::Error& error) { http::errorResponse (error).sendTo (*responder); });
@@ -39,16 +39,16 @@
 
 void AdminHttp::answer (const AnswerAdmin& answer)
 {
-    const auto found = pending_.find (answer.ticket);
-    if (found == pending_.end())
+    const auto found = m_pending.find (answer.ticket);
+    if (found == m_pending.end())
         return;
     const std::shared_ptr<http::Responder> responder = found->second;
-    pending_.erase (found);
+    m_pending.erase (found);
     http::jsonResponse (answer.httpStatus, answer.json).sendTo (*responder);
 }
 
-void AdminHttp::stopListening() { server_.stopListening(); }
+void AdminHttp::stopListening() { m_server.stopListening(); }
 
-std::size_t AdminHttp::openRequests() const { return server_.openResponses(); }
+std::size_t AdminHttp::openRequests() const { return m_server.openResponses(); }
 
 }  // namespace fernlift::controller
--- a/src/controller/AdminHttp.h
+++ b/src/controller/AdminHttp.h
@@ -37,10 +37,10 @@
 private:
     void handle (const http::Request& request, std::shared_ptr<http::Responder> responder);
 
-    Handlers handlers_;
-    AdminTicket lastTicket_ = 0;
-    std::map<AdminTicket, std::shared_ptr<http::Responder>> pending_;
-    http::Server server_;
+    Handlers m_handlers;
+    AdminTicket m_lastTicket = 0;
+    std::map<AdminTicket, std::shared_ptr<http::Responder>> m_pending;
+    http::Server m_server;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/CellJoiner.cpp
+++ b/src/controller/CellJoiner.cpp
@@ -33,19 +33,19 @@
 }  // namespace
 
 CellJoiner::CellJoiner (cell::MemberJoinRequest request, Handlers handlers)
-    : request_ (std::move (request)), handlers_ (std::move (handlers))
+    : m_request (std::move (request)), m_handlers (std::move (handlers))
 {
-    QObject::connect (&timer_, &QTimer::timeout, &context_, [this] { askIfDue(); });
+    QObject::connect (&m_timer, &QTimer::timeout, &m_context, [this] { askIfDue(); });
 }
 
-void CellJoiner::start() { timer_.start (kAskInterval); }
+void CellJoiner::start() { m_timer.start (kAskInterval); }
 
 void CellJoiner::askIfDue()
 {
-    connection_.reset();
-    if (! handlers_.mustAsk())
+    m_connection.reset();
+    if (! m_handlers.mustAsk())
     {
-        leader_ = {};
+        m_leader = {};
         return;
     }
     const base::SocketAddress address = nextAddress();
@@ -55,25 +55,25 @@
 
 base::SocketAddress CellJoiner::nextAddress()
 {
-    if (! leader_.host.empty())
-        return std::exchange (leader_, {});
-    const std::vector<base::SocketAddress> controllers = handlers_.controllers();
+    if (! m_leader.host.empty())
+        return std::exchange (m_leader, {});
+    const std::vector<base::SocketAddress> controllers = m_handlers.controllers();
     if (controllers.empty())
         return {};
-    return controllers[nextIndex_++ % controllers.size()];
+    return controllers[m_nextIndex++ % controllers.size()];
 }
 
 void CellJoiner::connectTo (const base::SocketAddress& address)
 {
-    current_ = address;
+    m_current = address;
     wire::FrameConnection::Handlers handlers;
     handlers.onConnected = [this]
     {
-        connection_->send (wire::Channel::kRouterToController,
-                           wire::encodeMessage (cell::RouterToController (request_)));
+        m_connection->send (wire::Channel::kRouterToController,
+                            wire::encodeMessage (cell::RouterToController (m_request)));
     };
     handlers.onFrame = [this] (const wire::Frame& frame) { onFrame (frame); };
-    connection_ = wire::FrameConnection::connectTo (address, {}, std::move (handlers), nullptr);
+    m_connection = wire::FrameConnection::connectTo (address, {}, std::move (handlers), nullptr);
 }
 
 void CellJoiner::onFrame (const wire::Frame& frame)
@@ -83,12 +83,12 @@
         return;
     if (const auto* other = std::get_if<cell::NotLeaderReply> (&*message))
     {
-        leader_ = parseOrNone (other->leaderAddress);
+        m_leader = parseOrNone (other->leaderAddress);
     }
     else if (std::holds_alternative<cell::MemberJoinReply> (*message))
     {
-        leader_ = current_;
-        handlers_.onLeaderFound (current_.toString());
+        m_leader = m_current;
+        m_handlers.onLeaderFound (m_current.toString());
     }
 }
 
--- a/src/controller/CellJoiner.h
+++ b/src/controller/CellJoiner.h
@@ -42,14 +42,14 @@
     void onFrame (const wire::Frame& frame);
     [[nodiscard]] base::SocketAddress nextAddress();
 
-    cell::MemberJoinRequest request_;
-    Handlers handlers_;
-    std::size_t nextIndex_ = 0;
-    base::SocketAddress leader_;   ///< As last named; without host: unknown.
-    base::SocketAddress current_;  ///< At the other end of the connection.
-    std::unique_ptr<wire::FrameConnection> connection_;
-    QObject context_;
-    QTimer timer_;
+    cell::MemberJoinRequest m_request;
+    Handlers m_handlers;
+    std::size_t m_nextIndex = 0;
+    base::SocketAddress m_leader;   ///< As last named; without host: unknown.
+    base::SocketAddress m_current;  ///< At the other end of the connection.
+    std::unique_ptr<wire::FrameConnection> m_connection;
+    QObject m_context;
+    QTimer m_timer;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ClaimBatcher.cpp
+++ b/src/controller/ClaimBatcher.cpp
@@ -9,7 +9,7 @@
 std::optional<cell::ClaimReply> ClaimBatcher::add (ClaimSource source,
                                                    const cell::ClaimRequest& request)
 {
-    if (waitingClaims_ + request.claims.size() > kMaximumWaitingClaims)
+    if (m_waitingClaims + request.claims.size() > kMaximumWaitingClaims)
     {
         cell::ClaimReply refusal{ request.sequence, {} };
         for (const cell::Claim& claim : request.claims)
@@ -19,24 +19,24 @@
         }
         return refusal;
     }
-    waitingClaims_ += request.claims.size();
-    waiting_.push_back (Waiting{ source, request.sequence, request.claims });
+    m_waitingClaims += request.claims.size();
+    m_waiting.push_back (Waiting{ source, request.sequence, request.claims });
     return std::nullopt;
 }
 
 void ClaimBatcher::add (const cell::OutcomeReport& report)
 {
-    outcomes_.insert (outcomes_.end(), report.outcomes.begin(), report.outcomes.end());
+    m_outcomes.insert (m_outcomes.end(), report.outcomes.begin(), report.outcomes.end());
 }
 
 std::optional<cell::ClaimKeys> ClaimBatcher::takeClaims (std::uint64_t* batch)
 {
-    if (waiting_.empty() || inFlight_.size() >= kMaximumBatchesInFlight)
+    if (m_waiting.empty() || m_inFlight.size() >= kMaximumBatchesInFlight)
         return std::nullopt;
     cell::ClaimKeys command;
     std::vector<Part> parts;
     std::size_t taken = 0;
-    for (Waiting& waiting : waiting_)
+    for (Waiting& waiting : m_waiting)
     {
         const bool isFull = command.claims.size() + waiting.claims.size() > kMaximumClaimsPerBatch;
         if (isFull && taken > 0)
@@ -46,27 +46,27 @@
         std::move (waiting.claims.begin(), waiting.claims.end(),
                    std::back_inserter (command.claims));
     }
-    waiting_.erase (waiting_.begin(), waiting_.begin() + static_cast<std::ptrdiff_t> (taken));
-    waitingClaims_ -= command.claims.size();
-    *batch = nextBatch_++;
-    inFlight_[*batch] = std::move (parts);
+    m_waiting.erase (m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t> (taken));
+    m_waitingClaims -= command.claims.size();
+    *batch = m_nextBatch++;
+    m_inFlight[*batch] = std::move (parts);
     return command;
 }
 
 std::optional<cell::RecordOutcomes> ClaimBatcher::takeOutcomes()
 {
-    if (outcomes_.empty())
+    if (m_outcomes.empty())
         return std::nullopt;
     cell::RecordOutcomes command;
-    command.outcomes.swap (outcomes_);
+    command.outcomes.swap (m_outcomes);
     return command;
 }
 
 std::vector<DueClaimReply> ClaimBatcher::onCommitted (std::uint64_t batch,
                                                       const cell::ClaimResult& result)
 {
-    const auto found = inFlight_.find (batch);
-    if (found == inFlight_.end())
+    const auto found = m_inFlight.find (batch);
+    if (found == m_inFlight.end())
         return {};
     std::vector<DueClaimReply> replies;
     auto answer = result.answers.begin();
@@ -78,7 +78,7 @@
         answer = end;
         replies.push_back (std::move (due));
     }
-    inFlight_.erase (found);
+    m_inFlight.erase (found);
     return replies;
 }
 
--- a/src/controller/ClaimBatcher.h
+++ b/src/controller/ClaimBatcher.h
@@ -60,11 +60,11 @@
         std::size_t count = 0;
     };
 
-    std::vector<Waiting> waiting_;
-    std::size_t waitingClaims_ = 0;
-    std::vector<cell::OutcomeRecord> outcomes_;
-    std::map<std::uint64_t, std::vector<Part>> inFlight_;
-    std::uint64_t nextBatch_ = 1;
+    std::vector<Waiting> m_waiting;
+    std::size_t m_waitingClaims = 0;
+    std::vector<cell::OutcomeRecord> m_outcomes;
+    std::map<std::uint64_t, std::vector<Part>> m_inFlight;
+    std::uint64_t m_nextBatch = 1;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ClaimFiguresTest.cpp
+++ b/src/controller/ClaimFiguresTest.cpp
@@ -20,22 +20,22 @@
 class LoneController
 {
 public:
-    LoneController() : core_ (1, options(), recovered(), 1, now_, kUnixStart)
+    LoneController() : m_core (1, options(), recovered(), 1, m_now, kUnixStart)
     {
-        while (core_.raftStatus().role != consensus::Role::kLeader)
+        while (m_core.raftStatus().role != consensus::Role::kLeader)
             pass (base::milliseconds (10));
         pass (base::milliseconds (10));
     }
     void pass (base::Duration duration)
     {
-        now_ += duration;
-        core_.setTime (now_, kUnixStart);
-        core_.onTick();
+        m_now += duration;
+        m_core.setTime (m_now, kUnixStart);
+        m_core.onTick();
         settle();
     }
     void receive (const cell::RouterToController& message)
     {
-        core_.onRouterMessage (1, message);
+        m_core.onRouterMessage (1, message);
         settle();
     }
 
@@ -63,7 +63,7 @@
         for (bool isBusy = true; isBusy;)
         {
             isBusy = false;
-            for (const Effect& effect : core_.takeEffects())
+            for (const Effect& effect : m_core.takeEffects())
             {
                 if (const auto* write = std::get_if<PersistEffect> (&effect))
                 {
@@ -71,7 +71,7 @@
                     ++writes;
                     for (const auto& entry : write->request.entries)
                         bytesWritten += entry.data.size();
-                    core_.onPersisted (write->request.sequence);
+                    m_core.onPersisted (write->request.sequence);
                 }
                 else if (const auto* sent = std::get_if<SendToRouter> (&effect))
                 {
@@ -92,8 +92,8 @@
         }
     }
 
-    base::TimePoint now_{ base::seconds (1) };
-    ControllerCore core_;
+    base::TimePoint m_now{ base::seconds (1) };
+    ControllerCore m_core;
 };
 
 cell::ClaimRequest requestOf (std::uint64_t sequence)
--- a/src/controller/ConfigurationChange.cpp
+++ b/src/controller/ConfigurationChange.cpp
@@ -30,31 +30,31 @@
 
 void ConfigurationChange::note (const cell::ConfigurationIdentity& inForce, const std::string& text)
 {
-    if (whole_.version == inForce.version && whole_.digest == inForce.digest)
+    if (m_whole.version == inForce.version && m_whole.digest == inForce.digest)
         return;
     const cell::ConfigurationUpdate before =
-        std::exchange (whole_, cell::ConfigurationUpdate{ inForce.version, inForce.digest, text });
-    change_ = cell::ConfigurationUpdate{};
+        std::exchange (m_whole, cell::ConfigurationUpdate{ inForce.version, inForce.digest, text });
+    m_change = cell::ConfigurationUpdate{};
     if (before.version == 0)
         return;
     const std::size_t prefix = commonPrefix (before.text, text);
     const std::size_t suffix =
         commonSuffix (before.text, text, std::min (before.text.size(), text.size()) - prefix);
-    change_.version = inForce.version;
-    change_.digest = inForce.digest;
-    change_.text = text.substr (prefix, text.size() - prefix - suffix);
-    change_.baseVersion = before.version;
-    change_.baseDigest = before.digest;
-    change_.keptPrefix = prefix;
-    change_.keptSuffix = suffix;
+    m_change.version = inForce.version;
+    m_change.digest = inForce.digest;
+    m_change.text = text.substr (prefix, text.size() - prefix - suffix);
+    m_change.baseVersion = before.version;
+    m_change.baseDigest = before.digest;
+    m_change.keptPrefix = prefix;
+    m_change.keptSuffix = suffix;
 }
 
 cell::ConfigurationUpdate ConfigurationChange::updateFrom (std::uint64_t version,
                                                            const std::string& digest) const
 {
     const bool holdsBase =
-        version != 0 && version == change_.baseVersion && digest == change_.baseDigest;
-    return holdsBase ? change_ : whole_;
+        version != 0 && version == m_change.baseVersion && digest == m_change.baseDigest;
+    return holdsBase ? m_change : m_whole;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/ConfigurationChange.h
+++ b/src/controller/ConfigurationChange.h
@@ -23,8 +23,8 @@
                                                         const std::string& digest) const;
 
 private:
-    cell::ConfigurationUpdate whole_;
-    cell::ConfigurationUpdate change_;  ///< From the one before; baseVersion 0 when there is none.
+    cell::ConfigurationUpdate m_whole;
+    cell::ConfigurationUpdate m_change;  ///< From the one before; baseVersion 0 when there is none.
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ControlHttp.cpp
+++ b/src/controller/ControlHttp.cpp
@@ -6,16 +6,16 @@
 {
 
 ControlHttp::ControlHttp (std::shared_ptr<const ControlCodec> codec, Handler handler)
-    : codec_ (std::move (codec)), handler_ (std::move (handler))
+    : m_codec (std::move (codec)), m_handler (std::move (handler))
 {
-    server_.setHandler (
+    m_server.setHandler (
         [this] (const http::Request& request, std::shared_ptr<http::Responder> responder)
         { handle (request, std::move (responder)); });
 }
 
 base::Result<base::SocketAddress> ControlHttp::listen (const base::SocketAddress& address)
 {
-    return server_.listen (address);
+    return m_server.listen (address);
 }
 
 void ControlHttp::handle (const http::Request& request, std::shared_ptr<http::Responder> responder)
@@ -23,14 +23,14 @@
     base::handleErrors (
         [&]() -> base::Result<void>
         {
-            BOOST_LEAF_AUTO (parsed, codec_->parse (request));
-            const ControlTicket ticket = ++lastTicket_;
-            responder->onClosed ([this, ticket] { pending_.erase (ticket); });
-            Pending& pending = pending_[ticket];
+            BOOST_LEAF_AUTO (parsed, m_codec->parse (request));
+            const ControlTicket ticket = ++m_lastTicket;
+            responder->onClosed ([this, ticket] { m_pending.erase (ticket); });
+            Pending& pending = m_pending[ticket];
             pending.request = request;
             pending.request.body.clear();
             pending.responder = responder;
-            handler_ (ticket, parsed);
+            m_handler (ticket, parsed);
             return {};
         },
         [&] (const base::Error& error) { http::errorResponse (error).sendTo (*responder); });
@@ -38,16 +38,16 @@
 
 void ControlHttp::answer (ControlTicket ticket, const ControlAnswer& answer)
 {
-    const auto found = pending_.find (ticket);
-    if (found == pending_.end())
+    const auto found = m_pending.find (ticket);
+    if (found == m_pending.end())
         return;
     const Pending pending = std::move (found->second);
-    pending_.erase (found);
-    codec_->format (pending.request, answer).sendTo (*pending.responder);
+    m_pending.erase (found);
+    m_codec->format (pending.request, answer).sendTo (*pending.responder);
 }
 
-void ControlHttp::stopListening() { server_.stopListening(); }
+void ControlHttp::stopListening() { m_server.stopListening(); }
 
-std::size_t ControlHttp::openRequests() const { return server_.openResponses(); }
+std::size_t ControlHttp::openRequests() const { return m_server.openResponses(); }
 
 }  // namespace fernlift::controller
--- a/src/controller/ControlHttp.h
+++ b/src/controller/ControlHttp.h
@@ -36,11 +36,11 @@
 
     void handle (const http::Request& request, std::shared_ptr<http::Responder> responder);
 
-    std::shared_ptr<const ControlCodec> codec_;
-    Handler handler_;
-    ControlTicket lastTicket_ = 0;
-    std::map<ControlTicket, Pending> pending_;
-    http::Server server_;
+    std::shared_ptr<const ControlCodec> m_codec;
+    Handler m_handler;
+    ControlTicket m_lastTicket = 0;
+    std::map<ControlTicket, Pending> m_pending;
+    http::Server m_server;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ControlRequestsTest.cpp
+++ b/src/controller/ControlRequestsTest.cpp
@@ -60,7 +60,7 @@
 class ControlRequestsTest : public ::testing::Test
 {
 protected:
-    ControlRequestsTest() : cell_ (options()) { EXPECT_TRUE (cell_.awaitLeader()); }
+    ControlRequestsTest() : m_cell (options()) { EXPECT_TRUE (m_cell.awaitLeader()); }
 
     static TestCell::Options options()
     {
@@ -72,32 +72,32 @@
     }
     ControlVerdict ask (ControlRequest request)
     {
-        const auto answer = cell_.askControl (cell_.leader(), std::move (request));
+        const auto answer = m_cell.askControl (m_cell.leader(), std::move (request));
         return answer ? answer->verdict : ControlVerdict::kUnavailable;
     }
     std::string readBack()
     {
-        const auto answer = cell_.askControl (cell_.leader(), ReadConfiguration{});
+        const auto answer = m_cell.askControl (m_cell.leader(), ReadConfiguration{});
         return answer ? answer->text : "";
     }
     void demand (const std::string& model)
     {
         cell::EngineDemandReport report;
         report.demands.push_back ({ "llm", model, "", 1, 0, 1 });
-        cell_.sendFromRouter (0, report);
+        m_cell.sendFromRouter (0, report);
     }
     base::MemberId follower()
     {
-        const base::MemberId leader = cell_.leader();
+        const base::MemberId leader = m_cell.leader();
         return leader == 1 ? 2 : 1;
     }
 
-    TestCell cell_;
+    TestCell m_cell;
 };
 
 TEST_F (ControlRequestsTest, AFollowerNamesTheLeader)
 {
-    const auto answer = cell_.askControl (follower(), heartbeatOf ("i-1", 1));
+    const auto answer = m_cell.askControl (follower(), heartbeatOf ("i-1", 1));
     ASSERT_TRUE (answer);
     EXPECT_EQ (answer->verdict, ControlVerdict::kNotLeader);
 }
@@ -111,8 +111,8 @@
     EXPECT_EQ (readBack(), "5 a");
     EXPECT_EQ (ask (ReplaceConfiguration{ "7 b" }), ControlVerdict::kDone);
     EXPECT_EQ (readBack(), "7 b");
-    cell_.run (base::milliseconds (200));
-    EXPECT_EQ (cell_.router (0).configurationVersion, 7U);
+    m_cell.run (base::milliseconds (200));
+    EXPECT_EQ (m_cell.router (0).configurationVersion, 7U);
 }
 
 TEST_F (ControlRequestsTest, NothingIsReadBeforeThereIsAConfiguration)
@@ -123,14 +123,14 @@
 TEST_F (ControlRequestsTest, ADrainIsAcknowledgedOnceItIsCommittedAndRoutersHearOfIt)
 {
     EXPECT_EQ (ask (heartbeatOf ("i-1", 1)), ControlVerdict::kDone);
-    cell_.run (base::milliseconds (200));
-    EXPECT_FALSE (cell_.router (1).instances.at ("i-1").instance.isDraining);
+    m_cell.run (base::milliseconds (200));
+    EXPECT_FALSE (m_cell.router (1).instances.at ("i-1").instance.isDraining);
     InstanceHeartbeat draining = heartbeatOf ("i-1", 2);
     draining.instance.isDraining = true;
     EXPECT_EQ (ask (draining), ControlVerdict::kDone);
-    cell_.run (base::milliseconds (50));
-    EXPECT_TRUE (cell_.router (0).instances.at ("i-1").instance.isDraining);
-    EXPECT_TRUE (cell_.router (1).instances.at ("i-1").instance.isDraining);
+    m_cell.run (base::milliseconds (50));
+    EXPECT_TRUE (m_cell.router (0).instances.at ("i-1").instance.isDraining);
+    EXPECT_TRUE (m_cell.router (1).instances.at ("i-1").instance.isDraining);
 }
 
 TEST_F (ControlRequestsTest, ADrainOutlivesItsLeaderAndALateHeartbeat)
@@ -139,25 +139,25 @@
     InstanceHeartbeat draining = heartbeatOf ("i-1", 3);
     draining.instance.isDraining = true;
     EXPECT_EQ (ask (draining), ControlVerdict::kDone);
-    cell_.kill (cell_.leader());
-    ASSERT_TRUE (cell_.awaitLeader());
+    m_cell.kill (m_cell.leader());
+    ASSERT_TRUE (m_cell.awaitLeader());
     EXPECT_EQ (ask (heartbeatOf ("i-1", 2)), ControlVerdict::kDone);
     const cell::ServiceInstance* instance =
-        cell_.core (cell_.leader()).state().instances().find ("i-1");
+        m_cell.core (m_cell.leader()).state().instances().find ("i-1");
     ASSERT_NE (instance, nullptr);
     EXPECT_TRUE (instance->isDraining);
 }
 
 TEST_F (ControlRequestsTest, AnIsolatedLeaderAcknowledgesNothing)
 {
-    const base::MemberId leader = cell_.leader();
+    const base::MemberId leader = m_cell.leader();
     ask (heartbeatOf ("i-1", 1));
-    cell_.isolate (leader, true);
+    m_cell.isolate (leader, true);
     InstanceHeartbeat draining = heartbeatOf ("i-1", 2);
     draining.instance.isDraining = true;
-    const auto answer = cell_.askControl (leader, draining, base::seconds (5));
+    const auto answer = m_cell.askControl (leader, draining, base::seconds (5));
     EXPECT_TRUE (! answer || answer->verdict != ControlVerdict::kDone);
-    const auto read = cell_.askControl (leader, ReadConfiguration{}, base::seconds (1));
+    const auto read = m_cell.askControl (leader, ReadConfiguration{}, base::seconds (1));
     EXPECT_TRUE (! read || read->verdict != ControlVerdict::kDone);
 }
 
@@ -165,10 +165,10 @@
 {
     ask (ReplaceConfiguration{ "1 a" });
     ask (heartbeatOf ("i-1", 1));
-    cell_.kill (cell_.leader());
-    ASSERT_TRUE (cell_.awaitLeader());
+    m_cell.kill (m_cell.leader());
+    ASSERT_TRUE (m_cell.awaitLeader());
     const cell::ServiceInstance* instance =
-        cell_.core (cell_.leader()).state().instances().find ("i-1");
+        m_cell.core (m_cell.leader()).state().instances().find ("i-1");
     ASSERT_NE (instance, nullptr);
     ASSERT_EQ (instance->models.size(), 1U);
     EXPECT_EQ (instance->models[0].model, "m1");
@@ -177,13 +177,14 @@
 TEST_F (ControlRequestsTest, AModelThatRequestsWaitForIsLoaded)
 {
     ask (ReplaceConfiguration{ "1 a" });
-    cell_.engineReports["i-1"].models = { { "m1", 1, {} } };
-    cell_.run (base::seconds (4));
+    m_cell.engineReports["i-1"].models = { { "m1", 1, {} } };
+    m_cell.run (base::seconds (4));
     ask (heartbeatOf ("i-1", 1));
-    cell_.run (base::milliseconds (200));
+    m_cell.run (base::milliseconds (200));
     demand ("m2");
-    ASSERT_TRUE (cell_.runUntil ([&] { return ! cell_.engineOrders.empty(); }, base::seconds (2)));
-    const engine::ServiceOrder& order = cell_.engineOrders[0].order;
+    ASSERT_TRUE (
+        m_cell.runUntil ([&] { return ! m_cell.engineOrders.empty(); }, base::seconds (2)));
+    const engine::ServiceOrder& order = m_cell.engineOrders[0].order;
     EXPECT_TRUE (order.isLoad);
     EXPECT_EQ (order.model, "m2");
     EXPECT_EQ (order.instance, "i-1");
@@ -193,35 +194,36 @@
 TEST_F (ControlRequestsTest, TwoLeadersNeverOrderWithinThePause)
 {
     ask (ReplaceConfiguration{ "1 a" });
-    cell_.engineReports["i-1"].models = { { "m1", 1, {} } };
-    cell_.run (base::seconds (4));
+    m_cell.engineReports["i-1"].models = { { "m1", 1, {} } };
+    m_cell.run (base::seconds (4));
     ask (heartbeatOf ("i-1", 1));
-    cell_.run (base::milliseconds (200));
+    m_cell.run (base::milliseconds (200));
     demand ("m2");
-    ASSERT_TRUE (cell_.runUntil ([&] { return ! cell_.engineOrders.empty(); }, base::seconds (2)));
-    cell_.kill (cell_.leader());
-    ASSERT_TRUE (cell_.awaitLeader());
-    cell_.engineReports["i-1"].models = { { "m1", 1, {} } };
+    ASSERT_TRUE (
+        m_cell.runUntil ([&] { return ! m_cell.engineOrders.empty(); }, base::seconds (2)));
+    m_cell.kill (m_cell.leader());
+    ASSERT_TRUE (m_cell.awaitLeader());
+    m_cell.engineReports["i-1"].models = { { "m1", 1, {} } };
     ask (heartbeatOf ("i-1", 2));
     std::uint64_t sequence = 3;
-    base::TimePoint askedAt = cell_.now();
-    ASSERT_TRUE (cell_.runUntil (
+    base::TimePoint askedAt = m_cell.now();
+    ASSERT_TRUE (m_cell.runUntil (
         [&]
         {
-            if (cell_.now() - askedAt >= base::milliseconds (500))
+            if (m_cell.now() - askedAt >= base::milliseconds (500))
             {
-                askedAt = cell_.now();
-                const base::MemberId leader = cell_.leader();
-                cell_.core (leader).onControl (0, heartbeatOf ("i-1", sequence++));
+                askedAt = m_cell.now();
+                const base::MemberId leader = m_cell.leader();
+                m_cell.core (leader).onControl (0, heartbeatOf ("i-1", sequence++));
                 demand ("m3");
             }
-            return cell_.engineOrders.back().from != cell_.engineOrders.front().from;
+            return m_cell.engineOrders.back().from != m_cell.engineOrders.front().from;
         },
         base::seconds (10)));
-    for (std::size_t index = 1; index < cell_.engineOrders.size(); ++index)
+    for (std::size_t index = 1; index < m_cell.engineOrders.size(); ++index)
     {
-        const auto& before = cell_.engineOrders[index - 1];
-        const auto& after = cell_.engineOrders[index];
+        const auto& before = m_cell.engineOrders[index - 1];
+        const auto& after = m_cell.engineOrders[index];
         if (before.from == after.from)
             continue;
         EXPECT_GE (after.at - before.at, base::seconds (3));
@@ -232,23 +234,23 @@
 TEST_F (ControlRequestsTest, ANewLeaderOrdersAnEngineThatHadNoOrderLatelyAtOnce)
 {
     ask (ReplaceConfiguration{ "1 a" });
-    cell_.engineReports["i-1"].models = { { "m1", 1, {} } };
-    cell_.run (base::seconds (6));
+    m_cell.engineReports["i-1"].models = { { "m1", 1, {} } };
+    m_cell.run (base::seconds (6));
     ask (heartbeatOf ("i-1", 1));
-    const base::MemberId before = cell_.leader();
-    cell_.kill (before);
-    ASSERT_TRUE (cell_.awaitLeader());
-    const base::TimePoint ledFrom = cell_.now();
+    const base::MemberId before = m_cell.leader();
+    m_cell.kill (before);
+    ASSERT_TRUE (m_cell.awaitLeader());
+    const base::TimePoint ledFrom = m_cell.now();
     ask (heartbeatOf ("i-1", 2));
-    ASSERT_TRUE (cell_.runUntil (
+    ASSERT_TRUE (m_cell.runUntil (
         [&]
         {
             demand ("m2");
-            return ! cell_.engineOrders.empty();
+            return ! m_cell.engineOrders.empty();
         },
         base::seconds (2)));
-    EXPECT_LT (cell_.engineOrders[0].at - ledFrom, base::seconds (2));
-    EXPECT_NE (cell_.engineOrders[0].from, before);
+    EXPECT_LT (m_cell.engineOrders[0].at - ledFrom, base::seconds (2));
+    EXPECT_NE (m_cell.engineOrders[0].from, before);
 }
 
 }  // namespace
--- a/src/controller/ControlTraffic.cpp
+++ b/src/controller/ControlTraffic.cpp
@@ -42,7 +42,7 @@
 
 void ControlTraffic::record (Direction direction, std::string_view kind, std::size_t bytes)
 {
-    Totals& totals = totals_[Key (direction, std::string (kind))];
+    Totals& totals = m_totals[Key (direction, std::string (kind))];
     ++totals.messages;
     totals.bytes += bytes;
 }
@@ -61,7 +61,7 @@
     std::string text;
     text.append ("# HELP ").append (name).append (" ").append (help).append ("\n");
     text.append ("# TYPE ").append (name).append (" counter\n");
-    for (const auto& [key, totals] : totals_)
+    for (const auto& [key, totals] : m_totals)
     {
         text.append (name).append ("{direction=\"").append (nameOf (key.first));
         text.append ("\",kind=\"").append (key.second).append ("\"} ");
--- a/src/controller/ControlTraffic.h
+++ b/src/controller/ControlTraffic.h
@@ -43,7 +43,7 @@
     [[nodiscard]] std::string familyText (std::string_view name, std::string_view help,
                                           std::uint64_t Totals::*value) const;
 
-    std::map<Key, Totals> totals_;
+    std::map<Key, Totals> m_totals;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerAdmin.cpp
+++ b/src/controller/ControllerAdmin.cpp
@@ -17,22 +17,22 @@
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminApply& request)
 {
-    if (! leader_)
+    if (! m_leader)
     {
-        answer (ticket, notLeaderAnswer (status_));
+        answer (ticket, notLeaderAnswer (m_status));
         return;
     }
-    const config::CatalogueOutcome parsed = options_.catalogueParser (request.text);
+    const config::CatalogueOutcome parsed = m_options.catalogueParser (request.text);
     if (! parsed.catalogue)
     {
         answer (ticket, problemsAnswer (parsed.problems));
         return;
     }
-    if (parsed.catalogue->cell != options_.cell)
+    if (parsed.catalogue->cell != m_options.cell)
     {
         answer (ticket, problemsAnswer ({ { 0, "cell",
                                             "the file is for cell '" + parsed.catalogue->cell.value
-                                                + "', this is '" + options_.cell.value + "'" } }));
+                                                + "', this is '" + m_options.cell.value + "'" } }));
         return;
     }
     cell::ApplyConfiguration command;
@@ -40,38 +40,38 @@
     command.digest = base::sha256Hex (request.text);
     command.text = request.text;
     command.proposedAt = cellTime();
-    const ForApply purpose{ ticket, request.waitInForce, now_ + request.timeout };
+    const ForApply purpose{ ticket, request.waitInForce, m_now + request.timeout };
     if (! propose (command, purpose))
-        answer (ticket, notLeaderAnswer (status_));
+        answer (ticket, notLeaderAnswer (m_status));
 }
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminStatus& /*request*/)
 {
-    const consensus::RaftStatus status = raft_.status (now_);
+    const consensus::RaftStatus status = m_raft.status (m_now);
     answer (ticket, statusAnswer (adminView (status)));
 }
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminExplain& request)
 {
     const bool mayRead =
-        (leader_ && holdsLease()) || options_.plantedFault == cell::PlantedFault::kStaleRead;
+        (m_leader && holdsLease()) || m_options.plantedFault == cell::PlantedFault::kStaleRead;
     if (! mayRead)
     {
-        answer (ticket, notLeaderAnswer (status_));
+        answer (ticket, notLeaderAnswer (m_status));
         return;
     }
-    const consensus::RaftStatus status = raft_.status (now_);
+    const consensus::RaftStatus status = m_raft.status (m_now);
     answer (ticket, explainAnswer (adminView (status), request.kind, request.name));
 }
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminMembers& /*request*/)
 {
-    answer (ticket, membersAnswer (raft_.status (now_)));
+    answer (ticket, membersAnswer (m_raft.status (m_now)));
 }
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminAddMember& request)
 {
-    consensus::MemberSet members = status_.members;
+    consensus::MemberSet members = m_status.members;
     const bool isKnown = std::any_of (members.members.begin(), members.members.end(),
                                       [&] (const consensus::Member& member)
                                       { return member.id == request.member.id; });
@@ -89,7 +89,7 @@
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminPromoteMember& request)
 {
-    consensus::MemberSet members = status_.members;
+    consensus::MemberSet members = m_status.members;
     const auto found = std::ranges::find (members.members, request.id, &consensus::Member::id);
     if (found == members.members.end())
     {
@@ -103,7 +103,7 @@
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminRemoveMember& request)
 {
-    consensus::MemberSet members = status_.members;
+    consensus::MemberSet members = m_status.members;
     std::erase_if (members.members,
                    [&] (const consensus::Member& member) { return member.id == request.id; });
     changeMembers (ticket, std::move (members));
@@ -112,15 +112,15 @@
 void ControllerCore::Implementation::changeMembers (AdminTicket ticket,
                                                     consensus::MemberSet members)
 {
-    if (! leader_)
+    if (! m_leader)
     {
-        answer (ticket, notLeaderAnswer (status_));
+        answer (ticket, notLeaderAnswer (m_status));
         return;
     }
     base::handleErrors (
         [&]() -> base::Result<void>
         {
-            if (members == status_.members)
+            if (members == m_status.members)
             {
                 // An equal change may not be committed yet: an answer now could be untrue later.
                 if (! holdsLease() || isMembersChangePending())
@@ -131,8 +131,8 @@
                 answer (ticket, doneAnswer());
                 return {};
             }
-            BOOST_LEAF_AUTO (index, raft_.proposeMembers (std::move (members), now_));
-            leader_->proposals.emplace (index, ForMembers{ ticket });
+            BOOST_LEAF_AUTO (index, m_raft.proposeMembers (std::move (members), m_now));
+            m_leader->proposals.emplace (index, ForMembers{ ticket });
             return {};
         },
         [&] (const base::Error& error) { answer (ticket, errorAnswer (error)); });
@@ -140,18 +140,18 @@
 
 bool ControllerCore::Implementation::isMembersChangePending() const
 {
-    return std::ranges::any_of (leader_->proposals, [] (const auto& item)
+    return std::ranges::any_of (m_leader->proposals, [] (const auto& item)
                                 { return std::holds_alternative<ForMembers> (item.second); });
 }
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminDrain& request)
 {
-    if (! leader_)
+    if (! m_leader)
     {
-        answer (ticket, notLeaderAnswer (status_));
+        answer (ticket, notLeaderAnswer (m_status));
         return;
     }
-    if (state_.replicas().findRunner (request.runner) == nullptr)
+    if (m_state.replicas().findRunner (request.runner) == nullptr)
     {
         answer (ticket, errorAnswer ({ base::ErrorKind::kNotFound,
                                        "no runner '" + request.runner.value + "' is known" }));
@@ -159,27 +159,27 @@
     }
     const cell::SetDraining command{ request.runner, request.isDraining, cellTime() };
     if (! propose (command, ForDrain{ ticket }))
-        answer (ticket, notLeaderAnswer (status_));
+        answer (ticket, notLeaderAnswer (m_status));
 }
 
 void ControllerCore::Implementation::answer (AdminTicket ticket, AdminAnswer answer)
 {
-    effects_.emplace_back (AnswerAdmin{ ticket, answer.httpStatus, std::move (answer.json) });
+    m_effects.emplace_back (AnswerAdmin{ ticket, answer.httpStatus, std::move (answer.json) });
 }
 
 void ControllerCore::Implementation::answerInForceWaits()
 {
-    if (leader_->inForceWaits.empty())
+    if (m_leader->inForceWaits.empty())
         return;
-    const cell::ConfigurationIdentity& inForce = state_.configuration().identity();
+    const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
     const bool isEverywhere =
-        holdsLease() && leader_->sessions.isInForceEverywhere (inForce, leader_->since, now_);
-    std::erase_if (leader_->inForceWaits,
+        holdsLease() && m_leader->sessions.isInForceEverywhere (inForce, m_leader->since, m_now);
+    std::erase_if (m_leader->inForceWaits,
                    [&] (const InForceWait& wait)
                    {
                        // A later configuration that is in force everywhere has replaced this one
                        // everywhere too.
-                       if (! isEverywhere && now_ < wait.deadline)
+                       if (! isEverywhere && m_now < wait.deadline)
                            return false;
                        answer (wait.ticket, configurationAnswer (wait.result, isEverywhere));
                        return true;
@@ -188,12 +188,12 @@
 
 AdminView ControllerCore::Implementation::adminView (const consensus::RaftStatus& status) const
 {
-    AdminView view{ state_, status, nullptr, nullptr, nullptr, now_ };
-    if (leader_)
+    AdminView view{ m_state, status, nullptr, nullptr, nullptr, m_now };
+    if (m_leader)
     {
-        view.watch = &leader_->watch;
-        view.sessions = &leader_->sessions;
-        view.demands = &leader_->demands;
+        view.watch = &m_leader->watch;
+        view.sessions = &m_leader->sessions;
+        view.demands = &m_leader->demands;
     }
     return view;
 }
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -33,28 +33,28 @@
                                                 consensus::RecoveredState recovered,
                                                 std::uint64_t randomSeed, base::TimePoint now,
                                                 base::UnixMilliseconds unixNow)
-    : self_ (self),
-      options_ (std::move (options)),
-      now_ (now),
-      unixNow_ (unixNow),
-      state_ (options_.catalogueParser, options_.plantedFault),
-      raft_ (self, options_.raft, std::move (recovered), randomSeed, now),
-      orderNotes_ (now)
+    : m_self (self),
+      m_options (std::move (options)),
+      m_now (now),
+      m_unixNow (unixNow),
+      m_state (m_options.catalogueParser, m_options.plantedFault),
+      m_raft (self, m_options.raft, std::move (recovered), randomSeed, now),
+      m_orderNotes (now)
 {
     drain();
 }
 
 void ControllerCore::Implementation::setTime (base::TimePoint now, base::UnixMilliseconds unixNow)
 {
-    now_ = now;
-    unixNow_ = unixNow;
+    m_now = now;
+    m_unixNow = unixNow;
 }
 
 void ControllerCore::Implementation::onTick()
 {
-    raft_.tick (now_);
+    m_raft.tick (m_now);
     drain();
-    if (! leader_)
+    if (! m_leader)
         return;
     runRoutine();
     drain();
@@ -62,19 +62,19 @@
 
 void ControllerCore::Implementation::onMemberMessage (const consensus::Message& message)
 {
-    raft_.receive (message, now_);
+    m_raft.receive (message, m_now);
     drain();
 }
 
 void ControllerCore::Implementation::onPersisted (std::uint64_t sequence)
 {
-    raft_.onPersisted (sequence, now_);
+    m_raft.onPersisted (sequence, m_now);
     drain();
 }
 
 void ControllerCore::Implementation::onStorageFailed()
 {
-    raft_.onStorageFailed();
+    m_raft.onStorageFailed();
     drain();
 }
 
@@ -86,12 +86,12 @@
         {
         }
         updateLeadership();
-        if (! leader_)
+        if (! m_leader)
             continue;
         flushClaims();
         sendOrders();
         placeIfDue();
-        if (leader_->isTableDue && ! leader_->isTableShared)
+        if (m_leader->isTableDue && ! m_leader->isTableShared)
             sendTablesIfDue();
         announceConfiguration();
         placeOnEngines();
@@ -104,14 +104,14 @@
 
 bool ControllerCore::Implementation::takeRaftOutput()
 {
-    consensus::RaftOutput output = raft_.takeOutput();
+    consensus::RaftOutput output = m_raft.takeOutput();
     const bool isEmpty = output.writes.empty() && output.messages.empty()
                          && output.committed.empty() && ! output.installedSnapshot;
     if (isEmpty)
         return false;
     for (consensus::PersistRequest& write : output.writes)
     {
-        effects_.emplace_back (PersistEffect{ std::move (write) });
+        m_effects.emplace_back (PersistEffect{ std::move (write) });
     }
     for (consensus::Message& message : output.messages)
         sendToMember (std::move (message));
@@ -120,14 +120,14 @@
         const bool isRestored = base::handleErrors (
             [&]() -> base::Result<bool>
             {
-                BOOST_LEAF_CHECK (state_.restore (output.installedSnapshot->data));
+                BOOST_LEAF_CHECK (m_state.restore (output.installedSnapshot->data));
                 return true;
             },
             [] (const base::Error&) { return false; });
         if (! isRestored)
-            raft_.onStorageFailed();
-        orderNotes_.forget (now_);
-        snapshots_.onSnapshot (output.installedSnapshot->data.size());
+            m_raft.onStorageFailed();
+        m_orderNotes.forget (m_now);
+        m_snapshots.onSnapshot (output.installedSnapshot->data.size());
     }
     for (const consensus::Entry& entry : output.committed)
         applyEntry (entry);
@@ -136,13 +136,13 @@
 
 void ControllerCore::Implementation::sendToMember (consensus::Message message)
 {
-    status_ = raft_.status (now_);
-    for (const auto* members : { &status_.members.members, &options_.contacts })
+    m_status = m_raft.status (m_now);
+    for (const auto* members : { &m_status.members.members, &m_options.contacts })
     {
         const auto found = std::ranges::find (*members, message.to, &consensus::Member::id);
         if (found == members->end())
             continue;
-        effects_.emplace_back (SendToMember{ std::move (message), found->peerAddress });
+        m_effects.emplace_back (SendToMember{ std::move (message), found->peerAddress });
         return;
     }
     sendToUnknownMember (message);
@@ -154,25 +154,25 @@
 void ControllerCore::Implementation::sendToUnknownMember (const consensus::Message& message)
 {
     std::set<std::string> addresses;
-    for (const auto* members : { &status_.members.members, &options_.contacts })
+    for (const auto* members : { &m_status.members.members, &m_options.contacts })
     {
         for (const consensus::Member& member : *members)
         {
-            if (member.id != self_)
+            if (member.id != m_self)
                 addresses.insert (member.peerAddress);
         }
     }
     for (const std::string& address : addresses)
     {
-        effects_.emplace_back (SendToMember{ message, address });
+        m_effects.emplace_back (SendToMember{ message, address });
     }
 }
 
 void ControllerCore::Implementation::applyEntry (const consensus::Entry& entry)
 {
-    snapshots_.onEntry (entry.data.size());
-    ++counters_.entriesApplied;
-    if (entry.kind == consensus::EntryKind::kMembership && leader_)
+    m_snapshots.onEntry (entry.data.size());
+    ++m_counters.entriesApplied;
+    if (entry.kind == consensus::EntryKind::kMembership && m_leader)
         finishProposal (entry, {});
     if (entry.kind != consensus::EntryKind::kCommand)
         return;
@@ -180,30 +180,30 @@
     if (! command)
     {
         // A synced and agreed entry that this program cannot read: go no further.
-        raft_.onStorageFailed();
+        m_raft.onStorageFailed();
         return;
     }
-    const cell::ApplyResult result = state_.apply (entry.index, *command);
+    const cell::ApplyResult result = m_state.apply (entry.index, *command);
     if (const auto* note = std::get_if<cell::NoteOrders> (&*command))
-        orderNotes_.onNote (*note, now_);
-    if (! leader_)
+        m_orderNotes.onNote (*note, m_now);
+    if (! m_leader)
         return;
     const bool isAboutClaims = std::holds_alternative<cell::ClaimKeys> (*command)
                                || std::holds_alternative<cell::RecordOutcomes> (*command);
     if (! isAboutClaims)
-        leader_->isTableDue = true;
+        m_leader->isTableDue = true;
     finishProposal (entry, result);
 }
 
 void ControllerCore::Implementation::finishProposal (const consensus::Entry& entry,
                                                      const cell::ApplyResult& result)
 {
-    const auto found = leader_->proposals.find (entry.index);
-    if (found == leader_->proposals.end())
+    const auto found = m_leader->proposals.find (entry.index);
+    if (found == m_leader->proposals.end())
         return;
     const Purpose purpose = std::move (found->second);
-    leader_->proposals.erase (found);
-    if (entry.term != leader_->term)
+    m_leader->proposals.erase (found);
+    if (entry.term != m_leader->term)
         return;
     std::visit ([&] (const auto& value) { finish (value, entry.index, result); }, purpose);
 }
@@ -211,25 +211,25 @@
 void ControllerCore::Implementation::finish (const ForPlacement& /*purpose*/, base::LogIndex index,
                                              const cell::ApplyResult& result)
 {
-    --leader_->placementProposals;
+    --m_leader->placementProposals;
     const auto* load = std::get_if<cell::LoadResult> (&result);
     const auto* unload = std::get_if<cell::UnloadResult> (&result);
     const bool isGranted = (load != nullptr && load->refusal == cell::LoadRefusal::kNone)
                            || (unload != nullptr && unload->refusal == cell::UnloadRefusal::kNone);
     if (! isGranted)
         return;
-    leader_->isPlacementDue = true;
+    m_leader->isPlacementDue = true;
     if (load != nullptr)
     {
-        leader_->ordersDue.insert (state_.replicas().findReplica (index)->runner);
+        m_leader->ordersDue.insert (m_state.replicas().findReplica (index)->runner);
     }
     else
     {
         // The replica that was unloaded carries this index as its fence.
-        for (const auto& [id, replica] : state_.replicas().replicas())
+        for (const auto& [id, replica] : m_state.replicas().replicas())
         {
             if (replica.fence == index)
-                leader_->ordersDue.insert (replica.runner);
+                m_leader->ordersDue.insert (replica.runner);
         }
     }
 }
@@ -238,13 +238,13 @@
                                              const cell::ApplyResult& result)
 {
     const auto& outcome = std::get<cell::ConfigurationResult> (result);
-    leader_->isPlacementDue = true;
+    m_leader->isPlacementDue = true;
     sendConfigurationToAll();
     const bool isAccepted = outcome.outcome == cell::ConfigurationOutcome::kAccepted
                             || outcome.outcome == cell::ConfigurationOutcome::kUnchanged;
     if (purpose.waitInForce && isAccepted)
     {
-        leader_->inForceWaits.push_back ({ purpose.ticket, outcome, purpose.deadline });
+        m_leader->inForceWaits.push_back ({ purpose.ticket, outcome, purpose.deadline });
     }
     else
     {
@@ -255,7 +255,7 @@
 void ControllerCore::Implementation::finish (const ForDrain& purpose, base::LogIndex /*index*/,
                                              const cell::ApplyResult& /*result*/)
 {
-    leader_->isPlacementDue = true;
+    m_leader->isPlacementDue = true;
     answer (purpose.ticket, doneAnswer());
 }
 
@@ -269,9 +269,9 @@
                                              const cell::ApplyResult& result)
 {
     const auto& claims = std::get<cell::ClaimResult> (result);
-    for (DueClaimReply& due : leader_->claims.onCommitted (purpose.batch, claims))
+    for (DueClaimReply& due : m_leader->claims.onCommitted (purpose.batch, claims))
     {
-        if (leader_->sessions.find (due.source) != nullptr)
+        if (m_leader->sessions.find (due.source) != nullptr)
         {
             sendToRouter (due.source, std::move (due.reply));
         }
@@ -281,27 +281,27 @@
 void ControllerCore::Implementation::finish (const ForReplica& purpose, base::LogIndex /*index*/,
                                              const cell::ApplyResult& /*result*/)
 {
-    leader_->busyReplicas.erase (purpose.replica);
-    leader_->isPlacementDue = true;
-    const cell::Replica* replica = state_.replicas().findReplica (purpose.replica);
+    m_leader->busyReplicas.erase (purpose.replica);
+    m_leader->isPlacementDue = true;
+    const cell::Replica* replica = m_state.replicas().findReplica (purpose.replica);
     if (replica == nullptr)
     {
-        leader_->lastUse.erase (purpose.replica);
+        m_leader->lastUse.erase (purpose.replica);
     }
     else
     {
-        leader_->ordersDue.insert (replica->runner);
+        m_leader->ordersDue.insert (replica->runner);
     }
 }
 
 void ControllerCore::Implementation::finish (const ForRunner& purpose, base::LogIndex /*index*/,
                                              const cell::ApplyResult& /*result*/)
 {
-    leader_->busyRunners.erase (purpose.runner);
-    leader_->isPlacementDue = true;
-    if (state_.replicas().findRunner (purpose.runner) != nullptr)
+    m_leader->busyRunners.erase (purpose.runner);
+    m_leader->isPlacementDue = true;
+    if (m_state.replicas().findRunner (purpose.runner) != nullptr)
     {
-        leader_->ordersDue.insert (purpose.runner);
+        m_leader->ordersDue.insert (purpose.runner);
     }
 }
 
@@ -310,8 +310,8 @@
 {
     const StrayReplica& stray = purpose.stray;
     const std::pair key (stray.runner, stray.report.replica);
-    leader_->busyStrays.erase (key);
-    leader_->strayPauses[key] = now_ + options_.orderTimeout;
+    m_leader->busyStrays.erase (key);
+    m_leader->strayPauses[key] = m_now + m_options.orderTimeout;
     engine::Order order;
     order.kind = stray.report.adapter.empty() ? engine::OrderKind::kUnloadModel
                                               : engine::OrderKind::kUnloadAdapter;
@@ -322,8 +322,8 @@
     order.version = stray.report.version;
     order.adapter = stray.report.adapter;
     order.memory = stray.report.memory;
-    leader_->orders.addStray (stray.runner, order);
-    leader_->ordersDue.insert (stray.runner);
+    m_leader->orders.addStray (stray.runner, order);
+    m_leader->ordersDue.insert (stray.runner);
 }
 
 void ControllerCore::Implementation::finish (const ForNothing& /*purpose*/,
@@ -334,32 +334,32 @@
 
 void ControllerCore::Implementation::updateLeadership()
 {
-    status_ = raft_.status (now_);
-    const bool isLeader = status_.role == consensus::Role::kLeader;
-    if (leader_ && (! isLeader || leader_->term != status_.term))
+    m_status = m_raft.status (m_now);
+    const bool isLeader = m_status.role == consensus::Role::kLeader;
+    if (m_leader && (! isLeader || m_leader->term != m_status.term))
         endLeadership();
-    if (! leader_ && isLeader && holdsLease())
+    if (! m_leader && isLeader && holdsLease())
         beginLeadership();
 }
 
 void ControllerCore::Implementation::beginLeadership()
 {
-    ++counters_.leaderships;
-    leader_.emplace (options_, status_.term, now_, engineOptions());
-    leader_->unixSince = std::max (unixNow_, state_.time());
+    ++m_counters.leaderships;
+    m_leader.emplace (m_options, m_status.term, m_now, engineOptions());
+    m_leader->unixSince = std::max (m_unixNow, m_state.time());
     // Claims expire by the cell's time: a wall clock that stepped must not let them go early.
-    if (state_.time() != 0)
+    if (m_state.time() != 0)
     {
-        leader_->unixSince = std::min (leader_->unixSince, state_.time() + kLargestTimeJump);
+        m_leader->unixSince = std::min (m_leader->unixSince, m_state.time() + kLargestTimeJump);
     }
-    leader_->watch.addKnown (state_.replicas().runners());
-    for (const auto& [id, runner] : state_.replicas().runners())
-        leader_->ordersDue.insert (id);
+    m_leader->watch.addKnown (m_state.replicas().runners());
+    for (const auto& [id, runner] : m_state.replicas().runners())
+        m_leader->ordersDue.insert (id);
 }
 
 void ControllerCore::Implementation::endLeadership()
 {
-    for (const auto& [index, purpose] : leader_->proposals)
+    for (const auto& [index, purpose] : m_leader->proposals)
     {
         AdminTicket ticket = 0;
         if (const auto* apply = std::get_if<ForApply> (&purpose))
@@ -378,24 +378,24 @@
                 errorAnswer ({ base::ErrorKind::kNoQuorum,
                                "leadership was lost before the outcome was known; send again" }));
     }
-    for (const InForceWait& wait : leader_->inForceWaits)
+    for (const InForceWait& wait : m_leader->inForceWaits)
     {
         answer (wait.ticket, configurationAnswer (wait.result, false));
     }
-    for (const auto& [connection, session] : leader_->sessions.sessions())
+    for (const auto& [connection, session] : m_leader->sessions.sessions())
     {
         replyNotLeader (connection);
     }
-    leader_.reset();
+    m_leader.reset();
 }
 
 void ControllerCore::Implementation::compactIfDue()
 {
-    if (! snapshots_.isDue())
+    if (! m_snapshots.isDue())
         return;
-    std::string state = state_.encode();
-    snapshots_.onSnapshot (state.size());
-    raft_.compact (status_.appliedIndex, std::move (state));
+    std::string state = m_state.encode();
+    m_snapshots.onSnapshot (state.size());
+    m_raft.compact (m_status.appliedIndex, std::move (state));
     while (takeRaftOutput())
     {
     }
@@ -405,53 +405,53 @@
 {
     const base::LogIndex index =
         base::handleErrors ([&]() -> base::Result<base::LogIndex>
-                            { return raft_.propose (wire::encodeMessage (command), now_); },
+                            { return m_raft.propose (wire::encodeMessage (command), m_now); },
                             [] (const base::Error&) { return base::LogIndex{ 0 }; });
     if (index == 0)
         return false;
-    ++counters_.proposals;
-    leader_->proposals.emplace (index, std::move (purpose));
+    ++m_counters.proposals;
+    m_leader->proposals.emplace (index, std::move (purpose));
     return true;
 }
 
 base::UnixMilliseconds ControllerCore::Implementation::cellTime() const
 {
-    return leader_->unixSince + base::toMilliseconds (now_ - leader_->since);
+    return m_leader->unixSince + base::toMilliseconds (m_now - m_leader->since);
 }
 
 void ControllerCore::Implementation::addContact (const std::string& peerAddress)
 {
     const bool isKnown =
-        std::ranges::any_of (options_.contacts, [&] (const consensus::Member& contact)
+        std::ranges::any_of (m_options.contacts, [&] (const consensus::Member& contact)
                              { return contact.peerAddress == peerAddress; });
     if (isKnown)
         return;
     consensus::Member contact;
     contact.peerAddress = peerAddress;
-    options_.contacts.push_back (contact);
+    m_options.contacts.push_back (contact);
 }
 
 void ControllerCore::Implementation::beginStop()
 {
-    isStopping_ = true;
-    stopDeadline_ = now_ + kStopTimeout;
-    base::handleErrors ([&]() -> base::Result<void> { return raft_.transferLeadership (now_); },
+    m_isStopping = true;
+    m_stopDeadline = m_now + kStopTimeout;
+    base::handleErrors ([&]() -> base::Result<void> { return m_raft.transferLeadership (m_now); },
                         [] (const base::Error&) {});
     drain();
 }
 
 bool ControllerCore::Implementation::isStopped() const
 {
-    if (! isStopping_)
+    if (! m_isStopping)
         return false;
-    const bool isAlone = status_.members.members.size() <= 1;
-    return status_.role != consensus::Role::kLeader || isAlone || now_ >= stopDeadline_;
+    const bool isAlone = m_status.members.members.size() <= 1;
+    return m_status.role != consensus::Role::kLeader || isAlone || m_now >= m_stopDeadline;
 }
 
 std::vector<Effect> ControllerCore::Implementation::takeEffects()
 {
     std::vector<Effect> effects;
-    effects.swap (effects_);
+    effects.swap (m_effects);
     return effects;
 }
 
@@ -460,7 +460,7 @@
 ControllerCore::ControllerCore (base::MemberId self, ControllerOptions options,
                                 consensus::RecoveredState recovered, std::uint64_t randomSeed,
                                 base::TimePoint now, base::UnixMilliseconds unixNow)
-    : implementation_ (std::make_unique<Implementation> (
+    : m_implementation (std::make_unique<Implementation> (
         self, std::move (options), std::move (recovered), randomSeed, now, unixNow))
 {
 }
@@ -470,77 +470,77 @@
 
 void ControllerCore::setTime (base::TimePoint now, base::UnixMilliseconds unixNow)
 {
-    implementation_->setTime (now, unixNow);
+    m_implementation->setTime (now, unixNow);
 }
-void ControllerCore::onTick() { implementation_->onTick(); }
+void ControllerCore::onTick() { m_implementation->onTick(); }
 void ControllerCore::onMemberMessage (const consensus::Message& message)
 {
-    implementation_->onMemberMessage (message);
+    m_implementation->onMemberMessage (message);
 }
 void ControllerCore::onPersisted (std::uint64_t sequence)
 {
-    implementation_->onPersisted (sequence);
+    m_implementation->onPersisted (sequence);
 }
-void ControllerCore::onStorageFailed() { implementation_->onStorageFailed(); }
+void ControllerCore::onStorageFailed() { m_implementation->onStorageFailed(); }
 void ControllerCore::onRouterMessage (RouterConnection connection,
                                       const cell::RouterToController& message)
 {
-    implementation_->onRouterMessage (connection, message);
+    m_implementation->onRouterMessage (connection, message);
 }
 void ControllerCore::onRouterGone (RouterConnection connection)
 {
-    implementation_->onRouterGone (connection);
+    m_implementation->onRouterGone (connection);
 }
 void ControllerCore::onOrderAnswer (const base::RunnerId& runner, const engine::Order& order,
                                     const engine::OrderAnswer& answer)
 {
-    implementation_->onOrderAnswer (runner, order, answer);
+    m_implementation->onOrderAnswer (runner, order, answer);
 }
 void ControllerCore::onOrderFailed (const base::RunnerId& runner, const engine::Order& order)
 {
-    implementation_->onOrderFailed (runner, order);
+    m_implementation->onOrderFailed (runner, order);
 }
 void ControllerCore::onReport (const base::RunnerId& runner, const engine::Report& report)
 {
-    implementation_->onReport (runner, report);
+    m_implementation->onReport (runner, report);
 }
 void ControllerCore::onReportFailed (const base::RunnerId& runner)
 {
-    implementation_->onReportFailed (runner);
+    m_implementation->onReportFailed (runner);
 }
 void ControllerCore::onMachineList (const engine::MachineList& list)
 {
-    implementation_->onMachineList (list);
+    m_implementation->onMachineList (list);
 }
-void ControllerCore::onMachineListFailed() { implementation_->onMachineListFailed(); }
+void ControllerCore::onMachineListFailed() { m_implementation->onMachineListFailed(); }
 void ControllerCore::onAdmin (AdminTicket ticket, const AdminRequest& request)
 {
-    implementation_->onAdmin (ticket, request);
+    m_implementation->onAdmin (ticket, request);
 }
 void ControllerCore::onControl (ControlTicket ticket, const ControlRequest& request)
 {
-    implementation_->onControl (ticket, request);
+    m_implementation->onControl (ticket, request);
 }
 void ControllerCore::onEngineOrderAnswer (const engine::ServiceOrder& order,
                                           engine::OrderOutcome outcome)
 {
-    implementation_->onEngineOrderAnswer (order, outcome);
+    m_implementation->onEngineOrderAnswer (order, outcome);
 }
 void ControllerCore::onEngineReport (const std::string& instance,
                                      const engine::ServiceReport* report)
 {
-    implementation_->onEngineReport (instance, report);
+    m_implementation->onEngineReport (instance, report);
 }
 void ControllerCore::addContact (const std::string& peerAddress)
 {
-    implementation_->addContact (peerAddress);
+    m_implementation->addContact (peerAddress);
 }
-void ControllerCore::beginStop() { implementation_->beginStop(); }
-bool ControllerCore::isStopped() const { return implementation_->isStopped(); }
-std::vector<Effect> ControllerCore::takeEffects() { return implementation_->takeEffects(); }
-consensus::RaftStatus ControllerCore::raftStatus() const { return implementation_->raftStatus(); }
-bool ControllerCore::holdsLease() const { return implementation_->holdsLease(); }
-const cell::CellState& ControllerCore::state() const { return implementation_->state(); }
-std::string ControllerCore::metricsText() const { return implementation_->metricsText(); }
+void ControllerCore::beginStop() { m_implementation->beginStop(); }
+bool ControllerCore::isStopped() const { return m_implementation->isStopped(); }
+std::vector<Effect> ControllerCore::takeEffects() { return m_implementation->takeEffects(); }
+consensus::RaftStatus ControllerCore::raftStatus() const { return m_implementation->raftStatus(); }
+bool ControllerCore::holdsLease() const { return m_implementation->holdsLease(); }
+const cell::CellState& ControllerCore::state() const { return m_implementation->state(); }
+std::string ControllerCore::metricsText() const { return m_implementation->metricsText(); }
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerEngines.cpp
+++ b/src/controller/ControllerEngines.cpp
@@ -19,50 +19,50 @@
 
 void ControllerCore::Implementation::refreshEngines()
 {
-    const config::Catalogue* catalogue = state_.configuration().catalogue();
+    const config::Catalogue* catalogue = m_state.configuration().catalogue();
     if (catalogue == nullptr)
         return;
-    leader_->engines.setServices (catalogue->version, catalogue->services.services);
-    leader_->engines.refresh (leader_->instances.rows(), now_);
+    m_leader->engines.setServices (catalogue->version, catalogue->services.services);
+    m_leader->engines.refresh (m_leader->instances.rows(), m_now);
     publishHoldings();
 }
 
 void ControllerCore::Implementation::publishHoldings()
 {
     bool isChanged = false;
-    for (const auto& [id, row] : leader_->instances.rows())
+    for (const auto& [id, row] : m_leader->instances.rows())
     {
-        auto models = leader_->engines.routableModels (id, now_);
+        auto models = m_leader->engines.routableModels (id, m_now);
         if (! models || (row.instance.isReported && *models == row.instance.models))
             continue;
-        leader_->instances.setModels (id, std::move (*models));
+        m_leader->instances.setModels (id, std::move (*models));
         isChanged = true;
     }
     if (isChanged)
-        leader_->instances.refresh (state_.instances(), now_);
+        m_leader->instances.refresh (m_state.instances(), m_now);
 }
 
 placement::EnginePlacementOptions ControllerCore::Implementation::engineOptions() const
 {
     placement::EnginePlacementOptions options;
-    options.holder = std::to_string (self_);
-    options.fence = status_.term;
+    options.holder = std::to_string (m_self);
+    options.fence = m_status.term;
     options.ordersFrom = [this] (const std::string& instance)
-    { return orderNotes_.orderedAt (instance) + options_.orderPause + kLongestOrderDelay; };
-    options.earlierStoreLoads = orderNotes_.storeLoads();
+    { return m_orderNotes.orderedAt (instance) + m_options.orderPause + kLongestOrderDelay; };
+    options.earlierStoreLoads = m_orderNotes.storeLoads();
     // What was loaded just before anything was noted is not known.
     options.earlierStoreLoads.insert (options.earlierStoreLoads.begin(), kUnknownStoreLoads,
-                                      orderNotes_.knownFrom());
+                                      m_orderNotes.knownFrom());
     return options;
 }
 
 void ControllerCore::Implementation::placeOnEngines()
 {
-    if (! leader_->isEnginePlacementDue || ! holdsLease())
+    if (! m_leader->isEnginePlacementDue || ! holdsLease())
         return;
-    leader_->isEnginePlacementDue = false;
+    m_leader->isEnginePlacementDue = false;
     std::vector<placement::SendEngineOrder> orders;
-    for (placement::EngineCommand& command : leader_->engines.decide (now_))
+    for (placement::EngineCommand& command : m_leader->engines.decide (m_now))
     {
         if (auto* order = std::get_if<placement::SendEngineOrder> (&command))
         {
@@ -70,12 +70,12 @@
         }
         else
         {
-            effects_.emplace_back (std::get<placement::PollEngine> (std::move (command)));
+            m_effects.emplace_back (std::get<placement::PollEngine> (std::move (command)));
         }
     }
     if (! orders.empty())
         noteAndSend (std::move (orders));
-    leader_->isInstanceTableDue = true;
+    m_leader->isInstanceTableDue = true;
 }
 
 void ControllerCore::Implementation::noteAndSend (std::vector<placement::SendEngineOrder> orders)
@@ -86,12 +86,12 @@
     {
         note.orders.push_back ({ order.order.instance, order.isFromStore });
     }
-    const ForEngineOrders purpose{ std::move (orders), now_ };
+    const ForEngineOrders purpose{ std::move (orders), m_now };
     if (propose (note, purpose))
         return;
     for (const placement::SendEngineOrder& order : purpose.orders)
     {
-        leader_->engines.onOrderAnswer (order.order, engine::OrderOutcome::kBusy, now_);
+        m_leader->engines.onOrderAnswer (order.order, engine::OrderOutcome::kBusy, m_now);
     }
 }
 
@@ -99,17 +99,17 @@
                                              base::LogIndex /*index*/,
                                              const cell::ApplyResult& /*result*/)
 {
-    const bool mayLeave = holdsLease() && now_ - purpose.notedAt < kLongestOrderDelay;
+    const bool mayLeave = holdsLease() && m_now - purpose.notedAt < kLongestOrderDelay;
     for (const placement::SendEngineOrder& order : purpose.orders)
     {
         if (mayLeave)
         {
-            effects_.emplace_back (order);
+            m_effects.emplace_back (order);
         }
         else
         {
             // It never left; a report tells the sequence before the next one.
-            leader_->engines.onOrderAnswer (order.order, engine::OrderOutcome::kBusy, now_);
+            m_leader->engines.onOrderAnswer (order.order, engine::OrderOutcome::kBusy, m_now);
         }
     }
 }
@@ -117,27 +117,27 @@
 void ControllerCore::Implementation::onEngineOrderAnswer (const engine::ServiceOrder& order,
                                                           engine::OrderOutcome outcome)
 {
-    if (! leader_)
+    if (! m_leader)
         return;
-    leader_->engines.onOrderAnswer (order, outcome, now_);
-    leader_->isEnginePlacementDue = true;
+    m_leader->engines.onOrderAnswer (order, outcome, m_now);
+    m_leader->isEnginePlacementDue = true;
     drain();
 }
 
 void ControllerCore::Implementation::onEngineReport (const std::string& instance,
                                                      const engine::ServiceReport* report)
 {
-    if (! leader_)
+    if (! m_leader)
         return;
     if (report != nullptr)
     {
-        leader_->engines.onReport (instance, *report, now_);
+        m_leader->engines.onReport (instance, *report, m_now);
     }
     else
     {
-        leader_->engines.onReportFailed (instance, now_);
+        m_leader->engines.onReportFailed (instance, m_now);
     }
-    leader_->isEnginePlacementDue = true;
+    m_leader->isEnginePlacementDue = true;
     drain();
 }
 
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -228,9 +228,9 @@
     [[nodiscard]] bool isStopped() const;
 
     [[nodiscard]] std::vector<Effect> takeEffects();
-    [[nodiscard]] consensus::RaftStatus raftStatus() const { return raft_.status (now_); }
-    [[nodiscard]] bool holdsLease() const { return raft_.holdsLease (now_); }
-    [[nodiscard]] const cell::CellState& state() const { return state_; }
+    [[nodiscard]] consensus::RaftStatus raftStatus() const { return m_raft.status (m_now); }
+    [[nodiscard]] bool holdsLease() const { return m_raft.holdsLease (m_now); }
+    [[nodiscard]] const cell::CellState& state() const { return m_state; }
     [[nodiscard]] std::string metricsText() const;
 
 private:
@@ -353,20 +353,20 @@
     void onJoinRequest (RouterConnection connection, const cell::MemberJoinRequest& request);
     void changeMembersIfDue();
 
-    base::MemberId self_;
-    ControllerOptions options_;
-    base::TimePoint now_;
-    base::UnixMilliseconds unixNow_;
-    cell::CellState state_;
-    consensus::RaftNode raft_;
-    consensus::RaftStatus status_;  ///< As of the last drain.
-    std::optional<Leadership> leader_;
-    OrderNotes orderNotes_;
-    std::vector<Effect> effects_;
-    SnapshotSchedule snapshots_{ options_.entriesBetweenSnapshots };
-    bool isStopping_ = false;
-    base::TimePoint stopDeadline_{};
-    ControllerCounters counters_;
+    base::MemberId m_self;
+    ControllerOptions m_options;
+    base::TimePoint m_now;
+    base::UnixMilliseconds m_unixNow;
+    cell::CellState m_state;
+    consensus::RaftNode m_raft;
+    consensus::RaftStatus m_status;  ///< As of the last drain.
+    std::optional<Leadership> m_leader;
+    OrderNotes m_orderNotes;
+    std::vector<Effect> m_effects;
+    SnapshotSchedule m_snapshots{ m_options.entriesBetweenSnapshots };
+    bool m_isStopping = false;
+    base::TimePoint m_stopDeadline{};
+    ControllerCounters m_counters;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -18,7 +18,7 @@
 
 void ControllerCore::Implementation::onControl (ControlTicket ticket, const ControlRequest& request)
 {
-    if (! leader_ || ! holdsLease())
+    if (! m_leader || ! holdsLease())
     {
         answerNotLeader (ticket);
         return;
@@ -30,17 +30,17 @@
 void ControllerCore::Implementation::control (ControlTicket ticket,
                                               const InstanceHeartbeat& heartbeat)
 {
-    if (leader_->instances.onHeartbeat (heartbeat, now_))
+    if (m_leader->instances.onHeartbeat (heartbeat, m_now))
     {
         placement::EngineHoldings holdings;
         holdings.models = heartbeat.models;
         holdings.inMemory.insert (heartbeat.inMemory.begin(), heartbeat.inMemory.end());
         holdings.onDisk.insert (heartbeat.onDisk.begin(), heartbeat.onDisk.end());
-        leader_->engines.onHeartbeat (heartbeat.instance.id, holdings, now_);
-        leader_->isEnginePlacementDue = true;
+        m_leader->engines.onHeartbeat (heartbeat.instance.id, holdings, m_now);
+        m_leader->isEnginePlacementDue = true;
     }
-    leader_->isInstanceTableDue = true;
-    const cell::ServiceInstance* known = state_.instances().find (heartbeat.instance.id);
+    m_leader->isInstanceTableDue = true;
+    const cell::ServiceInstance* known = m_state.instances().find (heartbeat.instance.id);
     if (known == nullptr)
     {
         cell::ServiceInstance instance = heartbeat.instance;
@@ -67,7 +67,7 @@
 void ControllerCore::Implementation::control (ControlTicket ticket,
                                               const ReplaceConfiguration& request)
 {
-    const config::CatalogueOutcome parsed = options_.catalogueParser (request.text);
+    const config::CatalogueOutcome parsed = m_options.catalogueParser (request.text);
     if (! parsed.catalogue)
     {
         std::string problems;
@@ -89,7 +89,7 @@
 void ControllerCore::Implementation::control (ControlTicket ticket,
                                               const ReadConfiguration& /*request*/)
 {
-    const std::string& text = state_.configuration().text();
+    const std::string& text = m_state.configuration().text();
     if (text.empty())
     {
         answerControl (ticket, { ControlVerdict::kUnavailable, "", "" });
@@ -109,7 +109,7 @@
 void ControllerCore::Implementation::finish (const ForControl& purpose, base::LogIndex /*index*/,
                                              const cell::ApplyResult& result)
 {
-    leader_->isInstanceTableDue = true;
+    m_leader->isInstanceTableDue = true;
     ControlAnswer answer{ ControlVerdict::kDone, ownAdminAddress(), "" };
     if (const auto* outcome = std::get_if<cell::ConfigurationResult> (&result))
     {
@@ -126,12 +126,12 @@
 
 void ControllerCore::Implementation::sendInstancesIfDue()
 {
-    if (! leader_->isInstanceTableDue || ! holdsLease())
+    if (! m_leader->isInstanceTableDue || ! holdsLease())
         return;
-    leader_->isInstanceTableDue = false;
-    leader_->instances.refresh (state_.instances(), now_);
+    m_leader->isInstanceTableDue = false;
+    m_leader->instances.refresh (m_state.instances(), m_now);
     refreshEngines();
-    for (auto& [connection, session] : leader_->sessions.sessions())
+    for (auto& [connection, session] : m_leader->sessions.sessions())
     {
         sendInstances (connection, session);
     }
@@ -140,28 +140,28 @@
 void ControllerCore::Implementation::sendInstances (RouterConnection connection,
                                                     RouterSession& session)
 {
-    if (! holdsLease() || session.instanceVersion == leader_->instances.version())
+    if (! holdsLease() || session.instanceVersion == m_leader->instances.version())
         return;
-    const bool hasNone = session.instanceVersion == 0 && leader_->instances.rows().empty();
+    const bool hasNone = session.instanceVersion == 0 && m_leader->instances.rows().empty();
     if (hasNone)
         return;
-    cell::InstanceUpdate update = leader_->instances.updateSince (session.instanceVersion);
-    for (const consensus::Member& member : status_.members.members)
+    cell::InstanceUpdate update = m_leader->instances.updateSince (session.instanceVersion);
+    for (const consensus::Member& member : m_status.members.members)
     {
         update.controllers.push_back (member.peerAddress);
     }
-    update.routers = static_cast<std::uint32_t> (leader_->sessions.sessions().size());
+    update.routers = static_cast<std::uint32_t> (m_leader->sessions.sessions().size());
     session.instanceVersion = update.toVersion;
     sendToRouter (connection, std::move (update));
 }
 
 void ControllerCore::Implementation::runInstanceRoutine()
 {
-    leader_->isInstanceTableDue = true;
-    leader_->isEnginePlacementDue = true;
+    m_leader->isInstanceTableDue = true;
+    m_leader->isEnginePlacementDue = true;
     sendInstancesIfDue();
     noteHoldingsIfDue();
-    for (const std::string& id : leader_->instances.silentFor (kRemovalSilence, now_))
+    for (const std::string& id : m_leader->instances.silentFor (kRemovalSilence, m_now))
     {
         propose (cell::RemoveInstance{ id, false, cellTime() }, ForNothing{});
     }
@@ -169,12 +169,12 @@
 
 void ControllerCore::Implementation::noteHoldingsIfDue()
 {
-    if (now_ < leader_->nextHoldingsAt)
+    if (m_now < m_leader->nextHoldingsAt)
         return;
     cell::NoteHoldings command;
-    for (const auto& [id, row] : leader_->instances.rows())
+    for (const auto& [id, row] : m_leader->instances.rows())
     {
-        const cell::ServiceInstance* agreed = state_.instances().find (id);
+        const cell::ServiceInstance* agreed = m_state.instances().find (id);
         const bool isKnown = agreed != nullptr && row.instance.isReported;
         if (isKnown && agreed->models != row.instance.models)
         {
@@ -183,16 +183,16 @@
     }
     if (command.holdings.empty())
         return;
-    leader_->nextHoldingsAt = now_ + kHoldingsInterval;
+    m_leader->nextHoldingsAt = m_now + kHoldingsInterval;
     command.proposedAt = cellTime();
     propose (command, ForNothing{});
 }
 
 std::string ControllerCore::Implementation::ownAdminAddress() const
 {
-    for (const consensus::Member& member : status_.members.members)
+    for (const consensus::Member& member : m_status.members.members)
     {
-        if (member.id == self_)
+        if (member.id == m_self)
             return member.adminAddress;
     }
     return {};
@@ -201,9 +201,9 @@
 void ControllerCore::Implementation::answerNotLeader (ControlTicket ticket)
 {
     ControlAnswer answer{ ControlVerdict::kUnavailable, "", "" };
-    for (const consensus::Member& member : status_.members.members)
+    for (const consensus::Member& member : m_status.members.members)
     {
-        if (member.id != status_.leader || member.id == self_)
+        if (member.id != m_status.leader || member.id == m_self)
             continue;
         answer = { ControlVerdict::kNotLeader, member.adminAddress, "" };
     }
@@ -212,7 +212,7 @@
 
 void ControllerCore::Implementation::answerControl (ControlTicket ticket, ControlAnswer answer)
 {
-    effects_.emplace_back (AnswerControl{ ticket, std::move (answer) });
+    m_effects.emplace_back (AnswerControl{ ticket, std::move (answer) });
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerMembers.cpp
+++ b/src/controller/ControllerMembers.cpp
@@ -10,26 +10,26 @@
 void ControllerCore::Implementation::onJoinRequest (RouterConnection connection,
                                                     const cell::MemberJoinRequest& request)
 {
-    if (! options_.managesMembers || request.cell != options_.cell)
+    if (! m_options.managesMembers || request.cell != m_options.cell)
         return;
     cell::MemberJoinReply reply;
-    for (const consensus::Member& member : status_.members.members)
+    for (const consensus::Member& member : m_status.members.members)
     {
         if (member.id == request.member.id)
             reply.isVoter = member.isVoter;
     }
     if (! reply.isVoter)
-        leader_->admission.onJoinRequest (request.member, request.isFounding, now_);
+        m_leader->admission.onJoinRequest (request.member, request.isFounding, m_now);
     sendToRouter (connection, reply);
     changeMembersIfDue();
 }
 
 void ControllerCore::Implementation::changeMembersIfDue()
 {
-    if (! options_.managesMembers || ! holdsLease())
+    if (! m_options.managesMembers || ! holdsLease())
         return;
     const bool isChanging =
-        std::ranges::any_of (leader_->proposals,
+        std::ranges::any_of (m_leader->proposals,
                              [] (const auto& item)
                              {
                                  return std::holds_alternative<ForOwnMembers> (item.second)
@@ -37,15 +37,15 @@
                              });
     if (isChanging)
         return;
-    const consensus::RaftStatus status = raft_.status (now_);
-    std::optional<consensus::MemberSet> change = leader_->admission.nextChange (status, now_);
+    const consensus::RaftStatus status = m_raft.status (m_now);
+    std::optional<consensus::MemberSet> change = m_leader->admission.nextChange (status, m_now);
     if (! change)
         return;
     base::handleErrors (
         [&]() -> base::Result<void>
         {
-            BOOST_LEAF_AUTO (index, raft_.proposeMembers (std::move (*change), now_));
-            leader_->proposals.emplace (index, ForOwnMembers{});
+            BOOST_LEAF_AUTO (index, m_raft.proposeMembers (std::move (*change), m_now));
+            m_leader->proposals.emplace (index, ForOwnMembers{});
             return {};
         },
         [] (const base::Error&) {});  // Not possible now; the next routine tries again.
--- a/src/controller/ControllerMetrics.cpp
+++ b/src/controller/ControllerMetrics.cpp
@@ -36,7 +36,7 @@
 std::string ControllerCore::Implementation::metricsText() const
 {
     std::string text;
-    const ControllerCounters& c = counters_;
+    const ControllerCounters& c = m_counters;
     addCounter (text, "proposals_total", "Commands proposed to the log.", c.proposals);
     addCounter (text, "entries_applied_total", "Log entries applied.", c.entriesApplied);
     addCounter (text, "orders_sent_total", "Orders sent to runners.", c.ordersSent);
@@ -54,18 +54,18 @@
     addCounter (text, "stray_replicas_total", "Replicas that engines held without a decision.",
                 c.strayReplicas);
     addCounter (text, "leaderships_total", "Terms in which this controller led.", c.leaderships);
-    addGauge (text, "leading", "1 while this controller leads.", leader_ ? 1 : 0);
-    addGauge (text, "term", "Current term.", status_.term);
-    addGauge (text, "commit_index", "Last committed log index.", status_.commitIndex);
-    addGauge (text, "applied_index", "Last applied log index.", status_.appliedIndex);
-    addGauge (text, "last_index", "Last log index.", status_.lastIndex);
+    addGauge (text, "leading", "1 while this controller leads.", m_leader ? 1 : 0);
+    addGauge (text, "term", "Current term.", m_status.term);
+    addGauge (text, "commit_index", "Last committed log index.", m_status.commitIndex);
+    addGauge (text, "applied_index", "Last applied log index.", m_status.appliedIndex);
+    addGauge (text, "last_index", "Last log index.", m_status.lastIndex);
     addGauge (text, "configuration_version", "Version of the configuration in force.",
-              state_.configuration().identity().version);
-    addGauge (text, "runners", "Runners known.", state_.replicas().runners().size());
-    addGauge (text, "replicas", "Replicas that count.", state_.replicas().replicas().size());
-    addGauge (text, "claims_held", "Idempotency keys held.", state_.claims().size());
+              m_state.configuration().identity().version);
+    addGauge (text, "runners", "Runners known.", m_state.replicas().runners().size());
+    addGauge (text, "replicas", "Replicas that count.", m_state.replicas().replicas().size());
+    addGauge (text, "claims_held", "Idempotency keys held.", m_state.claims().size());
     addGauge (text, "router_sessions", "Routers connected to this leader.",
-              leader_ ? leader_->sessions.sessions().size() : 0);
+              m_leader ? m_leader->sessions.sessions().size() : 0);
     return text;
 }
 
--- a/src/controller/ControllerPlacement.cpp
+++ b/src/controller/ControllerPlacement.cpp
@@ -17,13 +17,13 @@
 
 void ControllerCore::Implementation::placeIfDue()
 {
-    const bool isDue = leader_->isPlacementDue && leader_->placementProposals == 0
-                       && now_ >= leader_->nextPlacementAt;
-    if (! isDue || isStopping_ || ! holdsLease())
+    const bool isDue = m_leader->isPlacementDue && m_leader->placementProposals == 0
+                       && m_now >= m_leader->nextPlacementAt;
+    if (! isDue || m_isStopping || ! holdsLease())
         return;
-    leader_->isPlacementDue = false;
-    leader_->nextPlacementAt = now_ + kPlacementSpacing;
-    ++counters_.placementRounds;
+    m_leader->isPlacementDue = false;
+    m_leader->nextPlacementAt = m_now + kPlacementSpacing;
+    ++m_counters.placementRounds;
     const placement::Snapshot snapshot = placementSnapshot();
     for (const placement::Decision& decision : placement::decide (snapshot))
     {
@@ -34,14 +34,14 @@
 placement::Snapshot ControllerCore::Implementation::placementSnapshot()
 {
     placement::Snapshot snapshot;
-    snapshot.catalogue = state_.configuration().catalogue();
-    snapshot.demands = leader_->demands.totals();
-    snapshot.keepAlive = options_.keepAlive;
-    std::erase_if (leader_->failures, [&] (const auto& entry)
-                   { return now_ > entry.second.avoidedUntil + base::seconds (600); });
-    for (const auto& [key, failure] : leader_->failures)
+    snapshot.catalogue = m_state.configuration().catalogue();
+    snapshot.demands = m_leader->demands.totals();
+    snapshot.keepAlive = m_options.keepAlive;
+    std::erase_if (m_leader->failures, [&] (const auto& entry)
+                   { return m_now > entry.second.avoidedUntil + base::seconds (600); });
+    for (const auto& [key, failure] : m_leader->failures)
     {
-        if (now_ < failure.avoidedUntil)
+        if (m_now < failure.avoidedUntil)
             snapshot.avoided.insert (key);
     }
     forgetGoneReplicas();
@@ -49,16 +49,16 @@
     addReplicaViews (snapshot);
     if (snapshot.catalogue != nullptr)
     {
-        leader_->storePace.observe (snapshot.catalogue->weightStore, snapshot.replicas, now_);
-        snapshot.storeConcurrency = leader_->storePace.concurrency();
-        snapshot.storeStarts = leader_->storePace.startsAllowed();
+        m_leader->storePace.observe (snapshot.catalogue->weightStore, snapshot.replicas, m_now);
+        snapshot.storeConcurrency = m_leader->storePace.concurrency();
+        snapshot.storeStarts = m_leader->storePace.startsAllowed();
     }
     return snapshot;
 }
 
 void ControllerCore::Implementation::addRunnerViews (placement::Snapshot& snapshot) const
 {
-    for (const auto& [id, runner] : state_.replicas().runners())
+    for (const auto& [id, runner] : m_state.replicas().runners())
     {
         if (runner.machine.role != engine::MachineRole::kModelRunner)
             continue;
@@ -67,11 +67,11 @@
         view.incarnation = runner.incarnation;
         view.zone = runner.machine.zone;
         view.totalMemory = runner.machine.memory;
-        view.reservedMemory = state_.replicas().reservedMemory (id);
+        view.reservedMemory = m_state.replicas().reservedMemory (id);
         view.accelerators = std::max (runner.machine.accelerators, 1U);
         view.takesNewWork = runner.takesNewWork();
-        view.isResponsive = leader_->watch.isResponsive (id, now_);
-        const RunnerSight* sight = leader_->watch.find (id);
+        view.isResponsive = m_leader->watch.isResponsive (id, m_now);
+        const RunnerSight* sight = m_leader->watch.find (id);
         if (sight != nullptr && sight->report)
         {
             view.slots = std::max (sight->report->slots, 1U);
@@ -84,7 +84,7 @@
 void ControllerCore::Implementation::addReplicaViews (placement::Snapshot& snapshot)
 {
     std::map<base::ReplicaId, std::uint32_t> active;
-    for (const auto& [runner, sight] : leader_->watch.sights())
+    for (const auto& [runner, sight] : m_leader->watch.sights())
     {
         if (! sight.report)
             continue;
@@ -93,18 +93,18 @@
             active[replica.replica] = replica.runningRequests + replica.waitingRequests;
         }
     }
-    for (const auto& [id, replica] : state_.replicas().replicas())
+    for (const auto& [id, replica] : m_state.replicas().replicas())
     {
         placement::ReplicaView view;
         view.replica = replica;
         view.activeRequests = active[id];
-        base::TimePoint& lastUse = leader_->lastUse.try_emplace (id, now_).first->second;
+        base::TimePoint& lastUse = m_leader->lastUse.try_emplace (id, m_now).first->second;
         const bool isAskedFor = snapshot.demands.count (replica.target()) != 0;
         if (isAskedFor)
-            lastUse = now_;
-        view.idleFor = now_ - lastUse;
+            lastUse = m_now;
+        view.idleFor = m_now - lastUse;
         view.usesStore =
-            leader_->usesStore.try_emplace (id, loadsFromStore (replica)).first->second;
+            m_leader->usesStore.try_emplace (id, loadsFromStore (replica)).first->second;
         if (replica.readyAt != 0)
         {
             const base::UnixMilliseconds readyFor = cellTime() - replica.readyAt;
@@ -117,16 +117,16 @@
 void ControllerCore::Implementation::forgetGoneReplicas()
 {
     const auto isGone = [&] (const auto& entry)
-    { return state_.replicas().findReplica (entry.first) == nullptr; };
-    std::erase_if (leader_->lastUse, isGone);
-    std::erase_if (leader_->usesStore, isGone);
+    { return m_state.replicas().findReplica (entry.first) == nullptr; };
+    std::erase_if (m_leader->lastUse, isGone);
+    std::erase_if (m_leader->usesStore, isGone);
 }
 
 bool ControllerCore::Implementation::loadsFromStore (const cell::Replica& replica) const
 {
-    const RunnerSight* sight = leader_->watch.find (replica.runner);
+    const RunnerSight* sight = m_leader->watch.find (replica.runner);
     // Of a load that began under an earlier leader only the worst can be assumed.
-    if (sight == nullptr || replica.decidedAt < leader_->unixSince)
+    if (sight == nullptr || replica.decidedAt < m_leader->unixSince)
         return true;
     return sight->checkpoints.count (replica.target()) == 0;
 }
@@ -143,12 +143,12 @@
     else
     {
         const auto& unload = std::get<placement::UnloadDecision> (decision);
-        if (leader_->busyReplicas.count (unload.replica) != 0)
+        if (m_leader->busyReplicas.count (unload.replica) != 0)
             return;
         command = cell::DecideUnload{ unload.replica, unload.reason, cellTime() };
     }
     if (propose (command, ForPlacement{}))
-        ++leader_->placementProposals;
+        ++m_leader->placementProposals;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -43,60 +43,60 @@
 
 ControllerProcess::ControllerProcess (ControllerSettings settings, const ServiceProtocol& protocol,
                                       std::function<void (int)> onFinished)
-    : settings_ (std::move (settings)),
-      onFinished_ (std::move (onFinished)),
-      transport_ (drawSeed()),
-      runners_ (settings_.callTimeout, &traffic_),
-      listener_ (
+    : m_settings (std::move (settings)),
+      m_onFinished (std::move (onFinished)),
+      m_transport (drawSeed()),
+      m_runners (m_settings.callTimeout, &m_traffic),
+      m_listener (
           { [this] (const consensus::Message& message) { onMemberMessage (message); },
             [this] (RouterConnection connection, const cell::RouterToController& message)
             { feed ([&] (ControllerCore& core) { core.onRouterMessage (connection, message); }); },
             [this] (RouterConnection connection)
             { feed ([&] (ControllerCore& core) { core.onRouterGone (connection); }); } },
-          &traffic_),
-      admin_ ({ [this] (AdminTicket ticket, const AdminRequest& request)
-                { feed ([&] (ControllerCore& core) { core.onAdmin (ticket, request); }); },
-                [this] { return core_ && core_->raftStatus().leader != 0; } },
-              metrics_)
+          &m_traffic),
+      m_admin ({ [this] (AdminTicket ticket, const AdminRequest& request)
+                 { feed ([&] (ControllerCore& core) { core.onAdmin (ticket, request); }); },
+                 [this] { return m_core && m_core->raftStatus().leader != 0; } },
+               m_metrics)
 {
-    if (! protocol.control || settings_.controlAddress.host.empty())
+    if (! protocol.control || m_settings.controlAddress.host.empty())
         return;
-    engines_ = std::make_unique<EngineClient> (protocol.engine, kEngineCallTimeout);
-    control_ = std::make_unique<ControlHttp> (
+    m_engines = std::make_unique<EngineClient> (protocol.engine, kEngineCallTimeout);
+    m_control = std::make_unique<ControlHttp> (
         protocol.control, [this] (ControlTicket ticket, const ControlRequest& request)
         { feed ([&] (ControllerCore& core) { core.onControl (ticket, request); }); });
 }
 
 base::Result<void> ControllerProcess::start()
 {
-    BOOST_LEAF_ASSIGN (openedStorage_, storage::openFileStorage (settings_.dataDirectory));
-    BOOST_LEAF_AUTO (recovered, openedStorage_->recover());
-    if (formsFromSeeds (settings_))
-        settings_ = withIdentity (settings_, recovered, drawSeed());
-    BOOST_LEAF_AUTO (state, startMember (*openedStorage_, settings_, std::move (recovered)));
+    BOOST_LEAF_ASSIGN (m_openedStorage, storage::openFileStorage (m_settings.dataDirectory));
+    BOOST_LEAF_AUTO (recovered, m_openedStorage->recover());
+    if (formsFromSeeds (m_settings))
+        m_settings = withIdentity (m_settings, recovered, drawSeed());
+    BOOST_LEAF_AUTO (state, startMember (*m_openedStorage, m_settings, std::move (recovered)));
     createCore (std::move (state));
     createMetrics();
     BOOST_LEAF_CHECK (listen());
-    if (formsFromSeeds (settings_))
+    if (formsFromSeeds (m_settings))
         startJoiner();
-    QObject::connect (&ticker_, &QTimer::timeout, &context_,
+    QObject::connect (&m_ticker, &QTimer::timeout, &m_context,
                       [this]
                       {
                           feed ([] (ControllerCore& core) { core.onTick(); });
                           noteLeadership();
                           checkStop();
                       });
-    ticker_.setTimerType (Qt::PreciseTimer);
-    ticker_.start (kTickInterval);
+    m_ticker.setTimerType (Qt::PreciseTimer);
+    m_ticker.start (kTickInterval);
     return {};
 }
 
 base::Result<void> ControllerProcess::listen()
 {
-    BOOST_LEAF_AUTO (peerAddress, listener_.listen (settings_.peerAddress));
-    BOOST_LEAF_AUTO (httpAddress, admin_.listen (settings_.httpAddress));
-    if (control_)
-        BOOST_LEAF_CHECK (control_->listen (settings_.controlAddress));
+    BOOST_LEAF_AUTO (peerAddress, m_listener.listen (m_settings.peerAddress));
+    BOOST_LEAF_AUTO (httpAddress, m_admin.listen (m_settings.httpAddress));
+    if (m_control)
+        BOOST_LEAF_CHECK (m_control->listen (m_settings.controlAddress));
     log::write (log::Event::kControllerListening, { { "peer_address", peerAddress.toString() },
                                                     { "http_address", httpAddress.toString() } });
     return {};
@@ -104,32 +104,32 @@
 
 void ControllerProcess::startJoiner()
 {
-    leaderSeenAt_ = clock_.now();
-    cell::MemberJoinRequest request{ base::CellId (settings_.cell), selfMember (settings_),
-                                     settings_.isFounding };
+    m_leaderSeenAt = m_clock.now();
+    cell::MemberJoinRequest request{ base::CellId (m_settings.cell), selfMember (m_settings),
+                                     m_settings.isFounding };
     CellJoiner::Handlers handlers;
     handlers.mustAsk = [this] { return mustAskToJoin(); };
     handlers.controllers = [this] { return knownControllers(); };
     handlers.onLeaderFound = [this] (const std::string& address)
     { feed ([&] (ControllerCore& core) { core.addContact (address); }); };
-    joiner_ = std::make_unique<CellJoiner> (std::move (request), std::move (handlers));
-    joiner_->start();
+    m_joiner = std::make_unique<CellJoiner> (std::move (request), std::move (handlers));
+    m_joiner->start();
 }
 
 bool ControllerProcess::mustAskToJoin() const
 {
-    const consensus::RaftStatus status = core_->raftStatus();
-    const auto self = static_cast<base::MemberId> (settings_.id);
+    const consensus::RaftStatus status = m_core->raftStatus();
+    const auto self = static_cast<base::MemberId> (m_settings.id);
     if (! consensus::isVoter (status.members, self))
         return true;
     // A voter that hears no leader for long may have been removed without having learnt it.
-    return status.leader == 0 && clock_.now() - leaderSeenAt_ > kLeaderlessBeforeAsking;
+    return status.leader == 0 && m_clock.now() - m_leaderSeenAt > kLeaderlessBeforeAsking;
 }
 
 std::vector<base::SocketAddress> ControllerProcess::knownControllers() const
 {
-    std::vector<base::SocketAddress> controllers = seedPeers (settings_);
-    for (const consensus::Member& member : core_->raftStatus().members.members)
+    std::vector<base::SocketAddress> controllers = seedPeers (m_settings);
+    for (const consensus::Member& member : m_core->raftStatus().members.members)
     {
         base::handleErrors (
             [&]() -> base::Result<void>
@@ -140,42 +140,42 @@
             },
             [] (const base::Error&) {});
     }
-    std::erase (controllers, settings_.peerAddress);
+    std::erase (controllers, m_settings.peerAddress);
     return controllers;
 }
 
 void ControllerProcess::createCore (consensus::RecoveredState recovered)
 {
-    const auto self = static_cast<base::MemberId> (settings_.id);
+    const auto self = static_cast<base::MemberId> (m_settings.id);
     log::write (log::Event::kControllerRecovered,
                 { { "member", self },
                   { "snapshot_index", recovered.snapshot.lastIndex },
                   { "entries", recovered.entries.size() },
                   { "term", recovered.hardState.term } });
-    ControllerOptions options = coreOptions (settings_);
-    if (formsFromSeeds (settings_))
-        options.contacts = seedContacts (settings_);
-    core_.emplace (self, std::move (options), std::move (recovered), drawSeed(), clock_.now(),
-                   clock_.unixNow());
+    ControllerOptions options = coreOptions (m_settings);
+    if (formsFromSeeds (m_settings))
+        options.contacts = seedContacts (m_settings);
+    m_core.emplace (self, std::move (options), std::move (recovered), drawSeed(), m_clock.now(),
+                    m_clock.unixNow());
     StorageThread::Handlers handlers;
     handlers.onPersisted = [this] (std::uint64_t sequence)
     { feed ([&] (ControllerCore& core) { core.onPersisted (sequence); }); };
     handlers.onFailed = [this] (const base::Error& error) { onStorageFailed (error); };
-    storage_ = std::make_unique<StorageThread> (std::move (openedStorage_), &context_,
-                                                std::move (handlers));
+    m_storage = std::make_unique<StorageThread> (std::move (m_openedStorage), &m_context,
+                                                 std::move (handlers));
 }
 
 void ControllerProcess::createMetrics()
 {
-    metrics_.addProcessMetrics();
-    metrics_.addText ([this] { return core_->metricsText(); });
-    metrics_.addText ([this] { return traffic_.metricsText(); });
-    metrics_.addText ([this] { return storageMetrics(); });
+    m_metrics.addProcessMetrics();
+    m_metrics.addText ([this] { return m_core->metricsText(); });
+    m_metrics.addText ([this] { return m_traffic.metricsText(); });
+    m_metrics.addText ([this] { return storageMetrics(); });
 }
 
 std::string ControllerProcess::storageMetrics() const
 {
-    const StorageWork work = storage_->work();
+    const StorageWork work = m_storage->work();
     std::string text;
     appendCounter (text, "fernlift_storage_requests_total", "Writes asked for by consensus.",
                    std::to_string (work.requests));
@@ -189,11 +189,11 @@
 
 void ControllerProcess::feed (const std::function<void (ControllerCore&)>& input)
 {
-    if (isFinished_)
+    if (m_isFinished)
         return;
-    core_->setTime (clock_.now(), clock_.unixNow());
-    input (*core_);
-    for (const Effect& effect : core_->takeEffects())
+    m_core->setTime (m_clock.now(), m_clock.unixNow());
+    input (*m_core);
+    for (const Effect& effect : m_core->takeEffects())
         carryOut (effect);
 }
 
@@ -204,15 +204,15 @@
             [this] (const PersistEffect& persistEffect) { persist (persistEffect); },
             [this] (const SendToMember& send) { sendToMember (send); },
             [this] (const SendToRouter& send)
-            { listener_.sendToRouter (send.connection, send.message); },
+            { m_listener.sendToRouter (send.connection, send.message); },
             [this] (const SendOrder& send) { sendOrder (send); },
             [this] (const PollRunner& poll) { pollRunner (poll); },
             [this] (const PollMachineList&) { pollMachineList(); },
-            [this] (const AnswerAdmin& answer) { admin_.answer (answer); },
+            [this] (const AnswerAdmin& answer) { m_admin.answer (answer); },
             [this] (const AnswerControl& answer)
             {
-                if (control_)
-                    control_->answer (answer.ticket, answer.answer);
+                if (m_control)
+                    m_control->answer (answer.ticket, answer.answer);
             },
             [this] (const placement::SendEngineOrder& send) { sendEngineOrder (send); },
             [this] (const placement::PollEngine& poll) { pollEngine (poll); },
@@ -220,20 +220,23 @@
         effect);
 }
 
-void ControllerProcess::persist (const PersistEffect& effect) { storage_->submit (effect.request); }
+void ControllerProcess::persist (const PersistEffect& effect)
+{
+    m_storage->submit (effect.request);
+}
 
 void ControllerProcess::sendToMember (const SendToMember& effect)
 {
     std::string payload = consensus::encode (effect.message);
-    traffic_.record (Direction::kOut, kindOf (effect.message.payload), payload.size());
-    transport_.send (effect.address, std::move (payload));
+    m_traffic.record (Direction::kOut, kindOf (effect.message.payload), payload.size());
+    m_transport.send (effect.address, std::move (payload));
 }
 
 void ControllerProcess::sendOrder (const SendOrder& effect)
 {
     const base::RunnerId runner = effect.runner;
     const engine::Order order = effect.order;
-    runners_.sendOrder (
+    m_runners.sendOrder (
         effect.address, order,
         [this, runner, order] (const engine::OrderAnswer& answer)
         { feed ([&] (ControllerCore& core) { core.onOrderAnswer (runner, order, answer); }); },
@@ -244,7 +247,7 @@
 void ControllerProcess::pollRunner (const PollRunner& effect)
 {
     const base::RunnerId runner = effect.runner;
-    runners_.pollReport (
+    m_runners.pollReport (
         effect.address,
         [this, runner] (const engine::Report& report)
         { feed ([&] (ControllerCore& core) { core.onReport (runner, report); }); },
@@ -253,8 +256,8 @@
 
 void ControllerProcess::pollMachineList()
 {
-    runners_.pollMachineList (
-        settings_.machinesAddress,
+    m_runners.pollMachineList (
+        m_settings.machinesAddress,
         [this] (const engine::MachineList& list)
         { feed ([&] (ControllerCore& core) { core.onMachineList (list); }); },
         [this] { feed ([] (ControllerCore& core) { core.onMachineListFailed(); }); });
@@ -262,7 +265,7 @@
 
 void ControllerProcess::sendEngineOrder (const placement::SendEngineOrder& effect)
 {
-    if (! engines_)
+    if (! m_engines)
         return;
     const engine::ServiceOrder order = effect.order;
     log::write (log::Event::kEngineOrdered, { { "instance", order.instance },
@@ -272,7 +275,7 @@
                                               { "fence", order.fence },
                                               { "sequence", order.expectedSequence.value_or (0) },
                                               { "reason", effect.reason } });
-    engines_->sendOrder (
+    m_engines->sendOrder (
         effect.address, order,
         [this, order] (engine::OrderOutcome outcome)
         {
@@ -287,10 +290,10 @@
 
 void ControllerProcess::pollEngine (const placement::PollEngine& effect)
 {
-    if (! engines_)
+    if (! m_engines)
         return;
     const std::string instance = effect.instance;
-    engines_->pollReport (
+    m_engines->pollReport (
         instance, effect.address,
         [this, instance] (const engine::ServiceReport* report)
         { feed ([&] (ControllerCore& core) { core.onEngineReport (instance, report); }); });
@@ -299,7 +302,7 @@
 void ControllerProcess::onMemberMessage (const consensus::Message& message)
 {
     // An address may have belonged to another member before: its messages are not for this one.
-    if (message.to != static_cast<base::MemberId> (settings_.id))
+    if (message.to != static_cast<base::MemberId> (m_settings.id))
         return;
     feed ([&] (ControllerCore& core) { core.onMemberMessage (message); });
 }
@@ -314,53 +317,53 @@
 
 void ControllerProcess::noteLeadership()
 {
-    const consensus::RaftStatus status = core_->raftStatus();
+    const consensus::RaftStatus status = m_core->raftStatus();
     if (status.leader != 0)
-        leaderSeenAt_ = clock_.now();
-    if (status.role == lastRole_ && status.leader == lastLeader_)
+        m_leaderSeenAt = m_clock.now();
+    if (status.role == m_lastRole && status.leader == m_lastLeader)
         return;
     const bool isLeader = status.role == consensus::Role::kLeader;
-    const bool wasLeader = lastRole_ == consensus::Role::kLeader;
+    const bool wasLeader = m_lastRole == consensus::Role::kLeader;
     if (isLeader && ! wasLeader)
         log::write (log::Event::kBecameLeader, { { "term", status.term } });
     if (! isLeader && wasLeader)
         log::write (log::Event::kLostLeadership, { { "term", status.term } });
-    if (status.leader != lastLeader_)
+    if (status.leader != m_lastLeader)
     {
         log::write (log::Event::kLeaderChanged,
                     { { "leader", status.leader }, { "term", status.term } });
     }
-    lastRole_ = status.role;
-    lastLeader_ = status.leader;
+    m_lastRole = status.role;
+    m_lastLeader = status.leader;
 }
 
 void ControllerProcess::beginStop()
 {
-    if (stopDeadline_)
+    if (m_stopDeadline)
     {
         finish (0);
         return;
     }
     log::write (log::Event::kProcessStopping);
-    stopDeadline_ = clock_.now() + settings_.stopTimeout;
-    admin_.stopListening();
-    if (control_)
-        control_->stopListening();
+    m_stopDeadline = m_clock.now() + m_settings.stopTimeout;
+    m_admin.stopListening();
+    if (m_control)
+        m_control->stopListening();
     feed ([] (ControllerCore& core) { core.beginStop(); });
 }
 
 void ControllerProcess::checkStop()
 {
-    if (! stopDeadline_ || isFinished_)
+    if (! m_stopDeadline || m_isFinished)
         return;
     const std::size_t openRequests =
-        admin_.openRequests() + (control_ ? control_->openRequests() : 0);
-    const bool isDone = core_->isStopped() && openRequests == 0;
+        m_admin.openRequests() + (m_control ? m_control->openRequests() : 0);
+    const bool isDone = m_core->isStopped() && openRequests == 0;
     if (isDone)
     {
         finish (0);
     }
-    else if (clock_.now() >= *stopDeadline_)
+    else if (m_clock.now() >= *m_stopDeadline)
     {
         log::write (log::Event::kStopTimedOut, { { "open_requests", openRequests } });
         finish (0);
@@ -369,10 +372,10 @@
 
 void ControllerProcess::finish (int exitCode)
 {
-    if (std::exchange (isFinished_, true))
+    if (std::exchange (m_isFinished, true))
         return;
-    ticker_.stop();
-    onFinished_ (exitCode);
+    m_ticker.stop();
+    m_onFinished (exitCode);
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerProcess.h
+++ b/src/controller/ControllerProcess.h
@@ -45,7 +45,7 @@
     /// Opens the data folder, recovers, then listens.
     base::Result<void> start();
     /// Takes over what may change while the process runs: the seeds.
-    void reload (const ControllerSettings& changed) { settings_.seeds = changed.seeds; }
+    void reload (const ControllerSettings& changed) { m_settings.seeds = changed.seeds; }
     /// Begins a planned stop: hands leadership over and answers what is open. A second call ends it
     /// at once.
     void beginStop();
@@ -75,28 +75,28 @@
     void checkStop();
     void finish (int exitCode);
 
-    ControllerSettings settings_;
-    std::function<void (int)> onFinished_;
-    base::SystemClock clock_;
-    ControlTraffic traffic_;
-    http::Metrics metrics_;
-    std::unique_ptr<storage::Storage> openedStorage_;  ///< Until the storage thread takes it.
-    std::optional<ControllerCore> core_;
-    PeerTransport transport_;
-    RunnerClient runners_;
-    PeerListener listener_;
-    AdminHttp admin_;
-    std::unique_ptr<ControlHttp> control_;   ///< Null without a control interface.
-    std::unique_ptr<EngineClient> engines_;  ///< Null without a control interface.
-    std::unique_ptr<CellJoiner> joiner_;     ///< Null when an operator manages the members.
-    base::TimePoint leaderSeenAt_{};
-    std::optional<base::TimePoint> stopDeadline_;
-    bool isFinished_ = false;
-    consensus::Role lastRole_ = consensus::Role::kFollower;
-    base::MemberId lastLeader_ = 0;
-    QObject context_;
-    QTimer ticker_;
-    std::unique_ptr<StorageThread> storage_;  ///< Last member: its thread ends first.
+    ControllerSettings m_settings;
+    std::function<void (int)> m_onFinished;
+    base::SystemClock m_clock;
+    ControlTraffic m_traffic;
+    http::Metrics m_metrics;
+    std::unique_ptr<storage::Storage> m_openedStorage;  ///< Until the storage thread takes it.
+    std::optional<ControllerCore> m_core;
+    PeerTransport m_transport;
+    RunnerClient m_runners;
+    PeerListener m_listener;
+    AdminHttp m_admin;
+    std::unique_ptr<ControlHttp> m_control;   ///< Null without a control interface.
+    std::unique_ptr<EngineClient> m_engines;  ///< Null without a control interface.
+    std::unique_ptr<CellJoiner> m_joiner;     ///< Null when an operator manages the members.
+    base::TimePoint m_leaderSeenAt{};
+    std::optional<base::TimePoint> m_stopDeadline;
+    bool m_isFinished = false;
+    consensus::Role m_lastRole = consensus::Role::kFollower;
+    base::MemberId m_lastLeader = 0;
+    QObject m_context;
+    QTimer m_ticker;
+    std::unique_ptr<StorageThread> m_storage;  ///< Last member: its thread ends first.
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -24,7 +24,7 @@
 void ControllerCore::Implementation::onRouterMessage (RouterConnection connection,
                                                       const cell::RouterToController& message)
 {
-    if (! leader_)
+    if (! m_leader)
     {
         replyNotLeader (connection);
         return;
@@ -39,7 +39,7 @@
     {
         onHello (connection, *hello);
     }
-    else if (leader_->sessions.find (connection) == nullptr)
+    else if (m_leader->sessions.find (connection) == nullptr)
     {
         replyNotLeader (connection);
     }
@@ -53,26 +53,26 @@
     }
     else if (const auto* claim = std::get_if<cell::ClaimRequest> (&message))
     {
-        counters_.claims += claim->claims.size();
-        if (auto refusal = leader_->claims.add (connection, *claim))
+        m_counters.claims += claim->claims.size();
+        if (auto refusal = m_leader->claims.add (connection, *claim))
         {
             sendToRouter (connection, std::move (*refusal));
         }
     }
     else if (const auto* outcome = std::get_if<cell::OutcomeReport> (&message))
     {
-        leader_->claims.add (*outcome);
+        m_leader->claims.add (*outcome);
     }
     else if (const auto* engineDemand = std::get_if<cell::EngineDemandReport> (&message))
     {
-        leader_->engines.onDemand (connection, engineDemand->demands, now_);
-        leader_->isEnginePlacementDue = true;
+        m_leader->engines.onDemand (connection, engineDemand->demands, m_now);
+        m_leader->isEnginePlacementDue = true;
     }
     else if (const auto* unreachable = std::get_if<cell::InstanceUnreachable> (&message))
     {
-        leader_->instances.onUnreachable (unreachable->instance, now_);
-        leader_->isInstanceTableDue = true;
-        leader_->isEnginePlacementDue = true;
+        m_leader->instances.onUnreachable (unreachable->instance, m_now);
+        m_leader->isInstanceTableDue = true;
+        m_leader->isEnginePlacementDue = true;
     }
     else if (const auto* seen = std::get_if<cell::RunnerLeavingSeen> (&message))
     {
@@ -84,41 +84,41 @@
 void ControllerCore::Implementation::onDemand (RouterConnection connection,
                                                const cell::DemandReport& report)
 {
-    leader_->demands.report (connection, report, now_);
+    m_leader->demands.report (connection, report, m_now);
     for (const cell::Demand& demand : report.demands)
     {
         if (demand.waiting > 0)
-            leader_->isPlacementDue = true;
-        const auto told = leader_->sharers.find (demand.target);
-        const bool isCrowded = told != leader_->sharers.end()
-                               && leader_->demands.askers (demand.target) > told->second;
+            m_leader->isPlacementDue = true;
+        const auto told = m_leader->sharers.find (demand.target);
+        const bool isCrowded = told != m_leader->sharers.end()
+                               && m_leader->demands.askers (demand.target) > told->second;
         if (isCrowded)
-            leader_->isTableDue = true;
+            m_leader->isTableDue = true;
     }
 }
 
 void ControllerCore::Implementation::onRouterGone (RouterConnection connection)
 {
-    if (! leader_)
+    if (! m_leader)
         return;
-    leader_->sessions.close (connection);
-    leader_->demands.forget (connection);
-    leader_->engines.onRouterGone (connection);
-    leader_->isTableDue = true;
+    m_leader->sessions.close (connection);
+    m_leader->demands.forget (connection);
+    m_leader->engines.onRouterGone (connection);
+    m_leader->isTableDue = true;
 }
 
 void ControllerCore::Implementation::onHello (RouterConnection connection,
                                               const cell::RouterHello& hello)
 {
-    if (hello.cell != options_.cell)
+    if (hello.cell != m_options.cell)
     {
         replyNotLeader (connection);
         return;
     }
-    RouterSession& session = leader_->sessions.open (connection, hello, now_);
+    RouterSession& session = m_leader->sessions.open (connection, hello, m_now);
     // A router that comes back to the same leader only needs what changed since.
-    const bool holdsTable = leader_->isTableShared && hello.replicaTableTerm == leader_->term
-                            && hello.replicaTableVersion <= leader_->table.version();
+    const bool holdsTable = m_leader->isTableShared && hello.replicaTableTerm == m_leader->term
+                            && hello.replicaTableVersion <= m_leader->table.version();
     if (holdsTable)
     {
         session.isTableShared = true;
@@ -133,15 +133,15 @@
                                                      const cell::LeaseRequest& request)
 {
     const bool mayGrant =
-        holdsLease() || options_.plantedFault == cell::PlantedFault::kLeaseWithoutLeaderLease;
+        holdsLease() || m_options.plantedFault == cell::PlantedFault::kLeaseWithoutLeaderLease;
     if (! mayGrant)
     {
-        ++counters_.leasesWithheld;
+        ++m_counters.leasesWithheld;
         return;
     }
-    RouterSession& session = *leader_->sessions.find (connection);
-    const cell::ConfigurationIdentity& inForce = state_.configuration().identity();
-    if (leader_->sessions.onLeaseRequest (session, request, inForce, now_))
+    RouterSession& session = *m_leader->sessions.find (connection);
+    const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
+    if (m_leader->sessions.onLeaseRequest (session, request, inForce, m_now))
     {
         session.sentVersion = 0;
         sendConfiguration (connection, session);
@@ -151,23 +151,23 @@
     // Nothing can be granted before there is a configuration.
     if (inForce.version == 0)
         return;
-    ++counters_.leasesGranted;
+    ++m_counters.leasesGranted;
     cell::LeaseGrant grant =
-        leader_->sessions.grant (session, request, inForce, leader_->term, now_);
+        m_leader->sessions.grant (session, request, inForce, m_leader->term, m_now);
     grant.cellTime = cellTime();
     sendToRouter (connection, std::move (grant));
 }
 
 void ControllerCore::Implementation::onLeavingSeen (const cell::RunnerLeavingSeen& seen)
 {
-    leader_->watch.onLeavingSign (seen.runner, seen.incarnation);
+    m_leader->watch.onLeavingSign (seen.runner, seen.incarnation);
     observe (seen.runner);
 }
 
 void ControllerCore::Implementation::sendConfiguration (RouterConnection connection,
                                                         RouterSession& session)
 {
-    const cell::ConfigurationIdentity& inForce = state_.configuration().identity();
+    const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
     const bool isSame =
         session.sentVersion == inForce.version && session.sentDigest == inForce.digest;
     // A router's configuration never goes back, whatever it claims to have.
@@ -175,27 +175,27 @@
         return;
     if (! holdsLease())
         return;
-    leader_->configurationChange.note (inForce, state_.configuration().text());
+    m_leader->configurationChange.note (inForce, m_state.configuration().text());
     cell::ConfigurationUpdate update =
-        leader_->configurationChange.updateFrom (session.sentVersion, session.sentDigest);
+        m_leader->configurationChange.updateFrom (session.sentVersion, session.sentDigest);
     session.sentVersion = inForce.version;
     session.sentDigest = inForce.digest;
-    session.configurationSentAt = now_;
+    session.configurationSentAt = m_now;
     sendToRouter (connection, std::move (update));
 }
 
 void ControllerCore::Implementation::announceConfiguration()
 {
-    const std::uint64_t version = state_.configuration().identity().version;
-    if (leader_->announcedVersion == version || ! holdsLease())
+    const std::uint64_t version = m_state.configuration().identity().version;
+    if (m_leader->announcedVersion == version || ! holdsLease())
         return;
-    leader_->announcedVersion = version;
+    m_leader->announcedVersion = version;
     sendConfigurationToAll();
 }
 
 void ControllerCore::Implementation::sendConfigurationToAll()
 {
-    for (auto& [connection, session] : leader_->sessions.sessions())
+    for (auto& [connection, session] : m_leader->sessions.sessions())
     {
         sendConfiguration (connection, session);
     }
@@ -203,13 +203,13 @@
 
 void ControllerCore::Implementation::sendTablesIfDue()
 {
-    const bool isDue = leader_->isTableDue || now_ >= leader_->nextTableAt;
+    const bool isDue = m_leader->isTableDue || m_now >= m_leader->nextTableAt;
     if (isDue)
         refreshTable();
-    for (auto& [connection, session] : leader_->sessions.sessions())
+    for (auto& [connection, session] : m_leader->sessions.sessions())
     {
         const bool isBehind =
-            session.isTableShared && session.tableVersion != leader_->table.version();
+            session.isTableShared && session.tableVersion != m_leader->table.version();
         if (isDue || isBehind)
             sendTable (connection, session);
     }
@@ -219,35 +219,35 @@
 {
     refreshEstimates();
     std::vector<cell::RoutableReplica> replicas = routableReplicas();
-    const std::size_t routers = leader_->sessions.sessions().size();
-    leader_->isTableDue = false;
+    const std::size_t routers = m_leader->sessions.sessions().size();
+    m_leader->isTableDue = false;
     // Once shared, the table stays so until the cell is half as large.
-    const std::size_t limit = options_.exactShareLimit / (leader_->isTableShared ? 2 : 1);
-    leader_->isTableShared = routers * replicas.size() > limit;
-    leader_->nextTableAt =
-        now_ + (leader_->isTableShared ? options_.reportInterval : kExactInterval);
-    if (leader_->isTableShared)
+    const std::size_t limit = m_options.exactShareLimit / (m_leader->isTableShared ? 2 : 1);
+    m_leader->isTableShared = routers * replicas.size() > limit;
+    m_leader->nextTableAt =
+        m_now + (m_leader->isTableShared ? m_options.reportInterval : kExactInterval);
+    if (m_leader->isTableShared)
     {
         shareCredits (replicas);
-        leader_->table.replace (std::move (replicas), leader_->estimates, now_);
+        m_leader->table.replace (std::move (replicas), m_leader->estimates, m_now);
         return;
     }
-    leader_->rows = std::move (replicas);
-    leader_->exactShare.emplace (leader_->rows, leader_->demands, routers);
+    m_leader->rows = std::move (replicas);
+    m_leader->exactShare.emplace (m_leader->rows, m_leader->demands, routers);
 }
 
 void ControllerCore::Implementation::sendTable (RouterConnection connection, RouterSession& session)
 {
     if (! holdsLease())
         return;
-    if (leader_->nextTableAt == base::TimePoint{})
+    if (m_leader->nextTableAt == base::TimePoint{})
         refreshTable();
-    if (session.isTableShared != leader_->isTableShared)
+    if (session.isTableShared != m_leader->isTableShared)
     {
         session.forgetTable();
-        session.isTableShared = leader_->isTableShared;
+        session.isTableShared = m_leader->isTableShared;
     }
-    if (leader_->isTableShared)
+    if (m_leader->isTableShared)
     {
         sendSharedTable (connection, session);
     }
@@ -260,37 +260,37 @@
 void ControllerCore::Implementation::sendExactTable (RouterConnection connection,
                                                      RouterSession& session)
 {
-    std::vector<cell::RoutableReplica> replicas = leader_->rows;
+    std::vector<cell::RoutableReplica> replicas = m_leader->rows;
     for (cell::RoutableReplica& replica : replicas)
     {
         replica.load = quantised (replica.load);
-        replica.credits = leader_->exactShare->creditsFor (connection, replica);
+        replica.credits = m_leader->exactShare->creditsFor (connection, replica);
     }
-    auto update = updateTable (session, std::move (replicas), leader_->estimates, now_);
+    auto update = updateTable (session, std::move (replicas), m_leader->estimates, m_now);
     if (! update)
         return;
-    ++counters_.replicaUpdates;
+    ++m_counters.replicaUpdates;
     sendToRouter (connection, std::move (*update));
 }
 
 void ControllerCore::Implementation::sendSharedTable (RouterConnection connection,
                                                       RouterSession& session)
 {
-    if (! leader_->table.keepsChangesSince (session.tableVersion))
+    if (! m_leader->table.keepsChangesSince (session.tableVersion))
     {
         // Whole tables for all routers at once would hold up the leader's heartbeats.
-        if (now_ < leader_->nextWholeTableAt)
+        if (m_now < m_leader->nextWholeTableAt)
             return;
-        leader_->nextWholeTableAt = now_ + kWholeTableInterval;
+        m_leader->nextWholeTableAt = m_now + kWholeTableInterval;
     }
-    for (cell::ReplicaUpdate& update : leader_->table.updatesSince (session.tableVersion, now_))
+    for (cell::ReplicaUpdate& update : m_leader->table.updatesSince (session.tableVersion, m_now))
     {
-        ++counters_.replicaUpdates;
-        update.term = leader_->term;
+        ++m_counters.replicaUpdates;
+        update.term = m_leader->term;
         session.tableVersion = update.toVersion;
-        session.tableSentAt = now_;
+        session.tableSentAt = m_now;
         if (update.fromVersion == 0)
-            session.wholeTableSentAt = now_;
+            session.wholeTableSentAt = m_now;
         sendToRouter (connection, std::move (update));
     }
 }
@@ -298,10 +298,10 @@
 std::vector<cell::RoutableReplica> ControllerCore::Implementation::routableReplicas() const
 {
     std::vector<cell::RoutableReplica> routable;
-    const config::Catalogue* catalogue = state_.configuration().catalogue();
+    const config::Catalogue* catalogue = m_state.configuration().catalogue();
     if (catalogue == nullptr)
         return routable;
-    for (const auto& [id, runner] : state_.replicas().runners())
+    for (const auto& [id, runner] : m_state.replicas().runners())
     {
         if (! runner.takesNewWork())
             continue;
@@ -310,7 +310,7 @@
         entry.incarnation = runner.incarnation;
         entry.zone = runner.machine.zone;
         entry.address = runner.machine.address;
-        const RunnerSight* sight = leader_->watch.find (id);
+        const RunnerSight* sight = m_leader->watch.find (id);
         const bool isReported = sight != nullptr && sight->report;
         entry.slots = isReported ? sight->report->slots : 1;
         entry.load =
@@ -325,9 +325,9 @@
             applicationEntry.isApplication = true;
             routable.push_back (std::move (applicationEntry));
         }
-        for (const base::ReplicaId replicaId : state_.replicas().replicasOn (id))
+        for (const base::ReplicaId replicaId : m_state.replicas().replicasOn (id))
         {
-            const cell::Replica& replica = *state_.replicas().findReplica (replicaId);
+            const cell::Replica& replica = *m_state.replicas().findReplica (replicaId);
             if (replica.stage != cell::ReplicaStage::kReady)
                 continue;
             const config::Model* model = catalogue->findModel (replica.model);
@@ -348,44 +348,44 @@
 
 void ControllerCore::Implementation::refreshEstimates()
 {
-    const config::Catalogue* catalogue = state_.configuration().catalogue();
+    const config::Catalogue* catalogue = m_state.configuration().catalogue();
     if (catalogue == nullptr)
         return;
-    ReadyEstimates fresh = estimateTargets (state_.replicas(), *catalogue, cellTime(), now_);
-    leader_->estimates = keepStated (leader_->estimates, std::move (fresh), now_);
+    ReadyEstimates fresh = estimateTargets (m_state.replicas(), *catalogue, cellTime(), m_now);
+    m_leader->estimates = keepStated (m_leader->estimates, std::move (fresh), m_now);
 }
 
 void ControllerCore::Implementation::shareCredits (std::vector<cell::RoutableReplica>& replicas)
 {
-    const auto routers = static_cast<std::uint32_t> (leader_->sessions.sessions().size());
-    leader_->enteringSharers = steadySharers (leader_->enteringSharers, routers);
+    const auto routers = static_cast<std::uint32_t> (m_leader->sessions.sessions().size());
+    m_leader->enteringSharers = steadySharers (m_leader->enteringSharers, routers);
     std::map<std::string, std::uint32_t> sharers;
     for (cell::RoutableReplica& replica : replicas)
     {
         auto told = sharers.find (replica.target);
         if (told == sharers.end())
         {
-            const auto earlier = leader_->sharers.find (replica.target);
+            const auto earlier = m_leader->sharers.find (replica.target);
             const std::uint32_t steady =
-                steadySharers (earlier == leader_->sharers.end() ? 0 : earlier->second,
-                               leader_->demands.askers (replica.target));
+                steadySharers (earlier == m_leader->sharers.end() ? 0 : earlier->second,
+                               m_leader->demands.askers (replica.target));
             told = sharers.emplace (replica.target, steady).first;
         }
         replica.credits = std::max (replica.slots / told->second, 1U);
-        replica.entryCredits = std::max (replica.slots / leader_->enteringSharers, 1U);
+        replica.entryCredits = std::max (replica.slots / m_leader->enteringSharers, 1U);
     }
-    leader_->sharers = std::move (sharers);
+    m_leader->sharers = std::move (sharers);
 }
 
 void ControllerCore::Implementation::flushClaims()
 {
-    if (auto outcomes = leader_->claims.takeOutcomes())
+    if (auto outcomes = m_leader->claims.takeOutcomes())
     {
         outcomes->proposedAt = cellTime();
         propose (*outcomes, ForNothing{});
     }
     std::uint64_t batch = 0;
-    while (auto claims = leader_->claims.takeClaims (&batch))
+    while (auto claims = m_leader->claims.takeClaims (&batch))
     {
         claims->proposedAt = cellTime();
         propose (*claims, ForClaims{ batch });
@@ -395,9 +395,9 @@
 void ControllerCore::Implementation::replyNotLeader (RouterConnection connection)
 {
     cell::NotLeaderReply reply;
-    for (const consensus::Member& member : status_.members.members)
+    for (const consensus::Member& member : m_status.members.members)
     {
-        if (member.id == status_.leader)
+        if (member.id == m_status.leader)
             reply.leaderAddress = member.peerAddress;
     }
     sendToRouter (connection, std::move (reply));
@@ -406,7 +406,7 @@
 void ControllerCore::Implementation::sendToRouter (RouterConnection connection,
                                                    cell::ControllerToRouter message)
 {
-    effects_.emplace_back (SendToRouter{ connection, std::move (message) });
+    m_effects.emplace_back (SendToRouter{ connection, std::move (message) });
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerRunners.cpp
+++ b/src/controller/ControllerRunners.cpp
@@ -22,23 +22,23 @@
         return;
     pollMachineList();
     pollRunners();
-    for (const base::RunnerId& runner : leader_->orders.waitingRunners())
+    for (const base::RunnerId& runner : m_leader->orders.waitingRunners())
         sendOrders (runner);
     sendTablesIfDue();
-    if (now_ < leader_->nextRoutineAt)
+    if (m_now < m_leader->nextRoutineAt)
         return;
-    leader_->nextRoutineAt = now_ + kRoutineInterval;
-    leader_->demands.expire (now_);
+    m_leader->nextRoutineAt = m_now + kRoutineInterval;
+    m_leader->demands.expire (m_now);
     runInstanceRoutine();
     changeMembersIfDue();
-    leader_->isPlacementDue = true;
+    m_leader->isPlacementDue = true;
     placeIfDue();
-    if (options_.plantedFault == cell::PlantedFault::kReplicaReleasedOnSilence)
+    if (m_options.plantedFault == cell::PlantedFault::kReplicaReleasedOnSilence)
     {
-        const auto sights = leader_->watch.sights();  // A copy: removeRunner changes it.
+        const auto sights = m_leader->watch.sights();  // A copy: removeRunner changes it.
         for (const auto& [runner, sight] : sights)
         {
-            if (sight.report && ! leader_->watch.isResponsive (runner, now_))
+            if (sight.report && ! m_leader->watch.isResponsive (runner, m_now))
                 removeRunner (runner);
         }
     }
@@ -46,37 +46,37 @@
 
 void ControllerCore::Implementation::pollMachineList()
 {
-    if (! options_.hasMachineList || leader_->isMachineListPolled
-        || now_ < leader_->nextMachineListAt)
+    if (! m_options.hasMachineList || m_leader->isMachineListPolled
+        || m_now < m_leader->nextMachineListAt)
         return;
-    leader_->isMachineListPolled = true;
-    leader_->nextMachineListAt = now_ + options_.machineListInterval;
-    effects_.emplace_back (PollMachineList{});
+    m_leader->isMachineListPolled = true;
+    m_leader->nextMachineListAt = m_now + m_options.machineListInterval;
+    m_effects.emplace_back (PollMachineList{});
 }
 
 void ControllerCore::Implementation::pollRunners()
 {
-    for (const base::RunnerId& runner : leader_->watch.takeDuePolls (now_))
+    for (const base::RunnerId& runner : m_leader->watch.takeDuePolls (m_now))
     {
-        const RunnerSight* sight = leader_->watch.find (runner);
-        const cell::Runner* known = state_.replicas().findRunner (runner);
+        const RunnerSight* sight = m_leader->watch.find (runner);
+        const cell::Runner* known = m_state.replicas().findRunner (runner);
         if (! sight->listed && known == nullptr)
         {
-            leader_->watch.onReportFailed (runner, now_);
+            m_leader->watch.onReportFailed (runner, m_now);
             continue;
         }
         const std::string& address =
             sight->listed ? sight->listed->address : known->machine.address;
-        effects_.emplace_back (PollRunner{ runner, address });
+        m_effects.emplace_back (PollRunner{ runner, address });
     }
 }
 
 void ControllerCore::Implementation::onMachineList (const engine::MachineList& list)
 {
-    if (! leader_)
+    if (! m_leader)
         return;
-    leader_->isMachineListPolled = false;
-    const std::vector<base::RunnerId> gone = leader_->watch.onMachineList (list);
+    m_leader->isMachineListPolled = false;
+    const std::vector<base::RunnerId> gone = m_leader->watch.onMachineList (list);
     for (const base::RunnerId& runner : gone)
         removeRunner (runner);
     for (const engine::Machine& machine : list.machines)
@@ -87,17 +87,17 @@
 
 void ControllerCore::Implementation::onMachineListFailed()
 {
-    if (leader_)
-        leader_->isMachineListPolled = false;
+    if (m_leader)
+        m_leader->isMachineListPolled = false;
 }
 
 void ControllerCore::Implementation::onReport (const base::RunnerId& runner,
                                                const engine::Report& report)
 {
-    if (! leader_)
+    if (! m_leader)
         return;
-    ++counters_.reports;
-    leader_->watch.onReport (runner, report, now_);
+    ++m_counters.reports;
+    m_leader->watch.onReport (runner, report, m_now);
     noteUse (report);
     observe (runner);
     reconcile (runner);
@@ -106,10 +106,10 @@
 
 void ControllerCore::Implementation::onReportFailed (const base::RunnerId& runner)
 {
-    if (! leader_)
+    if (! m_leader)
         return;
-    ++counters_.reportsFailed;
-    leader_->watch.onReportFailed (runner, now_);
+    ++m_counters.reportsFailed;
+    m_leader->watch.onReportFailed (runner, m_now);
 }
 
 void ControllerCore::Implementation::noteUse (const engine::Report& report)
@@ -118,48 +118,48 @@
     {
         const bool isUsed = replica.runningRequests + replica.waitingRequests > 0;
         if (isUsed)
-            leader_->lastUse[replica.replica] = now_;
+            m_leader->lastUse[replica.replica] = m_now;
     }
 }
 
 void ControllerCore::Implementation::observe (const base::RunnerId& runner)
 {
-    if (leader_->busyRunners.count (runner) != 0)
+    if (m_leader->busyRunners.count (runner) != 0)
         return;
-    const RunnerSight* sight = leader_->watch.find (runner);
+    const RunnerSight* sight = m_leader->watch.find (runner);
     if (sight == nullptr)
         return;
-    std::optional<cell::ObserveRunner> command = observationOf (runner, *sight, state_.replicas());
+    std::optional<cell::ObserveRunner> command = observationOf (runner, *sight, m_state.replicas());
     if (! command)
         return;
     command->proposedAt = cellTime();
     if (propose (*command, ForRunner{ runner }))
-        leader_->busyRunners.insert (runner);
+        m_leader->busyRunners.insert (runner);
 }
 
 void ControllerCore::Implementation::removeRunner (const base::RunnerId& runner)
 {
-    if (state_.replicas().findRunner (runner) == nullptr)
+    if (m_state.replicas().findRunner (runner) == nullptr)
     {
-        leader_->watch.forget (runner);
+        m_leader->watch.forget (runner);
         return;
     }
-    if (leader_->busyRunners.count (runner) != 0)
+    if (m_leader->busyRunners.count (runner) != 0)
         return;
     if (! propose (cell::RemoveRunner{ runner, cellTime() }, ForRunner{ runner }))
         return;
-    leader_->busyRunners.insert (runner);
-    leader_->orders.forget (runner);
-    leader_->watch.forget (runner);
+    m_leader->busyRunners.insert (runner);
+    m_leader->orders.forget (runner);
+    m_leader->watch.forget (runner);
 }
 
 void ControllerCore::Implementation::reconcile (const base::RunnerId& runner)
 {
-    const engine::Report& report = *leader_->watch.find (runner)->report;
-    const ReportFindings findings = examineReport (runner, report, state_.replicas());
+    const engine::Report& report = *m_leader->watch.find (runner)->report;
+    const ReportFindings findings = examineReport (runner, report, m_state.replicas());
     for (const base::ReplicaId replica : findings.ready)
     {
-        leader_->failures.erase ({ state_.replicas().findReplica (replica)->target(), runner });
+        m_leader->failures.erase ({ m_state.replicas().findReplica (replica)->target(), runner });
         proposeForReplica (replica, cell::ReplicaReady{ replica, cellTime() });
     }
     for (const base::ReplicaId replica : findings.released)
@@ -177,24 +177,24 @@
 
 void ControllerCore::Implementation::failReplica (base::ReplicaId id, const std::string& reason)
 {
-    if (leader_->busyReplicas.count (id) != 0)
+    if (m_leader->busyReplicas.count (id) != 0)
         return;
-    const cell::Replica replica = *state_.replicas().findReplica (id);
+    const cell::Replica replica = *m_state.replicas().findReplica (id);
     if (replica.stage == cell::ReplicaStage::kLoading)
     {
-        LoadFailure& failure = leader_->failures[{ replica.target(), replica.runner }];
+        LoadFailure& failure = m_leader->failures[{ replica.target(), replica.runner }];
         const std::uint32_t doublings = std::min (failure.count++, kAvoidanceDoublings);
-        failure.avoidedUntil = now_ + kFirstAvoidance * (1 << doublings);
+        failure.avoidedUntil = m_now + kFirstAvoidance * (1 << doublings);
     }
-    for (const base::ReplicaId other : state_.replicas().replicasOn (replica.runner))
+    for (const base::ReplicaId other : m_state.replicas().replicasOn (replica.runner))
     {
-        const cell::Replica& riding = *state_.replicas().findReplica (other);
+        const cell::Replica& riding = *m_state.replicas().findReplica (other);
         if (riding.baseReplica != id || riding.stage == cell::ReplicaStage::kUnloading)
             continue;
         proposeForReplica (other,
                            cell::DecideUnload{ other, "its base replica: " + reason, cellTime() });
     }
-    if (state_.replicas().hasAdapters (id))
+    if (m_state.replicas().hasAdapters (id))
         return;
     proposeForReplica (id, cell::DecideUnload{ id, reason, cellTime() });
 }
@@ -202,26 +202,27 @@
 void ControllerCore::Implementation::proposeForReplica (base::ReplicaId replica,
                                                         const cell::Command& command)
 {
-    if (leader_->busyReplicas.count (replica) != 0)
+    if (m_leader->busyReplicas.count (replica) != 0)
         return;
     if (propose (command, ForReplica{ replica }))
-        leader_->busyReplicas.insert (replica);
+        m_leader->busyReplicas.insert (replica);
 }
 
 void ControllerCore::Implementation::proposeStray (const StrayReplica& stray)
 {
     const std::pair key (stray.runner, stray.report.replica);
-    std::erase_if (leader_->strayPauses, [&] (const auto& entry) { return now_ >= entry.second; });
-    if (leader_->busyStrays.count (key) != 0 || leader_->strayPauses.count (key) != 0)
+    std::erase_if (m_leader->strayPauses,
+                   [&] (const auto& entry) { return m_now >= entry.second; });
+    if (m_leader->busyStrays.count (key) != 0 || m_leader->strayPauses.count (key) != 0)
         return;
-    if (leader_->orders.hasStray (stray.runner, stray.report.replica))
+    if (m_leader->orders.hasStray (stray.runner, stray.report.replica))
         return;
     const cell::DecideUnload command{ stray.report.replica, "held by an engine but not decided",
                                       cellTime() };
     if (! propose (command, ForStray{ stray }))
         return;
-    ++counters_.strayReplicas;
-    leader_->busyStrays.insert (key);
+    ++m_counters.strayReplicas;
+    m_leader->busyStrays.insert (key);
 }
 
 void ControllerCore::Implementation::sendOrders()
@@ -229,44 +230,44 @@
     if (! holdsLease())
         return;
     std::set<base::RunnerId> due;
-    due.swap (leader_->ordersDue);
+    due.swap (m_leader->ordersDue);
     for (const base::RunnerId& runner : due)
         sendOrders (runner);
 }
 
 void ControllerCore::Implementation::sendOrders (const base::RunnerId& runner)
 {
-    const cell::Runner* known = state_.replicas().findRunner (runner);
+    const cell::Runner* known = m_state.replicas().findRunner (runner);
     if (known == nullptr)
     {
-        leader_->orders.forget (runner);
+        m_leader->orders.forget (runner);
         return;
     }
-    std::optional<engine::Order> order = leader_->orders.next (runner, state_.replicas(), now_);
+    std::optional<engine::Order> order = m_leader->orders.next (runner, m_state.replicas(), m_now);
     if (! order)
         return;
-    ++counters_.ordersSent;
-    effects_.emplace_back (SendOrder{ runner, known->machine.address, std::move (*order) });
+    ++m_counters.ordersSent;
+    m_effects.emplace_back (SendOrder{ runner, known->machine.address, std::move (*order) });
 }
 
 void ControllerCore::Implementation::onOrderAnswer (const base::RunnerId& runner,
                                                     const engine::Order& order,
                                                     const engine::OrderAnswer& answer)
 {
-    if (! leader_)
+    if (! m_leader)
         return;
-    leader_->watch.pollSoon (runner, now_);
+    m_leader->watch.pollSoon (runner, m_now);
     if (answer.accepted)
     {
-        ++counters_.ordersAccepted;
-        leader_->orders.onAnswered (runner, order.fence);
+        ++m_counters.ordersAccepted;
+        m_leader->orders.onAnswered (runner, order.fence);
     }
     else
     {
-        ++counters_.ordersRefused;
+        ++m_counters.ordersRefused;
         onOrderRefused (runner, order, answer);
     }
-    leader_->ordersDue.insert (runner);
+    m_leader->ordersDue.insert (runner);
     drain();
 }
 
@@ -276,20 +277,20 @@
 {
     const bool isLoad = order.kind == engine::OrderKind::kLoadModel
                         || order.kind == engine::OrderKind::kLoadAdapter;
-    const cell::Replica* replica = state_.replicas().findReplica (order.replica);
+    const cell::Replica* replica = m_state.replicas().findReplica (order.replica);
     const bool isCurrent = replica != nullptr && replica->fence == order.fence;
     if (answer.refusal == base::ErrorKind::kIncarnationMismatch)
     {
         // The next report shows the new incarnation; until then the order waits.
-        leader_->orders.onFailed (runner, order.fence, now_);
+        m_leader->orders.onFailed (runner, order.fence, m_now);
         return;
     }
     if (! isLoad && answer.refusal != base::ErrorKind::kFenceStale)
     {
-        leader_->orders.onFailed (runner, order.fence, now_);
+        m_leader->orders.onFailed (runner, order.fence, m_now);
         return;
     }
-    leader_->orders.onAnswered (runner, order.fence);
+    m_leader->orders.onAnswered (runner, order.fence);
     if (! isCurrent)
         return;
     const std::string refusal (base::traitsOf (answer.refusal).name);
@@ -309,10 +310,10 @@
 void ControllerCore::Implementation::onOrderFailed (const base::RunnerId& runner,
                                                     const engine::Order& order)
 {
-    if (! leader_)
+    if (! m_leader)
         return;
-    ++counters_.ordersFailed;
-    leader_->orders.onFailed (runner, order.fence, now_);
+    ++m_counters.ordersFailed;
+    m_leader->orders.onFailed (runner, order.fence, m_now);
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/CreditShare.cpp
+++ b/src/controller/CreditShare.cpp
@@ -18,11 +18,11 @@
 
 CreditShare::CreditShare (const std::vector<cell::RoutableReplica>& replicas,
                           const DemandTable& demands, std::size_t sources)
-    : sources_ (static_cast<std::uint32_t> (std::max<std::size_t> (sources, 1)))
+    : m_sources (static_cast<std::uint32_t> (std::max<std::size_t> (sources, 1)))
 {
     for (const cell::RoutableReplica& replica : replicas)
     {
-        Runner& runner = runners_[replica.runner];
+        Runner& runner = m_runners[replica.runner];
         ++runner.replicas;
         for (const DemandSource source : demands.sourcesOf (replica.target))
         {
@@ -35,13 +35,13 @@
 std::uint32_t CreditShare::creditsFor (DemandSource source,
                                        const cell::RoutableReplica& replica) const
 {
-    const auto found = runners_.find (replica.runner);
-    if (found == runners_.end())
+    const auto found = m_runners.find (replica.runner);
+    if (found == m_runners.end())
         return 1;
     const Runner& runner = found->second;
     const auto pairs = static_cast<std::uint32_t> (runner.ranks.size());
     if (pairs == 0)
-        return partOf (replica.slots, sources_ * runner.replicas, replica.slots);
+        return partOf (replica.slots, m_sources * runner.replicas, replica.slots);
     const auto rank = runner.ranks.find ({ source, replica.replica, replica.target });
     return rank == runner.ranks.end() ? 1 : partOf (replica.slots, pairs, rank->second);
 }
--- a/src/controller/CreditShare.h
+++ b/src/controller/CreditShare.h
@@ -46,8 +46,8 @@
         std::uint32_t replicas = 0;
     };
 
-    std::map<base::RunnerId, Runner> runners_;
-    std::uint32_t sources_ = 1;
+    std::map<base::RunnerId, Runner> m_runners;
+    std::uint32_t m_sources = 1;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/DemandTable.cpp
+++ b/src/controller/DemandTable.cpp
@@ -36,16 +36,16 @@
     {
         if (demand.waiting == 0 && demand.running == 0)
         {
-            const auto found = statements_.find (demand.target);
-            if (found == statements_.end())
+            const auto found = m_statements.find (demand.target);
+            if (found == m_statements.end())
                 continue;
             found->second.erase (source);
             if (found->second.empty())
-                statements_.erase (found);
+                m_statements.erase (found);
         }
-        else if (statements_.size() < kMaximumTargets || statements_.count (demand.target) != 0)
+        else if (m_statements.size() < kMaximumTargets || m_statements.count (demand.target) != 0)
         {
-            Statement& statement = statements_[demand.target][source];
+            Statement& statement = m_statements[demand.target][source];
             // Running requests are as urgent as they were while they waited.
             const int formerUrgency = statement.demand.mostUrgent;
             statement = Statement{ demand, now };
@@ -57,26 +57,26 @@
 
 void DemandTable::forget (DemandSource source)
 {
-    for (auto& [target, sources] : statements_)
+    for (auto& [target, sources] : m_statements)
         sources.erase (source);
-    std::erase_if (statements_, [] (const auto& entry) { return entry.second.empty(); });
+    std::erase_if (m_statements, [] (const auto& entry) { return entry.second.empty(); });
 }
 
 void DemandTable::expire (base::TimePoint now)
 {
-    for (auto& [target, sources] : statements_)
+    for (auto& [target, sources] : m_statements)
     {
         std::erase_if (sources, [&] (const auto& entry)
                        { return now - entry.second.statedAt > kStatementLifetime; });
     }
-    std::erase_if (statements_, [] (const auto& entry) { return entry.second.empty(); });
+    std::erase_if (m_statements, [] (const auto& entry) { return entry.second.empty(); });
 }
 
 placement::TargetDemand DemandTable::total (const std::string& target) const
 {
     placement::TargetDemand total;
-    const auto found = statements_.find (target);
-    if (found == statements_.end())
+    const auto found = m_statements.find (target);
+    if (found == m_statements.end())
         return total;
     for (const auto& [source, statement] : found->second)
         add (statement.demand, total);
@@ -86,22 +86,22 @@
 std::map<std::string, placement::TargetDemand> DemandTable::totals() const
 {
     std::map<std::string, placement::TargetDemand> totals;
-    for (const auto& [target, sources] : statements_)
+    for (const auto& [target, sources] : m_statements)
         totals[target] = total (target);
     return totals;
 }
 
 std::uint32_t DemandTable::askers (const std::string& target) const
 {
-    const auto found = statements_.find (target);
-    return found == statements_.end() ? 0 : static_cast<std::uint32_t> (found->second.size());
+    const auto found = m_statements.find (target);
+    return found == m_statements.end() ? 0 : static_cast<std::uint32_t> (found->second.size());
 }
 
 std::vector<DemandSource> DemandTable::sourcesOf (const std::string& target) const
 {
     std::vector<DemandSource> sources;
-    const auto found = statements_.find (target);
-    if (found == statements_.end())
+    const auto found = m_statements.find (target);
+    if (found == m_statements.end())
         return sources;
     for (const auto& [source, statement] : found->second)
         sources.push_back (source);
@@ -110,8 +110,8 @@
 
 bool DemandTable::asks (DemandSource source, const std::string& target) const
 {
-    const auto found = statements_.find (target);
-    return found != statements_.end() && found->second.count (source) != 0;
+    const auto found = m_statements.find (target);
+    return found != m_statements.end() && found->second.count (source) != 0;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/DemandTable.h
+++ b/src/controller/DemandTable.h
@@ -44,7 +44,7 @@
         base::TimePoint statedAt{};
     };
 
-    std::map<std::string, std::map<DemandSource, Statement>> statements_;
+    std::map<std::string, std::map<DemandSource, Statement>> m_statements;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/DemandTableTest.cpp
+++ b/src/controller/DemandTableTest.cpp
@@ -23,10 +23,10 @@
 protected:
     void report (DemandSource source, const cell::Demand& demand)
     {
-        table_.report (source, { { demand } }, now_);
+        m_table.report (source, { { demand } }, m_now);
     }
-    DemandTable table_;
-    base::TimePoint now_{ base::seconds (1) };
+    DemandTable m_table;
+    base::TimePoint m_now{ base::seconds (1) };
 };
 
 TEST_F (DemandTableTest, AddsUpSourcesAndReplacesWhatEachSaid)
@@ -34,34 +34,34 @@
     report (1, demandOf ("a", 3, 1, 5));
     report (2, demandOf ("a", 2, 0, 1));
     report (1, demandOf ("a", 4, 2, 5));
-    const placement::TargetDemand total = table_.total ("a");
+    const placement::TargetDemand total = m_table.total ("a");
     EXPECT_EQ (total.waiting, 6U);
     EXPECT_EQ (total.running, 2U);
     EXPECT_EQ (total.mostUrgent, 1);
-    EXPECT_EQ (table_.sourcesOf ("a"), (std::vector<DemandSource>{ 1, 2 }));
+    EXPECT_EQ (m_table.sourcesOf ("a"), (std::vector<DemandSource>{ 1, 2 }));
 }
 
 TEST_F (DemandTableTest, EndsWithAStatementOfNoneWithTheSourceOrWithTime)
 {
     report (1, demandOf ("a", 1, 0));
     report (1, demandOf ("a", 0, 0));
-    EXPECT_TRUE (table_.totals().empty());
+    EXPECT_TRUE (m_table.totals().empty());
     report (1, demandOf ("a", 1, 0));
-    table_.forget (1);
-    EXPECT_TRUE (table_.totals().empty());
+    m_table.forget (1);
+    EXPECT_TRUE (m_table.totals().empty());
     report (1, demandOf ("a", 1, 0));
-    now_ += base::seconds (31);
-    table_.expire (now_);
-    EXPECT_TRUE (table_.totals().empty());
+    m_now += base::seconds (31);
+    m_table.expire (m_now);
+    EXPECT_TRUE (m_table.totals().empty());
 }
 
 TEST_F (DemandTableTest, RunningRequestsKeepTheUrgencyTheyWaitedWith)
 {
     report (1, demandOf ("a", 1, 0, 0));
     report (1, demandOf ("a", 0, 1));
-    EXPECT_EQ (table_.total ("a").mostUrgent, 0);
+    EXPECT_EQ (m_table.total ("a").mostUrgent, 0);
     report (1, demandOf ("a", 1, 1, 4));
-    EXPECT_EQ (table_.total ("a").mostUrgent, 4);
+    EXPECT_EQ (m_table.total ("a").mostUrgent, 4);
 }
 
 TEST_F (DemandTableTest, NumberOfTargetsIsBounded)
@@ -71,9 +71,9 @@
         report (1, demandOf (std::to_string (number), 1, 0));
     }
     report (1, demandOf ("one more", 1, 0));
-    EXPECT_EQ (table_.totals().size(), DemandTable::kMaximumTargets);
+    EXPECT_EQ (m_table.totals().size(), DemandTable::kMaximumTargets);
     report (2, demandOf ("1", 4, 0));
-    EXPECT_EQ (table_.total ("1").waiting, 5U);
+    EXPECT_EQ (m_table.total ("1").waiting, 5U);
 }
 
 }  // namespace
--- a/src/controller/EngineClient.cpp
+++ b/src/controller/EngineClient.cpp
@@ -14,46 +14,46 @@
     using End = std::function<void (const http::AnswerHead* head, const std::string& body)>;
 
     Call (base::SocketAddress address, base::Duration timeout, End onEnd)
-        : onEnd_ (std::move (onEnd)),
-          connection_ (std::make_shared<http::BackEndConnection> (std::move (address), timeout))
+        : m_onEnd (std::move (onEnd)),
+          m_connection (std::make_shared<http::BackEndConnection> (std::move (address), timeout))
     {
-        timer_.setSingleShot (true);
-        QObject::connect (&timer_, &QTimer::timeout, &timer_, [this] { end (false); });
-        timer_.start (std::chrono::duration_cast<base::milliseconds> (timeout));
+        m_timer.setSingleShot (true);
+        QObject::connect (&m_timer, &QTimer::timeout, &m_timer, [this] { end (false); });
+        m_timer.start (std::chrono::duration_cast<base::milliseconds> (timeout));
     }
-    ~Call() override { connection_->detach(); }
+    ~Call() override { m_connection->detach(); }
 
     void send (std::string request)
     {
         http::BackEndConnection::Call call;
         call.bytes = std::move (request);
-        connection_->send (std::move (call), this);
+        m_connection->send (std::move (call), this);
     }
 
     void onSent() override {}
-    void onHead (http::AnswerHead head) override { head_ = std::move (head); }
-    void onBody (std::string_view data) override { body_.append (data); }
+    void onHead (http::AnswerHead head) override { m_head = std::move (head); }
+    void onBody (std::string_view data) override { m_body.append (data); }
     void onDone() override { end (true); }
     void onFailed (http::BackEndFailure /*failure*/) override { end (false); }
 
 private:
     void end (bool isWhole)
     {
-        timer_.stop();
-        const End onEnd = std::exchange (onEnd_, nullptr);
+        m_timer.stop();
+        const End onEnd = std::exchange (m_onEnd, nullptr);
         if (onEnd)
-            onEnd (isWhole ? &head_ : nullptr, body_);
+            onEnd (isWhole ? &m_head : nullptr, m_body);
     }
 
-    End onEnd_;
-    std::shared_ptr<http::BackEndConnection> connection_;
-    http::AnswerHead head_;
-    std::string body_;
-    QTimer timer_;
+    End m_onEnd;
+    std::shared_ptr<http::BackEndConnection> m_connection;
+    http::AnswerHead m_head;
+    std::string m_body;
+    QTimer m_timer;
 };
 
 EngineClient::EngineClient (std::shared_ptr<const EngineCodec> codec, base::Duration timeout)
-    : codec_ (std::move (codec)), timeout_ (timeout)
+    : m_codec (std::move (codec)), m_timeout (timeout)
 {
 }
 EngineClient::~EngineClient() = default;
@@ -65,19 +65,19 @@
     const auto parsed =
         base::handleErrors ([&] { return base::SocketAddress::parse (address); },
                             [] (const base::Error&) { return base::SocketAddress(); });
-    const std::uint64_t number = ++lastCall_;
+    const std::uint64_t number = ++m_lastCall;
     auto call = std::make_unique<Call> (
-        parsed, timeout_,
+        parsed, m_timeout,
         [this, number, onEnd = std::move (onEnd)] (const http::AnswerHead* head,
                                                    const std::string& body)
         {
             // The call is still on the stack: it goes once control is
             // back in the event loop.
-            QTimer::singleShot (0, &context_, [this, number] { calls_.erase (number); });
+            QTimer::singleShot (0, &m_context, [this, number] { m_calls.erase (number); });
             onEnd (head, body);
         });
     Call& started = *call;
-    calls_.emplace (number, std::move (call));
+    m_calls.emplace (number, std::move (call));
     started.send (std::move (request));
 }
 
@@ -85,10 +85,10 @@
                               std::function<void (engine::OrderOutcome)> onAnswer)
 {
     start (
-        address, codec_->orderRequest (order, address),
+        address, m_codec->orderRequest (order, address),
         [this, onAnswer = std::move (onAnswer)] (const http::AnswerHead* head, const std::string&) {
             onAnswer (head == nullptr ? engine::OrderOutcome::kUnknown
-                                      : codec_->orderOutcome (*head));
+                                      : m_codec->orderOutcome (*head));
         });
 }
 
@@ -96,7 +96,7 @@
                                std::function<void (const engine::ServiceReport*)> onReport)
 {
     constexpr int kOk = 200;
-    start (address, codec_->reportRequest (instance, address),
+    start (address, m_codec->reportRequest (instance, address),
            [this, onReport = std::move (onReport)] (const http::AnswerHead* head,
                                                     const std::string& body)
            {
@@ -108,7 +108,7 @@
                base::handleErrors (
                    [&]() -> base::Result<void>
                    {
-                       BOOST_LEAF_AUTO (report, codec_->parseReport (body));
+                       BOOST_LEAF_AUTO (report, m_codec->parseReport (body));
                        onReport (&report);
                        return {};
                    },
--- a/src/controller/EngineClient.h
+++ b/src/controller/EngineClient.h
@@ -34,11 +34,11 @@
     void start (const std::string& address, std::string request,
                 std::function<void (const http::AnswerHead* head, const std::string& body)> onEnd);
 
-    std::shared_ptr<const EngineCodec> codec_;
-    base::Duration timeout_;
-    std::uint64_t lastCall_ = 0;
-    std::map<std::uint64_t, std::unique_ptr<Call>> calls_;
-    QObject context_;
+    std::shared_ptr<const EngineCodec> m_codec;
+    base::Duration m_timeout;
+    std::uint64_t m_lastCall = 0;
+    std::map<std::uint64_t, std::unique_ptr<Call>> m_calls;
+    QObject m_context;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/EngineClientTest.cpp
+++ b/src/controller/EngineClientTest.cpp
@@ -41,17 +41,17 @@
 class DarkPort
 {
 public:
-    DarkPort() : listener_ (::socket (AF_INET, SOCK_STREAM, 0))
+    DarkPort() : m_listener (::socket (AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
         socklen_t length = sizeof address;
-        ::bind (listener_, reinterpret_cast<sockaddr*> (&address), length);
-        ::listen (listener_, 0);
-        ::getsockname (listener_, reinterpret_cast<sockaddr*> (&address), &length);
-        port_ = ntohs (address.sin_port);
-        for (int& filler : fillers_)
+        ::bind (m_listener, reinterpret_cast<sockaddr*> (&address), length);
+        ::listen (m_listener, 0);
+        ::getsockname (m_listener, reinterpret_cast<sockaddr*> (&address), &length);
+        m_port = ntohs (address.sin_port);
+        for (int& filler : m_fillers)
         {
             filler = ::socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
             ::connect (filler, reinterpret_cast<sockaddr*> (&address), sizeof address);
@@ -59,16 +59,16 @@
     }
     ~DarkPort()
     {
-        for (const int filler : fillers_)
+        for (const int filler : m_fillers)
             ::close (filler);
-        ::close (listener_);
+        ::close (m_listener);
     }
-    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string (port_); }
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string (m_port); }
 
 private:
-    int listener_;
-    std::uint16_t port_ = 0;
-    int fillers_[3] = { -1, -1, -1 };
+    int m_listener;
+    std::uint16_t m_port = 0;
+    int m_fillers[3] = { -1, -1, -1 };
 };
 
 TEST (EngineClientTest, ACallThatIsNotAnsweredEndsOnceAsUnknown)
