--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -7,7 +7,7 @@
 
 bool InstanceTable::onHeartbeat (const InstanceHeartbeat& heartbeat, base::TimePoint now)
 {
-    Sighting& sighting = sightings_[heartbeat.instance.id];
+    Sighting& sighting = m_sightings[heartbeat.instance.id];
     const bool isLate = sighting.isReported && heartbeat.sequence <= sighting.sequence;
     if (isLate)
         return false;
@@ -24,7 +24,7 @@
 
 void InstanceTable::noteSuccessor (const InstanceHeartbeat& heartbeat, base::TimePoint now)
 {
-    for (const auto& [id, row] : rows_)
+    for (const auto& [id, row] : m_rows)
     {
         const bool isReplaced =
             id != heartbeat.instance.id && row.instance.address == heartbeat.instance.address;
@@ -35,15 +35,15 @@
 
 void InstanceTable::onUnreachable (const std::string& id, base::TimePoint now)
 {
-    const auto found = sightings_.find (id);
-    if (found != sightings_.end())
+    const auto found = m_sightings.find (id);
+    if (found != m_sightings.end())
         found->second.unreachableAt = now;
 }
 
 void InstanceTable::setModels (const std::string& id, std::vector<cell::HeldModel> models)
 {
-    const auto found = sightings_.find (id);
-    if (found == sightings_.end())
+    const auto found = m_sightings.find (id);
+    if (found == m_sightings.end())
         return;
     found->second.isReported = true;
     found->second.isPlaced = true;
@@ -56,11 +56,11 @@
     {
         // A new leader counts silence from when it first looked.
         Sighting& sighting =
-            sightings_.try_emplace (id, Sighting{ now, {}, 0, false, false, {} }).first->second;
+            m_sightings.try_emplace (id, Sighting{ now, {}, 0, false, false, {} }).first->second;
         cell::RoutableInstance row;
         row.instance = instance;
         row.isSilent =
-            now - sighting.heardAt >= silence_ || sighting.unreachableAt > sighting.heardAt;
+            now - sighting.heardAt >= m_silence || sighting.unreachableAt > sighting.heardAt;
         if (sighting.isReported)
         {
             row.instance.isReported = true;
@@ -68,38 +68,38 @@
         }
         put (row);
     }
-    for (auto row = rows_.begin(); row != rows_.end();)
+    for (auto row = m_rows.begin(); row != m_rows.end();)
     {
         if (agreed.find (row->first) != nullptr)
         {
             ++row;
             continue;
         }
-        removedAt_[row->first] = ++version_;
-        changedAt_.erase (row->first);
-        sightings_.erase (row->first);
-        row = rows_.erase (row);
+        m_removedAt[row->first] = ++m_version;
+        m_changedAt.erase (row->first);
+        m_sightings.erase (row->first);
+        row = m_rows.erase (row);
     }
 }
 
 void InstanceTable::put (const cell::RoutableInstance& row)
 {
     const std::string& id = row.instance.id;
-    const auto found = rows_.find (id);
-    if (found != rows_.end() && found->second == row)
+    const auto found = m_rows.find (id);
+    if (found != m_rows.end() && found->second == row)
         return;
-    rows_[id] = row;
-    changedAt_[id] = ++version_;
-    removedAt_.erase (id);
+    m_rows[id] = row;
+    m_changedAt[id] = ++m_version;
+    m_removedAt.erase (id);
 }
 
 std::vector<std::string> InstanceTable::silentFor (base::Duration limit, base::TimePoint now) const
 {
     std::vector<std::string> silent;
-    for (const auto& [id, row] : rows_)
+    for (const auto& [id, row] : m_rows)
     {
-        const auto sighting = sightings_.find (id);
-        if (sighting != sightings_.end() && now - sighting->second.heardAt >= limit)
+        const auto sighting = m_sightings.find (id);
+        if (sighting != m_sightings.end() && now - sighting->second.heardAt >= limit)
         {
             silent.push_back (id);
         }
@@ -110,17 +110,17 @@
 cell::InstanceUpdate InstanceTable::updateSince (std::uint64_t version) const
 {
     cell::InstanceUpdate update;
-    update.term = term_;
+    update.term = m_term;
     update.fromVersion = version;
-    update.toVersion = version_;
-    for (const auto& [id, changed] : changedAt_)
+    update.toVersion = m_version;
+    for (const auto& [id, changed] : m_changedAt)
     {
         if (changed > version)
-            update.upserts.push_back (rows_.at (id));
+            update.upserts.push_back (m_rows.at (id));
     }
     if (version == 0)
         return update;
-    for (const auto& [id, removed] : removedAt_)
+    for (const auto& [id, removed] : m_removedAt)
     {
         if (removed > version)
             update.removals.push_back (id);
--- a/src/controller/InstanceTable.h
+++ b/src/controller/InstanceTable.h
@@ -21,7 +21,7 @@
 {
 public:
     /// An instance that was not heard for `silence` is told as silent to routers.
-    InstanceTable (base::Term term, base::Duration silence) : term_ (term), silence_ (silence) {}
+    InstanceTable (base::Term term, base::Duration silence) : m_term (term), m_silence (silence) {}
 
     /// Notes a heartbeat; false when a later one was noted before.
     bool onHeartbeat (const InstanceHeartbeat& heartbeat, base::TimePoint now);
@@ -37,9 +37,9 @@
                                                       base::TimePoint now) const;
     [[nodiscard]] const std::map<std::string, cell::RoutableInstance>& rows() const
     {
-        return rows_;
+        return m_rows;
     }
-    [[nodiscard]] std::uint64_t version() const { return version_; }
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
     /// What changed since a version of this term; 0: the whole table.
     [[nodiscard]] cell::InstanceUpdate updateSince (std::uint64_t version) const;
 
@@ -58,13 +58,13 @@
     /// Another instance that is heard at the same address has taken the place of this one.
     void noteSuccessor (const InstanceHeartbeat& heartbeat, base::TimePoint now);
 
-    base::Term term_;
-    base::Duration silence_;
-    std::uint64_t version_ = 1;
-    std::map<std::string, Sighting> sightings_;
-    std::map<std::string, cell::RoutableInstance> rows_;
-    std::map<std::string, std::uint64_t> changedAt_;  ///< Version in which a row last changed.
-    std::map<std::string, std::uint64_t> removedAt_;  ///< The same for rows that are gone.
+    base::Term m_term;
+    base::Duration m_silence;
+    std::uint64_t m_version = 1;
+    std::map<std::string, Sighting> m_sightings;
+    std::map<std::string, cell::RoutableInstance> m_rows;
+    std::map<std::string, std::uint64_t> m_changedAt;  ///< Version in which a row last changed.
+    std::map<std::string, std::uint64_t> m_removedAt;  ///< The same for rows that are gone.
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/LoadEstimatesTest.cpp
+++ b/src/controller/LoadEstimatesTest.cpp
@@ -39,7 +39,7 @@
         command.machine.role = engine::MachineRole::kModelRunner;
         command.machine.memory = memory;
         command.incarnation = 1;
-        table_.observe (command, nullptr);
+        m_table.observe (command, nullptr);
     }
 
     base::ReplicaId load (const std::string& model, base::UnixMilliseconds decidedAt)
@@ -49,18 +49,18 @@
         command.incarnation = 1;
         command.model = base::ModelName{ model };
         command.proposedAt = decidedAt;
-        EXPECT_EQ (table_.load (++index_, command, &catalogue_), cell::LoadRefusal::kNone);
-        return index_;
+        EXPECT_EQ (m_table.load (++m_index, command, &m_catalogue), cell::LoadRefusal::kNone);
+        return m_index;
     }
 
     ReadyEstimates estimatesAt (base::UnixMilliseconds cellTime)
     {
-        return estimateTargets (table_, catalogue_, cellTime, kNow);
+        return estimateTargets (m_table, m_catalogue, cellTime, kNow);
     }
 
-    config::Catalogue catalogue_ = catalogueOf ({ "first", "second" });
-    cell::ReplicaTable table_;
-    base::LogIndex index_ = 0;
+    config::Catalogue m_catalogue = catalogueOf ({ "first", "second" });
+    cell::ReplicaTable m_table;
+    base::LogIndex m_index = 0;
 };
 
 TEST_F (LoadEstimatesTest, SaysNothingBeforeALoadWasMeasured)
@@ -73,7 +73,7 @@
 TEST_F (LoadEstimatesTest, CountsDownFromThePaceOfEarlierLoads)
 {
     addRunner (4 * kModelMemory);
-    table_.ready (load ("first", kStart), kStart + 8000);
+    m_table.ready (load ("first", kStart), kStart + 8000);
     load ("second", kStart + 10'000);
     const ReadyEstimates estimates = estimatesAt (kStart + 13'000);
     ASSERT_EQ (estimates.size(), 1U);
@@ -84,7 +84,7 @@
 TEST_F (LoadEstimatesTest, GrowsWithAnOverrun)
 {
     addRunner (4 * kModelMemory);
-    table_.ready (load ("first", kStart), kStart + 8000);
+    m_table.ready (load ("first", kStart), kStart + 8000);
     load ("second", kStart + 10'000);
     EXPECT_EQ (estimatesAt (kStart + 30'000).at ("second").readyAt, kNow + base::seconds (10));
 }
@@ -92,7 +92,7 @@
 TEST_F (LoadEstimatesTest, ReadyTargetHasNoEstimate)
 {
     addRunner (4 * kModelMemory);
-    table_.ready (load ("first", kStart), kStart + 8000);
+    m_table.ready (load ("first", kStart), kStart + 8000);
     EXPECT_TRUE (estimatesAt (kStart + 9000).empty());
 }
 
--- a/src/controller/MemberAdmission.cpp
+++ b/src/controller/MemberAdmission.cpp
@@ -36,11 +36,11 @@
 class Liveness
 {
 public:
-    explicit Liveness (const consensus::RaftStatus& status) : status_ (status) {}
+    explicit Liveness (const consensus::RaftStatus& status) : m_status (status) {}
 
     [[nodiscard]] base::Duration silenceOf (base::MemberId id) const
     {
-        for (const consensus::MemberProgress& progress : status_.progress)
+        for (const consensus::MemberProgress& progress : m_status.progress)
         {
             if (progress.member.id == id)
                 return progress.sinceLastReply;
@@ -55,7 +55,7 @@
     {
         const consensus::Member* replaced = nullptr;
         std::size_t voters = 0;
-        for (const consensus::Member& member : status_.members.members)
+        for (const consensus::Member& member : m_status.members.members)
         {
             if (! member.isVoter)
                 continue;
@@ -69,14 +69,14 @@
                 replaced = &member;
             }
         }
-        return voters > status_.members.targetSize ? replaced : nullptr;
+        return voters > m_status.members.targetSize ? replaced : nullptr;
     }
 
 private:
     /// Whether a voter that answers has the address of this one.
     [[nodiscard]] bool isReplaced (const consensus::Member& member) const
     {
-        return std::ranges::any_of (status_.members.members,
+        return std::ranges::any_of (m_status.members.members,
                                     [&] (const consensus::Member& other)
                                     {
                                         return other.id != member.id && other.isVoter
@@ -85,7 +85,7 @@
                                     });
     }
 
-    const consensus::RaftStatus& status_;
+    const consensus::RaftStatus& m_status;
 };
 
 bool hasCaughtUp (const consensus::RaftStatus& status, base::MemberId id)
@@ -104,13 +104,13 @@
 void MemberAdmission::onJoinRequest (const consensus::Member& member, bool isFounding,
                                      base::TimePoint now)
 {
-    candidates_[member.id] = { member, isFounding, now };
+    m_candidates[member.id] = { member, isFounding, now };
 }
 
 std::optional<consensus::MemberSet> MemberAdmission::nextChange (
     const consensus::RaftStatus& status, base::TimePoint now)
 {
-    std::erase_if (candidates_,
+    std::erase_if (m_candidates,
                    [&] (const auto& item) { return now - item.second.askedAt > kRequestLife; });
     const Liveness liveness (status);
     const consensus::MemberSet& members = status.members;
@@ -131,7 +131,7 @@
         if (isLost)
             return without (members, member.id);
     }
-    for (const auto& item : candidates_)
+    for (const auto& item : m_candidates)
     {
         const Candidate& candidate = item.second;
         const bool isKnown =
--- a/src/controller/MemberAdmission.h
+++ b/src/controller/MemberAdmission.h
@@ -41,7 +41,7 @@
         base::TimePoint askedAt{};
     };
 
-    std::map<base::MemberId, Candidate> candidates_;
+    std::map<base::MemberId, Candidate> m_candidates;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/MemberAdmissionTest.cpp
+++ b/src/controller/MemberAdmissionTest.cpp
@@ -20,9 +20,9 @@
 protected:
     MemberAdmissionTest()
     {
-        status_.self = 1;
-        status_.commitIndex = 10;
-        status_.members.targetSize = 3;
+        m_status.self = 1;
+        m_status.commitIndex = 10;
+        m_status.members.targetSize = 3;
         add (memberOf (1, "a"), {});
         add (memberOf (2, "b"), {});
         add (memberOf (3, "c"), {});
@@ -30,14 +30,14 @@
 
     void add (const consensus::Member& member, base::Duration silence)
     {
-        status_.members.members.push_back (member);
-        if (member.id == status_.self)
+        m_status.members.members.push_back (member);
+        if (member.id == m_status.self)
             return;
-        status_.progress.push_back ({ member, status_.commitIndex, silence, false });
+        m_status.progress.push_back ({ member, m_status.commitIndex, silence, false });
     }
     void silence (base::MemberId id, base::Duration duration)
     {
-        for (consensus::MemberProgress& progress : status_.progress)
+        for (consensus::MemberProgress& progress : m_status.progress)
         {
             if (progress.member.id == id)
                 progress.sinceLastReply = duration;
@@ -46,7 +46,7 @@
     std::vector<base::MemberId> nextIds()
     {
         std::vector<base::MemberId> ids;
-        const auto change = admission_.nextChange (status_, kNow);
+        const auto change = m_admission.nextChange (m_status, kNow);
         if (! change)
             return ids;
         for (const consensus::Member& member : change->members)
@@ -54,8 +54,8 @@
         return ids;
     }
 
-    consensus::RaftStatus status_;
-    MemberAdmission admission_;
+    consensus::RaftStatus m_status;
+    MemberAdmission m_admission;
 };
 
 using Ids = std::vector<base::MemberId>;
@@ -68,21 +68,21 @@
 
 TEST_F (MemberAdmissionTest, AControllerThatAsksBecomesALearnerAndThenAVoter)
 {
-    admission_.onJoinRequest (memberOf (9, "d"), false, kNow);
-    const auto added = admission_.nextChange (status_, kNow);
+    m_admission.onJoinRequest (memberOf (9, "d"), false, kNow);
+    const auto added = m_admission.nextChange (m_status, kNow);
     ASSERT_TRUE (added);
     EXPECT_FALSE (added->members.back().isVoter);
     EXPECT_EQ (added->targetSize, 3U);
     add (memberOf (9, "d", false), {});
-    const auto promoted = admission_.nextChange (status_, kNow);
+    const auto promoted = m_admission.nextChange (m_status, kNow);
     ASSERT_TRUE (promoted);
     EXPECT_TRUE (promoted->members.back().isVoter);
 }
 
 TEST_F (MemberAdmissionTest, AFounderAddsToTheSizeOfTheCell)
 {
-    admission_.onJoinRequest (memberOf (9, "d"), true, kNow);
-    const auto added = admission_.nextChange (status_, kNow);
+    m_admission.onJoinRequest (memberOf (9, "d"), true, kNow);
+    const auto added = m_admission.nextChange (m_status, kNow);
     ASSERT_TRUE (added);
     EXPECT_EQ (added->targetSize, 4U);
 }
@@ -90,7 +90,7 @@
 TEST_F (MemberAdmissionTest, ALearnerThatLagsIsNotPromoted)
 {
     add (memberOf (9, "d", false), {});
-    status_.progress.back().matchIndex = 9;
+    m_status.progress.back().matchIndex = 9;
     EXPECT_TRUE (nextIds().empty());
 }
 
@@ -99,7 +99,7 @@
     silence (3, kSilent);
     add (memberOf (9, "d", false), {});
     EXPECT_EQ (nextIds(), (Ids{ 1, 2, 3, 9 }));  // Promoted first.
-    status_.members.members.back().isVoter = true;
+    m_status.members.members.back().isVoter = true;
     EXPECT_EQ (nextIds(), (Ids{ 1, 2, 9 }));
 }
 
@@ -115,14 +115,14 @@
 {
     silence (2, 2 * kSilent);
     silence (3, kSilent);
-    status_.members.targetSize = 4;
+    m_status.members.targetSize = 4;
     add (memberOf (9, "c"), {});
     EXPECT_EQ (nextIds(), (Ids{ 1, 2, 9 }));
 }
 
 TEST_F (MemberAdmissionTest, ARequestToJoinIsForgottenAfterAWhile)
 {
-    admission_.onJoinRequest (memberOf (9, "d"), false, kNow - base::seconds (10));
+    m_admission.onJoinRequest (memberOf (9, "d"), false, kNow - base::seconds (10));
     EXPECT_TRUE (nextIds().empty());
 }
 
--- a/src/controller/MembersAdminTest.cpp
+++ b/src/controller/MembersAdminTest.cpp
@@ -23,46 +23,46 @@
     {
         test::TestCell::Options options;
         options.controller.cell = base::CellId ("c");
-        cell_ = std::make_unique<test::TestCell> (options);
+        m_cell = std::make_unique<test::TestCell> (options);
     }
 
-    std::unique_ptr<test::TestCell> cell_;
+    std::unique_ptr<test::TestCell> m_cell;
 };
 
 TEST_F (MembersAdminTest, PromotionOfAnUnknownMemberIsNotFound)
 {
-    ASSERT_TRUE (cell_->awaitLeader());
-    const auto answer = cell_->ask (cell_->leader(), AdminPromoteMember{ 77 });
+    ASSERT_TRUE (m_cell->awaitLeader());
+    const auto answer = m_cell->ask (m_cell->leader(), AdminPromoteMember{ 77 });
     ASSERT_TRUE (answer);
     EXPECT_EQ (answer->httpStatus, kNotFound) << answer->json;
 }
 
 TEST_F (MembersAdminTest, ChangeIsAnsweredOnlyOnceCommitted)
 {
-    ASSERT_TRUE (cell_->awaitLeader());
-    const base::MemberId leader = cell_->leader();
+    ASSERT_TRUE (m_cell->awaitLeader());
+    const base::MemberId leader = m_cell->leader();
     const base::MemberId first = leader % 3 + 1;
     const base::MemberId second = first % 3 + 1;
-    cell_->cut (first, true);
-    cell_->cut (second, true);
-    const auto uncommitted = cell_->ask (leader, AdminRemoveMember{ first });
+    m_cell->cut (first, true);
+    m_cell->cut (second, true);
+    const auto uncommitted = m_cell->ask (leader, AdminRemoveMember{ first });
     ASSERT_TRUE (uncommitted) << "the end of leadership answers it";
     EXPECT_EQ (uncommitted->httpStatus, kUnavailable) << uncommitted->json;
-    cell_->cut (first, false);
-    cell_->cut (second, false);
-    ASSERT_TRUE (cell_->awaitLeader());
-    const base::MemberId removed = cell_->leader() % 3 + 1;
-    const auto committed = cell_->ask (cell_->leader(), AdminRemoveMember{ removed });
+    m_cell->cut (first, false);
+    m_cell->cut (second, false);
+    ASSERT_TRUE (m_cell->awaitLeader());
+    const base::MemberId removed = m_cell->leader() % 3 + 1;
+    const auto committed = m_cell->ask (m_cell->leader(), AdminRemoveMember{ removed });
     ASSERT_TRUE (committed);
     EXPECT_EQ (committed->httpStatus, kOk) << committed->json;
 }
 
 TEST_F (MembersAdminTest, ErrorsCarryTheLeaderAndTheProblems)
 {
-    ASSERT_TRUE (cell_->awaitLeader());
-    const base::MemberId follower = cell_->leader() % 3 + 1;
+    ASSERT_TRUE (m_cell->awaitLeader());
+    const base::MemberId follower = m_cell->leader() % 3 + 1;
     const auto refused =
-        cell_->ask (follower, AdminApply{ "version = 1", false, base::seconds (1) });
+        m_cell->ask (follower, AdminApply{ "version = 1", false, base::seconds (1) });
     ASSERT_TRUE (refused);
     const QJsonObject error = QJsonDocument::fromJson (QByteArray::fromStdString (refused->json))
                                   .object()
@@ -70,7 +70,7 @@
                                   .toObject();
     EXPECT_FALSE (error.value (u"leader").toString().isEmpty()) << refused->json;
     const auto invalid =
-        cell_->ask (cell_->leader(), AdminApply{ "version = 1", false, base::seconds (1) });
+        m_cell->ask (m_cell->leader(), AdminApply{ "version = 1", false, base::seconds (1) });
     ASSERT_TRUE (invalid);
     EXPECT_FALSE (QJsonDocument::fromJson (QByteArray::fromStdString (invalid->json))
                       .object()
--- a/src/controller/OrderNotes.cpp
+++ b/src/controller/OrderNotes.cpp
@@ -16,26 +16,26 @@
 {
     for (const cell::NotedOrder& order : note.orders)
     {
-        orderedAt_[order.instance] = now;
+        m_orderedAt[order.instance] = now;
         if (order.isFromStore)
-            storeLoads_.push_back (now);
+            m_storeLoads.push_back (now);
     }
-    std::erase_if (orderedAt_, [&] (const auto& item) { return now - item.second > kNoteLife; });
-    while (! storeLoads_.empty() && now - storeLoads_.front() > kNoteLife)
-        storeLoads_.pop_front();
+    std::erase_if (m_orderedAt, [&] (const auto& item) { return now - item.second > kNoteLife; });
+    while (! m_storeLoads.empty() && now - m_storeLoads.front() > kNoteLife)
+        m_storeLoads.pop_front();
 }
 
 void OrderNotes::forget (base::TimePoint now)
 {
-    knownFrom_ = now;
-    orderedAt_.clear();
-    storeLoads_.clear();
+    m_knownFrom = now;
+    m_orderedAt.clear();
+    m_storeLoads.clear();
 }
 
 base::TimePoint OrderNotes::orderedAt (const std::string& instance) const
 {
-    const auto found = orderedAt_.find (instance);
-    return found == orderedAt_.end() ? knownFrom_ : std::max (found->second, knownFrom_);
+    const auto found = m_orderedAt.find (instance);
+    return found == m_orderedAt.end() ? m_knownFrom : std::max (found->second, m_knownFrom);
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/OrderNotes.h
+++ b/src/controller/OrderNotes.h
@@ -17,7 +17,7 @@
 {
 public:
     /// Nothing is known of orders before `now`.
-    explicit OrderNotes (base::TimePoint now) : knownFrom_ (now) {}
+    explicit OrderNotes (base::TimePoint now) : m_knownFrom (now) {}
 
     /// A committed note was applied. Orders leave at that time or shortly after.
     void onNote (const cell::NoteOrders& note, base::TimePoint now);
@@ -27,13 +27,13 @@
     /// Latest time at which an order to the instance may have been noted.
     [[nodiscard]] base::TimePoint orderedAt (const std::string& instance) const;
     /// Times of loads from the weight store that were noted lately, oldest first.
-    [[nodiscard]] const std::deque<base::TimePoint>& storeLoads() const { return storeLoads_; }
-    [[nodiscard]] base::TimePoint knownFrom() const { return knownFrom_; }
+    [[nodiscard]] const std::deque<base::TimePoint>& storeLoads() const { return m_storeLoads; }
+    [[nodiscard]] base::TimePoint knownFrom() const { return m_knownFrom; }
 
 private:
-    base::TimePoint knownFrom_;
-    std::map<std::string, base::TimePoint> orderedAt_;
-    std::deque<base::TimePoint> storeLoads_;
+    base::TimePoint m_knownFrom;
+    std::map<std::string, base::TimePoint> m_orderedAt;
+    std::deque<base::TimePoint> m_storeLoads;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/OrderQueue.cpp
+++ b/src/controller/OrderQueue.cpp
@@ -40,13 +40,13 @@
 
 void OrderQueue::addStray (const base::RunnerId& runner, const engine::Order& order)
 {
-    queues_[runner].strays[order.fence] = order;
+    m_queues[runner].strays[order.fence] = order;
 }
 
 bool OrderQueue::hasStray (const base::RunnerId& runner, base::ReplicaId replica) const
 {
-    const auto found = queues_.find (runner);
-    if (found == queues_.end())
+    const auto found = m_queues.find (runner);
+    if (found == m_queues.end())
         return false;
     const auto& strays = found->second.strays;
     return std::any_of (strays.begin(), strays.end(),
@@ -56,21 +56,21 @@
 std::optional<engine::Order> OrderQueue::next (const base::RunnerId& runner,
                                                const cell::ReplicaTable& table, base::TimePoint now)
 {
-    Queue& queue = queues_[runner];
+    Queue& queue = m_queues[runner];
     pruneAnswered (queue, runner, table);
     pruneStrays (queue, runner, table);
     std::optional<engine::Order> order = firstUnanswered (queue, runner, table);
     if (! order)
     {
         if (queue.answered.empty())
-            queues_.erase (runner);
+            m_queues.erase (runner);
         return std::nullopt;
     }
     if (queue.sentFence == order->fence && now < queue.resendAt)
         return std::nullopt;
     queue.sentFence = order->fence;
-    queue.resendAt = now + orderTimeout_;
-    if (fault_ == cell::PlantedFault::kOrderWithoutFence)
+    queue.resendAt = now + m_orderTimeout;
+    if (m_fault == cell::PlantedFault::kOrderWithoutFence)
     {
         order->fence = static_cast<base::Fence> (std::numeric_limits<std::int64_t>::max());
     }
@@ -120,11 +120,11 @@
 
 void OrderQueue::onAnswered (const base::RunnerId& runner, base::Fence fence)
 {
-    const auto found = queues_.find (runner);
-    if (found == queues_.end())
+    const auto found = m_queues.find (runner);
+    if (found == m_queues.end())
         return;
     Queue& queue = found->second;
-    if (fault_ == cell::PlantedFault::kOrderWithoutFence)
+    if (m_fault == cell::PlantedFault::kOrderWithoutFence)
         fence = queue.sentFence;
     queue.answered.insert (fence);
     queue.strays.erase (fence);
@@ -134,11 +134,11 @@
 
 void OrderQueue::onFailed (const base::RunnerId& runner, base::Fence fence, base::TimePoint now)
 {
-    const auto found = queues_.find (runner);
-    if (found == queues_.end())
+    const auto found = m_queues.find (runner);
+    if (found == m_queues.end())
         return;
     const bool isCurrent =
-        found->second.sentFence == fence || fault_ == cell::PlantedFault::kOrderWithoutFence;
+        found->second.sentFence == fence || m_fault == cell::PlantedFault::kOrderWithoutFence;
     if (isCurrent)
         found->second.resendAt = now + kRetryPause;
 }
@@ -146,7 +146,7 @@
 std::vector<base::RunnerId> OrderQueue::waitingRunners() const
 {
     std::vector<base::RunnerId> runners;
-    for (const auto& [runner, queue] : queues_)
+    for (const auto& [runner, queue] : m_queues)
         runners.push_back (runner);
     return runners;
 }
--- a/src/controller/OrderQueue.h
+++ b/src/controller/OrderQueue.h
@@ -24,7 +24,7 @@
 {
 public:
     OrderQueue (base::Duration orderTimeout, cell::PlantedFault fault)
-        : orderTimeout_ (orderTimeout), fault_ (fault)
+        : m_orderTimeout (orderTimeout), m_fault (fault)
     {
     }
 
@@ -43,7 +43,7 @@
     void onFailed (const base::RunnerId& runner, base::Fence fence, base::TimePoint now);
     /// Runners with an order to send again or a pause to wait for.
     [[nodiscard]] std::vector<base::RunnerId> waitingRunners() const;
-    void forget (const base::RunnerId& runner) { queues_.erase (runner); }
+    void forget (const base::RunnerId& runner) { m_queues.erase (runner); }
 
 private:
     struct Queue
@@ -62,9 +62,9 @@
     static void pruneStrays (Queue& queue, const base::RunnerId& runner,
                              const cell::ReplicaTable& table);
 
-    base::Duration orderTimeout_;
-    cell::PlantedFault fault_;
-    std::map<base::RunnerId, Queue> queues_;
+    base::Duration m_orderTimeout;
+    cell::PlantedFault m_fault;
+    std::map<base::RunnerId, Queue> m_queues;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/OrderQueueTest.cpp
+++ b/src/controller/OrderQueueTest.cpp
@@ -30,12 +30,12 @@
 class OrderQueueTest : public ::testing::Test
 {
 protected:
-    OrderQueueTest() : state_ (&parse)
+    OrderQueueTest() : m_state (&parse)
     {
         apply (cell::ApplyConfiguration{ 1, base::sha256Hex ("text"), "text", 0 });
         observe (1);
     }
-    void apply (const cell::Command& command) { state_.apply (++index_, command); }
+    void apply (const cell::Command& command) { m_state.apply (++m_index, command); }
     void observe (base::Incarnation incarnation)
     {
         cell::ObserveRunner command;
@@ -47,14 +47,17 @@
     base::ReplicaId load (const std::string& model, base::Incarnation incarnation = 1)
     {
         apply (cell::DecideLoad{ kRunner, incarnation, base::ModelName (model), {}, 0, "", 0 });
-        return index_;
+        return m_index;
+    }
+    std::optional<engine::Order> next()
+    {
+        return m_orders.next (kRunner, m_state.replicas(), m_now);
     }
-    std::optional<engine::Order> next() { return orders_.next (kRunner, state_.replicas(), now_); }
 
-    cell::CellState state_;
-    base::LogIndex index_ = 0;
-    base::TimePoint now_{ base::seconds (1) };
-    OrderQueue orders_{ kTimeout, cell::PlantedFault::kNone };
+    cell::CellState m_state;
+    base::LogIndex m_index = 0;
+    base::TimePoint m_now{ base::seconds (1) };
+    OrderQueue m_orders{ kTimeout, cell::PlantedFault::kNone };
 };
 
 TEST_F (OrderQueueTest, SendsTheSameOrderAgainUntilItIsAnswered)
@@ -65,10 +68,10 @@
     EXPECT_EQ (first->fence, replica);
     EXPECT_EQ (first->incarnation, 1U);
     EXPECT_FALSE (next());
-    now_ += kTimeout;
+    m_now += kTimeout;
     EXPECT_EQ (next(), first);
-    orders_.onAnswered (kRunner, first->fence);
-    now_ += kTimeout;
+    m_orders.onAnswered (kRunner, first->fence);
+    m_now += kTimeout;
     EXPECT_FALSE (next());
 }
 
@@ -78,7 +81,7 @@
     const base::ReplicaId second = load ("b");
     EXPECT_EQ (next()->fence, first);
     EXPECT_FALSE (next());
-    orders_.onAnswered (kRunner, first);
+    m_orders.onAnswered (kRunner, first);
     EXPECT_EQ (next()->fence, second);
 }
 
@@ -90,7 +93,7 @@
     const auto order = next();
     ASSERT_TRUE (order);
     EXPECT_EQ (order->kind, engine::OrderKind::kUnloadModel);
-    EXPECT_EQ (order->fence, index_);
+    EXPECT_EQ (order->fence, m_index);
     EXPECT_EQ (order->replica, replica);
 }
 
@@ -99,26 +102,26 @@
     load ("a");
     const auto sent = next();
     OrderQueue ofNewLeader (kTimeout, cell::PlantedFault::kNone);
-    EXPECT_EQ (ofNewLeader.next (kRunner, state_.replicas(), now_), sent);
+    EXPECT_EQ (ofNewLeader.next (kRunner, m_state.replicas(), m_now), sent);
 }
 
 TEST_F (OrderQueueTest, StrayOfFormerIncarnationHoldsNothingUp)
 {
     engine::Order stray;
     stray.kind = engine::OrderKind::kUnloadModel;
-    stray.fence = ++index_;
+    stray.fence = ++m_index;
     stray.incarnation = 1;
     stray.replica = 99;
-    orders_.addStray (kRunner, stray);
+    m_orders.addStray (kRunner, stray);
     EXPECT_EQ (next(), stray);
     observe (2);
-    orders_.onFailed (kRunner, stray.fence, now_);
-    now_ += kTimeout;
+    m_orders.onFailed (kRunner, stray.fence, m_now);
+    m_now += kTimeout;
     const base::ReplicaId replica = load ("a", 2);
     const auto order = next();
     ASSERT_TRUE (order);
     EXPECT_EQ (order->replica, replica);
-    EXPECT_FALSE (orders_.hasStray (kRunner, stray.replica));
+    EXPECT_FALSE (m_orders.hasStray (kRunner, stray.replica));
 }
 
 }  // namespace
--- a/src/controller/PeerListener.cpp
+++ b/src/controller/PeerListener.cpp
@@ -21,48 +21,48 @@
 }  // namespace
 
 PeerListener::PeerListener (Handlers handlers, ControlTraffic* traffic)
-    : handlers_ (std::move (handlers)), traffic_ (traffic)
+    : m_handlers (std::move (handlers)), m_traffic (traffic)
 {
-    QObject::connect (&server_, &QTcpServer::newConnection, &server_, [this] { acceptAll(); });
+    QObject::connect (&m_server, &QTcpServer::newConnection, &m_server, [this] { acceptAll(); });
 }
 
 base::Result<base::SocketAddress> PeerListener::listen (const base::SocketAddress& address)
 {
-    server_.setListenBacklogSize (kListenBacklog);
-    if (! server_.listen (QHostAddress (QString::fromStdString (address.host)), address.port))
+    m_server.setListenBacklogSize (kListenBacklog);
+    if (! m_server.listen (QHostAddress (QString::fromStdString (address.host)), address.port))
     {
         return base::fail (base::ErrorKind::kConnectionFailed,
-                           address.toString() + ": " + server_.errorString().toStdString());
+                           address.toString() + ": " + m_server.errorString().toStdString());
     }
-    return base::SocketAddress{ address.host, server_.serverPort() };
+    return base::SocketAddress{ address.host, m_server.serverPort() };
 }
 
 void PeerListener::sendToRouter (RouterConnection connection,
                                  const cell::ControllerToRouter& message)
 {
-    const auto found = connections_.find (connection);
-    if (found == connections_.end())
+    const auto found = m_connections.find (connection);
+    if (found == m_connections.end())
         return;
     const std::string payload = wire::encodeMessage (message);
-    traffic_->record (Direction::kOut, kindOf (message), payload.size());
+    m_traffic->record (Direction::kOut, kindOf (message), payload.size());
     found->second.frames->send (wire::Channel::kControllerToRouter, payload);
 }
 
 void PeerListener::acceptAll()
 {
-    while (QTcpSocket* accepted = server_.nextPendingConnection())
+    while (QTcpSocket* accepted = m_server.nextPendingConnection())
     {
         accepted->setParent (nullptr);
         std::unique_ptr<QTcpSocket> socket (accepted);
-        if (connections_.size() >= kMaximumConnections)
+        if (m_connections.size() >= kMaximumConnections)
             continue;
-        const RouterConnection number = ++lastNumber_;
+        const RouterConnection number = ++m_lastNumber;
         wire::FrameConnectionOptions options;
         options.idleTimeout = kIdleTimeout;
         wire::FrameConnection::Handlers handlers;
         handlers.onFrame = [this, number] (const wire::Frame& frame) { onFrame (number, frame); };
         handlers.onClosed = [this, number] { forget (number); };
-        connections_[number].frames = std::make_unique<wire::FrameConnection> (
+        m_connections[number].frames = std::make_unique<wire::FrameConnection> (
             std::move (socket), options, std::move (handlers), nullptr);
     }
 }
@@ -91,17 +91,17 @@
         case wire::Channel::kMember:
         {
             BOOST_LEAF_AUTO (message, consensus::decode (frame.payload));
-            traffic_->record (Direction::kIn, kindOf (message.payload), frame.payload.size());
-            handlers_.onMemberMessage (message);
+            m_traffic->record (Direction::kIn, kindOf (message.payload), frame.payload.size());
+            m_handlers.onMemberMessage (message);
             return {};
         }
         case wire::Channel::kRouterToController:
         {
             BOOST_LEAF_AUTO (message,
                              wire::decodeMessage<cell::RouterToController> (frame.payload));
-            traffic_->record (Direction::kIn, kindOf (message), frame.payload.size());
-            connections_[number].isRouter = true;
-            handlers_.onRouterMessage (number, message);
+            m_traffic->record (Direction::kIn, kindOf (message), frame.payload.size());
+            m_connections[number].isRouter = true;
+            m_handlers.onRouterMessage (number, message);
             return {};
         }
         case wire::Channel::kControllerToRouter:
@@ -112,13 +112,13 @@
 
 void PeerListener::forget (RouterConnection number)
 {
-    const auto found = connections_.find (number);
-    if (found == connections_.end())
+    const auto found = m_connections.find (number);
+    if (found == m_connections.end())
         return;
     const bool isRouter = found->second.isRouter;
-    connections_.erase (found);
+    m_connections.erase (found);
     if (isRouter)
-        handlers_.onRouterGone (number);
+        m_handlers.onRouterGone (number);
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/PeerListener.h
+++ b/src/controller/PeerListener.h
@@ -38,7 +38,7 @@
     base::Result<base::SocketAddress> listen (const base::SocketAddress& address);
     /// Sends to a router; does nothing when its connection is gone.
     void sendToRouter (RouterConnection connection, const cell::ControllerToRouter& message);
-    [[nodiscard]] std::size_t openConnections() const { return connections_.size(); }
+    [[nodiscard]] std::size_t openConnections() const { return m_connections.size(); }
 
 private:
     struct Connection
@@ -53,11 +53,11 @@
     base::Result<void> dispatch (RouterConnection number, const wire::Frame& frame);
     void forget (RouterConnection number);
 
-    Handlers handlers_;
-    ControlTraffic* traffic_;
-    RouterConnection lastNumber_ = 0;
-    std::map<RouterConnection, Connection> connections_;
-    QTcpServer server_;
+    Handlers m_handlers;
+    ControlTraffic* m_traffic;
+    RouterConnection m_lastNumber = 0;
+    std::map<RouterConnection, Connection> m_connections;
+    QTcpServer m_server;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/PeerTransport.cpp
+++ b/src/controller/PeerTransport.cpp
@@ -18,11 +18,11 @@
 
 }  // namespace
 
-PeerTransport::PeerTransport (std::uint64_t randomSeed) : random_ (randomSeed) {}
+PeerTransport::PeerTransport (std::uint64_t randomSeed) : m_random (randomSeed) {}
 
 void PeerTransport::send (const std::string& address, std::string payload)
 {
-    Peer& peer = peers_[address];
+    Peer& peer = m_peers[address];
     if (peer.connection && peer.connection->isOpen())
     {
         peer.connection->send (wire::Channel::kMember, payload);
@@ -51,7 +51,7 @@
 
 void PeerTransport::onConnected (const std::string& address)
 {
-    Peer& peer = peers_[address];
+    Peer& peer = m_peers[address];
     peer.backoff = {};
     for (const std::string& payload : peer.unsent)
     {
@@ -63,20 +63,20 @@
 
 void PeerTransport::onClosed (const std::string& address)
 {
-    Peer& peer = peers_[address];
+    Peer& peer = m_peers[address];
     peer.connection.reset();
     peer.unsent.clear();
     peer.unsentBytes = 0;
     peer.isBackingOff = true;
     const auto pause = std::chrono::duration_cast<base::milliseconds> (nextBackoff (peer));
-    QTimer::singleShot (pause, &context_,
-                        [this, address] { peers_[address].isBackingOff = false; });
+    QTimer::singleShot (pause, &m_context,
+                        [this, address] { m_peers[address].isBackingOff = false; });
 }
 
 base::Duration PeerTransport::nextBackoff (Peer& peer)
 {
     peer.backoff = std::clamp (2 * peer.backoff, kFirstBackoff, kLongestBackoff);
-    const double factor = 1.0 - kBackoffSpread * random_.uniformReal();
+    const double factor = 1.0 - kBackoffSpread * m_random.uniformReal();
     return std::chrono::duration_cast<base::Duration> (peer.backoff * factor);
 }
 
--- a/src/controller/PeerTransport.h
+++ b/src/controller/PeerTransport.h
@@ -42,9 +42,9 @@
     /// The pause before the next attempt: doubles up to a limit, spread at random.
     base::Duration nextBackoff (Peer& peer);
 
-    base::Random random_;
-    std::map<std::string, Peer> peers_;
-    QObject context_;  ///< Last member: its timers end before the peers go.
+    base::Random m_random;
+    std::map<std::string, Peer> m_peers;
+    QObject m_context;  ///< Last member: its timers end before the peers go.
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/PeerTransportTest.cpp
+++ b/src/controller/PeerTransportTest.cpp
@@ -22,19 +22,19 @@
 
     void startListener (const base::SocketAddress& address)
     {
-        listener_.reset();
+        m_listener.reset();
         PeerListener::Handlers handlers;
         handlers.onMemberMessage = [this] (const consensus::Message& message)
-        { terms_.push_back (message.term); };
+        { m_terms.push_back (message.term); };
         handlers.onRouterMessage =
             [this] (RouterConnection connection, const cell::RouterToController& message)
-        { routerMessages_.emplace_back (connection, message.index()); };
+        { m_routerMessages.emplace_back (connection, message.index()); };
         handlers.onRouterGone = [this] (RouterConnection connection)
-        { gone_.push_back (connection); };
-        listener_ = std::make_unique<PeerListener> (handlers, &traffic_);
-        const auto bound = listener_->listen (address);
+        { m_gone.push_back (connection); };
+        m_listener = std::make_unique<PeerListener> (handlers, &m_traffic);
+        const auto bound = m_listener->listen (address);
         ASSERT_TRUE (bound);
-        address_ = *bound;
+        m_address = *bound;
     }
 
     static std::string messageOfTerm (base::Term term)
@@ -42,12 +42,12 @@
         return consensus::encode ({ 1, 2, term, consensus::VoteRequest{} });
     }
 
-    ControlTraffic traffic_;
-    std::vector<base::Term> terms_;
-    std::vector<std::pair<RouterConnection, std::size_t>> routerMessages_;
-    std::vector<RouterConnection> gone_;
-    base::SocketAddress address_;
-    std::unique_ptr<PeerListener> listener_;
+    ControlTraffic m_traffic;
+    std::vector<base::Term> m_terms;
+    std::vector<std::pair<RouterConnection, std::size_t>> m_routerMessages;
+    std::vector<RouterConnection> m_gone;
+    base::SocketAddress m_address;
+    std::unique_ptr<PeerListener> m_listener;
 };
 
 TEST_F (PeerTransportTest, deliversInOrderFromTheFirstMessageOn)
@@ -55,11 +55,11 @@
     PeerTransport transport (1);
     for (base::Term term = 1; term <= 20; ++term)
     {
-        transport.send (address_.toString(), messageOfTerm (term));
+        transport.send (m_address.toString(), messageOfTerm (term));
     }
-    ASSERT_TRUE (runUntil ([&] { return terms_.size() == 20; }));
-    EXPECT_TRUE (std::ranges::is_sorted (terms_));
-    EXPECT_NE (traffic_.metricsText().find (
+    ASSERT_TRUE (runUntil ([&] { return m_terms.size() == 20; }));
+    EXPECT_TRUE (std::ranges::is_sorted (m_terms));
+    EXPECT_NE (m_traffic.metricsText().find (
                    "fernlift_control_messages_total{direction=\"in\",kind=\"vote_request\"} 20"),
                std::string::npos);
 }
@@ -67,42 +67,42 @@
 TEST_F (PeerTransportTest, connectsAgainAfterThePeerRestarts)
 {
     PeerTransport transport (1);
-    transport.send (address_.toString(), messageOfTerm (1));
-    ASSERT_TRUE (runUntil ([&] { return terms_.size() == 1; }));
-    startListener (address_);
+    transport.send (m_address.toString(), messageOfTerm (1));
+    ASSERT_TRUE (runUntil ([&] { return m_terms.size() == 1; }));
+    startListener (m_address);
     ASSERT_TRUE (runUntil (
         [&]
         {
-            transport.send (address_.toString(), messageOfTerm (2));
-            return terms_.size() >= 2;
+            transport.send (m_address.toString(), messageOfTerm (2));
+            return m_terms.size() >= 2;
         }));
 }
 
 TEST_F (PeerTransportTest, dropsMessagesToAnAddressThatCannotBeReached)
 {
-    const std::string address = address_.toString();
-    listener_.reset();
+    const std::string address = m_address.toString();
+    m_listener.reset();
     PeerTransport transport (1);
     for (int round = 0; round < 50; ++round)
     {
         transport.send (address, messageOfTerm (1));
         QCoreApplication::processEvents();
     }
-    startListener (address_);
+    startListener (m_address);
     ASSERT_TRUE (runUntil (
         [&]
         {
             transport.send (address, messageOfTerm (2));
-            return ! terms_.empty();
+            return ! m_terms.empty();
         }));
-    EXPECT_EQ (terms_.front(), 2U);
+    EXPECT_EQ (m_terms.front(), 2U);
 }
 
 TEST_F (PeerTransportTest, tellsRoutersFromMembersAndReportsTheirEnd)
 {
     std::vector<std::size_t> replies;
     auto router = wire::FrameConnection::connectTo (
-        address_, {},
+        m_address, {},
         { {},
           [&] (const wire::Frame& frame)
           {
@@ -115,25 +115,25 @@
     ASSERT_TRUE (runUntil ([&] { return router->isOpen(); }));
     router->send (wire::Channel::kRouterToController,
                   wire::encodeMessage (cell::RouterToController (cell::LeaseRequest{})));
-    ASSERT_TRUE (runUntil ([&] { return routerMessages_.size() == 1; }));
-    const RouterConnection connection = routerMessages_[0].first;
-    listener_->sendToRouter (connection, cell::LeaseGrant{});
+    ASSERT_TRUE (runUntil ([&] { return m_routerMessages.size() == 1; }));
+    const RouterConnection connection = m_routerMessages[0].first;
+    m_listener->sendToRouter (connection, cell::LeaseGrant{});
     ASSERT_TRUE (runUntil ([&] { return replies.size() == 1; }));
     EXPECT_EQ (replies[0], cell::ControllerToRouter (cell::LeaseGrant{}).index());
     router.reset();
-    ASSERT_TRUE (runUntil ([&] { return gone_.size() == 1; }));
-    EXPECT_EQ (gone_[0], connection);
+    ASSERT_TRUE (runUntil ([&] { return m_gone.size() == 1; }));
+    EXPECT_EQ (m_gone[0], connection);
 }
 
 TEST_F (PeerTransportTest, closesAConnectionThatSendsDamagedMessages)
 {
     bool isClosed = false;
-    auto peer = wire::FrameConnection::connectTo (address_, {},
+    auto peer = wire::FrameConnection::connectTo (m_address, {},
                                                   { {}, {}, [&] { isClosed = true; } }, nullptr);
     ASSERT_TRUE (runUntil ([&] { return peer->isOpen(); }));
     peer->send (wire::Channel::kMember, "x");
     EXPECT_TRUE (runUntil ([&] { return isClosed; }));
-    EXPECT_EQ (listener_->openConnections(), 0U);
+    EXPECT_EQ (m_listener->openConnections(), 0U);
 }
 
 }  // namespace
--- a/src/controller/ReconciliationTest.cpp
+++ b/src/controller/ReconciliationTest.cpp
@@ -30,7 +30,7 @@
 class ReconciliationTest : public ::testing::Test
 {
 protected:
-    ReconciliationTest() : state_ (&parse)
+    ReconciliationTest() : m_state (&parse)
     {
         apply (cell::ApplyConfiguration{ 1, base::sha256Hex ("text"), "text", 0 });
         cell::ObserveRunner observe;
@@ -39,29 +39,29 @@
         observe.incarnation = kIncarnation;
         apply (observe);
         apply (cell::DecideLoad{ kRunner, kIncarnation, base::ModelName ("a"), {}, 0, "", 0 });
-        replica_ = index_;
-        report_.runner = kRunner;
-        report_.incarnation = kIncarnation;
+        m_replica = m_index;
+        m_report.runner = kRunner;
+        m_report.incarnation = kIncarnation;
     }
-    void apply (const cell::Command& command) { state_.apply (++index_, command); }
+    void apply (const cell::Command& command) { m_state.apply (++m_index, command); }
     void hold (base::ReplicaId replica, ReplicaPhase phase)
     {
         engine::ReplicaReport held;
         held.replica = replica;
         held.phase = phase;
-        report_.replicas.push_back (held);
+        m_report.replicas.push_back (held);
     }
-    ReportFindings examine() { return examineReport (kRunner, report_, state_.replicas()); }
+    ReportFindings examine() { return examineReport (kRunner, m_report, m_state.replicas()); }
 
-    cell::CellState state_;
-    base::LogIndex index_ = 0;
-    base::ReplicaId replica_ = 0;
-    engine::Report report_;
+    cell::CellState m_state;
+    base::LogIndex m_index = 0;
+    base::ReplicaId m_replica = 0;
+    engine::Report m_report;
 };
 
 TEST_F (ReconciliationTest, UndecidedReplicaIsAStray)
 {
-    hold (replica_, ReplicaPhase::kLoading);
+    hold (m_replica, ReplicaPhase::kLoading);
     hold (77, ReplicaPhase::kReady);
     const ReportFindings findings = examine();
     ASSERT_EQ (findings.strays.size(), 1U);
@@ -77,36 +77,36 @@
 
 TEST_F (ReconciliationTest, MissingLoadWaitsUntilItsFenceWasPassed)
 {
-    report_.highestFence = replica_ - 1;
+    m_report.highestFence = m_replica - 1;
     EXPECT_TRUE (examine().failed.empty()) << "the order may still be on its way";
-    report_.highestFence = replica_;
-    EXPECT_EQ (examine().failed, Ids{ replica_ });
+    m_report.highestFence = m_replica;
+    EXPECT_EQ (examine().failed, Ids{ m_replica });
 }
 
 TEST_F (ReconciliationTest, UnloadEndsOnlyWithAReportThatKnowsOfIt)
 {
-    apply (cell::DecideUnload{ replica_, "", 0 });
-    report_.highestFence = replica_;
+    apply (cell::DecideUnload{ m_replica, "", 0 });
+    m_report.highestFence = m_replica;
     EXPECT_TRUE (examine().released.empty()) << "the report is from before the unload";
-    report_.highestFence = index_;
-    EXPECT_EQ (examine().released, Ids{ replica_ });
-    hold (replica_, ReplicaPhase::kUnloading);
+    m_report.highestFence = m_index;
+    EXPECT_EQ (examine().released, Ids{ m_replica });
+    hold (m_replica, ReplicaPhase::kUnloading);
     EXPECT_TRUE (examine().released.empty());
 }
 
 TEST_F (ReconciliationTest, ReadyAndFailedLoadsAreFound)
 {
-    hold (replica_, ReplicaPhase::kReady);
-    EXPECT_EQ (examine().ready, Ids{ replica_ });
-    report_.replicas.clear();
-    hold (replica_, ReplicaPhase::kFailed);
-    EXPECT_EQ (examine().failed, Ids{ replica_ });
+    hold (m_replica, ReplicaPhase::kReady);
+    EXPECT_EQ (examine().ready, Ids{ m_replica });
+    m_report.replicas.clear();
+    hold (m_replica, ReplicaPhase::kFailed);
+    EXPECT_EQ (examine().failed, Ids{ m_replica });
 }
 
 TEST_F (ReconciliationTest, ReportOfAnotherIncarnationSaysNothing)
 {
-    report_.incarnation = kIncarnation + 1;
-    report_.highestFence = index_ + 100;
+    m_report.incarnation = kIncarnation + 1;
+    m_report.highestFence = m_index + 100;
     hold (77, ReplicaPhase::kReady);
     const ReportFindings findings = examine();
     EXPECT_TRUE (findings.strays.empty());
--- a/src/controller/RoutableTable.cpp
+++ b/src/controller/RoutableTable.cpp
@@ -61,13 +61,13 @@
     collectEstimates (estimates, now, update);
     const bool isEmpty = update.upserts.empty() && update.removals.empty() && update.loads.empty()
                          && update.estimates.empty();
-    if (isEmpty && version_ != 0)
+    if (isEmpty && m_version != 0)
         return false;
-    update.fromVersion = version_;
-    update.toVersion = ++version_;
-    changes_.push_back (std::move (update));
-    if (changes_.size() > kKeptChanges)
-        changes_.pop_front();
+    update.fromVersion = m_version;
+    update.toVersion = ++m_version;
+    m_changes.push_back (std::move (update));
+    if (m_changes.size() > kKeptChanges)
+        m_changes.pop_front();
     return true;
 }
 
@@ -79,13 +79,13 @@
         auto settled = loads.find (row.runner);
         if (settled == loads.end())
         {
-            const auto told = loads_.find (row.runner);
-            const bool isNews = told == loads_.end() || isLoadNews (told->second, row.load);
+            const auto told = m_loads.find (row.runner);
+            const bool isNews = told == m_loads.end() || isLoadNews (told->second, row.load);
             settled = loads.emplace (row.runner, isNews ? row.load : told->second).first;
         }
         row.load = settled->second;
     }
-    loads_ = std::move (loads);
+    m_loads = std::move (loads);
 }
 
 void RoutableTable::collectRows (std::vector<cell::RoutableReplica> rows,
@@ -96,8 +96,8 @@
     for (cell::RoutableReplica& row : rows)
     {
         const Key key = keyOf (row);
-        const auto told = rows_.find (key);
-        if (told == rows_.end() || ! differsInLoadOnly (told->second, row))
+        const auto told = m_rows.find (key);
+        if (told == m_rows.end() || ! differsInLoadOnly (told->second, row))
         {
             update.upserts.push_back (row);
         }
@@ -107,14 +107,14 @@
         }
         current.emplace (key, std::move (row));
     }
-    for (const auto& [key, row] : rows_)
+    for (const auto& [key, row] : m_rows)
     {
         if (! current.contains (key))
             update.removals.push_back (keyFields (row));
     }
     for (const auto& [runner, load] : changedLoads)
         update.loads.push_back ({ runner, load });
-    rows_ = std::move (current);
+    m_rows = std::move (current);
 }
 
 void RoutableTable::collectEstimates (const ReadyEstimates& estimates, base::TimePoint now,
@@ -122,28 +122,28 @@
 {
     for (const auto& [target, estimate] : estimates)
     {
-        const auto known = estimates_.find (target);
-        if (known != estimates_.end() && known->second == estimate)
+        const auto known = m_estimates.find (target);
+        if (known != m_estimates.end() && known->second == estimate)
             continue;
         update.estimates.push_back (toMessage (target, estimate, now));
     }
-    for (const auto& [target, estimate] : estimates_)
+    for (const auto& [target, estimate] : m_estimates)
     {
         // Withdrawn: nothing more is known than that requests may wait.
         if (estimates.contains (target))
             continue;
         update.estimates.push_back (toMessage (target, ReadyEstimate{ true, now }, now));
     }
-    estimates_ = estimates;
+    m_estimates = estimates;
 }
 
 cell::ReplicaUpdate RoutableTable::whole (base::TimePoint now) const
 {
     cell::ReplicaUpdate update;
-    update.toVersion = version_;
-    for (const auto& [key, row] : rows_)
+    update.toVersion = m_version;
+    for (const auto& [key, row] : m_rows)
         update.upserts.push_back (row);
-    for (const auto& [target, estimate] : estimates_)
+    for (const auto& [target, estimate] : m_estimates)
     {
         update.estimates.push_back (toMessage (target, estimate, now));
     }
@@ -152,22 +152,22 @@
 
 bool RoutableTable::keepsChangesSince (std::uint64_t version) const
 {
-    if (version == version_)
+    if (version == m_version)
         return true;
-    return version != 0 && ! changes_.empty() && version >= changes_.front().fromVersion
-           && version < version_;
+    return version != 0 && ! m_changes.empty() && version >= m_changes.front().fromVersion
+           && version < m_version;
 }
 
 std::vector<cell::ReplicaUpdate> RoutableTable::updatesSince (std::uint64_t version,
                                                               base::TimePoint now) const
 {
-    if (version == version_)
+    if (version == m_version)
         return {};
     if (! keepsChangesSince (version))
         return { whole (now) };
     // Each change follows on the one before it.
-    const auto kept = static_cast<std::ptrdiff_t> (version_ - version);
-    return { changes_.end() - kept, changes_.end() };
+    const auto kept = static_cast<std::ptrdiff_t> (m_version - version);
+    return { m_changes.end() - kept, m_changes.end() };
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/RoutableTable.h
+++ b/src/controller/RoutableTable.h
@@ -35,7 +35,7 @@
                   base::TimePoint now);
 
     /// 0 before the first replace().
-    [[nodiscard]] std::uint64_t version() const { return version_; }
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
     /// False when a router with this version needs the whole table.
     [[nodiscard]] bool keepsChangesSince (std::uint64_t version) const;
     /// Updates that bring a router which holds `version` up to date, in order; the whole table when
@@ -53,11 +53,11 @@
                            cell::ReplicaUpdate& update);
     [[nodiscard]] cell::ReplicaUpdate whole (base::TimePoint now) const;
 
-    std::uint64_t version_ = 0;
-    std::map<Key, cell::RoutableReplica> rows_;
-    std::map<base::RunnerId, std::uint32_t> loads_;  ///< As last told.
-    ReadyEstimates estimates_;
-    std::deque<cell::ReplicaUpdate> changes_;  ///< The latest, oldest first.
+    std::uint64_t m_version = 0;
+    std::map<Key, cell::RoutableReplica> m_rows;
+    std::map<base::RunnerId, std::uint32_t> m_loads;  ///< As last told.
+    ReadyEstimates m_estimates;
+    std::deque<cell::ReplicaUpdate> m_changes;  ///< The latest, oldest first.
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/RouterSessions.cpp
+++ b/src/controller/RouterSessions.cpp
@@ -111,7 +111,7 @@
                                      base::TimePoint now)
 {
     close (id);
-    RouterSession& session = sessions_[id];
+    RouterSession& session = m_sessions[id];
     session.router = hello.router;
     session.zone = hello.zone;
     session.address = hello.address;
@@ -123,17 +123,17 @@
 
 void RouterSessions::close (SessionId id)
 {
-    const auto found = sessions_.find (id);
-    if (found == sessions_.end())
+    const auto found = m_sessions.find (id);
+    if (found == m_sessions.end())
         return;
-    departedLeaseUntil_ = std::max (departedLeaseUntil_, found->second.leaseUntil);
-    sessions_.erase (found);
+    m_departedLeaseUntil = std::max (m_departedLeaseUntil, found->second.leaseUntil);
+    m_sessions.erase (found);
 }
 
 RouterSession* RouterSessions::find (SessionId id)
 {
-    const auto found = sessions_.find (id);
-    return found == sessions_.end() ? nullptr : &found->second;
+    const auto found = m_sessions.find (id);
+    return found == m_sessions.end() ? nullptr : &found->second;
 }
 
 bool RouterSessions::onLeaseRequest (RouterSession& session, const cell::LeaseRequest& request,
@@ -168,7 +168,7 @@
     grant.configurationVersion = inForce.version;
     grant.configurationDigest = inForce.digest;
     grant.term = term;
-    grant.durationMilliseconds = base::toMilliseconds (leaseDuration_);
+    grant.durationMilliseconds = base::toMilliseconds (m_leaseDuration);
     grant.replicaTableVersion = session.tableVersion;
     return grant;
 }
@@ -176,9 +176,9 @@
 bool RouterSessions::isInForceEverywhere (const cell::ConfigurationIdentity& inForce,
                                           base::TimePoint leaderSince, base::TimePoint now) const
 {
-    if (now < leaderSince + longestLease() || now < departedLeaseUntil_)
+    if (now < leaderSince + longestLease() || now < m_departedLeaseUntil)
         return false;
-    return std::all_of (sessions_.begin(), sessions_.end(),
+    return std::all_of (m_sessions.begin(), m_sessions.end(),
                         [&] (const auto& entry)
                         {
                             const RouterSession& session = entry.second;
@@ -188,7 +188,7 @@
 
 base::Duration RouterSessions::longestLease() const
 {
-    return leaseDuration_ + leaseDuration_ / kClockDriftParts;
+    return m_leaseDuration + m_leaseDuration / kClockDriftParts;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -61,13 +61,13 @@
 class RouterSessions
 {
 public:
-    explicit RouterSessions (base::Duration leaseDuration) : leaseDuration_ (leaseDuration) {}
+    explicit RouterSessions (base::Duration leaseDuration) : m_leaseDuration (leaseDuration) {}
 
     RouterSession& open (SessionId id, const cell::RouterHello& hello, base::TimePoint now);
     void close (SessionId id);
     [[nodiscard]] RouterSession* find (SessionId id);
-    [[nodiscard]] std::map<SessionId, RouterSession>& sessions() { return sessions_; }
-    [[nodiscard]] const std::map<SessionId, RouterSession>& sessions() const { return sessions_; }
+    [[nodiscard]] std::map<SessionId, RouterSession>& sessions() { return m_sessions; }
+    [[nodiscard]] const std::map<SessionId, RouterSession>& sessions() const { return m_sessions; }
 
     /// Notes a lease request. Returns true when the router needs the configuration (again).
     bool onLeaseRequest (RouterSession& session, const cell::LeaseRequest& request,
@@ -85,10 +85,10 @@
 private:
     [[nodiscard]] base::Duration longestLease() const;
 
-    base::Duration leaseDuration_;
-    std::map<SessionId, RouterSession> sessions_;
+    base::Duration m_leaseDuration;
+    std::map<SessionId, RouterSession> m_sessions;
     /// Latest end of a lease of a router that is no longer connected.
-    base::TimePoint departedLeaseUntil_{};
+    base::TimePoint m_departedLeaseUntil{};
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/RunnerClient.cpp
+++ b/src/controller/RunnerClient.cpp
@@ -43,7 +43,7 @@
 }  // namespace
 
 RunnerClient::RunnerClient (base::Duration timeout, ControlTraffic* traffic)
-    : timeout_ (timeout), traffic_ (traffic)
+    : m_timeout (timeout), m_traffic (traffic)
 {
 }
 
@@ -53,9 +53,9 @@
     http::ClientRequest request;
     request.address = address;
     request.path = std::move (path);
-    request.connectTimeout = timeout_;
-    request.headersTimeout = timeout_;
-    request.idleTimeout = timeout_;
+    request.connectTimeout = m_timeout;
+    request.headersTimeout = m_timeout;
+    request.idleTimeout = m_timeout;
     return request;
 }
 
@@ -104,16 +104,16 @@
 void RunnerClient::call (http::ClientRequest request, std::string kind, Parser parse,
                          FailureHandler onFailure)
 {
-    traffic_->record (Direction::kOut, kind, request.body.size());
+    m_traffic->record (Direction::kOut, kind, request.body.size());
     auto onResponse = [this, kind = std::move (kind), parse = std::move (parse),
                        onFailure] (const http::WholeResponse& response)
     {
-        traffic_->record (Direction::kIn, kind, response.body.size());
+        m_traffic->record (Direction::kIn, kind, response.body.size());
         if (! parse (response))
             onFailure();
     };
     auto onError = [onFailure = std::move (onFailure)] (const http::ClientError&) { onFailure(); };
-    client_.fetch (std::move (request), std::move (onResponse), std::move (onError));
+    m_client.fetch (std::move (request), std::move (onResponse), std::move (onError));
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/RunnerClient.h
+++ b/src/controller/RunnerClient.h
@@ -42,9 +42,9 @@
     [[nodiscard]] http::ClientRequest requestTo (const base::SocketAddress& address,
                                                  std::string path) const;
 
-    base::Duration timeout_;
-    ControlTraffic* traffic_;
-    http::Client client_;
+    base::Duration m_timeout;
+    ControlTraffic* m_traffic;
+    http::Client m_client;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/RunnerWatch.cpp
+++ b/src/controller/RunnerWatch.cpp
@@ -30,7 +30,7 @@
 void RunnerWatch::addKnown (const std::map<base::RunnerId, cell::Runner>& runners)
 {
     for (const auto& [id, runner] : runners)
-        sights_[id];
+        m_sights[id];
 }
 
 std::vector<base::RunnerId> RunnerWatch::onMachineList (const engine::MachineList& list)
@@ -40,13 +40,13 @@
     std::set<base::RunnerId> present;
     for (const engine::Machine& machine : list.machines)
     {
-        RunnerSight& sight = sights_[machine.runner];
+        RunnerSight& sight = m_sights[machine.runner];
         sight.listed = machine;
         sight.omissions = 0;
         present.insert (machine.runner);
     }
     std::vector<base::RunnerId> gone;
-    for (auto& [runner, sight] : sights_)
+    for (auto& [runner, sight] : m_sights)
     {
         if (present.count (runner) != 0)
             continue;
@@ -60,9 +60,9 @@
 void RunnerWatch::onReport (const base::RunnerId& runner, const engine::Report& report,
                             base::TimePoint now)
 {
-    RunnerSight& sight = sights_[runner];
+    RunnerSight& sight = m_sights[runner];
     sight.isPolled = false;
-    sight.nextPollAt = now + (isChanging (report) ? reportInterval_ : steadyInterval());
+    sight.nextPollAt = now + (isChanging (report) ? m_reportInterval : steadyInterval());
     sight.omissions = 0;
     sight.reportedAt = now;
     sight.report = report;
@@ -75,28 +75,28 @@
 
 void RunnerWatch::onReportFailed (const base::RunnerId& runner, base::TimePoint now)
 {
-    const auto found = sights_.find (runner);
-    if (found == sights_.end())
+    const auto found = m_sights.find (runner);
+    if (found == m_sights.end())
         return;
     found->second.isPolled = false;
-    found->second.nextPollAt = now + reportInterval_;
+    found->second.nextPollAt = now + m_reportInterval;
 }
 
 void RunnerWatch::onLeavingSign (const base::RunnerId& runner, base::Incarnation incarnation)
 {
-    sights_[runner].leavingIncarnations.insert (incarnation);
+    m_sights[runner].leavingIncarnations.insert (incarnation);
 }
 
-void RunnerWatch::forget (const base::RunnerId& runner) { sights_.erase (runner); }
+void RunnerWatch::forget (const base::RunnerId& runner) { m_sights.erase (runner); }
 
 std::vector<base::RunnerId> RunnerWatch::takeDuePolls (base::TimePoint now)
 {
     std::vector<base::RunnerId> due;
-    auto next = sights_.upper_bound (lastPolled_);
-    for (std::size_t seen = 0; seen < sights_.size() && due.size() < kPollsAtOnce; ++seen)
+    auto next = m_sights.upper_bound (m_lastPolled);
+    for (std::size_t seen = 0; seen < m_sights.size() && due.size() < kPollsAtOnce; ++seen)
     {
-        if (next == sights_.end())
-            next = sights_.begin();
+        if (next == m_sights.end())
+            next = m_sights.begin();
         auto& [runner, sight] = *next++;
         if (sight.isPolled || now < sight.nextPollAt)
             continue;
@@ -104,21 +104,21 @@
         due.push_back (runner);
     }
     if (! due.empty())
-        lastPolled_ = due.back();
+        m_lastPolled = due.back();
     return due;
 }
 
 void RunnerWatch::pollSoon (const base::RunnerId& runner, base::TimePoint now)
 {
-    const auto found = sights_.find (runner);
-    if (found != sights_.end())
+    const auto found = m_sights.find (runner);
+    if (found != m_sights.end())
         found->second.nextPollAt = std::min (found->second.nextPollAt, now);
 }
 
 const RunnerSight* RunnerWatch::find (const base::RunnerId& runner) const
 {
-    const auto found = sights_.find (runner);
-    return found == sights_.end() ? nullptr : &found->second;
+    const auto found = m_sights.find (runner);
+    return found == m_sights.end() ? nullptr : &found->second;
 }
 
 bool RunnerWatch::isResponsive (const base::RunnerId& runner, base::TimePoint now) const
@@ -126,16 +126,16 @@
     const RunnerSight* sight = find (runner);
     if (sight == nullptr || ! sight->report)
         return false;
-    const base::Duration longerByRate = steadyInterval() - reportInterval_;
-    return now - sight->reportedAt < kMissedReports * reportInterval_ + longerByRate;
+    const base::Duration longerByRate = steadyInterval() - m_reportInterval;
+    return now - sight->reportedAt < kMissedReports * m_reportInterval + longerByRate;
 }
 
 base::Duration RunnerWatch::steadyInterval() const
 {
     const base::Duration ofAll = base::Duration (base::seconds (1))
-                                 * static_cast<std::int64_t> (sights_.size())
+                                 * static_cast<std::int64_t> (m_sights.size())
                                  / kSteadyReportsPerSecond;
-    return std::max (reportInterval_, ofAll);
+    return std::max (m_reportInterval, ofAll);
 }
 
 bool RunnerWatch::isLeaving (const RunnerSight& sight, base::Incarnation incarnation)
--- a/src/controller/RunnerWatch.h
+++ b/src/controller/RunnerWatch.h
@@ -38,7 +38,7 @@
     static constexpr std::uint32_t kOmissionsUntilGone = 3;
 
     RunnerWatch (base::Duration reportInterval, base::TimePoint now)
-        : reportInterval_ (reportInterval), startedAt_ (now)
+        : m_reportInterval (reportInterval), m_startedAt (now)
     {
     }
 
@@ -58,7 +58,7 @@
     void pollSoon (const base::RunnerId& runner, base::TimePoint now);
 
     [[nodiscard]] const RunnerSight* find (const base::RunnerId& runner) const;
-    [[nodiscard]] const std::map<base::RunnerId, RunnerSight>& sights() const { return sights_; }
+    [[nodiscard]] const std::map<base::RunnerId, RunnerSight>& sights() const { return m_sights; }
     /// False once several reports in a row are missing.
     [[nodiscard]] bool isResponsive (const base::RunnerId& runner, base::TimePoint now) const;
     /// True when the list, the report or a router said that this incarnation leaves.
@@ -69,10 +69,10 @@
     /// runners.
     [[nodiscard]] base::Duration steadyInterval() const;
 
-    base::Duration reportInterval_;
-    base::TimePoint startedAt_;
-    base::RunnerId lastPolled_;  ///< The next poll goes to a runner after this one.
-    std::map<base::RunnerId, RunnerSight> sights_;
+    base::Duration m_reportInterval;
+    base::TimePoint m_startedAt;
+    base::RunnerId m_lastPolled;  ///< The next poll goes to a runner after this one.
+    std::map<base::RunnerId, RunnerSight> m_sights;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/RunnerWatchTest.cpp
+++ b/src/controller/RunnerWatchTest.cpp
@@ -25,19 +25,19 @@
 class RunnerWatchTest : public ::testing::Test
 {
 protected:
-    RunnerWatchTest() { watch_.onMachineList (listOf ({ "r1", "r2" })); }
-    std::size_t goneAfterList() { return watch_.onMachineList (listOf ({ "r2" })).size(); }
+    RunnerWatchTest() { m_watch.onMachineList (listOf ({ "r1", "r2" })); }
+    std::size_t goneAfterList() { return m_watch.onMachineList (listOf ({ "r2" })).size(); }
     void report (base::Incarnation incarnation, bool isLeaving = false)
     {
         engine::Report report;
         report.runner = kRunner;
         report.incarnation = incarnation;
         report.isLeaving = isLeaving;
-        watch_.onReport (kRunner, report, now_);
+        m_watch.onReport (kRunner, report, m_now);
     }
 
-    base::TimePoint now_{ base::seconds (1) };
-    RunnerWatch watch_{ kInterval, now_ };
+    base::TimePoint m_now{ base::seconds (1) };
+    RunnerWatch m_watch{ kInterval, m_now };
 };
 
 TEST_F (RunnerWatchTest, GoneOnlyAfterThreeListsWithoutItAndNoReport)
@@ -54,41 +54,41 @@
 {
     for (int number = 0; number < 10; ++number)
     {
-        EXPECT_TRUE (watch_.onMachineList ({}).empty());
+        EXPECT_TRUE (m_watch.onMachineList ({}).empty());
     }
 }
 
 TEST_F (RunnerWatchTest, FirstOfThreeSignsOfLeavingCounts)
 {
     report (7);
-    EXPECT_FALSE (RunnerWatch::isLeaving (*watch_.find (kRunner), 7));
-    watch_.onLeavingSign (kRunner, 7);
-    EXPECT_TRUE (RunnerWatch::isLeaving (*watch_.find (kRunner), 7));
-    EXPECT_FALSE (RunnerWatch::isLeaving (*watch_.find (kRunner), 8))
+    EXPECT_FALSE (RunnerWatch::isLeaving (*m_watch.find (kRunner), 7));
+    m_watch.onLeavingSign (kRunner, 7);
+    EXPECT_TRUE (RunnerWatch::isLeaving (*m_watch.find (kRunner), 7));
+    EXPECT_FALSE (RunnerWatch::isLeaving (*m_watch.find (kRunner), 8))
         << "a sign names an incarnation";
     report (8, true);
-    EXPECT_TRUE (RunnerWatch::isLeaving (*watch_.find (kRunner), 8));
+    EXPECT_TRUE (RunnerWatch::isLeaving (*m_watch.find (kRunner), 8));
     engine::MachineList list = listOf ({ "r1", "r2" });
     list.machines[1].state = engine::MachineState::kLeaving;
-    watch_.onMachineList (list);
-    EXPECT_TRUE (RunnerWatch::isLeaving (*watch_.find (base::RunnerId ("r2")), 1));
+    m_watch.onMachineList (list);
+    EXPECT_TRUE (RunnerWatch::isLeaving (*m_watch.find (base::RunnerId ("r2")), 1));
 }
 
 TEST_F (RunnerWatchTest, NotResponsiveOnceReportsAreMissing)
 {
-    EXPECT_FALSE (watch_.isResponsive (kRunner, now_));
+    EXPECT_FALSE (m_watch.isResponsive (kRunner, m_now));
     report (1);
-    EXPECT_TRUE (watch_.isResponsive (kRunner, now_ + 7 * kInterval));
-    EXPECT_FALSE (watch_.isResponsive (kRunner, now_ + 8 * kInterval));
+    EXPECT_TRUE (m_watch.isResponsive (kRunner, m_now + 7 * kInterval));
+    EXPECT_FALSE (m_watch.isResponsive (kRunner, m_now + 8 * kInterval));
 }
 
 TEST_F (RunnerWatchTest, OnePollAtATime)
 {
-    EXPECT_EQ (watch_.takeDuePolls (now_).size(), 2U);
-    EXPECT_TRUE (watch_.takeDuePolls (now_ + base::seconds (10)).empty());
+    EXPECT_EQ (m_watch.takeDuePolls (m_now).size(), 2U);
+    EXPECT_TRUE (m_watch.takeDuePolls (m_now + base::seconds (10)).empty());
     report (1);
-    EXPECT_TRUE (watch_.takeDuePolls (now_).empty());
-    EXPECT_EQ (watch_.takeDuePolls (now_ + kInterval), std::vector{ kRunner });
+    EXPECT_TRUE (m_watch.takeDuePolls (m_now).empty());
+    EXPECT_EQ (m_watch.takeDuePolls (m_now + kInterval), std::vector{ kRunner });
 }
 
 }  // namespace
--- a/src/controller/SnapshotSchedule.cpp
+++ b/src/controller/SnapshotSchedule.cpp
@@ -5,25 +5,25 @@
 
 void SnapshotSchedule::onEntry (std::size_t bytes)
 {
-    ++entries_;
-    logBytes_ += bytes;
+    ++m_entries;
+    m_logBytes += bytes;
 }
 
 void SnapshotSchedule::onSnapshot (std::size_t bytes)
 {
-    entries_ = 0;
-    logBytes_ = 0;
-    snapshotBytes_ = bytes;
+    m_entries = 0;
+    m_logBytes = 0;
+    m_snapshotBytes = bytes;
 }
 
 bool SnapshotSchedule::isDue() const
 {
-    const bool isLong = entries_ >= entriesBetween_ || logBytes_ >= kLongLogBytes;
+    const bool isLong = m_entries >= m_entriesBetween || m_logBytes >= kLongLogBytes;
     if (! isLong)
         return false;
-    if (entries_ < entriesBetween_)
-        return logBytes_ >= kLongLogToSnapshot * snapshotBytes_;
-    return snapshotBytes_ <= kSmallSnapshotBytes || logBytes_ >= kLogToSnapshot * snapshotBytes_;
+    if (m_entries < m_entriesBetween)
+        return m_logBytes >= kLongLogToSnapshot * m_snapshotBytes;
+    return m_snapshotBytes <= kSmallSnapshotBytes || m_logBytes >= kLogToSnapshot * m_snapshotBytes;
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/SnapshotSchedule.h
+++ b/src/controller/SnapshotSchedule.h
@@ -23,7 +23,7 @@
     /// Log bytes for each byte of the last large snapshot.
     static constexpr std::size_t kLogToSnapshot = 4;
 
-    explicit SnapshotSchedule (std::size_t entriesBetween) : entriesBetween_ (entriesBetween) {}
+    explicit SnapshotSchedule (std::size_t entriesBetween) : m_entriesBetween (entriesBetween) {}
 
     void onEntry (std::size_t bytes);
     /// A snapshot of `bytes` was taken, installed or recovered.
@@ -31,10 +31,10 @@
     [[nodiscard]] bool isDue() const;
 
 private:
-    std::size_t entriesBetween_;
-    std::size_t entries_ = 0;
-    std::size_t logBytes_ = 0;
-    std::size_t snapshotBytes_ = 0;
+    std::size_t m_entriesBetween;
+    std::size_t m_entries = 0;
+    std::size_t m_logBytes = 0;
+    std::size_t m_snapshotBytes = 0;
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/StorageThread.cpp
+++ b/src/controller/StorageThread.cpp
@@ -12,37 +12,37 @@
 
 StorageThread::StorageThread (std::unique_ptr<storage::Storage> storage, QObject* context,
                               Handlers handlers)
-    : storage_ (std::move (storage)),
-      context_ (context),
-      handlers_ (std::move (handlers)),
-      thread_ ([this] { run(); })
+    : m_storage (std::move (storage)),
+      m_context (context),
+      m_handlers (std::move (handlers)),
+      m_thread ([this] { run(); })
 {
 }
 
 StorageThread::~StorageThread()
 {
     {
-        const std::lock_guard lock (mutex_);
-        isStopping_ = true;
+        const std::lock_guard lock (m_mutex);
+        m_isStopping = true;
     }
-    condition_.notify_one();
-    thread_.join();
+    m_condition.notify_one();
+    m_thread.join();
 }
 
 void StorageThread::submit (consensus::PersistRequest request)
 {
     {
-        const std::lock_guard lock (mutex_);
-        waiting_.push_back (std::move (request));
-        ++work_.requests;
+        const std::lock_guard lock (m_mutex);
+        m_waiting.push_back (std::move (request));
+        ++m_work.requests;
     }
-    condition_.notify_one();
+    m_condition.notify_one();
 }
 
 StorageWork StorageThread::work() const
 {
-    const std::lock_guard lock (mutex_);
-    return work_;
+    const std::lock_guard lock (m_mutex);
+    return m_work;
 }
 
 void StorageThread::run()
@@ -57,11 +57,11 @@
 
 std::vector<consensus::PersistRequest> StorageThread::takeWaiting()
 {
-    std::unique_lock lock (mutex_);
-    condition_.wait (lock, [this] { return isStopping_ || ! waiting_.empty(); });
-    std::vector<consensus::PersistRequest> requests (std::make_move_iterator (waiting_.begin()),
-                                                     std::make_move_iterator (waiting_.end()));
-    waiting_.clear();
+    std::unique_lock lock (m_mutex);
+    m_condition.wait (lock, [this] { return m_isStopping || ! m_waiting.empty(); });
+    std::vector<consensus::PersistRequest> requests (std::make_move_iterator (m_waiting.begin()),
+                                                     std::make_move_iterator (m_waiting.end()));
+    m_waiting.clear();
     return requests;
 }
 
@@ -77,15 +77,15 @@
     const auto failure = base::handleErrors (
         [&]() -> base::Result<std::optional<base::Error>>
         {
-            BOOST_LEAF_CHECK (storage_->write (batches));
+            BOOST_LEAF_CHECK (m_storage->write (batches));
             return std::optional<base::Error>();
         },
         [] (const base::Error& error) { return std::optional (error); });
     const auto elapsed = std::chrono::steady_clock::now() - begin;
     {
-        const std::lock_guard lock (mutex_);
-        ++work_.syncs;
-        work_.microseconds += static_cast<std::uint64_t> (
+        const std::lock_guard lock (m_mutex);
+        ++m_work.syncs;
+        m_work.microseconds += static_cast<std::uint64_t> (
             std::chrono::duration_cast<std::chrono::microseconds> (elapsed).count());
     }
     report (failure, requests.back().sequence);
@@ -94,7 +94,7 @@
 
 void StorageThread::report (std::optional<base::Error> failure, std::uint64_t sequence)
 {
-    const auto notify = [handlers = handlers_, failure = std::move (failure), sequence]
+    const auto notify = [handlers = m_handlers, failure = std::move (failure), sequence]
     {
         if (failure)
         {
@@ -105,7 +105,7 @@
             handlers.onPersisted (sequence);
         }
     };
-    QMetaObject::invokeMethod (context_, notify, Qt::QueuedConnection);
+    QMetaObject::invokeMethod (m_context, notify, Qt::QueuedConnection);
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/StorageThread.h
+++ b/src/controller/StorageThread.h
@@ -62,15 +62,15 @@
     /// Tells the owner's thread how the writes up to `sequence` ended.
     void report (std::optional<base::Error> failure, std::uint64_t sequence);
 
-    std::unique_ptr<storage::Storage> storage_;
-    QObject* context_;
-    Handlers handlers_;
-    mutable std::mutex mutex_;
-    std::condition_variable condition_;
-    std::deque<consensus::PersistRequest> waiting_;
-    bool isStopping_ = false;
-    StorageWork work_;
-    std::thread thread_;  ///< Last member: starts when all others exist.
+    std::unique_ptr<storage::Storage> m_storage;
+    QObject* m_context;
+    Handlers m_handlers;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_condition;
+    std::deque<consensus::PersistRequest> m_waiting;
+    bool m_isStopping = false;
+    StorageWork m_work;
+    std::thread m_thread;  ///< Last member: starts when all others exist.
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/StorageThreadTest.cpp
+++ b/src/controller/StorageThreadTest.cpp
@@ -23,21 +23,21 @@
 class SlowStorage final : public storage::Storage
 {
 public:
-    explicit SlowStorage (SlowDisk& disk) : disk_ (disk) {}
+    explicit SlowStorage (SlowDisk& disk) : m_disk (disk) {}
     base::Result<storage::Recovered> recover() override { return storage::Recovered{}; }
     base::Result<void> initialize (std::uint64_t /*memberId*/) override { return {}; }
     base::Result<void> write (const std::vector<storage::WriteBatch>& batches) override
     {
-        ++disk_.writesBegun;
-        disk_.permits.acquire();
-        if (disk_.isFull)
+        ++m_disk.writesBegun;
+        m_disk.permits.acquire();
+        if (m_disk.isFull)
             return base::fail (base::ErrorKind::kStorageFull, "no space");
-        disk_.batchesWritten += static_cast<int> (batches.size());
+        m_disk.batchesWritten += static_cast<int> (batches.size());
         return {};
     }
 
 private:
-    SlowDisk& disk_;
+    SlowDisk& m_disk;
 };
 
 class StorageThreadTest : public testing::Test
@@ -47,66 +47,68 @@
     {
         ensureApplication();
         StorageThread::Handlers handlers;
-        handlers.onPersisted = [this] (std::uint64_t sequence) { persisted_.push_back (sequence); };
-        handlers.onFailed = [this] (const base::Error& error) { failures_.push_back (error.kind); };
-        thread_ = std::make_unique<StorageThread> (std::make_unique<SlowStorage> (disk_), &context_,
-                                                   handlers);
+        handlers.onPersisted = [this] (std::uint64_t sequence)
+        { m_persisted.push_back (sequence); };
+        handlers.onFailed = [this] (const base::Error& error)
+        { m_failures.push_back (error.kind); };
+        m_thread = std::make_unique<StorageThread> (std::make_unique<SlowStorage> (m_disk),
+                                                    &m_context, handlers);
     }
-    ~StorageThreadTest() override { disk_.permits.release (kManyPermits); }
+    ~StorageThreadTest() override { m_disk.permits.release (kManyPermits); }
 
     void submit (std::uint64_t sequence)
     {
         consensus::PersistRequest request;
         request.sequence = sequence;
-        thread_->submit (request);
+        m_thread->submit (request);
     }
 
     static constexpr int kManyPermits = 100;
-    SlowDisk disk_;
-    QObject context_;
-    std::vector<std::uint64_t> persisted_;
-    std::vector<base::ErrorKind> failures_;
-    std::unique_ptr<StorageThread> thread_;
+    SlowDisk m_disk;
+    QObject m_context;
+    std::vector<std::uint64_t> m_persisted;
+    std::vector<base::ErrorKind> m_failures;
+    std::unique_ptr<StorageThread> m_thread;
 };
 
 TEST_F (StorageThreadTest, writesEverythingThatWaitsWithOneSync)
 {
     submit (1);
-    ASSERT_TRUE (runUntil ([&] { return disk_.writesBegun == 1; }));
+    ASSERT_TRUE (runUntil ([&] { return m_disk.writesBegun == 1; }));
     for (std::uint64_t sequence = 2; sequence <= 10; ++sequence)
         submit (sequence);
-    EXPECT_TRUE (persisted_.empty());
-    disk_.permits.release (2);
-    ASSERT_TRUE (runUntil ([&] { return persisted_.size() == 2; }));
-    EXPECT_EQ (persisted_, (std::vector<std::uint64_t>{ 1, 10 }));
-    EXPECT_EQ (disk_.batchesWritten, 10);
-    EXPECT_EQ (thread_->work().syncs, 2U);
-    EXPECT_EQ (thread_->work().requests, 10U);
+    EXPECT_TRUE (m_persisted.empty());
+    m_disk.permits.release (2);
+    ASSERT_TRUE (runUntil ([&] { return m_persisted.size() == 2; }));
+    EXPECT_EQ (m_persisted, (std::vector<std::uint64_t>{ 1, 10 }));
+    EXPECT_EQ (m_disk.batchesWritten, 10);
+    EXPECT_EQ (m_thread->work().syncs, 2U);
+    EXPECT_EQ (m_thread->work().requests, 10U);
 }
 
 TEST_F (StorageThreadTest, writesNothingAfterAFailure)
 {
-    disk_.isFull = true;
+    m_disk.isFull = true;
     submit (1);
-    disk_.permits.release (kManyPermits);
-    ASSERT_TRUE (runUntil ([&] { return ! failures_.empty(); }));
-    EXPECT_EQ (failures_.front(), base::ErrorKind::kStorageFull);
-    disk_.isFull = false;
+    m_disk.permits.release (kManyPermits);
+    ASSERT_TRUE (runUntil ([&] { return ! m_failures.empty(); }));
+    EXPECT_EQ (m_failures.front(), base::ErrorKind::kStorageFull);
+    m_disk.isFull = false;
     submit (2);
-    thread_.reset();
+    m_thread.reset();
     QCoreApplication::processEvents();
-    EXPECT_EQ (disk_.writesBegun, 1);
-    EXPECT_TRUE (persisted_.empty());
-    EXPECT_EQ (failures_.size(), 1U);
+    EXPECT_EQ (m_disk.writesBegun, 1);
+    EXPECT_TRUE (m_persisted.empty());
+    EXPECT_EQ (m_failures.size(), 1U);
 }
 
 TEST_F (StorageThreadTest, finishesWaitingWritesBeforeItEnds)
 {
-    disk_.permits.release (kManyPermits);
+    m_disk.permits.release (kManyPermits);
     for (std::uint64_t sequence = 1; sequence <= 5; ++sequence)
         submit (sequence);
-    thread_.reset();
-    EXPECT_EQ (disk_.batchesWritten, 5);
+    m_thread.reset();
+    EXPECT_EQ (m_disk.batchesWritten, 5);
 }
 
 }  // namespace
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -22,14 +22,14 @@
 class TestEngine
 {
 public:
-    explicit TestEngine (engine::Machine machine) : machine_ (std::move (machine)) { restart(); }
+    explicit TestEngine (engine::Machine machine) : m_machine (std::move (machine)) { restart(); }
 
     engine::OrderAnswer take (const engine::Order& order, base::TimePoint now);
     [[nodiscard]] engine::Report report() const;
     void advance (base::TimePoint now);
     void restart();
 
-    [[nodiscard]] const engine::Machine& machine() const { return machine_; }
+    [[nodiscard]] const engine::Machine& machine() const { return m_machine; }
     [[nodiscard]] engine::Megabytes usedMemory() const;
     /// Replicas of a target that hold memory.
     [[nodiscard]] std::uint32_t holds (const std::string& target) const;
@@ -53,11 +53,11 @@
     std::optional<base::ErrorKind> refusalOf (const engine::Order& order) const;
     void carryOut (const engine::Order& order, base::TimePoint now);
 
-    engine::Machine machine_;
-    base::Incarnation incarnation_ = 0;
-    base::Fence highestFence_ = 0;
-    engine::OrderAnswer lastAnswer_;
-    std::map<base::ReplicaId, Held> held_;
+    engine::Machine m_machine;
+    base::Incarnation m_incarnation = 0;
+    base::Fence m_highestFence = 0;
+    engine::OrderAnswer m_lastAnswer;
+    std::map<base::ReplicaId, Held> m_held;
 };
 
 /// A router that keeps its lease and states its demand.
@@ -145,7 +145,7 @@
     std::map<std::string, engine::ServiceReport> engineReports;
 
     TestEngine& engine (const std::string& runner);
-    TestRouter& router (std::size_t number) { return *routers_[number]; }
+    TestRouter& router (std::size_t number) { return *m_routers[number]; }
     void setDemand (std::size_t router, const std::string& target, std::uint32_t waiting,
                     std::uint32_t running = 0, int urgency = 5);
     void claim (std::size_t router, std::uint64_t sequence, std::vector<cell::Claim> claims);
@@ -155,7 +155,7 @@
     /// Replicas of a target that hold memory on all engines together.
     [[nodiscard]] std::uint32_t held (const std::string& target) const;
     [[nodiscard]] bool isReadySomewhere (const std::string& target) const;
-    [[nodiscard]] base::TimePoint now() const { return now_; }
+    [[nodiscard]] base::TimePoint now() const { return m_now; }
     [[nodiscard]] base::UnixMilliseconds unixNow() const;
 
     /// While set, orders of this member are kept back instead of delivered.
@@ -196,7 +196,7 @@
     void schedule (base::Duration delay, std::function<void()> action);
     [[nodiscard]] bool isOff (base::MemberId member) const;
     void step();
-    Node& node (base::MemberId member) { return nodes_.at (member); }
+    Node& node (base::MemberId member) { return m_nodes.at (member); }
     void start (Node& node);
     /// Runs `input` on a live member at the present time and carries out its effects.
     void with (base::MemberId member, const std::function<void (ControllerCore&)>& input);
@@ -221,17 +221,17 @@
     TestEngine* findEngine (const base::RunnerId& runner);
     base::MemberId memberAt (const std::string& address) const;
 
-    Options options_;
-    base::TimePoint now_{ base::seconds (1000) };
-    std::uint64_t nextSequence_ = 1;
-    std::priority_queue<Event> events_;
-    std::map<base::MemberId, Node> nodes_;
-    std::map<base::RunnerId, std::unique_ptr<TestEngine>> engines_;
-    std::vector<std::unique_ptr<TestRouter>> routers_;
-    std::map<AdminTicket, AnswerAdmin> answers_;
-    std::map<ControlTicket, ControlAnswer> controlAnswers_;
-    AdminTicket nextTicket_ = 1;
-    RouterConnection nextConnection_ = 1;
+    Options m_options;
+    base::TimePoint m_now{ base::seconds (1000) };
+    std::uint64_t m_nextSequence = 1;
+    std::priority_queue<Event> m_events;
+    std::map<base::MemberId, Node> m_nodes;
+    std::map<base::RunnerId, std::unique_ptr<TestEngine>> m_engines;
+    std::vector<std::unique_ptr<TestRouter>> m_routers;
+    std::map<AdminTicket, AnswerAdmin> m_answers;
+    std::map<ControlTicket, ControlAnswer> m_controlAnswers;
+    AdminTicket m_nextTicket = 1;
+    RouterConnection m_nextConnection = 1;
 };
 
 /// A model runner for tests.
--- a/src/controller/TestCellTest.cpp
+++ b/src/controller/TestCellTest.cpp
@@ -19,10 +19,10 @@
 
 // TestCell
 
-TestCell::TestCell (Options options) : options_ (std::move (options))
+TestCell::TestCell (Options options) : m_options (std::move (options))
 {
     consensus::MemberSet members;
-    for (std::size_t number = 1; number <= options_.controllers; ++number)
+    for (std::size_t number = 1; number <= m_options.controllers; ++number)
     {
         consensus::Member member;
         member.id = number;
@@ -33,19 +33,19 @@
     }
     for (const consensus::Member& member : members.members)
     {
-        Node& created = nodes_[member.id];
+        Node& created = m_nodes[member.id];
         created.id = member.id;
         created.disk.state.initialMembers = members;
         start (created);
     }
-    for (const engine::Machine& machine : options_.machines)
+    for (const engine::Machine& machine : m_options.machines)
     {
-        engines_[machine.runner] = std::make_unique<TestEngine> (machine);
+        m_engines[machine.runner] = std::make_unique<TestEngine> (machine);
     }
-    for (std::size_t number = 0; number < options_.routers; ++number)
+    for (std::size_t number = 0; number < m_options.routers; ++number)
     {
-        routers_.push_back (std::make_unique<TestRouter>());
-        routers_.back()->id = base::RouterId ("router" + std::to_string (number));
+        m_routers.push_back (std::make_unique<TestRouter>());
+        m_routers.back()->id = base::RouterId ("router" + std::to_string (number));
     }
 }
 
@@ -53,42 +53,42 @@
 
 base::UnixMilliseconds TestCell::unixNow() const
 {
-    return kUnixOrigin + base::toMilliseconds (now_.time_since_epoch());
+    return kUnixOrigin + base::toMilliseconds (m_now.time_since_epoch());
 }
 
 void TestCell::start (Node& node)
 {
     ++node.generation;
-    node.core = std::make_unique<ControllerCore> (node.id, options_.controller, node.disk.state,
-                                                  options_.seed + node.id, now_, unixNow());
+    node.core = std::make_unique<ControllerCore> (node.id, m_options.controller, node.disk.state,
+                                                  m_options.seed + node.id, m_now, unixNow());
     carryOut (node);
 }
 
 void TestCell::schedule (base::Duration delay, std::function<void()> action)
 {
-    events_.push (Event{ now_ + delay, nextSequence_++, std::move (action) });
+    m_events.push (Event{ m_now + delay, m_nextSequence++, std::move (action) });
 }
 
 void TestCell::step()
 {
-    const base::TimePoint end = now_ + kStep;
-    while (! events_.empty() && events_.top().at <= end)
+    const base::TimePoint end = m_now + kStep;
+    while (! m_events.empty() && m_events.top().at <= end)
     {
-        const Event event = events_.top();
-        events_.pop();
-        now_ = std::max (now_, event.at);
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = std::max (m_now, event.at);
         event.action();
     }
-    now_ = end;
-    for (auto& [runner, engine] : engines_)
-        engine->advance (now_);
-    for (auto& [member, entry] : nodes_)
+    m_now = end;
+    for (auto& [runner, engine] : m_engines)
+        engine->advance (m_now);
+    for (auto& [member, entry] : m_nodes)
     {
         if (entry.isFrozen)
             continue;
         with (member, [] (ControllerCore& core) { core.onTick(); });
     }
-    for (auto& router : routers_)
+    for (auto& router : m_routers)
         tickRouter (*router);
     if (onStep)
         onStep();
@@ -96,17 +96,17 @@
 
 void TestCell::run (base::Duration duration)
 {
-    const base::TimePoint end = now_ + duration;
-    while (now_ < end)
+    const base::TimePoint end = m_now + duration;
+    while (m_now < end)
         step();
 }
 
 bool TestCell::runUntil (const std::function<bool()>& condition, base::Duration limit)
 {
-    const base::TimePoint end = now_ + limit;
+    const base::TimePoint end = m_now + limit;
     while (! condition())
     {
-        if (now_ >= end)
+        if (m_now >= end)
             return false;
         step();
     }
@@ -117,7 +117,7 @@
 {
     base::MemberId leader = 0;
     base::Term term = 0;
-    for (const auto& [member, node] : nodes_)
+    for (const auto& [member, node] : m_nodes)
     {
         if (! node.core || isOff (member))
             continue;
@@ -137,7 +137,7 @@
         {
             const base::MemberId member = leader();
             return member != 0
-                   && nodes_.at (member).core->metricsText().find ("fernlift_controller_leading 1")
+                   && m_nodes.at (member).core->metricsText().find ("fernlift_controller_leading 1")
                           != std::string::npos;
         },
         base::seconds (10));
@@ -147,7 +147,7 @@
 {
     node (member).core.reset();
     ++node (member).generation;
-    for (auto& router : routers_)
+    for (auto& router : m_routers)
     {
         if (router->connectedTo == member)
             router->connectedTo.reset();
@@ -158,7 +158,7 @@
 
 bool TestCell::isOff (base::MemberId member) const
 {
-    const Node& node = nodes_.at (member);
+    const Node& node = m_nodes.at (member);
     return node.isCut || node.isIsolated || node.isFrozen;
 }
 
@@ -171,7 +171,7 @@
 
 void TestCell::cut (base::MemberId member, bool isCut) { node (member).isCut = isCut; }
 
-bool TestCell::isAlive (base::MemberId member) const { return nodes_.at (member).core != nullptr; }
+bool TestCell::isAlive (base::MemberId member) const { return m_nodes.at (member).core != nullptr; }
 
 ControllerCore& TestCell::core (base::MemberId member) { return *node (member).core; }
 
@@ -180,7 +180,7 @@
     Node& target = node (member);
     if (! target.core)
         return;
-    target.core->setTime (now_, unixNow());
+    target.core->setTime (m_now, unixNow());
     input (*target.core);
     carryOut (target);
 }
@@ -244,7 +244,7 @@
               {
                   const base::MemberId to = effect.message.to;
                   // A member of an earlier configuration, or one that a test never starts.
-                  if (nodes_.count (to) == 0)
+                  if (m_nodes.count (to) == 0)
                       return;
                   if (isOff (from) || isOff (to))
                       return;
@@ -258,7 +258,7 @@
     schedule (kNetworkDelay,
               [this, from, effect = std::move (effect)]
               {
-                  for (auto& router : routers_)
+                  for (auto& router : m_routers)
                   {
                       const bool isConnected =
                           router->connection == effect.connection && router->connectedTo == from;
@@ -293,7 +293,7 @@
                       return;
                   }
                   ++ordersDelivered;
-                  const engine::OrderAnswer answer = engine->take (effect.order, now_);
+                  const engine::OrderAnswer answer = engine->take (effect.order, m_now);
                   later (member, kNetworkDelay,
                          [effect, answer] (ControllerCore& core)
                          { core.onOrderAnswer (effect.runner, effect.order, answer); });
@@ -318,7 +318,7 @@
 void TestCell::carryOut (Node& node, PollMachineList /*effect*/)
 {
     engine::MachineList list;
-    for (const auto& [runner, engine] : engines_)
+    for (const auto& [runner, engine] : m_engines)
     {
         if (unlisted.count (runner) == 0)
             list.machines.push_back (engine->machine());
@@ -333,32 +333,32 @@
 
 void TestCell::carryOut (Node& /*node*/, AnswerAdmin effect)
 {
-    answers_[effect.ticket] = std::move (effect);
+    m_answers[effect.ticket] = std::move (effect);
 }
 
 std::optional<AnswerAdmin> TestCell::ask (base::MemberId member, AdminRequest request,
                                           base::Duration limit)
 {
-    const AdminTicket ticket = nextTicket_++;
+    const AdminTicket ticket = m_nextTicket++;
     with (member, [&] (ControllerCore& core) { core.onAdmin (ticket, request); });
-    runUntil ([&] { return answers_.count (ticket) != 0; }, limit);
-    const auto found = answers_.find (ticket);
-    return found == answers_.end() ? std::nullopt : std::optional (found->second);
+    runUntil ([&] { return m_answers.count (ticket) != 0; }, limit);
+    const auto found = m_answers.find (ticket);
+    return found == m_answers.end() ? std::nullopt : std::optional (found->second);
 }
 
 std::optional<ControlAnswer> TestCell::askControl (base::MemberId member, ControlRequest request,
                                                    base::Duration limit)
 {
-    const ControlTicket ticket = nextTicket_++;
+    const ControlTicket ticket = m_nextTicket++;
     with (member, [&] (ControllerCore& core) { core.onControl (ticket, request); });
-    runUntil ([&] { return controlAnswers_.count (ticket) != 0; }, limit);
-    const auto found = controlAnswers_.find (ticket);
-    return found == controlAnswers_.end() ? std::nullopt : std::optional (found->second);
+    runUntil ([&] { return m_controlAnswers.count (ticket) != 0; }, limit);
+    const auto found = m_controlAnswers.find (ticket);
+    return found == m_controlAnswers.end() ? std::nullopt : std::optional (found->second);
 }
 
 void TestCell::carryOut (Node& /*node*/, AnswerControl effect)
 {
-    controlAnswers_[effect.ticket] = std::move (effect.answer);
+    m_controlAnswers[effect.ticket] = std::move (effect.answer);
 }
 
 void TestCell::carryOut (Node& node, placement::SendEngineOrder effect)
@@ -367,7 +367,7 @@
     schedule (kNetworkDelay,
               [this, from, order = std::move (effect.order)]
               {
-                  engineOrders.push_back ({ from, now_, order });
+                  engineOrders.push_back ({ from, m_now, order });
                   const auto report = engineReports.find (order.instance);
                   if (report != engineReports.end())
                       ++report->second.sequence;
@@ -395,26 +395,26 @@
 
 TestEngine& TestCell::engine (const std::string& runner)
 {
-    return *engines_.at (base::RunnerId (runner));
+    return *m_engines.at (base::RunnerId (runner));
 }
 
 TestEngine* TestCell::findEngine (const base::RunnerId& runner)
 {
-    const auto found = engines_.find (runner);
-    return found == engines_.end() ? nullptr : found->second.get();
+    const auto found = m_engines.find (runner);
+    return found == m_engines.end() ? nullptr : found->second.get();
 }
 
 std::uint32_t TestCell::held (const std::string& target) const
 {
     std::uint32_t held = 0;
-    for (const auto& [runner, engine] : engines_)
+    for (const auto& [runner, engine] : m_engines)
         held += engine->holds (target);
     return held;
 }
 
 bool TestCell::isReadySomewhere (const std::string& target) const
 {
-    return std::any_of (engines_.begin(), engines_.end(),
+    return std::any_of (m_engines.begin(), m_engines.end(),
                         [&] (const auto& entry) { return entry.second->isReady (target); });
 }
 
--- a/src/controller/TestEngineTest.cpp
+++ b/src/controller/TestEngineTest.cpp
@@ -76,22 +76,22 @@
 void TestEngine::restart()
 {
     static base::Incarnation next = 1000;
-    incarnation_ = ++next;
-    highestFence_ = 0;
-    lastAnswer_ = {};
-    held_.clear();
+    m_incarnation = ++next;
+    m_highestFence = 0;
+    m_lastAnswer = {};
+    m_held.clear();
     isLeaving = false;
 }
 
 std::optional<base::ErrorKind> TestEngine::refusalOf (const engine::Order& order) const
 {
-    if (order.incarnation != incarnation_)
+    if (order.incarnation != m_incarnation)
         return base::ErrorKind::kIncarnationMismatch;
-    if (order.fence < highestFence_)
+    if (order.fence < m_highestFence)
         return base::ErrorKind::kFenceStale;
     const bool isLoad = order.kind == engine::OrderKind::kLoadModel
                         || order.kind == engine::OrderKind::kLoadAdapter;
-    if (isLoad && usedMemory() + order.memory > machine_.memory)
+    if (isLoad && usedMemory() + order.memory > m_machine.memory)
     {
         return base::ErrorKind::kInsufficientMemory;
     }
@@ -100,26 +100,26 @@
 
 engine::OrderAnswer TestEngine::take (const engine::Order& order, base::TimePoint now)
 {
-    const bool isRepeated = order.incarnation == incarnation_ && order.fence == highestFence_
-                            && lastAnswer_.accepted && held_.count (order.replica) != 0;
+    const bool isRepeated = order.incarnation == m_incarnation && order.fence == m_highestFence
+                            && m_lastAnswer.accepted && m_held.count (order.replica) != 0;
     if (isRepeated)
-        return lastAnswer_;
+        return m_lastAnswer;
     engine::OrderAnswer answer;
-    answer.incarnation = incarnation_;
+    answer.incarnation = m_incarnation;
     const std::optional<base::ErrorKind> refusal = refusalOf (order);
     if (refusal)
     {
         if (*refusal == base::ErrorKind::kInsufficientMemory)
             ++memoryRefusals;
         answer.refusal = *refusal;
-        answer.highestFence = highestFence_;
+        answer.highestFence = m_highestFence;
         return answer;
     }
-    highestFence_ = order.fence;
+    m_highestFence = order.fence;
     answer.accepted = true;
-    answer.highestFence = highestFence_;
+    answer.highestFence = m_highestFence;
     carryOut (order, now);
-    lastAnswer_ = answer;
+    m_lastAnswer = answer;
     return answer;
 }
 
@@ -136,11 +136,11 @@
         held.report.adapter = order.adapter;
         held.report.memory = order.memory;
         held.changesAt = now + loadTime;
-        held_[order.replica] = held;
+        m_held[order.replica] = held;
         return;
     }
-    const auto found = held_.find (order.replica);
-    if (found == held_.end())
+    const auto found = m_held.find (order.replica);
+    if (found == m_held.end())
         return;
     found->second.report.phase = engine::ReplicaPhase::kUnloading;
     found->second.changesAt = now + unloadTime;
@@ -148,13 +148,13 @@
 
 void TestEngine::advance (base::TimePoint now)
 {
-    for (auto entry = held_.begin(); entry != held_.end();)
+    for (auto entry = m_held.begin(); entry != m_held.end();)
     {
         Held& held = entry->second;
         const bool isDue = now >= held.changesAt;
         if (isDue && held.report.phase == engine::ReplicaPhase::kUnloading)
         {
-            entry = held_.erase (entry);
+            entry = m_held.erase (entry);
             continue;
         }
         if (isDue && held.report.phase == engine::ReplicaPhase::kLoading)
@@ -171,15 +171,15 @@
 engine::Report TestEngine::report() const
 {
     engine::Report report;
-    report.runner = machine_.runner;
-    report.incarnation = incarnation_;
+    report.runner = m_machine.runner;
+    report.incarnation = m_incarnation;
     report.isLeaving = isLeaving;
-    report.totalMemory = machine_.memory;
+    report.totalMemory = m_machine.memory;
     report.usedMemory = usedMemory();
-    report.highestFence = highestFence_;
+    report.highestFence = m_highestFence;
     report.slots = 8;
     report.runningRequests = runningRequests;
-    for (const auto& [id, held] : held_)
+    for (const auto& [id, held] : m_held)
     {
         report.replicas.push_back (held.report);
         report.replicas.back().runningRequests = runningRequests;
@@ -190,7 +190,7 @@
 engine::Megabytes TestEngine::usedMemory() const
 {
     engine::Megabytes used = 0;
-    for (const auto& [id, held] : held_)
+    for (const auto& [id, held] : m_held)
         used += held.report.memory;
     return used;
 }
@@ -198,7 +198,7 @@
 std::uint32_t TestEngine::holds (const std::string& target) const
 {
     return static_cast<std::uint32_t> (
-        std::count_if (held_.begin(), held_.end(),
+        std::count_if (m_held.begin(), m_held.end(),
                        [&] (const auto& entry)
                        {
                            const engine::ReplicaReport& report = entry.second.report;
@@ -210,7 +210,7 @@
 
 bool TestEngine::isReady (const std::string& target) const
 {
-    return std::any_of (held_.begin(), held_.end(),
+    return std::any_of (m_held.begin(), m_held.end(),
                         [&] (const auto& entry)
                         {
                             const engine::ReplicaReport& report = entry.second.report;
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -27,24 +27,24 @@
     demand.waiting = waiting;
     demand.running = running;
     demand.mostUrgent = urgency;
-    TestRouter& router = *routers_[number];
+    TestRouter& router = *m_routers[number];
     router.demands[target] = demand;
     toController (router, cell::DemandReport{ { demand } });
 }
 
 void TestCell::claim (std::size_t router, std::uint64_t sequence, std::vector<cell::Claim> claims)
 {
-    toController (*routers_[router], cell::ClaimRequest{ sequence, std::move (claims) });
+    toController (*m_routers[router], cell::ClaimRequest{ sequence, std::move (claims) });
 }
 
 void TestCell::sendFromRouter (std::size_t router, const cell::RouterToController& message)
 {
-    toController (*routers_[router], message);
+    toController (*m_routers[router], message);
 }
 
 void TestCell::reconnect (std::size_t router, base::MemberId member)
 {
-    connect (*routers_[router], member);
+    connect (*m_routers[router], member);
 }
 
 void TestCell::tickRouter (TestRouter& router)
@@ -53,7 +53,7 @@
         return;
     if (! router.connectedTo)
     {
-        for (auto& [member, node] : nodes_)
+        for (auto& [member, node] : m_nodes)
         {
             if (node.core && ! node.isCut)
             {
@@ -63,15 +63,15 @@
         }
         return;
     }
-    if (now_ < router.nextLeaseAt)
+    if (m_now < router.nextLeaseAt)
         return;
-    router.nextLeaseAt = now_ + base::milliseconds (600);
+    router.nextLeaseAt = m_now + base::milliseconds (600);
     cell::LeaseRequest request;
     request.sequence = ++router.leaseSequence;
     request.configurationVersion = router.configurationVersion;
     request.configurationDigest = router.configurationDigest;
     request.replicaTableVersion = router.tableVersion;
-    router.leaseSentAt[request.sequence] = now_;
+    router.leaseSentAt[request.sequence] = m_now;
     toController (router, request);
     cell::DemandReport report;
     for (const auto& [target, demand] : router.demands)
@@ -88,13 +88,13 @@
         with (*router.connectedTo, [&] (ControllerCore& core) { core.onRouterGone (old); });
     }
     router.connectedTo = member;
-    router.connection = nextConnection_++;
+    router.connection = m_nextConnection++;
     router.tableVersion = 0;
     router.table.clear();
-    router.nextLeaseAt = now_;
+    router.nextLeaseAt = m_now;
     cell::RouterHello hello;
     hello.router = router.id;
-    hello.cell = options_.controller.cell;
+    hello.cell = m_options.controller.cell;
     hello.configurationVersion = router.configurationVersion;
     hello.configurationDigest = router.configurationDigest;
     toController (router, hello);
@@ -123,7 +123,7 @@
 
 base::MemberId TestCell::memberAt (const std::string& address) const
 {
-    for (const auto& [member, node] : nodes_)
+    for (const auto& [member, node] : m_nodes)
     {
         if (address == "c" + std::to_string (member) + ":1")
             return member;
@@ -137,7 +137,7 @@
     {
         const base::MemberId member = memberAt (reply->leaderAddress);
         const base::MemberId next =
-            member != 0 ? member : *router.connectedTo % options_.controllers + 1;
+            member != 0 ? member : *router.connectedTo % m_options.controllers + 1;
         schedule (base::milliseconds (20), [this, &router, next] { connect (router, next); });
     }
     else if (const auto* update = std::get_if<cell::ConfigurationUpdate> (&message))
--- a/src/ctl/ControllerClient.cpp
+++ b/src/ctl/ControllerClient.cpp
@@ -61,42 +61,42 @@
 ControllerClient::ControllerClient (AdminTransport& transport,
                                     std::vector<base::SocketAddress> controllers,
                                     base::TimePoint deadline)
-    : transport_ (transport), controllers_ (std::move (controllers)), deadline_ (deadline)
+    : m_transport (transport), m_controllers (std::move (controllers)), m_deadline (deadline)
 {
 }
 
 base::Result<QJsonObject> ControllerClient::call (const AdminCall& call)
 {
-    if (controllers_.empty())
+    if (m_controllers.empty())
     {
         return base::fail (ErrorKind::kUsage, "no controller is given; use --controller IP:PORT");
     }
-    mayHaveRunBefore_ = false;
-    lastError_ = base::Error{ ErrorKind::kConnectionFailed, "no controller answered in time" };
+    m_mayHaveRunBefore = false;
+    m_lastError = base::Error{ ErrorKind::kConnectionFailed, "no controller answered in time" };
     std::size_t attempts = 0;
-    while (transport_.now() < deadline_)
+    while (m_transport.now() < m_deadline)
     {
-        const base::Duration left = deadline_ - transport_.now();
+        const base::Duration left = m_deadline - m_transport.now();
         const std::optional<AdminReply> reply = sendOnce (call, std::min (left, kAttemptTimeout));
         if (reply)
             return readReply (*reply);
         ++attempts;
-        const bool isEndOfRound = attempts % (controllers_.size() + 1) == 0;
+        const bool isEndOfRound = attempts % (m_controllers.size() + 1) == 0;
         if (isEndOfRound)
-            transport_.pause (kPauseBetweenRounds);
+            m_transport.pause (kPauseBetweenRounds);
     }
-    return base::fail (lastError_.kind, lastError_.message);
+    return base::fail (m_lastError.kind, m_lastError.message);
 }
 
 std::optional<AdminReply> ControllerClient::sendOnce (const AdminCall& call, base::Duration timeout)
 {
     const base::SocketAddress address = nextAddress();
-    AdminCallOutcome outcome = transport_.send (address, call, timeout);
+    AdminCallOutcome outcome = m_transport.send (address, call, timeout);
     if (const auto* const failure = std::get_if<AdminCallFailure> (&outcome))
     {
-        mayHaveRunBefore_ = mayHaveRunBefore_ || failure->mayHaveArrived;
-        lastError_ = base::Error{ ErrorKind::kConnectionFailed,
-                                  address.toString() + ": " + failure->message };
+        m_mayHaveRunBefore = m_mayHaveRunBefore || failure->mayHaveArrived;
+        m_lastError = base::Error{ ErrorKind::kConnectionFailed,
+                                   address.toString() + ": " + failure->message };
         return std::nullopt;
     }
     AdminReply& reply = std::get<AdminReply> (outcome);
@@ -104,7 +104,7 @@
     const bool isFinal = kind != ErrorKind::kNotLeader && kind != ErrorKind::kNoQuorum;
     if (isFinal)
     {
-        leaderHint_ = address;
+        m_leaderHint = address;
         return std::move (reply);
     }
     noteRefusal (reply, kind, address);
@@ -115,33 +115,33 @@
                                     const base::SocketAddress& from)
 {
     const QJsonObject error = errorOf (reply);
-    lastError_ = base::Error{ kind, from.toString() + ": "
-                                        + error.value (u"message").toString().toStdString() };
+    m_lastError = base::Error{ kind, from.toString() + ": "
+                                         + error.value (u"message").toString().toStdString() };
     if (kind == ErrorKind::kNoQuorum)
-        mayHaveRunBefore_ = true;
+        m_mayHaveRunBefore = true;
     if (kind == ErrorKind::kNotLeader)
         followHint (error, from);
 }
 
 base::SocketAddress ControllerClient::nextAddress()
 {
-    if (leaderHint_)
-        return *std::exchange (leaderHint_, std::nullopt);
-    return controllers_[next_++ % controllers_.size()];
+    if (m_leaderHint)
+        return *std::exchange (m_leaderHint, std::nullopt);
+    return m_controllers[m_next++ % m_controllers.size()];
 }
 
 void ControllerClient::followHint (const QJsonObject& error, const base::SocketAddress& from)
 {
     const std::string text = error.value (u"leader").toString().toStdString();
-    leaderHint_ = base::handleErrors (
+    m_leaderHint = base::handleErrors (
         [&]() -> base::Result<std::optional<base::SocketAddress>>
         {
             BOOST_LEAF_AUTO (address, base::SocketAddress::parse (text));
             return std::optional (address);
         },
         [] (const base::Error&) { return std::optional<base::SocketAddress>(); });
-    if (leaderHint_ == from)
-        leaderHint_.reset();
+    if (m_leaderHint == from)
+        m_leaderHint.reset();
 }
 
 }  // namespace fernlift::ctl
--- a/src/ctl/ControllerClient.h
+++ b/src/ctl/ControllerClient.h
@@ -39,7 +39,7 @@
     base::Result<QJsonObject> call (const AdminCall& call);
 
     /// Whether an earlier attempt of the latest call() may have taken effect unseen.
-    [[nodiscard]] bool mayHaveRunBefore() const { return mayHaveRunBefore_; }
+    [[nodiscard]] bool mayHaveRunBefore() const { return m_mayHaveRunBefore; }
 
 private:
     [[nodiscard]] base::SocketAddress nextAddress();
@@ -49,13 +49,13 @@
     void noteRefusal (const AdminReply& reply, base::ErrorKind kind,
                       const base::SocketAddress& from);
 
-    AdminTransport& transport_;
-    std::vector<base::SocketAddress> controllers_;
-    base::TimePoint deadline_;
-    std::size_t next_ = 0;
-    std::optional<base::SocketAddress> leaderHint_;
-    bool mayHaveRunBefore_ = false;
-    base::Error lastError_;
+    AdminTransport& m_transport;
+    std::vector<base::SocketAddress> m_controllers;
+    base::TimePoint m_deadline;
+    std::size_t m_next = 0;
+    std::optional<base::SocketAddress> m_leaderHint;
+    bool m_mayHaveRunBefore = false;
+    base::Error m_lastError;
 };
 
 }  // namespace fernlift::ctl
--- a/src/ctl/CtlTest.cpp
+++ b/src/ctl/CtlTest.cpp
@@ -50,14 +50,14 @@
 protected:
     CtlTest()
     {
-        options_.controllers = { addressAt (1), addressAt (2) };
-        options_.output = "json";
-        options_.timeout = base::seconds (10);
+        m_options.controllers = { addressAt (1), addressAt (2) };
+        m_options.output = "json";
+        m_options.timeout = base::seconds (10);
     }
 
     std::string writeFile (const std::string& text)
     {
-        std::string path = directory_.filePath (QStringLiteral ("file.toml")).toStdString();
+        std::string path = m_directory.filePath (QStringLiteral ("file.toml")).toStdString();
         std::ofstream (path) << text;
         return path;
     }
@@ -68,10 +68,10 @@
         std::ostringstream output;
         std::ostringstream errors;
         CommandRun result;
-        result.exitCode = runCommand (options_, positionals, transport, output, errors);
+        result.exitCode = runCommand (m_options, positionals, transport, output, errors);
         result.output = output.str();
         result.errors = errors.str();
-        calls_ = transport.calls();
+        m_calls = transport.calls();
         return result;
     }
 
@@ -83,9 +83,9 @@
                     });
     }
 
-    QTemporaryDir directory_;
-    CtlOptions options_;
-    std::vector<SentCall> calls_;
+    QTemporaryDir m_directory;
+    CtlOptions m_options;
+    std::vector<SentCall> m_calls;
 };
 
 TEST_F (CtlTest, ValidateNeedsNoController)
@@ -93,12 +93,12 @@
     const CommandRun result = runAnswered ({ "validate", writeFile (kCatalogue) }, "{}");
     EXPECT_EQ (result.exitCode, 0);
     EXPECT_EQ (result.json().value (u"version").toInteger(), 7);
-    EXPECT_TRUE (calls_.empty());
+    EXPECT_TRUE (m_calls.empty());
 }
 
 TEST_F (CtlTest, InvalidFileIsNotSentAndEveryProblemIsPrinted)
 {
-    options_.output = "table";
+    m_options.output = "table";
     const std::string path =
         writeFile (std::string (kCatalogue) + "urgency2 = 1\nrepeatable = 3\n");
     const CommandRun result = runAnswered ({ "apply", path }, "{}");
@@ -106,7 +106,7 @@
     EXPECT_NE (result.errors.find (path + ":8: class[0].urgency2: unknown key"), std::string::npos)
         << result.errors;
     EXPECT_NE (result.errors.find (path + ":9: class[0].repeatable: found 3"), std::string::npos);
-    EXPECT_TRUE (calls_.empty());
+    EXPECT_TRUE (m_calls.empty());
 }
 
 TEST_F (CtlTest, ApplySendsTheWholeFile)
@@ -115,16 +115,16 @@
         { "apply", writeFile (kCatalogue) },
         R"({"version":7,"digest":"d","result":"accepted","in_force_everywhere":false})");
     EXPECT_EQ (result.exitCode, 0);
-    ASSERT_EQ (calls_.size(), 1U);
-    EXPECT_EQ (calls_[0].call.method, "POST");
-    EXPECT_EQ (calls_[0].call.path, "/admin/v1/configuration");
-    EXPECT_EQ (calls_[0].call.body, kCatalogue);
+    ASSERT_EQ (m_calls.size(), 1U);
+    EXPECT_EQ (m_calls[0].call.method, "POST");
+    EXPECT_EQ (m_calls[0].call.path, "/admin/v1/configuration");
+    EXPECT_EQ (m_calls[0].call.body, kCatalogue);
     EXPECT_EQ (result.json().value (u"result").toString().toStdString(), "accepted");
 }
 
 TEST_F (CtlTest, ApplyWithWaitAsksUntilInForceEverywhere)
 {
-    options_.isWaiting = true;
+    m_options.isWaiting = true;
     const CommandRun result =
         run ({ "apply", writeFile (kCatalogue) },
              [count = 0] (const SentCall&) mutable -> AdminCallOutcome
@@ -139,15 +139,15 @@
                                              + R"("in_force_everywhere":)" + everywhere + "}" };
              });
     EXPECT_EQ (result.exitCode, 0);
-    ASSERT_EQ (calls_.size(), 4U);
-    EXPECT_EQ (calls_[3].call.path, "/admin/v1/configuration?wait=1&timeout_ms=2000");
+    ASSERT_EQ (m_calls.size(), 4U);
+    EXPECT_EQ (m_calls[3].call.path, "/admin/v1/configuration?wait=1&timeout_ms=2000");
     EXPECT_EQ (result.json().value (u"result").toString().toStdString(), "accepted");
     EXPECT_TRUE (result.json().value (u"in_force_everywhere").toBool());
 }
 
 TEST_F (CtlTest, ApplyWithWaitTellsWhenTheDeadlinePasses)
 {
-    options_.isWaiting = true;
+    m_options.isWaiting = true;
     const CommandRun result = runAnswered ({ "apply", writeFile (kCatalogue) },
                                            R"({"result":"accepted","in_force_everywhere":false})");
     EXPECT_EQ (result.exitCode, exitCodeOf (base::ErrorKind::kDeadlinePassed));
@@ -156,7 +156,7 @@
 
 TEST_F (CtlTest, ApplyWithWaitKeepsTheAcceptanceWhenControllersFallSilent)
 {
-    options_.isWaiting = true;
+    m_options.isWaiting = true;
     const CommandRun result = run ({ "apply", writeFile (kCatalogue) },
                                    [count = 0] (const SentCall&) mutable -> AdminCallOutcome
                                    {
@@ -233,24 +233,24 @@
 TEST_F (CtlTest, DrainAndItsUndoSendTheMark)
 {
     EXPECT_EQ (runAnswered ({ "drain", "runner 1" }, "{}").exitCode, 0);
-    ASSERT_EQ (calls_.size(), 1U);
-    EXPECT_EQ (calls_[0].call.path, "/admin/v1/drain");
-    EXPECT_EQ (calls_[0].call.body, R"({"draining":true,"runner":"runner 1"})");
-    options_.isUndo = true;
+    ASSERT_EQ (m_calls.size(), 1U);
+    EXPECT_EQ (m_calls[0].call.path, "/admin/v1/drain");
+    EXPECT_EQ (m_calls[0].call.body, R"({"draining":true,"runner":"runner 1"})");
+    m_options.isUndo = true;
     runAnswered ({ "drain", "runner 1" }, "{}");
-    EXPECT_EQ (calls_[0].call.body, R"({"draining":false,"runner":"runner 1"})");
+    EXPECT_EQ (m_calls[0].call.body, R"({"draining":false,"runner":"runner 1"})");
 }
 
 TEST_F (CtlTest, ExplainEncodesTheName)
 {
     EXPECT_EQ (runAnswered ({ "explain", "model", "a:b c" }, "{}").exitCode, 0);
-    ASSERT_EQ (calls_.size(), 1U);
-    EXPECT_EQ (calls_[0].call.path, "/admin/v1/explain/model/a%3Ab%20c");
+    ASSERT_EQ (m_calls.size(), 1U);
+    EXPECT_EQ (m_calls[0].call.path, "/admin/v1/explain/model/a%3Ab%20c");
 }
 
 TEST_F (CtlTest, ExplainRequestAsksEveryRouter)
 {
-    options_.routers = { addressAt (11), addressAt (12), addressAt (13) };
+    m_options.routers = { addressAt (11), addressAt (12), addressAt (13) };
     const CommandRun result = run ({ "explain", "request", "r-1" },
                                    [] (const SentCall& sent) -> AdminCallOutcome
                                    {
@@ -262,13 +262,13 @@
                                    });
     EXPECT_EQ (result.exitCode, 0);
     EXPECT_EQ (result.json().value (u"router").toString().toStdString(), "127.0.0.1:13");
-    EXPECT_EQ (calls_.back().call.path, "/admin/v1/explain/request/r-1");
-    EXPECT_EQ (calls_.size(), 3U);
+    EXPECT_EQ (m_calls.back().call.path, "/admin/v1/explain/request/r-1");
+    EXPECT_EQ (m_calls.size(), 3U);
 }
 
 TEST_F (CtlTest, ExplainRequestTellsSilentRoutersFromThoseThatDoNotKnow)
 {
-    options_.routers = { addressAt (11), addressAt (12) };
+    m_options.routers = { addressAt (11), addressAt (12) };
     const auto notFound = [] (const SentCall&) -> AdminCallOutcome
     { return errorReply (404, "not_found"); };
     EXPECT_EQ (run ({ "explain", "request", "r" }, notFound).exitCode,
@@ -288,9 +288,9 @@
     EXPECT_EQ (
         runAnswered ({ "members", "add", "4", "127.0.0.1:5", "127.0.0.1:6", "z1" }, "{}").exitCode,
         0);
-    ASSERT_EQ (calls_.size(), 1U);
+    ASSERT_EQ (m_calls.size(), 1U);
     EXPECT_EQ (
-        calls_[0].call.body,
+        m_calls[0].call.body,
         R"({"add":{"admin_address":"127.0.0.1:6","id":4,"peer_address":"127.0.0.1:5","zone":"z1"}})");
 }
 
@@ -353,7 +353,7 @@
                      return AdminReply{ 200, membersAnswer (isLeader ? "leader" : "follower", 3) };
                  });
         EXPECT_EQ (result.json().value (u"role").toString(), QStringLiteral ("leader"));
-        EXPECT_EQ (calls_.size(), 2U);
+        EXPECT_EQ (m_calls.size(), 2U);
     }
 }
 
@@ -388,15 +388,15 @@
     {
         EXPECT_EQ (runAnswered (positionals, "{}").exitCode, exitCodeOf (base::ErrorKind::kUsage))
             << testing::PrintToString (positionals);
-        EXPECT_TRUE (calls_.empty());
+        EXPECT_TRUE (m_calls.empty());
     }
-    options_.controllers.clear();
+    m_options.controllers.clear();
     EXPECT_EQ (runAnswered ({ "status" }, "{}").exitCode, exitCodeOf (base::ErrorKind::kUsage));
 }
 
 TEST_F (CtlTest, MissingFileIsNamed)
 {
-    options_.output = "table";
+    m_options.output = "table";
     const CommandRun result = runAnswered ({ "apply", "/nonexistent.toml" }, "{}");
     EXPECT_EQ (result.exitCode, exitCodeOf (base::ErrorKind::kNotFound));
     EXPECT_NE (result.errors.find ("/nonexistent.toml"), std::string::npos);
--- a/src/ctl/CtlTestSupport.h
+++ b/src/ctl/CtlTestSupport.h
@@ -23,24 +23,24 @@
 public:
     using Script = std::function<AdminCallOutcome (const SentCall&)>;
 
-    explicit ScriptedTransport (Script script) : script_ (std::move (script)) {}
+    explicit ScriptedTransport (Script script) : m_script (std::move (script)) {}
 
     AdminCallOutcome send (const base::SocketAddress& address, const AdminCall& call,
                            base::Duration /*timeout*/) override
     {
-        calls_.push_back (SentCall{ address.toString(), call });
-        now_ += base::milliseconds (1);
-        return script_ (calls_.back());
+        m_calls.push_back (SentCall{ address.toString(), call });
+        m_now += base::milliseconds (1);
+        return m_script (m_calls.back());
     }
-    base::TimePoint now() override { return now_; }
-    void pause (base::Duration duration) override { now_ += duration; }
+    base::TimePoint now() override { return m_now; }
+    void pause (base::Duration duration) override { m_now += duration; }
 
-    [[nodiscard]] const std::vector<SentCall>& calls() const { return calls_; }
+    [[nodiscard]] const std::vector<SentCall>& calls() const { return m_calls; }
 
 private:
-    Script script_;
-    std::vector<SentCall> calls_;
-    base::TimePoint now_;
+    Script m_script;
+    std::vector<SentCall> m_calls;
+    base::TimePoint m_now;
 };
 
 inline base::SocketAddress addressAt (std::uint16_t port)
--- a/src/ctl/HttpTransport.cpp
+++ b/src/ctl/HttpTransport.cpp
@@ -48,7 +48,7 @@
         outcome = std::move (result);
         loop.quit();
     };
-    const std::shared_ptr<http::Exchange> exchange = client_.fetch (
+    const std::shared_ptr<http::Exchange> exchange = m_client.fetch (
         requestOf (address, call, timeout),
         [&] (const http::WholeResponse& response) {
             finish (AdminReply{ response.status, response.body });
@@ -70,7 +70,7 @@
     return *std::move (outcome);
 }
 
-base::TimePoint HttpTransport::now() { return clock_.now(); }
+base::TimePoint HttpTransport::now() { return m_clock.now(); }
 
 void HttpTransport::pause (base::Duration duration)
 {
--- a/src/ctl/HttpTransport.h
+++ b/src/ctl/HttpTransport.h
@@ -18,8 +18,8 @@
     void pause (base::Duration duration) override;
 
 private:
-    base::SystemClock clock_;
-    http::Client client_;
+    base::SystemClock m_clock;
+    http::Client m_client;
 };
 
 }  // namespace fernlift::ctl
--- a/src/ctl/HttpTransportTest.cpp
+++ b/src/ctl/HttpTransportTest.cpp
@@ -21,7 +21,7 @@
 class HttpTransportTest : public testing::Test
 {
 protected:
-    HttpTransportTest() : application_ (argumentCount_, arguments_) {}
+    HttpTransportTest() : m_application (m_argumentCount, m_arguments) {}
 
     static base::SocketAddress listen (http::Server& server, http::Handler handler)
     {
@@ -34,11 +34,11 @@
                                    });
     }
 
-    int argumentCount_ = 1;
-    char name_[5] = "test";
-    char* arguments_[2] = { name_, nullptr };
-    QCoreApplication application_;
-    HttpTransport transport_;
+    int m_argumentCount = 1;
+    char m_name[5] = "test";
+    char* m_arguments[2] = { m_name, nullptr };
+    QCoreApplication m_application;
+    HttpTransport m_transport;
 };
 
 TEST_F (HttpTransportTest, SendsTheCallAndReturnsTheWholeAnswer)
@@ -53,7 +53,7 @@
             responder->send (409, {}, std::string (100'000, 'x'));
         });
     const AdminCallOutcome outcome =
-        transport_.send (address, AdminCall{ "POST", "/a?b=c", "body" }, kGuard);
+        m_transport.send (address, AdminCall{ "POST", "/a?b=c", "body" }, kGuard);
     ASSERT_TRUE (std::holds_alternative<AdminReply> (outcome));
     EXPECT_EQ (std::get<AdminReply> (outcome).status, 409);
     EXPECT_EQ (std::get<AdminReply> (outcome).body.size(), 100'000U);
@@ -69,7 +69,8 @@
     ASSERT_TRUE (listener.listen (QHostAddress::LocalHost, 0));
     const auto address = test::addressAt (listener.serverPort());
     listener.close();
-    const AdminCallOutcome outcome = transport_.send (address, AdminCall{ "GET", "/", "" }, kGuard);
+    const AdminCallOutcome outcome =
+        m_transport.send (address, AdminCall{ "GET", "/", "" }, kGuard);
     ASSERT_TRUE (std::holds_alternative<AdminCallFailure> (outcome));
     EXPECT_FALSE (std::get<AdminCallFailure> (outcome).mayHaveArrived);
 }
@@ -86,7 +87,7 @@
                     responder->abort();
                 });
     const AdminCallOutcome outcome =
-        transport_.send (address, AdminCall{ "POST", "/", "body" }, kGuard);
+        m_transport.send (address, AdminCall{ "POST", "/", "body" }, kGuard);
     ASSERT_TRUE (std::holds_alternative<AdminCallFailure> (outcome));
     EXPECT_TRUE (std::get<AdminCallFailure> (outcome).mayHaveArrived);
     EXPECT_EQ (requests, 1);
@@ -97,8 +98,8 @@
     QTcpServer listener;
     ASSERT_TRUE (listener.listen (QHostAddress::LocalHost, 0));
     const AdminCallOutcome outcome =
-        transport_.send (test::addressAt (listener.serverPort()), AdminCall{ "GET", "/", "" },
-                         base::milliseconds (100));
+        m_transport.send (test::addressAt (listener.serverPort()), AdminCall{ "GET", "/", "" },
+                          base::milliseconds (100));
     ASSERT_TRUE (std::holds_alternative<AdminCallFailure> (outcome));
     EXPECT_TRUE (std::get<AdminCallFailure> (outcome).mayHaveArrived);
 }
@@ -123,7 +124,7 @@
     options.output = "json";
     std::ostringstream output;
     std::ostringstream errors;
-    EXPECT_EQ (runCommand (options, { "status" }, transport_, output, errors), 0) << errors.str();
+    EXPECT_EQ (runCommand (options, { "status" }, m_transport, output, errors), 0) << errors.str();
     EXPECT_EQ (output.str(), "{\"leader\":\"me\"}\n");
 }
 
--- a/src/dispatch/Attempt.cpp
+++ b/src/dispatch/Attempt.cpp
@@ -7,30 +7,30 @@
 
 Attempt::Attempt (AttemptId id, cell::RoutableReplica replica, base::TimePoint firstByteBy,
                   base::Duration betweenParts)
-    : id_ (id),
-      replica_ (std::move (replica)),
-      betweenParts_ (betweenParts),
-      timeoutAt_ (firstByteBy)
+    : m_id (id),
+      m_replica (std::move (replica)),
+      m_betweenParts (betweenParts),
+      m_timeoutAt (firstByteBy)
 {
 }
 
 void Attempt::onHeaders (int httpStatus, base::TimePoint now)
 {
-    hasHeaders_ = true;
-    httpStatus_ = httpStatus;
+    m_hasHeaders = true;
+    m_httpStatus = httpStatus;
     onPart (now);
 }
 
 void Attempt::onPart (base::TimePoint now)
 {
-    if (! isPaused_)
-        timeoutAt_ = now + betweenParts_;
+    if (! m_isPaused)
+        m_timeoutAt = now + m_betweenParts;
 }
 
 void Attempt::setPaused (bool isPaused, base::TimePoint now)
 {
-    isPaused_ = isPaused;
-    timeoutAt_ = isPaused ? base::TimePoint::max() : now + betweenParts_;
+    m_isPaused = isPaused;
+    m_timeoutAt = isPaused ? base::TimePoint::max() : now + m_betweenParts;
 }
 
 }  // namespace fernlift::dispatch
--- a/src/dispatch/Attempt.h
+++ b/src/dispatch/Attempt.h
@@ -26,21 +26,21 @@
     /// While paused the attempt is not read and has no timeout.
     void setPaused (bool isPaused, base::TimePoint now);
 
-    [[nodiscard]] AttemptId id() const { return id_; }
-    [[nodiscard]] const cell::RoutableReplica& replica() const { return replica_; }
-    [[nodiscard]] bool hasHeaders() const { return hasHeaders_; }
-    [[nodiscard]] int httpStatus() const { return httpStatus_; }
+    [[nodiscard]] AttemptId id() const { return m_id; }
+    [[nodiscard]] const cell::RoutableReplica& replica() const { return m_replica; }
+    [[nodiscard]] bool hasHeaders() const { return m_hasHeaders; }
+    [[nodiscard]] int httpStatus() const { return m_httpStatus; }
     /// When the attempt is given up unless something more arrives.
-    [[nodiscard]] base::TimePoint timeoutAt() const { return timeoutAt_; }
+    [[nodiscard]] base::TimePoint timeoutAt() const { return m_timeoutAt; }
 
 private:
-    AttemptId id_;
-    cell::RoutableReplica replica_;
-    base::Duration betweenParts_;
-    base::TimePoint timeoutAt_;
-    bool hasHeaders_ = false;
-    bool isPaused_ = false;
-    int httpStatus_ = 0;
+    AttemptId m_id;
+    cell::RoutableReplica m_replica;
+    base::Duration m_betweenParts;
+    base::TimePoint m_timeoutAt;
+    bool m_hasHeaders = false;
+    bool m_isPaused = false;
+    int m_httpStatus = 0;
 };
 
 }  // namespace fernlift::dispatch
--- a/src/dispatch/ClaimTracker.cpp
+++ b/src/dispatch/ClaimTracker.cpp
@@ -14,14 +14,14 @@
 
 void ClaimTracker::add (const cell::Claim& claim)
 {
-    claims_[{ claim.key, claim.request }] = State{ claim, false, false, false };
-    hasUnsentClaims_ = true;
+    m_claims[{ claim.key, claim.request }] = State{ claim, false, false, false };
+    m_hasUnsentClaims = true;
 }
 
 void ClaimTracker::abandon (const cell::Claim& claim)
 {
-    const auto entry = claims_.find ({ claim.key, claim.request });
-    if (entry == claims_.end())
+    const auto entry = m_claims.find ({ claim.key, claim.request });
+    if (entry == m_claims.end())
         return;
     if (entry->second.wasEverSent)
     {
@@ -29,13 +29,13 @@
     }
     else
     {
-        claims_.erase (entry);
+        m_claims.erase (entry);
     }
 }
 
 void ClaimTracker::recordOutcome (const cell::OutcomeRecord& outcome, base::TimePoint /*now*/)
 {
-    unsent_.push_back (outcome);
+    m_unsent.push_back (outcome);
 }
 
 std::vector<cell::ClaimAnswer> ClaimTracker::onReply (const cell::ClaimReply& reply,
@@ -44,11 +44,11 @@
     std::vector<cell::ClaimAnswer> wanted;
     for (const cell::ClaimAnswer& answer : reply.answers)
     {
-        const auto entry = claims_.find ({ answer.key, answer.request });
-        if (entry == claims_.end())
+        const auto entry = m_claims.find ({ answer.key, answer.request });
+        if (entry == m_claims.end())
             continue;
         const bool isAbandoned = entry->second.isAbandoned;
-        claims_.erase (entry);
+        m_claims.erase (entry);
         if (! isAbandoned)
         {
             wanted.push_back (answer);
@@ -63,23 +63,23 @@
 
 void ClaimTracker::onConnected()
 {
-    for (auto& [id, state] : claims_)
+    for (auto& [id, state] : m_claims)
         state.isSent = false;
-    hasUnsentClaims_ = true;
+    m_hasUnsentClaims = true;
     std::vector<cell::OutcomeRecord> again;
-    for (const SentOutcome& outcome : sent_)
+    for (const SentOutcome& outcome : m_sent)
         again.push_back (outcome.outcome);
-    unsent_.insert (unsent_.begin(), again.begin(), again.end());
-    sent_.clear();
+    m_unsent.insert (m_unsent.begin(), again.begin(), again.end());
+    m_sent.clear();
 }
 
 std::optional<cell::ClaimRequest> ClaimTracker::takeClaims()
 {
-    if (! hasUnsentClaims_)
+    if (! m_hasUnsentClaims)
         return std::nullopt;
-    hasUnsentClaims_ = false;
+    m_hasUnsentClaims = false;
     cell::ClaimRequest request;
-    for (auto& [id, state] : claims_)
+    for (auto& [id, state] : m_claims)
     {
         if (state.isSent)
             continue;
@@ -89,26 +89,26 @@
     }
     if (request.claims.empty())
         return std::nullopt;
-    request.sequence = ++lastSequence_;
+    request.sequence = ++m_lastSequence;
     return request;
 }
 
 std::optional<cell::OutcomeReport> ClaimTracker::takeOutcomes (base::TimePoint now)
 {
-    while (! sent_.empty() && sent_.front().sentAt + kOutcomeResendWindow < now)
-        sent_.pop_front();
-    if (unsent_.empty())
+    while (! m_sent.empty() && m_sent.front().sentAt + kOutcomeResendWindow < now)
+        m_sent.pop_front();
+    if (m_unsent.empty())
         return std::nullopt;
-    cell::OutcomeReport report{ std::move (unsent_) };
-    unsent_.clear();
+    cell::OutcomeReport report{ std::move (m_unsent) };
+    m_unsent.clear();
     for (const cell::OutcomeRecord& outcome : report.outcomes)
-        sent_.push_back ({ outcome, now });
+        m_sent.push_back ({ outcome, now });
     return report;
 }
 
 bool ClaimTracker::hasAbandoned() const
 {
-    return std::any_of (claims_.begin(), claims_.end(),
+    return std::any_of (m_claims.begin(), m_claims.end(),
                         [] (const auto& entry) { return entry.second.isAbandoned; });
 }
 
--- a/src/dispatch/ClaimTracker.h
+++ b/src/dispatch/ClaimTracker.h
@@ -36,7 +36,7 @@
     [[nodiscard]] std::optional<cell::ClaimRequest> takeClaims();
     [[nodiscard]] std::optional<cell::OutcomeReport> takeOutcomes (base::TimePoint now);
 
-    [[nodiscard]] bool hasUnsentOutcomes() const { return ! unsent_.empty(); }
+    [[nodiscard]] bool hasUnsentOutcomes() const { return ! m_unsent.empty(); }
     [[nodiscard]] bool hasAbandoned() const;
 
 private:
@@ -54,11 +54,11 @@
         base::TimePoint sentAt{};
     };
 
-    std::map<ClaimId, State> claims_;
-    bool hasUnsentClaims_ = false;
-    std::vector<cell::OutcomeRecord> unsent_;
-    std::deque<SentOutcome> sent_;
-    std::uint64_t lastSequence_ = 0;
+    std::map<ClaimId, State> m_claims;
+    bool m_hasUnsentClaims = false;
+    std::vector<cell::OutcomeRecord> m_unsent;
+    std::deque<SentOutcome> m_sent;
+    std::uint64_t m_lastSequence = 0;
 };
 
 }  // namespace fernlift::dispatch
--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -12,20 +12,20 @@
 }  // namespace
 
 RetryBudget::RetryBudget (double share, double reserve)
-    : share_ (share), limit_ (std::max (reserve, kLargestBalance)), balance_ (reserve)
+    : m_share (share), m_limit (std::max (reserve, kLargestBalance)), m_balance (reserve)
 {
 }
 
-void RetryBudget::onFirstAttempt() { balance_ = std::min (balance_ + share_, limit_); }
+void RetryBudget::onFirstAttempt() { m_balance = std::min (m_balance + m_share, m_limit); }
 
 bool RetryBudget::tryRetry()
 {
     if (! allowsRetry())
         return false;
-    balance_ -= 1;
+    m_balance -= 1;
     return true;
 }
 
-void RetryBudget::chargeRetry() { balance_ = std::max (balance_ - 1, 0.0); }
+void RetryBudget::chargeRetry() { m_balance = std::max (m_balance - 1, 0.0); }
 
 }  // namespace fernlift::dispatch
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -13,16 +13,16 @@
 
     void onFirstAttempt();
     /// Whether a retry would be allowed now.
-    [[nodiscard]] bool allowsRetry() const { return balance_ >= 1; }
+    [[nodiscard]] bool allowsRetry() const { return m_balance >= 1; }
     /// Takes one retry from the budget; false when it is spent.
     bool tryRetry();
     /// Takes one retry from the budget if there is any left. For work that goes on in any case.
     void chargeRetry();
 
 private:
-    double share_;
-    double limit_;
-    double balance_;
+    double m_share;
+    double m_limit;
+    double m_balance;
 };
 
 }  // namespace fernlift::dispatch
--- a/src/dispatch/StreamAssembler.cpp
+++ b/src/dispatch/StreamAssembler.cpp
@@ -5,14 +5,14 @@
 
 PartVerdict StreamAssembler::accept (std::uint64_t offset, std::uint64_t count)
 {
-    if (offset > nextOffset_)
+    if (offset > m_nextOffset)
         return PartVerdict::kGap;
-    if (offset == nextOffset_)
+    if (offset == m_nextOffset)
     {
-        nextOffset_ += count;
+        m_nextOffset += count;
         return PartVerdict::kPass;
     }
-    if (offset + count <= nextOffset_)
+    if (offset + count <= m_nextOffset)
         return PartVerdict::kDuplicate;
     // The part is opaque here, so its known half cannot be cut off.
     return PartVerdict::kGap;
--- a/src/dispatch/StreamAssembler.h
+++ b/src/dispatch/StreamAssembler.h
@@ -21,12 +21,12 @@
     /// Judges a part of `count` units (tokens or bytes) from `offset`, and moves on if it passes.
     PartVerdict accept (std::uint64_t offset, std::uint64_t count);
     /// Offset of the next unit wanted.
-    [[nodiscard]] std::uint64_t nextOffset() const { return nextOffset_; }
+    [[nodiscard]] std::uint64_t nextOffset() const { return m_nextOffset; }
     /// Starts again; allowed only while nothing was passed on to the caller.
-    void restart() { nextOffset_ = 0; }
+    void restart() { m_nextOffset = 0; }
 
 private:
-    std::uint64_t nextOffset_ = 0;
+    std::uint64_t m_nextOffset = 0;
 };
 
 }  // namespace fernlift::dispatch
--- a/src/engine/JsonFields.cpp
+++ b/src/engine/JsonFields.cpp
@@ -38,7 +38,7 @@
 }  // namespace
 
 JsonFields::JsonFields (QJsonObject object, std::string path)
-    : object_ (std::move (object)), path_ (std::move (path))
+    : m_object (std::move (object)), m_path (std::move (path))
 {
 }
 
@@ -96,21 +96,21 @@
 base::Result<void> JsonFields::finish() const
 {
     if (failed())
-        return base::fail (base::ErrorKind::kMessageInvalid, problem_);
+        return base::fail (base::ErrorKind::kMessageInvalid, m_problem);
     return {};
 }
 
 JsonFields& JsonFields::problem (std::string_view key, const std::string& message)
 {
-    if (problem_.empty())
-        problem_ = pathOf (key) + ": " + message;
+    if (m_problem.empty())
+        m_problem = pathOf (key) + ": " + message;
     return *this;
 }
 
 bool JsonFields::adoptProblem (const JsonFields& inner)
 {
-    if (inner.failed() && problem_.empty())
-        problem_ = inner.problem_;
+    if (inner.failed() && m_problem.empty())
+        m_problem = inner.m_problem;
     return failed();
 }
 
@@ -161,12 +161,12 @@
 
 QJsonValue JsonFields::valueOf (std::string_view key) const
 {
-    return object_.value (toQString (key));
+    return m_object.value (toQString (key));
 }
 
 std::string JsonFields::pathOf (std::string_view key) const
 {
-    return path_.empty() ? std::string (key) : path_ + "." + std::string (key);
+    return m_path.empty() ? std::string (key) : m_path + "." + std::string (key);
 }
 
 base::Result<QJsonObject> parseJsonObject (std::string_view json)
--- a/src/engine/JsonFields.h
+++ b/src/engine/JsonFields.h
@@ -98,7 +98,7 @@
 
     /// True when the object has the field; for fields that may be left out.
     [[nodiscard]] bool has (std::string_view key) const;
-    [[nodiscard]] bool failed() const { return ! problem_.empty(); }
+    [[nodiscard]] bool failed() const { return ! m_problem.empty(); }
     /// Success, or kMessageInvalid with the first problem.
     [[nodiscard]] base::Result<void> finish() const;
 
@@ -111,9 +111,9 @@
     [[nodiscard]] QJsonValue valueOf (std::string_view key) const;
     [[nodiscard]] std::string pathOf (std::string_view key) const;
 
-    QJsonObject object_;
-    std::string path_;
-    std::string problem_;
+    QJsonObject m_object;
+    std::string m_path;
+    std::string m_problem;
 };
 
 /// Parses bytes that must be one JSON object; fails with kMessageInvalid.
--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -20,7 +20,7 @@
 class AnswerParser::Implementation final : public beast::http::basic_parser<false>
 {
 public:
-    Implementation (bool hasBody, Handlers handlers) : handlers_ (std::move (handlers))
+    Implementation (bool hasBody, Handlers handlers) : m_handlers (std::move (handlers))
     {
         header_limit (kHeaderLimit);
         body_limit (boost::none);
@@ -39,24 +39,24 @@
     void on_response_impl (int status, beast::string_view /*reason*/, int /*version*/,
                            ErrorCode& error) override
     {
-        head_.status = status;
+        m_head.status = status;
         error = {};
     }
     void on_field_impl (beast::http::field /*field*/, beast::string_view name,
                         beast::string_view value, ErrorCode& error) override
     {
-        head_.headers.add (std::string (name.data(), name.size()),
-                           std::string (value.data(), value.size()));
+        m_head.headers.add (std::string (name.data(), name.size()),
+                            std::string (value.data(), value.size()));
         error = {};
     }
     void on_header_impl (ErrorCode& error) override
     {
-        head_.hasLength = content_length().has_value();
-        if (head_.hasLength)
-            head_.length = *content_length();
-        head_.endsByClose = need_eof();
-        head_.isPersistent = keep_alive() && ! need_eof();
-        handlers_.onHead (std::move (head_));
+        m_head.hasLength = content_length().has_value();
+        if (m_head.hasLength)
+            m_head.length = *content_length();
+        m_head.endsByClose = need_eof();
+        m_head.isPersistent = keep_alive() && ! need_eof();
+        m_handlers.onHead (std::move (m_head));
         error = {};
     }
     void on_body_init_impl (boost::optional<std::uint64_t> const& /*length*/,
@@ -66,7 +66,7 @@
     }
     std::size_t on_body_impl (beast::string_view body, ErrorCode& error) override
     {
-        handlers_.onBody ({ body.data(), body.size() });
+        m_handlers.onBody ({ body.data(), body.size() });
         error = {};
         return body.size();
     }
@@ -78,18 +78,18 @@
     std::size_t on_chunk_body_impl (std::uint64_t /*remain*/, beast::string_view body,
                                     ErrorCode& error) override
     {
-        handlers_.onBody ({ body.data(), body.size() });
+        m_handlers.onBody ({ body.data(), body.size() });
         error = {};
         return body.size();
     }
     void on_finish_impl (ErrorCode& error) override { error = {}; }
 
-    Handlers handlers_;
-    AnswerHead head_;
+    Handlers m_handlers;
+    AnswerHead m_head;
 };
 
 AnswerParser::AnswerParser (bool hasBody, Handlers handlers)
-    : implementation_ (std::make_unique<Implementation> (hasBody, std::move (handlers)))
+    : m_implementation (std::make_unique<Implementation> (hasBody, std::move (handlers)))
 {
 }
 AnswerParser::~AnswerParser() = default;
@@ -97,10 +97,10 @@
 base::Result<void> AnswerParser::parse (std::string& buffer)
 {
     std::size_t used = 0;
-    while (used < buffer.size() && ! implementation_->is_done())
+    while (used < buffer.size() && ! m_implementation->is_done())
     {
         beast::error_code error;
-        const std::size_t count = implementation_->put (
+        const std::size_t count = m_implementation->put (
             boost::asio::const_buffer (buffer.data() + used, buffer.size() - used), error);
         used += count;
         if (error == beast::http::error::need_more)
@@ -116,15 +116,15 @@
 
 bool AnswerParser::finishByClose()
 {
-    if (implementation_->is_done())
+    if (m_implementation->is_done())
         return true;
-    if (! implementation_->is_header_done() || ! implementation_->need_eof())
+    if (! m_implementation->is_header_done() || ! m_implementation->need_eof())
         return false;
     beast::error_code error;
-    implementation_->put_eof (error);
-    return ! error && implementation_->is_done();
+    m_implementation->put_eof (error);
+    return ! error && m_implementation->is_done();
 }
 
-bool AnswerParser::isDone() const { return implementation_->is_done(); }
+bool AnswerParser::isDone() const { return m_implementation->is_done(); }
 
 }  // namespace fernlift::http
--- a/src/http/BackEndConnection.cpp
+++ b/src/http/BackEndConnection.cpp
@@ -32,7 +32,7 @@
 }  // namespace
 
 BackEndConnection::BackEndConnection (base::SocketAddress address, base::Duration connectTimeout)
-    : address_ (std::move (address)), connectTimeout_ (connectTimeout)
+    : m_address (std::move (address)), m_connectTimeout (connectTimeout)
 {
 }
 
@@ -40,80 +40,80 @@
 
 void BackEndConnection::send (Call call, AnswerListener* listener)
 {
-    call_ = std::move (call);
-    listener_ = listener;
-    isActive_ = true;
-    ++callsSent_;
+    m_call = std::move (call);
+    m_listener = listener;
+    m_isActive = true;
+    ++m_callsSent;
     beginAnswer();
     const auto self = shared_from_this();
-    if (socket_.isOpen())
+    if (m_socket.isOpen())
     {
         write();
         return;
     }
-    socket_.connectTo (address_);
-    connectTimer_ = std::make_unique<QTimer>();
-    connectTimer_->setSingleShot (true);
-    QObject::connect (connectTimer_.get(), &QTimer::timeout, connectTimer_.get(),
+    m_socket.connectTo (m_address);
+    m_connectTimer = std::make_unique<QTimer>();
+    m_connectTimer->setSingleShot (true);
+    QObject::connect (m_connectTimer.get(), &QTimer::timeout, m_connectTimer.get(),
                       [this]
                       {
                           const auto held = shared_from_this();
-                          if (! socket_.isOpen())
+                          if (! m_socket.isOpen())
                               fail (BackEndFailure::kNotConnected);
                       });
-    connectTimer_->start (std::chrono::duration_cast<base::milliseconds> (connectTimeout_));
+    m_connectTimer->start (std::chrono::duration_cast<base::milliseconds> (m_connectTimeout));
 }
 
 void BackEndConnection::onConnected()
 {
     const auto self = shared_from_this();
-    connectTimer_->stop();
+    m_connectTimer->stop();
     write();
 }
 
 void BackEndConnection::write()
 {
-    socket_.write (call_.bytes);
-    call_.bytes.clear();
-    if (listener_ != nullptr)
-        listener_->onSent();
+    m_socket.write (m_call.bytes);
+    m_call.bytes.clear();
+    if (m_listener != nullptr)
+        m_listener->onSent();
 }
 
 void BackEndConnection::beginAnswer()
 {
-    isHeadRead_ = false;
-    isSurplus_ = false;
+    m_isHeadRead = false;
+    m_isSurplus = false;
     AnswerParser::Handlers handlers;
     handlers.onHead = [this] (AnswerHead head) { onHead (std::move (head)); };
     handlers.onBody = [this] (std::string_view data)
     {
-        if (! isSurplus_ && listener_ != nullptr)
-            listener_->onBody (data);
+        if (! m_isSurplus && m_listener != nullptr)
+            m_listener->onBody (data);
     };
-    parser_ = std::make_unique<AnswerParser> (call_.answerHasBody, std::move (handlers));
+    m_parser = std::make_unique<AnswerParser> (m_call.answerHasBody, std::move (handlers));
 }
 
 void BackEndConnection::onData (std::string_view data)
 {
     const auto self = shared_from_this();
-    if (! isActive_)
+    if (! m_isActive)
     {
         // Bytes that nobody asked for: they belong to no request.
-        isPersistent_ = false;
+        m_isPersistent = false;
         return;
     }
-    buffer_.append (data);
+    m_buffer.append (data);
     parse();
 }
 
 void BackEndConnection::parse()
 {
-    while (isActive_ && ! buffer_.empty())
+    while (m_isActive && ! m_buffer.empty())
     {
         const bool isSound = base::handleErrors (
             [&]() -> base::Result<bool>
             {
-                BOOST_LEAF_CHECK (parser_->parse (buffer_));
+                BOOST_LEAF_CHECK (m_parser->parse (m_buffer));
                 return true;
             },
             [] (const base::Error&) { return false; });
@@ -122,9 +122,9 @@
             fail (BackEndFailure::kNotAnAnswer);
             return;
         }
-        if (! parser_->isDone())
+        if (! m_parser->isDone())
             return;
-        if (isSurplus_)
+        if (m_isSurplus)
         {
             beginAnswer();  // The answer that is due comes after it.
             continue;
@@ -138,24 +138,24 @@
 {
     constexpr int kFirstFinalStatus = 200;
     const bool isInterim = head.status < kFirstFinalStatus;
-    const std::string id = head.headers.value (call_.requestIdHeader);
-    const bool isOther = ! call_.requestIdHeader.empty() && ! id.empty() && id != call_.requestId;
-    isSurplus_ = isInterim || isOther;
-    if (isSurplus_)
+    const std::string id = head.headers.value (m_call.requestIdHeader);
+    const bool isOther = ! m_call.requestIdHeader.empty() && ! id.empty() && id != m_call.requestId;
+    m_isSurplus = isInterim || isOther;
+    if (m_isSurplus)
         return;
-    isHeadRead_ = true;
-    isPersistent_ = head.isPersistent;
+    m_isHeadRead = true;
+    m_isPersistent = head.isPersistent;
     const std::string keepAlive = head.headers.value ("Keep-Alive");
-    keepAlive_ = keepAliveOf (keepAlive).value_or (kDefaultKeepAlive);
-    if (listener_ != nullptr)
-        listener_->onHead (std::move (head));
+    m_keepAlive = keepAliveOf (keepAlive).value_or (kDefaultKeepAlive);
+    if (m_listener != nullptr)
+        m_listener->onHead (std::move (head));
 }
 
 void BackEndConnection::onEnd (StreamEnd end)
 {
     const auto self = shared_from_this();
-    isClosed_ = true;
-    if (! isActive_)
+    m_isClosed = true;
+    if (! m_isActive)
         return;
     if (end == StreamEnd::kRefused)
     {
@@ -163,7 +163,7 @@
         return;
     }
     const bool isWhole =
-        end == StreamEnd::kOrderly && isHeadRead_ && ! isSurplus_ && parser_->finishByClose();
+        end == StreamEnd::kOrderly && m_isHeadRead && ! m_isSurplus && m_parser->finishByClose();
     if (isWhole)
     {
         finish();
@@ -176,41 +176,41 @@
 
 void BackEndConnection::finish()
 {
-    isActive_ = false;
+    m_isActive = false;
     // Surplus bytes belong to no request, and a body that is not sent yet would run into the next.
-    if (! buffer_.empty() || socket_.bytesToWrite() > 0)
-        isPersistent_ = false;
-    if (listener_ != nullptr)
-        listener_->onDone();
+    if (! m_buffer.empty() || m_socket.bytesToWrite() > 0)
+        m_isPersistent = false;
+    if (m_listener != nullptr)
+        m_listener->onDone();
 }
 
 void BackEndConnection::fail (BackEndFailure failure)
 {
-    if (! isActive_)
+    if (! m_isActive)
         return;
-    isActive_ = false;
-    isPersistent_ = false;
-    if (listener_ != nullptr)
-        listener_->onFailed (failure);
+    m_isActive = false;
+    m_isPersistent = false;
+    if (m_listener != nullptr)
+        m_listener->onFailed (failure);
 }
 
 void BackEndConnection::detach()
 {
-    listener_ = nullptr;
-    if (isActive_)
-        isPersistent_ = false;
-    isActive_ = false;
+    m_listener = nullptr;
+    if (m_isActive)
+        m_isPersistent = false;
+    m_isActive = false;
 }
 
 bool BackEndConnection::isReusable (base::TimePoint now) const
 {
     const bool isSound =
-        ! isActive_ && ! isClosed_ && isPersistent_ && buffer_.empty() && socket_.isOpen();
+        ! m_isActive && ! m_isClosed && m_isPersistent && m_buffer.empty() && m_socket.isOpen();
     return isSound
-           && (restsSince_ == base::TimePoint{}
-               || now - restsSince_ < keepAlive_ - kKeepAliveMargin);
+           && (m_restsSince == base::TimePoint{}
+               || now - m_restsSince < m_keepAlive - kKeepAliveMargin);
 }
 
-void BackEndConnection::rest (base::TimePoint now) { restsSince_ = now; }
+void BackEndConnection::rest (base::TimePoint now) { m_restsSince = now; }
 
 }  // namespace fernlift::http
--- a/src/http/BackEndConnection.h
+++ b/src/http/BackEndConnection.h
@@ -68,8 +68,8 @@
     [[nodiscard]] bool isReusable (base::TimePoint now) const;
     /// Notes that the connection rests from now on.
     void rest (base::TimePoint now);
-    [[nodiscard]] const base::SocketAddress& address() const { return address_; }
-    [[nodiscard]] bool wasUsedBefore() const { return callsSent_ > 1; }
+    [[nodiscard]] const base::SocketAddress& address() const { return m_address; }
+    [[nodiscard]] bool wasUsedBefore() const { return m_callsSent > 1; }
 
 private:
     void onConnected() override;
@@ -82,22 +82,22 @@
     void finish();
     void fail (BackEndFailure failure);
 
-    base::SocketAddress address_;
-    base::Duration connectTimeout_;
-    StreamSocket socket_{ this };
-    Call call_;
-    AnswerListener* listener_ = nullptr;
-    std::unique_ptr<AnswerParser> parser_;
-    std::string buffer_;
-    bool isActive_ = false;   ///< A call waits for its answer.
-    bool isSurplus_ = false;  ///< The answer being read belongs to an earlier request.
-    bool isClosed_ = false;
-    bool isPersistent_ = false;
-    bool isHeadRead_ = false;
-    std::size_t callsSent_ = 0;
-    base::Duration keepAlive_{};  ///< As stated by the runner.
-    base::TimePoint restsSince_{};
-    std::unique_ptr<QTimer> connectTimer_;
+    base::SocketAddress m_address;
+    base::Duration m_connectTimeout;
+    StreamSocket m_socket{ this };
+    Call m_call;
+    AnswerListener* m_listener = nullptr;
+    std::unique_ptr<AnswerParser> m_parser;
+    std::string m_buffer;
+    bool m_isActive = false;   ///< A call waits for its answer.
+    bool m_isSurplus = false;  ///< The answer being read belongs to an earlier request.
+    bool m_isClosed = false;
+    bool m_isPersistent = false;
+    bool m_isHeadRead = false;
+    std::size_t m_callsSent = 0;
+    base::Duration m_keepAlive{};  ///< As stated by the runner.
+    base::TimePoint m_restsSince{};
+    std::unique_ptr<QTimer> m_connectTimer;
 };
 
 }  // namespace fernlift::http
--- a/src/http/BackEndPool.cpp
+++ b/src/http/BackEndPool.cpp
@@ -8,7 +8,7 @@
 std::shared_ptr<BackEndConnection> BackEndPool::acquire (const base::SocketAddress& address,
                                                          base::TimePoint now)
 {
-    Resting& resting = resting_[address];
+    Resting& resting = m_resting[address];
     while (! resting.empty())
     {
         // The one used last: the others may age and go.
@@ -17,8 +17,8 @@
         if (connection->isReusable (now))
             return connection;
     }
-    ++opened_;
-    return std::make_shared<BackEndConnection> (address, connectTimeout_);
+    ++m_opened;
+    return std::make_shared<BackEndConnection> (address, m_connectTimeout);
 }
 
 void BackEndPool::release (std::shared_ptr<BackEndConnection> connection, base::TimePoint now)
@@ -27,16 +27,16 @@
     connection->rest (now);
     if (! connection->isReusable (now))
         return;
-    resting_[connection->address()].push_back (std::move (connection));
+    m_resting[connection->address()].push_back (std::move (connection));
 }
 
 void BackEndPool::expire (base::TimePoint now)
 {
-    for (auto item = resting_.begin(); item != resting_.end();)
+    for (auto item = m_resting.begin(); item != m_resting.end();)
     {
         std::erase_if (item->second,
                        [&] (const auto& connection) { return ! connection->isReusable (now); });
-        item = item->second.empty() ? resting_.erase (item) : std::next (item);
+        item = item->second.empty() ? m_resting.erase (item) : std::next (item);
     }
 }
 
--- a/src/http/BackEndPool.h
+++ b/src/http/BackEndPool.h
@@ -18,7 +18,7 @@
 {
 public:
     /// A connection that cannot be opened within `connectTimeout` counts as unreachable.
-    explicit BackEndPool (base::Duration connectTimeout) : connectTimeout_ (connectTimeout) {}
+    explicit BackEndPool (base::Duration connectTimeout) : m_connectTimeout (connectTimeout) {}
 
     /// A connection to `address`: one that rests, or a new one. Requests that must not run twice
     /// get a new one where a resting one may be about to be closed by the runner.
@@ -28,14 +28,14 @@
     void release (std::shared_ptr<BackEndConnection> connection, base::TimePoint now);
     /// Drops the connections that rested for too long.
     void expire (base::TimePoint now);
-    [[nodiscard]] std::uint64_t opened() const { return opened_; }
+    [[nodiscard]] std::uint64_t opened() const { return m_opened; }
 
 private:
     using Resting = std::vector<std::shared_ptr<BackEndConnection>>;
 
-    base::Duration connectTimeout_;
-    std::map<base::SocketAddress, Resting> resting_;
-    std::uint64_t opened_ = 0;
+    base::Duration m_connectTimeout;
+    std::map<base::SocketAddress, Resting> m_resting;
+    std::uint64_t m_opened = 0;
 };
 
 }  // namespace fernlift::http
--- a/src/http/BodySource.cpp
+++ b/src/http/BodySource.cpp
@@ -7,24 +7,24 @@
 namespace fernlift::http
 {
 
-BodySource::BodySource (std::string body) : body_ (std::move (body))
+BodySource::BodySource (std::string body) : m_body (std::move (body))
 {
     open (QIODevice::ReadOnly | QIODevice::Unbuffered);
 }
 
 qint64 BodySource::bytesAvailable() const
 {
-    return static_cast<qint64> (body_.size() - position_) + QIODevice::bytesAvailable();
+    return static_cast<qint64> (m_body.size() - m_position) + QIODevice::bytesAvailable();
 }
 
 qint64 BodySource::readData (char* data, qint64 maximumSize)
 {
-    if (position_ == body_.size())
+    if (m_position == m_body.size())
         return -1;
     const std::size_t size =
-        std::min (static_cast<std::size_t> (maximumSize), body_.size() - position_);
-    std::memcpy (data, body_.data() + position_, size);
-    position_ += size;
+        std::min (static_cast<std::size_t> (maximumSize), m_body.size() - m_position);
+    std::memcpy (data, m_body.data() + m_position, size);
+    m_position += size;
     return static_cast<qint64> (size);
 }
 
--- a/src/http/BodySource.h
+++ b/src/http/BodySource.h
@@ -15,7 +15,7 @@
     explicit BodySource (std::string body);
 
     /// Whether any byte was taken.
-    [[nodiscard]] bool wasRead() const { return position_ > 0; }
+    [[nodiscard]] bool wasRead() const { return m_position > 0; }
     [[nodiscard]] bool isSequential() const override { return true; }
     [[nodiscard]] qint64 bytesAvailable() const override;
     [[nodiscard]] bool atEnd() const override { return bytesAvailable() == 0; }
@@ -27,8 +27,8 @@
     qint64 writeData (const char* data, qint64 size) override;
 
 private:
-    std::string body_;
-    std::size_t position_ = 0;
+    std::string m_body;
+    std::size_t m_position = 0;
 };
 
 }  // namespace fernlift::http
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -35,14 +35,14 @@
     Implementation()
     {
         QNetworkProxy::setApplicationProxy (QNetworkProxy (QNetworkProxy::NoProxy));
-        manager_.setProxyFactory (new DirectConnections);
-        manager_.setRedirectPolicy (QNetworkRequest::ManualRedirectPolicy);
-        manager_.setAutoDeleteReplies (false);
+        m_manager.setProxyFactory (new DirectConnections);
+        m_manager.setRedirectPolicy (QNetworkRequest::ManualRedirectPolicy);
+        m_manager.setAutoDeleteReplies (false);
     }
 
     ~Implementation()
     {
-        const auto exchanges = std::exchange (exchanges_, {});
+        const auto exchanges = std::exchange (m_exchanges, {});
         for (const auto& [key, exchange] : exchanges)
             exchange->cancel();
     }
@@ -52,40 +52,40 @@
     std::shared_ptr<Exchange> send (ClientRequest request, ClientCallbacks callbacks)
     {
         const base::SocketAddress address = request.address;
-        const auto slot = slots_[address].acquire (clock_.now(), request.needsFreshConnection);
-        const std::uint64_t key = nextKey_++;
+        const auto slot = m_slots[address].acquire (m_clock.now(), request.needsFreshConnection);
+        const std::uint64_t key = m_nextKey++;
         auto onDone = [this, address, slot, key] (bool isReusable, bool isOpen)
         {
             if (isReusable)
-                slots_[address].release (slot, isOpen, clock_.now());
+                m_slots[address].release (slot, isOpen, m_clock.now());
             forget (key);
         };
         const std::shared_ptr<ClientExchange> exchange (
             new ClientExchange (std::move (request), std::move (callbacks), std::move (onDone)),
             [] (ClientExchange* unused) { unused->deleteLater(); });
-        exchanges_.emplace (key, exchange);
-        exchange->start (manager_, slot.name());
+        m_exchanges.emplace (key, exchange);
+        exchange->start (m_manager, slot.name());
         return exchange;
     }
 
 private:
-    void forget (std::uint64_t key) { exchanges_.erase (key); }
+    void forget (std::uint64_t key) { m_exchanges.erase (key); }
 
-    base::SystemClock clock_;
-    QNetworkAccessManager manager_;
-    std::map<base::SocketAddress, ConnectionSlots> slots_;
+    base::SystemClock m_clock;
+    QNetworkAccessManager m_manager;
+    std::map<base::SocketAddress, ConnectionSlots> m_slots;
     /// Exchanges on their way; they live on without a handle.
-    std::unordered_map<std::uint64_t, std::shared_ptr<ClientExchange>> exchanges_;
-    std::uint64_t nextKey_ = 0;
+    std::unordered_map<std::uint64_t, std::shared_ptr<ClientExchange>> m_exchanges;
+    std::uint64_t m_nextKey = 0;
 };
 
-Client::Client() : implementation_ (std::make_unique<Implementation>()) {}
+Client::Client() : m_implementation (std::make_unique<Implementation>()) {}
 
 Client::~Client() = default;
 
 std::shared_ptr<Exchange> Client::send (ClientRequest request, ClientCallbacks callbacks)
 {
-    return implementation_->send (std::move (request), std::move (callbacks));
+    return m_implementation->send (std::move (request), std::move (callbacks));
 }
 
 std::shared_ptr<Exchange> Client::fetch (ClientRequest request,
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -102,7 +102,7 @@
     class Implementation;
 
 private:
-    std::unique_ptr<Implementation> implementation_;
+    std::unique_ptr<Implementation> m_implementation;
 };
 
 }  // namespace fernlift::http
--- a/src/http/ClientExchange.cpp
+++ b/src/http/ClientExchange.cpp
@@ -44,21 +44,21 @@
 
 ClientExchange::ClientExchange (ClientRequest request, ClientCallbacks callbacks,
                                 DoneCallback onDone)
-    : request_ (std::move (request)),
-      callbacks_ (std::move (callbacks)),
-      onDone_ (std::move (onDone)),
-      body_ (std::move (request_.body)),
-      hasBody_ (! isSafeMethod (request_.method) || body_.bytesAvailable() > 0)
+    : m_request (std::move (request)),
+      m_callbacks (std::move (callbacks)),
+      m_onDone (std::move (onDone)),
+      m_body (std::move (m_request.body)),
+      m_hasBody (! isSafeMethod (m_request.method) || m_body.bytesAvailable() > 0)
 {
-    timer_.setSingleShot (true);
-    connect (&timer_, &QTimer::timeout, this, [this] { onTimeout(); });
+    m_timer.setSingleShot (true);
+    connect (&m_timer, &QTimer::timeout, this, [this] { onTimeout(); });
 }
 
 ClientExchange::~ClientExchange() { cancel(); }
 
 QNetworkRequest ClientExchange::buildRequest (const std::string& slotName) const
 {
-    const std::string url = "http://" + request_.address.toString() + request_.path;
+    const std::string url = "http://" + m_request.address.toString() + m_request.path;
     QNetworkRequest request (QUrl::fromEncoded (QByteArray::fromStdString (url)));
     request.setPeerVerifyName (QString::fromStdString (slotName));
     request.setAttribute (QNetworkRequest::Http2AllowedAttribute, false);
@@ -74,58 +74,58 @@
     request.setRawHeader ("User-Agent", kUserAgent);
     request.setRawHeader ("Accept-Encoding", "identity");
     request.setRawHeader ("Accept-Language", "*");
-    for (const Header& field : request_.headers.fields())
+    for (const Header& field : m_request.headers.fields())
     {
         if (isFramingField (field.name))
             continue;
         request.setRawHeader (QByteArray::fromStdString (field.name),
                               QByteArray::fromStdString (field.value));
     }
-    if (request_.needsFreshConnection)
+    if (m_request.needsFreshConnection)
         request.setRawHeader ("Connection", "close");
-    if (hasBody_)
-        request.setHeader (QNetworkRequest::ContentLengthHeader, body_.bytesAvailable());
+    if (m_hasBody)
+        request.setHeader (QNetworkRequest::ContentLengthHeader, m_body.bytesAvailable());
     return request;
 }
 
 void ClientExchange::start (QNetworkAccessManager& manager, const std::string& slotName)
 {
     const QNetworkRequest request = buildRequest (slotName);
-    const QByteArray verb = QByteArray::fromStdString (request_.method);
-    startTimer (request_.connectTimeout);
+    const QByteArray verb = QByteArray::fromStdString (m_request.method);
+    startTimer (m_request.connectTimeout);
     // As a custom method Qt would wait for a body that never comes.
-    const bool isHead = verb == "HEAD" && ! hasBody_;
-    reply_ = isHead ? manager.head (request)
-                    : manager.sendCustomRequest (request, verb, hasBody_ ? &body_ : nullptr);
-    connect (reply_, &QNetworkReply::requestSent, this, [this] { onRequestSent(); });
-    connect (reply_, &QNetworkReply::metaDataChanged, this, [this] { deliverHeaders(); });
-    connect (reply_, &QNetworkReply::readyRead, this, [this] { onReadable(); });
-    connect (reply_, &QNetworkReply::finished, this, [this] { onFinished(); });
+    const bool isHead = verb == "HEAD" && ! m_hasBody;
+    m_reply = isHead ? manager.head (request)
+                     : manager.sendCustomRequest (request, verb, m_hasBody ? &m_body : nullptr);
+    connect (m_reply, &QNetworkReply::requestSent, this, [this] { onRequestSent(); });
+    connect (m_reply, &QNetworkReply::metaDataChanged, this, [this] { deliverHeaders(); });
+    connect (m_reply, &QNetworkReply::readyRead, this, [this] { onReadable(); });
+    connect (m_reply, &QNetworkReply::finished, this, [this] { onFinished(); });
 }
 
 void ClientExchange::onRequestSent()
 {
-    wasSent_ = true;
+    m_wasSent = true;
     // Qt passes the size on to its network thread only once that has taken up the request.
-    reply_->setReadBufferSize (static_cast<qint64> (request_.readBufferBytes));
-    if (! hasHeaders_)
-        startTimer (request_.headersTimeout);
+    m_reply->setReadBufferSize (static_cast<qint64> (m_request.readBufferBytes));
+    if (! m_hasHeaders)
+        startTimer (m_request.headersTimeout);
 }
 
 void ClientExchange::deliverHeaders()
 {
-    const QVariant status = reply_->attribute (QNetworkRequest::HttpStatusCodeAttribute);
-    if (hasHeaders_ || isDone_ || ! status.isValid())
+    const QVariant status = m_reply->attribute (QNetworkRequest::HttpStatusCodeAttribute);
+    if (m_hasHeaders || m_isDone || ! status.isValid())
         return;
-    hasHeaders_ = true;
-    response_.status = status.toInt();
-    for (const auto& [name, value] : reply_->rawHeaderPairs())
+    m_hasHeaders = true;
+    m_response.status = status.toInt();
+    for (const auto& [name, value] : m_reply->rawHeaderPairs())
     {
-        response_.headers.add (name.toStdString(), value.toStdString());
+        m_response.headers.add (name.toStdString(), value.toStdString());
     }
-    startTimer (request_.idleTimeout);
-    if (callbacks_.onHeaders)
-        callbacks_.onHeaders (response_);
+    startTimer (m_request.idleTimeout);
+    if (m_callbacks.onHeaders)
+        m_callbacks.onHeaders (m_response);
 }
 
 void ClientExchange::onReadable()
@@ -136,16 +136,16 @@
 
 void ClientExchange::deliverData()
 {
-    while (! isDone_ && ! isPaused_ && reply_->bytesAvailable() > 0)
+    while (! m_isDone && ! m_isPaused && m_reply->bytesAvailable() > 0)
     {
-        const QByteArray part = reply_->read (kReadBytes);
+        const QByteArray part = m_reply->read (kReadBytes);
         if (part.isEmpty())
             break;
-        received_ += static_cast<std::uint64_t> (part.size());
-        startTimer (request_.idleTimeout);
-        if (callbacks_.onData)
+        m_received += static_cast<std::uint64_t> (part.size());
+        startTimer (m_request.idleTimeout);
+        if (m_callbacks.onData)
         {
-            callbacks_.onData (
+            m_callbacks.onData (
                 std::string_view (part.constData(), static_cast<std::size_t> (part.size())));
         }
     }
@@ -153,28 +153,28 @@
 
 void ClientExchange::setPaused (bool isPaused)
 {
-    if (isDone_ || isPaused_ == isPaused)
+    if (m_isDone || m_isPaused == isPaused)
         return;
-    isPaused_ = isPaused;
+    m_isPaused = isPaused;
     if (isPaused)
     {
-        timer_.stop();
+        m_timer.stop();
         return;
     }
-    startTimer (hasHeaders_ ? request_.idleTimeout : request_.headersTimeout);
+    startTimer (m_hasHeaders ? m_request.idleTimeout : m_request.headersTimeout);
     // Not from within the caller's own call.
     QTimer::singleShot (0, this,
                         [this]
                         {
                             deliverData();
-                            if (isFinished_)
+                            if (m_isFinished)
                                 complete();
                         });
 }
 
 void ClientExchange::onFinished()
 {
-    isFinished_ = true;
+    m_isFinished = true;
     deliverHeaders();
     deliverData();
     complete();
@@ -182,14 +182,14 @@
 
 void ClientExchange::complete()
 {
-    if (isDone_ || (isPaused_ && reply_->bytesAvailable() > 0))
+    if (m_isDone || (m_isPaused && m_reply->bytesAvailable() > 0))
         return;
     if (! isWhole())
     {
         failWith (errorOfReply());
         return;
     }
-    const auto callback = std::move (callbacks_.onEnd);
+    const auto callback = std::move (m_callbacks.onEnd);
     finish (true);
     if (callback)
         callback();
@@ -197,39 +197,39 @@
 
 bool ClientExchange::isWhole() const
 {
-    if (! hasHeaders_ || ! comesFromStatus (reply_->error()))
+    if (! m_hasHeaders || ! comesFromStatus (m_reply->error()))
         return false;
-    const std::string length = response_.headers.value ("Content-Length");
+    const std::string length = m_response.headers.value ("Content-Length");
     std::uint64_t expected = 0;
     const auto [end, status] =
         std::from_chars (length.data(), length.data() + length.size(), expected);
     const bool hasLength = ! length.empty() && status == std::errc();
-    return ! hasLength || request_.method == "HEAD" || received_ == expected;
+    return ! hasLength || m_request.method == "HEAD" || m_received == expected;
 }
 
 ClientError ClientExchange::errorOfReply() const
 {
-    const bool isRefused = reply_->error() == QNetworkReply::ConnectionRefusedError;
-    const bool nothingSent = ! wasSent_ && ! body_.wasRead() && ! hasHeaders_;
+    const bool isRefused = m_reply->error() == QNetworkReply::ConnectionRefusedError;
+    const bool nothingSent = ! m_wasSent && ! m_body.wasRead() && ! m_hasHeaders;
     const ClientErrorKind kind =
         isRefused && nothingSent ? ClientErrorKind::kNotSent : ClientErrorKind::kBroken;
-    const std::string message = reply_->error() == QNetworkReply::NoError
+    const std::string message = m_reply->error() == QNetworkReply::NoError
                                     ? "the answer ended before its Content-Length"
-                                    : reply_->errorString().toStdString();
+                                    : m_reply->errorString().toStdString();
     return ClientError{ kind, message };
 }
 
 void ClientExchange::onTimeout()
 {
-    if (isDone_)
+    if (m_isDone)
         return;
     failWith (ClientError{ ClientErrorKind::kTimeout,
-                           hasHeaders_ ? "the answer stalled" : "no answer in time" });
+                           m_hasHeaders ? "the answer stalled" : "no answer in time" });
 }
 
 void ClientExchange::failWith (const ClientError& error)
 {
-    const auto callback = std::move (callbacks_.onError);
+    const auto callback = std::move (m_callbacks.onError);
     finish (false);
     if (callback)
         callback (error);
@@ -237,33 +237,33 @@
 
 void ClientExchange::cancel()
 {
-    if (! isDone_)
+    if (! m_isDone)
         finish (false);
 }
 
 void ClientExchange::finish (bool isReusable)
 {
-    isDone_ = true;
-    timer_.stop();
-    if (reply_ != nullptr)
+    m_isDone = true;
+    m_timer.stop();
+    if (m_reply != nullptr)
     {
-        reply_->disconnect (this);
-        if (! isFinished_)
-            reply_->abort();
-        reply_->deleteLater();
-        reply_ = nullptr;
+        m_reply->disconnect (this);
+        if (! m_isFinished)
+            m_reply->abort();
+        m_reply->deleteLater();
+        m_reply = nullptr;
     }
-    const bool isOpen = ! equalsIgnoringCase (response_.headers.value ("Connection"), "close");
-    const auto onDone = std::exchange (onDone_, nullptr);
+    const bool isOpen = ! equalsIgnoringCase (m_response.headers.value ("Connection"), "close");
+    const auto onDone = std::exchange (m_onDone, nullptr);
     if (onDone)
         onDone (isReusable, isOpen);
 }
 
 void ClientExchange::startTimer (base::Duration duration)
 {
-    if (isPaused_)
+    if (m_isPaused)
         return;
-    timer_.start (std::chrono::ceil<std::chrono::milliseconds> (duration));
+    m_timer.start (std::chrono::ceil<std::chrono::milliseconds> (duration));
 }
 
 }  // namespace fernlift::http
--- a/src/http/ClientExchange.h
+++ b/src/http/ClientExchange.h
@@ -45,20 +45,20 @@
     void finish (bool isReusable);
     void startTimer (base::Duration duration);
 
-    ClientRequest request_;
-    ClientCallbacks callbacks_;
-    DoneCallback onDone_;
-    BodySource body_;
-    bool hasBody_;
-    QNetworkReply* reply_ = nullptr;
-    QTimer timer_;
-    ClientResponse response_;
-    std::uint64_t received_ = 0;
-    bool wasSent_ = false;
-    bool hasHeaders_ = false;
-    bool isPaused_ = false;
-    bool isFinished_ = false;  ///< Qt has reported the end of the reply.
-    bool isDone_ = false;      ///< The last callback has run, or the exchange was cancelled.
+    ClientRequest m_request;
+    ClientCallbacks m_callbacks;
+    DoneCallback m_onDone;
+    BodySource m_body;
+    bool m_hasBody;
+    QNetworkReply* m_reply = nullptr;
+    QTimer m_timer;
+    ClientResponse m_response;
+    std::uint64_t m_received = 0;
+    bool m_wasSent = false;
+    bool m_hasHeaders = false;
+    bool m_isPaused = false;
+    bool m_isFinished = false;  ///< Qt has reported the end of the reply.
+    bool m_isDone = false;      ///< The last callback has run, or the exchange was cancelled.
 };
 
 }  // namespace fernlift::http
--- a/src/http/ClientTest.cpp
+++ b/src/http/ClientTest.cpp
@@ -59,27 +59,27 @@
 public:
     using Answer = std::function<void (QTcpSocket&, int requestNumber)>;
 
-    explicit RawBackEnd (Answer answer) : answer_ (std::move (answer))
+    explicit RawBackEnd (Answer answer) : m_answer (std::move (answer))
     {
-        server_.listen (QHostAddress::LocalHost, 0);
-        QObject::connect (&server_, &QTcpServer::newConnection, &server_,
+        m_server.listen (QHostAddress::LocalHost, 0);
+        QObject::connect (&m_server, &QTcpServer::newConnection, &m_server,
                           [this] { onConnection(); });
     }
     [[nodiscard]] base::SocketAddress address() const
     {
-        return { "127.0.0.1", server_.serverPort() };
+        return { "127.0.0.1", m_server.serverPort() };
     }
-    [[nodiscard]] int requests() const { return requests_; }
-    [[nodiscard]] int connections() const { return connections_; }
+    [[nodiscard]] int requests() const { return m_requests; }
+    [[nodiscard]] int connections() const { return m_connections; }
 
 private:
     void onConnection()
     {
-        while (QTcpSocket* const socket = server_.nextPendingConnection())
+        while (QTcpSocket* const socket = m_server.nextPendingConnection())
         {
-            ++connections_;
+            ++m_connections;
             QObject::connect (
-                socket, &QTcpSocket::readyRead, &server_,
+                socket, &QTcpSocket::readyRead, &m_server,
                 [this, socket]
                 {
                     QByteArray received =
@@ -87,17 +87,17 @@
                     while (received.contains ("\r\n\r\n") && received.endsWith ("end"))
                     {
                         received.clear();
-                        answer_ (*socket, ++requests_);
+                        m_answer (*socket, ++m_requests);
                     }
                     socket->setProperty ("received", received);
                 });
         }
     }
 
-    Answer answer_;
-    QTcpServer server_;
-    int requests_ = 0;
-    int connections_ = 0;
+    Answer m_answer;
+    QTcpServer m_server;
+    int m_requests = 0;
+    int m_connections = 0;
 };
 
 void answerOk (QTcpSocket& socket)
--- a/src/http/Connection.cpp
+++ b/src/http/Connection.cpp
@@ -50,45 +50,45 @@
 }  // namespace
 
 Connection::Connection (const ServerLimits& limits, Handler& handler, ServerCounters& counters)
-    : limits_ (limits),
-      handler_ (handler),
-      counters_ (counters),
-      feed_ (this),
-      reader_ (ReaderLimits{ limits.headerBytes, limits.bodyBytes })
+    : m_limits (limits),
+      m_handler (handler),
+      m_counters (counters),
+      m_feed (this),
+      m_reader (ReaderLimits{ limits.headerBytes, limits.bodyBytes })
 {
-    timer_.setSingleShot (true);
-    connect (&timer_, &QTimer::timeout, this, [this] { onTimeout(); });
-    connect (&socket_, &QTcpSocket::readyRead, this, [this] { onReadyRead(); });
-    connect (&socket_, &QTcpSocket::bytesWritten, this, [this] (qint64 n) { onBytesWritten (n); });
-    connect (&socket_, &QTcpSocket::disconnected, this, [this] { onDisconnected(); });
+    m_timer.setSingleShot (true);
+    connect (&m_timer, &QTimer::timeout, this, [this] { onTimeout(); });
+    connect (&m_socket, &QTcpSocket::readyRead, this, [this] { onReadyRead(); });
+    connect (&m_socket, &QTcpSocket::bytesWritten, this, [this] (qint64 n) { onBytesWritten (n); });
+    connect (&m_socket, &QTcpSocket::disconnected, this, [this] { onDisconnected(); });
 }
 
 Connection::~Connection()
 {
-    socket_.disconnect (this);
-    if (const auto responder = responder_.lock())
+    m_socket.disconnect (this);
+    if (const auto responder = m_responder.lock())
         responder->notifyClosed();
 }
 
 bool Connection::open (qintptr descriptor)
 {
-    if (! socket_.setSocketDescriptor (descriptor))
+    if (! m_socket.setSocketDescriptor (descriptor))
         return false;
-    socket_.setReadBufferSize (kReadBufferBytes);
-    socket_.setSocketOption (QAbstractSocket::LowDelayOption, 1);
-    feed_.setPeer (socket_.peerAddress(), socket_.peerPort());
-    startTimer (limits_.idleTimeout);
+    m_socket.setReadBufferSize (kReadBufferBytes);
+    m_socket.setSocketOption (QAbstractSocket::LowDelayOption, 1);
+    m_feed.setPeer (m_socket.peerAddress(), m_socket.peerPort());
+    startTimer (m_limits.idleTimeout);
     return true;
 }
 
 void Connection::startTimer (base::Duration duration)
 {
-    timer_.start (std::chrono::ceil<std::chrono::milliseconds> (duration));
+    m_timer.start (std::chrono::ceil<std::chrono::milliseconds> (duration));
 }
 
 void Connection::onReadyRead()
 {
-    if (phase_ == Phase::kLingering)
+    if (m_phase == Phase::kLingering)
     {
         discardInput();
     }
@@ -100,42 +100,42 @@
 
 void Connection::processInput()
 {
-    if (isProcessing_)
+    if (m_isProcessing)
         return;
-    isProcessing_ = true;
-    while (phase_ == Phase::kIdle || phase_ == Phase::kReading)
+    m_isProcessing = true;
+    while (m_phase == Phase::kIdle || m_phase == Phase::kReading)
     {
-        if (unread_.empty())
+        if (m_unread.empty())
         {
-            const QByteArray bytes = socket_.read (kReadBufferBytes);
+            const QByteArray bytes = m_socket.read (kReadBufferBytes);
             if (bytes.isEmpty())
                 break;
-            counters_.bytesIn += static_cast<std::uint64_t> (bytes.size());
-            unread_ = bytes.toStdString();
+            m_counters.bytesIn += static_cast<std::uint64_t> (bytes.size());
+            m_unread = bytes.toStdString();
         }
         feedReader();
     }
-    isProcessing_ = false;
+    m_isProcessing = false;
 }
 
 void Connection::feedReader()
 {
-    unread_.erase (0, reader_.feed (unread_));
-    const RequestReader::State state = reader_.state();
+    m_unread.erase (0, m_reader.feed (m_unread));
+    const RequestReader::State state = m_reader.state();
     if (state == RequestReader::State::kFailed)
     {
-        reject (reader_.error());
+        reject (m_reader.error());
         return;
     }
-    if (phase_ == Phase::kIdle && state != RequestReader::State::kIdle)
+    if (m_phase == Phase::kIdle && state != RequestReader::State::kIdle)
     {
-        phase_ = Phase::kReading;
-        startTimer (limits_.headerTimeout);
+        m_phase = Phase::kReading;
+        startTimer (m_limits.headerTimeout);
     }
-    if (state == RequestReader::State::kBody && ! headersDone_)
+    if (state == RequestReader::State::kBody && ! m_headersDone)
     {
-        headersDone_ = true;
-        startTimer (limits_.requestTimeout);
+        m_headersDone = true;
+        startTimer (m_limits.requestTimeout);
         sendContinue();
     }
     if (state == RequestReader::State::kComplete)
@@ -144,20 +144,20 @@
 
 void Connection::sendContinue()
 {
-    if (reader_.expectsContinue())
+    if (m_reader.expectsContinue())
         writeRaw ("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 void Connection::dispatch()
 {
-    timer_.stop();
-    phase_ = Phase::kAnswering;
-    hasServed_ = true;
-    isAnswering_ = true;
-    closesAfterAnswer_ = closesAfterAnswer_ || reader_.wantsClose() || reader_.isVersion10();
-    wasParsed_ = false;
-    feed_.deliver (reader_.takeCanonicalBytes());
-    if (! wasParsed_ && phase_ == Phase::kAnswering)
+    m_timer.stop();
+    m_phase = Phase::kAnswering;
+    m_hasServed = true;
+    m_isAnswering = true;
+    m_closesAfterAnswer = m_closesAfterAnswer || m_reader.wantsClose() || m_reader.isVersion10();
+    m_wasParsed = false;
+    m_feed.deliver (m_reader.takeCanonicalBytes());
+    if (! m_wasParsed && m_phase == Phase::kAnswering)
     {
         reject ({ base::ErrorKind::kInvalidRequest, "the request could not be parsed" });
     }
@@ -165,41 +165,41 @@
 
 void Connection::onParsed (const std::string& body)
 {
-    wasParsed_ = true;
-    ++counters_.requests;
+    m_wasParsed = true;
+    ++m_counters.requests;
     const auto responder = std::make_shared<ConnectionResponder> (this);
-    responder_ = responder;
+    m_responder = responder;
     Request request;
-    request.method = reader_.method();
-    const std::string& target = reader_.target();
+    request.method = m_reader.method();
+    const std::string& target = m_reader.target();
     const std::size_t question = std::min (target.find ('?'), target.size());
     request.path = target.substr (0, question);
     if (question < target.size())
         request.query = target.substr (question + 1);
-    request.headers = reader_.headers();
+    request.headers = m_reader.headers();
     request.body = body;
-    request.peer = { socket_.peerAddress().toString().toStdString(), socket_.peerPort() };
-    if (handler_)
-        handler_ (request, responder);
+    request.peer = { m_socket.peerAddress().toString().toStdString(), m_socket.peerPort() };
+    if (m_handler)
+        m_handler (request, responder);
 }
 
 bool Connection::bodyIsAllowed (int status) const
 {
     constexpr int kNoContent = 204;
     constexpr int kNotModified = 304;
-    return reader_.method() != "HEAD" && status != kNoContent && status != kNotModified;
+    return m_reader.method() != "HEAD" && status != kNoContent && status != kNotModified;
 }
 
 void Connection::beginAnswer (int status, const Headers& headers, bool hasKnownLength)
 {
-    if (! isAnswering_)
+    if (! m_isAnswering)
         return;
-    hasKnownLength_ = hasKnownLength;
-    hidesBody_ = ! bodyIsAllowed (status);
-    isChunked_ = ! hasKnownLength && ! hidesBody_ && ! reader_.isVersion10();
+    m_hasKnownLength = hasKnownLength;
+    m_hidesBody = ! bodyIsAllowed (status);
+    m_isChunked = ! hasKnownLength && ! m_hidesBody && ! m_reader.isVersion10();
     const std::string length = headers.value ("Content-Length");
-    remainingLength_ = 0;
-    std::from_chars (length.data(), length.data() + length.size(), remainingLength_);
+    m_remainingLength = 0;
+    std::from_chars (length.data(), length.data() + length.size(), m_remainingLength);
     std::string head =
         "HTTP/1.1 " + std::to_string (status) + ' ' + std::string (reasonPhrase (status)) + "\r\n";
     for (const Header& field : headers.fields())
@@ -208,18 +208,18 @@
         if (isPassed)
             head += field.name + ": " + field.value + "\r\n";
     }
-    if (isChunked_)
+    if (m_isChunked)
         head += "Transfer-Encoding: chunked\r\n";
-    if (closesAfterAnswer_)
+    if (m_closesAfterAnswer)
         head += "Connection: close\r\n";
     writeRaw (head + "\r\n");
 }
 
 void Connection::writeAnswer (std::string_view data)
 {
-    if (! isAnswering_ || hidesBody_ || data.empty())
+    if (! m_isAnswering || m_hidesBody || data.empty())
         return;
-    if (isChunked_)
+    if (m_isChunked)
     {
         std::string chunk = chunkHeader (data.size());
         chunk += data;
@@ -227,50 +227,50 @@
         writeRaw (chunk);
         return;
     }
-    if (hasKnownLength_)
+    if (m_hasKnownLength)
     {
-        data = data.substr (0, remainingLength_);
-        remainingLength_ -= data.size();
+        data = data.substr (0, m_remainingLength);
+        m_remainingLength -= data.size();
     }
     writeRaw (data);
 }
 
 void Connection::endAnswer()
 {
-    if (! isAnswering_)
+    if (! m_isAnswering)
         return;
-    const bool isTooShort = hasKnownLength_ && ! hidesBody_ && remainingLength_ > 0;
+    const bool isTooShort = m_hasKnownLength && ! m_hidesBody && m_remainingLength > 0;
     if (isTooShort)
     {
         abortAnswer();
         return;
     }
-    if (isChunked_)
+    if (m_isChunked)
         writeRaw ("0\r\n\r\n");
-    isAnswering_ = false;
-    if (closesAfterAnswer_)
+    m_isAnswering = false;
+    if (m_closesAfterAnswer)
     {
         beginLingering();
         return;
     }
-    reader_.reset();
-    headersDone_ = false;
-    phase_ = Phase::kIdle;
-    startTimer (limits_.idleTimeout);
+    m_reader.reset();
+    m_headersDone = false;
+    m_phase = Phase::kIdle;
+    startTimer (m_limits.idleTimeout);
     processInput();
 }
 
 void Connection::abortAnswer()
 {
-    isAnswering_ = false;
-    socket_.abort();
+    m_isAnswering = false;
+    m_socket.abort();
 }
 
 void Connection::reject (const base::Error& error)
 {
-    ++counters_.rejected;
-    closesAfterAnswer_ = true;
-    isAnswering_ = true;
+    ++m_counters.rejected;
+    m_closesAfterAnswer = true;
+    m_isAnswering = true;
     const Response response = errorResponse (error);
     Headers headers = response.headers;
     headers.set ("Content-Length", std::to_string (response.body.size()));
@@ -281,105 +281,105 @@
 
 void Connection::closeWhenIdle()
 {
-    closesAfterAnswer_ = true;
-    if (phase_ != Phase::kIdle)
+    m_closesAfterAnswer = true;
+    if (m_phase != Phase::kIdle)
         return;
-    if (hasServed_)
+    if (m_hasServed)
     {
         beginLingering();
     }
     else
     {
-        startTimer (std::min (kFirstRequestGrace, limits_.idleTimeout));
+        startTimer (std::min (kFirstRequestGrace, m_limits.idleTimeout));
     }
 }
 
 void Connection::beginLingering()
 {
-    phase_ = Phase::kLingering;
-    unread_ = {};
-    startTimer (limits_.writeTimeout);
+    m_phase = Phase::kLingering;
+    m_unread = {};
+    startTimer (m_limits.writeTimeout);
     onBytesWritten (0);
-    if (phase_ == Phase::kLingering)
+    if (m_phase == Phase::kLingering)
         discardInput();
 }
 
 void Connection::discardInput()
 {
-    discarded_ += static_cast<std::size_t> (socket_.readAll().size());
-    if (discarded_ > kLingerBytes)
-        socket_.abort();
+    m_discarded += static_cast<std::size_t> (m_socket.readAll().size());
+    if (m_discarded > kLingerBytes)
+        m_socket.abort();
 }
 
 void Connection::writeRaw (std::string_view bytes)
 {
-    if (phase_ == Phase::kClosed)
+    if (m_phase == Phase::kClosed)
         return;
-    const bool wasEmpty = socket_.bytesToWrite() == 0;
-    counters_.bytesOut += bytes.size();
-    socket_.write (bytes.data(), static_cast<qint64> (bytes.size()));
-    if (wasEmpty && phase_ == Phase::kAnswering)
-        startTimer (limits_.writeTimeout);
+    const bool wasEmpty = m_socket.bytesToWrite() == 0;
+    m_counters.bytesOut += bytes.size();
+    m_socket.write (bytes.data(), static_cast<qint64> (bytes.size()));
+    if (wasEmpty && m_phase == Phase::kAnswering)
+        startTimer (m_limits.writeTimeout);
 }
 
 void Connection::onBytesWritten (qint64 bytes)
 {
-    const qint64 left = socket_.bytesToWrite();
-    if (phase_ == Phase::kLingering)
+    const qint64 left = m_socket.bytesToWrite();
+    if (m_phase == Phase::kLingering)
     {
         if (left > 0)
         {
             if (bytes > 0)
-                startTimer (limits_.writeTimeout);
+                startTimer (m_limits.writeTimeout);
             return;
         }
-        ::shutdown (static_cast<int> (socket_.socketDescriptor()), SHUT_WR);
+        ::shutdown (static_cast<int> (m_socket.socketDescriptor()), SHUT_WR);
         startTimer (kLingerTime);
         return;
     }
-    if (phase_ != Phase::kAnswering)
+    if (m_phase != Phase::kAnswering)
         return;
     if (left == 0)
     {
-        timer_.stop();
+        m_timer.stop();
     }
     else if (bytes > 0)
     {
-        startTimer (limits_.writeTimeout);
+        startTimer (m_limits.writeTimeout);
     }
     if (left > kLowWaterBytes)
         return;
-    if (const auto responder = responder_.lock())
+    if (const auto responder = m_responder.lock())
         responder->notifyDrained();
 }
 
 void Connection::onTimeout()
 {
-    if (phase_ == Phase::kReading)
+    if (m_phase == Phase::kReading)
     {
         reject ({ base::ErrorKind::kRequestTimeout, "the request was sent too slowly" });
     }
-    else if (phase_ == Phase::kIdle)
+    else if (m_phase == Phase::kIdle)
     {
         beginLingering();
     }
     else
     {
-        socket_.abort();
+        m_socket.abort();
     }
 }
 
 void Connection::onDisconnected()
 {
-    if (phase_ == Phase::kClosed)
+    if (m_phase == Phase::kClosed)
         return;
-    phase_ = Phase::kClosed;
-    isAnswering_ = false;
-    timer_.stop();
-    if (const auto responder = responder_.lock())
+    m_phase = Phase::kClosed;
+    m_isAnswering = false;
+    m_timer.stop();
+    if (const auto responder = m_responder.lock())
         responder->notifyClosed();
-    if (finished_)
-        finished_();
+    if (m_finished)
+        m_finished();
 }
 
 }  // namespace fernlift::http
--- a/src/http/Connection.h
+++ b/src/http/Connection.h
@@ -32,15 +32,15 @@
     bool open (qintptr descriptor);
     /// Answers with an error before any request was read, and closes.
     void reject (const base::Error& error);
-    [[nodiscard]] FeedSocket* feedSocket() { return &feed_; }
+    [[nodiscard]] FeedSocket* feedSocket() { return &m_feed; }
     /// Qt's HTTP server has parsed the request that was delivered.
     void onParsed (const std::string& body);
     /// Closes after the answer in progress; when idle, closes now, or a moment later if no request
     /// was read yet: it may be on its way.
     void closeWhenIdle();
-    [[nodiscard]] bool isAnswering() const { return isAnswering_ || socket_.bytesToWrite() > 0; }
+    [[nodiscard]] bool isAnswering() const { return m_isAnswering || m_socket.bytesToWrite() > 0; }
     /// `callback` runs once when the connection is closed and may be deleted.
-    void onFinished (std::function<void()> callback) { finished_ = std::move (callback); }
+    void onFinished (std::function<void()> callback) { m_finished = std::move (callback); }
 
     // Used by the responder.
     void beginAnswer (int status, const Headers& headers, bool hasKnownLength);
@@ -49,7 +49,7 @@
     void abortAnswer();
     [[nodiscard]] std::size_t bytesToWrite() const
     {
-        return static_cast<std::size_t> (socket_.bytesToWrite());
+        return static_cast<std::size_t> (m_socket.bytesToWrite());
     }
 
 private:
@@ -76,29 +76,29 @@
     void writeRaw (std::string_view bytes);
     [[nodiscard]] bool bodyIsAllowed (int status) const;
 
-    const ServerLimits& limits_;
-    Handler& handler_;
-    ServerCounters& counters_;
-    QTcpSocket socket_;
-    FeedSocket feed_;
-    QTimer timer_;
-    RequestReader reader_;
-    std::string unread_;  ///< Received bytes that belong to later requests.
-    std::function<void()> finished_;
-    std::weak_ptr<ConnectionResponder> responder_;
+    const ServerLimits& m_limits;
+    Handler& m_handler;
+    ServerCounters& m_counters;
+    QTcpSocket m_socket;
+    FeedSocket m_feed;
+    QTimer m_timer;
+    RequestReader m_reader;
+    std::string m_unread;  ///< Received bytes that belong to later requests.
+    std::function<void()> m_finished;
+    std::weak_ptr<ConnectionResponder> m_responder;
 
-    Phase phase_ = Phase::kIdle;
-    bool isProcessing_ = false;
-    bool isAnswering_ = false;
-    bool hasServed_ = false;  ///< At least one whole request was read.
-    bool wasParsed_ = false;
-    bool headersDone_ = false;  ///< The header block of the request being read is complete.
-    bool closesAfterAnswer_ = false;
-    bool isChunked_ = false;  ///< Framing of the answer in progress.
-    bool hidesBody_ = false;  ///< The answer may not have a body (HEAD, 204, 304).
-    bool hasKnownLength_ = false;
-    std::size_t remainingLength_ = 0;
-    std::size_t discarded_ = 0;
+    Phase m_phase = Phase::kIdle;
+    bool m_isProcessing = false;
+    bool m_isAnswering = false;
+    bool m_hasServed = false;  ///< At least one whole request was read.
+    bool m_wasParsed = false;
+    bool m_headersDone = false;  ///< The header block of the request being read is complete.
+    bool m_closesAfterAnswer = false;
+    bool m_isChunked = false;  ///< Framing of the answer in progress.
+    bool m_hidesBody = false;  ///< The answer may not have a body (HEAD, 204, 304).
+    bool m_hasKnownLength = false;
+    std::size_t m_remainingLength = 0;
+    std::size_t m_discarded = 0;
 };
 
 }  // namespace fernlift::http
--- a/src/http/ConnectionResponder.cpp
+++ b/src/http/ConnectionResponder.cpp
@@ -11,7 +11,7 @@
 {
     if (! isOpen())
         return;
-    if (state_ == State::kNew)
+    if (m_state == State::kNew)
     {
         errorResponse (base::Error{ base::ErrorKind::kInternal, "the request was not answered" })
             .sendTo (*this);
@@ -24,32 +24,32 @@
 
 void ConnectionResponder::send (int status, const Headers& headers, std::string_view body)
 {
-    if (! isOpen() || state_ != State::kNew)
+    if (! isOpen() || m_state != State::kNew)
         return;
     Headers whole = headers;
     whole.set ("Content-Length", std::to_string (body.size()));
-    connection_->beginAnswer (status, whole, true);
-    connection_->writeAnswer (body);
+    m_connection->beginAnswer (status, whole, true);
+    m_connection->writeAnswer (body);
     finish();
 }
 
 void ConnectionResponder::begin (int status, const Headers& headers)
 {
-    if (! isOpen() || state_ != State::kNew)
+    if (! isOpen() || m_state != State::kNew)
         return;
-    state_ = State::kBegun;
-    connection_->beginAnswer (status, headers, headers.contains ("Content-Length"));
+    m_state = State::kBegun;
+    m_connection->beginAnswer (status, headers, headers.contains ("Content-Length"));
 }
 
 void ConnectionResponder::write (std::string_view data)
 {
-    if (isOpen() && state_ == State::kBegun)
-        connection_->writeAnswer (data);
+    if (isOpen() && m_state == State::kBegun)
+        m_connection->writeAnswer (data);
 }
 
 void ConnectionResponder::end()
 {
-    if (isOpen() && state_ == State::kBegun)
+    if (isOpen() && m_state == State::kBegun)
         finish();
 }
 
@@ -57,39 +57,39 @@
 {
     if (! isOpen())
         return;
-    state_ = State::kDone;
-    connection_->abortAnswer();
+    m_state = State::kDone;
+    m_connection->abortAnswer();
 }
 
 std::size_t ConnectionResponder::bytesToWrite() const
 {
-    return connection_ ? connection_->bytesToWrite() : 0;
+    return m_connection ? m_connection->bytesToWrite() : 0;
 }
 
 void ConnectionResponder::notifyClosed()
 {
-    if (state_ == State::kDone)
+    if (m_state == State::kDone)
         return;
-    state_ = State::kDone;
-    drained_ = nullptr;
-    const auto callback = std::exchange (closed_, nullptr);
+    m_state = State::kDone;
+    m_drained = nullptr;
+    const auto callback = std::exchange (m_closed, nullptr);
     if (callback)
         callback();
 }
 
 void ConnectionResponder::notifyDrained()
 {
-    const auto callback = drained_;
+    const auto callback = m_drained;
     if (callback)
         callback();
 }
 
 void ConnectionResponder::finish()
 {
-    state_ = State::kDone;
-    closed_ = nullptr;
-    drained_ = nullptr;
-    connection_->endAnswer();
+    m_state = State::kDone;
+    m_closed = nullptr;
+    m_drained = nullptr;
+    m_connection->endAnswer();
 }
 
 }  // namespace fernlift::http
