--- a/src/http/ConnectionResponder.h
+++ b/src/http/ConnectionResponder.h
@@ -16,7 +16,7 @@
 class ConnectionResponder final : public Responder
 {
 public:
-    explicit ConnectionResponder (Connection* connection) : connection_ (connection) {}
+    explicit ConnectionResponder (Connection* connection) : m_connection (connection) {}
     ~ConnectionResponder() override;
 
     void send (int status, const Headers& headers, std::string_view body) override;
@@ -25,9 +25,9 @@
     void end() override;
     void abort() override;
     [[nodiscard]] std::size_t bytesToWrite() const override;
-    [[nodiscard]] bool isOpen() const override { return state_ != State::kDone && connection_; }
-    void onClosed (std::function<void()> callback) override { closed_ = std::move (callback); }
-    void onDrained (std::function<void()> callback) override { drained_ = std::move (callback); }
+    [[nodiscard]] bool isOpen() const override { return m_state != State::kDone && m_connection; }
+    void onClosed (std::function<void()> callback) override { m_closed = std::move (callback); }
+    void onDrained (std::function<void()> callback) override { m_drained = std::move (callback); }
 
     /// The connection closed before the answer was finished.
     void notifyClosed();
@@ -43,10 +43,10 @@
 
     void finish();
 
-    QPointer<Connection> connection_;
-    State state_ = State::kNew;
-    std::function<void()> closed_;
-    std::function<void()> drained_;
+    QPointer<Connection> m_connection;
+    State m_state = State::kNew;
+    std::function<void()> m_closed;
+    std::function<void()> m_drained;
 };
 
 }  // namespace fernlift::http
--- a/src/http/ConnectionSlots.cpp
+++ b/src/http/ConnectionSlots.cpp
@@ -12,10 +12,10 @@
 
 ConnectionSlots::Slot ConnectionSlots::acquire (base::TimePoint now, bool needsFreshConnection)
 {
-    std::erase_if (open_, [&] (const Slot& slot) { return now - slot.lastUsed > kMaximumIdle; });
-    std::vector<Slot>& source = needsFreshConnection || open_.empty() ? closed_ : open_;
+    std::erase_if (m_open, [&] (const Slot& slot) { return now - slot.lastUsed > kMaximumIdle; });
+    std::vector<Slot>& source = needsFreshConnection || m_open.empty() ? m_closed : m_open;
     if (source.empty())
-        return Slot{ next_++, false, now };
+        return Slot{ m_next++, false, now };
     const Slot slot = source.back();
     source.pop_back();
     return slot;
@@ -25,7 +25,7 @@
 {
     slot.isOpen = isOpen;
     slot.lastUsed = now;
-    (isOpen ? open_ : closed_).push_back (slot);
+    (isOpen ? m_open : m_closed).push_back (slot);
 }
 
 }  // namespace fernlift::http
--- a/src/http/ConnectionSlots.h
+++ b/src/http/ConnectionSlots.h
@@ -32,9 +32,9 @@
     void release (Slot slot, bool isOpen, base::TimePoint now);
 
 private:
-    std::vector<Slot> open_;    ///< The most recently used one last.
-    std::vector<Slot> closed_;  ///< Their connections were closed by the back end's own wish.
-    std::uint64_t next_ = 0;
+    std::vector<Slot> m_open;    ///< The most recently used one last.
+    std::vector<Slot> m_closed;  ///< Their connections were closed by the back end's own wish.
+    std::uint64_t m_next = 0;
 };
 
 }  // namespace fernlift::http
--- a/src/http/FeedSocket.cpp
+++ b/src/http/FeedSocket.cpp
@@ -7,7 +7,7 @@
 namespace fernlift::http
 {
 
-FeedSocket::FeedSocket (Connection* connection) : connection_ (connection)
+FeedSocket::FeedSocket (Connection* connection) : m_connection (connection)
 {
     setOpenMode (QIODevice::ReadWrite);
     // The HTTP server deletes sockets that aren't connected.
@@ -22,8 +22,8 @@
 
 void FeedSocket::deliver (std::string bytes)
 {
-    pending_ = std::move (bytes);
-    position_ = 0;
+    m_pending = std::move (bytes);
+    m_position = 0;
     Q_EMIT readyRead();
 }
 
@@ -31,19 +31,19 @@
 {
     // The socket base class would ask its native socket, which this one has not.
     // NOLINTNEXTLINE(bugprone-parent-virtual-call)
-    return QIODevice::bytesAvailable() + static_cast<qint64> (pending_.size() - position_);
+    return QIODevice::bytesAvailable() + static_cast<qint64> (m_pending.size() - m_position);
 }
 
 qint64 FeedSocket::readData (char* data, qint64 maximumSize)
 {
     const std::size_t size =
-        std::min (static_cast<std::size_t> (maximumSize), pending_.size() - position_);
-    std::memcpy (data, pending_.data() + position_, size);
-    position_ += size;
-    if (position_ == pending_.size())
+        std::min (static_cast<std::size_t> (maximumSize), m_pending.size() - m_position);
+    std::memcpy (data, m_pending.data() + m_position, size);
+    m_position += size;
+    if (m_position == m_pending.size())
     {
-        pending_ = {};
-        position_ = 0;
+        m_pending = {};
+        m_position = 0;
     }
     return static_cast<qint64> (size);
 }
--- a/src/http/FeedSocket.h
+++ b/src/http/FeedSocket.h
@@ -19,25 +19,25 @@
     FeedSocket (const FeedSocket&) = delete;
     FeedSocket& operator= (const FeedSocket&) = delete;
 
-    [[nodiscard]] Connection* connection() const { return connection_; }
+    [[nodiscard]] Connection* connection() const { return m_connection; }
     void setPeer (const QHostAddress& address, quint16 port);
     /// Lets the HTTP server read `bytes`; it has done so when this returns.
     void deliver (std::string bytes);
     /// Whether the HTTP server refused what it read.
-    [[nodiscard]] bool wasRefused() const { return wasRefused_; }
+    [[nodiscard]] bool wasRefused() const { return m_wasRefused; }
 
     [[nodiscard]] qint64 bytesAvailable() const override;
-    void disconnectFromHost() override { wasRefused_ = true; }
+    void disconnectFromHost() override { m_wasRefused = true; }
 
 protected:
     qint64 readData (char* data, qint64 maximumSize) override;
     qint64 writeData (const char* data, qint64 size) override;
 
 private:
-    Connection* connection_;
-    std::string pending_;
-    std::size_t position_ = 0;
-    bool wasRefused_ = false;
+    Connection* m_connection;
+    std::string m_pending;
+    std::size_t m_position = 0;
+    bool m_wasRefused = false;
 };
 
 }  // namespace fernlift::http
--- a/src/http/FileWatcher.cpp
+++ b/src/http/FileWatcher.cpp
@@ -8,23 +8,23 @@
 
 FileWatcher::FileWatcher (std::string path, base::milliseconds interval,
                           std::function<void()> onChanged)
-    : path_ (std::move (path)), onChanged_ (std::move (onChanged)), seen_ (look())
+    : m_path (std::move (path)), m_onChanged (std::move (onChanged)), m_seen (look())
 {
-    QObject::connect (&timer_, &QTimer::timeout, &timer_,
+    QObject::connect (&m_timer, &QTimer::timeout, &m_timer,
                       [this]
                       {
                           const Seen now = look();
-                          if (now == seen_ || now.size < 0)
+                          if (now == m_seen || now.size < 0)
                               return;
-                          seen_ = now;
-                          onChanged_();
+                          m_seen = now;
+                          m_onChanged();
                       });
-    timer_.start (interval);
+    m_timer.start (interval);
 }
 
 FileWatcher::Seen FileWatcher::look() const
 {
-    const QFileInfo file (QString::fromStdString (path_));
+    const QFileInfo file (QString::fromStdString (m_path));
     return file.exists() ? Seen{ file.lastModified(), file.size() } : Seen{};
 }
 
--- a/src/http/FileWatcher.h
+++ b/src/http/FileWatcher.h
@@ -30,10 +30,10 @@
 
     [[nodiscard]] Seen look() const;
 
-    std::string path_;
-    std::function<void()> onChanged_;
-    Seen seen_;
-    QTimer timer_;
+    std::string m_path;
+    std::function<void()> m_onChanged;
+    Seen m_seen;
+    QTimer m_timer;
 };
 
 }  // namespace fernlift::http
--- a/src/http/HttpTestSupport.h
+++ b/src/http/HttpTestSupport.h
@@ -60,46 +60,46 @@
     explicit RawCaller (const base::SocketAddress& address)
     {
         application();
-        QObject::connect (&socket_, &QTcpSocket::readyRead, &socket_,
+        QObject::connect (&m_socket, &QTcpSocket::readyRead, &m_socket,
                           [this]
                           {
-                              if (isReading_)
-                                  received_ += socket_.readAll().toStdString();
+                              if (m_isReading)
+                                  m_received += m_socket.readAll().toStdString();
                           });
         bool wasConnected = false;
-        const auto connected = QObject::connect (&socket_, &QTcpSocket::connected, &socket_,
+        const auto connected = QObject::connect (&m_socket, &QTcpSocket::connected, &m_socket,
                                                  [&wasConnected] { wasConnected = true; });
-        socket_.connectToHost (QHostAddress (QString::fromStdString (address.host)), address.port);
+        m_socket.connectToHost (QHostAddress (QString::fromStdString (address.host)), address.port);
         waitUntil ([&] { return wasConnected; });
         QObject::disconnect (connected);
     }
 
     void write (const std::string& bytes)
     {
-        socket_.write (bytes.data(), static_cast<qint64> (bytes.size()));
-        socket_.flush();
+        m_socket.write (bytes.data(), static_cast<qint64> (bytes.size()));
+        m_socket.flush();
     }
     /// Stops reading, so that the sender feels back-pressure.
     void stopReading (qint64 bufferBytes)
     {
-        isReading_ = false;
-        socket_.setReadBufferSize (bufferBytes);
+        m_isReading = false;
+        m_socket.setReadBufferSize (bufferBytes);
     }
     void resumeReading()
     {
-        isReading_ = true;
-        socket_.setReadBufferSize (0);
-        received_ += socket_.readAll().toStdString();
+        m_isReading = true;
+        m_socket.setReadBufferSize (0);
+        m_received += m_socket.readAll().toStdString();
     }
-    void close() { socket_.abort(); }
-    [[nodiscard]] const std::string& received() const { return received_; }
+    void close() { m_socket.abort(); }
+    [[nodiscard]] const std::string& received() const { return m_received; }
     [[nodiscard]] bool isClosed() const
     {
-        return socket_.state() == QAbstractSocket::UnconnectedState;
+        return m_socket.state() == QAbstractSocket::UnconnectedState;
     }
     bool waitFor (const std::string& text)
     {
-        return waitUntil ([&] { return received_.find (text) != std::string::npos; });
+        return waitUntil ([&] { return m_received.find (text) != std::string::npos; });
     }
     bool waitForClose()
     {
@@ -107,9 +107,9 @@
     }
 
 private:
-    QTcpSocket socket_;
-    std::string received_;
-    bool isReading_ = true;
+    QTcpSocket m_socket;
+    std::string m_received;
+    bool m_isReading = true;
 };
 
 }  // namespace fernlift::http::test
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -75,7 +75,7 @@
 
 void Headers::add (std::string name, std::string value)
 {
-    fields_.push_back (Header{ std::move (name), std::move (value) });
+    m_fields.push_back (Header{ std::move (name), std::move (value) });
 }
 
 void Headers::set (std::string name, std::string value)
@@ -86,7 +86,7 @@
 
 void Headers::remove (std::string_view name)
 {
-    std::erase_if (fields_,
+    std::erase_if (m_fields,
                    [&] (const Header& field) { return equalsIgnoringCase (field.name, name); });
 }
 
@@ -94,7 +94,7 @@
 
 std::string Headers::value (std::string_view name) const
 {
-    for (const Header& field : fields_)
+    for (const Header& field : m_fields)
     {
         if (equalsIgnoringCase (field.name, name))
             return field.value;
@@ -105,7 +105,7 @@
 std::size_t Headers::count (std::string_view name) const
 {
     return static_cast<std::size_t> (std::count_if (
-        fields_.begin(), fields_.end(),
+        m_fields.begin(), m_fields.end(),
         [&] (const Header& field) { return equalsIgnoringCase (field.name, name); }));
 }
 
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -26,7 +26,7 @@
 {
 public:
     Headers() = default;
-    Headers (std::initializer_list<Header> fields) : fields_ (fields) {}
+    Headers (std::initializer_list<Header> fields) : m_fields (fields) {}
 
     /// Adds a field and keeps earlier ones of the same name.
     void add (std::string name, std::string value);
@@ -37,10 +37,10 @@
     /// Value of the first field of that name; empty when there is none.
     [[nodiscard]] std::string value (std::string_view name) const;
     [[nodiscard]] std::size_t count (std::string_view name) const;
-    [[nodiscard]] const std::vector<Header>& fields() const { return fields_; }
+    [[nodiscard]] const std::vector<Header>& fields() const { return m_fields; }
 
 private:
-    std::vector<Header> fields_;
+    std::vector<Header> m_fields;
 };
 
 /// A whole request as a server received it.
--- a/src/http/Metrics.cpp
+++ b/src/http/Metrics.cpp
@@ -106,15 +106,15 @@
 }  // namespace
 
 Histogram::Histogram (std::vector<double> bounds)
-    : bounds_ (std::move (bounds)), counts_ (bounds_.size() + 1, 0)
+    : m_bounds (std::move (bounds)), m_counts (m_bounds.size() + 1, 0)
 {
 }
 
 void Histogram::observe (double value)
 {
-    const auto bucket = std::lower_bound (bounds_.begin(), bounds_.end(), value);
-    ++counts_[static_cast<std::size_t> (bucket - bounds_.begin())];
-    sum_ += value;
+    const auto bucket = std::lower_bound (m_bounds.begin(), m_bounds.end(), value);
+    ++m_counts[static_cast<std::size_t> (bucket - m_bounds.begin())];
+    m_sum += value;
 }
 
 std::vector<double> latencyBounds()
@@ -133,7 +133,7 @@
 Metrics::Series& Metrics::seriesOf (const std::string& name, const std::string& help,
                                     const std::string& type, const Labels& labels)
 {
-    Family& family = families_[name];
+    Family& family = m_families[name];
     family.help = help;
     family.type = type;
     std::shared_ptr<Series>& series = family.series[formatLabels (labels)];
@@ -161,9 +161,9 @@
     return *histogram;
 }
 
-void Metrics::addUpdate (std::function<void()> update) { updates_.push_back (std::move (update)); }
+void Metrics::addUpdate (std::function<void()> update) { m_updates.push_back (std::move (update)); }
 
-void Metrics::addText (std::function<std::string()> text) { texts_.push_back (std::move (text)); }
+void Metrics::addText (std::function<std::string()> text) { m_texts.push_back (std::move (text)); }
 
 void Metrics::addProcessMetrics()
 {
@@ -181,10 +181,10 @@
 
 std::string Metrics::text()
 {
-    for (const auto& update : updates_)
+    for (const auto& update : m_updates)
         update();
     std::string text;
-    for (const auto& [name, family] : families_)
+    for (const auto& [name, family] : m_families)
     {
         text += "# HELP " + name + ' ' + family.help + '\n';
         text += "# TYPE " + name + ' ' + family.type + '\n';
@@ -204,7 +204,7 @@
             }
         }
     }
-    for (const auto& extra : texts_)
+    for (const auto& extra : m_texts)
         text += extra();
     return text;
 }
--- a/src/http/Metrics.h
+++ b/src/http/Metrics.h
@@ -18,21 +18,21 @@
 class Counter
 {
 public:
-    void add (std::uint64_t amount = 1) { value_ += amount; }
-    [[nodiscard]] std::uint64_t value() const { return value_; }
+    void add (std::uint64_t amount = 1) { m_value += amount; }
+    [[nodiscard]] std::uint64_t value() const { return m_value; }
 
 private:
-    std::uint64_t value_ = 0;
+    std::uint64_t m_value = 0;
 };
 
 class Gauge
 {
 public:
-    void set (double value) { value_ = value; }
-    [[nodiscard]] double value() const { return value_; }
+    void set (double value) { m_value = value; }
+    [[nodiscard]] double value() const { return m_value; }
 
 private:
-    double value_ = 0;
+    double m_value = 0;
 };
 
 /// Counts of observations at most as large as each bound.
@@ -41,15 +41,15 @@
 public:
     explicit Histogram (std::vector<double> bounds);
     void observe (double value);
-    [[nodiscard]] const std::vector<double>& bounds() const { return bounds_; }
+    [[nodiscard]] const std::vector<double>& bounds() const { return m_bounds; }
     /// Observations in each bucket alone; the last is beyond all bounds.
-    [[nodiscard]] const std::vector<std::uint64_t>& counts() const { return counts_; }
-    [[nodiscard]] double sum() const { return sum_; }
+    [[nodiscard]] const std::vector<std::uint64_t>& counts() const { return m_counts; }
+    [[nodiscard]] double sum() const { return m_sum; }
 
 private:
-    std::vector<double> bounds_;
-    std::vector<std::uint64_t> counts_;
-    double sum_ = 0;
+    std::vector<double> m_bounds;
+    std::vector<std::uint64_t> m_counts;
+    double m_sum = 0;
 };
 
 /// Upper bounds in seconds from 0.5 ms to 60 s, for latencies.
@@ -84,9 +84,9 @@
     Series& seriesOf (const std::string& name, const std::string& help, const std::string& type,
                       const Labels& labels);
 
-    std::map<std::string, Family> families_;
-    std::vector<std::function<void()>> updates_;
-    std::vector<std::function<std::string()>> texts_;
+    std::map<std::string, Family> m_families;
+    std::vector<std::function<void()>> m_updates;
+    std::vector<std::function<std::string()>> m_texts;
 };
 
 }  // namespace fernlift::http
--- a/src/http/RequestReader.cpp
+++ b/src/http/RequestReader.cpp
@@ -88,11 +88,11 @@
     while (consumed < bytes.size())
     {
         const std::string_view rest = bytes.substr (consumed);
-        if (state_ == State::kIdle || state_ == State::kHeaders)
+        if (m_state == State::kIdle || m_state == State::kHeaders)
         {
             consumed += feedHeaders (rest);
         }
-        else if (state_ == State::kBody)
+        else if (m_state == State::kBody)
         {
             consumed += feedBody (rest);
         }
@@ -106,32 +106,32 @@
 
 std::size_t RequestReader::feedHeaders (std::string_view bytes)
 {
-    if (state_ == State::kIdle && (bytes.front() == '\r' || bytes.front() == '\n'))
+    if (m_state == State::kIdle && (bytes.front() == '\r' || bytes.front() == '\n'))
         return 1;
-    state_ = State::kHeaders;
-    const std::size_t before = headerBlock_.size();
-    const std::size_t room = limits_.headerBytes + 1 - std::min (before, limits_.headerBytes);
-    headerBlock_ += bytes.substr (0, room);
+    m_state = State::kHeaders;
+    const std::size_t before = m_headerBlock.size();
+    const std::size_t room = m_limits.headerBytes + 1 - std::min (before, m_limits.headerBytes);
+    m_headerBlock += bytes.substr (0, room);
     const std::size_t searchFrom = before < kHeaderEnd.size() ? 0 : before - kHeaderEnd.size() + 1;
-    const std::size_t end = headerBlock_.find (kHeaderEnd, searchFrom);
+    const std::size_t end = m_headerBlock.find (kHeaderEnd, searchFrom);
     if (end == std::string::npos)
     {
-        if (headerBlock_.size() > limits_.headerBytes)
+        if (m_headerBlock.size() > m_limits.headerBytes)
         {
             fail (ErrorKind::kHeaderTooLarge, "the header block is larger than "
-                                                  + std::to_string (limits_.headerBytes)
+                                                  + std::to_string (m_limits.headerBytes)
                                                   + " bytes");
         }
-        return headerBlock_.size() - before;
+        return m_headerBlock.size() - before;
     }
-    headerBlock_.resize (end + kLineEnd.size());
+    m_headerBlock.resize (end + kLineEnd.size());
     parseHeaderBlock();
     return end + kHeaderEnd.size() - before;
 }
 
 void RequestReader::parseHeaderBlock()
 {
-    std::string_view rest = headerBlock_;
+    std::string_view rest = m_headerBlock;
     bool isRequestLine = true;
     while (! rest.empty())
     {
@@ -156,13 +156,13 @@
         return false;
     }
     const std::string_view version = line.substr (lastSpace + 1);
-    method_ = line.substr (0, firstSpace);
-    target_ = line.substr (firstSpace + 1, lastSpace - firstSpace - 1);
-    isVersion10_ = version == "HTTP/1.0";
-    const bool isVersionKnown = isVersion10_ || version == "HTTP/1.1";
-    const bool isTargetValid = (target_.starts_with ('/') || target_ == "*")
-                               && std::all_of (target_.begin(), target_.end(), isTargetCharacter);
-    if (! isToken (method_) || ! isTargetValid || ! isVersionKnown)
+    m_method = line.substr (0, firstSpace);
+    m_target = line.substr (firstSpace + 1, lastSpace - firstSpace - 1);
+    m_isVersion10 = version == "HTTP/1.0";
+    const bool isVersionKnown = m_isVersion10 || version == "HTTP/1.1";
+    const bool isTargetValid = (m_target.starts_with ('/') || m_target == "*")
+                               && std::all_of (m_target.begin(), m_target.end(), isTargetCharacter);
+    if (! isToken (m_method) || ! isTargetValid || ! isVersionKnown)
     {
         fail (ErrorKind::kInvalidRequest, "the request line is malformed");
         return false;
@@ -183,31 +183,31 @@
         fail (ErrorKind::kInvalidRequest, "a header field is malformed");
         return false;
     }
-    if (headers_.fields().size() >= kMaximumHeaderFields)
+    if (m_headers.fields().size() >= kMaximumHeaderFields)
     {
         fail (ErrorKind::kHeaderTooLarge,
               "more than " + std::to_string (kMaximumHeaderFields) + " header fields");
         return false;
     }
-    headers_.add (std::string (name), std::string (trim (value)));
+    m_headers.add (std::string (name), std::string (trim (value)));
     return true;
 }
 
 void RequestReader::beginBody()
 {
-    const bool hasLength = headers_.contains ("Content-Length");
-    const bool hasEncoding = headers_.contains ("Transfer-Encoding");
+    const bool hasLength = m_headers.contains ("Content-Length");
+    const bool hasEncoding = m_headers.contains ("Transfer-Encoding");
     if (hasLength && hasEncoding)
     {
         fail (ErrorKind::kUnsupportedFraming, "both Content-Length and Transfer-Encoding");
         return;
     }
-    if (headers_.count ("Host") > 1 || (headers_.count ("Host") == 0 && ! isVersion10_))
+    if (m_headers.count ("Host") > 1 || (m_headers.count ("Host") == 0 && ! m_isVersion10))
     {
         fail (ErrorKind::kInvalidRequest, "exactly one Host field is required");
         return;
     }
-    state_ = State::kBody;
+    m_state = State::kBody;
     if (hasEncoding)
     {
         beginChunkedBody();
@@ -218,62 +218,62 @@
     }
     else
     {
-        state_ = State::kComplete;
+        m_state = State::kComplete;
     }
 }
 
 void RequestReader::beginPlainBody()
 {
-    const auto length = parseNumber (headers_.value ("Content-Length"), 10);
-    if (headers_.count ("Content-Length") > 1 || ! length)
+    const auto length = parseNumber (m_headers.value ("Content-Length"), 10);
+    if (m_headers.count ("Content-Length") > 1 || ! length)
     {
         fail (ErrorKind::kUnsupportedFraming, "Content-Length is not one whole number");
         return;
     }
-    if (*length > limits_.bodyBytes)
+    if (*length > m_limits.bodyBytes)
     {
         fail (ErrorKind::kBodyTooLarge,
-              "the body is larger than " + std::to_string (limits_.bodyBytes) + " bytes");
+              "the body is larger than " + std::to_string (m_limits.bodyBytes) + " bytes");
         return;
     }
-    bodyPart_ = BodyPart::kPlain;
-    remaining_ = *length;
-    if (remaining_ == 0)
-        state_ = State::kComplete;
+    m_bodyPart = BodyPart::kPlain;
+    m_remaining = *length;
+    if (m_remaining == 0)
+        m_state = State::kComplete;
 }
 
 void RequestReader::beginChunkedBody()
 {
-    const bool isChunked = headers_.count ("Transfer-Encoding") == 1
-                           && equalsIgnoringCase (headers_.value ("Transfer-Encoding"), "chunked");
-    if (! isChunked || isVersion10_)
+    const bool isChunked = m_headers.count ("Transfer-Encoding") == 1
+                           && equalsIgnoringCase (m_headers.value ("Transfer-Encoding"), "chunked");
+    if (! isChunked || m_isVersion10)
     {
         fail (ErrorKind::kUnsupportedFraming, "the only transfer coding understood is chunked");
         return;
     }
-    bodyPart_ = BodyPart::kChunkSize;
+    m_bodyPart = BodyPart::kChunkSize;
 }
 
 std::size_t RequestReader::feedBody (std::string_view bytes)
 {
-    const bool isData = bodyPart_ == BodyPart::kPlain || bodyPart_ == BodyPart::kChunkData;
+    const bool isData = m_bodyPart == BodyPart::kPlain || m_bodyPart == BodyPart::kChunkData;
     return isData ? feedData (bytes) : feedLine (bytes);
 }
 
 std::size_t RequestReader::feedData (std::string_view bytes)
 {
-    const std::string_view part = bytes.substr (0, remaining_);
-    body_ += part;
-    remaining_ -= part.size();
-    if (remaining_ > 0)
+    const std::string_view part = bytes.substr (0, m_remaining);
+    m_body += part;
+    m_remaining -= part.size();
+    if (m_remaining > 0)
         return part.size();
-    if (bodyPart_ == BodyPart::kPlain)
+    if (m_bodyPart == BodyPart::kPlain)
     {
-        state_ = State::kComplete;
+        m_state = State::kComplete;
     }
     else
     {
-        bodyPart_ = BodyPart::kChunkEnd;
+        m_bodyPart = BodyPart::kChunkEnd;
     }
     return part.size();
 }
@@ -283,35 +283,35 @@
     const std::size_t feedPosition = bytes.find ('\n');
     const std::size_t taken =
         feedPosition == std::string_view::npos ? bytes.size() : feedPosition + 1;
-    if (line_.size() + taken > kMaximumChunkLine)
+    if (m_line.size() + taken > kMaximumChunkLine)
     {
         fail (ErrorKind::kInvalidRequest, "a line of the chunked body is too long");
         return taken;
     }
-    line_ += bytes.substr (0, taken);
+    m_line += bytes.substr (0, taken);
     if (feedPosition == std::string_view::npos)
         return taken;
-    if (! line_.ends_with (kLineEnd))
+    if (! m_line.ends_with (kLineEnd))
     {
         fail (ErrorKind::kInvalidRequest, "a line of the chunked body ends without CR");
         return taken;
     }
-    const std::string line = std::exchange (line_, {});
+    const std::string line = std::exchange (m_line, {});
     onChunkLine (std::string_view (line).substr (0, line.size() - kLineEnd.size()));
     return taken;
 }
 
 void RequestReader::onChunkLine (std::string_view line)
 {
-    if (bodyPart_ == BodyPart::kChunkSize)
+    if (m_bodyPart == BodyPart::kChunkSize)
     {
         onChunkSize (line);
     }
-    else if (bodyPart_ == BodyPart::kChunkEnd)
+    else if (m_bodyPart == BodyPart::kChunkEnd)
     {
         if (line.empty())
         {
-            bodyPart_ = BodyPart::kChunkSize;
+            m_bodyPart = BodyPart::kChunkSize;
         }
         else
         {
@@ -320,12 +320,12 @@
     }
     else if (line.empty())
     {
-        state_ = State::kComplete;
+        m_state = State::kComplete;
     }
     else
     {
-        trailerBytes_ += line.size();
-        if (trailerBytes_ > limits_.headerBytes)
+        m_trailerBytes += line.size();
+        if (m_trailerBytes > m_limits.headerBytes)
         {
             fail (ErrorKind::kHeaderTooLarge, "the trailer section is too large");
         }
@@ -340,50 +340,50 @@
     {
         fail (ErrorKind::kInvalidRequest, "a chunk size is malformed");
     }
-    else if (*size > limits_.bodyBytes - body_.size())
+    else if (*size > m_limits.bodyBytes - m_body.size())
     {
         fail (ErrorKind::kBodyTooLarge,
-              "the body is larger than " + std::to_string (limits_.bodyBytes) + " bytes");
+              "the body is larger than " + std::to_string (m_limits.bodyBytes) + " bytes");
     }
     else
     {
-        remaining_ = *size;
-        bodyPart_ = *size == 0 ? BodyPart::kTrailers : BodyPart::kChunkData;
+        m_remaining = *size;
+        m_bodyPart = *size == 0 ? BodyPart::kTrailers : BodyPart::kChunkData;
     }
 }
 
 bool RequestReader::wantsClose() const
 {
-    const std::string connection = headers_.value ("Connection");
+    const std::string connection = m_headers.value ("Connection");
     if (listContains (connection, "close"))
         return true;
-    return isVersion10_ && ! listContains (connection, "keep-alive");
+    return m_isVersion10 && ! listContains (connection, "keep-alive");
 }
 
 bool RequestReader::expectsContinue() const
 {
-    return ! isVersion10_ && equalsIgnoringCase (headers_.value ("Expect"), "100-continue");
+    return ! m_isVersion10 && equalsIgnoringCase (m_headers.value ("Expect"), "100-continue");
 }
 
 std::string RequestReader::takeCanonicalBytes()
 {
-    std::string bytes = method_ + ' ' + target_ + " HTTP/1.1\r\n";
-    for (const Header& field : headers_.fields())
+    std::string bytes = m_method + ' ' + m_target + " HTTP/1.1\r\n";
+    for (const Header& field : m_headers.fields())
     {
         if (! isFramingField (field.name))
             bytes += field.name + ": " + field.value + "\r\n";
     }
-    bytes += "Content-Length: " + std::to_string (body_.size()) + "\r\n\r\n";
-    bytes += std::exchange (body_, {});
+    bytes += "Content-Length: " + std::to_string (m_body.size()) + "\r\n\r\n";
+    bytes += std::exchange (m_body, {});
     return bytes;
 }
 
-void RequestReader::reset() { *this = RequestReader (limits_); }
+void RequestReader::reset() { *this = RequestReader (m_limits); }
 
 void RequestReader::fail (base::ErrorKind kind, std::string message)
 {
-    state_ = State::kFailed;
-    error_ = base::Error{ kind, std::move (message) };
+    m_state = State::kFailed;
+    m_error = base::Error{ kind, std::move (message) };
 }
 
 }  // namespace fernlift::http
--- a/src/http/RequestReader.h
+++ b/src/http/RequestReader.h
@@ -35,19 +35,19 @@
         kFailed
     };
 
-    explicit RequestReader (ReaderLimits limits) : limits_ (limits) {}
+    explicit RequestReader (ReaderLimits limits) : m_limits (limits) {}
 
     /// Consumes bytes up to the end of the current request and returns how many.
     std::size_t feed (std::string_view bytes);
-    [[nodiscard]] State state() const { return state_; }
+    [[nodiscard]] State state() const { return m_state; }
     /// What was wrong; valid in kFailed.
-    [[nodiscard]] const base::Error& error() const { return error_; }
+    [[nodiscard]] const base::Error& error() const { return m_error; }
 
     // Valid from kBody on.
-    [[nodiscard]] const std::string& method() const { return method_; }
-    [[nodiscard]] const std::string& target() const { return target_; }
-    [[nodiscard]] const Headers& headers() const { return headers_; }
-    [[nodiscard]] bool isVersion10() const { return isVersion10_; }
+    [[nodiscard]] const std::string& method() const { return m_method; }
+    [[nodiscard]] const std::string& target() const { return m_target; }
+    [[nodiscard]] const Headers& headers() const { return m_headers; }
+    [[nodiscard]] bool isVersion10() const { return m_isVersion10; }
     [[nodiscard]] bool wantsClose() const;
     [[nodiscard]] bool expectsContinue() const;
 
@@ -81,19 +81,19 @@
     void onChunkSize (std::string_view line);
     void fail (base::ErrorKind kind, std::string message);
 
-    ReaderLimits limits_;
-    State state_ = State::kIdle;
-    base::Error error_;
-    std::string headerBlock_;
-    std::string method_;
-    std::string target_;
-    Headers headers_;
-    bool isVersion10_ = false;
-    std::string body_;
-    BodyPart bodyPart_ = BodyPart::kPlain;
-    std::size_t remaining_ = 0;  ///< Bytes of the plain body or of the current chunk to come.
-    std::string line_;           ///< Unfinished chunk-size or trailer line.
-    std::size_t trailerBytes_ = 0;
+    ReaderLimits m_limits;
+    State m_state = State::kIdle;
+    base::Error m_error;
+    std::string m_headerBlock;
+    std::string m_method;
+    std::string m_target;
+    Headers m_headers;
+    bool m_isVersion10 = false;
+    std::string m_body;
+    BodyPart m_bodyPart = BodyPart::kPlain;
+    std::size_t m_remaining = 0;  ///< Bytes of the plain body or of the current chunk to come.
+    std::string m_line;           ///< Unfinished chunk-size or trailer line.
+    std::size_t m_trailerBytes = 0;
 };
 
 }  // namespace fernlift::http
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -21,7 +21,7 @@
 class Listener final : public QTcpServer
 {
 public:
-    explicit Listener (std::function<QTcpSocket*(qintptr)> accept) : accept_ (std::move (accept))
+    explicit Listener (std::function<QTcpSocket*(qintptr)> accept) : m_accept (std::move (accept))
     {
         setListenBacklogSize (kListenBacklog);
     }
@@ -29,13 +29,13 @@
 protected:
     void incomingConnection (qintptr descriptor) override
     {
-        QTcpSocket* const socket = accept_ (descriptor);
+        QTcpSocket* const socket = m_accept (descriptor);
         if (socket != nullptr)
             addPendingConnection (socket);
     }
 
 private:
-    std::function<QTcpSocket*(qintptr)> accept_;
+    std::function<QTcpSocket*(qintptr)> m_accept;
 };
 
 /// Accepts what the system has accepted already: closing the listener would reset those.
@@ -67,10 +67,10 @@
 class Server::Implementation
 {
 public:
-    explicit Implementation (ServerLimits limits) : limits_ (limits) {}
+    explicit Implementation (ServerLimits limits) : m_limits (limits) {}
     ~Implementation()
     {
-        const auto connections = std::exchange (connections_, {});
+        const auto connections = std::exchange (m_connections, {});
         for (Connection* const connection : connections)
             delete connection;
     }
@@ -81,11 +81,11 @@
     void stopListening();
     QTcpSocket* accept (qintptr descriptor);
 
-    ServerLimits limits_;
-    Handler handler_;
-    ServerCounters counters_;
-    std::unordered_set<Connection*> connections_;
-    ParsingServer server_;
+    ServerLimits m_limits;
+    Handler m_handler;
+    ServerCounters m_counters;
+    std::unordered_set<Connection*> m_connections;
+    ParsingServer m_server;
 };
 
 base::Result<base::SocketAddress> Server::Implementation::listen (
@@ -100,29 +100,29 @@
                                + listener->errorString().toStdString());
     }
     base::SocketAddress real{ address.host, listener->serverPort() };
-    server_.bind (listener.release());
+    m_server.bind (listener.release());
     return real;
 }
 
 QTcpSocket* Server::Implementation::accept (qintptr descriptor)
 {
-    ++counters_.connections;
-    auto connection = std::make_unique<Connection> (limits_, handler_, counters_);
+    ++m_counters.connections;
+    auto connection = std::make_unique<Connection> (m_limits, m_handler, m_counters);
     if (! connection->open (descriptor))
         return nullptr;
     Connection* const raw = connection.release();
-    const bool isFull = connections_.size() >= limits_.connections;
-    connections_.insert (raw);
+    const bool isFull = m_connections.size() >= m_limits.connections;
+    m_connections.insert (raw);
     raw->onFinished (
         [this, raw]
         {
-            connections_.erase (raw);
+            m_connections.erase (raw);
             raw->deleteLater();
         });
     if (isFull)
     {
         raw->reject ({ base::ErrorKind::kTooManyConnections,
-                       "more than " + std::to_string (limits_.connections) + " connections" });
+                       "more than " + std::to_string (m_limits.connections) + " connections" });
         return nullptr;
     }
     return raw->feedSocket();
@@ -130,41 +130,41 @@
 
 void Server::Implementation::stopListening()
 {
-    for (QTcpServer* const listener : server_.servers())
+    for (QTcpServer* const listener : m_server.servers())
     {
         takeWaitingConnections (*listener);
         listener->close();
     }
-    const std::vector<Connection*> connections (connections_.begin(), connections_.end());
+    const std::vector<Connection*> connections (m_connections.begin(), m_connections.end());
     for (Connection* const connection : connections)
         connection->closeWhenIdle();
 }
 
-Server::Server (ServerLimits limits) : implementation_ (std::make_unique<Implementation> (limits))
+Server::Server (ServerLimits limits) : m_implementation (std::make_unique<Implementation> (limits))
 {
 }
 
 Server::~Server() = default;
 
-void Server::setHandler (Handler handler) { implementation_->handler_ = std::move (handler); }
+void Server::setHandler (Handler handler) { m_implementation->m_handler = std::move (handler); }
 
 base::Result<base::SocketAddress> Server::listen (const base::SocketAddress& address)
 {
-    return implementation_->listen (address);
+    return m_implementation->listen (address);
 }
 
-void Server::stopListening() { implementation_->stopListening(); }
+void Server::stopListening() { m_implementation->stopListening(); }
 
 std::size_t Server::openResponses() const
 {
-    const auto& connections = implementation_->connections_;
+    const auto& connections = m_implementation->m_connections;
     return static_cast<std::size_t> (std::count_if (connections.begin(), connections.end(),
                                                     [] (const Connection* connection)
                                                     { return connection->isAnswering(); }));
 }
 
-std::size_t Server::openConnections() const { return implementation_->connections_.size(); }
+std::size_t Server::openConnections() const { return m_implementation->m_connections.size(); }
 
-ServerCounters Server::counters() const { return implementation_->counters_; }
+ServerCounters Server::counters() const { return m_implementation->m_counters; }
 
 }  // namespace fernlift::http
--- a/src/http/ServerLimitsTest.cpp
+++ b/src/http/ServerLimitsTest.cpp
@@ -22,10 +22,10 @@
 class LimitedServer
 {
 public:
-    explicit LimitedServer (const ServerLimits& limits) : server_ (limits)
+    explicit LimitedServer (const ServerLimits& limits) : m_server (limits)
     {
         test::application();
-        server_.setHandler (
+        m_server.setHandler (
             [this] (const Request&, const std::shared_ptr<Responder>& responder)
             {
                 ++handled;
@@ -33,17 +33,17 @@
             });
         address = base::handleErrors (
             [&] {
-                return server_.listen ({ "127.0.0.1", 0 });
+                return m_server.listen ({ "127.0.0.1", 0 });
             },
             [] (const base::Error&) { return base::SocketAddress(); });
     }
-    Server& server() { return server_; }
+    Server& server() { return m_server; }
 
     base::SocketAddress address;
     int handled = 0;
 
 private:
-    Server server_;
+    Server m_server;
 };
 
 bool refuses (const RawCaller& caller, const std::string& status, const std::string& kind)
--- a/src/http/SignalWatcher.cpp
+++ b/src/http/SignalWatcher.cpp
@@ -41,13 +41,13 @@
 {
 public:
     Implementation (std::function<void()> onStop, std::function<void()> onReload)
-        : onStop_ (std::move (onStop)), onReload_ (std::move (onReload))
+        : m_onStop (std::move (onStop)), m_onReload (std::move (onReload))
     {
-        if (::pipe2 (ends_.data(), O_CLOEXEC | O_NONBLOCK) != 0)
+        if (::pipe2 (m_ends.data(), O_CLOEXEC | O_NONBLOCK) != 0)
             return;
-        signalPipe = ends_[1];
-        notifier_ = std::make_unique<QSocketNotifier> (ends_[0], QSocketNotifier::Read);
-        QObject::connect (notifier_.get(), &QSocketNotifier::activated, notifier_.get(),
+        signalPipe = m_ends[1];
+        m_notifier = std::make_unique<QSocketNotifier> (m_ends[0], QSocketNotifier::Read);
+        QObject::connect (m_notifier.get(), &QSocketNotifier::activated, m_notifier.get(),
                           [this] { drainPipe(); });
         installHandler (SIGTERM, &writeToSignalPipe);
         installHandler (SIGINT, &writeToSignalPipe);
@@ -60,7 +60,7 @@
         installHandler (SIGINT, SIG_DFL);
         installHandler (SIGHUP, SIG_DFL);
         signalPipe = -1;
-        for (const int end : ends_)
+        for (const int end : m_ends)
         {
             if (end >= 0)
                 ::close (end);
@@ -76,7 +76,7 @@
         std::array<char, 16> bytes{};
         bool mustStop = false;
         bool mustReload = false;
-        for (ssize_t count = 0; (count = ::read (ends_[0], bytes.data(), bytes.size())) > 0;)
+        for (ssize_t count = 0; (count = ::read (m_ends[0], bytes.data(), bytes.size())) > 0;)
         {
             for (ssize_t index = 0; index < count; ++index)
             {
@@ -84,20 +84,20 @@
                 (isReload ? mustReload : mustStop) = true;
             }
         }
-        if (mustReload && onReload_)
-            onReload_();
+        if (mustReload && m_onReload)
+            m_onReload();
         if (mustStop)
-            onStop_();
+            m_onStop();
     }
 
-    std::function<void()> onStop_;
-    std::function<void()> onReload_;
-    std::array<int, 2> ends_{ -1, -1 };
-    std::unique_ptr<QSocketNotifier> notifier_;
+    std::function<void()> m_onStop;
+    std::function<void()> m_onReload;
+    std::array<int, 2> m_ends{ -1, -1 };
+    std::unique_ptr<QSocketNotifier> m_notifier;
 };
 
 SignalWatcher::SignalWatcher (std::function<void()> onStop, std::function<void()> onReload)
-    : implementation_ (std::make_unique<Implementation> (std::move (onStop), std::move (onReload)))
+    : m_implementation (std::make_unique<Implementation> (std::move (onStop), std::move (onReload)))
 {
 }
 
--- a/src/http/StreamSocket.cpp
+++ b/src/http/StreamSocket.cpp
@@ -42,70 +42,70 @@
 
 void StreamSocket::connectTo (const base::SocketAddress& address)
 {
-    state_ = State::kConnecting;
-    descriptor_ = ::socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    m_state = State::kConnecting;
+    m_descriptor = ::socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     sockaddr_in target{};
     target.sin_family = AF_INET;
     target.sin_port = htons (address.port);
     const bool isValid =
-        descriptor_ >= 0 && ::inet_pton (AF_INET, address.host.c_str(), &target.sin_addr) == 1;
+        m_descriptor >= 0 && ::inet_pton (AF_INET, address.host.c_str(), &target.sin_addr) == 1;
     if (! isValid)
     {
         finishLater (StreamEnd::kRefused);
         return;
     }
-    setOptions (descriptor_);
+    setOptions (m_descriptor);
     // The socket interface wants the general type.
     // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
     const auto* const general = reinterpret_cast<const sockaddr*> (&target);
-    if (::connect (descriptor_, general, sizeof target) != 0 && errno != EINPROGRESS)
+    if (::connect (m_descriptor, general, sizeof target) != 0 && errno != EINPROGRESS)
     {
         finishLater (StreamEnd::kRefused);
         return;
     }
-    writeNotifier_ = std::make_unique<QSocketNotifier> (descriptor_, QSocketNotifier::Write);
-    QObject::connect (writeNotifier_.get(), &QSocketNotifier::activated, writeNotifier_.get(),
+    m_writeNotifier = std::make_unique<QSocketNotifier> (m_descriptor, QSocketNotifier::Write);
+    QObject::connect (m_writeNotifier.get(), &QSocketNotifier::activated, m_writeNotifier.get(),
                       [this] { onWritable(); });
 }
 
 void StreamSocket::onWritable()
 {
-    if (state_ == State::kOpen)
+    if (m_state == State::kOpen)
     {
         flush();
         return;
     }
     int error = 0;
     socklen_t length = sizeof error;
-    ::getsockopt (descriptor_, SOL_SOCKET, SO_ERROR, &error, &length);
+    ::getsockopt (m_descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
     if (error != 0)
     {
         finish (StreamEnd::kRefused);
         return;
     }
-    state_ = State::kOpen;
-    writeNotifier_->setEnabled (false);
-    readNotifier_ = std::make_unique<QSocketNotifier> (descriptor_, QSocketNotifier::Read);
-    QObject::connect (readNotifier_.get(), &QSocketNotifier::activated, readNotifier_.get(),
+    m_state = State::kOpen;
+    m_writeNotifier->setEnabled (false);
+    m_readNotifier = std::make_unique<QSocketNotifier> (m_descriptor, QSocketNotifier::Read);
+    QObject::connect (m_readNotifier.get(), &QSocketNotifier::activated, m_readNotifier.get(),
                       [this] { onReadable(); });
-    listener_->onConnected();
+    m_listener->onConnected();
 }
 
 void StreamSocket::write (std::string_view data)
 {
-    if (state_ != State::kOpen || hasWriteFailed_)
+    if (m_state != State::kOpen || m_hasWriteFailed)
         return;
-    unsent_.append (data);
+    m_unsent.append (data);
     flush();
 }
 
 void StreamSocket::flush()
 {
     std::size_t sent = 0;
-    while (sent < unsent_.size())
+    while (sent < m_unsent.size())
     {
         const ssize_t count =
-            ::send (descriptor_, unsent_.data() + sent, unsent_.size() - sent, MSG_NOSIGNAL);
+            ::send (m_descriptor, m_unsent.data() + sent, m_unsent.size() - sent, MSG_NOSIGNAL);
         if (count > 0)
         {
             sent += static_cast<std::size_t> (count);
@@ -114,23 +114,23 @@
         if (errno == EINTR)
             continue;
         // What the peer sent before may still be read; the end shows there.
-        hasWriteFailed_ = errno != EAGAIN && errno != EWOULDBLOCK;
+        m_hasWriteFailed = errno != EAGAIN && errno != EWOULDBLOCK;
         break;
     }
-    unsent_.erase (0, sent);
-    writeNotifier_->setEnabled (! unsent_.empty() && ! hasWriteFailed_);
+    m_unsent.erase (0, sent);
+    m_writeNotifier->setEnabled (! m_unsent.empty() && ! m_hasWriteFailed);
 }
 
 void StreamSocket::onReadable()
 {
     static std::array<char, kReadBytes> buffer;
-    const std::weak_ptr<bool> lifetime = lifetime_;
-    while (! lifetime.expired() && state_ == State::kOpen)
+    const std::weak_ptr<bool> lifetime = m_lifetime;
+    while (! lifetime.expired() && m_state == State::kOpen)
     {
-        const ssize_t count = ::recv (descriptor_, buffer.data(), buffer.size(), 0);
+        const ssize_t count = ::recv (m_descriptor, buffer.data(), buffer.size(), 0);
         if (count > 0)
         {
-            listener_->onData ({ buffer.data(), static_cast<std::size_t> (count) });
+            m_listener->onData ({ buffer.data(), static_cast<std::size_t> (count) });
             if (static_cast<std::size_t> (count) < buffer.size())
                 return;
             continue;
@@ -139,7 +139,7 @@
             continue;
         if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
             return;
-        const bool isOrderly = count == 0 && ! hasWriteFailed_ && unsent_.empty();
+        const bool isOrderly = count == 0 && ! m_hasWriteFailed && m_unsent.empty();
         finish (isOrderly ? StreamEnd::kOrderly : StreamEnd::kBroken);
         return;
     }
@@ -147,33 +147,33 @@
 
 void StreamSocket::finish (StreamEnd end)
 {
-    if (state_ == State::kClosed)
+    if (m_state == State::kClosed)
         return;
     close();
-    listener_->onEnd (end);
+    m_listener->onEnd (end);
 }
 
 void StreamSocket::finishLater (StreamEnd end)
 {
-    lateEnd_ = std::make_unique<QTimer>();
-    lateEnd_->setSingleShot (true);
-    QObject::connect (lateEnd_.get(), &QTimer::timeout, lateEnd_.get(),
+    m_lateEnd = std::make_unique<QTimer>();
+    m_lateEnd->setSingleShot (true);
+    QObject::connect (m_lateEnd.get(), &QTimer::timeout, m_lateEnd.get(),
                       [this, end] { finish (end); });
-    lateEnd_->start (0);
+    m_lateEnd->start (0);
 }
 
 void StreamSocket::close()
 {
-    if (lateEnd_)
+    if (m_lateEnd)
     {
-        lateEnd_->disconnect();
-        lateEnd_.release()->deleteLater();
+        m_lateEnd->disconnect();
+        m_lateEnd.release()->deleteLater();
     }
-    state_ = State::kClosed;
-    dropLater (readNotifier_);
-    dropLater (writeNotifier_);
-    if (descriptor_ >= 0)
-        ::close (std::exchange (descriptor_, -1));
+    m_state = State::kClosed;
+    dropLater (m_readNotifier);
+    dropLater (m_writeNotifier);
+    if (m_descriptor >= 0)
+        ::close (std::exchange (m_descriptor, -1));
 }
 
 }  // namespace fernlift::http
--- a/src/http/StreamSocket.h
+++ b/src/http/StreamSocket.h
@@ -45,7 +45,7 @@
 {
 public:
     /// `listener` must outlive the socket.
-    explicit StreamSocket (StreamListener* listener) : listener_ (listener) {}
+    explicit StreamSocket (StreamListener* listener) : m_listener (listener) {}
     ~StreamSocket() { close(); }
     StreamSocket (const StreamSocket&) = delete;
     StreamSocket& operator= (const StreamSocket&) = delete;
@@ -57,8 +57,8 @@
     /// Closes at once; the listener is not called any more.
     void close();
 
-    [[nodiscard]] bool isOpen() const { return state_ == State::kOpen; }
-    [[nodiscard]] std::size_t bytesToWrite() const { return unsent_.size(); }
+    [[nodiscard]] bool isOpen() const { return m_state == State::kOpen; }
+    [[nodiscard]] std::size_t bytesToWrite() const { return m_unsent.size(); }
 
 private:
     enum class State : std::uint8_t
@@ -76,15 +76,15 @@
     /// Calls finish() from the event loop.
     void finishLater (StreamEnd end);
 
-    StreamListener* listener_;
-    int descriptor_ = -1;
-    State state_ = State::kNew;
-    bool hasWriteFailed_ = false;
-    std::string unsent_;
-    std::unique_ptr<QSocketNotifier> readNotifier_;
-    std::unique_ptr<QSocketNotifier> writeNotifier_;
-    std::unique_ptr<QTimer> lateEnd_;
-    std::shared_ptr<bool> lifetime_ = std::make_shared<bool> (true);  ///< Ends with the socket.
+    StreamListener* m_listener;
+    int m_descriptor = -1;
+    State m_state = State::kNew;
+    bool m_hasWriteFailed = false;
+    std::string m_unsent;
+    std::unique_ptr<QSocketNotifier> m_readNotifier;
+    std::unique_ptr<QSocketNotifier> m_writeNotifier;
+    std::unique_ptr<QTimer> m_lateEnd;
+    std::shared_ptr<bool> m_lifetime = std::make_shared<bool> (true);  ///< Ends with the socket.
 };
 
 }  // namespace fernlift::http
--- a/src/lab/ChildProcess.cpp
+++ b/src/lab/ChildProcess.cpp
@@ -39,7 +39,7 @@
 
 }  // namespace
 
-ChildProcess::ChildProcess (ProcessPlan plan) : plan_ (std::move (plan)) {}
+ChildProcess::ChildProcess (ProcessPlan plan) : m_plan (std::move (plan)) {}
 
 ChildProcess::~ChildProcess()
 {
@@ -51,31 +51,31 @@
 
 base::Result<void> ChildProcess::start()
 {
-    process_.setProgram (QString::fromStdString (plan_.program));
-    process_.setArguments (toStringList (plan_.arguments));
-    process_.setProcessChannelMode (QProcess::MergedChannels);
-    process_.setStandardOutputFile (QString::fromStdString (plan_.logFile), QIODevice::Append);
-    process_.setStandardInputFile (QProcess::nullDevice());
+    m_process.setProgram (QString::fromStdString (m_plan.program));
+    m_process.setArguments (toStringList (m_plan.arguments));
+    m_process.setProcessChannelMode (QProcess::MergedChannels);
+    m_process.setStandardOutputFile (QString::fromStdString (m_plan.logFile), QIODevice::Append);
+    m_process.setStandardInputFile (QProcess::nullDevice());
     const pid_t parent = getpid();
-    process_.setChildProcessModifier ([parent] { dieWithParent (parent); });
-    process_.start();
-    if (! process_.waitForStarted (kStartTimeoutMilliseconds))
+    m_process.setChildProcessModifier ([parent] { dieWithParent (parent); });
+    m_process.start();
+    if (! m_process.waitForStarted (kStartTimeoutMilliseconds))
     {
-        return base::fail (base::ErrorKind::kInternal, "cannot start " + plan_.program + ": "
-                                                           + process_.errorString().toStdString());
+        return base::fail (base::ErrorKind::kInternal, "cannot start " + m_plan.program + ": "
+                                                           + m_process.errorString().toStdString());
     }
     return {};
 }
 
-bool ChildProcess::isRunning() const { return process_.state() == QProcess::Running; }
+bool ChildProcess::isRunning() const { return m_process.state() == QProcess::Running; }
 
-std::int64_t ChildProcess::processId() const { return process_.processId(); }
+std::int64_t ChildProcess::processId() const { return m_process.processId(); }
 
 int ChildProcess::exitCode() const
 {
     const bool endedByItself =
-        process_.state() == QProcess::NotRunning && process_.exitStatus() == QProcess::NormalExit;
-    return endedByItself ? process_.exitCode() : -1;
+        m_process.state() == QProcess::NotRunning && m_process.exitStatus() == QProcess::NormalExit;
+    return endedByItself ? m_process.exitCode() : -1;
 }
 
 void ChildProcess::requestStop() { sendSignal (SIGTERM); }
@@ -83,7 +83,7 @@
 void ChildProcess::kill()
 {
     sendSignal (SIGKILL);
-    process_.waitForFinished (kKillTimeoutMilliseconds);
+    m_process.waitForFinished (kKillTimeoutMilliseconds);
 }
 
 void ChildProcess::freeze() { sendSignal (SIGSTOP); }
@@ -99,7 +99,7 @@
 {
     if (isRunning())
     {
-        ::kill (static_cast<pid_t> (process_.processId()), signal);
+        ::kill (static_cast<pid_t> (m_process.processId()), signal);
     }
 }
 
--- a/src/lab/ChildProcess.h
+++ b/src/lab/ChildProcess.h
@@ -42,7 +42,7 @@
     [[nodiscard]] std::int64_t processId() const;
     /// Exit code of a child that ended by itself; -1 after a signal or before the end.
     [[nodiscard]] int exitCode() const;
-    [[nodiscard]] const ProcessPlan& plan() const { return plan_; }
+    [[nodiscard]] const ProcessPlan& plan() const { return m_plan; }
 
     /// Asks for a planned stop (SIGTERM).
     void requestStop();
@@ -58,8 +58,8 @@
 private:
     void sendSignal (int signal);
 
-    ProcessPlan plan_;
-    QProcess process_;
+    ProcessPlan m_plan;
+    QProcess m_process;
 };
 
 }  // namespace fernlift::lab
--- a/src/lab/ChildProcessTest.cpp
+++ b/src/lab/ChildProcessTest.cpp
@@ -21,12 +21,12 @@
     {
         return { "/bin/sh",
                  { "-c", script },
-                 folder_.filePath (QStringLiteral ("log")).toStdString() };
+                 m_folder.filePath (QStringLiteral ("log")).toStdString() };
     }
 
     QByteArray log()
     {
-        QFile file (folder_.filePath (QStringLiteral ("log")));
+        QFile file (m_folder.filePath (QStringLiteral ("log")));
         return file.open (QIODevice::ReadOnly) ? file.readAll() : QByteArray();
     }
 
@@ -42,7 +42,7 @@
         return text.at (text.lastIndexOf (')') + 2);
     }
 
-    QTemporaryDir folder_;
+    QTemporaryDir m_folder;
 };
 
 TEST_F (ChildProcessTest, KeepsOutputAndExitCode)
--- a/src/lab/ControllerCluster.cpp
+++ b/src/lab/ControllerCluster.cpp
@@ -53,16 +53,16 @@
     return answer;
 }
 
-ControllerCluster::ControllerCluster (Options options) : options_ (std::move (options)) {}
+ControllerCluster::ControllerCluster (Options options) : m_options (std::move (options)) {}
 
 base::Result<void> ControllerCluster::start()
 {
-    BOOST_LEAF_ASSIGN (machinesAddress_, ports_.reserve());
-    for (base::MemberId id = 1; id <= options_.members; ++id)
+    BOOST_LEAF_ASSIGN (m_machinesAddress, m_ports.reserve());
+    for (base::MemberId id = 1; id <= m_options.members; ++id)
         BOOST_LEAF_CHECK (plan (id));
-    if (options_.hasProxies)
+    if (m_options.hasProxies)
         BOOST_LEAF_CHECK (planProxies());
-    for (base::MemberId id = 1; id <= options_.members; ++id)
+    for (base::MemberId id = 1; id <= m_options.members; ++id)
     {
         std::vector<std::string> flags = membersFlags (id);
         flags.emplace_back ("--bootstrap");
@@ -71,31 +71,31 @@
     if (awaitLeader (0, kFirstElection) == 0)
     {
         return base::fail (base::ErrorKind::kNoQuorum,
-                           "no controller leads; logs in " + options_.run);
+                           "no controller leads; logs in " + m_options.run);
     }
     return {};
 }
 
 base::Result<void> ControllerCluster::plan (base::MemberId id)
 {
-    Node& node = nodes_[id];
-    BOOST_LEAF_ASSIGN (node.peerAddress, ports_.reserve());
-    BOOST_LEAF_ASSIGN (node.httpAddress, ports_.reserve());
+    Node& node = m_nodes[id];
+    BOOST_LEAF_ASSIGN (node.peerAddress, m_ports.reserve());
+    BOOST_LEAF_ASSIGN (node.httpAddress, m_ports.reserve());
     return {};
 }
 
 base::Result<void> ControllerCluster::planProxies()
 {
-    for (const auto& [from, source] : nodes_)
+    for (const auto& [from, source] : m_nodes)
     {
-        for (const auto& [to, target] : nodes_)
+        for (const auto& [to, target] : m_nodes)
         {
             if (from == to)
                 continue;
             auto proxy = std::make_unique<FaultProxy> (target.peerAddress);
             BOOST_LEAF_AUTO (address, proxy->listen ({ "127.0.0.1", 0 }));
-            proxyAddresses_[{ from, to }] = address;
-            proxies_[{ from, to }] = std::move (proxy);
+            m_proxyAddresses[{ from, to }] = address;
+            m_proxies[{ from, to }] = std::move (proxy);
         }
     }
     return {};
@@ -104,11 +104,11 @@
 std::vector<std::string> ControllerCluster::membersFlags (base::MemberId self) const
 {
     std::vector<std::string> flags;
-    for (const auto& [id, node] : nodes_)
+    for (const auto& [id, node] : m_nodes)
     {
-        const auto proxy = proxyAddresses_.find ({ self, id });
+        const auto proxy = m_proxyAddresses.find ({ self, id });
         const base::SocketAddress& peer =
-            proxy == proxyAddresses_.end() ? node.peerAddress : proxy->second;
+            proxy == m_proxyAddresses.end() ? node.peerAddress : proxy->second;
         flags.emplace_back ("--members");
         flags.push_back (memberFlag (id, peer, node.httpAddress));
     }
@@ -118,12 +118,12 @@
 base::Result<void> ControllerCluster::startProcess (base::MemberId id,
                                                     const std::vector<std::string>& flags)
 {
-    Node& node = nodes_.at (id);
-    std::filesystem::create_directories (options_.run);
+    Node& node = m_nodes.at (id);
+    std::filesystem::create_directories (m_options.run);
     std::vector<std::string> arguments{ "--id",
                                         std::to_string (id),
                                         "--cell",
-                                        options_.cell,
+                                        m_options.cell,
                                         "--zone",
                                         "z1",
                                         "--data-dir",
@@ -133,13 +133,13 @@
                                         "--http-address",
                                         node.httpAddress.toString(),
                                         "--machines-address",
-                                        machinesAddress_.toString() };
-    arguments.insert (arguments.end(), options_.flags.begin(), options_.flags.end());
+                                        m_machinesAddress.toString() };
+    arguments.insert (arguments.end(), m_options.flags.begin(), m_options.flags.end());
     arguments.insert (arguments.end(), flags.begin(), flags.end());
     node.isFrozen = false;
     node.process = std::make_unique<ChildProcess> (
-        ProcessPlan{ options_.programs + "/fernlift-controller", std::move (arguments),
-                     options_.run + "/controller-" + std::to_string (id) + ".log" });
+        ProcessPlan{ m_options.programs + "/fernlift-controller", std::move (arguments),
+                     m_options.run + "/controller-" + std::to_string (id) + ".log" });
     return node.process->start();
 }
 
@@ -159,19 +159,19 @@
 
 void ControllerCluster::freeze (base::MemberId id)
 {
-    nodes_.at (id).process->freeze();
-    nodes_.at (id).isFrozen = true;
+    m_nodes.at (id).process->freeze();
+    m_nodes.at (id).isFrozen = true;
 }
 
 void ControllerCluster::thaw (base::MemberId id)
 {
-    nodes_.at (id).process->thaw();
-    nodes_.at (id).isFrozen = false;
+    m_nodes.at (id).process->thaw();
+    m_nodes.at (id).isFrozen = false;
 }
 
 int ControllerCluster::stop (base::MemberId id)
 {
-    ChildProcess& process = *nodes_.at (id).process;
+    ChildProcess& process = *m_nodes.at (id).process;
     process.requestStop();
     return process.waitForEnd (kStopTimeout) ? process.exitCode() : -1;
 }
@@ -180,8 +180,8 @@
 
 void ControllerCluster::cut (base::MemberId from, base::MemberId to, bool isCut)
 {
-    const auto proxy = proxies_.find ({ from, to });
-    if (proxy == proxies_.end())
+    const auto proxy = m_proxies.find ({ from, to });
+    if (proxy == m_proxies.end())
         return;
     ProxyFaults faults;
     faults.toTarget.isCut = isCut;
@@ -191,20 +191,20 @@
 
 void ControllerCluster::cutIncoming (base::MemberId id, bool isCut)
 {
-    for (const auto& [other, node] : nodes_)
+    for (const auto& [other, node] : m_nodes)
         cut (other, id, isCut);
 }
 
 void ControllerCluster::cutOutgoing (base::MemberId id, bool isCut)
 {
-    for (const auto& [other, node] : nodes_)
+    for (const auto& [other, node] : m_nodes)
         cut (id, other, isCut);
 }
 
 std::vector<base::MemberId> ControllerCluster::live() const
 {
     std::vector<base::MemberId> ids;
-    for (const auto& [id, node] : nodes_)
+    for (const auto& [id, node] : m_nodes)
     {
         if (node.process && node.process->isRunning() && ! node.isFrozen)
             ids.push_back (id);
@@ -324,10 +324,10 @@
     std::vector<base::SocketAddress> addresses = controllers;
     if (addresses.empty())
     {
-        for (const auto& [id, node] : nodes_)
+        for (const auto& [id, node] : m_nodes)
             addresses.push_back (node.httpAddress);
     }
-    return runCtl (options_.programs, arguments, addresses, {});
+    return runCtl (m_options.programs, arguments, addresses, {});
 }
 
 std::vector<std::string> ControllerCluster::additionOf (base::MemberId id) const
@@ -342,17 +342,17 @@
 
 base::SocketAddress ControllerCluster::httpAddress (base::MemberId id) const
 {
-    return nodes_.at (id).httpAddress;
+    return m_nodes.at (id).httpAddress;
 }
 
 base::SocketAddress ControllerCluster::peerAddress (base::MemberId id) const
 {
-    return nodes_.at (id).peerAddress;
+    return m_nodes.at (id).peerAddress;
 }
 
 std::string ControllerCluster::dataFolder (base::MemberId id) const
 {
-    return options_.run + "/data-" + std::to_string (id);
+    return m_options.run + "/data-" + std::to_string (id);
 }
 
 std::string clusterCatalogue (std::uint64_t version, const std::string& comment)
--- a/src/lab/ControllerCluster.h
+++ b/src/lab/ControllerCluster.h
@@ -61,14 +61,14 @@
                                               const std::vector<std::string>& flags = {});
     /// Starts a new member with an empty folder that waits to be added.
     [[nodiscard]] base::Result<void> startJoining (base::MemberId id);
-    void kill (base::MemberId id) { nodes_.at (id).process->kill(); }
+    void kill (base::MemberId id) { m_nodes.at (id).process->kill(); }
     void freeze (base::MemberId id);
     void thaw (base::MemberId id);
     /// Planned stop; the exit code.
     int stop (base::MemberId id);
     /// Deletes the data folder of a member that does not run.
     void wipe (base::MemberId id);
-    [[nodiscard]] ChildProcess& process (base::MemberId id) { return *nodes_.at (id).process; }
+    [[nodiscard]] ChildProcess& process (base::MemberId id) { return *m_nodes.at (id).process; }
 
     /// Cuts or heals one direction: nothing that `from` sends reaches `to`.
     void cut (base::MemberId from, base::MemberId to, bool isCut);
@@ -129,12 +129,12 @@
                                                    const std::vector<std::string>& flags);
     [[nodiscard]] std::vector<std::string> membersFlags (base::MemberId self) const;
 
-    Options options_;
-    PortReservations ports_;
-    base::SocketAddress machinesAddress_;
-    std::map<base::MemberId, Node> nodes_;
-    std::map<std::pair<base::MemberId, base::MemberId>, std::unique_ptr<FaultProxy>> proxies_;
-    std::map<std::pair<base::MemberId, base::MemberId>, base::SocketAddress> proxyAddresses_;
+    Options m_options;
+    PortReservations m_ports;
+    base::SocketAddress m_machinesAddress;
+    std::map<base::MemberId, Node> m_nodes;
+    std::map<std::pair<base::MemberId, base::MemberId>, std::unique_ptr<FaultProxy>> m_proxies;
+    std::map<std::pair<base::MemberId, base::MemberId>, base::SocketAddress> m_proxyAddresses;
 };
 
 /// A small catalogue of the cluster's cell. `comment` makes texts of one version differ.
--- a/src/lab/ControllerFailureTest.cpp
+++ b/src/lab/ControllerFailureTest.cpp
@@ -30,14 +30,14 @@
         ensureApplication();
         const char* programs = std::getenv ("FERNLIFT_BIN_DIR");
         ASSERT_NE (programs, nullptr) << "set FERNLIFT_BIN_DIR to the folder of the programs";
-        cluster_ = std::make_unique<ControllerCluster> (
+        m_cluster = std::make_unique<ControllerCluster> (
             ControllerCluster::Options{ .programs = programs,
-                                        .run = folder_.path().toStdString(),
+                                        .run = m_folder.path().toStdString(),
                                         .flags = std::move (flags) });
-        ASSERT_TRUE (succeeds ([&] { return cluster_->start(); }));
+        ASSERT_TRUE (succeeds ([&] { return m_cluster->start(); }));
     }
 
-    [[nodiscard]] ControllerCluster& cluster() { return *cluster_; }
+    [[nodiscard]] ControllerCluster& cluster() { return *m_cluster; }
 
     /// Applies a version and expects that it is taken.
     void applyVersion (std::uint64_t version)
@@ -70,7 +70,7 @@
 
     std::string writeFile (const std::string& text)
     {
-        std::string path = folder_.filePath (QStringLiteral ("file.toml")).toStdString();
+        std::string path = m_folder.filePath (QStringLiteral ("file.toml")).toStdString();
         std::ofstream (path) << text;
         return path;
     }
@@ -89,8 +89,8 @@
         EXPECT_TRUE (isDone) << testing::PrintToString (arguments) << "\n" << outcome.output;
     }
 
-    QTemporaryDir folder_;
-    std::unique_ptr<ControllerCluster> cluster_;
+    QTemporaryDir m_folder;
+    std::unique_ptr<ControllerCluster> m_cluster;
 };
 
 TEST_F (ControllerFailureTest, KilledLeaderIsReplacedAndCatchesUp)
--- a/src/lab/Demo.cpp
+++ b/src/lab/Demo.cpp
@@ -66,7 +66,9 @@
 {
 public:
     Demo (FleetSpec spec, const FleetFolders& folders, std::string catalogue, std::ostream& output)
-        : fleet_ (std::move (spec), folders), catalogue_ (std::move (catalogue)), output_ (output)
+        : m_fleet (std::move (spec), folders),
+          m_catalogue (std::move (catalogue)),
+          m_output (output)
     {
     }
 
@@ -86,13 +88,13 @@
     }
 
 private:
-    void heading (const std::string& text) { output_ << "\n== " << text << "\n" << std::flush; }
+    void heading (const std::string& text) { m_output << "\n== " << text << "\n" << std::flush; }
 
     void line (const char* format, auto... values)
     {
         char text[512];
         std::snprintf (text, sizeof (text), format, values...);
-        output_ << "   " << text << "\n" << std::flush;
+        m_output << "   " << text << "\n" << std::flush;
     }
 
     base::Result<void> startFleet()
@@ -101,21 +103,21 @@
             "Start: controllers, routers, engines, application runner, weight store, machine list");
         QElapsedTimer timer;
         timer.start();
-        BOOST_LEAF_CHECK (fleet_.start());
-        BOOST_LEAF_AUTO (leader, waitForLeader (fleet_, kLeaderTimeout));
-        line ("%zu processes healthy and %s leads after %.0f ms", fleet_.status().size(),
+        BOOST_LEAF_CHECK (m_fleet.start());
+        BOOST_LEAF_AUTO (leader, waitForLeader (m_fleet, kLeaderTimeout));
+        line ("%zu processes healthy and %s leads after %.0f ms", m_fleet.status().size(),
               leader.c_str(), inMilliseconds (timeOf (timer)));
         return {};
     }
 
     base::Result<void> applyCatalogue()
     {
-        heading ("Apply " + catalogue_ + " with fernliftctl apply --wait");
+        heading ("Apply " + m_catalogue + " with fernliftctl apply --wait");
         QElapsedTimer timer;
         timer.start();
-        const CtlOutcome outcome = runCtl (fleet_, { "apply", catalogue_, "--wait" });
+        const CtlOutcome outcome = runCtl (m_fleet, { "apply", m_catalogue, "--wait" });
         BOOST_LEAF_CHECK (require (outcome.exitCode == 0, "apply failed: " + outcome.output));
-        BOOST_LEAF_CHECK (waitForRouters (fleet_, kRouterTimeout));
+        BOOST_LEAF_CHECK (waitForRouters (m_fleet, kRouterTimeout));
         line ("committed and in force at every router after %.0f ms",
               inMilliseconds (timeOf (timer)));
         return {};
@@ -128,7 +130,7 @@
         runner.start();
         const bool isFinished = waitUntil ([&] { return runner.isFinished(); }, kLoadTimeout);
         BOOST_LEAF_CHECK (require (isFinished, "calls are still open"));
-        history_.insert (history_.end(), runner.history().begin(), runner.history().end());
+        m_history.insert (m_history.end(), runner.history().begin(), runner.history().end());
         return runner.history();
     }
 
@@ -136,7 +138,7 @@
                              std::vector<Arrival> arrivals)
     {
         LoadOptions options;
-        options.routers = fleet_.httpAddresses (NodeRole::kRouter);
+        options.routers = m_fleet.httpAddresses (NodeRole::kRouter);
         options.targets = std::move (targets);
         options.arrivals = std::move (arrivals);
         options.idPrefix = prefix;
@@ -197,7 +199,7 @@
             runLoad (loadOptions ("storm", { { CallKind::kChat, kStormModel, kStandard, 1, true } },
                                   arrivals)));
         printLoad (history);
-        const std::size_t replicas = countLoadedReplicas (fleet_, kStormModel);
+        const std::size_t replicas = countLoadedReplicas (m_fleet, kStormModel);
         line ("replicas loaded: %zu, allowed: %zu", replicas, kStormModelMaximumReplicas);
         BOOST_LEAF_CHECK (require (replicas >= 1 && replicas <= kStormModelMaximumReplicas,
                                    "wrong number of replicas"));
@@ -220,7 +222,7 @@
         BOOST_LEAF_CHECK (fault());
         const bool isFinished = waitUntil ([&] { return runner.isFinished(); }, kLoadTimeout);
         BOOST_LEAF_CHECK (require (isFinished, "calls are still open"));
-        history_.insert (history_.end(), runner.history().begin(), runner.history().end());
+        m_history.insert (m_history.end(), runner.history().begin(), runner.history().end());
         printLoad (runner.history());
         return runner.history();
     }
@@ -234,35 +236,35 @@
             runSteadyLoad ("leader",
                            [&]() -> base::Result<void>
                            {
-                               BOOST_LEAF_ASSIGN (killed, waitForLeader (fleet_, kLeaderTimeout));
+                               BOOST_LEAF_ASSIGN (killed, waitForLeader (m_fleet, kLeaderTimeout));
                                QElapsedTimer timer;
                                timer.start();
-                               BOOST_LEAF_CHECK (fleet_.kill (killed));
-                               BOOST_LEAF_AUTO (next, waitForLeader (fleet_, kLeaderTimeout));
+                               BOOST_LEAF_CHECK (m_fleet.kill (killed));
+                               BOOST_LEAF_AUTO (next, waitForLeader (m_fleet, kLeaderTimeout));
                                line ("%s killed; %s leads after %.0f ms", killed.c_str(),
                                      next.c_str(), inMilliseconds (timeOf (timer)));
                                return {};
                            }));
         BOOST_LEAF_CHECK (requireAllAnswered (history));
-        BOOST_LEAF_CHECK (fleet_.restart (killed));
+        BOOST_LEAF_CHECK (m_fleet.restart (killed));
         line ("%s is back", killed.c_str());
         return {};
     }
 
     base::Result<void> showPlannedStopOfRouter()
     {
-        const std::string router = fleet_.namesOf (NodeRole::kRouter).front();
+        const std::string router = m_fleet.namesOf (NodeRole::kRouter).front();
         heading ("Planned stop (SIGTERM) of " + router + " under load");
         BOOST_LEAF_AUTO (history, runSteadyLoad ("stop", [&] { return stopProcess (router); }));
         BOOST_LEAF_CHECK (requireAllAnswered (history));
-        BOOST_LEAF_CHECK (fleet_.restart (router));
-        return waitForRouters (fleet_, kRouterTimeout);
+        BOOST_LEAF_CHECK (m_fleet.restart (router));
+        return waitForRouters (m_fleet, kRouterTimeout);
     }
 
     /// Of the engine that holds the model under load, which has to be loaded elsewhere first.
     base::Result<void> showPlannedStopOfEngine()
     {
-        const std::optional<std::string> engine = findEngineWith (fleet_, kSmallModel);
+        const std::optional<std::string> engine = findEngineWith (m_fleet, kSmallModel);
         BOOST_LEAF_CHECK (
             require (engine.has_value(), std::string ("no engine holds ") + kSmallModel));
         heading ("Drain (fernliftctl drain) and planned stop of " + *engine + " under load");
@@ -273,8 +275,8 @@
                                                      return stopProcess (*engine);
                                                  }));
         BOOST_LEAF_CHECK (requireAllAnswered (history));
-        BOOST_LEAF_CHECK (fleet_.restart (*engine));
-        const CtlOutcome undone = runCtl (fleet_, { "drain", *engine, "--undo" });
+        BOOST_LEAF_CHECK (m_fleet.restart (*engine));
+        const CtlOutcome undone = runCtl (m_fleet, { "drain", *engine, "--undo" });
         return require (undone.exitCode == 0, "drain --undo failed: " + undone.output);
     }
 
@@ -283,14 +285,14 @@
     {
         QElapsedTimer timer;
         timer.start();
-        const CtlOutcome outcome = runCtl (fleet_, { "drain", engine });
+        const CtlOutcome outcome = runCtl (m_fleet, { "drain", engine });
         BOOST_LEAF_CHECK (require (outcome.exitCode == 0, "drain failed: " + outcome.output));
         std::optional<std::string> next;
         const bool isReplaced = waitUntil (
             [&]
             {
                 handleEventsFor (kProbeInterval);
-                next = findEngineWith (fleet_, kSmallModel);
+                next = findEngineWith (m_fleet, kSmallModel);
                 return next && *next != engine;
             },
             kStopTimeout);
@@ -305,8 +307,8 @@
     {
         QElapsedTimer timer;
         timer.start();
-        BOOST_LEAF_CHECK (fleet_.requestStop (node));
-        BOOST_LEAF_CHECK (fleet_.waitForEnd (node, kStopTimeout));
+        BOOST_LEAF_CHECK (m_fleet.requestStop (node));
+        BOOST_LEAF_CHECK (m_fleet.waitForEnd (node, kStopTimeout));
         line ("%s ended with exit code %d after %.0f ms", node.c_str(), exitCodeOf (node),
               inMilliseconds (timeOf (timer)));
         return require (exitCodeOf (node) == 0, node + " did not end with exit code 0");
@@ -315,27 +317,27 @@
     base::Result<void> showStatusAndReasons()
     {
         heading ("fernliftctl status");
-        const CtlOutcome status = runCtl (fleet_, { "status" });
-        output_ << status.output;
+        const CtlOutcome status = runCtl (m_fleet, { "status" });
+        m_output << status.output;
         BOOST_LEAF_CHECK (require (status.exitCode == 0, "status failed"));
         heading (std::string ("fernliftctl explain model ") + kStormModel);
-        const CtlOutcome explain = runCtl (fleet_, { "explain", "model", kStormModel });
-        output_ << explain.output;
+        const CtlOutcome explain = runCtl (m_fleet, { "explain", "model", kStormModel });
+        m_output << explain.output;
         return require (explain.exitCode == 0, "explain failed");
     }
 
     base::Result<void> checkAllCalls()
     {
         heading ("All calls against what the back ends ran");
-        BOOST_LEAF_AUTO (ledger, fetchLedgers (fleet_));
+        BOOST_LEAF_AUTO (ledger, fetchLedgers (m_fleet));
         const std::vector<Violation> violations =
-            checkHistory (history_, ledger, standinAnswerDigest, {});
+            checkHistory (m_history, ledger, standinAnswerDigest, {});
         for (const Violation& violation : violations)
         {
             line ("%s %s %s", std::string (nameOf (violation.kind)).c_str(),
                   violation.requestId.c_str(), violation.detail.c_str());
         }
-        line ("%zu calls, %zu runs, %zu violations", history_.size(), ledger.size(),
+        line ("%zu calls, %zu runs, %zu violations", m_history.size(), ledger.size(),
               violations.size());
         return require (violations.empty(), "the checks of the histories found violations");
     }
@@ -345,14 +347,14 @@
         heading ("Planned stop of the whole fleet");
         QElapsedTimer timer;
         timer.start();
-        BOOST_LEAF_CHECK (fleet_.stop());
+        BOOST_LEAF_CHECK (m_fleet.stop());
         line ("every process ended by itself after %.0f ms", inMilliseconds (timeOf (timer)));
         return 0;
     }
 
     int exitCodeOf (const std::string& name) const
     {
-        for (const NodeStatus& node : fleet_.status())
+        for (const NodeStatus& node : m_fleet.status())
         {
             if (node.name == name)
             {
@@ -364,7 +366,7 @@
 
     void printLoad (const std::vector<CallRecord>& history)
     {
-        output_ << renderReport (reportByClass (history));
+        m_output << renderReport (reportByClass (history));
     }
 
     static base::Result<void> requireAllAnswered (const std::vector<CallRecord>& history)
@@ -379,10 +381,10 @@
         return {};
     }
 
-    Fleet fleet_;
-    std::string catalogue_;
-    std::ostream& output_;
-    std::vector<CallRecord> history_;
+    Fleet m_fleet;
+    std::string m_catalogue;
+    std::ostream& m_output;
+    std::vector<CallRecord> m_history;
 };
 
 }  // namespace
--- a/src/lab/FaultPipe.cpp
+++ b/src/lab/FaultPipe.cpp
@@ -20,13 +20,13 @@
     {
         return;
     }
-    if (! throttledSince_ || parts_.empty())
+    if (! m_throttledSince || m_parts.empty())
     {
-        throttledSince_ = now;
-        throttledBytes_ = 0;
+        m_throttledSince = now;
+        m_throttledBytes = 0;
     }
-    parts_.push_back ({ now, std::string (bytes) });
-    heldBytes_ += bytes.size();
+    m_parts.push_back ({ now, std::string (bytes) });
+    m_heldBytes += bytes.size();
 }
 
 FaultPipe::Released FaultPipe::take (base::TimePoint now)
@@ -37,75 +37,75 @@
         return released;
     }
     std::uint64_t left = allowance (now);
-    if (faults_.cutAfterBytes)
+    if (m_faults.cutAfterBytes)
     {
-        left = std::min (left, *faults_.cutAfterBytes - passedBytes_);
+        left = std::min (left, *m_faults.cutAfterBytes - m_passedBytes);
     }
     bool hasResetPoint = false;
-    if (faults_.resetAfterBytes)
+    if (m_faults.resetAfterBytes)
     {
-        const std::uint64_t untilReset = *faults_.resetAfterBytes > passedBytes_
-                                             ? *faults_.resetAfterBytes - passedBytes_
+        const std::uint64_t untilReset = *m_faults.resetAfterBytes > m_passedBytes
+                                             ? *m_faults.resetAfterBytes - m_passedBytes
                                              : std::uint64_t{ 0 };
         hasResetPoint = untilReset <= left;
         left = std::min (left, untilReset);
     }
-    while (! parts_.empty() && left > 0 && parts_.front().receivedAt + faults_.delay <= now)
+    while (! m_parts.empty() && left > 0 && m_parts.front().receivedAt + m_faults.delay <= now)
     {
-        std::string& front = parts_.front().bytes;
+        std::string& front = m_parts.front().bytes;
         const auto count = static_cast<std::size_t> (std::min<std::uint64_t> (left, front.size()));
         released.bytes.append (front, 0, count);
         front.erase (0, count);
         left -= count;
         if (front.empty())
         {
-            parts_.pop_front();
+            m_parts.pop_front();
         }
     }
-    heldBytes_ -= released.bytes.size();
-    passedBytes_ += released.bytes.size();
-    throttledBytes_ += released.bytes.size();
-    released.mustReset = hasResetPoint && passedBytes_ >= *faults_.resetAfterBytes;
+    m_heldBytes -= released.bytes.size();
+    m_passedBytes += released.bytes.size();
+    m_throttledBytes += released.bytes.size();
+    released.mustReset = hasResetPoint && m_passedBytes >= *m_faults.resetAfterBytes;
     return released;
 }
 
 std::optional<base::TimePoint> FaultPipe::nextRelease (base::TimePoint now) const
 {
-    if (isCut() || parts_.empty())
+    if (isCut() || m_parts.empty())
     {
         return std::nullopt;
     }
-    base::TimePoint next = std::max (now, parts_.front().receivedAt + faults_.delay);
-    if (faults_.bytesPerSecond > 0 && throttledSince_)
+    base::TimePoint next = std::max (now, m_parts.front().receivedAt + m_faults.delay);
+    if (m_faults.bytesPerSecond > 0 && m_throttledSince)
     {
         const std::uint64_t microseconds =
-            (throttledBytes_ + 1) * kMicrosecondsPerSecond / faults_.bytesPerSecond + 1;
+            (m_throttledBytes + 1) * kMicrosecondsPerSecond / m_faults.bytesPerSecond + 1;
         next = std::max (
-            next, *throttledSince_ + base::Duration (static_cast<std::int64_t> (microseconds)));
+            next, *m_throttledSince + base::Duration (static_cast<std::int64_t> (microseconds)));
     }
     return next;
 }
 
 bool FaultPipe::isCut() const
 {
-    return faults_.isCut || (faults_.cutAfterBytes && passedBytes_ >= *faults_.cutAfterBytes);
+    return m_faults.isCut || (m_faults.cutAfterBytes && m_passedBytes >= *m_faults.cutAfterBytes);
 }
 
-bool FaultPipe::hasRoom() const { return heldBytes_ < kMaximumHeldBytes; }
+bool FaultPipe::hasRoom() const { return m_heldBytes < kMaximumHeldBytes; }
 
 std::uint64_t FaultPipe::allowance (base::TimePoint now) const
 {
-    if (faults_.bytesPerSecond == 0)
+    if (m_faults.bytesPerSecond == 0)
     {
         return kUnlimited;
     }
-    if (! throttledSince_)
+    if (! m_throttledSince)
     {
         return 0;
     }
-    const auto microseconds = static_cast<std::uint64_t> ((now - *throttledSince_).count());
-    const std::uint64_t allowed = microseconds * faults_.bytesPerSecond / kMicrosecondsPerSecond;
-    return allowed > throttledBytes_ ? allowed - throttledBytes_ : 0;
+    const auto microseconds = static_cast<std::uint64_t> ((now - *m_throttledSince).count());
+    const std::uint64_t allowed = microseconds * m_faults.bytesPerSecond / kMicrosecondsPerSecond;
+    return allowed > m_throttledBytes ? allowed - m_throttledBytes : 0;
 }
 
 }  // namespace fernlift::lab
--- a/src/lab/FaultPipe.h
+++ b/src/lab/FaultPipe.h
@@ -39,16 +39,16 @@
     };
 
     /// Applies to bytes already held too.
-    void setFaults (const DirectionFaults& faults) { faults_ = faults; }
+    void setFaults (const DirectionFaults& faults) { m_faults = faults; }
     void push (base::TimePoint now, std::string_view bytes);
     [[nodiscard]] Released take (base::TimePoint now);
     /// When take() may give more; nothing while cut or empty.
     [[nodiscard]] std::optional<base::TimePoint> nextRelease (base::TimePoint now) const;
     /// True when more bytes should be read from the source.
     [[nodiscard]] bool hasRoom() const;
-    [[nodiscard]] bool isEmpty() const { return heldBytes_ == 0; }
+    [[nodiscard]] bool isEmpty() const { return m_heldBytes == 0; }
     [[nodiscard]] bool isCut() const;
-    [[nodiscard]] std::uint64_t passedBytes() const { return passedBytes_; }
+    [[nodiscard]] std::uint64_t passedBytes() const { return m_passedBytes; }
 
 private:
     struct Part
@@ -59,12 +59,12 @@
 
     [[nodiscard]] std::uint64_t allowance (base::TimePoint now) const;
 
-    DirectionFaults faults_;
-    std::deque<Part> parts_;
-    std::size_t heldBytes_ = 0;
-    std::uint64_t passedBytes_ = 0;
-    std::optional<base::TimePoint> throttledSince_;  ///< Start of the current throttled period.
-    std::uint64_t throttledBytes_ = 0;               ///< Passed since then.
+    DirectionFaults m_faults;
+    std::deque<Part> m_parts;
+    std::size_t m_heldBytes = 0;
+    std::uint64_t m_passedBytes = 0;
+    std::optional<base::TimePoint> m_throttledSince;  ///< Start of the current throttled period.
+    std::uint64_t m_throttledBytes = 0;               ///< Passed since then.
 };
 
 }  // namespace fernlift::lab
--- a/src/lab/FaultProxy.cpp
+++ b/src/lab/FaultProxy.cpp
@@ -172,10 +172,10 @@
 class FaultProxy::Link
 {
 public:
-    Link (FaultProxy& proxy, QTcpSocket* caller) : proxy_ (proxy), caller_ (caller)
+    Link (FaultProxy& proxy, QTcpSocket* caller) : m_proxy (proxy), m_caller (caller)
     {
         applyFaults();
-        for (QTcpSocket* socket : { caller_.get(), &target_ })
+        for (QTcpSocket* socket : { m_caller.get(), &m_target })
         {
             socket->setReadBufferSize (kReadBufferBytes);
             const auto pump = [this] { this->pump(); };
@@ -185,70 +185,70 @@
             QObject::connect (socket, &QTcpSocket::disconnected, pump);
             QObject::connect (socket, &QTcpSocket::errorOccurred, pump);
         }
-        wakeUp_.setSingleShot (true);
-        QObject::connect (&wakeUp_, &QTimer::timeout, [this] { pump(); });
-        target_.connectToHost (QHostAddress (QString::fromStdString (proxy.target_.host)),
-                               proxy.target_.port);
+        m_wakeUp.setSingleShot (true);
+        QObject::connect (&m_wakeUp, &QTimer::timeout, [this] { pump(); });
+        m_target.connectToHost (QHostAddress (QString::fromStdString (proxy.m_target.host)),
+                                proxy.m_target.port);
     }
 
     ~Link()
     {
-        caller_->disconnect();
-        target_.disconnect();
-        caller_->abort();
-        target_.abort();
+        m_caller->disconnect();
+        m_target.disconnect();
+        m_caller->abort();
+        m_target.abort();
     }
     Link (const Link&) = delete;
     Link& operator= (const Link&) = delete;
 
     void applyFaults()
     {
-        toTarget_.setFaults (proxy_.faults_.toTarget);
-        toCaller_.setFaults (proxy_.faults_.toCaller);
+        m_toTarget.setFaults (m_proxy.m_faults.toTarget);
+        m_toCaller.setFaults (m_proxy.m_faults.toCaller);
     }
 
     void reset()
     {
-        resetSocket (*caller_);
-        resetSocket (target_);
+        resetSocket (*m_caller);
+        resetSocket (m_target);
     }
 
     /// Moves what may pass, then ends what has ended.
     void pump()
     {
-        if (isPumping_)
+        if (m_isPumping)
         {
             return;
         }
-        isPumping_ = true;
+        m_isPumping = true;
         const bool mustReset =
-            move (*caller_, toTarget_, target_, proxy_.counters_.bytesToTarget)
-            || move (target_, toCaller_, *caller_, proxy_.counters_.bytesToCaller);
+            move (*m_caller, m_toTarget, m_target, m_proxy.m_counters.bytesToTarget)
+            || move (m_target, m_toCaller, *m_caller, m_proxy.m_counters.bytesToCaller);
         if (mustReset)
         {
-            ++proxy_.counters_.resets;
+            ++m_proxy.m_counters.resets;
             reset();
         }
         else
         {
-            passOnEnd (*caller_, toTarget_, target_);
-            passOnEnd (target_, toCaller_, *caller_);
+            passOnEnd (*m_caller, m_toTarget, m_target);
+            passOnEnd (m_target, m_toCaller, *m_caller);
             scheduleWakeUp();
         }
-        isPumping_ = false;
+        m_isPumping = false;
     }
 
     [[nodiscard]] bool isClosed() const
     {
-        return caller_->state() == QAbstractSocket::UnconnectedState
-               && target_.state() == QAbstractSocket::UnconnectedState;
+        return m_caller->state() == QAbstractSocket::UnconnectedState
+               && m_target.state() == QAbstractSocket::UnconnectedState;
     }
 
 private:
     /// True when the connection is to be reset.
     bool move (QTcpSocket& from, FaultPipe& pipe, QTcpSocket& to, std::uint64_t& counter)
     {
-        const base::TimePoint now = proxy_.clock_.now();
+        const base::TimePoint now = m_proxy.m_clock.now();
         if (pipe.hasRoom() && from.bytesAvailable() > 0)
         {
             const QByteArray bytes = from.read (kReadBufferBytes);
@@ -288,72 +288,72 @@
 
     void scheduleWakeUp()
     {
-        const base::TimePoint now = proxy_.clock_.now();
-        std::optional<base::TimePoint> next = toTarget_.nextRelease (now);
-        const std::optional<base::TimePoint> other = toCaller_.nextRelease (now);
+        const base::TimePoint now = m_proxy.m_clock.now();
+        std::optional<base::TimePoint> next = m_toTarget.nextRelease (now);
+        const std::optional<base::TimePoint> other = m_toCaller.nextRelease (now);
         if (other && (! next || *other < *next))
         {
             next = other;
         }
         if (next)
         {
-            wakeUp_.start (static_cast<int> (base::toMilliseconds (*next - now)) + 1);
+            m_wakeUp.start (static_cast<int> (base::toMilliseconds (*next - now)) + 1);
         }
     }
 
-    FaultProxy& proxy_;
-    std::unique_ptr<QTcpSocket> caller_;
-    QTcpSocket target_;
-    FaultPipe toTarget_;
-    FaultPipe toCaller_;
-    QTimer wakeUp_;
-    bool isPumping_ = false;
+    FaultProxy& m_proxy;
+    std::unique_ptr<QTcpSocket> m_caller;
+    QTcpSocket m_target;
+    FaultPipe m_toTarget;
+    FaultPipe m_toCaller;
+    QTimer m_wakeUp;
+    bool m_isPumping = false;
 };
 
-FaultProxy::FaultProxy (base::SocketAddress target) : target_ (std::move (target))
+FaultProxy::FaultProxy (base::SocketAddress target) : m_target (std::move (target))
 {
-    QObject::connect (&server_, &QTcpServer::newConnection, [this] { accept(); });
+    QObject::connect (&m_server, &QTcpServer::newConnection, [this] { accept(); });
 }
 
-FaultProxy::~FaultProxy() { server_.close(); }
+FaultProxy::~FaultProxy() { m_server.close(); }
 
 base::Result<base::SocketAddress> FaultProxy::listen (const base::SocketAddress& address)
 {
-    if (! server_.listen (QHostAddress (QString::fromStdString (address.host)), address.port))
+    if (! m_server.listen (QHostAddress (QString::fromStdString (address.host)), address.port))
     {
         return base::fail (base::ErrorKind::kConnectionFailed,
-                           address.toString() + ": " + server_.errorString().toStdString());
+                           address.toString() + ": " + m_server.errorString().toStdString());
     }
-    address_ = { address.host, server_.serverPort() };
-    return address_;
+    m_address = { address.host, m_server.serverPort() };
+    return m_address;
 }
 
 base::Result<void> FaultProxy::setFaults (const ProxyFaults& faults)
 {
-    faults_ = faults;
-    for (const std::unique_ptr<Link>& link : links_)
+    m_faults = faults;
+    for (const std::unique_ptr<Link>& link : m_links)
     {
         link->applyFaults();
         link->pump();
     }
     if (faults.refuses)
     {
-        server_.close();
+        m_server.close();
     }
-    else if (! server_.isListening() && address_.port != 0)
+    else if (! m_server.isListening() && m_address.port != 0)
     {
-        BOOST_LEAF_CHECK (listen (address_));
+        BOOST_LEAF_CHECK (listen (m_address));
     }
     return {};
 }
 
 void FaultProxy::resetConnections()
 {
-    for (const std::unique_ptr<Link>& link : links_)
+    for (const std::unique_ptr<Link>& link : m_links)
     {
         if (! link->isClosed())
         {
-            ++counters_.resets;
+            ++m_counters.resets;
             link->reset();
         }
     }
@@ -362,27 +362,27 @@
 
 ProxyCounters FaultProxy::counters() const
 {
-    ProxyCounters counters = counters_;
+    ProxyCounters counters = m_counters;
     counters.openConnections = static_cast<std::size_t> (std::count_if (
-        links_.begin(), links_.end(), [] (const auto& link) { return ! link->isClosed(); }));
+        m_links.begin(), m_links.end(), [] (const auto& link) { return ! link->isClosed(); }));
     return counters;
 }
 
 void FaultProxy::accept()
 {
     removeClosedLinks();
-    while (QTcpSocket* socket = server_.nextPendingConnection())
+    while (QTcpSocket* socket = m_server.nextPendingConnection())
     {
         socket->setParent (nullptr);
-        ++counters_.connections;
+        ++m_counters.connections;
         socket->setSocketOption (QAbstractSocket::LowDelayOption, 1);
-        links_.push_back (std::make_unique<Link> (*this, socket));
+        m_links.push_back (std::make_unique<Link> (*this, socket));
     }
 }
 
 void FaultProxy::removeClosedLinks()
 {
-    std::erase_if (links_, [] (const std::unique_ptr<Link>& link) { return link->isClosed(); });
+    std::erase_if (m_links, [] (const std::unique_ptr<Link>& link) { return link->isClosed(); });
 }
 
 }  // namespace fernlift::lab
--- a/src/lab/FaultProxy.h
+++ b/src/lab/FaultProxy.h
@@ -76,13 +76,13 @@
     void accept();
     void removeClosedLinks();
 
-    base::SocketAddress target_;
-    base::SocketAddress address_;  ///< Where it listens when it does not refuse.
-    ProxyFaults faults_;
-    ProxyCounters counters_;
-    QTcpServer server_;
-    base::SystemClock clock_;
-    std::vector<std::unique_ptr<Link>> links_;
+    base::SocketAddress m_target;
+    base::SocketAddress m_address;  ///< Where it listens when it does not refuse.
+    ProxyFaults m_faults;
+    ProxyCounters m_counters;
+    QTcpServer m_server;
+    base::SystemClock m_clock;
+    std::vector<std::unique_ptr<Link>> m_links;
 };
 
 }  // namespace fernlift::lab
--- a/src/lab/FaultProxyTest.cpp
+++ b/src/lab/FaultProxyTest.cpp
@@ -22,29 +22,29 @@
     void SetUp() override
     {
         ensureApplication();
-        ASSERT_TRUE (server_.listen (QHostAddress (QHostAddress::LocalHost)));
-        proxy_ =
-            std::make_unique<FaultProxy> (base::SocketAddress{ "127.0.0.1", server_.serverPort() });
+        ASSERT_TRUE (m_server.listen (QHostAddress (QHostAddress::LocalHost)));
+        m_proxy = std::make_unique<FaultProxy> (
+            base::SocketAddress{ "127.0.0.1", m_server.serverPort() });
         ASSERT_TRUE (succeeds (
             [&]() -> base::Result<void>
             {
-                BOOST_LEAF_ASSIGN (address_, proxy_->listen ({ "127.0.0.1", 0 }));
+                BOOST_LEAF_ASSIGN (m_address, m_proxy->listen ({ "127.0.0.1", 0 }));
                 return {};
             }));
     }
 
     void connectThrough()
     {
-        caller_ = std::make_unique<QTcpSocket>();
-        caller_->connectToHost (QHostAddress (QHostAddress::LocalHost), address_.port);
-        ASSERT_TRUE (waitUntil ([&] { return server_.hasPendingConnections(); }, kGuard));
-        target_.reset (server_.nextPendingConnection());
-        target_->setParent (nullptr);
+        m_caller = std::make_unique<QTcpSocket>();
+        m_caller->connectToHost (QHostAddress (QHostAddress::LocalHost), m_address.port);
+        ASSERT_TRUE (waitUntil ([&] { return m_server.hasPendingConnections(); }, kGuard));
+        m_target.reset (m_server.nextPendingConnection());
+        m_target->setParent (nullptr);
     }
 
     void setFaults (const ProxyFaults& faults)
     {
-        EXPECT_TRUE (succeeds ([&] { return proxy_->setFaults (faults); }));
+        EXPECT_TRUE (succeeds ([&] { return m_proxy->setFaults (faults); }));
     }
 
     static bool receives (QTcpSocket& socket, const QByteArray& expected)
@@ -59,80 +59,80 @@
             kGuard);
     }
 
-    QTcpServer server_;
-    std::unique_ptr<FaultProxy> proxy_;
-    base::SocketAddress address_;
-    std::unique_ptr<QTcpSocket> caller_;
-    std::unique_ptr<QTcpSocket> target_;
+    QTcpServer m_server;
+    std::unique_ptr<FaultProxy> m_proxy;
+    base::SocketAddress m_address;
+    std::unique_ptr<QTcpSocket> m_caller;
+    std::unique_ptr<QTcpSocket> m_target;
 };
 
 TEST_F (FaultProxyTest, PassesBothWaysAndTheEnd)
 {
     connectThrough();
-    caller_->write ("question");
-    EXPECT_TRUE (receives (*target_, "question"));
-    target_->write ("answer");
-    EXPECT_TRUE (receives (*caller_, "answer"));
-    target_->disconnectFromHost();
+    m_caller->write ("question");
+    EXPECT_TRUE (receives (*m_target, "question"));
+    m_target->write ("answer");
+    EXPECT_TRUE (receives (*m_caller, "answer"));
+    m_target->disconnectFromHost();
     EXPECT_TRUE (
-        waitUntil ([&] { return caller_->state() == QAbstractSocket::UnconnectedState; }, kGuard));
+        waitUntil ([&] { return m_caller->state() == QAbstractSocket::UnconnectedState; }, kGuard));
 }
 
 TEST_F (FaultProxyTest, CutsOneDirectionSilently)
 {
     connectThrough();
     setFaults ({ .toTarget = {}, .toCaller = { .isCut = true } });
-    target_->write ("held");
-    caller_->write ("passes");
-    EXPECT_TRUE (receives (*target_, "passes"));
-    EXPECT_EQ (caller_->readAll(), "");
-    EXPECT_EQ (caller_->state(), QAbstractSocket::ConnectedState);
+    m_target->write ("held");
+    m_caller->write ("passes");
+    EXPECT_TRUE (receives (*m_target, "passes"));
+    EXPECT_EQ (m_caller->readAll(), "");
+    EXPECT_EQ (m_caller->state(), QAbstractSocket::ConnectedState);
     setFaults ({});
-    EXPECT_TRUE (receives (*caller_, "held"));
+    EXPECT_TRUE (receives (*m_caller, "held"));
 }
 
 TEST_F (FaultProxyTest, ACutHidesTheEndToo)
 {
     connectThrough();
     setFaults ({ .toTarget = {}, .toCaller = { .isCut = true } });
-    target_->disconnectFromHost();
+    m_target->disconnectFromHost();
     ASSERT_TRUE (
-        waitUntil ([&] { return target_->state() == QAbstractSocket::UnconnectedState; }, kGuard));
+        waitUntil ([&] { return m_target->state() == QAbstractSocket::UnconnectedState; }, kGuard));
     handleEventsFor (base::milliseconds (50));
-    EXPECT_EQ (caller_->state(), QAbstractSocket::ConnectedState);
+    EXPECT_EQ (m_caller->state(), QAbstractSocket::ConnectedState);
     setFaults ({});
     EXPECT_TRUE (
-        waitUntil ([&] { return caller_->state() == QAbstractSocket::UnconnectedState; }, kGuard));
+        waitUntil ([&] { return m_caller->state() == QAbstractSocket::UnconnectedState; }, kGuard));
 }
 
 TEST_F (FaultProxyTest, ResetsHalfWay)
 {
     connectThrough();
     setFaults ({ .toTarget = {}, .toCaller = { .resetAfterBytes = 3 } });
-    target_->write ("abcdef");
+    m_target->write ("abcdef");
     EXPECT_TRUE (
-        waitUntil ([&] { return caller_->state() == QAbstractSocket::UnconnectedState; }, kGuard));
-    EXPECT_LE (caller_->readAll().size(), 3);
-    EXPECT_EQ (proxy_->counters().bytesToCaller, 3U);
-    EXPECT_EQ (proxy_->counters().resets, 1U);
+        waitUntil ([&] { return m_caller->state() == QAbstractSocket::UnconnectedState; }, kGuard));
+    EXPECT_LE (m_caller->readAll().size(), 3);
+    EXPECT_EQ (m_proxy->counters().bytesToCaller, 3U);
+    EXPECT_EQ (m_proxy->counters().resets, 1U);
 }
 
 TEST_F (FaultProxyTest, ResetsAllConnectionsAndRefusesNewOnes)
 {
     connectThrough();
     setFaults ({ .toTarget = {}, .toCaller = {}, .refuses = true });
-    proxy_->resetConnections();
+    m_proxy->resetConnections();
     EXPECT_TRUE (
-        waitUntil ([&] { return caller_->state() == QAbstractSocket::UnconnectedState; }, kGuard));
-    EXPECT_EQ (proxy_->counters().resets, 1U);
+        waitUntil ([&] { return m_caller->state() == QAbstractSocket::UnconnectedState; }, kGuard));
+    EXPECT_EQ (m_proxy->counters().resets, 1U);
     QTcpSocket late;
-    late.connectToHost (QHostAddress (QHostAddress::LocalHost), address_.port);
+    late.connectToHost (QHostAddress (QHostAddress::LocalHost), m_address.port);
     EXPECT_TRUE (waitUntil ([&] { return late.error() == QAbstractSocket::ConnectionRefusedError; },
                             kGuard));
     setFaults ({});
     connectThrough();
-    caller_->write ("again");
-    EXPECT_TRUE (receives (*target_, "again"));
+    m_caller->write ("again");
+    EXPECT_TRUE (receives (*m_target, "again"));
 }
 
 TEST (ProxyCountersJson, ReadsWhatItWrites)
--- a/src/lab/Fleet.cpp
+++ b/src/lab/Fleet.cpp
@@ -57,7 +57,7 @@
 }
 
 Fleet::Fleet (FleetSpec spec, FleetFolders folders)
-    : spec_ (std::move (spec)), folders_ (std::move (folders))
+    : m_spec (std::move (spec)), m_folders (std::move (folders))
 {
 }
 
@@ -65,15 +65,15 @@
 
 base::Result<void> Fleet::start()
 {
-    std::filesystem::create_directories (folders_.run + "/logs");
-    std::filesystem::create_directories (folders_.run + "/ledgers");
-    BOOST_LEAF_AUTO (plans, planFleet (spec_, folders_, ports_));
+    std::filesystem::create_directories (m_folders.run + "/logs");
+    std::filesystem::create_directories (m_folders.run + "/ledgers");
+    BOOST_LEAF_AUTO (plans, planFleet (m_spec, m_folders, m_ports));
     for (NodePlan& plan : plans)
     {
-        nodes_.push_back ({ std::move (plan), nullptr, false });
+        m_nodes.push_back ({ std::move (plan), nullptr, false });
     }
     std::vector<Node*> started;
-    for (Node& node : nodes_)
+    for (Node& node : m_nodes)
     {
         BOOST_LEAF_CHECK (startNode (node));
         started.push_back (&node);
@@ -94,7 +94,7 @@
     {
         return base::fail (base::ErrorKind::kInternal,
                            "a process did not end by itself with exit code 0; see its log in "
-                               + folders_.run + "/logs");
+                               + m_folders.run + "/logs");
     }
     return {};
 }
@@ -179,7 +179,7 @@
 {
     ControllerSpec replacement;
     base::SocketAddress machinesAddress;
-    for (const Node& node : nodes_)
+    for (const Node& node : m_nodes)
     {
         if (node.plan.role == NodeRole::kMachineList)
         {
@@ -187,7 +187,7 @@
         }
     }
     std::vector<std::string> members;
-    for (const ControllerSpec& known : spec_.controllers)
+    for (const ControllerSpec& known : m_spec.controllers)
     {
         replacement.id = std::max (replacement.id, known.id + 1);
         const Node* node = findPlan (controllerName (known.id));
@@ -202,26 +202,26 @@
     }
     NodePlan& plan = controller.plan;
     plan.name = controllerName (replacement.id);
-    plan.dataFolder = folders_.run + "/data/" + plan.name;
-    plan.process.logFile = folders_.run + "/logs/" + plan.name + ".log";
+    plan.dataFolder = m_folders.run + "/data/" + plan.name;
+    plan.process.logFile = m_folders.run + "/logs/" + plan.name + ".log";
     members.push_back (memberText (replacement, plan.peerAddress, plan.httpAddress));
     std::vector<std::string> arguments = controllerArguments (
-        spec_, replacement, plan.peerAddress, plan.httpAddress, plan.dataFolder, machinesAddress);
+        m_spec, replacement, plan.peerAddress, plan.httpAddress, plan.dataFolder, machinesAddress);
     for (const std::string& member : members)
     {
         arguments.emplace_back ("--members");
         arguments.push_back (member);
     }
-    const std::vector<std::string>& extraFlags = spec_.extraFlags.controllers;
+    const std::vector<std::string>& extraFlags = m_spec.extraFlags.controllers;
     arguments.insert (arguments.end(), extraFlags.begin(), extraFlags.end());
     plan.process.arguments = std::move (arguments);
     plan.firstStartFlags = { "--join" };
-    spec_.controllers.push_back (replacement);
+    m_spec.controllers.push_back (replacement);
 }
 
 const Fleet::Node* Fleet::findPlan (const std::string& name) const
 {
-    for (const Node& node : nodes_)
+    for (const Node& node : m_nodes)
     {
         if (node.plan.name == name)
         {
@@ -234,7 +234,7 @@
 std::vector<NodeStatus> Fleet::status() const
 {
     std::vector<NodeStatus> all;
-    for (const Node& node : nodes_)
+    for (const Node& node : m_nodes)
     {
         NodeStatus status;
         status.name = node.plan.name;
@@ -257,7 +257,7 @@
 std::vector<std::string> Fleet::namesOf (NodeRole role) const
 {
     std::vector<std::string> names;
-    for (const Node& node : nodes_)
+    for (const Node& node : m_nodes)
     {
         if (node.plan.role == role)
         {
@@ -280,7 +280,7 @@
 std::vector<base::SocketAddress> Fleet::httpAddresses (NodeRole role) const
 {
     std::vector<base::SocketAddress> addresses;
-    for (const Node& node : nodes_)
+    for (const Node& node : m_nodes)
     {
         if (node.plan.role == role)
         {
@@ -293,7 +293,7 @@
 std::vector<base::SocketAddress> Fleet::callerAddresses (NodeRole role) const
 {
     std::vector<base::SocketAddress> addresses;
-    for (const Node& node : nodes_)
+    for (const Node& node : m_nodes)
     {
         if (node.plan.role == role)
         {
@@ -306,7 +306,7 @@
 std::vector<base::SocketAddress> Fleet::peerAddresses() const
 {
     std::vector<base::SocketAddress> addresses;
-    for (const Node& node : nodes_)
+    for (const Node& node : m_nodes)
     {
         if (node.plan.role == NodeRole::kController)
         {
@@ -323,15 +323,15 @@
     {
         nodes.append (toJson (nodeStatus));
     }
-    const QJsonObject state{ { QStringLiteral ("cell"), toQString (spec_.cell.value) },
-                             { QStringLiteral ("run_folder"), toQString (folders_.run) },
+    const QJsonObject state{ { QStringLiteral ("cell"), toQString (m_spec.cell.value) },
+                             { QStringLiteral ("run_folder"), toQString (m_folders.run) },
                              { QStringLiteral ("processes"), nodes } };
     return QJsonDocument (state).toJson (QJsonDocument::Indented).toStdString();
 }
 
 base::Result<Fleet::Node*> Fleet::find (const std::string& name)
 {
-    for (Node& node : nodes_)
+    for (Node& node : m_nodes)
     {
         if (node.plan.name == name && node.process)
         {
@@ -393,7 +393,7 @@
 bool Fleet::stopNodes (const std::vector<NodeRole>& roles)
 {
     std::vector<Node*> running;
-    for (Node& node : nodes_)
+    for (Node& node : m_nodes)
     {
         const bool isWanted = std::find (roles.begin(), roles.end(), node.plan.role) != roles.end();
         if (! isWanted || ! node.process || ! node.process->isRunning())
@@ -422,7 +422,7 @@
 
 void Fleet::writeState() const
 {
-    QSaveFile file (toQString (folders_.run + "/state.json"));
+    QSaveFile file (toQString (m_folders.run + "/state.json"));
     if (file.open (QIODevice::WriteOnly))
     {
         file.write (QByteArray::fromStdString (stateJson()));
--- a/src/lab/Fleet.h
+++ b/src/lab/Fleet.h
@@ -77,8 +77,8 @@
     [[nodiscard]] std::vector<base::SocketAddress> callerAddresses (NodeRole role) const;
     /// Addresses at which the controllers take other members and routers.
     [[nodiscard]] std::vector<base::SocketAddress> peerAddresses() const;
-    [[nodiscard]] const FleetSpec& spec() const { return spec_; }
-    [[nodiscard]] const FleetFolders& folders() const { return folders_; }
+    [[nodiscard]] const FleetSpec& spec() const { return m_spec; }
+    [[nodiscard]] const FleetFolders& folders() const { return m_folders; }
     /// JSON of status(), as written to state.json.
     [[nodiscard]] std::string stateJson() const;
 
@@ -100,10 +100,10 @@
     bool stopNodes (const std::vector<NodeRole>& roles);
     void writeState() const;
 
-    FleetSpec spec_;
-    FleetFolders folders_;
-    PortReservations ports_;
-    std::vector<Node> nodes_;
+    FleetSpec m_spec;
+    FleetFolders m_folders;
+    PortReservations m_ports;
+    std::vector<Node> m_nodes;
 };
 
 }  // namespace fernlift::lab
--- a/src/lab/FleetControl.cpp
+++ b/src/lab/FleetControl.cpp
@@ -42,26 +42,26 @@
 }  // namespace
 
 FleetControl::FleetControl (Fleet& fleet, std::function<void()> onStop)
-    : fleet_ (fleet), onStop_ (std::move (onStop))
+    : m_fleet (fleet), m_onStop (std::move (onStop))
 {
-    next_.setSingleShot (true);
-    QObject::connect (&next_, &QTimer::timeout, [this] { runNext(); });
-    server_.setHandler (
+    m_next.setSingleShot (true);
+    QObject::connect (&m_next, &QTimer::timeout, [this] { runNext(); });
+    m_server.setHandler (
         [this] (const http::Request& request, const std::shared_ptr<http::Responder>& responder)
         { handle (request, responder); });
 }
 
 FleetControl::~FleetControl()
 {
-    if (! file_.empty())
+    if (! m_file.empty())
     {
-        std::filesystem::remove (file_);
+        std::filesystem::remove (m_file);
     }
 }
 
 base::Result<void> FleetControl::listen (const std::string& runFolder)
 {
-    BOOST_LEAF_AUTO (address, server_.listen ({ "127.0.0.1", 0 }));
+    BOOST_LEAF_AUTO (address, m_server.listen ({ "127.0.0.1", 0 }));
     QSaveFile file (QString::fromStdString (controlFile (runFolder)));
     if (! file.open (QIODevice::WriteOnly))
     {
@@ -72,7 +72,7 @@
     {
         return base::fail (base::ErrorKind::kInternal, "cannot write " + controlFile (runFolder));
     }
-    file_ = controlFile (runFolder);
+    m_file = controlFile (runFolder);
     return {};
 }
 
@@ -80,20 +80,20 @@
                            const std::shared_ptr<http::Responder>& responder)
 {
     const std::string verb = request.path.substr (1);
-    pending_.push_back ({ { verb, request.queryValue ("node") }, responder });
+    m_pending.push_back ({ { verb, request.queryValue ("node") }, responder });
     // Carrying out a command handles events; the handler must have returned before.
-    next_.start (0);
+    m_next.start (0);
 }
 
 void FleetControl::runNext()
 {
-    if (isBusy_ || pending_.empty())
+    if (m_isBusy || m_pending.empty())
     {
         return;
     }
-    isBusy_ = true;
-    const Pending next = std::move (pending_.front());
-    pending_.pop_front();
+    m_isBusy = true;
+    const Pending next = std::move (m_pending.front());
+    m_pending.pop_front();
     log::write (log::Event::kFleetCommand,
                 { { "command", next.command.verb }, { "node", next.command.node } });
     base::handleErrors (
@@ -104,45 +104,45 @@
             return {};
         },
         [&] (const base::Error& error) { http::errorResponse (error).sendTo (*next.responder); });
-    isBusy_ = false;
-    if (isStopAsked_)
+    m_isBusy = false;
+    if (m_isStopAsked)
     {
-        onStop_();
+        m_onStop();
     }
-    next_.start (0);
+    m_next.start (0);
 }
 
 base::Result<std::string> FleetControl::carryOut (const FleetCommand& command)
 {
     if (command.verb == "status")
     {
-        return fleet_.stateJson();
+        return m_fleet.stateJson();
     }
     if (command.verb == "stop")
     {
-        isStopAsked_ = true;
+        m_isStopAsked = true;
         return answerJson ("");
     }
     std::string node = command.node;
     if (command.verb == "kill")
     {
-        BOOST_LEAF_CHECK (fleet_.kill (node));
+        BOOST_LEAF_CHECK (m_fleet.kill (node));
     }
     else if (command.verb == "freeze")
     {
-        BOOST_LEAF_CHECK (fleet_.freeze (node));
+        BOOST_LEAF_CHECK (m_fleet.freeze (node));
     }
     else if (command.verb == "thaw")
     {
-        BOOST_LEAF_CHECK (fleet_.thaw (node));
+        BOOST_LEAF_CHECK (m_fleet.thaw (node));
     }
     else if (command.verb == "restart")
     {
-        BOOST_LEAF_CHECK (fleet_.restart (node));
+        BOOST_LEAF_CHECK (m_fleet.restart (node));
     }
     else if (command.verb == "replace")
     {
-        BOOST_LEAF_ASSIGN (node, fleet_.replace (node));
+        BOOST_LEAF_ASSIGN (node, m_fleet.replace (node));
     }
     else
     {
--- a/src/lab/FleetControl.h
+++ b/src/lab/FleetControl.h
@@ -49,14 +49,14 @@
     void runNext();
     [[nodiscard]] base::Result<std::string> carryOut (const FleetCommand& command);
 
-    Fleet& fleet_;
-    std::function<void()> onStop_;
-    http::Server server_;
-    std::string file_;  ///< FOLDER/control once it listens.
-    std::deque<Pending> pending_;
-    QTimer next_;  ///< Carries out a command outside the handler of its request.
-    bool isBusy_ = false;
-    bool isStopAsked_ = false;
+    Fleet& m_fleet;
+    std::function<void()> m_onStop;
+    http::Server m_server;
+    std::string m_file;  ///< FOLDER/control once it listens.
+    std::deque<Pending> m_pending;
+    QTimer m_next;  ///< Carries out a command outside the handler of its request.
+    bool m_isBusy = false;
+    bool m_isStopAsked = false;
 };
 
 /// Sends a command to the fleet of a run folder and returns its answer. Fails with
--- a/src/lab/FleetPlan.cpp
+++ b/src/lab/FleetPlan.cpp
@@ -24,7 +24,7 @@
 {
 public:
     Planner (const FleetSpec& spec, const FleetFolders& folders, PortReservations& ports)
-        : spec_ (spec), folders_ (folders), ports_ (ports)
+        : m_spec (spec), m_folders (folders), m_ports (ports)
     {
     }
 
@@ -33,43 +33,43 @@
         BOOST_LEAF_CHECK (reserveAddresses());
         BOOST_LEAF_CHECK (planProxies());
         planWeightStore();
-        for (std::size_t index = 0; index < spec_.engines.size(); ++index)
+        for (std::size_t index = 0; index < m_spec.engines.size(); ++index)
         {
-            planEngine (spec_.engines[index], engineAddresses_[index]);
+            planEngine (m_spec.engines[index], m_engineAddresses[index]);
         }
-        for (std::size_t index = 0; index < spec_.applicationRunners.size(); ++index)
+        for (std::size_t index = 0; index < m_spec.applicationRunners.size(); ++index)
         {
-            planApplicationRunner (spec_.applicationRunners[index], applicationAddresses_[index]);
+            planApplicationRunner (m_spec.applicationRunners[index], m_applicationAddresses[index]);
         }
         planMachineList();
-        for (std::size_t index = 0; index < spec_.controllers.size(); ++index)
+        for (std::size_t index = 0; index < m_spec.controllers.size(); ++index)
         {
             planController (index);
         }
-        for (std::size_t index = 0; index < spec_.routers.size(); ++index)
+        for (std::size_t index = 0; index < m_spec.routers.size(); ++index)
         {
-            planRouter (spec_.routers[index], routerAddresses_[index]);
+            planRouter (m_spec.routers[index], m_routerAddresses[index]);
         }
-        return std::move (plans_);
+        return std::move (m_plans);
     }
 
 private:
     base::Result<void> reserveAddresses()
     {
-        BOOST_LEAF_ASSIGN (weightsAddress_, ports_.reserve());
-        BOOST_LEAF_ASSIGN (machinesAddress_, ports_.reserve());
-        BOOST_LEAF_CHECK (reserveFor (spec_.engines.size(), engineAddresses_));
-        BOOST_LEAF_CHECK (reserveFor (spec_.applicationRunners.size(), applicationAddresses_));
-        BOOST_LEAF_CHECK (reserveFor (spec_.controllers.size(), controllerHttpAddresses_));
-        BOOST_LEAF_CHECK (reserveFor (spec_.controllers.size(), controllerPeerAddresses_));
-        return reserveFor (spec_.routers.size(), routerAddresses_);
+        BOOST_LEAF_ASSIGN (m_weightsAddress, m_ports.reserve());
+        BOOST_LEAF_ASSIGN (m_machinesAddress, m_ports.reserve());
+        BOOST_LEAF_CHECK (reserveFor (m_spec.engines.size(), m_engineAddresses));
+        BOOST_LEAF_CHECK (reserveFor (m_spec.applicationRunners.size(), m_applicationAddresses));
+        BOOST_LEAF_CHECK (reserveFor (m_spec.controllers.size(), m_controllerHttpAddresses));
+        BOOST_LEAF_CHECK (reserveFor (m_spec.controllers.size(), m_controllerPeerAddresses));
+        return reserveFor (m_spec.routers.size(), m_routerAddresses);
     }
 
     base::Result<void> reserveFor (std::size_t count, std::vector<base::SocketAddress>& addresses)
     {
         for (std::size_t index = 0; index < count; ++index)
         {
-            BOOST_LEAF_AUTO (address, ports_.reserve());
+            BOOST_LEAF_AUTO (address, m_ports.reserve());
             addresses.push_back (address);
         }
         return {};
@@ -78,29 +78,29 @@
     /// Plans the fault proxies and fills in which addresses are used in place of the real ones.
     base::Result<void> planProxies()
     {
-        for (std::size_t index = 0; index < spec_.engines.size(); ++index)
+        for (std::size_t index = 0; index < m_spec.engines.size(); ++index)
         {
-            const EngineSpec& engine = spec_.engines[index];
+            const EngineSpec& engine = m_spec.engines[index];
             BOOST_LEAF_CHECK (
-                planProxy (engine.id.value, engine.hasFaultProxy, engineAddresses_[index]));
+                planProxy (engine.id.value, engine.hasFaultProxy, m_engineAddresses[index]));
         }
-        for (std::size_t index = 0; index < spec_.applicationRunners.size(); ++index)
+        for (std::size_t index = 0; index < m_spec.applicationRunners.size(); ++index)
         {
-            const ApplicationRunnerSpec& runner = spec_.applicationRunners[index];
+            const ApplicationRunnerSpec& runner = m_spec.applicationRunners[index];
             BOOST_LEAF_CHECK (
-                planProxy (runner.id.value, runner.hasFaultProxy, applicationAddresses_[index]));
+                planProxy (runner.id.value, runner.hasFaultProxy, m_applicationAddresses[index]));
         }
-        for (std::size_t index = 0; index < spec_.controllers.size(); ++index)
+        for (std::size_t index = 0; index < m_spec.controllers.size(); ++index)
         {
-            const ControllerSpec& controller = spec_.controllers[index];
+            const ControllerSpec& controller = m_spec.controllers[index];
             BOOST_LEAF_CHECK (planProxy (controllerName (controller.id), controller.hasFaultProxy,
-                                         controllerPeerAddresses_[index]));
+                                         m_controllerPeerAddresses[index]));
         }
-        for (std::size_t index = 0; index < spec_.routers.size(); ++index)
+        for (std::size_t index = 0; index < m_spec.routers.size(); ++index)
         {
-            const RouterSpec& router = spec_.routers[index];
+            const RouterSpec& router = m_spec.routers[index];
             BOOST_LEAF_CHECK (
-                planProxy (router.id.value, router.hasFaultProxy, routerAddresses_[index]));
+                planProxy (router.id.value, router.hasFaultProxy, m_routerAddresses[index]));
         }
         return {};
     }
@@ -108,14 +108,14 @@
     base::Result<void> planProxy (const std::string& node, bool hasFaultProxy,
                                   const base::SocketAddress& target)
     {
-        callerAddresses_[node] = target;
+        m_callerAddresses[node] = target;
         if (! hasFaultProxy)
         {
             return {};
         }
-        BOOST_LEAF_AUTO (listenAddress, ports_.reserve());
-        BOOST_LEAF_AUTO (commandAddress, ports_.reserve());
-        callerAddresses_[node] = listenAddress;
+        BOOST_LEAF_AUTO (listenAddress, m_ports.reserve());
+        BOOST_LEAF_AUTO (commandAddress, m_ports.reserve());
+        m_callerAddresses[node] = listenAddress;
         add (proxyName (node), NodeRole::kFaultProxy, commandAddress, "fernlift-faultproxy",
              { "--listen-address", listenAddress.toString(), "--target-address", target.toString(),
                "--http-address", commandAddress.toString() },
@@ -126,12 +126,12 @@
     void planWeightStore()
     {
         std::ostringstream rate;
-        rate << spec_.weightStore.loadsPerSecond;
-        add ("weights", NodeRole::kWeightStore, weightsAddress_, "fernlift-standin",
-             { "weights", "--http-address", weightsAddress_.toString(), "--loads-per-second",
+        rate << m_spec.weightStore.loadsPerSecond;
+        add ("weights", NodeRole::kWeightStore, m_weightsAddress, "fernlift-standin",
+             { "weights", "--http-address", m_weightsAddress.toString(), "--loads-per-second",
                rate.str(), "--full-speed-transfers",
-               std::to_string (spec_.weightStore.concurrentLoads), "--time-scale", timeScale() },
-             spec_.extraFlags.weights);
+               std::to_string (m_spec.weightStore.concurrentLoads), "--time-scale", timeScale() },
+             m_spec.extraFlags.weights);
     }
 
     void planEngine (const EngineSpec& engine, const base::SocketAddress& address)
@@ -139,10 +139,10 @@
         add (engine.id.value, NodeRole::kEngine, address, "fernlift-standin",
              { "engine", "--runner", engine.id.value, "--http-address", address.toString(),
                "--memory-mb", std::to_string (engine.memoryMegabytes), "--slots",
-               std::to_string (engine.slots), "--weight-store", weightsAddress_.toString(),
+               std::to_string (engine.slots), "--weight-store", m_weightsAddress.toString(),
                "--time-scale", timeScale(), "--ledger-file",
-               ledgerFile (folders_, engine.id.value) },
-             spec_.extraFlags.engines);
+               ledgerFile (m_folders, engine.id.value) },
+             m_spec.extraFlags.engines);
     }
 
     void planApplicationRunner (const ApplicationRunnerSpec& runner,
@@ -151,69 +151,70 @@
         add (runner.id.value, NodeRole::kApplicationRunner, address, "fernlift-standin",
              { "application", "--runner", runner.id.value, "--http-address", address.toString(),
                "--slots", std::to_string (runner.slots), "--time-scale", timeScale(),
-               "--ledger-file", ledgerFile (folders_, runner.id.value) },
-             spec_.extraFlags.applications);
+               "--ledger-file", ledgerFile (m_folders, runner.id.value) },
+             m_spec.extraFlags.applications);
     }
 
     void planMachineList()
     {
         std::vector<std::string> arguments{ "machines", "--http-address",
-                                            machinesAddress_.toString(), "--time-scale",
+                                            m_machinesAddress.toString(), "--time-scale",
                                             timeScale() };
-        for (std::size_t index = 0; index < spec_.engines.size(); ++index)
+        for (std::size_t index = 0; index < m_spec.engines.size(); ++index)
         {
-            const EngineSpec& engine = spec_.engines[index];
+            const EngineSpec& engine = m_spec.engines[index];
             arguments.emplace_back ("--machine");
             arguments.push_back (engine.id.value + ",model," + engine.zone.value + ","
-                                 + callerAddresses_.at (engine.id.value).toString() + ","
+                                 + m_callerAddresses.at (engine.id.value).toString() + ","
                                  + std::to_string (engine.memoryMegabytes) + ","
                                  + std::to_string (kEngineAccelerators));
         }
-        for (std::size_t index = 0; index < spec_.applicationRunners.size(); ++index)
+        for (std::size_t index = 0; index < m_spec.applicationRunners.size(); ++index)
         {
-            const ApplicationRunnerSpec& runner = spec_.applicationRunners[index];
+            const ApplicationRunnerSpec& runner = m_spec.applicationRunners[index];
             arguments.emplace_back ("--machine");
             arguments.push_back (runner.id.value + ",application," + runner.zone.value + ","
-                                 + callerAddresses_.at (runner.id.value).toString() + ",0,0,"
+                                 + m_callerAddresses.at (runner.id.value).toString() + ",0,0,"
                                  + joined (runner.applications, "+"));
         }
-        add ("machines", NodeRole::kMachineList, machinesAddress_, "fernlift-standin", arguments,
-             spec_.extraFlags.machines);
+        add ("machines", NodeRole::kMachineList, m_machinesAddress, "fernlift-standin", arguments,
+             m_spec.extraFlags.machines);
     }
 
     void planController (std::size_t index)
     {
-        const ControllerSpec& controller = spec_.controllers[index];
+        const ControllerSpec& controller = m_spec.controllers[index];
         const std::string name = controllerName (controller.id);
         std::vector<std::string> arguments = controllerArguments (
-            spec_, controller, controllerPeerAddresses_[index], controllerHttpAddresses_[index],
-            folders_.run + "/data/" + name, machinesAddress_);
-        for (std::size_t member = 0; member < spec_.controllers.size(); ++member)
+            m_spec, controller, m_controllerPeerAddresses[index], m_controllerHttpAddresses[index],
+            m_folders.run + "/data/" + name, m_machinesAddress);
+        for (std::size_t member = 0; member < m_spec.controllers.size(); ++member)
         {
             arguments.emplace_back ("--members");
-            arguments.push_back (memberText (spec_.controllers[member],
-                                             controllerPeerAddresses_[member],
-                                             controllerHttpAddresses_[member]));
+            arguments.push_back (memberText (m_spec.controllers[member],
+                                             m_controllerPeerAddresses[member],
+                                             m_controllerHttpAddresses[member]));
         }
-        add (name, NodeRole::kController, controllerHttpAddresses_[index], "fernlift-controller",
-             std::move (arguments), spec_.extraFlags.controllers);
-        plans_.back().peerAddress = controllerPeerAddresses_[index];
-        plans_.back().firstStartFlags = { "--bootstrap" };
-        plans_.back().dataFolder = folders_.run + "/data/" + name;
+        add (name, NodeRole::kController, m_controllerHttpAddresses[index], "fernlift-controller",
+             std::move (arguments), m_spec.extraFlags.controllers);
+        m_plans.back().peerAddress = m_controllerPeerAddresses[index];
+        m_plans.back().firstStartFlags = { "--bootstrap" };
+        m_plans.back().dataFolder = m_folders.run + "/data/" + name;
     }
 
     void planRouter (const RouterSpec& router, const base::SocketAddress& address)
     {
-        std::vector<std::string> arguments{ "--id",           router.id.value,   "--cell",
-                                            spec_.cell.value, "--zone",          router.zone.value,
+        std::vector<std::string> arguments{ "--id",           router.id.value,
+                                            "--cell",         m_spec.cell.value,
+                                            "--zone",         router.zone.value,
                                             "--http-address", address.toString() };
-        for (const ControllerSpec& controller : spec_.controllers)
+        for (const ControllerSpec& controller : m_spec.controllers)
         {
             arguments.emplace_back ("--controllers");
-            arguments.push_back (callerAddresses_.at (controllerName (controller.id)).toString());
+            arguments.push_back (m_callerAddresses.at (controllerName (controller.id)).toString());
         }
         add (router.id.value, NodeRole::kRouter, address, "fernlift-router", std::move (arguments),
-             spec_.extraFlags.routers);
+             m_spec.extraFlags.routers);
     }
 
     void add (const std::string& name, NodeRole role, const base::SocketAddress& address,
@@ -226,33 +227,33 @@
         plan.role = role;
         plan.httpAddress = address;
         // The proxy of a controller is before its peer address.
-        const auto known = callerAddresses_.find (name);
-        const bool isProxied = known != callerAddresses_.end() && role != NodeRole::kController;
+        const auto known = m_callerAddresses.find (name);
+        const bool isProxied = known != m_callerAddresses.end() && role != NodeRole::kController;
         plan.callerAddress = isProxied ? known->second : address;
-        plan.process = { folders_.programs + "/" + program, std::move (arguments),
-                         folders_.run + "/logs/" + name + ".log" };
-        plans_.push_back (std::move (plan));
+        plan.process = { m_folders.programs + "/" + program, std::move (arguments),
+                         m_folders.run + "/logs/" + name + ".log" };
+        m_plans.push_back (std::move (plan));
     }
 
     [[nodiscard]] std::string timeScale() const
     {
         std::ostringstream text;
-        text << spec_.timeScale;
+        text << m_spec.timeScale;
         return text.str();
     }
 
-    const FleetSpec& spec_;
-    const FleetFolders& folders_;
-    PortReservations& ports_;
-    base::SocketAddress weightsAddress_;
-    base::SocketAddress machinesAddress_;
-    std::vector<base::SocketAddress> engineAddresses_;
-    std::vector<base::SocketAddress> applicationAddresses_;
-    std::vector<base::SocketAddress> controllerHttpAddresses_;
-    std::vector<base::SocketAddress> controllerPeerAddresses_;
-    std::vector<base::SocketAddress> routerAddresses_;
-    std::map<std::string, base::SocketAddress> callerAddresses_;  ///< By name of the node.
-    std::vector<NodePlan> plans_;
+    const FleetSpec& m_spec;
+    const FleetFolders& m_folders;
+    PortReservations& m_ports;
+    base::SocketAddress m_weightsAddress;
+    base::SocketAddress m_machinesAddress;
+    std::vector<base::SocketAddress> m_engineAddresses;
+    std::vector<base::SocketAddress> m_applicationAddresses;
+    std::vector<base::SocketAddress> m_controllerHttpAddresses;
+    std::vector<base::SocketAddress> m_controllerPeerAddresses;
+    std::vector<base::SocketAddress> m_routerAddresses;
+    std::map<std::string, base::SocketAddress> m_callerAddresses;  ///< By name of the node.
+    std::vector<NodePlan> m_plans;
 };
 
 }  // namespace
--- a/src/lab/FleetPlanTest.cpp
+++ b/src/lab/FleetPlanTest.cpp
@@ -33,16 +33,17 @@
         ASSERT_TRUE (succeeds (
             [this]() -> base::Result<void>
             {
-                BOOST_LEAF_ASSIGN (plans_, planFleet (specWithProxies(), { "bin", "run" }, ports_));
+                BOOST_LEAF_ASSIGN (m_plans,
+                                   planFleet (specWithProxies(), { "bin", "run" }, m_ports));
                 return {};
             }));
     }
 
     const NodePlan& plan (const std::string& name) const
     {
-        const auto found = std::find_if (plans_.begin(), plans_.end(),
+        const auto found = std::find_if (m_plans.begin(), m_plans.end(),
                                          [&] (const NodePlan& each) { return each.name == name; });
-        if (found == plans_.end())
+        if (found == m_plans.end())
         {
             throw std::out_of_range (name);
         }
@@ -64,8 +65,8 @@
                             { return argument.find (address.toString()) != std::string::npos; });
     }
 
-    PortReservations ports_;
-    std::vector<NodePlan> plans_;
+    PortReservations m_ports;
+    std::vector<NodePlan> m_plans;
 };
 
 TEST_F (FleetPlanTest, AProxyStandsBeforeEachProcessThatAsksForOne)
--- a/src/lab/FleetProgramTest.cpp
+++ b/src/lab/FleetProgramTest.cpp
@@ -61,7 +61,7 @@
 
     [[nodiscard]] std::string path (const std::string& name) const
     {
-        return folder_.filePath (QString::fromStdString (name)).toStdString();
+        return m_folder.filePath (QString::fromStdString (name)).toStdString();
     }
 
     /// Exit code of a command of the fleet tool.
@@ -73,7 +73,7 @@
         {
             list.append (QString::fromStdString (argument));
         }
-        list << QStringLiteral ("--run-folder") << folder_.filePath (QStringLiteral ("run"));
+        list << QStringLiteral ("--run-folder") << m_folder.filePath (QStringLiteral ("run"));
         QProcess process;
         process.start (QString::fromStdString (std::string (programs == nullptr ? "bin" : programs)
                                                + "/fernlift-fleet"),
@@ -83,7 +83,7 @@
 
     [[nodiscard]] std::vector<std::int64_t> processIds() const
     {
-        QFile file (folder_.filePath (QStringLiteral ("run/state.json")));
+        QFile file (m_folder.filePath (QStringLiteral ("run/state.json")));
         EXPECT_TRUE (file.open (QIODevice::ReadOnly));
         const QJsonArray processes = QJsonDocument::fromJson (file.readAll())
                                          .object()
@@ -97,7 +97,7 @@
         return ids;
     }
 
-    QTemporaryDir folder_;
+    QTemporaryDir m_folder;
 };
 
 TEST_F (FleetProgramTest, NoProcessLivesOnceStopHasReturned)
--- a/src/lab/FleetSpec.cpp
+++ b/src/lab/FleetSpec.cpp
@@ -33,7 +33,7 @@
 public:
     TableReader (const toml::table& table, std::string path,
                  std::initializer_list<std::string_view> allowedKeys)
-        : table_ (table), path_ (std::move (path))
+        : m_table (table), m_path (std::move (path))
     {
         for (const auto& [key, value] : table)
         {
@@ -44,7 +44,7 @@
             }
             if (! isKnown)
             {
-                refuse (value, path_ + std::string (key.str()), "unknown key");
+                refuse (value, m_path + std::string (key.str()), "unknown key");
             }
         }
     }
@@ -55,7 +55,7 @@
         const auto value = node.value_exact<std::string>();
         if (! value || value->empty())
         {
-            refuse (node, path_ + std::string (key), "expected a text that is not empty");
+            refuse (node, m_path + std::string (key), "expected a text that is not empty");
         }
         return *value;
     }
@@ -66,7 +66,7 @@
         const auto value = node.value_exact<std::int64_t>();
         if (! value || *value < 1 || *value > std::numeric_limits<std::int32_t>::max())
         {
-            refuse (node, path_ + std::string (key),
+            refuse (node, m_path + std::string (key),
                     "expected a whole number from 1 to 2147483647");
         }
         return static_cast<std::uint64_t> (*value);
@@ -74,7 +74,7 @@
 
     double positiveReal (std::string_view key, double fallback) const
     {
-        const toml::node* node = table_.get (key);
+        const toml::node* node = m_table.get (key);
         if (node == nullptr)
         {
             return fallback;
@@ -82,14 +82,14 @@
         const auto value = node->value<double>();
         if (! value || *value <= 0)
         {
-            refuse (*node, path_ + std::string (key), "expected a number above 0");
+            refuse (*node, m_path + std::string (key), "expected a number above 0");
         }
         return *value;
     }
 
     bool flag (std::string_view key) const
     {
-        const toml::node* node = table_.get (key);
+        const toml::node* node = m_table.get (key);
         if (node == nullptr)
         {
             return false;
@@ -97,7 +97,7 @@
         const auto value = node->value_exact<bool>();
         if (! value)
         {
-            refuse (*node, path_ + std::string (key), "expected true or false");
+            refuse (*node, m_path + std::string (key), "expected true or false");
         }
         return *value;
     }
@@ -105,7 +105,7 @@
     std::vector<std::string> texts (std::string_view key) const
     {
         std::vector<std::string> values;
-        const toml::node* node = table_.get (key);
+        const toml::node* node = m_table.get (key);
         if (node == nullptr)
         {
             return values;
@@ -113,14 +113,14 @@
         const toml::array* array = node->as_array();
         if (array == nullptr)
         {
-            refuse (*node, path_ + std::string (key), "expected an array of texts");
+            refuse (*node, m_path + std::string (key), "expected an array of texts");
         }
         for (const toml::node& element : *array)
         {
             const auto value = element.value_exact<std::string>();
             if (! value)
             {
-                refuse (element, path_ + std::string (key), "expected an array of texts");
+                refuse (element, m_path + std::string (key), "expected an array of texts");
             }
             values.push_back (*value);
         }
@@ -130,16 +130,16 @@
 private:
     const toml::node& require (std::string_view key) const
     {
-        const toml::node* node = table_.get (key);
+        const toml::node* node = m_table.get (key);
         if (node == nullptr)
         {
-            refuse (table_, path_ + std::string (key), "is missing");
+            refuse (m_table, m_path + std::string (key), "is missing");
         }
         return *node;
     }
 
-    const toml::table& table_;
-    std::string path_;
+    const toml::table& m_table;
+    std::string m_path;
 };
 
 /// Calls `read(table, path)` for each element of the array of tables `key`.
--- a/src/lab/HistoryCheckTest.cpp
+++ b/src/lab/HistoryCheckTest.cpp
@@ -29,15 +29,15 @@
         refused.execution = "not_run";
         refused.errorKind = "queue_full";
         refused.isAnswerWhole = false;
-        history_ = { answered, refused };
-        ledger_ = { { "engine-1", "r1", "k1", "small" } };
+        m_history = { answered, refused };
+        m_ledger = { { "engine-1", "r1", "k1", "small" } };
     }
 
     std::vector<ViolationKind> check (const CheckOptions& options = {})
     {
         std::vector<ViolationKind> kinds;
         const auto expected = [] (const CallRecord& call) { return "digest of " + call.requestId; };
-        for (const Violation& violation : checkHistory (history_, ledger_, expected, options))
+        for (const Violation& violation : checkHistory (m_history, m_ledger, expected, options))
         {
             kinds.push_back (violation.kind);
         }
@@ -45,58 +45,58 @@
     }
 
     using Kinds = std::vector<ViolationKind>;
-    std::vector<CallRecord> history_;
-    std::vector<LedgerRun> ledger_;
+    std::vector<CallRecord> m_history;
+    std::vector<LedgerRun> m_ledger;
 };
 
 TEST_F (HistoryCheckTest, AGoodRunPasses) { EXPECT_EQ (check(), Kinds{}); }
 
 TEST_F (HistoryCheckTest, FindsAWrongText)
 {
-    history_[0].textDigest = "digest of r2";
+    m_history[0].textDigest = "digest of r2";
     EXPECT_EQ (check(), Kinds{ ViolationKind::kWrongText });
 }
 
 TEST_F (HistoryCheckTest, FindsACallWithoutAnEnd)
 {
-    history_[0].end = CallEnd::kBroken;
+    m_history[0].end = CallEnd::kBroken;
     EXPECT_EQ (check(), Kinds{ ViolationKind::kNoFinalAnswer });
     EXPECT_EQ (check ({ .allowsBrokenCalls = true }), Kinds{});
 }
 
 TEST_F (HistoryCheckTest, FindsAStreamThatEndsWithoutDoneOrError)
 {
-    history_[0].isAnswerWhole = false;
+    m_history[0].isAnswerWhole = false;
     EXPECT_EQ (check(), Kinds{ ViolationKind::kNoFinalAnswer });
 }
 
 TEST_F (HistoryCheckTest, FindsTwoAnswersToOneRequest)
 {
-    history_.push_back (history_[0]);
+    m_history.push_back (m_history[0]);
     EXPECT_EQ (check(), Kinds{ ViolationKind::kAnsweredTwice });
 }
 
 TEST_F (HistoryCheckTest, FindsARunThatWasDenied)
 {
-    ledger_.push_back ({ "engine-2", "r2", "", "small" });
+    m_ledger.push_back ({ "engine-2", "r2", "", "small" });
     EXPECT_EQ (check(), Kinds{ ViolationKind::kNotRunButRan });
 }
 
 TEST_F (HistoryCheckTest, FindsAKeyThatRanTwice)
 {
-    ledger_.push_back ({ "engine-2", "r9", "k1", "small" });
+    m_ledger.push_back ({ "engine-2", "r9", "k1", "small" });
     EXPECT_EQ (check(), Kinds{ ViolationKind::kKeyRanTwice });
 }
 
 TEST_F (HistoryCheckTest, FindsAnErrorThatDoesNotSayWhetherItRan)
 {
-    history_[1].execution.clear();
+    m_history[1].execution.clear();
     EXPECT_EQ (check(), Kinds{ ViolationKind::kExecutionMissing });
 }
 
 TEST_F (HistoryCheckTest, FindsAnAnswerThatNoBackEndGave)
 {
-    ledger_.clear();
+    m_ledger.clear();
     EXPECT_EQ (check(), Kinds{ ViolationKind::kRanNowhere });
     EXPECT_EQ (check ({ .isLedgerComplete = false }), Kinds{});
 }
@@ -122,16 +122,16 @@
 
 TEST_F (HistoryCheckTest, AHistorySurvivesItsFile)
 {
-    history_[1].isResent = true;
+    m_history[1].isResent = true;
     std::string lines;
-    for (const CallRecord& record : history_)
+    for (const CallRecord& record : m_history)
     {
         lines += toJsonLine (record) + "\n";
     }
     const auto read =
         base::handleErrors ([&] { return parseHistory (lines); },
                             [] (const base::Error&) { return std::vector<CallRecord>(); });
-    EXPECT_EQ (read, history_);
+    EXPECT_EQ (read, m_history);
 }
 
 }  // namespace
--- a/src/lab/HttpCall.cpp
+++ b/src/lab/HttpCall.cpp
@@ -65,55 +65,55 @@
 }
 
 HttpCall::HttpCall (http::Client& client, const HttpRequest& request, OnEnd onEnd)
-    : onEnd_ (std::move (onEnd))
+    : m_onEnd (std::move (onEnd))
 {
-    elapsed_.start();
-    timeout_.setSingleShot (true);
-    QObject::connect (&timeout_, &QTimer::timeout, [this] { end (CallEnd::kTimeout); });
+    m_elapsed.start();
+    m_timeout.setSingleShot (true);
+    QObject::connect (&m_timeout, &QTimer::timeout, [this] { end (CallEnd::kTimeout); });
     http::ClientCallbacks callbacks;
     callbacks.onHeaders = [this] (const http::ClientResponse& response) { onHeaders (response); };
     callbacks.onData = [this] (std::string_view data) { onData (data); };
     callbacks.onEnd = [this] { end (CallEnd::kWhole); };
     callbacks.onError = [this] (const http::ClientError& error) { end (endOf (error.kind)); };
-    timeout_.start (static_cast<int> (base::toMilliseconds (request.timeout)));
-    exchange_ = client.send (clientRequest (request), std::move (callbacks));
+    m_timeout.start (static_cast<int> (base::toMilliseconds (request.timeout)));
+    m_exchange = client.send (clientRequest (request), std::move (callbacks));
 }
 
 HttpCall::~HttpCall()
 {
-    if (! hasEnded_)
+    if (! m_hasEnded)
     {
-        exchange_->cancel();
+        m_exchange->cancel();
     }
 }
 
 void HttpCall::onHeaders (const http::ClientResponse& response)
 {
-    outcome_.status = response.status;
-    outcome_.headers = response.headers;
+    m_outcome.status = response.status;
+    m_outcome.headers = response.headers;
 }
 
 void HttpCall::onData (std::string_view data)
 {
-    if (outcome_.body.empty())
+    if (m_outcome.body.empty())
     {
-        outcome_.toFirstBodyByte = elapsedTime (elapsed_);
+        m_outcome.toFirstBodyByte = elapsedTime (m_elapsed);
     }
-    outcome_.body += data;
+    m_outcome.body += data;
 }
 
 void HttpCall::end (CallEnd how)
 {
-    if (hasEnded_)
+    if (m_hasEnded)
     {
         return;
     }
-    hasEnded_ = true;
-    timeout_.stop();
-    exchange_->cancel();
-    outcome_.end = how;
-    outcome_.toEnd = elapsedTime (elapsed_);
-    onEnd_ (outcome_);
+    m_hasEnded = true;
+    m_timeout.stop();
+    m_exchange->cancel();
+    m_outcome.end = how;
+    m_outcome.toEnd = elapsedTime (m_elapsed);
+    m_onEnd (m_outcome);
 }
 
 HttpOutcome callAndWait (const HttpRequest& request)
--- a/src/lab/HttpCall.h
+++ b/src/lab/HttpCall.h
@@ -66,12 +66,12 @@
     void onData (std::string_view data);
     void end (CallEnd how);
 
-    QTimer timeout_;
-    QElapsedTimer elapsed_;
-    HttpOutcome outcome_;
-    OnEnd onEnd_;
-    std::shared_ptr<http::Exchange> exchange_;
-    bool hasEnded_ = false;
+    QTimer m_timeout;
+    QElapsedTimer m_elapsed;
+    HttpOutcome m_outcome;
+    OnEnd m_onEnd;
+    std::shared_ptr<http::Exchange> m_exchange;
+    bool m_hasEnded = false;
 };
 
 /// Makes a call and handles events until it has ended.
--- a/src/lab/HttpCallTest.cpp
+++ b/src/lab/HttpCallTest.cpp
@@ -51,12 +51,12 @@
     void SetUp() override
     {
         ensureApplication();
-        ASSERT_TRUE (server_.listen (QHostAddress (QHostAddress::LocalHost)));
-        QObject::connect (&server_, &QTcpServer::newConnection,
+        ASSERT_TRUE (m_server.listen (QHostAddress (QHostAddress::LocalHost)));
+        QObject::connect (&m_server, &QTcpServer::newConnection,
                           [this]
                           {
-                              ++connections_;
-                              QTcpSocket* const socket = server_.nextPendingConnection();
+                              ++m_connections;
+                              QTcpSocket* const socket = m_server.nextPendingConnection();
                               QObject::connect (socket, &QTcpSocket::readyRead, socket,
                                                 [this, socket] { answer (*socket); });
                           });
@@ -64,25 +64,25 @@
 
     void answer (QTcpSocket& socket)
     {
-        received_ += socket.readAll().toStdString();
-        if (! received_.ends_with ("question"))
+        m_received += socket.readAll().toStdString();
+        if (! m_received.ends_with ("question"))
         {
             return;
         }
-        ++requests_;
-        std::string_view rest = answer_;
+        ++m_requests;
+        std::string_view rest = m_answer;
         while (! rest.empty())
         {
-            const std::string_view part = rest.substr (0, partSize_);
+            const std::string_view part = rest.substr (0, m_partSize);
             socket.write (part.data(), static_cast<qint64> (part.size()));
             socket.flush();
             rest.remove_prefix (part.size());
         }
-        if (after_ == After::kClose)
+        if (m_after == After::kClose)
         {
             socket.disconnectFromHost();
         }
-        else if (after_ == After::kReset)
+        else if (m_after == After::kReset)
         {
             socket.abort();
         }
@@ -91,23 +91,23 @@
     HttpOutcome call (std::string_view bytes, After after,
                       base::Duration timeout = base::seconds (20))
     {
-        answer_ = bytes;
-        after_ = after;
-        received_.clear();
-        return callAndWait ({ .address = { "127.0.0.1", server_.serverPort() },
+        m_answer = bytes;
+        m_after = after;
+        m_received.clear();
+        return callAndWait ({ .address = { "127.0.0.1", m_server.serverPort() },
                               .path = "/path",
                               .headers = { { "X-Request-Id", "r1" } },
                               .body = "question",
                               .timeout = timeout });
     }
 
-    QTcpServer server_;
-    std::string answer_;
-    After after_ = After::kClose;
-    std::size_t partSize_ = 1024;
-    std::string received_;
-    int connections_ = 0;
-    int requests_ = 0;
+    QTcpServer m_server;
+    std::string m_answer;
+    After m_after = After::kClose;
+    std::size_t m_partSize = 1024;
+    std::string m_received;
+    int m_connections = 0;
+    int m_requests = 0;
 };
 
 TEST_F (HttpCallTest, ReadsAnAnswerWithALength)
@@ -116,13 +116,13 @@
     EXPECT_EQ (outcome.end, CallEnd::kWhole);
     EXPECT_EQ (outcome.status, 404);
     EXPECT_EQ (outcome.body, "abc");
-    EXPECT_NE (received_.find ("X-Request-Id: r1\r\n"), std::string::npos);
-    EXPECT_NE (received_.find ("Connection: close\r\n"), std::string::npos);
+    EXPECT_NE (m_received.find ("X-Request-Id: r1\r\n"), std::string::npos);
+    EXPECT_NE (m_received.find ("Connection: close\r\n"), std::string::npos);
 }
 
 TEST_F (HttpCallTest, ReadsChunksHoweverTheBytesAreCut)
 {
-    for (partSize_ = 1; partSize_ <= kChunked.size(); partSize_ += 3)
+    for (m_partSize = 1; m_partSize <= kChunked.size(); m_partSize += 3)
     {
         const HttpOutcome outcome = call (kChunked, After::kStayOpen);
         EXPECT_EQ (outcome.end, CallEnd::kWhole);
@@ -141,7 +141,7 @@
                 << "cut after " << length << " bytes";
         }
     }
-    EXPECT_EQ (connections_, requests_) << "a request was sent again";
+    EXPECT_EQ (m_connections, m_requests) << "a request was sent again";
 }
 
 /// The library may take a chunked answer for whole that is cut between two chunks, or wait on, so
@@ -177,7 +177,7 @@
         readOutcome (call (answer, After::kClose), read);
         EXPECT_TRUE (read.isAnswerWhole) << answer;
     }
-    EXPECT_EQ (connections_, requests_) << "a request was sent again";
+    EXPECT_EQ (m_connections, m_requests) << "a request was sent again";
 }
 
 /// Answers that end with the connection: the library may call them broken even when they are not,
@@ -219,9 +219,9 @@
 
 TEST_F (HttpCallTest, SaysNotConnectedWhenTheConnectionIsRefused)
 {
-    server_.pauseAccepting();
-    const quint16 port = server_.serverPort();
-    server_.close();
+    m_server.pauseAccepting();
+    const quint16 port = m_server.serverPort();
+    m_server.close();
     const HttpOutcome outcome =
         callAndWait ({ .address = { "127.0.0.1", port }, .path = "/", .body = "question" });
     EXPECT_EQ (outcome.end, CallEnd::kNotConnected);
@@ -230,12 +230,12 @@
 
 TEST_F (HttpCallTest, AnAbandonedCallClosesItsConnection)
 {
-    after_ = After::kStayOpen;
+    m_after = After::kStayOpen;
     bool isClosed = false;
-    QObject::connect (&server_, &QTcpServer::newConnection,
+    QObject::connect (&m_server, &QTcpServer::newConnection,
                       [&]
                       {
-                          for (QTcpSocket* const socket : server_.findChildren<QTcpSocket*>())
+                          for (QTcpSocket* const socket : m_server.findChildren<QTcpSocket*>())
                           {
                               QObject::connect (socket, &QTcpSocket::disconnected,
                                                 [&] { isClosed = true; });
@@ -245,9 +245,9 @@
     auto abandoned = std::make_unique<HttpCall> (
         client,
         HttpRequest{
-            .address = { "127.0.0.1", server_.serverPort() }, .path = "/", .body = "question" },
+            .address = { "127.0.0.1", m_server.serverPort() }, .path = "/", .body = "question" },
         [] (const HttpOutcome&) { ADD_FAILURE() << "an abandoned call ended"; });
-    ASSERT_TRUE (waitUntil ([&] { return requests_ == 1; }, base::seconds (20)));
+    ASSERT_TRUE (waitUntil ([&] { return m_requests == 1; }, base::seconds (20)));
     abandoned.reset();
     EXPECT_TRUE (waitUntil ([&] { return isClosed; }, base::seconds (20)));
 }
--- a/src/lab/LatencyReport.cpp
+++ b/src/lab/LatencyReport.cpp
@@ -48,7 +48,7 @@
             LogarithmicAxis (kBins, kShortestMicroseconds, kLongestMicroseconds));
 };
 
-LatencyHistogram::LatencyHistogram() : bins_ (std::make_unique<Bins>()) {}
+LatencyHistogram::LatencyHistogram() : m_bins (std::make_unique<Bins>()) {}
 LatencyHistogram::~LatencyHistogram() = default;
 LatencyHistogram::LatencyHistogram (LatencyHistogram&&) noexcept = default;
 LatencyHistogram& LatencyHistogram::operator= (LatencyHistogram&&) noexcept = default;
@@ -56,20 +56,20 @@
 void LatencyHistogram::add (base::Duration duration)
 {
     // The upper bound of the axis is exclusive.
-    bins_->histogram (std::clamp (static_cast<double> (duration.count()), kShortestMicroseconds,
-                                  kLongestMicroseconds - 1));
-    ++count_;
+    m_bins->histogram (std::clamp (static_cast<double> (duration.count()), kShortestMicroseconds,
+                                   kLongestMicroseconds - 1));
+    ++m_count;
 }
 
 base::Duration LatencyHistogram::quantile (double share) const
 {
-    if (count_ == 0)
+    if (m_count == 0)
     {
         return {};
     }
-    const double wanted = std::max (1.0, std::ceil (share * static_cast<double> (count_)));
+    const double wanted = std::max (1.0, std::ceil (share * static_cast<double> (m_count)));
     double seen = 0;
-    for (const auto& bin : boost::histogram::indexed (bins_->histogram))
+    for (const auto& bin : boost::histogram::indexed (m_bins->histogram))
     {
         seen += static_cast<double> (*bin);
         if (seen >= wanted)
--- a/src/lab/LatencyReport.h
+++ b/src/lab/LatencyReport.h
@@ -25,14 +25,14 @@
     LatencyHistogram& operator= (LatencyHistogram&&) noexcept;
 
     void add (base::Duration duration);
-    [[nodiscard]] std::uint64_t count() const { return count_; }
+    [[nodiscard]] std::uint64_t count() const { return m_count; }
     /// Smallest duration that at least `share` (0 to 1) of all do not exceed; zero when empty.
     [[nodiscard]] base::Duration quantile (double share) const;
 
 private:
     struct Bins;
-    std::unique_ptr<Bins> bins_;
-    std::uint64_t count_ = 0;
+    std::unique_ptr<Bins> m_bins;
+    std::uint64_t m_count = 0;
 };
 
 /// Figures of one request class.
--- a/src/lab/LoadRunner.cpp
+++ b/src/lab/LoadRunner.cpp
@@ -121,47 +121,50 @@
     }
 }
 
-LoadRunner::LoadRunner (LoadOptions options) : options_ (std::move (options))
+LoadRunner::LoadRunner (LoadOptions options) : m_options (std::move (options))
 {
-    timer_.setSingleShot (true);
-    timer_.setTimerType (Qt::PreciseTimer);
-    QObject::connect (&timer_, &QTimer::timeout, [this] { startDueCalls(); });
+    m_timer.setSingleShot (true);
+    m_timer.setTimerType (Qt::PreciseTimer);
+    QObject::connect (&m_timer, &QTimer::timeout, [this] { startDueCalls(); });
 }
 
 void LoadRunner::start()
 {
-    elapsed_.start();
+    m_elapsed.start();
     startDueCalls();
 }
 
-bool LoadRunner::isFinished() const { return next_ == options_.arrivals.size() && calls_.empty(); }
+bool LoadRunner::isFinished() const
+{
+    return m_next == m_options.arrivals.size() && m_calls.empty();
+}
 
 void LoadRunner::startDueCalls()
 {
-    ended_.clear();
-    const base::Duration now (elapsed_.nsecsElapsed() / kNanosecondsPerMicrosecond);
-    while (next_ < options_.arrivals.size() && options_.arrivals[next_].at <= now)
+    m_ended.clear();
+    const base::Duration now (m_elapsed.nsecsElapsed() / kNanosecondsPerMicrosecond);
+    while (m_next < m_options.arrivals.size() && m_options.arrivals[m_next].at <= now)
     {
-        begin (next_);
-        ++next_;
+        begin (m_next);
+        ++m_next;
     }
-    if (next_ < options_.arrivals.size())
+    if (m_next < m_options.arrivals.size())
     {
-        timer_.start (static_cast<int> (base::toMilliseconds (options_.arrivals[next_].at - now))
-                      + 1);
+        m_timer.start (static_cast<int> (base::toMilliseconds (m_options.arrivals[m_next].at - now))
+                       + 1);
     }
 }
 
 void LoadRunner::begin (std::size_t index)
 {
-    const Arrival& arrival = options_.arrivals[index];
-    const TraceTarget& target = options_.targets[arrival.target];
+    const Arrival& arrival = m_options.arrivals[index];
+    const TraceTarget& target = m_options.targets[arrival.target];
     OpenCall open;
-    open.record.requestId = options_.idPrefix + "-" + std::to_string (index);
+    open.record.requestId = m_options.idPrefix + "-" + std::to_string (index);
     if (! target.isRepeatable)
     {
         const std::string& prefix =
-            options_.keyPrefix.empty() ? options_.idPrefix : options_.keyPrefix;
+            m_options.keyPrefix.empty() ? m_options.idPrefix : m_options.keyPrefix;
         open.record.idempotencyKey = "key-" + prefix + "-" + std::to_string (index);
     }
     open.record.requestClass = target.requestClass;
@@ -172,60 +175,60 @@
         "Question of " + (hasKey ? open.record.idempotencyKey : open.record.requestId);
     open.record.maxTokens = arrival.maxTokens;
     open.record.isStreaming = arrival.isStreaming && target.kind == CallKind::kChat;
-    open.record.sentMicroseconds = elapsed_.nsecsElapsed() / kNanosecondsPerMicrosecond;
-    open.router = index % options_.routers.size();
-    calls_.emplace (index, std::move (open));
+    open.record.sentMicroseconds = m_elapsed.nsecsElapsed() / kNanosecondsPerMicrosecond;
+    open.router = index % m_options.routers.size();
+    m_calls.emplace (index, std::move (open));
     send (index);
 }
 
 void LoadRunner::send (std::uint64_t id)
 {
-    OpenCall& open = calls_.at (id);
-    const base::SocketAddress& router = options_.routers[open.router];
+    OpenCall& open = m_calls.at (id);
+    const base::SocketAddress& router = m_options.routers[open.router];
     open.record.router = router.toString();
     if (open.call)
     {
-        ended_.push_back (std::move (open.call));
+        m_ended.push_back (std::move (open.call));
     }
     open.call = std::make_unique<HttpCall> (
-        client_, requestOf (open.record, router, options_.callTimeout),
+        m_client, requestOf (open.record, router, m_options.callTimeout),
         [this, id] (const HttpOutcome& outcome) { onEnd (id, outcome); });
 }
 
 void LoadRunner::onEnd (std::uint64_t id, const HttpOutcome& outcome)
 {
-    OpenCall& open = calls_.at (id);
+    OpenCall& open = m_calls.at (id);
     readOutcome (outcome, open.record);
     open.record.endMicroseconds += open.attemptStart;
     if (open.record.firstByteMicroseconds > 0)
     {
         open.record.firstByteMicroseconds += open.attemptStart;
     }
-    if (isWorthAnotherRouter (open.record) && ++open.passedOver < options_.routers.size())
+    if (isWorthAnotherRouter (open.record) && ++open.passedOver < m_options.routers.size())
     {
         resend (id);
         return;
     }
-    history_.push_back (std::move (open.record));
-    ended_.push_back (std::move (open.call));
-    calls_.erase (id);
+    m_history.push_back (std::move (open.record));
+    m_ended.push_back (std::move (open.call));
+    m_calls.erase (id);
 }
 
 void LoadRunner::resend (std::uint64_t id)
 {
-    OpenCall& open = calls_.at (id);
+    OpenCall& open = m_calls.at (id);
     if (open.record.end != CallEnd::kNotConnected)
     {
         CallRecord refused = open.record;
         refused.isResent = true;
         open.record.requestId += "-resent" + std::to_string (open.passedOver);
-        history_.push_back (std::move (refused));
+        m_history.push_back (std::move (refused));
     }
     open.record.errorKind.clear();
     open.record.execution.clear();
     open.attemptStart =
-        elapsed_.nsecsElapsed() / kNanosecondsPerMicrosecond - open.record.sentMicroseconds;
-    open.router = (open.router + 1) % options_.routers.size();
+        m_elapsed.nsecsElapsed() / kNanosecondsPerMicrosecond - open.record.sentMicroseconds;
+    open.router = (open.router + 1) % m_options.routers.size();
     send (id);
 }
 
--- a/src/lab/LoadRunner.h
+++ b/src/lab/LoadRunner.h
@@ -43,9 +43,9 @@
     void start();
     [[nodiscard]] bool isFinished() const;
     /// Calls made and not ended yet.
-    [[nodiscard]] std::size_t openCalls() const { return calls_.size(); }
+    [[nodiscard]] std::size_t openCalls() const { return m_calls.size(); }
     /// Ended calls, in the order of their end.
-    [[nodiscard]] const std::vector<CallRecord>& history() const { return history_; }
+    [[nodiscard]] const std::vector<CallRecord>& history() const { return m_history; }
 
 private:
     struct OpenCall
@@ -64,14 +64,14 @@
     /// Keeps the refused call in the history and makes it again at the next router.
     void resend (std::uint64_t id);
 
-    LoadOptions options_;
-    http::Client client_;
-    QElapsedTimer elapsed_;
-    QTimer timer_;
-    std::size_t next_ = 0;
-    std::map<std::uint64_t, OpenCall> calls_;
-    std::vector<std::unique_ptr<HttpCall>> ended_;  ///< Destroyed outside their own callbacks.
-    std::vector<CallRecord> history_;
+    LoadOptions m_options;
+    http::Client m_client;
+    QElapsedTimer m_elapsed;
+    QTimer m_timer;
+    std::size_t m_next = 0;
+    std::map<std::uint64_t, OpenCall> m_calls;
+    std::vector<std::unique_ptr<HttpCall>> m_ended;  ///< Destroyed outside their own callbacks.
+    std::vector<CallRecord> m_history;
 };
 
 /// The HTTP request of a call, addressed to `router`.
--- a/src/lab/LoadRunnerTest.cpp
+++ b/src/lab/LoadRunnerTest.cpp
@@ -20,15 +20,15 @@
 class FakeRouter
 {
 public:
-    explicit FakeRouter (std::optional<base::ErrorKind> refusal = {}) : refusal_ (refusal)
+    explicit FakeRouter (std::optional<base::ErrorKind> refusal = {}) : m_refusal (refusal)
     {
-        server_.setHandler (
+        m_server.setHandler (
             [this] (const http::Request& request, const std::shared_ptr<http::Responder>& responder)
             {
-                requests_.push_back (request);
-                if (refusal_)
+                m_requests.push_back (request);
+                if (m_refusal)
                 {
-                    http::errorResponse ({ *refusal_, "refused" }).sendTo (*responder);
+                    http::errorResponse ({ *m_refusal, "refused" }).sendTo (*responder);
                 }
                 else
                 {
@@ -39,19 +39,19 @@
         EXPECT_TRUE (succeeds (
             [this]() -> base::Result<void>
             {
-                BOOST_LEAF_ASSIGN (address_, server_.listen ({ "127.0.0.1", 0 }));
+                BOOST_LEAF_ASSIGN (m_address, m_server.listen ({ "127.0.0.1", 0 }));
                 return {};
             }));
     }
 
-    [[nodiscard]] const base::SocketAddress& address() const { return address_; }
-    [[nodiscard]] const std::vector<http::Request>& requests() const { return requests_; }
+    [[nodiscard]] const base::SocketAddress& address() const { return m_address; }
+    [[nodiscard]] const std::vector<http::Request>& requests() const { return m_requests; }
 
 private:
-    std::optional<base::ErrorKind> refusal_;
-    http::Server server_;
-    base::SocketAddress address_;
-    std::vector<http::Request> requests_;
+    std::optional<base::ErrorKind> m_refusal;
+    http::Server m_server;
+    base::SocketAddress m_address;
+    std::vector<http::Request> m_requests;
 };
 
 class LoadRunnerTest : public testing::Test
--- a/src/lab/Measure.cpp
+++ b/src/lab/Measure.cpp
@@ -17,14 +17,14 @@
 
 void Samples::add (base::Duration duration)
 {
-    milliseconds_.push_back (std::chrono::duration<double, std::milli> (duration).count());
+    m_milliseconds.push_back (std::chrono::duration<double, std::milli> (duration).count());
 }
 
 double Samples::quantile (double share) const
 {
-    if (milliseconds_.empty())
+    if (m_milliseconds.empty())
         return 0;
-    std::vector<double> sorted = milliseconds_;
+    std::vector<double> sorted = m_milliseconds;
     std::sort (sorted.begin(), sorted.end());
     const double rank = std::ceil (share * static_cast<double> (sorted.size()));
     const auto index = static_cast<std::size_t> (std::max (rank, 1.0)) - 1;
--- a/src/lab/Measure.h
+++ b/src/lab/Measure.h
@@ -32,10 +32,10 @@
     void add (base::Duration duration);
     /// Smallest value that at least `share` of all do not exceed; 0 when empty.
     [[nodiscard]] double quantile (double share) const;
-    [[nodiscard]] std::size_t count() const { return milliseconds_.size(); }
+    [[nodiscard]] std::size_t count() const { return m_milliseconds.size(); }
 
 private:
-    std::vector<double> milliseconds_;
+    std::vector<double> m_milliseconds;
 };
 
 /// Time without a leader after the leader was killed, or frozen: until an apply is taken.
--- a/src/lab/MeasureApply.cpp
+++ b/src/lab/MeasureApply.cpp
@@ -50,40 +50,40 @@
             RouterStub::Handlers handlers;
             handlers.onConfiguration = [this] (std::uint64_t version)
             { onConfiguration (version); };
-            routers_.push_back (std::make_unique<RouterStub> ("router-" + std::to_string (number),
-                                                              cell, std::move (handlers)));
-            routers_.back()->connectTo (
+            m_routers.push_back (std::make_unique<RouterStub> ("router-" + std::to_string (number),
+                                                               cell, std::move (handlers)));
+            m_routers.back()->connectTo (
                 cluster.peerAddress (1 + static_cast<std::uint64_t> (number) % 3));
         }
     }
 
     void expect (std::uint64_t version)
     {
-        expected_ = version;
-        begin_ = clock_.now();
-        taken_.clear();
+        m_expected = version;
+        m_begin = m_clock.now();
+        m_taken.clear();
     }
 
     [[nodiscard]] bool areReady() const
     {
-        return std::all_of (routers_.begin(), routers_.end(),
+        return std::all_of (m_routers.begin(), m_routers.end(),
                             [] (const auto& router) { return router->isReady(); });
     }
-    [[nodiscard]] bool haveAllTaken() const { return taken_.size() >= routers_.size(); }
-    [[nodiscard]] const std::vector<base::Duration>& taken() const { return taken_; }
+    [[nodiscard]] bool haveAllTaken() const { return m_taken.size() >= m_routers.size(); }
+    [[nodiscard]] const std::vector<base::Duration>& taken() const { return m_taken; }
 
 private:
     void onConfiguration (std::uint64_t version)
     {
-        if (version == expected_)
-            taken_.push_back (clock_.now() - begin_);
+        if (version == m_expected)
+            m_taken.push_back (m_clock.now() - m_begin);
     }
 
-    base::SystemClock clock_;
-    std::uint64_t expected_ = 0;
-    base::TimePoint begin_{};
-    std::vector<base::Duration> taken_;
-    std::vector<std::unique_ptr<RouterStub>> routers_;
+    base::SystemClock m_clock;
+    std::uint64_t m_expected = 0;
+    base::TimePoint m_begin{};
+    std::vector<base::Duration> m_taken;
+    std::vector<std::unique_ptr<RouterStub>> m_routers;
 };
 
 struct ApplyFigures
--- a/src/lab/MeasureClaims.cpp
+++ b/src/lab/MeasureClaims.cpp
@@ -64,34 +64,34 @@
             RouterStub::Handlers handlers;
             handlers.onClaims = [this, number] (const cell::ClaimReply& reply)
             { onReply (number, reply); };
-            routers_.push_back (std::make_unique<RouterStub> ("router-" + std::to_string (number),
-                                                              ControllerCluster::kCell,
-                                                              std::move (handlers)));
-            routers_.back()->connectTo (cluster.peerAddress (1));
+            m_routers.push_back (std::make_unique<RouterStub> ("router-" + std::to_string (number),
+                                                               ControllerCluster::kCell,
+                                                               std::move (handlers)));
+            m_routers.back()->connectTo (cluster.peerAddress (1));
         }
     }
 
     [[nodiscard]] bool isReady() const
     {
-        return std::all_of (routers_.begin(), routers_.end(),
+        return std::all_of (m_routers.begin(), m_routers.end(),
                             [] (const auto& router) { return router->isReady(); });
     }
 
     /// Keeps a fixed number of requests open; returns the claims granted a second.
     double runFull (base::Duration duration)
     {
-        isClosedLoop_ = true;
-        granted_ = 0;
-        const base::TimePoint begin = clock_.now();
+        m_isClosedLoop = true;
+        m_granted = 0;
+        const base::TimePoint begin = m_clock.now();
         for (std::size_t router = 0; router < kRouters; ++router)
         {
             for (std::size_t count = 0; count < kOpenRequestsEach; ++count)
                 sendOne (router);
         }
         handleEventsFor (duration);
-        isClosedLoop_ = false;
-        const double rate = static_cast<double> (granted_)
-                            / std::chrono::duration<double> (clock_.now() - begin).count();
+        m_isClosedLoop = false;
+        const double rate = static_cast<double> (m_granted)
+                            / std::chrono::duration<double> (m_clock.now() - begin).count();
         settle();
         return rate;
     }
@@ -99,16 +99,16 @@
     /// Sends at a steady rate whatever the answers do; the latencies.
     Samples runSteady (double perSecond, base::Duration duration)
     {
-        latencies_ = Samples();
-        const base::TimePoint begin = clock_.now();
+        m_latencies = Samples();
+        const base::TimePoint begin = m_clock.now();
         std::uint64_t sent = 0;
         QTimer pace;
         pace.setTimerType (Qt::PreciseTimer);
-        QObject::connect (&pace, &QTimer::timeout, &context_,
+        QObject::connect (&pace, &QTimer::timeout, &m_context,
                           [&]
                           {
                               const double elapsed =
-                                  std::chrono::duration<double> (clock_.now() - begin).count();
+                                  std::chrono::duration<double> (m_clock.now() - begin).count();
                               while (static_cast<double> (sent) < elapsed * perSecond)
                                   sendOne (sent++ % kRouters);
                           });
@@ -116,55 +116,55 @@
         handleEventsFor (duration);
         pace.stop();
         settle();
-        return std::move (latencies_);
+        return std::move (m_latencies);
     }
 
-    [[nodiscard]] std::uint64_t refused() const { return refused_; }
-    [[nodiscard]] std::size_t open() const { return open_.size(); }
+    [[nodiscard]] std::uint64_t refused() const { return m_refused; }
+    [[nodiscard]] std::size_t open() const { return m_open.size(); }
 
 private:
     void settle()
     {
-        waitUntil ([this] { return open_.empty(); }, kPatience);
+        waitUntil ([this] { return m_open.empty(); }, kPatience);
     }
 
     void sendOne (std::size_t router)
     {
-        const std::uint64_t sequence = ++lastSequence_;
+        const std::uint64_t sequence = ++m_lastSequence;
         cell::Claim claim;
         claim.key = base::IdempotencyKey ("key-" + std::to_string (sequence));
         claim.requestDigest = std::string (64, 'd');
-        claim.router = base::RouterId (routers_[router]->id());
+        claim.router = base::RouterId (m_routers[router]->id());
         claim.request = base::RequestId ("request-" + std::to_string (sequence));
-        claim.expiresAt = clock_.unixNow() + kKeyLifetimeMilliseconds;
-        open_.emplace (sequence, clock_.now());
-        routers_[router]->send (cell::ClaimRequest{ sequence, { claim } });
+        claim.expiresAt = m_clock.unixNow() + kKeyLifetimeMilliseconds;
+        m_open.emplace (sequence, m_clock.now());
+        m_routers[router]->send (cell::ClaimRequest{ sequence, { claim } });
     }
 
     void onReply (std::size_t router, const cell::ClaimReply& reply)
     {
-        const auto found = open_.find (reply.sequence);
-        if (found == open_.end())
+        const auto found = m_open.find (reply.sequence);
+        if (found == m_open.end())
             return;
-        latencies_.add (clock_.now() - found->second);
-        open_.erase (found);
+        m_latencies.add (m_clock.now() - found->second);
+        m_open.erase (found);
         for (const cell::ClaimAnswer& answer : reply.answers)
         {
-            ++(answer.verdict == cell::ClaimVerdict::kGranted ? granted_ : refused_);
+            ++(answer.verdict == cell::ClaimVerdict::kGranted ? m_granted : m_refused);
         }
-        if (isClosedLoop_)
+        if (m_isClosedLoop)
             sendOne (router);
     }
 
-    base::SystemClock clock_;
-    QObject context_;
-    std::uint64_t lastSequence_ = 0;
-    std::map<std::uint64_t, base::TimePoint> open_;
-    Samples latencies_;
-    std::uint64_t granted_ = 0;
-    std::uint64_t refused_ = 0;
-    bool isClosedLoop_ = false;
-    std::vector<std::unique_ptr<RouterStub>> routers_;
+    base::SystemClock m_clock;
+    QObject m_context;
+    std::uint64_t m_lastSequence = 0;
+    std::map<std::uint64_t, base::TimePoint> m_open;
+    Samples m_latencies;
+    std::uint64_t m_granted = 0;
+    std::uint64_t m_refused = 0;
+    bool m_isClosedLoop = false;
+    std::vector<std::unique_ptr<RouterStub>> m_routers;
 };
 
 }  // namespace
--- a/src/lab/MeasureFailover.cpp
+++ b/src/lab/MeasureFailover.cpp
@@ -39,7 +39,7 @@
 {
 public:
     FailoverTrials (ControllerCluster& cluster, std::vector<std::string>& rows)
-        : cluster_ (cluster), rows_ (rows)
+        : m_cluster (cluster), m_rows (rows)
     {
     }
 
@@ -50,7 +50,7 @@
         {
             BOOST_LEAF_AUTO (duration, runOne (failure));
             samples.add (duration);
-            rows_.push_back (
+            m_rows.push_back (
                 std::string (nameOf (failure)) + "," + std::to_string (trial) + ","
                 + std::to_string (std::chrono::duration<double, std::milli> (duration).count()));
         }
@@ -60,16 +60,16 @@
 private:
     base::Result<base::Duration> runOne (Failure failure)
     {
-        if (! cluster_.awaitEverywhere (version_))
+        if (! m_cluster.awaitEverywhere (m_version))
         {
             return base::fail (base::ErrorKind::kNoQuorum, "the cluster did not settle");
         }
-        const base::MemberId leader = cluster_.awaitLeader();
-        const std::string text = clusterCatalogue (++version_);
-        const base::TimePoint begin = clock_.now();
+        const base::MemberId leader = m_cluster.awaitLeader();
+        const std::string text = clusterCatalogue (++m_version);
+        const base::TimePoint begin = m_clock.now();
         bring (failure, leader);
-        const ConfigurationAnswer answer = cluster_.apply (text, kTrialTimeout);
-        const base::Duration duration = clock_.now() - begin;
+        const ConfigurationAnswer answer = m_cluster.apply (text, kTrialTimeout);
+        const base::Duration duration = m_clock.now() - begin;
         if (answer.status != kOk)
         {
             return base::fail (base::ErrorKind::kNoQuorum, "no apply was taken after the failure");
@@ -82,31 +82,31 @@
     void bring (Failure failure, base::MemberId leader)
     {
         if (failure == Failure::kKilled)
-            cluster_.kill (leader);
+            m_cluster.kill (leader);
         if (failure == Failure::kFrozen)
-            cluster_.freeze (leader);
+            m_cluster.freeze (leader);
         if (failure == Failure::kStopped)
-            cluster_.process (leader).requestStop();
+            m_cluster.process (leader).requestStop();
     }
 
     base::Result<void> repair (Failure failure, base::MemberId leader)
     {
         if (failure == Failure::kFrozen)
         {
-            cluster_.thaw (leader);
+            m_cluster.thaw (leader);
             return {};
         }
-        if (failure == Failure::kStopped && ! cluster_.process (leader).waitForEnd (kTrialTimeout))
+        if (failure == Failure::kStopped && ! m_cluster.process (leader).waitForEnd (kTrialTimeout))
         {
             return base::fail (base::ErrorKind::kInternal, "the planned stop did not end");
         }
-        return cluster_.restart (leader);
+        return m_cluster.restart (leader);
     }
 
-    ControllerCluster& cluster_;
-    std::vector<std::string>& rows_;
-    base::SystemClock clock_;
-    std::uint64_t version_ = 0;
+    ControllerCluster& m_cluster;
+    std::vector<std::string>& m_rows;
+    base::SystemClock m_clock;
+    std::uint64_t m_version = 0;
 };
 
 }  // namespace
--- a/src/lab/PortReservations.cpp
+++ b/src/lab/PortReservations.cpp
@@ -22,15 +22,15 @@
 
 base::Result<base::SocketAddress> PortReservations::reserve()
 {
-    if (next_ == 0)
+    if (m_next == 0)
     {
-        next_ = static_cast<std::uint16_t> (
+        m_next = static_cast<std::uint16_t> (
             QRandomGenerator::global()->bounded (int{ kFirstPort }, int{ kPastLastPort }));
     }
     for (int attempt = 0; attempt < kPastLastPort - kFirstPort; ++attempt)
     {
-        const std::uint16_t port = next_;
-        next_ = port + 1 < kPastLastPort ? static_cast<std::uint16_t> (port + 1) : kFirstPort;
+        const std::uint16_t port = m_next;
+        m_next = port + 1 < kPastLastPort ? static_cast<std::uint16_t> (port + 1) : kFirstPort;
         if (tryReserve (port))
         {
             return base::SocketAddress{ "127.0.0.1", port };
@@ -51,7 +51,7 @@
     {
         return false;
     }
-    held_.push_back (std::move (holder));
+    m_held.push_back (std::move (holder));
     return true;
 }
 
--- a/src/lab/PortReservations.h
+++ b/src/lab/PortReservations.h
@@ -25,8 +25,8 @@
 private:
     bool tryReserve (std::uint16_t port);
 
-    std::uint16_t next_ = 0;
-    std::vector<std::unique_ptr<QUdpSocket>> held_;
+    std::uint16_t m_next = 0;
+    std::vector<std::unique_ptr<QUdpSocket>> m_held;
 };
 
 }  // namespace fernlift::lab
--- a/src/lab/RouterStub.cpp
+++ b/src/lab/RouterStub.cpp
@@ -16,57 +16,57 @@
 }  // namespace
 
 RouterStub::RouterStub (std::string id, std::string cell, Handlers handlers)
-    : id_ (std::move (id)), cell_ (std::move (cell)), handlers_ (std::move (handlers))
+    : m_id (std::move (id)), m_cell (std::move (cell)), m_handlers (std::move (handlers))
 {
-    QObject::connect (&leaseTimer_, &QTimer::timeout, &context_, [this] { requestLease(); });
-    leaseTimer_.start (kLeaseInterval);
-    QObject::connect (&reconnectTimer_, &QTimer::timeout, &context_,
-                      [this] { connectTo (address_); });
-    reconnectTimer_.setSingleShot (true);
+    QObject::connect (&m_leaseTimer, &QTimer::timeout, &m_context, [this] { requestLease(); });
+    m_leaseTimer.start (kLeaseInterval);
+    QObject::connect (&m_reconnectTimer, &QTimer::timeout, &m_context,
+                      [this] { connectTo (m_address); });
+    m_reconnectTimer.setSingleShot (true);
 }
 
 void RouterStub::connectTo (const base::SocketAddress& controller)
 {
-    address_ = controller;
-    isReady_ = false;
-    tableVersion_ = 0;
+    m_address = controller;
+    m_isReady = false;
+    m_tableVersion = 0;
     wire::FrameConnection::Handlers handlers;
     handlers.onConnected = [this] { sendHello(); };
     handlers.onFrame = [this] (const wire::Frame& frame) { onFrame (frame); };
-    handlers.onClosed = [this] { reconnectSoon (address_); };
-    connection_ = wire::FrameConnection::connectTo (controller, {}, std::move (handlers), nullptr);
+    handlers.onClosed = [this] { reconnectSoon (m_address); };
+    m_connection = wire::FrameConnection::connectTo (controller, {}, std::move (handlers), nullptr);
 }
 
 void RouterStub::reconnectSoon (const base::SocketAddress& address)
 {
-    address_ = address;
-    reconnectTimer_.start (kReconnectPause);
+    m_address = address;
+    m_reconnectTimer.start (kReconnectPause);
 }
 
 void RouterStub::send (const cell::RouterToController& message)
 {
-    if (! connection_)
+    if (! m_connection)
         return;
-    connection_->send (wire::Channel::kRouterToController, wire::encodeMessage (message));
+    m_connection->send (wire::Channel::kRouterToController, wire::encodeMessage (message));
 }
 
 void RouterStub::sendHello()
 {
     cell::RouterHello hello;
-    hello.router = base::RouterId (id_);
-    hello.cell = base::CellId (cell_);
+    hello.router = base::RouterId (m_id);
+    hello.cell = base::CellId (m_cell);
     hello.zone = base::ZoneName ("z1");
-    hello.configurationVersion = version_;
-    hello.configurationDigest = digest_;
+    hello.configurationVersion = m_version;
+    hello.configurationDigest = m_digest;
     send (hello);
     requestLease();
 }
 
 void RouterStub::requestLease()
 {
-    if (! connection_ || ! connection_->isOpen())
+    if (! m_connection || ! m_connection->isOpen())
         return;
-    send (cell::LeaseRequest{ ++leaseSequence_, version_, digest_, tableVersion_ });
+    send (cell::LeaseRequest{ ++m_leaseSequence, m_version, m_digest, m_tableVersion });
 }
 
 void RouterStub::onFrame (const wire::Frame& frame)
@@ -86,30 +86,30 @@
 {
     const base::SocketAddress next =
         base::handleErrors ([&] { return base::SocketAddress::parse (reply.leaderAddress); },
-                            [this] (const base::Error&) { return address_; });
+                            [this] (const base::Error&) { return m_address; });
     reconnectSoon (next);
 }
 
 void RouterStub::on (const cell::ConfigurationUpdate& update)
 {
-    version_ = update.version;
-    digest_ = update.digest;
-    if (handlers_.onConfiguration)
-        handlers_.onConfiguration (version_);
+    m_version = update.version;
+    m_digest = update.digest;
+    if (m_handlers.onConfiguration)
+        m_handlers.onConfiguration (m_version);
     requestLease();
 }
 
 void RouterStub::on (const cell::LeaseGrant& grant)
 {
-    isReady_ = grant.configurationVersion == version_;
+    m_isReady = grant.configurationVersion == m_version;
 }
 
-void RouterStub::on (const cell::ReplicaUpdate& update) { tableVersion_ = update.toVersion; }
+void RouterStub::on (const cell::ReplicaUpdate& update) { m_tableVersion = update.toVersion; }
 
 void RouterStub::on (const cell::ClaimReply& reply)
 {
-    if (handlers_.onClaims)
-        handlers_.onClaims (reply);
+    if (m_handlers.onClaims)
+        m_handlers.onClaims (reply);
 }
 
 }  // namespace fernlift::lab
--- a/src/lab/RouterStub.h
+++ b/src/lab/RouterStub.h
@@ -32,9 +32,9 @@
     /// Connects to the peer address of a controller, and to the leader that it names.
     void connectTo (const base::SocketAddress& controller);
     /// True once it holds a lease.
-    [[nodiscard]] bool isReady() const { return isReady_; }
-    [[nodiscard]] std::uint64_t configurationVersion() const { return version_; }
-    [[nodiscard]] const std::string& id() const { return id_; }
+    [[nodiscard]] bool isReady() const { return m_isReady; }
+    [[nodiscard]] std::uint64_t configurationVersion() const { return m_version; }
+    [[nodiscard]] const std::string& id() const { return m_id; }
     void send (const cell::RouterToController& message);
 
 private:
@@ -51,19 +51,19 @@
     void on (const cell::MemberJoinReply& /*reply*/) {}
     void reconnectSoon (const base::SocketAddress& address);
 
-    std::string id_;
-    std::string cell_;
-    Handlers handlers_;
-    base::SocketAddress address_;
-    std::uint64_t version_ = 0;
-    std::string digest_;
-    std::uint64_t tableVersion_ = 0;
-    std::uint64_t leaseSequence_ = 0;
-    bool isReady_ = false;
-    QObject context_;
-    QTimer leaseTimer_;
-    QTimer reconnectTimer_;
-    std::unique_ptr<wire::FrameConnection> connection_;
+    std::string m_id;
+    std::string m_cell;
+    Handlers m_handlers;
+    base::SocketAddress m_address;
+    std::uint64_t m_version = 0;
+    std::string m_digest;
+    std::uint64_t m_tableVersion = 0;
+    std::uint64_t m_leaseSequence = 0;
+    bool m_isReady = false;
+    QObject m_context;
+    QTimer m_leaseTimer;
+    QTimer m_reconnectTimer;
+    std::unique_ptr<wire::FrameConnection> m_connection;
 };
 
 }  // namespace fernlift::lab
--- a/src/log/LineOutput.cpp
+++ b/src/log/LineOutput.cpp
@@ -17,7 +17,7 @@
     advance (now);
     const bool isImportant = traits.severity >= Severity::kWarning;
     const std::uint64_t bound = isImportant ? kImportantLinesASecond : kOrdinaryLinesASecond;
-    Counts& counts = counts_[static_cast<Event> (traits.number)];
+    Counts& counts = m_counts[static_cast<Event> (traits.number)];
     if (counts.written >= bound)
     {
         ++counts.omitted;
@@ -27,28 +27,28 @@
     return true;
 }
 
-void LineBudget::noteOmitted (Event event) { ++counts_[event].omitted; }
+void LineBudget::noteOmitted (Event event) { ++m_counts[event].omitted; }
 
 void LineBudget::advance (base::TimePoint now)
 {
     const std::int64_t second =
         std::chrono::duration_cast<std::chrono::seconds> (now.time_since_epoch()).count();
-    if (second == second_)
+    if (second == m_second)
         return;
-    second_ = second;
-    for (const auto& [event, counts] : counts_)
+    m_second = second;
+    for (const auto& [event, counts] : m_counts)
     {
         if (counts.omitted > 0)
-            omitted_[event] += counts.omitted;
+            m_omitted[event] += counts.omitted;
     }
-    counts_.clear();
+    m_counts.clear();
 }
 
 std::vector<OmittedLines> LineBudget::takeOmitted (base::TimePoint now)
 {
     advance (now);
     std::vector<OmittedLines> taken;
-    for (const auto& [event, count] : std::exchange (omitted_, {}))
+    for (const auto& [event, count] : std::exchange (m_omitted, {}))
         taken.push_back ({ event, count });
     return taken;
 }
@@ -58,10 +58,11 @@
     // A pipe that is ready takes this much without blocking.
     std::string whole (line.substr (0, PIPE_BUF - 1));
     whole.push_back ('\n');
-    pollfd readiness{ descriptor_, POLLOUT, 0 };
+    pollfd readiness{ m_descriptor, POLLOUT, 0 };
     if (::poll (&readiness, 1, 0) != 1 || (readiness.revents & POLLOUT) == 0)
         return false;
-    return ::write (descriptor_, whole.data(), whole.size()) == static_cast<ssize_t> (whole.size());
+    return ::write (m_descriptor, whole.data(), whole.size())
+           == static_cast<ssize_t> (whole.size());
 }
 
 }  // namespace fernlift::log
--- a/src/log/LineOutput.h
+++ b/src/log/LineOutput.h
@@ -45,22 +45,22 @@
 
     void advance (base::TimePoint now);
 
-    std::int64_t second_ = 0;
-    std::map<Event, Counts> counts_;
-    std::map<Event, std::uint64_t> omitted_;  ///< Of ended seconds, not reported yet.
+    std::int64_t m_second = 0;
+    std::map<Event, Counts> m_counts;
+    std::map<Event, std::uint64_t> m_omitted;  ///< Of ended seconds, not reported yet.
 };
 
 /// Writes whole lines to a file descriptor, or drops them while its reader does not take any.
 class LineOutput
 {
 public:
-    explicit LineOutput (int descriptor) : descriptor_ (descriptor) {}
+    explicit LineOutput (int descriptor) : m_descriptor (descriptor) {}
 
     /// False when the line was dropped. Longer lines than a pipe takes at once are cut.
     bool write (std::string_view line) const;
 
 private:
-    int descriptor_;
+    int m_descriptor;
 };
 
 }  // namespace fernlift::log
--- a/src/log/Log.cpp
+++ b/src/log/Log.cpp
@@ -71,13 +71,13 @@
 {
 public:
     explicit LineBackend (Destination destination)
-        : output_ (destination == Destination::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO)
+        : m_output (destination == Destination::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO)
     {
     }
 
     void consume (const boostlog::record_view& view, const string_type& line)
     {
-        if (output_.write (line))
+        if (m_output.write (line))
             return;
         const auto event = boostlog::extract<Event> (kEventAttribute, view);
         if (event)
@@ -85,7 +85,7 @@
     }
 
 private:
-    LineOutput output_;
+    LineOutput m_output;
 };
 
 boost::shared_ptr<Sink> makeSink (const Options& options)
@@ -110,43 +110,43 @@
 public:
     void replaceSink (const Options& options)
     {
-        const std::lock_guard lock (mutex_);
+        const std::lock_guard lock (m_mutex);
         const auto core = boostlog::core::get();
-        if (sink_ == nullptr)
+        if (m_sink == nullptr)
         {
             core->add_global_attribute (kTimestampAttribute, boostlog::attributes::utc_clock());
         }
         else
         {
-            core->remove_sink (sink_);
+            core->remove_sink (m_sink);
         }
-        sink_ = makeSink (options);
-        core->add_sink (sink_);
+        m_sink = makeSink (options);
+        core->add_sink (m_sink);
     }
 
-    Logger& logger() { return logger_; }
+    Logger& logger() { return m_logger; }
 
     /// Whether a line may be written; `omitted` gets the counts that are due to be told.
     bool admit (const EventTraits& traits, std::vector<OmittedLines>* omitted)
     {
-        const std::lock_guard lock (budgetMutex_);
-        const base::TimePoint now = clock_.now();
-        *omitted = budget_.takeOmitted (now);
-        return budget_.admit (traits, now);
+        const std::lock_guard lock (m_budgetMutex);
+        const base::TimePoint now = m_clock.now();
+        *omitted = m_budget.takeOmitted (now);
+        return m_budget.admit (traits, now);
     }
     void noteOmitted (Event event)
     {
-        const std::lock_guard lock (budgetMutex_);
-        budget_.noteOmitted (event);
+        const std::lock_guard lock (m_budgetMutex);
+        m_budget.noteOmitted (event);
     }
 
 private:
-    std::mutex mutex_;
-    boost::shared_ptr<Sink> sink_;
-    Logger logger_;
-    std::mutex budgetMutex_;
-    base::SystemClock clock_;
-    LineBudget budget_;
+    std::mutex m_mutex;
+    boost::shared_ptr<Sink> m_sink;
+    Logger m_logger;
+    std::mutex m_budgetMutex;
+    base::SystemClock m_clock;
+    LineBudget m_budget;
 };
 
 /// Lives until the process ends, so that events can be written from any destructor.
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -22,17 +22,17 @@
 }  // namespace
 
 EnginePlacement::EnginePlacement (EnginePlacementOptions options)
-    : options_ (std::move (options)), storeLoads_ (options_.earlierStoreLoads)
+    : m_options (std::move (options)), m_storeLoads (m_options.earlierStoreLoads)
 {
 }
 
 void EnginePlacement::setServices (std::uint64_t version,
                                    const std::vector<config::Service>& services)
 {
-    if (version == servicesVersion_)
+    if (version == m_servicesVersion)
         return;
-    servicesVersion_ = version;
-    catalogue_.services = services;
+    m_servicesVersion = version;
+    m_catalogue.services = services;
 }
 
 void EnginePlacement::refresh (const std::map<std::string, cell::RoutableInstance>& rows,
@@ -40,21 +40,21 @@
 {
     for (const auto& [id, row] : rows)
     {
-        const config::Service* service = catalogue_.findService (row.instance.service);
+        const config::Service* service = m_catalogue.findService (row.instance.service);
         if (service == nullptr || ! service->engine)
             continue;
-        Engine& engine = engines_[id];
+        Engine& engine = m_engines[id];
         if (engine.id.empty())
         {
             engine.pollAt = now;
-            engine.ordersFrom = options_.ordersFrom (id);
+            engine.ordersFrom = m_options.ordersFrom (id);
         }
         engine.id = id;
         engine.address = row.instance.address;
         engine.service = row.instance.service;
         engine.isUsable = ! row.instance.isDraining && ! row.isSilent;
     }
-    std::erase_if (engines_, [&] (const auto& item) { return ! rows.contains (item.first); });
+    std::erase_if (m_engines, [&] (const auto& item) { return ! rows.contains (item.first); });
 }
 
 void EnginePlacement::take (Engine& engine, const EngineHoldings& holdings, base::TimePoint now)
@@ -96,8 +96,8 @@
 void EnginePlacement::onHeartbeat (const std::string& instance, const EngineHoldings& holdings,
                                    base::TimePoint now)
 {
-    const auto found = engines_.find (instance);
-    if (found == engines_.end())
+    const auto found = m_engines.find (instance);
+    if (found == m_engines.end())
         return;
     found->second.inMemory = holdings.inMemory;
     found->second.onDisk = holdings.onDisk;
@@ -109,7 +109,7 @@
 {
     for (const cell::EngineDemand& demand : demands)
     {
-        TargetDemand& target = demands_[{ demand.service, demand.model, demand.adapter }];
+        TargetDemand& target = m_demands[{ demand.service, demand.model, demand.adapter }];
         target.arrivals = decayedArrivals (target, now) + demand.arrivals;
         target.countedAt = now;
         if (demand.arrivals > 0 || demand.waiting > 0 || demand.running > 0)
@@ -126,15 +126,15 @@
 
 void EnginePlacement::onRouterGone (std::uint64_t router)
 {
-    for (auto& [key, target] : demands_)
+    for (auto& [key, target] : m_demands)
         target.byRouter.erase (router);
 }
 
 void EnginePlacement::onOrderAnswer (const ServiceOrder& order, OrderOutcome outcome,
                                      base::TimePoint now)
 {
-    const auto found = engines_.find (order.instance);
-    if (found == engines_.end())
+    const auto found = m_engines.find (order.instance);
+    if (found == m_engines.end())
         return;
     Engine& engine = found->second;
     const bool isExpected = engine.unanswered && engine.unanswered->order == order;
@@ -220,8 +220,8 @@
 void EnginePlacement::onReport (const std::string& instance, const engine::ServiceReport& report,
                                 base::TimePoint now)
 {
-    const auto found = engines_.find (instance);
-    if (found == engines_.end())
+    const auto found = m_engines.find (instance);
+    if (found == m_engines.end())
         return;
     Engine& engine = found->second;
     engine.isPolled = false;
@@ -254,8 +254,8 @@
 
 void EnginePlacement::onReportFailed (const std::string& instance, base::TimePoint now)
 {
-    const auto found = engines_.find (instance);
-    if (found == engines_.end())
+    const auto found = m_engines.find (instance);
+    if (found == m_engines.end())
         return;
     found->second.isPolled = false;
     found->second.pollAt = now + kPollPause;
@@ -263,8 +263,8 @@
 
 std::uint32_t EnginePlacement::waitingFor (const TargetKey& key) const
 {
-    const auto found = demands_.find (key);
-    if (found == demands_.end())
+    const auto found = m_demands.find (key);
+    if (found == m_demands.end())
         return 0;
     std::uint32_t waiting = 0;
     for (const auto& [router, demand] : found->second.byRouter)
@@ -278,8 +278,8 @@
 {
     ModelDemand total;
     // Keys with the same service and model stand together, the model itself first.
-    for (auto item = demands_.lower_bound ({ service, model, "" });
-         item != demands_.end() && item->first.service == service && item->first.model == model;
+    for (auto item = m_demands.lower_bound ({ service, model, "" });
+         item != m_demands.end() && item->first.service == service && item->first.model == model;
          ++item)
     {
         total.askedAt = std::max (total.askedAt, item->second.askedAt);
@@ -296,7 +296,7 @@
 std::size_t EnginePlacement::holdersOf (const std::string& service, const std::string& model) const
 {
     return static_cast<std::size_t> (std::ranges::count_if (
-        engines_,
+        m_engines,
         [&] (const auto& item)
         {
             const Engine& engine = item.second;
@@ -308,7 +308,7 @@
 bool EnginePlacement::isModelOnItsWay (const std::string& service, const std::string& model) const
 {
     return std::ranges::any_of (
-        engines_,
+        m_engines,
         [&] (const auto& item)
         {
             const Engine& engine = item.second;
@@ -326,7 +326,7 @@
 
 const config::EngineSpec* EnginePlacement::specOf (const Engine& engine) const
 {
-    const config::Service* service = catalogue_.findService (engine.service);
+    const config::Service* service = m_catalogue.findService (engine.service);
     return service == nullptr || ! service->engine ? nullptr : &*service->engine;
 }
 
@@ -387,21 +387,21 @@
 
 bool EnginePlacement::mayLoadFromStore (const std::string& service, base::TimePoint now)
 {
-    while (! storeLoads_.empty() && now - storeLoads_.front() >= options_.storeWindow)
+    while (! m_storeLoads.empty() && now - m_storeLoads.front() >= m_options.storeWindow)
     {
-        storeLoads_.pop_front();
+        m_storeLoads.pop_front();
     }
-    const config::Service* found = catalogue_.findService (service);
-    const double seconds = std::chrono::duration<double> (options_.storeWindow).count();
-    const double allowed = options_.storeShare * found->engine->loadsPerSecond * seconds;
+    const config::Service* found = m_catalogue.findService (service);
+    const double seconds = std::chrono::duration<double> (m_options.storeWindow).count();
+    const double allowed = m_options.storeShare * found->engine->loadsPerSecond * seconds;
     const auto loading =
-        std::ranges::count_if (engines_,
+        std::ranges::count_if (m_engines,
                                [] (const auto& item)
                                {
                                    const Engine& engine = item.second;
                                    return engine.modelOrder && engine.modelOrder->isFromStore;
                                });
-    return static_cast<double> (storeLoads_.size()) + 1 <= allowed
+    return static_cast<double> (m_storeLoads.size()) + 1 <= allowed
            && static_cast<double> (loading) < concurrentLoads (*found->engine);
 }
 
@@ -430,7 +430,7 @@
 
 void EnginePlacement::pollWhereNeeded (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
-    for (auto& [id, engine] : engines_)
+    for (auto& [id, engine] : m_engines)
     {
         const bool isLate =
             engine.modelOrder && now - engine.modelOrder->sentAt > kLatestModelOrder;
@@ -446,13 +446,13 @@
 
 void EnginePlacement::endPauses (base::TimePoint now)
 {
-    for (auto& [id, engine] : engines_)
+    for (auto& [id, engine] : m_engines)
         engine.isPaused = now < engine.ordersFrom;
 }
 
 void EnginePlacement::expireOrders (base::TimePoint now)
 {
-    for (auto& [id, engine] : engines_)
+    for (auto& [id, engine] : m_engines)
     {
         if (! engine.unanswered || now - engine.unanswered->sentAt < kOrderTimeout)
             continue;
@@ -465,7 +465,7 @@
 
 void EnginePlacement::continuePlans (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
-    for (auto& [id, engine] : engines_)
+    for (auto& [id, engine] : m_engines)
     {
         if (engine.reservedFor.empty())
             continue;
@@ -509,7 +509,7 @@
     if (isFromStore && ! mayLoadFromStore (engine.service, now))
         return;
     if (isFromStore)
-        storeLoads_.push_back (now);
+        m_storeLoads.push_back (now);
     send (engine, { true, model.name, "", "requests want it" }, commands, now);
     dropPlan (engine);
 }
@@ -528,8 +528,8 @@
     order.instance = engine.id;
     order.model = intention.model;
     order.adapter = intention.adapter;
-    order.holder = options_.holder;
-    order.fence = options_.fence;
+    order.holder = m_options.holder;
+    order.fence = m_options.fence;
     order.expectedSequence = engine.sequence;
     const bool isFromStore =
         order.isLoad && order.adapter.empty() && ! isLocal (engine, intention.model);
@@ -541,8 +541,8 @@
 std::optional<std::vector<cell::HeldModel>> EnginePlacement::routableModels (
     const std::string& instance, base::TimePoint now) const
 {
-    const auto found = engines_.find (instance);
-    if (found == engines_.end() || ! found->second.hasTold)
+    const auto found = m_engines.find (instance);
+    if (found == m_engines.end() || ! found->second.hasTold)
         return std::nullopt;
     const Engine& engine = found->second;
     std::vector<cell::HeldModel> models;
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -250,13 +250,13 @@
     static void noteUnderWay (Engine& engine, PendingOrder pending, base::TimePoint now);
     static void noteDone (Engine& engine, const engine::ServiceOrder& order, base::TimePoint now);
 
-    EnginePlacementOptions options_;
-    std::uint64_t servicesVersion_ = 0;
-    config::ServiceCatalogue catalogue_;  ///< Services only.
-    std::map<std::string, Engine> engines_;
-    std::map<TargetKey, TargetDemand> demands_;
-    std::deque<base::TimePoint> storeLoads_;  ///< When loads from the store were ordered.
-    std::map<std::string, base::TimePoint> replicaAddedAt_;  ///< By model.
+    EnginePlacementOptions m_options;
+    std::uint64_t m_servicesVersion = 0;
+    config::ServiceCatalogue m_catalogue;  ///< Services only.
+    std::map<std::string, Engine> m_engines;
+    std::map<TargetKey, TargetDemand> m_demands;
+    std::deque<base::TimePoint> m_storeLoads;  ///< When loads from the store were ordered.
+    std::map<std::string, base::TimePoint> m_replicaAddedAt;  ///< By model.
 };
 
 }  // namespace fernlift::placement
