--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -16,12 +16,12 @@
 {
 protected:
     EnginePlacementTest()
-        : placement_ ({ "c1",
-                        7,
-                        [] (const std::string& id) { return id == "e-late" ? kLate : kStart; },
-                        {},
-                        1.0,
-                        base::seconds (5) })
+        : m_placement ({ "c1",
+                         7,
+                         [] (const std::string& id) { return id == "e-late" ? kLate : kStart; },
+                         {},
+                         1.0,
+                         base::seconds (5) })
     {
         config::Service service;
         service.name = "llm";
@@ -40,7 +40,7 @@
             model.adapters = 4;
             service.engine->models.push_back (model);
         }
-        placement_.setServices (1, { service });
+        m_placement.setServices (1, { service });
     }
 
     /// Registers an engine that has told what it holds, and answers the call for its report.
@@ -50,8 +50,8 @@
         row.instance.id = id;
         row.instance.service = "llm";
         row.instance.address = id + ":80";
-        rows_[id] = row;
-        placement_.refresh (rows_, now_);
+        m_rows[id] = row;
+        m_placement.refresh (m_rows, m_now);
         hear (id, models);
         report (id, models, 0);
     }
@@ -62,7 +62,7 @@
         for (const std::string& model : models)
             holdings.models.push_back ({ model, 1, {} });
         holdings.onDisk = onDisk;
-        placement_.onHeartbeat (id, holdings, now_);
+        m_placement.onHeartbeat (id, holdings, m_now);
     }
     void report (const std::string& id, const std::vector<std::string>& models,
                  std::uint64_t sequence, bool isBusy = false)
@@ -72,18 +72,18 @@
             report.models.push_back ({ model, 1, {} });
         report.sequence = sequence;
         report.isBusy = isBusy;
-        placement_.onReport (id, report, now_);
+        m_placement.onReport (id, report, m_now);
     }
     void demand (const std::string& model, std::uint32_t waiting, std::uint32_t running = 0,
                  const std::string& adapter = "")
     {
-        placement_.onDemand (1, { { "llm", model, adapter, waiting, running, waiting } }, now_);
+        m_placement.onDemand (1, { { "llm", model, adapter, waiting, running, waiting } }, m_now);
     }
     /// Orders that go out now.
     std::vector<engine::ServiceOrder> orders()
     {
         std::vector<engine::ServiceOrder> found;
-        for (const EngineCommand& command : placement_.decide (now_))
+        for (const EngineCommand& command : m_placement.decide (m_now))
         {
             if (const auto* order = std::get_if<SendEngineOrder> (&command))
                 found.push_back (order->order);
@@ -92,7 +92,7 @@
     }
     bool polls (const std::string& id)
     {
-        for (const EngineCommand& command : placement_.decide (now_))
+        for (const EngineCommand& command : m_placement.decide (m_now))
         {
             const auto* poll = std::get_if<PollEngine> (&command);
             if (poll != nullptr && poll->instance == id)
@@ -102,22 +102,22 @@
     }
     void answer (const engine::ServiceOrder& order, engine::OrderOutcome outcome)
     {
-        placement_.onOrderAnswer (order, outcome, now_);
+        m_placement.onOrderAnswer (order, outcome, m_now);
     }
-    void wait (base::Duration duration) { now_ += duration; }
+    void wait (base::Duration duration) { m_now += duration; }
 
-    EnginePlacement placement_;
-    std::map<std::string, cell::RoutableInstance> rows_;
-    base::TimePoint now_ = kStart + base::seconds (10);
+    EnginePlacement m_placement;
+    std::map<std::string, cell::RoutableInstance> m_rows;
+    base::TimePoint m_now = kStart + base::seconds (10);
 };
 
 TEST_F (EnginePlacementTest, NothingIsOrderedBeforeThePauseIsOver)
 {
-    now_ = kStart - base::milliseconds (1);
+    m_now = kStart - base::milliseconds (1);
     addEngine ("e1", { "m1" });
     demand ("m2", 1);
     EXPECT_TRUE (orders().empty());
-    now_ = kStart;
+    m_now = kStart;
     EXPECT_EQ (orders().size(), 1U);
 }
 
@@ -136,8 +136,8 @@
 {
     cell::RoutableInstance row;
     row.instance = { "e1", "llm", "e1:80", "z", 8, false, false, {} };
-    rows_["e1"] = row;
-    placement_.refresh (rows_, now_);
+    m_rows["e1"] = row;
+    m_placement.refresh (m_rows, m_now);
     hear ("e1", { "m1" });
     demand ("m2", 1);
     EXPECT_TRUE (polls ("e1"));
@@ -173,7 +173,7 @@
     hear ("e1", { "m1", "m2" });
     demand ("m3", 1);
     EXPECT_TRUE (orders().empty());  // Routers hear of the withdrawal first.
-    const auto held = placement_.routableModels ("e1", now_);
+    const auto held = m_placement.routableModels ("e1", m_now);
     ASSERT_TRUE (held);
     EXPECT_EQ (held->size(), 1U);
     wait (kWithdrawalTime);
@@ -193,7 +193,7 @@
 {
     addEngine ("e1", { "m1", "m2" });
     demand ("m1", 0, 1);
-    placement_.onDemand (2, { { "llm", "m2", "", 0, 1, 1 } }, now_);
+    m_placement.onDemand (2, { { "llm", "m2", "", 0, 1, 1 } }, m_now);
     demand ("m3", 1);
     wait (kWithdrawalTime);
     EXPECT_TRUE (orders().empty());
@@ -280,7 +280,7 @@
         demand ("m1", 1, 0, adapter);
         for (const auto& order : orders())
             answer (order, engine::OrderOutcome::kUnderWay);
-        placement_.onDemand (1, { { "llm", "m1", adapter, 0, 0, 0 } }, now_);
+        m_placement.onDemand (1, { { "llm", "m1", adapter, 0, 0, 0 } }, m_now);
         wait (base::seconds (1));
     }
     demand ("m1", 1, 0, "a3");
@@ -297,8 +297,8 @@
 TEST_F (EnginePlacementTest, ADrainingEngineGetsNoOrders)
 {
     addEngine ("e1", { "m1" });
-    rows_["e1"].instance.isDraining = true;
-    placement_.refresh (rows_, now_);
+    m_rows["e1"].instance.isDraining = true;
+    m_placement.refresh (m_rows, m_now);
     demand ("m2", 1);
     EXPECT_TRUE (orders().empty());
 }
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -42,7 +42,7 @@
         if (! planModel (need.key, highestCost, now))
             continue;
         if (! need.isMissing)
-            replicaAddedAt_[need.key.model] = now;
+            m_replicaAddedAt[need.key.model] = now;
     }
     continuePlans (commands, now);
 }
@@ -51,7 +51,7 @@
 {
     std::vector<ModelNeed> needs;
     std::set<std::pair<std::string, std::string>> seen;
-    for (const auto& [key, target] : demands_)
+    for (const auto& [key, target] : m_demands)
     {
         if (! seen.emplace (key.service, key.model).second)
             continue;
@@ -72,11 +72,11 @@
 bool EnginePlacement::isCrowded (const TargetKey& key, const ModelDemand& demand,
                                  std::size_t holders, base::TimePoint now) const
 {
-    const config::Service* service = catalogue_.findService (key.service);
+    const config::Service* service = m_catalogue.findService (key.service);
     if (holders == 0 || service == nullptr || ! service->engine)
         return false;
-    const auto added = replicaAddedAt_.find (key.model);
-    if (added != replicaAddedAt_.end() && now - added->second < kReplicaPause)
+    const auto added = m_replicaAddedAt.find (key.model);
+    if (added != m_replicaAddedAt.end() && now - added->second < kReplicaPause)
         return false;
     return holders < wantedReplicas (demand);
 }
@@ -94,7 +94,7 @@
     Engine* best = nullptr;
     std::vector<std::string> bestVictims;
     double lowest = 0;
-    for (auto& [id, engine] : engines_)
+    for (auto& [id, engine] : m_engines)
     {
         const bool isCandidate = engine.service == key.service && engine.reservedFor.empty()
                                  && mayTakeOrder (engine) && ! engine.models.contains (key.model);
@@ -201,7 +201,7 @@
 
 void EnginePlacement::fillFreeMemory (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
-    for (auto& [id, engine] : engines_)
+    for (auto& [id, engine] : m_engines)
     {
         if (! engine.reservedFor.empty() || ! mayTakeOrder (engine) || ! engine.hasTold)
             continue;
@@ -239,7 +239,7 @@
 
 void EnginePlacement::planAdapters (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
-    for (const auto& [key, target] : demands_)
+    for (const auto& [key, target] : m_demands)
     {
         if (key.adapter.empty() || waitingFor (key) == 0)
             continue;
@@ -253,7 +253,7 @@
     const std::string wanted = key.model + "/" + key.adapter;
     Engine* best = nullptr;
     std::size_t fewest = 0;
-    for (auto& [id, engine] : engines_)
+    for (auto& [id, engine] : m_engines)
     {
         const bool holdsModel = engine.service == key.service && engine.isUsable
                                 && engine.models.contains (key.model)
@@ -295,8 +295,8 @@
     {
         const std::size_t slash = adapter.find ('/');
         TargetKey key{ engine.service, adapter.substr (0, slash), adapter.substr (slash + 1) };
-        const auto found = demands_.find (key);
-        if (found == demands_.end())
+        const auto found = m_demands.find (key);
+        if (found == m_demands.end())
         {
             send (engine, { false, key.model, key.adapter, kAdapterMakesWay }, commands, now);
             return true;
--- a/src/placement/PlacementTestSupport.h
+++ b/src/placement/PlacementTestSupport.h
@@ -58,9 +58,9 @@
     void carryOut (const Decision& decision);
     void pass();
 
-    std::map<std::string, std::map<std::string, engine::CheckpointPlace>> checkpoints_;
-    std::map<base::ReplicaId, int> roundsLoading_;
-    base::ReplicaId lastReplica_ = 0;
+    std::map<std::string, std::map<std::string, engine::CheckpointPlace>> m_checkpoints;
+    std::map<base::ReplicaId, int> m_roundsLoading;
+    base::ReplicaId m_lastReplica = 0;
 };
 
 }  // namespace fernlift::placement::test
--- a/src/placement/PlacementTestSupportTest.cpp
+++ b/src/placement/PlacementTestSupportTest.cpp
@@ -71,7 +71,7 @@
 {
     ReplicaView view;
     cell::Replica& replica = view.replica;
-    replica.id = ++lastReplica_;
+    replica.id = ++m_lastReplica;
     replica.runner = base::RunnerId (runner);
     replica.incarnation = 1;
     replica.version = "1";
@@ -110,7 +110,7 @@
 void TestWorld::setCheckpoint (const std::string& runner, const std::string& target,
                                engine::CheckpointPlace place)
 {
-    checkpoints_[runner][target] = place;
+    m_checkpoints[runner][target] = place;
 }
 
 ReplicaView& TestWorld::replica (base::ReplicaId id)
@@ -130,7 +130,7 @@
     snapshot.catalogue = &catalogue;
     for (RunnerView& runner : snapshot.runners)
     {
-        runner.checkpoints = &checkpoints_[runner.runner.value];
+        runner.checkpoints = &m_checkpoints[runner.runner.value];
         runner.reservedMemory = 0;
         for (const ReplicaView& view : snapshot.replicas)
         {
@@ -184,7 +184,7 @@
         const std::string& target = load->adapter.empty() ? load->model.value : load->adapter.value;
         const base::ReplicaId id =
             addReplica (target, load->runner.value, ReplicaStage::kLoading, load->baseReplica);
-        roundsLoading_[id] = 0;
+        m_roundsLoading[id] = 0;
         return;
     }
     replica (std::get<UnloadDecision> (decision).replica).replica.stage = ReplicaStage::kUnloading;
@@ -202,7 +202,7 @@
         if (view.replica.stage == ReplicaStage::kReady)
             view.readyFor += kRound;
         const bool isLoaded = view.replica.stage == ReplicaStage::kLoading
-                              && ++roundsLoading_[view.replica.id] >= kRoundsToLoad;
+                              && ++m_roundsLoading[view.replica.id] >= kRoundsToLoad;
         if (isLoaded)
             view.replica.stage = ReplicaStage::kReady;
     }
--- a/src/placement/Plan.cpp
+++ b/src/placement/Plan.cpp
@@ -17,54 +17,54 @@
 }  // namespace
 
 Plan::Plan (const Snapshot& snapshot)
-    : snapshot_ (snapshot),
-      storeStarts_ (snapshot.storeStarts),
-      storeConcurrency_ (
+    : m_snapshot (snapshot),
+      m_storeStarts (snapshot.storeStarts),
+      m_storeConcurrency (
           std::min (snapshot.storeConcurrency, snapshot.catalogue->weightStore.concurrentLoads))
 {
     for (const RunnerView& runner : snapshot.runners)
     {
-        roomIndex_[runner.runner] = rooms_.size();
+        m_roomIndex[runner.runner] = m_rooms.size();
         const engine::Megabytes free = runner.totalMemory > runner.reservedMemory
                                            ? runner.totalMemory - runner.reservedMemory
                                            : 0;
-        rooms_.push_back (Room{ &runner, free, 0, {} });
+        m_rooms.push_back (Room{ &runner, free, 0, {} });
     }
     for (const ReplicaView& view : snapshot.replicas)
     {
         const cell::Replica& replica = view.replica;
-        ++counts_[replica.target()];
-        byTarget_[replica.target()].push_back (&view);
-        byId_[replica.id] = &view;
+        ++m_counts[replica.target()];
+        m_byTarget[replica.target()].push_back (&view);
+        m_byId[replica.id] = &view;
         if (replica.isAdapter())
-            adapters_[replica.baseReplica].push_back (&view);
+            m_adapters[replica.baseReplica].push_back (&view);
         if (replica.stage == ReplicaStage::kLoading && view.usesStore)
-            ++storeLoads_;
-        const auto room = roomIndex_.find (replica.runner);
-        if (room == roomIndex_.end())
+            ++m_storeLoads;
+        const auto room = m_roomIndex.find (replica.runner);
+        if (room == m_roomIndex.end())
             continue;
-        rooms_[room->second].replicas.push_back (&view);
+        m_rooms[room->second].replicas.push_back (&view);
         if (replica.stage == ReplicaStage::kUnloading)
         {
-            rooms_[room->second].comingFree += replica.memory;
+            m_rooms[room->second].comingFree += replica.memory;
         }
     }
 }
 
 const Plan::Room* Plan::roomOf (const base::RunnerId& runner) const
 {
-    const auto found = roomIndex_.find (runner);
-    return found == roomIndex_.end() ? nullptr : &rooms_[found->second];
+    const auto found = m_roomIndex.find (runner);
+    return found == m_roomIndex.end() ? nullptr : &m_rooms[found->second];
 }
 
 Plan::Room& Plan::mutableRoom (const base::RunnerId& runner)
 {
-    return rooms_[roomIndex_.at (runner)];
+    return m_rooms[m_roomIndex.at (runner)];
 }
 
 Target Plan::targetNamed (const std::string& name) const
 {
-    const config::Catalogue& catalogue = *snapshot_.catalogue;
+    const config::Catalogue& catalogue = *m_snapshot.catalogue;
     if (const config::Model* model = catalogue.findModel (base::ModelName (name)))
     {
         return { model, nullptr };
@@ -78,8 +78,8 @@
 const TargetDemand& Plan::demandOf (const std::string& target) const
 {
     static const TargetDemand kNone;
-    const auto found = snapshot_.demands.find (target);
-    return found == snapshot_.demands.end() ? kNone : found->second;
+    const auto found = m_snapshot.demands.find (target);
+    return found == m_snapshot.demands.end() ? kNone : found->second;
 }
 
 int Plan::urgencyOf (const std::string& name) const
@@ -89,7 +89,7 @@
         return kLeastUrgency;
     const base::RequestClassName& className =
         target.adapter != nullptr ? target.adapter->defaultClass : target.model->defaultClass;
-    const config::RequestClass* requestClass = snapshot_.catalogue->findClass (className);
+    const config::RequestClass* requestClass = m_snapshot.catalogue->findClass (className);
     const TargetDemand& demand = demandOf (name);
     int urgency = requestClass == nullptr ? kLeastUrgency : requestClass->urgency;
     if (demand.running > 0)
@@ -98,7 +98,7 @@
         urgency = demand.mostUrgent;
     if (target.adapter != nullptr)
         return urgency;
-    for (const config::Adapter& adapter : snapshot_.catalogue->adapters)
+    for (const config::Adapter& adapter : m_snapshot.catalogue->adapters)
     {
         if (adapter.base != target.model->name)
             continue;
@@ -111,14 +111,14 @@
 
 std::uint32_t Plan::counted (const Target& target) const
 {
-    const auto found = counts_.find (target.name());
-    return found == counts_.end() ? 0 : found->second;
+    const auto found = m_counts.find (target.name());
+    return found == m_counts.end() ? 0 : found->second;
 }
 
 std::vector<const ReplicaView*> Plan::all (const std::string& target) const
 {
-    const auto found = byTarget_.find (target);
-    return found == byTarget_.end() ? std::vector<const ReplicaView*>() : found->second;
+    const auto found = m_byTarget.find (target);
+    return found == m_byTarget.end() ? std::vector<const ReplicaView*>() : found->second;
 }
 
 std::vector<const ReplicaView*> Plan::usable (const std::string& target) const
@@ -139,13 +139,14 @@
 const std::vector<const ReplicaView*>& Plan::adaptersOn (base::ReplicaId replica) const
 {
     static const std::vector<const ReplicaView*> kNone;
-    const auto found = adapters_.find (replica);
-    return found == adapters_.end() ? kNone : found->second;
+    const auto found = m_adapters.find (replica);
+    return found == m_adapters.end() ? kNone : found->second;
 }
 
 bool Plan::isUnloading (const ReplicaView& view) const
 {
-    return view.replica.stage == ReplicaStage::kUnloading || unloaded_.count (view.replica.id) != 0;
+    return view.replica.stage == ReplicaStage::kUnloading
+           || m_unloaded.count (view.replica.id) != 0;
 }
 
 bool Plan::isOutdated (const ReplicaView& view) const
@@ -155,8 +156,8 @@
         return true;
     if (! replica.isAdapter())
         return false;
-    const auto base = byId_.find (replica.baseReplica);
-    return base == byId_.end() || ! hasCurrentVersion (base->second->replica);
+    const auto base = m_byId.find (replica.baseReplica);
+    return base == m_byId.end() || ! hasCurrentVersion (base->second->replica);
 }
 
 bool Plan::hasCurrentVersion (const cell::Replica& replica) const
@@ -185,7 +186,7 @@
         view.replica.stage == ReplicaStage::kLoading || view.readyFor < kAdapterGrace;
     if (view.replica.isAdapter() || ! isFresh)
         return false;
-    const std::vector<config::Adapter>& adapters = snapshot_.catalogue->adapters;
+    const std::vector<config::Adapter>& adapters = m_snapshot.catalogue->adapters;
     return std::any_of (adapters.begin(), adapters.end(),
                         [&] (const config::Adapter& adapter) {
                             return adapter.base == view.replica.model
@@ -221,12 +222,12 @@
 {
     if (placeOf (runner, target) != engine::CheckpointPlace::kRemote)
         return true;
-    return ! isStoreFull() && storeStarts_ > 0;
+    return ! isStoreFull() && m_storeStarts > 0;
 }
 
 bool Plan::isAvoided (const std::string& target, const base::RunnerId& runner) const
 {
-    return snapshot_.avoided.count ({ target, runner }) != 0;
+    return m_snapshot.avoided.count ({ target, runner }) != 0;
 }
 
 void Plan::load (const Target& target, const base::RunnerId& runner, base::ReplicaId baseReplica,
@@ -236,29 +237,29 @@
     const base::AdapterName adapter =
         target.adapter != nullptr ? target.adapter->name : base::AdapterName();
     room.free -= std::min (room.free, target.memory());
-    ++counts_[target.name()];
-    plannedZones_[target.name()].insert (room.runner->zone);
+    ++m_counts[target.name()];
+    m_plannedZones[target.name()].insert (room.runner->zone);
     if (placeOf (*room.runner, target.name()) == engine::CheckpointPlace::kRemote)
     {
-        ++storeLoads_;
-        --storeStarts_;
+        ++m_storeLoads;
+        --m_storeStarts;
     }
     if (target.adapter == nullptr)
-        plannedModels_.insert (target.model->name);
-    decisions_.emplace_back (LoadDecision{ runner, room.runner->incarnation, target.model->name,
-                                           adapter, baseReplica, std::move (reason) });
+        m_plannedModels.insert (target.model->name);
+    m_decisions.emplace_back (LoadDecision{ runner, room.runner->incarnation, target.model->name,
+                                            adapter, baseReplica, std::move (reason) });
 }
 
 std::set<base::ZoneName> Plan::plannedZones (const std::string& target) const
 {
-    const auto found = plannedZones_.find (target);
-    return found == plannedZones_.end() ? std::set<base::ZoneName>() : found->second;
+    const auto found = m_plannedZones.find (target);
+    return found == m_plannedZones.end() ? std::set<base::ZoneName>() : found->second;
 }
 
 bool Plan::takeBaseLoad (const base::ModelName& model)
 {
-    const auto found = baseLoads_.find (model);
-    if (found == baseLoads_.end() || found->second == 0)
+    const auto found = m_baseLoads.find (model);
+    if (found == m_baseLoads.end() || found->second == 0)
         return false;
     --found->second;
     return true;
@@ -280,15 +281,15 @@
 {
     if (isUnloading (view))
         return;
-    unloaded_.insert (view.replica.id);
+    m_unloaded.insert (view.replica.id);
     const bool givesBackStore = view.replica.stage == ReplicaStage::kLoading && view.usesStore;
     if (givesBackStore)
-        --storeLoads_;
-    if (roomIndex_.count (view.replica.runner) != 0)
+        --m_storeLoads;
+    if (m_roomIndex.count (view.replica.runner) != 0)
     {
         mutableRoom (view.replica.runner).comingFree += view.replica.memory;
     }
-    decisions_.emplace_back (UnloadDecision{ view.replica.id, reason });
+    m_decisions.emplace_back (UnloadDecision{ view.replica.id, reason });
 }
 
 void Plan::setAside (const base::RunnerId& runner, engine::Megabytes memory)
--- a/src/placement/Plan.h
+++ b/src/placement/Plan.h
@@ -52,8 +52,8 @@
 
     explicit Plan (const Snapshot& snapshot);
 
-    [[nodiscard]] const Snapshot& snapshot() const { return snapshot_; }
-    [[nodiscard]] const std::vector<Room>& rooms() const { return rooms_; }
+    [[nodiscard]] const Snapshot& snapshot() const { return m_snapshot; }
+    [[nodiscard]] const std::vector<Room>& rooms() const { return m_rooms; }
     [[nodiscard]] const Room* roomOf (const base::RunnerId& runner) const;
     /// The catalogue's entry for a name; `model` is null when there is none.
     [[nodiscard]] Target targetNamed (const std::string& name) const;
@@ -84,19 +84,19 @@
     /// True when the weight store can take another load, or the load does not need it.
     [[nodiscard]] bool mayLoad (const std::string& target, const RunnerView& runner) const;
     /// True when as many loads use the weight store as it takes at once.
-    [[nodiscard]] bool isStoreFull() const { return storeLoads_ >= storeConcurrency_; }
+    [[nodiscard]] bool isStoreFull() const { return m_storeLoads >= m_storeConcurrency; }
     [[nodiscard]] bool isAvoided (const std::string& target, const base::RunnerId& runner) const;
 
     void load (const Target& target, const base::RunnerId& runner, base::ReplicaId baseReplica,
                std::string reason);
     /// Notes that a base model is being loaded for an adapter.
-    void addBaseLoad (const base::ModelName& model) { ++baseLoads_[model]; }
+    void addBaseLoad (const base::ModelName& model) { ++m_baseLoads[model]; }
     /// Uses up one such load for a need of the model itself; false when there is none.
     bool takeBaseLoad (const base::ModelName& model);
     /// True when this plan loads the model.
     [[nodiscard]] bool plansLoad (const base::ModelName& model) const
     {
-        return plannedModels_.count (model) != 0;
+        return m_plannedModels.count (model) != 0;
     }
     /// Zones in which this plan loads a target.
     [[nodiscard]] std::set<base::ZoneName> plannedZones (const std::string& target) const;
@@ -105,7 +105,7 @@
     /// Sets memory aside that is free or will be, so that no later need counts on it.
     void setAside (const base::RunnerId& runner, engine::Megabytes memory);
 
-    [[nodiscard]] std::vector<Decision> takeDecisions() { return std::move (decisions_); }
+    [[nodiscard]] std::vector<Decision> takeDecisions() { return std::move (m_decisions); }
 
 private:
     Room& mutableRoom (const base::RunnerId& runner);
@@ -113,21 +113,21 @@
     [[nodiscard]] bool isWantedForAdapter (const ReplicaView& replica) const;
     void unloadOne (const ReplicaView& replica, const std::string& reason);
 
-    const Snapshot& snapshot_;
-    std::vector<Room> rooms_;
-    std::map<base::RunnerId, std::size_t> roomIndex_;
-    std::map<std::string, std::uint32_t> counts_;  ///< By target.
-    std::map<std::string, std::vector<const ReplicaView*>> byTarget_;
-    std::map<base::ReplicaId, std::vector<const ReplicaView*>> adapters_;
-    std::map<base::ReplicaId, const ReplicaView*> byId_;
-    std::set<base::ReplicaId> unloaded_;  ///< By this plan.
-    std::set<base::ModelName> plannedModels_;
-    std::map<base::ModelName, std::uint32_t> baseLoads_;
-    std::map<std::string, std::set<base::ZoneName>> plannedZones_;  ///< By target.
-    std::uint32_t storeLoads_ = 0;
-    std::uint32_t storeStarts_ = 0;
-    std::uint32_t storeConcurrency_ = 1;
-    std::vector<Decision> decisions_;
+    const Snapshot& m_snapshot;
+    std::vector<Room> m_rooms;
+    std::map<base::RunnerId, std::size_t> m_roomIndex;
+    std::map<std::string, std::uint32_t> m_counts;  ///< By target.
+    std::map<std::string, std::vector<const ReplicaView*>> m_byTarget;
+    std::map<base::ReplicaId, std::vector<const ReplicaView*>> m_adapters;
+    std::map<base::ReplicaId, const ReplicaView*> m_byId;
+    std::set<base::ReplicaId> m_unloaded;  ///< By this plan.
+    std::set<base::ModelName> m_plannedModels;
+    std::map<base::ModelName, std::uint32_t> m_baseLoads;
+    std::map<std::string, std::set<base::ZoneName>> m_plannedZones;  ///< By target.
+    std::uint32_t m_storeLoads = 0;
+    std::uint32_t m_storeStarts = 0;
+    std::uint32_t m_storeConcurrency = 1;
+    std::vector<Decision> m_decisions;
 };
 
 }  // namespace fernlift::placement
--- a/src/placement/StorePace.cpp
+++ b/src/placement/StorePace.cpp
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-std::uint32_t StorePace::startsAllowed() const { return static_cast<std::uint32_t> (tokens_); }
+std::uint32_t StorePace::startsAllowed() const { return static_cast<std::uint32_t> (m_tokens); }
 
 void StorePace::observe (const config::WeightStoreLimits& limits,
                          const std::vector<ReplicaView>& replicas, base::TimePoint now)
@@ -31,36 +31,36 @@
     for (const ReplicaView& view : replicas)
     {
         const base::ReplicaId id = view.replica.id;
-        const auto tracked = loads_.find (id);
+        const auto tracked = m_loads.find (id);
         if (view.replica.stage == cell::ReplicaStage::kLoading && view.usesStore)
         {
             loading.insert (id);
-            if (tracked != loads_.end())
+            if (tracked != m_loads.end())
                 continue;
-            loads_[id] = Load{ now, std::max<engine::Megabytes> (view.replica.memory, 1) };
-            tokens_ = std::max (tokens_ - 1.0, 0.0);
+            m_loads[id] = Load{ now, std::max<engine::Megabytes> (view.replica.memory, 1) };
+            m_tokens = std::max (m_tokens - 1.0, 0.0);
         }
-        else if (view.replica.stage == cell::ReplicaStage::kReady && tracked != loads_.end())
+        else if (view.replica.stage == cell::ReplicaStage::kReady && tracked != m_loads.end())
         {
             onReady (tracked->second, now);
         }
     }
-    std::erase_if (loads_, [&] (const auto& entry) { return loading.count (entry.first) == 0; });
+    std::erase_if (m_loads, [&] (const auto& entry) { return loading.count (entry.first) == 0; });
     findOverdue (now);
 }
 
 void StorePace::refill (const config::WeightStoreLimits& limits, base::TimePoint now)
 {
     const double burst = std::max (limits.loadsPerSecond, 1.0);
-    if (limit_ != limits.concurrentLoads)
+    if (m_limit != limits.concurrentLoads)
     {
-        limit_ = std::max (limits.concurrentLoads, 1U);
-        concurrency_ = limit_;
+        m_limit = std::max (limits.concurrentLoads, 1U);
+        m_concurrency = m_limit;
     }
-    const bool isFirst = refilledAt_ == base::TimePoint{};
-    const double gained = isFirst ? burst : secondsOf (now - refilledAt_) * limits.loadsPerSecond;
-    tokens_ = std::min (tokens_ + gained, burst);
-    refilledAt_ = now;
+    const bool isFirst = m_refilledAt == base::TimePoint{};
+    const double gained = isFirst ? burst : secondsOf (now - m_refilledAt) * limits.loadsPerSecond;
+    m_tokens = std::min (m_tokens + gained, burst);
+    m_refilledAt = now;
 }
 
 void StorePace::onReady (const Load& load, base::TimePoint now)
@@ -71,34 +71,34 @@
 
 void StorePace::noteSample (double secondsPerMegabyte, const Load& load, base::TimePoint now)
 {
-    if (usualSecondsPerMegabyte_ <= 0)
+    if (m_usualSecondsPerMegabyte <= 0)
     {
-        usualSecondsPerMegabyte_ = secondsPerMegabyte;
+        m_usualSecondsPerMegabyte = secondsPerMegabyte;
         return;
     }
-    if (secondsPerMegabyte > kSlowFactor * usualSecondsPerMegabyte_)
+    if (secondsPerMegabyte > kSlowFactor * m_usualSecondsPerMegabyte)
     {
-        usualSecondsPerMegabyte_ *= kForgetting;
+        m_usualSecondsPerMegabyte *= kForgetting;
         // Loads that began before the last decrease tell nothing of the present concurrency.
-        if (load.startedAt >= slowedAt_)
+        if (load.startedAt >= m_slowedAt)
             slowDown (now);
         return;
     }
-    usualSecondsPerMegabyte_ = std::min (usualSecondsPerMegabyte_, secondsPerMegabyte);
-    concurrency_ = std::min (concurrency_ + 1, limit_);
+    m_usualSecondsPerMegabyte = std::min (m_usualSecondsPerMegabyte, secondsPerMegabyte);
+    m_concurrency = std::min (m_concurrency + 1, m_limit);
 }
 
 void StorePace::findOverdue (base::TimePoint now)
 {
-    if (usualSecondsPerMegabyte_ <= 0)
+    if (m_usualSecondsPerMegabyte <= 0)
         return;
     const bool isOverdue = std::any_of (
-        loads_.begin(), loads_.end(),
+        m_loads.begin(), m_loads.end(),
         [&] (const auto& entry)
         {
             const Load& load = entry.second;
-            const double usual = usualSecondsPerMegabyte_ * static_cast<double> (load.memory);
-            return load.startedAt >= slowedAt_
+            const double usual = m_usualSecondsPerMegabyte * static_cast<double> (load.memory);
+            return load.startedAt >= m_slowedAt
                    && secondsOf (now - load.startedAt) > kSlowFactor * usual;
         });
     if (isOverdue)
@@ -107,8 +107,8 @@
 
 void StorePace::slowDown (base::TimePoint now)
 {
-    concurrency_ = std::max (concurrency_ / 2, 1U);
-    slowedAt_ = now;
+    m_concurrency = std::max (m_concurrency / 2, 1U);
+    m_slowedAt = now;
 }
 
 }  // namespace fernlift::placement
--- a/src/placement/StorePace.h
+++ b/src/placement/StorePace.h
@@ -24,7 +24,7 @@
                   base::TimePoint now);
 
     /// Loads that may use the store at once; at least one.
-    [[nodiscard]] std::uint32_t concurrency() const { return concurrency_; }
+    [[nodiscard]] std::uint32_t concurrency() const { return m_concurrency; }
     /// Further loads that may begin now without passing the store's rate.
     [[nodiscard]] std::uint32_t startsAllowed() const;
 
@@ -42,13 +42,13 @@
     void noteSample (double secondsPerMegabyte, const Load& load, base::TimePoint now);
     void slowDown (base::TimePoint now);
 
-    std::uint32_t limit_ = 0;  ///< Of the catalogue; 0 before the first observation.
-    std::uint32_t concurrency_ = 1;
-    double tokens_ = 0;
-    base::TimePoint refilledAt_{};
-    base::TimePoint slowedAt_{};
-    double usualSecondsPerMegabyte_ = 0;  ///< 0: no load has ended yet.
-    std::map<base::ReplicaId, Load> loads_;
+    std::uint32_t m_limit = 0;  ///< Of the catalogue; 0 before the first observation.
+    std::uint32_t m_concurrency = 1;
+    double m_tokens = 0;
+    base::TimePoint m_refilledAt{};
+    base::TimePoint m_slowedAt{};
+    double m_usualSecondsPerMegabyte = 0;  ///< 0: no load has ended yet.
+    std::map<base::ReplicaId, Load> m_loads;
 };
 
 }  // namespace fernlift::placement
--- a/src/placement/StorePaceTest.cpp
+++ b/src/placement/StorePaceTest.cpp
@@ -14,74 +14,74 @@
 class StorePaceTest : public ::testing::Test
 {
 protected:
-    void observe() { pace_.observe (limits_, replicas_, now_); }
+    void observe() { m_pace.observe (m_limits, m_replicas, m_now); }
     void begin (base::ReplicaId id)
     {
         ReplicaView view;
         view.replica.id = id;
         view.replica.memory = kMemory;
-        replicas_.push_back (view);
+        m_replicas.push_back (view);
         observe();
     }
     void end (base::ReplicaId id, ReplicaStage stage = ReplicaStage::kReady)
     {
-        for (ReplicaView& view : replicas_)
+        for (ReplicaView& view : m_replicas)
         {
             if (view.replica.id == id)
                 view.replica.stage = stage;
         }
         observe();
     }
-    void pass (base::Duration duration) { now_ += duration; }
+    void pass (base::Duration duration) { m_now += duration; }
     /// Loads that take a given time, one after the other.
     void load (int count, base::Duration duration)
     {
         for (int number = 0; number < count; ++number)
         {
-            begin (++last_);
+            begin (++m_last);
             pass (duration);
-            end (last_);
+            end (m_last);
         }
     }
 
-    StorePace pace_;
-    config::WeightStoreLimits limits_{ 4.0, 8 };
-    std::vector<ReplicaView> replicas_;
-    base::TimePoint now_{ base::seconds (1) };
-    base::ReplicaId last_ = 100;
+    StorePace m_pace;
+    config::WeightStoreLimits m_limits{ 4.0, 8 };
+    std::vector<ReplicaView> m_replicas;
+    base::TimePoint m_now{ base::seconds (1) };
+    base::ReplicaId m_last = 100;
 };
 
 TEST_F (StorePaceTest, StartsFromTheCatalogue)
 {
     observe();
-    EXPECT_EQ (pace_.concurrency(), 8U);
-    EXPECT_EQ (pace_.startsAllowed(), 4U);
+    EXPECT_EQ (m_pace.concurrency(), 8U);
+    EXPECT_EQ (m_pace.startsAllowed(), 4U);
 }
 
 TEST_F (StorePaceTest, SpacesLoadsByTheRate)
 {
     for (base::ReplicaId id = 1; id <= 4; ++id)
         begin (id);
-    EXPECT_EQ (pace_.startsAllowed(), 0U);
+    EXPECT_EQ (m_pace.startsAllowed(), 0U);
     pass (base::milliseconds (250));
     observe();
-    EXPECT_EQ (pace_.startsAllowed(), 1U);
+    EXPECT_EQ (m_pace.startsAllowed(), 1U);
     pass (base::seconds (100));
     observe();
-    EXPECT_EQ (pace_.startsAllowed(), 4U) << "unused starts are not saved up";
+    EXPECT_EQ (m_pace.startsAllowed(), 4U) << "unused starts are not saved up";
 }
 
 TEST_F (StorePaceTest, SlowLoadsLowerTheConcurrencyAndUsualOnesRaiseIt)
 {
     load (3, base::seconds (1));
-    EXPECT_EQ (pace_.concurrency(), 8U);
+    EXPECT_EQ (m_pace.concurrency(), 8U);
     load (1, base::seconds (5));
-    EXPECT_LT (pace_.concurrency(), 8U);
-    const std::uint32_t slowed = pace_.concurrency();
+    EXPECT_LT (m_pace.concurrency(), 8U);
+    const std::uint32_t slowed = m_pace.concurrency();
     load (1, base::seconds (1));
-    EXPECT_EQ (pace_.concurrency(), slowed + 1);
+    EXPECT_EQ (m_pace.concurrency(), slowed + 1);
     load (20, base::seconds (1));
-    EXPECT_EQ (pace_.concurrency(), 8U);
+    EXPECT_EQ (m_pace.concurrency(), 8U);
 }
 
 TEST_F (StorePaceTest, StalledLoadIsNoticedBeforeItEnds)
@@ -90,20 +90,20 @@
     begin (1);
     pass (base::milliseconds (2500));
     observe();
-    EXPECT_EQ (pace_.concurrency(), 4U);
+    EXPECT_EQ (m_pace.concurrency(), 4U);
     // One load counts once: what began before the decrease tells nothing of what came after.
     pass (base::seconds (60));
     observe();
-    EXPECT_EQ (pace_.concurrency(), 4U);
+    EXPECT_EQ (m_pace.concurrency(), 4U);
 }
 
 TEST_F (StorePaceTest, NeverFallsBelowOneAndRecoversWhenSlowBecomesUsual)
 {
     load (1, base::seconds (1));
     load (6, base::seconds (4));
-    EXPECT_EQ (pace_.concurrency(), 1U);
+    EXPECT_EQ (m_pace.concurrency(), 1U);
     load (30, base::seconds (4));
-    EXPECT_EQ (pace_.concurrency(), 8U);
+    EXPECT_EQ (m_pace.concurrency(), 8U);
 }
 
 TEST_F (StorePaceTest, AbandonedLoadIsNoSample)
@@ -114,7 +114,7 @@
     end (1, ReplicaStage::kUnloading);
     pass (base::seconds (60));
     observe();
-    EXPECT_EQ (pace_.concurrency(), 8U);
+    EXPECT_EQ (m_pace.concurrency(), 8U);
 }
 
 TEST_F (StorePaceTest, LoadsFromTheRunnersDiskDoNotCount)
@@ -123,9 +123,9 @@
     ReplicaView local;
     local.replica.id = 1;
     local.usesStore = false;
-    replicas_.push_back (local);
+    m_replicas.push_back (local);
     observe();
-    EXPECT_EQ (pace_.startsAllowed(), 4U);
+    EXPECT_EQ (m_pace.startsAllowed(), 4U);
 }
 
 }  // namespace
--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -31,38 +31,41 @@
 
 CallerConnection::CallerConnection (std::unique_ptr<QTcpSocket> socket, CallerLimits limits,
                                     const Handlers& handlers)
-    : socket_ (std::move (socket)), limits_ (limits), handlers_ (handlers), parser_ (limits.request)
+    : m_socket (std::move (socket)),
+      m_limits (limits),
+      m_handlers (handlers),
+      m_parser (limits.request)
 {
-    socket_->setReadBufferSize (kReadBufferBytes);
-    socket_->setSocketOption (QAbstractSocket::LowDelayOption, 1);
-    ::setsockopt (static_cast<int> (socket_->socketDescriptor()), IPPROTO_TCP, TCP_USER_TIMEOUT,
+    m_socket->setReadBufferSize (kReadBufferBytes);
+    m_socket->setSocketOption (QAbstractSocket::LowDelayOption, 1);
+    ::setsockopt (static_cast<int> (m_socket->socketDescriptor()), IPPROTO_TCP, TCP_USER_TIMEOUT,
                   &kUnacknowledgedTimeoutMs, sizeof kUnacknowledgedTimeoutMs);
-    timer_.setSingleShot (true);
+    m_timer.setSingleShot (true);
     connectSignals();
 }
 
 CallerConnection::~CallerConnection()
 {
-    socket_->disconnect();
-    socket_->abort();
-    socket_.release()->deleteLater();
+    m_socket->disconnect();
+    m_socket->abort();
+    m_socket.release()->deleteLater();
 }
 
 void CallerConnection::connectSignals()
 {
-    QObject::connect (socket_.get(), &QTcpSocket::readyRead, socket_.get(),
+    QObject::connect (m_socket.get(), &QTcpSocket::readyRead, m_socket.get(),
                       [this]
                       {
                           const auto self = shared_from_this();
                           onReadable();
                       });
-    QObject::connect (socket_.get(), &QTcpSocket::disconnected, socket_.get(),
+    QObject::connect (m_socket.get(), &QTcpSocket::disconnected, m_socket.get(),
                       [this]
                       {
                           const auto self = shared_from_this();
                           onGone();
                       });
-    QObject::connect (&timer_, &QTimer::timeout, socket_.get(),
+    QObject::connect (&m_timer, &QTimer::timeout, m_socket.get(),
                       [this]
                       {
                           const auto self = shared_from_this();
@@ -73,46 +76,46 @@
 void CallerConnection::start()
 {
     armTimer();
-    if (socket_->bytesAvailable() > 0)
+    if (m_socket->bytesAvailable() > 0)
         onReadable();
-    if (socket_->state() != QAbstractSocket::ConnectedState)
+    if (m_socket->state() != QAbstractSocket::ConnectedState)
         onGone();
 }
 
 void CallerConnection::onReadable()
 {
-    if (hasOpenRequest_ || isClosed_)
+    if (m_hasOpenRequest || m_isClosed)
         return;  // The rest waits in the socket.
-    const QByteArray bytes = socket_->readAll();
-    buffer_.append (bytes.constData(), static_cast<std::size_t> (bytes.size()));
+    const QByteArray bytes = m_socket->readAll();
+    m_buffer.append (bytes.constData(), static_cast<std::size_t> (bytes.size()));
     parse();
 }
 
 void CallerConnection::parse()
 {
-    if (isClosed_ || hasOpenRequest_)
+    if (m_isClosed || m_hasOpenRequest)
         return;
-    const bool wasIdle = parser_.state() == RequestParser::State::kIdle;
+    const bool wasIdle = m_parser.state() == RequestParser::State::kIdle;
     std::optional<base::Error> fault;
-    base::handleErrors ([&] { return parser_.parse (buffer_); },
+    base::handleErrors ([&] { return m_parser.parse (m_buffer); },
                         [&] (const base::Error& error) { fault = error; });
     if (fault)
     {
-        closesAfterAnswer_ = true;
-        hasOpenRequest_ = true;
-        handlers_.onInvalid (*this, *fault);
+        m_closesAfterAnswer = true;
+        m_hasOpenRequest = true;
+        m_handlers.onInvalid (*this, *fault);
         return;
     }
-    if (parser_.takeExpectsContinue())
+    if (m_parser.takeExpectsContinue())
     {
-        socket_->write ("HTTP/1.1 100 Continue\r\n\r\n");
-        socket_->flush();
+        m_socket->write ("HTTP/1.1 100 Continue\r\n\r\n");
+        m_socket->flush();
     }
-    if (parser_.state() == RequestParser::State::kDone)
+    if (m_parser.state() == RequestParser::State::kDone)
     {
         handOn();
     }
-    else if (wasIdle && parser_.state() == RequestParser::State::kReading)
+    else if (wasIdle && m_parser.state() == RequestParser::State::kReading)
     {
         armTimer();
     }
@@ -120,34 +123,34 @@
 
 void CallerConnection::handOn()
 {
-    timer_.stop();
-    ParsedRequest request = parser_.take();
-    hasOpenRequest_ = true;
-    hasBegunAnswer_ = false;
-    isHttp10_ = request.isHttp10;
-    answerHasBody_ = request.method != "HEAD";
+    m_timer.stop();
+    ParsedRequest request = m_parser.take();
+    m_hasOpenRequest = true;
+    m_hasBegunAnswer = false;
+    m_isHttp10 = request.isHttp10;
+    m_answerHasBody = request.method != "HEAD";
     if (request.wantsClose)
-        closesAfterAnswer_ = true;
-    handlers_.onRequest (*this, std::move (request));
+        m_closesAfterAnswer = true;
+    m_handlers.onRequest (*this, std::move (request));
 }
 
 void CallerConnection::armTimer()
 {
-    const bool isReading = parser_.state() == RequestParser::State::kReading;
-    const base::Duration limit = isReading ? limits_.headerTimeout : limits_.idleTimeout;
-    timer_.start (std::chrono::duration_cast<base::milliseconds> (limit));
+    const bool isReading = m_parser.state() == RequestParser::State::kReading;
+    const base::Duration limit = isReading ? m_limits.headerTimeout : m_limits.idleTimeout;
+    m_timer.start (std::chrono::duration_cast<base::milliseconds> (limit));
 }
 
 void CallerConnection::onTimeout()
 {
-    if (hasOpenRequest_)
+    if (m_hasOpenRequest)
         return;
-    if (parser_.state() == RequestParser::State::kReading)
+    if (m_parser.state() == RequestParser::State::kReading)
     {
-        closesAfterAnswer_ = true;
-        hasOpenRequest_ = true;
-        handlers_.onInvalid (*this,
-                             { base::ErrorKind::kRequestTimeout, "the request came too slowly" });
+        m_closesAfterAnswer = true;
+        m_hasOpenRequest = true;
+        m_handlers.onInvalid (*this,
+                              { base::ErrorKind::kRequestTimeout, "the request came too slowly" });
         return;
     }
     closeOrderly();
@@ -155,23 +158,23 @@
 
 void CallerConnection::onGone()
 {
-    if (std::exchange (isClosed_, true))
+    if (std::exchange (m_isClosed, true))
         return;
-    timer_.stop();
-    if (hasOpenRequest_)
-        handlers_.onLeft (*this);
-    handlers_.onClosed (*this);
+    m_timer.stop();
+    if (m_hasOpenRequest)
+        m_handlers.onLeft (*this);
+    m_handlers.onClosed (*this);
 }
 
 void CallerConnection::beginAnswer (int status, const http::Headers& headers, AnswerFraming framing)
 {
-    if (isClosed_)
+    if (m_isClosed)
         return;
-    hasBegunAnswer_ = true;
+    m_hasBegunAnswer = true;
     const bool hasNoBody = status == kNoContent || status == kNotModified;
-    isChunked_ = ! framing.hasLength && ! isHttp10_ && ! hasNoBody;
-    if (! framing.hasLength && isHttp10_ && ! hasNoBody)
-        closesAfterAnswer_ = true;
+    m_isChunked = ! framing.hasLength && ! m_isHttp10 && ! hasNoBody;
+    if (! framing.hasLength && m_isHttp10 && ! hasNoBody)
+        m_closesAfterAnswer = true;
     std::string text = "HTTP/1.1 " + std::to_string (status) + " ";
     text.append (http::reasonPhrase (status)).append ("\r\n");
     for (const http::Header& field : headers.fields())
@@ -182,48 +185,48 @@
     {
         text.append ("Content-Length: ").append (std::to_string (framing.length)).append ("\r\n");
     }
-    if (isChunked_)
+    if (m_isChunked)
         text.append ("Transfer-Encoding: chunked\r\n");
-    if (closesAfterAnswer_)
+    if (m_closesAfterAnswer)
         text.append ("Connection: close\r\n");
     text.append ("\r\n");
-    socket_->write (text.data(), static_cast<qint64> (text.size()));
+    m_socket->write (text.data(), static_cast<qint64> (text.size()));
 }
 
 void CallerConnection::writeBody (std::string_view data)
 {
-    if (isClosed_ || data.empty() || ! answerHasBody_)
+    if (m_isClosed || data.empty() || ! m_answerHasBody)
         return;
-    if (isChunked_)
+    if (m_isChunked)
     {
         std::string chunk = chunkHeader (data.size());
         chunk.append (data).append ("\r\n");
-        socket_->write (chunk.data(), static_cast<qint64> (chunk.size()));
+        m_socket->write (chunk.data(), static_cast<qint64> (chunk.size()));
     }
     else
     {
-        socket_->write (data.data(), static_cast<qint64> (data.size()));
+        m_socket->write (data.data(), static_cast<qint64> (data.size()));
     }
-    socket_->flush();
+    m_socket->flush();
 }
 
 void CallerConnection::endAnswer()
 {
-    if (isClosed_)
+    if (m_isClosed)
         return;
-    if (isChunked_ && answerHasBody_)
-        socket_->write ("0\r\n\r\n");
-    socket_->flush();
-    hasOpenRequest_ = false;
-    hasBegunAnswer_ = false;
-    if (closesAfterAnswer_)
+    if (m_isChunked && m_answerHasBody)
+        m_socket->write ("0\r\n\r\n");
+    m_socket->flush();
+    m_hasOpenRequest = false;
+    m_hasBegunAnswer = false;
+    if (m_closesAfterAnswer)
     {
         closeOrderly();
         return;
     }
     armTimer();
     // The next request may be here already. Not from within the caller's own call.
-    QTimer::singleShot (0, socket_.get(),
+    QTimer::singleShot (0, m_socket.get(),
                         [weak = weak_from_this()]
                         {
                             const auto self = weak.lock();
@@ -234,9 +237,9 @@
 
 void CallerConnection::readOn()
 {
-    if (! buffer_.empty())
+    if (! m_buffer.empty())
         parse();
-    if (socket_->bytesAvailable() > 0)
+    if (m_socket->bytesAvailable() > 0)
         onReadable();
 }
 
@@ -249,58 +252,58 @@
 
 void CallerConnection::abort()
 {
-    if (std::exchange (isClosed_, true))
+    if (std::exchange (m_isClosed, true))
         return;
-    timer_.stop();
-    hasOpenRequest_ = false;
-    socket_->abort();
-    handlers_.onClosed (*this);
+    m_timer.stop();
+    m_hasOpenRequest = false;
+    m_socket->abort();
+    m_handlers.onClosed (*this);
 }
 
 void CallerConnection::closeAfterAnswer()
 {
-    closesAfterAnswer_ = true;
+    m_closesAfterAnswer = true;
     closeIfIdle();
 }
 
 void CallerConnection::closeIfIdle()
 {
-    const bool isIdle = ! hasOpenRequest_ && buffer_.empty() && socket_->bytesAvailable() == 0
-                        && parser_.state() == RequestParser::State::kIdle;
+    const bool isIdle = ! m_hasOpenRequest && m_buffer.empty() && m_socket->bytesAvailable() == 0
+                        && m_parser.state() == RequestParser::State::kIdle;
     if (isIdle)
         closeOrderly();
 }
 
 void CallerConnection::closeOrderly()
 {
-    if (isClosed_)
+    if (m_isClosed)
         return;
     // What was written still goes out; the connection ends when the caller has taken it.
-    socket_->disconnectFromHost();
-    if (socket_->state() == QAbstractSocket::UnconnectedState)
+    m_socket->disconnectFromHost();
+    if (m_socket->state() == QAbstractSocket::UnconnectedState)
     {
         onGone();
         return;
     }
-    timer_.stop();
-    QTimer::singleShot (kCloseTimeout, socket_.get(),
+    m_timer.stop();
+    QTimer::singleShot (kCloseTimeout, m_socket.get(),
                         [weak = weak_from_this()]
                         {
                             const auto self = weak.lock();
-                            if (self && ! self->isClosed_)
+                            if (self && ! self->m_isClosed)
                                 self->abort();
                         });
 }
 
 std::size_t CallerConnection::bytesToWrite() const
 {
-    return static_cast<std::size_t> (socket_->bytesToWrite());
+    return static_cast<std::size_t> (m_socket->bytesToWrite());
 }
 
 void CallerConnection::setLimits (const CallerLimits& limits)
 {
-    limits_ = limits;
-    parser_.setLimits (limits.request);
+    m_limits = limits;
+    m_parser.setLimits (limits.request);
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -69,8 +69,8 @@
     void closeAfterAnswer();
     /// Closes at once if no request is open and none is being read.
     void closeIfIdle();
-    [[nodiscard]] bool isAnswering() const { return hasOpenRequest_; }
-    [[nodiscard]] bool hasBegunAnswer() const { return hasBegunAnswer_; }
+    [[nodiscard]] bool isAnswering() const { return m_hasOpenRequest; }
+    [[nodiscard]] bool hasBegunAnswer() const { return m_hasBegunAnswer; }
     [[nodiscard]] std::size_t bytesToWrite() const;
     void setLimits (const CallerLimits& limits);
 
@@ -85,19 +85,19 @@
     void onTimeout();
     void closeOrderly();
 
-    std::unique_ptr<QTcpSocket> socket_;
-    CallerLimits limits_;
-    const Handlers& handlers_;
-    RequestParser parser_;
-    std::string buffer_;
-    bool hasOpenRequest_ = false;
-    bool hasBegunAnswer_ = false;
-    bool isChunked_ = false;
-    bool answerHasBody_ = true;
-    bool closesAfterAnswer_ = false;
-    bool isClosed_ = false;
-    bool isHttp10_ = false;
-    QTimer timer_;
+    std::unique_ptr<QTcpSocket> m_socket;
+    CallerLimits m_limits;
+    const Handlers& m_handlers;
+    RequestParser m_parser;
+    std::string m_buffer;
+    bool m_hasOpenRequest = false;
+    bool m_hasBegunAnswer = false;
+    bool m_isChunked = false;
+    bool m_answerHasBody = true;
+    bool m_closesAfterAnswer = false;
+    bool m_isClosed = false;
+    bool m_isHttp10 = false;
+    QTimer m_timer;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/EngineDemands.cpp
+++ b/src/proxy/EngineDemands.cpp
@@ -17,39 +17,39 @@
 
 void EngineDemands::onArrival (const EngineTarget& target)
 {
-    Counts& counts = counts_[target];
+    Counts& counts = m_counts[target];
     ++counts.arrivals;
     counts.isChanged = true;
 }
 
 void EngineDemands::onWaiting (const EngineTarget& target)
 {
-    Counts& counts = counts_[target];
+    Counts& counts = m_counts[target];
     ++counts.waiting;
     counts.isChanged = true;
-    isUrgent_ = true;
+    m_isUrgent = true;
 }
 
 void EngineDemands::onWaitEnd (const EngineTarget& target)
 {
-    Counts& counts = counts_[target];
+    Counts& counts = m_counts[target];
     decrease (counts.waiting);
     counts.isChanged = true;
 }
 
-void EngineDemands::onRunning (const EngineTarget& target) { ++counts_[target].running; }
+void EngineDemands::onRunning (const EngineTarget& target) { ++m_counts[target].running; }
 
-void EngineDemands::onRunEnd (const EngineTarget& target) { decrease (counts_[target].running); }
+void EngineDemands::onRunEnd (const EngineTarget& target) { decrease (m_counts[target].running); }
 
 std::vector<cell::EngineDemand> EngineDemands::takeDue (base::TimePoint now,
                                                         base::Duration interval)
 {
     std::vector<cell::EngineDemand> due;
-    if (! isUrgent_ && now - reportedAt_ < interval)
+    if (! m_isUrgent && now - m_reportedAt < interval)
         return due;
-    isUrgent_ = false;
-    reportedAt_ = now;
-    for (auto item = counts_.begin(); item != counts_.end();)
+    m_isUrgent = false;
+    m_reportedAt = now;
+    for (auto item = m_counts.begin(); item != m_counts.end();)
     {
         auto& [target, counts] = *item;
         const bool isLive = counts.waiting > 0 || counts.running > 0;
@@ -62,7 +62,7 @@
         // The report that says that nothing is left is the last one.
         const bool isGone = ! isLive && ! counts.isChanged;
         counts.isChanged = isLive;
-        item = isGone ? counts_.erase (item) : std::next (item);
+        item = isGone ? m_counts.erase (item) : std::next (item);
     }
     return due;
 }
--- a/src/proxy/EngineDemands.h
+++ b/src/proxy/EngineDemands.h
@@ -48,9 +48,9 @@
         bool isChanged = false;
     };
 
-    std::map<EngineTarget, Counts> counts_;
-    bool isUrgent_ = false;
-    base::TimePoint reportedAt_{};
+    std::map<EngineTarget, Counts> m_counts;
+    bool m_isUrgent = false;
+    base::TimePoint m_reportedAt{};
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/EventSplitter.cpp
+++ b/src/proxy/EventSplitter.cpp
@@ -33,15 +33,15 @@
 
 std::string_view EventSplitter::feed (std::string_view data)
 {
-    buffer_.erase (0, taken_);
-    buffer_.append (data);
-    taken_ = endOfLastEvent (buffer_);
-    const std::string_view events = std::string_view (buffer_).substr (0, taken_);
+    m_buffer.erase (0, m_taken);
+    m_buffer.append (data);
+    m_taken = endOfLastEvent (m_buffer);
+    const std::string_view events = std::string_view (m_buffer).substr (0, m_taken);
     noteIds (events);
     return events;
 }
 
-void EventSplitter::dropRest() { buffer_.resize (taken_); }
+void EventSplitter::dropRest() { m_buffer.resize (m_taken); }
 
 void EventSplitter::noteIds (std::string_view events)
 {
@@ -50,7 +50,7 @@
         const std::size_t end = events.find ('\n');
         const std::string_view line = events.substr (0, end);
         if (line.starts_with (kIdField))
-            lastId_ = std::string (trimmed (line.substr (kIdField.size())));
+            m_lastId = std::string (trimmed (line.substr (kIdField.size())));
         events.remove_prefix (end == std::string_view::npos ? events.size() : end + 1);
     }
 }
--- a/src/proxy/EventSplitter.h
+++ b/src/proxy/EventSplitter.h
@@ -16,11 +16,11 @@
     /// came.
     [[nodiscard]] std::string_view feed (std::string_view data);
     /// Id of the last whole event; none while no event with an id has passed.
-    [[nodiscard]] const std::optional<std::string>& lastId() const { return lastId_; }
+    [[nodiscard]] const std::optional<std::string>& lastId() const { return m_lastId; }
     /// Bytes of an event that is not whole.
     [[nodiscard]] std::string_view rest() const
     {
-        return std::string_view (buffer_).substr (taken_);
+        return std::string_view (m_buffer).substr (m_taken);
     }
     /// Drops the bytes of an event that is not whole: its stream broke off.
     void dropRest();
@@ -28,9 +28,9 @@
 private:
     void noteIds (std::string_view events);
 
-    std::string buffer_;
-    std::size_t taken_ = 0;  ///< Bytes at the front of the buffer that were returned.
-    std::optional<std::string> lastId_;
+    std::string m_buffer;
+    std::size_t m_taken = 0;  ///< Bytes at the front of the buffer that were returned.
+    std::optional<std::string> m_lastId;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -34,86 +34,86 @@
 
 Exchange::Exchange (ProxyContext& context, CallerConnection& caller, ParsedRequest request,
                     std::function<void (Exchange&)> onEnd)
-    : context_ (context),
-      caller_ (caller),
-      request_ (std::move (request)),
-      onEnd_ (std::move (onEnd)),
-      routes_ (context.routes),
-      arrivedAt_ (context.clock.now())
+    : m_context (context),
+      m_caller (caller),
+      m_request (std::move (request)),
+      m_onEnd (std::move (onEnd)),
+      m_routes (context.routes),
+      m_arrivedAt (context.clock.now())
 {
-    timer_.setSingleShot (true);
-    timer_.setTimerType (Qt::PreciseTimer);
-    QObject::connect (&timer_, &QTimer::timeout, &timer_, [this] { onTimer(); });
+    m_timer.setSingleShot (true);
+    m_timer.setTimerType (Qt::PreciseTimer);
+    QObject::connect (&m_timer, &QTimer::timeout, &m_timer, [this] { onTimer(); });
 }
 
 Exchange::~Exchange()
 {
-    if (connection_)
-        connection_->detach();
+    if (m_connection)
+        m_connection->detach();
 }
 
 void Exchange::begin()
 {
-    ++context_.counters.requests;
-    stated_ = statedDeadline (request_, context_.names).value_or (kDefaultDeadline);
-    deadline_ = arrivedAt_ + stated_;
+    ++m_context.counters.requests;
+    m_stated = statedDeadline (m_request, m_context.names).value_or (kDefaultDeadline);
+    m_deadline = m_arrivedAt + m_stated;
     if (findRoute())
         tryNext();
 }
 
 bool Exchange::findRoute()
 {
-    routes_ = context_.routes;
-    if (! routes_)
+    m_routes = m_context.routes;
+    if (! m_routes)
     {
         // A router that has just started hears of the configuration in a moment.
-        isWaitingForRoutes_ = true;
-        deadline_ = arrivedAt_ + std::min<base::Duration> (stated_ / 2, kLongestWaitForRoutes);
+        m_isWaitingForRoutes = true;
+        m_deadline = m_arrivedAt + std::min<base::Duration> (m_stated / 2, kLongestWaitForRoutes);
         armTimer();
         return false;
     }
-    isWaitingForRoutes_ = false;
-    route_ = routes_->find (request_.headers.value ("Host"), request_.path());
-    if (route_ == nullptr)
+    m_isWaitingForRoutes = false;
+    m_route = m_routes->find (m_request.headers.value ("Host"), m_request.path());
+    if (m_route == nullptr)
     {
         sendError ({ ErrorKind::kNotFound, "no route leads there" }, std::nullopt);
         return false;
     }
-    deadline_ = arrivedAt_ + std::min (stated_, route_->timeout);
-    query_.service = RouteTable::chooseService (*route_, context_.random.uniformReal());
+    m_deadline = m_arrivedAt + std::min (m_stated, m_route->timeout);
+    m_query.service = RouteTable::chooseService (*m_route, m_context.random.uniformReal());
     readModel();
-    context_.retryBudget.onFirstAttempt();
+    m_context.retryBudget.onFirstAttempt();
     return true;
 }
 
 void Exchange::readModel()
 {
-    const config::Service* service = routes_->catalogue().findService (query_.service);
+    const config::Service* service = m_routes->catalogue().findService (m_query.service);
     if (service == nullptr || ! service->engine)
         return;
-    const std::string name = request_.headers.value (context_.names.model);
+    const std::string name = m_request.headers.value (m_context.names.model);
     const std::size_t slash = name.find ('/');
-    query_.model = name.substr (0, slash);
+    m_query.model = name.substr (0, slash);
     if (slash != std::string::npos)
-        query_.adapter = name.substr (slash + 1);
-    const std::string parts = request_.headers.value (context_.names.promptParts);
+        m_query.adapter = name.substr (slash + 1);
+    const std::string parts = m_request.headers.value (m_context.names.promptParts);
     const std::string shared = sharedParts (parts);
-    query_.affinity = name + "," + shared;
-    query_.sharedTokens = tokensOf (shared);
-    query_.promptTokens = tokensOf (parts);
-    target_ = { query_.service, query_.model, query_.adapter };
-    if (! query_.model.empty())
-        context_.demands.onArrival (target_);
+    m_query.affinity = name + "," + shared;
+    m_query.sharedTokens = tokensOf (shared);
+    m_query.promptTokens = tokensOf (parts);
+    m_target = { m_query.service, m_query.model, m_query.adapter };
+    if (! m_query.model.empty())
+        m_context.demands.onArrival (m_target);
 }
 
 void Exchange::tryNext()
 {
-    if (now() >= deadline_)
+    if (now() >= m_deadline)
     {
         onTimer();
         return;
     }
-    const InstanceChoice choice = context_.directory.choose (query_, now());
+    const InstanceChoice choice = m_context.directory.choose (m_query, now());
     if (choice.reason == NoChoice::kNone)
     {
         endWait();
@@ -127,48 +127,48 @@
 
 void Exchange::beginWait (NoChoice reason)
 {
-    if (isWaiting_)
+    if (m_isWaiting)
         return;
-    isWaiting_ = true;
-    waitBegan_ = now();
+    m_isWaiting = true;
+    m_waitBegan = now();
     // A runner that comes later than this would answer too late; the caller had better ask again.
-    const base::Duration limit = std::min<base::Duration> (stated_ * kWaitShare / kWhole,
-                                                           route_->targetLatency + kLongestLoad);
-    waitDeadline_ = std::min (deadline_, std::max (arrivedAt_ + limit, now()));
+    const base::Duration limit = std::min<base::Duration> (m_stated * kWaitShare / kWhole,
+                                                           m_route->targetLatency + kLongestLoad);
+    m_waitDeadline = std::min (m_deadline, std::max (m_arrivedAt + limit, now()));
     log::write (log::Event::kRequestWaits,
-                { { "request", request_.headers.value (context_.names.requestId) },
-                  { "service", query_.service },
-                  { "model", query_.model },
-                  { "adapter", query_.adapter },
+                { { "request", m_request.headers.value (m_context.names.requestId) },
+                  { "service", m_query.service },
+                  { "model", m_query.model },
+                  { "adapter", m_query.adapter },
                   { "cause", nameOf (reason) },
-                  { "table", context_.directory.version() } });
-    if (! query_.model.empty())
+                  { "table", m_context.directory.version() } });
+    if (! m_query.model.empty())
     {
-        context_.demands.onWaiting (target_);
-        context_.onUrgentDemand();
+        m_context.demands.onWaiting (m_target);
+        m_context.onUrgentDemand();
     }
     armTimer();
 }
 
 void Exchange::endWait()
 {
-    if (! std::exchange (isWaiting_, false))
+    if (! std::exchange (m_isWaiting, false))
         return;
-    waited_ += now() - waitBegan_;
-    if (! query_.model.empty())
-        context_.demands.onWaitEnd (target_);
+    m_waited += now() - m_waitBegan;
+    if (! m_query.model.empty())
+        m_context.demands.onWaitEnd (m_target);
 }
 
 void Exchange::onDirectoryChanged()
 {
-    if (isEnded_)
+    if (m_isEnded)
         return;
-    if (isWaitingForRoutes_ && context_.routes)
+    if (m_isWaitingForRoutes && m_context.routes)
     {
         if (findRoute())
             tryNext();
     }
-    else if (isWaiting_)
+    else if (m_isWaiting)
     {
         tryNext();
     }
@@ -179,36 +179,36 @@
     const auto address =
         base::handleErrors ([&] { return base::SocketAddress::parse (choice.address); },
                             [] (const base::Error&) { return base::SocketAddress(); });
-    instance_ = choice.id;
-    use_ = AnswerUse::kNone;
-    collected_.clear();
-    attemptDeadline_ = deadline_;
+    m_instance = choice.id;
+    m_use = AnswerUse::kNone;
+    m_collected.clear();
+    m_attemptDeadline = m_deadline;
     AttemptFields fields;
     fields.instance = choice.id;
     fields.left =
-        std::max<base::Duration> (deadline_ - now() - kAnswerTravel, base::milliseconds (1));
-    fields.priority = route_->priority;
-    if (events_)
-        fields.lastEventId = events_->lastId();
+        std::max<base::Duration> (m_deadline - now() - kAnswerTravel, base::milliseconds (1));
+    fields.priority = m_route->priority;
+    if (m_events)
+        fields.lastEventId = m_events->lastId();
     http::BackEndConnection::Call call;
-    call.bytes = requestBytes (request_, context_.names, fields);
-    call.answerHasBody = request_.method != "HEAD";
-    call.requestIdHeader = context_.names.requestId;
-    call.requestId = request_.headers.value (context_.names.requestId);
-    ++context_.counters.attempts;
-    context_.directory.onAttemptBegin (instance_, query_.promptTokens, now());
-    isPromptRead_ = false;
-    if (! query_.model.empty())
-        context_.demands.onRunning (target_);
-    connection_ = context_.pool.acquire (address, now());
+    call.bytes = requestBytes (m_request, m_context.names, fields);
+    call.answerHasBody = m_request.method != "HEAD";
+    call.requestIdHeader = m_context.names.requestId;
+    call.requestId = m_request.headers.value (m_context.names.requestId);
+    ++m_context.counters.attempts;
+    m_context.directory.onAttemptBegin (m_instance, m_query.promptTokens, now());
+    m_isPromptRead = false;
+    if (! m_query.model.empty())
+        m_context.demands.onRunning (m_target);
+    m_connection = m_context.pool.acquire (address, now());
     armTimer();
-    connection_->send (std::move (call), this);
+    m_connection->send (std::move (call), this);
 }
 
 void Exchange::onSent()
 {
-    ++sent_;
-    isAttemptSent_ = true;
+    ++m_sent;
+    m_isAttemptSent = true;
     noteProgress();
     armTimer();
 }
@@ -216,42 +216,43 @@
 void Exchange::noteProgress()
 {
     const std::optional<base::Duration> silence = longestSilence();
-    attemptDeadline_ = silence ? std::min (deadline_, now() + *silence) : deadline_;
+    m_attemptDeadline = silence ? std::min (m_deadline, now() + *silence) : m_deadline;
 }
 
 std::optional<base::Duration> Exchange::longestSilence() const
 {
-    const bool mayTryElsewhere = route_->isRepeatable() && sent_ < route_->maximumAttempts;
+    const bool mayTryElsewhere = m_route->isRepeatable() && m_sent < m_route->maximumAttempts;
     if (! mayTryElsewhere)
         return std::nullopt;
-    if (route_->kind == config::RouteKind::kRepeatable)
+    if (m_route->kind == config::RouteKind::kRepeatable)
     {
-        return std::max<base::Duration> (route_->targetLatency * kSilenceInTargets,
+        return std::max<base::Duration> (m_route->targetLatency * kSilenceInTargets,
                                          kShortestSilence);
     }
-    if (isAnswerBegun_)
+    if (m_isAnswerBegun)
     {
-        return std::max<base::Duration> (route_->gapTarget * kSilenceInTargets,
+        return std::max<base::Duration> (m_route->gapTarget * kSilenceInTargets,
                                          kShortestStreamSilence);
     }
-    return std::max<base::Duration> (route_->targetLatency / 2, kShortestFirstEvent);
+    return std::max<base::Duration> (m_route->targetLatency / 2, kShortestFirstEvent);
 }
 
 void Exchange::armTimer()
 {
-    const base::TimePoint due = isWaiting_ ? waitDeadline_ : std::min (deadline_, attemptDeadline_);
+    const base::TimePoint due =
+        m_isWaiting ? m_waitDeadline : std::min (m_deadline, m_attemptDeadline);
     const auto wait = std::max<base::Duration> (due - now(), base::Duration::zero());
-    timer_.start (std::chrono::ceil<base::milliseconds> (wait));
+    m_timer.start (std::chrono::ceil<base::milliseconds> (wait));
 }
 
 void Exchange::onWaitOver()
 {
     endWait();
-    if (isAnswerBegun_)
+    if (m_isAnswerBegun)
     {
         cut();
     }
-    else if (mayHaveRun_)
+    else if (m_mayHaveRun)
     {
         fail (ErrorKind::kUpstreamBroken, "no other runner could take the request in time");
     }
@@ -264,16 +265,16 @@
 
 void Exchange::onTimer()
 {
-    if (isEnded_)
+    if (m_isEnded)
         return;
-    if (isWaiting_ && now() >= waitDeadline_)
+    if (m_isWaiting && now() >= m_waitDeadline)
     {
         onWaitOver();
         return;
     }
-    if (now() < deadline_)
+    if (now() < m_deadline)
     {
-        const bool isSilent = connection_ && isAttemptSent_ && now() >= attemptDeadline_;
+        const bool isSilent = m_connection && m_isAttemptSent && now() >= m_attemptDeadline;
         if (isSilent)
         {
             endAttempt (AttemptEnd::kFailed, false);
@@ -283,18 +284,18 @@
         armTimer();
         return;
     }
-    if (isWaitingForRoutes_)
+    if (m_isWaitingForRoutes)
     {
         refuse (ErrorKind::kLeaseExpired, "no configuration is known yet", kRetrySoon);
         return;
     }
-    if (connection_)
+    if (m_connection)
         endAttempt (AttemptEnd::kAbandoned, false);
-    if (isAnswerBegun_)
+    if (m_isAnswerBegun)
     {
         cut();
     }
-    else if (mayHaveRun_)
+    else if (m_mayHaveRun)
     {
         fail (ErrorKind::kUpstreamTimeout, "the time of the request is over");
     }
@@ -307,19 +308,19 @@
 
 void Exchange::endAttempt (AttemptEnd end, bool mayReuse)
 {
-    std::shared_ptr<http::BackEndConnection> connection = std::move (connection_);
-    connection_.reset();
+    std::shared_ptr<http::BackEndConnection> connection = std::move (m_connection);
+    m_connection.reset();
     if (! connection)
         return;
     connection->detach();
-    if (std::exchange (isAttemptSent_, false))
-        mayHaveRun_ = true;
+    if (std::exchange (m_isAttemptSent, false))
+        m_mayHaveRun = true;
     notePromptRead();
-    context_.directory.onAttemptEnd (instance_, end, now());
-    if (! query_.model.empty())
-        context_.demands.onRunEnd (target_);
+    m_context.directory.onAttemptEnd (m_instance, end, now());
+    if (! m_query.model.empty())
+        m_context.demands.onRunEnd (m_target);
     if (mayReuse)
-        context_.pool.release (std::move (connection), now());
+        m_context.pool.release (std::move (connection), now());
 }
 
 void Exchange::onFailed (http::BackEndFailure failure)
@@ -327,16 +328,16 @@
     if (failure == http::BackEndFailure::kNotConnected)
     {
         endAttempt (AttemptEnd::kUnreachable, false);
-        query_.avoidedInstance = instance_;
-        if (++unreachable_ < kMostUnreachable)
+        m_query.avoidedInstance = m_instance;
+        if (++m_unreachable < kMostUnreachable)
         {
             tryNext();
         }
-        else if (isAnswerBegun_)
+        else if (m_isAnswerBegun)
         {
             cut();
         }
-        else if (mayHaveRun_)
+        else if (m_mayHaveRun)
         {
             fail (ErrorKind::kUpstreamBroken, "no runner could be reached again");
         }
@@ -352,28 +353,28 @@
 
 bool Exchange::mayRunAgain()
 {
-    if (! route_->isRepeatable() || sent_ >= route_->maximumAttempts)
+    if (! m_route->isRepeatable() || m_sent >= m_route->maximumAttempts)
         return false;
-    if (now() >= deadline_)
+    if (now() >= m_deadline)
         return false;
-    return context_.retryBudget.allowsRetry();
+    return m_context.retryBudget.allowsRetry();
 }
 
 void Exchange::afterRefusal()
 {
-    query_.avoidedInstance = instance_;
-    const bool hasAttempts = sent_ < route_->maximumAttempts;
-    if (hasAttempts && context_.retryBudget.tryRetry())
+    m_query.avoidedInstance = m_instance;
+    const bool hasAttempts = m_sent < m_route->maximumAttempts;
+    if (hasAttempts && m_context.retryBudget.tryRetry())
     {
-        ++context_.counters.retries;
+        ++m_context.counters.retries;
         logMove (log::Event::kRequestResent);
         tryNext();
     }
-    else if (isAnswerBegun_)
+    else if (m_isAnswerBegun)
     {
         cut();
     }
-    else if (mayHaveRun_)
+    else if (m_mayHaveRun)
     {
         fail (ErrorKind::kUpstreamBroken, "an earlier attempt failed and the last one was refused");
     }
@@ -385,17 +386,17 @@
 
 void Exchange::afterFailure()
 {
-    query_.avoidedInstance = instance_;
-    if (events_)
-        events_->dropRest();
-    const bool mayGoOn = mayRunAgain() && context_.retryBudget.tryRetry();
+    m_query.avoidedInstance = m_instance;
+    if (m_events)
+        m_events->dropRest();
+    const bool mayGoOn = mayRunAgain() && m_context.retryBudget.tryRetry();
     if (mayGoOn)
     {
-        ++(isAnswerBegun_ ? context_.counters.resumed : context_.counters.retries);
-        logMove (isAnswerBegun_ ? log::Event::kRequestResumed : log::Event::kRequestResent);
+        ++(m_isAnswerBegun ? m_context.counters.resumed : m_context.counters.retries);
+        logMove (m_isAnswerBegun ? log::Event::kRequestResumed : log::Event::kRequestResent);
         tryNext();
     }
-    else if (isAnswerBegun_)
+    else if (m_isAnswerBegun)
     {
         cut();
     }
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -36,7 +36,7 @@
     void onDirectoryChanged();
     /// The caller went away: the runner's work is cancelled.
     void onCallerLeft();
-    [[nodiscard]] bool isWaiting() const { return isWaiting_ || isWaitingForRoutes_; }
+    [[nodiscard]] bool isWaiting() const { return m_isWaiting || m_isWaitingForRoutes; }
 
     void onSent() override;
     void onHead (http::AnswerHead head) override;
@@ -56,7 +56,7 @@
         kRetry,    ///< A failure of the runner; the request is sent again.
     };
 
-    [[nodiscard]] base::TimePoint now() const { return context_.clock.now(); }
+    [[nodiscard]] base::TimePoint now() const { return m_context.clock.now(); }
     /// Finds the route; false when the request ended or waits for a configuration.
     bool findRoute();
     void readModel();
@@ -89,38 +89,38 @@
     void cut();
     void end();
 
-    ProxyContext& context_;
-    CallerConnection& caller_;
-    ParsedRequest request_;
-    std::function<void (Exchange&)> onEnd_;
-    std::shared_ptr<const RouteTable> routes_;
-    const config::Route* route_ = nullptr;
-    InstanceQuery query_;
-    EngineTarget target_;
-    base::TimePoint arrivedAt_{};
-    base::Duration stated_{};  ///< What the caller waits.
-    base::TimePoint deadline_{};
-    base::TimePoint waitBegan_{};
-    base::TimePoint waitDeadline_{};
-    base::Duration waited_{};       ///< For runners, before the last attempt.
-    base::TimePoint answeredAt_{};  ///< When the head of the answer came.
-    base::TimePoint attemptDeadline_{};
-    std::uint32_t sent_ = 0;         ///< Attempts whose bytes left.
-    std::uint32_t unreachable_ = 0;  ///< Attempts that found no connection.
-    bool isAttemptSent_ = false;     ///< The present attempt's bytes left.
-    bool isPromptRead_ = true;       ///< The present attempt's answer has begun.
-    bool mayHaveRun_ = false;        ///< An attempt ended whose runner did not deny having run it.
-    bool isWaiting_ = false;         ///< For a runner.
-    bool isWaitingForRoutes_ = false;  ///< No configuration is known yet.
-    bool isAnswerBegun_ = false;
-    bool isEnded_ = false;
-    std::string instance_;
-    std::shared_ptr<http::BackEndConnection> connection_;
-    AnswerUse use_ = AnswerUse::kNone;
-    http::AnswerHead head_;
-    std::string collected_;
-    std::optional<EventSplitter> events_;
-    QTimer timer_;
+    ProxyContext& m_context;
+    CallerConnection& m_caller;
+    ParsedRequest m_request;
+    std::function<void (Exchange&)> m_onEnd;
+    std::shared_ptr<const RouteTable> m_routes;
+    const config::Route* m_route = nullptr;
+    InstanceQuery m_query;
+    EngineTarget m_target;
+    base::TimePoint m_arrivedAt{};
+    base::Duration m_stated{};  ///< What the caller waits.
+    base::TimePoint m_deadline{};
+    base::TimePoint m_waitBegan{};
+    base::TimePoint m_waitDeadline{};
+    base::Duration m_waited{};       ///< For runners, before the last attempt.
+    base::TimePoint m_answeredAt{};  ///< When the head of the answer came.
+    base::TimePoint m_attemptDeadline{};
+    std::uint32_t m_sent = 0;         ///< Attempts whose bytes left.
+    std::uint32_t m_unreachable = 0;  ///< Attempts that found no connection.
+    bool m_isAttemptSent = false;     ///< The present attempt's bytes left.
+    bool m_isPromptRead = true;       ///< The present attempt's answer has begun.
+    bool m_mayHaveRun = false;        ///< An attempt ended whose runner did not deny having run it.
+    bool m_isWaiting = false;         ///< For a runner.
+    bool m_isWaitingForRoutes = false;  ///< No configuration is known yet.
+    bool m_isAnswerBegun = false;
+    bool m_isEnded = false;
+    std::string m_instance;
+    std::shared_ptr<http::BackEndConnection> m_connection;
+    AnswerUse m_use = AnswerUse::kNone;
+    http::AnswerHead m_head;
+    std::string m_collected;
+    std::optional<EventSplitter> m_events;
+    QTimer m_timer;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -21,16 +21,16 @@
 
 void Exchange::notePromptRead()
 {
-    if (std::exchange (isPromptRead_, true))
+    if (std::exchange (m_isPromptRead, true))
         return;
-    context_.directory.onAnswerBegun (instance_, query_.promptTokens);
+    m_context.directory.onAnswerBegun (m_instance, m_query.promptTokens);
 }
 
 void Exchange::noteLoad (const http::AnswerHead& head)
 {
-    if (context_.names.load.empty())
+    if (m_context.names.load.empty())
         return;
-    const std::string text = head.headers.value (context_.names.load);
+    const std::string text = head.headers.value (m_context.names.load);
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     const char* const end = text.data() + text.size();
@@ -40,78 +40,78 @@
     const auto second = std::from_chars (first.ptr + 1, end, waiting);
     if (second.ec != std::errc())
         return;
-    context_.directory.onLoad (instance_, running, waiting, now());
+    m_context.directory.onLoad (m_instance, running, waiting, now());
 }
 
 void Exchange::onHead (http::AnswerHead head)
 {
     noteLoad (head);
     notePromptRead();
-    context_.directory.onBytes (instance_, now());
-    if (! isAnswerBegun_)
-        answeredAt_ = now();
-    head_ = std::move (head);
+    m_context.directory.onBytes (m_instance, now());
+    if (! m_isAnswerBegun)
+        m_answeredAt = now();
+    m_head = std::move (head);
     const bool isRefusal =
-        head_.status == kMisdirected || head_.headers.contains (context_.names.notExecuted);
+        m_head.status == kMisdirected || m_head.headers.contains (m_context.names.notExecuted);
     if (isRefusal)
     {
-        use_ = AnswerUse::kRefusal;
+        m_use = AnswerUse::kRefusal;
         return;
     }
-    if (events_)
+    if (m_events)
     {  // A resumed stream keeps the head of its first runner.
-        const bool isStream = head_.status < kFirstErrorStatus;
-        use_ = isStream ? AnswerUse::kEvents : AnswerUse::kRetry;
+        const bool isStream = m_head.status < kFirstErrorStatus;
+        m_use = isStream ? AnswerUse::kEvents : AnswerUse::kRetry;
         return;
     }
-    if (head_.status >= kFirstServerError && mayRunAgain())
+    if (m_head.status >= kFirstServerError && mayRunAgain())
     {
-        use_ = AnswerUse::kRetry;
+        m_use = AnswerUse::kRetry;
         return;
     }
     const bool isEventStream =
-        head_.headers.value ("Content-Type").starts_with ("text/event-stream")
-        && route_->kind == config::RouteKind::kStream;
+        m_head.headers.value ("Content-Type").starts_with ("text/event-stream")
+        && m_route->kind == config::RouteKind::kStream;
     if (isEventStream)
     {
-        use_ = AnswerUse::kEvents;
-        events_.emplace();
+        m_use = AnswerUse::kEvents;
+        m_events.emplace();
         passHead();
         return;
     }
-    const bool isSmall = ! head_.hasLength || head_.length <= kCollectedBytes;
-    use_ = isSmall ? AnswerUse::kCollect : AnswerUse::kPass;
+    const bool isSmall = ! m_head.hasLength || m_head.length <= kCollectedBytes;
+    m_use = isSmall ? AnswerUse::kCollect : AnswerUse::kPass;
     if (! isSmall)
         passHead();
 }
 
 void Exchange::passHead()
 {
-    isAnswerBegun_ = true;
-    const AnswerFraming framing{ head_.hasLength, head_.length };
-    caller_.beginAnswer (head_.status, passedAnswerHeaders (head_.headers), framing);
+    m_isAnswerBegun = true;
+    const AnswerFraming framing{ m_head.hasLength, m_head.length };
+    m_caller.beginAnswer (m_head.status, passedAnswerHeaders (m_head.headers), framing);
 }
 
 void Exchange::onBody (std::string_view data)
 {
-    context_.directory.onBytes (instance_, now());
+    m_context.directory.onBytes (m_instance, now());
     noteProgress();
-    switch (use_)
+    switch (m_use)
     {
         case AnswerUse::kCollect:
-            collected_.append (data);
-            if (collected_.size() > kCollectedBytes)
+            m_collected.append (data);
+            if (m_collected.size() > kCollectedBytes)
             {
-                use_ = AnswerUse::kPass;
+                m_use = AnswerUse::kPass;
                 passHead();
-                caller_.writeBody (std::exchange (collected_, {}));
+                m_caller.writeBody (std::exchange (m_collected, {}));
             }
             return;
         case AnswerUse::kPass:
-            caller_.writeBody (data);
+            m_caller.writeBody (data);
             return;
         case AnswerUse::kEvents:
-            caller_.writeBody (events_->feed (data));
+            m_caller.writeBody (m_events->feed (data));
             return;
         case AnswerUse::kNone:
         case AnswerUse::kRefusal:
@@ -122,21 +122,21 @@
 
 void Exchange::onDone()
 {
-    switch (use_)
+    switch (m_use)
     {
         case AnswerUse::kRefusal:
         {
-            isAttemptSent_ = false;
-            const bool isNotHeld = head_.status == kMisdirected;
+            m_isAttemptSent = false;
+            const bool isNotHeld = m_head.status == kMisdirected;
             if (isNotHeld)
             {
-                context_.directory.onNotHeld (instance_, query_.model, query_.adapter, now());
+                m_context.directory.onNotHeld (m_instance, m_query.model, m_query.adapter, now());
             }
             endAttempt (isNotHeld ? AttemptEnd::kNotHeld : AttemptEnd::kRefused, true);
             // A runner that does not hold what it was asked for, or is another instance, is no
             // attempt.
             if (isNotHeld)
-                --sent_;
+                --m_sent;
             afterRefusal();
             return;
         }
@@ -151,20 +151,20 @@
 
 void Exchange::finishAnswer()
 {
-    if (use_ == AnswerUse::kCollect)
+    if (m_use == AnswerUse::kCollect)
     {
-        caller_.sendAnswer (head_.status, passedAnswerHeaders (head_.headers), collected_);
+        m_caller.sendAnswer (m_head.status, passedAnswerHeaders (m_head.headers), m_collected);
     }
     else
     {
-        if (use_ == AnswerUse::kEvents)
-            caller_.writeBody (events_->rest());
-        caller_.endAnswer();
+        if (m_use == AnswerUse::kEvents)
+            m_caller.writeBody (m_events->rest());
+        m_caller.endAnswer();
     }
-    const bool isFailure = head_.status >= kFirstServerError;
+    const bool isFailure = m_head.status >= kFirstServerError;
     endAttempt (isFailure ? AttemptEnd::kFailed : AttemptEnd::kAnswered, true);
-    ++context_.counters.answered;
-    logEnd (log::Event::kRequestAnswered, std::to_string (head_.status));
+    ++m_context.counters.answered;
+    logEnd (log::Event::kRequestAnswered, std::to_string (m_head.status));
     end();
 }
 
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -27,20 +27,20 @@
 void Exchange::logEnd (log::Event event, const std::string& cause) const
 {
     const auto sinceArrival = [this] (base::TimePoint time)
-    { return time == base::TimePoint{} ? -1 : base::toMilliseconds (time - arrivedAt_); };
-    log::write (event, { { "request", request_.headers.value (context_.names.requestId) },
-                         { "route", route_ == nullptr ? std::string() : route_->name },
-                         { "configuration", routes_ ? routes_->version() : 0 },
-                         { "service", query_.service },
-                         { "model", query_.model },
-                         { "adapter", query_.adapter },
-                         { "runner", instance_ },
-                         { "table", context_.directory.version() },
-                         { "table_age_ms", context_.directory.ageMilliseconds (now()) },
-                         { "attempts", sent_ },
-                         { "unreachable", unreachable_ },
-                         { "waited_ms", base::toMilliseconds (waited_) },
-                         { "head_ms", sinceArrival (answeredAt_) },
+    { return time == base::TimePoint{} ? -1 : base::toMilliseconds (time - m_arrivedAt); };
+    log::write (event, { { "request", m_request.headers.value (m_context.names.requestId) },
+                         { "route", m_route == nullptr ? std::string() : m_route->name },
+                         { "configuration", m_routes ? m_routes->version() : 0 },
+                         { "service", m_query.service },
+                         { "model", m_query.model },
+                         { "adapter", m_query.adapter },
+                         { "runner", m_instance },
+                         { "table", m_context.directory.version() },
+                         { "table_age_ms", m_context.directory.ageMilliseconds (now()) },
+                         { "attempts", m_sent },
+                         { "unreachable", m_unreachable },
+                         { "waited_ms", base::toMilliseconds (m_waited) },
+                         { "head_ms", sinceArrival (m_answeredAt) },
                          { "total_ms", sinceArrival (now()) },
                          { "cause", cause } });
 }
@@ -48,23 +48,23 @@
 void Exchange::logMove (log::Event event) const
 {
     log::write (event,
-                { { "request", request_.headers.value (context_.names.requestId) },
-                  { "from_runner", instance_ },
-                  { "status", head_.status },
-                  { "attempts", sent_ },
-                  { "last_event", events_ ? events_->lastId().value_or ("") : std::string() } });
+                { { "request", m_request.headers.value (m_context.names.requestId) },
+                  { "from_runner", m_instance },
+                  { "status", m_head.status },
+                  { "attempts", m_sent },
+                  { "last_event", m_events ? m_events->lastId().value_or ("") : std::string() } });
 }
 
 void Exchange::refuse (ErrorKind kind, const std::string& message, base::Duration retryAfter)
 {
-    ++context_.counters.refused;
+    ++m_context.counters.refused;
     logEnd (log::Event::kRequestRefused, message);
     sendError ({ kind, message }, retryAfter);
 }
 
 void Exchange::fail (ErrorKind kind, const std::string& message)
 {
-    ++context_.counters.failed;
+    ++m_context.counters.failed;
     logEnd (log::Event::kRequestFailed, message);
     sendError ({ kind, message }, std::nullopt);
 }
@@ -74,39 +74,39 @@
     http::Response response = http::errorResponse (error);
     if (retryAfter)
         response.headers.set ("Retry-After", retryAfterText (*retryAfter));
-    const std::string id = request_.headers.value (context_.names.requestId);
+    const std::string id = m_request.headers.value (m_context.names.requestId);
     if (! id.empty())
-        response.headers.set (context_.names.requestId, id);
-    caller_.sendAnswer (response.status, response.headers, response.body);
+        response.headers.set (m_context.names.requestId, id);
+    m_caller.sendAnswer (response.status, response.headers, response.body);
     end();
 }
 
 void Exchange::cut()
 {
-    ++context_.counters.failed;
+    ++m_context.counters.failed;
     logEnd (log::Event::kRequestFailed, "the stream broke off and cannot go on");
-    caller_.abort();
+    m_caller.abort();
     end();
 }
 
 void Exchange::onCallerLeft()
 {
-    if (isEnded_)
+    if (m_isEnded)
         return;
-    ++context_.counters.left;
+    ++m_context.counters.left;
     logEnd (log::Event::kCallerLeft, "the caller left");
-    if (connection_)
+    if (m_connection)
         endAttempt (AttemptEnd::kAbandoned, false);
     end();
 }
 
 void Exchange::end()
 {
-    if (std::exchange (isEnded_, true))
+    if (std::exchange (m_isEnded, true))
         return;
-    timer_.stop();
+    m_timer.stop();
     endWait();
-    onEnd_ (*this);
+    m_onEnd (*this);
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ForwardedMessage.cpp
+++ b/src/proxy/ForwardedMessage.cpp
@@ -61,64 +61,64 @@
 public:
     RequestWriter (const ParsedRequest& request, const ProtocolNames& names,
                    const AttemptFields& fields)
-        : request_ (request), names_ (names), fields_ (fields)
+        : m_request (request), m_names (names), m_fields (fields)
     {
     }
 
     std::string write()
     {
-        text_.reserve (request_.body.size() + 1024);
-        text_.append (request_.method)
+        m_text.reserve (m_request.body.size() + 1024);
+        m_text.append (m_request.method)
             .append (" ")
-            .append (request_.target)
+            .append (m_request.target)
             .append (" HTTP/1.1\r\n");
-        const std::vector<std::string> named = namedByConnection (request_.headers);
-        for (const http::Header& field : request_.headers.fields())
+        const std::vector<std::string> named = namedByConnection (m_request.headers);
+        for (const http::Header& field : m_request.headers.fields())
         {
             if (isConnectionField (field.name, named) || isSetHere (field.name))
                 continue;
             add (field.name, field.value);
         }
         addOwnFields();
-        if (request_.hasBodyFraming || ! request_.body.empty())
+        if (m_request.hasBodyFraming || ! m_request.body.empty())
         {
-            add ("Content-Length", std::to_string (request_.body.size()));
+            add ("Content-Length", std::to_string (m_request.body.size()));
         }
-        text_.append ("\r\n").append (request_.body);
-        return std::move (text_);
+        m_text.append ("\r\n").append (m_request.body);
+        return std::move (m_text);
     }
 
 private:
     [[nodiscard]] bool isSetHere (std::string_view name) const
     {
         const bool isResumed =
-            fields_.lastEventId && http::equalsIgnoringCase (name, names_.lastEventId);
-        return isResumed || http::equalsIgnoringCase (name, names_.deadline)
-               || http::equalsIgnoringCase (name, names_.targetInstance)
-               || http::equalsIgnoringCase (name, names_.priority);
+            m_fields.lastEventId && http::equalsIgnoringCase (name, m_names.lastEventId);
+        return isResumed || http::equalsIgnoringCase (name, m_names.deadline)
+               || http::equalsIgnoringCase (name, m_names.targetInstance)
+               || http::equalsIgnoringCase (name, m_names.priority);
     }
 
     void addOwnFields()
     {
-        add (names_.deadline,
-             std::to_string (std::max<std::int64_t> (base::toMilliseconds (fields_.left), 1)));
-        add (names_.targetInstance, fields_.instance);
-        add (names_.priority, std::to_string (fields_.priority));
-        if (fields_.lastEventId)
-            add (names_.lastEventId, *fields_.lastEventId);
+        add (m_names.deadline,
+             std::to_string (std::max<std::int64_t> (base::toMilliseconds (m_fields.left), 1)));
+        add (m_names.targetInstance, m_fields.instance);
+        add (m_names.priority, std::to_string (m_fields.priority));
+        if (m_fields.lastEventId)
+            add (m_names.lastEventId, *m_fields.lastEventId);
     }
 
     void add (std::string_view name, std::string_view value)
     {
         if (name.empty())
             return;
-        text_.append (name).append (": ").append (value).append ("\r\n");
+        m_text.append (name).append (": ").append (value).append ("\r\n");
     }
 
-    const ParsedRequest& request_;
-    const ProtocolNames& names_;
-    const AttemptFields& fields_;
-    std::string text_;
+    const ParsedRequest& m_request;
+    const ProtocolNames& m_names;
+    const AttemptFields& m_fields;
+    std::string m_text;
 };
 
 }  // namespace
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -66,31 +66,31 @@
 bool InstanceDirectory::apply (const cell::InstanceUpdate& update, base::TimePoint now)
 {
     const bool isWhole = update.fromVersion == 0;
-    const bool fits = update.term == term_ && update.fromVersion == version_;
-    if (update.term < term_ || (! isWhole && ! fits))
+    const bool fits = update.term == m_term && update.fromVersion == m_version;
+    if (update.term < m_term || (! isWhole && ! fits))
         return false;
     if (isWhole)
     {
         std::set<std::string> present;
         for (const cell::RoutableInstance& row : update.upserts)
             present.insert (row.instance.id);
-        std::erase_if (views_, [&] (const auto& item) { return ! present.contains (item.first); });
+        std::erase_if (m_views, [&] (const auto& item) { return ! present.contains (item.first); });
     }
     for (const std::string& id : update.removals)
-        views_.erase (id);
+        m_views.erase (id);
     for (const cell::RoutableInstance& row : update.upserts)
         put (row);
-    term_ = update.term;
-    version_ = update.toVersion;
-    appliedAt_ = now;
-    routers_ = std::max (update.routers, 1U);
-    controllers_ = update.controllers;
+    m_term = update.term;
+    m_version = update.toVersion;
+    m_appliedAt = now;
+    m_routers = std::max (update.routers, 1U);
+    m_controllers = update.controllers;
     return true;
 }
 
 void InstanceDirectory::put (const cell::RoutableInstance& row)
 {
-    View& view = views_[row.instance.id];
+    View& view = m_views[row.instance.id];
     // A new leader knows the models only once it has heard the runner.
     std::vector<cell::HeldModel> known = std::move (view.row.instance.models);
     const bool isNews = row.instance.isReported && row.instance.models != known;
@@ -145,7 +145,7 @@
     {
         cost += kEngineWork * load + kTokenReading * static_cast<double> (view.tokensToRead);
     }
-    if (view.row.instance.zone != zone_)
+    if (view.row.instance.zone != m_zone)
         cost += kOtherZoneCost;
     const bool isQuiet = view.inFlight > 0 && now - view.heardAt > kQuietAfter;
     if (view.row.isSilent || isQuiet)
@@ -160,7 +160,7 @@
     if (query.affinity.empty())
         return home;
     double highest = -1;
-    for (const auto& [id, view] : views_)
+    for (const auto& [id, view] : m_views)
     {
         if (! isCandidate (view, query, now) || ! holds (view, query, now))
             continue;
@@ -178,7 +178,7 @@
     InstanceChoice choice;
     double lowest = 0;
     const std::string home = homeOf (query, now);
-    for (const auto& [id, view] : views_)
+    for (const auto& [id, view] : m_views)
     {
         if (! isCandidate (view, query, now))
             continue;
@@ -201,16 +201,16 @@
 
 void InstanceDirectory::onBytes (const std::string& id, base::TimePoint now)
 {
-    const auto found = views_.find (id);
-    if (found != views_.end())
+    const auto found = m_views.find (id);
+    if (found != m_views.end())
         found->second.heardAt = now;
 }
 
 void InstanceDirectory::onAttemptBegin (const std::string& id, std::uint64_t promptTokens,
                                         base::TimePoint now)
 {
-    const auto found = views_.find (id);
-    if (found == views_.end())
+    const auto found = m_views.find (id);
+    if (found == m_views.end())
         return;
     if (found->second.inFlight == 0)
         found->second.heardAt = now;
@@ -220,16 +220,16 @@
 
 void InstanceDirectory::onAnswerBegun (const std::string& id, std::uint64_t promptTokens)
 {
-    const auto found = views_.find (id);
-    if (found == views_.end())
+    const auto found = m_views.find (id);
+    if (found == m_views.end())
         return;
     found->second.tokensToRead -= std::min (found->second.tokensToRead, promptTokens);
 }
 
 void InstanceDirectory::onAttemptEnd (const std::string& id, AttemptEnd end, base::TimePoint now)
 {
-    const auto found = views_.find (id);
-    if (found == views_.end())
+    const auto found = m_views.find (id);
+    if (found == m_views.end())
         return;
     View& view = found->second;
     if (view.inFlight > 0)
@@ -263,15 +263,15 @@
     // A single packet that was lost is no reason to tell the leader.
     if (++view.unreachableCount == kUnreachableBeforeReport)
     {
-        unreachable_.push_back (view.row.instance.id);
+        m_unreachable.push_back (view.row.instance.id);
     }
 }
 
 void InstanceDirectory::onLoad (const std::string& id, std::uint32_t running, std::uint32_t waiting,
                                 base::TimePoint now)
 {
-    const auto found = views_.find (id);
-    if (found == views_.end())
+    const auto found = m_views.find (id);
+    if (found == m_views.end())
         return;
     found->second.statedLoad = running + waiting;
     found->second.loadStatedAt = now;
@@ -280,8 +280,8 @@
 void InstanceDirectory::onNotHeld (const std::string& id, const std::string& model,
                                    const std::string& adapter, base::TimePoint now)
 {
-    const auto found = views_.find (id);
-    if (found == views_.end())
+    const auto found = m_views.find (id);
+    if (found == m_views.end())
         return;
     View& view = found->second;
     view.notHeldUntil[model + "/" + adapter] = now + kNotHeldLife;
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -64,7 +64,7 @@
 class InstanceDirectory
 {
 public:
-    explicit InstanceDirectory (std::string zone) : zone_ (std::move (zone)) {}
+    explicit InstanceDirectory (std::string zone) : m_zone (std::move (zone)) {}
 
     /// Takes over a change of the table. False when it does not fit what is held: the whole table
     /// is needed then.
@@ -81,7 +81,7 @@
     /// Instances that were found unreachable since the last call, for the leader.
     [[nodiscard]] std::vector<std::string> takeUnreachable()
     {
-        return std::exchange (unreachable_, {});
+        return std::exchange (m_unreachable, {});
     }
     /// The runner stated its load: requests running, waiting and slots.
     void onLoad (const std::string& id, std::uint32_t running, std::uint32_t waiting,
@@ -90,15 +90,15 @@
     void onNotHeld (const std::string& id, const std::string& model, const std::string& adapter,
                     base::TimePoint now);
 
-    [[nodiscard]] std::uint32_t routers() const { return routers_; }
-    [[nodiscard]] const std::vector<std::string>& controllers() const { return controllers_; }
-    [[nodiscard]] std::size_t size() const { return views_.size(); }
-    [[nodiscard]] bool hasTable() const { return version_ != 0; }
-    [[nodiscard]] std::uint64_t version() const { return version_; }
+    [[nodiscard]] std::uint32_t routers() const { return m_routers; }
+    [[nodiscard]] const std::vector<std::string>& controllers() const { return m_controllers; }
+    [[nodiscard]] std::size_t size() const { return m_views.size(); }
+    [[nodiscard]] bool hasTable() const { return m_version != 0; }
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
     /// Time since the table last changed; -1 without one.
     [[nodiscard]] std::int64_t ageMilliseconds (base::TimePoint now) const
     {
-        return hasTable() ? base::toMilliseconds (now - appliedAt_) : -1;
+        return hasTable() ? base::toMilliseconds (now - m_appliedAt) : -1;
     }
 
 private:
@@ -134,14 +134,14 @@
     /// Id of the runner where requests like this one meet; empty without affinity.
     [[nodiscard]] std::string homeOf (const InstanceQuery& query, base::TimePoint now) const;
 
-    std::string zone_;
-    base::Term term_ = 0;
-    std::uint64_t version_ = 0;
-    base::TimePoint appliedAt_{};
-    std::uint32_t routers_ = 1;
-    std::vector<std::string> controllers_;
-    std::map<std::string, View> views_;
-    std::vector<std::string> unreachable_;
+    std::string m_zone;
+    base::Term m_term = 0;
+    std::uint64_t m_version = 0;
+    base::TimePoint m_appliedAt{};
+    std::uint32_t m_routers = 1;
+    std::vector<std::string> m_controllers;
+    std::map<std::string, View> m_views;
+    std::vector<std::string> m_unreachable;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/InstanceDirectoryTest.cpp
+++ b/src/proxy/InstanceDirectoryTest.cpp
@@ -29,25 +29,25 @@
     {
         cell::InstanceUpdate update;
         update.term = 1;
-        update.fromVersion = version_;
-        update.toVersion = ++version_;
+        update.fromVersion = m_version;
+        update.toVersion = ++m_version;
         update.upserts = rows;
-        ASSERT_TRUE (directory_.apply (update, kStart));
+        ASSERT_TRUE (m_directory.apply (update, kStart));
     }
     std::string choose (const std::string& model = "", base::TimePoint now = kStart)
     {
         InstanceQuery query;
         query.service = "service";
         query.model = model;
-        return directory_.choose (query, now).id;
+        return m_directory.choose (query, now).id;
     }
     NoChoice reason (const InstanceQuery& query)
     {
-        return directory_.choose (query, kStart).reason;
+        return m_directory.choose (query, kStart).reason;
     }
 
-    InstanceDirectory directory_{ "z1" };
-    std::uint64_t version_ = 0;
+    InstanceDirectory m_directory{ "z1" };
+    std::uint64_t m_version = 0;
 };
 
 TEST_F (InstanceDirectoryTest, AGapInTheTableIsNoticed)
@@ -57,14 +57,14 @@
     update.term = 1;
     update.fromVersion = 5;
     update.toVersion = 6;
-    EXPECT_FALSE (directory_.apply (update, kStart));
+    EXPECT_FALSE (m_directory.apply (update, kStart));
     update.term = 2;
-    EXPECT_FALSE (directory_.apply (update, kStart));
+    EXPECT_FALSE (m_directory.apply (update, kStart));
     update.fromVersion = 0;
-    EXPECT_TRUE (directory_.apply (update, kStart));
-    EXPECT_EQ (directory_.size(), 0U);
+    EXPECT_TRUE (m_directory.apply (update, kStart));
+    EXPECT_EQ (m_directory.size(), 0U);
     update.term = 1;
-    EXPECT_FALSE (directory_.apply (update, kStart));  // Of an earlier leader.
+    EXPECT_FALSE (m_directory.apply (update, kStart));  // Of an earlier leader.
 }
 
 TEST_F (InstanceDirectoryTest, PrefersTheIdleRunnerAndItsOwnZone)
@@ -72,7 +72,7 @@
     put ({ rowOf ("i-1"), rowOf ("i-2", "z2") });
     EXPECT_EQ (choose(), "i-1");
     for (int request = 0; request < 10; ++request)
-        directory_.onAttemptBegin ("i-1", 0, kStart);
+        m_directory.onAttemptBegin ("i-1", 0, kStart);
     EXPECT_EQ (choose(), "i-2");
 }
 
@@ -96,7 +96,7 @@
 TEST_F (InstanceDirectoryTest, ARunnerFoundNotToHoldAModelIsPassedOverForAWhile)
 {
     put ({ rowOf ("i-1") });
-    directory_.onNotHeld ("i-1", "m", "", kStart);
+    m_directory.onNotHeld ("i-1", "m", "", kStart);
     EXPECT_EQ (choose ("m"), "");
     EXPECT_EQ (choose ("m", kStart + base::seconds (2)), "i-1");
 }
@@ -106,12 +106,12 @@
     put ({ rowOf ("i-1") });
     for (int attempt = 0; attempt < 3; ++attempt)
     {
-        directory_.onAttemptBegin ("i-1", 0, kStart);
-        directory_.onAttemptEnd ("i-1", AttemptEnd::kUnreachable, kStart);
+        m_directory.onAttemptBegin ("i-1", 0, kStart);
+        m_directory.onAttemptEnd ("i-1", AttemptEnd::kUnreachable, kStart);
     }
     EXPECT_EQ (choose(), "");
-    EXPECT_EQ (directory_.takeUnreachable(), std::vector<std::string>{ "i-1" });
-    EXPECT_TRUE (directory_.takeUnreachable().empty());
+    EXPECT_EQ (m_directory.takeUnreachable(), std::vector<std::string>{ "i-1" });
+    EXPECT_TRUE (m_directory.takeUnreachable().empty());
     EXPECT_EQ (choose ("", kStart + base::seconds (1)), "i-1");
 }
 
@@ -120,8 +120,8 @@
     put ({ rowOf ("i-1"), rowOf ("i-2", "z2") });
     for (int attempt = 0; attempt < 3; ++attempt)
     {
-        directory_.onAttemptBegin ("i-1", 0, kStart);
-        directory_.onAttemptEnd ("i-1", AttemptEnd::kFailed, kStart);
+        m_directory.onAttemptBegin ("i-1", 0, kStart);
+        m_directory.onAttemptEnd ("i-1", AttemptEnd::kFailed, kStart);
     }
     EXPECT_EQ (choose(), "i-2");
 }
@@ -129,10 +129,10 @@
 TEST_F (InstanceDirectoryTest, AQuietRunnerIsAvoidedWhileItHasRequests)
 {
     put ({ rowOf ("i-1"), rowOf ("i-2", "z2") });
-    directory_.onAttemptBegin ("i-1", 0, kStart);
+    m_directory.onAttemptBegin ("i-1", 0, kStart);
     const base::TimePoint later = kStart + base::seconds (1);
     EXPECT_EQ (choose ("", later), "i-2");
-    directory_.onBytes ("i-1", later);
+    m_directory.onBytes ("i-1", later);
     EXPECT_EQ (choose ("", later), "i-1");
 }
 
@@ -140,12 +140,12 @@
 {
     put ({ rowOf ("i-1"), rowOf ("i-2"), rowOf ("i-3"), rowOf ("i-4") });
     InstanceQuery query{ "service", "m", "", "m,part", 6000, 9000, "" };
-    const std::string home = directory_.choose (query, kStart).id;
-    directory_.onAttemptBegin (home, 0, kStart);
-    EXPECT_EQ (directory_.choose (query, kStart).id, home);
+    const std::string home = m_directory.choose (query, kStart).id;
+    m_directory.onAttemptBegin (home, 0, kStart);
+    EXPECT_EQ (m_directory.choose (query, kStart).id, home);
     for (int request = 0; request < 10; ++request)
-        directory_.onAttemptBegin (home, 9000, kStart);
-    EXPECT_NE (directory_.choose (query, kStart).id, home);
+        m_directory.onAttemptBegin (home, 9000, kStart);
+    EXPECT_NE (m_directory.choose (query, kStart).id, home);
 }
 
 TEST_F (InstanceDirectoryTest, WhatARunnerHoldsIsKeptWhenANewLeaderDoesNotKnowItYet)
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -46,112 +46,112 @@
 ProxyProcess::ProxyProcess (ProxySettings settings, ProtocolNames names,
                             cell::CatalogueParser parser, const base::Clock& clock,
                             std::uint64_t randomSeed, std::function<void (int)> onFinished)
-    : settings_ (std::move (settings)),
-      names_ (std::move (names)),
-      parser_ (parser),
-      clock_ (clock),
-      random_ (randomSeed),
-      onFinished_ (std::move (onFinished)),
-      directory_ (settings_.zone),
-      pool_ (settings_.connectTimeout),
-      retryBudget_ (settings_.retryShare, static_cast<double> (settings_.retryReserve)),
-      context_{ names_,     clock_,    random_,
-                directory_, pool_,     retryBudget_,
-                demands_,   counters_, [this] { demandTimer_.start(0); },
-                nullptr },
-      session_ (clock.now()),
-      link_ (peersOf (settings_), random_.bits() % peersOf (settings_).size(),
-             { [this]
-               {
-                   session_.onConnected (clock_.now());
-                   sendHello();
-                   pollController();
-               },
-               [this] (const cell::ControllerToRouter& message) { onControllerMessage (message); },
-               [this] { session_.onLost (clock_.now(), random_); } }),
-      server_ (context_),
-      readiness_ (names_.readinessPath, [this] { return isReady(); })
+    : m_settings (std::move (settings)),
+      m_names (std::move (names)),
+      m_parser (parser),
+      m_clock (clock),
+      m_random (randomSeed),
+      m_onFinished (std::move (onFinished)),
+      m_directory (m_settings.zone),
+      m_pool (m_settings.connectTimeout),
+      m_retryBudget (m_settings.retryShare, static_cast<double> (m_settings.retryReserve)),
+      m_context{ m_names,     m_clock,    m_random,
+                 m_directory, m_pool,     m_retryBudget,
+                 m_demands,   m_counters, [this] { m_demandTimer.start(0); },
+                 nullptr },
+      m_session (clock.now()),
+      m_link (peersOf (m_settings), m_random.bits() % peersOf (m_settings).size(),
+              { [this]
+                {
+                    m_session.onConnected (m_clock.now());
+                    sendHello();
+                    pollController();
+                },
+                [this] (const cell::ControllerToRouter& message) { onControllerMessage (message); },
+                [this] { m_session.onLost (m_clock.now(), m_random); } }),
+      m_server (m_context),
+      m_readiness (m_names.readinessPath, [this] { return isReady(); })
 {
-    demandTimer_.setSingleShot (true);
-    QObject::connect (&demandTimer_, &QTimer::timeout, &demandTimer_, [this] { reportDemand(); });
-    QObject::connect (&ticker_, &QTimer::timeout, &ticker_, [this] { onTick(); });
+    m_demandTimer.setSingleShot (true);
+    QObject::connect (&m_demandTimer, &QTimer::timeout, &m_demandTimer, [this] { reportDemand(); });
+    QObject::connect (&m_ticker, &QTimer::timeout, &m_ticker, [this] { onTick(); });
 }
 
 base::Result<void> ProxyProcess::start()
 {
-    BOOST_LEAF_CHECK (readiness_.listen (settings_.readinessAddress));
-    BOOST_LEAF_AUTO (address, server_.listen (settings_.frontAddress));
-    if (! settings_.metricsAddress.host.empty())
+    BOOST_LEAF_CHECK (m_readiness.listen (m_settings.readinessAddress));
+    BOOST_LEAF_AUTO (address, m_server.listen (m_settings.frontAddress));
+    if (! m_settings.metricsAddress.host.empty())
     {
         createMetrics();
-        BOOST_LEAF_CHECK (metricsServer_->listen (settings_.metricsAddress));
+        BOOST_LEAF_CHECK (m_metricsServer->listen (m_settings.metricsAddress));
     }
     log::write (log::Event::kRouterListening, { { "address", address.toString() } });
-    ticker_.start (kTickInterval);
+    m_ticker.start (kTickInterval);
     onTick();
     return {};
 }
 
 void ProxyProcess::createMetrics()
 {
-    metrics_.addProcessMetrics();
-    metrics_.addUpdate (
+    m_metrics.addProcessMetrics();
+    m_metrics.addUpdate (
         [this]
         {
             const auto set = [this] (const char* name, const char* help, std::uint64_t value)
-            { metrics_.gauge (name, help).set (static_cast<double> (value)); };
-            set ("fernlift_proxy_requests", "Requests of callers.", counters_.requests);
+            { m_metrics.gauge (name, help).set (static_cast<double> (value)); };
+            set ("fernlift_proxy_requests", "Requests of callers.", m_counters.requests);
             set ("fernlift_proxy_answered", "Answers of runners passed on whole.",
-                 counters_.answered);
+                 m_counters.answered);
             set ("fernlift_proxy_refused", "Requests refused without having run.",
-                 counters_.refused);
+                 m_counters.refused);
             set ("fernlift_proxy_failed", "Requests that ended without a whole answer.",
-                 counters_.failed);
-            set ("fernlift_proxy_left", "Requests whose caller went away.", counters_.left);
-            set ("fernlift_proxy_attempts", "Attempts at runners.", counters_.attempts);
-            set ("fernlift_proxy_retries", "Attempts after the first.", counters_.retries);
+                 m_counters.failed);
+            set ("fernlift_proxy_left", "Requests whose caller went away.", m_counters.left);
+            set ("fernlift_proxy_attempts", "Attempts at runners.", m_counters.attempts);
+            set ("fernlift_proxy_retries", "Attempts after the first.", m_counters.retries);
             set ("fernlift_proxy_resumed", "Streams that went on at another runner.",
-                 counters_.resumed);
+                 m_counters.resumed);
             set ("fernlift_proxy_connections_opened", "Connections opened to runners.",
-                 pool_.opened());
-            set ("fernlift_proxy_configuration_version", "Configuration in force.", held_.version);
+                 m_pool.opened());
+            set ("fernlift_proxy_configuration_version", "Configuration in force.", m_held.version);
         });
-    metricsServer_ = std::make_unique<http::Server>();
-    metricsServer_->setHandler (http::addProcessEndpoints (
+    m_metricsServer = std::make_unique<http::Server>();
+    m_metricsServer->setHandler (http::addProcessEndpoints (
         [] (const http::Request&, const std::shared_ptr<http::Responder>& responder)
         {
             constexpr int kNotFound = 404;
             responder->send (kNotFound, {}, "");
         },
-        [this] { return isReady(); }, metrics_));
+        [this] { return isReady(); }, m_metrics));
 }
 
 bool ProxyProcess::isReady() const
 {
-    return ! stopBegan_ && context_.routes != nullptr && directory_.hasTable();
+    return ! m_stopBegan && m_context.routes != nullptr && m_directory.hasTable();
 }
 
 void ProxyProcess::sendHello()
 {
     cell::RouterHello hello;
-    hello.router = base::RouterId (settings_.id);
-    hello.cell = base::CellId (settings_.cell);
-    hello.zone = base::ZoneName (settings_.zone);
-    hello.address = settings_.frontAddress.toString();
-    hello.configurationVersion = held_.version;
-    hello.configurationDigest = held_.digest;
-    link_.send (hello);
+    hello.router = base::RouterId (m_settings.id);
+    hello.cell = base::CellId (m_settings.cell);
+    hello.zone = base::ZoneName (m_settings.zone);
+    hello.address = m_settings.frontAddress.toString();
+    hello.configurationVersion = m_held.version;
+    hello.configurationDigest = m_held.digest;
+    m_link.send (hello);
 }
 
 void ProxyProcess::onControllerMessage (const cell::ControllerToRouter& message)
 {
     if (const auto* other = std::get_if<cell::NotLeaderReply> (&message))
     {
-        session_.onNotLeader (*other, clock_.now(), random_);
+        m_session.onNotLeader (*other, m_clock.now(), m_random);
     }
     else if (const auto* grant = std::get_if<cell::LeaseGrant> (&message))
     {
-        session_.onGrant (*grant);
+        m_session.onGrant (*grant);
         noteController (true);
     }
     else if (const auto* configuration = std::get_if<cell::ConfigurationUpdate> (&message))
@@ -166,34 +166,34 @@
 
 void ProxyProcess::takeConfiguration (const cell::ConfigurationUpdate& update)
 {
-    if (update.version <= held_.version)
+    if (update.version <= m_held.version)
         return;
-    std::optional<std::string> text = cell::wholeText (update, held_);
+    std::optional<std::string> text = cell::wholeText (update, m_held);
     if (! text)
     {
-        session_.requestSoon (clock_.now());
+        m_session.requestSoon (m_clock.now());
         return;
     }
-    config::CatalogueOutcome outcome = parser_ (*text);
+    config::CatalogueOutcome outcome = m_parser (*text);
     if (! outcome.catalogue)
         return;
-    held_ = { update.version, update.digest, std::move (*text) };
-    server_.setLimits (outcome.catalogue->services.limits);
-    context_.routes =
-        std::make_shared<const RouteTable> (held_.version, std::move (outcome.catalogue->services));
+    m_held = { update.version, update.digest, std::move (*text) };
+    m_server.setLimits (outcome.catalogue->services.limits);
+    m_context.routes = std::make_shared<const RouteTable> (m_held.version,
+                                                           std::move (outcome.catalogue->services));
     log::write (log::Event::kConfigurationTaken,
-                { { "version", held_.version }, { "digest", held_.digest } });
-    server_.onDirectoryChanged();
-    session_.requestSoon (clock_.now());
+                { { "version", m_held.version }, { "digest", m_held.digest } });
+    m_server.onDirectoryChanged();
+    m_session.requestSoon (m_clock.now());
 }
 
 void ProxyProcess::takeInstances (const cell::InstanceUpdate& update)
 {
-    if (! directory_.apply (update, clock_.now()))
+    if (! m_directory.apply (update, m_clock.now()))
     {
         // A gap: a new connection gets the whole table.
-        link_.close();
-        session_.onLost (clock_.now(), random_);
+        m_link.close();
+        m_session.onLost (m_clock.now(), m_random);
         return;
     }
     log::write (log::Event::kInstancesTaken, { { "term", update.term },
@@ -201,47 +201,47 @@
                                                { "to", update.toVersion },
                                                { "changed", update.upserts.size() },
                                                { "removed", update.removals.size() },
-                                               { "runners", directory_.size() } });
-    link_.setControllers (parseAll (update.controllers));
-    server_.onDirectoryChanged();
+                                               { "runners", m_directory.size() } });
+    m_link.setControllers (parseAll (update.controllers));
+    m_server.onDirectoryChanged();
 }
 
 void ProxyProcess::noteController (bool isAnswering)
 {
-    if (hasController_ == isAnswering)
+    if (m_hasController == isAnswering)
         return;
-    hasController_ = isAnswering;
+    m_hasController = isAnswering;
     const auto event = isAnswering ? log::Event::kControllerFound : log::Event::kControllerLost;
-    log::write (event, { { "configuration", held_.version }, { "table", directory_.version() } });
+    log::write (event, { { "configuration", m_held.version }, { "table", m_directory.version() } });
 }
 
 void ProxyProcess::pollController()
 {
-    const auto due = session_.poll (clock_.now());
+    const auto due = m_session.poll (m_clock.now());
     if (! due)
         return;
     if (const auto* connect = std::get_if<router::ConnectController> (&*due))
     {
         noteController (false);
-        link_.connect (connect->address);
+        m_link.connect (connect->address);
         return;
     }
     auto request = std::get<cell::LeaseRequest> (*due);
-    request.configurationVersion = held_.version;
-    request.configurationDigest = held_.digest;
-    link_.send (request);
+    request.configurationVersion = m_held.version;
+    request.configurationDigest = m_held.digest;
+    m_link.send (request);
 }
 
 void ProxyProcess::reportDemand()
 {
-    if (! session_.isConnected())
+    if (! m_session.isConnected())
         return;
-    std::vector<cell::EngineDemand> demands = demands_.takeDue (clock_.now(), kDemandInterval);
+    std::vector<cell::EngineDemand> demands = m_demands.takeDue (m_clock.now(), kDemandInterval);
     if (! demands.empty())
-        link_.send (cell::EngineDemandReport{ std::move (demands) });
-    for (std::string& id : directory_.takeUnreachable())
+        m_link.send (cell::EngineDemandReport{ std::move (demands) });
+    for (std::string& id : m_directory.takeUnreachable())
     {
-        link_.send (cell::InstanceUnreachable{ std::move (id) });
+        m_link.send (cell::InstanceUnreachable{ std::move (id) });
     }
 }
 
@@ -249,54 +249,54 @@
 {
     pollController();
     reportDemand();
-    pool_.expire (clock_.now());
+    m_pool.expire (m_clock.now());
     // Runners that were avoided for a while may be tried again.
-    if (server_.waitingExchanges() > 0)
-        server_.onDirectoryChanged();
+    if (m_server.waitingExchanges() > 0)
+        m_server.onDirectoryChanged();
     checkStop();
 }
 
 void ProxyProcess::reload (const ProxySettings& changed)
 {
-    settings_.seeds = changed.seeds;
+    m_settings.seeds = changed.seeds;
     // Members that the leader named are known better than seeds.
-    if (directory_.controllers().empty())
-        link_.setControllers (peersOf (settings_));
+    if (m_directory.controllers().empty())
+        m_link.setControllers (peersOf (m_settings));
 }
 
 void ProxyProcess::beginStop()
 {
-    if (stopBegan_)
+    if (m_stopBegan)
     {
         finish (0);
         return;
     }
     log::write (log::Event::kProcessStopping);
-    stopBegan_ = clock_.now();
-    server_.beginClosing();
+    m_stopBegan = m_clock.now();
+    m_server.beginClosing();
 }
 
 void ProxyProcess::checkStop()
 {
-    if (! stopBegan_ || isFinished_)
+    if (! m_stopBegan || m_isFinished)
         return;
-    const base::Duration passed = clock_.now() - *stopBegan_;
-    if (passed >= settings_.stopGrace && ! std::exchange (isRefusing_, true))
+    const base::Duration passed = m_clock.now() - *m_stopBegan;
+    if (passed >= m_settings.stopGrace && ! std::exchange (m_isRefusing, true))
     {
-        server_.beginRefusing();
+        m_server.beginRefusing();
     }
     const bool isDone =
-        isRefusing_ && server_.openExchanges() == 0 && server_.openConnections() == 0;
-    if (isDone || passed >= settings_.stopTimeout)
+        m_isRefusing && m_server.openExchanges() == 0 && m_server.openConnections() == 0;
+    if (isDone || passed >= m_settings.stopTimeout)
         finish (0);
 }
 
 void ProxyProcess::finish (int exitCode)
 {
-    if (std::exchange (isFinished_, true))
+    if (std::exchange (m_isFinished, true))
         return;
-    ticker_.stop();
-    onFinished_ (exitCode);
+    m_ticker.stop();
+    m_onFinished (exitCode);
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -63,31 +63,31 @@
     [[nodiscard]] bool isReady() const;
     void finish (int exitCode);
 
-    ProxySettings settings_;
-    ProtocolNames names_;
-    cell::CatalogueParser parser_;
-    const base::Clock& clock_;
-    base::Random random_;
-    std::function<void (int)> onFinished_;
-    InstanceDirectory directory_;
-    http::BackEndPool pool_;
-    dispatch::RetryBudget retryBudget_;
-    EngineDemands demands_;
-    ProxyCounters counters_;
-    ProxyContext context_;
-    router::ControllerSession session_;
-    router::ControllerLink link_;
-    cell::HeldConfiguration held_;
-    std::optional<base::TimePoint> stopBegan_;
-    bool isRefusing_ = false;
-    bool hasController_ = false;
-    bool isFinished_ = false;
-    http::Metrics metrics_;
-    std::unique_ptr<http::Server> metricsServer_;
-    ProxyServer server_;
-    ReadinessServer readiness_;
-    QTimer demandTimer_;  ///< Sends an urgent report of demand once control is in the event loop.
-    QTimer ticker_;
+    ProxySettings m_settings;
+    ProtocolNames m_names;
+    cell::CatalogueParser m_parser;
+    const base::Clock& m_clock;
+    base::Random m_random;
+    std::function<void (int)> m_onFinished;
+    InstanceDirectory m_directory;
+    http::BackEndPool m_pool;
+    dispatch::RetryBudget m_retryBudget;
+    EngineDemands m_demands;
+    ProxyCounters m_counters;
+    ProxyContext m_context;
+    router::ControllerSession m_session;
+    router::ControllerLink m_link;
+    cell::HeldConfiguration m_held;
+    std::optional<base::TimePoint> m_stopBegan;
+    bool m_isRefusing = false;
+    bool m_hasController = false;
+    bool m_isFinished = false;
+    http::Metrics m_metrics;
+    std::unique_ptr<http::Server> m_metricsServer;
+    ProxyServer m_server;
+    ReadinessServer m_readiness;
+    QTimer m_demandTimer;  ///< Sends an urgent report of demand once control is in the event loop.
+    QTimer m_ticker;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -17,90 +17,90 @@
 
 }  // namespace
 
-ProxyServer::ProxyServer (ProxyContext& context) : context_ (context)
+ProxyServer::ProxyServer (ProxyContext& context) : m_context (context)
 {
-    handlers_.onRequest = [this] (CallerConnection& connection, ParsedRequest request)
+    m_handlers.onRequest = [this] (CallerConnection& connection, ParsedRequest request)
     { onRequest (connection, std::move (request)); };
-    handlers_.onInvalid = [this] (CallerConnection& connection, const base::Error& error)
+    m_handlers.onInvalid = [this] (CallerConnection& connection, const base::Error& error)
     { onInvalid (connection, error); };
-    handlers_.onLeft = [this] (CallerConnection& connection)
+    m_handlers.onLeft = [this] (CallerConnection& connection)
     {
-        const auto found = exchanges_.find (&connection);
-        if (found != exchanges_.end())
+        const auto found = m_exchanges.find (&connection);
+        if (found != m_exchanges.end())
             found->second->onCallerLeft();
     };
-    handlers_.onClosed = [this] (CallerConnection& connection)
+    m_handlers.onClosed = [this] (CallerConnection& connection)
     {
-        const auto found = connections_.find (&connection);
-        if (found == connections_.end())
+        const auto found = m_connections.find (&connection);
+        if (found == m_connections.end())
             return;
-        closed_.push_back (std::move (found->second));
-        connections_.erase (found);
+        m_closed.push_back (std::move (found->second));
+        m_connections.erase (found);
         sweepSoon();
     };
-    sweeper_.setSingleShot (true);
-    QObject::connect (&sweeper_, &QTimer::timeout, &sweeper_,
+    m_sweeper.setSingleShot (true);
+    QObject::connect (&m_sweeper, &QTimer::timeout, &m_sweeper,
                       [this]
                       {
-                          ended_.clear();
-                          closed_.clear();
+                          m_ended.clear();
+                          m_closed.clear();
                       });
-    QObject::connect (&server_, &QTcpServer::newConnection, &server_, [this] { acceptAll(); });
+    QObject::connect (&m_server, &QTcpServer::newConnection, &m_server, [this] { acceptAll(); });
 }
 
 ProxyServer::~ProxyServer()
 {
-    exchanges_.clear();
-    ended_.clear();
+    m_exchanges.clear();
+    m_ended.clear();
 }
 
 base::Result<base::SocketAddress> ProxyServer::listen (const base::SocketAddress& address)
 {
-    server_.setListenBacklogSize (kListenBacklog);
-    server_.setMaxPendingConnections (kListenBacklog);
-    if (! server_.listen (QHostAddress (QString::fromStdString (address.host)), address.port))
+    m_server.setListenBacklogSize (kListenBacklog);
+    m_server.setMaxPendingConnections (kListenBacklog);
+    if (! m_server.listen (QHostAddress (QString::fromStdString (address.host)), address.port))
     {
         return base::fail (base::ErrorKind::kConnectionFailed,
-                           address.toString() + ": " + server_.errorString().toStdString());
+                           address.toString() + ": " + m_server.errorString().toStdString());
     }
-    return base::SocketAddress{ address.host, server_.serverPort() };
+    return base::SocketAddress{ address.host, m_server.serverPort() };
 }
 
 void ProxyServer::acceptAll()
 {
-    while (QTcpSocket* accepted = server_.nextPendingConnection())
+    while (QTcpSocket* accepted = m_server.nextPendingConnection())
     {
         accepted->setParent (nullptr);
         std::unique_ptr<QTcpSocket> socket (accepted);
         auto connection =
-            std::make_shared<CallerConnection> (std::move (socket), limits_, handlers_);
-        connections_.emplace (connection.get(), connection);
+            std::make_shared<CallerConnection> (std::move (socket), m_limits, m_handlers);
+        m_connections.emplace (connection.get(), connection);
         connection->start();
     }
 }
 
 void ProxyServer::onRequest (CallerConnection& connection, ParsedRequest request)
 {
-    if (isClosing_)
+    if (m_isClosing)
         connection.closeAfterAnswer();
-    if (isRefusing_)
+    if (m_isRefusing)
     {
-        ++context_.counters.refused;
+        ++m_context.counters.refused;
         refuseStopping (connection);
         return;
     }
-    auto exchange = std::make_unique<Exchange> (context_, connection, std::move (request),
+    auto exchange = std::make_unique<Exchange> (m_context, connection, std::move (request),
                                                 [this, caller = &connection] (Exchange&)
                                                 {
-                                                    const auto found = exchanges_.find (caller);
-                                                    if (found == exchanges_.end())
+                                                    const auto found = m_exchanges.find (caller);
+                                                    if (found == m_exchanges.end())
                                                         return;
-                                                    ended_.push_back (std::move (found->second));
-                                                    exchanges_.erase (found);
+                                                    m_ended.push_back (std::move (found->second));
+                                                    m_exchanges.erase (found);
                                                     sweepSoon();
                                                 });
     Exchange& begun = *exchange;
-    exchanges_[&connection] = std::move (exchange);
+    m_exchanges[&connection] = std::move (exchange);
     begun.begin();
 }
 
@@ -120,14 +120,14 @@
 
 void ProxyServer::sweepSoon()
 {
-    if (! sweeper_.isActive())
-        sweeper_.start (0);
+    if (! m_sweeper.isActive())
+        m_sweeper.start (0);
 }
 
 void ProxyServer::onDirectoryChanged()
 {
     std::vector<Exchange*> waiting;
-    for (const auto& [caller, exchange] : exchanges_)
+    for (const auto& [caller, exchange] : m_exchanges)
     {
         if (exchange->isWaiting())
             waiting.push_back (exchange.get());
@@ -139,30 +139,30 @@
 
 void ProxyServer::setLimits (const config::ClientLimits& limits)
 {
-    limits_.request.headerBytes = limits.headerBytes;
-    limits_.request.bodyBytes = limits.bodyBytes;
-    limits_.headerTimeout = limits.headerTimeout;
-    limits_.idleTimeout = limits.idleTimeout;
-    for (const auto& [key, connection] : connections_)
-        connection->setLimits (limits_);
+    m_limits.request.headerBytes = limits.headerBytes;
+    m_limits.request.bodyBytes = limits.bodyBytes;
+    m_limits.headerTimeout = limits.headerTimeout;
+    m_limits.idleTimeout = limits.idleTimeout;
+    for (const auto& [key, connection] : m_connections)
+        connection->setLimits (m_limits);
 }
 
-void ProxyServer::beginClosing() { isClosing_ = true; }
+void ProxyServer::beginClosing() { m_isClosing = true; }
 
 void ProxyServer::beginRefusing()
 {
-    isRefusing_ = true;
-    const auto connections = connections_;  // Closing changes the map.
+    m_isRefusing = true;
+    const auto connections = m_connections;  // Closing changes the map.
     for (const auto& [key, connection] : connections)
         connection->closeAfterAnswer();
 }
 
-void ProxyServer::stopListening() { server_.close(); }
+void ProxyServer::stopListening() { m_server.close(); }
 
 std::size_t ProxyServer::waitingExchanges() const
 {
     return static_cast<std::size_t> (std::ranges::count_if (
-        exchanges_, [] (const auto& item) { return item.second->isWaiting(); }));
+        m_exchanges, [] (const auto& item) { return item.second->isWaiting(); }));
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -39,9 +39,9 @@
     /// Takes no new connection.
     void stopListening();
 
-    [[nodiscard]] std::size_t openExchanges() const { return exchanges_.size(); }
+    [[nodiscard]] std::size_t openExchanges() const { return m_exchanges.size(); }
     [[nodiscard]] std::size_t waitingExchanges() const;
-    [[nodiscard]] std::size_t openConnections() const { return connections_.size(); }
+    [[nodiscard]] std::size_t openConnections() const { return m_connections.size(); }
 
 private:
     void acceptAll();
@@ -51,17 +51,17 @@
     /// Drops what ended; not from within its own calls.
     void sweepSoon();
 
-    ProxyContext& context_;
-    CallerConnection::Handlers handlers_;
-    CallerLimits limits_;
-    bool isClosing_ = false;
-    bool isRefusing_ = false;
-    std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
-    std::map<CallerConnection*, std::unique_ptr<Exchange>> exchanges_;
-    std::vector<std::unique_ptr<Exchange>> ended_;
-    std::vector<std::shared_ptr<CallerConnection>> closed_;
-    QTimer sweeper_;
-    QTcpServer server_;
+    ProxyContext& m_context;
+    CallerConnection::Handlers m_handlers;
+    CallerLimits m_limits;
+    bool m_isClosing = false;
+    bool m_isRefusing = false;
+    std::map<CallerConnection*, std::shared_ptr<CallerConnection>> m_connections;
+    std::map<CallerConnection*, std::unique_ptr<Exchange>> m_exchanges;
+    std::vector<std::unique_ptr<Exchange>> m_ended;
+    std::vector<std::shared_ptr<CallerConnection>> m_closed;
+    QTimer m_sweeper;
+    QTcpServer m_server;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -27,36 +27,36 @@
 class StubConnection
 {
 public:
-    explicit StubConnection (QTcpSocket* socket) : socket_ (socket)
+    explicit StubConnection (QTcpSocket* socket) : m_socket (socket)
     {
-        socket_->setParent (nullptr);
-        QObject::connect (socket_.get(), &QTcpSocket::readyRead, socket_.get(),
-                          [this] { received += socket_->readAll().toStdString(); });
+        m_socket->setParent (nullptr);
+        QObject::connect (m_socket.get(), &QTcpSocket::readyRead, m_socket.get(),
+                          [this] { received += m_socket->readAll().toStdString(); });
     }
     void write (const std::string& bytes)
     {
-        socket_->write (bytes.data(), static_cast<qint64> (bytes.size()));
-        socket_->flush();
+        m_socket->write (bytes.data(), static_cast<qint64> (bytes.size()));
+        m_socket->flush();
     }
     /// Closes in good order.
-    void close() { socket_->disconnectFromHost(); }
+    void close() { m_socket->disconnectFromHost(); }
     /// Closes so that the peer sees a reset.
     void reset()
     {
         const linger immediate{ 1, 0 };
-        ::setsockopt (static_cast<int> (socket_->socketDescriptor()), SOL_SOCKET, SO_LINGER,
+        ::setsockopt (static_cast<int> (m_socket->socketDescriptor()), SOL_SOCKET, SO_LINGER,
                       &immediate, sizeof immediate);
-        socket_->abort();
+        m_socket->abort();
     }
     [[nodiscard]] bool isClosed() const
     {
-        return socket_->state() == QAbstractSocket::UnconnectedState;
+        return m_socket->state() == QAbstractSocket::UnconnectedState;
     }
 
     std::string received;
 
 private:
-    std::unique_ptr<QTcpSocket> socket_;
+    std::unique_ptr<QTcpSocket> m_socket;
 };
 
 /// A runner whose answers the test writes byte by byte.
@@ -65,19 +65,19 @@
 public:
     StubRunner()
     {
-        QObject::connect (&server_, &QTcpServer::newConnection, &server_,
+        QObject::connect (&m_server, &QTcpServer::newConnection, &m_server,
                           [this]
                           {
-                              while (QTcpSocket* socket = server_.nextPendingConnection())
+                              while (QTcpSocket* socket = m_server.nextPendingConnection())
                               {
                                   connections.push_back (std::make_unique<StubConnection> (socket));
                               }
                           });
-        server_.listen (QHostAddress::LocalHost);
+        m_server.listen (QHostAddress::LocalHost);
     }
     [[nodiscard]] std::string address() const
     {
-        return "127.0.0.1:" + std::to_string (server_.serverPort());
+        return "127.0.0.1:" + std::to_string (m_server.serverPort());
     }
     /// Waits until a request has come on the connection with this number.
     [[nodiscard]] bool waitForRequest (std::size_t number = 0, const std::string& part = "\r\n\r\n")
@@ -93,7 +93,7 @@
     std::vector<std::unique_ptr<StubConnection>> connections;
 
 private:
-    QTcpServer server_;
+    QTcpServer m_server;
 };
 
 /// A proxy with one service behind two hosts: "app.test" may repeat, "once.test" may not,
@@ -159,8 +159,8 @@
     {
         cell::InstanceUpdate update;
         update.term = 1;
-        update.fromVersion = tableVersion_;
-        update.toVersion = ++tableVersion_;
+        update.fromVersion = m_tableVersion;
+        update.toVersion = ++m_tableVersion;
         cell::RoutableInstance row;
         row.instance.id = id;
         row.instance.service = "service";
@@ -193,7 +193,7 @@
     base::SocketAddress listening;
 
 private:
-    std::uint64_t tableVersion_ = 0;
+    std::uint64_t m_tableVersion = 0;
 };
 
 }  // namespace fernlift::proxy::test
--- a/src/proxy/ReadinessServer.h
+++ b/src/proxy/ReadinessServer.h
@@ -29,11 +29,11 @@
     void acceptAll();
     void answer (CallerConnection& connection, const ParsedRequest& request);
 
-    std::string path_;
-    std::function<bool()> isReady_;
-    CallerConnection::Handlers handlers_;
-    std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
-    QTcpServer server_;
+    std::string m_path;
+    std::function<bool()> m_isReady;
+    CallerConnection::Handlers m_handlers;
+    std::map<CallerConnection*, std::shared_ptr<CallerConnection>> m_connections;
+    QTcpServer m_server;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/RequestParser.cpp
+++ b/src/proxy/RequestParser.cpp
@@ -21,8 +21,8 @@
         eager (true);
     }
 
-    [[nodiscard]] ParsedRequest& request() { return request_; }
-    [[nodiscard]] bool takeExpectsContinue() { return std::exchange (expectsContinue_, false); }
+    [[nodiscard]] ParsedRequest& request() { return m_request; }
+    [[nodiscard]] bool takeExpectsContinue() { return std::exchange (m_expectsContinue, false); }
 
 private:
     using ErrorCode = beast::error_code;
@@ -31,9 +31,9 @@
                           beast::string_view target, int version, ErrorCode& error) override
     {
         constexpr int kVersion10 = 10;
-        request_.method.assign (method.data(), method.size());
-        request_.target.assign (target.data(), target.size());
-        request_.isHttp10 = version == kVersion10;
+        m_request.method.assign (method.data(), method.size());
+        m_request.target.assign (target.data(), target.size());
+        m_request.isHttp10 = version == kVersion10;
         error = {};
     }
     void on_response_impl (int /*status*/, beast::string_view /*reason*/, int /*version*/,
@@ -46,22 +46,22 @@
     {
         if (field == beast::http::field::expect && beast::iequals (value, "100-continue"))
         {
-            expectsContinue_ = true;
+            m_expectsContinue = true;
         }
-        request_.headers.add (std::string (name.data(), name.size()),
-                              std::string (value.data(), value.size()));
+        m_request.headers.add (std::string (name.data(), name.size()),
+                               std::string (value.data(), value.size()));
         error = {};
     }
     void on_header_impl (ErrorCode& error) override { error = {}; }
     void on_body_init_impl (boost::optional<std::uint64_t> const& length, ErrorCode& error) override
     {
         if (length)
-            request_.body.reserve (static_cast<std::size_t> (*length));
+            m_request.body.reserve (static_cast<std::size_t> (*length));
         error = {};
     }
     std::size_t on_body_impl (beast::string_view body, ErrorCode& error) override
     {
-        request_.body.append (body.data(), body.size());
+        m_request.body.append (body.data(), body.size());
         error = {};
         return body.size();
     }
@@ -73,14 +73,14 @@
     std::size_t on_chunk_body_impl (std::uint64_t /*remain*/, beast::string_view body,
                                     ErrorCode& error) override
     {
-        request_.body.append (body.data(), body.size());
+        m_request.body.append (body.data(), body.size());
         error = {};
         return body.size();
     }
     void on_finish_impl (ErrorCode& error) override { error = {}; }
 
-    ParsedRequest request_;
-    bool expectsContinue_ = false;
+    ParsedRequest m_request;
+    bool m_expectsContinue = false;
 };
 
 namespace
@@ -106,20 +106,20 @@
 
 }  // namespace
 
-RequestParser::RequestParser (RequestLimits limits) : limits_ (limits) {}
+RequestParser::RequestParser (RequestLimits limits) : m_limits (limits) {}
 RequestParser::~RequestParser() = default;
 
 base::Result<void> RequestParser::parse (std::string& buffer)
 {
     if (buffer.empty() || state() == State::kDone)
         return {};
-    if (! implementation_)
-        implementation_ = std::make_unique<Implementation> (limits_);
+    if (! m_implementation)
+        m_implementation = std::make_unique<Implementation> (m_limits);
     std::size_t used = 0;
-    while (used < buffer.size() && ! implementation_->is_done())
+    while (used < buffer.size() && ! m_implementation->is_done())
     {
         beast::error_code error;
-        const std::size_t count = implementation_->put (
+        const std::size_t count = m_implementation->put (
             boost::asio::const_buffer (buffer.data() + used, buffer.size() - used), error);
         used += count;
         if (error == beast::http::error::need_more)
@@ -138,24 +138,24 @@
 
 RequestParser::State RequestParser::state() const
 {
-    if (! implementation_)
+    if (! m_implementation)
         return State::kIdle;
-    return implementation_->is_done() ? State::kDone : State::kReading;
+    return m_implementation->is_done() ? State::kDone : State::kReading;
 }
 
 bool RequestParser::takeExpectsContinue()
 {
-    const bool isHeaderRead = implementation_ && implementation_->is_header_done();
-    return isHeaderRead && ! implementation_->is_done() && implementation_->takeExpectsContinue();
+    const bool isHeaderRead = m_implementation && m_implementation->is_header_done();
+    return isHeaderRead && ! m_implementation->is_done() && m_implementation->takeExpectsContinue();
 }
 
 ParsedRequest RequestParser::take()
 {
-    ParsedRequest request = std::move (implementation_->request());
-    request.wantsClose = ! implementation_->keep_alive();
+    ParsedRequest request = std::move (m_implementation->request());
+    request.wantsClose = ! m_implementation->keep_alive();
     request.hasBodyFraming =
-        implementation_->chunked() || implementation_->content_length().has_value();
-    implementation_.reset();
+        m_implementation->chunked() || m_implementation->content_length().has_value();
+    m_implementation.reset();
     return request;
 }
 
--- a/src/proxy/RequestParser.h
+++ b/src/proxy/RequestParser.h
@@ -61,12 +61,12 @@
     [[nodiscard]] bool takeExpectsContinue();
     /// The request; the parser is then ready for the next one.
     ParsedRequest take();
-    void setLimits (RequestLimits limits) { limits_ = limits; }
+    void setLimits (RequestLimits limits) { m_limits = limits; }
 
 private:
     class Implementation;
-    RequestLimits limits_;
-    std::unique_ptr<Implementation> implementation_;
+    RequestLimits m_limits;
+    std::unique_ptr<Implementation> m_implementation;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/RouteTable.cpp
+++ b/src/proxy/RouteTable.cpp
@@ -21,18 +21,18 @@
 }  // namespace
 
 RouteTable::RouteTable (std::uint64_t version, config::ServiceCatalogue catalogue)
-    : version_ (version), catalogue_ (std::move (catalogue))
+    : m_version (version), m_catalogue (std::move (catalogue))
 {
-    for (const config::Route& route : catalogue_.routes)
+    for (const config::Route& route : m_catalogue.routes)
     {
-        hosts_[normalisedHost (route.host)].emplace (route.pathPrefix, &route);
+        m_hosts[normalisedHost (route.host)].emplace (route.pathPrefix, &route);
     }
 }
 
 const config::Route* RouteTable::find (std::string_view host, std::string_view path) const
 {
-    const auto routes = hosts_.find (normalisedHost (host));
-    if (routes == hosts_.end())
+    const auto routes = m_hosts.find (normalisedHost (host));
+    if (routes == m_hosts.end())
         return nullptr;
     // Prefixes end with a slash: only the begins of the path up to a slash can match.
     for (std::size_t end = path.rfind ('/'); end != std::string_view::npos;
--- a/src/proxy/RouteTable.h
+++ b/src/proxy/RouteTable.h
@@ -26,15 +26,15 @@
     /// The service of a backend of the route, chosen by weight with `draw` from [0, 1).
     [[nodiscard]] static const std::string& chooseService (const config::Route& route, double draw);
 
-    [[nodiscard]] std::uint64_t version() const { return version_; }
-    [[nodiscard]] const config::ServiceCatalogue& catalogue() const { return catalogue_; }
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
+    [[nodiscard]] const config::ServiceCatalogue& catalogue() const { return m_catalogue; }
 
 private:
     using RoutesByPrefix = std::map<std::string, const config::Route*, std::less<>>;
 
-    std::uint64_t version_;
-    config::ServiceCatalogue catalogue_;
-    std::map<std::string, RoutesByPrefix, std::less<>> hosts_;
+    std::uint64_t m_version;
+    config::ServiceCatalogue m_catalogue;
+    std::map<std::string, RoutesByPrefix, std::less<>> m_hosts;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/RouteTableTest.cpp
+++ b/src/proxy/RouteTableTest.cpp
@@ -31,10 +31,10 @@
     }
     std::string nameOf (const std::string& host, const std::string& path)
     {
-        const config::Route* route = table_.find (host, path);
+        const config::Route* route = m_table.find (host, path);
         return route == nullptr ? "" : route->name;
     }
-    RouteTable table_{ 1, catalogue() };
+    RouteTable m_table{ 1, catalogue() };
 };
 
 TEST_F (RouteTableTest, TheLongestPrefixOfTheHostWins)
@@ -55,7 +55,7 @@
 
 TEST_F (RouteTableTest, ServicesAreChosenByWeight)
 {
-    const config::Route& route = *table_.find ("one.test", "/");
+    const config::Route& route = *m_table.find ("one.test", "/");
     EXPECT_EQ (RouteTable::chooseService (route, 0.0), "a");
     EXPECT_EQ (RouteTable::chooseService (route, 0.89), "a");
     EXPECT_EQ (RouteTable::chooseService (route, 0.91), "b");
--- a/src/router/ActiveConfiguration.cpp
+++ b/src/router/ActiveConfiguration.cpp
@@ -8,54 +8,54 @@
 
 bool ActiveConfiguration::apply (const cell::ConfigurationUpdate& update)
 {
-    if (update.version <= held_.version)
+    if (update.version <= m_held.version)
         return false;
-    std::optional<std::string> text = cell::wholeText (update, held_);
+    std::optional<std::string> text = cell::wholeText (update, m_held);
     if (! text)
         return false;
     config::CatalogueOutcome outcome = config::parseCatalogue (*text);
     if (! outcome.catalogue)
         return false;
-    held_ = { update.version, update.digest, std::move (*text) };
-    catalogue_ = std::move (*outcome.catalogue);
-    reservation_ = admission::SlotReservation (catalogue_.classes);
-    models_.clear();
-    applications_.clear();
-    for (const auto& model : catalogue_.models)
-        models_[model.name.value] = model.defaultClass;
-    for (const auto& adapter : catalogue_.adapters)
+    m_held = { update.version, update.digest, std::move (*text) };
+    m_catalogue = std::move (*outcome.catalogue);
+    m_reservation = admission::SlotReservation (m_catalogue.classes);
+    m_models.clear();
+    m_applications.clear();
+    for (const auto& model : m_catalogue.models)
+        m_models[model.name.value] = model.defaultClass;
+    for (const auto& adapter : m_catalogue.adapters)
     {
-        models_[adapter.name.value] = adapter.defaultClass;
+        m_models[adapter.name.value] = adapter.defaultClass;
     }
-    for (const auto& application : catalogue_.applications)
+    for (const auto& application : m_catalogue.applications)
     {
-        applications_[application.name.value] = application.defaultClass;
+        m_applications[application.name.value] = application.defaultClass;
     }
     return true;
 }
 
 bool ActiveConfiguration::hasTarget (Protocol protocol, const std::string& target) const
 {
-    const DefaultClasses& known = protocol == Protocol::kApplication ? applications_ : models_;
+    const DefaultClasses& known = protocol == Protocol::kApplication ? m_applications : m_models;
     return known.contains (target);
 }
 
 const config::RequestClass* ActiveConfiguration::classOf (const RequestHead& head) const
 {
     if (head.requestClass)
-        return catalogue_.findClass (*head.requestClass);
+        return m_catalogue.findClass (*head.requestClass);
     const bool isApplication = head.protocol == Protocol::kApplication;
-    const DefaultClasses& known = isApplication ? applications_ : models_;
+    const DefaultClasses& known = isApplication ? m_applications : m_models;
     const auto entry = known.find (head.target);
-    return entry == known.end() ? nullptr : catalogue_.findClass (entry->second);
+    return entry == known.end() ? nullptr : m_catalogue.findClass (entry->second);
 }
 
 std::vector<std::string> ActiveConfiguration::targets() const
 {
     std::vector<std::string> names;
-    for (const auto& model : catalogue_.models)
+    for (const auto& model : m_catalogue.models)
         names.push_back (model.name.value);
-    for (const auto& adapter : catalogue_.adapters)
+    for (const auto& adapter : m_catalogue.adapters)
         names.push_back (adapter.name.value);
     return names;
 }
--- a/src/router/ActiveConfiguration.h
+++ b/src/router/ActiveConfiguration.h
@@ -23,9 +23,9 @@
     /// configuration, or it cannot be parsed. True if it was taken.
     bool apply (const cell::ConfigurationUpdate& update);
 
-    [[nodiscard]] std::uint64_t version() const { return held_.version; }
-    [[nodiscard]] const std::string& digest() const { return held_.digest; }
-    [[nodiscard]] const admission::SlotReservation& reservation() const { return reservation_; }
+    [[nodiscard]] std::uint64_t version() const { return m_held.version; }
+    [[nodiscard]] const std::string& digest() const { return m_held.digest; }
+    [[nodiscard]] const admission::SlotReservation& reservation() const { return m_reservation; }
 
     [[nodiscard]] bool hasTarget (Protocol protocol, const std::string& target) const;
     /// The class a request falls into: the one it names, else its target's default. Null when there
@@ -37,11 +37,11 @@
 private:
     using DefaultClasses = std::unordered_map<std::string, base::RequestClassName>;
 
-    cell::HeldConfiguration held_;
-    config::Catalogue catalogue_;
-    DefaultClasses models_;  ///< And adapters.
-    DefaultClasses applications_;
-    admission::SlotReservation reservation_;
+    cell::HeldConfiguration m_held;
+    config::Catalogue m_catalogue;
+    DefaultClasses m_models;  ///< And adapters.
+    DefaultClasses m_applications;
+    admission::SlotReservation m_reservation;
 };
 
 }  // namespace fernlift::router
--- a/src/router/AnswerReader.cpp
+++ b/src/router/AnswerReader.cpp
@@ -37,8 +37,8 @@
 
 std::vector<AttemptEvent> PlainBodyReader::read (std::string_view bytes)
 {
-    AttemptData part{ offset_, bytes.size(), std::string (bytes) };
-    offset_ += bytes.size();
+    AttemptData part{ m_offset, bytes.size(), std::string (bytes) };
+    m_offset += bytes.size();
     return { std::move (part) };
 }
 
@@ -47,23 +47,23 @@
 std::vector<AttemptEvent> TokenStreamReader::read (std::string_view bytes)
 {
     std::vector<AttemptEvent> events;
-    while (! bytes.empty() && ! isFinished_)
+    while (! bytes.empty() && ! m_isFinished)
     {
         const std::size_t lineEnd = bytes.find ('\n');
-        line_ += bytes.substr (0, lineEnd);
-        if (line_.size() + data_.size() > kMaximumEventBytes)
+        m_line += bytes.substr (0, lineEnd);
+        if (m_line.size() + m_data.size() > kMaximumEventBytes)
         {
-            isFinished_ = true;
+            m_isFinished = true;
             events.emplace_back (AttemptBroken{});
             break;
         }
         if (lineEnd == std::string_view::npos)
             break;
         bytes.remove_prefix (lineEnd + 1);
-        if (line_.ends_with ('\r'))
-            line_.pop_back();
-        takeLine (line_, events);
-        line_.clear();
+        if (m_line.ends_with ('\r'))
+            m_line.pop_back();
+        takeLine (m_line, events);
+        m_line.clear();
     }
     return events;
 }
@@ -81,17 +81,17 @@
     line.remove_prefix (kDataField.size());
     if (line.starts_with (' '))
         line.remove_prefix (1);
-    data_ += line;
+    m_data += line;
 }
 
 void TokenStreamReader::finishEvent (std::vector<AttemptEvent>& events)
 {
-    const std::string data = std::exchange (data_, {});
+    const std::string data = std::exchange (m_data, {});
     if (data.empty())
         return;
     if (data == kDone)
     {
-        isFinished_ = true;
+        m_isFinished = true;
         events.emplace_back (AttemptEnded{});
         return;
     }
@@ -102,7 +102,7 @@
     }
     else
     {
-        isFinished_ = true;
+        m_isFinished = true;
         events.emplace_back (AttemptBroken{});
     }
 }
--- a/src/router/AnswerReader.h
+++ b/src/router/AnswerReader.h
@@ -36,7 +36,7 @@
     [[nodiscard]] AttemptEvent readEnd() override;
 
 private:
-    std::uint64_t offset_ = 0;
+    std::uint64_t m_offset = 0;
 };
 
 /// A stream of server-sent events from an engine; offsets are tokens. Each event is passed on as
@@ -53,9 +53,9 @@
     void takeLine (std::string_view line, std::vector<AttemptEvent>& events);
     void finishEvent (std::vector<AttemptEvent>& events);
 
-    std::string line_;  ///< The line not yet complete.
-    std::string data_;  ///< Data of the event not yet complete.
-    bool isFinished_ = false;
+    std::string m_line;  ///< The line not yet complete.
+    std::string m_data;  ///< Data of the event not yet complete.
+    bool m_isFinished = false;
 };
 
 }  // namespace fernlift::router
--- a/src/router/BackEndAttempts.cpp
+++ b/src/router/BackEndAttempts.cpp
@@ -24,7 +24,7 @@
 }  // namespace
 
 BackEndAttempts::BackEndAttempts (http::Client& client, std::size_t bufferBytes, Handlers handlers)
-    : client_ (client), bufferBytes_ (bufferBytes), handlers_ (std::move (handlers))
+    : m_client (client), m_bufferBytes (bufferBytes), m_handlers (std::move (handlers))
 {
 }
 
@@ -32,7 +32,7 @@
 {
     const AttemptId id = attempt.attempt;
     const base::SocketAddress address = parseOrEmpty (attempt.replica.address);
-    OpenAttempt& open = attempts_[id];
+    OpenAttempt& open = m_attempts[id];
     open.ticket = attempt.ticket;
     open.isTokenStream =
         request.head.protocol == Protocol::kCompletions && request.head.isStreaming;
@@ -42,29 +42,29 @@
         return;
     }
     http::ClientRequest sent = backEndRequest (attempt, request, address);
-    sent.readBufferBytes = bufferBytes_;
+    sent.readBufferBytes = m_bufferBytes;
     http::ClientCallbacks callbacks;
     callbacks.onHeaders = [this, id] (const http::ClientResponse& head) { onHeaders (id, head); };
     callbacks.onData = [this, id] (std::string_view data) { onData (id, data); };
     callbacks.onEnd = [this, id] { onEnd (id); };
     callbacks.onError = [this, id] (const http::ClientError& error) { onError (id, error); };
-    open.exchange = client_.send (std::move (sent), std::move (callbacks));
+    open.exchange = m_client.send (std::move (sent), std::move (callbacks));
 }
 
 void BackEndAttempts::cancel (AttemptId attempt)
 {
-    const auto found = attempts_.find (attempt);
-    if (found == attempts_.end())
+    const auto found = m_attempts.find (attempt);
+    if (found == m_attempts.end())
         return;
     const std::shared_ptr<http::Exchange> exchange = std::move (found->second.exchange);
-    attempts_.erase (found);
+    m_attempts.erase (found);
     if (exchange)
         exchange->cancel();
 }
 
 void BackEndAttempts::setPaused (RequestTicket ticket, bool isPaused)
 {
-    for (auto& [id, attempt] : attempts_)
+    for (auto& [id, attempt] : m_attempts)
     {
         if (attempt.ticket == ticket && attempt.exchange)
             attempt.exchange->setPaused (isPaused);
@@ -73,8 +73,8 @@
 
 void BackEndAttempts::onHeaders (AttemptId id, const http::ClientResponse& response)
 {
-    const auto found = attempts_.find (id);
-    if (found == attempts_.end())
+    const auto found = m_attempts.find (id);
+    if (found == m_attempts.end())
         return;
     OpenAttempt& attempt = found->second;
     const AttemptEvent event = headEventOf (response);
@@ -88,15 +88,15 @@
         {
             attempt.reader = std::make_unique<PlainBodyReader>();
         }
-        handlers_.onHeaders (attempt.ticket, id, response.headers);
+        m_handlers.onHeaders (attempt.ticket, id, response.headers);
     }
     report (id, event);
 }
 
 void BackEndAttempts::onData (AttemptId id, std::string_view data)
 {
-    const auto found = attempts_.find (id);
-    if (found == attempts_.end())
+    const auto found = m_attempts.find (id);
+    if (found == m_attempts.end())
         return;
     for (const AttemptEvent& event : found->second.reader->read (data))
         report (id, event);
@@ -104,8 +104,8 @@
 
 void BackEndAttempts::onEnd (AttemptId id)
 {
-    const auto found = attempts_.find (id);
-    if (found != attempts_.end())
+    const auto found = m_attempts.find (id);
+    if (found != m_attempts.end())
         report (id, found->second.reader->readEnd());
 }
 
@@ -117,12 +117,12 @@
 
 void BackEndAttempts::report (AttemptId id, const AttemptEvent& event)
 {
-    const auto found = attempts_.find (id);
-    if (found == attempts_.end())
+    const auto found = m_attempts.find (id);
+    if (found == m_attempts.end())
         return;
     if (isFinal (event))
-        attempts_.erase (found);
-    handlers_.onEvent (id, event);
+        m_attempts.erase (found);
+    m_handlers.onEvent (id, event);
 }
 
 }  // namespace fernlift::router
--- a/src/router/BackEndAttempts.h
+++ b/src/router/BackEndAttempts.h
@@ -32,7 +32,7 @@
     void cancel (AttemptId attempt);
     /// Stops or restarts reading the answers to a request.
     void setPaused (RequestTicket ticket, bool isPaused);
-    [[nodiscard]] std::size_t countOpen() const { return attempts_.size(); }
+    [[nodiscard]] std::size_t countOpen() const { return m_attempts.size(); }
 
 private:
     struct OpenAttempt
@@ -51,10 +51,10 @@
     /// ignored.
     void report (AttemptId id, const AttemptEvent& event);
 
-    http::Client& client_;
-    std::size_t bufferBytes_;
-    Handlers handlers_;
-    std::map<AttemptId, OpenAttempt> attempts_;
+    http::Client& m_client;
+    std::size_t m_bufferBytes;
+    Handlers m_handlers;
+    std::map<AttemptId, OpenAttempt> m_attempts;
 };
 
 }  // namespace fernlift::router
--- a/src/router/CacheEventPoller.cpp
+++ b/src/router/CacheEventPoller.cpp
@@ -42,43 +42,44 @@
 }
 
 CacheEventPoller::CacheEventPoller (http::Client& client, EventHandler onEvents)
-    : client_ (client), onEvents_ (std::move (onEvents))
+    : m_client (client), m_onEvents (std::move (onEvents))
 {
-    QObject::connect (&timer_, &QTimer::timeout, &timer_, [this] { poll(); });
+    QObject::connect (&m_timer, &QTimer::timeout, &m_timer, [this] { poll(); });
 }
 
 void CacheEventPoller::start (base::Duration interval)
 {
     if (interval <= base::Duration::zero())
         return;
-    timer_.start (std::chrono::duration_cast<base::milliseconds> (interval));
+    m_timer.start (std::chrono::duration_cast<base::milliseconds> (interval));
 }
 
 void CacheEventPoller::onReplicas (const cell::ReplicaUpdate& update)
 {
     if (update.fromVersion == 0)
-        rows_.clear();
+        m_rows.clear();
     for (const cell::RoutableReplica& row : update.removals)
     {
-        rows_[row.runner].erase ({ row.replica, row.target });
+        m_rows[row.runner].erase ({ row.replica, row.target });
     }
     for (const cell::RoutableReplica& row : update.upserts)
     {
         if (row.isApplication)
             continue;
-        rows_[row.runner].emplace (row.replica, row.target);
-        Runner& runner = runners_[row.runner];
+        m_rows[row.runner].emplace (row.replica, row.target);
+        Runner& runner = m_runners[row.runner];
         const bool isSame = runner.incarnation == row.incarnation && runner.address == row.address;
         if (! isSame)
             runner = Runner{ row.incarnation, row.address, 0, false };
     }
-    std::erase_if (rows_, [] (const auto& entry) { return entry.second.empty(); });
-    std::erase_if (runners_, [this] (const auto& entry) { return ! rows_.contains (entry.first); });
+    std::erase_if (m_rows, [] (const auto& entry) { return entry.second.empty(); });
+    std::erase_if (m_runners,
+                   [this] (const auto& entry) { return ! m_rows.contains (entry.first); });
 }
 
 void CacheEventPoller::poll()
 {
-    for (auto& [id, runner] : runners_)
+    for (auto& [id, runner] : m_runners)
     {
         if (! runner.isAsked)
             ask (id, runner);
@@ -95,7 +96,7 @@
     request.headersTimeout = kCallTimeout;
     request.idleTimeout = kCallTimeout;
     const base::Incarnation incarnation = runner.incarnation;
-    client_.fetch (
+    m_client.fetch (
         std::move (request),
         [this, id, incarnation] (const http::WholeResponse& response)
         { onAnswer (id, incarnation, response); },
@@ -119,7 +120,7 @@
         [&]() -> base::Result<void>
         {
             BOOST_LEAF_AUTO (events, parseCacheEvents (response.body));
-            runner->after = onEvents_ (id, incarnation, events);
+            runner->after = m_onEvents (id, incarnation, events);
             return {};
         },
         [] (const base::Error&) {});
@@ -128,8 +129,8 @@
 CacheEventPoller::Runner* CacheEventPoller::findAsked (const base::RunnerId& id,
                                                        base::Incarnation incarnation)
 {
-    const auto found = runners_.find (id);
-    if (found == runners_.end() || found->second.incarnation != incarnation)
+    const auto found = m_runners.find (id);
+    if (found == m_runners.end() || found->second.incarnation != incarnation)
         return nullptr;
     return &found->second;
 }
--- a/src/router/CacheEventPoller.h
+++ b/src/router/CacheEventPoller.h
@@ -57,11 +57,11 @@
     /// The runner if it is still in the incarnation that was asked.
     Runner* findAsked (const base::RunnerId& id, base::Incarnation incarnation);
 
-    http::Client& client_;
-    EventHandler onEvents_;
-    std::map<base::RunnerId, Runner> runners_;
-    std::map<base::RunnerId, std::set<RowKey>> rows_;  ///< Engine rows of the replica table.
-    QTimer timer_;
+    http::Client& m_client;
+    EventHandler m_onEvents;
+    std::map<base::RunnerId, Runner> m_runners;
+    std::map<base::RunnerId, std::set<RowKey>> m_rows;  ///< Engine rows of the replica table.
+    QTimer m_timer;
 };
 
 }  // namespace fernlift::router
--- a/src/router/CallerExchanges.cpp
+++ b/src/router/CallerExchanges.cpp
@@ -22,17 +22,17 @@
 
 CallerExchanges::CallerExchanges (std::size_t bufferBytes, const base::Clock& clock,
                                   http::Metrics& metrics, Handlers handlers)
-    : bufferBytes_ (bufferBytes),
-      clock_ (clock),
-      handlers_ (std::move (handlers)),
-      firstByteSeconds_ (metrics.histogram ("fernlift_router_first_byte_seconds",
-                                            "Arrival of a request to the begin of its answer.",
-                                            http::latencyBounds())),
-      answerSeconds_ (metrics.histogram ("fernlift_router_answer_seconds",
-                                         "Arrival of a request to the end of its whole answer.",
-                                         http::latencyBounds())),
-      pauses_ (metrics.counter ("fernlift_router_slow_caller_pauses_total",
-                                "Times an answer was paused for a caller that did not read."))
+    : m_bufferBytes (bufferBytes),
+      m_clock (clock),
+      m_handlers (std::move (handlers)),
+      m_firstByteSeconds (metrics.histogram ("fernlift_router_first_byte_seconds",
+                                             "Arrival of a request to the begin of its answer.",
+                                             http::latencyBounds())),
+      m_answerSeconds (metrics.histogram ("fernlift_router_answer_seconds",
+                                          "Arrival of a request to the end of its whole answer.",
+                                          http::latencyBounds())),
+      m_pauses (metrics.counter ("fernlift_router_slow_caller_pauses_total",
+                                 "Times an answer was paused for a caller that did not read."))
 {
 }
 
@@ -43,35 +43,35 @@
         [this, ticket]
         {
             if (take (ticket))
-                handlers_.onGone (ticket);
+                m_handlers.onGone (ticket);
         });
     responder->onDrained ([this, ticket] { onDrained (ticket); });
     Caller caller;
     caller.request = std::move (request);
     caller.responder = std::move (responder);
-    caller.arrivedAt = clock_.now();
-    callers_.emplace (ticket, std::move (caller));
+    caller.arrivedAt = m_clock.now();
+    m_callers.emplace (ticket, std::move (caller));
 }
 
 const CallerRequest* CallerExchanges::requestOf (RequestTicket ticket) const
 {
-    const auto found = callers_.find (ticket);
-    return found == callers_.end() ? nullptr : &found->second.request;
+    const auto found = m_callers.find (ticket);
+    return found == m_callers.end() ? nullptr : &found->second.request;
 }
 
 void CallerExchanges::noteHeaders (RequestTicket ticket, AttemptId attempt,
                                    const http::Headers& headers)
 {
-    const auto found = callers_.find (ticket);
-    if (found == callers_.end() || found->second.hasBegun)
+    const auto found = m_callers.find (ticket);
+    if (found == m_callers.end() || found->second.hasBegun)
         return;
     found->second.headersOfAttempts[attempt] = headers;
 }
 
 void CallerExchanges::begin (const AnswerHeaders& effect)
 {
-    const auto found = callers_.find (effect.ticket);
-    if (found == callers_.end())
+    const auto found = m_callers.find (effect.ticket);
+    if (found == m_callers.end())
         return;
     Caller& caller = found->second;
     const http::Headers& headers = caller.headersOfAttempts[effect.attempt];
@@ -79,42 +79,42 @@
     caller.hasBegun = true;
     caller.isEventStream =
         head.isStreaming && head.protocol == Protocol::kCompletions && isEventStream (headers);
-    firstByteSeconds_.observe (secondsSince (caller.arrivedAt));
+    m_firstByteSeconds.observe (secondsSince (caller.arrivedAt));
     caller.responder->begin (effect.httpStatus, answerHeaders (headers, head.id));
 }
 
 void CallerExchanges::write (const AnswerData& effect)
 {
-    const auto found = callers_.find (effect.ticket);
-    if (found == callers_.end())
+    const auto found = m_callers.find (effect.ticket);
+    if (found == m_callers.end())
         return;
     Caller& caller = found->second;
     caller.responder->write (effect.data);
-    if (caller.responder->bytesToWrite() <= bufferBytes_)
+    if (caller.responder->bytesToWrite() <= m_bufferBytes)
         return;
     if (! std::exchange (caller.isPaused, true))
-        pauses_.add();
-    handlers_.onPaused (effect.ticket, true);
+        m_pauses.add();
+    m_handlers.onPaused (effect.ticket, true);
 }
 
 void CallerExchanges::onDrained (RequestTicket ticket)
 {
-    const auto found = callers_.find (ticket);
-    if (found == callers_.end() || ! std::exchange (found->second.isPaused, false))
+    const auto found = m_callers.find (ticket);
+    if (found == m_callers.end() || ! std::exchange (found->second.isPaused, false))
         return;
-    handlers_.onPaused (ticket, false);
+    m_handlers.onPaused (ticket, false);
 }
 
 std::optional<CallerExchanges::Caller> CallerExchanges::take (RequestTicket ticket)
 {
-    const auto found = callers_.find (ticket);
-    if (found == callers_.end())
+    const auto found = m_callers.find (ticket);
+    if (found == m_callers.end())
         return std::nullopt;
     std::optional<Caller> caller = std::move (found->second);
-    callers_.erase (found);
+    m_callers.erase (found);
     // The outcome of a request that may not be repeated is awaited without its caller.
     if (caller->isPaused)
-        handlers_.onPaused (ticket, false);
+        m_handlers.onPaused (ticket, false);
     return caller;
 }
 
@@ -123,7 +123,7 @@
     const std::optional<Caller> caller = take (effect.ticket);
     if (! caller)
         return;
-    answerSeconds_.observe (secondsSince (caller->arrivedAt));
+    m_answerSeconds.observe (secondsSince (caller->arrivedAt));
     if (caller->isEventStream)
         caller->responder->write (kLastEvent);
     caller->responder->end();
@@ -154,7 +154,7 @@
 
 double CallerExchanges::secondsSince (base::TimePoint start) const
 {
-    return std::chrono::duration<double> (clock_.now() - start).count();
+    return std::chrono::duration<double> (m_clock.now() - start).count();
 }
 
 }  // namespace fernlift::router
--- a/src/router/CallerExchanges.h
+++ b/src/router/CallerExchanges.h
@@ -43,7 +43,7 @@
     void write (const AnswerData& effect);
     void end (const AnswerEnd& effect);
     void fail (const AnswerError& effect);
-    [[nodiscard]] std::size_t countOpen() const { return callers_.size(); }
+    [[nodiscard]] std::size_t countOpen() const { return m_callers.size(); }
 
 private:
     struct Caller
@@ -62,13 +62,13 @@
     void onDrained (RequestTicket ticket);
     [[nodiscard]] double secondsSince (base::TimePoint start) const;
 
-    std::size_t bufferBytes_;
-    const base::Clock& clock_;
-    Handlers handlers_;
-    http::Histogram& firstByteSeconds_;
-    http::Histogram& answerSeconds_;
-    http::Counter& pauses_;
-    std::map<RequestTicket, Caller> callers_;
+    std::size_t m_bufferBytes;
+    const base::Clock& m_clock;
+    Handlers m_handlers;
+    http::Histogram& m_firstByteSeconds;
+    http::Histogram& m_answerSeconds;
+    http::Counter& m_pauses;
+    std::map<RequestTicket, Caller> m_callers;
 };
 
 }  // namespace fernlift::router
--- a/src/router/ControllerLink.cpp
+++ b/src/router/ControllerLink.cpp
@@ -11,9 +11,9 @@
 
 ControllerLink::ControllerLink (std::vector<base::SocketAddress> controllers,
                                 std::size_t firstIndex, Handlers handlers)
-    : controllers_ (std::move (controllers)),
-      nextIndex_ (firstIndex % controllers_.size()),
-      handlers_ (std::move (handlers))
+    : m_controllers (std::move (controllers)),
+      m_nextIndex (firstIndex % m_controllers.size()),
+      m_handlers (std::move (handlers))
 {
 }
 
@@ -23,8 +23,8 @@
                                      [] (const base::Error&) { return base::SocketAddress(); });
     if (! named.host.empty())
         return named;
-    base::SocketAddress next = controllers_[nextIndex_];
-    nextIndex_ = (nextIndex_ + 1) % controllers_.size();
+    base::SocketAddress next = m_controllers[m_nextIndex];
+    m_nextIndex = (m_nextIndex + 1) % m_controllers.size();
     return next;
 }
 
@@ -32,29 +32,29 @@
 {
     close();
     wire::FrameConnection::Handlers handlers;
-    handlers.onConnected = [this] { handlers_.onConnected(); };
+    handlers.onConnected = [this] { m_handlers.onConnected(); };
     handlers.onFrame = [this] (const wire::Frame& frame) { onFrame (frame); };
     handlers.onClosed = [this] { onClosed(); };
-    connection_ = wire::FrameConnection::connectTo (nextAddress (address), {}, std::move (handlers),
-                                                    &traffic_);
+    m_connection = wire::FrameConnection::connectTo (nextAddress (address), {},
+                                                     std::move (handlers), &m_traffic);
 }
 
 void ControllerLink::setControllers (std::vector<base::SocketAddress> controllers)
 {
     if (controllers.empty())
         return;
-    controllers_ = std::move (controllers);
-    nextIndex_ %= controllers_.size();
+    m_controllers = std::move (controllers);
+    m_nextIndex %= m_controllers.size();
 }
 
 void ControllerLink::send (const cell::RouterToController& message)
 {
-    if (! connection_)
+    if (! m_connection)
         return;
-    connection_->send (wire::Channel::kRouterToController, wire::encodeMessage (message));
+    m_connection->send (wire::Channel::kRouterToController, wire::encodeMessage (message));
 }
 
-void ControllerLink::close() { connection_.reset(); }
+void ControllerLink::close() { m_connection.reset(); }
 
 void ControllerLink::onFrame (const wire::Frame& frame)
 {
@@ -77,7 +77,7 @@
         });
     if (message)
     {
-        handlers_.onMessage (*message);
+        m_handlers.onMessage (*message);
     }
     else
     {
@@ -88,7 +88,7 @@
 void ControllerLink::onClosed()
 {
     close();
-    handlers_.onLost();
+    m_handlers.onLost();
 }
 
 }  // namespace fernlift::router
--- a/src/router/ControllerLink.h
+++ b/src/router/ControllerLink.h
@@ -35,18 +35,18 @@
     /// Does nothing without a connection.
     void send (const cell::RouterToController& message);
     void close();
-    [[nodiscard]] const wire::FrameTraffic& traffic() const { return traffic_; }
+    [[nodiscard]] const wire::FrameTraffic& traffic() const { return m_traffic; }
 
 private:
     [[nodiscard]] base::SocketAddress nextAddress (const std::string& address);
     void onFrame (const wire::Frame& frame);
     void onClosed();
 
-    std::vector<base::SocketAddress> controllers_;
-    std::size_t nextIndex_;
-    Handlers handlers_;
-    wire::FrameTraffic traffic_;
-    std::unique_ptr<wire::FrameConnection> connection_;
+    std::vector<base::SocketAddress> m_controllers;
+    std::size_t m_nextIndex;
+    Handlers m_handlers;
+    wire::FrameTraffic m_traffic;
+    std::unique_ptr<wire::FrameConnection> m_connection;
 };
 
 }  // namespace fernlift::router
--- a/src/router/ControllerSession.cpp
+++ b/src/router/ControllerSession.cpp
@@ -25,18 +25,18 @@
 
 void ControllerSession::scheduleConnect (base::TimePoint at, std::string address)
 {
-    isConnected_ = false;
-    connectAt_ = at;
-    connectAddress_ = std::move (address);
-    unanswered_.clear();
+    m_isConnected = false;
+    m_connectAt = at;
+    m_connectAddress = std::move (address);
+    m_unanswered.clear();
 }
 
 void ControllerSession::onConnected (base::TimePoint now)
 {
-    isConnected_ = true;
-    connectAt_.reset();
-    unanswered_.clear();
-    requestAt_ = now;
+    m_isConnected = true;
+    m_connectAt.reset();
+    m_unanswered.clear();
+    m_requestAt = now;
 }
 
 void ControllerSession::onLost (base::TimePoint now, base::Random& random)
@@ -54,63 +54,63 @@
 
 void ControllerSession::onGrant (const cell::LeaseGrant& grant)
 {
-    const auto sent = unanswered_.find (grant.sequence);
-    if (sent == unanswered_.end() || grant.term < highestTerm_)
+    const auto sent = m_unanswered.find (grant.sequence);
+    if (sent == m_unanswered.end() || grant.term < m_highestTerm)
         return;
     const base::Duration length = base::milliseconds (grant.durationMilliseconds);
     const base::TimePoint until = sent->second + length;
-    unanswered_.erase (unanswered_.begin(), std::next (sent));
-    highestTerm_ = grant.term;
-    requestInterval_ =
+    m_unanswered.erase (m_unanswered.begin(), std::next (sent));
+    m_highestTerm = grant.term;
+    m_requestInterval =
         std::max<base::Duration> (length / kRequestsInLease, base::milliseconds (10));
-    requestAt_ = std::min (requestAt_, until - length + requestInterval_);
-    if (grant.configurationVersion < lease_.version)
+    m_requestAt = std::min (m_requestAt, until - length + m_requestInterval);
+    if (grant.configurationVersion < m_lease.version)
         return;
-    const bool isSame =
-        grant.configurationVersion == lease_.version && grant.configurationDigest == lease_.digest;
-    lease_.until = isSame ? std::max (lease_.until, until) : until;
-    lease_.version = grant.configurationVersion;
-    lease_.digest = grant.configurationDigest;
+    const bool isSame = grant.configurationVersion == m_lease.version
+                        && grant.configurationDigest == m_lease.digest;
+    m_lease.until = isSame ? std::max (m_lease.until, until) : until;
+    m_lease.version = grant.configurationVersion;
+    m_lease.digest = grant.configurationDigest;
 }
 
-void ControllerSession::requestSoon (base::TimePoint now) { requestAt_ = now; }
+void ControllerSession::requestSoon (base::TimePoint now) { m_requestAt = now; }
 
 std::optional<std::variant<ConnectController, cell::LeaseRequest>> ControllerSession::poll (
     base::TimePoint now)
 {
-    if (! isConnected_)
+    if (! m_isConnected)
     {
-        if (! connectAt_ || now < *connectAt_)
+        if (! m_connectAt || now < *m_connectAt)
             return std::nullopt;
-        ConnectController connect{ std::exchange (connectAddress_, "") };
-        connectAt_ = now + kConnectLimit;
+        ConnectController connect{ std::exchange (m_connectAddress, "") };
+        m_connectAt = now + kConnectLimit;
         return connect;
     }
-    if (now < requestAt_)
+    if (now < m_requestAt)
         return std::nullopt;
     const bool isSilent =
-        ! unanswered_.empty() && now - unanswered_.begin()->second >= requestInterval_;
+        ! m_unanswered.empty() && now - m_unanswered.begin()->second >= m_requestInterval;
     if (isSilent)
     {
         // Another controller may have become the leader; the lease leaves time to find it.
         scheduleConnect (now + kConnectLimit, "");
         return ConnectController{};
     }
-    requestAt_ = now + requestInterval_;
+    m_requestAt = now + m_requestInterval;
     cell::LeaseRequest request;
-    request.sequence = ++lastSequence_;
-    unanswered_[request.sequence] = now;
+    request.sequence = ++m_lastSequence;
+    m_unanswered[request.sequence] = now;
     return request;
 }
 
 bool ControllerSession::hasLease (base::TimePoint now, std::uint64_t heldVersion,
                                   const std::string& heldDigest) const
 {
-    if (heldVersion == 0 || now >= lease_.until)
+    if (heldVersion == 0 || now >= m_lease.until)
         return false;
-    if (lease_.version == heldVersion)
-        return lease_.digest == heldDigest;
-    return lease_.version != 0 && lease_.version < heldVersion;
+    if (m_lease.version == heldVersion)
+        return m_lease.digest == heldDigest;
+    return m_lease.version != 0 && m_lease.version < heldVersion;
 }
 
 }  // namespace fernlift::router
--- a/src/router/ControllerSession.h
+++ b/src/router/ControllerSession.h
@@ -21,7 +21,7 @@
 class ControllerSession
 {
 public:
-    explicit ControllerSession (base::TimePoint now) : connectAt_ (now) {}
+    explicit ControllerSession (base::TimePoint now) : m_connectAt (now) {}
 
     void onConnected (base::TimePoint now);
     void onLost (base::TimePoint now, base::Random& random);
@@ -34,11 +34,11 @@
     [[nodiscard]] std::optional<std::variant<ConnectController, cell::LeaseRequest>> poll (
         base::TimePoint now);
 
-    [[nodiscard]] bool isConnected() const { return isConnected_; }
+    [[nodiscard]] bool isConnected() const { return m_isConnected; }
     /// Whether the configuration held may be served from. A grant for a newer one does not count.
     [[nodiscard]] bool hasLease (base::TimePoint now, std::uint64_t heldVersion,
                                  const std::string& heldDigest) const;
-    [[nodiscard]] base::TimePoint leaseEnd() const { return lease_.until; }
+    [[nodiscard]] base::TimePoint leaseEnd() const { return m_lease.until; }
 
 private:
     struct Lease
@@ -50,15 +50,15 @@
 
     void scheduleConnect (base::TimePoint at, std::string address);
 
-    bool isConnected_ = false;
-    std::optional<base::TimePoint> connectAt_;  ///< Set while a connection is wanted.
-    std::string connectAddress_;
-    base::TimePoint requestAt_{};
-    base::Duration requestInterval_ = base::milliseconds (600);
-    std::uint64_t lastSequence_ = 0;
-    std::map<std::uint64_t, base::TimePoint> unanswered_;  ///< By sequence; when it was sent.
-    base::Term highestTerm_ = 0;
-    Lease lease_;
+    bool m_isConnected = false;
+    std::optional<base::TimePoint> m_connectAt;  ///< Set while a connection is wanted.
+    std::string m_connectAddress;
+    base::TimePoint m_requestAt{};
+    base::Duration m_requestInterval = base::milliseconds (600);
+    std::uint64_t m_lastSequence = 0;
+    std::map<std::uint64_t, base::TimePoint> m_unanswered;  ///< By sequence; when it was sent.
+    base::Term m_highestTerm = 0;
+    Lease m_lease;
 };
 
 }  // namespace fernlift::router
--- a/src/router/DemandReporter.cpp
+++ b/src/router/DemandReporter.cpp
@@ -29,21 +29,21 @@
 
 void DemandReporter::onConnected()
 {
-    nextReport_ = base::TimePoint{};
-    stated_.clear();
+    m_nextReport = base::TimePoint{};
+    m_stated.clear();
 }
 
-bool DemandReporter::isDue (base::TimePoint now) const { return isUrgent_ || now >= nextReport_; }
+bool DemandReporter::isDue (base::TimePoint now) const { return m_isUrgent || now >= m_nextReport; }
 
 std::optional<cell::DemandReport> DemandReporter::report (DemandByTarget current,
                                                           base::TimePoint now)
 {
-    nextReport_ = now + interval_;
-    isUrgent_ = false;
-    for (const auto& [target, count] : arrivals_)
+    m_nextReport = now + m_interval;
+    m_isUrgent = false;
+    for (const auto& [target, count] : m_arrivals)
         current[target].arrivals = count;
     // Targets that were reported and now have no demand are reported once more, as nil.
-    for (const auto& [target, statement] : stated_)
+    for (const auto& [target, statement] : m_stated)
         current.try_emplace (target);
     cell::DemandReport report;
     for (auto& [target, demand] : current)
@@ -51,15 +51,15 @@
         demand.target = target;
         if (! isWorthStating (demand, now))
             continue;
-        arrivals_.erase (target);
+        m_arrivals.erase (target);
         report.demands.push_back (demand);
         if (isNil (demand))
         {
-            stated_.erase (target);
+            m_stated.erase (target);
         }
         else
         {
-            stated_[target] = { demand, now };
+            m_stated[target] = { demand, now };
         }
     }
     if (report.demands.empty())
@@ -69,8 +69,8 @@
 
 bool DemandReporter::isWorthStating (const cell::Demand& demand, base::TimePoint now) const
 {
-    const auto stated = stated_.find (demand.target);
-    if (stated == stated_.end() || demand.waiting > 0)
+    const auto stated = m_stated.find (demand.target);
+    if (stated == m_stated.end() || demand.waiting > 0)
         return true;
     const cell::Demand& last = stated->second.demand;
     return last.waiting > 0 || differsMuch (last.running, demand.running)
--- a/src/router/DemandReporter.h
+++ b/src/router/DemandReporter.h
@@ -19,12 +19,12 @@
 class DemandReporter
 {
 public:
-    explicit DemandReporter (base::Duration interval) : interval_ (interval) {}
+    explicit DemandReporter (base::Duration interval) : m_interval (interval) {}
 
-    void onArrival (const std::string& target) { arrivals_[target] += 1; }
+    void onArrival (const std::string& target) { m_arrivals[target] += 1; }
     /// A request began to wait for a target that has no replica: the next report does not wait for
     /// its turn.
-    void onColdTarget() { isUrgent_ = true; }
+    void onColdTarget() { m_isUrgent = true; }
     /// On a new connection everything is reported again.
     void onConnected();
 
@@ -35,7 +35,7 @@
     /// Whether the latest report about `target` stated demand for it.
     [[nodiscard]] bool isStated (const std::string& target) const
     {
-        return stated_.contains (target);
+        return m_stated.contains (target);
     }
 
 private:
@@ -47,11 +47,11 @@
 
     [[nodiscard]] bool isWorthStating (const cell::Demand& demand, base::TimePoint now) const;
 
-    base::Duration interval_;
-    base::TimePoint nextReport_{};
-    bool isUrgent_ = false;
-    std::map<std::string, std::uint32_t> arrivals_;
-    std::map<std::string, Statement> stated_;  ///< Demand that was last reported and is not nil.
+    base::Duration m_interval;
+    base::TimePoint m_nextReport{};
+    bool m_isUrgent = false;
+    std::map<std::string, std::uint32_t> m_arrivals;
+    std::map<std::string, Statement> m_stated;  ///< Demand that was last reported and is not nil.
 };
 
 }  // namespace fernlift::router
--- a/src/router/FleetExperimentTest.cpp
+++ b/src/router/FleetExperimentTest.cpp
@@ -30,24 +30,25 @@
 class PoissonSource
 {
 public:
-    PoissonSource (double perSecond, base::TimePoint start) : perSecond_ (perSecond), next_ (start)
+    PoissonSource (double perSecond, base::TimePoint start)
+        : m_perSecond (perSecond), m_next (start)
     {
     }
     /// Arrivals up to `now`.
     int due (base::TimePoint now, base::Random& random)
     {
         int count = 0;
-        for (; next_ <= now; ++count)
+        for (; m_next <= now; ++count)
         {
-            next_ +=
-                base::Duration (static_cast<std::int64_t> (random.exponential (1e6 / perSecond_)));
+            m_next +=
+                base::Duration (static_cast<std::int64_t> (random.exponential (1e6 / m_perSecond)));
         }
         return count;
     }
 
 private:
-    double perSecond_;
-    base::TimePoint next_;
+    double m_perSecond;
+    base::TimePoint m_next;
 };
 
 double millisecondsOf (base::Duration duration)
@@ -214,7 +215,7 @@
 class ReturningCallers
 {
 public:
-    explicit ReturningCallers (FleetExperiment& fleet) : fleet_ (fleet), start_ (fleet.now()) {}
+    explicit ReturningCallers (FleetExperiment& fleet) : m_fleet (fleet), m_start (fleet.now()) {}
 
     /// A new caller asks.
     void begin()
@@ -225,18 +226,18 @@
     /// Those whose time has come ask again; answers are taken.
     void step()
     {
-        while (! comeBack_.empty() && *comeBack_.begin() <= fleet_.now())
+        while (! m_comeBack.empty() && *m_comeBack.begin() <= m_fleet.now())
         {
-            comeBack_.erase (comeBack_.begin());
-            returnsByTenth_[(fleet_.now() - start_) / milliseconds (100)] += 1;
+            m_comeBack.erase (m_comeBack.begin());
+            m_returnsByTenth[(m_fleet.now() - m_start) / milliseconds (100)] += 1;
             ask();
         }
-        std::erase_if (open_, [this] (CallId id) { return takeAnswer (fleet_.calls[id]); });
+        std::erase_if (m_open, [this] (CallId id) { return takeAnswer (m_fleet.calls[id]); });
     }
     [[nodiscard]] int busiestTenth() const
     {
         int busiest = 0;
-        for (const auto& [tenth, count] : returnsByTenth_)
+        for (const auto& [tenth, count] : m_returnsByTenth)
             busiest = std::max (busiest, count);
         return busiest;
     }
@@ -249,7 +250,7 @@
     void ask()
     {
         tries += 1;
-        open_.push_back (fleet_.ask (urgentCall (random_)));
+        m_open.push_back (m_fleet.ask (urgentCall (m_random)));
     }
     bool takeAnswer (const Call& call)
     {
@@ -259,16 +260,16 @@
             served += 1;
         const bool comesBack = call.error && call.error->retryAfter;
         if (comesBack)
-            comeBack_.insert (fleet_.now() + *call.error->retryAfter);
+            m_comeBack.insert (m_fleet.now() + *call.error->retryAfter);
         return true;
     }
 
-    FleetExperiment& fleet_;
-    base::TimePoint start_;
-    base::Random random_{ 1 };
-    std::vector<CallId> open_;
-    std::multiset<base::TimePoint> comeBack_;
-    std::map<std::int64_t, int> returnsByTenth_;
+    FleetExperiment& m_fleet;
+    base::TimePoint m_start;
+    base::Random m_random{ 1 };
+    std::vector<CallId> m_open;
+    std::multiset<base::TimePoint> m_comeBack;
+    std::map<std::int64_t, int> m_returnsByTenth;
 };
 
 TEST (FleetExperimentTest, RefusedCallersComeBackSpreadAndAreServed)
--- a/src/router/FleetExperimentTestSupport.h
+++ b/src/router/FleetExperimentTestSupport.h
@@ -46,7 +46,7 @@
 class FleetExperiment
 {
 public:
-    FleetExperiment (const FleetOptions& options, std::uint64_t seed) : options_ (options)
+    FleetExperiment (const FleetOptions& options, std::uint64_t seed) : m_options (options)
     {
         for (int number = 0; number < options.runners; ++number)
             engines.emplace_back (engineSettings());
@@ -57,8 +57,8 @@
             routerOptions.zone = zoneOf (number);
             routerOptions.hedgeAfter = options.hedgeAfter;
             const std::uint64_t routerSeed = seed * 100 + static_cast<std::uint64_t> (number);
-            routers_.push_back (
-                Router{ std::make_unique<RouterCore> (routerOptions, routerSeed, now_, kUnixStart),
+            m_routers.push_back (
+                Router{ std::make_unique<RouterCore> (routerOptions, routerSeed, m_now, kUnixStart),
                         {},
                         0,
                         {} });
@@ -68,16 +68,16 @@
 
     CallId ask (Call call)
     {
-        Router& router = routers_[static_cast<std::size_t> (call.router)];
+        Router& router = m_routers[static_cast<std::size_t> (call.router)];
         const CallId id = calls.size();
         RequestHead head =
             RouterHarness::completion (std::to_string (id), call.target, call.isStreaming);
         head.requestClass = call.requestClass;
         head.caller = "caller-" + std::to_string (id % 50);
         head.prefixHashes = call.blocks;
-        call.askedAt = now_;
+        call.askedAt = m_now;
         calls.push_back (std::move (call));
-        asking_ = id;
+        m_asking = id;
         const RequestTicket ticket = router.core->onRequest (head);
         router.callOfTicket[ticket] = id;
         takeEffects (calls[id].router);
@@ -87,27 +87,27 @@
     /// Runs until `end`; `beforeStep` adds what callers do.
     void runUntil (base::TimePoint end, const std::function<void()>& beforeStep)
     {
-        for (; now_ < end; now_ += routing::testing::kEngineStep)
+        for (; m_now < end; m_now += routing::testing::kEngineStep)
         {
-            for (int number = 0; number < options_.routers; ++number)
+            for (int number = 0; number < m_options.routers; ++number)
             {
-                RouterCore& core = *routers_[static_cast<std::size_t> (number)].core;
-                core.setTime (now_, kUnixStart + base::toMilliseconds (now_.time_since_epoch()));
+                RouterCore& core = *m_routers[static_cast<std::size_t> (number)].core;
+                core.setTime (m_now, kUnixStart + base::toMilliseconds (m_now.time_since_epoch()));
                 core.onTick();
                 takeEffects (number);
             }
             beforeStep();
-            if (now_ >= nextTable_)
+            if (m_now >= m_nextTable)
                 tellTable();
             for (std::size_t runner = 0; runner < engines.size(); ++runner)
                 stepEngine (runner);
         }
     }
 
-    [[nodiscard]] base::TimePoint now() const { return now_; }
+    [[nodiscard]] base::TimePoint now() const { return m_now; }
     [[nodiscard]] RouterCounters counters (int router) const
     {
-        return routers_[static_cast<std::size_t> (router)].core->counters();
+        return m_routers[static_cast<std::size_t> (router)].core->counters();
     }
 
     std::vector<routing::testing::ExperimentEngine> engines;
@@ -142,7 +142,7 @@
 
     void connect (int number)
     {
-        RouterCore& core = *routers_[static_cast<std::size_t> (number)].core;
+        RouterCore& core = *m_routers[static_cast<std::size_t> (number)].core;
         core.onControllerConnected();
         core.onControllerMessage (cell::ConfigurationUpdate{ 1, "digest-1", kCatalogueText });
         takeEffects (number);
@@ -151,19 +151,19 @@
 
     void tell (int number, const cell::ControllerToRouter& message)
     {
-        routers_[static_cast<std::size_t> (number)].core->onControllerMessage (message);
+        m_routers[static_cast<std::size_t> (number)].core->onControllerMessage (message);
         takeEffects (number);
     }
 
     [[nodiscard]] bool isLoaded() const
     {
-        return ! options_.coldStart || (readyAt_ && now_ >= *readyAt_);
+        return ! m_options.coldStart || (m_readyAt && m_now >= *m_readyAt);
     }
 
     cell::ReplicaUpdate table()
     {
         cell::ReplicaUpdate update;
-        update.toVersion = ++tableVersion_;
+        update.toVersion = ++m_tableVersion;
         for (std::size_t runner = 0; runner < engines.size(); ++runner)
         {
             for (const std::string target : { "m", "deep-model" })
@@ -175,34 +175,34 @@
                 row.address = std::to_string (runner);
                 row.load = engines[runner].reportedLoad();
                 row.credits =
-                    std::max (row.slots / static_cast<std::uint32_t> (options_.routers), 1U);
+                    std::max (row.slots / static_cast<std::uint32_t> (m_options.routers), 1U);
                 update.upserts.push_back (row);
             }
         }
-        if (readyAt_ && ! isLoaded())
+        if (m_readyAt && ! isLoaded())
         {
-            update.estimates.push_back ({ "m", true, base::toMilliseconds (*readyAt_ - now_) });
+            update.estimates.push_back ({ "m", true, base::toMilliseconds (*m_readyAt - m_now) });
         }
         return update;
     }
 
     void tellTable()
     {
-        nextTable_ = now_ + kTableInterval;
+        m_nextTable = m_now + kTableInterval;
         const cell::ReplicaUpdate update = table();
-        for (int number = 0; number < options_.routers; ++number)
+        for (int number = 0; number < m_options.routers; ++number)
             tell (number, update);
     }
 
     void stepEngine (std::size_t runner)
     {
-        for (const auto& progress : engines[runner].step (now_))
+        for (const auto& progress : engines[runner].step (m_now))
         {
-            const auto entry = running_.find (progress.id);
-            if (entry == running_.end())
+            const auto entry = m_running.find (progress.id);
+            if (entry == m_running.end())
                 continue;
             Running& running = entry->second;
-            RouterCore& core = *routers_[static_cast<std::size_t> (running.router)].core;
+            RouterCore& core = *m_routers[static_cast<std::size_t> (running.router)].core;
             const int router = running.router;
             if (progress.isFirstToken)
             {
@@ -212,7 +212,7 @@
             else
             {
                 core.onAttemptEvent (running.attempt, AttemptEnded{});
-                running_.erase (progress.id);
+                m_running.erase (progress.id);
             }
             takeEffects (router);
         }
@@ -220,16 +220,16 @@
 
     void takeEffects (int router)
     {
-        for (Effect& effect : routers_[static_cast<std::size_t> (router)].core->takeEffects())
+        for (Effect& effect : m_routers[static_cast<std::size_t> (router)].core->takeEffects())
         {
             std::visit ([&] (auto& content) { take (router, content); }, effect);
         }
     }
     Call& callOf (int router, RequestTicket ticket)
     {
-        const auto& known = routers_[static_cast<std::size_t> (router)].callOfTicket;
+        const auto& known = m_routers[static_cast<std::size_t> (router)].callOfTicket;
         const auto entry = known.find (ticket);
-        return calls[entry == known.end() ? asking_ : entry->second];
+        return calls[entry == known.end() ? m_asking : entry->second];
     }
     static std::uint64_t runningId (int router, AttemptId attempt)
     {
@@ -240,20 +240,21 @@
     {
         if (const auto* request = std::get_if<cell::LeaseRequest> (&send.message))
         {
-            tell (router, cell::LeaseGrant{ request->sequence, request->configurationVersion,
-                                            request->configurationDigest, 1, 2000, tableVersion_ });
+            tell (router,
+                  cell::LeaseGrant{ request->sequence, request->configurationVersion,
+                                    request->configurationDigest, 1, 2000, m_tableVersion });
         }
         const auto* report = std::get_if<cell::DemandReport> (&send.message);
-        if (report == nullptr || ! options_.coldStart)
+        if (report == nullptr || ! m_options.coldStart)
             return;
         for (const cell::Demand& demand : report->demands)
         {
-            if (demand.target != "m" || demand.waiting == 0 || readyAt_)
+            if (demand.target != "m" || demand.waiting == 0 || m_readyAt)
                 continue;
             loadDecisions += 1;
-            firstDemandAt = now_;
-            readyAt_ = now_ + *options_.coldStart;
-            nextTable_ = now_;
+            firstDemandAt = m_now;
+            m_readyAt = m_now + *m_options.coldStart;
+            m_nextTable = m_now;
         }
     }
     void take (int /*router*/, const ConnectController& /*connect*/) {}
@@ -262,39 +263,39 @@
         const Call& call = callOf (router, start.ticket);
         const auto runner = static_cast<std::size_t> (std::stoi (start.replica.address));
         const std::uint64_t id = runningId (router, start.attempt);
-        running_[id] = Running{ router, start.attempt, runner, 0 };
+        m_running[id] = Running{ router, start.attempt, runner, 0 };
         engines[runner].submit (
             { id, start.replica.target, start.urgency, call.blocks, call.tokens });
     }
     void take (int router, const CancelAttempt& cancel)
     {
-        const auto entry = running_.find (runningId (router, cancel.attempt));
-        if (entry == running_.end())
+        const auto entry = m_running.find (runningId (router, cancel.attempt));
+        if (entry == m_running.end())
             return;
         engines[entry->second.runner].cancel (entry->first);
-        running_.erase (entry);
+        m_running.erase (entry);
     }
     void take (int router, const AnswerHeaders& headers)
     {
-        callOf (router, headers.ticket).firstByteAt = now_;
+        callOf (router, headers.ticket).firstByteAt = m_now;
     }
     void take (int /*router*/, const AnswerData& /*data*/) {}
-    void take (int router, const AnswerEnd& end) { callOf (router, end.ticket).endedAt = now_; }
+    void take (int router, const AnswerEnd& end) { callOf (router, end.ticket).endedAt = m_now; }
     void take (int router, const AnswerError& error)
     {
         Call& call = callOf (router, error.ticket);
-        call.endedAt = now_;
+        call.endedAt = m_now;
         call.error = error;
     }
 
-    FleetOptions options_;
-    base::TimePoint now_{ base::seconds (1) };
-    std::vector<Router> routers_;
-    std::map<std::uint64_t, Running> running_;
-    CallId asking_ = 0;
-    std::uint64_t tableVersion_ = 0;
-    base::TimePoint nextTable_{};
-    std::optional<base::TimePoint> readyAt_;
+    FleetOptions m_options;
+    base::TimePoint m_now{ base::seconds (1) };
+    std::vector<Router> m_routers;
+    std::map<std::uint64_t, Running> m_running;
+    CallId m_asking = 0;
+    std::uint64_t m_tableVersion = 0;
+    base::TimePoint m_nextTable{};
+    std::optional<base::TimePoint> m_readyAt;
 };
 
 }  // namespace fernlift::router::testing
