--- a/src/router/ModelControllerTestSupport.h
+++ b/src/router/ModelControllerTestSupport.h
@@ -25,15 +25,15 @@
     {
         if (const auto* request = std::get_if<cell::LeaseRequest> (&message))
         {
-            leaseRequests_.emplace_back (*request, now);
+            m_leaseRequests.emplace_back (*request, now);
         }
         else if (const auto* claims = std::get_if<cell::ClaimRequest> (&message))
         {
-            claimRequests_.push_back (*claims);
+            m_claimRequests.push_back (*claims);
         }
         else if (const auto* report = std::get_if<cell::OutcomeReport> (&message))
         {
-            outcomes_.insert (outcomes_.end(), report->outcomes.begin(), report->outcomes.end());
+            m_outcomes.insert (m_outcomes.end(), report->outcomes.begin(), report->outcomes.end());
         }
     }
 
@@ -41,39 +41,39 @@
     void lose (bool commits)
     {
         isConnected = false;
-        leaseRequests_.clear();
+        m_leaseRequests.clear();
         if (commits)
             commit();
-        claimRequests_.clear();
-        outcomes_.clear();
+        m_claimRequests.clear();
+        m_outcomes.clear();
     }
 
     /// Grants of every lease request not answered yet.
     std::vector<cell::ControllerToRouter> grantLeases (std::int64_t milliseconds)
     {
         std::vector<cell::ControllerToRouter> grants;
-        for (const auto& [request, sentAt] : std::exchange (leaseRequests_, {}))
+        for (const auto& [request, sentAt] : std::exchange (m_leaseRequests, {}))
         {
-            leaseUntil_ =
-                std::max<base::TimePoint> (leaseUntil_, sentAt + base::milliseconds (milliseconds));
+            m_leaseUntil = std::max<base::TimePoint> (m_leaseUntil,
+                                                      sentAt + base::milliseconds (milliseconds));
             grants.emplace_back (cell::LeaseGrant{ request.sequence, configurationVersion,
                                                    digestOf (configurationVersion), 1, milliseconds,
-                                                   tableVersion_ });
+                                                   m_tableVersion });
             if (request.replicaTableVersion == 0)
                 grants.emplace_back (wholeTable());
         }
         return grants;
     }
     /// No lease that was granted holds at `now`.
-    [[nodiscard]] bool hasNoLease (base::TimePoint now) const { return now >= leaseUntil_; }
+    [[nodiscard]] bool hasNoLease (base::TimePoint now) const { return now >= m_leaseUntil; }
 
     /// Commits what arrived; the replies to its claims.
     std::vector<cell::ControllerToRouter> commit()
     {
-        for (const auto& outcome : std::exchange (outcomes_, {}))
+        for (const auto& outcome : std::exchange (m_outcomes, {}))
             recordOutcome (outcome);
         std::vector<cell::ControllerToRouter> replies;
-        for (const auto& request : std::exchange (claimRequests_, {}))
+        for (const auto& request : std::exchange (m_claimRequests, {}))
         {
             replies.emplace_back (decide (request));
         }
@@ -82,8 +82,8 @@
     /// Whether the claim of this request of the router holds its key.
     [[nodiscard]] bool isGranted (const base::IdempotencyKey& key, const std::string& id) const
     {
-        const auto entry = keys_.find (key);
-        return entry != keys_.end() && entry->second.outcome == cell::ClaimOutcome::kPending
+        const auto entry = m_keys.find (key);
+        return entry != m_keys.end() && entry->second.outcome == cell::ClaimOutcome::kPending
                && entry->second.request.value.rfind (id + "/", 0) == 0;
     }
 
@@ -98,21 +98,21 @@
     /// Adds, replaces (under a new start) or removes a row; the change as a difference.
     cell::ReplicaUpdate upsert (const cell::RoutableReplica& row)
     {
-        rows_[row.runner.value + row.target] = row;
+        m_rows[row.runner.value + row.target] = row;
         return difference ({ row }, {});
     }
     cell::ReplicaUpdate remove (const std::string& runner, const std::string& target)
     {
-        const auto entry = rows_.find (runner + target);
-        if (entry == rows_.end())
+        const auto entry = m_rows.find (runner + target);
+        if (entry == m_rows.end())
             return difference ({}, {});
         const cell::RoutableReplica row = entry->second;
-        rows_.erase (entry);
+        m_rows.erase (entry);
         return difference ({}, { row });
     }
     cell::ReplicaUpdate estimate (const cell::TargetEstimate& estimate)
     {
-        estimates_[estimate.target] = estimate;
+        m_estimates[estimate.target] = estimate;
         cell::ReplicaUpdate update = difference ({}, {});
         update.estimates = { estimate };
         return update;
@@ -120,10 +120,10 @@
     [[nodiscard]] cell::ReplicaUpdate wholeTable() const
     {
         cell::ReplicaUpdate update;
-        update.toVersion = tableVersion_;
-        for (const auto& [key, row] : rows_)
+        update.toVersion = m_tableVersion;
+        for (const auto& [key, row] : m_rows)
             update.upserts.push_back (row);
-        for (const auto& [target, estimate] : estimates_)
+        for (const auto& [target, estimate] : m_estimates)
             update.estimates.push_back (estimate);
         return update;
     }
@@ -133,7 +133,7 @@
                                const std::set<RunnerStart>& leaving) const
     {
         return std::any_of (
-            rows_.begin(), rows_.end(),
+            m_rows.begin(), m_rows.end(),
             [&] (const auto& entry)
             {
                 const cell::RoutableReplica& row = entry.second;
@@ -157,8 +157,8 @@
                                     std::vector<cell::RoutableReplica> removals)
     {
         cell::ReplicaUpdate update;
-        update.fromVersion = tableVersion_;
-        update.toVersion = ++tableVersion_;
+        update.fromVersion = m_tableVersion;
+        update.toVersion = ++m_tableVersion;
         update.upserts = std::move (upserts);
         update.removals = std::move (removals);
         return update;
@@ -176,7 +176,7 @@
 
     cell::ClaimVerdict verdictOf (const cell::Claim& claim)
     {
-        const auto [entry, isNew] = keys_.try_emplace (claim.key, Key{ claim.request });
+        const auto [entry, isNew] = m_keys.try_emplace (claim.key, Key{ claim.request });
         Key& key = entry->second;
         if (! isNew && key.outcome == cell::ClaimOutcome::kNotRun)
             key = Key{ claim.request };
@@ -190,21 +190,21 @@
 
     void recordOutcome (const cell::OutcomeRecord& record)
     {
-        const auto entry = keys_.find (record.key);
-        if (entry == keys_.end() || entry->second.request != record.request)
+        const auto entry = m_keys.find (record.key);
+        if (entry == m_keys.end() || entry->second.request != record.request)
             return;
         if (entry->second.outcome == cell::ClaimOutcome::kPending)
             entry->second.outcome = record.outcome;
     }
 
-    std::vector<std::pair<cell::LeaseRequest, base::TimePoint>> leaseRequests_;
-    std::vector<cell::ClaimRequest> claimRequests_;
-    std::vector<cell::OutcomeRecord> outcomes_;
-    base::TimePoint leaseUntil_{};
-    std::map<base::IdempotencyKey, Key> keys_;
-    std::map<std::string, cell::RoutableReplica> rows_;
-    std::map<std::string, cell::TargetEstimate> estimates_;
-    std::uint64_t tableVersion_ = 1;
+    std::vector<std::pair<cell::LeaseRequest, base::TimePoint>> m_leaseRequests;
+    std::vector<cell::ClaimRequest> m_claimRequests;
+    std::vector<cell::OutcomeRecord> m_outcomes;
+    base::TimePoint m_leaseUntil{};
+    std::map<base::IdempotencyKey, Key> m_keys;
+    std::map<std::string, cell::RoutableReplica> m_rows;
+    std::map<std::string, cell::TargetEstimate> m_estimates;
+    std::uint64_t m_tableVersion = 1;
 };
 
 }  // namespace fernlift::router::testing
--- a/src/router/RequestTraces.cpp
+++ b/src/router/RequestTraces.cpp
@@ -17,31 +17,31 @@
 void RequestTraces::begin (const base::RequestId& id, const std::string& target,
                            base::TimePoint now, base::UnixMilliseconds unixNow)
 {
-    if (maximum_ == 0)
+    if (m_maximum == 0)
         return;
-    const bool isNew = ! traces_.contains (id);
-    if (isNew && order_.size() == maximum_)
+    const bool isNew = ! m_traces.contains (id);
+    if (isNew && m_order.size() == m_maximum)
     {
-        traces_.erase (order_.front());
-        order_.pop_front();
+        m_traces.erase (m_order.front());
+        m_order.pop_front();
     }
     if (isNew)
-        order_.push_back (id);
-    traces_[id] = Trace{ target, now, unixNow, {} };
+        m_order.push_back (id);
+    m_traces[id] = Trace{ target, now, unixNow, {} };
 }
 
 void RequestTraces::add (const base::RequestId& id, base::TimePoint now, std::string step)
 {
-    const auto trace = traces_.find (id);
-    if (trace == traces_.end() || trace->second.steps.size() >= kMaximumSteps)
+    const auto trace = m_traces.find (id);
+    if (trace == m_traces.end() || trace->second.steps.size() >= kMaximumSteps)
         return;
     trace->second.steps.push_back (Step{ now, std::move (step) });
 }
 
 std::string RequestTraces::toJson (const base::RequestId& id) const
 {
-    const auto entry = traces_.find (id);
-    if (entry == traces_.end())
+    const auto entry = m_traces.find (id);
+    if (entry == m_traces.end())
         return "";
     const Trace& trace = entry->second;
     QJsonArray steps;
--- a/src/router/RequestTraces.h
+++ b/src/router/RequestTraces.h
@@ -17,7 +17,7 @@
 class RequestTraces
 {
 public:
-    explicit RequestTraces (std::size_t maximum) : maximum_ (maximum) {}
+    explicit RequestTraces (std::size_t maximum) : m_maximum (maximum) {}
 
     /// Begins the trace of a request; the oldest trace goes when there are too many.
     void begin (const base::RequestId& id, const std::string& target, base::TimePoint now,
@@ -41,9 +41,9 @@
         std::vector<Step> steps;
     };
 
-    std::size_t maximum_;
-    std::deque<base::RequestId> order_;
-    std::unordered_map<base::RequestId, Trace> traces_;
+    std::size_t m_maximum;
+    std::deque<base::RequestId> m_order;
+    std::unordered_map<base::RequestId, Trace> m_traces;
 };
 
 }  // namespace fernlift::router
--- a/src/router/RouterAdmission.cpp
+++ b/src/router/RouterAdmission.cpp
@@ -24,9 +24,9 @@
 
 RequestTicket RouterCore::Implementation::onRequest (const RequestHead& head)
 {
-    const RequestTicket ticket = ++lastTicket_;
-    counters_.admitted += 1;
-    traces_.begin (head.id, head.target, now_, unixNow_);
+    const RequestTicket ticket = ++m_lastTicket;
+    m_counters.admitted += 1;
+    m_traces.begin (head.id, head.target, m_now, m_unixNow);
     if (const auto refusal = reasonToRefuseAtOnce (head))
     {
         RouterRequest refused;
@@ -35,8 +35,8 @@
         failNotRun (refused, *refusal);
         return ticket;
     }
-    demand_.onArrival (head.target);
-    RouterRequest& request = admit (head, *configuration_.classOf (head));
+    m_demand.onArrival (head.target);
+    RouterRequest& request = admit (head, *m_configuration.classOf (head));
     enqueueNew (request);
     settle();
     return ticket;
@@ -45,18 +45,18 @@
 std::optional<RouterCore::Implementation::Refusal>
 RouterCore::Implementation::reasonToRefuseAtOnce (const RequestHead& head) const
 {
-    if (stoppingSince_)
+    if (m_stoppingSince)
         return Refusal{ ErrorKind::kStopping, "router is stopping", kStoppingEstimate };
-    const bool needsLease = options_.plantedFault != PlantedFault::kIgnoreLease;
+    const bool needsLease = m_options.plantedFault != PlantedFault::kIgnoreLease;
     if (needsLease && ! isReady())
     {
         return Refusal{ ErrorKind::kLeaseExpired, "no lease on the configuration", kLeaseEstimate };
     }
-    if (! configuration_.hasTarget (head.protocol, head.target))
+    if (! m_configuration.hasTarget (head.protocol, head.target))
     {
         return Refusal{ ErrorKind::kModelNotFound, "'" + head.target + "' is not configured", {} };
     }
-    const config::RequestClass* requestClass = configuration_.classOf (head);
+    const config::RequestClass* requestClass = m_configuration.classOf (head);
     if (requestClass == nullptr)
     {
         return Refusal{ ErrorKind::kInvalidRequest, "no such request class", {} };
@@ -78,16 +78,16 @@
 RouterRequest& RouterCore::Implementation::admit (const RequestHead& head,
                                                   const config::RequestClass& requestClass)
 {
-    RouterRequest& request = requests_[lastTicket_];
-    request.ticket = lastTicket_;
+    RouterRequest& request = m_requests[m_lastTicket];
+    request.ticket = m_lastTicket;
     request.head = head;
     request.urgency = requestClass.urgency;
     request.isRepeatable = requestClass.repeatable || head.isSafeMethod;
-    request.arrivedAt = now_;
+    request.arrivedAt = m_now;
     // A caller may ask for less time than its class has, not for more.
     const base::Duration allowed = requestClass.deadline;
-    request.deadline = now_ + std::min (head.deadline.value_or (allowed), allowed);
-    request.wholeBy = request.deadline + options_.wholeAnswerTimeout;
+    request.deadline = m_now + std::min (head.deadline.value_or (allowed), allowed);
+    request.wholeBy = request.deadline + m_options.wholeAnswerTimeout;
     return request;
 }
 
@@ -100,16 +100,16 @@
 void RouterCore::Implementation::enqueueNew (RouterRequest& request)
 {
     const std::string target = request.head.target;
-    const std::size_t ahead = queues_.countAhead (target, request.urgency);
+    const std::size_t ahead = m_queues.countAhead (target, request.urgency);
     if (const auto refusal = reasonNotServable (request, ahead))
     {
         failNotRun (request, *refusal);
         return;
     }
-    const auto outcome = queues_.push (target, request.urgency, queueEntry (request));
+    const auto outcome = m_queues.push (target, request.urgency, queueEntry (request));
     for (const admission::Ticket displaced : outcome.displaced)
     {
-        RouterRequest& victim = requests_.at (displaced);
+        RouterRequest& victim = m_requests.at (displaced);
         failNotRun (victim, { ErrorKind::kQueueFull, "gave way to a more urgent request",
                               waitEstimate (victim) });
     }
@@ -122,46 +122,47 @@
     const RequestTicket ticket = request.ticket;
     setTimer (request);
     serveTarget (target, request.urgency);
-    const auto still = requests_.find (ticket);
-    const bool isWaiting = still != requests_.end() && still->second.state == RequestState::kQueued;
-    const bool isFirst = queues_.countWaiting (target) == 1;
-    if (isWaiting && isFirst && ! table_.hasUsableReplica (target))
-        demand_.onColdTarget();
+    const auto still = m_requests.find (ticket);
+    const bool isWaiting =
+        still != m_requests.end() && still->second.state == RequestState::kQueued;
+    const bool isFirst = m_queues.countWaiting (target) == 1;
+    if (isWaiting && isFirst && ! m_table.hasUsableReplica (target))
+        m_demand.onColdTarget();
 }
 
 void RouterCore::Implementation::enqueueAgain (RouterRequest& request)
 {
     request.state = RequestState::kQueued;
-    queues_.pushAgain (request.head.target, request.urgency, queueEntry (request));
+    m_queues.pushAgain (request.head.target, request.urgency, queueEntry (request));
     setTimer (request);
-    mustServe_ = true;
+    m_mustServe = true;
 }
 
 std::optional<RouterCore::Implementation::Refusal> RouterCore::Implementation::reasonNotServable (
     const RouterRequest& request, std::size_t ahead) const
 {
     const std::string& target = request.head.target;
-    if (options_.plantedFault == PlantedFault::kHoldHopeless)
+    if (m_options.plantedFault == PlantedFault::kHoldHopeless)
         return std::nullopt;
-    if (table_.hasUsableReplica (target))
+    if (m_table.hasUsableReplica (target))
     {
-        const auto wait = waits_.waitBehind (target, ahead, now_);
-        if (! wait || now_ + *wait <= request.deadline)
+        const auto wait = m_waits.waitBehind (target, ahead, m_now);
+        if (! wait || m_now + *wait <= request.deadline)
             return std::nullopt;
         return Refusal{ ErrorKind::kDeadlineUnreachable, "the queue is longer than the deadline",
                         *wait };
     }
-    const auto estimate = table_.estimateOf (target);
+    const auto estimate = m_table.estimateOf (target);
     if (! estimate)
         return std::nullopt;
     const base::Duration untilReady =
-        std::max<base::Duration> (estimate->readyAt - now_, base::Duration::zero());
+        std::max<base::Duration> (estimate->readyAt - m_now, base::Duration::zero());
     if (! estimate->canBeServed)
     {
         return Refusal{ ErrorKind::kNoCapacity, "no runner may hold '" + target + "' now",
                         std::max (untilReady, kDefaultEstimate) };
     }
-    if (now_ + untilReady <= request.deadline)
+    if (m_now + untilReady <= request.deadline)
         return std::nullopt;
     return Refusal{ ErrorKind::kDeadlineUnreachable, "'" + target + "' is not loaded in time",
                     untilReady };
@@ -170,7 +171,7 @@
 void RouterCore::Implementation::refuseUnservable()
 {
     std::vector<RequestTicket> waiting;
-    for (const auto& [ticket, request] : requests_)
+    for (const auto& [ticket, request] : m_requests)
     {
         const bool isWaiting =
             request.state == RequestState::kQueued || request.state == RequestState::kBackingOff;
@@ -179,8 +180,8 @@
     }
     for (const RequestTicket ticket : waiting)
     {
-        RouterRequest& request = requests_.at (ticket);
-        if (! configuration_.hasTarget (request.head.protocol, request.head.target))
+        RouterRequest& request = m_requests.at (ticket);
+        if (! m_configuration.hasTarget (request.head.protocol, request.head.target))
         {
             failNotRun (request, { ErrorKind::kModelNotFound, "no longer configured", {} });
         }
@@ -193,15 +194,15 @@
 
 void RouterCore::Implementation::checkPace()
 {
-    if (now_ < nextPaceCheck_)
+    if (m_now < m_nextPaceCheck)
         return;
-    nextPaceCheck_ = now_ + kPaceCheckInterval;
-    for (const std::string& target : queues_.targetsWaiting())
+    m_nextPaceCheck = m_now + kPaceCheckInterval;
+    for (const std::string& target : m_queues.targetsWaiting())
     {
         std::size_t ahead = 0;
-        for (const admission::Ticket ticket : queues_.inServiceOrder (target))
+        for (const admission::Ticket ticket : m_queues.inServiceOrder (target))
         {
-            RouterRequest& request = requests_.at (ticket);
+            RouterRequest& request = m_requests.at (ticket);
             const auto refusal = reasonNotServable (request, ahead);
             if (refusal && ! request.hasReachedCaller)
             {
@@ -219,28 +220,28 @@
                                                 base::Duration estimate)
 {
     std::vector<RequestTicket> waiting;
-    for (const auto& [ticket, request] : requests_)
+    for (const auto& [ticket, request] : m_requests)
     {
         if (! request.wasDispatched && ! request.isDetached)
             waiting.push_back (ticket);
     }
     for (const RequestTicket ticket : waiting)
     {
-        failNotRun (requests_.at (ticket), { kind, message, estimate });
+        failNotRun (m_requests.at (ticket), { kind, message, estimate });
     }
 }
 
 void RouterCore::Implementation::serveQueues()
 {
     // Serving may free room again, for example when a request is refused on the way.
-    while (std::exchange (mustServe_, false))
+    while (std::exchange (m_mustServe, false))
     {
-        std::vector<int> urgencies = queues_.urgenciesWaiting();
-        if (options_.plantedFault == PlantedFault::kStarveUrgent)
+        std::vector<int> urgencies = m_queues.urgenciesWaiting();
+        if (m_options.plantedFault == PlantedFault::kStarveUrgent)
             std::ranges::reverse (urgencies);
         for (const int urgency : urgencies)
         {
-            for (const std::string& target : queues_.targetsWaiting (urgency))
+            for (const std::string& target : m_queues.targetsWaiting (urgency))
             {
                 serveTarget (target, urgency);
             }
@@ -250,15 +251,15 @@
 
 void RouterCore::Implementation::serveTarget (const std::string& target, int urgency)
 {
-    while (const auto ticket = queues_.front (target, urgency))
+    while (const auto ticket = m_queues.front (target, urgency))
     {
-        RouterRequest& request = requests_.at (*ticket);
+        RouterRequest& request = m_requests.at (*ticket);
         const auto replica = chooseReplica (request);
         if (! replica)
             return;
-        queues_.popServed (*ticket);
-        const bool othersWait = queues_.countWaiting (target) > 0;
-        waits_.onDispatch (target, othersWait, now_);
+        m_queues.popServed (*ticket);
+        const bool othersWait = m_queues.countWaiting (target) > 0;
+        m_waits.onDispatch (target, othersWait, m_now);
         beginService (request, *replica);
     }
 }
@@ -267,15 +268,15 @@
     const RouterRequest& request)
 {
     std::vector<const routing::ReplicaState*> candidates =
-        table_.usableReplicas (request.head.target);
+        m_table.usableReplicas (request.head.target);
     std::erase_if (candidates, [&] (const routing::ReplicaState* state)
                    { return ! hasRoom (*state, request.urgency); });
     routing::ChoiceRequest choice{ request.head.prefixHashes, request.avoid, std::nullopt };
-    const bool isReserved = configuration_.reservation().hasReservation (request.urgency);
+    const bool isReserved = m_configuration.reservation().hasReservation (request.urgency);
     if (isReserved)
         choice.pausesLessUrgentThan = request.urgency;
     const routing::ReplicaState* chosen =
-        chooser_.choose (candidates, choice, table_, outliers_, prefixes_, now_, random_);
+        m_chooser.choose (candidates, choice, m_table, m_outliers, m_prefixes, m_now, m_random);
     if (chosen == nullptr)
         return std::nullopt;
     return chosen->info;
@@ -283,10 +284,10 @@
 
 bool RouterCore::Implementation::hasRoom (const routing::ReplicaState& state, int urgency) const
 {
-    const admission::SlotReservation& reservation = configuration_.reservation();
+    const admission::SlotReservation& reservation = m_configuration.reservation();
     const cell::RoutableReplica& info = state.info;
     const bool isReserved = reservation.hasReservation (urgency);
-    const bool isEntering = info.entryCredits != 0 && ! demand_.isStated (info.target);
+    const bool isEntering = info.entryCredits != 0 && ! m_demand.isStated (info.target);
     const std::uint32_t share = isEntering ? info.entryCredits : info.credits;
     std::uint32_t credits = share == 0 ? std::max (info.slots, 1U) : share;
     std::uint32_t used = state.inFlightTotal();
@@ -302,22 +303,22 @@
     // Urgent requests may go beyond a load that is only estimated: engines serve them first.
     if (info.slots == 0 || isReserved)
         return true;
-    return reservation.mayStart (urgency, info.slots, table_.estimatedLoad (info.runner),
-                                 table_.inFlightAtRunner (info.runner));
+    return reservation.mayStart (urgency, info.slots, m_table.estimatedLoad (info.runner),
+                                 m_table.inFlightAtRunner (info.runner));
 }
 
 base::Duration RouterCore::Implementation::waitEstimate (const RouterRequest& request) const
 {
     const std::string& target = request.head.target;
-    if (table_.hasUsableReplica (target))
+    if (m_table.hasUsableReplica (target))
     {
-        const std::size_t ahead = queues_.countAhead (target, request.urgency);
-        return waits_.waitBehind (target, ahead, now_).value_or (kDefaultEstimate);
+        const std::size_t ahead = m_queues.countAhead (target, request.urgency);
+        return m_waits.waitBehind (target, ahead, m_now).value_or (kDefaultEstimate);
     }
-    const auto estimate = table_.estimateOf (target);
-    if (! estimate || estimate->readyAt <= now_)
+    const auto estimate = m_table.estimateOf (target);
+    if (! estimate || estimate->readyAt <= m_now)
         return kDefaultEstimate;
-    return estimate->readyAt - now_;
+    return estimate->readyAt - m_now;
 }
 
 void RouterCore::Implementation::failNotRun (RouterRequest& request, const Refusal& refusal)
@@ -325,7 +326,7 @@
     const bool isRetryable = base::traitsOf (refusal.kind).retryable;
     std::optional<base::Duration> retryAfter;
     if (isRetryable)
-        retryAfter = admission::retryAfter (refusal.estimate, random_);
+        retryAfter = admission::retryAfter (refusal.estimate, m_random);
     const auto execution =
         request.mayHaveRun ? base::Execution::kUnknown : base::Execution::kNotRun;
     fail (request, base::Error{ refusal.kind, refusal.message }, execution, retryAfter);
--- a/src/router/RouterAtMostOnceTest.cpp
+++ b/src/router/RouterAtMostOnceTest.cpp
@@ -21,140 +21,140 @@
 protected:
     void SetUp() override
     {
-        router_.connect ({ RouterHarness::application ("a1"), RouterHarness::application ("a2") });
-        ticket_ = router_.request (RouterHarness::payment ("p", "key-1"));
+        m_router.connect ({ RouterHarness::application ("a1"), RouterHarness::application ("a2") });
+        m_ticket = m_router.request (RouterHarness::payment ("p", "key-1"));
     }
 
-    RouterHarness router_;
-    RequestTicket ticket_ = 0;
+    RouterHarness m_router;
+    RequestTicket m_ticket = 0;
 };
 
 TEST_F (RouterAtMostOnceTest, ClaimsTheKeyBeforeAnyByteLeaves)
 {
-    EXPECT_TRUE (router_.starts.empty());
-    ASSERT_EQ (router_.claimRequests.size(), 1U);
-    EXPECT_EQ (router_.claimRequests[0].claims[0].key.value, "key-1");
-    router_.answerClaims (ClaimVerdict::kGranted);
-    ASSERT_EQ (router_.starts.size(), 1U);
-    router_.answerWhole (router_.starts[0].attempt, "done");
-    EXPECT_EQ (router_.callers[ticket_].text, "done");
-    ASSERT_EQ (router_.outcomes.size(), 1U);
-    EXPECT_EQ (router_.outcomes[0].outcome, ClaimOutcome::kRan);
-    EXPECT_EQ (router_.outcomes[0].httpStatus, 200);
+    EXPECT_TRUE (m_router.starts.empty());
+    ASSERT_EQ (m_router.claimRequests.size(), 1U);
+    EXPECT_EQ (m_router.claimRequests[0].claims[0].key.value, "key-1");
+    m_router.answerClaims (ClaimVerdict::kGranted);
+    ASSERT_EQ (m_router.starts.size(), 1U);
+    m_router.answerWhole (m_router.starts[0].attempt, "done");
+    EXPECT_EQ (m_router.callers[m_ticket].text, "done");
+    ASSERT_EQ (m_router.outcomes.size(), 1U);
+    EXPECT_EQ (m_router.outcomes[0].outcome, ClaimOutcome::kRan);
+    EXPECT_EQ (m_router.outcomes[0].httpStatus, 200);
 }
 
 TEST_F (RouterAtMostOnceTest, AClaimExpiresByTheCellsTimeAndNotByTheWallClockOfThisMachine)
 {
     constexpr base::UnixMilliseconds kCellTime = 5'000'000'000'000;
-    router_.grantsLeases = false;
-    router_.advance (milliseconds (700));
-    ASSERT_FALSE (router_.leaseRequests.empty());
-    const std::uint64_t sequence = router_.leaseRequests.back().sequence;
-    router_.fromController (cell::LeaseGrant{ sequence, 1, "digest-1", 1, 2000, 1, kCellTime });
-    router_.advance (milliseconds (100));
-    router_.claimRequests.clear();
-    router_.request (RouterHarness::payment ("q", "key-2"));
-    ASSERT_EQ (router_.claimRequests.size(), 1U);
+    m_router.grantsLeases = false;
+    m_router.advance (milliseconds (700));
+    ASSERT_FALSE (m_router.leaseRequests.empty());
+    const std::uint64_t sequence = m_router.leaseRequests.back().sequence;
+    m_router.fromController (cell::LeaseGrant{ sequence, 1, "digest-1", 1, 2000, 1, kCellTime });
+    m_router.advance (milliseconds (100));
+    m_router.claimRequests.clear();
+    m_router.request (RouterHarness::payment ("q", "key-2"));
+    ASSERT_EQ (m_router.claimRequests.size(), 1U);
     // The deadline of the class, the window, and what passed since the grant.
     const base::UnixMilliseconds expected = kCellTime + 2000 + 600'000 + 100;
-    EXPECT_EQ (router_.claimRequests[0].claims[0].expiresAt, expected);
+    EXPECT_EQ (m_router.claimRequests[0].claims[0].expiresAt, expected);
 }
 
 TEST_F (RouterAtMostOnceTest, ABrokenAttemptIsNeverRepeated)
 {
-    router_.answerClaims (ClaimVerdict::kGranted);
-    router_.event (router_.starts[0].attempt, AttemptBroken{});
-    router_.advance (milliseconds (1900));
-    EXPECT_EQ (router_.starts.size(), 1U);
-    ASSERT_TRUE (router_.callers[ticket_].error);
-    EXPECT_EQ (router_.callers[ticket_].error->error.kind, ErrorKind::kOutcomeUnknown);
-    EXPECT_EQ (router_.callers[ticket_].error->execution, Execution::kUnknown);
-    ASSERT_EQ (router_.outcomes.size(), 1U);
-    EXPECT_EQ (router_.outcomes[0].outcome, ClaimOutcome::kUnknown);
+    m_router.answerClaims (ClaimVerdict::kGranted);
+    m_router.event (m_router.starts[0].attempt, AttemptBroken{});
+    m_router.advance (milliseconds (1900));
+    EXPECT_EQ (m_router.starts.size(), 1U);
+    ASSERT_TRUE (m_router.callers[m_ticket].error);
+    EXPECT_EQ (m_router.callers[m_ticket].error->error.kind, ErrorKind::kOutcomeUnknown);
+    EXPECT_EQ (m_router.callers[m_ticket].error->execution, Execution::kUnknown);
+    ASSERT_EQ (m_router.outcomes.size(), 1U);
+    EXPECT_EQ (m_router.outcomes[0].outcome, ClaimOutcome::kUnknown);
 }
 
 TEST_F (RouterAtMostOnceTest, AGatewayErrorIsNoProofThatItRan)
 {
-    router_.answerClaims (ClaimVerdict::kGranted);
-    router_.answerWhole (router_.starts[0].attempt, "bad gateway", 502);
-    EXPECT_EQ (router_.starts.size(), 1U);
-    EXPECT_EQ (router_.callers[ticket_].headers->httpStatus, 502);
-    ASSERT_EQ (router_.outcomes.size(), 1U);
-    EXPECT_EQ (router_.outcomes[0].outcome, ClaimOutcome::kUnknown);
+    m_router.answerClaims (ClaimVerdict::kGranted);
+    m_router.answerWhole (m_router.starts[0].attempt, "bad gateway", 502);
+    EXPECT_EQ (m_router.starts.size(), 1U);
+    EXPECT_EQ (m_router.callers[m_ticket].headers->httpStatus, 502);
+    ASSERT_EQ (m_router.outcomes.size(), 1U);
+    EXPECT_EQ (m_router.outcomes[0].outcome, ClaimOutcome::kUnknown);
 }
 
 TEST_F (RouterAtMostOnceTest, AnAttemptThatWasRefusedIsRepeatedUnderTheSameClaim)
 {
-    router_.answerClaims (ClaimVerdict::kGranted);
-    router_.event (router_.starts[0].attempt, AttemptRefused{ 503, false, std::nullopt });
-    ASSERT_EQ (router_.starts.size(), 2U);
-    EXPECT_TRUE (router_.claimRequests.empty());
-    router_.answerWhole (router_.starts[1].attempt, "done");
-    EXPECT_EQ (router_.callers[ticket_].text, "done");
+    m_router.answerClaims (ClaimVerdict::kGranted);
+    m_router.event (m_router.starts[0].attempt, AttemptRefused{ 503, false, std::nullopt });
+    ASSERT_EQ (m_router.starts.size(), 2U);
+    EXPECT_TRUE (m_router.claimRequests.empty());
+    m_router.answerWhole (m_router.starts[1].attempt, "done");
+    EXPECT_EQ (m_router.callers[m_ticket].text, "done");
 }
 
 TEST_F (RouterAtMostOnceTest, ALostClaimReplyIsAskedForAgainUnchanged)
 {
-    const cell::Claim first = router_.claimRequests[0].claims[0];
-    router_.claimRequests.clear();
-    router_.core().onControllerLost();
-    router_.core().onControllerConnected();
-    router_.collect();
-    ASSERT_EQ (router_.claimRequests.size(), 1U);
-    EXPECT_EQ (router_.claimRequests[0].claims[0].key, first.key);
-    EXPECT_EQ (router_.claimRequests[0].claims[0].request, first.request);
-    router_.answerClaims (ClaimVerdict::kGranted);
-    EXPECT_EQ (router_.starts.size(), 1U);
+    const cell::Claim first = m_router.claimRequests[0].claims[0];
+    m_router.claimRequests.clear();
+    m_router.core().onControllerLost();
+    m_router.core().onControllerConnected();
+    m_router.collect();
+    ASSERT_EQ (m_router.claimRequests.size(), 1U);
+    EXPECT_EQ (m_router.claimRequests[0].claims[0].key, first.key);
+    EXPECT_EQ (m_router.claimRequests[0].claims[0].request, first.request);
+    m_router.answerClaims (ClaimVerdict::kGranted);
+    EXPECT_EQ (m_router.starts.size(), 1U);
 }
 
 TEST_F (RouterAtMostOnceTest, GivenUpBeforeDispatchIsRecordedAsNotRun)
 {
-    router_.advance (milliseconds (2010));
-    ASSERT_TRUE (router_.callers[ticket_].error);
-    EXPECT_EQ (router_.callers[ticket_].error->error.kind, ErrorKind::kDeadlinePassed);
-    EXPECT_EQ (router_.callers[ticket_].error->execution, Execution::kNotRun);
-    router_.answerClaims (ClaimVerdict::kGranted);
-    EXPECT_TRUE (router_.starts.empty());
-    ASSERT_EQ (router_.outcomes.size(), 1U);
-    EXPECT_EQ (router_.outcomes[0].outcome, ClaimOutcome::kNotRun);
+    m_router.advance (milliseconds (2010));
+    ASSERT_TRUE (m_router.callers[m_ticket].error);
+    EXPECT_EQ (m_router.callers[m_ticket].error->error.kind, ErrorKind::kDeadlinePassed);
+    EXPECT_EQ (m_router.callers[m_ticket].error->execution, Execution::kNotRun);
+    m_router.answerClaims (ClaimVerdict::kGranted);
+    EXPECT_TRUE (m_router.starts.empty());
+    ASSERT_EQ (m_router.outcomes.size(), 1U);
+    EXPECT_EQ (m_router.outcomes[0].outcome, ClaimOutcome::kNotRun);
 }
 
 TEST_F (RouterAtMostOnceTest, AnOutcomeAfterTheDeadlineIsStillRecorded)
 {
-    router_.answerClaims (ClaimVerdict::kGranted);
-    router_.advance (milliseconds (2010));
-    ASSERT_TRUE (router_.callers[ticket_].error);
-    EXPECT_EQ (router_.callers[ticket_].error->error.kind, ErrorKind::kOutcomeUnknown);
-    EXPECT_TRUE (router_.outcomes.empty());
-    router_.answerWhole (router_.starts[0].attempt, "late");
-    EXPECT_EQ (router_.callers[ticket_].text, "");
-    EXPECT_EQ (router_.callers[ticket_].ends, 1);
-    ASSERT_EQ (router_.outcomes.size(), 1U);
-    EXPECT_EQ (router_.outcomes[0].outcome, ClaimOutcome::kRan);
-    EXPECT_TRUE (router_.isLeakFree());
+    m_router.answerClaims (ClaimVerdict::kGranted);
+    m_router.advance (milliseconds (2010));
+    ASSERT_TRUE (m_router.callers[m_ticket].error);
+    EXPECT_EQ (m_router.callers[m_ticket].error->error.kind, ErrorKind::kOutcomeUnknown);
+    EXPECT_TRUE (m_router.outcomes.empty());
+    m_router.answerWhole (m_router.starts[0].attempt, "late");
+    EXPECT_EQ (m_router.callers[m_ticket].text, "");
+    EXPECT_EQ (m_router.callers[m_ticket].ends, 1);
+    ASSERT_EQ (m_router.outcomes.size(), 1U);
+    EXPECT_EQ (m_router.outcomes[0].outcome, ClaimOutcome::kRan);
+    EXPECT_TRUE (m_router.isLeakFree());
 }
 
 TEST_F (RouterAtMostOnceTest, ACallerThatLeavesDoesNotLoseTheOutcome)
 {
-    router_.answerClaims (ClaimVerdict::kGranted);
-    router_.callerGone (ticket_);
-    EXPECT_FALSE (router_.isCancelled (router_.starts[0].attempt));
-    router_.advance (milliseconds (30010));
-    ASSERT_EQ (router_.outcomes.size(), 1U);
-    EXPECT_EQ (router_.outcomes[0].outcome, ClaimOutcome::kUnknown);
-    EXPECT_TRUE (router_.core().isIdle());
+    m_router.answerClaims (ClaimVerdict::kGranted);
+    m_router.callerGone (m_ticket);
+    EXPECT_FALSE (m_router.isCancelled (m_router.starts[0].attempt));
+    m_router.advance (milliseconds (30010));
+    ASSERT_EQ (m_router.outcomes.size(), 1U);
+    EXPECT_EQ (m_router.outcomes[0].outcome, ClaimOutcome::kUnknown);
+    EXPECT_TRUE (m_router.core().isIdle());
 }
 
 TEST_F (RouterAtMostOnceTest, OutcomesGoOutAgainOnANewConnection)
 {
-    router_.answerClaims (ClaimVerdict::kGranted);
-    router_.answerWhole (router_.starts[0].attempt, "done");
-    router_.outcomes.clear();
-    router_.core().onControllerLost();
-    router_.core().onControllerConnected();
-    router_.collect();
-    ASSERT_EQ (router_.outcomes.size(), 1U);
-    EXPECT_EQ (router_.outcomes[0].outcome, ClaimOutcome::kRan);
+    m_router.answerClaims (ClaimVerdict::kGranted);
+    m_router.answerWhole (m_router.starts[0].attempt, "done");
+    m_router.outcomes.clear();
+    m_router.core().onControllerLost();
+    m_router.core().onControllerConnected();
+    m_router.collect();
+    ASSERT_EQ (m_router.outcomes.size(), 1U);
+    EXPECT_EQ (m_router.outcomes[0].outcome, ClaimOutcome::kRan);
 }
 
 TEST_F (RouterAtMostOnceTest, EachVerdictHasItsAnswer)
@@ -166,17 +166,17 @@
         { ClaimVerdict::kConflict, ErrorKind::kIdempotencyKeyConflict },
         { ClaimVerdict::kWindowPassed, ErrorKind::kIdempotencyWindowPassed }
     };
-    router_.answerClaims (ClaimVerdict::kGranted);
-    router_.starts.clear();
+    m_router.answerClaims (ClaimVerdict::kGranted);
+    m_router.starts.clear();
     for (const auto& [verdict, kind] : expected)
     {
-        const RequestTicket ticket = router_.request (RouterHarness::payment ("q", "key-2"));
-        router_.answerClaims (verdict);
-        ASSERT_TRUE (router_.callers[ticket].error);
-        EXPECT_EQ (router_.callers[ticket].error->error.kind, kind);
+        const RequestTicket ticket = m_router.request (RouterHarness::payment ("q", "key-2"));
+        m_router.answerClaims (verdict);
+        ASSERT_TRUE (m_router.callers[ticket].error);
+        EXPECT_EQ (m_router.callers[ticket].error->error.kind, kind);
     }
-    EXPECT_TRUE (router_.starts.empty());
-    EXPECT_TRUE (router_.outcomes.empty());
+    EXPECT_TRUE (m_router.starts.empty());
+    EXPECT_TRUE (m_router.outcomes.empty());
 }
 
 TEST (RouterClaimIdentityTest, TwoRequestsOfOneIdentifierNeverShareAClaim)
--- a/src/router/RouterCore.cpp
+++ b/src/router/RouterCore.cpp
@@ -19,26 +19,27 @@
 
 RouterCore::Implementation::Implementation (RouterOptions options, std::uint64_t randomSeed,
                                             base::TimePoint now, base::UnixMilliseconds unixNow)
-    : options_ (std::move (options)),
-      random_ (randomSeed),
-      now_ (now),
-      unixNow_ (unixNow),
-      processNonce_ (std::to_string (unixNow) + "-" + std::to_string (random_.bits())),
-      session_ (now),
-      chooser_ (routing::ChooserOptions{ .zone = options_.zone }),
-      queues_ (admission::QueueLimits{ options_.maximumQueuedRequests, options_.maximumQueuedBytes,
-                                       options_.maximumQueuedPerTarget }),
-      retryBudget_ (options_.retryBudgetShare),
-      demand_ (options_.demandInterval),
-      traces_ (options_.requestTraces)
+    : m_options (std::move (options)),
+      m_random (randomSeed),
+      m_now (now),
+      m_unixNow (unixNow),
+      m_processNonce (std::to_string (unixNow) + "-" + std::to_string (m_random.bits())),
+      m_session (now),
+      m_chooser (routing::ChooserOptions{ .zone = m_options.zone }),
+      m_queues (admission::QueueLimits{ m_options.maximumQueuedRequests,
+                                        m_options.maximumQueuedBytes,
+                                        m_options.maximumQueuedPerTarget }),
+      m_retryBudget (m_options.retryBudgetShare),
+      m_demand (m_options.demandInterval),
+      m_traces (m_options.requestTraces)
 {
 }
 
 void RouterCore::Implementation::setTime (base::TimePoint now, base::UnixMilliseconds unixNow)
 {
-    now_ = std::max (now_, now);
-    table_.setTime (now_);
-    unixNow_ = unixNow;
+    m_now = std::max (m_now, now);
+    m_table.setTime (m_now);
+    m_unixNow = unixNow;
     checkLease();
 }
 
@@ -51,24 +52,24 @@
 
 void RouterCore::Implementation::onControllerConnected()
 {
-    session_.onConnected (now_);
-    claims_.onConnected();
-    demand_.onConnected();
+    m_session.onConnected (m_now);
+    m_claims.onConnected();
+    m_demand.onConnected();
     sendToController (cell::RouterHello{
-        options_.router, options_.cell, options_.zone, options_.address, configuration_.version(),
-        configuration_.digest(), table_.term(), table_.version() });
-    for (const auto& [runner, incarnation] : table_.leaving())
+        m_options.router, m_options.cell, m_options.zone, m_options.address,
+        m_configuration.version(), m_configuration.digest(), m_table.term(), m_table.version() });
+    for (const auto& [runner, incarnation] : m_table.leaving())
     {
         sendToController (cell::RunnerLeavingSeen{ runner, incarnation });
     }
     settle();
 }
 
-void RouterCore::Implementation::onControllerLost() { session_.onLost (now_, random_); }
+void RouterCore::Implementation::onControllerLost() { m_session.onLost (m_now, m_random); }
 
 void RouterCore::Implementation::onControllerMessage (const cell::ControllerToRouter& message)
 {
-    if (! session_.isConnected())
+    if (! m_session.isConnected())
         return;
     std::visit ([this] (const auto& content) { handle (content); }, message);
     settle();
@@ -76,80 +77,80 @@
 
 void RouterCore::Implementation::handle (const cell::NotLeaderReply& reply)
 {
-    session_.onNotLeader (reply, now_, random_);
+    m_session.onNotLeader (reply, m_now, m_random);
 }
 
 void RouterCore::Implementation::handle (const cell::ConfigurationUpdate& update)
 {
-    if (! configuration_.apply (update))
+    if (! m_configuration.apply (update))
         return;
-    session_.requestSoon (now_);
+    m_session.requestSoon (m_now);
     refuseUnservable();
-    mustServe_ = true;
+    m_mustServe = true;
 }
 
 void RouterCore::Implementation::handle (const cell::LeaseGrant& grant)
 {
-    session_.onGrant (grant);
+    m_session.onGrant (grant);
     if (grant.cellTime > cellTime())
     {
-        cellTimeKnown_ = grant.cellTime;
-        cellTimeKnownAt_ = now_;
+        m_cellTimeKnown = grant.cellTime;
+        m_cellTimeKnownAt = m_now;
     }
     checkLease();
 }
 
 base::UnixMilliseconds RouterCore::Implementation::cellTime() const
 {
-    if (cellTimeKnown_ == 0)
+    if (m_cellTimeKnown == 0)
         return 0;
-    return cellTimeKnown_ + base::toMilliseconds (now_ - cellTimeKnownAt_);
+    return m_cellTimeKnown + base::toMilliseconds (m_now - m_cellTimeKnownAt);
 }
 
 void RouterCore::Implementation::handle (const cell::ReplicaUpdate& update)
 {
-    const bool isApplied = table_.apply (update, now_);
+    const bool isApplied = m_table.apply (update, m_now);
     if (! isApplied)
     {
-        session_.requestSoon (now_);
+        m_session.requestSoon (m_now);
         return;
     }
     refuseUnservable();
-    mustServe_ = true;
+    m_mustServe = true;
 }
 
 void RouterCore::Implementation::handle (const cell::ClaimReply& reply)
 {
-    for (const cell::ClaimAnswer& answer : claims_.onReply (reply, now_))
+    for (const cell::ClaimAnswer& answer : m_claims.onReply (reply, m_now))
         onClaimAnswer (answer);
 }
 
 void RouterCore::Implementation::sendToController (cell::RouterToController message)
 {
-    effects_.emplace_back (SendToController{ std::move (message) });
+    m_effects.emplace_back (SendToController{ std::move (message) });
 }
 
 void RouterCore::Implementation::pollController()
 {
-    auto due = session_.poll (now_);
+    auto due = m_session.poll (m_now);
     if (! due)
         return;
     if (auto* connect = std::get_if<ConnectController> (&*due))
     {
-        effects_.emplace_back (std::move (*connect));
+        m_effects.emplace_back (std::move (*connect));
         return;
     }
     auto& request = std::get<cell::LeaseRequest> (*due);
-    request.configurationVersion = configuration_.version();
-    request.configurationDigest = configuration_.digest();
-    request.replicaTableVersion = table_.version();
+    request.configurationVersion = m_configuration.version();
+    request.configurationDigest = m_configuration.digest();
+    request.replicaTableVersion = m_table.version();
     sendToController (request);
 }
 
 DemandByTarget RouterCore::Implementation::currentDemand() const
 {
     DemandByTarget demands;
-    for (const auto& [ticket, request] : requests_)
+    for (const auto& [ticket, request] : m_requests)
     {
         cell::Demand& demand = demands[request.head.target];
         if (request.state == RequestState::kDispatched)
@@ -157,8 +158,8 @@
             demand.running += 1;
             continue;
         }
-        const std::int64_t waited = base::toMilliseconds (now_ - request.arrivedAt);
-        const std::int64_t left = base::toMilliseconds (request.deadline - now_);
+        const std::int64_t waited = base::toMilliseconds (m_now - request.arrivedAt);
+        const std::int64_t left = base::toMilliseconds (request.deadline - m_now);
         const bool isFirst = demand.waiting == 0;
         demand.waiting += 1;
         demand.mostUrgent = std::min (demand.mostUrgent, request.urgency);
@@ -171,9 +172,9 @@
 
 void RouterCore::Implementation::sendDemand()
 {
-    if (! demand_.isDue (now_))
+    if (! m_demand.isDue (m_now))
         return;
-    auto report = demand_.report (currentDemand(), now_);
+    auto report = m_demand.report (currentDemand(), m_now);
     if (report)
         sendToController (std::move (*report));
 }
@@ -181,11 +182,11 @@
 void RouterCore::Implementation::checkLease()
 {
     const bool hasLease = isReady();
-    const bool wasLost = hadLease_ && ! hasLease;
-    if (hasLease != hadLease_)
-        mustServe_ = true;
-    hadLease_ = hasLease;
-    if (! wasLost || options_.plantedFault == PlantedFault::kIgnoreLease)
+    const bool wasLost = m_hadLease && ! hasLease;
+    if (hasLease != m_hadLease)
+        m_mustServe = true;
+    m_hadLease = hasLease;
+    if (! wasLost || m_options.plantedFault == PlantedFault::kIgnoreLease)
         return;
     refuseWaiting (base::ErrorKind::kLeaseExpired, "the lease on the configuration ended",
                    kLeaseRetry);
@@ -193,14 +194,14 @@
 
 void RouterCore::Implementation::settle()
 {
-    if (mustServe_)
+    if (m_mustServe)
         serveQueues();
     pollController();
-    if (! session_.isConnected())
+    if (! m_session.isConnected())
         return;
-    if (auto claims = claims_.takeClaims())
+    if (auto claims = m_claims.takeClaims())
         sendToController (std::move (*claims));
-    if (auto outcomes = claims_.takeOutcomes (now_))
+    if (auto outcomes = m_claims.takeOutcomes (m_now))
         sendToController (std::move (*outcomes));
     sendDemand();
 }
@@ -209,52 +210,52 @@
     const base::RunnerId& runner, base::Incarnation incarnation,
     const std::vector<routing::CacheEvent>& events)
 {
-    return prefixes_.onEvents (runner, incarnation, events);
+    return m_prefixes.onEvents (runner, incarnation, events);
 }
 
 void RouterCore::Implementation::beginStop()
 {
-    if (! stoppingSince_)
-        stoppingSince_ = now_;
+    if (! m_stoppingSince)
+        m_stoppingSince = m_now;
 }
 
 bool RouterCore::Implementation::isIdle() const
 {
-    if (! requests_.empty())
+    if (! m_requests.empty())
         return false;
-    const bool hasUndelivered = claims_.hasUnsentOutcomes() || claims_.hasAbandoned();
+    const bool hasUndelivered = m_claims.hasUnsentOutcomes() || m_claims.hasAbandoned();
     const bool waitsForDelivery =
-        hasUndelivered && stoppingSince_ && now_ - *stoppingSince_ < kOutcomeFlushLimit;
+        hasUndelivered && m_stoppingSince && m_now - *m_stoppingSince < kOutcomeFlushLimit;
     return ! waitsForDelivery;
 }
 
 bool RouterCore::Implementation::isReady() const
 {
-    return session_.hasLease (now_, configuration_.version(), configuration_.digest());
+    return m_session.hasLease (m_now, m_configuration.version(), m_configuration.digest());
 }
 
 std::vector<Effect> RouterCore::Implementation::takeEffects()
 {
-    return std::exchange (effects_, {});
+    return std::exchange (m_effects, {});
 }
 
 RouterCounters RouterCore::Implementation::counters() const
 {
-    RouterCounters counters = counters_;
+    RouterCounters counters = m_counters;
     counters.open = static_cast<std::uint64_t> (
-        std::count_if (requests_.begin(), requests_.end(),
+        std::count_if (m_requests.begin(), m_requests.end(),
                        [] (const auto& entry) { return ! entry.second.isDetached; }));
     return counters;
 }
 
 std::string RouterCore::Implementation::explainRequest (const base::RequestId& id) const
 {
-    return traces_.toJson (id);
+    return m_traces.toJson (id);
 }
 
 RouterCore::RouterCore (RouterOptions options, std::uint64_t randomSeed, base::TimePoint now,
                         base::UnixMilliseconds unixNow)
-    : implementation_ (
+    : m_implementation (
         std::make_unique<Implementation> (std::move (options), randomSeed, now, unixNow))
 {
 }
@@ -264,52 +265,52 @@
 
 void RouterCore::setTime (base::TimePoint now, base::UnixMilliseconds unixNow)
 {
-    implementation_->setTime (now, unixNow);
+    m_implementation->setTime (now, unixNow);
 }
-void RouterCore::onTick() { implementation_->onTick(); }
-void RouterCore::onControllerConnected() { implementation_->onControllerConnected(); }
-void RouterCore::onControllerLost() { implementation_->onControllerLost(); }
+void RouterCore::onTick() { m_implementation->onTick(); }
+void RouterCore::onControllerConnected() { m_implementation->onControllerConnected(); }
+void RouterCore::onControllerLost() { m_implementation->onControllerLost(); }
 void RouterCore::onControllerMessage (const cell::ControllerToRouter& message)
 {
-    implementation_->onControllerMessage (message);
+    m_implementation->onControllerMessage (message);
 }
 RequestTicket RouterCore::onRequest (const RequestHead& head)
 {
-    return implementation_->onRequest (head);
+    return m_implementation->onRequest (head);
 }
-void RouterCore::onCallerGone (RequestTicket ticket) { implementation_->onCallerGone (ticket); }
+void RouterCore::onCallerGone (RequestTicket ticket) { m_implementation->onCallerGone (ticket); }
 void RouterCore::onAttemptEvent (AttemptId attempt, const AttemptEvent& event)
 {
-    implementation_->onAttemptEvent (attempt, event);
+    m_implementation->onAttemptEvent (attempt, event);
 }
 void RouterCore::onCallerPaused (RequestTicket ticket, bool isPaused)
 {
-    implementation_->onCallerPaused (ticket, isPaused);
+    m_implementation->onCallerPaused (ticket, isPaused);
 }
 std::uint64_t RouterCore::onCacheEvents (const base::RunnerId& runner,
                                          base::Incarnation incarnation,
                                          const std::vector<routing::CacheEvent>& events)
 {
-    return implementation_->onCacheEvents (runner, incarnation, events);
+    return m_implementation->onCacheEvents (runner, incarnation, events);
 }
-void RouterCore::beginStop() { implementation_->beginStop(); }
-bool RouterCore::isIdle() const { return implementation_->isIdle(); }
-bool RouterCore::isReady() const { return implementation_->isReady(); }
+void RouterCore::beginStop() { m_implementation->beginStop(); }
+bool RouterCore::isIdle() const { return m_implementation->isIdle(); }
+bool RouterCore::isReady() const { return m_implementation->isReady(); }
 std::uint64_t RouterCore::configurationVersion() const
 {
-    return implementation_->configurationVersion();
+    return m_implementation->configurationVersion();
 }
 const std::string& RouterCore::configurationDigest() const
 {
-    return implementation_->configurationDigest();
+    return m_implementation->configurationDigest();
 }
-std::vector<Effect> RouterCore::takeEffects() { return implementation_->takeEffects(); }
-RouterCounters RouterCore::counters() const { return implementation_->counters(); }
-std::vector<std::string> RouterCore::targets() const { return implementation_->targets(); }
+std::vector<Effect> RouterCore::takeEffects() { return m_implementation->takeEffects(); }
+RouterCounters RouterCore::counters() const { return m_implementation->counters(); }
+std::vector<std::string> RouterCore::targets() const { return m_implementation->targets(); }
 std::string RouterCore::explainRequest (const base::RequestId& id) const
 {
-    return implementation_->explainRequest (id);
+    return m_implementation->explainRequest (id);
 }
-std::string RouterCore::metricsText() const { return implementation_->metricsText(); }
+std::string RouterCore::metricsText() const { return m_implementation->metricsText(); }
 
 }  // namespace fernlift::router
--- a/src/router/RouterCore.h
+++ b/src/router/RouterCore.h
@@ -256,7 +256,7 @@
 
 private:
     class Implementation;
-    std::unique_ptr<Implementation> implementation_;
+    std::unique_ptr<Implementation> m_implementation;
 };
 
 }  // namespace fernlift::router
--- a/src/router/RouterCoreImplementation.h
+++ b/src/router/RouterCoreImplementation.h
@@ -50,11 +50,14 @@
     void beginStop();
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] bool isReady() const;
-    [[nodiscard]] std::uint64_t configurationVersion() const { return configuration_.version(); }
-    [[nodiscard]] const std::string& configurationDigest() const { return configuration_.digest(); }
+    [[nodiscard]] std::uint64_t configurationVersion() const { return m_configuration.version(); }
+    [[nodiscard]] const std::string& configurationDigest() const
+    {
+        return m_configuration.digest();
+    }
     std::vector<Effect> takeEffects();
     [[nodiscard]] RouterCounters counters() const;
-    [[nodiscard]] std::vector<std::string> targets() const { return configuration_.targets(); }
+    [[nodiscard]] std::vector<std::string> targets() const { return m_configuration.targets(); }
     [[nodiscard]] std::string explainRequest (const base::RequestId& id) const;
     [[nodiscard]] std::string metricsText() const;
 
@@ -153,40 +156,40 @@
     void runTimers();
     void trace (const RouterRequest& request, std::string step);
 
-    RouterOptions options_;
-    base::Random random_;
-    base::TimePoint now_;
-    base::UnixMilliseconds unixNow_;
-    base::UnixMilliseconds cellTimeKnown_ = 0;  ///< 0: the leader has not told it yet.
-    base::TimePoint cellTimeKnownAt_{};
-    std::string processNonce_;  ///< Makes claims of this process unlike those of an earlier one.
-
-    ControllerSession session_;
-    ActiveConfiguration configuration_;
-    routing::ReplicaTable table_;
-    routing::OutlierDetector outliers_;
-    routing::PrefixIndex prefixes_;
-    routing::ReplicaChooser chooser_;
-    admission::AdmissionQueues queues_;
-    admission::WaitEstimator waits_;
-    dispatch::RetryBudget retryBudget_;
-    dispatch::ClaimTracker claims_;
-    DemandReporter demand_;
-    RequestTraces traces_;
-
-    Requests requests_;
-    std::map<AttemptId, RequestTicket> attemptOwners_;
-    std::map<base::RequestId, RequestTicket> claimOwners_;
-    std::set<std::pair<base::TimePoint, RequestTicket>> timers_;
-    RequestTicket lastTicket_ = 0;
-    AttemptId lastAttempt_ = 0;
-    bool hadLease_ = false;
-    base::TimePoint nextPaceCheck_{};
-    bool mustServe_ = false;  ///< Something changed that may let a waiting request go.
-    std::optional<base::TimePoint> stoppingSince_;
-    RouterCounters counters_;
-    std::map<base::ErrorKind, std::uint64_t> errorsByKind_;
-    std::vector<Effect> effects_;
+    RouterOptions m_options;
+    base::Random m_random;
+    base::TimePoint m_now;
+    base::UnixMilliseconds m_unixNow;
+    base::UnixMilliseconds m_cellTimeKnown = 0;  ///< 0: the leader has not told it yet.
+    base::TimePoint m_cellTimeKnownAt{};
+    std::string m_processNonce;  ///< Makes claims of this process unlike those of an earlier one.
+
+    ControllerSession m_session;
+    ActiveConfiguration m_configuration;
+    routing::ReplicaTable m_table;
+    routing::OutlierDetector m_outliers;
+    routing::PrefixIndex m_prefixes;
+    routing::ReplicaChooser m_chooser;
+    admission::AdmissionQueues m_queues;
+    admission::WaitEstimator m_waits;
+    dispatch::RetryBudget m_retryBudget;
+    dispatch::ClaimTracker m_claims;
+    DemandReporter m_demand;
+    RequestTraces m_traces;
+
+    Requests m_requests;
+    std::map<AttemptId, RequestTicket> m_attemptOwners;
+    std::map<base::RequestId, RequestTicket> m_claimOwners;
+    std::set<std::pair<base::TimePoint, RequestTicket>> m_timers;
+    RequestTicket m_lastTicket = 0;
+    AttemptId m_lastAttempt = 0;
+    bool m_hadLease = false;
+    base::TimePoint m_nextPaceCheck{};
+    bool m_mustServe = false;  ///< Something changed that may let a waiting request go.
+    std::optional<base::TimePoint> m_stoppingSince;
+    RouterCounters m_counters;
+    std::map<base::ErrorKind, std::uint64_t> m_errorsByKind;
+    std::vector<Effect> m_effects;
 };
 
 }  // namespace fernlift::router
--- a/src/router/RouterDispatch.cpp
+++ b/src/router/RouterDispatch.cpp
@@ -55,31 +55,31 @@
 {
     request.state = RequestState::kClaiming;
     request.reserved = replica;
-    table_.addInFlight (replica, request.urgency);
+    m_table.addInFlight (replica, request.urgency);
     cell::Claim claim;
     claim.key = request.head.idempotencyKey;
     claim.requestDigest = request.head.requestDigest;
-    claim.router = options_.router;
+    claim.router = m_options.router;
     // Callers may choose request identifiers; a claim needs one that nobody else can use.
-    claim.request = base::RequestId (request.head.id.value + "/" + options_.router.value + "/"
-                                     + processNonce_ + "/" + std::to_string (request.ticket));
-    const base::Duration kept = request.deadline - now_ + options_.claimWindow;
-    const base::UnixMilliseconds time = cellTime() != 0 ? cellTime() : unixNow_;
+    claim.request = base::RequestId (request.head.id.value + "/" + m_options.router.value + "/"
+                                     + m_processNonce + "/" + std::to_string (request.ticket));
+    const base::Duration kept = request.deadline - m_now + m_options.claimWindow;
+    const base::UnixMilliseconds time = cellTime() != 0 ? cellTime() : m_unixNow;
     claim.expiresAt = time + base::toMilliseconds (kept);
     request.claim = claim;
-    claimOwners_[claim.request] = request.ticket;
-    claims_.add (claim);
-    counters_.claims += 1;
+    m_claimOwners[claim.request] = request.ticket;
+    m_claims.add (claim);
+    m_counters.claims += 1;
     trace (request, "claim asked for");
     setTimer (request);
 }
 
 void RouterCore::Implementation::onClaimAnswer (const cell::ClaimAnswer& answer)
 {
-    const auto owner = claimOwners_.find (answer.request);
-    if (owner == claimOwners_.end())
+    const auto owner = m_claimOwners.find (answer.request);
+    if (owner == m_claimOwners.end())
         return;
-    RouterRequest& request = requests_.at (owner->second);
+    RouterRequest& request = m_requests.at (owner->second);
     switch (answer.verdict)
     {
         case cell::ClaimVerdict::kGranted:
@@ -87,7 +87,7 @@
             return;
         case cell::ClaimVerdict::kInProgress:
             fail (request, { ErrorKind::kOutcomeUnknown, "a request with this key is in progress" },
-                  base::Execution::kUnknown, admission::retryAfter (kFailureEstimate, random_));
+                  base::Execution::kUnknown, admission::retryAfter (kFailureEstimate, m_random));
             return;
         case cell::ClaimVerdict::kAlreadyRan:
             fail (request,
@@ -112,7 +112,7 @@
         case cell::ClaimVerdict::kTableFull:
             fail (request,
                   { ErrorKind::kNoCapacity, "no further idempotency keys can be held now" },
-                  base::Execution::kNotRun, admission::retryAfter (kFailureEstimate, random_));
+                  base::Execution::kNotRun, admission::retryAfter (kFailureEstimate, m_random));
             return;
     }
 }
@@ -121,15 +121,15 @@
 {
     request.isClaimed = true;
     const cell::RoutableReplica replica = *std::exchange (request.reserved, std::nullopt);
-    table_.removeInFlight (replica, request.urgency);
-    mustServe_ = true;
+    m_table.removeInFlight (replica, request.urgency);
+    m_mustServe = true;
     trace (request, "claim granted");
-    const bool hasLease = isReady() || options_.plantedFault == PlantedFault::kIgnoreLease;
+    const bool hasLease = isReady() || m_options.plantedFault == PlantedFault::kIgnoreLease;
     if (! hasLease)
     {
         failNotRun (request, { ErrorKind::kLeaseExpired, "the lease ended", kFailureEstimate });
     }
-    else if (table_.isUsable (replica))
+    else if (m_table.isUsable (replica))
     {
         startAttempt (request, replica);
     }
@@ -142,12 +142,12 @@
 base::TimePoint RouterCore::Implementation::firstByteBy (const RouterRequest& request) const
 {
     if (request.hasReachedCaller)
-        return now_ + options_.betweenTokensTimeout;
+        return m_now + m_options.betweenTokensTimeout;
     // With time for another attempt elsewhere, a silent back end gets half of what is left.
-    const bool mayRetry = request.isRepeatable && request.attemptsMade < options_.maximumAttempts
-                          && table_.usableReplicas (request.head.target).size() > 1;
-    const base::Duration left = request.deadline - now_;
-    return mayRetry ? now_ + left / 2 : request.deadline;
+    const bool mayRetry = request.isRepeatable && request.attemptsMade < m_options.maximumAttempts
+                          && m_table.usableReplicas (request.head.target).size() > 1;
+    const base::Duration left = request.deadline - m_now;
+    return mayRetry ? m_now + left / 2 : request.deadline;
 }
 
 void RouterCore::Implementation::startAttempt (RouterRequest& request,
@@ -158,23 +158,23 @@
     request.wasDispatched = true;
     request.resumeBy.reset();
     request.attemptsMade += 1;
-    const AttemptId id = ++lastAttempt_;
+    const AttemptId id = ++m_lastAttempt;
     request.attempts.emplace_back (id, replica, firstByteBy (request),
-                                   options_.betweenTokensTimeout);
-    attemptOwners_[id] = request.ticket;
-    table_.addInFlight (replica, request.urgency);
-    prefixes_.onSent (replica.runner, replica.target, request.head.prefixHashes);
-    counters_.attempts += 1;
+                                   m_options.betweenTokensTimeout);
+    m_attemptOwners[id] = request.ticket;
+    m_table.addInFlight (replica, request.urgency);
+    m_prefixes.onSent (replica.runner, replica.target, request.head.prefixHashes);
+    m_counters.attempts += 1;
     if (isFirst)
-        retryBudget_.onFirstAttempt();
-    const bool mayHedge = options_.hedgeAfter && isFirst && request.isRepeatable
+        m_retryBudget.onFirstAttempt();
+    const bool mayHedge = m_options.hedgeAfter && isFirst && request.isRepeatable
                           && ! request.head.isStreaming
-                          && request.urgency <= options_.hedgeMaximumUrgency;
+                          && request.urgency <= m_options.hedgeMaximumUrgency;
     if (mayHedge)
-        request.hedgeAt = now_ + *options_.hedgeAfter;
+        request.hedgeAt = m_now + *m_options.hedgeAfter;
     const std::uint64_t resumeFrom = request.hasReachedCaller ? request.assembler.nextOffset() : 0;
-    effects_.emplace_back (StartAttempt{ request.ticket, id, replica, request.urgency, resumeFrom,
-                                         options_.connectTimeout });
+    m_effects.emplace_back (StartAttempt{ request.ticket, id, replica, request.urgency, resumeFrom,
+                                          m_options.connectTimeout });
     trace (request, "attempt " + std::to_string (id) + " at " + replica.runner.value);
     setTimer (request);
 }
@@ -188,30 +188,30 @@
     const auto replica = chooseReplica (request);
     if (! replica || request.avoid.contains (replica->runner))
         return;
-    if (! retryBudget_.tryRetry())
+    if (! m_retryBudget.tryRetry())
         return;
-    counters_.retries += 1;
+    m_counters.retries += 1;
     startAttempt (request, *replica);
 }
 
 void RouterCore::Implementation::onAttemptEvent (AttemptId attempt, const AttemptEvent& event)
 {
-    const auto owner = attemptOwners_.find (attempt);
-    if (owner == attemptOwners_.end())
+    const auto owner = m_attemptOwners.find (attempt);
+    if (owner == m_attemptOwners.end())
         return;  // Of an attempt that was given up.
-    RouterRequest& request = requests_.at (owner->second);
+    RouterRequest& request = m_requests.at (owner->second);
     std::visit ([&] (const auto& content) { handle (request, attempt, content); }, event);
     settle();
 }
 
 void RouterCore::Implementation::onCallerPaused (RequestTicket ticket, bool isPaused)
 {
-    const auto entry = requests_.find (ticket);
-    if (entry == requests_.end())
+    const auto entry = m_requests.find (ticket);
+    if (entry == m_requests.end())
         return;
     RouterRequest& request = entry->second;
     for (dispatch::Attempt& attempt : request.attempts)
-        attempt.setPaused (isPaused, now_);
+        attempt.setPaused (isPaused, m_now);
     setTimer (request);
 }
 
@@ -235,15 +235,15 @@
     dispatch::Attempt& attempt = *findAttempt (request, id);
     if (event.runnerIsLeaving)
         noteLeaving (attempt.replica());
-    attempt.onHeaders (event.httpStatus, now_);
+    attempt.onHeaders (event.httpStatus, m_now);
     // An error page is no continuation of a stream.
     const bool cannotContinue = request.hasReachedCaller && event.httpStatus != kOk;
     const bool isWorthRetry = request.isRepeatable && isRetryableStatus (event.httpStatus)
-                              && request.attemptsMade < options_.maximumAttempts
-                              && retryBudget_.allowsRetry();
+                              && request.attemptsMade < m_options.maximumAttempts
+                              && m_retryBudget.allowsRetry();
     if (cannotContinue || isWorthRetry)
     {
-        effects_.emplace_back (CancelAttempt{ id });
+        m_effects.emplace_back (CancelAttempt{ id });
         onAttemptFailed (request, id, AttemptFailure::kServerFailed);
         return;
     }
@@ -259,7 +259,7 @@
     if (findAttempt (request, request.answeringAttempt) != nullptr)
         return false;
     request.answeringAttempt = id;
-    if (! request.hasReachedCaller && options_.plantedFault != PlantedFault::kMixAttempts)
+    if (! request.hasReachedCaller && m_options.plantedFault != PlantedFault::kMixAttempts)
     {
         request.assembler.restart();
         request.buffered.clear();
@@ -281,15 +281,15 @@
     if (! takeLead (request, id))
         return;
     dispatch::Attempt& attempt = *findAttempt (request, id);
-    attempt.onPart (now_);
+    attempt.onPart (m_now);
     setTimer (request);
     const auto verdict = request.assembler.accept (event.offset, event.count);
-    const bool passesDuplicates = options_.plantedFault == PlantedFault::kPassDuplicateChunks;
+    const bool passesDuplicates = m_options.plantedFault == PlantedFault::kPassDuplicateChunks;
     if (verdict == dispatch::PartVerdict::kDuplicate && ! passesDuplicates)
         return;
     if (verdict == dispatch::PartVerdict::kGap)
     {
-        effects_.emplace_back (CancelAttempt{ id });
+        m_effects.emplace_back (CancelAttempt{ id });
         onAttemptFailed (request, id, AttemptFailure::kBroken);
         return;
     }
@@ -307,11 +307,11 @@
     const bool isOkStream = request.head.isStreaming && request.answerStatus == kOk;
     if (request.hasReachedCaller)
     {
-        effects_.emplace_back (AnswerData{ request.ticket, part.data });
+        m_effects.emplace_back (AnswerData{ request.ticket, part.data });
         return;
     }
     request.buffered += part.data;
-    const bool isTooLarge = request.buffered.size() > options_.maximumBufferedAnswer;
+    const bool isTooLarge = request.buffered.size() > m_options.maximumBufferedAnswer;
     if (isOkStream || isTooLarge)
         beginAnswer (request);
 }
@@ -320,11 +320,11 @@
 void RouterCore::Implementation::beginAnswer (RouterRequest& request)
 {
     request.hasReachedCaller = true;
-    effects_.emplace_back (
+    m_effects.emplace_back (
         AnswerHeaders{ request.ticket, request.answerStatus, request.answeringAttempt });
     std::string kept = std::exchange (request.buffered, {});
     if (! kept.empty())
-        effects_.emplace_back (AnswerData{ request.ticket, std::move (kept) });
+        m_effects.emplace_back (AnswerData{ request.ticket, std::move (kept) });
 }
 
 void RouterCore::Implementation::handle (RouterRequest& request, AttemptId id,
@@ -333,7 +333,7 @@
     if (! takeLead (request, id))
         return;
     const dispatch::Attempt attempt = *findAttempt (request, id);
-    outliers_.onSuccess (attempt.replica().runner, now_);
+    m_outliers.onSuccess (attempt.replica().runner, m_now);
     request.answerStatus = attempt.hasHeaders() ? attempt.httpStatus() : kOk;
     dropAttempt (request, id, false);
     // Such an answer often comes from something in between, which does not know what became of it.
@@ -344,8 +344,8 @@
     {
         if (! request.hasReachedCaller)
             beginAnswer (request);
-        effects_.emplace_back (AnswerEnd{ request.ticket });
-        counters_.answered += 1;
+        m_effects.emplace_back (AnswerEnd{ request.ticket });
+        m_counters.answered += 1;
         trace (request, "answered with status " + std::to_string (request.answerStatus));
     }
     forget (request);
@@ -359,13 +359,13 @@
 
 void RouterCore::Implementation::noteLeaving (const cell::RoutableReplica& replica)
 {
-    if (options_.plantedFault == PlantedFault::kDispatchToLeaving)
+    if (m_options.plantedFault == PlantedFault::kDispatchToLeaving)
         return;
-    if (! table_.markLeaving (replica.runner, replica.incarnation))
+    if (! m_table.markLeaving (replica.runner, replica.incarnation))
         return;
     refuseUnservable();
     // Without a connection it is told when there is one again.
-    if (! session_.isConnected())
+    if (! m_session.isConnected())
         return;
     sendToController (cell::RunnerLeavingSeen{ replica.runner, replica.incarnation });
 }
@@ -375,12 +375,12 @@
     const dispatch::Attempt* attempt = findAttempt (request, id);
     if (attempt == nullptr)
         return;
-    table_.removeInFlight (attempt->replica(), request.urgency);
-    attemptOwners_.erase (id);
+    m_table.removeInFlight (attempt->replica(), request.urgency);
+    m_attemptOwners.erase (id);
     std::erase_if (request.attempts, [id] (const auto& candidate) { return candidate.id() == id; });
     if (cancel)
-        effects_.emplace_back (CancelAttempt{ id });
-    mustServe_ = true;
+        m_effects.emplace_back (CancelAttempt{ id });
+    m_mustServe = true;
 }
 
 void RouterCore::Implementation::onAttemptFailed (RouterRequest& request, AttemptId id,
@@ -391,7 +391,7 @@
     trace (request, "attempt " + std::to_string (id) + " failed");
     dropAttempt (request, id, false);
     if (failure != AttemptFailure::kRefused)
-        outliers_.onFailure (runner, now_);
+        m_outliers.onFailure (runner, m_now);
     if (! dispatch::provesNotRun (failure))
         request.mayHaveRun = true;
     request.avoid.insert (runner);
@@ -411,12 +411,12 @@
     dispatch::RetryQuestion question;
     question.failure = failure;
     question.isRepeatable =
-        request.isRepeatable || options_.plantedFault == PlantedFault::kRetrySentUnrepeatable;
+        request.isRepeatable || m_options.plantedFault == PlantedFault::kRetrySentUnrepeatable;
     question.hasReachedCaller = request.hasReachedCaller;
     question.canResume = request.isTokenStream() && request.answerStatus == kOk;
     question.attemptsMade = request.attemptsMade;
-    question.maximumAttempts = options_.maximumAttempts;
-    const bool isTooLate = ! request.hasReachedCaller && now_ >= request.deadline;
+    question.maximumAttempts = m_options.maximumAttempts;
+    const bool isTooLate = ! request.hasReachedCaller && m_now >= request.deadline;
     const auto decision = dispatch::decideRetry (question);
     if (decision == dispatch::RetryDecision::kFail || isTooLate)
     {
@@ -424,13 +424,13 @@
     }
     else if (decision == dispatch::RetryDecision::kResume)
     {
-        retryBudget_.chargeRetry();
-        counters_.resumes += 1;
+        m_retryBudget.chargeRetry();
+        m_counters.resumes += 1;
         retry (request, failure);
     }
-    else if (retryBudget_.tryRetry())
+    else if (m_retryBudget.tryRetry())
     {
-        counters_.retries += 1;
+        m_counters.retries += 1;
         retry (request, failure);
     }
     else
@@ -443,8 +443,8 @@
 void RouterCore::Implementation::retry (RouterRequest& request, AttemptFailure /*failure*/)
 {
     if (request.hasReachedCaller)
-        request.resumeBy = now_ + options_.betweenTokensTimeout;
-    const auto usable = table_.usableReplicas (request.head.target);
+        request.resumeBy = m_now + m_options.betweenTokensTimeout;
+    const auto usable = m_table.usableReplicas (request.head.target);
     const bool hasOther = std::any_of (usable.begin(), usable.end(),
                                        [&] (const auto* state)
                                        { return ! request.avoid.contains (state->info.runner); });
@@ -459,7 +459,7 @@
         backoff *= 2;
     request.state = RequestState::kBackingOff;
     request.nextAttemptAt =
-        now_ + backoff + base::Duration (random_.uniformInteger (0, backoff.count()));
+        m_now + backoff + base::Duration (m_random.uniformInteger (0, backoff.count()));
     setTimer (request);
 }
 
@@ -471,7 +471,7 @@
     std::optional<base::Duration> comeBack;
     if (mayComeBack)
     {
-        comeBack = admission::retryAfter (retryAfter.value_or (kFailureEstimate), random_);
+        comeBack = admission::retryAfter (retryAfter.value_or (kFailureEstimate), m_random);
     }
     const auto execution =
         request.mayHaveRun ? base::Execution::kUnknown : base::Execution::kNotRun;
--- a/src/router/RouterEnds.cpp
+++ b/src/router/RouterEnds.cpp
@@ -34,15 +34,16 @@
                                               base::Execution execution,
                                               std::optional<base::Duration> retryAfter)
 {
-    if (options_.plantedFault == PlantedFault::kDropRefusal)
+    if (m_options.plantedFault == PlantedFault::kDropRefusal)
         return;
-    if (options_.plantedFault == PlantedFault::kNotRunAfterBytes)
+    if (m_options.plantedFault == PlantedFault::kNotRunAfterBytes)
     {
         execution = base::Execution::kNotRun;
     }
-    counters_.refused += 1;
-    errorsByKind_[error.kind] += 1;
-    effects_.emplace_back (AnswerError{ request.ticket, std::move (error), execution, retryAfter });
+    m_counters.refused += 1;
+    m_errorsByKind[error.kind] += 1;
+    m_effects.emplace_back (
+        AnswerError{ request.ticket, std::move (error), execution, retryAfter });
 }
 
 void RouterCore::Implementation::recordOutcome (RouterRequest& request, cell::ClaimOutcome outcome,
@@ -51,50 +52,50 @@
     if (! request.isClaimed)
         return;
     request.isClaimed = false;
-    claims_.recordOutcome ({ request.claim->key, request.claim->request, outcome, httpStatus },
-                           now_);
+    m_claims.recordOutcome ({ request.claim->key, request.claim->request, outcome, httpStatus },
+                            m_now);
 }
 
 void RouterCore::Implementation::forget (RouterRequest& request)
 {
     const RequestTicket ticket = request.ticket;
-    if (queues_.remove (ticket) && queues_.countWaiting (request.head.target) == 0)
+    if (m_queues.remove (ticket) && m_queues.countWaiting (request.head.target) == 0)
     {
-        waits_.onQueueEmpty (request.head.target);
+        m_waits.onQueueEmpty (request.head.target);
     }
     while (! request.attempts.empty())
         dropAttempt (request, request.attempts.front().id(), true);
     if (request.reserved)
     {
-        table_.removeInFlight (*request.reserved, request.urgency);
-        mustServe_ = true;
+        m_table.removeInFlight (*request.reserved, request.urgency);
+        m_mustServe = true;
     }
     if (request.claim)
     {
-        claims_.abandon (*request.claim);
-        claimOwners_.erase (request.claim->request);
+        m_claims.abandon (*request.claim);
+        m_claimOwners.erase (request.claim->request);
     }
     if (request.timerAt)
-        timers_.erase ({ *request.timerAt, ticket });
-    requests_.erase (ticket);
+        m_timers.erase ({ *request.timerAt, ticket });
+    m_requests.erase (ticket);
 }
 
 /// Keeps a request that may not be repeated only to learn its outcome.
 void RouterCore::Implementation::detach (RouterRequest& request)
 {
     request.isDetached = true;
-    request.detachedUntil = now_ + options_.outcomeWait;
+    request.detachedUntil = m_now + m_options.outcomeWait;
     request.buffered.clear();
     setTimer (request);
 }
 
 void RouterCore::Implementation::onCallerGone (RequestTicket ticket)
 {
-    const auto entry = requests_.find (ticket);
-    if (entry == requests_.end() || entry->second.isDetached)
+    const auto entry = m_requests.find (ticket);
+    if (entry == m_requests.end() || entry->second.isDetached)
         return;
     RouterRequest& request = entry->second;
-    counters_.callersGone += 1;
+    m_counters.callersGone += 1;
     trace (request, "caller left");
     if (! request.isRepeatable && request.state == RequestState::kDispatched)
     {
@@ -141,18 +142,18 @@
 void RouterCore::Implementation::setTimer (RouterRequest& request)
 {
     if (request.timerAt)
-        timers_.erase ({ *request.timerAt, request.ticket });
+        m_timers.erase ({ *request.timerAt, request.ticket });
     request.timerAt = nextTimer (request);
     if (request.timerAt)
-        timers_.emplace (*request.timerAt, request.ticket);
+        m_timers.emplace (*request.timerAt, request.ticket);
 }
 
 void RouterCore::Implementation::runTimers()
 {
-    while (! timers_.empty() && timers_.begin()->first <= now_)
+    while (! m_timers.empty() && m_timers.begin()->first <= m_now)
     {
-        RouterRequest& request = requests_.at (timers_.begin()->second);
-        timers_.erase (timers_.begin());
+        RouterRequest& request = m_requests.at (m_timers.begin()->second);
+        m_timers.erase (m_timers.begin());
         request.timerAt.reset();
         onRequestTimer (request);
     }
@@ -166,7 +167,7 @@
         forget (request);
         return;
     }
-    if (awaitsFirstByte (request) && now_ >= request.deadline)
+    if (awaitsFirstByte (request) && m_now >= request.deadline)
     {
         const bool isAnswering = std::any_of (request.attempts.begin(), request.attempts.end(),
                                               [&] (const dispatch::Attempt& attempt)
@@ -183,12 +184,12 @@
         }
         return;
     }
-    if (! awaitsFirstByte (request) && now_ >= request.wholeBy)
+    if (! awaitsFirstByte (request) && m_now >= request.wholeBy)
     {
         onDeadline (request);
         return;
     }
-    if (request.resumeBy && now_ >= *request.resumeBy)
+    if (request.resumeBy && m_now >= *request.resumeBy)
     {
         fail (request, { ErrorKind::kUpstreamBroken, "the stream could not be resumed in time" },
               base::Execution::kUnknown, std::nullopt);
@@ -196,20 +197,20 @@
     }
     for (const dispatch::Attempt& attempt : request.attempts)
     {
-        if (attempt.timeoutAt() > now_)
+        if (attempt.timeoutAt() > m_now)
             continue;
         const AttemptId id = attempt.id();
-        effects_.emplace_back (CancelAttempt{ id });
+        m_effects.emplace_back (CancelAttempt{ id });
         onAttemptFailed (request, id, dispatch::AttemptFailure::kTimedOut);
         return;
     }
-    if (request.state == RequestState::kBackingOff && now_ >= request.nextAttemptAt)
+    if (request.state == RequestState::kBackingOff && m_now >= request.nextAttemptAt)
     {
         request.avoid.clear();
         enqueueAgain (request);
         return;
     }
-    if (request.hedgeAt && now_ >= *request.hedgeAt)
+    if (request.hedgeAt && m_now >= *request.hedgeAt)
         startHedge (request);
     setTimer (request);
 }
@@ -236,7 +237,7 @@
 
 void RouterCore::Implementation::trace (const RouterRequest& request, std::string step)
 {
-    traces_.add (request.head.id, now_, std::move (step));
+    m_traces.add (request.head.id, m_now, std::move (step));
 }
 
 }  // namespace fernlift::router
--- a/src/router/RouterMetrics.cpp
+++ b/src/router/RouterMetrics.cpp
@@ -28,16 +28,17 @@
     appendMetric (text, "fernlift_router_requests_refused_total", "counter", current.refused);
     appendMetric (text, "fernlift_router_callers_gone_total", "counter", current.callersGone);
     appendMetric (text, "fernlift_router_requests_open", "gauge", current.open);
-    appendMetric (text, "fernlift_router_requests_waiting", "gauge", queues_.size());
-    appendMetric (text, "fernlift_router_waiting_bytes", "gauge", queues_.bytes());
+    appendMetric (text, "fernlift_router_requests_waiting", "gauge", m_queues.size());
+    appendMetric (text, "fernlift_router_waiting_bytes", "gauge", m_queues.bytes());
     appendMetric (text, "fernlift_router_attempts_total", "counter", current.attempts);
     appendMetric (text, "fernlift_router_retries_total", "counter", current.retries);
     appendMetric (text, "fernlift_router_resumes_total", "counter", current.resumes);
     appendMetric (text, "fernlift_router_claims_total", "counter", current.claims);
     appendMetric (text, "fernlift_router_ready", "gauge", isReady() ? 1 : 0);
-    appendMetric (text, "fernlift_router_configuration_version", "gauge", configuration_.version());
+    appendMetric (text, "fernlift_router_configuration_version", "gauge",
+                  m_configuration.version());
     text.append ("# TYPE fernlift_router_errors_total counter\n");
-    for (const auto& [kind, count] : errorsByKind_)
+    for (const auto& [kind, count] : m_errorsByKind)
     {
         text.append ("fernlift_router_errors_total{kind=\"");
         text.append (base::traitsOf (kind).name).append ("\"} ");
--- a/src/router/RouterModelChecksTest.cpp
+++ b/src/router/RouterModelChecksTest.cpp
@@ -7,33 +7,33 @@
 
 void RouterModel::take (const StartAttempt& start)
 {
-    const auto known = requests_.find (start.ticket);
-    if (known == requests_.end())
-        requests_[start.ticket] = *arriving_;
-    Request& request = requests_.at (start.ticket);
+    const auto known = m_requests.find (start.ticket);
+    if (known == m_requests.end())
+        m_requests[start.ticket] = *m_arriving;
+    Request& request = m_requests.at (start.ticket);
     checkStart (request, start);
     request.attempts.push_back (start.attempt);
-    attempts_[start.attempt] = BackEndAttempt{ start };
+    m_attempts[start.attempt] = BackEndAttempt{ start };
 }
 
 void RouterModel::checkStart (const Request& request, const StartAttempt& start) const
 {
     const cell::RoutableReplica& replica = start.replica;
     require (request.isOpen(), "no attempt for a request that was answered");
-    require (! leaving_.contains ({ replica.runner, replica.incarnation }),
+    require (! m_leaving.contains ({ replica.runner, replica.incarnation }),
              "a leaving runner gets nothing new");
-    require (! request.attempts.empty() || ! controller_.hasNoLease (now_),
+    require (! request.attempts.empty() || ! m_controller.hasNoLease (m_now),
              "no request is dispatched first without a lease");
     if (! request.isRepeatable)
     {
         require (isProvenNotRun (request), "a request that may not be repeated is sent once");
-        require (controller_.isGranted (request.head.idempotencyKey, request.head.id.value),
+        require (m_controller.isGranted (request.head.idempotencyKey, request.head.id.value),
                  "bytes leave only under a granted claim");
     }
     // A request that may not be repeated holds its room from the moment it asks for its claim.
     if (! request.isRepeatable || ! request.attempts.empty())
         return;
-    for (const auto& [ticket, other] : requests_)
+    for (const auto& [ticket, other] : m_requests)
     {
         const bool waits = other.isOpen() && other.isRepeatable && other.attempts.empty()
                            && other.head.target == request.head.target && ticket != start.ticket;
@@ -44,14 +44,14 @@
 
 void RouterModel::take (const AnswerHeaders& headers)
 {
-    Request& request = requests_.at (headers.ticket);
+    Request& request = m_requests.at (headers.ticket);
     require (request.isOpen() && ! request.hasHeaders, "one begin to each answer");
     request.hasHeaders = true;
 }
 
 void RouterModel::take (const AnswerData& data)
 {
-    Request& request = requests_.at (data.ticket);
+    Request& request = m_requests.at (data.ticket);
     require (request.isOpen() && request.hasHeaders, "parts come inside of an answer");
     request.text += data.data;
     checkText (request, false);
@@ -73,7 +73,7 @@
 
 void RouterModel::take (const AnswerEnd& end)
 {
-    Request& request = requests_.at (end.ticket);
+    Request& request = m_requests.at (end.ticket);
     require (request.isOpen(), "one final answer to each request");
     request.ends += 1;
     checkText (request, true);
@@ -81,10 +81,10 @@
 
 void RouterModel::take (const AnswerError& error)
 {
-    const auto known = requests_.find (error.ticket);
-    if (known == requests_.end())
-        requests_[error.ticket] = *arriving_;
-    Request& request = requests_.at (error.ticket);
+    const auto known = m_requests.find (error.ticket);
+    if (known == m_requests.end())
+        m_requests[error.ticket] = *m_arriving;
+    Request& request = m_requests.at (error.ticket);
     require (request.isOpen(), "one final answer to each request");
     request.ends += 1;
     if (error.execution == base::Execution::kNotRun)
@@ -99,12 +99,12 @@
 
 void RouterModel::checkAll() const
 {
-    const RouterCounters counters = core_.counters();
+    const RouterCounters counters = m_core.counters();
     require (counters.admitted
                  == counters.answered + counters.refused + counters.callersGone + counters.open,
              "every request is counted once");
     std::uint64_t open = 0;
-    for (const auto& [ticket, request] : requests_)
+    for (const auto& [ticket, request] : m_requests)
     {
         if (! request.isOpen())
             continue;
@@ -114,8 +114,8 @@
             request.hasHeaders
             || std::any_of (request.attempts.begin(), request.attempts.end(),
                             [this] (AttemptId id)
-                            { return attempts_.at (id).isLive && attempts_.at (id).hasHeaders; });
-        require (hasBegun || now_ < request.deadline + base::milliseconds (20),
+                            { return m_attempts.at (id).isLive && m_attempts.at (id).hasHeaders; });
+        require (hasBegun || m_now < request.deadline + base::milliseconds (20),
                  "a request is answered by its deadline");
     }
     require (open == counters.open, "the router knows the requests that are open");
@@ -123,11 +123,11 @@
 
 void RouterModel::checkNotHopeless (const Request& request) const
 {
-    const auto estimate = estimates_.find (request.head.target);
+    const auto estimate = m_estimates.find (request.head.target);
     const bool waits = request.isRepeatable && request.attempts.empty();
-    if (! waits || ! hasTable_ || estimate == estimates_.end())
+    if (! waits || ! m_hasTable || estimate == m_estimates.end())
         return;
-    if (controller_.hasRow (request.head.target, leaving_))
+    if (m_controller.hasRow (request.head.target, m_leaving))
         return;
     const bool isMet = estimate->second.canBeServed && estimate->second.readyAt <= request.deadline;
     require (isMet, "a request that cannot be met is refused at once");
--- a/src/router/RouterModelInputsTest.cpp
+++ b/src/router/RouterModelInputsTest.cpp
@@ -53,30 +53,30 @@
 
 void RouterModel::advance (base::Duration duration)
 {
-    const base::TimePoint end = now_ + duration;
-    while (now_ < end)
+    const base::TimePoint end = m_now + duration;
+    while (m_now < end)
     {
-        now_ = std::min<base::TimePoint> (end, now_ + base::milliseconds (10));
-        core_.setTime (now_, kUnixStart + base::toMilliseconds (now_.time_since_epoch()));
-        core_.onTick();
+        m_now = std::min<base::TimePoint> (end, m_now + base::milliseconds (10));
+        m_core.setTime (m_now, kUnixStart + base::toMilliseconds (m_now.time_since_epoch()));
+        m_core.onTick();
         takeEffects();
     }
 }
 
 void RouterModel::connect()
 {
-    if (controller_.isConnected)
+    if (m_controller.isConnected)
         return;
-    controller_.isConnected = true;
-    core_.onControllerConnected();
+    m_controller.isConnected = true;
+    m_core.onControllerConnected();
     takeEffects();
-    tell (controller_.configuration (controller_.configurationVersion));
-    tellAll (controller_.grantLeases (2000));
+    tell (m_controller.configuration (m_controller.configurationVersion));
+    tellAll (m_controller.grantLeases (2000));
 }
 
 void RouterModel::request (const ModelStep& step)
 {
-    const std::string id = "q" + std::to_string (requests_.size() + 1);
+    const std::string id = "q" + std::to_string (m_requests.size() + 1);
     Request made;
     const int shape = step.choice % 6;
     made.head = RouterHarness::completion (id, "m", step.detail % 3 != 0);
@@ -99,32 +99,32 @@
         allowed = base::milliseconds (2000);
     }
     made.head.caller = "caller" + std::to_string (step.detail % 2);
-    made.deadline = now_ + allowed;
-    const bool mayBeAdmitted = ! isStopping_ && ! controller_.hasNoLease (now_);
-    arriving_ = made;
-    const RequestTicket ticket = core_.onRequest (made.head);
-    requests_[ticket] = std::move (made);
+    made.deadline = m_now + allowed;
+    const bool mayBeAdmitted = ! m_isStopping && ! m_controller.hasNoLease (m_now);
+    m_arriving = made;
+    const RequestTicket ticket = m_core.onRequest (made.head);
+    m_requests[ticket] = std::move (made);
     takeEffects();
-    const Request& arrived = requests_.at (ticket);
+    const Request& arrived = m_requests.at (ticket);
     require (mayBeAdmitted || (arrived.ends == 1 && arrived.attempts.empty()),
              "nothing is admitted without a lease or while stopping");
 }
 
 void RouterModel::callerGone (const ModelStep& step)
 {
-    if (requests_.empty())
+    if (m_requests.empty())
         return;
-    const auto chosen = static_cast<std::size_t> (step.choice) % requests_.size();
-    auto& [ticket, request] = *std::next (requests_.begin(), static_cast<std::ptrdiff_t> (chosen));
+    const auto chosen = static_cast<std::size_t> (step.choice) % m_requests.size();
+    auto& [ticket, request] = *std::next (m_requests.begin(), static_cast<std::ptrdiff_t> (chosen));
     if (request.isOpen())
         request.isGone = true;
-    core_.onCallerGone (ticket);
+    m_core.onCallerGone (ticket);
     takeEffects();
 }
 
 void RouterModel::give (AttemptId id, const AttemptEvent& event)
 {
-    BackEndAttempt& attempt = attempts_.at (id);
+    BackEndAttempt& attempt = m_attempts.at (id);
     const auto* headers = std::get_if<AttemptHeaders> (&event);
     const auto* refused = std::get_if<AttemptRefused> (&event);
     const bool isProof = refused != nullptr || std::holds_alternative<AttemptNotSent> (event);
@@ -134,7 +134,7 @@
                         || (refused != nullptr && refused->runnerIsLeaving);
     const cell::RoutableReplica& replica = attempt.start.replica;
     if (attempt.isLive && isSign)
-        leaving_.emplace (replica.runner, replica.incarnation);
+        m_leaving.emplace (replica.runner, replica.incarnation);
     if (headers != nullptr)
         attempt.hasHeaders = true;
     const bool isEnd = isProof || std::holds_alternative<AttemptEnded> (event)
@@ -143,14 +143,14 @@
         attempt.isOver = true;
     if (isEnd)
         attempt.isLive = false;
-    core_.onAttemptEvent (id, event);
+    m_core.onAttemptEvent (id, event);
     takeEffects();
 }
 
 void RouterModel::finishAttempt (AttemptId id)
 {
-    BackEndAttempt& attempt = attempts_.at (id);
-    const Request& request = requests_.at (attempt.start.ticket);
+    BackEndAttempt& attempt = m_attempts.at (id);
+    const Request& request = m_requests.at (attempt.start.ticket);
     if (! attempt.hasHeaders)
         give (id, AttemptHeaders{ 200, false });
     const int first = static_cast<int> (attempt.start.resumeFrom) + attempt.tokens;
@@ -165,15 +165,15 @@
 
 void RouterModel::attemptEvent (const ModelStep& step)
 {
-    if (attempts_.empty())
+    if (m_attempts.empty())
         return;
     // Mostly the latest attempts, also those that were given up.
     const std::size_t back =
-        static_cast<std::size_t> (step.choice) % std::min<std::size_t> (attempts_.size(), 6);
-    auto& [id, attempt] = *std::prev (attempts_.end(), static_cast<std::ptrdiff_t> (back) + 1);
+        static_cast<std::size_t> (step.choice) % std::min<std::size_t> (m_attempts.size(), 6);
+    auto& [id, attempt] = *std::prev (m_attempts.end(), static_cast<std::ptrdiff_t> (back) + 1);
     if (attempt.isOver)
         return;
-    const Request& request = requests_.at (attempt.start.ticket);
+    const Request& request = m_requests.at (attempt.start.ticket);
     const auto next = static_cast<std::uint64_t> (attempt.tokens) + attempt.start.resumeFrom;
     const bool isLeaving = step.detail % 9 == 0;
     switch (step.kind)
@@ -230,21 +230,21 @@
     switch (step.detail % 6)
     {
         case 0:
-            restarts_[runner] += 1;
+            m_restarts[runner] += 1;
             [[fallthrough]];
         case 1:
         case 2:
-            update = controller_.upsert (row (runner, target, restarts_[runner]));
+            update = m_controller.upsert (row (runner, target, m_restarts[runner]));
             break;
         case 3:
-            update = controller_.remove (runner, target);
+            update = m_controller.remove (runner, target);
             break;
         case 4:
-            update = controller_.estimate ({ target, step.choice % 2 == 0, 100L * step.choice });
+            update = m_controller.estimate ({ target, step.choice % 2 == 0, 100L * step.choice });
             break;
         default:  // This difference is lost; the next one shows the gap.
-            controller_.upsert (row (runner, target, restarts_[runner]));
-            hasTable_ = false;
+            m_controller.upsert (row (runner, target, m_restarts[runner]));
+            m_hasTable = false;
             return;
     }
     tell (update);
@@ -255,10 +255,10 @@
     switch (step.kind)
     {
         case 26:
-            if (controller_.isConnected && step.detail % 2 == 0)
+            if (m_controller.isConnected && step.detail % 2 == 0)
             {
-                controller_.lose (step.choice % 2 == 0);
-                core_.onControllerLost();
+                m_controller.lose (step.choice % 2 == 0);
+                m_core.onControllerLost();
                 takeEffects();
             }
             return;
@@ -266,40 +266,40 @@
             connect();
             return;
         case 28:
-            tellAll (controller_.commit());
+            tellAll (m_controller.commit());
             return;
         default:
             break;
     }
     const int change = step.detail % 8;
     if (change == 0)
-        controller_.configurationVersion += 1;
+        m_controller.configurationVersion += 1;
     if (change <= 1)
-        tell (controller_.configuration (controller_.configurationVersion));
+        tell (m_controller.configuration (m_controller.configurationVersion));
     if (change == 2)
-        tell (controller_.configuration (1));
+        tell (m_controller.configuration (1));
     if (change == 3 && step.choice == 0)
     {
-        isStopping_ = true;
-        core_.beginStop();
+        m_isStopping = true;
+        m_core.beginStop();
     }
     if (change > 2)
-        tellAll (controller_.grantLeases (2000));
+        tellAll (m_controller.grantLeases (2000));
 }
 
 void RouterModel::healAndFinish()
 {
     connect();
     for (const char* runner : { "h1", "h2" })
-        tell (controller_.upsert (row (runner, "m", 0)));
-    tell (controller_.upsert (row ("h3", "portal", 0)));
+        tell (m_controller.upsert (row (runner, "m", 0)));
+    tell (m_controller.upsert (row ("h3", "portal", 0)));
     for (int round = 0; round < 200; ++round)
     {
         connect();
-        tellAll (controller_.grantLeases (2000));
-        tellAll (controller_.commit());
-        tell (controller_.wholeTable());
-        for (const auto& [id, attempt] : std::map (attempts_))
+        tellAll (m_controller.grantLeases (2000));
+        tellAll (m_controller.commit());
+        tell (m_controller.wholeTable());
+        for (const auto& [id, attempt] : std::map (m_attempts))
         {
             if (attempt.isLive && ! attempt.isOver)
                 finishAttempt (id);
@@ -307,15 +307,15 @@
         advance (base::milliseconds (round < 100 ? 20 : 400));
         checkAll();
     }
-    for (const auto& [ticket, request] : requests_)
+    for (const auto& [ticket, request] : m_requests)
     {
         require (request.ends == 1 || request.isGone, "every request has its final answer");
     }
-    const std::string metrics = core_.metricsText();
+    const std::string metrics = m_core.metricsText();
     require (metrics.find ("requests_waiting 0\n") != std::string::npos
                  && metrics.find ("waiting_bytes 0\n") != std::string::npos,
              "nothing is left in a queue");
-    require (core_.isIdle(), "the router comes to rest");
+    require (m_core.isIdle(), "the router comes to rest");
 }
 
 }  // namespace fernlift::router::testing
--- a/src/router/RouterModelTestSupport.h
+++ b/src/router/RouterModelTestSupport.h
@@ -36,13 +36,13 @@
 class RouterModel
 {
 public:
-    explicit RouterModel (const RouterOptions& options) : core_ (options, 1, now_, kUnixStart)
+    explicit RouterModel (const RouterOptions& options) : m_core (options, 1, m_now, kUnixStart)
     {
         connect();
-        controller_.upsert (row ("r1", "m", 0));
-        controller_.upsert (row ("r2", "m", 0));
-        controller_.upsert (row ("a1", "portal", 0));
-        tell (controller_.wholeTable());
+        m_controller.upsert (row ("r1", "m", 0));
+        m_controller.upsert (row ("r2", "m", 0));
+        m_controller.upsert (row ("a1", "portal", 0));
+        tell (m_controller.wholeTable());
     }
 
     /// Carries out one input and checks what must hold after each.
@@ -108,24 +108,24 @@
         const auto* update = std::get_if<cell::ReplicaUpdate> (&message);
         if (update != nullptr)
             noteTable (*update);
-        if (! controller_.isConnected)
+        if (! m_controller.isConnected)
             return;
-        core_.onControllerMessage (message);
+        m_core.onControllerMessage (message);
         takeEffects();
     }
     /// Follows which table the router has.
     void noteTable (const cell::ReplicaUpdate& update)
     {
         const bool isWhole = update.fromVersion == 0;
-        hasTable_ = controller_.isConnected && (isWhole || hasTable_);
-        if (! hasTable_)
+        m_hasTable = m_controller.isConnected && (isWhole || m_hasTable);
+        if (! m_hasTable)
             return;
         if (isWhole)
-            estimates_.clear();
+            m_estimates.clear();
         for (const auto& estimate : update.estimates)
         {
-            const auto readyAt = now_ + base::milliseconds (estimate.readyInMilliseconds);
-            estimates_[estimate.target] = { estimate.canBeServed, readyAt };
+            const auto readyAt = m_now + base::milliseconds (estimate.readyInMilliseconds);
+            m_estimates[estimate.target] = { estimate.canBeServed, readyAt };
         }
     }
     void tellAll (const std::vector<cell::ControllerToRouter>& messages)
@@ -144,23 +144,23 @@
     // Effects.
     void takeEffects()
     {
-        for (Effect& effect : core_.takeEffects())
+        for (Effect& effect : m_core.takeEffects())
         {
             std::visit ([this] (auto& content) { take (content); }, effect);
         }
     }
     void take (const SendToController& send)
     {
-        if (controller_.isConnected)
-            controller_.onSent (send.message, now_);
+        if (m_controller.isConnected)
+            m_controller.onSent (send.message, m_now);
     }
     void take (const ConnectController& /*connect*/)
     {
-        if (controller_.isConnected)
-            controller_.lose (false);
+        if (m_controller.isConnected)
+            m_controller.lose (false);
     }
     void take (const StartAttempt& start);
-    void take (const CancelAttempt& cancel) { attempts_.at (cancel.attempt).isLive = false; }
+    void take (const CancelAttempt& cancel) { m_attempts.at (cancel.attempt).isLive = false; }
     void take (const AnswerHeaders& headers);
     void take (const AnswerData& data);
     void take (const AnswerEnd& end);
@@ -174,20 +174,20 @@
     [[nodiscard]] bool isProvenNotRun (const Request& request) const
     {
         return std::all_of (request.attempts.begin(), request.attempts.end(),
-                            [this] (AttemptId id) { return attempts_.at (id).isProvenNotRun; });
+                            [this] (AttemptId id) { return m_attempts.at (id).isProvenNotRun; });
     }
 
-    base::TimePoint now_{ base::seconds (1000) };
-    ModelController controller_;
-    std::map<RequestTicket, Request> requests_;
-    std::map<AttemptId, BackEndAttempt> attempts_;
-    std::set<std::pair<base::RunnerId, base::Incarnation>> leaving_;
-    std::map<std::string, base::Incarnation> restarts_;
-    std::optional<Request> arriving_;  ///< Its ticket is not known until onRequest returns.
-    bool isStopping_ = false;
-    bool hasTable_ = false;  ///< The router has the controller's present table.
-    std::map<std::string, routing::ReadyEstimate> estimates_;
-    RouterCore core_;
+    base::TimePoint m_now{ base::seconds (1000) };
+    ModelController m_controller;
+    std::map<RequestTicket, Request> m_requests;
+    std::map<AttemptId, BackEndAttempt> m_attempts;
+    std::set<std::pair<base::RunnerId, base::Incarnation>> m_leaving;
+    std::map<std::string, base::Incarnation> m_restarts;
+    std::optional<Request> m_arriving;  ///< Its ticket is not known until onRequest returns.
+    bool m_isStopping = false;
+    bool m_hasTable = false;  ///< The router has the controller's present table.
+    std::map<std::string, routing::ReadyEstimate> m_estimates;
+    RouterCore m_core;
 };
 
 /// The promise that the inputs break, if any.
--- a/src/router/RouterProcess.cpp
+++ b/src/router/RouterProcess.cpp
@@ -41,43 +41,43 @@
 
 RouterProcess::RouterProcess (RouterSettings settings, const base::Clock& clock,
                               std::uint64_t randomSeed, std::function<void (int)> onFinished)
-    : settings_ (std::move (settings)),
-      clock_ (clock),
-      random_ (randomSeed),
-      onFinished_ (std::move (onFinished)),
-      requestIdPrefix_ (settings_.id + "-" + hexadecimal (random_.bits())),
-      attempts_ (client_, static_cast<std::size_t> (settings_.backEndBufferBytes),
-                 { [this] (AttemptId attempt, const AttemptEvent& event)
-                   { feed ([&] (RouterCore& core) { core.onAttemptEvent (attempt, event); }); },
-                   [this] (RequestTicket ticket, AttemptId attempt, const http::Headers& headers)
-                   { callers_.noteHeaders (ticket, attempt, headers); } }),
-      callers_ (
-          static_cast<std::size_t> (settings_.callerBufferBytes), clock_, metrics_,
+    : m_settings (std::move (settings)),
+      m_clock (clock),
+      m_random (randomSeed),
+      m_onFinished (std::move (onFinished)),
+      m_requestIdPrefix (m_settings.id + "-" + hexadecimal (m_random.bits())),
+      m_attempts (m_client, static_cast<std::size_t> (m_settings.backEndBufferBytes),
+                  { [this] (AttemptId attempt, const AttemptEvent& event)
+                    { feed ([&] (RouterCore& core) { core.onAttemptEvent (attempt, event); }); },
+                    [this] (RequestTicket ticket, AttemptId attempt, const http::Headers& headers)
+                    { m_callers.noteHeaders (ticket, attempt, headers); } }),
+      m_callers (
+          static_cast<std::size_t> (m_settings.callerBufferBytes), m_clock, m_metrics,
           { [this] (RequestTicket ticket)
             { feed ([&] (RouterCore& core) { core.onCallerGone (ticket); }); },
             [this] (RequestTicket ticket, bool isPaused) { setCallerPaused (ticket, isPaused); } }),
-      cacheEvents_ (client_,
-                    [this] (const base::RunnerId& runner, base::Incarnation incarnation,
-                            const std::vector<routing::CacheEvent>& events)
-                    {
-                        std::uint64_t next = 0;
-                        feed ([&] (RouterCore& core)
-                              { next = core.onCacheEvents (runner, incarnation, events); });
-                        return next;
-                    }),
-      controller_ (
-          settings_.controllers, static_cast<std::size_t> (random_.bits()),
+      m_cacheEvents (m_client,
+                     [this] (const base::RunnerId& runner, base::Incarnation incarnation,
+                             const std::vector<routing::CacheEvent>& events)
+                     {
+                         std::uint64_t next = 0;
+                         feed ([&] (RouterCore& core)
+                               { next = core.onCacheEvents (runner, incarnation, events); });
+                         return next;
+                     }),
+      m_controller (
+          m_settings.controllers, static_cast<std::size_t> (m_random.bits()),
           { [this] { feed ([] (RouterCore& core) { core.onControllerConnected(); }); },
             [this] (const cell::ControllerToRouter& message) { onControllerMessage (message); },
             [this] { feed ([] (RouterCore& core) { core.onControllerLost(); }); } }),
-      server_ (serverLimits (settings_))
+      m_server (serverLimits (m_settings))
 {
 }
 
 RouterProcess::~RouterProcess()
 {
     // What closes from here on is no input any more.
-    isFinished_ = true;
+    m_isFinished = true;
 }
 
 base::Result<base::SocketAddress> RouterProcess::start()
@@ -85,46 +85,46 @@
     http::Handler handler =
         [this] (const http::Request& request, const std::shared_ptr<http::Responder>& responder)
     { handle (request, responder); };
-    const auto isReady = [this] { return core_->isReady() && ! stopBegan_; };
-    server_.setHandler (http::addProcessEndpoints (std::move (handler), isReady, metrics_));
-    BOOST_LEAF_AUTO (address, server_.listen (settings_.httpAddress));
+    const auto isReady = [this] { return m_core->isReady() && ! m_stopBegan; };
+    m_server.setHandler (http::addProcessEndpoints (std::move (handler), isReady, m_metrics));
+    BOOST_LEAF_AUTO (address, m_server.listen (m_settings.httpAddress));
     createCore (address);
     createMetrics();
-    cacheEvents_.start (settings_.cacheEventInterval);
-    QObject::connect (&ticker_, &QTimer::timeout, &context_, [this] { onTick(); });
-    ticker_.setTimerType (Qt::PreciseTimer);
-    ticker_.start (kTickInterval);
+    m_cacheEvents.start (m_settings.cacheEventInterval);
+    QObject::connect (&m_ticker, &QTimer::timeout, &m_context, [this] { onTick(); });
+    m_ticker.setTimerType (Qt::PreciseTimer);
+    m_ticker.start (kTickInterval);
     log::write (log::Event::kRouterListening, { { "http_address", address.toString() } });
     return address;
 }
 
 void RouterProcess::createCore (const base::SocketAddress& address)
 {
-    core_.emplace (coreOptions (settings_, address), random_.bits(), clock_.now(),
-                   clock_.unixNow());
+    m_core.emplace (coreOptions (m_settings, address), m_random.bits(), m_clock.now(),
+                    m_clock.unixNow());
 }
 
 void RouterProcess::createMetrics()
 {
-    metrics_.addProcessMetrics();
-    metrics_.addText ([this] { return core_->metricsText(); });
-    metrics_.addText ([this] { return trafficMetrics(); });
-    metrics_.addUpdate (
+    m_metrics.addProcessMetrics();
+    m_metrics.addText ([this] { return m_core->metricsText(); });
+    m_metrics.addText ([this] { return trafficMetrics(); });
+    m_metrics.addUpdate (
         [this]
         {
-            metrics_.gauge ("fernlift_router_connections_open", "Open connections of callers.")
-                .set (static_cast<double> (server_.openConnections()));
-            metrics_.gauge ("fernlift_router_attempts_open", "Attempts under way at back ends.")
-                .set (static_cast<double> (attempts_.countOpen()));
+            m_metrics.gauge ("fernlift_router_connections_open", "Open connections of callers.")
+                .set (static_cast<double> (m_server.openConnections()));
+            m_metrics.gauge ("fernlift_router_attempts_open", "Attempts under way at back ends.")
+                .set (static_cast<double> (m_attempts.countOpen()));
         });
 }
 
 std::string RouterProcess::trafficMetrics() const
 {
     using wire::Channel;
-    const wire::ChannelTraffic& in = controller_.traffic().of (Channel::kControllerToRouter);
-    const wire::ChannelTraffic& out = controller_.traffic().of (Channel::kRouterToController);
-    const http::ServerCounters callers = server_.counters();
+    const wire::ChannelTraffic& in = m_controller.traffic().of (Channel::kControllerToRouter);
+    const wire::ChannelTraffic& out = m_controller.traffic().of (Channel::kRouterToController);
+    const http::ServerCounters callers = m_server.counters();
     std::string text;
     appendFamily (text, "fernlift_router_control_messages_total",
                   "Messages exchanged with controllers.", in.messagesIn, out.messagesOut);
@@ -154,7 +154,7 @@
                 [&] (RouterCore& core)
                 {
                     const RequestTicket ticket = core.onRequest (head);
-                    callers_.add (ticket, std::move (parsed), responder);
+                    m_callers.add (ticket, std::move (parsed), responder);
                 });
             return {};
         },
@@ -183,7 +183,7 @@
     else if (isKnown)
     {
         const std::string asked = request.path.substr (kExplainPrefix.size());
-        const std::string trace = core_->explainRequest (base::RequestId (asked));
+        const std::string trace = m_core->explainRequest (base::RequestId (asked));
         if (! trace.empty())
         {
             http::jsonResponse (kOk, trace).sendTo (responder);
@@ -196,13 +196,13 @@
 
 base::RequestId RouterProcess::newRequestId()
 {
-    return base::RequestId (requestIdPrefix_ + "-" + std::to_string (++lastRequestId_));
+    return base::RequestId (m_requestIdPrefix + "-" + std::to_string (++m_lastRequestId));
 }
 
 std::string RouterProcess::modelsJson() const
 {
     QJsonArray models;
-    for (const std::string& target : core_->targets())
+    for (const std::string& target : m_core->targets())
     {
         models.append (QJsonObject{ { QLatin1String ("id"), QString::fromStdString (target) },
                                     { QLatin1String ("object"), QLatin1String ("model") },
@@ -215,49 +215,49 @@
 
 void RouterProcess::setCallerPaused (RequestTicket ticket, bool isPaused)
 {
-    attempts_.setPaused (ticket, isPaused);
+    m_attempts.setPaused (ticket, isPaused);
     feed ([&] (RouterCore& core) { core.onCallerPaused (ticket, isPaused); });
 }
 
 void RouterProcess::feed (const std::function<void (RouterCore&)>& input)
 {
-    if (isFinished_)
+    if (m_isFinished)
         return;
-    core_->setTime (clock_.now(), clock_.unixNow());
-    input (*core_);
-    if (isDraining_)
+    m_core->setTime (m_clock.now(), m_clock.unixNow());
+    input (*m_core);
+    if (m_isDraining)
         return;
-    isDraining_ = true;
-    for (auto effects = core_->takeEffects(); ! effects.empty(); effects = core_->takeEffects())
+    m_isDraining = true;
+    for (auto effects = m_core->takeEffects(); ! effects.empty(); effects = m_core->takeEffects())
     {
         for (const Effect& effect : effects)
             carryOut (effect);
     }
-    isDraining_ = false;
+    m_isDraining = false;
 }
 
 void RouterProcess::carryOut (const Effect& effect)
 {
     std::visit (
         base::Overloaded{
-            [this] (const SendToController& send) { controller_.send (send.message); },
-            [this] (const ConnectController& connect) { controller_.connect (connect.address); },
+            [this] (const SendToController& send) { m_controller.send (send.message); },
+            [this] (const ConnectController& connect) { m_controller.connect (connect.address); },
             [this] (const StartAttempt& start) { startAttempt (start); },
-            [this] (const CancelAttempt& cancel) { attempts_.cancel (cancel.attempt); },
-            [this] (const AnswerHeaders& headers) { callers_.begin (headers); },
-            [this] (const AnswerData& data) { callers_.write (data); },
-            [this] (const AnswerEnd& end) { callers_.end (end); },
-            [this] (const AnswerError& error) { callers_.fail (error); },
+            [this] (const CancelAttempt& cancel) { m_attempts.cancel (cancel.attempt); },
+            [this] (const AnswerHeaders& headers) { m_callers.begin (headers); },
+            [this] (const AnswerData& data) { m_callers.write (data); },
+            [this] (const AnswerEnd& end) { m_callers.end (end); },
+            [this] (const AnswerError& error) { m_callers.fail (error); },
         },
         effect);
 }
 
 void RouterProcess::startAttempt (const StartAttempt& effect)
 {
-    const CallerRequest* const request = callers_.requestOf (effect.ticket);
+    const CallerRequest* const request = m_callers.requestOf (effect.ticket);
     if (request != nullptr)
     {
-        attempts_.start (effect, *request);
+        m_attempts.start (effect, *request);
         return;
     }
     // The caller left after the core had decided; nothing was sent.
@@ -268,7 +268,7 @@
 {
     if (const auto* update = std::get_if<cell::ReplicaUpdate> (&message))
     {
-        cacheEvents_.onReplicas (*update);
+        m_cacheEvents.onReplicas (*update);
     }
     feed ([&] (RouterCore& core) { core.onControllerMessage (message); });
 }
@@ -282,56 +282,56 @@
 
 void RouterProcess::noteReadiness()
 {
-    const bool isReady = core_->isReady();
-    if (isReady == wasReady_)
+    const bool isReady = m_core->isReady();
+    if (isReady == m_wasReady)
         return;
-    wasReady_ = isReady;
+    m_wasReady = isReady;
     log::write (isReady ? log::Event::kRouterReady : log::Event::kRouterLostLease);
 }
 
 void RouterProcess::beginStop()
 {
-    if (stopBegan_)
+    if (m_stopBegan)
     {
         finish (0);
         return;
     }
     log::write (log::Event::kProcessStopping);
-    stopBegan_ = clock_.now();
+    m_stopBegan = m_clock.now();
     feed ([] (RouterCore& core) { core.beginStop(); });
 }
 
 void RouterProcess::checkStop()
 {
-    if (! stopBegan_ || isFinished_)
+    if (! m_stopBegan || m_isFinished)
         return;
-    const base::TimePoint now = clock_.now();
-    if (now >= *stopBegan_ + settings_.stopTimeout)
+    const base::TimePoint now = m_clock.now();
+    if (now >= *m_stopBegan + m_settings.stopTimeout)
     {
         log::write (log::Event::kRouterStopTimedOut,
-                    { { "open_requests", server_.openResponses() } });
+                    { { "open_requests", m_server.openResponses() } });
         finish (0);
         return;
     }
-    const bool isIdle = core_->isIdle() && callers_.countOpen() == 0;
-    if (! listeningEnded_ && isIdle && now >= *stopBegan_ + settings_.stopGrace)
+    const bool isIdle = m_core->isIdle() && m_callers.countOpen() == 0;
+    if (! m_listeningEnded && isIdle && now >= *m_stopBegan + m_settings.stopGrace)
     {
-        listeningEnded_ = now;
-        server_.stopListening();
+        m_listeningEnded = now;
+        m_server.stopListening();
     }
-    if (! listeningEnded_ || ! isIdle || server_.openResponses() > 0)
+    if (! m_listeningEnded || ! isIdle || m_server.openResponses() > 0)
         return;
-    if (server_.openConnections() == 0 || now >= *listeningEnded_ + kCloseLimit)
+    if (m_server.openConnections() == 0 || now >= *m_listeningEnded + kCloseLimit)
         finish (0);
 }
 
 void RouterProcess::finish (int exitCode)
 {
-    if (std::exchange (isFinished_, true))
+    if (std::exchange (m_isFinished, true))
         return;
-    ticker_.stop();
-    controller_.close();
-    onFinished_ (exitCode);
+    m_ticker.stop();
+    m_controller.close();
+    m_onFinished (exitCode);
 }
 
 }  // namespace fernlift::router
--- a/src/router/RouterProcess.h
+++ b/src/router/RouterProcess.h
@@ -70,27 +70,27 @@
     void checkStop();
     void finish (int exitCode);
 
-    RouterSettings settings_;
-    const base::Clock& clock_;
-    base::Random random_;
-    std::function<void (int)> onFinished_;
-    std::string requestIdPrefix_;
-    std::uint64_t lastRequestId_ = 0;
-    http::Metrics metrics_;
-    std::optional<RouterCore> core_;
-    bool isDraining_ = false;
-    bool isFinished_ = false;
-    bool wasReady_ = false;
-    std::optional<base::TimePoint> stopBegan_;
-    std::optional<base::TimePoint> listeningEnded_;
-    http::Client client_;
-    BackEndAttempts attempts_;
-    CallerExchanges callers_;
-    CacheEventPoller cacheEvents_;
-    ControllerLink controller_;
-    http::Server server_;
-    QObject context_;
-    QTimer ticker_;
+    RouterSettings m_settings;
+    const base::Clock& m_clock;
+    base::Random m_random;
+    std::function<void (int)> m_onFinished;
+    std::string m_requestIdPrefix;
+    std::uint64_t m_lastRequestId = 0;
+    http::Metrics m_metrics;
+    std::optional<RouterCore> m_core;
+    bool m_isDraining = false;
+    bool m_isFinished = false;
+    bool m_wasReady = false;
+    std::optional<base::TimePoint> m_stopBegan;
+    std::optional<base::TimePoint> m_listeningEnded;
+    http::Client m_client;
+    BackEndAttempts m_attempts;
+    CallerExchanges m_callers;
+    CacheEventPoller m_cacheEvents;
+    ControllerLink m_controller;
+    http::Server m_server;
+    QObject m_context;
+    QTimer m_ticker;
 };
 
 }  // namespace fernlift::router
--- a/src/router/RouterProcessTestSupport.h
+++ b/src/router/RouterProcessTestSupport.h
@@ -43,15 +43,15 @@
 {
 public:
     explicit FakeController (std::vector<cell::RoutableReplica> replicas)
-        : replicas_ (std::move (replicas))
+        : m_replicas (std::move (replicas))
     {
         http::test::application();
-        server_.listen (QHostAddress::LocalHost, 0);
-        QObject::connect (&server_, &QTcpServer::newConnection, &server_, [this] { accept(); });
+        m_server.listen (QHostAddress::LocalHost, 0);
+        QObject::connect (&m_server, &QTcpServer::newConnection, &m_server, [this] { accept(); });
     }
     [[nodiscard]] base::SocketAddress address() const
     {
-        return { "127.0.0.1", server_.serverPort() };
+        return { "127.0.0.1", m_server.serverPort() };
     }
 
     std::vector<cell::OutcomeRecord> outcomes;
@@ -66,21 +66,21 @@
             auto message = wire::decodeMessage<cell::RouterToController> (frame.payload);
             std::visit ([this] (const auto& content) { handle (content); }, message.value());
         };
-        std::unique_ptr<QTcpSocket> socket (server_.nextPendingConnection());
+        std::unique_ptr<QTcpSocket> socket (m_server.nextPendingConnection());
         socket->setParent (nullptr);
-        connection_ = std::make_unique<wire::FrameConnection> (
+        m_connection = std::make_unique<wire::FrameConnection> (
             std::move (socket), wire::FrameConnectionOptions(), std::move (handlers), nullptr);
     }
     void send (const cell::ControllerToRouter& message)
     {
-        connection_->send (wire::Channel::kControllerToRouter, wire::encodeMessage (message));
+        m_connection->send (wire::Channel::kControllerToRouter, wire::encodeMessage (message));
     }
     void handle (const cell::RouterHello& /*hello*/)
     {
         send (cell::ConfigurationUpdate{ 1, "digest-1", kCatalogueText });
         cell::ReplicaUpdate update;
         update.toVersion = 1;
-        update.upserts = replicas_;
+        update.upserts = m_replicas;
         send (update);
     }
     void handle (const cell::LeaseRequest& request)
@@ -108,9 +108,9 @@
     void handle (const cell::InstanceUnreachable& /*report*/) {}
     void handle (const cell::RunnerLeavingSeen& seen) { leavingSeen.push_back (seen); }
 
-    std::vector<cell::RoutableReplica> replicas_;
-    QTcpServer server_;
-    std::unique_ptr<wire::FrameConnection> connection_;
+    std::vector<cell::RoutableReplica> m_replicas;
+    QTcpServer m_server;
+    std::unique_ptr<wire::FrameConnection> m_connection;
 };
 
 /// A back end whose answers the test gives.
@@ -120,14 +120,14 @@
     explicit FakeBackEnd (http::Handler handler)
     {
         http::test::application();
-        server_.setHandler (
+        m_server.setHandler (
             [this, handler = std::move (handler)] (
                 const http::Request& request, const std::shared_ptr<http::Responder>& responder)
             {
                 requests.push_back (request);
                 handler (request, responder);
             });
-        address = listenOnLoopback (server_);
+        address = listenOnLoopback (m_server);
     }
     /// A row of the replica table that stands for this back end.
     [[nodiscard]] cell::RoutableReplica row (const std::string& runner, const std::string& target,
@@ -143,7 +143,7 @@
     std::vector<http::Request> requests;
 
 private:
-    http::Server server_;
+    http::Server m_server;
 };
 
 /// One event of an engine's stream.
@@ -172,7 +172,7 @@
         if (change)
             change (settings);
         process = std::make_unique<RouterProcess> (
-            settings, clock_, 1, [this] (int exitCode) { exitCodes.push_back (exitCode); });
+            settings, m_clock, 1, [this] (int exitCode) { exitCodes.push_back (exitCode); });
         address = base::handleErrors ([&] { return process->start(); },
                                       [] (const base::Error& error)
                                       {
@@ -209,7 +209,7 @@
         }
     }
 
-    base::SystemClock clock_;
+    base::SystemClock m_clock;
 };
 
 /// A POST of a JSON body, with further header fields ("Name: value\r\n").
--- a/src/router/RouterStandinTest.cpp
+++ b/src/router/RouterStandinTest.cpp
@@ -27,11 +27,11 @@
 class StandinEngine
 {
 public:
-    explicit StandinEngine (const std::string& runner) : runner_ (runner)
+    explicit StandinEngine (const std::string& runner) : m_runner (runner)
     {
         http::test::application();
-        process_.setProcessChannelMode (QProcess::MergedChannels);
-        process_.start (
+        m_process.setProcessChannelMode (QProcess::MergedChannels);
+        m_process.start (
             qEnvironmentVariable ("FERNLIFT_BIN_DIR") + QLatin1String ("/fernlift-standin"),
             { QLatin1String ("engine"), QLatin1String ("--runner"), QString::fromStdString (runner),
               QLatin1String ("--http-address"), QLatin1String ("127.0.0.1:0"),
@@ -41,17 +41,17 @@
     }
     ~StandinEngine()
     {
-        process_.kill();
-        process_.waitForFinished();
+        m_process.kill();
+        m_process.waitForFinished();
     }
     StandinEngine (const StandinEngine&) = delete;
     StandinEngine& operator= (const StandinEngine&) = delete;
 
     [[nodiscard]] cell::RoutableReplica row() const
     {
-        cell::RoutableReplica row = testing::RouterHarness::replica (runner_, "m");
+        cell::RoutableReplica row = testing::RouterHarness::replica (m_runner, "m");
         row.replica = kReplica;
-        row.address = address_.toString();
+        row.address = m_address.toString();
         return row;
     }
     void setFault (const std::string& json) { call ("POST", "/standin/faults", json); }
@@ -60,12 +60,12 @@
                       const std::string& body = {})
     {
         http::ClientRequest request;
-        request.address = address_;
+        request.address = m_address;
         request.method = method;
         request.path = path;
         request.body = body;
         std::optional<std::string> answer;
-        client_.fetch (
+        m_client.fetch (
             request, [&] (const http::WholeResponse& response) { answer = response.body; },
             [&] (const http::ClientError&) { answer.emplace(); });
         waitUntil ([&] { return answer.has_value(); });
@@ -80,12 +80,12 @@
         waitUntil (
             [&]
             {
-                output += process_.readAll();
+                output += m_process.readAll();
                 const auto at = output.indexOf (mark);
                 return at >= 0 && output.indexOf ('\n', at) > 0;
             });
         const std::string text = output.mid (output.indexOf (mark) + mark.size()).toStdString();
-        address_ = base::handleErrors (
+        m_address = base::handleErrors (
             [&]
             { return base::SocketAddress::parse (text.substr (0, text.find_first_of (" \n"))); },
             [&] (const base::Error&)
@@ -119,10 +119,10 @@
             }));
     }
 
-    std::string runner_;
-    base::SocketAddress address_;
-    http::Client client_;
-    QProcess process_;
+    std::string m_runner;
+    base::SocketAddress m_address;
+    http::Client m_client;
+    QProcess m_process;
 };
 
 /// Text and offsets of a stream; fails the test when an offset is not the next.
--- a/src/router/RouterTestHarness.h
+++ b/src/router/RouterTestHarness.h
@@ -77,7 +77,7 @@
 {
 public:
     explicit RouterHarness (RouterOptions options = defaultOptions(), std::uint64_t seed = 1)
-        : core_ (std::move (options), seed, now_, kUnixStart)
+        : m_core (std::move (options), seed, m_now, kUnixStart)
     {
     }
 
@@ -114,18 +114,18 @@
         return row;
     }
 
-    RouterCore& core() { return core_; }
-    [[nodiscard]] base::TimePoint now() const { return now_; }
+    RouterCore& core() { return m_core; }
+    [[nodiscard]] base::TimePoint now() const { return m_now; }
 
     /// Moves time on in steps of at most 10 ms, with a tick at each.
     void advance (base::Duration duration)
     {
-        const base::TimePoint end = now_ + duration;
-        while (now_ < end)
+        const base::TimePoint end = m_now + duration;
+        while (m_now < end)
         {
-            now_ = std::min<base::TimePoint> (end, now_ + base::milliseconds (10));
-            core_.setTime (now_, kUnixStart + base::toMilliseconds (now_.time_since_epoch()));
-            core_.onTick();
+            m_now = std::min<base::TimePoint> (end, m_now + base::milliseconds (10));
+            m_core.setTime (m_now, kUnixStart + base::toMilliseconds (m_now.time_since_epoch()));
+            m_core.onTick();
             collect();
             if (grantsLeases)
                 answerLeases();
@@ -135,7 +135,7 @@
     /// Connects and hands out configuration, lease and replicas.
     void connect (std::vector<cell::RoutableReplica> replicas)
     {
-        core_.onControllerConnected();
+        m_core.onControllerConnected();
         collect();
         fromController (cell::ConfigurationUpdate{ 1, "digest-1", kCatalogueText });
         answerLeases();
@@ -146,7 +146,7 @@
                       std::vector<cell::TargetEstimate> estimates = {})
     {
         cell::ReplicaUpdate update;
-        update.toVersion = ++tableVersion_;
+        update.toVersion = ++m_tableVersion;
         update.upserts = std::move (replicas);
         update.estimates = std::move (estimates);
         fromController (update);
@@ -154,7 +154,7 @@
 
     void fromController (const cell::ControllerToRouter& message)
     {
-        core_.onControllerMessage (message);
+        m_core.onControllerMessage (message);
         collect();
     }
 
@@ -206,18 +206,18 @@
 
     RequestTicket request (const RequestHead& head)
     {
-        const RequestTicket ticket = core_.onRequest (head);
+        const RequestTicket ticket = m_core.onRequest (head);
         collect();
         return ticket;
     }
     void callerGone (RequestTicket ticket)
     {
-        core_.onCallerGone (ticket);
+        m_core.onCallerGone (ticket);
         collect();
     }
     void event (AttemptId attempt, const AttemptEvent& event)
     {
-        core_.onAttemptEvent (attempt, event);
+        m_core.onAttemptEvent (attempt, event);
         collect();
     }
     /// A stream or body of one part.
@@ -245,7 +245,7 @@
     }
     [[nodiscard]] bool isLeakFree() const
     {
-        const RouterCounters counters = core_.counters();
+        const RouterCounters counters = m_core.counters();
         return counters.admitted
                == counters.answered + counters.refused + counters.callersGone + counters.open;
     }
@@ -266,7 +266,7 @@
     /// Sorts what the core wants done.
     void collect()
     {
-        for (Effect& effect : core_.takeEffects())
+        for (Effect& effect : m_core.takeEffects())
         {
             std::visit ([this] (auto& content) { take (content); }, effect);
         }
@@ -305,9 +305,9 @@
     }
     void takeMessage (const cell::RunnerLeavingSeen& seen) { leavingSeen.push_back (seen); }
 
-    base::TimePoint now_{ base::seconds (1000) };
-    std::uint64_t tableVersion_ = 0;
-    RouterCore core_;
+    base::TimePoint m_now{ base::seconds (1000) };
+    std::uint64_t m_tableVersion = 0;
+    RouterCore m_core;
 };
 
 }  // namespace fernlift::router::testing
--- a/src/routing/EngineExperimentTestSupport.h
+++ b/src/routing/EngineExperimentTestSupport.h
@@ -52,54 +52,54 @@
 class ExperimentEngine
 {
 public:
-    explicit ExperimentEngine (EngineSettings settings) : settings_ (settings) {}
+    explicit ExperimentEngine (EngineSettings settings) : m_settings (settings) {}
 
     void submit (const EngineRequest& request)
     {
         // Kept in the order of service: the most urgent first, among equals those that came first.
-        const auto place = std::upper_bound (jobs_.begin(), jobs_.end(), request.priority,
+        const auto place = std::upper_bound (m_jobs.begin(), m_jobs.end(), request.priority,
                                              [] (int priority, const Job& job)
                                              { return priority < job.request.priority; });
-        jobs_.insert (place, Job{ request });
+        m_jobs.insert (place, Job{ request });
         blocksAsked += request.blocks.size();
     }
     void cancel (std::uint64_t id)
     {
-        std::erase_if (jobs_, [id] (const Job& job) { return job.request.id == id; });
+        std::erase_if (m_jobs, [id] (const Job& job) { return job.request.id == id; });
     }
 
     /// One step of all running requests.
     std::vector<EngineProgress> step (base::TimePoint now)
     {
-        loads_.emplace_back (now, static_cast<std::uint32_t> (jobs_.size()));
-        while (loads_.size() > 1 && loads_[1].first <= now - settings_.loadLag)
-            loads_.pop_front();
+        m_loads.emplace_back (now, static_cast<std::uint32_t> (m_jobs.size()));
+        while (m_loads.size() > 1 && m_loads[1].first <= now - m_settings.loadLag)
+            m_loads.pop_front();
         std::vector<EngineProgress> progress;
         if (isStalled)
             return progress;
-        const std::size_t running = std::min (jobs_.size(), settings_.slots);
+        const std::size_t running = std::min (m_jobs.size(), m_settings.slots);
         for (std::size_t number = 0; number < running; ++number)
-            run (jobs_[number], now, progress);
+            run (m_jobs[number], now, progress);
         if (! progress.empty())
-            std::erase_if (jobs_, [] (const Job& job) { return job.isEnded; });
+            std::erase_if (m_jobs, [] (const Job& job) { return job.isEnded; });
         return progress;
     }
 
     /// Running and waiting requests, as reported with a lag.
     [[nodiscard]] std::uint32_t reportedLoad() const
     {
-        return loads_.empty() ? 0 : loads_.front().second;
+        return m_loads.empty() ? 0 : m_loads.front().second;
     }
     /// Cache events after `sequence` that are old enough to be published.
     [[nodiscard]] std::vector<CacheEvent> eventsAfter (std::uint64_t sequence,
                                                        base::TimePoint now) const
     {
         std::vector<CacheEvent> events;
-        for (auto entry = events_.rbegin(); entry != events_.rend(); ++entry)
+        for (auto entry = m_events.rbegin(); entry != m_events.rend(); ++entry)
         {
             if (entry->second.sequence <= sequence)
                 break;
-            if (entry->first + settings_.cacheEventLag <= now)
+            if (entry->first + m_settings.cacheEventLag <= now)
                 events.push_back (entry->second);
         }
         std::reverse (events.begin(), events.end());
@@ -148,14 +148,14 @@
         int hit = 0;
         for (const PrefixHash block : job.request.blocks)
         {
-            if (! positions_.contains (keyOf (job, block)))
+            if (! m_positions.contains (keyOf (job, block)))
                 break;
             hit += 1;
         }
         blocksHit += static_cast<std::uint64_t> (hit);
         const int missing = static_cast<int> (job.request.blocks.size()) - hit;
-        job.stepsToFirstToken = 1 + missing / settings_.prefillBlocksPerStep;
-        job.stepsToEnd = job.request.tokens * settings_.stepsPerToken;
+        job.stepsToFirstToken = 1 + missing / m_settings.prefillBlocksPerStep;
+        job.stepsToEnd = job.request.tokens * m_settings.stepsPerToken;
     }
 
     static PrefixHash keyOf (const Job& job, PrefixHash block)
@@ -168,32 +168,32 @@
         for (auto block = job.request.blocks.rbegin(); block != job.request.blocks.rend(); ++block)
         {
             const PrefixHash key = keyOf (job, *block);
-            const auto known = positions_.find (key);
-            if (known != positions_.end())
+            const auto known = m_positions.find (key);
+            if (known != m_positions.end())
             {
-                recency_.splice (recency_.begin(), recency_, known->second);
+                m_recency.splice (m_recency.begin(), m_recency, known->second);
                 continue;
             }
-            recency_.push_front ({ job.request.target, *block, key });
-            positions_[key] = recency_.begin();
+            m_recency.push_front ({ job.request.target, *block, key });
+            m_positions[key] = m_recency.begin();
             publish (now, true, job.request.target, *block);
-            if (recency_.size() <= settings_.cacheBlocks)
+            if (m_recency.size() <= m_settings.cacheBlocks)
                 continue;
-            const Cached& oldest = recency_.back();
+            const Cached& oldest = m_recency.back();
             publish (now, false, oldest.target, oldest.block);
-            positions_.erase (oldest.key);
-            recency_.pop_back();
+            m_positions.erase (oldest.key);
+            m_recency.pop_back();
         }
     }
 
     void publish (base::TimePoint now, bool isStored, const std::string& target, PrefixHash block)
     {
-        lastSequence_ += 1;
-        if (random_.chance (settings_.cacheEventLoss))
+        m_lastSequence += 1;
+        if (m_random.chance (m_settings.cacheEventLoss))
             return;
-        events_.emplace_back (now, CacheEvent{ lastSequence_, isStored, target, block });
-        if (events_.size() > kEventsKept)
-            events_.pop_front();
+        m_events.emplace_back (now, CacheEvent{ m_lastSequence, isStored, target, block });
+        if (m_events.size() > kEventsKept)
+            m_events.pop_front();
     }
 
     struct Cached
@@ -204,14 +204,14 @@
     };
     static constexpr std::size_t kEventsKept = 2000;
 
-    EngineSettings settings_;
-    base::Random random_{ 17 };
-    std::vector<Job> jobs_;
-    std::deque<std::pair<base::TimePoint, std::uint32_t>> loads_;
-    std::list<Cached> recency_;
-    std::unordered_map<PrefixHash, std::list<Cached>::iterator> positions_;
-    std::uint64_t lastSequence_ = 0;
-    std::deque<std::pair<base::TimePoint, CacheEvent>> events_;
+    EngineSettings m_settings;
+    base::Random m_random{ 17 };
+    std::vector<Job> m_jobs;
+    std::deque<std::pair<base::TimePoint, std::uint32_t>> m_loads;
+    std::list<Cached> m_recency;
+    std::unordered_map<PrefixHash, std::list<Cached>::iterator> m_positions;
+    std::uint64_t m_lastSequence = 0;
+    std::deque<std::pair<base::TimePoint, CacheEvent>> m_events;
 };
 
 /// The value below which `share` of the values lie. Sorts them.
--- a/src/routing/OutlierDetector.cpp
+++ b/src/routing/OutlierDetector.cpp
@@ -7,31 +7,31 @@
 
 void OutlierDetector::onSuccess (const base::RunnerId& runner, base::TimePoint now)
 {
-    const auto entry = states_.find (runner);
-    if (entry == states_.end())
+    const auto entry = m_states.find (runner);
+    if (entry == m_states.end())
         return;
     State& state = entry->second;
     state.consecutiveFailures = 0;
-    const bool hasFullyReturned = now >= state.ejectedUntil + options_.slowReturn;
+    const bool hasFullyReturned = now >= state.ejectedUntil + m_options.slowReturn;
     if (state.ejections == 0 || hasFullyReturned)
-        states_.erase (entry);
+        m_states.erase (entry);
 }
 
 void OutlierDetector::onFailure (const base::RunnerId& runner, base::TimePoint now)
 {
-    State& state = states_[runner];
+    State& state = m_states[runner];
     state.consecutiveFailures += 1;
-    const bool isReturning = state.ejections > 0 && now < state.ejectedUntil + options_.slowReturn;
+    const bool isReturning = state.ejections > 0 && now < state.ejectedUntil + m_options.slowReturn;
     const bool isAlreadyEjected = state.ejections > 0 && now < state.ejectedUntil;
     if (isAlreadyEjected)
         return;
     // A runner that fails on its way back is ejected by the first failure.
-    if (! isReturning && state.consecutiveFailures < options_.failuresToEject)
+    if (! isReturning && state.consecutiveFailures < m_options.failuresToEject)
         return;
-    base::Duration ejection = options_.firstEjection;
+    base::Duration ejection = m_options.firstEjection;
     for (std::uint32_t earlier = 0; earlier < state.ejections; ++earlier)
     {
-        ejection = std::min (ejection * 2, options_.longestEjection);
+        ejection = std::min (ejection * 2, m_options.longestEjection);
     }
     state.ejections += 1;
     state.consecutiveFailures = 0;
@@ -40,24 +40,24 @@
 
 bool OutlierDetector::isEjected (const base::RunnerId& runner, base::TimePoint now) const
 {
-    const auto entry = states_.find (runner);
-    return entry != states_.end() && entry->second.ejections > 0
+    const auto entry = m_states.find (runner);
+    return entry != m_states.end() && entry->second.ejections > 0
            && now < entry->second.ejectedUntil;
 }
 
 double OutlierDetector::weightOf (const base::RunnerId& runner, base::TimePoint now) const
 {
-    const auto entry = states_.find (runner);
-    if (entry == states_.end() || entry->second.ejections == 0)
+    const auto entry = m_states.find (runner);
+    if (entry == m_states.end() || entry->second.ejections == 0)
         return 1.0;
     if (now < entry->second.ejectedUntil)
         return 0.0;
     const base::Duration since = now - entry->second.ejectedUntil;
-    if (since >= options_.slowReturn)
+    if (since >= m_options.slowReturn)
         return 1.0;
     const double progress =
-        static_cast<double> (since.count()) / static_cast<double> (options_.slowReturn.count());
-    return options_.returnWeight + (1.0 - options_.returnWeight) * progress;
+        static_cast<double> (since.count()) / static_cast<double> (m_options.slowReturn.count());
+    return m_options.returnWeight + (1.0 - m_options.returnWeight) * progress;
 }
 
 }  // namespace fernlift::routing
--- a/src/routing/OutlierDetector.h
+++ b/src/routing/OutlierDetector.h
@@ -23,7 +23,7 @@
 class OutlierDetector
 {
 public:
-    explicit OutlierDetector (OutlierOptions options = {}) : options_ (options) {}
+    explicit OutlierDetector (OutlierOptions options = {}) : m_options (options) {}
 
     void onSuccess (const base::RunnerId& runner, base::TimePoint now);
     void onFailure (const base::RunnerId& runner, base::TimePoint now);
@@ -40,8 +40,8 @@
         base::TimePoint ejectedUntil{};
     };
 
-    OutlierOptions options_;
-    std::map<base::RunnerId, State> states_;
+    OutlierOptions m_options;
+    std::map<base::RunnerId, State> m_states;
 };
 
 }  // namespace fernlift::routing
--- a/src/routing/PolicyExperimentTest.cpp
+++ b/src/routing/PolicyExperimentTest.cpp
@@ -97,15 +97,15 @@
 class PolicyRun
 {
 public:
-    PolicyRun (Policy policy, std::uint64_t seed) : policy_ (policy), random_ (seed)
+    PolicyRun (Policy policy, std::uint64_t seed) : m_policy (policy), m_random (seed)
     {
         for (int runner = 0; runner < kRunners; ++runner)
         {
-            engines_.push_back (std::make_unique<ExperimentEngine> (testing::EngineSettings{}));
+            m_engines.push_back (std::make_unique<ExperimentEngine> (testing::EngineSettings{}));
         }
         for (int number = 0; number < kRouters; ++number)
         {
-            routers_.push_back (std::make_unique<Router> (zoneOf (number)));
+            m_routers.push_back (std::make_unique<Router> (zoneOf (number)));
         }
     }
 
@@ -119,22 +119,22 @@
                 tellLoads (now);
             if (now.time_since_epoch() % kEventInterval == base::Duration::zero())
                 tellEvents (now);
-            for (auto& router : routers_)
+            for (auto& router : m_routers)
                 router->table.setTime (now);
             for (; next < trace.size() && trace[next].at <= now; ++next)
                 dispatch (trace[next], now);
             for (int runner = 0; runner < kRunners; ++runner)
             {
-                for (const EngineProgress& progress : engines_[runner]->step (now))
+                for (const EngineProgress& progress : m_engines[runner]->step (now))
                     take (progress, now);
             }
         }
         Figures figures;
-        figures.p95 = testing::quantile (times_, 0.95);
-        figures.p99 = testing::quantile (times_, 0.99);
+        figures.p95 = testing::quantile (m_times, 0.95);
+        figures.p99 = testing::quantile (m_times, 0.99);
         double hit = 0;
         double asked = 0;
-        for (const auto& engine : engines_)
+        for (const auto& engine : m_engines)
         {
             hit += static_cast<double> (engine->blocksHit);
             asked += static_cast<double> (engine->blocksAsked);
@@ -182,24 +182,24 @@
                 // Runners of one model lie in different zones.
                 const int runner = (model * 2 + copy * 5) % kRunners;
                 auto row = testing::row (idOf (runner).value, "m" + std::to_string (model),
-                                         engines_[runner]->reportedLoad(), zoneOf (runner));
+                                         m_engines[runner]->reportedLoad(), zoneOf (runner));
                 row.address = std::to_string (runner);
                 rows.push_back (row);
             }
         }
-        version_ += 1;
-        for (auto& router : routers_)
-            router->table.apply (testing::wholeTable (rows, version_), now);
+        m_version += 1;
+        for (auto& router : m_routers)
+            router->table.apply (testing::wholeTable (rows, m_version), now);
     }
 
     void tellEvents (base::TimePoint now)
     {
-        for (auto& router : routers_)
+        for (auto& router : m_routers)
         {
             for (int runner = 0; runner < kRunners; ++runner)
             {
                 std::uint64_t& sequence = router->sequences[runner];
-                const auto events = engines_[runner]->eventsAfter (sequence, now);
+                const auto events = m_engines[runner]->eventsAfter (sequence, now);
                 sequence = router->prefixes.onEvents (idOf (runner), 1, events);
             }
         }
@@ -209,17 +209,17 @@
     {
         const auto candidates = router.table.usableReplicas ("m" + std::to_string (arrival.model));
         const auto last = static_cast<std::int64_t> (candidates.size()) - 1;
-        const auto draw = [&] { return candidates[random_.uniformInteger (0, last)]; };
+        const auto draw = [&] { return candidates[m_random.uniformInteger (0, last)]; };
         const auto ownLess = [] (const ReplicaState* left, const ReplicaState* right)
         { return left->inFlightTotal() < right->inFlightTotal(); };
-        switch (policy_)
+        switch (m_policy)
         {
             case Policy::kRoundRobin:
                 return candidates[router.turns[arrival.model]++ % candidates.size()];
             case Policy::kLeastConnections:
             {
                 auto rotated = candidates;
-                std::rotate (rotated.begin(), rotated.begin() + random_.uniformInteger (0, last),
+                std::rotate (rotated.begin(), rotated.begin() + m_random.uniformInteger (0, last),
                              rotated.end());
                 return *std::min_element (rotated.begin(), rotated.end(), ownLess);
             }
@@ -234,44 +234,44 @@
         }
         const ChoiceRequest request{ arrival.blocks, {}, {} };
         return router.chooser.choose (candidates, request, router.table, router.outliers,
-                                      router.prefixes, now, random_);
+                                      router.prefixes, now, m_random);
     }
 
     void dispatch (const Arrival& arrival, base::TimePoint now)
     {
-        Router& router = *routers_[arrival.router];
+        Router& router = *m_routers[arrival.router];
         const cell::RoutableReplica replica = choose (router, arrival, now)->info;
         router.table.addInFlight (replica, 5);
         router.prefixes.onSent (replica.runner, replica.target, arrival.blocks);
-        const std::uint64_t id = ++lastId_;
-        sent_[id] = Sent{ arrival.router, replica, arrival.at, replica.zone.value != router.zone };
-        engines_[std::stoi (replica.address)]->submit (
+        const std::uint64_t id = ++m_lastId;
+        m_sent[id] = Sent{ arrival.router, replica, arrival.at, replica.zone.value != router.zone };
+        m_engines[std::stoi (replica.address)]->submit (
             { id, replica.target, 5, arrival.blocks, arrival.tokens });
     }
 
     void take (const EngineProgress& progress, base::TimePoint now)
     {
-        const Sent& sent = sent_.at (progress.id);
+        const Sent& sent = m_sent.at (progress.id);
         if (progress.isFirstToken && sent.arrivedAt.time_since_epoch() >= kWarmUp)
         {
             const double waited =
                 static_cast<double> ((now + kEngineStep - sent.arrivedAt).count()) / 1000;
-            times_.push_back (waited + (sent.isRemote ? kZoneRoundTripMilliseconds : 0));
+            m_times.push_back (waited + (sent.isRemote ? kZoneRoundTripMilliseconds : 0));
         }
         if (! progress.isEnd)
             return;
-        routers_[sent.router]->table.removeInFlight (sent.replica, 5);
-        sent_.erase (progress.id);
+        m_routers[sent.router]->table.removeInFlight (sent.replica, 5);
+        m_sent.erase (progress.id);
     }
 
-    Policy policy_;
-    base::Random random_;
-    std::vector<std::unique_ptr<ExperimentEngine>> engines_;
-    std::vector<std::unique_ptr<Router>> routers_;
-    std::map<std::uint64_t, Sent> sent_;
-    std::uint64_t lastId_ = 0;
-    std::uint64_t version_ = 0;
-    std::vector<double> times_;
+    Policy m_policy;
+    base::Random m_random;
+    std::vector<std::unique_ptr<ExperimentEngine>> m_engines;
+    std::vector<std::unique_ptr<Router>> m_routers;
+    std::map<std::uint64_t, Sent> m_sent;
+    std::uint64_t m_lastId = 0;
+    std::uint64_t m_version = 0;
+    std::vector<double> m_times;
 };
 
 struct Comparison
--- a/src/routing/PrefixIndex.cpp
+++ b/src/routing/PrefixIndex.cpp
@@ -52,18 +52,18 @@
     if (blocks.empty())
         return;
     const std::uint64_t targetHash = base::stableHash (target);
-    RunnerBlocks& known = runners_[runner];
+    RunnerBlocks& known = m_runners[runner];
     // Later blocks are of use only with the earlier ones, so the earliest are the most recent.
     for (auto block = blocks.rbegin(); block != blocks.rend(); ++block)
     {
-        known.touch (blockOf (targetHash, *block), maximumBlocks_);
+        known.touch (blockOf (targetHash, *block), m_maximumBlocks);
     }
 }
 
 std::uint64_t PrefixIndex::onEvents (const base::RunnerId& runner, base::Incarnation incarnation,
                                      const std::vector<CacheEvent>& events)
 {
-    RunnerBlocks& known = runners_[runner];
+    RunnerBlocks& known = m_runners[runner];
     if (known.incarnation != incarnation)
     {
         // What was learned under incarnation 0 came from this router's own requests.
@@ -83,7 +83,7 @@
         const PrefixHash block = blockOf (base::stableHash (event.target), event.block);
         if (event.isStored)
         {
-            known.touch (block, maximumBlocks_);
+            known.touch (block, m_maximumBlocks);
         }
         else
         {
@@ -93,13 +93,13 @@
     return known.lastSequence;
 }
 
-void PrefixIndex::forget (const base::RunnerId& runner) { runners_.erase (runner); }
+void PrefixIndex::forget (const base::RunnerId& runner) { m_runners.erase (runner); }
 
 std::size_t PrefixIndex::matchingBlocks (const base::RunnerId& runner, const std::string& target,
                                          const std::vector<PrefixHash>& blocks) const
 {
-    const auto known = runners_.find (runner);
-    if (known == runners_.end())
+    const auto known = m_runners.find (runner);
+    if (known == m_runners.end())
         return 0;
     const std::uint64_t targetHash = base::stableHash (target);
     const auto firstUnknown = std::find_if_not (
--- a/src/routing/PrefixIndex.h
+++ b/src/routing/PrefixIndex.h
@@ -32,7 +32,7 @@
 public:
     /// `maximumBlocks` bounds the blocks remembered for each runner; the least recently seen go
     /// first.
-    explicit PrefixIndex (std::size_t maximumBlocks = 16384) : maximumBlocks_ (maximumBlocks) {}
+    explicit PrefixIndex (std::size_t maximumBlocks = 16384) : m_maximumBlocks (maximumBlocks) {}
 
     /// This router sent a prompt with these leading blocks to the target's replica at the runner.
     void onSent (const base::RunnerId& runner, const std::string& target,
@@ -65,8 +65,8 @@
         void clear();
     };
 
-    std::size_t maximumBlocks_;
-    std::map<base::RunnerId, RunnerBlocks> runners_;
+    std::size_t m_maximumBlocks;
+    std::map<base::RunnerId, RunnerBlocks> m_runners;
 };
 
 }  // namespace fernlift::routing
--- a/src/routing/ReplicaChooser.cpp
+++ b/src/routing/ReplicaChooser.cpp
@@ -90,9 +90,9 @@
     const double slots = std::max<std::uint32_t> (state.info.slots, 1);
     const double utilisation = (load + 1) / slots / weight;
     const std::size_t missing = request.prefixHashes.size() - matchingBlocks;
-    const double prefill = static_cast<double> (missing) * options_.blockCost;
-    const bool isRemote = state.info.zone != options_.zone;
-    return loadCost (utilisation, options_) + prefill + (isRemote ? options_.zoneCost : 0);
+    const double prefill = static_cast<double> (missing) * m_options.blockCost;
+    const bool isRemote = state.info.zone != m_options.zone;
+    return loadCost (utilisation, m_options) + prefill + (isRemote ? m_options.zoneCost : 0);
 }
 
 const ReplicaState* ReplicaChooser::choose (const std::vector<const ReplicaState*>& states,
@@ -119,7 +119,7 @@
 
     if (! request.prefixHashes.empty())
     {
-        homeOf (request.prefixHashes.front(), candidates)->cost -= options_.homeGain;
+        homeOf (request.prefixHashes.front(), candidates)->cost -= m_options.homeGain;
     }
     return cheapest (candidates, random).state;
 }
--- a/src/routing/ReplicaChooser.h
+++ b/src/routing/ReplicaChooser.h
@@ -50,7 +50,7 @@
 class ReplicaChooser
 {
 public:
-    explicit ReplicaChooser (ChooserOptions options) : options_ (std::move (options)) {}
+    explicit ReplicaChooser (ChooserOptions options) : m_options (std::move (options)) {}
 
     /// The chosen candidate; null only when there is none.
     [[nodiscard]] const ReplicaState* choose (const std::vector<const ReplicaState*>& candidates,
@@ -65,7 +65,7 @@
                                  const ReplicaTable& table, std::size_t matchingBlocks,
                                  double weight) const;
 
-    ChooserOptions options_;
+    ChooserOptions m_options;
 };
 
 }  // namespace fernlift::routing
--- a/src/routing/ReplicaTable.cpp
+++ b/src/routing/ReplicaTable.cpp
@@ -58,9 +58,9 @@
 {
     setTime (now);
     const bool replacesWhole = update.fromVersion == 0;
-    if (! replacesWhole && (needsWhole_ || update.fromVersion != version_))
+    if (! replacesWhole && (m_needsWhole || update.fromVersion != m_version))
     {
-        needsWhole_ = true;
+        m_needsWhole = true;
         return false;
     }
     if (replacesWhole)
@@ -69,14 +69,14 @@
         for (const auto& replica : update.upserts)
             kept.insert (keyOf (replica));
         std::vector<ReplicaKey> dropped;
-        for (const auto& [key, state] : rows_)
+        for (const auto& [key, state] : m_rows)
         {
             if (! kept.contains (key))
                 dropped.push_back (key);
         }
         for (const ReplicaKey& key : dropped)
             remove (key);
-        estimates_.clear();
+        m_estimates.clear();
     }
     for (const auto& replica : update.removals)
         remove (keyOf (replica));
@@ -87,37 +87,37 @@
     learnOwnShare (update);
     for (const auto& estimate : update.estimates)
     {
-        estimates_[estimate.target] =
+        m_estimates[estimate.target] =
             ReadyEstimate{ estimate.canBeServed,
                            now + base::milliseconds (estimate.readyInMilliseconds) };
     }
-    version_ = update.toVersion;
-    term_ = update.term;
-    needsWhole_ = false;
+    m_version = update.toVersion;
+    m_term = update.term;
+    m_needsWhole = false;
     return true;
 }
 
 void ReplicaTable::upsert (const cell::RoutableReplica& replica)
 {
     const ReplicaKey key = keyOf (replica);
-    ReplicaState& state = rows_[key];
+    ReplicaState& state = m_rows[key];
     state.info = replica;
-    const auto known = inFlight_.find ({ key, replica.incarnation });
-    state.inFlight = known == inFlight_.end() ? InFlightByUrgency{} : known->second;
-    rowsOfTarget_[replica.target].insert (key);
-    RunnerState& runner = runners_[replica.runner];
+    const auto known = m_inFlight.find ({ key, replica.incarnation });
+    state.inFlight = known == m_inFlight.end() ? InFlightByUrgency{} : known->second;
+    m_rowsOfTarget[replica.target].insert (key);
+    RunnerState& runner = m_runners[replica.runner];
     runner.rows.insert (key);
     state.inFlightAtLoad = inFlightWhenMeasured (runner);
 }
 
 void ReplicaTable::setLoad (const cell::RunnerLoad& load)
 {
-    const auto runner = runners_.find (load.runner);
-    if (runner == runners_.end())
+    const auto runner = m_runners.find (load.runner);
+    if (runner == m_runners.end())
         return;
     for (const ReplicaKey& key : runner->second.rows)
     {
-        ReplicaState& state = rows_.at (key);
+        ReplicaState& state = m_rows.at (key);
         state.info.load = load.load;
         state.inFlightAtLoad = inFlightWhenMeasured (runner->second);
     }
@@ -125,9 +125,9 @@
 
 void ReplicaTable::noteInFlight (RunnerState& runner) const
 {
-    runner.history.push_back ({ now_, totalOf (runner.inFlight) });
+    runner.history.push_back ({ m_now, totalOf (runner.inFlight) });
     // The newest of those that are old enough is the value at the time of a measurement.
-    while (runner.history.size() > 1 && runner.history[1].at <= now_ - kLoadLag)
+    while (runner.history.size() > 1 && runner.history[1].at <= m_now - kLoadLag)
     {
         runner.history.pop_front();
     }
@@ -138,7 +138,7 @@
     std::uint32_t total = 0;
     for (const InFlightSince& since : runner.history)
     {
-        if (since.at > now_ - kLoadLag)
+        if (since.at > m_now - kLoadLag)
             break;
         total = since.total;
     }
@@ -147,49 +147,49 @@
 
 void ReplicaTable::remove (const ReplicaKey& key)
 {
-    rows_.erase (key);
-    const auto target = rowsOfTarget_.find (key.target);
-    if (target != rowsOfTarget_.end())
+    m_rows.erase (key);
+    const auto target = m_rowsOfTarget.find (key.target);
+    if (target != m_rowsOfTarget.end())
     {
         target->second.erase (key);
         if (target->second.empty())
-            rowsOfTarget_.erase (target);
+            m_rowsOfTarget.erase (target);
     }
-    const auto runner = runners_.find (key.runner);
-    if (runner == runners_.end())
+    const auto runner = m_runners.find (key.runner);
+    if (runner == m_runners.end())
         return;
     runner->second.rows.erase (key);
     if (runner->second.rows.empty() && runner->second.inFlight.empty())
-        runners_.erase (runner);
+        m_runners.erase (runner);
 }
 
 bool ReplicaTable::markLeaving (const base::RunnerId& runner, base::Incarnation incarnation)
 {
-    if (! leaving_.emplace (runner, incarnation).second)
+    if (! m_leaving.emplace (runner, incarnation).second)
         return false;
-    leavingByAge_.emplace_back (runner, incarnation);
-    if (leavingByAge_.size() > kSignsRemembered)
+    m_leavingByAge.emplace_back (runner, incarnation);
+    if (m_leavingByAge.size() > kSignsRemembered)
     {
-        leaving_.erase (leavingByAge_.front());
-        leavingByAge_.pop_front();
+        m_leaving.erase (m_leavingByAge.front());
+        m_leavingByAge.pop_front();
     }
     return true;
 }
 
 bool ReplicaTable::isLeaving (const base::RunnerId& runner, base::Incarnation incarnation) const
 {
-    return leaving_.contains ({ runner, incarnation });
+    return m_leaving.contains ({ runner, incarnation });
 }
 
 std::vector<const ReplicaState*> ReplicaTable::usableReplicas (const std::string& target) const
 {
     std::vector<const ReplicaState*> usable;
-    const auto keys = rowsOfTarget_.find (target);
-    if (keys == rowsOfTarget_.end())
+    const auto keys = m_rowsOfTarget.find (target);
+    if (keys == m_rowsOfTarget.end())
         return usable;
     for (const ReplicaKey& key : keys->second)
     {
-        const ReplicaState& state = rows_.at (key);
+        const ReplicaState& state = m_rows.at (key);
         if (! isLeaving (state.info.runner, state.info.incarnation))
             usable.push_back (&state);
     }
@@ -203,16 +203,16 @@
 
 bool ReplicaTable::isUsable (const cell::RoutableReplica& replica) const
 {
-    const auto row = rows_.find (keyOf (replica));
-    return row != rows_.end() && row->second.info.incarnation == replica.incarnation
+    const auto row = m_rows.find (keyOf (replica));
+    return row != m_rows.end() && row->second.info.incarnation == replica.incarnation
            && row->second.info.address == replica.address
            && ! isLeaving (replica.runner, replica.incarnation);
 }
 
 std::optional<ReadyEstimate> ReplicaTable::estimateOf (const std::string& target) const
 {
-    const auto estimate = estimates_.find (target);
-    if (estimate == estimates_.end())
+    const auto estimate = m_estimates.find (target);
+    if (estimate == m_estimates.end())
         return std::nullopt;
     return estimate->second;
 }
@@ -220,14 +220,14 @@
 void ReplicaTable::addInFlight (const cell::RoutableReplica& replica, int urgency)
 {
     const ReplicaKey key = keyOf (replica);
-    InFlightByUrgency& inFlight = inFlight_[{ key, replica.incarnation }];
+    InFlightByUrgency& inFlight = m_inFlight[{ key, replica.incarnation }];
     inFlight[urgency] += 1;
-    const auto row = rows_.find (key);
+    const auto row = m_rows.find (key);
     const bool isSameStart =
-        row != rows_.end() && row->second.info.incarnation == replica.incarnation;
+        row != m_rows.end() && row->second.info.incarnation == replica.incarnation;
     if (isSameStart)
         row->second.inFlight = inFlight;
-    RunnerState& runner = runners_[replica.runner];
+    RunnerState& runner = m_runners[replica.runner];
     runner.inFlight[urgency] += 1;
     noteInFlight (runner);
 }
@@ -235,41 +235,41 @@
 void ReplicaTable::removeInFlight (const cell::RoutableReplica& replica, int urgency)
 {
     const ReplicaKey key = keyOf (replica);
-    const auto inFlight = inFlight_.find ({ key, replica.incarnation });
-    if (inFlight == inFlight_.end())
+    const auto inFlight = m_inFlight.find ({ key, replica.incarnation });
+    if (inFlight == m_inFlight.end())
         return;
     decrement (inFlight->second, urgency);
-    const auto row = rows_.find (key);
+    const auto row = m_rows.find (key);
     const bool isSameStart =
-        row != rows_.end() && row->second.info.incarnation == replica.incarnation;
+        row != m_rows.end() && row->second.info.incarnation == replica.incarnation;
     if (isSameStart)
         row->second.inFlight = inFlight->second;
     if (inFlight->second.empty())
-        inFlight_.erase (inFlight);
-    const auto runner = runners_.find (replica.runner);
-    if (runner == runners_.end())
+        m_inFlight.erase (inFlight);
+    const auto runner = m_runners.find (replica.runner);
+    if (runner == m_runners.end())
         return;
     decrement (runner->second.inFlight, urgency);
     noteInFlight (runner->second);
     if (runner->second.rows.empty() && runner->second.inFlight.empty())
-        runners_.erase (runner);
+        m_runners.erase (runner);
 }
 
 InFlightByUrgency ReplicaTable::inFlightAtRunner (const base::RunnerId& runner) const
 {
-    const auto entry = runners_.find (runner);
-    return entry == runners_.end() ? InFlightByUrgency{} : entry->second.inFlight;
+    const auto entry = m_runners.find (runner);
+    return entry == m_runners.end() ? InFlightByUrgency{} : entry->second.inFlight;
 }
 
 std::uint32_t ReplicaTable::estimatedLoad (const base::RunnerId& runner) const
 {
-    const auto entry = runners_.find (runner);
-    if (entry == runners_.end())
+    const auto entry = m_runners.find (runner);
+    if (entry == m_runners.end())
         return 0;
     std::uint32_t ofOthers = 0;
     for (const ReplicaKey& key : entry->second.rows)
     {
-        const ReplicaState& state = rows_.at (key);
+        const ReplicaState& state = m_rows.at (key);
         const std::uint32_t own = std::min (state.info.load, state.inFlightAtLoad);
         ofOthers = std::max (ofOthers, state.info.load - own);
     }
@@ -283,17 +283,17 @@
         loads[replica.runner] = replica.load;
     for (const auto& load : update.loads)
     {
-        if (runners_.contains (load.runner))
+        if (m_runners.contains (load.runner))
             loads[load.runner] = load.load;
     }
     if (loads.empty())
         return;
-    reportedRequests_ *= kReportsKept;
-    ownRequests_ *= kReportsKept;
+    m_reportedRequests *= kReportsKept;
+    m_ownRequests *= kReportsKept;
     for (const auto& [runner, load] : loads)
     {
-        reportedRequests_ += load;
-        ownRequests_ += std::min (load, inFlightWhenMeasured (runners_.at (runner)));
+        m_reportedRequests += load;
+        m_ownRequests += std::min (load, inFlightWhenMeasured (m_runners.at (runner)));
     }
 }
 
@@ -312,7 +312,7 @@
 std::vector<cell::RoutableReplica> ReplicaTable::replicas() const
 {
     std::vector<cell::RoutableReplica> result;
-    for (const auto& [key, state] : rows_)
+    for (const auto& [key, state] : m_rows)
         result.push_back (state.info);
     return result;
 }
--- a/src/routing/ReplicaTable.h
+++ b/src/routing/ReplicaTable.h
@@ -62,12 +62,12 @@
     /// then reports version 0 until it was replaced whole.
     bool apply (const cell::ReplicaUpdate& update, base::TimePoint now);
     /// Time for the following calls.
-    void setTime (base::TimePoint now) { now_ = std::max (now_, now); }
+    void setTime (base::TimePoint now) { m_now = std::max (m_now, now); }
 
     /// Version to report in lease requests; 0 asks for the whole table.
-    [[nodiscard]] std::uint64_t version() const { return needsWhole_ ? 0 : version_; }
+    [[nodiscard]] std::uint64_t version() const { return m_needsWhole ? 0 : m_version; }
     /// Term of the leader that the version belongs to.
-    [[nodiscard]] base::Term term() const { return term_; }
+    [[nodiscard]] base::Term term() const { return m_term; }
 
     /// Marks a runner as leaving; it gets nothing new under this incarnation. True if this is news.
     bool markLeaving (const base::RunnerId& runner, base::Incarnation incarnation);
@@ -101,7 +101,7 @@
     /// Runners marked as leaving, with the incarnation.
     [[nodiscard]] const std::set<std::pair<base::RunnerId, base::Incarnation>>& leaving() const
     {
-        return leaving_;
+        return m_leaving;
     }
 
 private:
@@ -123,24 +123,24 @@
     void remove (const ReplicaKey& key);
     void noteInFlight (RunnerState& runner) const;
     [[nodiscard]] std::uint32_t inFlightWhenMeasured (const RunnerState& runner) const;
-    [[nodiscard]] double ownShare() const { return (ownRequests_ + 1) / (reportedRequests_ + 1); }
+    [[nodiscard]] double ownShare() const { return (m_ownRequests + 1) / (m_reportedRequests + 1); }
     void learnOwnShare (const cell::ReplicaUpdate& update);
 
-    base::TimePoint now_{};
-    std::uint64_t version_ = 0;
-    base::Term term_ = 0;
-    bool needsWhole_ = true;
-    std::map<ReplicaKey, ReplicaState> rows_;
+    base::TimePoint m_now{};
+    std::uint64_t m_version = 0;
+    base::Term m_term = 0;
+    bool m_needsWhole = true;
+    std::map<ReplicaKey, ReplicaState> m_rows;
     /// Outlives rows, which may be removed and come back while requests are in flight.
-    std::map<std::pair<ReplicaKey, base::Incarnation>, InFlightByUrgency> inFlight_;
-    std::map<std::string, std::set<ReplicaKey>> rowsOfTarget_;
-    std::map<base::RunnerId, RunnerState> runners_;
-    std::map<std::string, ReadyEstimate> estimates_;
-    std::set<std::pair<base::RunnerId, base::Incarnation>> leaving_;
-    std::deque<std::pair<base::RunnerId, base::Incarnation>> leavingByAge_;
+    std::map<std::pair<ReplicaKey, base::Incarnation>, InFlightByUrgency> m_inFlight;
+    std::map<std::string, std::set<ReplicaKey>> m_rowsOfTarget;
+    std::map<base::RunnerId, RunnerState> m_runners;
+    std::map<std::string, ReadyEstimate> m_estimates;
+    std::set<std::pair<base::RunnerId, base::Incarnation>> m_leaving;
+    std::deque<std::pair<base::RunnerId, base::Incarnation>> m_leavingByAge;
     /// Loads reported lately and this router's part of them; older reports weigh less.
-    double reportedRequests_ = 0;
-    double ownRequests_ = 0;
+    double m_reportedRequests = 0;
+    double m_ownRequests = 0;
 };
 
 /// Sum over all urgencies.
--- a/src/scale/HollowDemand.cpp
+++ b/src/scale/HollowDemand.cpp
@@ -19,32 +19,32 @@
 }  // namespace
 
 HollowDemand::HollowDemand (HollowDemandOptions options, std::uint64_t seed, base::TimePoint now)
-    : options_ (options), random_ (seed), nextWarm_ (kNever), nextCold_ (kNever)
+    : m_options (options), m_random (seed), m_nextWarm (kNever), m_nextCold (kNever)
 {
-    if (options_.requestsPerSecond > 0)
-        nextWarm_ = now + drawn (1 / options_.requestsPerSecond);
-    const ScaleSizes& sizes = options_.sizes;
+    if (m_options.requestsPerSecond > 0)
+        m_nextWarm = now + drawn (1 / m_options.requestsPerSecond);
+    const ScaleSizes& sizes = m_options.sizes;
     const bool hasCold =
         sizes.loadsPerHour > 0 && sizes.adapters - activeAdapters (sizes.adapters) >= sizes.routers;
     if (! hasCold)
         return;
-    nextCold_ = now
-                + drawn (kSecondsInHour * static_cast<double> (sizes.routers)
-                         / static_cast<double> (sizes.loadsPerHour));
+    m_nextCold = now
+                 + drawn (kSecondsInHour * static_cast<double> (sizes.routers)
+                          / static_cast<double> (sizes.loadsPerHour));
 }
 
 std::optional<GeneratedRequest> HollowDemand::next (base::TimePoint now)
 {
-    const ScaleSizes& sizes = options_.sizes;
-    if (nextWarm_ <= now)
+    const ScaleSizes& sizes = m_options.sizes;
+    if (m_nextWarm <= now)
     {
-        nextWarm_ += drawn (1 / options_.requestsPerSecond);
+        m_nextWarm += drawn (1 / m_options.requestsPerSecond);
         return make (warmTarget());
     }
-    if (nextCold_ <= now)
+    if (m_nextCold <= now)
     {
-        nextCold_ += drawn (kSecondsInHour * static_cast<double> (sizes.routers)
-                            / static_cast<double> (sizes.loadsPerHour));
+        m_nextCold += drawn (kSecondsInHour * static_cast<double> (sizes.routers)
+                             / static_cast<double> (sizes.loadsPerHour));
         return make (coldTarget());
     }
     return std::nullopt;
@@ -52,25 +52,25 @@
 
 std::string HollowDemand::warmTarget()
 {
-    const ScaleSizes& sizes = options_.sizes;
+    const ScaleSizes& sizes = m_options.sizes;
     const std::int64_t active = activeAdapters (sizes.adapters);
-    if (active > 0 && random_.chance (options_.adapterShare))
+    if (active > 0 && m_random.chance (m_options.adapterShare))
     {
-        return adapterName (random_.uniformInteger (0, active - 1));
+        return adapterName (m_random.uniformInteger (0, active - 1));
     }
     // The inverse of the distribution function of weights 1/rank, close enough for a load.
-    const double rank = std::pow (static_cast<double> (sizes.models), random_.uniformReal());
+    const double rank = std::pow (static_cast<double> (sizes.models), m_random.uniformReal());
     const auto index = static_cast<std::int64_t> (rank) - 1;
     return modelName (std::clamp<std::int64_t> (index, 0, sizes.models - 1));
 }
 
 std::string HollowDemand::coldTarget()
 {
-    const ScaleSizes& sizes = options_.sizes;
+    const ScaleSizes& sizes = m_options.sizes;
     const std::int64_t active = activeAdapters (sizes.adapters);
     const std::int64_t share = (sizes.adapters - active) / sizes.routers;
-    const std::int64_t turn = coldRequests_++ % share;
-    return adapterName (active + options_.router + turn * sizes.routers);
+    const std::int64_t turn = m_coldRequests++ % share;
+    return adapterName (active + m_options.router + turn * sizes.routers);
 }
 
 GeneratedRequest HollowDemand::make (std::string target)
@@ -78,25 +78,25 @@
     GeneratedRequest generated;
     router::RequestHead& head = generated.head;
     const std::string number =
-        std::to_string (options_.router) + "-" + std::to_string (++requests_);
+        std::to_string (m_options.router) + "-" + std::to_string (++m_requests);
     head.id = base::RequestId ("request-" + number);
     head.target = std::move (target);
-    head.caller = "caller-" + std::to_string (random_.uniformInteger (0, 99));
+    head.caller = "caller-" + std::to_string (m_random.uniformInteger (0, 99));
     head.isStreaming = true;
-    if (random_.chance (options_.claimShare))
+    if (m_random.chance (m_options.claimShare))
     {
         head.requestClass = base::RequestClassName ("approval");
         head.idempotencyKey = base::IdempotencyKey ("key-" + number);
         head.requestDigest = std::string (kDigestCharacters, 'd');
     }
-    generated.service = drawn (std::chrono::duration<double> (options_.meanService).count());
+    generated.service = drawn (std::chrono::duration<double> (m_options.meanService).count());
     return generated;
 }
 
 base::Duration HollowDemand::drawn (double meanSeconds)
 {
     return std::chrono::duration_cast<base::Duration> (
-        std::chrono::duration<double> (random_.exponential (meanSeconds)));
+        std::chrono::duration<double> (m_random.exponential (meanSeconds)));
 }
 
 }  // namespace fernlift::scale
--- a/src/scale/HollowDemand.h
+++ b/src/scale/HollowDemand.h
@@ -46,12 +46,12 @@
     [[nodiscard]] GeneratedRequest make (std::string target);
     [[nodiscard]] base::Duration drawn (double meanSeconds);
 
-    HollowDemandOptions options_;
-    base::Random random_;
-    base::TimePoint nextWarm_;
-    base::TimePoint nextCold_;
-    std::int64_t coldRequests_ = 0;
-    std::uint64_t requests_ = 0;
+    HollowDemandOptions m_options;
+    base::Random m_random;
+    base::TimePoint m_nextWarm;
+    base::TimePoint m_nextCold;
+    std::int64_t m_coldRequests = 0;
+    std::uint64_t m_requests = 0;
 };
 
 }  // namespace fernlift::scale
--- a/src/scale/HollowRouter.cpp
+++ b/src/scale/HollowRouter.cpp
@@ -28,11 +28,11 @@
 
 HollowRouter::HollowRouter (HollowRouterOptions options, std::uint64_t seed,
                             HollowRouterMeters& meters)
-    : options_ (std::move (options)),
-      meters_ (meters),
-      core_ (options_.core, seed, clock_.now(), clock_.unixNow()),
-      demand_ (options_.demand, seed, clock_.now()),
-      nextController_ (seed % std::max<std::size_t> (options_.controllers.size(), 1))
+    : m_options (std::move (options)),
+      m_meters (meters),
+      m_core (m_options.core, seed, m_clock.now(), m_clock.unixNow()),
+      m_demand (m_options.demand, seed, m_clock.now()),
+      m_nextController (seed % std::max<std::size_t> (m_options.controllers.size(), 1))
 {
 }
 
@@ -40,7 +40,7 @@
 void HollowRouter::feed (base::Duration& meter, const Input& input)
 {
     const base::Duration begin = threadTime();
-    core_.setTime (clock_.now(), clock_.unixNow());
+    m_core.setTime (m_clock.now(), m_clock.unixNow());
     input();
     carryOut();
     meter += threadTime() - begin;
@@ -48,11 +48,11 @@
 
 void HollowRouter::tick()
 {
-    feed (meters_.controlTime, [this] { core_.onTick(); });
-    feed (meters_.requestTime,
+    feed (m_meters.controlTime, [this] { m_core.onTick(); });
+    feed (m_meters.requestTime,
           [this]
           {
-              if (core_.isReady())
+              if (m_core.isReady())
                   generateRequests();
               runAttempts();
           });
@@ -60,50 +60,50 @@
 
 void HollowRouter::generateRequests()
 {
-    while (auto request = demand_.next (clock_.now()))
+    while (auto request = m_demand.next (m_clock.now()))
     {
-        const router::RequestTicket ticket = core_.onRequest (request->head);
-        services_[ticket] = request->service;
+        const router::RequestTicket ticket = m_core.onRequest (request->head);
+        m_services[ticket] = request->service;
         carryOut();
     }
 }
 
 void HollowRouter::runAttempts()
 {
-    const base::TimePoint now = clock_.now();
-    while (! due_.empty() && due_.begin()->first <= now)
+    const base::TimePoint now = m_clock.now();
+    while (! m_due.empty() && m_due.begin()->first <= now)
     {
-        const router::AttemptId id = due_.begin()->second;
-        due_.erase (due_.begin());
+        const router::AttemptId id = m_due.begin()->second;
+        m_due.erase (m_due.begin());
         advanceAttempt (id);
     }
 }
 
 void HollowRouter::advanceAttempt (router::AttemptId id)
 {
-    const auto found = attempts_.find (id);
-    if (found == attempts_.end())
+    const auto found = m_attempts.find (id);
+    if (found == m_attempts.end())
         return;
-    const base::TimePoint now = clock_.now();
+    const base::TimePoint now = m_clock.now();
     if (found->second.endsAt <= now)
     {
-        attempts_.erase (found);
-        core_.onAttemptEvent (id, router::AttemptEnded{});
+        m_attempts.erase (found);
+        m_core.onAttemptEvent (id, router::AttemptEnded{});
     }
     else
     {
         const std::uint64_t offset = found->second.offset++;
-        due_.emplace (std::min (found->second.endsAt, now + kPartInterval), id);
+        m_due.emplace (std::min (found->second.endsAt, now + kPartInterval), id);
         if (offset == 0)
-            core_.onAttemptEvent (id, router::AttemptHeaders{ kOk, false });
-        core_.onAttemptEvent (id, router::AttemptData{ offset, 1, "token" });
+            m_core.onAttemptEvent (id, router::AttemptHeaders{ kOk, false });
+        m_core.onAttemptEvent (id, router::AttemptData{ offset, 1, "token" });
     }
     carryOut();
 }
 
 void HollowRouter::carryOut()
 {
-    for (const router::Effect& effect : core_.takeEffects())
+    for (const router::Effect& effect : m_core.takeEffects())
     {
         std::visit ([this] (const auto& content) { carryOut (content); }, effect);
     }
@@ -111,49 +111,49 @@
 
 void HollowRouter::carryOut (const router::SendToController& effect)
 {
-    if (! connection_)
+    if (! m_connection)
         return;
     const std::string payload = wire::encodeMessage (effect.message);
-    meters_.traffic.record (controller::Direction::kOut, controller::kindOf (effect.message),
-                            payload.size());
-    connection_->send (wire::Channel::kRouterToController, payload);
+    m_meters.traffic.record (controller::Direction::kOut, controller::kindOf (effect.message),
+                             payload.size());
+    m_connection->send (wire::Channel::kRouterToController, payload);
 }
 
 void HollowRouter::carryOut (const router::ConnectController& effect)
 {
-    base::SocketAddress address = options_.controllers[nextController_];
-    nextController_ = (nextController_ + 1) % options_.controllers.size();
+    base::SocketAddress address = m_options.controllers[m_nextController];
+    m_nextController = (m_nextController + 1) % m_options.controllers.size();
     if (! effect.address.empty())
     {
         address = base::handleErrors ([&] { return base::SocketAddress::parse (effect.address); },
                                       [&] (const base::Error&) { return address; });
     }
-    ++meters_.connections;
+    ++m_meters.connections;
     wire::FrameConnection::Handlers handlers;
     handlers.onConnected = [this]
-    { feed (meters_.controlTime, [this] { core_.onControllerConnected(); }); };
+    { feed (m_meters.controlTime, [this] { m_core.onControllerConnected(); }); };
     handlers.onFrame = [this] (const wire::Frame& frame) { onFrame (frame); };
     handlers.onClosed = [this]
-    { feed (meters_.controlTime, [this] { core_.onControllerLost(); }); };
-    connection_ =
-        wire::FrameConnection::connectTo (address, {}, std::move (handlers), &meters_.frames);
+    { feed (m_meters.controlTime, [this] { m_core.onControllerLost(); }); };
+    m_connection =
+        wire::FrameConnection::connectTo (address, {}, std::move (handlers), &m_meters.frames);
 }
 
 void HollowRouter::carryOut (const router::StartAttempt& effect)
 {
-    const auto service = services_.find (effect.ticket);
-    if (service == services_.end())
+    const auto service = m_services.find (effect.ticket);
+    if (service == m_services.end())
         return;
-    const base::TimePoint now = clock_.now();
-    attempts_[effect.attempt] = { now + service->second, effect.resumeFrom };
-    due_.emplace (now, effect.attempt);
+    const base::TimePoint now = m_clock.now();
+    m_attempts[effect.attempt] = { now + service->second, effect.resumeFrom };
+    m_due.emplace (now, effect.attempt);
 }
 
 void HollowRouter::onFrame (const wire::Frame& frame)
 {
     if (frame.channel != wire::Channel::kControllerToRouter)
         return;
-    feed (meters_.controlTime,
+    feed (m_meters.controlTime,
           [&]
           {
               base::handleErrors (
@@ -162,7 +162,7 @@
                       BOOST_LEAF_AUTO (
                           message, wire::decodeMessage<cell::ControllerToRouter> (frame.payload));
                       meter (message, frame.payload.size());
-                      core_.onControllerMessage (message);
+                      m_core.onControllerMessage (message);
                       return {};
                   },
                   [] (const base::Error&) {});
@@ -171,13 +171,13 @@
 
 void HollowRouter::meter (const cell::ControllerToRouter& message, std::size_t bytes)
 {
-    meters_.traffic.record (controller::Direction::kIn, controller::kindOf (message), bytes);
+    m_meters.traffic.record (controller::Direction::kIn, controller::kindOf (message), bytes);
     const auto* update = std::get_if<cell::ReplicaUpdate> (&message);
     if (update == nullptr)
         return;
-    meters_.rowsTold += update->upserts.size();
-    meters_.loadsTold += update->loads.size();
-    meters_.wholeTables += update->fromVersion == 0 ? 1 : 0;
+    m_meters.rowsTold += update->upserts.size();
+    m_meters.loadsTold += update->loads.size();
+    m_meters.wholeTables += update->fromVersion == 0 ? 1 : 0;
 }
 
 }  // namespace fernlift::scale
--- a/src/scale/HollowRouter.h
+++ b/src/scale/HollowRouter.h
@@ -49,8 +49,8 @@
 
     /// Advances timers and generates what is due.
     void tick();
-    [[nodiscard]] bool isReady() const { return core_.isReady(); }
-    [[nodiscard]] router::RouterCounters counters() const { return core_.counters(); }
+    [[nodiscard]] bool isReady() const { return m_core.isReady(); }
+    [[nodiscard]] router::RouterCounters counters() const { return m_core.counters(); }
 
 private:
     struct OpenAttempt
@@ -66,27 +66,27 @@
     void carryOut (const router::SendToController& effect);
     void carryOut (const router::ConnectController& effect);
     void carryOut (const router::StartAttempt& effect);
-    void carryOut (const router::CancelAttempt& effect) { attempts_.erase (effect.attempt); }
+    void carryOut (const router::CancelAttempt& effect) { m_attempts.erase (effect.attempt); }
     void carryOut (const router::AnswerHeaders& /*effect*/) {}
     void carryOut (const router::AnswerData& /*effect*/) {}
-    void carryOut (const router::AnswerEnd& effect) { services_.erase (effect.ticket); }
-    void carryOut (const router::AnswerError& effect) { services_.erase (effect.ticket); }
+    void carryOut (const router::AnswerEnd& effect) { m_services.erase (effect.ticket); }
+    void carryOut (const router::AnswerError& effect) { m_services.erase (effect.ticket); }
     void onFrame (const wire::Frame& frame);
     void meter (const cell::ControllerToRouter& message, std::size_t bytes);
     /// Calls the core and carries out its effects; the processor time is added to `meter`.
     template <class Input>
     void feed (base::Duration& meter, const Input& input);
 
-    HollowRouterOptions options_;
-    HollowRouterMeters& meters_;
-    base::SystemClock clock_;
-    router::RouterCore core_;
-    HollowDemand demand_;
-    std::size_t nextController_ = 0;
-    std::map<router::RequestTicket, base::Duration> services_;  ///< Of requests without an end.
-    std::map<router::AttemptId, OpenAttempt> attempts_;
-    std::multimap<base::TimePoint, router::AttemptId> due_;
-    std::unique_ptr<wire::FrameConnection> connection_;
+    HollowRouterOptions m_options;
+    HollowRouterMeters& m_meters;
+    base::SystemClock m_clock;
+    router::RouterCore m_core;
+    HollowDemand m_demand;
+    std::size_t m_nextController = 0;
+    std::map<router::RequestTicket, base::Duration> m_services;  ///< Of requests without an end.
+    std::map<router::AttemptId, OpenAttempt> m_attempts;
+    std::multimap<base::TimePoint, router::AttemptId> m_due;
+    std::unique_ptr<wire::FrameConnection> m_connection;
 };
 
 }  // namespace fernlift::scale
--- a/src/scale/HollowRouters.h
+++ b/src/scale/HollowRouters.h
@@ -40,12 +40,12 @@
     void addRouter (std::int64_t index);
     [[nodiscard]] std::string metricsText() const;
 
-    HollowRoutersOptions options_;
-    HollowRouterMeters meters_;
-    std::vector<std::unique_ptr<HollowRouter>> routers_;
-    http::Metrics metrics_;
-    http::Server server_;
-    QTimer ticker_;
+    HollowRoutersOptions m_options;
+    HollowRouterMeters m_meters;
+    std::vector<std::unique_ptr<HollowRouter>> m_routers;
+    http::Metrics m_metrics;
+    http::Server m_server;
+    QTimer m_ticker;
 };
 
 }  // namespace fernlift::scale
--- a/src/scale/HollowRunner.cpp
+++ b/src/scale/HollowRunner.cpp
@@ -8,14 +8,14 @@
 
 HollowRunner::HollowRunner (const standin::EngineOptions& options, LoadWalkOptions load,
                             std::uint64_t seed, base::TimePoint now)
-    : model_ (options, now), load_ (load, seed, now)
+    : m_model (options, now), m_load (load, seed, now)
 {
 }
 
 engine::OrderAnswer HollowRunner::order (const engine::Order& order, base::TimePoint now)
 {
     settle (now);
-    const engine::OrderAnswer answer = model_.onOrder (order, now);
+    const engine::OrderAnswer answer = m_model.onOrder (order, now);
     settle (now);
     return answer;
 }
@@ -23,8 +23,8 @@
 engine::Report HollowRunner::report (base::TimePoint now)
 {
     settle (now);
-    engine::Report report = model_.report();
-    const std::uint32_t running = load_.advance (now);
+    engine::Report report = m_model.report();
+    const std::uint32_t running = m_load.advance (now);
     std::vector<engine::ReplicaReport*> loaded;
     for (engine::ReplicaReport& replica : report.replicas)
     {
@@ -45,20 +45,20 @@
 
 void HollowRunner::settle (base::TimePoint now)
 {
-    model_.advance (now);
+    m_model.advance (now);
     while (true)
     {
-        const std::vector<standin::EngineEffect> effects = model_.takeEffects();
+        const std::vector<standin::EngineEffect> effects = m_model.takeEffects();
         if (effects.empty())
             return;
         for (const standin::EngineEffect& effect : effects)
         {
             if (const auto* fetch = std::get_if<standin::FetchWeights> (&effect))
             {
-                model_.onFetched (fetch->fetch, now);
+                m_model.onFetched (fetch->fetch, now);
             }
         }
-        model_.advance (now);
+        m_model.advance (now);
     }
 }
 
--- a/src/scale/HollowRunner.h
+++ b/src/scale/HollowRunner.h
@@ -27,8 +27,8 @@
     /// Lets the model do what is due; weights arrive at once.
     void settle (base::TimePoint now);
 
-    standin::EngineModel model_;
-    LoadWalk load_;
+    standin::EngineModel m_model;
+    LoadWalk m_load;
 };
 
 }  // namespace fernlift::scale
--- a/src/scale/HollowRunners.cpp
+++ b/src/scale/HollowRunners.cpp
@@ -30,15 +30,15 @@
 
 }  // namespace
 
-HollowRunners::HollowRunners (HollowRunnersOptions options) : options_ (options) {}
+HollowRunners::HollowRunners (HollowRunnersOptions options) : m_options (options) {}
 
 base::Result<base::SocketAddress> HollowRunners::start()
 {
-    for (std::int64_t index = 0; index < options_.runners; ++index)
+    for (std::int64_t index = 0; index < m_options.runners; ++index)
     {
         BOOST_LEAF_CHECK (add (index));
     }
-    listServer_.setHandler (
+    m_listServer.setHandler (
         [this] (const http::Request& request, const std::shared_ptr<http::Responder>& responder)
         {
             if (request.path != "/machines")
@@ -46,17 +46,17 @@
                 standin::answerNotFound (*responder, request.path);
                 return;
             }
-            http::jsonResponse (kOk, engine::toJson (machines_)).sendTo (*responder);
+            http::jsonResponse (kOk, engine::toJson (m_machines)).sendTo (*responder);
         });
-    return listServer_.listen (kAnyLoopbackPort);
+    return m_listServer.listen (kAnyLoopbackPort);
 }
 
 base::Result<void> HollowRunners::add (std::int64_t index)
 {
     const auto number = static_cast<std::uint64_t> (index) + 1;
     Node node;
-    node.runner = std::make_unique<HollowRunner> (engineOptions (index, number), options_.load,
-                                                  options_.seed + number, clock_.now());
+    node.runner = std::make_unique<HollowRunner> (engineOptions (index, number), m_options.load,
+                                                  m_options.seed + number, m_clock.now());
     node.server = std::make_unique<http::Server>();
     HollowRunner* runner = node.runner.get();
     node.server->setHandler ([this, runner] (const http::Request& request,
@@ -69,8 +69,8 @@
     machine.address = address.toString();
     machine.memory = kRunnerMemoryMegabytes;
     machine.accelerators = kRunnerAccelerators;
-    machines_.machines.push_back (std::move (machine));
-    nodes_.push_back (std::move (node));
+    m_machines.machines.push_back (std::move (machine));
+    m_nodes.push_back (std::move (node));
     return {};
 }
 
@@ -79,7 +79,7 @@
 {
     if (request.path == "/engine/report")
     {
-        http::jsonResponse (kOk, engine::toJson (runner.report (clock_.now()))).sendTo (responder);
+        http::jsonResponse (kOk, engine::toJson (runner.report (m_clock.now()))).sendTo (responder);
         return;
     }
     if (request.path != "/engine/orders")
@@ -91,7 +91,7 @@
         responder, [&] { return engine::parseOrder (request.body); },
         [&] (const engine::Order& order)
         {
-            const engine::OrderAnswer answer = runner.order (order, clock_.now());
+            const engine::OrderAnswer answer = runner.order (order, m_clock.now());
             http::jsonResponse (answer.accepted ? kOk : kConflict, engine::toJson (answer))
                 .sendTo (responder);
             return true;
--- a/src/scale/HollowRunners.h
+++ b/src/scale/HollowRunners.h
@@ -45,11 +45,11 @@
     [[nodiscard]] base::Result<void> add (std::int64_t index);
     void handle (HollowRunner& runner, const http::Request& request, http::Responder& responder);
 
-    HollowRunnersOptions options_;
-    base::SystemClock clock_;
-    engine::MachineList machines_;
-    std::vector<Node> nodes_;
-    http::Server listServer_;
+    HollowRunnersOptions m_options;
+    base::SystemClock m_clock;
+    engine::MachineList m_machines;
+    std::vector<Node> m_nodes;
+    http::Server m_listServer;
 };
 
 }  // namespace fernlift::scale
--- a/src/scale/LoadWalk.cpp
+++ b/src/scale/LoadWalk.cpp
@@ -15,36 +15,36 @@
 }  // namespace
 
 LoadWalk::LoadWalk (LoadWalkOptions options, std::uint64_t seed, base::TimePoint now)
-    : options_ (options), random_ (seed), now_ (now)
+    : m_options (options), m_random (seed), m_now (now)
 {
-    if (options_.arrivalsPerSecond <= 0)
+    if (m_options.arrivalsPerSecond <= 0)
         return;
-    running_ =
-        static_cast<std::uint32_t> (options_.arrivalsPerSecond * inSeconds (options_.meanService));
-    untilArrival_ = random_.exponential (1 / options_.arrivalsPerSecond);
+    m_running = static_cast<std::uint32_t> (m_options.arrivalsPerSecond
+                                            * inSeconds (m_options.meanService));
+    m_untilArrival = m_random.exponential (1 / m_options.arrivalsPerSecond);
 }
 
 std::uint32_t LoadWalk::advance (base::TimePoint now)
 {
-    if (now <= now_ || options_.arrivalsPerSecond <= 0)
-        return running_;
-    const double passed = inSeconds (now - now_);
-    now_ = now;
-    const double endChance = 1 - std::exp (-passed / inSeconds (options_.meanService));
+    if (now <= m_now || m_options.arrivalsPerSecond <= 0)
+        return m_running;
+    const double passed = inSeconds (now - m_now);
+    m_now = now;
+    const double endChance = 1 - std::exp (-passed / inSeconds (m_options.meanService));
     std::uint32_t ended = 0;
-    for (std::uint32_t request = 0; request < running_; ++request)
+    for (std::uint32_t request = 0; request < m_running; ++request)
     {
-        if (random_.chance (endChance))
+        if (m_random.chance (endChance))
             ++ended;
     }
-    running_ -= ended;
-    untilArrival_ -= passed;
-    while (untilArrival_ <= 0)
+    m_running -= ended;
+    m_untilArrival -= passed;
+    while (m_untilArrival <= 0)
     {
-        ++running_;
-        untilArrival_ += random_.exponential (1 / options_.arrivalsPerSecond);
+        ++m_running;
+        m_untilArrival += m_random.exponential (1 / m_options.arrivalsPerSecond);
     }
-    return running_;
+    return m_running;
 }
 
 }  // namespace fernlift::scale
--- a/src/scale/LoadWalk.h
+++ b/src/scale/LoadWalk.h
@@ -28,11 +28,11 @@
     std::uint32_t advance (base::TimePoint now);
 
 private:
-    LoadWalkOptions options_;
-    base::Random random_;
-    base::TimePoint now_;
-    double untilArrival_ = 0;  ///< Seconds.
-    std::uint32_t running_ = 0;
+    LoadWalkOptions m_options;
+    base::Random m_random;
+    base::TimePoint m_now;
+    double m_untilArrival = 0;  ///< Seconds.
+    std::uint32_t m_running = 0;
 };
 
 }  // namespace fernlift::scale
--- a/src/scale/ScaleProgram.cpp
+++ b/src/scale/ScaleProgram.cpp
@@ -163,11 +163,11 @@
 class ScaleRun
 {
 public:
-    explicit ScaleRun (const ScaleSettings& settings) : settings_ (settings) {}
+    explicit ScaleRun (const ScaleSettings& settings) : m_settings (settings) {}
 
     base::Result<int> run()
     {
-        const auto& texts = settings_.ladders.empty() ? kDefaultLadders : settings_.ladders;
+        const auto& texts = m_settings.ladders.empty() ? kDefaultLadders : m_settings.ladders;
         std::vector<Ladder> ladders;
         for (const std::string& text : texts)
         {
@@ -179,7 +179,7 @@
             for (const std::int64_t size : ladder.sizes)
                 BOOST_LEAF_CHECK (runOne (ladder, size));
         }
-        return failed_ == 0 ? 0 : 1;
+        return m_failed == 0 ? 0 : 1;
     }
 
 private:
@@ -191,50 +191,50 @@
             [&]() -> base::Result<void>
             {
                 BOOST_LEAF_AUTO (rows, runStep (options));
-                rows_.insert (rows_.end(), rows.begin(), rows.end());
+                m_rows.insert (m_rows.end(), rows.begin(), rows.end());
                 std::cout << rows.size() << " quantities\n" << std::flush;
                 return {};
             },
             [&] (const base::Error& error)
             {
-                ++failed_;
+                ++m_failed;
                 std::cout << "failed: " << error.message << '\n' << std::flush;
             });
         // What is measured so far is written after each step.
         BOOST_LEAF_CHECK (
-            writeFile (settings_.output + "-measurements.csv", measurementsCsv (rows_)));
-        return writeFile (settings_.output + "-slopes.csv", slopesCsv (slopesOf (rows_)));
+            writeFile (m_settings.output + "-measurements.csv", measurementsCsv (m_rows)));
+        return writeFile (m_settings.output + "-slopes.csv", slopesCsv (slopesOf (m_rows)));
     }
 
     StepOptions optionsOf (const Ladder& ladder, std::int64_t size)
     {
         const std::string own = QCoreApplication::applicationDirPath().toStdString();
         const std::string run =
-            settings_.runFolder.empty() ? temporary_.path().toStdString() : settings_.runFolder;
+            m_settings.runFolder.empty() ? m_temporary.path().toStdString() : m_settings.runFolder;
         StepOptions options;
         options.dimension = ladder.dimension;
-        options.sizes = settings_.sizes;
+        options.sizes = m_settings.sizes;
         options.sizes.*findDimension (ladder.dimension)->size = size;
         options.size = size;
-        options.folders.programs = settings_.programs.empty() ? own : settings_.programs;
+        options.folders.programs = m_settings.programs.empty() ? own : m_settings.programs;
         options.folders.run = std::filesystem::absolute (run).string() + "/step-"
-                              + std::to_string (++steps_) + "-" + ladder.dimension;
+                              + std::to_string (++m_steps) + "-" + ladder.dimension;
         options.program = QCoreApplication::applicationFilePath().toStdString();
-        options.seed = static_cast<std::uint64_t> (settings_.seed);
-        options.requestsPerSecond = settings_.requestsPerSecond;
-        options.runnerArrivalsPerSecond = settings_.runnerArrivalsPerSecond;
-        options.settle = settings_.settle;
-        options.measure = settings_.measure;
-        options.routersPerProcess = settings_.routersPerProcess;
-        options.controllerFlags = settings_.controllerFlags;
+        options.seed = static_cast<std::uint64_t> (m_settings.seed);
+        options.requestsPerSecond = m_settings.requestsPerSecond;
+        options.runnerArrivalsPerSecond = m_settings.runnerArrivalsPerSecond;
+        options.settle = m_settings.settle;
+        options.measure = m_settings.measure;
+        options.routersPerProcess = m_settings.routersPerProcess;
+        options.controllerFlags = m_settings.controllerFlags;
         return options;
     }
 
-    const ScaleSettings& settings_;
-    QTemporaryDir temporary_;
-    int steps_ = 0;
-    int failed_ = 0;
-    std::vector<Measurement> rows_;
+    const ScaleSettings& m_settings;
+    QTemporaryDir m_temporary;
+    int m_steps = 0;
+    int m_failed = 0;
+    std::vector<Measurement> m_rows;
 };
 
 base::Result<int> dispatch (const ScaleSettings& settings, const std::string& verb)
