--- a/src/scale/ScaleStep.cpp
+++ b/src/scale/ScaleStep.cpp
@@ -83,21 +83,21 @@
 class Step
 {
 public:
-    explicit Step (const StepOptions& options) : options_ (options) {}
+    explicit Step (const StepOptions& options) : m_options (options) {}
 
     base::Result<std::vector<Measurement>> run()
     {
-        std::filesystem::create_directories (options_.folders.run);
+        std::filesystem::create_directories (m_options.folders.run);
         BOOST_LEAF_CHECK (startRunners());
         BOOST_LEAF_CHECK (startControllers());
         BOOST_LEAF_CHECK (applyFirst());
         BOOST_LEAF_CHECK (startRouters());
         BOOST_LEAF_CHECK (waitUntilReady());
-        lab::handleEventsFor (options_.settle);
+        lab::handleEventsFor (m_options.settle);
         BOOST_LEAF_CHECK (measure());
         BOOST_LEAF_CHECK (measureInForce());
         BOOST_LEAF_CHECK (stop());
-        return std::move (rows_);
+        return std::move (m_rows);
     }
 
 private:
@@ -105,20 +105,20 @@
                                              std::vector<std::string> arguments)
     {
         HollowProcessPlan plan;
-        plan.program = options_.program;
+        plan.program = m_options.program;
         plan.role = role;
-        plan.filePrefix = options_.folders.run + "/" + name;
-        plan.sizes = options_.sizes;
-        plan.seed = options_.seed;
+        plan.filePrefix = m_options.folders.run + "/" + name;
+        plan.sizes = m_options.sizes;
+        plan.seed = m_options.seed;
         plan.arguments = std::move (arguments);
         return startHollowProcess (plan, kStartTimeout);
     }
 
     base::Result<void> startRunners()
     {
-        BOOST_LEAF_ASSIGN (runners_, startHollow ("scale-runners", "runners",
-                                                  { "--runner-arrivals-per-second",
-                                                    textOf (options_.runnerArrivalsPerSecond) }));
+        BOOST_LEAF_ASSIGN (m_runners, startHollow ("scale-runners", "runners",
+                                                   { "--runner-arrivals-per-second",
+                                                     textOf (m_options.runnerArrivalsPerSecond) }));
         return {};
     }
 
@@ -131,27 +131,27 @@
             spec.controllers.push_back (
                 { static_cast<base::MemberId> (index) + 1, base::ZoneName (zoneName (index)) });
         }
-        spec.extraFlags.controllers = { "--machines-address", runners_.address.toString(),
+        spec.extraFlags.controllers = { "--machines-address", m_runners.address.toString(),
                                         "--keep-alive-ms", kKeepAliveMilliseconds };
         spec.extraFlags.controllers.insert (spec.extraFlags.controllers.end(),
-                                            options_.controllerFlags.begin(),
-                                            options_.controllerFlags.end());
-        fleet_.emplace (std::move (spec), options_.folders);
-        BOOST_LEAF_CHECK (fleet_->start());
-        BOOST_LEAF_ASSIGN (leader_, lab::waitForLeader (*fleet_, kStartTimeout));
+                                            m_options.controllerFlags.begin(),
+                                            m_options.controllerFlags.end());
+        m_fleet.emplace (std::move (spec), m_options.folders);
+        BOOST_LEAF_CHECK (m_fleet->start());
+        BOOST_LEAF_ASSIGN (m_leader, lab::waitForLeader (*m_fleet, kStartTimeout));
         return {};
     }
 
     base::Result<lab::HttpRequest> changeRequest (bool waitsInForce)
     {
-        BOOST_LEAF_AUTO (address, fleet_->httpAddress (leader_));
+        BOOST_LEAF_AUTO (address, m_fleet->httpAddress (m_leader));
         lab::HttpRequest request;
         request.address = address;
         request.path = "/admin/v1/configuration?timeout_ms=60000";
         if (waitsInForce)
             request.path += "&wait=1";
         request.headers = { { "Content-Type", "application/toml" } };
-        request.body = catalogueText (options_.sizes, ++version_);
+        request.body = catalogueText (m_options.sizes, ++m_version);
         request.timeout = kChangeTimeout;
         return request;
     }
@@ -167,24 +167,24 @@
 
     base::Result<void> startRouters()
     {
-        for (std::int64_t first = 0; first < options_.sizes.routers;
-             first += options_.routersPerProcess)
+        for (std::int64_t first = 0; first < m_options.sizes.routers;
+             first += m_options.routersPerProcess)
         {
             const std::int64_t count =
-                std::min (options_.routersPerProcess, options_.sizes.routers - first);
+                std::min (m_options.routersPerProcess, m_options.sizes.routers - first);
             std::vector<std::string> arguments{
-                "--requests-per-second", textOf (options_.requestsPerSecond),
+                "--requests-per-second", textOf (m_options.requestsPerSecond),
                 "--first-router",        std::to_string (first),
                 "--router-count",        std::to_string (count)
             };
-            for (const base::SocketAddress& controller : fleet_->peerAddresses())
+            for (const base::SocketAddress& controller : m_fleet->peerAddresses())
             {
                 arguments.insert (arguments.end(), { "--controllers", controller.toString() });
             }
             BOOST_LEAF_AUTO (process,
                              startHollow ("scale-routers", "routers-" + std::to_string (first),
                                           std::move (arguments)));
-            routers_.push_back ({ std::move (process), count });
+            m_routers.push_back ({ std::move (process), count });
         }
         return {};
     }
@@ -192,7 +192,7 @@
     double readyRouters() const
     {
         double ready = 0;
-        for (const RouterProcess& routers : routers_)
+        for (const RouterProcess& routers : m_routers)
         {
             const std::string metrics = lab::fetchMetrics (routers.process.address);
             ready += lab::metricValue (metrics, "fernlift_hollow_routers_ready").value_or (0);
@@ -203,14 +203,14 @@
     /// True once every router has its lease and every kept replica is loaded.
     bool isReady() const
     {
-        if (readyRouters() < static_cast<double> (options_.sizes.routers))
+        if (readyRouters() < static_cast<double> (m_options.sizes.routers))
             return false;
-        const auto leader = fleet_->httpAddress (leader_);
+        const auto leader = m_fleet->httpAddress (m_leader);
         if (! leader)
             return false;
         const auto replicas =
             lab::metricValue (lab::fetchMetrics (leader.value()), "fernlift_controller_replicas");
-        return replicas.value_or (0) >= static_cast<double> (keptReplicas (options_.sizes));
+        return replicas.value_or (0) >= static_cast<double> (keptReplicas (m_options.sizes));
     }
 
     base::Result<void> waitUntilReady()
@@ -227,20 +227,20 @@
         if (isUp)
             return {};
         return base::fail (ErrorKind::kRequestTimeout,
-                           "the cell did not become ready; logs in " + options_.folders.run);
+                           "the cell did not become ready; logs in " + m_options.folders.run);
     }
 
     base::Result<std::vector<MeteredProcess>> meteredProcesses()
     {
         std::vector<MeteredProcess> processes;
-        for (const lab::NodeStatus& node : fleet_->status())
+        for (const lab::NodeStatus& node : m_fleet->status())
         {
             if (node.role != lab::NodeRole::kController)
                 continue;
-            const std::string role = node.name == leader_ ? "leader" : "follower";
+            const std::string role = node.name == m_leader ? "leader" : "follower";
             processes.push_back ({ role, node.processId, node.httpAddress, 1 });
         }
-        for (const RouterProcess& routers : routers_)
+        for (const RouterProcess& routers : m_routers)
         {
             processes.push_back ({ "router", routers.process.process->processId(),
                                    routers.process.address, static_cast<double> (routers.count) });
@@ -253,7 +253,7 @@
         std::vector<Reading> readings;
         for (const MeteredProcess& process : processes)
         {
-            BOOST_LEAF_AUTO (reading, readProcess (process, clock_));
+            BOOST_LEAF_AUTO (reading, readProcess (process, m_clock));
             readings.push_back (std::move (reading));
         }
         return readings;
@@ -261,15 +261,15 @@
 
     base::Result<void> measure()
     {
-        BOOST_LEAF_ASSIGN (leader_, lab::waitForLeader (*fleet_, kStartTimeout));
+        BOOST_LEAF_ASSIGN (m_leader, lab::waitForLeader (*m_fleet, kStartTimeout));
         BOOST_LEAF_AUTO (processes, meteredProcesses());
         BOOST_LEAF_AUTO (before, readAll (processes));
-        BOOST_LEAF_AUTO (runnersBefore, readProcessUse (runners_.process->processId()));
+        BOOST_LEAF_AUTO (runnersBefore, readProcessUse (m_runners.process->processId()));
         BOOST_LEAF_CHECK (changeWhileMeasuring());
         BOOST_LEAF_AUTO (after, readAll (processes));
-        BOOST_LEAF_AUTO (runnersAfter, readProcessUse (runners_.process->processId()));
-        BOOST_LEAF_AUTO (leader, lab::waitForLeader (*fleet_, kStartTimeout));
-        if (leader != leader_)
+        BOOST_LEAF_AUTO (runnersAfter, readProcessUse (m_runners.process->processId()));
+        BOOST_LEAF_AUTO (leader, lab::waitForLeader (*m_fleet, kStartTimeout));
+        if (leader != m_leader)
         {
             return base::fail (ErrorKind::kInternal, "the leader changed while it was measured");
         }
@@ -285,21 +285,22 @@
     /// Waits for the measured interval and applies changes at their rate meanwhile.
     base::Result<void> changeWhileMeasuring()
     {
-        const base::TimePoint begin = clock_.now();
-        const base::TimePoint end = begin + options_.measure;
-        const double perSecond = static_cast<double> (options_.sizes.changesPerDay) / kSecondsInDay;
+        const base::TimePoint begin = m_clock.now();
+        const base::TimePoint end = begin + m_options.measure;
+        const double perSecond =
+            static_cast<double> (m_options.sizes.changesPerDay) / kSecondsInDay;
         std::vector<std::unique_ptr<Change>> changes;
-        while (clock_.now() < end)
+        while (m_clock.now() < end)
         {
             const double due =
-                std::chrono::duration<double> (clock_.now() - begin).count() * perSecond;
+                std::chrono::duration<double> (m_clock.now() - begin).count() * perSecond;
             if (static_cast<double> (changes.size()) + 1 <= due)
             {
                 BOOST_LEAF_AUTO (request, changeRequest (false));
                 auto change = std::make_unique<Change>();
                 Change* state = change.get();
                 change->call = std::make_unique<lab::HttpCall> (
-                    client_, request,
+                    m_client, request,
                     [state] (const lab::HttpOutcome& outcome) { state->outcome = outcome; });
                 changes.push_back (std::move (change));
             }
@@ -351,7 +352,7 @@
         int missed = 0;
         while (static_cast<int> (times.size()) < kChangesAfterMeasuring && missed < kMissedChanges)
         {
-            BOOST_LEAF_ASSIGN (leader_, lab::waitForLeader (*fleet_, kStartTimeout));
+            BOOST_LEAF_ASSIGN (m_leader, lab::waitForLeader (*m_fleet, kStartTimeout));
             BOOST_LEAF_AUTO (request, changeRequest (true));
             const lab::HttpOutcome outcome = lab::callAndWait (request);
             if (outcome.status == kOk)
@@ -374,13 +375,13 @@
 
     base::Result<void> stop()
     {
-        for (const RouterProcess& routers : routers_)
+        for (const RouterProcess& routers : m_routers)
             routers.process.process->requestStop();
-        for (const RouterProcess& routers : routers_)
+        for (const RouterProcess& routers : m_routers)
             endProcess (*routers.process.process);
-        runners_.process->requestStop();
-        endProcess (*runners_.process);
-        return fleet_->stop();
+        m_runners.process->requestStop();
+        endProcess (*m_runners.process);
+        return m_fleet->stop();
     }
 
     static void endProcess (lab::ChildProcess& process)
@@ -391,19 +392,19 @@
 
     void add (const std::string& role, const std::string& quantity, double value)
     {
-        rows_.push_back (
-            { options_.dimension, options_.sizes, options_.size, role, quantity, value });
+        m_rows.push_back (
+            { m_options.dimension, m_options.sizes, m_options.size, role, quantity, value });
     }
 
-    const StepOptions& options_;
-    http::Client client_;
-    base::SystemClock clock_;
-    HollowProcess runners_;
-    std::vector<RouterProcess> routers_;
-    std::optional<lab::Fleet> fleet_;
-    std::string leader_;
-    std::uint64_t version_ = 0;
-    std::vector<Measurement> rows_;
+    const StepOptions& m_options;
+    http::Client m_client;
+    base::SystemClock m_clock;
+    HollowProcess m_runners;
+    std::vector<RouterProcess> m_routers;
+    std::optional<lab::Fleet> m_fleet;
+    std::string m_leader;
+    std::uint64_t m_version = 0;
+    std::vector<Measurement> m_rows;
 };
 
 }  // namespace
--- a/src/sim/ApplicationNode.cpp
+++ b/src/sim/ApplicationNode.cpp
@@ -29,33 +29,33 @@
     options.slots = 8;
     options.maximumWaiting = 32;
     options.serviceTime = kServiceTime;
-    model_.emplace (options);
+    m_model.emplace (options);
 }
 
 void ApplicationNode::onKilled()
 {
-    formerRuns_ = requestsRun();
-    formerKeyCounts_ = keyCounts();
-    answers_.clear();
-    model_.reset();
+    m_formerRuns = requestsRun();
+    m_formerKeyCounts = keyCounts();
+    m_answers.clear();
+    m_model.reset();
 }
 
 std::set<std::string> ApplicationNode::requestsRun() const
 {
-    std::set<std::string> all = formerRuns_;
-    if (! model_)
+    std::set<std::string> all = m_formerRuns;
+    if (! m_model)
         return all;
-    for (const standin::LedgerEntry& entry : model_->ledger())
+    for (const standin::LedgerEntry& entry : m_model->ledger())
         all.insert (entry.requestId);
     return all;
 }
 
 std::map<std::string, std::uint64_t> ApplicationNode::keyCounts() const
 {
-    std::map<std::string, std::uint64_t> counts = formerKeyCounts_;
-    if (! model_)
+    std::map<std::string, std::uint64_t> counts = m_formerKeyCounts;
+    if (! m_model)
         return counts;
-    for (const auto& [key, count] : model_->keyCounts())
+    for (const auto& [key, count] : m_model->keyCounts())
         counts[key] += count;
     return counts;
 }
@@ -65,35 +65,35 @@
 engine::Report ApplicationNode::report()
 {
     settle();
-    return model_->report();
+    return m_model->report();
 }
 
 void ApplicationNode::setLeaving (bool isLeaving)
 {
-    if (model_)
-        model_->setLeaving (isLeaving);
+    if (m_model)
+        m_model->setLeaving (isLeaving);
 }
 
 bool ApplicationNode::isBusy()
 {
-    if (! model_)
+    if (! m_model)
         return false;
-    const engine::Report now = model_->report();
+    const engine::Report now = m_model->report();
     return now.runningRequests + now.waitingRequests > 0;
 }
 
 void ApplicationNode::setFaults (const standin::ApplicationFaults& faults)
 {
-    if (model_)
-        model_->setFaults (faults);
+    if (m_model)
+        m_model->setFaults (faults);
 }
 
 void ApplicationNode::submit (Attempt attempt)
 {
-    model_->advance (queue().now());
+    m_model->advance (queue().now());
     const router::RequestHead& head = attempt.request->head;
     const standin::SubmitOutcome outcome =
-        model_->submit ({ head.id.value, head.idempotencyKey.value, head.target }, queue().now());
+        m_model->submit ({ head.id.value, head.idempotencyKey.value, head.target }, queue().now());
     if (! outcome.accepted)
     {
         attempt.tell (router::AttemptRefused{ kRefusedStatus, isLeaving(), std::nullopt });
@@ -105,24 +105,24 @@
                                      postTo (life,
                                              [this, handle]
                                              {
-                                                 answers_.erase (handle);
-                                                 model_->cancel (handle);
+                                                 m_answers.erase (handle);
+                                                 m_model->cancel (handle);
                                              });
                                  });
-    answers_.emplace (outcome.handle, std::move (attempt));
+    m_answers.emplace (outcome.handle, std::move (attempt));
     settle();
 }
 
 void ApplicationNode::settle()
 {
-    model_->advance (queue().now());
-    for (const standin::ApplicationDone& done : model_->takeDone())
+    m_model->advance (queue().now());
+    for (const standin::ApplicationDone& done : m_model->takeDone())
     {
-        const auto found = answers_.find (done.handle);
-        if (found == answers_.end())
+        const auto found = m_answers.find (done.handle);
+        if (found == m_answers.end())
             continue;
         const Attempt attempt = std::move (found->second);
-        answers_.erase (found);
+        m_answers.erase (found);
         attempt.connection->onEnded (Side::kAcceptor, nullptr);
         if (done.closesWithoutAnswer)
         {
@@ -139,13 +139,13 @@
 
 void ApplicationNode::armWake()
 {
-    const auto next = model_->nextEvent();
+    const auto next = m_model->nextEvent();
     if (! next)
         return;
     queue().at (*next,
-                [this, life = life(), number = ++wakeNumber_]
+                [this, life = life(), number = ++m_wakeNumber]
                 {
-                    if (number != wakeNumber_)
+                    if (number != m_wakeNumber)
                         return;
                     postTo (life, [this] { settle(); });
                 });
--- a/src/sim/ApplicationNode.h
+++ b/src/sim/ApplicationNode.h
@@ -23,7 +23,7 @@
     engine::Report report() override;
     void submit (Attempt attempt) override;
     void setLeaving (bool isLeaving) override;
-    [[nodiscard]] bool isLeaving() const override { return model_ && model_->isLeaving(); }
+    [[nodiscard]] bool isLeaving() const override { return m_model && m_model->isLeaving(); }
     [[nodiscard]] bool isBusy() override;
 
     void setFaults (const standin::ApplicationFaults& faults);
@@ -38,11 +38,11 @@
     void settle();
     void armWake();
 
-    std::optional<standin::ApplicationModel> model_;
-    std::map<standin::RequestHandle, Attempt> answers_;
-    std::uint64_t wakeNumber_ = 0;
-    std::set<std::string> formerRuns_;
-    std::map<std::string, std::uint64_t> formerKeyCounts_;
+    std::optional<standin::ApplicationModel> m_model;
+    std::map<standin::RequestHandle, Attempt> m_answers;
+    std::uint64_t m_wakeNumber = 0;
+    std::set<std::string> m_formerRuns;
+    std::map<std::string, std::uint64_t> m_formerKeyCounts;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/BackEnd.cpp
+++ b/src/sim/BackEnd.cpp
@@ -16,8 +16,8 @@
 
 BackEnd::BackEnd (World& world, NodeId node, const std::string& name, engine::Machine machine)
     : Process (world.network, world.trace, node, name, drawDrift (world.random)),
-      world_ (world),
-      machine_ (std::move (machine))
+      m_world (world),
+      m_machine (std::move (machine))
 {
 }
 
--- a/src/sim/BackEnd.h
+++ b/src/sim/BackEnd.h
@@ -46,27 +46,27 @@
     [[nodiscard]] virtual bool isLeaving() const = 0;
     [[nodiscard]] virtual bool isBusy() = 0;
 
-    [[nodiscard]] const engine::Machine& machine() const { return machine_; }
-    [[nodiscard]] base::Incarnation incarnation() const { return incarnation_; }
+    [[nodiscard]] const engine::Machine& machine() const { return m_machine; }
+    [[nodiscard]] base::Incarnation incarnation() const { return m_incarnation; }
     /// The machine was reclaimed and another one of the same size, with another name and address,
     /// takes its place.
     void replaceMachine (const base::RunnerId& runner, const std::string& address)
     {
-        machine_.runner = runner;
-        machine_.address = address;
+        m_machine.runner = runner;
+        m_machine.address = address;
     }
 
 protected:
-    [[nodiscard]] World& world() { return world_; }
+    [[nodiscard]] World& world() { return m_world; }
     void drawIncarnation()
     {
-        incarnation_ = static_cast<base::Incarnation> (random().bits() >> 11);
+        m_incarnation = static_cast<base::Incarnation> (random().bits() >> 11);
     }
 
 private:
-    World& world_;
-    engine::Machine machine_;
-    base::Incarnation incarnation_ = 0;
+    World& m_world;
+    engine::Machine m_machine;
+    base::Incarnation m_incarnation = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/Callers.cpp
+++ b/src/sim/Callers.cpp
@@ -30,7 +30,7 @@
 
 void Callers::begin (base::TimePoint end)
 {
-    for (std::size_t router = 0; router < world_.routers.size(); ++router)
+    for (std::size_t router = 0; router < m_world.routers.size(); ++router)
     {
         scheduleNext (router, end);
     }
@@ -38,27 +38,27 @@
 
 void Callers::scheduleNext (std::size_t router, base::TimePoint end)
 {
-    const double mean = static_cast<double> (world_.options.meanRequestInterval.count());
+    const double mean = static_cast<double> (m_world.options.meanRequestInterval.count());
     const auto pause =
-        base::Duration (static_cast<std::int64_t> (world_.random.exponential (mean)));
-    world_.queue.after (pause,
-                        [this, router, end]
-                        {
-                            if (world_.now() >= end)
-                                return;
-                            sendNew (router);
-                            scheduleNext (router, end);
-                        });
+        base::Duration (static_cast<std::int64_t> (m_world.random.exponential (mean)));
+    m_world.queue.after (pause,
+                         [this, router, end]
+                         {
+                             if (m_world.now() >= end)
+                                 return;
+                             sendNew (router);
+                             scheduleNext (router, end);
+                         });
 }
 
 CallerRequestPointer Callers::makeRequest (const SimulatedTarget& target)
 {
     auto request = std::make_shared<CallerRequest>();
     router::RequestHead& head = request->head;
-    const std::string number = std::to_string (++lastId_);
+    const std::string number = std::to_string (++m_lastId);
     head.id = base::RequestId ("request-" + number);
     head.target = target.name;
-    head.caller = "caller-" + std::to_string (world_.random.uniformInteger (1, 5));
+    head.caller = "caller-" + std::to_string (m_world.random.uniformInteger (1, 5));
     head.bodyBytes = 200;
     request->deadline = base::milliseconds (target.deadlineMilliseconds);
     if (target.isApplication)
@@ -70,9 +70,9 @@
     }
     else
     {
-        head.isStreaming = world_.random.chance (0.6);
+        head.isStreaming = m_world.random.chance (0.6);
         request->prompt = "user: question " + number + "\n";
-        request->maxTokens = static_cast<std::uint64_t> (world_.random.uniformInteger (2, 24));
+        request->maxTokens = static_cast<std::uint64_t> (m_world.random.uniformInteger (2, 24));
         request->expectedText =
             standin::expectedAnswer (head.target, request->prompt, request->maxTokens);
     }
@@ -83,59 +83,60 @@
 void Callers::sendNew (std::size_t router)
 {
     const auto& targets = simulatedTargets();
-    const bool isApplication = world_.random.chance (kApplicationShare);
+    const bool isApplication = m_world.random.chance (kApplicationShare);
     // A few targets are wanted often, most seldom.
-    const double skewed = world_.random.uniformReal() * world_.random.uniformReal();
+    const double skewed = m_world.random.uniformReal() * m_world.random.uniformReal();
     const auto models = static_cast<double> (targets.size() - 2);
-    const std::size_t number = isApplication ? static_cast<std::size_t> (world_.random.chance (0.4))
-                                             : 2 + static_cast<std::size_t> (skewed * models);
+    const std::size_t number = isApplication
+                                   ? static_cast<std::size_t> (m_world.random.chance (0.4))
+                                   : 2 + static_cast<std::size_t> (skewed * models);
     const CallerRequestPointer request = makeRequest (targets[number]);
     send (router, request);
-    if (! request->head.idempotencyKey.empty() && world_.random.chance (0.1))
+    if (! request->head.idempotencyKey.empty() && m_world.random.chance (0.1))
         sendAgain (request);
 }
 
 void Callers::send (std::size_t router, const CallerRequestPointer& request, bool isPatient)
 {
-    history_.push_back (request);
+    m_history.push_back (request);
     request->router = router;
-    RouterNode* node = world_.routers[router].get();
+    RouterNode* node = m_world.routers[router].get();
     if (! node->isAlive())
     {
         onRouterLost (request);
         return;
     }
     request->routerLife = node->life();
-    world_.queue.after (base::milliseconds (1),
-                        [this, node, request, life = node->life()]
-                        {
-                            if (! node->isAlive() || life != node->life())
-                            {
-                                onRouterLost (request);
-                                return;
-                            }
-                            node->post ([node, request] { node->onRequest (request); });
-                        });
-    if (isPatient || ! world_.random.chance (kLeavingShare))
+    m_world.queue.after (base::milliseconds (1),
+                         [this, node, request, life = node->life()]
+                         {
+                             if (! node->isAlive() || life != node->life())
+                             {
+                                 onRouterLost (request);
+                                 return;
+                             }
+                             node->post ([node, request] { node->onRequest (request); });
+                         });
+    if (isPatient || ! m_world.random.chance (kLeavingShare))
         return;
-    const auto stays = base::Duration (world_.random.uniformInteger (1000, 1'500'000));
-    world_.queue.after (stays,
-                        [node, request, life = node->life()]
-                        {
-                            if (request->isOver())
-                                return;
-                            node->postTo (life, [node, request] { node->onCallerGone (request); });
-                        });
+    const auto stays = base::Duration (m_world.random.uniformInteger (1000, 1'500'000));
+    m_world.queue.after (stays,
+                         [node, request, life = node->life()]
+                         {
+                             if (request->isOver())
+                                 return;
+                             node->postTo (life, [node, request] { node->onCallerGone (request); });
+                         });
 }
 
 void Callers::burst()
 {
     const auto& targets = simulatedTargets();
-    if (world_.random.chance (0.5))
+    if (m_world.random.chance (0.5))
     {
         for (const SimulatedTarget& target : targets)
         {
-            for (std::size_t router = 0; router < world_.routers.size(); router += 2)
+            for (std::size_t router = 0; router < m_world.routers.size(); router += 2)
             {
                 send (router, makeRequest (target));
             }
@@ -143,8 +144,8 @@
         return;
     }
     const auto number = static_cast<std::size_t> (
-        world_.random.uniformInteger (0, static_cast<std::int64_t> (targets.size()) - 1));
-    for (std::size_t router = 0; router < world_.routers.size(); ++router)
+        m_world.random.uniformInteger (0, static_cast<std::int64_t> (targets.size()) - 1));
+    for (std::size_t router = 0; router < m_world.routers.size(); ++router)
     {
         for (int copy = 0; copy < 4; ++copy)
             send (router, makeRequest (targets[number]));
@@ -157,14 +158,14 @@
         return;
     auto again = std::make_shared<CallerRequest>();
     again->head = request->head;
-    again->head.id = base::RequestId ("request-" + std::to_string (++lastId_));
+    again->head.id = base::RequestId ("request-" + std::to_string (++m_lastId));
     again->expectedText = request->expectedText;
     again->deadline = request->deadline;
     again->repetition = request->repetition + 1;
-    const auto pause = base::Duration (world_.random.uniformInteger (0, 2'000'000));
+    const auto pause = base::Duration (m_world.random.uniformInteger (0, 2'000'000));
     const auto router = static_cast<std::size_t> (
-        world_.random.uniformInteger (0, static_cast<std::int64_t> (world_.routers.size()) - 1));
-    world_.queue.after (pause, [this, router, again] { send (router, again); });
+        m_world.random.uniformInteger (0, static_cast<std::int64_t> (m_world.routers.size()) - 1));
+    m_world.queue.after (pause, [this, router, again] { send (router, again); });
 }
 
 void Callers::onRouterLost (const CallerRequestPointer& request)
@@ -177,9 +178,9 @@
 void Callers::onArrived (RouterNode& router, const CallerRequestPointer& request)
 {
     const base::Duration allowed = request->deadline + kAnswerSlack;
-    world_.queue.after (allowed,
-                        [this, &router, request, life = router.life(), frozen = router.frozenTime()]
-                        { checkInTime (router, life, frozen, request); });
+    m_world.queue.after (
+        allowed, [this, &router, request, life = router.life(), frozen = router.frozenTime()]
+        { checkInTime (router, life, frozen, request); });
 }
 
 void Callers::checkInTime (RouterNode& router, std::uint64_t life, base::Duration frozenBefore,
@@ -191,26 +192,26 @@
     const base::Duration frozen = router.frozenTime() - frozenBefore;
     if (frozen > base::Duration::zero())
     {
-        world_.queue.after (frozen, [this, &router, request, life, now = router.frozenTime()]
-                            { checkInTime (router, life, now, request); });
+        m_world.queue.after (frozen, [this, &router, request, life, now = router.frozenTime()]
+                             { checkInTime (router, life, now, request); });
         return;
     }
-    world_.violations.add (kOneAnswer, request->head.id.value + " for " + request->head.target
-                                           + " at " + router.name() + " has no answer in time: "
-                                           + router.core()->explainRequest (request->head.id));
+    m_world.violations.add (kOneAnswer, request->head.id.value + " for " + request->head.target
+                                            + " at " + router.name() + " has no answer in time: "
+                                            + router.core()->explainRequest (request->head.id));
 }
 
 void Callers::onFinal (RouterNode& router, const CallerRequestPointer& request)
 {
     if (request->finals > 1)
     {
-        world_.violations.add (kOneAnswer, request->head.id.value + " got "
-                                               + std::to_string (request->finals)
-                                               + " final answers from " + router.name());
+        m_world.violations.add (kOneAnswer, request->head.id.value + " got "
+                                                + std::to_string (request->finals)
+                                                + " final answers from " + router.name());
     }
     checkText (request);
     const bool isUnrepeatable = ! request->head.idempotencyKey.empty();
-    if (isUnrepeatable && request->error && world_.random.chance (0.6))
+    if (isUnrepeatable && request->error && m_world.random.chance (0.6))
         sendAgain (request);
 }
 
@@ -222,44 +223,44 @@
                              : request->expectedText.starts_with (request->text);
     if (isRight)
         return;
-    world_.violations.add (kWholeText, request->head.id.value + " for " + request->head.target
-                                           + " got '" + request->text + "' instead of '"
-                                           + request->expectedText + "'");
+    m_world.violations.add (kWholeText, request->head.id.value + " for " + request->head.target
+                                            + " got '" + request->text + "' instead of '"
+                                            + request->expectedText + "'");
 }
 
 void Callers::checkLedgers()
 {
     std::set<std::string> run;
     std::map<std::string, std::uint64_t> keys;
-    for (const auto& engine : world_.engines)
+    for (const auto& engine : m_world.engines)
         run.merge (engine->requestsRun());
-    for (const auto& application : world_.applications)
+    for (const auto& application : m_world.applications)
     {
         run.merge (application->requestsRun());
         for (const auto& [key, count] : application->keyCounts())
             keys[key] += count;
     }
-    for (const CallerRequestPointer& request : history_)
+    for (const CallerRequestPointer& request : m_history)
     {
         const bool saidNotRun = request->error && request->execution == base::Execution::kNotRun;
         if (! saidNotRun || ! run.contains (request->head.id.value))
             continue;
-        world_.violations.add ("'not run' is true",
-                               request->head.id.value + " for " + request->head.target
-                                   + " is in a ledger; its answer was " + request->error->message);
+        m_world.violations.add ("'not run' is true",
+                                request->head.id.value + " for " + request->head.target
+                                    + " is in a ledger; its answer was " + request->error->message);
     }
     for (const auto& [key, count] : keys)
     {
         if (count <= 1)
             continue;
-        world_.violations.add ("no key runs twice",
-                               key + " ran " + std::to_string (count) + " times");
+        m_world.violations.add ("no key runs twice",
+                                key + " ran " + std::to_string (count) + " times");
     }
 }
 
 void Callers::checkQueues()
 {
-    for (const auto& router : world_.routers)
+    for (const auto& router : m_world.routers)
     {
         if (! router->isAlive() || router->isFrozen())
             continue;
@@ -267,45 +268,45 @@
         const std::uint64_t ended = counters.answered + counters.refused + counters.callersGone;
         if (counters.open != 0 || counters.admitted != ended || ! router->core()->isIdle())
         {
-            world_.violations.add ("nothing is left in any queue",
-                                   router->name() + " has " + std::to_string (counters.open)
-                                       + " open requests, " + std::to_string (counters.admitted)
-                                       + " admitted, " + std::to_string (ended) + " ended");
+            m_world.violations.add ("nothing is left in any queue",
+                                    router->name() + " has " + std::to_string (counters.open)
+                                        + " open requests, " + std::to_string (counters.admitted)
+                                        + " admitted, " + std::to_string (ended) + " ended");
         }
     }
     const auto checkBackEnd = [this] (BackEnd& backEnd)
     {
         if (! backEnd.isAlive() || ! backEnd.isBusy())
             return;
-        world_.violations.add ("nothing is left in any queue",
-                               backEnd.name() + " still has requests");
+        m_world.violations.add ("nothing is left in any queue",
+                                backEnd.name() + " still has requests");
     };
-    for (const auto& engine : world_.engines)
+    for (const auto& engine : m_world.engines)
         checkBackEnd (*engine);
-    for (const auto& application : world_.applications)
+    for (const auto& application : m_world.applications)
         checkBackEnd (*application);
 }
 
 void Callers::checkEnd()
 {
-    for (const CallerRequestPointer& request : history_)
+    for (const CallerRequestPointer& request : m_history)
     {
         const bool waitedAtKilledRouter =
             ! request->hasReachedRouter
-            && world_.routers[request->router]->life() != request->routerLife;
+            && m_world.routers[request->router]->life() != request->routerLife;
         if (request->isOver() || waitedAtKilledRouter)
             continue;
-        world_.violations.add (kOneAnswer, request->head.id.value + " for " + request->head.target
-                                               + " never got a final answer");
+        m_world.violations.add (kOneAnswer, request->head.id.value + " for " + request->head.target
+                                                + " never got a final answer");
     }
-    for (const CallerRequestPointer& probe : probes_)
+    for (const CallerRequestPointer& probe : m_probes)
     {
         if (probe->finals == 1 && ! probe->error)
             continue;
-        world_.violations.add ("the cell heals",
-                               "a request for " + probe->head.target + " at router "
-                                   + std::to_string (probe->router + 1) + " is not served: "
-                                   + (probe->error ? probe->error->message : "no answer"));
+        m_world.violations.add ("the cell heals",
+                                "a request for " + probe->head.target + " at router "
+                                    + std::to_string (probe->router + 1) + " is not served: "
+                                    + (probe->error ? probe->error->message : "no answer"));
     }
     checkLedgers();
     checkQueues();
@@ -314,7 +315,7 @@
 RequestTotals Callers::totals() const
 {
     RequestTotals totals;
-    for (const CallerRequestPointer& request : history_)
+    for (const CallerRequestPointer& request : m_history)
     {
         ++totals.sent;
         if (request->finals > 0 && ! request->error)
@@ -340,13 +341,13 @@
 
 void Callers::sendProbes()
 {
-    for (std::size_t router = 0; router < world_.routers.size(); ++router)
+    for (std::size_t router = 0; router < m_world.routers.size(); ++router)
     {
         const auto& targets = simulatedTargets();
         for (std::size_t number = 0; number < kProbedTargets; ++number)
         {
             const CallerRequestPointer request = makeRequest (targets[number]);
-            probes_.push_back (request);
+            m_probes.push_back (request);
             send (router, request, true);
         }
     }
--- a/src/sim/Callers.h
+++ b/src/sim/Callers.h
@@ -29,7 +29,7 @@
 class Callers
 {
 public:
-    explicit Callers (World& world) : world_ (world) {}
+    explicit Callers (World& world) : m_world (world) {}
 
     /// Sends requests until `end`.
     void begin (base::TimePoint end);
@@ -58,10 +58,10 @@
     void checkLedgers();
     void checkQueues();
 
-    World& world_;
-    std::vector<CallerRequestPointer> history_;
-    std::vector<CallerRequestPointer> probes_;
-    std::uint64_t lastId_ = 0;
+    World& m_world;
+    std::vector<CallerRequestPointer> m_history;
+    std::vector<CallerRequestPointer> m_probes;
+    std::uint64_t m_lastId = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/ConfigurationChecker.cpp
+++ b/src/sim/ConfigurationChecker.cpp
@@ -32,22 +32,22 @@
     const auto& outcome = std::get<cell::ConfigurationResult> (result);
     if (outcome.outcome != cell::ConfigurationOutcome::kAccepted)
         return;
-    world_.note ("configuration " + describe (apply->version, apply->digest) + " accepted");
-    accepted_.push_back ({ apply->version, apply->digest, world_.now() });
+    m_world.note ("configuration " + describe (apply->version, apply->digest) + " accepted");
+    m_accepted.push_back ({ apply->version, apply->digest, m_world.now() });
 }
 
 // Accepted versions only grow, so both searches may halve the list.
 
 const ConfigurationChecker::Accepted* ConfigurationChecker::find (std::uint64_t version) const
 {
-    const auto found = std::ranges::lower_bound (accepted_, version, {}, &Accepted::version);
-    return found == accepted_.end() || found->version != version ? nullptr : &*found;
+    const auto found = std::ranges::lower_bound (m_accepted, version, {}, &Accepted::version);
+    return found == m_accepted.end() || found->version != version ? nullptr : &*found;
 }
 
 std::optional<base::TimePoint> ConfigurationChecker::replacedAt (std::uint64_t version) const
 {
-    const auto next = std::ranges::upper_bound (accepted_, version, {}, &Accepted::version);
-    if (next == accepted_.end())
+    const auto next = std::ranges::upper_bound (m_accepted, version, {}, &Accepted::version);
+    if (next == m_accepted.end())
         return std::nullopt;
     return next->at;
 }
@@ -64,8 +64,8 @@
 {
     if (router.core()->isReady())
         return;
-    world_.violations.add ("nothing is admitted without a lease",
-                           router.name() + " sent a new request to a back end");
+    m_world.violations.add ("nothing is admitted without a lease",
+                            router.name() + " sent a new request to a back end");
 }
 
 void ConfigurationChecker::checkRouter (RouterNode& router)
@@ -75,28 +75,28 @@
     const Accepted* accepted = find (version);
     if (accepted == nullptr || accepted->digest != digest)
     {
-        world_.violations.add ("only accepted configurations are served",
-                               router.name() + " serves from " + describe (version, digest));
+        m_world.violations.add ("only accepted configurations are served",
+                                router.name() + " serves from " + describe (version, digest));
         return;
     }
-    std::uint64_t& served = servedByRouter_[router.name()];
+    std::uint64_t& served = m_servedByRouter[router.name()];
     if (version < served)
     {
-        world_.violations.add (kNeverBack, router.name() + " went from " + std::to_string (served)
-                                               + " to " + std::to_string (version));
+        m_world.violations.add (kNeverBack, router.name() + " went from " + std::to_string (served)
+                                                + " to " + std::to_string (version));
     }
     served = std::max (served, version);
-    if (version < everywhereVersion_)
+    if (version < m_everywhereVersion)
     {
-        world_.violations.add (kNeverBack, router.name() + " serves from "
-                                               + std::to_string (version) + " although "
-                                               + std::to_string (everywhereVersion_)
-                                               + " was said to be in force everywhere");
+        m_world.violations.add (kNeverBack, router.name() + " serves from "
+                                                + std::to_string (version) + " although "
+                                                + std::to_string (m_everywhereVersion)
+                                                + " was said to be in force everywhere");
     }
     const auto replaced = replacedAt (version);
-    if (! replaced || world_.now() - *replaced <= kLeaseWithDrift)
+    if (! replaced || m_world.now() - *replaced <= kLeaseWithDrift)
         return;
-    world_.violations.add (
+    m_world.violations.add (
         "a lease ends with its configuration",
         router.name() + " serves from " + std::to_string (version) + ", replaced long ago");
 }
@@ -108,8 +108,8 @@
     checkOrder (record, answer);
     if (answer.isInForceEverywhere)
     {
-        everywhereVersion_ = std::max (everywhereVersion_, answer.inForceVersion);
-        for (const auto& router : world_.routers)
+        m_everywhereVersion = std::max (m_everywhereVersion, answer.inForceVersion);
+        for (const auto& router : m_world.routers)
         {
             if (router->isReadyNow())
                 checkRouter (*router);
@@ -123,9 +123,9 @@
     const std::string call = record.call == OperatorCall::kApply
                                  ? "apply of " + describe (record.version, record.digest)
                                  : "read";
-    world_.violations.add (invariant, call + " answered '" + answer.result + "' with "
-                                          + describe (answer.inForceVersion, answer.inForceDigest)
-                                          + " in force: " + problem);
+    m_world.violations.add (invariant, call + " answered '" + answer.result + "' with "
+                                           + describe (answer.inForceVersion, answer.inForceDigest)
+                                           + " in force: " + problem);
 }
 
 /// What an answer names must have been accepted, and must fit to what was sent.
@@ -169,32 +169,32 @@
         return;
     // Each entry tells a higher version at a later time than the one before.
     const auto after =
-        std::ranges::lower_bound (told_, record.sentAt, {}, &decltype (told_)::value_type::first);
-    const std::uint64_t known = after == told_.begin() ? 0 : std::prev (after)->second;
+        std::ranges::lower_bound (m_told, record.sentAt, {}, &decltype (m_told)::value_type::first);
+    const std::uint64_t known = after == m_told.begin() ? 0 : std::prev (after)->second;
     if (known > answer.inForceVersion)
     {
         violate (kAnswers, record, answer,
                  "version " + std::to_string (known) + " was told before the call");
     }
-    const bool isNew = told_.empty() || answer.inForceVersion > told_.back().second;
+    const bool isNew = m_told.empty() || answer.inForceVersion > m_told.back().second;
     if (isNew)
-        told_.emplace_back (world_.now(), answer.inForceVersion);
+        m_told.emplace_back (m_world.now(), answer.inForceVersion);
 }
 
 void ConfigurationChecker::checkEnd()
 {
-    for (const auto& router : world_.routers)
+    for (const auto& router : m_world.routers)
     {
         if (! router->isAlive() || router->isFrozen())
             continue;
         const std::uint64_t version = router->core()->configurationVersion();
         const bool isLatest =
-            router->isReadyNow() && ! accepted_.empty() && version == accepted_.back().version;
+            router->isReadyNow() && ! m_accepted.empty() && version == m_accepted.back().version;
         if (isLatest)
             continue;
-        world_.violations.add ("every live router reaches the latest configuration",
-                               router->name() + " has " + std::to_string (version)
-                                   + (router->isReadyNow() ? "" : " and no lease"));
+        m_world.violations.add ("every live router reaches the latest configuration",
+                                router->name() + " has " + std::to_string (version)
+                                    + (router->isReadyNow() ? "" : " and no lease"));
     }
 }
 
--- a/src/sim/ConfigurationChecker.h
+++ b/src/sim/ConfigurationChecker.h
@@ -44,7 +44,7 @@
 class ConfigurationChecker
 {
 public:
-    explicit ConfigurationChecker (World& world) : world_ (world) {}
+    explicit ConfigurationChecker (World& world) : m_world (world) {}
 
     void onCommitted (const cell::Command& command, const cell::ApplyResult& result);
     void onRouterStarted (RouterNode& router);
@@ -56,7 +56,7 @@
     /// Once the cell has healed: every live router serves from the latest file.
     void checkEnd();
 
-    [[nodiscard]] std::uint64_t latestVersion() const { return accepted_.size(); }
+    [[nodiscard]] std::uint64_t latestVersion() const { return m_accepted.size(); }
 
 private:
     struct Accepted
@@ -75,12 +75,12 @@
     void violate (const std::string& invariant, const OperatorRecord& record,
                   const OperatorAnswer& answer, const std::string& problem);
 
-    World& world_;
-    std::vector<Accepted> accepted_;  ///< In the order of acceptance.
+    World& m_world;
+    std::vector<Accepted> m_accepted;  ///< In the order of acceptance.
     /// Highest version that an answer told, with the time of the answer.
-    std::vector<std::pair<base::TimePoint, std::uint64_t>> told_;
-    std::map<std::string, std::uint64_t> servedByRouter_;
-    std::uint64_t everywhereVersion_ = 0;
+    std::vector<std::pair<base::TimePoint, std::uint64_t>> m_told;
+    std::map<std::string, std::uint64_t> m_servedByRouter;
+    std::uint64_t m_everywhereVersion = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/ConsensusChecker.cpp
+++ b/src/sim/ConsensusChecker.cpp
@@ -32,17 +32,17 @@
 
 void ConsensusChecker::onStarted (base::MemberId member, const consensus::RecoveredState& recovered)
 {
-    MemberLog& log = logs_[member];
+    MemberLog& log = m_logs[member];
     log = MemberLog();
     for (const consensus::Entry& entry : recovered.entries)
         log.entries[entry.index] = entry;
 }
 
-void ConsensusChecker::onEnded (base::MemberId member) { logs_[member].holdsLease = false; }
+void ConsensusChecker::onEnded (base::MemberId member) { m_logs[member].holdsLease = false; }
 
 void ConsensusChecker::onPersist (base::MemberId member, const consensus::PersistRequest& request)
 {
-    auto& entries = logs_[member].entries;
+    auto& entries = m_logs[member].entries;
     if (request.truncateFrom)
     {
         entries.erase (entries.lower_bound (*request.truncateFrom), entries.end());
@@ -54,22 +54,22 @@
 void ConsensusChecker::onProgress (ControllerNode& controller)
 {
     const consensus::RaftStatus status = controller.core().raftStatus();
-    MemberLog& log = logs_[controller.member()];
+    MemberLog& log = m_logs[controller.member()];
     if (status.appliedIndex > log.checkedIndex)
         checkApplied (controller.member(), log, status);
     if (status.role == consensus::Role::kLeader)
     {
-        const auto [leader, isNew] = leaders_.emplace (status.term, status.self);
+        const auto [leader, isNew] = m_leaders.emplace (status.term, status.self);
         if (isNew)
         {
-            world_.note (memberName (status.self) + " leads term " + std::to_string (status.term));
+            m_world.note (memberName (status.self) + " leads term " + std::to_string (status.term));
         }
         else if (leader->second != status.self)
         {
-            world_.violations.add ("one leader a term",
-                                   "term " + std::to_string (status.term) + " is led by "
-                                       + memberName (leader->second) + " and by "
-                                       + memberName (status.self));
+            m_world.violations.add ("one leader a term",
+                                    "term " + std::to_string (status.term) + " is led by "
+                                        + memberName (leader->second) + " and by "
+                                        + memberName (status.self));
         }
     }
     checkLeases (controller, status);
@@ -83,83 +83,83 @@
         const auto found = log.entries.find (index);
         if (found == log.entries.end())
             continue;  // Covered by a snapshot it received.
-        if (index == committed_.size() + 1)
+        if (index == m_committed.size() + 1)
         {
             commit (found->second);
         }
-        else if (index <= committed_.size() && ! (committed_[index - 1] == found->second))
+        else if (index <= m_committed.size() && ! (m_committed[index - 1] == found->second))
         {
-            world_.violations.add (
+            m_world.violations.add (
                 "committed log equal at all members",
                 memberName (member) + " applied another entry at index " + std::to_string (index));
         }
     }
     log.checkedIndex = status.appliedIndex;
-    if (status.appliedIndex > committed_.size())
+    if (status.appliedIndex > m_committed.size())
     {
-        world_.violations.add ("committed log equal at all members",
-                               memberName (member) + " is ahead of every log");
+        m_world.violations.add ("committed log equal at all members",
+                                memberName (member) + " is ahead of every log");
     }
 }
 
 void ConsensusChecker::onVoteSent (const consensus::Message& message)
 {
-    const auto [vote, isNew] = votes_.emplace (std::pair (message.from, message.term), message.to);
+    const auto [vote, isNew] = m_votes.emplace (std::pair (message.from, message.term), message.to);
     if (isNew || vote->second == message.to)
         return;
-    world_.violations.add ("one vote a term", memberName (message.from) + " voted in term "
-                                                  + std::to_string (message.term) + " for "
-                                                  + memberName (vote->second) + " and for "
-                                                  + memberName (message.to));
+    m_world.violations.add ("one vote a term", memberName (message.from) + " voted in term "
+                                                   + std::to_string (message.term) + " for "
+                                                   + memberName (vote->second) + " and for "
+                                                   + memberName (message.to));
 }
 
 void ConsensusChecker::commit (const consensus::Entry& entry)
 {
-    committed_.push_back (entry);
+    m_committed.push_back (entry);
     const std::optional<cell::Command> command = decode (entry);
     if (! command)
         return;
-    const cell::ApplyResult result = state_.apply (entry.index, *command);
-    world_.replicas->onCommitted (entry.index, *command, result);
-    world_.configuration->onCommitted (*command, result);
-    world_.leaving->onCommitted (*command);
+    const cell::ApplyResult result = m_state.apply (entry.index, *command);
+    m_world.replicas->onCommitted (entry.index, *command, result);
+    m_world.configuration->onCommitted (*command, result);
+    m_world.leaving->onCommitted (*command);
 }
 
 std::optional<cell::Command> ConsensusChecker::commandAt (base::LogIndex index) const
 {
-    if (index == 0 || index > committed_.size())
+    if (index == 0 || index > m_committed.size())
         return std::nullopt;
-    return decode (committed_[index - 1]);
+    return decode (m_committed[index - 1]);
 }
 
 void ConsensusChecker::checkLeases (ControllerNode& controller, const consensus::RaftStatus& status)
 {
-    MemberLog& log = logs_[controller.member()];
+    MemberLog& log = m_logs[controller.member()];
     log.holdsLease = controller.core().holdsLease();
     if (! log.holdsLease)
         return;
-    highestLeaseTerm_ = std::max (highestLeaseTerm_, status.term);
-    for (const auto& other : world_.controllers)
+    m_highestLeaseTerm = std::max (m_highestLeaseTerm, status.term);
+    for (const auto& other : m_world.controllers)
     {
-        if (other.get() == &controller || ! logs_[other->member()].holdsLease)
+        if (other.get() == &controller || ! m_logs[other->member()].holdsLease)
             continue;
         if (! other->leadsNow())
             continue;
-        world_.violations.add ("one lease at a time", memberName (controller.member()) + " and "
-                                                          + memberName (other->member())
-                                                          + " hold the leader's lease");
+        m_world.violations.add ("one lease at a time", memberName (controller.member()) + " and "
+                                                           + memberName (other->member())
+                                                           + " hold the leader's lease");
     }
 }
 
 void ConsensusChecker::checkNotDeposed (ControllerNode& controller, const std::string& act)
 {
     const base::Term term = controller.core().raftStatus().term;
-    if (term >= highestLeaseTerm_)
+    if (term >= m_highestLeaseTerm)
         return;
-    world_.violations.add ("a replaced leader does nothing that counts",
-                           memberName (controller.member()) + " of term " + std::to_string (term)
-                               + " " + act + " although term " + std::to_string (highestLeaseTerm_)
-                               + " has a leader");
+    m_world.violations.add ("a replaced leader does nothing that counts",
+                            memberName (controller.member()) + " of term " + std::to_string (term)
+                                + " " + act + " although term "
+                                + std::to_string (m_highestLeaseTerm) + " has a leader");
 }
 
 void ConsensusChecker::onActed (ControllerNode& controller, const cell::ControllerToRouter& message)
@@ -185,12 +185,12 @@
 
 void ConsensusChecker::checkEnd()
 {
-    if (world_.leader() == nullptr)
+    if (m_world.leader() == nullptr)
     {
-        world_.violations.add ("the cell heals", "no controller leads");
+        m_world.violations.add ("the cell heals", "no controller leads");
     }
-    const std::string expected = state_.encode();
-    for (const auto& controller : world_.controllers)
+    const std::string expected = m_state.encode();
+    for (const auto& controller : m_world.controllers)
     {
         if (! controller->isAlive() || controller->isFrozen())
             continue;
@@ -200,21 +200,21 @@
             [&] (const consensus::Member& member) { return member.id == controller->member(); });
         if (! isMember)
             continue;
-        if (status.appliedIndex + 50 < committed_.size())
+        if (status.appliedIndex + 50 < m_committed.size())
         {
-            world_.violations.add ("the cell heals", memberName (controller->member()) + " applied "
-                                                         + std::to_string (status.appliedIndex)
-                                                         + " of "
-                                                         + std::to_string (committed_.size()));
+            m_world.violations.add ("the cell heals",
+                                    memberName (controller->member()) + " applied "
+                                        + std::to_string (status.appliedIndex) + " of "
+                                        + std::to_string (m_committed.size()));
         }
-        const bool isSame = status.appliedIndex != committed_.size()
+        const bool isSame = status.appliedIndex != m_committed.size()
                             || controller->core().state().encode() == expected;
         if (! isSame)
         {
-            world_.violations.add ("state equal at all members",
-                                   memberName (controller->member())
-                                       + " holds another state at index "
-                                       + std::to_string (status.appliedIndex));
+            m_world.violations.add ("state equal at all members",
+                                    memberName (controller->member())
+                                        + " holds another state at index "
+                                        + std::to_string (status.appliedIndex));
         }
     }
 }
--- a/src/sim/ConsensusChecker.h
+++ b/src/sim/ConsensusChecker.h
@@ -21,7 +21,7 @@
 class ConsensusChecker
 {
 public:
-    explicit ConsensusChecker (World& world) : world_ (world) {}
+    explicit ConsensusChecker (World& world) : m_world (world) {}
 
     void onStarted (base::MemberId member, const consensus::RecoveredState& recovered);
     void onEnded (base::MemberId member);
@@ -37,11 +37,11 @@
     void checkEnd();
 
     /// The state after every entry committed anywhere.
-    [[nodiscard]] const cell::CellState& state() const { return state_; }
+    [[nodiscard]] const cell::CellState& state() const { return m_state; }
     /// The command at an index of the committed log; none for other entries.
     [[nodiscard]] std::optional<cell::Command> commandAt (base::LogIndex index) const;
-    [[nodiscard]] base::LogIndex committedIndex() const { return committed_.size(); }
-    [[nodiscard]] std::size_t terms() const { return leaders_.size(); }
+    [[nodiscard]] base::LogIndex committedIndex() const { return m_committed.size(); }
+    [[nodiscard]] std::size_t terms() const { return m_leaders.size(); }
 
 private:
     struct MemberLog
@@ -56,13 +56,13 @@
     void checkLeases (ControllerNode& controller, const consensus::RaftStatus& status);
     void checkNotDeposed (ControllerNode& controller, const std::string& act);
 
-    World& world_;
-    std::map<base::MemberId, MemberLog> logs_;
-    std::vector<consensus::Entry> committed_;
-    cell::CellState state_;
-    std::map<base::Term, base::MemberId> leaders_;
-    std::map<std::pair<base::MemberId, base::Term>, base::MemberId> votes_;
-    base::Term highestLeaseTerm_ = 0;
+    World& m_world;
+    std::map<base::MemberId, MemberLog> m_logs;
+    std::vector<consensus::Entry> m_committed;
+    cell::CellState m_state;
+    std::map<base::Term, base::MemberId> m_leaders;
+    std::map<std::pair<base::MemberId, base::Term>, base::MemberId> m_votes;
+    base::Term m_highestLeaseTerm = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/ControllerNode.cpp
+++ b/src/sim/ControllerNode.cpp
@@ -65,11 +65,11 @@
 ControllerNode::ControllerNode (World& world, NodeId node, base::MemberId member)
     : Process (world.network, world.trace, node, "controller-" + std::to_string (node),
                drawDrift (world.random)),
-      world_ (world),
-      member_ (member),
-      address_ ("127.1.0." + std::to_string (node) + ":7000"),
-      entriesBetweenSnapshots_ (world.random.chance (0.5) ? 60 : 4096),
-      longestSync_ (kUsualSync)
+      m_world (world),
+      m_member (member),
+      m_address ("127.1.0." + std::to_string (node) + ":7000"),
+      m_entriesBetweenSnapshots (world.random.chance (0.5) ? 60 : 4096),
+      m_longestSync (kUsualSync)
 {
 }
 
@@ -78,11 +78,11 @@
     controller::ControllerOptions options;
     options.cell = base::CellId ("simulated");
     options.keepAlive = base::seconds (4);
-    options.entriesBetweenSnapshots = entriesBetweenSnapshots_;
+    options.entriesBetweenSnapshots = m_entriesBetweenSnapshots;
     options.raft.snapshotChunkBytes = 8UL * 1024;
-    options.raft.plantedFault = consensusFault (world_.options.plantedFault);
-    options.plantedFault = cellFault (world_.options.plantedFault);
-    for (const auto& controller : world_.controllers)
+    options.raft.plantedFault = consensusFault (m_world.options.plantedFault);
+    options.plantedFault = cellFault (m_world.options.plantedFault);
+    for (const auto& controller : m_world.controllers)
     {
         options.contacts.push_back (controller->asMember (true));
     }
@@ -92,13 +92,13 @@
 void ControllerNode::start()
 {
     begin();
-    isStopping_ = false;
-    consensus::RecoveredState recovered = disk_.recover();
-    note ("starts as member " + std::to_string (member_) + " with "
+    m_isStopping = false;
+    consensus::RecoveredState recovered = m_disk.recover();
+    note ("starts as member " + std::to_string (m_member) + " with "
           + std::to_string (recovered.entries.size()) + " entries");
-    world_.consensus->onStarted (member_, recovered);
-    core_.emplace (member_, coreOptions(), std::move (recovered), random().bits(), clock().now(),
-                   clock().unixNow());
+    m_world.consensus->onStarted (m_member, recovered);
+    m_core.emplace (m_member, coreOptions(), std::move (recovered), random().bits(), clock().now(),
+                    clock().unixNow());
     feed ([] (controller::ControllerCore&) {});
     tick (life());
 }
@@ -106,27 +106,27 @@
 void ControllerNode::replaceDisk (base::MemberId member)
 {
     note ("disk lost");
-    disk_.wipe();
-    member_ = member;
+    m_disk.wipe();
+    m_member = member;
 }
 
 void ControllerNode::stopAndRestart()
 {
-    if (! isAlive() || isFrozen() || isStopping_)
+    if (! isAlive() || isFrozen() || m_isStopping)
         return;
     note ("planned stop");
-    isStopping_ = true;
+    m_isStopping = true;
     feed ([] (controller::ControllerCore& core) { core.beginStop(); });
 }
 
 void ControllerNode::onKilled()
 {
-    if (disk_.crash (random()))
+    if (m_disk.crash (random()))
         note ("record torn");
-    world_.consensus->onEnded (member_);
-    core_.reset();
-    routers_.clear();
-    tickets_.clear();
+    m_world.consensus->onEnded (m_member);
+    m_core.reset();
+    m_routers.clear();
+    m_tickets.clear();
 }
 
 void ControllerNode::tick (std::uint64_t life)
@@ -137,7 +137,7 @@
     if (isFrozen())
         return;
     feed ([] (controller::ControllerCore& core) { core.onTick(); });
-    if (! isStopping_ || ! core_ || ! core_->isStopped())
+    if (! m_isStopping || ! m_core || ! m_core->isStopped())
         return;
     kill (base::Duration::zero());
     const auto pause = base::Duration (random().uniformInteger (0, kLongestRestartMicroseconds));
@@ -151,20 +151,20 @@
 
 void ControllerNode::feed (const Input& input)
 {
-    if (! core_)
+    if (! m_core)
         return;
-    core_->setTime (clock().now(), clock().unixNow());
-    input (*core_);
+    m_core->setTime (clock().now(), clock().unixNow());
+    input (*m_core);
     const std::uint64_t current = life();
-    const std::vector<controller::Effect> effects = core_->takeEffects();
+    const std::vector<controller::Effect> effects = m_core->takeEffects();
     for (const controller::Effect& effect : effects)
     {
         if (const auto* persist = std::get_if<controller::PersistEffect> (&effect))
         {
-            world_.consensus->onPersist (member_, persist->request);
+            m_world.consensus->onPersist (m_member, persist->request);
         }
     }
-    world_.consensus->onProgress (*this);
+    m_world.consensus->onProgress (*this);
     for (const controller::Effect& effect : effects)
     {
         if (! isAlive() || current != life())
@@ -177,36 +177,36 @@
 {
     if (! isAlive() || isFrozen())
         return false;
-    core_->setTime (clock().now(), clock().unixNow());
-    return core_->holdsLease();
+    m_core->setTime (clock().now(), clock().unixNow());
+    return m_core->holdsLease();
 }
 
 consensus::Member ControllerNode::asMember (bool isVoter) const
 {
-    return { member_, address_, address_, "z" + std::to_string (node() % 3 + 1), isVoter };
+    return { m_member, m_address, m_address, "z" + std::to_string (node() % 3 + 1), isVoter };
 }
 
 controller::RouterConnection ControllerNode::accept (RouterNode& router,
                                                      ConnectionPointer connection)
 {
-    const controller::RouterConnection number = ++lastConnection_;
+    const controller::RouterConnection number = ++m_lastConnection;
     connection->onEnded (Side::kAcceptor, [this, number, life = life()]
                          { postTo (life, [this, number] { onRouterGone (number); }); });
-    routers_[number] = { &router, std::move (connection) };
+    m_routers[number] = { &router, std::move (connection) };
     return number;
 }
 
 void ControllerNode::onRouterMessage (controller::RouterConnection connection,
                                       const cell::RouterToController& message)
 {
-    if (! routers_.contains (connection))
+    if (! m_routers.contains (connection))
         return;
     feed ([&] (controller::ControllerCore& core) { core.onRouterMessage (connection, message); });
 }
 
 void ControllerNode::onRouterGone (controller::RouterConnection connection)
 {
-    if (routers_.erase (connection) == 0)
+    if (m_routers.erase (connection) == 0)
         return;
     feed ([&] (controller::ControllerCore& core) { core.onRouterGone (connection); });
 }
@@ -214,8 +214,8 @@
 void ControllerNode::admin (const controller::AdminRequest& request,
                             std::function<void (const controller::AnswerAdmin&)> onAnswer)
 {
-    const controller::AdminTicket ticket = ++lastTicket_;
-    tickets_[ticket] = std::move (onAnswer);
+    const controller::AdminTicket ticket = ++m_lastTicket;
+    m_tickets[ticket] = std::move (onAnswer);
     feed ([&] (controller::ControllerCore& core) { core.onAdmin (ticket, request); });
 }
 
@@ -226,24 +226,24 @@
 
 void ControllerNode::apply (const controller::PersistEffect& effect)
 {
-    disk_.submit (effect.request);
+    m_disk.submit (effect.request);
     writeIfIdle();
 }
 
 void ControllerNode::writeIfIdle()
 {
-    if (! disk_.isIdle() || ! disk_.hasWaiting())
+    if (! m_disk.isIdle() || ! m_disk.hasWaiting())
         return;
-    disk_.beginWrite();
+    m_disk.beginWrite();
     const auto length =
-        base::Duration (random().uniformInteger (kShortestSyncMicroseconds, longestSync_.count()));
+        base::Duration (random().uniformInteger (kShortestSyncMicroseconds, m_longestSync.count()));
     queue().after (length,
                    [this, life = life()]
                    {
                        if (! isAlive() || life != this->life())
                            return;
                        // A sync that was begun ends in the kernel even while the process is frozen.
-                       const std::uint64_t sequence = disk_.endWrite();
+                       const std::uint64_t sequence = m_disk.endWrite();
                        postTo (life,
                                [this, sequence]
                                {
@@ -256,7 +256,7 @@
 
 void ControllerNode::apply (const controller::SendToMember& effect)
 {
-    ControllerNode* receiver = world_.controllerAt (effect.address);
+    ControllerNode* receiver = m_world.controllerAt (effect.address);
     if (receiver == nullptr)
         return;
     network().datagram (node(), receiver->node(),
@@ -265,7 +265,7 @@
                             receiver->post (
                                 [receiver, message]
                                 {
-                                    if (message.to != receiver->member_)
+                                    if (message.to != receiver->m_member)
                                         return;
                                     receiver->feed ([&] (controller::ControllerCore& core)
                                                     { core.onMemberMessage (message); });
@@ -274,16 +274,16 @@
     const auto* vote = std::get_if<consensus::VoteReply> (&effect.message.payload);
     if (vote == nullptr || ! vote->granted || vote->isPreVote)
         return;
-    world_.consensus->onVoteSent (effect.message);
-    world_.faults->onVote (*this);
+    m_world.consensus->onVoteSent (effect.message);
+    m_world.faults->onVote (*this);
 }
 
 void ControllerNode::apply (const controller::SendToRouter& effect)
 {
-    const auto found = routers_.find (effect.connection);
-    if (found == routers_.end())
+    const auto found = m_routers.find (effect.connection);
+    if (found == m_routers.end())
         return;
-    world_.consensus->onActed (*this, effect.message);
+    m_world.consensus->onActed (*this, effect.message);
     RouterNode* router = found->second.router;
     const ConnectionPointer connection = found->second.connection;
     connection->send (Side::kAcceptor,
@@ -302,8 +302,8 @@
 
 void ControllerNode::apply (const controller::SendOrder& effect)
 {
-    world_.consensus->onOrderSent (*this, effect.order);
-    BackEnd* backEnd = world_.backEndAt (effect.address);
+    m_world.consensus->onOrderSent (*this, effect.order);
+    BackEnd* backEnd = m_world.backEndAt (effect.address);
     const auto onFailed = [this, runner = effect.runner, order = effect.order]
     { feed ([&] (controller::ControllerCore& core) { core.onOrderFailed (runner, order); }); };
     if (backEnd == nullptr)
@@ -323,7 +323,7 @@
     };
     call (network(), *this, *backEnd, kCallTimeout, serve, onFailed);
     // The same bytes may arrive twice when a connection is opened anew.
-    if (! random().chance (world_.faults->orderDuplication()))
+    if (! random().chance (m_world.faults->orderDuplication()))
         return;
     network().queue().after (
         base::Duration (random().uniformInteger (0, 3'000'000)), [backEnd, order = effect.order]
@@ -332,7 +332,7 @@
 
 void ControllerNode::apply (const controller::PollRunner& effect)
 {
-    BackEnd* backEnd = world_.backEndAt (effect.address);
+    BackEnd* backEnd = m_world.backEndAt (effect.address);
     const auto onFailed = [this, runner = effect.runner]
     { feed ([&] (controller::ControllerCore& core) { core.onReportFailed (runner); }); };
     if (backEnd == nullptr)
@@ -345,7 +345,7 @@
         respond (
             [this, runner, report = backEnd->report()]
             {
-                world_.leaving->onReport (*this, report);
+                m_world.leaving->onReport (*this, report);
                 feed ([&] (controller::ControllerCore& core) { core.onReport (runner, report); });
             });
     };
@@ -357,23 +357,23 @@
     const auto serve = [this] (const Respond& respond)
     {
         respond (
-            [this, list = world_.platform->machineList()]
+            [this, list = m_world.platform->machineList()]
             {
-                world_.leaving->onMachineList (*this, list);
+                m_world.leaving->onMachineList (*this, list);
                 feed ([&] (controller::ControllerCore& core) { core.onMachineList (list); });
             });
     };
-    call (network(), *this, *world_.platform, kCallTimeout, serve,
+    call (network(), *this, *m_world.platform, kCallTimeout, serve,
           [this] { feed ([] (controller::ControllerCore& core) { core.onMachineListFailed(); }); });
 }
 
 void ControllerNode::apply (const controller::AnswerAdmin& effect)
 {
-    const auto found = tickets_.find (effect.ticket);
-    if (found == tickets_.end())
+    const auto found = m_tickets.find (effect.ticket);
+    if (found == m_tickets.end())
         return;
     const auto onAnswer = std::move (found->second);
-    tickets_.erase (found);
+    m_tickets.erase (found);
     onAnswer (effect);
 }
 
--- a/src/sim/ControllerNode.h
+++ b/src/sim/ControllerNode.h
@@ -24,7 +24,7 @@
     ControllerNode (World& world, NodeId node, base::MemberId member);
 
     /// Writes the first entry of a new cell.
-    void bootstrap (const consensus::MemberSet& members) { disk_.bootstrap (members); }
+    void bootstrap (const consensus::MemberSet& members) { m_disk.bootstrap (members); }
     /// Starts on what the disk holds.
     void start();
     /// The disk is lost; a member with another identity takes the machine. The process must be
@@ -33,7 +33,7 @@
     /// Planned stop: hands leadership over, ends and starts again.
     void stopAndRestart();
     /// Every sync takes up to this long from now on.
-    void setDiskDelay (base::Duration longest) { longestSync_ = longest; }
+    void setDiskDelay (base::Duration longest) { m_longestSync = longest; }
 
     /// Accepts a connection of a router; its number.
     controller::RouterConnection accept (RouterNode& router, ConnectionPointer connection);
@@ -45,10 +45,10 @@
     void admin (const controller::AdminRequest& request,
                 std::function<void (const controller::AnswerAdmin&)> onAnswer);
 
-    [[nodiscard]] base::MemberId member() const { return member_; }
-    [[nodiscard]] const std::string& address() const { return address_; }
-    [[nodiscard]] bool hasCore() const { return core_.has_value(); }
-    [[nodiscard]] controller::ControllerCore& core() { return *core_; }
+    [[nodiscard]] base::MemberId member() const { return m_member; }
+    [[nodiscard]] const std::string& address() const { return m_address; }
+    [[nodiscard]] bool hasCore() const { return m_core.has_value(); }
+    [[nodiscard]] controller::ControllerCore& core() { return *m_core; }
     /// Alive, running and holding the leader's lease at this moment.
     [[nodiscard]] bool leadsNow();
     [[nodiscard]] consensus::Member asMember (bool isVoter) const;
@@ -82,19 +82,19 @@
     void writeIfIdle();
     [[nodiscard]] controller::ControllerOptions coreOptions() const;
 
-    World& world_;
-    base::MemberId member_;
-    std::string address_;
-    std::size_t entriesBetweenSnapshots_;
-    SimulatedDisk disk_;
-    base::Duration longestSync_;
-    std::optional<controller::ControllerCore> core_;
-    bool isStopping_ = false;
-    std::map<controller::RouterConnection, RouterLink> routers_;
-    controller::RouterConnection lastConnection_ = 0;
+    World& m_world;
+    base::MemberId m_member;
+    std::string m_address;
+    std::size_t m_entriesBetweenSnapshots;
+    SimulatedDisk m_disk;
+    base::Duration m_longestSync;
+    std::optional<controller::ControllerCore> m_core;
+    bool m_isStopping = false;
+    std::map<controller::RouterConnection, RouterLink> m_routers;
+    controller::RouterConnection m_lastConnection = 0;
     std::map<controller::AdminTicket, std::function<void (const controller::AnswerAdmin&)>>
-        tickets_;
-    controller::AdminTicket lastTicket_ = 0;
+        m_tickets;
+    controller::AdminTicket m_lastTicket = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/EngineNode.cpp
+++ b/src/sim/EngineNode.cpp
@@ -29,7 +29,7 @@
     options.totalMemory = machine().memory;
     options.slots = 8;
     options.maximumWaiting = 16;
-    options.checkpointsOnDisk = disk_;
+    options.checkpointsOnDisk = m_disk;
     options.diskMegabytesPerSecond = 60'000;
     options.memoryMegabytesPerSecond = 200'000;
     options.loadOverhead = base::milliseconds (100);
@@ -43,38 +43,38 @@
     begin();
     drawIncarnation();
     note ("starts, incarnation " + std::to_string (incarnation()));
-    model_.emplace (modelOptions(), queue().now());
-    wakeAt_ = {};
+    m_model.emplace (modelOptions(), queue().now());
+    m_wakeAt = {};
     armWake();
 }
 
 void EngineNode::onKilled()
 {
-    for (const standin::LedgerEntry& entry : model_->ledger())
-        formerRuns_.insert (entry.requestId);
-    disk_ = model_->checkpointsOnDisk();
-    for (const auto& [fetch, transfer] : transfers_)
+    for (const standin::LedgerEntry& entry : m_model->ledger())
+        m_formerRuns.insert (entry.requestId);
+    m_disk = m_model->checkpointsOnDisk();
+    for (const auto& [fetch, transfer] : m_transfers)
         world().platform->cancelTransfer (transfer);
-    transfers_.clear();
-    answers_.clear();
-    model_.reset();
+    m_transfers.clear();
+    m_answers.clear();
+    m_model.reset();
     world().replicas->onEngineChanged (*this);
 }
 
 std::set<std::string> EngineNode::requestsRun() const
 {
-    std::set<std::string> all = formerRuns_;
-    if (! model_)
+    std::set<std::string> all = m_formerRuns;
+    if (! m_model)
         return all;
-    for (const standin::LedgerEntry& entry : model_->ledger())
+    for (const standin::LedgerEntry& entry : m_model->ledger())
         all.insert (entry.requestId);
     return all;
 }
 
 engine::OrderAnswer EngineNode::onOrder (const engine::Order& order)
 {
-    const base::Fence before = model_->currentReport().highestFence;
-    const engine::OrderAnswer answer = model_->onOrder (order, queue().now());
+    const base::Fence before = m_model->currentReport().highestFence;
+    const engine::OrderAnswer answer = m_model->onOrder (order, queue().now());
     world().replicas->onOrder (*this, order, answer, before);
     settle();
     world().replicas->onEngineChanged (*this);
@@ -84,35 +84,35 @@
 engine::Report EngineNode::report()
 {
     settle();
-    return model_->report();
+    return m_model->report();
 }
 
 engine::Report EngineNode::truth()
 {
-    if (! model_)
+    if (! m_model)
         return {};
-    return model_->currentReport();
+    return m_model->currentReport();
 }
 
 void EngineNode::setLeaving (bool isLeaving)
 {
-    if (model_)
-        model_->setLeaving (isLeaving);
+    if (m_model)
+        m_model->setLeaving (isLeaving);
 }
 
 bool EngineNode::isBusy()
 {
-    if (! model_)
+    if (! m_model)
         return false;
-    const engine::Report now = model_->currentReport();
+    const engine::Report now = m_model->currentReport();
     return now.runningRequests + now.waitingRequests > 0;
 }
 
 void EngineNode::setFaults (const standin::EngineFaults& faults)
 {
-    if (! model_)
+    if (! m_model)
         return;
-    model_->setFaults (faults);
+    m_model->setFaults (faults);
     settle();
 }
 
@@ -128,7 +128,7 @@
     request.maxTokens = attempt.request->maxTokens;
     request.resumeFrom = attempt.resumeFrom;
     request.isStreaming = attempt.request->head.isStreaming;
-    const standin::SubmitOutcome outcome = model_->submit (request, queue().now());
+    const standin::SubmitOutcome outcome = m_model->submit (request, queue().now());
     if (! outcome.accepted)
     {
         attempt.tell (router::AttemptRefused{ kRefusedStatus, isLeaving(), std::nullopt });
@@ -136,28 +136,28 @@
     }
     attempt.connection->onEnded (Side::kAcceptor, [this, life = life(), handle = outcome.handle]
                                  { postTo (life, [this, handle] { cancel (handle); }); });
-    answers_.emplace (outcome.handle, Answer{ std::move (attempt), false, {} });
+    m_answers.emplace (outcome.handle, Answer{ std::move (attempt), false, {} });
     settle();
 }
 
 void EngineNode::cancel (standin::RequestHandle handle)
 {
-    answers_.erase (handle);
-    model_->cancel (handle, queue().now());
+    m_answers.erase (handle);
+    m_model->cancel (handle, queue().now());
     settle();
 }
 
 void EngineNode::settle()
 {
-    if (! model_)
+    if (! m_model)
         return;
-    model_->advance (queue().now());
-    for (auto effects = model_->takeEffects(); ! effects.empty(); effects = model_->takeEffects())
+    m_model->advance (queue().now());
+    for (auto effects = m_model->takeEffects(); ! effects.empty(); effects = m_model->takeEffects())
     {
         for (const standin::EngineEffect& effect : effects)
         {
             std::visit ([this] (const auto& content) { apply (content); }, effect);
-            if (! model_)
+            if (! m_model)
                 return;
         }
     }
@@ -166,19 +166,19 @@
 
 void EngineNode::armWake()
 {
-    const base::TimePoint next = model_->nextEvent();
-    if (wakeAt_ == next && wakeAt_ > queue().now())
+    const base::TimePoint next = m_model->nextEvent();
+    if (m_wakeAt == next && m_wakeAt > queue().now())
         return;
-    wakeAt_ = next;
+    m_wakeAt = next;
     queue().at (next,
-                [this, life = life(), number = ++wakeNumber_]
+                [this, life = life(), number = ++m_wakeNumber]
                 {
-                    if (number != wakeNumber_)
+                    if (number != m_wakeNumber)
                         return;
                     postTo (life,
                             [this]
                             {
-                                wakeAt_ = {};
+                                m_wakeAt = {};
                                 settle();
                             });
                 });
@@ -186,36 +186,36 @@
 
 void EngineNode::onFetched (standin::FetchId fetch)
 {
-    transfers_.erase (fetch);
-    model_->onFetched (fetch, queue().now());
+    m_transfers.erase (fetch);
+    m_model->onFetched (fetch, queue().now());
     settle();
 }
 
 void EngineNode::onFetchRefused (standin::FetchId fetch, base::Duration retryAfter)
 {
-    transfers_.erase (fetch);
-    model_->onFetchRefused (fetch, retryAfter, queue().now());
+    m_transfers.erase (fetch);
+    m_model->onFetchRefused (fetch, retryAfter, queue().now());
     settle();
 }
 
 void EngineNode::apply (const standin::FetchWeights& effect)
 {
-    transfers_[effect.fetch] = world().platform->beginTransfer (*this, effect.fetch, effect.size);
+    m_transfers[effect.fetch] = world().platform->beginTransfer (*this, effect.fetch, effect.size);
 }
 
 void EngineNode::apply (const standin::CancelFetch& effect)
 {
-    const auto found = transfers_.find (effect.fetch);
-    if (found == transfers_.end())
+    const auto found = m_transfers.find (effect.fetch);
+    if (found == m_transfers.end())
         return;
     world().platform->cancelTransfer (found->second);
-    transfers_.erase (found);
+    m_transfers.erase (found);
 }
 
 void EngineNode::apply (const standin::TokenChunk& effect)
 {
-    const auto found = answers_.find (effect.handle);
-    if (found == answers_.end())
+    const auto found = m_answers.find (effect.handle);
+    if (found == m_answers.end())
         return;
     Answer& answer = found->second;
     if (! answer.attempt.request->head.isStreaming)
@@ -231,11 +231,11 @@
 
 std::optional<EngineNode::Answer> EngineNode::takeAnswer (standin::RequestHandle handle)
 {
-    const auto found = answers_.find (handle);
-    if (found == answers_.end())
+    const auto found = m_answers.find (handle);
+    if (found == m_answers.end())
         return std::nullopt;
     Answer answer = std::move (found->second);
-    answers_.erase (found);
+    m_answers.erase (found);
     answer.attempt.connection->onEnded (Side::kAcceptor, nullptr);
     return answer;
 }
--- a/src/sim/EngineNode.h
+++ b/src/sim/EngineNode.h
@@ -24,7 +24,7 @@
     engine::Report report() override;
     void submit (Attempt attempt) override;
     void setLeaving (bool isLeaving) override;
-    [[nodiscard]] bool isLeaving() const override { return model_ && model_->isLeaving(); }
+    [[nodiscard]] bool isLeaving() const override { return m_model && m_model->isLeaving(); }
     [[nodiscard]] bool isBusy() override;
 
     /// The state at this moment, as the engine itself knows it.
@@ -59,13 +59,13 @@
     std::optional<Answer> takeAnswer (standin::RequestHandle handle);
     [[nodiscard]] standin::EngineOptions modelOptions() const;
 
-    std::vector<standin::Checkpoint> disk_;
-    std::optional<standin::EngineModel> model_;
-    std::map<standin::RequestHandle, Answer> answers_;
-    std::map<standin::FetchId, std::uint64_t> transfers_;
-    base::TimePoint wakeAt_{};
-    std::uint64_t wakeNumber_ = 0;
-    std::set<std::string> formerRuns_;
+    std::vector<standin::Checkpoint> m_disk;
+    std::optional<standin::EngineModel> m_model;
+    std::map<standin::RequestHandle, Answer> m_answers;
+    std::map<standin::FetchId, std::uint64_t> m_transfers;
+    base::TimePoint m_wakeAt{};
+    std::uint64_t m_wakeNumber = 0;
+    std::set<std::string> m_formerRuns;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/EventQueue.cpp
+++ b/src/sim/EventQueue.cpp
@@ -9,25 +9,25 @@
 
 void EventQueue::at (base::TimePoint time, Action action)
 {
-    heap_.push_back ({ std::max (time, now_), nextSequence_++, std::move (action) });
-    std::push_heap (heap_.begin(), heap_.end(), IsLater());
+    m_heap.push_back ({ std::max (time, m_now), m_nextSequence++, std::move (action) });
+    std::push_heap (m_heap.begin(), m_heap.end(), IsLater());
 }
 
 void EventQueue::runUntil (base::TimePoint end)
 {
-    while (! heap_.empty() && heap_.front().time <= end)
+    while (! m_heap.empty() && m_heap.front().time <= end)
     {
-        std::pop_heap (heap_.begin(), heap_.end(), IsLater());
-        const Event event = std::move (heap_.back());
-        heap_.pop_back();
-        eventsAtThisTime_ = event.time == now_ ? eventsAtThisTime_ + 1 : 0;
-        if (eventsAtThisTime_ > kMaximumEventsAtOneTime)
+        std::pop_heap (m_heap.begin(), m_heap.end(), IsLater());
+        const Event event = std::move (m_heap.back());
+        m_heap.pop_back();
+        m_eventsAtThisTime = event.time == m_now ? m_eventsAtThisTime + 1 : 0;
+        if (m_eventsAtThisTime > kMaximumEventsAtOneTime)
             throw std::logic_error ("time stands still");
-        now_ = event.time;
-        ++executed_;
+        m_now = event.time;
+        ++m_executed;
         event.action();
     }
-    now_ = end;
+    m_now = end;
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/EventQueue.h
+++ b/src/sim/EventQueue.h
@@ -17,12 +17,12 @@
 class EventQueue
 {
 public:
-    [[nodiscard]] base::TimePoint now() const { return now_; }
+    [[nodiscard]] base::TimePoint now() const { return m_now; }
     void at (base::TimePoint time, Action action);
-    void after (base::Duration delay, Action action) { at (now_ + delay, std::move (action)); }
+    void after (base::Duration delay, Action action) { at (m_now + delay, std::move (action)); }
     /// Runs every event up to `end`, and ends with the clock there.
     void runUntil (base::TimePoint end);
-    [[nodiscard]] std::uint64_t executed() const { return executed_; }
+    [[nodiscard]] std::uint64_t executed() const { return m_executed; }
 
 private:
     struct Event
@@ -45,11 +45,11 @@
     /// More events at one time than this: the simulation makes no progress.
     static constexpr std::uint64_t kMaximumEventsAtOneTime = 1'000'000;
 
-    base::TimePoint now_{ base::seconds (1000) };
-    std::vector<Event> heap_;
-    std::uint64_t nextSequence_ = 0;
-    std::uint64_t executed_ = 0;
-    std::uint64_t eventsAtThisTime_ = 0;
+    base::TimePoint m_now{ base::seconds (1000) };
+    std::vector<Event> m_heap;
+    std::uint64_t m_nextSequence = 0;
+    std::uint64_t m_executed = 0;
+    std::uint64_t m_eventsAtThisTime = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/FaultPlan.cpp
+++ b/src/sim/FaultPlan.cpp
@@ -25,40 +25,40 @@
 
 void FaultPlan::scheduleNext (base::TimePoint end)
 {
-    const auto mean = static_cast<double> (world_.options.meanFaultInterval.count());
+    const auto mean = static_cast<double> (m_world.options.meanFaultInterval.count());
     const auto pause =
-        base::Duration (static_cast<std::int64_t> (world_.random.exponential (mean)));
-    world_.queue.after (pause,
-                        [this, end]
-                        {
-                            if (world_.now() >= end || isOver_)
-                                return;
-                            const FaultKind kind = drawKind();
-                            if (bringAbout (kind))
-                            {
-                                world_.note ("fault: " + std::string (nameOf (kind)));
-                                ++counts_[static_cast<std::size_t> (kind)];
-                            }
-                            scheduleNext (end);
-                        });
+        base::Duration (static_cast<std::int64_t> (m_world.random.exponential (mean)));
+    m_world.queue.after (pause,
+                         [this, end]
+                         {
+                             if (m_world.now() >= end || m_isOver)
+                                 return;
+                             const FaultKind kind = drawKind();
+                             if (bringAbout (kind))
+                             {
+                                 m_world.note ("fault: " + std::string (nameOf (kind)));
+                                 ++m_counts[static_cast<std::size_t> (kind)];
+                             }
+                             scheduleNext (end);
+                         });
 }
 
 FaultKind FaultPlan::drawKind()
 {
-    if (world_.options.onlyFault)
-        return *world_.options.onlyFault;
+    if (m_world.options.onlyFault)
+        return *m_world.options.onlyFault;
     return static_cast<FaultKind> (
-        world_.random.uniformInteger (0, static_cast<std::int64_t> (kFaultKinds) - 1));
+        m_world.random.uniformInteger (0, static_cast<std::int64_t> (kFaultKinds) - 1));
 }
 
 base::Duration FaultPlan::draw (std::int64_t lowMilliseconds, std::int64_t highMilliseconds)
 {
-    return base::milliseconds (world_.random.uniformInteger (lowMilliseconds, highMilliseconds));
+    return base::milliseconds (m_world.random.uniformInteger (lowMilliseconds, highMilliseconds));
 }
 
 base::Duration FaultPlan::drawSilence()
 {
-    return world_.random.chance (0.4) ? draw (2000, 8000) : base::Duration::zero();
+    return m_world.random.chance (0.4) ? draw (2000, 8000) : base::Duration::zero();
 }
 
 bool FaultPlan::bringAbout (FaultKind kind)
@@ -69,9 +69,9 @@
 
 bool FaultPlan::hitControllers (FaultKind kind)
 {
-    ControllerNode* leader = world_.leader();
-    const bool takesLeader = leader != nullptr && world_.random.chance (0.5);
-    ControllerNode& controller = takesLeader ? *leader : pick (world_.controllers);
+    ControllerNode* leader = m_world.leader();
+    const bool takesLeader = leader != nullptr && m_world.random.chance (0.5);
+    ControllerNode& controller = takesLeader ? *leader : pick (m_world.controllers);
     switch (kind)
     {
         case FaultKind::kControllerKilled:
@@ -87,11 +87,11 @@
         case FaultKind::kVoterKilled:
             return killVoters();
         case FaultKind::kDiskLost:
-            return world_.random.chance (0.5) ? loseDisk() : loseDiskBehindPartition();
+            return m_world.random.chance (0.5) ? loseDisk() : loseDiskBehindPartition();
         case FaultKind::kSlowDisk:
             controller.setDiskDelay (kSlowSync);
-            world_.queue.after (draw (500, 5000),
-                                [&controller] { controller.setDiskDelay (kUsualSync); });
+            m_world.queue.after (draw (500, 5000),
+                                 [&controller] { controller.setDiskDelay (kUsualSync); });
             return true;
         case FaultKind::kClockStep:
             return stepClock();
@@ -103,13 +103,14 @@
 void FaultPlan::killAndRestart (Process& process, base::Duration longestPause, const Action& start)
 {
     process.kill (drawSilence());
-    const auto pause = base::Duration (world_.random.uniformInteger (20'000, longestPause.count()));
-    world_.queue.after (pause,
-                        [&process, start, life = process.life()]
-                        {
-                            if (! process.isAlive() && process.life() == life)
-                                start();
-                        });
+    const auto pause =
+        base::Duration (m_world.random.uniformInteger (20'000, longestPause.count()));
+    m_world.queue.after (pause,
+                         [&process, start, life = process.life()]
+                         {
+                             if (! process.isAlive() && process.life() == life)
+                                 start();
+                         });
 }
 
 bool FaultPlan::killController (ControllerNode& controller)
@@ -124,86 +125,86 @@
 {
     // Their machines lose power together, with entries on their way.
     slowDisks (base::seconds (1));
-    world_.queue.after (draw (5, 40), [this] { world_.operators->applyNext(); });
-    world_.queue.after (draw (20, 100),
-                        [this]
-                        {
-                            for (const auto& controller : world_.controllers)
-                                killController (*controller);
-                        });
+    m_world.queue.after (draw (5, 40), [this] { m_world.operators->applyNext(); });
+    m_world.queue.after (draw (20, 100),
+                         [this]
+                         {
+                             for (const auto& controller : m_world.controllers)
+                                 killController (*controller);
+                         });
     return true;
 }
 
 void FaultPlan::slowDisks (base::Duration duration)
 {
-    for (const auto& controller : world_.controllers)
+    for (const auto& controller : m_world.controllers)
         controller->setDiskDelay (kSlowSync);
-    world_.queue.after (duration,
-                        [this]
-                        {
-                            for (const auto& controller : world_.controllers)
-                                controller->setDiskDelay (kUsualSync);
-                        });
+    m_world.queue.after (duration,
+                         [this]
+                         {
+                             for (const auto& controller : m_world.controllers)
+                                 controller->setDiskDelay (kUsualSync);
+                         });
 }
 
 bool FaultPlan::killVoters()
 {
-    ControllerNode* leader = world_.leader();
+    ControllerNode* leader = m_world.leader();
     if (leader == nullptr)
         return false;
-    votersDieUntil_ = world_.now() + base::seconds (3);
+    m_votersDieUntil = m_world.now() + base::seconds (3);
     slowDisks (base::seconds (3));
-    world_.network.setTurbulence ({ 0.02, 0.05, draw (50, 400) });
+    m_world.network.setTurbulence ({ 0.02, 0.05, draw (50, 400) });
     killController (*leader);
-    world_.queue.after (base::seconds (3), [this] { world_.network.setTurbulence ({}); });
+    m_world.queue.after (base::seconds (3), [this] { m_world.network.setTurbulence ({}); });
     return true;
 }
 
 void FaultPlan::onVote (ControllerNode& controller)
 {
-    if (isOver_ || world_.now() >= votersDieUntil_ || ! world_.random.chance (0.6))
+    if (m_isOver || m_world.now() >= m_votersDieUntil || ! m_world.random.chance (0.6))
         return;
-    world_.queue.after (base::milliseconds (1),
-                        [this, &controller, life = controller.life()]
-                        {
-                            if (! controller.isAlive() || controller.life() != life)
-                                return;
-                            controller.kill (base::Duration::zero());
-                            world_.queue.after (
-                                draw (2, 30),
-                                [&controller, life]
-                                {
-                                    if (! controller.isAlive() && controller.life() == life)
-                                        controller.start();
-                                });
-                        });
+    m_world.queue.after (base::milliseconds (1),
+                         [this, &controller, life = controller.life()]
+                         {
+                             if (! controller.isAlive() || controller.life() != life)
+                                 return;
+                             controller.kill (base::Duration::zero());
+                             m_world.queue.after (
+                                 draw (2, 30),
+                                 [&controller, life]
+                                 {
+                                     if (! controller.isAlive() && controller.life() == life)
+                                         controller.start();
+                                 });
+                         });
 }
 
 bool FaultPlan::loseDisk()
 {
-    ControllerNode& controller = pick (world_.controllers);
-    if (! controller.isAlive() || world_.operators->isReplacing())
+    ControllerNode& controller = pick (m_world.controllers);
+    if (! controller.isAlive() || m_world.operators->isReplacing())
         return false;
     controller.kill (drawSilence());
-    world_.queue.after (draw (100, 2000),
-                        [this, &controller, life = controller.life()]
-                        {
-                            if (! controller.isAlive() && controller.life() == life)
-                                restartAfterDiskLoss (controller);
-                        });
+    m_world.queue.after (draw (100, 2000),
+                         [this, &controller, life = controller.life()]
+                         {
+                             if (! controller.isAlive() && controller.life() == life)
+                                 restartAfterDiskLoss (controller);
+                         });
     return true;
 }
 
 void FaultPlan::restartAfterDiskLoss (ControllerNode& controller)
 {
-    if (world_.options.plantedFault != PlantedFault::kIdentityReused)
+    if (m_world.options.plantedFault != PlantedFault::kIdentityReused)
     {
-        world_.operators->replaceMember (controller);
+        m_world.operators->replaceMember (controller);
         return;
     }
     controller.replaceDisk (controller.member());
     consensus::MemberSet members;
-    for (const auto& member : world_.controllers)
+    for (const auto& member : m_world.controllers)
         members.members.push_back (member->asMember (true));
     controller.bootstrap (members);
     controller.start();
@@ -213,11 +214,11 @@
 /// was committed must outlive this.
 bool FaultPlan::loseDiskBehindPartition()
 {
-    ControllerNode* leader = world_.leader();
-    if (leader == nullptr || world_.operators->isReplacing())
+    ControllerNode* leader = m_world.leader();
+    if (leader == nullptr || m_world.operators->isReplacing())
         return false;
     std::vector<ControllerNode*> others;
-    for (const auto& controller : world_.controllers)
+    for (const auto& controller : m_world.controllers)
     {
         if (! controller->isAlive() || controller->isFrozen())
             return false;
@@ -226,51 +227,51 @@
     }
     for (std::size_t last = others.size() - 1; last > 0; --last)
     {
-        const auto chosen = world_.random.uniformInteger (0, static_cast<std::int64_t> (last));
+        const auto chosen = m_world.random.uniformInteger (0, static_cast<std::int64_t> (last));
         std::swap (others[last], others[static_cast<std::size_t> (chosen)]);
     }
-    for (const auto& controller : world_.controllers)
+    for (const auto& controller : m_world.controllers)
     {
         cutBothFor (others[0]->node(), controller->node(), base::milliseconds (1500));
         cutBothFor (others[1]->node(), controller->node(), base::milliseconds (1500));
     }
-    world_.operators->applyNext();
+    m_world.operators->applyNext();
     ControllerNode* lost = others[2];
-    world_.queue.after (base::milliseconds (1400),
-                        [this, lost]
-                        {
-                            if (! lost->isAlive() || isOver_ || world_.operators->isReplacing())
-                                return;
-                            lost->kill (base::Duration::zero());
-                            restartAfterDiskLoss (*lost);
-                        });
-    world_.queue.after (base::milliseconds (1450),
-                        [this, leader, last = others[3]]
-                        {
-                            if (isOver_)
-                                return;
-                            killController (*leader);
-                            killController (*last);
-                        });
+    m_world.queue.after (base::milliseconds (1400),
+                         [this, lost]
+                         {
+                             if (! lost->isAlive() || m_isOver || m_world.operators->isReplacing())
+                                 return;
+                             lost->kill (base::Duration::zero());
+                             restartAfterDiskLoss (*lost);
+                         });
+    m_world.queue.after (base::milliseconds (1450),
+                         [this, leader, last = others[3]]
+                         {
+                             if (m_isOver)
+                                 return;
+                             killController (*leader);
+                             killController (*last);
+                         });
     return true;
 }
 
 bool FaultPlan::stepClock()
 {
-    const bool isLarge = world_.random.chance (0.1);
+    const bool isLarge = m_world.random.chance (0.1);
     const std::int64_t longest = isLarge ? 7'200'000 : 120'000;
-    const std::int64_t step = world_.random.uniformInteger (-longest, longest);
-    const bool isRouter = world_.random.chance (0.5);
-    Process& process = isRouter ? static_cast<Process&> (pick (world_.routers))
-                                : static_cast<Process&> (pick (world_.controllers));
+    const std::int64_t step = m_world.random.uniformInteger (-longest, longest);
+    const bool isRouter = m_world.random.chance (0.5);
+    Process& process = isRouter ? static_cast<Process&> (pick (m_world.routers))
+                                : static_cast<Process&> (pick (m_world.controllers));
     process.clock().step (step);
-    world_.note (process.name() + ": clock steps by " + std::to_string (step) + " ms");
+    m_world.note (process.name() + ": clock steps by " + std::to_string (step) + " ms");
     return true;
 }
 
 bool FaultPlan::hitRouter (FaultKind kind)
 {
-    RouterNode& router = pick (world_.routers);
+    RouterNode& router = pick (m_world.routers);
     switch (kind)
     {
         case FaultKind::kRouterKilled:
@@ -287,8 +288,8 @@
         case FaultKind::kRouterCutOff:
         {
             const base::Duration duration = draw (300, 6000);
-            const bool isOneWay = world_.random.chance (0.4);
-            for (const auto& controller : world_.controllers)
+            const bool isOneWay = m_world.random.chance (0.4);
+            for (const auto& controller : m_world.controllers)
             {
                 cutFor (router.node(), controller->node(), duration);
                 if (! isOneWay)
@@ -303,7 +304,7 @@
 
 bool FaultPlan::hitEngine (FaultKind kind)
 {
-    EngineNode& engine = pick (world_.engines);
+    EngineNode& engine = pick (m_world.engines);
     switch (kind)
     {
         case FaultKind::kEngineKilled:
@@ -319,7 +320,7 @@
             standin::EngineFaults faults;
             faults.isSilent = true;
             engine.setFaults (faults);
-            world_.queue.after (draw (500, 6000), [&engine] { engine.setFaults ({}); });
+            m_world.queue.after (draw (500, 6000), [&engine] { engine.setFaults ({}); });
             return true;
         }
         case FaultKind::kEngineMisbehaves:
@@ -327,15 +328,15 @@
         case FaultKind::kEngineCutOff:
         {
             const base::Duration duration = draw (300, 8000);
-            const bool isOneWay = world_.random.chance (0.5);
-            const bool fromRouters = world_.random.chance (0.5);
-            for (const auto& controller : world_.controllers)
+            const bool isOneWay = m_world.random.chance (0.5);
+            const bool fromRouters = m_world.random.chance (0.5);
+            for (const auto& controller : m_world.controllers)
             {
                 cutFor (engine.node(), controller->node(), duration);
                 if (! isOneWay)
                     cutFor (controller->node(), engine.node(), duration);
             }
-            for (const auto& router : world_.routers)
+            for (const auto& router : m_world.routers)
             {
                 if (fromRouters)
                     cutFor (engine.node(), router->node(), duration);
@@ -354,7 +355,7 @@
     if (! engine.isAlive())
         return false;
     standin::EngineFaults faults;
-    const auto fault = world_.random.uniformInteger (0, 7);
+    const auto fault = m_world.random.uniformInteger (0, 7);
     // Streams are short: to meet some, all engines get the faults of streams.
     const bool hitsAll = fault <= 2;
     switch (fault)
@@ -367,7 +368,7 @@
             break;
         case 2:
             faults.breakAfterTokens =
-                static_cast<std::uint64_t> (world_.random.uniformInteger (1, 6));
+                static_cast<std::uint64_t> (m_world.random.uniformInteger (1, 6));
             break;
         case 3:
             faults.loadsToFail = 2;
@@ -385,23 +386,23 @@
             faults.freezesReports = true;
             break;
     }
-    for (const auto& other : world_.engines)
+    for (const auto& other : m_world.engines)
     {
         if (! hitsAll && other.get() != &engine)
             continue;
         other->setFaults (faults);
-        world_.queue.after (draw (1000, 6000), [node = other.get()] { node->setFaults ({}); });
+        m_world.queue.after (draw (1000, 6000), [node = other.get()] { node->setFaults ({}); });
     }
     return true;
 }
 
 bool FaultPlan::makeApplicationMisbehave()
 {
-    ApplicationNode& application = pick (world_.applications);
+    ApplicationNode& application = pick (m_world.applications);
     if (! application.isAlive())
         return false;
     standin::ApplicationFaults faults;
-    switch (world_.random.uniformInteger (0, 3))
+    switch (m_world.random.uniformInteger (0, 3))
     {
         case 0:
             faults.closesAfterBody = true;
@@ -417,35 +418,35 @@
             break;
     }
     application.setFaults (faults);
-    world_.queue.after (draw (500, 5000), [&application] { application.setFaults ({}); });
+    m_world.queue.after (draw (500, 5000), [&application] { application.setFaults ({}); });
     return true;
 }
 
 void FaultPlan::heal()
 {
-    isOver_ = true;
-    world_.note ("all faults end");
-    world_.network.healAll();
-    world_.platform->setLag (kUsualLag);
-    world_.platform->setWeightStoreFaults ({});
-    for (const auto& controller : world_.controllers)
+    m_isOver = true;
+    m_world.note ("all faults end");
+    m_world.network.healAll();
+    m_world.platform->setLag (kUsualLag);
+    m_world.platform->setWeightStoreFaults ({});
+    for (const auto& controller : m_world.controllers)
     {
         controller->setDiskDelay (kUsualSync);
         if (! controller->isAlive())
             controller->start();
     }
-    for (const auto& router : world_.routers)
+    for (const auto& router : m_world.routers)
     {
         if (! router->isAlive())
             router->start();
     }
-    for (const auto& engine : world_.engines)
+    for (const auto& engine : m_world.engines)
     {
         engine->setFaults ({});
         if (! engine->isAlive())
             engine->start();
     }
-    for (const auto& application : world_.applications)
+    for (const auto& application : m_world.applications)
     {
         application->setFaults ({});
         if (! application->isAlive())
--- a/src/sim/FaultPlan.h
+++ b/src/sim/FaultPlan.h
@@ -18,7 +18,7 @@
 class FaultPlan
 {
 public:
-    explicit FaultPlan (World& world) : world_ (world) {}
+    explicit FaultPlan (World& world) : m_world (world) {}
 
     /// Brings faults about until `end`.
     void begin (base::TimePoint end);
@@ -27,8 +27,8 @@
     /// A controller sends its vote.
     void onVote (ControllerNode& controller);
     /// Share of orders that arrive a second time, late.
-    [[nodiscard]] double orderDuplication() const { return isOver_ ? 0 : 0.05; }
-    [[nodiscard]] const FaultCounts& counts() const { return counts_; }
+    [[nodiscard]] double orderDuplication() const { return m_isOver ? 0 : 0.05; }
+    [[nodiscard]] const FaultCounts& counts() const { return m_counts; }
 
 private:
     void scheduleNext (base::TimePoint end);
@@ -68,19 +68,19 @@
     Item& pick (const std::vector<std::unique_ptr<Item>>& items);
     [[nodiscard]] base::Duration drawSilence();
 
-    World& world_;
-    FaultCounts counts_{};
-    bool isOver_ = false;
-    std::uint64_t healNumber_ = 0;
-    base::TimePoint votersDieUntil_{};
-    std::uint64_t lastMachine_ = 0;
+    World& m_world;
+    FaultCounts m_counts{};
+    bool m_isOver = false;
+    std::uint64_t m_healNumber = 0;
+    base::TimePoint m_votersDieUntil{};
+    std::uint64_t m_lastMachine = 0;
 };
 
 template <class Item>
 Item& FaultPlan::pick (const std::vector<std::unique_ptr<Item>>& items)
 {
     const auto number =
-        world_.random.uniformInteger (0, static_cast<std::int64_t> (items.size()) - 1);
+        m_world.random.uniformInteger (0, static_cast<std::int64_t> (items.size()) - 1);
     return *items[static_cast<std::size_t> (number)];
 }
 
--- a/src/sim/FaultPlanNetwork.cpp
+++ b/src/sim/FaultPlanNetwork.cpp
@@ -19,15 +19,15 @@
 
 void FaultPlan::cutFor (NodeId from, NodeId to, base::Duration duration)
 {
-    if (from == to || isOver_)
+    if (from == to || m_isOver)
         return;
-    world_.network.cut (from, to);
-    world_.queue.after (duration,
-                        [this, from, to]
-                        {
-                            if (! isOver_)
-                                world_.network.heal (from, to);
-                        });
+    m_world.network.cut (from, to);
+    m_world.queue.after (duration,
+                         [this, from, to]
+                         {
+                             if (! m_isOver)
+                                 m_world.network.heal (from, to);
+                         });
 }
 
 void FaultPlan::cutBothFor (NodeId first, NodeId second, base::Duration duration)
@@ -50,20 +50,20 @@
             return partition();
         case FaultKind::kConnectionReset:
         {
-            const NodeId node = static_cast<NodeId> (world_.random.uniformInteger (
-                0,
-                static_cast<std::int64_t> (world_.controllers.size() + world_.routers.size()) - 1));
-            for (NodeId other = 0; other < world_.platform->node(); ++other)
+            const NodeId node = static_cast<NodeId> (m_world.random.uniformInteger (
+                0, static_cast<std::int64_t> (m_world.controllers.size() + m_world.routers.size())
+                       - 1));
+            for (NodeId other = 0; other < m_world.platform->node(); ++other)
             {
                 if (other != node)
-                    world_.network.resetBetween (node, other);
+                    m_world.network.resetBetween (node, other);
             }
             return true;
         }
         case FaultKind::kTurbulence:
-            world_.network.setTurbulence ({ world_.random.uniformReal() * 0.2,
-                                            world_.random.uniformReal() * 0.2, draw (1, 200) });
-            world_.queue.after (draw (500, 4000), [this] { world_.network.setTurbulence ({}); });
+            m_world.network.setTurbulence ({ m_world.random.uniformReal() * 0.2,
+                                             m_world.random.uniformReal() * 0.2, draw (1, 200) });
+            m_world.queue.after (draw (500, 4000), [this] { m_world.network.setTurbulence ({}); });
             return true;
         case FaultKind::kSlowLink:
             return slowLinks();
@@ -76,28 +76,28 @@
 /// still do.
 bool FaultPlan::cutLeaderOff()
 {
-    ControllerNode* leader = world_.leader();
+    ControllerNode* leader = m_world.leader();
     if (leader == nullptr)
         return false;
     const base::Duration duration = draw (300, 6000);
-    const bool keepsOthers = world_.random.chance (0.6);
-    for (const auto& controller : world_.controllers)
+    const bool keepsOthers = m_world.random.chance (0.6);
+    for (const auto& controller : m_world.controllers)
     {
         cutBothFor (leader->node(), controller->node(), duration);
     }
     if (keepsOthers)
         return true;  // Routers and engines can still reach it.
-    for (const auto& router : world_.routers)
+    for (const auto& router : m_world.routers)
         cutBothFor (leader->node(), router->node(), duration);
-    for (const auto& engine : world_.engines)
+    for (const auto& engine : m_world.engines)
         cutBothFor (leader->node(), engine->node(), duration);
     return true;
 }
 
 bool FaultPlan::cutLeaderFromMember()
 {
-    ControllerNode* leader = world_.leader();
-    ControllerNode& member = pick (world_.controllers);
+    ControllerNode* leader = m_world.leader();
+    ControllerNode& member = pick (m_world.controllers);
     if (leader == nullptr || leader == &member)
         return false;
     cutBothFor (leader->node(), member.node(), draw (700, 4000));
@@ -106,12 +106,12 @@
 
 bool FaultPlan::cutOneWay()
 {
-    ControllerNode& controller = pick (world_.controllers);
+    ControllerNode& controller = pick (m_world.controllers);
     const base::Duration duration = draw (200, 5000);
-    const bool isOutgoing = world_.random.chance (0.5);
-    for (const auto& other : world_.controllers)
+    const bool isOutgoing = m_world.random.chance (0.5);
+    for (const auto& other : m_world.controllers)
     {
-        if (world_.random.chance (0.3))
+        if (m_world.random.chance (0.3))
             continue;
         if (isOutgoing)
         {
@@ -128,10 +128,10 @@
 bool FaultPlan::partition()
 {
     const base::Duration duration = draw (300, 5000);
-    std::vector<bool> isInside (world_.platform->node() + 1);
+    std::vector<bool> isInside (m_world.platform->node() + 1);
     for (NodeId node = 0; node < isInside.size(); ++node)
     {
-        isInside[node] = world_.random.chance (0.4);
+        isInside[node] = m_world.random.chance (0.4);
     }
     for (NodeId first = 0; first < isInside.size(); ++first)
     {
@@ -147,26 +147,27 @@
 /// Orders and reports of some controllers take seconds.
 bool FaultPlan::slowLinks()
 {
-    ControllerNode* leader = world_.leader();
+    ControllerNode* leader = m_world.leader();
     if (leader == nullptr)
         return false;
     const NodeId node = leader->node();
     const base::Duration extra = draw (100, 4000);
-    for (const auto& engine : world_.engines)
+    for (const auto& engine : m_world.engines)
     {
-        world_.network.slow (node, engine->node(), extra);
-        if (world_.random.chance (0.5))
-            world_.network.slow (engine->node(), node, extra);
+        m_world.network.slow (node, engine->node(), extra);
+        if (m_world.random.chance (0.5))
+            m_world.network.slow (engine->node(), node, extra);
     }
-    world_.queue.after (draw (1000, 5000),
-                        [this, node]
-                        {
-                            for (const auto& engine : world_.engines)
-                            {
-                                world_.network.slow (node, engine->node(), base::Duration::zero());
-                                world_.network.slow (engine->node(), node, base::Duration::zero());
-                            }
-                        });
+    m_world.queue.after (
+        draw (1000, 5000),
+        [this, node]
+        {
+            for (const auto& engine : m_world.engines)
+            {
+                m_world.network.slow (node, engine->node(), base::Duration::zero());
+                m_world.network.slow (engine->node(), node, base::Duration::zero());
+            }
+        });
     return true;
 }
 
@@ -178,7 +179,7 @@
             return makeMachineLeave();
         case FaultKind::kApplicationKilled:
         {
-            ApplicationNode& application = pick (world_.applications);
+            ApplicationNode& application = pick (m_world.applications);
             if (! application.isAlive())
                 return false;
             killAndRestart (application, base::seconds (3),
@@ -188,17 +189,18 @@
         case FaultKind::kApplicationMisbehaves:
             return makeApplicationMisbehave();
         case FaultKind::kWeightStoreSlow:
-            world_.platform->setWeightStoreFaults (
-                { world_.random.chance (0.3), 2 + world_.random.uniformReal() * 10 });
-            world_.queue.after (draw (1000, 5000),
-                                [this] { world_.platform->setWeightStoreFaults ({}); });
+            m_world.platform->setWeightStoreFaults (
+                { m_world.random.chance (0.3), 2 + m_world.random.uniformReal() * 10 });
+            m_world.queue.after (draw (1000, 5000),
+                                 [this] { m_world.platform->setWeightStoreFaults ({}); });
             return true;
         case FaultKind::kMachineListLags:
-            world_.platform->setLag (draw (2000, 10000));
-            world_.queue.after (draw (1000, 8000), [this] { world_.platform->setLag (kUsualLag); });
+            m_world.platform->setLag (draw (2000, 10000));
+            m_world.queue.after (draw (1000, 8000),
+                                 [this] { m_world.platform->setLag (kUsualLag); });
             return true;
         case FaultKind::kRequestBurst:
-            world_.callers->burst();
+            m_world.callers->burst();
             return true;
         default:
             return false;
@@ -208,37 +210,37 @@
 /// A machine is announced to leave, is reclaimed after a while, and another one takes its place.
 bool FaultPlan::makeMachineLeave()
 {
-    const bool isApplication = world_.random.chance (0.2);
-    BackEnd& backEnd = isApplication ? static_cast<BackEnd&> (pick (world_.applications))
-                                     : static_cast<BackEnd&> (pick (world_.engines));
+    const bool isApplication = m_world.random.chance (0.2);
+    BackEnd& backEnd = isApplication ? static_cast<BackEnd&> (pick (m_world.applications))
+                                     : static_cast<BackEnd&> (pick (m_world.engines));
     if (! backEnd.isAlive() || backEnd.isLeaving())
         return false;
-    world_.platform->setLeaving (backEnd.machine().runner);
+    m_world.platform->setLeaving (backEnd.machine().runner);
     // The engine itself may hear of it earlier or later than the list shows it.
-    world_.queue.after (draw (0, 2000), [&backEnd, life = backEnd.life()]
-                        { backEnd.postTo (life, [&backEnd] { backEnd.setLeaving (true); }); });
-    world_.queue.after (draw (3000, 7000), [this, &backEnd] { reclaim (backEnd); });
+    m_world.queue.after (draw (0, 2000), [&backEnd, life = backEnd.life()]
+                         { backEnd.postTo (life, [&backEnd] { backEnd.setLeaving (true); }); });
+    m_world.queue.after (draw (3000, 7000), [this, &backEnd] { reclaim (backEnd); });
     return true;
 }
 
 void FaultPlan::reclaim (BackEnd& backEnd)
 {
     backEnd.kill (draw (2000, 6000));
-    world_.platform->remove (backEnd.machine().runner);
-    const std::string number = std::to_string (++lastMachine_);
+    m_world.platform->remove (backEnd.machine().runner);
+    const std::string number = std::to_string (++m_lastMachine);
     const std::string address = "127.3.9." + number + ":9000";
-    world_.backEndsByAddress.erase (backEnd.machine().address);
+    m_world.backEndsByAddress.erase (backEnd.machine().address);
     const std::string& name = backEnd.machine().runner.value;
     const std::string stem = name.substr (0, name.find ('/'));
     backEnd.replaceMachine (base::RunnerId (stem + "/" + number), address);
-    world_.backEndsByAddress[address] = &backEnd;
-    world_.queue.after (draw (300, 2000),
-                        [this, &backEnd]
-                        {
-                            world_.platform->put (backEnd.machine());
-                            if (! backEnd.isAlive())
-                                backEnd.start();
-                        });
+    m_world.backEndsByAddress[address] = &backEnd;
+    m_world.queue.after (draw (300, 2000),
+                         [this, &backEnd]
+                         {
+                             m_world.platform->put (backEnd.machine());
+                             if (! backEnd.isAlive())
+                                 backEnd.start();
+                         });
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/LeavingChecker.cpp
+++ b/src/sim/LeavingChecker.cpp
@@ -32,7 +32,7 @@
         if (machine.state != engine::MachineState::kLeaving)
             continue;
         const cell::Runner* known =
-            world_.consensus->state().replicas().findRunner (machine.runner);
+            m_world.consensus->state().replicas().findRunner (machine.runner);
         if (known != nullptr)
             onSign (controller, { machine.runner, known->incarnation });
     }
@@ -40,30 +40,30 @@
 
 void LeavingChecker::onSign (ControllerNode& controller, const RunnerLife& runner)
 {
-    const cell::Runner* known = world_.consensus->state().replicas().findRunner (runner.first);
+    const cell::Runner* known = m_world.consensus->state().replicas().findRunner (runner.first);
     const bool isCurrent = known != nullptr && known->incarnation == runner.second;
     if (! isCurrent || known->isLeaving || ! controller.leadsNow())
         return;
-    if (! awaited_.insert (runner).second)
+    if (! m_awaited.insert (runner).second)
         return;
     const base::Term term = controller.core().raftStatus().term;
     const base::Duration frozen = controller.frozenTime();
-    world_.queue.after (
+    m_world.queue.after (
         kCommitWithin,
         [this, runner, term, frozen, node = &controller]
         {
-            awaited_.erase (runner);
+            m_awaited.erase (runner);
             const cell::Runner* now =
-                world_.consensus->state().replicas().findRunner (runner.first);
+                m_world.consensus->state().replicas().findRunner (runner.first);
             const bool isDone =
                 now == nullptr || now->incarnation != runner.second || now->isLeaving;
             const bool ledOn = node->leadsNow() && node->core().raftStatus().term == term
                                && node->frozenTime() == frozen;
             if (isDone || ! ledOn)
                 return;
-            world_.violations.add (kInvariant, node->name() + " leads, knows that "
-                                                   + runner.first.value
-                                                   + " leaves and has not decided it within 1 s");
+            m_world.violations.add (kInvariant, node->name() + " leads, knows that "
+                                                    + runner.first.value
+                                                    + " leaves and has not decided it within 1 s");
         });
 }
 
@@ -73,36 +73,36 @@
     if (observed == nullptr || ! observed->isLeaving)
         return;
     const RunnerLife runner{ observed->machine.runner, observed->incarnation };
-    if (committedAt_.emplace (runner, world_.now()).second)
+    if (m_committedAt.emplace (runner, m_world.now()).second)
     {
-        world_.note (runner.first.value + " is known to leave");
+        m_world.note (runner.first.value + " is known to leave");
     }
 }
 
 void LeavingChecker::onRouterSaw (RouterNode& router, const cell::RoutableReplica& replica)
 {
-    seenByRouter_.insert (
+    m_seenByRouter.insert (
         { router.name(), router.life(), { replica.runner, replica.incarnation } });
 }
 
 void LeavingChecker::onDispatch (RouterNode& router, const cell::RoutableReplica& replica)
 {
     const RunnerLife runner{ replica.runner, replica.incarnation };
-    if (seenByRouter_.contains ({ router.name(), router.life(), runner }))
+    if (m_seenByRouter.contains ({ router.name(), router.life(), runner }))
     {
-        world_.violations.add (kInvariant, router.name() + " sends to " + replica.runner.value
-                                               + " although it saw that it leaves");
+        m_world.violations.add (kInvariant, router.name() + " sends to " + replica.runner.value
+                                                + " although it saw that it leaves");
     }
     // Without a lease a router admits nothing; for what it has it knows no better.
     if (! router.core()->isReady())
         return;
-    const auto committed = committedAt_.find (runner);
-    if (committed == committedAt_.end())
+    const auto committed = m_committedAt.find (runner);
+    if (committed == m_committedAt.end())
         return;
-    if (world_.now() - committed->second <= kKnownEverywhereWithin)
+    if (m_world.now() - committed->second <= kKnownEverywhereWithin)
         return;
-    world_.violations.add (kInvariant, router.name() + " sends to " + replica.runner.value
-                                           + " long after it was decided that it leaves");
+    m_world.violations.add (kInvariant, router.name() + " sends to " + replica.runner.value
+                                            + " long after it was decided that it leaves");
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/LeavingChecker.h
+++ b/src/sim/LeavingChecker.h
@@ -25,7 +25,7 @@
 class LeavingChecker
 {
 public:
-    explicit LeavingChecker (World& world) : world_ (world) {}
+    explicit LeavingChecker (World& world) : m_world (world) {}
 
     void onReport (ControllerNode& controller, const engine::Report& report);
     void onMachineList (ControllerNode& controller, const engine::MachineList& list);
@@ -33,17 +33,17 @@
     void onRouterSaw (RouterNode& router, const cell::RoutableReplica& replica);
     void onDispatch (RouterNode& router, const cell::RoutableReplica& replica);
 
-    [[nodiscard]] std::size_t leftCount() const { return committedAt_.size(); }
+    [[nodiscard]] std::size_t leftCount() const { return m_committedAt.size(); }
 
 private:
     using RunnerLife = std::pair<base::RunnerId, base::Incarnation>;
 
     void onSign (ControllerNode& controller, const RunnerLife& runner);
 
-    World& world_;
-    std::set<RunnerLife> awaited_;  ///< A leader saw the sign; the commit is being watched.
-    std::map<RunnerLife, base::TimePoint> committedAt_;
-    std::set<std::tuple<std::string, std::uint64_t, RunnerLife>> seenByRouter_;
+    World& m_world;
+    std::set<RunnerLife> m_awaited;  ///< A leader saw the sign; the commit is being watched.
+    std::map<RunnerLife, base::TimePoint> m_committedAt;
+    std::set<std::tuple<std::string, std::uint64_t, RunnerLife>> m_seenByRouter;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/Network.cpp
+++ b/src/sim/Network.cpp
@@ -15,10 +15,10 @@
 
 }  // namespace
 
-Connection::Connection (Network& network, NodeId opener, NodeId acceptor) : network_ (network)
+Connection::Connection (Network& network, NodeId opener, NodeId acceptor) : m_network (network)
 {
-    sides_[0].node = opener;
-    sides_[1].node = acceptor;
+    m_sides[0].node = opener;
+    m_sides[1].node = acceptor;
 }
 
 void Connection::send (Side from, Action action)
@@ -26,26 +26,26 @@
     if (! isOpen (from))
         return;
     const Side to = other (from);
-    End& end = sides_[index (to)];
-    if (! end.held.empty() || network_.isCut (node (from), node (to)))
+    End& end = m_sides[index (to)];
+    if (! end.held.empty() || m_network.isCut (node (from), node (to)))
     {
         end.held.push_back (std::move (action));
         return;
     }
     const base::TimePoint arrival =
-        network_.queue().now() + network_.delay (node (from), node (to));
+        m_network.queue().now() + m_network.delay (node (from), node (to));
     end.lastArrival = std::max (arrival, end.lastArrival);
-    network_.queue().at (end.lastArrival,
-                         [self = shared_from_this(), to, epoch = end.epoch,
-                          action = std::move (action)] { self->arrive (to, epoch, action); });
+    m_network.queue().at (end.lastArrival,
+                          [self = shared_from_this(), to, epoch = end.epoch,
+                           action = std::move (action)] { self->arrive (to, epoch, action); });
 }
 
 void Connection::arrive (Side to, std::uint64_t epoch, const Action& action)
 {
-    End& end = sides_[index (to)];
+    End& end = m_sides[index (to)];
     if (epoch != end.epoch)
         return;
-    if (! end.held.empty() || network_.isCut (node (other (to)), node (to)))
+    if (! end.held.empty() || m_network.isCut (node (other (to)), node (to)))
     {
         end.held.push_back (action);
         return;
@@ -56,8 +56,8 @@
 
 void Connection::flush (Side to)
 {
-    End& end = sides_[index (to)];
-    while (! end.held.empty() && ! network_.isCut (node (other (to)), node (to)))
+    End& end = m_sides[index (to)];
+    while (! end.held.empty() && ! m_network.isCut (node (other (to)), node (to)))
     {
         const Action action = std::move (end.held.front());
         end.held.pop_front();
@@ -68,13 +68,13 @@
 
 void Connection::loseAll (Side to)
 {
-    sides_[index (to)].held.clear();
-    sides_[index (to)].epoch += 1;
+    m_sides[index (to)].held.clear();
+    m_sides[index (to)].epoch += 1;
 }
 
 void Connection::hearEnd (Side side)
 {
-    End& end = sides_[index (side)];
+    End& end = m_sides[index (side)];
     if (end.isClosed)
         return;
     end.isClosed = true;
@@ -87,15 +87,15 @@
     if (! isOpen (from))
         return;
     if (discardsUnsent)
-        sides_[index (other (from))].held.clear();
+        m_sides[index (other (from))].held.clear();
     send (from,
           [self = weak_from_this(), to = other (from)]
           {
               if (const auto connection = self.lock())
                   connection->hearEnd (to);
           });
-    sides_[index (from)].isClosed = true;
-    sides_[index (from)].onEnded = nullptr;
+    m_sides[index (from)].isClosed = true;
+    m_sides[index (from)].onEnded = nullptr;
 }
 
 void Connection::reset()
@@ -115,19 +115,19 @@
 }
 
 Network::Network (EventQueue& queue, base::Random& random, std::size_t nodes)
-    : queue_ (queue), random_ (random), nodes_ (nodes), links_ (nodes * nodes)
+    : m_queue (queue), m_random (random), m_nodes (nodes), m_links (nodes * nodes)
 {
 }
 
 Network::~Network()
 {
     // What waits at a connection refers to the connection itself.
-    for (const auto& entry : connections_)
+    for (const auto& entry : m_connections)
     {
         const ConnectionPointer connection = entry.lock();
         if (! connection)
             continue;
-        for (Connection::End& end : connection->sides_)
+        for (Connection::End& end : connection->m_sides)
         {
             end.held.clear();
             end.onEnded = nullptr;
@@ -135,7 +135,7 @@
     }
 }
 
-bool Network::isCut (NodeId from, NodeId to) const { return links_[from * nodes_ + to].cuts > 0; }
+bool Network::isCut (NodeId from, NodeId to) const { return m_links[from * m_nodes + to].cuts > 0; }
 
 void Network::heal (NodeId from, NodeId to)
 {
@@ -151,37 +151,37 @@
         {
             const bool isDirection =
                 connection->node (other (side)) == from && connection->node (side) == to;
-            if (! isDirection || connection->sides_[Connection::index (side)].held.empty())
+            if (! isDirection || connection->m_sides[Connection::index (side)].held.empty())
                 continue;
             const auto wait =
-                base::Duration (random_.uniformInteger (0, kLongestRetransmissionMicroseconds));
-            queue_.after (wait, [connection, side] { connection->flush (side); });
+                base::Duration (m_random.uniformInteger (0, kLongestRetransmissionMicroseconds));
+            m_queue.after (wait, [connection, side] { connection->flush (side); });
         }
     }
 }
 
 void Network::healAll()
 {
-    for (NodeId from = 0; from < nodes_; ++from)
+    for (NodeId from = 0; from < m_nodes; ++from)
     {
-        for (NodeId to = 0; to < nodes_; ++to)
+        for (NodeId to = 0; to < m_nodes; ++to)
         {
             while (isCut (from, to))
                 heal (from, to);
             link (from, to).extraDelay = base::Duration::zero();
         }
     }
-    turbulence_ = {};
+    m_turbulence = {};
 }
 
 base::Duration Network::delay (NodeId from, NodeId to)
 {
     auto delay = base::Duration (
-        random_.uniformInteger (kShortestDelayMicroseconds, kLongestDelayMicroseconds));
-    const base::Duration extra = link (from, to).extraDelay + turbulence_.extraDelay;
+        m_random.uniformInteger (kShortestDelayMicroseconds, kLongestDelayMicroseconds));
+    const base::Duration extra = link (from, to).extraDelay + m_turbulence.extraDelay;
     if (extra > base::Duration::zero())
     {
-        delay += base::Duration (random_.uniformInteger (0, extra.count()));
+        delay += base::Duration (m_random.uniformInteger (0, extra.count()));
     }
     return delay;
 }
@@ -190,17 +190,17 @@
 {
     if (isCut (from, to))
         return;
-    if (turbulence_.loss > 0 && random_.chance (turbulence_.loss))
+    if (m_turbulence.loss > 0 && m_random.chance (m_turbulence.loss))
         return;
-    const bool isTwice = turbulence_.duplication > 0 && random_.chance (turbulence_.duplication);
+    const bool isTwice = m_turbulence.duplication > 0 && m_random.chance (m_turbulence.duplication);
     for (int copy = 0; copy < (isTwice ? 2 : 1); ++copy)
     {
-        queue_.after (delay (from, to),
-                      [this, from, to, action]
-                      {
-                          if (! isCut (from, to))
-                              action();
-                      });
+        m_queue.after (delay (from, to),
+                       [this, from, to, action]
+                       {
+                           if (! isCut (from, to))
+                               action();
+                       });
     }
 }
 
@@ -208,20 +208,20 @@
 {
     if (isCut (from, to) || isCut (to, from))
         return nullptr;
-    if (connections_.size() >= purgeAt_)
+    if (m_connections.size() >= m_purgeAt)
     {
-        std::erase_if (connections_, [] (const auto& entry) { return entry.expired(); });
-        purgeAt_ = connections_.size() * 2 + 1024;
+        std::erase_if (m_connections, [] (const auto& entry) { return entry.expired(); });
+        m_purgeAt = m_connections.size() * 2 + 1024;
     }
     auto connection = std::make_shared<Connection> (*this, from, to);
-    connections_.push_back (connection);
+    m_connections.push_back (connection);
     return connection;
 }
 
 std::vector<ConnectionPointer> Network::connectionsOf (NodeId node)
 {
     std::vector<ConnectionPointer> found;
-    for (const auto& entry : connections_)
+    for (const auto& entry : m_connections)
     {
         ConnectionPointer connection = entry.lock();
         if (! connection)
@@ -242,14 +242,14 @@
             connection->node (Side::kOpener) == node ? Side::kOpener : Side::kAcceptor;
         if (! connection->isOpen (side))
             continue;
-        connection->sides_[Connection::index (side)].onEnded = nullptr;
+        connection->m_sides[Connection::index (side)].onEnded = nullptr;
         if (silence == base::Duration::zero())
         {
             connection->close (side, true);
             continue;
         }
         connection->loseAll (other (side));
-        queue_.after (silence, [connection, side] { connection->close (side, true); });
+        m_queue.after (silence, [connection, side] { connection->close (side, true); });
         connection->loseAll (side);
     }
 }
--- a/src/sim/Network.h
+++ b/src/sim/Network.h
@@ -51,10 +51,10 @@
     /// Breaks the connection: what is on its way is lost, and both sides hear of it.
     void reset();
     /// Runs when this side hears that the connection ended. Not for its own close().
-    void onEnded (Side side, Action action) { sides_[index (side)].onEnded = std::move (action); }
+    void onEnded (Side side, Action action) { m_sides[index (side)].onEnded = std::move (action); }
 
-    [[nodiscard]] bool isOpen (Side side) const { return ! sides_[index (side)].isClosed; }
-    [[nodiscard]] NodeId node (Side side) const { return sides_[index (side)].node; }
+    [[nodiscard]] bool isOpen (Side side) const { return ! m_sides[index (side)].isClosed; }
+    [[nodiscard]] NodeId node (Side side) const { return m_sides[index (side)].node; }
 
 private:
     friend class Network;
@@ -75,8 +75,8 @@
     void loseAll (Side to);
     void hearEnd (Side side);
 
-    Network& network_;
-    std::array<End, 2> sides_;
+    Network& m_network;
+    std::array<End, 2> m_sides;
 };
 using ConnectionPointer = std::shared_ptr<Connection>;
 
@@ -94,7 +94,7 @@
     [[nodiscard]] bool isCut (NodeId from, NodeId to) const;
     /// Adds up to `extra` to every delay on the link.
     void slow (NodeId from, NodeId to, base::Duration extra) { link (from, to).extraDelay = extra; }
-    void setTurbulence (const Turbulence& turbulence) { turbulence_ = turbulence; }
+    void setTurbulence (const Turbulence& turbulence) { m_turbulence = turbulence; }
 
     /// Runs `action` at the other node: once, never or twice.
     void datagram (NodeId from, NodeId to, const Action& action);
@@ -107,8 +107,8 @@
     void resetBetween (NodeId first, NodeId second);
 
     [[nodiscard]] base::Duration delay (NodeId from, NodeId to);
-    [[nodiscard]] EventQueue& queue() { return queue_; }
-    [[nodiscard]] base::Random& random() { return random_; }
+    [[nodiscard]] EventQueue& queue() { return m_queue; }
+    [[nodiscard]] base::Random& random() { return m_random; }
 
 private:
     struct Link
@@ -117,16 +117,16 @@
         base::Duration extraDelay{};
     };
 
-    Link& link (NodeId from, NodeId to) { return links_[from * nodes_ + to]; }
+    Link& link (NodeId from, NodeId to) { return m_links[from * m_nodes + to]; }
     [[nodiscard]] std::vector<ConnectionPointer> connectionsOf (NodeId node);
 
-    EventQueue& queue_;
-    base::Random& random_;
-    std::size_t nodes_;
-    std::vector<Link> links_;
-    Turbulence turbulence_;
-    std::vector<std::weak_ptr<Connection>> connections_;
-    std::size_t purgeAt_ = 1024;
+    EventQueue& m_queue;
+    base::Random& m_random;
+    std::size_t m_nodes;
+    std::vector<Link> m_links;
+    Turbulence m_turbulence;
+    std::vector<std::weak_ptr<Connection>> m_connections;
+    std::size_t m_purgeAt = 1024;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/Operators.cpp
+++ b/src/sim/Operators.cpp
@@ -75,7 +75,7 @@
 }  // namespace
 
 Operators::Operators (World& world, NodeId node)
-    : Process (world.network, world.trace, node, "operators", 0), world_ (world)
+    : Process (world.network, world.trace, node, "operators", 0), m_world (world)
 {
     Process::begin();
 }
@@ -90,7 +90,7 @@
 void Operators::scheduleApply (base::TimePoint end)
 {
     const double mean =
-        world_.options.hasHourCut ? kMeanApplyMillisecondsInHour : kMeanApplyMilliseconds;
+        m_world.options.hasHourCut ? kMeanApplyMillisecondsInHour : kMeanApplyMilliseconds;
     const auto pause = base::milliseconds (static_cast<std::int64_t> (random().exponential (mean)));
     queue().after (pause,
                    [this, end]
@@ -108,7 +108,7 @@
 void Operators::scheduleRead (base::TimePoint end)
 {
     const double mean =
-        world_.options.hasHourCut ? kMeanReadMillisecondsInHour : kMeanReadMilliseconds;
+        m_world.options.hasHourCut ? kMeanReadMillisecondsInHour : kMeanReadMilliseconds;
     const auto pause =
         base::milliseconds (1 + static_cast<std::int64_t> (random().exponential (mean)));
     queue().after (pause,
@@ -124,11 +124,11 @@
 void Operators::applyNext()
 {
     Apply apply;
-    apply.record.version = knownVersion_ + 1;
+    apply.record.version = m_knownVersion + 1;
     // Some operators work with an old file.
-    if (knownVersion_ > 1 && random().chance (0.1))
-        apply.record.version = knownVersion_ - 1;
-    apply.text = catalogueText (apply.record.version, ++variants_, random());
+    if (m_knownVersion > 1 && random().chance (0.1))
+        apply.record.version = m_knownVersion - 1;
+    apply.text = catalogueText (apply.record.version, ++m_variants, random());
     apply.record.digest = base::sha256Hex (apply.text);
     sendApply (std::move (apply));
 }
@@ -152,9 +152,9 @@
             again();  // Not the leader, or the leader lost its quorum.
             return;
         }
-        world_.configuration->onOperatorAnswer (apply.record, answer);
-        knownVersion_ = std::max (knownVersion_, answer.inForceVersion);
-        ++appliesAnswered_;
+        m_world.configuration->onOperatorAnswer (apply.record, answer);
+        m_knownVersion = std::max (m_knownVersion, answer.inForceVersion);
+        ++m_appliesAnswered;
         // As if the answer had been lost: the same file is sent again.
         if (random().chance (kLostAnswerShare))
             again();
@@ -168,28 +168,28 @@
     OperatorRecord record;
     record.call = OperatorCall::kRead;
     record.sentAt = queue().now();
-    ControllerNode& anyone = *world_.controllers[static_cast<std::size_t> (
-        random().uniformInteger (0, static_cast<std::int64_t> (world_.controllers.size()) - 1))];
+    ControllerNode& anyone = *m_world.controllers[static_cast<std::size_t> (
+        random().uniformInteger (0, static_cast<std::int64_t> (m_world.controllers.size()) - 1))];
     const auto onAnswer = [this, record] (const controller::AnswerAdmin& json)
     {
         const OperatorAnswer answer = toAnswer (json, OperatorCall::kRead);
         if (json.httpStatus != 200)
             return;
-        ++readsAnswered_;
-        world_.configuration->onOperatorAnswer (record, answer);
-        knownVersion_ = std::max (knownVersion_, answer.inForceVersion);
+        ++m_readsAnswered;
+        m_world.configuration->onOperatorAnswer (record, answer);
+        m_knownVersion = std::max (m_knownVersion, answer.inForceVersion);
     };
     ask (anyone, controller::AdminExplain{ "configuration", "" }, onAnswer, [] {});
 }
 
 ControllerNode& Operators::likelyLeader()
 {
-    ControllerNode* leader = world_.leader();
+    ControllerNode* leader = m_world.leader();
     if (leader != nullptr && random().chance (0.8))
         return *leader;
     const auto any =
-        random().uniformInteger (0, static_cast<std::int64_t> (world_.controllers.size()) - 1);
-    return *world_.controllers[static_cast<std::size_t> (any)];
+        random().uniformInteger (0, static_cast<std::int64_t> (m_world.controllers.size()) - 1);
+    return *m_world.controllers[static_cast<std::size_t> (any)];
 }
 
 void Operators::ask (ControllerNode& controller, const controller::AdminRequest& request,
@@ -208,10 +208,10 @@
 {
     Replacement replacement;
     replacement.former = controller.member();
-    controller.replaceDisk (++lastMember_);
+    controller.replaceDisk (++m_lastMember);
     controller.start();
     replacement.member = controller.asMember (false);
-    ++replacing_;
+    ++m_replacing;
     continueReplacement (replacement);
 }
 
@@ -245,8 +245,8 @@
         {
             note ("member " + std::to_string (replacement.former) + " replaced by "
                   + std::to_string (replacement.member.id));
-            ++membersReplaced_;
-            --replacing_;
+            ++m_membersReplaced;
+            --m_replacing;
             return;
         }
         ask (
--- a/src/sim/Operators.h
+++ b/src/sim/Operators.h
@@ -29,10 +29,10 @@
     /// Applies one more file; used once the cell has healed.
     void applyNext();
 
-    [[nodiscard]] std::uint64_t appliesAnswered() const { return appliesAnswered_; }
-    [[nodiscard]] std::uint64_t readsAnswered() const { return readsAnswered_; }
-    [[nodiscard]] std::uint64_t membersReplaced() const { return membersReplaced_; }
-    [[nodiscard]] bool isReplacing() const { return replacing_ > 0; }
+    [[nodiscard]] std::uint64_t appliesAnswered() const { return m_appliesAnswered; }
+    [[nodiscard]] std::uint64_t readsAnswered() const { return m_readsAnswered; }
+    [[nodiscard]] std::uint64_t membersReplaced() const { return m_membersReplaced; }
+    [[nodiscard]] bool isReplacing() const { return m_replacing > 0; }
 
 private:
     struct Apply
@@ -58,14 +58,14 @@
               OnAnswer onAnswer, Action onFailed);
     [[nodiscard]] ControllerNode& likelyLeader();
 
-    World& world_;
-    std::uint64_t knownVersion_ = 0;  ///< Highest version that any operator heard of.
-    std::uint64_t variants_ = 0;
-    std::uint64_t appliesAnswered_ = 0;
-    std::uint64_t readsAnswered_ = 0;
-    std::uint64_t membersReplaced_ = 0;
-    base::MemberId lastMember_ = 100;
-    int replacing_ = 0;
+    World& m_world;
+    std::uint64_t m_knownVersion = 0;  ///< Highest version that any operator heard of.
+    std::uint64_t m_variants = 0;
+    std::uint64_t m_appliesAnswered = 0;
+    std::uint64_t m_readsAnswered = 0;
+    std::uint64_t m_membersReplaced = 0;
+    base::MemberId m_lastMember = 100;
+    int m_replacing = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/Platform.cpp
+++ b/src/sim/Platform.cpp
@@ -24,27 +24,27 @@
 
 Platform::Platform (World& world, NodeId node, engine::MachineList machines)
     : Process (world.network, world.trace, node, "platform", 0),
-      list_ (std::move (machines), kUsualLag),
-      weights_ (weightStoreOptions(), world.now())
+      m_list (std::move (machines), kUsualLag),
+      m_weights (weightStoreOptions(), world.now())
 {
     begin();
 }
 
 void Platform::setLeaving (const base::RunnerId& runner)
 {
-    list_.setState (runner, engine::MachineState::kLeaving, queue().now());
+    m_list.setState (runner, engine::MachineState::kLeaving, queue().now());
 }
 
-void Platform::remove (const base::RunnerId& runner) { list_.remove (runner, queue().now()); }
+void Platform::remove (const base::RunnerId& runner) { m_list.remove (runner, queue().now()); }
 
-void Platform::put (const engine::Machine& machine) { list_.put (machine, queue().now()); }
+void Platform::put (const engine::Machine& machine) { m_list.put (machine, queue().now()); }
 
 std::uint64_t Platform::beginTransfer (EngineNode& engine, standin::FetchId fetch,
                                        engine::Megabytes size)
 {
-    weights_.advance (queue().now());
-    const std::uint64_t transfer = ++lastTransfer_;
-    const auto refusal = weights_.begin (transfer, size);
+    m_weights.advance (queue().now());
+    const std::uint64_t transfer = ++m_lastTransfer;
+    const auto refusal = m_weights.begin (transfer, size);
     if (refusal)
     {
         queue().after (base::milliseconds (1),
@@ -54,50 +54,50 @@
                        });
         return transfer;
     }
-    transfers_[transfer] = { &engine, engine.life(), fetch };
+    m_transfers[transfer] = { &engine, engine.life(), fetch };
     settle();
     return transfer;
 }
 
 void Platform::cancelTransfer (std::uint64_t transfer)
 {
-    if (transfers_.erase (transfer) == 0)
+    if (m_transfers.erase (transfer) == 0)
         return;
-    weights_.advance (queue().now());
-    weights_.cancel (transfer);
+    m_weights.advance (queue().now());
+    m_weights.cancel (transfer);
     settle();
 }
 
 void Platform::setWeightStoreFaults (const standin::WeightStoreFaults& faults)
 {
-    weights_.advance (queue().now());
-    weights_.setFaults (faults);
+    m_weights.advance (queue().now());
+    m_weights.setFaults (faults);
     settle();
 }
 
 void Platform::settle()
 {
-    weights_.advance (queue().now());
-    for (const std::uint64_t transfer : weights_.takeFinished())
+    m_weights.advance (queue().now());
+    for (const std::uint64_t transfer : m_weights.takeFinished())
     {
-        const auto found = transfers_.find (transfer);
-        if (found == transfers_.end())
+        const auto found = m_transfers.find (transfer);
+        if (found == m_transfers.end())
             continue;
         const Transfer ended = found->second;
-        transfers_.erase (found);
+        m_transfers.erase (found);
         queue().after (base::milliseconds (1),
                        [ended] {
                            ended.engine->postTo (
                                ended.life, [ended] { ended.engine->onFetched (ended.fetch); });
                        });
     }
-    const auto next = weights_.nextEvent();
+    const auto next = m_weights.nextEvent();
     if (! next)
         return;
     queue().at (std::max (*next, queue().now() + base::microseconds (1)),
-                [this, number = ++wakeNumber_]
+                [this, number = ++m_wakeNumber]
                 {
-                    if (number == wakeNumber_)
+                    if (number == m_wakeNumber)
                         settle();
                 });
 }
--- a/src/sim/Platform.h
+++ b/src/sim/Platform.h
@@ -18,11 +18,14 @@
 public:
     Platform (World& world, NodeId node, engine::MachineList machines);
 
-    [[nodiscard]] const engine::MachineList& machineList() { return list_.visible (queue().now()); }
+    [[nodiscard]] const engine::MachineList& machineList()
+    {
+        return m_list.visible (queue().now());
+    }
     void setLeaving (const base::RunnerId& runner);
     void remove (const base::RunnerId& runner);
     void put (const engine::Machine& machine);
-    void setLag (base::Duration lag) { list_.setLag (lag); }
+    void setLag (base::Duration lag) { m_list.setLag (lag); }
 
     /// Begins a transfer to an engine, which hears of its end or refusal. Returns its number.
     std::uint64_t beginTransfer (EngineNode& engine, standin::FetchId fetch,
@@ -40,11 +43,11 @@
 
     void settle();
 
-    standin::MachineListModel list_;
-    standin::WeightStoreModel weights_;
-    std::map<std::uint64_t, Transfer> transfers_;
-    std::uint64_t lastTransfer_ = 0;
-    std::uint64_t wakeNumber_ = 0;
+    standin::MachineListModel m_list;
+    standin::WeightStoreModel m_weights;
+    std::map<std::uint64_t, Transfer> m_transfers;
+    std::uint64_t m_lastTransfer = 0;
+    std::uint64_t m_wakeNumber = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/Process.cpp
+++ b/src/sim/Process.cpp
@@ -28,41 +28,41 @@
 
 base::TimePoint DriftingClock::now() const
 {
-    const auto elapsed = queue_.now().time_since_epoch();
-    const auto gained = static_cast<std::int64_t> (static_cast<double> (elapsed.count()) * drift_);
+    const auto elapsed = m_queue.now().time_since_epoch();
+    const auto gained = static_cast<std::int64_t> (static_cast<double> (elapsed.count()) * m_drift);
     return base::TimePoint (elapsed + base::Duration (gained));
 }
 
 base::UnixMilliseconds DriftingClock::unixNow() const
 {
-    return kUnixStart + base::toMilliseconds (now().time_since_epoch()) + stepMilliseconds_;
+    return kUnixStart + base::toMilliseconds (now().time_since_epoch()) + m_stepMilliseconds;
 }
 
 Process::Process (Network& network, Trace& trace, NodeId node, std::string name, double drift)
-    : network_ (network),
-      trace_ (trace),
-      node_ (node),
-      name_ (std::move (name)),
-      clock_ (network.queue(), drift)
+    : m_network (network),
+      m_trace (trace),
+      m_node (node),
+      m_name (std::move (name)),
+      m_clock (network.queue(), drift)
 {
 }
 
 void Process::begin()
 {
-    isAlive_ = true;
-    hasVanished_ = false;
-    isFrozen_ = false;
-    ++life_;
-    waiting_.clear();
+    m_isAlive = true;
+    m_hasVanished = false;
+    m_isFrozen = false;
+    ++m_life;
+    m_waiting.clear();
 }
 
 void Process::post (Action input)
 {
-    if (! isAlive_)
+    if (! m_isAlive)
         return;
-    if (isFrozen_)
+    if (m_isFrozen)
     {
-        waiting_.push_back (std::move (input));
+        m_waiting.push_back (std::move (input));
         return;
     }
     input();
@@ -70,45 +70,45 @@
 
 void Process::postTo (std::uint64_t life, Action input)
 {
-    if (life == life_)
+    if (life == m_life)
         post (std::move (input));
 }
 
 void Process::kill (base::Duration silence)
 {
-    if (! isAlive_)
+    if (! m_isAlive)
         return;
     note ("killed");
-    isAlive_ = false;
-    hasVanished_ = silence > base::Duration::zero();
-    isFrozen_ = false;
-    waiting_.clear();
-    network_.onProcessEnded (node_, silence);
+    m_isAlive = false;
+    m_hasVanished = silence > base::Duration::zero();
+    m_isFrozen = false;
+    m_waiting.clear();
+    m_network.onProcessEnded (m_node, silence);
     onKilled();
 }
 
 void Process::freeze (base::Duration duration)
 {
-    if (! isAlive_ || isFrozen_)
+    if (! m_isAlive || m_isFrozen)
         return;
     note ("frozen for " + std::to_string (base::toMilliseconds (duration)) + " ms");
-    isFrozen_ = true;
-    frozenTime_ += duration;
+    m_isFrozen = true;
+    m_frozenTime += duration;
     queue().after (duration,
-                   [this, life = life_]
+                   [this, life = m_life]
                    {
-                       if (isAlive_ && life == life_)
+                       if (m_isAlive && life == m_life)
                            thaw();
                    });
 }
 
 void Process::thaw()
 {
-    isFrozen_ = false;
-    while (! waiting_.empty() && isAlive_ && ! isFrozen_)
+    m_isFrozen = false;
+    while (! m_waiting.empty() && m_isAlive && ! m_isFrozen)
     {
-        const Action input = std::move (waiting_.front());
-        waiting_.pop_front();
+        const Action input = std::move (m_waiting.front());
+        m_waiting.pop_front();
         input();
     }
 }
--- a/src/sim/Process.h
+++ b/src/sim/Process.h
@@ -17,16 +17,16 @@
 class DriftingClock
 {
 public:
-    DriftingClock (const EventQueue& queue, double drift) : queue_ (queue), drift_ (drift) {}
+    DriftingClock (const EventQueue& queue, double drift) : m_queue (queue), m_drift (drift) {}
 
     [[nodiscard]] base::TimePoint now() const;
     [[nodiscard]] base::UnixMilliseconds unixNow() const;
-    void step (std::int64_t milliseconds) { stepMilliseconds_ += milliseconds; }
+    void step (std::int64_t milliseconds) { m_stepMilliseconds += milliseconds; }
 
 private:
-    const EventQueue& queue_;
-    double drift_;
-    std::int64_t stepMilliseconds_ = 0;
+    const EventQueue& m_queue;
+    double m_drift;
+    std::int64_t m_stepMilliseconds = 0;
 };
 
 class Process
@@ -37,15 +37,15 @@
     Process (const Process&) = delete;
     Process& operator= (const Process&) = delete;
 
-    [[nodiscard]] bool isAlive() const { return isAlive_; }
+    [[nodiscard]] bool isAlive() const { return m_isAlive; }
     /// The machine is gone, so that nothing there refuses connections.
-    [[nodiscard]] bool hasVanished() const { return hasVanished_; }
-    [[nodiscard]] bool isFrozen() const { return isFrozen_; }
-    [[nodiscard]] NodeId node() const { return node_; }
-    [[nodiscard]] const std::string& name() const { return name_; }
+    [[nodiscard]] bool hasVanished() const { return m_hasVanished; }
+    [[nodiscard]] bool isFrozen() const { return m_isFrozen; }
+    [[nodiscard]] NodeId node() const { return m_node; }
+    [[nodiscard]] const std::string& name() const { return m_name; }
     /// Counts the starts; an input meant for an earlier life is dropped.
-    [[nodiscard]] std::uint64_t life() const { return life_; }
-    [[nodiscard]] DriftingClock& clock() { return clock_; }
+    [[nodiscard]] std::uint64_t life() const { return m_life; }
+    [[nodiscard]] DriftingClock& clock() { return m_clock; }
 
     /// Runs an input now, after the freeze, or never if this life ends first.
     void post (Action input);
@@ -54,32 +54,32 @@
     /// Stops the process; its peers hear of it after `silence`.
     void kill (base::Duration silence);
     void freeze (base::Duration duration);
-    [[nodiscard]] base::Duration frozenTime() const { return frozenTime_; }
+    [[nodiscard]] base::Duration frozenTime() const { return m_frozenTime; }
 
 protected:
     /// Begins a new life.
     void begin();
     /// What a derived class does when its life ends.
     virtual void onKilled() {}
-    void note (std::string text) { trace_.add (queue().now(), name_ + ": " + std::move (text)); }
-    [[nodiscard]] Network& network() { return network_; }
-    [[nodiscard]] EventQueue& queue() { return network_.queue(); }
-    [[nodiscard]] base::Random& random() { return network_.random(); }
+    void note (std::string text) { m_trace.add (queue().now(), m_name + ": " + std::move (text)); }
+    [[nodiscard]] Network& network() { return m_network; }
+    [[nodiscard]] EventQueue& queue() { return m_network.queue(); }
+    [[nodiscard]] base::Random& random() { return m_network.random(); }
 
 private:
     void thaw();
 
-    Network& network_;
-    Trace& trace_;
-    NodeId node_;
-    std::string name_;
-    DriftingClock clock_;
-    bool isAlive_ = false;
-    bool hasVanished_ = false;
-    bool isFrozen_ = false;
-    std::uint64_t life_ = 0;
-    base::Duration frozenTime_{};
-    std::deque<Action> waiting_;
+    Network& m_network;
+    Trace& m_trace;
+    NodeId m_node;
+    std::string m_name;
+    DriftingClock m_clock;
+    bool m_isAlive = false;
+    bool m_hasVanished = false;
+    bool m_isFrozen = false;
+    std::uint64_t m_life = 0;
+    base::Duration m_frozenTime{};
+    std::deque<Action> m_waiting;
 };
 
 /// Sends the answer of a served call back; what it is given runs at the client.
--- a/src/sim/ReplicaChecker.cpp
+++ b/src/sim/ReplicaChecker.cpp
@@ -56,24 +56,24 @@
     const auto* load = std::get_if<cell::LoadResult> (&result);
     if (load == nullptr || load->refusal != cell::LoadRefusal::kNone)
         return;
-    ++loads_;
-    const cell::CellState& state = world_.consensus->state();
+    ++m_loads;
+    const cell::CellState& state = m_world.consensus->state();
     const std::string target =
         command.adapter.empty() ? command.model.value : command.adapter.value;
     const std::uint32_t count = state.replicas().count (target);
     if (count > boundOf (state.configuration().catalogue(), target))
     {
-        world_.violations.add ("replicas within the bound", "decision " + std::to_string (index)
-                                                                + " makes " + std::to_string (count)
-                                                                + " replicas of " + target);
+        m_world.violations.add ("replicas within the bound",
+                                "decision " + std::to_string (index) + " makes "
+                                    + std::to_string (count) + " replicas of " + target);
     }
     const cell::Runner* runner = state.replicas().findRunner (command.runner);
     if (runner != nullptr
         && state.replicas().reservedMemory (command.runner) > runner->machine.memory)
     {
-        world_.violations.add ("memory never overcommitted", "decision " + std::to_string (index)
-                                                                 + " reserves more than "
-                                                                 + command.runner.value + " has");
+        m_world.violations.add ("memory never overcommitted", "decision " + std::to_string (index)
+                                                                  + " reserves more than "
+                                                                  + command.runner.value + " has");
     }
 }
 
@@ -84,23 +84,23 @@
     {
         if (isLoad (order) && answer.refusal == base::ErrorKind::kInsufficientMemory)
         {
-            world_.violations.add ("memory never overcommitted",
-                                   engine.name() + " has no room for " + describe (order));
+            m_world.violations.add ("memory never overcommitted",
+                                    engine.name() + " has no room for " + describe (order));
         }
         return;
     }
     if (order.fence < fenceBefore)
     {
-        world_.violations.add ("no order with a lower fence",
-                               engine.name() + " accepted the " + describe (order) + " after fence "
-                                   + std::to_string (fenceBefore));
+        m_world.violations.add ("no order with a lower fence",
+                                engine.name() + " accepted the " + describe (order)
+                                    + " after fence " + std::to_string (fenceBefore));
     }
     checkDecision (engine, order);
 }
 
 void ReplicaChecker::checkDecision (EngineNode& engine, const engine::Order& order)
 {
-    const auto command = world_.consensus->commandAt (order.fence);
+    const auto command = m_world.consensus->commandAt (order.fence);
     const auto* load = command ? std::get_if<cell::DecideLoad> (&*command) : nullptr;
     const auto* unload = command ? std::get_if<cell::DecideUnload> (&*command) : nullptr;
     bool isDecided = false;
@@ -117,9 +117,9 @@
     }
     if (isDecided)
         return;
-    world_.violations.add ("orders carry the fence of their decision",
-                           engine.name() + " accepted the " + describe (order)
-                               + ", which is not the index of that decision");
+    m_world.violations.add ("orders carry the fence of their decision",
+                            engine.name() + " accepted the " + describe (order)
+                                + ", which is not the index of that decision");
 }
 
 void ReplicaChecker::onEngineChanged (EngineNode& engine)
@@ -130,7 +130,7 @@
 
 void ReplicaChecker::checkAll()
 {
-    for (const auto& engine : world_.engines)
+    for (const auto& engine : m_world.engines)
         checkEngine (*engine);
     checkBounds();
 }
@@ -142,10 +142,10 @@
     const engine::Report truth = engine.truth();
     if (truth.usedMemory > truth.totalMemory)
     {
-        world_.violations.add ("memory never overcommitted",
-                               engine.name() + " uses more than it has");
+        m_world.violations.add ("memory never overcommitted",
+                                engine.name() + " uses more than it has");
     }
-    const cell::ReplicaTable& table = world_.consensus->state().replicas();
+    const cell::ReplicaTable& table = m_world.consensus->state().replicas();
     for (const engine::ReplicaReport& replica : truth.replicas)
     {
         if (replica.phase == engine::ReplicaPhase::kFailed)
@@ -155,17 +155,17 @@
                                && decided->incarnation == engine.incarnation();
         if (isDecided)
             continue;
-        world_.violations.add ("no replica that was not decided",
-                               engine.name() + " holds replica " + std::to_string (replica.replica)
-                                   + " of " + replica.model.value);
+        m_world.violations.add ("no replica that was not decided",
+                                engine.name() + " holds replica " + std::to_string (replica.replica)
+                                    + " of " + replica.model.value);
     }
 }
 
 void ReplicaChecker::checkBounds()
 {
-    const cell::CellState& state = world_.consensus->state();
+    const cell::CellState& state = m_world.consensus->state();
     std::map<std::string, std::uint32_t> held;
-    for (const auto& engine : world_.engines)
+    for (const auto& engine : m_world.engines)
     {
         if (! engine->isAlive())
             continue;
@@ -183,9 +183,9 @@
                                                 state.replicas().count (name));
         if (count <= allowed)
             continue;
-        world_.violations.add ("replicas within the bound",
-                               std::to_string (count) + " replicas of " + name + " are loaded, "
-                                   + std::to_string (allowed) + " allowed");
+        m_world.violations.add ("replicas within the bound",
+                                std::to_string (count) + " replicas of " + name + " are loaded, "
+                                    + std::to_string (allowed) + " allowed");
     }
 }
 
--- a/src/sim/ReplicaChecker.h
+++ b/src/sim/ReplicaChecker.h
@@ -16,7 +16,7 @@
 class ReplicaChecker
 {
 public:
-    explicit ReplicaChecker (World& world) : world_ (world) {}
+    explicit ReplicaChecker (World& world) : m_world (world) {}
 
     void onCommitted (base::LogIndex index, const cell::Command& command,
                       const cell::ApplyResult& result);
@@ -26,7 +26,7 @@
     /// An engine took an order, or ended.
     void onEngineChanged (EngineNode& engine);
 
-    [[nodiscard]] std::uint64_t loads() const { return loads_; }
+    [[nodiscard]] std::uint64_t loads() const { return m_loads; }
 
 private:
     void checkAll();
@@ -36,8 +36,8 @@
                           const cell::ApplyResult& result);
     void checkDecision (EngineNode& engine, const engine::Order& order);
 
-    World& world_;
-    std::uint64_t loads_ = 0;
+    World& m_world;
+    std::uint64_t m_loads = 0;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/RouterNode.cpp
+++ b/src/sim/RouterNode.cpp
@@ -55,69 +55,69 @@
 RouterNode::RouterNode (World& world, NodeId node, std::size_t number)
     : Process (world.network, world.trace, node, "router-" + std::to_string (number + 1),
                drawDrift (world.random)),
-      world_ (world),
-      id_ (name())
+      m_world (world),
+      m_id (name())
 {
 }
 
 router::RouterOptions RouterNode::coreOptions() const
 {
     router::RouterOptions options;
-    options.router = id_;
+    options.router = m_id;
     options.cell = base::CellId ("simulated");
     options.zone = base::ZoneName ("z" + std::to_string (node() % 3 + 1));
     options.address = "127.2.0." + std::to_string (node()) + ":8000";
     options.outcomeWait = base::seconds (5);
     options.hedgeAfter = base::milliseconds (400);
-    options.plantedFault = routerFault (world_.options.plantedFault);
+    options.plantedFault = routerFault (m_world.options.plantedFault);
     return options;
 }
 
 void RouterNode::start()
 {
     begin();
-    isStopping_ = false;
+    m_isStopping = false;
     note ("starts");
-    core_.emplace (coreOptions(), random().bits(), clock().now(), clock().unixNow());
-    world_.configuration->onRouterStarted (*this);
-    nextController_ = node();
+    m_core.emplace (coreOptions(), random().bits(), clock().now(), clock().unixNow());
+    m_world.configuration->onRouterStarted (*this);
+    m_nextController = node();
     tick (life());
 }
 
 void RouterNode::stopAndRestart()
 {
-    if (! isAlive() || isFrozen() || isStopping_)
+    if (! isAlive() || isFrozen() || m_isStopping)
         return;
     note ("planned stop");
-    isStopping_ = true;
+    m_isStopping = true;
     feed ([] (router::RouterCore& core) { core.beginStop(); });
 }
 
 void RouterNode::onKilled()
 {
-    addTo (formerCounters_, core_->counters());
-    for (const auto& [ticket, request] : requests_)
+    addTo (m_formerCounters, m_core->counters());
+    for (const auto& [ticket, request] : m_requests)
     {
         request->isRouterLost = true;
-        world_.callers->onRouterLost (request);
+        m_world.callers->onRouterLost (request);
     }
-    if (isStopping_ && ! requests_.empty())
+    if (m_isStopping && ! m_requests.empty())
     {
-        note (std::to_string (requests_.size()) + " requests lost while stopping");
+        note (std::to_string (m_requests.size()) + " requests lost while stopping");
     }
-    requests_.clear();
-    detached_.clear();
-    attempts_.clear();
-    core_.reset();
-    controllerConnection_.reset();
-    controller_ = nullptr;
+    m_requests.clear();
+    m_detached.clear();
+    m_attempts.clear();
+    m_core.reset();
+    m_controllerConnection.reset();
+    m_controller = nullptr;
 }
 
 router::RouterCounters RouterNode::totalCounters() const
 {
-    router::RouterCounters sum = formerCounters_;
-    if (core_)
-        addTo (sum, core_->counters());
+    router::RouterCounters sum = m_formerCounters;
+    if (m_core)
+        addTo (sum, m_core->counters());
     return sum;
 }
 
@@ -129,11 +129,12 @@
     if (isFrozen())
         return;
     feed ([] (router::RouterCore& core) { core.onTick(); });
-    if (! isStopping_ || ! core_->isIdle())
+    if (! m_isStopping || ! m_core->isIdle())
         return;
-    if (! requests_.empty())
+    if (! m_requests.empty())
     {
-        world_.violations.add ("planned stop cuts nothing", name() + " is idle with open requests");
+        m_world.violations.add ("planned stop cuts nothing",
+                                name() + " is idle with open requests");
     }
     kill (base::Duration::zero());
     const auto pause = base::Duration (random().uniformInteger (0, kLongestRestartMicroseconds));
@@ -147,12 +148,12 @@
 
 void RouterNode::feed (const Input& input)
 {
-    if (! core_)
+    if (! m_core)
         return;
-    core_->setTime (clock().now(), clock().unixNow());
-    input (*core_);
-    const std::vector<router::Effect> effects = core_->takeEffects();
-    world_.configuration->onRouterInput (*this);
+    m_core->setTime (clock().now(), clock().unixNow());
+    input (*m_core);
+    const std::vector<router::Effect> effects = m_core->takeEffects();
+    m_world.configuration->onRouterInput (*this);
     for (const router::Effect& effect : effects)
         carryOut (effect);
 }
@@ -161,23 +162,23 @@
 {
     if (! isAlive() || isFrozen())
         return false;
-    core_->setTime (clock().now(), clock().unixNow());
-    return core_->isReady();
+    m_core->setTime (clock().now(), clock().unixNow());
+    return m_core->isReady();
 }
 
 void RouterNode::onRequest (const CallerRequestPointer& request)
 {
     request->hasReachedRouter = true;
-    world_.callers->onArrived (*this, request);
-    core_->setTime (clock().now(), clock().unixNow());
-    const router::RequestTicket ticket = core_->onRequest (request->head);
-    requests_[ticket] = request;
+    m_world.callers->onArrived (*this, request);
+    m_core->setTime (clock().now(), clock().unixNow());
+    const router::RequestTicket ticket = m_core->onRequest (request->head);
+    m_requests[ticket] = request;
     feed ([] (router::RouterCore&) {});
 }
 
 void RouterNode::onCallerGone (const CallerRequestPointer& request)
 {
-    for (const auto& [ticket, open] : requests_)
+    for (const auto& [ticket, open] : m_requests)
     {
         if (open != request)
             continue;
@@ -192,15 +193,15 @@
 void RouterNode::onControllerMessage (const ConnectionPointer& connection,
                                       const cell::ControllerToRouter& message)
 {
-    if (connection != controllerConnection_)
+    if (connection != m_controllerConnection)
         return;
     feed ([&] (router::RouterCore& core) { core.onControllerMessage (message); });
 }
 
 void RouterNode::onAttemptEvent (router::AttemptId attempt, const router::AttemptEvent& event)
 {
-    const auto found = attempts_.find (attempt);
-    if (found == attempts_.end())
+    const auto found = m_attempts.find (attempt);
+    if (found == m_attempts.end())
         return;
     const cell::RoutableReplica replica = found->second.replica;
     const bool isLast = std::holds_alternative<router::AttemptEnded> (event)
@@ -211,7 +212,7 @@
     {
         if (found->second.connection)
             found->second.connection->close (Side::kOpener, true);
-        attempts_.erase (found);
+        m_attempts.erase (found);
     }
     const auto* headers = std::get_if<router::AttemptHeaders> (&event);
     const auto* refused = std::get_if<router::AttemptRefused> (&event);
@@ -219,7 +220,7 @@
                              || (refused != nullptr && refused->runnerIsLeaving);
     feed ([&] (router::RouterCore& core) { core.onAttemptEvent (attempt, event); });
     if (saysLeaving)
-        world_.leaving->onRouterSaw (*this, replica);
+        m_world.leaving->onRouterSaw (*this, replica);
 }
 
 void RouterNode::carryOut (const router::Effect& effect)
@@ -229,40 +230,40 @@
 
 void RouterNode::apply (const router::SendToController& effect)
 {
-    if (! controllerConnection_)
+    if (! m_controllerConnection)
         return;
-    controllerConnection_->send (Side::kOpener,
-                                 [controller = controller_, life = controllerLife_,
-                                  number = controllerNumber_, message = effect.message]
-                                 {
-                                     controller->postTo (
-                                         life, [controller, number, message]
-                                         { controller->onRouterMessage (number, message); });
-                                 });
+    m_controllerConnection->send (Side::kOpener,
+                                  [controller = m_controller, life = m_controllerLife,
+                                   number = m_controllerNumber, message = effect.message]
+                                  {
+                                      controller->postTo (
+                                          life, [controller, number, message]
+                                          { controller->onRouterMessage (number, message); });
+                                  });
 }
 
 void RouterNode::closeController()
 {
-    if (controllerConnection_)
-        controllerConnection_->close (Side::kOpener, random().chance (0.5));
-    controllerConnection_.reset();
-    controller_ = nullptr;
+    if (m_controllerConnection)
+        m_controllerConnection->close (Side::kOpener, random().chance (0.5));
+    m_controllerConnection.reset();
+    m_controller = nullptr;
 }
 
 void RouterNode::apply (const router::ConnectController& effect)
 {
     closeController();
-    ControllerNode* controller = world_.controllerAt (effect.address);
+    ControllerNode* controller = m_world.controllerAt (effect.address);
     if (controller == nullptr)
     {
-        controller = world_.controllers[nextController_++ % world_.controllers.size()].get();
+        controller = m_world.controllers[m_nextController++ % m_world.controllers.size()].get();
     }
     connect (*controller);
 }
 
 void RouterNode::connect (ControllerNode& controller)
 {
-    const std::uint64_t attempt = ++connectNumber_;
+    const std::uint64_t attempt = ++m_connectNumber;
     if (controller.hasVanished())
         return;
     const ConnectionPointer connection = network().open (node(), controller.node());
@@ -277,7 +278,7 @@
             postTo (life,
                     [this, attempt, connection, &controller]
                     {
-                        if (attempt != connectNumber_)
+                        if (attempt != m_connectNumber)
                             return;
                         if (! controller.isAlive())
                         {
@@ -293,10 +294,10 @@
 void RouterNode::onConnected (ControllerNode& controller, const ConnectionPointer& connection,
                               std::uint64_t controllerLife, std::uint64_t number)
 {
-    controller_ = &controller;
-    controllerLife_ = controllerLife;
-    controllerNumber_ = number;
-    controllerConnection_ = connection;
+    m_controller = &controller;
+    m_controllerLife = controllerLife;
+    m_controllerNumber = number;
+    m_controllerConnection = connection;
     connection->onEnded (
         Side::kOpener,
         [this, life = life(), weak = std::weak_ptr (connection)]
@@ -304,9 +305,9 @@
             postTo (life,
                     [this, weak]
                     {
-                        if (weak.lock() != controllerConnection_ || ! controllerConnection_)
+                        if (weak.lock() != m_controllerConnection || ! m_controllerConnection)
                             return;
-                        controllerConnection_.reset();
+                        m_controllerConnection.reset();
                         feed ([] (router::RouterCore& core) { core.onControllerLost(); });
                     });
         });
@@ -320,16 +321,16 @@
         return;
     if (! std::exchange (request->isFirstAttemptMade, true))
     {
-        world_.configuration->onFirstDispatch (*this);
+        m_world.configuration->onFirstDispatch (*this);
     }
-    world_.leaving->onDispatch (*this, effect.replica);
-    attempts_[effect.attempt] = { nullptr, effect.replica, effect.ticket };
+    m_world.leaving->onDispatch (*this, effect.replica);
+    m_attempts[effect.attempt] = { nullptr, effect.replica, effect.ticket };
     openAttempt (effect.attempt, effect);
 }
 
 void RouterNode::openAttempt (router::AttemptId id, const router::StartAttempt& effect)
 {
-    BackEnd* backEnd = world_.backEndAt (effect.replica.address);
+    BackEnd* backEnd = m_world.backEndAt (effect.replica.address);
     const auto failAfter = [this, id] (base::Duration wait)
     {
         queue().after (
@@ -366,8 +367,8 @@
             postTo (life,
                     [this, attempt, backEnd]
                     {
-                        const auto found = attempts_.find (attempt.id);
-                        if (found == attempts_.end())
+                        const auto found = m_attempts.find (attempt.id);
+                        if (found == m_attempts.end())
                             return;
                         found->second.connection = attempt.connection;
                         attempt.connection->onEnded (
@@ -394,32 +395,32 @@
 
 void RouterNode::apply (const router::CancelAttempt& effect)
 {
-    const auto found = attempts_.find (effect.attempt);
-    if (found == attempts_.end())
+    const auto found = m_attempts.find (effect.attempt);
+    if (found == m_attempts.end())
         return;
     if (found->second.connection)
     {
         found->second.connection->close (Side::kOpener, random().chance (0.5));
     }
-    attempts_.erase (found);
+    m_attempts.erase (found);
 }
 
 CallerRequestPointer RouterNode::findRequest (router::RequestTicket ticket) const
 {
-    const auto found = requests_.find (ticket);
-    if (found != requests_.end())
+    const auto found = m_requests.find (ticket);
+    if (found != m_requests.end())
         return found->second;
-    const auto detached = detached_.find (ticket);
-    return detached == detached_.end() ? nullptr : detached->second;
+    const auto detached = m_detached.find (ticket);
+    return detached == m_detached.end() ? nullptr : detached->second;
 }
 
 void RouterNode::endAnswer (router::RequestTicket ticket)
 {
-    const auto found = requests_.find (ticket);
-    if (found == requests_.end())
+    const auto found = m_requests.find (ticket);
+    if (found == m_requests.end())
         return;
-    detached_[ticket] = found->second;
-    requests_.erase (found);
+    m_detached[ticket] = found->second;
+    m_requests.erase (found);
 }
 
 void RouterNode::apply (const router::AnswerHeaders& effect)
@@ -442,7 +443,7 @@
     if (! request)
         return;
     request->finals += 1;
-    world_.callers->onFinal (*this, request);
+    m_world.callers->onFinal (*this, request);
     endAnswer (effect.ticket);
 }
 
@@ -454,7 +455,7 @@
     request->finals += 1;
     request->error = effect.error;
     request->execution = effect.execution;
-    world_.callers->onFinal (*this, request);
+    m_world.callers->onFinal (*this, request);
     endAnswer (effect.ticket);
 }
 
--- a/src/sim/RouterNode.h
+++ b/src/sim/RouterNode.h
@@ -32,10 +32,10 @@
                               const cell::ControllerToRouter& message);
     void onAttemptEvent (router::AttemptId attempt, const router::AttemptEvent& event);
 
-    [[nodiscard]] router::RouterCore* core() { return core_ ? &*core_ : nullptr; }
+    [[nodiscard]] router::RouterCore* core() { return m_core ? &*m_core : nullptr; }
     /// Whether it may admit requests at this moment.
     [[nodiscard]] bool isReadyNow();
-    [[nodiscard]] const base::RouterId& id() const { return id_; }
+    [[nodiscard]] const base::RouterId& id() const { return m_id; }
     /// Sums over all lives of the process.
     [[nodiscard]] router::RouterCounters totalCounters() const;
 
@@ -71,24 +71,24 @@
     CallerRequestPointer findRequest (router::RequestTicket ticket) const;
     [[nodiscard]] router::RouterOptions coreOptions() const;
 
-    World& world_;
-    base::RouterId id_;
-    std::optional<router::RouterCore> core_;
-    bool isStopping_ = false;
-    router::RouterCounters formerCounters_;
+    World& m_world;
+    base::RouterId m_id;
+    std::optional<router::RouterCore> m_core;
+    bool m_isStopping = false;
+    router::RouterCounters m_formerCounters;
 
     // The controller's connection.
-    std::size_t nextController_ = 0;
-    std::uint64_t connectNumber_ = 0;
-    ControllerNode* controller_ = nullptr;
-    std::uint64_t controllerLife_ = 0;
-    std::uint64_t controllerNumber_ = 0;
-    ConnectionPointer controllerConnection_;
+    std::size_t m_nextController = 0;
+    std::uint64_t m_connectNumber = 0;
+    ControllerNode* m_controller = nullptr;
+    std::uint64_t m_controllerLife = 0;
+    std::uint64_t m_controllerNumber = 0;
+    ConnectionPointer m_controllerConnection;
 
-    std::map<router::RequestTicket, CallerRequestPointer> requests_;
+    std::map<router::RequestTicket, CallerRequestPointer> m_requests;
     std::map<router::RequestTicket, CallerRequestPointer>
-        detached_;  ///< Answered, outcome awaited.
-    std::map<router::AttemptId, OpenAttempt> attempts_;
+        m_detached;  ///< Answered, outcome awaited.
+    std::map<router::AttemptId, OpenAttempt> m_attempts;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/SimulatedDisk.cpp
+++ b/src/sim/SimulatedDisk.cpp
@@ -45,35 +45,35 @@
 void SimulatedDisk::beginWrite()
 {
     storage::BatchesRecord record;
-    for (const consensus::PersistRequest& request : waiting_)
+    for (const consensus::PersistRequest& request : m_waiting)
     {
-        writing_.push_back (consensus::toWriteBatch (request));
-        record.batches.push_back (toRecord (writing_.back()));
-        writingSequence_ = request.sequence;
+        m_writing.push_back (consensus::toWriteBatch (request));
+        record.batches.push_back (toRecord (m_writing.back()));
+        m_writingSequence = request.sequence;
     }
-    waiting_.clear();
-    unsynced_ = storage::encodeRecord (RecordKind::kBatches, wire::encodeValue (record));
+    m_waiting.clear();
+    m_unsynced = storage::encodeRecord (RecordKind::kBatches, wire::encodeValue (record));
 }
 
 std::uint64_t SimulatedDisk::endWrite()
 {
     bool hasSnapshot = false;
-    for (const storage::WriteBatch& batch : writing_)
+    for (const storage::WriteBatch& batch : m_writing)
     {
         apply (batch);
         hasSnapshot = hasSnapshot || batch.hasSnapshot;
     }
-    writing_.clear();
+    m_writing.clear();
     if (hasSnapshot)
     {
         rewrite();
     }
     else
     {
-        segment_ += unsynced_;
+        m_segment += m_unsynced;
     }
-    unsynced_.clear();
-    return writingSequence_;
+    m_unsynced.clear();
+    return m_writingSequence;
 }
 
 void SimulatedDisk::apply (const storage::WriteBatch& batch)
@@ -81,36 +81,36 @@
     must<bool> ("disk",
                 [&]() -> base::Result<bool>
                 {
-                    BOOST_LEAF_CHECK (image_.apply (toRecord (batch)));
+                    BOOST_LEAF_CHECK (m_image.apply (toRecord (batch)));
                     return true;
                 });
     if (! batch.hasSnapshot)
         return;
-    image_.applySnapshot (batch.snapshot.lastIndex);
-    snapshot_ = storage::encodeRecord (RecordKind::kSnapshot, batch.snapshot.data);
+    m_image.applySnapshot (batch.snapshot.lastIndex);
+    m_snapshot = storage::encodeRecord (RecordKind::kSnapshot, batch.snapshot.data);
 }
 
 void SimulatedDisk::rewrite()
 {
-    segment_ = storage::encodeRecord (RecordKind::kSegmentHeader,
-                                      wire::encodeValue (image_.makeCheckpoint (1)));
+    m_segment = storage::encodeRecord (RecordKind::kSegmentHeader,
+                                       wire::encodeValue (m_image.makeCheckpoint (1)));
 }
 
 bool SimulatedDisk::crash (base::Random& random)
 {
-    waiting_.clear();
-    if (writing_.empty())
+    m_waiting.clear();
+    if (m_writing.empty())
         return false;
     bool hasSnapshot = false;
-    for (const storage::WriteBatch& batch : writing_)
+    for (const storage::WriteBatch& batch : m_writing)
         hasSnapshot |= batch.hasSnapshot;
-    writing_.clear();
-    const std::string record = std::exchange (unsynced_, {});
+    m_writing.clear();
+    const std::string record = std::exchange (m_unsynced, {});
     // A snapshot is written aside: before its rename it is as if it had not been.
     if (hasSnapshot)
         return false;
     const auto kept = random.uniformInteger (0, static_cast<std::int64_t> (record.size()));
-    segment_.append (record, 0, static_cast<std::size_t> (kept));
+    m_segment.append (record, 0, static_cast<std::size_t> (kept));
     return kept > 0 && static_cast<std::size_t> (kept) < record.size();
 }
 
@@ -118,16 +118,16 @@
 
 consensus::RecoveredState SimulatedDisk::recover()
 {
-    image_ = storage::LogImage();
+    m_image = storage::LogImage();
     std::size_t offset = 0;
     while (true)
     {
-        const storage::ReadRecord record = storage::readRecord (segment_, offset);
+        const storage::ReadRecord record = storage::readRecord (m_segment, offset);
         if (record.verdict == RecordVerdict::kEnd)
             break;
         if (record.verdict == RecordVerdict::kTorn)
         {
-            segment_.resize (offset);
+            m_segment.resize (offset);
             break;
         }
         if (record.verdict != RecordVerdict::kWhole)
@@ -140,25 +140,25 @@
                         {
                             BOOST_LEAF_AUTO (
                                 header, wire::decodeValue<storage::SegmentHeader> (record.payload));
-                            BOOST_LEAF_CHECK (image_.load (header));
+                            BOOST_LEAF_CHECK (m_image.load (header));
                             return true;
                         }
                         BOOST_LEAF_AUTO (
                             batches, wire::decodeValue<storage::BatchesRecord> (record.payload));
                         for (const storage::BatchRecord& batch : batches.batches)
                         {
-                            BOOST_LEAF_CHECK (image_.apply (batch));
+                            BOOST_LEAF_CHECK (m_image.apply (batch));
                         }
                         return true;
                     });
     }
     storage::Recovered recovered;
-    recovered.hardState = image_.hardState();
-    recovered.entries = image_.entries();
-    if (! snapshot_.empty())
+    recovered.hardState = m_image.hardState();
+    recovered.entries = m_image.entries();
+    if (! m_snapshot.empty())
     {
-        recovered.snapshot.lastIndex = image_.snapshotIndex();
-        recovered.snapshot.data = std::string (storage::readRecord (snapshot_, 0).payload);
+        recovered.snapshot.lastIndex = m_image.snapshotIndex();
+        recovered.snapshot.data = std::string (storage::readRecord (m_snapshot, 0).payload);
     }
     return must<consensus::RecoveredState> (
         "recovery", [&] { return consensus::toRecoveredState (recovered, {}); });
--- a/src/sim/SimulatedDisk.h
+++ b/src/sim/SimulatedDisk.h
@@ -19,9 +19,9 @@
 {
 public:
     /// Adds a write that is not yet begun.
-    void submit (consensus::PersistRequest request) { waiting_.push_back (std::move (request)); }
-    [[nodiscard]] bool isIdle() const { return writing_.empty(); }
-    [[nodiscard]] bool hasWaiting() const { return ! waiting_.empty(); }
+    void submit (consensus::PersistRequest request) { m_waiting.push_back (std::move (request)); }
+    [[nodiscard]] bool isIdle() const { return m_writing.empty(); }
+    [[nodiscard]] bool hasWaiting() const { return ! m_waiting.empty(); }
     /// Begins to write everything that waits, as one record.
     void beginWrite();
     /// The record is synced; the sequence of its last request.
@@ -40,13 +40,13 @@
     void apply (const storage::WriteBatch& batch);
     void rewrite();
 
-    std::string segment_;      ///< Synced bytes since the last checkpoint, which they begin with.
-    std::string unsynced_;     ///< The record being written.
-    std::string snapshot_;     ///< Record of the latest snapshot; empty: none.
-    storage::LogImage image_;  ///< What the synced bytes stand for.
-    std::vector<storage::WriteBatch> writing_;
-    std::uint64_t writingSequence_ = 0;
-    std::deque<consensus::PersistRequest> waiting_;
+    std::string m_segment;      ///< Synced bytes since the last checkpoint, which they begin with.
+    std::string m_unsynced;     ///< The record being written.
+    std::string m_snapshot;     ///< Record of the latest snapshot; empty: none.
+    storage::LogImage m_image;  ///< What the synced bytes stand for.
+    std::vector<storage::WriteBatch> m_writing;
+    std::uint64_t m_writingSequence = 0;
+    std::deque<consensus::PersistRequest> m_waiting;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/Trace.cpp
+++ b/src/sim/Trace.cpp
@@ -23,19 +23,19 @@
 
 void Trace::add (base::TimePoint at, std::string line)
 {
-    const auto mix = [this] (std::uint64_t value) { digest_ = (digest_ ^ value) * kFnvPrime; };
+    const auto mix = [this] (std::uint64_t value) { m_digest = (m_digest ^ value) * kFnvPrime; };
     mix (static_cast<std::uint64_t> (at.time_since_epoch().count()));
     for (const char letter : line)
         mix (static_cast<unsigned char> (letter));
-    lines_.push_back ({ at, std::move (line) });
-    if (lines_.size() > maximumLines_)
-        lines_.pop_front();
+    m_lines.push_back ({ at, std::move (line) });
+    if (m_lines.size() > m_maximumLines)
+        m_lines.pop_front();
 }
 
 std::vector<std::string> Trace::lines() const
 {
     std::vector<std::string> formatted;
-    for (const Line& line : lines_)
+    for (const Line& line : m_lines)
         formatted.push_back (formatTime (line.at) + " " + line.text);
     return formatted;
 }
--- a/src/sim/Trace.h
+++ b/src/sim/Trace.h
@@ -17,12 +17,12 @@
 class Trace
 {
 public:
-    explicit Trace (std::size_t maximumLines) : maximumLines_ (maximumLines) {}
+    explicit Trace (std::size_t maximumLines) : m_maximumLines (maximumLines) {}
 
     void add (base::TimePoint at, std::string line);
     /// The latest lines, oldest first, with their times in seconds.
     [[nodiscard]] std::vector<std::string> lines() const;
-    [[nodiscard]] std::uint64_t digest() const { return digest_; }
+    [[nodiscard]] std::uint64_t digest() const { return m_digest; }
 
 private:
     struct Line
@@ -31,9 +31,9 @@
         std::string text;
     };
 
-    std::size_t maximumLines_;
-    std::deque<Line> lines_;
-    std::uint64_t digest_ = 0xcbf29ce484222325;
+    std::size_t m_maximumLines;
+    std::deque<Line> m_lines;
+    std::uint64_t m_digest = 0xcbf29ce484222325;
 };
 
 }  // namespace fernlift::sim
--- a/src/sim/Violations.cpp
+++ b/src/sim/Violations.cpp
@@ -7,10 +7,10 @@
 
 void Violations::add (std::string invariant, std::string detail)
 {
-    if (list_.size() >= kMaximumKept)
+    if (m_list.size() >= kMaximumKept)
         return;
-    trace_.add (queue_.now(), "VIOLATION " + invariant + ": " + detail);
-    list_.push_back ({ queue_.now(), std::move (invariant), std::move (detail) });
+    m_trace.add (m_queue.now(), "VIOLATION " + invariant + ": " + detail);
+    m_list.push_back ({ m_queue.now(), std::move (invariant), std::move (detail) });
 }
 
 }  // namespace fernlift::sim
--- a/src/sim/Violations.h
+++ b/src/sim/Violations.h
@@ -22,19 +22,19 @@
 class Violations
 {
 public:
-    Violations (const EventQueue& queue, Trace& trace) : queue_ (queue), trace_ (trace) {}
+    Violations (const EventQueue& queue, Trace& trace) : m_queue (queue), m_trace (trace) {}
 
     void add (std::string invariant, std::string detail);
-    [[nodiscard]] const std::vector<Violation>& list() const { return list_; }
-    [[nodiscard]] bool isEmpty() const { return list_.empty(); }
+    [[nodiscard]] const std::vector<Violation>& list() const { return m_list; }
+    [[nodiscard]] bool isEmpty() const { return m_list.empty(); }
 
 private:
     /// More are counted as one and the same failure.
     static constexpr std::size_t kMaximumKept = 20;
 
-    const EventQueue& queue_;
-    Trace& trace_;
-    std::vector<Violation> list_;
+    const EventQueue& m_queue;
+    Trace& m_trace;
+    std::vector<Violation> m_list;
 };
 
 }  // namespace fernlift::sim
--- a/src/standin/AnswerText.cpp
+++ b/src/standin/AnswerText.cpp
@@ -27,12 +27,12 @@
     std::string input (model);
     input += '\0';
     input += prompt;
-    seed_ = base::stableHash (input);
+    m_seed = base::stableHash (input);
 }
 
 std::string AnswerText::token (std::uint64_t offset) const
 {
-    std::uint64_t bits = mix (seed_ ^ mix (offset));
+    std::uint64_t bits = mix (m_seed ^ mix (offset));
     std::string text;
     for (int letter = 0; letter < kTokenLetters; ++letter)
     {
--- a/src/standin/AnswerText.h
+++ b/src/standin/AnswerText.h
@@ -23,7 +23,7 @@
     [[nodiscard]] std::string tokens (std::uint64_t offset, std::uint64_t count) const;
 
 private:
-    std::uint64_t seed_;
+    std::uint64_t m_seed;
 };
 
 /// The whole answer to a request for `maxTokens` tokens.
