--- a/src/standin/ApplicationModel.cpp
+++ b/src/standin/ApplicationModel.cpp
@@ -11,75 +11,76 @@
     const auto refuse = [] (base::ErrorKind kind, std::string message) {
         return SubmitOutcome{ false, 0, { kind, std::move (message) } };
     };
-    if (isLeaving_)
+    if (m_isLeaving)
         return refuse (base::ErrorKind::kStopping, "the back end is leaving");
-    if (faults_.refusesAll)
+    if (m_faults.refusesAll)
         return refuse (base::ErrorKind::kNoCapacity, "refused on command");
-    if (waiting_.size() >= options_.maximumWaiting)
+    if (m_waiting.size() >= m_options.maximumWaiting)
     {
         return refuse (base::ErrorKind::kQueueFull, "too many requests wait at the back end");
     }
-    waiting_.push_back ({ ++lastHandle_, request });
+    m_waiting.push_back ({ ++m_lastHandle, request });
     startWaiting (now);
-    return { true, lastHandle_, {} };
+    return { true, m_lastHandle, {} };
 }
 
 void ApplicationModel::cancel (RequestHandle handle)
 {
-    std::erase_if (waiting_, [handle] (const Waiting& entry) { return entry.handle == handle; });
+    std::erase_if (m_waiting, [handle] (const Waiting& entry) { return entry.handle == handle; });
 }
 
 void ApplicationModel::advance (base::TimePoint now)
 {
-    while (! running_.empty() && running_.begin()->first <= now)
+    while (! m_running.empty() && m_running.begin()->first <= now)
     {
-        const auto [ended, request] = *running_.begin();
-        running_.erase (running_.begin());
-        ledger_[request.ledgerIndex].state = LedgerState::kEnded;
-        if (! faults_.isSilent)
-            done_.push_back ({ request.handle, faults_.closesAfterBody });
+        const auto [ended, request] = *m_running.begin();
+        m_running.erase (m_running.begin());
+        m_ledger[request.ledgerIndex].state = LedgerState::kEnded;
+        if (! m_faults.isSilent)
+            m_done.push_back ({ request.handle, m_faults.closesAfterBody });
         startWaiting (ended);
     }
 }
 
 std::optional<base::TimePoint> ApplicationModel::nextEvent() const
 {
-    if (running_.empty())
+    if (m_running.empty())
         return std::nullopt;
-    return running_.begin()->first;
+    return m_running.begin()->first;
 }
 
-std::vector<ApplicationDone> ApplicationModel::takeDone() { return std::exchange (done_, {}); }
+std::vector<ApplicationDone> ApplicationModel::takeDone() { return std::exchange (m_done, {}); }
 
 engine::Report ApplicationModel::report() const
 {
     engine::Report report;
-    report.runner = options_.runner;
-    report.incarnation = options_.incarnation;
-    report.isLeaving = isLeaving_;
-    report.slots = options_.slots;
-    report.runningRequests = static_cast<std::uint32_t> (running_.size());
-    report.waitingRequests = static_cast<std::uint32_t> (waiting_.size());
+    report.runner = m_options.runner;
+    report.incarnation = m_options.incarnation;
+    report.isLeaving = m_isLeaving;
+    report.slots = m_options.slots;
+    report.runningRequests = static_cast<std::uint32_t> (m_running.size());
+    report.waitingRequests = static_cast<std::uint32_t> (m_waiting.size());
     return report;
 }
 
 void ApplicationModel::startWaiting (base::TimePoint now)
 {
-    while (! waiting_.empty() && running_.size() < options_.slots)
+    while (! m_waiting.empty() && m_running.size() < m_options.slots)
     {
-        const Waiting next = std::move (waiting_.front());
-        waiting_.pop_front();
+        const Waiting next = std::move (m_waiting.front());
+        m_waiting.pop_front();
         LedgerEntry entry;
         entry.requestId = next.request.id;
         entry.idempotencyKey = next.request.idempotencyKey;
         entry.target = next.request.path;
         entry.startedAt = now;
-        ledger_.push_back (entry);
+        m_ledger.push_back (entry);
         if (! next.request.idempotencyKey.empty())
-            ++keyCounts_[next.request.idempotencyKey];
-        const auto service = static_cast<double> (options_.serviceTime.count()) * faults_.slowdown;
+            ++m_keyCounts[next.request.idempotencyKey];
+        const auto service =
+            static_cast<double> (m_options.serviceTime.count()) * m_faults.slowdown;
         const auto ends = now + base::Duration (static_cast<std::int64_t> (service));
-        running_.emplace (ends, Running{ next.handle, ledger_.size() - 1 });
+        m_running.emplace (ends, Running{ next.handle, m_ledger.size() - 1 });
     }
 }
 
--- a/src/standin/ApplicationModel.h
+++ b/src/standin/ApplicationModel.h
@@ -52,7 +52,7 @@
 class ApplicationModel
 {
 public:
-    explicit ApplicationModel (const ApplicationOptions& options) : options_ (options) {}
+    explicit ApplicationModel (const ApplicationOptions& options) : m_options (options) {}
 
     SubmitOutcome submit (const ApplicationRequest& request, base::TimePoint now);
     /// The caller's connection closed. A request that has begun runs on.
@@ -62,16 +62,16 @@
     [[nodiscard]] std::vector<ApplicationDone> takeDone();
 
     [[nodiscard]] engine::Report report() const;
-    [[nodiscard]] const std::vector<LedgerEntry>& ledger() const { return ledger_; }
+    [[nodiscard]] const std::vector<LedgerEntry>& ledger() const { return m_ledger; }
     /// How often each idempotency key was run.
     [[nodiscard]] const std::map<std::string, std::uint64_t>& keyCounts() const
     {
-        return keyCounts_;
+        return m_keyCounts;
     }
-    void setFaults (const ApplicationFaults& faults) { faults_ = faults; }
-    [[nodiscard]] const ApplicationFaults& faults() const { return faults_; }
-    void setLeaving (bool isLeaving) { isLeaving_ = isLeaving; }
-    [[nodiscard]] bool isLeaving() const { return isLeaving_; }
+    void setFaults (const ApplicationFaults& faults) { m_faults = faults; }
+    [[nodiscard]] const ApplicationFaults& faults() const { return m_faults; }
+    void setLeaving (bool isLeaving) { m_isLeaving = isLeaving; }
+    [[nodiscard]] bool isLeaving() const { return m_isLeaving; }
 
 private:
     struct Waiting
@@ -87,15 +87,15 @@
 
     void startWaiting (base::TimePoint now);
 
-    ApplicationOptions options_;
-    ApplicationFaults faults_;
-    bool isLeaving_ = false;
-    RequestHandle lastHandle_ = 0;
-    std::deque<Waiting> waiting_;
-    std::multimap<base::TimePoint, Running> running_;  ///< By the end of the service.
-    std::vector<LedgerEntry> ledger_;
-    std::map<std::string, std::uint64_t> keyCounts_;
-    std::vector<ApplicationDone> done_;
+    ApplicationOptions m_options;
+    ApplicationFaults m_faults;
+    bool m_isLeaving = false;
+    RequestHandle m_lastHandle = 0;
+    std::deque<Waiting> m_waiting;
+    std::multimap<base::TimePoint, Running> m_running;  ///< By the end of the service.
+    std::vector<LedgerEntry> m_ledger;
+    std::map<std::string, std::uint64_t> m_keyCounts;
+    std::vector<ApplicationDone> m_done;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/ApplicationServer.cpp
+++ b/src/standin/ApplicationServer.cpp
@@ -32,21 +32,21 @@
 
 ApplicationServer::ApplicationServer (const ApplicationOptions& options,
                                       const SimulatedClock& clock)
-    : clock_ (clock), model_ (options), timer_ (clock, [this] { settle(); })
+    : m_clock (clock), m_model (options), m_timer (clock, [this] { settle(); })
 {
 }
 
 void ApplicationServer::handle (const http::Request& request,
                                 const std::shared_ptr<http::Responder>& responder)
 {
-    model_.advance (clock_.now());
+    m_model.advance (m_clock.now());
     if (request.path.starts_with ("/standin/"))
     {
         routeStandin (request, *responder);
     }
     else if (request.path == "/engine/report")
     {
-        responder->send (200, commonHeaders(), engine::toJson (model_.report()));
+        responder->send (200, commonHeaders(), engine::toJson (m_model.report()));
     }
     else
     {
@@ -58,12 +58,12 @@
 std::string ApplicationServer::ledgerJson() const
 {
     QJsonObject counts;
-    for (const auto& [key, count] : model_.keyCounts())
+    for (const auto& [key, count] : m_model.keyCounts())
     {
         counts[QString::fromStdString (key)] = engine::jsonInteger (count);
     }
     // The entries are an object already; the counts go beside them.
-    std::string json = toJson (model_.ledger());
+    std::string json = toJson (m_model.ledger());
     json.pop_back();
     return json + ",\"keys\":" + engine::writeJson (counts) + "}";
 }
@@ -84,16 +84,16 @@
         responder, [&] { return parseFaultCommand (request.body); },
         [&] (const FaultCommand& command)
         {
-            ApplicationFaults faults = model_.faults();
+            ApplicationFaults faults = m_model.faults();
             if (command.fault == "leaving")
             {
-                model_.setLeaving (command.isEnabled);
+                m_model.setLeaving (command.isEnabled);
             }
             else if (! applyFault (command, faults))
             {
                 return false;
             }
-            model_.setFaults (faults);
+            m_model.setFaults (faults);
             log::write (log::Event::kStandinFault, { { "fault", command.fault } });
             answerDone (responder);
             return true;
@@ -107,38 +107,38 @@
     input.id = request.headers.value ("X-Request-Id");
     input.idempotencyKey = request.headers.value ("Idempotency-Key");
     input.path = request.path;
-    const auto outcome = model_.submit (input, clock_.now());
+    const auto outcome = m_model.submit (input, m_clock.now());
     if (! outcome.accepted)
     {
-        answerRefused (*responder, outcome.refusal, model_.isLeaving());
+        answerRefused (*responder, outcome.refusal, m_model.isLeaving());
         return;
     }
     const RequestHandle handle = outcome.handle;
-    answers_[handle] = { request, responder };
+    m_answers[handle] = { request, responder };
     responder->onClosed (
         [this, handle]
         {
-            if (answers_.erase (handle) != 0)
-                model_.cancel (handle);
+            if (m_answers.erase (handle) != 0)
+                m_model.cancel (handle);
         });
 }
 
 void ApplicationServer::settle()
 {
-    model_.advance (clock_.now());
-    for (const auto& done : model_.takeDone())
+    m_model.advance (m_clock.now());
+    for (const auto& done : m_model.takeDone())
         answer (done);
-    if (const auto next = model_.nextEvent())
-        timer_.setNext (*next);
+    if (const auto next = m_model.nextEvent())
+        m_timer.setNext (*next);
 }
 
 void ApplicationServer::answer (const ApplicationDone& done)
 {
-    const auto found = answers_.find (done.handle);
-    if (found == answers_.end())
+    const auto found = m_answers.find (done.handle);
+    if (found == m_answers.end())
         return;
     const OpenAnswer open = std::move (found->second);
-    answers_.erase (found);
+    m_answers.erase (found);
     if (done.closesWithoutAnswer)
     {
         open.responder->abort();
@@ -150,7 +150,7 @@
 http::Headers ApplicationServer::commonHeaders() const
 {
     http::Headers headers{ { "Content-Type", "application/json" } };
-    if (model_.isLeaving())
+    if (m_model.isLeaving())
         headers.set (kLeavingHeader, "1");
     return headers;
 }
--- a/src/standin/ApplicationServer.h
+++ b/src/standin/ApplicationServer.h
@@ -19,8 +19,8 @@
 
     void handle (const http::Request& request,
                  const std::shared_ptr<http::Responder>& responder) override;
-    void beginStop() override { model_.setLeaving (true); }
-    [[nodiscard]] bool isIdle() const override { return answers_.empty(); }
+    void beginStop() override { m_model.setLeaving (true); }
+    [[nodiscard]] bool isIdle() const override { return m_answers.empty(); }
     [[nodiscard]] std::string ledgerJson() const override;
 
 private:
@@ -36,10 +36,10 @@
     void answer (const ApplicationDone& done);
     [[nodiscard]] http::Headers commonHeaders() const;
 
-    const SimulatedClock& clock_;
-    ApplicationModel model_;
-    SimulatedTimer timer_;
-    std::map<RequestHandle, OpenAnswer> answers_;
+    const SimulatedClock& m_clock;
+    ApplicationModel m_model;
+    SimulatedTimer m_timer;
+    std::map<RequestHandle, OpenAnswer> m_answers;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/BatchScheduler.cpp
+++ b/src/standin/BatchScheduler.cpp
@@ -23,14 +23,14 @@
 }
 
 BatchScheduler::BatchScheduler (const EngineOptions& options)
-    : options_ (options), cache_ (options.cacheBlocks, options.cacheEventDelay)
+    : m_options (options), m_cache (options.cacheBlocks, options.cacheEventDelay)
 {
 }
 
 SubmitOutcome BatchScheduler::submit (const EngineRequest& request, base::ReplicaId replica,
                                       base::TimePoint now)
 {
-    if (waiting() >= options_.maximumWaiting)
+    if (waiting() >= m_options.maximumWaiting)
     {
         return { false,
                  0,
@@ -40,22 +40,22 @@
                    {},      {} };
     entry.blocks = engine::promptBlockHashes (request.prompt);
     entry.nextToken = std::min (request.resumeFrom, request.maxTokens);
-    requests_.emplace (++lastHandle_, std::move (entry));
-    if (! nextStep_)
-        nextStep_ = now + stepTime();
-    return { true, lastHandle_, {} };
+    m_requests.emplace (++m_lastHandle, std::move (entry));
+    if (! m_nextStep)
+        m_nextStep = now + stepTime();
+    return { true, m_lastHandle, {} };
 }
 
 void BatchScheduler::cancel (RequestHandle handle)
 {
-    const auto found = requests_.find (handle);
-    if (found != requests_.end())
+    const auto found = m_requests.find (handle);
+    if (found != m_requests.end())
         finish (found, LedgerState::kCancelled);
 }
 
 void BatchScheduler::cancelById (const std::string& requestId)
 {
-    for (auto request = requests_.begin(); request != requests_.end();)
+    for (auto request = m_requests.begin(); request != m_requests.end();)
     {
         const auto current = request++;
         if (current->second.input.id == requestId)
@@ -65,33 +65,33 @@
 
 void BatchScheduler::refuseWaiting (base::ReplicaId replica)
 {
-    for (auto request = requests_.begin(); request != requests_.end();)
+    for (auto request = m_requests.begin(); request != m_requests.end();)
     {
         const auto current = request++;
         if (current->second.replica != replica || current->second.hasRun())
             continue;
         const base::Error refusal{ base::ErrorKind::kNoCapacity, "the replica is being unloaded" };
-        effects_.emplace_back (AnswerRefused{ current->first, refusal });
-        requests_.erase (current);
+        m_effects.emplace_back (AnswerRefused{ current->first, refusal });
+        m_requests.erase (current);
     }
 }
 
 void BatchScheduler::advance (base::TimePoint now, const EngineFaults& faults)
 {
-    while (nextStep_ && *nextStep_ <= now)
+    while (m_nextStep && *m_nextStep <= now)
     {
-        const base::TimePoint at = *nextStep_;
+        const base::TimePoint at = *m_nextStep;
         runStep (at, faults);
-        nextStep_.reset();
-        if (! requests_.empty())
-            nextStep_ = at + stepTime();
+        m_nextStep.reset();
+        if (! m_requests.empty())
+            m_nextStep = at + stepTime();
     }
 }
 
 void BatchScheduler::runStep (base::TimePoint now, const EngineFaults& faults)
 {
     fillSlots (now);
-    for (auto request = requests_.begin(); request != requests_.end();)
+    for (auto request = m_requests.begin(); request != m_requests.end();)
     {
         const auto current = request++;
         if (! current->second.isRunning || faults.isSilent)
@@ -110,9 +110,9 @@
     while (true)
     {
         const auto next = mostUrgentWaiting();
-        if (next == requests_.end())
+        if (next == m_requests.end())
             return;
-        if (running() >= options_.slots)
+        if (running() >= m_options.slots)
         {
             const auto victim = leastUrgentRunning();
             if (victim->second.input.priority <= next->second.input.priority)
@@ -128,25 +128,27 @@
     request.isRunning = true;
     if (request.hasRun())
         return;
-    request.ledgerIndex = ledger_.size();
-    ledger_.push_back ({ request.input.id, request.input.idempotencyKey, request.input.target,
-                         request.replica, now, request.input.resumeFrom, 0,
-                         LedgerState::kRunning });
-    const auto kept = keptCaches_.find (request.input.id);
-    const bool isImported = kept != keptCaches_.end() && kept->second.target == request.input.target
+    request.ledgerIndex = m_ledger.size();
+    m_ledger.push_back ({ request.input.id, request.input.idempotencyKey, request.input.target,
+                          request.replica, now, request.input.resumeFrom, 0,
+                          LedgerState::kRunning });
+    const auto kept = m_keptCaches.find (request.input.id);
+    const bool isImported = kept != m_keptCaches.end()
+                            && kept->second.target == request.input.target
                             && kept->second.promptDigest == base::sha256Hex (request.input.prompt);
-    const std::size_t cached = cache_.match (request.input.target, request.blocks);
+    const std::size_t cached = m_cache.match (request.input.target, request.blocks);
     request.blocksToPrefill = isImported ? 0 : request.blocks.size() - cached;
 }
 
 BatchScheduler::Requests::iterator BatchScheduler::mostUrgentWaiting()
 {
-    auto best = requests_.end();
-    for (auto request = requests_.begin(); request != requests_.end(); ++request)
+    auto best = m_requests.end();
+    for (auto request = m_requests.begin(); request != m_requests.end(); ++request)
     {
         if (request->second.isRunning)
             continue;
-        if (best == requests_.end() || request->second.input.priority < best->second.input.priority)
+        if (best == m_requests.end()
+            || request->second.input.priority < best->second.input.priority)
         {
             best = request;
         }
@@ -156,12 +158,12 @@
 
 BatchScheduler::Requests::iterator BatchScheduler::leastUrgentRunning()
 {
-    auto worst = requests_.end();
-    for (auto request = requests_.begin(); request != requests_.end(); ++request)
+    auto worst = m_requests.end();
+    for (auto request = m_requests.begin(); request != m_requests.end(); ++request)
     {
         if (! request->second.isRunning)
             continue;
-        if (worst == requests_.end()
+        if (worst == m_requests.end()
             || request->second.input.priority >= worst->second.input.priority)
         {
             worst = request;
@@ -176,10 +178,10 @@
     if (request.blocksToPrefill > 0)
     {
         request.blocksToPrefill -=
-            std::min<std::size_t> (request.blocksToPrefill, options_.prefillBlocksPerStep);
+            std::min<std::size_t> (request.blocksToPrefill, m_options.prefillBlocksPerStep);
         if (request.blocksToPrefill > 0)
             return false;
-        cache_.store (request.input.target, request.blocks, now);
+        m_cache.store (request.input.target, request.blocks, now);
         return false;
     }
     if (request.nextToken < request.input.maxTokens)
@@ -188,13 +190,13 @@
     if (request.nextToken >= request.input.maxTokens)
     {
         if (request.delayedChunk)
-            effects_.emplace_back (*request.delayedChunk);
-        effects_.emplace_back (AnswerEnded{ handle });
+            m_effects.emplace_back (*request.delayedChunk);
+        m_effects.emplace_back (AnswerEnded{ handle });
         return true;
     }
     if (faults.breakAfterTokens && generated >= *faults.breakAfterTokens)
     {
-        effects_.emplace_back (AnswerBroken{ handle });
+        m_effects.emplace_back (AnswerBroken{ handle });
         return true;
     }
     return false;
@@ -204,7 +206,7 @@
 {
     TokenChunk chunk{ handle, request.nextToken, 1, request.text.token (request.nextToken) };
     ++request.nextToken;
-    ++ledger_[*request.ledgerIndex].tokens;
+    ++m_ledger[*request.ledgerIndex].tokens;
     emitChunk (request, std::move (chunk), faults);
 }
 
@@ -216,12 +218,12 @@
         request.delayedChunk = std::move (chunk);
         return;
     }
-    effects_.emplace_back (chunk);
+    m_effects.emplace_back (chunk);
     if (isFaulty && faults.repeatsChunks)
-        effects_.emplace_back (std::move (chunk));
+        m_effects.emplace_back (std::move (chunk));
     if (request.delayedChunk)
     {
-        effects_.emplace_back (std::move (*request.delayedChunk));
+        m_effects.emplace_back (std::move (*request.delayedChunk));
         request.delayedChunk.reset();
     }
 }
@@ -230,51 +232,52 @@
 {
     if (request->second.hasRun())
     {
-        ledger_[*request->second.ledgerIndex].state = state;
+        m_ledger[*request->second.ledgerIndex].state = state;
         keepCache (request->second);
     }
-    requests_.erase (request);
+    m_requests.erase (request);
 }
 
 void BatchScheduler::keepCache (const Request& request)
 {
     const KeptCache kept{ request.input.target, base::sha256Hex (request.input.prompt) };
-    if (keptCaches_.insert_or_assign (request.input.id, kept).second)
+    if (m_keptCaches.insert_or_assign (request.input.id, kept).second)
     {
-        keptOrder_.push_back (request.input.id);
+        m_keptOrder.push_back (request.input.id);
     }
-    if (keptOrder_.size() <= kKeptCaches)
+    if (m_keptOrder.size() <= kKeptCaches)
         return;
-    keptCaches_.erase (keptOrder_.front());
-    keptOrder_.pop_front();
+    m_keptCaches.erase (m_keptOrder.front());
+    m_keptOrder.pop_front();
 }
 
 void BatchScheduler::reserveBlocks (base::TimePoint now)
 {
     std::size_t blocks = 0;
-    for (const auto& [handle, request] : requests_)
+    for (const auto& [handle, request] : m_requests)
     {
         if (request.hasRun())
             blocks += request.kvBlocks();
     }
-    cache_.setReserved (blocks, now);
+    m_cache.setReserved (blocks, now);
 }
 
 base::Duration BatchScheduler::stepTime() const
 {
-    return options_.stepTime + options_.stepTimePerRequest * static_cast<std::int64_t> (running());
+    return m_options.stepTime
+           + m_options.stepTimePerRequest * static_cast<std::int64_t> (running());
 }
 
 bool BatchScheduler::isBusy (base::ReplicaId replica) const
 {
-    return std::any_of (requests_.begin(), requests_.end(),
+    return std::any_of (m_requests.begin(), m_requests.end(),
                         [replica] (const auto& entry) { return entry.second.replica == replica; });
 }
 
 std::uint32_t BatchScheduler::running (std::optional<base::ReplicaId> replica) const
 {
     return static_cast<std::uint32_t> (std::count_if (
-        requests_.begin(), requests_.end(),
+        m_requests.begin(), m_requests.end(),
         [&] (const auto& entry)
         { return entry.second.isRunning && (! replica || entry.second.replica == *replica); }));
 }
@@ -282,7 +285,7 @@
 std::uint32_t BatchScheduler::waiting (std::optional<base::ReplicaId> replica) const
 {
     return static_cast<std::uint32_t> (std::count_if (
-        requests_.begin(), requests_.end(),
+        m_requests.begin(), m_requests.end(),
         [&] (const auto& entry)
         { return ! entry.second.isRunning && (! replica || entry.second.replica == *replica); }));
 }
@@ -291,14 +294,14 @@
 {
     KeptCache kept;
     const auto running =
-        std::find_if (requests_.begin(), requests_.end(),
+        std::find_if (m_requests.begin(), m_requests.end(),
                       [&] (const auto& entry)
                       { return entry.second.input.id == requestId && entry.second.hasRun(); });
-    if (running != requests_.end())
+    if (running != m_requests.end())
     {
         kept = { running->second.input.target, base::sha256Hex (running->second.input.prompt) };
     }
-    else if (const auto found = keptCaches_.find (requestId); found != keptCaches_.end())
+    else if (const auto found = m_keptCaches.find (requestId); found != m_keptCaches.end())
     {
         kept = found->second;
     }
@@ -328,11 +331,11 @@
         [] (const base::Error&) { return false; });
     if (! isGood)
         return false;
-    if (keptCaches_.insert_or_assign (requestId, kept).second)
-        keptOrder_.push_back (requestId);
+    if (m_keptCaches.insert_or_assign (requestId, kept).second)
+        m_keptOrder.push_back (requestId);
     return true;
 }
 
-std::vector<EngineEffect> BatchScheduler::takeEffects() { return std::exchange (effects_, {}); }
+std::vector<EngineEffect> BatchScheduler::takeEffects() { return std::exchange (m_effects, {}); }
 
 }  // namespace fernlift::standin
--- a/src/standin/BatchScheduler.h
+++ b/src/standin/BatchScheduler.h
@@ -35,14 +35,14 @@
 
     /// Runs the steps that are due.
     void advance (base::TimePoint now, const EngineFaults& faults);
-    [[nodiscard]] std::optional<base::TimePoint> nextEvent() const { return nextStep_; }
+    [[nodiscard]] std::optional<base::TimePoint> nextEvent() const { return m_nextStep; }
 
     [[nodiscard]] bool isBusy (base::ReplicaId replica) const;
     [[nodiscard]] std::uint32_t running (std::optional<base::ReplicaId> replica = {}) const;
     [[nodiscard]] std::uint32_t waiting (std::optional<base::ReplicaId> replica = {}) const;
-    [[nodiscard]] const std::vector<LedgerEntry>& ledger() const { return ledger_; }
-    [[nodiscard]] PrefixCache& prefixCache() { return cache_; }
-    [[nodiscard]] const PrefixCache& prefixCache() const { return cache_; }
+    [[nodiscard]] const std::vector<LedgerEntry>& ledger() const { return m_ledger; }
+    [[nodiscard]] PrefixCache& prefixCache() { return m_cache; }
+    [[nodiscard]] const PrefixCache& prefixCache() const { return m_cache; }
 
     /// KV cache of a request that runs or ended lately, as opaque bytes; empty when there is none.
     [[nodiscard]] std::string exportCache (const std::string& requestId) const;
@@ -90,15 +90,15 @@
     void reserveBlocks (base::TimePoint now);
     [[nodiscard]] base::Duration stepTime() const;
 
-    EngineOptions options_;
-    PrefixCache cache_;
-    Requests requests_;  ///< In the order of arrival.
-    RequestHandle lastHandle_ = 0;
-    std::optional<base::TimePoint> nextStep_;
-    std::vector<LedgerEntry> ledger_;
-    std::map<std::string, KeptCache> keptCaches_;  ///< By request id.
-    std::deque<std::string> keptOrder_;
-    std::vector<EngineEffect> effects_;
+    EngineOptions m_options;
+    PrefixCache m_cache;
+    Requests m_requests;  ///< In the order of arrival.
+    RequestHandle m_lastHandle = 0;
+    std::optional<base::TimePoint> m_nextStep;
+    std::vector<LedgerEntry> m_ledger;
+    std::map<std::string, KeptCache> m_keptCaches;  ///< By request id.
+    std::deque<std::string> m_keptOrder;
+    std::vector<EngineEffect> m_effects;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/CheckpointCache.cpp
+++ b/src/standin/CheckpointCache.cpp
@@ -8,45 +8,45 @@
 bool CheckpointTier::use (const std::string& artifact, const std::string& version)
 {
     const auto found =
-        std::find_if (checkpoints_.begin(), checkpoints_.end(),
+        std::find_if (m_checkpoints.begin(), m_checkpoints.end(),
                       [&] (const Checkpoint& checkpoint)
                       { return checkpoint.artifact == artifact && checkpoint.version == version; });
-    if (found == checkpoints_.end())
+    if (found == m_checkpoints.end())
         return false;
-    checkpoints_.splice (checkpoints_.begin(), checkpoints_, found);
+    m_checkpoints.splice (m_checkpoints.begin(), m_checkpoints, found);
     return true;
 }
 
 void CheckpointTier::put (const Checkpoint& checkpoint)
 {
     remove (checkpoint.artifact);
-    if (checkpoint.size > capacity_)
+    if (checkpoint.size > m_capacity)
         return;
-    while (used_ + checkpoint.size > capacity_)
+    while (m_used + checkpoint.size > m_capacity)
     {
-        used_ -= checkpoints_.back().size;
-        checkpoints_.pop_back();
+        m_used -= m_checkpoints.back().size;
+        m_checkpoints.pop_back();
     }
-    used_ += checkpoint.size;
-    checkpoints_.push_front (checkpoint);
+    m_used += checkpoint.size;
+    m_checkpoints.push_front (checkpoint);
 }
 
 void CheckpointTier::remove (const std::string& artifact)
 {
     const auto found =
-        std::find_if (checkpoints_.begin(), checkpoints_.end(),
+        std::find_if (m_checkpoints.begin(), m_checkpoints.end(),
                       [&] (const Checkpoint& entry) { return entry.artifact == artifact; });
-    if (found == checkpoints_.end())
+    if (found == m_checkpoints.end())
         return;
-    used_ -= found->size;
-    checkpoints_.erase (found);
+    m_used -= found->size;
+    m_checkpoints.erase (found);
 }
 
 engine::CheckpointPlace CheckpointCache::use (const std::string& artifact,
                                               const std::string& version)
 {
-    const bool isOnDisk = disk_.use (artifact, version);
-    if (memory_.use (artifact, version))
+    const bool isOnDisk = m_disk.use (artifact, version);
+    if (m_memory.use (artifact, version))
         return engine::CheckpointPlace::kMemory;
     return isOnDisk ? engine::CheckpointPlace::kDisk : engine::CheckpointPlace::kRemote;
 }
@@ -54,14 +54,14 @@
 std::vector<engine::CheckpointReport> CheckpointCache::report() const
 {
     std::vector<engine::CheckpointReport> reports;
-    for (const auto& checkpoint : memory_.checkpoints())
+    for (const auto& checkpoint : m_memory.checkpoints())
     {
         reports.push_back ({ checkpoint.artifact, engine::CheckpointPlace::kMemory });
     }
-    for (const auto& checkpoint : disk_.checkpoints())
+    for (const auto& checkpoint : m_disk.checkpoints())
     {
         const bool isInMemory = std::any_of (
-            memory_.checkpoints().begin(), memory_.checkpoints().end(),
+            m_memory.checkpoints().begin(), m_memory.checkpoints().end(),
             [&] (const Checkpoint& other) { return other.artifact == checkpoint.artifact; });
         if (! isInMemory)
             reports.push_back ({ checkpoint.artifact, engine::CheckpointPlace::kDisk });
--- a/src/standin/CheckpointCache.h
+++ b/src/standin/CheckpointCache.h
@@ -27,20 +27,20 @@
 class CheckpointTier
 {
 public:
-    explicit CheckpointTier (Megabytes capacity) : capacity_ (capacity) {}
+    explicit CheckpointTier (Megabytes capacity) : m_capacity (capacity) {}
 
     /// True when that version is here; marks it as used.
     bool use (const std::string& artifact, const std::string& version);
     /// Adds a checkpoint, replacing another version of it. One above the capacity is not kept.
     void put (const Checkpoint& checkpoint);
-    [[nodiscard]] const std::list<Checkpoint>& checkpoints() const { return checkpoints_; }
+    [[nodiscard]] const std::list<Checkpoint>& checkpoints() const { return m_checkpoints; }
 
 private:
     void remove (const std::string& artifact);
 
-    Megabytes capacity_;
-    Megabytes used_ = 0;
-    std::list<Checkpoint> checkpoints_;  ///< Most recently used first.
+    Megabytes m_capacity;
+    Megabytes m_used = 0;
+    std::list<Checkpoint> m_checkpoints;  ///< Most recently used first.
 };
 
 /// Disk and memory of one machine.
@@ -48,21 +48,21 @@
 {
 public:
     CheckpointCache (Megabytes diskCapacity, Megabytes memoryCapacity)
-        : disk_ (diskCapacity), memory_ (memoryCapacity)
+        : m_disk (diskCapacity), m_memory (memoryCapacity)
     {
     }
 
     /// The fastest place that holds the checkpoint; marks it as used there.
     engine::CheckpointPlace use (const std::string& artifact, const std::string& version);
-    void putOnDisk (const Checkpoint& checkpoint) { disk_.put (checkpoint); }
-    void putInMemory (const Checkpoint& checkpoint) { memory_.put (checkpoint); }
+    void putOnDisk (const Checkpoint& checkpoint) { m_disk.put (checkpoint); }
+    void putInMemory (const Checkpoint& checkpoint) { m_memory.put (checkpoint); }
     /// Each kept checkpoint once, at its fastest place.
     [[nodiscard]] std::vector<engine::CheckpointReport> report() const;
-    [[nodiscard]] const std::list<Checkpoint>& onDisk() const { return disk_.checkpoints(); }
+    [[nodiscard]] const std::list<Checkpoint>& onDisk() const { return m_disk.checkpoints(); }
 
 private:
-    CheckpointTier disk_;
-    CheckpointTier memory_;
+    CheckpointTier m_disk;
+    CheckpointTier m_memory;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/EngineModel.cpp
+++ b/src/standin/EngineModel.cpp
@@ -7,19 +7,19 @@
 {
 
 EngineModel::EngineModel (const EngineOptions& options, base::TimePoint now)
-    : options_ (options),
-      replicas_ (options),
-      scheduler_ (options),
-      nextReport_ (now + options.reportLag)
+    : m_options (options),
+      m_replicas (options),
+      m_scheduler (options),
+      m_nextReport (now + options.reportLag)
 {
-    pendingReport_ = currentReport();
-    publishedReport_ = pendingReport_;
+    m_pendingReport = currentReport();
+    m_publishedReport = m_pendingReport;
 }
 
 engine::OrderAnswer EngineModel::onOrder (const engine::Order& order, base::TimePoint now)
 {
     advance (now);
-    const auto answer = replicas_.onOrder (order, faults_, now);
+    const auto answer = m_replicas.onOrder (order, m_faults, now);
     settle (now);
     return answer;
 }
@@ -27,13 +27,13 @@
 void EngineModel::onFetched (FetchId fetch, base::TimePoint now)
 {
     advance (now);
-    replicas_.onFetched (fetch, now);
+    m_replicas.onFetched (fetch, now);
 }
 
 void EngineModel::onFetchRefused (FetchId fetch, base::Duration retryAfter, base::TimePoint now)
 {
     advance (now);
-    replicas_.onFetchRefused (fetch, retryAfter, now);
+    m_replicas.onFetchRefused (fetch, retryAfter, now);
 }
 
 SubmitOutcome EngineModel::submit (const EngineRequest& request, base::TimePoint now)
@@ -42,69 +42,69 @@
     const auto refuse = [] (base::ErrorKind kind, std::string message) {
         return SubmitOutcome{ false, 0, { kind, std::move (message) } };
     };
-    if (isLeaving_)
+    if (m_isLeaving)
         return refuse (base::ErrorKind::kStopping, "the engine is leaving");
-    if (faults_.refusesAll)
+    if (m_faults.refusesAll)
         return refuse (base::ErrorKind::kNoCapacity, "refused on command");
-    const auto* replica = replicas_.findReady (request.replica, request.target);
+    const auto* replica = m_replicas.findReady (request.replica, request.target);
     if (replica == nullptr)
     {
         return refuse (base::ErrorKind::kNoCapacity, "no ready replica of " + request.target);
     }
-    return scheduler_.submit (request, replica->replica, now);
+    return m_scheduler.submit (request, replica->replica, now);
 }
 
 void EngineModel::cancel (RequestHandle handle, base::TimePoint now)
 {
     advance (now);
-    scheduler_.cancel (handle);
+    m_scheduler.cancel (handle);
     settle (now);
 }
 
 void EngineModel::cancelById (const std::string& requestId, base::TimePoint now)
 {
     advance (now);
-    scheduler_.cancelById (requestId);
+    m_scheduler.cancelById (requestId);
     settle (now);
 }
 
 void EngineModel::advance (base::TimePoint now)
 {
-    scheduler_.advance (now, faults_);
+    m_scheduler.advance (now, m_faults);
     settle (now);
     publishReports (now);
 }
 
 void EngineModel::settle (base::TimePoint now)
 {
-    for (const auto& closed : replicas_.takeClosed())
+    for (const auto& closed : m_replicas.takeClosed())
     {
-        scheduler_.refuseWaiting (closed.replica);
+        m_scheduler.refuseWaiting (closed.replica);
         const auto& name = closed.adapter.empty() ? closed.model.value : closed.adapter.value;
-        scheduler_.prefixCache().removeModel (name, now);
+        m_scheduler.prefixCache().removeModel (name, now);
     }
-    replicas_.advance (
-        now, [this] (base::ReplicaId replica) { return scheduler_.isBusy (replica); }, faults_);
+    m_replicas.advance (
+        now, [this] (base::ReplicaId replica) { return m_scheduler.isBusy (replica); }, m_faults);
 }
 
 void EngineModel::publishReports (base::TimePoint now)
 {
-    while (nextReport_ <= now)
+    while (m_nextReport <= now)
     {
-        nextReport_ += options_.reportLag;
-        if (faults_.freezesReports)
+        m_nextReport += m_options.reportLag;
+        if (m_faults.freezesReports)
             continue;
-        publishedReport_ = std::move (pendingReport_);
-        pendingReport_ = currentReport();
+        m_publishedReport = std::move (m_pendingReport);
+        m_pendingReport = currentReport();
     }
 }
 
 base::TimePoint EngineModel::nextEvent() const
 {
-    base::TimePoint next = nextReport_;
-    if (const auto step = scheduler_.nextEvent())
+    base::TimePoint next = m_nextReport;
+    if (const auto step = m_scheduler.nextEvent())
         next = std::min (next, *step);
-    if (const auto change = replicas_.nextEvent())
+    if (const auto change = m_replicas.nextEvent())
         next = std::min (next, *change);
     return next;
 }
@@ -112,51 +112,51 @@
 engine::Report EngineModel::currentReport() const
 {
     engine::Report report;
-    report.runner = options_.runner;
-    report.incarnation = options_.incarnation;
-    report.isLeaving = isLeaving_;
-    report.totalMemory = options_.totalMemory;
-    report.usedMemory = replicas_.usedMemory();
-    report.highestFence = replicas_.highestFence();
-    report.slots = options_.slots;
-    report.runningRequests = scheduler_.running();
-    report.waitingRequests = scheduler_.waiting();
-    report.replicas = replicas_.replicas();
+    report.runner = m_options.runner;
+    report.incarnation = m_options.incarnation;
+    report.isLeaving = m_isLeaving;
+    report.totalMemory = m_options.totalMemory;
+    report.usedMemory = m_replicas.usedMemory();
+    report.highestFence = m_replicas.highestFence();
+    report.slots = m_options.slots;
+    report.runningRequests = m_scheduler.running();
+    report.waitingRequests = m_scheduler.waiting();
+    report.replicas = m_replicas.replicas();
     for (auto& replica : report.replicas)
     {
-        replica.runningRequests = scheduler_.running (replica.replica);
-        replica.waitingRequests = scheduler_.waiting (replica.replica);
+        replica.runningRequests = m_scheduler.running (replica.replica);
+        replica.waitingRequests = m_scheduler.waiting (replica.replica);
     }
-    report.checkpoints = replicas_.checkpoints().report();
+    report.checkpoints = m_replicas.checkpoints().report();
     return report;
 }
 
 std::vector<CacheEvent> EngineModel::cacheEventsAfter (std::uint64_t sequence,
                                                        base::TimePoint now) const
 {
-    return scheduler_.prefixCache().eventsAfter (sequence, now);
+    return m_scheduler.prefixCache().eventsAfter (sequence, now);
 }
 
 std::string EngineModel::exportCache (const std::string& requestId) const
 {
-    return scheduler_.exportCache (requestId);
+    return m_scheduler.exportCache (requestId);
 }
 
 bool EngineModel::importCache (const std::string& requestId, const std::string& bytes)
 {
-    return scheduler_.importCache (requestId, bytes);
+    return m_scheduler.importCache (requestId, bytes);
 }
 
 std::vector<Checkpoint> EngineModel::checkpointsOnDisk() const
 {
-    const auto& disk = replicas_.checkpoints().onDisk();
+    const auto& disk = m_replicas.checkpoints().onDisk();
     return { disk.begin(), disk.end() };
 }
 
 std::vector<EngineEffect> EngineModel::takeEffects()
 {
-    auto effects = replicas_.takeEffects();
-    auto tokens = scheduler_.takeEffects();
+    auto effects = m_replicas.takeEffects();
+    auto tokens = m_scheduler.takeEffects();
     effects.insert (effects.end(), std::make_move_iterator (tokens.begin()),
                     std::make_move_iterator (tokens.end()));
     return effects;
--- a/src/standin/EngineModel.h
+++ b/src/standin/EngineModel.h
@@ -35,25 +35,25 @@
     [[nodiscard]] base::TimePoint nextEvent() const;
 
     /// The report as seen from outside: late, or frozen by a fault.
-    [[nodiscard]] const engine::Report& report() const { return publishedReport_; }
+    [[nodiscard]] const engine::Report& report() const { return m_publishedReport; }
     /// The state at this moment.
     [[nodiscard]] engine::Report currentReport() const;
     [[nodiscard]] std::vector<CacheEvent> cacheEventsAfter (std::uint64_t sequence,
                                                             base::TimePoint now) const;
-    [[nodiscard]] const std::vector<LedgerEntry>& ledger() const { return scheduler_.ledger(); }
+    [[nodiscard]] const std::vector<LedgerEntry>& ledger() const { return m_scheduler.ledger(); }
     [[nodiscard]] std::string exportCache (const std::string& requestId) const;
     bool importCache (const std::string& requestId, const std::string& bytes);
     /// Checkpoints on disk, which outlive a restart.
     [[nodiscard]] std::vector<Checkpoint> checkpointsOnDisk() const;
 
-    void setFaults (const EngineFaults& faults) { faults_ = faults; }
-    [[nodiscard]] const EngineFaults& faults() const { return faults_; }
+    void setFaults (const EngineFaults& faults) { m_faults = faults; }
+    [[nodiscard]] const EngineFaults& faults() const { return m_faults; }
     /// Loses the next `count` cache events.
-    void dropCacheEvents (std::uint64_t count) { scheduler_.prefixCache().dropEvents (count); }
+    void dropCacheEvents (std::uint64_t count) { m_scheduler.prefixCache().dropEvents (count); }
     /// The machine is about to be reclaimed (or no longer): new requests are refused.
-    void setLeaving (bool isLeaving) { isLeaving_ = isLeaving; }
-    [[nodiscard]] bool isLeaving() const { return isLeaving_; }
-    [[nodiscard]] const EngineOptions& options() const { return options_; }
+    void setLeaving (bool isLeaving) { m_isLeaving = isLeaving; }
+    [[nodiscard]] bool isLeaving() const { return m_isLeaving; }
+    [[nodiscard]] const EngineOptions& options() const { return m_options; }
 
     [[nodiscard]] std::vector<EngineEffect> takeEffects();
 
@@ -61,14 +61,14 @@
     void settle (base::TimePoint now);
     void publishReports (base::TimePoint now);
 
-    EngineOptions options_;
-    ReplicaTable replicas_;
-    BatchScheduler scheduler_;
-    EngineFaults faults_;
-    bool isLeaving_ = false;
-    engine::Report publishedReport_;
-    engine::Report pendingReport_;
-    base::TimePoint nextReport_;
+    EngineOptions m_options;
+    ReplicaTable m_replicas;
+    BatchScheduler m_scheduler;
+    EngineFaults m_faults;
+    bool m_isLeaving = false;
+    engine::Report m_publishedReport;
+    engine::Report m_pendingReport;
+    base::TimePoint m_nextReport;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/EngineServer.cpp
+++ b/src/standin/EngineServer.cpp
@@ -96,23 +96,23 @@
 
 EngineServer::EngineServer (const EngineOptions& options, const SimulatedClock& clock,
                             std::optional<base::SocketAddress> weightStore)
-    : clock_ (clock),
-      weightStore_ (std::move (weightStore)),
-      model_ (options, clock.now()),
-      timer_ (clock, [this] { settle(); })
+    : m_clock (clock),
+      m_weightStore (std::move (weightStore)),
+      m_model (options, clock.now()),
+      m_timer (clock, [this] { settle(); })
 {
     settle();
 }
 
 void EngineServer::beginStop()
 {
-    model_.setLeaving (true);
+    m_model.setLeaving (true);
     settle();
 }
 
-bool EngineServer::isIdle() const { return answers_.empty(); }
+bool EngineServer::isIdle() const { return m_answers.empty(); }
 
-std::string EngineServer::ledgerJson() const { return toJson (model_.ledger()); }
+std::string EngineServer::ledgerJson() const { return toJson (m_model.ledger()); }
 
 void EngineServer::handle (const http::Request& request, const ResponderPointer& responder)
 {
@@ -120,9 +120,9 @@
     {
         routeStandin (request, responder);
     }
-    else if (isHanging_)
+    else if (m_isHanging)
     {
-        unanswered_.push_back (responder);
+        m_unanswered.push_back (responder);
     }
     else
     {
@@ -134,10 +134,10 @@
 void EngineServer::route (const http::Request& request, const ResponderPointer& responder)
 {
     const std::string& path = request.path;
-    model_.advance (clock_.now());
+    m_model.advance (m_clock.now());
     if (path == "/engine/report")
     {
-        sendJson (*responder, 200, engine::toJson (model_.report()));
+        sendJson (*responder, 200, engine::toJson (m_model.report()));
     }
     else if (path == "/engine/orders")
     {
@@ -158,7 +158,7 @@
     else if (path.starts_with (kStreamsPrefix) && path.ends_with (kCancelSuffix))
     {
         const std::size_t length = path.size() - kStreamsPrefix.size() - kCancelSuffix.size();
-        model_.cancelById (path.substr (kStreamsPrefix.size(), length), clock_.now());
+        m_model.cancelById (path.substr (kStreamsPrefix.size(), length), m_clock.now());
         sendJson (*responder, 200, "{}");
     }
     else
@@ -175,7 +175,7 @@
     }
     else if (request.path == "/standin/state")
     {
-        http::jsonResponse (200, engine::toJson (model_.currentReport())).sendTo (*responder);
+        http::jsonResponse (200, engine::toJson (m_model.currentReport())).sendTo (*responder);
     }
     else if (request.path == "/standin/faults" && request.method == "POST")
     {
@@ -195,7 +195,7 @@
         responder, [&] { return engine::parseOrder (request.body); },
         [&] (const engine::Order& order)
         {
-            const auto answer = model_.onOrder (order, clock_.now());
+            const auto answer = m_model.onOrder (order, m_clock.now());
             log::write (log::Event::kEngineOrder,
                         { { "fence", order.fence },
                           { "replica", order.replica },
@@ -221,20 +221,20 @@
 void EngineServer::submit (const EngineRequest& input, const CompletionRequest& completion,
                            const ResponderPointer& responder)
 {
-    const auto outcome = model_.submit (input, clock_.now());
+    const auto outcome = m_model.submit (input, m_clock.now());
     if (! outcome.accepted)
     {
-        answerRefused (*responder, outcome.refusal, model_.isLeaving());
+        answerRefused (*responder, outcome.refusal, m_model.isLeaving());
         return;
     }
     const RequestHandle handle = outcome.handle;
-    answers_[handle] = { completion, input.id, responder, false, {} };
+    m_answers[handle] = { completion, input.id, responder, false, {} };
     responder->onClosed (
         [this, handle]
         {
-            if (answers_.erase (handle) == 0)
+            if (m_answers.erase (handle) == 0)
                 return;
-            model_.cancel (handle, clock_.now());
+            m_model.cancel (handle, m_clock.now());
             settle();
         });
 }
@@ -244,7 +244,7 @@
 {
     if (request.method == "POST")
     {
-        if (! model_.importCache (id, request.body))
+        if (! m_model.importCache (id, request.body))
         {
             answerInvalid (responder, "the bytes are not an exported cache");
             return;
@@ -252,7 +252,7 @@
         sendJson (responder, 200, "{}");
         return;
     }
-    const std::string bytes = model_.exportCache (id);
+    const std::string bytes = m_model.exportCache (id);
     if (bytes.empty())
     {
         answerNotFound (responder, request.path);
@@ -266,25 +266,25 @@
     std::uint64_t after = 0;
     const std::string text = request.queryValue ("after");
     std::from_chars (text.data(), text.data() + text.size(), after);
-    sendJson (responder, 200, cacheEventsJson (model_.cacheEventsAfter (after, clock_.now())));
+    sendJson (responder, 200, cacheEventsJson (m_model.cacheEventsAfter (after, m_clock.now())));
 }
 
 bool EngineServer::handleFault (const FaultCommand& command, http::Responder& responder)
 {
-    EngineFaults faults = model_.faults();
+    EngineFaults faults = m_model.faults();
     if (command.fault == "hang" || command.fault == "clear")
     {
-        isHanging_ = command.fault == "hang" && command.isEnabled;
-        if (! isHanging_)
-            unanswered_.clear();
+        m_isHanging = command.fault == "hang" && command.isEnabled;
+        if (! m_isHanging)
+            m_unanswered.clear();
     }
     if (command.fault == "leaving")
     {
-        model_.setLeaving (command.isEnabled);
+        m_model.setLeaving (command.isEnabled);
     }
     else if (command.fault == "drop_cache_events")
     {
-        model_.dropCacheEvents (command.count);
+        m_model.dropCacheEvents (command.count);
     }
     else if (command.fault == "exit")
     {
@@ -294,7 +294,7 @@
     {
         return false;
     }
-    model_.setFaults (faults);
+    m_model.setFaults (faults);
     log::write (log::Event::kStandinFault, { { "fault", command.fault } });
     answerDone (responder);
     return true;
@@ -308,36 +308,36 @@
 http::Headers EngineServer::commonHeaders (const std::string& contentType) const
 {
     http::Headers headers{ { "Content-Type", contentType } };
-    if (model_.isLeaving())
+    if (m_model.isLeaving())
         headers.set (kLeavingHeader, "1");
     return headers;
 }
 
 void EngineServer::settle()
 {
-    model_.advance (clock_.now());
-    auto effects = model_.takeEffects();
+    m_model.advance (m_clock.now());
+    auto effects = m_model.takeEffects();
     while (! effects.empty())
     {
         for (const auto& effect : effects)
         {
             std::visit ([this] (const auto& value) { apply (value); }, effect);
         }
-        effects = model_.takeEffects();
+        effects = m_model.takeEffects();
     }
-    timer_.setNext (model_.nextEvent());
+    m_timer.setNext (m_model.nextEvent());
 }
 
 void EngineServer::apply (const FetchWeights& effect)
 {
-    if (! weightStore_)
+    if (! m_weightStore)
     {
         const base::Duration transfer =
             base::milliseconds (effect.size * 1000 / kPlainMegabytesPerSecond);
-        QTimer::singleShot (base::toMilliseconds (clock_.toReal (transfer)),
+        QTimer::singleShot (base::toMilliseconds (m_clock.toReal (transfer)),
                             [this, fetch = effect.fetch]
                             {
-                                model_.onFetched (fetch, clock_.now());
+                                m_model.onFetched (fetch, m_clock.now());
                                 settle();
                             });
         return;
@@ -346,7 +346,7 @@
     body[QLatin1String ("artifact")] = engine::jsonText (effect.artifact);
     body[QLatin1String ("size_mb")] = engine::jsonInteger (effect.size);
     http::ClientRequest request;
-    request.address = *weightStore_;
+    request.address = *m_weightStore;
     request.method = "POST";
     request.path = "/weights/fetch";
     request.headers.set ("Content-Type", "application/json");
@@ -354,7 +354,7 @@
     request.headersTimeout = kFetchTimeout;
     request.idleTimeout = kFetchTimeout;
     const FetchId fetch = effect.fetch;
-    fetches_[fetch] = client_.fetch (
+    m_fetches[fetch] = m_client.fetch (
         std::move (request),
         [this, fetch] (const http::WholeResponse& response) { onFetchAnswer (fetch, response); },
         [this, fetch] (const http::ClientError&) { onFetchRefused (fetch, kFetchRetry); });
@@ -367,31 +367,31 @@
         onFetchRefused (fetch, retryAfterOf (response));
         return;
     }
-    fetches_.erase (fetch);
-    model_.onFetched (fetch, clock_.now());
+    m_fetches.erase (fetch);
+    m_model.onFetched (fetch, m_clock.now());
     settle();
 }
 
 void EngineServer::onFetchRefused (FetchId fetch, base::Duration retryAfter)
 {
-    fetches_.erase (fetch);
-    model_.onFetchRefused (fetch, retryAfter, clock_.now());
+    m_fetches.erase (fetch);
+    m_model.onFetchRefused (fetch, retryAfter, m_clock.now());
     settle();
 }
 
 void EngineServer::apply (const CancelFetch& effect)
 {
-    const auto found = fetches_.find (effect.fetch);
-    if (found == fetches_.end())
+    const auto found = m_fetches.find (effect.fetch);
+    if (found == m_fetches.end())
         return;
     found->second->cancel();
-    fetches_.erase (found);
+    m_fetches.erase (found);
 }
 
 void EngineServer::apply (const TokenChunk& effect)
 {
-    const auto found = answers_.find (effect.handle);
-    if (found == answers_.end())
+    const auto found = m_answers.find (effect.handle);
+    if (found == m_answers.end())
         return;
     OpenAnswer& answer = found->second;
     if (! answer.request.isStreaming)
@@ -407,11 +407,11 @@
 
 void EngineServer::apply (const AnswerEnded& effect)
 {
-    const auto found = answers_.find (effect.handle);
-    if (found == answers_.end())
+    const auto found = m_answers.find (effect.handle);
+    if (found == m_answers.end())
         return;
     const OpenAnswer answer = std::move (found->second);
-    answers_.erase (found);
+    m_answers.erase (found);
     if (answer.request.isStreaming)
     {
         if (! answer.hasBegun)
@@ -429,21 +429,21 @@
 
 void EngineServer::apply (const AnswerRefused& effect)
 {
-    const auto found = answers_.find (effect.handle);
-    if (found == answers_.end())
+    const auto found = m_answers.find (effect.handle);
+    if (found == m_answers.end())
         return;
     const OpenAnswer answer = std::move (found->second);
-    answers_.erase (found);
-    answerRefused (*answer.responder, effect.refusal, model_.isLeaving());
+    m_answers.erase (found);
+    answerRefused (*answer.responder, effect.refusal, m_model.isLeaving());
 }
 
 void EngineServer::apply (const AnswerBroken& effect)
 {
-    const auto found = answers_.find (effect.handle);
-    if (found == answers_.end())
+    const auto found = m_answers.find (effect.handle);
+    if (found == m_answers.end())
         return;
     const OpenAnswer answer = std::move (found->second);
-    answers_.erase (found);
+    m_answers.erase (found);
     answer.responder->abort();
 }
 
--- a/src/standin/EngineServer.h
+++ b/src/standin/EngineServer.h
@@ -69,15 +69,15 @@
     void onFetchAnswer (FetchId fetch, const http::WholeResponse& response);
     void onFetchRefused (FetchId fetch, base::Duration retryAfter);
 
-    const SimulatedClock& clock_;
-    std::optional<base::SocketAddress> weightStore_;
-    EngineModel model_;
-    SimulatedTimer timer_;
-    http::Client client_;
-    std::map<RequestHandle, OpenAnswer> answers_;
-    std::map<FetchId, std::shared_ptr<http::Exchange>> fetches_;
-    bool isHanging_ = false;                    ///< Nothing is answered at all.
-    std::vector<ResponderPointer> unanswered_;  ///< Requests that came while hanging.
+    const SimulatedClock& m_clock;
+    std::optional<base::SocketAddress> m_weightStore;
+    EngineModel m_model;
+    SimulatedTimer m_timer;
+    http::Client m_client;
+    std::map<RequestHandle, OpenAnswer> m_answers;
+    std::map<FetchId, std::shared_ptr<http::Exchange>> m_fetches;
+    bool m_isHanging = false;                    ///< Nothing is answered at all.
+    std::vector<ResponderPointer> m_unanswered;  ///< Requests that came while hanging.
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/MachineListModel.cpp
+++ b/src/standin/MachineListModel.cpp
@@ -41,9 +41,9 @@
 
 }  // namespace
 
-MachineListModel::MachineListModel (engine::MachineList machines, base::Duration lag) : lag_ (lag)
+MachineListModel::MachineListModel (engine::MachineList machines, base::Duration lag) : m_lag (lag)
 {
-    history_.emplace_back (base::TimePoint::min(), std::move (machines));
+    m_history.emplace_back (base::TimePoint::min(), std::move (machines));
 }
 
 void MachineListModel::put (const engine::Machine& machine, base::TimePoint now)
@@ -83,15 +83,15 @@
 
 const engine::MachineList& MachineListModel::visible (base::TimePoint now)
 {
-    while (history_.size() > 1 && history_[1].first + lag_ <= now)
-        history_.pop_front();
-    return history_.front().second;
+    while (m_history.size() > 1 && m_history[1].first + m_lag <= now)
+        m_history.pop_front();
+    return m_history.front().second;
 }
 
 engine::MachineList& MachineListModel::change (base::TimePoint now)
 {
-    history_.emplace_back (now, history_.back().second);
-    return history_.back().second;
+    m_history.emplace_back (now, m_history.back().second);
+    return m_history.back().second;
 }
 
 base::Result<engine::Machine> parseMachineFlag (std::string_view text)
--- a/src/standin/MachineListModel.h
+++ b/src/standin/MachineListModel.h
@@ -25,19 +25,19 @@
     bool setState (const base::RunnerId& runner, engine::MachineState state, base::TimePoint now);
     /// Takes a machine off the list; false when there is none with that id.
     bool remove (const base::RunnerId& runner, base::TimePoint now);
-    void setLag (base::Duration lag) { lag_ = lag; }
+    void setLag (base::Duration lag) { m_lag = lag; }
 
     /// The list as it shows at `now`.
     [[nodiscard]] const engine::MachineList& visible (base::TimePoint now);
     /// The list without the lag.
-    [[nodiscard]] const engine::MachineList& current() const { return history_.back().second; }
+    [[nodiscard]] const engine::MachineList& current() const { return m_history.back().second; }
 
 private:
     engine::MachineList& change (base::TimePoint now);
 
-    base::Duration lag_;
+    base::Duration m_lag;
     /// Lists with the time of their making, oldest first; the first is visible.
-    std::deque<std::pair<base::TimePoint, engine::MachineList>> history_;
+    std::deque<std::pair<base::TimePoint, engine::MachineList>> m_history;
 };
 
 /// Parses "id,role,zone,address,memory_mb,accelerators[,application+application]"; fails with
--- a/src/standin/MachineListServer.cpp
+++ b/src/standin/MachineListServer.cpp
@@ -84,7 +84,7 @@
 
 MachineListServer::MachineListServer (engine::MachineList machines, base::Duration lag,
                                       const SimulatedClock& clock)
-    : clock_ (clock), model_ (std::move (machines), lag)
+    : m_clock (clock), m_model (std::move (machines), lag)
 {
 }
 
@@ -93,7 +93,7 @@
 {
     if (request.path == "/machines")
     {
-        http::jsonResponse (200, engine::toJson (model_.visible (clock_.now())))
+        http::jsonResponse (200, engine::toJson (m_model.visible (m_clock.now())))
             .sendTo (*responder);
     }
     else if (request.path == "/standin/machines" && request.method == "POST")
@@ -102,7 +102,7 @@
     }
     else if (request.path == "/standin/machines")
     {
-        http::jsonResponse (200, engine::toJson (model_.current())).sendTo (*responder);
+        http::jsonResponse (200, engine::toJson (m_model.current())).sendTo (*responder);
     }
     else
     {
@@ -116,7 +116,7 @@
         responder, [&] { return parseChange (request.body); },
         [&] (const MachineChange& change)
         {
-            if (! applyChange (change, model_, clock_.now()))
+            if (! applyChange (change, m_model, m_clock.now()))
                 return false;
             log::write (log::Event::kStandinMachineChanged,
                         { { "machine", change.id }, { "state", change.state } });
--- a/src/standin/MachineListServer.h
+++ b/src/standin/MachineListServer.h
@@ -21,8 +21,8 @@
 private:
     void handleChange (const http::Request& request, http::Responder& responder);
 
-    const SimulatedClock& clock_;
-    MachineListModel model_;
+    const SimulatedClock& m_clock;
+    MachineListModel m_model;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/PrefixCache.cpp
+++ b/src/standin/PrefixCache.cpp
@@ -17,10 +17,10 @@
     std::size_t matched = 0;
     for (const std::uint64_t block : blocks)
     {
-        const auto found = entries_.find ({ model, block });
-        if (found == entries_.end())
+        const auto found = m_entries.find ({ model, block });
+        if (found == m_entries.end())
             break;
-        order_.splice (order_.begin(), order_, found->second);
+        m_order.splice (m_order.begin(), m_order, found->second);
         ++matched;
     }
     return matched;
@@ -32,10 +32,10 @@
     for (const std::uint64_t block : blocks)
     {
         const Key key{ model, block };
-        if (entries_.contains (key))
+        if (m_entries.contains (key))
             continue;
-        order_.push_front (key);
-        entries_[key] = order_.begin();
+        m_order.push_front (key);
+        m_entries[key] = m_order.begin();
         addEvent (true, key, now);
     }
     evictToFit (now);
@@ -43,7 +43,7 @@
 
 void PrefixCache::removeModel (const std::string& model, base::TimePoint now)
 {
-    for (auto entry = entries_.begin(); entry != entries_.end();)
+    for (auto entry = m_entries.begin(); entry != m_entries.end();)
     {
         if (entry->first.first != model)
         {
@@ -51,25 +51,25 @@
             continue;
         }
         addEvent (false, entry->first, now);
-        order_.erase (entry->second);
-        entry = entries_.erase (entry);
+        m_order.erase (entry->second);
+        entry = m_entries.erase (entry);
     }
 }
 
 void PrefixCache::setReserved (std::size_t blocks, base::TimePoint now)
 {
-    reserved_ = std::min (blocks, capacity_);
+    m_reserved = std::min (blocks, m_capacity);
     evictToFit (now);
 }
 
 std::vector<CacheEvent> PrefixCache::eventsAfter (std::uint64_t sequence, base::TimePoint now) const
 {
     std::vector<CacheEvent> visible;
-    for (const auto& event : events_)
+    for (const auto& event : m_events)
     {
         if (event.sequence <= sequence)
             continue;
-        if (event.at + eventDelay_ > now || visible.size() == kMaximumEventsPerAnswer)
+        if (event.at + m_eventDelay > now || visible.size() == kMaximumEventsPerAnswer)
             break;
         visible.push_back (event);
     }
@@ -78,25 +78,25 @@
 
 void PrefixCache::evictToFit (base::TimePoint now)
 {
-    while (order_.size() + reserved_ > capacity_ && ! order_.empty())
+    while (m_order.size() + m_reserved > m_capacity && ! m_order.empty())
     {
-        addEvent (false, order_.back(), now);
-        entries_.erase (order_.back());
-        order_.pop_back();
+        addEvent (false, m_order.back(), now);
+        m_entries.erase (m_order.back());
+        m_order.pop_back();
     }
 }
 
 void PrefixCache::addEvent (bool isStored, const Key& key, base::TimePoint now)
 {
-    ++lastSequence_;
-    if (eventsToDrop_ > 0)
+    ++m_lastSequence;
+    if (m_eventsToDrop > 0)
     {
-        --eventsToDrop_;
+        --m_eventsToDrop;
         return;
     }
-    events_.push_back ({ lastSequence_, isStored, key.first, key.second, now });
-    if (events_.size() > kMaximumKeptEvents)
-        events_.pop_front();
+    m_events.push_back ({ m_lastSequence, isStored, key.first, key.second, now });
+    if (m_events.size() > kMaximumKeptEvents)
+        m_events.pop_front();
 }
 
 }  // namespace fernlift::standin
--- a/src/standin/PrefixCache.h
+++ b/src/standin/PrefixCache.h
@@ -32,7 +32,7 @@
 public:
     /// `capacity` in blocks; events show `eventDelay` after the change.
     PrefixCache (std::size_t capacity, base::Duration eventDelay)
-        : capacity_ (capacity), eventDelay_ (eventDelay)
+        : m_capacity (capacity), m_eventDelay (eventDelay)
     {
     }
 
@@ -46,12 +46,12 @@
     /// Blocks that running requests need: the cache shrinks by them.
     void setReserved (std::size_t blocks, base::TimePoint now);
     /// Loses the next `count` events, leaving a gap.
-    void dropEvents (std::uint64_t count) { eventsToDrop_ += count; }
+    void dropEvents (std::uint64_t count) { m_eventsToDrop += count; }
 
     /// Visible events after `sequence`, oldest first, at most 1000.
     [[nodiscard]] std::vector<CacheEvent> eventsAfter (std::uint64_t sequence,
                                                        base::TimePoint now) const;
-    [[nodiscard]] std::size_t size() const { return order_.size(); }
+    [[nodiscard]] std::size_t size() const { return m_order.size(); }
 
 private:
     using Key = std::pair<std::string, std::uint64_t>;
@@ -59,14 +59,14 @@
     void evictToFit (base::TimePoint now);
     void addEvent (bool isStored, const Key& key, base::TimePoint now);
 
-    std::size_t capacity_;
-    std::size_t reserved_ = 0;
-    base::Duration eventDelay_;
-    std::list<Key> order_;  ///< Most recently used first.
-    std::map<Key, std::list<Key>::iterator> entries_;
-    std::deque<CacheEvent> events_;
-    std::uint64_t lastSequence_ = 0;
-    std::uint64_t eventsToDrop_ = 0;
+    std::size_t m_capacity;
+    std::size_t m_reserved = 0;
+    base::Duration m_eventDelay;
+    std::list<Key> m_order;  ///< Most recently used first.
+    std::map<Key, std::list<Key>::iterator> m_entries;
+    std::deque<CacheEvent> m_events;
+    std::uint64_t m_lastSequence = 0;
+    std::uint64_t m_eventsToDrop = 0;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/ReplicaTable.cpp
+++ b/src/standin/ReplicaTable.cpp
@@ -10,28 +10,28 @@
 using engine::ReplicaPhase;
 
 ReplicaTable::ReplicaTable (const EngineOptions& options)
-    : options_ (options), checkpoints_ (options.diskCapacity, options.memoryCapacity)
+    : m_options (options), m_checkpoints (options.diskCapacity, options.memoryCapacity)
 {
     for (const auto& checkpoint : options.checkpointsOnDisk)
-        checkpoints_.putOnDisk (checkpoint);
+        m_checkpoints.putOnDisk (checkpoint);
 }
 
 engine::OrderAnswer ReplicaTable::onOrder (const engine::Order& order, const EngineFaults& faults,
                                            base::TimePoint now)
 {
-    if (order.incarnation != options_.incarnation)
+    if (order.incarnation != m_options.incarnation)
     {
         return answer (false, base::ErrorKind::kIncarnationMismatch);
     }
-    if (order.fence < highestFence_)
+    if (order.fence < m_highestFence)
         return answer (false, base::ErrorKind::kFenceStale);
-    if (order.fence == highestFence_ && lastAnswer_)
-        return *lastAnswer_;
+    if (order.fence == m_highestFence && m_lastAnswer)
+        return *m_lastAnswer;
     // A refused order uses up its fence as well: sent again later it must not be carried out.
-    highestFence_ = order.fence;
-    slowdown_ = faults.loadSlowdown;
-    lastAnswer_ = take (order, now);
-    return *lastAnswer_;
+    m_highestFence = order.fence;
+    m_slowdown = faults.loadSlowdown;
+    m_lastAnswer = take (order, now);
+    return *m_lastAnswer;
 }
 
 engine::OrderAnswer ReplicaTable::answer (bool accepted, base::ErrorKind refusal) const
@@ -40,8 +40,8 @@
     answer.accepted = accepted;
     if (! accepted)
         answer.refusal = refusal;
-    answer.highestFence = highestFence_;
-    answer.incarnation = options_.incarnation;
+    answer.highestFence = m_highestFence;
+    answer.incarnation = m_options.incarnation;
     return answer;
 }
 
@@ -57,9 +57,9 @@
 
 engine::OrderAnswer ReplicaTable::load (const engine::Order& order, base::TimePoint now)
 {
-    if (replicas_.contains (order.replica))
+    if (m_replicas.contains (order.replica))
         return answer (true, {});
-    if (order.memory > options_.totalMemory - usedMemory())
+    if (order.memory > m_options.totalMemory - usedMemory())
     {
         return answer (false, base::ErrorKind::kInsufficientMemory);
     }
@@ -71,7 +71,7 @@
     replica.report.memory = order.memory;
     replica.size = order.memory;
     replica.baseReplica = order.kind == OrderKind::kLoadAdapter ? order.baseReplica : 0;
-    Replica& stored = replicas_.emplace (order.replica, std::move (replica)).first->second;
+    Replica& stored = m_replicas.emplace (order.replica, std::move (replica)).first->second;
     if (order.kind == OrderKind::kLoadAdapter)
     {
         stored.step = Step::kWaitForBase;
@@ -85,21 +85,21 @@
 
 void ReplicaTable::unload (base::ReplicaId id)
 {
-    const auto found = replicas_.find (id);
-    if (found == replicas_.end())
+    const auto found = m_replicas.find (id);
+    if (found == m_replicas.end())
         return;
     Replica& replica = found->second;
     if (replica.report.phase == ReplicaPhase::kUnloading)
         return;
     if (replica.step == Step::kFetch)
-        effects_.emplace_back (CancelFetch{ replica.fetch });
+        m_effects.emplace_back (CancelFetch{ replica.fetch });
     if (replica.report.phase == ReplicaPhase::kReady)
-        closed_.push_back (replica.report);
+        m_closed.push_back (replica.report);
     replica.fetch = 0;
     replica.report.phase = ReplicaPhase::kUnloading;
     replica.step = Step::kFinish;
     replica.stepEnds.reset();
-    for (const auto& [otherId, other] : replicas_)
+    for (const auto& [otherId, other] : m_replicas)
     {
         if (other.baseReplica == id)
             unload (otherId);
@@ -108,18 +108,18 @@
 
 void ReplicaTable::beginLoad (Replica& replica, base::TimePoint now)
 {
-    switch (checkpoints_.use (artifactOf (replica), replica.report.version))
+    switch (m_checkpoints.use (artifactOf (replica), replica.report.version))
     {
         case engine::CheckpointPlace::kRemote:
             beginFetch (replica);
             return;
         case engine::CheckpointPlace::kDisk:
             beginStep (replica, Step::kReadDisk,
-                       readTime (replica, options_.diskMegabytesPerSecond), now);
+                       readTime (replica, m_options.diskMegabytesPerSecond), now);
             return;
         case engine::CheckpointPlace::kMemory:
             beginStep (replica, Step::kReadMemory,
-                       readTime (replica, options_.memoryMegabytesPerSecond), now);
+                       readTime (replica, m_options.memoryMegabytesPerSecond), now);
             return;
     }
 }
@@ -128,8 +128,8 @@
 {
     replica.step = Step::kFetch;
     replica.stepEnds.reset();
-    replica.fetch = ++lastFetch_;
-    effects_.emplace_back (FetchWeights{ replica.fetch, artifactOf (replica), replica.size });
+    replica.fetch = ++m_lastFetch;
+    m_effects.emplace_back (FetchWeights{ replica.fetch, artifactOf (replica), replica.size });
 }
 
 void ReplicaTable::beginStep (Replica& replica, Step step, base::Duration duration,
@@ -144,9 +144,9 @@
     Replica* replica = findFetch (fetch);
     if (replica == nullptr)
         return;
-    checkpoints_.putOnDisk ({ artifactOf (*replica), replica->report.version, replica->size });
+    m_checkpoints.putOnDisk ({ artifactOf (*replica), replica->report.version, replica->size });
     replica->fetch = 0;
-    beginStep (*replica, Step::kReadDisk, readTime (*replica, options_.diskMegabytesPerSecond),
+    beginStep (*replica, Step::kReadDisk, readTime (*replica, m_options.diskMegabytesPerSecond),
                now);
 }
 
@@ -163,10 +163,10 @@
                             const std::function<bool (base::ReplicaId)>& isBusy,
                             EngineFaults& faults)
 {
-    slowdown_ = faults.loadSlowdown;
-    for (auto& [id, replica] : replicas_)
+    m_slowdown = faults.loadSlowdown;
+    for (auto& [id, replica] : m_replicas)
         advanceReplica (replica, now, isBusy, faults);
-    std::erase_if (replicas_,
+    std::erase_if (m_replicas,
                    [&] (const auto& entry)
                    {
                        const Replica& replica = entry.second;
@@ -184,7 +184,7 @@
     if (replica.step == Step::kFinish && ! isBusy (replica.report.replica)
         && ! hasAdapters (replica.report.replica))
     {
-        beginStep (replica, Step::kRelease, options_.unloadTime, now);
+        beginStep (replica, Step::kRelease, m_options.unloadTime, now);
     }
     while (replica.step != Step::kRelease && replica.stepEnds && *replica.stepEnds <= now)
     {
@@ -194,8 +194,8 @@
 
 void ReplicaTable::advanceAdapter (Replica& replica, base::TimePoint now)
 {
-    const auto base = replicas_.find (replica.baseReplica);
-    const bool isMissing = base == replicas_.end()
+    const auto base = m_replicas.find (replica.baseReplica);
+    const bool isMissing = base == m_replicas.end()
                            || base->second.report.phase == ReplicaPhase::kFailed
                            || base->second.report.phase == ReplicaPhase::kUnloading;
     if (isMissing)
@@ -219,10 +219,10 @@
     else if (replica.step == Step::kReadDisk)
     {
         if (faults.diesDuringLoad)
-            effects_.emplace_back (ExitProcess{});
-        checkpoints_.putInMemory ({ artifactOf (replica), replica.report.version, replica.size });
+            m_effects.emplace_back (ExitProcess{});
+        m_checkpoints.putInMemory ({ artifactOf (replica), replica.report.version, replica.size });
         beginStep (replica, Step::kReadMemory,
-                   readTime (replica, options_.memoryMegabytesPerSecond), ended);
+                   readTime (replica, m_options.memoryMegabytesPerSecond), ended);
     }
     else if (replica.step == Step::kReadMemory)
     {
@@ -233,7 +233,7 @@
 void ReplicaTable::endLoad (Replica& replica, EngineFaults& faults)
 {
     if (faults.diesDuringLoad)
-        effects_.emplace_back (ExitProcess{});
+        m_effects.emplace_back (ExitProcess{});
     if (faults.loadsToFail > 0)
     {
         --faults.loadsToFail;
@@ -256,7 +256,7 @@
 std::optional<base::TimePoint> ReplicaTable::nextEvent() const
 {
     std::optional<base::TimePoint> next;
-    for (const auto& [id, replica] : replicas_)
+    for (const auto& [id, replica] : m_replicas)
     {
         if (replica.stepEnds && (! next || *replica.stepEnds < *next))
             next = replica.stepEnds;
@@ -267,7 +267,7 @@
 const engine::ReplicaReport* ReplicaTable::findReady (base::ReplicaId id,
                                                       const std::string& target) const
 {
-    for (const auto& [replicaId, replica] : replicas_)
+    for (const auto& [replicaId, replica] : m_replicas)
     {
         if (id != 0 && replicaId != id)
             continue;
@@ -282,7 +282,7 @@
 Megabytes ReplicaTable::usedMemory() const
 {
     Megabytes used = 0;
-    for (const auto& [id, replica] : replicas_)
+    for (const auto& [id, replica] : m_replicas)
         used += replica.report.memory;
     return used;
 }
@@ -290,21 +290,21 @@
 std::vector<engine::ReplicaReport> ReplicaTable::replicas() const
 {
     std::vector<engine::ReplicaReport> reports;
-    for (const auto& [id, replica] : replicas_)
+    for (const auto& [id, replica] : m_replicas)
         reports.push_back (replica.report);
     return reports;
 }
 
 std::vector<engine::ReplicaReport> ReplicaTable::takeClosed()
 {
-    return std::exchange (closed_, {});
+    return std::exchange (m_closed, {});
 }
 
-std::vector<EngineEffect> ReplicaTable::takeEffects() { return std::exchange (effects_, {}); }
+std::vector<EngineEffect> ReplicaTable::takeEffects() { return std::exchange (m_effects, {}); }
 
 ReplicaTable::Replica* ReplicaTable::findFetch (FetchId fetch)
 {
-    for (auto& [id, replica] : replicas_)
+    for (auto& [id, replica] : m_replicas)
     {
         if (replica.step == Step::kFetch && replica.fetch == fetch)
             return &replica;
@@ -315,7 +315,7 @@
 bool ReplicaTable::hasAdapters (base::ReplicaId base) const
 {
     return std::any_of (
-        replicas_.begin(), replicas_.end(),
+        m_replicas.begin(), m_replicas.end(),
         [base] (const auto& entry)
         { return entry.second.baseReplica == base && entry.second.step != Step::kNone; });
 }
@@ -323,8 +323,8 @@
 base::Duration ReplicaTable::readTime (const Replica& replica, double megabytesPerSecond) const
 {
     const double transfer = static_cast<double> (replica.size) / megabytesPerSecond * 1e6;
-    const auto overhead = static_cast<double> (options_.loadOverhead.count());
-    return base::Duration (static_cast<std::int64_t> ((transfer + overhead) * slowdown_));
+    const auto overhead = static_cast<double> (m_options.loadOverhead.count());
+    return base::Duration (static_cast<std::int64_t> ((transfer + overhead) * m_slowdown));
 }
 
 const std::string& ReplicaTable::artifactOf (const Replica& replica)
--- a/src/standin/ReplicaTable.h
+++ b/src/standin/ReplicaTable.h
@@ -39,9 +39,9 @@
     [[nodiscard]] const engine::ReplicaReport* findReady (base::ReplicaId id,
                                                           const std::string& target) const;
     [[nodiscard]] Megabytes usedMemory() const;
-    [[nodiscard]] base::Fence highestFence() const { return highestFence_; }
+    [[nodiscard]] base::Fence highestFence() const { return m_highestFence; }
     [[nodiscard]] std::vector<engine::ReplicaReport> replicas() const;
-    [[nodiscard]] const CheckpointCache& checkpoints() const { return checkpoints_; }
+    [[nodiscard]] const CheckpointCache& checkpoints() const { return m_checkpoints; }
     /// Replicas that became unavailable for new requests since the last call.
     [[nodiscard]] std::vector<engine::ReplicaReport> takeClosed();
     [[nodiscard]] std::vector<EngineEffect> takeEffects();
@@ -87,15 +87,15 @@
     [[nodiscard]] base::Duration readTime (const Replica& replica, double megabytesPerSecond) const;
     static const std::string& artifactOf (const Replica& replica);
 
-    EngineOptions options_;
-    CheckpointCache checkpoints_;
-    std::map<base::ReplicaId, Replica> replicas_;
-    base::Fence highestFence_ = 0;
-    std::optional<engine::OrderAnswer> lastAnswer_;  ///< To the order with the highest fence.
-    FetchId lastFetch_ = 0;
-    double slowdown_ = 1.0;  ///< Factor on the time of steps that begin now.
-    std::vector<EngineEffect> effects_;
-    std::vector<engine::ReplicaReport> closed_;
+    EngineOptions m_options;
+    CheckpointCache m_checkpoints;
+    std::map<base::ReplicaId, Replica> m_replicas;
+    base::Fence m_highestFence = 0;
+    std::optional<engine::OrderAnswer> m_lastAnswer;  ///< To the order with the highest fence.
+    FetchId m_lastFetch = 0;
+    double m_slowdown = 1.0;  ///< Factor on the time of steps that begin now.
+    std::vector<EngineEffect> m_effects;
+    std::vector<engine::ReplicaReport> m_closed;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/SimulatedClock.h
+++ b/src/standin/SimulatedClock.h
@@ -22,9 +22,9 @@
     [[nodiscard]] base::Duration toSimulated (base::Duration real) const;
 
 private:
-    base::SystemClock clock_;
-    double timeScale_;
-    base::TimePoint start_;
+    base::SystemClock m_clock;
+    double m_timeScale;
+    base::TimePoint m_start;
 };
 
 /// Calls back at a simulated time; setting a new time replaces the former.
@@ -34,11 +34,11 @@
     SimulatedTimer (const SimulatedClock& clock, std::function<void()> callback);
 
     void setNext (base::TimePoint simulated);
-    void stop() { timer_.stop(); }
+    void stop() { m_timer.stop(); }
 
 private:
-    const SimulatedClock& clock_;
-    QTimer timer_;
+    const SimulatedClock& m_clock;
+    QTimer m_timer;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/StandinProcess.cpp
+++ b/src/standin/StandinProcess.cpp
@@ -109,47 +109,47 @@
 {
 public:
     PlannedStop (StandinServer& server, http::Server& listener, base::Duration grace)
-        : server_ (server), listener_ (listener), grace_ (grace)
+        : m_server (server), m_listener (listener), m_grace (grace)
     {
-        QObject::connect (&timer_, &QTimer::timeout, [this] { check(); });
+        QObject::connect (&m_timer, &QTimer::timeout, [this] { check(); });
     }
 
     void begin()
     {
-        if (timer_.isActive())
+        if (m_timer.isActive())
         {
             QCoreApplication::exit (0);
             return;
         }
         log::write (log::Event::kProcessStopping);
-        began_ = clock_.now();
-        server_.beginStop();
-        timer_.start (kIdleCheckMilliseconds);
+        m_began = m_clock.now();
+        m_server.beginStop();
+        m_timer.start (kIdleCheckMilliseconds);
     }
 
 private:
     void check()
     {
-        const bool isOver = clock_.now() - began_ >= grace_;
-        if (! isOver || ! server_.isIdle() || listener_.openResponses() > 0)
+        const bool isOver = m_clock.now() - m_began >= m_grace;
+        if (! isOver || ! m_server.isIdle() || m_listener.openResponses() > 0)
             return;
-        if (! listeningEnded_)
+        if (! m_listeningEnded)
         {
-            listeningEnded_ = clock_.now();
-            listener_.stopListening();
+            m_listeningEnded = m_clock.now();
+            m_listener.stopListening();
         }
-        const bool isClosed = listener_.openConnections() == 0;
-        if (isClosed || clock_.now() - *listeningEnded_ >= kCloseLimit)
+        const bool isClosed = m_listener.openConnections() == 0;
+        if (isClosed || m_clock.now() - *m_listeningEnded >= kCloseLimit)
             QCoreApplication::exit (0);
     }
 
-    StandinServer& server_;
-    http::Server& listener_;
-    base::Duration grace_;
-    base::SystemClock clock_;
-    base::TimePoint began_{};
-    std::optional<base::TimePoint> listeningEnded_;
-    QTimer timer_;
+    StandinServer& m_server;
+    http::Server& m_listener;
+    base::Duration m_grace;
+    base::SystemClock m_clock;
+    base::TimePoint m_began{};
+    std::optional<base::TimePoint> m_listeningEnded;
+    QTimer m_timer;
 };
 
 /// Adds the ledger as one line of JSON, so that it outlives the process.
--- a/src/standin/StandinServerTest.cpp
+++ b/src/standin/StandinServerTest.cpp
@@ -28,7 +28,7 @@
     /// Serves `server` on a free port.
     base::SocketAddress serve (StandinServer& server)
     {
-        auto& listener = listeners_.emplace_back (std::make_unique<http::Server>());
+        auto& listener = m_listeners.emplace_back (std::make_unique<http::Server>());
         listener->setHandler ([&server] (const http::Request& request, const auto& responder)
                               { server.handle (request, responder); });
         const auto address = listener->listen ({ "127.0.0.1", 0 });
@@ -51,7 +51,7 @@
     http::WholeResponse exchange (http::ClientRequest request)
     {
         std::optional<http::WholeResponse> answer;
-        client_.fetch (
+        m_client.fetch (
             std::move (request), [&] (const http::WholeResponse& response) { answer = response; },
             [&] (const http::ClientError&) { answer = http::WholeResponse{}; });
         waitUntil ([&] { return answer.has_value(); });
@@ -104,13 +104,13 @@
         return options;
     }
 
-    int argumentCount_ = 1;
-    char name_[5] = "test";
-    char* arguments_[2] = { name_, nullptr };
-    QCoreApplication application_{ argumentCount_, arguments_ };
-    SimulatedClock clock_{ kTimeScale };
-    http::Client client_;
-    std::vector<std::unique_ptr<http::Server>> listeners_;
+    int m_argumentCount = 1;
+    char m_name[5] = "test";
+    char* m_arguments[2] = { m_name, nullptr };
+    QCoreApplication m_application{ m_argumentCount, m_arguments };
+    SimulatedClock m_clock{ kTimeScale };
+    http::Client m_client;
+    std::vector<std::unique_ptr<http::Server>> m_listeners;
 };
 
 std::string chatBody (const std::string& content, int tokens, bool isStreaming)
@@ -122,8 +122,8 @@
 
 TEST_F (StandinServerTest, AnEngineLoadsThroughTheStoreAndAnswers)
 {
-    WeightStoreServer store (WeightStoreOptions{}, clock_);
-    EngineServer server (engineOptions(), clock_, serve (store));
+    WeightStoreServer store (WeightStoreOptions{}, m_clock);
+    EngineServer server (engineOptions(), m_clock, serve (store));
     const auto engine = serve (server);
     EXPECT_EQ (post (engine, "/v1/chat/completions", chatBody ("hi", 4, false)).status, 503);
     loadModel (engine);
@@ -141,7 +141,7 @@
 
 TEST_F (StandinServerTest, AnEngineBreaksStreamsAndRefusesOnCommand)
 {
-    EngineServer server (engineOptions(), clock_, std::nullopt);
+    EngineServer server (engineOptions(), m_clock, std::nullopt);
     const auto engine = serve (server);
     loadModel (engine);
     EXPECT_EQ (post (engine, "/standin/faults", R"({"fault":"break_streams","tokens":2})").status,
@@ -159,7 +159,7 @@
 
 TEST_F (StandinServerTest, ACallerThatLeavesCancelsItsRequest)
 {
-    EngineServer server (engineOptions(), clock_, std::nullopt);
+    EngineServer server (engineOptions(), m_clock, std::nullopt);
     const auto engine = serve (server);
     loadModel (engine);
     http::ClientRequest request;
@@ -170,7 +170,7 @@
     bool hasData = false;
     http::ClientCallbacks callbacks;
     callbacks.onData = [&] (std::string_view) { hasData = true; };
-    const auto exchange = client_.send (request, callbacks);
+    const auto exchange = m_client.send (request, callbacks);
     waitUntil ([&] { return hasData; });
     exchange->cancel();
     waitUntil ([&] { return server.isIdle(); });
@@ -181,7 +181,7 @@
 {
     ApplicationOptions options;
     options.runner.value = "a1";
-    ApplicationServer server (options, clock_);
+    ApplicationServer server (options, m_clock);
     const auto application = serve (server);
     const auto echo = post (application, "/claims/7", "the body");
     EXPECT_EQ (echo.status, 200);
@@ -204,7 +204,7 @@
     engine::MachineList list;
     list.machines.resize (1);
     list.machines[0].runner.value = "r1";
-    MachineListServer server (list, base::seconds (5), clock_);
+    MachineListServer server (list, base::seconds (5), m_clock);
     const auto machines = serve (server);
     EXPECT_EQ (post (machines, "/standin/machines", R"({"id":"r1","state":"leaving"})").status,
                200);
--- a/src/standin/WeightStoreModel.cpp
+++ b/src/standin/WeightStoreModel.cpp
@@ -16,34 +16,34 @@
 }  // namespace
 
 WeightStoreModel::WeightStoreModel (const WeightStoreOptions& options, base::TimePoint now)
-    : options_ (options), now_ (now), tokens_ (std::max (1.0, options.loadsPerSecond))
+    : m_options (options), m_now (now), m_tokens (std::max (1.0, options.loadsPerSecond))
 {
 }
 
 std::optional<base::Duration> WeightStoreModel::begin (TransferId transfer, engine::Megabytes size)
 {
-    if (tokens_ < 1.0)
+    if (m_tokens < 1.0)
     {
-        const double seconds = (1.0 - tokens_) / options_.loadsPerSecond;
+        const double seconds = (1.0 - m_tokens) / m_options.loadsPerSecond;
         return base::Duration (
             static_cast<std::int64_t> (std::ceil (seconds * kMicrosecondsPerSecond)));
     }
-    tokens_ -= 1.0;
-    remaining_[transfer] = static_cast<double> (size);
+    m_tokens -= 1.0;
+    m_remaining[transfer] = static_cast<double> (size);
     return std::nullopt;
 }
 
-void WeightStoreModel::cancel (TransferId transfer) { remaining_.erase (transfer); }
+void WeightStoreModel::cancel (TransferId transfer) { m_remaining.erase (transfer); }
 
 void WeightStoreModel::advance (base::TimePoint now)
 {
-    const double elapsed = static_cast<double> ((now - now_).count());
+    const double elapsed = static_cast<double> ((now - m_now).count());
     // The speed is constant in between: calls come at each end and before each change.
     const double received = elapsed * speed();
-    now_ = now;
-    tokens_ = std::min (std::max (1.0, options_.loadsPerSecond),
-                        tokens_ + elapsed * options_.loadsPerSecond / kMicrosecondsPerSecond);
-    for (auto entry = remaining_.begin(); entry != remaining_.end();)
+    m_now = now;
+    m_tokens = std::min (std::max (1.0, m_options.loadsPerSecond),
+                         m_tokens + elapsed * m_options.loadsPerSecond / kMicrosecondsPerSecond);
+    for (auto entry = m_remaining.begin(); entry != m_remaining.end();)
     {
         entry->second -= received;
         if (entry->second > kNegligible)
@@ -51,30 +51,30 @@
             ++entry;
             continue;
         }
-        finished_.push_back (entry->first);
-        entry = remaining_.erase (entry);
+        m_finished.push_back (entry->first);
+        entry = m_remaining.erase (entry);
     }
 }
 
 std::optional<base::TimePoint> WeightStoreModel::nextEvent() const
 {
-    if (remaining_.empty() || faults_.isStalled)
+    if (m_remaining.empty() || m_faults.isStalled)
         return std::nullopt;
-    const auto least = std::min_element (remaining_.begin(), remaining_.end(),
+    const auto least = std::min_element (m_remaining.begin(), m_remaining.end(),
                                          [] (const auto& left, const auto& right)
                                          { return left.second < right.second; });
-    return now_ + base::Duration (static_cast<std::int64_t> (std::ceil (least->second / speed())));
+    return m_now + base::Duration (static_cast<std::int64_t> (std::ceil (least->second / speed())));
 }
 
-std::vector<TransferId> WeightStoreModel::takeFinished() { return std::exchange (finished_, {}); }
+std::vector<TransferId> WeightStoreModel::takeFinished() { return std::exchange (m_finished, {}); }
 
 double WeightStoreModel::speed() const
 {
-    if (faults_.isStalled || remaining_.empty())
+    if (m_faults.isStalled || m_remaining.empty())
         return 0;
-    const double share = std::min (1.0, static_cast<double> (options_.fullSpeedTransfers)
-                                            / static_cast<double> (remaining_.size()));
-    return options_.megabytesPerSecond * share / faults_.slowdown / kMicrosecondsPerSecond;
+    const double share = std::min (1.0, static_cast<double> (m_options.fullSpeedTransfers)
+                                            / static_cast<double> (m_remaining.size()));
+    return m_options.megabytesPerSecond * share / m_faults.slowdown / kMicrosecondsPerSecond;
 }
 
 }  // namespace fernlift::standin
--- a/src/standin/WeightStoreModel.h
+++ b/src/standin/WeightStoreModel.h
@@ -38,8 +38,8 @@
     /// Begins a transfer. Empty on success, else the time after which to ask again.
     std::optional<base::Duration> begin (TransferId transfer, engine::Megabytes size);
     void cancel (TransferId transfer);
-    void setFaults (const WeightStoreFaults& faults) { faults_ = faults; }
-    [[nodiscard]] const WeightStoreFaults& faults() const { return faults_; }
+    void setFaults (const WeightStoreFaults& faults) { m_faults = faults; }
+    [[nodiscard]] const WeightStoreFaults& faults() const { return m_faults; }
 
     /// Moves time on.
     void advance (base::TimePoint now);
@@ -47,18 +47,18 @@
     [[nodiscard]] std::optional<base::TimePoint> nextEvent() const;
     /// Transfers that ended since the last call.
     [[nodiscard]] std::vector<TransferId> takeFinished();
-    [[nodiscard]] std::size_t transfers() const { return remaining_.size(); }
+    [[nodiscard]] std::size_t transfers() const { return m_remaining.size(); }
 
 private:
     /// Megabytes each transfer receives in a microsecond.
     [[nodiscard]] double speed() const;
 
-    WeightStoreOptions options_;
-    WeightStoreFaults faults_;
-    base::TimePoint now_;
-    double tokens_;                           ///< Transfers that may begin now.
-    std::map<TransferId, double> remaining_;  ///< Megabytes.
-    std::vector<TransferId> finished_;
+    WeightStoreOptions m_options;
+    WeightStoreFaults m_faults;
+    base::TimePoint m_now;
+    double m_tokens;                           ///< Transfers that may begin now.
+    std::map<TransferId, double> m_remaining;  ///< Megabytes.
+    std::vector<TransferId> m_finished;
 };
 
 }  // namespace fernlift::standin
--- a/src/standin/WeightStoreServer.cpp
+++ b/src/standin/WeightStoreServer.cpp
@@ -39,14 +39,14 @@
 
 WeightStoreServer::WeightStoreServer (const WeightStoreOptions& options,
                                       const SimulatedClock& clock)
-    : clock_ (clock), model_ (options, clock.now()), timer_ (clock, [this] { settle(); })
+    : m_clock (clock), m_model (options, clock.now()), m_timer (clock, [this] { settle(); })
 {
 }
 
 void WeightStoreServer::handle (const http::Request& request,
                                 const std::shared_ptr<http::Responder>& responder)
 {
-    model_.advance (clock_.now());
+    m_model.advance (m_clock.now());
     if (request.path == "/weights/fetch" && request.method == "POST")
     {
         handleFetch (request, responder);
@@ -58,9 +58,9 @@
     else if (request.path == "/standin/state")
     {
         QJsonObject state;
-        state[QLatin1String ("transfers")] = engine::jsonInteger (model_.transfers());
-        state[QLatin1String ("fetches")] = engine::jsonInteger (fetches_);
-        state[QLatin1String ("refusals")] = engine::jsonInteger (refusals_);
+        state[QLatin1String ("transfers")] = engine::jsonInteger (m_model.transfers());
+        state[QLatin1String ("fetches")] = engine::jsonInteger (m_fetches);
+        state[QLatin1String ("refusals")] = engine::jsonInteger (m_refusals);
         http::jsonResponse (200, engine::writeJson (state)).sendTo (*responder);
     }
     else
@@ -85,27 +85,27 @@
 void WeightStoreServer::begin (engine::Megabytes size,
                                const std::shared_ptr<http::Responder>& responder)
 {
-    ++fetches_;
-    const TransferId transfer = ++lastTransfer_;
-    if (const auto retryAfter = model_.begin (transfer, size))
+    ++m_fetches;
+    const TransferId transfer = ++m_lastTransfer;
+    if (const auto retryAfter = m_model.begin (transfer, size))
     {
-        ++refusals_;
+        ++m_refusals;
         QJsonObject body;
         body[QLatin1String ("retry_after_ms")] =
             static_cast<qint64> (base::toMilliseconds (*retryAfter) + 1);
         auto response = http::jsonResponse (kTooManyRequests, engine::writeJson (body));
-        response.headers.set ("Retry-After", wholeSeconds (clock_.toReal (*retryAfter)));
+        response.headers.set ("Retry-After", wholeSeconds (m_clock.toReal (*retryAfter)));
         response.sendTo (*responder);
         return;
     }
-    transfers_[transfer] = responder;
+    m_transfers[transfer] = responder;
     responder->onClosed (
         [this, transfer]
         {
-            if (transfers_.erase (transfer) == 0)
+            if (m_transfers.erase (transfer) == 0)
                 return;
-            model_.advance (clock_.now());
-            model_.cancel (transfer);
+            m_model.advance (m_clock.now());
+            m_model.cancel (transfer);
             settle();
         });
 }
@@ -116,10 +116,10 @@
         responder, [&] { return parseFaultCommand (request.body); },
         [&] (const FaultCommand& command)
         {
-            WeightStoreFaults faults = model_.faults();
+            WeightStoreFaults faults = m_model.faults();
             if (! applyFault (command, faults))
                 return false;
-            model_.setFaults (faults);
+            m_model.setFaults (faults);
             log::write (log::Event::kStandinFault, { { "fault", command.fault } });
             answerDone (responder);
             return true;
@@ -128,23 +128,23 @@
 
 void WeightStoreServer::settle()
 {
-    model_.advance (clock_.now());
-    for (const TransferId transfer : model_.takeFinished())
+    m_model.advance (m_clock.now());
+    for (const TransferId transfer : m_model.takeFinished())
     {
-        const auto found = transfers_.find (transfer);
-        if (found == transfers_.end())
+        const auto found = m_transfers.find (transfer);
+        if (found == m_transfers.end())
             continue;
         const auto responder = std::move (found->second);
-        transfers_.erase (found);
+        m_transfers.erase (found);
         http::jsonResponse (200, "{}").sendTo (*responder);
     }
-    if (const auto next = model_.nextEvent())
+    if (const auto next = m_model.nextEvent())
     {
-        timer_.setNext (*next);
+        m_timer.setNext (*next);
     }
     else
     {
-        timer_.stop();
+        m_timer.stop();
     }
 }
 
--- a/src/standin/WeightStoreServer.h
+++ b/src/standin/WeightStoreServer.h
@@ -26,13 +26,13 @@
     void handleFault (const http::Request& request, http::Responder& responder);
     void settle();
 
-    const SimulatedClock& clock_;
-    WeightStoreModel model_;
-    SimulatedTimer timer_;
-    TransferId lastTransfer_ = 0;
-    std::map<TransferId, std::shared_ptr<http::Responder>> transfers_;
-    std::uint64_t fetches_ = 0;
-    std::uint64_t refusals_ = 0;
+    const SimulatedClock& m_clock;
+    WeightStoreModel m_model;
+    SimulatedTimer m_timer;
+    TransferId m_lastTransfer = 0;
+    std::map<TransferId, std::shared_ptr<http::Responder>> m_transfers;
+    std::uint64_t m_fetches = 0;
+    std::uint64_t m_refusals = 0;
 };
 
 }  // namespace fernlift::standin
--- a/src/storage/FileStorage.cpp
+++ b/src/storage/FileStorage.cpp
@@ -32,48 +32,48 @@
 {
     std::unique_ptr<FileStorage> storage (new FileStorage (folder, segmentBytes, files));
     BOOST_LEAF_CHECK (files.createFolder (folder));
-    BOOST_LEAF_ASSIGN (storage->lock_, files.lockFile (storage->pathOf (kLockName)));
+    BOOST_LEAF_ASSIGN (storage->m_lock, files.lockFile (storage->pathOf (kLockName)));
     BOOST_LEAF_CHECK (storage->readIdentity());
     return storage;
 }
 
 FileStorage::FileStorage (std::string folder, std::uint64_t segmentBytes, FileSystem& files)
-    : folder_ (std::move (folder)), segmentBytes_ (segmentBytes), files_ (files)
+    : m_folder (std::move (folder)), m_segmentBytes (segmentBytes), m_files (files)
 {
 }
 
 base::Result<void> FileStorage::initialize (std::uint64_t memberId)
 {
-    if (memberId_ != 0 || memberId == 0)
+    if (m_memberId != 0 || memberId == 0)
     {
-        return base::fail (base::ErrorKind::kInternal, folder_ + " cannot be initialised");
+        return base::fail (base::ErrorKind::kInternal, m_folder + " cannot be initialised");
     }
     BOOST_LEAF_CHECK (checkUnused());
-    image_ = LogImage();
-    segmentNumber_ = 0;
+    m_image = LogImage();
+    m_segmentNumber = 0;
     BOOST_LEAF_CHECK (beginSegment (true));
     // The name of the folder itself must last, whichever start created it.
-    BOOST_LEAF_CHECK (files_.syncFolder (parentFolder (folder_)));
+    BOOST_LEAF_CHECK (m_files.syncFolder (parentFolder (m_folder)));
     // The identity comes last: a folder without it holds nothing.
     const std::string payload = wire::encodeValue (memberId);
-    BOOST_LEAF_CHECK (replaceFile (files_, folder_, kIdentityName,
+    BOOST_LEAF_CHECK (replaceFile (m_files, m_folder, kIdentityName,
                                    encodeRecord (RecordKind::kIdentity, payload)));
-    memberId_ = memberId;
-    isReady_ = true;
+    m_memberId = memberId;
+    m_isReady = true;
     return {};
 }
 
 base::Result<void> FileStorage::write (const std::vector<WriteBatch>& batches)
 {
-    if (! isReady_)
+    if (! m_isReady)
     {
         return base::fail (base::ErrorKind::kStorageFailed,
-                           folder_ + " is not recovered, or an earlier write failed");
+                           m_folder + " is not recovered, or an earlier write failed");
     }
     // Until the write is complete the state on disk is not known.
-    isReady_ = false;
+    m_isReady = false;
     BOOST_LEAF_CHECK (writeChecked (batches));
-    isReady_ = true;
+    m_isReady = true;
     return {};
 }
 
@@ -83,9 +83,9 @@
     for (const WriteBatch& batch : batches)
     {
         record.batches.push_back (toRecord (batch));
-        BOOST_LEAF_CHECK (image_.apply (record.batches.back()));
+        BOOST_LEAF_CHECK (m_image.apply (record.batches.back()));
         if (batch.hasSnapshot)
-            image_.applySnapshot (batch.snapshot.lastIndex);
+            m_image.applySnapshot (batch.snapshot.lastIndex);
     }
     BOOST_LEAF_AUTO (hasSnapshot, storeSnapshots (batches));
     if (hasSnapshot)
@@ -94,7 +94,7 @@
         return removeLeftovers();
     }
     BOOST_LEAF_CHECK (appendRecord (record));
-    if (segmentSize_ > segmentBytes_)
+    if (m_segmentSize > m_segmentBytes)
         return beginSegment (false);
     return {};
 }
@@ -110,34 +110,34 @@
     if (latest == nullptr)
         return false;
     const std::string record = encodeRecord (RecordKind::kSnapshot, latest->data);
-    BOOST_LEAF_CHECK (replaceFile (files_, folder_, snapshotName (latest->lastIndex), record));
+    BOOST_LEAF_CHECK (replaceFile (m_files, m_folder, snapshotName (latest->lastIndex), record));
     return true;
 }
 
 base::Result<void> FileStorage::appendRecord (const BatchesRecord& record)
 {
     const std::string bytes = encodeRecord (RecordKind::kBatches, wire::encodeValue (record));
-    BOOST_LEAF_CHECK (segment_->append (bytes));
-    BOOST_LEAF_CHECK (segment_->sync());
-    segmentSize_ += bytes.size();
+    BOOST_LEAF_CHECK (m_segment->append (bytes));
+    BOOST_LEAF_CHECK (m_segment->sync());
+    m_segmentSize += bytes.size();
     return {};
 }
 
 base::Result<void> FileStorage::beginSegment (bool isCheckpoint)
 {
-    const std::uint64_t number = segmentNumber_ + 1;
+    const std::uint64_t number = m_segmentNumber + 1;
     SegmentHeader header;
     header.number = number;
     if (isCheckpoint)
-        header = image_.makeCheckpoint (number);
+        header = m_image.makeCheckpoint (number);
     const std::string bytes = encodeRecord (RecordKind::kSegmentHeader, wire::encodeValue (header));
     const std::string name = segmentName (number);
-    BOOST_LEAF_CHECK (replaceFile (files_, folder_, name, bytes));
-    BOOST_LEAF_ASSIGN (segment_, files_.open (pathOf (name), OpenMode::kAppend));
-    segmentNumber_ = number;
+    BOOST_LEAF_CHECK (replaceFile (m_files, m_folder, name, bytes));
+    BOOST_LEAF_ASSIGN (m_segment, m_files.open (pathOf (name), OpenMode::kAppend));
+    m_segmentNumber = number;
     if (isCheckpoint)
-        checkpointNumber_ = number;
-    segmentSize_ = bytes.size();
+        m_checkpointNumber = number;
+    m_segmentSize = bytes.size();
     return {};
 }
 
--- a/src/storage/FileStorage.h
+++ b/src/storage/FileStorage.h
@@ -65,20 +65,20 @@
 
     [[nodiscard]] std::string pathOf (const std::string& name) const
     {
-        return folder_ + "/" + name;
+        return m_folder + "/" + name;
     }
 
-    const std::string folder_;
-    const std::uint64_t segmentBytes_;  ///< Size above which a segment is closed.
-    FileSystem& files_;
-    std::unique_ptr<FileLock> lock_;      ///< Held as long as this object lives.
-    std::uint64_t memberId_ = 0;          ///< 0 until the identity is synced.
-    bool isReady_ = false;                ///< Recovered or initialised, and no write has failed.
-    LogImage image_;                      ///< What a start would read back after the last write.
-    std::unique_ptr<File> segment_;       ///< The last segment, open for appending.
-    std::uint64_t segmentNumber_ = 0;     ///< Of segment_; numbers only grow, without a gap.
-    std::uint64_t checkpointNumber_ = 0;  ///< Of the last segment that restates the whole log.
-    std::uint64_t segmentSize_ = 0;       ///< Bytes of whole records in segment_.
+    const std::string m_folder;
+    const std::uint64_t m_segmentBytes;  ///< Size above which a segment is closed.
+    FileSystem& m_files;
+    std::unique_ptr<FileLock> m_lock;      ///< Held as long as this object lives.
+    std::uint64_t m_memberId = 0;          ///< 0 until the identity is synced.
+    bool m_isReady = false;                ///< Recovered or initialised, and no write has failed.
+    LogImage m_image;                      ///< What a start would read back after the last write.
+    std::unique_ptr<File> m_segment;       ///< The last segment, open for appending.
+    std::uint64_t m_segmentNumber = 0;     ///< Of m_segment; numbers only grow, without a gap.
+    std::uint64_t m_checkpointNumber = 0;  ///< Of the last segment that restates the whole log.
+    std::uint64_t m_segmentSize = 0;       ///< Bytes of whole records in m_segment.
 };
 
 }  // namespace fernlift::storage
--- a/src/storage/FileStorageCrashTest.cpp
+++ b/src/storage/FileStorageCrashTest.cpp
@@ -110,74 +110,74 @@
 class Life
 {
 public:
-    SimulatedFiles& files() { return files_; }
-    [[nodiscard]] const Contents& acknowledged() const { return acknowledged_; }
+    SimulatedFiles& files() { return m_files; }
+    [[nodiscard]] const Contents& acknowledged() const { return m_acknowledged; }
 
     /// Starts; false when it dies or fails on the way, which is no truth unless it died. What it
     /// reads back must be what was acknowledged or that with the write in progress, and counts as
     /// acknowledged from then on.
     bool start()
     {
-        storage_.reset();
+        m_storage.reset();
         Recovered recovered;
         const auto error = errorOf (
             [&]() -> base::Result<void>
             {
-                BOOST_LEAF_ASSIGN (storage_, FileStorage::open (kFolder, kSmallSegment, files_));
-                BOOST_LEAF_ASSIGN (recovered, storage_->recover());
+                BOOST_LEAF_ASSIGN (m_storage, FileStorage::open (kFolder, kSmallSegment, m_files));
+                BOOST_LEAF_ASSIGN (recovered, m_storage->recover());
                 if (recovered.memberId == 0)
-                    BOOST_LEAF_CHECK (storage_->initialize (kMember));
+                    BOOST_LEAF_CHECK (m_storage->initialize (kMember));
                 return {};
             });
         if (error)
         {
-            isTrue_ = files_.hasCrashed();
-            problem_ = error->message;
+            m_isTrue = m_files.hasCrashed();
+            m_problem = error->message;
             return false;
         }
         const Contents found{ recovered.hardState, recovered.snapshot, recovered.entries };
-        const bool isIdentityKept = ! isIdentityKnown_ || recovered.memberId == kMember;
-        isTrue_ = isIdentityKept && (found == acknowledged_ || found == attempted_);
-        isIdentityKnown_ = true;
-        acknowledged_ = found;
-        attempted_ = found;
+        const bool isIdentityKept = ! m_isIdentityKnown || recovered.memberId == kMember;
+        m_isTrue = isIdentityKept && (found == m_acknowledged || found == m_attempted);
+        m_isIdentityKnown = true;
+        m_acknowledged = found;
+        m_attempted = found;
         return true;
     }
     /// Whether the last start read back all that was acknowledged and nothing never written.
-    [[nodiscard]] bool isTrue() const { return isTrue_; }
-    [[nodiscard]] const std::string& problem() const { return problem_; }
+    [[nodiscard]] bool isTrue() const { return m_isTrue; }
+    [[nodiscard]] const std::string& problem() const { return m_problem; }
 
     /// Carries the writes out until the process dies.
     void write (const std::vector<Write>& writes)
     {
         for (const Write& write : writes)
         {
-            attempted_ = acknowledged_;
+            m_attempted = m_acknowledged;
             for (const WriteBatch& batch : write)
-                attempted_.apply (batch);
-            const auto error = errorOf ([&] { return storage_->write (write); });
+                m_attempted.apply (batch);
+            const auto error = errorOf ([&] { return m_storage->write (write); });
             if (error)
-                failure_ = error->kind;
+                m_failure = error->kind;
             if (error)
                 return;
-            acknowledged_ = attempted_;
-            ++done_;
+            m_acknowledged = m_attempted;
+            ++m_done;
         }
     }
-    [[nodiscard]] std::size_t done() const { return done_; }
+    [[nodiscard]] std::size_t done() const { return m_done; }
     /// How the last write failed; kInternal when none has.
-    [[nodiscard]] ErrorKind failure() const { return failure_; }
+    [[nodiscard]] ErrorKind failure() const { return m_failure; }
 
 private:
-    SimulatedFiles files_;
-    std::unique_ptr<FileStorage> storage_;
-    Contents acknowledged_;
-    Contents attempted_;
-    bool isIdentityKnown_ = false;
-    bool isTrue_ = true;
-    std::string problem_;
-    std::size_t done_ = 0;
-    ErrorKind failure_ = ErrorKind::kInternal;
+    SimulatedFiles m_files;
+    std::unique_ptr<FileStorage> m_storage;
+    Contents m_acknowledged;
+    Contents m_attempted;
+    bool m_isIdentityKnown = false;
+    bool m_isTrue = true;
+    std::string m_problem;
+    std::size_t m_done = 0;
+    ErrorKind m_failure = ErrorKind::kInternal;
 };
 
 /// Entries that follow on whatever the folder holds.
@@ -272,25 +272,25 @@
 protected:
     void SetUp() override
     {
-        ASSERT_TRUE (life_.start());
-        life_.write ({ { entriesFrom (1, 2, 'a') } });
-        ASSERT_EQ (life_.done(), 1U);
+        ASSERT_TRUE (m_life.start());
+        m_life.write ({ { entriesFrom (1, 2, 'a') } });
+        ASSERT_EQ (m_life.done(), 1U);
     }
     /// After the failure nothing is written, whatever the disk does then; what was acknowledged is
     /// read back.
     void expectStopWithoutLie (ErrorKind kind)
     {
-        life_.write ({ { entriesFrom (3, 2, 'b') } });
-        EXPECT_EQ (life_.done(), 1U);
-        EXPECT_EQ (life_.failure(), kind);
-        life_.files().setRoom (std::nullopt);
-        life_.files().setReadOnly (false);
-        life_.files().setSyncFails (false);
-        life_.write ({ { entriesFrom (3, 2, 'c') } });
-        EXPECT_EQ (life_.done(), 1U) << "the state on disk is not known any more";
+        m_life.write ({ { entriesFrom (3, 2, 'b') } });
+        EXPECT_EQ (m_life.done(), 1U);
+        EXPECT_EQ (m_life.failure(), kind);
+        m_life.files().setRoom (std::nullopt);
+        m_life.files().setReadOnly (false);
+        m_life.files().setSyncFails (false);
+        m_life.write ({ { entriesFrom (3, 2, 'c') } });
+        EXPECT_EQ (m_life.done(), 1U) << "the state on disk is not known any more";
     }
 
-    Life life_;
+    Life m_life;
 };
 
 TEST_F (FailingDisk, whenFullStopsTheMember)
@@ -308,19 +308,19 @@
         EXPECT_TRUE (life.start() && life.isTrue());
         EXPECT_EQ (life.acknowledged().entries.size(), 2U);
     }
-    life_.files().setRoom (10);
+    m_life.files().setRoom (10);
     expectStopWithoutLie (ErrorKind::kStorageFull);
 }
 
 TEST_F (FailingDisk, whenReadOnlyStopsTheMember)
 {
-    life_.files().setReadOnly (true);
+    m_life.files().setReadOnly (true);
     expectStopWithoutLie (ErrorKind::kStorageFailed);
 }
 
 TEST_F (FailingDisk, whenASyncFailsStopsTheMember)
 {
-    life_.files().setSyncFails (true);
+    m_life.files().setSyncFails (true);
     expectStopWithoutLie (ErrorKind::kStorageFailed);
 }
 
--- a/src/storage/FileStorageRecovery.cpp
+++ b/src/storage/FileStorageRecovery.cpp
@@ -61,20 +61,20 @@
 
 base::Result<void> FileStorage::readIdentity()
 {
-    BOOST_LEAF_AUTO (names, files_.listFolder (folder_));
+    BOOST_LEAF_AUTO (names, m_files.listFolder (m_folder));
     const bool isNew = std::find (names.begin(), names.end(), kIdentityName) == names.end();
     if (isNew)
         return {};
     const std::string path = pathOf (kIdentityName);
-    BOOST_LEAF_AUTO (bytes, files_.readFile (path));
+    BOOST_LEAF_AUTO (bytes, m_files.readFile (path));
     BOOST_LEAF_AUTO (payload, requireRecord (path, bytes, RecordKind::kIdentity));
-    BOOST_LEAF_ASSIGN (memberId_, decodePayload<std::uint64_t> (path, payload));
+    BOOST_LEAF_ASSIGN (m_memberId, decodePayload<std::uint64_t> (path, payload));
     return {};
 }
 
 base::Result<Recovered> FileStorage::recover()
 {
-    if (memberId_ != 0)
+    if (m_memberId != 0)
         return recoverInitialized();
     BOOST_LEAF_CHECK (checkUnused());
     return Recovered{};
@@ -84,7 +84,7 @@
 /// more: otherwise the identity was lost.
 base::Result<void> FileStorage::checkUnused() const
 {
-    BOOST_LEAF_AUTO (names, files_.listFolder (folder_));
+    BOOST_LEAF_AUTO (names, m_files.listFolder (m_folder));
     const auto isUsed = [] (const std::string& name)
     {
         const auto number = segmentNumberOf (name);
@@ -92,63 +92,63 @@
     };
     if (std::any_of (names.begin(), names.end(), isUsed))
     {
-        return corrupt (folder_, "it holds a log but no identity");
+        return corrupt (m_folder, "it holds a log but no identity");
     }
     const std::string first = segmentName (1);
     if (std::find (names.begin(), names.end(), first) == names.end())
         return {};
-    BOOST_LEAF_AUTO (bytes, files_.readFile (pathOf (first)));
+    BOOST_LEAF_AUTO (bytes, m_files.readFile (pathOf (first)));
     const ReadRecord header = readRecord (bytes, 0);
     const bool isBegun =
         header.verdict == RecordVerdict::kWhole && header.nextOffset < bytes.size();
     if (isBegun)
-        return corrupt (folder_, "it holds a log but no identity");
+        return corrupt (m_folder, "it holds a log but no identity");
     return {};
 }
 
 base::Result<Recovered> FileStorage::recoverInitialized()
 {
-    BOOST_LEAF_AUTO (names, files_.listFolder (folder_));
+    BOOST_LEAF_AUTO (names, m_files.listFolder (m_folder));
     Recovered recovered;
-    recovered.memberId = memberId_;
+    recovered.memberId = m_memberId;
     BOOST_LEAF_CHECK (recoverSegments (segmentNumbers (names), recovered.tornBytesCut));
-    recovered.hardState = image_.hardState();
-    recovered.entries = image_.entries();
-    recovered.snapshot.lastIndex = image_.snapshotIndex();
-    if (image_.snapshotIndex() > 0)
+    recovered.hardState = m_image.hardState();
+    recovered.entries = m_image.entries();
+    recovered.snapshot.lastIndex = m_image.snapshotIndex();
+    if (m_image.snapshotIndex() > 0)
     {
         BOOST_LEAF_ASSIGN (recovered.snapshot.data, readSnapshot());
     }
     BOOST_LEAF_CHECK (removeLeftovers());
-    isReady_ = true;
+    m_isReady = true;
     return recovered;
 }
 
 base::Result<void> FileStorage::recoverSegments (const std::vector<std::uint64_t>& numbers,
                                                  std::uint64_t& tornBytes)
 {
-    BOOST_LEAF_ASSIGN (checkpointNumber_, findCheckpoint (numbers));
-    segmentNumber_ = checkpointNumber_ - 1;
+    BOOST_LEAF_ASSIGN (m_checkpointNumber, findCheckpoint (numbers));
+    m_segmentNumber = m_checkpointNumber - 1;
     for (const std::uint64_t number : numbers)
     {
-        if (number < checkpointNumber_)
+        if (number < m_checkpointNumber)
             continue;
-        if (number != segmentNumber_ + 1)
+        if (number != m_segmentNumber + 1)
         {
-            return corrupt (folder_, segmentName (segmentNumber_ + 1) + " is missing");
+            return corrupt (m_folder, segmentName (m_segmentNumber + 1) + " is missing");
         }
         const bool isLast = number == numbers.back();
         BOOST_LEAF_ASSIGN (tornBytes, replaySegment (number, isLast));
-        segmentNumber_ = number;
+        m_segmentNumber = number;
     }
-    BOOST_LEAF_ASSIGN (segment_,
-                       files_.open (pathOf (segmentName (segmentNumber_)), OpenMode::kAppend));
+    BOOST_LEAF_ASSIGN (m_segment,
+                       m_files.open (pathOf (segmentName (m_segmentNumber)), OpenMode::kAppend));
     if (tornBytes > 0)
-        BOOST_LEAF_CHECK (segment_->truncate (segmentSize_));
+        BOOST_LEAF_CHECK (m_segment->truncate (m_segmentSize));
     // A process that was killed may have left bytes and names that are not synced. They are acted
     // upon from now on, so they must last.
-    BOOST_LEAF_CHECK (segment_->sync());
-    return files_.syncFolder (folder_);
+    BOOST_LEAF_CHECK (m_segment->sync());
+    return m_files.syncFolder (m_folder);
 }
 
 /// Number of the last segment that restates the whole log.
@@ -158,30 +158,30 @@
     for (auto number = numbers.rbegin(); number != numbers.rend(); ++number)
     {
         const std::string path = pathOf (segmentName (*number));
-        BOOST_LEAF_AUTO (bytes, files_.readFile (path));
+        BOOST_LEAF_AUTO (bytes, m_files.readFile (path));
         BOOST_LEAF_AUTO (header, readSegmentHeader (path, bytes));
         if (header.number != *number)
             return corrupt (path, "it is not the segment its name says");
         if (header.isCheckpoint)
             return *number;
     }
-    return corrupt (folder_, "the beginning of its log is missing");
+    return corrupt (m_folder, "the beginning of its log is missing");
 }
 
 /// Replays a segment and returns how many bytes at its end are of an unfinished record.
 base::Result<std::uint64_t> FileStorage::replaySegment (std::uint64_t number, bool isLast)
 {
     const std::string path = pathOf (segmentName (number));
-    BOOST_LEAF_AUTO (bytes, files_.readFile (path));
+    BOOST_LEAF_AUTO (bytes, m_files.readFile (path));
     BOOST_LEAF_AUTO (header, readSegmentHeader (path, bytes));
     if (header.isCheckpoint)
-        BOOST_LEAF_CHECK (image_.load (header));
+        BOOST_LEAF_CHECK (m_image.load (header));
 
-    segmentSize_ = readRecord (bytes, 0).nextOffset;
+    m_segmentSize = readRecord (bytes, 0).nextOffset;
     while (true)
     {
-        const ReadRecord record = readRecord (bytes, segmentSize_);
-        const std::string place = " at offset " + std::to_string (segmentSize_);
+        const ReadRecord record = readRecord (bytes, m_segmentSize);
+        const std::string place = " at offset " + std::to_string (m_segmentSize);
         if (record.verdict == RecordVerdict::kEnd)
             return std::uint64_t{ 0 };
         if (record.verdict == RecordVerdict::kFormatUnknown)
@@ -189,22 +189,22 @@
             return formatUnknown (path, record.formatVersion);
         }
         if (record.verdict == RecordVerdict::kTorn && isLast)
-            return bytes.size() - segmentSize_;
+            return bytes.size() - m_segmentSize;
         if (record.verdict != RecordVerdict::kWhole || record.kind != RecordKind::kBatches)
         {
             return corrupt (path, "damaged record" + place);
         }
         BOOST_LEAF_AUTO (batches, decodePayload<BatchesRecord> (path, record.payload));
         for (const BatchRecord& batch : batches.batches)
-            BOOST_LEAF_CHECK (image_.apply (batch));
-        segmentSize_ = record.nextOffset;
+            BOOST_LEAF_CHECK (m_image.apply (batch));
+        m_segmentSize = record.nextOffset;
     }
 }
 
 base::Result<std::string> FileStorage::readSnapshot() const
 {
-    const std::string path = pathOf (snapshotName (image_.snapshotIndex()));
-    BOOST_LEAF_AUTO (bytes, files_.readFile (path));
+    const std::string path = pathOf (snapshotName (m_image.snapshotIndex()));
+    BOOST_LEAF_AUTO (bytes, m_files.readFile (path));
     BOOST_LEAF_AUTO (payload, requireRecord (path, bytes, RecordKind::kSnapshot));
     return std::string (payload);
 }
@@ -212,18 +212,18 @@
 /// Removes unfinished files and what the last checkpoint made superfluous.
 base::Result<void> FileStorage::removeLeftovers()
 {
-    BOOST_LEAF_AUTO (names, files_.listFolder (folder_));
+    BOOST_LEAF_AUTO (names, m_files.listFolder (m_folder));
     for (const std::uint64_t number : segmentNumbers (names))
     {
-        if (number < checkpointNumber_)
-            BOOST_LEAF_CHECK (files_.removeFile (pathOf (segmentName (number))));
+        if (number < m_checkpointNumber)
+            BOOST_LEAF_CHECK (m_files.removeFile (pathOf (segmentName (number))));
     }
     for (const std::string& name : names)
     {
         const auto index = snapshotIndexOf (name);
-        const bool isOldSnapshot = index.has_value() && *index != image_.snapshotIndex();
+        const bool isOldSnapshot = index.has_value() && *index != m_image.snapshotIndex();
         if (isOldSnapshot || isUnfinished (name))
-            BOOST_LEAF_CHECK (files_.removeFile (pathOf (name)));
+            BOOST_LEAF_CHECK (m_files.removeFile (pathOf (name)));
     }
     return {};
 }
--- a/src/storage/FileStorageTest.cpp
+++ b/src/storage/FileStorageTest.cpp
@@ -48,18 +48,18 @@
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "fernlift-XXXXXX").string();
         ASSERT_NE (::mkdtemp (pattern.data()), nullptr);
-        root_ = pattern;
-        folder_ = root_ / "data";
+        m_root = pattern;
+        m_folder = m_root / "data";
     }
-    void TearDown() override { std::filesystem::remove_all (root_); }
+    void TearDown() override { std::filesystem::remove_all (m_root); }
 
     std::optional<ErrorKind> open (std::uint64_t segmentBytes = kDefaultSegmentBytes)
     {
-        storage_.reset();
+        m_storage.reset();
         return failureOf (
             [&]() -> base::Result<void>
             {
-                BOOST_LEAF_ASSIGN (storage_, FileStorage::open (folder_, segmentBytes));
+                BOOST_LEAF_ASSIGN (m_storage, FileStorage::open (m_folder, segmentBytes));
                 return {};
             });
     }
@@ -68,7 +68,7 @@
         return failureOf (
             [&]() -> base::Result<void>
             {
-                BOOST_LEAF_ASSIGN (recovered_, storage_->recover());
+                BOOST_LEAF_ASSIGN (m_recovered, m_storage->recover());
                 return {};
             });
     }
@@ -76,19 +76,19 @@
     {
         ASSERT_EQ (open (segmentBytes), std::nullopt);
         ASSERT_EQ (recover(), std::nullopt);
-        if (recovered_.memberId == 0)
+        if (m_recovered.memberId == 0)
         {
-            ASSERT_EQ (failureOf ([&] { return storage_->initialize (7); }), std::nullopt);
+            ASSERT_EQ (failureOf ([&] { return m_storage->initialize (7); }), std::nullopt);
         }
     }
     std::optional<ErrorKind> write (const std::vector<WriteBatch>& batches)
     {
-        return failureOf ([&] { return storage_->write (batches); });
+        return failureOf ([&] { return m_storage->write (batches); });
     }
     std::filesystem::path lastSegment() const
     {
         std::filesystem::path last;
-        for (const auto& item : std::filesystem::directory_iterator (folder_))
+        for (const auto& item : std::filesystem::directory_iterator (m_folder))
         {
             const std::string name = item.path().filename();
             if (segmentNumberOf (name) && item.path() > last)
@@ -99,7 +99,7 @@
     std::size_t segmentCount() const
     {
         std::size_t count = 0;
-        for (const auto& item : std::filesystem::directory_iterator (folder_))
+        for (const auto& item : std::filesystem::directory_iterator (m_folder))
         {
             if (segmentNumberOf (item.path().filename()))
                 ++count;
@@ -119,17 +119,17 @@
     /// and name file and record. The byte is put back afterwards.
     void expectDamageIsReported (std::uint64_t offset, std::uint64_t recordAt)
     {
-        storage_.reset();
+        m_storage.reset();
         flipByte (lastSegment(), offset);
         ASSERT_EQ (open(), std::nullopt);
-        const auto error = errorOf ([&] { return storage_->recover(); });
+        const auto error = errorOf ([&] { return m_storage->recover(); });
         ASSERT_TRUE (error.has_value()) << offset;
         EXPECT_EQ (error->kind, ErrorKind::kStorageCorrupt) << offset;
         EXPECT_NE (error->message.find (lastSegment().string()), std::string::npos)
             << error->message;
         EXPECT_NE (error->message.find ("offset " + std::to_string (recordAt)), std::string::npos)
             << error->message;
-        storage_.reset();
+        m_storage.reset();
         flipByte (lastSegment(), offset);
     }
 
@@ -158,17 +158,17 @@
         return batch;
     }
 
-    std::filesystem::path root_;
-    std::filesystem::path folder_;
-    std::unique_ptr<FileStorage> storage_;
-    Recovered recovered_;
+    std::filesystem::path m_root;
+    std::filesystem::path m_folder;
+    std::unique_ptr<FileStorage> m_storage;
+    Recovered m_recovered;
 };
 
 TEST_F (FileStorageTest, ANewFolderHasNoIdentity)
 {
     ASSERT_EQ (open(), std::nullopt);
     ASSERT_EQ (recover(), std::nullopt);
-    EXPECT_EQ (recovered_.memberId, 0U);
+    EXPECT_EQ (m_recovered.memberId, 0U);
     EXPECT_EQ (write ({ hardState ("x") }), ErrorKind::kStorageFailed);
 }
 
@@ -180,11 +180,11 @@
     rewrite.truncateFrom = 4;
     ASSERT_EQ (write ({ rewrite, hardState ("two") }), std::nullopt);
     start();
-    EXPECT_EQ (recovered_.memberId, 7U);
-    EXPECT_EQ (recovered_.hardState, "two");
-    ASSERT_EQ (recovered_.entries.size(), 4U);
-    EXPECT_EQ (recovered_.entries[3].data.size(), 3U);
-    EXPECT_EQ (recovered_.tornBytesCut, 0U);
+    EXPECT_EQ (m_recovered.memberId, 7U);
+    EXPECT_EQ (m_recovered.hardState, "two");
+    ASSERT_EQ (m_recovered.entries.size(), 4U);
+    EXPECT_EQ (m_recovered.entries[3].data.size(), 3U);
+    EXPECT_EQ (m_recovered.tornBytesCut, 0U);
 }
 
 TEST_F (FileStorageTest, ASnapshotReplacesTheLogItCovers)
@@ -195,10 +195,10 @@
     EXPECT_EQ (segmentCount(), 1U);
     ASSERT_EQ (write ({ entries (11, 12) }), std::nullopt);
     start();
-    EXPECT_EQ (recovered_.hardState, "one");
-    EXPECT_EQ (recovered_.snapshot, (StoredSnapshot{ 8, "state" }));
-    ASSERT_EQ (recovered_.entries.size(), 4U);
-    EXPECT_EQ (recovered_.entries.front().index, 9U);
+    EXPECT_EQ (m_recovered.hardState, "one");
+    EXPECT_EQ (m_recovered.snapshot, (StoredSnapshot{ 8, "state" }));
+    ASSERT_EQ (m_recovered.entries.size(), 4U);
+    EXPECT_EQ (m_recovered.entries.front().index, 9U);
 }
 
 TEST_F (FileStorageTest, AReceivedSnapshotMayLeaveAGap)
@@ -209,8 +209,8 @@
     received.truncateFrom = 6;
     ASSERT_EQ (write ({ received, entries (501, 501) }), std::nullopt);
     start();
-    EXPECT_EQ (recovered_.snapshot.lastIndex, 500U);
-    ASSERT_EQ (recovered_.entries.size(), 1U);
+    EXPECT_EQ (m_recovered.snapshot.lastIndex, 500U);
+    ASSERT_EQ (m_recovered.entries.size(), 1U);
 }
 
 TEST_F (FileStorageTest, SegmentsRollAndAreDeletedAfterASnapshot)
@@ -222,11 +222,11 @@
     }
     EXPECT_GT (segmentCount(), 3U);
     start (1000);
-    EXPECT_EQ (recovered_.entries.size(), 50U);
+    EXPECT_EQ (m_recovered.entries.size(), 50U);
     ASSERT_EQ (write ({ snapshot (50, "state") }), std::nullopt);
     EXPECT_EQ (segmentCount(), 1U);
     start (1000);
-    EXPECT_TRUE (recovered_.entries.empty());
+    EXPECT_TRUE (m_recovered.entries.empty());
 }
 
 TEST_F (FileStorageTest, CutsATornTailAtEveryLength)
@@ -236,21 +236,21 @@
     const auto whole = std::filesystem::file_size (lastSegment());
     ASSERT_EQ (write ({ entries (4, 6) }), std::nullopt);
     const auto longer = std::filesystem::file_size (lastSegment());
-    storage_.reset();
-    const auto copy = root_ / "copy";
-    std::filesystem::copy (folder_, copy, std::filesystem::copy_options::recursive);
+    m_storage.reset();
+    const auto copy = m_root / "copy";
+    std::filesystem::copy (m_folder, copy, std::filesystem::copy_options::recursive);
     for (auto size = whole; size < longer; ++size)
     {
-        storage_.reset();
-        std::filesystem::remove_all (folder_);
-        std::filesystem::copy (copy, folder_, std::filesystem::copy_options::recursive);
+        m_storage.reset();
+        std::filesystem::remove_all (m_folder);
+        std::filesystem::copy (copy, m_folder, std::filesystem::copy_options::recursive);
         std::filesystem::resize_file (lastSegment(), size);
         start();
-        EXPECT_EQ (recovered_.entries.size(), 3U) << size;
-        EXPECT_EQ (recovered_.tornBytesCut, size - whole);
+        EXPECT_EQ (m_recovered.entries.size(), 3U) << size;
+        EXPECT_EQ (m_recovered.tornBytesCut, size - whole);
         ASSERT_EQ (write ({ entries (4, 4) }), std::nullopt);
         start();
-        EXPECT_EQ (recovered_.entries.size(), 4U) << size;
+        EXPECT_EQ (m_recovered.entries.size(), 4U) << size;
     }
 }
 
@@ -267,7 +267,7 @@
         ASSERT_NO_FATAL_FAILURE (expectDamageIsReported (offset, first));
     }
     start();
-    EXPECT_EQ (recovered_.entries.size(), 9U);
+    EXPECT_EQ (m_recovered.entries.size(), 9U);
 }
 
 TEST_F (FileStorageTest, RefusesDamageInALastRecordThatIsWhole)
@@ -293,22 +293,22 @@
     const auto first = std::filesystem::file_size (lastSegment());
     ASSERT_EQ (write ({ entries (4, 6, 1000) }), std::nullopt);
     const auto end = std::filesystem::file_size (lastSegment());
-    storage_.reset();
-    const auto copy = root_ / "copy";
-    std::filesystem::copy (folder_, copy, std::filesystem::copy_options::recursive);
+    m_storage.reset();
+    const auto copy = m_root / "copy";
+    std::filesystem::copy (m_folder, copy, std::filesystem::copy_options::recursive);
     for (auto from = first; from < end; from = (from / kSector + 1) * kSector)
     {
-        std::filesystem::remove_all (folder_);
-        std::filesystem::copy (copy, folder_, std::filesystem::copy_options::recursive);
+        std::filesystem::remove_all (m_folder);
+        std::filesystem::copy (copy, m_folder, std::filesystem::copy_options::recursive);
         const auto to = std::min<std::uint64_t> (end, (from / kSector + 1) * kSector);
         std::fstream file (lastSegment(), std::ios::in | std::ios::out | std::ios::binary);
         file.seekp (static_cast<std::streamoff> (from));
         file << std::string (to - from, '\0');
         file.close();
         start();
-        EXPECT_EQ (recovered_.entries.size(), 3U) << from;
-        EXPECT_EQ (recovered_.tornBytesCut, end - first);
-        storage_.reset();
+        EXPECT_EQ (m_recovered.entries.size(), 3U) << from;
+        EXPECT_EQ (m_recovered.tornBytesCut, end - first);
+        m_storage.reset();
     }
 }
 
@@ -320,15 +320,15 @@
     const auto closed = lastSegment();
     ASSERT_EQ (write ({ entries (3, 9, 100) }), std::nullopt);
     ASSERT_NE (closed, lastSegment());
-    const auto stored = folder_ / snapshotName (2);
+    const auto stored = m_folder / snapshotName (2);
     for (const auto& path : { closed, stored })
     {
-        storage_.reset();
+        m_storage.reset();
         const auto offset = std::filesystem::file_size (path) - 1;
         flipByte (path, offset);
         ASSERT_EQ (open(), std::nullopt);
         EXPECT_EQ (recover(), ErrorKind::kStorageCorrupt) << path;
-        storage_.reset();
+        m_storage.reset();
         flipByte (path, offset);
     }
     std::filesystem::remove (closed);
@@ -340,18 +340,18 @@
 {
     start();
     ASSERT_EQ (write ({ entries (1, 2) }), std::nullopt);
-    std::filesystem::remove (folder_ / kIdentityName);
+    std::filesystem::remove (m_folder / kIdentityName);
     ASSERT_EQ (open(), std::nullopt);
     EXPECT_EQ (recover(), ErrorKind::kStorageCorrupt);
-    EXPECT_EQ (failureOf ([&] { return storage_->initialize (8); }), ErrorKind::kStorageCorrupt);
+    EXPECT_EQ (failureOf ([&] { return m_storage->initialize (8); }), ErrorKind::kStorageCorrupt);
 }
 
 TEST_F (FileStorageTest, RefusesAnUnknownFormat)
 {
     start();
-    storage_.reset();
+    m_storage.reset();
     std::string bytes = encodeRecord (RecordKind::kIdentity, "later", kFormatVersion + 1);
-    std::ofstream (folder_ / kIdentityName, std::ios::binary) << bytes;
+    std::ofstream (m_folder / kIdentityName, std::ios::binary) << bytes;
     EXPECT_EQ (open(), ErrorKind::kStorageFormatUnknown);
 }
 
@@ -361,7 +361,7 @@
     const auto second = failureOf (
         [&]() -> base::Result<void>
         {
-            BOOST_LEAF_CHECK (FileStorage::open (folder_));
+            BOOST_LEAF_CHECK (FileStorage::open (m_folder));
             return {};
         });
     EXPECT_EQ (second, ErrorKind::kStorageLocked);
@@ -371,15 +371,15 @@
 {
     start();
     ASSERT_EQ (write ({ entries (1, 2) }), std::nullopt);
-    storage_.reset();
+    m_storage.reset();
     // As after a crash between storing a snapshot and the checkpoint that refers to it.
-    std::ofstream (folder_ / snapshotName (2)) << "never referred to";
-    std::ofstream (folder_ / (segmentName (2) + ".new")) << "unfinished";
+    std::ofstream (m_folder / snapshotName (2)) << "never referred to";
+    std::ofstream (m_folder / (segmentName (2) + ".new")) << "unfinished";
     start();
-    EXPECT_EQ (recovered_.snapshot.lastIndex, 0U);
-    EXPECT_EQ (recovered_.entries.size(), 2U);
-    EXPECT_FALSE (std::filesystem::exists (folder_ / snapshotName (2)));
-    EXPECT_FALSE (std::filesystem::exists (folder_ / (segmentName (2) + ".new")));
+    EXPECT_EQ (m_recovered.snapshot.lastIndex, 0U);
+    EXPECT_EQ (m_recovered.entries.size(), 2U);
+    EXPECT_FALSE (std::filesystem::exists (m_folder / snapshotName (2)));
+    EXPECT_FALSE (std::filesystem::exists (m_folder / (segmentName (2) + ".new")));
 }
 
 TEST_F (FileStorageTest, AFullDiskFailsTheWriteAndAllLaterOnes)
@@ -398,13 +398,13 @@
     EXPECT_EQ (failure, ErrorKind::kStorageFull);
     EXPECT_EQ (write ({ entries (3, 3) }), ErrorKind::kStorageFailed);
     start();
-    EXPECT_EQ (recovered_.entries.size(), 2U);
-    EXPECT_GT (recovered_.tornBytesCut, 0U);
+    EXPECT_EQ (m_recovered.entries.size(), 2U);
+    EXPECT_GT (m_recovered.tornBytesCut, 0U);
 }
 
 TEST_F (FileStorageTest, AReadOnlyFolderFailsAtOpening)
 {
-    folder_ = "/proc/fernlift";
+    m_folder = "/proc/fernlift";
     EXPECT_EQ (open(), ErrorKind::kStorageFailed);
 }
 
--- a/src/storage/FileStorageTimingTest.cpp
+++ b/src/storage/FileStorageTimingTest.cpp
@@ -67,9 +67,9 @@
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "fernlift-XXXXXX").string();
         ASSERT_NE (::mkdtemp (pattern.data()), nullptr);
-        root_ = pattern;
+        m_root = pattern;
     }
-    void TearDown() override { std::filesystem::remove_all (root_); }
+    void TearDown() override { std::filesystem::remove_all (m_root); }
 
     std::unique_ptr<FileStorage> open (const std::string& name)
     {
@@ -77,7 +77,7 @@
         succeeds (
             [&]() -> base::Result<void>
             {
-                BOOST_LEAF_ASSIGN (storage, FileStorage::open ((root_ / name).string()));
+                BOOST_LEAF_ASSIGN (storage, FileStorage::open ((m_root / name).string()));
                 return {};
             });
         return storage;
@@ -92,7 +92,7 @@
         return batches;
     }
 
-    std::filesystem::path root_;
+    std::filesystem::path m_root;
 };
 
 TEST_F (FileStorageTiming, ofAStartAfterTenThousandEntriesAndASnapshot)
@@ -145,7 +145,7 @@
         [&]() -> base::Result<void>
         {
             BOOST_LEAF_AUTO (
-                file, systemFiles().open ((root_ / "bare").string(), OpenMode::kCreateEmpty));
+                file, systemFiles().open ((m_root / "bare").string(), OpenMode::kCreateEmpty));
             for (int sync = 0; sync < kSyncs; ++sync)
             {
                 bare.push_back (millisecondsOf (
--- a/src/storage/LogImage.cpp
+++ b/src/storage/LogImage.cpp
@@ -5,9 +5,9 @@
 
 base::Result<void> LogImage::load (const SegmentHeader& checkpoint)
 {
-    hardState_ = checkpoint.hardState;
-    snapshotIndex_ = checkpoint.snapshotIndex;
-    entries_.clear();
+    m_hardState = checkpoint.hardState;
+    m_snapshotIndex = checkpoint.snapshotIndex;
+    m_entries.clear();
     for (const EntryRecord& entry : checkpoint.entries)
         BOOST_LEAF_CHECK (append (entry));
     return {};
@@ -18,20 +18,20 @@
     SegmentHeader header;
     header.number = segmentNumber;
     header.isCheckpoint = true;
-    header.hardState = hardState_;
-    header.snapshotIndex = snapshotIndex_;
-    header.entries.assign (entries_.begin(), entries_.end());
+    header.hardState = m_hardState;
+    header.snapshotIndex = m_snapshotIndex;
+    header.entries.assign (m_entries.begin(), m_entries.end());
     return header;
 }
 
 base::Result<void> LogImage::apply (const BatchRecord& batch)
 {
     if (batch.hasHardState)
-        hardState_ = batch.hardState;
+        m_hardState = batch.hardState;
     if (batch.truncateFrom > 0)
     {
-        while (! entries_.empty() && entries_.back().index >= batch.truncateFrom)
-            entries_.pop_back();
+        while (! m_entries.empty() && m_entries.back().index >= batch.truncateFrom)
+            m_entries.pop_back();
     }
     for (const EntryRecord& entry : batch.entries)
         BOOST_LEAF_CHECK (append (entry));
@@ -40,30 +40,30 @@
 
 void LogImage::applySnapshot (std::uint64_t lastIndex)
 {
-    snapshotIndex_ = lastIndex;
-    while (! entries_.empty() && entries_.front().index <= lastIndex)
-        entries_.pop_front();
+    m_snapshotIndex = lastIndex;
+    while (! m_entries.empty() && m_entries.front().index <= lastIndex)
+        m_entries.pop_front();
 }
 
 std::vector<StoredEntry> LogImage::entries() const
 {
     std::vector<StoredEntry> result;
-    result.reserve (entries_.size());
-    for (const EntryRecord& entry : entries_)
+    result.reserve (m_entries.size());
+    for (const EntryRecord& entry : m_entries)
         result.push_back ({ entry.index, entry.data });
     return result;
 }
 
 base::Result<void> LogImage::append (const EntryRecord& entry)
 {
-    const std::uint64_t last = entries_.empty() ? snapshotIndex_ : entries_.back().index;
+    const std::uint64_t last = m_entries.empty() ? m_snapshotIndex : m_entries.back().index;
     if (entry.index != last + 1)
     {
         return base::fail (
             base::ErrorKind::kStorageCorrupt,
             "entry " + std::to_string (entry.index) + " follows entry " + std::to_string (last));
     }
-    entries_.push_back (entry);
+    m_entries.push_back (entry);
     return {};
 }
 
--- a/src/storage/LogImage.h
+++ b/src/storage/LogImage.h
@@ -86,16 +86,16 @@
     /// Drops the entries that the snapshot covers.
     void applySnapshot (std::uint64_t lastIndex);
 
-    [[nodiscard]] const std::string& hardState() const { return hardState_; }
-    [[nodiscard]] std::uint64_t snapshotIndex() const { return snapshotIndex_; }
+    [[nodiscard]] const std::string& hardState() const { return m_hardState; }
+    [[nodiscard]] std::uint64_t snapshotIndex() const { return m_snapshotIndex; }
     [[nodiscard]] std::vector<StoredEntry> entries() const;
 
 private:
     base::Result<void> append (const EntryRecord& entry);
 
-    std::string hardState_;            ///< Empty until the first one is written.
-    std::uint64_t snapshotIndex_ = 0;  ///< 0: none; never goes back.
-    std::deque<EntryRecord> entries_;  ///< After the snapshot, without a gap.
+    std::string m_hardState;            ///< Empty until the first one is written.
+    std::uint64_t m_snapshotIndex = 0;  ///< 0: none; never goes back.
+    std::deque<EntryRecord> m_entries;  ///< After the snapshot, without a gap.
 };
 
 }  // namespace fernlift::storage
--- a/src/storage/SimulatedFiles.h
+++ b/src/storage/SimulatedFiles.h
@@ -46,19 +46,19 @@
     base::Result<std::unique_ptr<FileLock>> lockFile (const std::string& path) override;
 
     /// Number of changing operations so far.
-    [[nodiscard]] std::uint64_t steps() const { return steps_; }
+    [[nodiscard]] std::uint64_t steps() const { return m_steps; }
     /// The process dies in operation number `step`, which is carried out in part; all later ones
     /// fail.
-    void crashAt (std::uint64_t step) { crashStep_ = step; }
-    [[nodiscard]] bool hasCrashed() const { return hasCrashed_; }
+    void crashAt (std::uint64_t step) { m_crashStep = step; }
+    [[nodiscard]] bool hasCrashed() const { return m_hasCrashed; }
     /// Makes the files what the next start of the process finds.
     void restart (CrashKind kind, std::uint64_t seed);
-    void setFault (DiskFault fault) { fault_ = fault; }
+    void setFault (DiskFault fault) { m_fault = fault; }
     /// Bytes that may still be written before the disk is full.
-    void setRoom (std::optional<std::uint64_t> bytes) { room_ = bytes; }
-    void setReadOnly (bool isReadOnly) { isReadOnly_ = isReadOnly; }
+    void setRoom (std::optional<std::uint64_t> bytes) { m_room = bytes; }
+    void setReadOnly (bool isReadOnly) { m_isReadOnly = isReadOnly; }
     /// Every sync fails from now on, as on a broken disk.
-    void setSyncFails (bool fails) { syncFails_ = fails; }
+    void setSyncFails (bool fails) { m_syncFails = fails; }
 
 private:
     friend class SimulatedFile;
@@ -86,17 +86,17 @@
     static void apply (Names& names, const NameChange& change);
     void change (NameChange change);
 
-    Names names_;        ///< Path to file, as the process sees it.
-    Names syncedNames_;  ///< As after a loss of power.
-    std::vector<NameChange> unsyncedNames_;
-    std::map<std::string, bool> locks_;
-    std::uint64_t steps_ = 0;
-    std::uint64_t crashStep_ = 0;
-    bool hasCrashed_ = false;
-    bool isReadOnly_ = false;
-    bool syncFails_ = false;
-    DiskFault fault_ = DiskFault::kNone;
-    std::optional<std::uint64_t> room_;
+    Names m_names;        ///< Path to file, as the process sees it.
+    Names m_syncedNames;  ///< As after a loss of power.
+    std::vector<NameChange> m_unsyncedNames;
+    std::map<std::string, bool> m_locks;
+    std::uint64_t m_steps = 0;
+    std::uint64_t m_crashStep = 0;
+    bool m_hasCrashed = false;
+    bool m_isReadOnly = false;
+    bool m_syncFails = false;
+    DiskFault m_fault = DiskFault::kNone;
+    std::optional<std::uint64_t> m_room;
 };
 
 }  // namespace fernlift::storage
--- a/src/storage/SimulatedFilesTest.cpp
+++ b/src/storage/SimulatedFilesTest.cpp
@@ -21,50 +21,50 @@
 public:
     SimulatedFile (SimulatedFiles& files, std::shared_ptr<SimulatedFiles::Node> node,
                    std::string path)
-        : files_ (files), node_ (std::move (node)), path_ (std::move (path))
+        : m_files (files), m_node (std::move (node)), m_path (std::move (path))
     {
     }
     base::Result<void> append (std::string_view bytes) override
     {
-        return files_.append (*node_, path_, bytes);
+        return m_files.append (*m_node, m_path, bytes);
     }
-    base::Result<void> sync() override { return files_.sync (*node_, path_); }
+    base::Result<void> sync() override { return m_files.sync (*m_node, m_path); }
     base::Result<void> truncate (std::uint64_t size) override
     {
-        BOOST_LEAF_CHECK (files_.step (path_));
-        node_->bytes.resize (size);
+        BOOST_LEAF_CHECK (m_files.step (m_path));
+        m_node->bytes.resize (size);
         return {};
     }
 
 private:
-    SimulatedFiles& files_;
-    std::shared_ptr<SimulatedFiles::Node> node_;
-    std::string path_;
+    SimulatedFiles& m_files;
+    std::shared_ptr<SimulatedFiles::Node> m_node;
+    std::string m_path;
 };
 
 class SimulatedLock final : public FileLock
 {
 public:
     SimulatedLock (SimulatedFiles& files, std::string path)
-        : files_ (files), path_ (std::move (path))
+        : m_files (files), m_path (std::move (path))
     {
     }
-    ~SimulatedLock() override { files_.locks_[path_] = false; }
+    ~SimulatedLock() override { m_files.m_locks[m_path] = false; }
 
 private:
-    SimulatedFiles& files_;
-    std::string path_;
+    SimulatedFiles& m_files;
+    std::string m_path;
 };
 
 base::Result<void> SimulatedFiles::step (const std::string& path)
 {
-    if (isReadOnly_)
+    if (m_isReadOnly)
         return failure (path, "read-only file system");
-    if (hasCrashed_)
+    if (m_hasCrashed)
         return failure (path, "the process is dead");
-    ++steps_;
-    hasCrashed_ = steps_ == crashStep_;
-    if (hasCrashed_)
+    ++m_steps;
+    m_hasCrashed = m_steps == m_crashStep;
+    if (m_hasCrashed)
         return failure (path, "the process died");
     return {};
 }
@@ -72,23 +72,23 @@
 base::Result<void> SimulatedFiles::append (Node& node, const std::string& path,
                                            std::string_view bytes)
 {
-    const bool wasDead = hasCrashed_;
+    const bool wasDead = m_hasCrashed;
     auto outcome = step (path);
     if (! outcome)
     {
         // The operation in which the process dies is carried out in part.
-        if (! wasDead && hasCrashed_)
+        if (! wasDead && m_hasCrashed)
             node.bytes += bytes.substr (0, bytes.size() / 2);
         return outcome;
     }
-    if (room_ && *room_ < bytes.size())
+    if (m_room && *m_room < bytes.size())
     {
-        node.bytes += bytes.substr (0, *room_);
-        room_ = 0;
+        node.bytes += bytes.substr (0, *m_room);
+        m_room = 0;
         return base::fail (base::ErrorKind::kStorageFull, path + ": no space left");
     }
-    if (room_)
-        *room_ -= bytes.size();
+    if (m_room)
+        *m_room -= bytes.size();
     node.bytes += bytes;
     return {};
 }
@@ -96,9 +96,9 @@
 base::Result<void> SimulatedFiles::sync (Node& node, const std::string& path)
 {
     BOOST_LEAF_CHECK (step (path));
-    if (syncFails_)
+    if (m_syncFails)
         return failure (path, "input/output error");
-    if (fault_ != DiskFault::kFileSyncDoesNothing)
+    if (m_fault != DiskFault::kFileSyncDoesNothing)
         node.synced = node.bytes;
     return {};
 }
@@ -110,16 +110,16 @@
         BOOST_LEAF_CHECK (step (path));
         change ({ parentFolder (path), {}, path, std::make_shared<Node>() });
     }
-    const auto found = names_.find (path);
-    if (found == names_.end())
+    const auto found = m_names.find (path);
+    if (found == m_names.end())
         return failure (path, "no such file");
     return std::unique_ptr<File> (std::make_unique<SimulatedFile> (*this, found->second, path));
 }
 
 base::Result<std::string> SimulatedFiles::readFile (const std::string& path)
 {
-    const auto found = names_.find (path);
-    if (found == names_.end())
+    const auto found = m_names.find (path);
+    if (found == m_names.end())
         return failure (path, "no such file");
     return found->second->bytes;
 }
@@ -127,8 +127,8 @@
 base::Result<void> SimulatedFiles::renameFile (const std::string& from, const std::string& to)
 {
     BOOST_LEAF_CHECK (step (from));
-    const auto found = names_.find (from);
-    if (found == names_.end())
+    const auto found = m_names.find (from);
+    if (found == m_names.end())
         return failure (from, "no such file");
     change ({ parentFolder (to), from, to, found->second });
     return {};
@@ -137,17 +137,17 @@
 base::Result<void> SimulatedFiles::removeFile (const std::string& path)
 {
     BOOST_LEAF_CHECK (step (path));
-    if (names_.contains (path))
+    if (m_names.contains (path))
         change ({ parentFolder (path), path, {}, nullptr });
     return {};
 }
 
 base::Result<std::vector<std::string>> SimulatedFiles::listFolder (const std::string& folder)
 {
-    if (! names_.contains (folder))
+    if (! m_names.contains (folder))
         return failure (folder, "no such folder");
     std::vector<std::string> names;
-    for (const auto& [path, node] : names_)
+    for (const auto& [path, node] : m_names)
     {
         if (parentFolder (path) == folder)
             names.push_back (path.substr (folder.size() + 1));
@@ -157,7 +157,7 @@
 
 base::Result<void> SimulatedFiles::createFolder (const std::string& folder)
 {
-    if (names_.contains (folder))
+    if (m_names.contains (folder))
         return {};
     BOOST_LEAF_CHECK (step (folder));
     change ({ parentFolder (folder), {}, folder, std::make_shared<Node>() });
@@ -167,60 +167,60 @@
 base::Result<void> SimulatedFiles::syncFolder (const std::string& folder)
 {
     BOOST_LEAF_CHECK (step (folder));
-    if (syncFails_)
+    if (m_syncFails)
         return failure (folder, "input/output error");
-    if (fault_ == DiskFault::kFolderSyncDoesNothing)
+    if (m_fault == DiskFault::kFolderSyncDoesNothing)
         return {};
     std::vector<NameChange> rest;
-    for (const NameChange& item : unsyncedNames_)
+    for (const NameChange& item : m_unsyncedNames)
     {
         if (item.folder == folder)
         {
-            apply (syncedNames_, item);
+            apply (m_syncedNames, item);
         }
         else
         {
             rest.push_back (item);
         }
     }
-    unsyncedNames_ = std::move (rest);
+    m_unsyncedNames = std::move (rest);
     return {};
 }
 
 base::Result<std::unique_ptr<FileLock>> SimulatedFiles::lockFile (const std::string& path)
 {
-    if (locks_[path])
+    if (m_locks[path])
         return base::fail (base::ErrorKind::kStorageLocked, path + " is locked");
-    if (! names_.contains (path))
+    if (! m_names.contains (path))
         BOOST_LEAF_CHECK (open (path, OpenMode::kCreateEmpty));
-    locks_[path] = true;
+    m_locks[path] = true;
     return std::unique_ptr<FileLock> (std::make_unique<SimulatedLock> (*this, path));
 }
 
 void SimulatedFiles::restart (CrashKind kind, std::uint64_t seed)
 {
-    hasCrashed_ = false;
-    crashStep_ = 0;
+    m_hasCrashed = false;
+    m_crashStep = 0;
     if (kind == CrashKind::kProcessKilled)
         return;
     base::Random random (seed);
     const bool keepsPart = kind == CrashKind::kPartSurvives;
-    const auto changes = static_cast<std::int64_t> (unsyncedNames_.size());
+    const auto changes = static_cast<std::int64_t> (m_unsyncedNames.size());
     const auto kept = keepsPart ? random.uniformInteger (0, changes) : 0;
     for (std::int64_t index = 0; index < kept; ++index)
     {
-        apply (syncedNames_, unsyncedNames_[static_cast<std::size_t> (index)]);
+        apply (m_syncedNames, m_unsyncedNames[static_cast<std::size_t> (index)]);
     }
-    unsyncedNames_.clear();
+    m_unsyncedNames.clear();
     // A folder whose name is lost takes its files along.
-    std::erase_if (syncedNames_,
+    std::erase_if (m_syncedNames,
                    [&] (const auto& item)
                    {
                        const std::string parent = parentFolder (item.first);
-                       return parent != "/" && ! syncedNames_.contains (parent);
+                       return parent != "/" && ! m_syncedNames.contains (parent);
                    });
-    names_ = syncedNames_;
-    for (auto& [path, node] : names_)
+    m_names = m_syncedNames;
+    for (auto& [path, node] : m_names)
     {
         const std::string& written = node->bytes;
         const bool isGrown = written.starts_with (node->synced);
@@ -244,8 +244,8 @@
 
 void SimulatedFiles::change (NameChange change)
 {
-    apply (names_, change);
-    unsyncedNames_.push_back (std::move (change));
+    apply (m_names, change);
+    m_unsyncedNames.push_back (std::move (change));
 }
 
 }  // namespace fernlift::storage
--- a/src/storage/SystemFiles.cpp
+++ b/src/storage/SystemFiles.cpp
@@ -33,26 +33,26 @@
 class Descriptor
 {
 public:
-    explicit Descriptor (int number) : number_ (number) {}
+    explicit Descriptor (int number) : m_number (number) {}
     Descriptor (const Descriptor&) = delete;
     Descriptor& operator= (const Descriptor&) = delete;
     ~Descriptor()
     {
-        if (number_ >= 0)
-            ::close (number_);
+        if (m_number >= 0)
+            ::close (m_number);
     }
-    [[nodiscard]] bool isOpen() const { return number_ >= 0; }
-    [[nodiscard]] int number() const { return number_; }
+    [[nodiscard]] bool isOpen() const { return m_number >= 0; }
+    [[nodiscard]] int number() const { return m_number; }
 
 private:
-    const int number_;
+    const int m_number;
 };
 
 class SystemFile final : public File
 {
 public:
     SystemFile (int descriptor, std::string path)
-        : descriptor_ (descriptor), path_ (std::move (path))
+        : m_descriptor (descriptor), m_path (std::move (path))
     {
     }
 
@@ -60,43 +60,43 @@
     {
         while (! bytes.empty())
         {
-            const ssize_t written = ::write (descriptor_.number(), bytes.data(), bytes.size());
+            const ssize_t written = ::write (m_descriptor.number(), bytes.data(), bytes.size());
             if (written < 0 && errno == EINTR)
                 continue;
             if (written < 0)
-                return failWith ("write", path_, errno);
+                return failWith ("write", m_path, errno);
             bytes.remove_prefix (static_cast<std::size_t> (written));
         }
         return {};
     }
     base::Result<void> sync() override
     {
-        if (::fsync (descriptor_.number()) != 0)
-            return failWith ("sync", path_, errno);
+        if (::fsync (m_descriptor.number()) != 0)
+            return failWith ("sync", m_path, errno);
         return {};
     }
     base::Result<void> truncate (std::uint64_t size) override
     {
-        if (::ftruncate (descriptor_.number(), static_cast<off_t> (size)) != 0)
+        if (::ftruncate (m_descriptor.number(), static_cast<off_t> (size)) != 0)
         {
-            return failWith ("truncate", path_, errno);
+            return failWith ("truncate", m_path, errno);
         }
         return {};
     }
 
 private:
-    Descriptor descriptor_;
-    std::string path_;
+    Descriptor m_descriptor;
+    std::string m_path;
 };
 
 class SystemLock final : public FileLock
 {
 public:
-    explicit SystemLock (int descriptor) : descriptor_ (descriptor) {}
-    [[nodiscard]] int descriptor() const { return descriptor_.number(); }
+    explicit SystemLock (int descriptor) : m_descriptor (descriptor) {}
+    [[nodiscard]] int descriptor() const { return m_descriptor.number(); }
 
 private:
-    Descriptor descriptor_;
+    Descriptor m_descriptor;
 };
 
 class SystemFiles final : public FileSystem
--- a/src/wire/Frame.cpp
+++ b/src/wire/Frame.cpp
@@ -92,8 +92,8 @@
 
 base::Result<void> FrameReader::feed (std::string_view bytes, std::vector<Frame>& frames)
 {
-    buffer_ += bytes;
-    std::string_view rest = buffer_;
+    m_buffer += bytes;
+    std::string_view rest = m_buffer;
     while (rest.size() >= kHeaderBytes)
     {
         BOOST_LEAF_CHECK (checkPrefix (rest));
@@ -108,7 +108,7 @@
         frames.push_back ({ static_cast<Channel> (rest[kChannelOffset]), std::string (payload) });
         rest.remove_prefix (kHeaderBytes + length);
     }
-    buffer_.erase (0, buffer_.size() - rest.size());
+    m_buffer.erase (0, m_buffer.size() - rest.size());
     return {};
 }
 
--- a/src/wire/Frame.h
+++ b/src/wire/Frame.h
@@ -40,7 +40,7 @@
     base::Result<void> feed (std::string_view bytes, std::vector<Frame>& frames);
 
 private:
-    std::string buffer_;  ///< Bytes of the frame not yet complete.
+    std::string m_buffer;  ///< Bytes of the frame not yet complete.
 };
 
 }  // namespace fernlift::wire
--- a/src/wire/FrameConnection.cpp
+++ b/src/wire/FrameConnection.cpp
@@ -28,10 +28,10 @@
 FrameConnection::FrameConnection (std::unique_ptr<QTcpSocket> socket,
                                   FrameConnectionOptions options, Handlers handlers,
                                   FrameTraffic* traffic)
-    : socket_ (std::move (socket)),
-      options_ (options),
-      handlers_ (std::move (handlers)),
-      traffic_ (traffic)
+    : m_socket (std::move (socket)),
+      m_options (options),
+      m_handlers (std::move (handlers)),
+      m_traffic (traffic)
 {
     connectSignals();
     if (! isOpen())
@@ -50,21 +50,21 @@
 {
     auto connection = std::make_unique<FrameConnection> (std::make_unique<QTcpSocket>(), options,
                                                          std::move (handlers), traffic);
-    connection->socket_->connectToHost (QHostAddress (QString::fromStdString (address.host)),
-                                        address.port);
+    connection->m_socket->connectToHost (QHostAddress (QString::fromStdString (address.host)),
+                                         address.port);
     connection->runLater (options.connectTimeout, &FrameConnection::closeUnlessConnected);
     return connection;
 }
 
 void FrameConnection::connectSignals()
 {
-    QTcpSocket* socket = socket_.get();
+    QTcpSocket* socket = m_socket.get();
     QObject::connect (socket, &QTcpSocket::connected, socket,
                       [this]
                       {
                           configureSocket();
-                          if (handlers_.onConnected)
-                              handlers_.onConnected();
+                          if (m_handlers.onConnected)
+                              m_handlers.onConnected();
                       });
     QObject::connect (socket, &QTcpSocket::readyRead, socket, [this] { readFrames(); });
     QObject::connect (socket, &QTcpSocket::disconnected, socket, [this] { closeAndReport(); });
@@ -73,14 +73,14 @@
 
 void FrameConnection::configureSocket()
 {
-    socket_->setSocketOption (QAbstractSocket::LowDelayOption, 1);
+    m_socket->setSocketOption (QAbstractSocket::LowDelayOption, 1);
     const auto timeout =
-        static_cast<unsigned> (base::toMilliseconds (options_.unacknowledgedTimeout));
-    ::setsockopt (static_cast<int> (socket_->socketDescriptor()), IPPROTO_TCP, TCP_USER_TIMEOUT,
+        static_cast<unsigned> (base::toMilliseconds (m_options.unacknowledgedTimeout));
+    ::setsockopt (static_cast<int> (m_socket->socketDescriptor()), IPPROTO_TCP, TCP_USER_TIMEOUT,
                   &timeout, sizeof timeout);
-    if (options_.idleTimeout > base::Duration::zero())
+    if (m_options.idleTimeout > base::Duration::zero())
     {
-        runLater (options_.idleTimeout, &FrameConnection::closeWhenSilent);
+        runLater (m_options.idleTimeout, &FrameConnection::closeWhenSilent);
     }
 }
 
@@ -92,59 +92,59 @@
 
 void FrameConnection::closeWhenSilent()
 {
-    if (! std::exchange (hasReceivedSinceWatch_, false))
+    if (! std::exchange (m_hasReceivedSinceWatch, false))
     {
         closeAndReport();
         return;
     }
-    runLater (options_.idleTimeout, &FrameConnection::closeWhenSilent);
+    runLater (m_options.idleTimeout, &FrameConnection::closeWhenSilent);
 }
 
 void FrameConnection::send (Channel channel, std::string_view payload)
 {
     if (! isOpen())
         return;
-    if (unsentBytes() > options_.maximumUnsentBytes)
+    if (unsentBytes() > m_options.maximumUnsentBytes)
     {
         runLater ({}, &FrameConnection::closeAndReport);
         return;
     }
     const std::string bytes = encodeFrame (channel, payload);
-    socket_->write (bytes.data(), static_cast<qint64> (bytes.size()));
-    if (traffic_ == nullptr)
+    m_socket->write (bytes.data(), static_cast<qint64> (bytes.size()));
+    if (m_traffic == nullptr)
         return;
-    traffic_->of (channel).messagesOut += 1;
-    traffic_->of (channel).bytesOut += bytes.size();
+    m_traffic->of (channel).messagesOut += 1;
+    m_traffic->of (channel).bytesOut += bytes.size();
 }
 
 void FrameConnection::close()
 {
-    if (isClosed_)
+    if (m_isClosed)
         return;
-    isClosed_ = true;
-    socket_->disconnect();
-    socket_->abort();
+    m_isClosed = true;
+    m_socket->disconnect();
+    m_socket->abort();
     // The socket may be in the middle of emitting the signal that led here.
-    socket_.release()->deleteLater();
+    m_socket.release()->deleteLater();
 }
 
 bool FrameConnection::isOpen() const
 {
-    return ! isClosed_ && socket_->state() == QAbstractSocket::ConnectedState;
+    return ! m_isClosed && m_socket->state() == QAbstractSocket::ConnectedState;
 }
 
 std::size_t FrameConnection::unsentBytes() const
 {
-    return isClosed_ ? 0 : static_cast<std::size_t> (socket_->bytesToWrite());
+    return m_isClosed ? 0 : static_cast<std::size_t> (m_socket->bytesToWrite());
 }
 
 void FrameConnection::runLater (base::Duration delay, void (FrameConnection::*step)())
 {
-    const std::weak_ptr<bool> lifetime = lifetime_;
-    QTimer::singleShot (std::chrono::duration_cast<base::milliseconds> (delay), socket_.get(),
+    const std::weak_ptr<bool> lifetime = m_lifetime;
+    QTimer::singleShot (std::chrono::duration_cast<base::milliseconds> (delay), m_socket.get(),
                         [this, step, lifetime]
                         {
-                            if (! lifetime.expired() && ! isClosed_)
+                            if (! lifetime.expired() && ! m_isClosed)
                                 (this->*step)();
                         });
 }
@@ -154,22 +154,22 @@
     std::vector<Frame> frames;
     bool isSound = true;
     std::string chunk (kReadChunkBytes, '\0');
-    while (isSound && socket_->bytesAvailable() > 0)
+    while (isSound && m_socket->bytesAvailable() > 0)
     {
-        const qint64 count = socket_->read (chunk.data(), static_cast<qint64> (chunk.size()));
+        const qint64 count = m_socket->read (chunk.data(), static_cast<qint64> (chunk.size()));
         if (count <= 0)
             break;
-        hasReceivedSinceWatch_ = true;
+        m_hasReceivedSinceWatch = true;
         isSound = base::handleErrors (
             [&]() -> base::Result<bool>
             {
                 const std::string_view received (chunk.data(), static_cast<std::size_t> (count));
-                BOOST_LEAF_CHECK (reader_.feed (received, frames));
+                BOOST_LEAF_CHECK (m_reader.feed (received, frames));
                 return true;
             },
             [] (const base::Error&) { return false; });
     }
-    const std::weak_ptr<bool> lifetime = lifetime_;
+    const std::weak_ptr<bool> lifetime = m_lifetime;
     deliver (frames);
     if (! isSound && ! lifetime.expired())
         closeAndReport();
@@ -177,28 +177,28 @@
 
 void FrameConnection::deliver (std::vector<Frame>& frames)
 {
-    const std::weak_ptr<bool> lifetime = lifetime_;
+    const std::weak_ptr<bool> lifetime = m_lifetime;
     for (Frame& frame : frames)
     {
-        if (lifetime.expired() || isClosed_)
+        if (lifetime.expired() || m_isClosed)
             return;
-        if (traffic_ != nullptr)
+        if (m_traffic != nullptr)
         {
-            traffic_->of (frame.channel).messagesIn += 1;
-            traffic_->of (frame.channel).bytesIn += frameBytes (frame.payload);
+            m_traffic->of (frame.channel).messagesIn += 1;
+            m_traffic->of (frame.channel).bytesIn += frameBytes (frame.payload);
         }
-        if (handlers_.onFrame)
-            handlers_.onFrame (std::move (frame));
+        if (m_handlers.onFrame)
+            m_handlers.onFrame (std::move (frame));
     }
 }
 
 void FrameConnection::closeAndReport()
 {
-    if (isClosed_)
+    if (m_isClosed)
         return;
     close();
     // The handler may destroy this object, and with it the stored function.
-    const std::function<void()> onClosed = handlers_.onClosed;
+    const std::function<void()> onClosed = m_handlers.onClosed;
     if (onClosed)
         onClosed();
 }
--- a/src/wire/FrameConnection.h
+++ b/src/wire/FrameConnection.h
@@ -32,16 +32,16 @@
     /// The counters of `channel`.
     [[nodiscard]] ChannelTraffic& of (Channel channel)
     {
-        return channels_[static_cast<std::size_t> (channel) - 1];
+        return m_channels[static_cast<std::size_t> (channel) - 1];
     }
     [[nodiscard]] const ChannelTraffic& of (Channel channel) const
     {
-        return channels_[static_cast<std::size_t> (channel) - 1];
+        return m_channels[static_cast<std::size_t> (channel) - 1];
     }
 
 private:
     static constexpr std::size_t kChannels = 3;
-    std::array<ChannelTraffic, kChannels> channels_;
+    std::array<ChannelTraffic, kChannels> m_channels;
 };
 
 /// Limits of one connection.
@@ -102,15 +102,15 @@
     void closeUnlessConnected();
     void closeWhenSilent();
 
-    std::unique_ptr<QTcpSocket> socket_;
-    FrameConnectionOptions options_;
-    Handlers handlers_;
-    FrameTraffic* traffic_;
-    FrameReader reader_;
-    bool isClosed_ = false;
-    bool hasReceivedSinceWatch_ = false;
+    std::unique_ptr<QTcpSocket> m_socket;
+    FrameConnectionOptions m_options;
+    Handlers m_handlers;
+    FrameTraffic* m_traffic;
+    FrameReader m_reader;
+    bool m_isClosed = false;
+    bool m_hasReceivedSinceWatch = false;
     /// Expires with the connection, so that handlers may destroy it.
-    std::shared_ptr<bool> lifetime_ = std::make_shared<bool> (true);
+    std::shared_ptr<bool> m_lifetime = std::make_shared<bool> (true);
 };
 
 }  // namespace fernlift::wire
--- a/src/wire/FrameConnectionTest.cpp
+++ b/src/wire/FrameConnectionTest.cpp
@@ -26,10 +26,10 @@
             static char* argv[] = { name, nullptr };
             static QCoreApplication application (argc, argv);
         }
-        server_.listen (QHostAddress::LocalHost, 0);
+        m_server.listen (QHostAddress::LocalHost, 0);
     }
 
-    base::SocketAddress address() const { return { "127.0.0.1", server_.serverPort() }; }
+    base::SocketAddress address() const { return { "127.0.0.1", m_server.serverPort() }; }
 
     template <class Condition>
     bool waitFor (Condition condition)
@@ -45,13 +45,13 @@
 
     std::unique_ptr<QTcpSocket> acceptSocket()
     {
-        EXPECT_TRUE (waitFor ([&] { return server_.hasPendingConnections(); }));
-        QTcpSocket* socket = server_.nextPendingConnection();
+        EXPECT_TRUE (waitFor ([&] { return m_server.hasPendingConnections(); }));
+        QTcpSocket* socket = m_server.nextPendingConnection();
         socket->setParent (nullptr);
         return std::unique_ptr<QTcpSocket> (socket);
     }
 
-    QTcpServer server_;
+    QTcpServer m_server;
 };
 
 TEST_F (FrameConnectionTest, carriesFramesBothWaysInOrderAndCountsThem)
@@ -85,7 +85,7 @@
 TEST_F (FrameConnectionTest, closesWhenThePeerSendsSomethingElse)
 {
     QTcpSocket raw;
-    raw.connectToHost (QHostAddress::LocalHost, server_.serverPort());
+    raw.connectToHost (QHostAddress::LocalHost, m_server.serverPort());
     int closed = 0;
     FrameConnection server (acceptSocket(), {}, { {}, {}, [&] { ++closed; } }, nullptr);
     raw.write ("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -97,7 +97,7 @@
 {
     QTcpSocket raw;
     raw.setReadBufferSize (1);
-    raw.connectToHost (QHostAddress::LocalHost, server_.serverPort());
+    raw.connectToHost (QHostAddress::LocalHost, m_server.serverPort());
     int closed = 0;
     FrameConnectionOptions options;
     options.maximumUnsentBytes = 1024UL * 1024;
@@ -118,7 +118,7 @@
 TEST_F (FrameConnectionTest, reportsARefusedConnection)
 {
     const base::SocketAddress unused = address();
-    server_.close();
+    m_server.close();
     int closed = 0;
     auto client = FrameConnection::connectTo (unused, {}, { {}, {}, [&] { ++closed; } }, nullptr);
     EXPECT_TRUE (waitFor ([&] { return closed == 1; }));
