Pace the leader's work by the size of the cell and encode a change of the table once

Ruled out: the routers (0.005 cores each), memory (24 MB), the disk. Conclusion: the same work at intervals that grow with rows and routers (6 ms at 7 routers, 55 ms at 69).

--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -118,6 +118,12 @@
     RouterConnection connection = 0;
     cell::ControllerToRouter message;
 };
+/// The same message to several routers; encoded once.
+struct BroadcastToRouters
+{
+    std::vector<RouterConnection> connections;
+    cell::ControllerToRouter message;
+};
 /// POST the order to the runner; then call onOrderAnswer or onOrderFailed.
 struct SendOrder
 {
@@ -149,9 +155,9 @@
     ControlAnswer answer;
 };
 
-using Effect =
-    std::variant<PersistEffect, SendToMember, SendToRouter, SendOrder, PollRunner, PollMachineList,
-                 AnswerAdmin, AnswerControl, placement::SendEngineOrder, placement::PollEngine>;
+using Effect = std::variant<PersistEffect, SendToMember, SendToRouter, BroadcastToRouters,
+                            SendOrder, PollRunner, PollMachineList, AnswerAdmin, AnswerControl,
+                            placement::SendEngineOrder, placement::PollEngine>;
 
 /// The state machine. Single-threaded; every call may produce effects, taken by takeEffects().
 class ControllerCore
--- a/src/controller/ControllerEngines.cpp
+++ b/src/controller/ControllerEngines.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::size_t kUnknownStoreLoads = 8;
 
+/// Placement looks at every engine: it runs no more often than this for each of them.
+constexpr base::Duration kPlacementIntervalForEngine = std::chrono::microseconds (250);
+
 }  // namespace
 
 void ControllerCore::Implementation::refreshEngines()
@@ -58,9 +61,10 @@
 
 void ControllerCore::Implementation::placeOnEngines()
 {
-    if (! m_leader->isEnginePlacementDue || ! holdsLease())
+    const auto engines = static_cast<std::int64_t> (m_leader->instances.rows().size());
+    if (! holdsLease()
+        || ! m_leader->enginePlacement.takeDue (m_now, engines * kPlacementIntervalForEngine))
         return;
-    m_leader->isEnginePlacementDue = false;
     std::vector<placement::SendEngineOrder> orders;
     for (placement::EngineCommand& command : m_leader->engines.decide (m_now))
     {
@@ -75,7 +79,7 @@
     }
     if (! orders.empty())
         noteAndSend (std::move (orders));
-    m_leader->isInstanceTableDue = true;
+    m_leader->instanceTable.request();
 }
 
 void ControllerCore::Implementation::noteAndSend (std::vector<placement::SendEngineOrder> orders)
@@ -120,7 +124,7 @@
     if (! m_leader)
         return;
     m_leader->engines.onOrderAnswer (order, outcome, m_now);
-    m_leader->isEnginePlacementDue = true;
+    m_leader->enginePlacement.request();
     drain();
 }
 
@@ -137,7 +141,7 @@
     {
         m_leader->engines.onReportFailed (instance, m_now);
     }
-    m_leader->isEnginePlacementDue = true;
+    m_leader->enginePlacement.request();
     drain();
 }
 
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -24,6 +24,7 @@
 #include "controller/MemberAdmission.h"
 #include "controller/OrderNotes.h"
 #include "controller/OrderQueue.h"
+#include "controller/PacedWork.h"
 #include "controller/Reconciliation.h"
 #include "controller/RoutableTable.h"
 #include "controller/RouterSessions.h"
@@ -168,10 +169,10 @@
     InstanceTable instances;
     base::TimePoint nextHoldingsAt{};
     std::uint64_t announcedVersion = 0;  ///< Configuration last sent to all routers.
-    bool isInstanceTableDue = true;      ///< Routers may have to hear of a change of the instances.
+    PacedWork instanceTable;             ///< Routers may have to hear of a change of the instances.
     MemberAdmission admission;
     placement::EnginePlacement engines;
-    bool isEnginePlacementDue = true;
+    PacedWork enginePlacement;
 };
 
 /// Counters for /metrics.
@@ -334,6 +335,11 @@
     void proposeFor (ControlTicket ticket, const cell::Command& command);
     void sendInstancesIfDue();
     void sendInstances (RouterConnection connection, RouterSession& session);
+    /// Brings all routers up to date; those that hold the same version get the same message.
+    void sendInstancesToAll();
+    /// Neither the router nor the leader knows of an instance.
+    [[nodiscard]] bool isInstanceTableEmptyFor (const RouterSession& session) const;
+    [[nodiscard]] cell::InstanceUpdate instanceUpdateSince (std::uint64_t version) const;
     void runInstanceRoutine();
     /// Proposes what changed of runners' holdings, so that the next leader knows it.
     void noteHoldingsIfDue();
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -13,6 +13,10 @@
 /// Silence after which an instance is removed; it registers again when it is heard.
 constexpr base::Duration kHoldingsInterval = base::milliseconds (300);
 constexpr base::Duration kRemovalSilence = base::seconds (30);
+/// Changes of the table go out together, no more often than this for each router that gets them and
+/// for each row that is compared.
+constexpr base::Duration kTableIntervalForRouter = std::chrono::microseconds (600);
+constexpr base::Duration kTableIntervalForRow = std::chrono::microseconds (100);
 
 }  // namespace
 
@@ -37,9 +41,9 @@
         holdings.inMemory.insert (heartbeat.inMemory.begin(), heartbeat.inMemory.end());
         holdings.onDisk.insert (heartbeat.onDisk.begin(), heartbeat.onDisk.end());
         m_leader->engines.onHeartbeat (heartbeat.instance.id, holdings, m_now);
-        m_leader->isEnginePlacementDue = true;
+        m_leader->enginePlacement.request();
     }
-    m_leader->isInstanceTableDue = true;
+    m_leader->instanceTable.request();
     const cell::ServiceInstance* known = m_state.instances().find (heartbeat.instance.id);
     if (known == nullptr)
     {
@@ -109,7 +113,7 @@
 void ControllerCore::Implementation::finish (const ForControl& purpose, base::LogIndex /*index*/,
                                              const cell::ApplyResult& result)
 {
-    m_leader->isInstanceTableDue = true;
+    m_leader->instanceTable.request();
     ControlAnswer answer{ ControlVerdict::kDone, ownAdminAddress(), "" };
     if (const auto* outcome = std::get_if<cell::ConfigurationResult> (&result))
     {
@@ -126,14 +130,31 @@
 
 void ControllerCore::Implementation::sendInstancesIfDue()
 {
-    if (! m_leader->isInstanceTableDue || ! holdsLease())
+    const auto routers = static_cast<std::int64_t> (m_leader->sessions.sessions().size());
+    const auto rows = static_cast<std::int64_t> (m_leader->instances.rows().size());
+    const base::Duration interval = routers * kTableIntervalForRouter + rows * kTableIntervalForRow;
+    if (! holdsLease() || ! m_leader->instanceTable.takeDue (m_now, interval))
         return;
-    m_leader->isInstanceTableDue = false;
     m_leader->instances.refresh (m_state.instances(), m_now);
     refreshEngines();
+    sendInstancesToAll();
+}
+
+void ControllerCore::Implementation::sendInstancesToAll()
+{
+    const std::uint64_t present = m_leader->instances.version();
+    std::map<std::uint64_t, std::vector<RouterConnection>> behind;
     for (auto& [connection, session] : m_leader->sessions.sessions())
     {
-        sendInstances (connection, session);
+        if (session.instanceVersion == present || isInstanceTableEmptyFor (session))
+            continue;
+        behind[session.instanceVersion].push_back (connection);
+        session.instanceVersion = present;
+    }
+    for (auto& [version, connections] : behind)
+    {
+        m_effects.emplace_back (
+            BroadcastToRouters{ std::move (connections), instanceUpdateSince (version) });
     }
 }
 
@@ -142,23 +163,34 @@
 {
     if (! holdsLease() || session.instanceVersion == m_leader->instances.version())
         return;
-    const bool hasNone = session.instanceVersion == 0 && m_leader->instances.rows().empty();
-    if (hasNone)
+    if (isInstanceTableEmptyFor (session))
         return;
-    cell::InstanceUpdate update = m_leader->instances.updateSince (session.instanceVersion);
+    cell::InstanceUpdate update = instanceUpdateSince (session.instanceVersion);
+    session.instanceVersion = update.toVersion;
+    sendToRouter (connection, std::move (update));
+}
+
+bool ControllerCore::Implementation::isInstanceTableEmptyFor (const RouterSession& session) const
+{
+    return session.instanceVersion == 0 && m_leader->instances.rows().empty();
+}
+
+cell::InstanceUpdate ControllerCore::Implementation::instanceUpdateSince (
+    std::uint64_t version) const
+{
+    cell::InstanceUpdate update = m_leader->instances.updateSince (version);
     for (const consensus::Member& member : m_status.members.members)
     {
         update.controllers.push_back (member.peerAddress);
     }
     update.routers = static_cast<std::uint32_t> (m_leader->sessions.sessions().size());
-    session.instanceVersion = update.toVersion;
-    sendToRouter (connection, std::move (update));
+    return update;
 }
 
 void ControllerCore::Implementation::runInstanceRoutine()
 {
-    m_leader->isInstanceTableDue = true;
-    m_leader->isEnginePlacementDue = true;
+    m_leader->instanceTable.request();
+    m_leader->enginePlacement.request();
     sendInstancesIfDue();
     noteHoldingsIfDue();
     for (const std::string& id : m_leader->instances.silentFor (kRemovalSilence, m_now))
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -203,8 +203,11 @@
         base::Overloaded{
             [this] (const PersistEffect& persistEffect) { persist (persistEffect); },
             [this] (const SendToMember& send) { sendToMember (send); },
-            [this] (const SendToRouter& send)
-            { m_listener.sendToRouter (send.connection, send.message); },
+            [this] (const SendToRouter& send) {
+                m_listener.sendToRouters ({ &send.connection, 1 }, send.message);
+            },
+            [this] (const BroadcastToRouters& send)
+            { m_listener.sendToRouters (send.connections, send.message); },
             [this] (const SendOrder& send) { sendOrder (send); },
             [this] (const PollRunner& poll) { pollRunner (poll); },
             [this] (const PollMachineList&) { pollMachineList(); },
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -66,13 +66,13 @@
     else if (const auto* engineDemand = std::get_if<cell::EngineDemandReport> (&message))
     {
         m_leader->engines.onDemand (connection, engineDemand->demands, m_now);
-        m_leader->isEnginePlacementDue = true;
+        m_leader->enginePlacement.request();
     }
     else if (const auto* unreachable = std::get_if<cell::InstanceUnreachable> (&message))
     {
         m_leader->instances.onUnreachable (unreachable->instance, m_now);
-        m_leader->isInstanceTableDue = true;
-        m_leader->isEnginePlacementDue = true;
+        m_leader->instanceTable.request();
+        m_leader->enginePlacement.request();
     }
     else if (const auto* seen = std::get_if<cell::RunnerLeavingSeen> (&message))
     {
--- a/src/controller/PeerListener.cpp
+++ b/src/controller/PeerListener.cpp
@@ -37,15 +37,18 @@
     return base::SocketAddress{ address.host, m_server.serverPort() };
 }
 
-void PeerListener::sendToRouter (RouterConnection connection,
-                                 const cell::ControllerToRouter& message)
+void PeerListener::sendToRouters (std::span<const RouterConnection> connections,
+                                  const cell::ControllerToRouter& message)
 {
-    const auto found = m_connections.find (connection);
-    if (found == m_connections.end())
-        return;
     const std::string payload = wire::encodeMessage (message);
-    m_traffic->record (Direction::kOut, kindOf (message), payload.size());
-    found->second.frames->send (wire::Channel::kControllerToRouter, payload);
+    for (const RouterConnection connection : connections)
+    {
+        const auto found = m_connections.find (connection);
+        if (found == m_connections.end())
+            continue;
+        m_traffic->record (Direction::kOut, kindOf (message), payload.size());
+        found->second.frames->send (wire::Channel::kControllerToRouter, payload);
+    }
 }
 
 void PeerListener::acceptAll()
--- a/src/controller/PeerListener.h
+++ b/src/controller/PeerListener.h
@@ -37,7 +37,9 @@
     /// kConnectionFailed.
     base::Result<base::SocketAddress> listen (const base::SocketAddress& address);
     /// Sends to a router; does nothing when its connection is gone.
-    void sendToRouter (RouterConnection connection, const cell::ControllerToRouter& message);
+    /// Sends one message to each of the routers; connections that are gone are passed over.
+    void sendToRouters (std::span<const RouterConnection> connections,
+                        const cell::ControllerToRouter& message);
     [[nodiscard]] std::size_t openConnections() const { return m_connections.size(); }
 
 private:
--- a/src/controller/PeerTransportTest.cpp
+++ b/src/controller/PeerTransportTest.cpp
@@ -117,7 +117,7 @@
                   wire::encodeMessage (cell::RouterToController (cell::LeaseRequest{})));
     ASSERT_TRUE (runUntil ([&] { return m_routerMessages.size() == 1; }));
     const RouterConnection connection = m_routerMessages[0].first;
-    m_listener->sendToRouter (connection, cell::LeaseGrant{});
+    m_listener->sendToRouters ({ &connection, 1 }, cell::LeaseGrant{});
     ASSERT_TRUE (runUntil ([&] { return replies.size() == 1; }));
     EXPECT_EQ (replies[0], cell::ControllerToRouter (cell::LeaseGrant{}).index());
     router.reset();
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -206,6 +206,7 @@
     void carryOut (Node& node, PersistEffect effect);
     void carryOut (Node& node, SendToMember effect);
     void carryOut (Node& node, SendToRouter effect);
+    void carryOut (Node& node, const BroadcastToRouters& effect);
     void carryOut (Node& node, SendOrder effect);
     void carryOut (Node& node, PollRunner effect);
     void carryOut (Node& node, PollMachineList effect);
--- a/src/controller/TestCellTest.cpp
+++ b/src/controller/TestCellTest.cpp
@@ -270,6 +270,12 @@
               });
 }
 
+void TestCell::carryOut (Node& node, const BroadcastToRouters& effect)
+{
+    for (const RouterConnection connection : effect.connections)
+        carryOut (node, SendToRouter{ connection, effect.message });
+}
+
 void TestCell::carryOut (Node& node, SendOrder effect)
 {
     if (holdsOrdersOf == node.id)
--- a/src/sim/ControllerNode.cpp
+++ b/src/sim/ControllerNode.cpp
@@ -294,6 +294,12 @@
                       });
 }
 
+void ControllerNode::apply (const controller::BroadcastToRouters& effect)
+{
+    for (const controller::RouterConnection connection : effect.connections)
+        apply (controller::SendToRouter{ connection, effect.message });
+}
+
 /// Nobody is at the address that was called.
 void ControllerNode::failLater (const Action& onFailed)
 {
--- a/src/sim/ControllerNode.h
+++ b/src/sim/ControllerNode.h
@@ -70,6 +70,7 @@
     void apply (const controller::PersistEffect& effect);
     void apply (const controller::SendToMember& effect);
     void apply (const controller::SendToRouter& effect);
+    void apply (const controller::BroadcastToRouters& effect);
     void apply (const controller::SendOrder& effect);
     void apply (const controller::PollRunner& effect);
     void apply (const controller::PollMachineList& effect);
