Let a router that has just started work with what any controller last knew, and tell routers of a leader at once

What changed: members note what is committed with the next entries (HardState.commitIndex, storage format 2) and apply it when they start; a controller that does not lead sends its last known state to a router that has none; it keeps such routers and names the leader as soon as there is one; a router that knows its configuration only that way answers no 404 before a leader has confirmed it. Ruled out: shorter elections (a restarted member must wait out a lease that it may have confirmed).

--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -361,6 +361,10 @@
     }
 };
 
+/// Term of a table that a controller sends to a router that knows nothing yet, from the state that
+/// it last knew itself. The table of any leader replaces it.
+constexpr base::Term kTermOfLastKnownState = 0;
+
 /// Change of the table of registered runners; fromVersion 0 replaces it whole.
 struct InstanceUpdate
 {
--- a/src/consensus/Messages.h
+++ b/src/consensus/Messages.h
@@ -78,12 +78,15 @@
 {
     Term term = 0;
     MemberId votedFor = 0;  ///< 0: none in this term.
+    /// At least this much of the log was committed when this was written. A member that starts
+    /// again knows its state up to there without a leader.
+    LogIndex commitIndex = 0;
 
     bool operator== (const HardState&) const = default;
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
-        archive& term& votedFor;
+        archive& term& votedFor& commitIndex;
     }
 };
 
--- a/src/consensus/PersistQueue.cpp
+++ b/src/consensus/PersistQueue.cpp
@@ -12,6 +12,14 @@
     m_hardStateSequence = m_lastSequence;
 }
 
+bool PersistQueue::noteCommitted (const HardState& hardState)
+{
+    if (m_untaken.empty() || m_untaken.back().entries.empty())
+        return false;
+    m_untaken.back().hardState = hardState;
+    return true;
+}
+
 void PersistQueue::truncateFrom (LogIndex index)
 {
     const PersistRequest& open = openRequest();
--- a/src/consensus/PersistQueue.h
+++ b/src/consensus/PersistQueue.h
@@ -26,6 +26,9 @@
     explicit PersistQueue (LogIndex stableIndex) : m_stableIndex (stableIndex) {}
 
     void setHardState (const HardState& hardState);
+    /// Adds the latest hard state to the last write that was not taken and has entries, so that it
+    /// names what is committed; costs no write of its own. False when there is no such write.
+    bool noteCommitted (const HardState& hardState);
     /// Drops stored entries with index >= `index`.
     void truncateFrom (LogIndex index);
     void append (const Entry& entry);
--- a/src/consensus/RaftImplementation.cpp
+++ b/src/consensus/RaftImplementation.cpp
@@ -7,6 +7,13 @@
 
 namespace fernlift::consensus
 {
+namespace
+{
+
+/// What is committed is written down with the next entries, or after this time without any.
+constexpr base::Duration kCommitNoteDelay = base::seconds (1);
+
+}  // namespace
 
 RaftNode::Implementation::Implementation (MemberId self, RaftOptions options,
                                           RecoveredState recovered, std::uint64_t randomSeed,
@@ -18,12 +25,14 @@
              std::move (recovered.initialMembers)),
       m_persist (m_log.lastIndex()),
       m_hardState (recovered.hardState),
-      m_commitIndex (m_log.snapshot().lastIndex),
-      m_appliedIndex (m_commitIndex),
+      m_commitIndex (std::max (m_log.snapshot().lastIndex,
+                               std::min (m_hardState.commitIndex, m_log.lastIndex()))),
+      m_appliedIndex (m_log.snapshot().lastIndex),
+      m_notedCommitIndex (m_commitIndex),
       m_now (now),
       m_leaderHeardAt (now)
 {
-    if (m_commitIndex > 0)
+    if (m_appliedIndex > 0)
         m_installedSnapshot = m_log.snapshot();
     resetElectionTimer();
 }
@@ -41,6 +50,7 @@
     observe (now);
     if (m_hasStorageFailed)
         return;
+    noteCommitIfDue();
     if (isLeader())
     {
         leaderTick();
@@ -107,6 +117,9 @@
     RaftOutput output;
     if (isLeader())
         replicate();
+    m_hardState.commitIndex = m_commitIndex;
+    if (m_persist.noteCommitted (m_hardState))
+        m_notedCommitIndex = m_commitIndex;
     output.writes = m_persist.take();
     output.messages = std::exchange (m_messages, {});
     output.installedSnapshot = std::exchange (m_installedSnapshot, std::nullopt);
@@ -168,10 +181,10 @@
 
 void RaftNode::Implementation::setHardState (Term term, MemberId votedFor)
 {
-    const HardState changed{ term, votedFor };
-    if (changed == m_hardState)
+    if (term == m_hardState.term && votedFor == m_hardState.votedFor)
         return;
-    m_hardState = changed;
+    m_hardState = { term, votedFor, m_commitIndex };
+    m_notedCommitIndex = m_commitIndex;
     m_persist.setHardState (m_hardState);
 }
 
@@ -198,7 +211,20 @@
 
 void RaftNode::Implementation::advanceCommit (LogIndex index)
 {
-    m_commitIndex = std::max (m_commitIndex, std::min (index, m_log.lastIndex()));
+    const LogIndex reached = std::max (m_commitIndex, std::min (index, m_log.lastIndex()));
+    if (reached == m_commitIndex)
+        return;
+    m_commitIndex = reached;
+    m_commitNoteDueAt = m_now + kCommitNoteDelay;
+}
+
+void RaftNode::Implementation::noteCommitIfDue()
+{
+    if (m_notedCommitIndex == m_commitIndex || m_now < m_commitNoteDueAt)
+        return;
+    m_notedCommitIndex = m_commitIndex;
+    m_hardState.commitIndex = m_commitIndex;
+    m_persist.setHardState (m_hardState);
 }
 
 base::Result<void> RaftNode::Implementation::requireLeader() const
--- a/src/consensus/RaftImplementation.h
+++ b/src/consensus/RaftImplementation.h
@@ -74,6 +74,8 @@
     void becomeFollower (Term term, MemberId leader);
     void appendToLog (EntryKind kind, std::string data);
     void advanceCommit (LogIndex index);
+    /// Writes down what is committed when no entry has done so for a while.
+    void noteCommitIfDue();
     [[nodiscard]] base::Result<void> requireLeader() const;
     void dispatch (const Message& message);
     /// A reply of a member that this one would not ask: it was removed, perhaps with a later term.
@@ -140,7 +142,9 @@
     MemberId m_leader = 0;            ///< Leader of the present term; 0 until it is heard.
     LogIndex m_commitIndex = 0;       ///< Never goes back; at least m_log.snapshot().lastIndex.
     LogIndex m_appliedIndex = 0;      ///< Handed over for applying; never beyond m_commitIndex.
-    bool m_hasStorageFailed = false;  ///< For good: from then on this member is silent.
+    LogIndex m_notedCommitIndex = 0;  ///< On its way to disk or there; never beyond m_commitIndex.
+    base::TimePoint m_commitNoteDueAt{};  ///< While something is committed that is not noted.
+    bool m_hasStorageFailed = false;      ///< For good: from then on this member is silent.
 
     base::TimePoint m_now;               ///< Latest time seen; never goes back.
     base::TimePoint m_leaderHeardAt;     ///< Or the start: promises made before it are not known.
--- a/src/consensus/RaftNodeTest.cpp
+++ b/src/consensus/RaftNodeTest.cpp
@@ -9,6 +9,7 @@
 
 #include "consensus/Membership.h"
 #include "consensus/RaftNode.h"
+#include "consensus/RaftTestSupport.h"
 
 namespace fernlift::consensus
 {
@@ -224,6 +225,53 @@
     EXPECT_FALSE (std::get<VoteReply> (output.messages[0].payload).granted);
 }
 
+TEST_F (RaftNodeTest, ARestartedMemberAppliesWhatItKnewToBeCommittedWithoutALeader)
+{
+    const RecoveredState state = recoveredLog ({ 5, 2, 2 }, { 4, 4, 5 });
+    start (1, voters (3), state);
+    const RaftOutput output = node (1).takeOutput();
+    ASSERT_EQ (output.committed.size(), 2U);
+    EXPECT_EQ (output.committed.back().index, 2U);
+}
+
+TEST_F (RaftNodeTest, ANoteOfWhatIsCommittedNeverReachesBeyondTheLog)
+{
+    const RecoveredState state = recoveredLog ({ 5, 2, 9 }, { 4, 4, 5 });
+    start (1, voters (3), state);
+    EXPECT_EQ (node (1).takeOutput().committed.size(), 3U);
+}
+
+TEST_F (RaftNodeTest, TheNextEntriesNoteWhatIsCommitted)
+{
+    start (1, voters (3));
+    const Entry first{ 1, 1, EntryKind::kCommand, "a" };
+    const Entry second{ 2, 1, EntryKind::kCommand, "b" };
+    node (1).receive ({ 2, 1, 1, AppendRequest{ 0, 0, 0, 1, { first } } }, m_now);
+    node (1).onPersisted (node (1).takeOutput().writes.back().sequence, m_now);
+    node (1).receive ({ 2, 1, 1, AppendRequest{ 1, 1, 1, 2, { second } } }, m_now);
+    const RaftOutput output = node (1).takeOutput();
+    ASSERT_EQ (output.writes.size(), 1U);
+    ASSERT_TRUE (output.writes[0].hardState);
+    EXPECT_EQ (output.writes[0].hardState->commitIndex, 1U);
+    EXPECT_EQ (output.writes[0].hardState->term, 1U);
+}
+
+TEST_F (RaftNodeTest, WhatIsCommittedIsNotedAfterAWhileWithoutEntries)
+{
+    start (1, voters (3));
+    const Entry first{ 1, 1, EntryKind::kCommand, "a" };
+    node (1).receive ({ 2, 1, 1, AppendRequest{ 0, 0, 0, 1, { first } } }, m_now);
+    node (1).onPersisted (node (1).takeOutput().writes.back().sequence, m_now);
+    node (1).receive ({ 2, 1, 1, AppendRequest{ 1, 1, 1, 2, {} } }, m_now);
+    EXPECT_TRUE (node (1).takeOutput().writes.empty()) << "not at once: entries may follow";
+    m_now += milliseconds (1100);
+    node (1).receive ({ 2, 1, 1, AppendRequest{ 1, 1, 1, 3, {} } }, m_now);
+    node (1).tick (m_now);
+    const RaftOutput output = node (1).takeOutput();
+    ASSERT_EQ (output.writes.size(), 1U);
+    EXPECT_EQ (output.writes[0].hardState->commitIndex, 1U);
+}
+
 TEST_F (RaftNodeTest, AMemberThatHeardALeaderOrJustStartedRefusesToVote)
 {
     start (1, voters (3));
--- a/src/controller/ControlRequestsTest.cpp
+++ b/src/controller/ControlRequestsTest.cpp
@@ -115,6 +115,69 @@
     EXPECT_EQ (m_cell.router (0).configurationVersion, 7U);
 }
 
+TEST_F (ControlRequestsTest, ARouterThatKnowsNothingWorksWithTheLastKnownStateUntilThereIsALeader)
+{
+    ask (ReplaceConfiguration{ "5 a" });
+    ask (heartbeatOf ("i-1", 1));
+    m_cell.run (base::milliseconds (1500));
+    for (const base::MemberId member : { 1U, 2U, 3U })
+        m_cell.kill (member);
+    m_cell.router (0).configurationVersion = 0;
+    m_cell.router (0).instances.clear();
+    m_cell.restart (1);  // Alone it leads nobody.
+    m_cell.reconnect (0, 1);
+    m_cell.run (base::milliseconds (50));
+    EXPECT_EQ (m_cell.leader(), 0U);
+    EXPECT_EQ (m_cell.router (0).configurationVersion, 5U);
+    EXPECT_TRUE (m_cell.router (0).instances.contains ("i-1"));
+}
+
+TEST_F (ControlRequestsTest, ARouterWithAConfigurationGetsNoneFromAFollower)
+{
+    ask (ReplaceConfiguration{ "5 a" });
+    m_cell.run (base::milliseconds (200));
+    m_cell.cut (follower(), true);
+    ask (ReplaceConfiguration{ "6 b" });
+    m_cell.run (base::milliseconds (200));
+    ASSERT_EQ (m_cell.router (0).configurationVersion, 6U);
+    m_cell.reconnect (0, follower());
+    m_cell.run (base::milliseconds (200));
+    EXPECT_EQ (m_cell.router (0).regressions, 0U);
+}
+
+TEST_F (ControlRequestsTest, AFollowerTellsWaitingRoutersOfTheLeaderAsSoonAsThereIsOne)
+{
+    for (const base::MemberId member : { 1U, 2U, 3U })
+        m_cell.kill (member);
+    m_cell.restart (1);
+    std::vector<std::string> leaders;
+    ControllerCore& core = m_cell.core (1);
+    core.setTime (m_cell.now(), 0);
+    cell::RouterHello hello;
+    hello.router = base::RouterId ("r");
+    hello.cell = base::CellId ("c");
+    core.onRouterMessage (77, hello);
+    const auto note = [&]
+    {
+        for (const Effect& effect : core.takeEffects())
+        {
+            const auto* sent = std::get_if<SendToRouter> (&effect);
+            if (sent == nullptr || sent->connection != 77)
+                continue;
+            if (const auto* reply = std::get_if<cell::NotLeaderReply> (&sent->message))
+                leaders.push_back (reply->leaderAddress);
+        }
+    };
+    note();
+    EXPECT_EQ (leaders, std::vector<std::string>{ "" });
+    leaders.clear();
+    const consensus::AppendRequest heartbeat{ 0, 0, 0, 1, {} };
+    core.onMemberMessage ({ 2, 1, 99, heartbeat });
+    note();
+    ASSERT_EQ (leaders.size(), 1U);
+    EXPECT_FALSE (leaders[0].empty());
+}
+
 TEST_F (ControlRequestsTest, NothingIsReadBeforeThereIsAConfiguration)
 {
     EXPECT_EQ (ask (ReadConfiguration{}), ControlVerdict::kUnavailable);
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -335,11 +335,19 @@
 void ControllerCore::Implementation::updateLeadership()
 {
     m_status = m_raft.status (m_now);
+    const bool isLeaderNews = m_status.leader != m_toldLeader;
     const bool isLeader = m_status.role == consensus::Role::kLeader;
     if (m_leader && (! isLeader || m_leader->term != m_status.term))
         endLeadership();
     if (! m_leader && isLeader && holdsLease())
         beginLeadership();
+    // A leader is worth calling once it may answer.
+    const bool mayBeCalled = ! isLeader || m_leader.has_value();
+    if (! isLeaderNews || ! mayBeCalled)
+        return;
+    m_toldLeader = m_status.leader;
+    if (m_toldLeader != 0)
+        tellWatchers();
 }
 
 void ControllerCore::Implementation::beginLeadership()
@@ -384,6 +392,7 @@
     }
     for (const auto& [connection, session] : m_leader->sessions.sessions())
     {
+        m_watchers.insert (connection);
         replyNotLeader (connection);
     }
     m_leader.reset();
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -334,6 +334,13 @@
     void control (ControlTicket ticket, const ReadConfiguration& request);
     void proposeFor (ControlTicket ticket, const cell::Command& command);
     void sendInstancesIfDue();
+    /// Keeps a router that came while another member leads, or none, to tell it of the leader.
+    void admitWatcher (RouterConnection connection, const cell::RouterHello& hello);
+    /// Sends what this member has applied: a router that has just started may work with it until it
+    /// has found the leader.
+    void sendLastKnownState (RouterConnection connection);
+    /// Tells all watchers who leads.
+    void tellWatchers();
     void sendInstances (RouterConnection connection, RouterSession& session);
     /// Brings all routers up to date; those that hold the same version get the same message.
     void sendInstancesToAll();
@@ -367,6 +374,9 @@
     consensus::RaftNode m_raft;
     consensus::RaftStatus m_status;  ///< As of the last drain.
     std::optional<Leadership> m_leader;
+    /// Connections of routers that this member does not lead; they are told when a leader is known.
+    std::set<RouterConnection> m_watchers;
+    base::MemberId m_toldLeader = 0;  ///< That watchers were told of last; 0: none.
     OrderNotes m_orderNotes;
     std::vector<Effect> m_effects;
     SnapshotSchedule m_snapshots{ m_options.entriesBetweenSnapshots };
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -26,6 +26,9 @@
 {
     if (! m_leader)
     {
+        const auto* hello = std::get_if<cell::RouterHello> (&message);
+        if (hello != nullptr && hello->cell == m_options.cell)
+            admitWatcher (connection, *hello);
         replyNotLeader (connection);
         return;
     }
@@ -97,8 +100,42 @@
     }
 }
 
+void ControllerCore::Implementation::admitWatcher (RouterConnection connection,
+                                                   const cell::RouterHello& hello)
+{
+    m_watchers.insert (connection);
+    if (hello.configurationVersion == 0)
+        sendLastKnownState (connection);
+}
+
+void ControllerCore::Implementation::sendLastKnownState (RouterConnection connection)
+{
+    const cell::ConfigurationIdentity& known = m_state.configuration().identity();
+    if (known.version == 0)
+        return;
+    cell::ConfigurationUpdate configuration;
+    configuration.version = known.version;
+    configuration.digest = known.digest;
+    configuration.text = m_state.configuration().text();
+    sendToRouter (connection, std::move (configuration));
+    cell::InstanceUpdate instances;
+    instances.term = cell::kTermOfLastKnownState;
+    instances.toVersion = 1;
+    for (const auto& [id, instance] : m_state.instances().all())
+        instances.upserts.push_back ({ instance, false });
+    if (! instances.upserts.empty())
+        sendToRouter (connection, std::move (instances));
+}
+
+void ControllerCore::Implementation::tellWatchers()
+{
+    for (const RouterConnection connection : m_watchers)
+        replyNotLeader (connection);
+}
+
 void ControllerCore::Implementation::onRouterGone (RouterConnection connection)
 {
+    m_watchers.erase (connection);
     if (! m_leader)
         return;
     m_leader->sessions.close (connection);
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -64,7 +64,9 @@
 bool Exchange::findRoute()
 {
     m_routes = m_context.routes;
-    if (! m_routes)
+    m_route =
+        m_routes ? m_routes->find (m_request.headers.value ("Host"), m_request.path()) : nullptr;
+    if (m_route == nullptr && ! m_context.areRoutesConfirmed)
     {
         // A router that has just started hears of the configuration in a moment.
         m_isWaitingForRoutes = true;
@@ -73,7 +75,6 @@
         return false;
     }
     m_isWaitingForRoutes = false;
-    m_route = m_routes->find (m_request.headers.value ("Host"), m_request.path());
     if (m_route == nullptr)
     {
         sendError ({ ErrorKind::kNotFound, "no route leads there" }, std::nullopt);
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -216,6 +216,7 @@
     caller.write (ProxyFixture::request ("nowhere.test"));
     ASSERT_TRUE (caller.waitFor ("HTTP/1.1 404"));
     proxy.context.routes = nullptr;
+    proxy.context.areRoutesConfirmed = false;
     RawCaller second (proxy.listening);
     second.write (ProxyFixture::request ("app.test"));
     ASSERT_TRUE (second.waitFor ("HTTP/1.1 503"));
@@ -225,6 +226,7 @@
 {
     proxy.addRunner ("i-1", runner);
     const auto routes = std::exchange (proxy.context.routes, nullptr);
+    proxy.context.areRoutesConfirmed = false;
     RawCaller caller (proxy.listening);
     caller.write (ProxyFixture::request ("once.test"));
     runFor (std::chrono::milliseconds (50));
@@ -236,6 +238,29 @@
     EXPECT_TRUE (caller.waitFor ("hello"));
 }
 
+TEST_F (ExchangeTest, AKnownRouteIsServedBeforeALeaderConfirmsTheConfiguration)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.context.areRoutesConfirmed = false;
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (kAnswer);
+    EXPECT_TRUE (caller.waitFor ("hello"));
+}
+
+TEST_F (ExchangeTest, AnUnknownRouteIsNoAnswerBeforeALeaderConfirmsTheConfiguration)
+{
+    proxy.context.areRoutesConfirmed = false;
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("nowhere.test"));
+    runFor (std::chrono::milliseconds (50));
+    EXPECT_EQ (caller.received(), "");
+    proxy.context.areRoutesConfirmed = true;
+    proxy.server.onDirectoryChanged();
+    EXPECT_TRUE (caller.waitFor ("HTTP/1.1 404"));
+}
+
 TEST_F (ExchangeTest, AnUnreachableRunnerCostsNoAttempt)
 {
     auto gone = std::make_unique<StubRunner>();
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -43,6 +43,9 @@
     ProxyCounters& counters;
     std::function<void()> onUrgentDemand;      ///< A request began to wait.
     std::shared_ptr<const RouteTable> routes;  ///< Null before the first configuration.
+    /// A leader has confirmed the configuration, or a newer one, since the router started. Before
+    /// that a route that is missing may only be missing here.
+    bool areRoutesConfirmed = false;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -153,6 +153,7 @@
     {
         m_session.onGrant (*grant);
         noteController (true);
+        confirmRoutes (*grant);
     }
     else if (const auto* configuration = std::get_if<cell::ConfigurationUpdate> (&message))
     {
@@ -164,6 +165,15 @@
     }
 }
 
+void ProxyProcess::confirmRoutes (const cell::LeaseGrant& grant)
+{
+    const bool isCurrent = m_held.version >= grant.configurationVersion;
+    if (m_context.areRoutesConfirmed || ! isCurrent)
+        return;
+    m_context.areRoutesConfirmed = true;
+    m_server.onDirectoryChanged();
+}
+
 void ProxyProcess::takeConfiguration (const cell::ConfigurationUpdate& update)
 {
     if (update.version <= m_held.version)
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -51,6 +51,7 @@
     void connectController (const std::string& address);
     void sendHello();
     void onControllerMessage (const cell::ControllerToRouter& message);
+    void confirmRoutes (const cell::LeaseGrant& grant);
     void takeConfiguration (const cell::ConfigurationUpdate& update);
     void takeInstances (const cell::InstanceUpdate& update);
     void pollController();
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -105,6 +105,7 @@
     {
         http::test::application();
         context.routes = std::make_shared<const RouteTable> (1, catalogue());
+        context.areRoutesConfirmed = true;
         listening = base::handleErrors (
             [&] {
                 return server.listen ({ "127.0.0.1", 0 });
--- a/src/router/ControllerSession.cpp
+++ b/src/router/ControllerSession.cpp
@@ -9,7 +9,9 @@
 {
 
 /// How long an opened connection may take before another address is tried.
-constexpr base::Duration kConnectLimit = base::seconds (1);
+constexpr base::Duration kConnectLimit = base::milliseconds (400);
+/// A controller that knows no leader may be cut off from it: another one is asked after this.
+constexpr base::Duration kLeaderNewsLimit = base::milliseconds (400);
 /// Waits before the next connection, so that a cell without a leader is not flooded.
 constexpr base::Duration kRedirectDelay = base::milliseconds (10);
 constexpr base::Duration kShortestDelay = base::milliseconds (50);
@@ -47,9 +49,10 @@
 void ControllerSession::onNotLeader (const cell::NotLeaderReply& reply, base::TimePoint now,
                                      base::Random& random)
 {
-    const bool knowsLeader = ! reply.leaderAddress.empty();
-    scheduleConnect (now + (knowsLeader ? kRedirectDelay : randomDelay (random)),
-                     reply.leaderAddress);
+    if (reply.leaderAddress.empty())
+        scheduleConnect (now + kLeaderNewsLimit + randomDelay (random), "");
+    else
+        scheduleConnect (now + kRedirectDelay, reply.leaderAddress);
 }
 
 void ControllerSession::onGrant (const cell::LeaseGrant& grant)
--- a/src/router/ControllerSession.h
+++ b/src/router/ControllerSession.h
@@ -25,6 +25,8 @@
 
     void onConnected (base::TimePoint now);
     void onLost (base::TimePoint now, base::Random& random);
+    /// Goes to the leader that the controller names. One that knows none is kept for a moment: it
+    /// sends another reply as soon as it knows.
     void onNotLeader (const cell::NotLeaderReply& reply, base::TimePoint now, base::Random& random);
     void onGrant (const cell::LeaseGrant& grant);
     /// The next call of `poll` asks for a lease, for example because the replica table has a gap.
--- /dev/null
+++ b/src/router/ControllerSessionTest.cpp
@@ -0,0 +1,71 @@
+#include <gtest/gtest.h>
+
+#include "router/ControllerSession.h"
+
+namespace fernlift::router
+{
+namespace
+{
+
+using base::milliseconds;
+
+class ControllerSessionTest : public ::testing::Test
+{
+protected:
+    /// Address of the connection that is due; none when none is.
+    std::optional<std::string> connectionDue()
+    {
+        const auto due = m_session.poll (m_now);
+        if (! due || ! std::holds_alternative<ConnectController> (*due))
+            return std::nullopt;
+        return std::get<ConnectController> (*due).address;
+    }
+    void connect()
+    {
+        ASSERT_TRUE (connectionDue());
+        m_session.onConnected (m_now);
+    }
+
+    base::TimePoint m_now{ base::seconds (1) };
+    base::Random m_random{ 1 };
+    ControllerSession m_session{ m_now };
+};
+
+TEST_F (ControllerSessionTest, GoesToTheLeaderThatAFollowerNames)
+{
+    connect();
+    m_session.onNotLeader ({ "10.0.0.2:7" }, m_now, m_random);
+    m_now += milliseconds (10);
+    EXPECT_EQ (connectionDue(), "10.0.0.2:7");
+}
+
+TEST_F (ControllerSessionTest, StaysForAWhileAtAControllerThatKnowsNoLeader)
+{
+    connect();
+    m_session.onNotLeader ({ "" }, m_now, m_random);
+    m_now += milliseconds (300);
+    EXPECT_EQ (connectionDue(), std::nullopt) << "it tells as soon as it knows";
+    m_session.onNotLeader ({ "10.0.0.3:7" }, m_now, m_random);
+    m_now += milliseconds (10);
+    EXPECT_EQ (connectionDue(), "10.0.0.3:7");
+}
+
+TEST_F (ControllerSessionTest, AsksAnotherControllerWhenTheFirstOneLearnsOfNoLeader)
+{
+    connect();
+    m_session.onNotLeader ({ "" }, m_now, m_random);
+    m_now += milliseconds (600);
+    EXPECT_EQ (connectionDue(), "");
+}
+
+TEST_F (ControllerSessionTest, GivesUpAConnectionThatDoesNotComeUp)
+{
+    ASSERT_TRUE (connectionDue());
+    m_now += milliseconds (399);
+    EXPECT_EQ (connectionDue(), std::nullopt);
+    m_now += milliseconds (1);
+    EXPECT_EQ (connectionDue(), "");
+}
+
+}  // namespace
+}  // namespace fernlift::router
--- a/src/storage/Record.h
+++ b/src/storage/Record.h
@@ -13,7 +13,7 @@
 {
 
 /// Version of the format of all files in the data folder.
-constexpr std::uint32_t kFormatVersion = 1;
+constexpr std::uint32_t kFormatVersion = 2;
 
 /// What a record is.
 enum class RecordKind : std::uint32_t
