--- a/src/consensus/RaftImplementation.cpp
+++ b/src/consensus/RaftImplementation.cpp
@@ -131,16 +131,23 @@
     return output;
 }
 
+RaftSummary RaftNode::Implementation::summary() const
+{
+    RaftSummary summary;
+    summary.self = m_self;
+    summary.role = m_role;
+    summary.term = m_hardState.term;
+    summary.leader = m_leader;
+    summary.commitIndex = m_commitIndex;
+    summary.appliedIndex = m_appliedIndex;
+    summary.lastIndex = m_log.lastIndex();
+    return summary;
+}
+
 RaftStatus RaftNode::Implementation::status (base::TimePoint now) const
 {
     RaftStatus status;
-    status.self = m_self;
-    status.role = m_role;
-    status.term = m_hardState.term;
-    status.leader = m_leader;
-    status.commitIndex = m_commitIndex;
-    status.appliedIndex = m_appliedIndex;
-    status.lastIndex = m_log.lastIndex();
+    static_cast<RaftSummary&> (status) = summary();
     status.members = m_log.members();
     for (const auto& [id, replication] : m_replications)
     {
--- a/src/consensus/RaftImplementation.h
+++ b/src/consensus/RaftImplementation.h
@@ -52,6 +52,8 @@
     void compact (LogIndex appliedIndex, std::string stateMachineData);
     RaftOutput takeOutput();
     [[nodiscard]] RaftStatus status (base::TimePoint now) const;
+    [[nodiscard]] RaftSummary summary() const;
+    [[nodiscard]] const MemberSet& members() const { return m_log.members(); }
 
 private:
     /// A planned hand-over of leadership.
--- a/src/consensus/RaftNode.cpp
+++ b/src/consensus/RaftNode.cpp
@@ -56,5 +56,7 @@
 RaftOutput RaftNode::takeOutput() { return m_implementation->takeOutput(); }
 
 RaftStatus RaftNode::status (base::TimePoint now) const { return m_implementation->status (now); }
+RaftSummary RaftNode::summary() const { return m_implementation->summary(); }
+const MemberSet& RaftNode::members() const { return m_implementation->members(); }
 
 }  // namespace fernlift::consensus
--- a/src/consensus/RaftNode.h
+++ b/src/consensus/RaftNode.h
@@ -101,7 +101,8 @@
     bool isReceivingSnapshot = false;
 };
 
-struct RaftStatus
+/// Where one member stands; cheap to take.
+struct RaftSummary
 {
     MemberId self = 0;
     Role role = Role::kFollower;
@@ -110,6 +111,11 @@
     LogIndex commitIndex = 0;
     LogIndex appliedIndex = 0;
     LogIndex lastIndex = 0;
+};
+
+/// The same with all members and, at the leader, their progress.
+struct RaftStatus : RaftSummary
+{
     MemberSet members;
     std::vector<MemberProgress> progress;  ///< Leader only.
 };
@@ -152,6 +158,9 @@
     /// Takes the pending output.
     [[nodiscard]] RaftOutput takeOutput();
     [[nodiscard]] RaftStatus status (base::TimePoint now) const;
+    [[nodiscard]] RaftSummary summary() const;
+    /// The members as the log names them last; valid until the next call that may change the log.
+    [[nodiscard]] const MemberSet& members() const;
 
 private:
     class Implementation;
--- a/src/controller/ControllerAdmin.cpp
+++ b/src/controller/ControllerAdmin.cpp
@@ -19,7 +19,7 @@
 {
     if (! m_leader)
     {
-        answer (ticket, notLeaderAnswer (m_status));
+        answer (ticket, notLeaderAnswer (m_raft.status (m_now)));
         return;
     }
     const config::CatalogueOutcome parsed = m_options.catalogueParser (request.text);
@@ -42,7 +42,7 @@
     command.proposedAt = cellTime();
     const ForApply purpose{ ticket, request.waitInForce, m_now + request.timeout };
     if (! propose (command, purpose))
-        answer (ticket, notLeaderAnswer (m_status));
+        answer (ticket, notLeaderAnswer (m_raft.status (m_now)));
 }
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminStatus& /*request*/)
@@ -57,7 +57,7 @@
         (m_leader && holdsLease()) || m_options.plantedFault == cell::PlantedFault::kStaleRead;
     if (! mayRead)
     {
-        answer (ticket, notLeaderAnswer (m_status));
+        answer (ticket, notLeaderAnswer (m_raft.status (m_now)));
         return;
     }
     const consensus::RaftStatus status = m_raft.status (m_now);
@@ -71,7 +71,7 @@
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminAddMember& request)
 {
-    consensus::MemberSet members = m_status.members;
+    consensus::MemberSet members = m_raft.members();
     const bool isKnown = std::any_of (members.members.begin(), members.members.end(),
                                       [&] (const consensus::Member& member)
                                       { return member.id == request.member.id; });
@@ -89,7 +89,7 @@
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminPromoteMember& request)
 {
-    consensus::MemberSet members = m_status.members;
+    consensus::MemberSet members = m_raft.members();
     const auto found = std::ranges::find (members.members, request.id, &consensus::Member::id);
     if (found == members.members.end())
     {
@@ -103,7 +103,7 @@
 
 void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminRemoveMember& request)
 {
-    consensus::MemberSet members = m_status.members;
+    consensus::MemberSet members = m_raft.members();
     std::erase_if (members.members,
                    [&] (const consensus::Member& member) { return member.id == request.id; });
     changeMembers (ticket, std::move (members));
@@ -114,13 +114,13 @@
 {
     if (! m_leader)
     {
-        answer (ticket, notLeaderAnswer (m_status));
+        answer (ticket, notLeaderAnswer (m_raft.status (m_now)));
         return;
     }
     base::handleErrors (
         [&]() -> base::Result<void>
         {
-            if (members == m_status.members)
+            if (members == m_raft.members())
             {
                 // An equal change may not be committed yet: an answer now could be untrue later.
                 if (! holdsLease() || isMembersChangePending())
@@ -148,7 +148,7 @@
 {
     if (! m_leader)
     {
-        answer (ticket, notLeaderAnswer (m_status));
+        answer (ticket, notLeaderAnswer (m_raft.status (m_now)));
         return;
     }
     if (m_state.replicas().findRunner (request.runner) == nullptr)
@@ -159,7 +159,7 @@
     }
     const cell::SetDraining command{ request.runner, request.isDraining, cellTime() };
     if (! propose (command, ForDrain{ ticket }))
-        answer (ticket, notLeaderAnswer (m_status));
+        answer (ticket, notLeaderAnswer (m_raft.status (m_now)));
 }
 
 void ControllerCore::Implementation::answer (AdminTicket ticket, AdminAnswer answer)
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -1,6 +1,7 @@
 #include "controller/ControllerCore.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include "controller/ControllerImplementation.h"
@@ -136,11 +137,11 @@
 
 void ControllerCore::Implementation::sendToMember (consensus::Message message)
 {
-    m_status = m_raft.status (m_now);
-    for (const auto* members : { &m_status.members.members, &m_options.contacts })
+    for (const std::span<const consensus::Member> members :
+         { std::span (m_raft.members().members), std::span (std::as_const (m_options.contacts)) })
     {
-        const auto found = std::ranges::find (*members, message.to, &consensus::Member::id);
-        if (found == members->end())
+        const auto found = std::ranges::find (members, message.to, &consensus::Member::id);
+        if (found == members.end())
             continue;
         m_effects.emplace_back (SendToMember{ std::move (message), found->peerAddress });
         return;
@@ -154,9 +155,10 @@
 void ControllerCore::Implementation::sendToUnknownMember (const consensus::Message& message)
 {
     std::set<std::string> addresses;
-    for (const auto* members : { &m_status.members.members, &m_options.contacts })
+    for (const std::span<const consensus::Member> members :
+         { std::span (m_raft.members().members), std::span (std::as_const (m_options.contacts)) })
     {
-        for (const consensus::Member& member : *members)
+        for (const consensus::Member& member : members)
         {
             if (member.id != m_self)
                 addresses.insert (member.peerAddress);
@@ -334,7 +336,7 @@
 
 void ControllerCore::Implementation::updateLeadership()
 {
-    m_status = m_raft.status (m_now);
+    m_status = m_raft.summary();
     const bool isLeaderNews = m_status.leader != m_toldLeader;
     const bool isLeader = m_status.role == consensus::Role::kLeader;
     if (m_leader && (! isLeader || m_leader->term != m_status.term))
@@ -453,7 +455,7 @@
 {
     if (! m_isStopping)
         return false;
-    const bool isAlone = m_status.members.members.size() <= 1;
+    const bool isAlone = m_raft.members().members.size() <= 1;
     return m_status.role != consensus::Role::kLeader || isAlone || m_now >= m_stopDeadline;
 }
 
@@ -548,6 +550,10 @@
 bool ControllerCore::isStopped() const { return m_implementation->isStopped(); }
 std::vector<Effect> ControllerCore::takeEffects() { return m_implementation->takeEffects(); }
 consensus::RaftStatus ControllerCore::raftStatus() const { return m_implementation->raftStatus(); }
+consensus::RaftSummary ControllerCore::raftSummary() const
+{
+    return m_implementation->raftSummary();
+}
 bool ControllerCore::holdsLease() const { return m_implementation->holdsLease(); }
 const cell::CellState& ControllerCore::state() const { return m_implementation->state(); }
 std::string ControllerCore::metricsText() const { return m_implementation->metricsText(); }
--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -206,6 +206,7 @@
 
     [[nodiscard]] std::vector<Effect> takeEffects();
     [[nodiscard]] consensus::RaftStatus raftStatus() const;
+    [[nodiscard]] consensus::RaftSummary raftSummary() const;
     /// Whether this controller leads and holds the leader's lease at the time set last.
     [[nodiscard]] bool holdsLease() const;
     /// The replicated state as applied so far.
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -230,6 +230,7 @@
 
     [[nodiscard]] std::vector<Effect> takeEffects();
     [[nodiscard]] consensus::RaftStatus raftStatus() const { return m_raft.status (m_now); }
+    [[nodiscard]] consensus::RaftSummary raftSummary() const { return m_raft.summary(); }
     [[nodiscard]] bool holdsLease() const { return m_raft.holdsLease (m_now); }
     [[nodiscard]] const cell::CellState& state() const { return m_state; }
     [[nodiscard]] std::string metricsText() const;
@@ -372,7 +373,7 @@
     base::UnixMilliseconds m_unixNow;
     cell::CellState m_state;
     consensus::RaftNode m_raft;
-    consensus::RaftStatus m_status;  ///< As of the last drain.
+    consensus::RaftSummary m_status;  ///< As of the last drain.
     std::optional<Leadership> m_leader;
     /// Connections of routers that this member does not lead; they are told when a leader is known.
     std::set<RouterConnection> m_watchers;
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -27,8 +27,8 @@
         answerNotLeader (ticket);
         return;
     }
+    // What changes the log is drained at once, all else by the next tick.
     std::visit ([&] (const auto& value) { control (ticket, value); }, request);
-    drain();
 }
 
 void ControllerCore::Implementation::control (ControlTicket ticket,
@@ -106,7 +106,9 @@
 
 void ControllerCore::Implementation::proposeFor (ControlTicket ticket, const cell::Command& command)
 {
-    if (! propose (command, ForControl{ ticket }))
+    if (propose (command, ForControl{ ticket }))
+        drain();
+    else
         answerNotLeader (ticket);
 }
 
@@ -179,7 +181,7 @@
     std::uint64_t version) const
 {
     cell::InstanceUpdate update = m_leader->instances.updateSince (version);
-    for (const consensus::Member& member : m_status.members.members)
+    for (const consensus::Member& member : m_raft.members().members)
     {
         update.controllers.push_back (member.peerAddress);
     }
@@ -222,7 +224,7 @@
 
 std::string ControllerCore::Implementation::ownAdminAddress() const
 {
-    for (const consensus::Member& member : m_status.members.members)
+    for (const consensus::Member& member : m_raft.members().members)
     {
         if (member.id == m_self)
             return member.adminAddress;
@@ -233,7 +235,7 @@
 void ControllerCore::Implementation::answerNotLeader (ControlTicket ticket)
 {
     ControlAnswer answer{ ControlVerdict::kUnavailable, "", "" };
-    for (const consensus::Member& member : m_status.members.members)
+    for (const consensus::Member& member : m_raft.members().members)
     {
         if (member.id != m_status.leader || member.id == m_self)
             continue;
--- a/src/controller/ControllerMembers.cpp
+++ b/src/controller/ControllerMembers.cpp
@@ -13,7 +13,7 @@
     if (! m_options.managesMembers || request.cell != m_options.cell)
         return;
     cell::MemberJoinReply reply;
-    for (const consensus::Member& member : m_status.members.members)
+    for (const consensus::Member& member : m_raft.members().members)
     {
         if (member.id == request.member.id)
             reply.isVoter = member.isVoter;
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -56,7 +56,7 @@
           &m_traffic),
       m_admin ({ [this] (AdminTicket ticket, const AdminRequest& request)
                  { feed ([&] (ControllerCore& core) { core.onAdmin (ticket, request); }); },
-                 [this] { return m_core && m_core->raftStatus().leader != 0; } },
+                 [this] { return m_core && m_core->raftSummary().leader != 0; } },
                m_metrics)
 {
     if (! protocol.control || m_settings.controlAddress.host.empty())
@@ -320,7 +320,7 @@
 
 void ControllerProcess::noteLeadership()
 {
-    const consensus::RaftStatus status = m_core->raftStatus();
+    const consensus::RaftSummary status = m_core->raftSummary();
     if (status.leader != 0)
         m_leaderSeenAt = m_clock.now();
     if (status.role == m_lastRole && status.leader == m_lastLeader)
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -49,6 +49,7 @@
     else if (const auto* lease = std::get_if<cell::LeaseRequest> (&message))
     {
         onLeaseRequest (connection, *lease);
+        return;
     }
     else if (const auto* demand = std::get_if<cell::DemandReport> (&message))
     {
@@ -70,6 +71,7 @@
     {
         m_leader->engines.onDemand (connection, engineDemand->demands, m_now);
         m_leader->enginePlacement.request();
+        return;
     }
     else if (const auto* unreachable = std::get_if<cell::InstanceUnreachable> (&message))
     {
@@ -432,7 +434,7 @@
 void ControllerCore::Implementation::replyNotLeader (RouterConnection connection)
 {
     cell::NotLeaderReply reply;
-    for (const consensus::Member& member : m_status.members.members)
+    for (const consensus::Member& member : m_raft.members().members)
     {
         if (member.id == m_status.leader)
             reply.leaderAddress = member.peerAddress;
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -196,6 +196,10 @@
         bool isMissing = false;  ///< Nobody holds it and requests wait.
         double requestsForReplica = 0;
     };
+    using ServiceModel = std::pair<std::string, std::string>;
+    /// Engines that hold each model and take requests, as holdersOf() counts them; models without
+    /// any are left out.
+    [[nodiscard]] std::map<ServiceModel, std::size_t> countHolders() const;
     /// What should be loaded, the most pressing first.
     [[nodiscard]] std::vector<ModelNeed> modelNeeds (base::TimePoint now) const;
 
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -50,13 +50,18 @@
 std::vector<EnginePlacement::ModelNeed> EnginePlacement::modelNeeds (base::TimePoint now) const
 {
     std::vector<ModelNeed> needs;
-    std::set<std::pair<std::string, std::string>> seen;
+    const std::map<ServiceModel, std::size_t> holdersByModel = countHolders();
+    ServiceModel last;
     for (const auto& [key, target] : m_demands)
     {
-        if (! seen.emplace (key.service, key.model).second)
+        // Keys of one model stand together.
+        if (ServiceModel model{ key.service, key.model }; model != last)
+            last = std::move (model);
+        else
             continue;
         const ModelDemand demand = demandFor (key.service, key.model, now);
-        const std::size_t holders = holdersOf (key.service, key.model);
+        const auto counted = holdersByModel.find (last);
+        const std::size_t holders = counted == holdersByModel.end() ? 0 : counted->second;
         const bool isMissing = holders == 0 && demand.waiting > 0;
         if (! isMissing && ! isCrowded (key, demand, holders, now))
             continue;
@@ -69,6 +74,22 @@
     return needs;
 }
 
+std::map<EnginePlacement::ServiceModel, std::size_t> EnginePlacement::countHolders() const
+{
+    std::map<ServiceModel, std::size_t> holders;
+    for (const auto& [id, engine] : m_engines)
+    {
+        if (! engine.isUsable)
+            continue;
+        for (const auto& [model, state] : engine.models)
+        {
+            if (! engine.withdrawn.contains (model))
+                ++holders[{ engine.service, model }];
+        }
+    }
+    return holders;
+}
+
 bool EnginePlacement::isCrowded (const TargetKey& key, const ModelDemand& demand,
                                  std::size_t holders, base::TimePoint now) const
 {
