Keep changes of the configuration at every member, give up silent leaders sooner, and space the leader's work further

LeaseRunsFromTheSendingOfTheRequest let the answer come after 500 ms and 110 ms pass; now 350, 240 and 20.

--- a/src/controller/ConfigurationChange.cpp
+++ b/src/controller/ConfigurationChange.cpp
@@ -8,53 +8,74 @@
 namespace
 {
 
-std::size_t commonPrefix (const std::string& left, const std::string& right)
+/// Configurations kept, the one in force included: a router is seldom further behind.
+constexpr std::size_t kKeptConfigurations = 6;
+
+std::size_t commonPrefix (std::string_view left, std::string_view right)
 {
-    const std::size_t limit = std::min (left.size(), right.size());
-    const auto end = left.begin() + static_cast<std::ptrdiff_t> (limit);
-    return static_cast<std::size_t> (std::mismatch (left.begin(), end, right.begin()).first
-                                     - left.begin());
+    const auto differing = std::ranges::mismatch (left, right);
+    return static_cast<std::size_t> (differing.in1 - left.begin());
 }
 
-std::size_t commonSuffix (const std::string& left, const std::string& right, std::size_t limit)
+std::size_t commonSuffix (std::string_view left, std::string_view right, std::size_t limit)
 {
     std::size_t length = 0;
     while (length < limit && left[left.size() - 1 - length] == right[right.size() - 1 - length])
-    {
         ++length;
-    }
     return length;
 }
 
+cell::ConfigurationUpdate wholeUpdate (const cell::HeldConfiguration& present)
+{
+    cell::ConfigurationUpdate update;
+    update.version = present.version;
+    update.digest = present.digest;
+    update.text = present.text;
+    return update;
+}
+
+cell::ConfigurationUpdate changeBetween (const cell::HeldConfiguration& base,
+                                         const cell::HeldConfiguration& present)
+{
+    const std::size_t prefix = commonPrefix (base.text, present.text);
+    const std::size_t shorter = std::min (base.text.size(), present.text.size());
+    const std::size_t suffix = commonSuffix (base.text, present.text, shorter - prefix);
+    cell::ConfigurationUpdate update;
+    update.version = present.version;
+    update.digest = present.digest;
+    update.text = present.text.substr (prefix, present.text.size() - prefix - suffix);
+    update.baseVersion = base.version;
+    update.baseDigest = base.digest;
+    update.keptPrefix = prefix;
+    update.keptSuffix = suffix;
+    return update;
+}
+
 }  // namespace
 
-void ConfigurationChange::note (const cell::ConfigurationIdentity& inForce, const std::string& text)
+void ConfigurationChange::note (const cell::ConfigurationIdentity& inForce, std::string_view text)
 {
-    if (m_whole.version == inForce.version && m_whole.digest == inForce.digest)
-        return;
-    const cell::ConfigurationUpdate before =
-        std::exchange (m_whole, cell::ConfigurationUpdate{ inForce.version, inForce.digest, text });
-    m_change = cell::ConfigurationUpdate{};
-    if (before.version == 0)
+    const bool isTold = ! m_recent.empty() && m_recent.back().version == inForce.version
+                        && m_recent.back().digest == inForce.digest;
+    if (isTold)
         return;
-    const std::size_t prefix = commonPrefix (before.text, text);
-    const std::size_t suffix =
-        commonSuffix (before.text, text, std::min (before.text.size(), text.size()) - prefix);
-    m_change.version = inForce.version;
-    m_change.digest = inForce.digest;
-    m_change.text = text.substr (prefix, text.size() - prefix - suffix);
-    m_change.baseVersion = before.version;
-    m_change.baseDigest = before.digest;
-    m_change.keptPrefix = prefix;
-    m_change.keptSuffix = suffix;
+    m_recent.push_back ({ inForce.version, inForce.digest, std::string (text) });
+    if (m_recent.size() > kKeptConfigurations)
+        m_recent.pop_front();
 }
 
 cell::ConfigurationUpdate ConfigurationChange::updateFrom (std::uint64_t version,
-                                                           const std::string& digest) const
+                                                           std::string_view digest) const
 {
-    const bool holdsBase =
-        version != 0 && version == m_change.baseVersion && digest == m_change.baseDigest;
-    return holdsBase ? m_change : m_whole;
+    if (m_recent.empty())
+        return {};
+    const cell::HeldConfiguration& present = m_recent.back();
+    const auto base =
+        std::ranges::find_if (m_recent, [&] (const cell::HeldConfiguration& kept)
+                              { return kept.version == version && kept.digest == digest; });
+    if (version == 0 || base == m_recent.end() || base->version == present.version)
+        return wholeUpdate (present);
+    return changeBetween (*base, present);
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/ConfigurationChange.h
+++ b/src/controller/ConfigurationChange.h
@@ -1,30 +1,39 @@
 #pragma once
 
-/// The configuration in force as it goes to routers: as a change to those that hold the one before,
-/// whole to the others.
+/**
+ * The configuration in force as it goes to routers: as a change to those that hold one of the last
+ * few, whole to all others.
+ *
+ * Every member keeps the last few, whether it leads or not: all routers come to a new leader at the
+ * same moment, and a whole configuration for each of them would take it longer than a change of the
+ * configuration may take.
+ */
 
 #include <cstdint>
+#include <deque>
 #include <string>
+#include <string_view>
 
+#include "cell/ConfigurationDelta.h"
 #include "cell/ConfigurationState.h"
 #include "cell/RouterMessages.h"
 
 namespace fernlift::controller
 {
 
+/** Threading: none; owned by one ControllerCore. */
 class ConfigurationChange
 {
 public:
-    /// Tells which configuration is in force. Does nothing when it is the one told last.
-    void note (const cell::ConfigurationIdentity& inForce, const std::string& text);
+    /** Tells which configuration is in force. Does nothing when it is the one told last. */
+    void note (const cell::ConfigurationIdentity& inForce, std::string_view text);
 
-    /// The update for a router that holds (or was sent) this version.
+    /** The update for a router that holds (or was sent) this version. */
     [[nodiscard]] cell::ConfigurationUpdate updateFrom (std::uint64_t version,
-                                                        const std::string& digest) const;
+                                                        std::string_view digest) const;
 
 private:
-    cell::ConfigurationUpdate m_whole;
-    cell::ConfigurationUpdate m_change;  ///< From the one before; baseVersion 0 when there is none.
+    std::deque<cell::HeldConfiguration> m_recent;  ///< Oldest first; the last one is in force.
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -122,6 +122,7 @@
             [&]() -> base::Result<bool>
             {
                 BOOST_LEAF_CHECK (m_state.restore (output.installedSnapshot->data));
+                noteConfiguration();
                 return true;
             },
             [] (const base::Error&) { return false; });
@@ -186,6 +187,8 @@
         return;
     }
     const cell::ApplyResult result = m_state.apply (entry.index, *command);
+    if (std::holds_alternative<cell::ApplyConfiguration> (*command))
+        noteConfiguration();
     if (const auto* note = std::get_if<cell::NoteOrders> (&*command))
         m_orderNotes.onNote (*note, m_now);
     if (! m_leader)
@@ -197,6 +200,13 @@
     finishProposal (entry, result);
 }
 
+void ControllerCore::Implementation::noteConfiguration()
+{
+    const cell::ConfigurationState& configuration = m_state.configuration();
+    if (configuration.identity().version != 0)
+        m_configurationChange.note (configuration.identity(), configuration.text());
+}
+
 void ControllerCore::Implementation::finishProposal (const consensus::Entry& entry,
                                                      const cell::ApplyResult& result)
 {
--- a/src/controller/ControllerEngines.cpp
+++ b/src/controller/ControllerEngines.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t kUnknownStoreLoads = 8;
 
 /// Placement looks at every engine: it runs no more often than this for each of them.
-constexpr base::Duration kPlacementIntervalForEngine = std::chrono::microseconds (250);
+constexpr base::Duration kPlacementIntervalForEngine = std::chrono::microseconds (400);
 
 }  // namespace
 
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -139,7 +139,6 @@
     std::optional<CreditShare> exactShare;    ///< While not shared.
     std::map<std::string, std::uint32_t> sharers;  ///< Routers told to share a target's replicas.
     std::uint32_t enteringSharers = 0;             ///< The same for routers without stated demand.
-    ConfigurationChange configurationChange;
     DemandTable demands;
     ClaimBatcher claims;
     std::map<base::LogIndex, Purpose> proposals;
@@ -340,9 +339,10 @@
     /// Sends what this member has applied: a router that has just started may work with it until it
     /// has found the leader.
     void sendLastKnownState (RouterConnection connection);
+    /// Keeps the configuration that was just applied for those that hold an earlier one.
+    void noteConfiguration();
     /// Tells all watchers who leads.
     void tellWatchers();
-    void sendInstances (RouterConnection connection, RouterSession& session);
     /// Brings all routers up to date; those that hold the same version get the same message.
     void sendInstancesToAll();
     /// Neither the router nor the leader knows of an instance.
@@ -373,7 +373,8 @@
     base::UnixMilliseconds m_unixNow;
     cell::CellState m_state;
     consensus::RaftNode m_raft;
-    consensus::RaftSummary m_status;  ///< As of the last drain.
+    consensus::RaftSummary m_status;            ///< As of the last drain.
+    ConfigurationChange m_configurationChange;  ///< Kept by every member; see there.
     std::optional<Leadership> m_leader;
     /// Connections of routers that this member does not lead; they are told when a leader is known.
     std::set<RouterConnection> m_watchers;
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -15,7 +15,7 @@
 constexpr base::Duration kRemovalSilence = base::seconds (30);
 /// Changes of the table go out together, no more often than this for each router that gets them and
 /// for each row that is compared.
-constexpr base::Duration kTableIntervalForRouter = std::chrono::microseconds (600);
+constexpr base::Duration kTableIntervalForRouter = std::chrono::microseconds (1000);
 constexpr base::Duration kTableIntervalForRow = std::chrono::microseconds (100);
 
 }  // namespace
@@ -160,18 +160,6 @@
     }
 }
 
-void ControllerCore::Implementation::sendInstances (RouterConnection connection,
-                                                    RouterSession& session)
-{
-    if (! holdsLease() || session.instanceVersion == m_leader->instances.version())
-        return;
-    if (isInstanceTableEmptyFor (session))
-        return;
-    cell::InstanceUpdate update = instanceUpdateSince (session.instanceVersion);
-    session.instanceVersion = update.toVersion;
-    sendToRouter (connection, std::move (update));
-}
-
 bool ControllerCore::Implementation::isInstanceTableEmptyFor (const RouterSession& session) const
 {
     return session.instanceVersion == 0 && m_leader->instances.rows().empty();
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -165,7 +165,7 @@
     }
     sendConfiguration (connection, session);
     sendTable (connection, session);
-    sendInstances (connection, session);
+    m_leader->instanceTable.request();
 }
 
 void ControllerCore::Implementation::onLeaseRequest (RouterConnection connection,
@@ -186,7 +186,8 @@
         sendConfiguration (connection, session);
     }
     sendTable (connection, session);
-    sendInstances (connection, session);
+    if (session.instanceVersion != m_leader->instances.version())
+        m_leader->instanceTable.request();
     // Nothing can be granted before there is a configuration.
     if (inForce.version == 0)
         return;
@@ -214,9 +215,8 @@
         return;
     if (! holdsLease())
         return;
-    m_leader->configurationChange.note (inForce, m_state.configuration().text());
     cell::ConfigurationUpdate update =
-        m_leader->configurationChange.updateFrom (session.sentVersion, session.sentDigest);
+        m_configurationChange.updateFrom (session.sentVersion, session.sentDigest);
     session.sentVersion = inForce.version;
     session.sentDigest = inForce.digest;
     session.configurationSentAt = m_now;
--- a/src/router/ControllerSession.cpp
+++ b/src/router/ControllerSession.cpp
@@ -16,6 +16,8 @@
 constexpr base::Duration kRedirectDelay = base::milliseconds (10);
 constexpr base::Duration kShortestDelay = base::milliseconds (50);
 constexpr base::Duration kLongestDelay = base::milliseconds (150);
+/// A leader that has not answered a request by then may be gone.
+constexpr base::Duration kReplyLimit = base::milliseconds (660);
 constexpr int kRequestsInLease = 3;
 
 base::Duration randomDelay (base::Random& random)
@@ -89,16 +91,16 @@
         m_connectAt = now + kConnectLimit;
         return connect;
     }
-    if (now < m_requestAt)
-        return std::nullopt;
     const bool isSilent =
-        ! m_unanswered.empty() && now - m_unanswered.begin()->second >= m_requestInterval;
+        ! m_unanswered.empty() && now - m_unanswered.begin()->second >= kReplyLimit;
     if (isSilent)
     {
         // Another controller may have become the leader; the lease leaves time to find it.
         scheduleConnect (now + kConnectLimit, "");
         return ConnectController{};
     }
+    if (now < m_requestAt)
+        return std::nullopt;
     m_requestAt = now + m_requestInterval;
     cell::LeaseRequest request;
     request.sequence = ++m_lastSequence;
--- a/src/router/ControllerSessionTest.cpp
+++ b/src/router/ControllerSessionTest.cpp
@@ -58,6 +58,17 @@
     EXPECT_EQ (connectionDue(), "");
 }
 
+TEST_F (ControllerSessionTest, LooksForAnotherLeaderSoonAfterARequestWithoutAnAnswer)
+{
+    connect();
+    const auto request = m_session.poll (m_now);
+    ASSERT_TRUE (request && std::holds_alternative<cell::LeaseRequest> (*request));
+    m_now += milliseconds (599);
+    EXPECT_EQ (connectionDue(), std::nullopt);
+    m_now += milliseconds (61);
+    EXPECT_EQ (connectionDue(), "");
+}
+
 TEST_F (ControllerSessionTest, GivesUpAConnectionThatDoesNotComeUp)
 {
     ASSERT_TRUE (connectionDue());
--- a/src/router/RouterCoreTest.cpp
+++ b/src/router/RouterCoreTest.cpp
@@ -87,10 +87,12 @@
     router.fromController (cell::ConfigurationUpdate{ 1, "digest-1", testing::kCatalogueText });
     const auto requests = std::exchange (router.leaseRequests, {});
     router.grantsLeases = false;
-    router.advance (milliseconds (500));
+    router.advance (milliseconds (350));
     router.fromController (cell::LeaseGrant{ requests.back().sequence, 1, "digest-1", 1, 600, 0 });
     EXPECT_TRUE (router.core().isReady());
-    router.advance (milliseconds (110));
+    router.advance (milliseconds (240));
+    EXPECT_TRUE (router.core().isReady());
+    router.advance (milliseconds (20));
     EXPECT_FALSE (router.core().isReady());
 }
 
