--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -16,6 +16,9 @@
 {
 
 constexpr base::milliseconds kTickInterval (10);
+/// An event loop with hundreds of ready sockets comes to its timers late: then inputs tick too, so
+/// that heartbeats to the other members leave in time.
+constexpr base::Duration kLongestTickPause = base::milliseconds (30);
 constexpr base::Duration kLeaderlessBeforeAsking = base::seconds (2);
 constexpr base::Duration kEngineCallTimeout = base::milliseconds (300);
 constexpr double kMicrosecondsInSecond = 1e6;
@@ -82,7 +85,8 @@
     QObject::connect (&m_ticker, &QTimer::timeout, &m_context,
                       [this]
                       {
-                          feed ([] (ControllerCore& core) { core.onTick(); });
+                          if (! m_isFinished)
+                              tick();
                           noteLeadership();
                           checkStop();
                       });
@@ -192,7 +196,22 @@
     if (m_isFinished)
         return;
     m_core->setTime (m_clock.now(), m_clock.unixNow());
+    if (m_clock.now() - m_tickedAt > kLongestTickPause)
+        tick();
     input (*m_core);
+    carryOutEffects();
+}
+
+void ControllerProcess::tick()
+{
+    m_tickedAt = m_clock.now();
+    m_core->setTime (m_tickedAt, m_clock.unixNow());
+    m_core->onTick();
+    carryOutEffects();
+}
+
+void ControllerProcess::carryOutEffects()
+{
     for (const Effect& effect : m_core->takeEffects())
         carryOut (effect);
 }
--- a/src/controller/ControllerProcess.h
+++ b/src/controller/ControllerProcess.h
@@ -61,6 +61,8 @@
 
     /// Gives one input to the core and carries out the effects.
     void feed (const std::function<void (ControllerCore& core)>& input);
+    void tick();
+    void carryOutEffects();
     void carryOut (const Effect& effect);
     void persist (const PersistEffect& effect);
     void sendToMember (const SendToMember& effect);
@@ -90,6 +92,7 @@
     std::unique_ptr<EngineClient> m_engines;  ///< Null without a control interface.
     std::unique_ptr<CellJoiner> m_joiner;     ///< Null when an operator manages the members.
     base::TimePoint m_leaderSeenAt{};
+    base::TimePoint m_tickedAt{};  ///< When the core was last told of the time alone.
     std::optional<base::TimePoint> m_stopDeadline;
     bool m_isFinished = false;
     consensus::Role m_lastRole = consensus::Role::kFollower;
--- a/src/controller/PeerTransport.cpp
+++ b/src/controller/PeerTransport.cpp
@@ -26,6 +26,8 @@
     if (peer.connection && peer.connection->isOpen())
     {
         peer.connection->send (wire::Channel::kMember, payload);
+        // Heartbeats must not wait behind the other sockets of a busy event loop.
+        peer.connection->flush();
         return;
     }
     if (peer.isBackingOff)
--- a/src/wire/FrameConnection.cpp
+++ b/src/wire/FrameConnection.cpp
@@ -117,6 +117,12 @@
     m_traffic->of (channel).bytesOut += bytes.size();
 }
 
+void FrameConnection::flush()
+{
+    if (isOpen())
+        m_socket->flush();
+}
+
 void FrameConnection::close()
 {
     if (m_isClosed)
