Stay at a leader that sends, even when it grants no lease for a moment

Ruled out: the links of the routers (a change of the configuration reaches all 69 within 60 ms otherwise). Conclusion: kept for routers that forward; routers of leases leave such a leader as before.

--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -145,6 +145,7 @@
 
 void ProxyProcess::onControllerMessage (const cell::ControllerToRouter& message)
 {
+    m_session.onHeard (m_clock.now());
     if (const auto* other = std::get_if<cell::NotLeaderReply> (&message))
     {
         m_session.onNotLeader (*other, m_clock.now(), m_random);
--- a/src/router/ControllerSession.cpp
+++ b/src/router/ControllerSession.cpp
@@ -92,7 +92,8 @@
         return connect;
     }
     const bool isSilent =
-        ! m_unanswered.empty() && now - m_unanswered.begin()->second >= kReplyLimit;
+        ! m_unanswered.empty()
+        && now - std::max (m_unanswered.begin()->second, m_heardAt) >= kReplyLimit;
     if (isSilent)
     {
         // Another controller may have become the leader; the lease leaves time to find it.
--- a/src/router/ControllerSession.h
+++ b/src/router/ControllerSession.h
@@ -29,6 +29,9 @@
     /// sends another reply as soon as it knows.
     void onNotLeader (const cell::NotLeaderReply& reply, base::TimePoint now, base::Random& random);
     void onGrant (const cell::LeaseGrant& grant);
+    /// Anything came from the controller. One that sends is alive, even when it may grant no lease
+    /// for a moment: leaving it would only bring all routers back to it at once.
+    void onHeard (base::TimePoint now) { m_heardAt = now; }
     /// The next call of `poll` asks for a lease, for example because the replica table has a gap.
     void requestSoon (base::TimePoint now);
 
@@ -56,6 +59,7 @@
     std::optional<base::TimePoint> m_connectAt;  ///< Set while a connection is wanted.
     std::string m_connectAddress;
     base::TimePoint m_requestAt{};
+    base::TimePoint m_heardAt{};  ///< Last message of the controller that is connected.
     base::Duration m_requestInterval = base::milliseconds (600);
     std::uint64_t m_lastSequence = 0;
     std::map<std::uint64_t, base::TimePoint> m_unanswered;  ///< By sequence; when it was sent.
--- a/src/router/ControllerSessionTest.cpp
+++ b/src/router/ControllerSessionTest.cpp
@@ -69,6 +69,19 @@
     EXPECT_EQ (connectionDue(), "");
 }
 
+TEST_F (ControllerSessionTest, StaysAtALeaderThatSendsButGrantsNoLeaseForAMoment)
+{
+    connect();
+    const auto request = m_session.poll (m_now);
+    ASSERT_TRUE (request && std::holds_alternative<cell::LeaseRequest> (*request));
+    m_now += milliseconds (500);
+    m_session.onHeard (m_now);
+    m_now += milliseconds (600);
+    EXPECT_EQ (connectionDue(), std::nullopt);
+    m_now += milliseconds (60);
+    EXPECT_EQ (connectionDue(), "");
+}
+
 TEST_F (ControllerSessionTest, GivesUpAConnectionThatDoesNotComeUp)
 {
     ASSERT_TRUE (connectionDue());
