--- a/src/config/ServiceCatalogue.cpp
+++ b/src/config/ServiceCatalogue.cpp
@@ -9,6 +9,11 @@
 namespace
 {
 
+// Callers give up a stream after a pause of the longest of these.
+constexpr base::Duration kShortestPatience = base::seconds (2);
+constexpr int kPatienceInTargets = 4;
+constexpr int kPatienceInGaps = 8;
+
 template <class Item>
 const Item* findNamed (const std::vector<Item>& items, std::string_view name)
 {
@@ -87,6 +92,12 @@
 
 }  // namespace
 
+base::Duration Route::patience() const
+{
+    return std::max<base::Duration> (
+        { kShortestPatience, targetLatency * kPatienceInTargets, gapTarget * kPatienceInGaps });
+}
+
 const EngineModel* EngineSpec::findModel (std::string_view name) const
 {
     return findNamed (models, name);
--- a/src/config/ServiceCatalogue.h
+++ b/src/config/ServiceCatalogue.h
@@ -49,6 +49,8 @@
 
     bool operator== (const Route&) const = default;
 
+    /// Time without an event after which callers give up a stream, also before its first event.
+    [[nodiscard]] base::Duration patience() const;
     /// Whether a request may be run again after it may have run.
     [[nodiscard]] bool isRepeatable() const
     {
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "proxy/ForwardedMessage.h"
 #include "proxy/PromptParts.h"
+#include "proxy/WaitLimit.h"
 
 namespace fernlift::proxy
 {
@@ -15,11 +16,6 @@
 
 constexpr std::uint32_t kMostUnreachable = 16;
 constexpr base::Duration kRetrySoon = base::milliseconds (100);
-constexpr base::Duration kRetryAfterWait = base::milliseconds (200);
-constexpr base::Duration kLongestLoad = base::seconds (3);
-/// Share of a request's time that it may wait for a runner, in hundredths.
-constexpr int kWaitShare = 45;
-constexpr int kWhole = 100;
 constexpr base::Duration kLongestWaitForRoutes = base::seconds (3);
 constexpr base::Duration kDefaultDeadline = base::seconds (30);
 /// The runner is told a little less than what is left, so that its answer still arrives.
@@ -133,8 +129,7 @@
     m_isWaiting = true;
     m_waitBegan = now();
     // A runner that comes later than this would answer too late; the caller had better ask again.
-    const base::Duration limit = std::min<base::Duration> (m_stated * kWaitShare / kWhole,
-                                                           m_route->targetLatency + kLongestLoad);
+    const base::Duration limit = longestWaitForRunner (*m_route, m_stated);
     m_waitDeadline = std::min (m_deadline, std::max (m_arrivedAt + limit, now()));
     log::write (log::Event::kRequestWaits,
                 { { "request", m_request.headers.value (m_context.names.requestId) },
@@ -260,7 +255,7 @@
     else
     {
         refuse (ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
-                kRetryAfterWait);
+                retryAfterWait (! m_query.model.empty()));
     }
 }
 
@@ -303,7 +298,7 @@
     else
     {
         refuse (ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
-                kRetryAfterWait);
+                retryAfterWait (! m_query.model.empty()));
     }
 }
 
