--- a/src/router/ControllerSession.cpp
+++ b/src/router/ControllerSession.cpp
@@ -16,6 +16,9 @@
 constexpr base::Duration kRedirectDelay = base::milliseconds (10);
 constexpr base::Duration kShortestDelay = base::milliseconds (50);
 constexpr base::Duration kLongestDelay = base::milliseconds (150);
+/// The same, in shares of it, for a router that has not found a leader since its start: callers
+/// wait for its first configuration.
+constexpr int kFirstDelayShare = 3;
 /// A leader that has not answered a request by then may be gone.
 constexpr base::Duration kReplyLimit = base::milliseconds (660);
 constexpr int kRequestsInLease = 3;
@@ -45,7 +48,8 @@
 
 void ControllerSession::onLost (base::TimePoint now, base::Random& random)
 {
-    scheduleConnect (now + randomDelay (random), "");
+    const bool isNew = m_highestTerm == 0;
+    scheduleConnect (now + randomDelay (random) / (isNew ? kFirstDelayShare : 1), "");
 }
 
 void ControllerSession::onNotLeader (const cell::NotLeaderReply& reply, base::TimePoint now,
--- a/src/router/ControllerSessionTest.cpp
+++ b/src/router/ControllerSessionTest.cpp
@@ -82,6 +82,23 @@
     EXPECT_EQ (connectionDue(), "");
 }
 
+TEST_F (ControllerSessionTest, TriesAgainSoonUntilItHasFoundALeaderOnce)
+{
+    connect();
+    m_session.onLost (m_now, m_random);
+    m_now += milliseconds (50);
+    EXPECT_TRUE (connectionDue());
+    m_session.onConnected (m_now);
+    const auto request = m_session.poll (m_now);
+    ASSERT_TRUE (request && std::holds_alternative<cell::LeaseRequest> (*request));
+    m_session.onGrant ({ std::get<cell::LeaseRequest> (*request).sequence, 1, "d", 1, 600, 0 });
+    m_session.onLost (m_now, m_random);
+    m_now += milliseconds (49);
+    EXPECT_FALSE (connectionDue()) << "a cell without a leader is not flooded";
+    m_now += milliseconds (101);
+    EXPECT_TRUE (connectionDue());
+}
+
 TEST_F (ControllerSessionTest, GivesUpAConnectionThatDoesNotComeUp)
 {
     ASSERT_TRUE (connectionDue());
