--- a/src/proxy/EngineDemands.cpp
+++ b/src/proxy/EngineDemands.cpp
@@ -1,5 +1,6 @@
 #include "proxy/EngineDemands.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace fernlift::proxy
@@ -7,6 +8,11 @@
 namespace
 {
 
+constexpr base::Duration kShortestReportInterval = base::milliseconds (500);
+/// Placement forgets rates within some seconds, so that reports must not be rarer.
+constexpr base::Duration kLongestReportInterval = base::seconds (2);
+constexpr base::Duration kReportIntervalForRouter = base::milliseconds (15);
+
 void decrease (std::uint32_t& count)
 {
     if (count > 0)
@@ -15,6 +21,13 @@
 
 }  // namespace
 
+base::Duration demandReportInterval (std::uint32_t routers)
+{
+    return std::clamp<base::Duration> (
+        static_cast<std::int64_t> (routers) * kReportIntervalForRouter, kShortestReportInterval,
+        kLongestReportInterval);
+}
+
 void EngineDemands::onArrival (const EngineTarget& target)
 {
     Counts& counts = m_counts[target];
--- a/src/proxy/EngineDemands.h
+++ b/src/proxy/EngineDemands.h
@@ -25,6 +25,10 @@
     auto operator<=> (const EngineTarget&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
+/// Time between steady reports of one router when `routers` report to the same leader: the leader
+/// reads a bounded number a second. What is urgent goes out at once all the same.
+[[nodiscard]] base::Duration demandReportInterval (std::uint32_t routers);
+
 class EngineDemands
 {
 public:
--- /dev/null
+++ b/src/proxy/EngineDemandsTest.cpp
@@ -0,0 +1,54 @@
+#include <gtest/gtest.h>
+
+#include "proxy/EngineDemands.h"
+
+namespace fernlift::proxy
+{
+namespace
+{
+
+using base::milliseconds;
+
+base::TimePoint at (int milliseconds)
+{
+    return base::TimePoint{} + base::seconds (100) + base::milliseconds (milliseconds);
+}
+
+TEST (EngineDemands, ReportsGrowRarerWithTheRoutersWithinBounds)
+{
+    EXPECT_EQ (demandReportInterval (1), milliseconds (500));
+    EXPECT_EQ (demandReportInterval (7), milliseconds (500));
+    EXPECT_EQ (demandReportInterval (69), milliseconds (1035));
+    EXPECT_EQ (demandReportInterval (2100), milliseconds (2000));
+}
+
+TEST (EngineDemands, ARequestThatBeginsToWaitIsReportedAtOnce)
+{
+    EngineDemands demands;
+    const EngineTarget target{ "llm", "m1", "" };
+    demands.onArrival (target);
+    ASSERT_EQ (demands.takeDue (at (0), milliseconds (1000)).size(), 1U);
+    demands.onArrival (target);
+    EXPECT_TRUE (demands.takeDue (at (100), milliseconds (1000)).empty());
+    demands.onWaiting (target);
+    const auto due = demands.takeDue (at (110), milliseconds (1000));
+    ASSERT_EQ (due.size(), 1U);
+    EXPECT_EQ (due[0].waiting, 1U);
+    EXPECT_EQ (due[0].arrivals, 1U) << "none is lost between reports";
+}
+
+TEST (EngineDemands, TheLastReportSaysThatNothingIsLeft)
+{
+    EngineDemands demands;
+    const EngineTarget target{ "llm", "m1", "" };
+    demands.onRunning (target);
+    ASSERT_EQ (demands.takeDue (at (0), milliseconds (500)).size(), 1U);
+    demands.onRunEnd (target);
+    const auto last = demands.takeDue (at (500), milliseconds (500));
+    ASSERT_EQ (last.size(), 1U);
+    EXPECT_EQ (last[0].running, 0U);
+    EXPECT_TRUE (demands.takeDue (at (1000), milliseconds (500)).empty());
+}
+
+}  // namespace
+}  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr base::milliseconds kTickInterval (25);
-constexpr base::Duration kDemandInterval = base::milliseconds (500);
 
 std::vector<base::SocketAddress> peersOf (const ProxySettings& settings)
 {
@@ -247,7 +246,8 @@
 {
     if (! m_session.isConnected())
         return;
-    std::vector<cell::EngineDemand> demands = m_demands.takeDue (m_clock.now(), kDemandInterval);
+    std::vector<cell::EngineDemand> demands =
+        m_demands.takeDue (m_clock.now(), demandReportInterval (m_directory.routers()));
     if (! demands.empty())
         m_link.send (cell::EngineDemandReport{ std::move (demands) });
     for (std::string& id : m_directory.takeUnreachable())
