Send the last known state only to routers that serve without a lease

Ruled out: easing the invariant; it holds as it stands, and forwarding routers now say in their hello that they serve without a lease.

--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -28,12 +28,14 @@
     std::string configurationDigest;
     base::Term replicaTableTerm = 0;        ///< Of the leader that sent the replica table held.
     std::uint64_t replicaTableVersion = 0;  ///< 0: no table is held.
+    /// It serves without a lease and may begin with what a controller that does not lead last knew.
+    bool acceptsLastKnownState = false;
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
         archive& router& cell& zone& address& configurationVersion& configurationDigest&
-            replicaTableTerm& replicaTableVersion;
+            replicaTableTerm& replicaTableVersion& acceptsLastKnownState;
     }
 };
 
--- a/src/controller/ControlRequestsTest.cpp
+++ b/src/controller/ControlRequestsTest.cpp
@@ -122,14 +122,20 @@
     m_cell.run (base::milliseconds (1500));
     for (const base::MemberId member : { 1U, 2U, 3U })
         m_cell.kill (member);
-    m_cell.router (0).configurationVersion = 0;
-    m_cell.router (0).instances.clear();
+    for (const std::size_t router : { 0U, 1U })
+    {
+        m_cell.router (router).configurationVersion = 0;
+        m_cell.router (router).instances.clear();
+    }
+    m_cell.router (0).acceptsLastKnownState = true;
     m_cell.restart (1);  // Alone it leads nobody.
     m_cell.reconnect (0, 1);
+    m_cell.reconnect (1, 1);
     m_cell.run (base::milliseconds (50));
     EXPECT_EQ (m_cell.leader(), 0U);
     EXPECT_EQ (m_cell.router (0).configurationVersion, 5U);
     EXPECT_TRUE (m_cell.router (0).instances.contains ("i-1"));
+    EXPECT_EQ (m_cell.router (1).configurationVersion, 0U) << "it serves under leases only";
 }
 
 TEST_F (ControlRequestsTest, ARouterWithAConfigurationGetsNoneFromAFollower)
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -106,7 +106,7 @@
                                                    const cell::RouterHello& hello)
 {
     m_watchers.insert (connection);
-    if (hello.configurationVersion == 0)
+    if (hello.acceptsLastKnownState && hello.configurationVersion == 0)
         sendLastKnownState (connection);
 }
 
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -79,6 +79,7 @@
     base::TimePoint nextLeaseAt{};
     std::uint64_t regressions = 0;  ///< Times a lower version arrived after a higher one.
     bool isCut = false;             ///< Nothing passes to or from it.
+    bool acceptsLastKnownState = false;
 
     [[nodiscard]] bool admits (base::TimePoint now) const
     {
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -97,6 +97,7 @@
     hello.cell = m_options.controller.cell;
     hello.configurationVersion = router.configurationVersion;
     hello.configurationDigest = router.configurationDigest;
+    hello.acceptsLastKnownState = router.acceptsLastKnownState;
     toController (router, hello);
 }
 
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -139,6 +139,7 @@
     hello.address = m_settings.frontAddress.toString();
     hello.configurationVersion = m_held.version;
     hello.configurationDigest = m_held.digest;
+    hello.acceptsLastKnownState = true;
     m_link.send (hello);
 }
 
