--- a/src/base/SocketAddress.cpp
+++ b/src/base/SocketAddress.cpp
@@ -32,4 +32,15 @@
     return address;
 }
 
+std::optional<SocketAddress> SocketAddress::tryParse (std::string_view text)
+{
+    return handleErrors (
+        [&]() -> Result<std::optional<SocketAddress>>
+        {
+            BOOST_LEAF_AUTO (address, parse (text));
+            return std::optional (std::move (address));
+        },
+        [] (const Error&) { return std::optional<SocketAddress>(); });
+}
+
 }  // namespace fernlift::base
--- a/src/base/SocketAddress.h
+++ b/src/base/SocketAddress.h
@@ -5,6 +5,7 @@
 #include <boost/serialization/string.hpp>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,8 @@
     [[nodiscard]] std::string toString() const;
     /// Parses "host:port"; fails with kInvalidRequest on anything but a numeric IPv4 and a port.
     static Result<SocketAddress> parse (std::string_view text);
+    /// The same for texts of other processes, which may hold anything; none where parse() fails.
+    [[nodiscard]] static std::optional<SocketAddress> tryParse (std::string_view text);
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -135,14 +135,8 @@
     std::vector<base::SocketAddress> controllers = seedPeers (m_settings);
     for (const consensus::Member& member : m_core->raftStatus().members.members)
     {
-        base::handleErrors (
-            [&]() -> base::Result<void>
-            {
-                BOOST_LEAF_AUTO (address, base::SocketAddress::parse (member.peerAddress));
-                controllers.push_back (address);
-                return {};
-            },
-            [] (const base::Error&) {});
+        if (auto address = base::SocketAddress::tryParse (member.peerAddress))
+            controllers.push_back (std::move (*address));
     }
     std::erase (controllers, m_settings.peerAddress);
     return controllers;
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -160,7 +161,9 @@
         double cost = 0;
     };
 
-    // Views of demand and holdings.
+    // Views of demand and holdings (EngineViews.cpp).
+    /// MODEL/ADAPTER.
+    [[nodiscard]] static std::string adapterKey (std::string_view model, std::string_view adapter);
     [[nodiscard]] static double decayedArrivals (const TargetDemand& target, base::TimePoint now);
     [[nodiscard]] std::uint32_t waitingFor (const TargetKey& key) const;
     [[nodiscard]] ModelDemand demandFor (const std::string& service, const std::string& model,
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -271,7 +271,7 @@
 bool EnginePlacement::planAdapter (const TargetKey& key, std::vector<EngineCommand>& commands,
                                    base::TimePoint now)
 {
-    const std::string wanted = key.model + "/" + key.adapter;
+    const std::string wanted = adapterKey (key.model, key.adapter);
     Engine* best = nullptr;
     std::size_t fewest = 0;
     for (auto& [id, engine] : m_engines)
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -28,14 +28,8 @@
     std::vector<base::SocketAddress> addresses;
     for (const std::string& text : texts)
     {
-        base::handleErrors (
-            [&]() -> base::Result<void>
-            {
-                BOOST_LEAF_AUTO (address, base::SocketAddress::parse (text));
-                addresses.push_back (address);
-                return {};
-            },
-            [] (const base::Error&) {});
+        if (auto address = base::SocketAddress::tryParse (text))
+            addresses.push_back (std::move (*address));
     }
     return addresses;
 }
--- a/src/router/ControllerLink.cpp
+++ b/src/router/ControllerLink.cpp
@@ -19,10 +19,8 @@
 
 base::SocketAddress ControllerLink::nextAddress (const std::string& address)
 {
-    auto named = base::handleErrors ([&] { return base::SocketAddress::parse (address); },
-                                     [] (const base::Error&) { return base::SocketAddress(); });
-    if (! named.host.empty())
-        return named;
+    if (auto named = base::SocketAddress::tryParse (address))
+        return std::move (*named);
     base::SocketAddress next = m_controllers[m_nextIndex];
     m_nextIndex = (m_nextIndex + 1) % m_controllers.size();
     return next;
