--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -336,8 +336,8 @@
     void sendInstancesIfDue();
     /// Keeps a router that came while another member leads, or none, to tell it of the leader.
     void admitWatcher (RouterConnection connection, const cell::RouterHello& hello);
-    /// Sends what this member has applied: a router that serves without a lease and has just started
-    /// may work with it until it has found the leader.
+    /// Sends what this member has applied: a router that serves without a lease and has just
+    /// started may work with it until it has found the leader.
     void sendLastKnownState (RouterConnection connection);
     /// Keeps the configuration that was just applied for those that hold an earlier one.
     void noteConfiguration();
