--- a/src/router/ControllerSessionTest.cpp
+++ b/src/router/ControllerSessionTest.cpp
@@ -99,6 +99,23 @@
     EXPECT_TRUE (connectionDue());
 }
 
+TEST_F (ControllerSessionTest, LeavesControllersWithoutALeaderSoonWhenItHadFoundOneBefore)
+{
+    connect();
+    const auto request = m_session.poll (m_now);
+    ASSERT_TRUE (request && std::holds_alternative<cell::LeaseRequest> (*request));
+    m_session.onGrant ({ std::get<cell::LeaseRequest> (*request).sequence, 1, "d", 1, 600, 0 });
+    const base::TimePoint lostAt = m_now;
+    for (int controller = 0; controller < 4; ++controller)
+    {
+        m_session.onNotLeader ({ "" }, m_now, m_random);
+        m_now += milliseconds (150);
+        ASSERT_EQ (connectionDue(), "");
+        m_session.onConnected (m_now);
+    }
+    EXPECT_LE (m_now - lostAt, milliseconds (600)) << "four of nine controllers may be cut off";
+}
+
 TEST_F (ControllerSessionTest, GivesUpAConnectionThatDoesNotComeUp)
 {
     ASSERT_TRUE (connectionDue());
