--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -52,7 +52,7 @@
                  m_directory, m_pool,     m_retryBudget,
                  m_demands,   m_counters, [this] { m_demandTimer.start(0); },
                  nullptr },
-      m_session (clock.now()),
+      m_session (clock.now(), router::ControllerSession::kQuickAfterLoss),
       m_link (peersOf (m_settings), m_random.bits() % peersOf (m_settings).size(),
               { [this]
                 {
--- a/src/router/ControllerSession.cpp
+++ b/src/router/ControllerSession.cpp
@@ -12,9 +12,6 @@
 constexpr base::Duration kConnectLimit = base::milliseconds (400);
 /// A controller that knows no leader may be cut off from it: another one is asked after this.
 constexpr base::Duration kLeaderNewsLimit = base::milliseconds (400);
-/// The same for a router that had found a leader: when the cell is cut, several controllers in a
-/// row may be on the side that has none.
-constexpr base::Duration kLeaderNewsLimitAfterLoss = base::milliseconds (150);
 /// Waits before the next connection, so that a cell without a leader is not flooded.
 constexpr base::Duration kRedirectDelay = base::milliseconds (10);
 constexpr base::Duration kShortestDelay = base::milliseconds (50);
@@ -60,10 +57,10 @@
 {
     if (! reply.leaderAddress.empty())
         scheduleConnect (now + kRedirectDelay, reply.leaderAddress);
-    else if (m_highestTerm == 0)
-        scheduleConnect (now + kLeaderNewsLimit + randomDelay (random), "");
+    else if (m_highestTerm != 0 && m_leaderNewsLimitAfterLoss < kLeaderNewsLimit)
+        scheduleConnect (now + m_leaderNewsLimitAfterLoss, "");
     else
-        scheduleConnect (now + kLeaderNewsLimitAfterLoss, "");
+        scheduleConnect (now + kLeaderNewsLimit + randomDelay (random), "");
 }
 
 void ControllerSession::onGrant (const cell::LeaseGrant& grant)
--- a/src/router/ControllerSession.h
+++ b/src/router/ControllerSession.h
@@ -21,7 +21,16 @@
 class ControllerSession
 {
 public:
-    explicit ControllerSession (base::TimePoint now) : m_connectAt (now) {}
+    /// How long a controller that knows no leader is kept, after one had been found before: it
+    /// tells as soon as it knows one, but may be cut off from it together with others.
+    static constexpr base::Duration kPatientAfterLoss = base::milliseconds (400);
+    static constexpr base::Duration kQuickAfterLoss = base::milliseconds (150);
+
+    explicit ControllerSession (base::TimePoint now,
+                                base::Duration leaderNewsLimitAfterLoss = kPatientAfterLoss)
+        : m_leaderNewsLimitAfterLoss (leaderNewsLimitAfterLoss), m_connectAt (now)
+    {
+    }
 
     void onConnected (base::TimePoint now);
     void onLost (base::TimePoint now, base::Random& random);
@@ -55,6 +64,7 @@
 
     void scheduleConnect (base::TimePoint at, std::string address);
 
+    base::Duration m_leaderNewsLimitAfterLoss;
     bool m_isConnected = false;
     std::optional<base::TimePoint> m_connectAt;  ///< Set while a connection is wanted.
     std::string m_connectAddress;
--- a/src/router/ControllerSessionTest.cpp
+++ b/src/router/ControllerSessionTest.cpp
@@ -28,7 +28,7 @@
 
     base::TimePoint m_now{ base::seconds (1) };
     base::Random m_random{ 1 };
-    ControllerSession m_session{ m_now };
+    ControllerSession m_session{ m_now, ControllerSession::kQuickAfterLoss };
 };
 
 TEST_F (ControllerSessionTest, GoesToTheLeaderThatAFollowerNames)
