Tell where a configuration is on its way from the commit to the routers

New events 3013 to 3016, 4020, 4021, fields of 4006, two metrics. Updates that a router cannot use were dropped without a line. ForConfiguration is a purpose of its own, so that the operator's change can be followed; no decision changes.

--- a/src/controller/ControlRequests.h
+++ b/src/controller/ControlRequests.h
@@ -56,6 +56,23 @@
     kUnavailable,  ///< Nobody can decide now; send again.
 };
 
+/// For logs, for example "not_leader".
+[[nodiscard]] constexpr const char* nameOf (ControlVerdict verdict)
+{
+    switch (verdict)
+    {
+        case ControlVerdict::kDone:
+            return "done";
+        case ControlVerdict::kInvalid:
+            return "invalid";
+        case ControlVerdict::kNotLeader:
+            return "not_leader";
+        case ControlVerdict::kUnavailable:
+            break;
+    }
+    return "unavailable";
+}
+
 struct ControlAnswer
 {
     ControlVerdict verdict = ControlVerdict::kDone;
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -95,6 +95,7 @@
         if (m_leader->isTableDue && ! m_leader->isTableShared)
             sendTablesIfDue();
         announceConfiguration();
+        followRollout();
         placeOnEngines();
         sendInstancesIfDue();
         answerInForceWaits();
@@ -122,7 +123,7 @@
             [&]() -> base::Result<bool>
             {
                 BOOST_LEAF_CHECK (m_state.restore (output.installedSnapshot->data));
-                noteConfiguration();
+                keepConfiguration();
                 return true;
             },
             [] (const base::Error&) { return false; });
@@ -187,8 +188,8 @@
         return;
     }
     const cell::ApplyResult result = m_state.apply (entry.index, *command);
-    if (std::holds_alternative<cell::ApplyConfiguration> (*command))
-        noteConfiguration();
+    if (const auto* outcome = std::get_if<cell::ConfigurationResult> (&result))
+        noteConfiguration (*outcome);
     if (const auto* note = std::get_if<cell::NoteOrders> (&*command))
         m_orderNotes.onNote (*note, m_now);
     if (! m_leader)
@@ -200,7 +201,17 @@
     finishProposal (entry, result);
 }
 
-void ControllerCore::Implementation::noteConfiguration()
+void ControllerCore::Implementation::noteConfiguration (const cell::ConfigurationResult& result)
+{
+    keepConfiguration();
+    if (! m_leader || result.outcome != cell::ConfigurationOutcome::kAccepted)
+        return;
+    m_leader->rollout.onCommitted (result.inForce.version, m_now);
+    m_effects.emplace_back (ConfigurationCommitted{ result.inForce.version, m_leader->term,
+                                                    m_leader->sessions.sessions().size() });
+}
+
+void ControllerCore::Implementation::keepConfiguration()
 {
     const cell::ConfigurationState& configuration = m_state.configuration();
     if (configuration.identity().version != 0)
@@ -392,6 +403,8 @@
         {
             answerControl (request->ticket, { ControlVerdict::kUnavailable, "", "" });
         }
+        if (const auto* request = std::get_if<ForConfiguration> (&purpose))
+            answerConfiguration (*request, { ControlVerdict::kUnavailable, "", "" });
         if (ticket == 0)
             continue;
         answer (ticket,
--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -15,6 +15,7 @@
 #include "cell/PlantedFault.h"
 #include "cell/RouterMessages.h"
 #include "consensus/RaftNode.h"
+#include "controller/ConfigurationRollout.h"
 #include "controller/ControlRequests.h"
 #include "engine/EngineApi.h"
 #include "engine/ServiceEngine.h"
@@ -157,7 +158,7 @@
 
 using Effect = std::variant<PersistEffect, SendToMember, SendToRouter, BroadcastToRouters,
                             SendOrder, PollRunner, PollMachineList, AnswerAdmin, AnswerControl,
-                            placement::SendEngineOrder, placement::PollEngine>;
+                            placement::SendEngineOrder, placement::PollEngine, ConfigurationNews>;
 
 /// The state machine. Single-threaded; every call may produce effects, taken by takeEffects().
 class ControllerCore
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -16,6 +16,7 @@
 #include "controller/AdminAnswers.h"
 #include "controller/ClaimBatcher.h"
 #include "controller/ConfigurationChange.h"
+#include "controller/ConfigurationRollout.h"
 #include "controller/ControllerCore.h"
 #include "controller/CreditShare.h"
 #include "controller/DemandTable.h"
@@ -83,6 +84,13 @@
 {
     ControlTicket ticket = 0;
 };
+/// A change of the configuration by an operator of services.
+struct ForConfiguration
+{
+    ControlTicket ticket = 0;
+    std::uint64_t version = 0;
+    base::TimePoint arrivedAt{};
+};
 /// A change of the members that no operator asked for.
 struct ForOwnMembers
 {
@@ -93,9 +101,9 @@
     std::vector<placement::SendEngineOrder> orders;
     base::TimePoint notedAt{};
 };
-using Purpose =
-    std::variant<ForPlacement, ForApply, ForDrain, ForMembers, ForClaims, ForReplica, ForRunner,
-                 ForStray, ForNothing, ForControl, ForOwnMembers, ForEngineOrders>;
+using Purpose = std::variant<ForPlacement, ForApply, ForDrain, ForMembers, ForClaims, ForReplica,
+                             ForRunner, ForStray, ForNothing, ForControl, ForConfiguration,
+                             ForOwnMembers, ForEngineOrders>;
 
 /// An apply that is committed and whose operator waits until it is in force everywhere.
 struct InForceWait
@@ -168,7 +176,8 @@
     InstanceTable instances;
     base::TimePoint nextHoldingsAt{};
     std::uint64_t announcedVersion = 0;  ///< Configuration last sent to all routers.
-    PacedWork instanceTable;             ///< Routers may have to hear of a change of the instances.
+    ConfigurationRollout rollout;
+    PacedWork instanceTable;  ///< Routers may have to hear of a change of the instances.
     MemberAdmission admission;
     placement::EnginePlacement engines;
     PacedWork enginePlacement;
@@ -253,6 +262,8 @@
     void finish (const ForStray& purpose, base::LogIndex index, const cell::ApplyResult& result);
     void finish (const ForNothing& purpose, base::LogIndex index, const cell::ApplyResult& result);
     void finish (const ForControl& purpose, base::LogIndex index, const cell::ApplyResult& result);
+    void finish (const ForConfiguration& purpose, base::LogIndex index,
+                 const cell::ApplyResult& result);
     void finish (const ForOwnMembers& purpose, base::LogIndex index,
                  const cell::ApplyResult& result);
     void finish (const ForEngineOrders& purpose, base::LogIndex index,
@@ -299,6 +310,8 @@
     void sendConfigurationToAll();
     /// Sends a configuration that came into force since, also by entries of an earlier leader.
     void announceConfiguration();
+    /// Tells which configurations have reached all routers, and which are late.
+    void followRollout();
     void onDemand (RouterConnection connection, const cell::DemandReport& report);
     void sendTablesIfDue();
     void refreshTable();
@@ -333,14 +346,17 @@
     void control (ControlTicket ticket, const ReplaceConfiguration& request);
     void control (ControlTicket ticket, const ReadConfiguration& request);
     void proposeFor (ControlTicket ticket, const cell::Command& command);
+    void answerConfiguration (const ForConfiguration& purpose, ControlAnswer answer);
     void sendInstancesIfDue();
     /// Keeps a router that came while another member leads, or none, to tell it of the leader.
     void admitWatcher (RouterConnection connection, const cell::RouterHello& hello);
     /// Sends what this member has applied: a router that serves without a lease and has just
     /// started may work with it until it has found the leader.
     void sendLastKnownState (RouterConnection connection);
-    /// Keeps the configuration that was just applied for those that hold an earlier one.
-    void noteConfiguration();
+    /// A proposed configuration was applied.
+    void noteConfiguration (const cell::ConfigurationResult& result);
+    /// Keeps the configuration in force for those that hold an earlier one.
+    void keepConfiguration();
     /// Tells all watchers who leads.
     void tellWatchers();
     /// Brings all routers up to date; those that hold the same version get the same message.
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -79,7 +79,8 @@
         {
             problems += problem.key + ": " + problem.message + "\n";
         }
-        answerControl (ticket, { ControlVerdict::kInvalid, "", std::move (problems) });
+        answerConfiguration ({ ticket, 0, m_now },
+                             { ControlVerdict::kInvalid, "", std::move (problems) });
         return;
     }
     cell::ApplyConfiguration command;
@@ -87,7 +88,11 @@
     command.digest = base::sha256Hex (request.text);
     command.text = request.text;
     command.proposedAt = cellTime();
-    proposeFor (ticket, command);
+    const std::uint64_t version = command.version;
+    if (propose (command, ForConfiguration{ ticket, version, m_now }))
+        drain();
+    else
+        answerNotLeader (ticket);
 }
 
 void ControllerCore::Implementation::control (ControlTicket ticket,
@@ -113,20 +118,31 @@
 }
 
 void ControllerCore::Implementation::finish (const ForControl& purpose, base::LogIndex /*index*/,
-                                             const cell::ApplyResult& result)
+                                             const cell::ApplyResult& /*result*/)
 {
     m_leader->instanceTable.request();
-    ControlAnswer answer{ ControlVerdict::kDone, ownAdminAddress(), "" };
-    if (const auto* outcome = std::get_if<cell::ConfigurationResult> (&result))
-    {
-        sendConfigurationToAll();
-        // The highest version prevails: a lower or equal one is acknowledged and changes nothing.
-        if (outcome->outcome == cell::ConfigurationOutcome::kInvalid)
-        {
-            answer = { ControlVerdict::kInvalid, "", "the version or the text does not hold" };
-        }
-    }
     sendInstancesIfDue();
+    answerControl (purpose.ticket, { ControlVerdict::kDone, ownAdminAddress(), "" });
+}
+
+void ControllerCore::Implementation::finish (const ForConfiguration& purpose,
+                                             base::LogIndex /*index*/,
+                                             const cell::ApplyResult& result)
+{
+    ControlAnswer answer{ ControlVerdict::kDone, ownAdminAddress(), "" };
+    sendConfigurationToAll();
+    // The highest version prevails: a lower or equal one is acknowledged and changes nothing.
+    const auto& outcome = std::get<cell::ConfigurationResult> (result);
+    if (outcome.outcome == cell::ConfigurationOutcome::kInvalid)
+        answer = { ControlVerdict::kInvalid, "", "the version or the text does not hold" };
+    answerConfiguration (purpose, std::move (answer));
+}
+
+void ControllerCore::Implementation::answerConfiguration (const ForConfiguration& purpose,
+                                                          ControlAnswer answer)
+{
+    m_effects.emplace_back (ConfigurationAnswered{ purpose.version, nameOf (answer.verdict),
+                                                   m_now - purpose.arrivedAt });
     answerControl (purpose.ticket, std::move (answer));
 }
 
--- a/src/controller/ControllerMetrics.cpp
+++ b/src/controller/ControllerMetrics.cpp
@@ -61,6 +61,14 @@
     addGauge (text, "last_index", "Last log index.", m_status.lastIndex);
     addGauge (text, "configuration_version", "Version of the configuration in force.",
               m_state.configuration().identity().version);
+    addGauge (text, "configurations_open",
+              "Configurations committed by this leader and not in force at every router.",
+              m_leader ? m_leader->rollout.openVersions() : 0);
+    addGauge (text, "configuration_rollout_milliseconds",
+              "From the commit until the last configuration was in force at every router.",
+              m_leader ? static_cast<std::uint64_t> (
+                  base::toMilliseconds (m_leader->rollout.lastDuration()))
+                       : 0);
     addGauge (text, "runners", "Runners known.", m_state.replicas().runners().size());
     addGauge (text, "replicas", "Replicas that count.", m_state.replicas().replicas().size());
     addGauge (text, "claims_held", "Idempotency keys held.", m_state.claims().size());
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -7,6 +7,7 @@
 #include "consensus/Durable.h"
 #include "consensus/Membership.h"
 #include "controller/CellFormation.h"
+#include "controller/ConfigurationLog.h"
 #include "controller/MemberStart.h"
 #include "log/Log.h"
 
@@ -232,6 +233,7 @@
             },
             [this] (const placement::SendEngineOrder& send) { sendEngineOrder (send); },
             [this] (const placement::PollEngine& poll) { pollEngine (poll); },
+            [] (const ConfigurationNews& news) { logNews (news); },
         },
         effect);
 }
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -240,6 +240,28 @@
     }
 }
 
+void ControllerCore::Implementation::followRollout()
+{
+    ConfigurationRollout& rollout = m_leader->rollout;
+    if (! rollout.isOpen())
+        return;
+    const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
+    const RouterSessions& sessions = m_leader->sessions;
+    if (sessions.isInForceEverywhere (inForce, m_leader->since, m_now))
+    {
+        if (auto confirmed = rollout.onConfirmed (inForce.version, m_now))
+        {
+            confirmed->routers = sessions.sessions().size();
+            m_effects.emplace_back (*confirmed);
+        }
+    }
+    if (auto late = rollout.takeLate (m_now))
+    {
+        sessions.describeBehind (*late);
+        m_effects.emplace_back (std::move (*late));
+    }
+}
+
 void ControllerCore::Implementation::sendTablesIfDue()
 {
     const bool isDue = m_leader->isTableDue || m_now >= m_leader->nextTableAt;
--- a/src/controller/RouterSessions.cpp
+++ b/src/controller/RouterSessions.cpp
@@ -186,6 +186,20 @@
                         });
 }
 
+void RouterSessions::describeBehind (ConfigurationLate& late) const
+{
+    late.routers = m_sessions.size();
+    for (const auto& [id, session] : m_sessions)
+    {
+        if (session.configurationVersion >= late.version)
+            continue;
+        ++late.behind;
+        late.router = session.router.value;
+        late.holds = session.configurationVersion;
+        late.wasSent = session.sentVersion;
+    }
+}
+
 base::Duration RouterSessions::longestLease() const
 {
     return m_leaseDuration + m_leaseDuration / kClockDriftParts;
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -14,6 +14,7 @@
 #include "base/Time.h"
 #include "cell/ConfigurationState.h"
 #include "cell/RouterMessages.h"
+#include "controller/ConfigurationRollout.h"
 #include "controller/LoadEstimates.h"
 
 namespace fernlift::controller
@@ -82,6 +83,9 @@
     [[nodiscard]] bool isInForceEverywhere (const cell::ConfigurationIdentity& inForce,
                                             base::TimePoint leaderSince, base::TimePoint now) const;
 
+    /// Fills in which connected routers have not confirmed the late version.
+    void describeBehind (ConfigurationLate& late) const;
+
 private:
     [[nodiscard]] base::Duration longestLease() const;
 
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -142,6 +142,8 @@
         engine::ServiceOrder order;
     };
     std::vector<ArrivedEngineOrder> engineOrders;
+    /// What leaders told of the way of configurations, in order.
+    std::vector<ConfigurationNews> configurationNews;
     /// What registered engines report, by instance; without an entry they do not answer.
     std::map<std::string, engine::ServiceReport> engineReports;
 
@@ -166,6 +168,8 @@
     /// Called after every step, for invariants.
     std::function<void()> onStep;
     std::uint64_t ordersDelivered = 0;
+    /// Messages with a configuration that controllers encoded, to one router or to several.
+    std::uint64_t configurationMessages = 0;
     std::uint64_t lateOrders = 0;
 
 private:
@@ -207,6 +211,8 @@
     void carryOut (Node& node, PersistEffect effect);
     void carryOut (Node& node, SendToMember effect);
     void carryOut (Node& node, SendToRouter effect);
+    void deliver (Node& node, RouterConnection connection, cell::ControllerToRouter message);
+    void countMessage (const cell::ControllerToRouter& message);
     void carryOut (Node& node, const BroadcastToRouters& effect);
     void carryOut (Node& node, SendOrder effect);
     void carryOut (Node& node, PollRunner effect);
@@ -215,6 +221,7 @@
     void carryOut (Node& node, AnswerControl effect);
     void carryOut (Node& node, placement::SendEngineOrder effect);
     void carryOut (Node& node, placement::PollEngine effect);
+    void carryOut (Node& node, ConfigurationNews news);
     void tickRouter (TestRouter& router);
     void connect (TestRouter& router, base::MemberId member);
     void toController (TestRouter& router, cell::RouterToController message);
--- a/src/controller/TestCellTest.cpp
+++ b/src/controller/TestCellTest.cpp
@@ -252,28 +252,39 @@
               });
 }
 
-void TestCell::carryOut (Node& node, SendToRouter effect)
+void TestCell::countMessage (const cell::ControllerToRouter& message)
+{
+    if (std::holds_alternative<cell::ConfigurationUpdate> (message))
+        ++configurationMessages;
+}
+
+void TestCell::deliver (Node& node, RouterConnection connection, cell::ControllerToRouter message)
 {
     const base::MemberId from = node.id;
     schedule (kNetworkDelay,
-              [this, from, effect = std::move (effect)]
+              [this, from, connection, message = std::move (message)]
               {
                   for (auto& router : m_routers)
                   {
                       const bool isConnected =
-                          router->connection == effect.connection && router->connectedTo == from;
+                          router->connection == connection && router->connectedTo == from;
                       if (isConnected && ! router->isCut && ! this->node (from).isCut)
-                      {
-                          onMessage (*router, effect.message);
-                      }
+                          onMessage (*router, message);
                   }
               });
 }
 
+void TestCell::carryOut (Node& node, SendToRouter effect)
+{
+    countMessage (effect.message);
+    deliver (node, effect.connection, std::move (effect.message));
+}
+
 void TestCell::carryOut (Node& node, const BroadcastToRouters& effect)
 {
+    countMessage (effect.message);
     for (const RouterConnection connection : effect.connections)
-        carryOut (node, SendToRouter{ connection, effect.message });
+        deliver (node, connection, effect.message);
 }
 
 void TestCell::carryOut (Node& node, SendOrder effect)
@@ -393,6 +404,11 @@
            });
 }
 
+void TestCell::carryOut (Node& /*node*/, ConfigurationNews news)
+{
+    configurationNews.push_back (std::move (news));
+}
+
 int TestCell::apply (const std::string& text, bool waitInForce)
 {
     const auto answer = ask (leader(), AdminApply{ text, waitInForce, base::seconds (10) });
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -73,13 +73,13 @@
 base::Result<void> ProxyProcess::start()
 {
     BOOST_LEAF_CHECK (m_readiness.listen (m_settings.readinessAddress));
-    BOOST_LEAF_AUTO (address, m_server.listen (m_settings.frontAddress));
+    BOOST_LEAF_ASSIGN (m_frontAddress, m_server.listen (m_settings.frontAddress));
     if (! m_settings.metricsAddress.host.empty())
     {
         createMetrics();
         BOOST_LEAF_CHECK (m_metricsServer->listen (m_settings.metricsAddress));
     }
-    log::write (log::Event::kRouterListening, { { "address", address.toString() } });
+    log::write (log::Event::kRouterListening, { { "address", m_frontAddress.toString() } });
     m_ticker.start (kTickInterval);
     onTick();
     return {};
@@ -173,21 +173,36 @@
 {
     if (update.version <= m_held.version)
         return;
+    const base::TimePoint receivedAt = m_clock.now();
     std::optional<std::string> text = cell::wholeText (update, m_held);
     if (! text)
     {
+        log::write (log::Event::kConfigurationGap, { { "version", update.version },
+                                                     { "base", update.baseVersion },
+                                                     { "held", m_held.version } });
         m_session.requestSoon (m_clock.now());
         return;
     }
     config::CatalogueOutcome outcome = m_parser (*text);
     if (! outcome.catalogue)
+    {
+        const std::string problem =
+            outcome.problems.empty() ? "" : outcome.problems.front().message;
+        log::write (
+            log::Event::kConfigurationUnreadable,
+            { { "version", update.version }, { "held", m_held.version }, { "problem", problem } });
         return;
+    }
     m_held = { update.version, update.digest, std::move (*text) };
     m_server.setLimits (outcome.catalogue->services.limits);
     m_context.routes = std::make_shared<const RouteTable> (m_held.version,
                                                            std::move (outcome.catalogue->services));
     log::write (log::Event::kConfigurationTaken,
-                { { "version", m_held.version }, { "digest", m_held.digest } });
+                { { "version", m_held.version },
+                  { "digest", m_held.digest },
+                  { "base", update.baseVersion },
+                  { "bytes", update.text.size() },
+                  { "read_ms", base::toMilliseconds (m_clock.now() - receivedAt) } });
     m_server.onDirectoryChanged();
     m_session.requestSoon (m_clock.now());
 }
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -47,6 +47,11 @@
     /// second call ends it at once.
     void beginStop();
 
+    /// Where callers reach the process; known once it has started.
+    [[nodiscard]] const base::SocketAddress& frontAddress() const { return m_frontAddress; }
+    /// Whether callers should be sent here.
+    [[nodiscard]] bool isReady() const;
+
 private:
     void connectController (const std::string& address);
     void sendHello();
@@ -61,7 +66,6 @@
     void onTick();
     void checkStop();
     void createMetrics();
-    [[nodiscard]] bool isReady() const;
     void finish (int exitCode);
 
     ProxySettings m_settings;
@@ -86,6 +90,7 @@
     http::Metrics m_metrics;
     std::unique_ptr<http::Server> m_metricsServer;
     ProxyServer m_server;
+    base::SocketAddress m_frontAddress;
     ReadinessServer m_readiness;
     QTimer m_demandTimer;  ///< Sends an urgent report of demand once control is in the event loop.
     QTimer m_ticker;
