--- a/src/controller/ControlRequestsTest.cpp
+++ b/src/controller/ControlRequestsTest.cpp
@@ -115,6 +115,31 @@
     EXPECT_EQ (m_cell.router (0).configurationVersion, 7U);
 }
 
+TEST_F (ControlRequestsTest, AChangeIsAcknowledgedOnceNoRouterServesUnderAnEarlierOne)
+{
+    ASSERT_EQ (ask (ReplaceConfiguration{ "5 a" }), ControlVerdict::kDone);
+    m_cell.run (base::seconds (1));
+    ASSERT_TRUE (m_cell.router (1).admits (m_cell.now()));
+    m_cell.router (1).isCut = true;  // It hears of nothing, and its lease goes on.
+    ASSERT_EQ (ask (ReplaceConfiguration{ "6 b" }), ControlVerdict::kDone);
+    const test::TestRouter& router = m_cell.router (1);
+    ASSERT_EQ (router.configurationVersion, 5U);
+    EXPECT_FALSE (router.admits (m_cell.now())) << "it serves under 5 after 6 was acknowledged";
+}
+
+TEST_F (ControlRequestsTest, AChangeIsOneMessageHoweverManyRoutersThereAre)
+{
+    ASSERT_EQ (ask (ReplaceConfiguration{ "5 a" }), ControlVerdict::kDone);
+    m_cell.run (base::seconds (1));
+    m_cell.configurationMessages = 0;
+    ASSERT_EQ (ask (ReplaceConfiguration{ "6 b" }), ControlVerdict::kDone);
+    m_cell.run (base::milliseconds (100));
+    ASSERT_EQ (m_cell.router (0).configurationVersion, 6U);
+    ASSERT_EQ (m_cell.router (1).configurationVersion, 6U);
+    EXPECT_EQ (m_cell.configurationMessages, 1U)
+        << "comparing and encoding it takes the leader long";
+}
+
 TEST_F (ControlRequestsTest, ARouterThatKnowsNothingWorksWithTheLastKnownStateUntilThereIsALeader)
 {
     ask (ReplaceConfiguration{ "5 a" });
--- /dev/null
+++ b/src/proxy/ProxyProcessTest.cpp
@@ -0,0 +1,56 @@
+// A forwarding router as a process, with a leader that the test plays.
+
+#include <gtest/gtest.h>
+
+#include <charconv>
+
+#include "proxy/ProxyProcess.h"
+#include "proxy/ProxyProcessTestSupport.h"
+
+namespace fernlift::proxy
+{
+namespace
+{
+
+using test::RawCaller;
+using test::runFor;
+using test::StubLeader;
+using test::StubRunner;
+
+class ProxyProcessTest : public ::testing::Test
+{
+protected:
+    /// Status of the answer to one request on a connection of its own; 0 without an answer.
+    int statusOfRequest()
+    {
+        RawCaller caller (m_process.frontAddress());
+        caller.write (test::ProxyFixture::request ("app.test", "r" + std::to_string (++m_sent)));
+        const std::string begin = "HTTP/1.1 ";
+        if (! caller.waitFor (begin))
+            return 0;
+        int status = 0;
+        const std::string& received = caller.received();
+        const char* const digits = received.data() + received.find (begin) + begin.size();
+        std::from_chars (digits, received.data() + received.size(), status);
+        return status;
+    }
+
+    StubRunner m_runner;
+    StubLeader m_leader{ m_runner.address() };
+    test::RunningProxy m_process{ m_leader.address() };
+    int m_sent = 0;
+};
+
+TEST_F (ProxyProcessTest, ARouterThatCannotConfirmItsConfigurationForLongRefusesRequests)
+{
+    ASSERT_TRUE (m_process.waitUntilReady());
+    m_leader.grantsLeases = false;
+    runFor (std::chrono::milliseconds (5000));
+    EXPECT_EQ (statusOfRequest(), 503) << "an operator may have been told that it is replaced";
+    EXPECT_FALSE (m_process.isReady());
+    m_leader.grantsLeases = true;
+    ASSERT_TRUE (m_process.waitUntilReady());
+}
+
+}  // namespace
+}  // namespace fernlift::proxy
