Acknowledge a configuration once no router serves under an earlier one, and bound routers without a lease

Every delay between the two is a late configuration.

Change: the leader answers the operator when every router has stated the version or its leases on earlier ones are over (ConfigurationLeases, the same class at both ends; leases outlive a connection). A forwarding router serves for its lease (2 s) and a grace (1 s), holds requests for one second more, then refuses them as not run and is not ready; one that reaches no controller at all has 10 s. A waiting request does not go to a runner on an unconfirmed table. A 404 leaves a line in the log. RouterSessionsTest gave all its sessions one (empty) router id; each has its own now.

Conclusion: the promise holds whatever delays a router.

--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -415,6 +415,8 @@
     {
         answer (wait.ticket, configurationAnswer (wait.result, false));
     }
+    for (const ConfigurationWait& wait : m_leader->configurationWaits)
+        answerConfiguration (wait.purpose, { ControlVerdict::kUnavailable, "", "" });
     for (const auto& [connection, session] : m_leader->sessions.sessions())
     {
         m_watchers.insert (connection);
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -113,6 +113,15 @@
     base::TimePoint deadline{};
 };
 
+/// A change of the configuration that is committed and whose operator waits until no router serves
+/// under an earlier one.
+struct ConfigurationWait
+{
+    ForConfiguration purpose;
+    std::uint64_t version = 0;  ///< In force since the commit, or a later one.
+    ControlAnswer answer;
+};
+
 /// A load that failed on a runner lately.
 struct LoadFailure
 {
@@ -177,6 +186,7 @@
     base::TimePoint nextHoldingsAt{};
     std::uint64_t announcedVersion = 0;  ///< Configuration last sent to all routers.
     ConfigurationRollout rollout;
+    std::vector<ConfigurationWait> configurationWaits;
     PacedWork instanceTable;  ///< Routers may have to hear of a change of the instances.
     MemberAdmission admission;
     placement::EnginePlacement engines;
@@ -310,8 +320,9 @@
     void sendConfigurationToAll();
     /// Sends a configuration that came into force since, also by entries of an earlier leader.
     void announceConfiguration();
-    /// Tells which configurations have reached all routers, and which are late.
+    /// Answers and tells which configurations have reached all routers, and which are late.
     void followRollout();
+    void answerConfigurationWaits (std::uint64_t confirmedVersion);
     void onDemand (RouterConnection connection, const cell::DemandReport& report);
     void sendTablesIfDue();
     void refreshTable();
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -129,13 +129,19 @@
                                              base::LogIndex /*index*/,
                                              const cell::ApplyResult& result)
 {
-    ControlAnswer answer{ ControlVerdict::kDone, ownAdminAddress(), "" };
-    sendConfigurationToAll();
-    // The highest version prevails: a lower or equal one is acknowledged and changes nothing.
     const auto& outcome = std::get<cell::ConfigurationResult> (result);
     if (outcome.outcome == cell::ConfigurationOutcome::kInvalid)
-        answer = { ControlVerdict::kInvalid, "", "the version or the text does not hold" };
-    answerConfiguration (purpose, std::move (answer));
+    {
+        answerConfiguration (
+            purpose, { ControlVerdict::kInvalid, "", "the version or the text does not hold" });
+        return;
+    }
+    sendConfigurationToAll();
+    // The highest version prevails: a lower or equal one is acknowledged and changes nothing.
+    // Either way the answer says that nothing earlier than what is in force now is served from any
+    // more.
+    m_leader->configurationWaits.push_back (
+        { purpose, outcome.inForce.version, { ControlVerdict::kDone, ownAdminAddress(), "" } });
 }
 
 void ControllerCore::Implementation::answerConfiguration (const ForConfiguration& purpose,
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -243,18 +243,17 @@
 void ControllerCore::Implementation::followRollout()
 {
     ConfigurationRollout& rollout = m_leader->rollout;
-    if (! rollout.isOpen())
+    if (! rollout.isOpen() && m_leader->configurationWaits.empty())
         return;
-    const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
     const RouterSessions& sessions = m_leader->sessions;
-    if (sessions.isInForceEverywhere (inForce, m_leader->since, m_now))
+    const std::uint64_t confirmed = sessions.confirmedVersion (
+        m_state.configuration().identity().version, m_leader->since, m_now);
+    if (auto news = rollout.onConfirmed (confirmed, m_now))
     {
-        if (auto confirmed = rollout.onConfirmed (inForce.version, m_now))
-        {
-            confirmed->routers = sessions.sessions().size();
-            m_effects.emplace_back (*confirmed);
-        }
+        news->routers = sessions.sessions().size();
+        m_effects.emplace_back (*news);
     }
+    answerConfigurationWaits (confirmed);
     if (auto late = rollout.takeLate (m_now))
     {
         sessions.describeBehind (*late);
@@ -262,6 +261,18 @@
     }
 }
 
+void ControllerCore::Implementation::answerConfigurationWaits (std::uint64_t confirmedVersion)
+{
+    std::erase_if (m_leader->configurationWaits,
+                   [&] (ConfigurationWait& wait)
+                   {
+                       if (wait.version > confirmedVersion)
+                           return false;
+                       answerConfiguration (wait.purpose, std::move (wait.answer));
+                       return true;
+                   });
+}
+
 void ControllerCore::Implementation::sendTablesIfDue()
 {
     const bool isDue = m_leader->isTableDue || m_now >= m_leader->nextTableAt;
--- a/src/controller/RouterSessions.cpp
+++ b/src/controller/RouterSessions.cpp
@@ -13,6 +13,14 @@
 /// A router's clock may run this much slower than the leader's: one part in this many.
 constexpr int kClockDriftParts = 100;
 
+/// The newest version, up to `newest`, that holds at a router which stated `stated`.
+std::uint64_t lowestInUse (std::uint64_t stated, const cell::ConfigurationLeases& leases,
+                           std::uint64_t newest, base::TimePoint now)
+{
+    const bool mayServeEarlier = stated < newest && leases.isHeldBelow (newest, now);
+    return mayServeEarlier ? stated : newest;
+}
+
 bool hasInForce (const RouterSession& session, const cell::ConfigurationIdentity& inForce)
 {
     return session.configurationVersion == inForce.version
@@ -111,7 +119,10 @@
                                      base::TimePoint now)
 {
     close (id);
+    std::erase_if (m_departed, [&] (const auto& item) { return item.second.leases.isOver (now); });
+    cell::ConfigurationLeases leases = supersede (hello.router);
     RouterSession& session = m_sessions[id];
+    session.leases = std::move (leases);
     session.router = hello.router;
     session.zone = hello.zone;
     session.address = hello.address;
@@ -126,10 +137,28 @@
     const auto found = m_sessions.find (id);
     if (found == m_sessions.end())
         return;
-    m_departedLeaseUntil = std::max (m_departedLeaseUntil, found->second.leaseUntil);
+    const RouterSession& session = found->second;
+    if (! session.isSuperseded)
+        m_departed[session.router] = { session.configurationVersion, session.leases };
     m_sessions.erase (found);
 }
 
+/// A router has one connection: what it states on a new one goes before what is known of the
+/// others. The leases that it was granted on those go on.
+cell::ConfigurationLeases RouterSessions::supersede (const base::RouterId& router)
+{
+    cell::ConfigurationLeases leases;
+    if (const auto departed = m_departed.extract (router))
+        leases = std::move (departed.mapped().leases);
+    for (auto& [id, session] : m_sessions)
+    {
+        if (session.router != router || std::exchange (session.isSuperseded, true))
+            continue;
+        leases = std::move (session.leases);
+    }
+    return leases;
+}
+
 RouterSession* RouterSessions::find (SessionId id)
 {
     const auto found = m_sessions.find (id);
@@ -162,7 +191,14 @@
                                         const cell::ConfigurationIdentity& inForce, base::Term term,
                                         base::TimePoint now) const
 {
-    session.leaseUntil = now + longestLease();
+    session.leases.extend (inForce.version, now + longestLease(), now);
+    // A router that is behind counts as serving what it stated for one lease more, for example
+    // under one of an earlier leader; asking again does not prolong that, or it could hold up a
+    // change for ever.
+    const bool isBehind = session.configurationVersion < inForce.version;
+    if (isBehind && ! session.isCountedBehind)
+        session.leases.extend (session.configurationVersion, now + longestLease(), now);
+    session.isCountedBehind = isBehind;
     cell::LeaseGrant grant;
     grant.sequence = request.sequence;
     grant.configurationVersion = inForce.version;
@@ -173,17 +209,32 @@
     return grant;
 }
 
+std::uint64_t RouterSessions::confirmedVersion (std::uint64_t newest, base::TimePoint leaderSince,
+                                                base::TimePoint now) const
+{
+    // Routers that have not come to this leader may hold leases of the one before.
+    if (now < leaderSince + longestLease())
+        return 0;
+    std::uint64_t confirmed = newest;
+    for (const auto& [id, session] : m_sessions)
+    {
+        if (session.isSuperseded)
+            continue;
+        confirmed = std::min (
+            confirmed, lowestInUse (session.configurationVersion, session.leases, newest, now));
+    }
+    for (const auto& [router, departed] : m_departed)
+    {
+        confirmed =
+            std::min (confirmed, lowestInUse (departed.version, departed.leases, newest, now));
+    }
+    return confirmed;
+}
+
 bool RouterSessions::isInForceEverywhere (const cell::ConfigurationIdentity& inForce,
                                           base::TimePoint leaderSince, base::TimePoint now) const
 {
-    if (now < leaderSince + longestLease() || now < m_departedLeaseUntil)
-        return false;
-    return std::all_of (m_sessions.begin(), m_sessions.end(),
-                        [&] (const auto& entry)
-                        {
-                            const RouterSession& session = entry.second;
-                            return hasInForce (session, inForce) || now >= session.leaseUntil;
-                        });
+    return confirmedVersion (inForce.version, leaderSince, now) >= inForce.version;
 }
 
 void RouterSessions::describeBehind (ConfigurationLate& late) const
@@ -191,7 +242,7 @@
     late.routers = m_sessions.size();
     for (const auto& [id, session] : m_sessions)
     {
-        if (session.configurationVersion >= late.version)
+        if (session.isSuperseded || session.configurationVersion >= late.version)
             continue;
         ++late.behind;
         late.router = session.router.value;
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -12,6 +12,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "cell/ConfigurationLeases.h"
 #include "cell/ConfigurationState.h"
 #include "cell/RouterMessages.h"
 #include "controller/ConfigurationRollout.h"
@@ -33,7 +34,9 @@
     std::uint64_t sentVersion = 0;  ///< Configuration last sent or stated.
     std::string sentDigest;
     base::TimePoint configurationSentAt{};
-    base::TimePoint leaseUntil{};  ///< No lease granted to it runs longer than this.
+    cell::ConfigurationLeases leases;  ///< Granted to it here, with allowance for its clock.
+    bool isCountedBehind = false;      ///< Its last grant named a later version than it stated.
+    bool isSuperseded = false;  ///< The router has come on another connection; this one is dead.
     base::TimePoint heardAt{};
 
     /// Version of the replica table that the router has once it has read everything sent; 0: none.
@@ -78,8 +81,11 @@
                                           const cell::ConfigurationIdentity& inForce,
                                           base::Term term, base::TimePoint now) const;
 
-    /// True when no router can admit requests under another configuration than `inForce`: each
-    /// connected one stated it, and leases of the others, of earlier leaders too, have run out.
+    /// The newest version, up to `newest`, below which no router can admit requests: each connected
+    /// one stated it or a later one, and leases of the others on earlier ones, also those of
+    /// earlier leaders, have run out. 0: nothing is known yet.
+    [[nodiscard]] std::uint64_t confirmedVersion (std::uint64_t newest, base::TimePoint leaderSince,
+                                                  base::TimePoint now) const;
     [[nodiscard]] bool isInForceEverywhere (const cell::ConfigurationIdentity& inForce,
                                             base::TimePoint leaderSince, base::TimePoint now) const;
 
@@ -87,12 +93,19 @@
     void describeBehind (ConfigurationLate& late) const;
 
 private:
+    /// What a router that is no longer connected may still serve under.
+    struct Departed
+    {
+        std::uint64_t version = 0;  ///< In force there, as last stated.
+        cell::ConfigurationLeases leases;
+    };
+
     [[nodiscard]] base::Duration longestLease() const;
+    cell::ConfigurationLeases supersede (const base::RouterId& router);
 
     base::Duration m_leaseDuration;
     std::map<SessionId, RouterSession> m_sessions;
-    /// Latest end of a lease of a router that is no longer connected.
-    base::TimePoint m_departedLeaseUntil{};
+    std::map<base::RouterId, Departed> m_departed;  ///< Until they come back or their leases end.
 };
 
 }  // namespace fernlift::controller
--- a/src/controller/RouterSessionsTest.cpp
+++ b/src/controller/RouterSessionsTest.cpp
@@ -12,7 +12,13 @@
 class RouterSessionsTest : public ::testing::Test
 {
 protected:
-    RouterSession& open (SessionId id) { return m_sessions.open (id, {}, m_now); }
+    /// A router of its own for each session unless it is named.
+    RouterSession& open (SessionId id, const std::string& router = "")
+    {
+        cell::RouterHello hello;
+        hello.router = base::RouterId (router.empty() ? "r" + std::to_string (id) : router);
+        return m_sessions.open (id, hello, m_now);
+    }
     /// A lease request of a router that has `version` in force, and the grant.
     void renew (RouterSession& session, std::uint64_t version)
     {
@@ -66,6 +72,48 @@
     EXPECT_TRUE (isEverywhere());
 }
 
+TEST_F (RouterSessionsTest, ALeaseOutlivesTheConnectionOnWhichItWasGranted)
+{
+    renew (open (1, "a"), 1);
+    m_inForce = { 3, "3", 0, 2 };
+    open (2, "a");
+    EXPECT_FALSE (isEverywhere()) << "it may serve under version 2 for the rest of the lease";
+    m_sessions.close (1);
+    EXPECT_FALSE (isEverywhere());
+    m_sessions.close (2);
+    EXPECT_FALSE (isEverywhere());
+    renew (open (3, "a"), 3);
+    EXPECT_TRUE (isEverywhere()) << "it states the newest one on its newest connection";
+}
+
+TEST_F (RouterSessionsTest, ALeaseOnTheNewestVersionDoesNotLetARouterServeUnderEarlierOnes)
+{
+    RouterSession& session = open (1);
+    renew (session, 1);  // Granted for version 2, which is in force.
+    m_inForce = { 3, "3", 0, 2 };
+    const base::TimePoint grantedAt = m_now;
+    while (m_now < grantedAt + kLease + kLease / 50)
+    {
+        EXPECT_FALSE (isEverywhere());
+        renew (session, 1);  // It does not get on, but its leases are on version 3 now.
+        m_now += base::milliseconds (100);
+    }
+    EXPECT_TRUE (isEverywhere());
+}
+
+TEST_F (RouterSessionsTest, AnEarlierVersionIsConfirmedBeforeTheNewestIs)
+{
+    RouterSession& first = open (1);
+    RouterSession& second = open (2);
+    renew (first, 2);
+    renew (second, 2);
+    m_inForce = { 5, "5", 0, 2 };
+    EXPECT_EQ (m_sessions.confirmedVersion (5, m_leaderSince, m_now), 2U);
+    renew (first, 4);
+    renew (second, 3);
+    EXPECT_EQ (m_sessions.confirmedVersion (5, m_leaderSince, m_now), 3U);
+}
+
 TEST_F (RouterSessionsTest, TableIsSentWholeAgainWhenItWasLost)
 {
     RouterSession& session = open (1);
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -150,6 +150,7 @@
         }
         router.configurationVersion = update->version;
         router.configurationDigest = update->digest;
+        router.nextLeaseAt = m_now;  // States it at once.
     }
     else if (const auto* grant = std::get_if<cell::LeaseGrant> (&message))
     {
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -59,20 +59,27 @@
 
 bool Exchange::findRoute()
 {
-    m_routes = m_context.routes;
+    const Freshness freshness = m_context.routes ? m_context.freshness() : Freshness::kUnconfirmed;
+    if (freshness == Freshness::kExpired)
+    {
+        m_isWaitingForRoutes = false;
+        refuse (ErrorKind::kLeaseExpired, "the configuration could not be confirmed for too long",
+                kRetrySoon);
+        return false;
+    }
+    const bool isConfirmed = freshness == Freshness::kConfirmed;
+    m_routes = isConfirmed ? m_context.routes : nullptr;
     m_route =
         m_routes ? m_routes->find (m_request.headers.value ("Host"), m_request.path()) : nullptr;
-    if (m_route == nullptr && ! m_context.areRoutesConfirmed)
+    if (m_route == nullptr && ! (isConfirmed && m_context.areRoutesConfirmed))
     {
-        // A router that has just started hears of the configuration in a moment.
-        m_isWaitingForRoutes = true;
-        m_deadline = m_arrivedAt + std::min<base::Duration> (m_stated / 2, kLongestWaitForRoutes);
-        armTimer();
+        waitForRoutes();
         return false;
     }
     m_isWaitingForRoutes = false;
     if (m_route == nullptr)
     {
+        logEnd (log::Event::kRequestRefused, "no route leads there");
         sendError ({ ErrorKind::kNotFound, "no route leads there" }, std::nullopt);
         return false;
     }
@@ -83,6 +90,15 @@
     return true;
 }
 
+/// A router that has just started, or that has lost the leader, hears of the configuration in a
+/// moment.
+void Exchange::waitForRoutes()
+{
+    m_isWaitingForRoutes = true;
+    m_deadline = m_arrivedAt + std::min<base::Duration> (m_stated / 2, kLongestWaitForRoutes);
+    armTimer();
+}
+
 void Exchange::readModel()
 {
     const config::Service* service = m_routes->catalogue().findService (m_query.service);
@@ -110,7 +126,10 @@
         onTimer();
         return;
     }
-    const InstanceChoice choice = m_context.directory.choose (m_query, now());
+    InstanceChoice choice;
+    choice.reason = NoChoice::kUnconfirmed;
+    if (m_context.freshness() == Freshness::kConfirmed)
+        choice = m_context.directory.choose (m_query, now());
     if (choice.reason == NoChoice::kNone)
     {
         endWait();
@@ -282,7 +301,10 @@
     }
     if (m_isWaitingForRoutes)
     {
-        refuse (ErrorKind::kLeaseExpired, "no configuration is known yet", kRetrySoon);
+        refuse (ErrorKind::kLeaseExpired,
+                m_context.routes ? "the configuration could not be confirmed in time"
+                                 : "no configuration is known yet",
+                kRetrySoon);
         return;
     }
     if (m_connection)
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -59,6 +59,7 @@
     [[nodiscard]] base::TimePoint now() const { return m_context.clock.now(); }
     /// Finds the route; false when the request ended or waits for a configuration.
     bool findRoute();
+    void waitForRoutes();
     void readModel();
     void tryNext();
     void beginWait (NoChoice reason);
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -57,6 +57,8 @@
             return "no_runner";
         case NoChoice::kNotLoaded:
             return "not_loaded";
+        case NoChoice::kUnconfirmed:
+            return "unconfirmed";
         case NoChoice::kFull:
             break;
     }
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -34,10 +34,11 @@
 
 enum class NoChoice : std::uint8_t
 {
-    kNone,       ///< A runner was chosen.
-    kUnknown,    ///< No runner of the service takes requests.
-    kNotLoaded,  ///< None of them holds the model and adapter.
-    kFull,       ///< All that could take it are full.
+    kNone,         ///< A runner was chosen.
+    kUnknown,      ///< No runner of the service takes requests.
+    kNotLoaded,    ///< None of them holds the model and adapter.
+    kFull,         ///< All that could take it are full.
+    kUnconfirmed,  ///< The table may be out of date: no leader has confirmed it for long.
 };
 
 struct InstanceChoice
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -10,6 +10,7 @@
 #include "base/Time.h"
 #include "dispatch/RetryBudget.h"
 #include "http/BackEndPool.h"
+#include "proxy/ConfigurationFreshness.h"
 #include "proxy/EngineDemands.h"
 #include "proxy/InstanceDirectory.h"
 #include "proxy/ProtocolNames.h"
@@ -46,6 +47,8 @@
     /// A leader has confirmed the configuration, or a newer one, since the router started. Before
     /// that a route that is missing may only be missing here.
     bool areRoutesConfirmed = false;
+    /// Whether requests may be served from the routes and the directory now.
+    std::function<Freshness()> freshness = [] { return Freshness::kConfirmed; };
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -56,15 +56,18 @@
       m_link (peersOf (m_settings), m_random.bits() % peersOf (m_settings).size(),
               { [this]
                 {
+                    m_freshness.onContact();
                     m_session.onConnected (m_clock.now());
                     sendHello();
                     pollController();
                 },
                 [this] (const cell::ControllerToRouter& message) { onControllerMessage (message); },
                 [this] { m_session.onLost (m_clock.now(), m_random); } }),
+      m_freshness ({ m_settings.unconfirmedGrace, m_settings.isolatedGrace }),
       m_server (m_context),
       m_readiness (m_names.readinessPath, [this] { return isReady(); })
 {
+    m_context.freshness = [this] { return freshness(); };
     m_demandTimer.setSingleShot (true);
     QObject::connect (&m_demandTimer, &QTimer::timeout, &m_demandTimer, [this] { reportDemand(); });
     QObject::connect (&m_ticker, &QTimer::timeout, &m_ticker, [this] { onTick(); });
@@ -108,6 +111,10 @@
             set ("fernlift_proxy_connections_opened", "Connections opened to runners.",
                  m_pool.opened());
             set ("fernlift_proxy_configuration_version", "Configuration in force.", m_held.version);
+            set ("fernlift_proxy_configuration_unconfirmed_milliseconds",
+                 "Since the lease on the configuration ended; 0 while it lasts.",
+                 static_cast<std::uint64_t> (
+                     base::toMilliseconds (m_freshness.unconfirmedFor (m_clock.now()))));
         });
     m_metricsServer = std::make_unique<http::Server>();
     m_metricsServer->setHandler (http::addProcessEndpoints (
@@ -121,7 +128,8 @@
 
 bool ProxyProcess::isReady() const
 {
-    return ! m_stopBegan && m_context.routes != nullptr && m_directory.hasTable();
+    const bool isKnown = m_context.routes != nullptr && m_directory.hasTable();
+    return ! m_stopBegan && isKnown && m_freshness.at (m_clock.now()) != Freshness::kExpired;
 }
 
 void ProxyProcess::sendHello()
@@ -140,6 +148,7 @@
 void ProxyProcess::onControllerMessage (const cell::ControllerToRouter& message)
 {
     m_session.onHeard (m_clock.now());
+    m_freshness.onContact();
     if (const auto* other = std::get_if<cell::NotLeaderReply> (&message))
     {
         m_session.onNotLeader (*other, m_clock.now(), m_random);
@@ -148,6 +157,7 @@
     {
         m_session.onGrant (*grant);
         noteController (true);
+        confirmConfiguration();
         confirmRoutes (*grant);
     }
     else if (const auto* configuration = std::get_if<cell::ConfigurationUpdate> (&message))
@@ -203,8 +213,33 @@
                   { "base", update.baseVersion },
                   { "bytes", update.text.size() },
                   { "read_ms", base::toMilliseconds (m_clock.now() - receivedAt) } });
+    m_freshness.onTaken (m_clock.now());
+    confirmConfiguration();
     m_server.onDirectoryChanged();
+    // The leader waits to hear that it is in force here.
     m_session.requestSoon (m_clock.now());
+    pollController();
+}
+
+void ProxyProcess::confirmConfiguration()
+{
+    if (m_held.version != 0)
+        m_freshness.onLease (m_session.leaseEnd (m_held.version));
+}
+
+Freshness ProxyProcess::freshness()
+{
+    const base::TimePoint now = m_clock.now();
+    const Freshness present = m_freshness.at (now);
+    if (present == m_toldFreshness)
+        return present;
+    m_toldFreshness = present;
+    log::write (present == Freshness::kConfirmed ? log::Event::kConfigurationIsConfirmed
+                                                 : log::Event::kConfigurationIsUnconfirmed,
+                { { "version", m_held.version },
+                  { "standing", nameOf (present) },
+                  { "unconfirmed_ms", base::toMilliseconds (m_freshness.unconfirmedFor (now)) } });
+    return present;
 }
 
 void ProxyProcess::takeInstances (const cell::InstanceUpdate& update)
@@ -243,6 +278,7 @@
     if (const auto* connect = std::get_if<router::ConnectController> (&*due))
     {
         noteController (false);
+        m_freshness.onConnectionTried();
         m_link.connect (connect->address);
         return;
     }
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -18,6 +18,7 @@
 #include "cell/RouterMessages.h"
 #include "http/Metrics.h"
 #include "http/Server.h"
+#include "proxy/ConfigurationFreshness.h"
 #include "proxy/ProtocolNames.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/ProxyServer.h"
@@ -62,6 +63,10 @@
     void pollController();
     /// Logs when the leader begins or ceases to answer.
     void noteController (bool isAnswering);
+    /// Takes over the leases that cover the configuration held.
+    void confirmConfiguration();
+    /// Whether requests may be served now; logs when that changes.
+    Freshness freshness();
     void reportDemand();
     void onTick();
     void checkStop();
@@ -83,6 +88,8 @@
     router::ControllerSession m_session;
     router::ControllerLink m_link;
     cell::HeldConfiguration m_held;
+    ConfigurationFreshness m_freshness;
+    Freshness m_toldFreshness = Freshness::kConfirmed;
     std::optional<base::TimePoint> m_stopBegan;
     bool m_isRefusing = false;
     bool m_hasController = false;
--- a/src/proxy/ProxyProcessTest.cpp
+++ b/src/proxy/ProxyProcessTest.cpp
@@ -45,7 +45,7 @@
 {
     ASSERT_TRUE (m_process.waitUntilReady());
     m_leader.grantsLeases = false;
-    runFor (std::chrono::milliseconds (5000));
+    runFor (std::chrono::milliseconds (2000));
     EXPECT_EQ (statusOfRequest(), 503) << "an operator may have been told that it is replaced";
     EXPECT_FALSE (m_process.isReady());
     m_leader.grantsLeases = true;
--- a/src/proxy/ProxyProcessTestSupport.h
+++ b/src/proxy/ProxyProcessTestSupport.h
@@ -155,6 +155,7 @@
         settings.readinessAddress = { "127.0.0.1", 0 };
         settings.seeds = { leader };
         settings.seedPeerPort = leader.port;
+        settings.unconfirmedGrace = base::milliseconds (100);
         return settings;
     }
 
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -40,6 +40,12 @@
                         "a stopping router serves on for this time while it is not ready");
     schema.addDuration ("stop_timeout_ms", &settings.stopTimeout, milliseconds (1), seconds (600),
                         "longest planned stop");
+    schema.addDuration (
+        "unconfirmed_grace_ms", &settings.unconfirmedGrace, milliseconds (0), seconds (600),
+        "after its lease on the configuration the router serves on for this time; must "
+        "be below the time in which a change has to be in force");
+    schema.addDuration ("isolated_grace_ms", &settings.isolatedGrace, milliseconds (0),
+                        seconds (3600), "the same while the router reaches no controller at all");
     config::addLoggingSettings (schema, &settings.logging);
     schema.addCheck (
         [&settings]
@@ -52,6 +58,10 @@
             {
                 problems.emplace_back ("stop_timeout_ms is below stop_grace_ms");
             }
+            if (settings.isolatedGrace < settings.unconfirmedGrace)
+            {
+                problems.emplace_back ("isolated_grace_ms is below unconfirmed_grace_ms");
+            }
             return problems;
         });
 }
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -28,6 +28,12 @@
     base::Duration connectTimeout = base::milliseconds (250);
     base::Duration stopGrace = base::milliseconds (2500);  ///< Serves on, not ready.
     base::Duration stopTimeout = base::milliseconds (7800);
+    /// How long the configuration is served from after its lease. Half of the shortest time in
+    /// which the platforms known want a change in force (2 s).
+    base::Duration unconfirmedGrace = base::milliseconds (1000);
+    /// The same while no controller can be reached: above the 5 s for which platforms known let all
+    /// controllers be without power.
+    base::Duration isolatedGrace = base::milliseconds (10'000);
     log::Options logging;
 };
 
--- a/src/router/ControllerSession.cpp
+++ b/src/router/ControllerSession.cpp
@@ -70,6 +70,7 @@
         return;
     const base::Duration length = base::milliseconds (grant.durationMilliseconds);
     const base::TimePoint until = sent->second + length;
+    m_leases.extend (grant.configurationVersion, until, sent->second);
     m_unanswered.erase (m_unanswered.begin(), std::next (sent));
     m_highestTerm = grant.term;
     m_requestInterval =
--- a/src/router/ControllerSession.h
+++ b/src/router/ControllerSession.h
@@ -12,6 +12,7 @@
 
 #include "base/Random.h"
 #include "base/Time.h"
+#include "cell/ConfigurationLeases.h"
 #include "cell/RouterMessages.h"
 #include "router/RouterCore.h"
 
@@ -53,6 +54,11 @@
     [[nodiscard]] bool hasLease (base::TimePoint now, std::uint64_t heldVersion,
                                  const std::string& heldDigest) const;
     [[nodiscard]] base::TimePoint leaseEnd() const { return m_lease.until; }
+    /// Latest end of a lease that covers the configuration held: one on it or on an earlier one.
+    [[nodiscard]] base::TimePoint leaseEnd (std::uint64_t heldVersion) const
+    {
+        return m_leases.endUpTo (heldVersion);
+    }
 
 private:
     struct Lease
@@ -74,7 +80,8 @@
     std::uint64_t m_lastSequence = 0;
     std::map<std::uint64_t, base::TimePoint> m_unanswered;  ///< By sequence; when it was sent.
     base::Term m_highestTerm = 0;
-    Lease m_lease;
+    Lease m_lease;  ///< On the latest configuration named.
+    cell::ConfigurationLeases m_leases;
 };
 
 }  // namespace fernlift::router
