Acknowledge drains and deregistrations once no router may send there any more

A heartbeat of an instance that drains already was acknowledged whatever the routers knew.

Change: routers state the version of the table of instances with each lease request, and at once when the leader waits for it (InstanceUpdate::mustConfirm). The answer comes when all routers state the table with the drain, or when every lease that was granted before it was sent is over (2 s).

Ruled out: answering at once and naming a later time to the runner (the protocol has no such field).

--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -48,12 +48,14 @@
     std::uint64_t replicaTableVersion = 0;  ///< Last ReplicaUpdate applied.
     /// A change came that does not fit the configuration in force.
     bool needsWholeConfiguration = false;
+    base::Term instanceTerm = 0;        ///< Of the leader that sent the table of instances held.
+    std::uint64_t instanceVersion = 0;  ///< Last InstanceUpdate applied.
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
         archive& sequence& configurationVersion& configurationDigest& replicaTableVersion&
-            needsWholeConfiguration;
+            needsWholeConfiguration& instanceTerm& instanceVersion;
     }
 };
 
@@ -395,11 +397,13 @@
     std::vector<std::string> removals;     ///< Ids.
     std::vector<std::string> controllers;  ///< Peer addresses of the members.
     std::uint32_t routers = 1;             ///< Connected to the leader.
+    /// The leader waits to hear that it is applied: the router states it at once.
+    bool mustConfirm = false;
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
-        archive& term& fromVersion& toVersion& upserts& removals& controllers& routers;
+        archive& term& fromVersion& toVersion& upserts& removals& controllers& routers& mustConfirm;
     }
 };
 
--- a/src/controller/ControlRequestsTest.cpp
+++ b/src/controller/ControlRequestsTest.cpp
@@ -239,6 +239,45 @@
     EXPECT_TRUE (m_cell.router (1).instances.at ("i-1").instance.isDraining);
 }
 
+TEST_F (ControlRequestsTest, ADrainIsAcknowledgedOnceNoRouterMaySendThere)
+{
+    ask (ReplaceConfiguration{ "5 a" });
+    ask (heartbeatOf ("i-1", 1));
+    m_cell.run (base::seconds (1));
+    m_cell.router (1).isCut = true;  // It hears of nothing, and its lease goes on.
+    InstanceHeartbeat draining = heartbeatOf ("i-1", 2);
+    draining.instance.isDraining = true;
+    const auto first = m_cell.askControl (m_cell.leader(), draining, base::milliseconds (500));
+    EXPECT_FALSE (first) << "router 1 may send there";
+    draining.sequence = 3;
+    EXPECT_EQ (ask (draining), ControlVerdict::kDone);
+    EXPECT_FALSE (m_cell.router (1).instances.at ("i-1").instance.isDraining);
+    EXPECT_FALSE (m_cell.router (1).admits (m_cell.now()));
+}
+
+TEST_F (ControlRequestsTest, ADeregistrationIsAcknowledgedOnceNoRouterMaySendThere)
+{
+    ask (ReplaceConfiguration{ "5 a" });
+    ask (heartbeatOf ("i-1", 1));
+    m_cell.run (base::seconds (1));
+    m_cell.router (1).isCut = true;
+    EXPECT_EQ (ask (InstanceDeregistration{ "i-1" }), ControlVerdict::kDone);
+    EXPECT_TRUE (m_cell.router (1).instances.contains ("i-1"));
+    EXPECT_FALSE (m_cell.router (1).admits (m_cell.now()));
+}
+
+TEST_F (ControlRequestsTest, ADrainIsAcknowledgedSoonWhenAllRoutersAreThere)
+{
+    ask (ReplaceConfiguration{ "5 a" });
+    ask (heartbeatOf ("i-1", 1));
+    m_cell.run (base::seconds (3));
+    InstanceHeartbeat draining = heartbeatOf ("i-1", 2);
+    draining.instance.isDraining = true;
+    const base::TimePoint askedAt = m_cell.now();
+    EXPECT_EQ (ask (draining), ControlVerdict::kDone);
+    EXPECT_LT (m_cell.now() - askedAt, base::milliseconds (100));
+}
+
 TEST_F (ControlRequestsTest, ADrainOutlivesItsLeaderAndALateHeartbeat)
 {
     ask (heartbeatOf ("i-1", 1));
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -98,6 +98,7 @@
         followRollout();
         placeOnEngines();
         sendInstancesIfDue();
+        answerLeavingWaits();
         answerInForceWaits();
     } while (takeRaftOutput());
     updateLeadership();
@@ -402,6 +403,8 @@
         {
             answerControl (request->ticket, { ControlVerdict::kUnavailable, "", "" });
         }
+        if (const auto* request = std::get_if<ForLeavingInstance> (&purpose))
+            answerControl (request->ticket, { ControlVerdict::kUnavailable, "", "" });
         if (const auto* request = std::get_if<ForConfiguration> (&purpose))
             answerConfiguration (*request, { ControlVerdict::kUnavailable, "", "" });
         if (ticket == 0)
@@ -414,6 +417,8 @@
     {
         answer (wait.ticket, configurationAnswer (wait.result, false));
     }
+    for (const LeavingWait& wait : m_leader->leavingWaits)
+        answerControl (wait.ticket, { ControlVerdict::kUnavailable, "", "" });
     for (const ConfigurationWait& wait : m_leader->configurationWaits)
         answerConfiguration (wait.purpose, { ControlVerdict::kUnavailable, "", "" });
     for (const auto& [connection, session] : m_leader->sessions.sessions())
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -84,6 +84,11 @@
 {
     ControlTicket ticket = 0;
 };
+/// An instance that drains or is gone.
+struct ForLeavingInstance
+{
+    ControlTicket ticket = 0;
+};
 /// A change of the configuration by an operator of services.
 struct ForConfiguration
 {
@@ -102,8 +107,8 @@
     base::TimePoint notedAt{};
 };
 using Purpose = std::variant<ForPlacement, ForApply, ForDrain, ForMembers, ForClaims, ForReplica,
-                             ForRunner, ForStray, ForNothing, ForControl, ForConfiguration,
-                             ForOwnMembers, ForEngineOrders>;
+                             ForRunner, ForStray, ForNothing, ForControl, ForLeavingInstance,
+                             ForConfiguration, ForOwnMembers, ForEngineOrders>;
 
 /// An apply that is committed and whose operator waits until it is in force everywhere.
 struct InForceWait
@@ -122,6 +127,15 @@
     ControlAnswer answer;
 };
 
+/// An instance that drains or is gone, as is committed; it is told once no router may send there.
+struct LeavingWait
+{
+    ControlTicket ticket = 0;
+    std::uint64_t tableVersion = 0;  ///< Of instances, the first that says so; 0: not sent yet.
+    /// Routers that have not heard of it by then have no lease any more.
+    base::TimePoint leasesEndAt{};
+};
+
 /// A load that failed on a runner lately.
 struct LoadFailure
 {
@@ -188,6 +202,7 @@
     PacedWork configurationSend;         ///< Routers may have to be sent the configuration.
     ConfigurationRollout rollout;
     std::vector<ConfigurationWait> configurationWaits;
+    std::vector<LeavingWait> leavingWaits;
     PacedWork instanceTable;  ///< Routers may have to hear of a change of the instances.
     MemberAdmission admission;
     placement::EnginePlacement engines;
@@ -273,6 +288,8 @@
     void finish (const ForStray& purpose, base::LogIndex index, const cell::ApplyResult& result);
     void finish (const ForNothing& purpose, base::LogIndex index, const cell::ApplyResult& result);
     void finish (const ForControl& purpose, base::LogIndex index, const cell::ApplyResult& result);
+    void finish (const ForLeavingInstance& purpose, base::LogIndex index,
+                 const cell::ApplyResult& result);
     void finish (const ForConfiguration& purpose, base::LogIndex index,
                  const cell::ApplyResult& result);
     void finish (const ForOwnMembers& purpose, base::LogIndex index,
@@ -355,11 +372,14 @@
     void control (ControlTicket ticket, const InstanceDeregistration& request);
     void control (ControlTicket ticket, const ReplaceConfiguration& request);
     void control (ControlTicket ticket, const ReadConfiguration& request);
-    void proposeFor (ControlTicket ticket, const cell::Command& command);
+    void proposeFor (ControlTicket ticket, const cell::Command& command, Purpose purpose);
     /// Answers once no router serves under an earlier configuration than the one in force now.
     void awaitRollout (const ForConfiguration& purpose);
     void answerConfiguration (const ForConfiguration& purpose, ControlAnswer answer);
     void sendInstancesIfDue();
+    /// Answers once no router may send by a table in which the instance still takes requests.
+    void awaitLeaving (ControlTicket ticket);
+    void answerLeavingWaits();
     /// Keeps a router that came while another member leads, or none, to tell it of the leader.
     void admitWatcher (RouterConnection connection, const cell::RouterHello& hello);
     /// Sends what this member has applied: a router that serves without a lease and has just
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -50,11 +50,20 @@
         cell::ServiceInstance instance = heartbeat.instance;
         instance.isReported = true;
         instance.models = heartbeat.models;
-        proposeFor (ticket, cell::AddInstance{ std::move (instance), cellTime() });
+        const Purpose purpose = heartbeat.instance.isDraining
+                                    ? Purpose (ForLeavingInstance{ ticket })
+                                    : Purpose (ForControl{ ticket });
+        proposeFor (ticket, cell::AddInstance{ std::move (instance), cellTime() }, purpose);
     }
     else if (heartbeat.instance.isDraining && ! known->isDraining)
     {
-        proposeFor (ticket, cell::DrainInstance{ heartbeat.instance.id, cellTime() });
+        proposeFor (ticket, cell::DrainInstance{ heartbeat.instance.id, cellTime() },
+                    ForLeavingInstance{ ticket });
+    }
+    else if (heartbeat.instance.isDraining)
+    {
+        // Known already, perhaps from an earlier leader; routers may not know it yet.
+        awaitLeaving (ticket);
     }
     else
     {
@@ -65,7 +74,8 @@
 void ControllerCore::Implementation::control (ControlTicket ticket,
                                               const InstanceDeregistration& request)
 {
-    proposeFor (ticket, cell::RemoveInstance{ request.instance, true, cellTime() });
+    proposeFor (ticket, cell::RemoveInstance{ request.instance, true, cellTime() },
+                ForLeavingInstance{ ticket });
 }
 
 void ControllerCore::Implementation::control (ControlTicket ticket,
@@ -115,9 +125,10 @@
     }
 }
 
-void ControllerCore::Implementation::proposeFor (ControlTicket ticket, const cell::Command& command)
+void ControllerCore::Implementation::proposeFor (ControlTicket ticket, const cell::Command& command,
+                                                 Purpose purpose)
 {
-    if (propose (command, ForControl{ ticket }))
+    if (propose (command, std::move (purpose)))
         drain();
     else
         answerNotLeader (ticket);
@@ -131,6 +142,37 @@
     answerControl (purpose.ticket, { ControlVerdict::kDone, ownAdminAddress(), "" });
 }
 
+void ControllerCore::Implementation::finish (const ForLeavingInstance& purpose,
+                                             base::LogIndex /*index*/,
+                                             const cell::ApplyResult& /*result*/)
+{
+    awaitLeaving (purpose.ticket);
+}
+
+void ControllerCore::Implementation::awaitLeaving (ControlTicket ticket)
+{
+    m_leader->leavingWaits.push_back ({ ticket, 0, {} });
+    m_leader->instanceTable.request();
+    sendInstancesIfDue();
+}
+
+void ControllerCore::Implementation::answerLeavingWaits()
+{
+    std::erase_if (
+        m_leader->leavingWaits,
+        [&] (const LeavingWait& wait)
+        {
+            if (wait.tableVersion == 0)
+                return false;
+            const bool isEverywhere = m_leader->sessions.isInstanceTableEverywhere (
+                wait.tableVersion, m_leader->since, m_now);
+            if (! isEverywhere && m_now < wait.leasesEndAt)
+                return false;
+            answerControl (wait.ticket, { ControlVerdict::kDone, ownAdminAddress(), "" });
+            return true;
+        });
+}
+
 void ControllerCore::Implementation::finish (const ForConfiguration& purpose,
                                              base::LogIndex /*index*/,
                                              const cell::ApplyResult& result)
@@ -178,6 +220,11 @@
 void ControllerCore::Implementation::sendInstancesToAll()
 {
     const std::uint64_t present = m_leader->instances.version();
+    for (LeavingWait& wait : m_leader->leavingWaits)
+    {
+        if (wait.tableVersion == 0)
+            wait = { wait.ticket, present, m_now + m_leader->sessions.longestLease() };
+    }
     std::map<std::uint64_t, std::vector<RouterConnection>> behind;
     for (auto& [connection, session] : m_leader->sessions.sessions())
     {
@@ -207,6 +254,7 @@
         update.controllers.push_back (member.peerAddress);
     }
     update.routers = static_cast<std::uint32_t> (m_leader->sessions.sessions().size());
+    update.mustConfirm = ! m_leader->leavingWaits.empty();
     return update;
 }
 
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -183,7 +183,7 @@
     }
     RouterSession& session = *m_leader->sessions.find (connection);
     const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
-    m_leader->sessions.onLeaseRequest (session, request, m_now);
+    m_leader->sessions.onLeaseRequest (session, request, m_leader->term, m_now);
     if (m_leader->sessions.needsConfiguration (session, inForce, m_now))
         m_leader->configurationSend.request();
     sendTable (connection, session);
--- a/src/controller/RoutableTableTest.cpp
+++ b/src/controller/RoutableTableTest.cpp
@@ -123,7 +123,7 @@
     session.tableSentAt = kNow + base::seconds (10);
     cell::LeaseRequest request;
     request.replicaTableVersion = 0;
-    sessions.onLeaseRequest (session, request, kNow + base::seconds (10));
+    sessions.onLeaseRequest (session, request, 1, kNow + base::seconds (10));
     EXPECT_EQ (session.tableVersion, 0U);
 }
 
@@ -135,7 +135,7 @@
     session.wholeTableSentAt = session.tableSentAt = kNow;
     cell::LeaseRequest request;
     request.replicaTableVersion = 0;
-    sessions.onLeaseRequest (session, request, kNow + base::seconds (1));
+    sessions.onLeaseRequest (session, request, 1, kNow + base::seconds (1));
     EXPECT_EQ (session.tableVersion, 7U);
 }
 
--- a/src/controller/RouterSessions.cpp
+++ b/src/controller/RouterSessions.cpp
@@ -134,7 +134,10 @@
         return;
     const RouterSession& session = found->second;
     if (! session.isSuperseded)
-        m_departed[session.router] = { session.configurationVersion, session.leases };
+    {
+        m_departed[session.router] = { session.configurationVersion, session.statedInstanceVersion,
+                                       session.leases };
+    }
     m_sessions.erase (found);
 }
 
@@ -161,9 +164,11 @@
 }
 
 void RouterSessions::onLeaseRequest (RouterSession& session, const cell::LeaseRequest& request,
-                                     base::TimePoint now)
+                                     base::Term term, base::TimePoint now)
 {
     session.heardAt = now;
+    if (request.instanceTerm == term)
+        session.statedInstanceVersion = request.instanceVersion;
     session.configurationVersion = request.configurationVersion;
     session.configurationDigest = request.configurationDigest;
     if (request.needsWholeConfiguration)
@@ -241,6 +246,28 @@
     return confirmedVersion (inForce.version, leaderSince, now) >= inForce.version;
 }
 
+bool RouterSessions::isInstanceTableEverywhere (std::uint64_t version, base::TimePoint leaderSince,
+                                                base::TimePoint now) const
+{
+    if (now < leaderSince + longestLease())
+        return false;
+    const bool isStated = std::ranges::all_of (
+        m_sessions,
+        [&] (const auto& item)
+        {
+            const RouterSession& session = item.second;
+            return session.isSuperseded || session.statedInstanceVersion >= version;
+        });
+    return isStated
+           && std::ranges::all_of (m_departed,
+                                   [&] (const auto& item)
+                                   {
+                                       const Departed& departed = item.second;
+                                       return departed.instanceVersion >= version
+                                              || departed.leases.isOver (now);
+                                   });
+}
+
 void RouterSessions::describeBehind (ConfigurationLate& late) const
 {
     late.routers = m_sessions.size();
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -45,7 +45,8 @@
     base::TimePoint wholeTableSentAt{};
     bool isTableShared = false;  ///< The version is one of the table that all routers share.
 
-    std::uint64_t instanceVersion = 0;  ///< Of the instances last sent; 0: none.
+    std::uint64_t instanceVersion = 0;        ///< Of the instances last sent; 0: none.
+    std::uint64_t statedInstanceVersion = 0;  ///< Applied there, as last stated; of this term.
 
     // While not shared: the table as the router has it once it has read everything sent.
     using ReplicaKey = std::tuple<base::ReplicaId, base::RunnerId, std::string>;
@@ -74,7 +75,7 @@
     [[nodiscard]] const std::map<SessionId, RouterSession>& sessions() const { return m_sessions; }
 
     /// Notes a lease request.
-    void onLeaseRequest (RouterSession& session, const cell::LeaseRequest& request,
+    void onLeaseRequest (RouterSession& session, const cell::LeaseRequest& request, base::Term term,
                          base::TimePoint now);
     /// Whether the router should be sent the configuration: it is behind, and nothing is on its
     /// way. One at a time goes to a router, so that a slow one skips versions instead of queueing
@@ -95,6 +96,14 @@
     [[nodiscard]] bool isInForceEverywhere (const cell::ConfigurationIdentity& inForce,
                                             base::TimePoint leaderSince, base::TimePoint now) const;
 
+    /// Whether no router may send by an earlier table of instances than this version of the
+    /// leader's term: all state it, and leases of those that left, also of earlier leaders, have
+    /// run out.
+    [[nodiscard]] bool isInstanceTableEverywhere (std::uint64_t version,
+                                                  base::TimePoint leaderSince,
+                                                  base::TimePoint now) const;
+    /// No lease granted now runs longer, by the leader's clock.
+    [[nodiscard]] base::Duration longestLease() const;
     /// Fills in which connected routers have not confirmed the late version.
     void describeBehind (ConfigurationLate& late) const;
 
@@ -103,10 +112,10 @@
     struct Departed
     {
         std::uint64_t version = 0;  ///< In force there, as last stated.
+        std::uint64_t instanceVersion = 0;
         cell::ConfigurationLeases leases;
     };
 
-    [[nodiscard]] base::Duration longestLease() const;
     cell::ConfigurationLeases supersede (const base::RouterId& router);
 
     base::Duration m_leaseDuration;
--- a/src/controller/RouterSessionsTest.cpp
+++ b/src/controller/RouterSessionsTest.cpp
@@ -25,7 +25,7 @@
         cell::LeaseRequest request;
         request.configurationVersion = version;
         request.configurationDigest = std::to_string (version);
-        m_sessions.onLeaseRequest (session, request, m_now);
+        m_sessions.onLeaseRequest (session, request, 1, m_now);
         static_cast<void> (m_sessions.grant (session, request, m_inForce, 1, m_now));
     }
     [[nodiscard]] bool isEverywhere() const
@@ -138,7 +138,7 @@
     cell::LeaseRequest request;
     request.configurationVersion = 1;
     request.needsWholeConfiguration = true;
-    m_sessions.onLeaseRequest (session, request, m_now);
+    m_sessions.onLeaseRequest (session, request, 1, m_now);
     EXPECT_TRUE (m_sessions.needsConfiguration (session, m_inForce, m_now));
     EXPECT_TRUE (session.needsWholeConfiguration);
 }
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -87,6 +87,8 @@
     }
     /// Registered runners, by id, as this router was told of them.
     std::map<std::string, cell::RoutableInstance> instances;
+    base::Term instanceTerm = 0;
+    std::uint64_t instanceVersion = 0;
 
     [[nodiscard]] bool knows (const std::string& target) const;
 };
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -71,6 +71,8 @@
     request.configurationVersion = router.configurationVersion;
     request.configurationDigest = router.configurationDigest;
     request.replicaTableVersion = router.tableVersion;
+    request.instanceTerm = router.instanceTerm;
+    request.instanceVersion = router.instanceVersion;
     router.leaseSentAt[request.sequence] = m_now;
     toController (router, request);
     cell::DemandReport report;
@@ -180,6 +182,10 @@
         {
             router.instances[row.instance.id] = row;
         }
+        router.instanceTerm = instances->term;
+        router.instanceVersion = instances->toVersion;
+        if (instances->mustConfirm)
+            router.nextLeaseAt = m_now;
     }
 }
 
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -95,6 +95,7 @@
     [[nodiscard]] const std::vector<std::string>& controllers() const { return m_controllers; }
     [[nodiscard]] std::size_t size() const { return m_views.size(); }
     [[nodiscard]] bool hasTable() const { return m_version != 0; }
+    [[nodiscard]] base::Term term() const { return m_term; }
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     /// Time since the table last changed; -1 without one.
     [[nodiscard]] std::int64_t ageMilliseconds (base::TimePoint now) const
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -262,6 +262,10 @@
                                                { "runners", m_directory.size() } });
     m_link.setControllers (parseAll (update.controllers));
     m_server.onDirectoryChanged();
+    if (! update.mustConfirm)
+        return;
+    m_session.requestSoon (m_clock.now());
+    pollController();
 }
 
 void ProxyProcess::noteController (bool isAnswering)
@@ -288,6 +292,8 @@
     auto request = std::get<cell::LeaseRequest> (*due);
     request.configurationVersion = m_held.version;
     request.configurationDigest = m_held.digest;
+    request.instanceTerm = m_directory.term();
+    request.instanceVersion = m_directory.version();
     request.needsWholeConfiguration = std::exchange (m_needsWholeConfiguration, false);
     m_link.send (request);
 }
