Grant leases only to routers that state every acknowledged drain, and test the promise under faults

Change: a lease needs a stated table of instances at least as new as the last one with an awaited drain, of the present leader's term; such tables are confirmed at once; a table that is not stated for 2 s is sent whole again.

--- /dev/null
+++ b/src/controller/AcknowledgementPromiseTest.cpp
@@ -0,0 +1,218 @@
+// What an acknowledgement promises, under faults in any order: once a configuration is
+// acknowledged, no router serves under an earlier one; once a drain is, no router that may serve
+// takes the runner for ready. Each seed is one run of a cell with cuts, kills, freezes, lost
+// routers and changes that overlap.
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <set>
+#include <string>
+
+#include "base/Random.h"
+#include "controller/ControllerCore.h"
+#include "controller/TestCell.h"
+
+namespace fernlift::controller
+{
+namespace
+{
+
+using test::TestCell;
+using test::TestRouter;
+
+constexpr std::size_t kControllers = 5;
+constexpr std::size_t kRouters = 4;
+constexpr int kSteps = 120;
+constexpr std::uint64_t kSeedsInCi = 150;
+
+/// A configuration text is its version and a blank.
+config::CatalogueOutcome parseVersion (std::string_view text)
+{
+    config::CatalogueOutcome outcome;
+    outcome.catalogue.emplace();
+    outcome.catalogue->version = std::stoull (std::string (text));
+    return outcome;
+}
+
+/// One run; `violation` says what was promised and not held, if anything.
+class PromiseRun
+{
+public:
+    explicit PromiseRun (std::uint64_t seed) : m_random (seed), m_cell (options (seed))
+    {
+        m_cell.onStep = [this] { check(); };
+    }
+
+    void run()
+    {
+        m_cell.awaitLeader();
+        for (int step = 0; step < kSteps && violation.empty(); ++step)
+        {
+            act();
+            m_cell.run (base::milliseconds (m_random.uniformInteger (5, 400)));
+        }
+    }
+
+    std::string violation;
+    std::uint64_t acknowledged = 0;  ///< Highest version.
+    std::set<std::string> drained;   ///< Instances whose drain is acknowledged.
+
+private:
+    static TestCell::Options options (std::uint64_t seed)
+    {
+        TestCell::Options options = test::testOptions();
+        options.controllers = kControllers;
+        options.routers = kRouters;
+        options.seed = seed;
+        options.controller.catalogueParser = &parseVersion;
+        options.controller.hasMachineList = false;
+        return options;
+    }
+
+    base::MemberId anyMember() { return m_random.uniformInteger (1, kControllers); }
+    TestRouter& anyRouter() { return m_cell.router (m_random.uniformInteger (0, kRouters - 1)); }
+
+    void act()
+    {
+        switch (m_random.uniformInteger (0, 11))
+        {
+            case 0:
+                toggleAlive();
+                break;
+            case 1:
+                m_cell.isolate (anyMember(), m_random.uniformInteger (0, 1) == 0);
+                break;
+            case 2:
+                m_cell.freeze (anyMember(), m_random.uniformInteger (0, 2) == 0);
+                break;
+            case 3:
+            case 4:
+                anyRouter().isCut = m_random.uniformInteger (0, 1) == 0;
+                break;
+            case 5:
+                reconnectOne();
+                break;
+            case 6:
+                drainOne();
+                break;
+            case 7:
+                addOne();
+                break;
+            default:
+                change();
+                break;
+        }
+    }
+
+    void toggleAlive()
+    {
+        const base::MemberId member = anyMember();
+        if (m_cell.isAlive (member))
+            m_cell.kill (member);
+        else
+            m_cell.restart (member);
+    }
+
+    void reconnectOne()
+    {
+        const base::MemberId member = anyMember();
+        const std::size_t router = m_random.uniformInteger (0, kRouters - 1);
+        if (m_cell.isAlive (member) && ! m_cell.router (router).isCut)
+            m_cell.reconnect (router, member);
+    }
+
+    /// Asks any member, as an operator or a runner would; the answer may come late or never.
+    bool isDone (ControlRequest request)
+    {
+        const base::MemberId member = m_cell.leader() != 0 ? m_cell.leader() : anyMember();
+        if (! m_cell.isAlive (member))
+            return false;
+        const base::Duration patience = base::milliseconds (m_random.uniformInteger (50, 3000));
+        const auto answer = m_cell.askControl (member, std::move (request), patience);
+        return answer && answer->verdict == ControlVerdict::kDone;
+    }
+
+    void change()
+    {
+        const std::uint64_t version = ++m_version;
+        if (isDone (ReplaceConfiguration{ std::to_string (version) + " " }))
+            acknowledged = std::max (acknowledged, version);
+    }
+
+    InstanceHeartbeat heartbeatOf (std::uint64_t number)
+    {
+        InstanceHeartbeat heartbeat;
+        heartbeat.instance.id = "i-" + std::to_string (number);
+        heartbeat.instance.service = "llm";
+        heartbeat.instance.address = "10.0.0.1:" + std::to_string (number);
+        heartbeat.sequence = ++m_sequence;
+        return heartbeat;
+    }
+
+    void addOne() { isDone (heartbeatOf (++m_instances)); }
+
+    void drainOne()
+    {
+        if (m_instances == 0)
+            return;
+        InstanceHeartbeat heartbeat = heartbeatOf (m_random.uniformInteger (1, m_instances));
+        heartbeat.instance.isDraining = true;
+        if (isDone (heartbeat))
+            drained.insert (heartbeat.instance.id);
+    }
+
+    void check()
+    {
+        for (std::size_t number = 0; number < kRouters && violation.empty(); ++number)
+        {
+            const TestRouter& router = m_cell.router (number);
+            if (! router.admits (m_cell.now()))
+                continue;
+            if (router.configurationVersion < acknowledged)
+            {
+                violation = "router " + std::to_string (number) + " serves under "
+                            + std::to_string (router.configurationVersion) + " after "
+                            + std::to_string (acknowledged) + " was acknowledged";
+            }
+            for (const std::string& id : drained)
+            {
+                const auto row = router.instances.find (id);
+                if (row != router.instances.end() && ! row->second.instance.isDraining)
+                    violation = "router " + std::to_string (number) + " may send to " + id;
+            }
+        }
+    }
+
+    base::Random m_random;
+    TestCell m_cell;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_instances = 0;
+    std::uint64_t m_sequence = 0;
+};
+
+/// Seeds of one run of the test: the first ones in CI, or FERNLIFT_SEEDS of them by hand.
+std::uint64_t seedsToRun()
+{
+    const char* const text = std::getenv ("FERNLIFT_SEEDS");
+    return text == nullptr ? kSeedsInCi : std::stoull (text);
+}
+
+TEST (AcknowledgementPromiseTest, HoldsUnderFaultsInAnyOrder)
+{
+    std::uint64_t acknowledged = 0;
+    std::size_t drained = 0;
+    for (std::uint64_t seed = 1; seed <= seedsToRun(); ++seed)
+    {
+        PromiseRun run (seed);
+        run.run();
+        EXPECT_EQ (run.violation, "") << "seed " << seed;
+        acknowledged += run.acknowledged > 0 ? 1 : 0;
+        drained += run.drained.size();
+    }
+    EXPECT_GT (acknowledged, seedsToRun() / 2) << "the runs should get somewhere";
+    EXPECT_GT (drained, seedsToRun() / 2);
+}
+
+}  // namespace
+}  // namespace fernlift::controller
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -203,6 +203,9 @@
     ConfigurationRollout rollout;
     std::vector<ConfigurationWait> configurationWaits;
     std::vector<LeavingWait> leavingWaits;
+    /// Table of instances without those whose leaving is or will be acknowledged; of this term, so
+    /// that a table of an earlier leader does not do.
+    std::uint64_t requiredInstanceVersion = 1;
     PacedWork instanceTable;  ///< Routers may have to hear of a change of the instances.
     MemberAdmission admission;
     placement::EnginePlacement engines;
@@ -333,6 +336,10 @@
     // ControllerRouters.cpp
     void onHello (RouterConnection connection, const cell::RouterHello& hello);
     void onLeaseRequest (RouterConnection connection, const cell::LeaseRequest& request);
+    void grantLease (RouterConnection connection, RouterSession& session,
+                     const cell::LeaseRequest& request);
+    /// The table of instances that a router must have stated before it gets a lease.
+    [[nodiscard]] std::uint64_t requiredInstanceVersion() const;
     void onLeavingSeen (const cell::RunnerLeavingSeen& seen);
     /// Sends the configuration to those that need it, when it came into force or one of them asked.
     void sendConfigurationIfDue();
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -223,7 +223,10 @@
     for (LeavingWait& wait : m_leader->leavingWaits)
     {
         if (wait.tableVersion == 0)
+        {
             wait = { wait.ticket, present, m_now + m_leader->sessions.longestLease() };
+            m_leader->requiredInstanceVersion = present;
+        }
     }
     std::map<std::uint64_t, std::vector<RouterConnection>> behind;
     for (auto& [connection, session] : m_leader->sessions.sessions())
@@ -232,6 +235,7 @@
             continue;
         behind[session.instanceVersion].push_back (connection);
         session.instanceVersion = present;
+        session.instancesSentAt = m_now;
     }
     for (auto& [version, connections] : behind)
     {
@@ -254,7 +258,7 @@
         update.controllers.push_back (member.peerAddress);
     }
     update.routers = static_cast<std::uint32_t> (m_leader->sessions.sessions().size());
-    update.mustConfirm = ! m_leader->leavingWaits.empty();
+    update.mustConfirm = version < m_leader->requiredInstanceVersion;
     return update;
 }
 
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -189,9 +189,24 @@
     sendTable (connection, session);
     if (session.instanceVersion != m_leader->instances.version())
         m_leader->instanceTable.request();
-    // Nothing can be granted before there is a configuration.
-    if (inForce.version == 0)
-        return;
+    // Nothing can be granted before there is a configuration, nor to a router that might send by a
+    // table of instances in which one still takes requests whose drain was acknowledged.
+    const bool mayServe =
+        inForce.version != 0 && session.statedInstanceVersion >= requiredInstanceVersion();
+    if (mayServe)
+        grantLease (connection, session, request);
+}
+
+std::uint64_t ControllerCore::Implementation::requiredInstanceVersion() const
+{
+    return m_state.instances().all().empty() ? 0 : m_leader->requiredInstanceVersion;
+}
+
+void ControllerCore::Implementation::grantLease (RouterConnection connection,
+                                                 RouterSession& session,
+                                                 const cell::LeaseRequest& request)
+{
+    const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
     ++m_counters.leasesGranted;
     cell::LeaseGrant grant =
         m_leader->sessions.grant (session, request, inForce, m_leader->term, m_now);
--- a/src/controller/RouterSessions.cpp
+++ b/src/controller/RouterSessions.cpp
@@ -169,6 +169,10 @@
     session.heardAt = now;
     if (request.instanceTerm == term)
         session.statedInstanceVersion = request.instanceVersion;
+    const bool hasLostInstances = session.statedInstanceVersion < session.instanceVersion
+                                  && now - session.instancesSentAt > kConfirmationTimeout;
+    if (hasLostInstances)
+        session.instanceVersion = 0;
     session.configurationVersion = request.configurationVersion;
     session.configurationDigest = request.configurationDigest;
     if (request.needsWholeConfiguration)
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -45,7 +45,8 @@
     base::TimePoint wholeTableSentAt{};
     bool isTableShared = false;  ///< The version is one of the table that all routers share.
 
-    std::uint64_t instanceVersion = 0;        ///< Of the instances last sent; 0: none.
+    std::uint64_t instanceVersion = 0;  ///< Of the instances last sent; 0: none.
+    base::TimePoint instancesSentAt{};
     std::uint64_t statedInstanceVersion = 0;  ///< Applied there, as last stated; of this term.
 
     // While not shared: the table as the router has it once it has read everything sent.
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -174,7 +174,15 @@
     }
     else if (const auto* instances = std::get_if<cell::InstanceUpdate> (&message))
     {
-        if (instances->fromVersion == 0)
+        const bool isWhole = instances->fromVersion == 0;
+        const bool fits = instances->term == router.instanceTerm
+                          && instances->fromVersion == router.instanceVersion;
+        if (! isWhole && ! fits)
+        {
+            connect (router, *router.connectedTo);  // A gap: a new connection gets the whole table.
+            return;
+        }
+        if (isWhole)
             router.instances.clear();
         for (const std::string& id : instances->removals)
             router.instances.erase (id);
