--- a/src/controller/ControlRequestsTest.cpp
+++ b/src/controller/ControlRequestsTest.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include "controller/ControllerCore.h"
+#include "controller/SnapshotSchedule.h"
 #include "controller/TestCell.h"
 
 namespace fernlift::controller
@@ -221,6 +222,17 @@
     EXPECT_FALSE (leaders[0].empty());
 }
 
+TEST_F (ControlRequestsTest, ManyLargeConfigurationsAreNotLeftForARestartToRead)
+{
+    // Kept compressed they take little room, but each takes as long to read as it is large.
+    const std::string padding (SnapshotSchedule::kLongLogBytes / 4, 'x');
+    for (int version = 1; version <= 12; ++version)
+        ask (ReplaceConfiguration{ std::to_string (version) + " " + padding });
+    m_cell.run (base::seconds (1));
+    for (const base::MemberId member : { 1U, 2U, 3U })
+        EXPECT_GT (m_cell.snapshotIndex (member), 0U) << "member " << member;
+}
+
 TEST_F (ControlRequestsTest, NothingIsReadBeforeThereIsAConfiguration)
 {
     EXPECT_EQ (ask (ReadConfiguration{}), ControlVerdict::kUnavailable);
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -28,6 +28,14 @@
         [] (const base::Error&) { return std::optional<cell::Command>(); });
 }
 
+/// What a restarted member reads to apply the entry again: entries with an operator's file are kept
+/// compressed, but it is the whole file that takes time to read.
+std::size_t replayBytes (const consensus::Entry& entry, const cell::Command& command)
+{
+    const auto* apply = std::get_if<cell::ApplyConfiguration> (&command);
+    return apply == nullptr ? entry.data.size() : std::max (entry.data.size(), apply->text.size());
+}
+
 }  // namespace
 
 ControllerCore::Implementation::Implementation (base::MemberId self, ControllerOptions options,
@@ -175,13 +183,16 @@
 
 void ControllerCore::Implementation::applyEntry (const consensus::Entry& entry)
 {
-    m_snapshots.onEntry (entry.data.size());
     ++m_counters.entriesApplied;
     if (entry.kind == consensus::EntryKind::kMembership && m_leader)
         finishProposal (entry, {});
     if (entry.kind != consensus::EntryKind::kCommand)
+    {
+        m_snapshots.onEntry (entry.data.size());
         return;
+    }
     const std::optional<cell::Command> command = decodeCommand (entry.data);
+    m_snapshots.onEntry (command ? replayBytes (entry, *command) : entry.data.size());
     if (! command)
     {
         // A synced and agreed entry that this program cannot read: go no further.
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -125,6 +125,11 @@
     void freeze (base::MemberId member, bool isFrozen);
     [[nodiscard]] bool isAlive (base::MemberId member) const;
     ControllerCore& core (base::MemberId member);
+    /// Last entry that the snapshot on the member's disk covers; 0 without one.
+    [[nodiscard]] base::LogIndex snapshotIndex (base::MemberId member) const
+    {
+        return m_nodes.at (member).disk.state.snapshot.lastIndex;
+    }
 
     /// Sends an operator's request to a member, and waits for its answer.
     std::optional<AnswerAdmin> ask (base::MemberId member, AdminRequest request,
