Split the way of configurations and the ends of proposals off ControllerCore, -Instances and -Routers

ControllerConfiguration.cpp holds the way of a configuration at the leader, ControllerProposals.cpp what follows a commit; the header's groups follow.

--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -273,7 +273,8 @@
     [[nodiscard]] std::string metricsText() const;
 
 private:
-    // ControllerCore.cpp: consensus and leadership.
+    // ControllerCore.cpp: consensus and leadership. ControllerProposals.cpp: proposals and their
+    // ends.
     void drain();
     bool takeRaftOutput();
     void sendToMember (consensus::Message message);
@@ -341,11 +342,13 @@
     /// The table of instances that a router must have stated before it gets a lease.
     [[nodiscard]] std::uint64_t requiredInstanceVersion() const;
     void onLeavingSeen (const cell::RunnerLeavingSeen& seen);
-    /// Sends the configuration to those that need it, when it came into force or one of them asked.
-    void sendConfigurationIfDue();
-    /// Answers and tells which configurations have reached all routers, and which are late.
-    void followRollout();
-    void answerConfigurationWaits (std::uint64_t confirmedVersion);
+    /// Keeps a router that came while another member leads, or none, to tell it of the leader.
+    void admitWatcher (RouterConnection connection, const cell::RouterHello& hello);
+    /// Sends what this member has applied: a router that serves without a lease and has just
+    /// started may work with it until it has found the leader.
+    void sendLastKnownState (RouterConnection connection);
+    /// Tells all watchers who leads.
+    void tellWatchers();
     void onDemand (RouterConnection connection, const cell::DemandReport& report);
     void sendTablesIfDue();
     void refreshTable();
@@ -374,30 +377,30 @@
     void answerInForceWaits();
     [[nodiscard]] AdminView adminView (const consensus::RaftStatus& status) const;
 
-    // ControllerInstances.cpp
-    void control (ControlTicket ticket, const InstanceHeartbeat& heartbeat);
-    void control (ControlTicket ticket, const InstanceDeregistration& request);
+    // ControllerConfiguration.cpp
     void control (ControlTicket ticket, const ReplaceConfiguration& request);
     void control (ControlTicket ticket, const ReadConfiguration& request);
-    void proposeFor (ControlTicket ticket, const cell::Command& command, Purpose purpose);
+    /// A proposed configuration was applied.
+    void noteConfiguration (const cell::ConfigurationResult& result);
+    /// Keeps the configuration in force for those that hold an earlier one.
+    void keepConfiguration();
     /// Answers once no router serves under an earlier configuration than the one in force now.
     void awaitRollout (const ForConfiguration& purpose);
     void answerConfiguration (const ForConfiguration& purpose, ControlAnswer answer);
+    /// Sends the configuration to those that need it, when it came into force or one of them asked.
+    void sendConfigurationIfDue();
+    /// Answers and tells which configurations have reached all routers, and which are late.
+    void followRollout();
+    void answerConfigurationWaits (std::uint64_t confirmedVersion);
+
+    // ControllerInstances.cpp
+    void control (ControlTicket ticket, const InstanceHeartbeat& heartbeat);
+    void control (ControlTicket ticket, const InstanceDeregistration& request);
+    void proposeFor (ControlTicket ticket, const cell::Command& command, Purpose purpose);
     void sendInstancesIfDue();
     /// Answers once no router may send by a table in which the instance still takes requests.
     void awaitLeaving (ControlTicket ticket);
     void answerLeavingWaits();
-    /// Keeps a router that came while another member leads, or none, to tell it of the leader.
-    void admitWatcher (RouterConnection connection, const cell::RouterHello& hello);
-    /// Sends what this member has applied: a router that serves without a lease and has just
-    /// started may work with it until it has found the leader.
-    void sendLastKnownState (RouterConnection connection);
-    /// A proposed configuration was applied.
-    void noteConfiguration (const cell::ConfigurationResult& result);
-    /// Keeps the configuration in force for those that hold an earlier one.
-    void keepConfiguration();
-    /// Tells all watchers who leads.
-    void tellWatchers();
     /// Brings all routers up to date; those that hold the same version get the same message.
     void sendInstancesToAll();
     /// Neither the router nor the leader knows of an instance.
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -1,8 +1,7 @@
-// Duties of the leader towards registered runners and the operator of their services.
+// Duties of the leader towards registered runners.
 
 #include <utility>
 
-#include "base/Digest.h"
 #include "controller/ControllerImplementation.h"
 
 namespace fernlift::controller
@@ -78,53 +77,6 @@
                 ForLeavingInstance{ ticket });
 }
 
-void ControllerCore::Implementation::control (ControlTicket ticket,
-                                              const ReplaceConfiguration& request)
-{
-    const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
-    std::string digest = base::sha256Hex (request.text);
-    if (digest == inForce.digest)
-    {
-        // Sent again: it is committed, and may not be in force everywhere yet.
-        awaitRollout ({ ticket, inForce.version, m_now });
-        return;
-    }
-    config::CatalogueOutcome parsed = m_options.catalogueParser (request.text);
-    if (! parsed.catalogue)
-    {
-        std::string problems;
-        for (const config::CatalogueProblem& problem : parsed.problems)
-            problems += problem.key + ": " + problem.message + "\n";
-        answerConfiguration ({ ticket, 0, m_now },
-                             { ControlVerdict::kInvalid, "", std::move (problems) });
-        return;
-    }
-    cell::ApplyConfiguration command;
-    command.version = parsed.catalogue->version;
-    command.digest = std::move (digest);
-    command.text = request.text;
-    command.proposedAt = cellTime();
-    m_state.keepParsed (command.digest, std::move (*parsed.catalogue));
-    if (propose (command, ForConfiguration{ ticket, command.version, m_now }))
-        drain();
-    else
-        answerNotLeader (ticket);
-}
-
-void ControllerCore::Implementation::control (ControlTicket ticket,
-                                              const ReadConfiguration& /*request*/)
-{
-    const std::string& text = m_state.configuration().text();
-    if (text.empty())
-    {
-        answerControl (ticket, { ControlVerdict::kUnavailable, "", "" });
-    }
-    else
-    {
-        answerControl (ticket, { ControlVerdict::kDone, "", text });
-    }
-}
-
 void ControllerCore::Implementation::proposeFor (ControlTicket ticket, const cell::Command& command,
                                                  Purpose purpose)
 {
@@ -173,38 +125,6 @@
         });
 }
 
-void ControllerCore::Implementation::finish (const ForConfiguration& purpose,
-                                             base::LogIndex /*index*/,
-                                             const cell::ApplyResult& result)
-{
-    const auto& outcome = std::get<cell::ConfigurationResult> (result);
-    if (outcome.outcome == cell::ConfigurationOutcome::kInvalid)
-    {
-        answerConfiguration (
-            purpose, { ControlVerdict::kInvalid, "", "the version or the text does not hold" });
-        return;
-    }
-    // The highest version prevails: a lower or equal one is acknowledged and changes nothing.
-    // Either way the answer says that nothing earlier than what is in force now is served from any
-    // more.
-    awaitRollout (purpose);
-}
-
-void ControllerCore::Implementation::awaitRollout (const ForConfiguration& purpose)
-{
-    m_leader->configurationWaits.push_back ({ purpose,
-                                              m_state.configuration().identity().version,
-                                              { ControlVerdict::kDone, ownAdminAddress(), "" } });
-}
-
-void ControllerCore::Implementation::answerConfiguration (const ForConfiguration& purpose,
-                                                          ControlAnswer answer)
-{
-    m_effects.emplace_back (ConfigurationAnswered{ purpose.version, nameOf (answer.verdict),
-                                                   m_now - purpose.arrivedAt });
-    answerControl (purpose.ticket, std::move (answer));
-}
-
 void ControllerCore::Implementation::sendInstancesIfDue()
 {
     const auto routers = static_cast<std::int64_t> (m_leader->sessions.sessions().size());
--- /dev/null
+++ b/src/controller/ControllerProposals.cpp
@@ -0,0 +1,163 @@
+/**
+ * Proposals of the leader: what is written down of each until it is committed, and what follows
+ * then. Those about configurations, instances and members end in the files of these duties.
+ */
+
+#include <utility>
+
+#include "cell/CommandCodec.h"
+#include "controller/ControllerImplementation.h"
+
+namespace fernlift::controller
+{
+
+bool ControllerCore::Implementation::propose (const cell::Command& command, Purpose purpose)
+{
+    const base::LogIndex index =
+        base::handleErrors ([&]() -> base::Result<base::LogIndex>
+                            { return m_raft.propose (cell::encodeCommand (command), m_now); },
+                            [] (const base::Error&) { return base::LogIndex{ 0 }; });
+    if (index == 0)
+        return false;
+    ++m_counters.proposals;
+    m_leader->proposals.emplace (index, std::move (purpose));
+    return true;
+}
+
+void ControllerCore::Implementation::finishProposal (const consensus::Entry& entry,
+                                                     const cell::ApplyResult& result)
+{
+    const auto found = m_leader->proposals.find (entry.index);
+    if (found == m_leader->proposals.end())
+        return;
+    const Purpose purpose = std::move (found->second);
+    m_leader->proposals.erase (found);
+    if (entry.term != m_leader->term)
+        return;
+    std::visit ([&] (const auto& value) { finish (value, entry.index, result); }, purpose);
+}
+
+void ControllerCore::Implementation::finish (const ForPlacement& /*purpose*/, base::LogIndex index,
+                                             const cell::ApplyResult& result)
+{
+    --m_leader->placementProposals;
+    const auto* load = std::get_if<cell::LoadResult> (&result);
+    const auto* unload = std::get_if<cell::UnloadResult> (&result);
+    const bool isGranted = (load != nullptr && load->refusal == cell::LoadRefusal::kNone)
+                           || (unload != nullptr && unload->refusal == cell::UnloadRefusal::kNone);
+    if (! isGranted)
+        return;
+    m_leader->isPlacementDue = true;
+    if (load != nullptr)
+    {
+        m_leader->ordersDue.insert (m_state.replicas().findReplica (index)->runner);
+    }
+    else
+    {
+        // The replica that was unloaded carries this index as its fence.
+        for (const auto& [id, replica] : m_state.replicas().replicas())
+        {
+            if (replica.fence == index)
+                m_leader->ordersDue.insert (replica.runner);
+        }
+    }
+}
+
+void ControllerCore::Implementation::finish (const ForApply& purpose, base::LogIndex /*index*/,
+                                             const cell::ApplyResult& result)
+{
+    const auto& outcome = std::get<cell::ConfigurationResult> (result);
+    m_leader->isPlacementDue = true;
+    const bool isAccepted = outcome.outcome == cell::ConfigurationOutcome::kAccepted
+                            || outcome.outcome == cell::ConfigurationOutcome::kUnchanged;
+    if (purpose.waitInForce && isAccepted)
+    {
+        m_leader->inForceWaits.push_back ({ purpose.ticket, outcome, purpose.deadline });
+    }
+    else
+    {
+        answer (purpose.ticket, configurationAnswer (outcome, std::nullopt));
+    }
+}
+
+void ControllerCore::Implementation::finish (const ForDrain& purpose, base::LogIndex /*index*/,
+                                             const cell::ApplyResult& /*result*/)
+{
+    m_leader->isPlacementDue = true;
+    answer (purpose.ticket, doneAnswer());
+}
+
+void ControllerCore::Implementation::finish (const ForMembers& purpose, base::LogIndex /*index*/,
+                                             const cell::ApplyResult& /*result*/)
+{
+    answer (purpose.ticket, doneAnswer());
+}
+
+void ControllerCore::Implementation::finish (const ForClaims& purpose, base::LogIndex /*index*/,
+                                             const cell::ApplyResult& result)
+{
+    const auto& claims = std::get<cell::ClaimResult> (result);
+    for (DueClaimReply& due : m_leader->claims.onCommitted (purpose.batch, claims))
+    {
+        if (m_leader->sessions.find (due.source) != nullptr)
+        {
+            sendToRouter (due.source, std::move (due.reply));
+        }
+    }
+}
+
+void ControllerCore::Implementation::finish (const ForReplica& purpose, base::LogIndex /*index*/,
+                                             const cell::ApplyResult& /*result*/)
+{
+    m_leader->busyReplicas.erase (purpose.replica);
+    m_leader->isPlacementDue = true;
+    const cell::Replica* replica = m_state.replicas().findReplica (purpose.replica);
+    if (replica == nullptr)
+    {
+        m_leader->lastUse.erase (purpose.replica);
+    }
+    else
+    {
+        m_leader->ordersDue.insert (replica->runner);
+    }
+}
+
+void ControllerCore::Implementation::finish (const ForRunner& purpose, base::LogIndex /*index*/,
+                                             const cell::ApplyResult& /*result*/)
+{
+    m_leader->busyRunners.erase (purpose.runner);
+    m_leader->isPlacementDue = true;
+    if (m_state.replicas().findRunner (purpose.runner) != nullptr)
+    {
+        m_leader->ordersDue.insert (purpose.runner);
+    }
+}
+
+void ControllerCore::Implementation::finish (const ForStray& purpose, base::LogIndex index,
+                                             const cell::ApplyResult& /*result*/)
+{
+    const StrayReplica& stray = purpose.stray;
+    const std::pair key (stray.runner, stray.report.replica);
+    m_leader->busyStrays.erase (key);
+    m_leader->strayPauses[key] = m_now + m_options.orderTimeout;
+    engine::Order order;
+    order.kind = stray.report.adapter.empty() ? engine::OrderKind::kUnloadModel
+                                              : engine::OrderKind::kUnloadAdapter;
+    order.fence = index;
+    order.incarnation = stray.incarnation;
+    order.replica = stray.report.replica;
+    order.model = stray.report.model;
+    order.version = stray.report.version;
+    order.adapter = stray.report.adapter;
+    order.memory = stray.report.memory;
+    m_leader->orders.addStray (stray.runner, order);
+    m_leader->ordersDue.insert (stray.runner);
+}
+
+void ControllerCore::Implementation::finish (const ForNothing& /*purpose*/,
+                                             base::LogIndex /*index*/,
+                                             const cell::ApplyResult& /*result*/)
+{
+}
+
+}  // namespace fernlift::controller
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -1,4 +1,5 @@
-// Duties of the leader towards routers: configuration, leases, replica tables and claims.
+// Duties of the leader towards routers: leases, replica tables and claims. The configuration is in
+// ControllerConfiguration.cpp, registered runners are in ControllerInstances.cpp.
 
 #include <bit>
 #include <utility>
@@ -13,9 +14,6 @@
 /// Exact shares follow the demand at this interval.
 constexpr base::Duration kExactInterval = base::milliseconds (100);
 
-/// Routers that need a configuration at nearly the same time get one message, encoded once.
-constexpr base::Duration kConfigurationInterval = base::milliseconds (10);
-
 /// Whole shared tables go out one after the other at this interval at least.
 constexpr base::Duration kWholeTableInterval = base::milliseconds (10);
 
@@ -220,68 +218,6 @@
     observe (seen.runner);
 }
 
-void ControllerCore::Implementation::sendConfigurationIfDue()
-{
-    const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
-    if (inForce.version == 0 || ! holdsLease())
-        return;
-    // It may have come into force by an entry of an earlier leader.
-    if (std::exchange (m_leader->announcedVersion, inForce.version) != inForce.version)
-        m_leader->configurationSend.request();
-    if (! m_leader->configurationSend.takeDue (m_now, kConfigurationInterval))
-        return;
-    std::map<std::uint64_t, std::vector<RouterConnection>> behind;  // By what they hold; 0: other.
-    for (auto& [connection, session] : m_leader->sessions.sessions())
-    {
-        if (! m_leader->sessions.needsConfiguration (session, inForce, m_now))
-            continue;
-        const bool isChange = ! std::exchange (session.needsWholeConfiguration, false)
-                              && m_configurationChange.isKept (session.configurationVersion,
-                                                               session.configurationDigest);
-        behind[isChange ? session.configurationVersion : 0].push_back (connection);
-        session.sentVersion = inForce.version;
-        session.configurationSentAt = m_now;
-    }
-    for (auto& [version, connections] : behind)
-    {
-        m_effects.emplace_back (BroadcastToRouters{ std::move (connections),
-                                                    m_configurationChange.updateFrom (version) });
-    }
-}
-
-void ControllerCore::Implementation::followRollout()
-{
-    ConfigurationRollout& rollout = m_leader->rollout;
-    if (! rollout.isOpen() && m_leader->configurationWaits.empty())
-        return;
-    const RouterSessions& sessions = m_leader->sessions;
-    const std::uint64_t confirmed = sessions.confirmedVersion (
-        m_state.configuration().identity().version, m_leader->since, m_now);
-    if (auto news = rollout.onConfirmed (confirmed, m_now))
-    {
-        news->routers = sessions.sessions().size();
-        m_effects.emplace_back (*news);
-    }
-    answerConfigurationWaits (confirmed);
-    if (auto late = rollout.takeLate (m_now))
-    {
-        sessions.describeBehind (*late);
-        m_effects.emplace_back (std::move (*late));
-    }
-}
-
-void ControllerCore::Implementation::answerConfigurationWaits (std::uint64_t confirmedVersion)
-{
-    std::erase_if (m_leader->configurationWaits,
-                   [&] (ConfigurationWait& wait)
-                   {
-                       if (wait.version > confirmedVersion)
-                           return false;
-                       answerConfiguration (wait.purpose, std::move (wait.answer));
-                       return true;
-                   });
-}
-
 void ControllerCore::Implementation::sendTablesIfDue()
 {
     const bool isDue = m_leader->isTableDue || m_now >= m_leader->nextTableAt;
