Give a silent runner up only when another attempt is allowed

The head of an answer did not count as a sign of life either.

Change: without another attempt allowed the router goes on waiting; the head counts as progress.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -290,12 +290,15 @@
     if (now() < m_deadline)
     {
         const bool isSilent = m_connection && m_isAttemptSent && now() >= m_attemptDeadline;
-        if (isSilent)
+        if (isSilent && mayRunAgain())
         {
             endAttempt (AttemptEnd::kFailed, false);
             afterFailure();
             return;
         }
+        // Without another attempt the answer of this runner, late as it is, is the only one.
+        if (isSilent)
+            noteProgress();
         armTimer();
         return;
     }
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -50,6 +50,7 @@
     m_context.directory.onBytes (m_instance, now());
     if (! m_isAnswerBegun)
         m_answeredAt = now();
+    noteProgress();
     m_head = std::move (head);
     const bool isRefusal =
         m_head.status == kMisdirected || m_head.headers.contains (m_context.names.notExecuted);
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -210,6 +210,30 @@
     EXPECT_TRUE (waitUntil ([&] { return first.connections[0]->isClosed(); }));
 }
 
+TEST_F (ExchangeTest, ASilentStreamIsWaitedForWhenItMayNotGoOnElsewhere)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.addRunner ("i-2", other);
+    while (proxy.retryBudget.tryRetry())
+    {
+    }
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("resume.test"));
+    ASSERT_TRUE (
+        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
+    StubRunner& first = runner.connections.empty() ? other : runner;
+    ASSERT_TRUE (first.waitForRequest());
+    first.connections[0]->write (
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
+    ASSERT_TRUE (caller.waitFor ("data: a"));
+    runFor (std::chrono::milliseconds (2000));  // Longer than such a stream may be silent.
+    EXPECT_FALSE (caller.isClosed());
+    first.connections[0]->write ("f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+    EXPECT_TRUE (caller.waitFor ("data: b"));
+    EXPECT_TRUE (caller.waitFor ("0\r\n\r\n"));
+}
+
 TEST_F (ExchangeTest, AnUnknownRouteIsNotFoundAndNoConfigurationIsUnavailable)
 {
     RawCaller caller (proxy.listening);
