--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -138,12 +138,13 @@
     std::uint32_t waiting = 0;   ///< For a runner that holds it.
     std::uint32_t running = 0;   ///< At runners.
     std::uint32_t arrivals = 0;  ///< Since the router's previous report.
+    std::uint32_t unread = 0;    ///< Of the running, whose answer has not begun.
 
     bool operator== (const EngineDemand&) const = default;
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
-        archive& service& model& adapter& waiting& running& arrivals;
+        archive& service& model& adapter& waiting& running& arrivals& unread;
     }
 };
 
--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -57,6 +57,8 @@
     /// Time between the orders of two leaders to registered engines.
     base::Duration orderPause = base::milliseconds (3000);
     /// Silence after which a registered runner is told as silent to routers.
+    /// Models of which no registered engine has a copy are loaded before anybody asks for them.
+    bool fetchesAhead = true;
     base::Duration instanceSilence = base::milliseconds (3500);
     cell::PlantedFault plantedFault = cell::PlantedFault::kNone;  ///< For tests only.
 };
@@ -158,7 +160,8 @@
 
 using Effect = std::variant<PersistEffect, SendToMember, SendToRouter, BroadcastToRouters,
                             SendOrder, PollRunner, PollMachineList, AnswerAdmin, AnswerControl,
-                            placement::SendEngineOrder, placement::PollEngine, ConfigurationNews>;
+                            placement::SendEngineOrder, placement::PollEngine,
+                            placement::EngineOrderDone, ConfigurationNews>;
 
 /// The state machine. Single-threaded; every call may produce effects, taken by takeEffects().
 class ControllerCore
--- a/src/controller/ControllerEngines.cpp
+++ b/src/controller/ControllerEngines.cpp
@@ -50,6 +50,7 @@
     placement::EnginePlacementOptions options;
     options.holder = std::to_string (m_self);
     options.fence = m_status.term;
+    options.fetchesAhead = m_options.fetchesAhead;
     options.ordersFrom = [this] (const std::string& instance)
     { return m_orderNotes.orderedAt (instance) + m_options.orderPause + kLongestOrderDelay; };
     options.earlierStoreLoads = m_orderNotes.storeLoads();
@@ -77,6 +78,8 @@
             m_effects.emplace_back (std::get<placement::PollEngine> (std::move (command)));
         }
     }
+    for (placement::EngineOrderDone& done : m_leader->engines.takeDone())
+        m_effects.emplace_back (std::move (done));
     if (! orders.empty())
         noteAndSend (std::move (orders));
     m_leader->instanceTable.request();
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -43,6 +43,18 @@
         .append ("\n");
 }
 
+void logDone (const placement::EngineOrderDone& done)
+{
+    log::write (log::Event::kEngineOrderDone,
+                { { "instance", done.order.instance },
+                  { "operation", done.order.isLoad ? "load" : "unload" },
+                  { "model", done.order.model },
+                  { "store", done.isFromStore },
+                  { "took_ms", base::toMilliseconds (done.duration) },
+                  { "store_loads", done.storeLoads },
+                  { "store_limit", done.storeLoadLimit } });
+}
+
 }  // namespace
 
 ControllerProcess::ControllerProcess (ControllerSettings settings, const ServiceProtocol& protocol,
@@ -233,6 +245,7 @@
             },
             [this] (const placement::SendEngineOrder& send) { sendEngineOrder (send); },
             [this] (const placement::PollEngine& poll) { pollEngine (poll); },
+            [] (const placement::EngineOrderDone& done) { logDone (done); },
             [] (const ConfigurationNews& news) { logNews (news); },
         },
         effect);
--- a/src/controller/ControllerSettings.cpp
+++ b/src/controller/ControllerSettings.cpp
@@ -105,6 +105,10 @@
                         seconds (600), "interval of the calls for the machine list");
     schema.addDuration ("order_timeout_ms", &core.orderTimeout, milliseconds (10), seconds (600),
                         "an order without an answer is sent again after this");
+    schema.addBoolean (
+        "fetch_ahead", &core.fetchesAhead,
+        "models of which no registered engine has a copy are loaded while the weight "
+        "store has places to spare, before anybody asks for them");
     schema.addDuration ("order_pause_ms", &core.orderPause, milliseconds (0), seconds (600),
                         "a new leader sends registered engines no order for this time");
     schema.addDuration ("keep_alive_ms", &core.keepAlive, kShortest, kLongest,
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -228,6 +228,7 @@
     void carryOut (Node& node, AnswerControl effect);
     void carryOut (Node& node, placement::SendEngineOrder effect);
     void carryOut (Node& node, placement::PollEngine effect);
+    void carryOut (Node& /*node*/, const placement::EngineOrderDone& /*done*/) {}
     void carryOut (Node& node, ConfigurationNews news);
     void tickRouter (TestRouter& router);
     void connect (TestRouter& router, base::MemberId member);
--- /dev/null
+++ b/src/placement/DecayingRate.h
@@ -0,0 +1,45 @@
+#pragma once
+
+/**
+ * A rate of events, weighted by how long ago they were.
+ *
+ * Placement asks how often a model is wanted: over seconds, to follow a burst, and over a longer
+ * time, to tell a model that is wanted now and then from one that nobody wants.
+ */
+
+#include <cmath>
+
+#include "base/Time.h"
+
+namespace fernlift::placement
+{
+
+/** Pure: time is passed in. Threading: none. */
+class DecayingRate
+{
+public:
+    /** Notes `count` events. `memory` must be the same in all calls. */
+    void add (double count, base::Duration memory, base::TimePoint now)
+    {
+        m_count = decayed (memory, now) + count;
+        m_countedAt = now;
+    }
+
+    /** Events a second over about the last `memory`. */
+    [[nodiscard]] double perSecond (base::Duration memory, base::TimePoint now) const
+    {
+        return decayed (memory, now) / std::chrono::duration<double> (memory).count();
+    }
+
+private:
+    [[nodiscard]] double decayed (base::Duration memory, base::TimePoint now) const
+    {
+        const std::chrono::duration<double> age = now - m_countedAt;
+        return m_count * std::exp (-age / std::chrono::duration<double> (memory));
+    }
+
+    double m_count = 0;  ///< As of `m_countedAt`.
+    base::TimePoint m_countedAt{};
+};
+
+}  // namespace fernlift::placement
--- /dev/null
+++ b/src/placement/EngineNeeds.cpp
@@ -0,0 +1,109 @@
+/**
+ * Which models should be held once more: those that requests wait for and nobody holds, those whose
+ * replicas are crowded, and those that a burst would crowd.
+ */
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <utility>
+
+#include "placement/EnginePlacement.h"
+#include "placement/EnginePlacementFigures.h"
+
+namespace fernlift::placement
+{
+namespace
+{
+
+// Costs are in seconds of a request that waits.
+constexpr double kAnyCost = 1e9;
+/// A replica of a crowded model may cost what its requests would wait in this time without it.
+constexpr double kReplicaHorizonSeconds = 10;
+/// Never as much as a replica that another crowded model needs.
+constexpr double kHighestReplicaCost = 11;
+/// A spare replica takes the place of others like it and of models long out of use.
+constexpr double kHighestSpareCost = 2.5;
+/// Replicas of one model that are added in one round.
+constexpr std::size_t kMostNeedsOfModel = 2;
+/// A request that has waited this long for a model nobody holds goes before all that wait less,
+/// however many these are.
+constexpr base::Duration kOverdue = base::seconds (3);
+
+std::size_t roundedUp (double value) { return static_cast<std::size_t> (std::ceil (value)); }
+
+}  // namespace
+
+EnginePlacement::ReplicaTargets EnginePlacement::replicaTargets (const ModelView& view,
+                                                                 const config::EngineSpec& spec)
+{
+    const ModelDemand& demand = view.demand;
+    const std::size_t bySlots =
+        roundedUp ((demand.waiting + demand.running) / (kFilledSlots * spec.slots));
+    const std::size_t byReading = roundedUp ((demand.waiting + demand.unread) / kUnreadForReplica);
+    ReplicaTargets targets;
+    // Requests that wait for the first replica say nothing of what a second one is good for.
+    const std::size_t grown = view.holders == 0 ? 1 : view.holders * kReplicaGrowth;
+    targets.needed = std::max (bySlots, std::min (byReading, grown));
+    const auto byRate = static_cast<std::size_t> (1 + demand.perSecond / kRequestsForReplica);
+    targets.spare = std::max (targets.needed, std::min (byRate, kMostReplicasByRate));
+    return targets;
+}
+
+std::vector<EnginePlacement::ModelNeed> EnginePlacement::modelNeeds (base::TimePoint now) const
+{
+    std::vector<ModelNeed> needs;
+    for (const auto& [model, view] : m_models)
+        addNeeds (model, view, now, needs);
+    const auto isBefore = [] (const ModelNeed& left, const ModelNeed& right)
+    {
+        const bool isLeftOverdue = left.age >= kOverdue;
+        const bool isRightOverdue = right.age >= kOverdue;
+        if (isLeftOverdue != isRightOverdue)
+            return isLeftOverdue;
+        if (isLeftOverdue && left.age != right.age)
+            return left.age > right.age;
+        if (left.isSpare != right.isSpare)
+            return right.isSpare;
+        return left.requestsForReplica > right.requestsForReplica;
+    };
+    std::ranges::stable_sort (needs, isBefore);
+    return needs;
+}
+
+void EnginePlacement::addNeeds (const ServiceModel& model, const ModelView& view,
+                                base::TimePoint now, std::vector<ModelNeed>& needs) const
+{
+    const config::Service* service = m_catalogue.findService (model.first);
+    if (service == nullptr || ! service->engine)
+        return;
+    const ModelDemand& demand = view.demand;
+    const std::size_t supply = view.holders + view.coming;
+    if (supply == 0 && demand.waiting == 0)
+        return;
+    ModelNeed need;
+    need.model = model;
+    const double requests = demand.waiting + demand.running + demand.perSecond;
+    need.requestsForReplica = requests / static_cast<double> (supply + 1);
+    if (view.holders == 0 && demand.waiting > 0)
+        need.age = now - demand.waitingSince;
+    const ReplicaTargets targets = replicaTargets (view, *service->engine);
+    if (supply < targets.needed)
+    {
+        const double crowd = demand.waiting + demand.unread;
+        const double gain = kReplicaHorizonSeconds * crowd / static_cast<double> (supply + 1);
+        need.highestCost =
+            supply == 0 ? kAnyCost : std::clamp (gain, kHighestSpareCost, kHighestReplicaCost);
+        needs.insert (needs.end(), std::min (targets.needed - supply, kMostNeedsOfModel), need);
+        return;
+    }
+    const auto added = m_spareAddedAt.find (model);
+    const bool isTooSoon = added != m_spareAddedAt.end() && now - added->second < kSparePause;
+    if (supply >= targets.spare || isTooSoon)
+        return;
+    need.isSpare = true;
+    need.highestCost = kHighestSpareCost;
+    needs.push_back (need);
+}
+
+}  // namespace fernlift::placement
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -48,7 +48,14 @@
         engine.service = row.instance.service;
         engine.isUsable = ! row.instance.isDraining && ! row.isSilent;
     }
-    std::erase_if (m_engines, [&] (const auto& item) { return ! rows.contains (item.first); });
+    std::erase_if (m_engines,
+                   [&] (const auto& item)
+                   {
+                       const bool isGone = ! rows.contains (item.first);
+                       if (isGone)
+                           m_store.onGivenUp (item.first);
+                       return isGone;
+                   });
 }
 
 void EnginePlacement::take (Engine& engine, const EngineHoldings& holdings, base::TimePoint now)
@@ -77,7 +84,34 @@
     const ServiceOrder& order = engine.modelOrder->order;
     const bool isHeld = engine.models.contains (order.model);
     if (isHeld == order.isLoad)
-        engine.modelOrder.reset();
+        endModelOrder (engine, isHeld, now);
+}
+
+void EnginePlacement::beginModelOrder (Engine& engine, PendingOrder pending, base::TimePoint now)
+{
+    pending.sentAt = now;
+    if (pending.isFromStore)
+        m_store.onBegin (engine.id, now);
+    engine.modelOrder = std::move (pending);
+}
+
+void EnginePlacement::endModelOrder (Engine& engine, bool isHeld, base::TimePoint now)
+{
+    const PendingOrder pending = std::move (*engine.modelOrder);
+    engine.modelOrder.reset();
+    const config::EngineSpec* spec = specOf (engine);
+    const config::EngineModel* model =
+        spec == nullptr ? nullptr : spec->findModel (pending.order.model);
+    const std::size_t atOnce = m_store.underWay();
+    if (pending.isFromStore && isHeld && model != nullptr)
+        m_store.onEnd (engine.id, model->loadTime, now);
+    else
+        m_store.onGivenUp (engine.id);
+    if (isHeld == pending.order.isLoad)
+    {
+        m_done.push_back (
+            { pending.order, pending.isFromStore, now - pending.sentAt, atOnce, m_store.limit() });
+    }
 }
 
 bool EnginePlacement::isUnloading (const Engine& engine, const std::string& model)
@@ -104,18 +138,20 @@
     for (const cell::EngineDemand& demand : demands)
     {
         TargetDemand& target = m_demands[{ demand.service, demand.model, demand.adapter }];
-        target.arrivals = decayedArrivals (target, now) + demand.arrivals;
-        target.countedAt = now;
+        target.arrivals.add (demand.arrivals, kRateMemory, now);
         if (demand.arrivals > 0 || demand.waiting > 0 || demand.running > 0)
             target.askedAt = now;
-        target.byRouter[router] = demand;
+        const bool wasWaiting = target.waiting > 0;
+        setDemand (target, router, demand);
+        if (target.waiting > 0 && ! wasWaiting)
+            target.waitingSince = now;
     }
 }
 
 void EnginePlacement::onRouterGone (std::uint64_t router)
 {
     for (auto& [key, target] : m_demands)
-        target.byRouter.erase (router);
+        setDemand (target, router, {});
 }
 
 void EnginePlacement::onOrderAnswer (const ServiceOrder& order, OrderOutcome outcome,
@@ -161,8 +197,7 @@
     const ServiceOrder& order = pending.order;
     if (order.adapter.empty())
     {
-        pending.sentAt = now;
-        engine.modelOrder = std::move (pending);
+        beginModelOrder (engine, std::move (pending), now);
         return;
     }
     if (order.isLoad)
@@ -225,14 +260,14 @@
         engine.doubtful && report.sequence > engine.doubtful->order.expectedSequence.value_or (0);
     if (wasTaken && report.isBusy && engine.doubtful->order.adapter.empty())
     {
-        engine.modelOrder = std::move (engine.doubtful);
+        beginModelOrder (engine, std::move (*engine.doubtful), now);
     }
     engine.doubtful.reset();
     take (engine, holdings, now);
     const bool isSettled =
         engine.modelOrder && ! report.isBusy && now - engine.modelOrder->sentAt > kReportAge;
     if (isSettled)
-        engine.modelOrder.reset();
+        endModelOrder (engine, engine.models.contains (engine.modelOrder->order.model), now);
     if (report.isBusy && ! engine.modelOrder)
     {
         engine.sequence.reset();  // Somebody else's order: look again.
@@ -256,9 +291,11 @@
     pollWhereNeeded (commands, now);
     expireOrders (now);
     continuePlans (commands, now);
+    lookAtModels (now);
     planModels (commands, now);
     planAdapters (commands, now);
     fillFreeMemory (commands, now);
+    fetchAhead (commands, now);
     return commands;
 }
 
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -19,6 +20,8 @@
 #include "cell/RouterMessages.h"
 #include "config/ServiceCatalogue.h"
 #include "engine/ServiceEngine.h"
+#include "placement/DecayingRate.h"
+#include "placement/StoreConcurrency.h"
 
 namespace fernlift::placement
 {
@@ -35,6 +38,9 @@
     /// allows.
     double storeShare = 1.05;
     base::Duration storeWindow = base::seconds (5);
+    /// Models that no engine holds and none has a copy of are fetched before anybody asks for them,
+    /// while the weight store has places to spare.
+    bool fetchesAhead = false;
 };
 
 /// What an engine told in a heartbeat or report about its models.
@@ -59,6 +65,16 @@
 };
 using EngineCommand = std::variant<SendEngineOrder, PollEngine>;
 
+/// A model order is done, as far as heartbeats and reports show.
+struct EngineOrderDone
+{
+    engine::ServiceOrder order;
+    bool isFromStore = false;
+    base::Duration duration{};       ///< Since the engine took it.
+    std::size_t storeLoads = 0;      ///< Under way when it ended, itself included.
+    std::size_t storeLoadLimit = 0;  ///< That may be under way at once.
+};
+
 /// Lives as long as one term of leadership.
 class EnginePlacement
 {
@@ -84,6 +100,9 @@
     /// What is to be sent now.
     [[nodiscard]] std::vector<EngineCommand> decide (base::TimePoint now);
 
+    /// Model orders that were done since the last call.
+    [[nodiscard]] std::vector<EngineOrderDone> takeDone() { return std::exchange (m_done, {}); }
+
     /// What routers may be told that the engine holds; without what is about to be unloaded. None
     /// for an engine that is not known or has not told yet.
     [[nodiscard]] std::optional<std::vector<cell::HeldModel>> routableModels (
@@ -139,10 +158,14 @@
 
     struct TargetDemand
     {
+        /// As last reported; routers without requests are left out.
         std::map<std::uint64_t, cell::EngineDemand> byRouter;
-        base::TimePoint askedAt{};  ///< Last time that anybody asked for it.
-        double arrivals = 0;        ///< Decaying count, as of `countedAt`.
-        base::TimePoint countedAt{};
+        std::uint32_t waiting = 0;  ///< Sum over `byRouter`, as are the next two.
+        std::uint32_t running = 0;
+        std::uint32_t unread = 0;
+        base::TimePoint askedAt{};       ///< Last time that anybody asked for it.
+        base::TimePoint waitingSince{};  ///< Zero: nobody waits.
+        DecayingRate arrivals;
     };
 
     /// Requests for a model with all its adapters.
@@ -150,10 +173,22 @@
     {
         std::uint32_t waiting = 0;
         std::uint32_t running = 0;
-        base::TimePoint askedAt{};  ///< Zero: never.
-        double perSecond = 0;       ///< Requests that arrive.
+        std::uint32_t unread = 0;        ///< Of the running, whose answer has not begun.
+        base::TimePoint askedAt{};       ///< Zero: never.
+        base::TimePoint waitingSince{};  ///< Of the request that waits longest; zero: none.
+        double perSecond = 0;            ///< Requests that arrive.
     };
 
+    /// A model in a round of decisions: who wants it and where it is.
+    struct ModelView
+    {
+        ModelDemand demand;
+        std::size_t holders = 0;  ///< Engines that hold it and take requests.
+        std::size_t coming = 0;   ///< Engines that load it or will.
+        std::size_t copies = 0;   ///< Engines that have it in host memory or on disk.
+    };
+    using ServiceModel = std::pair<std::string, std::string>;
+
     /// Models of an engine that make way, and what losing them costs in seconds of waiting.
     struct Victims
     {
@@ -164,15 +199,15 @@
     // Views of demand and holdings (EngineViews.cpp).
     /// MODEL/ADAPTER.
     [[nodiscard]] static std::string adapterKey (std::string_view model, std::string_view adapter);
-    [[nodiscard]] static double decayedArrivals (const TargetDemand& target, base::TimePoint now);
-    [[nodiscard]] std::uint32_t waitingFor (const TargetKey& key) const;
-    [[nodiscard]] ModelDemand demandFor (const std::string& service, const std::string& model,
-                                         base::TimePoint now) const;
-    /// Replicas that the demand asks for.
-    [[nodiscard]] static std::size_t wantedReplicas (const ModelDemand& demand);
-    [[nodiscard]] std::size_t holdersOf (const std::string& service,
-                                         const std::string& model) const;
-    [[nodiscard]] bool isModelOnItsWay (const std::string& service, const std::string& model) const;
+    /// Replaces what one router reported for a target.
+    static void setDemand (TargetDemand& target, std::uint64_t router,
+                           const cell::EngineDemand& demand);
+    /// Works out m_models from demands and engines.
+    void lookAtModels (base::TimePoint now);
+    void countDemands (base::TimePoint now);
+    void countHolders();
+    [[nodiscard]] const ModelView& viewOf (const std::string& service,
+                                           const std::string& model) const;
     [[nodiscard]] const config::EngineSpec* specOf (const Engine& engine) const;
     /// Memory of models that are held or may be, without adapters.
     [[nodiscard]] static double usedMemory (const Engine& engine, const config::EngineSpec& spec);
@@ -181,30 +216,46 @@
     /// Adapters that are held or on their way, as MODEL/ADAPTER.
     [[nodiscard]] static std::set<std::string> adaptersOf (const Engine& engine);
     [[nodiscard]] static bool mayTakeOrder (const Engine& engine);
-    /// Loads that the weight store serves at once at full speed, as its rate implies.
-    [[nodiscard]] static double concurrentLoads (const config::EngineSpec& spec);
     [[nodiscard]] static bool isLocal (const Engine& engine, const std::string& model);
     [[nodiscard]] static bool isUnloading (const Engine& engine, const std::string& model);
     [[nodiscard]] static double loadSeconds (const Engine& engine,
                                              const config::EngineModel& model);
 
+    /// Whether an order is under way, or planned, that loads the model.
+    [[nodiscard]] static bool isLoading (const Engine& engine, const std::string& model);
+    /// Loads from the weight store that are under way or planned.
+    [[nodiscard]] std::size_t storeLoads() const;
+
     /// What a load costs those who want adapters of models that the engine holds.
     [[nodiscard]] double adapterTrouble (const Engine& engine, const config::EngineSpec& spec,
                                          base::TimePoint now) const;
+    /// What a load from the store costs those who want models of which only this engine has a copy,
+    /// and could load it soon.
+    [[nodiscard]] double blockedCopies (const Engine& engine, const config::EngineSpec& spec,
+                                        base::TimePoint now) const;
+
+    /// Replicas of a model that the demand asks for.
+    struct ReplicaTargets
+    {
+        std::size_t needed = 0;  ///< Requests wait without them.
+        std::size_t spare = 0;   ///< For a crash or a burst; at least as many as needed.
+    };
+    [[nodiscard]] static ReplicaTargets replicaTargets (const ModelView& view,
+                                                        const config::EngineSpec& spec);
 
     /// A model that should be loaded once more.
     struct ModelNeed
     {
-        TargetKey key;
-        bool isMissing = false;  ///< Nobody holds it and requests wait.
-        double requestsForReplica = 0;
+        ServiceModel model;
+        double highestCost = 0;  ///< That the load may have, in seconds of waiting.
+        base::Duration age{};    ///< How long a request has waited for a model nobody holds.
+        bool isSpare = false;
+        double requestsForReplica = 0;  ///< Orders needs: the most pressing first.
     };
-    using ServiceModel = std::pair<std::string, std::string>;
-    /// Engines that hold each model and take requests, as holdersOf() counts them; models without
-    /// any are left out.
-    [[nodiscard]] std::map<ServiceModel, std::size_t> countHolders() const;
     /// What should be loaded, the most pressing first.
     [[nodiscard]] std::vector<ModelNeed> modelNeeds (base::TimePoint now) const;
+    void addNeeds (const ServiceModel& model, const ModelView& view, base::TimePoint now,
+                   std::vector<ModelNeed>& needs) const;
 
     // Steps of a decision.
     void pollWhereNeeded (std::vector<EngineCommand>& commands, base::TimePoint now);
@@ -216,31 +267,45 @@
                        base::TimePoint now);
     static void dropPlan (Engine& engine);
     void planModels (std::vector<EngineCommand>& commands, base::TimePoint now);
-    /// Whether so many ask for a model that it should be held once more.
-    [[nodiscard]] bool isCrowded (const TargetKey& key, const ModelDemand& demand,
-                                  std::size_t holders, base::TimePoint now) const;
-    /// Reserves an engine for the model unless that costs more than `highestCost`; false when none
-    /// can take it now.
-    bool planModel (const TargetKey& key, double highestCost, base::TimePoint now);
+    /// Reserves an engine for the model unless that costs too much; false when none can take it
+    /// now.
+    bool planModel (const ModelNeed& need, base::TimePoint now);
+    /// An engine with a copy of the model that is busy for a moment; worth waiting for.
+    [[nodiscard]] bool isLocalSoon (const ServiceModel& model) const;
     /// Loads models that nobody holds from engines' own copies into memory that is free.
     void fillFreeMemory (std::vector<EngineCommand>& commands, base::TimePoint now);
     [[nodiscard]] const config::EngineModel* modelToFillWith (const Engine& engine,
                                                               const config::EngineSpec& spec) const;
+    /// Fetches models of which there is no copy, so that they can be loaded quickly later.
+    void fetchAhead (std::vector<EngineCommand>& commands, base::TimePoint now);
+    void fetchAhead (const config::Service& service, base::TimePoint now);
     void planAdapters (std::vector<EngineCommand>& commands, base::TimePoint now);
-    bool planAdapter (const TargetKey& key, std::vector<EngineCommand>& commands,
+    void planAdapter (const TargetKey& key, std::vector<EngineCommand>& commands,
                       base::TimePoint now);
-    /// Orders the adapter that was not asked for longest to go.
-    bool evictAdapter (Engine& engine, std::vector<EngineCommand>& commands, base::TimePoint now);
+    /// The adapter of an engine that was not asked for longest, and when; none while all are in
+    /// use.
+    struct AdapterVictim
+    {
+        std::string model;
+        std::string adapter;
+        base::TimePoint askedAt{};  ///< Zero: never.
+    };
+    [[nodiscard]] std::optional<AdapterVictim> adapterVictim (const Engine& engine) const;
     /// What must make way for a model; none when it cannot be done.
     [[nodiscard]] std::optional<Victims> victimsFor (const Engine& engine,
                                                      const config::EngineSpec& spec,
                                                      const config::EngineModel& model,
+                                                     base::Duration needAge,
                                                      base::TimePoint now) const;
     /// What losing a model here costs; none when it must stay.
     [[nodiscard]] std::optional<double> costOfLosing (const Engine& engine,
                                                       const std::string& model,
+                                                      base::Duration needAge,
                                                       base::TimePoint now) const;
+    /// Whether the rate of the weight store allows a load to begin now.
     [[nodiscard]] bool mayLoadFromStore (const std::string& service, base::TimePoint now);
+    /// Whether the store serves another load at full speed, and leaves so many places free.
+    [[nodiscard]] bool hasStorePlace (std::size_t spare = 0) const;
     /// What to order, and why.
     struct Intention
     {
@@ -254,7 +319,10 @@
 
     // What answers and reports change.
     void take (Engine& engine, const EngineHoldings& holdings, base::TimePoint now);
-    static void noteUnderWay (Engine& engine, PendingOrder pending, base::TimePoint now);
+    void noteUnderWay (Engine& engine, PendingOrder pending, base::TimePoint now);
+    void beginModelOrder (Engine& engine, PendingOrder pending, base::TimePoint now);
+    /// The model order of the engine is over; `isHeld` tells whether the engine holds the model.
+    void endModelOrder (Engine& engine, bool isHeld, base::TimePoint now);
     static void noteDone (Engine& engine, const engine::ServiceOrder& order, base::TimePoint now);
 
     EnginePlacementOptions m_options;
@@ -262,8 +330,12 @@
     config::ServiceCatalogue m_catalogue;  ///< Services only.
     std::map<std::string, Engine> m_engines;
     std::map<TargetKey, TargetDemand> m_demands;
-    std::deque<base::TimePoint> m_storeLoads;  ///< When loads from the store were ordered.
-    std::map<std::string, base::TimePoint> m_replicaAddedAt;  ///< By model.
+    std::map<ServiceModel, ModelView> m_models;  ///< As of the last lookAtModels().
+    std::deque<base::TimePoint> m_storeLoads;    ///< When loads from the store were ordered.
+    StoreConcurrency m_store;
+    std::map<ServiceModel, base::TimePoint> m_spareAddedAt;
+    std::set<ServiceModel> m_fetched;  ///< Fetched ahead; once for each model.
+    std::vector<EngineOrderDone> m_done;
 };
 
 }  // namespace fernlift::placement
--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -25,14 +25,21 @@
 constexpr base::Duration kWithdrawalTime = base::milliseconds (60);
 /// A model that was asked for within this time stays unless another engine holds it too.
 constexpr base::Duration kRecentUse = base::milliseconds (1500);
-/// More requests for each replica than this ask for another one: prompts are read one after the
-/// other, long before an engine's slots are taken.
-constexpr std::uint32_t kCrowdedRequests = 4;
+/// More requests that no engine has answered yet, for each replica, than this ask for another one:
+/// prompts are read one after the other, long before an engine's slots are taken.
+constexpr double kUnreadForReplica = 2;
+/// Share of an engine's slots that requests for one model may fill before it is held once more.
+/// The rest takes what routers, which do not know of each other, send at the same time.
+constexpr double kFilledSlots = 0.6;
+/// Replicas grow at most by this factor at a time: requests that queue say little about how many
+/// replicas would have kept them from queueing.
+constexpr std::size_t kReplicaGrowth = 2;
 /// Requests a second that ask for one more replica, so that a crash or a burst finds another.
 constexpr double kRequestsForReplica = 1.5;
 constexpr std::size_t kMostReplicasByRate = 3;
-/// The rate of requests is that of about the last so many seconds.
-constexpr double kRateMemorySeconds = 4.0;
-constexpr base::Duration kReplicaPause = base::seconds (1);
+/// The rate of requests is that of about the last so long.
+constexpr base::Duration kRateMemory = base::seconds (4);
+/// Spare replicas of one model are added no faster than this.
+constexpr base::Duration kSparePause = base::seconds (1);
 
 }  // namespace fernlift::placement
--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -41,6 +41,7 @@
             service.engine->models.push_back (model);
         }
         m_placement.setServices (1, { service });
+        m_service = std::move (service);
     }
 
     /// Registers an engine that has told what it holds, and answers the call for its report.
@@ -107,6 +108,7 @@
     void wait (base::Duration duration) { m_now += duration; }
 
     EnginePlacement m_placement;
+    config::Service m_service;
     std::map<std::string, cell::RoutableInstance> m_rows;
     base::TimePoint m_now = kStart + base::seconds (10);
 };
@@ -265,13 +267,150 @@
 {
     addEngine ("e1", { "m1" });
     addEngine ("e2", { "m2" });
-    demand ("m1", 0, kCrowdedRequests + 1);
+    // Five of eight slots: more than the share that one model may fill.
+    demand ("m1", 0, 5);
     const auto sent = orders();
     ASSERT_EQ (sent.size(), 1U);
     EXPECT_EQ (sent[0].instance, "e2");
     EXPECT_EQ (sent[0].model, "m1");
 }
 
+TEST_F (EnginePlacementTest, PromptsThatWaitToBeReadAskForAnotherReplica)
+{
+    addEngine ("e1", { "m1" });
+    addEngine ("e2", { "m2" });
+    m_placement.onDemand (1, { { "llm", "m1", "", 0, 4, 0, 2 } }, m_now);
+    EXPECT_TRUE (orders().empty());  // Two read at a time, the rest is being answered.
+    m_placement.onDemand (1, { { "llm", "m1", "", 0, 4, 0, 3 } }, m_now);
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    EXPECT_EQ (sent[0].model, "m1");
+}
+
+TEST_F (EnginePlacementTest, ReplicasOfACrowdedModelDoNotTakeThePlaceOfWhatWasJustAskedFor)
+{
+    addEngine ("e1", { "m1", "m4" });
+    addEngine ("e2", { "m2", "m3" });
+    for (const char* model : { "m2", "m3", "m4" })
+        demand (model, 0);
+    m_placement.onDemand (1, { { "llm", "m2", "", 0, 0, 1, 0 }, { "llm", "m3", "", 0, 0, 1, 0 } },
+                          m_now);
+    demand ("m1", 0, 5);
+    wait (kWithdrawalTime);
+    EXPECT_TRUE (orders().empty());
+}
+
+TEST_F (EnginePlacementTest, AnEngineWithACopyIsWaitedForWhileItIsBusyForAMoment)
+{
+    addEngine ("e1", { "m1", "m2" });
+    addEngine ("e2", { "m4", "m5" });
+    wait (base::seconds (30));
+    hear ("e1", { "m1", "m2" }, { "m3" });
+    hear ("e2", { "m4", "m5" });
+    m_placement.onDemand (1, { { "llm", "m1", "a1", 1, 0, 1 } }, m_now);
+    const auto adapter = orders();
+    ASSERT_EQ (adapter.size(), 1U);
+    EXPECT_EQ (adapter[0].instance, "e1");
+    demand ("m3", 1);
+    EXPECT_TRUE (orders().empty());
+    wait (kWithdrawalTime);
+    EXPECT_TRUE (orders().empty()) << "e2 would have to load it from the store";
+    answer (adapter[0], engine::OrderOutcome::kUnderWay);
+    EXPECT_TRUE (orders().empty());
+    wait (kWithdrawalTime);
+    const auto unload = orders();
+    ASSERT_EQ (unload.size(), 1U);
+    EXPECT_EQ (unload[0].instance, "e1");
+    EXPECT_EQ (unload[0].model, "m2");
+}
+
+TEST_F (EnginePlacementTest, AModelMakesWayOnlyOnceTheStoreHasAPlace)
+{
+    for (int number = 1; number <= 12; ++number)
+        addEngine ("e" + std::to_string (number), { "m" + std::to_string (number) });
+    for (int number = 13; number <= 30; ++number)
+        demand ("m" + std::to_string (number), 1);
+    std::size_t loads = 0;
+    for (int round = 0; round < 5; ++round)
+    {
+        for (const auto& order : orders())
+        {
+            answer (order, engine::OrderOutcome::kUnderWay);
+            loads += order.isLoad ? 1 : 0;
+        }
+        wait (base::milliseconds (100));
+    }
+    EXPECT_EQ (loads, 6U);  // As many as are tried before the store's speed is known.
+}
+
+TEST_F (EnginePlacementTest, ARequestThatHasWaitedLongTakesTheTurnOfABusyModel)
+{
+    addEngine ("e1", { "m1", "m2" });
+    const auto keepBusy = [&]
+    {
+        demand ("m1", 0, 1);
+        m_placement.onDemand (2, { { "llm", "m2", "", 0, 1, 1 } }, m_now);
+    };
+    demand ("m3", 1);
+    bool hasMadeWay = false;
+    for (int round = 0; round < 40 && ! hasMadeWay; ++round)
+    {
+        keepBusy();
+        for (const auto& order : orders())
+            hasMadeWay = ! order.isLoad;
+        wait (base::milliseconds (100));
+    }
+    EXPECT_TRUE (hasMadeWay);
+}
+
+TEST_F (EnginePlacementTest, AModelWithoutAnyCopyIsFetchedAheadOnce)
+{
+    EnginePlacementOptions options;
+    options.fence = 7;
+    options.ordersFrom = [] (const std::string&) { return kStart; };
+    options.fetchesAhead = true;
+    m_placement = EnginePlacement (std::move (options));
+    config::Service service = m_service;
+    service.engine->models.resize (3);
+    m_placement.setServices (2, { service });
+    addEngine ("e1", { "m1" });
+    addEngine ("e2", { "m2" });
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    EXPECT_EQ (sent[0].model, "m3");
+    answer (sent[0], engine::OrderOutcome::kUnderWay);
+    hear (sent[0].instance, { sent[0].instance == "e1" ? "m1" : "m2", "m3" });
+    wait (base::seconds (30));
+    hear ("e1", { "m1" });
+    hear ("e2", { "m2" });
+    EXPECT_TRUE (orders().empty());
+}
+
+TEST_F (EnginePlacementTest, AnAdapterFindsAPlaceOnAnyEngineThatHoldsItsModel)
+{
+    addEngine ("e1", { "m1" });
+    addEngine ("e2", { "m1" });
+    // Both engines are full; all that the first one holds is in use.
+    std::vector<cell::EngineDemand> demands;
+    for (const char* adapter : { "a1", "a2", "a3", "a4" })
+    {
+        demand ("m1", 1, 0, adapter);
+        for (const auto& order : orders())
+        {
+            answer (order, engine::OrderOutcome::kUnderWay);
+            const bool isInUse = order.instance == "e1";
+            demands.push_back ({ "llm", "m1", adapter, 0, isInUse ? 1U : 0U, 1 });
+        }
+        m_placement.onDemand (1, demands, m_now);
+        wait (base::seconds (1));
+    }
+    demand ("m1", 1, 0, "a5");
+    const auto unload = orders();
+    ASSERT_EQ (unload.size(), 1U);
+    EXPECT_EQ (unload[0].instance, "e2");
+    EXPECT_FALSE (unload[0].isLoad);
+}
+
 TEST_F (EnginePlacementTest, TheAdapterThatWasNotAskedForLongestMakesWay)
 {
     addEngine ("e1", { "m1" });
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -1,7 +1,8 @@
-// Which model or adapter goes to which engine, and what makes way.
+/**
+ * Which model goes to which engine, and what makes way for it.
+ */
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 #include "placement/EnginePlacement.h"
@@ -12,20 +13,39 @@
 namespace
 {
 
-constexpr const char* kAdapterMakesWay = "not asked for longest";
 // Costs are in seconds of a request that waits.
 constexpr double kUnloadCost = 0.3;
 constexpr double kSpareReplicaCost = 0.2;
-/// A further replica may cost this much, its load included.
-constexpr double kHighestReplicaCost = 4.5;
-constexpr double kAnyCost = 1e9;
-constexpr double kNeededReplicaCost = 6.0;
+/// A replica beyond those that requests need, which a burst may need.
+constexpr double kReserveReplicaCost = 2.0;
+constexpr double kNeededReplicaCost = 12.0;
+/// Held more than once from the beginning, so it probably was busy; nobody has asked yet.
+constexpr double kUnknownReplicaCost = 1.0;
+/// An unload waits for the requests that run; most streams end within a second or two.
+constexpr double kDrainCost = 1.2;
 constexpr double kLastReplicaCost = 4.0;
 constexpr double kCheapestLastReplicaCost = 0.3;
+constexpr double kRecentReplicaCost = 5.0;
+constexpr double kBusyReplicaCost = 8.0;
 constexpr double kAdapterTroubleCost = 4.0;
+/// A model that only this engine could load quickly waits until the load from the store is done.
+constexpr double kBlockedCopyCost = 1.0;
+/// Loading ahead of requests may cost this much beside the load itself.
+constexpr double kHighestFetchCost = 2.0;
+/// Engines for each that is blocked by a load which nobody waits for: the others go on changing
+/// models for those who wait.
+constexpr std::size_t kEnginesForFetch = 12;
 constexpr base::Duration kAdapterUse = base::seconds (10);
 /// Seconds of silence after which the last replica of a model is worth the least.
 constexpr double kForgottenAfter = 20.0;
+/// A request that has waited this long may take the place of a model in recent use.
+constexpr base::Duration kYieldRecent = base::milliseconds (300);
+/// The same for a model that requests use: they end first, and those that come wait in turn.
+constexpr base::Duration kYieldBusy = base::seconds (2);
+/// A request waits this long for an engine that has a copy rather than for the weight store.
+constexpr base::Duration kPatienceForCopy = base::milliseconds (1500);
+/// Each plan looks at every engine: more in one round would hold up the leader's event loop.
+constexpr std::size_t kMostPlansInRound = 12;
 
 double secondsOf (base::Duration duration)
 {
@@ -36,112 +56,139 @@
 
 void EnginePlacement::planModels (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
+    std::size_t plans = 0;
     for (const ModelNeed& need : modelNeeds (now))
     {
-        const double highestCost = need.isMissing ? kAnyCost : kHighestReplicaCost;
-        if (! planModel (need.key, highestCost, now))
-            continue;
-        if (! need.isMissing)
-            m_replicaAddedAt[need.key.model] = now;
+        if (++plans > kMostPlansInRound)
+            break;
+        if (planModel (need, now) && need.isSpare)
+            m_spareAddedAt[need.model] = now;
     }
     continuePlans (commands, now);
 }
 
-std::vector<EnginePlacement::ModelNeed> EnginePlacement::modelNeeds (base::TimePoint now) const
+bool EnginePlacement::planModel (const ModelNeed& need, base::TimePoint now)
 {
-    std::vector<ModelNeed> needs;
-    const std::map<ServiceModel, std::size_t> holdersByModel = countHolders();
-    ServiceModel last;
-    for (const auto& [key, target] : m_demands)
+    const auto& [service, name] = need.model;
+    const bool isMissing = viewOf (service, name).holders == 0;
+    const bool waitsForCopy = isMissing && need.age < kPatienceForCopy && isLocalSoon (need.model);
+    const bool isStoreOpen = ! waitsForCopy && hasStorePlace() && mayLoadFromStore (service, now);
+    Engine* best = nullptr;
+    Victims bestVictims;
+    double lowest = 0;
+    for (auto& [id, engine] : m_engines)
     {
-        // Keys of one model stand together.
-        if (ServiceModel model{ key.service, key.model }; model != last)
-            last = std::move (model);
-        else
+        const bool isCandidate = engine.service == service && engine.reservedFor.empty()
+                                 && mayTakeOrder (engine) && ! engine.models.contains (name);
+        if (! isCandidate)
             continue;
-        const ModelDemand demand = demandFor (key.service, key.model, now);
-        const auto counted = holdersByModel.find (last);
-        const std::size_t holders = counted == holdersByModel.end() ? 0 : counted->second;
-        const bool isMissing = holders == 0 && demand.waiting > 0;
-        if (! isMissing && ! isCrowded (key, demand, holders, now))
+        const config::EngineSpec* spec = specOf (engine);
+        const config::EngineModel* model = spec == nullptr ? nullptr : spec->findModel (name);
+        if (model == nullptr)
+            return false;
+        const bool isFromStore = ! isLocal (engine, name);
+        if (isFromStore && ! isStoreOpen)
             continue;
-        if (isModelOnItsWay (key.service, key.model))
+        std::optional<Victims> victims = victimsFor (engine, *spec, *model, need.age, now);
+        if (! victims)
             continue;
-        const double requests = demand.waiting + demand.running + demand.perSecond;
-        needs.push_back ({ key, isMissing, requests / static_cast<double> (holders + 1) });
+        double cost =
+            victims->cost + loadSeconds (engine, *model) + adapterTrouble (engine, *spec, now);
+        if (isFromStore)
+            cost += blockedCopies (engine, *spec, now);
+        if (cost > need.highestCost || (best != nullptr && cost >= lowest))
+            continue;
+        best = &engine;
+        bestVictims = std::move (*victims);
+        lowest = cost;
     }
-    std::ranges::stable_sort (needs, std::greater<>(), &ModelNeed::requestsForReplica);
-    return needs;
+    if (best == nullptr)
+        return false;
+    best->reservedFor = name;
+    best->withdrawn = { bestVictims.models.begin(), bestVictims.models.end() };
+    best->withdrawnAt = now;
+    ++m_models[need.model].coming;
+    for (const std::string& victim : bestVictims.models)
+        --m_models[{ service, victim }].holders;
+    return true;
 }
 
-std::map<EnginePlacement::ServiceModel, std::size_t> EnginePlacement::countHolders() const
+bool EnginePlacement::isLocalSoon (const ServiceModel& model) const
 {
-    std::map<ServiceModel, std::size_t> holders;
-    for (const auto& [id, engine] : m_engines)
+    const auto loadsFromStore = [] (const Engine& engine)
     {
-        if (! engine.isUsable)
-            continue;
-        for (const auto& [model, state] : engine.models)
-        {
-            if (! engine.withdrawn.contains (model))
-                ++holders[{ engine.service, model }];
-        }
-    }
-    return holders;
+        return (engine.modelOrder && engine.modelOrder->isFromStore)
+               || (engine.unanswered && engine.unanswered->isFromStore)
+               || (! engine.reservedFor.empty() && ! isLocal (engine, engine.reservedFor));
+    };
+    return std::ranges::any_of (m_engines,
+                                [&] (const auto& item)
+                                {
+                                    const Engine& engine = item.second;
+                                    return engine.service == model.first && engine.isUsable
+                                           && ! engine.isPaused && isLocal (engine, model.second)
+                                           && ! loadsFromStore (engine);
+                                });
 }
 
-bool EnginePlacement::isCrowded (const TargetKey& key, const ModelDemand& demand,
-                                 std::size_t holders, base::TimePoint now) const
+double EnginePlacement::blockedCopies (const Engine& engine, const config::EngineSpec& spec,
+                                       base::TimePoint now) const
 {
-    const config::Service* service = m_catalogue.findService (key.service);
-    if (holders == 0 || service == nullptr || ! service->engine)
-        return false;
-    const auto added = m_replicaAddedAt.find (key.model);
-    if (added != m_replicaAddedAt.end() && now - added->second < kReplicaPause)
-        return false;
-    return holders < wantedReplicas (demand);
+    double cost = 0;
+    for (const config::EngineModel& model : spec.models)
+    {
+        if (! isLocal (engine, model.name) || engine.models.contains (model.name))
+            continue;
+        const ModelView& view = viewOf (engine.service, model.name);
+        const bool isOnlyHere = view.holders == 0 && view.coming == 0 && view.copies == 1;
+        const base::TimePoint askedAt = view.demand.askedAt;
+        const bool isWanted =
+            askedAt != base::TimePoint{} && secondsOf (now - askedAt) < kForgottenAfter;
+        if (isOnlyHere && isWanted)
+            cost += kBlockedCopyCost;
+    }
+    return cost;
 }
 
-std::size_t EnginePlacement::wantedReplicas (const ModelDemand& demand)
+void EnginePlacement::fetchAhead (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
-    const std::size_t byRequests =
-        (demand.running + demand.waiting + kCrowdedRequests - 1) / kCrowdedRequests;
-    const auto byRate = static_cast<std::size_t> (1 + demand.perSecond / kRequestsForReplica);
-    return std::max (byRequests, std::min (byRate, kMostReplicasByRate));
+    if (! m_options.fetchesAhead)
+        return;
+    // What an engine has is known once it has told; a new leader hears of all within one interval.
+    const bool isKnown = std::ranges::all_of (
+        m_engines, [] (const auto& item) { return ! item.second.isUsable || item.second.hasTold; });
+    if (! isKnown)
+        return;
+    for (const config::Service& service : m_catalogue.services)
+    {
+        if (service.engine)
+            fetchAhead (service, now);
+    }
+    continuePlans (commands, now);
 }
 
-bool EnginePlacement::planModel (const TargetKey& key, double highestCost, base::TimePoint now)
+void EnginePlacement::fetchAhead (const config::Service& service, base::TimePoint now)
 {
-    Engine* best = nullptr;
-    std::vector<std::string> bestVictims;
-    double lowest = 0;
-    for (auto& [id, engine] : m_engines)
+    // One place stays free for what requests wait for.
+    constexpr std::size_t kSparePlaces = 1;
+    const bool isInUse = ! m_demands.empty();
+    const std::size_t most = std::max<std::size_t> (m_engines.size() / kEnginesForFetch, 1);
+    for (const config::EngineModel& model : service.engine->models)
     {
-        const bool isCandidate = engine.service == key.service && engine.reservedFor.empty()
-                                 && mayTakeOrder (engine) && ! engine.models.contains (key.model);
-        if (! isCandidate)
-            continue;
-        const config::EngineSpec* spec = specOf (engine);
-        const config::EngineModel* model = spec == nullptr ? nullptr : spec->findModel (key.model);
-        if (model == nullptr)
-            return false;
-        const std::optional<Victims> victims = victimsFor (engine, *spec, *model, now);
-        if (! victims)
+        if (! hasStorePlace (isInUse ? kSparePlaces : 0) || (isInUse && storeLoads() >= most))
+            return;
+        const ServiceModel key{ service.name, model.name };
+        const ModelView& view = viewOf (service.name, model.name);
+        const bool isMissing = view.holders == 0 && view.coming == 0 && view.copies == 0;
+        if (! isMissing || m_fetched.contains (key))
             continue;
-        const double cost =
-            victims->cost + loadSeconds (engine, *model) + adapterTrouble (engine, *spec, now);
-        if (cost > highestCost || (best != nullptr && cost >= lowest))
-            continue;
-        best = &engine;
-        bestVictims = victims->models;
-        lowest = cost;
+        ModelNeed need;
+        need.model = key;
+        need.highestCost = secondsOf (model.loadTime) + kHighestFetchCost;
+        if (! planModel (need, now))
+            return;
+        m_fetched.insert (key);
     }
-    if (best == nullptr)
-        return false;
-    best->reservedFor = key.model;
-    best->withdrawn = { bestVictims.begin(), bestVictims.end() };
-    best->withdrawnAt = now;
-    return true;
 }
 
 double EnginePlacement::adapterTrouble (const Engine& engine, const config::EngineSpec& spec,
@@ -153,7 +200,7 @@
         const config::EngineModel* model = spec.findModel (name);
         if (model == nullptr || model->adapters == 0)
             continue;
-        const base::TimePoint askedAt = demandFor (engine.service, name, now).askedAt;
+        const base::TimePoint askedAt = viewOf (engine.service, name).demand.askedAt;
         const bool isInUse = askedAt != base::TimePoint{} && now - askedAt < kAdapterUse;
         if (isInUse)
             return kAdapterTroubleCost;
@@ -172,14 +219,14 @@
 
 std::optional<EnginePlacement::Victims> EnginePlacement::victimsFor (
     const Engine& engine, const config::EngineSpec& spec, const config::EngineModel& model,
-    base::TimePoint now) const
+    base::Duration needAge, base::TimePoint now) const
 {
     Victims victims;
     double free = spec.memoryMb - adapterReserve (spec) - usedMemory (engine, spec);
     std::vector<std::pair<double, std::string>> candidates;
     for (const auto& [name, state] : engine.models)
     {
-        if (const auto cost = costOfLosing (engine, name, now))
+        if (const auto cost = costOfLosing (engine, name, needAge, now))
             candidates.emplace_back (*cost, name);
     }
     std::ranges::sort (candidates);
@@ -200,22 +247,32 @@
 }
 
 std::optional<double> EnginePlacement::costOfLosing (const Engine& engine, const std::string& model,
+                                                     base::Duration needAge,
                                                      base::TimePoint now) const
 {
-    const ModelDemand demand = demandFor (engine.service, model, now);
-    const std::size_t holders = holdersOf (engine.service, model);
-    if (holders > 1)
+    const ModelView& view = viewOf (engine.service, model);
+    const ModelDemand& demand = view.demand;
+    const bool isUnknown = demand.askedAt == base::TimePoint{};
+    if (view.holders > 1)
     {
+        if (isUnknown)
+            return kUnknownReplicaCost;
+        const ReplicaTargets targets = replicaTargets (view, *specOf (engine));
+        const double drain = demand.running > 0 ? kDrainCost : 0;
         // Without this one the others would be crowded, and it would be loaded again.
-        const bool isNeeded = wantedReplicas (demand) >= holders;
-        return isNeeded ? kNeededReplicaCost : kSpareReplicaCost;
+        if (targets.needed >= view.holders)
+            return kNeededReplicaCost + drain;
+        const bool isReserve = targets.spare >= view.holders;
+        return (isReserve ? kReserveReplicaCost : kSpareReplicaCost) + drain;
     }
-    const bool isInUse = demand.running > 0 || demand.waiting > 0;
-    const bool isRecent = demand.askedAt != base::TimePoint{} && now - demand.askedAt < kRecentUse;
-    if (isInUse || isRecent)
-        return std::nullopt;
-    if (demand.askedAt == base::TimePoint{})
+    if (isUnknown)
         return kCheapestLastReplicaCost;
+    if (demand.waiting > 0)
+        return std::nullopt;
+    if (demand.running > 0)
+        return needAge < kYieldBusy ? std::nullopt : std::optional (kBusyReplicaCost);
+    if (now - demand.askedAt < kRecentUse)
+        return needAge < kYieldRecent ? std::nullopt : std::optional (kRecentReplicaCost);
     const double idle = secondsOf (now - demand.askedAt);
     return std::max (kLastReplicaCost * (1 - idle / kForgottenAfter), kCheapestLastReplicaCost);
 }
@@ -230,8 +287,10 @@
         if (spec == nullptr)
             continue;
         const config::EngineModel* model = modelToFillWith (engine, *spec);
-        if (model != nullptr)
-            send (engine, { true, model->name, "", "memory is free" }, commands, now);
+        if (model == nullptr)
+            continue;
+        send (engine, { true, model->name, "", "memory is free" }, commands, now);
+        ++m_models[{ engine.service, model->name }].coming;
     }
 }
 
@@ -245,10 +304,10 @@
         for (const std::string& name : *names)
         {
             const config::EngineModel* model = spec.findModel (name);
+            const ModelView& view = viewOf (engine.service, name);
             const bool isUseful = model != nullptr && model->memoryMb <= free
-                                  && ! engine.models.contains (name)
-                                  && holdersOf (engine.service, name) == 0
-                                  && ! isModelOnItsWay (engine.service, name);
+                                  && ! engine.models.contains (name) && view.holders == 0
+                                  && view.coming == 0;
             if (! isUseful)
                 continue;
             if (largest == nullptr || model->memoryMb > largest->memoryMb)
@@ -258,82 +317,4 @@
     return largest;
 }
 
-void EnginePlacement::planAdapters (std::vector<EngineCommand>& commands, base::TimePoint now)
-{
-    for (const auto& [key, target] : m_demands)
-    {
-        if (key.adapter.empty() || waitingFor (key) == 0)
-            continue;
-        planAdapter (key, commands, now);
-    }
-}
-
-bool EnginePlacement::planAdapter (const TargetKey& key, std::vector<EngineCommand>& commands,
-                                   base::TimePoint now)
-{
-    const std::string wanted = adapterKey (key.model, key.adapter);
-    Engine* best = nullptr;
-    std::size_t fewest = 0;
-    for (auto& [id, engine] : m_engines)
-    {
-        const bool holdsModel = engine.service == key.service && engine.isUsable
-                                && engine.models.contains (key.model)
-                                && ! engine.withdrawn.contains (key.model);
-        if (! holdsModel)
-            continue;
-        const std::set<std::string> adapters = adaptersOf (engine);
-        const bool isThere = adapters.contains (wanted);
-        const bool isComing = engine.unanswered && engine.unanswered->order.model == key.model
-                              && engine.unanswered->order.adapter == key.adapter;
-        if (isThere || isComing)
-            return false;
-        if (! mayTakeOrder (engine))
-            continue;
-        if (best != nullptr && adapters.size() >= fewest)
-            continue;
-        best = &engine;
-        fewest = adapters.size();
-    }
-    if (best == nullptr)
-        return false;
-    const config::EngineSpec* spec = specOf (*best);
-    if (spec == nullptr)
-        return false;
-    if (fewest < spec->adapterSlots)
-    {
-        send (*best, { true, key.model, key.adapter, "requests wait for it" }, commands, now);
-        return true;
-    }
-    return evictAdapter (*best, commands, now);
-}
-
-bool EnginePlacement::evictAdapter (Engine& engine, std::vector<EngineCommand>& commands,
-                                    base::TimePoint now)
-{
-    const TargetKey* oldest = nullptr;
-    base::TimePoint oldestAskedAt{};
-    for (const std::string& adapter : adaptersOf (engine))
-    {
-        const std::size_t slash = adapter.find ('/');
-        TargetKey key{ engine.service, adapter.substr (0, slash), adapter.substr (slash + 1) };
-        const auto found = m_demands.find (key);
-        if (found == m_demands.end())
-        {
-            send (engine, { false, key.model, key.adapter, kAdapterMakesWay }, commands, now);
-            return true;
-        }
-        const bool isUsed =
-            std::ranges::any_of (found->second.byRouter, [] (const auto& item)
-                                 { return item.second.waiting > 0 || item.second.running > 0; });
-        if (isUsed || (oldest != nullptr && found->second.askedAt >= oldestAskedAt))
-            continue;
-        oldest = &found->first;
-        oldestAskedAt = found->second.askedAt;
-    }
-    if (oldest == nullptr)
-        return false;
-    send (engine, { false, oldest->model, oldest->adapter, kAdapterMakesWay }, commands, now);
-    return true;
-}
-
 }  // namespace fernlift::placement
--- a/src/placement/EngineViews.cpp
+++ b/src/placement/EngineViews.cpp
@@ -4,7 +4,6 @@
  */
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "placement/EnginePlacement.h"
@@ -18,73 +17,106 @@
     return std::string (model).append ("/").append (adapter);
 }
 
-double EnginePlacement::decayedArrivals (const TargetDemand& target, base::TimePoint now)
+void EnginePlacement::setDemand (TargetDemand& target, std::uint64_t router,
+                                 const cell::EngineDemand& demand)
 {
-    const double seconds = std::chrono::duration<double> (now - target.countedAt).count();
-    return target.arrivals * std::exp (-seconds / kRateMemorySeconds);
+    if (const auto earlier = target.byRouter.find (router); earlier != target.byRouter.end())
+    {
+        target.waiting -= earlier->second.waiting;
+        target.running -= earlier->second.running;
+        target.unread -= earlier->second.unread;
+        target.byRouter.erase (earlier);
+    }
+    if (demand.waiting == 0 && demand.running == 0)
+        return;
+    target.waiting += demand.waiting;
+    target.running += demand.running;
+    target.unread += demand.unread;
+    target.byRouter.emplace (router, demand);
 }
 
-std::uint32_t EnginePlacement::waitingFor (const TargetKey& key) const
+void EnginePlacement::lookAtModels (base::TimePoint now)
 {
-    const auto found = m_demands.find (key);
-    if (found == m_demands.end())
-        return 0;
-    std::uint32_t waiting = 0;
-    for (const auto& [router, demand] : found->second.byRouter)
-        waiting += demand.waiting;
-    return waiting;
+    m_models.clear();
+    countDemands (now);
+    countHolders();
 }
 
-EnginePlacement::ModelDemand EnginePlacement::demandFor (const std::string& service,
-                                                         const std::string& model,
-                                                         base::TimePoint now) const
+void EnginePlacement::countDemands (base::TimePoint now)
 {
-    ModelDemand total;
-    // Keys with the same service and model stand together, the model itself first.
-    for (auto item = m_demands.lower_bound ({ service, model, "" });
-         item != m_demands.end() && item->first.service == service && item->first.model == model;
-         ++item)
+    for (const auto& [key, target] : m_demands)
     {
-        total.askedAt = std::max (total.askedAt, item->second.askedAt);
-        total.perSecond += decayedArrivals (item->second, now) / kRateMemorySeconds;
-        for (const auto& [router, demand] : item->second.byRouter)
+        ModelDemand& total = m_models[{ key.service, key.model }].demand;
+        total.waiting += target.waiting;
+        total.running += target.running;
+        total.unread += target.unread;
+        total.askedAt = std::max (total.askedAt, target.askedAt);
+        total.perSecond += target.arrivals.perSecond (kRateMemory, now);
+        if (target.waiting == 0)
+            continue;
+        const bool isFirst = total.waitingSince == base::TimePoint{};
+        total.waitingSince =
+            isFirst ? target.waitingSince : std::min (total.waitingSince, target.waitingSince);
+    }
+}
+
+void EnginePlacement::countHolders()
+{
+    for (const auto& [id, engine] : m_engines)
+    {
+        if (! engine.isUsable)
+            continue;
+        for (const auto& [model, state] : engine.models)
+        {
+            if (! engine.withdrawn.contains (model) && ! isUnloading (engine, model))
+                ++m_models[{ engine.service, model }].holders;
+        }
+        std::set<std::string> copies = engine.inMemory;
+        copies.insert (engine.onDisk.begin(), engine.onDisk.end());
+        for (const std::string& model : copies)
+            ++m_models[{ engine.service, model }].copies;
+        std::set<std::string> coming;
+        if (! engine.reservedFor.empty())
+            coming.insert (engine.reservedFor);
+        for (const auto* pending : { &engine.unanswered, &engine.modelOrder, &engine.doubtful })
+        {
+            if (*pending && (*pending)->order.isLoad && (*pending)->order.adapter.empty())
+                coming.insert ((*pending)->order.model);
+        }
+        for (const std::string& model : coming)
         {
-            total.waiting += demand.waiting;
-            total.running += demand.running;
+            if (! engine.models.contains (model))
+                ++m_models[{ engine.service, model }].coming;
         }
     }
-    return total;
 }
 
-std::size_t EnginePlacement::holdersOf (const std::string& service, const std::string& model) const
+const EnginePlacement::ModelView& EnginePlacement::viewOf (const std::string& service,
+                                                           const std::string& model) const
 {
-    return static_cast<std::size_t> (std::ranges::count_if (
-        m_engines,
-        [&] (const auto& item)
-        {
-            const Engine& engine = item.second;
-            return engine.service == service && engine.isUsable && engine.models.contains (model)
-                   && ! engine.withdrawn.contains (model);
-        }));
+    static const ModelView kNobody;
+    const auto found = m_models.find ({ service, model });
+    return found == m_models.end() ? kNobody : found->second;
 }
 
-bool EnginePlacement::isModelOnItsWay (const std::string& service, const std::string& model) const
+std::size_t EnginePlacement::storeLoads() const
 {
-    return std::ranges::any_of (
-        m_engines,
-        [&] (const auto& item)
-        {
-            const Engine& engine = item.second;
-            if (engine.service != service || ! engine.isUsable)
-                return false;
-            const auto loads = [&] (const std::optional<PendingOrder>& pending)
-            {
-                return pending && pending->order.isLoad && pending->order.model == model
-                       && pending->order.adapter.empty();
-            };
-            return engine.reservedFor == model || loads (engine.unanswered)
-                   || loads (engine.modelOrder);
-        });
+    const auto usesStore = [] (const auto& item)
+    {
+        const Engine& engine = item.second;
+        const auto loads = [] (const std::optional<PendingOrder>& pending)
+        { return pending && pending->isFromStore; };
+        const bool isPlanned =
+            ! engine.reservedFor.empty() && ! isLocal (engine, engine.reservedFor);
+        return isPlanned || loads (engine.unanswered) || loads (engine.modelOrder)
+               || loads (engine.doubtful);
+    };
+    return static_cast<std::size_t> (std::ranges::count_if (m_engines, usesStore));
+}
+
+bool EnginePlacement::hasStorePlace (std::size_t spare) const
+{
+    return storeLoads() + spare < m_store.limit();
 }
 
 const config::EngineSpec* EnginePlacement::specOf (const Engine& engine) const
@@ -157,25 +189,7 @@
     const config::Service* found = m_catalogue.findService (service);
     const double seconds = std::chrono::duration<double> (m_options.storeWindow).count();
     const double allowed = m_options.storeShare * found->engine->loadsPerSecond * seconds;
-    const auto loading =
-        std::ranges::count_if (m_engines,
-                               [] (const auto& item)
-                               {
-                                   const Engine& engine = item.second;
-                                   return engine.modelOrder && engine.modelOrder->isFromStore;
-                               });
-    return static_cast<double> (m_storeLoads.size()) + 1 <= allowed
-           && static_cast<double> (loading) < concurrentLoads (*found->engine);
-}
-
-double EnginePlacement::concurrentLoads (const config::EngineSpec& spec)
-{
-    double seconds = 0;
-    for (const config::EngineModel& model : spec.models)
-    {
-        seconds = std::max (seconds, std::chrono::duration<double> (model.loadTime).count());
-    }
-    return std::max (spec.loadsPerSecond * seconds, 1.0);
+    return static_cast<double> (m_storeLoads.size()) + 1 <= allowed;
 }
 
 std::optional<std::vector<cell::HeldModel>> EnginePlacement::routableModels (
--- /dev/null
+++ b/src/placement/StoreConcurrency.cpp
@@ -0,0 +1,58 @@
+#include "placement/StoreConcurrency.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fernlift::placement
+{
+namespace
+{
+
+/// A load counts as slowed when it takes longer than this many times the usual time. Orders,
+/// heartbeats and the spread of the store itself make up to 15 % on the deployments known.
+constexpr double kSlowed = 1.25;
+constexpr double kLowestLimit = 2;
+
+double secondsOf (base::Duration duration)
+{
+    return std::chrono::duration<double> (duration).count();
+}
+
+}  // namespace
+
+void StoreConcurrency::onBegin (const std::string& engine, base::TimePoint now)
+{
+    m_loads[engine].begunAt = now;
+    for (auto& [other, load] : m_loads)
+    {
+        load.mostAtOnce = std::max (load.mostAtOnce, m_loads.size());
+        load.sawAllTaken = load.sawAllTaken || m_loads.size() >= limit();
+    }
+}
+
+void StoreConcurrency::onEnd (const std::string& engine, base::Duration usual, base::TimePoint now)
+{
+    const auto found = m_loads.find (engine);
+    if (found == m_loads.end())
+        return;
+    const Load load = found->second;
+    m_loads.erase (found);
+    const double taken = secondsOf (now - load.begunAt);
+    if (taken <= 0 || usual <= base::Duration::zero())
+        return;
+    if (taken <= kSlowed * secondsOf (usual))
+    {
+        // At first by one for each such load, which doubles it with every full round; later by one
+        // for each full round.
+        if (load.sawAllTaken)
+            m_limit += m_hasSlowed ? 1 / m_limit : 1;
+        return;
+    }
+    const double atFullSpeed =
+        std::round (static_cast<double> (load.mostAtOnce) * secondsOf (usual) / taken);
+    // At most by half: one load may be late for a reason of its own.
+    m_limit = std::clamp (atFullSpeed, std::max (m_limit / 2, kLowestLimit), m_limit);
+    m_hasSlowed = true;
+}
+
+}  // namespace fernlift::placement
--- /dev/null
+++ b/src/placement/StoreConcurrency.h
@@ -0,0 +1,57 @@
+#pragma once
+
+/**
+ * How many loads may use the weight store at the same time.
+ *
+ * Past some number of loads the store gives each of them less: all of them end later and none
+ * sooner. That number is not stated anywhere and may change. It is found from the loads themselves:
+ * one that takes as long as the catalogue says, while all places were taken, shows that there is
+ * room for another; one that takes longer, for the loads under way beside it, tells how many
+ * the store serves at full speed.
+ *
+ * The rate at which loads may begin is another limit, which EnginePlacement keeps.
+ */
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+#include "base/Time.h"
+
+namespace fernlift::placement
+{
+
+/** Pure: time is passed in. Threading: none; owned by one EnginePlacement. */
+class StoreConcurrency
+{
+public:
+    /** A load into `engine` begins; an engine loads one model at a time. */
+    void onBegin (const std::string& engine, base::TimePoint now);
+    /** The load into `engine` is done. `usual` is what it takes at full speed. Does nothing when
+        none was noted.
+    */
+    void onEnd (const std::string& engine, base::Duration usual, base::TimePoint now);
+    /** The load into `engine` never began, or nothing is known of its end. */
+    void onGivenUp (const std::string& engine) { m_loads.erase (engine); }
+
+    [[nodiscard]] std::size_t underWay() const { return m_loads.size(); }
+    /** Loads that may be under way at once; at least one. */
+    [[nodiscard]] std::size_t limit() const { return static_cast<std::size_t> (m_limit); }
+
+private:
+    struct Load
+    {
+        base::TimePoint begunAt{};
+        std::size_t mostAtOnce = 1;  ///< Under way at any time of its life, itself included.
+        bool sawAllTaken = false;    ///< At some time of its life all places were taken.
+    };
+
+    std::map<std::string, Load> m_loads;  ///< By engine.
+    /** Between the four to thirteen that the stores known so far serve at full speed. */
+    static constexpr double kFirstLimit = 6;
+
+    double m_limit = kFirstLimit;
+    bool m_hasSlowed = false;  ///< A load was late: from then on the limit grows slowly.
+};
+
+}  // namespace fernlift::placement
--- a/src/proxy/EngineDemands.cpp
+++ b/src/proxy/EngineDemands.cpp
@@ -50,7 +50,14 @@
     counts.isChanged = true;
 }
 
-void EngineDemands::onRunning (const EngineTarget& target) { ++m_counts[target].running; }
+void EngineDemands::onRunning (const EngineTarget& target)
+{
+    Counts& counts = m_counts[target];
+    ++counts.running;
+    ++counts.unread;
+}
+
+void EngineDemands::onRead (const EngineTarget& target) { decrease (m_counts[target].unread); }
 
 void EngineDemands::onRunEnd (const EngineTarget& target) { decrease (m_counts[target].running); }
 
@@ -69,7 +76,7 @@
         if (isLive || counts.isChanged)
         {
             due.push_back ({ target.service, target.model, target.adapter, counts.waiting,
-                             counts.running, counts.arrivals });
+                             counts.running, counts.arrivals, counts.unread });
         }
         counts.arrivals = 0;
         // The report that says that nothing is left is the last one.
--- a/src/proxy/EngineDemands.h
+++ b/src/proxy/EngineDemands.h
@@ -36,6 +36,8 @@
     void onWaiting (const EngineTarget& target);
     void onWaitEnd (const EngineTarget& target);
     void onRunning (const EngineTarget& target);
+    /// The runner has read the prompt and begins to answer, or never will.
+    void onRead (const EngineTarget& target);
     void onRunEnd (const EngineTarget& target);
 
     /// The report that is due; nothing when there is none. One is due at once when a request began
@@ -48,6 +50,7 @@
     {
         std::uint32_t waiting = 0;
         std::uint32_t running = 0;
+        std::uint32_t unread = 0;  ///< Of the running.
         std::uint32_t arrivals = 0;
         bool isChanged = false;
     };
--- a/src/proxy/EngineDemandsTest.cpp
+++ b/src/proxy/EngineDemandsTest.cpp
@@ -37,6 +37,19 @@
     EXPECT_EQ (due[0].arrivals, 1U) << "none is lost between reports";
 }
 
+TEST (EngineDemands, RequestsWhoseAnswerHasNotBegunAreCounted)
+{
+    EngineDemands demands;
+    const EngineTarget target{ "llm", "m1", "" };
+    demands.onRunning (target);
+    demands.onRunning (target);
+    demands.onRead (target);
+    const auto due = demands.takeDue (at (0), milliseconds (500));
+    ASSERT_EQ (due.size(), 1U);
+    EXPECT_EQ (due[0].running, 2U);
+    EXPECT_EQ (due[0].unread, 1U);
+}
+
 TEST (EngineDemands, TheLastReportSaysThatNothingIsLeft)
 {
     EngineDemands demands;
--- a/src/sim/ControllerNode.h
+++ b/src/sim/ControllerNode.h
@@ -77,6 +77,7 @@
     void apply (const controller::AnswerAdmin& effect);
     // The simulated cell has no registered services.
     void apply (const controller::AnswerControl& /*effect*/) {}
+    void apply (const placement::EngineOrderDone& /*done*/) {}
     void apply (const controller::ConfigurationNews& /*news*/) {}
     void apply (const placement::SendEngineOrder& /*effect*/) {}
     void apply (const placement::PollEngine& /*effect*/) {}
