Bound retries of all routers together by parts of one reserve

Change: retry_share is the platform's ratio; cell_retry_reserve is the platform's slack, of which each router takes an equal part of 0.8 and keeps no more than that. In any stretch all together make at most the share of the first attempts in it and the reserve: a property test over 20 budgets.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -16,6 +16,12 @@
 {
 }
 
+void RetryBudget::limitReserve (double reserve)
+{
+    m_limit = reserve;
+    m_balance = std::min (m_balance, m_limit);
+}
+
 void RetryBudget::onFirstAttempt() { m_balance = std::min (m_balance + m_share, m_limit); }
 
 bool RetryBudget::tryRetry()
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -11,6 +11,11 @@
     /// `share` of first attempts may be retried; `reserve` retries are allowed without any.
     explicit RetryBudget (double share, double reserve = 10);
 
+    /// From now on at most `reserve` retries are kept for later, however many first attempts there
+    /// were: within any time no more retries are possible than `share` of the first attempts in it
+    /// and the reserve. Budgets that each take their part of one reserve keep a bound together.
+    void limitReserve (double reserve);
+
     void onFirstAttempt();
     /// Whether a retry would be allowed now.
     [[nodiscard]] bool allowsRetry() const { return m_balance >= 1; }
--- a/src/dispatch/RetryTest.cpp
+++ b/src/dispatch/RetryTest.cpp
@@ -70,6 +70,39 @@
     EXPECT_EQ (retries, 100);
 }
 
+// What many budgets allow together in any stretch of time, with their parts of one reserve.
+RC_GTEST_PROP (RetryBudgetProperty, PartsOfOneReserveKeepABoundTogether, ())
+{
+    constexpr std::size_t kRouters = 20;
+    constexpr double kShare = 0.2;
+    constexpr double kReserve = 50;
+    std::vector<RetryBudget> budgets (kRouters, RetryBudget (kShare, 10));
+    for (RetryBudget& budget : budgets)
+    {
+        budget.limitReserve (kReserve / kRouters);
+        for (int request = 0; request < 1000; ++request)
+            budget.onFirstAttempt();
+    }
+    int first = 0;
+    int retries = 0;
+    const auto steps = *rc::gen::container<std::vector<std::size_t>> (
+        2000, rc::gen::inRange<std::size_t> (0, 4 * kRouters));
+    for (const std::size_t step : steps)
+    {
+        RetryBudget& budget = budgets[step % kRouters];
+        if (step < kRouters)
+        {
+            budget.onFirstAttempt();
+            first += 1;
+        }
+        else if (budget.tryRetry())
+        {
+            retries += 1;
+        }
+        RC_ASSERT (retries <= kReserve + kShare * first + 1e-9);
+    }
+}
+
 RetryQuestion question (AttemptFailure failure, bool isRepeatable)
 {
     RetryQuestion asked;
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -13,6 +13,10 @@
 
 constexpr base::milliseconds kTickInterval (25);
 
+/// Part of the reserve for retries of the whole cell that its routers use. The rest covers that
+/// routers come and go, and learn how many they are at different times.
+constexpr double kUsedReserve = 0.8;
+
 std::vector<base::SocketAddress> peersOf (const ProxySettings& settings)
 {
     std::vector<base::SocketAddress> peers;
@@ -261,6 +265,7 @@
                                                { "removed", update.removals.size() },
                                                { "runners", m_directory.size() } });
     m_link.setControllers (parseAll (update.controllers));
+    limitRetries();
     m_server.onDirectoryChanged();
     if (! update.mustConfirm)
         return;
@@ -268,6 +273,13 @@
     pollController();
 }
 
+void ProxyProcess::limitRetries()
+{
+    if (m_settings.cellRetryReserve == 0)
+        return;
+    m_retryBudget.limitReserve (kUsedReserve * m_settings.cellRetryReserve / m_directory.routers());
+}
+
 void ProxyProcess::noteController (bool isAnswering)
 {
     if (m_hasController == isAnswering)
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -60,6 +60,8 @@
     void confirmRoutes (const cell::LeaseGrant& grant);
     void takeConfiguration (const cell::ConfigurationUpdate& update);
     void takeInstances (const cell::InstanceUpdate& update);
+    /// Takes this router's part of the retries that all routers of the cell may make.
+    void limitRetries();
     void pollController();
     /// Logs when the leader begins or ceases to answer.
     void noteController (bool isAnswering);
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::int64_t kLargestPort = 65535;
 constexpr std::int64_t kLargestReserve = 1000;
+constexpr double kLargestCellReserve = 1'000'000;
 
 }  // namespace
 
@@ -33,6 +34,9 @@
                     "share of this router's requests that may be sent a second time");
     schema.addInteger ("retry_reserve", &settings.retryReserve, 0, kLargestReserve,
                        "second sends that are allowed before there were requests");
+    schema.addReal ("cell_retry_reserve", &settings.cellRetryReserve, 0, kLargestCellReserve,
+                    "the same for all routers of the cell together, each of which takes its "
+                    "part; 0: not bounded together");
     schema.addDuration ("connect_timeout_ms", &settings.connectTimeout, milliseconds (1),
                         seconds (60),
                         "a runner that takes no connection within this time is unreachable");
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -25,6 +25,9 @@
     std::int64_t seedPeerPort = 0;
     double retryShare = 0.1;        ///< Of this router's requests.
     std::int64_t retryReserve = 4;  ///< Retries that are allowed without any requests.
+    /// The same for all routers of the cell together; each takes its part once it knows how many
+    /// there are. 0: `retryReserve` goes on to hold.
+    double cellRetryReserve = 0;
     base::Duration connectTimeout = base::milliseconds (250);
     base::Duration stopGrace = base::milliseconds (2500);  ///< Serves on, not ready.
     base::Duration stopTimeout = base::milliseconds (7800);
