Remember a model that a runner does not hold until it has come there since

Change: only a model or adapter that the row newly lists clears its own entry; others end after 1.5 s as before. Test fails on the code before.

--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -45,6 +45,17 @@
     return found == row.instance.models.end() ? nullptr : &*found;
 }
 
+/// Whether MODEL/ADAPTER, or MODEL/ without one, is among the models.
+bool isListed (const std::vector<cell::HeldModel>& models, const std::string& key)
+{
+    const std::size_t slash = key.find ('/');
+    const std::string adapter = key.substr (slash + 1);
+    const auto found = std::ranges::find (models, key.substr (0, slash), &cell::HeldModel::model);
+    if (found == models.end())
+        return false;
+    return adapter.empty() || std::ranges::find (found->adapters, adapter) != found->adapters.end();
+}
+
 }  // namespace
 
 std::string_view nameOf (NoChoice reason)
@@ -95,12 +106,17 @@
     View& view = m_views[row.instance.id];
     // A new leader knows the models only once it has heard the runner.
     std::vector<cell::HeldModel> known = std::move (view.row.instance.models);
-    const bool isNews = row.instance.isReported && row.instance.models != known;
     view.row = row;
     if (! row.instance.isReported)
+    {
         view.row.instance.models = std::move (known);
-    if (isNews)
-        view.notHeldUntil.clear();
+        return;
+    }
+    // Only a model or adapter that has come since may be there now; what else changed at the runner
+    // says nothing of one that it answered not to hold.
+    std::erase_if (
+        view.notHeldUntil, [&] (const auto& doubt)
+        { return isListed (row.instance.models, doubt.first) && ! isListed (known, doubt.first); });
 }
 
 bool InstanceDirectory::holds (const View& view, const InstanceQuery& query, base::TimePoint now)
--- a/src/proxy/InstanceDirectoryTest.cpp
+++ b/src/proxy/InstanceDirectoryTest.cpp
@@ -101,6 +101,21 @@
     EXPECT_EQ (choose ("m", kStart + base::seconds (2)), "i-1");
 }
 
+TEST_F (InstanceDirectoryTest, OtherNewsOfARunnerDoesNotBringBackWhatItDidNotHold)
+{
+    put ({ rowOf ("i-1") });
+    m_directory.onNotHeld ("i-1", "m", "", kStart);
+    cell::RoutableInstance row = rowOf ("i-1");
+    row.instance.models.push_back ({ "another", 1, {} });
+    put ({ row });
+    EXPECT_EQ (choose ("m"), "");
+    EXPECT_EQ (choose ("another"), "i-1");
+    row.instance.models = { { "another", 1, {} } };
+    put ({ row });
+    put ({ rowOf ("i-1") });  // It was gone, and has come again.
+    EXPECT_EQ (choose ("m"), "i-1");
+}
+
 TEST_F (InstanceDirectoryTest, AnUnreachableRunnerIsPassedOverAndToldOnce)
 {
     put ({ rowOf ("i-1") });
