Ask each question of an engine once in a round of placement

Models were looked up by a walk over the catalogue, memory kept for adapters was worked out anew for every engine and need, and copies of names were made for each look-up.

Ruled out: the number of demand reports alone (rounds cost the same without).

Change: EngineSpecIndex answers by name; what an engine has free, and what a load there would block, is worked out once in a round; look-ups take views.

--- a/src/placement/EngineAdapters.cpp
+++ b/src/placement/EngineAdapters.cpp
@@ -42,8 +42,10 @@
         const bool holdsModel = engine.service == key.service && engine.isUsable
                                 && engine.models.contains (key.model)
                                 && ! engine.withdrawn.contains (key.model);
-        const config::EngineSpec* spec = specOf (engine);
-        if (! holdsModel || spec == nullptr)
+        if (! holdsModel)
+            continue;
+        const EngineSpecIndex* spec = specOf (engine);
+        if (spec == nullptr)
             continue;
         const std::set<std::string> adapters = adaptersOf (engine);
         const bool isThere = adapters.contains (wanted);
@@ -53,7 +55,7 @@
             return;
         if (! mayTakeOrder (engine))
             continue;
-        if (adapters.size() < spec->adapterSlots)
+        if (adapters.size() < spec->spec().adapterSlots)
         {
             if (roomiest == nullptr || adapters.size() < fewest)
             {
--- a/src/placement/EngineNeeds.cpp
+++ b/src/placement/EngineNeeds.cpp
@@ -74,8 +74,8 @@
 void EnginePlacement::addNeeds (const ServiceModel& model, const ModelView& view,
                                 base::TimePoint now, std::vector<ModelNeed>& needs) const
 {
-    const config::Service* service = m_catalogue.findService (model.first);
-    if (service == nullptr || ! service->engine)
+    const auto spec = m_specs.find (model.first);
+    if (spec == m_specs.end())
         return;
     const ModelDemand& demand = view.demand;
     const std::size_t supply = view.holders + view.coming;
@@ -87,7 +87,7 @@
     need.requestsForReplica = requests / static_cast<double> (supply + 1);
     if (view.holders == 0 && demand.waiting > 0)
         need.age = now - demand.waitingSince;
-    const ReplicaTargets targets = replicaTargets (view, *service->engine);
+    const ReplicaTargets targets = replicaTargets (view, spec->second.spec());
     if (supply < targets.needed)
     {
         const double crowd = demand.waiting + demand.unread;
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -27,6 +27,12 @@
         return;
     m_servicesVersion = version;
     m_catalogue.services = services;
+    m_specs.clear();
+    for (const config::Service& service : m_catalogue.services)
+    {
+        if (service.engine)
+            m_specs.emplace (service.name, EngineSpecIndex (*service.engine));
+    }
 }
 
 void EnginePlacement::refresh (const std::map<std::string, cell::RoutableInstance>& rows,
@@ -34,8 +40,7 @@
 {
     for (const auto& [id, row] : rows)
     {
-        const config::Service* service = m_catalogue.findService (row.instance.service);
-        if (service == nullptr || ! service->engine)
+        if (! m_specs.contains (row.instance.service))
             continue;
         Engine& engine = m_engines[id];
         if (engine.id.empty())
@@ -99,7 +104,7 @@
 {
     const PendingOrder pending = std::move (*engine.modelOrder);
     engine.modelOrder.reset();
-    const config::EngineSpec* spec = specOf (engine);
+    const EngineSpecIndex* spec = specOf (engine);
     const config::EngineModel* model =
         spec == nullptr ? nullptr : spec->findModel (pending.order.model);
     const std::size_t atOnce = m_store.underWay();
@@ -340,7 +345,7 @@
     {
         if (engine.reservedFor.empty())
             continue;
-        const config::EngineSpec* spec = specOf (engine);
+        const EngineSpecIndex* spec = specOf (engine);
         const config::EngineModel* model =
             spec == nullptr ? nullptr : spec->findModel (engine.reservedFor);
         if (! engine.isUsable || model == nullptr)
@@ -354,7 +359,7 @@
     }
 }
 
-void EnginePlacement::continuePlan (Engine& engine, const config::EngineSpec& spec,
+void EnginePlacement::continuePlan (Engine& engine, const EngineSpecIndex& spec,
                                     const config::EngineModel& model,
                                     std::vector<EngineCommand>& commands, base::TimePoint now)
 {
@@ -369,8 +374,7 @@
         }
         return;
     }
-    const bool fits =
-        usedMemory (engine, spec) + model.memoryMb + adapterReserve (spec) <= spec.memoryMb;
+    const bool fits = usedMemory (engine, spec) + model.memoryMb <= spec.modelMemory();
     if (! fits || engine.models.contains (model.name))
     {
         dropPlan (engine);
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -21,6 +21,7 @@
 #include "config/ServiceCatalogue.h"
 #include "engine/ServiceEngine.h"
 #include "placement/DecayingRate.h"
+#include "placement/EngineSpecIndex.h"
 #include "placement/StoreConcurrency.h"
 
 namespace fernlift::placement
@@ -117,11 +118,13 @@
         bool isFromStore = false;  ///< A load that takes from the weight store's rate.
     };
 
+    struct ModelView;
     struct HeldState
     {
         std::uint64_t version = 0;
         std::set<std::string> adapters;
-        base::TimePoint confirmedAt{};  ///< When it was last told or done.
+        base::TimePoint confirmedAt{};    ///< When it was last told or done.
+        const ModelView* view = nullptr;  ///< In m_models; null before a round has looked at it.
     };
 
     struct Engine
@@ -146,6 +149,12 @@
         base::TimePoint withdrawnAt{};
         bool isPolled = false;
         base::TimePoint pollAt{};
+        // As of the last lookAtModels():
+        double freeMemory = 0;      ///< For models, in megabytes.
+        double adapterTrouble = 0;  ///< What a load costs those who want adapters of its models.
+        /// What a load from the store costs those who want models of which only this engine has a
+        /// copy, and could load it soon.
+        double blockedCopies = 0;
     };
 
     struct TargetKey
@@ -188,6 +197,18 @@
         std::size_t copies = 0;   ///< Engines that have it in host memory or on disk.
     };
     using ServiceModel = std::pair<std::string, std::string>;
+    /// Compares without copies of the names.
+    struct ServiceModelOrder
+    {
+        using is_transparent = void;
+        using Names = std::pair<std::string_view, std::string_view>;
+        static Names namesOf (const ServiceModel& model) { return { model.first, model.second }; }
+        static Names namesOf (const Names& names) { return names; }
+        bool operator() (const auto& left, const auto& right) const
+        {
+            return namesOf (left) < namesOf (right);
+        }
+    };
 
     /// Models of an engine that make way, and what losing them costs in seconds of waiting.
     struct Victims
@@ -206,13 +227,12 @@
     void lookAtModels (base::TimePoint now);
     void countDemands (base::TimePoint now);
     void countHolders();
-    [[nodiscard]] const ModelView& viewOf (const std::string& service,
-                                           const std::string& model) const;
-    [[nodiscard]] const config::EngineSpec* specOf (const Engine& engine) const;
+    void weighEngines (base::TimePoint now);
+    [[nodiscard]] const ModelView& viewOf (std::string_view service, std::string_view model) const;
+    ModelView& viewFor (const std::string& service, const std::string& model);
+    [[nodiscard]] const EngineSpecIndex* specOf (const Engine& engine) const;
     /// Memory of models that are held or may be, without adapters.
-    [[nodiscard]] static double usedMemory (const Engine& engine, const config::EngineSpec& spec);
-    /// Memory kept free for adapters in all places.
-    [[nodiscard]] static double adapterReserve (const config::EngineSpec& spec);
+    [[nodiscard]] static double usedMemory (const Engine& engine, const EngineSpecIndex& spec);
     /// Adapters that are held or on their way, as MODEL/ADAPTER.
     [[nodiscard]] static std::set<std::string> adaptersOf (const Engine& engine);
     [[nodiscard]] static bool mayTakeOrder (const Engine& engine);
@@ -226,13 +246,9 @@
     /// Loads from the weight store that are under way or planned.
     [[nodiscard]] std::size_t storeLoads() const;
 
-    /// What a load costs those who want adapters of models that the engine holds.
-    [[nodiscard]] double adapterTrouble (const Engine& engine, const config::EngineSpec& spec,
+    [[nodiscard]] double adapterTrouble (const Engine& engine, const EngineSpecIndex& spec,
                                          base::TimePoint now) const;
-    /// What a load from the store costs those who want models of which only this engine has a copy,
-    /// and could load it soon.
-    [[nodiscard]] double blockedCopies (const Engine& engine, const config::EngineSpec& spec,
-                                        base::TimePoint now) const;
+    [[nodiscard]] double blockedCopies (const Engine& engine, base::TimePoint now) const;
 
     /// Replicas of a model that the demand asks for.
     struct ReplicaTargets
@@ -262,7 +278,7 @@
     void endPauses (base::TimePoint now);
     void expireOrders (base::TimePoint now);
     void continuePlans (std::vector<EngineCommand>& commands, base::TimePoint now);
-    void continuePlan (Engine& engine, const config::EngineSpec& spec,
+    void continuePlan (Engine& engine, const EngineSpecIndex& spec,
                        const config::EngineModel& model, std::vector<EngineCommand>& commands,
                        base::TimePoint now);
     static void dropPlan (Engine& engine);
@@ -275,7 +291,7 @@
     /// Loads models that nobody holds from engines' own copies into memory that is free.
     void fillFreeMemory (std::vector<EngineCommand>& commands, base::TimePoint now);
     [[nodiscard]] const config::EngineModel* modelToFillWith (const Engine& engine,
-                                                              const config::EngineSpec& spec) const;
+                                                              const EngineSpecIndex& spec) const;
     /// Fetches models of which there is no copy, so that they can be loaded quickly later.
     void fetchAhead (std::vector<EngineCommand>& commands, base::TimePoint now);
     void fetchAhead (const config::Service& service, base::TimePoint now);
@@ -293,13 +309,12 @@
     [[nodiscard]] std::optional<AdapterVictim> adapterVictim (const Engine& engine) const;
     /// What must make way for a model; none when it cannot be done.
     [[nodiscard]] std::optional<Victims> victimsFor (const Engine& engine,
-                                                     const config::EngineSpec& spec,
+                                                     const EngineSpecIndex& spec,
                                                      const config::EngineModel& model,
                                                      base::Duration needAge,
                                                      base::TimePoint now) const;
     /// What losing a model here costs; none when it must stay.
-    [[nodiscard]] std::optional<double> costOfLosing (const Engine& engine,
-                                                      const std::string& model,
+    [[nodiscard]] std::optional<double> costOfLosing (const Engine& engine, const HeldState& held,
                                                       base::Duration needAge,
                                                       base::TimePoint now) const;
     /// Whether the rate of the weight store allows a load to begin now.
@@ -327,11 +342,13 @@
 
     EnginePlacementOptions m_options;
     std::uint64_t m_servicesVersion = 0;
-    config::ServiceCatalogue m_catalogue;  ///< Services only.
+    config::ServiceCatalogue m_catalogue;                         ///< Services only.
+    std::map<std::string, EngineSpecIndex, std::less<>> m_specs;  ///< Of m_catalogue's services.
     std::map<std::string, Engine> m_engines;
     std::map<TargetKey, TargetDemand> m_demands;
-    std::map<ServiceModel, ModelView> m_models;  ///< As of the last lookAtModels().
-    std::deque<base::TimePoint> m_storeLoads;    ///< When loads from the store were ordered.
+    /// As of the last lookAtModels().
+    std::map<ServiceModel, ModelView, ServiceModelOrder> m_models;
+    std::deque<base::TimePoint> m_storeLoads;  ///< When loads from the store were ordered.
     StoreConcurrency m_store;
     std::map<ServiceModel, base::TimePoint> m_spareAddedAt;
     std::set<ServiceModel> m_fetched;  ///< Fetched ahead; once for each model.
--- a/src/placement/EnginePlacementFiguresTest.cpp
+++ b/src/placement/EnginePlacementFiguresTest.cpp
@@ -116,5 +116,58 @@
     EXPECT_GT (commands, 0U);
 }
 
+/// A burst of rare models and adapters: every engine may take an order, has copies of eight other
+/// models, and thirty models and thirty adapters are waited for that nobody holds.
+TEST (EnginePlacementFigures, PrintsTheCostOfADecisionInABurst)
+{
+    constexpr int kWaiting = 30;
+    constexpr int kCopies = 8;
+    EnginePlacementOptions options;
+    options.ordersFrom = [] (const std::string&) { return base::TimePoint{}; };
+    EnginePlacement placement (options);
+    base::TimePoint now = base::TimePoint{} + base::seconds (100);
+    placement.setServices (1, { largeService() });
+    const auto rows = largeTable();
+    placement.refresh (rows, now);
+    const auto tell = [&] (int number)
+    {
+        EngineHoldings holdings = holdingsOf (number);
+        for (int copy = 0; copy < kCopies; ++copy)
+            holdings.onDisk.insert (modelName ((number + 37 * copy) % (kModels - 20)));
+        placement.onHeartbeat (engineName (number), holdings, now);
+        engine::ServiceReport report;
+        for (const cell::HeldModel& model : holdings.models)
+            report.models.push_back ({ model.model, 1, {} });
+        placement.onReport (engineName (number), report, now);
+    };
+    std::vector<cell::EngineDemand> demands;
+    for (int number = 0; number < kModels; ++number)
+        demands.push_back ({ "llm", modelName (number), "", 0, 1, 1, 0 });
+    for (int number = 0; number < kWaiting; ++number)
+    {
+        demands.push_back ({ "llm", modelName (kModels - 1 - number), "", 1, 0, 1, 0 });
+        demands.push_back ({ "llm", modelName (2 * number), "a1", 1, 0, 1, 0 });
+    }
+    std::chrono::duration<double, std::milli> spent{};
+    constexpr int kRounds = 50;
+    std::size_t commands = 0;
+    for (int round = 0; round < kRounds; ++round)
+    {
+        now += base::seconds (10);  // Nothing of the round before is under way any more.
+        placement.refresh ({}, now);
+        placement.refresh (rows, now);
+        for (int number = 0; number < kEngines; ++number)
+            tell (number);
+        placement.onDemand (1, demands, now);
+        now += base::seconds (1);
+        const auto began = std::chrono::steady_clock::now();
+        commands += placement.decide (now).size();
+        spent += std::chrono::steady_clock::now() - began;
+    }
+    std::cout << "decision in a burst over " << kEngines << " engines and " << kModels
+              << " models: " << spent.count() / kRounds << " ms\n";
+    EXPECT_GT (commands, 0U);
+}
+
 }  // namespace
 }  // namespace fernlift::placement
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -82,7 +82,7 @@
                                  && mayTakeOrder (engine) && ! engine.models.contains (name);
         if (! isCandidate)
             continue;
-        const config::EngineSpec* spec = specOf (engine);
+        const EngineSpecIndex* spec = specOf (engine);
         const config::EngineModel* model = spec == nullptr ? nullptr : spec->findModel (name);
         if (model == nullptr)
             return false;
@@ -92,10 +92,9 @@
         std::optional<Victims> victims = victimsFor (engine, *spec, *model, need.age, now);
         if (! victims)
             continue;
-        double cost =
-            victims->cost + loadSeconds (engine, *model) + adapterTrouble (engine, *spec, now);
+        double cost = victims->cost + loadSeconds (engine, *model) + engine.adapterTrouble;
         if (isFromStore)
-            cost += blockedCopies (engine, *spec, now);
+            cost += engine.blockedCopies;
         if (cost > need.highestCost || (best != nullptr && cost >= lowest))
             continue;
         best = &engine;
@@ -107,9 +106,9 @@
     best->reservedFor = name;
     best->withdrawn = { bestVictims.models.begin(), bestVictims.models.end() };
     best->withdrawnAt = now;
-    ++m_models[need.model].coming;
+    ++viewFor (service, name).coming;
     for (const std::string& victim : bestVictims.models)
-        --m_models[{ service, victim }].holders;
+        --viewFor (service, victim).holders;
     return true;
 }
 
@@ -131,21 +130,25 @@
                                 });
 }
 
-double EnginePlacement::blockedCopies (const Engine& engine, const config::EngineSpec& spec,
-                                       base::TimePoint now) const
+double EnginePlacement::blockedCopies (const Engine& engine, base::TimePoint now) const
 {
     double cost = 0;
-    for (const config::EngineModel& model : spec.models)
+    const auto count = [&] (const std::string& name)
     {
-        if (! isLocal (engine, model.name) || engine.models.contains (model.name))
-            continue;
-        const ModelView& view = viewOf (engine.service, model.name);
+        const ModelView& view = viewOf (engine.service, name);
         const bool isOnlyHere = view.holders == 0 && view.coming == 0 && view.copies == 1;
         const base::TimePoint askedAt = view.demand.askedAt;
         const bool isWanted =
             askedAt != base::TimePoint{} && secondsOf (now - askedAt) < kForgottenAfter;
         if (isOnlyHere && isWanted)
             cost += kBlockedCopyCost;
+    };
+    for (const std::string& name : engine.inMemory)
+        count (name);
+    for (const std::string& name : engine.onDisk)
+    {
+        if (! engine.inMemory.contains (name))
+            count (name);
     }
     return cost;
 }
@@ -191,7 +194,7 @@
     }
 }
 
-double EnginePlacement::adapterTrouble (const Engine& engine, const config::EngineSpec& spec,
+double EnginePlacement::adapterTrouble (const Engine& engine, const EngineSpecIndex& spec,
                                         base::TimePoint now) const
 {
     // No adapter can come to an engine while it loads a model.
@@ -200,7 +203,8 @@
         const config::EngineModel* model = spec.findModel (name);
         if (model == nullptr || model->adapters == 0)
             continue;
-        const base::TimePoint askedAt = viewOf (engine.service, name).demand.askedAt;
+        const base::TimePoint askedAt =
+            state.view == nullptr ? base::TimePoint{} : state.view->demand.askedAt;
         const bool isInUse = askedAt != base::TimePoint{} && now - askedAt < kAdapterUse;
         if (isInUse)
             return kAdapterTroubleCost;
@@ -218,15 +222,17 @@
 }
 
 std::optional<EnginePlacement::Victims> EnginePlacement::victimsFor (
-    const Engine& engine, const config::EngineSpec& spec, const config::EngineModel& model,
+    const Engine& engine, const EngineSpecIndex& spec, const config::EngineModel& model,
     base::Duration needAge, base::TimePoint now) const
 {
     Victims victims;
-    double free = spec.memoryMb - adapterReserve (spec) - usedMemory (engine, spec);
-    std::vector<std::pair<double, std::string>> candidates;
+    double free = engine.freeMemory;
+    if (free >= model.memoryMb)
+        return victims;
+    std::vector<std::pair<double, std::string_view>> candidates;
     for (const auto& [name, state] : engine.models)
     {
-        if (const auto cost = costOfLosing (engine, name, needAge, now))
+        if (const auto cost = costOfLosing (engine, state, needAge, now))
             candidates.emplace_back (*cost, name);
     }
     std::ranges::sort (candidates);
@@ -239,25 +245,25 @@
             continue;
         free += held->memoryMb;
         victims.cost += cost + kUnloadCost;
-        victims.models.push_back (name);
+        victims.models.emplace_back (name);
     }
     if (free < model.memoryMb)
         return std::nullopt;
     return victims;
 }
 
-std::optional<double> EnginePlacement::costOfLosing (const Engine& engine, const std::string& model,
+std::optional<double> EnginePlacement::costOfLosing (const Engine& engine, const HeldState& held,
                                                      base::Duration needAge,
                                                      base::TimePoint now) const
 {
-    const ModelView& view = viewOf (engine.service, model);
+    const ModelView& view = *held.view;
     const ModelDemand& demand = view.demand;
     const bool isUnknown = demand.askedAt == base::TimePoint{};
     if (view.holders > 1)
     {
         if (isUnknown)
             return kUnknownReplicaCost;
-        const ReplicaTargets targets = replicaTargets (view, *specOf (engine));
+        const ReplicaTargets targets = replicaTargets (view, specOf (engine)->spec());
         const double drain = demand.running > 0 ? kDrainCost : 0;
         // Without this one the others would be crowded, and it would be loaded again.
         if (targets.needed >= view.holders)
@@ -283,21 +289,21 @@
     {
         if (! engine.reservedFor.empty() || ! mayTakeOrder (engine) || ! engine.hasTold)
             continue;
-        const config::EngineSpec* spec = specOf (engine);
+        const EngineSpecIndex* spec = specOf (engine);
         if (spec == nullptr)
             continue;
         const config::EngineModel* model = modelToFillWith (engine, *spec);
         if (model == nullptr)
             continue;
         send (engine, { true, model->name, "", "memory is free" }, commands, now);
-        ++m_models[{ engine.service, model->name }].coming;
+        ++viewFor (engine.service, model->name).coming;
     }
 }
 
 const config::EngineModel* EnginePlacement::modelToFillWith (const Engine& engine,
-                                                             const config::EngineSpec& spec) const
+                                                             const EngineSpecIndex& spec) const
 {
-    const double free = spec.memoryMb - adapterReserve (spec) - usedMemory (engine, spec);
+    const double free = engine.freeMemory;
     const config::EngineModel* largest = nullptr;
     for (const auto* names : { &engine.inMemory, &engine.onDisk })
     {
--- a/src/placement/EngineViews.cpp
+++ b/src/placement/EngineViews.cpp
@@ -40,13 +40,14 @@
     m_models.clear();
     countDemands (now);
     countHolders();
+    weighEngines (now);
 }
 
 void EnginePlacement::countDemands (base::TimePoint now)
 {
     for (const auto& [key, target] : m_demands)
     {
-        ModelDemand& total = m_models[{ key.service, key.model }].demand;
+        ModelDemand& total = viewFor (key.service, key.model).demand;
         total.waiting += target.waiting;
         total.running += target.running;
         total.unread += target.unread;
@@ -62,20 +63,25 @@
 
 void EnginePlacement::countHolders()
 {
-    for (const auto& [id, engine] : m_engines)
+    for (auto& [id, engine] : m_engines)
     {
         if (! engine.isUsable)
             continue;
-        for (const auto& [model, state] : engine.models)
+        for (auto& [model, state] : engine.models)
         {
+            ModelView& view = viewFor (engine.service, model);
+            state.view = &view;
             if (! engine.withdrawn.contains (model) && ! isUnloading (engine, model))
-                ++m_models[{ engine.service, model }].holders;
+                ++view.holders;
         }
-        std::set<std::string> copies = engine.inMemory;
-        copies.insert (engine.onDisk.begin(), engine.onDisk.end());
-        for (const std::string& model : copies)
-            ++m_models[{ engine.service, model }].copies;
-        std::set<std::string> coming;
+        for (const std::string& model : engine.inMemory)
+            ++viewFor (engine.service, model).copies;
+        for (const std::string& model : engine.onDisk)
+        {
+            if (! engine.inMemory.contains (model))
+                ++viewFor (engine.service, model).copies;
+        }
+        std::set<std::string_view> coming;
         if (! engine.reservedFor.empty())
             coming.insert (engine.reservedFor);
         for (const auto* pending : { &engine.unanswered, &engine.modelOrder, &engine.doubtful })
@@ -83,19 +89,43 @@
             if (*pending && (*pending)->order.isLoad && (*pending)->order.adapter.empty())
                 coming.insert ((*pending)->order.model);
         }
-        for (const std::string& model : coming)
+        for (const std::string_view model : coming)
         {
-            if (! engine.models.contains (model))
-                ++m_models[{ engine.service, model }].coming;
+            const std::string name (model);
+            if (! engine.models.contains (name))
+                ++viewFor (engine.service, name).coming;
         }
     }
 }
 
-const EnginePlacement::ModelView& EnginePlacement::viewOf (const std::string& service,
-                                                           const std::string& model) const
+void EnginePlacement::weighEngines (base::TimePoint now)
+{
+    for (auto& [id, engine] : m_engines)
+    {
+        const EngineSpecIndex* spec = specOf (engine);
+        if (spec == nullptr || ! mayTakeOrder (engine))
+            continue;
+        engine.freeMemory = spec->modelMemory() - usedMemory (engine, *spec);
+        engine.adapterTrouble = adapterTrouble (engine, *spec, now);
+        engine.blockedCopies = blockedCopies (engine, now);
+    }
+}
+
+EnginePlacement::ModelView& EnginePlacement::viewFor (const std::string& service,
+                                                      const std::string& model)
+{
+    const ServiceModelOrder::Names names{ service, model };
+    const auto found = m_models.lower_bound (names);
+    if (found != m_models.end() && ! ServiceModelOrder() (names, found->first))
+        return found->second;
+    return m_models.emplace_hint (found, ServiceModel (service, model), ModelView())->second;
+}
+
+const EnginePlacement::ModelView& EnginePlacement::viewOf (std::string_view service,
+                                                           std::string_view model) const
 {
     static const ModelView kNobody;
-    const auto found = m_models.find ({ service, model });
+    const auto found = m_models.find (ServiceModelOrder::Names (service, model));
     return found == m_models.end() ? kNobody : found->second;
 }
 
@@ -119,43 +149,35 @@
     return storeLoads() + spare < m_store.limit();
 }
 
-const config::EngineSpec* EnginePlacement::specOf (const Engine& engine) const
+const EngineSpecIndex* EnginePlacement::specOf (const Engine& engine) const
 {
-    const config::Service* service = m_catalogue.findService (engine.service);
-    return service == nullptr || ! service->engine ? nullptr : &*service->engine;
+    const auto found = m_specs.find (engine.service);
+    return found == m_specs.end() ? nullptr : &found->second;
 }
 
-double EnginePlacement::usedMemory (const Engine& engine, const config::EngineSpec& spec)
+double EnginePlacement::usedMemory (const Engine& engine, const EngineSpecIndex& spec)
 {
     double used = 0;
-    std::set<std::string> counted;
     const auto count = [&] (const std::string& name)
     {
         const config::EngineModel* model = spec.findModel (name);
-        if (model != nullptr && counted.insert (name).second)
+        if (model != nullptr)
             used += model->memoryMb;
     };
     for (const auto& [name, state] : engine.models)
         count (name);
+    std::set<std::string_view> counted;
     for (const auto* pending : { &engine.unanswered, &engine.modelOrder, &engine.doubtful })
     {
-        if (*pending && (*pending)->order.isLoad)
-            count ((*pending)->order.model);
+        if (! *pending || ! (*pending)->order.isLoad)
+            continue;
+        const std::string& name = (*pending)->order.model;
+        if (! engine.models.contains (name) && counted.insert (name).second)
+            count (name);
     }
     return used;
 }
 
-double EnginePlacement::adapterReserve (const config::EngineSpec& spec)
-{
-    double largest = 0;
-    for (const config::EngineModel& model : spec.models)
-    {
-        if (model.adapters > 0)
-            largest = std::max (largest, model.adapterMemoryMb);
-    }
-    return largest * spec.adapterSlots;
-}
-
 std::set<std::string> EnginePlacement::adaptersOf (const Engine& engine)
 {
     std::set<std::string> adapters;
@@ -186,9 +208,9 @@
     {
         m_storeLoads.pop_front();
     }
-    const config::Service* found = m_catalogue.findService (service);
+    const auto found = m_specs.find (service);
     const double seconds = std::chrono::duration<double> (m_options.storeWindow).count();
-    const double allowed = m_options.storeShare * found->engine->loadsPerSecond * seconds;
+    const double allowed = m_options.storeShare * found->second.spec().loadsPerSecond * seconds;
     return static_cast<double> (m_storeLoads.size()) + 1 <= allowed;
 }
 
