--- a/src/lab/FleetProgram.cpp
+++ b/src/lab/FleetProgram.cpp
@@ -34,8 +34,7 @@
     "  restart NODE   Planned stop and start with the same identity and files.\n"
     "  replace NODE   End a process and start it without its files; a controller gets a new id.\n"
     "  measure NAME   Measure real controllers: failover, claims or apply.\n"
-    "  demo           Show the main job on an embedded fleet.\n"
-    "  scale          Measure what control costs; see fernlift-fleet scale --help.\n";
+    "  demo           Show the main job on an embedded fleet.\n";
 constexpr std::int64_t kMostTrials = 10'000;
 constexpr std::int64_t kMostRouters = 1'000;
 constexpr std::int64_t kMostSeconds = 3'600;
