--- a/src/router/ControllerLink.cpp
+++ b/src/cell/ControllerLink.cpp
@@ -1,18 +1,19 @@
-#include "router/ControllerLink.h"
+#include "cell/ControllerLink.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
 #include "log/Log.h"
 #include "wire/Codec.h"
 
-namespace fernlift::router
+namespace fernlift::cell
 {
 
 ControllerLink::ControllerLink (std::vector<base::SocketAddress> controllers,
                                 std::size_t firstIndex, Handlers handlers)
     : m_controllers (std::move (controllers)),
-      m_nextIndex (firstIndex % m_controllers.size()),
+      m_nextIndex (m_controllers.empty() ? 0 : firstIndex % m_controllers.size()),
       m_handlers (std::move (handlers))
 {
 }
@@ -20,7 +21,16 @@
 base::SocketAddress ControllerLink::nextAddress (const std::string& address)
 {
     if (auto named = base::SocketAddress::tryParse (address))
+    {
+        // Should it fail, the one after it is tried.
+        const auto found = std::ranges::find (m_controllers, *named);
+        if (found != m_controllers.end())
+            m_nextIndex =
+                static_cast<std::size_t> (found - m_controllers.begin() + 1) % m_controllers.size();
         return std::move (*named);
+    }
+    if (m_controllers.empty())
+        return {};
     base::SocketAddress next = m_controllers[m_nextIndex];
     m_nextIndex = (m_nextIndex + 1) % m_controllers.size();
     return next;
@@ -33,23 +43,26 @@
     handlers.onConnected = [this] { m_handlers.onConnected(); };
     handlers.onFrame = [this] (const wire::Frame& frame) { onFrame (frame); };
     handlers.onClosed = [this] { onClosed(); };
-    m_connection = wire::FrameConnection::connectTo (nextAddress (address), {},
-                                                     std::move (handlers), &m_traffic);
+    m_address = nextAddress (address);
+    m_connection =
+        wire::FrameConnection::connectTo (m_address, {}, std::move (handlers), &m_traffic);
 }
 
 void ControllerLink::setControllers (std::vector<base::SocketAddress> controllers)
 {
-    if (controllers.empty())
+    if (controllers.empty() || controllers == m_controllers)
         return;
     m_controllers = std::move (controllers);
-    m_nextIndex %= m_controllers.size();
+    m_nextIndex = 0;
 }
 
-void ControllerLink::send (const cell::RouterToController& message)
+std::size_t ControllerLink::send (const RouterToController& message)
 {
     if (! m_connection)
-        return;
-    m_connection->send (wire::Channel::kRouterToController, wire::encodeMessage (message));
+        return 0;
+    const std::string bytes = wire::encodeMessage (message);
+    m_connection->send (wire::Channel::kRouterToController, bytes);
+    return bytes.size();
 }
 
 void ControllerLink::close() { m_connection.reset(); }
@@ -57,21 +70,20 @@
 void ControllerLink::onFrame (const wire::Frame& frame)
 {
     const auto message = base::handleErrors (
-        [&]() -> base::Result<std::optional<cell::ControllerToRouter>>
+        [&]() -> base::Result<std::optional<ControllerToRouter>>
         {
             if (frame.channel != wire::Channel::kControllerToRouter)
             {
                 return base::fail (base::ErrorKind::kMessageInvalid,
                                    "a router does not take this channel");
             }
-            BOOST_LEAF_AUTO (decoded,
-                             wire::decodeMessage<cell::ControllerToRouter> (frame.payload));
+            BOOST_LEAF_AUTO (decoded, wire::decodeMessage<ControllerToRouter> (frame.payload));
             return std::optional (std::move (decoded));
         },
         [] (const base::Error& error)
         {
             log::write (log::Event::kControllerMessageInvalid, { { "error", error.message } });
-            return std::optional<cell::ControllerToRouter>();
+            return std::optional<ControllerToRouter>();
         });
     if (message)
     {
@@ -89,4 +101,4 @@
     m_handlers.onLost();
 }
 
-}  // namespace fernlift::router
+}  // namespace fernlift::cell
--- a/src/router/ControllerSession.cpp
+++ b/src/cell/ControllerSession.cpp
@@ -1,9 +1,9 @@
-#include "router/ControllerSession.h"
+#include "cell/ControllerSession.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace fernlift::router
+namespace fernlift::cell
 {
 namespace
 {
@@ -52,7 +52,7 @@
     scheduleConnect (now + randomDelay (random) / (isNew ? kFirstDelayShare : 1), "");
 }
 
-void ControllerSession::onNotLeader (const cell::NotLeaderReply& reply, base::TimePoint now,
+void ControllerSession::onNotLeader (const NotLeaderReply& reply, base::TimePoint now,
                                      base::Random& random)
 {
     if (! reply.leaderAddress.empty())
@@ -63,7 +63,7 @@
         scheduleConnect (now + kLeaderNewsLimit + randomDelay (random), "");
 }
 
-void ControllerSession::onGrant (const cell::LeaseGrant& grant)
+void ControllerSession::onGrant (const LeaseGrant& grant)
 {
     const auto sent = m_unanswered.find (grant.sequence);
     if (sent == m_unanswered.end() || grant.term < m_highestTerm)
@@ -87,7 +87,9 @@
 
 void ControllerSession::requestSoon (base::TimePoint now) { m_requestAt = now; }
 
-std::optional<std::variant<ConnectController, cell::LeaseRequest>> ControllerSession::poll (
+void ControllerSession::requestBy (base::TimePoint at) { m_requestAt = std::min (m_requestAt, at); }
+
+std::optional<std::variant<ConnectController, LeaseRequest>> ControllerSession::poll (
     base::TimePoint now)
 {
     if (! m_isConnected)
@@ -110,7 +112,7 @@
     if (now < m_requestAt)
         return std::nullopt;
     m_requestAt = now + m_requestInterval;
-    cell::LeaseRequest request;
+    LeaseRequest request;
     request.sequence = ++m_lastSequence;
     m_unanswered[request.sequence] = now;
     return request;
@@ -126,4 +128,4 @@
     return m_lease.version != 0 && m_lease.version < heldVersion;
 }
 
-}  // namespace fernlift::router
+}  // namespace fernlift::cell
--- a/src/router/ControllerSession.h
+++ b/src/cell/ControllerSession.h
@@ -14,11 +14,17 @@
 #include "base/Time.h"
 #include "cell/ConfigurationLeases.h"
 #include "cell/RouterMessages.h"
-#include "router/RouterCore.h"
 
-namespace fernlift::router
+namespace fernlift::cell
 {
 
+/// Close the connection to the controller and open one to `address` (empty: any other that is
+/// known).
+struct ConnectController
+{
+    std::string address;
+};
+
 class ControllerSession
 {
 public:
@@ -37,19 +43,26 @@
     void onLost (base::TimePoint now, base::Random& random);
     /// Goes to the leader that the controller names. One that knows none is kept for a moment: it
     /// sends another reply as soon as it knows.
-    void onNotLeader (const cell::NotLeaderReply& reply, base::TimePoint now, base::Random& random);
-    void onGrant (const cell::LeaseGrant& grant);
+    void onNotLeader (const NotLeaderReply& reply, base::TimePoint now, base::Random& random);
+    void onGrant (const LeaseGrant& grant);
+    /// Leaves the controller for another one, at once.
+    void goTo (const std::string& address, base::TimePoint now) { scheduleConnect (now, address); }
     /// Anything came from the controller. One that sends is alive, even when it may grant no lease
     /// for a moment: leaving it would only bring all routers back to it at once.
     void onHeard (base::TimePoint now) { m_heardAt = now; }
     /// The next call of `poll` asks for a lease, for example because the replica table has a gap.
     void requestSoon (base::TimePoint now);
 
+    /// The next call of `poll` at that time or later asks for a lease, if none does earlier.
+    void requestBy (base::TimePoint at);
+
     /// What is due: a connection to open, or a lease request to send.
-    [[nodiscard]] std::optional<std::variant<ConnectController, cell::LeaseRequest>> poll (
+    [[nodiscard]] std::optional<std::variant<ConnectController, LeaseRequest>> poll (
         base::TimePoint now);
 
     [[nodiscard]] bool isConnected() const { return m_isConnected; }
+    /// Of the leader that granted the last lease; 0 before the first.
+    [[nodiscard]] base::Term term() const { return m_highestTerm; }
     /// Whether the configuration held may be served from. A grant for a newer one does not count.
     [[nodiscard]] bool hasLease (base::TimePoint now, std::uint64_t heldVersion,
                                  const std::string& heldDigest) const;
@@ -81,7 +94,7 @@
     std::map<std::uint64_t, base::TimePoint> m_unanswered;  ///< By sequence; when it was sent.
     base::Term m_highestTerm = 0;
     Lease m_lease;  ///< On the latest configuration named.
-    cell::ConfigurationLeases m_leases;
+    ConfigurationLeases m_leases;
 };
 
-}  // namespace fernlift::router
+}  // namespace fernlift::cell
--- a/src/router/ControllerSessionTest.cpp
+++ b/src/cell/ControllerSessionTest.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
-#include "router/ControllerSession.h"
+#include "cell/ControllerSession.h"
 
-namespace fernlift::router
+namespace fernlift::cell
 {
 namespace
 {
@@ -62,7 +62,7 @@
 {
     connect();
     const auto request = m_session.poll (m_now);
-    ASSERT_TRUE (request && std::holds_alternative<cell::LeaseRequest> (*request));
+    ASSERT_TRUE (request && std::holds_alternative<LeaseRequest> (*request));
     m_now += milliseconds (599);
     EXPECT_EQ (connectionDue(), std::nullopt);
     m_now += milliseconds (61);
@@ -73,7 +73,7 @@
 {
     connect();
     const auto request = m_session.poll (m_now);
-    ASSERT_TRUE (request && std::holds_alternative<cell::LeaseRequest> (*request));
+    ASSERT_TRUE (request && std::holds_alternative<LeaseRequest> (*request));
     m_now += milliseconds (500);
     m_session.onHeard (m_now);
     m_now += milliseconds (600);
@@ -90,8 +90,8 @@
     EXPECT_TRUE (connectionDue());
     m_session.onConnected (m_now);
     const auto request = m_session.poll (m_now);
-    ASSERT_TRUE (request && std::holds_alternative<cell::LeaseRequest> (*request));
-    m_session.onGrant ({ std::get<cell::LeaseRequest> (*request).sequence, 1, "d", 1, 600, 0 });
+    ASSERT_TRUE (request && std::holds_alternative<LeaseRequest> (*request));
+    m_session.onGrant ({ std::get<LeaseRequest> (*request).sequence, 1, "d", 1, 600, 0 });
     m_session.onLost (m_now, m_random);
     m_now += milliseconds (49);
     EXPECT_FALSE (connectionDue()) << "a cell without a leader is not flooded";
@@ -103,8 +103,8 @@
 {
     connect();
     const auto request = m_session.poll (m_now);
-    ASSERT_TRUE (request && std::holds_alternative<cell::LeaseRequest> (*request));
-    m_session.onGrant ({ std::get<cell::LeaseRequest> (*request).sequence, 1, "d", 1, 600, 0 });
+    ASSERT_TRUE (request && std::holds_alternative<LeaseRequest> (*request));
+    m_session.onGrant ({ std::get<LeaseRequest> (*request).sequence, 1, "d", 1, 600, 0 });
     const base::TimePoint lostAt = m_now;
     for (int controller = 0; controller < 4; ++controller)
     {
@@ -126,4 +126,4 @@
 }
 
 }  // namespace
-}  // namespace fernlift::router
+}  // namespace fernlift::cell
--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -30,12 +30,18 @@
     std::uint64_t replicaTableVersion = 0;  ///< 0: no table is held.
     /// It serves without a lease and may begin with what a controller that does not lead last knew.
     bool acceptsLastKnownState = false;
+    /// A controller that serves routers on behalf of the leader, not a router. `router` then names
+    /// one life of its process: leases that an earlier life granted go on without it.
+    bool isRelay = false;
+    base::Term instanceTerm = 0;        ///< Of the leader that sent the table of instances held.
+    std::uint64_t instanceVersion = 0;  ///< 0: no table of instances is held.
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
         archive& router& cell& zone& address& configurationVersion& configurationDigest&
-            replicaTableTerm& replicaTableVersion& acceptsLastKnownState;
+            replicaTableTerm& replicaTableVersion& acceptsLastKnownState& isRelay& instanceTerm&
+                instanceVersion;
     }
 };
 
@@ -50,12 +56,17 @@
     bool needsWholeConfiguration = false;
     base::Term instanceTerm = 0;        ///< Of the leader that sent the table of instances held.
     std::uint64_t instanceVersion = 0;  ///< Last InstanceUpdate applied.
+    // Of a relay, whose other fields state the least that any of its routers may serve by:
+    /// Table of instances that it holds, and without which it renews no router's lease where the
+    /// leader requires it.
+    std::uint64_t heldInstanceVersion = 0;
+    std::uint32_t routers = 0;  ///< That it serves.
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
         archive& sequence& configurationVersion& configurationDigest& replicaTableVersion&
-            needsWholeConfiguration& instanceTerm& instanceVersion;
+            needsWholeConfiguration& instanceTerm& instanceVersion& heldInstanceVersion& routers;
     }
 };
 
@@ -173,6 +184,36 @@
     }
 };
 
+/// What a runner told in a heartbeat to a controller that does not lead.
+struct InstanceSighting
+{
+    std::string instance;
+    std::uint64_t sequence = 0;  ///< Of the heartbeat.
+    bool hasHoldings = false;    ///< Without: they are as this controller told them last.
+    std::vector<HeldModel> models;
+    std::vector<std::string> inMemory;  ///< Models it can load from its host memory.
+    std::vector<std::string> onDisk;    ///< Models it can load from its own disk.
+
+    bool operator== (const InstanceSighting&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& instance& sequence& hasHoldings& models& inMemory& onDisk;
+    }
+};
+
+/// Heartbeats that a relay took since its last message of this kind.
+struct InstanceSightings
+{
+    std::vector<InstanceSighting> sightings;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& sightings;
+    }
+};
+
 /// A controller that is not a voter asks to become one. Sent until it is.
 struct MemberJoinRequest
 {
@@ -187,9 +228,9 @@
     }
 };
 
-using RouterToController =
-    std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest, OutcomeReport,
-                 RunnerLeavingSeen, EngineDemandReport, MemberJoinRequest, InstanceUnreachable>;
+using RouterToController = std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest,
+                                        OutcomeReport, RunnerLeavingSeen, EngineDemandReport,
+                                        MemberJoinRequest, InstanceUnreachable, InstanceSightings>;
 
 /// This controller does not lead; try `leaderAddress` ("ip:port", empty when unknown).
 struct NotLeaderReply
@@ -388,6 +429,21 @@
 /// it last knew itself. The table of any leader replaces it.
 constexpr base::Term kTermOfLastKnownState = 0;
 
+/// A controller that routers may connect to.
+struct ControllerEndpoint
+{
+    std::string peerAddress;  ///< "ip:port".
+    std::string zone;
+    bool isLeader = false;  ///< Has more to do than the others.
+
+    bool operator== (const ControllerEndpoint&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& peerAddress& zone& isLeader;
+    }
+};
+
 /// Change of the table of registered runners; fromVersion 0 replaces it whole.
 struct InstanceUpdate
 {
@@ -395,9 +451,9 @@
     std::uint64_t fromVersion = 0;
     std::uint64_t toVersion = 0;
     std::vector<RoutableInstance> upserts;
-    std::vector<std::string> removals;     ///< Ids.
-    std::vector<std::string> controllers;  ///< Peer addresses of the members.
-    std::uint32_t routers = 1;             ///< Connected to the leader.
+    std::vector<std::string> removals;  ///< Ids.
+    std::vector<ControllerEndpoint> controllers;
+    std::uint32_t routers = 1;  ///< Of the cell.
     /// The leader waits to hear that it is applied: the router states it at once.
     bool mustConfirm = false;
 
--- a/src/controller/AcknowledgementPromiseTest.cpp
+++ b/src/controller/AcknowledgementPromiseTest.cpp
@@ -1,7 +1,8 @@
 // What an acknowledgement promises, under faults in any order: once a configuration is
 // acknowledged, no router serves under an earlier one; once a drain is, no router that may serve
 // takes the runner for ready. Each seed is one run of a cell with cuts, kills, freezes, lost
-// routers and changes that overlap.
+// routers and changes that overlap. Routers are served by the leader alone, or by every controller
+// on behalf of the leader.
 
 #include <gtest/gtest.h>
 
@@ -35,18 +36,29 @@
     return outcome;
 }
 
+enum class Serving : std::uint8_t
+{
+    kLeader,           ///< Routers take their leases from the leader.
+    kEveryController,  ///< From any controller, which takes one from the leader.
+};
+
 /// One run; `violation` says what was promised and not held, if anything.
 class PromiseRun
 {
 public:
-    explicit PromiseRun (std::uint64_t seed) : m_random (seed), m_cell (options (seed))
+    PromiseRun (std::uint64_t seed, Serving serving)
+        : m_random (seed), m_cell (options (seed)), m_serving (serving)
     {
+        for (std::size_t number = 0; number < kRouters; ++number)
+            m_cell.router (number).acceptsLastKnownState = serving == Serving::kEveryController;
         m_cell.onStep = [this] { check(); };
     }
 
     void run()
     {
         m_cell.awaitLeader();
+        if (m_serving == Serving::kEveryController)
+            spread();
         for (int step = 0; step < kSteps && violation.empty(); ++step)
         {
             act();
@@ -59,6 +71,17 @@
     std::set<std::string> drained;   ///< Instances whose drain is acknowledged.
 
 private:
+    /// Routers that are served by any controller spread over them, as far as these can be reached.
+    void spread()
+    {
+        for (std::size_t number = 0; number < kRouters; ++number)
+        {
+            const base::MemberId member = number % kControllers + 1;
+            if (m_cell.isAlive (member))
+                m_cell.reconnect (number, member);
+        }
+    }
+
     static TestCell::Options options (std::uint64_t seed)
     {
         TestCell::Options options = test::testOptions();
@@ -186,6 +209,7 @@
 
     base::Random m_random;
     TestCell m_cell;
+    Serving m_serving;
     std::uint64_t m_version = 0;
     std::uint64_t m_instances = 0;
     std::uint64_t m_sequence = 0;
@@ -198,13 +222,13 @@
     return text == nullptr ? kSeedsInCi : std::stoull (text);
 }
 
-TEST (AcknowledgementPromiseTest, HoldsUnderFaultsInAnyOrder)
+void runSeeds (Serving serving)
 {
     std::uint64_t acknowledged = 0;
     std::size_t drained = 0;
     for (std::uint64_t seed = 1; seed <= seedsToRun(); ++seed)
     {
-        PromiseRun run (seed);
+        PromiseRun run (seed, serving);
         run.run();
         EXPECT_EQ (run.violation, "") << "seed " << seed;
         acknowledged += run.acknowledged > 0 ? 1 : 0;
@@ -214,5 +238,12 @@
     EXPECT_GT (drained, seedsToRun() / 2);
 }
 
+TEST (AcknowledgementPromiseTest, HoldsUnderFaultsInAnyOrder) { runSeeds (Serving::kLeader); }
+
+TEST (AcknowledgementPromiseTest, HoldsWhereEveryControllerServesRouters)
+{
+    runSeeds (Serving::kEveryController);
+}
+
 }  // namespace
 }  // namespace fernlift::controller
--- a/src/controller/ControlRequestsTest.cpp
+++ b/src/controller/ControlRequestsTest.cpp
@@ -164,6 +164,8 @@
     {
         m_cell.router (router).configurationVersion = 0;
         m_cell.router (router).instances.clear();
+        m_cell.router (router).instanceTerm = 0;
+        m_cell.router (router).instanceVersion = 0;
     }
     m_cell.router (0).acceptsLastKnownState = true;
     m_cell.restart (1);  // Alone it leads nobody.
--- a/src/controller/ControllerConfiguration.cpp
+++ b/src/controller/ControllerConfiguration.cpp
@@ -116,19 +116,28 @@
 }
 
 void ControllerCore::Implementation::sendConfigurationIfDue()
+{
+    if (holdsLease())
+        sendConfigurationTo (m_leader->sessions, m_leader->configurationSend,
+                             m_leader->announcedVersion);
+}
+
+void ControllerCore::Implementation::sendConfigurationTo (RouterSessions& sessions,
+                                                          PacedWork& pacing,
+                                                          std::uint64_t& announcedVersion)
 {
     const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
-    if (inForce.version == 0 || ! holdsLease())
+    if (inForce.version == 0)
         return;
     // It may have come into force by an entry of an earlier leader.
-    if (std::exchange (m_leader->announcedVersion, inForce.version) != inForce.version)
-        m_leader->configurationSend.request();
-    if (! m_leader->configurationSend.takeDue (m_now, kConfigurationInterval))
+    if (std::exchange (announcedVersion, inForce.version) != inForce.version)
+        pacing.request();
+    if (! pacing.takeDue (m_now, kConfigurationInterval))
         return;
     std::map<std::uint64_t, std::vector<RouterConnection>> behind;  // By what they hold; 0: other.
-    for (auto& [connection, session] : m_leader->sessions.sessions())
+    for (auto& [connection, session] : sessions.sessions())
     {
-        if (! m_leader->sessions.needsConfiguration (session, inForce, m_now))
+        if (! sessions.needsConfiguration (session, inForce, m_now))
             continue;
         const bool isChange = ! std::exchange (session.needsWholeConfiguration, false)
                               && m_configurationChange.isKept (session.configurationVersion,
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -48,8 +48,10 @@
       m_unixNow (unixNow),
       m_state (m_options.catalogueParser, m_options.plantedFault),
       m_raft (self, m_options.raft, std::move (recovered), randomSeed, now),
-      m_orderNotes (now)
+      m_orderNotes (now),
+      m_relaySeeds (randomSeed + 1)
 {
+    beginRelay();
     drain();
 }
 
@@ -63,6 +65,7 @@
 {
     m_raft.tick (m_now);
     drain();
+    runRelay();
     if (! m_leader)
         return;
     runRoutine();
@@ -234,6 +237,7 @@
 void ControllerCore::Implementation::beginLeadership()
 {
     ++m_counters.leaderships;
+    endRelay();
     m_leader.emplace (m_options, m_status.term, m_now, engineOptions());
     m_leader->unixSince = std::max (m_unixNow, m_state.time());
     // Claims expire by the cell's time: a wall clock that stepped must not let them go early.
@@ -285,6 +289,7 @@
         replyNotLeader (connection);
     }
     m_leader.reset();
+    beginRelay();
 }
 
 void ControllerCore::Implementation::compactIfDue()
@@ -376,6 +381,13 @@
 {
     m_implementation->onRouterGone (connection);
 }
+void ControllerCore::onLeaderConnected() { m_implementation->onLeaderConnected(); }
+void ControllerCore::onLeaderLost() { m_implementation->onLeaderLost(); }
+void ControllerCore::onLeaderMessage (const cell::ControllerToRouter& message)
+{
+    m_implementation->onLeaderMessage (message);
+}
+RelayStatus ControllerCore::relayStatus() const { return m_implementation->relayStatus(); }
 void ControllerCore::onOrderAnswer (const base::RunnerId& runner, const engine::Order& order,
                                     const engine::OrderAnswer& answer)
 {
--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -116,6 +116,17 @@
     consensus::Message message;
     std::string address;  ///< "ip:port" of the receiver.
 };
+/// Open a connection to the leader, in place of any earlier one, on which this member acts for its
+/// routers; then call onLeaderConnected(), and onLeaderLost() when it closes.
+struct ConnectToLeader
+{
+    std::string address;  ///< "ip:port" for members.
+};
+/// Send to the leader on that connection.
+struct SendToLeader
+{
+    cell::RouterToController message;
+};
 struct SendToRouter
 {
     RouterConnection connection = 0;
@@ -158,10 +169,21 @@
     ControlAnswer answer;
 };
 
-using Effect = std::variant<PersistEffect, SendToMember, SendToRouter, BroadcastToRouters,
-                            SendOrder, PollRunner, PollMachineList, AnswerAdmin, AnswerControl,
-                            placement::SendEngineOrder, placement::PollEngine,
-                            placement::EngineOrderDone, ConfigurationNews>;
+using Effect = std::variant<PersistEffect, SendToMember, ConnectToLeader, SendToLeader,
+                            SendToRouter, BroadcastToRouters, SendOrder, PollRunner,
+                            PollMachineList, AnswerAdmin, AnswerControl, placement::SendEngineOrder,
+                            placement::PollEngine, placement::EngineOrderDone, ConfigurationNews>;
+
+/// A member that does not lead, as it serves routers on behalf of the leader.
+struct RelayStatus
+{
+    bool mayServe =
+        false;  ///< It has a lease of the leader to pass on. Always false at the leader.
+    std::uint32_t routers = 0;
+    std::uint64_t configuration = 0;    ///< Applied here.
+    std::uint64_t instanceVersion = 0;  ///< Table of instances held.
+    base::Term term = 0;                ///< Of the leader that granted the last lease.
+};
 
 /// The state machine. Single-threaded; every call may produce effects, taken by takeEffects().
 class ControllerCore
@@ -186,6 +208,12 @@
     void onRouterMessage (RouterConnection connection, const cell::RouterToController& message);
     void onRouterGone (RouterConnection connection);
 
+    /// The connection that ConnectToLeader asked for stands, is gone, or brought a message.
+    void onLeaderConnected();
+    void onLeaderLost();
+    void onLeaderMessage (const cell::ControllerToRouter& message);
+    [[nodiscard]] RelayStatus relayStatus() const;
+
     void onOrderAnswer (const base::RunnerId& runner, const engine::Order& order,
                         const engine::OrderAnswer& answer);
     void onOrderFailed (const base::RunnerId& runner, const engine::Order& order);
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -3,6 +3,7 @@
 /// State of ControllerCore and its duties, split by the part of the cell they deal with.
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -28,6 +29,7 @@
 #include "controller/PacedWork.h"
 #include "controller/Reconciliation.h"
 #include "controller/RoutableTable.h"
+#include "controller/RouterRelay.h"
 #include "controller/RouterSessions.h"
 #include "controller/RunnerWatch.h"
 #include "controller/SnapshotSchedule.h"
@@ -247,6 +249,10 @@
 
     void onRouterMessage (RouterConnection connection, const cell::RouterToController& message);
     void onRouterGone (RouterConnection connection);
+    void onLeaderConnected();
+    void onLeaderLost();
+    void onLeaderMessage (const cell::ControllerToRouter& message);
+    [[nodiscard]] RelayStatus relayStatus() const;
 
     void onOrderAnswer (const base::RunnerId& runner, const engine::Order& order,
                         const engine::OrderAnswer& answer);
@@ -389,6 +395,8 @@
     void answerConfiguration (const ForConfiguration& purpose, ControlAnswer answer);
     /// Sends the configuration to those that need it, when it came into force or one of them asked.
     void sendConfigurationIfDue();
+    void sendConfigurationTo (RouterSessions& sessions, PacedWork& pacing,
+                              std::uint64_t& announcedVersion);
     /// Answers and tells which configurations have reached all routers, and which are late.
     void followRollout();
     void answerConfigurationWaits (std::uint64_t confirmedVersion);
@@ -401,10 +409,20 @@
     /// Answers once no router may send by a table in which the instance still takes requests.
     void awaitLeaving (ControlTicket ticket);
     void answerLeavingWaits();
-    /// Brings all routers up to date; those that hold the same version get the same message.
+    /// Brings all routers up to date.
     void sendInstancesToAll();
-    /// Neither the router nor the leader knows of an instance.
-    [[nodiscard]] bool isInstanceTableEmptyFor (const RouterSession& session) const;
+    /// Sends what changed to those behind; those that hold the same version get the same message.
+    struct TableSize
+    {
+        std::uint64_t version = 0;
+        std::size_t rows = 0;
+    };
+    void sendInstancesTo (RouterSessions& sessions, const TableSize& table,
+                          const std::function<cell::InstanceUpdate (std::uint64_t)>& updateSince);
+    /// No more often than this do changes of the table go out.
+    [[nodiscard]] static base::Duration tableInterval (std::size_t routers, std::size_t rows);
+    void onSightings (const cell::InstanceSightings& sightings);
+    void takeHoldings (const std::string& instance, placement::EngineHoldings holdings);
     [[nodiscard]] cell::InstanceUpdate instanceUpdateSince (std::uint64_t version) const;
     void runInstanceRoutine();
     /// Proposes what changed of runners' holdings, so that the next leader knows it.
@@ -421,6 +439,33 @@
     void refreshEngines();
     void publishHoldings();
 
+    // ControllerRelay.cpp: while this member does not lead.
+    /// False when the message is not that of a router which it serves.
+    bool relayRouterMessage (RouterConnection connection, const cell::RouterToController& message);
+    bool relayHello (RouterConnection connection, const cell::RouterHello& hello);
+    void relayLeaseRequest (RouterConnection connection, RouterSession& session,
+                            const cell::LeaseRequest& request);
+    void passLeaseOn (RouterConnection connection, RouterSession& session,
+                      const cell::LeaseRequest& request);
+    void relayRouterGone (RouterConnection connection);
+    /// False when the heartbeat is for the leader itself.
+    bool relayHeartbeat (const InstanceHeartbeat& heartbeat);
+    /// End of the lease that covers the configuration applied here; the begin of time without one.
+    [[nodiscard]] base::TimePoint relayedLeaseEnd() const;
+    void runRelay();
+    /// Keeps the session with whoever leads.
+    void followLeader();
+    void stateToLeader (cell::LeaseRequest request);
+    void stateIfNews();
+    void takeRelayedInstances (const cell::InstanceUpdate& update);
+    void sendRelayedInstances();
+    void beginRelay();
+    void endRelay();
+    [[nodiscard]] std::string peerAddressOf (base::MemberId id) const;
+    /// Takes over which table of instances a router holds when it comes.
+    static void takeInstanceVersion (RouterSession& session, const cell::RouterHello& hello,
+                                     base::Term term);
+
     // ControllerMembers.cpp
     void onJoinRequest (RouterConnection connection, const cell::MemberJoinRequest& request);
     void changeMembersIfDue();
@@ -438,6 +483,8 @@
     std::set<RouterConnection> m_watchers;
     base::MemberId m_toldLeader = 0;  ///< That watchers were told of last; 0: none.
     OrderNotes m_orderNotes;
+    base::Random m_relaySeeds;
+    std::optional<RouterRelay> m_relay;  ///< While this member does not lead.
     std::vector<Effect> m_effects;
     SnapshotSchedule m_snapshots{ m_options.entriesBetweenSnapshots };
     bool m_isStopping = false;
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -23,7 +23,11 @@
 {
     if (! m_leader || ! holdsLease())
     {
-        answerNotLeader (ticket);
+        const auto* heartbeat = std::get_if<InstanceHeartbeat> (&request);
+        if (! m_leader && heartbeat != nullptr && relayHeartbeat (*heartbeat))
+            answerControl (ticket, { ControlVerdict::kDone, ownAdminAddress(), "" });
+        else
+            answerNotLeader (ticket);
         return;
     }
     // What changes the log is drained at once, all else by the next tick.
@@ -39,8 +43,7 @@
         holdings.models = heartbeat.models;
         holdings.inMemory.insert (heartbeat.inMemory.begin(), heartbeat.inMemory.end());
         holdings.onDisk.insert (heartbeat.onDisk.begin(), heartbeat.onDisk.end());
-        m_leader->engines.onHeartbeat (heartbeat.instance.id, holdings, m_now);
-        m_leader->enginePlacement.request();
+        takeHoldings (heartbeat.instance.id, std::move (holdings));
     }
     m_leader->instanceTable.request();
     const cell::ServiceInstance* known = m_state.instances().find (heartbeat.instance.id);
@@ -70,6 +73,37 @@
     }
 }
 
+void ControllerCore::Implementation::takeHoldings (const std::string& instance,
+                                                   placement::EngineHoldings holdings)
+{
+    m_leader->engines.onHeartbeat (instance, holdings, m_now);
+    m_leader->enginePlacement.request();
+}
+
+void ControllerCore::Implementation::onSightings (const cell::InstanceSightings& sightings)
+{
+    for (const cell::InstanceSighting& sighting : sightings.sightings)
+    {
+        if (! sighting.hasHoldings)
+        {
+            m_leader->instances.onHeard (sighting.instance, sighting.sequence, m_now);
+            continue;
+        }
+        const cell::ServiceInstance* known = m_state.instances().find (sighting.instance);
+        if (known == nullptr)
+            continue;
+        if (! m_leader->instances.onHeartbeat (
+                { *known, sighting.sequence, sighting.models, {}, {} }, m_now))
+            continue;
+        placement::EngineHoldings holdings;
+        holdings.models = sighting.models;
+        holdings.inMemory.insert (sighting.inMemory.begin(), sighting.inMemory.end());
+        holdings.onDisk.insert (sighting.onDisk.begin(), sighting.onDisk.end());
+        takeHoldings (sighting.instance, std::move (holdings));
+    }
+    m_leader->instanceTable.request();
+}
+
 void ControllerCore::Implementation::control (ControlTicket ticket,
                                               const InstanceDeregistration& request)
 {
@@ -127,9 +161,8 @@
 
 void ControllerCore::Implementation::sendInstancesIfDue()
 {
-    const auto routers = static_cast<std::int64_t> (m_leader->sessions.sessions().size());
-    const auto rows = static_cast<std::int64_t> (m_leader->instances.rows().size());
-    const base::Duration interval = routers * kTableIntervalForRouter + rows * kTableIntervalForRow;
+    const base::Duration interval =
+        tableInterval (m_leader->sessions.sessions().size(), m_leader->instances.rows().size());
     if (! holdsLease() || ! m_leader->instanceTable.takeDue (m_now, interval))
         return;
     m_leader->instances.refresh (m_state.instances(), m_now);
@@ -137,6 +170,12 @@
     sendInstancesToAll();
 }
 
+base::Duration ControllerCore::Implementation::tableInterval (std::size_t routers, std::size_t rows)
+{
+    return static_cast<std::int64_t> (routers) * kTableIntervalForRouter
+           + static_cast<std::int64_t> (rows) * kTableIntervalForRow;
+}
+
 void ControllerCore::Implementation::sendInstancesToAll()
 {
     const std::uint64_t present = m_leader->instances.version();
@@ -148,36 +187,40 @@
             m_leader->requiredInstanceVersion = present;
         }
     }
+    sendInstancesTo (m_leader->sessions, { present, m_leader->instances.rows().size() },
+                     [this] (std::uint64_t version) { return instanceUpdateSince (version); });
+}
+
+void ControllerCore::Implementation::sendInstancesTo (
+    RouterSessions& sessions, const TableSize& table,
+    const std::function<cell::InstanceUpdate (std::uint64_t)>& updateSince)
+{
     std::map<std::uint64_t, std::vector<RouterConnection>> behind;
-    for (auto& [connection, session] : m_leader->sessions.sessions())
+    for (auto& [connection, session] : sessions.sessions())
     {
-        if (session.instanceVersion == present || isInstanceTableEmptyFor (session))
+        // A router without a table does not wait for one without rows.
+        const bool needsNothing = session.instanceVersion == 0 && table.rows == 0;
+        if (session.instanceVersion >= table.version || needsNothing)
             continue;
         behind[session.instanceVersion].push_back (connection);
-        session.instanceVersion = present;
+        session.instanceVersion = table.version;
         session.instancesSentAt = m_now;
     }
-    for (auto& [version, connections] : behind)
+    for (auto& [held, connections] : behind)
     {
-        m_effects.emplace_back (
-            BroadcastToRouters{ std::move (connections), instanceUpdateSince (version) });
+        m_effects.emplace_back (BroadcastToRouters{ std::move (connections), updateSince (held) });
     }
 }
 
-bool ControllerCore::Implementation::isInstanceTableEmptyFor (const RouterSession& session) const
-{
-    return session.instanceVersion == 0 && m_leader->instances.rows().empty();
-}
-
 cell::InstanceUpdate ControllerCore::Implementation::instanceUpdateSince (
     std::uint64_t version) const
 {
     cell::InstanceUpdate update = m_leader->instances.updateSince (version);
     for (const consensus::Member& member : m_raft.members().members)
     {
-        update.controllers.push_back (member.peerAddress);
+        update.controllers.push_back ({ member.peerAddress, member.zone, member.id == m_self });
     }
-    update.routers = static_cast<std::uint32_t> (m_leader->sessions.sessions().size());
+    update.routers = m_leader->sessions.countRouters();
     update.mustConfirm = version < m_leader->requiredInstanceVersion;
     return update;
 }
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -63,6 +63,11 @@
       m_onFinished (std::move (onFinished)),
       m_transport (drawSeed()),
       m_runners (m_settings.callTimeout, &m_traffic),
+      m_leaderLink ({}, 0,
+                    { [this] { feed ([] (ControllerCore& core) { core.onLeaderConnected(); }); },
+                      [this] (const cell::ControllerToRouter& message)
+                      { feed ([&] (ControllerCore& core) { core.onLeaderMessage (message); }); },
+                      [this] { feed ([] (ControllerCore& core) { core.onLeaderLost(); }); } }),
       m_listener (
           { [this] (const consensus::Message& message) { onMemberMessage (message); },
             [this] (RouterConnection connection, const cell::RouterToController& message)
@@ -101,6 +106,7 @@
                           if (! m_isFinished)
                               tick();
                           noteLeadership();
+                          noteRelay();
                           checkStop();
                       });
     m_ticker.setTimerType (Qt::PreciseTimer);
@@ -229,6 +235,8 @@
         base::Overloaded{
             [this] (const PersistEffect& persistEffect) { persist (persistEffect); },
             [this] (const SendToMember& send) { sendToMember (send); },
+            [this] (const ConnectToLeader& connect) { m_leaderLink.connect (connect.address); },
+            [this] (const SendToLeader& send) { sendToLeader (send); },
             [this] (const SendToRouter& send) {
                 m_listener.sendToRouters ({ &send.connection, 1 }, send.message);
             },
@@ -263,6 +271,11 @@
     m_transport.send (effect.address, std::move (payload));
 }
 
+void ControllerProcess::sendToLeader (const SendToLeader& effect)
+{
+    m_traffic.record (Direction::kOut, kindOf (effect.message), m_leaderLink.send (effect.message));
+}
+
 void ControllerProcess::sendOrder (const SendOrder& effect)
 {
     const base::RunnerId runner = effect.runner;
@@ -368,6 +381,19 @@
     m_lastLeader = status.leader;
 }
 
+void ControllerProcess::noteRelay()
+{
+    const RelayStatus status = m_core->relayStatus();
+    if (status.mayServe == m_lastRelayServes)
+        return;
+    m_lastRelayServes = status.mayServe;
+    log::write (status.mayServe ? log::Event::kRelayServes : log::Event::kRelayCannotServe,
+                { { "routers", status.routers },
+                  { "configuration", status.configuration },
+                  { "table", status.instanceVersion },
+                  { "term", status.term } });
+}
+
 void ControllerProcess::beginStop()
 {
     if (m_stopDeadline)
--- a/src/controller/ControllerProcess.h
+++ b/src/controller/ControllerProcess.h
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "base/Error.h"
+#include "cell/ControllerLink.h"
 #include "controller/AdminHttp.h"
 #include "controller/CellJoiner.h"
 #include "controller/ControlHttp.h"
@@ -65,6 +66,7 @@
     void carryOutEffects();
     void carryOut (const Effect& effect);
     void persist (const PersistEffect& effect);
+    void sendToLeader (const SendToLeader& effect);
     void sendToMember (const SendToMember& effect);
     void sendOrder (const SendOrder& effect);
     void pollRunner (const PollRunner& effect);
@@ -73,6 +75,8 @@
     void pollEngine (const placement::PollEngine& effect);
     void onMemberMessage (const consensus::Message& message);
     void onStorageFailed (const base::Error& error);
+    /// Logs when this member can no longer serve routers on behalf of the leader, or can again.
+    void noteRelay();
     void noteLeadership();
     void checkStop();
     void finish (int exitCode);
@@ -86,6 +90,7 @@
     std::optional<ControllerCore> m_core;
     PeerTransport m_transport;
     RunnerClient m_runners;
+    cell::ControllerLink m_leaderLink;  ///< On which this controller acts for its routers.
     PeerListener m_listener;
     AdminHttp m_admin;
     std::unique_ptr<ControlHttp> m_control;   ///< Null without a control interface.
@@ -96,6 +101,7 @@
     std::optional<base::TimePoint> m_stopDeadline;
     bool m_isFinished = false;
     consensus::Role m_lastRole = consensus::Role::kFollower;
+    bool m_lastRelayServes = false;
     base::MemberId m_lastLeader = 0;
     QObject m_context;
     QTimer m_ticker;
--- /dev/null
+++ b/src/controller/ControllerRelay.cpp
@@ -0,0 +1,327 @@
+/**
+ * Duties of a member that does not lead: it serves routers and takes heartbeats on behalf of the
+ * leader, so that the leader's work grows with the controllers and not with the routers. See
+ * RouterRelay.h.
+ */
+
+#include <algorithm>
+#include <utility>
+
+#include "controller/ControllerImplementation.h"
+
+namespace fernlift::controller
+{
+namespace
+{
+
+/// The lease of the leader is renewed this often, so that those passed on are nearly as long.
+constexpr base::Duration kRenewInterval = base::milliseconds (250);
+
+}  // namespace
+
+bool ControllerCore::Implementation::relayRouterMessage (RouterConnection connection,
+                                                         const cell::RouterToController& message)
+{
+    if (const auto* hello = std::get_if<cell::RouterHello> (&message))
+        return relayHello (connection, *hello);
+    RouterSession* session = m_relay->sessions.find (connection);
+    if (session == nullptr)
+        return false;
+    if (const auto* lease = std::get_if<cell::LeaseRequest> (&message))
+    {
+        relayLeaseRequest (connection, *session, *lease);
+    }
+    else if (const auto* demand = std::get_if<cell::EngineDemandReport> (&message))
+    {
+        m_relay->demands.onReport (connection, demand->demands);
+    }
+    else if (std::holds_alternative<cell::InstanceUnreachable> (message)
+             && m_relay->session.isConnected())
+    {
+        m_effects.emplace_back (SendToLeader{ message });
+    }
+    runRelay();
+    return true;
+}
+
+bool ControllerCore::Implementation::relayHello (RouterConnection connection,
+                                                 const cell::RouterHello& hello)
+{
+    const bool mayServe =
+        hello.cell == m_options.cell && hello.acceptsLastKnownState && ! hello.isRelay;
+    if (! mayServe)
+        return false;
+    RouterSession& session = m_relay->sessions.open (connection, hello, m_now);
+    takeInstanceVersion (session, hello, m_relay->instances.term());
+    if (! m_relay->instances.hasTable() && hello.configurationVersion == 0)
+    {
+        sendLastKnownState (connection);
+        session.sentVersion = m_state.configuration().identity().version;
+        session.configurationSentAt = m_now;
+    }
+    m_relay->configurationSend.request();
+    m_relay->instanceTable.request();
+    runRelay();
+    return true;
+}
+
+void ControllerCore::Implementation::takeInstanceVersion (RouterSession& session,
+                                                          const cell::RouterHello& hello,
+                                                          base::Term term)
+{
+    // A router that comes from another controller goes on with the table that it has, also when it
+    // is newer than the one here: an older one would show runners that have left since.
+    if (hello.instanceTerm == term)
+        session.instanceVersion = hello.instanceVersion;
+}
+
+base::TimePoint ControllerCore::Implementation::relayedLeaseEnd() const
+{
+    const std::uint64_t version = m_state.configuration().identity().version;
+    return version == 0 ? base::TimePoint{} : m_relay->session.leaseEnd (version);
+}
+
+void ControllerCore::Implementation::relayLeaseRequest (RouterConnection connection,
+                                                        RouterSession& session,
+                                                        const cell::LeaseRequest& request)
+{
+    const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
+    m_relay->sessions.onLeaseRequest (session, request, m_relay->instances.term(), m_now);
+    if (m_relay->sessions.needsConfiguration (session, inForce, m_now))
+        m_relay->configurationSend.request();
+    if (session.instanceVersion != m_relay->instances.version())
+        m_relay->instanceTable.request();
+    passLeaseOn (connection, session, request);
+    stateIfNews();
+}
+
+void ControllerCore::Implementation::passLeaseOn (RouterConnection connection,
+                                                  RouterSession& session,
+                                                  const cell::LeaseRequest& request)
+{
+    const base::TimePoint end = relayedLeaseEnd();
+    if (end <= m_now)
+    {
+        ++m_counters.leasesWithheld;
+        // Once it had a lease, another controller may still have one.
+        if (end != base::TimePoint{})
+            sendToRouter (connection, cell::NotLeaderReply{});
+        else
+            m_relay->unanswered[connection] = request;
+        return;
+    }
+    if (session.statedInstanceVersion < m_relay->instances.requiredVersion())
+    {
+        ++m_counters.leasesWithheld;
+        return;
+    }
+    ++m_counters.leasesGranted;
+    cell::LeaseGrant grant =
+        m_relay->sessions.grant (session, request, m_state.configuration().identity(),
+                                 m_relay->session.term(), end - m_now, m_now);
+    sendToRouter (connection, std::move (grant));
+}
+
+/// The leader may wait to hear of what a router has just stated.
+void ControllerCore::Implementation::stateIfNews()
+{
+    const std::uint64_t version = m_state.configuration().identity().version;
+    const bool isNews =
+        m_relay->sessions.confirmedVersion (version, {}, m_now) > m_relay->statedVersion
+        || m_relay->sessions.confirmedInstanceVersion (m_relay->instances.version(), m_now)
+               > m_relay->statedInstanceVersion;
+    if (isNews)
+        m_relay->session.requestSoon (m_now);
+}
+
+void ControllerCore::Implementation::relayRouterGone (RouterConnection connection)
+{
+    m_relay->unanswered.erase (connection);
+    m_relay->sessions.close (connection);
+    m_relay->demands.onRouterGone (connection);
+}
+
+bool ControllerCore::Implementation::relayHeartbeat (const InstanceHeartbeat& heartbeat)
+{
+    const cell::ServiceInstance* known = m_state.instances().find (heartbeat.instance.id);
+    // What changes the state of the cell is the leader's to decide.
+    const bool isPlain = known != nullptr && known->isReported && ! known->isDraining
+                         && ! heartbeat.instance.isDraining
+                         && known->address == heartbeat.instance.address;
+    if (! isPlain || ! m_relay->session.isConnected() || relayedLeaseEnd() <= m_now)
+        return false;
+    m_relay->heartbeats.add (heartbeat, m_now);
+    runRelay();
+    return true;
+}
+
+void ControllerCore::Implementation::runRelay()
+{
+    if (m_leader || ! m_relay)
+        return;
+    followLeader();
+    sendConfigurationTo (m_relay->sessions, m_relay->configurationSend, m_relay->announcedVersion);
+    sendRelayedInstances();
+    if (! m_relay->session.isConnected())
+        return;
+    if (auto demands = m_relay->demands.takeDue (m_now); ! demands.empty())
+        m_effects.emplace_back (SendToLeader{ cell::EngineDemandReport{ std::move (demands) } });
+    if (auto sightings = m_relay->heartbeats.takeDue (m_now); ! sightings.empty())
+        m_effects.emplace_back (SendToLeader{ cell::InstanceSightings{ std::move (sightings) } });
+}
+
+void ControllerCore::Implementation::followLeader()
+{
+    const bool isNeeded = m_relay->session.isConnected() || ! m_relay->sessions.sessions().empty();
+    if (! isNeeded || m_status.leader == 0 || m_status.leader == m_self)
+        return;
+    const std::string address = peerAddressOf (m_status.leader);
+    if (address.empty())
+        return;
+    if (std::exchange (m_relay->leader, m_status.leader) != m_status.leader)
+        m_relay->session.onNotLeader ({ address }, m_now, m_relay->random);
+    const auto due = m_relay->session.poll (m_now);
+    if (! due)
+        return;
+    if (std::holds_alternative<cell::ConnectController> (*due))
+        m_effects.emplace_back (ConnectToLeader{ address });
+    else
+        stateToLeader (std::get<cell::LeaseRequest> (*due));
+}
+
+void ControllerCore::Implementation::stateToLeader (cell::LeaseRequest request)
+{
+    const cell::ConfigurationIdentity& applied = m_state.configuration().identity();
+    request.configurationVersion = m_relay->sessions.confirmedVersion (applied.version, {}, m_now);
+    request.configurationDigest = applied.digest;
+    request.instanceTerm = m_relay->instances.term();
+    request.heldInstanceVersion = m_relay->instances.version();
+    request.instanceVersion =
+        m_relay->sessions.confirmedInstanceVersion (m_relay->instances.version(), m_now);
+    request.routers = m_relay->sessions.countRouters();
+    m_relay->statedVersion = request.configurationVersion;
+    m_relay->statedInstanceVersion = request.instanceVersion;
+    m_effects.emplace_back (SendToLeader{ std::move (request) });
+}
+
+void ControllerCore::Implementation::onLeaderConnected()
+{
+    if (m_leader)
+        return;
+    m_relay->session.onConnected (m_now);
+    cell::RouterHello hello;
+    hello.router = base::RouterId (m_relay->id);
+    hello.cell = m_options.cell;
+    hello.isRelay = true;
+    hello.configurationVersion =
+        m_relay->sessions.confirmedVersion (m_state.configuration().identity().version, {}, m_now);
+    hello.instanceTerm = m_relay->instances.term();
+    hello.instanceVersion = m_relay->needsWholeTable ? 0 : m_relay->instances.version();
+    m_effects.emplace_back (SendToLeader{ std::move (hello) });
+    m_relay->demands.tellAll();
+    m_relay->heartbeats.tellAll();
+    runRelay();
+}
+
+void ControllerCore::Implementation::onLeaderLost()
+{
+    if (m_leader)
+        return;
+    m_relay->session.onLost (m_now, m_relay->random);
+    runRelay();
+}
+
+void ControllerCore::Implementation::onLeaderMessage (const cell::ControllerToRouter& message)
+{
+    if (m_leader)
+        return;
+    m_relay->session.onHeard (m_now);
+    if (std::holds_alternative<cell::NotLeaderReply> (message))
+    {
+        // This member hears from the others who leads.
+        m_relay->session.onNotLeader ({}, m_now, m_relay->random);
+    }
+    else if (const auto* grant = std::get_if<cell::LeaseGrant> (&message))
+    {
+        m_relay->session.onGrant (*grant);
+        m_relay->session.requestBy (m_now + kRenewInterval);
+        for (const auto& [connection, request] : std::exchange (m_relay->unanswered, {}))
+        {
+            if (RouterSession* session = m_relay->sessions.find (connection))
+                passLeaseOn (connection, *session, request);
+        }
+    }
+    else if (const auto* instances = std::get_if<cell::InstanceUpdate> (&message))
+    {
+        takeRelayedInstances (*instances);
+    }
+    runRelay();
+}
+
+void ControllerCore::Implementation::takeRelayedInstances (const cell::InstanceUpdate& update)
+{
+    const base::Term earlier = m_relay->instances.term();
+    if (! m_relay->instances.apply (update))
+    {
+        // A gap: a new connection gets the whole table. Until then what routers must have stands.
+        m_relay->needsWholeTable = true;
+        m_relay->session.onLost (m_now, m_relay->random);
+        return;
+    }
+    m_relay->needsWholeTable = false;
+    if (earlier != update.term)
+        m_relay->sessions.forgetInstanceVersions();
+    m_relay->instanceTable.request();
+    if (update.mustConfirm)
+        m_relay->session.requestSoon (m_now);
+}
+
+void ControllerCore::Implementation::sendRelayedInstances()
+{
+    const InstanceMirror& instances = m_relay->instances;
+    const base::Duration interval =
+        tableInterval (m_relay->sessions.sessions().size(), instances.size());
+    if (! instances.hasTable() || ! m_relay->instanceTable.takeDue (m_now, interval))
+        return;
+    sendInstancesTo (m_relay->sessions, { instances.version(), instances.size() },
+                     [&] (std::uint64_t version) { return instances.updateSince (version); });
+}
+
+/// This member leads from now on. Its routers find another controller well within their leases.
+void ControllerCore::Implementation::endRelay()
+{
+    if (! m_relay)
+        return;
+    for (const auto& [connection, session] : m_relay->sessions.sessions())
+        sendToRouter (connection, cell::NotLeaderReply{});
+    m_relay.reset();
+}
+
+void ControllerCore::Implementation::beginRelay()
+{
+    const std::string id =
+        "controller-" + std::to_string (m_self) + "-" + std::to_string (m_relaySeeds.bits());
+    m_relay.emplace (id, m_relaySeeds.bits(), m_options.routerLease, m_now);
+}
+
+RelayStatus ControllerCore::Implementation::relayStatus() const
+{
+    RelayStatus status;
+    if (! m_relay)
+        return status;
+    status.mayServe = relayedLeaseEnd() > m_now;
+    status.routers = m_relay->sessions.countRouters();
+    status.configuration = m_state.configuration().identity().version;
+    status.instanceVersion = m_relay->instances.version();
+    status.term = m_relay->session.term();
+    return status;
+}
+
+std::string ControllerCore::Implementation::peerAddressOf (base::MemberId id) const
+{
+    const auto& members = m_raft.members().members;
+    const auto found = std::ranges::find (members, id, &consensus::Member::id);
+    return found == members.end() ? std::string() : found->peerAddress;
+}
+
+}  // namespace fernlift::controller
--- /dev/null
+++ b/src/controller/ControllerRelayTest.cpp
@@ -0,0 +1,182 @@
+// Routers that are served by controllers which do not lead, in a whole cell.
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "controller/ControllerCore.h"
+#include "controller/TestCell.h"
+
+namespace fernlift::controller
+{
+namespace
+{
+
+using base::milliseconds;
+using base::seconds;
+using test::TestCell;
+using test::TestRouter;
+
+constexpr std::size_t kRouters = 6;
+
+config::CatalogueOutcome parseVersion (std::string_view text)
+{
+    config::CatalogueOutcome outcome;
+    outcome.catalogue.emplace();
+    outcome.catalogue->version = std::stoull (std::string (text));
+    return outcome;
+}
+
+class ControllerRelayTest : public ::testing::Test
+{
+protected:
+    ControllerRelayTest() : m_cell (options())
+    {
+        for (std::size_t number = 0; number < kRouters; ++number)
+            m_cell.router (number).acceptsLastKnownState = true;
+        EXPECT_TRUE (m_cell.awaitLeader());
+        m_leader = m_cell.leader();
+        m_follower = m_leader % 3 + 1;
+        for (std::size_t number = 0; number < kRouters; ++number)
+            m_cell.reconnect (number, m_follower);
+    }
+
+    static TestCell::Options options()
+    {
+        TestCell::Options options = test::testOptions();
+        options.routers = kRouters;
+        options.controller.catalogueParser = &parseVersion;
+        options.controller.hasMachineList = false;
+        return options;
+    }
+
+    bool apply (std::uint64_t version)
+    {
+        const auto answer = m_cell.askControl (
+            m_leader, ReplaceConfiguration{ std::to_string (version) + " " }, seconds (4));
+        return answer && answer->verdict == ControlVerdict::kDone;
+    }
+    [[nodiscard]] bool allServe (std::uint64_t version)
+    {
+        for (std::size_t number = 0; number < kRouters; ++number)
+        {
+            const TestRouter& router = m_cell.router (number);
+            if (! router.admits (m_cell.now()) || router.configurationVersion != version)
+                return false;
+        }
+        return true;
+    }
+    InstanceHeartbeat heartbeat (std::uint64_t sequence, std::vector<cell::HeldModel> models = {})
+    {
+        InstanceHeartbeat beat;
+        beat.instance.id = "i-1";
+        beat.instance.service = "llm";
+        beat.instance.address = "10.0.0.9:80";
+        beat.sequence = sequence;
+        beat.models = std::move (models);
+        return beat;
+    }
+    /// Value of a line of a member's metrics.
+    double metric (base::MemberId member, const std::string& name)
+    {
+        const std::string text = m_cell.core (member).metricsText();
+        const std::size_t at = text.find ("\n" + name + " ");
+        return at == std::string::npos ? -1 : std::stod (text.substr (at + name.size() + 2));
+    }
+
+    TestCell m_cell;
+    base::MemberId m_leader = 0;
+    base::MemberId m_follower = 0;
+};
+
+TEST_F (ControllerRelayTest, RoutersAreServedByAControllerThatDoesNotLead)
+{
+    ASSERT_TRUE (apply (1));
+    EXPECT_TRUE (m_cell.runUntil ([&] { return allServe (1); }, seconds (2)));
+    const double granted = metric (m_leader, "fernlift_controller_leases_granted_total");
+    m_cell.run (seconds (10));
+    EXPECT_TRUE (allServe (1));
+    const double perSecond =
+        (metric (m_leader, "fernlift_controller_leases_granted_total") - granted) / 10;
+    EXPECT_LE (perSecond, 6) << "the leader renews the lease of one controller, not of six routers";
+    EXPECT_EQ (m_cell.router (0).connectedTo, m_follower);
+}
+
+TEST_F (ControllerRelayTest, AChangeIsConfirmedAsSoonAsTheRoutersHaveIt)
+{
+    ASSERT_TRUE (apply (1));
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allServe (1); }, seconds (2)));
+    const base::TimePoint before = m_cell.now();
+    ASSERT_TRUE (apply (2));
+    EXPECT_LT (m_cell.now() - before, milliseconds (300));
+    EXPECT_TRUE (allServe (2));
+}
+
+TEST_F (ControllerRelayTest, AChangeWaitsForARouterThatDoesNotHearOfIt)
+{
+    ASSERT_TRUE (apply (1));
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allServe (1); }, seconds (2)));
+    m_cell.router (3).isCut = true;
+    ASSERT_TRUE (apply (2));
+    EXPECT_FALSE (m_cell.router (3).admits (m_cell.now()));
+}
+
+TEST_F (ControllerRelayTest, RoutersOutliveAChangeOfTheLeader)
+{
+    ASSERT_TRUE (apply (1));
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allServe (1); }, seconds (2)));
+    bool hasGap = false;
+    m_cell.onStep = [&]
+    {
+        for (std::size_t number = 0; number < kRouters; ++number)
+            hasGap = hasGap || ! m_cell.router (number).admits (m_cell.now());
+    };
+    m_cell.kill (m_leader);
+    m_cell.run (seconds (8));
+    EXPECT_FALSE (hasGap) << "leases outlast an election";
+}
+
+TEST_F (ControllerRelayTest, RoutersOfAControllerThatIsCutOffGoToAnother)
+{
+    ASSERT_TRUE (apply (1));
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allServe (1); }, seconds (2)));
+    m_cell.isolate (m_follower, true);
+    m_cell.run (seconds (1));
+    EXPECT_TRUE (m_cell.runUntil (
+        [&] { return allServe (1) && m_cell.router (0).connectedTo != m_follower; }, seconds (5)));
+}
+
+TEST_F (ControllerRelayTest, AHeartbeatReachesTheLeaderAndItsHoldingsTheRouters)
+{
+    ASSERT_TRUE (apply (1));
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allServe (1); }, seconds (2)));
+    const auto registered = m_cell.askControl (m_leader, heartbeat (1));
+    ASSERT_TRUE (registered && registered->verdict == ControlVerdict::kDone);
+    m_cell.run (milliseconds (500));
+    const auto taken = m_cell.askControl (m_follower, heartbeat (2, { { "m1", 1, {} } }));
+    ASSERT_TRUE (taken);
+    EXPECT_EQ (taken->verdict, ControlVerdict::kDone);
+    EXPECT_TRUE (m_cell.runUntil (
+        [&]
+        {
+            const auto& rows = m_cell.router (0).instances;
+            const auto row = rows.find ("i-1");
+            return row != rows.end() && row->second.instance.models.size() == 1;
+        },
+        seconds (2)));
+}
+
+TEST_F (ControllerRelayTest, ADrainIsForTheLeader)
+{
+    ASSERT_TRUE (apply (1));
+    ASSERT_TRUE (m_cell.askControl (m_leader, heartbeat (1)));
+    m_cell.run (milliseconds (500));
+    InstanceHeartbeat draining = heartbeat (2);
+    draining.instance.isDraining = true;
+    const auto answer = m_cell.askControl (m_follower, draining);
+    ASSERT_TRUE (answer);
+    EXPECT_EQ (answer->verdict, ControlVerdict::kNotLeader);
+}
+
+}  // namespace
+}  // namespace fernlift::controller
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -27,6 +27,8 @@
 {
     if (! m_leader)
     {
+        if (relayRouterMessage (connection, message))
+            return;
         const auto* hello = std::get_if<cell::RouterHello> (&message);
         if (hello != nullptr && hello->cell == m_options.cell)
             admitWatcher (connection, *hello);
@@ -80,6 +82,11 @@
         m_leader->instanceTable.request();
         m_leader->enginePlacement.request();
     }
+    else if (const auto* sightings = std::get_if<cell::InstanceSightings> (&message))
+    {
+        onSightings (*sightings);
+        return;
+    }
     else if (const auto* seen = std::get_if<cell::RunnerLeavingSeen> (&message))
     {
         onLeavingSeen (*seen);
@@ -140,7 +147,10 @@
 {
     m_watchers.erase (connection);
     if (! m_leader)
+    {
+        relayRouterGone (connection);
         return;
+    }
     m_leader->sessions.close (connection);
     m_leader->demands.forget (connection);
     m_leader->engines.onRouterGone (connection);
@@ -164,6 +174,7 @@
         session.isTableShared = true;
         session.tableVersion = hello.replicaTableVersion;
     }
+    takeInstanceVersion (session, hello, m_leader->term);
     m_leader->configurationSend.request();
     sendTable (connection, session);
     m_leader->instanceTable.request();
@@ -190,7 +201,7 @@
     // Nothing can be granted before there is a configuration, nor to a router that might send by a
     // table of instances in which one still takes requests whose drain was acknowledged.
     const bool mayServe =
-        inForce.version != 0 && session.statedInstanceVersion >= requiredInstanceVersion();
+        inForce.version != 0 && session.heldInstanceVersion >= requiredInstanceVersion();
     if (mayServe)
         grantLease (connection, session, request);
 }
@@ -206,8 +217,8 @@
 {
     const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
     ++m_counters.leasesGranted;
-    cell::LeaseGrant grant =
-        m_leader->sessions.grant (session, request, inForce, m_leader->term, m_now);
+    cell::LeaseGrant grant = m_leader->sessions.grant (session, request, inForce, m_leader->term,
+                                                       m_options.routerLease, m_now);
     grant.cellTime = cellTime();
     sendToRouter (connection, std::move (grant));
 }
--- /dev/null
+++ b/src/controller/HeartbeatBatch.cpp
@@ -0,0 +1,63 @@
+#include "controller/HeartbeatBatch.h"
+
+#include <utility>
+
+namespace fernlift::controller
+{
+namespace
+{
+
+/// A sixth of the silence after which the leader calls an instance silent (3.5 s), with the usual
+/// interval of heartbeats (1.2 s) well within it.
+constexpr base::Duration kInterval = base::milliseconds (300);
+/// Holdings are told again after this time, should the leader believe something else.
+constexpr base::Duration kRepeatAfter = base::milliseconds (2500);
+/// A runner that was not heard for this long has gone, or calls another controller.
+constexpr base::Duration kForgetAfter = base::seconds (30);
+
+bool isSameHoldings (const cell::InstanceSighting& left, const cell::InstanceSighting& right)
+{
+    return left.models == right.models && left.inMemory == right.inMemory
+           && left.onDisk == right.onDisk;
+}
+
+}  // namespace
+
+void HeartbeatBatch::add (const InstanceHeartbeat& heartbeat, base::TimePoint now)
+{
+    const std::string& id = heartbeat.instance.id;
+    cell::InstanceSighting sighting{
+        id, heartbeat.sequence, true, heartbeat.models, heartbeat.inMemory, heartbeat.onDisk
+    };
+    cell::InstanceSighting& waiting = m_waiting[id];
+    if (waiting.sequence > sighting.sequence)
+        return;
+    const auto told = m_told.find (id);
+    const bool isNews = told == m_told.end() || now - told->second.at >= kRepeatAfter
+                        || ! isSameHoldings (told->second.sighting, sighting);
+    if (isNews)
+    {
+        m_told[id] = { sighting, now };
+        m_isUrgent = true;
+        waiting = std::move (sighting);
+        return;
+    }
+    // Holdings that still wait to be told stay.
+    waiting.instance = id;
+    waiting.sequence = sighting.sequence;
+}
+
+std::vector<cell::InstanceSighting> HeartbeatBatch::takeDue (base::TimePoint now)
+{
+    std::vector<cell::InstanceSighting> due;
+    if (m_waiting.empty() || (! m_isUrgent && now - m_sentAt < kInterval))
+        return due;
+    m_isUrgent = false;
+    m_sentAt = now;
+    std::erase_if (m_told, [&] (const auto& item) { return now - item.second.at > kForgetAfter; });
+    for (auto& [id, sighting] : std::exchange (m_waiting, {}))
+        due.push_back (std::move (sighting));
+    return due;
+}
+
+}  // namespace fernlift::controller
--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -22,6 +22,15 @@
     return true;
 }
 
+void InstanceTable::onHeard (const std::string& id, std::uint64_t sequence, base::TimePoint now)
+{
+    const auto found = m_sightings.find (id);
+    if (found == m_sightings.end() || sequence <= found->second.sequence)
+        return;
+    found->second.heardAt = now;
+    found->second.sequence = sequence;
+}
+
 void InstanceTable::noteSuccessor (const InstanceHeartbeat& heartbeat, base::TimePoint now)
 {
     for (const auto& [id, row] : m_rows)
--- a/src/controller/InstanceTable.h
+++ b/src/controller/InstanceTable.h
@@ -25,6 +25,8 @@
 
     /// Notes a heartbeat; false when a later one was noted before.
     bool onHeartbeat (const InstanceHeartbeat& heartbeat, base::TimePoint now);
+    /// The same for a heartbeat that told nothing new.
+    void onHeard (const std::string& id, std::uint64_t sequence, base::TimePoint now);
     /// A router could not reach the instance: it counts as silent until it is heard again.
     void onUnreachable (const std::string& id, base::TimePoint now);
     /// Replaces what is known of an engine's models by a report or a finished order.
--- /dev/null
+++ b/src/controller/RelayPartsTest.cpp
@@ -0,0 +1,156 @@
+// InstanceMirror, EngineDemandSum and HeartbeatBatch.
+
+#include <gtest/gtest.h>
+
+#include "controller/EngineDemandSum.h"
+#include "controller/HeartbeatBatch.h"
+#include "controller/InstanceMirror.h"
+
+namespace fernlift::controller
+{
+namespace
+{
+
+using base::milliseconds;
+
+base::TimePoint at (int milliseconds)
+{
+    return base::TimePoint{} + base::seconds (100) + base::milliseconds (milliseconds);
+}
+
+cell::InstanceUpdate change (std::uint64_t from, std::uint64_t to,
+                             const std::vector<std::string>& upserts,
+                             const std::vector<std::string>& removals = {})
+{
+    cell::InstanceUpdate update;
+    update.term = 3;
+    update.fromVersion = from;
+    update.toVersion = to;
+    for (const std::string& id : upserts)
+    {
+        cell::RoutableInstance row;
+        row.instance.id = id;
+        update.upserts.push_back (row);
+    }
+    update.removals = removals;
+    return update;
+}
+
+TEST (InstanceMirror, TellsWhatChangedSinceAVersionOfTheLeader)
+{
+    InstanceMirror mirror;
+    ASSERT_TRUE (mirror.apply (change (0, 4, { "a", "b" })));
+    ASSERT_TRUE (mirror.apply (change (4, 6, { "c" }, { "a" })));
+    const cell::InstanceUpdate since = mirror.updateSince (4);
+    EXPECT_EQ (since.fromVersion, 4U);
+    EXPECT_EQ (since.toVersion, 6U);
+    ASSERT_EQ (since.upserts.size(), 1U);
+    EXPECT_EQ (since.upserts[0].instance.id, "c");
+    EXPECT_EQ (since.removals, std::vector<std::string>{ "a" });
+}
+
+TEST (InstanceMirror, TellsTheWholeTableWhereChangesAreNotKnown)
+{
+    InstanceMirror mirror;
+    ASSERT_TRUE (mirror.apply (change (0, 4, { "a", "b" })));
+    const cell::InstanceUpdate whole = mirror.updateSince (3);
+    EXPECT_EQ (whole.fromVersion, 0U);
+    EXPECT_EQ (whole.upserts.size(), 2U);
+}
+
+TEST (InstanceMirror, AGapDoesNotFit)
+{
+    InstanceMirror mirror;
+    ASSERT_TRUE (mirror.apply (change (0, 4, { "a" })));
+    EXPECT_FALSE (mirror.apply (change (5, 6, { "b" })));
+    EXPECT_EQ (mirror.version(), 4U);
+}
+
+TEST (InstanceMirror, RoutersMustHaveTheLastTableThatHadToBeConfirmed)
+{
+    InstanceMirror mirror;
+    ASSERT_TRUE (mirror.apply (change (0, 4, { "a" })));
+    EXPECT_EQ (mirror.requiredVersion(), 0U);
+    cell::InstanceUpdate drain = change (4, 5, { "a" });
+    drain.mustConfirm = true;
+    ASSERT_TRUE (mirror.apply (drain));
+    ASSERT_TRUE (mirror.apply (change (5, 9, { "b" })));
+    EXPECT_EQ (mirror.requiredVersion(), 5U);
+    EXPECT_TRUE (mirror.updateSince (4).mustConfirm);
+    EXPECT_FALSE (mirror.updateSince (5).mustConfirm);
+}
+
+TEST (EngineDemandSum, AddsUpRoutersAndKeepsArrivals)
+{
+    EngineDemandSum sum;
+    sum.onReport (1, { { "llm", "m", "", 1, 2, 3, 1 } });
+    sum.onReport (2, { { "llm", "m", "", 0, 4, 5, 2 } });
+    const auto due = sum.takeDue (at (0));
+    ASSERT_EQ (due.size(), 1U);
+    EXPECT_EQ (due[0], (cell::EngineDemand{ "llm", "m", "", 1, 6, 8, 3 }));
+}
+
+TEST (EngineDemandSum, ARouterThatLeavesTakesItsDemandAlong)
+{
+    EngineDemandSum sum;
+    sum.onReport (1, { { "llm", "m", "", 0, 2, 0, 0 } });
+    ASSERT_EQ (sum.takeDue (at (0)).size(), 1U);
+    sum.onRouterGone (1);
+    const auto due = sum.takeDue (at (300));
+    ASSERT_EQ (due.size(), 1U);
+    EXPECT_EQ (due[0].running, 0U);
+    EXPECT_TRUE (sum.takeDue (at (600)).empty());
+}
+
+TEST (EngineDemandSum, ARequestThatBeginsToWaitDoesNotWaitForTheNextReport)
+{
+    EngineDemandSum sum;
+    sum.onReport (1, { { "llm", "m", "", 0, 2, 0, 0 } });
+    ASSERT_EQ (sum.takeDue (at (0)).size(), 1U);
+    sum.onReport (1, { { "llm", "m", "", 0, 3, 0, 0 } });
+    EXPECT_TRUE (sum.takeDue (at (30)).empty());
+    sum.onReport (2, { { "llm", "m", "", 1, 0, 1, 0 } });
+    EXPECT_EQ (sum.takeDue (at (31)).size(), 1U);
+}
+
+InstanceHeartbeat heartbeat (std::uint64_t sequence, const std::string& model)
+{
+    InstanceHeartbeat beat;
+    beat.instance.id = "i-1";
+    beat.sequence = sequence;
+    beat.models = { { model, 1, {} } };
+    return beat;
+}
+
+TEST (HeartbeatBatch, HoldingsAreToldAtOnceWhenTheyChangeAndElseOnlyThatItLives)
+{
+    HeartbeatBatch batch;
+    batch.add (heartbeat (1, "m1"), at (0));
+    const auto first = batch.takeDue (at (0));
+    ASSERT_EQ (first.size(), 1U);
+    EXPECT_TRUE (first[0].hasHoldings);
+    batch.add (heartbeat (2, "m1"), at (100));
+    EXPECT_TRUE (batch.takeDue (at (100)).empty());
+    const auto second = batch.takeDue (at (300));
+    ASSERT_EQ (second.size(), 1U);
+    EXPECT_FALSE (second[0].hasHoldings);
+    EXPECT_EQ (second[0].sequence, 2U);
+    batch.add (heartbeat (3, "m2"), at (310));
+    const auto third = batch.takeDue (at (310));
+    ASSERT_EQ (third.size(), 1U);
+    EXPECT_EQ (third[0].models[0].model, "m2");
+}
+
+TEST (HeartbeatBatch, ALateHeartbeatDoesNotReplaceANewerOne)
+{
+    HeartbeatBatch batch;
+    batch.add (heartbeat (5, "m2"), at (0));
+    batch.add (heartbeat (4, "m1"), at (1));
+    const auto due = batch.takeDue (at (2));
+    ASSERT_EQ (due.size(), 1U);
+    EXPECT_EQ (due[0].sequence, 5U);
+    EXPECT_EQ (due[0].models[0].model, "m2");
+}
+
+}  // namespace
+}  // namespace fernlift::controller
--- a/src/controller/RouterSessions.cpp
+++ b/src/controller/RouterSessions.cpp
@@ -22,6 +22,12 @@
     return mayServeEarlier ? stated : newest;
 }
 
+/// What a router's clock may take for `duration`, by this one.
+base::Duration withDrift (base::Duration duration)
+{
+    return duration + duration / kClockDriftParts;
+}
+
 RouterSession::ReplicaKey keyOf (const cell::RoutableReplica& replica)
 {
     return { replica.replica, replica.runner, replica.target };
@@ -124,6 +130,7 @@
     session.configurationVersion = session.sentVersion = hello.configurationVersion;
     session.configurationDigest = hello.configurationDigest;
     session.heardAt = now;
+    session.isRelay = hello.isRelay;
     return session;
 }
 
@@ -168,8 +175,14 @@
 {
     session.heardAt = now;
     if (request.instanceTerm == term)
+    {
         session.statedInstanceVersion = request.instanceVersion;
-    const bool hasLostInstances = session.statedInstanceVersion < session.instanceVersion
+        session.heldInstanceVersion =
+            std::max (request.instanceVersion, request.heldInstanceVersion);
+    }
+    if (session.isRelay)
+        session.routers = request.routers;
+    const bool hasLostInstances = session.heldInstanceVersion < session.instanceVersion
                                   && now - session.instancesSentAt > kConfirmationTimeout;
     if (hasLostInstances)
         session.instanceVersion = 0;
@@ -193,6 +206,9 @@
                                          const cell::ConfigurationIdentity& inForce,
                                          base::TimePoint now) const
 {
+    // A relay has it from the log.
+    if (session.isRelay)
+        return false;
     // A router's configuration never goes back, whatever it claims to have.
     const bool isBehind = session.configurationVersion < inForce.version;
     const bool isUnderWay = session.sentVersion > session.configurationVersion
@@ -202,9 +218,10 @@
 
 cell::LeaseGrant RouterSessions::grant (RouterSession& session, const cell::LeaseRequest& request,
                                         const cell::ConfigurationIdentity& inForce, base::Term term,
-                                        base::TimePoint now) const
+                                        base::Duration length, base::TimePoint now) const
 {
-    session.leases.extend (inForce.version, now + longestLease(), now);
+    const base::Duration granted = std::min (length, m_leaseDuration);
+    session.leases.extend (inForce.version, now + withDrift (granted), now);
     // A router that is behind counts as serving what it stated for one lease more, for example
     // under one of an earlier leader; asking again does not prolong that, or it could hold up a
     // change for ever.
@@ -217,7 +234,7 @@
     grant.configurationVersion = inForce.version;
     grant.configurationDigest = inForce.digest;
     grant.term = term;
-    grant.durationMilliseconds = base::toMilliseconds (m_leaseDuration);
+    grant.durationMilliseconds = base::toMilliseconds (granted);
     grant.replicaTableVersion = session.tableVersion;
     return grant;
 }
@@ -286,9 +303,39 @@
     }
 }
 
-base::Duration RouterSessions::longestLease() const
+std::uint64_t RouterSessions::confirmedInstanceVersion (std::uint64_t newest,
+                                                        base::TimePoint now) const
 {
-    return m_leaseDuration + m_leaseDuration / kClockDriftParts;
+    std::uint64_t confirmed = newest;
+    for (const auto& [id, session] : m_sessions)
+    {
+        if (! session.isSuperseded && ! session.leases.isOver (now))
+            confirmed = std::min (confirmed, session.statedInstanceVersion);
+    }
+    for (const auto& [router, departed] : m_departed)
+    {
+        if (! departed.leases.isOver (now))
+            confirmed = std::min (confirmed, departed.instanceVersion);
+    }
+    return confirmed;
+}
+
+void RouterSessions::forgetInstanceVersions()
+{
+    for (auto& [id, session] : m_sessions)
+        session.instanceVersion = session.statedInstanceVersion = session.heldInstanceVersion = 0;
+    for (auto& [router, departed] : m_departed)
+        departed.instanceVersion = 0;
 }
 
+std::uint32_t RouterSessions::countRouters() const
+{
+    std::uint32_t routers = 0;
+    for (const auto& [id, session] : m_sessions)
+        routers += session.isSuperseded ? 0 : session.routers;
+    return routers;
+}
+
+base::Duration RouterSessions::longestLease() const { return withDrift (m_leaseDuration); }
+
 }  // namespace fernlift::controller
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -36,6 +36,8 @@
     bool needsWholeConfiguration = false;  ///< It was sent a change that did not fit.
     cell::ConfigurationLeases leases;      ///< Granted to it here, with allowance for its clock.
     bool isCountedBehind = false;          ///< Its last grant named a later version than it stated.
+    bool isRelay = false;       ///< A controller that serves routers on behalf of this one.
+    std::uint32_t routers = 1;  ///< Served by a relay; 1 for a router.
     bool isSuperseded = false;  ///< The router has come on another connection; this one is dead.
     base::TimePoint heardAt{};
 
@@ -48,6 +50,8 @@
     std::uint64_t instanceVersion = 0;  ///< Of the instances last sent; 0: none.
     base::TimePoint instancesSentAt{};
     std::uint64_t statedInstanceVersion = 0;  ///< Applied there, as last stated; of this term.
+    /// The same of a relay itself; its routers may be behind. Of a router: what it stated.
+    std::uint64_t heldInstanceVersion = 0;
 
     // While not shared: the table as the router has it once it has read everything sent.
     using ReplicaKey = std::tuple<base::ReplicaId, base::RunnerId, std::string>;
@@ -84,10 +88,12 @@
     [[nodiscard]] bool needsConfiguration (const RouterSession& session,
                                            const cell::ConfigurationIdentity& inForce,
                                            base::TimePoint now) const;
-    /// The grant that answers the request; the caller must hold the leader's lease.
+    /// The grant that answers the request, for `length` from now or the usual length if that is
+    /// shorter. The caller must hold the leader's lease, or one that ends no sooner.
     [[nodiscard]] cell::LeaseGrant grant (RouterSession& session, const cell::LeaseRequest& request,
                                           const cell::ConfigurationIdentity& inForce,
-                                          base::Term term, base::TimePoint now) const;
+                                          base::Term term, base::Duration length,
+                                          base::TimePoint now) const;
 
     /// The newest version, up to `newest`, below which no router can admit requests: each connected
     /// one stated it or a later one, and leases of the others on earlier ones, also those of
@@ -103,6 +109,14 @@
     [[nodiscard]] bool isInstanceTableEverywhere (std::uint64_t version,
                                                   base::TimePoint leaderSince,
                                                   base::TimePoint now) const;
+    /// The newest version, up to `newest`, of the table of instances that every router states,
+    /// apart from those whose leases are over.
+    [[nodiscard]] std::uint64_t confirmedInstanceVersion (std::uint64_t newest,
+                                                          base::TimePoint now) const;
+    /// Another leader numbers its tables anew: nobody has stated any of them yet.
+    void forgetInstanceVersions();
+    /// Routers that are connected, also by way of relays.
+    [[nodiscard]] std::uint32_t countRouters() const;
     /// No lease granted now runs longer, by the leader's clock.
     [[nodiscard]] base::Duration longestLease() const;
     /// Fills in which connected routers have not confirmed the late version.
--- a/src/controller/RouterSessionsTest.cpp
+++ b/src/controller/RouterSessionsTest.cpp
@@ -26,7 +26,7 @@
         request.configurationVersion = version;
         request.configurationDigest = std::to_string (version);
         m_sessions.onLeaseRequest (session, request, 1, m_now);
-        static_cast<void> (m_sessions.grant (session, request, m_inForce, 1, m_now));
+        static_cast<void> (m_sessions.grant (session, request, m_inForce, 1, kLease, m_now));
     }
     [[nodiscard]] bool isEverywhere() const
     {
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -192,6 +192,9 @@
         bool isCut = false;
         bool isIsolated = false;
         bool isFrozen = false;
+        /// On which it acts for its routers; 0: none.
+        RouterConnection leaderLink = 0;
+        base::MemberId linkedTo = 0;
         std::uint64_t generation = 0;  ///< Counts restarts, so that old callbacks are dropped.
     };
     struct Event
@@ -217,6 +220,11 @@
     void carryOut (Node& node);
     void carryOut (Node& node, PersistEffect effect);
     void carryOut (Node& node, SendToMember effect);
+    void carryOut (Node& node, const ConnectToLeader& effect);
+    void carryOut (Node& node, SendToLeader effect);
+    /// The connection on which a member acts for its routers breaks; both ends hear of it.
+    void breakLeaderLink (Node& node);
+    [[nodiscard]] bool isLinked (base::MemberId member, RouterConnection connection) const;
     void carryOut (Node& node, SendToRouter effect);
     void deliver (Node& node, RouterConnection connection, cell::ControllerToRouter message);
     void countMessage (const cell::ControllerToRouter& message);
--- a/src/controller/TestCellTest.cpp
+++ b/src/controller/TestCellTest.cpp
@@ -9,6 +9,7 @@
 namespace
 {
 
+constexpr std::uint64_t kSeedsApart = 1000;
 constexpr base::Duration kStep = base::milliseconds (5);
 constexpr base::Duration kNetworkDelay = base::milliseconds (1);
 constexpr base::Duration kDiskDelay = base::milliseconds (1);
@@ -59,8 +60,10 @@
 void TestCell::start (Node& node)
 {
     ++node.generation;
+    // Each life of a process draws a seed of its own.
+    const std::uint64_t seed = m_options.seed + node.id + (node.generation - 1) * kSeedsApart;
     node.core = std::make_unique<ControllerCore> (node.id, m_options.controller, node.disk.state,
-                                                  m_options.seed + node.id, m_now, unixNow());
+                                                  seed, m_now, unixNow());
     carryOut (node);
 }
 
@@ -145,8 +148,14 @@
 
 void TestCell::kill (base::MemberId member)
 {
+    breakLeaderLink (node (member));
     node (member).core.reset();
     ++node (member).generation;
+    for (auto& [other, entry] : m_nodes)
+    {
+        if (entry.linkedTo == member)
+            breakLeaderLink (entry);
+    }
     for (auto& router : m_routers)
     {
         if (router->connectedTo == member)
@@ -252,6 +261,58 @@
               });
 }
 
+bool TestCell::isLinked (base::MemberId member, RouterConnection connection) const
+{
+    const Node& from = m_nodes.at (member);
+    return from.core && from.leaderLink == connection && ! isOff (member) && ! isOff (from.linkedTo)
+           && m_nodes.at (from.linkedTo).core;
+}
+
+void TestCell::breakLeaderLink (Node& node)
+{
+    const RouterConnection connection = std::exchange (node.leaderLink, 0);
+    if (connection == 0)
+        return;
+    later (node.linkedTo, kNetworkDelay,
+           [connection] (ControllerCore& core) { core.onRouterGone (connection); });
+    later (node.id, kNetworkDelay, [] (ControllerCore& core) { core.onLeaderLost(); });
+}
+
+void TestCell::carryOut (Node& node, const ConnectToLeader& effect)
+{
+    const RouterConnection earlier = std::exchange (node.leaderLink, 0);
+    if (earlier != 0)
+        later (node.linkedTo, kNetworkDelay,
+               [earlier] (ControllerCore& core) { core.onRouterGone (earlier); });
+    const base::MemberId from = node.id;
+    const base::MemberId to = memberAt (effect.address);
+    if (to == 0)
+        return;
+    const RouterConnection connection = m_nextConnection++;
+    node.leaderLink = connection;
+    node.linkedTo = to;
+    schedule (2 * kNetworkDelay,
+              [this, from, connection]
+              {
+                  if (isLinked (from, connection))
+                      with (from, [] (ControllerCore& core) { core.onLeaderConnected(); });
+              });
+}
+
+void TestCell::carryOut (Node& node, SendToLeader effect)
+{
+    const base::MemberId from = node.id;
+    const RouterConnection connection = node.leaderLink;
+    schedule (kNetworkDelay,
+              [this, from, connection, message = std::move (effect.message)]
+              {
+                  if (! isLinked (from, connection))
+                      return;
+                  with (this->node (from).linkedTo,
+                        [&] (ControllerCore& core) { core.onRouterMessage (connection, message); });
+              });
+}
+
 void TestCell::countMessage (const cell::ControllerToRouter& message)
 {
     if (std::holds_alternative<cell::ConfigurationUpdate> (message))
@@ -264,6 +325,13 @@
     schedule (kNetworkDelay,
               [this, from, connection, message = std::move (message)]
               {
+                  for (auto& [member, relay] : m_nodes)
+                  {
+                      if (relay.leaderLink == connection && relay.linkedTo == from
+                          && isLinked (member, connection))
+                          with (member,
+                                [&] (ControllerCore& core) { core.onLeaderMessage (message); });
+                  }
                   for (auto& router : m_routers)
                   {
                       const bool isConnected =
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -100,6 +100,8 @@
     hello.configurationVersion = router.configurationVersion;
     hello.configurationDigest = router.configurationDigest;
     hello.acceptsLastKnownState = router.acceptsLastKnownState;
+    hello.instanceTerm = router.instanceTerm;
+    hello.instanceVersion = router.instanceVersion;
     toController (router, hello);
 }
 
@@ -177,7 +179,9 @@
         const bool isWhole = instances->fromVersion == 0;
         const bool fits = instances->term == router.instanceTerm
                           && instances->fromVersion == router.instanceVersion;
-        if (! isWhole && ! fits)
+        // As InstanceDirectory does: a table of an earlier leader is not taken.
+        const bool isEarlier = instances->term < router.instanceTerm;
+        if (isEarlier || (! isWhole && ! fits))
         {
             connect (router, *router.connectedTo);  // A gap: a new connection gets the whole table.
             return;
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -92,7 +92,10 @@
                     base::TimePoint now);
 
     [[nodiscard]] std::uint32_t routers() const { return m_routers; }
-    [[nodiscard]] const std::vector<std::string>& controllers() const { return m_controllers; }
+    [[nodiscard]] const std::vector<cell::ControllerEndpoint>& controllers() const
+    {
+        return m_controllers;
+    }
     [[nodiscard]] std::size_t size() const { return m_views.size(); }
     [[nodiscard]] bool hasTable() const { return m_version != 0; }
     [[nodiscard]] base::Term term() const { return m_term; }
@@ -141,7 +144,7 @@
     std::uint64_t m_version = 0;
     base::TimePoint m_appliedAt{};
     std::uint32_t m_routers = 1;
-    std::vector<std::string> m_controllers;
+    std::vector<cell::ControllerEndpoint> m_controllers;
     std::map<std::string, View> m_views;
     std::vector<std::string> m_unreachable;
 };
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -5,6 +5,7 @@
 
 #include "http/ProcessEndpoints.h"
 #include "log/Log.h"
+#include "proxy/ControllerPreference.h"
 
 namespace fernlift::proxy
 {
@@ -13,6 +14,9 @@
 
 constexpr base::milliseconds kTickInterval (25);
 
+/// A router whose controller is not the one that it prefers tries that one no more often than
+/// this, and up to twice as long at random: it may be down.
+constexpr base::Duration kMovePause = base::seconds (5);
 /// Part of the reserve for retries of the whole cell that its routers use. The rest covers that
 /// routers come and go, and learn how many they are at different times.
 constexpr double kUsedReserve = 0.8;
@@ -27,17 +31,6 @@
     return peers;
 }
 
-std::vector<base::SocketAddress> parseAll (const std::vector<std::string>& texts)
-{
-    std::vector<base::SocketAddress> addresses;
-    for (const std::string& text : texts)
-    {
-        if (auto address = base::SocketAddress::tryParse (text))
-            addresses.push_back (std::move (*address));
-    }
-    return addresses;
-}
-
 }  // namespace
 
 ProxyProcess::ProxyProcess (ProxySettings settings, ProtocolNames names,
@@ -56,7 +49,7 @@
                  m_directory, m_pool,     m_retryBudget,
                  m_demands,   m_counters, [this] { m_demandTimer.start(0); },
                  nullptr },
-      m_session (clock.now(), router::ControllerSession::kQuickAfterLoss),
+      m_session (clock.now(), cell::ControllerSession::kQuickAfterLoss),
       m_link (peersOf (m_settings), m_random.bits() % peersOf (m_settings).size(),
               { [this]
                 {
@@ -146,6 +139,8 @@
     hello.configurationVersion = m_held.version;
     hello.configurationDigest = m_held.digest;
     hello.acceptsLastKnownState = true;
+    hello.instanceTerm = m_directory.term();
+    hello.instanceVersion = m_directory.version();
     m_link.send (hello);
 }
 
@@ -264,7 +259,8 @@
                                                { "changed", update.upserts.size() },
                                                { "removed", update.removals.size() },
                                                { "runners", m_directory.size() } });
-    m_link.setControllers (parseAll (update.controllers));
+    m_link.setControllers (
+        preferredControllers (update.controllers, m_settings.id, m_settings.zone));
     limitRetries();
     m_server.onDirectoryChanged();
     if (! update.mustConfirm)
@@ -273,6 +269,20 @@
     pollController();
 }
 
+void ProxyProcess::moveToPreferred()
+{
+    const base::TimePoint now = m_clock.now();
+    const std::vector<base::SocketAddress> preferred =
+        preferredControllers (m_directory.controllers(), m_settings.id, m_settings.zone);
+    const bool isThere = preferred.empty() || preferred.front() == m_link.address();
+    if (isThere || ! m_hasController || now < m_moveAt)
+        return;
+    m_moveAt = now + kMovePause
+               + base::Duration (m_random.uniformInteger (0, base::Duration (kMovePause).count()));
+    m_session.goTo (preferred.front().toString(), now);
+    pollController();
+}
+
 void ProxyProcess::limitRetries()
 {
     if (m_settings.cellRetryReserve == 0)
@@ -294,7 +304,7 @@
     const auto due = m_session.poll (m_clock.now());
     if (! due)
         return;
-    if (const auto* connect = std::get_if<router::ConnectController> (&*due))
+    if (const auto* connect = std::get_if<cell::ConnectController> (&*due))
     {
         noteController (false);
         m_freshness.onConnectionTried();
@@ -310,12 +320,18 @@
     m_link.send (request);
 }
 
+std::uint32_t ProxyProcess::routersAtController() const
+{
+    const auto controllers = static_cast<std::uint32_t> (m_directory.controllers().size());
+    return m_directory.routers() / std::max (controllers, 1U);
+}
+
 void ProxyProcess::reportDemand()
 {
     if (! m_session.isConnected())
         return;
     std::vector<cell::EngineDemand> demands =
-        m_demands.takeDue (m_clock.now(), demandReportInterval (m_directory.routers()));
+        m_demands.takeDue (m_clock.now(), demandReportInterval (routersAtController()));
     if (! demands.empty())
         m_link.send (cell::EngineDemandReport{ std::move (demands) });
     for (std::string& id : m_directory.takeUnreachable())
@@ -328,6 +344,7 @@
 {
     pollController();
     reportDemand();
+    moveToPreferred();
     m_pool.expire (m_clock.now());
     // Runners that were avoided for a while may be tried again.
     if (m_server.waitingExchanges() > 0)
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -15,6 +15,8 @@
 #include "base/Time.h"
 #include "cell/ConfigurationDelta.h"
 #include "cell/ConfigurationState.h"
+#include "cell/ControllerLink.h"
+#include "cell/ControllerSession.h"
 #include "cell/RouterMessages.h"
 #include "http/Metrics.h"
 #include "http/Server.h"
@@ -24,8 +26,6 @@
 #include "proxy/ProxyServer.h"
 #include "proxy/ProxySettings.h"
 #include "proxy/ReadinessServer.h"
-#include "router/ControllerLink.h"
-#include "router/ControllerSession.h"
 
 namespace fernlift::proxy
 {
@@ -63,6 +63,10 @@
     /// Takes this router's part of the retries that all routers of the cell may make.
     void limitRetries();
     void pollController();
+    /// Goes to the controller that this router had better be connected to, now and then.
+    void moveToPreferred();
+    /// About how many routers share this one's controller.
+    [[nodiscard]] std::uint32_t routersAtController() const;
     /// Logs when the leader begins or ceases to answer.
     void noteController (bool isAnswering);
     /// Takes over the leases that cover the configuration held.
@@ -87,8 +91,8 @@
     EngineDemands m_demands;
     ProxyCounters m_counters;
     ProxyContext m_context;
-    router::ControllerSession m_session;
-    router::ControllerLink m_link;
+    cell::ControllerSession m_session;
+    cell::ControllerLink m_link;
     cell::HeldConfiguration m_held;
     bool m_needsWholeConfiguration = false;  ///< A change came that does not fit.
     ConfigurationFreshness m_freshness;
@@ -96,6 +100,7 @@
     std::optional<base::TimePoint> m_stopBegan;
     bool m_isRefusing = false;
     bool m_hasController = false;
+    base::TimePoint m_moveAt{};  ///< Not to another controller before.
     bool m_isFinished = false;
     http::Metrics m_metrics;
     std::unique_ptr<http::Server> m_metricsServer;
--- a/src/router/RouterCore.h
+++ b/src/router/RouterCore.h
@@ -13,6 +13,7 @@
 #include "base/Error.h"
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "cell/ControllerSession.h"
 #include "cell/RouterMessages.h"
 #include "routing/PrefixIndex.h"
 
@@ -139,11 +140,7 @@
 {
     cell::RouterToController message;
 };
-/// Close the connection to the controller and open one to `address` (empty: the next configured).
-struct ConnectController
-{
-    std::string address;
-};
+using cell::ConnectController;
 /// Send the request (the adapter has its bytes) to this back end, once.
 struct StartAttempt
 {
--- a/src/router/RouterCoreImplementation.h
+++ b/src/router/RouterCoreImplementation.h
@@ -17,7 +17,6 @@
 #include "dispatch/RetryBudget.h"
 #include "dispatch/RetryPolicy.h"
 #include "router/ActiveConfiguration.h"
-#include "router/ControllerSession.h"
 #include "router/DemandReporter.h"
 #include "router/RequestTraces.h"
 #include "router/RouterCore.h"
@@ -164,7 +163,7 @@
     base::TimePoint m_cellTimeKnownAt{};
     std::string m_processNonce;  ///< Makes claims of this process unlike those of an earlier one.
 
-    ControllerSession m_session;
+    cell::ControllerSession m_session;
     ActiveConfiguration m_configuration;
     bool m_needsWholeConfiguration = false;  ///< A change came that does not fit.
     routing::ReplicaTable m_table;
--- a/src/router/RouterProcess.h
+++ b/src/router/RouterProcess.h
@@ -13,13 +13,13 @@
 #include "base/Error.h"
 #include "base/Random.h"
 #include "base/Time.h"
+#include "cell/ControllerLink.h"
 #include "http/Client.h"
 #include "http/Metrics.h"
 #include "http/Server.h"
 #include "router/BackEndAttempts.h"
 #include "router/CacheEventPoller.h"
 #include "router/CallerExchanges.h"
-#include "router/ControllerLink.h"
 #include "router/RouterCore.h"
 #include "router/RouterSettings.h"
 
@@ -87,7 +87,7 @@
     BackEndAttempts m_attempts;
     CallerExchanges m_callers;
     CacheEventPoller m_cacheEvents;
-    ControllerLink m_controller;
+    cell::ControllerLink m_controller;
     http::Server m_server;
     QObject m_context;
     QTimer m_ticker;
--- a/src/sim/ControllerNode.h
+++ b/src/sim/ControllerNode.h
@@ -77,6 +77,9 @@
     void apply (const controller::AnswerAdmin& effect);
     // The simulated cell has no registered services.
     void apply (const controller::AnswerControl& /*effect*/) {}
+    // Its routers take leases from the leader itself.
+    void apply (const controller::ConnectToLeader& /*connect*/) {}
+    void apply (const controller::SendToLeader& /*send*/) {}
     void apply (const placement::EngineOrderDone& /*done*/) {}
     void apply (const controller::ConfigurationNews& /*news*/) {}
     void apply (const placement::SendEngineOrder& /*effect*/) {}
