Let a runner that asks again wait on for the acknowledgement that it leaves

Change: one wait for each instance and kind of leaving; calls join it, and once confirmed it stays so while this member leads. Test: a router that is cut off and a runner that calls each 0.9 s, answered by the third call; on the code before the tenth is not.

--- a/src/controller/ControlRequestsTest.cpp
+++ b/src/controller/ControlRequestsTest.cpp
@@ -269,6 +269,29 @@
     EXPECT_FALSE (m_cell.router (1).admits (m_cell.now()));
 }
 
+TEST_F (ControlRequestsTest, ADrainThatIsAskedForAgainDoesNotBeginToWaitAnew)
+{
+    ask (ReplaceConfiguration{ "5 a" });
+    ask (heartbeatOf ("i-1", 1));
+    m_cell.run (base::seconds (3));
+    m_cell.router (1).isCut = true;
+    InstanceHeartbeat draining = heartbeatOf ("i-1", 2);
+    draining.instance.isDraining = true;
+    // A runner gives each call a second; the lease of the router that is cut off goes on for two.
+    std::optional<ControlAnswer> answer;
+    int calls = 0;
+    while (! answer && calls < 10)
+    {
+        ++calls;
+        ++draining.sequence;
+        answer = m_cell.askControl (m_cell.leader(), draining, base::milliseconds (900));
+    }
+    ASSERT_TRUE (answer);
+    EXPECT_EQ (answer->verdict, ControlVerdict::kDone);
+    EXPECT_LE (calls, 3);
+    EXPECT_FALSE (m_cell.router (1).admits (m_cell.now()));
+}
+
 TEST_F (ControlRequestsTest, ADeregistrationIsAcknowledgedOnceNoRouterMaySendThere)
 {
     ask (ReplaceConfiguration{ "5 a" });
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -279,8 +279,11 @@
     {
         answer (wait.ticket, configurationAnswer (wait.result, false));
     }
-    for (const LeavingWait& wait : m_leader->leavingWaits)
-        answerControl (wait.ticket, { ControlVerdict::kUnavailable, "", "" });
+    for (const auto& [leaving, wait] : m_leader->leavingWaits)
+    {
+        for (const ControlTicket ticket : wait.tickets)
+            answerControl (ticket, { ControlVerdict::kUnavailable, "", "" });
+    }
     for (const ConfigurationWait& wait : m_leader->configurationWaits)
         answerConfiguration (wait.purpose, { ControlVerdict::kUnavailable, "", "" });
     for (const auto& [connection, session] : m_leader->sessions.sessions())
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -86,10 +86,19 @@
 {
     ControlTicket ticket = 0;
 };
+/// What is to be acknowledged about an instance that leaves.
+struct Leaving
+{
+    std::string instance;
+    bool isRemoval = false;  ///< It is gone; else it drains.
+
+    auto operator<=> (const Leaving&) const = default;  // NOLINT(modernize-use-nullptr)
+};
 /// An instance that drains or is gone.
 struct ForLeavingInstance
 {
     ControlTicket ticket = 0;
+    Leaving leaving;
 };
 /// A change of the configuration by an operator of services.
 struct ForConfiguration
@@ -130,12 +139,14 @@
 };
 
 /// An instance that drains or is gone, as is committed; it is told once no router may send there.
+/// Runners ask again after a second: the wait goes on from where it began, however often.
 struct LeavingWait
 {
-    ControlTicket ticket = 0;
+    std::vector<ControlTicket> tickets;
     std::uint64_t tableVersion = 0;  ///< Of instances, the first that says so; 0: not sent yet.
     /// Routers that have not heard of it by then have no lease any more.
     base::TimePoint leasesEndAt{};
+    bool isConfirmed = false;  ///< For good, as long as this member leads.
 };
 
 /// A load that failed on a runner lately.
@@ -204,7 +215,7 @@
     PacedWork configurationSend;         ///< Routers may have to be sent the configuration.
     ConfigurationRollout rollout;
     std::vector<ConfigurationWait> configurationWaits;
-    std::vector<LeavingWait> leavingWaits;
+    std::map<Leaving, LeavingWait> leavingWaits;
     /// Table of instances without those whose leaving is or will be acknowledged; of this term, so
     /// that a table of an earlier leader does not do.
     std::uint64_t requiredInstanceVersion = 1;
@@ -407,7 +418,7 @@
     void proposeFor (ControlTicket ticket, const cell::Command& command, Purpose purpose);
     void sendInstancesIfDue();
     /// Answers once no router may send by a table in which the instance still takes requests.
-    void awaitLeaving (ControlTicket ticket);
+    void awaitLeaving (ControlTicket ticket, const Leaving& leaving);
     void answerLeavingWaits();
     /// Brings all routers up to date.
     void sendInstancesToAll();
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -47,25 +47,26 @@
     }
     m_leader->instanceTable.request();
     const cell::ServiceInstance* known = m_state.instances().find (heartbeat.instance.id);
+    const Leaving leaving{ heartbeat.instance.id, false };
     if (known == nullptr)
     {
         cell::ServiceInstance instance = heartbeat.instance;
         instance.isReported = true;
         instance.models = heartbeat.models;
         const Purpose purpose = heartbeat.instance.isDraining
-                                    ? Purpose (ForLeavingInstance{ ticket })
+                                    ? Purpose (ForLeavingInstance{ ticket, leaving })
                                     : Purpose (ForControl{ ticket });
         proposeFor (ticket, cell::AddInstance{ std::move (instance), cellTime() }, purpose);
     }
     else if (heartbeat.instance.isDraining && ! known->isDraining)
     {
         proposeFor (ticket, cell::DrainInstance{ heartbeat.instance.id, cellTime() },
-                    ForLeavingInstance{ ticket });
+                    ForLeavingInstance{ ticket, leaving });
     }
     else if (heartbeat.instance.isDraining)
     {
         // Known already, perhaps from an earlier leader; routers may not know it yet.
-        awaitLeaving (ticket);
+        awaitLeaving (ticket, leaving);
     }
     else
     {
@@ -108,7 +109,7 @@
                                               const InstanceDeregistration& request)
 {
     proposeFor (ticket, cell::RemoveInstance{ request.instance, true, cellTime() },
-                ForLeavingInstance{ ticket });
+                ForLeavingInstance{ ticket, { request.instance, true } });
 }
 
 void ControllerCore::Implementation::proposeFor (ControlTicket ticket, const cell::Command& command,
@@ -132,31 +133,36 @@
                                              base::LogIndex /*index*/,
                                              const cell::ApplyResult& /*result*/)
 {
-    awaitLeaving (purpose.ticket);
+    awaitLeaving (purpose.ticket, purpose.leaving);
 }
 
-void ControllerCore::Implementation::awaitLeaving (ControlTicket ticket)
+void ControllerCore::Implementation::awaitLeaving (ControlTicket ticket, const Leaving& leaving)
 {
-    m_leader->leavingWaits.push_back ({ ticket, 0, {} });
+    LeavingWait& wait = m_leader->leavingWaits[leaving];
+    wait.tickets.push_back (ticket);
+    if (wait.tableVersion != 0)
+    {
+        answerLeavingWaits();
+        return;
+    }
     m_leader->instanceTable.request();
     sendInstancesIfDue();
 }
 
 void ControllerCore::Implementation::answerLeavingWaits()
 {
-    std::erase_if (
-        m_leader->leavingWaits,
-        [&] (const LeavingWait& wait)
-        {
-            if (wait.tableVersion == 0)
-                return false;
-            const bool isEverywhere = m_leader->sessions.isInstanceTableEverywhere (
-                wait.tableVersion, m_leader->since, m_now);
-            if (! isEverywhere && m_now < wait.leasesEndAt)
-                return false;
-            answerControl (wait.ticket, { ControlVerdict::kDone, ownAdminAddress(), "" });
-            return true;
-        });
+    for (auto& [leaving, wait] : m_leader->leavingWaits)
+    {
+        if (wait.tableVersion == 0 || wait.tickets.empty())
+            continue;
+        wait.isConfirmed = wait.isConfirmed || m_now >= wait.leasesEndAt
+                           || m_leader->sessions.isInstanceTableEverywhere (wait.tableVersion,
+                                                                            m_leader->since, m_now);
+        if (! wait.isConfirmed)
+            continue;
+        for (const ControlTicket ticket : std::exchange (wait.tickets, {}))
+            answerControl (ticket, { ControlVerdict::kDone, ownAdminAddress(), "" });
+    }
 }
 
 void ControllerCore::Implementation::sendInstancesIfDue()
@@ -179,13 +185,13 @@
 void ControllerCore::Implementation::sendInstancesToAll()
 {
     const std::uint64_t present = m_leader->instances.version();
-    for (LeavingWait& wait : m_leader->leavingWaits)
+    for (auto& [leaving, wait] : m_leader->leavingWaits)
     {
-        if (wait.tableVersion == 0)
-        {
-            wait = { wait.ticket, present, m_now + m_leader->sessions.longestLease() };
-            m_leader->requiredInstanceVersion = present;
-        }
+        if (wait.tableVersion != 0)
+            continue;
+        wait.tableVersion = present;
+        wait.leasesEndAt = m_now + m_leader->sessions.longestLease();
+        m_leader->requiredInstanceVersion = present;
     }
     sendInstancesTo (m_leader->sessions, { present, m_leader->instances.rows().size() },
                      [this] (std::uint64_t version) { return instanceUpdateSince (version); });
