--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -43,7 +43,7 @@
         holdings.models = heartbeat.models;
         holdings.inMemory.insert (heartbeat.inMemory.begin(), heartbeat.inMemory.end());
         holdings.onDisk.insert (heartbeat.onDisk.begin(), heartbeat.onDisk.end());
-        takeHoldings (heartbeat.instance.id, std::move (holdings));
+        takeHoldings (heartbeat.instance.id, holdings);
     }
     m_leader->instanceTable.request();
     const cell::ServiceInstance* known = m_state.instances().find (heartbeat.instance.id);
@@ -75,7 +75,7 @@
 }
 
 void ControllerCore::Implementation::takeHoldings (const std::string& instance,
-                                                   placement::EngineHoldings holdings)
+                                                   const placement::EngineHoldings& holdings)
 {
     m_leader->engines.onHeartbeat (instance, holdings, m_now);
     m_leader->enginePlacement.request();
@@ -100,7 +100,7 @@
         holdings.models = sighting.models;
         holdings.inMemory.insert (sighting.inMemory.begin(), sighting.inMemory.end());
         holdings.onDisk.insert (sighting.onDisk.begin(), sighting.onDisk.end());
-        takeHoldings (sighting.instance, std::move (holdings));
+        takeHoldings (sighting.instance, holdings);
     }
     m_leader->instanceTable.request();
 }
--- a/src/proxy/ControllerPreference.cpp
+++ b/src/proxy/ControllerPreference.cpp
@@ -28,6 +28,7 @@
     }
     std::ranges::sort (ranked, {}, &decltype (ranked)::value_type::first);
     std::vector<base::SocketAddress> addresses;
+    addresses.reserve (ranked.size());
     for (auto& [rank, address] : ranked)
         addresses.push_back (std::move (address));
     return addresses;
