--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -194,12 +194,14 @@
     std::vector<HeldModel> models;
     std::vector<std::string> inMemory;  ///< Models it can load from its host memory.
     std::vector<std::string> onDisk;    ///< Models it can load from its own disk.
+    /// The instance itself, as long as the cell does not know it; else empty.
+    std::vector<ServiceInstance> first{};
 
     bool operator== (const InstanceSighting&) const = default;
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
-        archive& instance& sequence& hasHoldings& models& inMemory& onDisk;
+        archive& instance& sequence& hasHoldings& models& inMemory& onDisk& first;
     }
 };
 
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -433,7 +433,8 @@
     /// No more often than this do changes of the table go out.
     [[nodiscard]] static base::Duration tableInterval (std::size_t routers, std::size_t rows);
     void onSightings (const cell::InstanceSightings& sightings);
-    void takeHoldings (const std::string& instance, const placement::EngineHoldings& holdings);
+    void takeHeartbeat (const InstanceHeartbeat& heartbeat);
+    [[nodiscard]] cell::AddInstance additionOf (const InstanceHeartbeat& heartbeat) const;
     [[nodiscard]] cell::InstanceUpdate instanceUpdateSince (std::uint64_t version) const;
     void runInstanceRoutine();
     /// Proposes what changed of runners' holdings, so that the next leader knows it.
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -37,26 +37,16 @@
 void ControllerCore::Implementation::control (ControlTicket ticket,
                                               const InstanceHeartbeat& heartbeat)
 {
-    if (m_leader->instances.onHeartbeat (heartbeat, m_now))
-    {
-        placement::EngineHoldings holdings;
-        holdings.models = heartbeat.models;
-        holdings.inMemory.insert (heartbeat.inMemory.begin(), heartbeat.inMemory.end());
-        holdings.onDisk.insert (heartbeat.onDisk.begin(), heartbeat.onDisk.end());
-        takeHoldings (heartbeat.instance.id, holdings);
-    }
+    takeHeartbeat (heartbeat);
     m_leader->instanceTable.request();
     const cell::ServiceInstance* known = m_state.instances().find (heartbeat.instance.id);
     const Leaving leaving{ heartbeat.instance.id, false };
     if (known == nullptr)
     {
-        cell::ServiceInstance instance = heartbeat.instance;
-        instance.isReported = true;
-        instance.models = heartbeat.models;
         const Purpose purpose = heartbeat.instance.isDraining
                                     ? Purpose (ForLeavingInstance{ ticket, leaving })
                                     : Purpose (ForControl{ ticket });
-        proposeFor (ticket, cell::AddInstance{ std::move (instance), cellTime() }, purpose);
+        proposeFor (ticket, additionOf (heartbeat), purpose);
     }
     else if (heartbeat.instance.isDraining && ! known->isDraining)
     {
@@ -74,15 +64,30 @@
     }
 }
 
-void ControllerCore::Implementation::takeHoldings (const std::string& instance,
-                                                   const placement::EngineHoldings& holdings)
+void ControllerCore::Implementation::takeHeartbeat (const InstanceHeartbeat& heartbeat)
 {
-    m_leader->engines.onHeartbeat (instance, holdings, m_now);
+    if (! m_leader->instances.onHeartbeat (heartbeat, m_now))
+        return;
+    placement::EngineHoldings holdings;
+    holdings.models = heartbeat.models;
+    holdings.inMemory.insert (heartbeat.inMemory.begin(), heartbeat.inMemory.end());
+    holdings.onDisk.insert (heartbeat.onDisk.begin(), heartbeat.onDisk.end());
+    m_leader->engines.onHeartbeat (heartbeat.instance.id, holdings, m_now);
     m_leader->enginePlacement.request();
 }
 
+cell::AddInstance ControllerCore::Implementation::additionOf (
+    const InstanceHeartbeat& heartbeat) const
+{
+    cell::ServiceInstance instance = heartbeat.instance;
+    instance.isReported = true;
+    instance.models = heartbeat.models;
+    return { std::move (instance), cellTime() };
+}
+
 void ControllerCore::Implementation::onSightings (const cell::InstanceSightings& sightings)
 {
+    bool hasAdded = false;
     for (const cell::InstanceSighting& sighting : sightings.sightings)
     {
         if (! sighting.hasHoldings)
@@ -91,18 +96,18 @@
             continue;
         }
         const cell::ServiceInstance* known = m_state.instances().find (sighting.instance);
-        if (known == nullptr)
-            continue;
-        if (! m_leader->instances.onHeartbeat (
-                { *known, sighting.sequence, sighting.models, {}, {} }, m_now))
+        if (known == nullptr && sighting.first.empty())
             continue;
-        placement::EngineHoldings holdings;
-        holdings.models = sighting.models;
-        holdings.inMemory.insert (sighting.inMemory.begin(), sighting.inMemory.end());
-        holdings.onDisk.insert (sighting.onDisk.begin(), sighting.onDisk.end());
-        takeHoldings (sighting.instance, holdings);
+        const InstanceHeartbeat heartbeat{ known == nullptr ? sighting.first.front() : *known,
+                                           sighting.sequence, sighting.models, sighting.inMemory,
+                                           sighting.onDisk };
+        takeHeartbeat (heartbeat);
+        if (known == nullptr)
+            hasAdded = propose (additionOf (heartbeat), ForNothing{}) || hasAdded;
     }
     m_leader->instanceTable.request();
+    if (hasAdded)
+        drain();
 }
 
 void ControllerCore::Implementation::control (ControlTicket ticket,
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -143,14 +143,15 @@
 
 bool ControllerCore::Implementation::relayHeartbeat (const InstanceHeartbeat& heartbeat)
 {
+    m_relay->hasRunners = true;
+    runRelay();
     const cell::ServiceInstance* known = m_state.instances().find (heartbeat.instance.id);
-    // What changes the state of the cell is the leader's to decide.
-    const bool isPlain = known != nullptr && known->isReported && ! known->isDraining
-                         && ! heartbeat.instance.isDraining
-                         && known->address == heartbeat.instance.address;
-    if (! isPlain || ! m_relay->session.isConnected() || relayedLeaseEnd() <= m_now)
+    // The acknowledgement of a drain is a promise, and the leader's to give.
+    const bool isPlain =
+        ! heartbeat.instance.isDraining && (known == nullptr || ! known->isDraining);
+    if (! isPlain || ! m_relay->session.isConnected())
         return false;
-    m_relay->heartbeats.add (heartbeat, m_now);
+    m_relay->heartbeats.add (heartbeat, known != nullptr, m_now);
     runRelay();
     return true;
 }
@@ -172,7 +173,8 @@
 
 void ControllerCore::Implementation::followLeader()
 {
-    const bool isNeeded = m_relay->session.isConnected() || ! m_relay->sessions.sessions().empty();
+    const bool isNeeded = m_relay->session.isConnected() || m_relay->hasRunners
+                          || ! m_relay->sessions.sessions().empty();
     if (! isNeeded || m_status.leader == 0 || m_status.leader == m_self)
         return;
     const std::string address = peerAddressOf (m_status.leader);
--- a/src/controller/ControllerRelayTest.cpp
+++ b/src/controller/ControllerRelayTest.cpp
@@ -166,6 +166,29 @@
         seconds (2)));
 }
 
+TEST_F (ControllerRelayTest, AnyControllerTakesTheFirstHeartbeatOfARunner)
+{
+    ASSERT_TRUE (apply (1));
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allServe (1); }, seconds (2)));
+    const auto taken = m_cell.askControl (m_follower, heartbeat (1, { { "m1", 1, {} } }));
+    ASSERT_TRUE (taken);
+    EXPECT_EQ (taken->verdict, ControlVerdict::kDone);
+    EXPECT_TRUE (m_cell.runUntil ([&] { return m_cell.router (0).instances.contains ("i-1"); },
+                                  seconds (1)));
+}
+
+TEST_F (ControllerRelayTest, ARunnerThatHasLeftDoesNotComeBackByALateHeartbeat)
+{
+    ASSERT_TRUE (apply (1));
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allServe (1); }, seconds (2)));
+    ASSERT_TRUE (m_cell.askControl (m_leader, heartbeat (1)));
+    ASSERT_TRUE (m_cell.askControl (m_leader, InstanceDeregistration{ "i-1" }));
+    m_cell.run (milliseconds (500));
+    m_cell.askControl (m_follower, heartbeat (2));
+    m_cell.run (seconds (1));
+    EXPECT_FALSE (m_cell.router (0).instances.contains ("i-1"));
+}
+
 TEST_F (ControllerRelayTest, ADrainIsForTheLeader)
 {
     ASSERT_TRUE (apply (1));
--- a/src/controller/HeartbeatBatch.cpp
+++ b/src/controller/HeartbeatBatch.cpp
@@ -23,17 +23,23 @@
 
 }  // namespace
 
-void HeartbeatBatch::add (const InstanceHeartbeat& heartbeat, base::TimePoint now)
+void HeartbeatBatch::add (const InstanceHeartbeat& heartbeat, bool isKnown, base::TimePoint now)
 {
     const std::string& id = heartbeat.instance.id;
-    cell::InstanceSighting sighting{
-        id, heartbeat.sequence, true, heartbeat.models, heartbeat.inMemory, heartbeat.onDisk
-    };
+    cell::InstanceSighting sighting;
+    sighting.instance = id;
+    sighting.sequence = heartbeat.sequence;
+    sighting.hasHoldings = true;
+    sighting.models = heartbeat.models;
+    sighting.inMemory = heartbeat.inMemory;
+    sighting.onDisk = heartbeat.onDisk;
+    if (! isKnown)
+        sighting.first = { heartbeat.instance };
     cell::InstanceSighting& waiting = m_waiting[id];
     if (waiting.sequence > sighting.sequence)
         return;
     const auto told = m_told.find (id);
-    const bool isNews = told == m_told.end() || now - told->second.at >= kRepeatAfter
+    const bool isNews = ! isKnown || told == m_told.end() || now - told->second.at >= kRepeatAfter
                         || ! isSameHoldings (told->second.sighting, sighting);
     if (isNews)
     {
--- a/src/controller/HeartbeatBatch.h
+++ b/src/controller/HeartbeatBatch.h
@@ -22,7 +22,8 @@
 class HeartbeatBatch
 {
 public:
-    void add (const InstanceHeartbeat& heartbeat, base::TimePoint now);
+    /** `isKnown`: the cell knows the instance; else it is told whole. */
+    void add (const InstanceHeartbeat& heartbeat, bool isKnown, base::TimePoint now);
     /** The leader is another one, or has forgotten: holdings are told anew. */
     void tellAll() { m_told.clear(); }
     /** What is due; nothing when there is none. */
--- a/src/controller/RelayPartsTest.cpp
+++ b/src/controller/RelayPartsTest.cpp
@@ -125,27 +125,40 @@
 TEST (HeartbeatBatch, HoldingsAreToldAtOnceWhenTheyChangeAndElseOnlyThatItLives)
 {
     HeartbeatBatch batch;
-    batch.add (heartbeat (1, "m1"), at (0));
+    batch.add (heartbeat (1, "m1"), true, at (0));
     const auto first = batch.takeDue (at (0));
     ASSERT_EQ (first.size(), 1U);
     EXPECT_TRUE (first[0].hasHoldings);
-    batch.add (heartbeat (2, "m1"), at (100));
+    batch.add (heartbeat (2, "m1"), true, at (100));
     EXPECT_TRUE (batch.takeDue (at (100)).empty());
     const auto second = batch.takeDue (at (300));
     ASSERT_EQ (second.size(), 1U);
     EXPECT_FALSE (second[0].hasHoldings);
     EXPECT_EQ (second[0].sequence, 2U);
-    batch.add (heartbeat (3, "m2"), at (310));
+    batch.add (heartbeat (3, "m2"), true, at (310));
     const auto third = batch.takeDue (at (310));
     ASSERT_EQ (third.size(), 1U);
     EXPECT_EQ (third[0].models[0].model, "m2");
 }
 
+TEST (HeartbeatBatch, AnInstanceThatTheCellDoesNotKnowIsToldWholeEachTime)
+{
+    HeartbeatBatch batch;
+    for (const std::uint64_t sequence : { 1U, 2U })
+    {
+        batch.add (heartbeat (sequence, "m1"), false, at (0));
+        const auto due = batch.takeDue (at (0));
+        ASSERT_EQ (due.size(), 1U);
+        ASSERT_EQ (due[0].first.size(), 1U);
+        EXPECT_EQ (due[0].first[0].id, "i-1");
+    }
+}
+
 TEST (HeartbeatBatch, ALateHeartbeatDoesNotReplaceANewerOne)
 {
     HeartbeatBatch batch;
-    batch.add (heartbeat (5, "m2"), at (0));
-    batch.add (heartbeat (4, "m1"), at (1));
+    batch.add (heartbeat (5, "m2"), true, at (0));
+    batch.add (heartbeat (4, "m1"), true, at (1));
     const auto due = batch.takeDue (at (2));
     ASSERT_EQ (due.size(), 1U);
     EXPECT_EQ (due[0].sequence, 5U);
--- a/src/controller/RouterRelay.h
+++ b/src/controller/RouterRelay.h
@@ -50,6 +50,7 @@
     bool needsWholeTable = false;  ///< A change came that does not fit.
     EngineDemandSum demands;
     HeartbeatBatch heartbeats;
+    bool hasRunners = false;                  ///< Some send their heartbeats here.
     PacedWork instanceTable;                  ///< Routers may have to hear of instances.
     PacedWork configurationSend;              ///< Routers may have to be sent the configuration.
     std::uint64_t announcedVersion = 0;       ///< Configuration that routers were to be sent last.
