--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -33,8 +33,8 @@
 /// Loading ahead of requests may cost this much beside the load itself.
 constexpr double kHighestFetchCost = 2.0;
 /// Engines for each that is blocked by a load which nobody waits for. The others go on changing
-/// models for those who wait; where many load at once as traffic begins, none is left for that
-/// (nine engines, five of them loading: a quarter of the rare requests earned in place of 0.4).
+/// models for those who wait. Without this bound five of nine engines were loading when requests
+/// began, and 15 of 88 requests for rare models were answered in time in place of 37 (one play each).
 constexpr std::size_t kEnginesForFetch = 12;
 /// The same before anybody has asked for a model: loads that begin then may not be done when the
 /// first requests come.
