--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -34,7 +34,8 @@
 constexpr double kHighestFetchCost = 2.0;
 /// Engines for each that is blocked by a load which nobody waits for. The others go on changing
 /// models for those who wait. Without this bound five of nine engines were loading when requests
-/// began, and 15 of 88 requests for rare models were answered in time in place of 37 (one play each).
+/// began, and 15 of 88 requests for rare models were answered in time in place of 37 (one play
+/// each).
 constexpr std::size_t kEnginesForFetch = 12;
 /// The same before anybody has asked for a model: loads that begin then may not be done when the
 /// first requests come.
