Work out a router's preferred controller when the table comes, not at every tick

Read over: each router ranked all controllers (parsing and hashing nine addresses) every 25 ms only to find that it is where it wants to be. The first of the ranking is now kept when the table that names them comes. replyNotLeader calls peerAddressOf in place of a loop of its own; an unused include goes.

--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -422,13 +422,7 @@
 
 void ControllerCore::Implementation::replyNotLeader (RouterConnection connection)
 {
-    cell::NotLeaderReply reply;
-    for (const consensus::Member& member : m_raft.members().members)
-    {
-        if (member.id == m_status.leader)
-            reply.leaderAddress = member.peerAddress;
-    }
-    sendToRouter (connection, std::move (reply));
+    sendToRouter (connection, cell::NotLeaderReply{ peerAddressOf (m_status.leader) });
 }
 
 void ControllerCore::Implementation::sendToRouter (RouterConnection connection,
--- a/src/placement/EngineNeeds.cpp
+++ b/src/placement/EngineNeeds.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <utility>
 
 #include "placement/EnginePlacement.h"
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -259,8 +259,12 @@
                                                { "changed", update.upserts.size() },
                                                { "removed", update.removals.size() },
                                                { "runners", m_directory.size() } });
-    m_link.setControllers (
-        preferredControllers (update.controllers, m_settings.id, m_settings.zone));
+    std::vector<base::SocketAddress> preferred =
+        preferredControllers (update.controllers, m_settings.id, m_settings.zone);
+    m_preferredController.reset();
+    if (! preferred.empty())
+        m_preferredController = preferred.front();
+    m_link.setControllers (std::move (preferred));
     limitRetries();
     m_server.onDirectoryChanged();
     if (! update.mustConfirm)
@@ -272,14 +276,12 @@
 void ProxyProcess::moveToPreferred()
 {
     const base::TimePoint now = m_clock.now();
-    const std::vector<base::SocketAddress> preferred =
-        preferredControllers (m_directory.controllers(), m_settings.id, m_settings.zone);
-    const bool isThere = preferred.empty() || preferred.front() == m_link.address();
+    const bool isThere = ! m_preferredController || *m_preferredController == m_link.address();
     if (isThere || ! m_hasController || now < m_moveAt)
         return;
     m_moveAt = now + kMovePause
                + base::Duration (m_random.uniformInteger (0, base::Duration (kMovePause).count()));
-    m_session.goTo (preferred.front().toString(), now);
+    m_session.goTo (m_preferredController->toString(), now);
     pollController();
 }
 
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -100,6 +100,7 @@
     std::optional<base::TimePoint> m_stopBegan;
     bool m_isRefusing = false;
     bool m_hasController = false;
+    std::optional<base::SocketAddress> m_preferredController;  ///< None before the first table.
     base::TimePoint m_moveAt{};  ///< Not to another controller before.
     bool m_isFinished = false;
     http::Metrics m_metrics;
