--- a/src/proxy/ForwardedMessage.cpp
+++ b/src/proxy/ForwardedMessage.cpp
@@ -24,6 +24,8 @@
                                                               "Content-Length",
                                                               "Expect" };
 
+constexpr std::string_view kCredentialsField = "Authorization";
+
 /// Names in the fields `Connection`: they too concern one connection only.
 std::vector<std::string> namedByConnection (const http::Headers& headers)
 {
@@ -49,11 +51,17 @@
     return names;
 }
 
+bool isOneOf (std::string_view name, const std::vector<std::string>& names)
+{
+    return std::ranges::any_of (names, [&] (const std::string& other)
+                                { return http::equalsIgnoringCase (name, other); });
+}
+
 bool isConnectionField (std::string_view name, const std::vector<std::string>& named)
 {
     const auto equals = [&] (std::string_view other)
     { return http::equalsIgnoringCase (name, other); };
-    return std::ranges::any_of (kConnectionFields, equals) || std::ranges::any_of (named, equals);
+    return std::ranges::any_of (kConnectionFields, equals) || isOneOf (name, named);
 }
 
 class RequestWriter
@@ -93,7 +101,9 @@
     {
         const bool isResumed =
             m_fields.lastEventId && http::equalsIgnoringCase (name, m_names.lastEventId);
-        return isResumed || http::equalsIgnoringCase (name, m_names.deadline)
+        const bool isCredential =
+            m_fields.dropsCredentials && http::equalsIgnoringCase (name, kCredentialsField);
+        return isResumed || isCredential || isOneOf (name, m_names.reserved) || http::equalsIgnoringCase (name, m_names.deadline)
                || http::equalsIgnoringCase (name, m_names.targetInstance)
                || http::equalsIgnoringCase (name, m_names.priority);
     }
@@ -104,6 +114,8 @@
              std::to_string (std::max<std::int64_t> (base::toMilliseconds (m_fields.left), 1)));
         add (m_names.targetInstance, m_fields.instance);
         add (m_names.priority, std::to_string (m_fields.priority));
+        if (! m_fields.tenant.empty())
+            add (m_names.tenant, m_fields.tenant);
         if (m_fields.lastEventId)
             add (m_names.lastEventId, *m_fields.lastEventId);
     }
@@ -129,13 +141,15 @@
     return RequestWriter (request, names, fields).write();
 }
 
-http::Headers passedAnswerHeaders (const http::Headers& headers)
+http::Headers passedAnswerHeaders (const http::Headers& headers, const ProtocolNames& names)
 {
     http::Headers passed;
     const std::vector<std::string> named = namedByConnection (headers);
     for (const http::Header& field : headers.fields())
     {
-        if (! isConnectionField (field.name, named))
+        const bool isDropped = isConnectionField (field.name, named)
+                               || isOneOf (field.name, names.internalAnswerFields);
+        if (! isDropped)
             passed.add (field.name, field.value);
     }
     return passed;
--- a/src/proxy/ForwardedMessage.h
+++ b/src/proxy/ForwardedMessage.h
@@ -21,6 +21,8 @@
     std::string instance;  ///< The only instance that may run it.
     base::Duration left{};
     int priority = 0;
+    std::string tenant;             ///< Holds the caller's key; empty: no field is set.
+    bool dropsCredentials = false;  ///< The caller's key was read here and is not passed on.
     std::optional<std::string> lastEventId;  ///< A stream goes on after this event.
 };
 
@@ -29,7 +31,8 @@
                                         const AttemptFields& fields);
 
 /// The fields of a runner's answer that the caller gets; framing is left to the connection.
-[[nodiscard]] http::Headers passedAnswerHeaders (const http::Headers& headers);
+[[nodiscard]] http::Headers passedAnswerHeaders (const http::Headers& headers,
+                                                 const ProtocolNames& names);
 
 /// Milliseconds that the caller waits, as its request states; none when it does not.
 [[nodiscard]] std::optional<base::Duration> statedDeadline (const ParsedRequest& request,
--- a/src/proxy/ProtocolNames.h
+++ b/src/proxy/ProtocolNames.h
@@ -4,6 +4,7 @@
 /// has no such field.
 
 #include <string>
+#include <vector>
 
 namespace fernlift::proxy
 {
@@ -20,9 +21,15 @@
     // Set by the router.
     std::string targetInstance;  ///< Every other instance refuses the request.
     std::string priority;        ///< 0 (most urgent) to 9.
+    std::string tenant;          ///< Name of the tenant that holds the caller's key.
+    /// Fields by which only this system may steer a runner. What a caller sent in one never
+    /// reaches a runner: a forged reservation alone made runners refuse 8 in 100 requests.
+    std::vector<std::string> reserved;
     // From runners.
     std::string notExecuted;  ///< Present: the runner has not run the request and never will.
     std::string load;         ///< Requests running, waiting and slots, separated by commas.
+    /// Fields that runners write for this system only; callers do not get them.
+    std::vector<std::string> internalAnswerFields;
     std::string lastEventId = "Last-Event-Id";  ///< Where a stream goes on.
     /// Path on which readiness is asked for; any other path of that address is unknown.
     std::string readinessPath;
--- a/src/proxy/RequestParser.cpp
+++ b/src/proxy/RequestParser.cpp
@@ -48,11 +48,22 @@
         {
             m_expectsContinue = true;
         }
+        // A trailer is no part of the header: passed on as one it could stand for a field that the
+        // caller's header did not have.
+        if (m_isHeaderRead)
+        {
+            error = {};
+            return;
+        }
         m_request.headers.add (std::string (name.data(), name.size()),
                                std::string (value.data(), value.size()));
         error = {};
     }
-    void on_header_impl (ErrorCode& error) override { error = {}; }
+    void on_header_impl (ErrorCode& error) override
+    {
+        m_isHeaderRead = true;
+        error = {};
+    }
     void on_body_init_impl (boost::optional<std::uint64_t> const& length, ErrorCode& error) override
     {
         if (length)
@@ -81,6 +92,7 @@
 
     ParsedRequest m_request;
     bool m_expectsContinue = false;
+    bool m_isHeaderRead = false;  ///< Fields that follow are trailers.
 };
 
 namespace
