Ask for the key of a tenant and tell runners its name

Cause: the product knew no tenants: keys were passed on to runners, unknown and revoked keys were served. A running stream of a key that is taken away goes on to its end.

--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -46,6 +46,8 @@
                  kExitConflict, "The request is older than the window in which keys are kept." },
     ErrorTraits{ kAlreadyRun, "already_run", 409, kRan, false, kExitConflict,
                  "The request with this key was performed; this repetition was not." },
+    ErrorTraits{ kKeyUnknown, "key_unknown", 401, kNotRun, false, kExitInvalidInput,
+                 "The request carries no API key that a tenant holds." },
     ErrorTraits{ kQueueFull, "queue_full", 429, kNotRun, true, kExitUnavailable,
                  "Too many requests wait for this model or class." },
     ErrorTraits{ kDeadlineUnreachable, "deadline_unreachable", 503, kNotRun, true, kExitUnavailable,
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -29,6 +29,7 @@
     kIdempotencyKeyConflict,
     kIdempotencyWindowPassed,
     kAlreadyRun,
+    kKeyUnknown,
     // Refusals: the request was not run.
     kQueueFull,
     kDeadlineUnreachable,
--- a/src/config/ServiceCatalogue.cpp
+++ b/src/config/ServiceCatalogue.cpp
@@ -41,6 +41,8 @@
     {
         for (const Route& route : m_catalogue.routes)
             check (route);
+        for (std::string& problem : findTenantProblems (m_catalogue.tenants))
+            m_problems.push_back (std::move (problem));
         return std::move (m_problems);
     }
 
--- a/src/config/ServiceCatalogue.h
+++ b/src/config/ServiceCatalogue.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/Time.h"
+#include "config/Tenants.h"
 
 namespace fernlift::config
 {
@@ -45,6 +46,7 @@
     base::Duration gapTarget{};      ///< Streams: longest pause between events that is in time.
     int priority = 0;                ///< 0 is the most urgent.
     std::uint32_t maximumAttempts = 1;
+    bool isPublic = false;  ///< Needs no key, also where there are tenants.
     std::vector<RouteBackend> backends;
 
     bool operator== (const Route&) const = default;
@@ -114,6 +116,8 @@
     ClientLimits limits;
     std::vector<Route> routes;
     std::vector<Service> services;
+    bool requiresKeys = false;  ///< Requests carry the key of a tenant, but on public routes.
+    std::vector<Tenant> tenants;
 
     bool operator== (const ServiceCatalogue&) const = default;
     /// The service of that name; null if there is none.
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -68,10 +68,11 @@
         return false;
     }
     const bool isConfirmed = freshness == Freshness::kConfirmed;
+    m_tenant = nullptr;
     m_routes = isConfirmed ? m_context.routes : nullptr;
     m_route =
         m_routes ? m_routes->find (m_request.headers.value ("Host"), m_request.path()) : nullptr;
-    if (m_route == nullptr && ! (isConfirmed && m_context.areRoutesConfirmed))
+    if (m_route == nullptr && ! areRoutesCurrent())
     {
         waitForRoutes();
         return false;
@@ -83,6 +84,8 @@
         sendError ({ ErrorKind::kNotFound, "no route leads there" }, std::nullopt);
         return false;
     }
+    if (! authenticate())
+        return false;
     m_deadline = m_arrivedAt + std::min (m_stated, m_route->timeout);
     m_query.service = RouteTable::chooseService (*m_route, m_context.random.uniformReal());
     readModel();
@@ -90,6 +93,25 @@
     return true;
 }
 
+bool Exchange::areRoutesCurrent() const { return m_routes && m_context.areRoutesConfirmed; }
+
+bool Exchange::authenticate()
+{
+    if (! m_routes->catalogue().requiresKeys)
+        return true;
+    m_tenant = m_routes->tenantOf (m_request.headers);
+    if (m_tenant != nullptr || m_route->isPublic)
+        return true;
+    if (! areRoutesCurrent())
+    {
+        waitForRoutes();
+        return false;
+    }
+    logEnd (log::Event::kRequestRefused, "no tenant holds the key");
+    sendError ({ ErrorKind::kKeyUnknown, "no tenant holds the key" }, std::nullopt);
+    return false;
+}
+
 /// A router that has just started, or that has lost the leader, hears of the configuration in a
 /// moment.
 void Exchange::waitForRoutes()
@@ -203,6 +225,12 @@
     fields.left =
         std::max<base::Duration> (m_deadline - now() - kAnswerTravel, base::milliseconds (1));
     fields.priority = m_route->priority;
+    fields.dropsCredentials = m_routes->catalogue().requiresKeys;
+    if (m_tenant != nullptr)
+    {
+        fields.tenant = m_tenant->name;
+        fields.priority = m_tenant->priority.value_or (m_route->priority);
+    }
     if (m_events)
         fields.lastEventId = m_events->lastId();
     http::BackEndConnection::Call call;
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -59,6 +59,10 @@
     [[nodiscard]] base::TimePoint now() const { return m_context.clock.now(); }
     /// Finds the route; false when the request ended or waits for a configuration.
     bool findRoute();
+    /// Reads the caller's key; false when the request ended or waits for a configuration.
+    bool authenticate();
+    /// Whether what is missing in the routes held is missing in the configuration in force too.
+    [[nodiscard]] bool areRoutesCurrent() const;
     void waitForRoutes();
     void readModel();
     void tryNext();
@@ -96,6 +100,7 @@
     std::function<void (Exchange&)> m_onEnd;
     std::shared_ptr<const RouteTable> m_routes;
     const config::Route* m_route = nullptr;
+    const config::Tenant* m_tenant = nullptr;  ///< Of `m_routes`; null where no key is needed.
     InstanceQuery m_query;
     EngineTarget m_target;
     base::TimePoint m_arrivedAt{};
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -31,6 +31,7 @@
     log::write (event, { { "request", m_request.headers.value (m_context.names.requestId) },
                          { "route", m_route == nullptr ? std::string() : m_route->name },
                          { "configuration", m_routes ? m_routes->version() : 0 },
+                         { "tenant", m_tenant == nullptr ? std::string() : m_tenant->name },
                          { "service", m_query.service },
                          { "model", m_query.model },
                          { "adapter", m_query.adapter },
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -35,6 +35,72 @@
     EXPECT_NE (caller.received().find ("X-Own: 1\r\n"), std::string::npos);
 }
 
+/// The catalogue with one tenant, on all routes but the public "once.test".
+config::ServiceCatalogue catalogueWithTenant (const std::string& key)
+{
+    config::ServiceCatalogue catalogue = ProxyFixture::catalogue();
+    catalogue.requiresKeys = true;
+    config::Tenant tenant;
+    tenant.name = "farm";
+    tenant.keys = { key };
+    tenant.priority = 7;
+    catalogue.tenants = { tenant };
+    catalogue.routes[1].isPublic = true;
+    return catalogue;
+}
+
+TEST_F (ExchangeTest, AKnownKeyIsReplacedByTheNameAndPriorityOfItsTenant)
+{
+    proxy.context.routes = std::make_shared<const RouteTable> (2, catalogueWithTenant ("k1"));
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test", "r1", "Authorization: Bearer k1\r\n"));
+    ASSERT_TRUE (runner.waitForRequest (0, "body"));
+    const std::string& received = runner.connections[0]->received;
+    EXPECT_EQ (received.find ("k1"), std::string::npos);
+    EXPECT_NE (received.find ("Test-Tenant: farm\r\n"), std::string::npos);
+    EXPECT_NE (received.find ("Test-Priority: 7\r\n"), std::string::npos);
+}
+
+TEST_F (ExchangeTest, ARequestWithoutAKnownKeyReachesNoRunner)
+{
+    proxy.context.routes = std::make_shared<const RouteTable> (2, catalogueWithTenant ("k1"));
+    proxy.addRunner ("i-1", runner);
+    RawCaller without (proxy.listening);
+    without.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (without.waitFor ("HTTP/1.1 401"));
+    RawCaller unknown (proxy.listening);
+    unknown.write (ProxyFixture::request ("app.test", "r1", "Authorization: Bearer k2\r\n"));
+    ASSERT_TRUE (unknown.waitFor ("HTTP/1.1 401"));
+    EXPECT_TRUE (runner.connections.empty());
+}
+
+TEST_F (ExchangeTest, APublicRouteNeedsNoKeyAndPassesNoneOn)
+{
+    proxy.context.routes = std::make_shared<const RouteTable> (2, catalogueWithTenant ("k1"));
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test", "r1", "Authorization: Bearer other\r\n"));
+    ASSERT_TRUE (runner.waitForRequest (0, "body"));
+    EXPECT_EQ (runner.connections[0]->received.find ("other"), std::string::npos);
+    EXPECT_EQ (runner.connections[0]->received.find ("Test-Tenant"), std::string::npos);
+}
+
+TEST_F (ExchangeTest, AnUnknownKeyWaitsUntilALeaderHasConfirmedTheConfiguration)
+{
+    proxy.context.routes = std::make_shared<const RouteTable> (2, catalogueWithTenant ("k1"));
+    proxy.context.areRoutesConfirmed = false;
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test", "r1", "Authorization: Bearer k2\r\n"));
+    runFor (std::chrono::milliseconds (50));
+    EXPECT_TRUE (caller.received().empty());
+    proxy.context.routes = std::make_shared<const RouteTable> (3, catalogueWithTenant ("k2"));
+    proxy.context.areRoutesConfirmed = true;
+    proxy.server.onDirectoryChanged();
+    ASSERT_TRUE (runner.waitForRequest (0, "body"));
+}
+
 TEST_F (ExchangeTest, AChunkedAnswerCutAtAChunkIsNeverWhole)
 {
     proxy.addRunner ("i-1", runner);
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -123,6 +123,7 @@
         names.promptTokens = "Test-Tokens";
         names.targetInstance = "Test-Target";
         names.priority = "Test-Priority";
+        names.tenant = "Test-Tenant";
         names.notExecuted = "Test-Not-Executed";
         names.load = "Test-Load";
         names.readinessPath = "/ready";
--- a/src/proxy/RouteTable.cpp
+++ b/src/proxy/RouteTable.cpp
@@ -21,7 +21,7 @@
 }  // namespace
 
 RouteTable::RouteTable (std::uint64_t version, config::ServiceCatalogue catalogue)
-    : m_version (version), m_catalogue (std::move (catalogue))
+    : m_version (version), m_catalogue (std::move (catalogue)), m_keys (m_catalogue.tenants)
 {
     for (const config::Route& route : m_catalogue.routes)
     {
--- a/src/proxy/RouteTable.h
+++ b/src/proxy/RouteTable.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "config/ServiceCatalogue.h"
+#include "proxy/KeyTable.h"
 
 namespace fernlift::proxy
 {
@@ -26,6 +27,12 @@
     /// The service of a backend of the route, chosen by weight with `draw` from [0, 1).
     [[nodiscard]] static const std::string& chooseService (const config::Route& route, double draw);
 
+    /// The tenant whose key a request carries; null if there is none.
+    [[nodiscard]] const config::Tenant* tenantOf (const http::Headers& headers) const
+    {
+        return m_keys.tenantOf (headers);
+    }
+
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     [[nodiscard]] const config::ServiceCatalogue& catalogue() const { return m_catalogue; }
 
@@ -34,6 +41,7 @@
 
     std::uint64_t m_version;
     config::ServiceCatalogue m_catalogue;
+    KeyTable m_keys;  ///< Of the tenants of the catalogue.
     std::map<std::string, RoutesByPrefix, std::less<>> m_hosts;
 };
 
