Keep quotas of tenants over all routers

Cause: nothing bounded what a tenant sends: one ran 8.7 million tokens in 8 s where 6.1 million are allowed. Change: module quota. Routers ask their controller for the units of each request; a controller grants from its own part of the limit (half of it over all controllers) and asks the leader, which holds the other half, for what that does not cover. Units end 50 ms to 1.5 s after they were asked for; buckets are not replicated, a new one begins with a twentieth of the tolerance; a bucket passes a claim of any size while anything is left, within a bounded debt. Without a grant for 60 ms a router draws on its own equal part. Over the quota: 429 with the time at which units will be there. QuotaWindowS, QuotaOvershoot and QuotaSlack reach router and controller as settings. Placement counts a request once it is admitted. DecayingRate moved to base.

--- a/src/placement/DecayingRate.h
+++ b/src/base/DecayingRate.h
@@ -3,15 +3,14 @@
 /**
  * A rate of events, weighted by how long ago they were.
  *
- * Placement asks how often a model is wanted: over seconds, to follow a burst, and over a longer
- * time, to tell a model that is wanted now and then from one that nobody wants.
+ * For what follows demand: how often a model is wanted, how much of its quota a tenant uses.
  */
 
 #include <cmath>
 
 #include "base/Time.h"
 
-namespace fernlift::placement
+namespace fernlift::base
 {
 
 /** Pure: time is passed in. Threading: none. */
@@ -42,4 +41,4 @@
     base::TimePoint m_countedAt{};
 };
 
-}  // namespace fernlift::placement
+}  // namespace fernlift::base
--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -50,6 +50,8 @@
                  "The request carries no API key that a tenant holds." },
     ErrorTraits{ kQueueFull, "queue_full", 429, kNotRun, true, kExitUnavailable,
                  "Too many requests wait for this model or class." },
+    ErrorTraits{ kQuotaExceeded, "quota_exceeded", 429, kNotRun, true, kExitUnavailable,
+                 "The tenant has used up its quota." },
     ErrorTraits{ kDeadlineUnreachable, "deadline_unreachable", 503, kNotRun, true, kExitUnavailable,
                  "The request cannot be served before its deadline." },
     ErrorTraits{ kDeadlinePassed, "deadline_passed", 504, kNotRun, true, kExitUnavailable,
--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -32,6 +32,7 @@
     kKeyUnknown,
     // Refusals: the request was not run.
     kQueueFull,
+    kQuotaExceeded,
     kDeadlineUnreachable,
     kDeadlinePassed,
     kNoCapacity,
--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -12,6 +12,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "cell/Commands.h"
+#include "cell/QuotaMessages.h"
 #include "consensus/Messages.h"
 
 namespace fernlift::cell
@@ -231,9 +232,10 @@
     }
 };
 
-using RouterToController = std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest,
-                                        OutcomeReport, RunnerLeavingSeen, EngineDemandReport,
-                                        MemberJoinRequest, InstanceUnreachable, InstanceSightings>;
+using RouterToController =
+    std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest, OutcomeReport,
+                 RunnerLeavingSeen, EngineDemandReport, MemberJoinRequest, InstanceUnreachable,
+                 InstanceSightings, QuotaRequest>;
 
 /// This controller does not lead; try `leaderAddress` ("ip:port", empty when unknown).
 struct NotLeaderReply
@@ -479,7 +481,8 @@
     }
 };
 
-using ControllerToRouter = std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant,
-                                        ReplicaUpdate, ClaimReply, InstanceUpdate, MemberJoinReply>;
+using ControllerToRouter =
+    std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant, ReplicaUpdate, ClaimReply,
+                 InstanceUpdate, MemberJoinReply, QuotaGrant>;
 
 }  // namespace fernlift::cell
--- a/src/config/TenantsTest.cpp
+++ b/src/config/TenantsTest.cpp
@@ -1,8 +1,7 @@
-#include "config/Tenants.h"
-
 #include <gtest/gtest.h>
 
 #include "config/ServiceCatalogue.h"
+#include "config/Tenants.h"
 
 namespace fernlift::config
 {
@@ -19,7 +18,8 @@
 
 TEST (TenantsTest, SoundTenantsHaveNoProblems)
 {
-    EXPECT_TRUE (findTenantProblems ({ tenant ("farm", { "k1", "k2" }), tenant ("port", {}) }).empty());
+    EXPECT_TRUE (
+        findTenantProblems ({ tenant ("farm", { "k1", "k2" }), tenant ("port", {}) }).empty());
 }
 
 TEST (TenantsTest, AKeyOfTwoTenantsIsAProblemThatDoesNotTellTheKey)
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -65,6 +65,7 @@
 {
     m_raft.tick (m_now);
     drain();
+    takeTenants();
     runRelay();
     if (! m_leader)
         return;
--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -20,6 +20,7 @@
 #include "engine/EngineApi.h"
 #include "engine/ServiceEngine.h"
 #include "placement/EnginePlacement.h"
+#include "quota/QuotaTolerance.h"
 
 namespace fernlift::controller
 {
@@ -34,6 +35,7 @@
     base::CellId cell;
     consensus::RaftOptions raft;
     base::Duration routerLease = base::milliseconds (2000);
+    quota::QuotaTolerance quotaTolerance;  ///< Of the limits of tenants.
     base::Duration reportInterval = base::milliseconds (250);
     base::Duration machineListInterval = base::milliseconds (1000);
     base::Duration orderTimeout = base::milliseconds (2000);
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -35,6 +35,7 @@
 #include "controller/SnapshotSchedule.h"
 #include "placement/Placement.h"
 #include "placement/StorePace.h"
+#include "quota/QuotaLedger.h"
 
 namespace fernlift::controller
 {
@@ -167,6 +168,7 @@
           orders (options.orderTimeout, options.plantedFault),
           sessions (options.routerLease),
           instances (leadTerm, options.instanceSilence),
+          quotas (options.quotaTolerance),
           engines (std::move (engineOptions))
     {
     }
@@ -210,6 +212,8 @@
     std::map<base::ReplicaId, bool> usesStore;
     ReadyEstimates estimates;  ///< As last stated to routers.
     InstanceTable instances;
+    quota::QuotaLedger quotas;
+    QuotaBasis quotaBasis;  ///< Of what `quotas` counts.
     base::TimePoint nextHoldingsAt{};
     std::uint64_t announcedVersion = 0;  ///< Configuration that routers were to be sent last.
     PacedWork configurationSend;         ///< Routers may have to be sent the configuration.
@@ -358,6 +362,13 @@
                      const cell::LeaseRequest& request);
     /// The table of instances that a router must have stated before it gets a lease.
     [[nodiscard]] std::uint64_t requiredInstanceVersion() const;
+    /// What the parts of tenants' quotas are divided by now.
+    [[nodiscard]] QuotaBasis quotaBasis() const;
+    /// Counts the quotas of the tenants in force from now on. Before they are asked for, or they
+    /// would begin with little when traffic does.
+    void takeTenants();
+    /// Grants units of tenants' quotas to a router or a relay.
+    void grantQuota (RouterConnection connection, const cell::QuotaRequest& request);
     void onLeavingSeen (const cell::RunnerLeavingSeen& seen);
     /// Keeps a router that came while another member leads, or none, to tell it of the leader.
     void admitWatcher (RouterConnection connection, const cell::RouterHello& hello);
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -35,6 +35,11 @@
     {
         m_relay->demands.onReport (connection, demand->demands);
     }
+    else if (const auto* quota = std::get_if<cell::QuotaRequest> (&message))
+    {
+        if (auto answer = m_relay->quotas.onRequest (connection, *quota, m_now))
+            sendToRouter (connection, std::move (answer->grant));
+    }
     else if (std::holds_alternative<cell::InstanceUnreachable> (message)
              && m_relay->session.isConnected())
     {
@@ -139,6 +144,7 @@
     m_relay->unanswered.erase (connection);
     m_relay->sessions.close (connection);
     m_relay->demands.onRouterGone (connection);
+    m_relay->quotas.onRouterGone (connection);
 }
 
 bool ControllerCore::Implementation::relayHeartbeat (const InstanceHeartbeat& heartbeat)
@@ -167,6 +173,8 @@
         return;
     if (auto demands = m_relay->demands.takeDue (m_now); ! demands.empty())
         m_effects.emplace_back (SendToLeader{ cell::EngineDemandReport{ std::move (demands) } });
+    if (auto quota = m_relay->quotas.takeRequest (m_now))
+        m_effects.emplace_back (SendToLeader{ std::move (*quota) });
     if (auto sightings = m_relay->heartbeats.takeDue (m_now); ! sightings.empty())
         m_effects.emplace_back (SendToLeader{ cell::InstanceSightings{ std::move (sightings) } });
 }
@@ -222,6 +230,7 @@
     m_effects.emplace_back (SendToLeader{ std::move (hello) });
     m_relay->demands.tellAll();
     m_relay->heartbeats.tellAll();
+    m_relay->quotas.onLeaderLost();
     runRelay();
 }
 
@@ -230,6 +239,7 @@
     if (m_leader)
         return;
     m_relay->session.onLost (m_now, m_relay->random);
+    m_relay->quotas.onLeaderLost();
     runRelay();
 }
 
@@ -253,6 +263,11 @@
                 passLeaseOn (connection, *session, request);
         }
     }
+    else if (const auto* quota = std::get_if<cell::QuotaGrant> (&message))
+    {
+        for (QuotaRelay::Answer& answer : m_relay->quotas.onGrant (*quota, m_now))
+            sendToRouter (answer.router, std::move (answer.grant));
+    }
     else if (const auto* instances = std::get_if<cell::InstanceUpdate> (&message))
     {
         takeRelayedInstances (*instances);
@@ -303,7 +318,8 @@
 {
     const std::string id =
         "controller-" + std::to_string (m_self) + "-" + std::to_string (m_relaySeeds.bits());
-    m_relay.emplace (id, m_relaySeeds.bits(), m_options.routerLease, m_now);
+    m_relay.emplace (id, m_relaySeeds.bits(), m_options.routerLease, m_options.quotaTolerance,
+                     m_now);
 }
 
 RelayStatus ControllerCore::Implementation::relayStatus() const
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -76,6 +76,11 @@
         m_leader->enginePlacement.request();
         return;
     }
+    else if (const auto* quota = std::get_if<cell::QuotaRequest> (&message))
+    {
+        grantQuota (connection, *quota);
+        return;
+    }
     else if (const auto* unreachable = std::get_if<cell::InstanceUnreachable> (&message))
     {
         m_leader->instances.onUnreachable (unreachable->instance, m_now);
@@ -223,6 +228,41 @@
     sendToRouter (connection, std::move (grant));
 }
 
+QuotaBasis ControllerCore::Implementation::quotaBasis() const
+{
+    return { m_state.configuration().identity().version, m_raft.members().members.size() };
+}
+
+void ControllerCore::Implementation::takeTenants()
+{
+    const config::Catalogue* catalogue = m_state.configuration().catalogue();
+    if (catalogue == nullptr)
+        return;
+    const QuotaBasis basis = quotaBasis();
+    const std::vector<config::Tenant>& tenants = catalogue->services.tenants;
+    if (m_leader)
+    {
+        m_leader->quotas.setRouters (m_leader->sessions.countRouters(), m_now);
+        if (std::exchange (m_leader->quotaBasis, basis) == basis)
+            return;
+        m_leader->quotas.setPart (partOfLeader (basis.granters), m_now);
+        m_leader->quotas.setTenants (tenants, m_now);
+    }
+    else if (m_relay && std::exchange (m_relay->quotaBasis, basis) != basis)
+    {
+        m_relay->quotas.setTenants (tenants, basis.granters, m_now);
+    }
+}
+
+void ControllerCore::Implementation::grantQuota (RouterConnection connection,
+                                                 const cell::QuotaRequest& request)
+{
+    // Another member may lead by now and grant from a bucket of its own.
+    if (! holdsLease())
+        return;
+    sendToRouter (connection, m_leader->quotas.answer (request, m_now));
+}
+
 void ControllerCore::Implementation::onLeavingSeen (const cell::RunnerLeavingSeen& seen)
 {
     m_leader->watch.onLeavingSign (seen.runner, seen.incarnation);
--- a/src/controller/ControllerSettings.cpp
+++ b/src/controller/ControllerSettings.cpp
@@ -99,6 +99,7 @@
     ControllerOptions& core = settings.core;
     schema.addDuration ("router_lease_ms", &core.routerLease, milliseconds (100), seconds (60),
                         "how long a router may serve on a configuration without asking again");
+    quota::declareSettings (schema, core.quotaTolerance);
     schema.addDuration ("report_interval_ms", &core.reportInterval, milliseconds (10), seconds (60),
                         "interval of the calls for each runner's report");
     schema.addDuration ("machine_list_interval_ms", &core.machineListInterval, milliseconds (10),
--- a/src/controller/RouterRelay.h
+++ b/src/controller/RouterRelay.h
@@ -19,6 +19,7 @@
 #include "controller/HeartbeatBatch.h"
 #include "controller/InstanceMirror.h"
 #include "controller/PacedWork.h"
+#include "controller/QuotaRelay.h"
 #include "controller/RouterSessions.h"
 
 namespace fernlift::controller
@@ -28,11 +29,12 @@
 struct RouterRelay
 {
     RouterRelay (std::string relayId, std::uint64_t randomSeed, base::Duration routerLease,
-                 base::TimePoint now)
+                 const quota::QuotaTolerance& quotaTolerance, base::TimePoint now)
         : id (std::move (relayId)),
           random (randomSeed),
           session (now, cell::ControllerSession::kQuickAfterLoss),
-          sessions (routerLease)
+          sessions (routerLease),
+          quotas (quotaTolerance)
     {
     }
 
@@ -50,6 +52,8 @@
     bool needsWholeTable = false;  ///< A change came that does not fit.
     EngineDemandSum demands;
     HeartbeatBatch heartbeats;
+    QuotaRelay quotas;
+    QuotaBasis quotaBasis;                    ///< Of what `quotas` counts.
     bool hasRunners = false;                  ///< Some send their heartbeats here.
     PacedWork instanceTable;                  ///< Routers may have to hear of instances.
     PacedWork configurationSend;              ///< Routers may have to be sent the configuration.
--- a/src/lab/RouterStub.h
+++ b/src/lab/RouterStub.h
@@ -49,6 +49,7 @@
     // Registered services and members that join are not its business.
     void on (const cell::InstanceUpdate& /*update*/) {}
     void on (const cell::MemberJoinReply& /*reply*/) {}
+    void on (const cell::QuotaGrant& /*grant*/) {}
     void reconnectSoon (const base::SocketAddress& address);
 
     std::string m_id;
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -16,11 +16,11 @@
 #include <variant>
 #include <vector>
 
+#include "base/DecayingRate.h"
 #include "base/Time.h"
 #include "cell/RouterMessages.h"
 #include "config/ServiceCatalogue.h"
 #include "engine/ServiceEngine.h"
-#include "placement/DecayingRate.h"
 #include "placement/EngineSpecIndex.h"
 #include "placement/StoreConcurrency.h"
 
@@ -174,8 +174,8 @@
         std::uint32_t unread = 0;
         base::TimePoint askedAt{};       ///< Last time that anybody asked for it.
         base::TimePoint waitingSince{};  ///< Zero: nobody waits.
-        DecayingRate arrivals;
-        DecayingRate promptTokens;
+        base::DecayingRate arrivals;
+        base::DecayingRate promptTokens;
     };
 
     /// Requests for a model with all its adapters.
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint32_t kMostUnreachable = 16;
 constexpr base::Duration kRetrySoon = base::milliseconds (100);
 constexpr base::Duration kLongestWaitForRoutes = base::seconds (3);
+/// Units that no grant brings in this time are not waited for longer: a leader is elected within
+/// 0.6 s. Never beyond the route's target, after which the answer would be late.
+constexpr base::Duration kLongestWaitForQuota = base::seconds (1);
 constexpr base::Duration kDefaultDeadline = base::seconds (30);
 /// The runner is told a little less than what is left, so that its answer still arrives.
 constexpr base::Duration kAnswerTravel = base::milliseconds (5);
@@ -54,7 +57,42 @@
     m_stated = statedDeadline (m_request, m_context.names).value_or (kDefaultDeadline);
     m_deadline = m_arrivedAt + m_stated;
     if (findRoute())
-        tryNext();
+        goOn();
+}
+
+void Exchange::goOn()
+{
+    if (! admit())
+        return;
+    if (! m_query.model.empty())
+        m_context.demands.onArrival (m_target, m_query.promptTokens);
+    tryNext();
+}
+
+bool Exchange::admit()
+{
+    if (m_tenant == nullptr || ! m_tenant->quota.isLimited())
+        return true;
+    if (! m_isWaitingForQuota)
+    {
+        m_quota.claim.tenant = m_tenant->name;
+        m_quota.claim.units = unitsOf (m_request, m_context.names, m_tenant->quota);
+        const base::Duration longest =
+            std::min<base::Duration> (kLongestWaitForQuota, m_route->targetLatency);
+        m_quota.waitsUntil = std::min (now() + longest, m_deadline);
+    }
+    const Admission admission =
+        m_context.quotas.admit (m_quota, *m_tenant, now(), m_context.random);
+    m_isWaitingForQuota = admission == Admission::kWaiting;
+    if (m_isWaitingForQuota)
+        armTimer();
+    if (admission == Admission::kRefused)
+    {
+        ++m_context.counters.overQuota;
+        refuse (ErrorKind::kQuotaExceeded, "the tenant is over its quota",
+                m_context.quotas.retryAfter (*m_tenant));
+    }
+    return admission == Admission::kAdmitted;
 }
 
 bool Exchange::findRoute()
@@ -137,8 +175,6 @@
     m_query.sharedTokens = tokensOf (shared);
     m_query.promptTokens = tokensOf (parts);
     m_target = { m_query.service, m_query.model, m_query.adapter };
-    if (! m_query.model.empty())
-        m_context.demands.onArrival (m_target, m_query.promptTokens);
 }
 
 void Exchange::tryNext()
@@ -203,7 +239,11 @@
     if (m_isWaitingForRoutes && m_context.routes)
     {
         if (findRoute())
-            tryNext();
+            goOn();
+    }
+    else if (m_isWaitingForQuota)
+    {
+        goOn();
     }
     else if (m_isWaiting)
     {
@@ -282,8 +322,11 @@
 
 void Exchange::armTimer()
 {
-    const base::TimePoint due =
-        m_isWaiting ? m_waitDeadline : std::min (m_deadline, m_attemptDeadline);
+    base::TimePoint due = std::min (m_deadline, m_attemptDeadline);
+    if (m_isWaiting)
+        due = m_waitDeadline;
+    if (m_isWaitingForQuota)
+        due = m_quota.waitsUntil;
     const auto wait = std::max<base::Duration> (due - now(), base::Duration::zero());
     m_timer.start (std::chrono::ceil<base::milliseconds> (wait));
 }
@@ -310,6 +353,11 @@
 {
     if (m_isEnded)
         return;
+    if (m_isWaitingForQuota)
+    {
+        goOn();
+        return;
+    }
     if (m_isWaiting && now() >= m_waitDeadline)
     {
         onWaitOver();
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -36,7 +36,10 @@
     void onDirectoryChanged();
     /// The caller went away: the runner's work is cancelled.
     void onCallerLeft();
-    [[nodiscard]] bool isWaiting() const { return m_isWaiting || m_isWaitingForRoutes; }
+    [[nodiscard]] bool isWaiting() const
+    {
+        return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota;
+    }
 
     void onSent() override;
     void onHead (http::AnswerHead head) override;
@@ -64,6 +67,10 @@
     /// Whether what is missing in the routes held is missing in the configuration in force too.
     [[nodiscard]] bool areRoutesCurrent() const;
     void waitForRoutes();
+    /// Counts the request in the quota of its tenant; false when it ended or waits for units.
+    bool admit();
+    /// The route is found: on to a runner, if the quota allows.
+    void goOn();
     void readModel();
     void tryNext();
     void beginWait (NoChoice reason);
@@ -101,6 +108,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     const config::Route* m_route = nullptr;
     const config::Tenant* m_tenant = nullptr;  ///< Of `m_routes`; null where no key is needed.
+    QuotaTicket m_quota;
     InstanceQuery m_query;
     EngineTarget m_target;
     base::TimePoint m_arrivedAt{};
@@ -118,6 +126,7 @@
     bool m_mayHaveRun = false;        ///< An attempt ended whose runner did not deny having run it.
     bool m_isWaiting = false;         ///< For a runner.
     bool m_isWaitingForRoutes = false;  ///< No configuration is known yet.
+    bool m_isWaitingForQuota = false;   ///< Units are asked for.
     bool m_isAnswerBegun = false;
     bool m_isEnded = false;
     std::string m_instance;
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -92,7 +92,8 @@
 {
     m_isAnswerBegun = true;
     const AnswerFraming framing{ m_head.hasLength, m_head.length };
-    m_caller.beginAnswer (m_head.status, passedAnswerHeaders (m_head.headers, m_context.names), framing);
+    m_caller.beginAnswer (m_head.status, passedAnswerHeaders (m_head.headers, m_context.names),
+                          framing);
 }
 
 void Exchange::onBody (std::string_view data)
@@ -156,7 +157,8 @@
 {
     if (m_use == AnswerUse::kCollect)
     {
-        m_caller.sendAnswer (m_head.status, passedAnswerHeaders (m_head.headers, m_context.names), m_collected);
+        m_caller.sendAnswer (m_head.status, passedAnswerHeaders (m_head.headers, m_context.names),
+                             m_collected);
     }
     else
     {
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -28,22 +28,26 @@
 {
     const auto sinceArrival = [this] (base::TimePoint time)
     { return time == base::TimePoint{} ? -1 : base::toMilliseconds (time - m_arrivedAt); };
-    log::write (event, { { "request", m_request.headers.value (m_context.names.requestId) },
-                         { "route", m_route == nullptr ? std::string() : m_route->name },
-                         { "configuration", m_routes ? m_routes->version() : 0 },
-                         { "tenant", m_tenant == nullptr ? std::string() : m_tenant->name },
-                         { "service", m_query.service },
-                         { "model", m_query.model },
-                         { "adapter", m_query.adapter },
-                         { "runner", m_instance },
-                         { "table", m_context.directory.version() },
-                         { "table_age_ms", m_context.directory.ageMilliseconds (now()) },
-                         { "attempts", m_sent },
-                         { "unreachable", m_unreachable },
-                         { "waited_ms", base::toMilliseconds (m_waited) },
-                         { "head_ms", sinceArrival (m_answeredAt) },
-                         { "total_ms", sinceArrival (now()) },
-                         { "cause", cause } });
+    log::write (event,
+                { { "request", m_request.headers.value (m_context.names.requestId) },
+                  { "route", m_route == nullptr ? std::string() : m_route->name },
+                  { "configuration", m_routes ? m_routes->version() : 0 },
+                  { "tenant", m_tenant == nullptr ? std::string() : m_tenant->name },
+                  { "quota_units", m_quota.claim.units },
+                  { "quota_rate", m_tenant == nullptr ? 0.0 : m_tenant->quota.ratePerSecond },
+                  { "quota_wait_ms", base::toMilliseconds (m_quota.waited) },
+                  { "service", m_query.service },
+                  { "model", m_query.model },
+                  { "adapter", m_query.adapter },
+                  { "runner", m_instance },
+                  { "table", m_context.directory.version() },
+                  { "table_age_ms", m_context.directory.ageMilliseconds (now()) },
+                  { "attempts", m_sent },
+                  { "unreachable", m_unreachable },
+                  { "waited_ms", base::toMilliseconds (m_waited) },
+                  { "head_ms", sinceArrival (m_answeredAt) },
+                  { "total_ms", sinceArrival (now()) },
+                  { "cause", cause } });
 }
 
 void Exchange::logMove (log::Event event) const
@@ -106,6 +110,7 @@
     if (std::exchange (m_isEnded, true))
         return;
     m_timer.stop();
+    m_context.quotas.giveUp (m_quota);
     endWait();
     m_onEnd (*this);
 }
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -101,6 +101,61 @@
     ASSERT_TRUE (runner.waitForRequest (0, "body"));
 }
 
+/// The tenant of catalogueWithTenant with a limit of tokens.
+config::ServiceCatalogue catalogueWithQuota()
+{
+    config::ServiceCatalogue catalogue = catalogueWithTenant ("k1");
+    catalogue.tenants[0].quota = { config::QuotaUnit::kTokens, 1000, 1000, 200 };
+    return catalogue;
+}
+
+constexpr const char* kTokensAndKey = "Authorization: Bearer k1\r\nTest-Tokens: 90,10\r\n";
+
+TEST_F (ExchangeTest, ARequestWaitsForUnitsOfItsTenantsQuota)
+{
+    proxy.context.routes = std::make_shared<const RouteTable> (2, catalogueWithQuota());
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test", "r1", kTokensAndKey));
+    runFor (std::chrono::milliseconds (20));
+    const auto request = proxy.quotas.pool().takeRequest (proxy.clock.now());
+    ASSERT_TRUE (request);
+    EXPECT_EQ (request->needs, (std::vector<cell::QuotaNeed>{ { "farm", { 100 } } }));
+    EXPECT_TRUE (runner.connections.empty());
+    proxy.quotas.pool().onGrant ({ request->sequence, { { "farm", 100, 1000, 0 } } });
+    proxy.server.onDirectoryChanged();
+    ASSERT_TRUE (runner.waitForRequest (0, "body"));
+}
+
+TEST_F (ExchangeTest, ARequestOverTheQuotaIsRefusedAtOnceWithTheTimeOfTheNextUnits)
+{
+    proxy.context.routes = std::make_shared<const RouteTable> (2, catalogueWithQuota());
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test", "r1", kTokensAndKey));
+    runFor (std::chrono::milliseconds (20));
+    const auto request = proxy.quotas.pool().takeRequest (proxy.clock.now());
+    ASSERT_TRUE (request);
+    proxy.quotas.pool().onGrant ({ request->sequence, { { "farm", 0, 0, 1500 } } });
+    proxy.server.onDirectoryChanged();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 429"));
+    EXPECT_NE (caller.received().find ("Retry-After: 1.500\r\n"), std::string::npos);
+    EXPECT_TRUE (runner.connections.empty());
+    EXPECT_EQ (proxy.counters.overQuota, 1U);
+}
+
+TEST_F (ExchangeTest, ARequestIsAdmittedFromTheRoutersOwnShareWhenNoGrantComes)
+{
+    proxy.context.routes = std::make_shared<const RouteTable> (2, catalogueWithQuota());
+    proxy.quotas.setRouters (1);
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test", "r1", kTokensAndKey));
+    runFor (std::chrono::milliseconds (80));
+    proxy.server.onDirectoryChanged();
+    ASSERT_TRUE (runner.waitForRequest (0, "body"));
+}
+
 TEST_F (ExchangeTest, AChunkedAnswerCutAtAChunkIsNeverWhole)
 {
     proxy.addRunner ("i-1", runner);
--- a/src/proxy/ForwardedMessage.cpp
+++ b/src/proxy/ForwardedMessage.cpp
@@ -53,8 +53,8 @@
 
 bool isOneOf (std::string_view name, const std::vector<std::string>& names)
 {
-    return std::ranges::any_of (names, [&] (const std::string& other)
-                                { return http::equalsIgnoringCase (name, other); });
+    return std::ranges::any_of (
+        names, [&] (const std::string& other) { return http::equalsIgnoringCase (name, other); });
 }
 
 bool isConnectionField (std::string_view name, const std::vector<std::string>& named)
@@ -103,7 +103,8 @@
             m_fields.lastEventId && http::equalsIgnoringCase (name, m_names.lastEventId);
         const bool isCredential =
             m_fields.dropsCredentials && http::equalsIgnoringCase (name, kCredentialsField);
-        return isResumed || isCredential || isOneOf (name, m_names.reserved) || http::equalsIgnoringCase (name, m_names.deadline)
+        return isResumed || isCredential || isOneOf (name, m_names.reserved)
+               || http::equalsIgnoringCase (name, m_names.deadline)
                || http::equalsIgnoringCase (name, m_names.targetInstance)
                || http::equalsIgnoringCase (name, m_names.priority);
     }
--- a/src/proxy/ForwardedMessageTest.cpp
+++ b/src/proxy/ForwardedMessageTest.cpp
@@ -1,5 +1,3 @@
-#include "proxy/ForwardedMessage.h"
-
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -7,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "proxy/ForwardedMessage.h"
 #include "proxy/ProxyTestSupport.h"
 
 namespace fernlift::proxy::test
@@ -62,8 +61,8 @@
     const auto count = *rc::gen::inRange (0, 12);
     for (int i = 0; i < count; ++i)
     {
-        const std::string name = withCase (*rc::gen::elementOf (candidates),
-                                           *rc::gen::arbitrary<std::uint32_t>());
+        const std::string name =
+            withCase (*rc::gen::elementOf (candidates), *rc::gen::arbitrary<std::uint32_t>());
         if (*rc::gen::arbitrary<bool>())
             request.headers.add ("Connection", name);
         request.headers.add (name, "forged");
--- a/src/proxy/KeyTableTest.cpp
+++ b/src/proxy/KeyTableTest.cpp
@@ -1,8 +1,8 @@
-#include "proxy/KeyTable.h"
-
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "proxy/KeyTable.h"
+
 namespace fernlift::proxy
 {
 namespace
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -15,6 +15,7 @@
 #include "proxy/InstanceDirectory.h"
 #include "proxy/ProtocolNames.h"
 #include "proxy/RouteTable.h"
+#include "proxy/TenantQuotas.h"
 
 namespace fernlift::proxy
 {
@@ -30,6 +31,7 @@
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumed = 0;
+    std::uint64_t overQuota = 0;  ///< Refused for the quota of their tenant.
 };
 
 struct ProxyContext
@@ -41,6 +43,7 @@
     http::BackEndPool& pool;
     dispatch::RetryBudget& retryBudget;
     EngineDemands& demands;
+    TenantQuotas& quotas;
     ProxyCounters& counters;
     std::function<void()> onUrgentDemand;      ///< A request began to wait.
     std::shared_ptr<const RouteTable> routes;  ///< Null before the first configuration.
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -45,10 +45,12 @@
       m_directory (m_settings.zone),
       m_pool (m_settings.connectTimeout),
       m_retryBudget (m_settings.retryShare, static_cast<double> (m_settings.retryReserve)),
-      m_context{ m_names,     m_clock,    m_random,
-                 m_directory, m_pool,     m_retryBudget,
-                 m_demands,   m_counters, [this] { m_demandTimer.start(0); },
-                 nullptr },
+      m_quotas (m_settings.quotaTolerance, [this] { m_demandTimer.start (0); }),
+      m_context{
+          m_names,       m_clock,   m_random, m_directory, m_pool,
+          m_retryBudget, m_demands, m_quotas, m_counters,  [this] { m_demandTimer.start (0); },
+          nullptr
+      },
       m_session (clock.now(), cell::ControllerSession::kQuickAfterLoss),
       m_link (peersOf (m_settings), m_random.bits() % peersOf (m_settings).size(),
               { [this]
@@ -59,14 +61,23 @@
                     pollController();
                 },
                 [this] (const cell::ControllerToRouter& message) { onControllerMessage (message); },
-                [this] { m_session.onLost (m_clock.now(), m_random); } }),
+                [this]
+                {
+                    m_quotas.pool().onLinkLost();
+                    m_session.onLost (m_clock.now(), m_random);
+                } }),
       m_freshness ({ m_settings.unconfirmedGrace, m_settings.isolatedGrace }),
       m_server (m_context),
       m_readiness (m_names.readinessPath, [this] { return isReady(); })
 {
     m_context.freshness = [this] { return freshness(); };
     m_demandTimer.setSingleShot (true);
-    QObject::connect (&m_demandTimer, &QTimer::timeout, &m_demandTimer, [this] { reportDemand(); });
+    QObject::connect (&m_demandTimer, &QTimer::timeout, &m_demandTimer,
+                      [this]
+                      {
+                          reportDemand();
+                          requestQuota();
+                      });
     QObject::connect (&m_ticker, &QTimer::timeout, &m_ticker, [this] { onTick(); });
 }
 
@@ -98,6 +109,8 @@
                  m_counters.answered);
             set ("fernlift_proxy_refused", "Requests refused without having run.",
                  m_counters.refused);
+            set ("fernlift_proxy_over_quota", "Requests refused for the quota of their tenant.",
+                 m_counters.overQuota);
             set ("fernlift_proxy_failed", "Requests that ended without a whole answer.",
                  m_counters.failed);
             set ("fernlift_proxy_left", "Requests whose caller went away.", m_counters.left);
@@ -163,6 +176,11 @@
     {
         takeConfiguration (*configuration);
     }
+    else if (const auto* quota = std::get_if<cell::QuotaGrant> (&message))
+    {
+        m_quotas.pool().onGrant (*quota);
+        m_server.onDirectoryChanged();
+    }
     else if (const auto* instances = std::get_if<cell::InstanceUpdate> (&message))
     {
         takeInstances (*instances);
@@ -266,6 +284,8 @@
         m_preferredController = preferred.front();
     m_link.setControllers (std::move (preferred));
     limitRetries();
+    // The last known state of a controller that does not lead does not tell how many there are.
+    m_quotas.setRouters (update.term == cell::kTermOfLastKnownState ? 0 : m_directory.routers());
     m_server.onDirectoryChanged();
     if (! update.mustConfirm)
         return;
@@ -342,10 +362,19 @@
     }
 }
 
+void ProxyProcess::requestQuota()
+{
+    if (! m_session.isConnected())
+        return;
+    if (auto request = m_quotas.pool().takeRequest (m_clock.now()))
+        m_link.send (std::move (*request));
+}
+
 void ProxyProcess::onTick()
 {
     pollController();
     reportDemand();
+    requestQuota();
     moveToPreferred();
     m_pool.expire (m_clock.now());
     // Runners that were avoided for a while may be tried again.
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -74,6 +74,8 @@
     /// Whether requests may be served now; logs when that changes.
     Freshness freshness();
     void reportDemand();
+    /// Asks the controller for units of tenants' quotas, if any are needed.
+    void requestQuota();
     void onTick();
     void checkStop();
     void createMetrics();
@@ -89,6 +91,7 @@
     http::BackEndPool m_pool;
     dispatch::RetryBudget m_retryBudget;
     EngineDemands m_demands;
+    TenantQuotas m_quotas;
     ProxyCounters m_counters;
     ProxyContext m_context;
     cell::ControllerSession m_session;
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -37,6 +37,7 @@
     schema.addReal ("cell_retry_reserve", &settings.cellRetryReserve, 0, kLargestCellReserve,
                     "the same for all routers of the cell together, each of which takes its "
                     "part; 0: not bounded together");
+    quota::declareSettings (schema, settings.quotaTolerance);
     schema.addDuration ("connect_timeout_ms", &settings.connectTimeout, milliseconds (1),
                         seconds (60),
                         "a runner that takes no connection within this time is unreachable");
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -9,6 +9,7 @@
 #include "base/Time.h"
 #include "config/Settings.h"
 #include "log/Log.h"
+#include "quota/QuotaTolerance.h"
 
 namespace fernlift::proxy
 {
@@ -28,6 +29,7 @@
     /// The same for all routers of the cell together; each takes its part once it knows how many
     /// there are. 0: `retryReserve` goes on to hold.
     double cellRetryReserve = 0;
+    quota::QuotaTolerance quotaTolerance;  ///< Of the limits of tenants.
     base::Duration connectTimeout = base::milliseconds (250);
     base::Duration stopGrace = base::milliseconds (2500);  ///< Serves on, not ready.
     base::Duration stopTimeout = base::milliseconds (7800);
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -188,9 +188,10 @@
     http::BackEndPool pool{ base::milliseconds (500) };
     dispatch::RetryBudget retryBudget{ 0.1, 10 };
     EngineDemands demands;
+    TenantQuotas quotas{ {}, [] {} };
     ProxyCounters counters;
-    ProxyContext context{ names,       clock,   random,   directory, pool,
-                          retryBudget, demands, counters, [] {},     nullptr };
+    ProxyContext context{ names,   clock,  random,   directory, pool,   retryBudget,
+                          demands, quotas, counters, [] {},     nullptr };
     ProxyServer server{ context };
     base::SocketAddress listening;
 
--- /dev/null
+++ b/src/quota/QuotaTolerance.cpp
@@ -0,0 +1,69 @@
+#include "quota/QuotaTolerance.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace fernlift::quota
+{
+namespace
+{
+
+constexpr double kLifetimePart = 0.2;
+constexpr double kFirstLevelPart = 0.05;
+constexpr double kUnassistedPart = 0.15;
+constexpr double kDebtPart = 0.6;
+/// A shorter life would be over before a grant has come by way of two controllers; a longer one
+/// gains nothing: units are asked for when they are needed.
+constexpr base::Duration kShortestLifetime = base::milliseconds (50);
+constexpr base::Duration kLongestLifetime = base::milliseconds (1500);
+
+double secondsOf (base::Duration duration)
+{
+    return std::chrono::duration<double> (duration).count();
+}
+
+}  // namespace
+
+double QuotaTolerance::unitsFor (const config::TenantQuota& quota) const
+{
+    return overshoot * (quota.ratePerSecond * secondsOf (window) + quota.burst) + slack;
+}
+
+base::Duration QuotaTolerance::lifetimeFor (const config::TenantQuota& quota) const
+{
+    const std::chrono::duration<double> share (kLifetimePart * unitsFor (quota)
+                                               / quota.ratePerSecond);
+    if (share > kLongestLifetime)
+        return kLongestLifetime;
+    return std::max (std::chrono::duration_cast<base::Duration> (share), kShortestLifetime);
+}
+
+double QuotaTolerance::firstLevelFor (const config::TenantQuota& quota) const
+{
+    return std::min (kFirstLevelPart * unitsFor (quota), quota.burst);
+}
+
+double QuotaTolerance::unassistedUnitsFor (const config::TenantQuota& quota) const
+{
+    return kUnassistedPart * unitsFor (quota);
+}
+
+double QuotaTolerance::debtUnitsFor (const config::TenantQuota& quota) const
+{
+    return kDebtPart * unitsFor (quota);
+}
+
+void declareSettings (config::SettingsSchema& schema, QuotaTolerance& tolerance)
+{
+    constexpr double kMostOvershoot = 10;
+    constexpr double kMostSlack = 1e12;
+    schema.addDuration ("quota_window_ms", &tolerance.window, base::milliseconds (100),
+                        base::seconds (3600),
+                        "time over which the use of a tenant's quota is judged");
+    schema.addReal ("quota_overshoot", &tolerance.overshoot, 0, kMostOvershoot,
+                    "share of a tenant's quota that may be used above it within the window");
+    schema.addReal ("quota_slack", &tolerance.slack, 0, kMostSlack,
+                    "units on top of that, for each tenant");
+}
+
+}  // namespace fernlift::quota
--- /dev/null
+++ b/src/quota/UnassistedShareTest.cpp
@@ -0,0 +1,66 @@
+#include <gtest/gtest.h>
+
+#include "quota/UnassistedShare.h"
+
+namespace fernlift::quota
+{
+namespace
+{
+
+constexpr base::TimePoint kStart = base::TimePoint{} + base::seconds (100);
+
+config::Tenant tenant()
+{
+    config::Tenant tenant;
+    tenant.name = "farm";
+    tenant.quota = { config::QuotaUnit::kTokens, 80'000, 80'000, 1 };
+    return tenant;
+}
+
+QuotaTolerance tolerance()
+{
+    QuotaTolerance tolerance;
+    tolerance.slack = 110'000;
+    return tolerance;
+}
+
+TEST (UnassistedShareTest, NothingIsAdmittedBeforeTheNumberOfRoutersIsKnown)
+{
+    UnassistedShare share (tolerance());
+    base::Random random (1);
+    EXPECT_FALSE (share.admits (tenant(), 1, kStart, random));
+}
+
+TEST (UnassistedShareTest, AllRoutersTogetherKeepTheLimit)
+{
+    constexpr int kRouters = 80;
+    constexpr std::uint64_t kUnits = 9000;
+    base::Random random (1);
+    double admitted = 0;
+    for (int router = 0; router < kRouters; ++router)
+    {
+        UnassistedShare share (tolerance());
+        share.setRouters (kRouters);
+        // Four times the limit, for one window.
+        for (int i = 0; i < 28; ++i)
+        {
+            const base::TimePoint now = kStart + base::milliseconds (285) * i;
+            admitted += share.admits (tenant(), kUnits, now, random) ? kUnits : 0;
+        }
+    }
+    const config::TenantQuota quota = tenant().quota;
+    const double limit = quota.ratePerSecond * 8 + quota.burst + tolerance().unitsFor (quota);
+    EXPECT_LE (admitted, limit);
+    EXPECT_GE (admitted, limit / 2);
+}
+
+TEST (UnassistedShareTest, SmallRequestsPassWithoutADraw)
+{
+    UnassistedShare share (tolerance());
+    share.setRouters (80);
+    base::Random random (1);
+    EXPECT_TRUE (share.admits (tenant(), 200, kStart, random));
+}
+
+}  // namespace
+}  // namespace fernlift::quota
--- a/src/router/RouterProcessTestSupport.h
+++ b/src/router/RouterProcessTestSupport.h
@@ -107,6 +107,7 @@
     void handle (const cell::MemberJoinRequest& /*request*/) {}
     void handle (const cell::InstanceUnreachable& /*report*/) {}
     void handle (const cell::InstanceSightings& /*sightings*/) {}
+    void handle (const cell::QuotaRequest& /*request*/) {}
     void handle (const cell::RunnerLeavingSeen& seen) { leavingSeen.push_back (seen); }
 
     std::vector<cell::RoutableReplica> m_replicas;
