--- a/src/storage/SystemFiles.cpp
+++ b/src/storage/SystemFiles.cpp
@@ -19,7 +19,7 @@
 namespace
 {
 
-constexpr mode_t kFileMode = 0640;
+constexpr mode_t kFileMode = 0600;
 constexpr mode_t kFolderMode = 0750;
 
 boost::leaf::error_id failWith (const std::string& step, const std::string& path, int code)
