Answer requests that wait before a planned stop ends

Change: 0.3 s before the process ends all requests that wait are refused as not run (or failed, had they been sent). Test: ExchangeTest.AWaitingRequestIsAnsweredBeforeAStoppingRouterEnds (the call is new: before, the request is cut off).

--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -36,6 +36,8 @@
     void onDirectoryChanged();
     /// The caller went away: the runner's work is cancelled.
     void onCallerLeft();
+    /// The router ends in a moment: a request that waits is answered now.
+    void onRouterEnding();
     [[nodiscard]] bool isWaiting() const
     {
         return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota;
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -14,6 +14,9 @@
 
 using base::ErrorKind;
 
+/// After which a caller reaches another router.
+constexpr base::Duration kRetryElsewhere = base::milliseconds (50);
+
 std::string retryAfterText (base::Duration duration)
 {
     std::array<char, 32> text{};
@@ -94,6 +97,18 @@
     end();
 }
 
+void Exchange::onRouterEnding()
+{
+    if (m_isEnded || ! isWaiting())
+        return;
+    if (m_isAnswerBegun)
+        cut();
+    else if (m_mayHaveRun)
+        fail (ErrorKind::kUpstreamBroken, "this router is stopping");
+    else
+        refuse (ErrorKind::kStopping, "this router is stopping", kRetryElsewhere);
+}
+
 void Exchange::onCallerLeft()
 {
     if (m_isEnded)
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -439,6 +439,17 @@
     EXPECT_TRUE (busy.waitForClose());
 }
 
+TEST_F (ExchangeTest, AWaitingRequestIsAnsweredBeforeAStoppingRouterEnds)
+{
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    runFor (std::chrono::milliseconds (20));
+    EXPECT_TRUE (caller.received().empty());
+    proxy.server.refuseWaiting();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 503"));
+    EXPECT_NE (caller.received().find ("Retry-After: 0.050\r\n"), std::string::npos);
+}
+
 TEST_F (ExchangeTest, AStoppingRouterServesOnAndThenRefusesAsNotRun)
 {
     proxy.addRunner ("i-1", runner);
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -17,6 +17,9 @@
 /// A router whose controller is not the one that it prefers tries that one no more often than
 /// this, and up to twice as long at random: it may be down.
 constexpr base::Duration kMovePause = base::seconds (5);
+/// Before the end of a planned stop requests that still wait for a runner are answered: a refusal
+/// reaches its caller within some milliseconds, a request cut off with the process never does.
+constexpr base::Duration kAnswerBeforeEnd = base::milliseconds (300);
 /// Part of the reserve for retries of the whole cell that its routers use. The rest covers that
 /// routers come and go, and learn how many they are at different times.
 constexpr double kUsedReserve = 0.8;
@@ -412,6 +415,8 @@
     {
         m_server.beginRefusing();
     }
+    if (passed >= m_settings.stopTimeout - kAnswerBeforeEnd)
+        m_server.refuseWaiting();
     const bool isDone =
         m_isRefusing && m_server.openExchanges() == 0 && m_server.openConnections() == 0;
     if (isDone || passed >= m_settings.stopTimeout)
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -157,6 +157,16 @@
         connection->closeAfterAnswer();
 }
 
+void ProxyServer::refuseWaiting()
+{
+    std::vector<Exchange*> open;
+    for (const auto& [caller, exchange] : m_exchanges)
+        open.push_back (exchange.get());
+    // Ended exchanges stay alive until the sweep.
+    for (Exchange* exchange : open)
+        exchange->onRouterEnding();
+}
+
 void ProxyServer::stopListening() { m_server.close(); }
 
 std::size_t ProxyServer::waitingExchanges() const
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -37,6 +37,8 @@
     /// Refuses new requests as not run and closes resting connections.
     void beginRefusing();
     /// Takes no new connection.
+    /// Answers requests that wait: no runner that comes would be in time.
+    void refuseWaiting();
     void stopListening();
 
     [[nodiscard]] std::size_t openExchanges() const { return m_exchanges.size(); }
