--- a/src/proxy/ForwardedMessage.cpp
+++ b/src/proxy/ForwardedMessage.cpp
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <vector>
 
+#include "proxy/KeyTable.h"
+
 namespace fernlift::proxy
 {
 namespace
@@ -24,8 +26,6 @@
                                                               "Content-Length",
                                                               "Expect" };
 
-constexpr std::string_view kCredentialsField = "Authorization";
-
 /// Names in the fields `Connection`: they too concern one connection only.
 std::vector<std::string> namedByConnection (const http::Headers& headers)
 {
--- a/src/proxy/KeyTable.cpp
+++ b/src/proxy/KeyTable.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr std::string_view kCredentialsField = "Authorization";
 constexpr std::string_view kScheme = "Bearer";
 
 std::string_view trimmed (std::string_view text)
--- a/src/proxy/KeyTable.h
+++ b/src/proxy/KeyTable.h
@@ -20,6 +20,9 @@
 namespace fernlift::proxy
 {
 
+/** Field in which a request carries its key. */
+constexpr std::string_view kCredentialsField = "Authorization";
+
 /** Immutable. Threading: none needed. */
 class KeyTable
 {
--- a/src/quota/QuotaLedger.cpp
+++ b/src/quota/QuotaLedger.cpp
@@ -13,11 +13,6 @@
 /// Callers are told to come back no later than this; the queue of those refused is cut there.
 constexpr double kLongestWaitSeconds = 5;
 
-double secondsBetween (base::TimePoint from, base::TimePoint to)
-{
-    return std::chrono::duration<double> (to - from).count();
-}
-
 }  // namespace
 
 double QuotaLedger::capacityOf (const config::TenantQuota& quota) const
@@ -49,7 +44,8 @@
 
 void QuotaLedger::refill (Bucket& bucket, base::TimePoint now) const
 {
-    const double added = rateOf (bucket.quota) * secondsBetween (bucket.filledAt, now);
+    const double added =
+        rateOf (bucket.quota) * std::chrono::duration<double> (now - bucket.filledAt).count();
     bucket.filledAt = now;
     bucket.level = std::min (bucket.level + added, capacityOf (bucket.quota));
     bucket.queued = std::max (bucket.queued - added, 0.0);
