Tell repeats of a request apart in the logs, and whether a runner that broke off has ended

The lines of a request that broke off name its caller and its identity (caller, method, host, target and body), so that repeats show; event 4024 tells what a connection to the runner found after it broke off: gone, alive or unknown. Without these the hypotheses that one request comes again and that our orders end runners can't be told apart. No decision depends on either yet.

--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -72,6 +72,8 @@
     [[nodiscard]] bool isAnswering() const { return m_hasOpenRequest; }
     [[nodiscard]] bool hasBegunAnswer() const { return m_hasBegunAnswer; }
     [[nodiscard]] std::size_t bytesToWrite() const;
+    /// Of the caller, without its port.
+    [[nodiscard]] const std::string& peerAddress() const { return m_peerAddress; }
     void setLimits (const CallerLimits& limits);
 
 private:
@@ -86,6 +88,7 @@
     void closeOrderly();
 
     std::unique_ptr<QTcpSocket> m_socket;
+    std::string m_peerAddress;
     CallerLimits m_limits;
     const Handlers& m_handlers;
     RequestParser m_parser;
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -257,9 +257,8 @@
 
 void Exchange::startAttempt (const InstanceChoice& choice)
 {
-    const auto address =
-        base::handleErrors ([&] { return base::SocketAddress::parse (choice.address); },
-                            [] (const base::Error&) { return base::SocketAddress(); });
+    m_address = base::handleErrors ([&] { return base::SocketAddress::parse (choice.address); },
+                                    [] (const base::Error&) { return base::SocketAddress(); });
     m_instance = choice.id;
     m_use = AnswerUse::kNone;
     m_collected.clear();
@@ -287,7 +286,7 @@
     m_isPromptRead = false;
     if (! m_query.model.empty())
         m_context.demands.onRunning (m_target);
-    m_connection = m_context.pool.acquire (address, now());
+    m_connection = m_context.pool.acquire (m_address, now());
     armTimer();
     m_connection->send (std::move (call), this);
 }
@@ -448,6 +447,8 @@
         }
         return;
     }
+    m_hasBrokenOff = true;
+    m_context.onBrokenOff (m_instance, m_address);
     endAttempt (AttemptEnd::kFailed, false);
     afterFailure();
 }
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -11,6 +11,8 @@
 #include <string>
 
 #include "base/Error.h"
+#include "base/SocketAddress.h"
+#include "cell/RequestIdentity.h"
 #include "http/AnswerParser.h"
 #include "http/BackEndConnection.h"
 #include "log/Log.h"
@@ -100,6 +102,11 @@
     void sendError (const base::Error& error, std::optional<base::Duration> retryAfter);
     void logEnd (log::Event event, const std::string& cause) const;
     void logMove (log::Event event) const;
+    /// The name of the tenant, or the address where there is none.
+    [[nodiscard]] std::string callerName() const;
+    [[nodiscard]] const cell::RequestIdentity& identity() const;
+    /// For logs: empty unless a runner broke off an answer to this request.
+    [[nodiscard]] std::string brokenIdentity() const;
     void cut();
     void end();
 
@@ -132,6 +139,9 @@
     bool m_isAnswerBegun = false;
     bool m_isEnded = false;
     std::string m_instance;
+    base::SocketAddress m_address;  ///< Of the instance.
+    bool m_hasBrokenOff = false;    ///< A runner broke off an answer.
+    mutable std::optional<cell::RequestIdentity> m_identity;  ///< Once it was asked for.
     std::shared_ptr<http::BackEndConnection> m_connection;
     AnswerUse m_use = AnswerUse::kNone;
     http::AnswerHead m_head;
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -6,6 +6,7 @@
 
 #include "http/ErrorResponse.h"
 #include "proxy/Exchange.h"
+#include "proxy/RequestIdentity.h"
 
 namespace fernlift::proxy
 {
@@ -27,6 +28,23 @@
 
 }  // namespace
 
+std::string Exchange::callerName() const
+{
+    return m_tenant == nullptr ? m_caller.peerAddress() : m_tenant->name;
+}
+
+const cell::RequestIdentity& Exchange::identity() const
+{
+    if (! m_identity)
+        m_identity = identityOf (m_request, callerName());
+    return *m_identity;
+}
+
+std::string Exchange::brokenIdentity() const
+{
+    return m_hasBrokenOff ? identity().digest : std::string();
+}
+
 void Exchange::logEnd (log::Event event, const std::string& cause) const
 {
     const auto sinceArrival = [this] (base::TimePoint time)
@@ -50,6 +68,8 @@
                   { "waited_ms", base::toMilliseconds (m_waited) },
                   { "head_ms", sinceArrival (m_answeredAt) },
                   { "total_ms", sinceArrival (now()) },
+                  { "caller", m_hasBrokenOff ? callerName() : std::string() },
+                  { "identity", brokenIdentity() },
                   { "cause", cause } });
 }
 
@@ -60,6 +80,7 @@
                   { "from_runner", m_instance },
                   { "status", m_head.status },
                   { "attempts", m_sent },
+                  { "identity", brokenIdentity() },
                   { "last_event", m_events ? m_events->lastId().value_or ("") : std::string() } });
 }
 
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -5,8 +5,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "base/Random.h"
+#include "base/SocketAddress.h"
 #include "base/Time.h"
 #include "dispatch/RetryBudget.h"
 #include "http/BackEndPool.h"
@@ -52,6 +54,9 @@
     bool areRoutesConfirmed = false;
     /// Whether requests may be served from the routes and the directory now.
     std::function<Freshness()> freshness = [] { return Freshness::kConfirmed; };
+    /// A runner broke off an answer: it may have ended.
+    std::function<void (const std::string& instance, const base::SocketAddress& address)>
+        onBrokenOff = [] (const std::string&, const base::SocketAddress&) {};
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -71,8 +71,13 @@
                 } }),
       m_freshness ({ m_settings.unconfirmedGrace, m_settings.isolatedGrace }),
       m_server (m_context),
-      m_readiness (m_names.readinessPath, [this] { return isReady(); })
+      m_readiness (m_names.readinessPath, [this] { return isReady(); }),
+      m_probes ([this] (const std::string& instance, RunnerFate fate)
+                { onRunnerChecked (instance, fate); })
 {
+    m_context.onBrokenOff =
+        [this] (const std::string& instance, const base::SocketAddress& address)
+    { m_probes.check (instance, address); };
     m_context.freshness = [this] { return freshness(); };
     m_demandTimer.setSingleShot (true);
     QObject::connect (&m_demandTimer, &QTimer::timeout, &m_demandTimer,
@@ -373,6 +378,12 @@
         m_link.send (std::move (*request));
 }
 
+void ProxyProcess::onRunnerChecked (const std::string& instance, RunnerFate fate)
+{
+    log::write (log::Event::kRunnerChecked,
+                { { "runner", instance }, { "fate", nameOf (fate) } });
+}
+
 void ProxyProcess::onTick()
 {
     pollController();
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -26,6 +26,7 @@
 #include "proxy/ProxyServer.h"
 #include "proxy/ProxySettings.h"
 #include "proxy/ReadinessServer.h"
+#include "proxy/RunnerProbes.h"
 
 namespace fernlift::proxy
 {
@@ -76,6 +77,7 @@
     void reportDemand();
     /// Asks the controller for units of tenants' quotas, if any are needed.
     void requestQuota();
+    void onRunnerChecked (const std::string& instance, RunnerFate fate);
     void onTick();
     void checkStop();
     void createMetrics();
@@ -111,6 +113,7 @@
     ProxyServer m_server;
     base::SocketAddress m_frontAddress;
     ReadinessServer m_readiness;
+    RunnerProbes m_probes;
     QTimer m_demandTimer;  ///< Sends an urgent report of demand once control is in the event loop.
     QTimer m_ticker;
 };
--- /dev/null
+++ b/src/proxy/RunnerProbes.cpp
@@ -0,0 +1,82 @@
+#include "proxy/RunnerProbes.h"
+
+#include <QTimer>
+#include <utility>
+
+#include "base/Time.h"
+#include "http/StreamSocket.h"
+
+namespace fernlift::proxy
+{
+namespace
+{
+
+/// A runner that lives, or whose machine does, answers within two times the way there: a few
+/// milliseconds on the platforms known. Lost packets are sent again after 200 ms.
+constexpr base::milliseconds kProbeTimeout (300);
+
+}  // namespace
+
+std::string_view nameOf (RunnerFate fate)
+{
+    switch (fate)
+    {
+        case RunnerFate::kGone:
+            return "gone";
+        case RunnerFate::kAlive:
+            return "alive";
+        case RunnerFate::kUnknown:
+            break;
+    }
+    return "unknown";
+}
+
+/** One connection that is opened only to see whether it opens. */
+class RunnerProbes::Probe final : private http::StreamListener
+{
+public:
+    Probe (const base::SocketAddress& address, std::function<void (RunnerFate)> onEnd)
+        : m_onEnd (std::move (onEnd))
+    {
+        m_timer.setSingleShot (true);
+        QObject::connect (&m_timer, &QTimer::timeout, &m_timer,
+                          [this] { m_onEnd (RunnerFate::kUnknown); });
+        m_timer.start (kProbeTimeout);
+        m_socket.connectTo (address);
+    }
+
+private:
+    void onConnected() override { m_onEnd (RunnerFate::kAlive); }
+    void onData (std::string_view /*data*/) override {}
+    void onEnd (http::StreamEnd /*end*/) override { m_onEnd (RunnerFate::kGone); }
+
+    std::function<void (RunnerFate)> m_onEnd;
+    QTimer m_timer;
+    http::StreamSocket m_socket{ this };
+};
+
+RunnerProbes::RunnerProbes (Handler handler) : m_handler (std::move (handler)) {}
+
+RunnerProbes::~RunnerProbes() = default;
+
+void RunnerProbes::check (const std::string& instance, const base::SocketAddress& address)
+{
+    if (m_open.contains (instance))
+        return;
+    m_open[instance] = std::make_unique<Probe> (
+        address, [this, instance] (RunnerFate fate) { finish (instance, fate); });
+}
+
+void RunnerProbes::finish (const std::string& instance, RunnerFate fate)
+{
+    const auto found = m_open.find (instance);
+    if (found == m_open.end())
+        return;
+    // The probe is in the middle of a call of its own.
+    const std::shared_ptr<Probe> ended = std::move (found->second);
+    m_open.erase (found);
+    QTimer::singleShot (0, [ended] {});
+    m_handler (instance, fate);
+}
+
+}  // namespace fernlift::proxy
