--- /dev/null
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -0,0 +1,383 @@
+// Test support: a whole cell that forwards to registered services. See the header.
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <QHostAddress>
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <utility>
+
+#include "http/HttpTestSupport.h"
+#include "lab/ForwardingCellTestSupport.h"
+#include "proxy/ProxyProcessTestSupport.h"
+
+namespace fernlift::lab::test
+{
+namespace
+{
+
+using http::test::waitUntil;
+
+constexpr base::milliseconds kHeartbeatInterval (300);
+constexpr base::milliseconds kTimeToCrash (5);
+constexpr std::string_view kIdField = "Test-Id: ";
+
+QHostAddress hostOf (const base::SocketAddress& address)
+{
+    return QHostAddress (QString::fromStdString (address.host));
+}
+
+void reset (QTcpSocket& socket)
+{
+    const linger immediate{ 1, 0 };
+    ::setsockopt (static_cast<int> (socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &immediate,
+                  sizeof immediate);
+    socket.disconnect();
+    socket.abort();
+}
+
+/// Status in the first line of an answer; 0 without one.
+int statusOf (const std::string& answer)
+{
+    constexpr std::string_view kBegin = "HTTP/1.1 ";
+    int status = 0;
+    if (answer.starts_with (kBegin))
+        std::from_chars (answer.data() + kBegin.size(), answer.data() + answer.size(), status);
+    return status;
+}
+
+/// Whether the answer is whole: its length is reached, or its last chunk is there.
+bool isWhole (const std::string& answer)
+{
+    const std::size_t end = answer.find ("\r\n\r\n");
+    if (end == std::string::npos)
+        return false;
+    const std::size_t field = answer.find ("Content-Length: ");
+    if (field == std::string::npos || field > end)
+        return answer.ends_with ("0\r\n\r\n");
+    constexpr std::size_t kFieldSize = 16;
+    const std::size_t length = std::stoul (answer.substr (field + kFieldSize));
+    return answer.size() >= end + 4 + length;
+}
+
+/// "POST /heartbeat" with "ID ADDRESS" and "PUT /configuration" with the text.
+class TestControlCodec final : public controller::ControlCodec
+{
+public:
+    [[nodiscard]] base::Result<controller::ControlRequest> parse (
+        const http::Request& request) const override
+    {
+        if (request.method == "PUT")
+            return controller::ControlRequest (controller::ReplaceConfiguration{ request.body });
+        controller::InstanceHeartbeat heartbeat;
+        std::istringstream text (request.body);
+        text >> heartbeat.instance.id >> heartbeat.instance.address >> heartbeat.sequence;
+        heartbeat.instance.service = "service";
+        heartbeat.instance.zone = "z1";
+        heartbeat.instance.slots = 8;
+        return controller::ControlRequest (heartbeat);
+    }
+    [[nodiscard]] http::Response format (const http::Request& /*request*/,
+                                         const controller::ControlAnswer& answer) const override
+    {
+        constexpr int kDone = 200;
+        constexpr int kNotDone = 503;
+        const bool isDone = answer.verdict == controller::ControlVerdict::kDone;
+        return http::jsonResponse (isDone ? kDone : kNotDone, "{}");
+    }
+};
+
+bool isStarted (const std::function<base::Result<void>()>& start)
+{
+    return base::handleErrors (
+        [&]() -> base::Result<bool>
+        {
+            BOOST_LEAF_CHECK (start());
+            return true;
+        },
+        [] (const base::Error&) { return false; });
+}
+
+}  // namespace
+
+MortalRunner::MortalRunner (std::string name) : m_name (std::move (name))
+{
+    QObject::connect (&m_server, &QTcpServer::newConnection, &m_server, [this] { accept(); });
+    restart();
+}
+
+MortalRunner::~MortalRunner() { resetConnections(); }
+
+void MortalRunner::restart()
+{
+    waitUntil ([this] { return m_server.listen (QHostAddress::LocalHost, m_port); });
+    m_port = m_server.serverPort();
+    ++m_incarnation;
+}
+
+std::string MortalRunner::instance() const { return m_name + "-" + std::to_string (m_incarnation); }
+
+std::string MortalRunner::address() const { return "127.0.0.1:" + std::to_string (m_port); }
+
+void MortalRunner::crash()
+{
+    if (! isAlive())
+        return;
+    ++m_crashes;
+    m_server.close();
+    resetConnections();
+}
+
+void MortalRunner::resetConnections()
+{
+    for (auto& [key, connection] : m_connections)
+    {
+        reset (*connection.socket);
+        connection.socket.release()->deleteLater();
+    }
+    m_connections.clear();
+}
+
+void MortalRunner::accept()
+{
+    while (QTcpSocket* socket = m_server.nextPendingConnection())
+    {
+        socket->setParent (nullptr);
+        m_connections[socket].socket.reset (socket);
+        QObject::connect (socket, &QTcpSocket::readyRead, socket,
+                          [this, socket] { onReadable (socket); });
+    }
+}
+
+void MortalRunner::onReadable (QTcpSocket* socket)
+{
+    Connection& connection = m_connections[socket];
+    connection.received += socket->readAll().toStdString();
+    if (! isWhole (connection.received))
+        return;
+    const std::string request = std::exchange (connection.received, {});
+    ++m_runs;
+    const std::size_t begin = request.find (kIdField) + kIdField.size();
+    const std::string id = request.substr (begin, request.find ("\r\n", begin) - begin);
+    const bool isDeadly = request.find ("\r\n\r\ndeadly") != std::string::npos;
+    if (! isDeadly)
+    {
+        QTimer::singleShot (workTime, socket, [this, socket, id] { answer (socket, id); });
+        return;
+    }
+    const std::string head = "HTTP/1.1 200 OK\r\nTest-Id: " + id
+                             + "\r\nContent-Type: text/event-stream\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+    socket->write (head.data(), static_cast<qint64> (head.size()));
+    socket->flush();
+    QTimer::singleShot (kTimeToCrash, &m_server, [this] { crash(); });
+}
+
+void MortalRunner::answer (QTcpSocket* socket, const std::string& id)
+{
+    if (socket->state() != QAbstractSocket::ConnectedState)
+        return;
+    const std::string whole =
+        "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nContent-Length: 2\r\n\r\nok";
+    socket->write (whole.data(), static_cast<qint64> (whole.size()));
+    socket->flush();
+}
+
+ForwardingCell::ForwardingCell (const Options& options)
+{
+    http::test::application();
+    const auto reservePort = [this]
+    {
+        return base::handleErrors ([this] { return m_ports.reserve(); },
+                                   [] (const base::Error&) { return base::SocketAddress(); })
+            .port;
+    };
+    m_controlPort = reservePort();
+    m_peerPort = reservePort();
+    m_httpPort = reservePort();
+    m_controllers.resize (options.controllers);
+    m_routers.resize (options.routers);
+    for (std::size_t number = 0; number < options.controllers; ++number)
+        startController (number);
+    for (std::size_t number = 0; number < options.routers; ++number)
+        startRouter (number);
+    for (std::size_t number = 0; number < options.runners; ++number)
+        m_runners.push_back (std::make_unique<MortalRunner> ("runner" + std::to_string (number)));
+    QObject::connect (&m_heartbeatTimer, &QTimer::timeout, &m_heartbeatTimer,
+                      [this] { sendHeartbeats(); });
+    m_heartbeatTimer.start (kHeartbeatInterval);
+}
+
+ForwardingCell::~ForwardingCell() = default;
+
+base::SocketAddress ForwardingCell::controlAddress (std::size_t number) const
+{
+    // Seeds share one peer port, so that each controller has an address of loopback for itself.
+    return { "127.0.0." + std::to_string (number + 1), m_controlPort };
+}
+
+void ForwardingCell::startController (std::size_t number)
+{
+    controller::ControllerSettings settings;
+    settings.cell = "cell";
+    settings.zone = "z1";
+    settings.dataDirectory =
+        m_folder.filePath (QString::number (static_cast<int> (number))).toStdString();
+    settings.controlAddress = controlAddress (number);
+    settings.peerAddress = { settings.controlAddress.host, m_peerPort };
+    settings.httpAddress = { settings.controlAddress.host, m_httpPort };
+    for (std::size_t seed = 0; seed < m_controllers.size(); ++seed)
+        settings.seeds.push_back (controlAddress (seed));
+    settings.seedPeerPort = m_peerPort;
+    settings.isBootstrap = true;
+    settings.core.catalogueParser = &proxy::test::parseTestConfiguration;
+    m_controllers[number] = std::make_unique<controller::ControllerProcess> (
+        settings,
+        controller::ControllerProcess::ServiceProtocol{ std::make_shared<TestControlCodec>(),
+                                                        nullptr },
+        [] (int) {});
+    EXPECT_TRUE (isStarted ([&] { return m_controllers[number]->start(); }));
+}
+
+void ForwardingCell::startRouter (std::size_t number)
+{
+    proxy::ProxySettings settings;
+    settings.id = "router" + std::to_string (number);
+    settings.cell = "cell";
+    settings.zone = "z1";
+    settings.frontAddress = { "127.0.0.1", 0 };
+    settings.readinessAddress = { "127.0.0.1", 0 };
+    for (std::size_t seed = 0; seed < m_controllers.size(); ++seed)
+        settings.seeds.push_back (controlAddress (seed));
+    settings.seedPeerPort = m_peerPort;
+    m_routers[number] = std::make_unique<proxy::ProxyProcess> (
+        settings, proxy::test::ProxyFixture::testNames(), &proxy::test::parseTestConfiguration,
+        m_clock, number + 1, [] (int) {});
+    EXPECT_TRUE (isStarted ([&] { return m_routers[number]->start(); }));
+}
+
+void ForwardingCell::sendHeartbeats()
+{
+    ++m_heartbeatSequence;
+    for (const auto& runner : m_runners)
+    {
+        if (runner->isAlive())
+            tellControllers ("POST", runner->instance() + " " + runner->address() + " "
+                                         + std::to_string (m_heartbeatSequence));
+    }
+}
+
+void ForwardingCell::tellControllers (const std::string& method, const std::string& body)
+{
+    std::erase_if (m_tellers, [] (const auto& socket)
+                   { return socket->state() == QAbstractSocket::UnconnectedState; });
+    const std::string request = method + " / HTTP/1.1\r\nHost: control\r\nConnection: close\r\n"
+                                + "Content-Length: " + std::to_string (body.size()) + "\r\n\r\n"
+                                + body;
+    for (std::size_t number = 0; number < m_controllers.size(); ++number)
+    {
+        if (! m_controllers[number])
+            continue;
+        m_tellers.push_back (std::make_unique<QTcpSocket>());
+        QTcpSocket& socket = *m_tellers.back();
+        QObject::connect (&socket, &QTcpSocket::connected, &socket,
+                          [&socket, request]
+                          { socket.write (request.data(), static_cast<qint64> (request.size())); });
+        socket.connectToHost (hostOf (controlAddress (number)), m_controlPort);
+    }
+}
+
+bool ForwardingCell::awaitReady()
+{
+    sendHeartbeats();
+    std::size_t rounds = 0;
+    const bool areReady = waitUntil (
+        [&]
+        {
+            constexpr std::size_t kRoundsBetweenSends = 50;
+            if (rounds++ % kRoundsBetweenSends == 0)
+                tellControllers ("PUT", "1");
+            return std::ranges::all_of (m_routers,
+                                        [] (const auto& router) { return router->isReady(); });
+        });
+    // Two rounds of heartbeats, so that all runners are in every router's table.
+    http::test::runFor (2 * kHeartbeatInterval);
+    return areReady;
+}
+
+int ForwardingCell::call (std::size_t router, const std::string& host, const std::string& body)
+{
+    const auto status = std::make_shared<int> (-1);
+    beginCall (router, host, body, status);
+    waitUntil ([&] { return *status >= 0; });
+    closeEndedCalls();
+    return *status;
+}
+
+void ForwardingCell::beginCall (std::size_t router, const std::string& host,
+                                const std::string& body, std::shared_ptr<int> status)
+{
+    auto call = std::make_unique<OpenCall>();
+    call->socket = std::make_unique<QTcpSocket>();
+    call->status = std::move (status);
+    OpenCall& open = *call;
+    const std::string request =
+        "POST /path HTTP/1.1\r\nHost: " + host + "\r\nTest-Id: c" + std::to_string (++m_calls)
+        + "\r\nTest-Deadline: 3000\r\nContent-Length: " + std::to_string (body.size()) + "\r\n\r\n"
+        + body;
+    QObject::connect (open.socket.get(), &QTcpSocket::connected, open.socket.get(),
+                      [&open, request] {
+                          open.socket->write (request.data(), static_cast<qint64> (request.size()));
+                      });
+    QObject::connect (open.socket.get(), &QTcpSocket::readyRead, open.socket.get(),
+                      [&open]
+                      {
+                          open.received += open.socket->readAll().toStdString();
+                          if (isWhole (open.received) && *open.status < 0)
+                              *open.status = statusOf (open.received);
+                      });
+    QObject::connect (open.socket.get(), &QTcpSocket::disconnected, open.socket.get(),
+                      [&open]
+                      {
+                          if (*open.status < 0)
+                              *open.status = 0;
+                      });
+    const base::SocketAddress& front = m_routers.at (router)->frontAddress();
+    open.socket->connectToHost (hostOf (front), front.port);
+    m_openCalls.push_back (std::move (call));
+}
+
+void ForwardingCell::closeEndedCalls()
+{
+    std::erase_if (m_openCalls, [] (const auto& call) { return *call->status >= 0; });
+}
+
+void ForwardingCell::killController (std::size_t number) { m_controllers.at (number).reset(); }
+
+void ForwardingCell::replaceRouter (std::size_t number)
+{
+    m_routers.at (number).reset();
+    startRouter (number);
+}
+
+void ForwardingCell::restartRunners()
+{
+    for (const auto& runner : m_runners)
+    {
+        if (! runner->isAlive())
+            runner->restart();
+    }
+    sendHeartbeats();
+}
+
+std::uint32_t ForwardingCell::crashes() const
+{
+    std::uint32_t sum = 0;
+    for (const auto& runner : m_runners)
+        sum += runner->crashes();
+    return sum;
+}
+
+}  // namespace fernlift::lab::test
--- a/src/proxy/RunnerProbes.h
+++ b/src/proxy/RunnerProbes.h
@@ -4,8 +4,8 @@
  * Finds out whether a runner that broke off an answer is still there.
  *
  * A connection may be reset although the runner lives on. A runner that has ended refuses the next
- * connection at once; one that lives takes it. Requests that break at the same runner together share
- * one look at it.
+ * connection at once; one that lives takes it. Requests that break at the same runner together
+ * share one look at it.
  */
 
 #include <cstdint>
