--- a/src/base/Error.h
+++ b/src/base/Error.h
@@ -47,6 +47,7 @@
     kUpstreamBroken,
     kUpstreamTimeout,
     kOutcomeUnknown,
+    kRequestQuarantined,
     kCallerGone,
     // Control.
     kNotLeader,
--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -29,7 +29,10 @@
 }
 
 /// First bytes of a snapshot: a change of StoredState's layout needs another number.
-constexpr std::string_view kSnapshotFormat = "fernlift cell 2\n";
+constexpr std::string_view kSnapshotFormat = "fernlift cell 3\n";
+/// The same without the table of suspects.
+constexpr std::string_view kEarlierFormat = "fernlift cell 2\n";
+static_assert (kEarlierFormat.size() == kSnapshotFormat.size());
 
 /// Layout of a snapshot.
 /// The members are written from where they are: a copy of a large claim table takes long.
@@ -43,17 +46,18 @@
     const DecisionJournal& journal;
     const base::UnixMilliseconds& time;
     const base::LogIndex& appliedIndex;
+    const QuarantineTable& quarantine;
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/) const
     {
         archive& configuration& configurationText& replicas& instances& claims& journal& time&
-            appliedIndex;
+            appliedIndex& quarantine;
     }
 };
 
-/// The same layout, to read into.
-struct StoredState
+/// The layout before, to read into.
+struct EarlierStoredState
 {
     ConfigurationIdentity configuration;
     std::string configurationText;
@@ -72,6 +76,35 @@
     }
 };
 
+/// The same layout, to read into.
+struct StoredState : EarlierStoredState
+{
+    QuarantineTable quarantine;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned version)
+    {
+        EarlierStoredState::serialize (archive, version);
+        archive& quarantine;
+    }
+};
+
+base::Result<StoredState> decodeState (std::string_view bytes)
+{
+    if (bytes.starts_with (kSnapshotFormat))
+        return wire::decodeValue<StoredState> (bytes.substr (kSnapshotFormat.size()));
+    if (! bytes.starts_with (kEarlierFormat))
+    {
+        return base::fail (base::ErrorKind::kStorageFormatUnknown,
+                           "the state was not stored in format 2 or 3 of this program");
+    }
+    BOOST_LEAF_AUTO (earlier,
+                     wire::decodeValue<EarlierStoredState> (bytes.substr (kEarlierFormat.size())));
+    StoredState stored;
+    static_cast<EarlierStoredState&> (stored) = std::move (earlier);
+    return stored;
+}
+
 }  // namespace
 
 ApplyResult CellState::apply (base::LogIndex index, const Command& command)
@@ -231,6 +264,26 @@
     return ChangeResult{ changed };
 }
 
+ApplyResult CellState::applyCommand (base::LogIndex index, const NoteSuspects& command)
+{
+    bool changed = m_quarantine.expire (index, m_time);
+    for (const std::string& digest : command.acquitted)
+        changed = m_quarantine.release (index, digest) || changed;
+    for (const RunnerEnd& end : command.ends)
+        changed = m_quarantine.note (index, end) || changed;
+    return ChangeResult{ changed };
+}
+
+ApplyResult CellState::applyCommand (base::LogIndex index, const ReleaseSuspects& command)
+{
+    if (command.digests.empty())
+        return ChangeResult{ m_quarantine.releaseAll (index) };
+    bool changed = false;
+    for (const std::string& digest : command.digests)
+        changed = m_quarantine.release (index, digest) || changed;
+    return ChangeResult{ changed };
+}
+
 void CellState::note (base::LogIndex index, base::UnixMilliseconds at, DecisionKind kind,
                       const Replica* replica, std::string_view outcome, const std::string& reason)
 {
@@ -269,21 +322,14 @@
                                   forgetsClaims ? noClaims : m_claims,
                                   m_journal,
                                   m_time,
-                                  m_appliedIndex };
+                                  m_appliedIndex,
+                                  m_quarantine };
     return std::string (kSnapshotFormat) + wire::encodeValue (stored);
 }
 
 base::Result<void> CellState::restore (std::string_view bytes)
 {
-    if (! bytes.starts_with (kSnapshotFormat))
-    {
-        return base::fail (base::ErrorKind::kStorageFormatUnknown,
-                           "the state was not stored in format 2 of this program");
-    }
-    auto decoded = wire::decodeValue<StoredState> (bytes.substr (kSnapshotFormat.size()));
-    if (! decoded)
-        return decoded.error();
-    StoredState& stored = decoded.value();
+    BOOST_LEAF_AUTO (stored, decodeState (bytes));
     if (! m_configuration.restore (std::move (stored.configuration),
                                    std::move (stored.configurationText)))
     {
@@ -292,6 +338,7 @@
     m_replicas.replaceWith (std::move (stored.replicas));
     m_instances = std::move (stored.instances);
     m_claims = std::move (stored.claims);
+    m_quarantine = std::move (stored.quarantine);
     m_journal = std::move (stored.journal);
     m_time = stored.time;
     m_appliedIndex = stored.appliedIndex;
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -16,6 +16,7 @@
 #include "cell/ConfigurationState.h"
 #include "cell/DecisionJournal.h"
 #include "cell/PlantedFault.h"
+#include "cell/QuarantineTable.h"
 #include "cell/ReplicaTable.h"
 #include "cell/ServiceInstances.h"
 
@@ -79,6 +80,7 @@
     [[nodiscard]] const ReplicaTable& replicas() const { return m_replicas; }
     [[nodiscard]] const ServiceInstances& instances() const { return m_instances; }
     [[nodiscard]] const ClaimTable& claims() const { return m_claims; }
+    [[nodiscard]] const QuarantineTable& quarantine() const { return m_quarantine; }
     [[nodiscard]] const DecisionJournal& journal() const { return m_journal; }
     /// Latest time any proposer stated; never goes back.
     [[nodiscard]] base::UnixMilliseconds time() const { return m_time; }
@@ -87,7 +89,8 @@
     /// Bytes from which restore() makes an equal state; equal states give equal bytes.
     [[nodiscard]] std::string encode() const;
     /// Replaces the state. Fails and changes nothing on bytes that encode() did not make
-    /// (kMessageInvalid) or that another format's encode() made (kStorageFormatUnknown).
+    /// (kMessageInvalid) or that another format's encode() made (kStorageFormatUnknown). The format
+    /// before this one, which knew no suspects, is read too.
     base::Result<void> restore (std::string_view bytes);
 
 private:
@@ -106,6 +109,8 @@
     ApplyResult applyCommand (base::LogIndex index, const RemoveInstance& command);
     ApplyResult applyCommand (base::LogIndex index, const NoteHoldings& command);
     ApplyResult applyCommand (base::LogIndex index, const NoteOrders& command);
+    ApplyResult applyCommand (base::LogIndex index, const NoteSuspects& command);
+    ApplyResult applyCommand (base::LogIndex index, const ReleaseSuspects& command);
     void note (base::LogIndex index, base::UnixMilliseconds at, DecisionKind kind,
                const Replica* replica, std::string_view outcome, const std::string& reason);
     void noteReleased (base::LogIndex index, base::UnixMilliseconds at,
@@ -116,6 +121,7 @@
     ReplicaTable m_replicas;
     ServiceInstances m_instances;
     ClaimTable m_claims;
+    QuarantineTable m_quarantine;
     DecisionJournal m_journal;
     base::UnixMilliseconds m_time = 0;
     base::LogIndex m_appliedIndex = 0;
--- a/src/cell/Commands.h
+++ b/src/cell/Commands.h
@@ -12,6 +12,7 @@
 
 #include "base/Ids.h"
 #include "base/Time.h"
+#include "cell/QuarantineTable.h"
 #include "cell/ServiceInstances.h"
 #include "engine/EngineApi.h"
 
@@ -292,9 +293,36 @@
     }
 };
 
-using Command =
-    std::variant<ApplyConfiguration, ObserveRunner, RemoveRunner, DecideLoad, DecideUnload,
-                 ReplicaReady, ReplicaReleased, ClaimKeys, RecordOutcomes, SetDraining, AddInstance,
-                 DrainInstance, RemoveInstance, NoteHoldings, NoteOrders>;
+/// Requests under which runners ended, and which turned out to be harmless.
+struct NoteSuspects
+{
+    std::vector<RunnerEnd> ends;
+    std::vector<std::string> acquitted;  ///< Digests.
+    base::UnixMilliseconds proposedAt = 0;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& ends& acquitted& proposedAt;
+    }
+};
+
+/// An operator lets requests out of quarantine.
+struct ReleaseSuspects
+{
+    std::vector<std::string> digests;  ///< Empty: all.
+    base::UnixMilliseconds proposedAt = 0;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& digests& proposedAt;
+    }
+};
+
+using Command = std::variant<ApplyConfiguration, ObserveRunner, RemoveRunner, DecideLoad,
+                             DecideUnload, ReplicaReady, ReplicaReleased, ClaimKeys, RecordOutcomes,
+                             SetDraining, AddInstance, DrainInstance, RemoveInstance, NoteHoldings,
+                             NoteOrders, NoteSuspects, ReleaseSuspects>;
 
 }  // namespace fernlift::cell
--- /dev/null
+++ b/src/cell/QuarantineTable.cpp
@@ -0,0 +1,174 @@
+#include "cell/QuarantineTable.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace fernlift::cell
+{
+namespace
+{
+
+base::UnixMilliseconds expiryOf (const Suspect& suspect)
+{
+    return suspect.lastEndAt
+           + (suspect.isInQuarantine() ? QuarantineTable::kQuarantineLifetime
+                                       : QuarantineTable::kSuspectLifetime);
+}
+
+/// Whether the end at this place adds nothing to the successive ones.
+bool isSuperfluous (const Suspect& suspect, std::size_t position)
+{
+    Suspect without = suspect;
+    without.ends.erase (without.ends.begin() + static_cast<std::ptrdiff_t> (position));
+    return without.successiveEnds() == suspect.successiveEnds();
+}
+
+/// Drops one end that does not count. Nothing when all do: the request is in quarantine then.
+void dropSuperfluous (Suspect& suspect)
+{
+    for (std::size_t position = 0; position < suspect.ends.size(); ++position)
+    {
+        if (! isSuperfluous (suspect, position))
+            continue;
+        suspect.ends.erase (suspect.ends.begin() + static_cast<std::ptrdiff_t> (position));
+        return;
+    }
+}
+
+}  // namespace
+
+std::uint32_t Suspect::successiveEnds() const
+{
+    // The most stretches of time that do not overlap: always take the one that ends first.
+    std::vector<RunnerEnd> byEnd = ends;
+    std::ranges::sort (byEnd, {}, &RunnerEnd::endedAt);
+    std::uint32_t count = 0;
+    base::UnixMilliseconds freeFrom = 0;
+    for (const RunnerEnd& end : byEnd)
+    {
+        if (count > 0 && end.sentAt < freeFrom)
+            continue;
+        ++count;
+        freeFrom = end.endedAt;
+    }
+    return count;
+}
+
+bool Suspect::contains (const std::string& instance) const
+{
+    return std::ranges::find (ends, instance, &RunnerEnd::instance) != ends.end();
+}
+
+bool QuarantineTable::note (base::LogIndex index, const RunnerEnd& end)
+{
+    auto found = m_suspects.find (end.request.digest);
+    if (found != m_suspects.end() && found->second.contains (end.instance))
+        return false;
+    if (found == m_suspects.end())
+    {
+        makeRoom (index);
+        found = m_suspects.emplace (end.request.digest, Suspect{ end.request, {}, 0, 0 }).first;
+        m_removedAt.erase (end.request.digest);
+    }
+    Suspect& suspect = found->second;
+    if (suspect.ends.size() >= kMostEnds)
+        dropSuperfluous (suspect);
+    if (suspect.ends.size() < kMostEnds)
+        suspect.ends.push_back (end);
+    suspect.lastEndAt = std::max (suspect.lastEndAt, end.endedAt);
+    suspect.changedAt = index;
+    m_version = index;
+    return true;
+}
+
+void QuarantineTable::makeRoom (base::LogIndex index)
+{
+    if (m_suspects.size() < kMostSuspects)
+        return;
+    const auto least = std::ranges::min_element (
+        m_suspects, {},
+        [] (const auto& item)
+        { return std::make_tuple (item.second.successiveEnds(), item.second.lastEndAt); });
+    remove (index, std::string (least->first));
+}
+
+void QuarantineTable::remove (base::LogIndex index, const std::string& digest)
+{
+    m_suspects.erase (digest);
+    if (m_removedAt.size() >= kMostSuspects)
+    {
+        m_removedAt.clear();
+        m_removalsKnownSince = index;
+    }
+    m_removedAt[digest] = index;
+    m_version = index;
+}
+
+bool QuarantineTable::release (base::LogIndex index, const std::string& digest)
+{
+    if (! m_suspects.contains (digest))
+        return false;
+    remove (index, digest);
+    return true;
+}
+
+bool QuarantineTable::releaseAll (base::LogIndex index)
+{
+    if (m_suspects.empty())
+        return false;
+    m_suspects.clear();
+    m_removedAt.clear();
+    m_removalsKnownSince = index;
+    m_version = index;
+    return true;
+}
+
+bool QuarantineTable::expire (base::LogIndex index, base::UnixMilliseconds time)
+{
+    std::vector<std::string> over;
+    for (const auto& [digest, suspect] : m_suspects)
+    {
+        if (time >= expiryOf (suspect))
+            over.push_back (digest);
+    }
+    for (const std::string& digest : over)
+        remove (index, digest);
+    return ! over.empty();
+}
+
+const Suspect* QuarantineTable::find (const std::string& digest) const
+{
+    const auto found = m_suspects.find (digest);
+    return found == m_suspects.end() ? nullptr : &found->second;
+}
+
+SuspectUpdate QuarantineTable::updateSince (base::LogIndex version) const
+{
+    SuspectUpdate update;
+    const bool isChange = version != 0 && version >= m_removalsKnownSince;
+    update.fromVersion = isChange ? version : 0;
+    update.toVersion = m_version;
+    for (const auto& [digest, suspect] : m_suspects)
+    {
+        if (suspect.changedAt <= update.fromVersion)
+            continue;
+        SuspectRow row{ suspect.request, suspect.successiveEnds(), {} };
+        for (const RunnerEnd& end : suspect.ends)
+            row.instances.push_back (end.instance);
+        update.upserts.push_back (std::move (row));
+    }
+    for (const auto& [digest, removedAt] : m_removedAt)
+    {
+        if (isChange && removedAt > version)
+            update.removals.push_back (digest);
+    }
+    return update;
+}
+
+bool QuarantineTable::hasExpired (base::UnixMilliseconds time) const
+{
+    return std::ranges::any_of (m_suspects,
+                                [&] (const auto& item) { return time >= expiryOf (item.second); });
+}
+
+}  // namespace fernlift::cell
--- /dev/null
+++ b/src/cell/QuarantineTableTest.cpp
@@ -0,0 +1,143 @@
+// Requests under which runners ended, as the cell has agreed on them.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+#include "cell/QuarantineTable.h"
+#include "wire/Codec.h"
+
+namespace fernlift::cell
+{
+namespace
+{
+
+RunnerEnd endOf (const std::string& request, const std::string& instance,
+                 base::UnixMilliseconds sentAt, base::UnixMilliseconds endedAt)
+{
+    return { { 1, request }, instance, sentAt, endedAt };
+}
+
+TEST (QuarantineTableTest, ThreeEndsOneAfterTheOtherLeadToQuarantine)
+{
+    QuarantineTable table;
+    EXPECT_TRUE (table.note (1, endOf ("r", "a", 0, 50)));
+    EXPECT_TRUE (table.note (2, endOf ("r", "b", 60, 110)));
+    EXPECT_FALSE (table.find ("r")->isInQuarantine());
+    EXPECT_TRUE (table.note (3, endOf ("r", "c", 300, 350)));
+    EXPECT_TRUE (table.find ("r")->isInQuarantine());
+}
+
+TEST (QuarantineTableTest, RunnersThatEndTogetherAreOneEnd)
+{
+    QuarantineTable table;
+    for (int copy = 0; copy < 6; ++copy)
+        table.note (1, endOf ("r", "rack" + std::to_string (copy), copy, 100));
+    EXPECT_EQ (table.find ("r")->successiveEnds(), 1);
+}
+
+TEST (QuarantineTableTest, OneEndThatIsReportedTwiceCountsOnce)
+{
+    QuarantineTable table;
+    EXPECT_TRUE (table.note (1, endOf ("r", "a", 0, 50)));
+    EXPECT_FALSE (table.note (2, endOf ("r", "a", 60, 110)));
+    EXPECT_EQ (table.find ("r")->successiveEnds(), 1);
+    EXPECT_EQ (table.version(), 1);
+}
+
+TEST (QuarantineTableTest, TheOrderInWhichEndsBecomeKnownDoesNotMatter)
+{
+    std::vector<RunnerEnd> ends{ endOf ("r", "a", 0, 50), endOf ("r", "b", 10, 60),
+                                 endOf ("r", "c", 55, 90), endOf ("r", "d", 95, 120) };
+    std::mt19937 random (1);
+    for (int round = 0; round < 24; ++round)
+    {
+        std::ranges::shuffle (ends, random);
+        QuarantineTable table;
+        for (const RunnerEnd& end : ends)
+            table.note (1, end);
+        EXPECT_EQ (table.find ("r")->successiveEnds(), 3);
+    }
+}
+
+TEST (QuarantineTableTest, ManyEndsAtOnceLeaveRoomForThoseThatFollow)
+{
+    QuarantineTable table;
+    for (int copy = 0; copy < 20; ++copy)
+        table.note (1, endOf ("r", "wave" + std::to_string (copy), 0, 100));
+    table.note (2, endOf ("r", "b", 200, 250));
+    table.note (3, endOf ("r", "c", 300, 350));
+    EXPECT_TRUE (table.find ("r")->isInQuarantine());
+    EXPECT_LE (table.find ("r")->ends.size(), QuarantineTable::kMostEnds);
+}
+
+TEST (QuarantineTableTest, AReleasedRequestBeginsAnew)
+{
+    QuarantineTable table;
+    table.note (1, endOf ("r", "a", 0, 50));
+    EXPECT_TRUE (table.release (2, "r"));
+    EXPECT_FALSE (table.release (3, "r"));
+    EXPECT_EQ (table.find ("r"), nullptr);
+    table.note (4, endOf ("r", "b", 60, 110));
+    EXPECT_EQ (table.find ("r")->successiveEnds(), 1);
+}
+
+TEST (QuarantineTableTest, SuspectsAreForgottenSoonerThanThoseInQuarantine)
+{
+    QuarantineTable table;
+    table.note (1, endOf ("once", "a", 0, 50));
+    for (int end = 0; end < 3; ++end)
+        table.note (1, endOf ("thrice", std::to_string (end), 100 * end, 100 * end + 50));
+    EXPECT_TRUE (table.hasExpired (QuarantineTable::kSuspectLifetime + 50));
+    EXPECT_TRUE (table.expire (2, QuarantineTable::kSuspectLifetime + 250));
+    EXPECT_EQ (table.find ("once"), nullptr);
+    EXPECT_NE (table.find ("thrice"), nullptr);
+    EXPECT_TRUE (table.expire (3, QuarantineTable::kQuarantineLifetime + 250));
+    EXPECT_TRUE (table.all().empty());
+}
+
+TEST (QuarantineTableTest, AFullTableForgetsTheOldestWithTheFewestEnds)
+{
+    QuarantineTable table;
+    for (int end = 0; end < 3; ++end)
+        table.note (1, endOf ("old", std::to_string (end), 100 * end, 100 * end + 50));
+    for (std::size_t each = 0; each < QuarantineTable::kMostSuspects; ++each)
+        table.note (2, endOf ("s" + std::to_string (each), "a", 1000,
+                              1000 + static_cast<base::UnixMilliseconds> (each)));
+    EXPECT_EQ (table.all().size(), QuarantineTable::kMostSuspects);
+    EXPECT_TRUE (table.find ("old")->isInQuarantine());
+    EXPECT_EQ (table.find ("s0"), nullptr);
+}
+
+TEST (QuarantineTableTest, AnUpdateHoldsWhatChangedSinceAVersion)
+{
+    QuarantineTable table;
+    table.note (5, endOf ("r", "a", 0, 50));
+    table.note (6, endOf ("s", "a", 0, 50));
+    table.release (7, "r");
+    const SuspectUpdate whole = table.updateSince (0);
+    EXPECT_EQ (whole.fromVersion, 0);
+    ASSERT_EQ (whole.upserts.size(), 1);
+    EXPECT_EQ (whole.upserts[0].request.digest, "s");
+    const SuspectUpdate change = table.updateSince (6);
+    EXPECT_EQ (change.fromVersion, 6);
+    EXPECT_EQ (change.toVersion, 7);
+    EXPECT_TRUE (change.upserts.empty());
+    EXPECT_EQ (change.removals, std::vector<std::string>{ "r" });
+}
+
+TEST (QuarantineTableTest, ARestoredTableTellsTheWholeToRoutersThatHoldAnEarlierOne)
+{
+    QuarantineTable table;
+    table.note (5, endOf ("r", "a", 0, 50));
+    table.note (6, endOf ("s", "a", 0, 50));
+    table.release (7, "r");
+    auto restored = wire::decodeValue<QuarantineTable> (wire::encodeValue (table));
+    ASSERT_TRUE (restored);
+    EXPECT_EQ (restored.value().version(), 7);
+    EXPECT_EQ (restored.value().updateSince (6).fromVersion, 0) << "removals before are not known";
+}
+
+}  // namespace
+}  // namespace fernlift::cell
--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -12,6 +12,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "cell/Commands.h"
+#include "cell/QuarantineMessages.h"
 #include "cell/QuotaMessages.h"
 #include "consensus/Messages.h"
 
@@ -235,7 +236,7 @@
 using RouterToController =
     std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest, OutcomeReport,
                  RunnerLeavingSeen, EngineDemandReport, MemberJoinRequest, InstanceUnreachable,
-                 InstanceSightings, QuotaRequest>;
+                 InstanceSightings, QuotaRequest, SuspectReport>;
 
 /// This controller does not lead; try `leaderAddress` ("ip:port", empty when unknown).
 struct NotLeaderReply
@@ -483,6 +484,6 @@
 
 using ControllerToRouter =
     std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant, ReplicaUpdate, ClaimReply,
-                 InstanceUpdate, MemberJoinReply, QuotaGrant>;
+                 InstanceUpdate, MemberJoinReply, QuotaGrant, SuspectUpdate>;
 
 }  // namespace fernlift::cell
--- a/src/cell/ServiceInstances.h
+++ b/src/cell/ServiceInstances.h
@@ -66,6 +66,8 @@
     bool remove (const std::string& id, bool isDeregistered);
 
     [[nodiscard]] const ServiceInstance* find (const std::string& id) const;
+    /// Whether an instance said lately that it ends.
+    [[nodiscard]] bool isDeregistered (const std::string& id) const;
     [[nodiscard]] const std::map<std::string, ServiceInstance>& all() const { return m_instances; }
 
     bool operator== (const ServiceInstances&) const = default;
@@ -78,8 +80,6 @@
 private:
     static constexpr std::size_t kRememberedDeregistrations = 256;
 
-    [[nodiscard]] bool isDeregistered (const std::string& id) const;
-
     std::map<std::string, ServiceInstance> m_instances;
     /// Ids deregistered lately, by the order of removal.
     std::map<std::uint64_t, std::string> m_deregistered;
--- a/src/controller/AdminAnswers.cpp
+++ b/src/controller/AdminAnswers.cpp
@@ -357,6 +357,27 @@
 
 AdminAnswer doneAnswer() { return answerOf (200, { { u"result"_s, u"ok"_s } }); }
 
+AdminAnswer quarantineAnswer (const cell::QuarantineTable& table)
+{
+    QJsonArray quarantined;
+    QJsonArray others;
+    for (const auto& [digest, suspect] : table.all())
+    {
+        QJsonArray runners;
+        for (const cell::RunnerEnd& end : suspect.ends)
+            runners.append (text (end.instance));
+        const QJsonObject object{ { u"request"_s, text (digest) },
+                                  { u"ends"_s, static_cast<qint64> (suspect.successiveEnds()) },
+                                  { u"quarantined"_s, suspect.isInQuarantine() },
+                                  { u"runners"_s, runners },
+                                  { u"last_end_ms"_s, static_cast<qint64> (suspect.lastEndAt) } };
+        (suspect.isInQuarantine() ? quarantined : others).append (object);
+    }
+    for (const QJsonValue& other : others)
+        quarantined.append (other);
+    return answerOf (200, { { u"suspects"_s, quarantined } });
+}
+
 AdminAnswer membersAnswer (const consensus::RaftStatus& status)
 {
     return answerOf (200, raftObject (status));
--- a/src/controller/AdminAnswers.h
+++ b/src/controller/AdminAnswers.h
@@ -48,6 +48,9 @@
     base::TimePoint now{};
 };
 
+/// {"suspects": [{"request","ends","quarantined","runners","last_end_ms"}]}, those in quarantine
+/// first.
+[[nodiscard]] AdminAnswer quarantineAnswer (const cell::QuarantineTable& table);
 [[nodiscard]] AdminAnswer membersAnswer (const consensus::RaftStatus& status);
 [[nodiscard]] AdminAnswer statusAnswer (const AdminView& view);
 /// Kind "model" (also adapters and applications), "runner" or "configuration"; kNotFound for
--- a/src/controller/AdminRequests.cpp
+++ b/src/controller/AdminRequests.cpp
@@ -120,6 +120,15 @@
     return AdminDrain{ base::RunnerId (runner), draining.toBool() };
 }
 
+base::Result<AdminRequest> parseRelease (const http::Request& request)
+{
+    BOOST_LEAF_AUTO (object, parseObject (request.body));
+    if (object.value (QLatin1String ("release_all")).toBool() && object.size() == 1)
+        return AdminRelease{};
+    BOOST_LEAF_AUTO (digest, textField (object, "release"));
+    return AdminRelease{ digest };
+}
+
 base::Result<AdminRequest> parseExplain (std::string_view rest)
 {
     const std::size_t slash = rest.find ('/');
@@ -139,6 +148,8 @@
         return AdminStatus{};
     if (resource == "members")
         return AdminMembers{};
+    if (resource == "quarantine")
+        return AdminQuarantine{};
     if (resource.starts_with (kExplainPrefix))
     {
         return parseExplain (resource.substr (kExplainPrefix.size()));
@@ -156,6 +167,8 @@
         return parseMembersChange (request);
     if (resource == "drain")
         return parseDrain (request);
+    if (resource == "quarantine")
+        return parseRelease (request);
     if (resource == "status" || resource.starts_with (kExplainPrefix))
     {
         return base::fail (ErrorKind::kMethodNotAllowed, "this resource takes GET");
--- a/src/controller/AdminRequests.h
+++ b/src/controller/AdminRequests.h
@@ -20,6 +20,8 @@
 ///   POST members   {"add":{"id","peer_address","admin_address","zone"}} | {"promote":id} |
 ///                  {"remove":id}
 ///   POST drain     {"runner","draining"}
+///   GET  quarantine
+///   POST quarantine   {"release":"REQUEST"} | {"release_all":true}
 [[nodiscard]] base::Result<AdminRequest> parseAdminRequest (const http::Request& request);
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -107,6 +107,8 @@
         if (m_leader->isTableDue && ! m_leader->isTableShared)
             sendTablesIfDue();
         sendConfigurationIfDue();
+        if (holdsLease())
+            sendSuspectsTo (m_leader->sessions);
         followRollout();
         placeOnEngines();
         sendInstancesIfDue();
@@ -210,6 +212,8 @@
         m_orderNotes.onNote (*note, m_now);
     if (! m_leader)
         return;
+    if (const auto* note = std::get_if<cell::NoteSuspects> (&*command))
+        noteSuspects (*note);
     const bool isAboutClaims = std::holds_alternative<cell::ClaimKeys> (*command)
                                || std::holds_alternative<cell::RecordOutcomes> (*command);
     if (! isAboutClaims)
@@ -260,6 +264,8 @@
             ticket = apply->ticket;
         if (const auto* drainPurpose = std::get_if<ForDrain> (&purpose))
             ticket = drainPurpose->ticket;
+        if (const auto* release = std::get_if<ForRelease> (&purpose))
+            ticket = release->ticket;
         if (const auto* members = std::get_if<ForMembers> (&purpose))
             ticket = members->ticket;
         if (const auto* request = std::get_if<ForControl> (&purpose))
--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -102,9 +102,17 @@
     base::RunnerId runner;
     bool isDraining = true;
 };
+/// Reads which requests are suspects or in quarantine.
+struct AdminQuarantine
+{
+};
+struct AdminRelease
+{
+    std::string digest;  ///< Empty: all.
+};
 using AdminRequest =
     std::variant<AdminApply, AdminStatus, AdminExplain, AdminMembers, AdminAddMember,
-                 AdminPromoteMember, AdminRemoveMember, AdminDrain>;
+                 AdminPromoteMember, AdminRemoveMember, AdminDrain, AdminQuarantine, AdminRelease>;
 
 // Effects the adapter carries out.
 
@@ -171,10 +179,17 @@
     ControlAnswer answer;
 };
 
-using Effect = std::variant<PersistEffect, SendToMember, ConnectToLeader, SendToLeader,
-                            SendToRouter, BroadcastToRouters, SendOrder, PollRunner,
-                            PollMachineList, AnswerAdmin, AnswerControl, placement::SendEngineOrder,
-                            placement::PollEngine, placement::EngineOrderDone, ConfigurationNews>;
+/// A runner ended under a request that is passed on to no other from now on.
+struct RequestQuarantined
+{
+    cell::Suspect suspect;
+};
+
+using Effect =
+    std::variant<PersistEffect, SendToMember, ConnectToLeader, SendToLeader, SendToRouter,
+                 BroadcastToRouters, SendOrder, PollRunner, PollMachineList, AnswerAdmin,
+                 AnswerControl, placement::SendEngineOrder, placement::PollEngine,
+                 placement::EngineOrderDone, ConfigurationNews, RequestQuarantined>;
 
 /// A member that does not lead, as it serves routers on behalf of the leader.
 struct RelayStatus
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -74,6 +74,11 @@
 {
     base::RunnerId runner;
 };
+/// Requests that an operator lets out of quarantine.
+struct ForRelease
+{
+    AdminTicket ticket = 0;
+};
 /// The index becomes the fence of an unload of a replica that the state does not know.
 struct ForStray
 {
@@ -120,7 +125,7 @@
 };
 using Purpose = std::variant<ForPlacement, ForApply, ForDrain, ForMembers, ForClaims, ForReplica,
                              ForRunner, ForStray, ForNothing, ForControl, ForLeavingInstance,
-                             ForConfiguration, ForOwnMembers, ForEngineOrders>;
+                             ForConfiguration, ForOwnMembers, ForEngineOrders, ForRelease>;
 
 /// An apply that is committed and whose operator waits until it is in force everywhere.
 struct InForceWait
@@ -213,7 +218,9 @@
     ReadyEstimates estimates;  ///< As last stated to routers.
     InstanceTable instances;
     quota::QuotaLedger quotas;
-    QuotaBasis quotaBasis;  ///< Of what `quotas` counts.
+    QuotaBasis quotaBasis;        ///< Of what `quotas` counts.
+    cell::NoteSuspects suspects;  ///< Reported and not proposed yet.
+    base::TimePoint nextSuspectExpiryAt{};
     base::TimePoint nextHoldingsAt{};
     std::uint64_t announcedVersion = 0;  ///< Configuration that routers were to be sent last.
     PacedWork configurationSend;         ///< Routers may have to be sent the configuration.
@@ -321,6 +328,7 @@
                  const cell::ApplyResult& result);
     void finish (const ForEngineOrders& purpose, base::LogIndex index,
                  const cell::ApplyResult& result);
+    void finish (const ForRelease& purpose, base::LogIndex index, const cell::ApplyResult& result);
     void updateLeadership();
     void beginLeadership();
     void endLeadership();
@@ -399,6 +407,8 @@
     void admin (AdminTicket ticket, const AdminPromoteMember& request);
     void admin (AdminTicket ticket, const AdminRemoveMember& request);
     void admin (AdminTicket ticket, const AdminDrain& request);
+    void admin (AdminTicket ticket, const AdminQuarantine& request);
+    void admin (AdminTicket ticket, const AdminRelease& request);
     [[nodiscard]] bool isMembersChangePending() const;
     void changeMembers (AdminTicket ticket, consensus::MemberSet members);
     void answer (AdminTicket ticket, AdminAnswer answer);
@@ -423,6 +433,17 @@
     void followRollout();
     void answerConfigurationWaits (std::uint64_t confirmedVersion);
 
+    // ControllerQuarantine.cpp
+    void onSuspectReport (const cell::SuspectReport& report);
+    /// Whether the instance has said that it leaves or has left.
+    [[nodiscard]] bool isLeaving (const std::string& instance) const;
+    /// Puts into the log what was reported since the last time.
+    void proposeSuspectsIfDue();
+    /// Ends that routers reported were applied.
+    void noteSuspects (const cell::NoteSuspects& command);
+    /// Sends to routers what they lack of the table of suspects as it is applied here.
+    void sendSuspectsTo (RouterSessions& sessions);
+
     // ControllerInstances.cpp
     void control (ControlTicket ticket, const InstanceHeartbeat& heartbeat);
     void control (ControlTicket ticket, const InstanceDeregistration& request);
@@ -508,6 +529,7 @@
     std::set<RouterConnection> m_watchers;
     base::MemberId m_toldLeader = 0;  ///< That watchers were told of last; 0: none.
     OrderNotes m_orderNotes;
+    base::TimePoint m_nextSuspectsAt{};  ///< Routers hear of suspects no earlier.
     base::Random m_relaySeeds;
     std::optional<RouterRelay> m_relay;  ///< While this member does not lead.
     std::vector<Effect> m_effects;
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -55,6 +55,16 @@
                   { "store_limit", done.storeLoadLimit } });
 }
 
+void logQuarantine (const cell::Suspect& suspect)
+{
+    std::string runners;
+    for (const cell::RunnerEnd& end : suspect.ends)
+        runners.append (runners.empty() ? "" : ",").append (end.instance);
+    log::write (log::Event::kRequestQuarantined, { { "identity", suspect.request.digest },
+                                                   { "ends", suspect.successiveEnds() },
+                                                   { "runners", runners } });
+}
+
 }  // namespace
 
 ControllerProcess::ControllerProcess (ControllerSettings settings, const ServiceProtocol& protocol,
@@ -255,6 +265,7 @@
             [this] (const placement::PollEngine& poll) { pollEngine (poll); },
             [] (const placement::EngineOrderDone& done) { logDone (done); },
             [] (const ConfigurationNews& news) { logNews (news); },
+            [] (const RequestQuarantined& quarantined) { logQuarantine (quarantined.suspect); },
         },
         effect);
 }
--- /dev/null
+++ b/src/controller/ControllerQuarantine.cpp
@@ -0,0 +1,142 @@
+/**
+ * Requests under which runners ended: the leader puts what routers report into the log, and every
+ * member tells its routers what it has applied, so that an end is known at all routers within some
+ * tens of milliseconds and outlives leaders. See docs/design/quarantine.md.
+ */
+
+#include <algorithm>
+#include <utility>
+
+#include "controller/ControllerImplementation.h"
+
+namespace fernlift::controller
+{
+namespace
+{
+
+/// Ends that come together, as those under all requests of a crashed runner do, go out together.
+constexpr base::Duration kSuspectInterval = base::milliseconds (10);
+/// How often the leader looks for suspects whose lifetime, minutes, is over.
+constexpr base::Duration kExpiryInterval = base::seconds (10);
+
+}  // namespace
+
+void ControllerCore::Implementation::onSuspectReport (const cell::SuspectReport& report)
+{
+    const cell::QuarantineTable& table = m_state.quarantine();
+    for (const cell::RunnerEndReport& end : report.ends)
+    {
+        const cell::Suspect* known = table.find (end.request.digest);
+        const bool isNews = known == nullptr || ! known->contains (end.instance);
+        // One that was leaving ended by its plan.
+        if (! isNews || isLeaving (end.instance))
+            continue;
+        const base::UnixMilliseconds now = cellTime();
+        m_leader->suspects.ends.push_back ({ end.request, end.instance,
+                                             now - end.sentAgoMilliseconds,
+                                             now - end.endedAgoMilliseconds });
+    }
+    for (const std::string& digest : report.acquitted)
+    {
+        if (table.find (digest) != nullptr)
+            m_leader->suspects.acquitted.push_back (digest);
+    }
+}
+
+bool ControllerCore::Implementation::isLeaving (const std::string& instance) const
+{
+    const cell::ServiceInstance* known = m_state.instances().find (instance);
+    if (known == nullptr)
+        return m_state.instances().isDeregistered (instance);
+    return known->isDraining;
+}
+
+void ControllerCore::Implementation::proposeSuspectsIfDue()
+{
+    cell::NoteSuspects& pending = m_leader->suspects;
+    const bool mustExpire =
+        m_now >= m_leader->nextSuspectExpiryAt && m_state.quarantine().hasExpired (cellTime());
+    if (m_now >= m_leader->nextSuspectExpiryAt)
+        m_leader->nextSuspectExpiryAt = m_now + kExpiryInterval;
+    if (pending.ends.empty() && pending.acquitted.empty() && ! mustExpire)
+        return;
+    cell::NoteSuspects command = std::exchange (pending, {});
+    command.proposedAt = cellTime();
+    propose (command, ForNothing{});
+}
+
+void ControllerCore::Implementation::noteSuspects (const cell::NoteSuspects& command)
+{
+    for (const cell::RunnerEnd& end : command.ends)
+    {
+        const cell::Suspect* suspect = m_state.quarantine().find (end.request.digest);
+        const bool isNews = suspect != nullptr && suspect->isInQuarantine()
+                            && suspect->ends.back().instance == end.instance;
+        if (isNews)
+            m_effects.emplace_back (RequestQuarantined{ *suspect });
+    }
+}
+
+void ControllerCore::Implementation::sendSuspectsTo (RouterSessions& sessions)
+{
+    const base::LogIndex version = m_state.quarantine().version();
+    if (version == 0 || m_now < m_nextSuspectsAt)
+        return;
+    std::map<base::LogIndex, std::vector<RouterConnection>> behind;
+    for (auto& [connection, session] : sessions.sessions())
+    {
+        // Another controller has them from the log.
+        if (session.isRelay || session.suspectVersion >= version)
+            continue;
+        behind[session.suspectVersion].push_back (connection);
+        session.suspectVersion = version;
+    }
+    if (behind.empty())
+        return;
+    m_nextSuspectsAt = m_now + kSuspectInterval;
+    for (auto& [held, connections] : behind)
+    {
+        m_effects.emplace_back (
+            BroadcastToRouters{ std::move (connections), m_state.quarantine().updateSince (held) });
+    }
+}
+
+void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminQuarantine& /*request*/)
+{
+    if (! holdsLease())
+    {
+        answer (ticket, notLeaderAnswer (m_raft.status (m_now)));
+        return;
+    }
+    answer (ticket, quarantineAnswer (m_state.quarantine()));
+}
+
+void ControllerCore::Implementation::finish (const ForRelease& purpose, base::LogIndex /*index*/,
+                                             const cell::ApplyResult& /*result*/)
+{
+    answer (purpose.ticket, doneAnswer());
+}
+
+void ControllerCore::Implementation::admin (AdminTicket ticket, const AdminRelease& request)
+{
+    const cell::QuarantineTable& table = m_state.quarantine();
+    if (! m_leader)
+    {
+        answer (ticket, notLeaderAnswer (m_raft.status (m_now)));
+        return;
+    }
+    if (! request.digest.empty() && table.find (request.digest) == nullptr)
+    {
+        answer (ticket, errorAnswer ({ base::ErrorKind::kNotFound,
+                                       "no suspect '" + request.digest + "' is known" }));
+        return;
+    }
+    cell::ReleaseSuspects command;
+    if (! request.digest.empty())
+        command.digests.push_back (request.digest);
+    command.proposedAt = cellTime();
+    if (! propose (command, ForRelease{ ticket }))
+        answer (ticket, notLeaderAnswer (m_raft.status (m_now)));
+}
+
+}  // namespace fernlift::controller
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -45,7 +45,8 @@
         if (auto answer = m_relay->quotas.onRequest (connection, *quota, m_now))
             sendToRouter (connection, std::move (answer->grant));
     }
-    else if (std::holds_alternative<cell::InstanceUnreachable> (message)
+    else if ((std::holds_alternative<cell::InstanceUnreachable> (message)
+              || std::holds_alternative<cell::SuspectReport> (message))
              && m_relay->session.isConnected())
     {
         m_effects.emplace_back (SendToLeader{ message });
@@ -174,6 +175,7 @@
     followLeader();
     sendConfigurationTo (m_relay->sessions, m_relay->configurationSend, m_relay->announcedVersion);
     sendRelayedInstances();
+    sendSuspectsTo (m_relay->sessions);
     if (! m_relay->session.isConnected())
         return;
     if (auto demands = m_relay->demands.takeDue (m_now); ! demands.empty())
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -81,6 +81,12 @@
         grantQuota (connection, *quota);
         return;
     }
+    else if (const auto* suspects = std::get_if<cell::SuspectReport> (&message))
+    {
+        // Those of one tick go into the log together.
+        onSuspectReport (*suspects);
+        return;
+    }
     else if (const auto* unreachable = std::get_if<cell::InstanceUnreachable> (&message))
     {
         m_leader->instances.onUnreachable (unreachable->instance, m_now);
--- a/src/controller/ControllerRunners.cpp
+++ b/src/controller/ControllerRunners.cpp
@@ -20,6 +20,7 @@
 {
     if (! holdsLease())
         return;
+    proposeSuspectsIfDue();
     pollMachineList();
     pollRunners();
     for (const base::RunnerId& runner : m_leader->orders.waitingRunners())
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -47,6 +47,7 @@
     base::TimePoint wholeTableSentAt{};
     bool isTableShared = false;  ///< The version is one of the table that all routers share.
 
+    base::LogIndex suspectVersion = 0;  ///< Of the table of suspects last sent; 0: none.
     std::uint64_t instanceVersion = 0;  ///< Of the instances last sent; 0: none.
     base::TimePoint instancesSentAt{};
     std::uint64_t statedInstanceVersion = 0;  ///< Applied there, as last stated; of this term.
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -238,6 +238,7 @@
     void carryOut (Node& node, placement::PollEngine effect);
     void carryOut (Node& /*node*/, const placement::EngineOrderDone& /*done*/) {}
     void carryOut (Node& node, ConfigurationNews news);
+    void carryOut (Node& /*node*/, const RequestQuarantined& /*quarantined*/) {}
     void tickRouter (TestRouter& router);
     void connect (TestRouter& router, base::MemberId member);
     void toController (TestRouter& router, cell::RouterToController message);
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "proxy/ForwardedMessage.h"
 #include "proxy/PromptParts.h"
+#include "proxy/RequestIdentity.h"
 #include "proxy/WaitLimit.h"
 
 namespace fernlift::proxy
@@ -32,6 +33,10 @@
 /// 0.666: no difference, but a dead runner is noticed sooner.
 constexpr base::Duration kLongestFirstEvent = base::milliseconds (1500);
 constexpr base::Duration kShortestSilence = base::milliseconds (150);
+/// After a runner broke off, so long until the request is sent again although it is not known yet
+/// whether the runner has ended and what other routers saw. A look at the runner takes two ways,
+/// the commit of what was found some 20 ms.
+constexpr base::Duration kLongestWaitForVerdict = base::milliseconds (100);
 
 }  // namespace
 
@@ -188,6 +193,11 @@
         onTimer();
         return;
     }
+    const quarantine::Standing known = standing();
+    if (isHeldBack (known))
+        return;
+    m_query.trial = known.isSuspect() ? identity().digest : std::string();
+    m_query.endedInstances = known.instances;
     InstanceChoice choice;
     choice.reason = NoChoice::kUnconfirmed;
     if (m_context.freshness() == Freshness::kConfirmed)
@@ -203,6 +213,52 @@
     }
 }
 
+quarantine::Standing Exchange::standing() const
+{
+    if (m_context.suspects.isEmpty())
+        return {};
+    if (! m_outline)
+        m_outline = outlineOf (m_request, tenantName());
+    return m_context.suspects.mayKnow (*m_outline) ? m_context.suspects.standingOf (identity())
+                                                   : quarantine::Standing();
+}
+
+bool Exchange::isHeldBack (const quarantine::Standing& standing)
+{
+    m_isAwaitingVerdict = false;
+    if (standing.isInQuarantine())
+    {
+        refuseQuarantined (standing);
+        return true;
+    }
+    if (! standing.isUndecided || now() >= m_verdictDeadline)
+        return false;
+    m_isAwaitingVerdict = true;
+    armTimer();
+    return true;
+}
+
+void Exchange::onSuspectsChanged()
+{
+    if (m_isEnded || ! m_connection)
+        return;
+    const quarantine::Standing known = standing();
+    if (! known.isInQuarantine())
+        return;
+    endAttempt (AttemptEnd::kAbandoned, false);
+    refuseQuarantined (known);
+}
+
+void Exchange::noteBrokenOff()
+{
+    m_hasBrokenOff = true;
+    // One that said that it leaves ends by its plan, and not under this request.
+    if (! m_isAttemptSent || m_context.directory.isDraining (m_instance))
+        return;
+    m_context.suspects.onBrokenOff (identity(), m_instance, m_attemptSentAt, now());
+    m_context.checkRunner (m_instance, m_address);
+}
+
 void Exchange::beginWait (NoChoice reason)
 {
     if (m_isWaiting)
@@ -249,7 +305,7 @@
     {
         goOn();
     }
-    else if (m_isWaiting)
+    else if (m_isWaiting || m_isAwaitingVerdict)
     {
         tryNext();
     }
@@ -295,6 +351,7 @@
 {
     ++m_sent;
     m_isAttemptSent = true;
+    m_attemptSentAt = now();
     noteProgress();
     armTimer();
 }
@@ -330,6 +387,8 @@
         due = m_waitDeadline;
     if (m_isWaitingForQuota)
         due = m_quota.waitsUntil;
+    if (m_isAwaitingVerdict)
+        due = std::min (m_deadline, m_verdictDeadline);
     const auto wait = std::max<base::Duration> (due - now(), base::Duration::zero());
     m_timer.start (std::chrono::ceil<base::milliseconds> (wait));
 }
@@ -366,11 +425,17 @@
         onWaitOver();
         return;
     }
+    if (m_isAwaitingVerdict && now() < m_deadline)
+    {
+        tryNext();
+        return;
+    }
     if (now() < m_deadline)
     {
         const bool isSilent = m_connection && m_isAttemptSent && now() >= m_attemptDeadline;
         if (isSilent && mayRunAgain())
         {
+            noteBrokenOff();
             endAttempt (AttemptEnd::kFailed, false);
             afterFailure();
             return;
@@ -447,8 +512,8 @@
         }
         return;
     }
-    m_hasBrokenOff = true;
-    m_context.onBrokenOff (m_instance, m_address);
+    noteBrokenOff();
+    m_verdictDeadline = now() + kLongestWaitForVerdict;
     endAttempt (AttemptEnd::kFailed, false);
     afterFailure();
 }
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -40,9 +40,11 @@
     void onCallerLeft();
     /// The router ends in a moment: a request that waits is answered now.
     void onRouterEnding();
+    /// More may be known of requests under which runners ended: one in quarantine stops here.
+    void onSuspectsChanged();
     [[nodiscard]] bool isWaiting() const
     {
-        return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota;
+        return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota || m_isAwaitingVerdict;
     }
 
     void onSent() override;
@@ -77,6 +79,13 @@
     void goOn();
     void readModel();
     void tryNext();
+    /// What is known of runners that ended under this request.
+    [[nodiscard]] quarantine::Standing standing() const;
+    /// The runner broke off its answer or fell silent in the middle of it.
+    void noteBrokenOff();
+    /// Whether the request has to wait, or has ended, for what is known of it.
+    [[nodiscard]] bool isHeldBack (const quarantine::Standing& standing);
+    void refuseQuarantined (const quarantine::Standing& standing);
     void beginWait (NoChoice reason);
     void endWait();
     void startAttempt (const InstanceChoice& choice);
@@ -104,6 +113,8 @@
     void logMove (log::Event event) const;
     /// The name of the tenant, or the address where there is none.
     [[nodiscard]] std::string callerName() const;
+    /// Empty where there is none.
+    [[nodiscard]] std::string tenantName() const;
     [[nodiscard]] const cell::RequestIdentity& identity() const;
     /// For logs: empty unless a runner broke off an answer to this request.
     [[nodiscard]] std::string brokenIdentity() const;
@@ -141,7 +152,12 @@
     std::string m_instance;
     base::SocketAddress m_address;  ///< Of the instance.
     bool m_hasBrokenOff = false;    ///< A runner broke off an answer.
-    mutable std::optional<cell::RequestIdentity> m_identity;  ///< Once it was asked for.
+    /// Once they were asked for.
+    mutable std::optional<std::uint64_t> m_outline;
+    mutable std::optional<cell::RequestIdentity> m_identity;
+    base::TimePoint m_attemptSentAt{};
+    base::TimePoint m_verdictDeadline{};  ///< Until when it waits for what a break meant.
+    bool m_isAwaitingVerdict = false;
     std::shared_ptr<http::BackEndConnection> m_connection;
     AnswerUse m_use = AnswerUse::kNone;
     http::AnswerHead m_head;
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -166,6 +166,8 @@
             m_caller.writeBody (m_events->rest());
         m_caller.endAnswer();
     }
+    if (standing().isSuspect())
+        m_context.suspects.onWholeAnswer (identity());
     const bool isFailure = m_head.status >= kFirstServerError;
     endAttempt (isFailure ? AttemptEnd::kFailed : AttemptEnd::kAnswered, true);
     ++m_context.counters.answered;
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -87,10 +87,21 @@
         std::set<std::string> present;
         for (const cell::RoutableInstance& row : update.upserts)
             present.insert (row.instance.id);
+        for (const auto& [id, view] : m_views)
+        {
+            if (! present.contains (id))
+                noteReplaced (view);
+        }
         std::erase_if (m_views, [&] (const auto& item) { return ! present.contains (item.first); });
     }
     for (const std::string& id : update.removals)
-        m_views.erase (id);
+    {
+        const auto found = m_views.find (id);
+        if (found == m_views.end())
+            continue;
+        noteReplaced (found->second);
+        m_views.erase (found);
+    }
     for (const cell::RoutableInstance& row : update.upserts)
         put (row);
     m_term = update.term;
@@ -101,6 +112,12 @@
     return true;
 }
 
+void InstanceDirectory::noteReplaced (const View& view)
+{
+    if (! view.row.instance.isDraining)
+        m_replaced.push_back (view.row.instance.id);
+}
+
 void InstanceDirectory::put (const cell::RoutableInstance& row)
 {
     View& view = m_views[row.instance.id];
@@ -172,17 +189,23 @@
     return isAvoided ? cost + kAvoidedCost : cost;
 }
 
-std::string InstanceDirectory::homeOf (const InstanceQuery& query, base::TimePoint now) const
+bool InstanceDirectory::canServe (const View& view, const InstanceQuery& query, base::TimePoint now)
+{
+    const bool hasEnded = std::ranges::find (query.endedInstances, view.row.instance.id)
+                          != query.endedInstances.end();
+    return isCandidate (view, query, now) && ! hasEnded && holds (view, query, now);
+}
+
+std::string InstanceDirectory::meetingPlace (const InstanceQuery& query, const std::string& text,
+                                             base::TimePoint now) const
 {
     std::string home;
-    if (query.affinity.empty())
-        return home;
     double highest = -1;
     for (const auto& [id, view] : m_views)
     {
-        if (! isCandidate (view, query, now) || ! holds (view, query, now))
+        if (! canServe (view, query, now))
             continue;
-        const double share = hashShare (id, query.affinity);
+        const double share = hashShare (id, text);
         if (share <= highest)
             continue;
         highest = share;
@@ -191,11 +214,34 @@
     return home;
 }
 
+InstanceChoice InstanceDirectory::chooseForTrial (const InstanceQuery& query,
+                                                  base::TimePoint now) const
+{
+    InstanceQuery elsewhere = query;
+    elsewhere.endedInstances.push_back (query.avoidedInstance);
+    InstanceChoice choice;
+    choice.id = meetingPlace (elsewhere, query.trial, now);
+    if (choice.id.empty())
+        choice.id = meetingPlace (query, query.trial, now);
+    const auto found = m_views.find (choice.id);
+    if (found == m_views.end())
+    {
+        choice.reason = NoChoice::kNotLoaded;
+        return choice;
+    }
+    choice.reason = NoChoice::kNone;
+    choice.address = found->second.row.instance.address;
+    return choice;
+}
+
 InstanceChoice InstanceDirectory::choose (const InstanceQuery& query, base::TimePoint now) const
 {
+    if (! query.trial.empty())
+        return chooseForTrial (query, now);
     InstanceChoice choice;
     double lowest = 0;
-    const std::string home = homeOf (query, now);
+    const std::string home =
+        query.affinity.empty() ? std::string() : meetingPlace (query, query.affinity, now);
     for (const auto& [id, view] : m_views)
     {
         if (! isCandidate (view, query, now))
@@ -275,6 +321,15 @@
     }
 }
 
+void InstanceDirectory::onGone (const std::string& id, base::TimePoint now)
+{
+    const auto found = m_views.find (id);
+    if (found == m_views.end())
+        return;
+    found->second.unreachableCount = kUnreachableBeforeReport - 1;
+    noteUnreachable (found->second, now);
+}
+
 void InstanceDirectory::noteUnreachable (View& view, base::TimePoint now)
 {
     view.unreachableUntil = now + kUnreachableAvoidance;
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -30,6 +30,10 @@
     std::uint64_t sharedTokens = 0;  ///< Of the prompt, that such requests share.
     std::uint64_t promptTokens = 0;  ///< Of the whole prompt.
     std::string avoidedInstance;     ///< Chosen only when there is no other; may be empty.
+    /// Not empty: a runner has ended under a request with this text, so that all copies of it go to
+    /// one and the same runner, not to one each.
+    std::string trial{};
+    std::vector<std::string> endedInstances{};  ///< Under the request of the trial; never chosen.
 };
 
 enum class NoChoice : std::uint8_t
@@ -79,6 +83,17 @@
     void onBytes (const std::string& id, base::TimePoint now);
     void onAnswerBegun (const std::string& id, std::uint64_t promptTokens);
     void onAttemptEnd (const std::string& id, AttemptEnd end, base::TimePoint now);
+    /// It broke off, and nothing listens at its address: no further sign is needed.
+    void onGone (const std::string& id, base::TimePoint now);
+    /// Instances that went out of the table since the last call without having said that they
+    /// leave.
+    [[nodiscard]] std::vector<std::string> takeReplaced() { return std::exchange (m_replaced, {}); }
+    /// Whether the instance is known and has said that it leaves.
+    [[nodiscard]] bool isDraining (const std::string& id) const
+    {
+        const auto found = m_views.find (id);
+        return found != m_views.end() && found->second.row.instance.isDraining;
+    }
     /// Instances that were found unreachable since the last call, for the leader.
     [[nodiscard]] std::vector<std::string> takeUnreachable()
     {
@@ -125,6 +140,7 @@
 
     void put (const cell::RoutableInstance& row);
     void noteUnreachable (View& view, base::TimePoint now);
+    void noteReplaced (const View& view);
     /// Whether a runner may be chosen for requests of the service at all.
     [[nodiscard]] static bool isCandidate (const View& view, const InstanceQuery& query,
                                            base::TimePoint now);
@@ -136,8 +152,14 @@
     /// runner.
     [[nodiscard]] double costOf (const View& view, const InstanceQuery& query,
                                  base::TimePoint now) const;
-    /// Id of the runner where requests like this one meet; empty without affinity.
-    [[nodiscard]] std::string homeOf (const InstanceQuery& query, base::TimePoint now) const;
+    /// Whether it may be chosen, and holds what the request needs.
+    [[nodiscard]] static bool canServe (const View& view, const InstanceQuery& query,
+                                        base::TimePoint now);
+    /// Id of the runner where requests with the same text meet; empty when none can serve it.
+    [[nodiscard]] std::string meetingPlace (const InstanceQuery& query, const std::string& text,
+                                            base::TimePoint now) const;
+    [[nodiscard]] InstanceChoice chooseForTrial (const InstanceQuery& query,
+                                                 base::TimePoint now) const;
 
     std::string m_zone;
     base::Term m_term = 0;
@@ -147,6 +169,7 @@
     std::vector<cell::ControllerEndpoint> m_controllers;
     std::map<std::string, View> m_views;
     std::vector<std::string> m_unreachable;
+    std::vector<std::string> m_replaced;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -18,6 +18,7 @@
 #include "proxy/ProtocolNames.h"
 #include "proxy/RouteTable.h"
 #include "proxy/TenantQuotas.h"
+#include "quarantine/SuspectRequests.h"
 
 namespace fernlift::proxy
 {
@@ -33,7 +34,8 @@
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumed = 0;
-    std::uint64_t overQuota = 0;  ///< Refused for the quota of their tenant.
+    std::uint64_t overQuota = 0;    ///< Refused for the quota of their tenant.
+    std::uint64_t quarantined = 0;  ///< Not passed on, as runners ended under them.
 };
 
 struct ProxyContext
@@ -46,6 +48,7 @@
     dispatch::RetryBudget& retryBudget;
     EngineDemands& demands;
     TenantQuotas& quotas;
+    quarantine::SuspectRequests& suspects;
     ProxyCounters& counters;
     std::function<void()> onUrgentDemand;      ///< A request began to wait.
     std::shared_ptr<const RouteTable> routes;  ///< Null before the first configuration.
@@ -54,9 +57,9 @@
     bool areRoutesConfirmed = false;
     /// Whether requests may be served from the routes and the directory now.
     std::function<Freshness()> freshness = [] { return Freshness::kConfirmed; };
-    /// A runner broke off an answer: it may have ended.
+    /// A runner broke off an answer: whether it has ended is to be found out.
     std::function<void (const std::string& instance, const base::SocketAddress& address)>
-        onBrokenOff = [] (const std::string&, const base::SocketAddress&) {};
+        checkRunner = [] (const std::string&, const base::SocketAddress&) {};
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -49,11 +49,18 @@
       m_pool (m_settings.connectTimeout),
       m_retryBudget (m_settings.retryShare, static_cast<double> (m_settings.retryReserve)),
       m_quotas (m_settings.quotaTolerance, [this] { m_demandTimer.start (0); }),
-      m_context{
-          m_names,       m_clock,   m_random, m_directory, m_pool,
-          m_retryBudget, m_demands, m_quotas, m_counters,  [this] { m_demandTimer.start (0); },
-          nullptr
-      },
+      m_context{ m_names,
+                 m_clock,
+                 m_random,
+                 m_directory,
+                 m_pool,
+                 m_retryBudget,
+                 m_demands,
+                 m_quotas,
+                 m_suspects,
+                 m_counters,
+                 [this] { m_demandTimer.start (0); },
+                 nullptr },
       m_session (clock.now(), cell::ControllerSession::kQuickAfterLoss),
       m_link (peersOf (m_settings), m_random.bits() % peersOf (m_settings).size(),
               { [this]
@@ -67,6 +74,7 @@
                 [this]
                 {
                     m_quotas.pool().onLinkLost();
+                    m_suspects.onLinkLost();
                     m_session.onLost (m_clock.now(), m_random);
                 } }),
       m_freshness ({ m_settings.unconfirmedGrace, m_settings.isolatedGrace }),
@@ -75,8 +83,7 @@
       m_probes ([this] (const std::string& instance, RunnerFate fate)
                 { onRunnerChecked (instance, fate); })
 {
-    m_context.onBrokenOff =
-        [this] (const std::string& instance, const base::SocketAddress& address)
+    m_context.checkRunner = [this] (const std::string& instance, const base::SocketAddress& address)
     { m_probes.check (instance, address); };
     m_context.freshness = [this] { return freshness(); };
     m_demandTimer.setSingleShot (true);
@@ -85,6 +92,7 @@
                       {
                           reportDemand();
                           requestQuota();
+                          reportSuspects();
                       });
     QObject::connect (&m_ticker, &QTimer::timeout, &m_ticker, [this] { onTick(); });
 }
@@ -119,6 +127,10 @@
                  m_counters.refused);
             set ("fernlift_proxy_over_quota", "Requests refused for the quota of their tenant.",
                  m_counters.overQuota);
+            set ("fernlift_proxy_quarantined",
+                 "Requests not passed on, as runners ended under them.", m_counters.quarantined);
+            set ("fernlift_proxy_suspects", "Requests under which runners ended, as known here.",
+                 m_suspects.size());
             set ("fernlift_proxy_failed", "Requests that ended without a whole answer.",
                  m_counters.failed);
             set ("fernlift_proxy_left", "Requests whose caller went away.", m_counters.left);
@@ -189,6 +201,11 @@
         m_quotas.pool().onGrant (*quota);
         m_server.onDirectoryChanged();
     }
+    else if (const auto* suspects = std::get_if<cell::SuspectUpdate> (&message))
+    {
+        m_suspects.apply (*suspects, m_clock.now());
+        m_server.onSuspectsChanged();
+    }
     else if (const auto* instances = std::get_if<cell::InstanceUpdate> (&message))
     {
         takeInstances (*instances);
@@ -292,6 +309,8 @@
         m_preferredController = preferred.front();
     m_link.setControllers (std::move (preferred));
     limitRetries();
+    for (const std::string& id : m_directory.takeReplaced())
+        m_suspects.onReplaced (id);
     // The last known state of a controller that does not lead does not tell how many there are.
     m_quotas.setRouters (update.term == cell::kTermOfLastKnownState ? 0 : m_directory.routers());
     m_server.onDirectoryChanged();
@@ -380,8 +399,21 @@
 
 void ProxyProcess::onRunnerChecked (const std::string& instance, RunnerFate fate)
 {
-    log::write (log::Event::kRunnerChecked,
-                { { "runner", instance }, { "fate", nameOf (fate) } });
+    log::write (log::Event::kRunnerChecked, { { "runner", instance }, { "fate", nameOf (fate) } });
+    m_suspects.onFate (instance, fate);
+    if (fate == RunnerFate::kGone)
+        m_directory.onGone (instance, m_clock.now());
+    reportSuspects();
+    m_server.onSuspectsChanged();
+}
+
+void ProxyProcess::reportSuspects()
+{
+    m_suspects.expire (m_clock.now());
+    if (! m_session.isConnected())
+        return;
+    if (auto report = m_suspects.takeReport (m_clock.now()))
+        m_link.send (std::move (*report));
 }
 
 void ProxyProcess::onTick()
@@ -389,6 +421,7 @@
     pollController();
     reportDemand();
     requestQuota();
+    reportSuspects();
     moveToPreferred();
     m_pool.expire (m_clock.now());
     // Runners that were avoided for a while may be tried again.
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -77,6 +77,8 @@
     void reportDemand();
     /// Asks the controller for units of tenants' quotas, if any are needed.
     void requestQuota();
+    /// Tells the controller of runners that ended under requests, if it does not know.
+    void reportSuspects();
     void onRunnerChecked (const std::string& instance, RunnerFate fate);
     void onTick();
     void checkStop();
@@ -94,6 +96,7 @@
     dispatch::RetryBudget m_retryBudget;
     EngineDemands m_demands;
     TenantQuotas m_quotas;
+    quarantine::SuspectRequests m_suspects;
     ProxyCounters m_counters;
     ProxyContext m_context;
     cell::ControllerSession m_session;
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -137,6 +137,20 @@
         exchange->onDirectoryChanged();
 }
 
+void ProxyServer::onSuspectsChanged()
+{
+    std::vector<Exchange*> running;
+    for (const auto& [caller, exchange] : m_exchanges)
+    {
+        if (! exchange->isWaiting())
+            running.push_back (exchange.get());
+    }
+    // Ended exchanges stay alive until the sweep.
+    for (Exchange* exchange : running)
+        exchange->onSuspectsChanged();
+    onDirectoryChanged();
+}
+
 void ProxyServer::setLimits (const config::ClientLimits& limits)
 {
     m_limits.request.headerBytes = limits.headerBytes;
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -29,6 +29,8 @@
     base::Result<base::SocketAddress> listen (const base::SocketAddress& address);
     /// Requests that wait for a runner look again.
     void onDirectoryChanged();
+    /// More may be known of requests under which runners ended.
+    void onSuspectsChanged();
     /// Limits of connections accepted or at rest from now on.
     void setLimits (const config::ClientLimits& limits);
     /// Closes each connection after its next answer, so that callers move to other routers. New
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -189,9 +189,10 @@
     dispatch::RetryBudget retryBudget{ 0.1, 10 };
     EngineDemands demands;
     TenantQuotas quotas{ {}, [] {} };
+    quarantine::SuspectRequests suspects;
     ProxyCounters counters;
-    ProxyContext context{ names,   clock,  random,   directory, pool,   retryBudget,
-                          demands, quotas, counters, [] {},     nullptr };
+    ProxyContext context{ names,   clock,  random,   directory, pool,  retryBudget,
+                          demands, quotas, suspects, counters,  [] {}, nullptr };
     ProxyServer server{ context };
     base::SocketAddress listening;
 
--- a/src/proxy/RequestIdentity.h
+++ b/src/proxy/RequestIdentity.h
@@ -3,9 +3,10 @@
 /**
  * Tells which requests are the same work of the same caller.
  *
- * The caller is the tenant that holds the key, or the address where no tenant is known. Other
- * header fields don't count: ids, deadlines and the last event of a resumed stream change with each
- * try.
+ * The caller is the tenant that holds the key. Without tenants all callers count as one: an address
+ * tells no caller, as many share one and one has many, and a request of the same bytes is the same
+ * work. Header fields don't count: ids, deadlines and the last event of a resumed stream change
+ * with each try.
  */
 
 #include <cstdint>
@@ -20,8 +21,7 @@
 /** Part of the identity that costs well under a microsecond, whatever the size of the body. */
 [[nodiscard]] std::uint64_t outlineOf (const ParsedRequest& request, std::string_view caller);
 
-/** The whole identity. `caller` is a tenant's name or the address of the caller without its port.
- */
+/** The whole identity. `caller` is a tenant's name, or empty. */
 [[nodiscard]] cell::RequestIdentity identityOf (const ParsedRequest& request,
                                                 std::string_view caller);
 
--- a/src/proxy/RunnerProbes.cpp
+++ b/src/proxy/RunnerProbes.cpp
@@ -17,20 +17,6 @@
 
 }  // namespace
 
-std::string_view nameOf (RunnerFate fate)
-{
-    switch (fate)
-    {
-        case RunnerFate::kGone:
-            return "gone";
-        case RunnerFate::kAlive:
-            return "alive";
-        case RunnerFate::kUnknown:
-            break;
-    }
-    return "unknown";
-}
-
 /** One connection that is opened only to see whether it opens. */
 class RunnerProbes::Probe final : private http::StreamListener
 {
--- a/src/proxy/RunnerProbes.h
+++ b/src/proxy/RunnerProbes.h
@@ -8,28 +8,18 @@
  * share one look at it.
  */
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <string_view>
 
 #include "base/SocketAddress.h"
+#include "quarantine/RunnerFate.h"
 
 namespace fernlift::proxy
 {
 
-/** What a look at a runner found. */
-enum class RunnerFate : std::uint8_t
-{
-    kGone,     ///< Nothing listens at its address.
-    kAlive,    ///< It takes connections.
-    kUnknown,  ///< No answer came in time: it may be cut off.
-};
-
-/** For logs, for example "gone". */
-[[nodiscard]] std::string_view nameOf (RunnerFate fate);
+using quarantine::RunnerFate;
 
 /** Threading: lives on the thread of the Qt event loop. */
 class RunnerProbes
--- /dev/null
+++ b/src/quarantine/SuspectRequests.cpp
@@ -0,0 +1,225 @@
+#include "quarantine/SuspectRequests.h"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace fernlift::quarantine
+{
+namespace
+{
+
+/// What was told and does not show in the table by then is told again: a commit takes some 20 ms,
+/// the election of a leader up to 0.6 s.
+constexpr base::Duration kRetellAfter = base::milliseconds (500);
+/// Within this a runner that has ended is back under another id, or its silence was noticed.
+constexpr base::Duration kProofLifetime = base::seconds (10);
+/// What no controller took by then is given up: other routers are long past it.
+constexpr base::Duration kTellingLifetime = base::seconds (60);
+constexpr base::Duration kAcquittalLifetime = base::seconds (5);
+
+bool isDue (base::TimePoint toldAt, base::TimePoint now)
+{
+    return toldAt == base::TimePoint{} || now - toldAt >= kRetellAfter;
+}
+
+}  // namespace
+
+Standing SuspectRequests::standingOf (const cell::RequestIdentity& request) const
+{
+    Standing standing;
+    base::TimePoint freeFrom{};
+    const auto row = m_rows.find (request.digest);
+    if (row != m_rows.end())
+    {
+        standing.ends = row->second.told.ends;
+        standing.instances = row->second.told.instances;
+        freeFrom = row->second.receivedAt;
+    }
+    for (const OwnEnd& end : m_own)
+    {
+        if (end.request.digest != request.digest)
+            continue;
+        standing.isUndecided = standing.isUndecided || end.proof != Proof::kOpen;
+        if (end.proof != Proof::kProved)
+            continue;
+        standing.instances.push_back (end.instance);
+        if (standing.ends > 0 && end.sentAt < freeFrom)
+            continue;
+        ++standing.ends;
+        freeFrom = end.endedAt;
+    }
+    return standing;
+}
+
+void SuspectRequests::onBrokenOff (const cell::RequestIdentity& request,
+                                   const std::string& instance, base::TimePoint sentAt,
+                                   base::TimePoint now)
+{
+    if (m_own.size() >= kMostOwn)
+    {
+        m_own.erase (m_own.begin());
+        ++m_forgotten;
+    }
+    m_own.push_back ({ request, instance, sentAt, now, Proof::kLooking, {} });
+    indexOutlines();
+}
+
+bool SuspectRequests::onFate (const std::string& instance, RunnerFate fate)
+{
+    bool hasProved = false;
+    for (OwnEnd& end : m_own)
+    {
+        if (end.instance != instance || end.proof != Proof::kLooking)
+            continue;
+        end.proof = fate == RunnerFate::kGone ? Proof::kProved : Proof::kOpen;
+        hasProved = hasProved || fate == RunnerFate::kGone;
+    }
+    if (fate == RunnerFate::kAlive)
+    {
+        std::erase_if (m_own, [&] (const OwnEnd& end)
+                       { return end.instance == instance && end.proof != Proof::kProved; });
+    }
+    indexOutlines();
+    return hasProved;
+}
+
+void SuspectRequests::onReplaced (const std::string& instance)
+{
+    for (OwnEnd& end : m_own)
+    {
+        if (end.instance == instance)
+            end.proof = Proof::kProved;
+    }
+}
+
+void SuspectRequests::onWholeAnswer (const cell::RequestIdentity& request)
+{
+    std::erase_if (m_own, [&] (const OwnEnd& end) { return end.request.digest == request.digest; });
+    if (m_rows.contains (request.digest))
+        m_acquittals.try_emplace (request.digest);
+    indexOutlines();
+}
+
+void SuspectRequests::apply (const cell::SuspectUpdate& update, base::TimePoint now)
+{
+    // Another controller may be behind the one that this router was connected to before. Rows are
+    // absolute, so that changes since an earlier version than the one held fit too.
+    if (update.toVersion < m_version)
+        return;
+    if (update.fromVersion == 0)
+        keepOnly (update.upserts);
+    for (const cell::SuspectRow& row : update.upserts)
+        put (row, now);
+    for (const std::string& digest : update.removals)
+        remove (digest);
+    m_version = update.toVersion;
+    dropSettled();
+    indexOutlines();
+}
+
+void SuspectRequests::keepOnly (const std::vector<cell::SuspectRow>& rows)
+{
+    std::set<std::string_view> kept;
+    for (const cell::SuspectRow& row : rows)
+        kept.insert (row.request.digest);
+    std::erase_if (m_rows, [&] (const auto& item) { return ! kept.contains (item.first); });
+}
+
+void SuspectRequests::put (const cell::SuspectRow& row, base::TimePoint now)
+{
+    Row& held = m_rows[row.request.digest];
+    if (held.told == row)
+        return;
+    held = { row, now };
+}
+
+void SuspectRequests::remove (const std::string& digest)
+{
+    m_rows.erase (digest);
+    m_acquittals.erase (digest);
+    // They were told, and the cell has forgotten the request since.
+    std::erase_if (m_own, [&] (const OwnEnd& end)
+                   { return end.request.digest == digest && end.toldAt != base::TimePoint{}; });
+}
+
+void SuspectRequests::dropSettled()
+{
+    std::erase_if (m_own,
+                   [this] (const OwnEnd& end)
+                   {
+                       const auto row = m_rows.find (end.request.digest);
+                       if (row == m_rows.end())
+                           return false;
+                       const cell::SuspectRow& told = row->second.told;
+                       return told.ends >= cell::kEndsBeforeQuarantine
+                              || std::ranges::find (told.instances, end.instance)
+                                     != told.instances.end();
+                   });
+}
+
+std::optional<cell::SuspectReport> SuspectRequests::takeReport (base::TimePoint now)
+{
+    cell::SuspectReport report;
+    for (OwnEnd& end : m_own)
+    {
+        if (end.proof != Proof::kProved || ! isDue (end.toldAt, now))
+            continue;
+        end.toldAt = now;
+        report.ends.push_back ({ end.request, end.instance, base::toMilliseconds (now - end.sentAt),
+                                 base::toMilliseconds (now - end.endedAt) });
+    }
+    for (auto& [digest, acquittal] : m_acquittals)
+    {
+        if (acquittal.since == base::TimePoint{})
+            acquittal.since = now;
+        if (! isDue (acquittal.toldAt, now))
+            continue;
+        acquittal.toldAt = now;
+        report.acquitted.push_back (digest);
+    }
+    if (report.ends.empty() && report.acquitted.empty())
+        return std::nullopt;
+    return report;
+}
+
+void SuspectRequests::onLinkLost()
+{
+    for (OwnEnd& end : m_own)
+        end.toldAt = {};
+    for (auto& [digest, acquittal] : m_acquittals)
+        acquittal.toldAt = {};
+}
+
+void SuspectRequests::expire (base::TimePoint now)
+{
+    const std::size_t before = m_own.size();
+    std::erase_if (m_own,
+                   [&] (const OwnEnd& end)
+                   {
+                       const base::Duration limit =
+                           end.proof == Proof::kProved ? kTellingLifetime : kProofLifetime;
+                       return now - end.endedAt >= limit;
+                   });
+    std::erase_if (m_acquittals,
+                   [&] (const auto& item)
+                   {
+                       const Acquittal& acquittal = item.second;
+                       return acquittal.since != base::TimePoint{}
+                              && now - acquittal.since >= kAcquittalLifetime;
+                   });
+    if (m_own.size() != before)
+        indexOutlines();
+}
+
+void SuspectRequests::indexOutlines()
+{
+    m_outlines.clear();
+    for (const auto& [digest, row] : m_rows)
+        ++m_outlines[row.told.request.outline];
+    for (const OwnEnd& end : m_own)
+        ++m_outlines[end.request.outline];
+}
+
+}  // namespace fernlift::quarantine
--- a/src/sim/ControllerNode.h
+++ b/src/sim/ControllerNode.h
@@ -82,6 +82,7 @@
     void apply (const controller::SendToLeader& /*send*/) {}
     void apply (const placement::EngineOrderDone& /*done*/) {}
     void apply (const controller::ConfigurationNews& /*news*/) {}
+    void apply (const controller::RequestQuarantined& /*quarantined*/) {}
     void apply (const placement::SendEngineOrder& /*effect*/) {}
     void apply (const placement::PollEngine& /*effect*/) {}
     void failLater (const Action& onFailed);
