--- a/src/controller/AdminRequestsTest.cpp
+++ b/src/controller/AdminRequestsTest.cpp
@@ -84,6 +84,21 @@
     EXPECT_FALSE (drain.isDraining);
 }
 
+TEST (AdminRequests, readsQuarantineAndRelease)
+{
+    const char* path = "/admin/v1/quarantine";
+    parseAs<AdminQuarantine> (requestOf ("GET", path));
+    EXPECT_EQ (parseAs<AdminRelease> (requestOf ("POST", path, R"({"release":"0a"})")).digest,
+               "0a");
+    EXPECT_EQ (parseAs<AdminRelease> (requestOf ("POST", path, R"({"release_all":true})")).digest,
+               "");
+    for (const char* body : { "", "{}", R"({"release":""})", R"({"release_all":false})" })
+    {
+        EXPECT_EQ (refusalOf (requestOf ("POST", path, body)), base::ErrorKind::kInvalidRequest)
+            << body;
+    }
+}
+
 TEST (AdminRequests, refusesMalformedRequests)
 {
     using base::ErrorKind;
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -89,6 +89,7 @@
     std::map<std::string, cell::RoutableInstance> instances;
     base::Term instanceTerm = 0;
     std::uint64_t instanceVersion = 0;
+    std::map<std::string, cell::SuspectRow> suspects;  ///< By digest.
 
     [[nodiscard]] bool knows (const std::string& target) const;
 };
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -174,6 +174,15 @@
     {
         router.claimReplies.push_back (*claims);
     }
+    else if (const auto* suspects = std::get_if<cell::SuspectUpdate> (&message))
+    {
+        if (suspects->fromVersion == 0)
+            router.suspects.clear();
+        for (const cell::SuspectRow& row : suspects->upserts)
+            router.suspects[row.request.digest] = row;
+        for (const std::string& digest : suspects->removals)
+            router.suspects.erase (digest);
+    }
     else if (const auto* instances = std::get_if<cell::InstanceUpdate> (&message))
     {
         const bool isWhole = instances->fromVersion == 0;
--- a/src/ctl/CellCommands.cpp
+++ b/src/ctl/CellCommands.cpp
@@ -22,6 +22,7 @@
 using base::ErrorKind;
 
 constexpr const char* kMembersPath = "/admin/v1/members";
+constexpr const char* kQuarantinePath = "/admin/v1/quarantine";
 constexpr base::Duration kOneAnswerTimeout = base::seconds (4);
 constexpr int kHttpOk = 200;
 constexpr std::size_t kAddArguments = 5;     ///< add ID PEER_ADDRESS ADMIN_ADDRESS ZONE
@@ -282,6 +283,23 @@
     return fetchReport (context, AdminCall{ "POST", "/admin/v1/drain", toCompactJson (body) });
 }
 
+base::Result<CommandReport> quarantineCommand (CommandContext& context)
+{
+    const std::vector<std::string>& arguments = context.arguments;
+    if (arguments.empty())
+        return fetchReport (context, AdminCall{ "GET", kQuarantinePath, "" });
+    QJsonObject body;
+    if (arguments.front() == "release" && arguments.size() == 2)
+        body.insert (u"release", toQString (arguments[1]));
+    else if (arguments.front() == "release-all" && arguments.size() == 1)
+        body.insert (u"release_all", true);
+    else
+        return base::fail (
+            ErrorKind::kUsage,
+            "allowed: quarantine, quarantine release REQUEST, quarantine release-all");
+    return fetchReport (context, AdminCall{ "POST", kQuarantinePath, toCompactJson (body) });
+}
+
 base::Result<CommandReport> membersCommand (CommandContext& context)
 {
     if (context.arguments.empty())
--- a/src/ctl/CellCommands.h
+++ b/src/ctl/CellCommands.h
@@ -13,6 +13,7 @@
 base::Result<CommandReport> explainCommand (CommandContext& context);
 /// `drain RUNNER`: sends no new work to a runner and moves its replicas; `--undo` ends that.
 base::Result<CommandReport> drainCommand (CommandContext& context);
+base::Result<CommandReport> quarantineCommand (CommandContext& context);
 /// `members [add ...|promote ID|remove ID]`: shows or changes the controllers of the cell.
 base::Result<CommandReport> membersCommand (CommandContext& context);
 
--- a/src/ctl/Ctl.cpp
+++ b/src/ctl/Ctl.cpp
@@ -29,6 +29,8 @@
     Command{ "drain", "RUNNER", 1, 1, drainCommand, "Take a runner out of use (--undo)." },
     Command{ "members", "[add ID PEER_ADDRESS ADMIN_ADDRESS ZONE|promote ID|remove ID]", 0, 5,
              membersCommand, "Show or change the controllers." },
+    Command{ "quarantine", "[release REQUEST|release-all]", 0, 2, quarantineCommand,
+             "Show or release requests under which runners ended." },
     Command{ "events", "", 0, 0, eventsCommand, "List the events of the logs (--markdown)." },
     Command{ "errors", "", 0, 0, errorsCommand, "List the kinds of errors (--markdown)." },
 };
--- a/src/ctl/CtlTest.cpp
+++ b/src/ctl/CtlTest.cpp
@@ -241,6 +241,18 @@
     EXPECT_EQ (m_calls[0].call.body, R"({"draining":false,"runner":"runner 1"})");
 }
 
+TEST_F (CtlTest, QuarantineShowsAndReleasesRequests)
+{
+    EXPECT_EQ (runAnswered ({ "quarantine" }, R"({"suspects":[]})").exitCode, 0);
+    EXPECT_EQ (m_calls[0].call.method, "GET");
+    EXPECT_EQ (m_calls[0].call.path, "/admin/v1/quarantine");
+    EXPECT_EQ (runAnswered ({ "quarantine", "release", "0a1b" }, "{}").exitCode, 0);
+    EXPECT_EQ (m_calls[0].call.body, R"({"release":"0a1b"})");
+    EXPECT_EQ (runAnswered ({ "quarantine", "release-all" }, "{}").exitCode, 0);
+    EXPECT_EQ (m_calls[0].call.body, R"({"release_all":true})");
+    EXPECT_EQ (runAnswered ({ "quarantine", "release" }, "{}").exitCode, 2);
+}
+
 TEST_F (CtlTest, ExplainEncodesTheName)
 {
     EXPECT_EQ (runAnswered ({ "explain", "model", "a:b c" }, "{}").exitCode, 0);
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "proxy/ProxyTestSupport.h"
+#include "proxy/RequestIdentity.h"
 
 namespace fernlift::proxy::test
 {
@@ -35,6 +36,123 @@
     EXPECT_NE (caller.received().find ("X-Own: 1\r\n"), std::string::npos);
 }
 
+/// The identity of ProxyFixture::request().
+cell::RequestIdentity identityOfRequest (const std::string& host)
+{
+    ParsedRequest request;
+    request.method = "POST";
+    request.target = "/path?q=1";
+    request.headers.add ("Host", host);
+    request.body = "body";
+    return identityOf (request, "");
+}
+
+cell::SuspectUpdate suspectUpdate (std::uint64_t version, const std::string& host,
+                                   std::uint32_t ends, std::vector<std::string> instances)
+{
+    cell::SuspectUpdate update;
+    update.toVersion = version;
+    update.upserts.push_back ({ identityOfRequest (host), ends, std::move (instances) });
+    return update;
+}
+
+TEST_F (ExchangeTest, ARequestInQuarantineReachesNoRunner)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.suspects.apply (suspectUpdate (1, "app.test", 3, { "a", "b", "c" }), proxy.clock.now());
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 502"));
+    EXPECT_NE (caller.received().find ("request_quarantined"), std::string::npos);
+    EXPECT_EQ (caller.received().find ("Retry-After"), std::string::npos);
+    RawCaller another (proxy.listening);
+    another.write (ProxyFixture::request ("stream.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    EXPECT_EQ (runner.connections.size(), 1);
+}
+
+TEST_F (ExchangeTest, ACopyThatRunsIsCancelledOnceTheRequestIsInQuarantine)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    proxy.suspects.apply (suspectUpdate (1, "once.test", 3, { "a", "b", "c" }), proxy.clock.now());
+    proxy.server.onSuspectsChanged();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 502"));
+    EXPECT_TRUE (waitUntil ([&] { return runner.connections[0]->isClosed(); }));
+}
+
+TEST_F (ExchangeTest, CopiesOfASuspectMeetAtOneRunnerThatDidNotEndUnderIt)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.addRunner ("i-2", other);
+    proxy.suspects.apply (suspectUpdate (1, "once.test", 1, { "i-1" }), proxy.clock.now());
+    RawCaller first (proxy.listening);
+    first.write (ProxyFixture::request ("once.test", "r1"));
+    RawCaller second (proxy.listening);
+    second.write (ProxyFixture::request ("once.test", "r2"));
+    ASSERT_TRUE (other.waitForRequest (0));
+    ASSERT_TRUE (other.waitForRequest (1));
+    EXPECT_TRUE (runner.connections.empty());
+}
+
+TEST_F (ExchangeTest, ARetryAfterABreakWaitsAMomentForWhatTheBreakMeant)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.addRunner ("i-2", other);
+    std::string checked;
+    proxy.context.checkRunner = [&] (const std::string& instance, const base::SocketAddress&)
+    { checked = instance; };
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->reset();
+    ASSERT_TRUE (waitUntil ([&] { return checked == "i-1"; }));
+    EXPECT_TRUE (other.connections.empty());
+    proxy.suspects.onFate ("i-1", quarantine::RunnerFate::kAlive);
+    proxy.server.onSuspectsChanged();
+    ASSERT_TRUE (other.waitForRequest());
+}
+
+TEST_F (ExchangeTest, ARetryAfterABreakDoesNotWaitForLongWithoutAController)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.addRunner ("i-2", other);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->reset();
+    ASSERT_TRUE (other.waitForRequest());
+}
+
+TEST_F (ExchangeTest, AWholeAnswerToASuspectAcquitsIt)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.suspects.apply (suspectUpdate (1, "app.test", 2, { "a", "b" }), proxy.clock.now());
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (kAnswer);
+    ASSERT_TRUE (caller.waitFor ("hello"));
+    const auto report = proxy.suspects.takeReport (proxy.clock.now());
+    ASSERT_TRUE (report);
+    EXPECT_EQ (report->acquitted,
+               std::vector<std::string>{ identityOfRequest ("app.test").digest });
+}
+
+TEST_F (ExchangeTest, ARunnerThatSaidThatItLeavesIsNoEvidence)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    proxy.addRunner ("i-1", runner, true);
+    runner.connections[0]->reset();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 502"));
+    EXPECT_TRUE (proxy.suspects.isEmpty());
+}
+
 /// The catalogue with one tenant, on all routes but the public "once.test".
 config::ServiceCatalogue catalogueWithTenant (const std::string& key)
 {
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -157,7 +157,7 @@
     }
 
     /// Registers a runner under this id.
-    void addRunner (const std::string& id, const StubRunner& runner)
+    void addRunner (const std::string& id, const StubRunner& runner, bool isDraining = false)
     {
         cell::InstanceUpdate update;
         update.term = 1;
@@ -169,6 +169,7 @@
         row.instance.address = runner.address();
         row.instance.zone = "z1";
         row.instance.slots = 8;
+        row.instance.isDraining = isDraining;
         update.upserts.push_back (row);
         directory.apply (update, clock.now());
         server.onDirectoryChanged();
