Count suspended time: leases, quotas and deadlines by CLOCK_BOOTTIME

Cause: the C++ steady clock stands still while a machine is suspended, so that a process that wakes acts on leases, confirmed configurations, keys, quotas and claims that are over for all others; all of them compare SystemClock::now(), read anew for each input. Timers stand still too: requests whose deadline passed meanwhile ended late by the suspension; they are looked at one tick after the wake, once sockets were read.

--- a/src/base/Time.cpp
+++ b/src/base/Time.cpp
@@ -1,9 +1,21 @@
 #include "base/Time.h"
 
+#include <ctime>
+
 namespace fernlift::base
 {
 
 TimePoint SystemClock::now() const
+{
+    // The steady clock of the C++ library stands still while the machine is suspended: a process
+    // that wakes after seconds would act on leases that are over for all others.
+    timespec time{};
+    ::clock_gettime (CLOCK_BOOTTIME, &time);
+    const auto sinceOrigin = seconds (time.tv_sec) + std::chrono::nanoseconds (time.tv_nsec);
+    return TimePoint (std::chrono::duration_cast<Duration> (sinceOrigin));
+}
+
+TimePoint SystemClock::runningTime() const
 {
     const auto sinceOrigin = std::chrono::steady_clock::now().time_since_epoch();
     return TimePoint (std::chrono::duration_cast<Duration> (sinceOrigin));
--- a/src/base/Time.h
+++ b/src/base/Time.h
@@ -40,8 +40,11 @@
 {
 public:
     virtual ~Clock() = default;
-    /// Monotonic time of this process.
+    /// Monotonic time of this process. Goes on while the machine is suspended: leases, quotas and
+    /// deadlines run out for everybody else meanwhile.
     [[nodiscard]] virtual TimePoint now() const = 0;
+    /// The same without the time for which the machine was suspended, by which timers fire.
+    [[nodiscard]] virtual TimePoint runningTime() const { return now(); }
     /// Wall-clock time, which may step in either direction.
     [[nodiscard]] virtual UnixMilliseconds unixNow() const = 0;
 };
@@ -51,7 +54,30 @@
 {
 public:
     [[nodiscard]] TimePoint now() const override;
+    [[nodiscard]] TimePoint runningTime() const override;
     [[nodiscard]] UnixMilliseconds unixNow() const override;
 };
 
+/// Notices that the machine was suspended. Pure: time is passed in.
+class SuspensionWatch
+{
+public:
+    /// How long the machine was suspended since the last call; zero when it was not.
+    Duration observe (TimePoint now, TimePoint runningTime)
+    {
+        const Duration ahead = now - runningTime;
+        const Duration gained = m_isFirst ? Duration::zero() : ahead - m_ahead;
+        m_isFirst = false;
+        m_ahead = ahead;
+        return gained >= kShortestSuspension ? gained : Duration::zero();
+    }
+
+private:
+    /// Between two readings of clocks a process may be held up; suspensions last for seconds.
+    static constexpr Duration kShortestSuspension = milliseconds (50);
+
+    bool m_isFirst = true;
+    Duration m_ahead{};  ///< Of `now` before `runningTime`, at the last call.
+};
+
 }  // namespace fernlift::base
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -228,6 +228,12 @@
 void ControllerProcess::tick()
 {
     m_tickedAt = m_clock.now();
+    const base::Duration suspended = m_suspensions.observe (m_tickedAt, m_clock.runningTime());
+    if (suspended > base::Duration::zero())
+    {
+        log::write (log::Event::kProcessResumed,
+                    { { "suspended_ms", base::toMilliseconds (suspended) } });
+    }
     m_core->setTime (m_tickedAt, m_clock.unixNow());
     m_core->onTick();
     carryOutEffects();
--- a/src/controller/ControllerProcess.h
+++ b/src/controller/ControllerProcess.h
@@ -97,6 +97,7 @@
     std::unique_ptr<EngineClient> m_engines;  ///< Null without a control interface.
     std::unique_ptr<CellJoiner> m_joiner;     ///< Null when an operator manages the members.
     base::TimePoint m_leaderSeenAt{};
+    base::SuspensionWatch m_suspensions;
     base::TimePoint m_tickedAt{};  ///< When the core was last told of the time alone.
     std::optional<base::TimePoint> m_stopDeadline;
     bool m_isFinished = false;
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -40,6 +40,8 @@
     void onCallerLeft();
     /// The router ends in a moment: a request that waits is answered now.
     void onRouterEnding();
+    /// Looks at what is due by now. Harmless at any time.
+    void onTimer();
     /// More may be known of requests under which runners ended: one in quarantine stops here.
     void onSuspectsChanged();
     [[nodiscard]] bool isWaiting() const
@@ -94,7 +96,6 @@
     /// Silence after which the request is tried at another runner; none when it may not be.
     [[nodiscard]] std::optional<base::Duration> longestSilence() const;
     void armTimer();
-    void onTimer();
     /// No runner came in time.
     void onWaitOver();
     /// Ends the attempt; its connection is kept when `mayReuse`.
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -416,8 +416,23 @@
         m_link.send (std::move (*report));
 }
 
+void ProxyProcess::followSuspension()
+{
+    // Timers count no suspension. What has arrived meanwhile is read first: an answer that is ready
+    // is delivered, also late.
+    if (std::exchange (m_wasSuspended, false))
+        m_server.onTimePassed();
+    const base::Duration suspended = m_suspensions.observe (m_clock.now(), m_clock.runningTime());
+    if (suspended == base::Duration::zero())
+        return;
+    m_wasSuspended = true;
+    log::write (log::Event::kProcessResumed,
+                { { "suspended_ms", base::toMilliseconds (suspended) } });
+}
+
 void ProxyProcess::onTick()
 {
+    followSuspension();
     pollController();
     reportDemand();
     requestQuota();
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -81,6 +81,8 @@
     void reportSuspects();
     void onRunnerChecked (const std::string& instance, RunnerFate fate);
     void onTick();
+    /// Requests whose time ran out while the machine was suspended end.
+    void followSuspension();
     void checkStop();
     void createMetrics();
     void finish (int exitCode);
@@ -117,6 +119,8 @@
     base::SocketAddress m_frontAddress;
     ReadinessServer m_readiness;
     RunnerProbes m_probes;
+    base::SuspensionWatch m_suspensions;
+    bool m_wasSuspended = false;  ///< Noticed at the last tick.
     QTimer m_demandTimer;  ///< Sends an urgent report of demand once control is in the event loop.
     QTimer m_ticker;
 };
--- a/src/proxy/ProxyProcessTest.cpp
+++ b/src/proxy/ProxyProcessTest.cpp
@@ -52,6 +52,31 @@
     ASSERT_TRUE (m_process.waitUntilReady());
 }
 
+TEST_F (ProxyProcessTest, ARouterThatWakesServesByNoLeaseThatIsOver)
+{
+    ASSERT_TRUE (m_process.waitUntilReady());
+    m_leader.grantsLeases = false;
+    m_process.clock.suspendedFor = base::seconds (5);
+    EXPECT_FALSE (m_process.isReady());
+    EXPECT_EQ (statusOfRequest(), 503) << "an operator may have been told that it is replaced";
+    m_leader.grantsLeases = true;
+    ASSERT_TRUE (m_process.waitUntilReady());
+    EXPECT_TRUE (m_runner.connections.empty());
+}
+
+TEST_F (ProxyProcessTest, RequestsWhoseTimeRanOutWhileTheMachineWasSuspendedEndSoonAfter)
+{
+    ASSERT_TRUE (m_process.waitUntilReady());
+    RawCaller caller (m_process.frontAddress());
+    caller.write (test::ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (m_runner.waitForRequest());
+    m_process.clock.suspendedFor = base::seconds (4);
+    EXPECT_TRUE (test::waitUntil (
+        [&] { return caller.received().find ("HTTP/1.1 504") != std::string::npos; },
+        std::chrono::seconds (1)))
+        << "the timer of its deadline, 3 s after its arrival, has stood still";
+}
+
 TEST_F (ProxyProcessTest, ARouterStatesAConfigurationAtOnceAndAsksForTheWholeAfterAGap)
 {
     ASSERT_TRUE (m_process.waitUntilReady());
--- a/src/proxy/ProxyProcessTestSupport.h
+++ b/src/proxy/ProxyProcessTestSupport.h
@@ -139,7 +139,7 @@
 public:
     explicit RunningProxy (const base::SocketAddress& leader)
         : m_process (settingsFor (leader), ProxyFixture::testNames(), &parseTestConfiguration,
-                     m_clock, 1, [] (int) {})
+                     clock, 1, [] (int) {})
     {
         http::test::application();
         base::handleErrors ([&] { return m_process.start(); }, [] (const base::Error&) {});
@@ -169,7 +169,10 @@
         return settings;
     }
 
-    base::SystemClock m_clock;
+public:
+    SuspendedClock clock;
+
+private:
     ProxyProcess m_process;
 };
 
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -137,6 +137,16 @@
         exchange->onDirectoryChanged();
 }
 
+void ProxyServer::onTimePassed()
+{
+    std::vector<Exchange*> open;
+    for (const auto& [caller, exchange] : m_exchanges)
+        open.push_back (exchange.get());
+    // Ended exchanges stay alive until the sweep.
+    for (Exchange* exchange : open)
+        exchange->onTimer();
+}
+
 void ProxyServer::onSuspectsChanged()
 {
     std::vector<Exchange*> running;
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -29,6 +29,8 @@
     base::Result<base::SocketAddress> listen (const base::SocketAddress& address);
     /// Requests that wait for a runner look again.
     void onDirectoryChanged();
+    /// Time passed that timers did not count: requests look at their deadlines.
+    void onTimePassed();
     /// More may be known of requests under which runners ended.
     void onSuspectsChanged();
     /// Limits of connections accepted or at rest from now on.
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -96,6 +96,23 @@
     QTcpServer m_server;
 };
 
+/// A clock that goes on while timers stand still, as on a machine that is suspended.
+class SuspendedClock final : public base::Clock
+{
+public:
+    [[nodiscard]] base::TimePoint now() const override { return m_clock.now() + suspendedFor; }
+    [[nodiscard]] base::TimePoint runningTime() const override { return m_clock.runningTime(); }
+    [[nodiscard]] base::UnixMilliseconds unixNow() const override
+    {
+        return m_clock.unixNow() + base::toMilliseconds (suspendedFor);
+    }
+
+    base::Duration suspendedFor{};
+
+private:
+    base::SystemClock m_clock;
+};
+
 /// A proxy with one service behind two hosts: "app.test" may repeat, "once.test" may not,
 /// "stream.test" streams and "resume.test" streams that may be resumed.
 class ProxyFixture
@@ -183,7 +200,7 @@
     }
 
     ProtocolNames names = testNames();
-    base::SystemClock clock;
+    SuspendedClock clock;
     base::Random random{ 1 };
     InstanceDirectory directory{ "z1" };
     http::BackEndPool pool{ base::milliseconds (500) };
--- a/src/sim/ControllerNode.cpp
+++ b/src/sim/ControllerNode.cpp
@@ -71,6 +71,8 @@
       m_entriesBetweenSnapshots (world.random.chance (0.5) ? 60 : 4096),
       m_longestSync (kUsualSync)
 {
+    if (world.options.plantedFault == PlantedFault::kClockStopsInSuspension)
+        stopClockInSuspension();
 }
 
 controller::ControllerOptions ControllerNode::coreOptions() const
--- a/src/sim/Process.cpp
+++ b/src/sim/Process.cpp
@@ -30,7 +30,7 @@
 {
     const auto elapsed = m_queue.now().time_since_epoch();
     const auto gained = static_cast<std::int64_t> (static_cast<double> (elapsed.count()) * m_drift);
-    return base::TimePoint (elapsed + base::Duration (gained));
+    return base::TimePoint (elapsed + base::Duration (gained) - m_lost);
 }
 
 base::UnixMilliseconds DriftingClock::unixNow() const
@@ -95,10 +95,13 @@
     m_isFrozen = true;
     m_frozenTime += duration;
     queue().after (duration,
-                   [this, life = m_life]
+                   [this, duration, life = m_life]
                    {
-                       if (m_isAlive && life == m_life)
-                           thaw();
+                       if (! m_isAlive || life != m_life)
+                           return;
+                       if (m_stopsClockInSuspension)
+                           m_clock.lose (duration);
+                       thaw();
                    });
 }
 
--- a/src/sim/Process.h
+++ b/src/sim/Process.h
@@ -22,11 +22,14 @@
     [[nodiscard]] base::TimePoint now() const;
     [[nodiscard]] base::UnixMilliseconds unixNow() const;
     void step (std::int64_t milliseconds) { m_stepMilliseconds += milliseconds; }
+    /// The clock did not count this time, as the steady clock of a suspended machine does not.
+    void lose (base::Duration time) { m_lost += time; }
 
 private:
     const EventQueue& m_queue;
     double m_drift;
     std::int64_t m_stepMilliseconds = 0;
+    base::Duration m_lost{};
 };
 
 class Process
@@ -54,6 +57,8 @@
     /// Stops the process; its peers hear of it after `silence`.
     void kill (base::Duration silence);
     void freeze (base::Duration duration);
+    /// From now on the clock stands still while the process is frozen.
+    void stopClockInSuspension() { m_stopsClockInSuspension = true; }
     [[nodiscard]] base::Duration frozenTime() const { return m_frozenTime; }
 
 protected:
@@ -77,6 +82,7 @@
     bool m_isAlive = false;
     bool m_hasVanished = false;
     bool m_isFrozen = false;
+    bool m_stopsClockInSuspension = false;
     std::uint64_t m_life = 0;
     base::Duration m_frozenTime{};
     std::deque<Action> m_waiting;
--- a/src/sim/RouterNode.cpp
+++ b/src/sim/RouterNode.cpp
@@ -58,6 +58,8 @@
       m_world (world),
       m_id (name())
 {
+    if (world.options.plantedFault == PlantedFault::kClockStopsInSuspension)
+        stopClockInSuspension();
 }
 
 router::RouterOptions RouterNode::coreOptions() const
--- a/src/sim/SimulationOptions.cpp
+++ b/src/sim/SimulationOptions.cpp
@@ -27,6 +27,7 @@
     "ignore-lease",
     "not-run-after-bytes",
     "dispatch-to-leaving",
+    "clock-stops-in-suspension",
 };
 
 constexpr std::array kFaultKindNames = {
--- a/src/sim/SimulationOptions.h
+++ b/src/sim/SimulationOptions.h
@@ -37,6 +37,7 @@
     kIgnoreLease,                 // router
     kNotRunAfterBytes,            // router
     kDispatchToLeaving,           // router
+    kClockStopsInSuspension,      // the clock of a process doesn't count the time it stood still
 };
 [[nodiscard]] const std::vector<PlantedFault>& allPlantedFaults();
 [[nodiscard]] std::string_view nameOf (PlantedFault fault);
