--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -90,6 +90,7 @@
     base::Term instanceTerm = 0;
     std::uint64_t instanceVersion = 0;
     std::map<std::string, cell::SuspectRow> suspects;  ///< By digest.
+    std::function<void (const cell::SuspectUpdate&)> onSuspects = [] (const auto&) {};
 
     [[nodiscard]] bool knows (const std::string& target) const;
 };
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -176,6 +176,7 @@
     }
     else if (const auto* suspects = std::get_if<cell::SuspectUpdate> (&message))
     {
+        router.onSuspects (*suspects);
         if (suspects->fromVersion == 0)
             router.suspects.clear();
         for (const cell::SuspectRow& row : suspects->upserts)
