--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -71,6 +71,12 @@
 
 void Exchange::goOn()
 {
+    // Before it takes units of a quota or counts as demand for a model.
+    if (const quarantine::Standing known = standing(); known.isInQuarantine())
+    {
+        refuseQuarantined (known);
+        return;
+    }
     if (! admit())
         return;
     if (! m_query.model.empty())
