Tell routers of ends under a request before a slow disk has agreed on them

The leader tells its routers, and other controllers theirs, of ends that are not applied 30 ms after they came; routers count them like those they saw themselves. Test: disks of 1 s, all routers told within 150 ms.

--- a/src/cell/QuarantineMessages.h
+++ b/src/cell/QuarantineMessages.h
@@ -32,7 +32,9 @@
     }
 };
 
-/** From a router; sent again until a SuspectUpdate shows that it was taken. */
+/** From a router; sent again until a SuspectUpdate shows that it was taken. Towards routers: what
+   the leader was told and the log takes long to agree on; acquittals are not in it.
+*/
 struct SuspectReport
 {
     std::vector<RunnerEndReport> ends;
--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -484,6 +484,6 @@
 
 using ControllerToRouter =
     std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant, ReplicaUpdate, ClaimReply,
-                 InstanceUpdate, MemberJoinReply, QuotaGrant, SuspectUpdate>;
+                 InstanceUpdate, MemberJoinReply, QuotaGrant, SuspectUpdate, SuspectReport>;
 
 }  // namespace fernlift::cell
--- a/src/controller/AdminAnswers.cpp
+++ b/src/controller/AdminAnswers.cpp
@@ -373,7 +373,7 @@
                                   { u"last_end_ms"_s, static_cast<qint64> (suspect.lastEndAt) } };
         (suspect.isInQuarantine() ? quarantined : others).append (object);
     }
-    for (const QJsonValue& other : others)
+    for (const auto& other : others)
         quarantined.append (other);
     return answerOf (200, { { u"suspects"_s, quarantined } });
 }
--- a/src/controller/ControlTraffic.cpp
+++ b/src/controller/ControlTraffic.cpp
@@ -20,7 +20,8 @@
 constexpr std::array<std::string_view, std::variant_size_v<cell::ControllerToRouter>>
     kToRouterKinds{ "not_leader_reply",  "configuration_update", "lease_grant",
                     "replica_update",    "claim_reply",          "instance_update",
-                    "member_join_reply", "quota_grant",          "suspect_update" };
+                    "member_join_reply", "quota_grant",          "suspect_update",
+                    "suspect_hint" };
 
 std::string_view nameOf (Direction direction) { return direction == Direction::kIn ? "in" : "out"; }
 
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -162,6 +162,14 @@
     base::TimePoint avoidedUntil{};
 };
 
+/// An end that was reported and is not applied yet.
+struct UnsettledEnd
+{
+    cell::RunnerEndReport report;
+    base::TimePoint receivedAt{};
+    bool isHinted = false;  ///< Routers were told of it.
+};
+
 /// Everything that lasts only as long as one term of leadership.
 struct Leadership
 {
@@ -220,6 +228,7 @@
     quota::QuotaLedger quotas;
     QuotaBasis quotaBasis;        ///< Of what `quotas` counts.
     cell::NoteSuspects suspects;  ///< Reported and not proposed yet.
+    std::vector<UnsettledEnd> unsettledEnds;
     base::TimePoint nextSuspectExpiryAt{};
     base::TimePoint nextHoldingsAt{};
     std::uint64_t announcedVersion = 0;  ///< Configuration that routers were to be sent last.
@@ -439,6 +448,9 @@
     [[nodiscard]] bool isLeaving (const std::string& instance) const;
     /// Puts into the log what was reported since the last time.
     void proposeSuspectsIfDue();
+    void sendToAllOf (const RouterSessions& sessions, cell::ControllerToRouter message);
+    /// Tells routers of ends that the log takes long to agree on.
+    void hintAtSuspects();
     /// Ends that routers reported were applied.
     void noteSuspects (const cell::NoteSuspects& command);
     /// Sends to routers what they lack of the table of suspects as it is applied here.
--- a/src/controller/ControllerQuarantine.cpp
+++ b/src/controller/ControllerQuarantine.cpp
@@ -16,6 +16,12 @@
 
 /// Ends that come together, as those under all requests of a crashed runner do, go out together.
 constexpr base::Duration kSuspectInterval = base::milliseconds (10);
+/// A commit takes some 20 ms, but as long as the disks do when they are slow: beside a busy disk
+/// 0.85 s, in which two runners more ended. Routers hear of what takes longer than this before it
+/// is agreed on.
+constexpr base::Duration kHintAfter = base::milliseconds (30);
+/// An end that was not applied by then never will be: the router tells it again.
+constexpr base::Duration kUnsettledLifetime = base::seconds (5);
 /// How often the leader looks for suspects whose lifetime, minutes, is over.
 constexpr base::Duration kExpiryInterval = base::seconds (10);
 
@@ -31,6 +37,7 @@
         // One that was leaving ended by its plan.
         if (! isNews || isLeaving (end.instance))
             continue;
+        m_leader->unsettledEnds.push_back ({ end, m_now, false });
         const base::UnixMilliseconds now = cellTime();
         m_leader->suspects.ends.push_back ({ end.request, end.instance,
                                              now - end.sentAgoMilliseconds,
@@ -65,8 +72,44 @@
     propose (command, ForNothing{});
 }
 
+void ControllerCore::Implementation::hintAtSuspects()
+{
+    std::erase_if (m_leader->unsettledEnds, [this] (const UnsettledEnd& end)
+                   { return m_now - end.receivedAt >= kUnsettledLifetime; });
+    cell::SuspectReport hint;
+    for (UnsettledEnd& end : m_leader->unsettledEnds)
+    {
+        const base::Duration age = m_now - end.receivedAt;
+        if (end.isHinted || age < kHintAfter)
+            continue;
+        end.isHinted = true;
+        cell::RunnerEndReport report = end.report;
+        report.sentAgoMilliseconds += base::toMilliseconds (age);
+        report.endedAgoMilliseconds += base::toMilliseconds (age);
+        hint.ends.push_back (std::move (report));
+    }
+    if (! hint.ends.empty())
+        sendToAllOf (m_leader->sessions, std::move (hint));
+}
+
+void ControllerCore::Implementation::sendToAllOf (const RouterSessions& sessions,
+                                                  cell::ControllerToRouter message)
+{
+    std::vector<RouterConnection> connections;
+    for (const auto& [connection, session] : sessions.sessions())
+        connections.push_back (connection);
+    m_effects.emplace_back (BroadcastToRouters{ std::move (connections), std::move (message) });
+}
+
 void ControllerCore::Implementation::noteSuspects (const cell::NoteSuspects& command)
 {
+    std::erase_if (m_leader->unsettledEnds,
+                   [&] (const UnsettledEnd& end)
+                   {
+                       const cell::Suspect* suspect =
+                           m_state.quarantine().find (end.report.request.digest);
+                       return suspect != nullptr && suspect->contains (end.report.instance);
+                   });
     for (const cell::RunnerEnd& end : command.ends)
     {
         const cell::Suspect* suspect = m_state.quarantine().find (end.request.digest);
--- a/src/controller/ControllerQuarantineTest.cpp
+++ b/src/controller/ControllerQuarantineTest.cpp
@@ -77,6 +77,25 @@
     EXPECT_TRUE (m_cell.runUntil ([&] { return allKnow (3); }, milliseconds (200)));
 }
 
+TEST_F (ControllerQuarantineTest, RoutersHearOfEndsBeforeASlowDiskHasThem)
+{
+    m_cell.diskDelay = seconds (1);
+    report (0, "a");
+    m_cell.run (milliseconds (150));
+    for (std::size_t number = 1; number < kRouters; ++number)
+    {
+        const auto& hints = m_cell.router (number).suspectHints;
+        ASSERT_EQ (hints.size(), 1) << "router " << number;
+        EXPECT_EQ (hints[0].instance, "a");
+        EXPECT_GE (hints[0].sentAgoMilliseconds, 60 + 30);
+    }
+    // A router tells it again until the table shows it.
+    m_cell.diskDelay = milliseconds (1);
+    m_cell.run (seconds (3));
+    report (0, "a");
+    EXPECT_TRUE (m_cell.runUntil ([&] { return allKnow (1); }, seconds (1)));
+}
+
 TEST_F (ControllerQuarantineTest, WhatIsKnownOutlivesTheLeader)
 {
     for (const char* instance : { "a", "b", "c" })
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -281,6 +281,10 @@
     {
         takeRelayedInstances (*instances);
     }
+    else if (std::holds_alternative<cell::SuspectReport> (message))
+    {
+        sendToAllOf (m_relay->sessions, message);
+    }
     runRelay();
 }
 
--- a/src/controller/ControllerRunners.cpp
+++ b/src/controller/ControllerRunners.cpp
@@ -21,6 +21,7 @@
     if (! holdsLease())
         return;
     proposeSuspectsIfDue();
+    hintAtSuspects();
     pollMachineList();
     pollRunners();
     for (const base::RunnerId& runner : m_leader->orders.waitingRunners())
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -90,6 +90,7 @@
     base::Term instanceTerm = 0;
     std::uint64_t instanceVersion = 0;
     std::map<std::string, cell::SuspectRow> suspects;  ///< By digest.
+    std::vector<cell::RunnerEndReport> suspectHints;
     std::function<void (const cell::SuspectUpdate&)> onSuspects = [] (const auto&) {};
 
     [[nodiscard]] bool knows (const std::string& target) const;
@@ -180,6 +181,7 @@
     /// Messages with a configuration that controllers encoded, to one router or to several.
     std::uint64_t configurationMessages = 0;
     std::uint64_t lateOrders = 0;
+    base::Duration diskDelay = base::milliseconds (1);  ///< Of a write to a member's disk.
 
 private:
     struct Disk
--- a/src/controller/TestCellTest.cpp
+++ b/src/controller/TestCellTest.cpp
@@ -12,7 +12,6 @@
 constexpr std::uint64_t kSeedsApart = 1000;
 constexpr base::Duration kStep = base::milliseconds (5);
 constexpr base::Duration kNetworkDelay = base::milliseconds (1);
-constexpr base::Duration kDiskDelay = base::milliseconds (1);
 constexpr base::Duration kLostAfter = base::milliseconds (300);
 constexpr base::UnixMilliseconds kUnixOrigin = 1'800'000'000'000;
 
@@ -219,7 +218,7 @@
     const std::uint64_t sequence = effect.request.sequence;
     const base::MemberId member = node.id;
     const std::uint64_t generation = node.generation;
-    schedule (kDiskDelay,
+    schedule (diskDelay,
               [this, member, generation, sequence, request = std::move (effect.request)]
               {
                   Node& written = this->node (member);
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -184,6 +184,11 @@
         for (const std::string& digest : suspects->removals)
             router.suspects.erase (digest);
     }
+    else if (const auto* hint = std::get_if<cell::SuspectReport> (&message))
+    {
+        router.suspectHints.insert (router.suspectHints.end(), hint->ends.begin(),
+                                    hint->ends.end());
+    }
     else if (const auto* instances = std::get_if<cell::InstanceUpdate> (&message))
     {
         const bool isWhole = instances->fromVersion == 0;
--- a/src/lab/RouterStub.h
+++ b/src/lab/RouterStub.h
@@ -51,6 +51,7 @@
     void on (const cell::MemberJoinReply& /*reply*/) {}
     void on (const cell::QuotaGrant& /*grant*/) {}
     void on (const cell::SuspectUpdate& /*update*/) {}
+    void on (const cell::SuspectReport& /*report*/) {}
     void reconnectSoon (const base::SocketAddress& address);
 
     std::string m_id;
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -206,6 +206,11 @@
         m_suspects.apply (*suspects, m_clock.now());
         m_server.onSuspectsChanged();
     }
+    else if (const auto* told = std::get_if<cell::SuspectReport> (&message))
+    {
+        m_suspects.onTold (*told, m_clock.now());
+        m_server.onSuspectsChanged();
+    }
     else if (const auto* instances = std::get_if<cell::InstanceUpdate> (&message))
     {
         takeInstances (*instances);
--- a/src/quarantine/SuspectRequests.cpp
+++ b/src/quarantine/SuspectRequests.cpp
@@ -41,7 +41,8 @@
     {
         if (end.request.digest != request.digest)
             continue;
-        standing.isUndecided = standing.isUndecided || end.proof != Proof::kOpen;
+        const bool isOpen = ! end.isForeign && end.proof != Proof::kOpen;
+        standing.isUndecided = standing.isUndecided || isOpen;
         if (end.proof != Proof::kProved)
             continue;
         standing.instances.push_back (end.instance);
@@ -53,16 +54,42 @@
     return standing;
 }
 
+void SuspectRequests::makeRoom()
+{
+    if (m_own.size() < kMostOwn)
+        return;
+    m_own.erase (m_own.begin());
+    ++m_forgotten;
+}
+
 void SuspectRequests::onBrokenOff (const cell::RequestIdentity& request,
                                    const std::string& instance, base::TimePoint sentAt,
                                    base::TimePoint now)
 {
-    if (m_own.size() >= kMostOwn)
+    makeRoom();
+    m_own.push_back ({ request, instance, sentAt, now, Proof::kLooking, {}, false });
+    indexOutlines();
+}
+
+void SuspectRequests::onTold (const cell::SuspectReport& report, base::TimePoint now)
+{
+    for (const cell::RunnerEndReport& told : report.ends)
     {
-        m_own.erase (m_own.begin());
-        ++m_forgotten;
+        const bool isKnown = std::ranges::any_of (
+            m_own, [&] (const OwnEnd& end)
+            { return end.instance == told.instance && end.request.digest == told.request.digest; });
+        if (isKnown)
+            continue;
+        makeRoom();
+        m_own.push_back ({ told.request,
+                           told.instance,
+                           now - base::milliseconds (told.sentAgoMilliseconds),
+                           now - base::milliseconds (told.endedAgoMilliseconds),
+                           Proof::kProved,
+                           {},
+                           true });
     }
-    m_own.push_back ({ request, instance, sentAt, now, Proof::kLooking, {} });
+    dropSettled();
     indexOutlines();
 }
 
@@ -140,8 +167,12 @@
     m_rows.erase (digest);
     m_acquittals.erase (digest);
     // They were told, and the cell has forgotten the request since.
-    std::erase_if (m_own, [&] (const OwnEnd& end)
-                   { return end.request.digest == digest && end.toldAt != base::TimePoint{}; });
+    std::erase_if (m_own,
+                   [&] (const OwnEnd& end)
+                   {
+                       const bool wasTold = end.isForeign || end.toldAt != base::TimePoint{};
+                       return end.request.digest == digest && wasTold;
+                   });
 }
 
 void SuspectRequests::dropSettled()
@@ -164,7 +195,7 @@
     cell::SuspectReport report;
     for (OwnEnd& end : m_own)
     {
-        if (end.proof != Proof::kProved || ! isDue (end.toldAt, now))
+        if (end.isForeign || end.proof != Proof::kProved || ! isDue (end.toldAt, now))
             continue;
         end.toldAt = now;
         report.ends.push_back ({ end.request, end.instance, base::toMilliseconds (now - end.sentAt),
--- a/src/quarantine/SuspectRequests.h
+++ b/src/quarantine/SuspectRequests.h
@@ -64,6 +64,8 @@
     bool onFate (const std::string& instance, RunnerFate fate);
     /** The runner is no longer registered, and had not said that it would leave. */
     void onReplaced (const std::string& instance);
+    /** The leader was told of ends, and the log takes long to agree on them. */
+    void onTold (const cell::SuspectReport& report, base::TimePoint now);
     /** A runner has answered the request whole. */
     void onWholeAnswer (const cell::RequestIdentity& request);
 
@@ -96,6 +98,7 @@
         base::TimePoint endedAt{};
         Proof proof = Proof::kLooking;
         base::TimePoint toldAt{};  ///< To the controllers; the begin of time: not yet.
+        bool isForeign = false;    ///< Seen by another router, which tells the controllers.
     };
     struct Row
     {
@@ -111,6 +114,7 @@
     void keepOnly (const std::vector<cell::SuspectRow>& rows);
     void put (const cell::SuspectRow& row, base::TimePoint now);
     void remove (const std::string& digest);
+    void makeRoom();
     void dropSettled();
     void indexOutlines();
 
--- a/src/quarantine/SuspectRequestsTest.cpp
+++ b/src/quarantine/SuspectRequestsTest.cpp
@@ -122,6 +122,22 @@
     EXPECT_EQ (suspects.standingOf (request).ends, 1);
 }
 
+TEST_F (SuspectRequestsTest, EndsThatOtherRoutersSawCountBeforeTheTableShowsThem)
+{
+    cell::SuspectReport told;
+    told.ends.push_back ({ request, "a", 100, 50 });
+    told.ends.push_back ({ request, "b", 40, 10 });
+    suspects.onTold (told, at (200));
+    suspects.onTold (told, at (210));
+    EXPECT_EQ (suspects.standingOf (request).ends, 2);
+    EXPECT_FALSE (suspects.standingOf (request).isUndecided);
+    EXPECT_FALSE (suspects.takeReport (at (220))) << "the other router tells it";
+    end ("c", 220, 250);
+    EXPECT_TRUE (suspects.standingOf (request).isInQuarantine());
+    suspects.apply (updateOf (4, 3, { "a", "b", "c" }), at (300));
+    EXPECT_EQ (suspects.standingOf (request).ends, 3);
+}
+
 TEST_F (SuspectRequestsTest, AWholeAnswerAcquits)
 {
     suspects.apply (updateOf (4, 1, { "a" }), at (100));
--- a/src/router/RouterCoreImplementation.h
+++ b/src/router/RouterCoreImplementation.h
@@ -84,6 +84,7 @@
     /// Requests of tenants are forwarded by ProxyProcess.
     void handle (const cell::QuotaGrant& /*grant*/) {}
     void handle (const cell::SuspectUpdate& /*update*/) {}
+    void handle (const cell::SuspectReport& /*report*/) {}
     /// The cell's time as the leader last told it; 0 before. It goes on with the monotonic clock,
     /// so that a step of this machine's wall clock changes nothing.
     [[nodiscard]] base::UnixMilliseconds cellTime() const;
