--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -5,7 +5,6 @@
 
 #include "proxy/ForwardedMessage.h"
 #include "proxy/PromptParts.h"
-#include "proxy/RequestIdentity.h"
 #include "proxy/WaitLimit.h"
 
 namespace fernlift::proxy
@@ -219,52 +218,6 @@
     }
 }
 
-quarantine::Standing Exchange::standing() const
-{
-    if (m_context.suspects.isEmpty())
-        return {};
-    if (! m_outline)
-        m_outline = outlineOf (m_request, tenantName());
-    return m_context.suspects.mayKnow (*m_outline) ? m_context.suspects.standingOf (identity())
-                                                   : quarantine::Standing();
-}
-
-bool Exchange::isHeldBack (const quarantine::Standing& standing)
-{
-    m_isAwaitingVerdict = false;
-    if (standing.isInQuarantine())
-    {
-        refuseQuarantined (standing);
-        return true;
-    }
-    if (! standing.isUndecided || now() >= m_verdictDeadline)
-        return false;
-    m_isAwaitingVerdict = true;
-    armTimer();
-    return true;
-}
-
-void Exchange::onSuspectsChanged()
-{
-    if (m_isEnded || ! m_connection)
-        return;
-    const quarantine::Standing known = standing();
-    if (! known.isInQuarantine())
-        return;
-    endAttempt (AttemptEnd::kAbandoned, false);
-    refuseQuarantined (known);
-}
-
-void Exchange::noteBrokenOff()
-{
-    m_hasBrokenOff = true;
-    // One that said that it leaves ends by its plan, and not under this request.
-    if (! m_isAttemptSent || m_context.directory.isDraining (m_instance))
-        return;
-    m_context.suspects.onBrokenOff (identity(), m_instance, m_attemptSentAt, now());
-    m_context.checkRunner (m_instance, m_address);
-}
-
 void Exchange::beginWait (NoChoice reason)
 {
     if (m_isWaiting)
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -6,7 +6,6 @@
 
 #include "http/ErrorResponse.h"
 #include "proxy/Exchange.h"
-#include "proxy/RequestIdentity.h"
 
 namespace fernlift::proxy
 {
@@ -28,28 +27,6 @@
 
 }  // namespace
 
-std::string Exchange::callerName() const
-{
-    return m_tenant == nullptr ? m_caller.peerAddress() : m_tenant->name;
-}
-
-std::string Exchange::tenantName() const
-{
-    return m_tenant == nullptr ? std::string() : m_tenant->name;
-}
-
-const cell::RequestIdentity& Exchange::identity() const
-{
-    if (! m_identity)
-        m_identity = identityOf (m_request, tenantName());
-    return *m_identity;
-}
-
-std::string Exchange::brokenIdentity() const
-{
-    return m_hasBrokenOff ? identity().digest : std::string();
-}
-
 void Exchange::logEnd (log::Event event, const std::string& cause) const
 {
     const auto sinceArrival = [this] (base::TimePoint time)
@@ -115,21 +92,6 @@
     end();
 }
 
-void Exchange::refuseQuarantined (const quarantine::Standing& standing)
-{
-    ++m_context.counters.quarantined;
-    log::write (log::Event::kQuarantinedRequestRefused,
-                { { "request", m_request.headers.value (m_context.names.requestId) },
-                  { "identity", identity().digest },
-                  { "caller", callerName() },
-                  { "ends", standing.ends } });
-    if (m_isAnswerBegun)
-        cut();
-    else
-        fail (ErrorKind::kRequestQuarantined,
-              "runners ended one after the other under this request");
-}
-
 void Exchange::cut()
 {
     ++m_context.counters.failed;
--- /dev/null
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -0,0 +1,92 @@
+// What an exchange does about runners that ended under its request.
+
+#include "proxy/Exchange.h"
+#include "proxy/RequestIdentity.h"
+
+namespace fernlift::proxy
+{
+
+std::string Exchange::callerName() const
+{
+    return m_tenant == nullptr ? m_caller.peerAddress() : m_tenant->name;
+}
+
+std::string Exchange::tenantName() const
+{
+    return m_tenant == nullptr ? std::string() : m_tenant->name;
+}
+
+const cell::RequestIdentity& Exchange::identity() const
+{
+    if (! m_identity)
+        m_identity = identityOf (m_request, tenantName());
+    return *m_identity;
+}
+
+std::string Exchange::brokenIdentity() const
+{
+    return m_hasBrokenOff ? identity().digest : std::string();
+}
+
+quarantine::Standing Exchange::standing() const
+{
+    if (m_context.suspects.isEmpty())
+        return {};
+    if (! m_outline)
+        m_outline = outlineOf (m_request, tenantName());
+    return m_context.suspects.mayKnow (*m_outline) ? m_context.suspects.standingOf (identity())
+                                                   : quarantine::Standing();
+}
+
+bool Exchange::isHeldBack (const quarantine::Standing& standing)
+{
+    m_isAwaitingVerdict = false;
+    if (standing.isInQuarantine())
+    {
+        refuseQuarantined (standing);
+        return true;
+    }
+    if (! standing.isUndecided || now() >= m_verdictDeadline)
+        return false;
+    m_isAwaitingVerdict = true;
+    armTimer();
+    return true;
+}
+
+void Exchange::onSuspectsChanged()
+{
+    if (m_isEnded || ! m_connection)
+        return;
+    const quarantine::Standing known = standing();
+    if (! known.isInQuarantine())
+        return;
+    endAttempt (AttemptEnd::kAbandoned, false);
+    refuseQuarantined (known);
+}
+
+void Exchange::noteBrokenOff()
+{
+    m_hasBrokenOff = true;
+    // One that said that it leaves ends by its plan, and not under this request.
+    if (! m_isAttemptSent || m_context.directory.isDraining (m_instance))
+        return;
+    m_context.suspects.onBrokenOff (identity(), m_instance, m_attemptSentAt, now());
+    m_context.checkRunner (m_instance, m_address);
+}
+
+void Exchange::refuseQuarantined (const quarantine::Standing& standing)
+{
+    ++m_context.counters.quarantined;
+    log::write (log::Event::kQuarantinedRequestRefused,
+                { { "request", m_request.headers.value (m_context.names.requestId) },
+                  { "identity", identity().digest },
+                  { "caller", callerName() },
+                  { "ends", standing.ends } });
+    if (m_isAnswerBegun)
+        cut();
+    else
+        fail (base::ErrorKind::kRequestQuarantined,
+              "runners ended one after the other under this request");
+}
+
+}  // namespace fernlift::proxy
