Try suspects at runners in doubt only when there is no other

Copies of a suspect go to one runner by its hash; requests of a crashed rack would have gone to others of it that were silent but still listed. Found by reading; test InstanceDirectoryTest.ASuspectGoesToARunnerInDoubt*.

--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -182,8 +182,7 @@
     }
     if (view.row.instance.zone != m_zone)
         cost += kOtherZoneCost;
-    const bool isQuiet = view.inFlight > 0 && now - view.heardAt > kQuietAfter;
-    if (view.row.isSilent || isQuiet)
+    if (view.row.isSilent || isQuiet (view, now))
         cost += kSilentCost;
     const bool isAvoided = now < view.avoidedUntil || view.row.instance.id == query.avoidedInstance;
     return isAvoided ? cost + kAvoidedCost : cost;
@@ -196,16 +195,17 @@
     return isCandidate (view, query, now) && ! hasEnded && holds (view, query, now);
 }
 
-std::string InstanceDirectory::meetingPlace (const InstanceQuery& query, const std::string& text,
-                                             base::TimePoint now) const
+std::string InstanceDirectory::homeOf (const InstanceQuery& query, base::TimePoint now) const
 {
     std::string home;
+    if (query.affinity.empty())
+        return home;
     double highest = -1;
     for (const auto& [id, view] : m_views)
     {
         if (! canServe (view, query, now))
             continue;
-        const double share = hashShare (id, text);
+        const double share = hashShare (id, query.affinity);
         if (share <= highest)
             continue;
         highest = share;
@@ -214,23 +214,36 @@
     return home;
 }
 
+bool InstanceDirectory::isQuiet (const View& view, base::TimePoint now)
+{
+    return view.inFlight > 0 && now - view.heardAt > kQuietAfter;
+}
+
+bool InstanceDirectory::isInDoubt (const View& view, base::TimePoint now)
+{
+    return view.row.isSilent || isQuiet (view, now) || now < view.avoidedUntil;
+}
+
 InstanceChoice InstanceDirectory::chooseForTrial (const InstanceQuery& query,
                                                   base::TimePoint now) const
 {
-    InstanceQuery elsewhere = query;
-    elsewhere.endedInstances.push_back (query.avoidedInstance);
     InstanceChoice choice;
-    choice.id = meetingPlace (elsewhere, query.trial, now);
-    if (choice.id.empty())
-        choice.id = meetingPlace (query, query.trial, now);
-    const auto found = m_views.find (choice.id);
-    if (found == m_views.end())
+    choice.reason = NoChoice::kNotLoaded;
+    // Runners in doubt come last: requests of a crashed runner that went by their text alone to
+    // others of its rack, which had fallen silent with it, would wait for a second one in vain.
+    std::pair<int, double> best;
+    for (const auto& [id, view] : m_views)
     {
-        choice.reason = NoChoice::kNotLoaded;
-        return choice;
+        if (! canServe (view, query, now))
+            continue;
+        const bool isLastResort = id == query.avoidedInstance;
+        const int doubt = (isInDoubt (view, now) ? 1 : 0) + (isLastResort ? 2 : 0);
+        const std::pair<int, double> rank (-doubt, hashShare (id, query.trial));
+        if (choice.reason == NoChoice::kNone && rank <= best)
+            continue;
+        best = rank;
+        choice = { NoChoice::kNone, id, view.row.instance.address };
     }
-    choice.reason = NoChoice::kNone;
-    choice.address = found->second.row.instance.address;
     return choice;
 }
 
@@ -240,8 +253,7 @@
         return chooseForTrial (query, now);
     InstanceChoice choice;
     double lowest = 0;
-    const std::string home =
-        query.affinity.empty() ? std::string() : meetingPlace (query, query.affinity, now);
+    const std::string home = homeOf (query, now);
     for (const auto& [id, view] : m_views)
     {
         if (! isCandidate (view, query, now))
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -155,9 +155,12 @@
     /// Whether it may be chosen, and holds what the request needs.
     [[nodiscard]] static bool canServe (const View& view, const InstanceQuery& query,
                                         base::TimePoint now);
-    /// Id of the runner where requests with the same text meet; empty when none can serve it.
-    [[nodiscard]] std::string meetingPlace (const InstanceQuery& query, const std::string& text,
-                                            base::TimePoint now) const;
+    /// Id of the runner where requests like this one meet; empty without affinity.
+    [[nodiscard]] std::string homeOf (const InstanceQuery& query, base::TimePoint now) const;
+    /// Whether it works on requests and sent nothing for long.
+    [[nodiscard]] static bool isQuiet (const View& view, base::TimePoint now);
+    /// Whether it may have ended.
+    [[nodiscard]] static bool isInDoubt (const View& view, base::TimePoint now);
     [[nodiscard]] InstanceChoice chooseForTrial (const InstanceQuery& query,
                                                  base::TimePoint now) const;
 
--- a/src/proxy/InstanceDirectoryTest.cpp
+++ b/src/proxy/InstanceDirectoryTest.cpp
@@ -76,6 +76,41 @@
     EXPECT_EQ (choose(), "i-2");
 }
 
+TEST_F (InstanceDirectoryTest, CopiesOfASuspectMeetWhereItDidNotEndARunner)
+{
+    put ({ rowOf ("i-1"), rowOf ("i-2"), rowOf ("i-3"), rowOf ("i-4") });
+    InstanceQuery query;
+    query.service = "service";
+    query.trial = "digest";
+    const std::string first = m_directory.choose (query, kStart).id;
+    m_directory.onAttemptBegin (first, 0, kStart);
+    EXPECT_EQ (m_directory.choose (query, kStart).id, first) << "load does not count";
+    query.endedInstances = { first };
+    EXPECT_NE (m_directory.choose (query, kStart).id, first);
+    query.endedInstances = { "i-1", "i-2", "i-3", "i-4" };
+    EXPECT_EQ (m_directory.choose (query, kStart).reason, NoChoice::kNotLoaded);
+}
+
+TEST_F (InstanceDirectoryTest, ASuspectGoesToARunnerInDoubtOnlyWhenThereIsNoOther)
+{
+    put ({ rowOf ("i-1"), rowOf ("i-2"), rowOf ("i-3") });
+    InstanceQuery query;
+    query.service = "service";
+    query.trial = "digest";
+    const std::string first = m_directory.choose (query, kStart).id;
+    cell::RoutableInstance silent = rowOf (first);
+    silent.isSilent = true;
+    put ({ silent });
+    const std::string second = m_directory.choose (query, kStart).id;
+    EXPECT_NE (second, first);
+    query.avoidedInstance = second;
+    EXPECT_NE (m_directory.choose (query, kStart).id, first);
+    EXPECT_NE (m_directory.choose (query, kStart).id, second);
+    query.endedInstances = { "i-1", "i-2", "i-3" };
+    std::erase (query.endedInstances, first);
+    EXPECT_EQ (m_directory.choose (query, kStart).id, first);
+}
+
 TEST_F (InstanceDirectoryTest, DrainingRunnersGetNothing)
 {
     cell::RoutableInstance draining = rowOf ("i-1");
