Do not report a runner to the leader for one connection that it refused

Tried and reverted: after a break, one refused connection told the leader that the runner was silent.

--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -333,15 +333,6 @@
     }
 }
 
-void InstanceDirectory::onGone (const std::string& id, base::TimePoint now)
-{
-    const auto found = m_views.find (id);
-    if (found == m_views.end())
-        return;
-    found->second.unreachableCount = kUnreachableBeforeReport - 1;
-    noteUnreachable (found->second, now);
-}
-
 void InstanceDirectory::noteUnreachable (View& view, base::TimePoint now)
 {
     view.unreachableUntil = now + kUnreachableAvoidance;
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -83,8 +83,6 @@
     void onBytes (const std::string& id, base::TimePoint now);
     void onAnswerBegun (const std::string& id, std::uint64_t promptTokens);
     void onAttemptEnd (const std::string& id, AttemptEnd end, base::TimePoint now);
-    /// It broke off, and nothing listens at its address: no further sign is needed.
-    void onGone (const std::string& id, base::TimePoint now);
     /// Instances that went out of the table since the last call without having said that they
     /// leave.
     [[nodiscard]] std::vector<std::string> takeReplaced() { return std::exchange (m_replaced, {}); }
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -406,8 +406,6 @@
 {
     log::write (log::Event::kRunnerChecked, { { "runner", instance }, { "fate", nameOf (fate) } });
     m_suspects.onFate (instance, fate);
-    if (fate == RunnerFate::kGone)
-        m_directory.onGone (instance, m_clock.now());
     reportSuspects();
     m_server.onSuspectsChanged();
 }
