Read-over: one way to visit exchanges, one count of ends, no work that nobody needs

Change: ProxyServer::visitExchanges serves all four; callers of onDirectoryChanged and onSuspectsChanged that have nothing to do return at once, as their own checks say. Behaviour, bounds and tests as before.

--- a/src/controller/AdminAnswers.cpp
+++ b/src/controller/AdminAnswers.cpp
@@ -367,7 +367,7 @@
         for (const cell::RunnerEnd& end : suspect.ends)
             runners.append (text (end.instance));
         const QJsonObject object{ { u"request"_s, text (digest) },
-                                  { u"ends"_s, static_cast<qint64> (suspect.successiveEnds()) },
+                                  { u"ends"_s, static_cast<qint64> (suspect.successive) },
                                   { u"quarantined"_s, suspect.isInQuarantine() },
                                   { u"runners"_s, runners },
                                   { u"last_end_ms"_s, static_cast<qint64> (suspect.lastEndAt) } };
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -61,7 +61,7 @@
     for (const cell::RunnerEnd& end : suspect.ends)
         runners.append (runners.empty() ? "" : ",").append (end.instance);
     log::write (log::Event::kRequestQuarantined, { { "identity", suspect.request.digest },
-                                                   { "ends", suspect.successiveEnds() },
+                                                   { "ends", suspect.successive },
                                                    { "runners", runners } });
 }
 
--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -32,7 +32,7 @@
 CallerConnection::CallerConnection (std::unique_ptr<QTcpSocket> socket, CallerLimits limits,
                                     const Handlers& handlers)
     : m_socket (std::move (socket)),
-      m_peerAddress (m_socket->peerAddress().toString().toStdString()),
+      m_peerAddress (m_socket->peerAddress()),
       m_limits (limits),
       m_handlers (handlers),
       m_parser (limits.request)
--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -2,6 +2,7 @@
 
 /// One connection of a caller: reads requests one after the other and writes their answers.
 
+#include <QHostAddress>
 #include <QTcpSocket>
 #include <QTimer>
 #include <cstdint>
@@ -73,7 +74,7 @@
     [[nodiscard]] bool hasBegunAnswer() const { return m_hasBegunAnswer; }
     [[nodiscard]] std::size_t bytesToWrite() const;
     /// Of the caller, without its port.
-    [[nodiscard]] const std::string& peerAddress() const { return m_peerAddress; }
+    [[nodiscard]] std::string peerAddress() const { return m_peerAddress.toString().toStdString(); }
     void setLimits (const CallerLimits& limits);
 
 private:
@@ -88,7 +89,7 @@
     void closeOrderly();
 
     std::unique_ptr<QTcpSocket> m_socket;
-    std::string m_peerAddress;
+    QHostAddress m_peerAddress;  ///< The socket forgets it when it closes.
     CallerLimits m_limits;
     const Handlers& m_handlers;
     RequestParser m_parser;
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -35,7 +35,7 @@
                 { { "request", m_request.headers.value (m_context.names.requestId) },
                   { "route", m_route == nullptr ? std::string() : m_route->name },
                   { "configuration", m_routes ? m_routes->version() : 0 },
-                  { "tenant", m_tenant == nullptr ? std::string() : m_tenant->name },
+                  { "tenant", tenantName() },
                   { "quota_units", m_quota.claim.units },
                   { "quota_rate", m_tenant == nullptr ? 0.0 : m_tenant->quota.ratePerSecond },
                   { "quota_wait_ms", base::toMilliseconds (m_quota.waited) },
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -92,7 +92,6 @@
                       {
                           reportDemand();
                           requestQuota();
-                          reportSuspects();
                       });
     QObject::connect (&m_ticker, &QTimer::timeout, &m_ticker, [this] { onTick(); });
 }
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -124,40 +124,29 @@
         m_sweeper.start (0);
 }
 
-void ProxyServer::onDirectoryChanged()
+void ProxyServer::visitExchanges (const std::function<void (Exchange& exchange)>& visit)
 {
-    std::vector<Exchange*> waiting;
+    std::vector<Exchange*> open;
     for (const auto& [caller, exchange] : m_exchanges)
-    {
-        if (exchange->isWaiting())
-            waiting.push_back (exchange.get());
-    }
+        open.push_back (exchange.get());
     // Ended exchanges stay alive until the sweep.
-    for (Exchange* exchange : waiting)
-        exchange->onDirectoryChanged();
+    for (Exchange* exchange : open)
+        visit (*exchange);
+}
+
+void ProxyServer::onDirectoryChanged()
+{
+    visitExchanges ([] (Exchange& exchange) { exchange.onDirectoryChanged(); });
 }
 
 void ProxyServer::onTimePassed()
 {
-    std::vector<Exchange*> open;
-    for (const auto& [caller, exchange] : m_exchanges)
-        open.push_back (exchange.get());
-    // Ended exchanges stay alive until the sweep.
-    for (Exchange* exchange : open)
-        exchange->onTimer();
+    visitExchanges ([] (Exchange& exchange) { exchange.onTimer(); });
 }
 
 void ProxyServer::onSuspectsChanged()
 {
-    std::vector<Exchange*> running;
-    for (const auto& [caller, exchange] : m_exchanges)
-    {
-        if (! exchange->isWaiting())
-            running.push_back (exchange.get());
-    }
-    // Ended exchanges stay alive until the sweep.
-    for (Exchange* exchange : running)
-        exchange->onSuspectsChanged();
+    visitExchanges ([] (Exchange& exchange) { exchange.onSuspectsChanged(); });
     onDirectoryChanged();
 }
 
@@ -183,12 +172,7 @@
 
 void ProxyServer::refuseWaiting()
 {
-    std::vector<Exchange*> open;
-    for (const auto& [caller, exchange] : m_exchanges)
-        open.push_back (exchange.get());
-    // Ended exchanges stay alive until the sweep.
-    for (Exchange* exchange : open)
-        exchange->onRouterEnding();
+    visitExchanges ([] (Exchange& exchange) { exchange.onRouterEnding(); });
 }
 
 void ProxyServer::stopListening() { m_server.close(); }
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -54,6 +54,8 @@
     void onRequest (CallerConnection& connection, ParsedRequest request);
     void onInvalid (CallerConnection& connection, const base::Error& error);
     static void refuseStopping (CallerConnection& connection);
+    /// Calls `visit` for each open exchange; it may end exchanges.
+    void visitExchanges (const std::function<void (Exchange& exchange)>& visit);
     /// Drops what ended; not from within its own calls.
     void sweepSoon();
 
--- a/src/quarantine/SuspectRequests.cpp
+++ b/src/quarantine/SuspectRequests.cpp
@@ -265,9 +265,9 @@
 {
     m_outlines.clear();
     for (const auto& [digest, row] : m_rows)
-        ++m_outlines[row.told.request.outline];
+        m_outlines.insert (row.told.request.outline);
     for (const OwnEnd& end : m_own)
-        ++m_outlines[end.request.outline];
+        m_outlines.insert (end.request.outline);
 }
 
 }  // namespace fernlift::quarantine
--- a/src/quarantine/SuspectRequests.h
+++ b/src/quarantine/SuspectRequests.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "base/Time.h"
@@ -122,7 +123,7 @@
     std::unordered_map<std::string, Row> m_rows;  ///< By digest.
     std::vector<OwnEnd> m_own;                    ///< The oldest first.
     std::map<std::string, Acquittal> m_acquittals;
-    std::unordered_map<std::uint64_t, std::uint32_t> m_outlines;  ///< Of rows and own ends.
+    std::unordered_set<std::uint64_t> m_outlines;  ///< Of rows and own ends.
     std::uint64_t m_forgotten = 0;
 };
 
