Forget what a router reported when nothing is ever noted of it

Cause: a controller kept the digest of every request that a router reported until the table showed it. Of an instance that was leaving the leader notes nothing, so that the digest stayed, and was looked up at each tick, for as long as the router was connected. The look no longer depends on the table having changed once.

--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -444,7 +444,7 @@
 
     // ControllerQuarantine.cpp
     /// The router waits to be shown what it reported.
-    static void noteReporter (RouterSession& session, const cell::SuspectReport& report);
+    void noteReporter (RouterSession& session, const cell::SuspectReport& report);
     void onSuspectReport (const cell::SuspectReport& report);
     /// Whether the instance has said that it leaves or has left.
     [[nodiscard]] bool isLeaving (const std::string& instance) const;
--- a/src/controller/ControllerQuarantine.cpp
+++ b/src/controller/ControllerQuarantine.cpp
@@ -20,7 +20,8 @@
 /// 0.85 s, in which two runners more ended. Routers hear of what takes longer than this before it
 /// is agreed on.
 constexpr base::Duration kHintAfter = base::milliseconds (30);
-/// An end that was not applied by then never will be: the router tells it again.
+/// An end that was not applied by then never will be: the router tells it again, if it has not
+/// given up.
 constexpr base::Duration kUnsettledLifetime = base::seconds (5);
 /// How often the leader looks for suspects whose lifetime, minutes, is over.
 constexpr base::Duration kExpiryInterval = base::seconds (10);
@@ -31,7 +32,7 @@
                                                    const cell::SuspectReport& report)
 {
     for (const cell::RunnerEndReport& end : report.ends)
-        session.reportedSuspects.insert (end.request.digest);
+        session.reportedSuspects[end.request.digest] = m_now;
 }
 
 void ControllerCore::Implementation::onSuspectReport (const cell::SuspectReport& report)
@@ -141,7 +142,7 @@
 void ControllerCore::Implementation::sendSuspectsTo (RouterSessions& sessions)
 {
     const base::LogIndex version = m_state.quarantine().version();
-    if (version == 0 || m_now < m_nextSuspectsAt)
+    if (m_now < m_nextSuspectsAt)
         return;
     std::map<base::LogIndex, std::vector<RouterConnection>> behind;
     for (auto& [connection, session] : sessions.sessions())
@@ -174,11 +175,12 @@
         return;
     cell::SuspectUpdate update;
     std::erase_if (session.reportedSuspects,
-                   [&] (const std::string& digest)
+                   [&] (const auto& reported)
                    {
+                       const auto& [digest, reportedAt] = reported;
                        const cell::Suspect* suspect = m_state.quarantine().find (digest);
                        if (suspect == nullptr)
-                           return false;
+                           return m_now - reportedAt >= kUnsettledLifetime;
                        update.upserts.push_back (suspect->row());
                        return true;
                    });
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -48,8 +47,9 @@
     base::TimePoint wholeTableSentAt{};
     bool isTableShared = false;  ///< The version is one of the table that all routers share.
 
-    /// Digests of requests that it reported; it waits to be shown what became of them.
-    std::set<std::string> reportedSuspects;
+    /// Digests of requests that it reported, and when it did last; it waits to be shown what became
+    /// of them. Kept for some seconds: of an instance that leaves nothing is ever noted.
+    std::map<std::string, base::TimePoint> reportedSuspects;
     base::LogIndex suspectVersion = 0;  ///< Of the table of suspects last sent; 0: none.
     std::uint64_t instanceVersion = 0;  ///< Of the instances last sent; 0: none.
     base::TimePoint instancesSentAt{};
