--- /dev/null
+++ b/src/cell/InstanceLoadMessages.h
@@ -0,0 +1,114 @@
+#pragma once
+
+/**
+ * Messages by which routers share what they know of the load and the speed of registered runners:
+ * a router reports to its controller, a controller that does not lead adds its routers up for the
+ * leader, and the sum goes back to all routers. See docs/design/runner-loads.md.
+ */
+
+#include <boost/serialization/string.hpp>
+#include <boost/serialization/vector.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fernlift::cell
+{
+
+/** What the sender, or the routers that it speaks for, have at one runner; absolute. */
+struct InstanceUse
+{
+    std::string instance;
+    std::uint32_t inFlight = 0;      ///< Requests that are not answered whole.
+    std::uint64_t unreadTokens = 0;  ///< Of their prompts whose answer has not begun.
+
+    bool operator== (const InstanceUse&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& instance& inFlight& unreadTokens;
+    }
+};
+
+/** Pauses between events of streams, since the last report. They tell how fast a runner works:
+   unlike the time to the first event they hold no wait in its queue.
+*/
+struct InstancePace
+{
+    std::string instance;
+    std::string model;
+    std::uint32_t pauses = 0;
+    /** Sum of the pauses, each divided by the slowdown that the runner stated last. */
+    std::uint64_t microseconds = 0;
+
+    bool operator== (const InstancePace&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& instance& model& pauses& microseconds;
+    }
+};
+
+/** How much longer work takes on the machine of a runner for the moment, as the runner stated. */
+struct InstanceSlowdown
+{
+    std::string instance;
+    std::uint32_t percent = 100;       ///< 100: as usual; 250: two and a half times as long.
+    std::int64_t ageMilliseconds = 0;  ///< Since the runner stated it.
+
+    bool operator== (const InstanceSlowdown&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& instance& percent& ageMilliseconds;
+    }
+};
+
+/** What changed since the sender's last report on the same connection. */
+struct InstanceLoadReport
+{
+    std::vector<InstanceUse> uses;
+    std::vector<InstancePace> paces;
+    std::vector<InstanceSlowdown> slowdowns;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& uses& paces& slowdowns;
+    }
+};
+
+/** What all routers together know of one runner. */
+struct InstanceLoad
+{
+    std::string instance;
+    std::uint32_t inFlight = 0;
+    std::uint64_t unreadTokens = 0;
+    /** Work done in the same time, against the mean of the runners of its service: 100 as much. */
+    std::uint32_t speedPercent = 100;
+    std::uint32_t slowdownPercent = 100;
+    std::int64_t slowdownAgeMilliseconds = 0;
+
+    bool operator== (const InstanceLoad&) const = default;
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& instance& inFlight& unreadTokens& speedPercent& slowdownPercent&
+            slowdownAgeMilliseconds;
+    }
+};
+
+/** Rows that changed; the first on a connection holds all that differ from an idle runner. */
+struct InstanceLoadUpdate
+{
+    bool isWhole = false;  ///< Runners that it does not name are idle and of usual speed.
+    std::vector<InstanceLoad> loads;
+
+    template <class Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        archive& isWhole& loads;
+    }
+};
+
+}  // namespace fernlift::cell
--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -12,6 +12,7 @@
 #include "base/Ids.h"
 #include "base/Time.h"
 #include "cell/Commands.h"
+#include "cell/InstanceLoadMessages.h"
 #include "cell/QuarantineMessages.h"
 #include "cell/QuotaMessages.h"
 #include "consensus/Messages.h"
@@ -236,7 +237,7 @@
 using RouterToController =
     std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest, OutcomeReport,
                  RunnerLeavingSeen, EngineDemandReport, MemberJoinRequest, InstanceUnreachable,
-                 InstanceSightings, QuotaRequest, SuspectReport>;
+                 InstanceSightings, QuotaRequest, SuspectReport, InstanceLoadReport>;
 
 /// This controller does not lead; try `leaderAddress` ("ip:port", empty when unknown).
 struct NotLeaderReply
@@ -484,6 +485,7 @@
 
 using ControllerToRouter =
     std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant, ReplicaUpdate, ClaimReply,
-                 InstanceUpdate, MemberJoinReply, QuotaGrant, SuspectUpdate, SuspectReport>;
+                 InstanceUpdate, MemberJoinReply, QuotaGrant, SuspectUpdate, SuspectReport,
+                 InstanceLoadUpdate>;
 
 }  // namespace fernlift::cell
--- a/src/lab/RouterStub.h
+++ b/src/lab/RouterStub.h
@@ -52,6 +52,7 @@
     void on (const cell::QuotaGrant& /*grant*/) {}
     void on (const cell::SuspectUpdate& /*update*/) {}
     void on (const cell::SuspectReport& /*report*/) {}
+    void on (const cell::InstanceLoadUpdate& /*update*/) {}
     void reconnectSoon (const base::SocketAddress& address);
 
     std::string m_id;
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -112,6 +112,11 @@
     return true;
 }
 
+void InstanceDirectory::applyLoads (const cell::InstanceLoadUpdate& /*update*/,
+                                    base::TimePoint /*now*/)
+{
+}
+
 void InstanceDirectory::noteReplaced (const View& view)
 {
     if (! view.row.instance.isDraining)
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -50,6 +50,8 @@
     NoChoice reason = NoChoice::kUnknown;
     std::string id;
     std::string address;
+    /// From now until the answer begins, as far as is known; zero when no runner was chosen.
+    base::Duration expectedAnswer{};
 };
 
 /// For logs, for example "not_loaded".
@@ -75,6 +77,9 @@
     /// is needed then.
     bool apply (const cell::InstanceUpdate& update, base::TimePoint now);
 
+    /// Takes over what all routers of the cell together have at the runners, this one included.
+    void applyLoads (const cell::InstanceLoadUpdate& update, base::TimePoint now);
+
     [[nodiscard]] InstanceChoice choose (const InstanceQuery& query, base::TimePoint now) const;
 
     /// `promptTokens` are read there until the answer begins.
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -15,6 +15,7 @@
 #include "proxy/ConfigurationFreshness.h"
 #include "proxy/EngineDemands.h"
 #include "proxy/InstanceDirectory.h"
+#include "proxy/InstanceLoadReporter.h"
 #include "proxy/ProtocolNames.h"
 #include "proxy/RouteTable.h"
 #include "proxy/TenantQuotas.h"
@@ -44,6 +45,7 @@
     const base::Clock& clock;
     base::Random& random;
     InstanceDirectory& directory;
+    InstanceLoadReporter& loadReporter;
     http::BackEndPool& pool;
     dispatch::RetryBudget& retryBudget;
     EngineDemands& demands;
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -49,17 +49,9 @@
       m_pool (m_settings.connectTimeout),
       m_retryBudget (m_settings.retryShare, static_cast<double> (m_settings.retryReserve)),
       m_quotas (m_settings.quotaTolerance, [this] { m_demandTimer.start (0); }),
-      m_context{ m_names,
-                 m_clock,
-                 m_random,
-                 m_directory,
-                 m_pool,
-                 m_retryBudget,
-                 m_demands,
-                 m_quotas,
-                 m_suspects,
-                 m_counters,
-                 [this] { m_demandTimer.start (0); },
+      m_context{ m_names,        m_clock,    m_random,      m_directory,
+                 m_loadReporter, m_pool,     m_retryBudget, m_demands,
+                 m_quotas,       m_suspects, m_counters,    [this] { m_demandTimer.start (0); },
                  nullptr },
       m_session (clock.now(), cell::ControllerSession::kQuickAfterLoss),
       m_link (peersOf (m_settings), m_random.bits() % peersOf (m_settings).size(),
@@ -74,6 +66,7 @@
                 [this]
                 {
                     m_quotas.pool().onLinkLost();
+                    m_loadReporter.onLinkLost();
                     m_suspects.onLinkLost();
                     m_session.onLost (m_clock.now(), m_random);
                 } }),
@@ -214,6 +207,10 @@
     {
         takeInstances (*instances);
     }
+    else if (const auto* loads = std::get_if<cell::InstanceLoadUpdate> (&message))
+    {
+        m_directory.applyLoads (*loads, m_clock.now());
+    }
 }
 
 void ProxyProcess::confirmRoutes (const cell::LeaseGrant& grant)
@@ -393,6 +390,14 @@
     }
 }
 
+void ProxyProcess::reportLoads()
+{
+    if (! m_session.isConnected())
+        return;
+    if (auto report = m_loadReporter.takeDue (m_clock.now()))
+        m_link.send (std::move (*report));
+}
+
 void ProxyProcess::requestQuota()
 {
     if (! m_session.isConnected())
@@ -437,6 +442,7 @@
     followSuspension();
     pollController();
     reportDemand();
+    reportLoads();
     requestQuota();
     reportSuspects();
     moveToPreferred();
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -76,6 +76,7 @@
     Freshness freshness();
     void reportDemand();
     /// Asks the controller for units of tenants' quotas, if any are needed.
+    void reportLoads();
     void requestQuota();
     /// Tells the controller of runners that ended under requests, if it does not know.
     void reportSuspects();
@@ -94,6 +95,7 @@
     base::Random m_random;
     std::function<void (int)> m_onFinished;
     InstanceDirectory m_directory;
+    InstanceLoadReporter m_loadReporter;
     http::BackEndPool m_pool;
     dispatch::RetryBudget m_retryBudget;
     EngineDemands m_demands;
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -203,14 +203,15 @@
     SuspendedClock clock;
     base::Random random{ 1 };
     InstanceDirectory directory{ "z1" };
+    InstanceLoadReporter loadReporter;
     http::BackEndPool pool{ base::milliseconds (500) };
     dispatch::RetryBudget retryBudget{ 0.1, 10 };
     EngineDemands demands;
     TenantQuotas quotas{ {}, [] {} };
     quarantine::SuspectRequests suspects;
     ProxyCounters counters;
-    ProxyContext context{ names,   clock,  random,   directory, pool,  retryBudget,
-                          demands, quotas, suspects, counters,  [] {}, nullptr };
+    ProxyContext context{ names,   clock,  random,   directory, loadReporter, pool,   retryBudget,
+                          demands, quotas, suspects, counters,  [] {},        nullptr };
     ProxyServer server{ context };
     base::SocketAddress listening;
 
--- a/src/router/RouterProcessTestSupport.h
+++ b/src/router/RouterProcessTestSupport.h
@@ -109,6 +109,7 @@
     void handle (const cell::InstanceSightings& /*sightings*/) {}
     void handle (const cell::QuotaRequest& /*request*/) {}
     void handle (const cell::SuspectReport& /*report*/) {}
+    void handle (const cell::InstanceLoadReport& /*report*/) {}
     void handle (const cell::RunnerLeavingSeen& seen) { leavingSeen.push_back (seen); }
 
     std::vector<cell::RoutableReplica> m_replicas;
--- a/src/router/RouterTestHarness.h
+++ b/src/router/RouterTestHarness.h
@@ -299,6 +299,7 @@
     void takeMessage (const cell::InstanceSightings& /*sightings*/) {}
     void takeMessage (const cell::QuotaRequest& /*request*/) {}
     void takeMessage (const cell::SuspectReport& /*report*/) {}
+    void takeMessage (const cell::InstanceLoadReport& /*report*/) {}
     void takeMessage (const cell::LeaseRequest& request) { leaseRequests.push_back (request); }
     void takeMessage (const cell::DemandReport& report) { demands.push_back (report); }
     void takeMessage (const cell::ClaimRequest& request) { claimRequests.push_back (request); }
