--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -104,6 +104,8 @@
     void afterRefusal();
     void afterFailure();
     void passHead();
+    /// Whole events of a stream came.
+    void passEvents (std::string_view events);
     void notePromptRead();
     void noteLoad (const http::AnswerHead& head);
     void finishAnswer();
@@ -164,6 +166,8 @@
     http::AnswerHead m_head;
     std::string m_collected;
     std::optional<EventSplitter> m_events;
+    base::TimePoint m_lastEventAt{};  ///< Zero: none has come.
+    base::Duration m_longestPause{};  ///< Between events; late streams may owe it to this alone.
     QTimer m_timer;
 };
 
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -1,5 +1,6 @@
 // What an exchange does with the answer of a runner.
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -96,6 +97,16 @@
                           framing);
 }
 
+void Exchange::passEvents (std::string_view events)
+{
+    if (events.empty())
+        return;
+    const base::TimePoint earlier = std::exchange (m_lastEventAt, now());
+    if (earlier != base::TimePoint{})
+        m_longestPause = std::max<base::Duration> (m_longestPause, m_lastEventAt - earlier);
+    m_caller.writeBody (events);
+}
+
 void Exchange::onBody (std::string_view data)
 {
     m_context.directory.onBytes (m_instance, now());
@@ -115,7 +126,7 @@
             m_caller.writeBody (data);
             return;
         case AnswerUse::kEvents:
-            m_caller.writeBody (m_events->feed (data));
+            passEvents (m_events->feed (data));
             return;
         case AnswerUse::kNone:
         case AnswerUse::kRefusal:
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -49,6 +49,7 @@
                   { "unreachable", m_unreachable },
                   { "waited_ms", base::toMilliseconds (m_waited) },
                   { "head_ms", sinceArrival (m_answeredAt) },
+                  { "longest_pause_ms", base::toMilliseconds (m_longestPause) },
                   { "total_ms", sinceArrival (now()) },
                   { "caller", m_hasBrokenOff ? callerName() : std::string() },
                   { "identity", brokenIdentity() },
