Routers report loads of runners, controllers add them up and tell all routers

InstanceLoadReporter tells what changed, InstanceLoadSum adds up routers at a controller and controllers at the leader, InstanceLoadTable holds rows with the version they last changed in; all receivers equally far get one message. Setting shared_loads_from_routers.

--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -21,6 +21,8 @@
 #include "controller/ControllerCore.h"
 #include "controller/CreditShare.h"
 #include "controller/DemandTable.h"
+#include "controller/InstanceLoadSum.h"
+#include "controller/InstanceLoadTable.h"
 #include "controller/InstanceTable.h"
 #include "controller/LoadEstimates.h"
 #include "controller/MemberAdmission.h"
@@ -225,6 +227,9 @@
     std::map<base::ReplicaId, bool> usesStore;
     ReadyEstimates estimates;  ///< As last stated to routers.
     InstanceTable instances;
+    InstanceLoadSum loadSum;        ///< Of its own routers and of the other controllers.
+    InstanceLoadTable loads;        ///< The same with what was learned, for routers.
+    base::TimePoint nextLoadsAt{};  ///< Routers hear of loads no earlier.
     quota::QuotaLedger quotas;
     QuotaBasis quotaBasis;        ///< Of what `quotas` counts.
     cell::NoteSuspects suspects;  ///< Reported and not proposed yet.
@@ -493,6 +498,15 @@
     void answerNotLeader (ControlTicket ticket);
     void answerControl (ControlTicket ticket, ControlAnswer answer);
 
+    // ControllerLoads.cpp
+    /// At the leader: takes over what was reported and tells it on.
+    void shareLoads();
+    /// The same at a controller that does not lead.
+    void relayLoads();
+    void sendLoadsTo (RouterSessions& sessions, const InstanceLoadTable& loads,
+                      base::TimePoint& nextAt);
+    void forgetLoadsOfGone();
+
     // ControllerEngines.cpp
     [[nodiscard]] placement::EnginePlacementOptions engineOptions() const;
     void placeOnEngines();
--- /dev/null
+++ b/src/controller/ControllerLoadsTest.cpp
@@ -0,0 +1,262 @@
+// How loads of runners that routers report reach all routers, in a whole cell.
+
+#include <gtest/gtest.h>
+
+#include "controller/ControllerCore.h"
+#include "controller/TestCell.h"
+
+namespace fernlift::controller
+{
+namespace
+{
+
+using base::milliseconds;
+using base::seconds;
+using test::TestCell;
+using test::TestRouter;
+
+constexpr std::size_t kRouters = 6;
+/// From a report until all other routers know: two steps upwards and one down, and some ticks.
+constexpr base::Duration kBound = milliseconds (200);
+
+config::CatalogueOutcome parseVersion (std::string_view text)
+{
+    config::CatalogueOutcome outcome;
+    outcome.catalogue.emplace();
+    outcome.catalogue->version = std::stoull (std::string (text));
+    return outcome;
+}
+
+/// Two routers at each of three controllers, of which one leads, and two runners.
+class ControllerLoadsTest : public ::testing::Test
+{
+protected:
+    ControllerLoadsTest() : m_cell (options())
+    {
+        for (std::size_t number = 0; number < kRouters; ++number)
+            m_cell.router (number).acceptsLastKnownState = true;
+        EXPECT_TRUE (m_cell.awaitLeader());
+        m_leader = m_cell.leader();
+        for (std::size_t number = 0; number < kRouters; ++number)
+            m_cell.reconnect (number, memberFor (number));
+        const auto answer = m_cell.askControl (m_leader, ReplaceConfiguration{ "1 " }, seconds (4));
+        EXPECT_TRUE (answer && answer->verdict == ControlVerdict::kDone);
+        for (const std::string id : { "i-1", "i-2" })
+            EXPECT_TRUE (m_cell.askControl (m_leader, heartbeat (id)));
+        // Instances are removed when they fall silent.
+        m_cell.onStep = [this]
+        {
+            if (m_cell.now() < m_nextBeatAt)
+                return;
+            m_nextBeatAt = m_cell.now() + seconds (1);
+            m_isBeatDue = true;
+        };
+        run (seconds (1));
+    }
+
+    static TestCell::Options options()
+    {
+        TestCell::Options options = test::testOptions();
+        options.routers = kRouters;
+        options.controller.catalogueParser = &parseVersion;
+        options.controller.hasMachineList = false;
+        return options;
+    }
+    [[nodiscard]] base::MemberId memberFor (std::size_t router) const
+    {
+        return (m_leader + router) % 3 + 1;
+    }
+    InstanceHeartbeat heartbeat (const std::string& id)
+    {
+        InstanceHeartbeat beat;
+        beat.instance.id = id;
+        beat.instance.service = "llm";
+        beat.instance.address = "10.0.0.9:" + id.substr (2);
+        beat.sequence = ++m_sequence;
+        return beat;
+    }
+    void run (base::Duration duration)
+    {
+        const base::TimePoint end = m_cell.now() + duration;
+        while (m_cell.now() < end)
+        {
+            m_cell.run (std::min<base::Duration> (end - m_cell.now(), milliseconds (100)));
+            if (! std::exchange (m_isBeatDue, false) || m_cell.leader() == 0)
+                continue;
+            for (const std::string id : { "i-1", "i-2" })
+                m_cell.askControl (m_cell.leader(), heartbeat (id), milliseconds (0));
+        }
+    }
+    void report (std::size_t router, std::vector<cell::InstanceUse> uses)
+    {
+        cell::InstanceLoadReport report;
+        report.uses = std::move (uses);
+        m_cell.sendFromRouter (router, report);
+    }
+    [[nodiscard]] std::uint32_t known (std::size_t router, const std::string& instance)
+    {
+        const auto& loads = m_cell.router (router).loads;
+        const auto found = loads.find (instance);
+        return found == loads.end() ? 0 : found->second.inFlight;
+    }
+    [[nodiscard]] bool allKnow (const std::string& instance, std::uint32_t inFlight,
+                                std::size_t but = kRouters)
+    {
+        for (std::size_t number = 0; number < kRouters; ++number)
+        {
+            if (number != but && known (number, instance) != inFlight)
+                return false;
+        }
+        return true;
+    }
+    /// A router of a controller that does not lead.
+    [[nodiscard]] std::size_t relayedRouter (std::size_t from = 0) const
+    {
+        while (memberFor (from) == m_leader)
+            ++from;
+        return from;
+    }
+
+    TestCell m_cell;
+    base::MemberId m_leader = 0;
+    std::uint64_t m_sequence = 0;
+    base::TimePoint m_nextBeatAt{};
+    bool m_isBeatDue = false;
+};
+
+TEST_F (ControllerLoadsTest, AllRoutersHearOfARequestWithinABoundedTime)
+{
+    for (std::size_t router = 0; router < kRouters; ++router)
+    {
+        report (router, { { "i-1", 1, 900 } });
+        const auto inFlight = static_cast<std::uint32_t> (router + 1);
+        EXPECT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", inFlight); }, kBound))
+            << "after the report of router " << router;
+    }
+    EXPECT_EQ (m_cell.router (0).loads.at ("i-1").unreadTokens, 6 * 900U);
+    for (std::size_t router = 0; router < kRouters; ++router)
+        report (router, { { "i-1", 0, 0 } });
+    EXPECT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", 0); }, kBound));
+}
+
+TEST_F (ControllerLoadsTest, ASlowdownOfTheMomentReachesAllRoutersWithItsAge)
+{
+    cell::InstanceLoadReport slow;
+    slow.slowdowns.push_back ({ "i-1", 250, 20 });
+    m_cell.sendFromRouter (relayedRouter(), slow);
+    const base::TimePoint sentAt = m_cell.now();
+    const auto isKnown = [&]
+    {
+        for (std::size_t number = 0; number < kRouters; ++number)
+        {
+            if (! m_cell.router (number).loads.contains ("i-1"))
+                return false;
+        }
+        return true;
+    };
+    ASSERT_TRUE (m_cell.runUntil (isKnown, kBound));
+    for (std::size_t number = 0; number < kRouters; ++number)
+    {
+        const cell::InstanceLoad& load = m_cell.router (number).loads.at ("i-1");
+        EXPECT_EQ (load.slowdownPercent, 250U);
+        EXPECT_GE (load.slowdownAgeMilliseconds, 20);
+        EXPECT_LE (load.slowdownAgeMilliseconds, 20 + base::toMilliseconds (m_cell.now() - sentAt));
+    }
+}
+
+TEST_F (ControllerLoadsTest, ARouterThatComesLaterIsToldAll)
+{
+    report (0, { { "i-1", 3, 0 }, { "i-2", 4, 0 } });
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-2", 4); }, kBound));
+    const std::size_t late = relayedRouter (1);
+    m_cell.router (late).loads.clear();
+    m_cell.reconnect (late, m_leader);
+    EXPECT_TRUE (m_cell.runUntil (
+        [&] { return known (late, "i-1") == 3 && known (late, "i-2") == 4; }, kBound));
+}
+
+TEST_F (ControllerLoadsTest, WhatARouterHadGoesWithItsConnection)
+{
+    const std::size_t moving = relayedRouter();
+    report (moving, { { "i-1", 3, 0 } });
+    report (moving + 1, { { "i-1", 2, 0 } });
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", 5); }, kBound));
+    m_cell.reconnect (moving, m_leader);
+    EXPECT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", 2); }, kBound));
+    report (moving, { { "i-1", 3, 0 } });
+    EXPECT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", 5); }, kBound))
+        << "it tells all again";
+}
+
+TEST_F (ControllerLoadsTest, AFrozenRoutersPartStaysAndTheOthersGoOn)
+{
+    const std::size_t frozen = relayedRouter();
+    report (frozen, { { "i-1", 3, 0 } });
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", 3); }, kBound));
+    m_cell.router (frozen).isCut = true;
+    const std::size_t other = frozen == 0 ? 1 : 0;
+    report (other, { { "i-1", 1, 0 } });
+    EXPECT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", 4, frozen); }, kBound));
+}
+
+TEST_F (ControllerLoadsTest, ANewLeaderKnowsWhatRoutersOfTheOtherControllersHave)
+{
+    const std::size_t relayed = relayedRouter();
+    const std::size_t direct = relayed == 0 ? 1 : 0;
+    report (relayed, { { "i-1", 3, 0 } });
+    report (direct, { { "i-2", 2, 0 } });
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", 3); }, kBound));
+    m_cell.kill (m_leader);
+    ASSERT_TRUE (m_cell.awaitLeader());
+    run (seconds (3));
+    // Routers tell all again to the controller to which they moved.
+    for (std::size_t number = 0; number < kRouters; ++number)
+        report (number, { { "i-1", number == relayed ? 3U : 0U, 0 } });
+    report (direct, { { "i-2", 5, 0 } });
+    run (milliseconds (300));
+    EXPECT_TRUE (allKnow ("i-1", 3));
+    EXPECT_TRUE (allKnow ("i-2", 5));
+}
+
+TEST_F (ControllerLoadsTest, TheLeaderForgetsTheRoutersOfAControllerThatIsCutOff)
+{
+    const std::size_t relayed = relayedRouter();
+    report (relayed, { { "i-1", 3, 0 } });
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", 3); }, kBound));
+    m_cell.isolate (memberFor (relayed), true);
+    const auto isForgotten = [&]
+    {
+        for (std::size_t number = 0; number < kRouters; ++number)
+        {
+            if (memberFor (number) == m_leader && known (number, "i-1") != 0)
+                return false;
+        }
+        return true;
+    };
+    EXPECT_TRUE (m_cell.runUntil (isForgotten, seconds (4)));
+}
+
+TEST_F (ControllerLoadsTest, NothingIsSentWhereNoRouterReports)
+{
+    std::size_t told = 0;
+    for (std::size_t number = 0; number < kRouters; ++number)
+        m_cell.router (number).onLoads = [&] (const auto&) { ++told; };
+    for (std::size_t number = 0; number < kRouters; ++number)
+        m_cell.reconnect (number, memberFor (number + 1));
+    run (seconds (3));
+    EXPECT_EQ (told, 0U);
+}
+
+TEST_F (ControllerLoadsTest, AtRestNothingIsSent)
+{
+    report (0, { { "i-1", 3, 0 } });
+    run (seconds (1));
+    std::size_t told = 0;
+    for (std::size_t number = 0; number < kRouters; ++number)
+        m_cell.router (number).onLoads = [&] (const auto&) { ++told; };
+    run (seconds (3));
+    EXPECT_EQ (told, 0U);
+}
+
+}  // namespace
+}  // namespace fernlift::controller
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -40,6 +40,10 @@
     {
         m_relay->demands.onReport (connection, demand->demands);
     }
+    else if (const auto* loads = std::get_if<cell::InstanceLoadReport> (&message))
+    {
+        m_relay->loadSum.onReport (connection, *loads, m_now);
+    }
     else if (const auto* quota = std::get_if<cell::QuotaRequest> (&message))
     {
         if (auto answer = m_relay->quotas.onRequest (connection, *quota, m_now))
@@ -155,6 +159,7 @@
     m_relay->unanswered.erase (connection);
     m_relay->sessions.close (connection);
     m_relay->demands.onRouterGone (connection);
+    m_relay->loadSum.onReporterGone (connection);
     m_relay->quotas.onRouterGone (connection);
 }
 
@@ -181,6 +186,7 @@
     sendConfigurationTo (m_relay->sessions, m_relay->configurationSend, m_relay->announcedVersion);
     sendRelayedInstances();
     sendSuspectsTo (m_relay->sessions);
+    relayLoads();
     if (! m_relay->session.isConnected())
         return;
     if (auto demands = m_relay->demands.takeDue (m_now); ! demands.empty())
@@ -241,6 +247,7 @@
     hello.instanceVersion = m_relay->needsWholeTable ? 0 : m_relay->instances.version();
     m_effects.emplace_back (SendToLeader{ std::move (hello) });
     m_relay->demands.tellAll();
+    m_relay->loadSum.tellAll();
     m_relay->heartbeats.tellAll();
     m_relay->quotas.onLeaderLost();
     runRelay();
@@ -286,6 +293,10 @@
     {
         takeRelayedInstances (*instances);
     }
+    else if (const auto* loads = std::get_if<cell::InstanceLoadUpdate> (&message))
+    {
+        m_relay->loads.apply (*loads, m_now);
+    }
     else if (std::holds_alternative<cell::SuspectReport> (message))
     {
         sendToAllOf (m_relay->sessions, message);
@@ -307,6 +318,8 @@
     if (earlier != update.term)
         m_relay->sessions.forgetInstanceVersions();
     m_relay->instanceTable.request();
+    m_relay->loads.keepOnly ([this] (const std::string& instance)
+                             { return m_relay->instances.contains (instance); });
     if (update.mustConfirm)
         m_relay->session.requestSoon (m_now);
 }
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -76,6 +76,11 @@
         m_leader->enginePlacement.request();
         return;
     }
+    else if (const auto* loads = std::get_if<cell::InstanceLoadReport> (&message))
+    {
+        m_leader->loadSum.onReport (connection, *loads, m_now);
+        return;
+    }
     else if (const auto* quota = std::get_if<cell::QuotaRequest> (&message))
     {
         grantQuota (connection, *quota);
@@ -166,6 +171,7 @@
     m_leader->sessions.close (connection);
     m_leader->demands.forget (connection);
     m_leader->engines.onRouterGone (connection);
+    m_leader->loadSum.onReporterGone (connection);
     m_leader->isTableDue = true;
 }
 
--- a/src/controller/ControllerRunners.cpp
+++ b/src/controller/ControllerRunners.cpp
@@ -27,11 +27,13 @@
     for (const base::RunnerId& runner : m_leader->orders.waitingRunners())
         sendOrders (runner);
     sendTablesIfDue();
+    shareLoads();
     if (m_now < m_leader->nextRoutineAt)
         return;
     m_leader->nextRoutineAt = m_now + kRoutineInterval;
     m_leader->demands.expire (m_now);
     runInstanceRoutine();
+    forgetLoadsOfGone();
     changeMembersIfDue();
     m_leader->isPlacementDue = true;
     placeIfDue();
--- /dev/null
+++ b/src/controller/InstanceLoadTable.cpp
@@ -0,0 +1,151 @@
+#include "controller/InstanceLoadTable.h"
+
+#include <algorithm>
+
+namespace fernlift::controller
+{
+namespace
+{
+
+/// Read within some 3 ms at the 38 tokens a millisecond of known engines: no reason for another
+/// choice.
+constexpr std::uint64_t kNegligibleTokens = 100;
+/// A slowdown that lasts is told again before receivers stop to believe in it.
+constexpr base::Duration kSlowdownRepeated = base::milliseconds (200);
+constexpr std::uint32_t kUsualPercent = 100;
+/// Parts of a slowdown whose difference changes no choice.
+constexpr std::uint32_t kNegligibleParts = 10;
+
+std::uint64_t difference (std::uint64_t one, std::uint64_t other)
+{
+    return std::max (one, other) - std::min (one, other);
+}
+
+}  // namespace
+
+void InstanceLoadTable::onReport (const cell::InstanceLoadReport& report, base::TimePoint now)
+{
+    for (const cell::InstanceUse& use : report.uses)
+    {
+        Row& row = m_rows[use.instance];
+        const bool isReadingOver = use.unreadTokens == 0 && row.unreadTokens != 0;
+        const bool isNews = use.inFlight != row.inFlight || isReadingOver
+                            || difference (use.unreadTokens, row.unreadTokens) > kNegligibleTokens;
+        if (! isNews)
+            continue;
+        row.inFlight = use.inFlight;
+        row.unreadTokens = use.unreadTokens;
+        markChanged (row);
+    }
+    for (const cell::InstanceSlowdown& slowdown : report.slowdowns)
+    {
+        setSlowdown (m_rows[slowdown.instance], slowdown.percent,
+                     now - base::milliseconds (slowdown.ageMilliseconds));
+    }
+}
+
+void InstanceLoadTable::setSlowdown (Row& row, std::uint32_t percent, base::TimePoint statedAt)
+{
+    if (statedAt < row.slowdownAt)
+        return;
+    row.slowdownAt = statedAt;
+    const bool isUsual = percent == kUsualPercent;
+    const bool isOther =
+        isUsual != (row.slowdownPercent == kUsualPercent)
+        || difference (percent, row.slowdownPercent) * kNegligibleParts > row.slowdownPercent;
+    const bool isRepeated = ! isUsual && statedAt - row.slowdownToldAt >= kSlowdownRepeated;
+    if (! isOther && ! isRepeated)
+        return;
+    row.slowdownPercent = percent;
+    row.slowdownToldAt = statedAt;
+    markChanged (row);
+}
+
+void InstanceLoadTable::setSpeed (const std::string& instance, std::uint32_t percent)
+{
+    Row& row = m_rows[instance];
+    if (row.speedPercent == percent)
+        return;
+    row.speedPercent = percent;
+    markChanged (row);
+}
+
+void InstanceLoadTable::apply (const cell::InstanceLoadUpdate& update, base::TimePoint now)
+{
+    std::map<std::string, Row> earlier;
+    if (update.isWhole)
+        std::swap (earlier, m_rows);
+    for (const cell::InstanceLoad& load : update.loads)
+    {
+        Row& row = m_rows[load.instance];
+        row.inFlight = load.inFlight;
+        row.unreadTokens = load.unreadTokens;
+        row.speedPercent = load.speedPercent;
+        row.slowdownPercent = load.slowdownPercent;
+        row.slowdownAt = now - base::milliseconds (load.slowdownAgeMilliseconds);
+        markChanged (row);
+    }
+    for (const auto& [instance, row] : earlier)
+    {
+        if (! isUsual (row) && ! m_rows.contains (instance))
+            markChanged (m_rows[instance]);
+    }
+}
+
+void InstanceLoadTable::keepOnly (const std::function<bool (const std::string&)>& isKept)
+{
+    std::erase_if (m_rows, [&] (const auto& item) { return ! isKept (item.first); });
+}
+
+std::size_t InstanceLoadTable::rowsSince (std::uint64_t version) const
+{
+    return static_cast<std::size_t> (std::ranges::count_if (
+        m_rows, [=] (const auto& item) { return item.second.changedAt > version; }));
+}
+
+cell::InstanceLoadUpdate InstanceLoadTable::updateSince (std::uint64_t version,
+                                                         base::TimePoint now) const
+{
+    cell::InstanceLoadUpdate update;
+    update.isWhole = version == 0;
+    for (const auto& [instance, row] : m_rows)
+    {
+        if (row.changedAt > version && ! (update.isWhole && isUsual (row)))
+            update.loads.push_back (toMessage (instance, row, now));
+    }
+    return update;
+}
+
+std::uint32_t InstanceLoadTable::speedOf (const std::string& instance) const
+{
+    const auto found = m_rows.find (instance);
+    return found == m_rows.end() ? kUsualPercent : found->second.speedPercent;
+}
+
+void InstanceLoadTable::visit (base::TimePoint now,
+                               const std::function<void (const cell::InstanceLoad&)>& visit) const
+{
+    for (const auto& [instance, row] : m_rows)
+        visit (toMessage (instance, row, now));
+}
+
+bool InstanceLoadTable::isUsual (const Row& row)
+{
+    return row.inFlight == 0 && row.unreadTokens == 0 && row.speedPercent == kUsualPercent
+           && row.slowdownPercent == kUsualPercent;
+}
+
+cell::InstanceLoad InstanceLoadTable::toMessage (const std::string& instance, const Row& row,
+                                                 base::TimePoint now)
+{
+    cell::InstanceLoad load;
+    load.instance = instance;
+    load.inFlight = row.inFlight;
+    load.unreadTokens = row.unreadTokens;
+    load.speedPercent = row.speedPercent;
+    load.slowdownPercent = row.slowdownPercent;
+    load.slowdownAgeMilliseconds = base::toMilliseconds (now - row.slowdownAt);
+    return load;
+}
+
+}  // namespace fernlift::controller
--- a/src/controller/InstanceMirror.h
+++ b/src/controller/InstanceMirror.h
@@ -33,6 +33,7 @@
     [[nodiscard]] base::Term term() const { return m_term; }
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     [[nodiscard]] std::size_t size() const { return m_rows.size(); }
+    [[nodiscard]] bool contains (const std::string& id) const { return m_rows.contains (id); }
     /** Routers that have not applied this version or a later one get no lease any more: an earlier
         table shows runners as ready whose leaving may have been acknowledged.
     */
--- a/src/controller/RouterRelay.h
+++ b/src/controller/RouterRelay.h
@@ -17,6 +17,8 @@
 #include "cell/ControllerSession.h"
 #include "controller/EngineDemandSum.h"
 #include "controller/HeartbeatBatch.h"
+#include "controller/InstanceLoadSum.h"
+#include "controller/InstanceLoadTable.h"
 #include "controller/InstanceMirror.h"
 #include "controller/PacedWork.h"
 #include "controller/QuotaRelay.h"
@@ -52,6 +54,9 @@
     std::map<SessionId, cell::LeaseRequest> unanswered;
     InstanceMirror instances;
     bool needsWholeTable = false;  ///< A change came that does not fit.
+    InstanceLoadSum loadSum;        ///< Of its routers, for the leader.
+    InstanceLoadTable loads;        ///< Of all routers, from the leader.
+    base::TimePoint nextLoadsAt{};  ///< Routers hear of loads no earlier.
     EngineDemandSum demands;
     HeartbeatBatch heartbeats;
     QuotaRelay quotas;
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -89,9 +89,11 @@
     std::map<std::string, cell::RoutableInstance> instances;
     base::Term instanceTerm = 0;
     std::uint64_t instanceVersion = 0;
+    std::map<std::string, cell::InstanceLoad> loads;   ///< As told; without idle runners.
     std::map<std::string, cell::SuspectRow> suspects;  ///< By digest.
     std::vector<cell::RunnerEndReport> suspectHints;
     std::function<void (const cell::SuspectUpdate&)> onSuspects = [] (const auto&) {};
+    std::function<void (const cell::InstanceLoadUpdate&)> onLoads = [] (const auto&) {};
 
     [[nodiscard]] bool knows (const std::string& target) const;
 };
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -189,6 +189,21 @@
         router.suspectHints.insert (router.suspectHints.end(), hint->ends.begin(),
                                     hint->ends.end());
     }
+    else if (const auto* loads = std::get_if<cell::InstanceLoadUpdate> (&message))
+    {
+        router.onLoads (*loads);
+        if (loads->isWhole)
+            router.loads.clear();
+        for (const cell::InstanceLoad& load : loads->loads)
+            router.loads[load.instance] = load;
+        std::erase_if (router.loads,
+                       [] (const auto& item)
+                       {
+                           const cell::InstanceLoad& load = item.second;
+                           return load.inFlight == 0 && load.unreadTokens == 0
+                                  && load.speedPercent == 100 && load.slowdownPercent == 100;
+                       });
+    }
     else if (const auto* instances = std::get_if<cell::InstanceUpdate> (&message))
     {
         const bool isWhole = instances->fromVersion == 0;
--- a/src/proxy/EventSplitter.cpp
+++ b/src/proxy/EventSplitter.cpp
@@ -37,20 +37,23 @@
     m_buffer.append (data);
     m_taken = endOfLastEvent (m_buffer);
     const std::string_view events = std::string_view (m_buffer).substr (0, m_taken);
-    noteIds (events);
+    readLines (events);
     return events;
 }
 
 void EventSplitter::dropRest() { m_buffer.resize (m_taken); }
 
-void EventSplitter::noteIds (std::string_view events)
+void EventSplitter::readLines (std::string_view events)
 {
+    m_count = 0;
     while (! events.empty())
     {
         const std::size_t end = events.find ('\n');
         const std::string_view line = events.substr (0, end);
         if (line.starts_with (kIdField))
             m_lastId = std::string (trimmed (line.substr (kIdField.size())));
+        if (trimmed (line).empty())
+            ++m_count;
         events.remove_prefix (end == std::string_view::npos ? events.size() : end + 1);
     }
 }
--- a/src/proxy/EventSplitter.h
+++ b/src/proxy/EventSplitter.h
@@ -2,6 +2,7 @@
 
 /// Splits the body of an event stream into whole events and knows the id of the last one.
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,6 +16,8 @@
     /// Adds received bytes; returns the whole events among all bytes not yet returned, as they
     /// came.
     [[nodiscard]] std::string_view feed (std::string_view data);
+    /// Number of the events that feed() returned last.
+    [[nodiscard]] std::uint32_t count() const { return m_count; }
     /// Id of the last whole event; none while no event with an id has passed.
     [[nodiscard]] const std::optional<std::string>& lastId() const { return m_lastId; }
     /// Bytes of an event that is not whole.
@@ -26,9 +29,11 @@
     void dropRest();
 
 private:
-    void noteIds (std::string_view events);
+    /// Counts whole events and notes the id of the last one.
+    void readLines (std::string_view events);
 
     std::string m_buffer;
+    std::uint32_t m_count = 0;
     std::size_t m_taken = 0;  ///< Bytes at the front of the buffer that were returned.
     std::optional<std::string> m_lastId;
 };
--- a/src/proxy/EventSplitterTest.cpp
+++ b/src/proxy/EventSplitterTest.cpp
@@ -37,14 +37,17 @@
     EventSplitter splitter;
     std::string passed;
     std::size_t position = 0;
+    std::uint32_t events = 0;
     for (const std::uint8_t cut : cuts)
     {
         const std::size_t length = std::min<std::size_t> (cut, stream.size() - position);
         passed += splitter.feed (std::string_view (stream).substr (position, length));
+        events += splitter.count();
         position += length;
     }
     passed += splitter.feed (std::string_view (stream).substr (position));
     RC_ASSERT (passed == stream);
+    RC_ASSERT (events + splitter.count() == 9U);
     RC_ASSERT (splitter.lastId() == std::optional<std::string> ("9"));
 }
 
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -298,7 +298,9 @@
     call.requestId = m_request.headers.value (m_context.names.requestId);
     ++m_context.counters.attempts;
     m_context.directory.onAttemptBegin (m_instance, m_query.promptTokens, now());
+    m_context.loadReporter.onAttemptBegin (m_instance, m_query.promptTokens);
     m_isPromptRead = false;
+    m_eventsAt.reset();
     if (! m_query.model.empty())
         m_context.demands.onRunning (m_target);
     m_connection = m_context.pool.acquire (m_address, now());
@@ -441,6 +443,7 @@
         m_mayHaveRun = true;
     notePromptRead();
     m_context.directory.onAttemptEnd (m_instance, end, now());
+    m_context.loadReporter.onAttemptEnd (m_instance);
     if (! m_query.model.empty())
         m_context.demands.onRunEnd (m_target);
     if (mayReuse)
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -106,6 +106,8 @@
     void passHead();
     void notePromptRead();
     void noteLoad (const http::AnswerHead& head);
+    /// So many events of the stream have just come.
+    void noteEvents (std::uint32_t events);
     void finishAnswer();
     void refuse (base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
     void fail (base::ErrorKind kind, const std::string& message);
@@ -164,6 +166,7 @@
     http::AnswerHead m_head;
     std::string m_collected;
     std::optional<EventSplitter> m_events;
+    std::optional<base::TimePoint> m_eventsAt;  ///< When those of the present attempt came last.
     QTimer m_timer;
 };
 
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -24,6 +24,7 @@
     if (std::exchange (m_isPromptRead, true))
         return;
     m_context.directory.onAnswerBegun (m_instance, m_query.promptTokens);
+    m_context.loadReporter.onAnswerBegun (m_instance, m_query.promptTokens);
     if (! m_query.model.empty())
         m_context.demands.onRead (m_target);
 }
@@ -116,6 +117,7 @@
             return;
         case AnswerUse::kEvents:
             m_caller.writeBody (m_events->feed (data));
+            noteEvents (m_events->count());
             return;
         case AnswerUse::kNone:
         case AnswerUse::kRefusal:
@@ -124,6 +126,18 @@
     }
 }
 
+void Exchange::noteEvents (std::uint32_t events)
+{
+    if (events == 0)
+        return;
+    const std::optional<base::TimePoint> earlier = std::exchange (m_eventsAt, now());
+    if (earlier && ! m_query.model.empty())
+    {
+        m_context.loadReporter.onPause (m_instance, m_query.model, *m_eventsAt - *earlier, events,
+                                        *m_eventsAt);
+    }
+}
+
 void Exchange::onDone()
 {
     switch (m_use)
--- a/src/proxy/InstanceLoadReporter.cpp
+++ b/src/proxy/InstanceLoadReporter.cpp
@@ -1,35 +1,139 @@
 #include "proxy/InstanceLoadReporter.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace fernlift::proxy
 {
+namespace
+{
+
+constexpr base::Duration kShortestReportInterval = base::milliseconds (50);
+/// Together with the two steps at controllers, what a router knows is then half a second old.
+constexpr base::Duration kLongestReportInterval = base::milliseconds (250);
+/// A controller reads at most 330 reports a second, 10 ms of its time at 30 us each.
+constexpr base::Duration kReportIntervalForRouter = base::milliseconds (3);
+/// A slowdown changes within some tenths of a second: pauses that come later after the runner
+/// stated it tell nothing of its speed.
+constexpr base::Duration kSlowdownHolds = base::milliseconds (400);
+constexpr double kUsualPercent = 100;
 
-void InstanceLoadReporter::onAttemptBegin (const std::string& /*instance*/,
-                                           std::uint64_t /*promptTokens*/)
+}  // namespace
+
+base::Duration loadReportInterval (std::uint32_t routers)
 {
+    return std::clamp<base::Duration> (
+        static_cast<std::int64_t> (routers) * kReportIntervalForRouter, kShortestReportInterval,
+        kLongestReportInterval);
 }
 
-void InstanceLoadReporter::onAnswerBegun (const std::string& /*instance*/,
-                                          std::uint64_t /*promptTokens*/)
+void InstanceLoadReporter::onAttemptBegin (const std::string& instance, std::uint64_t promptTokens)
 {
+    Use& use = m_runners[instance].use;
+    ++use.inFlight;
+    use.unreadTokens += promptTokens;
+    m_changed.insert (instance);
 }
 
-void InstanceLoadReporter::onAttemptEnd (const std::string& /*instance*/) {}
+void InstanceLoadReporter::onAnswerBegun (const std::string& instance, std::uint64_t promptTokens)
+{
+    Use& use = m_runners[instance].use;
+    use.unreadTokens -= std::min (use.unreadTokens, promptTokens);
+    m_changed.insert (instance);
+}
+
+void InstanceLoadReporter::onAttemptEnd (const std::string& instance)
+{
+    Use& use = m_runners[instance].use;
+    use.inFlight -= std::min (use.inFlight, 1U);
+    if (use.inFlight == 0)
+        use.unreadTokens = 0;
+    m_changed.insert (instance);
+}
 
-void InstanceLoadReporter::onPause (const std::string& /*instance*/, const std::string& /*model*/,
-                                    base::Duration /*pause*/)
+void InstanceLoadReporter::onPause (const std::string& instance, const std::string& model,
+                                    base::Duration time, std::uint32_t events, base::TimePoint now)
 {
+    double slowdown = 1;
+    const auto runner = m_runners.find (instance);
+    if (runner != m_runners.end() && runner->second.slowdown)
+    {
+        const Slowdown& stated = *runner->second.slowdown;
+        if (now - stated.statedAt > kSlowdownHolds)
+            return;
+        slowdown = std::max (stated.percent, 1U) / kUsualPercent;
+    }
+    Pace& pace = m_paces[{ instance, model }];
+    pace.pauses += events;
+    pace.microseconds += std::chrono::duration<double, std::micro> (time).count() / slowdown;
 }
 
-void InstanceLoadReporter::onSlowdown (const std::string& /*instance*/, std::uint32_t /*percent*/,
-                                       base::TimePoint /*now*/)
+void InstanceLoadReporter::onSlowdown (const std::string& instance, std::uint32_t percent,
+                                       base::TimePoint now)
 {
+    m_runners[instance].slowdown = { percent, now, false };
+    m_changed.insert (instance);
 }
 
-void InstanceLoadReporter::onLinkLost() {}
+void InstanceLoadReporter::onLinkLost()
+{
+    for (auto& [instance, runner] : m_runners)
+    {
+        runner.told = {};
+        if (runner.slowdown)
+            runner.slowdown->isTold = false;
+        m_changed.insert (instance);
+    }
+    m_reportedAt = {};
+}
+
+void InstanceLoadReporter::setShared (bool isShared)
+{
+    if (std::exchange (m_isShared, isShared) == isShared)
+        return;
+    for (const auto& [instance, runner] : m_runners)
+        m_changed.insert (instance);
+}
+
+void InstanceLoadReporter::tell (const std::string& instance, Runner& runner, base::TimePoint now,
+                                 cell::InstanceLoadReport& report) const
+{
+    const Use use = m_isShared ? runner.use : Use{};
+    if (use != runner.told)
+        report.uses.push_back ({ instance, use.inFlight, use.unreadTokens });
+    runner.told = use;
+    if (! m_isShared || ! runner.slowdown || std::exchange (runner.slowdown->isTold, true))
+        return;
+    const base::Duration age = now - runner.slowdown->statedAt;
+    if (age <= kSlowdownHolds)
+        report.slowdowns.push_back (
+            { instance, runner.slowdown->percent, base::toMilliseconds (age) });
+}
 
-std::optional<cell::InstanceLoadReport> InstanceLoadReporter::takeDue (base::TimePoint /*now*/)
+std::optional<cell::InstanceLoadReport> InstanceLoadReporter::takeDue (base::TimePoint now,
+                                                                       base::Duration interval)
 {
-    return std::nullopt;
+    if (now - m_reportedAt < interval)
+        return std::nullopt;
+    cell::InstanceLoadReport report;
+    for (const std::string& instance : std::exchange (m_changed, {}))
+    {
+        const auto found = m_runners.find (instance);
+        tell (instance, found->second, now, report);
+        if (found->second.use == Use{} && found->second.told == Use{})
+            m_runners.erase (found);
+    }
+    for (const auto& [key, pace] : std::exchange (m_paces, {}))
+    {
+        if (m_isShared)
+            report.paces.push_back (
+                { key.first, key.second, pace.pauses,
+                  static_cast<std::uint64_t> (std::llround (pace.microseconds)) });
+    }
+    if (report.uses.empty() && report.paces.empty() && report.slowdowns.empty())
+        return std::nullopt;
+    m_reportedAt = now;
+    return report;
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -392,9 +392,12 @@
 
 void ProxyProcess::reportLoads()
 {
+    const std::int64_t least = m_settings.sharedLoadsFromRouters;
+    m_loadReporter.setShared (least != 0 && m_directory.routers() >= least);
     if (! m_session.isConnected())
         return;
-    if (auto report = m_loadReporter.takeDue (m_clock.now()))
+    const base::Duration interval = loadReportInterval (routersAtController());
+    if (auto report = m_loadReporter.takeDue (m_clock.now(), interval))
         m_link.send (std::move (*report));
 }
 
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -75,8 +75,9 @@
     /// Whether requests may be served now; logs when that changes.
     Freshness freshness();
     void reportDemand();
-    /// Asks the controller for units of tenants' quotas, if any are needed.
+    /// Tells the controller what changed of this router's use of runners.
     void reportLoads();
+    /// Asks the controller for units of tenants' quotas, if any are needed.
     void requestQuota();
     /// Tells the controller of runners that ended under requests, if it does not know.
     void reportSuspects();
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::int64_t kLargestPort = 65535;
 constexpr std::int64_t kLargestReserve = 1000;
+constexpr std::int64_t kMostRouters = 1'000'000;
 constexpr double kLargestCellReserve = 1'000'000;
 
 }  // namespace
@@ -37,6 +38,10 @@
     schema.addReal ("cell_retry_reserve", &settings.cellRetryReserve, 0, kLargestCellReserve,
                     "the same for all routers of the cell together, each of which takes its "
                     "part; 0: not bounded together");
+    schema.addInteger ("shared_loads_from_routers", &settings.sharedLoadsFromRouters, 0,
+                       kMostRouters,
+                       "in cells with at least so many routers they share what they know of the "
+                       "load of runners; 0: never");
     quota::declareSettings (schema, settings.quotaTolerance);
     schema.addDuration ("connect_timeout_ms", &settings.connectTimeout, milliseconds (1),
                         seconds (60),
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -29,6 +29,9 @@
     /// The same for all routers of the cell together; each takes its part once it knows how many
     /// there are. 0: `retryReserve` goes on to hold.
     double cellRetryReserve = 0;
+    /// Smallest number of routers in the cell from which they share loads of runners: with fewer,
+    /// each one's own requests and answers tell enough. 0: never.
+    std::int64_t sharedLoadsFromRouters = 16;
     quota::QuotaTolerance quotaTolerance;  ///< Of the limits of tenants.
     base::Duration connectTimeout = base::milliseconds (250);
     base::Duration stopGrace = base::milliseconds (2500);  ///< Serves on, not ready.
