--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -506,6 +506,7 @@
     void sendLoadsTo (RouterSessions& sessions, const InstanceLoadTable& loads,
                       base::TimePoint& nextAt);
     void forgetLoadsOfGone();
+    void leaveOutSilent (InstanceLoadSum& sum, const RouterSessions& sessions) const;
 
     // ControllerEngines.cpp
     [[nodiscard]] placement::EnginePlacementOptions engineOptions() const;
--- a/src/controller/ControllerLoads.cpp
+++ b/src/controller/ControllerLoads.cpp
@@ -20,11 +20,14 @@
 /// The other controllers reach a new leader within this time, and tell it what routers have at
 /// runners. Without the pause routers would be told that most runners are idle.
 constexpr base::Duration kLoadsLearnedAfter = base::milliseconds (300);
+/// Of a lease, which is renewed every third of it: one that was lost on its way is no silence.
+constexpr int kSilenceQuarters = 3;
 
 }  // namespace
 
 void ControllerCore::Implementation::shareLoads()
 {
+    leaveOutSilent (m_leader->loadSum, m_leader->sessions);
     if (auto report = m_leader->loadSum.takeDue (m_now))
         m_leader->loads.onReport (*report, m_now);
     if (m_now - m_leader->since >= kLoadsLearnedAfter)
@@ -33,6 +36,7 @@
 
 void ControllerCore::Implementation::relayLoads()
 {
+    leaveOutSilent (m_relay->loadSum, m_relay->sessions);
     sendLoadsTo (m_relay->sessions, m_relay->loads, m_relay->nextLoadsAt);
     if (! m_relay->session.isConnected())
         return;
@@ -40,6 +44,14 @@
         m_effects.emplace_back (SendToLeader{ std::move (*report) });
 }
 
+void ControllerCore::Implementation::leaveOutSilent (InstanceLoadSum& sum,
+                                                     const RouterSessions& sessions) const
+{
+    const base::Duration longest = m_options.routerLease * kSilenceQuarters / 4;
+    for (const auto& [connection, session] : sessions.sessions())
+        sum.setHeard (connection, m_now - session.heardAt < longest);
+}
+
 void ControllerCore::Implementation::sendLoadsTo (RouterSessions& sessions,
                                                   const InstanceLoadTable& loads,
                                                   base::TimePoint& nextAt)
--- a/src/controller/ControllerLoadsTest.cpp
+++ b/src/controller/ControllerLoadsTest.cpp
@@ -188,7 +188,7 @@
         << "it tells all again";
 }
 
-TEST_F (ControllerLoadsTest, AFrozenRoutersPartStaysAndTheOthersGoOn)
+TEST_F (ControllerLoadsTest, AFrozenRoutersPartDoesNotCountUntilItThaws)
 {
     const std::size_t frozen = relayedRouter();
     report (frozen, { { "i-1", 3, 0 } });
@@ -197,6 +197,9 @@
     const std::size_t other = frozen == 0 ? 1 : 0;
     report (other, { { "i-1", 1, 0 } });
     EXPECT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", 4, frozen); }, kBound));
+    EXPECT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", 1, frozen); }, seconds (2)));
+    m_cell.router (frozen).isCut = false;
+    EXPECT_TRUE (m_cell.runUntil ([&] { return allKnow ("i-1", 4); }, seconds (2)));
 }
 
 TEST_F (ControllerLoadsTest, ANewLeaderKnowsWhatRoutersOfTheOtherControllersHave)
--- a/src/controller/InstanceLoadSum.cpp
+++ b/src/controller/InstanceLoadSum.cpp
@@ -14,20 +14,13 @@
 
 }  // namespace
 
-void InstanceLoadSum::set (std::map<std::string, Use>& uses, const std::string& instance,
-                           const Use& use)
+void InstanceLoadSum::replace (const std::string& instance, const Use& before, const Use& after)
 {
-    const auto earlier = uses.find (instance);
-    const Use before = earlier == uses.end() ? Use{} : earlier->second;
-    if (use == before)
+    if (after == before)
         return;
-    if (use == Use{})
-        uses.erase (earlier);
-    else
-        uses[instance] = use;
     const auto total = m_totals.try_emplace (instance).first;
-    total->second.inFlight += use.inFlight - before.inFlight;
-    total->second.unreadTokens += use.unreadTokens - before.unreadTokens;
+    total->second.inFlight += after.inFlight - before.inFlight;
+    total->second.unreadTokens += after.unreadTokens - before.unreadTokens;
     if (total->second == Use{})
         m_totals.erase (total);
     m_changed.insert (instance);
@@ -37,9 +30,16 @@
 void InstanceLoadSum::onReport (std::uint64_t reporter, const cell::InstanceLoadReport& report,
                                 base::TimePoint now)
 {
-    std::map<std::string, Use>& uses = m_byReporter[reporter];
-    for (const cell::InstanceUse& use : report.uses)
-        set (uses, use.instance, { use.inFlight, use.unreadTokens });
+    setHeard (reporter, true);
+    std::map<std::string, Use>& uses = m_reporters[reporter].uses;
+    for (const cell::InstanceUse& row : report.uses)
+    {
+        const Use use{ row.inFlight, row.unreadTokens };
+        const Use before = std::exchange (uses[row.instance], use);
+        replace (row.instance, before, use);
+        if (use == Use{})
+            uses.erase (row.instance);
+    }
     for (const cell::InstancePace& pace : report.paces)
     {
         Pace& sum = m_paces[{ pace.instance, pace.model }];
@@ -59,12 +59,17 @@
 
 void InstanceLoadSum::onReporterGone (std::uint64_t reporter)
 {
-    const auto found = m_byReporter.find (reporter);
-    if (found == m_byReporter.end())
+    setHeard (reporter, false);
+    m_reporters.erase (reporter);
+}
+
+void InstanceLoadSum::setHeard (std::uint64_t reporter, bool isHeard)
+{
+    const auto found = m_reporters.find (reporter);
+    if (found == m_reporters.end() || std::exchange (found->second.isHeard, isHeard) == isHeard)
         return;
-    while (! found->second.empty())
-        set (found->second, std::string (found->second.begin()->first), {});
-    m_byReporter.erase (found);
+    for (const auto& [instance, use] : found->second.uses)
+        replace (instance, isHeard ? Use{} : use, isHeard ? use : Use{});
 }
 
 void InstanceLoadSum::tellAll()
--- a/src/controller/InstanceLoadSum.h
+++ b/src/controller/InstanceLoadSum.h
@@ -38,11 +38,15 @@
     void onReport (std::uint64_t reporter, const cell::InstanceLoadReport& report,
                    base::TimePoint now);
     void onReporterGone (std::uint64_t reporter);
+    /** Whether the reporter has been heard of lately. While it has not, its part does not count: it
+        may be frozen or cut off, and its requests over.
+    */
+    void setHeard (std::uint64_t reporter, bool isHeard);
     /** The receiver is another one, or has forgotten: the next report names every runner in use. */
     void tellAll();
 
     [[nodiscard]] Use useOf (const std::string& instance) const;
-    [[nodiscard]] std::size_t reporters() const { return m_byReporter.size(); }
+    [[nodiscard]] std::size_t reporters() const { return m_reporters.size(); }
 
     /** Sums that changed, and what reporters told of paces and slowdowns, since the last report;
         nothing when that is nothing, or not due yet.
@@ -61,10 +65,17 @@
         base::TimePoint statedAt{};
     };
 
-    void set (std::map<std::string, Use>& uses, const std::string& instance, const Use& use);
+    struct Reporter
+    {
+        std::map<std::string, Use> uses;  ///< Without idle runners.
+        bool isHeard = true;
+    };
+
+    /** A part of the sum changes. */
+    void replace (const std::string& instance, const Use& before, const Use& after);
 
-    std::map<std::uint64_t, std::map<std::string, Use>> m_byReporter;  ///< Without idle runners.
-    std::map<std::string, Use> m_totals;  ///< Sums of them; without idle runners.
+    std::map<std::uint64_t, Reporter> m_reporters;
+    std::map<std::string, Use> m_totals;  ///< Of those that are heard; without idle runners.
     std::set<std::string> m_changed;      ///< Runners whose sum is to be told.
     std::map<std::pair<std::string, std::string>, Pace> m_paces;  ///< By runner and model; to tell.
     std::map<std::string, Slowdown> m_slowdowns;                  ///< The freshest; to be told.
--- a/src/controller/InstanceLoadsTest.cpp
+++ b/src/controller/InstanceLoadsTest.cpp
@@ -75,14 +75,26 @@
     EXPECT_EQ (sum.reporters(), 1U);
 }
 
-TEST (InstanceLoadSum, AFrozenReportersPartStaysUntilItsConnectionEnds)
+TEST (InstanceLoadSum, AReporterThatIsNotHeardOfDoesNotCountUntilItIs)
 {
     InstanceLoadSum sum;
-    sum.onReport (1, uses ({ { "a", 2, 0 } }), at (0));
-    sum.onReport (2, uses ({ { "a", 1, 0 } }), at (60'000));
+    sum.onReport (1, uses ({ { "a", 2, 100 } }), at (0));
+    sum.onReport (2, uses ({ { "a", 1, 0 } }), at (0));
+    ASSERT_TRUE (sum.takeDue (at (0)));
+    sum.setHeard (1, false);
+    EXPECT_EQ (sum.useOf ("a").inFlight, 1U);
+    const auto due = sum.takeDue (at (60));
+    ASSERT_TRUE (due);
+    EXPECT_EQ (due->uses, (std::vector<cell::InstanceUse>{ { "a", 1, 0 } }));
+    sum.setHeard (1, true);
+    EXPECT_EQ (sum.useOf ("a"), (InstanceLoadSum::Use{ 3, 100 }));
+    sum.setHeard (1, false);
+    sum.onReport (1, uses ({ { "b", 1, 7 } }), at (100));
     EXPECT_EQ (sum.useOf ("a").inFlight, 3U);
+    EXPECT_EQ (sum.useOf ("b").inFlight, 1U);
+    sum.setHeard (1, false);
     sum.onReporterGone (1);
-    EXPECT_EQ (sum.useOf ("a").inFlight, 1U);
+    EXPECT_EQ (sum.useOf ("a").inFlight, 1U) << "it is taken out only once";
 }
 
 TEST (InstanceLoadSum, AnotherLeaderIsToldAllAtOnce)
@@ -147,6 +159,7 @@
         std::uint64_t sentVersion = 0;  // By the leader to it.
         std::uint64_t connection = 0;
         bool isCut = false;
+        std::set<std::uint64_t> silent;  // Routers.
     };
     std::vector<Relay> relays (2);
     InstanceLoadSum leaderSum;
@@ -187,8 +200,14 @@
         const Step step = drawStep();
         Relay& relay = relays[static_cast<std::size_t> (step.relay)];
         time += step.pause;
-        if (step.kind < 8)
+        if (step.kind == 7)
+        {
+            relay.sum.setHeard (step.router, false);
+            relay.silent.insert (step.router);
+        }
+        else if (step.kind < 7)
         {
+            relay.silent.erase (step.router);
             relay.sum.onReport (
                 step.router, uses ({ { step.instance, step.inFlight, step.tokens } }), at (time));
             relay.truth[step.router][step.instance] = { step.inFlight, step.tokens };
@@ -231,7 +250,7 @@
             for (const auto& [router, held] : relay.truth)
             {
                 const auto found = held.find (instance);
-                if (relay.isCut || found == held.end())
+                if (relay.isCut || relay.silent.contains (router) || found == held.end())
                     continue;
                 truth.inFlight += found->second.inFlight;
                 truth.unreadTokens += found->second.unreadTokens;
