--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -108,6 +108,8 @@
     void passEvents (std::string_view events);
     void notePromptRead();
     void noteLoad (const http::AnswerHead& head);
+    /// So many events of the stream have just come.
+    void noteEvents (std::uint32_t events);
     void finishAnswer();
     void refuse (base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
     void fail (base::ErrorKind kind, const std::string& message);
@@ -142,12 +144,13 @@
     base::Duration m_waited{};       ///< For runners, before the last attempt.
     base::TimePoint m_answeredAt{};  ///< When the head of the answer came.
     base::TimePoint m_attemptDeadline{};
-    std::uint32_t m_sent = 0;         ///< Attempts whose bytes left.
-    std::uint32_t m_unreachable = 0;  ///< Attempts that found no connection.
-    bool m_isAttemptSent = false;     ///< The present attempt's bytes left.
-    bool m_isPromptRead = true;       ///< The present attempt's answer has begun.
-    bool m_mayHaveRun = false;        ///< An attempt ended whose runner did not deny having run it.
-    bool m_isWaiting = false;         ///< For a runner.
+    std::uint64_t m_tokensToRead = 0;  ///< By the present attempt's runner.
+    std::uint32_t m_sent = 0;          ///< Attempts whose bytes left.
+    std::uint32_t m_unreachable = 0;   ///< Attempts that found no connection.
+    bool m_isAttemptSent = false;      ///< The present attempt's bytes left.
+    bool m_isPromptRead = true;        ///< The present attempt's answer has begun.
+    bool m_mayHaveRun = false;  ///< An attempt ended whose runner did not deny having run it.
+    bool m_isWaiting = false;   ///< For a runner.
     bool m_isWaitingForRoutes = false;  ///< No configuration is known yet.
     bool m_isWaitingForQuota = false;   ///< Units are asked for.
     bool m_isAnswerBegun = false;
@@ -168,6 +171,7 @@
     std::optional<EventSplitter> m_events;
     base::TimePoint m_lastEventAt{};  ///< Zero: none has come.
     base::Duration m_longestPause{};  ///< Between events; late streams may owe it to this alone.
+    std::optional<base::TimePoint> m_eventsAt;  ///< When those of the present attempt came last.
     QTimer m_timer;
 };
 
