Learn how fast runners are: the fourth figure of the load header tells the speed of a runner too

So about a quarter of the runners take 0.55 of the time and the others 1.2 (2.2 times slower); it is not one zone, and the small figure is the fast runner. So the usual of the figures a runner stated is its speed, and a slowdown is told against it: work takes slowdown / speed times as long. What the figures don't explain is learned from pauses by runner and model (services without the figure).

--- a/src/cell/InstanceLoadMessages.h
+++ b/src/cell/InstanceLoadMessages.h
@@ -49,11 +49,13 @@
     }
 };
 
-/** How much longer work takes on the machine of a runner for the moment, as the runner stated. */
+/** How long work takes on the machine of a runner for the moment, as the runner stated: 100 is the
+    usual of its service. A runner that is always slower than others states so too.
+*/
 struct InstanceSlowdown
 {
     std::string instance;
-    std::uint32_t percent = 100;       ///< 100: as usual; 250: two and a half times as long.
+    std::uint32_t percent = 100;       ///< 250: two and a half times as long as usual.
     std::int64_t ageMilliseconds = 0;  ///< Since the runner stated it.
 
     bool operator== (const InstanceSlowdown&) const = default;
@@ -84,8 +86,11 @@
     std::string instance;
     std::uint32_t inFlight = 0;
     std::uint64_t unreadTokens = 0;
-    /** Work done in the same time, against the mean of the runners of its service: 100 as much. */
+    /** Work done in the same time apart from slow moments: 100 is the usual of its service. */
     std::uint32_t speedPercent = 100;
+    /** How much longer work takes for the moment than is usual on this runner. Work that is usual
+        everywhere takes slowdownPercent / speedPercent times as long here.
+    */
     std::uint32_t slowdownPercent = 100;
     std::int64_t slowdownAgeMilliseconds = 0;
 
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -242,8 +242,10 @@
 void ControllerCore::Implementation::beginLeadership()
 {
     ++m_counters.leaderships;
+    const InstanceLoadTable earlierLoads = m_relay ? m_relay->loads : InstanceLoadTable();
     endRelay();
     m_leader.emplace (m_options, m_status.term, m_now, engineOptions());
+    keepEarlierSpeeds (earlierLoads);
     m_leader->unixSince = std::max (m_unixNow, m_state.time());
     // Claims expire by the cell's time: a wall clock that stepped must not let them go early.
     if (m_state.time() != 0)
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -33,6 +33,7 @@
 #include "controller/RoutableTable.h"
 #include "controller/RouterRelay.h"
 #include "controller/RouterSessions.h"
+#include "controller/RunnerSpeeds.h"
 #include "controller/RunnerWatch.h"
 #include "controller/SnapshotSchedule.h"
 #include "placement/Placement.h"
@@ -227,8 +228,9 @@
     std::map<base::ReplicaId, bool> usesStore;
     ReadyEstimates estimates;  ///< As last stated to routers.
     InstanceTable instances;
-    InstanceLoadSum loadSum;        ///< Of its own routers and of the other controllers.
-    InstanceLoadTable loads;        ///< The same with what was learned, for routers.
+    InstanceLoadSum loadSum;  ///< Of its own routers and of the other controllers.
+    InstanceLoadTable loads;  ///< The same with what was learned, for routers.
+    RunnerSpeeds speeds;
     base::TimePoint nextLoadsAt{};  ///< Routers hear of loads no earlier.
     quota::QuotaLedger quotas;
     QuotaBasis quotaBasis;        ///< Of what `quotas` counts.
@@ -506,6 +508,10 @@
     void sendLoadsTo (RouterSessions& sessions, const InstanceLoadTable& loads,
                       base::TimePoint& nextAt);
     void forgetLoadsOfGone();
+    /// Takes from a report what it tells of speeds; its slowdowns are against the usual afterwards.
+    void learnSpeeds (cell::InstanceLoadReport& report);
+    /// What this member was told of speeds before it led.
+    void keepEarlierSpeeds (const InstanceLoadTable& loads);
     void leaveOutSilent (InstanceLoadSum& sum, const RouterSessions& sessions) const;
 
     // ControllerEngines.cpp
--- a/src/controller/ControllerLoads.cpp
+++ b/src/controller/ControllerLoads.cpp
@@ -22,6 +22,7 @@
 constexpr base::Duration kLoadsLearnedAfter = base::milliseconds (300);
 /// Of a lease, which is renewed every third of it: one that was lost on its way is no silence.
 constexpr int kSilenceQuarters = 3;
+constexpr std::uint32_t kPercent = 100;
 
 }  // namespace
 
@@ -29,11 +30,48 @@
 {
     leaveOutSilent (m_leader->loadSum, m_leader->sessions);
     if (auto report = m_leader->loadSum.takeDue (m_now))
+    {
+        learnSpeeds (*report);
         m_leader->loads.onReport (*report, m_now);
+    }
+    for (const RunnerSpeeds::Speed& speed : m_leader->speeds.takeChanged (m_now))
+        m_leader->loads.setSpeed (speed.instance, speed.percent);
     if (m_now - m_leader->since >= kLoadsLearnedAfter)
         sendLoadsTo (m_leader->sessions, m_leader->loads, m_leader->nextLoadsAt);
 }
 
+void ControllerCore::Implementation::learnSpeeds (cell::InstanceLoadReport& report)
+{
+    RunnerSpeeds& speeds = m_leader->speeds;
+    for (cell::InstanceSlowdown& slowdown : report.slowdowns)
+    {
+        if (const cell::ServiceInstance* known = m_state.instances().find (slowdown.instance))
+            speeds.onStated ({ slowdown.instance, known->service }, slowdown.percent, m_now);
+        slowdown.percent =
+            (slowdown.percent * speeds.speedOf (slowdown.instance) + kPercent / 2) / kPercent;
+    }
+    for (const cell::InstancePace& pace : report.paces)
+    {
+        if (const cell::ServiceInstance* known = m_state.instances().find (pace.instance))
+        {
+            speeds.onPauses ({ pace.instance, known->service },
+                             { pace.model, pace.pauses, pace.microseconds },
+                             m_leader->loadSum.useOf (pace.instance).inFlight);
+        }
+    }
+}
+
+void ControllerCore::Implementation::keepEarlierSpeeds (const InstanceLoadTable& loads)
+{
+    const auto keep = [this] (const cell::InstanceLoad& load)
+    {
+        const cell::ServiceInstance* known = m_state.instances().find (load.instance);
+        if (known != nullptr && load.speedPercent != kPercent)
+            m_leader->speeds.setEarlier ({ load.instance, known->service }, load.speedPercent);
+    };
+    loads.visit (m_now, keep);
+}
+
 void ControllerCore::Implementation::relayLoads()
 {
     leaveOutSilent (m_relay->loadSum, m_relay->sessions);
@@ -90,8 +128,10 @@
 
 void ControllerCore::Implementation::forgetLoadsOfGone()
 {
-    m_leader->loads.keepOnly ([this] (const std::string& instance)
-                              { return m_leader->instances.rows().contains (instance); });
+    const auto isKept = [this] (const std::string& instance)
+    { return m_state.instances().find (instance) != nullptr; };
+    m_leader->loads.keepOnly (isKept);
+    m_leader->speeds.keepOnly (isKept);
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/ControllerLoadsTest.cpp
+++ b/src/controller/ControllerLoadsTest.cpp
@@ -239,6 +239,44 @@
     EXPECT_TRUE (m_cell.runUntil (isForgotten, seconds (4)));
 }
 
+TEST_F (ControllerLoadsTest, AFigureThatIsTheUsualOfARunnerIsToldAsItsSpeed)
+{
+    const std::size_t relayed = relayedRouter();
+    const auto state = [&] (std::uint32_t percent)
+    {
+        cell::InstanceLoadReport report;
+        report.slowdowns.push_back ({ "i-1", percent, 0 });
+        m_cell.sendFromRouter (relayed, report);
+    };
+    state (50);
+    run (seconds (1));
+    state (50);
+    run (milliseconds (300));
+    for (std::size_t number = 0; number < kRouters; ++number)
+    {
+        const cell::InstanceLoad& load = m_cell.router (number).loads["i-1"];
+        EXPECT_EQ (load.speedPercent, 200U);
+        EXPECT_EQ (load.slowdownPercent, 100U);
+    }
+    state (125);
+    run (milliseconds (300));
+    EXPECT_EQ (m_cell.router (0).loads["i-1"].slowdownPercent, 250U);
+    EXPECT_EQ (m_cell.router (0).loads["i-1"].speedPercent, 200U);
+}
+
+TEST_F (ControllerLoadsTest, ANewLeaderGoesOnWithTheSpeedsThatItWasTold)
+{
+    cell::InstanceLoadReport report;
+    report.slowdowns.push_back ({ "i-1", 50, 0 });
+    m_cell.sendFromRouter (relayedRouter(), report);
+    run (seconds (1));
+    m_cell.kill (m_leader);
+    ASSERT_TRUE (m_cell.awaitLeader());
+    run (seconds (3));
+    for (std::size_t number = 0; number < kRouters; ++number)
+        EXPECT_EQ (m_cell.router (number).loads["i-1"].speedPercent, 200U) << number;
+}
+
 TEST_F (ControllerLoadsTest, NothingIsSentWhereNoRouterReports)
 {
     std::size_t told = 0;
--- a/src/controller/InstanceLoadTable.cpp
+++ b/src/controller/InstanceLoadTable.cpp
@@ -49,14 +49,14 @@
     if (statedAt < row.slowdownAt)
         return;
     row.slowdownAt = statedAt;
-    const bool isUsual = percent == kUsualPercent;
+    const bool isUsual = difference (percent, kUsualPercent) * kNegligibleParts <= kUsualPercent;
     const bool isOther =
         isUsual != (row.slowdownPercent == kUsualPercent)
         || difference (percent, row.slowdownPercent) * kNegligibleParts > row.slowdownPercent;
     const bool isRepeated = ! isUsual && statedAt - row.slowdownToldAt >= kSlowdownRepeated;
     if (! isOther && ! isRepeated)
         return;
-    row.slowdownPercent = percent;
+    row.slowdownPercent = isUsual ? kUsualPercent : percent;
     row.slowdownToldAt = statedAt;
     markChanged (row);
 }
--- a/src/controller/InstanceLoadTable.h
+++ b/src/controller/InstanceLoadTable.h
@@ -24,7 +24,9 @@
 class InstanceLoadTable
 {
 public:
-    /** Takes over sums of uses, and slowdowns. Differences that change no choice are left out. */
+    /** Takes over sums of uses, and slowdowns against the usual of each runner. Differences that
+        change no choice are left out.
+    */
     void onReport (const cell::InstanceLoadReport& report, base::TimePoint now);
     void setSpeed (const std::string& instance, std::uint32_t percent);
     /** Takes over what the leader sent. */
