--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -67,6 +67,7 @@
                 {
                     m_quotas.pool().onLinkLost();
                     m_loadReporter.onLinkLost();
+                    m_directory.onLinkLost();
                     m_suspects.onLinkLost();
                     m_session.onLost (m_clock.now(), m_random);
                 } }),
@@ -398,7 +399,10 @@
         return;
     const base::Duration interval = loadReportInterval (routersAtController());
     if (auto report = m_loadReporter.takeDue (m_clock.now(), interval))
+    {
+        m_directory.onReported (*report, m_clock.now());
         m_link.send (std::move (*report));
+    }
 }
 
 void ProxyProcess::requestQuota()
