A figure that a runner always states does not count beside its speed in a router's own view

The speed is learned from the same figure, so that 0.55 counted as 0.3 and 1.2 as 1.44. Test first: WhatARunnerAlwaysStatesIsNotCountedBesideItsSpeed chose i-2 for i-1.

--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -1,6 +1,7 @@
 #include "proxy/InstanceDirectory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <utility>
 
@@ -563,7 +564,11 @@
     view.statedLoad = load.running + load.waiting;
     view.loadStatedAt = now;
     if (load.slowdownPercent)
-        noteSlowdown (view, *load.slowdownPercent, now);
+    {
+        // A runner that always takes longer than others states that too.
+        const double share = shareOf (*load.slowdownPercent) * view.speed;
+        noteSlowdown (view, static_cast<std::uint32_t> (std::lround (share * kUsualPercent)), now);
+    }
 }
 
 void InstanceDirectory::onNotHeld (const std::string& id, const std::string& model,
--- a/src/proxy/SharedLoadsTest.cpp
+++ b/src/proxy/SharedLoadsTest.cpp
@@ -177,6 +177,19 @@
     EXPECT_EQ (choose (queryOf (kLongPrompt), kStart + base::milliseconds (1200)), "i-1");
 }
 
+TEST_F (SharedLoadsTest, WhatARunnerAlwaysStatesIsNotCountedBesideItsSpeed)
+{
+    m_directory.applyLoads ({ true,
+                              { loadOf ("i-1", 0, 0, 50), loadOf ("i-2", 0, 2 * kLongPrompt),
+                                loadOf ("i-3", 0, 2 * kLongPrompt) } },
+                            kStart);
+    EXPECT_EQ (choose (queryOf (kLongPrompt)), "i-1") << "reading takes 2 against 3";
+    m_directory.onLoad ("i-1", { 0, 0, 64, 200 }, kStart);
+    EXPECT_EQ (choose (queryOf (kLongPrompt)), "i-1") << "its usual figure";
+    m_directory.onLoad ("i-1", { 0, 0, 64, 500 }, kStart);
+    EXPECT_NE (choose (queryOf (kLongPrompt)), "i-1") << "5 against 3";
+}
+
 TEST_F (SharedLoadsTest, AnOlderSlowdownOfAnotherRouterDoesNotReplaceANewerOne)
 {
     m_directory.onLoad ("i-1", { 0, 0, 64, 100 }, kStart);
