Refuse at once what no runner can answer in time, let wait what still can be

Cause: requests without a runner waited 45 in 100 of their time, streams 60 in 100 of their caller's patience, whether a runner could come by then or not, and were told a constant to come back. Change: a request waits while a runner that comes could still answer it; one whose model more likely than not is loaded too late, or that the best runner would answer at over twice its time left, is refused at once; Retry-After is when the load is expected to end, or missing when that is too late. Callers that were told to come back count as waiting for the model, which is loaded only when somebody waits.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -5,7 +5,6 @@
 
 #include "proxy/ForwardedMessage.h"
 #include "proxy/PromptParts.h"
-#include "proxy/WaitLimit.h"
 
 namespace fernlift::proxy
 {
@@ -213,6 +212,8 @@
     if (choice.reason == NoChoice::kNone)
     {
         endWait();
+        if (refuseWhenTooLate (choice))
+            return;
         startAttempt (choice);
     }
     else
@@ -227,9 +228,12 @@
         return;
     m_isWaiting = true;
     m_waitBegan = now();
-    // A runner that comes later than this would answer too late; the caller had better ask again.
-    const base::Duration limit = longestWaitForRunner (*m_route, m_stated);
-    m_waitDeadline = std::min (m_deadline, std::max (m_arrivedAt + limit, now()));
+    m_loadTime.reset();
+    if (reason == NoChoice::kNotLoaded)
+        m_loadTime =
+            loadTimeOf (m_routes->catalogue().findService (m_query.service), m_query.model);
+    const base::Duration limit = longestWaitForRunner (runnerWait());
+    m_waitDeadline = now() + limit;
     log::write (log::Event::kRequestWaits,
                 { { "request", m_request.headers.value (m_context.names.requestId) },
                   { "service", m_query.service },
@@ -242,7 +246,49 @@
         m_context.demands.onWaiting (m_target);
         m_context.onUrgentDemand();
     }
-    armTimer();
+    if (limit == base::Duration::zero())
+        onWaitOver();
+    else
+        armTimer();
+}
+
+RunnerWait Exchange::runnerWait() const
+{
+    RunnerWait wait;
+    wait.deadline = m_deadline - now();
+    wait.callersTime = wait.deadline;
+    if (m_route->kind == config::RouteKind::kStream)
+    {
+        // A caller that has got events waits anew.
+        const base::TimePoint since = m_isAnswerBegun ? now() : m_arrivedAt;
+        wait.callersTime =
+            std::min<base::Duration> (wait.deadline, since + m_route->patience() - now());
+    }
+    const RequestWork work{ ! m_query.model.empty(), m_query.promptTokens - m_query.sharedTokens };
+    wait.shortestAnswer = base::fromMilliseconds (expectedMilliseconds ({}, work));
+    wait.loadTime = m_loadTime;
+    return wait;
+}
+
+bool Exchange::refuseWhenTooLate (const InstanceChoice& choice)
+{
+    // What only this router knows of the load is too little to refuse by.
+    if (m_isAnswerBegun || m_mayHaveRun || ! m_context.directory.knowsOthers (now()))
+        return false;
+    if (! isBeyondDeadline (choice.expectedAnswer, m_deadline - now()))
+        return false;
+    refuse (ErrorKind::kDeadlineUnreachable, "no runner can answer the request in time",
+            std::nullopt);
+    return true;
+}
+
+void Exchange::refuseWithoutRunner()
+{
+    const std::optional<base::Duration> retryAfter = retryAfterWait (runnerWait());
+    if (retryAfter && ! m_query.model.empty())
+        m_context.demands.onToldToReturn (m_target, now() + *retryAfter);
+    refuse (ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
+            retryAfter);
 }
 
 void Exchange::endWait()
@@ -371,8 +417,7 @@
     }
     else
     {
-        refuse (ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
-                retryAfterWait (! m_query.model.empty()));
+        refuseWithoutRunner();
     }
 }
 
@@ -431,8 +476,7 @@
     }
     else
     {
-        refuse (ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
-                retryAfterWait (! m_query.model.empty()));
+        refuseWithoutRunner();
     }
 }
 
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -425,8 +425,7 @@
     choice.reason = NoChoice::kNone;
     choice.id = offer.view->row.instance.id;
     choice.address = offer.view->row.instance.address;
-    choice.expectedAnswer = std::chrono::duration_cast<base::Duration> (
-        std::chrono::duration<double, std::milli> (expectedMilliseconds (offer.state, offer.work)));
+    choice.expectedAnswer = base::fromMilliseconds (expectedMilliseconds (offer.state, offer.work));
     choice.tokensToRead = knowsOthers (now) ? offer.work.tokensToRead : query.promptTokens;
     return choice;
 }
