--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -1,6 +1,7 @@
 #include "proxy/InstanceDirectory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <utility>
 
@@ -425,8 +426,7 @@
     choice.reason = NoChoice::kNone;
     choice.id = offer.view->row.instance.id;
     choice.address = offer.view->row.instance.address;
-    choice.expectedAnswer = std::chrono::duration_cast<base::Duration> (
-        std::chrono::duration<double, std::milli> (expectedMilliseconds (offer.state, offer.work)));
+    choice.expectedAnswer = base::fromMilliseconds (expectedMilliseconds (offer.state, offer.work));
     choice.tokensToRead = knowsOthers (now) ? offer.work.tokensToRead : query.promptTokens;
     return choice;
 }
@@ -563,7 +563,11 @@
     view.statedLoad = load.running + load.waiting;
     view.loadStatedAt = now;
     if (load.slowdownPercent)
-        noteSlowdown (view, *load.slowdownPercent, now);
+    {
+        // A runner that always takes longer than others states that too.
+        const double share = shareOf (*load.slowdownPercent) * view.speed;
+        noteSlowdown (view, static_cast<std::uint32_t> (std::lround (share * kUsualPercent)), now);
+    }
 }
 
 void InstanceDirectory::onNotHeld (const std::string& id, const std::string& model,
