--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -29,10 +29,13 @@
 }
 
 /// First bytes of a snapshot: a change of StoredState's layout needs another number.
-constexpr std::string_view kSnapshotFormat = "fernlift cell 3\n";
-/// The same without the table of suspects.
-constexpr std::string_view kEarlierFormat = "fernlift cell 2\n";
-static_assert (kEarlierFormat.size() == kSnapshotFormat.size());
+constexpr std::string_view kSnapshotFormat = "fernlift cell 4\n";
+/// The same without the starts of instances, which their own layouts tell.
+constexpr std::string_view kFormatWithoutStarts = "fernlift cell 3\n";
+/// Without the table of suspects, too.
+constexpr std::string_view kFormatWithoutSuspects = "fernlift cell 2\n";
+static_assert (kFormatWithoutStarts.size() == kSnapshotFormat.size());
+static_assert (kFormatWithoutSuspects.size() == kSnapshotFormat.size());
 
 /// Layout of a snapshot.
 /// The members are written from where they are: a copy of a large claim table takes long.
@@ -91,15 +94,15 @@
 
 base::Result<StoredState> decodeState (std::string_view bytes)
 {
-    if (bytes.starts_with (kSnapshotFormat))
+    if (bytes.starts_with (kSnapshotFormat) || bytes.starts_with (kFormatWithoutStarts))
         return wire::decodeValue<StoredState> (bytes.substr (kSnapshotFormat.size()));
-    if (! bytes.starts_with (kEarlierFormat))
+    if (! bytes.starts_with (kFormatWithoutSuspects))
     {
         return base::fail (base::ErrorKind::kStorageFormatUnknown,
-                           "the state was not stored in format 2 or 3 of this program");
+                           "the state was not stored in format 2, 3 or 4 of this program");
     }
     BOOST_LEAF_AUTO (earlier,
-                     wire::decodeValue<EarlierStoredState> (bytes.substr (kEarlierFormat.size())));
+                     wire::decodeValue<EarlierStoredState> (bytes.substr (kSnapshotFormat.size())));
     StoredState stored;
     static_cast<EarlierStoredState&> (stored) = std::move (earlier);
     return stored;
@@ -241,12 +244,13 @@
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const DrainInstance& command)
 {
-    return ChangeResult{ m_instances.drain (command.instance) };
+    return ChangeResult{ m_instances.drain (command.instance, command.startedAt) };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const RemoveInstance& command)
 {
-    return ChangeResult{ m_instances.remove (command.instance, command.isDeregistered) };
+    return ChangeResult{ m_instances.remove (command.instance, command.isDeregistered,
+                                             command.startedAt) };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const NoteOrders& /*command*/)
@@ -259,7 +263,8 @@
     bool changed = false;
     for (const InstanceHoldings& holdings : command.holdings)
     {
-        changed = m_instances.noteModels (holdings.instance, holdings.models) || changed;
+        changed = m_instances.noteModels (holdings.instance, holdings.models, holdings.startedAt)
+                  || changed;
     }
     return ChangeResult{ changed };
 }
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -89,8 +89,9 @@
     /// Bytes from which restore() makes an equal state; equal states give equal bytes.
     [[nodiscard]] std::string encode() const;
     /// Replaces the state. Fails and changes nothing on bytes that encode() did not make
-    /// (kMessageInvalid) or that another format's encode() made (kStorageFormatUnknown). The format
-    /// before this one, which knew no suspects, is read too.
+    /// (kMessageInvalid) or that another format's encode() made (kStorageFormatUnknown). The
+    /// formats before this one are read too: one knew no starts of instances, one no suspects
+    /// either.
     base::Result<void> restore (std::string_view bytes);
 
 private:
--- a/src/cell/Commands.h
+++ b/src/cell/Commands.h
@@ -216,40 +216,55 @@
 /// A registered runner said that it is leaving: it gets no new requests.
 struct DrainInstance
 {
+    static constexpr unsigned kStartVersion = 1;  ///< Of the layout, that has `startedAt`.
+
     std::string instance;
     base::UnixMilliseconds proposedAt = 0;
+    base::UnixMilliseconds startedAt = 0;  ///< Of the incarnation; 0: the one that is known.
 
     template <class Archive>
-    void serialize (Archive& archive, unsigned /*version*/)
+    void serialize (Archive& archive, unsigned version)
     {
         archive& instance& proposedAt;
+        if (version >= kStartVersion)
+            archive& startedAt;
     }
 };
 
 /// A registered runner is gone: it said so, or was silent for long.
 struct RemoveInstance
 {
+    static constexpr unsigned kStartVersion = 1;  ///< Of the layout, that has `startedAt`.
+
     std::string instance;
     bool isDeregistered = false;  ///< It said so itself; final.
     base::UnixMilliseconds proposedAt = 0;
+    base::UnixMilliseconds startedAt = 0;  ///< Of the incarnation; 0: the one that is known.
 
     template <class Archive>
-    void serialize (Archive& archive, unsigned /*version*/)
+    void serialize (Archive& archive, unsigned version)
     {
         archive& instance& isDeregistered& proposedAt;
+        if (version >= kStartVersion)
+            archive& startedAt;
     }
 };
 
 /// What one registered runner holds.
 struct InstanceHoldings
 {
+    static constexpr unsigned kStartVersion = 1;  ///< Of the layout, that has `startedAt`.
+
     std::string instance;
     std::vector<HeldModel> models;
+    base::UnixMilliseconds startedAt = 0;  ///< Of the incarnation; 0: the one that is known.
 
     template <class Archive>
-    void serialize (Archive& archive, unsigned /*version*/)
+    void serialize (Archive& archive, unsigned version)
     {
         archive& instance& models;
+        if (version >= kStartVersion)
+            archive& startedAt;
     }
 };
 
@@ -326,3 +341,8 @@
                              NoteOrders, NoteSuspects, ReleaseSuspects>;
 
 }  // namespace fernlift::cell
+
+BOOST_CLASS_VERSION (fernlift::cell::DrainInstance, fernlift::cell::DrainInstance::kStartVersion)
+BOOST_CLASS_VERSION (fernlift::cell::RemoveInstance, fernlift::cell::RemoveInstance::kStartVersion)
+BOOST_CLASS_VERSION (fernlift::cell::InstanceHoldings,
+                     fernlift::cell::InstanceHoldings::kStartVersion)
--- a/src/cell/QuarantineMessages.h
+++ b/src/cell/QuarantineMessages.h
@@ -20,7 +20,7 @@
 struct RunnerEndReport
 {
     RequestIdentity request;
-    std::string instance;
+    std::string instance;  ///< Incarnation::name().
     // Before the report was sent: clocks of processes are not compared.
     std::int64_t sentAgoMilliseconds = 0;   ///< When the request went to the runner.
     std::int64_t endedAgoMilliseconds = 0;  ///< When the runner's end was noticed.
@@ -53,7 +53,7 @@
 {
     RequestIdentity request;
     std::uint32_t ends = 0;              ///< Runners that ended under it one after the other.
-    std::vector<std::string> instances;  ///< All that ended under it, up to a bound.
+    std::vector<std::string> instances;  ///< Incarnations that ended under it, up to a bound.
 
     bool operator== (const SuspectRow&) const = default;
     template <class Archive>
--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -197,14 +197,15 @@
     std::vector<HeldModel> models;
     std::vector<std::string> inMemory;  ///< Models it can load from its host memory.
     std::vector<std::string> onDisk;    ///< Models it can load from its own disk.
-    /// The instance itself, as long as the cell does not know it; else empty.
+    /// The instance itself, as long as the cell does not know this incarnation; else empty.
     std::vector<ServiceInstance> first{};
+    base::UnixMilliseconds startedAt = 0;  ///< Of the incarnation; 0: it does not tell.
 
     bool operator== (const InstanceSighting&) const = default;
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
-        archive& instance& sequence& hasHoldings& models& inMemory& onDisk& first;
+        archive& instance& sequence& hasHoldings& models& inMemory& onDisk& first& startedAt;
     }
 };
 
--- a/src/cell/ServiceInstancesTest.cpp
+++ b/src/cell/ServiceInstancesTest.cpp
@@ -72,5 +72,62 @@
     EXPECT_EQ (decoded.value(), instances);
 }
 
+ServiceInstance incarnationOf (const std::string& id, base::UnixMilliseconds startedAt)
+{
+    ServiceInstance instance = instanceOf (id);
+    instance.startedAt = startedAt;
+    return instance;
+}
+
+TEST (ServiceInstancesTest, NothingOfAnEarlierIncarnationHolds)
+{
+    ServiceInstances instances;
+    EXPECT_TRUE (instances.add (incarnationOf ("i-1", 1000)));
+    instances.noteModels ("i-1", { { "m", 1, {} } }, 1000);
+    instances.drain ("i-1", 1000);
+    EXPECT_TRUE (instances.add (incarnationOf ("i-1", 2000)));
+    EXPECT_EQ (*instances.find ("i-1"), incarnationOf ("i-1", 2000));
+}
+
+TEST (ServiceInstancesTest, WhatAnEarlierIncarnationSaidLateChangesNothing)
+{
+    ServiceInstances instances;
+    instances.add (incarnationOf ("i-1", 2000));
+    EXPECT_FALSE (instances.add (incarnationOf ("i-1", 1000)));
+    EXPECT_FALSE (instances.drain ("i-1", 1000));
+    EXPECT_FALSE (instances.noteModels ("i-1", { { "m", 1, {} } }, 1000));
+    EXPECT_FALSE (instances.remove ("i-1", true, 1000));
+    EXPECT_EQ (*instances.find ("i-1"), incarnationOf ("i-1", 2000));
+}
+
+TEST (ServiceInstancesTest, OnlyALaterIncarnationComesBackAfterADeregistration)
+{
+    ServiceInstances instances;
+    instances.add (incarnationOf ("i-1", 1000));
+    EXPECT_TRUE (instances.remove ("i-1", true));
+    EXPECT_EQ (instances.lastStartOf ("i-1"), 1000);
+    EXPECT_FALSE (instances.add (incarnationOf ("i-1", 1000)));
+    EXPECT_FALSE (instances.add (instanceOf ("i-1")));
+    EXPECT_TRUE (instances.add (incarnationOf ("i-1", 2000)));
+}
+
+TEST (ServiceInstancesTest, AStartThatIsToldLaterIsNoted)
+{
+    ServiceInstances instances;
+    instances.add (instanceOf ("i-1"));
+    instances.drain ("i-1");
+    EXPECT_TRUE (instances.add (incarnationOf ("i-1", 1000)));
+    EXPECT_TRUE (instances.find ("i-1")->isDraining);
+    EXPECT_EQ (instances.find ("i-1")->startedAt, 1000);
+}
+
+TEST (ServiceInstancesTest, AnIncarnationIsReadFromItsName)
+{
+    for (const Incarnation& incarnation :
+         { Incarnation{ "i-1", 0 }, Incarnation{ "i-1", 1764728322123 }, Incarnation{ "a@b", 0 },
+           Incarnation{ "a@b", 5 } })
+        EXPECT_EQ (Incarnation::fromName (incarnation.name()), incarnation);
+}
+
 }  // namespace
 }  // namespace fernlift::cell
--- a/src/controller/ControlHttp.cpp
+++ b/src/controller/ControlHttp.cpp
@@ -5,8 +5,11 @@
 namespace fernlift::controller
 {
 
-ControlHttp::ControlHttp (std::shared_ptr<const ControlCodec> codec, Handler handler)
-    : m_codec (std::move (codec)), m_handler (std::move (handler))
+ControlHttp::ControlHttp (std::shared_ptr<const ControlCodec> codec, Handler handler,
+                          Unreadable onUnreadable)
+    : m_codec (std::move (codec)),
+      m_handler (std::move (handler)),
+      m_onUnreadable (std::move (onUnreadable))
 {
     m_server.setHandler (
         [this] (const http::Request& request, std::shared_ptr<http::Responder> responder)
@@ -33,7 +36,12 @@
             m_handler (ticket, parsed);
             return {};
         },
-        [&] (const base::Error& error) { http::errorResponse (error).sendTo (*responder); });
+        [&] (const base::Error& error)
+        {
+            if (error.kind == base::ErrorKind::kInvalidRequest)
+                m_onUnreadable (request.path, error.message);
+            http::errorResponse (error).sendTo (*responder);
+        });
 }
 
 void ControlHttp::answer (ControlTicket ticket, const ControlAnswer& answer)
--- a/src/controller/ControlHttp.h
+++ b/src/controller/ControlHttp.h
@@ -17,7 +17,11 @@
 public:
     using Handler = std::function<void (ControlTicket ticket, const ControlRequest& request)>;
 
-    ControlHttp (std::shared_ptr<const ControlCodec> codec, Handler handler);
+    /// Told of a call that could not be read: its path and why.
+    using Unreadable = std::function<void (std::string_view path, std::string_view reason)>;
+
+    ControlHttp (std::shared_ptr<const ControlCodec> codec, Handler handler,
+                 Unreadable onUnreadable);
 
     /// Listens; returns the real address or fails with kConnectionFailed.
     base::Result<base::SocketAddress> listen (const base::SocketAddress& address);
@@ -38,6 +42,7 @@
 
     std::shared_ptr<const ControlCodec> m_codec;
     Handler m_handler;
+    Unreadable m_onUnreadable;
     ControlTicket m_lastTicket = 0;
     std::map<ControlTicket, Pending> m_pending;
     http::Server m_server;
--- a/src/controller/ControlRequests.h
+++ b/src/controller/ControlRequests.h
@@ -22,7 +22,7 @@
 struct InstanceHeartbeat
 {
     cell::ServiceInstance instance;
-    std::uint64_t sequence = 0;  ///< Rises with each heartbeat of the instance.
+    std::uint64_t sequence = 0;  ///< Rises with each heartbeat of one incarnation of the instance.
     std::vector<cell::HeldModel> models;
     std::vector<std::string> inMemory;  ///< Models it can load from its host memory.
     std::vector<std::string> onDisk;    ///< Models it can load from its own disk.
@@ -32,6 +32,7 @@
 struct InstanceDeregistration
 {
     std::string instance;
+    base::UnixMilliseconds startedAt = 0;  ///< Of the incarnation; 0: it does not tell.
 };
 
 /// The operator replaces the configuration as a whole.
--- a/src/controller/ControlRequestsTest.cpp
+++ b/src/controller/ControlRequestsTest.cpp
@@ -463,5 +463,67 @@
     EXPECT_NE (m_cell.engineOrders[0].from, before);
 }
 
+InstanceHeartbeat incarnationOf (base::UnixMilliseconds startedAt, std::uint64_t sequence)
+{
+    InstanceHeartbeat heartbeat = heartbeatOf ("i-1", sequence);
+    heartbeat.instance.startedAt = startedAt;
+    return heartbeat;
+}
+
+TEST_F (ControlRequestsTest, ARunnerThatStartsAgainUnderItsIdTakesRequestsAgain)
+{
+    ask (ReplaceConfiguration{ "5 a" });
+    ask (incarnationOf (1000, 90));
+    InstanceHeartbeat draining = incarnationOf (1000, 91);
+    draining.instance.isDraining = true;
+    EXPECT_EQ (ask (draining), ControlVerdict::kDone);
+    EXPECT_EQ (ask (InstanceDeregistration{ "i-1", 1000 }), ControlVerdict::kDone);
+    EXPECT_EQ (ask (incarnationOf (2000, 1)), ControlVerdict::kDone);
+    m_cell.run (base::milliseconds (200));
+    // Late words of the one that is gone.
+    ask (incarnationOf (1000, 92));
+    ask (draining);
+    ask (InstanceDeregistration{ "i-1", 1000 });
+    m_cell.run (base::milliseconds (200));
+    ASSERT_TRUE (m_cell.router (1).instances.contains ("i-1"));
+    const cell::ServiceInstance& instance = m_cell.router (1).instances.at ("i-1").instance;
+    EXPECT_EQ (instance.startedAt, 2000);
+    EXPECT_FALSE (instance.isDraining);
+}
+
+TEST_F (ControlRequestsTest, ADrainOfALaterIncarnationIsNotAnsweredByThatOfAnEarlierOne)
+{
+    ask (ReplaceConfiguration{ "5 a" });
+    for (const base::UnixMilliseconds startedAt : { 1000, 2000 })
+    {
+        ask (incarnationOf (startedAt, 1));
+        m_cell.run (base::seconds (1));
+        InstanceHeartbeat draining = incarnationOf (startedAt, 2);
+        draining.instance.isDraining = true;
+        EXPECT_EQ (ask (draining), ControlVerdict::kDone);
+        const bool isShown = m_cell.router (1).instances.at ("i-1").instance.isDraining;
+        EXPECT_TRUE (isShown || ! m_cell.router (1).admits (m_cell.now())) << startedAt;
+        m_cell.run (base::seconds (1));
+    }
+}
+
+TEST_F (ControlRequestsTest, ARunnerOfAServiceThatIsNotThereTakesNobodysPlace)
+{
+    ask (ReplaceConfiguration{ "5 a" });
+    ask (heartbeatOf ("i-1", 1));
+    InstanceHeartbeat stranger = heartbeatOf ("i-9", 1);
+    stranger.instance.service = "other";
+    stranger.instance.address = heartbeatOf ("i-1", 1).instance.address;
+    EXPECT_EQ (ask (stranger), ControlVerdict::kDone);
+    InstanceHeartbeat namesake = heartbeatOf ("i-1", 2);
+    namesake.instance.service = "other";
+    EXPECT_EQ (ask (namesake), ControlVerdict::kDone);
+    m_cell.run (base::milliseconds (200));
+    EXPECT_EQ (m_cell.unusableMessages, 2U);
+    EXPECT_FALSE (m_cell.router (1).instances.contains ("i-9"));
+    ASSERT_TRUE (m_cell.router (1).instances.contains ("i-1"));
+    EXPECT_FALSE (m_cell.router (1).instances.at ("i-1").isSilent);
+}
+
 }  // namespace
 }  // namespace fernlift::controller
--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -185,11 +185,18 @@
     cell::Suspect suspect;
 };
 
-using Effect =
-    std::variant<PersistEffect, SendToMember, ConnectToLeader, SendToLeader, SendToRouter,
-                 BroadcastToRouters, SendOrder, PollRunner, PollMachineList, AnswerAdmin,
-                 AnswerControl, placement::SendEngineOrder, placement::PollEngine,
-                 placement::EngineOrderDone, ConfigurationNews, RequestQuarantined>;
+/// A message in a runner's name that no proper runner of this cell can have sent. It was dropped.
+struct RunnerMessageUnusable
+{
+    std::string instance;
+    std::string reason;
+};
+
+using Effect = std::variant<PersistEffect, SendToMember, ConnectToLeader, SendToLeader,
+                            SendToRouter, BroadcastToRouters, SendOrder, PollRunner,
+                            PollMachineList, AnswerAdmin, AnswerControl, placement::SendEngineOrder,
+                            placement::PollEngine, placement::EngineOrderDone, ConfigurationNews,
+                            RequestQuarantined, RunnerMessageUnusable>;
 
 /// A member that does not lead, as it serves routers on behalf of the leader.
 struct RelayStatus
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -96,7 +96,8 @@
 struct Leaving
 {
     std::string instance;
-    bool isRemoval = false;  ///< It is gone; else it drains.
+    bool isRemoval = false;                ///< It is gone; else it drains.
+    base::UnixMilliseconds startedAt = 0;  ///< Of the incarnation; 0: it does not tell.
 
     auto operator<=> (const Leaving&) const = default;  // NOLINT(modernize-use-nullptr)
 };
@@ -482,6 +483,12 @@
     [[nodiscard]] static base::Duration tableInterval (std::size_t routers, std::size_t rows);
     void onSightings (const cell::InstanceSightings& sightings);
     void takeHeartbeat (const InstanceHeartbeat& heartbeat);
+    /// Drops a heartbeat that no runner of the services in force can have sent, and says so.
+    bool isUsable (const InstanceHeartbeat& heartbeat);
+    /// Whether the configuration in force may have the service that the instance states.
+    [[nodiscard]] bool hasService (const cell::ServiceInstance& instance) const;
+    /// A later incarnation of the instance is known.
+    [[nodiscard]] bool isOfEarlierIncarnation (const cell::ServiceInstance& instance) const;
     /// Removes those that had the address of an instance that registers.
     void removePredecessors (const cell::ServiceInstance& instance);
     [[nodiscard]] cell::AddInstance additionOf (const InstanceHeartbeat& heartbeat) const;
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -21,9 +21,15 @@
 
 void ControllerCore::Implementation::onControl (ControlTicket ticket, const ControlRequest& request)
 {
+    const auto* heartbeat = std::get_if<InstanceHeartbeat> (&request);
+    if (heartbeat != nullptr && ! isUsable (*heartbeat))
+    {
+        // Refused, it would go to one controller after the other.
+        answerControl (ticket, { ControlVerdict::kDone, "", "" });
+        return;
+    }
     if (! m_leader || ! holdsLease())
     {
-        const auto* heartbeat = std::get_if<InstanceHeartbeat> (&request);
         if (! m_leader && heartbeat != nullptr && relayHeartbeat (*heartbeat))
             answerControl (ticket, { ControlVerdict::kDone, ownAdminAddress(), "" });
         else
@@ -42,11 +48,17 @@
         answerControl (ticket, { ControlVerdict::kDone, ownAdminAddress(), "" });
         return;
     }
+    const cell::ServiceInstance* known = m_state.instances().find (heartbeat.instance.id);
+    if (known != nullptr && isOfEarlierIncarnation (heartbeat.instance))
+    {
+        // It is gone, and what is known of the later one stands.
+        answerControl (ticket, { ControlVerdict::kDone, ownAdminAddress(), "" });
+        return;
+    }
     takeHeartbeat (heartbeat);
     m_leader->instanceTable.request();
-    const cell::ServiceInstance* known = m_state.instances().find (heartbeat.instance.id);
-    const Leaving leaving{ heartbeat.instance.id, false };
-    if (known == nullptr)
+    const Leaving leaving{ heartbeat.instance.id, false, heartbeat.instance.startedAt };
+    if (m_state.instances().isNews (heartbeat.instance) || known == nullptr)
     {
         removePredecessors (heartbeat.instance);
         if (heartbeat.instance.isDraining)
@@ -57,8 +69,10 @@
     }
     else if (heartbeat.instance.isDraining && ! known->isDraining)
     {
-        proposeFor (ticket, cell::DrainInstance{ heartbeat.instance.id, cellTime() },
-                    ForLeavingInstance{ ticket, leaving });
+        proposeFor (
+            ticket,
+            cell::DrainInstance{ heartbeat.instance.id, cellTime(), heartbeat.instance.startedAt },
+            ForLeavingInstance{ ticket, leaving });
     }
     else if (heartbeat.instance.isDraining)
     {
@@ -71,6 +85,40 @@
     }
 }
 
+/// One of a service that does not exist would put itself in the place of the runner whose address
+/// it states.
+bool ControllerCore::Implementation::isUsable (const InstanceHeartbeat& heartbeat)
+{
+    const cell::ServiceInstance& instance = heartbeat.instance;
+    const cell::ServiceInstance* known = m_state.instances().find (instance.id);
+    const bool isOfOtherService =
+        known != nullptr && known->service != instance.service
+        && ! cell::isEarlierIncarnation (known->startedAt, instance.startedAt);
+    const bool isOfNoService = m_state.instances().isNews (instance) && ! hasService (instance);
+    if (! isOfOtherService && ! isOfNoService)
+        return true;
+    m_effects.emplace_back (RunnerMessageUnusable{
+        instance.id,
+        (isOfNoService ? "no such service: " : "the runner is one of another service: ")
+            + instance.service });
+    return false;
+}
+
+bool ControllerCore::Implementation::hasService (const cell::ServiceInstance& instance) const
+{
+    const config::Catalogue* catalogue = m_state.configuration().catalogue();
+    // Before the first configuration with services any may come.
+    const bool isTold = catalogue != nullptr && ! catalogue->services.services.empty();
+    return ! isTold || catalogue->services.findService (instance.service) != nullptr;
+}
+
+bool ControllerCore::Implementation::isOfEarlierIncarnation (
+    const cell::ServiceInstance& instance) const
+{
+    const cell::ServiceInstance* known = m_state.instances().find (instance.id);
+    return known != nullptr && cell::isEarlierIncarnation (instance.startedAt, known->startedAt);
+}
+
 void ControllerCore::Implementation::takeHeartbeat (const InstanceHeartbeat& heartbeat)
 {
     if (! m_leader->instances.onHeartbeat (heartbeat, m_now))
@@ -108,22 +156,24 @@
     {
         if (! sighting.hasHoldings)
         {
-            m_leader->instances.onHeard (sighting.instance, sighting.sequence, m_now);
+            m_leader->instances.onHeard (sighting, m_now);
             continue;
         }
         const cell::ServiceInstance* known = m_state.instances().find (sighting.instance);
         if (known == nullptr && sighting.first.empty())
             continue;
-        const InstanceHeartbeat heartbeat{ known == nullptr ? sighting.first.front() : *known,
-                                           sighting.sequence, sighting.models, sighting.inMemory,
-                                           sighting.onDisk };
-        if (m_leader->instances.isOfPredecessor (heartbeat, m_now))
+        InstanceHeartbeat heartbeat{ sighting.first.empty() ? *known : sighting.first.front(),
+                                     sighting.sequence, sighting.models, sighting.inMemory,
+                                     sighting.onDisk };
+        heartbeat.instance.startedAt = sighting.startedAt;
+        if (m_leader->instances.isOfPredecessor (heartbeat, m_now)
+            || isOfEarlierIncarnation (heartbeat.instance))
             continue;
         takeHeartbeat (heartbeat);
-        if (known == nullptr)
-            removePredecessors (heartbeat.instance);
-        if (known == nullptr)
-            hasAdded = propose (additionOf (heartbeat), ForNothing{}) || hasAdded;
+        if (known != nullptr && ! m_state.instances().isNews (heartbeat.instance))
+            continue;
+        removePredecessors (heartbeat.instance);
+        hasAdded = propose (additionOf (heartbeat), ForNothing{}) || hasAdded;
     }
     m_leader->instanceTable.request();
     if (hasAdded)
@@ -133,8 +183,12 @@
 void ControllerCore::Implementation::control (ControlTicket ticket,
                                               const InstanceDeregistration& request)
 {
-    proposeFor (ticket, cell::RemoveInstance{ request.instance, true, cellTime() },
-                ForLeavingInstance{ ticket, { request.instance, true } });
+    // A late one of an earlier incarnation says nothing about the one that is known.
+    const base::UnixMilliseconds startedAt =
+        request.startedAt != 0 ? request.startedAt
+                               : m_state.instances().lastStartOf (request.instance);
+    proposeFor (ticket, cell::RemoveInstance{ request.instance, true, cellTime(), startedAt },
+                ForLeavingInstance{ ticket, { request.instance, true, startedAt } });
 }
 
 void ControllerCore::Implementation::proposeFor (ControlTicket ticket, const cell::Command& command,
@@ -264,7 +318,9 @@
     noteHoldingsIfDue();
     for (const std::string& id : m_leader->instances.silentFor (kRemovalSilence, m_now))
     {
-        propose (cell::RemoveInstance{ id, false, cellTime() }, ForNothing{});
+        const base::UnixMilliseconds startedAt =
+            m_leader->instances.rows().at (id).instance.startedAt;
+        propose (cell::RemoveInstance{ id, false, cellTime(), startedAt }, ForNothing{});
     }
 }
 
@@ -279,7 +335,7 @@
         const bool isKnown = agreed != nullptr && row.instance.isReported;
         if (isKnown && agreed->models != row.instance.models)
         {
-            command.holdings.push_back ({ id, row.instance.models });
+            command.holdings.push_back ({ id, row.instance.models, row.instance.startedAt });
         }
     }
     if (command.holdings.empty())
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -92,10 +92,14 @@
 {
     if (! protocol.control || m_settings.controlAddress.host.empty())
         return;
-    m_engines = std::make_unique<EngineClient> (protocol.engine, kEngineCallTimeout);
+    const auto onUnusable = [this] (std::string_view source, std::string_view reason)
+    { noteUnusable (source, reason); };
+    m_engines = std::make_unique<EngineClient> (protocol.engine, kEngineCallTimeout, onUnusable);
     m_control = std::make_unique<ControlHttp> (
-        protocol.control, [this] (ControlTicket ticket, const ControlRequest& request)
-        { feed ([&] (ControllerCore& core) { core.onControl (ticket, request); }); });
+        protocol.control,
+        [this] (ControlTicket ticket, const ControlRequest& request)
+        { feed ([&] (ControllerCore& core) { core.onControl (ticket, request); }); },
+        onUnusable);
 }
 
 base::Result<void> ControllerProcess::start()
@@ -272,6 +276,8 @@
             [] (const placement::EngineOrderDone& done) { logDone (done); },
             [] (const ConfigurationNews& news) { logNews (news); },
             [] (const RequestQuarantined& quarantined) { logQuarantine (quarantined.suspect); },
+            [this] (const RunnerMessageUnusable& message)
+            { noteUnusable (message.instance, message.reason); },
         },
         effect);
 }
@@ -368,6 +374,12 @@
     feed ([&] (ControllerCore& core) { core.onMemberMessage (message); });
 }
 
+void ControllerProcess::noteUnusable (std::string_view source, std::string_view reason)
+{
+    m_unusableMessages.add();
+    log::write (log::Event::kRunnerMessageUnusable, { { "source", source }, { "error", reason } });
+}
+
 void ControllerProcess::onStorageFailed (const base::Error& error)
 {
     log::write (log::Event::kStorageWriteFailed,
--- a/src/controller/ControllerProcess.h
+++ b/src/controller/ControllerProcess.h
@@ -74,6 +74,8 @@
     void sendEngineOrder (const placement::SendEngineOrder& effect);
     void pollEngine (const placement::PollEngine& effect);
     void onMemberMessage (const consensus::Message& message);
+    /// A message in a runner's name was dropped; `source`: who it claims to be, or which call.
+    void noteUnusable (std::string_view source, std::string_view reason);
     void onStorageFailed (const base::Error& error);
     /// Logs when this member can no longer serve routers on behalf of the leader, or can again.
     void noteRelay();
@@ -86,6 +88,9 @@
     base::SystemClock m_clock;
     ControlTraffic m_traffic;
     http::Metrics m_metrics;
+    http::Counter& m_unusableMessages =
+        m_metrics.counter ("fernlift_controller_runner_messages_unusable_total",
+                           "Messages in runners' names that could not be used.");
     std::unique_ptr<storage::Storage> m_openedStorage;  ///< Until the storage thread takes it.
     std::optional<ControllerCore> m_core;
     PeerTransport m_transport;
--- a/src/controller/ControllerQuarantine.cpp
+++ b/src/controller/ControllerQuarantine.cpp
@@ -60,10 +60,12 @@
 
 bool ControllerCore::Implementation::isLeaving (const std::string& instance) const
 {
-    const cell::ServiceInstance* known = m_state.instances().find (instance);
-    if (known == nullptr)
-        return m_state.instances().isDeregistered (instance);
-    return known->isDraining;
+    const cell::Incarnation incarnation = cell::Incarnation::fromName (instance);
+    const cell::ServiceInstance* known = m_state.instances().find (incarnation.id);
+    const bool isKnown =
+        known != nullptr && ! cell::isEarlierIncarnation (incarnation.startedAt, known->startedAt);
+    return isKnown ? known->isDraining
+                   : m_state.instances().isDeregistered (incarnation.id, incarnation.startedAt);
 }
 
 void ControllerCore::Implementation::proposeSuspectsIfDue()
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -169,7 +169,8 @@
         m_relay->session.isConnected() || m_now - m_relay->leaderlessSince < kHeartbeatsKeptFor;
     if (! isPlain || ! mayKeep)
         return false;
-    m_relay->heartbeats.add (heartbeat, known != nullptr, m_now);
+    const bool isKnown = known != nullptr && ! m_state.instances().isNews (heartbeat.instance);
+    m_relay->heartbeats.add (heartbeat, isKnown, m_now);
     return true;
 }
 
--- a/src/controller/EngineClient.cpp
+++ b/src/controller/EngineClient.cpp
@@ -52,8 +52,9 @@
     QTimer m_timer;
 };
 
-EngineClient::EngineClient (std::shared_ptr<const EngineCodec> codec, base::Duration timeout)
-    : m_codec (std::move (codec)), m_timeout (timeout)
+EngineClient::EngineClient (std::shared_ptr<const EngineCodec> codec, base::Duration timeout,
+                            Unreadable onUnreadable)
+    : m_codec (std::move (codec)), m_timeout (timeout), m_onUnreadable (std::move (onUnreadable))
 {
 }
 EngineClient::~EngineClient() = default;
@@ -97,8 +98,8 @@
 {
     constexpr int kOk = 200;
     start (address, m_codec->reportRequest (instance, address),
-           [this, onReport = std::move (onReport)] (const http::AnswerHead* head,
-                                                    const std::string& body)
+           [this, instance, onReport = std::move (onReport)] (const http::AnswerHead* head,
+                                                              const std::string& body)
            {
                if (head == nullptr || head->status != kOk)
                {
@@ -112,7 +113,11 @@
                        onReport (&report);
                        return {};
                    },
-                   [&] (const base::Error&) { onReport (nullptr); });
+                   [&] (const base::Error& error)
+                   {
+                       m_onUnreadable (instance, error.message);
+                       onReport (nullptr);
+                   });
            });
 }
 
--- a/src/controller/EngineClient.h
+++ b/src/controller/EngineClient.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/Time.h"
 #include "controller/EngineCodec.h"
@@ -19,7 +20,11 @@
 class EngineClient
 {
 public:
-    EngineClient (std::shared_ptr<const EngineCodec> codec, base::Duration timeout);
+    /// Told of a report that could not be read: whose and why.
+    using Unreadable = std::function<void (std::string_view instance, std::string_view reason)>;
+
+    EngineClient (std::shared_ptr<const EngineCodec> codec, base::Duration timeout,
+                  Unreadable onUnreadable);
     ~EngineClient();
 
     void sendOrder (const std::string& address, const engine::ServiceOrder& order,
@@ -36,6 +41,7 @@
 
     std::shared_ptr<const EngineCodec> m_codec;
     base::Duration m_timeout;
+    Unreadable m_onUnreadable;
     std::uint64_t m_lastCall = 0;
     std::map<std::uint64_t, std::unique_ptr<Call>> m_calls;
     QObject m_context;
--- a/src/controller/EngineClientTest.cpp
+++ b/src/controller/EngineClientTest.cpp
@@ -75,7 +75,8 @@
 {
     http::test::application();
     const DarkPort port;
-    EngineClient client (std::make_shared<TestCodec>(), base::milliseconds (30));
+    EngineClient client (std::make_shared<TestCodec>(), base::milliseconds (30),
+                         [] (std::string_view, std::string_view) {});
     int unknown = 0;
     int noReport = 0;
     for (int call = 0; call < 20; ++call)
--- a/src/controller/HeartbeatBatch.cpp
+++ b/src/controller/HeartbeatBatch.cpp
@@ -21,7 +21,7 @@
 bool isSameHoldings (const cell::InstanceSighting& left, const cell::InstanceSighting& right)
 {
     return left.models == right.models && left.inMemory == right.inMemory
-           && left.onDisk == right.onDisk;
+           && left.onDisk == right.onDisk && left.startedAt == right.startedAt;
 }
 
 }  // namespace
@@ -32,6 +32,7 @@
     cell::InstanceSighting sighting;
     sighting.instance = id;
     sighting.sequence = heartbeat.sequence;
+    sighting.startedAt = heartbeat.instance.startedAt;
     sighting.hasHoldings = true;
     sighting.models = heartbeat.models;
     sighting.inMemory = heartbeat.inMemory;
@@ -39,7 +40,10 @@
     if (! isKnown)
         sighting.first = { heartbeat.instance };
     cell::InstanceSighting& waiting = m_waiting[id];
-    if (waiting.sequence > sighting.sequence)
+    if (cell::isEarlierIncarnation (sighting.startedAt, waiting.startedAt))
+        return;
+    const bool isLater = cell::isEarlierIncarnation (waiting.startedAt, sighting.startedAt);
+    if (waiting.sequence > sighting.sequence && ! isLater)
         return;
     const auto told = m_told.find (id);
     const bool isNews =
@@ -54,6 +58,7 @@
     // Holdings that still wait to be told stay.
     waiting.instance = id;
     waiting.sequence = sighting.sequence;
+    waiting.startedAt = sighting.startedAt;
 }
 
 std::vector<cell::InstanceSighting> HeartbeatBatch::takeDue (base::TimePoint now)
--- a/src/controller/HeartbeatBatch.h
+++ b/src/controller/HeartbeatBatch.h
@@ -22,7 +22,7 @@
 class HeartbeatBatch
 {
 public:
-    /** `isKnown`: the cell knows the instance; else it is told whole. */
+    /** `isKnown`: the cell knows this incarnation; else it is told whole. */
     void add (const InstanceHeartbeat& heartbeat, bool isKnown, base::TimePoint now);
     /** The leader is another one, or has forgotten: holdings are told anew. */
     void tellAll() { m_told.clear(); }
--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -18,9 +18,15 @@
 bool InstanceTable::onHeartbeat (const InstanceHeartbeat& heartbeat, base::TimePoint now)
 {
     Sighting& sighting = m_sightings[heartbeat.instance.id];
+    const base::UnixMilliseconds startedAt = heartbeat.instance.startedAt;
+    if (cell::isEarlierIncarnation (startedAt, sighting.startedAt))
+        return false;
+    if (cell::isEarlierIncarnation (sighting.startedAt, startedAt))
+        sighting = Sighting{};
     const bool isLate = sighting.isReported && heartbeat.sequence <= sighting.sequence;
     if (isLate)
         return false;
+    sighting.startedAt = std::max (sighting.startedAt, startedAt);
     const bool isFirst = ! sighting.isReported;
     if (isFirst)
         noteSuccessor (heartbeat, now);
@@ -32,13 +38,18 @@
     return true;
 }
 
-void InstanceTable::onHeard (const std::string& id, std::uint64_t sequence, base::TimePoint now)
+void InstanceTable::onHeard (const cell::InstanceSighting& heard, base::TimePoint now)
 {
-    const auto found = m_sightings.find (id);
-    if (found == m_sightings.end() || sequence <= found->second.sequence)
+    const auto found = m_sightings.find (heard.instance);
+    if (found == m_sightings.end())
         return;
-    found->second.heardAt = now;
-    found->second.sequence = sequence;
+    Sighting& sighting = found->second;
+    // A later incarnation is told of with its holdings first.
+    const bool isOther = heard.startedAt != 0 && heard.startedAt != sighting.startedAt;
+    if (isOther || heard.sequence <= sighting.sequence)
+        return;
+    sighting.heardAt = now;
+    sighting.sequence = heard.sequence;
 }
 
 void InstanceTable::noteSuccessor (const InstanceHeartbeat& heartbeat, base::TimePoint now)
@@ -93,8 +104,10 @@
     for (const auto& [id, instance] : agreed.all())
     {
         // A new leader counts silence from when it first looked.
-        Sighting& sighting =
-            m_sightings.try_emplace (id, Sighting{ now, {}, 0, false, false, {} }).first->second;
+        const Sighting first{ instance.startedAt, now, {}, 0, false, false, {} };
+        Sighting& sighting = m_sightings.try_emplace (id, first).first->second;
+        if (cell::isEarlierIncarnation (sighting.startedAt, instance.startedAt))
+            sighting = first;
         cell::RoutableInstance row;
         row.instance = instance;
         row.isSilent =
--- a/src/controller/InstanceTable.h
+++ b/src/controller/InstanceTable.h
@@ -24,7 +24,8 @@
     /// An instance that was not heard for `silence` is told as silent to routers.
     InstanceTable (base::Term term, base::Duration silence) : m_term (term), m_silence (silence) {}
 
-    /// Notes a heartbeat; false when a later one was noted before.
+    /// Notes a heartbeat; false when a later one, or one of a later incarnation, was noted before.
+    /// With the first one of a later incarnation all that was noted of the instance is forgotten.
     bool onHeartbeat (const InstanceHeartbeat& heartbeat, base::TimePoint now);
     /// Other instances at the address of this one. An address belongs to the instance that
     /// registered there last: those before it have ended.
@@ -35,7 +36,7 @@
     [[nodiscard]] bool isOfPredecessor (const InstanceHeartbeat& heartbeat,
                                         base::TimePoint now) const;
     /// The same as onHeartbeat for a heartbeat that told nothing new.
-    void onHeard (const std::string& id, std::uint64_t sequence, base::TimePoint now);
+    void onHeard (const cell::InstanceSighting& heard, base::TimePoint now);
     /// A router could not reach the instance: it counts as silent until it is heard again.
     void onUnreachable (const std::string& id, base::TimePoint now);
     /// Replaces what is known of an engine's models by a report or a finished order.
@@ -57,6 +58,7 @@
 private:
     struct Sighting
     {
+        base::UnixMilliseconds startedAt = 0;  ///< Of the incarnation; 0: it did not tell.
         base::TimePoint heardAt{};
         base::TimePoint unreachableAt{};
         std::uint64_t sequence = 0;
--- a/src/controller/InstanceTableTest.cpp
+++ b/src/controller/InstanceTableTest.cpp
@@ -127,5 +127,44 @@
     EXPECT_FALSE (m_table.rows().at ("i-1").isSilent);
 }
 
+InstanceHeartbeat heartbeatOf (base::UnixMilliseconds startedAt, std::uint64_t sequence)
+{
+    InstanceHeartbeat heartbeat = heartbeatOf ("i-1", sequence);
+    heartbeat.instance.startedAt = startedAt;
+    return heartbeat;
+}
+
+TEST_F (InstanceTableTest, SequencesStartAnewWithEachIncarnation)
+{
+    hear (heartbeatOf (1000, 90), kStart);
+    m_table.setModels ("i-1", { { "placed", 1, {} } });
+    m_table.onUnreachable ("i-1", kStart + base::milliseconds (1));
+    hear (heartbeatOf (2000, 1), kStart + base::milliseconds (2));
+    const cell::RoutableInstance& row = m_table.rows().at ("i-1");
+    EXPECT_FALSE (row.isSilent);
+    EXPECT_EQ (row.instance.startedAt, 2000);
+    ASSERT_EQ (row.instance.models.size(), 1U);
+    EXPECT_EQ (row.instance.models[0].model, "m1");
+    EXPECT_FALSE (m_table.onHeartbeat (heartbeatOf (1000, 91), kStart));
+    m_table.refresh (m_agreed, kStart + base::milliseconds (3));
+    EXPECT_EQ (m_table.rows().at ("i-1").instance.models[0].model, "m1");
+}
+
+TEST_F (InstanceTableTest, AnEarlierIncarnationIsNoSignOfLife)
+{
+    hear (heartbeatOf (2000, 1), kStart);
+    cell::InstanceSighting late;
+    late.instance = "i-1";
+    late.sequence = 91;
+    late.startedAt = 1000;
+    m_table.onHeard (late, kStart + kSilence);
+    m_table.refresh (m_agreed, kStart + kSilence);
+    EXPECT_TRUE (m_table.rows().at ("i-1").isSilent);
+    late.startedAt = 2000;
+    m_table.onHeard (late, kStart + kSilence);
+    m_table.refresh (m_agreed, kStart + kSilence);
+    EXPECT_FALSE (m_table.rows().at ("i-1").isSilent);
+}
+
 }  // namespace
 }  // namespace fernlift::controller
--- a/src/controller/RelayPartsTest.cpp
+++ b/src/controller/RelayPartsTest.cpp
@@ -182,5 +182,23 @@
     EXPECT_EQ (due[0].models[0].model, "m2");
 }
 
+TEST (HeartbeatBatch, ALaterIncarnationReplacesAnEarlierOneWhateverItsSequence)
+{
+    HeartbeatBatch batch;
+    InstanceHeartbeat earlier = heartbeat (90, "m2");
+    earlier.instance.startedAt = 1000;
+    InstanceHeartbeat later = heartbeat (1, "m1");
+    later.instance.startedAt = 2000;
+    batch.add (earlier, true, at (0));
+    batch.add (later, false, at (1));
+    earlier.sequence = 91;
+    batch.add (earlier, true, at (2));
+    const auto due = batch.takeDue (at (3));
+    ASSERT_EQ (due.size(), 1U);
+    EXPECT_EQ (due[0].startedAt, 2000);
+    EXPECT_EQ (due[0].sequence, 1U);
+    ASSERT_EQ (due[0].first.size(), 1U);
+}
+
 }  // namespace
 }  // namespace fernlift::controller
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -156,6 +156,7 @@
     std::vector<ConfigurationNews> configurationNews;
     /// What registered engines report, by instance; without an entry they do not answer.
     std::map<std::string, engine::ServiceReport> engineReports;
+    std::size_t unusableMessages = 0;  ///< In runners' names, that controllers dropped.
 
     TestEngine& engine (const std::string& runner);
     TestRouter& router (std::size_t number) { return *m_routers[number]; }
@@ -243,6 +244,10 @@
     void carryOut (Node& /*node*/, const placement::EngineOrderDone& /*done*/) {}
     void carryOut (Node& node, ConfigurationNews news);
     void carryOut (Node& /*node*/, const RequestQuarantined& /*quarantined*/) {}
+    void carryOut (Node& /*node*/, const RunnerMessageUnusable& /*unusable*/)
+    {
+        ++unusableMessages;
+    }
     void tickRouter (TestRouter& router);
     void connect (TestRouter& router, base::MemberId member);
     void toController (TestRouter& router, cell::RouterToController message);
--- a/src/engine/ServiceEngine.h
+++ b/src/engine/ServiceEngine.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "base/Time.h"
+
 namespace fernlift::engine
 {
 
@@ -22,6 +24,7 @@
     std::string holder;                             ///< Name of the controller that orders.
     std::uint64_t fence = 0;                        ///< Term of the leader that orders.
     std::optional<std::uint64_t> expectedSequence;  ///< Orders the engine has taken before.
+    base::UnixMilliseconds startedAt = 0;  ///< Of the incarnation meant; 0: it does not tell.
 
     bool operator== (const ServiceOrder&) const = default;
 };
@@ -59,8 +62,9 @@
     std::uint64_t sequence = 0;        ///< Orders taken since its start.
     std::uint32_t queued = 0;
     std::uint32_t running = 0;
-    std::uint64_t kvUsed = 0;   ///< Tokens of cache that cannot give way.
-    std::uint64_t kvTotal = 0;  ///< Tokens of cache.
+    std::uint64_t kvUsed = 0;              ///< Tokens of cache that cannot give way.
+    std::uint64_t kvTotal = 0;             ///< Tokens of cache.
+    base::UnixMilliseconds startedAt = 0;  ///< Of the incarnation; 0: it does not tell.
 
     bool operator== (const ServiceReport&) const = default;
 };
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -48,6 +48,7 @@
             engine.pollAt = now;
             engine.ordersFrom = m_options.ordersFrom (id);
         }
+        forgetEarlier (engine, row, now);
         engine.id = id;
         engine.address = row.instance.address;
         engine.service = row.instance.service;
@@ -63,6 +64,22 @@
                    });
 }
 
+void EnginePlacement::forgetEarlier (Engine& engine, const cell::RoutableInstance& row,
+                                     base::TimePoint now)
+{
+    const base::UnixMilliseconds startedAt = row.instance.startedAt;
+    if (engine.startedAt != 0 && engine.startedAt != startedAt)
+    {
+        m_store.onGivenUp (engine.id);
+        // Orders to the earlier one that are on their way still could reach this one.
+        const base::TimePoint ordersFrom = engine.ordersFrom;
+        engine = Engine{};
+        engine.ordersFrom = ordersFrom;
+        engine.pollAt = now;
+    }
+    engine.startedAt = startedAt;
+}
+
 void EnginePlacement::take (Engine& engine, const EngineHoldings& holdings, base::TimePoint now)
 {
     engine.hasTold = true;
@@ -254,6 +271,13 @@
         return;
     Engine& engine = found->second;
     engine.isPolled = false;
+    const bool isOfOther =
+        report.startedAt != 0 && engine.startedAt != 0 && report.startedAt != engine.startedAt;
+    if (isOfOther)
+    {
+        engine.pollAt = now + kPollPause;
+        return;
+    }
     if (engine.unanswered)
         return;  // An order went out meanwhile.
     engine.sequence = report.sequence;
@@ -412,6 +436,7 @@
     order.holder = m_options.holder;
     order.fence = m_options.fence;
     order.expectedSequence = engine.sequence;
+    order.startedAt = engine.startedAt;
     const bool isFromStore =
         order.isLoad && order.adapter.empty() && ! isLocal (engine, intention.model);
     engine.unanswered = PendingOrder{ order, now, isFromStore };
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -132,6 +132,7 @@
         std::string id;
         std::string address;
         std::string service;
+        base::UnixMilliseconds startedAt = 0;   ///< Of the incarnation; 0: it does not tell.
         bool isUsable = false;                  ///< Takes requests and orders.
         base::TimePoint ordersFrom{};           ///< No order goes out before.
         bool isPaused = true;                   ///< That time has not come.
@@ -335,6 +336,8 @@
                base::TimePoint now);
 
     // What answers and reports change.
+    /// Forgets what is known of an earlier incarnation than that of the row.
+    void forgetEarlier (Engine& engine, const cell::RoutableInstance& row, base::TimePoint now);
     void take (Engine& engine, const EngineHoldings& holdings, base::TimePoint now);
     void noteUnderWay (Engine& engine, PendingOrder pending, base::TimePoint now);
     void beginModelOrder (Engine& engine, PendingOrder pending, base::TimePoint now);
--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -482,5 +482,35 @@
     EXPECT_TRUE (orders().empty());
 }
 
+TEST_F (EnginePlacementTest, NothingOfAnEarlierIncarnationHolds)
+{
+    addEngine ("e1", { "m1" });
+    m_rows["e1"].instance.startedAt = 1000;
+    m_placement.refresh (m_rows, m_now);
+    demand ("m2", 1);
+    const auto before = orders();
+    ASSERT_EQ (before.size(), 1U);
+    m_rows["e1"].instance.startedAt = 2000;
+    m_placement.refresh (m_rows, m_now);
+    EXPECT_FALSE (m_placement.routableModels ("e1", m_now));
+    // The answer to an order of before, and a report of before that comes late, say nothing.
+    answer (before[0], engine::OrderOutcome::kUnderWay);
+    engine::ServiceReport late;
+    late.startedAt = 1000;
+    late.sequence = 7;
+    late.models = { { "m1", 1, {} } };
+    m_placement.onReport ("e1", late, m_now);
+    EXPECT_FALSE (m_placement.routableModels ("e1", m_now));
+    wait (base::seconds (1));
+    EXPECT_TRUE (polls ("e1"));
+    engine::ServiceReport present;
+    present.startedAt = 2000;
+    m_placement.onReport ("e1", present, m_now);
+    const auto after = orders();
+    ASSERT_EQ (after.size(), 1U);
+    EXPECT_EQ (after[0].startedAt, 2000);
+    EXPECT_EQ (after[0].expectedSequence, 0U);
+}
+
 }  // namespace
 }  // namespace fernlift::placement
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -275,6 +275,7 @@
     m_address = base::handleErrors ([&] { return base::SocketAddress::parse (choice.address); },
                                     [] (const base::Error&) { return base::SocketAddress(); });
     m_instance = choice.id;
+    m_instanceStart = m_context.directory.startOf (m_instance);
     m_use = AnswerUse::kNone;
     m_collected.clear();
     m_attemptDeadline = m_deadline;
@@ -306,6 +307,11 @@
     m_connection->send (std::move (call), this);
 }
 
+bool Exchange::isAtPresentIncarnation() const
+{
+    return m_context.directory.startOf (m_instance) == m_instanceStart;
+}
+
 void Exchange::onSent()
 {
     ++m_sent;
@@ -440,7 +446,8 @@
     if (std::exchange (m_isAttemptSent, false))
         m_mayHaveRun = true;
     notePromptRead();
-    m_context.directory.onAttemptEnd (m_instance, end, now());
+    if (isAtPresentIncarnation())
+        m_context.directory.onAttemptEnd (m_instance, end, now());
     if (! m_query.model.empty())
         m_context.demands.onRunEnd (m_target);
     if (mayReuse)
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -92,6 +92,8 @@
     void endWait();
     void startAttempt (const InstanceChoice& choice);
     /// Something came from the runner, or the request went there.
+    /// Whether the table still shows the incarnation that the attempt went to.
+    [[nodiscard]] bool isAtPresentIncarnation() const;
     void noteProgress();
     /// Silence after which the request is tried at another runner; none when it may not be.
     [[nodiscard]] std::optional<base::Duration> longestSilence() const;
@@ -151,8 +153,9 @@
     bool m_isAnswerBegun = false;
     bool m_isEnded = false;
     std::string m_instance;
-    base::SocketAddress m_address;  ///< Of the instance.
-    bool m_hasBrokenOff = false;    ///< A runner broke off an answer.
+    base::UnixMilliseconds m_instanceStart = 0;  ///< Of the incarnation; 0: it does not tell.
+    base::SocketAddress m_address;               ///< Of the instance.
+    bool m_hasBrokenOff = false;                 ///< A runner broke off an answer.
     /// Once they were asked for.
     mutable std::optional<std::uint64_t> m_outline;
     mutable std::optional<cell::RequestIdentity> m_identity;
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -23,7 +23,8 @@
 {
     if (std::exchange (m_isPromptRead, true))
         return;
-    m_context.directory.onAnswerBegun (m_instance, m_query.promptTokens);
+    if (isAtPresentIncarnation())
+        m_context.directory.onAnswerBegun (m_instance, m_query.promptTokens);
     if (! m_query.model.empty())
         m_context.demands.onRead (m_target);
 }
--- a/src/proxy/ExchangeQuarantine.cpp
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -70,8 +70,9 @@
     // One that said that it leaves ends by its plan, and not under this request.
     if (! m_isAttemptSent || m_context.directory.isDraining (m_instance))
         return;
-    m_context.suspects.onBrokenOff (identity(), m_instance, m_attemptSentAt, now());
-    m_context.checkRunner (m_instance, m_address);
+    const std::string incarnation = cell::Incarnation{ m_instance, m_instanceStart }.name();
+    m_context.suspects.onBrokenOff (identity(), incarnation, m_attemptSentAt, now());
+    m_context.checkRunner (incarnation, m_address);
 }
 
 void Exchange::refuseQuarantined (const quarantine::Standing& standing)
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -39,6 +39,11 @@
     return static_cast<double> (hash) / kRange;
 }
 
+std::string incarnationNameOf (const cell::RoutableInstance& row)
+{
+    return cell::Incarnation{ row.instance.id, row.instance.startedAt }.name();
+}
+
 const cell::HeldModel* findModel (const cell::RoutableInstance& row, const std::string& name)
 {
     const auto found = std::ranges::find (row.instance.models, name, &cell::HeldModel::model);
@@ -120,12 +125,24 @@
 void InstanceDirectory::noteReplaced (const View& view)
 {
     if (! view.row.instance.isDraining)
-        m_replaced.push_back (view.row.instance.id);
+        m_replaced.push_back (incarnationNameOf (view.row));
+}
+
+void InstanceDirectory::forgetEarlier (View& view, const cell::RoutableInstance& row)
+{
+    const base::UnixMilliseconds startedAt = view.row.instance.startedAt;
+    if (startedAt == row.instance.startedAt)
+        return;
+    // One whose start was not known may be the same.
+    if (startedAt != 0)
+        noteReplaced (view);
+    view = View{};
 }
 
 void InstanceDirectory::put (const cell::RoutableInstance& row)
 {
     View& view = m_views[row.instance.id];
+    forgetEarlier (view, row);
     // A new leader knows the models only once it has heard the runner.
     std::vector<cell::HeldModel> known = std::move (view.row.instance.models);
     view.row = row;
@@ -195,9 +212,13 @@
 
 bool InstanceDirectory::canServe (const View& view, const InstanceQuery& query, base::TimePoint now)
 {
-    const bool hasEnded = std::ranges::find (query.endedInstances, view.row.instance.id)
-                          != query.endedInstances.end();
-    return isCandidate (view, query, now) && ! hasEnded && holds (view, query, now);
+    const auto hasEnded = [&]
+    {
+        const std::vector<std::string>& ended = query.endedInstances;
+        return ! ended.empty()
+               && std::ranges::find (ended, incarnationNameOf (view.row)) != ended.end();
+    };
+    return isCandidate (view, query, now) && ! hasEnded() && holds (view, query, now);
 }
 
 std::string InstanceDirectory::homeOf (const InstanceQuery& query, base::TimePoint now) const
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -33,7 +33,8 @@
     /// Not empty: a runner has ended under a request with this text, so that all copies of it go to
     /// one and the same runner, not to one each.
     std::string trial{};
-    std::vector<std::string> endedInstances{};  ///< Under the request of the trial; never chosen.
+    /// Names of incarnations that ended under the request of the trial; never chosen.
+    std::vector<std::string> endedInstances{};
 };
 
 enum class NoChoice : std::uint8_t
@@ -88,8 +89,14 @@
     void onBytes (const std::string& id, base::TimePoint now);
     void onAnswerBegun (const std::string& id, std::uint64_t promptTokens);
     void onAttemptEnd (const std::string& id, AttemptEnd end, base::TimePoint now);
-    /// Instances that went out of the table since the last call without having said that they
-    /// leave.
+    /// Start of the incarnation in the table; 0: it does not tell, or is not there.
+    [[nodiscard]] base::UnixMilliseconds startOf (const std::string& id) const
+    {
+        const auto found = m_views.find (id);
+        return found == m_views.end() ? 0 : found->second.row.instance.startedAt;
+    }
+    /// Incarnations that went out of the table since the last call without having said that they
+    /// leave, by their names.
     [[nodiscard]] std::vector<std::string> takeReplaced() { return std::exchange (m_replaced, {}); }
     /// Whether the instance is known and has said that it leaves.
     [[nodiscard]] bool isDraining (const std::string& id) const
@@ -144,6 +151,8 @@
     void put (const cell::RoutableInstance& row);
     void noteUnreachable (View& view, base::TimePoint now);
     void noteReplaced (const View& view);
+    /// Forgets what is known of an earlier incarnation than that of the row.
+    void forgetEarlier (View& view, const cell::RoutableInstance& row);
     /// Whether a runner may be chosen for requests of the service at all.
     [[nodiscard]] static bool isCandidate (const View& view, const InstanceQuery& query,
                                            base::TimePoint now);
--- a/src/proxy/InstanceDirectoryTest.cpp
+++ b/src/proxy/InstanceDirectoryTest.cpp
@@ -208,5 +208,40 @@
     EXPECT_EQ (choose ("m"), "i-1");
 }
 
+TEST_F (InstanceDirectoryTest, NothingOfAnEarlierIncarnationHolds)
+{
+    cell::RoutableInstance row = rowOf ("i-1");
+    row.instance.startedAt = 1000;
+    put ({ row });
+    m_directory.onAttemptBegin ("i-1", 1000, kStart);
+    m_directory.onLoad ("i-1", 60, 30, kStart);
+    m_directory.onNotHeld ("i-1", "m", "", kStart);
+    m_directory.onAttemptEnd ("i-1", AttemptEnd::kUnreachable, kStart);
+    EXPECT_EQ (choose ("m"), "");
+    put ({ row });
+    EXPECT_EQ (choose ("m"), "") << "the same incarnation";
+    EXPECT_TRUE (m_directory.takeReplaced().empty());
+    row.instance.startedAt = 2000;
+    put ({ row });
+    EXPECT_EQ (choose ("m"), "i-1");
+    EXPECT_EQ (m_directory.startOf ("i-1"), 2000);
+    EXPECT_EQ (m_directory.takeReplaced(), std::vector<std::string>{ "i-1@1000" });
+}
+
+TEST_F (InstanceDirectoryTest, ARequestThatEndedAnIncarnationMayGoToTheNextOne)
+{
+    cell::RoutableInstance row = rowOf ("i-1");
+    row.instance.startedAt = 1000;
+    put ({ row });
+    InstanceQuery query;
+    query.service = "service";
+    query.trial = "digest";
+    query.endedInstances = { "i-1@1000" };
+    EXPECT_EQ (m_directory.choose (query, kStart).id, "");
+    row.instance.startedAt = 2000;
+    put ({ row });
+    EXPECT_EQ (m_directory.choose (query, kStart).id, "i-1");
+}
+
 }  // namespace
 }  // namespace fernlift::proxy
