Find connections that fall silent for good, between our machines and to runners

Cause: a connection that waits for an answer, rests, or only takes messages had nothing unacknowledged, so that TCP_USER_TIMEOUT never ended it: a request that may run once waited until its deadline, an accepted connection of a member 60 s. After one silent connection the next request went to another one that rested since before.

Both data planes use none of the resting connections to a runner that fell silent on one; the requests go on as before: repeatable ones on a new connection, others not, since they may run.

What can't be shown here: on loopback the system acknowledges for a process that is stopped, so that probes never fail; SilentPeersTest checks what is asked of the system. Silence of the process is tested with real sockets: ExchangeTest and ClientTest *WentSilent* failed before (the second request went to a silent connection), pass now.

Ruled out: telling a request that cannot have run from bytes that were never acknowledged (the silence may be on the way back).

--- /dev/null
+++ b/src/base/SilentPeersTest.cpp
@@ -0,0 +1,50 @@
+// The system acknowledges on loopback whatever the process behind a connection does, so that no
+// peer there can fall silent: what is asked of the system is checked, not what it makes of it.
+
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/SilentPeers.h"
+
+namespace fernlift::base
+{
+namespace
+{
+
+int optionOf (int descriptor, int level, int option)
+{
+    int value = -1;
+    socklen_t length = sizeof value;
+    EXPECT_EQ (::getsockopt (descriptor, level, option, &value, &length), 0);
+    return value;
+}
+
+TEST (SilentPeersTest, AConnectionIsProbedAndEndsWithinTheLimit)
+{
+    const int descriptor = ::socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ASSERT_GE (descriptor, 0);
+    EXPECT_TRUE (endWhenSilent (descriptor, milliseconds (4000)));
+    EXPECT_EQ (optionOf (descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT), 4000);
+    EXPECT_EQ (optionOf (descriptor, SOL_SOCKET, SO_KEEPALIVE), 1);
+    EXPECT_EQ (optionOf (descriptor, IPPROTO_TCP, TCP_KEEPIDLE), 1);
+    EXPECT_EQ (optionOf (descriptor, IPPROTO_TCP, TCP_KEEPINTVL), 1);
+    EXPECT_EQ (optionOf (descriptor, IPPROTO_TCP, TCP_KEEPCNT), 4);
+    ::close (descriptor);
+}
+
+TEST (SilentPeersTest, AShortLimitLeavesOneProbe)
+{
+    const int descriptor = ::socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    ASSERT_GE (descriptor, 0);
+    EXPECT_TRUE (endWhenSilent (descriptor, milliseconds (300)));
+    EXPECT_EQ (optionOf (descriptor, IPPROTO_TCP, TCP_KEEPCNT), 1);
+    ::close (descriptor);
+}
+
+TEST (SilentPeersTest, WhatIsNoConnectionIsTold) { EXPECT_FALSE (endWhenSilent (-1, seconds (1))); }
+
+}  // namespace
+}  // namespace fernlift::base
--- a/src/controller/PeerTransport.cpp
+++ b/src/controller/PeerTransport.cpp
@@ -15,6 +15,10 @@
 constexpr base::Duration kLongestBackoff = base::milliseconds (500);
 constexpr std::size_t kMaximumWaitingBytes = 1024UL * 1024;
 constexpr double kBackoffSpread = 0.5;
+/// Members elect another leader after 0.6 s without its heartbeats. On a connection that swallows
+/// them, the leader would be voted out again and again until it opens another one. Packets that are
+/// lost are sent again within 0.2 s and 0.6 s.
+constexpr base::Duration kLongestSilence = base::milliseconds (1000);
 
 }  // namespace
 
@@ -48,7 +52,10 @@
     wire::FrameConnection::Handlers handlers;
     handlers.onConnected = [this, address] { onConnected (address); };
     handlers.onClosed = [this, address] { onClosed (address); };
-    peer.connection = wire::FrameConnection::connectTo (parsed, {}, std::move (handlers), nullptr);
+    wire::FrameConnectionOptions options;
+    options.unacknowledgedTimeout = kLongestSilence;
+    peer.connection =
+        wire::FrameConnection::connectTo (parsed, options, std::move (handlers), nullptr);
 }
 
 void PeerTransport::onConnected (const std::string& address)
--- a/src/http/BackEndPool.h
+++ b/src/http/BackEndPool.h
@@ -26,6 +26,8 @@
                                                               base::TimePoint now);
     /// Takes a connection back. It is kept when it can be used again.
     void release (std::shared_ptr<BackEndConnection> connection, base::TimePoint now);
+    /// Drops the connections to `address` that rest: one that was used like them has gone silent.
+    void forget (const base::SocketAddress& address) { m_resting.erase (address); }
     /// Drops the connections that rested for too long.
     void expire (base::TimePoint now);
     [[nodiscard]] std::uint64_t opened() const { return m_opened; }
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -54,6 +54,14 @@
         const base::SocketAddress address = request.address;
         const auto slot = m_slots[address].acquire (m_clock.now(), request.needsFreshConnection);
         const std::uint64_t key = m_nextKey++;
+        callbacks.onError =
+            [this, address, onError = std::move (callbacks.onError)] (const ClientError& error)
+        {
+            if (error.kind == ClientErrorKind::kTimeout)
+                m_slots[address].forgetOpen();
+            if (onError)
+                onError (error);
+        };
         auto onDone = [this, address, slot, key] (bool isReusable, bool isOpen)
         {
             if (isReusable)
--- a/src/http/ClientTest.cpp
+++ b/src/http/ClientTest.cpp
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
 #include <QTcpServer>
+#include <algorithm>
+#include <array>
 #include <optional>
 #include <vector>
 
@@ -195,6 +197,34 @@
     EXPECT_EQ (backEnd.requests(), 1);
 }
 
+TEST (Client, ConnectionsThatRestAreNotUsedOnceOneOfThemWentSilent)
+{
+    std::vector<QTcpSocket*> silent;  // From their first answer on.
+    RawBackEnd backEnd (
+        [&] (QTcpSocket& socket, int)
+        {
+            if (std::ranges::find (silent, &socket) != silent.end())
+                return;
+            answerOk (socket);
+            silent.push_back (&socket);
+        });
+    Client client;
+    std::array<Outcome, 4> outcomes;
+    fetchInto (client, post (backEnd.address(), "end"), outcomes[0]);
+    fetchInto (client, post (backEnd.address(), "end"), outcomes[1]);
+    ASSERT_TRUE (waitUntil ([&] { return outcomes[0].isDone() && outcomes[1].isDone(); }));
+    ASSERT_EQ (backEnd.connections(), 2);
+    ClientRequest third = post (backEnd.address(), "end");
+    third.headersTimeout = std::chrono::milliseconds (100);
+    fetchInto (client, third, outcomes[2]);
+    ASSERT_TRUE (waitUntil ([&] { return outcomes[2].isDone(); }));
+    ASSERT_TRUE (outcomes[2].error);
+    fetchInto (client, post (backEnd.address(), "end"), outcomes[3]);
+    ASSERT_TRUE (waitUntil ([&] { return outcomes[3].isDone(); }));
+    EXPECT_TRUE (outcomes[3].response);
+    EXPECT_EQ (backEnd.connections(), 3);
+}
+
 TEST (Client, SendsAPostOnceWhenAReusedConnectionCloses)
 {
     for (const bool isGraceful : { true, false })
--- a/src/http/ConnectionSlots.h
+++ b/src/http/ConnectionSlots.h
@@ -30,6 +30,8 @@
     Slot acquire (base::TimePoint now, bool needsFreshConnection);
     /// Gives a slot back. Slots of broken or cancelled exchanges are not given back.
     void release (Slot slot, bool isOpen, base::TimePoint now);
+    /// Uses none of the open connections again: one that was used like them has gone silent.
+    void forgetOpen() { m_open.clear(); }
 
 private:
     std::vector<Slot> m_open;    ///< The most recently used one last.
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -400,6 +400,9 @@
         const bool isSilent = m_connection && m_isAttemptSent && now() >= m_attemptDeadline;
         if (isSilent && mayRunAgain())
         {
+            // Connections that rest may have gone silent together with this one, while the runner
+            // takes new ones.
+            m_context.pool.forget (m_address);
             noteBrokenOff();
             endAttempt (AttemptEnd::kFailed, false);
             afterFailure();
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -350,6 +350,42 @@
     EXPECT_EQ (runner.connections.size(), 1U);
 }
 
+TEST_F (ExchangeTest, ARepeatableRequestOnAConnectionThatWentSilentGoesToANewOne)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    RawCaller second (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    second.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (runner.waitForRequest (1));
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Length: 5\r\nKeep-Alive: "
+        "timeout=60\r\n\r\nhello";
+    runner.connections[0]->write (answer);
+    runner.connections[1]->write (answer);
+    ASSERT_TRUE (caller.waitFor ("hello"));
+    ASSERT_TRUE (second.waitFor ("hello"));
+    // Both rest, and both are silent from now on; the runner takes new connections.
+    caller.write (ProxyFixture::request ("app.test", "r2"));
+    ASSERT_TRUE (runner.waitForRequest (2, "Test-Id: r2"));
+    runner.connections[2]->write (
+        "HTTP/1.1 200 OK\r\nTest-Id: r2\r\nContent-Length: 5\r\n\r\nagain");
+    EXPECT_TRUE (caller.waitFor ("again"));
+    EXPECT_EQ (runner.connections.size(), 3U);
+}
+
+TEST_F (ExchangeTest, ARequestThatMayRunOnceWaitsOnAConnectionThatWentSilent)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runFor (std::chrono::milliseconds (2000));
+    EXPECT_EQ (runner.connections.size(), 1U) << "it may run there";
+    EXPECT_FALSE (caller.isClosed());
+}
+
 TEST_F (ExchangeTest, ARequestThatMayRunOnceIsNotSentAgainAfterALostAnswer)
 {
     proxy.addRunner ("i-1", runner);
--- a/src/wire/FrameConnection.cpp
+++ b/src/wire/FrameConnection.cpp
@@ -1,14 +1,12 @@
 #include "wire/FrameConnection.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <QHostAddress>
 #include <QTimer>
 #include <utility>
 #include <vector>
 
+#include "base/SilentPeers.h"
+
 namespace fernlift::wire
 {
 namespace
@@ -67,10 +65,8 @@
 void FrameConnection::configureSocket()
 {
     m_socket->setSocketOption (QAbstractSocket::LowDelayOption, 1);
-    const auto timeout =
-        static_cast<unsigned> (base::toMilliseconds (m_options.unacknowledgedTimeout));
-    ::setsockopt (static_cast<int> (m_socket->socketDescriptor()), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                  &timeout, sizeof timeout);
+    base::endWhenSilent (static_cast<int> (m_socket->socketDescriptor()),
+                         m_options.unacknowledgedTimeout);
     if (m_options.idleTimeout > base::Duration::zero())
     {
         runLater (m_options.idleTimeout, &FrameConnection::closeWhenSilent);
--- a/src/wire/FrameConnection.h
+++ b/src/wire/FrameConnection.h
@@ -49,7 +49,7 @@
 {
     /// Bytes that may wait for a peer that does not read; more closes the connection.
     std::size_t maximumUnsentBytes = 16UL * 1024 * 1024;
-    /// The connection closes when sent bytes stay unacknowledged for this long.
+    /// The connection closes when sent bytes, or probes of it, stay unacknowledged for this long.
     base::Duration unacknowledgedTimeout = base::milliseconds (3000);
     /// `connectTo` gives up after this long.
     base::Duration connectTimeout = base::milliseconds (1000);
