--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -18,9 +18,15 @@
 bool InstanceTable::onHeartbeat (const InstanceHeartbeat& heartbeat, base::TimePoint now)
 {
     Sighting& sighting = m_sightings[heartbeat.instance.id];
+    const base::UnixMilliseconds startedAt = heartbeat.instance.startedAt;
+    if (cell::isEarlierIncarnation (startedAt, sighting.startedAt))
+        return false;
+    if (cell::isEarlierIncarnation (sighting.startedAt, startedAt))
+        sighting = Sighting{};
     const bool isLate = sighting.isReported && heartbeat.sequence <= sighting.sequence;
     if (isLate)
         return false;
+    sighting.startedAt = std::max (sighting.startedAt, startedAt);
     const bool isFirst = ! sighting.isReported;
     if (isFirst)
         noteSuccessor (heartbeat, now);
@@ -32,13 +38,18 @@
     return true;
 }
 
-void InstanceTable::onHeard (const std::string& id, std::uint64_t sequence, base::TimePoint now)
+void InstanceTable::onHeard (const cell::InstanceSighting& heard, base::TimePoint now)
 {
-    const auto found = m_sightings.find (id);
-    if (found == m_sightings.end() || sequence <= found->second.sequence)
+    const auto found = m_sightings.find (heard.instance);
+    if (found == m_sightings.end())
         return;
-    found->second.heardAt = now;
-    found->second.sequence = sequence;
+    Sighting& sighting = found->second;
+    // A later incarnation is told of with its holdings first.
+    const bool isOther = heard.startedAt != 0 && heard.startedAt != sighting.startedAt;
+    if (isOther || heard.sequence <= sighting.sequence)
+        return;
+    sighting.heardAt = now;
+    sighting.sequence = heard.sequence;
 }
 
 void InstanceTable::noteSuccessor (const InstanceHeartbeat& heartbeat, base::TimePoint now)
@@ -102,9 +113,11 @@
         while (row != m_rows.end() && row->first < id)
             row = remove (row);
         // A new leader counts silence from when it first looked.
+        const Sighting first{ instance.startedAt, now, {}, 0, false, false, {} };
         if (sighting == m_sightings.end() || sighting->first != id)
-            sighting =
-                m_sightings.emplace_hint (sighting, id, Sighting{ now, {}, 0, false, false, {} });
+            sighting = m_sightings.emplace_hint (sighting, id, first);
+        else if (cell::isEarlierIncarnation (sighting->second.startedAt, instance.startedAt))
+            sighting->second = first;
         const Sighting& seen = sighting->second;
         const bool isSilent = now - seen.heardAt >= m_silence || seen.unreachableAt > seen.heardAt;
         const bool isPresent = row != m_rows.end() && row->first == id;
@@ -135,10 +148,12 @@
                                bool isSilent)
 {
     // Names each member, so that one that is added is not forgotten here.
-    const auto& [id, service, address, zone, slots, isDraining, isReported, models] = row.instance;
+    const auto& [id, service, address, zone, slots, isDraining, isReported, models, startedAt] =
+        row.instance;
     return row.isSilent == isSilent && id == instance.id && isDraining == instance.isDraining
            && slots == instance.slots && service == instance.service && address == instance.address
-           && zone == instance.zone && isReported == (sighting.isReported || instance.isReported)
+           && zone == instance.zone && startedAt == instance.startedAt
+           && isReported == (sighting.isReported || instance.isReported)
            && models == (sighting.isReported ? sighting.models : instance.models);
 }
 
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -324,6 +324,7 @@
     m_address = base::handleErrors ([&] { return base::SocketAddress::parse (choice.address); },
                                     [] (const base::Error&) { return base::SocketAddress(); });
     m_instance = choice.id;
+    m_instanceStart = m_context.directory.startOf (m_instance);
     m_tokensToRead = choice.tokensToRead;
     m_use = AnswerUse::kNone;
     m_collected.clear();
@@ -358,6 +359,11 @@
     m_connection->send (std::move (call), this);
 }
 
+bool Exchange::isAtPresentIncarnation() const
+{
+    return m_context.directory.startOf (m_instance) == m_instanceStart;
+}
+
 void Exchange::onSent()
 {
     ++m_sent;
@@ -445,6 +451,9 @@
         const bool isSilent = m_connection && m_isAttemptSent && now() >= m_attemptDeadline;
         if (isSilent && mayRunAgain())
         {
+            // Connections that rest may have gone silent together with this one, while the runner
+            // takes new ones.
+            m_context.pool.forget (m_address);
             noteBrokenOff();
             endAttempt (AttemptEnd::kFailed, false);
             afterFailure();
@@ -490,7 +499,8 @@
     if (std::exchange (m_isAttemptSent, false))
         m_mayHaveRun = true;
     notePromptRead();
-    m_context.directory.onAttemptEnd (m_instance, end, now());
+    if (isAtPresentIncarnation())
+        m_context.directory.onAttemptEnd (m_instance, end, now());
     m_context.loadReporter.onAttemptEnd (m_instance);
     if (! m_query.model.empty())
         m_context.demands.onRunEnd (m_target);
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -24,7 +24,8 @@
 {
     if (std::exchange (m_isPromptRead, true))
         return;
-    m_context.directory.onAnswerBegun (m_instance, m_tokensToRead);
+    if (isAtPresentIncarnation())
+        m_context.directory.onAnswerBegun (m_instance, m_tokensToRead);
     m_context.loadReporter.onAnswerBegun (m_instance, m_tokensToRead);
     if (! m_query.model.empty())
         m_context.demands.onRead (m_target);
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -52,6 +52,11 @@
     return static_cast<double> (hash) / kRange;
 }
 
+std::string incarnationNameOf (const cell::RoutableInstance& row)
+{
+    return cell::Incarnation{ row.instance.id, row.instance.startedAt }.name();
+}
+
 const cell::HeldModel* findModel (const cell::RoutableInstance& row, const std::string& name)
 {
     const auto found = std::ranges::find (row.instance.models, name, &cell::HeldModel::model);
@@ -217,7 +222,18 @@
 void InstanceDirectory::noteReplaced (const View& view)
 {
     if (! view.row.instance.isDraining)
-        m_replaced.push_back (view.row.instance.id);
+        m_replaced.push_back (incarnationNameOf (view.row));
+}
+
+void InstanceDirectory::forgetEarlier (View& view, const cell::RoutableInstance& row)
+{
+    const base::UnixMilliseconds startedAt = view.row.instance.startedAt;
+    if (startedAt == row.instance.startedAt)
+        return;
+    // One whose start was not known may be the same.
+    if (startedAt != 0)
+        noteReplaced (view);
+    view = View{};
 }
 
 void InstanceDirectory::addToIndex (View& view)
@@ -264,6 +280,7 @@
 {
     View& view = m_views[row.instance.id];
     dropFromIndex (view);
+    forgetEarlier (view, row);
     // A new leader knows the models only once it has heard the runner.
     std::vector<cell::HeldModel> known = std::move (view.row.instance.models);
     view.row = row;
@@ -353,9 +370,13 @@
 
 bool InstanceDirectory::canServe (const View& view, const InstanceQuery& query, base::TimePoint now)
 {
-    const bool hasEnded = std::ranges::find (query.endedInstances, view.row.instance.id)
-                          != query.endedInstances.end();
-    return isCandidate (view, query, now) && ! hasEnded && holds (view, query, now);
+    const auto hasEnded = [&]
+    {
+        const std::vector<std::string>& ended = query.endedInstances;
+        return ! ended.empty()
+               && std::ranges::find (ended, incarnationNameOf (view.row)) != ended.end();
+    };
+    return isCandidate (view, query, now) && ! hasEnded() && holds (view, query, now);
 }
 
 const InstanceDirectory::View* InstanceDirectory::homeOf (const InstanceQuery& query,
