--- a/src/controller/AdminAnswers.cpp
+++ b/src/controller/AdminAnswers.cpp
@@ -258,6 +258,24 @@
     return answerOf (200, object);
 }
 
+QJsonObject instanceObject (const AdminView& view, const cell::ServiceInstance& instance)
+{
+    QJsonObject object{ { u"runner"_s, text (instance.id) },
+                        { u"service"_s, text (instance.service) },
+                        { u"zone"_s, text (instance.zone) },
+                        { u"address"_s, text (instance.address) },
+                        { u"draining"_s, instance.isDraining } };
+    if (view.loads == nullptr)
+        return object;
+    const cell::InstanceLoad load = view.loads->loadOf (instance.id, view.now);
+    object[u"requests_in_flight"_s] = static_cast<qint64> (load.inFlight);
+    object[u"unread_prompt_tokens"_s] = number (load.unreadTokens);
+    object[u"speed_percent"_s] = static_cast<qint64> (load.speedPercent);
+    object[u"slowdown_percent"_s] = static_cast<qint64> (load.slowdownPercent);
+    object[u"slowdown_age_ms"_s] = static_cast<qint64> (load.slowdownAgeMilliseconds);
+    return object;
+}
+
 AdminAnswer explainRunner (const AdminView& view, const std::string& name)
 {
     const base::RunnerId id (name);
@@ -265,6 +283,8 @@
     QJsonObject object{ { u"runner"_s, text (name) }, { u"known"_s, runner != nullptr } };
     if (runner != nullptr)
         object = runnerObject (view, id, *runner);
+    if (const cell::ServiceInstance* instance = view.state.instances().find (name))
+        object = instanceObject (view, *instance);
     object[u"replicas"_s] = replicasWhere (
         view.state.replicas(), [&] (const cell::Replica& replica) { return replica.runner == id; });
     object[u"decisions"_s] =
--- a/src/controller/AdminAnswers.h
+++ b/src/controller/AdminAnswers.h
@@ -12,6 +12,7 @@
 #include "config/Catalogue.h"
 #include "consensus/RaftNode.h"
 #include "controller/DemandTable.h"
+#include "controller/InstanceLoadTable.h"
 #include "controller/RouterSessions.h"
 #include "controller/RunnerWatch.h"
 
@@ -45,6 +46,7 @@
     const RunnerWatch* watch = nullptr;        ///< Leader only.
     const RouterSessions* sessions = nullptr;  ///< Leader only.
     const DemandTable* demands = nullptr;      ///< Leader only.
+    const InstanceLoadTable* loads = nullptr;  ///< Of registered runners.
     base::TimePoint now{};
 };
 
--- a/src/controller/ControllerAdmin.cpp
+++ b/src/controller/ControllerAdmin.cpp
@@ -188,12 +188,13 @@
 
 AdminView ControllerCore::Implementation::adminView (const consensus::RaftStatus& status) const
 {
-    AdminView view{ m_state, status, nullptr, nullptr, nullptr, m_now };
+    AdminView view{ m_state, status, nullptr, nullptr, nullptr, nullptr, m_now };
     if (m_leader)
     {
         view.watch = &m_leader->watch;
         view.sessions = &m_leader->sessions;
         view.demands = &m_leader->demands;
+        view.loads = &m_leader->loads;
     }
     return view;
 }
--- a/src/controller/ControllerLoadsTest.cpp
+++ b/src/controller/ControllerLoadsTest.cpp
@@ -277,6 +277,27 @@
         EXPECT_EQ (m_cell.router (number).loads["i-1"].speedPercent, 200U) << number;
 }
 
+TEST_F (ControllerLoadsTest, AnOperatorSeesLoadAndSpeedOfARunner)
+{
+    cell::InstanceLoadReport told;
+    told.uses.push_back ({ "i-1", 3, 900 });
+    told.slowdowns.push_back ({ "i-1", 50, 0 });
+    m_cell.sendFromRouter (relayedRouter(), told);
+    run (seconds (1));
+    const auto answer = m_cell.ask (m_leader, AdminExplain{ "runner", "i-1" });
+    ASSERT_TRUE (answer);
+    for (const char* const part : { "\"service\":\"llm\"", "\"requests_in_flight\":3",
+                                    "\"unread_prompt_tokens\":900", "\"speed_percent\":200" })
+        EXPECT_NE (answer->json.find (part), std::string::npos) << part << " in " << answer->json;
+    for (base::MemberId member = 1; member <= 3; ++member)
+    {
+        const std::string text = m_cell.core (member).metricsText();
+        for (const char* const line : { "requests_in_flight 3\n", "unread_prompt_tokens 900\n",
+                                        "fastest_runner_percent 200\n", "loads_known 1\n" })
+            EXPECT_NE (text.find (line), std::string::npos) << line << " at " << member;
+    }
+}
+
 TEST_F (ControllerLoadsTest, NothingIsSentWhereNoRouterReports)
 {
     std::size_t told = 0;
--- a/src/controller/ControllerMetrics.cpp
+++ b/src/controller/ControllerMetrics.cpp
@@ -1,5 +1,6 @@
 // Text of /metrics that only the core knows.
 
+#include <algorithm>
 #include <string_view>
 
 #include "controller/ControllerImplementation.h"
@@ -9,6 +10,9 @@
 namespace
 {
 
+/// A slow moment is over after some such time.
+constexpr std::int64_t kSlowdownLifeMilliseconds = 600;
+
 void addMetric (std::string& text, std::string_view name, std::string_view type,
                 std::string_view help, std::uint64_t value)
 {
@@ -31,6 +35,40 @@
     addMetric (text, name, "gauge", help, value);
 }
 
+void addLoadMetrics (std::string& text, const InstanceLoadTable& loads, std::size_t reporters,
+                     base::TimePoint now)
+{
+    std::uint64_t inFlight = 0;
+    std::uint64_t unreadTokens = 0;
+    std::uint64_t slowNow = 0;
+    std::uint32_t slowest = 100;
+    std::uint32_t fastest = 100;
+    const auto add = [&] (const cell::InstanceLoad& load)
+    {
+        inFlight += load.inFlight;
+        unreadTokens += load.unreadTokens;
+        slowest = std::min (slowest, load.speedPercent);
+        fastest = std::max (fastest, load.speedPercent);
+        const bool isSlow =
+            load.slowdownPercent > 100 && load.slowdownAgeMilliseconds < kSlowdownLifeMilliseconds;
+        slowNow += isSlow ? 1 : 0;
+    };
+    loads.visit (now, add);
+    addGauge (text, "load_reporters", "Routers and controllers that report loads of runners here.",
+              reporters);
+    addGauge (text, "loads_known", "Runners of which loads, speeds or slowdowns are known.",
+              loads.size());
+    addGauge (text, "loads_age_milliseconds", "Since loads of runners were last told here.",
+              loads.toldAt() == base::TimePoint{}
+                  ? 0
+                  : static_cast<std::uint64_t> (base::toMilliseconds (now - loads.toldAt())));
+    addGauge (text, "requests_in_flight", "Requests of all routers at runners.", inFlight);
+    addGauge (text, "unread_prompt_tokens", "Of prompts whose answer has not begun.", unreadTokens);
+    addGauge (text, "slowest_runner_percent", "Speed of the slowest runner; 100: usual.", slowest);
+    addGauge (text, "fastest_runner_percent", "Speed of the fastest runner; 100: usual.", fastest);
+    addGauge (text, "runners_slowed", "Runners that stated a slow moment just now.", slowNow);
+}
+
 }  // namespace
 
 std::string ControllerCore::Implementation::metricsText() const
@@ -74,6 +112,14 @@
     addGauge (text, "claims_held", "Idempotency keys held.", m_state.claims().size());
     addGauge (text, "router_sessions", "Routers connected to this leader.",
               m_leader ? m_leader->sessions.sessions().size() : 0);
+    addLoadMetrics (text,
+                    m_leader  ? m_leader->loads
+                    : m_relay ? m_relay->loads
+                              : InstanceLoadTable(),
+                    m_leader  ? m_leader->loadSum.reporters()
+                    : m_relay ? m_relay->loadSum.reporters()
+                              : 0,
+                    m_now);
     return text;
 }
 
--- a/src/controller/InstanceLoadTable.cpp
+++ b/src/controller/InstanceLoadTable.cpp
@@ -25,6 +25,7 @@
 
 void InstanceLoadTable::onReport (const cell::InstanceLoadReport& report, base::TimePoint now)
 {
+    m_toldAt = now;
     for (const cell::InstanceUse& use : report.uses)
     {
         Row& row = m_rows[use.instance];
@@ -72,6 +73,7 @@
 
 void InstanceLoadTable::apply (const cell::InstanceLoadUpdate& update, base::TimePoint now)
 {
+    m_toldAt = now;
     std::map<std::string, Row> earlier;
     if (update.isWhole)
         std::swap (earlier, m_rows);
@@ -116,10 +118,11 @@
     return update;
 }
 
-std::uint32_t InstanceLoadTable::speedOf (const std::string& instance) const
+cell::InstanceLoad InstanceLoadTable::loadOf (const std::string& instance,
+                                              base::TimePoint now) const
 {
     const auto found = m_rows.find (instance);
-    return found == m_rows.end() ? kUsualPercent : found->second.speedPercent;
+    return toMessage (instance, found == m_rows.end() ? Row{} : found->second, now);
 }
 
 void InstanceLoadTable::visit (base::TimePoint now,
--- a/src/controller/InstanceLoadTable.h
+++ b/src/controller/InstanceLoadTable.h
@@ -41,7 +41,11 @@
     /** What changed since a version; 0: all that differs from an idle runner of usual speed. */
     [[nodiscard]] cell::InstanceLoadUpdate updateSince (std::uint64_t version,
                                                         base::TimePoint now) const;
-    [[nodiscard]] std::uint32_t speedOf (const std::string& instance) const;
+    /** Of an idle runner of usual speed when nothing is known. */
+    [[nodiscard]] cell::InstanceLoad loadOf (const std::string& instance,
+                                             base::TimePoint now) const;
+    /** When something was last told here; the begin of time before that. */
+    [[nodiscard]] base::TimePoint toldAt() const { return m_toldAt; }
     /** Calls `visit` with each row, as updateSince() would tell it. */
     void visit (base::TimePoint now,
                 const std::function<void (const cell::InstanceLoad& load)>& visit) const;
@@ -65,6 +69,7 @@
                                                        base::TimePoint now);
 
     std::uint64_t m_version = 1;
+    base::TimePoint m_toldAt{};
     std::map<std::string, Row> m_rows;
 };
 
--- a/src/controller/InstanceLoadsTest.cpp
+++ b/src/controller/InstanceLoadsTest.cpp
@@ -345,8 +345,8 @@
         told[load.instance] = load;
     EXPECT_EQ (told.at ("a").inFlight, 0U);
     EXPECT_EQ (told.at ("c").speedPercent, 55U);
-    EXPECT_EQ (relay.speedOf ("c"), 55U);
-    EXPECT_EQ (relay.speedOf ("d"), 100U);
+    EXPECT_EQ (relay.loadOf ("c", at (0)).speedPercent, 55U);
+    EXPECT_EQ (relay.loadOf ("d", at (0)).speedPercent, 100U);
 }
 
 TEST (InstanceLoadTable, RunnersThatAreGoneAreForgotten)
