--- a/src/controller/RouterRelay.h
+++ b/src/controller/RouterRelay.h
@@ -53,7 +53,7 @@
     /** Requests that came before there was a lease to pass on. */
     std::map<SessionId, cell::LeaseRequest> unanswered;
     InstanceMirror instances;
-    bool needsWholeTable = false;  ///< A change came that does not fit.
+    bool needsWholeTable = false;   ///< A change came that does not fit.
     InstanceLoadSum loadSum;        ///< Of its routers, for the leader.
     InstanceLoadTable loads;        ///< Of all routers, from the leader.
     base::TimePoint nextLoadsAt{};  ///< Routers hear of loads no earlier.
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -54,7 +54,7 @@
     std::uint64_t instanceVersion = 0;  ///< Of the instances last sent; 0: none.
     base::TimePoint instancesSentAt{};
     std::uint64_t statedInstanceVersion = 0;  ///< Applied there, as last stated; of this term.
-    std::uint64_t loadVersion = 0;  ///< Of the loads of instances last sent; 0: none.
+    std::uint64_t loadVersion = 0;            ///< Of the loads of instances last sent; 0: none.
     /// The same of a relay itself; its routers may be behind. Of a router: what it stated.
     std::uint64_t heldInstanceVersion = 0;
 
