--- a/src/base/Time.h
+++ b/src/base/Time.h
@@ -31,13 +31,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds> (duration).count();
 }
 
-/// A number of milliseconds, fractions included.
-constexpr Duration fromMilliseconds (double milliseconds)
-{
-    return std::chrono::duration_cast<Duration> (
-        std::chrono::duration<double, std::milli> (milliseconds));
-}
-
 /// Milliseconds since the Unix epoch. Used for display and for windows that outlive a process;
 /// never for leases or timeouts.
 using UnixMilliseconds = std::int64_t;
--- a/src/proxy/EngineDemands.cpp
+++ b/src/proxy/EngineDemands.cpp
@@ -51,14 +51,6 @@
     counts.isChanged = true;
 }
 
-void EngineDemands::onToldToReturn (const EngineTarget& target, base::TimePoint at)
-{
-    Counts& counts = m_counts[target];
-    counts.returns.push_back (at);
-    counts.isChanged = true;
-    m_isUrgent = true;
-}
-
 void EngineDemands::onRunning (const EngineTarget& target)
 {
     Counts& counts = m_counts[target];
@@ -81,14 +73,11 @@
     for (auto item = m_counts.begin(); item != m_counts.end();)
     {
         auto& [target, counts] = *item;
-        std::erase_if (counts.returns, [&] (base::TimePoint at) { return at <= now; });
-        const std::uint32_t waiting =
-            counts.waiting + static_cast<std::uint32_t> (counts.returns.size());
-        const bool isLive = waiting > 0 || counts.running > 0;
+        const bool isLive = counts.waiting > 0 || counts.running > 0;
         if (isLive || counts.isChanged)
         {
-            due.push_back ({ target.service, target.model, target.adapter, waiting, counts.running,
-                             counts.arrivals, counts.unread, counts.promptTokens });
+            due.push_back ({ target.service, target.model, target.adapter, counts.waiting,
+                             counts.running, counts.arrivals, counts.unread, counts.promptTokens });
         }
         counts.arrivals = 0;
         counts.promptTokens = 0;
--- a/src/proxy/EngineDemands.h
+++ b/src/proxy/EngineDemands.h
@@ -35,9 +35,6 @@
     void onArrival (const EngineTarget& target, std::uint64_t promptTokens);
     void onWaiting (const EngineTarget& target);
     void onWaitEnd (const EngineTarget& target);
-    /// A caller was told to come back when the target may be loaded, which it is only if somebody
-    /// waits for it: it counts as waiting until then.
-    void onToldToReturn (const EngineTarget& target, base::TimePoint at);
     void onRunning (const EngineTarget& target);
     /// The runner has read the prompt and begins to answer, or never will.
     void onRead (const EngineTarget& target);
@@ -52,7 +49,6 @@
     struct Counts
     {
         std::uint32_t waiting = 0;
-        std::vector<base::TimePoint> returns;  ///< When callers that were refused come back.
         std::uint32_t running = 0;
         std::uint32_t unread = 0;  ///< Of the running.
         std::uint32_t arrivals = 0;
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "proxy/ForwardedMessage.h"
 #include "proxy/PromptParts.h"
+#include "proxy/WaitLimit.h"
 
 namespace fernlift::proxy
 {
@@ -213,8 +214,6 @@
     if (choice.reason == NoChoice::kNone)
     {
         endWait();
-        if (refuseWhenTooLate (choice))
-            return;
         startAttempt (choice);
     }
     else
@@ -229,12 +228,9 @@
         return;
     m_isWaiting = true;
     m_waitBegan = now();
-    m_loadTime.reset();
-    if (reason == NoChoice::kNotLoaded)
-        m_loadTime =
-            loadTimeOf (m_routes->catalogue().findService (m_query.service), m_query.model);
-    const base::Duration limit = longestWaitForRunner (runnerWait());
-    m_waitDeadline = now() + limit;
+    // A runner that comes later than this would answer too late; the caller had better ask again.
+    const base::Duration limit = longestWaitForRunner (*m_route, m_stated);
+    m_waitDeadline = std::min (m_deadline, std::max (m_arrivedAt + limit, now()));
     log::write (log::Event::kRequestWaits,
                 { { "request", m_request.headers.value (m_context.names.requestId) },
                   { "service", m_query.service },
@@ -247,49 +243,7 @@
         m_context.demands.onWaiting (m_target);
         m_context.onUrgentDemand();
     }
-    if (limit == base::Duration::zero())
-        onWaitOver();
-    else
-        armTimer();
-}
-
-RunnerWait Exchange::runnerWait() const
-{
-    RunnerWait wait;
-    wait.deadline = m_deadline - now();
-    wait.callersTime = wait.deadline;
-    if (m_route->kind == config::RouteKind::kStream)
-    {
-        // A caller that has got events waits anew.
-        const base::TimePoint since = m_isAnswerBegun ? now() : m_arrivedAt;
-        wait.callersTime =
-            std::min<base::Duration> (wait.deadline, since + m_route->patience() - now());
-    }
-    const RequestWork work{ ! m_query.model.empty(), m_query.promptTokens - m_query.sharedTokens };
-    wait.shortestAnswer = base::fromMilliseconds (expectedMilliseconds ({}, work));
-    wait.loadTime = m_loadTime;
-    return wait;
-}
-
-bool Exchange::refuseWhenTooLate (const InstanceChoice& choice)
-{
-    // What only this router knows of the load is too little to refuse by.
-    if (m_isAnswerBegun || m_mayHaveRun || ! m_context.directory.knowsOthers (now()))
-        return false;
-    if (! isBeyondDeadline (choice.expectedAnswer, m_deadline - now()))
-        return false;
-    refuse (ErrorKind::kDeadlineUnreachable, "no runner can answer the request in time",
-            std::nullopt);
-    return true;
-}
-
-void Exchange::refuseWithoutRunner()
-{
-    const std::optional<base::Duration> retryAfter = retryAfterWait (runnerWait());
-    if (retryAfter && ! m_query.model.empty())
-        m_context.demands.onToldToReturn (m_target, now() + *retryAfter);
-    refuse (ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
-            retryAfter);
+    armTimer();
 }
 
 void Exchange::endWait()
@@ -418,7 +372,8 @@
     }
     else
     {
-        refuseWithoutRunner();
+        refuse (ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
+                retryAfterWait (! m_query.model.empty()));
     }
 }
 
@@ -477,7 +432,8 @@
     }
     else
     {
-        refuseWithoutRunner();
+        refuse (ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
+                retryAfterWait (! m_query.model.empty()));
     }
 }
 
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -20,7 +20,6 @@
 #include "proxy/EventSplitter.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/RequestParser.h"
-#include "proxy/WaitLimit.h"
 
 namespace fernlift::proxy
 {
@@ -90,12 +89,6 @@
     [[nodiscard]] bool isHeldBack (const quarantine::Standing& standing);
     void refuseQuarantined (const quarantine::Standing& standing);
     void beginWait (NoChoice reason);
-    /// What is known of the wait for a runner from now on.
-    [[nodiscard]] RunnerWait runnerWait() const;
-    /// Refuses it when even the best runner would answer after its deadline; whether it did.
-    bool refuseWhenTooLate (const InstanceChoice& choice);
-    /// Tells the caller that it was not run, and when a runner is expected.
-    void refuseWithoutRunner();
     void endWait();
     void startAttempt (const InstanceChoice& choice);
     /// Something came from the runner, or the request went there.
@@ -116,9 +109,7 @@
     /// So many events of the stream have just come.
     void noteEvents (std::uint32_t events);
     void finishAnswer();
-    /// Without `retryAfter` coming back is in vain.
-    void refuse (base::ErrorKind kind, const std::string& message,
-                 std::optional<base::Duration> retryAfter);
+    void refuse (base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
     void fail (base::ErrorKind kind, const std::string& message);
     void sendError (const base::Error& error, std::optional<base::Duration> retryAfter);
     void logEnd (log::Event event, const std::string& cause) const;
@@ -148,9 +139,8 @@
     base::TimePoint m_deadline{};
     base::TimePoint m_waitBegan{};
     base::TimePoint m_waitDeadline{};
-    std::optional<base::Duration> m_loadTime;  ///< Of the model that it waits for.
-    base::Duration m_waited{};                 ///< For runners, before the last attempt.
-    base::TimePoint m_answeredAt{};            ///< When the head of the answer came.
+    base::Duration m_waited{};       ///< For runners, before the last attempt.
+    base::TimePoint m_answeredAt{};  ///< When the head of the answer came.
     base::TimePoint m_attemptDeadline{};
     std::uint64_t m_tokensToRead = 0;  ///< By the present attempt's runner.
     std::uint32_t m_sent = 0;          ///< Attempts whose bytes left.
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -66,8 +66,7 @@
                   { "last_event", m_events ? m_events->lastId().value_or ("") : std::string() } });
 }
 
-void Exchange::refuse (ErrorKind kind, const std::string& message,
-                       std::optional<base::Duration> retryAfter)
+void Exchange::refuse (ErrorKind kind, const std::string& message, base::Duration retryAfter)
 {
     ++m_context.counters.refused;
     logEnd (log::Event::kRequestRefused, message);
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -433,7 +433,8 @@
     choice.reason = NoChoice::kNone;
     choice.id = offer.view->row.instance.id;
     choice.address = offer.view->row.instance.address;
-    choice.expectedAnswer = base::fromMilliseconds (expectedMilliseconds (offer.state, offer.work));
+    choice.expectedAnswer = std::chrono::duration_cast<base::Duration> (
+        std::chrono::duration<double, std::milli> (expectedMilliseconds (offer.state, offer.work)));
     choice.tokensToRead = knowsOthers (now) ? offer.work.tokensToRead : query.promptTokens;
     return choice;
 }
