Count the speed of a runner once where it states a figure for it too

Cause: the fourth figure of stated loads holds the speed of a runner as well as its slow moments; this router's own observation counted beside the learned speed. Change: the figure is taken against the learned speed. The test fails without it.

--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -571,7 +571,11 @@
     view.statedLoad = load.running + load.waiting;
     view.loadStatedAt = now;
     if (load.slowdownPercent)
-        noteSlowdown (view, *load.slowdownPercent, now);
+    {
+        // The figure is against the usual of the service: a runner that is always slow states so.
+        const double percent = *load.slowdownPercent * view.speed;
+        noteSlowdown (view, static_cast<std::uint32_t> (percent), now);
+    }
 }
 
 void InstanceDirectory::onNotHeld (const std::string& id, const std::string& model,
--- a/src/proxy/SharedLoadsTest.cpp
+++ b/src/proxy/SharedLoadsTest.cpp
@@ -190,6 +190,19 @@
     EXPECT_EQ (choose (queryOf (kLongPrompt), kStart + base::milliseconds (1200)), "i-1");
 }
 
+TEST_F (SharedLoadsTest, AFigureThatIsUsualForASlowRunnerIsNotCountedBesideItsSpeed)
+{
+    m_directory.applyLoads ({ true, { loadOf ("i-1", 0, 0, 50) } }, kStart);
+    InstanceQuery query = queryOf (kLongPrompt);
+    query.endedInstances = { "i-2", "i-3" };
+    query.trial = "digest";  // So that only i-1 is left.
+    const base::Duration before = m_directory.choose (query, kStart).expectedAnswer;
+    m_directory.onLoad ("i-1", { 0, 0, 64, 200 }, kStart);
+    EXPECT_EQ (m_directory.choose (query, kStart).expectedAnswer, before);
+    m_directory.onLoad ("i-1", { 0, 0, 64, 400 }, kStart);
+    EXPECT_EQ (m_directory.choose (query, kStart).expectedAnswer, 2 * before);
+}
+
 TEST_F (SharedLoadsTest, AnOlderSlowdownOfAnotherRouterDoesNotReplaceANewerOne)
 {
     m_directory.onLoad ("i-1", { 0, 0, 64, 100 }, kStart);
