--- a/src/controller/ControllerRelayTest.cpp
+++ b/src/controller/ControllerRelayTest.cpp
@@ -177,6 +177,22 @@
                                   seconds (1)));
 }
 
+TEST_F (ControllerRelayTest, ABusyLeaderSendsHeartbeatsToControllersThatFollowIt)
+{
+    ASSERT_TRUE (apply (1));
+    ASSERT_TRUE (m_cell.runUntil ([&] { return allServe (1); }, seconds (2)));
+    ASSERT_TRUE (m_cell.askControl (m_leader, heartbeat (1)));
+    const auto few = m_cell.askControl (m_leader, heartbeat (2));
+    ASSERT_TRUE (few);
+    EXPECT_EQ (few->leaderAddress, "c" + std::to_string (m_leader) + ":2");
+    for (std::uint64_t sequence = 3; sequence < 200; ++sequence)
+        ASSERT_TRUE (m_cell.askControl (m_leader, heartbeat (sequence)));
+    const auto many = m_cell.askControl (m_leader, heartbeat (200));
+    ASSERT_TRUE (many);
+    EXPECT_EQ (many->verdict, ControlVerdict::kDone);
+    EXPECT_EQ (many->leaderAddress, "c" + std::to_string (m_follower) + ":2");
+}
+
 TEST_F (ControllerRelayTest, ARunnerThatHasLeftDoesNotComeBackByALateHeartbeat)
 {
     ASSERT_TRUE (apply (1));
--- a/src/controller/RelayPartsTest.cpp
+++ b/src/controller/RelayPartsTest.cpp
@@ -171,6 +171,26 @@
     EXPECT_TRUE (due[0].hasHoldings);
 }
 
+TEST (HeartbeatBatch, RepeatsOfManyRunnersArePaced)
+{
+    constexpr int kRunners = 400;
+    constexpr int kSeconds = 24;
+    HeartbeatBatch batch;
+    std::size_t told = 0;
+    // Each beats every 1.2 s; all are told at once in the first round.
+    for (int now = 0; now < kSeconds * 1000; now += 3)
+    {
+        InstanceHeartbeat beat = heartbeat (static_cast<std::uint64_t> (now / 1200 + 1), "m1");
+        beat.instance.id = "i-" + std::to_string (now / 3 % kRunners);
+        batch.add (beat, true, at (now));
+        for (const cell::InstanceSighting& sighting : batch.takeDue (at (now)))
+            told += sighting.hasHoldings ? 1 : 0;
+    }
+    const std::size_t repeats = told - kRunners;
+    EXPECT_GE (repeats, kRunners) << "each is told again within 24 s";
+    EXPECT_LE (repeats, 60 * kSeconds) << "133 a second where each is repeated after 2.5 s";
+}
+
 TEST (HeartbeatBatch, ALateHeartbeatDoesNotReplaceANewerOne)
 {
     HeartbeatBatch batch;
