--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -160,10 +160,11 @@
             continue;
         }
         const cell::ServiceInstance* known = m_state.instances().find (sighting.instance);
-        if (known == nullptr && sighting.first.empty())
+        const cell::ServiceInstance* told =
+            sighting.first.empty() ? known : &sighting.first.front();
+        if (told == nullptr)
             continue;
-        InstanceHeartbeat heartbeat{ sighting.first.empty() ? *known : sighting.first.front(),
-                                     sighting.sequence, sighting.models, sighting.inMemory,
+        InstanceHeartbeat heartbeat{ *told, sighting.sequence, sighting.models, sighting.inMemory,
                                      sighting.onDisk };
         heartbeat.instance.startedAt = sighting.startedAt;
         if (m_leader->instances.isOfPredecessor (heartbeat, m_now)
