--- a/src/controller/AcknowledgementPromiseTest.cpp
+++ b/src/controller/AcknowledgementPromiseTest.cpp
@@ -27,15 +27,6 @@
 constexpr int kSteps = 120;
 constexpr std::uint64_t kSeedsInCi = 150;
 
-/// A configuration text is its version and a blank.
-config::CatalogueOutcome parseVersion (std::string_view text)
-{
-    config::CatalogueOutcome outcome;
-    outcome.catalogue.emplace();
-    outcome.catalogue->version = std::stoull (std::string (text));
-    return outcome;
-}
-
 enum class Serving : std::uint8_t
 {
     kLeader,           ///< Routers take their leases from the leader.
@@ -88,7 +79,7 @@
         options.controllers = kControllers;
         options.routers = kRouters;
         options.seed = seed;
-        options.controller.catalogueParser = &parseVersion;
+        options.controller.catalogueParser = &test::parseVersion;
         options.controller.hasMachineList = false;
         return options;
     }
--- a/src/controller/ControllerLoadsTest.cpp
+++ b/src/controller/ControllerLoadsTest.cpp
@@ -19,14 +19,6 @@
 /// From a report until all other routers know: two steps upwards and one down, and some ticks.
 constexpr base::Duration kBound = milliseconds (200);
 
-config::CatalogueOutcome parseVersion (std::string_view text)
-{
-    config::CatalogueOutcome outcome;
-    outcome.catalogue.emplace();
-    outcome.catalogue->version = std::stoull (std::string (text));
-    return outcome;
-}
-
 /// Two routers at each of three controllers, of which one leads, and two runners.
 class ControllerLoadsTest : public ::testing::Test
 {
@@ -58,7 +50,7 @@
     {
         TestCell::Options options = test::testOptions();
         options.routers = kRouters;
-        options.controller.catalogueParser = &parseVersion;
+        options.controller.catalogueParser = &test::parseVersion;
         options.controller.hasMachineList = false;
         return options;
     }
--- a/src/controller/ControllerRelayTest.cpp
+++ b/src/controller/ControllerRelayTest.cpp
@@ -19,14 +19,6 @@
 
 constexpr std::size_t kRouters = 6;
 
-config::CatalogueOutcome parseVersion (std::string_view text)
-{
-    config::CatalogueOutcome outcome;
-    outcome.catalogue.emplace();
-    outcome.catalogue->version = std::stoull (std::string (text));
-    return outcome;
-}
-
 class ControllerRelayTest : public ::testing::Test
 {
 protected:
@@ -45,7 +37,7 @@
     {
         TestCell::Options options = test::testOptions();
         options.routers = kRouters;
-        options.controller.catalogueParser = &parseVersion;
+        options.controller.catalogueParser = &test::parseVersion;
         options.controller.hasMachineList = false;
         return options;
     }
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -18,6 +18,15 @@
 namespace fernlift::controller::test
 {
 
+/// Parser of configurations whose text is their version and a blank.
+inline config::CatalogueOutcome parseVersion (std::string_view text)
+{
+    config::CatalogueOutcome outcome;
+    outcome.catalogue.emplace();
+    outcome.catalogue->version = std::stoull (std::string (text));
+    return outcome;
+}
+
 /// An engine that takes fenced orders as docs/back-end-protocol.md says.
 class TestEngine
 {
