Share the figures of speeds and slowdowns, and do less work for loads that nobody reports

Found by reading the change once more; behaviour stays as it is. - The usual percent, its bounds and the life of a slowdown stood in up to five files: now beside the messages that carry them. - The leader copied the starts of all runners ten times a second; now only when one differs. The sessions are not walked for silence where no router reports. Metrics copied the whole table of loads at each reading. - An exchange kept two times of the last event of a stream; one does, compared with when the attempt was sent. - The choice repeated canServe(); delayOfStreams() repeated readingMilliseconds().

--- a/src/cell/InstanceLoadMessages.h
+++ b/src/cell/InstanceLoadMessages.h
@@ -12,9 +12,21 @@
 #include <string>
 #include <vector>
 
+#include "base/Time.h"
+
 namespace fernlift::cell
 {
 
+/** Speeds and slowdowns are told in percent of the usual. */
+constexpr std::uint32_t kUsualPercent = 100;
+/** Speeds and slowdowns beyond these are no help to tell runners apart. */
+constexpr std::uint32_t kLeastPercent = 10;
+constexpr std::uint32_t kMostPercent = 1000;
+/** A machine's slowdown says nothing any more after this time: what shares the machine with a
+   runner comes and goes within half a second or so.
+*/
+constexpr base::Duration kSlowdownLife = base::milliseconds (600);
+
 /** What the sender, or the routers that it speaks for, have at one runner; absolute. */
 struct InstanceUse
 {
@@ -55,8 +67,8 @@
 struct InstanceSlowdown
 {
     std::string instance;
-    std::uint32_t percent = 100;       ///< 250: two and a half times as long as usual.
-    std::int64_t ageMilliseconds = 0;  ///< Since the runner stated it.
+    std::uint32_t percent = kUsualPercent;  ///< 250: two and a half times as long as usual.
+    std::int64_t ageMilliseconds = 0;       ///< Since the runner stated it.
 
     bool operator== (const InstanceSlowdown&) const = default;
     template <class Archive>
@@ -87,11 +99,11 @@
     std::uint32_t inFlight = 0;
     std::uint64_t unreadTokens = 0;
     /** Work done in the same time apart from slow moments: 100 is the usual of its service. */
-    std::uint32_t speedPercent = 100;
+    std::uint32_t speedPercent = kUsualPercent;
     /** How much longer work takes for the moment than is usual on this runner. Work that is usual
         everywhere takes slowdownPercent / speedPercent times as long here.
     */
-    std::uint32_t slowdownPercent = 100;
+    std::uint32_t slowdownPercent = kUsualPercent;
     std::int64_t slowdownAgeMilliseconds = 0;
 
     bool operator== (const InstanceLoad&) const = default;
--- a/src/controller/ControllerLoads.cpp
+++ b/src/controller/ControllerLoads.cpp
@@ -22,7 +22,6 @@
 constexpr base::Duration kLoadsLearnedAfter = base::milliseconds (300);
 /// Of a lease, which is renewed every third of it: one that was lost on its way is no silence.
 constexpr int kSilenceQuarters = 3;
-constexpr std::uint32_t kPercent = 100;
 
 }  // namespace
 
@@ -48,7 +47,8 @@
         if (const cell::ServiceInstance* known = m_state.instances().find (slowdown.instance))
             speeds.onStated ({ slowdown.instance, known->service }, slowdown.percent, m_now);
         slowdown.percent =
-            (slowdown.percent * speeds.speedOf (slowdown.instance) + kPercent / 2) / kPercent;
+            (slowdown.percent * speeds.speedOf (slowdown.instance) + cell::kUsualPercent / 2)
+            / cell::kUsualPercent;
     }
     for (const cell::InstancePace& pace : report.paces)
     {
@@ -66,7 +66,7 @@
     const auto keep = [this] (const cell::InstanceLoad& load)
     {
         const cell::ServiceInstance* known = m_state.instances().find (load.instance);
-        if (known != nullptr && load.speedPercent != kPercent)
+        if (known != nullptr && load.speedPercent != cell::kUsualPercent)
             m_leader->speeds.setEarlier ({ load.instance, known->service }, load.speedPercent);
     };
     loads.visit (m_now, keep);
@@ -85,6 +85,8 @@
 void ControllerCore::Implementation::leaveOutSilent (InstanceLoadSum& sum,
                                                      const RouterSessions& sessions) const
 {
+    if (sum.reporters() == 0)
+        return;
     const base::Duration longest = m_options.routerLease * kSilenceQuarters / 4;
     for (const auto& [connection, session] : sessions.sessions())
         sum.setHeard (connection, m_now - session.heardAt < longest);
@@ -141,8 +143,14 @@
     };
     m_leader->loads.keepOnly (isKept);
     m_leader->speeds.keepOnly (isKept);
+    // Ten times a second for thousands of runners: the copy is made anew only when it differs.
+    const auto& instances = m_state.instances().all();
+    const auto isSame = [] (const auto& start, const auto& item)
+    { return start.first == item.first && start.second == item.second.startedAt; };
+    if (std::ranges::equal (starts, instances, isSame))
+        return;
     starts.clear();
-    for (const auto& [id, instance] : m_state.instances().all())
+    for (const auto& [id, instance] : instances)
         starts.emplace (id, instance.startedAt);
 }
 
--- a/src/controller/ControllerMetrics.cpp
+++ b/src/controller/ControllerMetrics.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-/// A slow moment is over after some such time.
-constexpr std::int64_t kSlowdownLifeMilliseconds = 600;
-
 void addMetric (std::string& text, std::string_view name, std::string_view type,
                 std::string_view help, std::uint64_t value)
 {
@@ -41,8 +38,8 @@
     std::uint64_t inFlight = 0;
     std::uint64_t unreadTokens = 0;
     std::uint64_t slowNow = 0;
-    std::uint32_t slowest = 100;
-    std::uint32_t fastest = 100;
+    std::uint32_t slowest = cell::kUsualPercent;
+    std::uint32_t fastest = cell::kUsualPercent;
     const auto add = [&] (const cell::InstanceLoad& load)
     {
         inFlight += load.inFlight;
@@ -50,7 +47,8 @@
         slowest = std::min (slowest, load.speedPercent);
         fastest = std::max (fastest, load.speedPercent);
         const bool isSlow =
-            load.slowdownPercent > 100 && load.slowdownAgeMilliseconds < kSlowdownLifeMilliseconds;
+            load.slowdownPercent > cell::kUsualPercent
+            && load.slowdownAgeMilliseconds < base::toMilliseconds (cell::kSlowdownLife);
         slowNow += isSlow ? 1 : 0;
     };
     loads.visit (now, add);
@@ -112,14 +110,12 @@
     addGauge (text, "claims_held", "Idempotency keys held.", m_state.claims().size());
     addGauge (text, "router_sessions", "Routers connected to this leader.",
               m_leader ? m_leader->sessions.sessions().size() : 0);
-    addLoadMetrics (text,
-                    m_leader  ? m_leader->loads
-                    : m_relay ? m_relay->loads
-                              : InstanceLoadTable(),
-                    m_leader  ? m_leader->loadSum.reporters()
-                    : m_relay ? m_relay->loadSum.reporters()
-                              : 0,
-                    m_now);
+    if (m_leader)
+        addLoadMetrics (text, m_leader->loads, m_leader->loadSum.reporters(), m_now);
+    else if (m_relay)
+        addLoadMetrics (text, m_relay->loads, m_relay->loadSum.reporters(), m_now);
+    else
+        addLoadMetrics (text, InstanceLoadTable(), 0, m_now);
     return text;
 }
 
--- a/src/controller/InstanceLoadTable.cpp
+++ b/src/controller/InstanceLoadTable.cpp
@@ -12,7 +12,6 @@
 constexpr std::uint64_t kNegligibleTokens = 100;
 /// A slowdown that lasts is told again before receivers stop to believe in it.
 constexpr base::Duration kSlowdownRepeated = base::milliseconds (200);
-constexpr std::uint32_t kUsualPercent = 100;
 /// Parts of a slowdown whose difference changes no choice.
 constexpr std::uint32_t kNegligibleParts = 10;
 
@@ -50,14 +49,15 @@
     if (statedAt < row.slowdownAt)
         return;
     row.slowdownAt = statedAt;
-    const bool isUsual = difference (percent, kUsualPercent) * kNegligibleParts <= kUsualPercent;
+    const bool isUsual =
+        difference (percent, cell::kUsualPercent) * kNegligibleParts <= cell::kUsualPercent;
     const bool isOther =
-        isUsual != (row.slowdownPercent == kUsualPercent)
+        isUsual != (row.slowdownPercent == cell::kUsualPercent)
         || difference (percent, row.slowdownPercent) * kNegligibleParts > row.slowdownPercent;
     const bool isRepeated = ! isUsual && statedAt - row.slowdownToldAt >= kSlowdownRepeated;
     if (! isOther && ! isRepeated)
         return;
-    row.slowdownPercent = isUsual ? kUsualPercent : percent;
+    row.slowdownPercent = isUsual ? cell::kUsualPercent : percent;
     row.slowdownToldAt = statedAt;
     markChanged (row);
 }
@@ -134,8 +134,8 @@
 
 bool InstanceLoadTable::isUsual (const Row& row)
 {
-    return row.inFlight == 0 && row.unreadTokens == 0 && row.speedPercent == kUsualPercent
-           && row.slowdownPercent == kUsualPercent;
+    return row.inFlight == 0 && row.unreadTokens == 0 && row.speedPercent == cell::kUsualPercent
+           && row.slowdownPercent == cell::kUsualPercent;
 }
 
 cell::InstanceLoad InstanceLoadTable::toMessage (const std::string& instance, const Row& row,
--- a/src/controller/RunnerSpeeds.cpp
+++ b/src/controller/RunnerSpeeds.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <set>
 
+#include "cell/InstanceLoadMessages.h"
+
 namespace fernlift::controller
 {
 namespace
@@ -22,9 +24,6 @@
 /// Of the pauses in order: prompts that are read beside a stream lengthen many of its pauses, up to
 /// several times; nothing shortens more than a few.
 constexpr double kUndelayedShare = 0.25;
-constexpr double kUsualPercent = 100;
-constexpr double kLeastPercent = 10;
-constexpr double kMostPercent = 1000;
 /// A difference below this changes no choice.
 constexpr double kNegligibleShare = 0.05;
 constexpr base::Duration kShortestInterval = base::milliseconds (500);
@@ -170,17 +169,17 @@
     const bool isMeasured = ! known.stated.empty() || known.paceSpeed != 0;
     if (! isMeasured && known.earlierPercent != 0)
         return known.earlierPercent;
-    double percent = kUsualPercent * std::exp (known.paceSpeed);
+    double percent = cell::kUsualPercent * std::exp (known.paceSpeed);
     if (! known.stated.empty())
     {
         std::vector<std::uint32_t> stated (known.stated.begin(), known.stated.end());
         std::ranges::sort (stated);
         const auto usual =
             static_cast<std::size_t> (kUsualShare * static_cast<double> (stated.size() - 1));
-        percent *= kUsualPercent / std::max<double> (stated[usual], 1);
+        percent *= cell::kUsualPercent / std::max<double> (stated[usual], 1);
     }
     return static_cast<std::uint32_t> (
-        std::lround (std::clamp (percent, kLeastPercent, kMostPercent)));
+        std::lround (std::clamp<double> (percent, cell::kLeastPercent, cell::kMostPercent)));
 }
 
 std::uint32_t RunnerSpeeds::speedOf (const std::string& instance) const
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -306,7 +306,6 @@
     m_context.directory.onAttemptBegin (m_instance, m_tokensToRead, now());
     m_context.loadReporter.onAttemptBegin (m_instance, m_tokensToRead);
     m_isPromptRead = false;
-    m_eventsAt.reset();
     if (! m_query.model.empty())
         m_context.demands.onRunning (m_target);
     m_connection = m_context.pool.acquire (m_address, now());
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -110,8 +110,6 @@
     void passEvents (std::string_view events);
     void notePromptRead();
     void noteLoad (const http::AnswerHead& head);
-    /// So many events of the stream have just come.
-    void noteEvents (std::uint32_t events);
     void finishAnswer();
     void refuse (base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
     void fail (base::ErrorKind kind, const std::string& message);
@@ -172,9 +170,8 @@
     http::AnswerHead m_head;
     std::string m_collected;
     std::optional<EventSplitter> m_events;
-    base::TimePoint m_lastEventAt{};  ///< Zero: none has come.
+    base::TimePoint m_lastEventAt{};  ///< Of any attempt; zero: none has come.
     base::Duration m_longestPause{};  ///< Between events; late streams may owe it to this alone.
-    std::optional<base::TimePoint> m_eventsAt;  ///< When those of the present attempt came last.
     QTimer m_timer;
 };
 
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -99,10 +99,18 @@
 {
     if (events.empty())
         return;
-    const base::TimePoint earlier = std::exchange (m_lastEventAt, now());
-    if (earlier != base::TimePoint{})
-        m_longestPause = std::max<base::Duration> (m_longestPause, m_lastEventAt - earlier);
     m_caller.writeBody (events);
+    const base::TimePoint earlier = std::exchange (m_lastEventAt, now());
+    if (earlier == base::TimePoint{})
+        return;
+    const base::Duration pause = m_lastEventAt - earlier;
+    m_longestPause = std::max (m_longestPause, pause);
+    // A pause that began at an earlier attempt tells nothing of this runner.
+    if (earlier >= m_attemptSentAt && ! m_query.model.empty())
+    {
+        m_context.loadReporter.onPause (m_instance, m_query.model, pause, m_events->count(),
+                                        m_lastEventAt);
+    }
 }
 
 void Exchange::onBody (std::string_view data)
@@ -126,7 +134,6 @@
             return;
         case AnswerUse::kEvents:
             passEvents (m_events->feed (data));
-            noteEvents (m_events->count());
             return;
         case AnswerUse::kNone:
         case AnswerUse::kRefusal:
@@ -135,18 +142,6 @@
     }
 }
 
-void Exchange::noteEvents (std::uint32_t events)
-{
-    if (events == 0)
-        return;
-    const std::optional<base::TimePoint> earlier = std::exchange (m_eventsAt, now());
-    if (earlier && ! m_query.model.empty())
-    {
-        m_context.loadReporter.onPause (m_instance, m_query.model, *m_eventsAt - *earlier, events,
-                                        *m_eventsAt);
-    }
-}
-
 void Exchange::onDone()
 {
     switch (m_use)
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -40,10 +40,6 @@
 /// What a runner has kept of a prompt counts this many times over when the runner is behind others:
 /// tokens that another one reads once more delay all that wait there too.
 constexpr double kKeptWorth = 2;
-constexpr double kUsualPercent = 100;
-/// Speeds and slowdowns beyond this are no help to tell runners apart.
-constexpr double kLeastPercent = 10;
-constexpr double kMostPercent = 1000;
 
 double hashShare (const std::string& id, const std::string& affinity)
 {
@@ -65,7 +61,8 @@
 
 double shareOf (std::uint32_t percent)
 {
-    return std::clamp (static_cast<double> (percent), kLeastPercent, kMostPercent) / kUsualPercent;
+    return static_cast<double> (std::clamp (percent, cell::kLeastPercent, cell::kMostPercent))
+           / cell::kUsualPercent;
 }
 
 /// Whether MODEL/ADAPTER, or MODEL/ without one, is among the models.
@@ -367,7 +364,7 @@
         offer.milliseconds +=
             delayOfStreams (offer.state, offer.work, millisecondsOf (query.gapTarget));
     }
-    offer.savedMilliseconds = readingMilliseconds (offer.state, kept);
+    offer.savedMilliseconds = readingMilliseconds (offer.state, static_cast<double> (kept));
     if (view.row.isSilent || isQuiet (view, now))
         offer.milliseconds += kSilentCost;
     const bool isAvoided = now < view.avoidedUntil || view.row.instance.id == query.avoidedInstance;
@@ -503,7 +500,7 @@
     std::vector<Offer> offers;
     for (const auto& [id, view] : viewsFor (query.service, query.model))
     {
-        if (isCandidate (*view, query, now) && holds (*view, query, now))
+        if (canServe (*view, query, now))
             offers.push_back (offerOf (*view, home, query, now));
     }
     if (offers.empty())
@@ -596,7 +593,8 @@
     {
         // A runner that always takes longer than others states that too.
         const double share = shareOf (*load.slowdownPercent) * view.speed;
-        noteSlowdown (view, static_cast<std::uint32_t> (std::lround (share * kUsualPercent)), now);
+        noteSlowdown (view, static_cast<std::uint32_t> (std::lround (share * cell::kUsualPercent)),
+                      now);
     }
 }
 
--- a/src/proxy/InstanceLoadReporter.cpp
+++ b/src/proxy/InstanceLoadReporter.cpp
@@ -16,7 +16,6 @@
 /// A slowdown changes within some tenths of a second: pauses that come later after the runner
 /// stated it tell nothing of its speed.
 constexpr base::Duration kSlowdownHolds = base::milliseconds (400);
-constexpr double kUsualPercent = 100;
 
 }  // namespace
 
@@ -61,7 +60,7 @@
         const Slowdown& stated = *runner->second.slowdown;
         if (now - stated.statedAt > kSlowdownHolds)
             return;
-        slowdown = std::max (stated.percent, 1U) / kUsualPercent;
+        slowdown = static_cast<double> (std::max (stated.percent, 1U)) / cell::kUsualPercent;
     }
     Pace& pace = m_paces[{ instance, model }];
     pace.pauses += events;
--- a/src/proxy/RunnerEstimate.cpp
+++ b/src/proxy/RunnerEstimate.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cell/InstanceLoadMessages.h"
+
 namespace fernlift::proxy
 {
 namespace
@@ -23,25 +25,23 @@
 constexpr double kReadingShareOfGap = 0.4;
 /// Not all that is at a runner has begun to answer.
 constexpr double kStreamShare = 0.5;
-/// A machine's slowdown says nothing any more after this time: what shares the machine with a
-/// runner comes and goes within half a second or so.
-constexpr double kSlowdownLife = 600;
 
 /// Time that work takes there, in relation to a runner of usual speed on a free machine.
 double paceOf (const RunnerState& runner) { return runner.slowdown / runner.speed; }
 
 }  // namespace
 
-double readingMilliseconds (const RunnerState& runner, std::uint64_t tokens)
+double readingMilliseconds (const RunnerState& runner, double tokens)
 {
-    return kTokenReading * static_cast<double> (tokens) * paceOf (runner);
+    return kTokenReading * tokens * paceOf (runner);
 }
 
 double addedMilliseconds (const RunnerState& runner, const RequestWork& work)
 {
     if (! work.isForModel)
         return kApplicationWork / std::max (runner.slots, 1U) * paceOf (runner);
-    return kEngineWork * paceOf (runner) + readingMilliseconds (runner, work.tokensToRead);
+    return kEngineWork * paceOf (runner)
+           + readingMilliseconds (runner, static_cast<double> (work.tokensToRead));
 }
 
 double expectedMilliseconds (const RunnerState& runner, const RequestWork& work)
@@ -67,13 +67,14 @@
 double delayOfStreams (const RunnerState& runner, const RequestWork& work, double gap)
 {
     const double tokens = runner.unreadTokens + static_cast<double> (work.tokensToRead);
-    const double reading = kTokenReading * tokens * paceOf (runner);
-    return kStreamShare * runner.requests * std::max (reading - kReadingShareOfGap * gap, 0.0);
+    const double excess = readingMilliseconds (runner, tokens) - kReadingShareOfGap * gap;
+    return kStreamShare * runner.requests * std::max (excess, 0.0);
 }
 
 double fadedSlowdown (double slowdown, double age)
 {
-    const double left = std::clamp (1 - age / kSlowdownLife, 0.0, 1.0);
+    const double left = std::clamp (
+        1 - age / static_cast<double> (base::toMilliseconds (cell::kSlowdownLife)), 0.0, 1.0);
     return 1 + (slowdown - 1) * left;
 }
 
--- a/src/proxy/RunnerEstimate.h
+++ b/src/proxy/RunnerEstimate.h
@@ -34,7 +34,7 @@
 [[nodiscard]] double expectedMilliseconds (const RunnerState& runner, const RequestWork& work);
 
 /** Milliseconds that it takes to read so many tokens of prompts. */
-[[nodiscard]] double readingMilliseconds (const RunnerState& runner, std::uint64_t tokens);
+[[nodiscard]] double readingMilliseconds (const RunnerState& runner, double tokens);
 
 /** Milliseconds by which the request delays one like it that comes to the runner just after. */
 [[nodiscard]] double addedMilliseconds (const RunnerState& runner, const RequestWork& work);
