Sight: what rate runners state, as each router hears it

The logs and metrics of the incident cannot tell which runners state how many requests a second they take, which figure, since when and to whom they said so.

--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -110,6 +110,9 @@
     void passEvents (std::string_view events);
     void notePromptRead();
     void noteLoad (const http::AnswerHead& head);
+    void noteRate (const http::AnswerHead& head);
+    /// Whether the runner says that it has not run the request.
+    [[nodiscard]] bool isRefusal (const http::AnswerHead& head) const;
     void finishAnswer();
     void refuse (base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
     void fail (base::ErrorKind kind, const std::string& message);
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -43,9 +43,29 @@
         m_context.loadReporter.onSlowdown (m_instance, *load->slowdownPercent, now());
 }
 
+bool Exchange::isRefusal (const http::AnswerHead& head) const
+{
+    return head.status == kMisdirected || head.headers.contains (m_context.names.notExecuted);
+}
+
+void Exchange::noteRate (const http::AnswerHead& head)
+{
+    // Whoever says that it is not the runner meant may be another one at its address.
+    if (head.status == kMisdirected || ! isAtPresentIncarnation())
+        return;
+    RateObservation seen;
+    seen.instance = m_instance;
+    seen.startedAt = m_instanceStart;
+    seen.sentAt = m_attemptSentAt;
+    seen.isProper = head.status < kFirstServerError && ! isRefusal (head);
+    m_context.rates.onAnswer (seen, readStatedRate (head.headers, m_context.names.rateLimit),
+                              now());
+}
+
 void Exchange::onHead (http::AnswerHead head)
 {
     noteLoad (head);
+    noteRate (head);
     notePromptRead();
     if (isAtPresentIncarnation())
         m_context.directory.onBytes (m_instance, now());
@@ -53,9 +73,7 @@
         m_answeredAt = now();
     noteProgress();
     m_head = std::move (head);
-    const bool isRefusal =
-        m_head.status == kMisdirected || m_head.headers.contains (m_context.names.notExecuted);
-    if (isRefusal)
+    if (isRefusal (m_head))
     {
         m_use = AnswerUse::kRefusal;
         return;
--- a/src/proxy/ProtocolNames.h
+++ b/src/proxy/ProtocolNames.h
@@ -28,6 +28,9 @@
     // From runners.
     std::string notExecuted;  ///< Present: the runner has not run the request and never will.
     std::string load;         ///< Requests running, waiting and slots, separated by commas.
+    /// Requests a second that the runner takes from all routers together, for as long as its
+    /// answers say so.
+    std::string rateLimit;
     /// Fields that runners write for this system only; callers do not get them.
     std::vector<std::string> internalAnswerFields;
     std::string lastEventId = "Last-Event-Id";  ///< Where a stream goes on.
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -18,6 +18,7 @@
 #include "proxy/InstanceLoadReporter.h"
 #include "proxy/ProtocolNames.h"
 #include "proxy/RouteTable.h"
+#include "proxy/RunnerRates.h"
 #include "proxy/TenantQuotas.h"
 #include "quarantine/SuspectRequests.h"
 
@@ -46,6 +47,7 @@
     base::Random& random;
     InstanceDirectory& directory;
     InstanceLoadReporter& loadReporter;
+    RunnerRates& rates;
     http::BackEndPool& pool;
     dispatch::RetryBudget& retryBudget;
     EngineDemands& demands;
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -97,6 +97,7 @@
     std::function<void (int)> m_onFinished;
     InstanceDirectory m_directory;
     InstanceLoadReporter m_loadReporter;
+    RunnerRates m_rates;
     http::BackEndPool m_pool;
     dispatch::RetryBudget m_retryBudget;
     EngineDemands m_demands;
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -143,6 +143,7 @@
         names.tenant = "Test-Tenant";
         names.notExecuted = "Test-Not-Executed";
         names.load = "Test-Load";
+        names.rateLimit = "Test-Rate";
         names.readinessPath = "/ready";
         return names;
     }
@@ -204,14 +205,15 @@
     base::Random random{ 1 };
     InstanceDirectory directory{ "z1" };
     InstanceLoadReporter loadReporter;
+    RunnerRates rates;
     http::BackEndPool pool{ base::milliseconds (500) };
     dispatch::RetryBudget retryBudget{ 0.1, 10 };
     EngineDemands demands;
     TenantQuotas quotas{ {}, [] {} };
     quarantine::SuspectRequests suspects;
     ProxyCounters counters;
-    ProxyContext context{ names,   clock,  random,   directory, loadReporter, pool,   retryBudget,
-                          demands, quotas, suspects, counters,  [] {},        nullptr };
+    ProxyContext context{ names,       clock,   random, directory, loadReporter, rates, pool,
+                          retryBudget, demands, quotas, suspects,  counters,     [] {}, nullptr };
     ProxyServer server{ context };
     base::SocketAddress listening;
 
