Failing test: routers together send more than a runner states

Seven routers before three runners, one of which states 1 request a second; 125 requests a second from callers. From half a second after its first answer it got 494 requests within 4 s; the users allow 11 (one and a half times the rate, and 5).

--- a/src/lab/ForwardingCellTestSupport.h
+++ b/src/lab/ForwardingCellTestSupport.h
@@ -48,7 +48,12 @@
     /// Requests that it began to run, in all its lives.
     [[nodiscard]] std::uint32_t runs() const { return m_runs; }
 
+    /// When each request came, in all its lives.
+    [[nodiscard]] const std::vector<base::TimePoint>& arrivals() const { return m_arrivals; }
+
     base::milliseconds workTime{ 1 };
+    /// Text of the field in which each answer states a rate; empty: none.
+    std::string statedRate;
 
 private:
     struct Connection
@@ -65,6 +70,8 @@
     std::uint32_t m_incarnation = 0;
     std::uint32_t m_crashes = 0;
     std::uint32_t m_runs = 0;
+    base::SystemClock m_clock;
+    std::vector<base::TimePoint> m_arrivals;
     std::uint16_t m_port = 0;
     std::map<QTcpSocket*, Connection> m_connections;
     QTcpServer m_server;
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -159,6 +159,7 @@
         return;
     const std::string request = std::exchange (connection.received, {});
     ++m_runs;
+    m_arrivals.push_back (m_clock.now());
     const std::size_t begin = request.find (kIdField) + kIdField.size();
     const std::string id = request.substr (begin, request.find ("\r\n", begin) - begin);
     const bool isDeadly = request.find ("\r\n\r\ndeadly") != std::string::npos;
@@ -179,8 +180,9 @@
 {
     if (socket->state() != QAbstractSocket::ConnectedState)
         return;
+    const std::string rate = statedRate.empty() ? "" : "Test-Rate: " + statedRate + "\r\n";
     const std::string whole =
-        "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nContent-Length: 2\r\n\r\nok";
+        "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\n" + rate + "Content-Length: 2\r\n\r\nok";
     socket->write (whole.data(), static_cast<qint64> (whole.size()));
     socket->flush();
 }
