--- a/src/cell/QuotaMessages.h
+++ b/src/cell/QuotaMessages.h
@@ -14,17 +14,17 @@
 namespace fernlift::cell
 {
 
-/** Units of one tenant's quota that are asked for. */
+/** Units of one limit that are asked for. */
 struct QuotaNeed
 {
-    std::string tenant;
+    std::string account;                ///< Tenant, or what else has a limit.
     std::vector<std::uint64_t> claims;  ///< Units of each request that waits, the oldest first.
 
     bool operator== (const QuotaNeed&) const = default;
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
-        archive& tenant& claims;
+        archive& account& claims;
     }
 };
 
@@ -43,7 +43,7 @@
 /** Units that the receiver may use, and nobody else. */
 struct QuotaAllowance
 {
-    std::string tenant;
+    std::string account;
     std::uint64_t units = 0;  ///< Of all claims that are granted; each is whole or not at all.
     /// They may be used until this long after the request was SENT; then they are lost.
     std::int64_t lifetimeMilliseconds = 0;
@@ -54,7 +54,7 @@
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
-        archive& tenant& units& lifetimeMilliseconds& waitMilliseconds;
+        archive& account& units& lifetimeMilliseconds& waitMilliseconds;
     }
 };
 
--- a/src/controller/QuotaCellTestSupport.h
+++ b/src/controller/QuotaCellTestSupport.h
@@ -311,7 +311,7 @@
         while (request.kind + 1 < traffic.classes.size()
                && left >= traffic.classes[request.kind].share)
             left -= traffic.classes[request.kind++].share;
-        request.claim.tenant = traffic.tenant;
+        request.claim.account = traffic.tenant;
         request.claim.units = traffic.classes[request.kind].units;
         return request;
     }
--- a/src/controller/QuotaRelay.cpp
+++ b/src/controller/QuotaRelay.cpp
@@ -73,13 +73,13 @@
 void QuotaRelay::addNeed (Waiting& waiting, const cell::QuotaNeed& need, base::TimePoint now)
 {
     Part part;
-    part.allowance.tenant = need.tenant;
+    part.allowance.account = need.account;
     for (const std::uint64_t units : need.claims)
     {
-        if (m_ownPart.take (need.tenant, units, now))
-            add (part.allowance, units, m_ownPart.lifetimeOf (need.tenant));
+        if (m_ownPart.take (need.account, units, now))
+            add (part.allowance, units, m_ownPart.lifetimeOf (need.account));
         else
-            part.claims.push_back ({ need.tenant, units, 0, {}, {} });
+            part.claims.push_back ({ need.account, units, 0, {}, {} });
     }
     waiting.parts.push_back (std::move (part));
 }
@@ -104,7 +104,7 @@
     if (answer == quota::QuotaAnswer::kGranted)
         add (part.allowance, claim.units, claim.until - now);
     else
-        part.allowance.waitMilliseconds = base::toMilliseconds (m_pool.waitOf (claim.tenant));
+        part.allowance.waitMilliseconds = base::toMilliseconds (m_pool.waitOf (claim.account));
     return true;
 }
 
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -91,7 +91,7 @@
         return true;
     if (! m_isWaitingForQuota)
     {
-        m_quota.claim.tenant = m_tenant->name;
+        m_quota.claim.account = m_tenant->name;
         m_quota.claim.units = unitsOf (m_request, m_context.names, m_tenant->quota);
         const base::Duration longest =
             std::min<base::Duration> (kLongestWaitForQuota, m_route->targetLatency);
--- a/src/quota/QuotaLedger.cpp
+++ b/src/quota/QuotaLedger.cpp
@@ -132,8 +132,8 @@
 cell::QuotaAllowance QuotaLedger::allowanceFor (const cell::QuotaNeed& need, base::TimePoint now)
 {
     cell::QuotaAllowance allowance;
-    allowance.tenant = need.tenant;
-    const auto found = m_buckets.find (need.tenant);
+    allowance.account = need.account;
+    const auto found = m_buckets.find (need.account);
     if (found == m_buckets.end())
     {
         // The sender holds an earlier configuration, in which the tenant still had a limit.
--- a/src/quota/QuotaPool.cpp
+++ b/src/quota/QuotaPool.cpp
@@ -57,7 +57,7 @@
         claim.until = base::TimePoint::max();
         return QuotaAnswer::kGranted;
     }
-    Account& account = m_accounts[claim.tenant];
+    Account& account = m_accounts[claim.account];
     const bool isPending = claim.sequence != 0;
     const std::uint64_t held = available (account, now);
     // What others wait for is not for those who come later.
@@ -92,7 +92,7 @@
 {
     if (claim.sequence == 0)
         return;
-    Account& account = m_accounts[claim.tenant];
+    Account& account = m_accounts[claim.account];
     removeOne (account.pending, claim.units);
     if (account.pending.size() < account.unasked.size())
         removeOne (account.unasked, claim.units);
@@ -148,7 +148,7 @@
         return;  // Of another connection, or so late that it was asked for again.
     for (const cell::QuotaAllowance& allowance : grant.allowances)
     {
-        Account& account = m_accounts[allowance.tenant];
+        Account& account = m_accounts[allowance.account];
         account.answered = std::max (account.answered, grant.sequence);
         account.wait = base::milliseconds (allowance.waitMilliseconds);
         if (allowance.units > 0)
--- a/src/quota/QuotaPool.h
+++ b/src/quota/QuotaPool.h
@@ -25,7 +25,7 @@
 /** Units wanted at once, and how far they have been asked for. */
 struct QuotaClaim
 {
-    std::string tenant;
+    std::string account;  ///< Tenant, or what else has a limit.
     std::uint64_t units = 0;
     std::uint64_t sequence = 0;  ///< Request whose answer settles it; 0: not asked for.
     base::TimePoint askedAt{};
