--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -13,13 +13,21 @@
 #include "base/Time.h"
 #include "cell/Commands.h"
 #include "cell/InstanceLoadMessages.h"
+#include "cell/InstanceRateMessages.h"
 #include "cell/QuarantineMessages.h"
 #include "cell/QuotaMessages.h"
 #include "consensus/Messages.h"
+#include "wire/OptionalTail.h"
 
 namespace fernlift::cell
 {
 
+/// What a router or relay reads beyond the messages that all versions know; bits.
+enum RouterFeature : std::uint32_t
+{
+    kReadsInstanceRates = 1U << 0U,  ///< InstanceRateUpdate and InstancePermitGrant.
+};
+
 /// First message of a router on a new connection.
 struct RouterHello
 {
@@ -38,6 +46,7 @@
     bool isRelay = false;
     base::Term instanceTerm = 0;        ///< Of the leader that sent the table of instances held.
     std::uint64_t instanceVersion = 0;  ///< 0: no table of instances is held.
+    std::uint32_t features = 0;         ///< Of RouterFeature; 0 from versions without it.
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
@@ -45,6 +54,7 @@
         archive& router& cell& zone& address& configurationVersion& configurationDigest&
             replicaTableTerm& replicaTableVersion& acceptsLastKnownState& isRelay& instanceTerm&
                 instanceVersion;
+        wire::serializeTail (archive, features);
     }
 };
 
@@ -238,7 +248,8 @@
 using RouterToController =
     std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest, OutcomeReport,
                  RunnerLeavingSeen, EngineDemandReport, MemberJoinRequest, InstanceUnreachable,
-                 InstanceSightings, QuotaRequest, SuspectReport, InstanceLoadReport>;
+                 InstanceSightings, QuotaRequest, SuspectReport, InstanceLoadReport,
+                 InstanceRateReport, InstancePermitRequest>;
 
 /// This controller does not lead; try `leaderAddress` ("ip:port", empty when unknown).
 struct NotLeaderReply
@@ -487,6 +498,6 @@
 using ControllerToRouter =
     std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant, ReplicaUpdate, ClaimReply,
                  InstanceUpdate, MemberJoinReply, QuotaGrant, SuspectUpdate, SuspectReport,
-                 InstanceLoadUpdate>;
+                 InstanceLoadUpdate, InstanceRateUpdate, InstancePermitGrant>;
 
 }  // namespace fernlift::cell
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -243,9 +243,12 @@
 {
     ++m_counters.leaderships;
     const InstanceLoadTable earlierLoads = m_relay ? m_relay->loads : InstanceLoadTable();
+    const cell::InstanceRateUpdate earlierRates =
+        m_relay ? m_relay->rates.table (m_now) : cell::InstanceRateUpdate();
     endRelay();
     m_leader.emplace (m_options, m_status.term, m_now, engineOptions());
     keepEarlierSpeeds (earlierLoads);
+    m_leader->rates.begin (earlierRates.limited, m_now);
     m_leader->unixSince = std::max (m_unixNow, m_state.time());
     // Claims expire by the cell's time: a wall clock that stepped must not let them go early.
     if (m_state.time() != 0)
@@ -300,8 +303,10 @@
         m_watchers.insert (connection);
         replyNotLeader (connection);
     }
+    cell::InstanceRateUpdate rates = rateTable();
     m_leader.reset();
     beginRelay();
+    m_relay->rates.adopt (std::move (rates), m_now);
 }
 
 void ControllerCore::Implementation::compactIfDue()
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -24,6 +24,7 @@
 #include "controller/DemandTable.h"
 #include "controller/InstanceLoadSum.h"
 #include "controller/InstanceLoadTable.h"
+#include "controller/InstanceRateLedger.h"
 #include "controller/InstanceTable.h"
 #include "controller/LoadEstimates.h"
 #include "controller/MemberAdmission.h"
@@ -236,6 +237,8 @@
     /// Of the incarnations that `loads` and `speeds` are of.
     std::map<std::string, base::UnixMilliseconds> loadStarts;
     base::TimePoint nextLoadsAt{};  ///< Routers hear of loads no earlier.
+    InstanceRateLedger rates;       ///< Of runners that state one.
+    base::TimePoint nextRatesAt{};  ///< Routers hear of rates no earlier.
     base::DecayingRate heartbeats;  ///< That this member took itself while it leads.
     quota::QuotaLedger quotas;
     QuotaBasis quotaBasis;        ///< Of what `quotas` counts.
@@ -532,6 +535,23 @@
     void keepEarlierSpeeds (const InstanceLoadTable& loads);
     void leaveOutSilent (InstanceLoadSum& sum, const RouterSessions& sessions) const;
 
+    // ControllerRates.cpp
+    /// What routers are told of limited runners, by the leader or by a relay.
+    [[nodiscard]] cell::InstanceRateUpdate rateTable() const;
+    [[nodiscard]] std::uint64_t rateTableVersion() const;
+    /// Sends the table before anything else, so that a router never sends by a table of runners
+    /// without knowing which are limited.
+    void greetWithRates (RouterConnection connection, RouterSession& session,
+                         const cell::RouterHello& hello);
+    void sendRatesTo (RouterSessions& sessions, base::TimePoint& nextAt);
+    void onRateReport (const cell::InstanceRateReport& report);
+    void grantPermits (RouterConnection connection, const cell::InstancePermitRequest& request);
+    void forgetRatesOfGone();
+    /// False when the message is about something else.
+    bool relayRateMessage (RouterConnection connection, const cell::RouterToController& message);
+    void takeLeaderRates (const cell::ControllerToRouter& message);
+    void passPermitsOn (const cell::InstancePermitGrant& grant);
+
     // ControllerEngines.cpp
     [[nodiscard]] placement::EnginePlacementOptions engineOptions() const;
     void placeOnEngines();
--- /dev/null
+++ b/src/controller/ControllerRates.cpp
@@ -0,0 +1,137 @@
+/**
+ * How all routers keep together to the rates that runners state: the leader collects what runners
+ * stated, tells every router which are limited and grants permits for requests to them. Controllers
+ * that do not lead pass it on. See docs/design/runner-rates.md.
+ */
+
+#include <utility>
+
+#include "controller/ControllerImplementation.h"
+
+namespace fernlift::controller
+{
+namespace
+{
+
+/// The whole table goes to every router when it changes: no more often than this.
+constexpr base::Duration kTableInterval = base::milliseconds (20);
+/// The same for each row that goes to each receiver.
+constexpr base::Duration kTableIntervalForRow = std::chrono::microseconds (1);
+
+bool readsRates (const RouterSession& session)
+{
+    return (session.features & cell::kReadsInstanceRates) != 0;
+}
+
+}  // namespace
+
+cell::InstanceRateUpdate ControllerCore::Implementation::rateTable() const
+{
+    if (m_leader)
+        return { m_leader->term, m_leader->rates.version(), true, m_leader->rates.limited (m_now) };
+    return m_relay->rates.table (m_now);
+}
+
+std::uint64_t ControllerCore::Implementation::rateTableVersion() const
+{
+    return m_leader ? m_leader->rates.version() : m_relay->rates.version();
+}
+
+void ControllerCore::Implementation::greetWithRates (RouterConnection connection,
+                                                     RouterSession& session,
+                                                     const cell::RouterHello& hello)
+{
+    session.features = hello.features;
+    if (! readsRates (session))
+        return;
+    session.rateVersion = rateTableVersion();
+    sendToRouter (connection, rateTable());
+}
+
+void ControllerCore::Implementation::sendRatesTo (RouterSessions& sessions, base::TimePoint& nextAt)
+{
+    const std::uint64_t version = rateTableVersion();
+    if (m_now < nextAt)
+        return;
+    std::vector<RouterConnection> behind;
+    for (auto& [connection, session] : sessions.sessions())
+    {
+        if (! readsRates (session) || session.rateVersion == version)
+            continue;
+        session.rateVersion = version;
+        behind.push_back (connection);
+    }
+    if (behind.empty())
+        return;
+    cell::InstanceRateUpdate table = rateTable();
+    const auto rows = static_cast<std::int64_t> (behind.size() * table.limited.size());
+    nextAt = m_now + kTableInterval + rows * kTableIntervalForRow;
+    m_effects.emplace_back (BroadcastToRouters{ std::move (behind), std::move (table) });
+}
+
+void ControllerCore::Implementation::onRateReport (const cell::InstanceRateReport& report)
+{
+    for (const cell::InstanceRateStatement& statement : report.statements)
+    {
+        if (const cell::ServiceInstance* known = m_state.instances().find (statement.instance))
+            m_leader->rates.onStatement (statement, known->startedAt, m_now);
+    }
+    sendRatesTo (m_leader->sessions, m_leader->nextRatesAt);
+}
+
+void ControllerCore::Implementation::grantPermits (RouterConnection connection,
+                                                   const cell::InstancePermitRequest& request)
+{
+    // Another member may lead by now and grant from buckets of its own.
+    if (! holdsLease())
+        return;
+    sendToRouter (connection,
+                  cell::InstancePermitGrant{ m_leader->rates.answer (request.claims, m_now) });
+}
+
+void ControllerCore::Implementation::forgetRatesOfGone()
+{
+    m_leader->rates.keepOnly (
+        [this] (const cell::InstanceRate& rate)
+        {
+            const cell::ServiceInstance* known = m_state.instances().find (rate.instance);
+            return known != nullptr && known->startedAt == rate.startedAt;
+        });
+}
+
+bool ControllerCore::Implementation::relayRateMessage (RouterConnection connection,
+                                                       const cell::RouterToController& message)
+{
+    const auto* report = std::get_if<cell::InstanceRateReport> (&message);
+    const auto* permits = std::get_if<cell::InstancePermitRequest> (&message);
+    if (report == nullptr && permits == nullptr)
+        return false;
+    // Without a leader that reads it a router hears nothing, and sends nothing to limited runners.
+    if (! m_relay->session.isConnected() || ! m_relay->rates.isLeaderGranting())
+        return true;
+    if (report != nullptr)
+        m_effects.emplace_back (SendToLeader{ *report });
+    else
+        m_effects.emplace_back (
+            SendToLeader{ m_relay->rates.onRequest (connection, *permits, m_now) });
+    return true;
+}
+
+void ControllerCore::Implementation::takeLeaderRates (const cell::ControllerToRouter& message)
+{
+    if (const auto* update = std::get_if<cell::InstanceRateUpdate> (&message))
+        m_relay->rates.onUpdate (*update, m_now);
+    else if (const auto* grant = std::get_if<cell::InstancePermitGrant> (&message))
+        passPermitsOn (*grant);
+    else if (! std::holds_alternative<cell::NotLeaderReply> (message))
+        m_relay->rates.onOtherMessage();
+    sendRatesTo (m_relay->sessions, m_relay->nextRatesAt);
+}
+
+void ControllerCore::Implementation::passPermitsOn (const cell::InstancePermitGrant& grant)
+{
+    if (auto answer = m_relay->rates.onGrant (grant))
+        sendToRouter (answer->router, std::move (answer->grant));
+}
+
+}  // namespace fernlift::controller
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -32,6 +32,8 @@
     RouterSession* session = m_relay->sessions.find (connection);
     if (session == nullptr)
         return false;
+    if (relayRateMessage (connection, message))
+        return true;
     if (const auto* lease = std::get_if<cell::LeaseRequest> (&message))
     {
         relayLeaseRequest (connection, *session, *lease);
@@ -72,6 +74,7 @@
     if (! mayServe)
         return false;
     RouterSession& session = m_relay->sessions.open (connection, hello, m_now);
+    greetWithRates (connection, session, hello);
     takeInstanceVersion (session, hello, m_relay->instances.term());
     if (! m_relay->instances.hasTable() && hello.configurationVersion == 0)
     {
@@ -189,6 +192,7 @@
     sendRelayedInstances();
     sendSuspectsTo (m_relay->sessions);
     relayLoads();
+    sendRatesTo (m_relay->sessions, m_relay->nextRatesAt);
     if (! m_relay->session.isConnected())
         return;
     if (auto demands = m_relay->demands.takeDue (m_now); ! demands.empty())
@@ -243,6 +247,7 @@
     hello.router = base::RouterId (m_relay->id);
     hello.cell = m_options.cell;
     hello.isRelay = true;
+    hello.features = cell::kReadsInstanceRates;
     hello.address = ownAdminAddress();
     hello.configurationVersion =
         m_relay->sessions.confirmedVersion (m_state.configuration().identity().version, {}, m_now);
@@ -253,6 +258,7 @@
     m_relay->loadSum.tellAll();
     m_relay->heartbeats.tellAll();
     m_relay->quotas.onLeaderLost();
+    m_relay->rates.onLeaderConnected();
     runRelay();
 }
 
@@ -264,6 +270,7 @@
         m_relay->leaderlessSince = m_now;
     m_relay->session.onLost (m_now, m_relay->random);
     m_relay->quotas.onLeaderLost();
+    m_relay->rates.onLeaderLost();
     runRelay();
 }
 
@@ -272,6 +279,7 @@
     if (m_leader)
         return;
     m_relay->session.onHeard (m_now);
+    takeLeaderRates (message);
     if (std::holds_alternative<cell::NotLeaderReply> (message))
     {
         // This member hears from the others who leads.
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -86,6 +86,16 @@
         grantQuota (connection, *quota);
         return;
     }
+    else if (const auto* rates = std::get_if<cell::InstanceRateReport> (&message))
+    {
+        onRateReport (*rates);
+        return;
+    }
+    else if (const auto* permits = std::get_if<cell::InstancePermitRequest> (&message))
+    {
+        grantPermits (connection, *permits);
+        return;
+    }
     else if (const auto* suspects = std::get_if<cell::SuspectReport> (&message))
     {
         // Those of one tick go into the log together.
@@ -184,6 +194,7 @@
         return;
     }
     RouterSession& session = m_leader->sessions.open (connection, hello, m_now);
+    greetWithRates (connection, session, hello);
     // A router that comes back to the same leader only needs what changed since.
     const bool holdsTable = m_leader->isTableShared && hello.replicaTableTerm == m_leader->term
                             && hello.replicaTableVersion <= m_leader->table.version();
--- a/src/controller/ControllerRunners.cpp
+++ b/src/controller/ControllerRunners.cpp
@@ -28,12 +28,14 @@
         sendOrders (runner);
     sendTablesIfDue();
     shareLoads();
+    sendRatesTo (m_leader->sessions, m_leader->nextRatesAt);
     if (m_now < m_leader->nextRoutineAt)
         return;
     m_leader->nextRoutineAt = m_now + kRoutineInterval;
     m_leader->demands.expire (m_now);
     runInstanceRoutine();
     forgetLoadsOfGone();
+    forgetRatesOfGone();
     changeMembersIfDue();
     m_leader->isPlacementDue = true;
     placeIfDue();
--- /dev/null
+++ b/src/controller/RateRelay.cpp
@@ -0,0 +1,80 @@
+#include "controller/RateRelay.h"
+
+#include <utility>
+
+namespace fernlift::controller
+{
+namespace
+{
+
+/// A router gives up waiting for a permit before that.
+constexpr base::Duration kLongestWait = base::milliseconds (200);
+
+}  // namespace
+
+void RateRelay::onLeaderConnected()
+{
+    m_leaderGrants.reset();
+    m_asked.clear();
+}
+
+void RateRelay::onLeaderLost()
+{
+    m_leaderGrants.reset();
+    m_asked.clear();
+}
+
+void RateRelay::onOtherMessage()
+{
+    if (m_leaderGrants)
+        return;
+    m_leaderGrants = false;
+    if (std::exchange (m_table.isGranting, false))
+        ++m_version;
+}
+
+void RateRelay::onUpdate (const cell::InstanceRateUpdate& update, base::TimePoint now)
+{
+    m_leaderGrants = update.isGranting;
+    adopt (update, now);
+    ++m_version;
+}
+
+void RateRelay::adopt (cell::InstanceRateUpdate table, base::TimePoint now)
+{
+    m_table = std::move (table);
+    m_tableAt = now;
+}
+
+cell::InstanceRateUpdate RateRelay::table (base::TimePoint now) const
+{
+    cell::InstanceRateUpdate table = m_table;
+    for (cell::InstanceRate& rate : table.limited)
+        rate.ageMilliseconds += base::toMilliseconds (now - m_tableAt);
+    return table;
+}
+
+cell::InstancePermitRequest RateRelay::onRequest (std::uint64_t router,
+                                                  const cell::InstancePermitRequest& request,
+                                                  base::TimePoint now)
+{
+    while (! m_asked.empty() && now - m_asked.begin()->second.at > kLongestWait)
+        m_asked.erase (m_asked.begin());
+    cell::InstancePermitRequest passed = request;
+    passed.claims.sequence = m_nextSequence++;
+    m_asked[passed.claims.sequence] = { router, request.claims.sequence, now };
+    return passed;
+}
+
+std::optional<RateRelay::Answer> RateRelay::onGrant (const cell::InstancePermitGrant& grant)
+{
+    const auto found = m_asked.find (grant.grant.sequence);
+    if (found == m_asked.end())
+        return std::nullopt;
+    Answer answer{ found->second.router, grant };
+    answer.grant.grant.sequence = found->second.sequence;
+    m_asked.erase (found);
+    return answer;
+}
+
+}  // namespace fernlift::controller
--- a/src/controller/RouterRelay.h
+++ b/src/controller/RouterRelay.h
@@ -22,6 +22,7 @@
 #include "controller/InstanceMirror.h"
 #include "controller/PacedWork.h"
 #include "controller/QuotaRelay.h"
+#include "controller/RateRelay.h"
 #include "controller/RouterSessions.h"
 
 namespace fernlift::controller
@@ -57,6 +58,8 @@
     InstanceLoadSum loadSum;        ///< Of its routers, for the leader.
     InstanceLoadTable loads;        ///< Of all routers, from the leader.
     base::TimePoint nextLoadsAt{};  ///< Routers hear of loads no earlier.
+    RateRelay rates;                ///< Of runners that state one.
+    base::TimePoint nextRatesAt{};  ///< Routers hear of rates no earlier.
     EngineDemandSum demands;
     HeartbeatBatch heartbeats;
     QuotaRelay quotas;
--- a/src/lab/RouterStub.h
+++ b/src/lab/RouterStub.h
@@ -53,6 +53,8 @@
     void on (const cell::SuspectUpdate& /*update*/) {}
     void on (const cell::SuspectReport& /*report*/) {}
     void on (const cell::InstanceLoadUpdate& /*update*/) {}
+    void on (const cell::InstanceRateUpdate& /*update*/) {}
+    void on (const cell::InstancePermitGrant& /*grant*/) {}
     void reconnectSoon (const base::SocketAddress& address);
 
     std::string m_id;
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -1,6 +1,7 @@
 #include "proxy/Exchange.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "proxy/ForwardedMessage.h"
@@ -53,6 +54,8 @@
     QObject::connect (&m_timer, &QTimer::timeout, &m_timer, [this] { onTimer(); });
     m_query.hasConnection = [this] (const base::SocketAddress& address)
     { return m_context.pool.hasResting (address, now()); };
+    m_query.waitForRate = [this] (const std::string& instance, base::UnixMilliseconds startedAt)
+    { return m_context.rates.waitFor (instance, startedAt, now()); };
 }
 
 Exchange::~Exchange()
@@ -206,26 +209,97 @@
         return;
     m_query.trial = known.isSuspect() ? identity().digest : std::string();
     m_query.endedInstances = known.instances;
-    InstanceChoice choice;
-    choice.reason = NoChoice::kUnconfirmed;
-    m_query.draw = m_context.random.uniformReal();
-    if (m_context.freshness() == Freshness::kConfirmed)
-        choice = m_context.directory.choose (m_query, now());
-    if (choice.reason == NoChoice::kNone)
-    {
-        endWait();
-        startAttempt (choice);
+    if (! m_wanted || ! takePermit())
+        chooseRunner();
+}
+
+void Exchange::chooseRunner()
+{
+    // Each refusal of a permit leaves one runner less to choose from.
+    while (true)
+    {
+        InstanceChoice choice;
+        choice.reason = NoChoice::kUnconfirmed;
+        m_query.draw = m_context.random.uniformReal();
+        if (m_context.freshness() == Freshness::kConfirmed)
+            choice = m_context.directory.choose (m_query, now());
+        if (choice.reason != NoChoice::kNone)
+        {
+            beginWait (choice);
+            return;
+        }
+        const bool needsPermit =
+            m_context.rates.isLimited (choice.id, m_context.directory.startOf (choice.id));
+        if (! needsPermit)
+        {
+            endWait();
+            startAttempt (choice);
+            return;
+        }
+        m_permit.instance = choice.id;
+        m_permitAskedAt = now();
+        m_wanted = std::move (choice);
+        if (takePermit())
+            return;
     }
-    else
+}
+
+bool Exchange::takePermit()
+{
+    const quota::QuotaAnswer answer = m_context.rates.take (m_permit, now());
+    if (answer == quota::QuotaAnswer::kPending)
     {
-        beginWait (choice.reason);
+        armTimer();
+        return true;
     }
+    const InstanceChoice choice = std::move (*m_wanted);
+    m_wanted.reset();
+    m_permitWaited += now() - m_permitAskedAt;
+    const bool mayStart = answer == quota::QuotaAnswer::kGranted
+                          && m_context.freshness() == Freshness::kConfirmed
+                          && m_context.directory.mayStillServe (choice.id, m_query, now());
+    if (! mayStart)
+        return false;
+    endWait();
+    startAttempt (choice);
+    return true;
+}
+
+bool Exchange::refuseBeyondRates (const InstanceChoice& choice)
+{
+    if (choice.reason != NoChoice::kRateLimited || now() + choice.rateWait < m_waitDeadline)
+        return false;
+    endWait();
+    endUnserved (ErrorKind::kNoCapacity, "all runners get as many requests as they state to take",
+                 choice.rateWait);
+    return true;
 }
 
-void Exchange::beginWait (NoChoice reason)
+void Exchange::endUnserved (ErrorKind kind, const std::string& message, base::Duration retryAfter)
+{
+    if (m_isAnswerBegun)
+        cut();
+    else if (m_mayHaveRun)
+        fail (ErrorKind::kUpstreamBroken, "no other runner could take the request in time");
+    else
+        refuse (kind, message, retryAfter);
+}
+
+std::pair<int, base::TimePoint> Exchange::turn() const
+{
+    if (m_route == nullptr)
+        return { std::numeric_limits<int>::max(), m_arrivedAt };
+    const bool hasOwnPriority = m_tenant != nullptr && m_tenant->priority;
+    return { hasOwnPriority ? *m_tenant->priority : m_route->priority, m_arrivedAt };
+}
+
+void Exchange::beginWait (const InstanceChoice& choice)
 {
     if (m_isWaiting)
+    {
+        refuseBeyondRates (choice);
         return;
+    }
     m_isWaiting = true;
     m_waitBegan = now();
     // A runner that comes later than this would answer too late; the caller had better ask again.
@@ -236,14 +310,15 @@
                   { "service", m_query.service },
                   { "model", m_query.model },
                   { "adapter", m_query.adapter },
-                  { "cause", nameOf (reason) },
+                  { "cause", nameOf (choice.reason) },
                   { "table", m_context.directory.version() } });
     if (! m_query.model.empty())
     {
         m_context.demands.onWaiting (m_target);
         m_context.onUrgentDemand();
     }
-    armTimer();
+    if (! refuseBeyondRates (choice))
+        armTimer();
 }
 
 void Exchange::endWait()
@@ -268,7 +343,7 @@
     {
         goOn();
     }
-    else if (m_isWaiting || m_isAwaitingVerdict)
+    else if (m_isWaiting || m_isAwaitingVerdict || m_wanted)
     {
         tryNext();
     }
@@ -354,6 +429,8 @@
 void Exchange::armTimer()
 {
     base::TimePoint due = std::min (m_deadline, m_attemptDeadline);
+    if (m_wanted)
+        due = m_deadline;
     if (m_isWaiting)
         due = m_waitDeadline;
     if (m_isWaitingForQuota)
@@ -367,19 +444,8 @@
 void Exchange::onWaitOver()
 {
     endWait();
-    if (m_isAnswerBegun)
-    {
-        cut();
-    }
-    else if (m_mayHaveRun)
-    {
-        fail (ErrorKind::kUpstreamBroken, "no other runner could take the request in time");
-    }
-    else
-    {
-        refuse (ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
-                retryAfterWait (! m_query.model.empty()));
-    }
+    endUnserved (ErrorKind::kDeadlineUnreachable, "no runner could take the request in time",
+                 retryAfterWait (! m_query.model.empty()));
 }
 
 void Exchange::onTimer()
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "base/Error.h"
 #include "base/SocketAddress.h"
@@ -46,8 +47,11 @@
     void onSuspectsChanged();
     [[nodiscard]] bool isWaiting() const
     {
-        return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota || m_isAwaitingVerdict;
+        return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota || m_isAwaitingVerdict
+               || m_wanted;
     }
+    /// Those that wait are looked at in this order: the most urgent first, then the earliest.
+    [[nodiscard]] std::pair<int, base::TimePoint> turn() const;
 
     void onSent() override;
     void onHead (http::AnswerHead head) override;
@@ -88,7 +92,16 @@
     /// Whether the request has to wait, or has ended, for what is known of it.
     [[nodiscard]] bool isHeldBack (const quarantine::Standing& standing);
     void refuseQuarantined (const quarantine::Standing& standing);
-    void beginWait (NoChoice reason);
+    /// Chooses a runner and goes there, or waits.
+    void chooseRunner();
+    /// Whether the request has gone to the runner that is wanted, or waits for a permit for it;
+    /// else another one is to be chosen.
+    bool takePermit();
+    void beginWait (const InstanceChoice& choice);
+    /// Ends the request if no runner takes it in time at the rates that they state.
+    bool refuseBeyondRates (const InstanceChoice& choice);
+    /// No runner takes the request in time: it has to end.
+    void endUnserved (base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
     void endWait();
     void startAttempt (const InstanceChoice& choice);
     /// Whether the table still shows the incarnation that the attempt went to.
@@ -138,6 +151,10 @@
     const config::Tenant* m_tenant = nullptr;  ///< Of `m_routes`; null where no key is needed.
     QuotaTicket m_quota;
     InstanceQuery m_query;
+    std::optional<InstanceChoice> m_wanted;  ///< Runner for which a permit is awaited.
+    PermitTicket m_permit;
+    base::TimePoint m_permitAskedAt{};
+    base::Duration m_permitWaited{};  ///< In all.
     EngineTarget m_target;
     base::TimePoint m_arrivedAt{};
     base::Duration m_stated{};  ///< What the caller waits.
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -48,6 +48,7 @@
                   { "attempts", m_sent },
                   { "unreachable", m_unreachable },
                   { "waited_ms", base::toMilliseconds (m_waited) },
+                  { "permit_wait_ms", base::toMilliseconds (m_permitWaited) },
                   { "head_ms", sinceArrival (m_answeredAt) },
                   { "longest_pause_ms", base::toMilliseconds (m_longestPause) },
                   { "total_ms", sinceArrival (now()) },
@@ -130,6 +131,8 @@
         return;
     m_timer.stop();
     m_context.quotas.giveUp (m_quota);
+    m_wanted.reset();
+    m_context.rates.giveUp (m_permit);
     endWait();
     m_onEnd (*this);
 }
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -95,6 +95,8 @@
             return "not_loaded";
         case NoChoice::kUnconfirmed:
             return "unconfirmed";
+        case NoChoice::kRateLimited:
+            return "rate_limited";
         case NoChoice::kFull:
             break;
     }
@@ -422,6 +424,7 @@
     // Runners in doubt come last: requests of a crashed runner that went by their text alone to
     // others of its rack, which had fallen silent with it, would wait for a second one in vain.
     std::pair<int, double> best;
+    base::Duration wait{};
     for (const auto& [id, view] : viewsFor (query.service, query.model))
     {
         if (! canServe (*view, query, now))
@@ -432,9 +435,11 @@
         if (choice.reason == NoChoice::kNone && rank <= best)
             continue;
         best = rank;
+        wait = waitForRate (*view, query);
         choice = choiceOf (offerOf (*view, nullptr, query, now), query, now);
     }
-    return choice;
+    // All copies go to this one runner, so that they wait for its rate together.
+    return wait > base::Duration::zero() ? rateLimited (wait) : choice;
 }
 
 NoChoice InstanceDirectory::reasonWithout (const InstanceQuery& query, base::TimePoint now) const
@@ -492,17 +497,47 @@
     return lowest;
 }
 
+base::Duration InstanceDirectory::waitForRate (const View& view, const InstanceQuery& query)
+{
+    if (! query.waitForRate)
+        return base::Duration::zero();
+    return query.waitForRate (view.row.instance.id, view.row.instance.startedAt);
+}
+
+InstanceChoice InstanceDirectory::rateLimited (base::Duration wait)
+{
+    InstanceChoice choice;
+    choice.reason = NoChoice::kRateLimited;
+    choice.rateWait = wait;
+    return choice;
+}
+
+bool InstanceDirectory::mayStillServe (const std::string& id, const InstanceQuery& query,
+                                       base::TimePoint now) const
+{
+    const auto found = m_views.find (id);
+    return found != m_views.end() && canServe (found->second, query, now);
+}
+
 InstanceChoice InstanceDirectory::choose (const InstanceQuery& query, base::TimePoint now) const
 {
     if (! query.trial.empty())
         return chooseForTrial (query, now);
     const View* const home = homeOf (query, now);
     std::vector<Offer> offers;
+    std::optional<base::Duration> shortestWait;
     for (const auto& [id, view] : viewsFor (query.service, query.model))
     {
-        if (canServe (*view, query, now))
+        if (! canServe (*view, query, now))
+            continue;
+        const base::Duration wait = waitForRate (*view, query);
+        if (wait > base::Duration::zero())
+            shortestWait = std::min (shortestWait.value_or (wait), wait);
+        else
             offers.push_back (offerOf (*view, home, query, now));
     }
+    if (offers.empty() && shortestWait)
+        return rateLimited (*shortestWait);
     if (offers.empty())
         return { reasonWithout (query, now) };
     // In a small cell what is known is this router's own, and never the same at two of them.
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -45,6 +45,9 @@
     base::Duration gapTarget{};  ///< Longest pause between events of streams; zero: any.
     /// Whether a connection to the address rests here; may be empty.
     std::function<bool (const base::SocketAddress& address)> hasConnection{};
+    /// Time until a runner that states a rate may take another request; may be empty: always.
+    std::function<base::Duration (const std::string& instance, base::UnixMilliseconds startedAt)>
+        waitForRate{};
 };
 
 enum class NoChoice : std::uint8_t
@@ -54,6 +57,7 @@
     kNotLoaded,    ///< None of them holds the model and adapter.
     kFull,         ///< All that could take it are full.
     kUnconfirmed,  ///< The table may be out of date: no leader has confirmed it for long.
+    kRateLimited,  ///< All that could take it get as many requests as they state to take.
 };
 
 struct InstanceChoice
@@ -65,6 +69,8 @@
     base::Duration expectedAnswer{};
     /// Of the prompt, less what the runner has likely kept.
     std::uint64_t tokensToRead = 0;
+    /// Until one of the runners may take another request; of kRateLimited only.
+    base::Duration rateWait{};
 };
 
 /// For logs, for example "not_loaded".
@@ -101,6 +107,9 @@
     [[nodiscard]] bool knowsOthers (base::TimePoint now) const { return shareOfOthers (now) > 0; }
 
     [[nodiscard]] InstanceChoice choose (const InstanceQuery& query, base::TimePoint now) const;
+    /// Whether a runner that was chosen a moment ago may still be.
+    [[nodiscard]] bool mayStillServe (const std::string& id, const InstanceQuery& query,
+                                      base::TimePoint now) const;
 
     /// `promptTokens` are read there until the answer begins.
     void onAttemptBegin (const std::string& id, std::uint64_t promptTokens, base::TimePoint now);
@@ -231,6 +240,9 @@
                                         base::TimePoint now);
     /// The runner where requests like this one meet; null without affinity.
     [[nodiscard]] const View* homeOf (const InstanceQuery& query, base::TimePoint now) const;
+    /// Until the runner may take another request by the rate that it states.
+    [[nodiscard]] static base::Duration waitForRate (const View& view, const InstanceQuery& query);
+    [[nodiscard]] static InstanceChoice rateLimited (base::Duration wait);
     /// Whether it works on requests and sent nothing for long.
     [[nodiscard]] static bool isQuiet (const View& view, base::TimePoint now);
     /// Whether it may have ended.
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -46,6 +46,7 @@
       m_random (randomSeed),
       m_onFinished (std::move (onFinished)),
       m_directory (m_settings.zone),
+      m_rates (randomSeed, [this] { m_demandTimer.start (0); }),
       m_pool (m_settings.connectTimeout),
       m_retryBudget (m_settings.retryShare, static_cast<double> (m_settings.retryReserve)),
       m_quotas (m_settings.quotaTolerance, [this] { m_demandTimer.start (0); }),
@@ -76,6 +77,7 @@
                 [this]
                 {
                     m_quotas.pool().onLinkLost();
+                    m_rates.onLinkLost();
                     m_loadReporter.onLinkLost();
                     m_directory.onLinkLost();
                     m_suspects.onLinkLost();
@@ -96,6 +98,7 @@
                       {
                           reportDemand();
                           requestQuota();
+                          reportRates();
                       });
     QObject::connect (&m_ticker, &QTimer::timeout, &m_ticker, [this] { onTick(); });
 }
@@ -146,6 +149,13 @@
             set ("fernlift_proxy_rate_limited_runners",
                  "Runners that state how many requests a second they take, as known here.",
                  m_rates.size());
+            set ("fernlift_proxy_permits_granted", "Requests let go to runners that state a rate.",
+                 m_rates.counters().granted);
+            set ("fernlift_proxy_permits_refused",
+                 "Requests held back from runners that state a rate.", m_rates.counters().refused);
+            set ("fernlift_proxy_permits_unanswered",
+                 "Requests for permits that no leader answered in time.",
+                 m_rates.counters().unanswered);
             set ("fernlift_proxy_configuration_version", "Configuration in force.", m_held.version);
             set ("fernlift_proxy_configuration_unconfirmed_milliseconds",
                  "Since the lease on the configuration ended; 0 while it lasts.",
@@ -178,6 +188,7 @@
     hello.configurationVersion = m_held.version;
     hello.configurationDigest = m_held.digest;
     hello.acceptsLastKnownState = true;
+    hello.features = cell::kReadsInstanceRates;
     hello.instanceTerm = m_directory.term();
     hello.instanceVersion = m_directory.version();
     m_link.send (hello);
@@ -187,6 +198,7 @@
 {
     m_session.onHeard (m_clock.now());
     m_freshness.onContact();
+    takeRates (message);
     if (const auto* other = std::get_if<cell::NotLeaderReply> (&message))
     {
         m_session.onNotLeader (*other, m_clock.now(), m_random);
@@ -227,6 +239,20 @@
     }
 }
 
+void ProxyProcess::takeRates (const cell::ControllerToRouter& message)
+{
+    if (const auto* update = std::get_if<cell::InstanceRateUpdate> (&message))
+        m_rates.apply (*update, m_clock.now());
+    else if (const auto* grant = std::get_if<cell::InstancePermitGrant> (&message))
+        m_rates.onGrant (*grant, m_clock.now());
+    else if (! std::holds_alternative<cell::NotLeaderReply> (message))
+    {
+        m_rates.onOtherMessage();
+        return;
+    }
+    m_server.onDirectoryChanged();
+}
+
 void ProxyProcess::confirmRoutes (const cell::LeaseGrant& grant)
 {
     const bool isCurrent = m_held.version >= grant.configurationVersion;
@@ -324,6 +350,7 @@
         m_preferredController = preferred.front();
     m_link.setControllers (std::move (preferred));
     limitRetries();
+    m_rates.setRouters (m_directory.routers());
     for (const std::string& id : m_directory.takeReplaced())
         m_suspects.onReplaced (id);
     // The last known state of a controller that does not lead does not tell how many there are.
@@ -426,6 +453,16 @@
         m_link.send (std::move (*request));
 }
 
+void ProxyProcess::reportRates()
+{
+    if (! m_session.isConnected())
+        return;
+    if (auto report = m_rates.takeReport (m_clock.now()))
+        m_link.send (std::move (*report));
+    if (auto request = m_rates.takeRequest (m_clock.now()))
+        m_link.send (std::move (*request));
+}
+
 void ProxyProcess::onRunnerChecked (const std::string& instance, RunnerFate fate)
 {
     log::write (log::Event::kRunnerChecked, { { "runner", instance }, { "fate", nameOf (fate) } });
@@ -464,6 +501,7 @@
     reportDemand();
     reportLoads();
     requestQuota();
+    reportRates();
     reportSuspects();
     moveToPreferred();
     m_pool.expire (m_clock.now());
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -79,6 +79,9 @@
     void reportLoads();
     /// Asks the controller for units of tenants' quotas, if any are needed.
     void requestQuota();
+    void takeRates (const cell::ControllerToRouter& message);
+    /// Tells the controller what runners stated of their rates, and asks for permits.
+    void reportRates();
     /// Tells the controller of runners that ended under requests, if it does not know.
     void reportSuspects();
     void onRunnerChecked (const std::string& instance, RunnerFate fate);
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -129,6 +129,8 @@
     std::vector<Exchange*> open;
     for (const auto& [caller, exchange] : m_exchanges)
         open.push_back (exchange.get());
+    // Where room comes a little at a time it goes to those whom it is worth most to.
+    std::ranges::sort (open, {}, &Exchange::turn);
     // Ended exchanges stay alive until the sweep.
     for (Exchange* exchange : open)
         visit (*exchange);
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -205,7 +205,7 @@
     base::Random random{ 1 };
     InstanceDirectory directory{ "z1" };
     InstanceLoadReporter loadReporter;
-    RunnerRates rates;
+    RunnerRates rates{ 1, [] {} };
     http::BackEndPool pool{ base::milliseconds (500) };
     dispatch::RetryBudget retryBudget{ 0.1, 10 };
     EngineDemands demands;
--- a/src/proxy/RunnerRates.cpp
+++ b/src/proxy/RunnerRates.cpp
@@ -1,10 +1,34 @@
 #include "proxy/RunnerRates.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "base/Overloaded.h"
 #include "log/Log.h"
 
 namespace fernlift::proxy
 {
+namespace
+{
+
+using quota::QuotaAnswer;
+
+/// A grant takes some 5 ms by way of two controllers. A request that waits longer goes to another
+/// runner, if there is one.
+constexpr base::Duration kGrantTimeout = base::milliseconds (100);
+/// Looked again for a permit so long after none could be asked for, or no answer came.
+constexpr base::Duration kRetry = base::milliseconds (100);
+/// A refusal that names no time.
+constexpr base::Duration kShortestWait = base::milliseconds (5);
+/// The leader has to know that a runner still states a rate, to tell later answers from those that
+/// were overtaken; it need not know it of each answer.
+constexpr base::Duration kReportInterval = base::milliseconds (500);
+/// A limit that the leader has not taken over by then is none: the runner has left the table.
+constexpr base::Duration kUntoldLife = base::seconds (5);
+/// As at the leader: a runner that gets no request states nothing.
+constexpr double kLeastPerSecond = 0.1;
+
+}  // namespace
 
 void RunnerRates::onAnswer (const RateObservation& seen, const StatedRate& stated,
                             base::TimePoint now)
@@ -22,26 +46,265 @@
 
 void RunnerRates::noteLimit (const RateObservation& seen, double perSecond, base::TimePoint now)
 {
-    Limit& limit = m_limits[seen.instance];
-    const bool isNews = limit.statedAt == base::TimePoint{} || limit.perSecond != perSecond;
-    limit = { perSecond, seen.startedAt, now };
+    const auto [found, isNew] = m_limits.try_emplace (seen.instance);
+    Limit& limit = found->second;
+    const bool isOfAnother = limit.startedAt != seen.startedAt;
+    const bool isNews = isNew || isOfAnother || limit.perSecond != perSecond;
+    if (isNew || isOfAnother)
+    {
+        limit = {};
+        limit.startedAt = seen.startedAt;
+        limit.perSecond = perSecond;
+        limit.untoldSince = now;
+        // Routers that hear of a rate together do not all send at once.
+        limit.ownShareAt = now
+                           + std::chrono::duration_cast<base::Duration> (ownInterval (limit)
+                                                                         * m_random.uniformReal());
+    }
+    limit.perSecond = perSecond;
+    limit.statedAt = now;
     if (isNews)
         log::write (log::Event::kRunnerRateStated,
                     { { "runner", seen.instance }, { "per_second", perSecond } });
+    if (isNews || now - limit.reportedAt >= kReportInterval)
+        reportLimit (seen.instance, limit, now);
+}
+
+void RunnerRates::reportLimit (const std::string& instance, Limit& limit, base::TimePoint now)
+{
+    if (m_granting != Granting::kLeader)
+        return;
+    limit.reportedAt = now;
+    m_unreported.push_back (
+        { { instance, limit.startedAt, true, limit.perSecond, 0 }, limit.statedAt });
+    m_onNeed();
 }
 
 void RunnerRates::noteEnd (const RateObservation& seen)
 {
     const auto found = m_limits.find (seen.instance);
-    if (found == m_limits.end())
+    if (found == m_limits.end() || ! seen.isProper)
         return;
     // Answers overtake one another: one to a request that was sent before the rate was heard of may
     // have been written before the runner stated it.
-    const bool isNewer = seen.sentAt > found->second.statedAt;
-    if (! isNewer || ! seen.isProper)
+    const Limit& limit = found->second;
+    const bool isNewer = seen.sentAt > limit.statedAt;
+    if (! isNewer || limit.startedAt != seen.startedAt)
+        return;
+    if (m_granting == Granting::kLeader)
+    {
+        m_unreported.push_back ({ { seen.instance, seen.startedAt, false, 0, 0 }, seen.sentAt });
+        m_onNeed();
+    }
+    if (limit.isTold)
         return;
     log::write (log::Event::kRunnerRateEnded, { { "runner", seen.instance } });
     m_limits.erase (found);
 }
 
+bool RunnerRates::isLimited (const std::string& instance, base::UnixMilliseconds startedAt) const
+{
+    const auto found = m_limits.find (instance);
+    return found != m_limits.end() && found->second.startedAt == startedAt;
+}
+
+base::Duration RunnerRates::waitFor (const std::string& instance, base::UnixMilliseconds startedAt,
+                                     base::TimePoint now) const
+{
+    if (! isLimited (instance, startedAt))
+        return base::Duration::zero();
+    const Limit& limit = m_limits.at (instance);
+    base::TimePoint until;
+    switch (m_granting)
+    {
+        case Granting::kLeader:
+            until = limit.askAgainAt;
+            break;
+        case Granting::kNobody:
+            until = limit.ownShareAt;
+            break;
+        case Granting::kUnknown:
+            until = now + kRetry;
+            break;
+    }
+    return std::max (until - now, base::Duration::zero());
+}
+
+QuotaAnswer RunnerRates::take (PermitTicket& ticket, base::TimePoint now)
+{
+    const auto found = m_limits.find (ticket.instance);
+    if (found == m_limits.end())
+    {
+        giveUp (ticket);
+        return QuotaAnswer::kGranted;  // The limit has ended meanwhile.
+    }
+    Limit& limit = found->second;
+    if (m_granting != Granting::kLeader)
+    {
+        giveUp (ticket);
+        return count (m_granting == Granting::kNobody ? takeOwnShare (limit, now)
+                                                      : QuotaAnswer::kRefused);
+    }
+    ticket.claim.account = ticket.instance;
+    ticket.claim.units = 1;
+    const bool isNew = ! ticket.isPending();
+    const QuotaAnswer answer = m_permits.take (ticket.claim, now);
+    if (isNew && answer == QuotaAnswer::kPending)
+        m_onNeed();
+    if (answer == QuotaAnswer::kRefused)
+        limit.askAgainAt = std::max (limit.askAgainAt, now + kShortestWait);
+    if (answer != QuotaAnswer::kPending)
+        return count (answer);
+    if (now - ticket.claim.askedAt < kGrantTimeout)
+        return answer;
+    giveUp (ticket);
+    limit.askAgainAt = now + kRetry;
+    ++m_counters.unanswered;
+    return QuotaAnswer::kRefused;
+}
+
+QuotaAnswer RunnerRates::takeOwnShare (Limit& limit, base::TimePoint now)
+{
+    if (now < limit.ownShareAt)
+        return QuotaAnswer::kRefused;
+    limit.ownShareAt = now + ownInterval (limit);
+    return QuotaAnswer::kGranted;
+}
+
+base::Duration RunnerRates::ownInterval (const Limit& limit) const
+{
+    const double seconds = m_routers / std::max (limit.perSecond, kLeastPerSecond);
+    return std::chrono::duration_cast<base::Duration> (std::chrono::duration<double> (seconds));
+}
+
+QuotaAnswer RunnerRates::count (QuotaAnswer answer)
+{
+    ++(answer == QuotaAnswer::kGranted ? m_counters.granted : m_counters.refused);
+    return answer;
+}
+
+void RunnerRates::onLinkLost()
+{
+    m_granting = Granting::kUnknown;
+    m_unreported.clear();
+    m_permits.onLinkLost();
+}
+
+void RunnerRates::onOtherMessage()
+{
+    if (m_granting == Granting::kUnknown)
+        m_granting = Granting::kNobody;
+}
+
+void RunnerRates::apply (const cell::InstanceRateUpdate& update, base::TimePoint now)
+{
+    const Granting earlier =
+        std::exchange (m_granting, update.isGranting ? Granting::kLeader : Granting::kNobody);
+    if (update.isGranting)
+        takeTable (update, now);
+    else
+        // Nobody keeps a table any more: what the runners say themselves ends a limit.
+        for (auto& [instance, limit] : m_limits)
+            limit.isTold = false;
+    if (m_granting != Granting::kLeader || earlier == Granting::kLeader)
+        return;
+    for (auto& [instance, limit] : m_limits)
+    {
+        if (! limit.isTold)
+            reportLimit (instance, limit, now);
+    }
+}
+
+void RunnerRates::takeTable (const cell::InstanceRateUpdate& update, base::TimePoint now)
+{
+    const bool isNewTerm = update.term > m_term;
+    // Another controller may be behind the one before.
+    const bool isOlder = update.term < m_term || (! isNewTerm && update.version < m_version);
+    if (update.term == 0 || isOlder)
+        return;
+    m_term = update.term;
+    m_version = update.version;
+    std::map<std::string, Limit> earlier = std::exchange (m_limits, {});
+    for (const cell::InstanceRate& rate : update.limited)
+    {
+        const auto found = earlier.find (rate.instance);
+        Limit limit;
+        if (found != earlier.end() && found->second.startedAt == rate.startedAt)
+            limit = found->second;
+        else
+            limit.ownShareAt = now;
+        limit.perSecond = rate.perSecond;
+        limit.startedAt = rate.startedAt;
+        limit.isTold = true;
+        limit.statedAt = std::max (limit.statedAt, now - base::milliseconds (rate.ageMilliseconds));
+        m_limits[rate.instance] = limit;
+    }
+    for (auto& [instance, limit] : earlier)
+    {
+        // Within one term the leader has taken it back; a new leader may not have heard of it yet.
+        if (m_limits.contains (instance) || (limit.isTold && ! isNewTerm))
+            continue;
+        if (std::exchange (limit.isTold, false))
+            limit.untoldSince = now;
+        const auto kept = m_limits.emplace (instance, limit).first;
+        reportLimit (instance, kept->second, now);
+    }
+}
+
+void RunnerRates::onGrant (const cell::InstancePermitGrant& grant, base::TimePoint now)
+{
+    m_permits.onGrant (grant.grant);
+    for (const cell::QuotaAllowance& allowance : grant.grant.allowances)
+    {
+        const auto found = m_limits.find (allowance.account);
+        if (found != m_limits.end() && allowance.waitMilliseconds > 0)
+            found->second.askAgainAt = now + base::milliseconds (allowance.waitMilliseconds);
+    }
+}
+
+void RunnerRates::expire (base::TimePoint now)
+{
+    if (m_granting != Granting::kLeader)
+        return;
+    std::erase_if (m_limits,
+                   [&] (const auto& item)
+                   {
+                       const Limit& limit = item.second;
+                       return ! limit.isTold && now - limit.untoldSince > kUntoldLife;
+                   });
+}
+
+void RunnerRates::tellAgain (base::TimePoint now)
+{
+    for (auto& [instance, limit] : m_limits)
+    {
+        if (! limit.isTold && now - limit.reportedAt >= kReportInterval)
+            reportLimit (instance, limit, now);
+    }
+}
+
+std::optional<cell::InstanceRateReport> RunnerRates::takeReport (base::TimePoint now)
+{
+    expire (now);
+    tellAgain (now);
+    if (m_unreported.empty())
+        return std::nullopt;
+    cell::InstanceRateReport report;
+    for (Statement& statement : std::exchange (m_unreported, {}))
+    {
+        statement.content.ageMilliseconds = base::toMilliseconds (now - statement.madeAt);
+        report.statements.push_back (std::move (statement.content));
+    }
+    return report;
+}
+
+std::optional<cell::InstancePermitRequest> RunnerRates::takeRequest (base::TimePoint now)
+{
+    if (m_granting != Granting::kLeader)
+        return std::nullopt;
+    if (auto claims = m_permits.takeRequest (now))
+        return cell::InstancePermitRequest{ std::move (*claims) };
+    return std::nullopt;
+}
+
 }  // namespace fernlift::proxy
--- a/src/proxy/RunnerRates.h
+++ b/src/proxy/RunnerRates.h
@@ -1,16 +1,30 @@
 #pragma once
 
 /**
- * Which runners state in their answers how many requests a second they take, as this router has
- * heard it.
+ * Keeps this router to the rates that runners state in their answers: which runners are limited,
+ * and a permit of the leader for each request that goes to one of them.
+ *
+ * A rate is meant for all routers together. What this router hears counts here at once and is
+ * reported; what the leader tells counts until the leader takes it back. Without a leader that can
+ * be reached a limited runner gets nothing from this router, so that no cut, freeze or restart adds
+ * to what the others send. With controllers of an earlier version, which grant no permits, the
+ * router keeps to its own share of a rate.
  */
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "base/Random.h"
 #include "base/Time.h"
+#include "cell/InstanceRateMessages.h"
 #include "proxy/StatedRate.h"
+#include "quota/QuotaPool.h"
 
 namespace fernlift::proxy
 {
@@ -28,26 +42,117 @@
     bool isProper = false;
 };
 
-/** Pure but for log lines. Threading: none; owned by one router. */
+/** A request to a limited runner, from the first look for a permit on. */
+struct PermitTicket
+{
+    std::string instance;
+    quota::QuotaClaim claim;
+
+    [[nodiscard]] bool isPending() const { return claim.sequence != 0; }
+};
+
+/** Since the start of the process. */
+struct PermitCounters
+{
+    std::uint64_t granted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unanswered = 0;  ///< No answer came in time.
+};
+
+/** Pure but for log lines: time is passed in. Threading: none; owned by one router. */
 class RunnerRates
 {
 public:
+    /** `randomSeed` spreads routers that keep to their own shares; `onNeed`: a report or a request
+       for permits should be sent soon.
+    */
+    RunnerRates (std::uint64_t randomSeed, std::function<void()> onNeed)
+        : m_random (randomSeed), m_onNeed (std::move (onNeed))
+    {
+    }
+
     void onAnswer (const RateObservation& seen, const StatedRate& stated, base::TimePoint now);
-    /** Runners that state a rate, as far as known. */
+
+    /** Whether a request to the runner needs a permit. */
+    [[nodiscard]] bool isLimited (const std::string& instance,
+                                  base::UnixMilliseconds startedAt) const;
+    /** Time until a permit for the runner is worth asking for; zero: now, or none is needed. */
+    [[nodiscard]] base::Duration waitFor (const std::string& instance,
+                                          base::UnixMilliseconds startedAt,
+                                          base::TimePoint now) const;
+    /** Asks for a permit for the ticket's runner, or looks whether one has come. A permit is used
+        up when it is granted. After a refusal waitFor() is above zero.
+    */
+    [[nodiscard]] quota::QuotaAnswer take (PermitTicket& ticket, base::TimePoint now);
+    /** Ends a ticket that is pending; does nothing to another. */
+    void giveUp (PermitTicket& ticket) { m_permits.giveUp (ticket.claim); }
+
+    // The connection to the controller:
+    void onLinkLost();
+    /** A message other than a table or the word that it does not lead: without a table before it,
+        the controller is of an earlier version.
+    */
+    void onOtherMessage();
+    void apply (const cell::InstanceRateUpdate& update, base::TimePoint now);
+    void onGrant (const cell::InstancePermitGrant& grant, base::TimePoint now);
+    [[nodiscard]] std::optional<cell::InstanceRateReport> takeReport (base::TimePoint now);
+    /** The request for permits that is due. It must be sent at `now`. */
+    [[nodiscard]] std::optional<cell::InstancePermitRequest> takeRequest (base::TimePoint now);
+
+    void setRouters (std::uint32_t routers) { m_routers = routers; }
+    /** Runners that are limited, as far as known. */
     [[nodiscard]] std::size_t size() const { return m_limits.size(); }
+    [[nodiscard]] const PermitCounters& counters() const { return m_counters; }
 
 private:
+    /** Who bounds the requests of all routers. */
+    enum class Granting : std::uint8_t
+    {
+        kUnknown,  ///< No controller has told yet.
+        kLeader,
+        kNobody,  ///< The leader, or the controller, is of a version that knows no rates.
+    };
     struct Limit
     {
         double perSecond = 0;
         base::UnixMilliseconds startedAt = 0;
-        base::TimePoint statedAt{};  ///< Last.
+        bool isTold = false;            ///< In the leader's table, which alone ends it then.
+        base::TimePoint statedAt{};     ///< By the last answer, as far as known here.
+        base::TimePoint untoldSince{};  ///< While it is not in the leader's table.
+        base::TimePoint reportedAt{};   ///< Last.
+        base::TimePoint askAgainAt{};   ///< The leader has no permit before.
+        base::TimePoint ownShareAt{};   ///< When the own share allows the next request.
     };
 
     void noteLimit (const RateObservation& seen, double perSecond, base::TimePoint now);
     void noteEnd (const RateObservation& seen);
+    void takeTable (const cell::InstanceRateUpdate& update, base::TimePoint now);
+    void reportLimit (const std::string& instance, Limit& limit, base::TimePoint now);
+    /** Limits that the leader never took over do not last. */
+    void expire (base::TimePoint now);
+    /** A report may have been lost with the leader that it was for. */
+    void tellAgain (base::TimePoint now);
+    [[nodiscard]] quota::QuotaAnswer takeOwnShare (Limit& limit, base::TimePoint now);
+    /** Between two requests of the own share. */
+    [[nodiscard]] base::Duration ownInterval (const Limit& limit) const;
+    [[nodiscard]] quota::QuotaAnswer count (quota::QuotaAnswer answer);
+
+    struct Statement
+    {
+        cell::InstanceRateStatement content;  ///< But for the age.
+        base::TimePoint madeAt{};
+    };
 
+    base::Random m_random;
+    std::function<void()> m_onNeed;
+    std::uint32_t m_routers = 1;
+    Granting m_granting = Granting::kUnknown;
+    base::Term m_term = 0;  ///< Of the last table.
+    std::uint64_t m_version = 0;
     std::map<std::string, Limit> m_limits;  ///< By instance.
+    std::vector<Statement> m_unreported;    ///< Only while the leader grants.
+    quota::QuotaPool m_permits{ base::Duration::zero() };
+    PermitCounters m_counters;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/RunnerRatesTest.cpp
+++ b/src/proxy/RunnerRatesTest.cpp
@@ -17,7 +17,7 @@
 
 TEST (RunnerRatesTest, ARateHoldsUntilAnAnswerToALaterRequestStatesNone)
 {
-    RunnerRates rates;
+    RunnerRates rates (1, [] {});
     rates.onAnswer (answerTo (0), LimitedRate{ 2 }, at (100));
     EXPECT_EQ (rates.size(), 1U);
     rates.onAnswer (answerTo (50), UnlimitedRate{}, at (150));
@@ -28,7 +28,7 @@
 
 TEST (RunnerRatesTest, AFailureOrAnUnreadableRateEndsNothing)
 {
-    RunnerRates rates;
+    RunnerRates rates (1, [] {});
     rates.onAnswer (answerTo (0), LimitedRate{ 2 }, at (100));
     RateObservation failed = answerTo (200);
     failed.isProper = false;
--- a/src/router/RouterCoreImplementation.h
+++ b/src/router/RouterCoreImplementation.h
@@ -86,6 +86,8 @@
     void handle (const cell::SuspectUpdate& /*update*/) {}
     void handle (const cell::SuspectReport& /*report*/) {}
     void handle (const cell::InstanceLoadUpdate& /*update*/) {}
+    void handle (const cell::InstanceRateUpdate& /*update*/) {}
+    void handle (const cell::InstancePermitGrant& /*grant*/) {}
     /// The cell's time as the leader last told it; 0 before. It goes on with the monotonic clock,
     /// so that a step of this machine's wall clock changes nothing.
     [[nodiscard]] base::UnixMilliseconds cellTime() const;
--- a/src/router/RouterProcessTestSupport.h
+++ b/src/router/RouterProcessTestSupport.h
@@ -110,6 +110,8 @@
     void handle (const cell::QuotaRequest& /*request*/) {}
     void handle (const cell::SuspectReport& /*report*/) {}
     void handle (const cell::InstanceLoadReport& /*report*/) {}
+    void handle (const cell::InstanceRateReport& /*report*/) {}
+    void handle (const cell::InstancePermitRequest& /*request*/) {}
     void handle (const cell::RunnerLeavingSeen& seen) { leavingSeen.push_back (seen); }
 
     std::vector<cell::RoutableReplica> m_replicas;
