--- a/src/controller/AdminAnswers.cpp
+++ b/src/controller/AdminAnswers.cpp
@@ -258,6 +258,20 @@
     return answerOf (200, object);
 }
 
+void addRate (QJsonObject& object, const AdminView& view, const std::string& instance)
+{
+    const InstanceRateLedger::Account* account =
+        view.rates == nullptr ? nullptr : view.rates->find (instance);
+    object[u"states_a_rate"_s] = account != nullptr;
+    if (account == nullptr)
+        return;
+    object[u"rate_per_second"_s] = account->perSecond;
+    object[u"rate_stated_age_ms"_s] =
+        static_cast<qint64> (base::toMilliseconds (view.now - account->statedAt));
+    object[u"permits_granted"_s] = number (account->granted);
+    object[u"permits_refused"_s] = number (account->refused);
+}
+
 QJsonObject instanceObject (const AdminView& view, const cell::ServiceInstance& instance)
 {
     QJsonObject object{
@@ -265,6 +279,7 @@
         { u"service"_s, text (instance.service) }, { u"zone"_s, text (instance.zone) },
         { u"address"_s, text (instance.address) }, { u"draining"_s, instance.isDraining }
     };
+    addRate (object, view, instance.id);
     if (view.loads == nullptr)
         return object;
     const cell::InstanceLoad load = view.loads->loadOf (instance.id, view.now);
--- a/src/controller/AdminAnswers.h
+++ b/src/controller/AdminAnswers.h
@@ -13,6 +13,7 @@
 #include "consensus/RaftNode.h"
 #include "controller/DemandTable.h"
 #include "controller/InstanceLoadTable.h"
+#include "controller/InstanceRateLedger.h"
 #include "controller/RouterSessions.h"
 #include "controller/RunnerWatch.h"
 
@@ -48,6 +49,7 @@
     const DemandTable* demands = nullptr;      ///< Leader only.
     const InstanceLoadTable* loads = nullptr;  ///< Of registered runners.
     base::TimePoint now{};
+    const InstanceRateLedger* rates = nullptr;  ///< Leader only.
 };
 
 /// {"suspects": [{"request","ends","quarantined","runners","last_end_ms"}]}, those in quarantine
--- a/src/controller/ControllerAdmin.cpp
+++ b/src/controller/ControllerAdmin.cpp
@@ -188,13 +188,14 @@
 
 AdminView ControllerCore::Implementation::adminView (const consensus::RaftStatus& status) const
 {
-    AdminView view{ m_state, status, nullptr, nullptr, nullptr, nullptr, m_now };
+    AdminView view{ m_state, status, nullptr, nullptr, nullptr, nullptr, m_now, nullptr };
     if (m_leader)
     {
         view.watch = &m_leader->watch;
         view.sessions = &m_leader->sessions;
         view.demands = &m_leader->demands;
         view.loads = &m_leader->loads;
+        view.rates = &m_leader->rates;
     }
     return view;
 }
--- a/src/controller/ControllerMetrics.cpp
+++ b/src/controller/ControllerMetrics.cpp
@@ -67,6 +67,17 @@
     addGauge (text, "runners_slowed", "Runners that stated a slow moment just now.", slowNow);
 }
 
+void addRateMetrics (std::string& text, const InstanceRateLedger& rates)
+{
+    addGauge (text, "rate_limited_runners",
+              "Runners that state how many requests a second they take, at the leader.",
+              rates.size());
+    addCounter (text, "permits_granted_total",
+                "Requests of routers let go to runners that state a rate.", rates.granted());
+    addCounter (text, "permits_refused_total",
+                "Requests of routers held back from runners that state a rate.", rates.refused());
+}
+
 }  // namespace
 
 std::string ControllerCore::Implementation::metricsText() const
@@ -116,6 +127,7 @@
         addLoadMetrics (text, m_relay->loads, m_relay->loadSum.reporters(), m_now);
     else
         addLoadMetrics (text, InstanceLoadTable(), 0, m_now);
+    addRateMetrics (text, m_leader ? m_leader->rates : InstanceRateLedger());
     return text;
 }
 
--- a/src/controller/InstanceRateLedger.cpp
+++ b/src/controller/InstanceRateLedger.cpp
@@ -167,10 +167,12 @@
         {
             entry.account.level -= units;
             ++entry.account.granted;
+            ++m_granted;
             allowance.units += claim;
             continue;
         }
         ++entry.account.refused;
+        ++m_refused;
         const double seconds =
             (units - entry.account.level) / grantedPerSecond (entry.account.perSecond);
         const auto wait = std::chrono::duration<double> (seconds);
--- a/src/controller/InstanceRateLedger.h
+++ b/src/controller/InstanceRateLedger.h
@@ -58,6 +58,9 @@
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     [[nodiscard]] std::vector<cell::InstanceRate> limited (base::TimePoint now) const;
     [[nodiscard]] std::size_t size() const { return m_accounts.size(); }
+    /** Permits for all runners, while this member leads. */
+    [[nodiscard]] std::uint64_t granted() const { return m_granted; }
+    [[nodiscard]] std::uint64_t refused() const { return m_refused; }
     /** Null when the runner is not limited. */
     [[nodiscard]] const Account* find (const std::string& instance) const;
 
@@ -79,6 +82,8 @@
                                                      base::TimePoint now);
 
     std::uint64_t m_version = 1;
+    std::uint64_t m_granted = 0;
+    std::uint64_t m_refused = 0;
     base::TimePoint m_knownSince{};  ///< What was stated before is in `m_accounts` or over.
     std::map<std::string, Entry> m_accounts;         ///< By instance.
     std::map<std::string, base::TimePoint> m_ended;  ///< When a rate was known to be over.
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -89,6 +89,7 @@
     std::uint64_t regressions = 0;  ///< Times a lower version arrived after a higher one.
     bool isCut = false;             ///< Nothing passes to or from it.
     bool acceptsLastKnownState = false;
+    std::uint32_t features = 0;  ///< Of cell::RouterFeature.
 
     [[nodiscard]] bool admits (base::TimePoint now) const
     {
@@ -103,6 +104,9 @@
     std::vector<cell::RunnerEndReport> suspectHints;
     std::function<void (const cell::SuspectUpdate&)> onSuspects = [] (const auto&) {};
     std::function<void (const cell::InstanceLoadUpdate&)> onLoads = [] (const auto&) {};
+    std::vector<std::string> received;                ///< Kinds of messages, in their order.
+    std::optional<cell::InstanceRateUpdate> rates{};  ///< As told last.
+    std::vector<cell::QuotaAllowance> permits;
 
     [[nodiscard]] bool knows (const std::string& target) const;
 };
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "controller/ControlTraffic.h"
 #include "controller/TestCell.h"
 
 namespace fernlift::controller::test
@@ -102,6 +103,8 @@
     hello.acceptsLastKnownState = router.acceptsLastKnownState;
     hello.instanceTerm = router.instanceTerm;
     hello.instanceVersion = router.instanceVersion;
+    hello.features = router.features;
+    router.received.clear();
     toController (router, hello);
 }
 
@@ -138,6 +141,7 @@
 
 void TestCell::onMessage (TestRouter& router, const cell::ControllerToRouter& message)
 {
+    router.received.emplace_back (kindOf (message));
     if (const auto* reply = std::get_if<cell::NotLeaderReply> (&message))
     {
         const base::MemberId member = memberAt (reply->leaderAddress);
@@ -189,6 +193,15 @@
         router.suspectHints.insert (router.suspectHints.end(), hint->ends.begin(),
                                     hint->ends.end());
     }
+    else if (const auto* rates = std::get_if<cell::InstanceRateUpdate> (&message))
+    {
+        router.rates = *rates;
+    }
+    else if (const auto* permits = std::get_if<cell::InstancePermitGrant> (&message))
+    {
+        router.permits.insert (router.permits.end(), permits->grant.allowances.begin(),
+                               permits->grant.allowances.end());
+    }
     else if (const auto* loads = std::get_if<cell::InstanceLoadUpdate> (&message))
     {
         router.onLoads (*loads);
