--- a/src/proxy/ProxyProcessTest.cpp
+++ b/src/proxy/ProxyProcessTest.cpp
@@ -94,5 +94,30 @@
     EXPECT_TRUE (states (2));
 }
 
+// A router that is sent on to another controller.
+//
+// What operators saw while a cell was upgraded: controllers of the earlier version closed the
+// connections of routers with "unknown message type".
+TEST_F (ProxyProcessTest, ARouterThatIsSentOnForgetsWhatTheControllerBeforeCouldRead)
+{
+    m_leader.knowsRates = true;
+    m_leader.redirect();
+    ASSERT_TRUE (m_process.waitUntilReady());
+    m_leader.redirect();
+    ASSERT_TRUE (test::waitUntil ([this] { return m_leader.connections > 1; }));
+    RawCaller caller (m_process.frontAddress());
+    caller.write (test::ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (m_runner.waitForRequest());
+    m_runner.connections[0]->write (
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Rate: 5\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE (test::waitUntil ([this] { return m_leader.rateMessages > 0; }));
+    m_leader.knowsRates = false;
+    const std::size_t earlier = m_leader.connections;
+    m_leader.redirect();
+    ASSERT_TRUE (test::waitUntil ([&] { return m_leader.connections > earlier; }));
+    runFor (std::chrono::milliseconds (1200));
+    EXPECT_EQ (m_leader.rateMessages, 0U);
+}
+
 }  // namespace
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcessTestSupport.h
+++ b/src/proxy/ProxyProcessTestSupport.h
@@ -72,8 +72,14 @@
         send (update);
     }
 
+    /// Sends the router to this leader again, as controllers do that do not lead.
+    void redirect() { send (cell::NotLeaderReply{ address().toString() }); }
+
     bool grantsLeases = true;
+    bool knowsRates = false;  ///< Of runners; versions before do not read messages about them.
     std::vector<cell::LeaseRequest> leaseRequests;
+    std::size_t connections = 0;   ///< That a router has greeted.
+    std::size_t rateMessages = 0;  ///< On the present connection.
 
 private:
     void accept()
@@ -84,6 +90,10 @@
             auto message = wire::decodeMessage<cell::RouterToController> (frame.payload);
             if (std::holds_alternative<cell::RouterHello> (message.value()))
                 welcome();
+            const bool isOfRates =
+                std::holds_alternative<cell::InstanceRateReport> (message.value())
+                || std::holds_alternative<cell::InstancePermitRequest> (message.value());
+            rateMessages += isOfRates ? 1 : 0;
             if (const auto* request = std::get_if<cell::LeaseRequest> (&message.value()))
                 answer (*request);
         };
@@ -99,6 +109,10 @@
     }
     void welcome()
     {
+        ++connections;
+        rateMessages = 0;
+        if (knowsRates)
+            send (cell::InstanceRateUpdate{});
         sendConfiguration();
         cell::InstanceUpdate update;
         update.term = 1;
