A router that is sent on to another controller tells it all anew

What operators saw: controllers of the earlier build closed connections with "unknown message type" while a cell was upgraded; what callers saw: a router that looks for its controller again for some tenths of a second. Cause: state of the connection (whether the controller reads rates, loads told, claims under way, suspects reported) was dropped when it was lost, not when NotLeaderReply led to another one. Both ways go through forgetController() now, so that no third one can miss a part.

--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -70,17 +70,15 @@
                 {
                     m_freshness.onContact();
                     m_session.onConnected (m_clock.now());
+                    // A router that is sent on to another controller has lost none.
+                    forgetController();
                     sendHello();
                     pollController();
                 },
                 [this] (const cell::ControllerToRouter& message) { onControllerMessage (message); },
                 [this]
                 {
-                    m_quotas.pool().onLinkLost();
-                    m_rates.onLinkLost();
-                    m_loadReporter.onLinkLost();
-                    m_directory.onLinkLost();
-                    m_suspects.onLinkLost();
+                    forgetController();
                     m_session.onLost (m_clock.now(), m_random);
                 } }),
       m_freshness ({ m_settings.unconfirmedGrace, m_settings.isolatedGrace }),
@@ -178,6 +176,15 @@
     return ! m_stopBegan && isKnown && m_freshness.at (m_clock.now()) != Freshness::kExpired;
 }
 
+void ProxyProcess::forgetController()
+{
+    m_quotas.pool().onLinkLost();
+    m_rates.onLinkLost();
+    m_loadReporter.onLinkLost();
+    m_directory.onLinkLost();
+    m_suspects.onLinkLost();
+}
+
 void ProxyProcess::sendHello()
 {
     cell::RouterHello hello;
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -56,6 +56,9 @@
 
 private:
     void connectController (const std::string& address);
+    /// What was told on the connection before is told again, and nothing is taken for granted of
+    /// what its controller could read.
+    void forgetController();
     void sendHello();
     void onControllerMessage (const cell::ControllerToRouter& message);
     void confirmRoutes (const cell::LeaseGrant& grant);
--- a/src/proxy/ProxyProcessTest.cpp
+++ b/src/proxy/ProxyProcessTest.cpp
@@ -98,6 +98,13 @@
 //
 // What operators saw while a cell was upgraded: controllers of the earlier version closed the
 // connections of routers with "unknown message type".
+//
+// The cause: what a router knew of its controller was forgotten when the connection was lost, but
+// not when a controller that does not lead sent it on to another one. Loads, claims on quotas and
+// suspects that the one before had been told were not told again either.
+//
+// The evidence: the closed connections came right after the router's line ControllerLost without a
+// loss, within the 0.4 s in which the leader was looked for.
 TEST_F (ProxyProcessTest, ARouterThatIsSentOnForgetsWhatTheControllerBeforeCouldRead)
 {
     m_leader.knowsRates = true;
