Beside controllers of an earlier build a rate is shared between permits and own shares

Cause: routers without permits took rate / routers each while the leader granted the whole rate to the others. The leader grants the part of the routers that ask it; own shares are two thirds, for how many routers there are is known late.

--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -547,6 +547,8 @@
     void onRateReport (const cell::InstanceRateReport& report);
     void grantPermits (RouterConnection connection, const cell::InstancePermitRequest& request);
     void forgetRatesOfGone();
+    /// At the leader: how many of the routers keep to its permits.
+    void shareRates();
     /// False when the message is about something else.
     bool relayRateMessage (RouterConnection connection, const cell::RouterToController& message);
     void takeLeaderRates (const cell::ControllerToRouter& message);
--- a/src/controller/ControllerRates.cpp
+++ b/src/controller/ControllerRates.cpp
@@ -4,6 +4,7 @@
  * that do not lead pass it on. See docs/design/runner-rates.md.
  */
 
+#include <algorithm>
 #include <utility>
 
 #include "controller/ControllerImplementation.h"
@@ -89,6 +90,19 @@
                   cell::InstancePermitGrant{ m_leader->rates.answer (request.claims, m_now) });
 }
 
+void ControllerCore::Implementation::shareRates()
+{
+    const std::uint32_t all = m_leader->sessions.countRouters();
+    std::uint32_t asking = 0;
+    for (const auto& [connection, session] : m_leader->sessions.sessions())
+    {
+        if (readsRates (session) && ! session.isSuperseded)
+            asking += session.routers;
+    }
+    if (all > 0)
+        m_leader->rates.setShare (std::min (1.0, static_cast<double> (asking) / all), m_now);
+}
+
 void ControllerCore::Implementation::forgetRatesOfGone()
 {
     m_leader->rates.keepOnly (
--- a/src/controller/ControllerRunners.cpp
+++ b/src/controller/ControllerRunners.cpp
@@ -36,6 +36,7 @@
     runInstanceRoutine();
     forgetLoadsOfGone();
     forgetRatesOfGone();
+    shareRates();
     changeMembersIfDue();
     m_leader->isPlacementDue = true;
     placeIfDue();
--- a/src/controller/InstanceRateLedger.cpp
+++ b/src/controller/InstanceRateLedger.cpp
@@ -37,17 +37,27 @@
     return std::chrono::duration<double> (duration).count();
 }
 
-/// Permits a second. What arrives within a window was granted within one that is longer by the life
-/// of a permit and the way: 0.91 of the rate keep the window to the rate and the burst.
-double grantedPerSecond (double stated)
+}  // namespace
+
+double InstanceRateLedger::grantedPerSecond (double stated) const
 {
+    // What arrives within a window was granted within one that is longer by the life of a permit
+    // and the way: 0.91 of the rate keep the window to the rate and the burst.
     constexpr base::Duration kGrantWindow = kWindow + kPermitLife + kTravel;
-    return std::max (stated * secondsOf (kWindow) / secondsOf (kGrantWindow), kLeastPerSecond);
+    const double part = m_share * secondsOf (kWindow) / secondsOf (kGrantWindow);
+    return std::max (stated * part, kLeastPerSecond);
 }
 
-}  // namespace
+void InstanceRateLedger::setShare (double share, base::TimePoint now)
+{
+    if (share == m_share)
+        return;
+    for (auto& [instance, entry] : m_accounts)
+        refill (entry, now);
+    m_share = share;
+}
 
-void InstanceRateLedger::refill (Entry& entry, base::TimePoint now)
+void InstanceRateLedger::refill (Entry& entry, base::TimePoint now) const
 {
     const double added =
         grantedPerSecond (entry.account.perSecond) * secondsOf (now - entry.filledAt);
--- a/src/controller/InstanceRateLedger.h
+++ b/src/controller/InstanceRateLedger.h
@@ -43,6 +43,10 @@
 
     /** Of a leader that begins, with what routers were told before. */
     void begin (const std::vector<cell::InstanceRate>& limited, base::TimePoint now);
+    /** Part of the cell's routers that ask for permits, from 0 to 1. The others, whose controllers
+       are of an earlier version, keep to their own shares of each rate.
+    */
+    void setShare (double share, base::TimePoint now);
     /** Takes over what a runner stated, unless something newer is known. `startedAt` is that of the
         incarnation in the table of runners.
     */
@@ -77,11 +81,14 @@
        state a rate. A router that was cut off or stood still meanwhile has not heard of it.
     */
     [[nodiscard]] bool isOutdated (const std::string& instance, base::TimePoint statedAt) const;
-    static void refill (Entry& entry, base::TimePoint now);
+    /** Permits a second for a runner that states the rate. */
+    [[nodiscard]] double grantedPerSecond (double stated) const;
+    void refill (Entry& entry, base::TimePoint now) const;
     [[nodiscard]] cell::QuotaAllowance allowanceFor (const cell::QuotaNeed& need,
                                                      base::TimePoint now);
 
     std::uint64_t m_version = 1;
+    double m_share = 1;
     std::uint64_t m_granted = 0;
     std::uint64_t m_refused = 0;
     base::TimePoint m_knownSince{};  ///< What was stated before is in `m_accounts` or over.
--- a/src/proxy/RunnerRates.cpp
+++ b/src/proxy/RunnerRates.cpp
@@ -25,6 +25,10 @@
 constexpr base::Duration kReportInterval = base::milliseconds (500);
 /// A limit that the leader has not taken over by then is none: the runner has left the table.
 constexpr base::Duration kUntoldLife = base::seconds (5);
+/// Part of its share of a rate that a router takes without permits: how many routers there are is
+/// known late. With 7 routers and 1 request a second each then sends one in 10.5 s, so that 4 s
+/// hold one of each at most.
+constexpr double kOwnPart = 2.0 / 3;
 /// As at the leader: a runner that gets no request states nothing.
 constexpr double kLeastPerSecond = 0.1;
 
@@ -173,7 +177,7 @@
 
 base::Duration RunnerRates::ownInterval (const Limit& limit) const
 {
-    const double seconds = m_routers / std::max (limit.perSecond, kLeastPerSecond);
+    const double seconds = m_routers / (kOwnPart * std::max (limit.perSecond, kLeastPerSecond));
     return std::chrono::duration_cast<base::Duration> (std::chrono::duration<double> (seconds));
 }
 
