Routers without a controller share half of a tenant's limit

Cause: routers that are cut off admitted rate / routers each, which the leader keeps back of its half only, while the other controllers grant theirs in full: 1.25 of the rate with half of the routers cut off. Besides, a router counted the time up to a late grant as time without a controller. UnassistedShareTest asked that routers without any controller admit half of limit, burst and tolerance together; that is what breaks the bound. In its place: at most half of that, and at least 0.9 of half of the rate.

--- a/src/controller/LargeTenantQuotaTest.cpp
+++ b/src/controller/LargeTenantQuotaTest.cpp
@@ -3,8 +3,16 @@
  * leaders change, and routers and controllers are cut off. No window may hold more than the limit
  * and its tolerance.
  *
- * What is suspected, and not shown by a run: a router whose grant is late draws on its own share
- * and takes the grant as well when it comes, so that the two overlap.
+ * What was seen: a window held up to 1.15 of the bound, in 100 of 100 seeds.
+ *
+ * The cause: a router that was cut off admitted rate / routers by itself. The leader kept that back
+ * of its own half of the limit, the other controllers went on to grant theirs in full, so that with
+ * half of the routers cut off 1.25 of the rate was admitted. Routers whose grants came late besides
+ * counted the time before as time without a controller.
+ *
+ * The evidence: in ten seeds a window held 1.04 of the bound in the mean once the time before a
+ * grant did not count any more, 1.00 without routers that are cut off, and 0.73 with half of the
+ * rate for those that are.
  */
 
 #include <gtest/gtest.h>
--- a/src/controller/QuotaCellTestSupport.h
+++ b/src/controller/QuotaCellTestSupport.h
@@ -353,7 +353,12 @@
 
     void answerRouter (const QuotaRelay::Answer& answer)
     {
-        send ([this, answer] { m_routers[answer.router]->pool.onGrant (answer.grant); });
+        send (
+            [this, answer]
+            {
+                m_routers[answer.router]->pool.onGrant (answer.grant);
+                m_routers[answer.router]->share.onAssisted (m_now);
+            });
     }
 
     void stepRelay (std::size_t index)
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -223,7 +223,7 @@
     }
     else if (const auto* quota = std::get_if<cell::QuotaGrant> (&message))
     {
-        m_quotas.pool().onGrant (*quota);
+        m_quotas.onGrant (*quota, m_clock.now());
         m_server.onDirectoryChanged();
     }
     else if (const auto* suspects = std::get_if<cell::SuspectUpdate> (&message))
--- a/src/proxy/TenantQuotas.cpp
+++ b/src/proxy/TenantQuotas.cpp
@@ -78,6 +78,12 @@
     return Admission::kRefused;
 }
 
+void TenantQuotas::onGrant (const cell::QuotaGrant& grant, base::TimePoint now)
+{
+    m_pool.onGrant (grant);
+    m_ownShare.onAssisted (now);
+}
+
 base::Duration TenantQuotas::retryAfter (const config::Tenant& tenant) const
 {
     return std::max (m_pool.waitOf (tenant.name), kShortestRetry);
--- a/src/proxy/TenantQuotas.h
+++ b/src/proxy/TenantQuotas.h
@@ -54,6 +54,8 @@
     /** When a refused caller finds units again, as far as known. */
     [[nodiscard]] base::Duration retryAfter (const config::Tenant& tenant) const;
 
+    void onGrant (const cell::QuotaGrant& grant, base::TimePoint now);
+
     quota::QuotaPool& pool() { return m_pool; }
     void setRouters (std::uint32_t routers) { m_ownShare.setRouters (routers); }
 
--- a/src/quota/UnassistedShare.cpp
+++ b/src/quota/UnassistedShare.cpp
@@ -5,6 +5,19 @@
 
 namespace fernlift::quota
 {
+namespace
+{
+
+/// Part of the limit that routers without a controller share. The leader keeps back its half for
+/// those that are cut off; the other controllers go on to grant theirs in full.
+constexpr double kPart = 0.5;
+
+}  // namespace
+
+void UnassistedShare::onAssisted (base::TimePoint now)
+{
+    m_assistedAt = std::max (m_assistedAt, now);
+}
 
 bool UnassistedShare::admits (const config::Tenant& tenant, std::uint64_t units,
                               base::TimePoint now, base::Random& random)
@@ -12,10 +25,11 @@
     if (m_routers == 0)
         return false;
     const double capacity = m_tolerance.unassistedUnitsFor (tenant.quota) / m_routers;
-    const double rate = tenant.quota.ratePerSecond / m_routers;
+    const double rate = kPart * tenant.quota.ratePerSecond / m_routers;
     Part& part = m_parts[tenant.name];
-    const std::chrono::duration<double> age = now - part.filledAt;
-    part.level = std::min (part.level + rate * age.count(), capacity);
+    const bool isNew = part.filledAt == base::TimePoint{};
+    const std::chrono::duration<double> unassisted = now - std::max (part.filledAt, m_assistedAt);
+    part.level = isNew ? capacity : std::min (part.level + rate * unassisted.count(), capacity);
     part.filledAt = now;
     const auto wanted = static_cast<double> (units);
     if (part.level >= wanted)
--- a/src/quota/UnassistedShare.h
+++ b/src/quota/UnassistedShare.h
@@ -30,6 +30,12 @@
     /** Routers of the cell; 0 while that is not known: nothing is admitted. */
     void setRouters (std::uint32_t routers) { m_routers = routers; }
 
+    /** A controller answered a request for units: what it granted is this router's part of the
+       limit until now, and the own part grows only from now on. Without this both count when
+       answers are late: a window held up to 1.15 of the bound in 100 of 100 seeds of a cell with
+       nine controllers, one in twenty messages late.
+    */
+    void onAssisted (base::TimePoint now);
     /** Whether a request of so many units is admitted. */
     [[nodiscard]] bool admits (const config::Tenant& tenant, std::uint64_t units,
                                base::TimePoint now, base::Random& random);
@@ -43,6 +49,7 @@
 
     QuotaTolerance m_tolerance;
     std::uint32_t m_routers = 0;
+    base::TimePoint m_assistedAt{};
     std::map<std::string, Part> m_parts;
 };
 
--- a/src/quota/UnassistedShareTest.cpp
+++ b/src/quota/UnassistedShareTest.cpp
@@ -31,7 +31,8 @@
     EXPECT_FALSE (share.admits (tenant(), 1, kStart, random));
 }
 
-TEST (UnassistedShareTest, AllRoutersTogetherKeepTheLimit)
+/// The other half goes on to be granted by controllers that do not lead.
+TEST (UnassistedShareTest, AllRoutersTogetherKeepToHalfOfTheLimit)
 {
     constexpr int kRouters = 80;
     constexpr std::uint64_t kUnits = 9000;
@@ -50,8 +51,21 @@
     }
     const config::TenantQuota quota = tenant().quota;
     const double limit = quota.ratePerSecond * 8 + quota.burst + tolerance().unitsFor (quota);
-    EXPECT_LE (admitted, limit);
-    EXPECT_GE (admitted, limit / 2);
+    EXPECT_LE (admitted, limit / 2);
+    constexpr double kLeastUse = 0.9;
+    EXPECT_GE (admitted, kLeastUse * quota.ratePerSecond * 8 / 2);
+}
+
+TEST (UnassistedShareTest, NothingGrowsWhileAControllerGrants)
+{
+    UnassistedShare share (tolerance());
+    share.setRouters (1);
+    base::Random random (1);
+    // The first draw takes all that there is at once.
+    [[maybe_unused]] const bool first = share.admits (tenant(), 1'000'000'000, kStart, random);
+    share.onAssisted (kStart + base::seconds (5));
+    EXPECT_FALSE (share.admits (tenant(), 9000, kStart + base::seconds (5), random));
+    EXPECT_TRUE (share.admits (tenant(), 9000, kStart + base::seconds (6), random));
 }
 
 TEST (UnassistedShareTest, SmallRequestsPassWithoutADraw)
