Requests beyond the rates of all runners of a model are refused at once

What callers saw: all that wait for limited runners waited to the end of their wait, however many were before them. A request is refused as soon as the runners' rates cannot bring its turn in time, behind those that wait at this router, with Retry-After: when room is expected. ExchangeRateTest (6): permit, another runner without one, a leader that does not answer, refusal with the time of room.

--- a/src/cell/InstanceRateMessages.h
+++ b/src/cell/InstanceRateMessages.h
@@ -23,6 +23,11 @@
 namespace fernlift::cell
 {
 
+/** A runner that gets no request states nothing, so that the end of its need would never be heard
+   of: one that states less gets a request in 10 s all the same.
+*/
+constexpr double kLeastRatePerSecond = 0.1;
+
 /** What one answer of a runner told of its rate. */
 struct InstanceRateStatement
 {
--- a/src/controller/InstanceRateLedger.cpp
+++ b/src/controller/InstanceRateLedger.cpp
@@ -15,9 +15,6 @@
 /// Permits that gather while nobody asks. With one, a request that comes a little late for its
 /// permit costs the runner the rest of an interval.
 constexpr double kBurst = 2;
-/// A runner that gets no request states nothing, so that the end of its need would never be heard
-/// of: one that states less gets a request in 10 s all the same, in 4 s no more than the burst.
-constexpr double kLeastPerSecond = 0.1;
 /// A request arrives at its runner within this time after it left its router, connections that
 /// have to be opened included.
 constexpr base::Duration kTravel = base::milliseconds (200);
@@ -45,7 +42,8 @@
     // and the way: 0.91 of the rate keep the window to the rate and the burst.
     constexpr base::Duration kGrantWindow = kWindow + kPermitLife + kTravel;
     const double part = m_share * secondsOf (kWindow) / secondsOf (kGrantWindow);
-    return std::max (stated * part, kLeastPerSecond);
+    // In a window the least rate is no more than the burst.
+    return std::max (stated * part, cell::kLeastRatePerSecond);
 }
 
 void InstanceRateLedger::setShare (double share, base::TimePoint now)
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -54,8 +54,11 @@
     QObject::connect (&m_timer, &QTimer::timeout, &m_timer, [this] { onTimer(); });
     m_query.hasConnection = [this] (const base::SocketAddress& address)
     { return m_context.pool.hasResting (address, now()); };
-    m_query.waitForRate = [this] (const std::string& instance, base::UnixMilliseconds startedAt)
-    { return m_context.rates.waitFor (instance, startedAt, now()); };
+    m_query.roomByRate = [this] (const std::string& instance, base::UnixMilliseconds startedAt)
+    {
+        return RateRoom{ m_context.rates.waitFor (instance, startedAt, now()),
+                         m_context.rates.rateOf (instance, startedAt) };
+    };
 }
 
 Exchange::~Exchange()
@@ -267,14 +270,25 @@
 
 bool Exchange::refuseBeyondRates (const InstanceChoice& choice)
 {
-    if (choice.reason != NoChoice::kRateLimited || now() + choice.rateWait < m_waitDeadline)
+    if (choice.reason != NoChoice::kRateLimited)
+        return false;
+    base::Duration wait = choice.rateWait;
+    if (! std::exchange (m_isWaitingForRate, true))
+    {
+        const std::uint32_t ahead = m_context.rates.waitingFor (rateQueue())++;
+        const std::chrono::duration<double> queue (ahead / choice.ratePerSecond);
+        wait += std::chrono::duration_cast<base::Duration> (queue);
+    }
+    if (now() + wait < m_waitDeadline)
         return false;
     endWait();
     endUnserved (ErrorKind::kNoCapacity, "all runners get as many requests as they state to take",
-                 choice.rateWait);
+                 wait);
     return true;
 }
 
+std::string Exchange::rateQueue() const { return m_query.service + "/" + m_query.model; }
+
 void Exchange::endUnserved (ErrorKind kind, const std::string& message, base::Duration retryAfter)
 {
     if (m_isAnswerBegun)
@@ -325,6 +339,8 @@
 {
     if (! std::exchange (m_isWaiting, false))
         return;
+    if (std::exchange (m_isWaitingForRate, false))
+        --m_context.rates.waitingFor (rateQueue());
     m_waited += now() - m_waitBegan;
     if (! m_query.model.empty())
         m_context.demands.onWaitEnd (m_target);
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -100,6 +100,8 @@
     void beginWait (const InstanceChoice& choice);
     /// Ends the request if no runner takes it in time at the rates that they state.
     bool refuseBeyondRates (const InstanceChoice& choice);
+    /// Requests that wait for the same runners' rates.
+    [[nodiscard]] std::string rateQueue() const;
     /// No runner takes the request in time: it has to end.
     void endUnserved (base::ErrorKind kind, const std::string& message, base::Duration retryAfter);
     void endWait();
@@ -155,6 +157,7 @@
     PermitTicket m_permit;
     base::TimePoint m_permitAskedAt{};
     base::Duration m_permitWaited{};  ///< In all.
+    bool m_isWaitingForRate = false;  ///< Counted among those that wait for the same rates.
     EngineTarget m_target;
     base::TimePoint m_arrivedAt{};
     base::Duration m_stated{};  ///< What the caller waits.
--- /dev/null
+++ b/src/proxy/ExchangeRateTest.cpp
@@ -0,0 +1,146 @@
+// Requests before runners that state a rate; the test plays the leader that grants permits.
+
+#include <gtest/gtest.h>
+
+#include "proxy/ProxyTestSupport.h"
+
+namespace fernlift::proxy::test
+{
+namespace
+{
+
+constexpr const char* kAnswer =
+    "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Rate: 2\r\nContent-Length: 5\r\n\r\nhello";
+
+class ExchangeRateTest : public ::testing::Test
+{
+protected:
+    /// The leader tells which runners are limited to two requests a second.
+    void limit (const std::vector<std::string>& runners)
+    {
+        cell::InstanceRateUpdate table{ 1, ++m_version, true, {} };
+        for (const std::string& runner : runners)
+            table.limited.push_back ({ runner, 0, 2, 0 });
+        proxy.rates.apply (table, proxy.clock.now());
+    }
+    /// Answers what the router asks for; returns how many permits it asked for.
+    std::size_t answer (std::uint64_t units, std::int64_t waitMilliseconds)
+    {
+        const auto request = proxy.rates.takeRequest (proxy.clock.now());
+        if (! request)
+            return 0;
+        cell::InstancePermitGrant grant;
+        grant.grant.sequence = request->claims.sequence;
+        std::size_t asked = 0;
+        for (const cell::QuotaNeed& need : request->claims.needs)
+        {
+            asked += need.claims.size();
+            grant.grant.allowances.push_back ({ need.account, units, 200, waitMilliseconds });
+        }
+        proxy.rates.onGrant (grant, proxy.clock.now());
+        proxy.server.onDirectoryChanged();
+        return asked;
+    }
+
+    ProxyFixture proxy;
+    StubRunner runner;
+    StubRunner other;
+
+private:
+    std::uint64_t m_version = 0;
+};
+
+TEST_F (ExchangeRateTest, ARequestGoesToALimitedRunnerOnceItHasAPermit)
+{
+    proxy.addRunner ("i-1", runner);
+    limit ({ "i-1" });
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    runFor (std::chrono::milliseconds (20));
+    EXPECT_TRUE (runner.connections.empty());
+    EXPECT_EQ (answer (1, 0), 1U);
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (kAnswer);
+    ASSERT_TRUE (caller.waitFor ("hello"));
+    EXPECT_NE (caller.received().find ("Test-Rate: 2"), std::string::npos)
+        << "callers see what the runner says";
+}
+
+TEST_F (ExchangeRateTest, WithoutAPermitARequestGoesToAnotherRunner)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.addRunner ("i-2", other);
+    limit ({ "i-1" });
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    runFor (std::chrono::milliseconds (20));
+    EXPECT_EQ (answer (0, 400), 1U);
+    EXPECT_TRUE (other.waitForRequest());
+    EXPECT_TRUE (runner.connections.empty());
+}
+
+TEST_F (ExchangeRateTest, ALeaderThatDoesNotAnswerHoldsARequestUpForAMoment)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.addRunner ("i-2", other);
+    limit ({ "i-1" });
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    runFor (std::chrono::milliseconds (150));
+    proxy.server.onDirectoryChanged();
+    EXPECT_TRUE (other.waitForRequest());
+}
+
+TEST_F (ExchangeRateTest, WhatCannotBeServedInTimeIsRefusedAtOnceWithTheTimeOfRoom)
+{
+    proxy.addRunner ("i-1", runner);
+    limit ({ "i-1" });
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    runFor (std::chrono::milliseconds (20));
+    EXPECT_EQ (answer (0, 20'000), 1U);
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 503"));
+    EXPECT_TRUE (caller.received().find ("Retry-After: 19.9") != std::string::npos
+                 || caller.received().find ("Retry-After: 20.0") != std::string::npos)
+        << caller.received();
+    EXPECT_TRUE (runner.connections.empty());
+}
+
+TEST_F (ExchangeRateTest, RequestsBeyondTheRateOfTheirTimeAreRefusedAtOnce)
+{
+    proxy.addRunner ("i-1", runner);
+    limit ({ "i-1" });
+    // Wait as long as others do that find no runner; two a second are served meanwhile.
+    constexpr std::size_t kRequests = 20;
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (std::size_t number = 0; number < kRequests; ++number)
+    {
+        callers.push_back (std::make_unique<RawCaller> (proxy.listening));
+        callers.back()->write (ProxyFixture::request ("app.test", "r" + std::to_string (number)));
+    }
+    runFor (std::chrono::milliseconds (30));
+    answer (0, 100);
+    runFor (std::chrono::milliseconds (30));
+    std::size_t refused = 0;
+    for (const auto& caller : callers)
+        refused += caller->received().find ("HTTP/1.1 503") != std::string::npos ? 1 : 0;
+    EXPECT_GT (refused, kRequests / 2);
+    EXPECT_LT (refused, kRequests);
+}
+
+TEST_F (ExchangeRateTest, ACallerThatLeavesWhileItWaitsAsksForNoPermitAnyMore)
+{
+    proxy.addRunner ("i-1", runner);
+    limit ({ "i-1" });
+    {
+        RawCaller caller (proxy.listening);
+        caller.write (ProxyFixture::request ("once.test"));
+        runFor (std::chrono::milliseconds (10));
+    }
+    runFor (std::chrono::milliseconds (20));
+    EXPECT_EQ (answer (1, 0), 0U);
+    EXPECT_TRUE (runner.connections.empty());
+}
+
+}  // namespace
+}  // namespace fernlift::proxy::test
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -424,7 +424,7 @@
     // Runners in doubt come last: requests of a crashed runner that went by their text alone to
     // others of its rack, which had fallen silent with it, would wait for a second one in vain.
     std::pair<int, double> best;
-    base::Duration wait{};
+    RateRoom room;
     for (const auto& [id, view] : viewsFor (query.service, query.model))
     {
         if (! canServe (*view, query, now))
@@ -435,11 +435,11 @@
         if (choice.reason == NoChoice::kNone && rank <= best)
             continue;
         best = rank;
-        wait = waitForRate (*view, query);
+        room = roomByRate (*view, query);
         choice = choiceOf (offerOf (*view, nullptr, query, now), query, now);
     }
     // All copies go to this one runner, so that they wait for its rate together.
-    return wait > base::Duration::zero() ? rateLimited (wait) : choice;
+    return room.wait > base::Duration::zero() ? rateLimited (room) : choice;
 }
 
 NoChoice InstanceDirectory::reasonWithout (const InstanceQuery& query, base::TimePoint now) const
@@ -497,18 +497,19 @@
     return lowest;
 }
 
-base::Duration InstanceDirectory::waitForRate (const View& view, const InstanceQuery& query)
+RateRoom InstanceDirectory::roomByRate (const View& view, const InstanceQuery& query)
 {
-    if (! query.waitForRate)
-        return base::Duration::zero();
-    return query.waitForRate (view.row.instance.id, view.row.instance.startedAt);
+    if (! query.roomByRate)
+        return {};
+    return query.roomByRate (view.row.instance.id, view.row.instance.startedAt);
 }
 
-InstanceChoice InstanceDirectory::rateLimited (base::Duration wait)
+InstanceChoice InstanceDirectory::rateLimited (const RateRoom& room)
 {
     InstanceChoice choice;
     choice.reason = NoChoice::kRateLimited;
-    choice.rateWait = wait;
+    choice.rateWait = room.wait;
+    choice.ratePerSecond = room.perSecond;
     return choice;
 }
 
@@ -525,19 +526,23 @@
         return chooseForTrial (query, now);
     const View* const home = homeOf (query, now);
     std::vector<Offer> offers;
-    std::optional<base::Duration> shortestWait;
+    std::optional<RateRoom> later;  ///< Of those that have none left now, together.
     for (const auto& [id, view] : viewsFor (query.service, query.model))
     {
         if (! canServe (*view, query, now))
             continue;
-        const base::Duration wait = waitForRate (*view, query);
-        if (wait > base::Duration::zero())
-            shortestWait = std::min (shortestWait.value_or (wait), wait);
-        else
+        const RateRoom room = roomByRate (*view, query);
+        if (room.wait == base::Duration::zero())
+        {
             offers.push_back (offerOf (*view, home, query, now));
+            continue;
+        }
+        later =
+            later ? RateRoom{ std::min (later->wait, room.wait), later->perSecond + room.perSecond }
+                  : room;
     }
-    if (offers.empty() && shortestWait)
-        return rateLimited (*shortestWait);
+    if (offers.empty() && later)
+        return rateLimited (*later);
     if (offers.empty())
         return { reasonWithout (query, now) };
     // In a small cell what is known is this router's own, and never the same at two of them.
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -22,6 +22,13 @@
 namespace fernlift::proxy
 {
 
+/// What a runner takes by the rate that it states.
+struct RateRoom
+{
+    base::Duration wait{};  ///< Until it may take another request; zero: now.
+    double perSecond = 0;   ///< 0 when it states none.
+};
+
 /// What a request needs of a runner.
 struct InstanceQuery
 {
@@ -45,9 +52,9 @@
     base::Duration gapTarget{};  ///< Longest pause between events of streams; zero: any.
     /// Whether a connection to the address rests here; may be empty.
     std::function<bool (const base::SocketAddress& address)> hasConnection{};
-    /// Time until a runner that states a rate may take another request; may be empty: always.
-    std::function<base::Duration (const std::string& instance, base::UnixMilliseconds startedAt)>
-        waitForRate{};
+    /// What a runner that states a rate has left of it; may be empty: no runner states any.
+    std::function<RateRoom (const std::string& instance, base::UnixMilliseconds startedAt)>
+        roomByRate{};
 };
 
 enum class NoChoice : std::uint8_t
@@ -69,8 +76,9 @@
     base::Duration expectedAnswer{};
     /// Of the prompt, less what the runner has likely kept.
     std::uint64_t tokensToRead = 0;
-    /// Until one of the runners may take another request; of kRateLimited only.
-    base::Duration rateWait{};
+    // Of kRateLimited only:
+    base::Duration rateWait{};  ///< Until one of the runners may take another request.
+    double ratePerSecond = 0;   ///< That they take together.
 };
 
 /// For logs, for example "not_loaded".
@@ -240,9 +248,8 @@
                                         base::TimePoint now);
     /// The runner where requests like this one meet; null without affinity.
     [[nodiscard]] const View* homeOf (const InstanceQuery& query, base::TimePoint now) const;
-    /// Until the runner may take another request by the rate that it states.
-    [[nodiscard]] static base::Duration waitForRate (const View& view, const InstanceQuery& query);
-    [[nodiscard]] static InstanceChoice rateLimited (base::Duration wait);
+    [[nodiscard]] static RateRoom roomByRate (const View& view, const InstanceQuery& query);
+    [[nodiscard]] static InstanceChoice rateLimited (const RateRoom& room);
     /// Whether it works on requests and sent nothing for long.
     [[nodiscard]] static bool isQuiet (const View& view, base::TimePoint now);
     /// Whether it may have ended.
--- a/src/proxy/RunnerRates.cpp
+++ b/src/proxy/RunnerRates.cpp
@@ -29,8 +29,6 @@
 /// known late. With 7 routers and 1 request a second each then sends one in 10.5 s, so that 4 s
 /// hold one of each at most.
 constexpr double kOwnPart = 2.0 / 3;
-/// As at the leader: a runner that gets no request states nothing.
-constexpr double kLeastPerSecond = 0.1;
 
 }  // namespace
 
@@ -112,6 +110,13 @@
     return found != m_limits.end() && found->second.startedAt == startedAt;
 }
 
+double RunnerRates::rateOf (const std::string& instance, base::UnixMilliseconds startedAt) const
+{
+    if (! isLimited (instance, startedAt))
+        return 0;
+    return std::max (m_limits.at (instance).perSecond, cell::kLeastRatePerSecond);
+}
+
 base::Duration RunnerRates::waitFor (const std::string& instance, base::UnixMilliseconds startedAt,
                                      base::TimePoint now) const
 {
@@ -177,7 +182,8 @@
 
 base::Duration RunnerRates::ownInterval (const Limit& limit) const
 {
-    const double seconds = m_routers / (kOwnPart * std::max (limit.perSecond, kLeastPerSecond));
+    const double seconds =
+        m_routers / (kOwnPart * std::max (limit.perSecond, cell::kLeastRatePerSecond));
     return std::chrono::duration_cast<base::Duration> (std::chrono::duration<double> (seconds));
 }
 
--- a/src/proxy/RunnerRates.h
+++ b/src/proxy/RunnerRates.h
@@ -80,6 +80,11 @@
     [[nodiscard]] base::Duration waitFor (const std::string& instance,
                                           base::UnixMilliseconds startedAt,
                                           base::TimePoint now) const;
+    /** That the runner states; 0 when it is not limited. */
+    [[nodiscard]] double rateOf (const std::string& instance,
+                                 base::UnixMilliseconds startedAt) const;
+    /** Requests of this router that wait for the rates of the runners of one model. */
+    [[nodiscard]] std::uint32_t& waitingFor (const std::string& model) { return m_waiting[model]; }
     /** Asks for a permit for the ticket's runner, or looks whether one has come. A permit is used
         up when it is granted. After a refusal waitFor() is above zero.
     */
@@ -152,6 +157,7 @@
     std::map<std::string, Limit> m_limits;  ///< By instance.
     std::vector<Statement> m_unreported;    ///< Only while the leader grants.
     quota::QuotaPool m_permits{ base::Duration::zero() };
+    std::map<std::string, std::uint32_t> m_waiting;  ///< By model.
     PermitCounters m_counters;
 };
 
