--- /dev/null
+++ b/src/cell/ReleasedMessagesTestSupport.h
@@ -0,0 +1,115 @@
+#pragma once
+
+/// Tests: one message of each kind that released versions know, with an element in each list so
+/// that the layout of what it holds shows too.
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell/RouterMessages.h"
+#include "consensus/Messages.h"
+#include "wire/Codec.h"
+
+namespace fernlift::cell::test
+{
+
+/// Name of a message and its bytes.
+using MessageSample = std::pair<std::string, std::string>;
+
+inline std::string hexOf (const std::string& bytes)
+{
+    constexpr const char* kDigits = "0123456789abcdef";
+    constexpr unsigned kLow = 15;
+    std::string hex;
+    for (const char each : bytes)
+    {
+        const auto value = static_cast<unsigned char> (each);
+        hex += kDigits[value >> 4U];
+        hex += kDigits[value & kLow];
+    }
+    return hex;
+}
+
+inline std::vector<MessageSample> samplesFromRouters()
+{
+    RouterHello hello;
+    hello.router = base::RouterId ("r-1");
+    hello.cell = base::CellId ("cell");
+    hello.zone = base::ZoneName ("z1");
+    hello.address = "10.0.0.1:80";
+    hello.configurationVersion = 7;
+    hello.acceptsLastKnownState = true;
+    hello.instanceTerm = 3;
+    hello.instanceVersion = 9;
+    LeaseRequest lease;
+    lease.sequence = 5;
+    lease.configurationVersion = 7;
+    lease.instanceVersion = 9;
+    lease.routers = 4;
+    InstanceSighting sighting;
+    sighting.instance = "i-1";
+    sighting.models.emplace_back();
+    sighting.inMemory.emplace_back ("m1");
+    sighting.first.emplace_back();
+    RunnerEndReport end;
+    end.instance = "i-1@5";
+    const auto encode = [] (RouterToController message) { return wire::encodeMessage (message); };
+    return {
+        { "RouterHello", encode (hello) },
+        { "LeaseRequest", encode (lease) },
+        { "DemandReport", encode (DemandReport{ { Demand{} } }) },
+        { "ClaimRequest", encode (ClaimRequest{ 2, { Claim{} } }) },
+        { "OutcomeReport", encode (OutcomeReport{ { OutcomeRecord{} } }) },
+        { "RunnerLeavingSeen", encode (RunnerLeavingSeen{}) },
+        { "EngineDemandReport", encode (EngineDemandReport{ { EngineDemand{} } }) },
+        { "MemberJoinRequest", encode (MemberJoinRequest{}) },
+        { "InstanceUnreachable", encode (InstanceUnreachable{ "i-1" }) },
+        { "InstanceSightings", encode (InstanceSightings{ { sighting } }) },
+        { "QuotaRequest", encode (QuotaRequest{ 6, { { "farm", { 9000, 12 } } } }) },
+        { "SuspectReport", encode (SuspectReport{ { end }, { "digest" } }) },
+        { "InstanceLoadReport",
+          encode (InstanceLoadReport{
+              { { "i-1", 3, 900 } }, { { "i-1", "m1", 4, 50 } }, { { "i-1", 120, 8 } } }) },
+    };
+}
+
+inline std::vector<MessageSample> samplesToRouters()
+{
+    ConfigurationUpdate configuration{ 8, "digest", "text" };
+    configuration.baseVersion = 7;
+    configuration.pieces.push_back ({ 1, 2, "new" });
+    LeaseGrant grant;
+    grant.sequence = 5;
+    grant.configurationVersion = 8;
+    grant.term = 3;
+    grant.durationMilliseconds = 2000;
+    ReplicaUpdate replicas;
+    replicas.upserts.emplace_back();
+    replicas.estimates.emplace_back();
+    replicas.loads.emplace_back();
+    InstanceUpdate instances;
+    instances.term = 3;
+    instances.toVersion = 9;
+    instances.upserts.emplace_back();
+    instances.upserts.back().instance.id = "i-1";
+    instances.removals.emplace_back ("i-2");
+    instances.controllers.push_back ({ "10.0.0.2:7380", "z1", true });
+    const auto encode = [] (ControllerToRouter message) { return wire::encodeMessage (message); };
+    return {
+        { "NotLeaderReply", encode (NotLeaderReply{ "10.0.0.2:7380" }) },
+        { "ConfigurationUpdate", encode (configuration) },
+        { "LeaseGrant", encode (grant) },
+        { "ReplicaUpdate", encode (replicas) },
+        { "ClaimReply", encode (ClaimReply{ 2, { ClaimAnswer{} } }) },
+        { "InstanceUpdate", encode (instances) },
+        { "MemberJoinReply", encode (MemberJoinReply{ true }) },
+        { "QuotaGrant", encode (QuotaGrant{ 6, { { "farm", 9000, 50, 20 } } }) },
+        { "SuspectUpdate", encode (SuspectUpdate{ 1, 2, { SuspectRow{} }, { "digest" } }) },
+        { "SuspectHint", encode (SuspectReport{}) },
+        { "InstanceLoadUpdate",
+          encode (InstanceLoadUpdate{ true, { { "i-1", 3, 900, 110, 120, 8 } } }) },
+    };
+}
+
+}  // namespace fernlift::cell::test
