Models that only limited runners hold are loaded elsewhere once requests wait for them

What callers of a rare model would see: its one runner takes a request in seconds while it is in need, for as long as that lasts, though others have room. Placement counts runners that state a rate as none while requests wait, loads nothing on them, and hears of requests that were refused at once.

--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -238,6 +238,7 @@
     std::map<std::string, base::UnixMilliseconds> loadStarts;
     base::TimePoint nextLoadsAt{};  ///< Routers hear of loads no earlier.
     InstanceRateLedger rates;       ///< Of runners that state one.
+    std::uint64_t placedRates = 0;  ///< Version of `rates` that placement has.
     base::TimePoint nextRatesAt{};  ///< Routers hear of rates no earlier.
     base::DecayingRate heartbeats;  ///< That this member took itself while it leads.
     quota::QuotaLedger quotas;
@@ -549,6 +550,7 @@
     void forgetRatesOfGone();
     /// At the leader: how many of the routers keep to its permits.
     void shareRates();
+    void tellPlacementOfRates();
     /// False when the message is about something else.
     bool relayRateMessage (RouterConnection connection, const cell::RouterToController& message);
     void takeLeaderRates (const cell::ControllerToRouter& message);
--- a/src/controller/ControllerRates.cpp
+++ b/src/controller/ControllerRates.cpp
@@ -103,6 +103,18 @@
         m_leader->rates.setShare (std::min (1.0, static_cast<double> (asking) / all), m_now);
 }
 
+void ControllerCore::Implementation::tellPlacementOfRates()
+{
+    if (std::exchange (m_leader->placedRates, m_leader->rates.version())
+        == m_leader->rates.version())
+        return;
+    std::set<std::string> engines;
+    for (const cell::InstanceRate& rate : m_leader->rates.limited (m_now))
+        engines.insert (rate.instance);
+    m_leader->engines.setRateLimited (std::move (engines));
+    m_leader->enginePlacement.request();
+}
+
 void ControllerCore::Implementation::forgetRatesOfGone()
 {
     m_leader->rates.keepOnly (
--- a/src/controller/ControllerRunners.cpp
+++ b/src/controller/ControllerRunners.cpp
@@ -37,6 +37,7 @@
     forgetLoadsOfGone();
     forgetRatesOfGone();
     shareRates();
+    tellPlacementOfRates();
     changeMembersIfDue();
     m_leader->isPlacementDue = true;
     placeIfDue();
--- a/src/placement/EngineNeeds.cpp
+++ b/src/placement/EngineNeeds.cpp
@@ -33,6 +33,11 @@
 
 }  // namespace
 
+bool EnginePlacement::isHeldBack (const ModelView& view)
+{
+    return view.holders > 0 && view.holders == view.rateLimitedHolders && view.demand.waiting > 0;
+}
+
 EnginePlacement::ReplicaTargets EnginePlacement::replicaTargets (const ModelView& view,
                                                                  const config::EngineSpec& spec)
 {
@@ -79,7 +84,9 @@
     if (spec == m_specs.end())
         return;
     const ModelDemand& demand = view.demand;
-    const std::size_t supply = view.holders + view.coming;
+    // Callers of a rare model would get what its one engine takes in its need, a request in
+    // seconds, for as long as that lasts.
+    const std::size_t supply = (isHeldBack (view) ? 0 : view.holders) + view.coming;
     if (supply == 0 && demand.waiting == 0)
         return;
     ModelNeed need;
@@ -96,8 +103,9 @@
                                - kReadingShare * static_cast<double> (supply);
         const double crowd = std::max<double> (demand.waiting + demand.unread, reading);
         const double gain = kReplicaHorizonSeconds * crowd / static_cast<double> (supply + 1);
+        const bool isMissing = supply == 0 && view.holders == 0;
         need.highestCost =
-            supply == 0 ? kAnyCost : std::clamp (gain, kHighestSpareCost, kHighestReplicaCost);
+            isMissing ? kAnyCost : std::clamp (gain, kHighestSpareCost, kHighestReplicaCost);
         needs.insert (needs.end(), std::min (targets.needed - supply, kMostNeedsOfModel), need);
         return;
     }
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -92,6 +92,10 @@
     void onDemand (std::uint64_t router, const std::vector<cell::EngineDemand>& demands,
                    base::TimePoint now);
     void onRouterGone (std::uint64_t router);
+    /// Engines that state in their answers how many requests a second they take, by id. A model
+    /// that only they hold, and that requests wait for, is loaded elsewhere; nothing is loaded on
+    /// them.
+    void setRateLimited (std::set<std::string> engines) { m_rateLimited = std::move (engines); }
     void onOrderAnswer (const engine::ServiceOrder& order, engine::OrderOutcome outcome,
                         base::TimePoint now);
     void onReport (const std::string& instance, const engine::ServiceReport& report,
@@ -199,9 +203,10 @@
     struct ModelView
     {
         ModelDemand demand;
-        std::size_t holders = 0;  ///< Engines that hold it and take requests.
-        std::size_t coming = 0;   ///< Engines that load it or will.
-        std::size_t copies = 0;   ///< Engines that have it in host memory or on disk.
+        std::size_t holders = 0;             ///< Engines that hold it and take requests.
+        std::size_t rateLimitedHolders = 0;  ///< Of these, that state a rate.
+        std::size_t coming = 0;              ///< Engines that load it or will.
+        std::size_t copies = 0;              ///< Engines that have it in host memory or on disk.
     };
     using ServiceModel = std::pair<std::string, std::string>;
     /// Compares without copies of the names.
@@ -263,6 +268,8 @@
         std::size_t needed = 0;  ///< Requests wait without them.
         std::size_t spare = 0;   ///< For a crash or a burst; at least as many as needed.
     };
+    /// Whether requests wait although it is held: only engines that state a rate hold it.
+    [[nodiscard]] static bool isHeldBack (const ModelView& view);
     [[nodiscard]] static ReplicaTargets replicaTargets (const ModelView& view,
                                                         const config::EngineSpec& spec);
 
@@ -354,6 +361,7 @@
     config::ServiceCatalogue m_catalogue;                         ///< Services only.
     std::map<std::string, EngineSpecIndex, std::less<>> m_specs;  ///< Of m_catalogue's services.
     std::map<std::string, Engine> m_engines;
+    std::set<std::string> m_rateLimited;  ///< Ids.
     std::map<TargetKey, TargetDemand> m_demands;
     /// As of the last lookAtModels().
     std::map<ServiceModel, ModelView, ServiceModelOrder> m_models;
--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -473,6 +473,31 @@
     EXPECT_EQ (load[0].adapter, "a3");
 }
 
+TEST_F (EnginePlacementTest, AModelThatOnlyARateLimitedEngineHoldsIsLoadedElsewhereOnceRequestsWait)
+{
+    addEngine ("e1", { "m1" });
+    addEngine ("e2", {});
+    m_placement.setRateLimited ({ "e1" });
+    demand ("m1", 0, 1);
+    EXPECT_TRUE (orders().empty()) << "it takes what comes";
+    demand ("m1", 1, 1);
+    const auto found = orders();
+    ASSERT_EQ (found.size(), 1U);
+    EXPECT_EQ (found[0].instance, "e2");
+    EXPECT_EQ (found[0].model, "m1");
+    EXPECT_TRUE (orders().empty()) << "one more is enough";
+}
+
+TEST_F (EnginePlacementTest, NothingIsLoadedOnARateLimitedEngine)
+{
+    addEngine ("e1", {});
+    m_placement.setRateLimited ({ "e1" });
+    demand ("m1", 1);
+    EXPECT_TRUE (orders().empty());
+    m_placement.setRateLimited ({});
+    EXPECT_EQ (orders().size(), 1U);
+}
+
 TEST_F (EnginePlacementTest, ADrainingEngineGetsNoOrders)
 {
     addEngine ("e1", { "m1" });
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -89,7 +89,8 @@
     for (auto& [id, engine] : m_engines)
     {
         const bool isCandidate = engine.service == service && engine.reservedFor.empty()
-                                 && mayTakeOrder (engine) && ! engine.models.contains (name);
+                                 && mayTakeOrder (engine) && ! engine.models.contains (name)
+                                 && ! m_rateLimited.contains (id);
         if (! isCandidate)
             continue;
         const EngineSpecIndex* spec = specOf (engine);
--- a/src/placement/EngineViews.cpp
+++ b/src/placement/EngineViews.cpp
@@ -83,12 +83,15 @@
     {
         if (! engine.isUsable)
             continue;
+        const std::size_t rateLimited = m_rateLimited.contains (id) ? 1 : 0;
         for (auto& [model, state] : engine.models)
         {
             ModelView& view = viewFor (engine.service, model);
             state.view = &view;
-            if (! engine.withdrawn.contains (model) && ! isUnloading (engine, model))
-                ++view.holders;
+            if (engine.withdrawn.contains (model) || isUnloading (engine, model))
+                continue;
+            ++view.holders;
+            view.rateLimitedHolders += rateLimited;
         }
         for (const std::string& model : engine.inMemory)
             ++viewFor (engine.service, model).copies;
--- a/src/proxy/EngineDemands.cpp
+++ b/src/proxy/EngineDemands.cpp
@@ -51,6 +51,13 @@
     counts.isChanged = true;
 }
 
+void EngineDemands::onTurnedAway (const EngineTarget& target)
+{
+    Counts& counts = m_counts[target];
+    ++counts.turnedAway;
+    counts.isChanged = true;
+}
+
 void EngineDemands::onRunning (const EngineTarget& target)
 {
     Counts& counts = m_counts[target];
@@ -76,14 +83,17 @@
         const bool isLive = counts.waiting > 0 || counts.running > 0;
         if (isLive || counts.isChanged)
         {
-            due.push_back ({ target.service, target.model, target.adapter, counts.waiting,
-                             counts.running, counts.arrivals, counts.unread, counts.promptTokens });
+            due.push_back ({ target.service, target.model, target.adapter,
+                             counts.waiting + counts.turnedAway, counts.running, counts.arrivals,
+                             counts.unread, counts.promptTokens });
         }
         counts.arrivals = 0;
         counts.promptTokens = 0;
         // The report that says that nothing is left is the last one.
         const bool isGone = ! isLive && ! counts.isChanged;
-        counts.isChanged = isLive;
+        // What was counted as waiting is taken back in the next report.
+        counts.isChanged = isLive || counts.turnedAway > 0;
+        counts.turnedAway = 0;
         item = isGone ? m_counts.erase (item) : std::next (item);
     }
     return due;
--- a/src/proxy/EngineDemands.h
+++ b/src/proxy/EngineDemands.h
@@ -35,6 +35,9 @@
     void onArrival (const EngineTarget& target, std::uint64_t promptTokens);
     void onWaiting (const EngineTarget& target);
     void onWaitEnd (const EngineTarget& target);
+    /// A request was refused at once, since no runner could take it in time. The next report counts
+    /// it as one that waits: placement would not hear of it otherwise.
+    void onTurnedAway (const EngineTarget& target);
     void onRunning (const EngineTarget& target);
     /// The runner has read the prompt and begins to answer, or never will.
     void onRead (const EngineTarget& target);
@@ -49,6 +52,7 @@
     struct Counts
     {
         std::uint32_t waiting = 0;
+        std::uint32_t turnedAway = 0;  ///< Since the last report.
         std::uint32_t running = 0;
         std::uint32_t unread = 0;  ///< Of the running.
         std::uint32_t arrivals = 0;
--- a/src/proxy/EngineDemandsTest.cpp
+++ b/src/proxy/EngineDemandsTest.cpp
@@ -64,5 +64,22 @@
     EXPECT_TRUE (demands.takeDue (at (1000), milliseconds (500)).empty());
 }
 
+TEST (EngineDemands, ARequestThatIsRefusedAtOnceIsToldOnce)
+{
+    EngineDemands demands;
+    const EngineTarget target{ "llm", "m1", "" };
+    demands.onArrival (target, 100);
+    demands.onWaiting (target);
+    demands.onWaitEnd (target);
+    demands.onTurnedAway (target);
+    const auto first = demands.takeDue (at (0), milliseconds (500));
+    ASSERT_EQ (first.size(), 1U);
+    EXPECT_EQ (first[0].waiting, 1U);
+    const auto second = demands.takeDue (at (500), milliseconds (500));
+    ASSERT_EQ (second.size(), 1U);
+    EXPECT_EQ (second[0].waiting, 0U);
+    EXPECT_TRUE (demands.takeDue (at (1000), milliseconds (500)).empty());
+}
+
 }  // namespace
 }  // namespace fernlift::proxy
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -282,6 +282,8 @@
     if (now() + wait < m_waitDeadline)
         return false;
     endWait();
+    if (! m_query.model.empty())
+        m_context.demands.onTurnedAway (m_target);
     endUnserved (ErrorKind::kNoCapacity, "all runners get as many requests as they state to take",
                  wait);
     return true;
