--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -82,6 +82,16 @@
     sendError ({ kind, message }, std::nullopt);
 }
 
+void Exchange::endUnserved (ErrorKind kind, const std::string& message, base::Duration retryAfter)
+{
+    if (m_isAnswerBegun)
+        cut();
+    else if (m_mayHaveRun)
+        fail (ErrorKind::kUpstreamBroken, "no other runner could take the request in time");
+    else
+        refuse (kind, message, retryAfter);
+}
+
 void Exchange::sendError (const base::Error& error, std::optional<base::Duration> retryAfter)
 {
     http::Response response = http::errorResponse (error);
