--- a/src/cell/ReleasedMessagesTestSupport.h
+++ b/src/cell/ReleasedMessagesTestSupport.h
@@ -54,7 +54,8 @@
     sighting.first.emplace_back();
     RunnerEndReport end;
     end.instance = "i-1@5";
-    const auto encode = [] (RouterToController message) { return wire::encodeMessage (message); };
+    const auto encode = [] (const RouterToController& message)
+    { return wire::encodeMessage (message); };
     return {
         { "RouterHello", encode (hello) },
         { "LeaseRequest", encode (lease) },
@@ -95,7 +96,8 @@
     instances.upserts.back().instance.id = "i-1";
     instances.removals.emplace_back ("i-2");
     instances.controllers.push_back ({ "10.0.0.2:7380", "z1", true });
-    const auto encode = [] (ControllerToRouter message) { return wire::encodeMessage (message); };
+    const auto encode = [] (const ControllerToRouter& message)
+    { return wire::encodeMessage (message); };
     return {
         { "NotLeaderReply", encode (NotLeaderReply{ "10.0.0.2:7380" }) },
         { "ConfigurationUpdate", encode (configuration) },
--- a/src/controller/ControllerRatesTest.cpp
+++ b/src/controller/ControllerRatesTest.cpp
@@ -17,7 +17,6 @@
 using base::milliseconds;
 using base::seconds;
 using test::TestCell;
-using test::TestRouter;
 
 constexpr std::size_t kRouters = 6;
 /// The last one does not read rates.
--- a/src/controller/QuotaCellTestSupport.h
+++ b/src/controller/QuotaCellTestSupport.h
@@ -263,7 +263,8 @@
         if (m_options.shareOfOneController == 0)
             return 1 / routers;
         const std::size_t relays = m_relays.size();
-        const auto favoured = static_cast<double> ((m_routers.size() + relays - 1) / relays);
+        const std::size_t atOne = (m_routers.size() + relays - 1) / relays;
+        const auto favoured = static_cast<double> (atOne);
         return router % relays == 0 ? m_options.shareOfOneController / favoured
                                     : (1 - m_options.shareOfOneController) / (routers - favoured);
     }
--- a/src/lab/RunnerRateLimitTest.cpp
+++ b/src/lab/RunnerRateLimitTest.cpp
@@ -3,13 +3,13 @@
 // What users saw: a runner in need had stated 1 request a second for all routers together. From 3 s
 // later on it got 12 requests within 4 s from routers that had passed on such answers.
 //
-// The cause: routers passed the field on to callers and read nothing of it. What a runner states for
-// all routers together was known to none of them, and nothing could have told it to the others:
+// The cause: routers passed the field on to callers and read nothing of it. What a runner states
+// for all routers together was known to none of them, and nothing could have told it to the others:
 // bounds at a runner were counted by each router for itself.
 //
 // The evidence: requests at such a runner went on as before its first answer with a rate, three of
-// one router within a second; in this cell all seven routers logged the rate, and the runner got 494
-// requests within 4 s.
+// one router within a second; in this cell all seven routers logged the rate, and the runner got
+// 494 requests within 4 s.
 
 #include <gtest/gtest.h>
 
