--- a/src/cell/ReleasedMessagesTest.cpp
+++ b/src/cell/ReleasedMessagesTest.cpp
@@ -115,6 +115,63 @@
       "0300000084030000000000006e000000780000000800000000000000" },
 } };
 
+constexpr std::array<ReleasedMessage, 7> kBetweenMembers{ {
+    { "VoteRequest", "000000000000000000000000000000000000000000000000" },
+    { "VoteReply", "0100000000000000" },
+    { "AppendRequest",
+      "02000000000000000000000000000000000000000000000000000000000000000000000000000000"
+      "00000001000000000000000000000000000000000000000000000000000000000000000000000000"
+      "0700000000000000636f6d6d616e64" },
+    { "AppendReply", "03000000000000000000000000000000000000000000000000000000000000" },
+    { "SnapshotChunk",
+      "04000000000000000000000000000000000000000000000000000000000000000000000000000000"
+      "0000000000000800000000000000736e617073686f74" },
+    { "SnapshotReply", "05000000000000000000000000000000000000000000000000000000000000" },
+    { "TransferLeadership", "060000000000" },
+} };
+
+constexpr std::array<ReleasedMessage, 17> kCommands{ {
+    { "ApplyConfiguration",
+      "00000000000007000000000000000000000000000000040000000000000074657874000000000000"
+      "0000" },
+    { "ObserveRunner",
+      "01000000000000000000000000000000000000000000000000000000000000000000000000000000"
+      "00000000000000000000000000000000000000000000000000000000000000000000000000000000"
+      "00000000000000000000000000000000000000" },
+    { "RemoveRunner", "020000000000000000000000000000000000000000000000000000" },
+    { "DecideLoad",
+      "03000000000000000000000000000000000000000000000000000000000000000000000000000000"
+      "00000000000000000000000000000000000000000000000000000000000000000000000000" },
+    { "DecideUnload", "040000000000000000000000000000000000000000000000000000000000" },
+    { "ReplicaReady", "05000000000000000000000000000000000000000000" },
+    { "ReplicaReleased", "060000000000000000000000000000000000000000000000000000000000" },
+    { "ClaimKeys",
+      "07000000000000000000000100000000000000000000000000000000000000000000000000000000"
+      "00000000000000000000000000000000000000000000000000000000000000000000000000000000"
+      "0000000000000000000000" },
+    { "RecordOutcomes",
+      "08000000000000000000000100000000000000000000000000000000000000000000000000000000"
+      "000000000000000000000000000003000000000000000000000000000000" },
+    { "SetDraining", "09000000000000000000000000000000000000010000000000000000" },
+    { "AddInstance",
+      "0a000000000000010000000300000000000000692d31000000000000000000000000000000000000"
+      "00000000000001000000000000000000000100000000000000000000000000000000000000000000"
+      "00000000000000000000000000000000000000000000000000000005000000000000000000000000"
+      "000000" },
+    { "DrainInstance", "0b0001000000000000000000000000000000000000000000000000000000" },
+    { "RemoveInstance", "0c000100000000000000000000000000000000000000000000000000000000" },
+    { "NoteHoldings",
+      "0d000000000000000000000100000000000000010000000001000000000000000000000000000000"
+      "0000000000000000000000000000000000000000000000000000000000" },
+    { "NoteOrders",
+      "0e000000000000000000000100000000000000000000000000000000000000000000000000000000"
+      "0000000000" },
+    { "NoteSuspects",
+      "0f000000000000000000000000000000000000000000000000000000000000000000000000000000"
+      "0000000000000000" },
+    { "ReleaseSuspects", "10000000000000000000000000000000000000000000000000000000000000" },
+} };
+
 template <std::size_t kCount>
 void expectReleasedBytes (const std::vector<MessageSample>& samples,
                           const std::array<ReleasedMessage, kCount>& released)
@@ -139,15 +196,32 @@
     expectReleasedBytes (samplesToRouters(), kToRouters);
 }
 
+TEST (ReleasedMessagesTest, MessagesBetweenMembersKeepTheirBytes)
+{
+    expectReleasedBytes (samplesBetweenMembers(), kBetweenMembers);
+}
+
+/// Members of both versions apply them, and one that is rolled back reads its log again.
+TEST (ReleasedMessagesTest, CommandsOfTheLogKeepTheirBytes)
+{
+    expectReleasedBytes (samplesOfCommands(), kCommands);
+}
+
 TEST (ReleasedMessagesTest, OnlyTheGreetingHasGrown)
 {
-    const std::vector<MessageSample> samples = samplesFromRouters();
-    for (std::size_t each = 0; each < samples.size(); ++each)
+    const auto expectOneGrown = [] (const auto& samples, const auto& released)
     {
-        const bool isGreeting = samples[each].first == "RouterHello";
-        EXPECT_EQ (hexOf (samples[each].second).size() > kFromRouters[each].hex.size(), isGreeting)
-            << samples[each].first;
-    }
+        for (std::size_t each = 0; each < samples.size(); ++each)
+        {
+            const bool isGreeting = samples[each].first == "RouterHello";
+            EXPECT_EQ (hexOf (samples[each].second).size() > released[each].hex.size(), isGreeting)
+                << samples[each].first;
+        }
+    };
+    expectOneGrown (samplesFromRouters(), kFromRouters);
+    expectOneGrown (samplesToRouters(), kToRouters);
+    expectOneGrown (samplesBetweenMembers(), kBetweenMembers);
+    expectOneGrown (samplesOfCommands(), kCommands);
 }
 
 }  // namespace
--- a/src/cell/ReleasedMessagesTestSupport.h
+++ b/src/cell/ReleasedMessagesTestSupport.h
@@ -1,12 +1,14 @@
 #pragma once
 
-/// Tests: one message of each kind that released versions know, with an element in each list so
-/// that the layout of what it holds shows too.
+/// Tests: one message and command of each kind that released versions know, with an element in each
+/// list so that the layout of what it holds shows too.
 
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "cell/CommandCodec.h"
+#include "cell/Commands.h"
 #include "cell/RouterMessages.h"
 #include "consensus/Messages.h"
 #include "wire/Codec.h"
@@ -114,4 +116,62 @@
     };
 }
 
+inline std::vector<MessageSample> samplesBetweenMembers()
+{
+    consensus::AppendRequest append;
+    append.entries.emplace_back();
+    append.entries.back().data = "command";
+    consensus::SnapshotChunk chunk;
+    chunk.data = "snapshot";
+    const auto encode = [] (const consensus::Payload& payload)
+    { return wire::encodeMessage (payload); };
+    return {
+        { "VoteRequest", encode (consensus::VoteRequest{}) },
+        { "VoteReply", encode (consensus::VoteReply{}) },
+        { "AppendRequest", encode (append) },
+        { "AppendReply", encode (consensus::AppendReply{}) },
+        { "SnapshotChunk", encode (chunk) },
+        { "SnapshotReply", encode (consensus::SnapshotReply{}) },
+        { "TransferLeadership", encode (consensus::TransferLeadership{}) },
+    };
+}
+
+inline std::vector<MessageSample> samplesOfCommands()
+{
+    ApplyConfiguration configuration;
+    configuration.version = 7;
+    configuration.text = "text";
+    ClaimKeys claims;
+    claims.claims.emplace_back();
+    RecordOutcomes outcomes;
+    outcomes.outcomes.emplace_back();
+    AddInstance add;
+    add.instance.id = "i-1";
+    add.instance.startedAt = 5;
+    add.instance.models.emplace_back();
+    NoteHoldings holdings;
+    holdings.holdings.emplace_back();
+    NoteOrders orders;
+    orders.orders.emplace_back();
+    return {
+        { "ApplyConfiguration", encodeCommand (configuration) },
+        { "ObserveRunner", encodeCommand (ObserveRunner{}) },
+        { "RemoveRunner", encodeCommand (RemoveRunner{}) },
+        { "DecideLoad", encodeCommand (DecideLoad{}) },
+        { "DecideUnload", encodeCommand (DecideUnload{}) },
+        { "ReplicaReady", encodeCommand (ReplicaReady{}) },
+        { "ReplicaReleased", encodeCommand (ReplicaReleased{}) },
+        { "ClaimKeys", encodeCommand (claims) },
+        { "RecordOutcomes", encodeCommand (outcomes) },
+        { "SetDraining", encodeCommand (SetDraining{}) },
+        { "AddInstance", encodeCommand (add) },
+        { "DrainInstance", encodeCommand (DrainInstance{}) },
+        { "RemoveInstance", encodeCommand (RemoveInstance{}) },
+        { "NoteHoldings", encodeCommand (holdings) },
+        { "NoteOrders", encodeCommand (orders) },
+        { "NoteSuspects", encodeCommand (NoteSuspects{}) },
+        { "ReleaseSuspects", encodeCommand (ReleaseSuspects{}) },
+    };
+}
+
 }  // namespace fernlift::cell::test
