Rates of runners: routers are looked at only when the table changed; one way to report again

Controllers walked all routers after each input (twice for a message of the leader) to see whether one lacked the table, though all get it with their greeting: the version told last is enough, and a session keeps none (RateNews). RateRelay did the same at the begin and the end of a connection under two names. A router reported what the leader lacks in three places, twice when a new leader's table came: now one, and what is due again is marked. A claim names its runner, so that the ticket around it goes. Waiting requests are not tried again for NotLeaderReply.

--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -239,7 +239,7 @@
     base::TimePoint nextLoadsAt{};  ///< Routers hear of loads no earlier.
     InstanceRateLedger rates;       ///< Of runners that state one.
     std::uint64_t placedRates = 0;  ///< Version of `rates` that placement has.
-    base::TimePoint nextRatesAt{};  ///< Routers hear of rates no earlier.
+    RateNews rateNews;
     base::DecayingRate heartbeats;  ///< That this member took itself while it leads.
     quota::QuotaLedger quotas;
     QuotaBasis quotaBasis;        ///< Of what `quotas` counts.
@@ -544,7 +544,7 @@
     /// without knowing which are limited.
     void greetWithRates (RouterConnection connection, RouterSession& session,
                          const cell::RouterHello& hello);
-    void sendRatesTo (RouterSessions& sessions, base::TimePoint& nextAt);
+    void sendRatesTo (const RouterSessions& sessions, RateNews& news);
     void onRateReport (const cell::InstanceRateReport& report);
     void grantPermits (RouterConnection connection, const cell::InstancePermitRequest& request);
     void forgetRatesOfGone();
--- a/src/controller/ControllerRates.cpp
+++ b/src/controller/ControllerRates.cpp
@@ -43,31 +43,30 @@
                                                      const cell::RouterHello& hello)
 {
     session.features = hello.features;
-    if (! readsRates (session))
-        return;
-    session.rateVersion = rateTableVersion();
-    sendToRouter (connection, rateTable());
+    if (readsRates (session))
+        sendToRouter (connection, rateTable());
 }
 
-void ControllerCore::Implementation::sendRatesTo (RouterSessions& sessions, base::TimePoint& nextAt)
+void ControllerCore::Implementation::sendRatesTo (const RouterSessions& sessions, RateNews& news)
 {
+    // Called after each input: while the table stays as it is this costs no look at routers, who
+    // all got it with their greeting or since.
     const std::uint64_t version = rateTableVersion();
-    if (m_now < nextAt)
+    if (news.sentVersion == version || m_now < news.nextAt)
         return;
-    std::vector<RouterConnection> behind;
-    for (auto& [connection, session] : sessions.sessions())
+    news.sentVersion = version;
+    std::vector<RouterConnection> readers;
+    for (const auto& [connection, session] : sessions.sessions())
     {
-        if (! readsRates (session) || session.rateVersion == version)
-            continue;
-        session.rateVersion = version;
-        behind.push_back (connection);
+        if (readsRates (session))
+            readers.push_back (connection);
     }
-    if (behind.empty())
+    if (readers.empty())
         return;
     cell::InstanceRateUpdate table = rateTable();
-    const auto rows = static_cast<std::int64_t> (behind.size() * table.limited.size());
-    nextAt = m_now + kTableInterval + rows * kTableIntervalForRow;
-    m_effects.emplace_back (BroadcastToRouters{ std::move (behind), std::move (table) });
+    const auto rows = static_cast<std::int64_t> (readers.size() * table.limited.size());
+    news.nextAt = m_now + kTableInterval + rows * kTableIntervalForRow;
+    m_effects.emplace_back (BroadcastToRouters{ std::move (readers), std::move (table) });
 }
 
 void ControllerCore::Implementation::onRateReport (const cell::InstanceRateReport& report)
@@ -77,7 +76,7 @@
         if (const cell::ServiceInstance* known = m_state.instances().find (statement.instance))
             m_leader->rates.onStatement (statement, known->startedAt, m_now);
     }
-    sendRatesTo (m_leader->sessions, m_leader->nextRatesAt);
+    sendRatesTo (m_leader->sessions, m_leader->rateNews);
 }
 
 void ControllerCore::Implementation::grantPermits (RouterConnection connection,
@@ -151,7 +150,6 @@
         passPermitsOn (*grant);
     else if (! std::holds_alternative<cell::NotLeaderReply> (message))
         m_relay->rates.onOtherMessage();
-    sendRatesTo (m_relay->sessions, m_relay->nextRatesAt);
 }
 
 void ControllerCore::Implementation::passPermitsOn (const cell::InstancePermitGrant& grant)
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -192,7 +192,7 @@
     sendRelayedInstances();
     sendSuspectsTo (m_relay->sessions);
     relayLoads();
-    sendRatesTo (m_relay->sessions, m_relay->nextRatesAt);
+    sendRatesTo (m_relay->sessions, m_relay->rateNews);
     if (! m_relay->session.isConnected())
         return;
     if (auto demands = m_relay->demands.takeDue (m_now); ! demands.empty())
@@ -258,7 +258,7 @@
     m_relay->loadSum.tellAll();
     m_relay->heartbeats.tellAll();
     m_relay->quotas.onLeaderLost();
-    m_relay->rates.onLeaderConnected();
+    m_relay->rates.onLeaderLost();
     runRelay();
 }
 
--- a/src/controller/ControllerRunners.cpp
+++ b/src/controller/ControllerRunners.cpp
@@ -28,7 +28,7 @@
         sendOrders (runner);
     sendTablesIfDue();
     shareLoads();
-    sendRatesTo (m_leader->sessions, m_leader->nextRatesAt);
+    sendRatesTo (m_leader->sessions, m_leader->rateNews);
     if (m_now < m_leader->nextRoutineAt)
         return;
     m_leader->nextRoutineAt = m_now + kRoutineInterval;
--- a/src/controller/RateRelay.cpp
+++ b/src/controller/RateRelay.cpp
@@ -12,12 +12,6 @@
 
 }  // namespace
 
-void RateRelay::onLeaderConnected()
-{
-    m_leaderGrants.reset();
-    m_asked.clear();
-}
-
 void RateRelay::onLeaderLost()
 {
     m_leaderGrants.reset();
--- a/src/controller/RateRelay.h
+++ b/src/controller/RateRelay.h
@@ -15,6 +15,13 @@
 namespace fernlift::controller
 {
 
+/** What routers were told of limited runners, by the leader or by a relay. */
+struct RateNews
+{
+    std::uint64_t sentVersion = 1;  ///< Of the table that all were sent; the first one is empty.
+    base::TimePoint nextAt{};       ///< They hear of another one no earlier.
+};
+
 /** Pure: time is passed in. Threading: none; owned by one RouterRelay. */
 class RateRelay
 {
@@ -25,8 +32,9 @@
         cell::InstancePermitGrant grant;
     };
 
-    /** A connection to the leader has begun: it sends its table first, if it knows of rates. */
-    void onLeaderConnected();
+    /** The connection to the leader has ended, or another one has begun: on a new one the leader
+        sends its table first, if it knows of rates.
+    */
     void onLeaderLost();
     /** Something else came from the leader: without a table before it, it grants no permits. */
     void onOtherMessage();
--- a/src/controller/RouterRelay.h
+++ b/src/controller/RouterRelay.h
@@ -59,7 +59,7 @@
     InstanceLoadTable loads;        ///< Of all routers, from the leader.
     base::TimePoint nextLoadsAt{};  ///< Routers hear of loads no earlier.
     RateRelay rates;                ///< Of runners that state one.
-    base::TimePoint nextRatesAt{};  ///< Routers hear of rates no earlier.
+    RateNews rateNews;
     EngineDemandSum demands;
     HeartbeatBatch heartbeats;
     QuotaRelay quotas;
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -56,7 +56,6 @@
     std::uint64_t statedInstanceVersion = 0;  ///< Applied there, as last stated; of this term.
     std::uint64_t loadVersion = 0;            ///< Of the loads of instances last sent; 0: none.
     std::uint32_t features = 0;               ///< Of cell::RouterFeature.
-    std::uint64_t rateVersion = 0;            ///< Of the limited runners last sent; 0: none.
     /// The same of a relay itself; its routers may be behind. Of a router: what it stated.
     std::uint64_t heldInstanceVersion = 0;
 
--- a/src/lab/RunnerRateCellTestSupport.h
+++ b/src/lab/RunnerRateCellTestSupport.h
@@ -119,16 +119,12 @@
     static constexpr base::Duration kSpreadTime = base::milliseconds (500);
     static constexpr base::Duration kElection = base::milliseconds (500);
 
-    struct Request
-    {
-        proxy::PermitTicket ticket;
-    };
     struct Router
     {
         std::unique_ptr<proxy::RunnerRates> rates;
-        std::deque<Request> waiting;
-        std::uint64_t life = 0;        ///< Grows with each restart.
-        std::uint64_t connection = 0;  ///< Grows with each connection and its end.
+        std::deque<quota::QuotaClaim> waiting;  ///< For permits; new ones name no account.
+        std::uint64_t life = 0;                 ///< Grows with each restart.
+        std::uint64_t connection = 0;           ///< Grows with each connection and its end.
         bool isConnected = false;
         bool hasTable = false;
         base::TimePoint connectAt{};
@@ -212,7 +208,7 @@
             after (travel(),
                    [this, relay]
                    {
-                       m_relays[relay].onLeaderConnected();
+                       m_relays[relay].onLeaderLost();
                        sendTable (relay);
                    });
         }
@@ -307,15 +303,15 @@
                              * std::chrono::duration<double> (kStep).count();
         if (router.hasTable && happens (share))
             router.waiting.emplace_back();
-        for (Request& request : std::exchange (router.waiting, {}))
-            tryRequest (number, std::move (request));
+        for (quota::QuotaClaim& claim : std::exchange (router.waiting, {}))
+            tryRequest (number, std::move (claim));
         if (router.isConnected)
             talk (number);
     }
-    void tryRequest (std::size_t number, Request request)
+    void tryRequest (std::size_t number, quota::QuotaClaim claim)
     {
         Router& router = *m_routers[number];
-        const bool isNew = request.ticket.instance.empty();
+        const bool isNew = claim.account.empty();
         if (isNew && ! router.rates->isLimited (kRunner, 0))
         {
             send (number);
@@ -323,12 +319,12 @@
         }
         if (isNew && router.rates->waitFor (kRunner, 0, m_now) > base::Duration::zero())
             return;  // To another runner.
-        request.ticket.instance = kRunner;
-        const quota::QuotaAnswer answer = router.rates->take (request.ticket, m_now);
+        claim.account = kRunner;
+        const quota::QuotaAnswer answer = router.rates->take (claim, m_now);
         if (answer == quota::QuotaAnswer::kGranted)
             send (number);
         else if (answer == quota::QuotaAnswer::kPending)
-            router.waiting.push_back (std::move (request));
+            router.waiting.push_back (std::move (claim));
     }
     void talk (std::size_t number)
     {
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -154,7 +154,7 @@
     QuotaTicket m_quota;
     InstanceQuery m_query;
     std::optional<InstanceChoice> m_wanted;  ///< Runner for which a permit is awaited.
-    PermitTicket m_permit;
+    quota::QuotaClaim m_permit;
     base::TimePoint m_permitAskedAt{};
     base::Duration m_permitWaited{};  ///< In all.
     bool m_isWaitingForRate = false;  ///< Counted among those that wait for the same rates.
--- a/src/proxy/ExchangeRates.cpp
+++ b/src/proxy/ExchangeRates.cpp
@@ -8,9 +8,13 @@
 
 namespace fernlift::proxy
 {
+namespace
+{
 
 using base::ErrorKind;
 
+}  // namespace
+
 void Exchange::chooseRunner()
 {
     // Each refusal of a permit leaves one runner less to choose from.
@@ -34,7 +38,7 @@
             startAttempt (choice);
             return;
         }
-        m_permit.instance = choice.id;
+        m_permit.account = choice.id;
         m_permitAskedAt = now();
         m_wanted = std::move (choice);
         if (takePermit())
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -248,16 +248,16 @@
 
 void ProxyProcess::takeRates (const cell::ControllerToRouter& message)
 {
-    if (const auto* update = std::get_if<cell::InstanceRateUpdate> (&message))
+    const auto* update = std::get_if<cell::InstanceRateUpdate> (&message);
+    const auto* grant = std::get_if<cell::InstancePermitGrant> (&message);
+    if (update != nullptr)
         m_rates.apply (*update, m_clock.now());
-    else if (const auto* grant = std::get_if<cell::InstancePermitGrant> (&message))
+    else if (grant != nullptr)
         m_rates.onGrant (*grant, m_clock.now());
     else if (! std::holds_alternative<cell::NotLeaderReply> (message))
-    {
         m_rates.onOtherMessage();
-        return;
-    }
-    m_server.onDirectoryChanged();
+    if (update != nullptr || grant != nullptr)
+        m_server.onDirectoryChanged();
 }
 
 void ProxyProcess::confirmRoutes (const cell::LeaseGrant& grant)
--- a/src/proxy/RunnerRates.cpp
+++ b/src/proxy/RunnerRates.cpp
@@ -104,33 +104,39 @@
     m_limits.erase (found);
 }
 
-bool RunnerRates::isLimited (const std::string& instance, base::UnixMilliseconds startedAt) const
+const RunnerRates::Limit* RunnerRates::find (const std::string& instance,
+                                             base::UnixMilliseconds startedAt) const
 {
     const auto found = m_limits.find (instance);
-    return found != m_limits.end() && found->second.startedAt == startedAt;
+    const bool isLimited = found != m_limits.end() && found->second.startedAt == startedAt;
+    return isLimited ? &found->second : nullptr;
+}
+
+bool RunnerRates::isLimited (const std::string& instance, base::UnixMilliseconds startedAt) const
+{
+    return find (instance, startedAt) != nullptr;
 }
 
 double RunnerRates::rateOf (const std::string& instance, base::UnixMilliseconds startedAt) const
 {
-    if (! isLimited (instance, startedAt))
-        return 0;
-    return std::max (m_limits.at (instance).perSecond, cell::kLeastRatePerSecond);
+    const Limit* const limit = find (instance, startedAt);
+    return limit == nullptr ? 0 : std::max (limit->perSecond, cell::kLeastRatePerSecond);
 }
 
 base::Duration RunnerRates::waitFor (const std::string& instance, base::UnixMilliseconds startedAt,
                                      base::TimePoint now) const
 {
-    if (! isLimited (instance, startedAt))
+    const Limit* const limit = find (instance, startedAt);
+    if (limit == nullptr)
         return base::Duration::zero();
-    const Limit& limit = m_limits.at (instance);
     base::TimePoint until;
     switch (m_granting)
     {
         case Granting::kLeader:
-            until = limit.askAgainAt;
+            until = limit->askAgainAt;
             break;
         case Granting::kNobody:
-            until = limit.ownShareAt;
+            until = limit->ownShareAt;
             break;
         case Granting::kUnknown:
             until = now + kRetry;
@@ -139,34 +145,33 @@
     return std::max (until - now, base::Duration::zero());
 }
 
-QuotaAnswer RunnerRates::take (PermitTicket& ticket, base::TimePoint now)
+QuotaAnswer RunnerRates::take (quota::QuotaClaim& claim, base::TimePoint now)
 {
-    const auto found = m_limits.find (ticket.instance);
+    const auto found = m_limits.find (claim.account);
     if (found == m_limits.end())
     {
-        giveUp (ticket);
+        giveUp (claim);
         return QuotaAnswer::kGranted;  // The limit has ended meanwhile.
     }
     Limit& limit = found->second;
     if (m_granting != Granting::kLeader)
     {
-        giveUp (ticket);
+        giveUp (claim);
         return count (m_granting == Granting::kNobody ? takeOwnShare (limit, now)
                                                       : QuotaAnswer::kRefused);
     }
-    ticket.claim.account = ticket.instance;
-    ticket.claim.units = 1;
-    const bool isNew = ! ticket.isPending();
-    const QuotaAnswer answer = m_permits.take (ticket.claim, now);
+    claim.units = 1;
+    const bool isNew = claim.sequence == 0;
+    const QuotaAnswer answer = m_permits.take (claim, now);
     if (isNew && answer == QuotaAnswer::kPending)
         m_onNeed();
     if (answer == QuotaAnswer::kRefused)
         limit.askAgainAt = std::max (limit.askAgainAt, now + kShortestWait);
     if (answer != QuotaAnswer::kPending)
         return count (answer);
-    if (now - ticket.claim.askedAt < kGrantTimeout)
+    if (now - claim.askedAt < kGrantTimeout)
         return answer;
-    giveUp (ticket);
+    giveUp (claim);
     limit.askAgainAt = now + kRetry;
     ++m_counters.unanswered;
     return QuotaAnswer::kRefused;
@@ -197,6 +202,7 @@
 {
     m_granting = Granting::kUnknown;
     m_unreported.clear();
+    forgetReports();
     m_permits.onLinkLost();
 }
 
@@ -208,21 +214,17 @@
 
 void RunnerRates::apply (const cell::InstanceRateUpdate& update, base::TimePoint now)
 {
-    const Granting earlier =
-        std::exchange (m_granting, update.isGranting ? Granting::kLeader : Granting::kNobody);
+    m_granting = update.isGranting ? Granting::kLeader : Granting::kNobody;
     if (update.isGranting)
+    {
         takeTable (update, now);
-    else
-        // Nobody keeps a table any more: what the runners say themselves ends a limit.
-        for (auto& [instance, limit] : m_limits)
-            limit.isTold = false;
-    if (m_granting != Granting::kLeader || earlier == Granting::kLeader)
+        m_onNeed();
         return;
-    for (auto& [instance, limit] : m_limits)
-    {
-        if (! limit.isTold)
-            reportLimit (instance, limit, now);
     }
+    // Nobody keeps a table any more: what the runners say themselves ends a limit.
+    for (auto& [instance, limit] : m_limits)
+        limit.isTold = false;
+    forgetReports();
 }
 
 void RunnerRates::takeTable (const cell::InstanceRateUpdate& update, base::TimePoint now)
@@ -255,9 +257,11 @@
         if (m_limits.contains (instance) || (limit.isTold && ! isNewTerm))
             continue;
         if (std::exchange (limit.isTold, false))
+        {
             limit.untoldSince = now;
-        const auto kept = m_limits.emplace (instance, limit).first;
-        reportLimit (instance, kept->second, now);
+            limit.reportedAt = {};
+        }
+        m_limits.emplace (instance, limit);
     }
 }
 
@@ -284,7 +288,7 @@
                    });
 }
 
-void RunnerRates::tellAgain (base::TimePoint now)
+void RunnerRates::reportUntold (base::TimePoint now)
 {
     for (auto& [instance, limit] : m_limits)
     {
@@ -293,10 +297,16 @@
     }
 }
 
+void RunnerRates::forgetReports()
+{
+    for (auto& [instance, limit] : m_limits)
+        limit.reportedAt = {};
+}
+
 std::optional<cell::InstanceRateReport> RunnerRates::takeReport (base::TimePoint now)
 {
     expire (now);
-    tellAgain (now);
+    reportUntold (now);
     if (m_unreported.empty())
         return std::nullopt;
     cell::InstanceRateReport report;
--- a/src/proxy/RunnerRates.h
+++ b/src/proxy/RunnerRates.h
@@ -42,15 +42,6 @@
     bool isProper = false;
 };
 
-/** A request to a limited runner, from the first look for a permit on. */
-struct PermitTicket
-{
-    std::string instance;
-    quota::QuotaClaim claim;
-
-    [[nodiscard]] bool isPending() const { return claim.sequence != 0; }
-};
-
 /** Since the start of the process. */
 struct PermitCounters
 {
@@ -85,12 +76,12 @@
                                  base::UnixMilliseconds startedAt) const;
     /** Requests of this router that wait for the rates of the runners of one model. */
     [[nodiscard]] std::uint32_t& waitingFor (const std::string& model) { return m_waiting[model]; }
-    /** Asks for a permit for the ticket's runner, or looks whether one has come. A permit is used
-        up when it is granted. After a refusal waitFor() is above zero.
+    /** Asks for a permit for the runner that the claim's account names, or looks whether one has
+        come. A permit is used up when it is granted. After a refusal waitFor() is above zero.
     */
-    [[nodiscard]] quota::QuotaAnswer take (PermitTicket& ticket, base::TimePoint now);
-    /** Ends a ticket that is pending; does nothing to another. */
-    void giveUp (PermitTicket& ticket) { m_permits.giveUp (ticket.claim); }
+    [[nodiscard]] quota::QuotaAnswer take (quota::QuotaClaim& claim, base::TimePoint now);
+    /** Ends a claim that is pending; does nothing to another. */
+    void giveUp (quota::QuotaClaim& claim) { m_permits.giveUp (claim); }
 
     // The connection to the controller:
     void onLinkLost();
@@ -129,14 +120,21 @@
         base::TimePoint ownShareAt{};   ///< When the own share allows the next request.
     };
 
+    /** Null when the incarnation is not limited. */
+    [[nodiscard]] const Limit* find (const std::string& instance,
+                                     base::UnixMilliseconds startedAt) const;
     void noteLimit (const RateObservation& seen, double perSecond, base::TimePoint now);
     void noteEnd (const RateObservation& seen);
     void takeTable (const cell::InstanceRateUpdate& update, base::TimePoint now);
     void reportLimit (const std::string& instance, Limit& limit, base::TimePoint now);
     /** Limits that the leader never took over do not last. */
     void expire (base::TimePoint now);
-    /** A report may have been lost with the leader that it was for. */
-    void tellAgain (base::TimePoint now);
+    /** What the leader has not taken over is reported once more: a report may have been lost with
+        the leader that it was for.
+    */
+    void reportUntold (base::TimePoint now);
+    /** All that the leader has not taken over is due to be reported. */
+    void forgetReports();
     [[nodiscard]] quota::QuotaAnswer takeOwnShare (Limit& limit, base::TimePoint now);
     /** Between two requests of the own share. */
     [[nodiscard]] base::Duration ownInterval (const Limit& limit) const;
--- a/src/proxy/RunnerRatesTest.cpp
+++ b/src/proxy/RunnerRatesTest.cpp
@@ -45,9 +45,9 @@
     {
         if (rates.waitFor ("i-1", 0, at (time)) > base::Duration::zero())
             continue;
-        PermitTicket ticket{ "i-1", {} };
-        sent += rates.take (ticket, at (time)) == quota::QuotaAnswer::kGranted ? 1 : 0;
-        rates.giveUp (ticket);
+        quota::QuotaClaim claim{ "i-1" };
+        sent += rates.take (claim, at (time)) == quota::QuotaAnswer::kGranted ? 1 : 0;
+        rates.giveUp (claim);
     }
     return sent;
 }
