--- a/src/base/Time.h
+++ b/src/base/Time.h
@@ -31,6 +31,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds> (duration).count();
 }
 
+/// Seconds of a duration, with their fraction.
+constexpr double toSeconds (Duration duration)
+{
+    return std::chrono::duration<double> (duration).count();
+}
+
 /// Milliseconds since the Unix epoch. Used for display and for windows that outlive a process;
 /// never for leases or timeouts.
 using UnixMilliseconds = std::int64_t;
--- a/src/controller/InstanceRateLedger.cpp
+++ b/src/controller/InstanceRateLedger.cpp
@@ -29,11 +29,6 @@
 /// of the limit, is on its way.
 constexpr base::Duration kUnknownRetry = base::milliseconds (50);
 
-double secondsOf (base::Duration duration)
-{
-    return std::chrono::duration<double> (duration).count();
-}
-
 }  // namespace
 
 double InstanceRateLedger::grantedPerSecond (double stated) const
@@ -41,7 +36,7 @@
     // What arrives within a window was granted within one that is longer by the life of a permit
     // and the way: 0.91 of the rate keep the window to the rate and the burst.
     constexpr base::Duration kGrantWindow = kWindow + kPermitLife + kTravel;
-    const double part = m_share * secondsOf (kWindow) / secondsOf (kGrantWindow);
+    const double part = m_share * base::toSeconds (kWindow) / base::toSeconds (kGrantWindow);
     // In a window the least rate is no more than the burst.
     return std::max (stated * part, cell::kLeastRatePerSecond);
 }
@@ -58,7 +53,7 @@
 void InstanceRateLedger::refill (Entry& entry, base::TimePoint now) const
 {
     const double added =
-        grantedPerSecond (entry.account.perSecond) * secondsOf (now - entry.filledAt);
+        grantedPerSecond (entry.account.perSecond) * base::toSeconds (now - entry.filledAt);
     entry.account.level = std::min (entry.account.level + added, kBurst);
     entry.filledAt = now;
 }
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -55,11 +55,6 @@
 /// 3,000 engines twelve plans held up a leader, which has a share of a core, for 0.2 s.
 constexpr std::size_t kMostEnginesInRound = 12'000;
 
-double secondsOf (base::Duration duration)
-{
-    return std::chrono::duration<double> (duration).count();
-}
-
 }  // namespace
 
 void EnginePlacement::planModels (std::vector<EngineCommand>& commands, base::TimePoint now)
@@ -150,7 +145,7 @@
         const bool isOnlyHere = view.holders == 0 && view.coming == 0 && view.copies == 1;
         const base::TimePoint askedAt = view.demand.askedAt;
         const bool isWanted =
-            askedAt != base::TimePoint{} && secondsOf (now - askedAt) < kForgottenAfter;
+            askedAt != base::TimePoint{} && base::toSeconds (now - askedAt) < kForgottenAfter;
         if (isOnlyHere && isWanted)
             cost += kBlockedCopyCost;
     };
@@ -200,7 +195,7 @@
             return;
         ModelNeed need;
         need.model = key;
-        need.highestCost = secondsOf (model.loadTime) + kHighestFetchCost;
+        need.highestCost = base::toSeconds (model.loadTime) + kHighestFetchCost;
         if (! planModel (need, now))
             return;
         m_fetched.insert (key);
@@ -228,10 +223,10 @@
 double EnginePlacement::loadSeconds (const Engine& engine, const config::EngineModel& model)
 {
     if (engine.inMemory.contains (model.name))
-        return secondsOf (model.warmLoadTime);
+        return base::toSeconds (model.warmLoadTime);
     if (engine.onDisk.contains (model.name))
-        return secondsOf (model.diskLoadTime);
-    return secondsOf (model.loadTime);
+        return base::toSeconds (model.diskLoadTime);
+    return base::toSeconds (model.loadTime);
 }
 
 std::optional<EnginePlacement::Victims> EnginePlacement::victimsFor (
@@ -292,7 +287,7 @@
         return needAge < kYieldBusy ? std::nullopt : std::optional (kBusyReplicaCost);
     if (now - demand.askedAt < kRecentUse)
         return needAge < kYieldRecent ? std::nullopt : std::optional (kRecentReplicaCost);
-    const double idle = secondsOf (now - demand.askedAt);
+    const double idle = base::toSeconds (now - demand.askedAt);
     return std::max (kLastReplicaCost * (1 - idle / kForgottenAfter), kCheapestLastReplicaCost);
 }
 
--- a/src/placement/StoreConcurrency.cpp
+++ b/src/placement/StoreConcurrency.cpp
@@ -13,11 +13,6 @@
 constexpr double kSlowed = 1.25;
 constexpr double kLowestLimit = 2;
 
-double secondsOf (base::Duration duration)
-{
-    return std::chrono::duration<double> (duration).count();
-}
-
 }  // namespace
 
 void StoreConcurrency::onBegin (const std::string& engine, base::TimePoint now)
@@ -37,10 +32,10 @@
         return;
     const Load load = found->second;
     m_loads.erase (found);
-    const double taken = secondsOf (now - load.begunAt);
+    const double taken = base::toSeconds (now - load.begunAt);
     if (taken <= 0 || usual <= base::Duration::zero())
         return;
-    if (taken <= kSlowed * secondsOf (usual))
+    if (taken <= kSlowed * base::toSeconds (usual))
     {
         // At first by one for each such load, which doubles it with every full round; later by one
         // for each full round.
@@ -49,7 +44,7 @@
         return;
     }
     const double atFullSpeed =
-        std::round (static_cast<double> (load.mostAtOnce) * secondsOf (usual) / taken);
+        std::round (static_cast<double> (load.mostAtOnce) * base::toSeconds (usual) / taken);
     // At most by half: one load may be late for a reason of its own.
     m_limit = std::clamp (atFullSpeed, std::max (m_limit / 2, kLowestLimit), m_limit);
     m_hasSlowed = true;
--- a/src/placement/StorePace.cpp
+++ b/src/placement/StorePace.cpp
@@ -14,11 +14,6 @@
 /// usual and the concurrency recovers.
 constexpr double kForgetting = 1.1;
 
-double secondsOf (base::Duration duration)
-{
-    return std::chrono::duration<double> (duration).count();
-}
-
 }  // namespace
 
 std::uint32_t StorePace::startsAllowed() const { return static_cast<std::uint32_t> (m_tokens); }
@@ -58,14 +53,16 @@
         m_concurrency = m_limit;
     }
     const bool isFirst = m_refilledAt == base::TimePoint{};
-    const double gained = isFirst ? burst : secondsOf (now - m_refilledAt) * limits.loadsPerSecond;
+    const double gained =
+        isFirst ? burst : base::toSeconds (now - m_refilledAt) * limits.loadsPerSecond;
     m_tokens = std::min (m_tokens + gained, burst);
     m_refilledAt = now;
 }
 
 void StorePace::onReady (const Load& load, base::TimePoint now)
 {
-    const double sample = secondsOf (now - load.startedAt) / static_cast<double> (load.memory);
+    const double sample =
+        base::toSeconds (now - load.startedAt) / static_cast<double> (load.memory);
     noteSample (sample, load, now);
 }
 
@@ -99,7 +96,7 @@
             const Load& load = entry.second;
             const double usual = m_usualSecondsPerMegabyte * static_cast<double> (load.memory);
             return load.startedAt >= m_slowedAt
-                   && secondsOf (now - load.startedAt) > kSlowFactor * usual;
+                   && base::toSeconds (now - load.startedAt) > kSlowFactor * usual;
         });
     if (isOverdue)
         slowDown (now);
--- a/src/quota/QuotaTolerance.cpp
+++ b/src/quota/QuotaTolerance.cpp
@@ -17,16 +17,11 @@
 constexpr base::Duration kShortestLifetime = base::milliseconds (50);
 constexpr base::Duration kLongestLifetime = base::milliseconds (1500);
 
-double secondsOf (base::Duration duration)
-{
-    return std::chrono::duration<double> (duration).count();
-}
-
 }  // namespace
 
 double QuotaTolerance::unitsFor (const config::TenantQuota& quota) const
 {
-    return overshoot * (quota.ratePerSecond * secondsOf (window) + quota.burst) + slack;
+    return overshoot * (quota.ratePerSecond * base::toSeconds (window) + quota.burst) + slack;
 }
 
 base::Duration QuotaTolerance::lifetimeFor (const config::TenantQuota& quota) const
