Tests of forwarding cells share their options; one way to send in ExchangeRateTest

ControllerRatesTest had copied the options of ControllerLoadsTest and ControllerRelayTest: test::forwardingOptions. Assertions are untouched; ControllerRates*, ControllerLoads*, ControllerRelay* 30 and ExchangeRate* 6 passed before and after.

--- a/src/controller/ControllerLoadsTest.cpp
+++ b/src/controller/ControllerLoadsTest.cpp
@@ -23,7 +23,7 @@
 class ControllerLoadsTest : public ::testing::Test
 {
 protected:
-    ControllerLoadsTest() : m_cell (options())
+    ControllerLoadsTest() : m_cell (test::forwardingOptions (kRouters))
     {
         for (std::size_t number = 0; number < kRouters; ++number)
             m_cell.router (number).acceptsLastKnownState = true;
@@ -46,14 +46,6 @@
         run (seconds (1));
     }
 
-    static TestCell::Options options()
-    {
-        TestCell::Options options = test::testOptions();
-        options.routers = kRouters;
-        options.controller.catalogueParser = &test::parseVersion;
-        options.controller.hasMachineList = false;
-        return options;
-    }
     [[nodiscard]] base::MemberId memberFor (std::size_t router) const
     {
         return (m_leader + router) % 3 + 1;
--- a/src/controller/ControllerRatesTest.cpp
+++ b/src/controller/ControllerRatesTest.cpp
@@ -28,7 +28,7 @@
 class ControllerRatesTest : public ::testing::Test
 {
 protected:
-    ControllerRatesTest() : m_cell (options())
+    ControllerRatesTest() : m_cell (test::forwardingOptions (kRouters))
     {
         for (std::size_t number = 0; number < kRouters; ++number)
         {
@@ -45,14 +45,6 @@
         run (seconds (1));
     }
 
-    static TestCell::Options options()
-    {
-        TestCell::Options options = test::testOptions();
-        options.routers = kRouters;
-        options.controller.catalogueParser = &test::parseVersion;
-        options.controller.hasMachineList = false;
-        return options;
-    }
     [[nodiscard]] base::MemberId memberFor (std::size_t router) const
     {
         return (m_leader + router) % 3 + 1;
--- a/src/controller/ControllerRelayTest.cpp
+++ b/src/controller/ControllerRelayTest.cpp
@@ -22,7 +22,7 @@
 class ControllerRelayTest : public ::testing::Test
 {
 protected:
-    ControllerRelayTest() : m_cell (options())
+    ControllerRelayTest() : m_cell (test::forwardingOptions (kRouters))
     {
         for (std::size_t number = 0; number < kRouters; ++number)
             m_cell.router (number).acceptsLastKnownState = true;
@@ -33,15 +33,6 @@
             m_cell.reconnect (number, m_follower);
     }
 
-    static TestCell::Options options()
-    {
-        TestCell::Options options = test::testOptions();
-        options.routers = kRouters;
-        options.controller.catalogueParser = &test::parseVersion;
-        options.controller.hasMachineList = false;
-        return options;
-    }
-
     bool apply (std::uint64_t version)
     {
         const auto answer = m_cell.askControl (
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -293,5 +293,8 @@
 std::string testCatalogue (std::uint64_t version, const std::string& addition = "");
 /// A cell of three controllers, two routers and runners r1, r2 and so on of 1000 MB.
 TestCell::Options testOptions (std::size_t engines = 2);
+/// The same with so many routers that forward to registered runners; configurations are those of
+/// parseVersion().
+TestCell::Options forwardingOptions (std::size_t routers);
 
 }  // namespace fernlift::controller::test
--- a/src/controller/TestEngineTest.cpp
+++ b/src/controller/TestEngineTest.cpp
@@ -73,6 +73,15 @@
     return options;
 }
 
+TestCell::Options forwardingOptions (std::size_t routers)
+{
+    TestCell::Options options = testOptions();
+    options.routers = routers;
+    options.controller.catalogueParser = &parseVersion;
+    options.controller.hasMachineList = false;
+    return options;
+}
+
 void TestEngine::restart()
 {
     static base::Incarnation next = 1000;
--- a/src/proxy/ExchangeRateTest.cpp
+++ b/src/proxy/ExchangeRateTest.cpp
@@ -23,6 +23,12 @@
             table.limited.push_back ({ runner, 0, 2, 0 });
         proxy.rates.apply (table, proxy.clock.now());
     }
+    /// Sends a request and lets the router look for a runner.
+    static void send (RawCaller& caller, const std::string& host)
+    {
+        caller.write (ProxyFixture::request (host));
+        runFor (std::chrono::milliseconds (20));
+    }
     /// Answers what the router asks for; returns how many permits it asked for.
     std::size_t answer (std::uint64_t units, std::int64_t waitMilliseconds)
     {
@@ -55,8 +61,7 @@
     proxy.addRunner ("i-1", runner);
     limit ({ "i-1" });
     RawCaller caller (proxy.listening);
-    caller.write (ProxyFixture::request ("once.test"));
-    runFor (std::chrono::milliseconds (20));
+    send (caller, "once.test");
     EXPECT_TRUE (runner.connections.empty());
     EXPECT_EQ (answer (1, 0), 1U);
     ASSERT_TRUE (runner.waitForRequest());
@@ -72,8 +77,7 @@
     proxy.addRunner ("i-2", other);
     limit ({ "i-1" });
     RawCaller caller (proxy.listening);
-    caller.write (ProxyFixture::request ("once.test"));
-    runFor (std::chrono::milliseconds (20));
+    send (caller, "once.test");
     EXPECT_EQ (answer (0, 400), 1U);
     EXPECT_TRUE (other.waitForRequest());
     EXPECT_TRUE (runner.connections.empty());
@@ -96,8 +100,7 @@
     proxy.addRunner ("i-1", runner);
     limit ({ "i-1" });
     RawCaller caller (proxy.listening);
-    caller.write (ProxyFixture::request ("app.test"));
-    runFor (std::chrono::milliseconds (20));
+    send (caller, "app.test");
     EXPECT_EQ (answer (0, 20'000), 1U);
     ASSERT_TRUE (caller.waitFor ("HTTP/1.1 503"));
     EXPECT_TRUE (caller.received().find ("Retry-After: 19.9") != std::string::npos
