--- a/src/cell/ReleasedMessagesTest.cpp
+++ b/src/cell/ReleasedMessagesTest.cpp
@@ -172,6 +172,19 @@
     { "ReleaseSuspects", "10000000000000000000000000000000000000000000000000000000000000" },
 } };
 
+constexpr std::string_view kSnapshot =
+    "6665726e6c6966742063656c6c20340a000000000000000000000000000000000000000000000000"
+    "00000000000000000000000000000000000000000000000000000000000000000000000000000000"
+    "00000000000000000000000000000000000000000000000000000100000000000000000100000000"
+    "0000000000000000000000000300000000000000692d3100010000000300000000000000692d3103"
+    "000000000000006c6c6d0b0000000000000031302e302e302e313a383002000000000000007a3104"
+    "00000001000000000000010000000000000000000000000000000001000000000000006d01000000"
+    "00000000000000000001000000000000000000000001000000000000006105000000000000000000"
+    "00000001000000000000000000000000000000000100000000000000000000000003000000000000"
+    "00692d32050000000000000000000000000000000000000000000000000000000000000000000000"
+    "00000000000000000000000000000000070000000000000004000000000000000000000000000000"
+    "00000000000000000000000000000000000000000000";
+
 template <std::size_t kCount>
 void expectReleasedBytes (const std::vector<MessageSample>& samples,
                           const std::array<ReleasedMessage, kCount>& released)
@@ -207,6 +220,23 @@
     expectReleasedBytes (samplesOfCommands(), kCommands);
 }
 
+/// A member that is rolled back reads its snapshot again.
+TEST (ReleasedMessagesTest, SnapshotsKeepTheirBytes)
+{
+    const std::string snapshot = sampleSnapshot();
+    EXPECT_EQ (hexOf (snapshot), kSnapshot);
+    CellState state;
+    const bool isRead = base::handleErrors (
+        [&]() -> base::Result<bool>
+        {
+            BOOST_LEAF_CHECK (state.restore (snapshot));
+            return true;
+        },
+        [] (const base::Error&) { return false; });
+    EXPECT_TRUE (isRead);
+    EXPECT_EQ (state.encode(), snapshot);
+}
+
 TEST (ReleasedMessagesTest, OnlyTheGreetingHasGrown)
 {
     const auto expectOneGrown = [] (const auto& samples, const auto& released)
--- a/src/cell/ReleasedMessagesTestSupport.h
+++ b/src/cell/ReleasedMessagesTestSupport.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "cell/CellState.h"
 #include "cell/CommandCodec.h"
 #include "cell/Commands.h"
 #include "cell/RouterMessages.h"
@@ -174,4 +175,34 @@
     };
 }
 
+/// A snapshot of a state with instances: one that drains, and one that has left.
+inline std::string sampleSnapshot()
+{
+    CellState state;
+    base::LogIndex index = 0;
+    for (const std::string id : { "i-1", "i-2" })
+    {
+        AddInstance add;
+        add.instance.id = id;
+        add.instance.service = "llm";
+        add.instance.address = "10.0.0.1:80";
+        add.instance.zone = "z1";
+        add.instance.slots = 4;
+        add.instance.startedAt = 5;
+        add.instance.models.push_back ({ "m", 1, { "a" } });
+        add.proposedAt = 7;
+        state.apply (++index, add);
+    }
+    DrainInstance drain;
+    drain.instance = "i-1";
+    drain.startedAt = 5;
+    state.apply (++index, drain);
+    RemoveInstance remove;
+    remove.instance = "i-2";
+    remove.isDeregistered = true;
+    remove.startedAt = 5;
+    state.apply (++index, remove);
+    return state.encode();
+}
+
 }  // namespace fernlift::cell::test
