Failing tests: loads of a whole cell played on placement without a network

The bounds come from the deployment's sheet: pauses of 150 ms, 2.5 s to the first event, 4 late in 100.

--- /dev/null
+++ b/src/placement/EnginePlayTest.cpp
@@ -0,0 +1,121 @@
+// Loads of whole cells played on EnginePlacement: what callers get. Each test prints its figures.
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+
+#include "placement/EnginePlayTestSupport.h"
+
+namespace fernlift::placement
+{
+namespace
+{
+
+using base::milliseconds;
+using base::seconds;
+
+/// Pauses between events that callers take.
+constexpr base::Duration kGapTarget = milliseconds (150);
+/// Time until the first event within which an answer of the most worthy route is in time.
+constexpr base::Duration kTarget = milliseconds (2500);
+/// Of a hundred callers four may be late.
+constexpr double kMostLate = 0.04;
+constexpr std::size_t kEngines = 9;
+
+/// Models from `first` on, asked for at the same rate.
+void addRates (std::vector<PlayedRate>& rates, std::size_t first, std::size_t count,
+               double perSecond)
+{
+    for (std::size_t number = first; number < first + count; ++number)
+        rates.push_back ({ EnginePlay::modelName (number), perSecond });
+}
+
+/// Places models in turn, three on each engine, and copies of others, so that each model
+/// has two or three copies.
+void placeInTurn (EnginePlay& play, std::size_t models)
+{
+    for (std::size_t engine = 0; engine < kEngines; ++engine)
+    {
+        std::vector<std::string> held;
+        std::set<std::string> copies;
+        for (std::size_t place = 0; place < 3; ++place)
+        {
+            held.push_back (EnginePlay::modelName ((3 * engine + place) % models));
+            copies.insert (EnginePlay::modelName ((3 * (engine + 4) + place) % models));
+            copies.insert (EnginePlay::modelName ((3 * (engine + 7) + place) % models));
+        }
+        play.place (engine, held, copies);
+    }
+}
+
+/// Seeds of the requests' arrivals.
+constexpr std::uint64_t kSeeds[] = { 1, 2, 3, 4, 5 };
+
+TEST (EnginePlayTest, HotModelsThatShareAnEngineAreSpreadOverIdleOnes)
+{
+    for (const std::uint64_t seed : kSeeds)
+    {
+        SCOPED_TRACE (seed);
+        EnginePlay play (kEngines, 30, seed);
+        placeInTurn (play, 30);
+        std::vector<PlayedRate> rates;
+        addRates (rates, 0, 3, 15);  // The three models of the first engine.
+        addRates (rates, 3, 24, 0.1);
+        play.run (rates, seconds (30));
+        const double late = play.shareWithPausesOver (kGapTarget, seconds (10));
+        std::cout << "share with pauses over 150 ms " << late << "\n";
+        EXPECT_LE (late, kMostLate);
+    }
+}
+
+TEST (EnginePlayTest, RareModelsFindAPlaceInTime)
+{
+    for (const std::uint64_t seed : kSeeds)
+    {
+        SCOPED_TRACE (seed);
+        EnginePlay play (kEngines, 30, seed);
+        placeInTurn (play, 30);
+        std::vector<PlayedRate> rates;
+        addRates (rates, 0, 1, 20);
+        addRates (rates, 5, 1, 12);
+        addRates (rates, 10, 1, 8);
+        addRates (rates, 15, 1, 4);
+        for (const std::size_t first : { 1U, 6U, 11U, 16U })
+            addRates (rates, first, 4, 0.4);
+        addRates (rates, 20, 10, 0.4);
+        play.run (rates, seconds (40));
+        const double waiting = play.shareWaitingOver (kTarget, seconds (5));
+        const double slow = play.shareWithPausesOver (kGapTarget, seconds (5));
+        std::cout << "share that waits over 2.5 s " << waiting << ", with pauses over 150 ms "
+                  << slow << "\n";
+        EXPECT_LE (waiting, kMostLate);
+        EXPECT_LE (slow, kMostLate);
+    }
+}
+
+TEST (EnginePlayTest, LoadsFromTheStoreLeaveEnginesForLoadsFromCopies)
+{
+    for (const std::uint64_t seed : kSeeds)
+    {
+        SCOPED_TRACE (seed);
+        EnginePlay play (kEngines, 30, seed);
+        placeInTurn (play, 30);
+        std::vector<PlayedRate> rates;
+        addRates (rates, 0, 1, 20);
+        addRates (rates, 5, 1, 12);
+        addRates (rates, 6, 24, 0.5);
+        play.run (rates, seconds (10));
+        for (const std::size_t lost : { 1U, 2U, 3U })
+        {
+            play.replace (lost);
+            play.run (rates, seconds (2));
+        }
+        play.run (rates, seconds (20));
+        std::cout << "loads from the store at a time " << play.mostStoreLoads() << "\n";
+        EXPECT_LE (play.mostStoreLoads(), kEngines / 2);
+        EXPECT_LE (play.shareWaitingOver (seconds (10), base::Duration::zero()), kMostLate);
+    }
+}
+
+}  // namespace
+}  // namespace fernlift::placement
