Loads from the store take at most four in ten engines at a time

Ruled out: the order of needs alone; with overdue requests not going first there was no difference. Change: a share of the engines, beside what the store serves at full speed.

--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -48,6 +48,9 @@
 /// Requests a second that ask for one more replica, so that a crash or a burst finds another.
 constexpr double kRequestsForReplica = 1.5;
 constexpr std::size_t kMostReplicasByRate = 3;
+/// Share of the engines that may load from the store at a time: an engine takes no other order
+/// meanwhile, and most needs are met by loads from copies, which take a fraction of the time.
+constexpr double kStoreLoadShare = 0.4;
 /// The rate of requests is that of about the last so long.
 constexpr base::Duration kRateMemory = base::seconds (4);
 /// Spare replicas of one model are added no faster than this.
--- a/src/placement/EngineViews.cpp
+++ b/src/placement/EngineViews.cpp
@@ -165,7 +165,9 @@
 
 bool EnginePlacement::hasStorePlace (std::size_t spare) const
 {
-    return storeLoads() + spare < m_store.limit();
+    const auto most =
+        static_cast<std::size_t> (kStoreLoadShare * static_cast<double> (m_engines.size()));
+    return storeLoads() + spare < std::min (std::max<std::size_t> (most, 1), m_store.limit());
 }
 
 const EngineSpecIndex* EnginePlacement::specOf (const Engine& engine) const
