Replicas are not asked for by the number of prompts that are unread for a moment

Cause: three requests for a rare model that wait together, or are sent together once it is loaded, counted as more than an engine can read, and the model was loaded a second time at once, in the place of another rare one. A prompt of 715 tokens is read in 19 ms. What reading costs is counted by tokens a second (kReadingShare), which stays.

--- a/src/placement/EngineNeeds.cpp
+++ b/src/placement/EngineNeeds.cpp
@@ -44,13 +44,10 @@
     const ModelDemand& demand = view.demand;
     const std::size_t bySlots =
         roundedUp ((demand.waiting + demand.running) / (kFilledSlots * spec.slots));
-    const std::size_t byReading = roundedUp ((demand.waiting + demand.unread) / kUnreadForReplica);
     ReplicaTargets targets;
-    // Requests that wait for the first replica say nothing of what a second one is good for.
-    const std::size_t grown = view.holders == 0 ? 1 : view.holders * kReplicaGrowth;
     const std::size_t byTokens =
         roundedUp (demand.tokensPerSecond / (kTokensReadPerSecond * kReadingShare));
-    targets.needed = std::max ({ bySlots, std::min (byReading, grown), byTokens });
+    targets.needed = std::max (bySlots, byTokens);
     const auto byRate = static_cast<std::size_t> (1 + demand.perSecond / kRequestsForReplica);
     targets.spare = std::max (targets.needed, std::min (byRate, kMostReplicasByRate));
     return targets;
--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -29,15 +29,9 @@
 constexpr base::Duration kWithdrawalTime = base::milliseconds (60);
 /// A model that was asked for within this time stays unless another engine holds it too.
 constexpr base::Duration kRecentUse = base::milliseconds (1500);
-/// More requests that no engine has answered yet, for each replica, than this ask for another one:
-/// prompts are read one after the other, long before an engine's slots are taken.
-constexpr double kUnreadForReplica = 2;
 /// Share of an engine's slots that requests for one model may fill before it is held once more.
 /// The rest takes what routers, which do not know of each other, send at the same time.
 constexpr double kFilledSlots = 0.6;
-/// Replicas grow at most by this factor at a time: requests that queue say little about how many
-/// replicas would have kept them from queueing.
-constexpr std::size_t kReplicaGrowth = 2;
 /// Prompt tokens that the engines known read in a second (38 to 41 in a millisecond).
 constexpr double kTokensReadPerSecond = 38'000;
 /// Share of its time that an engine may spend on reading prompts of one model before the model is
