One spare replica, for models of four requests a second or more

Cause: up to three replicas by rate, from 1.5 requests a second on: four hot models took 12 of 27 places, and rare ones waited for the rest. Dropping one of them takes as long as its longest stream.

--- a/src/placement/EngineNeeds.cpp
+++ b/src/placement/EngineNeeds.cpp
@@ -48,8 +48,8 @@
     const std::size_t byTokens =
         roundedUp (demand.tokensPerSecond / (kTokensReadPerSecond * kReadingShare));
     targets.needed = std::max (bySlots, byTokens);
-    const auto byRate = static_cast<std::size_t> (1 + demand.perSecond / kRequestsForReplica);
-    targets.spare = std::max (targets.needed, std::min (byRate, kMostReplicasByRate));
+    const std::size_t byRate = demand.perSecond >= kRequestsForSpare ? 2 : 1;
+    targets.spare = std::max (targets.needed, byRate);
     return targets;
 }
 
--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -39,9 +39,9 @@
 /// prompt takes ten times as long as one that does not. Parts of prompts that an engine has kept
 /// are not read again, but are counted here.
 constexpr double kReadingShare = 0.5;
-/// Requests a second that ask for one more replica, so that a crash or a burst finds another.
-constexpr double kRequestsForReplica = 1.5;
-constexpr std::size_t kMostReplicasByRate = 3;
+/// Requests a second that ask for a spare replica: without it all of them would wait after a crash,
+/// for a load from the store where no other engine has a copy.
+constexpr double kRequestsForSpare = 4;
 /// Share of the engines that may load from the store at a time: an engine takes no other order
 /// meanwhile, and most needs are met by loads from copies, which take a fraction of the time.
 constexpr double kStoreLoadShare = 0.4;
--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -312,6 +312,17 @@
     EXPECT_TRUE (orders().empty());
 }
 
+TEST_F (EnginePlacementTest, AModelOfManyRequestsHasASpareReplica)
+{
+    addEngine ("e1", { "m1" });
+    addEngine ("e2", { "m2" });
+    m_placement.onDemand (1, { { "llm", "m1", "", 0, 1, 30 } }, m_now);
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    EXPECT_EQ (sent[0].instance, "e2");
+    EXPECT_EQ (sent[0].model, "m1");
+}
+
 TEST_F (EnginePlacementTest, AnEngineThatOnlyReadsPromptsAsksForAnotherReplica)
 {
     addEngine ("e1", { "m1" });
