An engine's crowd is counted over all its models

And a replica that was asked for could cost what unread prompts would wait, which is next to nothing for short ones: it was loaded only where a copy lay and room was cheap. Change: requests at an engine are the sum over its models, spread over holders; a model needs another replica when its requests exceed what holders have left, worth what exceeds it; it goes to an engine with at most half of the limit; a replica without which others would be crowded counts as needed. Limit 0.5 of the slots in place of 0.6.

--- /dev/null
+++ b/src/placement/EngineCrowds.cpp
@@ -0,0 +1,62 @@
+/**
+ * How crowded engines are by the requests for all their models together.
+ *
+ * An engine runs the requests for all its models in one batch: streams of one model become slow by
+ * those of the others. So whether a model has enough replicas is not told by its own requests
+ * alone. Routers spread the requests for a model over its holders, which is what is assumed here.
+ */
+
+#include <algorithm>
+
+#include "placement/EnginePlacement.h"
+#include "placement/EnginePlacementFigures.h"
+
+namespace fernlift::placement
+{
+
+bool EnginePlacement::isRoutable (const Engine& engine, const std::string& model)
+{
+    return ! engine.withdrawn.contains (model) && ! isUnloading (engine, model);
+}
+
+double EnginePlacement::crowdLimit (const Engine& engine) const
+{
+    const EngineSpecIndex* spec = specOf (engine);
+    return spec == nullptr ? 0 : kFilledSlots * spec->spec().slots;
+}
+
+void EnginePlacement::measureCrowds()
+{
+    const auto visitHeld = [this] (auto visit)
+    {
+        for (auto& [id, engine] : m_engines)
+        {
+            for (auto& [model, state] : engine.models)
+            {
+                if (engine.isUsable && isRoutable (engine, model))
+                    visit (
+                        engine,
+                        m_models.find (ServiceModelOrder::Names (engine.service, model))->second);
+            }
+        }
+    };
+    for (auto& [id, engine] : m_engines)
+        engine.requests = 0;
+    visitHeld ([] (Engine& engine, const ModelView& view)
+               { engine.requests += view.requestsAtHolder(); });
+    visitHeld ([this] (const Engine& engine, ModelView& view)
+               { view.room += roomFor (engine, view); });
+}
+
+double EnginePlacement::roomFor (const Engine& engine, const ModelView& view) const
+{
+    const double others = engine.requests - view.requestsAtHolder();
+    return std::max (crowdLimit (engine) - others, 0.0);
+}
+
+bool EnginePlacement::isCrowdedWithout (const Engine& engine, const ModelView& view) const
+{
+    return view.requests() > view.room - roomFor (engine, view);
+}
+
+}  // namespace fernlift::placement
--- a/src/placement/EngineNeeds.cpp
+++ b/src/placement/EngineNeeds.cpp
@@ -42,8 +42,12 @@
                                                                  const config::EngineSpec& spec)
 {
     const ModelDemand& demand = view.demand;
-    const std::size_t bySlots =
-        roundedUp ((demand.waiting + demand.running) / (kFilledSlots * spec.slots));
+    const double limit = kFilledSlots * spec.slots;
+    std::size_t bySlots = roundedUp (view.requests() / limit);
+    // Its holders run requests for other models, too.
+    if (view.holders > 0 && view.requests() > view.room)
+        bySlots =
+            std::max (bySlots, view.holders + roundedUp ((view.requests() - view.room) / limit));
     ReplicaTargets targets;
     const std::size_t byTokens =
         roundedUp (demand.tokensPerSecond / (kTokensReadPerSecond * kReadingShare));
@@ -98,11 +102,14 @@
         // Engines that would be reading at a time, beyond those that hold it.
         const double reading = demand.tokensPerSecond / kTokensReadPerSecond
                                - kReadingShare * static_cast<double> (supply);
-        const double crowd = std::max<double> (demand.waiting + demand.unread, reading);
+        const double excess = view.holders == 0 ? 0 : view.requests() - view.room;
+        const double unanswered = demand.waiting + demand.unread;
+        const double crowd = std::max ({ unanswered, reading, excess });
         const double gain = kReplicaHorizonSeconds * crowd / static_cast<double> (supply + 1);
         const bool isMissing = supply == 0 && view.holders == 0;
         need.highestCost =
             isMissing ? kAnyCost : std::clamp (gain, kHighestSpareCost, kHighestReplicaCost);
+        need.isForCrowd = ! isMissing;
         needs.insert (needs.end(), std::min (targets.needed - supply, kMostNeedsOfModel), need);
         return;
     }
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -160,6 +160,7 @@
         base::TimePoint pollAt{};
         // As of the last lookAtModels():
         double freeMemory = 0;      ///< For models, in megabytes.
+        double requests = 0;        ///< That wait for its models or run there, as far as is known.
         double adapterTrouble = 0;  ///< What a load costs those who want adapters of its models.
         /// What a load from the store costs those who want models of which only this engine has a
         /// copy, and could load it soon.
@@ -207,6 +208,16 @@
         std::size_t rateLimitedHolders = 0;  ///< Of these, that state a rate.
         std::size_t coming = 0;              ///< Engines that load it or will.
         std::size_t copies = 0;              ///< Engines that have it in host memory or on disk.
+        /// Requests that its holders could run beside those for other models before they are
+        /// crowded.
+        double room = 0;
+
+        [[nodiscard]] double requests() const { return demand.waiting + demand.running; }
+        /// Of these, at each holder.
+        [[nodiscard]] double requestsAtHolder() const
+        {
+            return holders == 0 ? 0 : requests() / static_cast<double> (holders);
+        }
     };
     using ServiceModel = std::pair<std::string, std::string>;
     /// Compares without copies of the names.
@@ -240,6 +251,17 @@
     void countDemands (base::TimePoint now);
     void countHolders();
     void weighEngines (base::TimePoint now);
+    /// Works out how many requests each engine has, of all its models together, and what room that
+    /// leaves for each model.
+    void measureCrowds();
+    /// Whether routers send requests for a model that it holds there.
+    [[nodiscard]] static bool isRoutable (const Engine& engine, const std::string& model);
+    /// Requests that the engine can run before its streams become slow.
+    [[nodiscard]] double crowdLimit (const Engine& engine) const;
+    /// Of these, what requests for other models than the one of the view leave.
+    [[nodiscard]] double roomFor (const Engine& engine, const ModelView& view) const;
+    /// Whether the other holders would be crowded without this one.
+    [[nodiscard]] bool isCrowdedWithout (const Engine& engine, const ModelView& view) const;
     [[nodiscard]] const ModelView& viewOf (std::string_view service, std::string_view model) const;
     ModelView& viewFor (const std::string& service, const std::string& model);
     [[nodiscard]] const EngineSpecIndex* specOf (const Engine& engine) const;
@@ -280,6 +302,7 @@
         double highestCost = 0;  ///< That the load may have, in seconds of waiting.
         base::Duration age{};    ///< How long a request has waited for a model nobody holds.
         bool isSpare = false;
+        bool isForCrowd = false;        ///< Only an engine with few requests helps.
         double requestsForReplica = 0;  ///< Orders needs: the most pressing first.
     };
     /// What should be loaded, the most pressing first.
@@ -300,6 +323,10 @@
     /// Reserves an engine for the model unless that costs too much; false when none can take it
     /// now.
     bool planModel (const ModelNeed& need, base::TimePoint now);
+    /// Whether it has too many requests for a replica that is to relieve other engines.
+    [[nodiscard]] bool isTooCrowded (const Engine& engine) const;
+    /// What its requests cost those for a model that comes, in seconds.
+    [[nodiscard]] double crowdCost (const Engine& engine) const;
     /// An engine with a copy of the model that is busy for a moment; worth waiting for.
     [[nodiscard]] bool isLocalSoon (const ServiceModel& model) const;
     /// Loads models that nobody holds from engines' own copies into memory that is free.
--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -29,9 +29,9 @@
 constexpr base::Duration kWithdrawalTime = base::milliseconds (60);
 /// A model that was asked for within this time stays unless another engine holds it too.
 constexpr base::Duration kRecentUse = base::milliseconds (1500);
-/// Share of an engine's slots that requests for one model may fill before it is held once more.
-/// The rest takes what routers, which do not know of each other, send at the same time.
-constexpr double kFilledSlots = 0.6;
+/// Share of an engine's slots that requests may fill before models in use there are held once more:
+/// with each further stream all of them become slower.
+constexpr double kFilledSlots = 0.5;
 /// Prompt tokens that the engines known read in a second (38 to 41 in a millisecond).
 constexpr double kTokensReadPerSecond = 38'000;
 /// Share of its time that an engine may spend on reading prompts of one model before the model is
--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -312,6 +312,25 @@
     EXPECT_TRUE (orders().empty());
 }
 
+TEST_F (EnginePlacementTest, RequestsForOtherModelsOfItsEngineCrowdAModel)
+{
+    addEngine ("e1", { "m1", "m2" });
+    addEngine ("e2", { "m3" });
+    // Three of eight slots each: either would fit alone.
+    m_placement.onDemand (1, { { "llm", "m1", "", 0, 3, 3 }, { "llm", "m2", "", 0, 3, 3 } }, m_now);
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    EXPECT_EQ (sent[0].instance, "e2");
+}
+
+TEST_F (EnginePlacementTest, AReplicaDoesNotGoToAnEngineThatIsCrowdedItself)
+{
+    addEngine ("e1", { "m1" });
+    addEngine ("e2", { "m2" });
+    m_placement.onDemand (1, { { "llm", "m1", "", 0, 6, 6 }, { "llm", "m2", "", 0, 6, 6 } }, m_now);
+    EXPECT_TRUE (orders().empty());
+}
+
 TEST_F (EnginePlacementTest, AModelOfManyRequestsHasASpareReplica)
 {
     addEngine ("e1", { "m1" });
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -30,6 +30,10 @@
 constexpr double kAdapterTroubleCost = 4.0;
 /// A model that only this engine could load quickly waits until the load from the store is done.
 constexpr double kBlockedCopyCost = 1.0;
+/// Requests for a model that comes to an engine at its limit are answered this much later.
+constexpr double kCrowdCost = 1.0;
+/// Part of an engine's limit that requests may take where a replica is to relieve others.
+constexpr double kHighestShareForReplica = 0.5;
 /// Loading ahead of requests may cost this much beside the load itself.
 constexpr double kHighestFetchCost = 2.0;
 /// Engines for each that is blocked by a load which nobody waits for. The others go on changing
@@ -85,7 +89,8 @@
     {
         const bool isCandidate = engine.service == service && engine.reservedFor.empty()
                                  && mayTakeOrder (engine) && ! engine.models.contains (name)
-                                 && ! m_rateLimited.contains (id);
+                                 && ! m_rateLimited.contains (id)
+                                 && ! (need.isForCrowd && isTooCrowded (engine));
         if (! isCandidate)
             continue;
         const EngineSpecIndex* spec = specOf (engine);
@@ -98,7 +103,8 @@
         std::optional<Victims> victims = victimsFor (engine, *spec, *model, need.age, now);
         if (! victims)
             continue;
-        double cost = victims->cost + loadSeconds (engine, *model) + engine.adapterTrouble;
+        double cost = victims->cost + loadSeconds (engine, *model) + engine.adapterTrouble
+                      + crowdCost (engine);
         if (isFromStore)
             cost += engine.blockedCopies;
         if (cost > need.highestCost || (best != nullptr && cost >= lowest))
@@ -118,6 +124,16 @@
     return true;
 }
 
+bool EnginePlacement::isTooCrowded (const Engine& engine) const
+{
+    return engine.requests > kHighestShareForReplica * crowdLimit (engine);
+}
+
+double EnginePlacement::crowdCost (const Engine& engine) const
+{
+    return kCrowdCost * engine.requests / std::max (crowdLimit (engine), 1.0);
+}
+
 bool EnginePlacement::isLocalSoon (const ServiceModel& model) const
 {
     const auto loadsFromStore = [] (const Engine& engine)
@@ -274,7 +290,7 @@
         const ReplicaTargets targets = replicaTargets (view, specOf (engine)->spec());
         const double drain = demand.running > 0 ? kDrainCost : 0;
         // Without this one the others would be crowded, and it would be loaded again.
-        if (targets.needed >= view.holders)
+        if (targets.needed >= view.holders || isCrowdedWithout (engine, view))
             return kNeededReplicaCost + drain;
         const bool isReserve = targets.spare >= view.holders;
         return (isReserve ? kReserveReplicaCost : kSpareReplicaCost) + drain;
--- a/src/placement/EngineViews.cpp
+++ b/src/placement/EngineViews.cpp
@@ -41,6 +41,7 @@
     m_models.clear();
     countDemands (now);
     countHolders();
+    measureCrowds();
     weighEngines (now);
 }
 
@@ -88,7 +89,7 @@
         {
             ModelView& view = viewFor (engine.service, model);
             state.view = &view;
-            if (engine.withdrawn.contains (model) || isUnloading (engine, model))
+            if (! isRoutable (engine, model))
                 continue;
             ++view.holders;
             view.rateLimitedHolders += rateLimited;
@@ -263,7 +264,7 @@
     std::vector<cell::HeldModel> models;
     for (const auto& [name, state] : engine.models)
     {
-        if (engine.withdrawn.contains (name) || isUnloading (engine, name))
+        if (! isRoutable (engine, name))
             continue;
         std::set<std::string> adapters = state.adapters;
         for (const auto& [key, due] : engine.adaptersDue)
