A victim costs the streams that must end first; a load may cost more the longer requests wait

Change: the drain is that of the streams there, from the time that streams take (requests running by rate of arrival); the last replica of a model costs the load that its next request waits for, idle or not; what a load may cost grows with the wait, so that costly victims (a needed replica, an engine that reads adapters) come last. The two pauses of 0.3 and 2 s go. Test: AModelInUseDoesNotMakeWay stated the rule that is removed; in its place AModelThatRequestsWaitForDoesNotMakeWay (ten rounds in place of one) and AModelInUseMakesWayOnlyWhereNoIdleOneCan.

--- a/src/placement/EngineCrowds.cpp
+++ b/src/placement/EngineCrowds.cpp
@@ -13,6 +13,13 @@
 
 namespace fernlift::placement
 {
+namespace
+{
+
+/// Longest of a service's streams that run at a time, in relation to the mean.
+constexpr double kLongestToMean = 1.5;
+
+}  // namespace
 
 bool EnginePlacement::isRoutable (const Engine& engine, const std::string& model)
 {
@@ -48,6 +55,28 @@
                { view.room += roomFor (engine, view); });
 }
 
+void EnginePlacement::measureStreams()
+{
+    struct Sums
+    {
+        double running = 0;
+        double perSecond = 0;
+    };
+    std::map<std::string, Sums> sums;
+    for (const auto& [model, view] : m_models)
+    {
+        sums[model.first].running += view.demand.running;
+        sums[model.first].perSecond += view.demand.perSecond;
+    }
+    m_streamSeconds.clear();
+    for (const auto& [service, sum] : sums)
+    {
+        // By Little's law.
+        const double mean = sum.perSecond > 0 ? sum.running / sum.perSecond : 0;
+        m_streamSeconds[service] = kLongestToMean * mean;
+    }
+}
+
 double EnginePlacement::roomFor (const Engine& engine, const ModelView& view) const
 {
     const double others = engine.requests - view.requestsAtHolder();
--- a/src/placement/EngineNeeds.cpp
+++ b/src/placement/EngineNeeds.cpp
@@ -16,7 +16,10 @@
 {
 
 // Costs are in seconds of a request that waits.
-constexpr double kAnyCost = 1e9;
+/// Cost of a load that a request which has just begun to wait may have, and how much more it may
+/// be for each second that it has waited: what costs less often becomes possible in a moment.
+constexpr double kFirstCost = 8;
+constexpr double kCostForSecond = 4;
 /// A replica of a crowded model may cost what its requests would wait in this time without it.
 constexpr double kReplicaHorizonSeconds = 10;
 /// Never as much as a replica that another crowded model needs.
@@ -107,8 +110,8 @@
         const double crowd = std::max ({ unanswered, reading, excess });
         const double gain = kReplicaHorizonSeconds * crowd / static_cast<double> (supply + 1);
         const bool isMissing = supply == 0 && view.holders == 0;
-        need.highestCost =
-            isMissing ? kAnyCost : std::clamp (gain, kHighestSpareCost, kHighestReplicaCost);
+        need.highestCost = isMissing ? kFirstCost + kCostForSecond * base::toSeconds (need.age)
+                                     : std::clamp (gain, kHighestSpareCost, kHighestReplicaCost);
         need.isForCrowd = ! isMissing;
         needs.insert (needs.end(), std::min (targets.needed - supply, kMostNeedsOfModel), need);
         return;
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -254,6 +254,8 @@
     /// Works out how many requests each engine has, of all its models together, and what room that
     /// leaves for each model.
     void measureCrowds();
+    /// Works out how long streams of each service take.
+    void measureStreams();
     /// Whether routers send requests for a model that it holds there.
     [[nodiscard]] static bool isRoutable (const Engine& engine, const std::string& model);
     /// Requests that the engine can run before its streams become slow.
@@ -352,12 +354,12 @@
     [[nodiscard]] std::optional<Victims> victimsFor (const Engine& engine,
                                                      const EngineSpecIndex& spec,
                                                      const config::EngineModel& model,
-                                                     base::Duration needAge,
                                                      base::TimePoint now) const;
     /// What losing a model here costs; none when it must stay.
     [[nodiscard]] std::optional<double> costOfLosing (const Engine& engine, const HeldState& held,
-                                                      base::Duration needAge,
                                                       base::TimePoint now) const;
+    /// Time that an unload of a model waits for its streams.
+    [[nodiscard]] double drainSeconds (const std::string& service, const ModelView& view) const;
     /// Whether the rate of the weight store allows a load to begin now.
     [[nodiscard]] bool mayLoadFromStore (const std::string& service, base::TimePoint now);
     /// Whether the store serves another load at full speed, and leaves so many places free.
@@ -394,6 +396,8 @@
     std::map<ServiceModel, ModelView, ServiceModelOrder> m_models;
     std::deque<base::TimePoint> m_storeLoads;  ///< When loads from the store were ordered.
     StoreConcurrency m_store;
+    /// Time that the longest streams of a service take, by service; as of the last round.
+    std::map<std::string, double> m_streamSeconds;
     std::map<ServiceModel, base::TimePoint> m_spareAddedAt;
     std::set<ServiceModel> m_fetched;  ///< Fetched ahead; once for each model.
     std::vector<EngineOrderDone> m_done;
--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -27,8 +27,6 @@
 constexpr base::Duration kAdapterLoadTime = base::milliseconds (30);
 /// Time for all routers to hear that a model is going to be unloaded.
 constexpr base::Duration kWithdrawalTime = base::milliseconds (60);
-/// A model that was asked for within this time stays unless another engine holds it too.
-constexpr base::Duration kRecentUse = base::milliseconds (1500);
 /// Share of an engine's slots that requests may fill before models in use there are held once more:
 /// with each further stream all of them become slower.
 constexpr double kFilledSlots = 0.5;
--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -220,14 +220,33 @@
     EXPECT_EQ (load[0].model, "m3");
 }
 
-TEST_F (EnginePlacementTest, AModelInUseDoesNotMakeWay)
+TEST_F (EnginePlacementTest, AModelThatRequestsWaitForDoesNotMakeWay)
 {
     addEngine ("e1", { "m1", "m2" });
-    demand ("m1", 0, 1);
-    m_placement.onDemand (2, { { "llm", "m2", "", 0, 1, 1 } }, m_now);
+    demand ("m1", 1);
+    demand ("m2", 1);
+    demand ("m3", 1);
+    for (int round = 0; round < 10; ++round)
+    {
+        EXPECT_TRUE (orders().empty());
+        wait (kWithdrawalTime);
+    }
+}
+
+TEST_F (EnginePlacementTest, AModelInUseMakesWayOnlyWhereNoIdleOneCan)
+{
+    addEngine ("e1", { "m1", "m2" });
+    addEngine ("e2", { "m4", "m5" });
+    for (const char* model : { "m1", "m2", "m4" })
+        m_placement.onDemand (1, { { "llm", model, "", 0, 1, 1 } }, m_now);
+    demand ("m5", 0);
     demand ("m3", 1);
-    wait (kWithdrawalTime);
     EXPECT_TRUE (orders().empty());
+    wait (kWithdrawalTime);
+    const auto unload = orders();
+    ASSERT_EQ (unload.size(), 1U);
+    EXPECT_FALSE (unload[0].isLoad);
+    EXPECT_EQ (unload[0].model, "m5");
 }
 
 TEST_F (EnginePlacementTest, AnUnansweredOrderIsReservedUntilAReportClearsIt)
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -18,15 +18,12 @@
 constexpr double kSpareReplicaCost = 0.2;
 /// A replica beyond those that requests need, which a burst may need.
 constexpr double kReserveReplicaCost = 2.0;
-constexpr double kNeededReplicaCost = 12.0;
+constexpr double kNeededReplicaCost = 30.0;
 /// Held more than once from the beginning, so it probably was busy; nobody has asked yet.
 constexpr double kUnknownReplicaCost = 1.0;
-/// An unload waits for the requests that run; most streams end within a second or two.
-constexpr double kDrainCost = 1.2;
-constexpr double kLastReplicaCost = 4.0;
+/// The next request for the model waits for a load.
+constexpr double kLastReplicaCost = 1.5;
 constexpr double kCheapestLastReplicaCost = 0.3;
-constexpr double kRecentReplicaCost = 5.0;
-constexpr double kBusyReplicaCost = 8.0;
 constexpr double kAdapterTroubleCost = 4.0;
 /// A model that only this engine could load quickly waits until the load from the store is done.
 constexpr double kBlockedCopyCost = 1.0;
@@ -47,10 +44,6 @@
 constexpr base::Duration kAdapterUse = base::seconds (10);
 /// Seconds of silence after which the last replica of a model is worth the least.
 constexpr double kForgottenAfter = 20.0;
-/// A request that has waited this long may take the place of a model in recent use.
-constexpr base::Duration kYieldRecent = base::milliseconds (300);
-/// The same for a model that requests use: they end first, and those that come wait in turn.
-constexpr base::Duration kYieldBusy = base::seconds (2);
 /// A request waits this long for an engine that has a copy rather than for the weight store.
 constexpr base::Duration kPatienceForCopy = base::milliseconds (1500);
 /// Each plan looks at every engine: more in one round would hold up the leader's event loop.
@@ -100,7 +93,7 @@
         const bool isFromStore = ! isLocal (engine, name);
         if (isFromStore && ! isStoreOpen)
             continue;
-        std::optional<Victims> victims = victimsFor (engine, *spec, *model, need.age, now);
+        std::optional<Victims> victims = victimsFor (engine, *spec, *model, now);
         if (! victims)
             continue;
         double cost = victims->cost + loadSeconds (engine, *model) + engine.adapterTrouble
@@ -247,7 +240,7 @@
 
 std::optional<EnginePlacement::Victims> EnginePlacement::victimsFor (
     const Engine& engine, const EngineSpecIndex& spec, const config::EngineModel& model,
-    base::Duration needAge, base::TimePoint now) const
+    base::TimePoint now) const
 {
     Victims victims;
     double free = engine.freeMemory;
@@ -256,7 +249,7 @@
     std::vector<std::pair<double, std::string_view>> candidates;
     for (const auto& [name, state] : engine.models)
     {
-        if (const auto cost = costOfLosing (engine, state, needAge, now))
+        if (const auto cost = costOfLosing (engine, state, now))
             candidates.emplace_back (*cost, name);
     }
     std::ranges::sort (candidates);
@@ -277,7 +270,6 @@
 }
 
 std::optional<double> EnginePlacement::costOfLosing (const Engine& engine, const HeldState& held,
-                                                     base::Duration needAge,
                                                      base::TimePoint now) const
 {
     const ModelView& view = *held.view;
@@ -288,7 +280,7 @@
         if (isUnknown)
             return kUnknownReplicaCost;
         const ReplicaTargets targets = replicaTargets (view, specOf (engine)->spec());
-        const double drain = demand.running > 0 ? kDrainCost : 0;
+        const double drain = drainSeconds (engine.service, view);
         // Without this one the others would be crowded, and it would be loaded again.
         if (targets.needed >= view.holders || isCrowdedWithout (engine, view))
             return kNeededReplicaCost + drain;
@@ -300,13 +292,21 @@
     if (demand.waiting > 0)
         return std::nullopt;
     if (demand.running > 0)
-        return needAge < kYieldBusy ? std::nullopt : std::optional (kBusyReplicaCost);
-    if (now - demand.askedAt < kRecentUse)
-        return needAge < kYieldRecent ? std::nullopt : std::optional (kRecentReplicaCost);
+        return kLastReplicaCost + drainSeconds (engine.service, view);
     const double idle = base::toSeconds (now - demand.askedAt);
     return std::max (kLastReplicaCost * (1 - idle / kForgottenAfter), kCheapestLastReplicaCost);
 }
 
+double EnginePlacement::drainSeconds (const std::string& service, const ModelView& view) const
+{
+    const auto found = m_streamSeconds.find (service);
+    if (found == m_streamSeconds.end() || view.holders == 0)
+        return 0;
+    // Streams that began at any time: of one, half is left in the mean, of many nearly all.
+    const double streams = view.demand.running / static_cast<double> (view.holders);
+    return found->second * streams / (streams + 1);
+}
+
 void EnginePlacement::fillFreeMemory (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
     for (auto& [id, engine] : m_engines)
--- a/src/placement/EngineViews.cpp
+++ b/src/placement/EngineViews.cpp
@@ -42,6 +42,7 @@
     countDemands (now);
     countHolders();
     measureCrowds();
+    measureStreams();
     weighEngines (now);
 }
 
