--- a/src/placement/EngineCrowds.cpp
+++ b/src/placement/EngineCrowds.cpp
@@ -34,16 +34,14 @@
 
 void EnginePlacement::measureCrowds()
 {
-    const auto visitHeld = [this] (auto visit)
+    const auto visitHeld = [this] (const auto& visit)
     {
         for (auto& [id, engine] : m_engines)
         {
             for (auto& [model, state] : engine.models)
             {
                 if (engine.isUsable && isRoutable (engine, model))
-                    visit (
-                        engine,
-                        m_models.find (ServiceModelOrder::Names (engine.service, model))->second);
+                    visit (engine, *state.view);
             }
         }
     };
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -131,8 +131,8 @@
     {
         std::uint64_t version = 0;
         std::set<std::string> adapters;
-        base::TimePoint confirmedAt{};    ///< When it was last told or done.
-        const ModelView* view = nullptr;  ///< In m_models; null before a round has looked at it.
+        base::TimePoint confirmedAt{};  ///< When it was last told or done.
+        ModelView* view = nullptr;      ///< In m_models; null before a round has looked at it.
     };
 
     struct Engine
