--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -126,6 +126,32 @@
     ASSERT_TRUE (other.waitForRequest());
 }
 
+// Copies that came while it was not known yet what a break meant went to one more runner each, and
+// ended it.
+TEST_F (ExchangeTest, ACopyThatComesAfterABreakWaitsAMomentForWhatTheBreakMeant)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.suspects.onBrokenOff (identityOfRequest ("app.test"), "gone", proxy.clock.now(),
+                                proxy.clock.now());
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    runFor (std::chrono::milliseconds (40));
+    EXPECT_TRUE (runner.connections.empty());
+    proxy.suspects.onFate ("gone", quarantine::RunnerFate::kAlive);
+    proxy.server.onSuspectsChanged();
+    ASSERT_TRUE (runner.waitForRequest());
+}
+
+TEST_F (ExchangeTest, ACopyThatComesAfterABreakDoesNotWaitForLongWithoutAController)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.suspects.onBrokenOff (identityOfRequest ("app.test"), "gone", proxy.clock.now(),
+                                proxy.clock.now());
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+}
+
 TEST_F (ExchangeTest, AWholeAnswerToASuspectAcquitsIt)
 {
     proxy.addRunner ("i-1", runner);
