A copy of a request waits like a retry for what a break meant

What callers saw: copies of one deadly request at four routers ended six runners instead of five at most, each with the requests of other callers that ran there.

Cause: after a break only the exchange whose attempt broke off waited for the verdict (its deadline was set when its own attempt failed). A new copy at the same router was sent at once, with what was known before.

Change: the standing of a request says since when a break is undecided, and whoever sends the request waits until 0.1 s after it. It is measured from the break, so that many callers of one healthy request beside a crash wait once and not each for 0.1 s. The model of the bound test does the same.

Why it holds: while a break is undecided the router sends no further copy; the verdict arrives with the table or the early word of the leader, and then counts for all.

--- a/src/controller/QuarantineBoundTest.cpp
+++ b/src/controller/QuarantineBoundTest.cpp
@@ -79,7 +79,6 @@
     base::TimePoint sentAt{};
     base::TimePoint endsAt{};
     bool isRunning = false;
-    base::TimePoint verdictUntil{};
     bool isEnded = false;
 };
 
@@ -173,7 +172,8 @@
         request.router = router;
         if (! isDeadly)
             ++m_outcome.healthy;
-        send (request);
+        if (! isHeldBack (request))
+            send (request);
         m_requests.push_back (std::move (request));
     }
     void send (Request& request)
@@ -275,7 +275,6 @@
                                              : request.instance;
             suspects.onBrokenOff (request.identity, instance, sentAt, m_cell.now());
             suspects.onFate (instance, counts ? RunnerFate::kGone : RunnerFate::kAlive);
-            request.verdictUntil = m_cell.now() + kVerdictWait;
             request.isEnded = request.attempts >= kMostAttempts;
         }
     }
@@ -318,6 +317,14 @@
             suspects = SuspectRequests();
     }
 
+    /// As Exchange does it: retries and new copies wait alike for what a break meant.
+    [[nodiscard]] bool isHeldBack (const Request& request) const
+    {
+        const quarantine::Standing standing =
+            m_suspects[request.router].standingOf (request.identity);
+        return standing.isUndecided() && m_cell.now() < *standing.undecidedSince + kVerdictWait;
+    }
+
     void follow()
     {
         for (Request& request : m_requests)
@@ -326,9 +333,7 @@
                 finish (request);
             if (request.isRunning || request.isEnded)
                 continue;
-            const bool isUndecided =
-                m_suspects[request.router].standingOf (request.identity).isUndecided;
-            if (! isUndecided || m_cell.now() >= request.verdictUntil)
+            if (! isHeldBack (request))
                 send (request);
         }
         std::erase_if (m_requests, [] (const Request& request) { return request.isEnded; });
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -32,10 +32,6 @@
 /// 0.666: no difference, but a dead runner is noticed sooner.
 constexpr base::Duration kLongestFirstEvent = base::milliseconds (1500);
 constexpr base::Duration kShortestSilence = base::milliseconds (150);
-/// After a runner broke off, so long until the request is sent again although it is not known yet
-/// whether the runner has ended and what other routers saw. A look at the runner takes two ways,
-/// the commit of what was found some 20 ms.
-constexpr base::Duration kLongestWaitForVerdict = base::milliseconds (100);
 
 }  // namespace
 
@@ -479,7 +475,6 @@
         return;
     }
     noteBrokenOff();
-    m_verdictDeadline = now() + kLongestWaitForVerdict;
     endAttempt (AttemptEnd::kFailed, false);
     afterFailure();
 }
--- a/src/proxy/ExchangeQuarantine.cpp
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -5,6 +5,15 @@
 
 namespace fernlift::proxy
 {
+namespace
+{
+
+/// After a runner broke off, so long until the request or a copy of it is sent although it is not
+/// known yet whether the runner has ended and what other routers saw. A look at the runner takes
+/// two ways, the commit of what was found some 20 ms.
+constexpr base::Duration kLongestWaitForVerdict = base::milliseconds (100);
+
+}  // namespace
 
 std::string Exchange::callerName() const
 {
@@ -46,7 +55,11 @@
         refuseQuarantined (standing);
         return true;
     }
-    if (! standing.isUndecided || now() >= m_verdictDeadline)
+    if (! standing.isUndecided())
+        return false;
+    // Copies wait like retries: each that is sent meanwhile may end one more runner.
+    m_verdictDeadline = *standing.undecidedSince + kLongestWaitForVerdict;
+    if (now() >= m_verdictDeadline)
         return false;
     m_isAwaitingVerdict = true;
     armTimer();
--- a/src/quarantine/SuspectRequests.cpp
+++ b/src/quarantine/SuspectRequests.cpp
@@ -46,7 +46,8 @@
         if (end.request.digest != request.digest)
             continue;
         const bool isOpen = ! end.isForeign && end.proof != Proof::kOpen;
-        standing.isUndecided = standing.isUndecided || isOpen;
+        if (isOpen)
+            standing.undecidedSince = std::max (standing.undecidedSince, { end.endedAt });
         if (end.proof != Proof::kProved)
             continue;
         standing.instances.push_back (end.instance);
--- a/src/quarantine/SuspectRequests.h
+++ b/src/quarantine/SuspectRequests.h
@@ -30,12 +30,13 @@
 struct Standing
 {
     std::uint32_t ends = 0;  ///< Runners that ended under it one after the other.
-    /** Whether a runner has just broken off its answer and it is not known yet what that means, or
-       not to the other routers: worth a moment before the request is sent again.
+    /** When a runner last broke off its answer of which it is not known yet what that means, or not
+       to the other routers: worth a moment before the request or a copy of it is sent.
     */
-    bool isUndecided = false;
+    std::optional<base::TimePoint> undecidedSince;
     std::vector<std::string> instances;  ///< That ended under it.
 
+    [[nodiscard]] bool isUndecided() const { return undecidedSince.has_value(); }
     [[nodiscard]] bool isSuspect() const { return ends > 0; }
     [[nodiscard]] bool isInQuarantine() const { return ends >= cell::kEndsBeforeQuarantine; }
 };
--- a/src/quarantine/SuspectRequestsTest.cpp
+++ b/src/quarantine/SuspectRequestsTest.cpp
@@ -47,7 +47,7 @@
 TEST_F (SuspectRequestsTest, ABreakCountsOnlyOnceTheRunnerIsFoundGone)
 {
     suspects.onBrokenOff (request, "a", at (0), at (50));
-    EXPECT_TRUE (suspects.standingOf (request).isUndecided);
+    EXPECT_TRUE (suspects.standingOf (request).isUndecided());
     EXPECT_FALSE (suspects.standingOf (request).isSuspect());
     EXPECT_FALSE (suspects.takeReport (at (50)));
     EXPECT_TRUE (suspects.onFate ("a", RunnerFate::kGone));
@@ -67,7 +67,7 @@
 {
     suspects.onBrokenOff (request, "a", at (0), at (50));
     suspects.onFate ("a", RunnerFate::kUnknown);
-    EXPECT_FALSE (suspects.standingOf (request).isUndecided) << "nobody waits for that";
+    EXPECT_FALSE (suspects.standingOf (request).isUndecided()) << "nobody waits for that";
     EXPECT_FALSE (suspects.standingOf (request).isSuspect());
     suspects.onReplaced ("a");
     EXPECT_EQ (suspects.standingOf (request).ends, 1);
@@ -118,7 +118,7 @@
     EXPECT_TRUE (suspects.takeReport (at (610)));
     suspects.apply (updateOf (9, 1, { "a" }), at (620));
     EXPECT_FALSE (suspects.takeReport (at (2000)));
-    EXPECT_FALSE (suspects.standingOf (request).isUndecided);
+    EXPECT_FALSE (suspects.standingOf (request).isUndecided());
     EXPECT_EQ (suspects.standingOf (request).ends, 1);
 }
 
@@ -130,7 +130,7 @@
     suspects.onTold (told, at (200));
     suspects.onTold (told, at (210));
     EXPECT_EQ (suspects.standingOf (request).ends, 2);
-    EXPECT_FALSE (suspects.standingOf (request).isUndecided);
+    EXPECT_FALSE (suspects.standingOf (request).isUndecided());
     EXPECT_FALSE (suspects.takeReport (at (220))) << "the other router tells it";
     end ("c", 220, 250);
     EXPECT_TRUE (suspects.standingOf (request).isInQuarantine());
