--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -409,6 +409,37 @@
     EXPECT_EQ (unload[0].model, "m2");
 }
 
+// Models whose engines were busy took all turns of each round, so that others waited beside engines
+// that were free.
+TEST_F (EnginePlacementTest, ModelsThatNoEngineCanTakeNowDoNotHoldUpOthers)
+{
+    // One engine that loads has the copies of most models; an idle one has that of another.
+    std::set<std::string> copies;
+    for (int number = 1; number <= 20; ++number)
+        copies.insert ("m" + std::to_string (number));
+    addEngine ("e-busy", {});
+    hear ("e-busy", {}, copies);
+    demand ("m1", 1);
+    const auto first = orders();
+    ASSERT_EQ (first.size(), 1);
+    answer (first[0], engine::OrderOutcome::kUnderWay);
+    addEngine ("e-idle", { "m29", "m30" });
+    hear ("e-idle", { "m29", "m30" }, { "m21" });
+    // The others have waited for longer, by less than they would wait for the store.
+    for (int number = 2; number <= 20; ++number)
+        demand ("m" + std::to_string (number), 2);
+    wait (base::milliseconds (100));
+    demand ("m21", 1);
+    std::vector<engine::ServiceOrder> found;
+    for (int round = 0; round < 5 && found.empty(); ++round)
+    {
+        found = orders();
+        wait (base::milliseconds (20));
+    }
+    ASSERT_EQ (found.size(), 1);
+    EXPECT_EQ (found[0].instance, "e-idle");
+}
+
 TEST_F (EnginePlacementTest, AModelMakesWayOnlyOnceTheStoreHasAPlace)
 {
     for (int number = 1; number <= 12; ++number)
