Models that no engine can take now no longer hold up the others

What callers saw: requests for rare models of a large cell waited although an engine with a copy of their model was free.

Cause: a round of the placement tried the twelve most pressing needs and stopped. Needs whose engines were all busy stayed the most pressing, round after round.

Change: each model's view names the engines with a copy, and a need is weighed against these alone while the store is not open for it. The bound of a round counts the engines looked at, as it was meant for, and not the needs. Whether the store has a place is worked out once a round and plan.

--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -207,7 +208,7 @@
         std::size_t holders = 0;             ///< Engines that hold it and take requests.
         std::size_t rateLimitedHolders = 0;  ///< Of these, that state a rate.
         std::size_t coming = 0;              ///< Engines that load it or will.
-        std::size_t copies = 0;              ///< Engines that have it in host memory or on disk.
+        std::vector<Engine*> copyEngines;    ///< That have it in host memory or on disk.
         /// Requests that its holders could run beside those for other models before they are
         /// crowded.
         double room = 0;
@@ -323,15 +324,18 @@
                        base::TimePoint now);
     static void dropPlan (Engine& engine);
     void planModels (std::vector<EngineCommand>& commands, base::TimePoint now);
-    /// Reserves an engine for the model unless that costs too much; false when none can take it
-    /// now.
-    bool planModel (const ModelNeed& need, base::TimePoint now);
+    /// Engines that could load the model: all of them, or only those with a copy while the weight
+    /// store is not open for it.
+    [[nodiscard]] std::vector<Engine*> enginesToWeigh (const ModelNeed& need, base::TimePoint now);
+    /// Reserves one of these engines for the model unless that costs too much; false when none can
+    /// take it now.
+    bool planModel (const ModelNeed& need, std::span<Engine* const> engines, base::TimePoint now);
     /// Whether it has too many requests for a replica that is to relieve other engines.
     [[nodiscard]] bool isTooCrowded (const Engine& engine) const;
     /// What its requests cost those for a model that comes, in seconds.
     [[nodiscard]] double crowdCost (const Engine& engine) const;
     /// An engine with a copy of the model that is busy for a moment; worth waiting for.
-    [[nodiscard]] bool isLocalSoon (const ServiceModel& model) const;
+    [[nodiscard]] static bool isLocalSoon (const ModelView& view);
     /// Loads models that nobody holds from engines' own copies into memory that is free.
     void fillFreeMemory (std::vector<EngineCommand>& commands, base::TimePoint now);
     [[nodiscard]] const config::EngineModel* modelToFillWith (const Engine& engine,
@@ -397,6 +401,7 @@
     std::map<ServiceModel, ModelView, ServiceModelOrder> m_models;
     std::deque<base::TimePoint> m_storeLoads;  ///< When loads from the store were ordered.
     StoreConcurrency m_store;
+    bool m_hasStorePlace = true;  ///< As of the last lookAtModels() or plan.
     /// Time that the longest streams of a service take, by service; as of the last round.
     std::map<std::string, double> m_streamSeconds;
     std::map<ServiceModel, base::TimePoint> m_spareAddedAt;
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -46,8 +46,8 @@
 constexpr double kForgottenAfter = 20.0;
 /// A request waits this long for an engine that has a copy rather than for the weight store.
 constexpr base::Duration kPatienceForCopy = base::milliseconds (1500);
-/// Each plan looks at every engine: more in one round would hold up the leader's event loop.
-constexpr std::size_t kMostPlansInRound = 12;
+/// Plans of a round that may look at every engine: more would hold up the leader's event loop.
+constexpr std::size_t kMostFullPlansInRound = 12;
 /// The same in a large cell, in engines looked at for all plans of a round, some 1 us each; with
 /// 3,000 engines twelve plans held up a leader, which has a share of a core, for 0.2 s.
 constexpr std::size_t kMostEnginesInRound = 12'000;
@@ -56,33 +56,50 @@
 
 void EnginePlacement::planModels (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
-    std::size_t plans = 0;
-    const std::size_t most = std::min (
-        kMostPlansInRound, kMostEnginesInRound / std::max<std::size_t> (m_engines.size(), 1));
+    const std::size_t most =
+        std::min (kMostFullPlansInRound * m_engines.size(), kMostEnginesInRound);
+    std::size_t lookedAt = 0;
     for (const ModelNeed& need : modelNeeds (now))
     {
-        if (++plans > std::max<std::size_t> (most, 1))
+        if (lookedAt >= most)
             break;
-        if (planModel (need, now) && need.isSpare)
+        const std::vector<Engine*> engines = enginesToWeigh (need, now);
+        lookedAt += engines.size();
+        if (planModel (need, engines, now) && need.isSpare)
             m_spareAddedAt[need.model] = now;
     }
     continuePlans (commands, now);
 }
 
-bool EnginePlacement::planModel (const ModelNeed& need, base::TimePoint now)
+std::vector<EnginePlacement::Engine*> EnginePlacement::enginesToWeigh (const ModelNeed& need,
+                                                                       base::TimePoint now)
+{
+    const auto& [service, name] = need.model;
+    const ModelView& view = viewOf (service, name);
+    const bool isMissing = view.holders == 0;
+    const bool waitsForCopy = isMissing && need.age < kPatienceForCopy && isLocalSoon (view);
+    if (waitsForCopy || ! m_hasStorePlace || ! mayLoadFromStore (service, now))
+        return view.copyEngines;
+    std::vector<Engine*> engines;
+    engines.reserve (m_engines.size());
+    for (auto& [id, engine] : m_engines)
+        engines.push_back (&engine);
+    return engines;
+}
+
+bool EnginePlacement::planModel (const ModelNeed& need, std::span<Engine* const> engines,
+                                 base::TimePoint now)
 {
     const auto& [service, name] = need.model;
-    const bool isMissing = viewOf (service, name).holders == 0;
-    const bool waitsForCopy = isMissing && need.age < kPatienceForCopy && isLocalSoon (need.model);
-    const bool isStoreOpen = ! waitsForCopy && hasStorePlace() && mayLoadFromStore (service, now);
     Engine* best = nullptr;
     Victims bestVictims;
     double lowest = 0;
-    for (auto& [id, engine] : m_engines)
+    for (Engine* const each : engines)
     {
+        const Engine& engine = *each;
         const bool isCandidate = engine.service == service && engine.reservedFor.empty()
                                  && mayTakeOrder (engine) && ! engine.models.contains (name)
-                                 && ! m_rateLimited.contains (id)
+                                 && ! m_rateLimited.contains (engine.id)
                                  && ! (need.isForCrowd && isTooCrowded (engine));
         if (! isCandidate)
             continue;
@@ -90,19 +107,16 @@
         const config::EngineModel* model = spec == nullptr ? nullptr : spec->findModel (name);
         if (model == nullptr)
             return false;
-        const bool isFromStore = ! isLocal (engine, name);
-        if (isFromStore && ! isStoreOpen)
-            continue;
         std::optional<Victims> victims = victimsFor (engine, *spec, *model, now);
         if (! victims)
             continue;
         double cost = victims->cost + loadSeconds (engine, *model) + engine.adapterTrouble
                       + crowdCost (engine);
-        if (isFromStore)
+        if (! isLocal (engine, name))
             cost += engine.blockedCopies;
         if (cost > need.highestCost || (best != nullptr && cost >= lowest))
             continue;
-        best = &engine;
+        best = each;
         bestVictims = std::move (*victims);
         lowest = cost;
     }
@@ -114,6 +128,7 @@
     ++viewFor (service, name).coming;
     for (const std::string& victim : bestVictims.models)
         --viewFor (service, victim).holders;
+    m_hasStorePlace = hasStorePlace();
     return true;
 }
 
@@ -127,7 +142,7 @@
     return kCrowdCost * engine.requests / std::max (crowdLimit (engine), 1.0);
 }
 
-bool EnginePlacement::isLocalSoon (const ServiceModel& model) const
+bool EnginePlacement::isLocalSoon (const ModelView& view)
 {
     const auto loadsFromStore = [] (const Engine& engine)
     {
@@ -135,14 +150,8 @@
                || (engine.unanswered && engine.unanswered->isFromStore)
                || (! engine.reservedFor.empty() && ! isLocal (engine, engine.reservedFor));
     };
-    return std::ranges::any_of (m_engines,
-                                [&] (const auto& item)
-                                {
-                                    const Engine& engine = item.second;
-                                    return engine.service == model.first && engine.isUsable
-                                           && ! engine.isPaused && isLocal (engine, model.second)
-                                           && ! loadsFromStore (engine);
-                                });
+    return std::ranges::any_of (view.copyEngines, [&] (const Engine* engine)
+                                { return ! engine->isPaused && ! loadsFromStore (*engine); });
 }
 
 double EnginePlacement::blockedCopies (const Engine& engine, base::TimePoint now) const
@@ -151,7 +160,8 @@
     const auto count = [&] (const std::string& name)
     {
         const ModelView& view = viewOf (engine.service, name);
-        const bool isOnlyHere = view.holders == 0 && view.coming == 0 && view.copies == 1;
+        const bool isOnlyHere =
+            view.holders == 0 && view.coming == 0 && view.copyEngines.size() == 1;
         const base::TimePoint askedAt = view.demand.askedAt;
         const bool isWanted =
             askedAt != base::TimePoint{} && base::toSeconds (now - askedAt) < kForgottenAfter;
@@ -196,7 +206,7 @@
     {
         const ServiceModel key{ service.name, model.name };
         const ModelView& view = viewOf (service.name, model.name);
-        const bool isMissing = view.holders == 0 && view.coming == 0 && view.copies == 0;
+        const bool isMissing = view.holders == 0 && view.coming == 0 && view.copyEngines.empty();
         if (! isMissing || m_fetched.contains (key))
             continue;
         // Looks at every engine: for each of 330 models, held or not, it took half of a round.
@@ -205,7 +215,7 @@
         ModelNeed need;
         need.model = key;
         need.highestCost = base::toSeconds (model.loadTime) + kHighestFetchCost;
-        if (! planModel (need, now))
+        if (! planModel (need, enginesToWeigh (need, now), now))
             return;
         m_fetched.insert (key);
     }
--- a/src/placement/EngineViews.cpp
+++ b/src/placement/EngineViews.cpp
@@ -44,6 +44,7 @@
     measureCrowds();
     measureStreams();
     weighEngines (now);
+    m_hasStorePlace = hasStorePlace();
 }
 
 void EnginePlacement::countDemands (base::TimePoint now)
@@ -96,11 +97,11 @@
             view.rateLimitedHolders += rateLimited;
         }
         for (const std::string& model : engine.inMemory)
-            ++viewFor (engine.service, model).copies;
+            viewFor (engine.service, model).copyEngines.push_back (&engine);
         for (const std::string& model : engine.onDisk)
         {
             if (! engine.inMemory.contains (model))
-                ++viewFor (engine.service, model).copies;
+                viewFor (engine.service, model).copyEngines.push_back (&engine);
         }
         std::set<std::string_view> coming;
         if (! engine.reservedFor.empty())
