One field tells whether and until when a request waits for a verdict

Cause: since copies wait like retries, the deadline is worked out where the wait begins, and the flag beside it says nothing more. Ruled out: a change of behaviour (both were set and read together). Change: m_verdictDeadline is empty unless the request waits; the flag is gone. Before and after: proxy_test 156 of 156, DeadlyRequestTest 4 of 4; clang-tidy of both sources clean. Conclusion: behaviour unchanged.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -263,7 +263,7 @@
     {
         goOn();
     }
-    else if (m_isWaiting || m_isAwaitingVerdict || m_wanted)
+    else if (m_isWaiting || m_verdictDeadline || m_wanted)
     {
         tryNext();
     }
@@ -355,8 +355,8 @@
         due = m_waitDeadline;
     if (m_isWaitingForQuota)
         due = m_quota.waitsUntil;
-    if (m_isAwaitingVerdict)
-        due = std::min (m_deadline, m_verdictDeadline);
+    if (m_verdictDeadline)
+        due = std::min (m_deadline, *m_verdictDeadline);
     const auto wait = std::max<base::Duration> (due - now(), base::Duration::zero());
     m_timer.start (std::chrono::ceil<base::milliseconds> (wait));
 }
@@ -382,7 +382,7 @@
         onWaitOver();
         return;
     }
-    if (m_isAwaitingVerdict && now() < m_deadline)
+    if (m_verdictDeadline && now() < m_deadline)
     {
         tryNext();
         return;
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -47,7 +47,7 @@
     void onSuspectsChanged();
     [[nodiscard]] bool isWaiting() const
     {
-        return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota || m_isAwaitingVerdict
+        return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota || m_verdictDeadline
                || m_wanted;
     }
     /// Those that wait are looked at in this order: the most urgent first, then the earliest.
@@ -186,8 +186,8 @@
     mutable std::optional<std::uint64_t> m_outline;
     mutable std::optional<cell::RequestIdentity> m_identity;
     base::TimePoint m_attemptSentAt{};
-    base::TimePoint m_verdictDeadline{};  ///< Until when it waits for what a break meant.
-    bool m_isAwaitingVerdict = false;
+    /// Until when it waits for what a break meant; none: it does not wait for that.
+    std::optional<base::TimePoint> m_verdictDeadline;
     std::shared_ptr<http::BackEndConnection> m_connection;
     AnswerUse m_use = AnswerUse::kNone;
     http::AnswerHead m_head;
--- a/src/proxy/ExchangeQuarantine.cpp
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -49,7 +49,7 @@
 
 bool Exchange::isHeldBack (const quarantine::Standing& standing)
 {
-    m_isAwaitingVerdict = false;
+    m_verdictDeadline.reset();
     if (standing.isInQuarantine())
     {
         refuseQuarantined (standing);
@@ -58,10 +58,10 @@
     if (! standing.isUndecided())
         return false;
     // Copies wait like retries: each that is sent meanwhile may end one more runner.
-    m_verdictDeadline = *standing.undecidedSince + kLongestWaitForVerdict;
-    if (now() >= m_verdictDeadline)
+    const base::TimePoint deadline = *standing.undecidedSince + kLongestWaitForVerdict;
+    if (now() >= deadline)
         return false;
-    m_isAwaitingVerdict = true;
+    m_verdictDeadline = deadline;
     armTimer();
     return true;
 }
