Limit of an engine's requests worked out once a round; shares of played streams by one function

Ruled out: caching the replica targets, which plans of the same round change. Conclusion: behaviour unchanged.

--- a/src/placement/EngineCrowds.cpp
+++ b/src/placement/EngineCrowds.cpp
@@ -31,12 +31,6 @@
     return kFilledSlots * spec.slots;
 }
 
-double EnginePlacement::crowdLimit (const Engine& engine) const
-{
-    const EngineSpecIndex* spec = specOf (engine);
-    return spec == nullptr ? 0 : crowdLimit (spec->spec());
-}
-
 void EnginePlacement::measureCrowds()
 {
     const auto visitHeld = [this] (const auto& visit)
@@ -51,11 +45,14 @@
         }
     };
     for (auto& [id, engine] : m_engines)
+    {
+        const EngineSpecIndex* spec = specOf (engine);
+        engine.requestLimit = spec == nullptr ? 0 : crowdLimit (spec->spec());
         engine.requests = 0;
+    }
     visitHeld ([] (Engine& engine, const ModelView& view)
                { engine.requests += view.requestsAtHolder(); });
-    visitHeld ([this] (const Engine& engine, ModelView& view)
-               { view.room += roomFor (engine, view); });
+    visitHeld ([] (const Engine& engine, ModelView& view) { view.room += roomFor (engine, view); });
 }
 
 void EnginePlacement::measureStreams()
@@ -68,8 +65,9 @@
     std::map<std::string, Sums> sums;
     for (const auto& [model, view] : m_models)
     {
-        sums[model.first].running += view.demand.running;
-        sums[model.first].perSecond += view.demand.perSecond;
+        Sums& sum = sums[model.first];
+        sum.running += view.demand.running;
+        sum.perSecond += view.demand.perSecond;
     }
     m_streamSeconds.clear();
     for (const auto& [service, sum] : sums)
@@ -80,13 +78,13 @@
     }
 }
 
-double EnginePlacement::roomFor (const Engine& engine, const ModelView& view) const
+double EnginePlacement::roomFor (const Engine& engine, const ModelView& view)
 {
     const double others = engine.requests - view.requestsAtHolder();
-    return std::max (crowdLimit (engine) - others, 0.0);
+    return std::max (engine.requestLimit - others, 0.0);
 }
 
-bool EnginePlacement::isCrowdedWithout (const Engine& engine, const ModelView& view) const
+bool EnginePlacement::isCrowdedWithout (const Engine& engine, const ModelView& view)
 {
     return view.requests() > view.room - roomFor (engine, view);
 }
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -162,6 +162,7 @@
         // As of the last lookAtModels():
         double freeMemory = 0;      ///< For models, in megabytes.
         double requests = 0;        ///< That wait for its models or run there, as far as is known.
+        double requestLimit = 0;    ///< Of `requests`, before its streams become slow.
         double adapterTrouble = 0;  ///< What a load costs those who want adapters of its models.
         /// What a load from the store costs those who want models of which only this engine has a
         /// copy, and could load it soon.
@@ -261,11 +262,10 @@
     [[nodiscard]] static bool isRoutable (const Engine& engine, const std::string& model);
     /// Requests that an engine can run before its streams become slow.
     [[nodiscard]] static double crowdLimit (const config::EngineSpec& spec);
-    [[nodiscard]] double crowdLimit (const Engine& engine) const;
-    /// Of these, what requests for other models than the one of the view leave.
-    [[nodiscard]] double roomFor (const Engine& engine, const ModelView& view) const;
+    /// Of these requests, what those for other models than the one of the view leave.
+    [[nodiscard]] static double roomFor (const Engine& engine, const ModelView& view);
     /// Whether the other holders would be crowded without this one.
-    [[nodiscard]] bool isCrowdedWithout (const Engine& engine, const ModelView& view) const;
+    [[nodiscard]] static bool isCrowdedWithout (const Engine& engine, const ModelView& view);
     [[nodiscard]] const ModelView& viewOf (std::string_view service, std::string_view model) const;
     ModelView& viewFor (const std::string& service, const std::string& model);
     [[nodiscard]] const EngineSpecIndex* specOf (const Engine& engine) const;
@@ -331,9 +331,9 @@
     /// take it now.
     bool planModel (const ModelNeed& need, std::span<Engine* const> engines, base::TimePoint now);
     /// Whether it has too many requests for a replica that is to relieve other engines.
-    [[nodiscard]] bool isTooCrowded (const Engine& engine) const;
+    [[nodiscard]] static bool isTooCrowded (const Engine& engine);
     /// What its requests cost those for a model that comes, in seconds.
-    [[nodiscard]] double crowdCost (const Engine& engine) const;
+    [[nodiscard]] static double crowdCost (const Engine& engine);
     /// An engine with a copy of the model that is busy for a moment; worth waiting for.
     [[nodiscard]] static bool isLocalSoon (const ModelView& view);
     /// Loads models that nobody holds from engines' own copies into memory that is free.
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -132,14 +132,14 @@
     return true;
 }
 
-bool EnginePlacement::isTooCrowded (const Engine& engine) const
+bool EnginePlacement::isTooCrowded (const Engine& engine)
 {
-    return engine.requests > kHighestShareForReplica * crowdLimit (engine);
+    return engine.requests > kHighestShareForReplica * engine.requestLimit;
 }
 
-double EnginePlacement::crowdCost (const Engine& engine) const
+double EnginePlacement::crowdCost (const Engine& engine)
 {
-    return kCrowdCost * engine.requests / std::max (crowdLimit (engine), 1.0);
+    return kCrowdCost * engine.requests / std::max (engine.requestLimit, 1.0);
 }
 
 bool EnginePlacement::isLocalSoon (const ModelView& view)
--- a/src/placement/EnginePlayTestSupport.h
+++ b/src/placement/EnginePlayTestSupport.h
@@ -59,6 +59,10 @@
     [[nodiscard]] static std::string modelName (std::size_t number);
 
 private:
+    /// Part of the streams that `isCounted` takes of which `isLate` is true.
+    template <class IsCounted, class IsLate>
+    [[nodiscard]] double shareOf (const IsCounted& isCounted, const IsLate& isLate) const;
+
     struct Running
     {
         std::size_t stream = 0;  ///< In m_streams.
--- a/src/placement/EnginePlayTestSupportTest.cpp
+++ b/src/placement/EnginePlayTestSupportTest.cpp
@@ -269,27 +269,28 @@
     m_isUrgent = false;
 }
 
-double EnginePlay::shareWithPausesOver (base::Duration pause, base::Duration from) const
+template <class IsCounted, class IsLate>
+double EnginePlay::shareOf (const IsCounted& isCounted, const IsLate& isLate) const
 {
-    const auto isCounted = [&] (const PlayedStream& stream)
-    { return stream.arrivedAt >= start() + from; };
-    const auto isLate = [&] (const PlayedStream& stream)
-    { return isCounted (stream) && stream.longestPause > pause; };
-    return static_cast<double> (std::ranges::count_if (m_streams, isLate))
+    const auto isCountedAndLate = [&] (const PlayedStream& stream)
+    { return isCounted (stream) && isLate (stream); };
+    return static_cast<double> (std::ranges::count_if (m_streams, isCountedAndLate))
            / static_cast<double> (std::ranges::count_if (m_streams, isCounted));
 }
 
+double EnginePlay::shareWithPausesOver (base::Duration pause, base::Duration from) const
+{
+    return shareOf ([&] (const PlayedStream& stream) { return stream.arrivedAt >= start() + from; },
+                    [&] (const PlayedStream& stream) { return stream.longestPause > pause; });
+}
+
 double EnginePlay::shareWaitingOver (base::Duration wait, base::Duration from) const
 {
-    const auto isCounted = [&] (const PlayedStream& stream)
-    { return stream.arrivedAt >= start() + from && stream.arrivedAt + wait <= m_now; };
-    const auto isLate = [&] (const PlayedStream& stream)
-    {
-        const base::Duration waited = stream.waited.value_or (m_now - stream.arrivedAt);
-        return isCounted (stream) && waited > wait;
-    };
-    return static_cast<double> (std::ranges::count_if (m_streams, isLate))
-           / static_cast<double> (std::ranges::count_if (m_streams, isCounted));
+    return shareOf (
+        [&] (const PlayedStream& stream)
+        { return stream.arrivedAt >= start() + from && stream.arrivedAt + wait <= m_now; },
+        [&] (const PlayedStream& stream)
+        { return stream.waited.value_or (m_now - stream.arrivedAt) > wait; });
 }
 
 }  // namespace fernlift::placement
