Tests: requests for adapters wait for seconds in a large fleet, or for ever

The tests play whole cells of three controllers with 1,000 and 20,000 engines in memory, from a request that waits for an adapter to the order (50 ms allowed, 500 ms right after an election), and from the order until all routers know (300 ms).

--- /dev/null
+++ b/src/controller/LargeFleetTest.cpp
@@ -0,0 +1,216 @@
+/**
+ * Times that callers of a large fleet wait for: from a request that waits for an adapter to the
+ * order for it, and from the order until all routers know. Whole cells of three controllers with
+ * 1,000 and 20,000 engines, in memory; the bounds are the same for both sizes.
+ */
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "controller/ControllerCore.h"
+#include "controller/TestCell.h"
+
+namespace fernlift::controller
+{
+namespace
+{
+
+using base::milliseconds;
+using base::seconds;
+using test::TestCell;
+using test::TestRouter;
+
+constexpr std::size_t kRouters = 4;
+constexpr std::size_t kEnginesInMessage = 1000;
+/// A request that waits for an adapter is to cause an order within this time.
+constexpr base::Duration kLongestToOrder = milliseconds (50);
+/// All routers are to know of a change of an engine within this time.
+constexpr base::Duration kLongestToRouters = milliseconds (300);
+/// Engines are to be ordered by a new leader within this time.
+constexpr base::Duration kLongestToOrderOfNewLeader = milliseconds (500);
+
+config::CatalogueOutcome parseCatalogueOfAdapters (std::string_view text)
+{
+    config::CatalogueOutcome outcome;
+    outcome.catalogue.emplace();
+    outcome.catalogue->version = std::stoull (std::string (text));
+    config::Service service;
+    service.name = "llm";
+    service.engine.emplace();
+    service.engine->slots = 64;
+    service.engine->memoryMb = 100;
+    service.engine->adapterSlots = 8;
+    service.engine->loadsPerSecond = 100;
+    for (const char* name : { "common", "rare" })
+    {
+        config::EngineModel model;
+        model.name = name;
+        model.memoryMb = 40;
+        model.loadTime = seconds (6);
+        model.adapters = 20;
+        service.engine->models.push_back (model);
+    }
+    outcome.catalogue->services.services.push_back (service);
+    return outcome;
+}
+
+TestCell::Options optionsOf()
+{
+    TestCell::Options options = test::forwardingOptions (kRouters);
+    options.controller.catalogueParser = &parseCatalogueOfAdapters;
+    options.controller.orderPause = base::Duration::zero();
+    options.controller.instanceSilence = seconds (1000);
+    return options;
+}
+
+/// The parameter is the number of engines. All hold the model "common", the last one "rare", too.
+class LargeFleetTest : public ::testing::TestWithParam<std::size_t>
+{
+protected:
+    LargeFleetTest() : m_cell (optionsOf())
+    {
+        for (std::size_t number = 0; number < kRouters; ++number)
+            m_cell.router (number).acceptsLastKnownState = true;
+        EXPECT_TRUE (m_cell.awaitLeader());
+        const base::MemberId leader = m_cell.leader();
+        // One at the leader, the others at a controller that does not lead.
+        m_cell.reconnect (0, leader);
+        for (std::size_t number = 1; number < kRouters; ++number)
+            m_cell.reconnect (number, leader % 3 + 1);
+        const auto answer = m_cell.askControl (leader, ReplaceConfiguration{ "1 " }, seconds (4));
+        EXPECT_TRUE (answer && answer->verdict == ControlVerdict::kDone);
+        m_cell.run (milliseconds (100));
+        registerEngines();
+    }
+
+    static std::string engineName (std::size_t number)
+    {
+        return "i-" + std::to_string (100'000 + number);
+    }
+    [[nodiscard]] std::string lastEngine() const { return engineName (GetParam() - 1); }
+
+    void registerEngines()
+    {
+        cell::InstanceSightings message;
+        for (std::size_t number = 0; number < GetParam(); ++number)
+        {
+            message.sightings.push_back (sightingOf (number));
+            const bool isFull = message.sightings.size() == kEnginesInMessage;
+            if (! isFull && number + 1 < GetParam())
+                continue;
+            m_cell.sendFromRouter (0, std::exchange (message, {}));
+        }
+        EXPECT_TRUE (m_cell.runUntil ([this] { return allRoutersKnow (lastEngine()); },
+                                      seconds (30)));
+    }
+    [[nodiscard]] cell::InstanceSighting sightingOf (std::size_t number) const
+    {
+        cell::InstanceSighting sighting;
+        sighting.instance = engineName (number);
+        sighting.sequence = 1;
+        sighting.hasHoldings = true;
+        sighting.models = { { "common", 1, {} } };
+        if (number + 1 == GetParam())
+            sighting.models.push_back ({ "rare", 1, {} });
+        cell::ServiceInstance instance;
+        instance.id = sighting.instance;
+        instance.service = "llm";
+        instance.address = "10.0.0.1:" + std::to_string (number);
+        instance.slots = 64;
+        instance.models = sighting.models;
+        instance.isReported = true;
+        sighting.first = { instance };
+        return sighting;
+    }
+    /// The engine answers when it is asked for a report.
+    void letReport (const std::string& id, std::vector<engine::ReportedModel> models)
+    {
+        engine::ServiceReport report;
+        report.models = std::move (models);
+        m_cell.engineReports[id] = std::move (report);
+    }
+    [[nodiscard]] bool allRoutersKnow (const std::string& instance)
+    {
+        for (std::size_t number = 0; number < kRouters; ++number)
+        {
+            if (! m_cell.router (number).instances.contains (instance))
+                return false;
+        }
+        return true;
+    }
+    [[nodiscard]] bool allRoutersKnowAdapter (const std::string& instance,
+                                              const std::string& adapter)
+    {
+        for (std::size_t number = 0; number < kRouters; ++number)
+        {
+            const auto& rows = m_cell.router (number).instances;
+            const auto row = rows.find (instance);
+            if (row == rows.end() || ! holdsAdapter (row->second, adapter))
+                return false;
+        }
+        return true;
+    }
+    static bool holdsAdapter (const cell::RoutableInstance& row, const std::string& adapter)
+    {
+        return std::ranges::any_of (row.instance.models,
+                                    [&] (const cell::HeldModel& model)
+                                    {
+                                        return std::ranges::find (model.adapters, adapter)
+                                               != model.adapters.end();
+                                    });
+    }
+    void waitFor (const std::string& model, const std::string& adapter)
+    {
+        cell::EngineDemandReport report;
+        report.demands.push_back ({ "llm", model, adapter, 1, 0, 1 });
+        m_cell.sendFromRouter (0, report);
+    }
+    /// From a request that waits for an adapter of "rare" to the order for it.
+    base::Duration timeToOrder (const std::string& adapter)
+    {
+        const std::size_t orders = m_cell.engineOrders.size();
+        const base::TimePoint before = m_cell.now();
+        waitFor ("rare", adapter);
+        EXPECT_TRUE (m_cell.runUntil ([&] { return m_cell.engineOrders.size() > orders; },
+                                      seconds (30)));
+        return m_cell.now() - before;
+    }
+
+    TestCell m_cell;
+};
+
+TEST_P (LargeFleetTest, AnAdapterIsOrderedSoonAfterARequestBeganToWait)
+{
+    letReport (lastEngine(), { { "common", 1, {} }, { "rare", 1, {} } });
+    timeToOrder ("a1");  // The leader knows the engine from then on.
+    for (const char* adapter : { "a2", "a3", "a4" })
+    {
+        m_cell.run (milliseconds (130));
+        EXPECT_LE (timeToOrder (adapter), kLongestToOrder) << adapter;
+    }
+}
+
+TEST_P (LargeFleetTest, ANewLeaderAsksTheEngineThatIsNeededFirst)
+{
+    letReport (lastEngine(), { { "common", 1, {} }, { "rare", 1, {} } });
+    EXPECT_LE (timeToOrder ("a1"), kLongestToOrderOfNewLeader);
+}
+
+TEST_P (LargeFleetTest, AllRoutersHearSoonThatAnAdapterHasCome)
+{
+    letReport (lastEngine(), { { "common", 1, {} }, { "rare", 1, {} } });
+    for (const char* adapter : { "a1", "a2", "a3" })
+    {
+        timeToOrder (adapter);
+        const base::TimePoint before = m_cell.now();
+        EXPECT_TRUE (m_cell.runUntil (
+            [&] { return allRoutersKnowAdapter (lastEngine(), adapter); }, seconds (30)));
+        EXPECT_LE (m_cell.now() - before, kLongestToRouters) << adapter;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P (Engines, LargeFleetTest, ::testing::Values (1000, 20'000));
+
+}  // namespace
+}  // namespace fernlift::controller
--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -142,6 +142,65 @@
     EXPECT_EQ (asked.size(), kEngines);
 }
 
+TEST_F (EnginePlacementTest, TheEngineThatIsNeededIsAskedForItsReportFirst)
+{
+    constexpr int kEngines = 1000;
+    for (int number = 0; number < kEngines; ++number)
+    {
+        const std::string id = "e" + std::to_string (1000 + number);
+        cell::RoutableInstance row;
+        row.instance.id = id;
+        row.instance.service = "llm";
+        m_rows[id] = row;
+    }
+    m_placement.refresh (m_rows, m_now);
+    for (const auto& [id, row] : m_rows)
+        hear (id, { id == "e1999" ? "m2" : "m1" });
+    static_cast<void> (orders());  // Others are asked meanwhile.
+    demand ("m2", 1, 0, "a1");
+    EXPECT_TRUE (polls ("e1999"));
+    report ("e1999", { "m2" }, 0);
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    EXPECT_EQ (sent[0].instance, "e1999");
+    EXPECT_EQ (sent[0].adapter, "a1");
+}
+
+TEST_F (EnginePlacementTest, WhatAnEngineToldBeforeItWasAgreedOnIsKnown)
+{
+    hear ("e1", { "m1" }, { "m2" });
+    cell::RoutableInstance row;
+    row.instance.id = "e1";
+    row.instance.service = "llm";
+    m_rows["e1"] = row;
+    m_placement.refresh (m_rows, m_now);
+    const auto models = m_placement.routableModels ("e1", m_now);
+    ASSERT_TRUE (models);
+    ASSERT_EQ (models->size(), 1U);
+    EXPECT_EQ (models->front().model, "m1");
+}
+
+TEST_F (EnginePlacementTest, AnEngineThatANewLeaderHasNotHeardIsOrderedByWhatWasAgreedOn)
+{
+    for (const char* id : { "e1", "e2" })
+    {
+        cell::RoutableInstance row;
+        row.instance.id = id;
+        row.instance.service = "llm";
+        row.instance.isReported = true;
+        row.instance.models = { { "m1", 1, {} } };
+        m_rows[id] = row;
+    }
+    m_placement.refresh (m_rows, m_now);
+    demand ("m1", 1, 0, "a1");
+    EXPECT_TRUE (orders().empty());
+    report ("e1", { "m1" }, 3);
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    EXPECT_EQ (sent[0].adapter, "a1");
+    EXPECT_EQ (sent[0].expectedSequence, 3U);
+}
+
 TEST_F (EnginePlacementTest, NothingIsOrderedBeforeThePauseIsOver)
 {
     m_now = kStart - base::milliseconds (1);
