Placement keeps what an engine tells before the cell has agreed on it

Callers waited for models and adapters of engines that placement did not know to hold anything.

Cause: an engine's first heartbeat comes before the cell has agreed on it. Placement dropped what it told, and a controller repeats holdings to the leader only after 2.5 s and 30 ms for each of its runners: 2.5 to 38 s with 690 runners at each of 14 controllers. Small cells did not show it, since a report of every engine is asked for within a second there. Ruled out: the table of runners (its rows have the models from the agreed entry). Change: holdings of engines that are not known yet are kept for as long as holdings count as fresh, and taken with the row; without any, those of the agreed entry are taken. No order goes out by them before the engine has reported. Evidence: EnginePlacementTest.WhatAnEngineToldBeforeItWasAgreedOnIsKnown failed before. LargeFleetTest goes on failing: the engine that is needed is never asked for a report.

--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -43,13 +43,17 @@
         if (! m_specs.contains (row.instance.service))
             continue;
         Engine& engine = m_engines[id];
-        if (engine.id.empty())
+        const bool isNew = engine.id.empty();
+        if (isNew)
         {
+            engine.id = id;
             engine.pollAt = now;
             engine.ordersFrom = m_options.ordersFrom (id);
         }
         forgetEarlier (engine, row, now);
         engine.id = id;
+        if (isNew)
+            takeFirstHoldings (engine, row.instance, now);
         engine.address = row.instance.address;
         engine.service = row.instance.service;
         engine.isUsable = ! row.instance.isDraining && ! row.isSilent;
@@ -62,6 +66,24 @@
                            m_store.onGivenUp (item.first);
                        return isGone;
                    });
+    std::erase_if (m_earlyHoldings,
+                   [&] (const auto& item) { return now - item.second.toldAt > kHoldingsAge; });
+}
+
+void EnginePlacement::takeFirstHoldings (Engine& engine, const cell::ServiceInstance& instance,
+                                         base::TimePoint now)
+{
+    if (const auto early = m_earlyHoldings.extract (engine.id))
+    {
+        takeHoldings (engine, early.mapped().holdings, now);
+        return;
+    }
+    if (! instance.isReported)
+        return;
+    EngineHoldings agreed;
+    agreed.models = instance.models;
+    take (engine, agreed, now);
+    engine.hasTold = false;  // Its copies are not known.
 }
 
 void EnginePlacement::forgetEarlier (Engine& engine, const cell::RoutableInstance& row,
@@ -148,10 +170,19 @@
 {
     const auto found = m_engines.find (instance);
     if (found == m_engines.end())
+    {
+        m_earlyHoldings[instance] = { holdings, now };
         return;
-    found->second.inMemory = holdings.inMemory;
-    found->second.onDisk = holdings.onDisk;
-    take (found->second, holdings, now);
+    }
+    takeHoldings (found->second, holdings, now);
+}
+
+void EnginePlacement::takeHoldings (Engine& engine, const EngineHoldings& holdings,
+                                    base::TimePoint now)
+{
+    engine.inMemory = holdings.inMemory;
+    engine.onDisk = holdings.onDisk;
+    take (engine, holdings, now);
 }
 
 void EnginePlacement::onDemand (std::uint64_t router,
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -383,7 +383,13 @@
     // What answers and reports change.
     /// Forgets what is known of an earlier incarnation than that of the row.
     void forgetEarlier (Engine& engine, const cell::RoutableInstance& row, base::TimePoint now);
+    /// Takes over the models that it holds.
     void take (Engine& engine, const EngineHoldings& holdings, base::TimePoint now);
+    /// The same with copies of weights.
+    void takeHoldings (Engine& engine, const EngineHoldings& holdings, base::TimePoint now);
+    /// Takes over what is known of an engine that was just agreed on.
+    void takeFirstHoldings (Engine& engine, const cell::ServiceInstance& instance,
+                            base::TimePoint now);
     void noteUnderWay (Engine& engine, PendingOrder pending, base::TimePoint now);
     void beginModelOrder (Engine& engine, PendingOrder pending, base::TimePoint now);
     /// The model order of the engine is over; `isHeld` tells whether the engine holds the model.
@@ -395,6 +401,14 @@
     config::ServiceCatalogue m_catalogue;                         ///< Services only.
     std::map<std::string, EngineSpecIndex, std::less<>> m_specs;  ///< Of m_catalogue's services.
     std::map<std::string, Engine> m_engines;
+    struct EarlyHoldings
+    {
+        EngineHoldings holdings;
+        base::TimePoint toldAt{};
+    };
+    /// Told by engines that are not in m_engines yet: the first heartbeat comes before the cell has
+    /// agreed on them, and the next one that tells may be long in coming.
+    std::map<std::string, EarlyHoldings> m_earlyHoldings;
     std::set<std::string> m_rateLimited;  ///< Ids.
     std::map<TargetKey, TargetDemand> m_demands;
     /// As of the last lookAtModels().
