--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -62,6 +62,9 @@
     /// Models of which no registered engine has a copy are loaded before anybody asks for them.
     bool fetchesAhead = true;
     base::Duration instanceSilence = base::milliseconds (3500);
+    /// Clock by which work is measured that may take no more than a share of the time; without one
+    /// it is paced as if it took none.
+    std::function<base::TimePoint()> workClock{};
     cell::PlantedFault plantedFault = cell::PlantedFault::kNone;  ///< For tests only.
 };
 
--- a/src/controller/ControllerEngines.cpp
+++ b/src/controller/ControllerEngines.cpp
@@ -1,5 +1,6 @@
 // Placement of models on the engines of registered services.
 
+#include <algorithm>
 #include <utility>
 
 #include "controller/ControllerImplementation.h"
@@ -15,8 +16,14 @@
 
 constexpr std::size_t kUnknownStoreLoads = 8;
 
-/// Placement looks at every engine: it runs no more often than this for each of them.
+/// A round of placement goes over the models in use and their holders: in a small cell it runs no
+/// more often than this for each engine, ...
 constexpr base::Duration kPlacementIntervalForEngine = std::chrono::microseconds (400);
+/// ... in a larger one this often, as long as rounds take no more than a part of the leader's time.
+constexpr base::Duration kUsualPlacementInterval = base::milliseconds (100);
+constexpr int kPartsOfTimeForPlacement = 10;
+/// What waits is looked at this often at most, in cells of any size.
+constexpr base::Duration kUrgentPlacementInterval = base::milliseconds (10);
 
 }  // namespace
 
@@ -67,14 +74,41 @@
     return options;
 }
 
-void ControllerCore::Implementation::placeOnEngines()
+void ControllerCore::Implementation::requestPlacement()
+{
+    m_leader->enginePlacement.request();
+    m_leader->urgentPlacement.request();
+}
+
+base::Duration ControllerCore::Implementation::placementInterval() const
 {
     const auto engines = static_cast<std::int64_t> (m_leader->instances.rows().size());
-    if (! holdsLease()
-        || ! m_leader->enginePlacement.takeDue (m_now, engines * kPlacementIntervalForEngine))
+    const base::Duration inLargeCell = std::max<base::Duration> (
+        kUsualPlacementInterval, kPartsOfTimeForPlacement * m_leader->placementTime);
+    return std::min<base::Duration> (engines * kPlacementIntervalForEngine, inLargeCell);
+}
+
+base::TimePoint ControllerCore::Implementation::workTime() const
+{
+    return m_options.workClock ? m_options.workClock() : base::TimePoint{};
+}
+
+void ControllerCore::Implementation::placeOnEngines()
+{
+    if (! holdsLease())
         return;
+    const bool isRoundDue = m_leader->enginePlacement.takeDue (m_now, placementInterval());
+    const bool isUrgentDue = m_leader->urgentPlacement.takeDue (m_now, kUrgentPlacementInterval);
+    if (! isRoundDue && ! isUrgentDue)
+        return;
+    const base::TimePoint begunAt = workTime();
+    std::vector<placement::EngineCommand> commands = isRoundDue
+                                                         ? m_leader->engines.decide (m_now)
+                                                         : m_leader->engines.decideUrgent (m_now);
+    if (isRoundDue)
+        m_leader->placementTime = workTime() - begunAt;
     std::vector<placement::SendEngineOrder> orders;
-    for (placement::EngineCommand& command : m_leader->engines.decide (m_now))
+    for (placement::EngineCommand& command : commands)
     {
         if (auto* order = std::get_if<placement::SendEngineOrder> (&command))
         {
@@ -134,7 +168,7 @@
     if (! m_leader)
         return;
     m_leader->engines.onOrderAnswer (order, outcome, m_now);
-    m_leader->enginePlacement.request();
+    requestPlacement();
     drain();
 }
 
@@ -151,7 +185,7 @@
     {
         m_leader->engines.onReportFailed (instance, m_now);
     }
-    m_leader->enginePlacement.request();
+    requestPlacement();
     drain();
 }
 
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -263,6 +263,8 @@
     MemberAdmission admission;
     placement::EnginePlacement engines;
     PacedWork enginePlacement;
+    base::Duration placementTime{};  ///< That the last run of it took.
+    PacedWork urgentPlacement;       ///< Of what waits only.
 };
 
 /// Counters for /metrics.
@@ -563,6 +565,10 @@
     void noteAndSend (std::vector<placement::SendEngineOrder> orders);
     void refreshEngines();
     void publishHoldings();
+    void requestPlacement();
+    [[nodiscard]] base::Duration placementInterval() const;
+    /// Time as the work itself spends it; stands still where nothing measures it.
+    [[nodiscard]] base::TimePoint workTime() const;
 
     // ControllerRelay.cpp: while this member does not lead.
     /// False when the message is not that of a router which it serves.
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -157,7 +157,7 @@
     holdings.inMemory.insert (heartbeat.inMemory.begin(), heartbeat.inMemory.end());
     holdings.onDisk.insert (heartbeat.onDisk.begin(), heartbeat.onDisk.end());
     m_leader->engines.onHeartbeat (heartbeat.instance.id, holdings, m_now);
-    m_leader->enginePlacement.request();
+    requestPlacement();
 }
 
 /// Routers went on to send to runners that had crashed and were back under another id, for as long
@@ -343,7 +343,7 @@
 void ControllerCore::Implementation::runInstanceRoutine()
 {
     m_leader->instanceTable.request();
-    m_leader->enginePlacement.request();
+    requestPlacement();
     sendInstancesIfDue();
     noteHoldingsIfDue();
     removeSilent();
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -184,6 +184,7 @@
                   { "entries", recovered.entries.size() },
                   { "term", recovered.hardState.term } });
     ControllerOptions options = coreOptions (m_settings);
+    options.workClock = [this] { return m_clock.now(); };
     if (formsFromSeeds (m_settings))
         options.contacts = seedContacts (m_settings);
     m_core.emplace (self, std::move (options), std::move (recovered), drawSeed(), m_clock.now(),
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -73,7 +73,7 @@
     else if (const auto* engineDemand = std::get_if<cell::EngineDemandReport> (&message))
     {
         m_leader->engines.onDemand (connection, engineDemand->demands, m_now);
-        m_leader->enginePlacement.request();
+        requestPlacement();
         return;
     }
     else if (const auto* loads = std::get_if<cell::InstanceLoadReport> (&message))
@@ -107,7 +107,7 @@
     {
         m_leader->instances.onUnreachable (unreachable->instance, m_now);
         m_leader->instanceTable.request();
-        m_leader->enginePlacement.request();
+        requestPlacement();
     }
     else if (const auto* sightings = std::get_if<cell::InstanceSightings> (&message))
     {
--- a/src/placement/EngineAdapters.cpp
+++ b/src/placement/EngineAdapters.cpp
@@ -19,50 +19,48 @@
 {
     // Who has waited longest is served first, or a few adapters could take all turns.
     std::vector<std::pair<base::TimePoint, const TargetKey*>> waiting;
-    for (const auto& [key, target] : m_demands)
+    for (const TargetKey& key : m_waitingAdapters)
     {
-        if (! key.adapter.empty() && target.waiting > 0)
-            waiting.emplace_back (target.waitingSince, &key);
+        if (! m_index.hasAdapter (key.service, key.model, key.adapter))
+            waiting.emplace_back (m_demands.at (key).waitingSince, &key);
     }
     std::ranges::stable_sort (waiting, {}, &decltype (waiting)::value_type::first);
+    AskedEngines asked;
     for (const auto& [since, key] : waiting)
-        planAdapter (*key, commands, now);
+        planAdapter (*key, asked, commands, now);
 }
 
-void EnginePlacement::planAdapter (const TargetKey& key, std::vector<EngineCommand>& commands,
-                                   base::TimePoint now)
+void EnginePlacement::planAdapter (const TargetKey& key, AskedEngines& asked,
+                                   std::vector<EngineCommand>& commands, base::TimePoint now)
 {
-    const std::string wanted = adapterKey (key.model, key.adapter);
-    Engine* roomiest = nullptr;
-    std::size_t fewest = 0;
     Engine* evictor = nullptr;
     AdapterVictim victim;
-    for (auto& [id, engine] : m_engines)
+    std::size_t looked = 0;
+    for (const EngineIndex::Holder& holder : m_index.placesOf (key.service, key.model).holders)
     {
-        const bool holdsModel = engine.service == key.service && engine.isUsable
-                                && engine.models.contains (key.model)
-                                && ! engine.withdrawn.contains (key.model);
-        if (! holdsModel)
-            continue;
+        if (++looked > kMostHoldersForAdapter)
+            break;
+        Engine& engine = *holder.engine;
         const EngineSpecIndex* spec = specOf (engine);
         if (spec == nullptr)
-            continue;
-        const std::set<std::string> adapters = adaptersOf (engine);
-        const bool isThere = adapters.contains (wanted);
-        const bool isComing = engine.unanswered && engine.unanswered->order.model == key.model
-                              && engine.unanswered->order.adapter == key.adapter;
-        if (isThere || isComing)
             return;
+        const bool hasPlace = holder.takenAdapterPlaces < spec->spec().adapterSlots;
+        const bool isUnknown = mayBeAsked (engine) || isAnswerDue (engine);
+        if (isUnknown && (hasPlace || evictor == nullptr))
+        {
+            // Each engine is asked for one adapter: the next one is asked for the next.
+            if (! asked.insert (&engine).second)
+                continue;
+            if (! engine.isPolled)
+                poll (engine, commands, now);
+            return;
+        }
         if (! mayTakeOrder (engine))
             continue;
-        if (adapters.size() < spec->spec().adapterSlots)
+        if (hasPlace)
         {
-            if (roomiest == nullptr || adapters.size() < fewest)
-            {
-                roomiest = &engine;
-                fewest = adapters.size();
-            }
-            continue;
+            send (engine, { true, key.model, key.adapter, "requests wait for it" }, commands, now);
+            return;
         }
         const std::optional<AdapterVictim> here = adapterVictim (engine);
         if (here && (evictor == nullptr || here->askedAt < victim.askedAt))
@@ -71,11 +69,7 @@
             victim = *here;
         }
     }
-    if (roomiest != nullptr)
-    {
-        send (*roomiest, { true, key.model, key.adapter, "requests wait for it" }, commands, now);
-    }
-    else if (evictor != nullptr)
+    if (evictor != nullptr)
     {
         send (*evictor, { false, victim.model, victim.adapter, "not asked for longest" }, commands,
               now);
--- a/src/placement/EngineCrowds.cpp
+++ b/src/placement/EngineCrowds.cpp
@@ -21,38 +21,43 @@
 
 }  // namespace
 
-bool EnginePlacement::isRoutable (const Engine& engine, const std::string& model)
+double EnginePlacement::crowdLimit (const config::EngineSpec& spec)
 {
-    return ! engine.withdrawn.contains (model) && ! isUnloading (engine, model);
+    return kFilledSlots * spec.slots;
 }
 
-double EnginePlacement::crowdLimit (const config::EngineSpec& spec)
+double EnginePlacement::crowdLimit (const Engine& engine) const
 {
-    return kFilledSlots * spec.slots;
+    const EngineSpecIndex* spec = specOf (engine);
+    return spec == nullptr ? 0 : crowdLimit (spec->spec());
+}
+
+double EnginePlacement::requestsOf (const Engine& engine) const
+{
+    return engine.crowdRound == m_round ? engine.requests : 0;
 }
 
 void EnginePlacement::measureCrowds()
 {
-    const auto visitHeld = [this] (const auto& visit)
+    // Most engines hold no model that is in use at a time: they are not looked at.
+    const auto visitInUse = [this] (const auto& visit)
     {
-        for (auto& [id, engine] : m_engines)
+        for (auto& [key, view] : m_models)
         {
-            for (auto& [model, state] : engine.models)
-            {
-                if (engine.isUsable && isRoutable (engine, model))
-                    visit (engine, *state.view);
-            }
+            if (view.requests() == 0)
+                continue;
+            for (const EngineIndex::Holder& holder : view.places->holders)
+                visit (*holder.engine, view);
         }
     };
-    for (auto& [id, engine] : m_engines)
-    {
-        const EngineSpecIndex* spec = specOf (engine);
-        engine.requestLimit = spec == nullptr ? 0 : crowdLimit (spec->spec());
-        engine.requests = 0;
-    }
-    visitHeld ([] (Engine& engine, const ModelView& view)
-               { engine.requests += view.requestsAtHolder(); });
-    visitHeld ([] (const Engine& engine, ModelView& view) { view.room += roomFor (engine, view); });
+    visitInUse (
+        [this] (Engine& engine, const ModelView& view)
+        {
+            engine.requests = requestsOf (engine) + view.requestsAtHolder();
+            engine.crowdRound = m_round;
+        });
+    visitInUse ([this] (const Engine& engine, ModelView& view)
+                { view.room += roomFor (engine, view); });
 }
 
 void EnginePlacement::measureStreams()
@@ -78,15 +83,15 @@
     }
 }
 
-double EnginePlacement::roomFor (const Engine& engine, const ModelView& view)
+double EnginePlacement::roomFor (const Engine& engine, const ModelView& view) const
 {
-    const double others = engine.requests - view.requestsAtHolder();
-    return std::max (engine.requestLimit - others, 0.0);
+    const double others = requestsOf (engine) - view.requestsAtHolder();
+    return std::max (crowdLimit (engine) - others, 0.0);
 }
 
-bool EnginePlacement::isCrowdedWithout (const Engine& engine, const ModelView& view)
+bool EnginePlacement::isCrowdedWithout (const Engine& engine, const ModelView& view) const
 {
-    return view.requests() > view.room - roomFor (engine, view);
+    return view.requests() > 0 && view.requests() > view.room - roomFor (engine, view);
 }
 
 }  // namespace fernlift::placement
--- a/src/placement/EngineNeeds.cpp
+++ b/src/placement/EngineNeeds.cpp
@@ -38,7 +38,7 @@
 
 bool EnginePlacement::isHeldBack (const ModelView& view)
 {
-    return view.holders > 0 && view.holders == view.rateLimitedHolders && view.demand.waiting > 0;
+    return view.holders() > 0 && view.holders() == view.rateLimitedHolders && view.demand.waiting > 0;
 }
 
 EnginePlacement::ReplicaTargets EnginePlacement::replicaTargets (const ModelView& view,
@@ -48,9 +48,9 @@
     const double limit = crowdLimit (spec);
     std::size_t bySlots = roundedUp (view.requests() / limit);
     // Its holders run requests for other models, too.
-    if (view.holders > 0 && view.requests() > view.room)
+    if (view.holders() > 0 && view.requests() > view.room)
         bySlots =
-            std::max (bySlots, view.holders + roundedUp ((view.requests() - view.room) / limit));
+            std::max (bySlots, view.holders() + roundedUp ((view.requests() - view.room) / limit));
     ReplicaTargets targets;
     const std::size_t byTokens =
         roundedUp (demand.tokensPerSecond / (kTokensReadPerSecond * kReadingShare));
@@ -90,14 +90,14 @@
     const ModelDemand& demand = view.demand;
     // Callers of a rare model would get what its one engine takes in its need, a request in
     // seconds, for as long as that lasts.
-    const std::size_t supply = (isHeldBack (view) ? 0 : view.holders) + view.coming;
+    const std::size_t supply = (isHeldBack (view) ? 0 : view.holders()) + view.coming;
     if (supply == 0 && demand.waiting == 0)
         return;
     ModelNeed need;
     need.model = model;
     const double requests = view.requests() + demand.perSecond;
     need.requestsForReplica = requests / static_cast<double> (supply + 1);
-    if (view.holders == 0 && demand.waiting > 0)
+    if (view.holders() == 0 && demand.waiting > 0)
         need.age = now - demand.waitingSince;
     const ReplicaTargets targets = replicaTargets (view, spec->second.spec());
     if (supply < targets.needed)
@@ -105,11 +105,11 @@
         // Engines that would be reading at a time, beyond those that hold it.
         const double reading = demand.tokensPerSecond / kTokensReadPerSecond
                                - kReadingShare * static_cast<double> (supply);
-        const double excess = view.holders == 0 ? 0 : view.requests() - view.room;
+        const double excess = view.holders() == 0 ? 0 : view.requests() - view.room;
         const double unanswered = demand.waiting + demand.unread;
         const double crowd = std::max ({ unanswered, reading, excess });
         const double gain = kReplicaHorizonSeconds * crowd / static_cast<double> (supply + 1);
-        const bool isMissing = supply == 0 && view.holders == 0;
+        const bool isMissing = supply == 0 && view.holders() == 0;
         need.highestCost = isMissing ? kFirstCost + kCostForSecond * base::toSeconds (need.age)
                                      : std::clamp (gain, kHighestSpareCost, kHighestReplicaCost);
         need.isForCrowd = ! isMissing;
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -39,37 +39,56 @@
                                base::TimePoint now)
 {
     for (const auto& [id, row] : rows)
+        refreshRow (id, &row, now);
+    std::vector<std::string> gone;
+    for (const auto& [id, engine] : m_engines)
     {
-        if (! m_specs.contains (row.instance.service))
-            continue;
-        Engine& engine = m_engines[id];
-        const bool isNew = engine.id.empty();
-        if (isNew)
-        {
-            engine.id = id;
-            engine.pollAt = now;
-            engine.ordersFrom = m_options.ordersFrom (id);
-        }
-        forgetEarlier (engine, row, now);
-        engine.id = id;
-        if (isNew)
-            takeFirstHoldings (engine, row.instance, now);
-        engine.address = row.instance.address;
-        engine.service = row.instance.service;
-        engine.isUsable = ! row.instance.isDraining && ! row.isSilent;
+        if (! rows.contains (id))
+            gone.push_back (id);
     }
-    std::erase_if (m_engines,
-                   [&] (const auto& item)
-                   {
-                       const bool isGone = ! rows.contains (item.first);
-                       if (isGone)
-                           m_store.onGivenUp (item.first);
-                       return isGone;
-                   });
+    for (const std::string& id : gone)
+        refreshRow (id, nullptr, now);
     std::erase_if (m_earlyHoldings,
                    [&] (const auto& item) { return now - item.second.toldAt > kHoldingsAge; });
 }
 
+void EnginePlacement::refreshRow (const std::string& instance, const cell::RoutableInstance* row,
+                                  base::TimePoint now)
+{
+    if (row == nullptr)
+    {
+        const auto found = m_engines.find (instance);
+        if (found == m_engines.end())
+            return;
+        m_store.onGivenUp (instance);
+        forget (found->second);
+        m_engines.erase (found);
+        return;
+    }
+    if (! m_specs.contains (row->instance.service))
+        return;
+    Engine& engine = m_engines[instance];
+    const bool isNew = engine.id.empty();
+    if (isNew)
+    {
+        engine.id = instance;
+        engine.pollAt = now;
+        engine.ordersFrom = m_options.ordersFrom (instance);
+    }
+    forgetEarlier (engine, *row, now);
+    if (isNew)
+        takeFirstHoldings (engine, row->instance, now);
+    const bool isUsable = ! row->instance.isDraining && ! row->isSilent;
+    const bool isSame = ! isNew && engine.isUsable == isUsable && engine.address == row->instance.address
+                        && engine.service == row->instance.service;
+    if (isSame)
+        return;
+    engine.address = row->instance.address;
+    engine.service = row->instance.service;
+    engine.isUsable = isUsable;
+    noteChange (engine);
+}
+
 void EnginePlacement::takeFirstHoldings (Engine& engine, const cell::ServiceInstance& instance,
                                          base::TimePoint now)
 {
@@ -86,6 +105,16 @@
     engine.hasTold = false;  // Its copies are not known.
 }
 
+void EnginePlacement::forget (Engine& engine)
+{
+    endPoll (engine);
+    m_index.remove (engine);
+    m_attended.erase (engine.id);
+    m_unknown.erase (engine.id);
+    m_untold.erase (engine.id);
+    m_unshown.erase (engine.id);
+}
+
 void EnginePlacement::forgetEarlier (Engine& engine, const cell::RoutableInstance& row,
                                      base::TimePoint now)
 {
@@ -93,15 +122,59 @@
     if (engine.startedAt != 0 && engine.startedAt != startedAt)
     {
         m_store.onGivenUp (engine.id);
+        forget (engine);
         // Orders to the earlier one that are on their way still could reach this one.
         const base::TimePoint ordersFrom = engine.ordersFrom;
+        std::string id = std::move (engine.id);
         engine = Engine{};
+        engine.id = std::move (id);
         engine.ordersFrom = ordersFrom;
         engine.pollAt = now;
     }
     engine.startedAt = startedAt;
 }
 
+void EnginePlacement::noteChange (Engine& engine)
+{
+    if (m_index.update (engine))
+    {
+        // Models with copies only are looked at, too.
+        for (const std::string& model : engine.indexed.copies)
+            viewFor (engine.service, model);
+    }
+    for (auto& [model, state] : engine.models)
+    {
+        if (state.view == nullptr)
+            state.view = &viewFor (engine.service, model);
+    }
+    const auto note = [&] (std::set<std::string>& engines, bool isMember)
+    {
+        if (isMember)
+            engines.insert (engine.id);
+        else
+            engines.erase (engine.id);
+    };
+    note (m_attended, engine.unanswered || engine.modelOrder || engine.doubtful
+                          || ! engine.reservedFor.empty());
+    note (m_unknown, engine.isUsable && ! engine.sequence);
+    note (m_untold, engine.isUsable && ! engine.hasTold);
+    m_unshown.insert (engine.id);
+}
+
+bool EnginePlacement::hasUnshown (base::TimePoint now) const
+{
+    return ! m_unshown.empty()
+           || (! m_adaptersDueAt.empty() && m_adaptersDueAt.begin()->first <= now);
+}
+
+std::set<std::string> EnginePlacement::takeUnshown (base::TimePoint now)
+{
+    std::set<std::string> engines = std::exchange (m_unshown, {});
+    while (! m_adaptersDueAt.empty() && m_adaptersDueAt.begin()->first <= now)
+        engines.insert (m_adaptersDueAt.extract (m_adaptersDueAt.begin()).value().second);
+    return engines;
+}
+
 void EnginePlacement::take (Engine& engine, const EngineHoldings& holdings, base::TimePoint now)
 {
     engine.hasTold = true;
@@ -158,13 +231,6 @@
     }
 }
 
-bool EnginePlacement::isUnloading (const Engine& engine, const std::string& model)
-{
-    const auto unloads = [&] (const std::optional<PendingOrder>& pending)
-    { return pending && ! pending->order.isLoad && pending->order.model == model; };
-    return unloads (engine.modelOrder) || unloads (engine.unanswered);
-}
-
 void EnginePlacement::onHeartbeat (const std::string& instance, const EngineHoldings& holdings,
                                    base::TimePoint now)
 {
@@ -175,6 +241,7 @@
         return;
     }
     takeHoldings (found->second, holdings, now);
+    noteChange (found->second);
 }
 
 void EnginePlacement::takeHoldings (Engine& engine, const EngineHoldings& holdings,
@@ -190,7 +257,8 @@
 {
     for (const cell::EngineDemand& demand : demands)
     {
-        TargetDemand& target = m_demands[{ demand.service, demand.model, demand.adapter }];
+        const TargetKey key{ demand.service, demand.model, demand.adapter };
+        TargetDemand& target = m_demands[key];
         target.arrivals.add (demand.arrivals, kRateMemory, now);
         target.promptTokens.add (static_cast<double> (demand.promptTokens), kRateMemory, now);
         if (demand.arrivals > 0 || demand.waiting > 0 || demand.running > 0)
@@ -199,13 +267,25 @@
         setDemand (target, router, demand);
         if (target.waiting > 0 && ! wasWaiting)
             target.waitingSince = now;
+        noteDemand (key, target);
     }
 }
 
+void EnginePlacement::noteDemand (const TargetKey& key, const TargetDemand& target)
+{
+    if (! key.adapter.empty() && target.waiting > 0)
+        m_waitingAdapters.insert (key);
+    else
+        m_waitingAdapters.erase (key);
+}
+
 void EnginePlacement::onRouterGone (std::uint64_t router)
 {
     for (auto& [key, target] : m_demands)
+    {
         setDemand (target, router, {});
+        noteDemand (key, target);
+    }
 }
 
 void EnginePlacement::onOrderAnswer (const ServiceOrder& order, OrderOutcome outcome,
@@ -218,6 +298,13 @@
     const bool isExpected = engine.unanswered && engine.unanswered->order == order;
     if (! isExpected)
         return;
+    takeAnswer (engine, order, outcome, now);
+    noteChange (engine);
+}
+
+void EnginePlacement::takeAnswer (Engine& engine, const ServiceOrder& order, OrderOutcome outcome,
+                                  base::TimePoint now)
+{
     PendingOrder pending = std::move (*engine.unanswered);
     engine.unanswered.reset();
     switch (outcome)
@@ -256,7 +343,7 @@
     }
     if (order.isLoad)
     {
-        engine.adaptersDue[adapterKey (order.model, order.adapter)] = now + kAdapterLoadTime;
+        expectAdapter (engine, adapterKey (order.model, order.adapter), now + kAdapterLoadTime);
     }
     else
     {
@@ -285,7 +372,7 @@
     const std::string key = adapterKey (order.model, order.adapter);
     if (order.isLoad)
     {
-        engine.adaptersDue[key] = now;
+        expectAdapter (engine, key, now);
         return;
     }
     engine.adaptersDue.erase (key);
@@ -294,14 +381,26 @@
         model->second.adapters.erase (order.adapter);
 }
 
+void EnginePlacement::expectAdapter (Engine& engine, std::string adapter, base::TimePoint due)
+{
+    engine.adaptersDue[std::move (adapter)] = due;
+    m_adaptersDueAt.emplace (due, engine.id);
+}
+
 void EnginePlacement::onReport (const std::string& instance, const engine::ServiceReport& report,
                                 base::TimePoint now)
 {
     const auto found = m_engines.find (instance);
     if (found == m_engines.end())
         return;
-    Engine& engine = found->second;
-    engine.isPolled = false;
+    endPoll (found->second);
+    takeReport (found->second, report, now);
+    noteChange (found->second);
+}
+
+void EnginePlacement::takeReport (Engine& engine, const engine::ServiceReport& report,
+                                  base::TimePoint now)
+{
     const bool isOfOther =
         report.startedAt != 0 && engine.startedAt != 0 && report.startedAt != engine.startedAt;
     if (isOfOther)
@@ -341,14 +440,18 @@
     const auto found = m_engines.find (instance);
     if (found == m_engines.end())
         return;
-    found->second.isPolled = false;
-    found->second.pollAt = now + kPollPause;
+    Engine& engine = found->second;
+    endPoll (engine);
+    engine.pollAt = now + kPollPause;
+    // Planned before it was known whether it answers: another one may.
+    if (! engine.sequence && ! engine.reservedFor.empty())
+        dropPlan (engine);
 }
 
 std::vector<EngineCommand> EnginePlacement::decide (base::TimePoint now)
 {
+    m_now = now;
     std::vector<EngineCommand> commands;
-    endPauses (now);
     pollWhereNeeded (commands, now);
     expireOrders (now);
     continuePlans (commands, now);
@@ -360,50 +463,75 @@
     return commands;
 }
 
+std::vector<EngineCommand> EnginePlacement::decideUrgent (base::TimePoint now)
+{
+    m_now = now;
+    std::vector<EngineCommand> commands;
+    expireOrders (now);
+    continuePlans (commands, now);
+    planAdapters (commands, now);
+    return commands;
+}
+
 void EnginePlacement::pollWhereNeeded (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
-    std::size_t polled = static_cast<std::size_t> (
-        std::ranges::count_if (m_engines, [] (const auto& item) { return item.second.isPolled; }));
-    for (auto& [id, engine] : m_engines)
+    const auto pollIfNeeded = [&] (const std::string& id)
     {
-        if (polled >= kMostPolls)
-            return;
+        Engine& engine = m_engines.at (id);
         const bool isLate =
             engine.modelOrder && now - engine.modelOrder->sentAt > kLatestModelOrder;
         const bool isNeeded =
             engine.isUsable && (! engine.sequence || isLate) && ! engine.unanswered;
-        if (! isNeeded || engine.isPolled || now < engine.pollAt)
-            continue;
-        engine.isPolled = true;
-        ++polled;
-        engine.pollAt = now + kPollPause;
-        commands.emplace_back (PollEngine{ id, engine.address });
+        if (isNeeded && ! engine.isPolled && now >= engine.pollAt)
+            poll (engine, commands, now);
+    };
+    for (const std::set<std::string>* engines : { &m_attended, &m_unknown })
+    {
+        for (const std::string& id : *engines)
+        {
+            if (m_polls >= kMostPolls)
+                return;
+            pollIfNeeded (id);
+        }
     }
 }
 
-void EnginePlacement::endPauses (base::TimePoint now)
+void EnginePlacement::poll (Engine& engine, std::vector<EngineCommand>& commands,
+                            base::TimePoint now)
+{
+    engine.isPolled = true;
+    engine.polledAt = now;
+    engine.pollAt = now + kPollPause;
+    ++m_polls;
+    commands.emplace_back (PollEngine{ engine.id, engine.address });
+}
+
+void EnginePlacement::endPoll (Engine& engine)
 {
-    for (auto& [id, engine] : m_engines)
-        engine.isPaused = now < engine.ordersFrom;
+    if (std::exchange (engine.isPolled, false))
+        --m_polls;
 }
 
 void EnginePlacement::expireOrders (base::TimePoint now)
 {
-    for (auto& [id, engine] : m_engines)
+    for (const std::string& id : std::set (m_attended))
     {
+        Engine& engine = m_engines.at (id);
         if (! engine.unanswered || now - engine.unanswered->sentAt < kOrderTimeout)
             continue;
         engine.doubtful = std::move (engine.unanswered);
         engine.unanswered.reset();
         engine.sequence.reset();
         engine.pollAt = now + kReportAge;
+        noteChange (engine);
     }
 }
 
 void EnginePlacement::continuePlans (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
-    for (auto& [id, engine] : m_engines)
+    for (const std::string& id : std::set (m_attended))
     {
+        Engine& engine = m_engines.at (id);
         if (engine.reservedFor.empty())
             continue;
         const EngineSpecIndex* spec = specOf (engine);
@@ -414,6 +542,8 @@
             dropPlan (engine);
             continue;
         }
+        if (mayBeAsked (engine))
+            poll (engine, commands, now);
         if (! mayTakeOrder (engine))
             continue;
         continuePlan (engine, *spec, *model, commands, now);
@@ -454,6 +584,7 @@
 {
     engine.reservedFor.clear();
     engine.withdrawn.clear();
+    noteChange (engine);
 }
 
 void EnginePlacement::send (Engine& engine, const Intention& intention,
@@ -471,6 +602,7 @@
     const bool isFromStore =
         order.isLoad && order.adapter.empty() && ! isLocal (engine, intention.model);
     engine.unanswered = PendingOrder{ order, now, isFromStore };
+    noteChange (engine);
     commands.emplace_back (
         SendEngineOrder{ engine.address, std::move (order), isFromStore, intention.reason });
 }
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -22,7 +22,10 @@
 #include "cell/RouterMessages.h"
 #include "config/ServiceCatalogue.h"
 #include "engine/ServiceEngine.h"
+#include "placement/EngineIndex.h"
 #include "placement/EngineSpecIndex.h"
+#include "placement/EngineState.h"
+#include "placement/ModelView.h"
 #include "placement/StoreConcurrency.h"
 
 namespace fernlift::placement
@@ -87,6 +90,9 @@
     void setServices (std::uint64_t version, const std::vector<config::Service>& services);
     /// Takes over the instances. Engines that are gone or drain get no orders.
     void refresh (const std::map<std::string, cell::RoutableInstance>& rows, base::TimePoint now);
+    /// The same for one instance, whose row has changed; null: it is gone.
+    void refreshRow (const std::string& instance, const cell::RoutableInstance* row,
+                     base::TimePoint now);
     void onHeartbeat (const std::string& instance, const EngineHoldings& holdings,
                       base::TimePoint now);
     /// Replaces what one router reported before.
@@ -103,8 +109,16 @@
                    base::TimePoint now);
     void onReportFailed (const std::string& instance, base::TimePoint now);
 
-    /// What is to be sent now.
+    /// What is to be sent now. Looks at every model that is in use and at its holders.
     [[nodiscard]] std::vector<EngineCommand> decide (base::TimePoint now);
+    /// What cannot wait for that: adapters that requests wait for, and what has been begun. Looks
+    /// only at what waits and at the engines concerned.
+    [[nodiscard]] std::vector<EngineCommand> decideUrgent (base::TimePoint now);
+
+    /// Whether takeUnshown() has something.
+    [[nodiscard]] bool hasUnshown (base::TimePoint now) const;
+    /// Engines whose routableModels() may have changed since the last call.
+    [[nodiscard]] std::set<std::string> takeUnshown (base::TimePoint now);
 
     /// Model orders that were done since the last call.
     [[nodiscard]] std::vector<EngineOrderDone> takeDone() { return std::exchange (m_done, {}); }
@@ -119,55 +133,7 @@
                                        const std::vector<cell::HeldModel>& shown) const;
 
 private:
-    /// An order that is under way at an engine, or may be.
-    struct PendingOrder
-    {
-        engine::ServiceOrder order;
-        base::TimePoint sentAt{};
-        bool isFromStore = false;  ///< A load that takes from the weight store's rate.
-    };
-
-    struct ModelView;
-    struct HeldState
-    {
-        std::uint64_t version = 0;
-        std::set<std::string> adapters;
-        base::TimePoint confirmedAt{};  ///< When it was last told or done.
-        ModelView* view = nullptr;      ///< In m_models; null before a round has looked at it.
-    };
-
-    struct Engine
-    {
-        std::string id;
-        std::string address;
-        std::string service;
-        base::UnixMilliseconds startedAt = 0;   ///< Of the incarnation; 0: it does not tell.
-        bool isUsable = false;                  ///< Takes requests and orders.
-        base::TimePoint ordersFrom{};           ///< No order goes out before.
-        bool isPaused = true;                   ///< That time has not come.
-        bool hasTold = false;                   ///< A heartbeat or report has come.
-        std::optional<std::uint64_t> sequence;  ///< Orders it has taken, as far as is known.
-        std::map<std::string, HeldState> models;
-        std::set<std::string> inMemory;
-        std::set<std::string> onDisk;
-        std::optional<PendingOrder> unanswered;  ///< One at a time.
-        std::optional<PendingOrder> modelOrder;  ///< Taken, for a model, not finished.
-        std::optional<PendingOrder> doubtful;    ///< Perhaps taken; the next report tells.
-        std::map<std::string, base::TimePoint> adaptersDue;  ///< MODEL/ADAPTER; held from then on.
-        std::string reservedFor;          ///< Model that is to be loaded after unloads.
-        std::set<std::string> withdrawn;  ///< Models that routers no longer are told of.
-        base::TimePoint withdrawnAt{};
-        bool isPolled = false;
-        base::TimePoint pollAt{};
-        // As of the last lookAtModels():
-        double freeMemory = 0;      ///< For models, in megabytes.
-        double requests = 0;        ///< That wait for its models or run there, as far as is known.
-        double requestLimit = 0;    ///< Of `requests`, before its streams become slow.
-        double adapterTrouble = 0;  ///< What a load costs those who want adapters of its models.
-        /// What a load from the store costs those who want models of which only this engine has a
-        /// copy, and could load it soon.
-        double blockedCopies = 0;
-    };
+    using Engine = EngineState;
 
     struct TargetKey
     {
@@ -190,51 +156,6 @@
         base::DecayingRate promptTokens;
     };
 
-    /// Requests for a model with all its adapters.
-    struct ModelDemand
-    {
-        std::uint32_t waiting = 0;
-        std::uint32_t running = 0;
-        std::uint32_t unread = 0;        ///< Of the running, whose answer has not begun.
-        base::TimePoint askedAt{};       ///< Zero: never.
-        base::TimePoint waitingSince{};  ///< Of the request that waits longest; zero: none.
-        double perSecond = 0;            ///< Requests that arrive.
-        double tokensPerSecond = 0;      ///< Of their prompts.
-    };
-
-    /// A model in a round of decisions: who wants it and where it is.
-    struct ModelView
-    {
-        ModelDemand demand;
-        std::size_t holders = 0;             ///< Engines that hold it and take requests.
-        std::size_t rateLimitedHolders = 0;  ///< Of these, that state a rate.
-        std::size_t coming = 0;              ///< Engines that load it or will.
-        std::vector<Engine*> copyEngines;    ///< That have it in host memory or on disk.
-        /// Requests that its holders could run beside those for other models before they are
-        /// crowded.
-        double room = 0;
-
-        [[nodiscard]] double requests() const { return demand.waiting + demand.running; }
-        /// Of these, at each holder.
-        [[nodiscard]] double requestsAtHolder() const
-        {
-            return holders == 0 ? 0 : requests() / static_cast<double> (holders);
-        }
-    };
-    using ServiceModel = std::pair<std::string, std::string>;
-    /// Compares without copies of the names.
-    struct ServiceModelOrder
-    {
-        using is_transparent = void;
-        using Names = std::pair<std::string_view, std::string_view>;
-        static Names namesOf (const ServiceModel& model) { return { model.first, model.second }; }
-        static Names namesOf (const Names& names) { return names; }
-        bool operator() (const auto& left, const auto& right) const
-        {
-            return namesOf (left) < namesOf (right);
-        }
-    };
-
     /// Models of an engine that make way, and what losing them costs in seconds of waiting.
     struct Victims
     {
@@ -243,44 +164,53 @@
     };
 
     // Views of demand and holdings (EngineViews.cpp).
-    /// MODEL/ADAPTER.
-    [[nodiscard]] static std::string adapterKey (std::string_view model, std::string_view adapter);
     /// Replaces what one router reported for a target.
     static void setDemand (TargetDemand& target, std::uint64_t router,
                            const cell::EngineDemand& demand);
+    /// Keeps m_waitingAdapters.
+    void noteDemand (const TargetKey& key, const TargetDemand& target);
+    /// Brings what is derived from the engine up to date; called after each change of it.
+    void noteChange (Engine& engine);
+    /// Nothing of the engine is noted any more.
+    void forget (Engine& engine);
     /// Works out m_models from demands and engines.
     void lookAtModels (base::TimePoint now);
     void countDemands (base::TimePoint now);
-    void countHolders();
-    void weighEngines (base::TimePoint now);
+    void countComing();
+    void countRateLimited();
+    /// Works out what a load at the engine would cost others.
+    void weigh (Engine& engine, base::TimePoint now);
     /// Works out how many requests each engine has, of all its models together, and what room that
     /// leaves for each model.
     void measureCrowds();
     /// Works out how long streams of each service take.
     void measureStreams();
-    /// Whether routers send requests for a model that it holds there.
-    [[nodiscard]] static bool isRoutable (const Engine& engine, const std::string& model);
     /// Requests that an engine can run before its streams become slow.
     [[nodiscard]] static double crowdLimit (const config::EngineSpec& spec);
-    /// Of these requests, what those for other models than the one of the view leave.
-    [[nodiscard]] static double roomFor (const Engine& engine, const ModelView& view);
+    [[nodiscard]] double crowdLimit (const Engine& engine) const;
+    /// Requests of the engine as of the round.
+    [[nodiscard]] double requestsOf (const Engine& engine) const;
+    /// Of crowdLimit(), what requests for other models than the one of the view leave.
+    [[nodiscard]] double roomFor (const Engine& engine, const ModelView& view) const;
     /// Whether the other holders would be crowded without this one.
-    [[nodiscard]] static bool isCrowdedWithout (const Engine& engine, const ModelView& view);
+    [[nodiscard]] bool isCrowdedWithout (const Engine& engine, const ModelView& view) const;
     [[nodiscard]] const ModelView& viewOf (std::string_view service, std::string_view model) const;
     ModelView& viewFor (const std::string& service, const std::string& model);
     [[nodiscard]] const EngineSpecIndex* specOf (const Engine& engine) const;
     /// Memory of models that are held or may be, without adapters.
     [[nodiscard]] static double usedMemory (const Engine& engine, const EngineSpecIndex& spec);
-    /// Adapters that are held or on their way, as MODEL/ADAPTER.
-    [[nodiscard]] static std::set<std::string> adaptersOf (const Engine& engine);
-    [[nodiscard]] static bool mayTakeOrder (const Engine& engine);
+    /// Whether no order of an earlier leader or of this one stands in the way of another.
+    [[nodiscard]] bool isFree (const Engine& engine) const;
+    /// The same, and the engine's sequence is known.
+    [[nodiscard]] bool mayTakeOrder (const Engine& engine) const;
+    /// An order may go out once the engine has told its sequence, for which it may be asked now.
+    [[nodiscard]] bool mayBeAsked (const Engine& engine) const;
+    /// It was asked a moment ago.
+    [[nodiscard]] bool isAnswerDue (const Engine& engine) const;
     [[nodiscard]] static bool isLocal (const Engine& engine, const std::string& model);
-    [[nodiscard]] static bool isUnloading (const Engine& engine, const std::string& model);
     [[nodiscard]] static double loadSeconds (const Engine& engine,
                                              const config::EngineModel& model);
 
-    /// Whether an order is under way, or planned, that loads the model.
-    [[nodiscard]] static bool isLoading (const Engine& engine, const std::string& model);
     /// Loads from the weight store that are under way or planned.
     [[nodiscard]] std::size_t storeLoads() const;
 
@@ -316,13 +246,15 @@
 
     // Steps of a decision.
     void pollWhereNeeded (std::vector<EngineCommand>& commands, base::TimePoint now);
-    void endPauses (base::TimePoint now);
+    /// Asks the engine for a report.
+    void poll (Engine& engine, std::vector<EngineCommand>& commands, base::TimePoint now);
+    void endPoll (Engine& engine);
     void expireOrders (base::TimePoint now);
     void continuePlans (std::vector<EngineCommand>& commands, base::TimePoint now);
     void continuePlan (Engine& engine, const EngineSpecIndex& spec,
                        const config::EngineModel& model, std::vector<EngineCommand>& commands,
                        base::TimePoint now);
-    static void dropPlan (Engine& engine);
+    void dropPlan (Engine& engine);
     void planModels (std::vector<EngineCommand>& commands, base::TimePoint now);
     /// Engines that could load the model: all of them, or only those with a copy while the weight
     /// store is not open for it.
@@ -331,21 +263,25 @@
     /// take it now.
     bool planModel (const ModelNeed& need, std::span<Engine* const> engines, base::TimePoint now);
     /// Whether it has too many requests for a replica that is to relieve other engines.
-    [[nodiscard]] static bool isTooCrowded (const Engine& engine);
+    [[nodiscard]] bool isTooCrowded (const Engine& engine) const;
     /// What its requests cost those for a model that comes, in seconds.
-    [[nodiscard]] static double crowdCost (const Engine& engine);
+    [[nodiscard]] double crowdCost (const Engine& engine) const;
     /// An engine with a copy of the model that is busy for a moment; worth waiting for.
-    [[nodiscard]] static bool isLocalSoon (const ModelView& view);
+    [[nodiscard]] bool isLocalSoon (const ModelView& view) const;
     /// Loads models that nobody holds from engines' own copies into memory that is free.
     void fillFreeMemory (std::vector<EngineCommand>& commands, base::TimePoint now);
     [[nodiscard]] const config::EngineModel* modelToFillWith (const Engine& engine,
                                                               const EngineSpecIndex& spec) const;
+    /// Engines with a copy of a model that nobody holds.
+    [[nodiscard]] std::set<Engine*, EngineIndex::ById> enginesToFill() const;
     /// Fetches models of which there is no copy, so that they can be loaded quickly later.
     void fetchAhead (std::vector<EngineCommand>& commands, base::TimePoint now);
     void fetchAhead (const config::Service& service, base::TimePoint now);
     void planAdapters (std::vector<EngineCommand>& commands, base::TimePoint now);
-    void planAdapter (const TargetKey& key, std::vector<EngineCommand>& commands,
-                      base::TimePoint now);
+    /// Engines that were asked for a report on behalf of an adapter in this run.
+    using AskedEngines = std::set<const Engine*>;
+    void planAdapter (const TargetKey& key, AskedEngines& asked,
+                      std::vector<EngineCommand>& commands, base::TimePoint now);
     /// The adapter of an engine that was not asked for longest, and when; none while all are in
     /// use.
     struct AdapterVictim
@@ -394,13 +330,19 @@
     void beginModelOrder (Engine& engine, PendingOrder pending, base::TimePoint now);
     /// The model order of the engine is over; `isHeld` tells whether the engine holds the model.
     void endModelOrder (Engine& engine, bool isHeld, base::TimePoint now);
-    static void noteDone (Engine& engine, const engine::ServiceOrder& order, base::TimePoint now);
+    void noteDone (Engine& engine, const engine::ServiceOrder& order, base::TimePoint now);
+    /// The adapter is held from then on.
+    void expectAdapter (Engine& engine, std::string adapter, base::TimePoint due);
+    void takeReport (Engine& engine, const engine::ServiceReport& report, base::TimePoint now);
+    void takeAnswer (Engine& engine, const engine::ServiceOrder& order,
+                     engine::OrderOutcome outcome, base::TimePoint now);
 
     EnginePlacementOptions m_options;
     std::uint64_t m_servicesVersion = 0;
     config::ServiceCatalogue m_catalogue;                         ///< Services only.
     std::map<std::string, EngineSpecIndex, std::less<>> m_specs;  ///< Of m_catalogue's services.
     std::map<std::string, Engine> m_engines;
+    EngineIndex m_index;  ///< Of m_engines.
     struct EarlyHoldings
     {
         EngineHoldings holdings;
@@ -409,9 +351,20 @@
     /// Told by engines that are not in m_engines yet: the first heartbeat comes before the cell has
     /// agreed on them, and the next one that tells may be long in coming.
     std::map<std::string, EarlyHoldings> m_earlyHoldings;
+    // Ids of those engines that
+    std::set<std::string> m_attended;  ///< have an order under way or planned, or one in doubt;
+    std::set<std::string> m_unknown;   ///< are usable and whose sequence is not known;
+    std::set<std::string> m_untold;    ///< are usable and have not told what they hold;
+    std::set<std::string> m_unshown;   ///< have changed since takeUnshown().
+    /// When adapters come, by time; takeUnshown() drops what is past.
+    std::set<std::pair<base::TimePoint, std::string>> m_adaptersDueAt;
+    std::size_t m_polls = 0;  ///< Engines of which `isPolled` is true.
     std::set<std::string> m_rateLimited;  ///< Ids.
     std::map<TargetKey, TargetDemand> m_demands;
-    /// As of the last lookAtModels().
+    std::set<TargetKey> m_waitingAdapters;  ///< Of m_demands, that requests wait for.
+    base::TimePoint m_now{};                ///< Of the last decision.
+    std::uint64_t m_round = 0;              ///< Counts calls of lookAtModels().
+    /// As of the last lookAtModels(). Only ever grows: HeldState points into it.
     std::map<ServiceModel, ModelView, ServiceModelOrder> m_models;
     std::deque<base::TimePoint> m_storeLoads;  ///< When loads from the store were ordered.
     StoreConcurrency m_store;
--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -19,6 +19,13 @@
 /// same: 47 leaders in 26 s. With 140 engines all are known after some 0.1 s.
 constexpr std::size_t kMostPolls = 32;
 constexpr base::Duration kPollPause = base::milliseconds (500);
+/// An engine that is asked for a report answers within this time, unless it has ended or is cut
+/// off; then another one is asked.
+constexpr base::Duration kUsualReportTime = base::milliseconds (60);
+/// Holders of a model that are looked at for a place for one adapter. Those with the most free
+/// places come first, so that more are looked at only where orders are under way at the first ones
+/// or all places are taken.
+constexpr std::size_t kMostHoldersForAdapter = 64;
 /// An order without an answer is in doubt after this.
 constexpr base::Duration kOrderTimeout = base::milliseconds (500);
 /// An order for a model that is not seen to be done by then is asked after.
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -76,10 +76,10 @@
 {
     const auto& [service, name] = need.model;
     const ModelView& view = viewOf (service, name);
-    const bool isMissing = view.holders == 0;
+    const bool isMissing = view.holders() == 0;
     const bool waitsForCopy = isMissing && need.age < kPatienceForCopy && isLocalSoon (view);
     if (waitsForCopy || ! m_hasStorePlace || ! mayLoadFromStore (service, now))
-        return view.copyEngines;
+        return { view.places->copies.begin(), view.places->copies.end() };
     std::vector<Engine*> engines;
     engines.reserve (m_engines.size());
     for (auto& [id, engine] : m_engines)
@@ -97,12 +97,15 @@
     for (Engine* const each : engines)
     {
         const Engine& engine = *each;
+        // One whose sequence is not known is asked for it once it is chosen.
+        const bool mayBeOrdered = mayTakeOrder (engine) || mayBeAsked (engine);
         const bool isCandidate = engine.service == service && engine.reservedFor.empty()
-                                 && mayTakeOrder (engine) && ! engine.models.contains (name)
+                                 && mayBeOrdered && ! engine.models.contains (name)
                                  && ! m_rateLimited.contains (engine.id)
                                  && ! (need.isForCrowd && isTooCrowded (engine));
         if (! isCandidate)
             continue;
+        weigh (*each, now);
         const EngineSpecIndex* spec = specOf (engine);
         const config::EngineModel* model = spec == nullptr ? nullptr : spec->findModel (name);
         if (model == nullptr)
@@ -125,24 +128,23 @@
     best->reservedFor = name;
     best->withdrawn = { bestVictims.models.begin(), bestVictims.models.end() };
     best->withdrawnAt = now;
+    noteChange (*best);
     ++viewFor (service, name).coming;
-    for (const std::string& victim : bestVictims.models)
-        --viewFor (service, victim).holders;
     m_hasStorePlace = hasStorePlace();
     return true;
 }
 
-bool EnginePlacement::isTooCrowded (const Engine& engine)
+bool EnginePlacement::isTooCrowded (const Engine& engine) const
 {
-    return engine.requests > kHighestShareForReplica * engine.requestLimit;
+    return requestsOf (engine) > kHighestShareForReplica * crowdLimit (engine);
 }
 
-double EnginePlacement::crowdCost (const Engine& engine)
+double EnginePlacement::crowdCost (const Engine& engine) const
 {
-    return kCrowdCost * engine.requests / std::max (engine.requestLimit, 1.0);
+    return kCrowdCost * requestsOf (engine) / std::max (crowdLimit (engine), 1.0);
 }
 
-bool EnginePlacement::isLocalSoon (const ModelView& view)
+bool EnginePlacement::isLocalSoon (const ModelView& view) const
 {
     const auto loadsFromStore = [] (const Engine& engine)
     {
@@ -150,8 +152,8 @@
                || (engine.unanswered && engine.unanswered->isFromStore)
                || (! engine.reservedFor.empty() && ! isLocal (engine, engine.reservedFor));
     };
-    return std::ranges::any_of (view.copyEngines, [&] (const Engine* engine)
-                                { return ! engine->isPaused && ! loadsFromStore (*engine); });
+    return std::ranges::any_of (view.places->copies, [&] (const Engine* engine)
+                                { return m_now >= engine->ordersFrom && ! loadsFromStore (*engine); });
 }
 
 double EnginePlacement::blockedCopies (const Engine& engine, base::TimePoint now) const
@@ -160,8 +162,7 @@
     const auto count = [&] (const std::string& name)
     {
         const ModelView& view = viewOf (engine.service, name);
-        const bool isOnlyHere =
-            view.holders == 0 && view.coming == 0 && view.copyEngines.size() == 1;
+        const bool isOnlyHere = view.isMissing() && view.places->copies.size() == 1;
         const base::TimePoint askedAt = view.demand.askedAt;
         const bool isWanted =
             askedAt != base::TimePoint{} && base::toSeconds (now - askedAt) < kForgottenAfter;
@@ -183,9 +184,7 @@
     if (! m_options.fetchesAhead)
         return;
     // What an engine has is known once it has told; a new leader hears of all within one interval.
-    const bool isKnown = std::ranges::all_of (
-        m_engines, [] (const auto& item) { return ! item.second.isUsable || item.second.hasTold; });
-    if (! isKnown)
+    if (! m_untold.empty())
         return;
     for (const config::Service& service : m_catalogue.services)
     {
@@ -206,8 +205,8 @@
     {
         const ServiceModel key{ service.name, model.name };
         const ModelView& view = viewOf (service.name, model.name);
-        const bool isMissing = view.holders == 0 && view.coming == 0 && view.copyEngines.empty();
-        if (! isMissing || m_fetched.contains (key))
+        const bool isNowhere = view.isMissing() && view.places->copies.empty();
+        if (! isNowhere || m_fetched.contains (key))
             continue;
         // Looks at every engine: for each of 330 models, held or not, it took half of a round.
         if (! hasStorePlace (isInUse ? kSparePlaces : 0) || storeLoads() >= most)
@@ -285,16 +284,16 @@
     const ModelView& view = *held.view;
     const ModelDemand& demand = view.demand;
     const bool isUnknown = demand.askedAt == base::TimePoint{};
-    if (view.holders > 1)
+    if (view.holders() > 1)
     {
         if (isUnknown)
             return kUnknownReplicaCost;
         const ReplicaTargets targets = replicaTargets (view, specOf (engine)->spec());
         const double drain = drainSeconds (engine.service, view);
         // Without this one the others would be crowded, and it would be loaded again.
-        if (targets.needed >= view.holders || isCrowdedWithout (engine, view))
+        if (targets.needed >= view.holders() || isCrowdedWithout (engine, view))
             return kNeededReplicaCost + drain;
-        const bool isReserve = targets.spare >= view.holders;
+        const bool isReserve = targets.spare >= view.holders();
         return (isReserve ? kReserveReplicaCost : kSpareReplicaCost) + drain;
     }
     if (isUnknown)
@@ -310,22 +309,35 @@
 double EnginePlacement::drainSeconds (const std::string& service, const ModelView& view) const
 {
     const auto found = m_streamSeconds.find (service);
-    if (found == m_streamSeconds.end() || view.holders == 0)
+    if (found == m_streamSeconds.end() || view.holders() == 0)
         return 0;
     // Streams that began at any time: of one, half is left in the mean, of many nearly all.
-    const double streams = view.demand.running / static_cast<double> (view.holders);
+    const double streams = view.demand.running / static_cast<double> (view.holders());
     return found->second * streams / (streams + 1);
 }
 
+std::set<EngineState*, EngineIndex::ById> EnginePlacement::enginesToFill() const
+{
+    std::set<Engine*, EngineIndex::ById> engines;
+    for (const auto& [key, view] : m_models)
+    {
+        if (view.isMissing())
+            engines.insert (view.places->copies.begin(), view.places->copies.end());
+    }
+    return engines;
+}
+
 void EnginePlacement::fillFreeMemory (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
-    for (auto& [id, engine] : m_engines)
+    for (Engine* const each : enginesToFill())
     {
+        Engine& engine = *each;
         if (! engine.reservedFor.empty() || ! mayTakeOrder (engine) || ! engine.hasTold)
             continue;
         const EngineSpecIndex* spec = specOf (engine);
         if (spec == nullptr)
             continue;
+        weigh (engine, now);
         const config::EngineModel* model = modelToFillWith (engine, *spec);
         if (model == nullptr)
             continue;
@@ -346,8 +358,7 @@
             const config::EngineModel* model = spec.findModel (name);
             const ModelView& view = viewOf (engine.service, name);
             const bool isUseful = model != nullptr && model->memoryMb <= free
-                                  && ! engine.models.contains (name) && view.holders == 0
-                                  && view.coming == 0;
+                                  && ! engine.models.contains (name) && view.isMissing();
             if (! isUseful)
                 continue;
             if (largest == nullptr || model->memoryMb > largest->memoryMb)
--- a/src/placement/EngineViews.cpp
+++ b/src/placement/EngineViews.cpp
@@ -4,7 +4,6 @@
  */
 
 #include <algorithm>
-#include <unordered_map>
 #include <utility>
 
 #include "placement/EnginePlacement.h"
@@ -13,11 +12,6 @@
 namespace fernlift::placement
 {
 
-std::string EnginePlacement::adapterKey (std::string_view model, std::string_view adapter)
-{
-    return std::string (model).append ("/").append (adapter);
-}
-
 void EnginePlacement::setDemand (TargetDemand& target, std::uint64_t router,
                                  const cell::EngineDemand& demand)
 {
@@ -38,12 +32,14 @@
 
 void EnginePlacement::lookAtModels (base::TimePoint now)
 {
-    m_models.clear();
+    ++m_round;
+    for (auto& [key, view] : m_models)
+        view = ModelView (*view.places);
     countDemands (now);
-    countHolders();
+    countComing();
+    countRateLimited();
     measureCrowds();
     measureStreams();
-    weighEngines (now);
     m_hasStorePlace = hasStorePlace();
 }
 
@@ -66,44 +62,14 @@
     }
 }
 
-void EnginePlacement::countHolders()
+void EnginePlacement::countComing()
 {
-    // Engines name some twenty models each, so that 3,000 of them ask 50,000 times: by hash this
-    // takes a third of the time.
-    std::unordered_map<std::string_view, ModelView*> known;
-    const std::string* service = nullptr;
-    const auto viewFor = [&] (const std::string& ofService, const std::string& model) -> ModelView&
-    {
-        if (service == nullptr || *service != ofService)
-            known.clear();
-        service = &ofService;
-        ModelView*& view = known[model];
-        if (view == nullptr)
-            view = &this->viewFor (ofService, model);
-        return *view;
-    };
-    for (auto& [id, engine] : m_engines)
+    for (const std::string& id : m_attended)
     {
+        const Engine& engine = m_engines.at (id);
         if (! engine.isUsable)
             continue;
-        const std::size_t rateLimited = m_rateLimited.contains (id) ? 1 : 0;
-        for (auto& [model, state] : engine.models)
-        {
-            ModelView& view = viewFor (engine.service, model);
-            state.view = &view;
-            if (! isRoutable (engine, model))
-                continue;
-            ++view.holders;
-            view.rateLimitedHolders += rateLimited;
-        }
-        for (const std::string& model : engine.inMemory)
-            viewFor (engine.service, model).copyEngines.push_back (&engine);
-        for (const std::string& model : engine.onDisk)
-        {
-            if (! engine.inMemory.contains (model))
-                viewFor (engine.service, model).copyEngines.push_back (&engine);
-        }
-        std::set<std::string_view> coming;
+        std::set<std::string> coming;
         if (! engine.reservedFor.empty())
             coming.insert (engine.reservedFor);
         for (const auto* pending : { &engine.unanswered, &engine.modelOrder, &engine.doubtful })
@@ -111,51 +77,61 @@
             if (*pending && (*pending)->order.isLoad && (*pending)->order.adapter.empty())
                 coming.insert ((*pending)->order.model);
         }
-        for (const std::string_view model : coming)
+        for (const std::string& model : coming)
         {
-            const std::string name (model);
-            if (! engine.models.contains (name))
-                ++this->viewFor (engine.service, name).coming;
+            if (! engine.models.contains (model))
+                ++viewFor (engine.service, model).coming;
         }
     }
 }
 
-void EnginePlacement::weighEngines (base::TimePoint now)
+void EnginePlacement::countRateLimited()
 {
-    for (auto& [id, engine] : m_engines)
+    for (const std::string& id : m_rateLimited)
     {
-        const EngineSpecIndex* spec = specOf (engine);
-        if (spec == nullptr || ! mayTakeOrder (engine))
+        const auto found = m_engines.find (id);
+        if (found == m_engines.end())
             continue;
-        engine.freeMemory = spec->modelMemory() - usedMemory (engine, *spec);
-        engine.adapterTrouble = adapterTrouble (engine, *spec, now);
-        engine.blockedCopies = blockedCopies (engine, now);
+        const IndexedHoldings& holdings = found->second.indexed;
+        for (const std::string& model : holdings.models)
+            ++viewFor (holdings.service, model).rateLimitedHolders;
     }
 }
 
-EnginePlacement::ModelView& EnginePlacement::viewFor (const std::string& service,
-                                                      const std::string& model)
+void EnginePlacement::weigh (Engine& engine, base::TimePoint now)
+{
+    const EngineSpecIndex* spec = specOf (engine);
+    if (spec == nullptr || engine.weighedRound == m_round)
+        return;
+    engine.weighedRound = m_round;
+    engine.freeMemory = spec->modelMemory() - usedMemory (engine, *spec);
+    engine.adapterTrouble = adapterTrouble (engine, *spec, now);
+    engine.blockedCopies = blockedCopies (engine, now);
+}
+
+ModelView& EnginePlacement::viewFor (const std::string& service, const std::string& model)
 {
     const ServiceModelOrder::Names names{ service, model };
     const auto found = m_models.lower_bound (names);
     if (found != m_models.end() && ! ServiceModelOrder() (names, found->first))
         return found->second;
-    return m_models.emplace_hint (found, ServiceModel (service, model), ModelView())->second;
+    const ModelView view (m_index.placesOf (service, model));
+    return m_models.emplace_hint (found, ServiceModel (service, model), view)->second;
 }
 
-const EnginePlacement::ModelView& EnginePlacement::viewOf (std::string_view service,
-                                                           std::string_view model) const
+const ModelView& EnginePlacement::viewOf (std::string_view service, std::string_view model) const
 {
-    static const ModelView kNobody;
+    static const EngineIndex::Places kNowhere;
+    static const ModelView kNobody (kNowhere);
     const auto found = m_models.find (ServiceModelOrder::Names (service, model));
     return found == m_models.end() ? kNobody : found->second;
 }
 
 std::size_t EnginePlacement::storeLoads() const
 {
-    const auto usesStore = [] (const auto& item)
+    const auto usesStore = [this] (const std::string& id)
     {
-        const Engine& engine = item.second;
+        const Engine& engine = m_engines.at (id);
         const auto loads = [] (const std::optional<PendingOrder>& pending)
         { return pending && pending->isFromStore; };
         const bool isPlanned =
@@ -163,7 +139,7 @@
         return isPlanned || loads (engine.unanswered) || loads (engine.modelOrder)
                || loads (engine.doubtful);
     };
-    return static_cast<std::size_t> (std::ranges::count_if (m_engines, usesStore));
+    return static_cast<std::size_t> (std::ranges::count_if (m_attended, usesStore));
 }
 
 bool EnginePlacement::hasStorePlace (std::size_t spare) const
@@ -202,23 +178,26 @@
     return used;
 }
 
-std::set<std::string> EnginePlacement::adaptersOf (const Engine& engine)
+bool EnginePlacement::isFree (const Engine& engine) const
 {
-    std::set<std::string> adapters;
-    for (const auto& [name, state] : engine.models)
-    {
-        for (const std::string& adapter : state.adapters)
-            adapters.insert (adapterKey (name, adapter));
-    }
-    for (const auto& [key, due] : engine.adaptersDue)
-        adapters.insert (key);
-    return adapters;
+    return engine.isUsable && m_now >= engine.ordersFrom && ! engine.unanswered
+           && ! engine.modelOrder;
 }
 
-bool EnginePlacement::mayTakeOrder (const Engine& engine)
+bool EnginePlacement::mayTakeOrder (const Engine& engine) const
 {
-    return engine.isUsable && ! engine.isPaused && engine.sequence && ! engine.unanswered
-           && ! engine.modelOrder;
+    return isFree (engine) && engine.sequence;
+}
+
+bool EnginePlacement::mayBeAsked (const Engine& engine) const
+{
+    return isFree (engine) && ! engine.sequence && ! engine.isPolled && m_now >= engine.pollAt;
+}
+
+bool EnginePlacement::isAnswerDue (const Engine& engine) const
+{
+    return isFree (engine) && ! engine.sequence && engine.isPolled
+           && m_now - engine.polledAt < kUsualReportTime;
 }
 
 bool EnginePlacement::isLocal (const Engine& engine, const std::string& model)
