--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -166,6 +166,37 @@
     EXPECT_EQ (sent[0].adapter, "a1");
 }
 
+TEST_F (EnginePlacementTest, ReportsThatNobodyNeedsAreAskedForAtABoundedRate)
+{
+    constexpr int kEngines = 2000;
+    constexpr int kSeconds = 20;
+    constexpr std::size_t kMostAtOnce = 256;
+    constexpr std::size_t kPerSecond = 10;
+    for (int number = 0; number < kEngines; ++number)
+    {
+        cell::RoutableInstance row;
+        row.instance.id = "e" + std::to_string (number);
+        row.instance.service = "llm";
+        m_rows[row.instance.id] = row;
+    }
+    m_placement.refresh (m_rows, m_now);
+    std::size_t asked = 0;
+    for (int round = 0; round < kSeconds * 10; ++round)
+    {
+        for (const EngineCommand& command : m_placement.decide (m_now))
+        {
+            if (const auto* poll = std::get_if<PollEngine> (&command))
+            {
+                ++asked;
+                report (poll->instance, {}, 0);
+            }
+        }
+        wait (base::milliseconds (100));
+    }
+    EXPECT_LE (asked, kMostAtOnce + kSeconds * kPerSecond);
+    EXPECT_GE (asked, kMostAtOnce);
+}
+
 TEST_F (EnginePlacementTest, WhatAnEngineToldBeforeItWasAgreedOnIsKnown)
 {
     hear ("e1", { "m1" }, { "m2" });
