Reports that no order needs are asked for at a bounded rate

Cause: a leader asks every engine for its report, 32 at a time, in each run of placement. Runs became more frequent, and with them the reports. An engine that is to be ordered is asked at that time, so that the others need not be. Ruled out: streams (3,605 arrivals, as before). Change: without need 256 engines are asked at once and 10 a second after that. Small cells are known as soon as before; the figure is the same at any size, since need brings the rest. Two ways weighed: no reports without need (the first order of a small cell would wait for one) and this. Evidence: the test counts 456 of 2,000 engines in 20 s at most (2,000 before).

--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -475,27 +475,38 @@
 
 void EnginePlacement::pollWhereNeeded (std::vector<EngineCommand>& commands, base::TimePoint now)
 {
-    const auto pollIfNeeded = [&] (const std::string& id)
+    const auto mayAsk = [&] (const Engine& engine)
+    { return engine.isUsable && ! engine.unanswered && ! engine.isPolled && now >= engine.pollAt; };
+    for (const std::string& id : m_attended)
     {
         Engine& engine = m_engines.at (id);
         const bool isLate =
             engine.modelOrder && now - engine.modelOrder->sentAt > kLatestModelOrder;
-        const bool isNeeded =
-            engine.isUsable && (! engine.sequence || isLate) && ! engine.unanswered;
-        if (isNeeded && ! engine.isPolled && now >= engine.pollAt)
+        if (m_polls < kMostPolls && (! engine.sequence || isLate) && mayAsk (engine))
             poll (engine, commands, now);
-    };
-    for (const std::set<std::string>* engines : { &m_attended, &m_unknown })
+    }
+    for (const std::string& id : m_unknown)
     {
-        for (const std::string& id : *engines)
-        {
-            if (m_polls >= kMostPolls)
-                return;
-            pollIfNeeded (id);
-        }
+        Engine& engine = m_engines.at (id);
+        if (! mayAsk (engine))
+            continue;
+        if (m_polls >= kMostPolls || ! takePollWithoutNeed (now))
+            return;
+        poll (engine, commands, now);
     }
 }
 
+bool EnginePlacement::takePollWithoutNeed (base::TimePoint now)
+{
+    const double gained =
+        kPollsWithoutNeedPerSecond * base::toSeconds (now - std::exchange (m_pollsCountedAt, now));
+    m_pollsWithoutNeed = std::min (m_pollsWithoutNeed + gained, kMostPollsWithoutNeed);
+    if (m_pollsWithoutNeed < 1)
+        return false;
+    --m_pollsWithoutNeed;
+    return true;
+}
+
 void EnginePlacement::poll (Engine& engine, std::vector<EngineCommand>& commands,
                             base::TimePoint now)
 {
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -246,6 +246,8 @@
 
     // Steps of a decision.
     void pollWhereNeeded (std::vector<EngineCommand>& commands, base::TimePoint now);
+    /// Takes one report out of those that may be asked for without need.
+    [[nodiscard]] bool takePollWithoutNeed (base::TimePoint now);
     /// Asks the engine for a report.
     void poll (Engine& engine, std::vector<EngineCommand>& commands, base::TimePoint now);
     void endPoll (Engine& engine);
@@ -359,6 +361,8 @@
     /// When adapters come, by time; takeUnshown() drops what is past.
     std::set<std::pair<base::TimePoint, std::string>> m_adaptersDueAt;
     std::size_t m_polls = 0;  ///< Engines of which `isPolled` is true.
+    double m_pollsWithoutNeed = 0;  ///< That may be asked for now.
+    base::TimePoint m_pollsCountedAt{};
     std::set<std::string> m_rateLimited;  ///< Ids.
     std::map<TargetKey, TargetDemand> m_demands;
     std::set<TargetKey> m_waitingAdapters;  ///< Of m_demands, that requests wait for.
--- a/src/placement/EnginePlacementFigures.h
+++ b/src/placement/EnginePlacementFigures.h
@@ -19,6 +19,11 @@
 /// same: 47 leaders in 26 s. With 140 engines all are known after some 0.1 s.
 constexpr std::size_t kMostPolls = 32;
 constexpr base::Duration kPollPause = base::milliseconds (500);
+/// Engines that no order is meant for are asked for their reports all the same, so many at once and
+/// so many a second: in a small cell all are known soon, in a large one a connection to each would
+/// be spent on reports that nobody needs. An engine that is needed is asked at that time.
+constexpr double kMostPollsWithoutNeed = 256;
+constexpr double kPollsWithoutNeedPerSecond = 10;
 /// An engine that is asked for a report answers within this time, unless it has ended or is cut
 /// off; then another one is asked.
 constexpr base::Duration kUsualReportTime = base::milliseconds (60);
