--- a/src/controller/ControllerMetrics.cpp
+++ b/src/controller/ControllerMetrics.cpp
@@ -78,6 +78,28 @@
                 "Requests of routers held back from runners that state a rate.", rates.refused());
 }
 
+void addPlacementMetrics (std::string& text, const placement::EnginePlacementStatus& status,
+                          base::Duration lastRound)
+{
+    addGauge (text, "engines", "Engines that placement knows, at the leader.", status.engines);
+    addGauge (text, "engines_unknown",
+              "Engines that have to report before an order can go to them, at the leader.",
+              status.unknownEngines);
+    addGauge (text, "engines_attended",
+              "Engines with an order under way, planned or in doubt, at the leader.",
+              status.attendedEngines);
+    addGauge (text, "adapters_waited_for", "Adapters that requests wait for, at the leader.",
+              status.waitingAdapters);
+    addCounter (text, "adapter_orders_total", "Orders for adapters that requests waited for.",
+                status.adapterOrders);
+    addCounter (text, "adapter_order_wait_milliseconds_total",
+                "From the first wait to these orders, added up.",
+                static_cast<std::uint64_t> (base::toMilliseconds (status.adapterWait)));
+    addGauge (text, "placement_round_milliseconds",
+              "That the last look of placement at all models in use took, at the leader.",
+              static_cast<std::uint64_t> (base::toMilliseconds (lastRound)));
+}
+
 }  // namespace
 
 std::string ControllerCore::Implementation::metricsText() const
@@ -127,6 +149,9 @@
         addLoadMetrics (text, m_relay->loads, m_relay->loadSum.reporters(), m_now);
     else
         addLoadMetrics (text, InstanceLoadTable(), 0, m_now);
+    addPlacementMetrics (
+        text, m_leader ? m_leader->engines.status() : placement::EnginePlacementStatus(),
+        m_leader ? m_leader->placementTime : base::Duration::zero());
     addRateMetrics (text, m_leader ? m_leader->rates : InstanceRateLedger());
     return text;
 }
--- a/src/placement/EngineAdapters.cpp
+++ b/src/placement/EngineAdapters.cpp
@@ -60,6 +60,8 @@
         if (hasPlace)
         {
             send (engine, { true, key.model, key.adapter, "requests wait for it" }, commands, now);
+            ++m_adapterOrders;
+            m_adapterWait += now - m_demands.at (key).waitingSince;
             return;
         }
         const std::optional<AdapterVictim> here = adapterVictim (engine);
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -80,6 +80,17 @@
     std::size_t storeLoadLimit = 0;  ///< That may be under way at once.
 };
 
+/// How placement keeps up with what it is asked for; for metrics.
+struct EnginePlacementStatus
+{
+    std::size_t engines = 0;
+    std::size_t unknownEngines = 0;   ///< Whose sequence is not known: asked before an order.
+    std::size_t attendedEngines = 0;  ///< With an order under way, planned or in doubt.
+    std::size_t waitingAdapters = 0;  ///< That requests wait for.
+    std::uint64_t adapterOrders = 0;  ///< For adapters that requests waited for.
+    base::Duration adapterWait{};     ///< From the first wait to the order; sum over these.
+};
+
 /// Lives as long as one term of leadership.
 class EnginePlacement
 {
@@ -120,6 +131,8 @@
     /// Engines whose routableModels() may have changed since the last call.
     [[nodiscard]] std::set<std::string> takeUnshown (base::TimePoint now);
 
+    [[nodiscard]] EnginePlacementStatus status() const;
+
     /// Model orders that were done since the last call.
     [[nodiscard]] std::vector<EngineOrderDone> takeDone() { return std::exchange (m_done, {}); }
 
@@ -360,6 +373,8 @@
     std::set<std::string> m_unshown;   ///< have changed since takeUnshown().
     /// When adapters come, by time; takeUnshown() drops what is past.
     std::set<std::pair<base::TimePoint, std::string>> m_adaptersDueAt;
+    std::uint64_t m_adapterOrders = 0;
+    base::Duration m_adapterWait{};
     std::size_t m_polls = 0;  ///< Engines of which `isPolled` is true.
     double m_pollsWithoutNeed = 0;  ///< That may be asked for now.
     base::TimePoint m_pollsCountedAt{};
--- a/src/placement/EngineViews.cpp
+++ b/src/placement/EngineViews.cpp
@@ -127,6 +127,18 @@
     return found == m_models.end() ? kNobody : found->second;
 }
 
+EnginePlacementStatus EnginePlacement::status() const
+{
+    EnginePlacementStatus status;
+    status.engines = m_engines.size();
+    status.unknownEngines = m_unknown.size();
+    status.attendedEngines = m_attended.size();
+    status.waitingAdapters = m_waitingAdapters.size();
+    status.adapterOrders = m_adapterOrders;
+    status.adapterWait = m_adapterWait;
+    return status;
+}
+
 std::size_t EnginePlacement::storeLoads() const
 {
     const auto usesStore = [this] (const std::string& id)
