--- a/src/controller/LargeFleetTest.cpp
+++ b/src/controller/LargeFleetTest.cpp
@@ -210,6 +210,25 @@
     }
 }
 
+TEST_P (LargeFleetTest, ANewLeaderSendsWhatChangedAndNotTheWholeTable)
+{
+    letReport (lastEngine(), { { "common", 1, {} }, { "rare", 1, {} } });
+    timeToOrder ("a1");
+    m_cell.run (seconds (1));
+    const std::uint64_t rows = m_cell.instanceRowsSent;
+    const base::MemberId earlier = m_cell.leader();
+    m_cell.kill (earlier);
+    ASSERT_TRUE (m_cell.runUntil (
+        [&] { return m_cell.leader() != 0 && m_cell.leader() != earlier; }, seconds (10)));
+    m_cell.reconnect (0, m_cell.leader());
+    m_cell.run (seconds (4));  // Every engine may be ordered again.
+    timeToOrder ("a2");
+    EXPECT_TRUE (m_cell.runUntil ([&] { return allRoutersKnowAdapter (lastEngine(), "a2"); },
+                                  seconds (30)));
+    // A table has a row for each engine.
+    EXPECT_LT (m_cell.instanceRowsSent - rows, GetParam() / 10);
+}
+
 INSTANTIATE_TEST_SUITE_P (Engines, LargeFleetTest, ::testing::Values (1000, 20'000));
 
 }  // namespace
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -196,6 +196,7 @@
     std::uint64_t ordersDelivered = 0;
     /// Messages with a configuration that controllers encoded, to one router or to several.
     std::uint64_t configurationMessages = 0;
+    std::uint64_t instanceRowsSent = 0;  ///< In updates of the table of instances, to each receiver.
     std::uint64_t lateOrders = 0;
     base::Duration diskDelay = base::milliseconds (1);  ///< Of a write to a member's disk.
 
@@ -247,7 +248,7 @@
     [[nodiscard]] bool isLinked (base::MemberId member, RouterConnection connection) const;
     void carryOut (Node& node, SendToRouter effect);
     void deliver (Node& node, RouterConnection connection, cell::ControllerToRouter message);
-    void countMessage (const cell::ControllerToRouter& message);
+    void countMessage (const cell::ControllerToRouter& message, std::size_t receivers);
     void carryOut (Node& node, const BroadcastToRouters& effect);
     void carryOut (Node& node, SendOrder effect);
     void carryOut (Node& node, PollRunner effect);
--- a/src/controller/TestCellTest.cpp
+++ b/src/controller/TestCellTest.cpp
@@ -312,10 +312,12 @@
               });
 }
 
-void TestCell::countMessage (const cell::ControllerToRouter& message)
+void TestCell::countMessage (const cell::ControllerToRouter& message, std::size_t receivers)
 {
     if (std::holds_alternative<cell::ConfigurationUpdate> (message))
         ++configurationMessages;
+    if (const auto* instances = std::get_if<cell::InstanceUpdate> (&message))
+        instanceRowsSent += receivers * instances->upserts.size();
 }
 
 void TestCell::deliver (Node& node, RouterConnection connection, cell::ControllerToRouter message)
@@ -343,13 +345,13 @@
 
 void TestCell::carryOut (Node& node, SendToRouter effect)
 {
-    countMessage (effect.message);
+    countMessage (effect.message, 1);
     deliver (node, effect.connection, std::move (effect.message));
 }
 
 void TestCell::carryOut (Node& node, const BroadcastToRouters& effect)
 {
-    countMessage (effect.message);
+    countMessage (effect.message, effect.connections.size());
     for (const RouterConnection connection : effect.connections)
         deliver (node, connection, effect.message);
 }
