Tests: what a new leader of a large cell is asked for at once

LargeFleetTest has routers at each controller now, so that each of them holds the table; heartbeats state models in another order than the table does, as runners may.

--- a/src/controller/ControllerRelayTest.cpp
+++ b/src/controller/ControllerRelayTest.cpp
@@ -104,6 +104,28 @@
     EXPECT_FALSE (m_cell.router (3).admits (m_cell.now()));
 }
 
+TEST_F (ControllerRelayTest, AMemberThatHearsTheLeaderKeepsHeartbeatsUntilItIsConnected)
+{
+    ASSERT_TRUE (apply (1));
+    for (const base::MemberId member : { m_follower, 6 - m_leader - m_follower })
+        ASSERT_TRUE (m_cell.askControl (member, heartbeat (1)));
+    m_cell.run (seconds (1));
+    m_cell.refusesLeaderLinks = true;
+    m_cell.kill (m_leader);
+    m_cell.run (milliseconds (2500));
+    const base::MemberId leader = m_cell.leader();
+    ASSERT_NE (leader, 0U);
+    const base::MemberId relay = 6 - leader - m_leader;  // Of members 1 to 3.
+    const auto answer = m_cell.askControl (relay, heartbeat (2));
+    ASSERT_TRUE (answer);
+    EXPECT_EQ (answer->verdict, ControlVerdict::kDone) << "it sends the runner to the leader";
+    // Not for ever: the leader would call the runner silent.
+    m_cell.run (seconds (3));
+    const auto later = m_cell.askControl (relay, heartbeat (3));
+    ASSERT_TRUE (later);
+    EXPECT_EQ (later->verdict, ControlVerdict::kNotLeader);
+}
+
 TEST_F (ControllerRelayTest, RoutersOutliveAChangeOfTheLeader)
 {
     ASSERT_TRUE (apply (1));
--- a/src/controller/LargeFleetTest.cpp
+++ b/src/controller/LargeFleetTest.cpp
@@ -39,10 +39,10 @@
     service.name = "llm";
     service.engine.emplace();
     service.engine->slots = 64;
-    service.engine->memoryMb = 100;
+    service.engine->memoryMb = 140;
     service.engine->adapterSlots = 8;
     service.engine->loadsPerSecond = 100;
-    for (const char* name : { "common", "rare" })
+    for (const char* name : { "base", "common", "rare" })
     {
         config::EngineModel model;
         model.name = name;
@@ -64,7 +64,8 @@
     return options;
 }
 
-/// The parameter is the number of engines. All hold the model "common", the last one "rare", too.
+/// The parameter is the number of engines. All hold the models "common" and "base", the last one
+/// "rare", too.
 class LargeFleetTest : public ::testing::TestWithParam<std::size_t>
 {
 protected:
@@ -74,10 +75,9 @@
             m_cell.router (number).acceptsLastKnownState = true;
         EXPECT_TRUE (m_cell.awaitLeader());
         const base::MemberId leader = m_cell.leader();
-        // One at the leader, the others at a controller that does not lead.
-        m_cell.reconnect (0, leader);
-        for (std::size_t number = 1; number < kRouters; ++number)
-            m_cell.reconnect (number, leader % 3 + 1);
+        // Some at each controller; the first one is at the leader.
+        for (std::size_t number = 0; number < kRouters; ++number)
+            m_cell.reconnect (number, (leader - 1 + number) % 3 + 1);
         const auto answer = m_cell.askControl (leader, ReplaceConfiguration{ "1 " }, seconds (4));
         EXPECT_TRUE (answer && answer->verdict == ControlVerdict::kDone);
         m_cell.run (milliseconds (100));
@@ -110,7 +110,7 @@
         sighting.instance = engineName (number);
         sighting.sequence = 1;
         sighting.hasHoldings = true;
-        sighting.models = { { "common", 1, {} } };
+        sighting.models = { { "common", 1, {} }, { "base", 1, {} } };
         if (number + 1 == GetParam())
             sighting.models.push_back ({ "rare", 1, {} });
         cell::ServiceInstance instance;
@@ -123,6 +123,18 @@
         sighting.first = { instance };
         return sighting;
     }
+    /// All controllers tell a new leader what they heard of engines.
+    void repeatHeartbeats()
+    {
+        cell::InstanceSightings message;
+        for (std::size_t number = 0; number + 1 < GetParam(); ++number)
+        {
+            message.sightings.push_back (sightingOf (number));
+            message.sightings.back().sequence = 2;
+            message.sightings.back().first.clear();
+        }
+        m_cell.sendFromRouter (0, message);
+    }
     /// The engine answers when it is asked for a report.
     void letReport (const std::string& id, std::vector<engine::ReportedModel> models)
     {
@@ -182,7 +194,7 @@
 
 TEST_P (LargeFleetTest, AnAdapterIsOrderedSoonAfterARequestBeganToWait)
 {
-    letReport (lastEngine(), { { "common", 1, {} }, { "rare", 1, {} } });
+    letReport (lastEngine(), { { "rare", 1, {} }, { "common", 1, {} }, { "base", 1, {} } });
     timeToOrder ("a1");  // The leader knows the engine from then on.
     for (const char* adapter : { "a2", "a3", "a4" })
     {
@@ -193,13 +205,13 @@
 
 TEST_P (LargeFleetTest, ANewLeaderAsksTheEngineThatIsNeededFirst)
 {
-    letReport (lastEngine(), { { "common", 1, {} }, { "rare", 1, {} } });
+    letReport (lastEngine(), { { "rare", 1, {} }, { "common", 1, {} }, { "base", 1, {} } });
     EXPECT_LE (timeToOrder ("a1"), kLongestToOrderOfNewLeader);
 }
 
 TEST_P (LargeFleetTest, AllRoutersHearSoonThatAnAdapterHasCome)
 {
-    letReport (lastEngine(), { { "common", 1, {} }, { "rare", 1, {} } });
+    letReport (lastEngine(), { { "rare", 1, {} }, { "common", 1, {} }, { "base", 1, {} } });
     for (const char* adapter : { "a1", "a2", "a3" })
     {
         timeToOrder (adapter);
@@ -210,9 +222,16 @@
     }
 }
 
+TEST_P (LargeFleetTest, EachEngineIsToldOnceWhenItRegisters)
+{
+    m_cell.run (seconds (2));
+    const std::size_t receivers = kRouters + 2;  // And the controllers that do not lead.
+    EXPECT_LT (m_cell.instanceRowsSent, receivers * GetParam() * 11 / 10);
+}
+
 TEST_P (LargeFleetTest, ANewLeaderSendsWhatChangedAndNotTheWholeTable)
 {
-    letReport (lastEngine(), { { "common", 1, {} }, { "rare", 1, {} } });
+    letReport (lastEngine(), { { "rare", 1, {} }, { "common", 1, {} }, { "base", 1, {} } });
     timeToOrder ("a1");
     m_cell.run (seconds (1));
     const std::uint64_t rows = m_cell.instanceRowsSent;
@@ -221,6 +240,7 @@
     ASSERT_TRUE (m_cell.runUntil (
         [&] { return m_cell.leader() != 0 && m_cell.leader() != earlier; }, seconds (10)));
     m_cell.reconnect (0, m_cell.leader());
+    repeatHeartbeats();
     m_cell.run (seconds (4));  // Every engine may be ordered again.
     timeToOrder ("a2");
     EXPECT_TRUE (m_cell.runUntil ([&] { return allRoutersKnowAdapter (lastEngine(), "a2"); },
--- a/src/controller/RelayPartsTest.cpp
+++ b/src/controller/RelayPartsTest.cpp
@@ -122,6 +122,39 @@
     return beat;
 }
 
+/// Of how many runners a new leader is told the holdings, each of which is heard every two seconds.
+std::size_t toldToNewLeader (std::size_t runners, int milliseconds)
+{
+    HeartbeatBatch batch;
+    std::size_t told = 0;
+    const auto hearAll = [&] (std::uint64_t sequence, int from)
+    {
+        constexpr int kInterval = 2000;
+        for (int time = 0; time < kInterval; time += 10)
+        {
+            for (std::size_t number = time / 10; number < runners; number += kInterval / 10)
+            {
+                InstanceHeartbeat beat = heartbeat (sequence, "m1");
+                beat.instance.id = "i-" + std::to_string (number);
+                batch.add (beat, true, at (from + time));
+            }
+            for (const cell::InstanceSighting& sighting : batch.takeDue (at (from + time)))
+                told += sighting.hasHoldings && from >= 10'000 && from + time < 10'000 + milliseconds;
+        }
+    };
+    hearAll (1, 0);
+    batch.tellAll();
+    hearAll (2, 10'000);
+    return told;
+}
+
+TEST (HeartbeatBatch, ANewLeaderIsToldOfAFewRunnersAtATime)
+{
+    EXPECT_EQ (toldToNewLeader (40, 2000), 40U) << "in a small cell of all of them";
+    EXPECT_LE (toldToNewLeader (700, 1000), 250U);
+    EXPECT_GE (toldToNewLeader (700, 2000), 150U);
+}
+
 TEST (HeartbeatBatch, HoldingsAreToldAtOnceWhenTheyChangeAndElseOnlyThatItLives)
 {
     HeartbeatBatch batch;
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -190,6 +190,7 @@
     /// While set, orders of this member are kept back instead of delivered.
     std::optional<base::MemberId> holdsOrdersOf;
     std::vector<std::pair<base::RunnerId, engine::Order>> heldOrders;
+    bool refusesLeaderLinks = false;    ///< Members that do not lead can't connect to the leader.
     std::set<base::RunnerId> unlisted;  ///< Runners that the machine list omits.
     /// Called after every step, for invariants.
     std::function<void()> onStep;
--- a/src/controller/TestCellTest.cpp
+++ b/src/controller/TestCellTest.cpp
@@ -285,7 +285,7 @@
                [earlier] (ControllerCore& core) { core.onRouterGone (earlier); });
     const base::MemberId from = node.id;
     const base::MemberId to = memberAt (effect.address);
-    if (to == 0)
+    if (to == 0 || refusesLeaderLinks)
         return;
     const RouterConnection connection = m_nextConnection++;
     node.leaderLink = connection;
