Holdings of an engine are told in one order, whoever tells them

Routers were sent the row of an engine again for each heartbeat that a leader heard first, though nothing had changed; on the whole fleet nearly all rows twice while it formed, and once more at each change of the leader.

Cause: a heartbeat names models in any order, placement shows them by name, and rows that differ only in the order were taken for changed. Ruled out: adapters that come and go (the rows that were sent again had none). Change: models and adapters are put in order where a heartbeat becomes a row or an entry of the log.

--- a/src/cell/ServiceInstances.cpp
+++ b/src/cell/ServiceInstances.cpp
@@ -13,6 +13,14 @@
 
 }  // namespace
 
+std::vector<HeldModel> inOrder (std::vector<HeldModel> models)
+{
+    std::ranges::sort (models, {}, &HeldModel::model);
+    for (HeldModel& model : models)
+        std::ranges::sort (model.adapters);
+    return models;
+}
+
 std::string Incarnation::name() const
 {
     return startedAt == 0 ? id : id + kStartMark + std::to_string (startedAt);
--- a/src/cell/ServiceInstances.h
+++ b/src/cell/ServiceInstances.h
@@ -32,6 +32,10 @@
     }
 };
 
+/// Orders models and adapters by name, so that the same holdings are told in the same way by
+/// whoever tells them.
+[[nodiscard]] std::vector<HeldModel> inOrder (std::vector<HeldModel> models);
+
 /// One start of a runner. A restarted runner is another instance, or a later incarnation of the
 /// same one: what was known of the earlier one does not hold for it.
 struct ServiceInstance
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -175,7 +175,7 @@
 {
     cell::ServiceInstance instance = heartbeat.instance;
     instance.isReported = true;
-    instance.models = heartbeat.models;
+    instance.models = cell::inOrder (heartbeat.models);
     return { std::move (instance), cellTime() };
 }
 
--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -34,7 +34,7 @@
     sighting.sequence = heartbeat.sequence;
     sighting.isReported = true;
     if (! sighting.isPlaced)
-        sighting.models = heartbeat.models;
+        sighting.models = cell::inOrder (heartbeat.models);  // As placement shows them.
     m_unrefreshed.insert (heartbeat.instance.id);
     return true;
 }
