The table of runners goes on when the leader changes

Callers: after the loss of a leader no model or adapter that came was known at routers until each of them had the whole table of the new leader (10,000 rows over a link of 10 Mbit/s), and controllers could renew no lease before.

Cause: versions of the table counted within one term, so that a new leader began a table of its own. Ruled out: the election (0.3 s), the agreed state (every member has it). Change: a new leader goes on with the table that it was sent as a relay; its versions count from its term on, so that later ones of the earlier leader never meet them, and who holds one of those gets the whole table (TableVersions; docs/design/control-tree.md, point 7). It requires a version of its own, made after its log was applied, before any lease. Relays say that they know the difference (kFollowsTableOfNextLeader); others, of an earlier build, get the whole table. Messages keep their bytes. Two ways weighed: a message that names the table of the earlier leader (new to routers as well) and this (routers need to know nothing). Evidence: LargeFleetTest: rows sent after a change of the leader with 1,000 and 20,000 engines, over 5,000 and 100,000 before, under a tenth of a table now.

--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -26,6 +26,9 @@
 enum RouterFeature : std::uint32_t
 {
     kReadsInstanceRates = 1U << 0U,  ///< InstanceRateUpdate and InstancePermitGrant.
+    /// A relay that knows which of its routers can go on with their table of instances when another
+    /// leader goes on with it.
+    kFollowsTableOfNextLeader = 1U << 1U,
 };
 
 /// First message of a router on a new connection.
@@ -466,7 +469,7 @@
 /// Change of the table of registered runners; fromVersion 0 replaces it whole.
 struct InstanceUpdate
 {
-    base::Term term = 0;  ///< Of the leader; versions count within one term.
+    base::Term term = 0;  ///< Of the leader that began the table; versions count within it.
     std::uint64_t fromVersion = 0;
     std::uint64_t toVersion = 0;
     std::vector<RoutableInstance> upserts;
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -246,8 +246,12 @@
     const InstanceLoadTable earlierLoads = m_relay ? m_relay->loads : InstanceLoadTable();
     const cell::InstanceRateUpdate earlierRates =
         m_relay ? m_relay->rates.table (m_now) : cell::InstanceRateUpdate();
+    InstanceMirror earlierTable = m_relay ? std::move (m_relay->instances) : InstanceMirror();
     endRelay();
     m_leader.emplace (m_options, m_status.term, m_now, engineOptions());
+    m_leader->instances.continueFrom (std::move (earlierTable), m_status.term);
+    m_leader->instances.refresh (m_state.instances(), m_now);
+    m_leader->requiredInstanceVersion = m_leader->instances.version();
     keepEarlierSpeeds (earlierLoads);
     m_leader->rates.begin (earlierRates.limited, m_now);
     m_leader->unixSince = std::max (m_unixNow, m_state.time());
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -257,9 +257,9 @@
     ConfigurationRollout rollout;
     std::vector<ConfigurationWait> configurationWaits;
     std::map<Leaving, LeavingWait> leavingWaits;
-    /// Table of instances without those whose leaving is or will be acknowledged; of this term, so
-    /// that a table of an earlier leader does not do.
-    std::uint64_t requiredInstanceVersion = 1;
+    /// Table of instances without those whose leaving is or will be acknowledged; a version of this
+    /// leader, so that what an earlier one sent does not do.
+    std::uint64_t requiredInstanceVersion = 0;
     PacedWork instanceTable;  ///< Routers may have to hear of a change of the instances.
     PacedWork wholeTable;     ///< Some have to be sent all of them.
     PacedWork instanceSweep;  ///< All are to be looked at.
@@ -498,13 +498,8 @@
     struct TableState
     {
         std::uint64_t version = 0;
-        std::uint64_t firstVersion = 1;  ///< Changes are known since this version.
+        TableVersions known;  ///< Of these versions the changes are known.
         std::size_t rows = 0;
-
-        [[nodiscard]] bool needsWhole (std::uint64_t held) const
-        {
-            return held == 0 || held < firstVersion;
-        }
     };
     /// Sends what changed to those behind; those that hold the same version get the same message.
     /// False when some were left out, since they need the whole table and it may not go out.
@@ -616,6 +611,8 @@
     /// Takes over which table of instances a router holds when it comes.
     static void takeInstanceVersion (RouterSession& session, const cell::RouterHello& hello,
                                      base::Term term);
+    /// The same at the leader.
+    void takeInstanceVersion (RouterSession& session, const cell::RouterHello& hello);
 
     // ControllerMembers.cpp
     void onJoinRequest (RouterConnection connection, const cell::MemberJoinRequest& request);
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -344,7 +344,9 @@
         wait.leasesEndAt = m_now + m_leader->sessions.longestLease();
         m_leader->requiredInstanceVersion = present;
     }
-    return sendInstancesTo (m_leader->sessions, { present, 1, m_leader->instances.rows().size() },
+    const InstanceTable& instances = m_leader->instances;
+    return sendInstancesTo (m_leader->sessions,
+                            { present, instances.knownVersions(), instances.rows().size() },
                             mayBeWhole, [this] (std::uint64_t version)
                             { return instanceUpdateSince (version); });
 }
@@ -361,7 +363,7 @@
         const bool needsNothing = session.instanceVersion == 0 && table.rows == 0;
         if (session.instanceVersion >= table.version || needsNothing)
             continue;
-        if (! mayBeWhole && table.needsWhole (session.instanceVersion))
+        if (! mayBeWhole && ! table.known.contains (session.instanceVersion))
         {
             isComplete = false;
             continue;
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -247,7 +247,7 @@
     hello.router = base::RouterId (m_relay->id);
     hello.cell = m_options.cell;
     hello.isRelay = true;
-    hello.features = cell::kReadsInstanceRates;
+    hello.features = cell::kReadsInstanceRates | cell::kFollowsTableOfNextLeader;
     hello.address = ownAdminAddress();
     hello.configurationVersion =
         m_relay->sessions.confirmedVersion (m_state.configuration().identity().version, {}, m_now);
@@ -346,7 +346,7 @@
     const bool isDue = m_relay->instanceTable.takeDue (m_now, tableInterval (routers));
     if (! mayBeWhole && ! isDue)
         return;
-    const TableState table{ instances.version(), instances.firstVersion(), instances.size() };
+    const TableState table{ instances.version(), instances.knownVersions(), instances.size() };
     const bool isComplete =
         sendInstancesTo (m_relay->sessions, table, mayBeWhole,
                          [&] (std::uint64_t version) { return instances.updateSince (version); });
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -203,13 +203,31 @@
         session.isTableShared = true;
         session.tableVersion = hello.replicaTableVersion;
     }
-    takeInstanceVersion (session, hello, m_leader->term);
+    takeInstanceVersion (session, hello);
     m_leader->configurationSend.request();
     sendTable (connection, session);
     m_leader->instanceTable.request();
     m_suspectsSend.request();
 }
 
+void ControllerCore::Implementation::takeInstanceVersion (RouterSession& session,
+                                                          const cell::RouterHello& hello)
+{
+    InstanceTable& instances = m_leader->instances;
+    if (hello.instanceTerm > instances.term())
+    {
+        // This member went on with a table that another leader had given up.
+        instances.beginAnew (m_leader->term);
+        m_leader->sessions.forgetInstanceVersions();
+        return;
+    }
+    const bool isOfThisLeader = hello.instanceVersion >= firstVersionOf (m_leader->term);
+    const bool mayFollow =
+        ! hello.isRelay || (hello.features & cell::kFollowsTableOfNextLeader) != 0;
+    if (isOfThisLeader || mayFollow)
+        takeInstanceVersion (session, hello, instances.term());
+}
+
 void ControllerCore::Implementation::onLeaseRequest (RouterConnection connection,
                                                      const cell::LeaseRequest& request)
 {
@@ -222,7 +240,7 @@
     }
     RouterSession& session = *m_leader->sessions.find (connection);
     const cell::ConfigurationIdentity& inForce = m_state.configuration().identity();
-    m_leader->sessions.onLeaseRequest (session, request, m_leader->term, m_now);
+    m_leader->sessions.onLeaseRequest (session, request, m_leader->instances.term(), m_now);
     if (m_leader->sessions.needsConfiguration (session, inForce, m_now))
         m_leader->configurationSend.request();
     sendTable (connection, session);
--- a/src/controller/InstanceMirror.cpp
+++ b/src/controller/InstanceMirror.cpp
@@ -14,9 +14,13 @@
         m_rows.clear();
         m_changed.clear();
         m_removed.clear();
-        m_wholeVersion = update.toVersion;
+        m_known.restart (update.toVersion);
         m_requiredVersion = 0;
     }
+    else if (leaderOf (update.toVersion) != leaderOf (m_version))
+    {
+        m_known.passTo (m_version, leaderOf (update.toVersion));
+    }
     m_term = update.term;
     m_version = update.toVersion;
     m_routers = update.routers;
@@ -41,7 +45,7 @@
 
 cell::InstanceUpdate InstanceMirror::updateSince (std::uint64_t version) const
 {
-    const bool isWhole = version < m_wholeVersion || version == 0;
+    const bool isWhole = ! m_known.contains (version);
     cell::InstanceUpdate update;
     update.term = m_term;
     update.fromVersion = isWhole ? 0 : version;
--- a/src/controller/InstanceMirror.h
+++ b/src/controller/InstanceMirror.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "cell/RouterMessages.h"
+#include "controller/TableVersions.h"
 #include "controller/VersionIndex.h"
 
 namespace fernlift::controller
@@ -29,10 +30,11 @@
 
     /** What changed since a version of the same term; the whole table when that is not known. */
     [[nodiscard]] cell::InstanceUpdate updateSince (std::uint64_t version) const;
-    /** Changes are known since this version. */
-    [[nodiscard]] std::uint64_t firstVersion() const { return m_wholeVersion; }
+    /** Those of which updateSince() gives the changes only. */
+    [[nodiscard]] const TableVersions& knownVersions() const { return m_known; }
 
     [[nodiscard]] bool hasTable() const { return m_version != 0; }
+    /** Of the leader that began the table, which later ones go on with. */
     [[nodiscard]] base::Term term() const { return m_term; }
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     [[nodiscard]] std::size_t size() const { return m_rows.size(); }
@@ -43,9 +45,11 @@
     [[nodiscard]] std::uint64_t requiredVersion() const { return m_requiredVersion; }
 
 private:
+    friend class InstanceTable;  // Goes on with the rows and versions once this member leads.
+
     base::Term m_term = 0;
     std::uint64_t m_version = 0;          ///< 0: nothing is held.
-    std::uint64_t m_wholeVersion = 0;     ///< Of the last whole table.
+    TableVersions m_known;
     std::uint64_t m_requiredVersion = 0;  ///< Never above m_version.
     std::uint32_t m_routers = 1;
     std::vector<cell::ControllerEndpoint> m_controllers;
--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -15,6 +15,27 @@
 
 }  // namespace
 
+void InstanceTable::continueFrom (InstanceMirror&& earlier, base::Term leader)
+{
+    if (! earlier.hasTable())
+        return;
+    m_term = earlier.m_term;
+    m_rows = std::move (earlier.m_rows);
+    m_changed = std::move (earlier.m_changed);
+    m_removed = std::move (earlier.m_removed);
+    m_known = earlier.m_known;
+    m_known.passTo (earlier.m_version, leader);
+    m_version = firstVersionOf (leader);
+    for (const auto& [id, row] : m_rows)
+        m_idsAt[row.instance.address].insert (id);
+}
+
+void InstanceTable::beginAnew (base::Term term)
+{
+    m_term = term;
+    m_known.restart (++m_version);
+}
+
 bool InstanceTable::onHeartbeat (const InstanceHeartbeat& heartbeat, base::TimePoint now)
 {
     Sighting& sighting = m_sightings[heartbeat.instance.id];
@@ -238,15 +259,16 @@
 
 cell::InstanceUpdate InstanceTable::updateSince (std::uint64_t version) const
 {
+    const std::uint64_t since = m_known.contains (version) ? version : 0;
     cell::InstanceUpdate update;
     update.term = m_term;
-    update.fromVersion = version;
+    update.fromVersion = since;
     update.toVersion = m_version;
-    m_changed.visitSince (version, [&] (const std::string& id)
-                          { update.upserts.push_back (m_rows.at (id)); });
-    if (version == 0)
+    m_changed.visitSince (
+        since, [&] (const std::string& id) { update.upserts.push_back (m_rows.at (id)); });
+    if (since == 0)
         return update;
-    m_removed.visitSince (version,
+    m_removed.visitSince (since,
                           [&] (std::string id) { update.removals.push_back (std::move (id)); });
     return update;
 }
--- a/src/controller/InstanceTable.h
+++ b/src/controller/InstanceTable.h
@@ -14,6 +14,8 @@
 #include "cell/RouterMessages.h"
 #include "cell/ServiceInstances.h"
 #include "controller/ControlRequests.h"
+#include "controller/InstanceMirror.h"
+#include "controller/TableVersions.h"
 #include "controller/VersionIndex.h"
 
 namespace fernlift::controller
@@ -23,7 +25,18 @@
 {
 public:
     /// An instance that was not heard for `silence` is told as silent to routers.
-    InstanceTable (base::Term term, base::Duration silence) : m_term (term), m_silence (silence) {}
+    InstanceTable (base::Term term, base::Duration silence)
+        : m_term (term), m_silence (silence), m_version (firstVersionOf (term))
+    {
+        m_known.restart (m_version);
+    }
+
+    /// Goes on with the table of an earlier leader, as this member was sent it; before anything
+    /// else is told. `leader` is the term of the new one.
+    void continueFrom (InstanceMirror&& earlier, base::Term leader);
+    /// Somebody holds a table begun by a later leader than this one: nobody goes on with what they
+    /// hold.
+    void beginAnew (base::Term term);
 
     /// Notes a heartbeat; false when a later one, or one of a later incarnation, was noted before.
     /// With the first one of a later incarnation all that was noted of the instance is forgotten.
@@ -57,7 +70,11 @@
         return m_rows;
     }
     [[nodiscard]] std::uint64_t version() const { return m_version; }
-    /// What changed since a version of this term; 0: the whole table.
+    /// Of the leader that began the table; names it together with a version.
+    [[nodiscard]] base::Term term() const { return m_term; }
+    /// Those of which updateSince() gives the changes.
+    [[nodiscard]] const TableVersions& knownVersions() const { return m_known; }
+    /// What changed since a version; the whole table when that is not known.
     [[nodiscard]] cell::InstanceUpdate updateSince (std::uint64_t version) const;
     /// Calls `visit` with the id and row of each instance that changed after `version`; with null
     /// for one that is gone.
@@ -104,7 +121,8 @@
 
     base::Term m_term;
     base::Duration m_silence;
-    std::uint64_t m_version = 1;
+    std::uint64_t m_version;
+    TableVersions m_known;
     std::map<std::string, Sighting> m_sightings;
     Rows m_rows;
     std::map<std::string, std::set<std::string>> m_idsAt;  ///< Of the rows, by address.
