A controller that hears the leader keeps heartbeats until it is connected to it

Cause: a controller without a session with the leader sends runners on to it 1.5 s after the last one ended. Ruled out: the table (all relays had stated it 0.6 s after the election). Change: while consensus hears from a leader, heartbeats are kept for 3 s; a member that is cut off hears none and keeps them for 1.5 s as before. 3.5 s after its election the leader calls runners silent.

--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -17,10 +17,12 @@
 /// The lease of the leader is renewed this often, so that those passed on are nearly as long.
 constexpr base::Duration kRenewInterval = base::milliseconds (250);
 /// Without a leader plain heartbeats are taken and kept for so long: it is elected within 0.6 s,
-/// and a runner that is turned away opens connections to one controller after the other (456 a
-/// second at each while a cell of 3,000 runners formed). Well below the 3.5 s after which the
-/// leader calls a runner silent, should this member be cut off.
+/// and a runner that is turned away opens connections to one controller after the other. Well below
+/// the 3.5 s after which the leader calls a runner silent, should this member be cut off.
 constexpr base::Duration kHeartbeatsKeptFor = base::milliseconds (1500);
+/// The same while consensus hears from a leader: turned away, the runners of all members would call
+/// the new leader at the time when it learns what it needs to serve.
+constexpr base::Duration kHeartbeatsKeptForLeader = base::milliseconds (3000);
 
 }  // namespace
 
@@ -174,8 +176,10 @@
     // The acknowledgement of a drain is a promise, and the leader's to give.
     const bool isPlain =
         ! heartbeat.instance.isDraining && (known == nullptr || ! known->isDraining);
+    const base::Duration keptFor =
+        m_status.leader != 0 ? kHeartbeatsKeptForLeader : kHeartbeatsKeptFor;
     const bool mayKeep =
-        m_relay->session.isConnected() || m_now - m_relay->leaderlessSince < kHeartbeatsKeptFor;
+        m_relay->session.isConnected() || m_now - m_relay->leaderlessSince < keptFor;
     if (! isPlain || ! mayKeep)
         return false;
     const bool isKnown = known != nullptr && ! m_state.instances().isNews (heartbeat.instance);
