A new leader is told the holdings of a few runners at a time

Cause: each controller told a new leader the holdings of all its runners within one interval of their heartbeats: 4,800 a second, of which the leader has to index models and copies. Its event loop came so late to the answers of the other members that it did not hold its lease from 6 to 10.9 s. What it needs at once it has from the log: models that engines hold. Copies of weights can wait. Change: a controller repeats 50 at once and 100 a second to a new leader, beside what changed in the two seconds before. Small cells are told as before.

--- a/src/controller/HeartbeatBatch.cpp
+++ b/src/controller/HeartbeatBatch.cpp
@@ -22,6 +22,12 @@
 /// runners each 2.5 s took it a hundredth of a core, of the 0.15 that it has.
 constexpr base::Duration kRepeatIntervalForRunner = base::milliseconds (30);
 constexpr std::int64_t kSpreadParts = 16;
+/// Holdings that a new leader is told again, at once and in each second. Told of all runners of a
+/// large cell within one interval of their heartbeats, it had no time for its own.
+constexpr double kMostRepeatsAtOnce = 50;
+constexpr double kRepeatsPerSecond = 100;
+/// What was told this long ago may not be in the log when the leader changes.
+constexpr base::Duration kNotedAfter = base::seconds (2);
 /// A runner that was not heard for this long has gone, or calls another controller.
 constexpr base::Duration kForgetAfter = base::seconds (30);
 
@@ -45,6 +51,24 @@
     return kRepeatAfter + 2 * (mean - kRepeatAfter) * part / kSpreadParts;
 }
 
+bool HeartbeatBatch::isRepeatDue (const std::string& id, const Told& told, base::TimePoint now)
+{
+    if (now - told.at >= repeatAfter (id))
+        return true;
+    return told.leader != m_leaders && (now - told.at < kNotedAfter || takeRepeat (now));
+}
+
+bool HeartbeatBatch::takeRepeat (base::TimePoint now)
+{
+    const double gained =
+        kRepeatsPerSecond * base::toSeconds (now - std::exchange (m_repeatsCountedAt, now));
+    m_repeats = std::min (m_repeats + gained, kMostRepeatsAtOnce);
+    if (m_repeats < 1)
+        return false;
+    --m_repeats;
+    return true;
+}
+
 void HeartbeatBatch::add (const InstanceHeartbeat& heartbeat, bool isKnown, base::TimePoint now)
 {
     const std::string& id = heartbeat.instance.id;
@@ -67,9 +91,9 @@
     const auto told = m_told.find (id);
     const bool isNews =
         ! isKnown || told == m_told.end() || ! isSameHoldings (told->second.sighting, sighting);
-    if (isNews || now - told->second.at >= repeatAfter (id))
+    if (isNews || isRepeatDue (id, told->second, now))
     {
-        m_told[id] = { sighting, now };
+        m_told[id] = { sighting, now, m_leaders };
         m_isUrgent = m_isUrgent || isNews;
         waiting = std::move (sighting);
         return;
--- a/src/controller/HeartbeatBatch.h
+++ b/src/controller/HeartbeatBatch.h
@@ -24,8 +24,10 @@
 public:
     /** `isKnown`: the cell knows this incarnation; else it is told whole. */
     void add (const InstanceHeartbeat& heartbeat, bool isKnown, base::TimePoint now);
-    /** The leader is another one, or has forgotten: holdings are told anew. */
-    void tellAll() { m_told.clear(); }
+    /** The leader is another one, or has forgotten: holdings are told anew, a few at a time. It
+        knows those that are noted in the log; the rest can wait for its other news.
+    */
+    void tellAll() { ++m_leaders; }
     /** What is due; nothing when there is none. */
     [[nodiscard]] std::vector<cell::InstanceSighting> takeDue (base::TimePoint now);
 
@@ -34,13 +36,21 @@
     {
         cell::InstanceSighting sighting;  ///< With holdings.
         base::TimePoint at{};
+        std::uint64_t leader = 0;  ///< m_leaders at that time.
     };
 
     /** After which the holdings of this runner are told again though they have not changed. */
     [[nodiscard]] base::Duration repeatAfter (const std::string& id) const;
+    /** Whether what was told is to be told again now. */
+    [[nodiscard]] bool isRepeatDue (const std::string& id, const Told& told, base::TimePoint now);
+    /** Takes one out of those that may be told to a new leader now. */
+    [[nodiscard]] bool takeRepeat (base::TimePoint now);
 
     std::map<std::string, cell::InstanceSighting> m_waiting;  ///< By instance.
     std::map<std::string, Told> m_told;                       ///< Holdings last told, by instance.
+    std::uint64_t m_leaders = 0;                              ///< Calls of tellAll().
+    double m_repeats = 0;  ///< That may be told to a new leader now.
+    base::TimePoint m_repeatsCountedAt{};
     bool m_isUrgent = false;
     base::TimePoint m_sentAt{};
 };
