--- a/src/controller/ControllerEngines.cpp
+++ b/src/controller/ControllerEngines.cpp
@@ -125,9 +125,8 @@
     if (! isRoundDue && ! isUrgentDue)
         return;
     const base::TimePoint begunAt = workTime();
-    std::vector<placement::EngineCommand> commands = isRoundDue
-                                                         ? m_leader->engines.decide (m_now)
-                                                         : m_leader->engines.decideUrgent (m_now);
+    std::vector<placement::EngineCommand> commands =
+        isRoundDue ? m_leader->engines.decide (m_now) : m_leader->engines.decideUrgent (m_now);
     if (isRoundDue)
         m_leader->placementTime = workTime() - begunAt;
     std::vector<placement::SendEngineOrder> orders;
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -345,10 +345,9 @@
         m_leader->requiredInstanceVersion = present;
     }
     const InstanceTable& instances = m_leader->instances;
-    return sendInstancesTo (m_leader->sessions,
-                            { present, instances.knownVersions(), instances.rows().size() },
-                            mayBeWhole, [this] (std::uint64_t version)
-                            { return instanceUpdateSince (version); });
+    return sendInstancesTo (
+        m_leader->sessions, { present, instances.knownVersions(), instances.rows().size() },
+        mayBeWhole, [this] (std::uint64_t version) { return instanceUpdateSince (version); });
 }
 
 bool ControllerCore::Implementation::sendInstancesTo (
@@ -428,12 +427,10 @@
         [&] (const std::string& id, const cell::RoutableInstance* row)
         {
             const cell::ServiceInstance* agreed = m_state.instances().find (id);
-            const bool isKnown =
-                row != nullptr && agreed != nullptr && row->instance.isReported;
+            const bool isKnown = row != nullptr && agreed != nullptr && row->instance.isReported;
             if (isKnown && agreed->models != row->instance.models)
             {
-                command.holdings.push_back (
-                    { id, row->instance.models, row->instance.startedAt });
+                command.holdings.push_back ({ id, row->instance.models, row->instance.startedAt });
             }
         });
     command.proposedAt = cellTime();
--- a/src/controller/ControllerMetrics.cpp
+++ b/src/controller/ControllerMetrics.cpp
@@ -149,9 +149,9 @@
         addLoadMetrics (text, m_relay->loads, m_relay->loadSum.reporters(), m_now);
     else
         addLoadMetrics (text, InstanceLoadTable(), 0, m_now);
-    addPlacementMetrics (
-        text, m_leader ? m_leader->engines.status() : placement::EnginePlacementStatus(),
-        m_leader ? m_leader->placementTime : base::Duration::zero());
+    addPlacementMetrics (text,
+                         m_leader ? m_leader->engines.status() : placement::EnginePlacementStatus(),
+                         m_leader ? m_leader->placementTime : base::Duration::zero());
     addRateMetrics (text, m_leader ? m_leader->rates : InstanceRateLedger());
     return text;
 }
--- a/src/controller/InstanceMirror.cpp
+++ b/src/controller/InstanceMirror.cpp
@@ -54,11 +54,12 @@
     update.routers = m_routers;
     update.mustConfirm = version < m_requiredVersion;
     const std::uint64_t since = isWhole ? 0 : version;
-    m_changed.visitSince (since,
-                          [&] (const std::string& id) { update.upserts.push_back (m_rows.at (id)); });
+    m_changed.visitSince (
+        since, [&] (const std::string& id) { update.upserts.push_back (m_rows.at (id)); });
     if (isWhole)
         return update;
-    m_removed.visitSince (since, [&] (std::string id) { update.removals.push_back (std::move (id)); });
+    m_removed.visitSince (since,
+                          [&] (std::string id) { update.removals.push_back (std::move (id)); });
     return update;
 }
 
--- a/src/controller/InstanceMirror.h
+++ b/src/controller/InstanceMirror.h
@@ -48,7 +48,7 @@
     friend class InstanceTable;  // Goes on with the rows and versions once this member leads.
 
     base::Term m_term = 0;
-    std::uint64_t m_version = 0;          ///< 0: nothing is held.
+    std::uint64_t m_version = 0;  ///< 0: nothing is held.
     TableVersions m_known;
     std::uint64_t m_requiredVersion = 0;  ///< Never above m_version.
     std::uint32_t m_routers = 1;
--- a/src/controller/LargeFleetTest.cpp
+++ b/src/controller/LargeFleetTest.cpp
@@ -19,7 +19,6 @@
 using base::milliseconds;
 using base::seconds;
 using test::TestCell;
-using test::TestRouter;
 
 constexpr std::size_t kRouters = 4;
 constexpr std::size_t kEnginesInMessage = 1000;
@@ -101,8 +100,8 @@
                 continue;
             m_cell.sendFromRouter (0, std::exchange (message, {}));
         }
-        EXPECT_TRUE (m_cell.runUntil ([this] { return allRoutersKnow (lastEngine()); },
-                                      seconds (30)));
+        EXPECT_TRUE (
+            m_cell.runUntil ([this] { return allRoutersKnow (lastEngine()); }, seconds (30)));
     }
     [[nodiscard]] cell::InstanceSighting sightingOf (std::size_t number) const
     {
@@ -165,12 +164,9 @@
     }
     static bool holdsAdapter (const cell::RoutableInstance& row, const std::string& adapter)
     {
-        return std::ranges::any_of (row.instance.models,
-                                    [&] (const cell::HeldModel& model)
-                                    {
-                                        return std::ranges::find (model.adapters, adapter)
-                                               != model.adapters.end();
-                                    });
+        return std::ranges::any_of (
+            row.instance.models, [&] (const cell::HeldModel& model)
+            { return std::ranges::find (model.adapters, adapter) != model.adapters.end(); });
     }
     void waitFor (const std::string& model, const std::string& adapter)
     {
@@ -184,8 +180,8 @@
         const std::size_t orders = m_cell.engineOrders.size();
         const base::TimePoint before = m_cell.now();
         waitFor ("rare", adapter);
-        EXPECT_TRUE (m_cell.runUntil ([&] { return m_cell.engineOrders.size() > orders; },
-                                      seconds (30)));
+        EXPECT_TRUE (
+            m_cell.runUntil ([&] { return m_cell.engineOrders.size() > orders; }, seconds (30)));
         return m_cell.now() - before;
     }
 
@@ -216,8 +212,8 @@
     {
         timeToOrder (adapter);
         const base::TimePoint before = m_cell.now();
-        EXPECT_TRUE (m_cell.runUntil (
-            [&] { return allRoutersKnowAdapter (lastEngine(), adapter); }, seconds (30)));
+        EXPECT_TRUE (m_cell.runUntil ([&] { return allRoutersKnowAdapter (lastEngine(), adapter); },
+                                      seconds (30)));
         EXPECT_LE (m_cell.now() - before, kLongestToRouters) << adapter;
     }
 }
@@ -243,8 +239,8 @@
     repeatHeartbeats();
     m_cell.run (seconds (4));  // Every engine may be ordered again.
     timeToOrder ("a2");
-    EXPECT_TRUE (m_cell.runUntil ([&] { return allRoutersKnowAdapter (lastEngine(), "a2"); },
-                                  seconds (30)));
+    EXPECT_TRUE (
+        m_cell.runUntil ([&] { return allRoutersKnowAdapter (lastEngine(), "a2"); }, seconds (30)));
     // A table has a row for each engine.
     EXPECT_LT (m_cell.instanceRowsSent - rows, GetParam() / 10);
 }
--- a/src/controller/RelayPartsTest.cpp
+++ b/src/controller/RelayPartsTest.cpp
@@ -139,7 +139,8 @@
                 batch.add (beat, true, at (from + time));
             }
             for (const cell::InstanceSighting& sighting : batch.takeDue (at (from + time)))
-                told += sighting.hasHoldings && from >= 10'000 && from + time < 10'000 + milliseconds;
+                told +=
+                    sighting.hasHoldings && from >= 10'000 && from + time < 10'000 + milliseconds;
         }
     };
     hearAll (1, 0);
--- a/src/controller/TableVersionsTest.cpp
+++ b/src/controller/TableVersionsTest.cpp
@@ -1,7 +1,7 @@
-#include "controller/TableVersions.h"
-
 #include <gtest/gtest.h>
 
+#include "controller/TableVersions.h"
+
 namespace fernlift::controller
 {
 namespace
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -197,7 +197,8 @@
     std::uint64_t ordersDelivered = 0;
     /// Messages with a configuration that controllers encoded, to one router or to several.
     std::uint64_t configurationMessages = 0;
-    std::uint64_t instanceRowsSent = 0;  ///< In updates of the table of instances, to each receiver.
+    std::uint64_t instanceRowsSent =
+        0;  ///< In updates of the table of instances, to each receiver.
     std::uint64_t lateOrders = 0;
     base::Duration diskDelay = base::milliseconds (1);  ///< Of a write to a member's disk.
 
@@ -257,7 +258,7 @@
     void carryOut (Node& node, AnswerAdmin effect);
     void carryOut (Node& node, AnswerControl effect);
     void carryOut (Node& node, placement::SendEngineOrder effect);
-    void carryOut (Node& node, placement::PollEngine effect);
+    void carryOut (Node& node, const placement::PollEngine& effect);
     void carryOut (Node& /*node*/, const placement::EngineOrderDone& /*done*/) {}
     void carryOut (Node& node, ConfigurationNews news);
     void carryOut (Node& /*node*/, const RequestQuarantined& /*quarantined*/) {}
--- a/src/controller/TestCellTest.cpp
+++ b/src/controller/TestCellTest.cpp
@@ -463,7 +463,7 @@
               });
 }
 
-void TestCell::carryOut (Node& node, placement::PollEngine effect)
+void TestCell::carryOut (Node& node, const placement::PollEngine& effect)
 {
     later (node.id, 2 * kNetworkDelay,
            [this, id = effect.instance] (ControllerCore& core)
--- a/src/controller/VersionIndexTest.cpp
+++ b/src/controller/VersionIndexTest.cpp
@@ -1,9 +1,9 @@
-#include "controller/VersionIndex.h"
-
 #include <gtest/gtest.h>
 
 #include <vector>
 
+#include "controller/VersionIndex.h"
+
 namespace fernlift::controller
 {
 namespace
--- a/src/placement/EngineIndex.cpp
+++ b/src/placement/EngineIndex.cpp
@@ -6,7 +6,7 @@
 namespace fernlift::placement
 {
 
-bool EngineIndex::Holder::operator< (const Holder& other) const
+bool EngineIndex::Holder::operator<(const Holder& other) const
 {
     return std::tie (takenAdapterPlaces, engine->id)
            < std::tie (other.takenAdapterPlaces, other.engine->id);
@@ -78,7 +78,8 @@
 {
     const IndexedHoldings& holdings = engine.indexed;
     for (const std::string& model : holdings.models)
-        placesFor (holdings.service, model).holders.erase ({ holdings.takenAdapterPlaces, &engine });
+        placesFor (holdings.service, model)
+            .holders.erase ({ holdings.takenAdapterPlaces, &engine });
     for (const std::string& model : holdings.copies)
         placesFor (holdings.service, model).copies.erase (&engine);
     for (const std::string& adapter : holdings.adapters)
--- a/src/placement/EngineIndex.h
+++ b/src/placement/EngineIndex.h
@@ -53,7 +53,7 @@
         std::size_t takenAdapterPlaces = 0;
         EngineState* engine = nullptr;
 
-        bool operator< (const Holder& other) const;
+        bool operator<(const Holder& other) const;
     };
 
     /** Where a model is. */
--- a/src/placement/EngineIndexTest.cpp
+++ b/src/placement/EngineIndexTest.cpp
@@ -1,9 +1,9 @@
-#include "placement/EngineIndex.h"
-
 #include <gtest/gtest.h>
 
 #include <vector>
 
+#include "placement/EngineIndex.h"
+
 namespace fernlift::placement
 {
 namespace
--- a/src/placement/EngineNeeds.cpp
+++ b/src/placement/EngineNeeds.cpp
@@ -38,7 +38,8 @@
 
 bool EnginePlacement::isHeldBack (const ModelView& view)
 {
-    return view.holders() > 0 && view.holders() == view.rateLimitedHolders && view.demand.waiting > 0;
+    return view.holders() > 0 && view.holders() == view.rateLimitedHolders
+           && view.demand.waiting > 0;
 }
 
 EnginePlacement::ReplicaTargets EnginePlacement::replicaTargets (const ModelView& view,
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -79,7 +79,8 @@
     if (isNew)
         takeFirstHoldings (engine, row->instance, now);
     const bool isUsable = ! row->instance.isDraining && ! row->isSilent;
-    const bool isSame = ! isNew && engine.isUsable == isUsable && engine.address == row->instance.address
+    const bool isSame = ! isNew && engine.isUsable == isUsable
+                        && engine.address == row->instance.address
                         && engine.service == row->instance.service;
     if (isSame)
         return;
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -375,7 +375,7 @@
     std::set<std::pair<base::TimePoint, std::string>> m_adaptersDueAt;
     std::uint64_t m_adapterOrders = 0;
     base::Duration m_adapterWait{};
-    std::size_t m_polls = 0;  ///< Engines of which `isPolled` is true.
+    std::size_t m_polls = 0;        ///< Engines of which `isPolled` is true.
     double m_pollsWithoutNeed = 0;  ///< That may be asked for now.
     base::TimePoint m_pollsCountedAt{};
     std::set<std::string> m_rateLimited;  ///< Ids.
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -152,8 +152,9 @@
                || (engine.unanswered && engine.unanswered->isFromStore)
                || (! engine.reservedFor.empty() && ! isLocal (engine, engine.reservedFor));
     };
-    return std::ranges::any_of (view.places->copies, [&] (const Engine* engine)
-                                { return m_now >= engine->ordersFrom && ! loadsFromStore (*engine); });
+    return std::ranges::any_of (
+        view.places->copies, [&] (const Engine* engine)
+        { return m_now >= engine->ordersFrom && ! loadsFromStore (*engine); });
 }
 
 double EnginePlacement::blockedCopies (const Engine& engine, base::TimePoint now) const
--- a/src/placement/EngineState.h
+++ b/src/placement/EngineState.h
@@ -63,9 +63,9 @@
     std::map<std::string, HeldState> models;
     std::set<std::string> inMemory;
     std::set<std::string> onDisk;
-    std::optional<PendingOrder> unanswered;  ///< One at a time.
-    std::optional<PendingOrder> modelOrder;  ///< Taken, for a model, not finished.
-    std::optional<PendingOrder> doubtful;    ///< Perhaps taken; the next report tells.
+    std::optional<PendingOrder> unanswered;              ///< One at a time.
+    std::optional<PendingOrder> modelOrder;              ///< Taken, for a model, not finished.
+    std::optional<PendingOrder> doubtful;                ///< Perhaps taken; the next report tells.
     std::map<std::string, base::TimePoint> adaptersDue;  ///< MODEL/ADAPTER; held from then on.
     std::string reservedFor;          ///< Model that is to be loaded after unloads.
     std::set<std::string> withdrawn;  ///< Models that routers no longer are told of.
@@ -76,11 +76,11 @@
     IndexedHoldings indexed;   ///< Written by EngineIndex only.
 
     // Of one round of decisions, and not valid in a later one:
-    std::uint64_t crowdRound = 0;   ///< Of the next member.
-    double requests = 0;            ///< That wait for its models or run there, as far as is known.
-    std::uint64_t weighedRound = 0; ///< Of the next members.
-    double freeMemory = 0;          ///< For models, in megabytes.
-    double adapterTrouble = 0;      ///< What a load costs those who want adapters of its models.
+    std::uint64_t crowdRound = 0;    ///< Of the next member.
+    double requests = 0;             ///< That wait for its models or run there, as far as is known.
+    std::uint64_t weighedRound = 0;  ///< Of the next members.
+    double freeMemory = 0;           ///< For models, in megabytes.
+    double adapterTrouble = 0;       ///< What a load costs those who want adapters of its models.
     /// What a load from the store costs those who want models of which only this engine has a
     /// copy, and could load it soon.
     double blockedCopies = 0;
