--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -232,6 +232,33 @@
     EXPECT_EQ (sent[0].expectedSequence, 3U);
 }
 
+TEST_F (EnginePlacementTest, ALaterIncarnationIsKnownByWhatWasAgreedOn)
+{
+    addEngine ("e1", { "m1" });
+    // Others that do not answer take up the reports that are asked for without need.
+    for (int number = 0; number < 400; ++number)
+    {
+        cell::RoutableInstance other;
+        other.instance.id = "a" + std::to_string (number);
+        other.instance.service = "llm";
+        m_rows[other.instance.id] = other;
+    }
+    cell::RoutableInstance& row = m_rows["e1"];
+    row.instance.startedAt = 1;
+    m_placement.refresh (m_rows, m_now);
+    static_cast<void> (orders());
+    // Its first heartbeat comes before the cell has agreed that it is another one.
+    hear ("e1", { "m2" });
+    row.instance.startedAt = 2;
+    row.instance.isReported = true;
+    row.instance.models = { { "m2", 1, {} } };
+    m_placement.refresh (m_rows, m_now);
+    demand ("m2", 1, 0, "a1");
+    EXPECT_TRUE (polls ("e1"));
+    report ("e1", { "m2" }, 0);
+    EXPECT_EQ (orders().size(), 1U);
+}
+
 TEST_F (EnginePlacementTest, NothingIsOrderedBeforeThePauseIsOver)
 {
     m_now = kStart - base::milliseconds (1);
