An engine that started again under its id is known by what the cell agreed on

Callers would wait for models and adapters of such an engine of a large cell until a controller repeats its holdings: up to 38 s (by reading; not played).

Cause: what placement knew went with the earlier incarnation, the first heartbeat of the later one with it, and small cells only were asked for the report soon. Change: a later incarnation begins with the holdings of its entry, as a new engine does.

--- a/src/controller/ControllerEngines.cpp
+++ b/src/controller/ControllerEngines.cpp
@@ -16,10 +16,11 @@
 
 constexpr std::size_t kUnknownStoreLoads = 8;
 
-/// A round of placement goes over the models in use and their holders: in a small cell it runs no
-/// more often than this for each engine, ...
+/// A round of placement goes over the models in use and their holders. In a small cell it runs no
+/// more often than this for each engine.
 constexpr base::Duration kPlacementIntervalForEngine = std::chrono::microseconds (400);
-/// ... in a larger one this often, as long as rounds take no more than a part of the leader's time.
+/// In a large cell rounds begin this long after each other, or later where they would take more
+/// than one in so many parts of the leader's time.
 constexpr base::Duration kUsualPlacementInterval = base::milliseconds (100);
 constexpr int kPartsOfTimeForPlacement = 10;
 /// What waits is looked at this often at most, in cells of any size.
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -75,8 +75,8 @@
         engine.pollAt = now;
         engine.ordersFrom = m_options.ordersFrom (instance);
     }
-    forgetEarlier (engine, *row, now);
-    if (isNew)
+    const bool isLaterIncarnation = forgetEarlier (engine, *row, now);
+    if (isNew || isLaterIncarnation)
         takeFirstHoldings (engine, row->instance, now);
     const bool isUsable = ! row->instance.isDraining && ! row->isSilent;
     const bool isSame = ! isNew && engine.isUsable == isUsable
@@ -116,11 +116,12 @@
     m_unshown.erase (engine.id);
 }
 
-void EnginePlacement::forgetEarlier (Engine& engine, const cell::RoutableInstance& row,
+bool EnginePlacement::forgetEarlier (Engine& engine, const cell::RoutableInstance& row,
                                      base::TimePoint now)
 {
     const base::UnixMilliseconds startedAt = row.instance.startedAt;
-    if (engine.startedAt != 0 && engine.startedAt != startedAt)
+    const bool isLaterIncarnation = engine.startedAt != 0 && engine.startedAt != startedAt;
+    if (isLaterIncarnation)
     {
         m_store.onGivenUp (engine.id);
         forget (engine);
@@ -133,6 +134,7 @@
         engine.pollAt = now;
     }
     engine.startedAt = startedAt;
+    return isLaterIncarnation;
 }
 
 void EnginePlacement::noteChange (Engine& engine)
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -332,8 +332,8 @@
                base::TimePoint now);
 
     // What answers and reports change.
-    /// Forgets what is known of an earlier incarnation than that of the row.
-    void forgetEarlier (Engine& engine, const cell::RoutableInstance& row, base::TimePoint now);
+    /// Forgets what is known of an earlier incarnation than that of the row; whether there was one.
+    bool forgetEarlier (Engine& engine, const cell::RoutableInstance& row, base::TimePoint now);
     /// Takes over the models that it holds.
     void take (Engine& engine, const EngineHoldings& holdings, base::TimePoint now);
     /// The same with copies of weights.
