--- a/src/controller/LargeFleetTest.cpp
+++ b/src/controller/LargeFleetTest.cpp
@@ -174,6 +174,13 @@
         report.demands.push_back ({ "llm", model, adapter, 1, 0, 1 });
         m_cell.sendFromRouter (0, report);
     }
+    /// Engines that placement knows at a controller.
+    [[nodiscard]] std::size_t enginesAt (base::MemberId member)
+    {
+        const std::string text = m_cell.core (member).metricsText();
+        const std::string name = "\nfernlift_controller_engines ";
+        return std::stoul (text.substr (text.find (name) + name.size()));
+    }
     /// From a request that waits for an adapter of "rare" to the order for it.
     base::Duration timeToOrder (const std::string& adapter)
     {
@@ -245,6 +252,27 @@
     EXPECT_LT (m_cell.instanceRowsSent - rows, GetParam() / 10);
 }
 
+TEST_P (LargeFleetTest, ANewLeaderTakesEnginesInPieces)
+{
+    const base::MemberId earlier = m_cell.leader();
+    m_cell.kill (earlier);
+    std::size_t largest = 0;
+    std::size_t known = 0;
+    const auto hasAll = [&]
+    {
+        const base::MemberId leader = m_cell.leader();
+        if (leader == 0 || leader == earlier)
+            return false;
+        const std::size_t present = enginesAt (leader);
+        largest = std::max (largest, present - std::min (known, present));
+        known = present;
+        return known == GetParam();
+    };
+    EXPECT_TRUE (m_cell.runUntil (hasAll, seconds (5)));
+    // Its event loop is free in between: a step of the cell is a few milliseconds.
+    EXPECT_LE (largest, 2000U);
+}
+
 INSTANTIATE_TEST_SUITE_P (Engines, LargeFleetTest, ::testing::Values (1000, 20'000));
 
 }  // namespace
