A new leader takes engines over in pieces

Cause: placement took over all instances in one input. Change: 1,000 of them at a time, 20 ms after each other; what changes meanwhile is taken over at once. The look at all rows stays one piece (a comparison for each). Evidence: LargeFleetTest counted 20,000 engines in one step, 2,000 allowed.

--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -252,6 +252,7 @@
     m_leader->instances.continueFrom (std::move (earlierTable), m_status.term);
     m_leader->instances.refresh (m_state.instances(), m_now);
     m_leader->requiredInstanceVersion = m_leader->instances.version();
+    m_leader->placedInstances = m_leader->instances.version();
     keepEarlierSpeeds (earlierLoads);
     m_leader->rates.begin (earlierRates.limited, m_now);
     m_leader->unixSince = std::max (m_unixNow, m_state.time());
--- a/src/controller/ControllerEngines.cpp
+++ b/src/controller/ControllerEngines.cpp
@@ -23,6 +23,10 @@
 /// than one in so many parts of the leader's time.
 constexpr base::Duration kUsualPlacementInterval = base::milliseconds (100);
 constexpr int kPartsOfTimeForPlacement = 10;
+/// Instances that placement takes over at a time, when it has to take all: the leader's event loop
+/// is free in between.
+constexpr std::size_t kMostInstancesAtOnce = 1000;
+constexpr base::Duration kMissingInstancesInterval = base::milliseconds (20);
 /// What waits is looked at this often at most, in cells of any size.
 constexpr base::Duration kUrgentPlacementInterval = base::milliseconds (10);
 
@@ -36,19 +40,33 @@
     const bool isNews =
         std::exchange (m_leader->placedConfiguration, catalogue->version) != catalogue->version;
     if (isNews)
-        m_leader->engines.setServices (catalogue->version, catalogue->services.services);
-    if (isNews || isSweep)
     {
-        m_leader->engines.refresh (m_leader->instances.rows(), m_now);
-    }
-    else
-    {
-        m_leader->instances.visitSince (
-            m_leader->placedInstances,
-            [this] (const std::string& id, const cell::RoutableInstance* row)
-            { m_leader->engines.refreshRow (id, row, m_now); });
+        m_leader->engines.setServices (catalogue->version, catalogue->services.services);
+        m_leader->firstUnplaced = "";
     }
+    m_leader->instances.visitSince (
+        m_leader->placedInstances, [this] (const std::string& id, const cell::RoutableInstance* row)
+        { m_leader->engines.refreshRow (id, row, m_now); });
     m_leader->placedInstances = m_leader->instances.version();
+    if (m_leader->firstUnplaced)
+        placeMissingInstances();
+    else if (isSweep)
+        m_leader->engines.refresh (m_leader->instances.rows(), m_now);
+}
+
+void ControllerCore::Implementation::placeMissingInstances()
+{
+    m_leader->instanceTable.request();
+    m_leader->missingInstances.request();
+    if (! m_leader->missingInstances.takeDue (m_now, kMissingInstancesInterval))
+        return;
+    const auto& rows = m_leader->instances.rows();
+    auto row = rows.lower_bound (*m_leader->firstUnplaced);
+    for (std::size_t count = 0; count < kMostInstancesAtOnce && row != rows.end(); ++count, ++row)
+        m_leader->engines.refreshRow (row->first, &row->second, m_now);
+    m_leader->firstUnplaced.reset();
+    if (row != rows.end())
+        m_leader->firstUnplaced = row->first;
 }
 
 void ControllerCore::Implementation::publishHoldings (bool isSweep)
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -250,6 +250,9 @@
     // Versions that placement has:
     std::uint64_t placedConfiguration = 0;
     std::uint64_t placedInstances = 0;
+    /// While placement takes over all instances: the first that it lacks, by id.
+    std::optional<std::string> firstUnplaced;
+    PacedWork missingInstances;      ///< Some of these are to be taken over.
     std::uint64_t notedVersion = 0;  ///< Of `instances`, of which the log has the holdings.
     base::TimePoint nextRemovalAt{};
     std::uint64_t announcedVersion = 0;  ///< Configuration that routers were to be sent last.
@@ -576,6 +579,8 @@
     void noteAndSend (std::vector<placement::SendEngineOrder> orders);
     /// Tells placement of instances; of all of them, or of those that changed.
     void refreshEngines (bool isSweep);
+    /// Tells it of some of those that it lacks.
+    void placeMissingInstances();
     /// Shows routers what engines hold; all engines, or those that changed.
     void publishHoldings (bool isSweep);
     /// False when it is shown already.
