One token bucket for reports without need and for holdings repeated to a new leader

Ruled out: StorePace's tokens, whose rate is learned, and the buckets of quotas, which are shared. A doc comment says what sendInstancesToAll() returns. Behaviour is as it was: constants and the first, full state are the same.

--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -496,7 +496,7 @@
     /// Answers once no router may send by a table in which the instance still takes requests.
     void awaitLeaving (ControlTicket ticket, const Leaving& leaving);
     void answerLeavingWaits();
-    /// Brings all routers up to date.
+    /// Brings all routers up to date; false when some need the whole table and it may not go out.
     bool sendInstancesToAll (bool mayBeWhole);
     struct TableState
     {
--- a/src/controller/HeartbeatBatch.cpp
+++ b/src/controller/HeartbeatBatch.cpp
@@ -22,10 +22,6 @@
 /// runners each 2.5 s took it a hundredth of a core, of the 0.15 that it has.
 constexpr base::Duration kRepeatIntervalForRunner = base::milliseconds (30);
 constexpr std::int64_t kSpreadParts = 16;
-/// Holdings that a new leader is told again, at once and in each second. Told of all runners of a
-/// large cell within one interval of their heartbeats, it had no time for its own.
-constexpr double kMostRepeatsAtOnce = 50;
-constexpr double kRepeatsPerSecond = 100;
 /// What was told this long ago may not be in the log when the leader changes.
 constexpr base::Duration kNotedAfter = base::seconds (2);
 /// A runner that was not heard for this long has gone, or calls another controller.
@@ -55,18 +51,7 @@
 {
     if (now - told.at >= repeatAfter (id))
         return true;
-    return told.leader != m_leaders && (now - told.at < kNotedAfter || takeRepeat (now));
-}
-
-bool HeartbeatBatch::takeRepeat (base::TimePoint now)
-{
-    const double gained =
-        kRepeatsPerSecond * base::toSeconds (now - std::exchange (m_repeatsCountedAt, now));
-    m_repeats = std::min (m_repeats + gained, kMostRepeatsAtOnce);
-    if (m_repeats < 1)
-        return false;
-    --m_repeats;
-    return true;
+    return told.leader != m_leaders && (now - told.at < kNotedAfter || m_repeats.take (now));
 }
 
 void HeartbeatBatch::add (const InstanceHeartbeat& heartbeat, bool isKnown, base::TimePoint now)
--- a/src/controller/HeartbeatBatch.h
+++ b/src/controller/HeartbeatBatch.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/Time.h"
+#include "base/TokenBucket.h"
 #include "cell/RouterMessages.h"
 #include "controller/ControlRequests.h"
 
@@ -32,6 +33,9 @@
     [[nodiscard]] std::vector<cell::InstanceSighting> takeDue (base::TimePoint now);
 
 private:
+    static constexpr double kMostRepeatsAtOnce = 50;
+    static constexpr double kRepeatsPerSecond = 100;
+
     struct Told
     {
         cell::InstanceSighting sighting;  ///< With holdings.
@@ -43,14 +47,14 @@
     [[nodiscard]] base::Duration repeatAfter (const std::string& id) const;
     /** Whether what was told is to be told again now. */
     [[nodiscard]] bool isRepeatDue (const std::string& id, const Told& told, base::TimePoint now);
-    /** Takes one out of those that may be told to a new leader now. */
-    [[nodiscard]] bool takeRepeat (base::TimePoint now);
 
     std::map<std::string, cell::InstanceSighting> m_waiting;  ///< By instance.
     std::map<std::string, Told> m_told;                       ///< Holdings last told, by instance.
     std::uint64_t m_leaders = 0;                              ///< Calls of tellAll().
-    double m_repeats = 0;  ///< That may be told to a new leader now.
-    base::TimePoint m_repeatsCountedAt{};
+    /** Holdings that a new leader is told again. Told of all runners of a large cell within one
+        interval of their heartbeats, it had no time for its own.
+    */
+    base::TokenBucket m_repeats{ kMostRepeatsAtOnce, kRepeatsPerSecond };
     bool m_isUrgent = false;
     base::TimePoint m_sentAt{};
 };
--- a/src/placement/EnginePlacement.cpp
+++ b/src/placement/EnginePlacement.cpp
@@ -493,23 +493,12 @@
         Engine& engine = m_engines.at (id);
         if (! mayAsk (engine))
             continue;
-        if (m_polls >= kMostPolls || ! takePollWithoutNeed (now))
+        if (m_polls >= kMostPolls || ! m_pollsWithoutNeed.take (now))
             return;
         poll (engine, commands, now);
     }
 }
 
-bool EnginePlacement::takePollWithoutNeed (base::TimePoint now)
-{
-    const double gained =
-        kPollsWithoutNeedPerSecond * base::toSeconds (now - std::exchange (m_pollsCountedAt, now));
-    m_pollsWithoutNeed = std::min (m_pollsWithoutNeed + gained, kMostPollsWithoutNeed);
-    if (m_pollsWithoutNeed < 1)
-        return false;
-    --m_pollsWithoutNeed;
-    return true;
-}
-
 void EnginePlacement::poll (Engine& engine, std::vector<EngineCommand>& commands,
                             base::TimePoint now)
 {
--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -19,10 +19,12 @@
 
 #include "base/DecayingRate.h"
 #include "base/Time.h"
+#include "base/TokenBucket.h"
 #include "cell/RouterMessages.h"
 #include "config/ServiceCatalogue.h"
 #include "engine/ServiceEngine.h"
 #include "placement/EngineIndex.h"
+#include "placement/EnginePlacementFigures.h"
 #include "placement/EngineSpecIndex.h"
 #include "placement/EngineState.h"
 #include "placement/ModelView.h"
@@ -259,8 +261,6 @@
 
     // Steps of a decision.
     void pollWhereNeeded (std::vector<EngineCommand>& commands, base::TimePoint now);
-    /// Takes one report out of those that may be asked for without need.
-    [[nodiscard]] bool takePollWithoutNeed (base::TimePoint now);
     /// Asks the engine for a report.
     void poll (Engine& engine, std::vector<EngineCommand>& commands, base::TimePoint now);
     void endPoll (Engine& engine);
@@ -375,9 +375,8 @@
     std::set<std::pair<base::TimePoint, std::string>> m_adaptersDueAt;
     std::uint64_t m_adapterOrders = 0;
     base::Duration m_adapterWait{};
-    std::size_t m_polls = 0;        ///< Engines of which `isPolled` is true.
-    double m_pollsWithoutNeed = 0;  ///< That may be asked for now.
-    base::TimePoint m_pollsCountedAt{};
+    std::size_t m_polls = 0;  ///< Engines of which `isPolled` is true.
+    base::TokenBucket m_pollsWithoutNeed{ kMostPollsWithoutNeed, kPollsWithoutNeedPerSecond };
     std::set<std::string> m_rateLimited;  ///< Ids.
     std::map<TargetKey, TargetDemand> m_demands;
     std::set<TargetKey> m_waitingAdapters;  ///< Of m_demands, that requests wait for.
