--- a/src/controller/ControllerRelayTest.cpp
+++ b/src/controller/ControllerRelayTest.cpp
@@ -126,6 +126,37 @@
     EXPECT_EQ (later->verdict, ControlVerdict::kNotLeader);
 }
 
+TEST_F (ControllerRelayTest, ARelayOfAnEarlierBuildGetsTheWholeTableOfANewLeader)
+{
+    ASSERT_TRUE (apply (1));
+    for (const base::MemberId member : { m_follower, 6 - m_leader - m_follower })
+        ASSERT_TRUE (m_cell.askControl (member, heartbeat (1)));
+    m_cell.run (seconds (1));
+    const TestRouter& router = m_cell.router (0);
+    const std::uint64_t earlierVersion = router.instanceVersion;
+    m_cell.kill (m_leader);
+    ASSERT_TRUE (m_cell.runUntil (
+        [&] { return m_cell.leader() != 0 && m_cell.leader() != m_leader; }, seconds (5)));
+    m_cell.reconnect (0, m_cell.leader());
+    m_cell.run (milliseconds (500));
+    cell::RouterHello hello;
+    hello.router = base::RouterId ("relay");
+    hello.cell = test::forwardingOptions (kRouters).controller.cell;
+    hello.isRelay = true;
+    hello.instanceTerm = router.instanceTerm;
+    hello.instanceVersion = earlierVersion;
+    const auto rowsAfterHello = [&] (std::uint32_t features)
+    {
+        hello.features = features;
+        const std::uint64_t rows = m_cell.instanceRowsSent;
+        m_cell.sendFromRouter (0, hello);
+        m_cell.run (milliseconds (100));
+        return m_cell.instanceRowsSent - rows;
+    };
+    EXPECT_EQ (rowsAfterHello (cell::kFollowsTableOfNextLeader), 0U) << "nothing has changed";
+    EXPECT_EQ (rowsAfterHello (0), 1U) << "the table has one row";
+}
+
 TEST_F (ControllerRelayTest, RoutersOutliveAChangeOfTheLeader)
 {
     ASSERT_TRUE (apply (1));
