--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -152,6 +152,53 @@
     ASSERT_TRUE (runner.waitForRequest());
 }
 
+// No leader was there to tell this router of the third end, which another one had seen. It found
+// the runner of all copies gone, sent the request on to the next one and ended that too.
+class ExchangeOfSuspectTest : public ExchangeTest
+{
+protected:
+    /// Two runners ended under the request; the third one, to which all its copies go, is gone.
+    void SetUp() override
+    {
+        proxy.addRunner ("i-1", runner);
+        proxy.addRunner ("i-2", other);
+        proxy.suspects.apply (suspectUpdate (1, "app.test", 2, { "a", "b" }), proxy.clock.now());
+        InstanceQuery query;
+        query.service = "service";
+        query.trial = identityOfRequest ("app.test").digest;
+        gone = proxy.directory.choose (query, proxy.clock.now()).id;
+        (gone == "i-1" ? runner : other).stopListening();
+    }
+    [[nodiscard]] StubRunner& left() { return gone == "i-1" ? other : runner; }
+
+    std::string gone;
+};
+
+TEST_F (ExchangeOfSuspectTest, WaitsForWhatOtherRoutersSawOfItsRunner)
+{
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    runFor (std::chrono::milliseconds (300));
+    RawCaller copy (proxy.listening);
+    copy.write (ProxyFixture::request ("app.test", "r2"));
+    runFor (std::chrono::milliseconds (300));
+    EXPECT_TRUE (left().connections.empty());
+    proxy.suspects.apply (suspectUpdate (2, "app.test", 3, { "a", "b", gone }), proxy.clock.now());
+    proxy.server.onSuspectsChanged();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 502"));
+    ASSERT_TRUE (copy.waitFor ("HTTP/1.1 502"));
+    EXPECT_TRUE (left().connections.empty());
+}
+
+TEST_F (ExchangeOfSuspectTest, IsServedElsewhereWhenNobodyTellsOfAnEnd)
+{
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (left().waitForRequest());
+    left().connections[0]->write (kAnswer);
+    ASSERT_TRUE (caller.waitFor ("hello"));
+}
+
 TEST_F (ExchangeTest, AWholeAnswerToASuspectAcquitsIt)
 {
     proxy.addRunner ("i-1", runner);
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -79,6 +79,8 @@
     {
         return "127.0.0.1:" + std::to_string (m_server.serverPort());
     }
+    /// Takes no connection from now on.
+    void stopListening() { m_server.close(); }
     /// Waits until a request has come on the connection with this number.
     [[nodiscard]] bool waitForRequest (std::size_t number = 0, const std::string& part = "\r\n\r\n")
     {
