A request before its last allowed end waits when the runner of its copies is gone

What callers saw: a request that ends runners ended four in place of three, when its third end came while the cell had no leader (0.4 to 0.7 s). All requests that ran at the fourth one broke off.

Cause: ends go from router to router through the leader. Without one the other router knew of two ends only. It did find the runner to which all copies of the request go gone, took that for nothing and sent the request to the next runner. Traced in the logs of three failed plays of DeadlyRequestTest, all three alike: unreachable=1 at the second router 0.1 s after the end at the first, the leader known 0.02 s before to 0.3 s after it. Ruled out: ends lost with the leader (the new one's first verdict names all of them), a late look at the runner (the fate was known after 0.2 ms).

Change: a runner that takes no connection, though all copies go there and one more end would be the last, is doubt enough to wait until the table tells, 1.5 s at most: an election and the next report of the router that saw it. With fewer ends nobody waits, so that requests of a lost rack go on at once. Requests that wait for a verdict go on when news of suspects comes, and no longer only when their time is up. Weighed: messages between members without a leader (docs/design/quarantine.md).

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -456,6 +456,8 @@
     {
         endAttempt (AttemptEnd::kUnreachable, false);
         m_query.avoidedInstance = m_instance;
+        if (! m_query.trial.empty())
+            noteTrialUnreachable();
         if (++m_unreachable < kMostUnreachable)
         {
             tryNext();
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -89,6 +89,8 @@
     [[nodiscard]] quarantine::Standing standing() const;
     /// The runner broke off its answer or fell silent in the middle of it.
     void noteBrokenOff();
+    /// The runner to which all copies of a suspect go took no connection.
+    void noteTrialUnreachable();
     /// Whether the request has to wait, or has ended, for what is known of it.
     [[nodiscard]] bool isHeldBack (const quarantine::Standing& standing);
     void refuseQuarantined (const quarantine::Standing& standing);
--- a/src/proxy/ExchangeQuarantine.cpp
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -1,5 +1,8 @@
 // What an exchange does about runners that ended under its request.
 
+#include <algorithm>
+#include <optional>
+
 #include "proxy/Exchange.h"
 #include "proxy/RequestIdentity.h"
 
@@ -12,6 +15,22 @@
 /// known yet whether the runner has ended and what other routers saw. A look at the runner takes
 /// two ways, the commit of what was found some 20 ms.
 constexpr base::Duration kLongestWaitForVerdict = base::milliseconds (100);
+/// The same for what other routers saw of the runner to which all copies go, when one more end
+/// would put the request into quarantine. An election takes up to 0.8 s, and routers tell the new
+/// leader 0.5 s later at the latest.
+constexpr base::Duration kLongestWaitForTrial = base::milliseconds (1500);
+
+/// Until when the request waits before it is sent to a runner; none: it does not.
+std::optional<base::TimePoint> heldUntil (const quarantine::Standing& standing)
+{
+    std::optional<base::TimePoint> until;
+    // Copies wait like retries: each that is sent meanwhile may end one more runner.
+    if (standing.isUndecided())
+        until = *standing.undecidedSince + kLongestWaitForVerdict;
+    if (standing.trialGoneSince)
+        until = std::max (until, { *standing.trialGoneSince + kLongestWaitForTrial });
+    return until;
+}
 
 }  // namespace
 
@@ -55,11 +74,8 @@
         refuseQuarantined (standing);
         return true;
     }
-    if (! standing.isUndecided())
-        return false;
-    // Copies wait like retries: each that is sent meanwhile may end one more runner.
-    const base::TimePoint deadline = *standing.undecidedSince + kLongestWaitForVerdict;
-    if (now() >= deadline)
+    const std::optional<base::TimePoint> deadline = heldUntil (standing);
+    if (! deadline || now() >= *deadline)
         return false;
     m_verdictDeadline = deadline;
     armTimer();
@@ -68,7 +84,14 @@
 
 void Exchange::onSuspectsChanged()
 {
-    if (m_isEnded || ! m_connection)
+    if (m_isEnded)
+        return;
+    if (m_verdictDeadline)
+    {
+        tryNext();
+        return;
+    }
+    if (! m_connection)
         return;
     const quarantine::Standing known = standing();
     if (! known.isInQuarantine())
@@ -88,6 +111,12 @@
     m_context.checkRunner (incarnation, m_address);
 }
 
+void Exchange::noteTrialUnreachable()
+{
+    const std::string incarnation = cell::Incarnation{ m_instance, m_instanceStart }.name();
+    m_context.suspects.onTrialUnreachable (identity(), incarnation, now());
+}
+
 void Exchange::refuseQuarantined (const quarantine::Standing& standing)
 {
     ++m_context.counters.quarantined;
--- a/src/quarantine/SuspectRequests.cpp
+++ b/src/quarantine/SuspectRequests.cpp
@@ -56,6 +56,12 @@
         ++standing.ends;
         freeFrom = end.endedAt;
     }
+    const auto trial = m_goneTrials.find (request.digest);
+    const bool isOpen = trial != m_goneTrials.end()
+                        && std::ranges::find (standing.instances, trial->second.instance)
+                               == standing.instances.end();
+    if (isOpen)
+        standing.trialGoneSince = trial->second.since;
     return standing;
 }
 
@@ -76,6 +82,13 @@
     indexOutlines();
 }
 
+void SuspectRequests::onTrialUnreachable (const cell::RequestIdentity& request,
+                                          std::string instance, base::TimePoint now)
+{
+    if (standingOf (request).ends + 1 >= cell::kEndsBeforeQuarantine)
+        m_goneTrials.try_emplace (request.digest, GoneTrial{ std::move (instance), now });
+}
+
 void SuspectRequests::onTold (const cell::SuspectReport& report, base::TimePoint now)
 {
     for (const cell::RunnerEndReport& told : report.ends)
@@ -129,6 +142,7 @@
 void SuspectRequests::onWholeAnswer (const cell::RequestIdentity& request)
 {
     std::erase_if (m_own, [&] (const OwnEnd& end) { return end.request.digest == request.digest; });
+    m_goneTrials.erase (request.digest);
     const auto row = m_rows.find (request.digest);
     if (row != m_rows.end())
     {
@@ -177,6 +191,7 @@
 {
     m_rows.erase (digest);
     m_acquittals.erase (digest);
+    m_goneTrials.erase (digest);
     // They were told, and the cell has forgotten the request since.
     std::erase_if (m_own,
                    [&] (const OwnEnd& end)
@@ -251,6 +266,8 @@
                        return acquittal.since != base::TimePoint{}
                               && now - acquittal.since >= kAcquittalLifetime;
                    });
+    std::erase_if (m_goneTrials,
+                   [&] (const auto& item) { return now - item.second.since >= kProofLifetime; });
     const std::size_t rowsBefore = m_rows.size();
     std::erase_if (m_rows,
                    [&] (const auto& item)
--- a/src/quarantine/SuspectRequests.h
+++ b/src/quarantine/SuspectRequests.h
@@ -34,6 +34,10 @@
        to the other routers: worth a moment before the request or a copy of it is sent.
     */
     std::optional<base::TimePoint> undecidedSince;
+    /** When the runner to which all its copies go was found gone, while one more end would put it
+        into quarantine: another router may have seen that end.
+    */
+    std::optional<base::TimePoint> trialGoneSince;
     std::vector<std::string> instances;  ///< That ended under it.
 
     [[nodiscard]] bool isUndecided() const { return undecidedSince.has_value(); }
@@ -66,6 +70,9 @@
     bool onFate (const std::string& instance, RunnerFate fate);
     /** The runner is no longer registered, and had not said that it would leave. */
     void onReplaced (const std::string& instance);
+    /** The runner to which all copies of the request go cannot be reached. */
+    void onTrialUnreachable (const cell::RequestIdentity& request, std::string instance,
+                             base::TimePoint now);
     /** The leader was told of ends, and the log takes long to agree on them. */
     void onTold (const cell::SuspectReport& report, base::TimePoint now);
     /** A runner has answered the request whole. */
@@ -113,6 +120,12 @@
         base::TimePoint toldAt{};
     };
 
+    struct GoneTrial
+    {
+        std::string instance;
+        base::TimePoint since{};
+    };
+
     void keepOnly (const std::vector<cell::SuspectRow>& rows);
     void put (const cell::SuspectRow& row, base::TimePoint now);
     void remove (const std::string& digest);
@@ -124,7 +137,8 @@
     std::unordered_map<std::string, Row> m_rows;  ///< By digest.
     std::vector<OwnEnd> m_own;                    ///< The oldest first.
     std::map<std::string, Acquittal> m_acquittals;
-    std::unordered_set<std::uint64_t> m_outlines;  ///< Of rows and own ends.
+    std::map<std::string, GoneTrial> m_goneTrials;  ///< By digest.
+    std::unordered_set<std::uint64_t> m_outlines;   ///< Of rows and own ends.
     std::uint64_t m_forgotten = 0;
 };
 
--- a/src/quarantine/SuspectRequestsTest.cpp
+++ b/src/quarantine/SuspectRequestsTest.cpp
@@ -138,6 +138,31 @@
     EXPECT_EQ (suspects.standingOf (request).ends, 3);
 }
 
+TEST_F (SuspectRequestsTest, AGoneRunnerOfAllCopiesIsInDoubtBeforeTheLastEndOnly)
+{
+    suspects.apply (updateOf (1, 1, { "a" }), at (0));
+    suspects.onTrialUnreachable (request, "b", at (10));
+    EXPECT_FALSE (suspects.standingOf (request).trialGoneSince) << "one more end is no quarantine";
+    suspects.apply (updateOf (2, 2, { "a", "c" }), at (20));
+    suspects.onTrialUnreachable (request, "d", at (30));
+    suspects.onTrialUnreachable (request, "d", at (40));
+    EXPECT_EQ (suspects.standingOf (request).trialGoneSince, at (30));
+    EXPECT_EQ (suspects.standingOf (request).ends, 2) << "no end was seen";
+    suspects.apply (updateOf (3, 2, { "a", "c", "d" }), at (50));
+    EXPECT_FALSE (suspects.standingOf (request).trialGoneSince) << "the table tells";
+}
+
+TEST_F (SuspectRequestsTest, AWholeAnswerOrTimeSettlesAGoneRunnerOfAllCopies)
+{
+    suspects.apply (updateOf (1, 2, { "a", "b" }), at (0));
+    suspects.onTrialUnreachable (request, "c", at (10));
+    suspects.onWholeAnswer (request);
+    EXPECT_FALSE (suspects.standingOf (request).trialGoneSince);
+    suspects.onTrialUnreachable (request, "c", at (20));
+    suspects.expire (at (11'000));
+    EXPECT_FALSE (suspects.standingOf (request).trialGoneSince);
+}
+
 TEST_F (SuspectRequestsTest, AWholeAnswerAcquits)
 {
     suspects.apply (updateOf (4, 1, { "a" }), at (100));
