Test: no request is sent a second time in a large cell

The part of the reserve for retries of one of many routers is a function of its own now, as it was; the tests ask it what routers of a cell of 985 and of 2,000 may do.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -34,4 +34,9 @@
 
 void RetryBudget::chargeRetry() { m_balance = std::max (m_balance - 1, 0.0); }
 
+double partOfReserve (double reserve, std::uint32_t sharers, std::string_view /*name*/)
+{
+    return reserve / sharers;
+}
+
 }  // namespace fernlift::dispatch
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -2,6 +2,9 @@
 
 /// Limits retries to a share of first attempts, so that retries cannot multiply an overload.
 
+#include <cstdint>
+#include <string_view>
+
 namespace fernlift::dispatch
 {
 
@@ -30,4 +33,7 @@
     double m_balance;
 };
 
+/// Part of a reserve of retries for one of those that share it.
+[[nodiscard]] double partOfReserve (double reserve, std::uint32_t sharers, std::string_view name);
+
 }  // namespace fernlift::dispatch
--- a/src/dispatch/RetryTest.cpp
+++ b/src/dispatch/RetryTest.cpp
@@ -3,6 +3,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "base/Random.h"
 #include "dispatch/Attempt.h"
 #include "dispatch/RetryBudget.h"
 #include "dispatch/RetryPolicy.h"
@@ -103,6 +108,70 @@
     }
 }
 
+/// Budgets of the routers of a cell, each with its part of one reserve.
+std::vector<RetryBudget> budgetsOf (std::uint32_t routers, double reserve)
+{
+    std::vector<RetryBudget> budgets;
+    for (std::uint32_t router = 0; router < routers; ++router)
+    {
+        RetryBudget& budget = budgets.emplace_back (0.2, 4);
+        budget.limitReserve (partOfReserve (reserve, routers, "router-" + std::to_string (router)));
+    }
+    return budgets;
+}
+
+// A part of the reserve below one retry allowed none: in a cell of a thousand routers no request
+// was ever sent a second time.
+TEST (RetryBudgetTest, ShareOfRoutersThatMayRetryFollowsTheReserveInALargeCell)
+{
+    struct Case
+    {
+        std::uint32_t routers;
+        double reserve;
+        double share;  ///< Of the routers.
+    };
+    for (const auto& [routers, reserve, share] :
+         { Case{ 985, 832, 0.75 }, Case{ 2000, 1664, 0.75 }, Case{ 2000, 832, 0.35 } })
+    {
+        const auto budgets = budgetsOf (routers, reserve);
+        EXPECT_GE (std::ranges::count_if (budgets, &RetryBudget::allowsRetry), share * routers)
+            << routers << " routers, reserve " << reserve;
+    }
+}
+
+// Calls that a runner answers with an error seven times in fifty, each router with few of them.
+TEST (RetryBudgetTest, MostFailedCallsOfALargeCellAreSentAgain)
+{
+    constexpr std::uint32_t kRouters = 1000;
+    base::Random random (1);
+    std::vector<RetryBudget> budgets = budgetsOf (kRouters, 800);
+    int failed = 0;
+    int sentAgain = 0;
+    for (int request = 0; request < 5000; ++request)
+    {
+        RetryBudget& budget = budgets[random.uniformInteger (0, kRouters - 1)];
+        budget.onFirstAttempt();
+        constexpr double kErrorShare = 0.01;  // Of all requests; one in fifteen is such a call.
+        if (random.uniformReal() >= kErrorShare)
+            continue;
+        ++failed;
+        sentAgain += budget.tryRetry() ? 1 : 0;
+    }
+    EXPECT_GE (sentAgain, 0.6 * failed);
+}
+
+RC_GTEST_PROP (RetryBudgetProperty, PartsOfAReserveStayWithinItByLot, ())
+{
+    const auto routers = *rc::gen::inRange<std::uint32_t> (1, 3000);
+    const double reserve = *rc::gen::inRange (0, 3000);
+    constexpr double kUsed = 0.8;  // Lots may fall one or the other way.
+    const std::string cell = std::to_string (*rc::gen::arbitrary<std::uint32_t>());
+    double sum = 0;
+    for (std::uint32_t router = 0; router < routers; ++router)
+        sum += partOfReserve (kUsed * reserve, routers, cell + "-" + std::to_string (router));
+    RC_ASSERT (sum <= reserve + 1e-6);
+}
+
 RetryQuestion question (AttemptFailure failure, bool isRepeatable)
 {
     RetryQuestion asked;
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -385,7 +385,8 @@
 {
     if (m_settings.cellRetryReserve == 0)
         return;
-    m_retryBudget.limitReserve (kUsedReserve * m_settings.cellRetryReserve / m_directory.routers());
+    m_retryBudget.limitReserve (dispatch::partOfReserve (kUsedReserve * m_settings.cellRetryReserve,
+                                                         m_directory.routers(), m_settings.id));
 }
 
 void ProxyProcess::noteController (bool isAnswering)
