Retries of a large cell's reserve go to routers as whole ones, by lot

What callers saw: in a cell of 985 routers no failed call was sent on to a second runner and no broken stream resumed, though their routes allow two attempts and the back ends' bound on repeats was not used at all.

Cause: each router takes an equal part of the reserve that all share, 0.8 x 1,040 / 985 = 0.84, and keeps its balance below it. Below one the balance never reaches a whole retry; what the router earns by its own first attempts is cut off as well. It holds at any size with fewer retries in reserve than routers. Ruled out: routers that count wrongly (the part is below one with the right count), retries refused by the route (two attempts). Traced in the logs of 149 routers: none of 3,189 answered requests was sent again.

A lot that falls on 0 keeps the bound; such a router sends nothing again, which is the price in cells whose reserve is far below one each. Weighed: retries lent by controllers (a message and a round trip for each; the way to go if reserves get smaller), a least part of one (breaks the bound with more routers than reserve), a new lot every window (twice the reserve in windows that touch two lots).

The gain is where a runner breaks.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -1,6 +1,9 @@
 #include "dispatch/RetryBudget.h"
 
 #include <algorithm>
+#include <cmath>
+
+#include "base/HashShare.h"
 
 namespace fernlift::dispatch
 {
@@ -8,6 +11,9 @@
 {
 
 constexpr double kLargestBalance = 100;
+/// Lots fall differently from one set of names to the other; so many standard deviations less are
+/// given out that their sum stays within the reserve.
+constexpr double kDeviationsLeftOut = 3;
 
 }  // namespace
 
@@ -34,9 +40,13 @@
 
 void RetryBudget::chargeRetry() { m_balance = std::max (m_balance - 1, 0.0); }
 
-double partOfReserve (double reserve, std::uint32_t sharers, std::string_view /*name*/)
+double partOfReserve (double reserve, std::uint32_t sharers, std::string_view name)
 {
-    return reserve / sharers;
+    const double share = reserve / sharers;
+    if (share >= 1)
+        return share;
+    const double deviation = std::sqrt (share * (1 - share) / sharers);
+    return base::hashShare (name) < share - kDeviationsLeftOut * deviation ? 1 : 0;
 }
 
 }  // namespace fernlift::dispatch
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -33,7 +33,8 @@
     double m_balance;
 };
 
-/// Part of a reserve of retries for one of those that share it.
+/// Part of a reserve of retries for one of those that share it. Below one retry each, in large
+/// cells, whole retries go to some of them, by a lot of their names: a part of one allows none.
 [[nodiscard]] double partOfReserve (double reserve, std::uint32_t sharers, std::string_view name);
 
 }  // namespace fernlift::dispatch
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -5,6 +5,8 @@
 #include <functional>
 #include <utility>
 
+#include "base/HashShare.h"
+
 namespace fernlift::proxy
 {
 namespace
@@ -43,9 +45,7 @@
 
 double hashShare (const std::string& id, const std::string& affinity)
 {
-    const std::size_t hash = std::hash<std::string>() (id + '\n' + affinity);
-    constexpr double kRange = 18446744073709551616.0;
-    return static_cast<double> (hash) / kRange;
+    return base::hashShare (id + '\n' + affinity);
 }
 
 std::string incarnationNameOf (const cell::RoutableInstance& row)
