--- a/src/controller/LargeFleetTest.cpp
+++ b/src/controller/LargeFleetTest.cpp
@@ -63,12 +63,29 @@
     return options;
 }
 
+/// How many engines placement takes over from one look at it to the next.
+struct Growth
+{
+    std::size_t known = 0;
+    std::size_t largest = 0;
+
+    void note (std::size_t present)
+    {
+        largest = std::max (largest, present - std::min (known, present));
+        known = present;
+    }
+};
+
+/// The event loop of the leader is free in between: a step of the cell is a few milliseconds.
+constexpr std::size_t kMostEnginesInStep = 2000;
+
 /// The parameter is the number of engines. All hold the models "common" and "base", the last one
 /// "rare", too.
 class LargeFleetTest : public ::testing::TestWithParam<std::size_t>
 {
 protected:
-    LargeFleetTest() : m_cell (optionsOf())
+    LargeFleetTest() : LargeFleetTest (true) {}
+    explicit LargeFleetTest (bool isConfigured) : m_cell (optionsOf())
     {
         for (std::size_t number = 0; number < kRouters; ++number)
             m_cell.router (number).acceptsLastKnownState = true;
@@ -77,12 +94,19 @@
         // Some at each controller; the first one is at the leader.
         for (std::size_t number = 0; number < kRouters; ++number)
             m_cell.reconnect (number, (leader - 1 + number) % 3 + 1);
-        const auto answer = m_cell.askControl (leader, ReplaceConfiguration{ "1 " }, seconds (4));
-        EXPECT_TRUE (answer && answer->verdict == ControlVerdict::kDone);
+        if (isConfigured)
+            configure();
         m_cell.run (milliseconds (100));
         registerEngines();
     }
 
+    void configure()
+    {
+        const auto answer =
+            m_cell.askControl (m_cell.leader(), ReplaceConfiguration{ "1 " }, seconds (4));
+        EXPECT_TRUE (answer && answer->verdict == ControlVerdict::kDone);
+    }
+
     static std::string engineName (std::size_t number)
     {
         return "i-" + std::to_string (100'000 + number);
@@ -256,24 +280,41 @@
 {
     const base::MemberId earlier = m_cell.leader();
     m_cell.kill (earlier);
-    std::size_t largest = 0;
-    std::size_t known = 0;
+    Growth growth;
     const auto hasAll = [&]
     {
         const base::MemberId leader = m_cell.leader();
         if (leader == 0 || leader == earlier)
             return false;
-        const std::size_t present = enginesAt (leader);
-        largest = std::max (largest, present - std::min (known, present));
-        known = present;
-        return known == GetParam();
+        growth.note (enginesAt (leader));
+        return growth.known == GetParam();
     };
     EXPECT_TRUE (m_cell.runUntil (hasAll, seconds (5)));
-    // Its event loop is free in between: a step of the cell is a few milliseconds.
-    EXPECT_LE (largest, 2000U);
+    EXPECT_LE (growth.largest, kMostEnginesInStep);
 }
 
 INSTANTIATE_TEST_SUITE_P (Engines, LargeFleetTest, ::testing::Values (1000, 20'000));
 
+/// All engines have registered before the cell has a configuration.
+class LargeFleetBeforeConfigurationTest : public LargeFleetTest
+{
+protected:
+    LargeFleetBeforeConfigurationTest() : LargeFleetTest (false) {}
+};
+
+// A leader that takes over all engines at the first configuration is busy for longer than the other
+// controllers wait before they elect another one.
+TEST_P (LargeFleetBeforeConfigurationTest, EnginesAreTakenInPieces)
+{
+    Growth growth;
+    m_cell.onStep = [&] { growth.note (enginesAt (m_cell.leader())); };
+    configure();
+    EXPECT_TRUE (m_cell.runUntil ([&] { return growth.known == GetParam(); }, seconds (5)));
+    EXPECT_LE (growth.largest, kMostEnginesInStep);
+}
+
+INSTANTIATE_TEST_SUITE_P (Engines, LargeFleetBeforeConfigurationTest,
+                          ::testing::Values (1000, 20'000));
+
 }  // namespace
 }  // namespace fernlift::controller
