status shows the table of instances and what placement is at

fernliftctl showed none of the figures of a large cell; they stood in the metrics only. Answer of /admin/v1/status from the leader: instance_table, engine_placement. Asserted at 1,000 and 20,000 engines (LargeFleetTest).

--- a/src/controller/AdminAnswers.cpp
+++ b/src/controller/AdminAnswers.cpp
@@ -189,6 +189,24 @@
     return array;
 }
 
+QJsonObject placementObject (const placement::EnginePlacementStatus& status)
+{
+    return { { u"engines"_s, static_cast<qint64> (status.engines) },
+             { u"engines_unknown"_s, static_cast<qint64> (status.unknownEngines) },
+             { u"engines_with_orders"_s, static_cast<qint64> (status.attendedEngines) },
+             { u"adapters_waited_for"_s, static_cast<qint64> (status.waitingAdapters) },
+             { u"adapter_orders"_s, static_cast<qint64> (status.adapterOrders) },
+             { u"adapter_order_wait_ms"_s,
+               static_cast<qint64> (base::toMilliseconds (status.adapterWait)) } };
+}
+
+QJsonObject instanceTableObject (const InstanceTable& instances)
+{
+    return { { u"term"_s, number (instances.term()) },
+             { u"version"_s, number (instances.version()) },
+             { u"instances"_s, static_cast<qint64> (instances.rows().size()) } };
+}
+
 template <class Wanted>
 QJsonArray journalArray (const cell::DecisionJournal& journal, Wanted&& isWanted)
 {
@@ -436,6 +454,10 @@
         object[u"routers"_s] = routersArray (*view.sessions, view.now);
     if (view.demands != nullptr)
         object[u"demands"_s] = demandsArray (*view.demands);
+    if (view.placement)
+        object[u"engine_placement"_s] = placementObject (*view.placement);
+    if (view.instances != nullptr)
+        object[u"instance_table"_s] = instanceTableObject (*view.instances);
     return answerOf (200, object);
 }
 
--- a/src/controller/AdminAnswers.h
+++ b/src/controller/AdminAnswers.h
@@ -14,8 +14,10 @@
 #include "controller/DemandTable.h"
 #include "controller/InstanceLoadTable.h"
 #include "controller/InstanceRateLedger.h"
+#include "controller/InstanceTable.h"
 #include "controller/RouterSessions.h"
 #include "controller/RunnerWatch.h"
+#include "placement/EnginePlacement.h"
 
 namespace fernlift::controller
 {
@@ -49,7 +51,9 @@
     const DemandTable* demands = nullptr;      ///< Leader only.
     const InstanceLoadTable* loads = nullptr;  ///< Of registered runners.
     base::TimePoint now{};
-    const InstanceRateLedger* rates = nullptr;  ///< Leader only.
+    const InstanceRateLedger* rates = nullptr;                    ///< Leader only.
+    const InstanceTable* instances = nullptr;                     ///< Leader only.
+    std::optional<placement::EnginePlacementStatus> placement{};  ///< Leader only.
 };
 
 /// {"suspects": [{"request","ends","quarantined","runners","last_end_ms"}]}, those in quarantine
--- a/src/controller/ControllerAdmin.cpp
+++ b/src/controller/ControllerAdmin.cpp
@@ -188,7 +188,7 @@
 
 AdminView ControllerCore::Implementation::adminView (const consensus::RaftStatus& status) const
 {
-    AdminView view{ m_state, status, nullptr, nullptr, nullptr, nullptr, m_now, nullptr };
+    AdminView view{ m_state, status, nullptr, nullptr, nullptr, nullptr, m_now };
     if (m_leader)
     {
         view.watch = &m_leader->watch;
@@ -196,6 +196,8 @@
         view.demands = &m_leader->demands;
         view.loads = &m_leader->loads;
         view.rates = &m_leader->rates;
+        view.instances = &m_leader->instances;
+        view.placement = m_leader->engines.status();
     }
     return view;
 }
--- a/src/controller/LargeFleetTest.cpp
+++ b/src/controller/LargeFleetTest.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <QJsonDocument>
+#include <QJsonObject>
 #include <algorithm>
 
 #include "controller/ControllerCore.h"
@@ -249,6 +251,19 @@
     }
 }
 
+TEST_P (LargeFleetTest, StatusShowsWhatPlacementKnows)
+{
+    EXPECT_TRUE (
+        m_cell.runUntil ([&] { return enginesAt (m_cell.leader()) == GetParam(); }, seconds (1)));
+    const auto answer = m_cell.ask (m_cell.leader(), AdminStatus{});
+    ASSERT_TRUE (answer);
+    const QJsonObject status =
+        QJsonDocument::fromJson (QByteArray::fromStdString (answer->json)).object();
+    const auto engines = static_cast<qint64> (GetParam());
+    EXPECT_EQ (status[u"engine_placement"].toObject()[u"engines"].toInteger(), engines);
+    EXPECT_EQ (status[u"instance_table"].toObject()[u"instances"].toInteger(), engines);
+}
+
 TEST_P (LargeFleetTest, EachEngineIsToldOnceWhenItRegisters)
 {
     m_cell.run (seconds (2));
