--- a/cmake/FernliftModule.cmake
+++ b/cmake/FernliftModule.cmake
@@ -27,6 +27,29 @@
 endif()
 
 # fernlift_module(NAME [dependencies...])
+# Test binaries whose cases are split over several tests, which run side by side: with the sanitizers
+# all cases of one take longer than a test may.
+set(fernlift_shards_controller_test 3)
+
+# Runs the test binary NAME as the tests NAME, NAME_2, NAME_3 and so on, each with a part of its cases.
+function(fernlift_add_tests name)
+  set(shards 1)
+  if(DEFINED fernlift_shards_${name})
+    set(shards ${fernlift_shards_${name}})
+  endif()
+  foreach(number RANGE 1 ${shards})
+    set(test ${name})
+    if(number GREATER 1)
+      set(test ${name}_${number})
+    endif()
+    math(EXPR index "${number} - 1")
+    add_test(NAME ${test} COMMAND ${name})
+    set_tests_properties(${test} PROPERTIES ENVIRONMENT
+      "RC_PARAMS=seed=20261202;FERNLIFT_BIN_DIR=${CMAKE_BINARY_DIR}/bin;FERNLIFT_SOURCE_DIR=${CMAKE_SOURCE_DIR};GTEST_TOTAL_SHARDS=${shards};GTEST_SHARD_INDEX=${index}"
+      TIMEOUT 240)
+  endforeach()
+endfunction()
+
 # Builds src/NAME/*.cpp into a library and src/NAME/*Test.cpp into the test binary NAME_test.
 function(fernlift_module name)
   # The platform's module lies in a folder of its own.
@@ -50,10 +73,7 @@
     add_executable(${name}_test ${test_sources})
     target_link_libraries(${name}_test PRIVATE fernlift_${name} GTest::gtest GTest::gtest_main
                                                rapidcheck rapidcheck_gtest)
-    add_test(NAME ${name}_test COMMAND ${name}_test)
-    set_tests_properties(${name}_test PROPERTIES ENVIRONMENT
-      "RC_PARAMS=seed=20261202;FERNLIFT_BIN_DIR=${CMAKE_BINARY_DIR}/bin;FERNLIFT_SOURCE_DIR=${CMAKE_SOURCE_DIR}"
-      TIMEOUT 240)
+    fernlift_add_tests(${name}_test)
   endif()
 endfunction()
 
