Routers log and count what runners state in refusals: Retry-After and leaving

Logs and metrics held neither the statement nor its end, so that the hypotheses in docs/incidents/issue-56-retry-after.md couldn't be told apart.

RunnerAvailability keeps the statements of each incarnation, apart from the table of runners. The choice of a runner does not use it yet.

--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -135,6 +135,7 @@
     void recordPrefillEnd();
     void recordLoad (const http::AnswerHead& head);
     void recordRate (const http::AnswerHead& head);
+    void recordAvailability (const http::AnswerHead& head);
     /// Whether the runner states that it did not execute the request.
     [[nodiscard]] bool isRefusal (const http::AnswerHead& head) const;
     void finishAnswer();
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -15,6 +15,8 @@
 /// Answers up to this size are buffered until complete, so that a truncated one can be retried.
 constexpr std::size_t kMaxBufferedBytes = 256UL * 1024;
 constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
 constexpr int kFirstErrorStatus = 400;
 constexpr int kFirstServerError = 500;
 
@@ -62,10 +64,28 @@
                               now());
 }
 
+void Exchange::recordAvailability (const http::AnswerHead& head)
+{
+    // A misdirected request may have been answered by another instance at the same address.
+    if (head.status == kMisdirected)
+        return;
+    const cell::Incarnation runner{ m_instance, m_instanceStart };
+    RunnerAvailability& availability = m_context.directory.availability();
+    const std::string& leaving = m_context.names.leaving;
+    if (! leaving.empty() && head.headers.value (leaving) == "1")
+        availability.onLeaving (runner, now());
+    // A 429 of an executed request is the application's statement to its caller.
+    const bool isDeclined =
+        head.status == kServiceUnavailable || (head.status == kTooManyRequests && isRefusal (head));
+    if (isDeclined)
+        availability.onRetryAfter (runner, http::readRetryAfter (head.headers), now());
+}
+
 void Exchange::onHead (http::AnswerHead head)
 {
     recordLoad (head);
     recordRate (head);
+    recordAvailability (head);
     recordPrefillEnd();
     if (isCurrentIncarnation())
         m_context.directory.onBytes (m_instance, now());
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -50,9 +50,14 @@
     return base::hashToUnitInterval (id + '\n' + affinity);
 }
 
+cell::Incarnation incarnationOf (const cell::RoutableInstance& row)
+{
+    return { row.instance.id, row.instance.startedAt };
+}
+
 std::string incarnationNameOf (const cell::RoutableInstance& row)
 {
-    return cell::Incarnation{ row.instance.id, row.instance.startedAt }.name();
+    return incarnationOf (row).name();
 }
 
 const cell::HeldModel* findModel (const cell::RoutableInstance& row, const std::string& name)
@@ -583,6 +588,7 @@
     const auto found = m_views.find (id);
     if (found == m_views.end())
         return;
+    m_availability.onAttemptBegin (incarnationOf (found->second.row), now);
     if (found->second.own.inFlight == 0)
         found->second.lastBytesAt = now;
     ++found->second.own.inFlight;
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -16,6 +16,7 @@
 #include "base/SocketAddress.h"
 #include "base/Time.h"
 #include "cell/RouterMessages.h"
+#include "proxy/RunnerAvailability.h"
 #include "proxy/RunnerEstimate.h"
 #include "proxy/StatedLoad.h"
 
@@ -159,6 +160,9 @@
     void onNotHeld (const std::string& id, const std::string& model, const std::string& adapter,
                     base::TimePoint now);
 
+    /// Availability that the runners state in their answers.
+    [[nodiscard]] RunnerAvailability& availability() { return m_availability; }
+
     [[nodiscard]] std::uint32_t routers() const { return m_routers; }
     [[nodiscard]] const std::vector<cell::ControllerEndpoint>& controllers() const
     {
@@ -285,6 +289,7 @@
     base::TimePoint m_loadsAt{};  ///< Time of the last update of the loads of other routers.
     std::vector<std::string> m_unreachable;
     std::vector<std::string> m_replaced;
+    RunnerAvailability m_availability;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProtocolNames.h
+++ b/src/proxy/ProtocolNames.h
@@ -34,6 +34,8 @@
     /// Requests per second that the runner accepts from all routers together, for as long as its
     /// answers state it.
     std::string rateLimit;
+    /// Has the value "1" in all answers of a runner that is leaving.
+    std::string leaving;
     /// Fields of answers that are meant for this system and are not forwarded to callers.
     std::vector<std::string> internalAnswerFields;
     std::string lastEventId = "Last-Event-Id";  ///< Event after which a stream is resumed.
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -156,6 +156,19 @@
             set ("fernlift_proxy_permits_unanswered",
                  "Requests for permits that no leader answered in time.",
                  m_rates.counters().unanswered);
+            RunnerAvailability& availability = m_directory.availability();
+            set ("fernlift_proxy_backoff_runners",
+                 "Runners that accept no request from this router for now (Retry-After).",
+                 availability.backingOff (m_clock.now()));
+            set ("fernlift_proxy_leaving_runners",
+                 "Runners that state in their answers that they are leaving.",
+                 availability.leaving (m_clock.now()));
+            set ("fernlift_proxy_backoff_answers",
+                 "Answers of runners that declined a request with Retry-After.",
+                 availability.counters().backoffAnswers);
+            set ("fernlift_proxy_attempts_during_backoff",
+                 "Attempts at runners that had asked for none at that time.",
+                 availability.counters().attemptsDuringBackoff);
             set ("fernlift_proxy_configuration_version", "Configuration in force.", m_held.version);
             set ("fernlift_proxy_configuration_unconfirmed_milliseconds",
                  "Since the lease on the configuration ended; 0 while it lasts.",
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -146,6 +146,7 @@
         names.notExecuted = "Test-Not-Executed";
         names.load = "Test-Load";
         names.rateLimit = "Test-Rate";
+        names.leaving = "Test-Leaving";
         names.readinessPath = "/ready";
         return names;
     }
