--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -1,7 +1,6 @@
 #include <gtest/gtest.h>
 
 #include "proxy/ProxyTestSupport.h"
-#include "proxy/RequestIdentity.h"
 
 namespace fernlift::proxy::test
 {
@@ -36,26 +35,6 @@
     EXPECT_NE (caller.received().find ("X-Own: 1\r\n"), std::string::npos);
 }
 
-/// Identity of ProxyFixture::request().
-cell::RequestIdentity identityOfRequest (const std::string& host)
-{
-    ParsedRequest request;
-    request.method = "POST";
-    request.target = "/path?q=1";
-    request.headers.add ("Host", host);
-    request.body = "body";
-    return identityOf (request, "");
-}
-
-cell::SuspectUpdate suspectUpdate (std::uint64_t version, const std::string& host,
-                                   std::uint32_t crashes, std::vector<std::string> instances)
-{
-    cell::SuspectUpdate update;
-    update.toVersion = version;
-    update.upserts.push_back ({ identityOfRequest (host), crashes, std::move (instances) });
-    return update;
-}
-
 TEST_F (ExchangeTest, ARequestInQuarantineReachesNoRunner)
 {
     proxy.addRunner ("i-1", runner);
--- a/src/proxy/InstanceDirectoryTest.cpp
+++ b/src/proxy/InstanceDirectoryTest.cpp
@@ -177,6 +177,19 @@
     EXPECT_EQ (choose(), "i-2");
 }
 
+TEST_F (InstanceDirectoryTest, FailureMarksLapseWithoutAttempts)
+{
+    // The failures leave i-1 dearer than i-2 in another zone, so that it gets no attempt.
+    put ({ rowOf ("i-1"), rowOf ("i-2", "z2") });
+    for (int failure = 0; failure < 5; ++failure)
+    {
+        m_directory.onAttemptBegin ("i-1", 0, kStart);
+        m_directory.onAttemptEnd ("i-1", AttemptEnd::kFailed, kStart);
+    }
+    EXPECT_EQ (choose(), "i-2");
+    EXPECT_EQ (choose ("", kStart + base::seconds (30)), "i-1");
+}
+
 TEST_F (InstanceDirectoryTest, AQuietRunnerIsAvoidedWhileItHasRequests)
 {
     put ({ rowOf ("i-1"), rowOf ("i-2", "z2") });
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -7,14 +7,17 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "config/ServiceCatalogue.h"
 #include "http/HttpTestSupport.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/ProxyServer.h"
+#include "proxy/RequestIdentity.h"
 
 namespace fernlift::proxy::test
 {
@@ -98,6 +101,70 @@
     QTcpServer m_server;
 };
 
+/// Reply of an AnsweringRunner.
+struct StubReply
+{
+    std::string bytes;    ///< Empty: no answer; the connection stays open.
+    bool resets = false;  ///< Whether the connection is reset after the bytes.
+};
+
+/// Runner that replies to each request of ProxyFixture::request() as soon as it has arrived.
+class AnsweringRunner
+{
+public:
+    using Handler = std::function<StubReply (const std::string& request)>;
+
+    explicit AnsweringRunner (Handler handler) : m_handler (std::move (handler))
+    {
+        QObject::connect (&m_server, &QTcpServer::newConnection, &m_server,
+                          [this]
+                          {
+                              while (QTcpSocket* socket = m_server.nextPendingConnection())
+                                  accept (*socket);
+                          });
+        m_server.listen (QHostAddress::LocalHost);
+    }
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string (m_server.serverPort());
+    }
+
+    std::size_t requests = 0;
+
+private:
+    void accept (QTcpSocket& socket)
+    {
+        QObject::connect (&socket, &QTcpSocket::disconnected, &socket, &QObject::deleteLater);
+        QObject::connect (&socket, &QTcpSocket::readyRead, &socket,
+                          [this, &socket] { read (socket); });
+    }
+    void read (QTcpSocket& socket)
+    {
+        constexpr std::string_view kEnd = "\r\n\r\nbody";
+        std::string& received = m_received[&socket];
+        received += socket.readAll().toStdString();
+        const std::size_t end = received.find (kEnd);
+        if (end == std::string::npos)
+            return;
+        const std::string request = received.substr (0, end + kEnd.size());
+        received.erase (0, request.size());
+        ++requests;
+        const StubReply reply = m_handler (request);
+        socket.write (reply.bytes.data(), static_cast<qint64> (reply.bytes.size()));
+        socket.flush();
+        if (! reply.resets)
+            return;
+        const linger immediate{ 1, 0 };
+        ::setsockopt (static_cast<int> (socket.socketDescriptor()), SOL_SOCKET, SO_LINGER,
+                      &immediate, sizeof immediate);
+        socket.abort();
+    }
+
+    Handler m_handler;
+    std::map<QTcpSocket*, std::string> m_received;
+    QTcpServer m_server;
+};
+
 /// Clock that continues while timers stand still, as on a suspended machine.
 class SuspendedClock final : public base::Clock
 {
@@ -180,21 +247,52 @@
     /// Registers a runner under this id.
     void addRunner (const std::string& id, const StubRunner& runner, bool isDraining = false)
     {
-        cell::InstanceUpdate update;
-        update.term = 1;
-        update.fromVersion = m_tableVersion;
-        update.toVersion = ++m_tableVersion;
+        cell::RoutableInstance row = rowOf (id, runner.address());
+        row.instance.isDraining = isDraining;
+        put (row);
+    }
+
+    static cell::RoutableInstance rowOf (const std::string& id, const std::string& address,
+                                         base::UnixMilliseconds startedAt = 0)
+    {
         cell::RoutableInstance row;
         row.instance.id = id;
+        row.instance.startedAt = startedAt;
         row.instance.service = "service";
-        row.instance.address = runner.address();
+        row.instance.address = address;
         row.instance.zone = "z1";
         row.instance.slots = 8;
-        row.instance.isDraining = isDraining;
+        return row;
+    }
+
+    /// Adds a row to the table of runners, or replaces it.
+    void put (const cell::RoutableInstance& row)
+    {
+        cell::InstanceUpdate update;
+        update.term = 1;
+        update.fromVersion = m_tableVersion;
+        update.toVersion = ++m_tableVersion;
         update.upserts.push_back (row);
         directory.apply (update, clock.now());
         server.onDirectoryChanged();
     }
+    void remove (const std::string& id)
+    {
+        cell::InstanceUpdate update;
+        update.term = 1;
+        update.fromVersion = m_tableVersion;
+        update.toVersion = ++m_tableVersion;
+        update.removals.push_back (id);
+        directory.apply (update, clock.now());
+        server.onDirectoryChanged();
+    }
+    /// Lets time pass at once, as if the process had been suspended.
+    void advance (base::Duration time)
+    {
+        clock.suspendedFor += time;
+        server.checkDeadlines();
+        server.onDirectoryChanged();
+    }
 
     static std::string request (const std::string& host, const std::string& id = "r1",
                                 const std::string& extra = "")
@@ -224,4 +322,24 @@
     std::uint64_t m_tableVersion = 0;
 };
 
+/// Identity of ProxyFixture::request().
+inline cell::RequestIdentity identityOfRequest (const std::string& host)
+{
+    ParsedRequest request;
+    request.method = "POST";
+    request.target = "/path?q=1";
+    request.headers.add ("Host", host);
+    request.body = "body";
+    return identityOf (request, "");
+}
+
+inline cell::SuspectUpdate suspectUpdate (std::uint64_t version, const std::string& host,
+                                          std::uint32_t crashes, std::vector<std::string> instances)
+{
+    cell::SuspectUpdate update;
+    update.toVersion = version;
+    update.upserts.push_back ({ identityOfRequest (host), crashes, std::move (instances) });
+    return update;
+}
+
 }  // namespace fernlift::proxy::test
