--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -217,7 +217,7 @@
 {
     if (m_isWaiting)
     {
-        refuseIfRateLimited (choice);
+        refuseIfUnavailable (choice);
         return;
     }
     m_isWaiting = true;
@@ -237,7 +237,7 @@
         m_context.demands.onWaiting (m_target);
         m_context.onUrgentDemand();
     }
-    if (! refuseIfRateLimited (choice))
+    if (! refuseIfUnavailable (choice))
         armTimer();
 }
 
@@ -271,6 +271,15 @@
     }
 }
 
+void Exchange::onRunnerUnavailable()
+{
+    const bool isUnsent = m_connection && ! m_isAttemptSent;
+    if (m_isEnded || ! isUnsent || ! m_context.directory.isBackingOff (m_instance, now()))
+        return;
+    endAttempt (AttemptEnd::kAbandoned, false);
+    dispatchNext();
+}
+
 void Exchange::startAttempt (const InstanceChoice& choice)
 {
     m_address = base::handleErrors ([&] { return base::SocketAddress::parse (choice.address); },
@@ -511,7 +520,8 @@
     }
     else
     {
-        refuse (ErrorKind::kUpstreamRefused, "the runner has no room for the request", kRetryDelay);
+        refuse (ErrorKind::kUpstreamRefused, "the runner has no room for the request",
+                retryAfterRefusal());
     }
 }
 
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -38,6 +38,9 @@
     /// Called when the configuration, the set of runners or their held models changed; a waiting
     /// request tries again.
     void onDirectoryChanged();
+    /// Called when a runner stated that it accepts no requests from now on; an attempt that was not
+    /// sent to it yet chooses again.
+    void onRunnerUnavailable();
     /// Called when the caller disconnected; cancels the attempt at the runner.
     void onCallerDisconnected();
     /// Called shortly before the router process ends; answers a request that still waits.
@@ -103,9 +106,15 @@
     /// when another runner has to be chosen.
     bool takePermit();
     void beginWait (const InstanceChoice& choice);
-    /// Ends the request if the rate limits of the runners leave no capacity for it before its wait
+    /// Ends the request if no runner that could serve it accepts another one before its wait
     /// deadline. Returns whether it did.
-    bool refuseIfRateLimited (const InstanceChoice& choice);
+    bool refuseIfUnavailable (const InstanceChoice& choice);
+    /// Time until a runner accepts the request under the rate limits, as far as it is known.
+    [[nodiscard]] base::Duration rateLimitWait (const InstanceChoice& choice);
+    /// Retry-After time of a caller whose request may be sent after `backoff`.
+    [[nodiscard]] base::Duration retryAfterBackoff (base::Duration backoff);
+    /// Retry-After time after a runner declined the request.
+    [[nodiscard]] base::Duration retryAfterRefusal();
     /// Key of the requests that wait for the rate limits of the same runners.
     [[nodiscard]] std::string rateQueueKey() const;
     /// Ends a request that no runner could take in time.
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -78,7 +78,14 @@
     const bool isDeclined =
         head.status == kServiceUnavailable || (head.status == kTooManyRequests && isRefusal (head));
     if (isDeclined)
-        availability.onRetryAfter (runner, http::readRetryAfter (head.headers), now());
+    {
+        if (availability.onRetryAfter (runner, http::readRetryAfter (head.headers), now()))
+            m_context.onRunnerUnavailable();
+    }
+    else if (head.status < kFirstServerError && ! isRefusal (head))
+    {
+        availability.onSuccess (runner, m_attemptSentAt, now());
+    }
 }
 
 void Exchange::onHead (http::AnswerHead head)
--- a/src/proxy/ExchangeRateTest.cpp
+++ b/src/proxy/ExchangeRateTest.cpp
@@ -132,6 +132,19 @@
     EXPECT_LT (refused, kRequests);
 }
 
+TEST_F (ExchangeRateTest, PermitIsNotUsedForRunnerThatHasAskedForBackoff)
+{
+    proxy.addRunner ("i-1", runner);
+    limit ({ "i-1" });
+    RawCaller caller (proxy.listening);
+    send (caller, "once.test");
+    proxy.directory.availability().onRetryAfter (
+        { "i-1", 0 }, http::RetryAfterDelay{ base::seconds (30) }, proxy.clock.now());
+    EXPECT_EQ (answer (1, 0), 1U);
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 503"));
+    EXPECT_TRUE (runner.connections.empty());
+}
+
 TEST_F (ExchangeRateTest, DisconnectedCallerRequestsNoPermit)
 {
     proxy.addRunner ("i-1", runner);
--- a/src/proxy/ExchangeRates.cpp
+++ b/src/proxy/ExchangeRates.cpp
@@ -1,5 +1,5 @@
-// Choice of a runner in an exchange under the request rates stated by runners: a request to a rate-
-// limited runner needs a permit, waits for its turn, or ends.
+// Choice of a runner in an exchange under the request rates and backoffs stated by runners: a
+// request to a rate-limited runner needs a permit, waits for its turn, or ends.
 
 #include <limits>
 #include <utility>
@@ -13,6 +13,11 @@
 
 using base::ErrorKind;
 
+/// Retry-After time of a caller while another runner may accept its request.
+constexpr base::Duration kRetryDelay = base::milliseconds (100);
+/// Callers of runners that are backing off return at random times within this span.
+constexpr base::Duration kMaxRetrySpread = base::milliseconds (200);
+
 }  // namespace
 
 void Exchange::chooseRunner()
@@ -67,27 +72,52 @@
     return true;
 }
 
-bool Exchange::refuseIfRateLimited (const InstanceChoice& choice)
+bool Exchange::refuseIfUnavailable (const InstanceChoice& choice)
 {
-    if (choice.reason != NoRunnerReason::kRateLimited)
+    const bool isRateLimited = choice.reason == NoRunnerReason::kRateLimited;
+    if (! isRateLimited && choice.reason != NoRunnerReason::kBackoff)
         return false;
-    base::Duration wait = choice.rateWait;
-    if (! std::exchange (m_isWaitingForRate, true))
-    {
-        const std::uint32_t ahead = m_context.rates.waitingFor (rateQueueKey())++;
-        const std::chrono::duration<double> queue (ahead / choice.ratePerSecond);
-        wait += std::chrono::duration_cast<base::Duration> (queue);
-    }
+    const base::Duration wait = isRateLimited ? rateLimitWait (choice) : choice.wait;
     if (now() + wait < m_waitDeadline)
         return false;
     endWait();
     if (! m_query.model.empty())
         m_context.demands.onRefusedAtOnce (m_target);
-    endWithoutRunner (ErrorKind::kNoCapacity,
-                      "all runners get as many requests as they state to take", wait);
+    if (isRateLimited)
+    {
+        endWithoutRunner (ErrorKind::kNoCapacity,
+                          "all runners get as many requests as they state to take", wait);
+    }
+    else
+    {
+        endWithoutRunner (ErrorKind::kNoCapacity, "all runners decline requests for some time",
+                          retryAfterBackoff (wait));
+    }
     return true;
 }
 
+base::Duration Exchange::rateLimitWait (const InstanceChoice& choice)
+{
+    if (std::exchange (m_isWaitingForRate, true))
+        return choice.wait;
+    const std::uint32_t ahead = m_context.rates.waitingFor (rateQueueKey())++;
+    const std::chrono::duration<double> queue (ahead / choice.ratePerSecond);
+    return choice.wait + std::chrono::duration_cast<base::Duration> (queue);
+}
+
+base::Duration Exchange::retryAfterBackoff (base::Duration backoff)
+{
+    const std::chrono::duration<double> spread =
+        std::chrono::duration<double> (kMaxRetrySpread) * m_context.random.uniformReal();
+    return backoff + std::chrono::duration_cast<base::Duration> (spread);
+}
+
+base::Duration Exchange::retryAfterRefusal()
+{
+    const InstanceChoice next = m_context.directory.choose (m_query, now());
+    return next.reason == NoRunnerReason::kBackoff ? retryAfterBackoff (next.wait) : kRetryDelay;
+}
+
 std::string Exchange::rateQueueKey() const { return m_query.service + "/" + m_query.model; }
 
 std::pair<int, base::TimePoint> Exchange::queueOrder() const
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -104,6 +104,8 @@
             return "unconfirmed";
         case NoRunnerReason::kRateLimited:
             return "rate_limited";
+        case NoRunnerReason::kBackoff:
+            return "backoff";
         case NoRunnerReason::kFull:
             break;
     }
@@ -442,6 +444,7 @@
     // failed runner a second time.
     std::pair<int, double> best;
     RateCapacity capacity;
+    base::Duration backoff{};
     for (const auto& [id, view] : viewsFor (query.service, query.model))
     {
         if (! canServe (*view, query, now))
@@ -453,9 +456,12 @@
             continue;
         best = rank;
         capacity = rateCapacity (*view, query);
+        backoff = backoffOf (*view, now);
         choice = choiceOf (candidateOf (*view, nullptr, query, now), query, now);
     }
-    // All copies are sent to this one runner, so they share the wait for its rate limit.
+    // All copies are sent to this one runner, so they share the wait for it.
+    if (backoff > base::Duration::zero())
+        return backingOff (backoff);
     return capacity.wait > base::Duration::zero() ? rateLimited (capacity) : choice;
 }
 
@@ -529,16 +535,39 @@
 {
     InstanceChoice choice;
     choice.reason = NoRunnerReason::kRateLimited;
-    choice.rateWait = capacity.wait;
+    choice.wait = capacity.wait;
     choice.ratePerSecond = capacity.perSecond;
     return choice;
 }
 
+InstanceChoice InstanceDirectory::backingOff (base::Duration wait)
+{
+    InstanceChoice choice;
+    choice.reason = NoRunnerReason::kBackoff;
+    choice.wait = wait;
+    return choice;
+}
+
+base::Duration InstanceDirectory::backoffOf (const View& view, base::TimePoint now) const
+{
+    if (m_availability.isEmpty())
+        return base::Duration::zero();
+    return m_availability.waitFor (incarnationOf (view.row), now);
+}
+
+bool InstanceDirectory::isBackingOff (const std::string& id, base::TimePoint now) const
+{
+    const auto found = m_views.find (id);
+    return found != m_views.end()
+           && m_availability.isBackingOff (incarnationOf (found->second.row), now);
+}
+
 bool InstanceDirectory::mayStillServe (const std::string& id, const InstanceQuery& query,
                                        base::TimePoint now) const
 {
     const auto found = m_views.find (id);
-    return found != m_views.end() && canServe (found->second, query, now);
+    return found != m_views.end() && canServe (found->second, query, now)
+           && backoffOf (found->second, now) == base::Duration::zero();
 }
 
 InstanceChoice InstanceDirectory::choose (const InstanceQuery& query, base::TimePoint now) const
@@ -549,10 +578,17 @@
     std::vector<Candidate> candidates;
     std::optional<RateCapacity> later;  ///< Combined capacity of the runners that are at their rate
                                         ///< limits.
+    std::optional<base::Duration> shortestBackoff;
     for (const auto& [id, view] : viewsFor (query.service, query.model))
     {
         if (! canServe (*view, query, now))
             continue;
+        const base::Duration backoff = backoffOf (*view, now);
+        if (backoff > base::Duration::zero())
+        {
+            shortestBackoff = std::min (shortestBackoff.value_or (backoff), backoff);
+            continue;
+        }
         const RateCapacity capacity = rateCapacity (*view, query);
         if (capacity.wait == base::Duration::zero())
         {
@@ -563,8 +599,10 @@
                                       later->perSecond + capacity.perSecond }
                       : capacity;
     }
-    if (candidates.empty() && later)
+    if (candidates.empty() && later && later->wait <= shortestBackoff.value_or (later->wait))
         return rateLimited (*later);
+    if (candidates.empty() && shortestBackoff)
+        return backingOff (*shortestBackoff);
     if (candidates.empty())
         return { reasonWithout (query, now) };
     // Without the loads of other routers, the view of each router contains only its own load, so
@@ -614,6 +652,9 @@
         --view.own.inFlight;
     if (end == AttemptEnd::kAbandoned || end == AttemptEnd::kNotHeld)
         return;
+    // The backoff takes the place of the marks of a failure.
+    if (end == AttemptEnd::kRefused && isBackingOff (id, now))
+        return;
     const bool isFailure = end != AttemptEnd::kAnswered;
     view.failureShare += kFailureWeight * ((isFailure ? 1.0 : 0.0) - view.failureShare);
     view.consecutiveFailures = isFailure ? view.consecutiveFailures + 1 : 0;
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -68,6 +68,7 @@
     kUnconfirmed,  ///< The table may be out of date: no leader confirmed it within the grace
                    ///< period.
     kRateLimited,  ///< All runners that could serve the request have reached their stated rates.
+    kBackoff,      ///< All runners that could serve the request decline requests for some time.
 };
 
 struct InstanceChoice
@@ -79,9 +80,9 @@
     base::Duration expectedAnswer{};
     /// Prompt tokens to process, without the prefix that the runner has probably cached.
     std::uint64_t prefillTokens = 0;
-    // Set with kRateLimited only:
-    base::Duration rateWait{};  ///< Time until one of the runners accepts another request.
-    double ratePerSecond = 0;   ///< Sum of the stated rates of these runners.
+    /// Time until one of the runners accepts another request; set with kRateLimited and kBackoff.
+    base::Duration wait{};
+    double ratePerSecond = 0;  ///< Sum of the stated rates of these runners; set with kRateLimited.
 };
 
 /// Text for logs, for example "not_loaded".
@@ -149,6 +150,8 @@
         const auto found = m_views.find (id);
         return found != m_views.end() && found->second.row.instance.isDraining;
     }
+    /// Whether the runner has asked for no requests for some time that has not passed yet.
+    [[nodiscard]] bool isBackingOff (const std::string& id, base::TimePoint now) const;
     /// Instances found unreachable since the last call, to be reported to the leader.
     [[nodiscard]] std::vector<std::string> takeUnreachable()
     {
@@ -269,6 +272,9 @@
                                                 base::TimePoint now) const;
     [[nodiscard]] static RateCapacity rateCapacity (const View& view, const InstanceQuery& query);
     [[nodiscard]] static InstanceChoice rateLimited (const RateCapacity& capacity);
+    [[nodiscard]] static InstanceChoice backingOff (base::Duration wait);
+    /// Time until the runner accepts another request after a backoff; zero: now.
+    [[nodiscard]] base::Duration backoffOf (const View& view, base::TimePoint now) const;
     /// Whether the runner has open requests and sent nothing for longer than kQuietAfter.
     [[nodiscard]] static bool isQuiet (const View& view, base::TimePoint now);
     /// Whether the runner shows signs of having failed.
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -64,6 +64,8 @@
     /// Called after a runner broke off an answer, to probe whether the runner has crashed.
     std::function<void (const std::string& instance, const base::SocketAddress& address)>
         checkRunner = [] (const std::string&, const base::SocketAddress&) {};
+    /// Called when a runner stated that it accepts no requests from now on.
+    std::function<void()> onRunnerUnavailable = [] {};
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -45,11 +45,17 @@
                           m_ended.clear();
                           m_closed.clear();
                       });
+    m_unsentCheck.setSingleShot (true);
+    QObject::connect (
+        &m_unsentCheck, &QTimer::timeout, &m_unsentCheck,
+        [this] { visitExchanges ([] (Exchange& exchange) { exchange.onRunnerUnavailable(); }); });
+    m_context.onRunnerUnavailable = [this] { scheduleUnsentCheck(); };
     QObject::connect (&m_server, &QTcpServer::newConnection, &m_server, [this] { acceptAll(); });
 }
 
 ProxyServer::~ProxyServer()
 {
+    m_context.onRunnerUnavailable = [] {};
     m_exchanges.clear();
     m_ended.clear();
 }
@@ -118,6 +124,12 @@
     connection.sendAnswer (response.status, response.headers, response.body);
 }
 
+void ProxyServer::scheduleUnsentCheck()
+{
+    if (! m_unsentCheck.isActive())
+        m_unsentCheck.start (0);
+}
+
 void ProxyServer::scheduleSweep()
 {
     if (! m_sweeper.isActive())
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -55,6 +55,8 @@
     static void refuseStopping (CallerConnection& connection);
     /// Calls `visit` for each open exchange. `visit` may end exchanges.
     void visitExchanges (const std::function<void (Exchange& exchange)>& visit);
+    /// Lets the attempts that were not sent yet choose again, from the event loop.
+    void scheduleUnsentCheck();
     /// Destroys ended exchanges and closed connections from the event loop, when none of their
     /// functions is on the call stack.
     void scheduleSweep();
@@ -69,6 +71,7 @@
     std::vector<std::unique_ptr<Exchange>> m_ended;
     std::vector<std::shared_ptr<CallerConnection>> m_closed;
     QTimer m_sweeper;
+    QTimer m_unsentCheck;
     QTcpServer m_server;
 };
 
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -84,6 +84,19 @@
     }
     /// Accepts no connection from now on.
     void stopListening() { m_server.close(); }
+    /// Lets connections to this runner neither open nor fail: its queue of pending ones is full.
+    void fillPendingConnections()
+    {
+        m_server.pauseAccepting();
+        ::listen (static_cast<int> (m_server.socketDescriptor()), 0);
+        constexpr int kConnections = 3;  // More than the kernel queues with this backlog.
+        for (int number = 0; number < kConnections; ++number)
+        {
+            m_pending.push_back (std::make_unique<QTcpSocket>());
+            m_pending.back()->connectToHost (QHostAddress::LocalHost, m_server.serverPort());
+        }
+        runFor (std::chrono::milliseconds (20));
+    }
     /// Waits until a request has arrived on the connection with this number.
     [[nodiscard]] bool waitForRequest (std::size_t number = 0, const std::string& part = "\r\n\r\n")
     {
@@ -99,6 +112,7 @@
 
 private:
     QTcpServer m_server;
+    std::vector<std::unique_ptr<QTcpSocket>> m_pending;
 };
 
 /// Reply of an AnsweringRunner.
@@ -269,7 +283,7 @@
     void put (const cell::RoutableInstance& row)
     {
         cell::InstanceUpdate update;
-        update.term = 1;
+        update.term = m_term;
         update.fromVersion = m_tableVersion;
         update.toVersion = ++m_tableVersion;
         update.upserts.push_back (row);
@@ -279,13 +293,24 @@
     void remove (const std::string& id)
     {
         cell::InstanceUpdate update;
-        update.term = 1;
+        update.term = m_term;
         update.fromVersion = m_tableVersion;
         update.toVersion = ++m_tableVersion;
         update.removals.push_back (id);
         directory.apply (update, clock.now());
         server.onDirectoryChanged();
     }
+    /// Sends the whole table as a new leader does.
+    void replaceTable (const std::vector<cell::RoutableInstance>& rows)
+    {
+        cell::InstanceUpdate update;
+        update.term = ++m_term;
+        update.fromVersion = 0;
+        update.toVersion = m_tableVersion = 1;
+        update.upserts = rows;
+        directory.apply (update, clock.now());
+        server.onDirectoryChanged();
+    }
     /// Lets time pass at once, as if the process had been suspended.
     void advance (base::Duration time)
     {
@@ -319,6 +344,7 @@
     base::SocketAddress listening;
 
 private:
+    base::Term m_term = 1;
     std::uint64_t m_tableVersion = 0;
 };
 
--- a/src/proxy/RunnerAvailability.cpp
+++ b/src/proxy/RunnerAvailability.cpp
@@ -15,14 +15,22 @@
 /// long.
 constexpr base::Duration kLeavingLifetime = std::chrono::minutes (10);
 constexpr base::Duration kUnreadableLogInterval = base::seconds (10);
-
-}  // namespace
-
-template <typename Visit>
-void RunnerAvailability::visitStates (const cell::Incarnation& runner, Visit visit) const
+/// Attempts that may begin after a backoff, and further ones after each success.
+constexpr std::uint32_t kSlowStartAttempts = 2;
+/// Time from the first success to the end of the slow start.
+constexpr base::Duration kSlowStartTime = base::seconds (1);
+/// The slow start ends after this time even without a success.
+constexpr base::Duration kMaxSlowStartTime = base::seconds (10);
+/// An attempt may end without evidence about the runner; another one may begin after this time.
+constexpr base::Duration kSlowStartInterval = base::milliseconds (500);
+
+/// Calls `visit` for each state that may belong to the incarnation. Without a reported start it may
+/// be any incarnation of the same id.
+template <typename States, typename Visit>
+void visitStates (States& states, const cell::Incarnation& runner, Visit visit)
 {
-    for (auto item = m_states.lower_bound ({ runner.id, 0 });
-         item != m_states.end() && item->first.first == runner.id; ++item)
+    for (auto item = states.lower_bound ({ runner.id, 0 });
+         item != states.end() && item->first.first == runner.id; ++item)
     {
         const base::UnixMilliseconds startedAt = item->first.second;
         if (startedAt == runner.startedAt || startedAt == 0 || runner.startedAt == 0)
@@ -30,6 +38,29 @@
     }
 }
 
+}  // namespace
+
+base::TimePoint RunnerAvailability::slowStartEnd (const State& state)
+{
+    return state.recoveredAt == base::TimePoint{} ? state.backoffUntil + kMaxSlowStartTime
+                                                  : state.recoveredAt + kSlowStartTime;
+}
+
+bool RunnerAvailability::isInSlowStart (const State& state, base::TimePoint now)
+{
+    return state.backoffUntil != base::TimePoint{} && now >= state.backoffUntil
+           && now < slowStartEnd (state);
+}
+
+base::Duration RunnerAvailability::waitFor (const State& state, base::TimePoint now)
+{
+    if (now < state.backoffUntil)
+        return state.backoffUntil - now;
+    if (! isInSlowStart (state, now) || state.attemptsLeft > 0)
+        return base::Duration::zero();
+    return std::max (state.lastAttemptAt + kSlowStartInterval - now, base::Duration::zero());
+}
+
 RunnerAvailability::State& RunnerAvailability::stateOf (const cell::Incarnation& runner)
 {
     return m_states[{ runner.id, runner.startedAt }];
@@ -37,45 +68,60 @@
 
 void RunnerAvailability::expire (base::TimePoint now)
 {
-    std::erase_if (m_states,
-                   [now] (const auto& item)
-                   {
-                       const State& state = item.second;
-                       return now >= state.backoffUntil && now >= state.leavingUntil
-                              && now >= state.unreadableUntil;
-                   });
+    std::erase_if (
+        m_states,
+        [now] (const auto& item)
+        {
+            const State& state = item.second;
+            const bool isBackoffOver = now >= state.backoffUntil && ! isInSlowStart (state, now);
+            return isBackoffOver && now >= state.leavingUntil && now >= state.unreadableUntil;
+        });
 }
 
-void RunnerAvailability::onRetryAfter (const cell::Incarnation& runner,
+bool RunnerAvailability::onRetryAfter (const cell::Incarnation& runner,
                                        const http::RetryAfter& stated, base::TimePoint now)
 {
-    const auto onDelay = [&] (const http::RetryAfterDelay& retryAfter)
-    {
-        if (retryAfter.delay == base::Duration::zero())
-            return;
-        ++m_counters.backoffAnswers;
-        State& state = stateOf (runner);
-        const bool isNew = now >= state.backoffUntil;
-        state.backoffUntil = std::max (state.backoffUntil, now + retryAfter.delay);
-        if (isNew)
-        {
-            log::write (log::Event::kRunnerBackoffStated,
-                        { { "runner", runner.name() },
-                          { "retry_after_ms", base::toMilliseconds (retryAfter.delay) } });
-        }
-    };
-    const auto onUnreadable = [&] (const http::UnreadableRetryAfter& retryAfter)
-    {
-        State& state = stateOf (runner);
-        if (now < state.unreadableUntil)
-            return;
-        state.unreadableUntil = now + kUnreadableLogInterval;
-        log::write (log::Event::kRunnerRetryAfterUnreadable,
-                    { { "runner", runner.name() }, { "text", retryAfter.text } });
-    };
     expire (now);
-    std::visit (base::Overloaded{ [] (const http::NoRetryAfter&) {}, onDelay, onUnreadable },
-                stated);
+    return std::visit (base::Overloaded{ [] (const http::NoRetryAfter&) { return false; },
+                                         [&] (const http::RetryAfterDelay& retryAfter)
+                                         { return beginBackoff (runner, retryAfter.delay, now); },
+                                         [&] (const http::UnreadableRetryAfter& retryAfter)
+                                         {
+                                             logUnreadable (runner, retryAfter.text, now);
+                                             return false;
+                                         } },
+                       stated);
+}
+
+bool RunnerAvailability::beginBackoff (const cell::Incarnation& runner, base::Duration delay,
+                                       base::TimePoint now)
+{
+    if (delay == base::Duration::zero())
+        return false;
+    ++m_counters.backoffAnswers;
+    State& state = stateOf (runner);
+    const bool isNew = now >= state.backoffUntil;
+    state.backoffUntil = std::max (state.backoffUntil, now + delay);
+    if (! isNew)
+        return false;
+    state.attemptsLeft = kSlowStartAttempts;
+    state.lastAttemptAt = {};
+    state.recoveredAt = {};
+    log::write (
+        log::Event::kRunnerBackoffStated,
+        { { "runner", runner.name() }, { "retry_after_ms", base::toMilliseconds (delay) } });
+    return true;
+}
+
+void RunnerAvailability::logUnreadable (const cell::Incarnation& runner, const std::string& text,
+                                        base::TimePoint now)
+{
+    State& state = stateOf (runner);
+    if (now < state.unreadableUntil)
+        return;
+    state.unreadableUntil = now + kUnreadableLogInterval;
+    log::write (log::Event::kRunnerRetryAfterUnreadable,
+                { { "runner", runner.name() }, { "text", text } });
 }
 
 void RunnerAvailability::onLeaving (const cell::Incarnation& runner, base::TimePoint now)
@@ -89,24 +135,59 @@
 
 void RunnerAvailability::onAttemptBegin (const cell::Incarnation& runner, base::TimePoint now)
 {
-    if (waitFor (runner, now) > base::Duration::zero())
+    if (isEmpty())
+        return;
+    if (isBackingOff (runner, now))
         ++m_counters.attemptsDuringBackoff;
+    const auto countAttempt = [&] (State& state)
+    {
+        if (! isInSlowStart (state, now))
+            return;
+        if (state.lastAttemptAt == base::TimePoint{})
+            log::write (log::Event::kRunnerBackoffEnded, { { "runner", runner.name() } });
+        state.lastAttemptAt = now;
+        state.attemptsLeft -= std::min (state.attemptsLeft, 1U);
+    };
+    visitStates (m_states, runner, countAttempt);
+}
+
+void RunnerAvailability::onSuccess (const cell::Incarnation& runner, base::TimePoint sentAt,
+                                    base::TimePoint now)
+{
+    const auto countSuccess = [&] (State& state)
+    {
+        const bool isSentAfterBackoff = sentAt >= state.backoffUntil;
+        if (! isInSlowStart (state, now) || ! isSentAfterBackoff)
+            return;
+        state.attemptsLeft += kSlowStartAttempts;
+        if (state.recoveredAt == base::TimePoint{})
+            state.recoveredAt = now;
+    };
+    visitStates (m_states, runner, countSuccess);
 }
 
 bool RunnerAvailability::isLeaving (const cell::Incarnation& runner, base::TimePoint now) const
 {
     bool isStated = false;
-    visitStates (runner,
+    visitStates (m_states, runner,
                  [&] (const State& state) { isStated = isStated || now < state.leavingUntil; });
     return isStated;
 }
 
+bool RunnerAvailability::isBackingOff (const cell::Incarnation& runner, base::TimePoint now) const
+{
+    bool isStated = false;
+    visitStates (m_states, runner,
+                 [&] (const State& state) { isStated = isStated || now < state.backoffUntil; });
+    return isStated;
+}
+
 base::Duration RunnerAvailability::waitFor (const cell::Incarnation& runner,
                                             base::TimePoint now) const
 {
     base::Duration longest{};
-    visitStates (runner, [&] (const State& state)
-                 { longest = std::max (longest, state.backoffUntil - now); });
+    visitStates (m_states, runner,
+                 [&] (const State& state) { longest = std::max (longest, waitFor (state, now)); });
     return longest;
 }
 
--- a/src/proxy/RunnerAvailability.h
+++ b/src/proxy/RunnerAvailability.h
@@ -6,6 +6,9 @@
  *
  * A statement applies to this router and to one incarnation of the runner. It is kept apart from
  * the table of runners, so that it outlives the row and the connection to a controller.
+ *
+ * After a backoff the runner gets a few requests first and then more with each success (slow
+ * start), because all requests that waited for the runner are due at the same moment.
  */
 
 #include <cstddef>
@@ -33,16 +36,23 @@
 {
 public:
     /** Called for an answer by which the runner declined a request for lack of capacity. The later
-        end of two backoffs applies, because answers may overtake one another.
+        end of two backoffs applies, because answers may overtake one another. Returns whether the
+        runner accepted requests before.
     */
-    void onRetryAfter (const cell::Incarnation& runner, const http::RetryAfter& stated,
+    bool onRetryAfter (const cell::Incarnation& runner, const http::RetryAfter& stated,
                        base::TimePoint now);
     /** Called for an answer that states that the runner is leaving. */
     void onLeaving (const cell::Incarnation& runner, base::TimePoint now);
     void onAttemptBegin (const cell::Incarnation& runner, base::TimePoint now);
+    /** Called when the runner began to answer a request sent at `sentAt` without a failure. */
+    void onSuccess (const cell::Incarnation& runner, base::TimePoint sentAt, base::TimePoint now);
 
+    /** Whether there is no statement at all, so that every runner accepts requests. */
+    [[nodiscard]] bool isEmpty() const { return m_states.empty(); }
     [[nodiscard]] bool isLeaving (const cell::Incarnation& runner, base::TimePoint now) const;
-    /** Time until the runner accepts another request; zero: now. */
+    /** Whether the time of a Retry-After field has not passed yet. */
+    [[nodiscard]] bool isBackingOff (const cell::Incarnation& runner, base::TimePoint now) const;
+    /** Time until the runner accepts another request, with regard to the slow start; zero: now. */
     [[nodiscard]] base::Duration waitFor (const cell::Incarnation& runner,
                                           base::TimePoint now) const;
 
@@ -56,17 +66,22 @@
     struct State
     {
         base::TimePoint backoffUntil{};
+        std::uint32_t attemptsLeft = 0;   ///< Attempts that may begin before the next success.
+        base::TimePoint lastAttemptAt{};  ///< Last attempt since the end of the backoff.
+        base::TimePoint recoveredAt{};    ///< First success since the end of the backoff.
         base::TimePoint leavingUntil{};
         base::TimePoint unreadableUntil{};  ///< Until then no further invalid field is logged.
     };
     using Key = std::pair<std::string, base::UnixMilliseconds>;  ///< Id and start.
 
-    /** Calls `visit` for each state that may belong to the incarnation: one whose start is not
-        reported may be any incarnation of the same id.
-    */
-    template <typename Visit>
-    void visitStates (const cell::Incarnation& runner, Visit visit) const;
     [[nodiscard]] State& stateOf (const cell::Incarnation& runner);
+    bool beginBackoff (const cell::Incarnation& runner, base::Duration delay, base::TimePoint now);
+    void logUnreadable (const cell::Incarnation& runner, const std::string& text,
+                        base::TimePoint now);
+    /** End of the slow start after a backoff. */
+    [[nodiscard]] static base::TimePoint slowStartEnd (const State& state);
+    [[nodiscard]] static bool isInSlowStart (const State& state, base::TimePoint now);
+    [[nodiscard]] static base::Duration waitFor (const State& state, base::TimePoint now);
     /** Removes states whose statements have all lapsed. */
     void expire (base::TimePoint now);
 
