Routers send nothing to a runner that states in its answers that it is leaving (DRAIN)

A runner that answers with Server-Leaving: 1 before its heartbeat says so, or to a router that no controller reaches, got requests until the table listed it as draining.

Only the leader's table knew.

Change: any answer head but a 421 marks the incarnation as leaving at this router; it counts like a row that is draining, in the choice, for sticky requests and for the question whether its end was a crash. Running streams go on. The field is not forwarded.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -274,7 +274,7 @@
 void Exchange::onRunnerUnavailable()
 {
     const bool isUnsent = m_connection && ! m_isAttemptSent;
-    if (m_isEnded || ! isUnsent || ! m_context.directory.isBackingOff (m_instance, now()))
+    if (m_isEnded || ! isUnsent || ! m_context.directory.isUnavailable (m_instance, now()))
         return;
     endAttempt (AttemptEnd::kAbandoned, false);
     dispatchNext();
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -73,7 +73,10 @@
     RunnerAvailability& availability = m_context.directory.availability();
     const std::string& leaving = m_context.names.leaving;
     if (! leaving.empty() && head.headers.value (leaving) == "1")
-        availability.onLeaving (runner, now());
+    {
+        if (availability.onLeaving (runner, now()))
+            m_context.onRunnerUnavailable();
+    }
     // A 429 of an executed request is the application's statement to its caller.
     const bool isDeclined =
         head.status == kServiceUnavailable || (head.status == kTooManyRequests && isRefusal (head));
--- a/src/proxy/ExchangeQuarantine.cpp
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -106,7 +106,7 @@
 {
     m_hasBrokenAnswer = true;
     // The end of a draining runner is planned and not caused by this request.
-    if (! m_isAttemptSent || m_context.directory.isDraining (m_instance))
+    if (! m_isAttemptSent || m_context.directory.isDraining (m_instance, now()))
         return;
     const std::string incarnation = cell::Incarnation{ m_instance, m_instanceStart }.name();
     m_context.suspects.onAnswerInterrupted (identity(), incarnation, m_attemptSentAt, now());
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -126,7 +126,7 @@
         for (const auto& [id, view] : m_views)
         {
             if (! present.contains (id))
-                recordReplaced (view);
+                recordReplaced (view, now);
         }
         std::erase_if (m_views,
                        [&] (const auto& item)
@@ -142,12 +142,12 @@
         const auto found = m_views.find (id);
         if (found == m_views.end())
             continue;
-        recordReplaced (found->second);
+        recordReplaced (found->second, now);
         dropFromIndex (found->second);
         m_views.erase (found);
     }
     for (const cell::RoutableInstance& row : update.upserts)
-        put (row);
+        put (row, now);
     m_term = update.term;
     m_version = update.toVersion;
     m_appliedAt = now;
@@ -231,20 +231,34 @@
     view.slowdownAt = statedAt;
 }
 
-void InstanceDirectory::recordReplaced (const View& view)
+bool InstanceDirectory::isDraining (const View& view, base::TimePoint now) const
 {
-    if (! view.row.instance.isDraining)
+    const bool isStated =
+        ! m_availability.isEmpty() && m_availability.isLeaving (incarnationOf (view.row), now);
+    return view.row.instance.isDraining || isStated;
+}
+
+bool InstanceDirectory::isDraining (const std::string& id, base::TimePoint now) const
+{
+    const auto found = m_views.find (id);
+    return found != m_views.end() && isDraining (found->second, now);
+}
+
+void InstanceDirectory::recordReplaced (const View& view, base::TimePoint now)
+{
+    if (! isDraining (view, now))
         m_replaced.push_back (incarnationNameOf (view.row));
 }
 
-void InstanceDirectory::resetIfRestarted (View& view, const cell::RoutableInstance& row)
+void InstanceDirectory::resetIfRestarted (View& view, const cell::RoutableInstance& row,
+                                          base::TimePoint now)
 {
     const base::UnixMilliseconds startedAt = view.row.instance.startedAt;
     if (startedAt == row.instance.startedAt)
         return;
     // An incarnation whose start was unknown may be the same one.
     if (startedAt != 0)
-        recordReplaced (view);
+        recordReplaced (view, now);
     view = View{};
 }
 
@@ -288,11 +302,11 @@
     return views == models->second.end() ? kNone : views->second;
 }
 
-void InstanceDirectory::put (const cell::RoutableInstance& row)
+void InstanceDirectory::put (const cell::RoutableInstance& row, base::TimePoint now)
 {
     View& view = m_views[row.instance.id];
     dropFromIndex (view);
-    resetIfRestarted (view, row);
+    resetIfRestarted (view, row, now);
     // A new leader sends the row of a runner without models until the runner has reported to it.
     // The models of the previous row stay in effect until then.
     std::vector<cell::HeldModel> known = std::move (view.row.instance.models);
@@ -330,9 +344,9 @@
 }
 
 bool InstanceDirectory::isCandidate (const View& view, const InstanceQuery& query,
-                                     base::TimePoint now)
+                                     base::TimePoint now) const
 {
-    return view.row.instance.service == query.service && ! view.row.instance.isDraining
+    return view.row.instance.service == query.service && ! isDraining (view, now)
            && now >= view.unreachableUntil;
 }
 
@@ -393,7 +407,8 @@
     return candidate;
 }
 
-bool InstanceDirectory::canServe (const View& view, const InstanceQuery& query, base::TimePoint now)
+bool InstanceDirectory::canServe (const View& view, const InstanceQuery& query,
+                                  base::TimePoint now) const
 {
     const auto hasCrashed = [&]
     {
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -144,14 +144,15 @@
     /// Names of the incarnations that left the table since the last call without having been
     /// draining.
     [[nodiscard]] std::vector<std::string> takeReplaced() { return std::exchange (m_replaced, {}); }
-    /// Whether the instance is listed as draining.
-    [[nodiscard]] bool isDraining (const std::string& id) const
-    {
-        const auto found = m_views.find (id);
-        return found != m_views.end() && found->second.row.instance.isDraining;
-    }
+    /// Whether the instance is listed as draining or states that it is leaving.
+    [[nodiscard]] bool isDraining (const std::string& id, base::TimePoint now) const;
     /// Whether the runner has asked for no requests for some time that has not passed yet.
     [[nodiscard]] bool isBackingOff (const std::string& id, base::TimePoint now) const;
+    /// Whether the runner accepts no requests according to its answers.
+    [[nodiscard]] bool isUnavailable (const std::string& id, base::TimePoint now) const
+    {
+        return isDraining (id, now) || isBackingOff (id, now);
+    }
     /// Instances found unreachable since the last call, to be reported to the leader.
     [[nodiscard]] std::vector<std::string> takeUnreachable()
     {
@@ -228,14 +229,15 @@
     /// router.
     using Views = std::map<std::string, View*>;
 
-    void put (const cell::RoutableInstance& row);
+    void put (const cell::RoutableInstance& row, base::TimePoint now);
     /// Adds the runner to the index under its service and each of its models, or removes it.
     void addToIndex (View& view);
     void dropFromIndex (const View& view);
     void recordUnreachable (View& view, base::TimePoint now);
-    void recordReplaced (const View& view);
+    [[nodiscard]] bool isDraining (const View& view, base::TimePoint now) const;
+    void recordReplaced (const View& view, base::TimePoint now);
     /// Clears the state of the view when the row belongs to another incarnation.
-    void resetIfRestarted (View& view, const cell::RoutableInstance& row);
+    void resetIfRestarted (View& view, const cell::RoutableInstance& row, base::TimePoint now);
     void setSlowdown (View& view, std::uint32_t percent, base::TimePoint statedAt);
     /// Load of the other routers, computed from the sum over all routers.
     [[nodiscard]] static Use usedByOthers (const View& view, const Use& all, base::TimePoint now);
@@ -245,8 +247,8 @@
     [[nodiscard]] const Views& viewsFor (const std::string& service,
                                          const std::string& model) const;
     /// Whether the runner accepts requests of the service.
-    [[nodiscard]] static bool isCandidate (const View& view, const InstanceQuery& query,
-                                           base::TimePoint now);
+    [[nodiscard]] bool isCandidate (const View& view, const InstanceQuery& query,
+                                    base::TimePoint now) const;
     [[nodiscard]] static bool holds (const View& view, const InstanceQuery& query,
                                      base::TimePoint now);
     /// Why no runner can serve the request.
@@ -265,8 +267,8 @@
     [[nodiscard]] InstanceChoice choiceOf (const Candidate& candidate, const InstanceQuery& query,
                                            base::TimePoint now) const;
     /// Whether the runner may be chosen and holds the model and adapter.
-    [[nodiscard]] static bool canServe (const View& view, const InstanceQuery& query,
-                                        base::TimePoint now);
+    [[nodiscard]] bool canServe (const View& view, const InstanceQuery& query,
+                                 base::TimePoint now) const;
     /// Runner to which all requests with the same affinity are sent; null without affinity.
     [[nodiscard]] const View* affinityRunnerOf (const InstanceQuery& query,
                                                 base::TimePoint now) const;
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -228,6 +228,7 @@
         names.load = "Test-Load";
         names.rateLimit = "Test-Rate";
         names.leaving = "Test-Leaving";
+        names.internalAnswerFields = { "Test-Leaving" };
         names.readinessPath = "/ready";
         return names;
     }
--- a/src/proxy/RunnerAvailability.cpp
+++ b/src/proxy/RunnerAvailability.cpp
@@ -124,13 +124,15 @@
                 { { "runner", runner.name() }, { "text", text } });
 }
 
-void RunnerAvailability::onLeaving (const cell::Incarnation& runner, base::TimePoint now)
+bool RunnerAvailability::onLeaving (const cell::Incarnation& runner, base::TimePoint now)
 {
     expire (now);
     State& state = stateOf (runner);
-    if (now >= state.leavingUntil)
+    const bool isNew = now >= state.leavingUntil;
+    if (isNew)
         log::write (log::Event::kRunnerLeavingStated, { { "runner", runner.name() } });
     state.leavingUntil = now + kLeavingLifetime;
+    return isNew;
 }
 
 void RunnerAvailability::onAttemptBegin (const cell::Incarnation& runner, base::TimePoint now)
--- a/src/proxy/RunnerAvailability.h
+++ b/src/proxy/RunnerAvailability.h
@@ -41,8 +41,10 @@
     */
     bool onRetryAfter (const cell::Incarnation& runner, const http::RetryAfter& stated,
                        base::TimePoint now);
-    /** Called for an answer that states that the runner is leaving. */
-    void onLeaving (const cell::Incarnation& runner, base::TimePoint now);
+    /** Called for an answer that states that the runner is leaving. Returns whether it did not
+        state so before.
+    */
+    bool onLeaving (const cell::Incarnation& runner, base::TimePoint now);
     void onAttemptBegin (const cell::Incarnation& runner, base::TimePoint now);
     /** Called when the runner began to answer a request sent at `sentAt` without a failure. */
     void onSuccess (const cell::Incarnation& runner, base::TimePoint sentAt, base::TimePoint now);
