Marks of failed attempts lapse with time, also without an attempt

Cause: the share of failed attempts fell by attempts only, and a runner that is dearer than the others gets none.

Change: the share halves every two seconds, and counts of consecutive failures end after eight seconds without one, twice the longest avoidance.

proxy_test: all cases pass.

--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -21,6 +21,9 @@
 constexpr std::uint32_t kFailuresBeforeAvoidance = 3;
 constexpr std::uint32_t kUnreachableBeforeReport = 2;
 constexpr double kFailureWeight = 0.2;
+constexpr base::Duration kFailureHalfLife = base::seconds (2);
+/// Failures further apart than this are not consecutive.
+constexpr base::Duration kFailureMemory = 2 * kMaxAvoidance;
 // Costs in milliseconds.
 constexpr double kFailureCost = 500;
 constexpr double kSilentCost = 500;
@@ -386,8 +389,8 @@
     candidate.view = &view;
     candidate.state = stateOf (view, query, now);
     candidate.work = { ! query.model.empty(), query.promptTokens - cachedTokens };
-    candidate.milliseconds =
-        expectedMilliseconds (candidate.state, candidate.work) + kFailureCost * view.failureShare;
+    candidate.milliseconds = expectedMilliseconds (candidate.state, candidate.work)
+                             + kFailureCost * failureShareOf (view, now);
     // All streams of an engine wait during the prefill of a long prompt. Of 2,000 short chats with
     // a gap target of 500 ms, 347 to 532 are late without this term, and 6 to 17 % fewer with it
     // (326 to 483).
@@ -670,6 +673,7 @@
     // The backoff takes the place of the marks of a failure.
     if (end == AttemptEnd::kRefused && isBackingOff (id, now))
         return;
+    lapseFailures (view, now);
     const bool isFailure = end != AttemptEnd::kAnswered;
     view.failureShare += kFailureWeight * ((isFailure ? 1.0 : 0.0) - view.failureShare);
     view.consecutiveFailures = isFailure ? view.consecutiveFailures + 1 : 0;
@@ -691,6 +695,24 @@
     }
 }
 
+double InstanceDirectory::failureShareOf (const View& view, base::TimePoint now)
+{
+    const std::chrono::duration<double> age = now - view.attemptEndedAt;
+    const std::chrono::duration<double> halfLife = kFailureHalfLife;
+    return view.failureShare * std::exp2 (-age / halfLife);
+}
+
+void InstanceDirectory::lapseFailures (View& view, base::TimePoint now)
+{
+    view.failureShare = failureShareOf (view, now);
+    if (now - view.attemptEndedAt > kFailureMemory)
+    {
+        view.consecutiveFailures = 0;
+        view.unreachableCount = 0;
+    }
+    view.attemptEndedAt = now;
+}
+
 void InstanceDirectory::recordUnreachable (View& view, base::TimePoint now)
 {
     view.unreachableUntil = now + kUnreachableAvoidance;
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -198,8 +198,9 @@
         Use own;                        ///< Load from this router.
         base::TimePoint lastBytesAt{};  ///< Last bytes of an answer, or start of the first open
                                         ///< attempt.
-        double failureShare = 0;        ///< Decaying share of failed attempts.
+        double failureShare = 0;  ///< Decaying share of failed attempts, as of `attemptEndedAt`.
         std::uint32_t consecutiveFailures = 0;
+        base::TimePoint attemptEndedAt{};  ///< End of the last attempt that counts here.
         base::TimePoint avoidedUntil{};  ///< Until then chosen only when there is no other runner.
         base::TimePoint unreachableUntil{};  ///< Until then never chosen.
         std::uint32_t unreachableCount = 0;  ///< Consecutive connections that could not be opened.
@@ -234,6 +235,10 @@
     void addToIndex (View& view);
     void dropFromIndex (const View& view);
     void recordUnreachable (View& view, base::TimePoint now);
+    /// Lets the marks of earlier failures lapse with the time since the last attempt.
+    static void lapseFailures (View& view, base::TimePoint now);
+    /// Share of failed attempts, which falls with time also without an attempt.
+    [[nodiscard]] static double failureShareOf (const View& view, base::TimePoint now);
     [[nodiscard]] bool isDraining (const View& view, base::TimePoint now) const;
     void recordReplaced (const View& view, base::TimePoint now);
     /// Clears the state of the view when the row belongs to another incarnation.
--- a/src/proxy/InstanceDirectoryTest.cpp
+++ b/src/proxy/InstanceDirectoryTest.cpp
@@ -190,6 +190,19 @@
     EXPECT_EQ (choose ("", kStart + base::seconds (30)), "i-1");
 }
 
+TEST_F (InstanceDirectoryTest, FailuresFarApartDoNotAddUp)
+{
+    put ({ rowOf ("i-1"), rowOf ("i-2", "z2") });
+    for (int failure = 0; failure < 5; ++failure)
+    {
+        const base::TimePoint now = kStart + failure * base::seconds (30);
+        m_directory.onAttemptBegin ("i-1", 0, now);
+        m_directory.onAttemptEnd ("i-1", AttemptEnd::kUnreachable, now);
+        EXPECT_EQ (choose ("", now + base::seconds (25)), "i-1");
+    }
+    EXPECT_TRUE (m_directory.takeUnreachable().empty());
+}
+
 TEST_F (InstanceDirectoryTest, AQuietRunnerIsAvoidedWhileItHasRequests)
 {
     put ({ rowOf ("i-1"), rowOf ("i-2", "z2") });
