Routers of models and applications respect Retry-After of back ends too

A refusal with Retry-After only changed the Retry-After of the caller of that one request; the next requests went to the same back end.

Cause: AttemptRefused::retryAfter was used for the advice to the caller and dropped. Leaving was respected already.

Evidence: RouterRetryTest.SendsNothingBeforeEndOfRetryAfter, .RefusesAtOnceWhenAllRunnersDeclineBeyondDeadline and .OtherReplicasServeDuringBackoff fail without the change (planted back by hand) and pass with it.

Change: RunnerAvailability moves to routing/ and serves both data planes. A replica that backs off has no room; a request waits or is refused at once by the first end of the backoffs; a claimed request whose replica declined meanwhile queues again. Retry-After is parsed by http::readRetryAfter in both planes, fractions and dates included. Cost without a statement: one test for an empty map.

--- a/src/dispatch/Attempt.cpp
+++ b/src/dispatch/Attempt.cpp
@@ -5,10 +5,11 @@
 namespace fernlift::dispatch
 {
 
-Attempt::Attempt (AttemptId id, cell::RoutableReplica replica, base::TimePoint firstByteBy,
-                  base::Duration betweenParts)
+Attempt::Attempt (AttemptId id, cell::RoutableReplica replica, base::TimePoint startedAt,
+                  base::TimePoint firstByteBy, base::Duration betweenParts)
     : m_id (id),
       m_replica (std::move (replica)),
+      m_startedAt (startedAt),
       m_betweenParts (betweenParts),
       m_timeoutAt (firstByteBy)
 {
--- a/src/dispatch/Attempt.h
+++ b/src/dispatch/Attempt.h
@@ -18,8 +18,8 @@
 public:
     /// `firstByteBy` is the deadline for the start of the answer, `betweenParts` the timeout
     /// between its parts after that.
-    Attempt (AttemptId id, cell::RoutableReplica replica, base::TimePoint firstByteBy,
-             base::Duration betweenParts);
+    Attempt (AttemptId id, cell::RoutableReplica replica, base::TimePoint startedAt,
+             base::TimePoint firstByteBy, base::Duration betweenParts);
 
     /// The headers arrived, which counts as a part of the answer.
     void onHeaders (int httpStatus, base::TimePoint now);
@@ -29,6 +29,7 @@
 
     [[nodiscard]] AttemptId id() const { return m_id; }
     [[nodiscard]] const cell::RoutableReplica& replica() const { return m_replica; }
+    [[nodiscard]] base::TimePoint startedAt() const { return m_startedAt; }
     [[nodiscard]] bool hasHeaders() const { return m_hasHeaders; }
     [[nodiscard]] int httpStatus() const { return m_httpStatus; }
     /// Time at which the attempt times out unless another part arrives.
@@ -37,6 +38,7 @@
 private:
     AttemptId m_id;
     cell::RoutableReplica m_replica;
+    base::TimePoint m_startedAt;
     base::Duration m_betweenParts;
     base::TimePoint m_timeoutAt;
     bool m_hasHeaders = false;
--- a/src/dispatch/RetryTest.cpp
+++ b/src/dispatch/RetryTest.cpp
@@ -215,7 +215,7 @@
 TEST (AttemptTest, EachPartOfTheAnswerExtendsTheTimeout)
 {
     const base::TimePoint start (milliseconds (1000));
-    Attempt attempt (1, {}, start + milliseconds (500), milliseconds (200));
+    Attempt attempt (1, {}, start, start + milliseconds (500), milliseconds (200));
     EXPECT_EQ (attempt.timeoutAt(), start + milliseconds (500));
     attempt.onHeaders (200, start + milliseconds (400));
     EXPECT_TRUE (attempt.hasHeaders());
--- a/src/lab/ForwardingCellTestSupport.h
+++ b/src/lab/ForwardingCellTestSupport.h
@@ -55,6 +55,9 @@
     base::milliseconds workTime{ 1 };
     /// Value of the header field in which each answer states a rate; empty for no field.
     std::string statedRate;
+    /// Retry-After field with which the runner declines every request; empty: it serves them.
+    std::string declinesWith;
+    bool statesLeaving = false;  ///< Whether each answer states that the runner is leaving.
 
 private:
     struct Connection
@@ -110,6 +113,7 @@
     [[nodiscard]] std::uint32_t crashes() const;
     CrashableRunner& runner (std::size_t number) { return *m_runners.at (number); }
     [[nodiscard]] std::size_t runners() const { return m_runners.size(); }
+    [[nodiscard]] std::size_t routers() const { return m_routers.size(); }
 
 private:
     void startController (std::size_t number);
@@ -143,4 +147,9 @@
     QTimer m_heartbeatTimer;
 };
 
+/// Sends a request every 8 ms to the routers in turn, for the duration `time`. Returns the statuses
+/// of the answers; 0 for a connection that ended without an answer.
+std::vector<int> sendFor (ForwardingCell& cell, base::milliseconds time);
+[[nodiscard]] std::size_t countOf (const std::vector<int>& statuses, int status);
+
 }  // namespace fernlift::lab::test
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -184,9 +184,16 @@
 {
     if (socket->state() != QAbstractSocket::ConnectedState)
         return;
-    const std::string rate = statedRate.empty() ? "" : "Test-Rate: " + statedRate + "\r\n";
+    const std::string status = declinesWith.empty() ? "200 OK" : "503 Service Unavailable";
+    std::string fields = "Test-Id: " + id + "\r\n";
+    if (! statedRate.empty())
+        fields += "Test-Rate: " + statedRate + "\r\n";
+    if (! declinesWith.empty())
+        fields += "Test-Not-Executed: 1\r\nRetry-After: " + declinesWith + "\r\n";
+    if (statesLeaving)
+        fields += "Test-Leaving: 1\r\n";
     const std::string whole =
-        "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\n" + rate + "Content-Length: 2\r\n\r\nok";
+        "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: 2\r\n\r\nok";
     socket->write (whole.data(), static_cast<qint64> (whole.size()));
     socket->flush();
 }
@@ -387,4 +394,27 @@
     return sum;
 }
 
+std::vector<int> sendFor (ForwardingCell& cell, base::milliseconds time)
+{
+    constexpr base::milliseconds kPause (8);
+    std::vector<std::shared_ptr<int>> open;
+    for (base::milliseconds passed (0); passed < time; passed += kPause)
+    {
+        open.push_back (std::make_shared<int> (-1));
+        cell.beginCall (open.size() % cell.routers(), "app.test", "request", open.back());
+        http::test::runFor (kPause);
+    }
+    http::test::waitUntil (
+        [&] { return std::ranges::all_of (open, [] (const auto& each) { return *each >= 0; }); });
+    std::vector<int> statuses;
+    std::ranges::transform (open, std::back_inserter (statuses),
+                            [] (const auto& status) { return *status; });
+    return statuses;
+}
+
+std::size_t countOf (const std::vector<int>& statuses, int status)
+{
+    return static_cast<std::size_t> (std::ranges::count (statuses, status));
+}
+
 }  // namespace fernlift::lab::test
--- a/src/lab/RunnerRateLimitTest.cpp
+++ b/src/lab/RunnerRateLimitTest.cpp
@@ -8,12 +8,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <iterator>
-#include <memory>
-#include <string>
 #include <vector>
 
-#include "http/HttpTestSupport.h"
 #include "lab/ForwardingCellTestSupport.h"
 
 namespace fernlift::lab::test
@@ -31,31 +27,6 @@
 constexpr double kTolerance = 1.5;
 constexpr double kSlack = 5;
 
-/// Sends a request every 8 ms to the routers in turn, for the duration `time`. Returns the statuses
-/// of the answers; 0 for a connection that ended without an answer.
-std::vector<int> sendFor (ForwardingCell& cell, milliseconds time)
-{
-    constexpr milliseconds kPause (8);
-    std::vector<std::shared_ptr<int>> open;
-    for (milliseconds passed (0); passed < time; passed += kPause)
-    {
-        open.push_back (std::make_shared<int> (-1));
-        cell.beginCall (open.size() % kRouters, "app.test", "request", open.back());
-        http::test::runFor (kPause);
-    }
-    http::test::waitUntil (
-        [&] { return std::ranges::all_of (open, [] (const auto& each) { return *each >= 0; }); });
-    std::vector<int> statuses;
-    std::ranges::transform (open, std::back_inserter (statuses),
-                            [] (const auto& status) { return *status; });
-    return statuses;
-}
-
-std::size_t countOf (const std::vector<int>& statuses, int status)
-{
-    return static_cast<std::size_t> (std::ranges::count (statuses, status));
-}
-
 /// Largest number of requests that arrived within a window that starts at `begin` or later.
 std::size_t mostInAWindow (const std::vector<base::TimePoint>& arrivals, base::TimePoint begin)
 {
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -16,6 +16,7 @@
 #include "cell/RequestIdentity.h"
 #include "http/AnswerParser.h"
 #include "http/BackEndConnection.h"
+#include "http/RetryAfter.h"
 #include "log/Log.h"
 #include "proxy/CallerConnection.h"
 #include "proxy/EventSplitter.h"
@@ -145,6 +146,7 @@
     void recordLoad (const http::AnswerHead& head);
     void recordRate (const http::AnswerHead& head);
     void recordAvailability (const http::AnswerHead& head);
+    void recordBackoff (const http::RetryAfter& stated);
     /// Whether the runner states that it did not execute the request.
     [[nodiscard]] bool isRefusal (const http::AnswerHead& head) const;
     void finishAnswer();
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
+#include "base/Overloaded.h"
 #include "proxy/Exchange.h"
 #include "proxy/ForwardedMessage.h"
 #include "proxy/StatedLoad.h"
@@ -70,25 +72,34 @@
     if (head.status == kMisdirected)
         return;
     const cell::Incarnation runner{ m_instance, m_instanceStart };
-    RunnerAvailability& availability = m_context.directory.availability();
+    routing::RunnerAvailability& availability = m_context.directory.availability();
     const std::string& leaving = m_context.names.leaving;
-    if (! leaving.empty() && head.headers.value (leaving) == "1")
-    {
-        if (availability.onLeaving (runner, now()))
-            m_context.onRunnerUnavailable();
-    }
+    const bool isLeaving = ! leaving.empty() && head.headers.value (leaving) == "1";
+    if (isLeaving && availability.onLeaving (runner, now()))
+        m_context.onRunnerUnavailable();
     // A 429 of an executed request is the application's statement to its caller.
     const bool isDeclined =
         head.status == kServiceUnavailable || (head.status == kTooManyRequests && isRefusal (head));
     if (isDeclined)
-    {
-        if (availability.onRetryAfter (runner, http::readRetryAfter (head.headers), now()))
-            m_context.onRunnerUnavailable();
-    }
+        recordBackoff (http::readRetryAfter (head.headers));
     else if (head.status < kFirstServerError && ! isRefusal (head))
-    {
         availability.onSuccess (runner, m_attemptSentAt, now());
-    }
+}
+
+void Exchange::recordBackoff (const http::RetryAfter& stated)
+{
+    const cell::Incarnation runner{ m_instance, m_instanceStart };
+    routing::RunnerAvailability& availability = m_context.directory.availability();
+    std::visit (
+        base::Overloaded{ [] (const http::NoRetryAfter&) {},
+                          [&] (const http::RetryAfterDelay& retryAfter)
+                          {
+                              if (availability.onBackoff (runner, retryAfter.delay, now()))
+                                  m_context.onRunnerUnavailable();
+                          },
+                          [&] (const http::UnreadableRetryAfter& retryAfter)
+                          { availability.onUnreadableBackoff (runner, retryAfter.text, now()); } },
+        stated);
 }
 
 void Exchange::onHead (http::AnswerHead head)
--- a/src/proxy/ExchangeBackoffTest.cpp
+++ b/src/proxy/ExchangeBackoffTest.cpp
@@ -147,8 +147,7 @@
     runFor (std::chrono::milliseconds (20));
     ASSERT_EQ (proxy.counters.attempts, 1U);
     // The statement arrives on another connection while this one is not open yet.
-    proxy.directory.availability().onRetryAfter (
-        { "i-1", 0 }, http::RetryAfterDelay{ base::seconds (30) }, proxy.clock.now());
+    proxy.directory.availability().onBackoff ({ "i-1", 0 }, base::seconds (30), proxy.clock.now());
     proxy.put (ProxyFixture::rowOf ("i-2", serving.address()));
     proxy.context.onRunnerUnavailable();
     EXPECT_TRUE (caller.waitFor ("hello"));
@@ -158,8 +157,7 @@
 {
     StubRunner silent;
     proxy.put (ProxyFixture::rowOf ("i-1", silent.address()));
-    proxy.directory.availability().onRetryAfter (
-        { "i-1", 0 }, http::RetryAfterDelay{ base::seconds (1) }, proxy.clock.now());
+    proxy.directory.availability().onBackoff ({ "i-1", 0 }, base::seconds (1), proxy.clock.now());
     std::vector<std::unique_ptr<RawCaller>> callers;
     for (int request = 0; request < 8; ++request)
     {
--- a/src/proxy/ExchangeRateTest.cpp
+++ b/src/proxy/ExchangeRateTest.cpp
@@ -138,8 +138,7 @@
     limit ({ "i-1" });
     RawCaller caller (proxy.listening);
     send (caller, "once.test");
-    proxy.directory.availability().onRetryAfter (
-        { "i-1", 0 }, http::RetryAfterDelay{ base::seconds (30) }, proxy.clock.now());
+    proxy.directory.availability().onBackoff ({ "i-1", 0 }, base::seconds (30), proxy.clock.now());
     EXPECT_EQ (answer (1, 0), 1U);
     ASSERT_TRUE (caller.waitFor ("HTTP/1.1 503"));
     EXPECT_TRUE (runner.connections.empty());
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -16,9 +16,9 @@
 #include "base/SocketAddress.h"
 #include "base/Time.h"
 #include "cell/RouterMessages.h"
-#include "proxy/RunnerAvailability.h"
 #include "proxy/RunnerEstimate.h"
 #include "proxy/StatedLoad.h"
+#include "routing/RunnerAvailability.h"
 
 namespace fernlift::proxy
 {
@@ -165,7 +165,7 @@
                     base::TimePoint now);
 
     /// Availability that the runners state in their answers.
-    [[nodiscard]] RunnerAvailability& availability() { return m_availability; }
+    [[nodiscard]] routing::RunnerAvailability& availability() { return m_availability; }
 
     [[nodiscard]] std::uint32_t routers() const { return m_routers; }
     [[nodiscard]] const std::vector<cell::ControllerEndpoint>& controllers() const
@@ -302,7 +302,7 @@
     base::TimePoint m_loadsAt{};  ///< Time of the last update of the loads of other routers.
     std::vector<std::string> m_unreachable;
     std::vector<std::string> m_replaced;
-    RunnerAvailability m_availability;
+    routing::RunnerAvailability m_availability;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -156,7 +156,7 @@
             set ("fernlift_proxy_permits_unanswered",
                  "Requests for permits that no leader answered in time.",
                  m_rates.counters().unanswered);
-            RunnerAvailability& availability = m_directory.availability();
+            routing::RunnerAvailability& availability = m_directory.availability();
             set ("fernlift_proxy_backoff_runners",
                  "Runners that accept no request from this router for now (Retry-After).",
                  availability.backingOff (m_clock.now()));
--- a/src/router/BackEndRequest.cpp
+++ b/src/router/BackEndRequest.cpp
@@ -1,9 +1,10 @@
 #include "router/BackEndRequest.h"
 
-#include <algorithm>
-#include <charconv>
 #include <optional>
 #include <string>
+#include <variant>
+
+#include "http/RetryAfter.h"
 
 namespace fernlift::router
 {
@@ -13,20 +14,15 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 constexpr std::string_view kOwnHeaderPrefix = "X-Fernlift-";
-constexpr std::int64_t kMaxRetryAfterSeconds = 3600;
 /// RouterCore applies the timeouts of attempts; the client's own limits only guard against a bug in
 /// that.
 constexpr base::Duration kUnlimited = std::chrono::hours (7 * 24);
 
 std::optional<base::Duration> retryAfterOf (const http::Headers& headers)
 {
-    const std::string text = headers.value ("Retry-After");
-    std::int64_t seconds = 0;
-    const char* const end = text.data() + text.size();
-    const auto [stop, status] = std::from_chars (text.data(), end, seconds);
-    if (text.empty() || status != std::errc() || stop != end || seconds < 0)
-        return std::nullopt;
-    return base::seconds (std::min (seconds, kMaxRetryAfterSeconds));
+    const http::RetryAfter stated = http::readRetryAfter (headers);
+    const auto* const retryAfter = std::get_if<http::RetryAfterDelay> (&stated);
+    return retryAfter == nullptr ? std::nullopt : std::optional (retryAfter->delay);
 }
 
 bool isLeaving (const http::Headers& headers)
--- a/src/router/RouterAdmission.cpp
+++ b/src/router/RouterAdmission.cpp
@@ -149,6 +149,12 @@
         return std::nullopt;
     if (m_table.hasUsableReplica (target))
     {
+        const base::Duration backoff = shortestBackoff (target);
+        if (m_now + backoff > request.deadline)
+        {
+            return Refusal{ ErrorKind::kNoCapacity, "all runners decline requests for some time",
+                            backoff };
+        }
         const auto wait = m_waits.waitBehind (target, ahead, m_now);
         if (! wait || m_now + *wait <= request.deadline)
             return std::nullopt;
@@ -286,8 +292,30 @@
     return chosen->info;
 }
 
+base::Duration RouterCore::Implementation::backoffOf (const cell::RoutableReplica& replica) const
+{
+    if (m_availability.isEmpty())
+        return base::Duration::zero();
+    return m_availability.waitFor (incarnationOf (replica), m_now);
+}
+
+base::Duration RouterCore::Implementation::shortestBackoff (const std::string& target) const
+{
+    if (m_availability.isEmpty())
+        return base::Duration::zero();
+    std::optional<base::Duration> shortest;
+    for (const routing::ReplicaState* state : m_table.usableReplicas (target))
+    {
+        const base::Duration backoff = backoffOf (state->info);
+        shortest = std::min (shortest.value_or (backoff), backoff);
+    }
+    return shortest.value_or (base::Duration::zero());
+}
+
 bool RouterCore::Implementation::hasRoom (const routing::ReplicaState& state, int urgency) const
 {
+    if (backoffOf (state.info) > base::Duration::zero())
+        return false;
     const admission::SlotReservation& reservation = m_configuration.reservation();
     const cell::RoutableReplica& info = state.info;
     const bool isReserved = reservation.hasReservation (urgency);
@@ -319,7 +347,8 @@
     if (m_table.hasUsableReplica (target))
     {
         const std::size_t ahead = m_queues.countAhead (target, request.urgency);
-        return m_waits.waitBehind (target, ahead, m_now).value_or (kDefaultEstimate);
+        return std::max (m_waits.waitBehind (target, ahead, m_now).value_or (kDefaultEstimate),
+                         shortestBackoff (target));
     }
     const auto estimate = m_table.estimateOf (target);
     if (! estimate || estimate->readyAt <= m_now)
--- a/src/router/RouterCore.cpp
+++ b/src/router/RouterCore.cpp
@@ -47,6 +47,9 @@
 {
     runTimers();
     checkWaitEstimates();
+    // A backoff may have ended.
+    if (! m_availability.isEmpty())
+        m_mustServe = true;
     settle();
 }
 
--- a/src/router/RouterCoreImplementation.h
+++ b/src/router/RouterCoreImplementation.h
@@ -26,10 +26,17 @@
 #include "routing/PrefixIndex.h"
 #include "routing/ReplicaChooser.h"
 #include "routing/ReplicaTable.h"
+#include "routing/RunnerAvailability.h"
 
 namespace fernlift::router
 {
 
+/// Name of the runner's incarnation among statements of availability.
+[[nodiscard]] inline cell::Incarnation incarnationOf (const cell::RoutableReplica& replica)
+{
+    return { replica.runner.value, static_cast<base::UnixMilliseconds> (replica.incarnation) };
+}
+
 class RouterCore::Implementation
 {
 public:
@@ -117,6 +124,10 @@
     void serveTarget (const std::string& target, int urgency);
     [[nodiscard]] std::optional<cell::RoutableReplica> chooseReplica (const RouterRequest& request);
     [[nodiscard]] bool hasRoom (const routing::ReplicaState& state, int urgency) const;
+    /// Time until the runner accepts another request after a backoff; zero: now.
+    [[nodiscard]] base::Duration backoffOf (const cell::RoutableReplica& replica) const;
+    /// Time until the first runner of the target accepts a request; zero: now.
+    [[nodiscard]] base::Duration shortestBackoff (const std::string& target) const;
     [[nodiscard]] base::Duration waitEstimate (const RouterRequest& request) const;
 
     // Attempts and answers.
@@ -176,6 +187,7 @@
     bool m_needsWholeConfiguration = false;  ///< A delta to another version was received.
     routing::ReplicaTable m_table;
     routing::OutlierDetector m_outliers;
+    routing::RunnerAvailability m_availability;  ///< Backoffs; the table holds who is leaving.
     routing::PrefixIndex m_prefixes;
     routing::ReplicaChooser m_chooser;
     admission::AdmissionQueues m_queues;
--- a/src/router/RouterDispatch.cpp
+++ b/src/router/RouterDispatch.cpp
@@ -136,7 +136,7 @@
                     { ErrorKind::kLeaseExpired,
                       "the lease on the configuration ended before dispatch", kFailureEstimate });
     }
-    else if (m_table.isUsable (replica))
+    else if (m_table.isUsable (replica) && backoffOf (replica) == base::Duration::zero())
     {
         startAttempt (request, replica);
     }
@@ -166,9 +166,11 @@
     request.resumeBy.reset();
     request.attemptsMade += 1;
     const AttemptId id = ++m_lastAttempt;
-    request.attempts.emplace_back (id, replica, firstByteBy (request),
+    request.attempts.emplace_back (id, replica, m_now, firstByteBy (request),
                                    m_options.betweenTokensTimeout);
     m_attemptOwners[id] = request.ticket;
+    if (! m_availability.isEmpty())
+        m_availability.onAttemptBegin (incarnationOf (replica), m_now);
     m_table.addInFlight (replica, request.urgency);
     m_prefixes.onSent (replica.runner, replica.target, request.head.prefixHashes);
     m_counters.attempts += 1;
@@ -233,6 +235,11 @@
 {
     if (event.runnerIsLeaving)
         reportLeavingRunner (findAttempt (request, id)->replica());
+    if (event.retryAfter)
+    {
+        m_availability.onBackoff (incarnationOf (findAttempt (request, id)->replica()),
+                                  *event.retryAfter, m_now);
+    }
     onAttemptFailed (request, id, AttemptFailure::kRefused, event.retryAfter);
 }
 
@@ -243,6 +250,8 @@
     if (event.runnerIsLeaving)
         reportLeavingRunner (attempt.replica());
     attempt.onHeaders (event.httpStatus, m_now);
+    if (! m_availability.isEmpty() && ! isRetryableStatus (event.httpStatus))
+        m_availability.onSuccess (incarnationOf (attempt.replica()), attempt.startedAt(), m_now);
     // An error response cannot continue a stream.
     const bool cannotContinue = request.hasReachedCaller && event.httpStatus != kOk;
     const bool isWorthRetry = request.isRepeatable && isRetryableStatus (event.httpStatus)
--- a/src/router/RouterRetryTest.cpp
+++ b/src/router/RouterRetryTest.cpp
@@ -171,6 +171,56 @@
     EXPECT_EQ (budgetErrors, 20);
 }
 
+AttemptRefused declinedFor (base::Duration delay) { return { 503, false, delay }; }
+
+TEST (RouterRetryTest, SendsNothingBeforeEndOfRetryAfter)
+{
+    RouterHarness router;
+    router.connect ({ RouterHarness::replica ("r1", "m") });
+    const RequestTicket first = router.request (RouterHarness::completion ("a"));
+    router.event (router.starts.back().attempt, declinedFor (base::milliseconds (600)));
+    const RequestTicket second = router.request (RouterHarness::completion ("b"));
+    router.advance (milliseconds (590));
+    EXPECT_EQ (router.starts.size(), 1U);
+    router.advance (milliseconds (30));
+    EXPECT_EQ (router.attemptsOf (first).size(), 2U);
+    EXPECT_EQ (router.attemptsOf (second).size(), 1U);
+}
+
+TEST (RouterRetryTest, RefusesAtOnceWhenAllRunnersDeclineBeyondDeadline)
+{
+    RouterHarness router;
+    router.connect ({ RouterHarness::replica ("r1", "m") });
+    const RequestTicket first = router.request (RouterHarness::completion ("a"));
+    router.event (router.starts.back().attempt, declinedFor (base::seconds (30)));
+    router.advance (milliseconds (200));
+    const RequestTicket second = router.request (RouterHarness::completion ("b"));
+    for (const RequestTicket ticket : { first, second })
+    {
+        ASSERT_TRUE (router.callers[ticket].error);
+        EXPECT_EQ (router.callers[ticket].error->execution, Execution::kNotRun);
+        EXPECT_GE (router.callers[ticket].error->retryAfter, base::seconds (29));
+    }
+    EXPECT_EQ (router.starts.size(), 1U);
+}
+
+TEST (RouterRetryTest, OtherReplicasServeDuringBackoff)
+{
+    RouterHarness router;
+    router.connect (twoReplicas());
+    router.request (RouterHarness::completion ("a"));
+    const auto declining = router.starts.back().replica.runner;
+    router.event (router.starts.back().attempt, declinedFor (base::seconds (30)));
+    for (int number = 0; number < 4; ++number)
+    {
+        router.answerWhole (router.starts.back().attempt, "text");
+        router.request (RouterHarness::completion ("b" + std::to_string (number)));
+    }
+    EXPECT_EQ (std::ranges::count_if (router.starts, [&] (const StartAttempt& start)
+                                      { return start.replica.runner == declining; }),
+               1);
+}
+
 TEST (RouterRetryTest, BrokenAttemptIsNotReportedAsNotRun)
 {
     RouterHarness router;
--- a/src/proxy/RunnerAvailability.cpp
+++ b/src/routing/RunnerAvailability.cpp
@@ -1,12 +1,10 @@
-#include "proxy/RunnerAvailability.h"
+#include "routing/RunnerAvailability.h"
 
 #include <algorithm>
-#include <variant>
 
-#include "base/Overloaded.h"
 #include "log/Log.h"
 
-namespace fernlift::proxy
+namespace fernlift::routing
 {
 namespace
 {
@@ -78,24 +76,10 @@
         });
 }
 
-bool RunnerAvailability::onRetryAfter (const cell::Incarnation& runner,
-                                       const http::RetryAfter& stated, base::TimePoint now)
+bool RunnerAvailability::onBackoff (const cell::Incarnation& runner, base::Duration delay,
+                                    base::TimePoint now)
 {
     expire (now);
-    return std::visit (base::Overloaded{ [] (const http::NoRetryAfter&) { return false; },
-                                         [&] (const http::RetryAfterDelay& retryAfter)
-                                         { return beginBackoff (runner, retryAfter.delay, now); },
-                                         [&] (const http::UnreadableRetryAfter& retryAfter)
-                                         {
-                                             logUnreadable (runner, retryAfter.text, now);
-                                             return false;
-                                         } },
-                       stated);
-}
-
-bool RunnerAvailability::beginBackoff (const cell::Incarnation& runner, base::Duration delay,
-                                       base::TimePoint now)
-{
     if (delay == base::Duration::zero())
         return false;
     ++m_counters.backoffAnswers;
@@ -113,9 +97,10 @@
     return true;
 }
 
-void RunnerAvailability::logUnreadable (const cell::Incarnation& runner, const std::string& text,
-                                        base::TimePoint now)
+void RunnerAvailability::onUnreadableBackoff (const cell::Incarnation& runner,
+                                              const std::string& text, base::TimePoint now)
 {
+    expire (now);
     State& state = stateOf (runner);
     if (now < state.unreadableUntil)
         return;
@@ -205,4 +190,4 @@
         m_states, [now] (const auto& item) { return now < item.second.leavingUntil; }));
 }
 
-}  // namespace fernlift::proxy
+}  // namespace fernlift::routing
--- a/src/proxy/RunnerAvailability.h
+++ b/src/routing/RunnerAvailability.h
@@ -19,9 +19,8 @@
 
 #include "base/Time.h"
 #include "cell/ServiceInstances.h"
-#include "http/RetryAfter.h"
 
-namespace fernlift::proxy
+namespace fernlift::routing
 {
 
 /** Counts since the start of the process. */
@@ -35,12 +34,14 @@
 class RunnerAvailability
 {
 public:
-    /** Called for an answer by which the runner declined a request for lack of capacity. The later
-        end of two backoffs applies, because answers may overtake one another. Returns whether the
-        runner accepted requests before.
+    /** Called for an answer by which the runner declined a request and asked for none within
+        `delay`. The later end of two backoffs applies, because answers may overtake one another.
+        Returns whether the runner accepted requests before.
     */
-    bool onRetryAfter (const cell::Incarnation& runner, const http::RetryAfter& stated,
-                       base::TimePoint now);
+    bool onBackoff (const cell::Incarnation& runner, base::Duration delay, base::TimePoint now);
+    /** Called for an answer that declined a request with an invalid Retry-After field. */
+    void onUnreadableBackoff (const cell::Incarnation& runner, const std::string& text,
+                              base::TimePoint now);
     /** Called for an answer that states that the runner is leaving. Returns whether it did not
         state so before.
     */
@@ -77,9 +78,6 @@
     using Key = std::pair<std::string, base::UnixMilliseconds>;  ///< Id and start.
 
     [[nodiscard]] State& stateOf (const cell::Incarnation& runner);
-    bool beginBackoff (const cell::Incarnation& runner, base::Duration delay, base::TimePoint now);
-    void logUnreadable (const cell::Incarnation& runner, const std::string& text,
-                        base::TimePoint now);
     /** End of the slow start after a backoff. */
     [[nodiscard]] static base::TimePoint slowStartEnd (const State& state);
     [[nodiscard]] static bool isInSlowStart (const State& state, base::TimePoint now);
@@ -91,4 +89,4 @@
     AvailabilityCounters m_counters;
 };
 
-}  // namespace fernlift::proxy
+}  // namespace fernlift::routing
--- a/src/proxy/RunnerAvailabilityTest.cpp
+++ b/src/routing/RunnerAvailabilityTest.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
-#include "proxy/RunnerAvailability.h"
+#include "routing/RunnerAvailability.h"
 
-namespace fernlift::proxy
+namespace fernlift::routing
 {
 namespace
 {
@@ -10,8 +10,6 @@
 constexpr base::TimePoint kStart{ base::seconds (100) };
 const cell::Incarnation kRunner{ "i-1", 1000 };
 
-http::RetryAfter delayOf (base::Duration delay) { return http::RetryAfterDelay{ delay }; }
-
 class RunnerAvailabilityTest : public ::testing::Test
 {
 protected:
@@ -30,35 +28,33 @@
 
 TEST_F (RunnerAvailabilityTest, LaterEndOfTwoBackoffsApplies)
 {
-    EXPECT_TRUE (m_availability.onRetryAfter (kRunner, delayOf (base::seconds (3)), kStart));
-    EXPECT_FALSE (m_availability.onRetryAfter (kRunner, delayOf (base::seconds (1)),
-                                               kStart + base::seconds (1)));
+    EXPECT_TRUE (m_availability.onBackoff (kRunner, base::seconds (3), kStart));
+    EXPECT_FALSE (
+        m_availability.onBackoff (kRunner, base::seconds (1), kStart + base::seconds (1)));
     EXPECT_EQ (m_availability.waitFor (kRunner, kStart + base::seconds (2)), base::seconds (1));
-    m_availability.onRetryAfter (kRunner, delayOf (base::seconds (3)), kStart + base::seconds (2));
+    m_availability.onBackoff (kRunner, base::seconds (3), kStart + base::seconds (2));
     EXPECT_EQ (m_availability.waitFor (kRunner, kStart + base::seconds (3)), base::seconds (2));
     EXPECT_EQ (m_availability.counters().backoffAnswers, 3U);
 }
 
 TEST_F (RunnerAvailabilityTest, SuccessDoesNotEndBackoff)
 {
-    m_availability.onRetryAfter (kRunner, delayOf (base::seconds (3)), kStart);
+    m_availability.onBackoff (kRunner, base::seconds (3), kStart);
     m_availability.onSuccess (kRunner, kStart, kStart + base::milliseconds (10));
     EXPECT_TRUE (m_availability.isBackingOff (kRunner, kStart + base::seconds (2)));
 }
 
-TEST_F (RunnerAvailabilityTest, IgnoresZeroMissingAndUnreadableRetryAfter)
+TEST_F (RunnerAvailabilityTest, IgnoresZeroAndUnreadableBackoffs)
 {
-    EXPECT_FALSE (m_availability.onRetryAfter (kRunner, delayOf ({}), kStart));
-    EXPECT_FALSE (m_availability.onRetryAfter (kRunner, http::NoRetryAfter{}, kStart));
-    EXPECT_FALSE (
-        m_availability.onRetryAfter (kRunner, http::UnreadableRetryAfter{ "soon" }, kStart));
+    EXPECT_FALSE (m_availability.onBackoff (kRunner, {}, kStart));
+    m_availability.onUnreadableBackoff (kRunner, "soon", kStart);
     EXPECT_EQ (m_availability.waitFor (kRunner, kStart), base::Duration::zero());
     EXPECT_EQ (m_availability.backingOff (kStart), 0U);
 }
 
 TEST_F (RunnerAvailabilityTest, SlowStartGrowsWithSuccessesAndEnds)
 {
-    m_availability.onRetryAfter (kRunner, delayOf (base::seconds (3)), kStart);
+    m_availability.onBackoff (kRunner, base::seconds (3), kStart);
     const base::TimePoint end = kStart + base::seconds (3);
     EXPECT_EQ (beginAttempts (end), 2U);
     m_availability.onSuccess (kRunner, end, end + base::milliseconds (100));
@@ -69,7 +65,7 @@
 
 TEST_F (RunnerAvailabilityTest, SlowStartContinuesWhenAttemptsEndWithoutAnswer)
 {
-    m_availability.onRetryAfter (kRunner, delayOf (base::seconds (3)), kStart);
+    m_availability.onBackoff (kRunner, base::seconds (3), kStart);
     const base::TimePoint end = kStart + base::seconds (3);
     EXPECT_EQ (beginAttempts (end), 2U);
     EXPECT_EQ (beginAttempts (end + base::milliseconds (499)), 0U);
@@ -79,7 +75,7 @@
 
 TEST_F (RunnerAvailabilityTest, StatementsBelongToOneIncarnation)
 {
-    m_availability.onRetryAfter (kRunner, delayOf (base::seconds (3)), kStart);
+    m_availability.onBackoff (kRunner, base::seconds (3), kStart);
     m_availability.onLeaving (kRunner, kStart);
     const cell::Incarnation next{ "i-1", 2000 };
     EXPECT_EQ (m_availability.waitFor (next, kStart), base::Duration::zero());
@@ -91,12 +87,12 @@
 
 TEST_F (RunnerAvailabilityTest, ForgetsRunnersWhoseStatementsHaveLapsed)
 {
-    m_availability.onRetryAfter (kRunner, delayOf (base::seconds (3)), kStart);
+    m_availability.onBackoff (kRunner, base::seconds (3), kStart);
     m_availability.onLeaving ({ "i-2", 0 }, kStart);
     EXPECT_EQ (m_availability.leaving (kStart), 1U);
-    m_availability.onRetryAfter ({ "i-3", 0 }, http::NoRetryAfter{}, kStart + base::seconds (601));
+    m_availability.onBackoff ({ "i-3", 0 }, {}, kStart + base::seconds (601));
     EXPECT_TRUE (m_availability.isEmpty());
 }
 
 }  // namespace
-}  // namespace fernlift::proxy
+}  // namespace fernlift::routing
