--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -115,6 +115,13 @@
     std::vector<std::unique_ptr<QTcpSocket>> m_pending;
 };
 
+/// Answer of a runner that served ProxyFixture::request(), with further fields, each with its end
+/// of line.
+inline std::string servedAnswer (const std::string& fields = "")
+{
+    return "HTTP/1.1 200 OK\r\nTest-Id: r1\r\n" + fields + "Content-Length: 5\r\n\r\nhello";
+}
+
 /// Reply of an AnsweringRunner.
 struct StubReply
 {
@@ -283,34 +290,24 @@
     /// Adds a row to the table of runners, or replaces it.
     void put (const cell::RoutableInstance& row)
     {
-        cell::InstanceUpdate update;
-        update.term = m_term;
-        update.fromVersion = m_tableVersion;
-        update.toVersion = ++m_tableVersion;
+        cell::InstanceUpdate update = nextUpdate();
         update.upserts.push_back (row);
-        directory.apply (update, clock.now());
-        server.onDirectoryChanged();
+        apply (update);
     }
     void remove (const std::string& id)
     {
-        cell::InstanceUpdate update;
-        update.term = m_term;
-        update.fromVersion = m_tableVersion;
-        update.toVersion = ++m_tableVersion;
+        cell::InstanceUpdate update = nextUpdate();
         update.removals.push_back (id);
-        directory.apply (update, clock.now());
-        server.onDirectoryChanged();
+        apply (update);
     }
     /// Sends the whole table as a new leader does.
     void replaceTable (const std::vector<cell::RoutableInstance>& rows)
     {
-        cell::InstanceUpdate update;
-        update.term = ++m_term;
+        ++m_term;
+        cell::InstanceUpdate update = nextUpdate();
         update.fromVersion = 0;
-        update.toVersion = m_tableVersion = 1;
         update.upserts = rows;
-        directory.apply (update, clock.now());
-        server.onDirectoryChanged();
+        apply (update);
     }
     /// Lets time pass at once, as if the process had been suspended.
     void advance (base::Duration time)
@@ -320,6 +317,15 @@
         server.onDirectoryChanged();
     }
 
+    /// Sends a request on a new connection. Returns its answer as soon as the head is complete.
+    std::string call (const std::string& host)
+    {
+        RawCaller caller (listening);
+        caller.write (request (host));
+        caller.waitFor ("\r\n\r\n");
+        return caller.received();
+    }
+
     static std::string request (const std::string& host, const std::string& id = "r1",
                                 const std::string& extra = "")
     {
@@ -345,6 +351,20 @@
     base::SocketAddress listening;
 
 private:
+    cell::InstanceUpdate nextUpdate()
+    {
+        cell::InstanceUpdate update;
+        update.term = m_term;
+        update.fromVersion = m_tableVersion;
+        update.toVersion = ++m_tableVersion;
+        return update;
+    }
+    void apply (const cell::InstanceUpdate& update)
+    {
+        directory.apply (update, clock.now());
+        server.onDirectoryChanged();
+    }
+
     base::Term m_term = 1;
     std::uint64_t m_tableVersion = 0;
 };
--- a/src/proxy/RunnerBackoffBoundTest.cpp
+++ b/src/proxy/RunnerBackoffBoundTest.cpp
@@ -151,14 +151,14 @@
                 case Behaviour::kLeaves:
                     if (! record.leavingSince)
                         record.leavingSince = m_play.now();
-                    return { answer ("Test-Leaving: 1\r\n") };
+                    return { servedAnswer ("Test-Leaving: 1\r\n") };
                 case Behaviour::kServes:
                     break;
             }
             ++m_play.m_served;
             if (m_play.m_fault == PlantedFault::kForgottenWithSuccess)
                 m_play.m_proxy.directory.availability() = {};
-            return { isStream (request) ? kStreamHead + kEvent + "0\r\n\r\n" : answer ("") };
+            return { isStream (request) ? kStreamHead + kEvent + "0\r\n\r\n" : servedAnswer() };
         }
         StubReply decline()
         {
@@ -173,10 +173,6 @@
             return { "HTTP/1.1 503 Service Unavailable\r\nTest-Id: r1\r\nRetry-After: " + delay
                      + "\r\n" + notExecuted + "Content-Length: 0\r\n\r\n" };
         }
-        static std::string answer (const std::string& fields)
-        {
-            return "HTTP/1.1 200 OK\r\nTest-Id: r1\r\n" + fields + "Content-Length: 5\r\n\r\nhello";
-        }
         static bool isStream (const std::string& request)
         {
             return request.find ("Host: resume.test") != std::string::npos
