Forget lapsed statements of runners at intervals, not with the next statement

Found on reading the change again: expire() ran only when a runner stated something, so that after the last backoff the lapsed states stayed, isEmpty() stayed false, every choice looked them up and the router of models and applications served its queues at each tick. It now runs at the tick of both routers, like the other tables that expire, and no longer in each statement. A lapsed state has no effect on decisions, so these stay as they are. The test of forgetting calls expire() itself; its assertions are unchanged.

Exchange::retryAfterRefusal stands beside its caller, so that kRetryDelay stands once there.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -525,6 +525,12 @@
     }
 }
 
+base::Duration Exchange::retryAfterRefusal()
+{
+    const InstanceChoice next = m_context.directory.choose (m_query, now());
+    return next.reason == NoRunnerReason::kBackoff ? retryAfterBackoff (next.wait) : kRetryDelay;
+}
+
 void Exchange::afterFailure()
 {
     m_query.avoidedInstance = m_instance;
--- a/src/proxy/ExchangeRates.cpp
+++ b/src/proxy/ExchangeRates.cpp
@@ -13,8 +13,6 @@
 
 using base::ErrorKind;
 
-/// Retry-After time of a caller while another runner may accept its request.
-constexpr base::Duration kRetryDelay = base::milliseconds (100);
 /// Callers of runners that are backing off return at random times within this span.
 constexpr base::Duration kMaxRetrySpread = base::milliseconds (200);
 
@@ -112,12 +110,6 @@
     return backoff + std::chrono::duration_cast<base::Duration> (spread);
 }
 
-base::Duration Exchange::retryAfterRefusal()
-{
-    const InstanceChoice next = m_context.directory.choose (m_query, now());
-    return next.reason == NoRunnerReason::kBackoff ? retryAfterBackoff (next.wait) : kRetryDelay;
-}
-
 std::string Exchange::rateQueueKey() const { return m_query.service + "/" + m_query.model; }
 
 std::pair<int, base::TimePoint> Exchange::queueOrder() const
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -531,6 +531,7 @@
     reportSuspects();
     moveToPreferred();
     m_pool.expire (m_clock.now());
+    m_directory.availability().expire (m_clock.now());
     // The avoidance of a runner may have ended.
     if (m_server.waitingExchanges() > 0)
         m_server.onDirectoryChanged();
--- a/src/router/RouterCore.cpp
+++ b/src/router/RouterCore.cpp
@@ -47,6 +47,7 @@
 {
     runTimers();
     checkWaitEstimates();
+    m_availability.expire (m_now);
     // A backoff may have ended.
     if (! m_availability.isEmpty())
         m_mustServe = true;
--- a/src/routing/RunnerAvailability.cpp
+++ b/src/routing/RunnerAvailability.cpp
@@ -79,7 +79,6 @@
 bool RunnerAvailability::onBackoff (const cell::Incarnation& runner, base::Duration delay,
                                     base::TimePoint now)
 {
-    expire (now);
     if (delay == base::Duration::zero())
         return false;
     ++m_counters.backoffAnswers;
@@ -100,7 +99,6 @@
 void RunnerAvailability::onUnreadableBackoff (const cell::Incarnation& runner,
                                               const std::string& text, base::TimePoint now)
 {
-    expire (now);
     State& state = stateOf (runner);
     if (now < state.unreadableUntil)
         return;
@@ -111,7 +109,6 @@
 
 bool RunnerAvailability::onLeaving (const cell::Incarnation& runner, base::TimePoint now)
 {
-    expire (now);
     State& state = stateOf (runner);
     const bool isNew = now >= state.leavingUntil;
     if (isNew)
--- a/src/routing/RunnerAvailability.h
+++ b/src/routing/RunnerAvailability.h
@@ -50,6 +50,9 @@
     /** Called when the runner began to answer a request sent at `sentAt` without a failure. */
     void onSuccess (const cell::Incarnation& runner, base::TimePoint sentAt, base::TimePoint now);
 
+    /** Forgets runners whose statements have all lapsed. Called at intervals. */
+    void expire (base::TimePoint now);
+
     /** Whether there is no statement at all, so that every runner accepts requests. */
     [[nodiscard]] bool isEmpty() const { return m_states.empty(); }
     [[nodiscard]] bool isLeaving (const cell::Incarnation& runner, base::TimePoint now) const;
@@ -82,8 +85,6 @@
     [[nodiscard]] static base::TimePoint slowStartEnd (const State& state);
     [[nodiscard]] static bool isInSlowStart (const State& state, base::TimePoint now);
     [[nodiscard]] static base::Duration waitFor (const State& state, base::TimePoint now);
-    /** Removes states whose statements have all lapsed. */
-    void expire (base::TimePoint now);
 
     std::map<Key, State> m_states;
     AvailabilityCounters m_counters;
--- a/src/routing/RunnerAvailabilityTest.cpp
+++ b/src/routing/RunnerAvailabilityTest.cpp
@@ -90,7 +90,7 @@
     m_availability.onBackoff (kRunner, base::seconds (3), kStart);
     m_availability.onLeaving ({ "i-2", 0 }, kStart);
     EXPECT_EQ (m_availability.leaving (kStart), 1U);
-    m_availability.onBackoff ({ "i-3", 0 }, {}, kStart + base::seconds (601));
+    m_availability.expire (kStart + base::seconds (601));
     EXPECT_TRUE (m_availability.isEmpty());
 }
 
