Routers log and count runners that they cannot connect to, the leader logs who reported one

A request whose runners cannot be reached was logged as not_loaded or no_runner, the same as one whose model is held nowhere; it is now cause=unreachable (4016). Events 4033 and 4034 name the runners that a router does not reach and reaches again, 3024 names the router or relay that reported one, fernlift_proxy_unreachable_runners and fernlift_proxy_connections_failed count them. Nothing that routers decide depends on them.

Tests: InstanceDirectoryTest.UnreachableHolderIsNotReportedAsMissingModel, which failed before (the reason was kUnknown).

--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -198,11 +198,19 @@
     std::string reason;
 };
 
+/// A router, or a relay on behalf of one, cannot reach a runner.
+struct InstanceReportedUnreachable
+{
+    std::string instance;
+    std::string reporter;
+};
+
 using Effect = std::variant<PersistEffect, SendToMember, ConnectToLeader, SendToLeader,
                             SendToRouter, BroadcastToRouters, SendOrder, PollRunner,
                             PollMachineList, AnswerAdmin, AnswerControl, placement::SendEngineOrder,
                             placement::PollEngine, placement::EngineOrderDone, ConfigurationEvent,
-                            RequestQuarantined, RunnerMessageUnusable>;
+                            RequestQuarantined, RunnerMessageUnusable,
+                            InstanceReportedUnreachable>;
 
 /// Status of a member that does not lead and serves routers on behalf of the leader.
 struct RelayStatus
--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -280,6 +280,11 @@
             [] (const RequestQuarantined& quarantined) { logQuarantine (quarantined.suspect); },
             [this] (const RunnerMessageUnusable& message)
             { recordUnusable (message.instance, message.reason); },
+            [] (const InstanceReportedUnreachable& report)
+            {
+                log::write (log::Event::kInstanceReportedUnreachable,
+                            { { "runner", report.instance }, { "router", report.reporter } });
+            },
         },
         effect);
 }
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -61,10 +61,12 @@
         if (m_relay->session.isConnected())
             m_effects.emplace_back (SendToLeader{ message });
     }
-    else if (std::holds_alternative<cell::InstanceUnreachable> (message)
-             && m_relay->session.isConnected())
+    else if (const auto* unreachable = std::get_if<cell::InstanceUnreachable> (&message))
     {
-        m_effects.emplace_back (SendToLeader{ message });
+        m_effects.emplace_back (
+            InstanceReportedUnreachable{ unreachable->instance, session->router.value });
+        if (m_relay->session.isConnected())
+            m_effects.emplace_back (SendToLeader{ message });
     }
     runRelay();
     return true;
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -105,6 +105,8 @@
     }
     else if (const auto* unreachable = std::get_if<cell::InstanceUnreachable> (&message))
     {
+        m_effects.emplace_back (InstanceReportedUnreachable{
+            unreachable->instance, m_leader->sessions.find (connection)->router.value });
         m_leader->instances.onUnreachable (unreachable->instance, m_now);
         m_leader->instanceTable.request();
         requestPlacement();
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -262,6 +262,7 @@
     void carryOut (Node& /*node*/, const placement::EngineOrderDone& /*done*/) {}
     void carryOut (Node& node, ConfigurationEvent event);
     void carryOut (Node& /*node*/, const RequestQuarantined& /*quarantined*/) {}
+    void carryOut (Node& /*node*/, const InstanceReportedUnreachable& /*report*/) {}
     void carryOut (Node& /*node*/, const RunnerMessageUnusable& /*unusable*/)
     {
         ++unusableMessages;
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -328,6 +328,8 @@
 {
     ++m_sentAttempts;
     m_isAttemptSent = true;
+    if (! m_connection->wasUsedBefore())
+        m_context.reachability.onConnected (m_instance);
     m_attemptSentAt = now();
     extendAttemptDeadline();
     armTimer();
@@ -464,6 +466,7 @@
 {
     if (failure == http::BackEndFailure::kNotConnected)
     {
+        m_context.reachability.onConnectFailed (m_instance);
         endAttempt (AttemptEnd::kUnreachable, false);
         m_query.avoidedInstance = m_instance;
         if (! m_query.isolationKey.empty())
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -109,6 +109,8 @@
             return "rate_limited";
         case NoRunnerReason::kBackoff:
             return "backoff";
+        case NoRunnerReason::kUnreachable:
+            return "unreachable";
         case NoRunnerReason::kFull:
             break;
     }
@@ -346,11 +348,10 @@
     return entry == view.notHeldUntil.end() || now >= entry->second;
 }
 
-bool InstanceDirectory::isCandidate (const View& view, const InstanceQuery& query,
+bool InstanceDirectory::isAccepting (const View& view, const InstanceQuery& query,
                                      base::TimePoint now) const
 {
-    return view.row.instance.service == query.service && ! isDraining (view, now)
-           && now >= view.unreachableUntil;
+    return view.row.instance.service == query.service && ! isDraining (view, now);
 }
 
 RunnerState InstanceDirectory::stateOf (const View& view, const InstanceQuery& query,
@@ -410,8 +411,8 @@
     return candidate;
 }
 
-bool InstanceDirectory::canServe (const View& view, const InstanceQuery& query,
-                                  base::TimePoint now) const
+bool InstanceDirectory::couldServe (const View& view, const InstanceQuery& query,
+                                    base::TimePoint now) const
 {
     const auto hasCrashed = [&]
     {
@@ -419,7 +420,13 @@
         return ! crashed.empty()
                && std::ranges::find (crashed, incarnationNameOf (view.row)) != crashed.end();
     };
-    return isCandidate (view, query, now) && ! hasCrashed() && holds (view, query, now);
+    return isAccepting (view, query, now) && ! hasCrashed() && holds (view, query, now);
+}
+
+bool InstanceDirectory::canServe (const View& view, const InstanceQuery& query,
+                                  base::TimePoint now) const
+{
+    return now >= view.unreachableUntil && couldServe (view, query, now);
 }
 
 const InstanceDirectory::View* InstanceDirectory::affinityRunnerOf (const InstanceQuery& query,
@@ -456,7 +463,6 @@
                                                          base::TimePoint now) const
 {
     InstanceChoice choice;
-    choice.reason = NoRunnerReason::kNotLoaded;
     // Runners that may have failed rank last. Otherwise the key alone could select another failed
     // runner, such as one in the rack of the crashed runner, and the request would wait for a
     // failed runner a second time.
@@ -477,6 +483,8 @@
         backoff = backoffOf (*view, now);
         choice = choiceOf (candidateOf (*view, nullptr, query, now), query, now);
     }
+    if (choice.reason != NoRunnerReason::kNone)
+        return { reasonWithout (query, now) };
     // All copies are sent to this one runner, so they share the wait for it.
     if (backoff > base::Duration::zero())
         return backingOff (backoff);
@@ -486,9 +494,12 @@
 NoRunnerReason InstanceDirectory::reasonWithout (const InstanceQuery& query,
                                                  base::TimePoint now) const
 {
+    const auto isServing = [&] (const auto& item) { return couldServe (*item.second, query, now); };
+    if (std::ranges::any_of (viewsFor (query.service, query.model), isServing))
+        return NoRunnerReason::kUnreachable;
     const Views& views = viewsFor (query.service, {});
     const bool isAny = std::ranges::any_of (
-        views, [&] (const auto& item) { return isCandidate (*item.second, query, now); });
+        views, [&] (const auto& item) { return isAccepting (*item.second, query, now); });
     return isAny ? NoRunnerReason::kNotLoaded : NoRunnerReason::kUnknown;
 }
 
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -69,6 +69,7 @@
                    ///< period.
     kRateLimited,  ///< All runners that could serve the request have reached their stated rates.
     kBackoff,      ///< All runners that could serve the request decline requests for some time.
+    kUnreachable,  ///< This router cannot connect to any runner that could serve the request.
 };
 
 struct InstanceChoice
@@ -173,6 +174,7 @@
         return m_controllers;
     }
     [[nodiscard]] std::size_t size() const { return m_views.size(); }
+    [[nodiscard]] bool contains (const std::string& id) const { return m_views.contains (id); }
     [[nodiscard]] bool hasTable() const { return m_version != 0; }
     [[nodiscard]] base::Term term() const { return m_term; }
     [[nodiscard]] std::uint64_t version() const { return m_version; }
@@ -252,7 +254,7 @@
     [[nodiscard]] const Views& viewsFor (const std::string& service,
                                          const std::string& model) const;
     /// Whether the runner accepts requests of the service.
-    [[nodiscard]] bool isCandidate (const View& view, const InstanceQuery& query,
+    [[nodiscard]] bool isAccepting (const View& view, const InstanceQuery& query,
                                     base::TimePoint now) const;
     [[nodiscard]] static bool holds (const View& view, const InstanceQuery& query,
                                      base::TimePoint now);
@@ -271,6 +273,10 @@
                                                          const Candidate& lowest, double draw);
     [[nodiscard]] InstanceChoice choiceOf (const Candidate& candidate, const InstanceQuery& query,
                                            base::TimePoint now) const;
+    /// Whether the runner may be chosen and holds the model and adapter, apart from whether this
+    /// router can connect to it.
+    [[nodiscard]] bool couldServe (const View& view, const InstanceQuery& query,
+                                   base::TimePoint now) const;
     /// Whether the runner may be chosen and holds the model and adapter.
     [[nodiscard]] bool canServe (const View& view, const InstanceQuery& query,
                                  base::TimePoint now) const;
--- a/src/proxy/InstanceDirectoryTest.cpp
+++ b/src/proxy/InstanceDirectoryTest.cpp
@@ -129,6 +129,19 @@
     EXPECT_EQ (reason ({ "other", "", "", "", 0, 0, "" }), NoRunnerReason::kUnknown);
 }
 
+TEST_F (InstanceDirectoryTest, UnreachableHolderIsNotReportedAsMissingModel)
+{
+    put ({ rowOf ("i-1") });
+    m_directory.onAttemptBegin ("i-1", 0, kStart);
+    m_directory.onAttemptEnd ("i-1", AttemptEnd::kUnreachable, kStart);
+    EXPECT_EQ (reason ({ "service", "m", "a1", "", 0, 0, "" }), NoRunnerReason::kUnreachable);
+    EXPECT_EQ (reason ({ "service", "x", "", "", 0, 0, "" }), NoRunnerReason::kNotLoaded);
+    InstanceQuery suspect;
+    suspect.service = "service";
+    suspect.isolationKey = "digest";
+    EXPECT_EQ (reason (suspect), NoRunnerReason::kUnreachable);
+}
+
 TEST_F (InstanceDirectoryTest, SkipsRunnerThatDoesNotHoldModelForAWhile)
 {
     put ({ rowOf ("i-1") });
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -19,6 +19,7 @@
 #include "proxy/ProtocolNames.h"
 #include "proxy/RouteTable.h"
 #include "proxy/RunnerRates.h"
+#include "proxy/RunnerReachability.h"
 #include "proxy/TenantQuotas.h"
 #include "quarantine/SuspectRequests.h"
 
@@ -66,6 +67,7 @@
         checkRunner = [] (const std::string&, const base::SocketAddress&) {};
     /// Called when a runner stated that it accepts no requests from now on.
     std::function<void()> onRunnerUnavailable = [] {};
+    RunnerReachability reachability{};
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -169,6 +169,11 @@
             set ("fernlift_proxy_attempts_during_backoff",
                  "Attempts at runners that had asked for none at that time.",
                  availability.counters().attemptsDuringBackoff);
+            set ("fernlift_proxy_unreachable_runners",
+                 "Runners that this router cannot connect to.",
+                 m_context.reachability.unreachable());
+            set ("fernlift_proxy_connections_failed", "Connections to runners that did not open.",
+                 m_context.reachability.failedConnections());
             set ("fernlift_proxy_configuration_version", "Configuration in force.", m_held.version);
             set ("fernlift_proxy_configuration_unconfirmed_milliseconds",
                  "Since the lease on the configuration ended; 0 while it lasts.",
@@ -373,6 +378,8 @@
     m_link.setControllers (std::move (preferred));
     limitRetries();
     m_rates.setRouters (m_directory.routers());
+    m_context.reachability.keepOnly ([this] (const std::string& id)
+                                     { return m_directory.contains (id); });
     for (const std::string& id : m_directory.takeReplaced())
         m_suspects.onReplaced (id);
     // The last known state of a controller that does not lead does not include the number of
--- a/src/sim/ControllerNode.h
+++ b/src/sim/ControllerNode.h
@@ -83,6 +83,7 @@
     void apply (const placement::EngineOrderDone& /*done*/) {}
     void apply (const controller::ConfigurationEvent& /*news*/) {}
     void apply (const controller::RequestQuarantined& /*quarantined*/) {}
+    void apply (const controller::InstanceReportedUnreachable& /*report*/) {}
     void apply (const controller::RunnerMessageUnusable& /*unusable*/) {}
     void apply (const placement::SendEngineOrder& /*effect*/) {}
     void apply (const placement::PollEngine& /*effect*/) {}
