--- a/src/controller/ControllerCore.h
+++ b/src/controller/ControllerCore.h
@@ -209,8 +209,7 @@
                             SendToRouter, BroadcastToRouters, SendOrder, PollRunner,
                             PollMachineList, AnswerAdmin, AnswerControl, placement::SendEngineOrder,
                             placement::PollEngine, placement::EngineOrderDone, ConfigurationEvent,
-                            RequestQuarantined, RunnerMessageUnusable,
-                            InstanceReportedUnreachable>;
+                            RequestQuarantined, RunnerMessageUnusable, InstanceReportedUnreachable>;
 
 /// Status of a member that does not lead and serves routers on behalf of the leader.
 struct RelayStatus
--- a/src/lab/ForwardingCellTestSupport.h
+++ b/src/lab/ForwardingCellTestSupport.h
@@ -18,6 +18,7 @@
 #include "base/Time.h"
 #include "controller/ControllerProcess.h"
 #include "lab/PortReservations.h"
+#include "lab/RunnerLinkTestSupport.h"
 #include "proxy/ProxyProcess.h"
 
 namespace fernlift::lab::test
@@ -90,6 +91,8 @@
         std::size_t controllers = 3;
         std::size_t routers = 2;
         std::size_t runners = 8;
+        /// Whether the path from each router to the runners can fail for this router alone.
+        bool hasRouterNetworks = false;
     };
 
     explicit ForwardingCell (const Options& options);
@@ -109,6 +112,8 @@
     void replaceRouter (std::size_t number);
     /// Restarts every runner that has crashed.
     void restartRunners();
+    /// Network of a router; only with `hasRouterNetworks`.
+    RouterNetwork& network (std::size_t router) { return *m_networks.at (router); }
 
     [[nodiscard]] std::uint32_t crashes() const;
     CrashableRunner& runner (std::size_t number) { return *m_runners.at (number); }
@@ -118,6 +123,9 @@
 private:
     void startController (std::size_t number);
     void startRouter (std::size_t number);
+    /// Address at which a router reaches the peer port of a controller.
+    [[nodiscard]] base::SocketAddress seedAddress (std::size_t router,
+                                                   std::size_t controller) const;
     /// Sends a heartbeat of every running runner to each controller.
     void sendHeartbeats();
     void sendToControllers (const std::string& method, const std::string& body);
@@ -140,6 +148,7 @@
     std::uint32_t m_calls = 0;
     std::uint64_t m_heartbeatSequence = 0;
     std::vector<std::unique_ptr<controller::ControllerProcess>> m_controllers;
+    std::vector<std::unique_ptr<RouterNetwork>> m_networks;  ///< Empty, or one for each router.
     std::vector<std::unique_ptr<proxy::ProxyProcess>> m_routers;
     std::vector<std::unique_ptr<CrashableRunner>> m_runners;
     std::vector<std::unique_ptr<QTcpSocket>> m_controlSockets;
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -214,6 +214,13 @@
     m_routers.resize (options.routers);
     for (std::size_t number = 0; number < options.controllers; ++number)
         startController (number);
+    // 127.0.0.N are the controllers themselves.
+    constexpr std::size_t kFirstPrefix = 1;
+    for (std::size_t number = 0; options.hasRouterNetworks && number < options.routers; ++number)
+    {
+        m_networks.push_back (std::make_unique<RouterNetwork> (
+            static_cast<std::uint8_t> (kFirstPrefix + number), options.controllers, m_peerPort));
+    }
     for (std::size_t number = 0; number < options.routers; ++number)
         startRouter (number);
     for (std::size_t number = 0; number < options.runners; ++number)
@@ -232,6 +239,14 @@
     return { "127.0.0." + std::to_string (number + 1), m_controlPort };
 }
 
+base::SocketAddress ForwardingCell::seedAddress (std::size_t router, std::size_t controller) const
+{
+    base::SocketAddress address = controlAddress (controller);
+    if (! m_networks.empty())
+        address.host = m_networks[router]->hostOf (controller);
+    return address;
+}
+
 void ForwardingCell::startController (std::size_t number)
 {
     controller::ControllerSettings settings;
@@ -264,7 +279,7 @@
     settings.frontAddress = { "127.0.0.1", 0 };
     settings.readinessAddress = { "127.0.0.1", 0 };
     for (std::size_t seed = 0; seed < m_controllers.size(); ++seed)
-        settings.seeds.push_back (controlAddress (seed));
+        settings.seeds.push_back (seedAddress (number, seed));
     settings.seedPeerPort = m_peerPort;
     m_routers[number] = std::make_unique<proxy::ProxyProcess> (
         settings, proxy::test::ProxyFixture::testNames(), &proxy::test::parseTestConfiguration,
