--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -17,6 +17,7 @@
 #include "cell/InstanceRateMessages.h"
 #include "cell/QuarantineMessages.h"
 #include "cell/QuotaMessages.h"
+#include "cell/RouterPeerMessages.h"
 #include "consensus/Messages.h"
 #include "wire/OptionalTail.h"
 
@@ -30,6 +31,7 @@
     /// The relay tracks which of its routers may keep their table of instances when a new leader
     /// continues that table.
     kFollowsTableOfNextLeader = 1U << 1U,
+    kReadsRouterPeers = 1U << 2U,  ///< RouterPeers.
 };
 
 /// First message of a router on a new connection.
@@ -52,6 +54,9 @@
     base::Term instanceTerm = 0;        ///< Term of the leader that sent the instance table held.
     std::uint64_t instanceVersion = 0;  ///< 0: no instance table is held.
     std::uint32_t features = 0;         ///< Bits of RouterFeature; 0 from versions without it.
+    /// "ip:port" at which the router accepts requests of other routers; empty: nowhere.
+    std::string peerAddress{};
+    std::uint64_t peerKey = 0;  ///< Key that such requests have to state.
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
@@ -60,6 +65,8 @@
             replicaTableTerm& replicaTableVersion& acceptsLastKnownState& isRelay& instanceTerm&
                 instanceVersion;
         wire::serializeTail (archive, features);
+        wire::serializeTail (archive, peerAddress);
+        wire::serializeTail (archive, peerKey);
     }
 };
 
@@ -256,7 +263,7 @@
     std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest, OutcomeReport,
                  RunnerLeavingReport, EngineDemandReport, MemberJoinRequest, InstanceUnreachable,
                  RelayedHeartbeats, QuotaRequest, SuspectReport, InstanceLoadReport,
-                 InstanceRateReport, InstancePermitRequest>;
+                 InstanceRateReport, InstancePermitRequest, RouterPeers>;
 
 /// This controller does not lead. `leaderAddress` is "ip:port" of the leader, empty if unknown.
 struct NotLeaderReply
@@ -507,6 +514,6 @@
 using ControllerToRouter =
     std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant, ReplicaUpdate, ClaimReply,
                  InstanceUpdate, MemberJoinReply, QuotaGrant, SuspectUpdate, SuspectReport,
-                 InstanceLoadUpdate, InstanceRateUpdate, InstancePermitGrant>;
+                 InstanceLoadUpdate, InstanceRateUpdate, InstancePermitGrant, RouterPeers>;
 
 }  // namespace fernlift::cell
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -109,6 +109,7 @@
         sendConfigurationIfDue();
         if (holdsLease())
             sendSuspectsTo (m_leader->sessions);
+        sendPeers();
         trackRollout();
         placeOnEngines();
         sendInstancesIfDue();
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -34,6 +34,7 @@
 #include "controller/OrderQueue.h"
 #include "controller/Reconciliation.h"
 #include "controller/RoutableTable.h"
+#include "controller/RouterPeerTable.h"
 #include "controller/RouterRelay.h"
 #include "controller/RouterSessions.h"
 #include "controller/RunnerSpeeds.h"
@@ -277,6 +278,7 @@
     /// earlier leader does not satisfy it.
     std::uint64_t requiredInstanceVersion = 0;
     ThrottledWork instanceTable;  ///< Changes of the instances may have to be sent to routers.
+    RouterPeerTable peers;        ///< Routers of this member and of the relays.
     ThrottledWork wholeTable;     ///< Some routers need the whole instance table.
     ThrottledWork instanceSweep;  ///< All instances are to be examined.
     MemberAdmission admission;
@@ -575,6 +577,17 @@
     void restoreSpeeds (const InstanceLoadTable& loads);
     void excludeSilent (InstanceLoadSum& sum, const RouterSessions& sessions) const;
 
+    // ControllerPeers.cpp
+    /// Records the peer address of a router that has connected.
+    void recordPeer (RouterConnection connection, const cell::RouterHello& hello);
+    /// Sends the list of routers to those that do not have it yet.
+    void sendPeers();
+    void sendPeersTo (RouterSessions& sessions, std::uint64_t version,
+                      const std::function<cell::RouterPeers()>& listOf);
+    /// At a relay: reports its routers if they changed and the leader reads such reports.
+    void reportPeersToLeader();
+    void applyLeaderPeers (const cell::RouterPeers& list);
+
     // ControllerRates.cpp
     /// Table of rate-limited runners, as the leader or a relay sends it to routers.
     [[nodiscard]] cell::InstanceRateUpdate rateTable() const;
@@ -668,6 +681,8 @@
     OrderHistory m_orderHistory;
     base::LogIndex m_suspectsVersion = 0;  ///< Version of the suspects last scheduled for routers.
     ThrottledWork m_suspectsSend;          ///< Some routers may need changes of the suspects.
+    std::uint64_t m_peersVersion = 0;      ///< List of routers last scheduled for routers.
+    ThrottledWork m_peersSend;             ///< Some routers may need the list of routers.
     base::Random m_relaySeeds;
     std::optional<RouterRelay> m_relay;  ///< Set while this member does not lead.
     std::vector<Effect> m_effects;
--- /dev/null
+++ b/src/controller/ControllerPeers.cpp
@@ -0,0 +1,88 @@
+/**
+ * Distribution of the routers' peer addresses: a relay reports its routers to the leader, the
+ * leader sends all of them to its routers and relays, and a relay passes that list on to its
+ * routers. See docs/design/peer-forwarding.md.
+ */
+
+#include <utility>
+
+#include "controller/ControllerImplementation.h"
+
+namespace fernlift::controller
+{
+namespace
+{
+
+/// Minimum interval between two lists, which are sent whole, and the part for each receiver.
+constexpr base::Duration kMinInterval = base::milliseconds (50);
+constexpr base::Duration kIntervalForReceiver = base::milliseconds (10);
+
+std::vector<cell::RouterPeer> peersOf (const cell::RouterHello& hello)
+{
+    if (hello.isRelay || hello.peerAddress.empty())
+        return {};
+    return { { hello.router.value, hello.zone.value, hello.peerAddress, hello.peerKey } };
+}
+
+}  // namespace
+
+void ControllerCore::Implementation::recordPeer (RouterConnection connection,
+                                                 const cell::RouterHello& hello)
+{
+    if (m_leader)
+        m_leader->peers.set (connection, peersOf (hello));
+    else if (m_relay)
+        m_relay->peers.set (connection, peersOf (hello));
+    m_peersSend.request();
+}
+
+void ControllerCore::Implementation::sendPeers()
+{
+    if (m_leader)
+    {
+        sendPeersTo (m_leader->sessions, m_leader->peers.version(),
+                     [this] { return m_leader->peers.all(); });
+        return;
+    }
+    if (m_relay && m_relay->leaderPeers)
+        sendPeersTo (m_relay->sessions, m_relay->leaderPeersVersion,
+                     [this] { return *m_relay->leaderPeers; });
+}
+
+void ControllerCore::Implementation::sendPeersTo (RouterSessions& sessions, std::uint64_t version,
+                                                  const std::function<cell::RouterPeers()>& listOf)
+{
+    // Called after each input: without changes it must not iterate over the routers.
+    if (std::exchange (m_peersVersion, version) != version)
+        m_peersSend.request();
+    const auto receivers = static_cast<std::int64_t> (sessions.sessions().size());
+    if (! m_peersSend.takeDue (m_now, kMinInterval + receivers * kIntervalForReceiver))
+        return;
+    std::vector<RouterConnection> behind;
+    for (auto& [connection, session] : sessions.sessions())
+    {
+        const bool readsPeers = (session.features & cell::kReadsRouterPeers) != 0;
+        if (readsPeers && std::exchange (session.peersVersion, version) != version)
+            behind.push_back (connection);
+    }
+    if (! behind.empty())
+        m_effects.emplace_back (BroadcastToRouters{ std::move (behind), listOf() });
+}
+
+void ControllerCore::Implementation::reportPeersToLeader()
+{
+    const std::uint64_t version = m_relay->peers.version();
+    if (m_relay->leaderPeers && std::exchange (m_relay->reportedPeersVersion, version) != version)
+        m_effects.emplace_back (SendToLeader{ m_relay->peers.all() });
+}
+
+void ControllerCore::Implementation::applyLeaderPeers (const cell::RouterPeers& list)
+{
+    // The first list of a connection shows that this leader reads reports of relays.
+    if (! m_relay->leaderPeers)
+        m_relay->reportedPeersVersion = 0;
+    m_relay->leaderPeers = list;
+    ++m_relay->leaderPeersVersion;
+}
+
+}  // namespace fernlift::controller
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -81,6 +81,7 @@
         return false;
     RouterSession& session = m_relay->sessions.open (connection, hello, m_now);
     sendInitialRates (connection, session, hello);
+    recordPeer (connection, hello);
     applyInstanceVersion (session, hello, m_relay->instances.term());
     if (! m_relay->instances.hasTable() && hello.configurationVersion == 0)
     {
@@ -170,6 +171,7 @@
     m_relay->sessions.close (connection);
     m_relay->demands.onRouterDisconnected (connection);
     m_relay->loadSum.onReporterDisconnected (connection);
+    m_relay->peers.remove (connection);
     m_relay->quotas.onRouterDisconnected (connection);
 }
 
@@ -202,8 +204,10 @@
     sendSuspectsTo (m_relay->sessions);
     relayLoads();
     sendRatesTo (m_relay->sessions, m_relay->rateUpdateState);
+    sendPeers();
     if (! m_relay->session.isConnected())
         return;
+    reportPeersToLeader();
     if (auto demands = m_relay->demands.takeDue (m_now); ! demands.empty())
         m_effects.emplace_back (SendToLeader{ cell::EngineDemandReport{ std::move (demands) } });
     if (auto quota = m_relay->quotas.takeRequest (m_now))
@@ -253,11 +257,13 @@
     if (m_leader)
         return;
     m_relay->session.onConnected (m_now);
+    m_relay->leaderPeers.reset();
     cell::RouterHello hello;
     hello.router = base::RouterId (m_relay->id);
     hello.cell = m_options.cell;
     hello.isRelay = true;
-    hello.features = cell::kReadsInstanceRates | cell::kFollowsTableOfNextLeader;
+    hello.features =
+        cell::kReadsInstanceRates | cell::kFollowsTableOfNextLeader | cell::kReadsRouterPeers;
     hello.address = ownAdminAddress();
     hello.configurationVersion =
         m_relay->sessions.confirmedVersion (m_state.configuration().identity().version, {}, m_now);
@@ -318,6 +324,10 @@
     {
         m_relay->loads.apply (*loads, m_now);
     }
+    else if (const auto* peers = std::get_if<cell::RouterPeers> (&message))
+    {
+        applyLeaderPeers (*peers);
+    }
     else if (std::holds_alternative<cell::SuspectReport> (message))
     {
         sendToAllOf (m_relay->sessions, message);
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -116,6 +116,10 @@
         onRelayedHeartbeats (*relayedHeartbeats);
         return;
     }
+    else if (const auto* peers = std::get_if<cell::RouterPeers> (&message))
+    {
+        m_leader->peers.set (connection, peers->peers);
+    }
     else if (const auto* seen = std::get_if<cell::RunnerLeavingReport> (&message))
     {
         onLeavingSeen (*seen);
@@ -184,6 +188,7 @@
     m_leader->demands.forget (connection);
     m_leader->engines.onRouterDisconnected (connection);
     m_leader->loadSum.onReporterDisconnected (connection);
+    m_leader->peers.remove (connection);
     m_leader->isTableDue = true;
 }
 
@@ -197,6 +202,7 @@
     }
     RouterSession& session = m_leader->sessions.open (connection, hello, m_now);
     sendInitialRates (connection, session, hello);
+    recordPeer (connection, hello);
     // A router that reconnects to the same leader needs only the changes since.
     const bool holdsTable = m_leader->isTableShared && hello.replicaTableTerm == m_leader->term
                             && hello.replicaTableVersion <= m_leader->table.version();
--- a/src/controller/RouterRelay.h
+++ b/src/controller/RouterRelay.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/Random.h"
@@ -23,6 +24,7 @@
 #include "controller/QuotaRelay.h"
 #include "controller/RateRelay.h"
 #include "controller/RelayInstanceTable.h"
+#include "controller/RouterPeerTable.h"
 #include "controller/RouterSessions.h"
 #include "controller/ThrottledWork.h"
 
@@ -66,11 +68,18 @@
     EngineDemandSum demands;
     HeartbeatBatch heartbeats;
     QuotaRelay quotas;
-    QuotaBasis quotaBasis;               ///< Inputs of the limits in `quotas`.
-    bool hasRunners = false;             ///< Some runners send their heartbeats here.
-    ThrottledWork instanceTable;         ///< Sends instance changes to routers.
-    ThrottledWork wholeTable;            ///< Sends whole instance tables to routers.
-    ThrottledWork configurationSend;     ///< Sends the configuration to routers.
+    QuotaBasis quotaBasis;                   ///< Inputs of the limits in `quotas`.
+    bool hasRunners = false;                 ///< Some runners send their heartbeats here.
+    ThrottledWork instanceTable;             ///< Sends instance changes to routers.
+    ThrottledWork wholeTable;                ///< Sends whole instance tables to routers.
+    ThrottledWork configurationSend;         ///< Sends the configuration to routers.
+    RouterPeerTable peers;                   ///< Its routers.
+    std::uint64_t reportedPeersVersion = 0;  ///< Version of `peers` last reported to the leader.
+    /** All routers, as last sent by the leader; none until the leader of the current connection has
+        sent a list.
+    */
+    std::optional<cell::RouterPeers> leaderPeers;
+    std::uint64_t leaderPeersVersion = 0;
     std::uint64_t announcedVersion = 0;  ///< Configuration version last announced to routers.
     std::uint64_t reportedVersion = 0;   ///< Configuration version last reported to the leader.
     std::uint64_t reportedInstanceVersion = 0;  ///< Instance table version last reported to it.
--- a/src/http/Message.cpp
+++ b/src/http/Message.cpp
@@ -90,6 +90,19 @@
                    [&] (const Header& field) { return equalsIgnoringCase (field.name, name); });
 }
 
+std::optional<std::string> Headers::takeLast (std::string_view name)
+{
+    for (auto field = m_fields.rbegin(); field != m_fields.rend(); ++field)
+    {
+        if (! equalsIgnoringCase (field->name, name))
+            continue;
+        std::string value = std::move (field->value);
+        m_fields.erase (std::next (field).base());
+        return value;
+    }
+    return std::nullopt;
+}
+
 bool Headers::contains (std::string_view name) const { return count (name) > 0; }
 
 std::string Headers::value (std::string_view name) const
--- a/src/http/Message.h
+++ b/src/http/Message.h
@@ -3,6 +3,7 @@
 /// HTTP message types shared by servers and clients.
 
 #include <QByteArray>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,8 @@
     /// Replaces all fields with this name by one field.
     void set (std::string name, std::string value);
     void remove (std::string_view name);
+    /// Removes the last field with this name and returns its value; none when there is none.
+    std::optional<std::string> takeLast (std::string_view name);
     [[nodiscard]] bool contains (std::string_view name) const;
     /// Value of the first field with this name; empty when there is none.
     [[nodiscard]] std::string value (std::string_view name) const;
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -278,6 +278,7 @@
     settings.zone = "z1";
     settings.frontAddress = { "127.0.0.1", 0 };
     settings.readinessAddress = { "127.0.0.1", 0 };
+    settings.peerAddress = { "127.0.0.1", 0 };
     for (std::size_t seed = 0; seed < m_controllers.size(); ++seed)
         settings.seeds.push_back (seedAddress (number, seed));
     settings.seedPeerPort = m_peerPort;
--- a/src/lab/RouterStub.h
+++ b/src/lab/RouterStub.h
@@ -57,6 +57,7 @@
     void on (const cell::InstanceLoadUpdate& /*update*/) {}
     void on (const cell::InstanceRateUpdate& /*update*/) {}
     void on (const cell::InstancePermitGrant& /*grant*/) {}
+    void on (const cell::RouterPeers& /*peers*/) {}
     void reconnectSoon (const base::SocketAddress& address);
 
     std::string m_id;
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -38,13 +38,14 @@
 }  // namespace
 
 Exchange::Exchange (ProxyContext& context, CallerConnection& caller, ParsedRequest request,
-                    std::function<void (Exchange&)> onEnd)
+                    std::optional<PeerRequest> servedPeer, std::function<void (Exchange&)> onEnd)
     : m_context (context),
       m_caller (caller),
       m_request (std::move (request)),
       m_onEnd (std::move (onEnd)),
       m_routes (context.routes),
-      m_arrivedAt (context.clock.now())
+      m_arrivedAt (context.clock.now()),
+      m_servedPeer (std::move (servedPeer))
 {
     m_timer.setSingleShot (true);
     m_timer.setTimerType (Qt::PreciseTimer);
@@ -66,9 +67,11 @@
 
 void Exchange::begin()
 {
-    ++m_context.counters.requests;
+    ++(m_servedPeer ? m_context.counters.servedForPeers : m_context.counters.requests);
     m_callerTimeout = statedDeadline (m_request, m_context.names).value_or (kDefaultDeadline);
     m_deadline = m_arrivedAt + m_callerTimeout;
+    if (m_servedPeer && ! canServePeer())
+        return;
     if (findRoute())
         admitAndDispatch();
 }
@@ -83,14 +86,16 @@
     }
     if (! admit())
         return;
-    if (! m_query.model.empty())
+    // The router that received the request from its caller has counted the arrival.
+    if (! m_query.model.empty() && ! m_servedPeer)
         m_context.demands.onArrival (m_target, m_query.promptTokens);
     dispatchNext();
 }
 
 bool Exchange::admit()
 {
-    if (m_tenant == nullptr || ! m_tenant->quota.isLimited())
+    const bool isCounted = m_tenant != nullptr && m_tenant->quota.isLimited() && ! m_servedPeer;
+    if (! isCounted)
         return true;
     if (! m_isWaitingForQuota)
     {
@@ -147,7 +152,8 @@
     m_query.service = RouteTable::chooseService (*m_route, m_context.random.uniformReal());
     m_query.gapTarget = m_route->gapTarget;
     readModel();
-    m_context.retryBudget.onFirstAttempt();
+    if (! m_servedPeer)
+        m_context.retryBudget.onFirstAttempt();
     return true;
 }
 
@@ -174,6 +180,11 @@
 /// within a short time.
 void Exchange::waitForRoutes()
 {
+    if (m_servedPeer)
+    {
+        declinePeer (PeerOutcome::kUnavailable, "the configuration is not confirmed here");
+        return;
+    }
     m_isWaitingForRoutes = true;
     m_deadline = m_arrivedAt + std::min<base::Duration> (m_callerTimeout / 2, kMaxWaitForRoutes);
     armTimer();
@@ -273,8 +284,11 @@
 
 void Exchange::onRunnerUnavailable()
 {
-    const bool isUnsent = m_connection && ! m_isAttemptSent;
-    if (m_isEnded || ! isUnsent || ! m_context.directory.isUnavailable (m_instance, now()))
+    const bool isUnsent = m_connection && ! m_isAttemptSent && ! m_peer;
+    if (m_isEnded || ! isUnsent)
+        return;
+    const bool isIsolated = m_context.reachability.path (now()) == RunnerPath::kIsolated;
+    if (! isIsolated && ! m_context.directory.isUnavailable (m_instance, now()))
         return;
     endAttempt (AttemptEnd::kAbandoned, false);
     dispatchNext();
@@ -284,12 +298,10 @@
 {
     m_address = base::handleErrors ([&] { return base::SocketAddress::parse (choice.address); },
                                     [] (const base::Error&) { return base::SocketAddress(); });
+    m_peer.reset();
     m_instance = choice.id;
     m_instanceStart = m_context.directory.startOf (m_instance);
     m_prefillTokens = choice.prefillTokens;
-    m_use = AnswerUse::kNone;
-    m_bufferedBody.clear();
-    m_attemptDeadline = m_deadline;
     AttemptFields fields;
     fields.instance = choice.id;
     fields.timeLeft =
@@ -303,22 +315,37 @@
     }
     if (m_events)
         fields.lastEventId = m_events->lastId();
-    http::BackEndConnection::Call call;
-    call.bytes = requestBytes (m_request, m_context.names, fields);
-    call.answerHasBody = m_request.method != "HEAD";
-    call.requestIdHeader = m_context.names.requestId;
-    call.requestId = m_request.headers.value (m_context.names.requestId);
     ++m_context.counters.attempts;
+    m_context.reachability.onAttemptBegin (now());
     m_context.directory.onAttemptBegin (m_instance, m_prefillTokens, now());
     m_context.loadReporter.onAttemptBegin (m_instance, m_prefillTokens);
     m_isPrefillDone = false;
     if (! m_query.model.empty())
         m_context.demands.onRunning (m_target);
+    sendAttempt (requestBytes (m_request, m_context.names, fields));
+}
+
+void Exchange::sendAttempt (std::string bytes)
+{
+    m_use = AnswerUse::kNone;
+    m_bufferedBody.clear();
+    m_attemptDeadline = m_deadline;
+    http::BackEndConnection::Call call;
+    call.bytes = std::move (bytes);
+    call.answerHasBody = m_request.method != "HEAD";
+    call.requestIdHeader = m_context.names.requestId;
+    call.requestId = m_request.headers.value (m_context.names.requestId);
     m_connection = m_context.pool.acquire (m_address, now());
     armTimer();
     m_connection->send (std::move (call), this);
 }
 
+std::uint32_t Exchange::maxAttempts() const
+{
+    // The router that received the request from its caller decides about further attempts.
+    return m_servedPeer ? 1 : m_route->maximumAttempts;
+}
+
 bool Exchange::isCurrentIncarnation() const
 {
     return m_context.directory.startOf (m_instance) == m_instanceStart;
@@ -328,8 +355,6 @@
 {
     ++m_sentAttempts;
     m_isAttemptSent = true;
-    if (! m_connection->wasUsedBefore())
-        m_context.reachability.onConnected (m_instance);
     m_attemptSentAt = now();
     extendAttemptDeadline();
     armTimer();
@@ -343,8 +368,7 @@
 
 std::optional<base::Duration> Exchange::silenceLimit() const
 {
-    const bool mayTryElsewhere =
-        m_route->isRepeatable() && m_sentAttempts < m_route->maximumAttempts;
+    const bool mayTryElsewhere = m_route->isRepeatable() && m_sentAttempts < maxAttempts();
     if (! mayTryElsewhere)
         return std::nullopt;
     if (m_route->kind == config::RouteKind::kRepeatable)
@@ -407,9 +431,7 @@
             // Idle connections to the runner may have been lost together with this one, although it
             // still accepts new ones.
             m_context.pool.forget (m_address);
-            recordBrokenAnswer();
-            endAttempt (AttemptEnd::kFailed, false);
-            afterFailure();
+            onFailed (http::BackEndFailure::kClosed);
             return;
         }
         // Without another attempt the late answer of this runner is the only one to expect.
@@ -452,21 +474,35 @@
     connection->detach();
     if (std::exchange (m_isAttemptSent, false))
         m_mayHaveRun = true;
+    if (m_peer)
+        m_context.peers.onEnd (m_peer->router);
+    else
+        recordAttemptEnd (end);
+    if (mayReuse)
+        m_context.pool.release (std::move (connection), now());
+}
+
+void Exchange::recordAttemptEnd (AttemptEnd end)
+{
+    m_context.reachability.onAttemptEnd();
     recordPrefillEnd();
     if (isCurrentIncarnation())
         m_context.directory.onAttemptEnd (m_instance, end, now());
     m_context.loadReporter.onAttemptEnd (m_instance);
     if (! m_query.model.empty())
         m_context.demands.onRunEnd (m_target);
-    if (mayReuse)
-        m_context.pool.release (std::move (connection), now());
 }
 
 void Exchange::onFailed (http::BackEndFailure failure)
 {
+    if (m_peer)
+    {
+        onPeerFailed (failure);
+        return;
+    }
+    recordFailure (failure);
     if (failure == http::BackEndFailure::kNotConnected)
     {
-        m_context.reachability.onConnectFailed (m_instance);
         endAttempt (AttemptEnd::kUnreachable, false);
         m_query.avoidedInstance = m_instance;
         if (! m_query.isolationKey.empty())
@@ -494,9 +530,20 @@
     afterFailure();
 }
 
+void Exchange::recordFailure (http::BackEndFailure failure)
+{
+    const bool isWithoutAnswer =
+        failure == http::BackEndFailure::kClosed && m_use == AnswerUse::kNone;
+    const bool isNewConnection = m_connection && ! m_connection->wasUsedBefore();
+    const bool isUnusable =
+        failure == http::BackEndFailure::kNotConnected || (isWithoutAnswer && isNewConnection);
+    if (isUnusable && m_context.reachability.onConnectFailed (m_instance, now()))
+        m_context.onIsolated();
+}
+
 bool Exchange::mayRunAgain()
 {
-    if (! m_route->isRepeatable() || m_sentAttempts >= m_route->maximumAttempts)
+    if (! m_route->isRepeatable() || m_sentAttempts >= maxAttempts())
         return false;
     if (now() >= m_deadline)
         return false;
@@ -506,7 +553,7 @@
 void Exchange::afterRefusal()
 {
     m_query.avoidedInstance = m_instance;
-    const bool hasAttempts = m_sentAttempts < m_route->maximumAttempts;
+    const bool hasAttempts = m_sentAttempts < maxAttempts();
     if (hasAttempts && m_context.retryBudget.tryRetry())
     {
         ++m_context.counters.retries;
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -1,13 +1,15 @@
 #pragma once
 
 /// Handles one request of a caller from arrival to end: finds the route, sends attempts to runners,
-/// forwards the answer, and answers with an error when no runner's answer can be forwarded.
+/// or to another router while this one cannot connect to runners, forwards the answer, and answers
+/// with an error when no runner's answer can be forwarded.
 
 #include <QTimer>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -20,6 +22,7 @@
 #include "log/Log.h"
 #include "proxy/CallerConnection.h"
 #include "proxy/EventSplitter.h"
+#include "proxy/PeerMessage.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/RequestParser.h"
 
@@ -29,9 +32,11 @@
 class Exchange final : public http::AnswerListener
 {
 public:
-    /// `onEnd` is called once. The exchange may be destroyed once control is back in the event
+    /// `servedPeer` is the statement of the router that sent the request, if it is not a caller's
+    /// own. `onEnd` is called once. The exchange may be destroyed once control is back in the event
     /// loop.
     Exchange (ProxyContext& context, CallerConnection& caller, ParsedRequest request,
+              std::optional<PeerRequest> servedPeer,
               std::function<void (Exchange& exchange)> onEnd);
     ~Exchange() override;
 
@@ -39,8 +44,8 @@
     /// Called when the configuration, the set of runners or their held models changed; a waiting
     /// request tries again.
     void onDirectoryChanged();
-    /// Called when a runner stated that it accepts no requests from now on; an attempt that was not
-    /// sent to it yet chooses again.
+    /// Called when a runner stated that it accepts no requests from now on, or when this router can
+    /// connect to none; an attempt that was not sent yet chooses again.
     void onRunnerUnavailable();
     /// Called when the caller disconnected; cancels the attempt at the runner.
     void onCallerDisconnected();
@@ -56,6 +61,8 @@
         return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota || m_suspectHoldDeadline
                || m_permitChoice;
     }
+    /// Whether the request is served for another router.
+    [[nodiscard]] bool isServedForPeer() const { return m_servedPeer.has_value(); }
     /// Sort key of waiting requests: the most urgent priority first, then the earliest arrival.
     [[nodiscard]] std::pair<int, base::TimePoint> queueOrder() const;
 
@@ -69,12 +76,13 @@
     /// Treatment of the answer that is being read.
     enum class AnswerUse : std::uint8_t
     {
-        kNone,     ///< No answer head was received yet.
-        kBuffer,   ///< Buffered until complete.
-        kForward,  ///< Forwarded as it arrives.
-        kEvents,   ///< Forwarded event by event.
-        kRefusal,  ///< The runner did not execute the request.
-        kRetry,    ///< The runner failed; the request is sent again.
+        kNone,      ///< No answer head was received yet.
+        kBuffer,    ///< Buffered until complete.
+        kForward,   ///< Forwarded as it arrives.
+        kEvents,    ///< Forwarded event by event.
+        kRefusal,   ///< The runner did not execute the request.
+        kRetry,     ///< The runner failed; the request is sent again.
+        kDeclined,  ///< Another router did not serve the request; nothing was executed.
     };
 
     [[nodiscard]] base::TimePoint now() const { return m_context.clock.now(); }
@@ -123,6 +131,35 @@
                            base::Duration retryAfter);
     void endWait();
     void startAttempt (const InstanceChoice& choice);
+    /// Sends the bytes of an attempt to `m_address`.
+    void sendAttempt (std::string bytes);
+    /// Largest number of runners that this router may send the request to.
+    [[nodiscard]] std::uint32_t maxAttempts() const;
+
+    // ExchangePeers.cpp
+    /// Whether the request should go to another router: this one cannot connect to the runners.
+    [[nodiscard]] bool needsPeer (const InstanceChoice& choice) const;
+    /// Sends the request to another router. Returns false when there is none that may serve it.
+    bool forwardToPeer();
+    void startPeerAttempt (const PeerChoice& peer);
+    /// Takes the statement of the other router out of its answer and decides how to treat it.
+    void onPeerHead (http::AnswerHead& head);
+    /// Tries yet another router, or the runners, after one did not serve the request.
+    void onPeerDeclined();
+    void onPeerFailed (http::BackEndFailure failure);
+    /// Ends the request when its runner, chosen by another router, did not execute it.
+    void onPeerRefused();
+    /// Whether this router may serve requests of others at the moment, with the configuration by
+    /// which this one was admitted.
+    [[nodiscard]] bool canServePeer();
+    /// Answers another router that the request was not executed and may be served elsewhere.
+    void declinePeer (PeerOutcome outcome, const std::string& message);
+    [[nodiscard]] PeerAnswer peerAnswer (PeerOutcome outcome) const;
+    /// Header fields of a runner's answer, for the caller or for another router.
+    [[nodiscard]] http::Headers answerHeaders() const;
+    /// Target under which it is recorded that other routers cannot serve requests like this one.
+    [[nodiscard]] std::string peerTarget() const;
+
     /// Whether the table still lists the incarnation that the attempt was sent to.
     [[nodiscard]] bool isCurrentIncarnation() const;
     /// Restarts the silence limit of the attempt, after the request was sent or bytes were
@@ -142,6 +179,12 @@
     void forwardHead();
     /// Forwards complete events of a stream.
     void forwardEvents (std::string_view events);
+    /// Records what the head of a runner's answer shows about the runner.
+    void recordHead (const http::AnswerHead& head);
+    void recordBytes();
+    void recordAttemptEnd (AttemptEnd end);
+    /// Records whether the failed attempt shows that connections to the runner fail.
+    void recordFailure (http::BackEndFailure failure);
     void recordPrefillEnd();
     void recordLoad (const http::AnswerHead& head);
     void recordRate (const http::AnswerHead& head);
@@ -212,6 +255,12 @@
     base::TimePoint m_attemptSentAt{};
     /// Until when the request waits for a decision on whether it crashed a runner; none: no wait.
     std::optional<base::TimePoint> m_suspectHoldDeadline;
+    std::optional<PeerRequest> m_servedPeer;  ///< Router for which the request is served.
+    std::optional<PeerChoice> m_peer;  ///< Router of the current attempt; none: it is at a runner.
+    PeerAnswer m_peerAnswer;           ///< Statement of that router; set with the answer head.
+    std::optional<base::Duration> m_peerRetryAfter;
+    std::set<std::string> m_triedPeers;      ///< Routers that did not serve the request.
+    std::uint32_t m_peersWithoutRunner = 0;  ///< Those of them that cannot reach its runners.
     std::shared_ptr<http::BackEndConnection> m_connection;
     AnswerUse m_use = AnswerUse::kNone;
     http::AnswerHead m_head;
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -102,19 +102,48 @@
         stated);
 }
 
-void Exchange::onHead (http::AnswerHead head)
+void Exchange::recordHead (const http::AnswerHead& head)
 {
     recordLoad (head);
     recordRate (head);
     recordAvailability (head);
     recordPrefillEnd();
+    recordBytes();
+    if (! m_connection->wasUsedBefore())
+        m_context.reachability.onConnected (m_instance, now());
+}
+
+void Exchange::recordBytes()
+{
+    if (m_peer)
+        return;
+    m_context.reachability.onBytes (now());
     if (isCurrentIncarnation())
         m_context.directory.onBytes (m_instance, now());
+}
+
+http::Headers Exchange::answerHeaders() const
+{
+    http::Headers headers = forwardedAnswerHeaders (m_head.headers, m_context.names);
+    if (m_servedPeer)
+        addPeerAnswer (headers, peerAnswer (PeerOutcome::kAnswered));
+    return headers;
+}
+
+void Exchange::onHead (http::AnswerHead head)
+{
+    if (m_peer)
+        onPeerHead (head);
+    else
+        recordHead (head);
     if (! m_isAnswerBegun)
         m_answeredAt = now();
     extendAttemptDeadline();
     m_head = std::move (head);
-    if (isRefusal (m_head))
+    const bool isDecided = m_peer && m_use != AnswerUse::kNone;
+    if (isDecided)
+        return;
+    if (! m_peer && isRefusal (m_head))
     {
         m_use = AnswerUse::kRefusal;
         return;
@@ -150,8 +179,7 @@
 {
     m_isAnswerBegun = true;
     const AnswerFraming framing{ m_head.hasLength, m_head.length };
-    m_caller.beginAnswer (m_head.status, forwardedAnswerHeaders (m_head.headers, m_context.names),
-                          framing);
+    m_caller.beginAnswer (m_head.status, answerHeaders(), framing);
 }
 
 void Exchange::forwardEvents (std::string_view events)
@@ -165,7 +193,7 @@
     const base::Duration pause = m_lastEventAt - earlier;
     m_longestPause = std::max (m_longestPause, pause);
     // A gap that began in an earlier attempt is not due to this runner.
-    if (earlier >= m_attemptSentAt && ! m_query.model.empty())
+    if (earlier >= m_attemptSentAt && ! m_query.model.empty() && ! m_peer)
     {
         m_context.loadReporter.onPause (m_instance, m_query.model, pause, m_events->count(),
                                         m_lastEventAt);
@@ -174,8 +202,7 @@
 
 void Exchange::onBody (std::string_view data)
 {
-    if (isCurrentIncarnation())
-        m_context.directory.onBytes (m_instance, now());
+    recordBytes();
     extendAttemptDeadline();
     switch (m_use)
     {
@@ -197,6 +224,7 @@
         case AnswerUse::kNone:
         case AnswerUse::kRefusal:
         case AnswerUse::kRetry:
+        case AnswerUse::kDeclined:
             return;
     }
 }
@@ -205,8 +233,16 @@
 {
     switch (m_use)
     {
+        case AnswerUse::kDeclined:
+            onPeerDeclined();
+            return;
         case AnswerUse::kRefusal:
         {
+            if (m_peer)
+            {
+                onPeerRefused();
+                return;
+            }
             m_isAttemptSent = false;
             const bool isNotHeld = m_head.status == kMisdirected;
             if (isNotHeld)
@@ -233,9 +269,7 @@
 {
     if (m_use == AnswerUse::kBuffer)
     {
-        m_caller.sendAnswer (m_head.status,
-                             forwardedAnswerHeaders (m_head.headers, m_context.names),
-                             m_bufferedBody);
+        m_caller.sendAnswer (m_head.status, answerHeaders(), m_bufferedBody);
     }
     else
     {
@@ -243,7 +277,7 @@
             m_caller.writeBody (m_events->incompleteBytes());
         m_caller.endAnswer();
     }
-    if (suspectStatus().isSuspect())
+    if (! m_peer && suspectStatus().isSuspect())
         m_context.suspects.onCompleteAnswer (identity());
     const bool isFailure = m_head.status >= kFirstServerError;
     endAttempt (isFailure ? AttemptEnd::kFailed : AttemptEnd::kAnswered, true);
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -17,6 +17,27 @@
 /// Retry-After time of a stopping router; the caller then reaches another router.
 constexpr base::Duration kRetryElsewhere = base::milliseconds (50);
 
+/// Outcome that another router is told about a request that ends with an error.
+PeerOutcome outcomeOf (ErrorKind kind)
+{
+    switch (kind)
+    {
+        case ErrorKind::kNotFound:
+        case ErrorKind::kKeyUnknown:
+        case ErrorKind::kLeaseExpired:
+        case ErrorKind::kStopping:
+            return PeerOutcome::kUnavailable;
+        case ErrorKind::kUpstreamRefused:
+        case ErrorKind::kNoCapacity:
+        case ErrorKind::kDeadlineUnreachable:
+            return PeerOutcome::kRefused;
+        case ErrorKind::kUpstreamUnreachable:
+            return PeerOutcome::kUnreachable;
+        default:
+            return PeerOutcome::kFailed;
+    }
+}
+
 std::string retryAfterText (base::Duration duration)
 {
     std::array<char, 32> text{};
@@ -48,6 +69,8 @@
           { "table_age_ms", m_context.directory.ageMilliseconds (now()) },
           { "attempts", m_sentAttempts },
           { "unreachable", m_unreachableAttempts },
+          { "forwarded_to", m_peer ? m_peer->router : std::string() },
+          { "forwarded_by", m_servedPeer ? m_servedPeer->router : std::string() },
           { "waited_ms", base::toMilliseconds (m_waited) },
           { "permit_wait_ms", base::toMilliseconds (m_permitWaited) },
           { "target_ms", m_route == nullptr ? -1 : base::toMilliseconds (m_route->targetLatency) },
@@ -104,6 +127,8 @@
     const std::string id = m_request.headers.value (m_context.names.requestId);
     if (! id.empty())
         response.headers.set (m_context.names.requestId, id);
+    if (m_servedPeer)
+        addPeerAnswer (response.headers, peerAnswer (outcomeOf (error.kind)));
     m_caller.sendAnswer (response.status, response.headers, response.body);
     end();
 }
--- /dev/null
+++ b/src/proxy/ExchangePeers.cpp
@@ -0,0 +1,212 @@
+// Requests that one router serves for another, which cannot connect to the runners itself: the side
+// that sends them and the side that serves them. See docs/design/peer-forwarding.md.
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "proxy/Exchange.h"
+
+namespace fernlift::proxy
+{
+namespace
+{
+
+using base::ErrorKind;
+
+/// Routers that one request is sent to at most without being served.
+constexpr std::size_t kMaxPeers = 6;
+/// Routers that cannot reach the runners of a request, after which no other one is tried.
+constexpr std::uint32_t kMaxPeersWithoutRunner = 2;
+constexpr base::Duration kPeerTransit = base::milliseconds (5);
+/// Times for which a router is not chosen again.
+constexpr base::Duration kAvoidIsolated = base::milliseconds (300);
+constexpr base::Duration kAvoidUnavailable = base::milliseconds (200);
+constexpr base::Duration kAvoidUnreachable = base::seconds (1);
+constexpr base::Duration kAvoidFailed = base::milliseconds (300);
+/// Time for which requests of a kind are not forwarded after other routers could not serve one.
+constexpr base::Duration kUnservableTime = base::milliseconds (500);
+constexpr base::Duration kDefaultRetryAfter = base::milliseconds (100);
+
+}  // namespace
+
+std::string Exchange::peerTarget() const
+{
+    return m_query.service + "/" + m_query.model + "/" + m_query.adapter;
+}
+
+bool Exchange::needsPeer (const InstanceChoice& choice) const
+{
+    if (choice.reason == NoRunnerReason::kUnreachable)
+        return true;
+    return choice.reason == NoRunnerReason::kNone
+           && m_context.reachability.mustForward (m_query.draw.value_or (0), now());
+}
+
+bool Exchange::forwardToPeer()
+{
+    const bool isPointless = m_triedPeers.size() >= kMaxPeers
+                             || m_peersWithoutRunner >= kMaxPeersWithoutRunner
+                             || m_context.peers.isUnservable (peerTarget(), now());
+    if (isPointless)
+        return false;
+    const std::optional<PeerChoice> peer =
+        m_context.peers.choose (m_triedPeers, m_context.random.uniformReal(), now());
+    if (! peer)
+        return false;
+    endWait();
+    startPeerAttempt (*peer);
+    return true;
+}
+
+void Exchange::startPeerAttempt (const PeerChoice& peer)
+{
+    m_peer = peer;
+    m_address = peer.address;
+    m_instance.clear();
+    m_instanceStart = 0;
+    m_peerAnswer = {};
+    m_peerRetryAfter.reset();
+    PeerRequestFields fields;
+    fields.statement.router = m_context.router;
+    fields.statement.key = peer.key;
+    fields.statement.configurationVersion = m_routes->version();
+    fields.statement.avoidedInstance = m_query.avoidedInstance;
+    fields.timeLeft = m_deadline - now() - kPeerTransit;
+    if (m_events)
+        fields.lastEventId = m_events->lastId();
+    ++m_context.counters.forwardedToPeers;
+    m_context.peers.onBegin (peer.router);
+    log::write (log::Event::kRequestForwardedToPeer,
+                { { "request", m_request.headers.value (m_context.names.requestId) },
+                  { "router", peer.router },
+                  { "service", m_query.service },
+                  { "model", m_query.model } });
+    sendAttempt (peerRequestBytes (m_request, m_context.names, fields));
+}
+
+void Exchange::onPeerHead (http::AnswerHead& head)
+{
+    m_peerAnswer = base::handleErrors ([&] { return takePeerAnswer (head.headers); },
+                                       [] (const base::Error&) { return PeerAnswer(); });
+    m_instance = m_peerAnswer.runner;
+    const bool isSent = m_peerAnswer.attempts > 0 || m_peerAnswer.outcome == PeerOutcome::kFailed;
+    if (! isSent)
+        --m_sentAttempts;
+    switch (m_peerAnswer.outcome)
+    {
+        case PeerOutcome::kAnswered:
+            return;
+        case PeerOutcome::kRefused:
+            m_use = AnswerUse::kRefusal;
+            if (const http::RetryAfter stated = http::readRetryAfter (head.headers);
+                const auto* delay = std::get_if<http::RetryAfterDelay> (&stated))
+                m_peerRetryAfter = delay->delay;
+            return;
+        case PeerOutcome::kFailed:
+            m_use = AnswerUse::kRetry;
+            return;
+        case PeerOutcome::kUnreachable:
+        case PeerOutcome::kUnavailable:
+            m_use = AnswerUse::kDeclined;
+            return;
+    }
+}
+
+void Exchange::onPeerDeclined()
+{
+    m_isAttemptSent = false;
+    endAttempt (AttemptEnd::kAbandoned, true);
+    ++m_context.counters.declinedByPeers;
+    m_triedPeers.insert (m_peer->router);
+    if (m_peerAnswer.isIsolated)
+    {
+        m_context.peers.avoid (m_peer->router, now() + kAvoidIsolated);
+    }
+    else if (m_peerAnswer.outcome == PeerOutcome::kUnavailable)
+    {
+        m_context.peers.avoid (m_peer->router, now() + kAvoidUnavailable);
+    }
+    else if (++m_peersWithoutRunner == kMaxPeersWithoutRunner)
+    {
+        m_context.peers.onUnservable (peerTarget(), now() + kUnservableTime);
+    }
+    m_peer.reset();
+    dispatchNext();
+}
+
+void Exchange::onPeerRefused()
+{
+    m_isAttemptSent = false;
+    endAttempt (AttemptEnd::kRefused, true);
+    const bool wasOffered = m_peerAnswer.attempts > 0;
+    const bool hasAttempts = m_sentAttempts < maxAttempts();
+    if (wasOffered && hasAttempts && m_context.retryBudget.tryRetry())
+    {
+        m_query.avoidedInstance = m_instance;
+        ++m_context.counters.retries;
+        logResend (log::Event::kRequestResent);
+        dispatchNext();
+        return;
+    }
+    endWithoutRunner (ErrorKind::kUpstreamRefused,
+                      "no runner took the request, which another router forwarded",
+                      m_peerRetryAfter.value_or (kDefaultRetryAfter));
+}
+
+void Exchange::onPeerFailed (http::BackEndFailure failure)
+{
+    const bool isUnsent = failure == http::BackEndFailure::kNotConnected;
+    m_context.peers.avoid (m_peer->router, now() + (isUnsent ? kAvoidUnreachable : kAvoidFailed));
+    m_triedPeers.insert (m_peer->router);
+    endAttempt (AttemptEnd::kFailed, false);
+    if (! isUnsent)
+    {
+        afterFailure();
+        return;
+    }
+    m_peer.reset();
+    dispatchNext();
+}
+
+bool Exchange::canServePeer()
+{
+    if (! m_context.routes || m_context.freshness() != Freshness::kConfirmed)
+    {
+        declinePeer (PeerOutcome::kUnavailable, "the configuration is not confirmed here");
+        return false;
+    }
+    if (m_context.routes->version() < m_servedPeer->configurationVersion)
+    {
+        declinePeer (PeerOutcome::kUnavailable, "the configuration here is older");
+        return false;
+    }
+    if (m_context.reachability.path (now()) != RunnerPath::kOpen)
+    {
+        declinePeer (PeerOutcome::kUnreachable, "this router cannot connect to the runners");
+        return false;
+    }
+    m_query.avoidedInstance = m_servedPeer->avoidedInstance;
+    return true;
+}
+
+void Exchange::declinePeer (PeerOutcome outcome, const std::string& message)
+{
+    ++m_context.counters.declinedToPeers;
+    const ErrorKind kind = outcome == PeerOutcome::kUnreachable ? ErrorKind::kUpstreamUnreachable
+                                                                : ErrorKind::kStopping;
+    logEnd (log::Event::kRequestRefused, message);
+    sendError ({ kind, message }, std::nullopt);
+}
+
+PeerAnswer Exchange::peerAnswer (PeerOutcome outcome) const
+{
+    PeerAnswer answer;
+    answer.outcome = outcome;
+    answer.attempts = std::min<std::uint32_t> (m_sentAttempts, 1);
+    answer.runner = m_instance;
+    answer.isIsolated = m_context.reachability.path (now()) != RunnerPath::kOpen;
+    return answer;
+}
+
+}  // namespace fernlift::proxy
--- /dev/null
+++ b/src/proxy/ExchangePeersTest.cpp
@@ -0,0 +1,281 @@
+// Requests that one router serves for another one that can connect to no runner. Guards against
+// requests that are lost, executed or counted twice on the way, or sent in circles.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "proxy/ProxyTestSupport.h"
+
+namespace fernlift::proxy::test
+{
+namespace
+{
+
+const char* const kRefusal =
+    "HTTP/1.1 503 Service Unavailable\r\nTest-Id: r1\r\n"
+    "Test-Not-Executed: 1\r\n";
+
+/// A router that callers send to, which is isolated, and another one that reaches the runner.
+class ExchangePeersTest : public ::testing::Test
+{
+protected:
+    ExchangePeersTest()
+    {
+        m_near.servePeers ("near");
+        m_far.servePeers ("far");
+        m_near.setPeers ({ m_near.peerRow(), m_far.peerRow() });
+        m_far.setPeers ({ m_near.peerRow(), m_far.peerRow() });
+        m_near.put (ProxyFixture::rowOf ("i-1", m_runner.address()));
+        m_far.put (ProxyFixture::rowOf ("i-1", m_runner.address()));
+        m_near.isolate();
+    }
+
+    std::string call (const std::string& host, const std::string& extra = "")
+    {
+        RawCaller caller (m_near.listening);
+        caller.write (ProxyFixture::request (host, "r1", extra));
+        caller.waitFor ("\r\n\r\n");
+        runFor (std::chrono::milliseconds (20));
+        return caller.received();
+    }
+
+    std::string m_lastRequest;
+    StubReply m_reply{ servedAnswer() };
+    StubReply m_replyToResumed;  ///< To a request that resumes a stream.
+    AnsweringRunner m_runner{ [this] (const std::string& request)
+                              {
+                                  m_lastRequest = request;
+                                  const bool isResumed =
+                                      request.find ("Last-Event-Id") != std::string::npos;
+                                  return isResumed ? m_replyToResumed : m_reply;
+                              } };
+    ProxyFixture m_near;
+    ProxyFixture m_far;
+};
+
+TEST_F (ExchangePeersTest, ForwardsAnswerOfRunnerUnchanged)
+{
+    m_reply = { servedAnswer ("X-Other: 7\r\n") };
+    const std::string answer = call ("once.test");
+    EXPECT_TRUE (answer.starts_with ("HTTP/1.1 200 OK\r\nTest-Id: r1\r\nX-Other: 7\r\n")) << answer;
+    EXPECT_TRUE (answer.ends_with ("\r\n\r\nhello")) << answer;
+    EXPECT_EQ (answer.find ("Fernlift-Peer"), std::string::npos);
+    EXPECT_EQ (m_lastRequest.find ("Fernlift-Peer"), std::string::npos);
+    EXPECT_EQ (m_runner.requests, 1U);
+    EXPECT_EQ (m_near.counters.attempts, 0U);
+    EXPECT_EQ (m_far.counters.attempts, 1U);
+}
+
+TEST_F (ExchangePeersTest, FieldsOfTheSameNamePassUnchanged)
+{
+    m_reply = { servedAnswer ("Fernlift-Peer-Answer: outcome=refused\r\n") };
+    const std::string answer = call ("app.test", "Fernlift-Peer-Request: key=abcdef\r\n");
+    EXPECT_NE (answer.find ("Fernlift-Peer-Answer: outcome=refused\r\n"), std::string::npos);
+    EXPECT_NE (m_lastRequest.find ("Fernlift-Peer-Request: key=abcdef\r\n"), std::string::npos);
+}
+
+TEST_F (ExchangePeersTest, CallerCannotUseTheFieldOnItsOwnConnection)
+{
+    m_far.isolate();
+    RawCaller caller (m_far.listening);
+    caller.write (ProxyFixture::request (
+        "once.test", "r1",
+        "Fernlift-Peer-Request: router=x;key=abcdef;configuration=1;avoid=\r\n"));
+    runFor (std::chrono::milliseconds (50));
+    EXPECT_EQ (m_far.counters.servedForPeers, 0U);
+    EXPECT_EQ (m_far.counters.requests, 1U);
+}
+
+TEST_F (ExchangePeersTest, StrangerGetsClearErrorWithoutStatement)
+{
+    RawCaller stranger (m_far.peerListening);
+    stranger.write (ProxyFixture::request ("once.test"));
+    EXPECT_TRUE (stranger.waitFor ("HTTP/1.1 400"));
+    EXPECT_TRUE (stranger.waitFor ("the message has no field Fernlift-Peer-Request"));
+    EXPECT_EQ (m_runner.requests, 0U);
+}
+
+TEST_F (ExchangePeersTest, RequestWithWrongKeyIsNotServed)
+{
+    RawCaller stranger (m_far.peerListening);
+    stranger.write (ProxyFixture::request (
+        "once.test", "r1", "Fernlift-Peer-Request: router=x;key=1;configuration=1;avoid=\r\n"));
+    EXPECT_TRUE (stranger.waitFor ("HTTP/1.1 503"));
+    EXPECT_EQ (m_runner.requests, 0U);
+}
+
+TEST_F (ExchangePeersTest, RequestThatMayHaveRunIsNotSentAgain)
+{
+    m_reply = { "", true };
+    EXPECT_TRUE (call ("once.test").starts_with ("HTTP/1.1 502"));
+    EXPECT_EQ (m_runner.requests, 1U);
+}
+
+TEST_F (ExchangePeersTest, AttemptsOfAllRoutersTogetherAreLimited)
+{
+    m_reply = { "", true };
+    EXPECT_TRUE (call ("app.test").starts_with ("HTTP/1.1 502"));
+    EXPECT_EQ (m_runner.requests, 2U) << "the route allows two attempts";
+}
+
+TEST_F (ExchangePeersTest, RefusalStatesRetryAfterOfRunner)
+{
+    m_reply = { std::string (kRefusal) + "Retry-After: 20\r\nContent-Length: 0\r\n\r\n" };
+    const std::string answer = call ("once.test");
+    EXPECT_TRUE (answer.starts_with ("HTTP/1.1 503")) << answer;
+    EXPECT_NE (answer.find ("Retry-After: 20."), std::string::npos) << answer;
+    EXPECT_EQ (m_runner.requests, 1U) << "the other router knows of the backoff";
+}
+
+TEST_F (ExchangePeersTest, RouterWithOlderConfigurationServesNothing)
+{
+    m_near.context.routes = std::make_shared<const RouteTable> (2, ProxyFixture::catalogue());
+    RawCaller caller (m_near.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (waitUntil ([this] { return m_near.counters.declinedByPeers > 0; }));
+    EXPECT_EQ (m_far.counters.attempts, 0U);
+}
+
+TEST_F (ExchangePeersTest, IsolatedRoutersDoNotAskEachOtherInCircles)
+{
+    m_far.isolate();
+    RawCaller caller (m_near.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (waitUntil ([this] { return m_near.counters.declinedByPeers > 0; }));
+    runFor (std::chrono::milliseconds (100));
+    EXPECT_EQ (m_far.counters.servedForPeers, 1U);
+    EXPECT_EQ (m_far.counters.forwardedToPeers, 0U);
+    EXPECT_EQ (m_near.counters.servedForPeers, 0U);
+}
+
+TEST_F (ExchangePeersTest, CountsRequestAtTheRouterOfTheCallerOnly)
+{
+    config::ServiceCatalogue catalogue = ProxyFixture::catalogue();
+    catalogue.services[0].engine.emplace();
+    for (ProxyFixture* router : { &m_near, &m_far })
+    {
+        router->context.routes = std::make_shared<const RouteTable> (1, catalogue);
+        cell::RoutableInstance row = ProxyFixture::rowOf ("i-1", m_runner.address());
+        row.instance.isReported = true;
+        row.instance.models = { { "m", 1, {} } };
+        router->put (row);
+    }
+    EXPECT_TRUE (call ("once.test", "Test-Model: m\r\n").starts_with ("HTTP/1.1 200"));
+    const auto arrivalsAt = [] (ProxyFixture& router)
+    {
+        std::uint32_t arrivals = 0;
+        for (const cell::EngineDemand& demand :
+             router.demands.takeDue (router.clock.now(), base::Duration::zero()))
+            arrivals += demand.arrivals;
+        return arrivals;
+    };
+    EXPECT_EQ (arrivalsAt (m_near), 1U);
+    EXPECT_EQ (arrivalsAt (m_far), 0U);
+    EXPECT_EQ (m_near.counters.requests, 1U);
+    EXPECT_EQ (m_far.counters.requests, 0U);
+}
+
+TEST_F (ExchangePeersTest, RunnerHearsThatTheCallerLeft)
+{
+    StubRunner runner;
+    m_far.put (ProxyFixture::rowOf ("i-1", runner.address()));
+    RawCaller caller (m_near.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    caller.close();
+    EXPECT_TRUE (
+        waitUntil ([&] { return runner.connections[0]->isClosed(); }, std::chrono::seconds (1)));
+}
+
+TEST_F (ExchangePeersTest, StreamPassesEventByEvent)
+{
+    StubRunner runner;
+    m_far.put (ProxyFixture::rowOf ("i-1", runner.address()));
+    RawCaller caller (m_near.listening);
+    caller.write (ProxyFixture::request ("stream.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: "
+        "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "F\r\nid: 1\ndata: a\n\n\r\n");
+    ASSERT_TRUE (caller.waitFor ("data: a"));
+    runner.connections[0]->write ("F\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+    ASSERT_TRUE (caller.waitFor ("data: b\n\n\r\n0\r\n\r\n"));
+}
+
+TEST_F (ExchangePeersTest, StreamThatMayBeResumedGoesOnAtAnotherAttempt)
+{
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: "
+        "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    m_reply = { head + "F\r\nid: 1\ndata: a\n\n\r\n", true };
+    m_replyToResumed = { head + "F\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n" };
+    RawCaller caller (m_near.listening);
+    caller.write (ProxyFixture::request ("resume.test"));
+    ASSERT_TRUE (caller.waitFor ("data: a"));
+    ASSERT_TRUE (caller.waitFor ("data: b"));
+    EXPECT_NE (m_lastRequest.find ("Last-Event-Id: 1\r\n"), std::string::npos);
+    EXPECT_EQ (m_runner.requests, 2U);
+}
+
+TEST_F (ExchangePeersTest, RouterAtItsLimitDeclines)
+{
+    StubRunner runner;
+    ProxyFixture small;
+    small.servePeers ("far", 1);
+    small.put (ProxyFixture::rowOf ("i-1", runner.address()));
+    m_near.setPeers ({ small.peerRow() });
+    RawCaller first (m_near.listening);
+    first.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    RawCaller second (m_near.listening);
+    second.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (waitUntil ([this] { return m_near.counters.declinedByPeers > 0; }));
+    EXPECT_EQ (runner.connections.size(), 1U);
+}
+
+TEST_F (ExchangePeersTest, StoppingRouterIsPassedOver)
+{
+    ProxyFixture third;
+    third.servePeers ("third");
+    third.put (ProxyFixture::rowOf ("i-1", m_runner.address()));
+    m_near.setPeers ({ m_far.peerRow(), third.peerRow() });
+    m_far.server.beginRefusing();
+    for (int request = 0; request < 4; ++request)
+        EXPECT_TRUE (call ("once.test").starts_with ("HTTP/1.1 200"));
+    EXPECT_EQ (third.counters.servedForPeers, 4U);
+}
+
+TEST_F (ExchangePeersTest, SingleHolderThatOnlyAnotherRouterReaches)
+{
+    ProxyFixture cut;
+    cut.servePeers ("cut");
+    cut.setPeers ({ m_far.peerRow() });
+    StubRunner closed;
+    const std::string address = closed.address();
+    closed.stopListening();
+    cut.put (ProxyFixture::rowOf ("i-1", address));
+    for (int request = 0; request < 3; ++request)
+        EXPECT_TRUE (cut.call ("once.test").starts_with ("HTTP/1.1 200"));
+    EXPECT_EQ (m_far.counters.servedForPeers, 3U);
+}
+
+TEST_F (ExchangePeersTest, RunnerThatNobodyReachesIsNotAskedForRoundAndRound)
+{
+    StubRunner closed;
+    const std::string address = closed.address();
+    closed.stopListening();
+    ProxyFixture cut;
+    cut.servePeers ("cut");
+    cut.setPeers ({ m_far.peerRow() });
+    cut.put (ProxyFixture::rowOf ("i-1", address));
+    m_far.put (ProxyFixture::rowOf ("i-1", address));
+    RawCaller caller (cut.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    runFor (std::chrono::milliseconds (400));
+    EXPECT_LE (m_far.counters.servedForPeers, 2U);
+}
+
+}  // namespace
+}  // namespace fernlift::proxy::test
--- a/src/proxy/ExchangeRates.cpp
+++ b/src/proxy/ExchangeRates.cpp
@@ -28,6 +28,14 @@
         m_query.draw = m_context.random.uniformReal();
         if (m_context.freshness() == Freshness::kConfirmed)
             choice = m_context.directory.choose (m_query, now());
+        const bool needsOtherRouter = needsPeer (choice);
+        if (needsOtherRouter && m_servedPeer)
+        {
+            declinePeer (PeerOutcome::kUnreachable, "this router cannot connect to the runners");
+            return;
+        }
+        if (needsOtherRouter && forwardToPeer())
+            return;
         if (choice.reason != NoRunnerReason::kNone)
         {
             beginWait (choice);
--- a/src/proxy/ForwardedMessage.cpp
+++ b/src/proxy/ForwardedMessage.cpp
@@ -142,20 +142,26 @@
     return RequestWriter (request, names, fields).write();
 }
 
-http::Headers forwardedAnswerHeaders (const http::Headers& headers, const ProtocolNames& names)
+http::Headers endToEndFields (const http::Headers& headers)
 {
     http::Headers passed;
     const std::vector<std::string> named = namedByConnection (headers);
     for (const http::Header& field : headers.fields())
     {
-        const bool isDropped = isConnectionField (field.name, named)
-                               || isOneOf (field.name, names.internalAnswerFields);
-        if (! isDropped)
+        if (! isConnectionField (field.name, named))
             passed.add (field.name, field.value);
     }
     return passed;
 }
 
+http::Headers forwardedAnswerHeaders (const http::Headers& headers, const ProtocolNames& names)
+{
+    http::Headers passed = endToEndFields (headers);
+    for (const std::string& name : names.internalAnswerFields)
+        passed.remove (name);
+    return passed;
+}
+
 std::optional<base::Duration> statedDeadline (const ParsedRequest& request,
                                               const ProtocolNames& names)
 {
--- a/src/proxy/ForwardedMessage.h
+++ b/src/proxy/ForwardedMessage.h
@@ -31,6 +31,9 @@
 [[nodiscard]] std::string requestBytes (const ParsedRequest& request, const ProtocolNames& names,
                                         const AttemptFields& fields);
 
+/// Header fields without those that concern one connection only and without the framing.
+[[nodiscard]] http::Headers endToEndFields (const http::Headers& headers);
+
 /// Header fields of a runner's answer that are sent to the caller. The connection adds the framing.
 [[nodiscard]] http::Headers forwardedAnswerHeaders (const http::Headers& headers,
                                                     const ProtocolNames& names);
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -17,7 +17,8 @@
 constexpr base::Duration kNotHeldLifetime = base::milliseconds (1500);
 constexpr base::Duration kFirstAvoidance = base::milliseconds (300);
 constexpr base::Duration kMaxAvoidance = base::seconds (4);
-constexpr base::Duration kUnreachableAvoidance = base::milliseconds (500);
+/// Above the interval of the probes of an unreachable runner.
+constexpr base::Duration kUnreachableAvoidance = base::milliseconds (700);
 constexpr std::uint32_t kFailuresBeforeAvoidance = 3;
 constexpr std::uint32_t kUnreachableBeforeReport = 2;
 constexpr double kFailureWeight = 0.2;
@@ -734,6 +735,34 @@
     }
 }
 
+std::vector<std::string> InstanceDirectory::instances() const
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, view] : m_views)
+        ids.push_back (id);
+    return ids;
+}
+
+base::SocketAddress InstanceDirectory::addressOf (const std::string& id) const
+{
+    const auto found = m_views.find (id);
+    return found == m_views.end() ? base::SocketAddress() : found->second.address;
+}
+
+void InstanceDirectory::onProbed (const std::string& id, bool isReachable, base::TimePoint now)
+{
+    const auto found = m_views.find (id);
+    if (found == m_views.end())
+        return;
+    if (! isReachable)
+    {
+        recordUnreachable (found->second, now);
+        return;
+    }
+    found->second.unreachableUntil = {};
+    found->second.unreachableCount = 0;
+}
+
 void InstanceDirectory::onLoad (const std::string& id, const StatedLoad& load, base::TimePoint now)
 {
     const auto found = m_views.find (id);
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -174,7 +174,12 @@
         return m_controllers;
     }
     [[nodiscard]] std::size_t size() const { return m_views.size(); }
-    [[nodiscard]] bool contains (const std::string& id) const { return m_views.contains (id); }
+    /// Ids of all listed instances.
+    [[nodiscard]] std::vector<std::string> instances() const;
+    /// Address of a listed instance; empty if it is not listed or its address is invalid.
+    [[nodiscard]] base::SocketAddress addressOf (const std::string& id) const;
+    /// Records whether a probe of the runner opened a connection.
+    void onProbed (const std::string& id, bool isReachable, base::TimePoint now);
     [[nodiscard]] bool hasTable() const { return m_version != 0; }
     [[nodiscard]] base::Term term() const { return m_term; }
     [[nodiscard]] std::uint64_t version() const { return m_version; }
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -16,6 +16,7 @@
 #include "proxy/EngineDemands.h"
 #include "proxy/InstanceDirectory.h"
 #include "proxy/InstanceLoadReporter.h"
+#include "proxy/PeerRouters.h"
 #include "proxy/ProtocolNames.h"
 #include "proxy/RouteTable.h"
 #include "proxy/RunnerRates.h"
@@ -37,8 +38,12 @@
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumed = 0;
-    std::uint64_t overQuota = 0;    ///< Refused because of the quota of their tenant.
-    std::uint64_t quarantined = 0;  ///< Not forwarded because runners crashed under them.
+    std::uint64_t overQuota = 0;         ///< Refused because of the quota of their tenant.
+    std::uint64_t quarantined = 0;       ///< Not forwarded because runners crashed under them.
+    std::uint64_t forwardedToPeers = 0;  ///< Attempts sent to other routers.
+    std::uint64_t declinedByPeers = 0;   ///< Those that the other router did not serve.
+    std::uint64_t servedForPeers = 0;    ///< Requests received from other routers.
+    std::uint64_t declinedToPeers = 0;   ///< Those that this router did not serve.
 };
 
 struct ProxyContext
@@ -68,6 +73,10 @@
     /// Called when a runner stated that it accepts no requests from now on.
     std::function<void()> onRunnerUnavailable = [] {};
     RunnerReachability reachability{};
+    /// Called when the connections to runners have failed so that this router became isolated.
+    std::function<void()> onIsolated = [] {};
+    std::string router{};         ///< Name of this router.
+    PeerRouters peers{ "", "" };  ///< The other routers of the cell.
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -24,6 +24,11 @@
 /// Part of the cell's retry reserve that its routers use. The rest is a margin for changes in the
 /// number of routers, which reach the routers at different times.
 constexpr double kUsedReserveShare = 0.8;
+/// A runner's machine answers an opening packet within a few milliseconds on the known platforms; a
+/// lost one is sent again after a second.
+constexpr base::Duration kReachabilityTimeout = base::milliseconds (150);
+/// A device on the path may accept a connection and reset it at once.
+constexpr base::Duration kReachabilitySettleTime = base::milliseconds (20);
 
 std::vector<base::SocketAddress> peersOf (const ProxySettings& settings)
 {
@@ -85,11 +90,17 @@
       m_freshness ({ m_settings.unconfirmedGrace, m_settings.isolatedGrace }),
       m_server (m_context),
       m_readiness (m_names.readinessPath, [this] { return isReady(); }),
-      m_probes ([this] (const std::string& instance, RunnerProbeResult probeResult)
-                { onRunnerChecked (instance, probeResult); })
-{
+      m_probes ({}, [this] (const std::string& instance, RunnerProbeResult probeResult)
+                { onRunnerChecked (instance, probeResult); }),
+      m_reachabilityProbes ({ kReachabilityTimeout, kReachabilitySettleTime },
+                            [this] (const std::string& instance, RunnerProbeResult probeResult)
+                            { onReachabilityProbed (instance, probeResult); })
+{
+    m_context.router = m_settings.id;
+    m_context.peers = PeerRouters (m_settings.id, m_settings.zone);
     m_context.checkRunner = [this] (const std::string& instance, const base::SocketAddress& address)
     { m_probes.check (instance, address); };
+    m_context.onIsolated = [this] { onIsolated(); };
     m_context.freshness = [this] { return freshness(); };
     m_demandTimer.setSingleShot (true);
     QObject::connect (&m_demandTimer, &QTimer::timeout, &m_demandTimer,
@@ -106,6 +117,14 @@
 {
     BOOST_LEAF_CHECK (m_readiness.listen (m_settings.readinessAddress));
     BOOST_LEAF_ASSIGN (m_frontAddress, m_server.listen (m_settings.frontAddress));
+    if (! m_settings.peerAddress.host.empty())
+    {
+        m_peerKey = m_random.bits();
+        BOOST_LEAF_ASSIGN (
+            m_peerAddress,
+            m_server.listenForPeers (m_settings.peerAddress, m_peerKey,
+                                     static_cast<std::size_t> (m_settings.maxPeerRequests)));
+    }
     if (! m_settings.metricsAddress.host.empty())
     {
         createMetrics();
@@ -174,6 +193,20 @@
                  m_context.reachability.unreachable());
             set ("fernlift_proxy_connections_failed", "Connections to runners that did not open.",
                  m_context.reachability.failedConnections());
+            set ("fernlift_proxy_isolated",
+                 "1 while requests go to other routers, as connections to runners fail.",
+                 m_context.reachability.path (m_clock.now()) == RunnerPath::kIsolated ? 1 : 0);
+            set ("fernlift_proxy_peers", "Other routers known here.", m_context.peers.size());
+            set ("fernlift_proxy_peer_requests_sent", "Attempts sent to other routers.",
+                 m_counters.forwardedToPeers);
+            set ("fernlift_proxy_peer_requests_sent_declined",
+                 "Attempts sent to other routers that those did not serve.",
+                 m_counters.declinedByPeers);
+            set ("fernlift_proxy_peer_requests_received", "Requests received from other routers.",
+                 m_counters.servedForPeers);
+            set ("fernlift_proxy_peer_requests_received_declined",
+                 "Requests received from other routers and not served.",
+                 m_counters.declinedToPeers);
             set ("fernlift_proxy_configuration_version", "Configuration in force.", m_held.version);
             set ("fernlift_proxy_configuration_unconfirmed_milliseconds",
                  "Since the lease on the configuration ended; 0 while it lasts.",
@@ -216,6 +249,12 @@
     hello.configurationDigest = m_held.digest;
     hello.acceptsLastKnownState = true;
     hello.features = cell::kReadsInstanceRates;
+    if (! m_peerAddress.host.empty())
+    {
+        hello.features |= cell::kReadsRouterPeers;
+        hello.peerAddress = m_peerAddress.toString();
+        hello.peerKey = m_peerKey;
+    }
     hello.instanceTerm = m_directory.term();
     hello.instanceVersion = m_directory.version();
     m_link.send (hello);
@@ -246,6 +285,10 @@
         m_quotas.onGrant (*quota, m_clock.now());
         m_server.onDirectoryChanged();
     }
+    else if (const auto* peers = std::get_if<cell::RouterPeers> (&message))
+    {
+        m_context.peers.apply (*peers, m_clock.now());
+    }
     else if (const auto* suspects = std::get_if<cell::SuspectUpdate> (&message))
     {
         m_suspects.apply (*suspects, m_clock.now());
@@ -378,8 +421,7 @@
     m_link.setControllers (std::move (preferred));
     limitRetries();
     m_rates.setRouters (m_directory.routers());
-    m_context.reachability.keepOnly ([this] (const std::string& id)
-                                     { return m_directory.contains (id); });
+    m_context.reachability.setRunners (m_directory.instances());
     for (const std::string& id : m_directory.takeReplaced())
         m_suspects.onReplaced (id);
     // The last known state of a controller that does not lead does not include the number of
@@ -457,10 +499,47 @@
         m_demands.takeDue (m_clock.now(), demandReportInterval (routersAtController()));
     if (! demands.empty())
         m_link.send (cell::EngineDemandReport{ std::move (demands) });
-    for (std::string& id : m_directory.takeUnreachable())
-    {
+    reportUnreachable();
+}
+
+void ProxyProcess::reportUnreachable()
+{
+    const base::TimePoint now = m_clock.now();
+    const bool isOpen = m_context.reachability.path (now) == RunnerPath::kOpen;
+    // Other routers may reach runners that this one does not, so that it reports only while it
+    // reaches others.
+    if (isOpen && m_context.reachability.isInDoubt (now))
+        return;
+    std::vector<std::string> unreachable = m_directory.takeUnreachable();
+    if (! isOpen)
+        return;
+    for (std::string& id : unreachable)
         m_link.send (cell::InstanceUnreachable{ std::move (id) });
-    }
+}
+
+void ProxyProcess::probeReachability()
+{
+    for (const std::string& id : m_context.reachability.takeProbes (m_clock.now(), m_random))
+        m_reachabilityProbes.check (id, m_directory.addressOf (id));
+}
+
+void ProxyProcess::onReachabilityProbed (const std::string& instance, RunnerProbeResult probeResult)
+{
+    const base::TimePoint now = m_clock.now();
+    const bool isReachable = probeResult == RunnerProbeResult::kAlive;
+    m_directory.onProbed (instance, isReachable, now);
+    if (isReachable)
+        m_context.reachability.onConnected (instance, now);
+    else if (m_context.reachability.onConnectFailed (instance, now))
+        onIsolated();
+}
+
+void ProxyProcess::onIsolated()
+{
+    // Connections that are still open may have been lost without notice.
+    for (const std::string& id : m_directory.instances())
+        m_pool.forget (m_directory.addressOf (id));
+    m_context.onRunnerUnavailable();
 }
 
 void ProxyProcess::reportLoads()
@@ -531,6 +610,7 @@
 {
     handleSuspension();
     pollController();
+    probeReachability();
     reportDemand();
     reportLoads();
     requestQuota();
@@ -539,6 +619,7 @@
     moveToPreferred();
     m_pool.expire (m_clock.now());
     m_directory.availability().expire (m_clock.now());
+    m_context.peers.expire (m_clock.now());
     // The avoidance of a runner may have ended.
     if (m_server.waitingExchanges() > 0)
         m_server.onDirectoryChanged();
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -87,6 +87,12 @@
     void reportRates();
     /// Reports to the controller the runner crashes that the cell's table does not contain yet.
     void reportSuspects();
+    /// Probes the runners whose reachability is in doubt.
+    void probeReachability();
+    void onReachabilityProbed (const std::string& instance, RunnerProbeResult probeResult);
+    /// Stops using the connections to runners after all new ones have failed.
+    void onIsolated();
+    void reportUnreachable();
     void onRunnerChecked (const std::string& instance, RunnerProbeResult probeResult);
     void onTick();
     /// Ends the requests whose deadlines passed while the machine was suspended.
@@ -128,8 +134,11 @@
     std::unique_ptr<http::Server> m_metricsServer;
     ProxyServer m_server;
     base::SocketAddress m_frontAddress;
+    base::SocketAddress m_peerAddress;  ///< Without a host, no requests of others are served.
+    std::uint64_t m_peerKey = 0;        ///< Has to be stated in requests of other routers.
     ReadinessServer m_readiness;
     RunnerProbes m_probes;
+    RunnerProbes m_reachabilityProbes;
     base::SuspensionWatch m_suspensions;
     bool m_wasSuspended = false;  ///< A suspension was detected at the last tick.
     QTimer m_demandTimer;  ///< Sends an urgent demand report once control is back in the event
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "http/ErrorResponse.h"
+#include "log/Log.h"
+#include "proxy/PeerMessage.h"
 
 namespace fernlift::proxy
 {
@@ -12,6 +14,8 @@
 {
 
 constexpr int kListenBacklog = 512;
+/// Room for the field that a router adds to the header of a caller.
+constexpr std::size_t kPeerFieldBytes = 1024;
 /// Retry-After in seconds; the caller then reaches another router.
 constexpr const char* kRetryElsewhere = "0.05";
 
@@ -34,7 +38,7 @@
         const auto found = m_connections.find (&connection);
         if (found == m_connections.end())
             return;
-        m_closed.push_back (std::move (found->second));
+        m_closed.push_back (std::move (found->second.connection));
         m_connections.erase (found);
         scheduleSweep();
     };
@@ -50,7 +54,10 @@
         &m_unsentCheck, &QTimer::timeout, &m_unsentCheck,
         [this] { visitExchanges ([] (Exchange& exchange) { exchange.onRunnerUnavailable(); }); });
     m_context.onRunnerUnavailable = [this] { scheduleUnsentCheck(); };
-    QObject::connect (&m_server, &QTcpServer::newConnection, &m_server, [this] { acceptAll(); });
+    QObject::connect (&m_server, &QTcpServer::newConnection, &m_server,
+                      [this] { acceptAll (m_server, false); });
+    QObject::connect (&m_peerServer, &QTcpServer::newConnection, &m_peerServer,
+                      [this] { acceptAll (m_peerServer, true); });
 }
 
 ProxyServer::~ProxyServer()
@@ -62,40 +69,116 @@
 
 base::Result<base::SocketAddress> ProxyServer::listen (const base::SocketAddress& address)
 {
-    m_server.setListenBacklogSize (kListenBacklog);
-    m_server.setMaxPendingConnections (kListenBacklog);
-    if (! m_server.listen (QHostAddress (QString::fromStdString (address.host)), address.port))
+    return listen (m_server, address);
+}
+
+base::Result<base::SocketAddress> ProxyServer::listenForPeers (const base::SocketAddress& address,
+                                                               std::uint64_t key,
+                                                               std::size_t maxRequests)
+{
+    m_peerKey = key;
+    m_maxPeerExchanges = maxRequests;
+    return listen (m_peerServer, address);
+}
+
+base::Result<base::SocketAddress> ProxyServer::listen (QTcpServer& server,
+                                                       const base::SocketAddress& address)
+{
+    server.setListenBacklogSize (kListenBacklog);
+    server.setMaxPendingConnections (kListenBacklog);
+    if (! server.listen (QHostAddress (QString::fromStdString (address.host)), address.port))
     {
         return base::fail (base::ErrorKind::kConnectionFailed,
-                           address.toString() + ": " + m_server.errorString().toStdString());
+                           address.toString() + ": " + server.errorString().toStdString());
     }
-    return base::SocketAddress{ address.host, m_server.serverPort() };
+    return base::SocketAddress{ address.host, server.serverPort() };
 }
 
-void ProxyServer::acceptAll()
+CallerLimits ProxyServer::limitsOf (bool isOfPeer) const
 {
-    while (QTcpSocket* accepted = m_server.nextPendingConnection())
+    CallerLimits limits = m_limits;
+    if (isOfPeer)
+        limits.request.headerBytes += kPeerFieldBytes;
+    return limits;
+}
+
+void ProxyServer::acceptAll (QTcpServer& server, bool areOfPeers)
+{
+    while (QTcpSocket* accepted = server.nextPendingConnection())
     {
         accepted->setParent (nullptr);
         std::unique_ptr<QTcpSocket> socket (accepted);
-        auto connection =
-            std::make_shared<CallerConnection> (std::move (socket), m_limits, m_handlers);
-        m_connections.emplace (connection.get(), connection);
+        auto connection = std::make_shared<CallerConnection> (std::move (socket),
+                                                              limitsOf (areOfPeers), m_handlers);
+        m_connections[connection.get()] = { connection, areOfPeers };
         connection->start();
     }
 }
 
+std::size_t ProxyServer::peerExchanges() const
+{
+    return static_cast<std::size_t> (std::ranges::count_if (
+        m_exchanges, [] (const auto& item) { return item.second->isServedForPeer(); }));
+}
+
+std::optional<PeerRequest> ProxyServer::takeStatement (CallerConnection& connection,
+                                                       ParsedRequest& request)
+{
+    std::optional<PeerRequest> statement;
+    base::handleErrors (
+        [&]() -> base::Result<void>
+        {
+            BOOST_LEAF_ASSIGN (statement, takePeerRequest (request.headers));
+            return {};
+        },
+        [&] (const base::Error& error)
+        {
+            log::write (log::Event::kPeerRequestInvalid,
+                        { { "peer", connection.peerAddress() }, { "problem", error.message } });
+            onInvalid (connection, error);
+        });
+    if (! statement)
+        return std::nullopt;
+    if (statement->key != m_peerKey)
+    {
+        log::write (log::Event::kPeerRequestInvalid,
+                    { { "peer", connection.peerAddress() }, { "problem", "wrong key" } });
+        declinePeer (connection, "the key is not the one of this router");
+        return std::nullopt;
+    }
+    if (peerExchanges() >= m_maxPeerExchanges)
+    {
+        ++m_context.counters.declinedToPeers;
+        declinePeer (connection, "too many requests of other routers");
+        return std::nullopt;
+    }
+    return statement;
+}
+
 void ProxyServer::onRequest (CallerConnection& connection, ParsedRequest request)
 {
     if (m_isClosing)
         connection.closeAfterAnswer();
+    const auto open = m_connections.find (&connection);
+    const bool isOfPeer = open != m_connections.end() && open->second.isOfPeer;
     if (m_isRefusing)
     {
         ++m_context.counters.refused;
-        refuseStopping (connection);
+        if (isOfPeer)
+            declinePeer (connection, "this router is stopping");
+        else
+            refuseStopping (connection);
         return;
     }
+    std::optional<PeerRequest> statement;
+    if (isOfPeer)
+    {
+        statement = takeStatement (connection, request);
+        if (! statement)
+            return;
+    }
     auto exchange = std::make_unique<Exchange> (m_context, connection, std::move (request),
+                                                std::move (statement),
                                                 [this, caller = &connection] (Exchange&)
                                                 {
                                                     const auto found = m_exchanges.find (caller);
@@ -124,6 +207,15 @@
     connection.sendAnswer (response.status, response.headers, response.body);
 }
 
+void ProxyServer::declinePeer (CallerConnection& connection, const std::string& message)
+{
+    http::Response response = http::errorResponse ({ base::ErrorKind::kStopping, message });
+    PeerAnswer answer;
+    answer.outcome = PeerOutcome::kUnavailable;
+    addPeerAnswer (response.headers, answer);
+    connection.sendAnswer (response.status, response.headers, response.body);
+}
+
 void ProxyServer::scheduleUnsentCheck()
 {
     if (! m_unsentCheck.isActive())
@@ -170,8 +262,8 @@
     m_limits.request.bodyBytes = limits.bodyBytes;
     m_limits.headerTimeout = limits.headerTimeout;
     m_limits.idleTimeout = limits.idleTimeout;
-    for (const auto& [key, connection] : m_connections)
-        connection->setLimits (m_limits);
+    for (const auto& [key, open] : m_connections)
+        open.connection->setLimits (limitsOf (open.isOfPeer));
 }
 
 void ProxyServer::beginClosing() { m_isClosing = true; }
@@ -180,8 +272,8 @@
 {
     m_isRefusing = true;
     const auto connections = m_connections;  // Copied because closing modifies the map.
-    for (const auto& [key, connection] : connections)
-        connection->closeAfterAnswer();
+    for (const auto& [key, open] : connections)
+        open.connection->closeAfterAnswer();
 }
 
 void ProxyServer::refuseWaiting()
@@ -189,7 +281,11 @@
     visitExchanges ([] (Exchange& exchange) { exchange.onRouterStopping(); });
 }
 
-void ProxyServer::stopListening() { m_server.close(); }
+void ProxyServer::stopListening()
+{
+    m_server.close();
+    m_peerServer.close();
+}
 
 std::size_t ProxyServer::waitingExchanges() const
 {
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -27,6 +27,10 @@
 
     /// Starts listening. Returns the actual address or fails with kConnectionFailed.
     base::Result<base::SocketAddress> listen (const base::SocketAddress& address);
+    /// Starts listening for requests of other routers, which have to state `key`, and serves at
+    /// most `maxRequests` of them at the same time.
+    base::Result<base::SocketAddress> listenForPeers (const base::SocketAddress& address,
+                                                      std::uint64_t key, std::size_t maxRequests);
     /// Lets waiting requests try again to find a runner.
     void onDirectoryChanged();
     /// Checks the deadlines of all requests after time that timers did not count.
@@ -49,10 +53,24 @@
     [[nodiscard]] std::size_t openConnections() const { return m_connections.size(); }
 
 private:
-    void acceptAll();
+    /// A connection and whether another router opened it.
+    struct OpenConnection
+    {
+        std::shared_ptr<CallerConnection> connection;
+        bool isOfPeer = false;
+    };
+
+    base::Result<base::SocketAddress> listen (QTcpServer& server,
+                                              const base::SocketAddress& address);
+    void acceptAll (QTcpServer& server, bool areOfPeers);
+    [[nodiscard]] CallerLimits limitsOf (bool isOfPeer) const;
+    /// Takes the statement of the other router out of its request. None after it was answered.
+    std::optional<PeerRequest> takeStatement (CallerConnection& connection, ParsedRequest& request);
+    [[nodiscard]] std::size_t peerExchanges() const;
     void onRequest (CallerConnection& connection, ParsedRequest request);
     void onInvalid (CallerConnection& connection, const base::Error& error);
     static void refuseStopping (CallerConnection& connection);
+    static void declinePeer (CallerConnection& connection, const std::string& message);
     /// Calls `visit` for each open exchange. `visit` may end exchanges.
     void visitExchanges (const std::function<void (Exchange& exchange)>& visit);
     /// Lets the attempts that were not sent yet choose again, from the event loop.
@@ -66,13 +84,16 @@
     CallerLimits m_limits;
     bool m_isClosing = false;
     bool m_isRefusing = false;
-    std::map<CallerConnection*, std::shared_ptr<CallerConnection>> m_connections;
+    std::uint64_t m_peerKey = 0;
+    std::size_t m_maxPeerExchanges = 0;
+    std::map<CallerConnection*, OpenConnection> m_connections;
     std::map<CallerConnection*, std::unique_ptr<Exchange>> m_exchanges;
     std::vector<std::unique_ptr<Exchange>> m_ended;
     std::vector<std::shared_ptr<CallerConnection>> m_closed;
     QTimer m_sweeper;
     QTimer m_unsentCheck;
     QTcpServer m_server;
+    QTcpServer m_peerServer;
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -11,6 +11,7 @@
 constexpr std::int64_t kMaxPort = 65535;
 constexpr std::int64_t kMaxReserve = 1000;
 constexpr std::int64_t kMaxRouters = 1'000'000;
+constexpr std::int64_t kMaxPeerRequests = 100'000;
 constexpr double kMaxCellReserve = 1'000'000;
 
 }  // namespace
@@ -26,6 +27,11 @@
     schema.required();
     schema.addAddress ("metrics_address", &settings.metricsAddress,
                        "listens for metrics and health checks; not set: nowhere");
+    schema.addAddress ("peer_address", &settings.peerAddress,
+                       "listens for requests of other routers that cannot connect to runners; not "
+                       "set: routers do not serve each other's requests");
+    schema.addInteger ("max_peer_requests", &settings.maxPeerRequests, 0, kMaxPeerRequests,
+                       "requests of other routers that are served at the same time");
     schema.addAddressList ("seeds", &settings.seeds, "control addresses of some controllers");
     schema.required();
     schema.addInteger ("seed_peer_port", &settings.seedPeerPort, 1, kMaxPort,
@@ -63,7 +69,8 @@
             std::vector<std::string> problems =
                 config::findAddressClashes ({ { "front_address", settings.frontAddress },
                                               { "readiness_address", settings.readinessAddress },
-                                              { "metrics_address", settings.metricsAddress } });
+                                              { "metrics_address", settings.metricsAddress },
+                                              { "peer_address", settings.peerAddress } });
             if (settings.stopTimeout < settings.stopGrace)
             {
                 problems.emplace_back ("stop_timeout_ms is below stop_grace_ms");
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -22,6 +22,10 @@
     base::SocketAddress frontAddress;      ///< Address for callers.
     base::SocketAddress readinessAddress;  ///< Address for the platform's readiness checks.
     base::SocketAddress metricsAddress;    ///< Without a host no metrics are served.
+    /// Address for requests of other routers; without a host none are served, and none of this
+    /// router's are sent to others.
+    base::SocketAddress peerAddress;
+    std::int64_t maxPeerRequests = 200;  ///< Requests served for other routers at the same time.
     std::vector<base::SocketAddress> seeds;
     std::int64_t seedPeerPort = 0;
     double retryShare = 0.1;        ///< Share of this router's requests.
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -317,6 +317,34 @@
         server.onDirectoryChanged();
     }
 
+    /// Names this router and lets it serve requests of other routers.
+    void servePeers (const std::string& name, std::size_t maxRequests = 100)
+    {
+        context.router = name;
+        context.peers = PeerRouters (name, "z1");
+        peerListening = base::handleErrors (
+            [&] {
+                return server.listenForPeers ({ "127.0.0.1", 0 }, kPeerKey, maxRequests);
+            },
+            [] (const base::Error&) { return base::SocketAddress(); });
+    }
+    [[nodiscard]] cell::RouterPeer peerRow() const
+    {
+        return { context.router, "z1", peerListening.toString(), kPeerKey };
+    }
+    void setPeers (const std::vector<cell::RouterPeer>& rows)
+    {
+        context.peers.apply ({ rows }, clock.now());
+    }
+    /// Lets this router conclude that it can connect to no runner.
+    void isolate()
+    {
+        const std::vector<std::string> runners{ "cut-1", "cut-2", "cut-3" };
+        context.reachability.setRunners (runners);
+        for (const std::string& runner : runners)
+            context.reachability.onConnectFailed (runner, clock.now());
+    }
+
     /// Sends a request on a new connection. Returns its answer as soon as the head is complete.
     std::string call (const std::string& host)
     {
@@ -333,6 +361,8 @@
                + "\r\nTest-Deadline: 3000\r\n" + extra + "Content-Length: 4\r\n\r\nbody";
     }
 
+    static constexpr std::uint64_t kPeerKey = 0xabcdef;
+
     ProtocolNames names = testNames();
     SuspendedClock clock;
     base::Random random{ 1 };
@@ -349,6 +379,7 @@
                           retryBudget, demands, quotas, suspects,  counters,     [] {}, nullptr };
     ProxyServer server{ context };
     base::SocketAddress listening;
+    base::SocketAddress peerListening;
 
 private:
     cell::InstanceUpdate nextUpdate()
--- a/src/proxy/RunnerProbes.h
+++ b/src/proxy/RunnerProbes.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /**
- * Probes whether a runner that broke off an answer is still alive.
+ * Probes whether a runner accepts connections.
  *
  * A connection may be reset although the runner is alive. A crashed runner refuses the next
  * connection at once, a live one accepts it. Requests that break at the same runner at the same
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "base/SocketAddress.h"
+#include "base/Time.h"
 #include "quarantine/RunnerProbeResult.h"
 
 namespace fernlift::proxy
@@ -28,8 +29,16 @@
     using Handler =
         std::function<void (const std::string& instance, RunnerProbeResult probeResult)>;
 
+    struct Limits
+    {
+        /** A probe without a result ends after this time. */
+        base::Duration timeout = base::milliseconds (300);
+        /** A connection that closes within this time after it opened does not count as accepted. */
+        base::Duration settleTime{};
+    };
+
     /** `handler` is called from the event loop with the result of each probe. */
-    explicit RunnerProbes (Handler handler);
+    RunnerProbes (Limits limits, Handler handler);
     ~RunnerProbes();
     RunnerProbes (const RunnerProbes&) = delete;
     RunnerProbes& operator= (const RunnerProbes&) = delete;
@@ -42,6 +51,7 @@
 
     void finish (const std::string& instance, RunnerProbeResult probeResult);
 
+    Limits m_limits;
     Handler m_handler;
     std::map<std::string, std::unique_ptr<Probe>> m_open;  ///< Keyed by instance.
 };
--- a/src/proxy/RunnerProbesTest.cpp
+++ b/src/proxy/RunnerProbesTest.cpp
@@ -28,7 +28,8 @@
 
     RunnerProbeResult m_probeResult = RunnerProbeResult::kUnknown;
     int m_results = 0;
-    RunnerProbes m_probes{ [this] (const std::string& instance, RunnerProbeResult probeResult)
+    RunnerProbes m_probes{ {},
+                           [this] (const std::string& instance, RunnerProbeResult probeResult)
                            {
                                EXPECT_EQ (instance, "i-1");
                                m_probeResult = probeResult;
--- a/src/proxy/RunnerReachability.h
+++ b/src/proxy/RunnerReachability.h
@@ -1,34 +1,92 @@
 #pragma once
 
-/// Records which runners this router can connect to.
+/**
+ * Decides from the connections to runners whether this router is cut off from them.
+ *
+ * A router that can connect to no runner is isolated: its requests go to other routers until probes
+ * show that the path is back. Answers over connections that are open already are no evidence, since
+ * they may live on while new connections fail. See docs/design/peer-forwarding.md.
+ */
 
 #include <cstdint>
-#include <functional>
-#include <set>
+#include <map>
 #include <string>
+#include <vector>
+
+#include "base/Random.h"
+#include "base/Time.h"
 
 namespace fernlift::proxy
 {
 
-/// Pure. Threading: none; owned by one router.
+enum class RunnerPath : std::uint8_t
+{
+    kOpen,
+    kIsolated,   ///< New connections to runners fail.
+    kReturning,  ///< Connections open again; the share of direct requests rises.
+};
+
+/** Pure. Threading: none; owned by one router. */
 class RunnerReachability
 {
 public:
-    /// A new connection to the runner opened.
-    void onConnected (const std::string& runner);
-    /// A new connection to the runner did not open.
-    void onConnectFailed (const std::string& runner);
-    /// Drops the runners that left the table.
-    void keepOnly (const std::function<bool (const std::string& runner)>& isListed);
-
-    /// Number of runners whose last connection did not open.
+    /** Sets the runners in the table. */
+    void setRunners (std::vector<std::string> runners);
+
+    /** An attempt at a runner began. */
+    void onAttemptBegin (base::TimePoint now);
+    /** Bytes of an answer were received from any runner. */
+    void onBytes (base::TimePoint now) { m_quietSince = now; }
+    void onAttemptEnd();
+    /** A new connection to the runner is usable. */
+    void onConnected (const std::string& runner, base::TimePoint now);
+    /** A new connection to the runner did not open, or was closed before any byte of an answer.
+        Returns whether this router became isolated by it.
+    */
+    bool onConnectFailed (const std::string& runner, base::TimePoint now);
+
+    /** Returns the runners to probe now, by opening a connection to each. The results have to be
+        reported by onConnected() and onConnectFailed().
+    */
+    [[nodiscard]] std::vector<std::string> takeProbes (base::TimePoint now, base::Random& random);
+
+    [[nodiscard]] RunnerPath path (base::TimePoint now) const;
+    /** Whether a request goes to another router, if there is one. `draw` is a random number in
+        [0, 1).
+    */
+    [[nodiscard]] bool mustForward (double draw, base::TimePoint now) const;
+    /** Whether connections have failed since the last one that opened, so that the failures may be
+        this router's own.
+    */
+    [[nodiscard]] bool isInDoubt (base::TimePoint now) const;
+    /** Number of runners whose last connection did not open. */
     [[nodiscard]] std::size_t unreachable() const { return m_unreachable.size(); }
-    /// Number of connections that did not open since the start of the process.
+    /** Number of connections that did not open since the start of the process. */
     [[nodiscard]] std::uint64_t failedConnections() const { return m_failedConnections; }
 
 private:
-    std::set<std::string> m_unreachable;
+    /** Runners at which connections have failed recently, without one that opened since. */
+    [[nodiscard]] std::size_t recentFailures (base::TimePoint now) const;
+    [[nodiscard]] std::size_t failuresOfIsolation (base::TimePoint now) const;
+    void isolate (base::TimePoint now);
+    void addProbesInDoubt (std::vector<std::string>& probes, base::TimePoint now,
+                           base::Random& random);
+    void addProbesOfUnreachable (std::vector<std::string>& probes, base::TimePoint now);
+
+    std::vector<std::string> m_runners;
+    /** Runners whose last connection did not open, with the time of their next probe. */
+    std::map<std::string, base::TimePoint> m_unreachable;
+    /** Times of the failures since the last connection that opened, by runner. */
+    std::map<std::string, base::TimePoint> m_failures;
     std::uint64_t m_failedConnections = 0;
+    std::size_t m_openAttempts = 0;
+    base::TimePoint m_quietSince{};  ///< Start of the time in which open attempts got no bytes.
+    base::TimePoint m_nextProbeAt{};
+    base::TimePoint m_probesInDoubtAt{};  ///< Last probes that followed a failure or a quiet time.
+    bool m_isIsolated = false;
+    std::uint32_t m_successes = 0;  ///< Consecutive probes that succeeded while isolated.
+    std::uint32_t m_requiredSuccesses = 0;
+    base::TimePoint m_returnedAt{};  ///< End of the last isolation; zero: there was none.
 };
 
 }  // namespace fernlift::proxy
