--- a/src/proxy/ExchangePeersTest.cpp
+++ b/src/proxy/ExchangePeersTest.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+using base::milliseconds;
+
 const char* const kRefusal =
     "HTTP/1.1 503 Service Unavailable\r\nTest-Id: r1\r\n"
     "Test-Not-Executed: 1\r\n";
@@ -176,6 +178,98 @@
     EXPECT_EQ (m_far.counters.requests, 0U);
 }
 
+TEST_F (ExchangePeersTest, CountsQuotaOfTenantAtTheRouterOfTheCallerOnly)
+{
+    config::ServiceCatalogue catalogue = ProxyFixture::catalogue();
+    catalogue.requiresKeys = true;
+    config::Tenant tenant;
+    tenant.name = "farm";
+    tenant.keys = { "k1" };
+    tenant.quota = { config::QuotaUnit::kRequests, 1000, 1000, 1 };
+    catalogue.tenants = { tenant };
+    for (ProxyFixture* router : { &m_near, &m_far })
+        router->context.routes = std::make_shared<const RouteTable> (2, catalogue);
+    RawCaller caller (m_near.listening);
+    caller.write (ProxyFixture::request ("once.test", "r1", "Authorization: Bearer k1\r\n"));
+    runFor (std::chrono::milliseconds (20));
+    const auto claim = m_near.quotas.pool().takeRequest (m_near.clock.now());
+    ASSERT_TRUE (claim);
+    m_near.quotas.pool().onGrant ({ claim->sequence, { { "farm", 1, 1000, 0 } } });
+    m_near.server.onDirectoryChanged();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 200"));
+    EXPECT_FALSE (m_far.quotas.pool().takeRequest (m_far.clock.now()));
+    EXPECT_NE (m_lastRequest.find ("Test-Tenant: farm\r\n"), std::string::npos);
+    EXPECT_EQ (m_lastRequest.find ("k1"), std::string::npos);
+}
+
+TEST_F (ExchangePeersTest, RequestEarnsRetriesAtTheRouterOfTheCallerOnly)
+{
+    m_near.retryBudget = dispatch::RetryBudget (1, 0);
+    m_far.retryBudget = dispatch::RetryBudget (1, 0);
+    m_near.retryBudget.limitReserve (5);
+    m_far.retryBudget.limitReserve (5);
+    while (m_near.retryBudget.tryRetry())
+        continue;
+    while (m_far.retryBudget.tryRetry())
+        continue;
+    EXPECT_TRUE (call ("once.test").starts_with ("HTTP/1.1 200"));
+    EXPECT_TRUE (m_near.retryBudget.allowsRetry());
+    EXPECT_FALSE (m_far.retryBudget.allowsRetry());
+}
+
+TEST_F (ExchangePeersTest, RunnerGetsTheTimeThatIsLeft)
+{
+    const std::vector<cell::RouterPeer> peers{ m_far.peerRow() };
+    m_near.context.peers = PeerRouters ("near", "z1");
+    StubRunner closed;
+    const std::string address = closed.address();
+    closed.stopListening();
+    m_near.put (ProxyFixture::rowOf ("i-1", address));
+    RawCaller caller (m_near.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    runFor (std::chrono::milliseconds (20));
+    m_near.advance (milliseconds (400));
+    m_near.setPeers (peers);
+    m_near.server.onDirectoryChanged();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 200"));
+    const std::string field = "Test-Deadline: ";
+    const std::size_t begin = m_lastRequest.find (field) + field.size();
+    EXPECT_LE (std::stoi (m_lastRequest.substr (begin)), 2600);
+}
+
+TEST_F (ExchangePeersTest, RequestThatNobodyServedIsRefusedAsNotRun)
+{
+    m_far.isolate();
+    StubRunner closed;
+    const std::string address = closed.address();
+    closed.stopListening();
+    m_near.put (ProxyFixture::rowOf ("i-1", address));
+    EXPECT_TRUE (call ("once.test").starts_with ("HTTP/1.1 503"));
+    EXPECT_EQ (m_runner.requests, 0U);
+}
+
+TEST_F (ExchangePeersTest, AnswersOfAnotherRouterAreNoEvidenceOfOwnPath)
+{
+    for (int request = 0; request < 5; ++request)
+    {
+        EXPECT_TRUE (call ("once.test").starts_with ("HTTP/1.1 200"));
+        m_near.pool.forget (m_far.peerListening);
+    }
+    EXPECT_EQ (m_near.context.reachability.path (m_near.clock.now()), RunnerPath::kIsolated);
+}
+
+TEST_F (ExchangePeersTest, RouterThatBreaksOffIsNotTakenForACrashedRunner)
+{
+    StubRunner peer;
+    m_near.setPeers ({ { "far", "z1", peer.address(), ProxyFixture::kPeerKey } });
+    RawCaller caller (m_near.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (peer.waitForRequest());
+    peer.connections[0]->reset();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 502"));
+    EXPECT_TRUE (m_near.suspects.isEmpty());
+}
+
 TEST_F (ExchangePeersTest, RunnerHearsThatTheCallerLeft)
 {
     StubRunner runner;
@@ -269,12 +363,14 @@
     ProxyFixture cut;
     cut.servePeers ("cut");
     cut.setPeers ({ m_far.peerRow() });
+    m_far.setPeers ({ cut.peerRow() });
     cut.put (ProxyFixture::rowOf ("i-1", address));
     m_far.put (ProxyFixture::rowOf ("i-1", address));
     RawCaller caller (cut.listening);
     caller.write (ProxyFixture::request ("once.test"));
     runFor (std::chrono::milliseconds (400));
     EXPECT_LE (m_far.counters.servedForPeers, 2U);
+    EXPECT_EQ (cut.counters.servedForPeers, 0U);
 }
 
 }  // namespace
--- a/src/proxy/ExchangeQuarantine.cpp
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -104,8 +104,6 @@
 
 void Exchange::recordBrokenAnswer()
 {
-    if (m_peer)
-        return;
     m_hasBrokenAnswer = true;
     // The end of a draining runner is planned and not caused by this request.
     if (! m_isAttemptSent || m_context.directory.isDraining (m_instance, now()))
