Routers send nothing for a second to a brittle runner that declined a request (LIMIT)

A runner whose answers carry Server-Brittle falls when it has to decline more than so many requests in a second.

Change: a refusal of such a runner without Retry-After counts as a backoff of a second, with the waiting and the slow start that a stated one has. The field is not forwarded to callers.

Partial: each router learns for itself, so that seven routers may cause seven refusals in a second, and what is under way comes on top. A bound over all routers (permits) is not built; with small values of the field runners may still fall.

--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -189,6 +189,8 @@
     void recordLoad (const http::AnswerHead& head);
     void recordRate (const http::AnswerHead& head);
     void recordAvailability (const http::AnswerHead& head);
+    /// Backoff that a declining answer asks for, or that the brittleness of the runner calls for.
+    [[nodiscard]] http::RetryAfter statedBackoff (const http::AnswerHead& head) const;
     void recordBackoff (const http::RetryAfter& stated);
     /// Whether the runner states that it did not execute the request.
     [[nodiscard]] bool isRefusal (const http::AnswerHead& head) const;
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -16,6 +16,8 @@
 
 /// Answers up to this size are buffered until complete, so that a truncated one can be retried.
 constexpr std::size_t kMaxBufferedBytes = 256UL * 1024;
+/// Brittle runners count the requests that they decline in a second.
+constexpr base::Duration kBrittleBackoff = base::seconds (1);
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
@@ -81,11 +83,21 @@
     const bool isDeclined =
         head.status == kServiceUnavailable || (head.status == kTooManyRequests && isRefusal (head));
     if (isDeclined)
-        recordBackoff (http::readRetryAfter (head.headers));
+        recordBackoff (statedBackoff (head));
     else if (head.status < kFirstServerError && ! isRefusal (head))
         availability.onSuccess (runner, m_attemptSentAt, now());
 }
 
+http::RetryAfter Exchange::statedBackoff (const http::AnswerHead& head) const
+{
+    const http::RetryAfter stated = http::readRetryAfter (head.headers);
+    const std::string& brittle = m_context.names.brittle;
+    const bool isBrittle = ! brittle.empty() && head.headers.contains (brittle);
+    if (isBrittle && ! std::holds_alternative<http::RetryAfterDelay> (stated))
+        return http::RetryAfterDelay{ kBrittleBackoff };
+    return stated;
+}
+
 void Exchange::recordBackoff (const http::RetryAfter& stated)
 {
     const cell::Incarnation runner{ m_instance, m_instanceStart };
--- a/src/proxy/ExchangeBackoffTest.cpp
+++ b/src/proxy/ExchangeBackoffTest.cpp
@@ -44,6 +44,29 @@
     EXPECT_EQ (declining.requests, 1U);
 }
 
+TEST_F (ExchangeBackoffTest, BrittleRunnerDeclinesNoSecondRequestWithinASecond)
+{
+    AnsweringRunner brittle{ [] (const std::string&)
+                             {
+                                 return StubReply{
+                                     "HTTP/1.1 503 Service Unavailable\r\nTest-Id: "
+                                     "r1\r\nTest-Not-Executed: 1\r\nTest-Brittle: "
+                                     "1\r\nContent-Length: 0\r\n\r\n"
+                                 };
+                             } };
+    proxy.put (ProxyFixture::rowOf ("i-1", brittle.address()));
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int request = 0; request < 20; ++request)
+    {
+        callers.push_back (std::make_unique<RawCaller> (proxy.listening));
+        callers.back()->write (ProxyFixture::request ("once.test"));
+        runFor (std::chrono::milliseconds (20));
+    }
+    EXPECT_EQ (brittle.requests, 1U);
+    proxy.advance (base::milliseconds (1100));
+    EXPECT_TRUE (waitUntil ([&] { return brittle.requests > 1; }));
+}
+
 TEST_F (ExchangeBackoffTest, OtherRunnersTakeRequestsDuringBackoff)
 {
     proxy.put (ProxyFixture::rowOf ("i-1", declining.address()));
--- a/src/proxy/ProtocolNames.h
+++ b/src/proxy/ProtocolNames.h
@@ -36,6 +36,9 @@
     std::string rateLimit;
     /// Has the value "1" in all answers of a runner that is leaving.
     std::string leaving;
+    /// Present in all answers of a runner that fails when it has to decline more requests in a
+    /// second than the value of the field.
+    std::string brittle;
     /// Fields of answers that are meant for this system and are not forwarded to callers.
     std::vector<std::string> internalAnswerFields;
     std::string lastEventId = "Last-Event-Id";  ///< Event after which a stream is resumed.
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -235,7 +235,8 @@
         names.load = "Test-Load";
         names.rateLimit = "Test-Rate";
         names.leaving = "Test-Leaving";
-        names.internalAnswerFields = { "Test-Leaving" };
+        names.brittle = "Test-Brittle";
+        names.internalAnswerFields = { "Test-Leaving", "Test-Brittle" };
         names.readinessPath = "/ready";
         return names;
     }
