--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -90,7 +90,7 @@
 
 http::RetryAfter Exchange::statedBackoff (const http::AnswerHead& head) const
 {
-    const http::RetryAfter stated = http::readRetryAfter (head.headers);
+    http::RetryAfter stated = http::readRetryAfter (head.headers);
     const std::string& brittle = m_context.names.brittle;
     const bool isBrittle = ! brittle.empty() && head.headers.contains (brittle);
     if (isBrittle && ! std::holds_alternative<http::RetryAfterDelay> (stated))
--- /dev/null
+++ b/src/proxy/ProxyMetrics.cpp
@@ -0,0 +1,96 @@
+// Metrics of a router that forwards requests, and the address at which they are served.
+
+#include "http/ProcessEndpoints.h"
+#include "proxy/ProxyProcess.h"
+
+namespace fernlift::proxy
+{
+
+void ProxyProcess::createMetrics()
+{
+    m_metrics.addProcessMetrics();
+    m_metrics.addUpdate (
+        [this]
+        {
+            const auto set = [this] (const char* name, const char* help, std::uint64_t value)
+            { m_metrics.gauge (name, help).set (static_cast<double> (value)); };
+            set ("fernlift_proxy_requests", "Requests of callers.", m_counters.requests);
+            set ("fernlift_proxy_answered", "Answers of runners passed on whole.",
+                 m_counters.answered);
+            set ("fernlift_proxy_refused", "Requests refused without having run.",
+                 m_counters.refused);
+            set ("fernlift_proxy_over_quota", "Requests refused for the quota of their tenant.",
+                 m_counters.overQuota);
+            set ("fernlift_proxy_quarantined",
+                 "Requests not passed on, as runners ended under them.", m_counters.quarantined);
+            set ("fernlift_proxy_suspects", "Requests under which runners ended, as known here.",
+                 m_suspects.size());
+            set ("fernlift_proxy_failed", "Requests that ended without a whole answer.",
+                 m_counters.failed);
+            set ("fernlift_proxy_left", "Requests whose caller went away.",
+                 m_counters.disconnected);
+            set ("fernlift_proxy_attempts", "Attempts at runners.", m_counters.attempts);
+            set ("fernlift_proxy_retries", "Attempts after the first.", m_counters.retries);
+            set ("fernlift_proxy_resumed", "Streams that went on at another runner.",
+                 m_counters.resumed);
+            set ("fernlift_proxy_connections_opened", "Connections opened to runners.",
+                 m_pool.opened());
+            set ("fernlift_proxy_rate_limited_runners",
+                 "Runners that state how many requests a second they take, as known here.",
+                 m_rates.size());
+            set ("fernlift_proxy_permits_granted", "Requests let go to runners that state a rate.",
+                 m_rates.counters().granted);
+            set ("fernlift_proxy_permits_refused",
+                 "Requests held back from runners that state a rate.", m_rates.counters().refused);
+            set ("fernlift_proxy_permits_unanswered",
+                 "Requests for permits that no leader answered in time.",
+                 m_rates.counters().unanswered);
+            routing::RunnerAvailability& availability = m_directory.availability();
+            set ("fernlift_proxy_backoff_runners",
+                 "Runners that accept no request from this router for now (Retry-After).",
+                 availability.backingOff (m_clock.now()));
+            set ("fernlift_proxy_leaving_runners",
+                 "Runners that state in their answers that they are leaving.",
+                 availability.leaving (m_clock.now()));
+            set ("fernlift_proxy_backoff_answers",
+                 "Answers of runners that declined a request with Retry-After.",
+                 availability.counters().backoffAnswers);
+            set ("fernlift_proxy_attempts_during_backoff",
+                 "Attempts at runners that had asked for none at that time.",
+                 availability.counters().attemptsDuringBackoff);
+            set ("fernlift_proxy_unreachable_runners",
+                 "Runners that this router cannot connect to.",
+                 m_context.reachability.unreachable());
+            set ("fernlift_proxy_connections_failed", "Connections to runners that did not open.",
+                 m_context.reachability.failedConnections());
+            set ("fernlift_proxy_isolated",
+                 "1 while requests go to other routers, as connections to runners fail.",
+                 m_context.reachability.path (m_clock.now()) == RunnerPath::kIsolated ? 1 : 0);
+            set ("fernlift_proxy_peers", "Other routers known here.", m_context.peers.size());
+            set ("fernlift_proxy_peer_requests_sent", "Attempts sent to other routers.",
+                 m_counters.forwardedToPeers);
+            set ("fernlift_proxy_peer_requests_sent_declined",
+                 "Attempts sent to other routers that those did not serve.",
+                 m_counters.declinedByPeers);
+            set ("fernlift_proxy_peer_requests_received", "Requests received from other routers.",
+                 m_counters.servedForPeers);
+            set ("fernlift_proxy_peer_requests_received_declined",
+                 "Requests received from other routers and not served.",
+                 m_counters.declinedToPeers);
+            set ("fernlift_proxy_configuration_version", "Configuration in force.", m_held.version);
+            set ("fernlift_proxy_configuration_unconfirmed_milliseconds",
+                 "Since the lease on the configuration ended; 0 while it lasts.",
+                 static_cast<std::uint64_t> (
+                     base::toMilliseconds (m_freshness.unconfirmedFor (m_clock.now()))));
+        });
+    m_metricsServer = std::make_unique<http::Server>();
+    m_metricsServer->setHandler (http::addProcessEndpoints (
+        [] (const http::Request&, const std::shared_ptr<http::Responder>& responder)
+        {
+            constexpr int kNotFound = 404;
+            responder->send (kNotFound, {}, "");
+        },
+        [this] { return isReady(); }, m_metrics));
+}
+
+}  // namespace fernlift::proxy
