Routers of large cells learn of the routers of their group only

Each change of the list of routers was sent whole to all of them, so that what controllers send and routers keep grew with the square of the cell (by calculation some 70 bytes for each entry; not measured). The leader still sends relays the whole list.

--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -34,6 +34,7 @@
 #include "controller/OrderQueue.h"
 #include "controller/Reconciliation.h"
 #include "controller/RoutableTable.h"
+#include "controller/RouterPeerGroups.h"
 #include "controller/RouterPeerTable.h"
 #include "controller/RouterRelay.h"
 #include "controller/RouterSessions.h"
@@ -681,7 +682,8 @@
     OrderHistory m_orderHistory;
     base::LogIndex m_suspectsVersion = 0;  ///< Version of the suspects last scheduled for routers.
     ThrottledWork m_suspectsSend;          ///< Some routers may need changes of the suspects.
-    std::uint64_t m_peersVersion = 0;      ///< List of routers last scheduled for routers.
+    std::uint64_t m_peersVersion = 0;      ///< Version of the list in `m_peerGroups`.
+    RouterPeerGroups m_peerGroups;         ///< Routers as sent to routers.
     ThrottledWork m_peersSend;             ///< Some routers may need the list of routers.
     base::Random m_relaySeeds;
     std::optional<RouterRelay> m_relay;  ///< Set while this member does not lead.
--- a/src/controller/ControllerPeers.cpp
+++ b/src/controller/ControllerPeers.cpp
@@ -52,21 +52,35 @@
 void ControllerCore::Implementation::sendPeersTo (RouterSessions& sessions, std::uint64_t version,
                                                   const std::function<cell::RouterPeers()>& listOf)
 {
-    // Called after each input: without changes it must not iterate over the routers.
-    if (std::exchange (m_peersVersion, version) != version)
+    // Called after each input: without changes it must not copy or iterate over the routers.
+    if (m_peersVersion != version)
         m_peersSend.request();
     const auto receivers = static_cast<std::int64_t> (sessions.sessions().size());
     if (! m_peersSend.takeDue (m_now, kMinInterval + receivers * kIntervalForReceiver))
         return;
-    std::vector<RouterConnection> behind;
+    if (std::exchange (m_peersVersion, version) != version)
+        m_peerGroups.set (listOf());
+    std::map<std::size_t, std::vector<RouterConnection>> behind;  // By group.
+    std::vector<RouterConnection> relays;
     for (auto& [connection, session] : sessions.sessions())
     {
-        const bool readsPeers = (session.features & cell::kReadsRouterPeers) != 0;
-        if (readsPeers && std::exchange (session.peersVersion, version) != version)
-            behind.push_back (connection);
+        if ((session.features & cell::kReadsRouterPeers) == 0)
+            continue;
+        const std::size_t group = m_peerGroups.groupOf (session.router.value);
+        const std::uint64_t wanted =
+            session.isRelay ? m_peerGroups.version() : m_peerGroups.versionOf (group);
+        if (std::exchange (session.peersVersion, wanted) == wanted)
+            continue;
+        if (session.isRelay)
+            relays.push_back (connection);
+        else
+            behind[group].push_back (connection);
     }
-    if (! behind.empty())
-        m_effects.emplace_back (BroadcastToRouters{ std::move (behind), listOf() });
+    if (! relays.empty())
+        m_effects.emplace_back (BroadcastToRouters{ std::move (relays), m_peerGroups.all() });
+    for (auto& [group, connections] : behind)
+        m_effects.emplace_back (
+            BroadcastToRouters{ std::move (connections), m_peerGroups.members (group) });
 }
 
 void ControllerCore::Implementation::reportPeersToLeader()
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -379,6 +379,7 @@
 /// their leases.
 void ControllerCore::Implementation::endRelay()
 {
+    m_peersVersion = 0;
     if (! m_relay)
         return;
     for (const auto& [connection, session] : m_relay->sessions.sessions())
@@ -390,6 +391,7 @@
 {
     const std::string id =
         "controller-" + std::to_string (m_self) + "-" + std::to_string (m_relaySeeds.bits());
+    m_peersVersion = 0;
     m_relay.emplace (id, m_relaySeeds.bits(), m_options.routerLease, m_options.quotaTolerance,
                      m_now);
 }
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -57,7 +57,7 @@
     std::uint64_t reportedInstanceVersion = 0;  ///< Instance table reported in this term.
     std::uint64_t loadVersion = 0;   ///< Version of the instance loads last sent; 0: none.
     std::uint32_t features = 0;      ///< Bits of cell::RouterFeature.
-    std::uint64_t peersVersion = 0;  ///< Version of the list of routers last sent; 0: none.
+    std::uint64_t peersVersion = 0;  ///< Version of the group of routers last sent; 0: none.
     /// Version of the instance table that a relay holds itself, while its routers may be behind;
     /// for a router, the version that it reported.
     std::uint64_t heldInstanceVersion = 0;
