A runner that is silent on a new connection does not count as unreachable

Found by reading: an attempt that got no bytes within its silence limit took the path of a closed connection, so that a sound runner that is silent for a moment was marked unreachable (4033) and counted towards the isolation of the router until a probe of it succeeded.

Test: ExchangePeersTest.SilentRunnerIsNotTakenForAnUnreachableOne, which failed before (1 unreachable).

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -431,7 +431,7 @@
             // Idle connections to the runner may have been lost together with this one, although it
             // still accepts new ones.
             m_context.pool.forget (m_address);
-            onFailed (http::BackEndFailure::kClosed);
+            onSilent();
             return;
         }
         // Without another attempt the late answer of this runner is the only one to expect.
@@ -530,6 +530,18 @@
     afterFailure();
 }
 
+void Exchange::onSilent()
+{
+    if (m_peer)
+    {
+        onPeerFailed (http::BackEndFailure::kClosed);
+        return;
+    }
+    recordBrokenAnswer();
+    endAttempt (AttemptEnd::kFailed, false);
+    afterFailure();
+}
+
 void Exchange::recordFailure (http::BackEndFailure failure)
 {
     const bool isWithoutAnswer =
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -183,6 +183,8 @@
     void recordHead (const http::AnswerHead& head);
     void recordBytes();
     void recordAttemptEnd (AttemptEnd end);
+    /// Ends an attempt without bytes for longer than its silence limit.
+    void onSilent();
     /// Records whether the failed attempt shows that connections to the runner fail.
     void recordFailure (http::BackEndFailure failure);
     void recordPrefillEnd();
--- a/src/proxy/ExchangePeersTest.cpp
+++ b/src/proxy/ExchangePeersTest.cpp
@@ -355,6 +355,18 @@
     EXPECT_EQ (m_far.counters.servedForPeers, 3U);
 }
 
+TEST_F (ExchangePeersTest, SilentRunnerIsNotTakenForAnUnreachableOne)
+{
+    StubRunner silent;
+    m_far.put (ProxyFixture::rowOf ("i-1", silent.address()));
+    RawCaller caller (m_far.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (silent.waitForRequest());
+    m_far.advance (base::seconds (2));
+    ASSERT_TRUE (silent.waitForRequest (1));
+    EXPECT_EQ (m_far.context.reachability.unreachable(), 0U);
+}
+
 TEST_F (ExchangePeersTest, RunnerThatNobodyReachesIsNotAskedForRoundAndRound)
 {
     StubRunner closed;
