Requests for other routers: one path for refusals, failed attempts and the time that is left

A refusal that comes through another router took a copy of afterRefusal(), an attempt that is silent a copy of the end of onFailed(), and the time that is left and the default Retry-After were stated twice. Each stands once now; the log names a refusal through another router like any other. The list of runners was copied and sorted with every change of the table, and is now only when runners come or go. Two comments still described the list before it was divided into groups.

--- a/src/cell/RouterPeerMessages.h
+++ b/src/cell/RouterPeerMessages.h
@@ -2,8 +2,8 @@
 
 /**
  * Messages by which routers learn of each other. A router states in its hello where it accepts
- * requests of other routers. Relays report the routers behind them to the leader, which sends the
- * whole list to all routers whenever it changes. See docs/design/peer-forwarding.md.
+ * requests of other routers. Relays report the routers behind them to the leader, which sends them
+ * the whole list; each router gets the list of its group. See docs/design/peer-forwarding.md.
  *
  * Sent only to peers that support it: to a router or relay whose hello has the feature bit, and to
  * a leader that has sent the list on the same connection.
@@ -37,7 +37,7 @@
     }
 };
 
-/** All routers known to the sender, sorted by name. */
+/** Routers of the cell, of a group or of a relay, sorted by name. */
 struct RouterPeers
 {
     std::vector<RouterPeer> peers;
--- a/src/controller/ControllerPeers.cpp
+++ b/src/controller/ControllerPeers.cpp
@@ -1,7 +1,7 @@
 /**
  * Distribution of the routers' peer addresses: a relay reports its routers to the leader, the
- * leader sends all of them to its routers and relays, and a relay passes that list on to its
- * routers. See docs/design/peer-forwarding.md.
+ * leader sends all of them to the relays, and both send each router those of its group. See
+ * docs/design/peer-forwarding.md.
  */
 
 #include <utility>
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -304,8 +304,7 @@
     m_prefillTokens = choice.prefillTokens;
     AttemptFields fields;
     fields.instance = choice.id;
-    fields.timeLeft =
-        std::max<base::Duration> (m_deadline - now() - kAnswerTransit, base::milliseconds (1));
+    fields.timeLeft = timeLeftForAttempt();
     fields.priority = m_route->priority;
     fields.dropsCredentials = m_routes->catalogue().requiresKeys;
     if (m_tenant != nullptr)
@@ -325,6 +324,11 @@
     sendAttempt (requestBytes (m_request, m_context.names, fields));
 }
 
+base::Duration Exchange::timeLeftForAttempt() const
+{
+    return std::max<base::Duration> (m_deadline - now() - kAnswerTransit, base::milliseconds (1));
+}
+
 void Exchange::sendAttempt (std::string bytes)
 {
     m_use = AnswerUse::kNone;
@@ -525,18 +529,19 @@
         }
         return;
     }
-    recordBrokenAnswer();
-    endAttempt (AttemptEnd::kFailed, false);
-    afterFailure();
+    failAttempt();
 }
 
 void Exchange::onSilent()
 {
     if (m_peer)
-    {
         onPeerFailed (http::BackEndFailure::kClosed);
-        return;
-    }
+    else
+        failAttempt();
+}
+
+void Exchange::failAttempt()
+{
     recordBrokenAnswer();
     endAttempt (AttemptEnd::kFailed, false);
     afterFailure();
@@ -565,7 +570,9 @@
 void Exchange::afterRefusal()
 {
     m_query.avoidedInstance = m_instance;
-    const bool hasAttempts = m_sentAttempts < maxAttempts();
+    // Another router may have found no runner to send the request to.
+    const bool wasSent = ! m_peer || m_peerAnswer.attempts > 0;
+    const bool hasAttempts = wasSent && m_sentAttempts < maxAttempts();
     if (hasAttempts && m_context.retryBudget.tryRetry())
     {
         ++m_context.counters.retries;
@@ -589,6 +596,8 @@
 
 base::Duration Exchange::retryAfterRefusal()
 {
+    if (m_peer)
+        return m_peerRetryAfter.value_or (kRetryDelay);
     const InstanceChoice next = m_context.directory.choose (m_query, now());
     return next.reason == NoRunnerReason::kBackoff ? retryAfterBackoff (next.wait) : kRetryDelay;
 }
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -131,6 +131,8 @@
                            base::Duration retryAfter);
     void endWait();
     void startAttempt (const InstanceChoice& choice);
+    /// Time in which the answer to an attempt that begins now has to be complete.
+    [[nodiscard]] base::Duration timeLeftForAttempt() const;
     /// Sends the bytes of an attempt to `m_address`.
     void sendAttempt (std::string bytes);
     /// Largest number of runners that this router may send the request to.
@@ -147,8 +149,6 @@
     /// Tries yet another router, or the runners, after one did not serve the request.
     void onPeerDeclined();
     void onPeerFailed (http::BackEndFailure failure);
-    /// Ends the request when its runner, chosen by another router, did not execute it.
-    void onPeerRefused();
     /// Whether this router may serve requests of others at the moment, with the configuration by
     /// which this one was admitted.
     [[nodiscard]] bool canServePeer();
@@ -185,6 +185,8 @@
     void recordAttemptEnd (AttemptEnd end);
     /// Ends an attempt without bytes for longer than its silence limit.
     void onSilent();
+    /// Ends an attempt at a runner that gave no whole answer, and tries again if it may.
+    void failAttempt();
     /// Records whether the failed attempt shows that connections to the runner fail.
     void recordFailure (http::BackEndFailure failure);
     void recordPrefillEnd();
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -250,11 +250,6 @@
             return;
         case AnswerUse::kRefusal:
         {
-            if (m_peer)
-            {
-                onPeerRefused();
-                return;
-            }
             m_isAttemptSent = false;
             const bool isNotHeld = m_head.status == kMisdirected;
             if (isNotHeld)
--- a/src/proxy/ExchangePeers.cpp
+++ b/src/proxy/ExchangePeers.cpp
@@ -18,7 +18,6 @@
 constexpr std::size_t kMaxPeers = 6;
 /// Routers that cannot reach the runners of a request, after which no other one is tried.
 constexpr std::uint32_t kMaxPeersWithoutRunner = 2;
-constexpr base::Duration kPeerTransit = base::milliseconds (5);
 /// Times for which a router is not chosen again.
 constexpr base::Duration kAvoidIsolated = base::milliseconds (300);
 constexpr base::Duration kAvoidUnavailable = base::milliseconds (200);
@@ -26,7 +25,6 @@
 constexpr base::Duration kAvoidFailed = base::milliseconds (300);
 /// Time for which requests of a kind are not forwarded after other routers could not serve one.
 constexpr base::Duration kUnservableTime = base::milliseconds (500);
-constexpr base::Duration kDefaultRetryAfter = base::milliseconds (100);
 
 }  // namespace
 
@@ -72,7 +70,7 @@
     fields.statement.key = peer.key;
     fields.statement.configurationVersion = m_routes->version();
     fields.statement.avoidedInstance = m_query.avoidedInstance;
-    fields.timeLeft = m_deadline - now() - kPeerTransit;
+    fields.timeLeft = timeLeftForAttempt();
     if (m_events)
         fields.lastEventId = m_events->lastId();
     ++m_context.counters.forwardedToPeers;
@@ -135,25 +133,6 @@
     dispatchNext();
 }
 
-void Exchange::onPeerRefused()
-{
-    m_isAttemptSent = false;
-    endAttempt (AttemptEnd::kRefused, true);
-    const bool wasOffered = m_peerAnswer.attempts > 0;
-    const bool hasAttempts = m_sentAttempts < maxAttempts();
-    if (wasOffered && hasAttempts && m_context.retryBudget.tryRetry())
-    {
-        m_query.avoidedInstance = m_instance;
-        ++m_context.counters.retries;
-        logResend (log::Event::kRequestResent);
-        dispatchNext();
-        return;
-    }
-    endWithoutRunner (ErrorKind::kUpstreamRefused,
-                      "no runner took the request, which another router forwarded",
-                      m_peerRetryAfter.value_or (kDefaultRetryAfter));
-}
-
 void Exchange::onPeerFailed (http::BackEndFailure failure)
 {
     const bool isUnsent = failure == http::BackEndFailure::kNotConnected;
--- a/src/proxy/PeerMessage.cpp
+++ b/src/proxy/PeerMessage.cpp
@@ -168,8 +168,7 @@
         if (! isResumed && ! http::equalsIgnoringCase (field.name, names.deadline))
             addField (text, field.name, field.value);
     }
-    const std::int64_t left = std::max<std::int64_t> (base::toMilliseconds (fields.timeLeft), 1);
-    addField (text, names.deadline, std::to_string (left));
+    addField (text, names.deadline, std::to_string (base::toMilliseconds (fields.timeLeft)));
     if (fields.lastEventId)
         addField (text, names.lastEventId, *fields.lastEventId);
     if (request.hasBodyFraming || ! request.body.empty())
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -312,6 +312,7 @@
 
 void ProxyProcess::applyInstances (const cell::InstanceUpdate& update)
 {
+    const std::size_t sizeBefore = m_directory.size();
     if (! m_directory.apply (update, m_clock.now()))
     {
         // The update does not follow the held version; a new connection receives the whole table.
@@ -333,7 +334,10 @@
     m_link.setControllers (std::move (preferred));
     limitRetries();
     m_rates.setRouters (m_directory.routers());
-    m_context.reachability.setRunners (m_directory.instances());
+    const bool hasOtherRunners =
+        update.fromVersion == 0 || ! update.removals.empty() || m_directory.size() != sizeBefore;
+    if (hasOtherRunners)
+        m_context.reachability.setRunners (m_directory.instances());
     for (const std::string& id : m_directory.takeReplaced())
         m_suspects.onReplaced (id);
     // The last known state of a controller that does not lead does not include the number of
