--- a/src/cell/ReleasedMessagesTest.cpp
+++ b/src/cell/ReleasedMessagesTest.cpp
@@ -238,6 +238,23 @@
     EXPECT_EQ (state.encode(), snapshot);
 }
 
+TEST (ReleasedMessagesTest, HelloOfEarlierBuildIsReadWithoutPeerAddress)
+{
+    RouterHello hello;
+    hello.router = base::RouterId ("r-1");
+    hello.features = kReadsInstanceRates;
+    std::string bytes = wire::encodeMessage (RouterToController (hello));
+    constexpr std::size_t kPeerFieldBytes = 2 * sizeof (std::uint64_t);  // Empty text, and key.
+    bytes.resize (bytes.size() - kPeerFieldBytes);
+    const auto read = wire::decodeMessage<RouterToController> (bytes);
+    ASSERT_TRUE (read);
+    const auto& earlier = std::get<RouterHello> (read.value());
+    EXPECT_EQ (earlier.router.value, "r-1");
+    EXPECT_EQ (earlier.features, kReadsInstanceRates);
+    EXPECT_TRUE (earlier.peerAddress.empty());
+    EXPECT_EQ (earlier.peerKey, 0U);
+}
+
 TEST (ReleasedMessagesTest, OnlyRouterHelloHasNewFields)
 {
     const auto expectOnlyHelloGrown = [] (const auto& samples, const auto& released)
--- a/src/lab/RouterIsolationTest.cpp
+++ b/src/lab/RouterIsolationTest.cpp
@@ -98,6 +98,23 @@
     EXPECT_EQ (runs() - runsBefore, served) << "each request runs once";
 }
 
+TEST_P (RouterIsolationTest, SendsDirectlyWithinASecondOfHealing)
+{
+    ASSERT_TRUE (m_cell.awaitReady());
+    setFault (fault());
+    sendToAll (m_cell, kDetection);
+    setFault (LinkFault::kNone);
+    sendToAll (m_cell, kDetection);
+    // Requests that still went to the other routers would fail now.
+    for (std::size_t router = cutRouters(); router < kRouters; ++router)
+        m_cell.network (router).setFault (LinkFault::kResets);
+    for (std::size_t router = 0; router < cutRouters(); ++router)
+    {
+        for (int request = 0; request < 10; ++request)
+            EXPECT_EQ (m_cell.call (router, "once.test", "request"), 200) << "router " << router;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P (
     Faults, RouterIsolationTest,
     ::testing::Combine (::testing::Values (LinkFault::kHangs, LinkFault::kResets,
--- a/src/lab/RunnerLinkTestSupport.h
+++ b/src/lab/RunnerLinkTestSupport.h
@@ -46,8 +46,6 @@
 
     void setFault (LinkFault fault);
     [[nodiscard]] const base::SocketAddress& address() const { return m_address; }
-    /// Connections that the runner has received through this link.
-    [[nodiscard]] std::uint64_t connections() const { return m_proxy.counters().connections; }
 
 private:
     /// Listens with a full queue, so that the kernel drops every further opening packet.
@@ -72,8 +70,6 @@
 
     /// Sets the fault of the links to all runners, also to those that register later.
     void setFault (LinkFault fault);
-    /// Connections to runners that the router has opened.
-    [[nodiscard]] std::uint64_t runnerConnections() const;
     /// Address at which the router reaches a controller.
     [[nodiscard]] std::string hostOf (std::size_t controller) const;
 
--- a/src/lab/RunnerLinkTestSupportTest.cpp
+++ b/src/lab/RunnerLinkTestSupportTest.cpp
@@ -217,14 +217,6 @@
         link->setFault (fault);
 }
 
-std::uint64_t RouterNetwork::runnerConnections() const
-{
-    std::uint64_t sum = 0;
-    for (const auto& [runner, link] : m_links)
-        sum += link->connections();
-    return sum;
-}
-
 std::string RouterNetwork::linkTo (const std::string& runnerAddress)
 {
     std::unique_ptr<RunnerLink>& link = m_links[runnerAddress];
--- a/src/proxy/ExchangePeersTest.cpp
+++ b/src/proxy/ExchangePeersTest.cpp
@@ -221,9 +221,7 @@
 {
     const std::vector<cell::RouterPeer> peers{ m_far.peerRow() };
     m_near.context.peers = PeerRouters ("near", "z1");
-    StubRunner closed;
-    const std::string address = closed.address();
-    closed.stopListening();
+    const std::string address = closedAddress();
     m_near.put (ProxyFixture::rowOf ("i-1", address));
     RawCaller caller (m_near.listening);
     caller.write (ProxyFixture::request ("once.test"));
@@ -240,9 +238,7 @@
 TEST_F (ExchangePeersTest, RequestThatNobodyServedIsRefusedAsNotRun)
 {
     m_far.isolate();
-    StubRunner closed;
-    const std::string address = closed.address();
-    closed.stopListening();
+    const std::string address = closedAddress();
     m_near.put (ProxyFixture::rowOf ("i-1", address));
     EXPECT_TRUE (call ("once.test").starts_with ("HTTP/1.1 503"));
     EXPECT_EQ (m_runner.requests, 0U);
@@ -346,9 +342,7 @@
     ProxyFixture cut;
     cut.servePeers ("cut");
     cut.setPeers ({ m_far.peerRow() });
-    StubRunner closed;
-    const std::string address = closed.address();
-    closed.stopListening();
+    const std::string address = closedAddress();
     cut.put (ProxyFixture::rowOf ("i-1", address));
     for (int request = 0; request < 3; ++request)
         EXPECT_TRUE (cut.call ("once.test").starts_with ("HTTP/1.1 200"));
@@ -369,9 +363,7 @@
 
 TEST_F (ExchangePeersTest, RunnerThatNobodyReachesIsNotAskedForRoundAndRound)
 {
-    StubRunner closed;
-    const std::string address = closed.address();
-    closed.stopListening();
+    const std::string address = closedAddress();
     ProxyFixture cut;
     cut.servePeers ("cut");
     cut.setPeers ({ m_far.peerRow() });
--- a/src/proxy/PeerForwardingBoundTest.cpp
+++ b/src/proxy/PeerForwardingBoundTest.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <string>
@@ -270,12 +269,6 @@
     std::vector<std::unique_ptr<Call>> m_calls;
 };
 
-std::uint64_t numberFrom (const char* variable, std::uint64_t otherwise)
-{
-    const char* const text = std::getenv (variable);
-    return text == nullptr ? otherwise : std::stoull (text);
-}
-
 std::uint64_t seedCount()
 {
     constexpr std::uint64_t kSeedsInCi = 6;
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -6,6 +6,7 @@
 
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
@@ -115,6 +116,22 @@
     std::vector<std::unique_ptr<QTcpSocket>> m_pending;
 };
 
+/// Address of a runner that no longer listens.
+inline std::string closedAddress()
+{
+    StubRunner closed;
+    const std::string address = closed.address();
+    closed.stopListening();
+    return address;
+}
+
+/// Number in an environment variable, by which more seeds are played by hand.
+inline std::uint64_t numberFrom (const char* variable, std::uint64_t otherwise)
+{
+    const char* const text = std::getenv (variable);
+    return text == nullptr ? otherwise : std::stoull (text);
+}
+
 /// Answer of a runner that served ProxyFixture::request(), with further fields, each with its end
 /// of line.
 inline std::string servedAnswer (const std::string& fields = "")
--- a/src/proxy/RunnerBackoffBoundTest.cpp
+++ b/src/proxy/RunnerBackoffBoundTest.cpp
@@ -6,7 +6,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <memory>
 #include <optional>
 #include <string>
@@ -278,12 +277,6 @@
     std::vector<std::unique_ptr<RawCaller>> m_callers;
 };
 
-std::uint64_t numberFrom (const char* variable, std::uint64_t otherwise)
-{
-    const char* const text = std::getenv (variable);
-    return text == nullptr ? otherwise : std::stoull (text);
-}
-
 std::uint64_t seedCount()
 {
     constexpr std::uint64_t kSeedsInCi = 6;
