Log how a runner marked the end of its answer, and streams that end inside an event

4010 to 4012 and 4015 carry framing=length, chunked or close. 4039 StreamIncomplete and fernlift_proxy_incomplete_streams name streams that end inside an event. No change of logic: such a stream still reaches its caller as complete.

--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -204,6 +204,8 @@
     void sendError (const base::Error& error, std::optional<base::Duration> retryAfter);
     void logEnd (log::Event event, const std::string& cause) const;
     void logResend (log::Event event) const;
+    /// Logs that the stream of the runner ended inside an event.
+    void logIncompleteStream() const;
     /// Name of the tenant, or the address of the caller without one.
     [[nodiscard]] std::string callerName() const;
     /// Name of the tenant; empty without one.
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -280,8 +280,12 @@
     }
     else
     {
-        if (m_use == AnswerUse::kEvents)
+        if (m_use == AnswerUse::kEvents && ! m_events->incompleteBytes().empty())
+        {
+            ++m_context.counters.incompleteStreams;
+            logIncompleteStream();
             m_caller.writeBody (m_events->incompleteBytes());
+        }
         m_caller.endAnswer();
     }
     if (! m_peer && suspectStatus().isSuspect())
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -38,6 +38,16 @@
     }
 }
 
+/// How the end of an answer is marked; empty without an answer.
+std::string framingName (const http::AnswerHead& head)
+{
+    if (head.status == 0)
+        return {};
+    if (head.hasLength)
+        return "length";
+    return head.endsByClose ? "close" : "chunked";
+}
+
 std::string retryAfterText (base::Duration duration)
 {
     std::array<char, 32> text{};
@@ -75,6 +85,7 @@
           { "permit_wait_ms", base::toMilliseconds (m_permitWaited) },
           { "target_ms", m_route == nullptr ? -1 : base::toMilliseconds (m_route->targetLatency) },
           { "gap_target_ms", m_route == nullptr ? -1 : base::toMilliseconds (m_route->gapTarget) },
+          { "framing", framingName (m_head) },
           { "head_ms", sinceArrival (m_answeredAt) },
           { "longest_pause_ms", base::toMilliseconds (m_longestPause) },
           { "total_ms", sinceArrival (now()) },
@@ -94,6 +105,16 @@
                   { "last_event", m_events ? m_events->lastId().value_or ("") : std::string() } });
 }
 
+void Exchange::logIncompleteStream() const
+{
+    log::write (log::Event::kStreamIncomplete,
+                { { "request", m_request.headers.value (m_context.names.requestId) },
+                  { "runner", m_instance },
+                  { "framing", framingName (m_head) },
+                  { "incomplete_bytes", m_events->incompleteBytes().size() },
+                  { "last_event", m_events->lastId().value_or ("") } });
+}
+
 void Exchange::refuse (ErrorKind kind, const std::string& message, base::Duration retryAfter)
 {
     ++m_context.counters.refused;
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -38,12 +38,13 @@
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
     std::uint64_t resumed = 0;
-    std::uint64_t overQuota = 0;         ///< Refused because of the quota of their tenant.
-    std::uint64_t quarantined = 0;       ///< Not forwarded because runners crashed under them.
-    std::uint64_t forwardedToPeers = 0;  ///< Attempts sent to other routers.
-    std::uint64_t declinedByPeers = 0;   ///< Those that the other router did not serve.
-    std::uint64_t servedForPeers = 0;    ///< Requests received from other routers.
-    std::uint64_t declinedToPeers = 0;   ///< Those that this router did not serve.
+    std::uint64_t incompleteStreams = 0;  ///< Streams of runners that ended inside an event.
+    std::uint64_t overQuota = 0;          ///< Refused because of the quota of their tenant.
+    std::uint64_t quarantined = 0;        ///< Not forwarded because runners crashed under them.
+    std::uint64_t forwardedToPeers = 0;   ///< Attempts sent to other routers.
+    std::uint64_t declinedByPeers = 0;    ///< Those that the other router did not serve.
+    std::uint64_t servedForPeers = 0;     ///< Requests received from other routers.
+    std::uint64_t declinedToPeers = 0;    ///< Those that this router did not serve.
 };
 
 struct ProxyContext
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -33,6 +33,8 @@
             set ("fernlift_proxy_retries", "Attempts after the first.", m_counters.retries);
             set ("fernlift_proxy_resumed", "Streams that went on at another runner.",
                  m_counters.resumed);
+            set ("fernlift_proxy_incomplete_streams",
+                 "Streams of runners that ended inside an event.", m_counters.incompleteStreams);
             set ("fernlift_proxy_connections_opened", "Connections opened to runners.",
                  m_pool.opened());
             set ("fernlift_proxy_rate_limited_runners",
