--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -144,6 +144,7 @@
 {
     std::string bytes;    ///< Empty: no answer; the connection stays open.
     bool resets = false;  ///< Whether the connection is reset after the bytes.
+    bool closes = false;  ///< Whether the connection is closed in order after the bytes.
 };
 
 /// Runner that replies to each request of ProxyFixture::request() as soon as it has arrived.
@@ -190,6 +191,8 @@
         const StubReply reply = m_handler (request);
         socket.write (reply.bytes.data(), static_cast<qint64> (reply.bytes.size()));
         socket.flush();
+        if (reply.closes)
+            socket.disconnectFromHost();
         if (! reply.resets)
             return;
         const linger immediate{ 1, 0 };
