A stream of a runner that ends inside an event has broken off

Cause: the end of the HTTP message was taken for the end of the stream. An orderly end of the connection ends an answer without length or chunks, and a crash of the runner ends the connection in the same way; the router then wrote the incomplete event and its own last chunk. A last chunk or a length that ends inside an event was treated alike. Change: the exchange decides at the end of the message whether the last event is whole. If it isn't, the attempt has failed like after a reset: evidence on requests that crash runners, load, retry budget, another runner where the stream may be resumed, else the answer is broken off, which the caller's framing shows. Incomplete events are never forwarded.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -435,7 +435,7 @@
             // Idle connections to the runner may have been lost together with this one, although it
             // still accepts new ones.
             m_context.pool.forget (m_address);
-            onSilent();
+            onAttemptBroken();
             return;
         }
         // Without another attempt the late answer of this runner is the only one to expect.
@@ -532,7 +532,7 @@
     failAttempt();
 }
 
-void Exchange::onSilent()
+void Exchange::onAttemptBroken()
 {
     if (m_peer)
         onPeerFailed (http::BackEndFailure::kClosed);
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -183,8 +183,10 @@
     void recordHead (const http::AnswerHead& head);
     void recordBytes();
     void recordAttemptEnd (AttemptEnd end);
-    /// Ends an attempt without bytes for longer than its silence limit.
-    void onSilent();
+    /// Ends an attempt that gives no whole answer although its connection did not fail: it was
+    /// silent for too long, or its stream ended inside an event.
+    void onAttemptBroken();
+    void onStreamIncomplete();
     /// Ends an attempt at a runner that gave no whole answer, and tries again if it may.
     void failAttempt();
     /// Records whether the failed attempt shows that connections to the runner fail.
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -267,11 +267,24 @@
             endAttempt (AttemptEnd::kFailed, true);
             afterFailure();
             return;
+        case AnswerUse::kEvents:
+            if (m_events->incompleteBytes().empty())
+                finishAnswer();
+            else
+                onStreamIncomplete();
+            return;
         default:
             finishAnswer();
     }
 }
 
+void Exchange::onStreamIncomplete()
+{
+    ++m_context.counters.incompleteStreams;
+    logIncompleteStream();
+    onAttemptBroken();
+}
+
 void Exchange::finishAnswer()
 {
     if (m_use == AnswerUse::kBuffer)
@@ -280,12 +293,6 @@
     }
     else
     {
-        if (m_use == AnswerUse::kEvents && ! m_events->incompleteBytes().empty())
-        {
-            ++m_context.counters.incompleteStreams;
-            logIncompleteStream();
-            m_caller.writeBody (m_events->incompleteBytes());
-        }
         m_caller.endAnswer();
     }
     if (! m_peer && suspectStatus().isSuspect())
