Streams are forwarded without the Content-Length of their first run

Callers would see: the rest of a stream that goes on at another runner, cut at or missing from the length that the first runner stated. Cause: the head of the first run is forwarded before the stream is whole, its length included, and binds the runs that follow. Change: event streams go to callers in chunks (or, to HTTP/1.0, until the close), whatever framing the runner uses.

--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -190,7 +190,9 @@
 void Exchange::forwardHead()
 {
     m_isAnswerBegun = true;
-    const AnswerFraming framing{ m_head.hasLength, m_head.length };
+    // The rest of a resumed stream may have another length than the first runner stated.
+    const bool hasLength = m_head.hasLength && ! m_events;
+    const AnswerFraming framing{ hasLength, hasLength ? m_head.length : 0 };
     m_caller.beginAnswer (m_head.status, answerHeaders(), framing);
 }
 
