An answer that breaks off is reset for HTTP/1.0 callers

Callers of HTTP/1.0 saw: a stream that broke off as complete. Their answer ends by the close, and abort() closed in order. Change: from the head of such an answer until its last byte is written the socket is set to reset when it is closed (SO_LINGER of 0), so that abort() and the end of the process reset it as well. Events that were written before are still received; whole answers still end in order. The end of the process is not covered by a test.

--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -66,6 +66,8 @@
                           const auto self = shared_from_this();
                           onSocketClosed();
                       });
+    QObject::connect (m_socket.get(), &QTcpSocket::bytesWritten, m_socket.get(),
+                      [this] { onBytesWritten(); });
     QObject::connect (&m_timer, &QTimer::timeout, m_socket.get(),
                       [this]
                       {
@@ -174,8 +176,12 @@
     m_hasBegunAnswer = true;
     const bool hasNoBody = status == kNoContent || status == kNotModified;
     m_isChunked = ! framing.hasLength && ! m_isHttp10 && ! hasNoBody;
-    if (! framing.hasLength && m_isHttp10 && ! hasNoBody)
+    m_endsByClose = ! framing.hasLength && m_isHttp10 && ! hasNoBody;
+    if (m_endsByClose)
+    {
         m_closesAfterAnswer = true;
+        setResetsWhenClosed (true);
+    }
     std::string text = "HTTP/1.1 " + std::to_string (status) + " ";
     text.append (http::reasonPhrase (status)).append ("\r\n");
     for (const http::Header& field : headers.fields())
@@ -220,6 +226,7 @@
     m_socket->flush();
     m_hasOpenRequest = false;
     m_hasBegunAnswer = false;
+    onBytesWritten();
     if (m_closesAfterAnswer)
     {
         closeGracefully();
@@ -237,6 +244,20 @@
                         });
 }
 
+void CallerConnection::setResetsWhenClosed (bool isReset)
+{
+    const linger option{ isReset ? 1 : 0, 0 };
+    ::setsockopt (static_cast<int> (m_socket->socketDescriptor()), SOL_SOCKET, SO_LINGER, &option,
+                  sizeof option);
+}
+
+void CallerConnection::onBytesWritten()
+{
+    const bool isAnswerWritten = ! m_hasOpenRequest && m_socket->bytesToWrite() == 0;
+    if (isAnswerWritten && std::exchange (m_endsByClose, false))
+        setResetsWhenClosed (false);
+}
+
 void CallerConnection::readNext()
 {
     if (! m_buffer.empty())
--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -62,7 +62,8 @@
     void writeBody (std::string_view data);
     /// Completes the answer. The next request may follow.
     void endAnswer();
-    /// Resets the connection in the middle of an answer, so that the caller detects the truncation.
+    /// Closes the connection in the middle of an answer, so that the caller detects the truncation.
+    /// It is reset if the close would be the end of the answer.
     void abort();
     /// Sends a complete answer.
     void sendAnswer (int status, const http::Headers& headers, std::string_view body);
@@ -88,6 +89,9 @@
     void armTimer();
     void onTimeout();
     void closeGracefully();
+    /// Sets whether the connection is reset when it is closed, also by the end of the process.
+    void setResetsWhenClosed (bool isReset);
+    void onBytesWritten();
 
     std::unique_ptr<QTcpSocket> m_socket;
     QHostAddress m_peerAddress;  ///< Kept because the socket clears it on close.
@@ -102,6 +106,8 @@
     bool m_closesAfterAnswer = false;
     bool m_isClosed = false;
     bool m_isHttp10 = false;
+    bool m_endsByClose = false;  ///< The close of the connection ends the answer, of which bytes
+                                 ///< are still to be written.
     QTimer m_timer;
 };
 
--- a/src/proxy/StreamEndTest.cpp
+++ b/src/proxy/StreamEndTest.cpp
@@ -200,6 +200,11 @@
     RC_ASSERT (faultOf (*streamCases (lineEndsWithLineFeed(), false)) == "");
 }
 
+RC_GTEST_PROP (StreamEndTest, StreamThatBrokeOffIsNeverCompleteToHttp10Caller, ())
+{
+    RC_ASSERT (faultOf (*streamCases (lineEndsWithLineFeed(), true)) == "");
+}
+
 TEST (StreamEndTest, StreamThatBrokeOffIsNotCompleteAtAnyByte)
 {
     const std::size_t size = joined (eventsOf ("\n")).size();
