Event streams whose lines end with carriage returns are forwarded event by event

Callers would see: no event before the end of the stream, and, since streams that end inside an event are broken off, a whole stream as broken. Cause: the splitter searched for two line feeds. It now reads lines as the format defines them: they end with LF, CR or both, an empty one ends the event, comments belong to none. A CR at the end of the received bytes is a line end only where the last CR of the stream stood alone. Lines are read once as they arrive; the buffer was searched again with each read.

--- a/src/proxy/EventSplitter.h
+++ b/src/proxy/EventSplitter.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Splits the body of an event stream into complete events and tracks the id of the last one.
+/// Splits the body of an event stream into complete events and tracks the id of the last one. Lines
+/// end with a line feed, a carriage return, or both; an empty line ends an event.
 
 #include <cstdint>
 #include <optional>
@@ -25,16 +26,28 @@
     {
         return std::string_view (m_buffer).substr (m_taken);
     }
+    /// Whether the stream ends inside an event. Comments at its end are no part of one.
+    [[nodiscard]] bool isInsideEvent() const;
     /// Discards the bytes of the incomplete event after its stream broke off.
     void discardIncomplete();
 
 private:
-    /// Counts the complete events and stores the id of the last one.
-    void readLines (std::string_view events);
+    /// Reads the lines that are complete with the bytes in the buffer.
+    void readLines();
+    /// Bytes of the line end at this position; 0 if that depends on the next byte to be received.
+    [[nodiscard]] std::size_t lengthOfLineEnd (std::size_t position);
+    void onLine (std::string_view line);
+    void onEmptyLine();
 
     std::string m_buffer;
     std::uint32_t m_count = 0;
-    std::size_t m_taken = 0;  ///< Bytes at the front of the buffer that were returned already.
+    std::size_t m_taken = 0;      ///< Bytes at the front of the buffer that were returned already.
+    std::size_t m_lineStart = 0;  ///< Position of the first line that is not complete.
+    std::size_t m_scanned = 0;    ///< Position up to which there is no further line end.
+    bool m_hasField = false;      ///< The incomplete event has a complete line with a field.
+    /// The last carriage return was followed by a byte other than a line feed.
+    bool m_isCarriageReturnAlone = false;
+    std::optional<std::string> m_id;  ///< Id of the incomplete event.
     std::optional<std::string> m_lastId;
 };
 
--- a/src/proxy/EventSplitterTest.cpp
+++ b/src/proxy/EventSplitterTest.cpp
@@ -26,13 +26,51 @@
     EXPECT_FALSE (splitter.lastId());
 }
 
+TEST (EventSplitterTest, CommentsAtTheEndAreNoIncompleteEvent)
+{
+    EventSplitter splitter;
+    EXPECT_EQ (splitter.feed ("data: a\n\n: still here\n"), "data: a\n\n");
+    EXPECT_FALSE (splitter.isInsideEvent());
+    EXPECT_EQ (splitter.incompleteBytes(), ": still here\n");
+    EXPECT_EQ (splitter.feed ("data: b\n"), "");
+    EXPECT_TRUE (splitter.isInsideEvent());
+}
+
+TEST (EventSplitterTest, EventWithoutItsEmptyLineIsIncomplete)
+{
+    for (const char* const end : { "d", "data: b", "data: b\n", "data: b\r", "data: b\r\n", ": c" })
+    {
+        EventSplitter splitter;
+        EXPECT_EQ (splitter.feed (std::string ("data: a\n\n") + end), "data: a\n\n") << end;
+        EXPECT_TRUE (splitter.isInsideEvent()) << end;
+    }
+}
+
+TEST (EventSplitterTest, EventOfCarriageReturnsIsCompleteWithItsLastByte)
+{
+    EventSplitter splitter;
+    EXPECT_EQ (splitter.feed ("id: 1\rdata: a\r\r"), "id: 1\rdata: a\r\r");
+    EXPECT_EQ (splitter.lastId(), "1");
+    EXPECT_FALSE (splitter.isInsideEvent());
+}
+
+TEST (EventSplitterTest, CutLineEndIsNoEmptyLine)
+{
+    EventSplitter splitter;
+    EXPECT_EQ (splitter.feed ("data: a\r\n\r"), "");
+    EXPECT_TRUE (splitter.isInsideEvent());
+    EXPECT_EQ (splitter.feed ("\n"), "data: a\r\n\r\n");
+    EXPECT_FALSE (splitter.isInsideEvent());
+}
+
 RC_GTEST_PROP (EventSplitterTest, AnyChunkingGivesSameBytesAndSameId,
                (const std::vector<std::uint8_t>& cuts))
 {
+    const auto lineEnd = *rc::gen::element<std::string> ("\n", "\r", "\r\n");
     std::string stream;
     for (int event = 1; event <= 9; ++event)
     {
-        stream += "id: " + std::to_string (event) + "\r\ndata: x\r\n\r\n";
+        stream += "id: " + std::to_string (event) + lineEnd + "data: x" + lineEnd + lineEnd;
     }
     EventSplitter splitter;
     std::string passed;
@@ -47,6 +85,7 @@
     }
     passed += splitter.feed (std::string_view (stream).substr (position));
     RC_ASSERT (passed == stream);
+    RC_ASSERT (! splitter.isInsideEvent());
     RC_ASSERT (events + splitter.count() == 9U);
     RC_ASSERT (splitter.lastId() == std::optional<std::string> ("9"));
 }
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -270,10 +270,10 @@
             afterFailure();
             return;
         case AnswerUse::kEvents:
-            if (m_events->incompleteBytes().empty())
-                finishAnswer();
-            else
+            if (m_events->isInsideEvent())
                 onStreamIncomplete();
+            else
+                finishAnswer();
             return;
         default:
             finishAnswer();
@@ -295,6 +295,8 @@
     }
     else
     {
+        if (m_use == AnswerUse::kEvents)
+            m_caller.writeBody (m_events->incompleteBytes());  // Comments.
         m_caller.endAnswer();
     }
     if (! m_peer && suspectStatus().isSuspect())
--- a/src/proxy/StreamEndTest.cpp
+++ b/src/proxy/StreamEndTest.cpp
@@ -205,6 +205,11 @@
     RC_ASSERT (faultOf (*streamCases (lineEndsWithLineFeed(), true)) == "");
 }
 
+RC_GTEST_PROP (StreamEndTest, StreamWithAnyLineEndIsForwardedEventByEvent, ())
+{
+    RC_ASSERT (faultOf (*streamCases (rc::gen::just<std::string> ("\r"), false)) == "");
+}
+
 TEST (StreamEndTest, StreamThatBrokeOffIsNotCompleteAtAnyByte)
 {
     const std::size_t size = joined (eventsOf ("\n")).size();
