Failing test: the other data plane takes an answer without length that was reset for complete

Token streams are not affected (they are complete only after [DONE]); plain answers of applications are. A mend needs the client of the other plane (StreamSocket, AnswerParser) there.

--- a/src/http/ClientTest.cpp
+++ b/src/http/ClientTest.cpp
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 
 #include <QTcpServer>
+#include <QTimer>
 #include <algorithm>
 #include <array>
 #include <optional>
@@ -396,6 +398,45 @@
     }
 }
 
+TEST (Client, ChunkedAnswerWithoutItsLastChunkIsBroken)
+{
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    for (std::size_t length = answer.find ("hello"); length < answer.size(); ++length)
+    {
+        RawBackEnd backEnd (
+            [&] (QTcpSocket& socket, int)
+            {
+                socket.write (answer.data(), static_cast<qint64> (length));
+                socket.disconnectFromHost();
+            });
+        Client client;
+        Outcome outcome;
+        const auto exchange = fetchInto (client, post (backEnd.address(), "end"), outcome);
+        ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+        EXPECT_TRUE (outcome.error) << "complete after " << length << " of " << answer.size();
+    }
+}
+
+TEST (Client, AnswerWithoutLengthIsBrokenByReset)
+{
+    RawBackEnd backEnd (
+        [&] (QTcpSocket& socket, int)
+        {
+            socket.write ("HTTP/1.1 200 OK\r\n\r\nhello");
+            socket.flush();
+            const linger immediate{ 1, 0 };
+            ::setsockopt (static_cast<int> (socket.socketDescriptor()), SOL_SOCKET, SO_LINGER,
+                          &immediate, sizeof immediate);
+            QTimer::singleShot (20, &socket, [&socket] { socket.abort(); });
+        });
+    Client client;
+    Outcome outcome;
+    const auto exchange = fetchInto (client, post (backEnd.address(), "end"), outcome);
+    ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+    EXPECT_TRUE (outcome.error);
+}
+
 TEST (Client, TimesOutWhenNoAnswerComes)
 {
     RawBackEnd backEnd ([] (QTcpSocket&, int) {});
