--- a/src/proxy/ExchangePeersTest.cpp
+++ b/src/proxy/ExchangePeersTest.cpp
@@ -309,6 +309,22 @@
     EXPECT_EQ (m_runner.requests, 2U);
 }
 
+TEST_F (ExchangePeersTest, StreamThatEndsInsideEventIsBrokenForBothRouters)
+{
+    m_reply = {
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n\r\n"
+        "id: 1\ndata: a\n\nid: 2\nda"
+    };
+    m_reply.closes = true;
+    RawCaller caller (m_near.listening);
+    caller.write (ProxyFixture::request ("stream.test"));
+    ASSERT_TRUE (caller.waitForClose());
+    EXPECT_TRUE (caller.received().ends_with ("data: a\n\n\r\n")) << caller.received();
+    EXPECT_EQ (m_far.counters.incompleteStreams, 1U);
+    EXPECT_EQ (m_near.counters.incompleteStreams, 0U);
+    EXPECT_EQ (m_near.counters.failed, 1U);
+}
+
 TEST_F (ExchangePeersTest, RouterAtItsLimitDeclines)
 {
     StubRunner runner;
