Routers know the software version of each runner and log it

A new leader has it from the table that it continues; routers keep what they knew until a row states another.

--- a/src/cell/ReleasedMessagesTest.cpp
+++ b/src/cell/ReleasedMessagesTest.cpp
@@ -255,6 +255,36 @@
     EXPECT_EQ (earlier.peerKey, 0U);
 }
 
+TEST (ReleasedMessagesTest, TableOfEarlierBuildIsReadWithoutSoftwareVersions)
+{
+    InstanceUpdate update;
+    update.upserts.resize (2);
+    const std::string earlier = wire::encodeMessage (ControllerToRouter (update));
+    update.upserts[1].softwareVersion = "v2";
+    const std::string bytes = wire::encodeMessage (ControllerToRouter (update));
+    EXPECT_TRUE (bytes.starts_with (earlier));
+    const auto read = wire::decodeMessage<ControllerToRouter> (bytes);
+    ASSERT_TRUE (read);
+    EXPECT_EQ (std::get<InstanceUpdate> (read.value()).upserts, update.upserts);
+    const auto readEarlier = wire::decodeMessage<ControllerToRouter> (earlier);
+    ASSERT_TRUE (readEarlier);
+    EXPECT_EQ (std::get<InstanceUpdate> (readEarlier.value()).upserts[1].softwareVersion, "");
+}
+
+TEST (ReleasedMessagesTest, HeartbeatsOfEarlierRelayAreReadWithoutSoftwareVersions)
+{
+    RelayedHeartbeats heartbeats;
+    heartbeats.relayedHeartbeats.resize (2);
+    const std::string earlier = wire::encodeMessage (RouterToController (heartbeats));
+    heartbeats.relayedHeartbeats[0].softwareVersion = "v1";
+    const std::string bytes = wire::encodeMessage (RouterToController (heartbeats));
+    EXPECT_TRUE (bytes.starts_with (earlier));
+    const auto read = wire::decodeMessage<RouterToController> (bytes);
+    ASSERT_TRUE (read);
+    EXPECT_EQ (std::get<RelayedHeartbeats> (read.value()).relayedHeartbeats,
+               heartbeats.relayedHeartbeats);
+}
+
 TEST (ReleasedMessagesTest, OnlyRouterHelloHasNewFields)
 {
     const auto expectOnlyHelloGrown = [] (const auto& samples, const auto& released)
--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -3,6 +3,7 @@
 /// Messages between a router and the leader of its cell. A controller that does not lead may act as
 /// a relay: it serves routers on behalf of the leader, to which it sends the same messages.
 
+#include <algorithm>
 #include <boost/serialization/string.hpp>
 #include <boost/serialization/vector.hpp>
 #include <cstdint>
@@ -224,6 +225,8 @@
     /// The instance itself while the cell does not have this incarnation; otherwise empty.
     std::vector<ServiceInstance> first{};
     base::UnixMilliseconds startedAt = 0;  ///< Start of the incarnation; 0: not reported.
+    /// Version of the runner's software; empty: not reported. Serialized by RelayedHeartbeats.
+    std::string softwareVersion{};
 
     bool operator== (const RelayedHeartbeat&) const = default;
     template <class Archive>
@@ -233,6 +236,29 @@
     }
 };
 
+/// Reads or writes the software versions of these rows behind the last field of their message.
+/// Nothing is written if none is known.
+template <class Archive, class Row>
+void serializeSoftwareVersions (Archive& archive, std::vector<Row>& rows)
+{
+    std::vector<std::string> versions;
+    if constexpr (Archive::is_saving::value)
+    {
+        const auto isKnown = [] (const Row& row) { return ! row.softwareVersion.empty(); };
+        if (std::ranges::none_of (rows, isKnown))
+            return;
+        for (const Row& row : rows)
+            versions.push_back (row.softwareVersion);
+    }
+    wire::serializeTail (archive, versions);
+    if constexpr (Archive::is_loading::value)
+    {
+        const std::size_t count = std::min (rows.size(), versions.size());
+        for (std::size_t number = 0; number < count; ++number)
+            rows[number].softwareVersion = std::move (versions[number]);
+    }
+}
+
 /// Heartbeats that a relay received since its last message of this type.
 struct RelayedHeartbeats
 {
@@ -242,6 +268,7 @@
     void serialize (Archive& archive, unsigned /*version*/)
     {
         archive& relayedHeartbeats;
+        serializeSoftwareVersions (archive, relayedHeartbeats);
     }
 };
 
@@ -451,6 +478,8 @@
 {
     ServiceInstance instance;
     bool isSilent = false;  ///< Its heartbeats have stopped.
+    /// Version of the runner's software; empty: not known. Serialized by InstanceUpdate.
+    std::string softwareVersion{};
 
     bool operator== (const RoutableInstance&) const = default;
     template <class Archive>
@@ -496,6 +525,7 @@
     void serialize (Archive& archive, unsigned /*version*/)
     {
         archive& term& fromVersion& toVersion& upserts& removals& controllers& routers& mustConfirm;
+        serializeSoftwareVersions (archive, upserts);
     }
 };
 
--- a/src/controller/ControlRequests.h
+++ b/src/controller/ControlRequests.h
@@ -27,6 +27,7 @@
     std::vector<cell::HeldModel> models;
     std::vector<std::string> inMemory;  ///< Models that it can load from its host memory.
     std::vector<std::string> onDisk;    ///< Models that it can load from its own disk.
+    std::string softwareVersion{};      ///< Version of its software; empty: not reported.
 };
 
 /// Message by which a runner deregisters when it ends.
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -201,8 +201,8 @@
             relayed.first.empty() ? known : &relayed.first.front();
         if (reported == nullptr)
             continue;
-        InstanceHeartbeat heartbeat{ *reported, relayed.sequence, relayed.models, relayed.inMemory,
-                                     relayed.onDisk };
+        InstanceHeartbeat heartbeat{ *reported,        relayed.sequence, relayed.models,
+                                     relayed.inMemory, relayed.onDisk,   relayed.softwareVersion };
         heartbeat.instance.startedAt = relayed.startedAt;
         if (m_leader->instances.isFromPredecessor (heartbeat, m_now)
             || isOfEarlierIncarnation (heartbeat.instance))
--- a/src/controller/HeartbeatBatch.cpp
+++ b/src/controller/HeartbeatBatch.cpp
@@ -63,6 +63,7 @@
     relayed.instance = id;
     relayed.sequence = heartbeat.sequence;
     relayed.startedAt = heartbeat.instance.startedAt;
+    relayed.softwareVersion = heartbeat.softwareVersion;
     relayed.hasHeldModels = true;
     relayed.models = heartbeat.models;
     relayed.inMemory = heartbeat.inMemory;
@@ -89,6 +90,7 @@
     waiting.instance = id;
     waiting.sequence = relayed.sequence;
     waiting.startedAt = relayed.startedAt;
+    waiting.softwareVersion = std::move (relayed.softwareVersion);
 }
 
 std::vector<cell::RelayedHeartbeat> HeartbeatBatch::takeDue (base::TimePoint now)
--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -54,6 +54,7 @@
     state.lastHeartbeatAt = now;
     state.sequence = heartbeat.sequence;
     state.isReported = true;
+    recordSoftwareVersion (state, heartbeat.softwareVersion);
     if (! state.isPlaced)
         state.models = cell::sortedByName (heartbeat.models);  // The order that placement uses.
     m_pendingRefresh.insert (heartbeat.instance.id);
@@ -71,12 +72,21 @@
     const bool isOther = relayed.startedAt != 0 && relayed.startedAt != state.startedAt;
     if (isOther || relayed.sequence <= state.sequence)
         return;
-    if (isSilent (state, now))
+    const bool wasSilent = isSilent (state, now);
+    if (recordSoftwareVersion (state, relayed.softwareVersion) || wasSilent)
         m_pendingRefresh.insert (relayed.instance);
     state.lastHeartbeatAt = now;
     state.sequence = relayed.sequence;
 }
 
+bool InstanceTable::recordSoftwareVersion (HeartbeatState& state, const std::string& version)
+{
+    if (version.empty() || version == state.softwareVersion)
+        return false;
+    state.softwareVersion = version;
+    return true;
+}
+
 void InstanceTable::markPredecessorsUnreachable (const InstanceHeartbeat& heartbeat,
                                                  base::TimePoint now)
 {
@@ -135,9 +145,16 @@
 }
 
 InstanceTable::HeartbeatState InstanceTable::initialStateOf (const cell::ServiceInstance& instance,
+                                                             const cell::RoutableInstance* row,
                                                              base::TimePoint now)
 {
-    return { instance.startedAt, now, {}, 0, false, false, {} };
+    const bool isSameIncarnation = row != nullptr && row->instance.startedAt == instance.startedAt;
+    HeartbeatState state;
+    state.startedAt = instance.startedAt;
+    state.lastHeartbeatAt = now;
+    if (isSameIncarnation)
+        state.softwareVersion = row->softwareVersion;
+    return state;
 }
 
 void InstanceTable::refreshChanged (const cell::ServiceInstances& replicated, base::TimePoint now)
@@ -158,7 +175,8 @@
             remove (row);
         return;
     }
-    const HeartbeatState first = initialStateOf (*instance, now);
+    const HeartbeatState first =
+        initialStateOf (*instance, isPresent ? &row->second : nullptr, now);
     HeartbeatState& seen = m_heartbeats.try_emplace (id, first).first->second;
     if (cell::isEarlierIncarnation (seen.startedAt, instance->startedAt))
         seen = first;
@@ -181,14 +199,15 @@
             ++state;
         while (row != m_rows.end() && row->first < id)
             row = remove (row);
-        const HeartbeatState first = initialStateOf (instance, now);
+        const bool isPresent = row != m_rows.end() && row->first == id;
+        const HeartbeatState first =
+            initialStateOf (instance, isPresent ? &row->second : nullptr, now);
         if (state == m_heartbeats.end() || state->first != id)
             state = m_heartbeats.emplace_hint (state, id, first);
         else if (cell::isEarlierIncarnation (state->second.startedAt, instance.startedAt))
             state->second = first;
         const HeartbeatState& seen = state->second;
         const bool isNowSilent = isSilent (seen, now);
-        const bool isPresent = row != m_rows.end() && row->first == id;
         if (! isPresent || ! isShownBy (row->second, instance, seen, isNowSilent))
             row = put (row, rowOf (instance, seen, isNowSilent));
         ++row;
@@ -200,12 +219,13 @@
 cell::RoutableInstance InstanceTable::rowOf (const cell::ServiceInstance& instance,
                                              const HeartbeatState& state, bool isSilent)
 {
-    cell::RoutableInstance row{ instance, isSilent };
+    cell::RoutableInstance row{ instance, isSilent, {} };
     if (state.isReported)
     {
         row.instance.isReported = true;
         row.instance.models = state.models;
     }
+    row.softwareVersion = state.softwareVersion;
     return row;
 }
 
@@ -218,9 +238,10 @@
     // Names each member, so that an added member fails to compile until it is compared here.
     const auto& [id, service, address, zone, slots, isDraining, isReported, models, startedAt] =
         row.instance;
-    return row.isSilent == isSilent && id == instance.id && isDraining == instance.isDraining
-           && slots == instance.slots && service == instance.service && address == instance.address
-           && zone == instance.zone && startedAt == instance.startedAt
+    return row.isSilent == isSilent && row.softwareVersion == state.softwareVersion
+           && id == instance.id && isDraining == instance.isDraining && slots == instance.slots
+           && service == instance.service && address == instance.address && zone == instance.zone
+           && startedAt == instance.startedAt
            && isReported == (state.isReported || instance.isReported)
            && models == (state.isReported ? state.models : instance.models);
 }
--- a/src/controller/InstanceTable.h
+++ b/src/controller/InstanceTable.h
@@ -110,15 +110,19 @@
         bool isPlaced = false;  ///< Whether `models` was set by setModels(), which is
                                 ///< more accurate than heartbeats.
         std::vector<cell::HeldModel> models;
+        std::string softwareVersion;  ///< Empty: not reported.
     };
 
     using Rows = std::map<std::string, cell::RoutableInstance>;
 
     [[nodiscard]] bool isSilent (const HeartbeatState& state, base::TimePoint now) const;
     /// Returns the initial state of a replicated instance without a heartbeat so far. A new leader
-    /// counts its silence from `now`.
+    /// counts its silence from `now`. `row` is its row from an earlier leader; may be null.
     [[nodiscard]] static HeartbeatState initialStateOf (const cell::ServiceInstance& instance,
+                                                        const cell::RoutableInstance* row,
                                                         base::TimePoint now);
+    /// Returns whether the version changed. Relays of earlier builds report none.
+    static bool recordSoftwareVersion (HeartbeatState& state, const std::string& version);
     void refreshRow (const std::string& id, const cell::ServiceInstances& replicated,
                      base::TimePoint now);
     [[nodiscard]] static cell::RoutableInstance rowOf (const cell::ServiceInstance& instance,
--- a/src/controller/InstanceTableTest.cpp
+++ b/src/controller/InstanceTableTest.cpp
@@ -151,6 +151,28 @@
     EXPECT_EQ (m_table.rows().at ("i-1").instance.models[0].model, "m1");
 }
 
+TEST_F (InstanceTableTest, SoftwareVersionOutlivesLeadersAndHeartbeatsWithoutIt)
+{
+    InstanceHeartbeat heartbeat = heartbeatOf ("i-1", 1);
+    heartbeat.softwareVersion = "v1";
+    receive (heartbeat, kStart);
+    receive (heartbeatOf ("i-1", 2), kStart);
+    EXPECT_EQ (m_table.rows().at ("i-1").softwareVersion, "v1");
+    RelayInstanceTable copy;
+    ASSERT_TRUE (copy.apply (m_table.updateSince (0)));
+    InstanceTable next (8, kSilence);
+    next.continueFrom (std::move (copy), 8);
+    next.refresh (m_replicated, kStart);
+    EXPECT_EQ (next.rows().at ("i-1").softwareVersion, "v1");
+    cell::RelayedHeartbeat relayed;
+    relayed.instance = "i-1";
+    relayed.sequence = 3;
+    relayed.softwareVersion = "v2";
+    next.onUnchangedHeartbeat (relayed, kStart);
+    next.refresh (m_replicated, kStart);
+    EXPECT_EQ (next.rows().at ("i-1").softwareVersion, "v2");
+}
+
 TEST_F (InstanceTableTest, HeartbeatOfAnEarlierIncarnationDoesNotEndSilence)
 {
     receive (heartbeatOf (2000, 1), kStart);
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -301,6 +301,7 @@
     m_peer.reset();
     m_instance = choice.id;
     m_instanceStart = m_context.directory.startOf (m_instance);
+    m_softwareVersion = m_context.directory.softwareVersionOf (m_instance);
     m_prefillTokens = choice.prefillTokens;
     AttemptFields fields;
     fields.instance = choice.id;
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -208,6 +208,11 @@
     void logResend (log::Event event) const;
     /// Logs that the stream of the runner ended inside an event.
     void logIncompleteStream() const;
+    /// Id of the request whose stream the caller resumes; empty if it resumes none.
+    [[nodiscard]] std::string resumedRequest() const
+    {
+        return m_request.headers.value (m_context.names.resumedRequest);
+    }
     /// Name of the tenant, or the address of the caller without one.
     [[nodiscard]] std::string callerName() const;
     /// Name of the tenant; empty without one.
@@ -257,6 +262,7 @@
     bool m_isEnded = false;
     std::string m_instance;
     base::UnixMilliseconds m_instanceStart = 0;  ///< Start of the incarnation; 0 if not stated.
+    std::string m_softwareVersion;               ///< Of that incarnation; empty if not known.
     base::SocketAddress m_address;               ///< Address of the instance.
     bool m_hasBrokenAnswer = false;              ///< Whether a runner broke off an answer.
     /// Computed on first use.
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -16,6 +16,7 @@
 
 /// Retry-After time of a stopping router; the caller then reaches another router.
 constexpr base::Duration kRetryElsewhere = base::milliseconds (50);
+constexpr std::size_t kMaxLoggedIdBytes = 64;
 
 /// Outcome that another router is told about a request that ends with an error.
 PeerOutcome outcomeOf (ErrorKind kind)
@@ -75,6 +76,8 @@
           { "model", m_query.model },
           { "adapter", m_query.adapter },
           { "runner", m_instance },
+          { "runner_software", m_softwareVersion },
+          { "resumes", resumedRequest().substr (0, kMaxLoggedIdBytes) },
           { "table", m_context.directory.version() },
           { "table_age_ms", m_context.directory.ageMilliseconds (now()) },
           { "attempts", m_sentAttempts },
--- a/src/proxy/ExchangePeers.cpp
+++ b/src/proxy/ExchangePeers.cpp
@@ -63,6 +63,7 @@
     m_address = peer.address;
     m_instance.clear();
     m_instanceStart = 0;
+    m_softwareVersion.clear();
     m_peerAnswer = {};
     m_peerRetryAfter.reset();
     PeerRequestFields fields;
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -316,7 +316,10 @@
     // A new leader sends the row of a runner without models until the runner has reported to it.
     // The models of the previous row stay in effect until then.
     std::vector<cell::HeldModel> known = std::move (view.row.instance.models);
+    std::string knownVersion = std::move (view.row.softwareVersion);
     view.row = row;
+    if (row.softwareVersion.empty())
+        view.row.softwareVersion = std::move (knownVersion);
     view.address =
         base::SocketAddress::tryParse (row.instance.address).value_or (base::SocketAddress());
     if (! row.instance.isReported)
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -142,6 +142,12 @@
         const auto found = m_views.find (id);
         return found == m_views.end() ? 0 : found->second.row.instance.startedAt;
     }
+    /// Version of the runner's software; empty if not known.
+    [[nodiscard]] std::string softwareVersionOf (const std::string& id) const
+    {
+        const auto found = m_views.find (id);
+        return found == m_views.end() ? std::string() : found->second.row.softwareVersion;
+    }
     /// Names of the incarnations that left the table since the last call without having been
     /// draining.
     [[nodiscard]] std::vector<std::string> takeReplaced() { return std::exchange (m_replaced, {}); }
--- a/src/proxy/ProtocolNames.h
+++ b/src/proxy/ProtocolNames.h
@@ -19,6 +19,8 @@
     std::string model;      ///< MODEL or MODEL/ADAPTER.
     std::string promptParts;   ///< Parts of the prompt in order, as ID:TOKENS, separated by commas.
     std::string promptTokens;  ///< Tokens of the prompt and the output limit, separated by a comma.
+    /// Request whose stream the caller resumes: its attempt that received the first event.
+    std::string resumedRequest;
     // Set by the router.
     std::string targetInstance;  ///< Instance that may execute the request; every other one refuses
                                  ///< it.
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -248,6 +248,7 @@
         names.model = "Test-Model";
         names.promptParts = "Test-Parts";
         names.promptTokens = "Test-Tokens";
+        names.resumedRequest = "Test-Resumes";
         names.targetInstance = "Test-Target";
         names.priority = "Test-Priority";
         names.tenant = "Test-Tenant";
