A stream goes on only at the software version that began it

Cause: no choice knew a version. After a break the runner of the attempt is avoided, so that with a new version coming up the next one is likely of the other version. Change: once an attempt has brought an event, its version binds the choice (`InstanceQuery::softwareVersion`), wherever it is made: retries, waiting, permits, isolation runners. The version is the one that the table had when the attempt began, not what the address says now. Without any runner of the version the stream is broken off at once. Through another router: the answer names the runner, whose version the own table has; the rest isn't sent there while versions are mixed, since that router would choose by itself. `SoftwareVersions` keeps which versions a service has, and had lately.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -226,6 +226,13 @@
 
 void Exchange::beginWait (const InstanceChoice& choice)
 {
+    if (isSoftwareVersionGone())
+    {
+        endWait();
+        endWithoutRunner (ErrorKind::kNoCapacity,
+                          "no runner has the software version of the stream", kRetryDelay);
+        return;
+    }
     if (m_isWaiting)
     {
         refuseIfUnavailable (choice);
@@ -608,6 +615,7 @@
     m_query.avoidedInstance = m_instance;
     if (m_events)
         m_events->discardIncomplete();
+    pinSoftwareVersion();
     const bool mayGoOn = mayRunAgain() && m_context.retryBudget.tryRetry();
     if (mayGoOn)
     {
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -141,6 +141,9 @@
     // ExchangePeers.cpp
     /// Whether the request should go to another router: this one cannot connect to the runners.
     [[nodiscard]] bool needsPeer (const InstanceChoice& choice) const;
+    /// Whether a stream that goes on may do so at another router, which chooses its runner without
+    /// regard to software versions.
+    [[nodiscard]] bool mayGoOnAtPeer() const;
     /// Sends the request to another router. Returns false when there is none that may serve it.
     bool forwardToPeer();
     void startPeerAttempt (const PeerChoice& peer);
@@ -177,6 +180,12 @@
     void afterRefusal();
     void afterFailure();
     void forwardHead();
+    /// Lets the stream go on only at runners of the software version that wrote its first event.
+    void pinSoftwareVersion();
+    /// Time for which a stream of this route may go on after it has begun.
+    [[nodiscard]] base::Duration streamLifetime() const;
+    /// Whether no runner has the software version of the stream any more.
+    [[nodiscard]] bool isSoftwareVersionGone() const;
     /// Forwards complete events of a stream.
     void forwardEvents (std::string_view events);
     /// Records what the head of a runner's answer shows about the runner.
--- a/src/proxy/ExchangePeers.cpp
+++ b/src/proxy/ExchangePeers.cpp
@@ -41,10 +41,18 @@
            && m_context.reachability.mustForward (m_query.draw.value_or (0), now());
 }
 
+bool Exchange::mayGoOnAtPeer() const
+{
+    if (! m_query.softwareVersion)
+        return true;
+    const SoftwareVersions& versions = m_context.directory.softwareVersions();
+    return versions.onlySince (m_query.service, now() - streamLifetime()).has_value();
+}
+
 bool Exchange::forwardToPeer()
 {
     const bool isPointless = m_triedPeers.size() >= kMaxPeers
-                             || m_peersWithoutRunner >= kMaxPeersWithoutRunner
+                             || m_peersWithoutRunner >= kMaxPeersWithoutRunner || ! mayGoOnAtPeer()
                              || m_context.peers.isUnservable (peerTarget(), now());
     if (isPointless)
         return false;
@@ -89,6 +97,7 @@
     m_peerAnswer = base::handleErrors ([&] { return takePeerAnswer (head.headers); },
                                        [] (const base::Error&) { return PeerAnswer(); });
     m_instance = m_peerAnswer.runner;
+    m_softwareVersion = m_context.directory.softwareVersionOf (m_instance);
     const bool isSent = m_peerAnswer.attempts > 0 || m_peerAnswer.outcome == PeerOutcome::kFailed;
     if (! isSent)
         --m_sentAttempts;
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -112,6 +112,8 @@
             return "backoff";
         case NoRunnerReason::kUnreachable:
             return "unreachable";
+        case NoRunnerReason::kSoftwareVersion:
+            return "software_version";
         case NoRunnerReason::kFull:
             break;
     }
@@ -139,7 +141,7 @@
                        {
                            const bool isGone = ! present.contains (item.first);
                            if (isGone)
-                               dropFromIndex (item.second);
+                               dropFromIndex (item.second, now);
                            return isGone;
                        });
     }
@@ -149,7 +151,7 @@
         if (found == m_views.end())
             continue;
         recordReplaced (found->second, now);
-        dropFromIndex (found->second);
+        dropFromIndex (found->second, now);
         m_views.erase (found);
     }
     for (const cell::RoutableInstance& row : update.upserts)
@@ -271,15 +273,17 @@
 void InstanceDirectory::addToIndex (View& view)
 {
     const cell::ServiceInstance& instance = view.row.instance;
+    m_softwareVersions.add (instance.service, view.row.softwareVersion);
     std::map<std::string, Views>& models = m_index[instance.service];
     models[{}][instance.id] = &view;
     for (const cell::HeldModel& model : instance.models)
         models[model.model][instance.id] = &view;
 }
 
-void InstanceDirectory::dropFromIndex (const View& view)
+void InstanceDirectory::dropFromIndex (const View& view, base::TimePoint now)
 {
     const cell::ServiceInstance& instance = view.row.instance;
+    m_softwareVersions.remove (instance.service, view.row.softwareVersion, now);
     const auto service = m_index.find (instance.service);
     if (service == m_index.end())
         return;
@@ -311,7 +315,7 @@
 void InstanceDirectory::put (const cell::RoutableInstance& row, base::TimePoint now)
 {
     View& view = m_views[row.instance.id];
-    dropFromIndex (view);
+    dropFromIndex (view, now);
     resetIfRestarted (view, row, now);
     // A new leader sends the row of a runner without models until the runner has reported to it.
     // The models of the previous row stay in effect until then.
@@ -424,7 +428,10 @@
         return ! crashed.empty()
                && std::ranges::find (crashed, incarnationNameOf (view.row)) != crashed.end();
     };
-    return isAccepting (view, query, now) && ! hasCrashed() && holds (view, query, now);
+    const bool hasSoftware =
+        ! query.softwareVersion || *query.softwareVersion == view.row.softwareVersion;
+    return hasSoftware && isAccepting (view, query, now) && ! hasCrashed()
+           && holds (view, query, now);
 }
 
 bool InstanceDirectory::canServe (const View& view, const InstanceQuery& query,
@@ -501,6 +508,15 @@
     const auto isServing = [&] (const auto& item) { return couldServe (*item.second, query, now); };
     if (std::ranges::any_of (viewsFor (query.service, query.model), isServing))
         return NoRunnerReason::kUnreachable;
+    if (query.softwareVersion)
+    {
+        InstanceQuery anyVersion = query;
+        anyVersion.softwareVersion.reset();
+        const auto couldServeIt = [&] (const auto& item)
+        { return couldServe (*item.second, anyVersion, now); };
+        if (std::ranges::any_of (viewsFor (query.service, query.model), couldServeIt))
+            return NoRunnerReason::kSoftwareVersion;
+    }
     const Views& views = viewsFor (query.service, {});
     const bool isAny = std::ranges::any_of (
         views, [&] (const auto& item) { return isAccepting (*item.second, query, now); });
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -17,6 +17,7 @@
 #include "base/Time.h"
 #include "cell/RouterMessages.h"
 #include "proxy/RunnerEstimate.h"
+#include "proxy/SoftwareVersions.h"
 #include "proxy/StatedLoad.h"
 #include "routing/RunnerAvailability.h"
 
@@ -42,6 +43,8 @@
     std::uint64_t sharedTokens = 0;  ///< Prompt tokens of the prefix that these requests share.
     std::uint64_t promptTokens = 0;  ///< Tokens of the whole prompt.
     std::string avoidedInstance;     ///< Chosen only when there is no other runner; may be empty.
+    /// Set for a stream that goes on: no runner of another software version may be chosen.
+    std::optional<std::string> softwareVersion{};
     /// Set when a runner crashed under the request: all copies with the same key go to one
     /// isolation runner instead of one each. Empty: not suspect.
     std::string isolationKey{};
@@ -70,6 +73,7 @@
     kRateLimited,  ///< All runners that could serve the request have reached their stated rates.
     kBackoff,      ///< All runners that could serve the request decline requests for some time.
     kUnreachable,  ///< This router cannot connect to any runner that could serve the request.
+    kSoftwareVersion,  ///< Runners of another software version than that of the stream could serve.
 };
 
 struct InstanceChoice
@@ -148,6 +152,8 @@
         const auto found = m_views.find (id);
         return found == m_views.end() ? std::string() : found->second.row.softwareVersion;
     }
+    /// Software versions of all listed runners and of those that left the table lately.
+    [[nodiscard]] const SoftwareVersions& softwareVersions() const { return m_softwareVersions; }
     /// Names of the incarnations that left the table since the last call without having been
     /// draining.
     [[nodiscard]] std::vector<std::string> takeReplaced() { return std::exchange (m_replaced, {}); }
@@ -246,7 +252,7 @@
     void put (const cell::RoutableInstance& row, base::TimePoint now);
     /// Adds the runner to the index under its service and each of its models, or removes it.
     void addToIndex (View& view);
-    void dropFromIndex (const View& view);
+    void dropFromIndex (const View& view, base::TimePoint now);
     void recordUnreachable (View& view, base::TimePoint now);
     /// Lets the marks of earlier failures lapse with the time since the last attempt.
     static void lapseFailures (View& view, base::TimePoint now);
@@ -316,6 +322,7 @@
     /// Keyed by service, then by model; "" lists all runners of the service. The cost of a choice
     /// depends only on the number of runners that can serve the request.
     std::map<std::string, std::map<std::string, Views>> m_index;
+    SoftwareVersions m_softwareVersions;  ///< Of the runners in the index.
     base::TimePoint m_loadsAt{};  ///< Time of the last update of the loads of other routers.
     std::vector<std::string> m_unreachable;
     std::vector<std::string> m_replaced;
