Callers resume a stream only at the software version that began it

Cause: the router at which a caller comes back has never heard of the stream, and chose among all runners. Change: while a service has runners of several versions, or had within the lifetime of a stream, each router records the version of a resumable stream and tells the other routers of its group, before it forwards the first event; streams that are open when a second version comes up follow then. A request with Last-Event-Id goes on at the recorded version. If it isn't known, the request is refused at once as not executed, never sent at a guess. With one version nothing is recorded or sent. A notice is part of the statement between routers, which callers can't forge; a router of an earlier build gets one notice and answers that no route leads there, after which it gets no more. Why it works: the notice leaves the router before the first event does, so that no caller holds an event of a stream that is unknown elsewhere unless its notices were lost; what isn't known isn't guessed.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -84,6 +84,8 @@
         refuseQuarantined (known);
         return;
     }
+    if (! m_query.softwareVersion && ! pinResumedStream())
+        return;
     if (! admit())
         return;
     // The router that received the request from its caller has counted the arrival.
@@ -287,6 +289,11 @@
     {
         dispatchNext();
     }
+    else if (m_events)
+    {
+        // Another software version may have come up.
+        announceStream();
+    }
 }
 
 void Exchange::onRunnerUnavailable()
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -182,6 +182,16 @@
     void forwardHead();
     /// Lets the stream go on only at runners of the software version that wrote its first event.
     void pinSoftwareVersion();
+    /// Requires the software version of the stream that the caller resumes. Returns false when the
+    /// request ended, as the version is not known.
+    bool pinResumedStream();
+    /// The software version of all runners that may have begun a stream that still goes on. None if
+    /// versions are mixed; empty if none is known.
+    [[nodiscard]] std::optional<std::string> onlySoftwareVersion() const;
+    /// Records the software version of the stream at all routers, so that its caller can resume it
+    /// at any, if it may resume it and versions are mixed.
+    void announceStream();
+    [[nodiscard]] std::string streamKey (const std::string& request) const;
     /// Time for which a stream of this route may go on after it has begun.
     [[nodiscard]] base::Duration streamLifetime() const;
     /// Whether no runner has the software version of the stream any more.
@@ -268,6 +278,7 @@
     bool m_isWaitingForRoutes = false;  ///< Waiting for a configuration.
     bool m_isWaitingForQuota = false;   ///< Waiting for a quota grant.
     bool m_isAnswerBegun = false;
+    bool m_isStreamAnnounced = false;
     bool m_isEnded = false;
     std::string m_instance;
     base::UnixMilliseconds m_instanceStart = 0;  ///< Start of the incarnation; 0 if not stated.
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -200,8 +200,9 @@
 {
     if (events.empty())
         return;
-    m_caller.writeBody (events);
     const base::TimePoint earlier = std::exchange (m_lastEventAt, now());
+    announceStream();
+    m_caller.writeBody (events);
     if (earlier == base::TimePoint{})
         return;
     const base::Duration pause = m_lastEventAt - earlier;
--- a/src/proxy/ExchangePeers.cpp
+++ b/src/proxy/ExchangePeers.cpp
@@ -43,10 +43,7 @@
 
 bool Exchange::mayGoOnAtPeer() const
 {
-    if (! m_query.softwareVersion)
-        return true;
-    const SoftwareVersions& versions = m_context.directory.softwareVersions();
-    return versions.onlySince (m_query.service, now() - streamLifetime()).has_value();
+    return ! m_query.softwareVersion || onlySoftwareVersion().has_value();
 }
 
 bool Exchange::forwardToPeer()
--- a/src/proxy/ExchangeSoftware.cpp
+++ b/src/proxy/ExchangeSoftware.cpp
@@ -13,6 +13,8 @@
 /// A caller may resume a stream until its deadline, which can be later than the end of the route's
 /// time.
 constexpr int kLifetimeInTimeouts = 2;
+/// Retry-After time; the caller then probably reaches another router.
+constexpr base::Duration kRetryElsewhere = base::milliseconds (100);
 
 }  // namespace
 
@@ -37,6 +39,59 @@
     m_query.softwareVersion = version;
 }
 
+std::optional<std::string> Exchange::onlySoftwareVersion() const
+{
+    const SoftwareVersions& versions = m_context.directory.softwareVersions();
+    return versions.onlySince (m_query.service, now() - streamLifetime());
+}
+
+std::string Exchange::streamKey (const std::string& request) const
+{
+    return streamKeyOf (tenantName(), m_route->name, request);
+}
+
+bool Exchange::pinResumedStream()
+{
+    const bool isResumed =
+        m_route->isResumable && m_request.headers.contains (m_context.names.lastEventId);
+    if (m_servedPeer || ! isResumed)
+        return true;
+    const std::optional<std::string> only = onlySoftwareVersion();
+    if (only)
+    {
+        if (! only->empty())
+            m_query.softwareVersion = only;
+        return true;
+    }
+    m_query.softwareVersion = m_context.streams.find (streamKey (resumedRequest()), now());
+    if (m_query.softwareVersion)
+    {
+        ++m_context.counters.resumedByCallers;
+        return true;
+    }
+    ++m_context.counters.unknownStreams;
+    refuse (base::ErrorKind::kNoCapacity, "the software version of the stream is not known here",
+            kRetryElsewhere);
+    return false;
+}
+
+void Exchange::announceStream()
+{
+    const bool hasEvents = m_lastEventAt != base::TimePoint{};
+    const bool isOfCaller = ! m_servedPeer && resumedRequest().empty();
+    if (! hasEvents || ! isOfCaller || m_isStreamAnnounced || ! m_route->isResumable)
+        return;
+    if (m_softwareVersion.empty() || onlySoftwareVersion())
+        return;
+    m_isStreamAnnounced = true;
+    StreamNotice notice;
+    notice.key = streamKey (m_request.headers.value (m_context.names.requestId));
+    notice.softwareVersion = m_query.softwareVersion.value_or (m_softwareVersion);
+    notice.lifetime = streamLifetime();
+    m_context.streams.record (notice.key, notice.softwareVersion, now() + notice.lifetime);
+    m_context.announceStream (notice);
+}
+
 bool Exchange::isSoftwareVersionGone() const
 {
     if (! m_query.softwareVersion || m_query.softwareVersion->empty())
--- a/src/proxy/PeerMessage.cpp
+++ b/src/proxy/PeerMessage.cpp
@@ -108,9 +108,16 @@
 
 std::string formatPeerRequest (const PeerRequest& request)
 {
-    return "router=" + encoded (request.router) + ";key=" + hexOf (request.key)
-           + ";configuration=" + std::to_string (request.configurationVersion)
-           + ";avoid=" + encoded (request.avoidedInstance);
+    std::string text = "router=" + encoded (request.router) + ";key=" + hexOf (request.key)
+                       + ";configuration=" + std::to_string (request.configurationVersion)
+                       + ";avoid=" + encoded (request.avoidedInstance);
+    if (! request.notice)
+        return text;
+    text.append (";stream=").append (encoded (request.notice->key));
+    text.append (";software=").append (encoded (request.notice->softwareVersion));
+    text.append (";lifetime=")
+        .append (std::to_string (base::toMilliseconds (request.notice->lifetime)));
+    return text;
 }
 
 std::string formatPeerAnswer (const PeerAnswer& answer)
@@ -120,9 +127,26 @@
     text.append (";attempts=").append (std::to_string (answer.attempts));
     text.append (";runner=").append (encoded (answer.runner));
     text.append (";isolated=").append (answer.isIsolated ? "1" : "0");
+    if (answer.isNoticeRead)
+        text.append (";notice=1");
     return text;
 }
 
+namespace
+{
+
+base::Result<StreamNotice> noticeIn (const Values& values)
+{
+    StreamNotice notice;
+    BOOST_LEAF_ASSIGN (notice.key, textOf (values, "stream"));
+    BOOST_LEAF_ASSIGN (notice.softwareVersion, textOf (values, "software"));
+    BOOST_LEAF_AUTO (lifetime, numberOf (values, "lifetime", kDecimal));
+    notice.lifetime = base::milliseconds (lifetime);
+    return notice;
+}
+
+}  // namespace
+
 base::Result<PeerRequest> takePeerRequest (http::Headers& headers)
 {
     BOOST_LEAF_AUTO (values, takeValues (headers, kRequestField));
@@ -131,6 +155,10 @@
     BOOST_LEAF_ASSIGN (request.key, numberOf (values, "key", kHexadecimal));
     BOOST_LEAF_ASSIGN (request.configurationVersion, numberOf (values, "configuration", kDecimal));
     BOOST_LEAF_ASSIGN (request.avoidedInstance, textOf (values, "avoid"));
+    if (values.contains ("stream"))
+    {
+        BOOST_LEAF_ASSIGN (request.notice, noticeIn (values));
+    }
     return request;
 }
 
@@ -148,6 +176,7 @@
     BOOST_LEAF_ASSIGN (answer.runner, textOf (values, "runner"));
     BOOST_LEAF_AUTO (isIsolated, numberOf (values, "isolated", kDecimal));
     answer.isIsolated = isIsolated != 0;
+    answer.isNoticeRead = values.contains ("notice");
     return answer;
 }
 
@@ -178,4 +207,12 @@
     return text;
 }
 
+std::string peerNoticeBytes (const PeerRequest& statement)
+{
+    std::string text = "POST / HTTP/1.1\r\nContent-Length: 0\r\n";
+    addField (text, kRequestField, formatPeerRequest (statement));
+    text.append ("\r\n");
+    return text;
+}
+
 }  // namespace fernlift::proxy
--- a/src/proxy/PeerMessage.h
+++ b/src/proxy/PeerMessage.h
@@ -23,6 +23,16 @@
 namespace fernlift::proxy
 {
 
+/** Software version of a stream that began, as one router tells it to the others. */
+struct StreamNotice
+{
+    std::string key;              ///< Result of streamKeyOf().
+    std::string softwareVersion;  ///< Version of the runner that wrote the first event.
+    base::Duration lifetime{};    ///< Time for which callers may resume the stream.
+
+    bool operator== (const StreamNotice&) const = default;
+};
+
 /** Statement of the router that received a request from its caller. */
 struct PeerRequest
 {
@@ -32,6 +42,9 @@
     /// applied to it.
     std::uint64_t configurationVersion = 0;
     std::string avoidedInstance;  ///< Runner of an earlier attempt; may be empty.
+    /// Set in a message that is no request but a notice. Earlier builds answer that no route leads
+    /// there.
+    std::optional<StreamNotice> notice{};
 
     bool operator== (const PeerRequest&) const = default;
 };
@@ -52,6 +65,7 @@
     std::uint32_t attempts = 0;  ///< Runners that the request was sent to; 0 or 1.
     std::string runner;          ///< Last of these runners; may be empty.
     bool isIsolated = false;     ///< The router can connect to no runner at all.
+    bool isNoticeRead = false;   ///< The answer is to a notice.
 
     bool operator== (const PeerAnswer&) const = default;
 };
@@ -83,4 +97,7 @@
                                             const ProtocolNames& names,
                                             const PeerRequestFields& fields);
 
+/** Notice as sent to another router. */
+[[nodiscard]] std::string peerNoticeBytes (const PeerRequest& statement);
+
 }  // namespace fernlift::proxy
--- a/src/proxy/PeerMessageTest.cpp
+++ b/src/proxy/PeerMessageTest.cpp
@@ -51,6 +51,18 @@
     EXPECT_FALSE (headers.contains (kRequestField));
 }
 
+TEST (PeerMessageTest, NoticeSurvivesAnyVersion)
+{
+    PeerRequest sent{ "r", 1, 7, "" };
+    sent.notice = StreamNotice{ "0f", "v;1=\r\n %", base::milliseconds (1500) };
+    const std::string bytes = peerNoticeBytes (sent);
+    const std::string field = std::string (kRequestField) + ": ";
+    const std::size_t begin = bytes.find (field) + field.size();
+    http::Headers headers;
+    headers.add (kRequestField, bytes.substr (begin, bytes.find ("\r\n", begin) - begin));
+    EXPECT_EQ (takePeerRequest (headers).value(), sent);
+}
+
 TEST (PeerMessageTest, AnswerStatementSurvivesAllOutcomes)
 {
     for (const PeerOutcome outcome :
--- a/src/proxy/PeerRouters.cpp
+++ b/src/proxy/PeerRouters.cpp
@@ -70,6 +70,12 @@
     return PeerChoice{ chosen.row.router, chosen.address, chosen.row.key };
 }
 
+void PeerRouters::visit (const std::function<void (const PeerChoice& peer)>& visit) const
+{
+    for (const auto& [router, peer] : m_peers)
+        visit ({ router, peer.address, peer.row.key });
+}
+
 void PeerRouters::onBegin (const std::string& router)
 {
     const auto found = m_peers.find (router);
--- a/src/proxy/PeerRouters.h
+++ b/src/proxy/PeerRouters.h
@@ -3,6 +3,7 @@
 /// Other routers of the cell, and the choice of one that serves a request for this router.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -41,6 +42,8 @@
     /// if all are excluded or avoided. `draw` in [0, 1) decides between equal ones.
     [[nodiscard]] std::optional<PeerChoice> choose (const std::set<std::string>& excluded,
                                                     double draw, base::TimePoint now) const;
+    /// Calls `visit` for each router.
+    void visit (const std::function<void (const PeerChoice& peer)>& visit) const;
     void onBegin (const std::string& router);
     void onEnd (const std::string& router);
     /// Chooses the router no more before `until`.
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -16,11 +16,13 @@
 #include "proxy/EngineDemands.h"
 #include "proxy/InstanceDirectory.h"
 #include "proxy/InstanceLoadReporter.h"
+#include "proxy/PeerMessage.h"
 #include "proxy/PeerRouters.h"
 #include "proxy/ProtocolNames.h"
 #include "proxy/RouteTable.h"
 #include "proxy/RunnerRates.h"
 #include "proxy/RunnerReachability.h"
+#include "proxy/StreamVersions.h"
 #include "proxy/TenantQuotas.h"
 #include "quarantine/SuspectRequests.h"
 
@@ -39,6 +41,9 @@
     std::uint64_t retries = 0;
     std::uint64_t resumed = 0;
     std::uint64_t incompleteStreams = 0;  ///< Streams of runners that ended inside an event.
+    std::uint64_t resumedByCallers = 0;   ///< Streams that callers resumed at a known version.
+    std::uint64_t unknownStreams = 0;     ///< Streams that callers could not resume: their software
+                                          ///< version is not known.
     std::uint64_t overQuota = 0;          ///< Refused because of the quota of their tenant.
     std::uint64_t quarantined = 0;        ///< Not forwarded because runners crashed under them.
     std::uint64_t forwardedToPeers = 0;   ///< Attempts sent to other routers.
@@ -78,6 +83,8 @@
     std::function<void()> onIsolated = [] {};
     std::string router{};         ///< Name of this router.
     PeerRouters peers{ "", "" };  ///< The other routers of the cell.
+    StreamVersions streams{};     ///< Streams that callers may resume while versions are mixed.
+    std::function<void (const StreamNotice& notice)> announceStream = [] (const StreamNotice&) {};
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -35,6 +35,15 @@
                  m_counters.resumed);
             set ("fernlift_proxy_incomplete_streams",
                  "Streams of runners that ended inside an event.", m_counters.incompleteStreams);
+            set ("fernlift_proxy_resumed_by_callers",
+                 "Streams of mixed software versions that callers resumed at their version.",
+                 m_counters.resumedByCallers);
+            set ("fernlift_proxy_unknown_streams",
+                 "Streams that callers could not resume, as their software version is not known.",
+                 m_counters.unknownStreams);
+            set ("fernlift_proxy_streams_recorded",
+                 "Streams whose software version is known here while versions are mixed.",
+                 m_context.streams.size());
             set ("fernlift_proxy_connections_opened", "Connections opened to runners.",
                  m_pool.opened());
             set ("fernlift_proxy_rate_limited_runners",
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -536,6 +536,7 @@
     m_pool.expire (m_clock.now());
     m_directory.availability().expire (m_clock.now());
     m_context.peers.expire (m_clock.now());
+    m_context.streams.expire (m_clock.now());
     // The avoidance of a runner may have ended.
     if (m_server.waitingExchanges() > 0)
         m_server.onDirectoryChanged();
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -21,7 +21,8 @@
 
 }  // namespace
 
-ProxyServer::ProxyServer (ProxyContext& context) : m_context (context)
+ProxyServer::ProxyServer (ProxyContext& context)
+    : m_context (context), m_announcer (context.clock, context.pool)
 {
     m_handlers.onRequest = [this] (CallerConnection& connection, ParsedRequest request)
     { onRequest (connection, std::move (request)); };
@@ -54,6 +55,8 @@
         &m_unsentCheck, &QTimer::timeout, &m_unsentCheck,
         [this] { visitExchanges ([] (Exchange& exchange) { exchange.onRunnerUnavailable(); }); });
     m_context.onRunnerUnavailable = [this] { scheduleUnsentCheck(); };
+    m_context.announceStream = [this] (const StreamNotice& notice)
+    { m_announcer.announce (notice, m_context.peers, m_context.router); };
     QObject::connect (&m_server, &QTcpServer::newConnection, &m_server,
                       [this] { acceptAll (m_server, false); });
     QObject::connect (&m_peerServer, &QTcpServer::newConnection, &m_peerServer,
@@ -63,6 +66,7 @@
 ProxyServer::~ProxyServer()
 {
     m_context.onRunnerUnavailable = [] {};
+    m_context.announceStream = [] (const StreamNotice&) {};
     m_exchanges.clear();
     m_ended.clear();
 }
@@ -176,6 +180,11 @@
         statement = takeStatement (connection, request);
         if (! statement)
             return;
+        if (statement->notice)
+        {
+            onNotice (connection, *statement->notice);
+            return;
+        }
     }
     auto exchange = std::make_unique<Exchange> (m_context, connection, std::move (request),
                                                 std::move (statement),
@@ -193,6 +202,20 @@
     begun.begin();
 }
 
+void ProxyServer::onNotice (CallerConnection& connection, const StreamNotice& notice)
+{
+    constexpr int kNoContent = 204;
+    const base::TimePoint now = m_context.clock.now();
+    const base::Duration lifetime = std::min (notice.lifetime, SoftwareVersions::kMaxAge);
+    m_context.streams.record (notice.key, notice.softwareVersion, now + lifetime);
+    PeerAnswer answer;
+    answer.outcome = PeerOutcome::kAnswered;
+    answer.isNoticeRead = true;
+    http::Headers headers;
+    addPeerAnswer (headers, answer);
+    connection.sendAnswer (kNoContent, headers, "");
+}
+
 void ProxyServer::onInvalid (CallerConnection& connection, const base::Error& error)
 {
     const http::Response response = http::errorResponse (error);
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -14,6 +14,7 @@
 #include "proxy/CallerConnection.h"
 #include "proxy/Exchange.h"
 #include "proxy/ProxyContext.h"
+#include "proxy/StreamAnnouncer.h"
 
 namespace fernlift::proxy
 {
@@ -69,6 +70,8 @@
     [[nodiscard]] std::size_t peerExchanges() const;
     void onRequest (CallerConnection& connection, ParsedRequest request);
     void onInvalid (CallerConnection& connection, const base::Error& error);
+    /// Records what another router tells of a stream.
+    void onNotice (CallerConnection& connection, const StreamNotice& notice);
     static void refuseStopping (CallerConnection& connection);
     static void declinePeer (CallerConnection& connection, const std::string& message);
     /// Calls `visit` for each open exchange. `visit` may end exchanges.
@@ -90,6 +93,7 @@
     std::map<CallerConnection*, std::unique_ptr<Exchange>> m_exchanges;
     std::vector<std::unique_ptr<Exchange>> m_ended;
     std::vector<std::shared_ptr<CallerConnection>> m_closed;
+    StreamAnnouncer m_announcer;
     QTimer m_sweeper;
     QTimer m_unsentCheck;
     QTcpServer m_server;
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -168,6 +168,9 @@
         return "127.0.0.1:" + std::to_string (m_server.serverPort());
     }
 
+    /// Sets the end of each request, for requests other than ProxyFixture::request().
+    void setRequestEnd (std::string end) { m_requestEnd = std::move (end); }
+
     std::size_t requests = 0;
 
 private:
@@ -179,13 +182,12 @@
     }
     void read (QTcpSocket& socket)
     {
-        constexpr std::string_view kEnd = "\r\n\r\nbody";
         std::string& received = m_received[&socket];
         received += socket.readAll().toStdString();
-        const std::size_t end = received.find (kEnd);
+        const std::size_t end = received.find (m_requestEnd);
         if (end == std::string::npos)
             return;
-        const std::string request = received.substr (0, end + kEnd.size());
+        const std::string request = received.substr (0, end + m_requestEnd.size());
         received.erase (0, request.size());
         ++requests;
         const StubReply reply = m_handler (request);
@@ -202,6 +204,7 @@
     }
 
     Handler m_handler;
+    std::string m_requestEnd = "\r\n\r\nbody";
     std::map<QTcpSocket*, std::string> m_received;
     QTcpServer m_server;
 };
--- /dev/null
+++ b/src/proxy/StreamAnnouncer.cpp
@@ -0,0 +1,120 @@
+#include "proxy/StreamAnnouncer.h"
+
+#include <QTimer>
+#include <utility>
+
+namespace fernlift::proxy
+{
+namespace
+{
+
+/// Notices that wait for their answers, over all routers.
+constexpr std::size_t kMaxCalls = 1000;
+constexpr base::milliseconds kAnswerTimeout (2000);
+
+}  // namespace
+
+class StreamAnnouncer::Call final : public http::AnswerListener
+{
+public:
+    Call (StreamAnnouncer& owner, std::uint64_t peerKey) : m_owner (owner), m_peerKey (peerKey)
+    {
+        m_timer.setSingleShot (true);
+        QObject::connect (&m_timer, &QTimer::timeout, &m_timer, [this] { m_owner.onEnd (*this); });
+    }
+    ~Call() override
+    {
+        if (connection)
+            connection->detach();
+    }
+    Call (const Call&) = delete;
+    Call& operator= (const Call&) = delete;
+
+    void start (const base::SocketAddress& address, std::string bytes)
+    {
+        connection = m_owner.m_pool.acquire (address, m_owner.m_clock.now());
+        m_timer.start (kAnswerTimeout);
+        http::BackEndConnection::Call call;
+        call.bytes = std::move (bytes);
+        connection->send (std::move (call), this);
+    }
+    void onSent() override {}
+    void onHead (http::AnswerHead head) override
+    {
+        const PeerAnswer answer =
+            base::handleErrors ([&] { return takePeerAnswer (head.headers); },
+                                [] (const base::Error&) { return PeerAnswer(); });
+        isSupported = answer.isNoticeRead;
+    }
+    void onBody (std::string_view /*data*/) override {}
+    void onDone() override
+    {
+        isAnswered = true;
+        // The connection that calls this must outlive the call.
+        m_timer.start (0);
+    }
+    void onFailed (http::BackEndFailure /*failure*/) override { m_timer.start (0); }
+
+    [[nodiscard]] std::uint64_t peerKey() const { return m_peerKey; }
+
+    std::shared_ptr<http::BackEndConnection> connection;
+    bool isAnswered = false;
+    bool isSupported = false;
+
+private:
+    StreamAnnouncer& m_owner;
+    std::uint64_t m_peerKey;
+    QTimer m_timer;
+};
+
+StreamAnnouncer::StreamAnnouncer (const base::Clock& clock, http::BackEndPool& pool)
+    : m_clock (clock), m_pool (pool)
+{
+}
+
+StreamAnnouncer::~StreamAnnouncer() = default;
+
+void StreamAnnouncer::announce (const StreamNotice& notice, const PeerRouters& peers,
+                                const std::string& router)
+{
+    peers.visit (
+        [&] (const PeerChoice& peer)
+        {
+            if (! m_unsupported.contains (peer.key))
+                send (notice, peer, router);
+        });
+}
+
+void StreamAnnouncer::send (const StreamNotice& notice, const PeerChoice& peer,
+                            const std::string& router)
+{
+    if (m_calls.size() >= kMaxCalls)
+    {
+        ++m_lost;
+        return;
+    }
+    PeerRequest statement;
+    statement.router = router;
+    statement.key = peer.key;
+    statement.notice = notice;
+    auto call = std::make_unique<Call> (*this, peer.key);
+    Call& begun = *call;
+    m_calls.insert (std::move (call));
+    begun.start (peer.address, peerNoticeBytes (statement));
+}
+
+void StreamAnnouncer::onEnd (Call& call)
+{
+    if (! call.isAnswered)
+        ++m_lost;
+    else if (! call.isSupported)
+        m_unsupported.insert (call.peerKey());
+    if (call.isAnswered)
+    {
+        call.connection->detach();
+        m_pool.release (std::exchange (call.connection, nullptr), m_clock.now());
+    }
+    std::erase_if (m_calls, [&] (const auto& item) { return item.get() == &call; });
+}
+
+}  // namespace fernlift::proxy
--- /dev/null
+++ b/src/proxy/StreamAnnouncer.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/**
+ * Sends notices on streams that began to the other routers. A notice is written to the connection
+ * before announce() returns where one is open; its answer is only read to learn whether the router
+ * supports notices.
+ */
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "base/Time.h"
+#include "http/BackEndPool.h"
+#include "proxy/PeerMessage.h"
+#include "proxy/PeerRouters.h"
+
+namespace fernlift::proxy
+{
+
+/** Threading: none; lives on the event loop of one router. */
+class StreamAnnouncer
+{
+public:
+    StreamAnnouncer (const base::Clock& clock, http::BackEndPool& pool);
+    ~StreamAnnouncer();
+    StreamAnnouncer (const StreamAnnouncer&) = delete;
+    StreamAnnouncer& operator= (const StreamAnnouncer&) = delete;
+
+    /** Sends the notice to all routers known to `peers` that may support it. `router` is the name
+       of this one. */
+    void announce (const StreamNotice& notice, const PeerRouters& peers, const std::string& router);
+    /** Number of notices that were not sent or not answered. */
+    [[nodiscard]] std::uint64_t lost() const { return m_lost; }
+
+private:
+    /** A notice that waits for its answer. */
+    class Call;
+
+    void send (const StreamNotice& notice, const PeerChoice& peer, const std::string& router);
+    void onEnd (Call& call);
+
+    const base::Clock& m_clock;
+    http::BackEndPool& m_pool;
+    std::set<std::unique_ptr<Call>> m_calls;
+    /** Keys of routers that do not support notices. A router draws its key at its start. */
+    std::set<std::uint64_t> m_unsupported;
+    std::uint64_t m_lost = 0;
+};
+
+}  // namespace fernlift::proxy
--- a/src/proxy/StreamSoftwareTest.cpp
+++ b/src/proxy/StreamSoftwareTest.cpp
@@ -65,6 +65,13 @@
         router.put (otherToo.row ("i-3"));
         router.put (firstToo.row ("i-4"));
     }
+    static void connect (ProxyFixture& router, ProxyFixture& another)
+    {
+        router.servePeers ("a");
+        another.servePeers ("b");
+        router.setPeers ({ router.peerRow(), another.peerRow() });
+        another.setPeers ({ router.peerRow(), another.peerRow() });
+    }
     static std::string callUntil (ProxyFixture& router, const std::string& request,
                                   const std::string& end)
     {
@@ -156,10 +163,7 @@
 {
     ProxyFixture router;
     ProxyFixture another;
-    router.servePeers ("a");
-    another.servePeers ("b");
-    router.setPeers ({ router.peerRow(), another.peerRow() });
-    another.setPeers ({ router.peerRow(), another.peerRow() });
+    connect (router, another);
     addRunnersTo (router);
     addRunnersTo (another);
     for (int number = 0; number < 8; ++number)
@@ -217,5 +221,73 @@
     EXPECT_TRUE (answer.starts_with ("HTTP/1.1 503")) << answer;
 }
 
+TEST_F (StreamSoftwareTest, StreamThatBeganBeforeTheNewVersionIsKnownEverywhere)
+{
+    ProxyFixture router;
+    ProxyFixture another;
+    connect (router, another);
+    StubRunner runner;
+    cell::RoutableInstance row = ProxyFixture::rowOf ("i-1", runner.address());
+    row.softwareVersion = "v1";
+    router.put (row);
+    RawCaller caller (router.listening);
+    caller.write (ProxyFixture::request ("resume.test", "stream"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (kHead + "10\r\nid: 1\ndata: v1\n\n\r\n");
+    ASSERT_TRUE (caller.waitFor ("data: v1"));
+    router.put (other.row ("i-2"));
+    addRunnersTo (another);
+    ASSERT_TRUE (waitUntil ([&] { return another.context.streams.size() == 1; }));
+    EXPECT_EQ (versionIn (resume (another, "stream")), "v1");
+}
+
+TEST_F (StreamSoftwareTest, NothingIsSentWhileThereIsOneSoftwareVersion)
+{
+    ProxyFixture router;
+    ProxyFixture another;
+    connect (router, another);
+    router.put (first.row ("i-1"));
+    ASSERT_EQ (versionIn (begin (router, "stream")), "v1");
+    runFor (std::chrono::milliseconds (20));
+    EXPECT_EQ (router.context.streams.size(), 0U);
+    EXPECT_EQ (another.context.streams.size(), 0U);
+    EXPECT_EQ (router.pool.opened(), 1U);
+}
+
+TEST_F (StreamSoftwareTest, RouterOfEarlierBuildGetsOneNotice)
+{
+    ProxyFixture router;
+    router.servePeers ("a");
+    AnsweringRunner earlier (
+        [] (const std::string&)
+        {
+            return StubReply{
+                "HTTP/1.1 404 Not Found\r\nFernlift-Peer-Answer: "
+                "outcome=unavailable;attempts=0;runner=;isolated=0\r\n"
+                "Content-Length: 0\r\n\r\n"
+            };
+        });
+    earlier.setRequestEnd ("\r\n\r\n");
+    router.setPeers ({ { "b", "z1", earlier.address(), 7 } });
+    addRunnersTo (router);
+    for (const char* const id : { "stream-1", "stream-2", "stream-3" })
+    {
+        ASSERT_NE (versionIn (begin (router, id)), "");
+        runFor (std::chrono::milliseconds (20));
+    }
+    EXPECT_EQ (earlier.requests, 1U);
+}
+
+TEST_F (StreamSoftwareTest, CallerCannotTellVersionsOfStreams)
+{
+    ProxyFixture router;
+    addRunnersTo (router);
+    callUntil (router,
+               "POST / HTTP/1.1\r\nHost: none.test\r\nContent-Length: 0\r\nFernlift-Peer-Request: "
+               "router=a;key=0;configuration=1;avoid=;stream=0f;software=v1;lifetime=9000\r\n\r\n",
+               "\r\n\r\n");
+    EXPECT_EQ (router.context.streams.size(), 0U);
+}
+
 }  // namespace
 }  // namespace fernlift::proxy::test
