Routers agree on the software version of a stream that goes on through another router

Cause: a router that is isolated and whose table is behind sent the rest of a stream to another router; it didn't list the runner that had begun it, and took the one version that it listed for the only one. Change: the answer of the other router states the version of its runner, the request states the version that is required, and the other router obeys it; a version that neither knows is not guessed for such an attempt. Also: a notice is looked up before the table is asked, which may be behind. Routers of earlier builds ignore the new values of the statement.

--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -141,8 +141,8 @@
     // ExchangePeers.cpp
     /// Whether the request should go to another router: this one cannot connect to the runners.
     [[nodiscard]] bool needsPeer (const InstanceChoice& choice) const;
-    /// Whether a stream that goes on may do so at another router, which chooses its runner without
-    /// regard to software versions.
+    /// Whether a stream that goes on may do so at another router. One of an earlier build chooses
+    /// its runner without regard to software versions.
     [[nodiscard]] bool mayGoOnAtPeer() const;
     /// Sends the request to another router. Returns false when there is none that may serve it.
     bool forwardToPeer();
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -296,8 +296,9 @@
     }
     else
     {
+        // Only comments are left.
         if (m_use == AnswerUse::kEvents)
-            m_caller.writeBody (m_events->incompleteBytes());  // Comments.
+            m_caller.writeBody (m_events->incompleteBytes());
         m_caller.endAnswer();
     }
     if (! m_peer && suspectStatus().isSuspect())
--- a/src/proxy/ExchangePeers.cpp
+++ b/src/proxy/ExchangePeers.cpp
@@ -43,7 +43,7 @@
 
 bool Exchange::mayGoOnAtPeer() const
 {
-    return ! m_query.softwareVersion || onlySoftwareVersion().has_value();
+    return ! m_query.softwareVersion || onlySoftwareVersion() == m_query.softwareVersion;
 }
 
 bool Exchange::forwardToPeer()
@@ -76,6 +76,7 @@
     fields.statement.key = peer.key;
     fields.statement.configurationVersion = m_routes->version();
     fields.statement.avoidedInstance = m_query.avoidedInstance;
+    fields.statement.softwareVersion = m_query.softwareVersion.value_or ("");
     fields.timeLeft = timeLeftForAttempt();
     if (m_events)
         fields.lastEventId = m_events->lastId();
@@ -94,7 +95,9 @@
     m_peerAnswer = base::handleErrors ([&] { return takePeerAnswer (head.headers); },
                                        [] (const base::Error&) { return PeerAnswer(); });
     m_instance = m_peerAnswer.runner;
-    m_softwareVersion = m_context.directory.softwareVersionOf (m_instance);
+    m_softwareVersion = m_peerAnswer.softwareVersion
+                            ? *m_peerAnswer.softwareVersion
+                            : m_context.directory.softwareVersionOf (m_instance);
     const bool isSent = m_peerAnswer.attempts > 0 || m_peerAnswer.outcome == PeerOutcome::kFailed;
     if (! isSent)
         --m_sentAttempts;
@@ -173,6 +176,8 @@
         return false;
     }
     m_query.avoidedInstance = m_servedPeer->avoidedInstance;
+    if (! m_servedPeer->softwareVersion.empty())
+        m_query.softwareVersion = m_servedPeer->softwareVersion;
     return true;
 }
 
@@ -191,6 +196,7 @@
     answer.outcome = outcome;
     answer.attempts = std::min<std::uint32_t> (m_sentAttempts, 1);
     answer.runner = m_instance;
+    answer.softwareVersion = m_softwareVersion;
     answer.isIsolated = m_context.reachability.path (now()) != RunnerPath::kOpen;
     return answer;
 }
--- a/src/proxy/ExchangeSoftware.cpp
+++ b/src/proxy/ExchangeSoftware.cpp
@@ -34,7 +34,7 @@
     // The version may have become known after the attempt began.
     if (version.empty())
         version = m_context.directory.softwareVersionOf (m_instance);
-    if (version.empty())
+    if (version.empty() && ! m_peer)
         version = versions.onlySince (m_query.service, m_arrivedAt).value_or ("");
     m_query.softwareVersion = version;
 }
@@ -56,6 +56,14 @@
         m_route->isResumable && m_request.headers.contains (m_context.names.lastEventId);
     if (m_servedPeer || ! isResumed)
         return true;
+    // Looked up first: the router that began the stream may have known a version that the table of
+    // this one doesn't list yet.
+    m_query.softwareVersion = m_context.streams.find (streamKey (resumedRequest()), now());
+    if (m_query.softwareVersion)
+    {
+        ++m_context.counters.resumedByCallers;
+        return true;
+    }
     const std::optional<std::string> only = onlySoftwareVersion();
     if (only)
     {
@@ -63,12 +71,6 @@
             m_query.softwareVersion = only;
         return true;
     }
-    m_query.softwareVersion = m_context.streams.find (streamKey (resumedRequest()), now());
-    if (m_query.softwareVersion)
-    {
-        ++m_context.counters.resumedByCallers;
-        return true;
-    }
     ++m_context.counters.unknownStreams;
     refuse (base::ErrorKind::kNoCapacity, "the software version of the stream is not known here",
             kRetryElsewhere);
--- a/src/proxy/PeerMessage.cpp
+++ b/src/proxy/PeerMessage.cpp
@@ -111,6 +111,8 @@
     std::string text = "router=" + encoded (request.router) + ";key=" + hexOf (request.key)
                        + ";configuration=" + std::to_string (request.configurationVersion)
                        + ";avoid=" + encoded (request.avoidedInstance);
+    if (! request.softwareVersion.empty())
+        text.append (";version=").append (encoded (request.softwareVersion));
     if (! request.notice)
         return text;
     text.append (";stream=").append (encoded (request.notice->key));
@@ -127,6 +129,8 @@
     text.append (";attempts=").append (std::to_string (answer.attempts));
     text.append (";runner=").append (encoded (answer.runner));
     text.append (";isolated=").append (answer.isIsolated ? "1" : "0");
+    if (answer.softwareVersion)
+        text.append (";version=").append (encoded (*answer.softwareVersion));
     if (answer.isNoticeRead)
         text.append (";notice=1");
     return text;
@@ -155,6 +159,10 @@
     BOOST_LEAF_ASSIGN (request.key, numberOf (values, "key", kHexadecimal));
     BOOST_LEAF_ASSIGN (request.configurationVersion, numberOf (values, "configuration", kDecimal));
     BOOST_LEAF_ASSIGN (request.avoidedInstance, textOf (values, "avoid"));
+    if (values.contains ("version"))
+    {
+        BOOST_LEAF_ASSIGN (request.softwareVersion, textOf (values, "version"));
+    }
     if (values.contains ("stream"))
     {
         BOOST_LEAF_ASSIGN (request.notice, noticeIn (values));
@@ -177,6 +185,10 @@
     BOOST_LEAF_AUTO (isIsolated, numberOf (values, "isolated", kDecimal));
     answer.isIsolated = isIsolated != 0;
     answer.isNoticeRead = values.contains ("notice");
+    if (values.contains ("version"))
+    {
+        BOOST_LEAF_ASSIGN (answer.softwareVersion, textOf (values, "version"));
+    }
     return answer;
 }
 
--- a/src/proxy/PeerMessage.h
+++ b/src/proxy/PeerMessage.h
@@ -42,6 +42,8 @@
     /// applied to it.
     std::uint64_t configurationVersion = 0;
     std::string avoidedInstance;  ///< Runner of an earlier attempt; may be empty.
+    /// Set for a stream that goes on: no runner of another software version may be chosen.
+    std::string softwareVersion{};
     /// Set in a message that is no request but a notice. Earlier builds answer that no route leads
     /// there.
     std::optional<StreamNotice> notice{};
@@ -66,6 +68,9 @@
     std::string runner;          ///< Last of these runners; may be empty.
     bool isIsolated = false;     ///< The router can connect to no runner at all.
     bool isNoticeRead = false;   ///< The answer is to a notice.
+    /// Software version of the runner; empty if not known. None from routers of earlier builds,
+    /// which choose runners without regard to it.
+    std::optional<std::string> softwareVersion{};
 
     bool operator== (const PeerAnswer&) const = default;
 };
--- a/src/proxy/PeerMessageTest.cpp
+++ b/src/proxy/PeerMessageTest.cpp
@@ -51,6 +51,21 @@
     EXPECT_FALSE (headers.contains (kRequestField));
 }
 
+TEST (PeerMessageTest, SoftwareVersionsAreOptional)
+{
+    PeerRequest sent{ "r", 1, 7, "" };
+    sent.softwareVersion = "v 1;=";
+    http::Headers headers;
+    headers.add (kRequestField, formatPeerRequest (sent));
+    EXPECT_EQ (takePeerRequest (headers).value(), sent);
+    PeerAnswer answer;
+    headers.add (kAnswerField, formatPeerAnswer (answer));
+    EXPECT_FALSE (takePeerAnswer (headers).value().softwareVersion);
+    answer.softwareVersion = "v2";
+    headers.add (kAnswerField, formatPeerAnswer (answer));
+    EXPECT_EQ (takePeerAnswer (headers).value(), answer);
+}
+
 TEST (PeerMessageTest, NoticeSurvivesAnyVersion)
 {
     PeerRequest sent{ "r", 1, 7, "" };
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -334,6 +334,13 @@
         update.upserts = rows;
         apply (update);
     }
+    /// Lets every probe of a runner that broke off an answer find it alive, at once.
+    void findRunnersAlive()
+    {
+        context.checkRunner = [this] (const std::string& instance, const base::SocketAddress&)
+        { suspects.onProbeResult (instance, quarantine::RunnerProbeResult::kAlive); };
+    }
+
     /// Lets time pass at once, as if the process had been suspended.
     void advance (base::Duration time)
     {
--- a/src/proxy/StreamEndTest.cpp
+++ b/src/proxy/StreamEndTest.cpp
@@ -144,6 +144,7 @@
         wholeEventBytes += events[wholeEvents++].size();
 
     ProxyFixture proxy;
+    proxy.findRunnersAlive();
     AnsweringRunner runner (
         [&] (const std::string& request) -> StubReply
         {
--- a/src/proxy/StreamSoftwareTest.cpp
+++ b/src/proxy/StreamSoftwareTest.cpp
@@ -33,13 +33,17 @@
         return row;
     }
 
+    std::size_t begun = 0;
     std::size_t resumed = 0;
 
 private:
     StubReply answer (const std::string& request)
     {
         if (request.find ("Last-Event-Id") == std::string::npos)
+        {
+            ++begun;
             return { kHead + chunk ("1"), true };
+        }
         ++resumed;
         return { kHead + chunk ("2") + "0\r\n\r\n" };
     }
@@ -241,6 +245,39 @@
     EXPECT_EQ (versionIn (resume (another, "stream")), "v1");
 }
 
+TEST_F (StreamSoftwareTest, NoticeHoldsAgainstTableThatIsBehind)
+{
+    ProxyFixture router;
+    ProxyFixture another;
+    connect (router, another);
+    router.put (first.row ("i-1"));
+    router.put (other.row ("i-2"));
+    another.put (first.row ("i-1"));
+    for (const char* const id : { "stream-1", "stream-2", "stream-3", "stream-4" })
+    {
+        const std::string version = versionIn (begin (router, id));
+        runFor (std::chrono::milliseconds (20));
+        const std::string answer = resume (another, id);
+        EXPECT_TRUE (versionIn (answer).empty() || versionIn (answer) == version) << answer;
+    }
+    EXPECT_GT (other.begun, 0U);
+}
+
+TEST_F (StreamSoftwareTest, IsolatedRouterThatIsBehindDoesNotMixVersions)
+{
+    ProxyFixture router;
+    ProxyFixture another;
+    connect (router, another);
+    addRunnersTo (another);
+    router.put (ProxyFixture::rowOf ("cut-1", closedAddress()));
+    router.isolate();
+    RawCaller caller (router.listening);
+    caller.write (ProxyFixture::request ("resume.test"));
+    ASSERT_TRUE (
+        waitUntil ([&] { return caller.isClosed() || caller.received().ends_with ("0\r\n\r\n"); }));
+    EXPECT_NE (versionIn (caller.received()), "") << caller.received();
+}
+
 TEST_F (StreamSoftwareTest, NothingIsSentWhileThereIsOneSoftwareVersion)
 {
     ProxyFixture router;
