Streams are announced at their first event only; notices that are lost show in a metric

Read once more. announceStream() ran for each batch of events, with a search of the headers and a look-up of versions each time, though only the first event and a change of the table can make a difference: the second has its own call. The checks that need neither come first now. Why a pinned request has no runner was found with a copy of the query; couldServe() is divided instead.

--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -201,9 +201,11 @@
     if (events.empty())
         return;
     const base::TimePoint earlier = std::exchange (m_lastEventAt, now());
-    announceStream();
+    const bool isFirst = earlier == base::TimePoint{};
+    if (isFirst)
+        announceStream();
     m_caller.writeBody (events);
-    if (earlier == base::TimePoint{})
+    if (isFirst)
         return;
     const base::Duration pause = m_lastEventAt - earlier;
     m_longestPause = std::max (m_longestPause, pause);
--- a/src/proxy/ExchangeSoftware.cpp
+++ b/src/proxy/ExchangeSoftware.cpp
@@ -80,10 +80,9 @@
 void Exchange::announceStream()
 {
     const bool hasEvents = m_lastEventAt != base::TimePoint{};
-    const bool isOfCaller = ! m_servedPeer && resumedRequest().empty();
-    if (! hasEvents || ! isOfCaller || m_isStreamAnnounced || ! m_route->isResumable)
+    if (! hasEvents || m_isStreamAnnounced || m_servedPeer || ! m_route->isResumable)
         return;
-    if (m_softwareVersion.empty() || onlySoftwareVersion())
+    if (m_softwareVersion.empty() || onlySoftwareVersion() || ! resumedRequest().empty())
         return;
     m_isStreamAnnounced = true;
     StreamNotice notice;
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -421,6 +421,14 @@
 
 bool InstanceDirectory::couldServe (const View& view, const InstanceQuery& query,
                                     base::TimePoint now) const
+{
+    const bool hasSoftware =
+        ! query.softwareVersion || *query.softwareVersion == view.row.softwareVersion;
+    return hasSoftware && couldServeAtAnyVersion (view, query, now);
+}
+
+bool InstanceDirectory::couldServeAtAnyVersion (const View& view, const InstanceQuery& query,
+                                                base::TimePoint now) const
 {
     const auto hasCrashed = [&]
     {
@@ -428,10 +436,7 @@
         return ! crashed.empty()
                && std::ranges::find (crashed, incarnationNameOf (view.row)) != crashed.end();
     };
-    const bool hasSoftware =
-        ! query.softwareVersion || *query.softwareVersion == view.row.softwareVersion;
-    return hasSoftware && isAccepting (view, query, now) && ! hasCrashed()
-           && holds (view, query, now);
+    return isAccepting (view, query, now) && ! hasCrashed() && holds (view, query, now);
 }
 
 bool InstanceDirectory::canServe (const View& view, const InstanceQuery& query,
@@ -508,15 +513,11 @@
     const auto isServing = [&] (const auto& item) { return couldServe (*item.second, query, now); };
     if (std::ranges::any_of (viewsFor (query.service, query.model), isServing))
         return NoRunnerReason::kUnreachable;
-    if (query.softwareVersion)
-    {
-        InstanceQuery anyVersion = query;
-        anyVersion.softwareVersion.reset();
-        const auto couldServeIt = [&] (const auto& item)
-        { return couldServe (*item.second, anyVersion, now); };
-        if (std::ranges::any_of (viewsFor (query.service, query.model), couldServeIt))
-            return NoRunnerReason::kSoftwareVersion;
-    }
+    const auto isServingOthers = [&] (const auto& item)
+    { return couldServeAtAnyVersion (*item.second, query, now); };
+    if (query.softwareVersion
+        && std::ranges::any_of (viewsFor (query.service, query.model), isServingOthers))
+        return NoRunnerReason::kSoftwareVersion;
     const Views& views = viewsFor (query.service, {});
     const bool isAny = std::ranges::any_of (
         views, [&] (const auto& item) { return isAccepting (*item.second, query, now); });
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -294,6 +294,9 @@
     /// router can connect to it.
     [[nodiscard]] bool couldServe (const View& view, const InstanceQuery& query,
                                    base::TimePoint now) const;
+    /// The same, also apart from the software version of the runner.
+    [[nodiscard]] bool couldServeAtAnyVersion (const View& view, const InstanceQuery& query,
+                                               base::TimePoint now) const;
     /// Whether the runner may be chosen and holds the model and adapter.
     [[nodiscard]] bool canServe (const View& view, const InstanceQuery& query,
                                  base::TimePoint now) const;
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -51,6 +51,8 @@
 
     [[nodiscard]] std::size_t openExchanges() const { return m_exchanges.size(); }
     [[nodiscard]] std::size_t waitingExchanges() const;
+    /// Notices on streams that other routers probably did not get.
+    [[nodiscard]] std::uint64_t lostNotices() const { return m_announcer.lost(); }
     [[nodiscard]] std::size_t openConnections() const { return m_connections.size(); }
 
 private:
