Tests of streams share the reset of a connection and the writing of a chunk

The reset by SO_LINGER stood three times in the tests of http and proxy and chunks were written twice, one of them by hand with a wrong size in one case. resetConnection() and chunkOf() serve all of them. No assertion changed.

--- a/src/http/ClientTest.cpp
+++ b/src/http/ClientTest.cpp
@@ -1,5 +1,4 @@
 #include <gtest/gtest.h>
-#include <sys/socket.h>
 
 #include <QTcpServer>
 #include <QTimer>
@@ -425,10 +424,7 @@
         {
             socket.write ("HTTP/1.1 200 OK\r\n\r\nhello");
             socket.flush();
-            const linger immediate{ 1, 0 };
-            ::setsockopt (static_cast<int> (socket.socketDescriptor()), SOL_SOCKET, SO_LINGER,
-                          &immediate, sizeof immediate);
-            QTimer::singleShot (20, &socket, [&socket] { socket.abort(); });
+            QTimer::singleShot (20, &socket, [&socket] { test::resetConnection (socket); });
         });
     Client client;
     Outcome outcome;
--- a/src/http/HttpTestSupport.h
+++ b/src/http/HttpTestSupport.h
@@ -2,6 +2,8 @@
 
 /// Test helpers: running the event loop with a time limit, and a caller on a raw socket.
 
+#include <sys/socket.h>
+
 #include <QCoreApplication>
 #include <QHostAddress>
 #include <QTcpSocket>
@@ -53,6 +55,15 @@
     }
 }
 
+/// Closes the connection so that the peer receives a reset.
+inline void resetConnection (QTcpSocket& socket)
+{
+    const linger immediate{ 1, 0 };
+    ::setsockopt (static_cast<int> (socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &immediate,
+                  sizeof immediate);
+    socket.abort();
+}
+
 /// A caller that writes and reads raw bytes.
 class RawCaller
 {
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -2,10 +2,10 @@
 
 /// Helpers for the tests: a stub runner that writes raw bytes, and a proxy that forwards to it.
 
-#include <sys/socket.h>
-
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <array>
+#include <cstdio>
 #include <cstdlib>
 #include <functional>
 #include <map>
@@ -45,13 +45,7 @@
     /// Closes the connection in order.
     void close() { m_socket->disconnectFromHost(); }
     /// Closes the connection so that the peer receives a reset.
-    void reset()
-    {
-        const linger immediate{ 1, 0 };
-        ::setsockopt (static_cast<int> (m_socket->socketDescriptor()), SOL_SOCKET, SO_LINGER,
-                      &immediate, sizeof immediate);
-        m_socket->abort();
-    }
+    void reset() { http::test::resetConnection (*m_socket); }
     [[nodiscard]] bool isClosed() const
     {
         return m_socket->state() == QAbstractSocket::UnconnectedState;
@@ -139,6 +133,14 @@
     return "HTTP/1.1 200 OK\r\nTest-Id: r1\r\n" + fields + "Content-Length: 5\r\n\r\nhello";
 }
 
+/// One chunk of a chunked body; empty for no data.
+inline std::string chunkOf (const std::string& data)
+{
+    std::array<char, 24> header{};
+    std::snprintf (header.data(), header.size(), "%zx\r\n", data.size());
+    return data.empty() ? std::string() : header.data() + data + "\r\n";
+}
+
 /// Reply of an AnsweringRunner.
 struct StubReply
 {
@@ -195,12 +197,8 @@
         socket.flush();
         if (reply.closes)
             socket.disconnectFromHost();
-        if (! reply.resets)
-            return;
-        const linger immediate{ 1, 0 };
-        ::setsockopt (static_cast<int> (socket.socketDescriptor()), SOL_SOCKET, SO_LINGER,
-                      &immediate, sizeof immediate);
-        socket.abort();
+        if (reply.resets)
+            http::test::resetConnection (socket);
     }
 
     Handler m_handler;
--- a/src/proxy/StreamEndTest.cpp
+++ b/src/proxy/StreamEndTest.cpp
@@ -74,13 +74,6 @@
            + "\r\n";
 }
 
-std::string chunk (const std::string& data)
-{
-    std::array<char, 24> header{};
-    std::snprintf (header.data(), header.size(), "%zx\r\n", data.size());
-    return data.empty() ? std::string() : header.data() + data + "\r\n";
-}
-
 StubReply replyOf (const StreamCase& streamCase)
 {
     const std::string body = joined (eventsOf (streamCase.lineEnd)).substr (0, streamCase.length);
@@ -94,7 +87,7 @@
             reply.bytes = streamHead ("") + body;
             break;
         case Framing::kChunked:
-            reply.bytes = streamHead ("Transfer-Encoding: chunked\r\n") + chunk (body)
+            reply.bytes = streamHead ("Transfer-Encoding: chunked\r\n") + chunkOf (body)
                           + (isFramed ? "0\r\n\r\n" : "");
             break;
         case Framing::kLength:
@@ -151,7 +144,7 @@
             if (request.find ("Last-Event-Id") == std::string::npos)
                 return replyOf (streamCase);
             return { streamHead ("Transfer-Encoding: chunked\r\n")
-                     + chunk (joined (events, wholeEvents)) + "0\r\n\r\n" };
+                     + chunkOf (joined (events, wholeEvents)) + "0\r\n\r\n" };
         });
     proxy.put (ProxyFixture::rowOf ("i-1", runner.address()));
     std::string request =
--- a/src/proxy/StreamSoftwareTest.cpp
+++ b/src/proxy/StreamSoftwareTest.cpp
@@ -49,9 +49,7 @@
     }
     [[nodiscard]] std::string chunk (const std::string& id) const
     {
-        const std::string event = "id: " + id + "\ndata: " + m_version + "\n\n";
-        return std::to_string (event.size() / 16) + "0123456789abcdef"[event.size() % 16] + "\r\n"
-               + event + "\r\n";
+        return chunkOf ("id: " + id + "\ndata: " + m_version + "\n\n");
     }
 
     std::string m_version;
@@ -140,7 +138,7 @@
     RawCaller caller (router.listening);
     caller.write (ProxyFixture::request ("resume.test"));
     ASSERT_TRUE (runner.waitForRequest());
-    runner.connections[0]->write (kHead + "15\r\nid: 1\ndata: v1\n\n\r\n");
+    runner.connections[0]->write (kHead + chunkOf ("id: 1\ndata: v1\n\n"));
     ASSERT_TRUE (caller.waitFor ("data: v1"));
     router.remove ("i-1");
     router.put (other.row ("i-2"));
@@ -237,7 +235,7 @@
     RawCaller caller (router.listening);
     caller.write (ProxyFixture::request ("resume.test", "stream"));
     ASSERT_TRUE (runner.waitForRequest());
-    runner.connections[0]->write (kHead + "10\r\nid: 1\ndata: v1\n\n\r\n");
+    runner.connections[0]->write (kHead + chunkOf ("id: 1\ndata: v1\n\n"));
     ASSERT_TRUE (caller.waitFor ("data: v1"));
     router.put (other.row ("i-2"));
     addRunnersTo (another);
