The HTTP client reads its connections itself; an answer that was reset is broken

What callers saw: an application's answer without length or chunks that was reset in the middle came through the router of models and applications as a complete one. The same client tells controllers, the operator's tool and the checker of histories what back ends and routers answered.

Cause: Qt's network access reports a reset like an orderly close and hands out neither the socket nor its state, so ClientExchange::isWhole() could not know.

Change: Client stands on the connection and parser of the forwarding router (BackEndConnection, AnswerParser), which tell a reset from a close; ClientExchange adds the timeouts, pauses and cancel(). BodySource and ConnectionSlots, which worked round Qt, go. A connection that is not established in time is now "not sent", which is known (test added).

Why it works: the end of the connection comes from recv() itself, and the parser counts an answer as complete by its framing only.

--- a/src/http/BackEndConnection.cpp
+++ b/src/http/BackEndConnection.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-/// Keep-alive time assumed for a runner that states none. It is short, as the runner may close the
-/// connection at any moment.
-constexpr base::Duration kDefaultKeepAlive = base::seconds (2);
 /// Connections are not reused this long before the end of their keep-alive time: the runner closes
 /// them at its end, and requests in flight at that moment are lost.
 constexpr base::Duration kKeepAliveMargin = base::milliseconds (700);
@@ -33,8 +30,11 @@
 
 }  // namespace
 
-BackEndConnection::BackEndConnection (base::SocketAddress address, base::Duration connectTimeout)
-    : m_address (std::move (address)), m_connectTimeout (connectTimeout)
+BackEndConnection::BackEndConnection (base::SocketAddress address, base::Duration connectTimeout,
+                                      base::Duration defaultKeepAlive)
+    : m_address (std::move (address)),
+      m_connectTimeout (connectTimeout),
+      m_defaultKeepAlive (defaultKeepAlive)
 {
 }
 
@@ -79,6 +79,14 @@
     m_call.bytes.clear();
     if (m_listener != nullptr)
         m_listener->onSent();
+    if (m_socket.bytesToWrite() == 0)
+        onFlushed();
+}
+
+void BackEndConnection::onFlushed()
+{
+    if (m_isActive && m_listener != nullptr)
+        m_listener->onFlushed();
 }
 
 void BackEndConnection::beginAnswer()
@@ -148,7 +156,7 @@
     m_isHeadRead = true;
     m_isPersistent = head.isPersistent;
     const std::string keepAlive = head.headers.value ("Keep-Alive");
-    m_keepAlive = keepAliveOf (keepAlive).value_or (kDefaultKeepAlive);
+    m_keepAlive = keepAliveOf (keepAlive).value_or (m_defaultKeepAlive);
     if (m_listener != nullptr)
         m_listener->onHead (std::move (head));
 }
--- a/src/http/BackEndConnection.h
+++ b/src/http/BackEndConnection.h
@@ -33,6 +33,8 @@
 
     /// The connection is open and the request has been written.
     virtual void onSent() = 0;
+    /// The system has taken all bytes of the request.
+    virtual void onFlushed() {}
     virtual void onHead (AnswerHead head) = 0;
     virtual void onBody (std::string_view data) = 0;
     virtual void onDone() = 0;
@@ -54,7 +56,12 @@
         std::string requestId;
     };
 
-    BackEndConnection (base::SocketAddress address, base::Duration connectTimeout);
+    /// Keep-alive time assumed for a back end that states none. It is short, as the back end may
+    /// close the connection at any moment.
+    static constexpr base::Duration kDefaultKeepAlive = base::seconds (2);
+
+    BackEndConnection (base::SocketAddress address, base::Duration connectTimeout,
+                       base::Duration defaultKeepAlive = kDefaultKeepAlive);
     ~BackEndConnection() override;
     BackEndConnection (const BackEndConnection&) = delete;
     BackEndConnection& operator= (const BackEndConnection&) = delete;
@@ -63,6 +70,11 @@
     void send (Call call, AnswerListener* listener);
     /// Stops calls to the listener; the connection is reusable only if its answer was complete.
     void detach();
+    /// Stops or resumes reading from the connection. Up to the bytes of one read may still be
+    /// delivered.
+    void setPaused (bool isPaused) { m_socket.setReading (! isPaused); }
+    /// Sets the most bytes of one read.
+    void setMaxReadBytes (std::size_t bytes) { m_socket.setMaxReadBytes (bytes); }
     /// Whether another request may be sent: the last answer was complete, the connection is still
     /// open and persistent, no surplus bytes followed, and its keep-alive time has not passed.
     [[nodiscard]] bool isReusable (base::TimePoint now) const;
@@ -73,6 +85,7 @@
 
 private:
     void onConnected() override;
+    void onFlushed() override;
     void onData (std::string_view data) override;
     void onEnd (StreamEnd end) override;
     void write();
@@ -84,6 +97,7 @@
 
     base::SocketAddress m_address;
     base::Duration m_connectTimeout;
+    base::Duration m_defaultKeepAlive;
     StreamSocket m_socket{ this };
     Call m_call;
     AnswerListener* m_listener = nullptr;
--- a/src/http/BackEndPool.cpp
+++ b/src/http/BackEndPool.cpp
@@ -18,8 +18,13 @@
         if (connection->isReusable (now))
             return connection;
     }
+    return open (address);
+}
+
+std::shared_ptr<BackEndConnection> BackEndPool::open (const base::SocketAddress& address)
+{
     ++m_opened;
-    return std::make_shared<BackEndConnection> (address, m_connectTimeout);
+    return std::make_shared<BackEndConnection> (address, m_connectTimeout, m_defaultKeepAlive);
 }
 
 bool BackEndPool::hasIdle (const base::SocketAddress& address, base::TimePoint now) const
--- a/src/http/BackEndPool.h
+++ b/src/http/BackEndPool.h
@@ -18,12 +18,18 @@
 {
 public:
     /// A runner counts as unreachable if a connection does not open within `connectTimeout`.
-    explicit BackEndPool (base::Duration connectTimeout) : m_connectTimeout (connectTimeout) {}
+    explicit BackEndPool (base::Duration connectTimeout,
+                          base::Duration defaultKeepAlive = BackEndConnection::kDefaultKeepAlive)
+        : m_connectTimeout (connectTimeout), m_defaultKeepAlive (defaultKeepAlive)
+    {
+    }
 
     /// Returns a connection to `address`: an idle one, or a new one if none is reusable. An idle
     /// one that the runner may be about to close is not reused, as its request would be lost.
     [[nodiscard]] std::shared_ptr<BackEndConnection> acquire (const base::SocketAddress& address,
                                                               base::TimePoint now);
+    /// Returns a new connection to `address`.
+    [[nodiscard]] std::shared_ptr<BackEndConnection> open (const base::SocketAddress& address);
     /// Whether acquire() would return an idle connection.
     [[nodiscard]] bool hasIdle (const base::SocketAddress& address, base::TimePoint now) const;
     /// Returns a connection to the pool, which keeps it only if it is reusable.
@@ -38,6 +44,7 @@
     using IdleConnections = std::vector<std::shared_ptr<BackEndConnection>>;
 
     base::Duration m_connectTimeout;
+    base::Duration m_defaultKeepAlive;  ///< For runners that state none.
     std::map<base::SocketAddress, IdleConnections> m_idle;
     std::uint64_t m_opened = 0;
 };
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -1,30 +1,22 @@
 #include "http/Client.h"
 
-#include <QNetworkAccessManager>
-#include <QNetworkProxy>
-#include <QNetworkProxyFactory>
-#include <map>
+#include <QTimer>
 #include <unordered_map>
 #include <utility>
 
+#include "http/BackEndPool.h"
 #include "http/ClientExchange.h"
-#include "http/ConnectionSlots.h"
 
 namespace fernlift::http
 {
 namespace
 {
 
-/// Selects the application proxy, which is set to none. With QNetworkProxy::NoProxy here, Qt would
-/// open unbuffered sockets and read the header of each answer with one system call per byte.
-class DirectConnections final : public QNetworkProxyFactory
-{
-public:
-    QList<QNetworkProxy> queryProxy (const QNetworkProxyQuery& /*query*/) override
-    {
-        return { QNetworkProxy (QNetworkProxy::DefaultProxy) };
-    }
-};
+/// Connections idle for longer are not reused, as the back end may close them at any moment.
+constexpr base::Duration kMaxIdle = base::seconds (15);
+constexpr base::Duration kExpiryInterval = base::seconds (1);
+/// Exchanges apply the connect timeout of their request.
+constexpr base::Duration kNoConnectTimeout = std::chrono::hours (24);
 
 }  // namespace
 
@@ -33,10 +25,9 @@
 public:
     Implementation()
     {
-        QNetworkProxy::setApplicationProxy (QNetworkProxy (QNetworkProxy::NoProxy));
-        m_manager.setProxyFactory (new DirectConnections);
-        m_manager.setRedirectPolicy (QNetworkRequest::ManualRedirectPolicy);
-        m_manager.setAutoDeleteReplies (false);
+        QObject::connect (&m_expiry, &QTimer::timeout, &m_expiry,
+                          [this] { m_pool.expire (m_clock.now()); });
+        m_expiry.start (std::chrono::duration_cast<base::milliseconds> (kExpiryInterval));
     }
 
     ~Implementation()
@@ -51,36 +42,35 @@
     std::shared_ptr<Exchange> send (ClientRequest request, ClientCallbacks callbacks)
     {
         const base::SocketAddress address = request.address;
-        const auto slot = m_slots[address].acquire (m_clock.now(), request.needsFreshConnection);
+        auto connection = request.needsFreshConnection ? m_pool.open (address)
+                                                       : m_pool.acquire (address, m_clock.now());
         const std::uint64_t key = m_nextKey++;
         callbacks.onError =
             [this, address, onError = std::move (callbacks.onError)] (const ClientError& error)
         {
             if (error.kind == ClientErrorKind::kTimeout)
-                m_slots[address].forgetOpen();
+                m_pool.forget (address);
             if (onError)
                 onError (error);
         };
-        auto onDone = [this, address, slot, key] (bool isReusable, bool isOpen)
+        auto onDone = [this, key] (std::shared_ptr<BackEndConnection> usable)
         {
-            if (isReusable)
-                m_slots[address].release (slot, isOpen, m_clock.now());
-            forget (key);
+            if (usable)
+                m_pool.release (std::move (usable), m_clock.now());
+            m_exchanges.erase (key);
         };
         const std::shared_ptr<ClientExchange> exchange (
             new ClientExchange (std::move (request), std::move (callbacks), std::move (onDone)),
             [] (ClientExchange* unused) { unused->deleteLater(); });
         m_exchanges.emplace (key, exchange);
-        exchange->start (m_manager, slot.name());
+        exchange->start (std::move (connection));
         return exchange;
     }
 
 private:
-    void forget (std::uint64_t key) { m_exchanges.erase (key); }
-
     base::SystemClock m_clock;
-    QNetworkAccessManager m_manager;
-    std::map<base::SocketAddress, ConnectionSlots> m_slots;
+    BackEndPool m_pool{ kNoConnectTimeout, kMaxIdle };
+    QTimer m_expiry;
     /// Exchanges in progress, kept alive here even if their handles are dropped.
     std::unordered_map<std::uint64_t, std::shared_ptr<ClientExchange>> m_exchanges;
     std::uint64_t m_nextKey = 0;
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// HTTP/1.1 client on Qt's network access. It sends every request at most once.
+/// HTTP/1.1 client on Qt's event loop. It sends every request at most once.
 
 #include <cstddef>
 #include <cstdint>
@@ -26,8 +26,9 @@
     base::Duration connectTimeout = base::seconds (2);   ///< Until the request has been sent.
     base::Duration headersTimeout = base::seconds (10);  ///< Until the answer's headers arrive.
     base::Duration idleTimeout = base::seconds (30);     ///< Between two parts of the answer.
-    /// Maximum unread bytes of the answer in memory; TCP flow control holds back the rest.
-    std::size_t readBufferBytes = 256UL * 1024;
+    /// Maximum undelivered bytes of the answer in memory, at most 64 KiB; TCP flow control holds
+    /// back the rest.
+    std::size_t readBufferBytes = 64UL * 1024;
     /// Never reuses a connection, so that the request cannot be lost to the back end closing an
     /// idle one.
     bool needsFreshConnection = false;
--- a/src/http/ClientExchange.cpp
+++ b/src/http/ClientExchange.cpp
@@ -1,8 +1,5 @@
 #include "http/ClientExchange.h"
 
-#include <QNetworkRequest>
-#include <QUrl>
-#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -11,34 +8,55 @@
 namespace
 {
 
-constexpr const char* kUserAgent = "fernlift";
-constexpr std::uint64_t kReadBytes = 64UL * 1024;
-
 bool isFramingField (std::string_view name)
 {
     return equalsIgnoringCase (name, "Content-Length") || equalsIgnoringCase (name, "Connection")
            || equalsIgnoringCase (name, "Transfer-Encoding") || equalsIgnoringCase (name, "Host");
 }
 
-/// Methods that may be sent without a body source: Qt may send them a second time, which is
-/// harmless for these.
-bool isSafeMethod (std::string_view method)
+/// Whether a request with this method has no content unless it has a body.
+bool isUsuallyWithoutBody (std::string_view method)
 {
     return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
 
-/// Whether Qt derived the error from the status code of a complete answer.
-bool comesFromStatus (QNetworkReply::NetworkError error)
+void addField (std::string& bytes, std::string_view name, std::string_view value)
 {
-    const bool isContentError = error >= QNetworkReply::ContentAccessDenied
-                                && error <= QNetworkReply::UnknownContentError
-                                && error != QNetworkReply::ContentReSendError;
-    const bool isServerError =
-        error >= QNetworkReply::InternalServerError && error <= QNetworkReply::UnknownServerError;
-    // Qt reports 400 and 418 as protocol errors and 407 as a proxy error.
-    const bool isOtherStatusError = error == QNetworkReply::ProtocolInvalidOperationError
-                                    || error == QNetworkReply::ProxyAuthenticationRequiredError;
-    return error == QNetworkReply::NoError || isContentError || isServerError || isOtherStatusError;
+    bytes.append (name).append (": ").append (value).append ("\r\n");
+}
+
+std::string serialize (const ClientRequest& request)
+{
+    std::string bytes = request.method + " " + request.path + " HTTP/1.1\r\n";
+    addField (bytes, "Host", request.address.toString());
+    for (const Header& field : request.headers.fields())
+    {
+        if (! isFramingField (field.name))
+            addField (bytes, field.name, field.value);
+    }
+    if (! request.headers.contains ("User-Agent"))
+        addField (bytes, "User-Agent", "fernlift");
+    if (! request.headers.contains ("Accept-Encoding"))
+        addField (bytes, "Accept-Encoding", "identity");
+    if (request.needsFreshConnection)
+        addField (bytes, "Connection", "close");
+    if (! request.body.empty() || ! isUsuallyWithoutBody (request.method))
+        addField (bytes, "Content-Length", std::to_string (request.body.size()));
+    return bytes.append ("\r\n").append (request.body);
+}
+
+std::string_view messageOf (BackEndFailure failure)
+{
+    switch (failure)
+    {
+        case BackEndFailure::kNotConnected:
+            return "the connection could not be established";
+        case BackEndFailure::kClosed:
+            return "the connection ended before the answer was complete";
+        case BackEndFailure::kInvalidAnswer:
+            return "the answer is not valid HTTP";
+    }
+    return "";
 }
 
 }  // namespace
@@ -47,9 +65,7 @@
                                 DoneCallback onDone)
     : m_request (std::move (request)),
       m_callbacks (std::move (callbacks)),
-      m_onDone (std::move (onDone)),
-      m_body (std::move (m_request.body)),
-      m_hasBody (! isSafeMethod (m_request.method) || m_body.bytesAvailable() > 0)
+      m_onDone (std::move (onDone))
 {
     m_timer.setSingleShot (true);
     connect (&m_timer, &QTimer::timeout, this, [this] { onTimeout(); });
@@ -57,99 +73,50 @@
 
 ClientExchange::~ClientExchange() { cancel(); }
 
-QNetworkRequest ClientExchange::buildRequest (const std::string& slotName) const
+void ClientExchange::start (std::shared_ptr<BackEndConnection> connection)
 {
-    const std::string url = "http://" + m_request.address.toString() + m_request.path;
-    QNetworkRequest request (QUrl::fromEncoded (QByteArray::fromStdString (url)));
-    request.setPeerVerifyName (QString::fromStdString (slotName));
-    request.setAttribute (QNetworkRequest::Http2AllowedAttribute, false);
-    request.setAttribute (QNetworkRequest::RedirectPolicyAttribute,
-                          QNetworkRequest::ManualRedirectPolicy);
-    request.setAttribute (QNetworkRequest::CookieLoadControlAttribute, QNetworkRequest::Manual);
-    request.setAttribute (QNetworkRequest::CookieSaveControlAttribute, QNetworkRequest::Manual);
-    request.setAttribute (QNetworkRequest::AuthenticationReuseAttribute, QNetworkRequest::Manual);
-    request.setAttribute (QNetworkRequest::CacheLoadControlAttribute,
-                          QNetworkRequest::AlwaysNetwork);
-    request.setAttribute (QNetworkRequest::CacheSaveControlAttribute, false);
-    request.setAttribute (QNetworkRequest::DoNotBufferUploadDataAttribute, true);
-    request.setRawHeader ("User-Agent", kUserAgent);
-    request.setRawHeader ("Accept-Encoding", "identity");
-    request.setRawHeader ("Accept-Language", "*");
-    for (const Header& field : m_request.headers.fields())
-    {
-        if (isFramingField (field.name))
-            continue;
-        request.setRawHeader (QByteArray::fromStdString (field.name),
-                              QByteArray::fromStdString (field.value));
-    }
-    if (m_request.needsFreshConnection)
-        request.setRawHeader ("Connection", "close");
-    if (m_hasBody)
-        request.setHeader (QNetworkRequest::ContentLengthHeader, m_body.bytesAvailable());
-    return request;
-}
-
-void ClientExchange::start (QNetworkAccessManager& manager, const std::string& slotName)
-{
-    const QNetworkRequest request = buildRequest (slotName);
-    const QByteArray verb = QByteArray::fromStdString (m_request.method);
+    m_connection = std::move (connection);
+    m_connection->setMaxReadBytes (m_request.readBufferBytes);
     startTimer (m_request.connectTimeout);
-    // With HEAD as a custom method, Qt would wait for a body that never arrives.
-    const bool isHead = verb == "HEAD" && ! m_hasBody;
-    m_reply = isHead ? manager.head (request)
-                     : manager.sendCustomRequest (request, verb, m_hasBody ? &m_body : nullptr);
-    connect (m_reply, &QNetworkReply::requestSent, this, [this] { onRequestSent(); });
-    connect (m_reply, &QNetworkReply::metaDataChanged, this, [this] { deliverHeaders(); });
-    connect (m_reply, &QNetworkReply::readyRead, this, [this] { onReadable(); });
-    connect (m_reply, &QNetworkReply::finished, this, [this] { onFinished(); });
+    BackEndConnection::Call call;
+    call.bytes = serialize (m_request);
+    call.answerHasBody = m_request.method != "HEAD";
+    m_request.body.clear();
+    m_connection->send (std::move (call), this);
 }
 
-void ClientExchange::onRequestSent()
+void ClientExchange::onSent() { m_isSent = true; }
+
+void ClientExchange::onFlushed()
 {
-    m_wasSent = true;
-    // Qt forwards the size to its network thread only after that thread has started the request.
-    m_reply->setReadBufferSize (static_cast<qint64> (m_request.readBufferBytes));
+    m_isFlushed = true;
     if (! m_hasHeaders)
         startTimer (m_request.headersTimeout);
 }
 
-void ClientExchange::deliverHeaders()
+void ClientExchange::onHead (AnswerHead head)
 {
-    const QVariant status = m_reply->attribute (QNetworkRequest::HttpStatusCodeAttribute);
-    if (m_hasHeaders || m_isDone || ! status.isValid())
-        return;
     m_hasHeaders = true;
-    m_response.status = status.toInt();
-    for (const auto& [name, value] : m_reply->rawHeaderPairs())
-    {
-        m_response.headers.add (name.toStdString(), value.toStdString());
-    }
     startTimer (m_request.idleTimeout);
     if (m_callbacks.onHeaders)
-        m_callbacks.onHeaders (m_response);
+        m_callbacks.onHeaders (ClientResponse{ head.status, std::move (head.headers) });
 }
 
-void ClientExchange::onReadable()
+void ClientExchange::onBody (std::string_view data)
 {
-    deliverHeaders();
-    deliverData();
+    if (m_isPaused || ! m_undelivered.empty())
+    {
+        m_undelivered.append (data);
+        return;
+    }
+    deliver (data);
 }
 
-void ClientExchange::deliverData()
+void ClientExchange::deliver (std::string_view data)
 {
-    while (! m_isDone && ! m_isPaused && m_reply->bytesAvailable() > 0)
-    {
-        const QByteArray part = m_reply->read (kReadBytes);
-        if (part.isEmpty())
-            break;
-        m_received += static_cast<std::uint64_t> (part.size());
-        startTimer (m_request.idleTimeout);
-        if (m_callbacks.onData)
-        {
-            m_callbacks.onData (
-                std::string_view (part.constData(), static_cast<std::size_t> (part.size())));
-        }
-    }
+    startTimer (m_request.idleTimeout);
+    if (m_callbacks.onData)
+        m_callbacks.onData (data);
 }
 
 void ClientExchange::setPaused (bool isPaused)
@@ -157,73 +124,66 @@
     if (m_isDone || m_isPaused == isPaused)
         return;
     m_isPaused = isPaused;
+    m_connection->setPaused (isPaused);
     if (isPaused)
     {
         m_timer.stop();
         return;
     }
-    startTimer (m_hasHeaders ? m_request.idleTimeout : m_request.headersTimeout);
+    if (m_hasHeaders)
+    {
+        startTimer (m_request.idleTimeout);
+    }
+    else
+    {
+        startTimer (m_isFlushed ? m_request.headersTimeout : m_request.connectTimeout);
+    }
     // Deferred to the event loop, so that no callback runs from within setPaused().
-    QTimer::singleShot (0, this,
-                        [this]
-                        {
-                            deliverData();
-                            if (m_isFinished)
-                                complete();
-                        });
+    QTimer::singleShot (0, this, [this] { resume(); });
+}
+
+void ClientExchange::resume()
+{
+    if (m_isDone || m_isPaused)
+        return;
+    const std::string undelivered = std::exchange (m_undelivered, {});
+    if (! undelivered.empty())
+        deliver (undelivered);
+    if (m_isAnswerComplete)
+        complete();
 }
 
-void ClientExchange::onFinished()
+void ClientExchange::onDone()
 {
-    m_isFinished = true;
-    deliverHeaders();
-    deliverData();
+    m_isAnswerComplete = true;
     complete();
 }
 
 void ClientExchange::complete()
 {
-    if (m_isDone || (m_isPaused && m_reply->bytesAvailable() > 0))
-        return;
-    if (! isWhole())
-    {
-        failWith (errorOfReply());
+    if (m_isDone || ! m_undelivered.empty())
         return;
-    }
     const auto callback = std::move (m_callbacks.onEnd);
     finish (true);
     if (callback)
         callback();
 }
 
-bool ClientExchange::isWhole() const
-{
-    if (! m_hasHeaders || ! comesFromStatus (m_reply->error()))
-        return false;
-    const std::string length = m_response.headers.value ("Content-Length");
-    std::uint64_t expected = 0;
-    const auto [end, status] =
-        std::from_chars (length.data(), length.data() + length.size(), expected);
-    const bool hasLength = ! length.empty() && status == std::errc();
-    return ! hasLength || m_request.method == "HEAD" || m_received == expected;
-}
-
-ClientError ClientExchange::errorOfReply() const
+void ClientExchange::onFailed (BackEndFailure failure)
 {
-    const bool isRefused = m_reply->error() == QNetworkReply::ConnectionRefusedError;
-    const bool nothingSent = ! m_wasSent && ! m_body.wasRead() && ! m_hasHeaders;
-    const ClientErrorKind kind =
-        isRefused && nothingSent ? ClientErrorKind::kNotSent : ClientErrorKind::kBroken;
-    const std::string message = m_reply->error() == QNetworkReply::NoError
-                                    ? "answer truncated: length differs from its Content-Length"
-                                    : m_reply->errorString().toStdString();
-    return ClientError{ kind, message };
+    const bool isUnsent = failure == BackEndFailure::kNotConnected;
+    failWith (ClientError{ isUnsent ? ClientErrorKind::kNotSent : ClientErrorKind::kBroken,
+                           std::string (messageOf (failure)) });
 }
 
 void ClientExchange::onTimeout()
 {
-    if (m_isDone)
+    if (! m_isSent)
+    {
+        failWith (ClientError{ ClientErrorKind::kNotSent,
+                               "the connection was not established within the timeout" });
         return;
+    }
     failWith (ClientError{ ClientErrorKind::kTimeout, m_hasHeaders
                                                           ? "answer stalled: idle timeout exceeded"
                                                           : "no answer within the timeout" });
@@ -231,6 +191,8 @@
 
 void ClientExchange::failWith (const ClientError& error)
 {
+    if (m_isDone)
+        return;
     const auto callback = std::move (m_callbacks.onError);
     finish (false);
     if (callback)
@@ -243,27 +205,21 @@
         finish (false);
 }
 
-void ClientExchange::finish (bool isReusable)
+void ClientExchange::finish (bool isComplete)
 {
     m_isDone = true;
     m_timer.stop();
-    if (m_reply != nullptr)
-    {
-        m_reply->disconnect (this);
-        if (! m_isFinished)
-            m_reply->abort();
-        m_reply->deleteLater();
-        m_reply = nullptr;
-    }
-    const bool isOpen = ! equalsIgnoringCase (m_response.headers.value ("Connection"), "close");
+    std::shared_ptr<BackEndConnection> connection = std::move (m_connection);
+    if (connection)
+        connection->detach();
     const auto onDone = std::exchange (m_onDone, nullptr);
     if (onDone)
-        onDone (isReusable, isOpen);
+        onDone (isComplete ? std::move (connection) : nullptr);
 }
 
 void ClientExchange::startTimer (base::Duration duration)
 {
-    if (m_isPaused)
+    if (m_isPaused || m_isDone)
         return;
     m_timer.start (std::chrono::ceil<std::chrono::milliseconds> (duration));
 }
--- a/src/http/ClientExchange.h
+++ b/src/http/ClientExchange.h
@@ -1,64 +1,61 @@
 #pragma once
 
-/// One request of the client and its answer, on a QNetworkReply.
+/// One request of the client and its answer, on a connection to the back end.
 
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
 #include <QObject>
 #include <QTimer>
 #include <functional>
 #include <memory>
 #include <string>
 
-#include "http/BodySource.h"
+#include "http/BackEndConnection.h"
 #include "http/Client.h"
 
 namespace fernlift::http
 {
 
-class ClientExchange final : public QObject, public Exchange
+class ClientExchange final : public QObject, public Exchange, private AnswerListener
 {
 public:
-    /// `onDone` runs once, after the last callback; `isReusable` is true if the exchange left its
-    /// connection in a known state, `isOpen` if that connection stays open.
-    using DoneCallback = std::function<void (bool isReusable, bool isOpen)>;
+    /// Runs once, before the last callback. Gets the connection if the exchange was not cancelled
+    /// and did not fail, else null.
+    using DoneCallback = std::function<void (std::shared_ptr<BackEndConnection>)>;
 
     ClientExchange (ClientRequest request, ClientCallbacks callbacks, DoneCallback onDone);
     ~ClientExchange() override;
 
-    void start (QNetworkAccessManager& manager, const std::string& slotName);
+    void start (std::shared_ptr<BackEndConnection> connection);
     void cancel() override;
     void setPaused (bool isPaused) override;
 
 private:
-    [[nodiscard]] QNetworkRequest buildRequest (const std::string& slotName) const;
-    void onRequestSent();
-    void onReadable();
-    void onFinished();
+    void onSent() override;
+    void onFlushed() override;
+    void onHead (AnswerHead head) override;
+    void onBody (std::string_view data) override;
+    void onDone() override;
+    void onFailed (BackEndFailure failure) override;
     void onTimeout();
-    void deliverHeaders();
-    void deliverData();
+    void deliver (std::string_view data);
+    /// Delivers what arrived during a pause, and the end if it did.
+    void resume();
     void complete();
-    [[nodiscard]] bool isWhole() const;
-    [[nodiscard]] ClientError errorOfReply() const;
     void failWith (const ClientError& error);
-    void finish (bool isReusable);
+    void finish (bool isComplete);
     void startTimer (base::Duration duration);
 
     ClientRequest m_request;
     ClientCallbacks m_callbacks;
     DoneCallback m_onDone;
-    BodySource m_body;
-    bool m_hasBody;
-    QNetworkReply* m_reply = nullptr;
+    std::shared_ptr<BackEndConnection> m_connection;
     QTimer m_timer;
-    ClientResponse m_response;
-    std::uint64_t m_received = 0;
-    bool m_wasSent = false;
+    std::string m_undelivered;  ///< Bytes read before the pause took effect.
+    bool m_isSent = false;      ///< The connection was open and the request given to it.
+    bool m_isFlushed = false;   ///< No byte of the request waits in this process.
     bool m_hasHeaders = false;
     bool m_isPaused = false;
-    bool m_isFinished = false;  ///< Qt has reported the end of the reply.
-    bool m_isDone = false;      ///< The last callback has run, or the exchange was cancelled.
+    bool m_isAnswerComplete = false;
+    bool m_isDone = false;  ///< The last callback has run, or the exchange was cancelled.
 };
 
 }  // namespace fernlift::http
--- a/src/http/ClientTest.cpp
+++ b/src/http/ClientTest.cpp
@@ -309,6 +309,26 @@
     EXPECT_EQ (outcome.error->kind, ClientErrorKind::kNotSent);
 }
 
+TEST (Client, ReportsNotSentWhenTheConnectionIsNotEstablishedInTime)
+{
+    QTcpServer full;
+    full.setListenBacklogSize (0);
+    full.listen (QHostAddress::LocalHost, 0);
+    full.pauseAccepting();
+    std::array<QTcpSocket, 4> waiting;  // More than the system keeps for the server.
+    for (QTcpSocket& socket : waiting)
+        socket.connectToHost (QHostAddress::LocalHost, full.serverPort());
+    test::runFor (std::chrono::milliseconds (50));
+    Client client;
+    Outcome outcome;
+    ClientRequest request = post ({ "127.0.0.1", full.serverPort() }, "end");
+    request.connectTimeout = std::chrono::milliseconds (100);
+    fetchInto (client, request, outcome);
+    ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+    ASSERT_TRUE (outcome.error);
+    EXPECT_EQ (outcome.error->kind, ClientErrorKind::kNotSent);
+}
+
 TEST (Client, ReportsBrokenWhenTheBackEndDiesAfterReading)
 {
     auto backEnd = std::make_unique<QTcpServer>();
--- a/src/http/StreamSocket.cpp
+++ b/src/http/StreamSocket.cpp
@@ -8,6 +8,7 @@
 
 #include <QObject>
 #include <QTimer>
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -19,7 +20,6 @@
 namespace
 {
 
-constexpr std::size_t kReadBytes = 64UL * 1024;
 /// Below the 5 s that callers wait for the most urgent answers, and above the first three
 /// retransmissions of a lost packet, after 0.2 s, 0.6 s and 1.4 s.
 constexpr base::Duration kMaxSilence = base::seconds (4);
@@ -76,6 +76,8 @@
     if (m_state == State::kOpen)
     {
         flush();
+        if (m_unsent.empty())
+            m_listener->onFlushed();
         return;
     }
     int error = 0;
@@ -91,9 +93,22 @@
     m_readNotifier = std::make_unique<QSocketNotifier> (m_descriptor, QSocketNotifier::Read);
     QObject::connect (m_readNotifier.get(), &QSocketNotifier::activated, m_readNotifier.get(),
                       [this] { onReadable(); });
+    m_readNotifier->setEnabled (m_isReading);
     m_listener->onConnected();
 }
 
+void StreamSocket::setReading (bool isReading)
+{
+    m_isReading = isReading;
+    if (m_readNotifier)
+        m_readNotifier->setEnabled (isReading);
+}
+
+void StreamSocket::setMaxReadBytes (std::size_t bytes)
+{
+    m_maxReadBytes = std::clamp<std::size_t> (bytes, 1, kReadBytes);
+}
+
 void StreamSocket::write (std::string_view data)
 {
     if (m_state != State::kOpen || m_hasWriteFailed)
@@ -128,13 +143,14 @@
 {
     static std::array<char, kReadBytes> buffer;
     const std::weak_ptr<bool> lifetime = m_lifetime;
-    while (! lifetime.expired() && m_state == State::kOpen)
+    while (! lifetime.expired() && m_state == State::kOpen && m_isReading)
     {
-        const ssize_t count = ::recv (m_descriptor, buffer.data(), buffer.size(), 0);
+        const std::size_t limit = m_maxReadBytes;
+        const ssize_t count = ::recv (m_descriptor, buffer.data(), limit, 0);
         if (count > 0)
         {
             m_listener->onData ({ buffer.data(), static_cast<std::size_t> (count) });
-            if (static_cast<std::size_t> (count) < buffer.size())
+            if (static_cast<std::size_t> (count) < limit)
                 return;
             continue;
         }
--- a/src/http/StreamSocket.h
+++ b/src/http/StreamSocket.h
@@ -36,6 +36,8 @@
     StreamListener& operator= (const StreamListener&) = delete;
 
     virtual void onConnected() = 0;
+    /// The system has taken the buffered rest of the written bytes.
+    virtual void onFlushed() {}
     virtual void onData (std::string_view data) = 0;
     /// Called at most once, as the last call.
     virtual void onEnd (StreamEnd end) = 0;
@@ -54,6 +56,10 @@
     void connectTo (const base::SocketAddress& address);
     /// Sends as much as the system accepts and buffers the rest. Ignored unless the socket is open.
     void write (std::string_view data);
+    /// Stops or resumes reading; meanwhile the end of the connection is not noticed either.
+    void setReading (bool isReading);
+    /// Sets the most bytes that one call of onData delivers.
+    void setMaxReadBytes (std::size_t bytes);
     /// Closes at once, without further calls to the listener.
     void close();
 
@@ -69,6 +75,8 @@
         kClosed
     };
 
+    static constexpr std::size_t kReadBytes = 64UL * 1024;
+
     void onWritable();
     void onReadable();
     void flush();
@@ -80,6 +88,8 @@
     int m_descriptor = -1;
     State m_state = State::kNew;
     bool m_hasWriteFailed = false;
+    bool m_isReading = true;
+    std::size_t m_maxReadBytes = kReadBytes;  ///< In [1, kReadBytes].
     std::string m_unsent;
     std::unique_ptr<QSocketNotifier> m_readNotifier;
     std::unique_ptr<QSocketNotifier> m_writeNotifier;
--- a/src/lab/HttpCallTest.cpp
+++ b/src/lab/HttpCallTest.cpp
@@ -145,8 +145,6 @@
     EXPECT_EQ (m_connections, m_requests) << "a request was sent again";
 }
 
-/// The HTTP library may report a chunked answer that is truncated between two chunks as complete,
-/// or wait for more. The truncation must then be found from the text or by the timeout.
 TEST_F (HttpCallTest, TruncatedChunkedAnswerIsNeverComplete)
 {
     CallRecord streamed;
@@ -181,8 +179,7 @@
     EXPECT_EQ (m_connections, m_requests) << "a request was sent again";
 }
 
-/// For answers that end with the connection the HTTP library may report a broken connection even
-/// after a complete answer, so only the text shows whether it is complete.
+/// An orderly close is the only end of such an answer, so only the text shows a truncation.
 TEST_F (HttpCallTest, TruncatedAnswerWithoutLengthIsNeverComplete)
 {
     CallRecord application;
--- a/src/router/RouterSettings.cpp
+++ b/src/router/RouterSettings.cpp
@@ -63,7 +63,8 @@
                        "answers without streaming are kept back up to this size, so that a broken "
                        "attempt can be repeated");
     schema.addInteger ("back_end_buffer_bytes", &settings.backEndBufferBytes, 1, kMaxBytes,
-                       "unread bytes of one back end's answer");
+                       "most bytes of one back end's answer that are read at a time; "
+                       "above 65536 has no effect");
     schema.addDuration ("cache_event_interval_ms", &settings.cacheEventInterval, {}, kLongest,
                         "interval of the calls for each engine's cache events; 0: never");
 }
