A broken answer to an HTTP/1.0 caller of models and applications ends with a reset

What callers saw: an HTTP/1.0 caller of the router of models and applications got an answer that broke off with an orderly end, which is how a complete one without a length ends: half an answer taken for a whole one.

Evidence: Server.BrokenAnswerToHttp10CallerEndsByReset failed before (an orderly end after abort()).

Change: a connection whose answer has neither a length nor chunks is reset when it is closed, until the whole answer is written; the option is set at the beginning of the answer, so that the end of the process resets it too.

--- a/src/http/Connection.cpp
+++ b/src/http/Connection.cpp
@@ -10,6 +10,7 @@
 
 #include "http/ConnectionResponder.h"
 #include "http/ErrorResponse.h"
+#include "http/ResetOnClose.h"
 
 namespace fernlift::http
 {
@@ -198,6 +199,9 @@
     m_hasKnownLength = hasKnownLength;
     m_omitsBody = ! bodyIsAllowed (status);
     m_isChunked = ! hasKnownLength && ! m_omitsBody && ! m_reader.isVersion10();
+    m_endsByClose = ! hasKnownLength && ! m_omitsBody && ! m_isChunked;
+    if (m_endsByClose)
+        setResetOnClose (m_socket, true);
     const std::string length = headers.value ("Content-Length");
     m_remainingLength = 0;
     std::from_chars (length.data(), length.data() + length.size(), m_remainingLength);
@@ -334,6 +338,8 @@
                 startTimer (m_limits.writeTimeout);
             return;
         }
+        if (std::exchange (m_endsByClose, false))
+            setResetOnClose (m_socket, false);
         ::shutdown (static_cast<int> (m_socket.socketDescriptor()), SHUT_WR);
         startTimer (kLingerTime);
         return;
--- a/src/http/Connection.h
+++ b/src/http/Connection.h
@@ -97,6 +97,7 @@
     bool m_isChunked = false;  ///< Framing of the answer in progress.
     bool m_omitsBody = false;  ///< The answer must not have a body (HEAD, 204, 304).
     bool m_hasKnownLength = false;
+    bool m_endsByClose = false;  ///< The answer has neither a length nor chunks.
     std::size_t m_remainingLength = 0;
     std::size_t m_discarded = 0;
 };
--- a/src/http/HttpTestSupport.h
+++ b/src/http/HttpTestSupport.h
@@ -2,8 +2,6 @@
 
 /// Test helpers: running the event loop with a time limit, and a caller on a raw socket.
 
-#include <sys/socket.h>
-
 #include <QCoreApplication>
 #include <QHostAddress>
 #include <QTcpSocket>
@@ -13,6 +11,7 @@
 #include <string>
 
 #include "base/SocketAddress.h"
+#include "http/ResetOnClose.h"
 
 namespace fernlift::http::test
 {
@@ -58,9 +57,7 @@
 /// Closes the connection so that the peer receives a reset.
 inline void resetConnection (QTcpSocket& socket)
 {
-    const linger immediate{ 1, 0 };
-    ::setsockopt (static_cast<int> (socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &immediate,
-                  sizeof immediate);
+    setResetOnClose (socket, true);
     socket.abort();
 }
 
--- a/src/http/ServerTest.cpp
+++ b/src/http/ServerTest.cpp
@@ -1,10 +1,12 @@
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <vector>
 
 #include "http/ErrorResponse.h"
 #include "http/HttpTestSupport.h"
 #include "http/Server.h"
+#include "http/StreamSocket.h"
 
 namespace fernlift::http
 {
@@ -43,6 +45,54 @@
     return count;
 }
 
+/// A caller that notes how its connection ends.
+class EndObserver final : public StreamListener
+{
+public:
+    EndObserver (const base::SocketAddress& address, std::string request)
+        : m_request (std::move (request))
+    {
+        m_socket.connectTo (address);
+    }
+
+    void onConnected() override { m_socket.write (m_request); }
+    void onData (std::string_view data) override { m_received += data; }
+    void onEnd (StreamEnd end) override { m_end = end; }
+
+    [[nodiscard]] const std::string& received() const { return m_received; }
+    [[nodiscard]] std::optional<StreamEnd> end() const { return m_end; }
+
+private:
+    std::string m_request;
+    std::string m_received;
+    std::optional<StreamEnd> m_end;
+    StreamSocket m_socket{ this };
+};
+
+TEST (Server, BrokenAnswerToHttp10CallerEndsByReset)
+{
+    for (const bool isBroken : { false, true })
+    {
+        Server server;
+        std::shared_ptr<Responder> kept;
+        server.setHandler (
+            [&] (const Request&, const std::shared_ptr<Responder>& responder)
+            {
+                kept = responder;
+                responder->begin (200, {});
+                responder->write ("hello");
+            });
+        const EndObserver caller (listenOnLoopback (server), "GET / HTTP/1.0\r\n\r\n");
+        ASSERT_TRUE (waitUntil ([&] { return caller.received().ends_with ("hello"); }));
+        if (isBroken)
+            kept->abort();
+        else
+            kept->end();
+        ASSERT_TRUE (waitUntil ([&] { return caller.end().has_value(); }));
+        EXPECT_EQ (*caller.end(), isBroken ? StreamEnd::kBroken : StreamEnd::kOrderly);
+    }
+}
+
 TEST (Server, PassesTheCompleteRequestToTheHandler)
 {
     Server server;
--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -8,6 +8,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "http/ResetOnClose.h"
+
 namespace fernlift::proxy
 {
 namespace
@@ -180,7 +182,7 @@
     if (m_endsByClose)
     {
         m_closesAfterAnswer = true;
-        setResetsWhenClosed (true);
+        http::setResetOnClose (*m_socket, true);
     }
     std::string text = "HTTP/1.1 " + std::to_string (status) + " ";
     text.append (http::reasonPhrase (status)).append ("\r\n");
@@ -244,18 +246,11 @@
                         });
 }
 
-void CallerConnection::setResetsWhenClosed (bool isReset)
-{
-    const linger option{ isReset ? 1 : 0, 0 };
-    ::setsockopt (static_cast<int> (m_socket->socketDescriptor()), SOL_SOCKET, SO_LINGER, &option,
-                  sizeof option);
-}
-
 void CallerConnection::onBytesWritten()
 {
     const bool isAnswerWritten = ! m_hasOpenRequest && m_socket->bytesToWrite() == 0;
     if (isAnswerWritten && std::exchange (m_endsByClose, false))
-        setResetsWhenClosed (false);
+        http::setResetOnClose (*m_socket, false);
 }
 
 void CallerConnection::readNext()
--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -89,8 +89,6 @@
     void armTimer();
     void onTimeout();
     void closeGracefully();
-    /// Sets whether the connection is reset when it is closed, also by the end of the process.
-    void setResetsWhenClosed (bool isReset);
     void onBytesWritten();
 
     std::unique_ptr<QTcpSocket> m_socket;
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -2,6 +2,8 @@
 
 /// Helpers for the tests: a stub runner that writes raw bytes, and a proxy that forwards to it.
 
+#include <sys/socket.h>
+
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <array>
