Events that end inside an event are broken on every route and in both data planes

What callers saw: an answer of the type text/event-stream on a route without streams, or of an application, that broke off inside an event by an orderly end was forwarded as complete.

Evidence: ExchangeTest.EventsOnRouteWithoutStreamsAreIncompleteInsideAnEvent failed before: the caller got 200 with the cut event.

Change: EventSplitter and isEventStream() stand in http/, and decide in both data planes: the forwarding router counts the attempt as broken (retried where that is allowed, since such answers are buffered), PlainBodyReader reports AttemptBroken.

Answers that end between two events can't be told from whole ones.

--- a/src/proxy/EventSplitter.cpp
+++ b/src/http/EventSplitter.cpp
@@ -1,9 +1,9 @@
-#include "proxy/EventSplitter.h"
+#include "http/EventSplitter.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace fernlift::proxy
+namespace fernlift::http
 {
 namespace
 {
@@ -23,6 +23,13 @@
 
 }  // namespace
 
+bool isEventStream (const Headers& headers)
+{
+    const std::string type = headers.value ("Content-Type");
+    return equalsIgnoringCase (trimmed (std::string_view (type).substr (0, type.find (';'))),
+                               "text/event-stream");
+}
+
 std::string_view EventSplitter::feed (std::string_view data)
 {
     m_buffer.erase (0, m_taken);
@@ -95,4 +102,4 @@
         m_lastId = std::exchange (m_id, std::nullopt);
 }
 
-}  // namespace fernlift::proxy
+}  // namespace fernlift::http
--- a/src/proxy/EventSplitter.h
+++ b/src/http/EventSplitter.h
@@ -8,9 +8,14 @@
 #include <string>
 #include <string_view>
 
-namespace fernlift::proxy
+#include "http/Message.h"
+
+namespace fernlift::http
 {
 
+/// Whether the content of a message with these fields is a stream of server-sent events.
+[[nodiscard]] bool isEventStream (const Headers& headers);
+
 class EventSplitter
 {
 public:
@@ -51,4 +56,4 @@
     std::optional<std::string> m_lastId;
 };
 
-}  // namespace fernlift::proxy
+}  // namespace fernlift::http
--- a/src/proxy/EventSplitterTest.cpp
+++ b/src/http/EventSplitterTest.cpp
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "proxy/EventSplitter.h"
+#include "http/EventSplitter.h"
 
-namespace fernlift::proxy
+namespace fernlift::http
 {
 namespace
 {
@@ -91,4 +91,4 @@
 }
 
 }  // namespace
-}  // namespace fernlift::proxy
+}  // namespace fernlift::http
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -348,6 +348,7 @@
 {
     m_use = AnswerUse::kNone;
     m_bufferedBody.clear();
+    m_unsplitEvents.reset();
     m_attemptDeadline = m_deadline;
     http::BackEndConnection::Call call;
     call.bytes = std::move (bytes);
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -18,10 +18,10 @@
 #include "cell/RequestIdentity.h"
 #include "http/AnswerParser.h"
 #include "http/BackEndConnection.h"
+#include "http/EventSplitter.h"
 #include "http/RetryAfter.h"
 #include "log/Log.h"
 #include "proxy/CallerConnection.h"
-#include "proxy/EventSplitter.h"
 #include "proxy/PeerMessage.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/RequestParser.h"
@@ -205,7 +205,8 @@
     /// Ends an attempt that gives no whole answer although its connection did not fail: it was
     /// silent for too long, or its stream ended inside an event.
     void onAttemptBroken();
-    void onStreamIncomplete();
+    /// Ends an answer whose message is complete: it is broken if its events end inside one.
+    void finishEvents (const http::EventSplitter& events);
     /// Ends an attempt at a runner that gave no whole answer, and tries again if it may.
     void failAttempt();
     /// Records whether the failed attempt shows that connections to the runner fail.
@@ -226,7 +227,7 @@
     void logEnd (log::Event event, const std::string& cause) const;
     void logResend (log::Event event) const;
     /// Logs that the stream of the runner ended inside an event.
-    void logIncompleteStream() const;
+    void logIncompleteStream (const http::EventSplitter& events) const;
     /// Id of the request whose stream the caller resumes; empty if it resumes none.
     [[nodiscard]] std::string resumedRequest() const
     {
@@ -301,7 +302,9 @@
     AnswerUse m_use = AnswerUse::kNone;
     http::AnswerHead m_head;
     std::string m_bufferedBody;
-    std::optional<EventSplitter> m_events;
+    std::optional<http::EventSplitter> m_events;
+    /// Events of an answer that is not forwarded event by event.
+    std::optional<http::EventSplitter> m_unsplitEvents;
     base::TimePoint m_lastEventAt{};  ///< Last event of any attempt; zero before the first.
     base::Duration m_longestPause{};  ///< Longest gap between two events, logged as a possible sole
                                       ///< cause of a late stream.
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -171,16 +171,16 @@
         m_use = AnswerUse::kRetry;
         return;
     }
-    const bool isEventStream =
-        m_head.headers.value ("Content-Type").starts_with ("text/event-stream")
-        && m_route->kind == config::RouteKind::kStream;
-    if (isEventStream)
+    const bool hasEvents = http::isEventStream (m_head.headers);
+    if (hasEvents && m_route->kind == config::RouteKind::kStream)
     {
         m_use = AnswerUse::kEvents;
         m_events.emplace();
         forwardHead();
         return;
     }
+    if (hasEvents)
+        m_unsplitEvents.emplace();
     const bool isSmall = ! m_head.hasLength || m_head.length <= kMaxBufferedBytes;
     m_use = isSmall ? AnswerUse::kBuffer : AnswerUse::kForward;
     if (! isSmall)
@@ -221,6 +221,8 @@
 {
     recordBytes();
     extendAttemptDeadline();
+    if (m_unsplitEvents)
+        static_cast<void> (m_unsplitEvents->feed (data));
     switch (m_use)
     {
         case AnswerUse::kBuffer:
@@ -273,20 +275,25 @@
             afterFailure();
             return;
         case AnswerUse::kEvents:
-            if (m_events->isInsideEvent())
-                onStreamIncomplete();
-            else
-                finishAnswer();
+            finishEvents (*m_events);
             return;
         default:
-            finishAnswer();
+            if (m_unsplitEvents)
+                finishEvents (*m_unsplitEvents);
+            else
+                finishAnswer();
     }
 }
 
-void Exchange::onStreamIncomplete()
+void Exchange::finishEvents (const http::EventSplitter& events)
 {
+    if (! events.isInsideEvent())
+    {
+        finishAnswer();
+        return;
+    }
     ++m_context.counters.incompleteStreams;
-    logIncompleteStream();
+    logIncompleteStream (events);
     onAttemptBroken();
 }
 
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -108,14 +108,14 @@
                   { "last_event", m_events ? m_events->lastId().value_or ("") : std::string() } });
 }
 
-void Exchange::logIncompleteStream() const
+void Exchange::logIncompleteStream (const http::EventSplitter& events) const
 {
     log::write (log::Event::kStreamIncomplete,
                 { { "request", m_request.headers.value (m_context.names.requestId) },
                   { "runner", m_instance },
                   { "framing", framingName (m_head) },
-                  { "incomplete_bytes", m_events->incompleteBytes().size() },
-                  { "last_event", m_events->lastId().value_or ("") } });
+                  { "incomplete_bytes", events.incompleteBytes().size() },
+                  { "last_event", events.lastId().value_or ("") } });
 }
 
 void Exchange::refuse (ErrorKind kind, const std::string& message, base::Duration retryAfter)
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -366,6 +366,36 @@
     EXPECT_EQ (caller.received().find ("hello"), std::string::npos);
 }
 
+TEST_F (ExchangeTest, EventsOnRouteWithoutStreamsAreIncompleteInsideAnEvent)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n\r\n"
+        "data: 1\n\ndata:");
+    runFor (std::chrono::milliseconds (50));
+    runner.connections[0]->close();
+    ASSERT_TRUE (caller.waitFor ("HTTP/1.1 502"));
+    EXPECT_EQ (caller.received().find ("data: 1"), std::string::npos);
+}
+
+TEST_F (ExchangeTest, EventsOnRouteWithoutStreamsAreCompleteAfterAnEvent)
+{
+    proxy.addRunner ("i-1", runner);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("once.test"));
+    ASSERT_TRUE (runner.waitForRequest());
+    runner.connections[0]->write (
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n\r\n"
+        "data: 1\n\n");
+    runFor (std::chrono::milliseconds (50));
+    runner.connections[0]->close();
+    ASSERT_TRUE (caller.waitFor ("data: 1\n\n"));
+    EXPECT_NE (caller.received().find ("HTTP/1.1 200"), std::string::npos);
+}
+
 TEST_F (ExchangeTest, DiscardsAnswerWithWrongRequestId)
 {
     proxy.addRunner ("i-1", runner);
--- a/src/router/AnswerReader.cpp
+++ b/src/router/AnswerReader.cpp
@@ -35,14 +35,27 @@
 
 }  // namespace
 
+PlainBodyReader::PlainBodyReader (bool hasEvents)
+{
+    if (hasEvents)
+        m_events.emplace();
+}
+
 std::vector<AttemptEvent> PlainBodyReader::read (std::string_view bytes)
 {
+    if (m_events)
+        static_cast<void> (m_events->feed (bytes));
     AttemptData part{ m_offset, bytes.size(), std::string (bytes) };
     m_offset += bytes.size();
     return { std::move (part) };
 }
 
-AttemptEvent PlainBodyReader::readEnd() { return AttemptEnded{}; }
+AttemptEvent PlainBodyReader::readEnd()
+{
+    if (m_events && m_events->isInsideEvent())
+        return AttemptBroken{};
+    return AttemptEnded{};
+}
 
 std::vector<AttemptEvent> TokenStreamReader::read (std::string_view bytes)
 {
--- a/src/router/AnswerReader.h
+++ b/src/router/AnswerReader.h
@@ -4,10 +4,12 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "http/EventSplitter.h"
 #include "router/RouterCore.h"
 
 namespace fernlift::router
@@ -29,15 +31,19 @@
     [[nodiscard]] virtual AttemptEvent readEnd() = 0;
 };
 
-/// Reader of a body that is forwarded unchanged; offsets count bytes.
+/// Reader of a body that is forwarded unchanged; offsets count bytes. A stream of events is broken
+/// if it ends inside an event, however the message ended.
 class PlainBodyReader final : public AnswerReader
 {
 public:
+    explicit PlainBodyReader (bool hasEvents);
+
     [[nodiscard]] std::vector<AttemptEvent> read (std::string_view bytes) override;
     [[nodiscard]] AttemptEvent readEnd() override;
 
 private:
     std::uint64_t m_offset = 0;
+    std::optional<http::EventSplitter> m_events;  ///< Set for a stream of events.
 };
 
 /// Reader of a stream of server-sent events from an engine; offsets count tokens. Each event is
--- a/src/router/AnswerReaderTest.cpp
+++ b/src/router/AnswerReaderTest.cpp
@@ -79,9 +79,21 @@
     EXPECT_TRUE (is<AttemptBroken> (events[0]));
 }
 
+TEST (PlainBodyReader, StreamThatEndsInsideAnEventIsBroken)
+{
+    const std::string stream = "data: 1\n\ndata: 2\n\n";
+    for (std::size_t length = 0; length <= stream.size(); ++length)
+    {
+        PlainBodyReader reader (true);
+        static_cast<void> (reader.read (stream.substr (0, length)));
+        const bool isWhole = std::holds_alternative<AttemptEnded> (reader.readEnd());
+        EXPECT_EQ (isWhole, length % (stream.size() / 2) == 0) << "cut after " << length;
+    }
+}
+
 TEST (PlainBodyReader, CountsBytes)
 {
-    PlainBodyReader reader;
+    PlainBodyReader reader (false);
     const auto events = readAll (reader, { "abc", "de" });
     ASSERT_EQ (events.size(), 2U);
     const auto& second = std::get<AttemptData> (events[1]);
--- a/src/router/BackEndAttempts.cpp
+++ b/src/router/BackEndAttempts.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "http/EventSplitter.h"
 #include "router/BackEndRequest.h"
 
 namespace fernlift::router
@@ -80,13 +81,14 @@
     const AttemptEvent event = headEventOf (response);
     if (std::holds_alternative<AttemptHeaders> (event))
     {
-        if (attempt.isTokenStream && isEventStream (response.headers))
+        const bool hasEvents = http::isEventStream (response.headers);
+        if (attempt.isTokenStream && hasEvents)
         {
             attempt.reader = std::make_unique<TokenStreamReader>();
         }
         else
         {
-            attempt.reader = std::make_unique<PlainBodyReader>();
+            attempt.reader = std::make_unique<PlainBodyReader> (hasEvents);
         }
         m_handlers.onHeaders (attempt.ticket, id, response.headers);
     }
--- a/src/router/BackEndRequest.cpp
+++ b/src/router/BackEndRequest.cpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <variant>
 
+#include "http/EventSplitter.h"
 #include "http/RetryAfter.h"
 
 namespace fernlift::router
@@ -75,12 +76,6 @@
                            retryAfterOf (response.headers) };
 }
 
-bool isEventStream (const http::Headers& headers)
-{
-    const std::string type = headers.value ("Content-Type");
-    return http::equalsIgnoringCase (type.substr (0, type.find (';')), "text/event-stream");
-}
-
 http::Headers answerHeaders (const http::Headers& backEndHeaders, const base::RequestId& id)
 {
     http::Headers passed;
@@ -94,7 +89,7 @@
         if (! isOwn && (isLength || ! isHopByHop (name)))
             passed.add (field.name, field.value);
     }
-    if (isEventStream (backEndHeaders))
+    if (http::isEventStream (backEndHeaders))
         passed.remove ("Content-Length");
     passed.set ("X-Request-Id", id.value);
     return passed;
--- a/src/router/CallerExchanges.cpp
+++ b/src/router/CallerExchanges.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "http/ErrorResponse.h"
+#include "http/EventSplitter.h"
 #include "router/BackEndRequest.h"
 
 namespace fernlift::router
@@ -77,8 +78,8 @@
     const http::Headers& headers = caller.headersOfAttempts[effect.attempt];
     const RequestHead& head = caller.request.head;
     caller.hasBegun = true;
-    caller.isEventStream =
-        head.isStreaming && head.protocol == Protocol::kCompletions && isEventStream (headers);
+    caller.isEventStream = head.isStreaming && head.protocol == Protocol::kCompletions
+                           && http::isEventStream (headers);
     m_firstByteSeconds.observe (secondsSince (caller.arrivedAt));
     caller.responder->begin (effect.httpStatus, answerHeaders (headers, head.id));
 }
