A replica that relieves crowded engines may go to an engine that is less busy than they are

Cause: an engine with more than half of its congestion limit (16 streams) was never given a replica that relieves others, however crowded those were. In the play the first two engines with copies had 20 streams each a second after they took part, the crowded one 90 to 130, and its third model stayed there alone until a load from the store ended.

Change: it may also have two thirds of the requests of the least busy holder.

--- a/src/placement/EnginePlacement.h
+++ b/src/placement/EnginePlacement.h
@@ -283,8 +283,9 @@
     /// Reserves the cheapest of these engines for the model. Returns false when none can load it
     /// now within the cost limit.
     bool planModel (const ModelNeed& need, std::span<Engine* const> engines, base::TimePoint now);
-    /// Whether the engine has too many requests to host a replica that relieves other engines.
-    [[nodiscard]] bool isTooBusyToRelieve (const Engine& engine) const;
+    /// Whether the engine has too many requests to host a replica that relieves the holders of the
+    /// model.
+    [[nodiscard]] bool isTooBusyToRelieve (const Engine& engine, const ModelView& view) const;
     /// Delay that the engine's requests cause for those of a newly loaded model, in seconds.
     [[nodiscard]] double congestionCost (const Engine& engine) const;
     /// Whether some engine with a copy of the model will be free shortly, so that waiting for it is
--- a/src/placement/EnginePlacementTest.cpp
+++ b/src/placement/EnginePlacementTest.cpp
@@ -469,6 +469,18 @@
     EXPECT_TRUE (orders().empty());
 }
 
+TEST_F (EnginePlacementTest, AddsAReplicaOnAnEngineThatIsLessBusyThanTheHolders)
+{
+    addEngine ("e1", { "m1" });
+    addEngine ("e2", { "m2" });
+    m_placement.onDemand (1, { { "llm", "m1", "", 0, 12, 12 }, { "llm", "m2", "", 0, 4, 4 } },
+                          m_now);
+    const auto sent = orders();
+    ASSERT_EQ (sent.size(), 1U);
+    EXPECT_EQ (sent[0].instance, "e2");
+    EXPECT_EQ (sent[0].model, "m1");
+}
+
 TEST_F (EnginePlacementTest, AddsASpareReplicaAtAHighRequestRate)
 {
     addEngine ("e1", { "m1" });
--- a/src/placement/EnginePlans.cpp
+++ b/src/placement/EnginePlans.cpp
@@ -31,9 +31,10 @@
 constexpr double kBlockedCopyCost = 1.0;
 /// Delay of the requests for a model that is loaded on an engine at its congestion limit.
 constexpr double kCongestionCost = 1.0;
-/// Share of its congestion limit that an engine may have in requests to get a replica that relieves
-/// other engines.
+/// Limits of the requests of an engine that may get a replica to relieve other engines: a share of
+/// its congestion limit, or of the requests of the least busy holder.
 constexpr double kMaxShareForReplica = 0.5;
+constexpr double kMaxShareOfHolder = 2.0 / 3.0;
 /// Limit of the cost of a prefetch beyond that of the load itself.
 constexpr double kMaxFetchCost = 2.0;
 /// Number of engines per concurrent prefetch, so that the other engines stay available for loads
@@ -102,10 +103,10 @@
         const Engine& engine = *each;
         // An engine with unknown sequence is polled once it has been chosen.
         const bool mayBeOrdered = mayTakeOrder (engine) || mayBePolled (engine);
-        const bool isCandidate = engine.service == service && engine.reservedFor.empty()
-                                 && mayBeOrdered && ! engine.models.contains (name)
-                                 && ! m_rateLimited.contains (engine.id)
-                                 && ! (need.relievesCongestion && isTooBusyToRelieve (engine));
+        const bool isCandidate =
+            engine.service == service && engine.reservedFor.empty() && mayBeOrdered
+            && ! engine.models.contains (name) && ! m_rateLimited.contains (engine.id)
+            && ! (need.relievesCongestion && isTooBusyToRelieve (engine, viewOf (service, name)));
         if (! isCandidate)
             continue;
         updateLoadCosts (*each, now);
@@ -137,9 +138,14 @@
     return true;
 }
 
-bool EnginePlacement::isTooBusyToRelieve (const Engine& engine) const
+bool EnginePlacement::isTooBusyToRelieve (const Engine& engine, const ModelView& view) const
 {
-    return requestsOf (engine) > kMaxShareForReplica * congestionLimit (engine);
+    const double requests = requestsOf (engine);
+    if (requests <= kMaxShareForReplica * congestionLimit (engine))
+        return false;
+    const auto isBusier = [&] (const EngineIndex::Holder& holder)
+    { return requests <= kMaxShareOfHolder * requestsOf (*holder.engine); };
+    return ! std::ranges::all_of (view.locations->holders, isBusier);
 }
 
 double EnginePlacement::congestionCost (const Engine& engine) const
