Lab tests hold the port of a link while it is cut

Change: the port comes from PortReservations, which takes ports below the range that the kernel hands out and keeps them. Two tests of ExchangeTest share their beginning.

--- a/src/lab/RunnerLinkTestSupport.h
+++ b/src/lab/RunnerLinkTestSupport.h
@@ -19,6 +19,7 @@
 #include "base/SocketAddress.h"
 #include "cell/RouterMessages.h"
 #include "lab/FaultProxy.h"
+#include "lab/PortReservations.h"
 #include "wire/FrameConnection.h"
 
 namespace fernlift::lab::test
@@ -53,6 +54,7 @@
     void stopDropping();
 
     FaultProxy m_proxy;
+    PortReservations m_ports;  ///< Keeps the port while the proxy does not listen on it.
     base::SocketAddress m_address;
     int m_droppingListener = -1;
     std::vector<std::unique_ptr<QTcpSocket>> m_queued;  ///< Fill the queue of the listener.
--- a/src/lab/RunnerLinkTestSupportTest.cpp
+++ b/src/lab/RunnerLinkTestSupportTest.cpp
@@ -23,13 +23,19 @@
     return QHostAddress (QString::fromStdString (host));
 }
 
-base::SocketAddress listenOrNone (FaultProxy& proxy)
+base::SocketAddress listenOrNone (FaultProxy& proxy, PortReservations& ports)
 {
     return base::handleErrors (
-        [&] {
-            return proxy.listen ({ "127.0.0.1", 0 });
+        [&]() -> base::Result<base::SocketAddress>
+        {
+            BOOST_LEAF_AUTO (address, ports.reserve());
+            return proxy.listen (address);
         },
-        [] (const base::Error&) { return base::SocketAddress(); });
+        [] (const base::Error& error)
+        {
+            ADD_FAILURE() << error.message;
+            return base::SocketAddress();
+        });
 }
 
 /// Binds a listener with the shortest queue to a port on which connections may still be open.
@@ -69,7 +75,7 @@
 }
 
 RunnerLink::RunnerLink (const base::SocketAddress& runner)
-    : m_proxy (runner), m_address (listenOrNone (m_proxy))
+    : m_proxy (runner), m_address (listenOrNone (m_proxy, m_ports))
 {
 }
 
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -366,32 +366,32 @@
     EXPECT_EQ (caller.received().find ("hello"), std::string::npos);
 }
 
-TEST_F (ExchangeTest, EventsOnRouteWithoutStreamsAreIncompleteInsideAnEvent)
+/// Sends a request on a route without streams, which is answered by events that end with an orderly
+/// close.
+void answerByEvents (ProxyFixture& proxy, StubRunner& runner, RawCaller& caller,
+                     const std::string& events)
 {
     proxy.addRunner ("i-1", runner);
-    RawCaller caller (proxy.listening);
     caller.write (ProxyFixture::request ("once.test"));
     ASSERT_TRUE (runner.waitForRequest());
     runner.connections[0]->write (
-        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n\r\n"
-        "data: 1\n\ndata:");
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n\r\n" + events);
     runFor (std::chrono::milliseconds (50));
     runner.connections[0]->close();
+}
+
+TEST_F (ExchangeTest, EventsOnRouteWithoutStreamsAreIncompleteInsideAnEvent)
+{
+    RawCaller caller (proxy.listening);
+    answerByEvents (proxy, runner, caller, "data: 1\n\ndata:");
     ASSERT_TRUE (caller.waitFor ("HTTP/1.1 502"));
     EXPECT_EQ (caller.received().find ("data: 1"), std::string::npos);
 }
 
 TEST_F (ExchangeTest, EventsOnRouteWithoutStreamsAreCompleteAfterAnEvent)
 {
-    proxy.addRunner ("i-1", runner);
     RawCaller caller (proxy.listening);
-    caller.write (ProxyFixture::request ("once.test"));
-    ASSERT_TRUE (runner.waitForRequest());
-    runner.connections[0]->write (
-        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n\r\n"
-        "data: 1\n\n");
-    runFor (std::chrono::milliseconds (50));
-    runner.connections[0]->close();
+    answerByEvents (proxy, runner, caller, "data: 1\n\n");
     ASSERT_TRUE (caller.waitFor ("data: 1\n\n"));
     EXPECT_NE (caller.received().find ("HTTP/1.1 200"), std::string::npos);
 }
