A pause at the end of an answer no longer holds up the next request

What callers would have seen: a slow caller pauses its answer as its last part arrives; the connection goes back to the pool with its reading stopped, and the next request on it waits until its timeout.

Client.PauseAtTheEndOfAnAnswerDoesNotHoldUpTheNextOne failed before. The pause of a connection now ends with detach(), which each end of an exchange calls.

--- a/src/http/BackEndConnection.cpp
+++ b/src/http/BackEndConnection.cpp
@@ -211,6 +211,7 @@
     if (m_isActive)
         m_isPersistent = false;
     m_isActive = false;
+    setPaused (false);
 }
 
 bool BackEndConnection::isReusable (base::TimePoint now) const
--- a/src/http/BackEndConnection.h
+++ b/src/http/BackEndConnection.h
@@ -70,8 +70,8 @@
     void send (Call call, AnswerListener* listener);
     /// Stops calls to the listener; the connection is reusable only if its answer was complete.
     void detach();
-    /// Stops or resumes reading from the connection. Up to the bytes of one read may still be
-    /// delivered.
+    /// Stops or resumes reading from the connection until detach(). Up to the bytes of one read may
+    /// still be delivered.
     void setPaused (bool isPaused) { m_socket.setReading (! isPaused); }
     /// Sets the most bytes of one read.
     void setMaxReadBytes (std::size_t bytes) { m_socket.setMaxReadBytes (bytes); }
--- a/src/http/ClientTest.cpp
+++ b/src/http/ClientTest.cpp
@@ -493,6 +493,26 @@
     EXPECT_FALSE (isFinished);
 }
 
+TEST (Client, PauseAtTheEndOfAnAnswerDoesNotHoldUpTheNextOne)
+{
+    RawBackEnd backEnd ([] (QTcpSocket& socket, int) { answerOk (socket); });
+    Client client;
+    bool hasEnded = false;
+    std::shared_ptr<Exchange> exchange;
+    ClientCallbacks callbacks;
+    callbacks.onData = [&] (std::string_view) { exchange->setPaused (true); };
+    callbacks.onEnd = [&] { hasEnded = true; };
+    exchange = client.send (post (backEnd.address(), "end"), callbacks);
+    ASSERT_TRUE (waitUntil ([&] { return hasEnded; }));
+    Outcome second;
+    ClientRequest request = post (backEnd.address(), "end");
+    request.headersTimeout = std::chrono::milliseconds (500);
+    fetchInto (client, request, second);
+    ASSERT_TRUE (waitUntil ([&] { return second.isDone(); }));
+    EXPECT_TRUE (second.response);
+    EXPECT_EQ (backEnd.connections(), 1);
+}
+
 TEST (Client, PausingAppliesBackPressure)
 {
     constexpr std::size_t kTotal = 64UL * 1024 * 1024;
