--- a/src/http/ClientEndTest.cpp
+++ b/src/http/ClientEndTest.cpp
@@ -72,8 +72,8 @@
     std::string body;
 };
 
-/// Input of one play: an answer, the number of its bytes that are sent, and the end after them.
-struct Play
+/// An answer, the number of its bytes that are sent, and the end after them.
+struct AnswerCase
 {
     Framing framing = Framing::kLength;
     Ending ending = Ending::kCloseAtOnce;
@@ -85,37 +85,37 @@
     bool isPausing = false;  ///< The caller pauses for a moment after each part of the answer.
 };
 
-std::string describe (const Play& play)
+std::string describe (const AnswerCase& answerCase)
 {
     std::ostringstream text;
-    text << "framing " << static_cast<int> (play.framing) << ", ending "
-         << static_cast<int> (play.ending) << ", body of " << play.bodyBytes
-         << " bytes in chunks of " << play.chunkBytes << ", cut after " << play.cut << ", written "
-         << play.writeBytes << " bytes at a time, fresh connection " << play.needsFreshConnection
-         << ", pausing " << play.isPausing;
+    text << "framing " << static_cast<int> (answerCase.framing) << ", ending "
+         << static_cast<int> (answerCase.ending) << ", body of " << answerCase.bodyBytes
+         << " bytes in chunks of " << answerCase.chunkBytes << ", cut after " << answerCase.cut
+         << ", written " << answerCase.writeBytes << " bytes at a time, fresh connection "
+         << answerCase.needsFreshConnection << ", pausing " << answerCase.isPausing;
     return text.str();
 }
 
-Answer answerOf (const Play& play)
+Answer answerOf (const AnswerCase& answerCase)
 {
     Answer answer;
-    for (std::size_t number = 0; number < play.bodyBytes; ++number)
+    for (std::size_t number = 0; number < answerCase.bodyBytes; ++number)
         answer.body += static_cast<char> ('a' + number % 26);
     answer.head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
-    if (play.framing == Framing::kLength)
-        answer.head += "Content-Length: " + std::to_string (play.bodyBytes) + "\r\n";
-    if (play.framing == Framing::kChunked)
+    if (answerCase.framing == Framing::kLength)
+        answer.head += "Content-Length: " + std::to_string (answerCase.bodyBytes) + "\r\n";
+    if (answerCase.framing == Framing::kChunked)
         answer.head += "Transfer-Encoding: chunked\r\n";
     answer.head += "\r\n";
-    if (play.framing != Framing::kChunked)
+    if (answerCase.framing != Framing::kChunked)
     {
         answer.framedBody = answer.body;
         return answer;
     }
     std::ostringstream chunks;
-    for (std::size_t begin = 0; begin < play.bodyBytes; begin += play.chunkBytes)
+    for (std::size_t begin = 0; begin < answerCase.bodyBytes; begin += answerCase.chunkBytes)
     {
-        const std::string chunk = answer.body.substr (begin, play.chunkBytes);
+        const std::string chunk = answer.body.substr (begin, answerCase.chunkBytes);
         chunks << std::hex << chunk.size() << "\r\n" << chunk << "\r\n";
     }
     chunks << "0\r\n\r\n";
@@ -123,12 +123,12 @@
     return answer;
 }
 
-/// Whether the client must report the answer of `play` as complete.
-bool isComplete (const Play& play, const Answer& answer)
+/// Whether the client must report the answer as complete.
+bool isComplete (const AnswerCase& answerCase, const Answer& answer)
 {
-    if (play.framing == Framing::kClose)
-        return play.cut >= answer.head.size() && ! isReset (play.ending);
-    return play.cut == answer.head.size() + answer.framedBody.size();
+    if (answerCase.framing == Framing::kClose)
+        return answerCase.cut >= answer.head.size() && ! isReset (answerCase.ending);
+    return answerCase.cut == answer.head.size() + answer.framedBody.size();
 }
 
 /// A back end on a thread of its own that reads one request, sends a part of an answer and ends the
@@ -136,8 +136,8 @@
 class ScriptedBackEnd
 {
 public:
-    ScriptedBackEnd (std::string bytes, const Play& play)
-        : m_bytes (std::move (bytes)), m_play (play)
+    ScriptedBackEnd (std::string bytes, const AnswerCase& answerCase)
+        : m_bytes (std::move (bytes)), m_answerCase (answerCase)
     {
         m_listener = ::socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address{};
@@ -174,15 +174,15 @@
         readRequest (descriptor);
         for (std::size_t sent = 0; sent < m_bytes.size();)
         {
-            const std::size_t size = std::min (m_play.writeBytes, m_bytes.size() - sent);
+            const std::size_t size = std::min (m_answerCase.writeBytes, m_bytes.size() - sent);
             const ssize_t count = ::send (descriptor, m_bytes.data() + sent, size, MSG_NOSIGNAL);
             if (count <= 0)
                 break;
             sent += static_cast<std::size_t> (count);
         }
-        if (isLater (m_play.ending))
+        if (isLater (m_answerCase.ending))
             std::this_thread::sleep_for (kEndDelay);
-        if (isReset (m_play.ending))
+        if (isReset (m_answerCase.ending))
             prepareReset (descriptor);
         ::close (descriptor);
     }
@@ -213,7 +213,7 @@
     }
 
     std::string m_bytes;
-    Play m_play;
+    AnswerCase m_answerCase;
     int m_listener = -1;
     std::uint16_t m_port = 0;
     std::thread m_thread;
@@ -250,10 +250,10 @@
     std::vector<std::thread> m_threads;
 };
 
-/// A play in progress and what the client reported.
-struct Course
+/// A case in progress and what the client reported.
+struct CaseRun
 {
-    Play play;
+    AnswerCase answerCase;
     Answer answer;
     std::unique_ptr<ScriptedBackEnd> backEnd;
     std::shared_ptr<Exchange> exchange;
@@ -264,7 +264,7 @@
 };
 
 /// Cuts at the borders of chunks and near the end of the answer are as likely as all others.
-std::size_t drawCut (const Play& play, const Answer& answer, base::Random& random)
+std::size_t randomCut (const AnswerCase& answerCase, const Answer& answer, base::Random& random)
 {
     const std::size_t total = answer.head.size() + answer.framedBody.size();
     const auto below = [&] (std::size_t limit) {
@@ -282,14 +282,14 @@
             const std::string whole = answer.head + answer.framedBody;
             const std::size_t border = whole.find ("\r\n", below (total));
             const std::size_t cut = border == std::string::npos ? total : border + below (2);
-            return play.framing == Framing::kChunked ? std::min (cut, total) : below (total);
+            return answerCase.framing == Framing::kChunked ? std::min (cut, total) : below (total);
         }
         default:
             return below (total);
     }
 }
 
-std::unique_ptr<Course> drawCourse (base::Random& random)
+std::unique_ptr<CaseRun> randomRun (base::Random& random)
 {
     constexpr std::array<std::size_t, 6> kBodySizes{ 0, 5, 100, 2000, 20'000, 200'000 };
     constexpr std::array<std::size_t, 5> kChunkSizes{ 1, 7, 100, 1500, 16'384 };
@@ -299,79 +299,79 @@
         return values.at (static_cast<std::size_t> (
             random.uniformInteger (0, static_cast<std::int64_t> (values.size()) - 1)));
     };
-    auto course = std::make_unique<Course>();
-    Play& play = course->play;
-    play.framing = pick (kFramings);
-    play.ending = pick (kEndings);
-    play.bodyBytes = pick (kBodySizes);
-    play.chunkBytes = std::max (pick (kChunkSizes), play.bodyBytes / 1000 + 1);
-    play.writeBytes = std::max (pick (kWriteSizes), play.bodyBytes / 1000 + 1);
-    play.needsFreshConnection = random.chance (0.5);
-    play.isPausing = random.chance (0.3);
-    course->answer = answerOf (play);
-    play.cut = drawCut (play, course->answer, random);
-    return course;
+    auto run = std::make_unique<CaseRun>();
+    AnswerCase& answerCase = run->answerCase;
+    answerCase.framing = pick (kFramings);
+    answerCase.ending = pick (kEndings);
+    answerCase.bodyBytes = pick (kBodySizes);
+    answerCase.chunkBytes = std::max (pick (kChunkSizes), answerCase.bodyBytes / 1000 + 1);
+    answerCase.writeBytes = std::max (pick (kWriteSizes), answerCase.bodyBytes / 1000 + 1);
+    answerCase.needsFreshConnection = random.chance (0.5);
+    answerCase.isPausing = random.chance (0.3);
+    run->answer = answerOf (answerCase);
+    answerCase.cut = randomCut (answerCase, run->answer, random);
+    return run;
 }
 
-void pauseForAMoment (Course& course)
+void pauseForAMoment (CaseRun& run)
 {
-    course.exchange->setPaused (true);
-    QTimer::singleShot (1, [exchange = course.exchange] { exchange->setPaused (false); });
+    run.exchange->setPaused (true);
+    QTimer::singleShot (1, [exchange = run.exchange] { exchange->setPaused (false); });
 }
 
-void start (Client& client, Course& course)
+void start (Client& client, CaseRun& run)
 {
-    const std::string whole = course.answer.head + course.answer.framedBody;
-    course.backEnd =
-        std::make_unique<ScriptedBackEnd> (whole.substr (0, course.play.cut), course.play);
+    const std::string whole = run.answer.head + run.answer.framedBody;
+    run.backEnd =
+        std::make_unique<ScriptedBackEnd> (whole.substr (0, run.answerCase.cut), run.answerCase);
     ClientRequest request;
-    request.address = course.backEnd->address();
+    request.address = run.backEnd->address();
     request.method = "POST";
     request.body = "end";
-    request.needsFreshConnection = course.play.needsFreshConnection;
+    request.needsFreshConnection = run.answerCase.needsFreshConnection;
     ClientCallbacks callbacks;
-    callbacks.onData = [&course] (std::string_view data)
+    callbacks.onData = [&run] (std::string_view data)
     {
-        course.received += data;
-        if (course.play.isPausing)
-            pauseForAMoment (course);
+        run.received += data;
+        if (run.answerCase.isPausing)
+            pauseForAMoment (run);
     };
-    callbacks.onEnd = [&course]
+    callbacks.onEnd = [&run]
     {
-        course.isComplete = true;
-        ++course.ends;
+        run.isComplete = true;
+        ++run.ends;
     };
-    callbacks.onError = [&course] (const ClientError& error)
+    callbacks.onError = [&run] (const ClientError& error)
     {
-        course.error = error;
-        ++course.ends;
+        run.error = error;
+        ++run.ends;
     };
-    course.exchange = client.send (std::move (request), std::move (callbacks));
+    run.exchange = client.send (std::move (request), std::move (callbacks));
 }
 
-void check (const Course& course)
+void check (const CaseRun& run)
 {
-    SCOPED_TRACE (describe (course.play));
-    EXPECT_EQ (course.ends, 1);
-    if (! isComplete (course.play, course.answer))
+    SCOPED_TRACE (describe (run.answerCase));
+    EXPECT_EQ (run.ends, 1);
+    if (! isComplete (run.answerCase, run.answer))
     {
-        EXPECT_FALSE (course.isComplete) << "a broken answer was reported as complete";
+        EXPECT_FALSE (run.isComplete) << "a broken answer was reported as complete";
         return;
     }
-    ASSERT_TRUE (course.isComplete) << "a complete answer was reported as broken: "
-                                    << (course.error ? course.error->message : "no end");
-    const std::size_t sent = course.play.cut - course.answer.head.size();
+    ASSERT_TRUE (run.isComplete) << "a complete answer was reported as broken: "
+                                 << (run.error ? run.error->message : "no end");
+    const std::size_t sent = run.answerCase.cut - run.answer.head.size();
     const std::size_t expected =
-        course.play.framing == Framing::kClose ? sent : course.answer.body.size();
-    EXPECT_TRUE (course.received == course.answer.body.substr (0, expected))
-        << "a complete answer of " << expected << " bytes arrived as " << course.received.size();
+        run.answerCase.framing == Framing::kClose ? sent : run.answer.body.size();
+    EXPECT_TRUE (run.received == run.answer.body.substr (0, expected))
+        << "a complete answer of " << expected << " bytes arrived as " << run.received.size();
 }
 
-/// Number of answers; more are played by hand with FERNLIFT_CLIENT_PLAYS.
-int numberOfPlays()
+/// Number of answers; more are sent by hand with FERNLIFT_CLIENT_ANSWERS.
+int numberOfAnswers()
 {
     constexpr int kDefault = 600;
-    const char* const text = std::getenv ("FERNLIFT_CLIENT_PLAYS");
+    const char* const text = std::getenv ("FERNLIFT_CLIENT_ANSWERS");
     return text == nullptr ? kDefault : std::atoi (text);
 }
 
@@ -380,24 +380,22 @@
     constexpr int kBatch = 12;
     constexpr std::uint64_t kSeed = 65;
     base::Random random (kSeed);
-    for (int played = 0; played < numberOfPlays(); played += kBatch)
+    for (int sent = 0; sent < numberOfAnswers(); sent += kBatch)
     {
         const bool isBusy = random.chance (0.5);
         const BusyThreads load (isBusy ? std::thread::hardware_concurrency() : 0);
         Client client;
-        std::vector<std::unique_ptr<Course>> courses;
+        std::vector<std::unique_ptr<CaseRun>> runs;
         for (int number = 0; number < kBatch; ++number)
         {
-            courses.push_back (drawCourse (random));
-            start (client, *courses.back());
+            runs.push_back (randomRun (random));
+            start (client, *runs.back());
         }
-        const auto haveEnded = [&] {
-            return std::ranges::all_of (courses,
-                                        [] (const auto& course) { return course->ends > 0; });
-        };
+        const auto haveEnded = [&]
+        { return std::ranges::all_of (runs, [] (const auto& run) { return run->ends > 0; }); };
         test::waitUntil (haveEnded);
-        for (const auto& course : courses)
-            check (*course);
+        for (const auto& run : runs)
+            check (*run);
     }
 }
 
