--- a/src/http/ResetOnClose.h
+++ b/src/http/ResetOnClose.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /**
- * Ends of answers that have neither a length nor chunks. Such an answer ends with its connection, so
- * that a broken one has to end with a reset, also when the process ends.
+ * Ends of answers that have neither a length nor chunks. Such an answer ends with its connection,
+ * so that a broken one has to end with a reset, also when the process ends.
  */
 
 #include <QTcpSocket>
--- a/src/router/BackEndRequest.h
+++ b/src/router/BackEndRequest.h
@@ -16,7 +16,6 @@
 /// Returns AttemptRefused if the answer states that the request was not run, else AttemptHeaders.
 [[nodiscard]] AttemptEvent headEventOf (const http::ClientResponse& response);
 
-
 /// Returns the header fields of a back end's answer that are forwarded to the caller.
 [[nodiscard]] http::Headers answerHeaders (const http::Headers& backEndHeaders,
                                            const base::RequestId& id);
