--- a/src/http/ServerTest.cpp
+++ b/src/http/ServerTest.cpp
@@ -45,6 +45,18 @@
     return count;
 }
 
+/// Makes the server begin each answer with `text`, and keeps the responder in `kept`.
+void beginAnswers (Server& server, const std::string& text, std::shared_ptr<Responder>& kept)
+{
+    server.setHandler (
+        [text, &kept] (const Request&, const std::shared_ptr<Responder>& responder)
+        {
+            kept = responder;
+            responder->begin (200, {});
+            responder->write (text);
+        });
+}
+
 /// A caller that notes how its connection ends.
 class EndObserver final : public StreamListener
 {
@@ -75,13 +87,7 @@
     {
         Server server;
         std::shared_ptr<Responder> kept;
-        server.setHandler (
-            [&] (const Request&, const std::shared_ptr<Responder>& responder)
-            {
-                kept = responder;
-                responder->begin (200, {});
-                responder->write ("hello");
-            });
+        beginAnswers (server, "hello", kept);
         const EndObserver caller (listenOnLoopback (server), "GET / HTTP/1.0\r\n\r\n");
         ASSERT_TRUE (waitUntil ([&] { return caller.received().ends_with ("hello"); }));
         if (isBroken)
@@ -204,13 +210,7 @@
 {
     Server server;
     std::shared_ptr<Responder> kept;
-    server.setHandler (
-        [&] (const Request&, const std::shared_ptr<Responder>& responder)
-        {
-            kept = responder;
-            responder->begin (200, {});
-            responder->write ("part");
-        });
+    beginAnswers (server, "part", kept);
     const base::SocketAddress address = listenOnLoopback (server);
     RawCaller busy (address);
     RawCaller idle (address);
--- a/src/lab/FaultProxy.cpp
+++ b/src/lab/FaultProxy.cpp
@@ -1,13 +1,13 @@
 #include "lab/FaultProxy.h"
 
-#include <sys/socket.h>
-
 #include <QHostAddress>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <algorithm>
 #include <utility>
 
+#include "http/ResetOnClose.h"
+
 namespace fernlift::lab
 {
 namespace
@@ -19,12 +19,8 @@
 /// Closes the connection with a TCP reset instead of an orderly shutdown.
 void resetSocket (QTcpSocket& socket)
 {
-    const linger noLinger{ .l_onoff = 1, .l_linger = 0 };
     if (socket.socketDescriptor() >= 0)
-    {
-        setsockopt (static_cast<int> (socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &noLinger,
-                    sizeof (noLinger));
-    }
+        http::setResetOnClose (socket, true);
     socket.abort();
 }
 
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -1,7 +1,6 @@
 // Test support: a cell that forwards to registered services. See ForwardingCellTestSupport.h.
 
 #include <gtest/gtest.h>
-#include <sys/socket.h>
 
 #include <QHostAddress>
 #include <algorithm>
@@ -31,9 +30,7 @@
 
 void reset (QTcpSocket& socket)
 {
-    const linger immediate{ 1, 0 };
-    ::setsockopt (static_cast<int> (socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &immediate,
-                  sizeof immediate);
+    http::setResetOnClose (socket, true);
     socket.disconnect();
     socket.abort();
 }
