--- a/src/lab/RouterIsolationTest.cpp
+++ b/src/lab/RouterIsolationTest.cpp
@@ -118,7 +118,8 @@
 INSTANTIATE_TEST_SUITE_P (
     Faults, RouterIsolationTest,
     ::testing::Combine (::testing::Values (LinkFault::kHangs, LinkFault::kResets,
-                                           LinkFault::kRefusesNew),
+                                           LinkFault::kRefusesNew, LinkFault::kResetsLater,
+                                           LinkFault::kResetsRequests, LinkFault::kSilent),
                         ::testing::Values (1, 2, 3)),
     [] (const auto& info)
     { return toString (std::get<0> (info.param)) + std::to_string (std::get<1> (info.param)); });
--- a/src/lab/RunnerLinkTestSupport.h
+++ b/src/lab/RunnerLinkTestSupport.h
@@ -29,9 +29,12 @@
 enum class LinkFault : std::uint8_t
 {
     kNone,
-    kHangs,       ///< New connections neither open nor fail, open ones deliver nothing.
-    kResets,      ///< New connections are refused, open ones were reset when the fault began.
-    kRefusesNew,  ///< New connections are refused, open ones are not affected.
+    kHangs,           ///< New connections neither open nor fail, open ones deliver nothing.
+    kResets,          ///< New connections are refused, open ones were reset when the fault began.
+    kRefusesNew,      ///< New connections are refused, open ones are not affected.
+    kResetsLater,     ///< Connections open and are reset a little later; open ones were reset.
+    kResetsRequests,  ///< Connections open and are reset when the runner has read a request.
+    kSilent,          ///< Connections open and deliver nothing.
 };
 
 [[nodiscard]] std::string toString (LinkFault fault);
@@ -52,11 +55,13 @@
     /// Listens with a full queue, so that the kernel drops every further opening packet.
     void startDropping();
     void stopDropping();
+    void acceptAndReset();
 
     FaultProxy m_proxy;
     PortReservations m_ports;  ///< Keeps the port while the proxy does not listen on it.
     base::SocketAddress m_address;
     int m_droppingListener = -1;
+    QTcpServer m_resetting;  ///< Listens in place of the proxy with LinkFault::kResetsLater.
     std::vector<std::unique_ptr<QTcpSocket>> m_queued;  ///< Fill the queue of the listener.
 };
 
--- a/src/lab/RunnerLinkTestSupportTest.cpp
+++ b/src/lab/RunnerLinkTestSupportTest.cpp
@@ -18,6 +18,9 @@
 namespace
 {
 
+/// Time for which a connection stays open with LinkFault::kResetsLater.
+constexpr std::chrono::milliseconds kTimeToReset (40);
+
 QHostAddress hostAddress (const std::string& host)
 {
     return QHostAddress (QString::fromStdString (host));
@@ -56,6 +59,19 @@
     return descriptor;
 }
 
+ProxyFaults faultsOf (LinkFault fault)
+{
+    const bool isAccepting = fault == LinkFault::kNone || fault == LinkFault::kResetsRequests
+                             || fault == LinkFault::kSilent;
+    const bool isCut = fault == LinkFault::kHangs || fault == LinkFault::kSilent;
+    ProxyFaults faults;
+    faults.refuses = ! isAccepting;
+    faults.toTarget.isCut = faults.toCaller.isCut = isCut;
+    if (fault == LinkFault::kResetsRequests)
+        faults.toTarget.resetAfterBytes = 1;
+    return faults;
+}
+
 }  // namespace
 
 std::string toString (LinkFault fault)
@@ -68,6 +84,12 @@
             return "Resets";
         case LinkFault::kRefusesNew:
             return "RefusesNew";
+        case LinkFault::kResetsLater:
+            return "ResetsLater";
+        case LinkFault::kResetsRequests:
+            return "ResetsRequests";
+        case LinkFault::kSilent:
+            return "Silent";
         case LinkFault::kNone:
             break;
     }
@@ -77,6 +99,8 @@
 RunnerLink::RunnerLink (const base::SocketAddress& runner)
     : m_proxy (runner), m_address (listenOrNone (m_proxy, m_ports))
 {
+    QObject::connect (&m_resetting, &QTcpServer::newConnection, &m_resetting,
+                      [this] { acceptAndReset(); });
 }
 
 RunnerLink::~RunnerLink() { stopDropping(); }
@@ -84,15 +108,31 @@
 void RunnerLink::setFault (LinkFault fault)
 {
     stopDropping();
-    ProxyFaults faults;
-    faults.refuses = fault != LinkFault::kNone;
-    faults.toTarget.isCut = faults.toCaller.isCut = fault == LinkFault::kHangs;
-    base::handleErrors ([&] { return m_proxy.setFaults (faults); },
+    m_resetting.close();
+    base::handleErrors ([&] { return m_proxy.setFaults (faultsOf (fault)); },
                         [] (const base::Error& error) { ADD_FAILURE() << error.message; });
-    if (fault == LinkFault::kResets)
+    if (fault == LinkFault::kResets || fault == LinkFault::kResetsLater)
         m_proxy.resetConnections();
     if (fault == LinkFault::kHangs)
         startDropping();
+    if (fault == LinkFault::kResetsLater)
+    {
+        EXPECT_TRUE (m_resetting.listen (hostAddress (m_address.host), m_address.port));
+    }
+}
+
+void RunnerLink::acceptAndReset()
+{
+    while (QTcpSocket* socket = m_resetting.nextPendingConnection())
+    {
+        socket->setParent (nullptr);
+        QTimer::singleShot (kTimeToReset, socket,
+                            [socket]
+                            {
+                                http::test::resetConnection (*socket);
+                                socket->deleteLater();
+                            });
+    }
 }
 
 void RunnerLink::startDropping()
