--- a/src/lab/ForwardingCellTestSupport.h
+++ b/src/lab/ForwardingCellTestSupport.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,7 @@
 class CrashableRunner
 {
 public:
-    explicit CrashableRunner (std::string name);
+    explicit CrashableRunner (std::string name, std::string service = "service");
     ~CrashableRunner();
     CrashableRunner (const CrashableRunner&) = delete;
     CrashableRunner& operator= (const CrashableRunner&) = delete;
@@ -45,6 +46,7 @@
     /// Name of the current incarnation.
     [[nodiscard]] std::string instance() const;
     [[nodiscard]] std::string address() const;
+    [[nodiscard]] const std::string& service() const { return m_service; }
     [[nodiscard]] bool isAlive() const { return m_server.isListening(); }
     [[nodiscard]] std::uint32_t crashes() const { return m_crashes; }
     /// Requests that the runner began to run, over all incarnations.
@@ -59,6 +61,8 @@
     /// Retry-After field with which the runner declines every request; empty: it serves them.
     std::string declinesWith;
     bool statesLeaving = false;  ///< Whether each answer states that the runner is leaving.
+    /// Share of the requests whose connection the runner resets in place of an answer.
+    double brokenShare = 0;
 
 private:
     struct Connection
@@ -70,8 +74,13 @@
     void accept();
     void onReadable (QTcpSocket* socket);
     void answer (QTcpSocket* socket, const std::string& id);
+    void resetConnection (QTcpSocket* socket);
+    /// Whether to reset the connection of the next request, so that `brokenShare` holds.
+    bool takesBrokenRequest();
 
     std::string m_name;
+    std::string m_service;
+    double m_brokenDue = 0;  ///< Requests that still have to be broken off.
     std::uint32_t m_incarnation = 0;
     std::uint32_t m_crashes = 0;
     std::uint32_t m_runs = 0;
@@ -91,6 +100,9 @@
         std::size_t controllers = 3;
         std::size_t routers = 2;
         std::size_t runners = 8;
+        std::size_t otherRunners = 0;        ///< Runners of the second service.
+        std::optional<double> retryShare{};  ///< None: the default of the router.
+        double cellRetryReserve = 0;
         /// Whether the path from each router to the runners can fail for this router alone.
         bool hasRouterNetworks = false;
     };
@@ -106,6 +118,8 @@
     /// Sends a request without waiting; sets `status` when the call ends.
     void beginCall (std::size_t router, const std::string& host, const std::string& body,
                     std::shared_ptr<int> status);
+    /// Forgets the calls that have ended.
+    void closeEndedCalls();
     /// Ends a controller without a planned stop and does not restart it.
     void killController (std::size_t number);
     /// Ends a router without a planned stop and starts another one in its place.
@@ -130,7 +144,6 @@
     void sendHeartbeats();
     void sendToControllers (const std::string& method, const std::string& body);
     [[nodiscard]] base::SocketAddress controlAddress (std::size_t number) const;
-    void closeEndedCalls();
 
     struct OpenCall
     {
@@ -140,6 +153,7 @@
     };
 
     base::SystemClock m_clock;
+    Options m_options;
     PortReservations m_ports;
     std::uint16_t m_controlPort = 0;
     std::uint16_t m_peerPort = 0;
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -59,8 +59,8 @@
     return answer.size() >= end + 4 + length;
 }
 
-/// Codec that reads a POST as a heartbeat with the body "ID ADDRESS SEQUENCE" and a PUT as a
-/// configuration with the text as body.
+/// Codec that reads a POST as a heartbeat with the body "ID ADDRESS SERVICE SEQUENCE" and a PUT as
+/// a configuration with the text as body.
 class TestControlCodec final : public controller::ControlCodec
 {
 public:
@@ -71,8 +71,8 @@
             return controller::ControlRequest (controller::ReplaceConfiguration{ request.body });
         controller::InstanceHeartbeat heartbeat;
         std::istringstream text (request.body);
-        text >> heartbeat.instance.id >> heartbeat.instance.address >> heartbeat.sequence;
-        heartbeat.instance.service = "service";
+        text >> heartbeat.instance.id >> heartbeat.instance.address >> heartbeat.instance.service
+            >> heartbeat.sequence;
         heartbeat.instance.zone = "z1";
         heartbeat.instance.slots = 8;
         return controller::ControlRequest (heartbeat);
@@ -100,7 +100,8 @@
 
 }  // namespace
 
-CrashableRunner::CrashableRunner (std::string name) : m_name (std::move (name))
+CrashableRunner::CrashableRunner (std::string name, std::string service)
+    : m_name (std::move (name)), m_service (std::move (service))
 {
     QObject::connect (&m_server, &QTcpServer::newConnection, &m_server, [this] { accept(); });
     restart();
@@ -141,6 +142,25 @@
     m_connections.clear();
 }
 
+void CrashableRunner::resetConnection (QTcpSocket* socket)
+{
+    const auto found = m_connections.find (socket);
+    if (found == m_connections.end())
+        return;
+    reset (*socket);
+    found->second.socket.release()->deleteLater();
+    m_connections.erase (found);
+}
+
+bool CrashableRunner::takesBrokenRequest()
+{
+    m_brokenDue += brokenShare;
+    if (m_brokenDue < 1)
+        return false;
+    m_brokenDue -= 1;
+    return true;
+}
+
 void CrashableRunner::accept()
 {
     while (QTcpSocket* socket = m_server.nextPendingConnection())
@@ -164,6 +184,11 @@
     const std::size_t begin = request.find (kIdField) + kIdField.size();
     const std::string id = request.substr (begin, request.find ("\r\n", begin) - begin);
     const bool isDeadly = request.find ("\r\n\r\ndeadly") != std::string::npos;
+    if (! isDeadly && takesBrokenRequest())
+    {
+        QTimer::singleShot (workTime, socket, [this, socket] { resetConnection (socket); });
+        return;
+    }
     if (! isDeadly)
     {
         QTimer::singleShot (workTime, socket, [this, socket, id] { answer (socket, id); });
@@ -195,7 +220,7 @@
     socket->flush();
 }
 
-ForwardingCell::ForwardingCell (const Options& options)
+ForwardingCell::ForwardingCell (const Options& options) : m_options (options)
 {
     http::test::application();
     const auto reservePort = [this]
@@ -223,6 +248,9 @@
     for (std::size_t number = 0; number < options.runners; ++number)
         m_runners.push_back (
             std::make_unique<CrashableRunner> ("runner" + std::to_string (number)));
+    for (std::size_t number = 0; number < options.otherRunners; ++number)
+        m_runners.push_back (
+            std::make_unique<CrashableRunner> ("other" + std::to_string (number), "other"));
     QObject::connect (&m_heartbeatTimer, &QTimer::timeout, &m_heartbeatTimer,
                       [this] { sendHeartbeats(); });
     m_heartbeatTimer.start (kHeartbeatInterval);
@@ -279,6 +307,8 @@
     for (std::size_t seed = 0; seed < m_controllers.size(); ++seed)
         settings.seeds.push_back (seedAddress (number, seed));
     settings.seedPeerPort = m_peerPort;
+    settings.retryShare = m_options.retryShare.value_or (settings.retryShare);
+    settings.cellRetryReserve = m_options.cellRetryReserve;
     m_routers[number] = std::make_unique<proxy::ProxyProcess> (
         settings, proxy::test::ProxyFixture::testNames(), &proxy::test::parseTestConfiguration,
         m_clock, number + 1, [] (int) {});
@@ -292,6 +322,7 @@
     {
         if (runner->isAlive())
             sendToControllers ("POST", runner->instance() + " " + runner->address() + " "
+                                           + runner->service() + " "
                                            + std::to_string (m_heartbeatSequence));
     }
 }
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -226,8 +226,9 @@
     base::SystemClock m_clock;
 };
 
-/// Proxy with one service and four hosts: "app.test" is repeatable, "once.test" is at-most-once,
-/// "stream.test" streams, and "resume.test" streams and may be resumed.
+/// Proxy with two services. Four hosts lead to the first: "app.test" is repeatable, "once.test" is
+/// at-most-once, "stream.test" streams, and "resume.test" streams and may be resumed. "other.test"
+/// is repeatable and leads to the second.
 class ProxyFixture
 {
 public:
@@ -287,7 +288,10 @@
         catalogue.routes = { route ("app.test", config::RouteKind::kRepeatable, false),
                              route ("once.test", config::RouteKind::kAtMostOnce, false),
                              route ("stream.test", config::RouteKind::kStream, false),
-                             route ("resume.test", config::RouteKind::kStream, true) };
+                             route ("resume.test", config::RouteKind::kStream, true),
+                             route ("other.test", config::RouteKind::kRepeatable, false) };
+        catalogue.services.push_back ({ "other", "/health", 100, std::nullopt });
+        catalogue.routes.back().backends = { { "other", 1 } };
         return catalogue;
     }
 
