Probes of runners ask for the health check and need an answer

Callers of routers that had lost their links to the runners were served far worse than others. A probe proved that a TCP connection opens and stays open for 20 ms. Paths that open connections and break or ignore requests were sound to it, so that the router was never isolated and each request failed by itself.

A probe now sends a request for the health check of the runner's service and is sound when an answer begins, whatever it says: that is what a request needs of the path. A probe without an answer counts as a failed connection only if nothing was received from any runner meanwhile, since a health check waits for a free slot.

--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -176,6 +176,14 @@
 {
     Connection& connection = m_connections[socket];
     connection.received += socket->readAll().toStdString();
+    if (connection.received.starts_with ("GET /health ")
+        && connection.received.ends_with ("\r\n\r\n"))
+    {
+        connection.received.clear();
+        socket->write ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        socket->flush();
+        return;
+    }
     if (! isComplete (connection.received))
         return;
     const std::string request = std::exchange (connection.received, {});
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -146,6 +146,12 @@
         const auto found = m_views.find (id);
         return found == m_views.end() ? 0 : found->second.row.instance.startedAt;
     }
+    /// Service of the runner; empty if it is not listed.
+    [[nodiscard]] std::string serviceOf (const std::string& id) const
+    {
+        const auto found = m_views.find (id);
+        return found == m_views.end() ? std::string() : found->second.row.instance.service;
+    }
     /// Version of the runner's software; empty if not known.
     [[nodiscard]] std::string softwareVersionOf (const std::string& id) const
     {
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -77,6 +77,9 @@
                  m_context.reachability.unreachable());
             set ("fernlift_proxy_connections_failed", "Connections to runners that did not open.",
                  m_context.reachability.failedConnections());
+            set ("fernlift_proxy_probes_unanswered",
+                 "Probes that opened a connection to a runner and got no answer.",
+                 m_context.reachability.unansweredProbes());
             set ("fernlift_proxy_isolated",
                  "1 while requests go to other routers, as connections to runners fail.",
                  m_context.reachability.path (m_clock.now()) == RunnerPath::kIsolated ? 1 : 0);
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -26,6 +26,8 @@
 /// A runner's machine answers an opening packet within a few milliseconds on the known platforms; a
 /// lost one is sent again after a second.
 constexpr base::Duration kReachabilityTimeout = base::milliseconds (150);
+/// Time for the answer to a health check, which needs a free slot of the runner.
+constexpr base::Duration kReachabilityAnswerTimeout = base::milliseconds (200);
 /// A device on the path may accept a connection and reset it at once.
 constexpr base::Duration kReachabilitySettleTime = base::milliseconds (20);
 
@@ -91,9 +93,10 @@
       m_readiness (m_names.readinessPath, [this] { return isReady(); }),
       m_probes ({}, [this] (const std::string& instance, RunnerProbeResult probeResult)
                 { onRunnerChecked (instance, probeResult); }),
-      m_reachabilityProbes ({ kReachabilityTimeout, kReachabilitySettleTime },
-                            [this] (const std::string& instance, RunnerProbeResult probeResult)
-                            { onReachabilityProbed (instance, probeResult); })
+      m_reachabilityProbes (
+          { kReachabilityTimeout, kReachabilityAnswerTimeout, kReachabilitySettleTime },
+          [this] (const std::string& instance, RunnerProbeResult probeResult)
+          { onReachabilityProbed (instance, probeResult); })
 {
     m_context.router = m_settings.id;
     m_context.peers = PeerRouters (m_settings.id, m_settings.zone);
@@ -436,17 +439,38 @@
 void ProxyProcess::probeReachability()
 {
     for (const std::string& id : m_context.reachability.takeProbes (m_clock.now(), m_random))
-        m_reachabilityProbes.check (id, m_directory.addressOf (id));
+        m_reachabilityProbes.check (id, m_directory.addressOf (id), healthRequest (id));
+}
+
+std::string ProxyProcess::healthRequest (const std::string& instance) const
+{
+    const config::Service* service =
+        m_context.routes == nullptr
+            ? nullptr
+            : m_context.routes->catalogue().findService (m_directory.serviceOf (instance));
+    if (service == nullptr || service->healthPath.empty())
+        return {};
+    return "GET " + service->healthPath + " HTTP/1.1\r\nHost: "
+           + m_directory.addressOf (instance).toString() + "\r\nConnection: close\r\n\r\n";
 }
 
 void ProxyProcess::onReachabilityProbed (const std::string& instance, RunnerProbeResult probeResult)
 {
     const base::TimePoint now = m_clock.now();
+    RunnerReachability& reachability = m_context.reachability;
     const bool isReachable = probeResult == RunnerProbeResult::kAlive;
-    m_directory.onProbed (instance, isReachable, now);
+    const bool isSilent = probeResult == RunnerProbeResult::kSilent;
+    bool isNewlyIsolated = false;
     if (isReachable)
-        m_context.reachability.onConnected (instance, now);
-    else if (m_context.reachability.onConnectFailed (instance, now))
+        reachability.onConnected (instance, now);
+    else if (isSilent)
+        isNewlyIsolated =
+            reachability.onProbeUnanswered (instance, kReachabilityAnswerTimeout, now);
+    else
+        isNewlyIsolated = reachability.onConnectFailed (instance, now);
+    if (! isSilent || reachability.isUnreachable (instance))
+        m_directory.onProbed (instance, isReachable, now);
+    if (isNewlyIsolated)
         onIsolated();
 }
 
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -89,6 +89,8 @@
     void reportSuspects();
     /// Probes the runners whose reachability is in doubt.
     void probeReachability();
+    /// Request of a probe of the runner; empty if its service has no health check.
+    [[nodiscard]] std::string healthRequest (const std::string& instance) const;
     void onReachabilityProbed (const std::string& instance, RunnerProbeResult probeResult);
     /// Stops using the connections to runners after all new ones have failed.
     void onIsolated();
--- a/src/proxy/RunnerProbes.h
+++ b/src/proxy/RunnerProbes.h
@@ -1,11 +1,14 @@
 #pragma once
 
 /**
- * Probes whether a runner accepts connections.
+ * Probes whether a runner accepts connections, and whether it answers a request.
  *
  * A connection may be reset although the runner is alive. A crashed runner refuses the next
  * connection at once, a live one accepts it. Requests that break at the same runner at the same
  * time share one probe.
+ *
+ * A device on the path may accept connections in place of a runner that it does not reach. Only an
+ * answer shows that the path to the runner works.
  */
 
 #include <functional>
@@ -31,9 +34,13 @@
 
     struct Limits
     {
-        /** A probe without a result ends after this time. */
+        /** A connection that did not open within this time ends the probe. */
         base::Duration timeout = base::milliseconds (300);
-        /** A connection that closes within this time after it opened does not count as accepted. */
+        /** Time for the answer to the request of a probe, from the opening of the connection. */
+        base::Duration answerTimeout{};
+        /** A connection that closes within this time after it opened does not count as accepted, if
+            the probe sends no request.
+        */
         base::Duration settleTime{};
     };
 
@@ -43,8 +50,11 @@
     RunnerProbes (const RunnerProbes&) = delete;
     RunnerProbes& operator= (const RunnerProbes&) = delete;
 
-    /** Starts a probe of the runner unless one is in progress. */
-    void check (const std::string& instance, const base::SocketAddress& address);
+    /** Starts a probe of the runner unless one is in progress. `request` is sent once the
+       connection is open; empty: nothing is sent.
+    */
+    void check (const std::string& instance, const base::SocketAddress& address,
+                const std::string& request = {});
 
 private:
     class Probe;
--- a/src/proxy/RunnerReachability.cpp
+++ b/src/proxy/RunnerReachability.cpp
@@ -98,6 +98,14 @@
     return false;
 }
 
+bool RunnerReachability::onProbeUnanswered (const std::string& runner, base::Duration waited,
+                                            base::TimePoint now)
+{
+    ++m_unansweredProbes;
+    const bool isAnyAnswering = m_lastBytesAt != base::TimePoint{} && now - m_lastBytesAt < waited;
+    return ! isAnyAnswering && onConnectFailed (runner, now);
+}
+
 void RunnerReachability::isolate (base::TimePoint now)
 {
     const bool isFlapping = m_returnedAt != base::TimePoint{} && now - m_returnedAt < kFlapMemory;
@@ -106,6 +114,7 @@
     m_isIsolated = true;
     m_nextProbeAt = now + kIntervalWhileIsolated;
     log::write (log::Event::kRouterIsolated, { { "unreachable", m_unreachable.size() },
+                                               { "unanswered_probes", m_unansweredProbes },
                                                { "required_probes", m_requiredSuccesses } });
 }
 
--- a/src/proxy/RunnerReachability.h
+++ b/src/proxy/RunnerReachability.h
@@ -36,7 +36,11 @@
     /** An attempt at a runner began. */
     void onAttemptBegin (base::TimePoint now);
     /** Bytes of an answer were received from any runner. */
-    void onBytes (base::TimePoint now) { m_quietSince = now; }
+    void onBytes (base::TimePoint now)
+    {
+        m_quietSince = now;
+        m_lastBytesAt = now;
+    }
     void onAttemptEnd();
     /** A new connection to the runner is usable. */
     void onConnected (const std::string& runner, base::TimePoint now);
@@ -45,8 +49,14 @@
     */
     bool onConnectFailed (const std::string& runner, base::TimePoint now);
 
-    /** Returns the runners to probe now, by opening a connection to each. The results have to be
-        reported by onConnected() and onConnectFailed().
+    /** A probe of the runner got no answer within `waited`. Returns whether this router became
+        isolated by it. A runner without a free slot does not answer either, so that the silence
+        counts only while nothing was received from any runner.
+    */
+    bool onProbeUnanswered (const std::string& runner, base::Duration waited, base::TimePoint now);
+
+    /** Returns the runners to probe now, by a request to each. The results have to be reported by
+        onConnected(), onConnectFailed() and onProbeUnanswered().
     */
     [[nodiscard]] std::vector<std::string> takeProbes (base::TimePoint now, base::Random& random);
 
@@ -61,8 +71,14 @@
     [[nodiscard]] bool isInDoubt (base::TimePoint now) const;
     /** Number of runners whose last connection did not open. */
     [[nodiscard]] std::size_t unreachable() const { return m_unreachable.size(); }
+    [[nodiscard]] bool isUnreachable (const std::string& runner) const
+    {
+        return m_unreachable.contains (runner);
+    }
     /** Number of connections that did not open since the start of the process. */
     [[nodiscard]] std::uint64_t failedConnections() const { return m_failedConnections; }
+    /** Number of probes that got no answer since the start of the process. */
+    [[nodiscard]] std::uint64_t unansweredProbes() const { return m_unansweredProbes; }
 
 private:
     /** Runners at which connections have failed recently, without one that opened since. */
@@ -79,8 +95,10 @@
     /** Times of the failures since the last connection that opened, by runner. */
     std::map<std::string, base::TimePoint> m_failures;
     std::uint64_t m_failedConnections = 0;
+    std::uint64_t m_unansweredProbes = 0;
     std::size_t m_openAttempts = 0;
     base::TimePoint m_quietSince{};  ///< Start of the time in which open attempts got no bytes.
+    base::TimePoint m_lastBytesAt{};
     base::TimePoint m_nextProbeAt{};
     base::TimePoint m_probesInDoubtAt{};  ///< Last probes that followed a failure or a quiet time.
     bool m_isIsolated = false;
--- a/src/proxy/RunnerReachabilityTest.cpp
+++ b/src/proxy/RunnerReachabilityTest.cpp
@@ -105,6 +105,29 @@
     EXPECT_EQ (path(), RunnerPath::kOpen);
 }
 
+TEST_F (RunnerReachabilityTest, UnansweredProbesIsolateWhileNothingIsReceived)
+{
+    m_reachability.onAttemptBegin (m_now);
+    m_reachability.onBytes (m_now);
+    advance (milliseconds (250));
+    EXPECT_FALSE (m_reachability.onProbeUnanswered ("i-1", milliseconds (200), m_now));
+    EXPECT_FALSE (m_reachability.onProbeUnanswered ("i-2", milliseconds (200), m_now));
+    EXPECT_TRUE (m_reachability.onProbeUnanswered ("i-3", milliseconds (200), m_now));
+    EXPECT_EQ (path(), RunnerPath::kIsolated);
+}
+
+TEST_F (RunnerReachabilityTest, UnansweredProbesOfFullRunnersDoNotIsolate)
+{
+    for (const char* const runner : { "i-1", "i-2", "i-3", "i-4" })
+    {
+        m_reachability.onBytes (m_now);
+        advance (milliseconds (100));
+        EXPECT_FALSE (m_reachability.onProbeUnanswered (runner, milliseconds (200), m_now));
+    }
+    EXPECT_EQ (path(), RunnerPath::kOpen);
+    EXPECT_EQ (m_reachability.unreachable(), 0U);
+}
+
 TEST_F (RunnerReachabilityTest, FailureIsFollowedByProbesOfOtherRunners)
 {
     EXPECT_TRUE (probes().empty());
--- a/src/quarantine/RunnerProbeResult.h
+++ b/src/quarantine/RunnerProbeResult.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Result of probing a runner whose answer was interrupted.
+/// Result of probing a runner.
 
 #include <cstdint>
 #include <string_view>
@@ -10,8 +10,9 @@
 
 enum class RunnerProbeResult : std::uint8_t
 {
-    kGone,     ///< Nothing listens at the runner's address.
-    kAlive,    ///< The runner accepts connections.
+    kGone,     ///< The connection did not open, or ended before the runner sent anything.
+    kAlive,    ///< The runner accepts connections, and answers if the probe sends a request.
+    kSilent,   ///< The connection opened, but the request of the probe got no answer in time.
     kUnknown,  ///< The probe timed out: the runner may be partitioned from this router.
 };
 
@@ -24,6 +25,8 @@
             return "gone";
         case RunnerProbeResult::kAlive:
             return "alive";
+        case RunnerProbeResult::kSilent:
+            return "silent";
         case RunnerProbeResult::kUnknown:
             break;
     }
