Retry budgets hold for each service and are earned from nothing

Repeats at one service went over what is allowed for it. A router had one budget for all services, so that requests for sound services earned retries that were spent at a broken one. Each start of a router also brought its part of the common reserve anew.

Each service has a budget of its own, and a router that shares a reserve saves up its part from its requests. The sum over all routers, in any period, is then at most the share of the requests in it and the reserve, whatever restarts.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -40,6 +40,35 @@
 
 void RetryBudget::chargeRetry() { m_balance = std::max (m_balance - 1, 0.0); }
 
+ServiceRetryBudgets::ServiceRetryBudgets (double share, double reserve)
+    : m_share (share), m_reserve (reserve)
+{
+}
+
+void ServiceRetryBudgets::limitReserve (double reserve)
+{
+    m_limit = reserve;
+    for (auto& [service, budget] : m_budgets)
+        budget.limitReserve (reserve);
+}
+
+RetryBudget& ServiceRetryBudgets::of (std::string_view service)
+{
+    const auto found = m_budgets.find (service);
+    if (found != m_budgets.end())
+        return found->second;
+    RetryBudget budget (m_share, m_reserve);
+    if (m_limit)
+        budget.limitReserve (*m_limit);
+    return m_budgets.emplace (service, budget).first->second;
+}
+
+std::size_t ServiceRetryBudgets::spent() const
+{
+    return static_cast<std::size_t> (std::ranges::count_if (
+        m_budgets, [] (const auto& item) { return ! item.second.allowsRetry(); }));
+}
+
 double partOfReserve (double reserve, std::uint32_t sharers, std::string_view name)
 {
     const double share = reserve / sharers;
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -2,7 +2,12 @@
 
 /// Limits retries to a share of first attempts, so that retries do not amplify an overload.
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace fernlift::dispatch
@@ -35,6 +40,28 @@
     double m_balance;
 };
 
+/// One retry budget for each service, so that requests for one service pay for its own retries
+/// only.
+class ServiceRetryBudgets
+{
+public:
+    /// Each budget allows `share` retries per first attempt, and `reserve` retries before any.
+    ServiceRetryBudgets (double share, double reserve);
+
+    /// Applies RetryBudget::limitReserve() to the budgets of all services, also to later ones.
+    void limitReserve (double reserve);
+    /// Budget of the service, which is created on first use.
+    [[nodiscard]] RetryBudget& of (std::string_view service);
+    /// Number of services whose budget allows no retry now.
+    [[nodiscard]] std::size_t spent() const;
+
+private:
+    double m_share;
+    double m_reserve;
+    std::optional<double> m_limit;  ///< None before the first limitReserve().
+    std::map<std::string, RetryBudget, std::less<>> m_budgets;  ///< Keyed by service.
+};
+
 /// Part that the sharer called `name` has of a common reserve of retries. In large cells an equal
 /// part is less than one retry and would allow none; each sharer then has one retry or none,
 /// depending on a hash of its name.
--- a/src/dispatch/RetryTest.cpp
+++ b/src/dispatch/RetryTest.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,72 @@
     }
 }
 
+TEST (ServiceRetryBudgetsTest, RequestsForOneServiceEarnNoRetriesAtAnother)
+{
+    ServiceRetryBudgets budgets (1, 0);
+    budgets.limitReserve (5);
+    for (int request = 0; request < 100; ++request)
+        budgets.of ("sound").onFirstAttempt();
+    EXPECT_FALSE (budgets.of ("broken").tryRetry());
+    budgets.of ("broken").onFirstAttempt();
+    EXPECT_EQ (budgets.spent(), 0U);
+    EXPECT_TRUE (budgets.of ("broken").tryRetry());
+    EXPECT_EQ (budgets.spent(), 1U);
+}
+
+TEST (ServiceRetryBudgetsTest, ReserveIsLimitedForServicesThatComeLater)
+{
+    ServiceRetryBudgets budgets (1, 0);
+    budgets.limitReserve (2);
+    for (int request = 0; request < 100; ++request)
+        budgets.of ("service").onFirstAttempt();
+    EXPECT_TRUE (budgets.of ("service").tryRetry());
+    EXPECT_TRUE (budgets.of ("service").tryRetry());
+    EXPECT_FALSE (budgets.of ("service").tryRetry());
+}
+
+// In any period, whichever routers restart, the retries of all routers at a service are a share of
+// its first attempts and the common reserve.
+RC_GTEST_PROP (ServiceRetryBudgetsProperty, RestartedRoutersStayWithinTheCommonReserve, ())
+{
+    constexpr double kShare = 0.2;
+    constexpr double kReserve = 8;
+    constexpr std::uint32_t kRouters = 4;
+    const auto startRouter = [&] (std::uint32_t number)
+    {
+        ServiceRetryBudgets budgets (kShare, 0);
+        budgets.limitReserve (partOfReserve (kReserve, kRouters, std::to_string (number)));
+        return budgets;
+    };
+    std::vector<ServiceRetryBudgets> routers;
+    for (std::uint32_t number = 0; number < kRouters; ++number)
+        routers.push_back (startRouter (number));
+    base::Random random (*rc::gen::arbitrary<std::uint64_t>());
+    // Largest excess of the retries over the share of first attempts in a period that ends now.
+    std::map<std::string, double> excess;
+    constexpr int kSteps = 2000;
+    for (int step = 0; step < kSteps; ++step)
+    {
+        const auto number = static_cast<std::uint32_t> (random.uniformInteger (0, kRouters - 1));
+        const std::string service = random.uniformReal() < 0.5 ? "a" : "b";
+        const double draw = random.uniformReal();
+        if (draw < 0.02)
+        {
+            routers[number] = startRouter (number);
+        }
+        else if (draw < 0.5)
+        {
+            routers[number].of (service).onFirstAttempt();
+            excess[service] = std::max (excess[service] - kShare, 0.0);
+        }
+        else if (routers[number].of (service).tryRetry())
+        {
+            excess[service] += 1;
+        }
+        RC_ASSERT (excess[service] <= kReserve + 1e-9);
+    }
+}
+
 TEST (RetryBudgetTest, BoundsTheRetriesSavedUpByFirstAttempts)
 {
     RetryBudget budget (0.2);
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -155,7 +155,7 @@
     m_query.gapTarget = m_route->gapTarget;
     readModel();
     if (! m_servedPeer)
-        m_context.retryBudget.onFirstAttempt();
+        retryBudget().onFirstAttempt();
     return true;
 }
 
@@ -580,7 +580,7 @@
         return false;
     if (now() >= m_deadline)
         return false;
-    return m_context.retryBudget.allowsRetry();
+    return retryBudget().allowsRetry();
 }
 
 void Exchange::afterRefusal()
@@ -589,7 +589,7 @@
     // Another router may have found no runner to send the request to.
     const bool wasSent = ! m_peer || m_peerAnswer.attempts > 0;
     const bool hasAttempts = wasSent && m_sentAttempts < maxAttempts();
-    if (hasAttempts && m_context.retryBudget.tryRetry())
+    if (hasAttempts && retryBudget().tryRetry())
     {
         ++m_context.counters.retries;
         logResend (log::Event::kRequestResent);
@@ -624,7 +624,7 @@
     if (m_events)
         m_events->discardIncomplete();
     pinSoftwareVersion();
-    const bool mayGoOn = mayRunAgain() && m_context.retryBudget.tryRetry();
+    const bool mayGoOn = mayRunAgain() && retryBudget().tryRetry();
     if (mayGoOn)
     {
         ++(m_isAnswerBegun ? m_context.counters.resumed : m_context.counters.retries);
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -176,6 +176,11 @@
     void onWaitTimeout();
     /// Ends the attempt. With `mayReuse` its connection goes back to the pool.
     void endAttempt (AttemptEnd end, bool mayReuse);
+    /// Retries that the service of the request may still get from this router.
+    [[nodiscard]] dispatch::RetryBudget& retryBudget()
+    {
+        return m_context.retryBudgets.of (m_query.service);
+    }
     [[nodiscard]] bool mayRunAgain();
     void afterRefusal();
     void afterFailure();
--- a/src/proxy/ExchangePeersTest.cpp
+++ b/src/proxy/ExchangePeersTest.cpp
@@ -204,17 +204,17 @@
 
 TEST_F (ExchangePeersTest, RequestEarnsRetriesAtTheRouterOfTheCallerOnly)
 {
-    m_near.retryBudget = dispatch::RetryBudget (1, 0);
-    m_far.retryBudget = dispatch::RetryBudget (1, 0);
-    m_near.retryBudget.limitReserve (5);
-    m_far.retryBudget.limitReserve (5);
-    while (m_near.retryBudget.tryRetry())
+    m_near.retryBudgets = dispatch::ServiceRetryBudgets (1, 0);
+    m_far.retryBudgets = dispatch::ServiceRetryBudgets (1, 0);
+    m_near.retryBudgets.limitReserve (5);
+    m_far.retryBudgets.limitReserve (5);
+    while (m_near.retryBudgets.of ("service").tryRetry())
         continue;
-    while (m_far.retryBudget.tryRetry())
+    while (m_far.retryBudgets.of ("service").tryRetry())
         continue;
     EXPECT_TRUE (call ("once.test").starts_with ("HTTP/1.1 200"));
-    EXPECT_TRUE (m_near.retryBudget.allowsRetry());
-    EXPECT_FALSE (m_far.retryBudget.allowsRetry());
+    EXPECT_TRUE (m_near.retryBudgets.of ("service").allowsRetry());
+    EXPECT_FALSE (m_far.retryBudgets.of ("service").allowsRetry());
 }
 
 TEST_F (ExchangePeersTest, RunnerGetsTheTimeThatIsLeft)
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -505,7 +505,7 @@
 {
     proxy.addRunner ("i-1", runner);
     RawCaller caller (proxy.listening);
-    proxy.retryBudget = dispatch::RetryBudget (0, 0);
+    proxy.retryBudgets = dispatch::ServiceRetryBudgets (0, 0);
     caller.write (ProxyFixture::request ("once.test"));
     ASSERT_TRUE (runner.waitForRequest());
     runner.connections[0]->write (
@@ -572,7 +572,7 @@
 {
     proxy.addRunner ("i-1", runner);
     proxy.addRunner ("i-2", other);
-    while (proxy.retryBudget.tryRetry())
+    while (proxy.retryBudgets.of ("service").tryRetry())
     {
     }
     RawCaller caller (proxy.listening);
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -61,7 +61,7 @@
     InstanceLoadReporter& loadReporter;
     RunnerRates& rates;
     http::BackEndPool& pool;
-    dispatch::RetryBudget& retryBudget;
+    dispatch::ServiceRetryBudgets& retryBudgets;
     EngineDemands& demands;
     TenantQuotas& quotas;
     quarantine::SuspectRequests& suspects;
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -72,6 +72,8 @@
             set ("fernlift_proxy_attempts_during_backoff",
                  "Attempts at runners that had asked for none at that time.",
                  availability.counters().attemptsDuringBackoff);
+            set ("fernlift_proxy_retry_budgets_spent",
+                 "Services whose retry budget allows no retry now.", m_retryBudgets.spent());
             set ("fernlift_proxy_unreachable_runners",
                  "Runners that this router cannot connect to.",
                  m_context.reachability.unreachable());
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -41,6 +41,13 @@
     return peers;
 }
 
+/// Retries at each service that are allowed before there were requests. A part of a common reserve
+/// has to be earned by requests: a router that restarts could otherwise spend it twice.
+double initialRetries (const ProxySettings& settings)
+{
+    return settings.cellRetryReserve == 0 ? static_cast<double> (settings.retryReserve) : 0;
+}
+
 }  // namespace
 
 ProxyProcess::ProxyProcess (ProxySettings settings, ProtocolNames names,
@@ -55,7 +62,7 @@
       m_directory (m_settings.zone),
       m_rates (randomSeed, [this] { m_demandTimer.start (0); }),
       m_pool (m_settings.connectTimeout),
-      m_retryBudget (m_settings.retryShare, static_cast<double> (m_settings.retryReserve)),
+      m_retryBudgets (m_settings.retryShare, initialRetries (m_settings)),
       m_quotas (m_settings.quotaTolerance, [this] { m_demandTimer.start (0); }),
       m_context{ m_names,
                  m_clock,
@@ -64,7 +71,7 @@
                  m_loadReporter,
                  m_rates,
                  m_pool,
-                 m_retryBudget,
+                 m_retryBudgets,
                  m_demands,
                  m_quotas,
                  m_suspects,
@@ -370,7 +377,7 @@
 {
     if (m_settings.cellRetryReserve == 0)
         return;
-    m_retryBudget.limitReserve (dispatch::partOfReserve (
+    m_retryBudgets.limitReserve (dispatch::partOfReserve (
         kUsedReserveShare * m_settings.cellRetryReserve, m_directory.routers(), m_settings.id));
 }
 
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -64,7 +64,7 @@
     void confirmRoutes (const cell::LeaseGrant& grant);
     void applyConfiguration (const cell::ConfigurationUpdate& update);
     void applyInstances (const cell::InstanceUpdate& update);
-    /// Sets this router's part of the retries that all routers of the cell may make.
+    /// Sets this router's part of the retries that all routers of the cell may make at a service.
     void limitRetries();
     void pollController();
     /// Connects to the preferred controller from time to time, if connected to another one.
@@ -113,7 +113,7 @@
     InstanceLoadReporter m_loadReporter;
     RunnerRates m_rates;
     http::BackEndPool m_pool;
-    dispatch::RetryBudget m_retryBudget;
+    dispatch::ServiceRetryBudgets m_retryBudgets;
     EngineDemands m_demands;
     TenantQuotas m_quotas;
     quarantine::SuspectRequests m_suspects;
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -38,12 +38,13 @@
                        "port at which every controller listens for routers");
     schema.required();
     schema.addReal ("retry_share", &settings.retryShare, 0, 1,
-                    "share of this router's requests that may be sent a second time");
+                    "share of this router's requests for a service that may be sent a second time");
     schema.addInteger ("retry_reserve", &settings.retryReserve, 0, kMaxReserve,
-                       "second sends that are allowed before there were requests");
+                       "second sends for each service that are allowed before there were requests");
     schema.addReal ("cell_retry_reserve", &settings.cellRetryReserve, 0, kMaxCellReserve,
-                    "the same for all routers of the cell together, each of which takes its "
-                    "part; 0: not bounded together");
+                    "second sends for each service that all routers of the cell may save up "
+                    "together, each of them its part, from none at its start; in place of "
+                    "retry_reserve; 0: not bounded together");
     schema.addInteger ("shared_loads_from_routers", &settings.sharedLoadsFromRouters, 0,
                        kMaxRouters,
                        "in cells with at least so many routers they share what they know of the "
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -28,7 +28,7 @@
     std::int64_t maxPeerRequests = 200;  ///< Requests served for other routers at the same time.
     std::vector<base::SocketAddress> seeds;
     std::int64_t seedPeerPort = 0;
-    double retryShare = 0.1;        ///< Share of this router's requests.
+    double retryShare = 0.1;        ///< Share of this router's requests for a service.
     std::int64_t retryReserve = 4;  ///< Retries allowed without any requests.
     /// Retry reserve of all routers of the cell together. Each router takes its part once the
     /// number of routers is known. 0: `retryReserve` remains in effect.
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -406,13 +406,13 @@
     InstanceLoadReporter loadReporter;
     RunnerRates rates{ 1, [] {} };
     http::BackEndPool pool{ base::milliseconds (500) };
-    dispatch::RetryBudget retryBudget{ 0.1, 10 };
+    dispatch::ServiceRetryBudgets retryBudgets{ 0.1, 10 };
     EngineDemands demands;
     TenantQuotas quotas{ {}, [] {} };
     quarantine::SuspectRequests suspects;
     ProxyCounters counters;
-    ProxyContext context{ names,       clock,   random, directory, loadReporter, rates, pool,
-                          retryBudget, demands, quotas, suspects,  counters,     [] {}, nullptr };
+    ProxyContext context{ names,        clock,   random, directory, loadReporter, rates, pool,
+                          retryBudgets, demands, quotas, suspects,  counters,     [] {}, nullptr };
     ProxyServer server{ context };
     base::SocketAddress listening;
     base::SocketAddress peerListening;
--- a/src/proxy/StreamSoftwareTest.cpp
+++ b/src/proxy/StreamSoftwareTest.cpp
@@ -85,7 +85,7 @@
     /// Begins a stream that breaks off after its first event, since the router may not retry.
     static std::string begin (ProxyFixture& router, const std::string& id)
     {
-        while (router.retryBudget.tryRetry())
+        while (router.retryBudgets.of ("service").tryRetry())
         {
         }
         return callUntil (router, ProxyFixture::request ("resume.test", id), "data:");
