--- a/src/lab/ForwardingCellTestSupport.h
+++ b/src/lab/ForwardingCellTestSupport.h
@@ -26,8 +26,8 @@
 {
 
 /// A fake runner that can crash and restart at the same address. A request whose body begins with
-/// "deadly" crashes it after the head of the answer; any other request is answered after
-/// `workTime`.
+/// "deadly", or with a part of that name in its prompt, crashes it `timeToCrash` after the head of
+/// the answer; any other request is answered after `workTime`.
 class CrashableRunner
 {
 public:
@@ -56,6 +56,7 @@
     [[nodiscard]] const std::vector<base::TimePoint>& arrivals() const { return m_arrivals; }
 
     base::milliseconds workTime{ 1 };
+    base::milliseconds timeToCrash{ 5 };
     /// Value of the header field in which each answer states a rate; empty for no field.
     std::string statedRate;
     /// Retry-After field with which the runner declines every request; empty: it serves them.
@@ -117,7 +118,7 @@
     int call (std::size_t router, const std::string& host, const std::string& body);
     /// Sends a request without waiting; sets `status` when the call ends.
     void beginCall (std::size_t router, const std::string& host, const std::string& body,
-                    std::shared_ptr<int> status);
+                    std::shared_ptr<int> status, const std::string& promptParts = {});
     /// Forgets the calls that have ended.
     void closeEndedCalls();
     /// Ends a controller without a planned stop and does not restart it.
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -20,7 +20,6 @@
 using http::test::waitUntil;
 
 constexpr base::milliseconds kHeartbeatInterval (300);
-constexpr base::milliseconds kTimeToCrash (5);
 constexpr std::string_view kIdField = "Test-Id: ";
 
 QHostAddress hostOf (const base::SocketAddress& address)
@@ -191,7 +190,9 @@
     m_arrivals.push_back (m_clock.now());
     const std::size_t begin = request.find (kIdField) + kIdField.size();
     const std::string id = request.substr (begin, request.find ("\r\n", begin) - begin);
-    const bool isDeadly = request.find ("\r\n\r\ndeadly") != std::string::npos;
+    const bool isDeadly = request.find ("\r\n\r\ndeadly") != std::string::npos
+                          || request.find (",deadly:") != std::string::npos
+                          || request.find (" deadly:") != std::string::npos;
     if (! isDeadly && takesBrokenRequest())
     {
         QTimer::singleShot (workTime, socket, [this, socket] { resetConnection (socket); });
@@ -207,7 +208,7 @@
                                "Transfer-Encoding: chunked\r\n\r\n";
     socket->write (head.data(), static_cast<qint64> (head.size()));
     socket->flush();
-    QTimer::singleShot (kTimeToCrash, &m_server, [this] { crash(); });
+    QTimer::singleShot (timeToCrash, &m_server, [this] { crash(); });
 }
 
 void CrashableRunner::answer (QTcpSocket* socket, const std::string& id)
@@ -383,16 +384,18 @@
 }
 
 void ForwardingCell::beginCall (std::size_t router, const std::string& host,
-                                const std::string& body, std::shared_ptr<int> status)
+                                const std::string& body, std::shared_ptr<int> status,
+                                const std::string& promptParts)
 {
     auto call = std::make_unique<OpenCall>();
     call->socket = std::make_unique<QTcpSocket>();
     call->status = std::move (status);
     OpenCall& open = *call;
-    const std::string request =
-        "POST /path HTTP/1.1\r\nHost: " + host + "\r\nTest-Id: c" + std::to_string (++m_calls)
-        + "\r\nTest-Deadline: 3000\r\nContent-Length: " + std::to_string (body.size()) + "\r\n\r\n"
-        + body;
+    const std::string request = "POST /path HTTP/1.1\r\nHost: " + host + "\r\nTest-Id: c"
+                                + std::to_string (++m_calls) + "\r\nTest-Deadline: 3000\r\n"
+                                + (promptParts.empty() ? "" : "Test-Parts: " + promptParts + "\r\n")
+                                + "Content-Length: " + std::to_string (body.size()) + "\r\n\r\n"
+                                + body;
     QObject::connect (open.socket.get(), &QTcpSocket::connected, open.socket.get(),
                       [&open, request] {
                           open.socket->write (request.data(), static_cast<qint64> (request.size()));
