A part of a prompt that crashes runners is quarantined

Each shared part of an interrupted request is a suspect beside the request, with the same messages and the same table. What tells the deadly part from its neighbours: runners that were answering them since before the previous end, whole answers, and ends that another part explains.

--- a/src/cell/QuarantineTable.cpp
+++ b/src/cell/QuarantineTable.cpp
@@ -69,10 +69,32 @@
     return std::ranges::find (crashes, instance, &RunnerCrash::instance) != crashes.end();
 }
 
+bool Suspect::isChangedBy (const RunnerCrash& crash) const
+{
+    const auto known = std::ranges::find (crashes, crash.instance, &RunnerCrash::instance);
+    if (known == crashes.end())
+        return true;
+    return request.isPromptPart() && crash.sentAt < known->sentAt;
+}
+
+void QuarantineTable::record (Suspect& suspect, const RunnerCrash& crash)
+{
+    const auto known = std::ranges::find (suspect.crashes, crash.instance, &RunnerCrash::instance);
+    if (known != suspect.crashes.end())
+    {
+        known->sentAt = crash.sentAt;
+        return;
+    }
+    if (suspect.crashes.size() >= kMaxCrashes)
+        dropRedundantCrash (suspect);
+    if (suspect.crashes.size() < kMaxCrashes)
+        suspect.crashes.push_back (crash);
+}
+
 bool QuarantineTable::note (base::LogIndex index, const RunnerCrash& crash)
 {
     auto found = m_suspects.find (crash.request.digest);
-    if (found != m_suspects.end() && found->second.contains (crash.instance))
+    if (found != m_suspects.end() && ! found->second.isChangedBy (crash))
         return false;
     if (found == m_suspects.end())
     {
@@ -82,17 +104,24 @@
         m_removedAt.erase (crash.request.digest);
     }
     Suspect& suspect = found->second;
-    if (suspect.crashes.size() >= kMaxCrashes)
-        dropRedundantCrash (suspect);
-    if (suspect.crashes.size() < kMaxCrashes)
-        suspect.crashes.push_back (crash);
+    const bool wasShared = suspect.isShared();
+    record (suspect, crash);
     suspect.consecutiveCrashCount = suspect.consecutiveCrashes();
     suspect.lastCrashAt = std::max (suspect.lastCrashAt, crash.crashedAt);
     suspect.changedAt = index;
     m_version = index;
+    recordSharing (index, suspect, wasShared);
     return true;
 }
 
+void QuarantineTable::recordSharing (base::LogIndex index, const Suspect& suspect, bool wasShared)
+{
+    if (suspect.isShared())
+        m_removedAt.erase (suspect.request.digest);
+    else if (wasShared)
+        recordRemoval (index, suspect.request.digest);
+}
+
 void QuarantineTable::makeRoom (base::LogIndex index)
 {
     if (m_suspects.size() < kMaxSuspects)
@@ -109,8 +138,12 @@
     const bool wasShared = m_suspects.at (digest).isShared();
     m_suspects.erase (digest);
     m_version = index;
-    if (! wasShared)
-        return;
+    if (wasShared)
+        recordRemoval (index, digest);
+}
+
+void QuarantineTable::recordRemoval (base::LogIndex index, const std::string& digest)
+{
     if (m_removedAt.size() >= kMaxSuspects)
     {
         m_removedAt.clear();
--- a/src/cell/QuarantineTable.h
+++ b/src/cell/QuarantineTable.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /**
- * Replicated table of the requests that were running when runners crashed.
+ * Replicated table of the requests that were running when runners crashed, and of the parts of
+ * their prompts that other requests share.
  *
  * A crash of a runner interrupts all requests that it runs, so that each of them is a suspect. The
  * request that caused the crash also crashes the next runner. A request with
@@ -10,6 +11,10 @@
  *
  * Only consecutive crashes count. Runners that crash at the same time, such as those of a lost
  * rack, count as one crash for a request of which copies ran on several of them.
+ *
+ * Many requests may share a part of a prompt. Its time at a runner begins with the first of them,
+ * so that a part that a runner had been running since before the previous crash gets no further
+ * one: that runner had borne it.
  */
 
 #include <boost/serialization/map.hpp>
@@ -78,6 +83,10 @@
     [[nodiscard]] bool isShared() const { return consecutiveCrashCount >= kCrashesBeforeSharing; }
     [[nodiscard]] SuspectRow row() const;
     [[nodiscard]] bool contains (const std::string& instance) const;
+    /** Whether the crash adds to what is recorded: one of another instance or, of a part of a
+        prompt, an earlier begin at this instance.
+    */
+    [[nodiscard]] bool isChangedBy (const RunnerCrash& crash) const;
 
     bool operator== (const Suspect&) const = default;
     template <class Archive>
@@ -106,7 +115,9 @@
     */
     static constexpr base::UnixMilliseconds kQuarantineLifetime = 3'600'000;
 
-    /** Records a crash; returns false if it was known. `index` must not decrease between calls. */
+    /** Records a crash; returns false if it changes nothing. `index` must not decrease between
+        calls.
+    */
     bool note (base::LogIndex index, const RunnerCrash& crash);
     /** Removes a request; returns false if it was unknown. */
     bool release (base::LogIndex index, const std::string& digest);
@@ -140,7 +151,11 @@
 
 private:
     void makeRoom (base::LogIndex index);
+    static void record (Suspect& suspect, const RunnerCrash& crash);
+    /** Records for updateSince() whether a suspect that was changed is still shared. */
+    void recordSharing (base::LogIndex index, const Suspect& suspect, bool wasShared);
     void remove (base::LogIndex index, const std::string& digest);
+    void recordRemoval (base::LogIndex index, const std::string& digest);
 
     std::map<std::string, Suspect> m_suspects;
     base::LogIndex m_version = 0;
--- a/src/cell/QuarantineTableTest.cpp
+++ b/src/cell/QuarantineTableTest.cpp
@@ -37,6 +37,22 @@
     EXPECT_EQ (table.find ("r")->consecutiveCrashes(), 1);
 }
 
+TEST (QuarantineTableTest, PromptPartThatARunnerHadBorneBeforeThePreviousCrashCountsOnce)
+{
+    const std::string part = std::string (kPromptPartPrefix) + "head";
+    QuarantineTable table;
+    table.note (1, crashOf (part, "a", 0, 50));
+    EXPECT_TRUE (table.note (2, crashOf (part, "b", 60, 110)));
+    EXPECT_EQ (table.updateSince (1).upserts.size(), 1U);
+    EXPECT_TRUE (table.note (3, crashOf (part, "b", 10, 110)));
+    EXPECT_EQ (table.find (part)->consecutiveCrashes(), 1);
+    EXPECT_EQ (table.updateSince (2).removals, std::vector<std::string>{ part });
+    EXPECT_FALSE (table.note (4, crashOf (part, "b", 20, 110)));
+    EXPECT_TRUE (table.note (5, crashOf (part, "c", 120, 170)));
+    EXPECT_TRUE (table.updateSince (2).removals.empty());
+    EXPECT_EQ (table.updateSince (2).upserts.size(), 1U);
+}
+
 TEST (QuarantineTableTest, ACrashReportedTwiceCountsOnce)
 {
     QuarantineTable table;
--- a/src/controller/AdminAnswers.cpp
+++ b/src/controller/AdminAnswers.cpp
@@ -419,7 +419,9 @@
         QJsonArray runners;
         for (const cell::RunnerCrash& crash : suspect.crashes)
             runners.append (text (crash.instance));
+        const std::string_view kind = suspect.request.isPromptPart() ? "prompt_part" : "request";
         const QJsonObject object{ { u"request"_s, text (digest) },
+                                  { u"kind"_s, text (kind) },
                                   { u"ends"_s,
                                     static_cast<qint64> (suspect.consecutiveCrashCount) },
                                   { u"quarantined"_s, suspect.isInQuarantine() },
--- a/src/controller/AdminAnswers.h
+++ b/src/controller/AdminAnswers.h
@@ -56,8 +56,8 @@
     std::optional<placement::EnginePlacementStatus> placement{};  ///< Leader only.
 };
 
-/// {"suspects": [{"request","ends","quarantined","runners","last_end_ms"}]}, with the requests in
-/// quarantine first.
+/// {"suspects": [{"request","kind","ends","quarantined","runners","last_end_ms"}]}, with the
+/// requests in quarantine first.
 [[nodiscard]] AdminAnswer quarantineAnswer (const cell::QuarantineTable& table);
 [[nodiscard]] AdminAnswer membersAnswer (const consensus::RaftStatus& status);
 [[nodiscard]] AdminAnswer statusAnswer (const AdminView& view);
--- a/src/controller/ControllerQuarantine.cpp
+++ b/src/controller/ControllerQuarantine.cpp
@@ -42,16 +42,17 @@
     const cell::QuarantineTable& table = m_state.quarantine();
     for (const cell::RunnerCrashReport& crash : report.crashes)
     {
+        const base::UnixMilliseconds now = cellTime();
+        const cell::RunnerCrash reported{ crash.request, crash.instance,
+                                          now - crash.sentAgoMilliseconds,
+                                          now - crash.crashedAgoMilliseconds };
         const cell::Suspect* known = table.find (crash.request.digest);
-        const bool isNew = known == nullptr || ! known->contains (crash.instance);
+        const bool isNew = known == nullptr || known->isChangedBy (reported);
         // A runner that ended while it was leaving did not crash.
         if (! isNew || isLeaving (crash.instance))
             continue;
         m_leader->unappliedCrashes.push_back ({ crash, m_now, false });
-        const base::UnixMilliseconds now = cellTime();
-        m_leader->suspects.crashes.push_back ({ crash.request, crash.instance,
-                                                now - crash.sentAgoMilliseconds,
-                                                now - crash.crashedAgoMilliseconds });
+        m_leader->suspects.crashes.push_back (reported);
     }
     for (const std::string& digest : report.cleared)
     {
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -81,9 +81,11 @@
     // A quarantined request must neither consume quota units nor count as demand for a model.
     if (const quarantine::SuspectStatus known = suspectStatus(); known.isInQuarantine())
     {
-        refuseQuarantined (known);
+        refuseQuarantinedRequest (known);
         return;
     }
+    if (hasEndedByPromptPart (promptPartStatus()))
+        return;
     if (! m_query.softwareVersion && ! pinResumedStream())
         return;
     if (! admit())
@@ -152,6 +154,7 @@
         return false;
     m_deadline = m_arrivedAt + std::min (m_callerTimeout, m_route->timeout);
     m_query.service = RouteTable::chooseService (*m_route, m_context.random.uniformReal());
+    m_sharedParts.reset();
     m_query.gapTarget = m_route->gapTarget;
     readModel();
     if (! m_servedPeer)
@@ -218,7 +221,7 @@
         return;
     }
     const quarantine::SuspectStatus known = suspectStatus();
-    if (isBlockedAsSuspect (known))
+    if (isBlockedAsSuspect (known) || isBlockedByPromptPart())
         return;
     m_query.isolationKey = known.isSuspect() ? identity().digest : std::string();
     m_query.crashedInstances = known.instances;
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -102,13 +102,28 @@
     void dispatchNext();
     /// Status of this request among the requests suspected of crashing runners.
     [[nodiscard]] quarantine::SuspectStatus suspectStatus() const;
+    /// Status of the parts of the prompt that the request shares with others.
+    [[nodiscard]] quarantine::PromptPartStatus promptPartStatus() const;
+    /// Ends the request if a part of its prompt is in quarantine and was for long enough. Returns
+    /// whether it did.
+    bool hasEndedByPromptPart (const quarantine::PromptPartStatus& partStatus);
+    /// Whether the request waits since a part of its prompt may be in quarantine, or has ended in
+    /// it.
+    [[nodiscard]] bool isBlockedByPromptPart();
+    /// Identities of the parts of the prompt that the request shares with others.
+    [[nodiscard]] const std::vector<cell::RequestIdentity>& sharedPartIdentities() const;
+    /// Clears the parts of the prompt after a runner has answered completely.
+    void clearPromptParts();
     /// Records that the runner broke off its answer or stopped sending in the middle of it.
     void recordBrokenAnswer();
     /// Records that the isolation runner of a suspect request accepted no connection.
     void recordIsolationRunnerUnreachable();
     /// Whether the suspect status makes the request wait, or has ended it in quarantine.
     [[nodiscard]] bool isBlockedAsSuspect (const quarantine::SuspectStatus& suspectStatus);
-    void refuseQuarantined (const quarantine::SuspectStatus& suspectStatus);
+    void refuseQuarantined (const std::string& digest, std::uint32_t crashes,
+                            const std::string& message);
+    void refuseQuarantinedRequest (const quarantine::SuspectStatus& suspectStatus);
+    void refuseQuarantinedPart (const quarantine::PromptPartStatus& partStatus);
     /// Chooses a runner and starts an attempt, or begins to wait.
     void chooseRunner();
     /// Returns true when an attempt at `m_permitChoice` started or its permit is pending, and false
@@ -245,6 +260,8 @@
     [[nodiscard]] const cell::RequestIdentity& identity() const;
     /// Digest of the request for logs; empty unless a runner broke off an answer to this request.
     [[nodiscard]] std::string loggedIdentity() const;
+    /// Digests of the shared parts of the prompt; empty unless a runner broke off an answer.
+    [[nodiscard]] std::string loggedPromptParts() const;
     void abortAnswer();
     void end();
 
@@ -294,6 +311,7 @@
     /// Computed on first use.
     mutable std::optional<std::uint64_t> m_fingerprint;
     mutable std::optional<cell::RequestIdentity> m_identity;
+    mutable std::optional<std::vector<cell::RequestIdentity>> m_sharedParts;
     base::TimePoint m_attemptSentAt{};
     /// Until when the request waits for a decision on whether it crashed a runner; none: no wait.
     std::optional<base::TimePoint> m_suspectHoldDeadline;
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -312,6 +312,9 @@
     }
     if (! m_peer && suspectStatus().isSuspect())
         m_context.suspects.onCompleteAnswer (identity());
+    // A runner that answers with an error may not have processed the prompt.
+    if (! m_peer && m_head.status < kFirstErrorStatus)
+        clearPromptParts();
     const bool isFailure = m_head.status >= kFirstServerError;
     endAttempt (isFailure ? AttemptEnd::kFailed : AttemptEnd::kAnswered, true);
     ++m_context.counters.answered;
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -94,6 +94,7 @@
           { "total_ms", sinceArrival (now()) },
           { "caller", m_hasBrokenAnswer ? callerName() : std::string() },
           { "identity", loggedIdentity() },
+          { "prompt_parts", loggedPromptParts() },
           { "cause", cause } });
 }
 
@@ -105,6 +106,7 @@
                   { "status", m_head.status },
                   { "attempts", m_sentAttempts },
                   { "identity", loggedIdentity() },
+                  { "prompt_parts", loggedPromptParts() },
                   { "last_event", m_events ? m_events->lastId().value_or ("") : std::string() } });
 }
 
--- a/src/proxy/ExchangeQuarantine.cpp
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "proxy/Exchange.h"
+#include "proxy/PromptParts.h"
 #include "proxy/RequestIdentity.h"
 
 namespace fernlift::proxy
@@ -15,6 +16,10 @@
 /// the runner and for the reports of other routers. A probe takes one round trip, the commit of its
 /// result some 20 ms.
 constexpr base::Duration kMaxWaitForVerdict = base::milliseconds (100);
+/// Time for which requests with a part of a prompt wait after its last crash that is known, before
+/// they are refused. Other routers may report meanwhile that the part was at the runner for longer,
+/// or has been answered.
+constexpr base::Duration kMaxWaitForPromptPart = base::milliseconds (200);
 /// Longest wait for the reports of other routers on an unreachable isolation runner, when one more
 /// crash would put the request into quarantine. An election takes up to 0.8 s, and routers report
 /// to the new leader within another 0.5 s.
@@ -57,6 +62,59 @@
     return m_hasBrokenAnswer ? identity().digest : std::string();
 }
 
+std::string Exchange::loggedPromptParts() const
+{
+    std::string digests;
+    if (! m_hasBrokenAnswer)
+        return digests;
+    for (const cell::RequestIdentity& part : sharedPartIdentities())
+        digests.append (digests.empty() ? "" : ",").append (part.digest);
+    return digests;
+}
+
+const std::vector<cell::RequestIdentity>& Exchange::sharedPartIdentities() const
+{
+    if (m_sharedParts)
+        return *m_sharedParts;
+    m_sharedParts.emplace();
+    const std::string parts = m_request.headers.value (m_context.names.promptParts);
+    for (const std::string& part : sharedPartIds (parts))
+        m_sharedParts->push_back (identityOfPart (part, m_query.service, tenantName()));
+    return *m_sharedParts;
+}
+
+quarantine::PromptPartStatus Exchange::promptPartStatus() const
+{
+    if (m_context.suspects.isEmpty())
+        return {};
+    return m_context.suspects.statusOfParts (sharedPartIdentities());
+}
+
+bool Exchange::hasEndedByPromptPart (const quarantine::PromptPartStatus& partStatus)
+{
+    const bool isOver =
+        partStatus.isInQuarantine() && now() >= partStatus.changedAt + kMaxWaitForPromptPart;
+    if (isOver)
+        refuseQuarantinedPart (partStatus);
+    return isOver;
+}
+
+bool Exchange::isBlockedByPromptPart()
+{
+    const quarantine::PromptPartStatus partStatus = promptPartStatus();
+    if (! partStatus.isInQuarantine() || hasEndedByPromptPart (partStatus))
+        return partStatus.isInQuarantine();
+    m_suspectHoldDeadline = partStatus.changedAt + kMaxWaitForPromptPart;
+    armTimer();
+    return true;
+}
+
+void Exchange::clearPromptParts()
+{
+    for (const cell::RequestIdentity& part : sharedPartIdentities())
+        m_context.suspects.onPartAnswered (part, now());
+}
+
 quarantine::SuspectStatus Exchange::suspectStatus() const
 {
     if (m_context.suspects.isEmpty())
@@ -73,7 +131,7 @@
     m_suspectHoldDeadline.reset();
     if (suspectStatus.isInQuarantine())
     {
-        refuseQuarantined (suspectStatus);
+        refuseQuarantinedRequest (suspectStatus);
         return true;
     }
     const std::optional<base::TimePoint> deadline = heldUntil (suspectStatus);
@@ -99,7 +157,7 @@
     if (! known.isInQuarantine())
         return;
     endAttempt (AttemptEnd::kAbandoned, false);
-    refuseQuarantined (known);
+    refuseQuarantinedRequest (known);
 }
 
 void Exchange::recordBrokenAnswer()
@@ -110,6 +168,8 @@
         return;
     const std::string incarnation = cell::Incarnation{ m_instance, m_instanceStart }.name();
     m_context.suspects.onAnswerInterrupted (identity(), incarnation, m_attemptSentAt, now());
+    for (const cell::RequestIdentity& part : sharedPartIdentities())
+        m_context.suspects.onAnswerInterrupted (part, incarnation, m_attemptSentAt, now());
     m_context.checkRunner (incarnation, m_address);
 }
 
@@ -119,19 +179,32 @@
     m_context.suspects.onIsolationRunnerUnreachable (identity(), incarnation, now());
 }
 
-void Exchange::refuseQuarantined (const quarantine::SuspectStatus& suspectStatus)
+void Exchange::refuseQuarantinedRequest (const quarantine::SuspectStatus& suspectStatus)
+{
+    refuseQuarantined (identity().digest, suspectStatus.crashes,
+                       "runners ended one after the other under this request");
+}
+
+void Exchange::refuseQuarantinedPart (const quarantine::PromptPartStatus& partStatus)
+{
+    refuseQuarantined (
+        partStatus.digest, partStatus.crashes,
+        "runners ended one after the other under requests with a part of this prompt");
+}
+
+void Exchange::refuseQuarantined (const std::string& digest, std::uint32_t crashes,
+                                  const std::string& message)
 {
     ++m_context.counters.quarantined;
     log::write (log::Event::kQuarantinedRequestRefused,
                 { { "request", m_request.headers.value (m_context.names.requestId) },
-                  { "identity", identity().digest },
+                  { "identity", digest },
                   { "caller", callerName() },
-                  { "ends", suspectStatus.crashes } });
+                  { "ends", crashes } });
     if (m_isAnswerBegun)
         abortAnswer();
     else
-        fail (base::ErrorKind::kRequestQuarantined,
-              "runners ended one after the other under this request");
+        fail (base::ErrorKind::kRequestQuarantined, message);
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/PromptParts.cpp
+++ b/src/proxy/PromptParts.cpp
@@ -11,6 +11,20 @@
     return comma == std::string::npos ? std::string() : parts.substr (0, comma);
 }
 
+std::vector<std::string> sharedPartIds (const std::string& parts)
+{
+    std::vector<std::string> ids;
+    std::string_view rest = parts;
+    for (std::size_t comma = rest.find (','); comma != std::string_view::npos;
+         comma = rest.find (','))
+    {
+        const std::string_view part = rest.substr (0, comma);
+        ids.emplace_back (part.substr (0, part.find (':')));
+        rest.remove_prefix (comma + 1);
+    }
+    return ids;
+}
+
 std::uint64_t tokensOf (std::string_view parts)
 {
     std::uint64_t total = 0;
--- a/src/proxy/PromptPartsTest.cpp
+++ b/src/proxy/PromptPartsTest.cpp
@@ -14,6 +14,13 @@
     EXPECT_EQ (sharedParts (""), "");
 }
 
+TEST (PromptPartsTest, IdsOfSharedPartsAreWithoutTokens)
+{
+    EXPECT_EQ (sharedPartIds ("a:800,b,c:250"), (std::vector<std::string>{ "a", "b" }));
+    EXPECT_TRUE (sharedPartIds ("a:800").empty());
+    EXPECT_TRUE (sharedPartIds ("").empty());
+}
+
 TEST (PromptPartsTest, SumsTokensAndCountsInvalidNumbersAsZero)
 {
     EXPECT_EQ (tokensOf ("a:800,b:410,c:250"), 1460U);
--- a/src/proxy/RequestIdentity.cpp
+++ b/src/proxy/RequestIdentity.cpp
@@ -11,17 +11,20 @@
 
 constexpr std::size_t kDigestDigits = 32;
 
-/// Text of all parts except the body. The length before each part makes the concatenation
-/// unambiguous.
+/// Appends a field with its length in front, which makes the concatenation unambiguous.
+void addField (std::string& text, std::string_view field)
+{
+    text.append (std::to_string (field.size())).append (":").append (field);
+}
+
+/// Text of all fields except the body.
 std::string headOf (const ParsedRequest& request, std::string_view caller)
 {
     std::string text;
-    const auto add = [&text] (std::string_view part)
-    { text.append (std::to_string (part.size())).append (":").append (part); };
-    add (caller);
-    add (request.method);
-    add (request.headers.value ("Host"));
-    add (request.target);
+    addField (text, caller);
+    addField (text, request.method);
+    addField (text, request.headers.value ("Host"));
+    addField (text, request.target);
     text.append (std::to_string (request.body.size())).append (":");
     return text;
 }
@@ -43,4 +46,18 @@
     return identity;
 }
 
+cell::RequestIdentity identityOfPart (std::string_view part, std::string_view service,
+                                      std::string_view caller)
+{
+    std::string text;
+    addField (text, caller);
+    addField (text, service);
+    addField (text, part);
+    cell::RequestIdentity identity;
+    identity.fingerprint = base::stableHash (text);
+    identity.digest.append (cell::kPromptPartPrefix)
+        .append (base::sha256Hex (text).substr (0, kDigestDigits));
+    return identity;
+}
+
 }  // namespace fernlift::proxy
--- a/src/proxy/RequestIdentity.h
+++ b/src/proxy/RequestIdentity.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /**
- * Computes whether two requests are the same work of the same caller.
+ * Computes whether two requests, or parts of their prompts, are the same work of the same caller.
  *
  * The caller is the tenant that holds the key. Without tenants all callers count as one: an address
  * does not identify a caller, because many callers may share one and one caller may have many, and
@@ -25,4 +25,10 @@
 [[nodiscard]] cell::RequestIdentity identityOf (const ParsedRequest& request,
                                                 std::string_view caller);
 
+/** Identity of a part of a prompt. It is the same in all requests of the caller for the service,
+    since the part may crash each runner of it. `caller` is the name of a tenant, or empty.
+*/
+[[nodiscard]] cell::RequestIdentity identityOfPart (std::string_view part, std::string_view service,
+                                                    std::string_view caller);
+
 }  // namespace fernlift::proxy
--- a/src/proxy/RequestIdentityTest.cpp
+++ b/src/proxy/RequestIdentityTest.cpp
@@ -44,6 +44,17 @@
     EXPECT_NE (first, identityOf (other, "farm"));
 }
 
+TEST (RequestIdentityTest, IdentityOfPromptPartDependsOnCallerAndService)
+{
+    const cell::RequestIdentity part = identityOfPart ("p1", "llm", "farm");
+    EXPECT_TRUE (part.isPromptPart());
+    EXPECT_FALSE (identityOf (requestOf ("/a", "body"), "farm").isPromptPart());
+    EXPECT_EQ (part, identityOfPart ("p1", "llm", "farm"));
+    EXPECT_NE (part, identityOfPart ("p2", "llm", "farm"));
+    EXPECT_NE (part, identityOfPart ("p1", "app", "farm"));
+    EXPECT_NE (part, identityOfPart ("p1", "llm", "fish"));
+}
+
 TEST (RequestIdentityTest, PartsAreNotAmbiguousWhenConcatenated)
 {
     EXPECT_NE (identityOf (requestOf ("/a", "b"), "farm1"),
--- a/src/quarantine/SuspectRequests.cpp
+++ b/src/quarantine/SuspectRequests.cpp
@@ -19,7 +19,16 @@
 /// A crash that no controller accepted within this time is dropped: by then it is of no use to the
 /// other routers.
 constexpr base::Duration kReportLifetime = base::seconds (60);
+/// The same for a part of a prompt. Requests that share it have been answered meanwhile, which
+/// routers without a suspicion do not record.
+constexpr base::Duration kPartReportLifetime = base::seconds (3);
+/// A part of a prompt with a whole answer within this time is harmless. A part that has become
+/// harmful is quarantined so much later at most.
+constexpr base::Duration kAnswerMemory = base::seconds (2);
 constexpr base::Duration kClearanceLifetime = base::seconds (1);
+/// A part in quarantine gets no other whole answer, so that the word of one has to outlast an
+/// election.
+constexpr base::Duration kPartClearanceLifetime = base::seconds (10);
 
 /// Lifetime of suspects that are not shared with the other routers. The cell keeps them as long,
 /// and sends no update when it drops them.
@@ -76,15 +85,89 @@
         return;
     m_ownCrashes.erase (m_ownCrashes.begin());
     ++m_evicted;
+    rebuildIndex();
 }
 
 void SuspectRequests::onAnswerInterrupted (const cell::RequestIdentity& request,
                                            const std::string& instance, base::TimePoint sentAt,
                                            base::TimePoint now)
 {
+    if (request.isPromptPart() && mergeCrash (request, instance, sentAt))
+        return;
     evictOldest();
     m_ownCrashes.push_back ({ request, instance, sentAt, now, Proof::kProbing, {}, false });
-    rebuildIndex();
+    m_fingerprints.insert (request.fingerprint);
+}
+
+bool SuspectRequests::mergeCrash (const cell::RequestIdentity& request, const std::string& instance,
+                                  base::TimePoint sentAt)
+{
+    const auto known = std::ranges::find_if (m_ownCrashes,
+                                             [&] (const OwnCrash& crash)
+                                             {
+                                                 return crash.instance == instance
+                                                        && ! crash.isFromOtherRouter
+                                                        && crash.request.digest == request.digest;
+                                             });
+    if (known == m_ownCrashes.end())
+        return false;
+    if (sentAt < known->sentAt)
+    {
+        known->sentAt = sentAt;
+        known->reportedAt = {};
+    }
+    return true;
+}
+
+base::TimePoint SuspectRequests::changedAt (const std::string& digest) const
+{
+    base::TimePoint time{};
+    const auto row = m_rows.find (digest);
+    if (row != m_rows.end())
+        time = row->second.receivedAt;
+    for (const OwnCrash& crash : m_ownCrashes)
+    {
+        if (crash.request.digest == digest)
+            time = std::max (time, crash.crashedAt);
+    }
+    return time;
+}
+
+std::set<std::string> SuspectRequests::crashesOfOthers (
+    std::span<const cell::RequestIdentity> parts) const
+{
+    std::set<std::string> instances;
+    for (const auto& [digest, row] : m_rows)
+    {
+        const bool isOther =
+            std::ranges::find (parts, digest, &cell::RequestIdentity::digest) == parts.end();
+        if (! isOther || row.reported.crashes < cell::kCrashesBeforeQuarantine)
+            continue;
+        instances.insert (row.reported.instances.begin(), row.reported.instances.end());
+    }
+    return instances;
+}
+
+PromptPartStatus SuspectRequests::statusOfParts (std::span<const cell::RequestIdentity> parts) const
+{
+    PromptPartStatus status;
+    std::optional<std::set<std::string>> crashesOfOthers;
+    for (const cell::RequestIdentity& part : parts)
+    {
+        if (! mayContain (part.fingerprint))
+            continue;
+        const SuspectStatus suspect = suspectStatusOf (part);
+        if (! suspect.isInQuarantine())
+            continue;
+        if (! crashesOfOthers)
+            crashesOfOthers = this->crashesOfOthers (parts);
+        const bool isExplained =
+            std::ranges::all_of (suspect.instances, [&] (const std::string& instance)
+                                 { return crashesOfOthers->contains (instance); });
+        if (! isExplained)
+            return { part.digest, suspect.crashes, changedAt (part.digest) };
+    }
+    return status;
 }
 
 void SuspectRequests::onIsolationRunnerUnreachable (const cell::RequestIdentity& request,
@@ -158,13 +241,33 @@
     if (row != m_rows.end())
     {
         m_clearances.try_emplace (request.digest);
-        // The row was not shared, so the cell sends no update when it drops the row.
-        if (row->second.reported.crashes < cell::kCrashesBeforeSharing)
+        // If the row was not shared, the cell sends no update when it drops the row.
+        const bool isShared = row->second.reported.crashes >= cell::kCrashesBeforeSharing;
+        if (! isShared || request.isPromptPart())
             m_rows.erase (row);
     }
     rebuildIndex();
 }
 
+void SuspectRequests::onPartAnswered (const cell::RequestIdentity& part, base::TimePoint now)
+{
+    if (m_answeredParts.size() >= kMaxAnsweredParts)
+        std::erase_if (m_answeredParts,
+                       [&] (const auto& item) { return now - item.second >= kAnswerMemory; });
+    if (m_answeredParts.size() < kMaxAnsweredParts)
+        m_answeredParts.insert_or_assign (part.fingerprint, now);
+    if (mayContain (part.fingerprint))
+        onCompleteAnswer (part);
+}
+
+bool SuspectRequests::wasAnsweredLately (const cell::RequestIdentity& part,
+                                         base::TimePoint now) const
+{
+    const auto answered = m_answeredParts.find (part.fingerprint);
+    return part.isPromptPart() && answered != m_answeredParts.end()
+           && now - answered->second < kAnswerMemory;
+}
+
 void SuspectRequests::apply (const cell::SuspectUpdate& update, base::TimePoint now)
 {
     // Another controller may be behind the one that this router was connected to before. Rows hold
@@ -180,6 +283,11 @@
     m_version = update.toVersion;
     dropResolved();
     rebuildIndex();
+    for (const cell::SuspectRow& row : update.upserts)
+    {
+        if (wasAnsweredLately (row.request, now))
+            onCompleteAnswer (row.request);
+    }
 }
 
 void SuspectRequests::keepOnly (const std::vector<cell::SuspectRow>& rows)
@@ -263,22 +371,27 @@
         clearance.reportedAt = {};
 }
 
+base::Duration SuspectRequests::lifetimeOf (const OwnCrash& crash)
+{
+    if (crash.proof != Proof::kConfirmed)
+        return kProofLifetime;
+    return crash.request.isPromptPart() ? kPartReportLifetime : kReportLifetime;
+}
+
 void SuspectRequests::expire (base::TimePoint now)
 {
     const std::size_t before = m_ownCrashes.size();
-    std::erase_if (m_ownCrashes,
-                   [&] (const OwnCrash& crash)
-                   {
-                       const base::Duration limit =
-                           crash.proof == Proof::kConfirmed ? kReportLifetime : kProofLifetime;
-                       return now - crash.crashedAt >= limit;
-                   });
+    std::erase_if (m_ownCrashes, [&] (const OwnCrash& crash)
+                   { return now - crash.crashedAt >= lifetimeOf (crash); });
     std::erase_if (m_clearances,
                    [&] (const auto& item)
                    {
-                       const Clearance& clearance = item.second;
+                       const auto& [digest, clearance] = item;
+                       const base::Duration lifetime = digest.starts_with (cell::kPromptPartPrefix)
+                                                           ? kPartClearanceLifetime
+                                                           : kClearanceLifetime;
                        return clearance.since != base::TimePoint{}
-                              && now - clearance.since >= kClearanceLifetime;
+                              && now - clearance.since >= lifetime;
                    });
     std::erase_if (m_goneIsolationRunners,
                    [&] (const auto& item) { return now - item.second.since >= kProofLifetime; });
--- a/src/quarantine/SuspectRequests.h
+++ b/src/quarantine/SuspectRequests.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /**
- * One router's view of the requests that runners crashed on: its copy of the cell's table, and the
- * crashes that it observed itself and that the table does not contain yet.
+ * One router's view of the requests and parts of prompts that runners crashed on: its copy of the
+ * cell's table, and the crashes that it observed itself and that the table does not contain yet.
  *
  * An interrupted answer does not prove a crash: the connection may have been reset. It counts once
  * a probe finds the runner gone, or once the runner is replaced at its address soon after.
@@ -14,6 +14,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -46,10 +48,25 @@
     [[nodiscard]] bool isInQuarantine() const { return crashes >= cell::kCrashesBeforeQuarantine; }
 };
 
+/** Status of the parts of a prompt that a request shares with others. */
+struct PromptPartStatus
+{
+    std::string digest;         ///< Part in quarantine; empty: none.
+    std::uint32_t crashes = 0;  ///< Its consecutive crashes.
+    /** Time of the last change of that part. Callers wait briefly for the reports of other routers,
+        which may show that the part is harmless.
+    */
+    base::TimePoint changedAt{};
+
+    [[nodiscard]] bool isInQuarantine() const { return ! digest.empty(); }
+};
+
 /** Pure: time is passed in. Not thread-safe; owned by one ProxyProcess. */
 class SuspectRequests
 {
 public:
+    /** Bound of the parts whose last answer is remembered. */
+    static constexpr std::size_t kMaxAnsweredParts = 4096;
     /** Bound of the unresolved interruptions; beyond it the oldest ones are evicted. */
     static constexpr std::size_t kMaxOwnCrashes = 1024;
 
@@ -61,6 +78,12 @@
         return m_fingerprints.contains (fingerprint);
     }
     [[nodiscard]] SuspectStatus suspectStatusOf (const cell::RequestIdentity& request) const;
+    /** Status of a request with these parts of a prompt. A part with enough crashes counts only if
+        some of them had no other cause: of a sound part that is in most requests, all crashes are
+        those of the part that caused them, which is not in this request.
+    */
+    [[nodiscard]] PromptPartStatus statusOfParts (
+        std::span<const cell::RequestIdentity> parts) const;
 
     /** The answer of a runner was interrupted. */
     void onAnswerInterrupted (const cell::RequestIdentity& request, const std::string& instance,
@@ -78,6 +101,11 @@
     void onForwardedReport (const cell::SuspectReport& report, base::TimePoint now);
     /** A runner has answered the request completely, which clears it. */
     void onCompleteAnswer (const cell::RequestIdentity& request);
+    /** A runner has completely answered a request with this part of a prompt, which clears the
+       part. Answers are remembered for a while, since the part may be suspect at other routers
+       only.
+    */
+    void onPartAnswered (const cell::RequestIdentity& part, base::TimePoint now);
 
     /** Applies an update of the table, unless it is older than the version held. */
     void apply (const cell::SuspectUpdate& update, base::TimePoint now);
@@ -129,10 +157,25 @@
         base::TimePoint since{};
     };
 
+    /** Time of the last change that is known of the request or part. */
+    [[nodiscard]] base::TimePoint changedAt (const std::string& digest) const;
+    /** Instances that crashed under requests or parts that have enough crashes for quarantine,
+       except `parts`.
+    */
+    [[nodiscard]] std::set<std::string> crashesOfOthers (
+        std::span<const cell::RequestIdentity> parts) const;
+    /** Records the begin of a part at the instance if it is earlier than the one known. Returns
+        whether the crash is known.
+    */
+    bool mergeCrash (const cell::RequestIdentity& request, const std::string& instance,
+                     base::TimePoint sentAt);
     void keepOnly (const std::vector<cell::SuspectRow>& rows);
     void put (const cell::SuspectRow& row, base::TimePoint now);
     void remove (const std::string& digest);
+    [[nodiscard]] bool wasAnsweredLately (const cell::RequestIdentity& part,
+                                          base::TimePoint now) const;
     void evictOldest();
+    [[nodiscard]] static base::Duration lifetimeOf (const OwnCrash& crash);
     void dropResolved();
     void rebuildIndex();
 
@@ -143,6 +186,8 @@
     std::map<std::string, GoneIsolationRunner> m_goneIsolationRunners;  ///< By digest.
     std::unordered_set<std::uint64_t> m_fingerprints;  ///< Fingerprints in m_rows and m_ownCrashes.
     std::uint64_t m_evicted = 0;
+    /** Time of the last whole answer to requests with a part, by fingerprint of the part. */
+    std::unordered_map<std::uint64_t, base::TimePoint> m_answeredParts;
 };
 
 }  // namespace fernlift::quarantine
--- a/src/quarantine/SuspectRequestsTest.cpp
+++ b/src/quarantine/SuspectRequestsTest.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <functional>
+
 #include "quarantine/SuspectRequests.h"
 
 namespace fernlift::quarantine
@@ -35,6 +37,85 @@
     SuspectRequests suspects;
 };
 
+/// Parts of prompts in quarantine at a router, with the instances that crashed.
+class PromptPartsTest : public SuspectRequestsTest
+{
+protected:
+    using Instances = std::vector<std::string>;
+
+    static cell::RequestIdentity partOf (const std::string& name)
+    {
+        return { std::hash<std::string>() (name), std::string (cell::kPromptPartPrefix) + name };
+    }
+    void crash (const std::string& name, const Instances& instances)
+    {
+        cell::SuspectUpdate update;
+        update.fromVersion = m_version;
+        update.toVersion = ++m_version;
+        update.upserts.push_back (
+            { partOf (name), static_cast<std::uint32_t> (instances.size()), instances });
+        suspects.apply (update, at (0));
+    }
+    bool isInQuarantine (const Instances& names)
+    {
+        std::vector<cell::RequestIdentity> parts;
+        for (const std::string& name : names)
+            parts.push_back (partOf (name));
+        return suspects.statusOfParts (parts).isInQuarantine();
+    }
+
+    std::uint64_t m_version = 1;
+};
+
+TEST_F (PromptPartsTest, PartIsInQuarantineWhateverElseTheRequestHolds)
+{
+    crash ("deadly", { "a", "b", "c" });
+    EXPECT_TRUE (isInQuarantine ({ "deadly" }));
+    EXPECT_TRUE (isInQuarantine ({ "head", "deadly" }));
+    EXPECT_TRUE (isInQuarantine ({ "deadly", "tail" }));
+    EXPECT_FALSE (isInQuarantine ({ "head", "tail" }));
+}
+
+TEST_F (PromptPartsTest, NeighbourWithTheSameCrashesIsNotInQuarantineByItself)
+{
+    crash ("head", { "a", "b", "c" });
+    crash ("subject", { "a", "b", "c" });
+    crash ("deadly", { "a", "b", "c" });
+    EXPECT_TRUE (isInQuarantine ({ "head", "subject", "deadly" }));
+    EXPECT_FALSE (isInQuarantine ({ "head" }));
+    EXPECT_FALSE (isInQuarantine ({ "head", "subject" }));
+}
+
+TEST_F (PromptPartsTest, CrashesOfTwoPartsExplainThoseOfTheirNeighbour)
+{
+    crash ("deadly", { "a", "b", "c" });
+    crash ("other", { "d", "e", "f" });
+    crash ("head", { "a", "b", "c", "d", "e", "f" });
+    EXPECT_FALSE (isInQuarantine ({ "head" }));
+    EXPECT_TRUE (isInQuarantine ({ "head", "other" }));
+}
+
+TEST_F (PromptPartsTest, PartWithACrashOfItsOwnIsInQuarantine)
+{
+    crash ("deadly", { "a", "b", "c" });
+    crash ("head", { "a", "b", "c", "d" });
+    EXPECT_TRUE (isInQuarantine ({ "head" }));
+}
+
+TEST_F (PromptPartsTest, RequestsForOnePartAtARunnerCountOnceFromTheFirstOn)
+{
+    const cell::RequestIdentity part = partOf ("head");
+    suspects.onAnswerInterrupted (part, "a", at (0), at (50));
+    suspects.onProbeResult ("a", RunnerProbeResult::kGone);
+    suspects.onAnswerInterrupted (part, "b", at (60), at (110));
+    suspects.onAnswerInterrupted (part, "b", at (10), at (110));
+    suspects.onProbeResult ("b", RunnerProbeResult::kGone);
+    const auto report = suspects.takeReport (at (120));
+    ASSERT_TRUE (report);
+    ASSERT_EQ (report->crashes.size(), 2U);
+    EXPECT_EQ (report->crashes[1].sentAgoMilliseconds, 110);
+}
+
 TEST_F (SuspectRequestsTest, StartsEmpty)
 {
     EXPECT_TRUE (suspects.isEmpty());
