--- a/src/base/Error.cpp
+++ b/src/base/Error.cpp
@@ -79,8 +79,8 @@
     ErrorTraits{ kOutcomeUnknown, "outcome_unknown", 502, kUnknown, false, kExitUnavailable,
                  "The request may not be repeated, and whether it was performed is not known." },
     ErrorTraits{ kRequestQuarantined, "request_quarantined", 502, kUnknown, false, kExitUnavailable,
-                 "Back ends ended one after the other while they worked on this request; it is "
-                 "passed on to no other." },
+                 "Back ends ended one after the other while they worked on this request, or on "
+                 "requests with a part of its prompt; it is passed on to no other." },
     ErrorTraits{ kCallerGone, "caller_gone", 499, kUnknown, false, kExitUnavailable,
                  "The caller closed the connection before the answer." },
     ErrorTraits{ kNotLeader, "not_leader", 503, kNotRun, true, kExitUnavailable,
