A full runner that accepts a probe stays in use while others answer

A probe that opened and got no answer shows nothing about a single runner while others answer, and opening a connection was enough before. Such a runner is reachable again.

--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -475,8 +475,9 @@
             reachability.onProbeUnanswered (instance, kReachabilityAnswerTimeout, now);
     else
         isNewlyIsolated = reachability.onConnectFailed (instance, now);
-    if (! isSilent || reachability.isUnreachable (instance))
-        m_directory.onProbed (instance, isReachable, now);
+    // A runner that accepted the connection of an unanswered probe may have no free slot.
+    const bool mayServe = isReachable || (isSilent && ! reachability.isUnreachable (instance));
+    m_directory.onProbed (instance, mayServe, now);
     if (isNewlyIsolated)
         onIsolated();
 }
--- a/src/proxy/RunnerReachability.cpp
+++ b/src/proxy/RunnerReachability.cpp
@@ -103,7 +103,10 @@
 {
     ++m_unansweredProbes;
     const bool isAnyAnswering = m_lastBytesAt != base::TimePoint{} && now - m_lastBytesAt < waited;
-    return ! isAnyAnswering && onConnectFailed (runner, now);
+    if (! isAnyAnswering)
+        return onConnectFailed (runner, now);
+    m_unreachable.erase (runner);
+    return false;
 }
 
 void RunnerReachability::isolate (base::TimePoint now)
--- a/src/proxy/RunnerReachability.h
+++ b/src/proxy/RunnerReachability.h
@@ -51,7 +51,7 @@
 
     /** A probe of the runner got no answer within `waited`. Returns whether this router became
         isolated by it. A runner without a free slot does not answer either, so that the silence
-        counts only while nothing was received from any runner.
+        counts only while nothing was received from any runner; otherwise the runner is reachable.
     */
     bool onProbeUnanswered (const std::string& runner, base::Duration waited, base::TimePoint now);
 
--- a/src/proxy/RunnerReachabilityTest.cpp
+++ b/src/proxy/RunnerReachabilityTest.cpp
@@ -128,6 +128,16 @@
     EXPECT_EQ (m_reachability.unreachable(), 0U);
 }
 
+TEST_F (RunnerReachabilityTest, FullRunnerThatAcceptsAProbeIsReachableWhileOthersAnswer)
+{
+    fail ("i-1");
+    EXPECT_TRUE (m_reachability.isUnreachable ("i-1"));
+    advance (milliseconds (500));
+    m_reachability.onBytes (m_now);
+    EXPECT_FALSE (m_reachability.onProbeUnanswered ("i-1", milliseconds (200), m_now));
+    EXPECT_FALSE (m_reachability.isUnreachable ("i-1"));
+}
+
 TEST_F (RunnerReachabilityTest, FailureIsFollowedByProbesOfOtherRunners)
 {
     EXPECT_TRUE (probes().empty());
