Lab tests reset a connection in one place; three cases of a deadly part share their checks

CrashableRunner had the reset of one connection beside the loop over all of them, three cases of DeadlyPromptPartTest repeated the same play and checks, and ForwardingCell::closeEndedCalls had become public without a caller outside. Assertions, bounds and plays are the same; no product code.

--- a/src/lab/DeadlyPromptPartTest.cpp
+++ b/src/lab/DeadlyPromptPartTest.cpp
@@ -109,6 +109,17 @@
         return sent == 0 ? 0 : served / sent;
     }
 
+    /// Plays deadly requests with these shared parts and checks how many runners crash, and that
+    /// sound requests are served afterwards.
+    void checkBounds (milliseconds deadlyInterval, const std::string& deadlyParts,
+                      std::uint32_t maxCrashes)
+    {
+        ASSERT_TRUE (m_cell.awaitReady());
+        play (milliseconds (6000), deadlyInterval, deadlyParts);
+        EXPECT_LE (m_cell.crashes(), maxCrashes);
+        EXPECT_GE (servedFrom (m_thirdCrashAt + kTimeToRecover), 0.95);
+    }
+
     ForwardingCell m_cell{ { .controllers = 3, .routers = kRouters, .runners = kRunners } };
     milliseconds m_now{ 1 };
     milliseconds m_thirdCrashAt{};
@@ -119,26 +130,17 @@
 
 TEST_F (DeadlyPromptPartTest, PartThatCrashedThreeRunnersIsNotForwardedAgain)
 {
-    ASSERT_TRUE (m_cell.awaitReady());
-    play (milliseconds (6000), milliseconds (200), "head:100,deadly:50");
-    EXPECT_LE (m_cell.crashes(), kMaxCrashes);
-    EXPECT_GE (servedFrom (m_thirdCrashAt + kTimeToRecover), 0.95);
+    checkBounds (milliseconds (200), "head:100,deadly:50", kMaxCrashes);
 }
 
 TEST_F (DeadlyPromptPartTest, FirstPartThatCrashedThreeRunnersIsNotForwardedAgain)
 {
-    ASSERT_TRUE (m_cell.awaitReady());
-    play (milliseconds (6000), milliseconds (200), "deadly:50,s1:20");
-    EXPECT_LE (m_cell.crashes(), kMaxCrashes);
-    EXPECT_GE (servedFrom (m_thirdCrashAt + kTimeToRecover), 0.95);
+    checkBounds (milliseconds (200), "deadly:50,s1:20", kMaxCrashes);
 }
 
 TEST_F (DeadlyPromptPartTest, FewRunnersCrashAtTwentyRequestsASecond)
 {
-    ASSERT_TRUE (m_cell.awaitReady());
-    play (milliseconds (6000), milliseconds (50), "head:100,deadly:50");
-    EXPECT_LE (m_cell.crashes(), kMaxCrashesAtHighRate);
-    EXPECT_GE (servedFrom (m_thirdCrashAt + kTimeToRecover), 0.95);
+    checkBounds (milliseconds (50), "head:100,deadly:50", kMaxCrashesAtHighRate);
 }
 
 TEST_F (DeadlyPromptPartTest, PartsOfRequestsOnUnrelatedCrashesAreServed)
--- a/src/lab/ForwardingCellTestSupport.h
+++ b/src/lab/ForwardingCellTestSupport.h
@@ -119,8 +119,6 @@
     /// Sends a request without waiting; sets `status` when the call ends.
     void beginCall (std::size_t router, const std::string& host, const std::string& body,
                     std::shared_ptr<int> status, const std::string& promptParts = {});
-    /// Forgets the calls that have ended.
-    void closeEndedCalls();
     /// Ends a controller without a planned stop and does not restart it.
     void killController (std::size_t number);
     /// Ends a router without a planned stop and starts another one in its place.
@@ -145,6 +143,7 @@
     void sendHeartbeats();
     void sendToControllers (const std::string& method, const std::string& body);
     [[nodiscard]] base::SocketAddress controlAddress (std::size_t number) const;
+    void closeEndedCalls();
 
     struct OpenCall
     {
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -133,12 +133,8 @@
 
 void CrashableRunner::resetConnections()
 {
-    for (auto& [key, connection] : m_connections)
-    {
-        reset (*connection.socket);
-        connection.socket.release()->deleteLater();
-    }
-    m_connections.clear();
+    while (! m_connections.empty())
+        resetConnection (m_connections.begin()->first);
 }
 
 void CrashableRunner::resetConnection (QTcpSocket* socket)
