--- a/src/lab/ForwardingCellTestSupport.h
+++ b/src/lab/ForwardingCellTestSupport.h
@@ -104,6 +104,8 @@
         std::size_t otherRunners = 0;        ///< Runners of the second service.
         std::optional<double> retryShare{};  ///< None: the default of the router.
         double cellRetryReserve = 0;
+        /// Zone of each router; routers beyond the last one are in zone "z1".
+        std::vector<std::string> routerZones{};
         /// Whether the path from each router to the runners can fail for this router alone.
         bool hasRouterNetworks = false;
     };
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -305,7 +305,7 @@
     proxy::ProxySettings settings;
     settings.id = "router" + std::to_string (number);
     settings.cell = "cell";
-    settings.zone = "z1";
+    settings.zone = number < m_options.routerZones.size() ? m_options.routerZones[number] : "z1";
     settings.frontAddress = { "127.0.0.1", 0 };
     settings.readinessAddress = { "127.0.0.1", 0 };
     settings.peerAddress = { "127.0.0.1", 0 };
