A search for another router leaves a zone whose routers are isolated, and remembers them

Cause: a choice was repeated under the condition that had made it fail. The search preferred the routers of its own zone and ended after six of them, although paths fail for a whole zone; "isolated" was remembered for 0.3 s, less than the time between two requests of a router, so that each request began anew. After a failed search the request waited, or went to a runner over the path that was known to be cut, and ended as "may have run".

Change: the search is a part of its own (PeerSearch) and ends by time (half of what is left of the deadline, one second at most), not by a count. PeerRouters keeps what routers have stated or shown of their paths for 12 s: an isolated router is the last choice and at most one of them is asked for a request; a zone costs by the share of its routers that are isolated, so that the second try goes to another zone. When the search is over in an isolated router, the request is refused at once as not executed, with Retry-After 0.1 s. Where no other router may be asked (none is known, or a stream that goes on while software versions are mixed), the runners are tried as before. A router whose runner broke off an answer is not left out, since it reaches runners.

--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -9,7 +9,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -23,6 +22,7 @@
 #include "log/Log.h"
 #include "proxy/CallerConnection.h"
 #include "proxy/PeerMessage.h"
+#include "proxy/PeerSearch.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/RequestParser.h"
 
@@ -161,6 +161,9 @@
     [[nodiscard]] bool mayGoOnAtPeer() const;
     /// Sends the request to another router. Returns false when there is none that may serve it.
     bool forwardToPeer();
+    /// Ends the request if this router reaches no runner and the search for another one is over.
+    /// Returns whether it did.
+    bool refuseIfIsolated();
     void startPeerAttempt (const PeerChoice& peer);
     /// Takes the statement of the other router out of its answer and decides how to treat it.
     void onPeerHead (http::AnswerHead& head);
@@ -319,8 +322,7 @@
     std::optional<PeerChoice> m_peer;  ///< Router of the current attempt; none: it is at a runner.
     PeerAnswer m_peerAnswer;           ///< Statement of that router; set with the answer head.
     std::optional<base::Duration> m_peerRetryAfter;
-    std::set<std::string> m_triedPeers;      ///< Routers that did not serve the request.
-    std::uint32_t m_peersWithoutRunner = 0;  ///< Those of them that cannot reach its runners.
+    PeerSearch m_peerSearch;
     std::shared_ptr<http::BackEndConnection> m_connection;
     AnswerUse m_use = AnswerUse::kNone;
     http::AnswerHead m_head;
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -84,7 +84,7 @@
           { "unreachable", m_unreachableAttempts },
           { "forwarded_to", m_peer ? m_peer->router : std::string() },
           { "forwarded_by", m_servedPeer ? m_servedPeer->router : std::string() },
-          { "declined_by_routers", m_triedPeers.size() },
+          { "declined_by_routers", m_peerSearch.declined() },
           { "waited_ms", base::toMilliseconds (m_waited) },
           { "permit_wait_ms", base::toMilliseconds (m_permitWaited) },
           { "target_ms", m_route == nullptr ? -1 : base::toMilliseconds (m_route->targetLatency) },
--- a/src/proxy/ExchangePeers.cpp
+++ b/src/proxy/ExchangePeers.cpp
@@ -14,17 +14,9 @@
 
 using base::ErrorKind;
 
-/// Routers that one request is sent to at most without being served.
-constexpr std::size_t kMaxPeers = 6;
-/// Routers that cannot reach the runners of a request, after which no other one is tried.
-constexpr std::uint32_t kMaxPeersWithoutRunner = 2;
-/// Times for which a router is not chosen again.
-constexpr base::Duration kAvoidIsolated = base::milliseconds (300);
-constexpr base::Duration kAvoidUnavailable = base::milliseconds (200);
-constexpr base::Duration kAvoidUnreachable = base::seconds (1);
-constexpr base::Duration kAvoidFailed = base::milliseconds (300);
-/// Time for which requests of a kind are not forwarded after other routers could not serve one.
-constexpr base::Duration kUnservableTime = base::milliseconds (500);
+/// Retry-After time of a request that neither this router nor another one can serve now. Long
+/// enough for probes to find a path that is back, and for the caller to reach another router.
+constexpr base::Duration kRetryIsolated = base::milliseconds (100);
 
 }  // namespace
 
@@ -48,13 +40,10 @@
 
 bool Exchange::forwardToPeer()
 {
-    const bool isPointless = m_triedPeers.size() >= kMaxPeers
-                             || m_peersWithoutRunner >= kMaxPeersWithoutRunner || ! mayGoOnAtPeer()
-                             || m_context.peers.isUnservable (peerTarget(), now());
-    if (isPointless)
+    if (! mayGoOnAtPeer())
         return false;
-    const std::optional<PeerChoice> peer =
-        m_context.peers.choose (m_triedPeers, m_context.random.uniformReal(), now());
+    const std::optional<PeerChoice> peer = m_peerSearch.next (
+        m_context.peers, peerTarget(), m_context.random.uniformReal(), now(), m_deadline);
     if (! peer)
         return false;
     endWait();
@@ -62,6 +51,18 @@
     return true;
 }
 
+bool Exchange::refuseIfIsolated()
+{
+    const bool isIsolated = m_context.reachability.path (now()) == RunnerPath::kIsolated;
+    // Where no other router may be asked, a path that is back is all that a request can hope for.
+    if (! isIsolated || m_context.peers.size() == 0 || ! mayGoOnAtPeer())
+        return false;
+    endWait();
+    endWithoutRunner (ErrorKind::kNoCapacity,
+                      "neither this router nor another one reaches the runners", kRetryIsolated);
+    return true;
+}
+
 void Exchange::startPeerAttempt (const PeerChoice& peer)
 {
     m_peer = peer;
@@ -104,6 +105,7 @@
     switch (m_peerAnswer.outcome)
     {
         case PeerOutcome::kAnswered:
+            m_context.peers.onServing (m_peer->router, now());
             return;
         case PeerOutcome::kRefused:
             m_use = AnswerUse::kRefusal;
@@ -126,19 +128,12 @@
     m_isAttemptSent = false;
     endAttempt (AttemptEnd::kAbandoned, true);
     ++m_context.counters.declinedByPeers;
-    m_triedPeers.insert (m_peer->router);
+    PeerDecline reason = PeerDecline::kNoRunner;
     if (m_peerAnswer.isIsolated)
-    {
-        m_context.peers.avoid (m_peer->router, now() + kAvoidIsolated);
-    }
+        reason = PeerDecline::kIsolated;
     else if (m_peerAnswer.outcome == PeerOutcome::kUnavailable)
-    {
-        m_context.peers.avoid (m_peer->router, now() + kAvoidUnavailable);
-    }
-    else if (++m_peersWithoutRunner == kMaxPeersWithoutRunner)
-    {
-        m_context.peers.onUnservable (peerTarget(), now() + kUnservableTime);
-    }
+        reason = PeerDecline::kUnavailable;
+    m_peerSearch.onDeclined (m_context.peers, m_peer->router, reason, peerTarget(), now());
     m_peer.reset();
     dispatchNext();
 }
@@ -146,8 +141,14 @@
 void Exchange::onPeerFailed (http::BackEndFailure failure)
 {
     const bool isUnsent = failure == http::BackEndFailure::kNotConnected;
-    m_context.peers.avoid (m_peer->router, now() + (isUnsent ? kAvoidUnreachable : kAvoidFailed));
-    m_triedPeers.insert (m_peer->router);
+    // A router whose runner broke off in the middle of an answer may serve the rest of it.
+    const bool hasBegunAnswer = m_peerAnswer.outcome == PeerOutcome::kAnswered;
+    if (! hasBegunAnswer)
+    {
+        m_peerSearch.onDeclined (m_context.peers, m_peer->router,
+                                 isUnsent ? PeerDecline::kUnreachable : PeerDecline::kFailed,
+                                 peerTarget(), now());
+    }
     endAttempt (AttemptEnd::kFailed, false);
     if (! isUnsent)
     {
--- a/src/proxy/ExchangePeersTest.cpp
+++ b/src/proxy/ExchangePeersTest.cpp
@@ -377,6 +377,16 @@
     EXPECT_EQ (m_far.context.reachability.unreachable(), 0U);
 }
 
+TEST_F (ExchangePeersTest, RequestThatNoRouterCanServeIsRefusedAtOnceAndNotTriedAtARunner)
+{
+    m_far.isolate();
+    const std::string answer = call ("once.test");
+    EXPECT_TRUE (answer.starts_with ("HTTP/1.1 503")) << answer;
+    EXPECT_NE (answer.find ("Retry-After: 0.1"), std::string::npos) << answer;
+    EXPECT_EQ (m_runner.requests, 0U);
+    EXPECT_EQ (m_near.counters.attempts, 0U);
+}
+
 TEST_F (ExchangePeersTest, RunnerThatNobodyReachesIsNotAskedForRoundAndRound)
 {
     const std::string address = closedAddress();
--- a/src/proxy/ExchangeRates.cpp
+++ b/src/proxy/ExchangeRates.cpp
@@ -34,7 +34,7 @@
             declinePeer (PeerOutcome::kUnreachable, "this router cannot connect to the runners");
             return;
         }
-        if (needsOtherRouter && forwardToPeer())
+        if (needsOtherRouter && (forwardToPeer() || refuseIfIsolated()))
             return;
         if (choice.reason != NoRunnerReason::kNone)
         {
