Routers notice a failed path without requests and state it to the others

On a silent path the callers of cut routers were still served worse (ZoneIsolationTest, silent: 63 of 72, 70 of 80 and 91 of 104), and each router had to learn by failures of its own which others are isolated.

Cause: evidence on the path came only from a router's own requests, so that a router with few of them noticed late or not at all, and a memory of what others had answered is empty when requests are rare.

Change: - RunnerReachability probes one runner after 0.25 s without bytes, preferably one with free slots; at most one in 8 ms for each router of the cell, 125 a second over all routers. Three runners instead of two are probed when open attempts get no byte, so that one round decides. - PathAnnouncements: a router states to its group that it is isolated, repeats it each 5 s, and states that its path is open again. After a failed probe it states its doubt to the routers of its zone, which probe at once. Notices go the way of the notices on streams; StreamAnnouncer is now PeerAnnouncer, PeerNotice a variant. A router of an earlier build answers a notice of a kind that it doesn't read like a request without a route and gets no more of that kind.

--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -387,6 +387,15 @@
     return state;
 }
 
+bool InstanceDirectory::isFull (const std::string& id, base::TimePoint now) const
+{
+    const auto found = m_views.find (id);
+    if (found == m_views.end())
+        return false;
+    const RunnerState state = stateOf (found->second, {}, now);
+    return state.slots > 0 && state.requests >= state.slots;
+}
+
 InstanceDirectory::Candidate InstanceDirectory::candidateOf (const View& view,
                                                              const View* affinityRunner,
                                                              const InstanceQuery& query,
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -196,6 +196,8 @@
     [[nodiscard]] std::vector<std::string> instances() const;
     /// Address of a listed instance; empty if it is not listed or its address is invalid.
     [[nodiscard]] base::SocketAddress addressOf (const std::string& id) const;
+    /// Whether all slots of the runner are in use, as far as its load is known.
+    [[nodiscard]] bool isFull (const std::string& id, base::TimePoint now) const;
     /// Records whether a probe of the runner opened a connection.
     void onProbed (const std::string& id, bool isReachable, base::TimePoint now);
     [[nodiscard]] bool hasTable() const { return m_version != 0; }
--- a/src/proxy/StreamAnnouncer.cpp
+++ b/src/proxy/PeerAnnouncer.cpp
@@ -1,4 +1,4 @@
-#include "proxy/StreamAnnouncer.h"
+#include "proxy/PeerAnnouncer.h"
 
 #include <QTimer>
 #include <utility>
@@ -14,10 +14,11 @@
 
 }  // namespace
 
-class StreamAnnouncer::Call final : public http::AnswerListener
+class PeerAnnouncer::Call final : public http::AnswerListener
 {
 public:
-    Call (StreamAnnouncer& owner, std::uint64_t peerKey) : m_owner (owner), m_peerKey (peerKey)
+    Call (PeerAnnouncer& owner, std::uint64_t peerKey, std::size_t noticeKind)
+        : m_owner (owner), m_supportKey (peerKey, noticeKind)
     {
         m_timer.setSingleShot (true);
         QObject::connect (&m_timer, &QTimer::timeout, &m_timer, [this] { m_owner.onEnd (*this); });
@@ -55,38 +56,44 @@
     }
     void onFailed (http::BackEndFailure /*failure*/) override { m_timer.start (0); }
 
-    [[nodiscard]] std::uint64_t peerKey() const { return m_peerKey; }
+    [[nodiscard]] const std::pair<std::uint64_t, std::size_t>& supportKey() const
+    {
+        return m_supportKey;
+    }
 
     std::shared_ptr<http::BackEndConnection> connection;
     bool isAnswered = false;
     bool isSupported = false;
 
 private:
-    StreamAnnouncer& m_owner;
-    std::uint64_t m_peerKey;
+    PeerAnnouncer& m_owner;
+    std::pair<std::uint64_t, std::size_t> m_supportKey;  ///< Router and kind of the notice.
     QTimer m_timer;
 };
 
-StreamAnnouncer::StreamAnnouncer (const base::Clock& clock, http::BackEndPool& pool)
+PeerAnnouncer::PeerAnnouncer (const base::Clock& clock, http::BackEndPool& pool)
     : m_clock (clock), m_pool (pool)
 {
 }
 
-StreamAnnouncer::~StreamAnnouncer() = default;
+PeerAnnouncer::~PeerAnnouncer() = default;
 
-void StreamAnnouncer::announce (const StreamNotice& notice, const PeerRouters& peers,
-                                const std::string& router)
+void PeerAnnouncer::announce (const PeerNotice& notice, const PeerRouters& peers,
+                              const std::string& router, Audience audience)
 {
-    peers.visit (
-        [&] (const PeerChoice& peer)
-        {
-            if (! m_unsupported.contains (peer.key))
-                send (notice, peer, router);
-        });
+    const auto sendIfSupported = [&] (const PeerChoice& peer)
+    {
+        if (! m_unsupported.contains ({ peer.key, notice.index() }))
+            send (notice, peer, router);
+    };
+    if (audience == Audience::kOwnZone)
+        peers.visitOwnZone (sendIfSupported);
+    else
+        peers.visit (sendIfSupported);
 }
 
-void StreamAnnouncer::send (const StreamNotice& notice, const PeerChoice& peer,
-                            const std::string& router)
+void PeerAnnouncer::send (const PeerNotice& notice, const PeerChoice& peer,
+                          const std::string& router)
 {
     if (m_calls.size() >= kMaxCalls)
     {
@@ -97,18 +104,18 @@
     statement.router = router;
     statement.key = peer.key;
     statement.notice = notice;
-    auto call = std::make_unique<Call> (*this, peer.key);
+    auto call = std::make_unique<Call> (*this, peer.key, notice.index());
     Call& begun = *call;
     m_calls.insert (std::move (call));
     begun.start (peer.address, peerNoticeBytes (statement));
 }
 
-void StreamAnnouncer::onEnd (Call& call)
+void PeerAnnouncer::onEnd (Call& call)
 {
     if (! call.isAnswered)
         ++m_lost;
     else if (! call.isSupported)
-        m_unsupported.insert (call.peerKey());
+        m_unsupported.insert (call.supportKey());
     if (call.isAnswered)
     {
         call.connection->detach();
--- a/src/proxy/PeerMessage.cpp
+++ b/src/proxy/PeerMessage.cpp
@@ -30,6 +30,16 @@
                                                   { PeerOutcome::kUnreachable, "unreachable" },
                                                   { PeerOutcome::kUnavailable, "unavailable" } } };
 
+struct PathName
+{
+    PeerPath path;
+    std::string_view name;
+};
+
+constexpr std::array<PathName, 3> kPaths{ { { PeerPath::kOpen, "open" },
+                                            { PeerPath::kInDoubt, "doubt" },
+                                            { PeerPath::kIsolated, "isolated" } } };
+
 /// Values by name, decoded.
 using Values = std::map<std::string, std::string, std::less<>>;
 
@@ -106,6 +116,28 @@
     return std::ranges::find (kOutcomes, outcome, &OutcomeName::outcome)->name;
 }
 
+std::string_view toString (PeerPath path)
+{
+    return std::ranges::find (kPaths, path, &PathName::path)->name;
+}
+
+namespace
+{
+
+void addNotice (std::string& text, const StreamNotice& notice)
+{
+    text.append (";stream=").append (encoded (notice.key));
+    text.append (";software=").append (encoded (notice.softwareVersion));
+    text.append (";lifetime=").append (std::to_string (base::toMilliseconds (notice.lifetime)));
+}
+
+void addNotice (std::string& text, const PathNotice& notice)
+{
+    text.append (";path=").append (toString (notice.path));
+}
+
+}  // namespace
+
 std::string formatPeerRequest (const PeerRequest& request)
 {
     std::string text = "router=" + encoded (request.router) + ";key=" + hexOf (request.key)
@@ -113,12 +145,8 @@
                        + ";avoid=" + encoded (request.avoidedInstance);
     if (! request.softwareVersion.empty())
         text.append (";version=").append (encoded (request.softwareVersion));
-    if (! request.notice)
-        return text;
-    text.append (";stream=").append (encoded (request.notice->key));
-    text.append (";software=").append (encoded (request.notice->softwareVersion));
-    text.append (";lifetime=")
-        .append (std::to_string (base::toMilliseconds (request.notice->lifetime)));
+    if (request.notice)
+        std::visit ([&] (const auto& notice) { addNotice (text, notice); }, *request.notice);
     return text;
 }
 
@@ -139,7 +167,16 @@
 namespace
 {
 
-base::Result<StreamNotice> noticeIn (const Values& values)
+base::Result<PathNotice> pathNoticeIn (const Values& values)
+{
+    BOOST_LEAF_AUTO (name, textOf (values, "path"));
+    const auto path = std::ranges::find (kPaths, name, &PathName::name);
+    if (path == kPaths.end())
+        return base::fail (base::ErrorKind::kMessageInvalid, "unknown path state " + name);
+    return PathNotice{ path->path };
+}
+
+base::Result<StreamNotice> streamNoticeIn (const Values& values)
 {
     StreamNotice notice;
     BOOST_LEAF_ASSIGN (notice.key, textOf (values, "stream"));
@@ -165,7 +202,11 @@
     }
     if (values.contains ("stream"))
     {
-        BOOST_LEAF_ASSIGN (request.notice, noticeIn (values));
+        BOOST_LEAF_ASSIGN (request.notice, streamNoticeIn (values));
+    }
+    else if (values.contains ("path"))
+    {
+        BOOST_LEAF_ASSIGN (request.notice, pathNoticeIn (values));
     }
     return request;
 }
--- a/src/proxy/PeerMessage.h
+++ b/src/proxy/PeerMessage.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "base/Error.h"
 #include "base/Time.h"
@@ -33,6 +34,24 @@
     bool operator== (const StreamNotice&) const = default;
 };
 
+/** How a router reaches the runners. */
+enum class PeerPath : std::uint8_t
+{
+    kOpen,
+    kInDoubt,   ///< A probe has failed; routers of the same zone check their own paths.
+    kIsolated,  ///< It reaches no runner and serves nothing for other routers.
+};
+
+/** Path of the sending router; sent to the others when it changes. */
+struct PathNotice
+{
+    PeerPath path = PeerPath::kOpen;
+
+    bool operator== (const PathNotice&) const = default;
+};
+
+using PeerNotice = std::variant<StreamNotice, PathNotice>;
+
 /** Statement of the router that received a request from its caller. */
 struct PeerRequest
 {
@@ -46,7 +65,7 @@
     std::string softwareVersion{};
     /// Set in a message that is no request but a notice. Earlier builds answer that no route leads
     /// there.
-    std::optional<StreamNotice> notice{};
+    std::optional<PeerNotice> notice{};
 
     bool operator== (const PeerRequest&) const = default;
 };
@@ -76,6 +95,7 @@
 };
 
 [[nodiscard]] std::string_view toString (PeerOutcome outcome);
+[[nodiscard]] std::string_view toString (PeerPath path);
 
 /** Text of the field, for example "router=a;key=1f;configuration=7;avoid=". */
 [[nodiscard]] std::string formatPeerRequest (const PeerRequest& request);
--- a/src/proxy/PeerMessageTest.cpp
+++ b/src/proxy/PeerMessageTest.cpp
@@ -78,6 +78,25 @@
     EXPECT_EQ (takePeerRequest (headers).value(), sent);
 }
 
+TEST (PeerMessageTest, PathNoticeSurvivesAllPaths)
+{
+    for (const PeerPath path : { PeerPath::kOpen, PeerPath::kInDoubt, PeerPath::kIsolated })
+    {
+        PeerRequest sent{ "r", 1, 7, "" };
+        sent.notice = PathNotice{ path };
+        http::Headers headers;
+        headers.add (kRequestField, formatPeerRequest (sent));
+        EXPECT_EQ (takePeerRequest (headers).value(), sent);
+    }
+}
+
+TEST (PeerMessageTest, UnknownPathIsInvalid)
+{
+    http::Headers headers;
+    headers.add (kRequestField, "router=r;key=1;configuration=7;avoid=;path=sideways");
+    EXPECT_FALSE (takePeerRequest (headers));
+}
+
 TEST (PeerMessageTest, AnswerStatementSurvivesAllOutcomes)
 {
     for (const PeerOutcome outcome :
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -85,6 +85,10 @@
     PeerRouters peers{ "", "" };  ///< The other routers of the cell.
     StreamVersions streams{};     ///< Streams that callers may resume while versions are mixed.
     std::function<void (const StreamNotice& notice)> announceStream = [] (const StreamNotice&) {};
+    /// Sends the probes that are due.
+    std::function<void()> probeReachability = [] {};
+    /// Sends the path of this router to the others; doubts only to those of its zone.
+    std::function<void (PeerPath path)> announcePath = [] (PeerPath) {};
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -45,7 +45,7 @@
                  "Streams whose software version is known here while versions are mixed.",
                  m_context.streams.size());
             set ("fernlift_proxy_stream_notices_lost",
-                 "Notices on streams to other routers that were not sent or not answered.",
+                 "Notices to other routers that were not sent or not answered.",
                  m_server.lostNotices());
             set ("fernlift_proxy_connections_opened", "Connections opened to runners.",
                  m_pool.opened());
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -110,6 +110,7 @@
     m_context.checkRunner = [this] (const std::string& instance, const base::SocketAddress& address)
     { m_probes.check (instance, address); };
     m_context.onIsolated = [this] { onIsolated(); };
+    m_context.probeReachability = [this] { probeReachability(); };
     m_context.freshness = [this] { return freshness(); };
     m_demandTimer.setSingleShot (true);
     QObject::connect (&m_demandTimer, &QTimer::timeout, &m_demandTimer,
@@ -344,6 +345,7 @@
     m_link.setControllers (std::move (preferred));
     limitRetries();
     m_rates.setRouters (m_directory.routers());
+    m_context.reachability.setRouters (m_directory.routers());
     const bool hasOtherRunners =
         update.fromVersion == 0 || ! update.removals.empty() || m_directory.size() != sizeBefore;
     if (hasOtherRunners)
@@ -445,10 +447,18 @@
 
 void ProxyProcess::probeReachability()
 {
-    for (const std::string& id : m_context.reachability.takeProbes (m_clock.now(), m_random))
+    const base::TimePoint now = m_clock.now();
+    const auto isFull = [&] (const std::string& id) { return m_directory.isFull (id, now); };
+    for (const std::string& id : m_context.reachability.takeProbes (now, m_random, isFull))
         m_reachabilityProbes.check (id, m_directory.addressOf (id), healthRequest (id));
 }
 
+void ProxyProcess::announce (std::optional<PeerPath> path)
+{
+    if (path && ! m_peerAddress.host.empty())
+        m_context.announcePath (*path);
+}
+
 std::string ProxyProcess::healthRequest (const std::string& instance) const
 {
     const config::Service* service =
@@ -480,6 +490,8 @@
     m_directory.onProbed (instance, mayServe, now);
     if (isNewlyIsolated)
         onIsolated();
+    else if (! isReachable)
+        announce (m_pathAnnouncements.takeDoubt (reachability, now));
 }
 
 void ProxyProcess::onIsolated()
@@ -488,6 +500,7 @@
     for (const std::string& id : m_directory.instances())
         m_pool.forget (m_directory.addressOf (id));
     m_context.onRunnerUnavailable();
+    announce (m_pathAnnouncements.takeDue (m_context.reachability, m_clock.now()));
 }
 
 void ProxyProcess::reportLoads()
@@ -559,6 +572,7 @@
     handleSuspension();
     pollController();
     probeReachability();
+    announce (m_pathAnnouncements.takeDue (m_context.reachability, m_clock.now()));
     reportDemand();
     reportLoads();
     requestQuota();
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -21,6 +21,7 @@
 #include "http/Metrics.h"
 #include "http/Server.h"
 #include "proxy/ConfigurationFreshness.h"
+#include "proxy/PathAnnouncements.h"
 #include "proxy/ProtocolNames.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/ProxyServer.h"
@@ -89,6 +90,8 @@
     void reportSuspects();
     /// Probes the runners whose reachability is in doubt.
     void probeReachability();
+    /// Sends the path of this router to the others, if there is one to send.
+    void announce (std::optional<PeerPath> path);
     /// Request of a probe of the runner; empty if its service has no health check.
     [[nodiscard]] std::string healthRequest (const std::string& instance) const;
     void onReachabilityProbed (const std::string& instance, RunnerProbeResult probeResult);
@@ -141,6 +144,7 @@
     ReadinessServer m_readiness;
     RunnerProbes m_probes;
     RunnerProbes m_reachabilityProbes;
+    PathAnnouncements m_pathAnnouncements;
     base::SuspensionWatch m_suspensions;
     bool m_wasSuspended = false;  ///< A suspension was detected at the last tick.
     QTimer m_demandTimer;  ///< Sends an urgent demand report once control is back in the event
--- a/src/proxy/ProxyProcessTest.cpp
+++ b/src/proxy/ProxyProcessTest.cpp
@@ -35,6 +35,8 @@
         return status;
     }
 
+    ProxyProcessTest() { m_runner.ignoresProbes = true; }
+
     StubRunner m_runner;
     StubLeader m_leader{ m_runner.address() };
     test::RunningProxy m_process{ m_leader.address() };
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -3,7 +3,9 @@
 #include <QHostAddress>
 #include <algorithm>
 #include <utility>
+#include <variant>
 
+#include "base/Overloaded.h"
 #include "http/ErrorResponse.h"
 #include "log/Log.h"
 #include "proxy/PeerMessage.h"
@@ -57,6 +59,12 @@
     m_context.onRunnerUnavailable = [this] { scheduleUnsentCheck(); };
     m_context.announceStream = [this] (const StreamNotice& notice)
     { m_announcer.announce (notice, m_context.peers, m_context.router); };
+    m_context.announcePath = [this] (PeerPath path)
+    {
+        const auto audience = path == PeerPath::kInDoubt ? PeerAnnouncer::Audience::kOwnZone
+                                                         : PeerAnnouncer::Audience::kAll;
+        m_announcer.announce (PathNotice{ path }, m_context.peers, m_context.router, audience);
+    };
     QObject::connect (&m_server, &QTcpServer::newConnection, &m_server,
                       [this] { acceptAll (m_server, false); });
     QObject::connect (&m_peerServer, &QTcpServer::newConnection, &m_peerServer,
@@ -67,6 +75,7 @@
 {
     m_context.onRunnerUnavailable = [] {};
     m_context.announceStream = [] (const StreamNotice&) {};
+    m_context.announcePath = [] (PeerPath) {};
     m_exchanges.clear();
     m_ended.clear();
 }
@@ -182,7 +191,7 @@
             return;
         if (statement->notice)
         {
-            onNotice (connection, *statement->notice);
+            onNotice (connection, *statement);
             return;
         }
     }
@@ -202,12 +211,36 @@
     begun.begin();
 }
 
-void ProxyServer::onNotice (CallerConnection& connection, const StreamNotice& notice)
+void ProxyServer::onPathNotice (const std::string& router, const PathNotice& notice)
 {
-    constexpr int kNoContent = 204;
     const base::TimePoint now = m_context.clock.now();
-    const base::Duration lifetime = std::min (notice.lifetime, SoftwareVersions::kMaxAge);
-    m_context.streams.record (notice.key, notice.softwareVersion, now + lifetime);
+    PeerRouters& peers = m_context.peers;
+    const bool isNews = notice.path == PeerPath::kInDoubt
+                        || (notice.path == PeerPath::kIsolated && ! peers.isIsolated (router, now));
+    if (notice.path == PeerPath::kOpen)
+        peers.onServing (router, now);
+    else if (notice.path == PeerPath::kIsolated)
+        peers.onIsolated (router, now);
+    // Paths often fail for a whole zone at once.
+    if (! isNews || ! peers.isInOwnZone (router))
+        return;
+    m_context.reachability.onDoubtOfPeer (now);
+    m_context.probeReachability();
+}
+
+void ProxyServer::onNotice (CallerConnection& connection, const PeerRequest& statement)
+{
+    constexpr int kNoContent = 204;
+    std::visit (base::Overloaded{ [this] (const StreamNotice& notice)
+                                  {
+                                      const base::Duration lifetime =
+                                          std::min (notice.lifetime, SoftwareVersions::kMaxAge);
+                                      m_context.streams.record (notice.key, notice.softwareVersion,
+                                                                m_context.clock.now() + lifetime);
+                                  },
+                                  [&] (const PathNotice& notice)
+                                  { onPathNotice (statement.router, notice); } },
+                *statement.notice);
     PeerAnswer answer;
     answer.outcome = PeerOutcome::kAnswered;
     answer.isNoticeRead = true;
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -13,8 +13,8 @@
 #include "base/SocketAddress.h"
 #include "proxy/CallerConnection.h"
 #include "proxy/Exchange.h"
+#include "proxy/PeerAnnouncer.h"
 #include "proxy/ProxyContext.h"
-#include "proxy/StreamAnnouncer.h"
 
 namespace fernlift::proxy
 {
@@ -51,7 +51,7 @@
 
     [[nodiscard]] std::size_t openExchanges() const { return m_exchanges.size(); }
     [[nodiscard]] std::size_t waitingExchanges() const;
-    /// Notices on streams that other routers probably did not get.
+    /// Notices that other routers probably did not get.
     [[nodiscard]] std::uint64_t lostNotices() const { return m_announcer.lost(); }
     [[nodiscard]] std::size_t openConnections() const { return m_connections.size(); }
 
@@ -73,7 +73,8 @@
     void onRequest (CallerConnection& connection, ParsedRequest request);
     void onInvalid (CallerConnection& connection, const base::Error& error);
     /// Records what another router tells of a stream.
-    void onNotice (CallerConnection& connection, const StreamNotice& notice);
+    void onNotice (CallerConnection& connection, const PeerRequest& statement);
+    void onPathNotice (const std::string& router, const PathNotice& notice);
     static void refuseStopping (CallerConnection& connection);
     static void declinePeer (CallerConnection& connection, const std::string& message);
     /// Calls `visit` for each open exchange. `visit` may end exchanges.
@@ -95,7 +96,7 @@
     std::map<CallerConnection*, std::unique_ptr<Exchange>> m_exchanges;
     std::vector<std::unique_ptr<Exchange>> m_ended;
     std::vector<std::shared_ptr<CallerConnection>> m_closed;
-    StreamAnnouncer m_announcer;
+    PeerAnnouncer m_announcer;
     QTimer m_sweeper;
     QTimer m_unsentCheck;
     QTcpServer m_server;
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -68,6 +68,8 @@
         QObject::connect (&m_server, &QTcpServer::newConnection, &m_server,
                           [this]
                           {
+                              if (ignoresProbes)
+                                  dropUnused();
                               while (QTcpSocket* socket = m_server.nextPendingConnection())
                               {
                                   connections.push_back (std::make_unique<StubConnection> (socket));
@@ -100,14 +102,24 @@
         return waitUntil (
             [&]
             {
+                if (ignoresProbes)
+                    dropUnused();
                 return connections.size() > number
                        && connections[number]->received.find (part) != std::string::npos;
             });
     }
 
     std::vector<std::unique_ptr<StubConnection>> connections;
+    /// Whether connections that were closed without a request are left out.
+    bool ignoresProbes = false;
 
 private:
+    void dropUnused()
+    {
+        std::erase_if (connections, [] (const auto& connection)
+                       { return connection->isClosed() && connection->received.empty(); });
+    }
+
     QTcpServer m_server;
     std::vector<std::unique_ptr<QTcpSocket>> m_pending;
 };
--- a/src/proxy/RunnerReachability.cpp
+++ b/src/proxy/RunnerReachability.cpp
@@ -21,11 +21,14 @@
 constexpr base::Duration kFailureMemory = base::seconds (1);
 /// Open attempts without any bytes for this time cause probes.
 constexpr base::Duration kQuietBeforeProbe = base::milliseconds (200);
-constexpr std::size_t kProbesInDoubt = 2;
 constexpr base::Duration kIntervalInDoubt = base::milliseconds (500);
 constexpr base::Duration kIntervalAfterFailure = base::milliseconds (100);
 constexpr base::Duration kIntervalWhileIsolated = base::milliseconds (100);
 constexpr base::Duration kIntervalOfUnreachable = base::milliseconds (500);
+/// Mean interval of probes while no bytes are received, and the part of it for each router of the
+/// cell, which limits the probes that all routers send.
+constexpr base::Duration kMinIdleInterval = base::milliseconds (250);
+constexpr base::Duration kIdleIntervalPerRouter = base::milliseconds (8);
 constexpr std::uint32_t kMinSuccesses = 2;
 /// Limit of the doubling while the path fails again and again.
 constexpr std::uint32_t kMaxSuccesses = 8;
@@ -139,7 +142,16 @@
     return m_isIsolated || recentFailures (now) > 0;
 }
 
-std::vector<std::string> RunnerReachability::takeProbes (base::TimePoint now, base::Random& random)
+void RunnerReachability::onDoubtOfPeer (base::TimePoint now)
+{
+    if (m_isIsolated)
+        return;
+    m_isDoubtedByPeer = true;
+    m_nextProbeAt = std::min (m_nextProbeAt, std::max (now, m_probesInDoubtAt + kIntervalInDoubt));
+}
+
+std::vector<std::string> RunnerReachability::takeProbes (base::TimePoint now, base::Random& random,
+                                                         const IsFull& isFull)
 {
     std::vector<std::string> probes;
     if (m_runners.empty())
@@ -152,24 +164,64 @@
         probes.push_back (m_runners[random.bits() % m_runners.size()]);
         return probes;
     }
-    addProbesInDoubt (probes, now, random);
+    addProbesInDoubt (probes, now, random, isFull);
+    if (probes.empty())
+        addIdleProbe (probes, now, random, isFull);
     addProbesOfUnreachable (probes, now);
     return probes;
 }
 
+std::vector<std::string> RunnerReachability::probeCandidates (const IsFull& isFull) const
+{
+    std::vector<std::string> candidates;
+    std::vector<std::string> full;
+    for (const std::string& runner : m_runners)
+    {
+        if (! m_failures.contains (runner))
+            (isFull (runner) ? full : candidates).push_back (runner);
+    }
+    return candidates.empty() ? full : candidates;
+}
+
+base::Duration RunnerReachability::idleInterval() const
+{
+    return std::max<base::Duration> (kMinIdleInterval, m_routers * kIdleIntervalPerRouter);
+}
+
+void RunnerReachability::addIdleProbe (std::vector<std::string>& probes, base::TimePoint now,
+                                       base::Random& random, const IsFull& isFull)
+{
+    const bool isFirst = m_nextIdleProbeAt == base::TimePoint{};
+    const base::TimePoint earliest =
+        std::max (m_lastBytesAt + kMinIdleInterval, m_probesInDoubtAt + kIntervalInDoubt);
+    const bool isDue = now >= m_nextIdleProbeAt && now >= earliest;
+    if (! isFirst && ! isDue)
+        return;
+    // Drawn anew each time, so that the probes of all routers are spread over the interval.
+    const std::chrono::duration<double> wait = idleInterval() * (0.5 + random.uniformReal());
+    m_nextIdleProbeAt = now + std::chrono::duration_cast<base::Duration> (wait);
+    if (isFirst)
+        return;
+    std::vector<std::string> candidates = probeCandidates (isFull);
+    std::erase_if (candidates,
+                   [&] (const std::string& runner) { return m_unreachable.contains (runner); });
+    if (! candidates.empty())
+        probes.push_back (std::move (candidates[random.bits() % candidates.size()]));
+}
+
 void RunnerReachability::addProbesInDoubt (std::vector<std::string>& probes, base::TimePoint now,
-                                           base::Random& random)
+                                           base::Random& random, const IsFull& isFull)
 {
     const bool isQuiet = m_openAttempts > 0 && now - m_quietSince >= kQuietBeforeProbe;
-    if (now < m_nextProbeAt || (! isQuiet && recentFailures (now) == 0))
+    if (now < m_nextProbeAt || (! isQuiet && ! m_isDoubtedByPeer && recentFailures (now) == 0))
         return;
     m_probesInDoubtAt = now;
     m_nextProbeAt = now + kIntervalInDoubt;
-    std::vector<std::string> others;
-    std::ranges::copy_if (m_runners, std::back_inserter (others),
-                          [&] (const std::string& runner)
-                          { return ! m_failures.contains (runner); });
-    for (std::size_t count = 0; count < kProbesInDoubt && ! others.empty(); ++count)
+    m_isDoubtedByPeer = false;
+    const std::size_t wanted =
+        recentFailures (now) == 0 ? kFailuresOfIsolation : kFailuresOfIsolation - 1;
+    std::vector<std::string> others = probeCandidates (isFull);
+    for (std::size_t count = 0; count < wanted && ! others.empty(); ++count)
     {
         std::swap (others[random.bits() % others.size()], others.back());
         probes.push_back (std::move (others.back()));
--- a/src/proxy/RunnerReachability.h
+++ b/src/proxy/RunnerReachability.h
@@ -9,6 +9,7 @@
  */
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -33,6 +34,9 @@
     /** Sets the runners in the table. */
     void setRunners (std::vector<std::string> runners);
 
+    /** Sets the number of routers in the cell. */
+    void setRouters (std::uint32_t routers) { m_routers = routers; }
+
     /** An attempt at a runner began. */
     void onAttemptBegin (base::TimePoint now);
     /** Bytes of an answer were received from any runner. */
@@ -55,10 +59,18 @@
     */
     bool onProbeUnanswered (const std::string& runner, base::Duration waited, base::TimePoint now);
 
+    /** A router in the same zone reaches no runner, or has doubts; causes probes. */
+    void onDoubtOfPeer (base::TimePoint now);
+
+    using IsFull = std::function<bool (const std::string& runner)>;
+
     /** Returns the runners to probe now, by a request to each. The results have to be reported by
-        onConnected(), onConnectFailed() and onProbeUnanswered().
+        onConnected(), onConnectFailed() and onProbeUnanswered(). Runners for which `isFull` holds
+        are probed only when there are no others, as they may not answer in time.
     */
-    [[nodiscard]] std::vector<std::string> takeProbes (base::TimePoint now, base::Random& random);
+    [[nodiscard]] std::vector<std::string> takeProbes (
+        base::TimePoint now, base::Random& random,
+        const IsFull& isFull = [] (const std::string&) { return false; });
 
     [[nodiscard]] RunnerPath path (base::TimePoint now) const;
     /** Whether a request goes to another router, if there is one. `draw` is a random number in
@@ -86,7 +98,15 @@
     [[nodiscard]] std::size_t failuresOfIsolation (base::TimePoint now) const;
     void isolate (base::TimePoint now);
     void addProbesInDoubt (std::vector<std::string>& probes, base::TimePoint now,
-                           base::Random& random);
+                           base::Random& random, const IsFull& isFull);
+    /** Adds a probe after a time without bytes from any runner, so that a router without requests
+        notices that its path has failed.
+    */
+    void addIdleProbe (std::vector<std::string>& probes, base::TimePoint now, base::Random& random,
+                       const IsFull& isFull);
+    /** Runners without a recent failure; without those that are full, if any is left. */
+    [[nodiscard]] std::vector<std::string> probeCandidates (const IsFull& isFull) const;
+    [[nodiscard]] base::Duration idleInterval() const;
     void addProbesOfUnreachable (std::vector<std::string>& probes, base::TimePoint now);
 
     std::vector<std::string> m_runners;
@@ -101,6 +121,9 @@
     base::TimePoint m_lastBytesAt{};
     base::TimePoint m_nextProbeAt{};
     base::TimePoint m_probesInDoubtAt{};  ///< Last probes that followed a failure or a quiet time.
+    base::TimePoint m_nextIdleProbeAt{};
+    std::uint32_t m_routers = 1;
+    bool m_isDoubtedByPeer = false;  ///< A router of the zone has doubts, and no probes followed.
     bool m_isIsolated = false;
     std::uint32_t m_successes = 0;  ///< Consecutive probes that succeeded while isolated.
     std::uint32_t m_requiredSuccesses = 0;
