The framing of an answer is bounded, so that a runner that never ends it is left at once

Cause: the parser leaves a line that isn't complete in the buffer and asks for more; only the head had a limit. Interim answers were skipped without a count.

Change: 16 KiB for the size and extensions of a chunk and for all trailers; 32 interim or stale answers for a call. Beyond that the answer is invalid, the connection is dropped, and a request that may run twice goes to another runner.

All users of the parser have the bounds: both data planes, answers of other routers, and the clients of engines, runners and controllers.

--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -95,6 +95,16 @@
 AnswerParser::~AnswerParser() = default;
 
 base::Result<void> AnswerParser::parse (std::string& buffer)
+{
+    BOOST_LEAF_CHECK (parseAvailable (buffer));
+    const bool isFraming = m_implementation->is_header_done() && ! m_implementation->is_done();
+    if (isFraming && buffer.size() > kMaxFramingBytes)
+        return base::fail (base::ErrorKind::kMessageInvalid,
+                           "the framing of a chunk or the trailers are too long");
+    return {};
+}
+
+base::Result<void> AnswerParser::parseAvailable (std::string& buffer)
 {
     std::size_t used = 0;
     while (used < buffer.size() && ! m_implementation->is_done())
--- a/src/http/AnswerParser.h
+++ b/src/http/AnswerParser.h
@@ -42,14 +42,19 @@
     AnswerParser (const AnswerParser&) = delete;
     AnswerParser& operator= (const AnswerParser&) = delete;
 
-    /// Consumes bytes from the front of `buffer`; stops at the end of the answer. Fails with
-    /// kMessageInvalid on bytes that are not an HTTP answer.
+    /// Consumes bytes from the front of `buffer`; stops at the end of the answer. Fails with kMessageInvalid on bytes that are
+    /// not an HTTP answer, and when the framing of a chunk or the trailers exceed kMaxFramingBytes.
     base::Result<void> parse (std::string& buffer);
     /// Handles an orderly close of the connection; returns whether the answer is complete with it.
     [[nodiscard]] bool finishByClose();
     [[nodiscard]] bool isDone() const;
 
+    /// Most bytes of the size and extensions of one chunk, or of all trailers.
+    static constexpr std::size_t kMaxFramingBytes = 16UL * 1024;
+
 private:
+    base::Result<void> parseAvailable (std::string& buffer);
+
     class Implementation;
     std::unique_ptr<Implementation> m_implementation;
 };
--- a/src/http/AnswerParserTest.cpp
+++ b/src/http/AnswerParserTest.cpp
@@ -100,5 +100,16 @@
             .isValid);
 }
 
+TEST (AnswerParserTest, FramingWithoutEndIsInvalid)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler (AnswerParser::kMaxFramingBytes, '0');
+    for (const std::string begin : { "", "5;a=", "0\r\nField: " })
+    {
+        EXPECT_TRUE (read (head + begin + filler.substr (0, 100), head.size()).isValid) << begin;
+        EXPECT_FALSE (read (head + begin + filler + "0", head.size()).isValid) << begin;
+    }
+}
+
 }  // namespace
 }  // namespace fernlift::http
--- a/src/http/BackEndConnection.cpp
+++ b/src/http/BackEndConnection.cpp
@@ -14,6 +14,9 @@
 /// them at its end, and requests in flight at that moment are lost.
 constexpr base::Duration kKeepAliveMargin = base::milliseconds (700);
 
+/// Interim answers, and answers to earlier requests, after which the connection is given up.
+constexpr std::size_t kMaxDiscardedAnswers = 32;
+
 /// Parses the seconds in "timeout=5, max=100"; nothing if there are none.
 std::optional<base::Duration> keepAliveOf (const std::string& value)
 {
@@ -46,6 +49,7 @@
     m_listener = listener;
     m_isActive = true;
     ++m_callsSent;
+    m_discardedAnswers = 0;
     beginAnswer();
     const auto self = shared_from_this();
     if (m_socket.isOpen())
@@ -134,6 +138,11 @@
         }
         if (! m_parser->isDone())
             return;
+        if (m_isStale && ++m_discardedAnswers > kMaxDiscardedAnswers)
+        {
+            fail (BackEndFailure::kInvalidAnswer);
+            return;
+        }
         if (m_isStale)
         {
             beginAnswer();  // The answer to this call follows.
--- a/src/http/BackEndConnection.h
+++ b/src/http/BackEndConnection.h
@@ -109,7 +109,8 @@
     bool m_isPersistent = false;
     bool m_isHeadRead = false;
     std::size_t m_callsSent = 0;
-    base::Duration m_keepAlive{};  ///< Idle time that the runner allows.
+    std::size_t m_discardedAnswers = 0;  ///< Stale answers since the call was sent.
+    base::Duration m_keepAlive{};        ///< Idle time that the runner allows.
     base::TimePoint m_idleSince{};
     std::unique_ptr<QTimer> m_connectTimer;
 };
