A runner that sends faster than its bytes are processed no longer holds up everything else

Cause: a socket was read until nothing was left, so that one that is never empty kept the event loop, and with it all timers. Each chunk was forwarded by a write and a flush of its own.

Change: four reads in a row, then the other sockets and timers; the chunks of one read are delivered together.

After: the test passes (250 ms allowed), the four are ended at their deadline of 3 s.

--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -27,6 +27,12 @@
         eager (true);
         skip (! hasBody);
     }
+    /// Delivers the bytes of chunks that were parsed since the last call.
+    void deliverChunks()
+    {
+        if (! m_chunks.empty())
+            m_handlers.onBody (std::exchange (m_chunks, {}));
+    }
 
 private:
     using ErrorCode = beast::error_code;
@@ -78,7 +84,7 @@
     std::size_t on_chunk_body_impl (std::uint64_t /*remain*/, beast::string_view body,
                                     ErrorCode& error) override
     {
-        m_handlers.onBody ({ body.data(), body.size() });
+        m_chunks.append (body.data(), body.size());
         error = {};
         return body.size();
     }
@@ -86,6 +92,7 @@
 
     Handlers m_handlers;
     AnswerHead m_head;
+    std::string m_chunks;  ///< Bytes of chunks that are not delivered yet.
 };
 
 AnswerParser::AnswerParser (bool hasBody, Handlers handlers)
@@ -97,6 +104,7 @@
 base::Result<void> AnswerParser::parse (std::string& buffer)
 {
     BOOST_LEAF_CHECK (parseAvailable (buffer));
+    m_implementation->deliverChunks();
     const bool isFraming = m_implementation->is_header_done() && ! m_implementation->is_done();
     if (isFraming && buffer.size() > kMaxFramingBytes)
         return base::fail (base::ErrorKind::kMessageInvalid,
--- a/src/http/AnswerParser.h
+++ b/src/http/AnswerParser.h
@@ -42,7 +42,8 @@
     AnswerParser (const AnswerParser&) = delete;
     AnswerParser& operator= (const AnswerParser&) = delete;
 
-    /// Consumes bytes from the front of `buffer`; stops at the end of the answer. Fails with kMessageInvalid on bytes that are
+    /// Consumes bytes from the front of `buffer`; stops at the end of the answer. The chunks that
+    /// are complete with it are delivered by one call. Fails with kMessageInvalid on bytes that are
     /// not an HTTP answer, and when the framing of a chunk or the trailers exceed kMaxFramingBytes.
     base::Result<void> parse (std::string& buffer);
     /// Handles an orderly close of the connection; returns whether the answer is complete with it.
--- a/src/http/AnswerParserTest.cpp
+++ b/src/http/AnswerParserTest.cpp
@@ -111,5 +111,24 @@
     }
 }
 
+TEST (AnswerParserTest, DeliversTheChunksOfOneReadTogether)
+{
+    std::size_t deliveries = 0;
+    std::string body;
+    AnswerParser::Handlers handlers;
+    handlers.onHead = [] (const AnswerHead&) {};
+    handlers.onBody = [&] (std::string_view data)
+    {
+        ++deliveries;
+        body.append (data);
+    };
+    AnswerParser parser (true, std::move (handlers));
+    std::string buffer = kChunked;
+    EXPECT_TRUE (parser.parse (buffer));
+    EXPECT_TRUE (parser.isDone());
+    EXPECT_EQ (body, "hello");
+    EXPECT_EQ (deliveries, 1U);
+}
+
 }  // namespace
 }  // namespace fernlift::http
--- a/src/http/StreamSocket.cpp
+++ b/src/http/StreamSocket.cpp
@@ -20,6 +20,8 @@
 namespace
 {
 
+/// Reads after which other sockets and timers get their turn.
+constexpr int kMaxReadsInARow = 4;
 /// Below the 5 s that callers wait for the most urgent answers, and above the first three
 /// retransmissions of a lost packet, after 0.2 s, 0.6 s and 1.4 s.
 constexpr base::Duration kMaxSilence = base::seconds (4);
@@ -143,8 +145,11 @@
 {
     static std::array<char, kReadBytes> buffer;
     const std::weak_ptr<bool> lifetime = m_lifetime;
-    while (! lifetime.expired() && m_state == State::kOpen && m_isReading)
+    // The notifier signals again while more is readable.
+    for (int reads = 0; reads < kMaxReadsInARow; ++reads)
     {
+        if (lifetime.expired() || m_state != State::kOpen || ! m_isReading)
+            return;
         const std::size_t limit = m_maxReadBytes;
         const ssize_t count = ::recv (m_descriptor, buffer.data(), limit, 0);
         if (count > 0)
--- a/src/proxy/EndlessAnswerTest.cpp
+++ b/src/proxy/EndlessAnswerTest.cpp
@@ -164,5 +164,58 @@
                           [] (const auto& info)
                           { return std::string (framingCases()[info.param].name); });
 
+class EndlessBodyTest : public ::testing::Test
+{
+protected:
+    /// Sends requests to the endless runner, and others to a sound one of the other service, and
+    /// returns the longest time that one of the latter took.
+    base::Duration longestBeside (const std::string& host, std::size_t requests, milliseconds time)
+    {
+        std::vector<std::unique_ptr<RawCaller>> held;
+        for (std::size_t number = 0; number < requests; ++number)
+        {
+            held.push_back (std::make_unique<RawCaller> (m_router.listening));
+            held.back()->write (ProxyFixture::request (host));
+        }
+        base::Duration longest{};
+        const base::TimePoint begin = m_clock.now();
+        while (m_clock.now() - begin < time)
+        {
+            const base::TimePoint sent = m_clock.now();
+            EXPECT_TRUE (m_router.call ("other.test").starts_with ("HTTP/1.1 200"));
+            longest = std::max<base::Duration> (longest, m_clock.now() - sent);
+            runFor (milliseconds (20));
+        }
+        m_held = std::move (held);
+        return longest;
+    }
+    void addRunners (const EndlessRunner& endless)
+    {
+        m_router.put (ProxyFixture::rowOf ("endless", endless.address()));
+        cell::RoutableInstance other = ProxyFixture::rowOf ("other", m_sound.address());
+        other.instance.service = "other";
+        m_router.put (other);
+    }
+
+    base::SystemClock m_clock;
+    AnsweringRunner m_sound{ [] (const std::string&) { return StubReply{ servedAnswer() }; } };
+    ProxyFixture m_router;
+    std::vector<std::unique_ptr<RawCaller>> m_held;
+};
+
+TEST_F (EndlessBodyTest, TinyChunksHoldNoOtherRequestAndEndAtTheDeadline)
+{
+    const EndlessRunner endless (kChunkedHead, "8\r\n01234567\r\n");
+    addRunners (endless);
+    const base::TimePoint begin = m_clock.now();
+    EXPECT_LT (longestBeside ("once.test", 4, milliseconds (2500)), milliseconds (250));
+    EXPECT_TRUE (waitUntil (
+        [&] {
+            return std::ranges::all_of (m_held,
+                                        [] (const auto& caller) { return caller->isClosed(); });
+        }));
+    EXPECT_LT (m_clock.now() - begin, milliseconds (3500)) << "the deadline is 3 s";
+}
+
 }  // namespace
 }  // namespace fernlift::proxy::test
