An event of a stream that does not end is broken off at 1 MiB

Change: an incomplete event above 1 MiB counts as a broken answer, on routes with and without streams.

--- a/src/proxy/EndlessAnswerTest.cpp
+++ b/src/proxy/EndlessAnswerTest.cpp
@@ -217,5 +217,17 @@
     EXPECT_LT (m_clock.now() - begin, milliseconds (3500)) << "the deadline is 3 s";
 }
 
+TEST_F (EndlessBodyTest, EventWithoutEndIsBrokenOff)
+{
+    const EndlessRunner endless ("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ",
+                                 "x");
+    addRunners (endless);
+    RawCaller caller (m_router.listening);
+    caller.write (ProxyFixture::request ("stream.test"));
+    const base::TimePoint begin = m_clock.now();
+    EXPECT_TRUE (waitUntil ([&] { return caller.isClosed(); }));
+    EXPECT_LT (m_clock.now() - begin, milliseconds (1500)) << "the deadline is 3 s";
+}
+
 }  // namespace
 }  // namespace fernlift::proxy::test
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -16,6 +16,8 @@
 
 /// Answers up to this size are buffered until complete, so that a truncated one can be retried.
 constexpr std::size_t kMaxBufferedBytes = 256UL * 1024;
+/// Longest event of a stream. Its bytes are held until it is complete.
+constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
 /// Brittle runners count the requests that they decline in a second.
 constexpr base::Duration kBrittleBackoff = base::seconds (1);
 constexpr int kMisdirected = 421;
@@ -24,6 +26,11 @@
 constexpr int kFirstErrorStatus = 400;
 constexpr int kFirstServerError = 500;
 
+bool isTooLong (const http::EventSplitter& events)
+{
+    return events.incompleteBytes().size() > kMaxEventBytes;
+}
+
 }  // namespace
 
 void Exchange::recordPrefillEnd()
@@ -222,7 +229,14 @@
     recordBytes();
     extendAttemptDeadline();
     if (m_unsplitEvents)
+    {
         static_cast<void> (m_unsplitEvents->feed (data));
+        if (isTooLong (*m_unsplitEvents))
+        {
+            onAttemptBroken();
+            return;
+        }
+    }
     switch (m_use)
     {
         case AnswerUse::kBuffer:
@@ -239,6 +253,8 @@
             return;
         case AnswerUse::kEvents:
             forwardEvents (m_events->feed (data));
+            if (isTooLong (*m_events))
+                onAttemptBroken();
             return;
         case AnswerUse::kNone:
         case AnswerUse::kRefusal:
