A router at its limit of peer requests reads notices

A router that served as many requests of others as it may declined notices too. The sender took that for an earlier build, which does not read notices, and sent it none until its restart: neither on streams, which are at fault since notices exist, nor on paths.

Change: the limit holds for requests only. What follows from a notice on a path stands in one function, which PeerSearchBoundTest uses too.

ExchangePeersTest.RouterAtItsLimitOfRequestsReadsNotices failed before.

--- a/src/proxy/ExchangePeersTest.cpp
+++ b/src/proxy/ExchangePeersTest.cpp
@@ -387,6 +387,20 @@
     EXPECT_EQ (m_near.counters.attempts, 0U);
 }
 
+TEST_F (ExchangePeersTest, RouterAtItsLimitOfRequestsReadsNotices)
+{
+    ProxyFixture full;
+    full.servePeers ("full", 0);
+    full.setPeers ({ m_near.peerRow() });
+    m_near.setPeers ({ full.peerRow() });
+    for (int notice = 0; notice < 2; ++notice)
+    {
+        m_near.context.announcePath (notice == 0 ? PeerPath::kOpen : PeerPath::kIsolated);
+        runFor (std::chrono::milliseconds (50));
+    }
+    EXPECT_TRUE (full.context.peers.isIsolated ("near", full.clock.now()));
+}
+
 TEST_F (ExchangePeersTest, RunnerThatNobodyReachesIsNotAskedForRoundAndRound)
 {
     const std::string address = closedAddress();
--- a/src/proxy/PathAnnouncements.cpp
+++ b/src/proxy/PathAnnouncements.cpp
@@ -1,7 +1,5 @@
 #include "proxy/PathAnnouncements.h"
 
-#include "proxy/PeerRouters.h"
-
 namespace fernlift::proxy
 {
 namespace
@@ -39,4 +37,27 @@
     return PeerPath::kInDoubt;
 }
 
+bool applyPathNotice (PeerRouters& peers, RunnerReachability& reachability,
+                      const std::string& router, PeerPath path, base::TimePoint now)
+{
+    const bool wasIsolated = peers.isIsolated (router, now);
+    switch (path)
+    {
+        case PeerPath::kOpen:
+            peers.onServing (router, now);
+            return false;
+        case PeerPath::kIsolated:
+            peers.onIsolated (router, now);
+            if (wasIsolated)
+                return false;
+            break;
+        case PeerPath::kInDoubt:
+            break;
+    }
+    if (! peers.isInOwnZone (router))
+        return false;
+    reachability.onDoubtOfPeer (now);
+    return true;
+}
+
 }  // namespace fernlift::proxy
--- a/src/proxy/PathAnnouncements.h
+++ b/src/proxy/PathAnnouncements.h
@@ -1,15 +1,17 @@
 #pragma once
 
 /**
- * Decides when a router states to the others how it reaches the runners. An isolated router repeats
- * its statement, so that a lost notice or a router that has just started matters only for a short
- * time.
+ * Decides when a router states to the others how it reaches the runners, and what follows from such
+ * a statement. An isolated router repeats its own, so that a lost notice or a router that has just
+ * started matters only for a short time.
  */
 
 #include <optional>
+#include <string>
 
 #include "base/Time.h"
 #include "proxy/PeerMessage.h"
+#include "proxy/PeerRouters.h"
 #include "proxy/RunnerReachability.h"
 
 namespace fernlift::proxy
@@ -34,4 +36,10 @@
     base::TimePoint m_doubtStatedAt{};
 };
 
+/** Applies the statement of another router. Returns whether this router has to probe its own path
+    now: paths often fail for a whole zone at once.
+*/
+[[nodiscard]] bool applyPathNotice (PeerRouters& peers, RunnerReachability& reachability,
+                                    const std::string& router, PeerPath path, base::TimePoint now);
+
 }  // namespace fernlift::proxy
--- a/src/proxy/PeerSearchBoundTest.cpp
+++ b/src/proxy/PeerSearchBoundTest.cpp
@@ -272,17 +272,8 @@
     void receive (std::size_t number, const std::string& from, PeerPath path)
     {
         Router& router = *m_routers[number];
-        const bool isNews =
-            path == PeerPath::kInDoubt
-            || (path == PeerPath::kIsolated && ! router.peers->isIsolated (from, m_now));
-        if (path == PeerPath::kOpen)
-            router.peers->onServing (from, m_now);
-        else if (path == PeerPath::kIsolated)
-            router.peers->onIsolated (from, m_now);
-        if (! isNews || ! router.peers->isInOwnZone (from))
-            return;
-        router.reachability.onDoubtOfPeer (m_now);
-        sendProbes (number);
+        if (applyPathNotice (*router.peers, router.reachability, from, path, m_now))
+            sendProbes (number);
     }
 
     /// Calls `deliver` for each other router of the group, after the time that a notice takes over
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -8,6 +8,7 @@
 #include "base/Overloaded.h"
 #include "http/ErrorResponse.h"
 #include "log/Log.h"
+#include "proxy/PathAnnouncements.h"
 #include "proxy/PeerMessage.h"
 
 namespace fernlift::proxy
@@ -159,7 +160,7 @@
         declinePeer (connection, "the key is not the one of this router");
         return std::nullopt;
     }
-    if (peerExchanges() >= m_maxPeerExchanges)
+    if (! statement->notice && peerExchanges() >= m_maxPeerExchanges)
     {
         ++m_context.counters.declinedToPeers;
         declinePeer (connection, "too many requests of other routers");
@@ -213,19 +214,10 @@
 
 void ProxyServer::onPathNotice (const std::string& router, const PathNotice& notice)
 {
-    const base::TimePoint now = m_context.clock.now();
-    PeerRouters& peers = m_context.peers;
-    const bool isNews = notice.path == PeerPath::kInDoubt
-                        || (notice.path == PeerPath::kIsolated && ! peers.isIsolated (router, now));
-    if (notice.path == PeerPath::kOpen)
-        peers.onServing (router, now);
-    else if (notice.path == PeerPath::kIsolated)
-        peers.onIsolated (router, now);
-    // Paths often fail for a whole zone at once.
-    if (! isNews || ! peers.isInOwnZone (router))
-        return;
-    m_context.reachability.onDoubtOfPeer (now);
-    m_context.probeReachability();
+    const bool isProbeDue = applyPathNotice (m_context.peers, m_context.reachability, router,
+                                             notice.path, m_context.clock.now());
+    if (isProbeDue)
+        m_context.probeReachability();
 }
 
 void ProxyServer::onNotice (CallerConnection& connection, const PeerRequest& statement)
