--- a/src/http/StreamSocket.cpp
+++ b/src/http/StreamSocket.cpp
@@ -20,8 +20,6 @@
 namespace
 {
 
-/// Reads after which other sockets and timers get their turn.
-constexpr int kMaxReadsInARow = 4;
 /// Below the 5 s that callers wait for the most urgent answers, and above the first three
 /// retransmissions of a lost packet, after 0.2 s, 0.6 s and 1.4 s.
 constexpr base::Duration kMaxSilence = base::seconds (4);
@@ -144,29 +142,20 @@
 void StreamSocket::onReadable()
 {
     static std::array<char, kReadBytes> buffer;
-    const std::weak_ptr<bool> lifetime = m_lifetime;
-    // The notifier signals again while more is readable.
-    for (int reads = 0; reads < kMaxReadsInARow; ++reads)
+    if (m_state != State::kOpen || ! m_isReading)
+        return;
+    // One read, so that a peer that sends without end does not keep the event loop from timers and
+    // other sockets. The notifier signals again while more is readable.
+    const ssize_t count = ::recv (m_descriptor, buffer.data(), m_maxReadBytes, 0);
+    if (count > 0)
     {
-        if (lifetime.expired() || m_state != State::kOpen || ! m_isReading)
-            return;
-        const std::size_t limit = m_maxReadBytes;
-        const ssize_t count = ::recv (m_descriptor, buffer.data(), limit, 0);
-        if (count > 0)
-        {
-            m_listener->onData ({ buffer.data(), static_cast<std::size_t> (count) });
-            if (static_cast<std::size_t> (count) < limit)
-                return;
-            continue;
-        }
-        if (count < 0 && errno == EINTR)
-            continue;
-        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-            return;
-        const bool isOrderly = count == 0 && ! m_hasWriteFailed && m_unsent.empty();
-        finish (isOrderly ? StreamEnd::kOrderly : StreamEnd::kBroken);
+        m_listener->onData ({ buffer.data(), static_cast<std::size_t> (count) });
         return;
     }
+    if (count < 0 && (errno == EINTR || errno == EAGAIN || errno == EWOULDBLOCK))
+        return;
+    const bool isOrderly = count == 0 && ! m_hasWriteFailed && m_unsent.empty();
+    finish (isOrderly ? StreamEnd::kOrderly : StreamEnd::kBroken);
 }
 
 void StreamSocket::finish (StreamEnd end)
--- a/src/http/StreamSocket.h
+++ b/src/http/StreamSocket.h
@@ -94,7 +94,6 @@
     std::unique_ptr<QSocketNotifier> m_readNotifier;
     std::unique_ptr<QSocketNotifier> m_writeNotifier;
     std::unique_ptr<QTimer> m_deferredEnd;
-    std::shared_ptr<bool> m_lifetime = std::make_shared<bool> (true);  ///< Expires with the socket.
 };
 
 }  // namespace fernlift::http
