--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -61,11 +61,7 @@
     m_context.announceStream = [this] (const StreamNotice& notice)
     { m_announcer.announce (notice, m_context.peers, m_context.router); };
     m_context.announcePath = [this] (PeerPath path)
-    {
-        const auto audience = path == PeerPath::kInDoubt ? PeerAnnouncer::Audience::kOwnZone
-                                                         : PeerAnnouncer::Audience::kAll;
-        m_announcer.announce (PathNotice{ path }, m_context.peers, m_context.router, audience);
-    };
+    { m_announcer.announce (PathNotice{ path }, m_context.peers, m_context.router); };
     QObject::connect (&m_server, &QTcpServer::newConnection, &m_server,
                       [this] { acceptAll (m_server, false); });
     QObject::connect (&m_peerServer, &QTcpServer::newConnection, &m_peerServer,
