--- a/src/proxy/PathAnnouncements.cpp
+++ b/src/proxy/PathAnnouncements.cpp
@@ -7,7 +7,7 @@
 
 constexpr base::Duration kRepeatInterval = base::seconds (5);
 static_assert (2 * kRepeatInterval < PeerRouters::kPathLifetime, "one repetition may be lost");
-/// Limits the probes that a doubt causes at the other routers.
+/// Limits the probes that a doubt causes at the other routers of the zone.
 constexpr base::Duration kMinDoubtInterval = base::seconds (1);
 
 }  // namespace
@@ -54,6 +54,8 @@
         case PeerPath::kInDoubt:
             break;
     }
+    if (! peers.isInOwnZone (router))
+        return false;
     reachability.onDoubtOfPeer (now);
     return true;
 }
--- a/src/proxy/PathAnnouncements.h
+++ b/src/proxy/PathAnnouncements.h
@@ -37,7 +37,7 @@
 };
 
 /** Applies the statement of another router. Returns whether this router has to probe its own path
-    now: paths often fail for many routers at once.
+    now: paths often fail for a whole zone at once.
 */
 [[nodiscard]] bool applyPathNotice (PeerRouters& peers, RunnerReachability& reachability,
                                     const std::string& router, PeerPath path, base::TimePoint now);
--- a/src/proxy/PeerAnnouncer.cpp
+++ b/src/proxy/PeerAnnouncer.cpp
@@ -79,14 +79,17 @@
 PeerAnnouncer::~PeerAnnouncer() = default;
 
 void PeerAnnouncer::announce (const PeerNotice& notice, const PeerRouters& peers,
-                              const std::string& router)
+                              const std::string& router, Audience audience)
 {
-    peers.visit (
-        [&] (const PeerChoice& peer)
-        {
-            if (! m_unsupported.contains ({ peer.key, notice.index() }))
-                send (notice, peer, router);
-        });
+    const auto sendIfSupported = [&] (const PeerChoice& peer)
+    {
+        if (! m_unsupported.contains ({ peer.key, notice.index() }))
+            send (notice, peer, router);
+    };
+    if (audience == Audience::kOwnZone)
+        peers.visitOwnZone (sendIfSupported);
+    else
+        peers.visit (sendIfSupported);
 }
 
 void PeerAnnouncer::send (const PeerNotice& notice, const PeerChoice& peer,
--- a/src/proxy/PeerAnnouncer.h
+++ b/src/proxy/PeerAnnouncer.h
@@ -29,10 +29,17 @@
     PeerAnnouncer (const PeerAnnouncer&) = delete;
     PeerAnnouncer& operator= (const PeerAnnouncer&) = delete;
 
+    enum class Audience : std::uint8_t
+    {
+        kAll,
+        kOwnZone,
+    };
+
     /** Sends the notice to the routers known to `peers` that may support it. `router` is the name
        of this one.
     */
-    void announce (const PeerNotice& notice, const PeerRouters& peers, const std::string& router);
+    void announce (const PeerNotice& notice, const PeerRouters& peers, const std::string& router,
+                   Audience audience = Audience::kAll);
     /** Number of notices that were not sent or not answered. */
     [[nodiscard]] std::uint64_t lost() const { return m_lost; }
 
--- a/src/proxy/PeerMessage.h
+++ b/src/proxy/PeerMessage.h
@@ -38,7 +38,7 @@
 enum class PeerPath : std::uint8_t
 {
     kOpen,
-    kInDoubt,   ///< A probe has failed; the other routers check their own paths.
+    kInDoubt,   ///< A probe has failed; routers of the same zone check their own paths.
     kIsolated,  ///< It reaches no runner and serves nothing for other routers.
 };
 
--- a/src/proxy/PeerRouters.cpp
+++ b/src/proxy/PeerRouters.cpp
@@ -122,6 +122,15 @@
         visit ({ router, peer.address, peer.row.key });
 }
 
+void PeerRouters::visitOwnZone (const std::function<void (const PeerChoice& peer)>& visit) const
+{
+    for (const auto& [router, peer] : m_peers)
+    {
+        if (peer.row.zone == m_zone)
+            visit ({ router, peer.address, peer.row.key });
+    }
+}
+
 void PeerRouters::onBegin (const std::string& router)
 {
     const auto found = m_peers.find (router);
@@ -168,6 +177,12 @@
     return found != m_peers.end() && found->second.pathAt (now) == Path::kIsolated;
 }
 
+bool PeerRouters::isInOwnZone (const std::string& router) const
+{
+    const auto found = m_peers.find (router);
+    return found != m_peers.end() && found->second.row.zone == m_zone;
+}
+
 void PeerRouters::onUnservable (const std::string& target, base::TimePoint until)
 {
     m_unservableUntil[target] = until;
--- a/src/proxy/PeerRouters.h
+++ b/src/proxy/PeerRouters.h
@@ -52,6 +52,8 @@
                                                     double draw, base::TimePoint now) const;
     /** Calls `visit` for each router. */
     void visit (const std::function<void (const PeerChoice& peer)>& visit) const;
+    /** The same for the routers in the zone of this one. */
+    void visitOwnZone (const std::function<void (const PeerChoice& peer)>& visit) const;
     void onBegin (const std::string& router);
     void onEnd (const std::string& router);
     /** Chooses the router no more before `until`. */
@@ -64,6 +66,8 @@
     /** The router stated that it reaches the runners, or served a request. */
     void onServing (const std::string& router, base::TimePoint now);
     [[nodiscard]] bool isIsolated (const std::string& router, base::TimePoint now) const;
+    /** Whether the router is in the zone of this one. */
+    [[nodiscard]] bool isInOwnZone (const std::string& router) const;
 
     /** Records that other routers cannot reach a runner for these requests either. */
     void onUnservable (const std::string& target, base::TimePoint until);
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -87,7 +87,7 @@
     std::function<void (const StreamNotice& notice)> announceStream = [] (const StreamNotice&) {};
     /// Sends the probes that are due.
     std::function<void()> probeReachability = [] {};
-    /// Sends the path of this router to the others.
+    /// Sends the path of this router to the others; doubts only to those of its zone.
     std::function<void (PeerPath path)> announcePath = [] (PeerPath) {};
 };
 
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -61,7 +61,11 @@
     m_context.announceStream = [this] (const StreamNotice& notice)
     { m_announcer.announce (notice, m_context.peers, m_context.router); };
     m_context.announcePath = [this] (PeerPath path)
-    { m_announcer.announce (PathNotice{ path }, m_context.peers, m_context.router); };
+    {
+        const auto audience = path == PeerPath::kInDoubt ? PeerAnnouncer::Audience::kOwnZone
+                                                         : PeerAnnouncer::Audience::kAll;
+        m_announcer.announce (PathNotice{ path }, m_context.peers, m_context.router, audience);
+    };
     QObject::connect (&m_server, &QTcpServer::newConnection, &m_server,
                       [this] { acceptAll (m_server, false); });
     QObject::connect (&m_peerServer, &QTcpServer::newConnection, &m_peerServer,
--- a/src/proxy/RunnerReachability.cpp
+++ b/src/proxy/RunnerReachability.cpp
@@ -27,7 +27,7 @@
 constexpr base::Duration kIntervalOfUnreachable = base::milliseconds (500);
 /// Mean interval of probes while no bytes are received, and the part of it for each router of the
 /// cell, which limits the probes that all routers send.
-constexpr base::Duration kMinIdleInterval = base::milliseconds (100);
+constexpr base::Duration kMinIdleInterval = base::milliseconds (250);
 constexpr base::Duration kIdleIntervalPerRouter = base::milliseconds (8);
 constexpr std::uint32_t kMinSuccesses = 2;
 /// Limit of the doubling while the path fails again and again.
--- a/src/proxy/RunnerReachability.h
+++ b/src/proxy/RunnerReachability.h
@@ -59,7 +59,7 @@
     */
     bool onProbeUnanswered (const std::string& runner, base::Duration waited, base::TimePoint now);
 
-    /** Another router reaches no runner, or has doubts; causes probes. */
+    /** A router in the same zone reaches no runner, or has doubts; causes probes. */
     void onDoubtOfPeer (base::TimePoint now);
 
     using IsFull = std::function<bool (const std::string& runner)>;
@@ -123,7 +123,7 @@
     base::TimePoint m_probesInDoubtAt{};  ///< Last probes that followed a failure or a quiet time.
     base::TimePoint m_nextIdleProbeAt{};
     std::uint32_t m_routers = 1;
-    bool m_isDoubtedByPeer = false;  ///< Another router has doubts, and no probes followed.
+    bool m_isDoubtedByPeer = false;  ///< A router of the zone has doubts, and no probes followed.
     bool m_isIsolated = false;
     std::uint32_t m_successes = 0;  ///< Consecutive probes that succeeded while isolated.
     std::uint32_t m_requiredSuccesses = 0;
