--- a/src/http/BackEndConnection.cpp
+++ b/src/http/BackEndConnection.cpp
@@ -138,18 +138,17 @@
         }
         if (! m_parser->isDone())
             return;
-        if (m_isStale && ++m_discardedAnswers > kMaxDiscardedAnswers)
+        if (! m_isStale)
         {
-            fail (BackEndFailure::kInvalidAnswer);
+            finish();
             return;
         }
-        if (m_isStale)
+        if (++m_discardedAnswers > kMaxDiscardedAnswers)
         {
-            beginAnswer();  // The answer to this call follows.
-            continue;
+            fail (BackEndFailure::kInvalidAnswer);
+            return;
         }
-        finish();
-        return;
+        beginAnswer();  // The answer to this call follows.
     }
 }
 
--- a/src/proxy/PeerSearchBoundTest.cpp
+++ b/src/proxy/PeerSearchBoundTest.cpp
@@ -9,9 +9,7 @@
 #include <array>
 #include <bit>
 #include <cmath>
-#include <cstdlib>
 #include <functional>
-#include <iostream>
 #include <map>
 #include <memory>
 #include <queue>
@@ -24,6 +22,7 @@
 #include "base/Random.h"
 #include "proxy/PathAnnouncements.h"
 #include "proxy/PeerSearch.h"
+#include "proxy/ProxyTestSupport.h"
 #include "proxy/RunnerReachability.h"
 
 namespace fernlift::proxy
@@ -32,6 +31,7 @@
 {
 
 using base::milliseconds;
+using test::numberFrom;
 
 constexpr milliseconds kOneWay (1);
 constexpr milliseconds kTick (25);
@@ -485,12 +485,6 @@
     return shape;
 }
 
-std::uint64_t numberFrom (const char* variable, std::uint64_t otherwise)
-{
-    const char* const text = std::getenv (variable);
-    return text == nullptr ? otherwise : std::strtoull (text, nullptr, 10);
-}
-
 std::string toString (CutKind kind)
 {
     switch (kind)
