Log what the software version of a resumed stream was read from

All four take-ups at front-2 have pinned_by=table. Its process before the restart had two runners in its table (v1 and v2, then v1 removed); the process after it received one row and nothing else. So the router takes its own empty past for a past without other versions.

--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -29,6 +29,16 @@
 namespace fernlift::proxy
 {
 
+/// What the software version of a resumed stream was read from; for logs.
+enum class PinSource : std::uint8_t
+{
+    kNone,    ///< The request resumes no stream, or its version is not known.
+    kNotice,  ///< A router stated the version of the stream.
+    kTable,   ///< All runners that may have begun the stream had the same version.
+};
+
+[[nodiscard]] std::string_view toString (PinSource source);
+
 class Exchange final : public http::AnswerListener
 {
 public:
@@ -278,6 +288,7 @@
                                                ///< needed.
     QuotaTicket m_quota;
     InstanceQuery m_query;
+    PinSource m_pinSource = PinSource::kNone;
     std::optional<InstanceChoice> m_permitChoice;  ///< Runner for which a permit is pending.
     quota::QuotaClaim m_permit;
     base::TimePoint m_permitRequestedAt{};
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -78,6 +78,7 @@
           { "runner", m_instance },
           { "runner_software", m_softwareVersion },
           { "resumes", resumedRequest().substr (0, kMaxLoggedIdBytes) },
+          { "pinned_by", toString (m_pinSource) },
           { "table", m_context.directory.version() },
           { "table_age_ms", m_context.directory.ageMilliseconds (now()) },
           { "attempts", m_sentAttempts },
--- a/src/proxy/ExchangeSoftware.cpp
+++ b/src/proxy/ExchangeSoftware.cpp
@@ -18,6 +18,20 @@
 
 }  // namespace
 
+std::string_view toString (PinSource source)
+{
+    switch (source)
+    {
+        case PinSource::kNone:
+            return "";
+        case PinSource::kNotice:
+            return "notice";
+        case PinSource::kTable:
+            break;
+    }
+    return "table";
+}
+
 base::Duration Exchange::streamLifetime() const
 {
     const base::Duration longest = std::max (m_route->timeout, m_callerTimeout);
@@ -61,12 +75,14 @@
     m_query.softwareVersion = m_context.streams.find (streamKey (resumedRequest()), now());
     if (m_query.softwareVersion)
     {
+        m_pinSource = PinSource::kNotice;
         ++m_context.counters.resumedByCallers;
         return true;
     }
     const std::optional<std::string> only = onlySoftwareVersion();
     if (only)
     {
+        m_pinSource = PinSource::kTable;
         if (! only->empty())
             m_query.softwareVersion = only;
         return true;
