Restarted routers learn which software versions a service had before

A runner of v2 registers, the one of v1 deregisters and serves on, a router is restarted meanwhile; the clients take their streams up there.

Cause: the absence of a record, in a memory that starts empty, was taken for a record of absence. After its restart the router has one version in its table, has observed no other, and concludes that no other has written a stream within the last 30 s. Nobody could have told it otherwise: the table of the controllers has present runners only, and after a restart of all controllers nothing else is left. Evidence: pinned_by=table at all four take-ups.

Change: - The replicated log records the software version of each runner (a field behind AddInstance) and, from it, the versions that no runner has any more, with the time at which the last one left (SoftwareVersionHistory). It survives a restart of all processes. A relay states it with its age, and not at all while it has no lease. - "Unknown" is a value of its own (SoftwareVersionsInUse). A router knows a time from what controllers state or from what it has observed without a gap, else it doesn't let an unknown stream go on. The same holds after 8 s without a controller. - A request whose past is not known waits until the controllers have answered (3 s or half of the caller's time at most), if they have not since the start; else it is refused at once with Retry-After. - The limit of 120 s on a stream's lifetime is gone: versions are dropped by number (128), and dropping one makes its time unknown. Recorded streams live 20 minutes at most. - A router that doesn't know the past announces its streams as if versions were mixed, and a resumed stream is announced under the request that began it.

Why it works: a stream goes on without a notice only where the log proves that one version alone had runners for its whole lifetime; the log is written before any router has the row of a new version, and what isn't proved is refused.

Changed tests: SnapshotsKeepTheirBytes compares the released bytes and the addition behind them, and reads the released bytes alone; it had compared the whole. The fixture of proxy tests states a whole past as controllers do; the test that lets 60 s pass at once lets the controller confirm the table then.

--- a/src/cell/CellState.cpp
+++ b/src/cell/CellState.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "wire/Codec.h"
+#include "wire/OptionalTail.h"
 
 namespace fernlift::cell
 {
@@ -51,12 +52,14 @@
     const base::UnixMilliseconds& time;
     const base::LogIndex& appliedIndex;
     const QuarantineTable& quarantine;
+    const SoftwareVersionHistory& softwareVersions;
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/) const
     {
         archive& configuration& configurationText& replicas& instances& claims& journal& time&
             appliedIndex& quarantine;
+        wire::serializeTail (archive, softwareVersions);
     }
 };
 
@@ -80,16 +83,18 @@
     }
 };
 
-/// Layout of formats 3 and 4, for reading.
+/// Layout of formats 3 and 4, for reading. Earlier builds ignore what follows `quarantine`.
 struct StoredState : EarlierStoredState
 {
     QuarantineTable quarantine;
+    SoftwareVersionHistory softwareVersions;
 
     template <class Archive>
     void serialize (Archive& archive, unsigned version)
     {
         EarlierStoredState::serialize (archive, version);
         archive& quarantine;
+        wire::serializeTail (archive, softwareVersions);
     }
 };
 
@@ -241,7 +246,15 @@
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const AddInstance& command)
 {
-    return ChangeResult{ m_instances.add (command.instance) };
+    const std::string& id = command.instance.id;
+    const bool changed = m_instances.add (command.instance);
+    const ServiceInstance* known = m_instances.find (id);
+    const bool isKnown = known != nullptr && known->startedAt == command.instance.startedAt;
+    if (isKnown && command.softwareVersion)
+        m_softwareVersions.record (*known, *command.softwareVersion, m_time);
+    else if (isKnown && changed)
+        m_softwareVersions.recordUnknown (id, m_time);
+    return ChangeResult{ changed };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const DrainInstance& command)
@@ -251,8 +264,11 @@
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const RemoveInstance& command)
 {
-    return ChangeResult{ m_instances.remove (command.instance, command.isDeregistered,
-                                             command.startedAt) };
+    const bool changed =
+        m_instances.remove (command.instance, command.isDeregistered, command.startedAt);
+    if (changed)
+        m_softwareVersions.remove (command.instance, m_time);
+    return ChangeResult{ changed };
 }
 
 ApplyResult CellState::applyCommand (base::LogIndex /*index*/, const RecordOrders& /*command*/)
@@ -331,7 +347,8 @@
                                   m_journal,
                                   m_time,
                                   m_appliedIndex,
-                                  m_quarantine };
+                                  m_quarantine,
+                                  m_softwareVersions };
     return std::string (kSnapshotFormat) + wire::encodeValue (stored);
 }
 
@@ -346,6 +363,9 @@
     }
     m_replicas.replaceWith (std::move (stored.replicas));
     m_instances = std::move (stored.instances);
+    m_softwareVersions = std::move (stored.softwareVersions);
+    if (m_softwareVersions.isMissing())
+        m_softwareVersions.beginAt (stored.time);
     m_claims = std::move (stored.claims);
     m_quarantine = std::move (stored.quarantine);
     m_journal = std::move (stored.journal);
--- a/src/cell/CellState.h
+++ b/src/cell/CellState.h
@@ -20,6 +20,7 @@
 #include "cell/QuarantineTable.h"
 #include "cell/ReplicaTable.h"
 #include "cell/ServiceInstances.h"
+#include "cell/SoftwareVersionHistory.h"
 
 namespace fernlift::cell
 {
@@ -80,6 +81,10 @@
     }
     [[nodiscard]] const ReplicaTable& replicas() const { return m_replicas; }
     [[nodiscard]] const ServiceInstances& instances() const { return m_instances; }
+    [[nodiscard]] const SoftwareVersionHistory& softwareVersions() const
+    {
+        return m_softwareVersions;
+    }
     [[nodiscard]] const ClaimTable& claims() const { return m_claims; }
     [[nodiscard]] const QuarantineTable& quarantine() const { return m_quarantine; }
     [[nodiscard]] const DecisionJournal& journal() const { return m_journal; }
@@ -121,6 +126,7 @@
     ConfigurationState m_configuration;
     ReplicaTable m_replicas;
     ServiceInstances m_instances;
+    SoftwareVersionHistory m_softwareVersions = SoftwareVersionHistory::ofNewCell();
     ClaimTable m_claims;
     QuarantineTable m_quarantine;
     DecisionJournal m_journal;
--- a/src/cell/Commands.h
+++ b/src/cell/Commands.h
@@ -7,6 +7,7 @@
 #include <boost/serialization/string.hpp>
 #include <boost/serialization/vector.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "cell/QuarantineTable.h"
 #include "cell/ServiceInstances.h"
 #include "engine/EngineApi.h"
+#include "wire/OptionalTail.h"
 
 namespace fernlift::cell
 {
@@ -207,11 +209,15 @@
 {
     ServiceInstance instance;
     base::UnixMilliseconds proposedAt = 0;
+    /// Version of the runner's software, empty if it states none. Leaders of earlier builds set
+    /// nothing.
+    std::optional<std::string> softwareVersion{};
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
         archive& instance& proposedAt;
+        wire::serializeTail (archive, softwareVersion);
     }
 };
 
--- a/src/cell/ReleasedMessagesTest.cpp
+++ b/src/cell/ReleasedMessagesTest.cpp
@@ -221,21 +221,30 @@
     expectReleasedBytes (samplesOfCommands(), kCommands);
 }
 
-/// A member that is rolled back to the last release reads its snapshot again.
-TEST (ReleasedMessagesTest, SnapshotsKeepTheirBytes)
+bool restores (CellState& state, std::string_view snapshot)
 {
-    const std::string snapshot = sampleSnapshot();
-    EXPECT_EQ (hexOf (snapshot), kSnapshot);
-    CellState state;
-    const bool isRead = base::handleErrors (
+    return base::handleErrors (
         [&]() -> base::Result<bool>
         {
             BOOST_LEAF_CHECK (state.restore (snapshot));
             return true;
         },
         [] (const base::Error&) { return false; });
-    EXPECT_TRUE (isRead);
+}
+
+/// A member that is rolled back to the last release reads its snapshot again. It ignores the
+/// software versions behind the fields that it knows.
+TEST (ReleasedMessagesTest, SnapshotsKeepTheirBytes)
+{
+    const std::string snapshot = sampleSnapshot();
+    CellState state;
+    ASSERT_TRUE (restores (state, snapshot));
     EXPECT_EQ (state.encode(), snapshot);
+    const std::string added = wire::encodeValue (state.softwareVersions());
+    EXPECT_EQ (hexOf (snapshot), std::string (kSnapshot) + hexOf (added));
+    const std::string released = snapshot.substr (0, snapshot.size() - added.size());
+    ASSERT_TRUE (restores (state, released));
+    EXPECT_EQ (hexOf (state.encode().substr (0, released.size())), kSnapshot);
 }
 
 TEST (ReleasedMessagesTest, HelloOfEarlierBuildIsReadWithoutPeerAddress)
--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -19,6 +19,7 @@
 #include "cell/QuarantineMessages.h"
 #include "cell/QuotaMessages.h"
 #include "cell/RouterPeerMessages.h"
+#include "cell/SoftwareHistoryMessage.h"
 #include "consensus/Messages.h"
 #include "wire/OptionalTail.h"
 
@@ -237,15 +238,15 @@
 };
 
 /// Reads or writes the software versions of these rows behind the last field of their message.
-/// Nothing is written if none is known.
+/// Nothing is written if none is known, unless another field follows.
 template <class Archive, class Row>
-void serializeSoftwareVersions (Archive& archive, std::vector<Row>& rows)
+void serializeSoftwareVersions (Archive& archive, std::vector<Row>& rows, bool isFollowed = false)
 {
     std::vector<std::string> versions;
     if constexpr (Archive::is_saving::value)
     {
         const auto isKnown = [] (const Row& row) { return ! row.softwareVersion.empty(); };
-        if (std::ranges::none_of (rows, isKnown))
+        if (! isFollowed && std::ranges::none_of (rows, isKnown))
             return;
         for (const Row& row : rows)
             versions.push_back (row.softwareVersion);
@@ -520,12 +521,18 @@
     std::uint32_t routers = 1;  ///< Number of routers of the cell.
     /// The leader waits until the update is applied: the router confirms it immediately.
     bool mustConfirm = false;
+    /// Software versions before this update; not stated by controllers of earlier builds.
+    SoftwareHistory softwareHistory{};
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
         archive& term& fromVersion& toVersion& upserts& removals& controllers& routers& mustConfirm;
-        serializeSoftwareVersions (archive, upserts);
+        serializeSoftwareVersions (archive, upserts, softwareHistory.isStated());
+        if (Archive::is_saving::value && ! softwareHistory.isStated())
+            return;
+        wire::serializeTail (archive, softwareHistory.knownMilliseconds);
+        wire::serializeTail (archive, softwareHistory.departed);
     }
 };
 
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -255,6 +255,9 @@
     m_leader.emplace (m_options, m_status.term, m_now, engineOptions());
     m_leader->instances.continueFrom (std::move (earlierTable), m_status.term);
     m_leader->instances.refresh (m_state.instances(), m_now);
+    m_leader->instances.restoreSoftwareVersions (m_state.softwareVersions());
+    m_leader->instances.refreshChanged (m_state.instances(), m_now);
+    m_leader->isSoftwareHistoryStated = m_state.softwareVersions().covers (m_state.instances());
     m_leader->requiredInstanceVersion = m_leader->instances.version();
     m_leader->placedInstances = m_leader->instances.version();
     restoreSpeeds (earlierLoads);
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -241,6 +241,7 @@
     std::map<base::ReplicaId, bool> usesStore;
     ReadyEstimates estimates;  ///< Estimates as last sent to routers.
     InstanceTable instances;
+    bool isSoftwareHistoryStated = false;  ///< Whether updates of `instances` state the past.
     /// Sum of the loads that this member's routers and the other controllers report.
     InstanceLoadSum loadSum;
     InstanceLoadTable loads;  ///< The same loads together with speeds, as sent to routers.
@@ -551,7 +552,16 @@
     /// Removes the instances that had the address of an instance that registers.
     void removePredecessors (const cell::ServiceInstance& instance);
     [[nodiscard]] cell::AddInstance additionOf (const InstanceHeartbeat& heartbeat) const;
+    /// Proposes to record the software version of a registered runner, if another one or none is
+    /// recorded.
+    void recordSoftwareVersion (const std::string& instance, base::UnixMilliseconds startedAt,
+                                const std::string& version);
     [[nodiscard]] cell::InstanceUpdate instanceUpdateSince (std::uint64_t version) const;
+    /// Sends the software versions that services had before as soon as they can be stated.
+    void stateSoftwareHistory();
+    /// Software versions that services had before; not stated while the version of a registered
+    /// runner is not recorded.
+    [[nodiscard]] cell::SoftwareHistory softwareHistory() const;
     void runInstanceRoutine();
     /// Address of the controller to which an instance is to send its next heartbeats.
     [[nodiscard]] std::string heartbeatAddressFor (const std::string& instance);
@@ -652,6 +662,7 @@
     void requestLeaseIfConfirmed();
     void applyRelayedInstances (const cell::InstanceUpdate& update);
     void sendRelayedInstances();
+    [[nodiscard]] cell::InstanceUpdate relayedUpdateSince (std::uint64_t version) const;
     void beginRelay();
     void endRelay();
     [[nodiscard]] std::string peerAddressOf (base::MemberId id) const;
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -68,6 +68,8 @@
         return;
     }
     applyHeartbeat (heartbeat);
+    recordSoftwareVersion (heartbeat.instance.id, heartbeat.instance.startedAt,
+                           heartbeat.softwareVersion);
     m_leader->instanceTable.request();
     const LeavingInstance leaving{ heartbeat.instance.id, false, heartbeat.instance.startedAt };
     if (m_state.instances().differsFromRecorded (heartbeat.instance) || known == nullptr)
@@ -182,7 +184,23 @@
     cell::ServiceInstance instance = heartbeat.instance;
     instance.isReported = true;
     instance.models = cell::sortedByName (heartbeat.models);
-    return { std::move (instance), cellTime() };
+    return { std::move (instance), cellTime(), heartbeat.softwareVersion };
+}
+
+void ControllerCore::Implementation::recordSoftwareVersion (const std::string& instance,
+                                                            base::UnixMilliseconds startedAt,
+                                                            const std::string& version)
+{
+    const cell::ServiceInstance* known = m_state.instances().find (instance);
+    const bool isSameIncarnation =
+        known != nullptr && (startedAt == 0 || startedAt == known->startedAt);
+    if (! isSameIncarnation)
+        return;
+    const std::optional<std::string> recorded = m_state.softwareVersions().versionOf (instance);
+    // A heartbeat without a version does not mean that the runner has another one.
+    if (recorded && (version.empty() || version == *recorded))
+        return;
+    propose (cell::AddInstance{ *known, cellTime(), version }, ForNothing{});
 }
 
 void ControllerCore::Implementation::onRelayedHeartbeats (
@@ -194,6 +212,7 @@
         if (! relayed.hasHeldModels)
         {
             m_leader->instances.onUnchangedHeartbeat (relayed, m_now);
+            recordSoftwareVersion (relayed.instance, relayed.startedAt, relayed.softwareVersion);
             continue;
         }
         const cell::ServiceInstance* known = m_state.instances().find (relayed.instance);
@@ -209,7 +228,10 @@
             continue;
         applyHeartbeat (heartbeat);
         if (known != nullptr && ! m_state.instances().differsFromRecorded (heartbeat.instance))
+        {
+            recordSoftwareVersion (relayed.instance, relayed.startedAt, relayed.softwareVersion);
             continue;
+        }
         removePredecessors (heartbeat.instance);
         hasAdded = propose (additionOf (heartbeat), ForNothing{}) || hasAdded;
     }
@@ -308,6 +330,7 @@
         m_leader->instances.refresh (m_state.instances(), m_now);
     else
         m_leader->instances.refreshChanged (m_state.instances(), m_now);
+    stateSoftwareHistory();
     refreshEngines (isSweep);
     publishHeldModels (isSweep);
 }
@@ -398,9 +421,37 @@
     }
     update.routers = m_leader->sessions.countRouters();
     update.mustConfirm = version < m_leader->requiredInstanceVersion;
+    update.softwareHistory = softwareHistory();
     return update;
 }
 
+void ControllerCore::Implementation::stateSoftwareHistory()
+{
+    const bool isKnown = m_state.softwareVersions().covers (m_state.instances());
+    if (std::exchange (m_leader->isSoftwareHistoryStated, isKnown) || ! isKnown)
+        return;
+    // The history reaches routers and relays only with a change of the table.
+    m_leader->instances.renewFirstRow();
+}
+
+cell::SoftwareHistory ControllerCore::Implementation::softwareHistory() const
+{
+    const cell::SoftwareVersionHistory& recorded = m_state.softwareVersions();
+    if (! recorded.covers (m_state.instances()))
+        return {};
+    const base::UnixMilliseconds now = cellTime();
+    cell::SoftwareHistory history;
+    history.knownMilliseconds = recorded.completeSince() == 0
+                                    ? cell::SoftwareHistory::kWholePast
+                                    : std::max<std::int64_t> (now - recorded.completeSince(), 0);
+    for (cell::DepartedSoftwareVersion& departed : recorded.departed())
+    {
+        history.departed.push_back ({ std::move (departed.service), std::move (departed.version),
+                                      std::max<std::int64_t> (now - departed.lastListedAt, 0) });
+    }
+    return history;
+}
+
 void ControllerCore::Implementation::runInstanceRoutine()
 {
     m_leader->instanceTable.request();
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -338,7 +338,7 @@
 void ControllerCore::Implementation::applyRelayedInstances (const cell::InstanceUpdate& update)
 {
     const base::Term earlier = m_relay->instances.term();
-    if (! m_relay->instances.apply (update))
+    if (! m_relay->instances.apply (update, m_now))
     {
         // Updates were missed: a new connection gets the whole table. Until then the version that
         // routers must hold stays in force.
@@ -370,11 +370,21 @@
     const TableState table{ instances.version(), instances.knownVersions(), instances.size() };
     const bool isComplete =
         sendInstancesTo (m_relay->sessions, table, mayBeWhole,
-                         [&] (std::uint64_t version) { return instances.updateSince (version); });
+                         [&] (std::uint64_t version) { return relayedUpdateSince (version); });
     if (! isComplete)
         m_relay->wholeTable.request();
 }
 
+cell::InstanceUpdate ControllerCore::Implementation::relayedUpdateSince (
+    std::uint64_t version) const
+{
+    cell::InstanceUpdate update = m_relay->instances.updateSince (version, m_now);
+    // Without a leader, this member doesn't know which versions have come and gone since.
+    if (relayedLeaseEnd() <= m_now)
+        update.softwareHistory = {};
+    return update;
+}
+
 /// Called when this member becomes the leader. Its routers find another controller well within
 /// their leases.
 void ControllerCore::Implementation::endRelay()
--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -30,6 +30,17 @@
         m_idsAt[row.instance.address].insert (id);
 }
 
+void InstanceTable::restoreSoftwareVersions (const cell::SoftwareVersionHistory& recorded)
+{
+    for (auto& [id, state] : m_heartbeats)
+    {
+        if (! state.softwareVersion.empty())
+            continue;
+        state.softwareVersion = recorded.versionOf (id).value_or ("");
+        m_pendingRefresh.insert (id);
+    }
+}
+
 void InstanceTable::restartVersions (base::Term term)
 {
     m_term = term;
@@ -229,6 +240,12 @@
     return row;
 }
 
+void InstanceTable::renewFirstRow()
+{
+    if (! m_rows.empty())
+        m_changed.record (m_rows.begin()->first, ++m_version);
+}
+
 /// Equivalent to a comparison with rowOf(), without copying the held models of each runner. With
 /// copies, checking 3,000 runners three times per second takes 0.05 of a core.
 bool InstanceTable::isShownBy (const cell::RoutableInstance& row,
--- a/src/controller/InstanceTable.h
+++ b/src/controller/InstanceTable.h
@@ -13,6 +13,7 @@
 #include "base/Time.h"
 #include "cell/RouterMessages.h"
 #include "cell/ServiceInstances.h"
+#include "cell/SoftwareVersionHistory.h"
 #include "controller/ControlRequests.h"
 #include "controller/RelayInstanceTable.h"
 #include "controller/TableVersions.h"
@@ -34,6 +35,9 @@
     /// Continues the table of an earlier leader from the relay copy that this member holds. Call it
     /// before any other update. `leader` is the term of the new leader.
     void continueFrom (RelayInstanceTable&& earlier, base::Term leader);
+    /// Takes the software versions that are recorded in the log for runners that have not reported
+    /// to this leader.
+    void restoreSoftwareVersions (const cell::SoftwareVersionHistory& recorded);
     /// Discards the version history, so that all receivers get the whole table. Needed when a
     /// receiver holds a table that was created by a later leader than this one.
     void restartVersions (base::Term term);
@@ -65,6 +69,9 @@
     /// not detect instances that became silent.
     void refreshChanged (const cell::ServiceInstances& replicated, base::TimePoint now);
 
+    /// Sends the first row again with the next update, so that there is one.
+    void renewFirstRow();
+
     /// Returns the instances without a heartbeat for at least `limit`.
     [[nodiscard]] std::vector<std::string> silentFor (base::Duration limit,
                                                       base::TimePoint now) const;
--- a/src/controller/InstanceTableTest.cpp
+++ b/src/controller/InstanceTableTest.cpp
@@ -159,7 +159,7 @@
     receive (heartbeatOf ("i-1", 2), kStart);
     EXPECT_EQ (m_table.rows().at ("i-1").softwareVersion, "v1");
     RelayInstanceTable copy;
-    ASSERT_TRUE (copy.apply (m_table.updateSince (0)));
+    ASSERT_TRUE (copy.apply (m_table.updateSince (0), kStart));
     InstanceTable next (8, kSilence);
     next.continueFrom (std::move (copy), 8);
     next.refresh (m_replicated, kStart);
--- a/src/controller/RelayInstanceTable.cpp
+++ b/src/controller/RelayInstanceTable.cpp
@@ -3,7 +3,7 @@
 namespace fernlift::controller
 {
 
-bool RelayInstanceTable::apply (const cell::InstanceUpdate& update)
+bool RelayInstanceTable::apply (const cell::InstanceUpdate& update, base::TimePoint now)
 {
     const bool isWhole = update.fromVersion == 0;
     const bool fits = update.term == m_term && update.fromVersion == m_version;
@@ -25,6 +25,8 @@
     m_version = update.toVersion;
     m_routers = update.routers;
     m_controllers = update.controllers;
+    m_softwareHistory = update.softwareHistory;
+    m_appliedAt = now;
     if (update.mustConfirm)
         m_requiredVersion = update.toVersion;
     for (const std::string& id : update.removals)
@@ -43,7 +45,8 @@
     return true;
 }
 
-cell::InstanceUpdate RelayInstanceTable::updateSince (std::uint64_t version) const
+cell::InstanceUpdate RelayInstanceTable::updateSince (std::uint64_t version,
+                                                      base::TimePoint now) const
 {
     const bool isWhole = ! m_known.contains (version);
     cell::InstanceUpdate update;
@@ -53,6 +56,7 @@
     update.controllers = m_controllers;
     update.routers = m_routers;
     update.mustConfirm = version < m_requiredVersion;
+    update.softwareHistory = m_softwareHistory.aged (now - m_appliedAt);
     const std::uint64_t since = isWhole ? 0 : version;
     m_changed.visitSince (
         since, [&] (const std::string& id) { update.upserts.push_back (m_rows.at (id)); });
--- a/src/controller/RelayInstanceTable.h
+++ b/src/controller/RelayInstanceTable.h
@@ -28,12 +28,13 @@
     /** Applies an update. Returns false when it does not follow on the held version; the whole
        table is needed then.
     */
-    bool apply (const cell::InstanceUpdate& update);
+    bool apply (const cell::InstanceUpdate& update, base::TimePoint now);
 
     /** Returns the changes since a version of the same term, or the whole table when they are not
         known.
     */
-    [[nodiscard]] cell::InstanceUpdate updateSince (std::uint64_t version) const;
+    [[nodiscard]] cell::InstanceUpdate updateSince (std::uint64_t version,
+                                                    base::TimePoint now) const;
     /** Versions since which updateSince() can return the changes alone. */
     [[nodiscard]] const TableVersions& knownVersions() const { return m_known; }
 
@@ -58,6 +59,8 @@
     std::uint64_t m_requiredVersion = 0;  ///< Never above m_version.
     std::uint32_t m_routers = 1;
     std::vector<cell::ControllerEndpoint> m_controllers;
+    cell::SoftwareHistory m_softwareHistory;  ///< As stated at m_appliedAt.
+    base::TimePoint m_appliedAt{};
     std::map<std::string, cell::RoutableInstance> m_rows;
     VersionIndex m_changed;  ///< Versions of the last change of each row.
     VersionIndex m_removed;  ///< Versions in which rows were removed.
--- a/src/controller/RelayPartsTest.cpp
+++ b/src/controller/RelayPartsTest.cpp
@@ -39,9 +39,9 @@
 TEST (RelayInstanceTable, ReturnsChangesSinceAVersionOfTheLeader)
 {
     RelayInstanceTable table;
-    ASSERT_TRUE (table.apply (change (0, 4, { "a", "b" })));
-    ASSERT_TRUE (table.apply (change (4, 6, { "c" }, { "a" })));
-    const cell::InstanceUpdate since = table.updateSince (4);
+    ASSERT_TRUE (table.apply (change (0, 4, { "a", "b" }), at (0)));
+    ASSERT_TRUE (table.apply (change (4, 6, { "c" }, { "a" }), at (0)));
+    const cell::InstanceUpdate since = table.updateSince (4, at (0));
     EXPECT_EQ (since.fromVersion, 4U);
     EXPECT_EQ (since.toVersion, 6U);
     ASSERT_EQ (since.upserts.size(), 1U);
@@ -52,32 +52,44 @@
 TEST (RelayInstanceTable, ReturnsTheWholeTableWhenChangesAreNotKnown)
 {
     RelayInstanceTable table;
-    ASSERT_TRUE (table.apply (change (0, 4, { "a", "b" })));
-    const cell::InstanceUpdate whole = table.updateSince (3);
+    ASSERT_TRUE (table.apply (change (0, 4, { "a", "b" }), at (0)));
+    const cell::InstanceUpdate whole = table.updateSince (3, at (0));
     EXPECT_EQ (whole.fromVersion, 0U);
     EXPECT_EQ (whole.upserts.size(), 2U);
 }
 
+TEST (RelayInstanceTable, StatesSoftwareHistoryWithItsPresentAge)
+{
+    RelayInstanceTable table;
+    cell::InstanceUpdate update = change (0, 4, { "a" });
+    update.softwareHistory = { 9000, { { "service", "v1", 3000 } } };
+    ASSERT_TRUE (table.apply (update, at (0)));
+    const cell::SoftwareHistory later = table.updateSince (4, at (500)).softwareHistory;
+    EXPECT_EQ (later.knownMilliseconds, 9000);
+    ASSERT_EQ (later.departed.size(), 1U);
+    EXPECT_EQ (later.departed[0].ageMilliseconds, 3500);
+}
+
 TEST (RelayInstanceTable, RejectsAnUpdateAfterAGap)
 {
     RelayInstanceTable table;
-    ASSERT_TRUE (table.apply (change (0, 4, { "a" })));
-    EXPECT_FALSE (table.apply (change (5, 6, { "b" })));
+    ASSERT_TRUE (table.apply (change (0, 4, { "a" }), at (0)));
+    EXPECT_FALSE (table.apply (change (5, 6, { "b" }), at (0)));
     EXPECT_EQ (table.version(), 4U);
 }
 
 TEST (RelayInstanceTable, RequiresTheLastVersionThatMustBeConfirmed)
 {
     RelayInstanceTable table;
-    ASSERT_TRUE (table.apply (change (0, 4, { "a" })));
+    ASSERT_TRUE (table.apply (change (0, 4, { "a" }), at (0)));
     EXPECT_EQ (table.requiredVersion(), 0U);
     cell::InstanceUpdate drain = change (4, 5, { "a" });
     drain.mustConfirm = true;
-    ASSERT_TRUE (table.apply (drain));
-    ASSERT_TRUE (table.apply (change (5, 9, { "b" })));
+    ASSERT_TRUE (table.apply (drain, at (0)));
+    ASSERT_TRUE (table.apply (change (5, 9, { "b" }), at (0)));
     EXPECT_EQ (table.requiredVersion(), 5U);
-    EXPECT_TRUE (table.updateSince (4).mustConfirm);
-    EXPECT_FALSE (table.updateSince (5).mustConfirm);
+    EXPECT_TRUE (table.updateSince (4, at (0)).mustConfirm);
+    EXPECT_FALSE (table.updateSince (5, at (0)).mustConfirm);
 }
 
 TEST (EngineDemandSum, AddsUpRoutersAndKeepsArrivals)
--- a/src/lab/ForwardingCellTestSupport.h
+++ b/src/lab/ForwardingCellTestSupport.h
@@ -125,6 +125,27 @@
     void killController (std::size_t number);
     /// Ends a router without a planned stop and starts another one in its place.
     void replaceRouter (std::size_t number);
+    /// Ends a controller without a planned stop and starts it again with its disk.
+    void restartController (std::size_t number);
+    /// Ends a router without a planned stop; it is started again by replaceRouter().
+    void killRouter (std::size_t number) { m_routers.at (number).reset(); }
+    [[nodiscard]] const base::SocketAddress& frontAddress (std::size_t router) const
+    {
+        return m_routers.at (router)->frontAddress();
+    }
+    [[nodiscard]] bool areRoutersReady() const;
+
+    /// A runner of the test's own that is registered by heartbeats.
+    struct OwnRunner
+    {
+        std::string id;
+        std::string address;
+        std::string softwareVersion;
+    };
+    void registerRunner (const OwnRunner& runner);
+    /// Deregisters the runner; it may serve on.
+    void deregisterRunner (const std::string& id);
+
     /// Restarts every runner that has crashed.
     void restartRunners();
     /// Network of a router; only with `hasRouterNetworks`.
@@ -167,6 +188,7 @@
     std::vector<std::unique_ptr<RouterNetwork>> m_networks;  ///< Empty, or one for each router.
     std::vector<std::unique_ptr<proxy::ProxyProcess>> m_routers;
     std::vector<std::unique_ptr<CrashableRunner>> m_runners;
+    std::vector<OwnRunner> m_ownRunners;
     std::vector<std::unique_ptr<QTcpSocket>> m_controlSockets;
     std::vector<std::unique_ptr<OpenCall>> m_openCalls;
     QTimer m_heartbeatTimer;
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -58,8 +58,9 @@
     return answer.size() >= end + 4 + length;
 }
 
-/// Codec that reads a POST as a heartbeat with the body "ID ADDRESS SERVICE SEQUENCE" and a PUT as
-/// a configuration with the text as body.
+/// Codec that reads a POST as a heartbeat with the body "ID ADDRESS SERVICE SEQUENCE VERSION", in
+/// which the version of the software may be missing, a DELETE as the deregistration of the instance
+/// in the body, and a PUT as a configuration with the text as body.
 class TestControlCodec final : public controller::ControlCodec
 {
 public:
@@ -68,10 +69,12 @@
     {
         if (request.method == "PUT")
             return controller::ControlRequest (controller::ReplaceConfiguration{ request.body });
+        if (request.method == "DELETE")
+            return controller::ControlRequest (controller::InstanceDeregistration{ request.body });
         controller::InstanceHeartbeat heartbeat;
         std::istringstream text (request.body);
         text >> heartbeat.instance.id >> heartbeat.instance.address >> heartbeat.instance.service
-            >> heartbeat.sequence;
+            >> heartbeat.sequence >> heartbeat.softwareVersion;
         heartbeat.instance.zone = "z1";
         heartbeat.instance.slots = 8;
         return controller::ControlRequest (heartbeat);
@@ -330,6 +333,22 @@
                                            + runner->service() + " "
                                            + std::to_string (m_heartbeatSequence));
     }
+    for (const OwnRunner& runner : m_ownRunners)
+        sendToControllers ("POST", runner.id + " " + runner.address + " service "
+                                       + std::to_string (m_heartbeatSequence) + " "
+                                       + runner.softwareVersion);
+}
+
+void ForwardingCell::registerRunner (const OwnRunner& runner)
+{
+    m_ownRunners.push_back (runner);
+    sendHeartbeats();
+}
+
+void ForwardingCell::deregisterRunner (const std::string& id)
+{
+    std::erase_if (m_ownRunners, [&] (const OwnRunner& runner) { return runner.id == id; });
+    sendToControllers ("DELETE", id);
 }
 
 void ForwardingCell::sendToControllers (const std::string& method, const std::string& body)
@@ -362,8 +381,7 @@
             constexpr std::size_t kRoundsBetweenSends = 50;
             if (rounds++ % kRoundsBetweenSends == 0)
                 sendToControllers ("PUT", "1");
-            return std::ranges::all_of (m_routers,
-                                        [] (const auto& router) { return router->isReady(); });
+            return areRoutersReady();
         });
     // Two heartbeat intervals, so that every router's table contains all runners.
     http::test::runFor (2 * kHeartbeatInterval);
@@ -419,6 +437,18 @@
     std::erase_if (m_openCalls, [] (const auto& call) { return *call->status >= 0; });
 }
 
+bool ForwardingCell::areRoutersReady() const
+{
+    return std::ranges::all_of (
+        m_routers, [] (const auto& router) { return router != nullptr && router->isReady(); });
+}
+
+void ForwardingCell::restartController (std::size_t number)
+{
+    killController (number);
+    startController (number);
+}
+
 void ForwardingCell::killController (std::size_t number) { m_controllers.at (number).reset(); }
 
 void ForwardingCell::replaceRouter (std::size_t number)
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -284,7 +284,7 @@
         if (findRoute())
             admitAndDispatch();
     }
-    else if (m_isWaitingForQuota)
+    else if (m_isWaitingForQuota || m_historyDeadline)
     {
         admitAndDispatch();
     }
@@ -416,6 +416,8 @@
         due = m_quota.waitsUntil;
     if (m_suspectHoldDeadline)
         due = std::min (m_deadline, *m_suspectHoldDeadline);
+    if (m_historyDeadline)
+        due = *m_historyDeadline;
     const auto wait = std::max<base::Duration> (due - now(), base::Duration::zero());
     m_timer.start (std::chrono::ceil<base::milliseconds> (wait));
 }
@@ -436,6 +438,11 @@
         admitAndDispatch();
         return;
     }
+    if (m_historyDeadline)
+    {
+        admitAndDispatch();
+        return;
+    }
     if (m_isWaiting && now() >= m_waitDeadline)
     {
         onWaitTimeout();
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -25,20 +25,11 @@
 #include "proxy/PeerSearch.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/RequestParser.h"
+#include "proxy/StreamPin.h"
 
 namespace fernlift::proxy
 {
 
-/// What the software version of a resumed stream was read from; for logs.
-enum class PinSource : std::uint8_t
-{
-    kNone,    ///< The request resumes no stream, or its version is not known.
-    kNotice,  ///< A router stated the version of the stream.
-    kTable,   ///< All runners that may have begun the stream had the same version.
-};
-
-[[nodiscard]] std::string_view toString (PinSource source);
-
 class Exchange final : public http::AnswerListener
 {
 public:
@@ -69,7 +60,7 @@
     [[nodiscard]] bool isWaiting() const
     {
         return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota || m_suspectHoldDeadline
-               || m_permitChoice;
+               || m_historyDeadline || m_permitChoice;
     }
     /// Whether the request is served for another router.
     [[nodiscard]] bool isServedForPeer() const { return m_servedPeer.has_value(); }
@@ -216,11 +207,16 @@
     /// Lets the stream go on only at runners of the software version that wrote its first event.
     void pinSoftwareVersion();
     /// Requires the software version of the stream that the caller resumes. Returns false when the
-    /// request ended, as the version is not known.
+    /// request ended, as the version is not known, or waits for the controllers to state it.
     bool pinResumedStream();
-    /// The software version of all runners that may have begun a stream that still goes on. None if
-    /// versions are mixed; empty if none is known.
-    [[nodiscard]] std::optional<std::string> onlySoftwareVersion() const;
+    /// Waits for the controllers to state the software versions of the past, if they probably do so
+    /// soon. Returns whether it waits.
+    bool waitForSoftwareHistory();
+    void refuseUnknownStream();
+    /// Software versions of the runners that may have received a request since then.
+    [[nodiscard]] SoftwareVersionsInUse softwareVersionsSince (base::TimePoint since) const;
+    /// Software versions of the runners that may have begun a stream that still goes on.
+    [[nodiscard]] SoftwareVersionsInUse softwareVersionsOfStreams() const;
     /// Records the software version of the stream at all routers, so that its caller can resume it
     /// at any, if it may resume it and versions are mixed.
     void announceStream();
@@ -289,6 +285,8 @@
     QuotaTicket m_quota;
     InstanceQuery m_query;
     PinSource m_pinSource = PinSource::kNone;
+    /// End of the wait for the software versions of the past; set while it lasts.
+    std::optional<base::TimePoint> m_historyDeadline;
     std::optional<InstanceChoice> m_permitChoice;  ///< Runner for which a permit is pending.
     quota::QuotaClaim m_permit;
     base::TimePoint m_permitRequestedAt{};
--- a/src/proxy/ExchangePeers.cpp
+++ b/src/proxy/ExchangePeers.cpp
@@ -35,7 +35,8 @@
 
 bool Exchange::mayGoOnAtPeer() const
 {
-    return ! m_query.softwareVersion || onlySoftwareVersion() == m_query.softwareVersion;
+    return ! m_query.softwareVersion
+           || onlyVersionIn (softwareVersionsOfStreams()) == m_query.softwareVersion;
 }
 
 bool Exchange::forwardToPeer()
--- a/src/proxy/ExchangeSoftware.cpp
+++ b/src/proxy/ExchangeSoftware.cpp
@@ -13,29 +13,24 @@
 /// A caller may resume a stream until its deadline, which can be later than the end of the route's
 /// time.
 constexpr int kLifetimeInTimeouts = 2;
+/// An election takes up to a second, and routers connect to the new leader within two more.
+constexpr base::Duration kMaxWaitForHistory = base::seconds (3);
 /// Retry-After time; the caller then probably reaches another router.
 constexpr base::Duration kRetryElsewhere = base::milliseconds (100);
 
-}  // namespace
-
-std::string_view toString (PinSource source)
+std::string causeOfUnknownStream (const SoftwareVersionsInUse& versions)
 {
-    switch (source)
-    {
-        case PinSource::kNone:
-            return "";
-        case PinSource::kNotice:
-            return "notice";
-        case PinSource::kTable:
-            break;
-    }
-    return "table";
+    if (std::holds_alternative<UnknownSoftwareVersions> (versions))
+        return "this router does not know which software versions the service had before";
+    return "the software version of the stream is not known here";
 }
 
+}  // namespace
+
 base::Duration Exchange::streamLifetime() const
 {
     const base::Duration longest = std::max (m_route->timeout, m_callerTimeout);
-    return std::min (kLifetimeInTimeouts * longest, SoftwareVersions::kMaxAge);
+    return kLifetimeInTimeouts * longest;
 }
 
 void Exchange::pinSoftwareVersion()
@@ -43,20 +38,23 @@
     const bool hasEvents = m_lastEventAt != base::TimePoint{};
     if (! hasEvents || (m_query.softwareVersion && ! m_query.softwareVersion->empty()))
         return;
-    const SoftwareVersions& versions = m_context.directory.softwareVersions();
     std::string version = m_softwareVersion;
     // The version may have become known after the attempt began.
     if (version.empty())
         version = m_context.directory.softwareVersionOf (m_instance);
     if (version.empty() && ! m_peer)
-        version = versions.onlySince (m_query.service, m_arrivedAt).value_or ("");
+        version = onlyVersionIn (softwareVersionsSince (m_arrivedAt)).value_or ("");
     m_query.softwareVersion = version;
 }
 
-std::optional<std::string> Exchange::onlySoftwareVersion() const
+SoftwareVersionsInUse Exchange::softwareVersionsSince (base::TimePoint since) const
 {
-    const SoftwareVersions& versions = m_context.directory.softwareVersions();
-    return versions.onlySince (m_query.service, now() - streamLifetime());
+    return m_context.directory.softwareVersions().inUseSince (m_query.service, since, now());
+}
+
+SoftwareVersionsInUse Exchange::softwareVersionsOfStreams() const
+{
+    return softwareVersionsSince (now() - streamLifetime());
 }
 
 std::string Exchange::streamKey (const std::string& request) const
@@ -70,27 +68,45 @@
         m_route->isResumable && m_request.headers.contains (m_context.names.lastEventId);
     if (m_servedPeer || ! isResumed)
         return true;
-    // Looked up first: the router that began the stream may have known a version that the table of
-    // this one doesn't list yet.
-    m_query.softwareVersion = m_context.streams.find (streamKey (resumedRequest()), now());
-    if (m_query.softwareVersion)
+    const SoftwareVersionsInUse inUse = softwareVersionsOfStreams();
+    const std::optional<StreamPin> pin = proxy::pinResumedStream (
+        m_context.streams.find (streamKey (resumedRequest()), now()), inUse);
+    if (! pin)
     {
-        m_pinSource = PinSource::kNotice;
-        ++m_context.counters.resumedByCallers;
-        return true;
+        const bool isUnknown = std::holds_alternative<UnknownSoftwareVersions> (inUse);
+        if (! isUnknown || ! waitForSoftwareHistory())
+            refuseUnknownStream();
+        return false;
     }
-    const std::optional<std::string> only = onlySoftwareVersion();
-    if (only)
+    m_historyDeadline.reset();
+    m_pinSource = pin->source;
+    if (pin->source == PinSource::kNotice)
+        ++m_context.counters.resumedByCallers;
+    if (! pin->version.empty())
+        m_query.softwareVersion = pin->version;
+    return true;
+}
+
+bool Exchange::waitForSoftwareHistory()
+{
+    if (! m_context.directory.softwareVersions().isAwaitingControllers (now()))
+        return false;
+    if (! m_historyDeadline)
     {
-        m_pinSource = PinSource::kTable;
-        if (! only->empty())
-            m_query.softwareVersion = only;
-        return true;
+        const base::Duration longest =
+            std::min<base::Duration> (m_callerTimeout / 2, kMaxWaitForHistory);
+        m_historyDeadline = std::min (m_deadline, m_arrivedAt + longest);
     }
+    armTimer();
+    return now() < *m_historyDeadline;
+}
+
+void Exchange::refuseUnknownStream()
+{
+    m_historyDeadline.reset();
     ++m_context.counters.unknownStreams;
-    refuse (base::ErrorKind::kNoCapacity, "the software version of the stream is not known here",
+    refuse (base::ErrorKind::kNoCapacity, causeOfUnknownStream (softwareVersionsOfStreams()),
             kRetryElsewhere);
-    return false;
 }
 
 void Exchange::announceStream()
@@ -98,13 +114,19 @@
     const bool hasEvents = m_lastEventAt != base::TimePoint{};
     if (! hasEvents || m_isStreamAnnounced || m_servedPeer || ! m_route->isResumable)
         return;
-    if (m_softwareVersion.empty() || onlySoftwareVersion() || ! resumedRequest().empty())
+    if (m_softwareVersion.empty() || ! needsNotice (softwareVersionsOfStreams()))
         return;
     m_isStreamAnnounced = true;
+    const std::string resumed = resumedRequest();
+    const std::string begunAs =
+        resumed.empty() ? m_request.headers.value (m_context.names.requestId) : resumed;
     StreamNotice notice;
-    notice.key = streamKey (m_request.headers.value (m_context.names.requestId));
+    notice.key = streamKey (begunAs);
+    // The router that began a resumed stream has announced it if its version is known.
+    if (m_context.streams.find (notice.key, now()))
+        return;
     notice.softwareVersion = m_query.softwareVersion.value_or (m_softwareVersion);
-    notice.lifetime = streamLifetime();
+    notice.lifetime = std::min<base::Duration> (streamLifetime(), StreamVersions::kMaxLifetime);
     m_context.streams.record (notice.key, notice.softwareVersion, now() + notice.lifetime);
     m_context.announceStream (notice);
 }
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -156,6 +156,7 @@
     }
     for (const cell::RoutableInstance& row : update.upserts)
         put (row, now);
+    m_softwareVersions.onHistory (update.softwareHistory, now);
     m_term = update.term;
     m_version = update.toVersion;
     m_appliedAt = now;
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -160,6 +160,9 @@
     }
     /// Software versions of all listed runners and of those that left the table lately.
     [[nodiscard]] const SoftwareVersions& softwareVersions() const { return m_softwareVersions; }
+    /// Called when a controller granted a lease. Returns whether this router may have missed
+    /// notices of others since the last one.
+    bool onLease (base::TimePoint now) { return m_softwareVersions.onLease (now); }
     /// Names of the incarnations that left the table since the last call without having been
     /// draining.
     [[nodiscard]] std::vector<std::string> takeReplaced() { return std::exchange (m_replaced, {}); }
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -195,6 +195,7 @@
     else if (const auto* grant = std::get_if<cell::LeaseGrant> (&message))
     {
         m_session.onGrant (*grant);
+        m_directory.onLease (m_clock.now());
         setControllerAnswering (true);
         confirmConfiguration();
         confirmRoutes (*grant);
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -226,7 +226,8 @@
     std::visit (base::Overloaded{ [this] (const StreamNotice& notice)
                                   {
                                       const base::Duration lifetime =
-                                          std::min (notice.lifetime, SoftwareVersions::kMaxAge);
+                                          std::min<base::Duration> (
+                                              notice.lifetime, StreamVersions::kMaxLifetime);
                                       m_context.streams.record (notice.key, notice.softwareVersion,
                                                                 m_context.clock.now() + lifetime);
                                   },
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -350,6 +350,8 @@
         update.upserts = rows;
         apply (update);
     }
+    /// Lets the controller confirm the table as it is.
+    void confirmTable() { apply (nextUpdate()); }
     /// Lets every probe of a runner that broke off an answer find it alive, at once.
     void findRunnersAlive()
     {
@@ -426,6 +428,11 @@
     ProxyContext context{ names,        clock,   random, directory, loadReporter, rates, pool,
                           retryBudgets, demands, quotas, suspects,  counters,     [] {}, nullptr };
     ProxyServer server{ context };
+    /// What the controller states about the past with each update; by default, that all versions
+    /// are in the table.
+    std::function<cell::SoftwareHistory()> softwareHistory = [] {
+        return cell::SoftwareHistory{ cell::SoftwareHistory::kWholePast, {} };
+    };
     base::SocketAddress listening;
     base::SocketAddress peerListening;
 
@@ -436,6 +443,7 @@
         update.term = m_term;
         update.fromVersion = m_tableVersion;
         update.toVersion = ++m_tableVersion;
+        update.softwareHistory = softwareHistory();
         return update;
     }
     void apply (const cell::InstanceUpdate& update)
--- a/src/proxy/SoftwareVersions.cpp
+++ b/src/proxy/SoftwareVersions.cpp
@@ -1,59 +1,80 @@
 #include "proxy/SoftwareVersions.h"
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 namespace fernlift::proxy
 {
+namespace
+{
+
+cell::SoftwareVersionUses::Time timeOf (base::TimePoint time)
+{
+    return base::toMilliseconds (time.time_since_epoch());
+}
+
+}  // namespace
 
 void SoftwareVersions::add (const std::string& service, const std::string& version)
 {
-    if (! version.empty())
-        ++m_services[service][version].runners;
+    m_uses.add (service, version);
 }
 
 void SoftwareVersions::remove (const std::string& service, const std::string& version,
                                base::TimePoint now)
 {
-    const auto versions = m_services.find (service);
-    if (versions == m_services.end())
-        return;
-    const auto use = versions->second.find (version);
-    if (use == versions->second.end() || use->second.runners == 0)
-        return;
-    if (--use->second.runners == 0)
-        use->second.lastListedAt = now;
-    std::erase_if (versions->second,
-                   [&] (const auto& item)
-                   {
-                       const Use& other = item.second;
-                       return other.runners == 0 && now - other.lastListedAt > kMaxAge;
-                   });
+    m_uses.remove (service, version, timeOf (now));
+}
+
+void SoftwareVersions::onHistory (const cell::SoftwareHistory& history, base::TimePoint now)
+{
+    const auto present = timeOf (now);
+    const auto statedSince = present - history.knownMilliseconds;
+    const auto confirmedUntil = timeOf (m_confirmedAt + kMaxUnconfirmed);
+    // The time between what this router has observed and what the controller states is unknown.
+    const bool isContiguous = statedSince <= confirmedUntil;
+    m_uses.setCompleteSince (isContiguous ? std::min (m_uses.completeSince(), statedSince)
+                                          : statedSince);
+    for (const cell::DepartedVersionAge& departed : history.departed)
+    {
+        m_uses.addDeparted (
+            { departed.service, departed.version, present - departed.ageMilliseconds });
+    }
+    m_confirmedAt = now;
 }
 
-bool SoftwareVersions::isListed (const std::string& service, const std::string& version) const
+bool SoftwareVersions::onLease (base::TimePoint now)
 {
-    const auto versions = m_services.find (service);
-    if (versions == m_services.end())
-        return false;
-    const auto use = versions->second.find (version);
-    return use != versions->second.end() && use->second.runners > 0;
+    const bool isAfterGap = ! m_leaseAt || now - *m_leaseAt > kMaxUnconfirmed;
+    if (isAfterGap)
+        m_leasesBeganAt = now;
+    m_leaseAt = now;
+    // After a gap, the changes that this router missed may still be under way.
+    if (isConfirmed (now) || now - m_leasesBeganAt >= kMaxUpdateDelay)
+        m_confirmedAt = now;
+    return isAfterGap;
 }
 
-std::optional<std::string> SoftwareVersions::onlySince (const std::string& service,
-                                                        base::TimePoint since) const
+bool SoftwareVersions::isAwaitingControllers (base::TimePoint now) const
 {
-    std::string only;
-    const auto versions = m_services.find (service);
-    if (versions == m_services.end())
-        return only;
-    for (const auto& [version, use] : versions->second)
-    {
-        const bool wasListed = use.runners > 0 || use.lastListedAt >= since;
-        if (! wasListed)
-            continue;
-        if (! only.empty())
-            return std::nullopt;
-        only = version;
-    }
-    return only;
+    const bool isAnswered = m_leaseAt && now - *m_leaseAt <= kMaxUnconfirmed;
+    return ! isAnswered || now - m_leasesBeganAt < kMaxUpdateDelay;
+}
+
+SoftwareVersionsInUse SoftwareVersions::inUseSince (const std::string& service,
+                                                    base::TimePoint since,
+                                                    base::TimePoint now) const
+{
+    const auto first = timeOf (since - kMaxTableLag);
+    std::vector<std::string> versions = m_uses.versionsSince (service, first);
+    if (versions.size() > 1)
+        return SeveralSoftwareVersions{};
+    if (first < m_uses.completeSince() || ! isConfirmed (now))
+        return UnknownSoftwareVersions{};
+    if (versions.empty())
+        return NoSoftwareVersion{};
+    return OneSoftwareVersion{ std::move (versions.front()) };
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/StreamSoftwareTest.cpp
+++ b/src/proxy/StreamSoftwareTest.cpp
@@ -203,6 +203,7 @@
     router.remove ("i-4");
     EXPECT_TRUE (resume (router, "of-the-first-version").starts_with ("HTTP/1.1 503"));
     router.advance (base::seconds (60));
+    router.confirmTable();
     EXPECT_EQ (versionIn (resume (router, "of-the-other-version")), "v2");
 }
 
--- a/src/proxy/StreamVersionBoundTest.cpp
+++ b/src/proxy/StreamVersionBoundTest.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cell/SoftwareVersionHistory.h"
 #include "proxy/ProxyTestSupport.h"
 
 namespace fernlift::proxy::test
@@ -93,6 +94,8 @@
         for (std::size_t number = 0; number < kRunners; ++number)
             m_runners.push_back (
                 std::make_unique<PlayedRunner> (m_random, nextId(), kVersions[number % 2]));
+        for (const auto& runner : m_runners)
+            recordRunner (*runner);
         m_routers.resize (kRouters);
         for (std::size_t number = 0; number < kRouters; ++number)
             restart (number);
@@ -127,6 +130,7 @@
         m_routers[number] = std::make_unique<ProxyFixture>();
         m_routers[number]->findRunnersAlive();
         m_routers[number]->servePeers ("router-" + std::to_string (number));
+        m_routers[number]->softwareHistory = [this] { return softwareHistory(); };
         std::vector<cell::RouterPeer> peers;
         for (const auto& router : m_routers)
         {
@@ -140,6 +144,23 @@
         }
         syncTable (number);
     }
+    [[nodiscard]] std::int64_t time() const
+    {
+        return base::toMilliseconds (m_clock.now().time_since_epoch());
+    }
+    void recordRunner (const PlayedRunner& runner)
+    {
+        m_history.record (runner.row().instance, runner.version(), time());
+    }
+    /// What controllers state about the past.
+    [[nodiscard]] cell::SoftwareHistory softwareHistory() const
+    {
+        cell::SoftwareHistory history{ cell::SoftwareHistory::kWholePast, {} };
+        for (const cell::DepartedSoftwareVersion& departed : m_history.departed())
+            history.departed.push_back (
+                { departed.service, departed.version, time() - departed.lastListedAt });
+        return history;
+    }
     /// Tables of the other routers may stay behind.
     void syncTable (std::size_t number)
     {
@@ -153,11 +174,13 @@
         const auto index = static_cast<std::size_t> (m_random.uniformInteger (0, kRunners - 1));
         const auto version =
             static_cast<std::size_t> (m_random.uniformInteger (0, kVersions.size() - 1));
+        m_history.remove (m_runners[index]->id(), time());
         if (m_random.uniformReal() < 0.5)
             m_runners[index]->replace (nextId(), kVersions[version]);
         else
             m_runners[index] =
                 std::make_unique<PlayedRunner> (m_random, nextId(), kVersions[version]);
+        recordRunner (*m_runners[index]);
         syncTable (anyRouter());
     }
     /// Runners of the version that all routers know.
@@ -230,6 +253,8 @@
     }
 
     base::Random m_random;
+    base::SystemClock m_clock;
+    cell::SoftwareVersionHistory m_history = cell::SoftwareVersionHistory::ofNewCell();
     std::vector<std::unique_ptr<PlayedRunner>> m_runners;
     std::vector<std::unique_ptr<ProxyFixture>> m_routers;
     std::uint64_t m_lastId = 0;
--- a/src/proxy/StreamVersions.h
+++ b/src/proxy/StreamVersions.h
@@ -31,6 +31,8 @@
     /** About 10 MB. Beyond it the streams that were recorded first are forgotten. */
     static constexpr std::size_t kMaxStreams = 50'000;
     static constexpr std::size_t kMaxVersionBytes = 64;
+    /** Time after which a stream is forgotten, however long its caller waits. */
+    static constexpr base::Duration kMaxLifetime = std::chrono::minutes (20);
 
     /** Records the version of a stream until `expiresAt`. The first record of a key holds. */
     void record (const std::string& key, const std::string& version, base::TimePoint expiresAt);
--- a/src/wire/OptionalTail.h
+++ b/src/wire/OptionalTail.h
@@ -9,10 +9,32 @@
  */
 
 #include <boost/archive/archive_exception.hpp>
+#include <optional>
+#include <utility>
 
 namespace fernlift::wire
 {
 
+/** Reads a field that was added after the first version of a message. Returns false if it was not
+    written.
+*/
+template <class Archive, class Value>
+bool readTail (Archive& archive, Value& value)
+{
+    try
+    {
+        archive >> value;
+        return true;
+    }
+    catch (const boost::archive::archive_exception& exception)
+    {
+        if (exception.code != boost::archive::archive_exception::input_stream_error)
+            throw;
+        value = Value{};
+        return false;
+    }
+}
+
 /** Reads or writes a field that was added after the first version of a message. The message must be
     the whole payload: a missing field is detected by the end of the input, which a message nested
     in another one does not have.
@@ -26,16 +48,25 @@
     }
     else
     {
-        try
-        {
-            archive >> value;
-        }
-        catch (const boost::archive::archive_exception& exception)
-        {
-            if (exception.code != boost::archive::archive_exception::input_stream_error)
-                throw;
-            value = Value{};
-        }
+        readTail (archive, value);
+    }
+}
+
+/** The same for a field that is written only if it has a value, as the last one of its message. */
+template <class Archive, class Value>
+void serializeTail (Archive& archive, std::optional<Value>& value)
+{
+    if constexpr (Archive::is_saving::value)
+    {
+        if (value)
+            archive << *value;
+    }
+    else
+    {
+        Value read{};
+        value.reset();
+        if (readTail (archive, read))
+            value = std::move (read);
     }
 }
 
