A relay states the software history also before it has a lease itself

Cause: let a relay leave out the history while it had no lease. After a restart of all controllers the leader's table can reach the relay a fraction of a millisecond before its lease does (4019 with the leader's term 0.2 ms before 4017). The router got a table without a history, and the next one came with the next change of the table only.

Change: the relay states what it has. The condition isn't needed: a router serves no request before it has a lease, and a relay without one grants none.

--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -662,7 +662,6 @@
     void requestLeaseIfConfirmed();
     void applyRelayedInstances (const cell::InstanceUpdate& update);
     void sendRelayedInstances();
-    [[nodiscard]] cell::InstanceUpdate relayedUpdateSince (std::uint64_t version) const;
     void beginRelay();
     void endRelay();
     [[nodiscard]] std::string peerAddressOf (base::MemberId id) const;
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -368,23 +368,13 @@
     if (! mayBeWhole && ! isDue)
         return;
     const TableState table{ instances.version(), instances.knownVersions(), instances.size() };
-    const bool isComplete =
-        sendInstancesTo (m_relay->sessions, table, mayBeWhole,
-                         [&] (std::uint64_t version) { return relayedUpdateSince (version); });
+    const bool isComplete = sendInstancesTo (m_relay->sessions, table, mayBeWhole,
+                                             [&] (std::uint64_t version)
+                                             { return instances.updateSince (version, m_now); });
     if (! isComplete)
         m_relay->wholeTable.request();
 }
 
-cell::InstanceUpdate ControllerCore::Implementation::relayedUpdateSince (
-    std::uint64_t version) const
-{
-    cell::InstanceUpdate update = m_relay->instances.updateSince (version, m_now);
-    // Without a leader, this member doesn't know which versions have come and gone since.
-    if (relayedLeaseEnd() <= m_now)
-        update.softwareHistory = {};
-    return update;
-}
-
 /// Called when this member becomes the leader. Its routers find another controller well within
 /// their leases.
 void ControllerCore::Implementation::endRelay()
