A router that joins fetches the streams that others have recorded

Cause: a notice goes to the routers that are known when it is sent. One that starts later gets none of the streams that are open or may still be resumed.

PeerCall, taken out of PeerAnnouncer, serves both.

--- a/src/lab/StreamVersionRestartTest.cpp
+++ b/src/lab/StreamVersionRestartTest.cpp
@@ -326,6 +326,21 @@
     expectUnmixed (false);
 }
 
+TEST_F (StreamVersionRestartTest, StreamsGoOnAtTheirVersionAfterRestartsInTurn)
+{
+    ASSERT_TRUE (m_isReady);
+    registerOther();
+    beginStreams();
+    for (std::size_t number = 0; number < kRouters; ++number)
+    {
+        m_cell.replaceRouter (number);
+        awaitRouters();
+        runFor (kStepTime);
+        resumeBroken();
+    }
+    expectUnmixed (true);
+}
+
 TEST_F (StreamVersionRestartTest, StreamsOfOneVersionGoOnAfterAllRoutersWereKilled)
 {
     ASSERT_TRUE (m_isReady);
--- a/src/proxy/PeerAnnouncer.h
+++ b/src/proxy/PeerAnnouncer.h
@@ -14,6 +14,7 @@
 
 #include "base/Time.h"
 #include "http/BackEndPool.h"
+#include "proxy/PeerCall.h"
 #include "proxy/PeerMessage.h"
 #include "proxy/PeerRouters.h"
 
@@ -25,7 +26,7 @@
 {
 public:
     PeerAnnouncer (const base::Clock& clock, http::BackEndPool& pool);
-    ~PeerAnnouncer();
+    ~PeerAnnouncer() = default;
     PeerAnnouncer (const PeerAnnouncer&) = delete;
     PeerAnnouncer& operator= (const PeerAnnouncer&) = delete;
 
@@ -44,19 +45,16 @@
     [[nodiscard]] std::uint64_t lost() const { return m_lost; }
 
 private:
-    /** A notice that waits for its answer. */
-    class Call;
+    /** Router, by the key that it draws at its start, and index of a notice in PeerNotice. */
+    using SupportKey = std::pair<std::uint64_t, std::size_t>;
 
     void send (const PeerNotice& notice, const PeerChoice& peer, const std::string& router);
-    void onEnd (Call& call);
+    void onEnd (PeerCall& call, std::size_t noticeKind);
 
     const base::Clock& m_clock;
     http::BackEndPool& m_pool;
-    std::set<std::unique_ptr<Call>> m_calls;
-    /** Keys of routers that do not support a kind of notice, with the index of that kind in
-        PeerNotice. A router draws its key at its start.
-    */
-    std::set<std::pair<std::uint64_t, std::size_t>> m_unsupported;
+    std::set<std::unique_ptr<PeerCall>> m_calls;  ///< Notices that wait for their answers.
+    std::set<SupportKey> m_unsupported;  ///< Kinds of notices that a router does not support.
     std::uint64_t m_lost = 0;
 };
 
--- a/src/proxy/PeerMessage.cpp
+++ b/src/proxy/PeerMessage.cpp
@@ -136,6 +136,11 @@
     text.append (";path=").append (toString (notice.path));
 }
 
+void addNotice (std::string& text, const StreamQuery& query)
+{
+    text.append (";streams=").append (encoded (query.after));
+}
+
 }  // namespace
 
 std::string formatPeerRequest (const PeerRequest& request)
@@ -208,6 +213,12 @@
     {
         BOOST_LEAF_ASSIGN (request.notice, pathNoticeIn (values));
     }
+    else if (values.contains ("streams"))
+    {
+        StreamQuery query;
+        BOOST_LEAF_ASSIGN (query.after, textOf (values, "streams"));
+        request.notice = query;
+    }
     return request;
 }
 
--- a/src/proxy/PeerMessage.h
+++ b/src/proxy/PeerMessage.h
@@ -50,7 +50,15 @@
     bool operator== (const PathNotice&) const = default;
 };
 
-using PeerNotice = std::variant<StreamNotice, PathNotice>;
+/** Asks for the streams that the other router has recorded; its answer has a StreamPage as body. */
+struct StreamQuery
+{
+    std::string after;  ///< Only streams with higher keys; empty: all.
+
+    bool operator== (const StreamQuery&) const = default;
+};
+
+using PeerNotice = std::variant<StreamNotice, PathNotice, StreamQuery>;
 
 /** Statement of the router that received a request from its caller. */
 struct PeerRequest
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -44,6 +44,9 @@
             set ("fernlift_proxy_streams_recorded",
                  "Streams whose software version is known here while versions are mixed.",
                  m_context.streams.size());
+            set ("fernlift_proxy_streams_fetched",
+                 "Streams received from other routers after a start, or after a time without them.",
+                 m_streamFetcher.received());
             set ("fernlift_proxy_stream_notices_lost",
                  "Notices to other routers that were not sent or not answered.",
                  m_server.lostNotices());
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -103,7 +103,8 @@
       m_reachabilityProbes (
           { kReachabilityTimeout, kReachabilityAnswerTimeout, kReachabilitySettleTime },
           [this] (const std::string& instance, RunnerProbeResult probeResult)
-          { onReachabilityProbed (instance, probeResult); })
+          { onReachabilityProbed (instance, probeResult); }),
+      m_streamFetcher (m_clock, m_pool, m_random, m_context.streams)
 {
     m_context.router = m_settings.id;
     m_context.peers = PeerRouters (m_settings.id, m_settings.zone);
@@ -195,7 +196,8 @@
     else if (const auto* grant = std::get_if<cell::LeaseGrant> (&message))
     {
         m_session.onGrant (*grant);
-        m_directory.onLease (m_clock.now());
+        if (m_directory.onLease (m_clock.now()))
+            m_streamFetcher.begin();
         setControllerAnswering (true);
         confirmConfiguration();
         confirmRoutes (*grant);
@@ -332,12 +334,15 @@
         m_session.onLost (m_clock.now(), m_random);
         return;
     }
-    log::write (log::Event::kInstancesTaken, { { "term", update.term },
-                                               { "from", update.fromVersion },
-                                               { "to", update.toVersion },
-                                               { "changed", update.upserts.size() },
-                                               { "removed", update.removals.size() },
-                                               { "runners", m_directory.size() } });
+    log::write (log::Event::kInstancesTaken,
+                { { "term", update.term },
+                  { "from", update.fromVersion },
+                  { "to", update.toVersion },
+                  { "changed", update.upserts.size() },
+                  { "removed", update.removals.size() },
+                  { "history_ms", update.softwareHistory.knownMilliseconds },
+                  { "departed_versions", update.softwareHistory.departed.size() },
+                  { "runners", m_directory.size() } });
     std::vector<base::SocketAddress> preferred =
         preferredControllers (update.controllers, m_settings.id, m_settings.zone);
     m_preferredController.reset();
@@ -574,6 +579,7 @@
     pollController();
     probeReachability();
     announce (m_pathAnnouncements.takeDue (m_context.reachability, m_clock.now()));
+    m_streamFetcher.poll (m_context.peers, m_settings.id);
     reportDemand();
     reportLoads();
     requestQuota();
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -28,6 +28,7 @@
 #include "proxy/ProxySettings.h"
 #include "proxy/ReadinessServer.h"
 #include "proxy/RunnerProbes.h"
+#include "proxy/StreamFetcher.h"
 
 namespace fernlift::proxy
 {
@@ -145,6 +146,7 @@
     RunnerProbes m_probes;
     RunnerProbes m_reachabilityProbes;
     PathAnnouncements m_pathAnnouncements;
+    StreamFetcher m_streamFetcher;
     base::SuspensionWatch m_suspensions;
     bool m_wasSuspended = false;  ///< A suspension was detected at the last tick.
     QTimer m_demandTimer;  ///< Sends an urgent demand report once control is back in the event
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -10,6 +10,7 @@
 #include "log/Log.h"
 #include "proxy/PathAnnouncements.h"
 #include "proxy/PeerMessage.h"
+#include "proxy/StreamPage.h"
 
 namespace fernlift::proxy
 {
@@ -222,24 +223,34 @@
 
 void ProxyServer::onNotice (CallerConnection& connection, const PeerRequest& statement)
 {
+    constexpr int kOk = 200;
     constexpr int kNoContent = 204;
-    std::visit (base::Overloaded{ [this] (const StreamNotice& notice)
-                                  {
-                                      const base::Duration lifetime =
-                                          std::min<base::Duration> (
-                                              notice.lifetime, StreamVersions::kMaxLifetime);
-                                      m_context.streams.record (notice.key, notice.softwareVersion,
-                                                                m_context.clock.now() + lifetime);
-                                  },
+    std::string body;
+    std::visit (base::Overloaded{ [this] (const StreamNotice& notice) { onStreamNotice (notice); },
                                   [&] (const PathNotice& notice)
-                                  { onPathNotice (statement.router, notice); } },
+                                  { onPathNotice (statement.router, notice); },
+                                  [&] (const StreamQuery& query)
+                                  { body = streamPageAfter (query.after); } },
                 *statement.notice);
     PeerAnswer answer;
     answer.outcome = PeerOutcome::kAnswered;
     answer.isNoticeRead = true;
     http::Headers headers;
     addPeerAnswer (headers, answer);
-    connection.sendAnswer (kNoContent, headers, "");
+    connection.sendAnswer (body.empty() ? kNoContent : kOk, headers, body);
+}
+
+void ProxyServer::onStreamNotice (const StreamNotice& notice)
+{
+    const base::Duration lifetime =
+        std::min<base::Duration> (notice.lifetime, StreamVersions::kMaxLifetime);
+    m_context.streams.record (notice.key, notice.softwareVersion, m_context.clock.now() + lifetime);
+}
+
+std::string ProxyServer::streamPageAfter (const std::string& key) const
+{
+    return formatStreamPage (
+        m_context.streams.listAfter (key, kStreamsPerPage, m_context.clock.now()));
 }
 
 void ProxyServer::onInvalid (CallerConnection& connection, const base::Error& error)
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -72,8 +72,10 @@
     [[nodiscard]] std::size_t peerExchanges() const;
     void onRequest (CallerConnection& connection, ParsedRequest request);
     void onInvalid (CallerConnection& connection, const base::Error& error);
-    /// Records what another router tells of a stream.
     void onNotice (CallerConnection& connection, const PeerRequest& statement);
+    void onStreamNotice (const StreamNotice& notice);
+    /// Streams recorded here, as the body of an answer to another router.
+    [[nodiscard]] std::string streamPageAfter (const std::string& key) const;
     void onPathNotice (const std::string& router, const PathNotice& notice);
     static void refuseStopping (CallerConnection& connection);
     static void declinePeer (CallerConnection& connection, const std::string& message);
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -21,6 +21,7 @@
 #include "proxy/ProxyContext.h"
 #include "proxy/ProxyServer.h"
 #include "proxy/RequestIdentity.h"
+#include "proxy/StreamFetcher.h"
 
 namespace fernlift::proxy::test
 {
@@ -386,6 +387,13 @@
     {
         context.peers.apply ({ rows }, clock.now());
     }
+    /// Fetches the streams that the other routers have recorded.
+    void fetchStreams()
+    {
+        streamFetcher.begin();
+        pollStreamFetcher();
+    }
+    void pollStreamFetcher() { streamFetcher.poll (context.peers, context.router); }
     /// Lets this router conclude that it can connect to no runner.
     void isolate()
     {
@@ -428,6 +436,7 @@
     ProxyContext context{ names,        clock,   random, directory, loadReporter, rates, pool,
                           retryBudgets, demands, quotas, suspects,  counters,     [] {}, nullptr };
     ProxyServer server{ context };
+    StreamFetcher streamFetcher{ clock, pool, random, context.streams };
     /// What the controller states about the past with each update; by default, that all versions
     /// are in the table.
     std::function<cell::SoftwareHistory()> softwareHistory = [] {
--- a/src/proxy/StreamVersionBoundTest.cpp
+++ b/src/proxy/StreamVersionBoundTest.cpp
@@ -112,6 +112,8 @@
                 replaceRunner();
             else if (event <= 4)
                 syncTable (anyRouter());
+            for (const auto& router : m_routers)
+                router->pollStreamFetcher();
             playStream();
         }
         return m_tally;
@@ -143,6 +145,8 @@
                 router->setPeers (peers);
         }
         syncTable (number);
+        m_routers[number]->fetchStreams();
+        runFor (milliseconds (20));
     }
     [[nodiscard]] std::int64_t time() const
     {
--- a/src/proxy/StreamVersions.cpp
+++ b/src/proxy/StreamVersions.cpp
@@ -41,6 +41,21 @@
     return found->second.version;
 }
 
+std::vector<StreamNotice> StreamVersions::listAfter (const std::string& after, std::size_t count,
+                                                     base::TimePoint now) const
+{
+    std::vector<StreamNotice> listed;
+    for (auto item = m_streams.upper_bound (after); item != m_streams.end(); ++item)
+    {
+        if (listed.size() == count)
+            break;
+        const auto& [key, stream] = *item;
+        if (now < stream.expiresAt)
+            listed.push_back ({ key, stream.version, stream.expiresAt - now });
+    }
+    return listed;
+}
+
 void StreamVersions::expire (base::TimePoint now)
 {
     // Streams of longer lifetimes keep later ones with shorter ones a little longer.
--- a/src/proxy/StreamVersions.h
+++ b/src/proxy/StreamVersions.h
@@ -14,8 +14,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/Time.h"
+#include "proxy/PeerMessage.h"
 
 namespace fernlift::proxy
 {
@@ -39,6 +41,9 @@
     /** Returns the version of a stream; none if it is not known. */
     [[nodiscard]] std::optional<std::string> find (const std::string& key,
                                                    base::TimePoint now) const;
+    /** Returns up to `count` streams with keys after `after`, in the order of their keys. */
+    [[nodiscard]] std::vector<StreamNotice> listAfter (const std::string& after, std::size_t count,
+                                                       base::TimePoint now) const;
     void expire (base::TimePoint now);
     [[nodiscard]] std::size_t size() const { return m_streams.size(); }
 
--- a/src/proxy/StreamVersionsTest.cpp
+++ b/src/proxy/StreamVersionsTest.cpp
@@ -42,5 +42,18 @@
     EXPECT_EQ (streamKeyOf ("t", "route", longId).size(), streamKeyOf ("t", "route", "1").size());
 }
 
+TEST (StreamVersionsTest, ListsPagesInOrderWithoutExpiredOnes)
+{
+    StreamVersions streams;
+    streams.record ("c", "v1", kStart + base::seconds (2));
+    streams.record ("a", "v2", kStart + base::seconds (4));
+    streams.record ("b", "v1", kStart);
+    const std::vector<StreamNotice> first = streams.listAfter ("", 1, kStart);
+    EXPECT_EQ (first, (std::vector<StreamNotice>{ { "a", "v2", base::seconds (4) } }));
+    const std::vector<StreamNotice> next = streams.listAfter ("a", 5, kStart);
+    EXPECT_EQ (next, (std::vector<StreamNotice>{ { "c", "v1", base::seconds (2) } }));
+    EXPECT_TRUE (streams.listAfter ("c", 5, kStart).empty());
+}
+
 }  // namespace
 }  // namespace fernlift::proxy
