--- a/src/proxy/SoftwareVersions.h
+++ b/src/proxy/SoftwareVersions.h
@@ -83,8 +83,8 @@
                                                     base::TimePoint since,
                                                     base::TimePoint now) const;
 
-    /** Whether unknown versions may become known soon: the controllers have not answered yet, or not
-        for so long that all changes have arrived.
+    /** Whether unknown versions may become known soon: the controllers have not answered yet, or
+       not for so long that all changes have arrived.
     */
     [[nodiscard]] bool isAwaitingControllers (base::TimePoint now) const;
 
