--- a/src/http/HttpTestSupport.h
+++ b/src/http/HttpTestSupport.h
@@ -93,6 +93,8 @@
         m_isReading = false;
         m_socket.setReadBufferSize (bufferBytes);
     }
+    /// Reads what the socket has buffered, while reading is stopped.
+    void readBuffered() { m_received += m_socket.readAll().toStdString(); }
     void resumeReading()
     {
         m_isReading = true;
