The leader's part for software versions has a file of its own; two tests of it

ControllerInstances.cpp had grown by it. The stand-in of a router of an earlier build stood in two tests.

--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -552,16 +552,7 @@
     /// Removes the instances that had the address of an instance that registers.
     void removePredecessors (const cell::ServiceInstance& instance);
     [[nodiscard]] cell::AddInstance additionOf (const InstanceHeartbeat& heartbeat) const;
-    /// Proposes to record the software version of a registered runner, if another one or none is
-    /// recorded.
-    void recordSoftwareVersion (const std::string& instance, base::UnixMilliseconds startedAt,
-                                const std::string& version);
     [[nodiscard]] cell::InstanceUpdate instanceUpdateSince (std::uint64_t version) const;
-    /// Sends the software versions that services had before as soon as they can be stated.
-    void stateSoftwareHistory();
-    /// Software versions that services had before; not stated while the version of a registered
-    /// runner is not recorded.
-    [[nodiscard]] cell::SoftwareHistory softwareHistory() const;
     void runInstanceRoutine();
     /// Address of the controller to which an instance is to send its next heartbeats.
     [[nodiscard]] std::string heartbeatAddressFor (const std::string& instance);
@@ -641,6 +632,17 @@
     /// Clock for the cost of placement; constant when the options have no work clock.
     [[nodiscard]] base::TimePoint workTime() const;
 
+    // ControllerSoftware.cpp
+    /// Proposes to record the software version of a registered runner, if another one or none is
+    /// recorded.
+    void recordSoftwareVersion (const std::string& instance, base::UnixMilliseconds startedAt,
+                                const std::string& version);
+    /// Sends the software versions that services had before as soon as they can be stated.
+    void stateSoftwareHistory();
+    /// Software versions that services had before; not stated while the version of a registered
+    /// runner is not recorded.
+    [[nodiscard]] cell::SoftwareHistory softwareHistory() const;
+
     // ControllerRelay.cpp: duties while this member does not lead.
     /// Returns false when the message is not from a router that this member serves.
     bool relayRouterMessage (RouterConnection connection, const cell::RouterToController& message);
--- a/src/controller/InstanceTableTest.cpp
+++ b/src/controller/InstanceTableTest.cpp
@@ -151,6 +151,28 @@
     EXPECT_EQ (m_table.rows().at ("i-1").instance.models[0].model, "m1");
 }
 
+TEST_F (InstanceTableTest, NewLeaderTakesRecordedSoftwareVersions)
+{
+    receive (heartbeatOf ("i-1", 1), kStart);
+    cell::SoftwareVersionHistory recorded = cell::SoftwareVersionHistory::ofNewCell();
+    recorded.record (heartbeatOf ("i-1", 1).instance, "v1", 0);
+    m_table.restoreSoftwareVersions (recorded);
+    m_table.refreshChanged (m_replicated, kStart);
+    EXPECT_EQ (m_table.rows().at ("i-1").softwareVersion, "v1");
+}
+
+TEST_F (InstanceTableTest, FirstRowIsSentAgain)
+{
+    receive (heartbeatOf ("i-1", 1), kStart);
+    receive (heartbeatOf ("i-2", 1), kStart);
+    const std::uint64_t version = m_table.version();
+    m_table.renewFirstRow();
+    const cell::InstanceUpdate update = m_table.updateSince (version);
+    ASSERT_EQ (update.upserts.size(), 1U);
+    EXPECT_EQ (update.upserts[0].instance.id, "i-1");
+    EXPECT_GT (update.toVersion, version);
+}
+
 TEST_F (InstanceTableTest, SoftwareVersionOutlivesLeadersAndHeartbeatsWithoutIt)
 {
     InstanceHeartbeat heartbeat = heartbeatOf ("i-1", 1);
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -222,6 +222,25 @@
     QTcpServer m_server;
 };
 
+/// Other router, of a build that knows no notices.
+class RouterOfEarlierBuild : public AnsweringRunner
+{
+public:
+    RouterOfEarlierBuild()
+        : AnsweringRunner (
+            [] (const std::string&)
+            {
+                return StubReply{
+                    "HTTP/1.1 404 Not Found\r\nFernlift-Peer-Answer: "
+                    "outcome=unavailable;attempts=0;runner=;isolated=0\r\n"
+                    "Content-Length: 0\r\n\r\n"
+                };
+            })
+    {
+        setRequestEnd ("\r\n\r\n");
+    }
+};
+
 /// Clock that continues while timers stand still, as on a suspended machine.
 class SuspendedClock final : public base::Clock
 {
--- a/src/proxy/StreamFetcherTest.cpp
+++ b/src/proxy/StreamFetcherTest.cpp
@@ -91,16 +91,7 @@
 TEST_F (StreamFetcherTest, AsksAnotherRouterInPlaceOfOneThatDoesNotAnswer)
 {
     record (m_second, "stream");
-    AnsweringRunner earlier (
-        [] (const std::string&)
-        {
-            return StubReply{
-                "HTTP/1.1 404 Not Found\r\nFernlift-Peer-Answer: "
-                "outcome=unavailable;attempts=0;runner=;isolated=0\r\n"
-                "Content-Length: 0\r\n\r\n"
-            };
-        });
-    earlier.setRequestEnd ("\r\n\r\n");
+    RouterOfEarlierBuild earlier;
     m_joining.setPeers ({ { "a", "z1", earlier.address(), 7 },
                           { "a2", "z1", closedAddress(), 7 },
                           m_second.peerRow() });
--- a/src/proxy/StreamSoftwareTest.cpp
+++ b/src/proxy/StreamSoftwareTest.cpp
@@ -294,16 +294,7 @@
 {
     ProxyFixture router;
     router.servePeers ("a");
-    AnsweringRunner earlier (
-        [] (const std::string&)
-        {
-            return StubReply{
-                "HTTP/1.1 404 Not Found\r\nFernlift-Peer-Answer: "
-                "outcome=unavailable;attempts=0;runner=;isolated=0\r\n"
-                "Content-Length: 0\r\n\r\n"
-            };
-        });
-    earlier.setRequestEnd ("\r\n\r\n");
+    RouterOfEarlierBuild earlier;
     router.setPeers ({ { "b", "z1", earlier.address(), 7 } });
     addRunnersTo (router);
     for (const char* const id : { "stream-1", "stream-2", "stream-3" })
