--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -19,7 +19,7 @@
 constexpr unsigned kUnacknowledgedTimeoutMs = 10'000;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
-/// Time in which a caller has to read some of the rest of its last answer, and to close then.
+/// Time for a caller to read the end of the last answer.
 constexpr base::milliseconds kCloseTimeout (2000);
 
 std::string chunkHeader (std::size_t size)
@@ -69,11 +69,7 @@
                           onSocketClosed();
                       });
     QObject::connect (m_socket.get(), &QTcpSocket::bytesWritten, m_socket.get(),
-                      [this]
-                      {
-                          const auto self = shared_from_this();
-                          onBytesWritten();
-                      });
+                      [this] { onBytesWritten(); });
     QObject::connect (&m_timer, &QTimer::timeout, m_socket.get(),
                       [this]
                       {
@@ -133,7 +129,6 @@
 void CallerConnection::dispatchRequest()
 {
     m_timer.stop();
-    m_closesWhenWritten = false;
     ParsedRequest request = m_parser.take();
     m_hasOpenRequest = true;
     m_hasBegunAnswer = false;
@@ -155,11 +150,6 @@
 {
     if (m_hasOpenRequest)
         return;
-    if (m_closesWhenWritten)
-    {
-        abort();
-        return;
-    }
     if (m_parser.state() == RequestParser::State::kReading)
     {
         m_closesAfterAnswer = true;
@@ -261,11 +251,6 @@
     const bool isAnswerWritten = ! m_hasOpenRequest && m_socket->bytesToWrite() == 0;
     if (isAnswerWritten && std::exchange (m_endsByClose, false))
         http::setResetOnClose (*m_socket, false);
-    if (! m_closesWhenWritten)
-        return;
-    m_timer.start (kCloseTimeout);
-    if (isAnswerWritten)
-        closeGracefully();
 }
 
 void CallerConnection::readNext()
@@ -311,13 +296,7 @@
 {
     if (m_isClosed)
         return;
-    m_closesWhenWritten = m_socket->bytesToWrite() > 0;
-    if (m_closesWhenWritten)
-    {
-        m_closesAfterAnswer = true;
-        m_timer.start (kCloseTimeout);
-        return;
-    }
+    // Written bytes are still sent; the connection ends once the caller has received them.
     m_socket->disconnectFromHost();
     if (m_socket->state() == QAbstractSocket::UnconnectedState)
     {
--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -88,8 +88,6 @@
     void dispatchRequest();
     void armTimer();
     void onTimeout();
-    /// Closes the connection once the caller has read what was written, as long as it goes on
-    /// reading.
     void closeGracefully();
     void onBytesWritten();
 
@@ -104,7 +102,6 @@
     bool m_isChunked = false;
     bool m_answerHasBody = true;
     bool m_closesAfterAnswer = false;
-    bool m_closesWhenWritten = false;  ///< The caller is still reading its last answer.
     bool m_isClosed = false;
     bool m_isHttp10 = false;
     bool m_endsByClose = false;  ///< The close of the connection ends the answer, of which bytes
