The history of software versions is stated, looked up and recorded in one place each

Found by reading the change once more; no change in what callers or other processes see. - SoftwareVersionHistory::statedAt() makes the statement for routers. It stood in the controller and, in a copy that could have gone its own way, in two property tests, which now use the product's. - StreamVersions::record() takes a StreamNotice and cuts its lifetime; the cut stood at its three callers.

--- a/src/cell/SoftwareVersionHistory.cpp
+++ b/src/cell/SoftwareVersionHistory.cpp
@@ -1,5 +1,8 @@
 #include "cell/SoftwareVersionHistory.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace fernlift::cell
 {
 
@@ -39,12 +42,24 @@
     m_runners.erase (found);
 }
 
-std::optional<std::string> SoftwareVersionHistory::versionOf (const std::string& instance) const
+SoftwareHistory SoftwareVersionHistory::statedAt (base::UnixMilliseconds now) const
+{
+    SoftwareHistory history;
+    history.knownMilliseconds = completeSince() == 0
+                                    ? SoftwareHistory::kWholePast
+                                    : std::max<std::int64_t> (now - completeSince(), 0);
+    for (DepartedSoftwareVersion& version : departed())
+    {
+        history.departed.push_back ({ std::move (version.service), std::move (version.version),
+                                      std::max<std::int64_t> (now - version.lastListedAt, 0) });
+    }
+    return history;
+}
+
+const std::string* SoftwareVersionHistory::versionOf (const std::string& instance) const
 {
     const auto found = m_runners.find (instance);
-    if (found == m_runners.end())
-        return std::nullopt;
-    return found->second.version;
+    return found == m_runners.end() ? nullptr : &found->second.version;
 }
 
 }  // namespace fernlift::cell
--- a/src/cell/SoftwareVersionHistory.h
+++ b/src/cell/SoftwareVersionHistory.h
@@ -11,12 +11,12 @@
 #include <boost/serialization/map.hpp>
 #include <boost/serialization/string.hpp>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/Time.h"
 #include "cell/ServiceInstances.h"
+#include "cell/SoftwareHistoryMessage.h"
 #include "cell/SoftwareVersionUses.h"
 
 namespace fernlift::cell
@@ -39,13 +39,15 @@
     /** Records that a runner left the table. */
     void remove (const std::string& instance, base::UnixMilliseconds at);
 
-    /** Recorded version of a registered runner; none if it was not recorded. */
-    [[nodiscard]] std::optional<std::string> versionOf (const std::string& instance) const;
+    /** Recorded version of a registered runner; null if it was not recorded. */
+    [[nodiscard]] const std::string* versionOf (const std::string& instance) const;
     /** Whether the version of each of these runners is recorded. */
     [[nodiscard]] bool covers (const ServiceInstances& instances) const
     {
         return m_runners.size() == instances.all().size();
     }
+    /** What the record states to routers at `now`. */
+    [[nodiscard]] SoftwareHistory statedAt (base::UnixMilliseconds now) const;
     [[nodiscard]] std::vector<DepartedSoftwareVersion> departed() const
     {
         return m_uses.departed();
--- a/src/cell/SoftwareVersionHistoryTest.cpp
+++ b/src/cell/SoftwareVersionHistoryTest.cpp
@@ -65,7 +65,8 @@
     ASSERT_EQ (history().departed().size(), 1U);
     EXPECT_EQ (history().departed()[0].version, "v1");
     EXPECT_EQ (history().departed()[0].lastListedAt, 50);
-    EXPECT_EQ (history().versionOf ("i-3"), "v2");
+    ASSERT_NE (history().versionOf ("i-3"), nullptr);
+    EXPECT_EQ (*history().versionOf ("i-3"), "v2");
     EXPECT_EQ (history().completeSince(), 0);
     EXPECT_TRUE (isCovered());
 }
@@ -77,7 +78,8 @@
     ASSERT_EQ (history().departed().size(), 1U);
     EXPECT_EQ (history().departed()[0].version, "v1");
     apply (AddInstance{ instanceOf ("i-1"), 30, "v1" });
-    EXPECT_EQ (history().versionOf ("i-1"), "v2");
+    ASSERT_NE (history().versionOf ("i-1"), nullptr);
+    EXPECT_EQ (*history().versionOf ("i-1"), "v2");
     apply (AddInstance{ instanceOf ("i-2"), 40, "v1" });
     EXPECT_TRUE (history().departed().empty()) << "it is back";
 }
--- a/src/cell/SoftwareVersionUses.cpp
+++ b/src/cell/SoftwareVersionUses.cpp
@@ -81,12 +81,28 @@
 
 void SoftwareVersionUses::limitDeparted()
 {
-    std::vector<DepartedSoftwareVersion> all = departed();
-    if (all.size() <= kMaxDeparted)
+    std::size_t count = 0;
+    Time earliest = kNeverComplete;
+    std::map<std::string, Use>* versions = nullptr;  // Of the service of the earliest one.
+    std::map<std::string, Use>::iterator first;
+    for (auto& [service, uses] : m_services)
+    {
+        for (auto use = uses.begin(); use != uses.end(); ++use)
+        {
+            if (use->second.runners > 0)
+                continue;
+            ++count;
+            if (use->second.lastListedAt >= earliest)
+                continue;
+            earliest = use->second.lastListedAt;
+            versions = &uses;
+            first = use;
+        }
+    }
+    if (count <= kMaxDeparted)
         return;
-    const auto first = std::ranges::min_element (all, {}, &DepartedSoftwareVersion::lastListedAt);
-    m_services[first->service].erase (first->version);
-    onGapUntil (first->lastListedAt + 1);
+    versions->erase (first);
+    onGapUntil (earliest + 1);
 }
 
 }  // namespace fernlift::cell
--- a/src/cell/SoftwareVersionUses.h
+++ b/src/cell/SoftwareVersionUses.h
@@ -39,9 +39,6 @@
     /** Value of completeSince() while nothing is known. */
     static constexpr Time kNeverComplete = std::numeric_limits<Time>::max();
 
-    SoftwareVersionUses() = default;
-    explicit SoftwareVersionUses (Time completeSince) : m_completeSince (completeSince) {}
-
     /** Records that one more runner has the version. A runner that states none (empty) has no
         effect.
     */
@@ -82,10 +79,12 @@
         }
     };
 
-    /** Drops the version that departed first while there are more than kMaxDeparted. */
+    using Services = std::map<std::string, std::map<std::string, Use>>;
+
+    /** Drops the version that departed first if there are more than kMaxDeparted. */
     void limitDeparted();
 
-    std::map<std::string, std::map<std::string, Use>> m_services;  ///< By service and version.
+    Services m_services;  ///< By service and version.
     Time m_completeSince = kNeverComplete;
 };
 
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -635,8 +635,8 @@
     // ControllerSoftware.cpp
     /// Proposes to record the software version of a registered runner, if another one or none is
     /// recorded.
-    void recordSoftwareVersion (const std::string& instance, base::UnixMilliseconds startedAt,
-                                const std::string& version);
+    void recordSoftwareVersion (const cell::ServiceInstance& known,
+                                base::UnixMilliseconds startedAt, const std::string& version);
     /// Sends the software versions that services had before as soon as they can be stated.
     void stateSoftwareHistory();
     /// Software versions that services had before; not stated while the version of a registered
--- a/src/controller/ControllerInstances.cpp
+++ b/src/controller/ControllerInstances.cpp
@@ -68,8 +68,8 @@
         return;
     }
     applyHeartbeat (heartbeat);
-    recordSoftwareVersion (heartbeat.instance.id, heartbeat.instance.startedAt,
-                           heartbeat.softwareVersion);
+    if (known != nullptr)
+        recordSoftwareVersion (*known, heartbeat.instance.startedAt, heartbeat.softwareVersion);
     m_leader->instanceTable.request();
     const LeavingInstance leaving{ heartbeat.instance.id, false, heartbeat.instance.startedAt };
     if (m_state.instances().differsFromRecorded (heartbeat.instance) || known == nullptr)
@@ -193,13 +193,14 @@
     bool hasAdded = false;
     for (const cell::RelayedHeartbeat& relayed : relayedHeartbeats.relayedHeartbeats)
     {
+        const cell::ServiceInstance* known = m_state.instances().find (relayed.instance);
         if (! relayed.hasHeldModels)
         {
             m_leader->instances.onUnchangedHeartbeat (relayed, m_now);
-            recordSoftwareVersion (relayed.instance, relayed.startedAt, relayed.softwareVersion);
+            if (known != nullptr)
+                recordSoftwareVersion (*known, relayed.startedAt, relayed.softwareVersion);
             continue;
         }
-        const cell::ServiceInstance* known = m_state.instances().find (relayed.instance);
         const cell::ServiceInstance* reported =
             relayed.first.empty() ? known : &relayed.first.front();
         if (reported == nullptr)
@@ -213,7 +214,7 @@
         applyHeartbeat (heartbeat);
         if (known != nullptr && ! m_state.instances().differsFromRecorded (heartbeat.instance))
         {
-            recordSoftwareVersion (relayed.instance, relayed.startedAt, relayed.softwareVersion);
+            recordSoftwareVersion (*known, relayed.startedAt, relayed.softwareVersion);
             continue;
         }
         removePredecessors (heartbeat.instance);
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -165,10 +165,7 @@
     instances.term = cell::kTermOfLastKnownState;
     instances.toVersion = 1;
     for (const auto& [id, instance] : m_state.instances().all())
-    {
-        instances.upserts.push_back (
-            { instance, false, m_state.softwareVersions().versionOf (id).value_or ("") });
-    }
+        instances.upserts.push_back ({ instance, false });
     if (! instances.upserts.empty())
         sendToRouter (connection, std::move (instances));
 }
--- a/src/controller/ControllerSoftware.cpp
+++ b/src/controller/ControllerSoftware.cpp
@@ -1,7 +1,6 @@
 // Duties of the leader towards the software versions of registered runners: it records them in the
 // log and states to routers which versions services had before.
 
-#include <algorithm>
 #include <utility>
 
 #include "controller/ControllerImplementation.h"
@@ -9,20 +8,18 @@
 namespace fernlift::controller
 {
 
-void ControllerCore::Implementation::recordSoftwareVersion (const std::string& instance,
+void ControllerCore::Implementation::recordSoftwareVersion (const cell::ServiceInstance& known,
                                                             base::UnixMilliseconds startedAt,
                                                             const std::string& version)
 {
-    const cell::ServiceInstance* known = m_state.instances().find (instance);
-    const bool isSameIncarnation =
-        known != nullptr && (startedAt == 0 || startedAt == known->startedAt);
+    const bool isSameIncarnation = startedAt == 0 || startedAt == known.startedAt;
     if (! isSameIncarnation)
         return;
-    const std::optional<std::string> recorded = m_state.softwareVersions().versionOf (instance);
+    const std::string* const recorded = m_state.softwareVersions().versionOf (known.id);
     // A heartbeat without a version does not mean that the runner has another one.
-    if (recorded && (version.empty() || version == *recorded))
+    if (recorded != nullptr && (version.empty() || version == *recorded))
         return;
-    propose (cell::AddInstance{ *known, cellTime(), version }, ForNothing{});
+    propose (cell::AddInstance{ known, cellTime(), version }, ForNothing{});
 }
 
 void ControllerCore::Implementation::stateSoftwareHistory()
@@ -39,17 +36,7 @@
     const cell::SoftwareVersionHistory& recorded = m_state.softwareVersions();
     if (! recorded.covers (m_state.instances()))
         return {};
-    const base::UnixMilliseconds now = cellTime();
-    cell::SoftwareHistory history;
-    history.knownMilliseconds = recorded.completeSince() == 0
-                                    ? cell::SoftwareHistory::kWholePast
-                                    : std::max<std::int64_t> (now - recorded.completeSince(), 0);
-    for (cell::DepartedSoftwareVersion& departed : recorded.departed())
-    {
-        history.departed.push_back ({ std::move (departed.service), std::move (departed.version),
-                                      std::max<std::int64_t> (now - departed.lastListedAt, 0) });
-    }
-    return history;
+    return recorded.statedAt (cellTime());
 }
 
 }  // namespace fernlift::controller
--- a/src/controller/InstanceTable.cpp
+++ b/src/controller/InstanceTable.cpp
@@ -36,7 +36,10 @@
     {
         if (! state.softwareVersion.empty())
             continue;
-        state.softwareVersion = recorded.versionOf (id).value_or ("");
+        const std::string* const version = recorded.versionOf (id);
+        if (version == nullptr || version->empty())
+            continue;
+        state.softwareVersion = *version;
         m_pendingRefresh.insert (id);
     }
 }
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -212,7 +212,7 @@
     /// Waits for the controllers to state the software versions of the past, if they probably do so
     /// soon. Returns whether it waits.
     bool waitForSoftwareHistory();
-    void refuseUnknownStream();
+    void refuseUnknownStream (const SoftwareVersionsInUse& inUse);
     /// Software versions of the runners that may have received a request since then.
     [[nodiscard]] SoftwareVersionsInUse softwareVersionsSince (base::TimePoint since) const;
     /// Software versions of the runners that may have begun a stream that still goes on.
--- a/src/proxy/ExchangeSoftware.cpp
+++ b/src/proxy/ExchangeSoftware.cpp
@@ -75,7 +75,7 @@
     {
         const bool isUnknown = std::holds_alternative<UnknownSoftwareVersions> (inUse);
         if (! isUnknown || ! waitForSoftwareHistory())
-            refuseUnknownStream();
+            refuseUnknownStream (inUse);
         return false;
     }
     m_historyDeadline.reset();
@@ -101,12 +101,11 @@
     return now() < *m_historyDeadline;
 }
 
-void Exchange::refuseUnknownStream()
+void Exchange::refuseUnknownStream (const SoftwareVersionsInUse& inUse)
 {
     m_historyDeadline.reset();
     ++m_context.counters.unknownStreams;
-    refuse (base::ErrorKind::kNoCapacity, causeOfUnknownStream (softwareVersionsOfStreams()),
-            kRetryElsewhere);
+    refuse (base::ErrorKind::kNoCapacity, causeOfUnknownStream (inUse), kRetryElsewhere);
 }
 
 void Exchange::announceStream()
@@ -126,8 +125,8 @@
     if (m_context.streams.find (notice.key, now()))
         return;
     notice.softwareVersion = m_query.softwareVersion.value_or (m_softwareVersion);
-    notice.lifetime = std::min<base::Duration> (streamLifetime(), StreamVersions::kMaxLifetime);
-    m_context.streams.record (notice.key, notice.softwareVersion, now() + notice.lifetime);
+    notice.lifetime = streamLifetime();
+    m_context.streams.record (notice, now());
     m_context.announceStream (notice);
 }
 
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -226,7 +226,8 @@
     constexpr int kOk = 200;
     constexpr int kNoContent = 204;
     std::string body;
-    std::visit (base::Overloaded{ [this] (const StreamNotice& notice) { onStreamNotice (notice); },
+    std::visit (base::Overloaded{ [this] (const StreamNotice& notice)
+                                  { m_context.streams.record (notice, m_context.clock.now()); },
                                   [&] (const PathNotice& notice)
                                   { onPathNotice (statement.router, notice); },
                                   [&] (const StreamQuery& query)
@@ -240,13 +241,6 @@
     connection.sendAnswer (body.empty() ? kNoContent : kOk, headers, body);
 }
 
-void ProxyServer::onStreamNotice (const StreamNotice& notice)
-{
-    const base::Duration lifetime =
-        std::min<base::Duration> (notice.lifetime, StreamVersions::kMaxLifetime);
-    m_context.streams.record (notice.key, notice.softwareVersion, m_context.clock.now() + lifetime);
-}
-
 std::string ProxyServer::streamPageAfter (const std::string& key) const
 {
     return formatStreamPage (
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -73,7 +73,6 @@
     void onRequest (CallerConnection& connection, ParsedRequest request);
     void onInvalid (CallerConnection& connection, const base::Error& error);
     void onNotice (CallerConnection& connection, const PeerRequest& statement);
-    void onStreamNotice (const StreamNotice& notice);
     /// Streams recorded here, as the body of an answer to another router.
     [[nodiscard]] std::string streamPageAfter (const std::string& key) const;
     void onPathNotice (const std::string& router, const PathNotice& notice);
--- a/src/proxy/StreamFetcher.cpp
+++ b/src/proxy/StreamFetcher.cpp
@@ -87,11 +87,7 @@
         return false;
     const base::TimePoint now = m_clock.now();
     for (const StreamNotice& stream : *page)
-    {
-        const base::Duration lifetime =
-            std::min<base::Duration> (stream.lifetime, StreamVersions::kMaxLifetime);
-        m_streams.record (stream.key, stream.softwareVersion, now + lifetime);
-    }
+        m_streams.record (stream, now);
     m_received += page->size();
     if (page->size() >= kStreamsPerPage)
         ask (call.peer(), page->back().key);
--- a/src/proxy/StreamHistoryBoundTest.cpp
+++ b/src/proxy/StreamHistoryBoundTest.cpp
@@ -144,6 +144,9 @@
         return m_tally;
     }
 
+    /// Whether notices are lost or late.
+    [[nodiscard]] bool hasLoss() const { return m_hasLoss; }
+
 private:
     bool chance (double probability) { return m_random.uniformReal() < probability; }
     std::size_t number (std::int64_t first, std::int64_t last)
@@ -210,11 +213,7 @@
     {
         if (m_hasEarlierControllers)
             return {};
-        cell::SoftwareHistory history{ cell::SoftwareHistory::kWholePast, {} };
-        for (const cell::DepartedSoftwareVersion& departed : m_history.departed())
-            history.departed.push_back (
-                { departed.service, departed.version, time() - departed.lastListedAt });
-        return history;
+        return m_history.statedAt (time());
     }
 
     // Routers.
@@ -332,7 +331,7 @@
         {
             const auto page = from.streams.listAfter (after, kStreamsPerPage, m_now);
             for (const StreamNotice& stream : page)
-                to.streams.record (stream.key, stream.softwareVersion, m_now + stream.lifetime);
+                to.streams.record (stream, m_now);
             if (page.size() < kStreamsPerPage)
                 return;
             after = page.back().key;
@@ -534,20 +533,22 @@
     std::vector<std::unique_ptr<PlayedRouter>> m_routers;
     std::vector<PlayedStream> m_open;
     Tally m_tally;
-
-public:
-    [[nodiscard]] bool hasLoss() const { return m_hasLoss; }
 };
 
-struct Sum
+/// Tally of several seeds.
+struct Sum : Tally
 {
-    std::size_t streams = 0;
-    std::size_t mixed = 0;
-    std::size_t resumable = 0;
-    std::size_t wentOn = 0;
-    std::size_t atNewRouter = 0;  ///< Those first resumed at a router that had just started.
-    std::size_t wentOnAtNewRouter = 0;
     std::size_t seedsAbove = 0;  ///< Seeds with more mixed streams than allowed.
+
+    void add (const Tally& tally)
+    {
+        streams += tally.streams;
+        mixed += tally.mixed;
+        resumable += tally.resumable;
+        wentOn += tally.wentOn;
+        atNewRouter += tally.atNewRouter;
+        wentOnAtNewRouter += tally.wentOnAtNewRouter;
+    }
 };
 
 Sum playSeeds (std::uint64_t first, std::uint64_t seeds, PlantedFault fault)
@@ -560,12 +561,7 @@
         const std::size_t allowed = play.hasLoss() ? kMaxMixed : 0;
         const bool isExpected = fault != PlantedFault::kNone || tally.mixed <= allowed;
         EXPECT_TRUE (isExpected) << "seed " << seed << ": " << tally.mixed;
-        sum.streams += tally.streams;
-        sum.mixed += tally.mixed;
-        sum.resumable += tally.resumable;
-        sum.wentOn += tally.wentOn;
-        sum.atNewRouter += tally.atNewRouter;
-        sum.wentOnAtNewRouter += tally.wentOnAtNewRouter;
+        sum.add (tally);
         sum.seedsAbove += tally.mixed > allowed ? 1 : 0;
     }
     std::cout << sum.streams << " streams, " << sum.mixed << " of two versions, " << sum.wentOn
--- a/src/proxy/StreamVersionBoundTest.cpp
+++ b/src/proxy/StreamVersionBoundTest.cpp
@@ -159,11 +159,7 @@
     /// What controllers state about the past.
     [[nodiscard]] cell::SoftwareHistory softwareHistory() const
     {
-        cell::SoftwareHistory history{ cell::SoftwareHistory::kWholePast, {} };
-        for (const cell::DepartedSoftwareVersion& departed : m_history.departed())
-            history.departed.push_back (
-                { departed.service, departed.version, time() - departed.lastListedAt });
-        return history;
+        return m_history.statedAt (time());
     }
     /// Tables of the other routers may stay behind.
     void syncTable (std::size_t number)
--- a/src/proxy/StreamVersions.cpp
+++ b/src/proxy/StreamVersions.cpp
@@ -1,5 +1,6 @@
 #include "proxy/StreamVersions.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/Digest.h"
@@ -33,6 +34,12 @@
     m_order.pop_front();
 }
 
+void StreamVersions::record (const StreamNotice& notice, base::TimePoint now)
+{
+    const base::Duration lifetime = std::min<base::Duration> (notice.lifetime, kMaxLifetime);
+    record (notice.key, notice.softwareVersion, now + lifetime);
+}
+
 std::optional<std::string> StreamVersions::find (const std::string& key, base::TimePoint now) const
 {
     const auto found = m_streams.find (key);
--- a/src/proxy/StreamVersions.h
+++ b/src/proxy/StreamVersions.h
@@ -38,6 +38,8 @@
 
     /** Records the version of a stream until `expiresAt`. The first record of a key holds. */
     void record (const std::string& key, const std::string& version, base::TimePoint expiresAt);
+    /** The same for a stream that a router states. Its lifetime is cut at kMaxLifetime. */
+    void record (const StreamNotice& notice, base::TimePoint now);
     /** Returns the version of a stream; none if it is not known. */
     [[nodiscard]] std::optional<std::string> find (const std::string& key,
                                                    base::TimePoint now) const;
