Tests: tables with a software history and queries for streams beside earlier builds

A table with a history begins with the bytes of one without, which is what reads, and a table of states no history; a history is read beside rows without versions; a query for streams survives any key.

--- a/src/cell/ReleasedMessagesTest.cpp
+++ b/src/cell/ReleasedMessagesTest.cpp
@@ -280,6 +280,36 @@
     EXPECT_EQ (std::get<InstanceUpdate> (readEarlier.value()).upserts[1].softwareVersion, "");
 }
 
+TEST (ReleasedMessagesTest, TableOfEarlierBuildIsReadWithoutSoftwareHistory)
+{
+    InstanceUpdate update;
+    update.upserts.resize (1);
+    update.upserts[0].softwareVersion = "v2";
+    const std::string earlier = wire::encodeMessage (ControllerToRouter (update));
+    update.softwareHistory = { 9000, { { "service", "v1", 3000 } } };
+    const std::string bytes = wire::encodeMessage (ControllerToRouter (update));
+    EXPECT_TRUE (bytes.starts_with (earlier)) << "earlier builds ignore what follows";
+    const auto read = wire::decodeMessage<ControllerToRouter> (bytes);
+    ASSERT_TRUE (read);
+    EXPECT_EQ (std::get<InstanceUpdate> (read.value()).upserts, update.upserts);
+    EXPECT_EQ (std::get<InstanceUpdate> (read.value()).softwareHistory, update.softwareHistory);
+    const auto readEarlier = wire::decodeMessage<ControllerToRouter> (earlier);
+    ASSERT_TRUE (readEarlier);
+    EXPECT_FALSE (std::get<InstanceUpdate> (readEarlier.value()).softwareHistory.isStated());
+}
+
+TEST (ReleasedMessagesTest, SoftwareHistoryIsReadBesideRowsWithoutVersions)
+{
+    InstanceUpdate update;
+    update.upserts.resize (2);
+    update.softwareHistory = { 9000, {} };
+    const auto read =
+        wire::decodeMessage<ControllerToRouter> (wire::encodeMessage (ControllerToRouter (update)));
+    ASSERT_TRUE (read);
+    EXPECT_EQ (std::get<InstanceUpdate> (read.value()).upserts, update.upserts);
+    EXPECT_EQ (std::get<InstanceUpdate> (read.value()).softwareHistory, update.softwareHistory);
+}
+
 TEST (ReleasedMessagesTest, HeartbeatsOfEarlierRelayAreReadWithoutSoftwareVersions)
 {
     RelayedHeartbeats heartbeats;
--- a/src/proxy/PeerMessageTest.cpp
+++ b/src/proxy/PeerMessageTest.cpp
@@ -90,6 +90,18 @@
     }
 }
 
+TEST (PeerMessageTest, StreamQuerySurvivesAnyKey)
+{
+    for (const char* const after : { "", "0f", "a;b=c %" })
+    {
+        PeerRequest sent{ "r", 1, 7, "" };
+        sent.notice = StreamQuery{ after };
+        http::Headers headers;
+        headers.add (kRequestField, formatPeerRequest (sent));
+        EXPECT_EQ (takePeerRequest (headers).value(), sent);
+    }
+}
+
 TEST (PeerMessageTest, UnknownPathIsInvalid)
 {
     http::Headers headers;
