What a planned stop cuts is logged and counted

- 4040 RequestOpenAtStop, a line for each request that is open when a forwarding router ends (200 at most): its route, runner, last event, time since that event, bytes unsent. 4042 AnswerCut, a line for each connection that is closed before its caller has received the last answer, at the end of the process and 2 s after the close.
- 1002 ProcessStopping of a forwarding router states how many requests and connections are open, 4041 RouterStopEnded why the process ends and how many were cut, by what they were doing.
- Lines that were dropped in the last second of a process are counted in its last lines (reportOmitted).
- Metrics: cut answers, open requests, unsent bytes.

No change in what callers get.

--- a/src/lab/FaultProxyProcess.cpp
+++ b/src/lab/FaultProxyProcess.cpp
@@ -95,6 +95,7 @@
                   { "http_address", httpAddress.toString() } });
     const int exitCode = QCoreApplication::exec();
     log::write (log::Event::kProcessStopped);
+    log::reportOmitted();
     return exitCode;
 }
 
--- a/src/log/LineOutput.cpp
+++ b/src/log/LineOutput.cpp
@@ -36,6 +36,11 @@
     if (second == m_second)
         return;
     m_second = second;
+    closeSecond();
+}
+
+void LineBudget::closeSecond()
+{
     for (const auto& [event, counts] : m_counts)
     {
         if (counts.omitted > 0)
@@ -47,6 +52,17 @@
 std::vector<OmittedLines> LineBudget::takeOmitted (base::TimePoint now)
 {
     advance (now);
+    return takeClosed();
+}
+
+std::vector<OmittedLines> LineBudget::takeAllOmitted()
+{
+    closeSecond();
+    return takeClosed();
+}
+
+std::vector<OmittedLines> LineBudget::takeClosed()
+{
     std::vector<OmittedLines> taken;
     for (const auto& [event, count] : std::exchange (m_omitted, {}))
         taken.push_back ({ event, count });
--- a/src/log/LineOutput.h
+++ b/src/log/LineOutput.h
@@ -35,6 +35,9 @@
     void noteOmitted (Event event);
     /// Removes and returns the omitted lines of past seconds that were not reported yet.
     [[nodiscard]] std::vector<OmittedLines> takeOmitted (base::TimePoint now);
+    /// Removes and returns all omitted lines that were not reported yet, those of the current
+    /// second included.
+    [[nodiscard]] std::vector<OmittedLines> takeAllOmitted();
 
 private:
     struct Counts
@@ -44,6 +47,8 @@
     };
 
     void advance (base::TimePoint now);
+    void closeSecond();
+    std::vector<OmittedLines> takeClosed();
 
     std::int64_t m_second = 0;
     std::map<Event, Counts> m_counts;
--- a/src/log/Log.cpp
+++ b/src/log/Log.cpp
@@ -139,6 +139,11 @@
         const std::lock_guard lock (m_budgetMutex);
         m_budget.noteOmitted (event);
     }
+    std::vector<OmittedLines> takeAllOmitted()
+    {
+        const std::lock_guard lock (m_budgetMutex);
+        return m_budget.takeAllOmitted();
+    }
 
 private:
     std::mutex m_mutex;
@@ -169,6 +174,15 @@
         kEventAttribute, event) << boostlog::add_value (kFieldsAttribute, fields);
 }
 
+void writeOmitted (const std::vector<OmittedLines>& omitted)
+{
+    for (const OmittedLines& lines : omitted)
+    {
+        writeRecord (Event::kLogLinesOmitted, traitsOf (Event::kLogLinesOmitted),
+                     { { "event", traitsOf (lines.event).name }, { "count", lines.count } });
+    }
+}
+
 }  // namespace
 
 std::span<const EventTraits> allEvents() { return kEvents; }
@@ -190,13 +204,11 @@
     const EventTraits& traits = traitsOf (event);
     std::vector<OmittedLines> omitted;
     const bool isAdmitted = output().admit (traits, &omitted);
-    for (const OmittedLines& lines : omitted)
-    {
-        writeRecord (Event::kLogLinesOmitted, traitsOf (Event::kLogLinesOmitted),
-                     { { "event", traitsOf (lines.event).name }, { "count", lines.count } });
-    }
+    writeOmitted (omitted);
     if (isAdmitted)
         writeRecord (event, traits, Fields (fields));
 }
 
+void reportOmitted() { writeOmitted (output().takeAllOmitted()); }
+
 }  // namespace fernlift::log
--- a/src/log/Log.h
+++ b/src/log/Log.h
@@ -91,6 +91,10 @@
 /// text to standard error.
 void initialize (const Options& options);
 
+/// Writes the counts of omitted lines that were not reported yet. Call once before the process
+/// ends, as they are otherwise reported with a later line. Thread-safe.
+void reportOmitted();
+
 /// Writes one event. Thread-safe. Never blocks on the stream: lines above the rate limit of their
 /// event, and lines that the stream does not accept, are dropped and counted.
 void write (Event event, std::initializer_list<Field> fields = {});
--- a/src/log/LogTest.cpp
+++ b/src/log/LogTest.cpp
@@ -113,6 +113,19 @@
     EXPECT_TRUE (budget.admit (ordinary, start + base::seconds (1)));
 }
 
+TEST (LogTest, CountsOmittedLinesOfLastSecondOnce)
+{
+    LineBudget budget;
+    const EventTraits& ordinary = traitsOf (Event::kProcessStarted);
+    const base::TimePoint start{ base::seconds (7) };
+    for (std::uint64_t line = 0; line < LineBudget::kOrdinaryLinesPerSecond + 2; ++line)
+        static_cast<void> (budget.admit (ordinary, start));
+    const auto omitted = budget.takeAllOmitted();
+    ASSERT_EQ (omitted.size(), 1U);
+    EXPECT_EQ (omitted[0].count, 2U);
+    EXPECT_TRUE (budget.takeAllOmitted().empty());
+}
+
 TEST (LogTest, DropsLinesWithoutBlockingOnAFullPipe)
 {
     std::array<int, 2> ends{};
--- a/src/programs/fernlift-controller.cpp
+++ b/src/programs/fernlift-controller.cpp
@@ -94,5 +94,6 @@
     const fernlift::http::SignalWatcher signalWatcher ([&process] { process.beginStop(); }, reload);
     const int exitCode = QCoreApplication::exec();
     log::write (log::Event::kProcessStopped, { { "exit_code", exitCode } });
+    log::reportOmitted();
     return exitCode;
 }
--- a/src/programs/fernlift-router.cpp
+++ b/src/programs/fernlift-router.cpp
@@ -62,6 +62,7 @@
                                                        std::move (onReload));
     const int exitCode = QCoreApplication::exec();
     log::write (log::Event::kProcessStopped, { { "exit_code", exitCode } });
+    log::reportOmitted();
     return exitCode;
 }
 
--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -308,8 +308,11 @@
                         [weak = weak_from_this()]
                         {
                             const auto self = weak.lock();
-                            if (self && ! self->m_isClosed)
-                                self->abort();
+                            if (! self || self->m_isClosed)
+                                return;
+                            if (self->bytesToWrite() > 0)
+                                self->m_handlers.onAnswerCut (*self);
+                            self->abort();
                         });
 }
 
--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -46,6 +46,8 @@
         /// Called for an invalid request; the handler has to answer it.
         std::function<void (CallerConnection& connection, const base::Error& error)> onInvalid;
         std::function<void (CallerConnection& connection)> onClosed;
+        /// Called before a connection is closed whose caller has not received the last answer.
+        std::function<void (const CallerConnection& connection)> onAnswerCut;
     };
 
     CallerConnection (std::unique_ptr<QTcpSocket> socket, CallerLimits limits,
@@ -74,7 +76,11 @@
     void closeIfIdle();
     [[nodiscard]] bool isAnswering() const { return m_hasOpenRequest; }
     [[nodiscard]] bool hasBegunAnswer() const { return m_hasBegunAnswer; }
+    /// Bytes of answers that the system has not taken yet.
     [[nodiscard]] std::size_t bytesToWrite() const;
+    /// Sets the id of the open request, under which an answer that is cut is logged.
+    void setRequestId (std::string id) { m_requestId = std::move (id); }
+    [[nodiscard]] const std::string& requestId() const { return m_requestId; }
     /// Address of the caller without its port.
     [[nodiscard]] std::string peerAddress() const { return m_peerAddress.toString().toStdString(); }
     void setLimits (const CallerLimits& limits);
@@ -97,6 +103,7 @@
     const Handlers& m_handlers;
     RequestParser m_parser;
     std::string m_buffer;
+    std::string m_requestId;  ///< Of the last request.
     bool m_hasOpenRequest = false;
     bool m_hasBegunAnswer = false;
     bool m_isChunked = false;
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -62,6 +62,10 @@
         return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota || m_suspectHoldDeadline
                || m_historyDeadline || m_permitChoice;
     }
+    /// Whether the caller was sent a part of the answer.
+    [[nodiscard]] bool isAnswerBegun() const { return m_isAnswerBegun; }
+    /// Logs that the process ends while the request is open.
+    void logOpenAtStop() const;
     /// Whether the request is served for another router.
     [[nodiscard]] bool isServedForPeer() const { return m_servedPeer.has_value(); }
     /// Sort key of waiting requests: the most urgent priority first, then the earliest arrival.
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -112,6 +112,24 @@
                   { "last_event", m_events ? m_events->lastId().value_or ("") : std::string() } });
 }
 
+void Exchange::logOpenAtStop() const
+{
+    const auto sinceLast = [this] (base::TimePoint time)
+    { return time == base::TimePoint{} ? -1 : base::toMilliseconds (now() - time); };
+    log::write (log::Event::kRequestOpenAtStop,
+                { { "request", m_request.headers.value (m_context.names.requestId) },
+                  { "route", m_route == nullptr ? std::string() : m_route->name },
+                  { "runner", m_instance },
+                  { "forwarded_to", m_peer ? m_peer->router : std::string() },
+                  { "attempts", m_sentAttempts },
+                  { "waits", isWaiting() ? 1 : 0 },
+                  { "answer_begun", m_isAnswerBegun ? 1 : 0 },
+                  { "last_event", m_events ? m_events->lastId().value_or ("") : std::string() },
+                  { "since_event_ms", sinceLast (m_lastEventAt) },
+                  { "unsent_bytes", m_caller.bytesToWrite() },
+                  { "total_ms", sinceLast (m_arrivedAt) } });
+}
+
 void Exchange::logIncompleteStream (const http::EventSplitter& events) const
 {
     log::write (log::Event::kStreamIncomplete,
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -36,6 +36,8 @@
     std::uint64_t answered = 0;  ///< Answers of runners forwarded completely.
     std::uint64_t refused = 0;   ///< Answered as not executed.
     std::uint64_t failed = 0;    ///< Ended without an answer of a runner, possibly after execution.
+    std::uint64_t cutAnswers = 0;    ///< Connections closed before their caller had received the
+                                     ///< last answer.
     std::uint64_t disconnected = 0;  ///< Ended because the caller disconnected.
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -48,6 +48,20 @@
     return settings.cellRetryReserve == 0 ? static_cast<double> (settings.retryReserve) : 0;
 }
 
+const char* toString (StopCause cause)
+{
+    switch (cause)
+    {
+        case StopCause::kDone:
+            return "done";
+        case StopCause::kTimeLimit:
+            return "time limit";
+        case StopCause::kSignal:
+            return "signal";
+    }
+    return "";
+}
+
 }  // namespace
 
 ProxyProcess::ProxyProcess (ProxySettings settings, ProtocolNames names,
@@ -608,10 +622,12 @@
 {
     if (m_stopBegan)
     {
-        finish (0);
+        finish (StopCause::kSignal);
         return;
     }
-    log::write (log::Event::kProcessStopping);
+    log::write (log::Event::kProcessStopping,
+                { { "open_requests", m_server.openExchanges() },
+                  { "open_connections", m_server.openConnections() } });
     m_stopBegan = m_clock.now();
     m_server.beginClosing();
 }
@@ -629,16 +645,28 @@
         m_server.refuseWaiting();
     const bool isDone =
         m_isRefusing && m_server.openExchanges() == 0 && m_server.openConnections() == 0;
-    if (isDone || passed >= m_settings.stopTimeout)
-        finish (0);
+    if (isDone)
+        finish (StopCause::kDone);
+    else if (passed >= m_settings.stopTimeout)
+        finish (StopCause::kTimeLimit);
 }
 
-void ProxyProcess::finish (int exitCode)
+void ProxyProcess::finish (StopCause cause)
 {
     if (std::exchange (m_isFinished, true))
         return;
     m_ticker.stop();
-    m_onFinished (exitCode);
+    const CutAtStop cut = m_server.logOpen();
+    log::write (log::Event::kRouterStopEnded,
+                { { "cause", toString (cause) },
+                  { "stop_ms", base::toMilliseconds (m_clock.now() - *m_stopBegan) },
+                  { "cut_requests", cut.requests() },
+                  { "cut_waiting", cut.waiting },
+                  { "cut_at_runner", cut.atRunner },
+                  { "cut_begun", cut.begun },
+                  { "cut_connections", cut.connections },
+                  { "unsent_bytes", cut.unsentBytes } });
+    m_onFinished (0);
 }
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -33,6 +33,14 @@
 namespace fernlift::proxy
 {
 
+/// Why a planned stop ends the process.
+enum class StopCause : std::uint8_t
+{
+    kDone,  ///< All requests were answered.
+    kTimeLimit,
+    kSignal,  ///< Another signal.
+};
+
 /// Lives on the thread of the Qt event loop.
 class ProxyProcess
 {
@@ -105,7 +113,7 @@
     void handleSuspension();
     void checkStop();
     void createMetrics();
-    void finish (int exitCode);
+    void finish (StopCause cause);
 
     ProxySettings m_settings;
     ProtocolNames m_names;
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -22,6 +22,14 @@
 constexpr std::size_t kPeerFieldBytes = 1024;
 /// Retry-After in seconds; the caller then reaches another router.
 constexpr const char* kRetryElsewhere = "0.05";
+constexpr std::size_t kMaxLoggedAtStop = 200;
+
+void logAnswerCut (const CallerConnection& connection)
+{
+    log::write (log::Event::kAnswerCut, { { "request", connection.requestId() },
+                                          { "caller", connection.peerAddress() },
+                                          { "unsent_bytes", connection.bytesToWrite() } });
+}
 
 }  // namespace
 
@@ -47,6 +55,8 @@
         m_connections.erase (found);
         scheduleSweep();
     };
+    m_handlers.onAnswerCut = [this] (const CallerConnection& connection)
+    { onAnswerCut (connection); };
     m_sweeper.setSingleShot (true);
     QObject::connect (&m_sweeper, &QTimer::timeout, &m_sweeper,
                       [this]
@@ -172,6 +182,7 @@
 
 void ProxyServer::onRequest (CallerConnection& connection, ParsedRequest request)
 {
+    connection.setRequestId (request.headers.value (m_context.names.requestId));
     if (m_isClosing)
         connection.closeAfterAnswer();
     const auto open = m_connections.find (&connection);
@@ -253,6 +264,12 @@
     connection.sendAnswer (response.status, response.headers, response.body);
 }
 
+void ProxyServer::onAnswerCut (const CallerConnection& connection)
+{
+    ++m_context.counters.cutAnswers;
+    logAnswerCut (connection);
+}
+
 void ProxyServer::refuseStopping (CallerConnection& connection)
 {
     http::Response response =
@@ -341,6 +358,38 @@
     m_peerServer.close();
 }
 
+std::uint64_t ProxyServer::unsentBytes() const
+{
+    std::uint64_t bytes = 0;
+    for (const auto& [key, open] : m_connections)
+        bytes += open.connection->bytesToWrite();
+    return bytes;
+}
+
+CutAtStop ProxyServer::logOpen() const
+{
+    CutAtStop cut;
+    cut.unsentBytes = unsentBytes();
+    for (const auto& [connection, exchange] : m_exchanges)
+    {
+        if (cut.requests() < kMaxLoggedAtStop)
+            exchange->logOpenAtStop();
+        if (exchange->isAnswerBegun())
+            ++cut.begun;
+        else
+            ++(exchange->isWaiting() ? cut.waiting : cut.atRunner);
+    }
+    for (const auto& [key, open] : m_connections)
+    {
+        const CallerConnection& connection = *open.connection;
+        if (connection.bytesToWrite() == 0 || m_exchanges.contains (key))
+            continue;
+        if (cut.connections++ < kMaxLoggedAtStop)
+            logAnswerCut (connection);
+    }
+    return cut;
+}
+
 std::size_t ProxyServer::waitingExchanges() const
 {
     return static_cast<std::size_t> (std::ranges::count_if (
--- a/src/proxy/ProxyServer.h
+++ b/src/proxy/ProxyServer.h
@@ -19,6 +19,18 @@
 namespace fernlift::proxy
 {
 
+/// What the end of a process cuts.
+struct CutAtStop
+{
+    std::size_t waiting = 0;      ///< Requests that waited for a runner.
+    std::size_t atRunner = 0;     ///< Requests without a byte of an answer for the caller.
+    std::size_t begun = 0;        ///< Requests whose answer had begun.
+    std::size_t connections = 0;  ///< Connections whose last answer was not written whole.
+    std::uint64_t unsentBytes = 0;
+
+    [[nodiscard]] std::size_t requests() const { return waiting + atRunner + begun; }
+};
+
 class ProxyServer
 {
 public:
@@ -48,11 +60,16 @@
     /// Answers the waiting requests, since a runner found now would be too late.
     void refuseWaiting();
     void stopListening();
+    /// Logs the open requests and the answers that are not written whole, up to a limit, and counts
+    /// them all. Call when the process ends.
+    CutAtStop logOpen() const;
 
     [[nodiscard]] std::size_t openExchanges() const { return m_exchanges.size(); }
     [[nodiscard]] std::size_t waitingExchanges() const;
     /// Notices that other routers probably did not get.
     [[nodiscard]] std::uint64_t lostNotices() const { return m_announcer.lost(); }
+    /// Bytes of answers that the system has not taken yet.
+    [[nodiscard]] std::uint64_t unsentBytes() const;
     [[nodiscard]] std::size_t openConnections() const { return m_connections.size(); }
 
 private:
@@ -72,6 +89,7 @@
     [[nodiscard]] std::size_t peerExchanges() const;
     void onRequest (CallerConnection& connection, ParsedRequest request);
     void onInvalid (CallerConnection& connection, const base::Error& error);
+    void onAnswerCut (const CallerConnection& connection);
     void onNotice (CallerConnection& connection, const PeerRequest& statement);
     /// Streams recorded here, as the body of an answer to another router.
     [[nodiscard]] std::string streamPageAfter (const std::string& key) const;
--- a/src/standin/StandinProcess.cpp
+++ b/src/standin/StandinProcess.cpp
@@ -193,6 +193,7 @@
             const int code = QCoreApplication::exec();
             BOOST_LEAF_CHECK (appendLedger (common.ledgerFile, server->ledgerJson()));
             log::write (log::Event::kProcessStopped);
+            log::reportOmitted();
             return code;
         },
         [] (const base::Error& error)
