--- a/src/http/HttpTestSupport.h
+++ b/src/http/HttpTestSupport.h
@@ -31,7 +31,7 @@
 
 /// Runs the event loop until `condition` holds; returns false if it does not within `guard`.
 inline bool waitUntil (const std::function<bool()>& condition,
-                       std::chrono::seconds guard = std::chrono::seconds (20))
+                       std::chrono::milliseconds guard = std::chrono::seconds (20))
 {
     application();
     const auto limit = std::chrono::steady_clock::now() + guard;
--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -501,6 +501,27 @@
     EXPECT_TRUE (caller.waitFor ("hello"));
 }
 
+TEST_F (ExchangeTest, BrokenLargeAnswerIsNotFollowedByAnotherAnswer)
+{
+    proxy.addRunner ("i-1", runner);
+    proxy.addRunner ("i-2", other);
+    RawCaller caller (proxy.listening);
+    caller.write (ProxyFixture::request ("app.test"));
+    ASSERT_TRUE (
+        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
+    StubRunner& first = runner.connections.empty() ? other : runner;
+    StubRunner& second = runner.connections.empty() ? runner : other;
+    ASSERT_TRUE (first.waitForRequest());
+    first.connections[0]->write ("HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Length: 400000\r\n\r\n"
+                                 + std::string (300'000, 'x'));
+    ASSERT_TRUE (caller.waitFor ("xxx"));
+    first.connections[0]->reset();
+    if (second.waitForRequest())
+        second.connections[0]->write (kAnswer);
+    EXPECT_TRUE (caller.waitForClose());
+    EXPECT_EQ (caller.received().find ("hello"), std::string::npos);
+}
+
 TEST_F (ExchangeTest, ForwardsRefusalAsNotExecutedWithRetryAfter)
 {
     proxy.addRunner ("i-1", runner);
--- a/src/proxy/ProxyProcessTest.cpp
+++ b/src/proxy/ProxyProcessTest.cpp
@@ -129,5 +129,22 @@
     EXPECT_EQ (m_leader.rateMessages, 0U);
 }
 
+TEST_F (ProxyProcessTest, SecondStopSignalLeavesOpenRequestToItsRunner)
+{
+    ASSERT_TRUE (m_process.waitUntilReady());
+    RawCaller caller (m_process.frontAddress());
+    caller.write (test::ProxyFixture::request ("resume.test"));
+    ASSERT_TRUE (m_runner.waitForRequest());
+    m_process.beginStop();
+    runFor (std::chrono::milliseconds (50));
+    m_process.beginStop();
+    runFor (std::chrono::milliseconds (50));
+    EXPECT_FALSE (m_process.hasEnded);
+    m_runner.connections[0]->write (
+        "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Length: 5\r\n\r\nhello");
+    EXPECT_TRUE (caller.waitFor ("hello"));
+    EXPECT_TRUE (test::waitUntil ([&] { return m_process.hasEnded; }));
+}
+
 }  // namespace
 }  // namespace fernlift::proxy
--- a/src/proxy/ProxyProcessTestSupport.h
+++ b/src/proxy/ProxyProcessTestSupport.h
@@ -156,7 +156,7 @@
 public:
     explicit RunningProxy (const base::SocketAddress& leader)
         : m_process (settingsFor (leader), ProxyFixture::testNames(), &parseTestConfiguration,
-                     clock, 1, [] (int) {})
+                     clock, 1, [this] (int) { hasEnded = true; })
     {
         http::test::application();
         base::handleErrors ([&] { return m_process.start(); }, [] (const base::Error&) {});
@@ -166,6 +166,7 @@
         return m_process.frontAddress();
     }
     [[nodiscard]] bool isReady() const { return m_process.isReady(); }
+    void beginStop() { m_process.beginStop(); }
     [[nodiscard]] bool waitUntilReady()
     {
         return waitUntil ([this] { return m_process.isReady(); });
@@ -188,6 +189,7 @@
 
 public:
     SuspendedClock clock;
+    bool hasEnded = false;  ///< Whether a planned stop is complete.
 
 private:
     ProxyProcess m_process;
