The state of one attempt of an exchange is a type of its own

Seventeen members of Exchange belong to the current attempt at a runner or another router. No change in behaviour.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -61,8 +61,8 @@
 
 Exchange::~Exchange()
 {
-    if (m_connection)
-        m_connection->detach();
+    if (m_attempt.connection)
+        m_attempt.connection->detach();
 }
 
 void Exchange::begin()
@@ -301,11 +301,11 @@
 
 void Exchange::onRunnerUnavailable()
 {
-    const bool isUnsent = m_connection && ! m_isAttemptSent && ! m_peer;
+    const bool isUnsent = m_attempt.connection && ! m_attempt.isSent && ! m_attempt.peer;
     if (m_isEnded || ! isUnsent)
         return;
     const bool isIsolated = m_context.reachability.path (now()) == RunnerPath::kIsolated;
-    if (! isIsolated && ! m_context.directory.isUnavailable (m_instance, now()))
+    if (! isIsolated && ! m_context.directory.isUnavailable (m_attempt.instance, now()))
         return;
     endAttempt (AttemptEnd::kAbandoned, false);
     dispatchNext();
@@ -313,13 +313,14 @@
 
 void Exchange::startAttempt (const InstanceChoice& choice)
 {
-    m_address = base::handleErrors ([&] { return base::SocketAddress::parse (choice.address); },
-                                    [] (const base::Error&) { return base::SocketAddress(); });
-    m_peer.reset();
-    m_instance = choice.id;
-    m_instanceStart = m_context.directory.startOf (m_instance);
-    m_softwareVersion = m_context.directory.softwareVersionOf (m_instance);
-    m_prefillTokens = choice.prefillTokens;
+    m_attempt.address =
+        base::handleErrors ([&] { return base::SocketAddress::parse (choice.address); },
+                            [] (const base::Error&) { return base::SocketAddress(); });
+    m_attempt.peer.reset();
+    m_attempt.instance = choice.id;
+    m_attempt.instanceStart = m_context.directory.startOf (m_attempt.instance);
+    m_attempt.softwareVersion = m_context.directory.softwareVersionOf (m_attempt.instance);
+    m_attempt.prefillTokens = choice.prefillTokens;
     AttemptFields fields;
     fields.instance = choice.id;
     fields.timeLeft = timeLeftForAttempt();
@@ -334,9 +335,9 @@
         fields.lastEventId = m_events->lastId();
     ++m_context.counters.attempts;
     m_context.reachability.onAttemptBegin (now());
-    m_context.directory.onAttemptBegin (m_instance, m_prefillTokens, now());
-    m_context.loadReporter.onAttemptBegin (m_instance, m_prefillTokens);
-    m_isPrefillDone = false;
+    m_context.directory.onAttemptBegin (m_attempt.instance, m_attempt.prefillTokens, now());
+    m_context.loadReporter.onAttemptBegin (m_attempt.instance, m_attempt.prefillTokens);
+    m_attempt.isPrefillDone = false;
     if (! m_query.model.empty())
         m_context.demands.onRunning (m_target);
     sendAttempt (requestBytes (m_request, m_context.names, fields));
@@ -349,18 +350,18 @@
 
 void Exchange::sendAttempt (std::string bytes)
 {
-    m_use = AnswerUse::kNone;
-    m_bufferedBody.clear();
-    m_unsplitEvents.reset();
-    m_attemptDeadline = m_deadline;
+    m_attempt.use = AnswerUse::kNone;
+    m_attempt.bufferedBody.clear();
+    m_attempt.unsplitEvents.reset();
+    m_attempt.silenceDeadline = m_deadline;
     http::BackEndConnection::Call call;
     call.bytes = std::move (bytes);
     call.answerHasBody = m_request.method != "HEAD";
     call.requestIdHeader = m_context.names.requestId;
     call.requestId = m_request.headers.value (m_context.names.requestId);
-    m_connection = m_context.pool.acquire (m_address, now());
+    m_attempt.connection = m_context.pool.acquire (m_attempt.address, now());
     armTimer();
-    m_connection->send (std::move (call), this);
+    m_attempt.connection->send (std::move (call), this);
 }
 
 std::uint32_t Exchange::maxAttempts() const
@@ -371,14 +372,14 @@
 
 bool Exchange::isCurrentIncarnation() const
 {
-    return m_context.directory.startOf (m_instance) == m_instanceStart;
+    return m_context.directory.startOf (m_attempt.instance) == m_attempt.instanceStart;
 }
 
 void Exchange::onSent()
 {
     ++m_sentAttempts;
-    m_isAttemptSent = true;
-    m_attemptSentAt = now();
+    m_attempt.isSent = true;
+    m_attempt.sentAt = now();
     extendAttemptDeadline();
     armTimer();
 }
@@ -386,7 +387,7 @@
 void Exchange::extendAttemptDeadline()
 {
     const std::optional<base::Duration> silence = silenceLimit();
-    m_attemptDeadline = silence ? std::min (m_deadline, now() + *silence) : m_deadline;
+    m_attempt.silenceDeadline = silence ? std::min (m_deadline, now() + *silence) : m_deadline;
 }
 
 std::optional<base::Duration> Exchange::silenceLimit() const
@@ -407,7 +408,7 @@
 
 void Exchange::armTimer()
 {
-    base::TimePoint due = std::min (m_deadline, m_attemptDeadline);
+    base::TimePoint due = std::min (m_deadline, m_attempt.silenceDeadline);
     if (m_permitChoice)
         due = m_deadline;
     if (m_isWaiting)
@@ -455,12 +456,13 @@
     }
     if (now() < m_deadline)
     {
-        const bool isSilent = m_connection && m_isAttemptSent && now() >= m_attemptDeadline;
+        const bool isSilent =
+            m_attempt.connection && m_attempt.isSent && now() >= m_attempt.silenceDeadline;
         if (isSilent && mayRunAgain())
         {
             // Idle connections to the runner may have been lost together with this one, although it
             // still accepts new ones.
-            m_context.pool.forget (m_address);
+            m_context.pool.forget (m_attempt.address);
             onAttemptBroken();
             return;
         }
@@ -478,7 +480,7 @@
                 kRetryDelay);
         return;
     }
-    if (m_connection)
+    if (m_attempt.connection)
         endAttempt (AttemptEnd::kAbandoned, false);
     if (m_isAnswerBegun)
     {
@@ -497,15 +499,15 @@
 
 void Exchange::endAttempt (AttemptEnd end, bool mayReuse)
 {
-    std::shared_ptr<http::BackEndConnection> connection = std::move (m_connection);
-    m_connection.reset();
+    std::shared_ptr<http::BackEndConnection> connection = std::move (m_attempt.connection);
+    m_attempt.connection.reset();
     if (! connection)
         return;
     connection->detach();
-    if (std::exchange (m_isAttemptSent, false))
+    if (std::exchange (m_attempt.isSent, false))
         m_mayHaveRun = true;
-    if (m_peer)
-        m_context.peers.onEnd (m_peer->router);
+    if (m_attempt.peer)
+        m_context.peers.onEnd (m_attempt.peer->router);
     else
         recordAttemptEnd (end);
     if (mayReuse)
@@ -517,15 +519,15 @@
     m_context.reachability.onAttemptEnd();
     recordPrefillEnd();
     if (isCurrentIncarnation())
-        m_context.directory.onAttemptEnd (m_instance, end, now());
-    m_context.loadReporter.onAttemptEnd (m_instance);
+        m_context.directory.onAttemptEnd (m_attempt.instance, end, now());
+    m_context.loadReporter.onAttemptEnd (m_attempt.instance);
     if (! m_query.model.empty())
         m_context.demands.onRunEnd (m_target);
 }
 
 void Exchange::onFailed (http::BackEndFailure failure)
 {
-    if (m_peer)
+    if (m_attempt.peer)
     {
         onPeerFailed (failure);
         return;
@@ -534,7 +536,7 @@
     if (failure == http::BackEndFailure::kNotConnected)
     {
         endAttempt (AttemptEnd::kUnreachable, false);
-        m_query.avoidedInstance = m_instance;
+        m_query.avoidedInstance = m_attempt.instance;
         if (! m_query.isolationKey.empty())
             recordIsolationRunnerUnreachable();
         if (++m_unreachableAttempts < kMaxUnreachable)
@@ -560,7 +562,7 @@
 
 void Exchange::onAttemptBroken()
 {
-    if (m_peer)
+    if (m_attempt.peer)
         onPeerFailed (http::BackEndFailure::kClosed);
     else
         failAttempt();
@@ -576,11 +578,11 @@
 void Exchange::recordFailure (http::BackEndFailure failure)
 {
     const bool isWithoutAnswer =
-        failure == http::BackEndFailure::kClosed && m_use == AnswerUse::kNone;
-    const bool isNewConnection = m_connection && ! m_connection->wasUsedBefore();
+        failure == http::BackEndFailure::kClosed && m_attempt.use == AnswerUse::kNone;
+    const bool isNewConnection = m_attempt.connection && ! m_attempt.connection->wasUsedBefore();
     const bool isUnusable =
         failure == http::BackEndFailure::kNotConnected || (isWithoutAnswer && isNewConnection);
-    if (isUnusable && m_context.reachability.onConnectFailed (m_instance, now()))
+    if (isUnusable && m_context.reachability.onConnectFailed (m_attempt.instance, now()))
         m_context.onIsolated();
 }
 
@@ -595,9 +597,9 @@
 
 void Exchange::afterRefusal()
 {
-    m_query.avoidedInstance = m_instance;
+    m_query.avoidedInstance = m_attempt.instance;
     // Another router may have found no runner to send the request to.
-    const bool wasSent = ! m_peer || m_peerAnswer.attempts > 0;
+    const bool wasSent = ! m_attempt.peer || m_attempt.peerAnswer.attempts > 0;
     const bool hasAttempts = wasSent && m_sentAttempts < maxAttempts();
     if (hasAttempts && retryBudget().tryRetry())
     {
@@ -622,15 +624,15 @@
 
 base::Duration Exchange::retryAfterRefusal()
 {
-    if (m_peer)
-        return m_peerRetryAfter.value_or (kRetryDelay);
+    if (m_attempt.peer)
+        return m_attempt.peerRetryAfter.value_or (kRetryDelay);
     const InstanceChoice next = m_context.directory.choose (m_query, now());
     return next.reason == NoRunnerReason::kBackoff ? retryAfterBackoff (next.wait) : kRetryDelay;
 }
 
 void Exchange::afterFailure()
 {
-    m_query.avoidedInstance = m_instance;
+    m_query.avoidedInstance = m_attempt.instance;
     if (m_events)
         m_events->discardIncomplete();
     pinSoftwareVersion();
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -13,13 +13,12 @@
 #include <utility>
 
 #include "base/Error.h"
-#include "base/SocketAddress.h"
 #include "cell/RequestIdentity.h"
 #include "http/AnswerParser.h"
-#include "http/BackEndConnection.h"
 #include "http/EventSplitter.h"
 #include "http/RetryAfter.h"
 #include "log/Log.h"
+#include "proxy/Attempt.h"
 #include "proxy/CallerConnection.h"
 #include "proxy/PeerMessage.h"
 #include "proxy/PeerSearch.h"
@@ -78,18 +77,6 @@
     void onFailed (http::BackEndFailure failure) override;
 
 private:
-    /// Treatment of the answer that is being read.
-    enum class AnswerUse : std::uint8_t
-    {
-        kNone,      ///< No answer head was received yet.
-        kBuffer,    ///< Buffered until complete.
-        kForward,   ///< Forwarded as it arrives.
-        kEvents,    ///< Forwarded event by event.
-        kRefusal,   ///< The runner did not execute the request.
-        kRetry,     ///< The runner failed; the request is sent again.
-        kDeclined,  ///< Another router did not serve the request; nothing was executed.
-    };
-
     [[nodiscard]] base::TimePoint now() const { return m_context.clock.now(); }
     /// Finds the route. Returns false when the request ended or waits for a configuration.
     bool findRoute();
@@ -153,7 +140,7 @@
     void startAttempt (const InstanceChoice& choice);
     /// Time in which the answer to an attempt that begins now has to be complete.
     [[nodiscard]] base::Duration timeLeftForAttempt() const;
-    /// Sends the bytes of an attempt to `m_address`.
+    /// Sends the bytes of the current attempt.
     void sendAttempt (std::string bytes);
     /// Largest number of runners that this router may send the request to.
     [[nodiscard]] std::uint32_t maxAttempts() const;
@@ -302,15 +289,10 @@
     base::TimePoint m_deadline{};
     base::TimePoint m_waitBegan{};
     base::TimePoint m_waitDeadline{};
-    base::Duration m_waited{};       ///< Time spent waiting for runners before the last attempt.
-    base::TimePoint m_answeredAt{};  ///< When the answer head was received.
-    base::TimePoint m_attemptDeadline{};
-    std::uint64_t m_prefillTokens = 0;  ///< Prompt tokens that the runner of the current attempt
-                                        ///< has to process.
-    std::uint32_t m_sentAttempts = 0;   ///< Attempts whose request was written to the runner.
+    base::Duration m_waited{};         ///< Time spent waiting for runners before the last attempt.
+    base::TimePoint m_answeredAt{};    ///< When the answer head was received.
+    std::uint32_t m_sentAttempts = 0;  ///< Attempts whose request was written to the runner.
     std::uint32_t m_unreachableAttempts = 0;  ///< Attempts for which no connection could be opened.
-    bool m_isAttemptSent = false;  ///< Whether the request of the current attempt was written.
-    bool m_isPrefillDone = true;   ///< Whether the answer of the current attempt has begun.
     bool m_mayHaveRun = false;  ///< Whether an attempt ended without a statement that the request
                                 ///< was not executed.
     bool m_isWaiting = false;   ///< Waiting for a runner.
@@ -319,30 +301,17 @@
     bool m_isAnswerBegun = false;
     bool m_isStreamAnnounced = false;
     bool m_isEnded = false;
-    std::string m_instance;
-    base::UnixMilliseconds m_instanceStart = 0;  ///< Start of the incarnation; 0 if not stated.
-    std::string m_softwareVersion;               ///< Of that incarnation; empty if not known.
-    base::SocketAddress m_address;               ///< Address of the instance.
-    bool m_hasBrokenAnswer = false;              ///< Whether a runner broke off an answer.
+    bool m_hasBrokenAnswer = false;  ///< Whether a runner broke off an answer.
     /// Computed on first use.
     mutable std::optional<std::uint64_t> m_fingerprint;
     mutable std::optional<cell::RequestIdentity> m_identity;
     mutable std::optional<std::vector<cell::RequestIdentity>> m_sharedParts;
-    base::TimePoint m_attemptSentAt{};
     /// Until when the request waits for a decision on whether it crashed a runner; none: no wait.
     std::optional<base::TimePoint> m_suspectHoldDeadline;
     std::optional<PeerRequest> m_servedPeer;  ///< Router for which the request is served.
-    std::optional<PeerChoice> m_peer;  ///< Router of the current attempt; none: it is at a runner.
-    PeerAnswer m_peerAnswer;           ///< Statement of that router; set with the answer head.
-    std::optional<base::Duration> m_peerRetryAfter;
     PeerSearch m_peerSearch;
-    std::shared_ptr<http::BackEndConnection> m_connection;
-    AnswerUse m_use = AnswerUse::kNone;
-    http::AnswerHead m_head;
-    std::string m_bufferedBody;
+    Attempt m_attempt;  ///< The current or the last one.
     std::optional<http::EventSplitter> m_events;
-    /// Events of an answer that is not forwarded event by event.
-    std::optional<http::EventSplitter> m_unsplitEvents;
     base::TimePoint m_lastEventAt{};  ///< Last event of any attempt; zero before the first.
     base::Duration m_longestPause{};  ///< Longest gap between two events, logged as a possible sole
                                       ///< cause of a late stream.
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -35,11 +35,11 @@
 
 void Exchange::recordPrefillEnd()
 {
-    if (std::exchange (m_isPrefillDone, true))
+    if (std::exchange (m_attempt.isPrefillDone, true))
         return;
     if (isCurrentIncarnation())
-        m_context.directory.onAnswerBegun (m_instance, m_prefillTokens);
-    m_context.loadReporter.onAnswerBegun (m_instance, m_prefillTokens);
+        m_context.directory.onAnswerBegun (m_attempt.instance, m_attempt.prefillTokens);
+    m_context.loadReporter.onAnswerBegun (m_attempt.instance, m_attempt.prefillTokens);
     if (! m_query.model.empty())
         m_context.demands.onPrefillEnd (m_target);
 }
@@ -51,9 +51,9 @@
     const auto load = parseStatedLoad (head.headers.value (m_context.names.load));
     if (! load || ! isCurrentIncarnation())
         return;
-    m_context.directory.onLoad (m_instance, *load, now());
+    m_context.directory.onLoad (m_attempt.instance, *load, now());
     if (load->slowdownPercent)
-        m_context.loadReporter.onSlowdown (m_instance, *load->slowdownPercent, now());
+        m_context.loadReporter.onSlowdown (m_attempt.instance, *load->slowdownPercent, now());
 }
 
 bool Exchange::isRefusal (const http::AnswerHead& head) const
@@ -67,9 +67,9 @@
     if (head.status == kMisdirected || ! isCurrentIncarnation())
         return;
     RateObservation observation;
-    observation.instance = m_instance;
-    observation.startedAt = m_instanceStart;
-    observation.sentAt = m_attemptSentAt;
+    observation.instance = m_attempt.instance;
+    observation.startedAt = m_attempt.instanceStart;
+    observation.sentAt = m_attempt.sentAt;
     observation.isSuccess = head.status < kFirstServerError && ! isRefusal (head);
     m_context.rates.onAnswer (observation, readStatedRate (head.headers, m_context.names.rateLimit),
                               now());
@@ -80,7 +80,7 @@
     // A misdirected request may have been answered by another instance at the same address.
     if (head.status == kMisdirected)
         return;
-    const cell::Incarnation runner{ m_instance, m_instanceStart };
+    const cell::Incarnation runner{ m_attempt.instance, m_attempt.instanceStart };
     routing::RunnerAvailability& availability = m_context.directory.availability();
     const std::string& leaving = m_context.names.leaving;
     const bool isLeaving = ! leaving.empty() && head.headers.value (leaving) == "1";
@@ -92,7 +92,7 @@
     if (isDeclined)
         recordBackoff (statedBackoff (head));
     else if (head.status < kFirstServerError && ! isRefusal (head))
-        availability.onSuccess (runner, m_attemptSentAt, now());
+        availability.onSuccess (runner, m_attempt.sentAt, now());
 }
 
 http::RetryAfter Exchange::statedBackoff (const http::AnswerHead& head) const
@@ -107,7 +107,7 @@
 
 void Exchange::recordBackoff (const http::RetryAfter& stated)
 {
-    const cell::Incarnation runner{ m_instance, m_instanceStart };
+    const cell::Incarnation runner{ m_attempt.instance, m_attempt.instanceStart };
     routing::RunnerAvailability& availability = m_context.directory.availability();
     std::visit (
         base::Overloaded{ [] (const http::NoRetryAfter&) {},
@@ -128,22 +128,22 @@
     recordAvailability (head);
     recordPrefillEnd();
     recordBytes();
-    if (! m_connection->wasUsedBefore())
-        m_context.reachability.onConnected (m_instance, now());
+    if (! m_attempt.connection->wasUsedBefore())
+        m_context.reachability.onConnected (m_attempt.instance, now());
 }
 
 void Exchange::recordBytes()
 {
-    if (m_peer)
+    if (m_attempt.peer)
         return;
     m_context.reachability.onBytes (now());
     if (isCurrentIncarnation())
-        m_context.directory.onBytes (m_instance, now());
+        m_context.directory.onBytes (m_attempt.instance, now());
 }
 
 http::Headers Exchange::answerHeaders() const
 {
-    http::Headers headers = forwardedAnswerHeaders (m_head.headers, m_context.names);
+    http::Headers headers = forwardedAnswerHeaders (m_attempt.head.headers, m_context.names);
     if (m_servedPeer)
         addPeerAnswer (headers, peerAnswer (PeerOutcome::kAnswered));
     return headers;
@@ -151,45 +151,45 @@
 
 void Exchange::onHead (http::AnswerHead head)
 {
-    if (m_peer)
+    if (m_attempt.peer)
         onPeerHead (head);
     else
         recordHead (head);
     if (! m_isAnswerBegun)
         m_answeredAt = now();
     extendAttemptDeadline();
-    m_head = std::move (head);
-    const bool isDecided = m_peer && m_use != AnswerUse::kNone;
+    m_attempt.head = std::move (head);
+    const bool isDecided = m_attempt.peer && m_attempt.use != AnswerUse::kNone;
     if (isDecided)
         return;
-    if (! m_peer && isRefusal (m_head))
+    if (! m_attempt.peer && isRefusal (m_attempt.head))
     {
-        m_use = AnswerUse::kRefusal;
+        m_attempt.use = AnswerUse::kRefusal;
         return;
     }
     if (m_events)
     {  // A resumed stream keeps the answer head of its first runner.
-        const bool isStream = m_head.status < kFirstErrorStatus;
-        m_use = isStream ? AnswerUse::kEvents : AnswerUse::kRetry;
+        const bool isStream = m_attempt.head.status < kFirstErrorStatus;
+        m_attempt.use = isStream ? AnswerUse::kEvents : AnswerUse::kRetry;
         return;
     }
-    if (m_head.status >= kFirstServerError && mayRunAgain())
+    if (m_attempt.head.status >= kFirstServerError && mayRunAgain())
     {
-        m_use = AnswerUse::kRetry;
+        m_attempt.use = AnswerUse::kRetry;
         return;
     }
-    const bool hasEvents = http::isEventStream (m_head.headers);
+    const bool hasEvents = http::isEventStream (m_attempt.head.headers);
     if (hasEvents && m_route->kind == config::RouteKind::kStream)
     {
-        m_use = AnswerUse::kEvents;
+        m_attempt.use = AnswerUse::kEvents;
         m_events.emplace();
         forwardHead();
         return;
     }
     if (hasEvents)
-        m_unsplitEvents.emplace();
-    const bool isSmall = ! m_head.hasLength || m_head.length <= kMaxBufferedBytes;
-    m_use = isSmall ? AnswerUse::kBuffer : AnswerUse::kForward;
+        m_attempt.unsplitEvents.emplace();
+    const bool isSmall = ! m_attempt.head.hasLength || m_attempt.head.length <= kMaxBufferedBytes;
+    m_attempt.use = isSmall ? AnswerUse::kBuffer : AnswerUse::kForward;
     if (! isSmall)
         forwardHead();
 }
@@ -198,9 +198,9 @@
 {
     m_isAnswerBegun = true;
     // The rest of a resumed stream may have another length than the first runner stated.
-    const bool hasLength = m_head.hasLength && ! m_events;
-    const AnswerFraming framing{ hasLength, hasLength ? m_head.length : 0 };
-    m_caller.beginAnswer (m_head.status, answerHeaders(), framing);
+    const bool hasLength = m_attempt.head.hasLength && ! m_events;
+    const AnswerFraming framing{ hasLength, hasLength ? m_attempt.head.length : 0 };
+    m_caller.beginAnswer (m_attempt.head.status, answerHeaders(), framing);
 }
 
 void Exchange::forwardEvents (std::string_view events)
@@ -217,9 +217,9 @@
     const base::Duration pause = m_lastEventAt - earlier;
     m_longestPause = std::max (m_longestPause, pause);
     // A gap that began in an earlier attempt is not due to this runner.
-    if (earlier >= m_attemptSentAt && ! m_query.model.empty() && ! m_peer)
+    if (earlier >= m_attempt.sentAt && ! m_query.model.empty() && ! m_attempt.peer)
     {
-        m_context.loadReporter.onPause (m_instance, m_query.model, pause, m_events->count(),
+        m_context.loadReporter.onPause (m_attempt.instance, m_query.model, pause, m_events->count(),
                                         m_lastEventAt);
     }
 }
@@ -228,24 +228,24 @@
 {
     recordBytes();
     extendAttemptDeadline();
-    if (m_unsplitEvents)
+    if (m_attempt.unsplitEvents)
     {
-        static_cast<void> (m_unsplitEvents->feed (data));
-        if (isTooLong (*m_unsplitEvents))
+        static_cast<void> (m_attempt.unsplitEvents->feed (data));
+        if (isTooLong (*m_attempt.unsplitEvents))
         {
             onAttemptBroken();
             return;
         }
     }
-    switch (m_use)
+    switch (m_attempt.use)
     {
         case AnswerUse::kBuffer:
-            m_bufferedBody.append (data);
-            if (m_bufferedBody.size() > kMaxBufferedBytes)
+            m_attempt.bufferedBody.append (data);
+            if (m_attempt.bufferedBody.size() > kMaxBufferedBytes)
             {
-                m_use = AnswerUse::kForward;
+                m_attempt.use = AnswerUse::kForward;
                 forwardHead();
-                m_caller.writeBody (std::exchange (m_bufferedBody, {}));
+                m_caller.writeBody (std::exchange (m_attempt.bufferedBody, {}));
             }
             return;
         case AnswerUse::kForward:
@@ -266,18 +266,19 @@
 
 void Exchange::onDone()
 {
-    switch (m_use)
+    switch (m_attempt.use)
     {
         case AnswerUse::kDeclined:
             onPeerDeclined();
             return;
         case AnswerUse::kRefusal:
         {
-            m_isAttemptSent = false;
-            const bool isNotHeld = m_head.status == kMisdirected;
+            m_attempt.isSent = false;
+            const bool isNotHeld = m_attempt.head.status == kMisdirected;
             if (isNotHeld)
             {
-                m_context.directory.onNotHeld (m_instance, m_query.model, m_query.adapter, now());
+                m_context.directory.onNotHeld (m_attempt.instance, m_query.model, m_query.adapter,
+                                               now());
             }
             endAttempt (isNotHeld ? AttemptEnd::kNotHeld : AttemptEnd::kRefused, true);
             // A misdirected request was not executed and does not count as an attempt.
@@ -294,8 +295,8 @@
             finishEvents (*m_events);
             return;
         default:
-            if (m_unsplitEvents)
-                finishEvents (*m_unsplitEvents);
+            if (m_attempt.unsplitEvents)
+                finishEvents (*m_attempt.unsplitEvents);
             else
                 finishAnswer();
     }
@@ -315,26 +316,26 @@
 
 void Exchange::finishAnswer()
 {
-    if (m_use == AnswerUse::kBuffer)
+    if (m_attempt.use == AnswerUse::kBuffer)
     {
-        m_caller.sendAnswer (m_head.status, answerHeaders(), m_bufferedBody);
+        m_caller.sendAnswer (m_attempt.head.status, answerHeaders(), m_attempt.bufferedBody);
     }
     else
     {
         // Only comments are left.
-        if (m_use == AnswerUse::kEvents)
+        if (m_attempt.use == AnswerUse::kEvents)
             m_caller.writeBody (m_events->incompleteBytes());
         m_caller.endAnswer();
     }
-    if (! m_peer && suspectStatus().isSuspect())
+    if (! m_attempt.peer && suspectStatus().isSuspect())
         m_context.suspects.onCompleteAnswer (identity());
     // A runner that answers with an error may not have processed the prompt.
-    if (! m_peer && m_head.status < kFirstErrorStatus)
+    if (! m_attempt.peer && m_attempt.head.status < kFirstErrorStatus)
         clearPromptParts();
-    const bool isFailure = m_head.status >= kFirstServerError;
+    const bool isFailure = m_attempt.head.status >= kFirstServerError;
     endAttempt (isFailure ? AttemptEnd::kFailed : AttemptEnd::kAnswered, true);
     ++m_context.counters.answered;
-    logEnd (log::Event::kRequestAnswered, std::to_string (m_head.status));
+    logEnd (log::Event::kRequestAnswered, std::to_string (m_attempt.head.status));
     end();
 }
 
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -75,22 +75,22 @@
           { "service", m_query.service },
           { "model", m_query.model },
           { "adapter", m_query.adapter },
-          { "runner", m_instance },
-          { "runner_software", m_softwareVersion },
+          { "runner", m_attempt.instance },
+          { "runner_software", m_attempt.softwareVersion },
           { "resumes", resumedRequest().substr (0, kMaxLoggedIdBytes) },
           { "pinned_by", toString (m_pinSource) },
           { "table", m_context.directory.version() },
           { "table_age_ms", m_context.directory.ageMilliseconds (now()) },
           { "attempts", m_sentAttempts },
           { "unreachable", m_unreachableAttempts },
-          { "forwarded_to", m_peer ? m_peer->router : std::string() },
+          { "forwarded_to", m_attempt.peer ? m_attempt.peer->router : std::string() },
           { "forwarded_by", m_servedPeer ? m_servedPeer->router : std::string() },
           { "declined_by_routers", m_peerSearch.declined() },
           { "waited_ms", base::toMilliseconds (m_waited) },
           { "permit_wait_ms", base::toMilliseconds (m_permitWaited) },
           { "target_ms", m_route == nullptr ? -1 : base::toMilliseconds (m_route->targetLatency) },
           { "gap_target_ms", m_route == nullptr ? -1 : base::toMilliseconds (m_route->gapTarget) },
-          { "framing", framingName (m_head) },
+          { "framing", framingName (m_attempt.head) },
           { "head_ms", sinceArrival (m_answeredAt) },
           { "longest_pause_ms", base::toMilliseconds (m_longestPause) },
           { "total_ms", sinceArrival (now()) },
@@ -104,8 +104,8 @@
 {
     log::write (event,
                 { { "request", m_request.headers.value (m_context.names.requestId) },
-                  { "from_runner", m_instance },
-                  { "status", m_head.status },
+                  { "from_runner", m_attempt.instance },
+                  { "status", m_attempt.head.status },
                   { "attempts", m_sentAttempts },
                   { "identity", loggedIdentity() },
                   { "prompt_parts", loggedPromptParts() },
@@ -119,8 +119,8 @@
     log::write (log::Event::kRequestOpenAtStop,
                 { { "request", m_request.headers.value (m_context.names.requestId) },
                   { "route", m_route == nullptr ? std::string() : m_route->name },
-                  { "runner", m_instance },
-                  { "forwarded_to", m_peer ? m_peer->router : std::string() },
+                  { "runner", m_attempt.instance },
+                  { "forwarded_to", m_attempt.peer ? m_attempt.peer->router : std::string() },
                   { "attempts", m_sentAttempts },
                   { "waits", isWaiting() ? 1 : 0 },
                   { "answer_begun", m_isAnswerBegun ? 1 : 0 },
@@ -134,8 +134,8 @@
 {
     log::write (log::Event::kStreamIncomplete,
                 { { "request", m_request.headers.value (m_context.names.requestId) },
-                  { "runner", m_instance },
-                  { "framing", framingName (m_head) },
+                  { "runner", m_attempt.instance },
+                  { "framing", framingName (m_attempt.head) },
                   { "incomplete_bytes", events.incompleteBytes().size() },
                   { "last_event", events.lastId().value_or ("") } });
 }
@@ -205,7 +205,7 @@
         return;
     ++m_context.counters.disconnected;
     logEnd (log::Event::kCallerLeft, "the caller left");
-    if (m_connection)
+    if (m_attempt.connection)
         endAttempt (AttemptEnd::kAbandoned, false);
     end();
 }
--- a/src/proxy/ExchangePeers.cpp
+++ b/src/proxy/ExchangePeers.cpp
@@ -66,13 +66,13 @@
 
 void Exchange::startPeerAttempt (const PeerChoice& peer)
 {
-    m_peer = peer;
-    m_address = peer.address;
-    m_instance.clear();
-    m_instanceStart = 0;
-    m_softwareVersion.clear();
-    m_peerAnswer = {};
-    m_peerRetryAfter.reset();
+    m_attempt.peer = peer;
+    m_attempt.address = peer.address;
+    m_attempt.instance.clear();
+    m_attempt.instanceStart = 0;
+    m_attempt.softwareVersion.clear();
+    m_attempt.peerAnswer = {};
+    m_attempt.peerRetryAfter.reset();
     PeerRequestFields fields;
     fields.statement.router = m_context.router;
     fields.statement.key = peer.key;
@@ -94,48 +94,49 @@
 
 void Exchange::onPeerHead (http::AnswerHead& head)
 {
-    m_peerAnswer = base::handleErrors ([&] { return takePeerAnswer (head.headers); },
-                                       [] (const base::Error&) { return PeerAnswer(); });
-    m_instance = m_peerAnswer.runner;
-    m_softwareVersion = m_peerAnswer.softwareVersion
-                            ? *m_peerAnswer.softwareVersion
-                            : m_context.directory.softwareVersionOf (m_instance);
-    const bool isSent = m_peerAnswer.attempts > 0 || m_peerAnswer.outcome == PeerOutcome::kFailed;
+    m_attempt.peerAnswer = base::handleErrors ([&] { return takePeerAnswer (head.headers); },
+                                               [] (const base::Error&) { return PeerAnswer(); });
+    m_attempt.instance = m_attempt.peerAnswer.runner;
+    m_attempt.softwareVersion = m_attempt.peerAnswer.softwareVersion
+                                    ? *m_attempt.peerAnswer.softwareVersion
+                                    : m_context.directory.softwareVersionOf (m_attempt.instance);
+    const bool isSent =
+        m_attempt.peerAnswer.attempts > 0 || m_attempt.peerAnswer.outcome == PeerOutcome::kFailed;
     if (! isSent)
         --m_sentAttempts;
-    switch (m_peerAnswer.outcome)
+    switch (m_attempt.peerAnswer.outcome)
     {
         case PeerOutcome::kAnswered:
-            m_context.peers.onServing (m_peer->router, now());
+            m_context.peers.onServing (m_attempt.peer->router, now());
             return;
         case PeerOutcome::kRefused:
-            m_use = AnswerUse::kRefusal;
+            m_attempt.use = AnswerUse::kRefusal;
             if (const http::RetryAfter stated = http::readRetryAfter (head.headers);
                 const auto* delay = std::get_if<http::RetryAfterDelay> (&stated))
-                m_peerRetryAfter = delay->delay;
+                m_attempt.peerRetryAfter = delay->delay;
             return;
         case PeerOutcome::kFailed:
-            m_use = AnswerUse::kRetry;
+            m_attempt.use = AnswerUse::kRetry;
             return;
         case PeerOutcome::kUnreachable:
         case PeerOutcome::kUnavailable:
-            m_use = AnswerUse::kDeclined;
+            m_attempt.use = AnswerUse::kDeclined;
             return;
     }
 }
 
 void Exchange::onPeerDeclined()
 {
-    m_isAttemptSent = false;
+    m_attempt.isSent = false;
     endAttempt (AttemptEnd::kAbandoned, true);
     ++m_context.counters.declinedByPeers;
     PeerDecline reason = PeerDecline::kNoRunner;
-    if (m_peerAnswer.isIsolated)
+    if (m_attempt.peerAnswer.isIsolated)
         reason = PeerDecline::kIsolated;
-    else if (m_peerAnswer.outcome == PeerOutcome::kUnavailable)
+    else if (m_attempt.peerAnswer.outcome == PeerOutcome::kUnavailable)
         reason = PeerDecline::kUnavailable;
-    m_peerSearch.onDeclined (m_context.peers, m_peer->router, reason, peerTarget(), now());
-    m_peer.reset();
+    m_peerSearch.onDeclined (m_context.peers, m_attempt.peer->router, reason, peerTarget(), now());
+    m_attempt.peer.reset();
     dispatchNext();
 }
 
@@ -143,10 +144,10 @@
 {
     const bool isUnsent = failure == http::BackEndFailure::kNotConnected;
     // A router whose runner broke off in the middle of an answer may serve the rest of it.
-    const bool hasBegunAnswer = m_peerAnswer.outcome == PeerOutcome::kAnswered;
+    const bool hasBegunAnswer = m_attempt.peerAnswer.outcome == PeerOutcome::kAnswered;
     if (! hasBegunAnswer)
     {
-        m_peerSearch.onDeclined (m_context.peers, m_peer->router,
+        m_peerSearch.onDeclined (m_context.peers, m_attempt.peer->router,
                                  isUnsent ? PeerDecline::kUnreachable : PeerDecline::kFailed,
                                  peerTarget(), now());
     }
@@ -156,7 +157,7 @@
         afterFailure();
         return;
     }
-    m_peer.reset();
+    m_attempt.peer.reset();
     dispatchNext();
 }
 
@@ -197,8 +198,8 @@
     PeerAnswer answer;
     answer.outcome = outcome;
     answer.attempts = std::min<std::uint32_t> (m_sentAttempts, 1);
-    answer.runner = m_instance;
-    answer.softwareVersion = m_softwareVersion;
+    answer.runner = m_attempt.instance;
+    answer.softwareVersion = m_attempt.softwareVersion;
     answer.isIsolated = m_context.reachability.path (now()) != RunnerPath::kOpen;
     return answer;
 }
--- a/src/proxy/ExchangeQuarantine.cpp
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -158,7 +158,7 @@
         dispatchNext();
         return;
     }
-    if (! m_connection)
+    if (! m_attempt.connection)
         return;
     const quarantine::SuspectStatus known = suspectStatus();
     if (! known.isInQuarantine())
@@ -171,18 +171,20 @@
 {
     m_hasBrokenAnswer = true;
     // The end of a draining runner is planned and not caused by this request.
-    if (! m_isAttemptSent || m_context.directory.isDraining (m_instance, now()))
+    if (! m_attempt.isSent || m_context.directory.isDraining (m_attempt.instance, now()))
         return;
-    const std::string incarnation = cell::Incarnation{ m_instance, m_instanceStart }.name();
-    m_context.suspects.onAnswerInterrupted (identity(), incarnation, m_attemptSentAt, now());
+    const std::string incarnation =
+        cell::Incarnation{ m_attempt.instance, m_attempt.instanceStart }.name();
+    m_context.suspects.onAnswerInterrupted (identity(), incarnation, m_attempt.sentAt, now());
     for (const cell::RequestIdentity& part : sharedPartIdentities())
-        m_context.suspects.onAnswerInterrupted (part, incarnation, m_attemptSentAt, now());
-    m_context.checkRunner (incarnation, m_address);
+        m_context.suspects.onAnswerInterrupted (part, incarnation, m_attempt.sentAt, now());
+    m_context.checkRunner (incarnation, m_attempt.address);
 }
 
 void Exchange::recordIsolationRunnerUnreachable()
 {
-    const std::string incarnation = cell::Incarnation{ m_instance, m_instanceStart }.name();
+    const std::string incarnation =
+        cell::Incarnation{ m_attempt.instance, m_attempt.instanceStart }.name();
     m_context.suspects.onIsolationRunnerUnreachable (identity(), incarnation, now());
 }
 
--- a/src/proxy/ExchangeSoftware.cpp
+++ b/src/proxy/ExchangeSoftware.cpp
@@ -38,11 +38,11 @@
     const bool hasEvents = m_lastEventAt != base::TimePoint{};
     if (! hasEvents || (m_query.softwareVersion && ! m_query.softwareVersion->empty()))
         return;
-    std::string version = m_softwareVersion;
+    std::string version = m_attempt.softwareVersion;
     // The version may have become known after the attempt began.
     if (version.empty())
-        version = m_context.directory.softwareVersionOf (m_instance);
-    if (version.empty() && ! m_peer)
+        version = m_context.directory.softwareVersionOf (m_attempt.instance);
+    if (version.empty() && ! m_attempt.peer)
         version = onlyVersionIn (softwareVersionsSince (m_arrivedAt)).value_or ("");
     m_query.softwareVersion = version;
 }
@@ -113,7 +113,7 @@
     const bool hasEvents = m_lastEventAt != base::TimePoint{};
     if (! hasEvents || m_isStreamAnnounced || m_servedPeer || ! m_route->isResumable)
         return;
-    if (m_softwareVersion.empty() || ! needsNotice (softwareVersionsOfStreams()))
+    if (m_attempt.softwareVersion.empty() || ! needsNotice (softwareVersionsOfStreams()))
         return;
     m_isStreamAnnounced = true;
     const std::string resumed = resumedRequest();
@@ -124,7 +124,7 @@
     // The router that began a resumed stream has announced it if its version is known.
     if (m_context.streams.find (notice.key, now()))
         return;
-    notice.softwareVersion = m_query.softwareVersion.value_or (m_softwareVersion);
+    notice.softwareVersion = m_query.softwareVersion.value_or (m_attempt.softwareVersion);
     notice.lifetime = streamLifetime();
     m_context.streams.record (notice, now());
     m_context.announceStream (notice);
