A large answer that broke off is not followed by the answer of another runner

What callers saw: on a repeatable route, an answer above 256 KiB whose runner broke off in the middle was filled up with the head and the body of a second runner's answer (ExchangeTest.BrokenLargeAnswerIsNotFollowedByAnotherAnswer received 'hello' of the second runner within the 400,000 bytes of the first one).

Cause: mayRunAgain asked whether the route may be repeated, not whether the caller already has a part of an answer that can't be taken up. Streams can, after their last event; other answers can't.

Change: a begun answer without events is not requested again; its connection is closed, as on other routes.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -588,6 +588,9 @@
 
 bool Exchange::mayRunAgain()
 {
+    const bool isResumable = ! m_isAnswerBegun || m_events;
+    if (! isResumable)
+        return false;
     if (! m_route->isRepeatable() || m_sentAttempts >= maxAttempts())
         return false;
     if (now() >= m_deadline)
