A silent runner keeps its stream until another one has begun the rest

What callers saw: a stream whose runner was silent for longer than the limit (800 ms at least) broke off, although its runner went on 0.4 to 2 s later, when no other runner took the rest: no connection opened, all declined (503, 429), all backed off, none of the software version was left, other routers declined, or the router was about to stop.

Cause: Exchange::onTimer ended the silent attempt first and looked for another runner then. Each way in which the search could fail ended an answer that its runner would have completed.

Change: the silent attempt is kept beside the search and beside the attempt at another runner (ExchangeSilence.cpp). - It is ended once the other has sent the head of the rest, or has not declined for 250 ms (the users allow 400 ms for two runners at one request); the incomplete event of the silent one is dropped with it. - Bytes of the silent one come first: the other attempt, or the wait for it, is given up. No event comes twice, as only one attempt at a time feeds the events. - Without another runner the answer waits for the silent one. A retry that was never sent goes back to the budget. - At the same runner, as when there is only one, the first attempt ends only with the head of the second: that a silent runner has not declined shows nothing.

What may still end a begun answer (abortAnswer, by its callers): the deadline; quarantine of the request, whose runners crash; a runner that broke off, when nothing takes the rest.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -38,6 +38,8 @@
     return true;
 }
 
+void RetryBudget::returnRetry() { m_balance = std::min (m_balance + 1, m_limit); }
+
 void RetryBudget::chargeRetry() { m_balance = std::max (m_balance - 1, 0.0); }
 
 ServiceRetryBudgets::ServiceRetryBudgets (double share, double reserve)
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -30,6 +30,8 @@
     [[nodiscard]] bool allowsRetry() const { return m_balance >= 1; }
     /// Takes one retry from the budget; false if the budget is spent.
     bool tryRetry();
+    /// Gives back a retry that was taken and not made.
+    void returnRetry();
     /// Takes one retry from the budget; an empty budget stays empty. For retries that are made
     /// whether or not the budget allows them.
     void chargeRetry();
--- a/src/http/BackEndConnection.h
+++ b/src/http/BackEndConnection.h
@@ -68,6 +68,8 @@
 
     /// `listener` must stay valid until the answer has ended or detach() is called.
     void send (Call call, AnswerListener* listener);
+    /// Delivers the rest of the answer to `listener`, to which the same applies as in send().
+    void setListener (AnswerListener& listener) { m_listener = &listener; }
     /// Stops calls to the listener; the connection is reusable only if its answer was complete.
     void detach();
     /// Stops or resumes reading from the connection until detach(). Up to the bytes of one read may
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -24,16 +24,6 @@
 /// Subtracted from the deadline that is sent to the runner, so that its answer still arrives in
 /// time.
 constexpr base::Duration kAnswerTransit = base::milliseconds (5);
-/// A repeatable request is sent to another runner after this multiple of its target latency without
-/// bytes from the runner.
-constexpr int kSilenceInTargets = 2;
-constexpr base::Duration kMinStreamSilence = base::milliseconds (800);
-/// A resumable stream without a first event is resumed elsewhere after this time. The prefill of
-/// 50,000 tokens takes 1.3 s at the 38 tokens per millisecond of known engines. A longer limit,
-/// such as half the target latency (1.5 to 3 s), serves callers no better and detects a crashed
-/// runner later.
-constexpr base::Duration kMaxFirstEventDelay = base::milliseconds (1500);
-constexpr base::Duration kMinSilence = base::milliseconds (150);
 
 }  // namespace
 
@@ -63,6 +53,8 @@
 {
     if (m_attempt.connection)
         m_attempt.connection->detach();
+    if (m_silentAttempt)
+        m_silentAttempt->connection->detach();
 }
 
 void Exchange::begin()
@@ -370,45 +362,26 @@
     return m_servedPeer ? 1 : m_route->maximumAttempts;
 }
 
-bool Exchange::isCurrentIncarnation() const
+bool Exchange::isCurrentIncarnation (const Attempt& attempt) const
 {
-    return m_context.directory.startOf (m_attempt.instance) == m_attempt.instanceStart;
+    return m_context.directory.startOf (attempt.instance) == attempt.instanceStart;
 }
 
 void Exchange::onSent()
 {
     ++m_sentAttempts;
     m_attempt.isSent = true;
+    m_isRestSent = true;
     m_attempt.sentAt = now();
-    extendAttemptDeadline();
+    extendSilenceDeadline();
     armTimer();
 }
 
-void Exchange::extendAttemptDeadline()
-{
-    const std::optional<base::Duration> silence = silenceLimit();
-    m_attempt.silenceDeadline = silence ? std::min (m_deadline, now() + *silence) : m_deadline;
-}
-
-std::optional<base::Duration> Exchange::silenceLimit() const
-{
-    const bool mayTryElsewhere = m_route->isRepeatable() && m_sentAttempts < maxAttempts();
-    if (! mayTryElsewhere)
-        return std::nullopt;
-    if (m_route->kind == config::RouteKind::kRepeatable)
-    {
-        return std::max<base::Duration> (m_route->targetLatency * kSilenceInTargets, kMinSilence);
-    }
-    if (m_isAnswerBegun)
-    {
-        return std::max<base::Duration> (m_route->gapTarget * kSilenceInTargets, kMinStreamSilence);
-    }
-    return kMaxFirstEventDelay;
-}
-
 void Exchange::armTimer()
 {
     base::TimePoint due = std::min (m_deadline, m_attempt.silenceDeadline);
+    if (const auto until = overlapEnd())
+        due = std::min (due, *until);
     if (m_permitChoice)
         due = m_deadline;
     if (m_isWaiting)
@@ -456,19 +429,19 @@
     }
     if (now() < m_deadline)
     {
+        const std::optional<base::TimePoint> until = overlapEnd();
+        if (until && now() >= *until)
+            endSilentAttempt (AttemptEnd::kFailed);
         const bool isSilent =
             m_attempt.connection && m_attempt.isSent && now() >= m_attempt.silenceDeadline;
         if (isSilent && mayRunAgain())
         {
-            // Idle connections to the runner may have been lost together with this one, although it
-            // still accepts new ones.
-            m_context.pool.forget (m_attempt.address);
-            onAttemptBroken();
+            onSilence();
             return;
         }
         // Without another attempt the late answer of this runner is the only one to expect.
         if (isSilent)
-            extendAttemptDeadline();
+            extendSilenceDeadline();
         armTimer();
         return;
     }
@@ -497,30 +470,30 @@
     }
 }
 
-void Exchange::endAttempt (AttemptEnd end, bool mayReuse)
+void Exchange::endAttempt (Attempt& attempt, AttemptEnd end, bool mayReuse)
 {
-    std::shared_ptr<http::BackEndConnection> connection = std::move (m_attempt.connection);
-    m_attempt.connection.reset();
+    std::shared_ptr<http::BackEndConnection> connection = std::move (attempt.connection);
+    attempt.connection.reset();
     if (! connection)
         return;
     connection->detach();
-    if (std::exchange (m_attempt.isSent, false))
+    if (std::exchange (attempt.isSent, false))
         m_mayHaveRun = true;
-    if (m_attempt.peer)
-        m_context.peers.onEnd (m_attempt.peer->router);
+    if (attempt.peer)
+        m_context.peers.onEnd (attempt.peer->router);
     else
-        recordAttemptEnd (end);
+        recordAttemptEnd (attempt, end);
     if (mayReuse)
         m_context.pool.release (std::move (connection), now());
 }
 
-void Exchange::recordAttemptEnd (AttemptEnd end)
+void Exchange::recordAttemptEnd (Attempt& attempt, AttemptEnd end)
 {
     m_context.reachability.onAttemptEnd();
-    recordPrefillEnd();
-    if (isCurrentIncarnation())
-        m_context.directory.onAttemptEnd (m_attempt.instance, end, now());
-    m_context.loadReporter.onAttemptEnd (m_attempt.instance);
+    recordPrefillEnd (attempt);
+    if (isCurrentIncarnation (attempt))
+        m_context.directory.onAttemptEnd (attempt.instance, end, now());
+    m_context.loadReporter.onAttemptEnd (attempt.instance);
     if (! m_query.model.empty())
         m_context.demands.onRunEnd (m_target);
 }
@@ -545,7 +518,7 @@
         }
         else if (m_isAnswerBegun)
         {
-            abortAnswer();
+            endBegunAnswer();
         }
         else if (m_mayHaveRun)
         {
@@ -612,7 +585,7 @@
     }
     else if (m_isAnswerBegun)
     {
-        abortAnswer();
+        endBegunAnswer();
     }
     else if (m_mayHaveRun)
     {
@@ -636,7 +609,7 @@
 void Exchange::afterFailure()
 {
     m_query.avoidedInstance = m_attempt.instance;
-    if (m_events)
+    if (m_events && ! m_silentAttempt)
         m_events->discardIncomplete();
     pinSoftwareVersion();
     const bool mayGoOn = mayRunAgain() && retryBudget().tryRetry();
@@ -648,7 +621,7 @@
     }
     else if (m_isAnswerBegun)
     {
-        abortAnswer();
+        endBegunAnswer();
     }
     else
     {
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -77,6 +77,22 @@
     void onFailed (http::BackEndFailure failure) override;
 
 private:
+    /// Receives the answer of the silent attempt.
+    class SilentAttemptListener final : public http::AnswerListener
+    {
+    public:
+        explicit SilentAttemptListener (Exchange& exchange) : m_exchange (exchange) {}
+
+        void onSent() override {}
+        void onHead (http::AnswerHead head) override;
+        void onBody (std::string_view data) override;
+        void onDone() override;
+        void onFailed (http::BackEndFailure failure) override;
+
+    private:
+        Exchange& m_exchange;
+    };
+
     [[nodiscard]] base::TimePoint now() const { return m_context.clock.now(); }
     /// Finds the route. Returns false when the request ended or waits for a configuration.
     bool findRoute();
@@ -174,18 +190,37 @@
     [[nodiscard]] std::string peerTarget() const;
 
     /// Whether the table still lists the incarnation that the attempt was sent to.
-    [[nodiscard]] bool isCurrentIncarnation() const;
+    [[nodiscard]] bool isCurrentIncarnation (const Attempt& attempt) const;
+
+    // ExchangeSilence.cpp
     /// Restarts the silence limit of the attempt, after the request was sent or bytes were
     /// received.
-    void extendAttemptDeadline();
+    void extendSilenceDeadline();
     /// Silence after which the request is sent to another runner; none when it may not be sent
     /// again.
     [[nodiscard]] std::optional<base::Duration> silenceLimit() const;
+    void onSilence();
+    /// Requests the rest of a begun answer from another runner. The silent attempt goes on until
+    /// that runner has begun.
+    void requestRestElsewhere();
+    /// Time until which the silent attempt and one without an answer yet may work side by side;
+    /// none: there are no two.
+    [[nodiscard]] std::optional<base::TimePoint> overlapEnd() const;
+    void endSilentAttempt (AttemptEnd end);
+    /// Makes the silent attempt the current one again and gives up the other, or the wait for it.
+    void returnToSilentAttempt();
+    /// Called when bytes of the silent attempt were received.
+    void goOnAtSilentRunner();
+    /// Lets a begun answer wait for its silent runner, as no other one takes the rest. Returns
+    /// false when there is no silent attempt.
+    bool waitForSilentRunner();
+
     void armTimer();
     /// Ends a request for which no runner was found before the wait deadline.
     void onWaitTimeout();
-    /// Ends the attempt. With `mayReuse` its connection goes back to the pool.
-    void endAttempt (AttemptEnd end, bool mayReuse);
+    /// Ends the current attempt. With `mayReuse` its connection goes back to the pool.
+    void endAttempt (AttemptEnd end, bool mayReuse) { endAttempt (m_attempt, end, mayReuse); }
+    void endAttempt (Attempt& attempt, AttemptEnd end, bool mayReuse);
     /// Retries that the service of the request may still get from this router.
     [[nodiscard]] dispatch::RetryBudget& retryBudget()
     {
@@ -221,7 +256,7 @@
     /// Records what the head of a runner's answer shows about the runner.
     void recordHead (const http::AnswerHead& head);
     void recordBytes();
-    void recordAttemptEnd (AttemptEnd end);
+    void recordAttemptEnd (Attempt& attempt, AttemptEnd end);
     /// Ends an attempt that gives no whole answer although its connection did not fail: it was
     /// silent for too long, or its stream ended inside an event.
     void onAttemptBroken();
@@ -231,7 +266,7 @@
     void failAttempt();
     /// Records whether the failed attempt shows that connections to the runner fail.
     void recordFailure (http::BackEndFailure failure);
-    void recordPrefillEnd();
+    void recordPrefillEnd (Attempt& attempt);
     void recordLoad (const http::AnswerHead& head);
     void recordRate (const http::AnswerHead& head);
     void recordAvailability (const http::AnswerHead& head);
@@ -262,6 +297,8 @@
     [[nodiscard]] std::string loggedIdentity() const;
     /// Digests of the shared parts of the prompt; empty unless a runner broke off an answer.
     [[nodiscard]] std::string loggedPromptParts() const;
+    /// Ends a begun answer that no runner can complete, unless its silent runner may still.
+    void endBegunAnswer();
     void abortAnswer();
     void end();
 
@@ -311,6 +348,11 @@
     std::optional<PeerRequest> m_servedPeer;  ///< Router for which the request is served.
     PeerSearch m_peerSearch;
     Attempt m_attempt;  ///< The current or the last one.
+    /// Attempt whose runner is silent in the middle of the answer, while the rest is requested from
+    /// another one; `m_attempt` is the one at that runner, or there is none yet.
+    std::optional<Attempt> m_silentAttempt;
+    SilentAttemptListener m_silentListener{ *this };
+    bool m_isRestSent = false;  ///< Whether the rest was requested since then.
     std::optional<http::EventSplitter> m_events;
     base::TimePoint m_lastEventAt{};  ///< Last event of any attempt; zero before the first.
     base::Duration m_longestPause{};  ///< Longest gap between two events, logged as a possible sole
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -33,13 +33,13 @@
 
 }  // namespace
 
-void Exchange::recordPrefillEnd()
+void Exchange::recordPrefillEnd (Attempt& attempt)
 {
-    if (std::exchange (m_attempt.isPrefillDone, true))
+    if (std::exchange (attempt.isPrefillDone, true))
         return;
-    if (isCurrentIncarnation())
-        m_context.directory.onAnswerBegun (m_attempt.instance, m_attempt.prefillTokens);
-    m_context.loadReporter.onAnswerBegun (m_attempt.instance, m_attempt.prefillTokens);
+    if (isCurrentIncarnation (attempt))
+        m_context.directory.onAnswerBegun (attempt.instance, attempt.prefillTokens);
+    m_context.loadReporter.onAnswerBegun (attempt.instance, attempt.prefillTokens);
     if (! m_query.model.empty())
         m_context.demands.onPrefillEnd (m_target);
 }
@@ -49,7 +49,7 @@
     if (m_context.names.load.empty())
         return;
     const auto load = parseStatedLoad (head.headers.value (m_context.names.load));
-    if (! load || ! isCurrentIncarnation())
+    if (! load || ! isCurrentIncarnation (m_attempt))
         return;
     m_context.directory.onLoad (m_attempt.instance, *load, now());
     if (load->slowdownPercent)
@@ -64,7 +64,7 @@
 void Exchange::recordRate (const http::AnswerHead& head)
 {
     // A misdirected request may have been answered by another instance at the same address.
-    if (head.status == kMisdirected || ! isCurrentIncarnation())
+    if (head.status == kMisdirected || ! isCurrentIncarnation (m_attempt))
         return;
     RateObservation observation;
     observation.instance = m_attempt.instance;
@@ -126,7 +126,7 @@
     recordLoad (head);
     recordRate (head);
     recordAvailability (head);
-    recordPrefillEnd();
+    recordPrefillEnd (m_attempt);
     recordBytes();
     if (! m_attempt.connection->wasUsedBefore())
         m_context.reachability.onConnected (m_attempt.instance, now());
@@ -137,7 +137,7 @@
     if (m_attempt.peer)
         return;
     m_context.reachability.onBytes (now());
-    if (isCurrentIncarnation())
+    if (isCurrentIncarnation (m_attempt))
         m_context.directory.onBytes (m_attempt.instance, now());
 }
 
@@ -157,7 +157,7 @@
         recordHead (head);
     if (! m_isAnswerBegun)
         m_answeredAt = now();
-    extendAttemptDeadline();
+    extendSilenceDeadline();
     m_attempt.head = std::move (head);
     const bool isDecided = m_attempt.peer && m_attempt.use != AnswerUse::kNone;
     if (isDecided)
@@ -171,6 +171,8 @@
     {  // A resumed stream keeps the answer head of its first runner.
         const bool isStream = m_attempt.head.status < kFirstErrorStatus;
         m_attempt.use = isStream ? AnswerUse::kEvents : AnswerUse::kRetry;
+        if (isStream)
+            endSilentAttempt (AttemptEnd::kFailed);
         return;
     }
     if (m_attempt.head.status >= kFirstServerError && mayRunAgain())
@@ -227,7 +229,7 @@
 void Exchange::onBody (std::string_view data)
 {
     recordBytes();
-    extendAttemptDeadline();
+    extendSilenceDeadline();
     if (m_attempt.unsplitEvents)
     {
         static_cast<void> (m_attempt.unsplitEvents->feed (data));
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -158,7 +158,7 @@
                                  base::Duration retryAfter)
 {
     if (m_isAnswerBegun)
-        abortAnswer();
+        endBegunAnswer();
     else if (m_mayHaveRun)
         fail (ErrorKind::kUpstreamBroken, "no other runner could take the request in time");
     else
@@ -179,6 +179,12 @@
     end();
 }
 
+void Exchange::endBegunAnswer()
+{
+    if (! waitForSilentRunner())
+        abortAnswer();
+}
+
 void Exchange::abortAnswer()
 {
     ++m_context.counters.failed;
@@ -192,7 +198,7 @@
     if (m_isEnded || ! isWaiting())
         return;
     if (m_isAnswerBegun)
-        abortAnswer();
+        endBegunAnswer();
     else if (m_mayHaveRun)
         fail (ErrorKind::kUpstreamBroken, "this router is stopping");
     else
@@ -215,6 +221,7 @@
     if (std::exchange (m_isEnded, true))
         return;
     m_timer.stop();
+    endSilentAttempt (AttemptEnd::kAbandoned);
     m_context.quotas.giveUp (m_quota);
     m_permitChoice.reset();
     m_context.rates.giveUp (m_permit);
