A planned stop goes on at further signals

Cause: beginStop, called again, was an order to end at once, at every program. A service manager that signals a whole group, or an operator who repeats a command, cut what the stop was there to finish.

Change: SignalWatcher begins the stop at the first SIGTERM or SIGINT and logs every later signal (1009); SIGHUP still reloads. beginStop of controllers, both routers and the stand-ins has no effect when called again. To end a process at once there is SIGKILL.

--- a/src/controller/ControllerProcess.cpp
+++ b/src/controller/ControllerProcess.cpp
@@ -433,10 +433,7 @@
 void ControllerProcess::beginStop()
 {
     if (m_stopDeadline)
-    {
-        finish (0);
         return;
-    }
     log::write (log::Event::kProcessStopping);
     m_stopDeadline = m_clock.now() + m_settings.stopTimeout;
     m_admin.stopListening();
--- a/src/controller/ControllerProcess.h
+++ b/src/controller/ControllerProcess.h
@@ -47,8 +47,8 @@
     base::Result<void> start();
     /// Applies the settings that may change while the process runs: the seeds.
     void reload (const ControllerSettings& changed) { m_settings.seeds = changed.seeds; }
-    /// Begins a planned stop: transfers leadership and answers the pending requests. A second call
-    /// ends the process at once.
+    /// Begins a planned stop: transfers leadership and answers the pending requests. Further calls
+    /// have no effect.
     void beginStop();
 
 private:
--- a/src/http/SignalWatcher.cpp
+++ b/src/http/SignalWatcher.cpp
@@ -10,6 +10,8 @@
 #include <csignal>
 #include <utility>
 
+#include "log/Log.h"
+
 namespace fernlift::http
 {
 namespace
@@ -74,19 +76,24 @@
     void drainPipe()
     {
         std::array<char, 16> bytes{};
-        bool mustStop = false;
-        bool mustReload = false;
         for (ssize_t count = 0; (count = ::read (m_ends[0], bytes.data(), bytes.size())) > 0;)
         {
             for (ssize_t index = 0; index < count; ++index)
-            {
-                const bool isReload = bytes.at (static_cast<std::size_t> (index)) == SIGHUP;
-                (isReload ? mustReload : mustStop) = true;
-            }
+                onSignal (bytes.at (static_cast<std::size_t> (index)));
+        }
+    }
+
+    void onSignal (int signal)
+    {
+        if (m_isStopping)
+            log::write (log::Event::kStopSignalRepeated, { { "signal", signal } });
+        if (signal == SIGHUP)
+        {
+            if (m_onReload)
+                m_onReload();
+            return;
         }
-        if (mustReload && m_onReload)
-            m_onReload();
-        if (mustStop)
+        if (! std::exchange (m_isStopping, true))
             m_onStop();
     }
 
@@ -94,6 +101,7 @@
     std::function<void()> m_onReload;
     std::array<int, 2> m_ends{ -1, -1 };
     std::unique_ptr<QSocketNotifier> m_notifier;
+    bool m_isStopping = false;
 };
 
 SignalWatcher::SignalWatcher (std::function<void()> onStop, std::function<void()> onReload)
--- a/src/http/SignalWatcher.h
+++ b/src/http/SignalWatcher.h
@@ -13,8 +13,8 @@
 class SignalWatcher
 {
 public:
-    /// `onStop` runs on the event loop at each SIGTERM or SIGINT, `onReload` at each SIGHUP;
-    /// without `onReload`, SIGHUP is ignored.
+    /// `onStop` runs on the event loop at the first SIGTERM or SIGINT, `onReload` at each SIGHUP;
+    /// without `onReload`, SIGHUP is ignored. Signals after the first stop are logged.
     explicit SignalWatcher (std::function<void()> onStop, std::function<void()> onReload = {});
     ~SignalWatcher();
     SignalWatcher (const SignalWatcher&) = delete;
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -56,8 +56,6 @@
             return "done";
         case StopCause::kTimeLimit:
             return "time limit";
-        case StopCause::kSignal:
-            return "signal";
     }
     return "";
 }
@@ -621,10 +619,7 @@
 void ProxyProcess::beginStop()
 {
     if (m_stopBegan)
-    {
-        finish (StopCause::kSignal);
         return;
-    }
     log::write (log::Event::kProcessStopping,
                 { { "open_requests", m_server.openExchanges() },
                   { "open_connections", m_server.openConnections() } });
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -36,9 +36,8 @@
 /// Why a planned stop ends the process.
 enum class StopCause : std::uint8_t
 {
-    kDone,  ///< All requests were answered.
-    kTimeLimit,
-    kSignal,  ///< Another signal.
+    kDone,       ///< All requests were answered.
+    kTimeLimit,  ///< The longest time of a planned stop is over.
 };
 
 /// Lives on the thread of the Qt event loop.
@@ -56,7 +55,7 @@
     /// Applies the settings that may change at run time: the seeds.
     void reload (const ProxySettings& changed);
     /// Begins a planned stop: reports not ready, serves for the grace period, then finishes the
-    /// open requests. A second call ends the process at once.
+    /// open requests. Further calls have no effect.
     void beginStop();
 
     /// Address for callers; known after start().
--- a/src/router/RouterProcess.cpp
+++ b/src/router/RouterProcess.cpp
@@ -292,10 +292,7 @@
 void RouterProcess::beginStop()
 {
     if (m_stopBegan)
-    {
-        finish (0);
         return;
-    }
     log::write (log::Event::kProcessStopping);
     m_stopBegan = m_clock.now();
     feed ([] (RouterCore& core) { core.beginStop(); });
--- a/src/router/RouterProcess.h
+++ b/src/router/RouterProcess.h
@@ -40,8 +40,8 @@
 
     /// Listens and starts to search for the leader of the cell. Returns the address for callers.
     base::Result<base::SocketAddress> start();
-    /// Begins a planned stop: refuses new requests and completes open ones. A second call stops the
-    /// process at once.
+    /// Begins a planned stop: refuses new requests and completes open ones. Further calls have
+    /// no effect.
     void beginStop();
 
 private:
--- a/src/standin/StandinProcess.cpp
+++ b/src/standin/StandinProcess.cpp
@@ -104,8 +104,7 @@
              } };
 }
 
-/// Ends the event loop once the server is idle and the grace period has passed; a second signal
-/// ends it at once.
+/// Ends the event loop once the server is idle and the grace period has passed.
 class PlannedStop
 {
 public:
@@ -118,10 +117,7 @@
     void begin()
     {
         if (m_timer.isActive())
-        {
-            QCoreApplication::exit (0);
             return;
-        }
         log::write (log::Event::kProcessStopping);
         m_began = m_clock.now();
         m_server.beginStop();
