--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -19,7 +19,7 @@
 constexpr unsigned kUnacknowledgedTimeoutMs = 10'000;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
-/// Time for a caller to read the end of the last answer.
+/// Time in which a caller has to read more of its last answer.
 constexpr base::milliseconds kCloseTimeout (2000);
 
 std::string chunkHeader (std::size_t size)
@@ -89,7 +89,7 @@
 
 void CallerConnection::onReadable()
 {
-    if (m_hasOpenRequest || m_isClosed)
+    if (m_hasOpenRequest || m_isClosing || m_isClosed)
         return;  // Further bytes stay in the socket.
     const QByteArray bytes = m_socket->readAll();
     m_buffer.append (bytes.constData(), static_cast<std::size_t> (bytes.size()));
@@ -98,7 +98,7 @@
 
 void CallerConnection::parse()
 {
-    if (m_isClosed || m_hasOpenRequest)
+    if (m_hasOpenRequest || m_isClosing || m_isClosed)
         return;
     const bool wasIdle = m_parser.state() == RequestParser::State::kIdle;
     std::optional<base::Error> fault;
@@ -148,6 +148,13 @@
 
 void CallerConnection::onTimeout()
 {
+    if (m_isClosing)
+    {
+        if (bytesToWrite() > 0)
+            m_handlers.onAnswerCut (*this);
+        abort();
+        return;
+    }
     if (m_hasOpenRequest)
         return;
     if (m_parser.state() == RequestParser::State::kReading)
@@ -251,6 +258,8 @@
     const bool isAnswerWritten = ! m_hasOpenRequest && m_socket->bytesToWrite() == 0;
     if (isAnswerWritten && std::exchange (m_endsByClose, false))
         http::setResetOnClose (*m_socket, false);
+    if (m_isClosing)
+        m_timer.start (kCloseTimeout);
 }
 
 void CallerConnection::readNext()
@@ -294,7 +303,7 @@
 
 void CallerConnection::closeGracefully()
 {
-    if (m_isClosed)
+    if (m_isClosing || m_isClosed)
         return;
     // Written bytes are still sent; the connection ends once the caller has received them.
     m_socket->disconnectFromHost();
@@ -303,17 +312,8 @@
         onSocketClosed();
         return;
     }
-    m_timer.stop();
-    QTimer::singleShot (kCloseTimeout, m_socket.get(),
-                        [weak = weak_from_this()]
-                        {
-                            const auto self = weak.lock();
-                            if (! self || self->m_isClosed)
-                                return;
-                            if (self->bytesToWrite() > 0)
-                                self->m_handlers.onAnswerCut (*self);
-                            self->abort();
-                        });
+    m_isClosing = true;
+    m_timer.start (kCloseTimeout);
 }
 
 std::size_t CallerConnection::bytesToWrite() const
--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -94,6 +94,8 @@
     void dispatchRequest();
     void armTimer();
     void onTimeout();
+    /// Closes the connection once the caller has received what was written, as long as it goes on
+    /// reading.
     void closeGracefully();
     void onBytesWritten();
 
@@ -109,6 +111,7 @@
     bool m_isChunked = false;
     bool m_answerHasBody = true;
     bool m_closesAfterAnswer = false;
+    bool m_isClosing = false;  ///< The end of the last answer is being sent.
     bool m_isClosed = false;
     bool m_isHttp10 = false;
     bool m_endsByClose = false;  ///< The close of the connection ends the answer, of which bytes
