A failed attempt does not state the software version of a silent one

Found by reading the change: with a silent attempt beside it, an attempt that failed before its first event set the version of the stream from its own runner when that of the silent one was not known. It no longer does; the retry is charged in one step.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -609,9 +609,12 @@
 void Exchange::afterFailure()
 {
     m_query.avoidedInstance = m_attempt.instance;
-    if (m_events && ! m_silentAttempt)
-        m_events->discardIncomplete();
-    pinSoftwareVersion();
+    if (! m_silentAttempt)
+    {
+        if (m_events)
+            m_events->discardIncomplete();
+        pinSoftwareVersion();
+    }
     const bool mayGoOn = mayRunAgain() && retryBudget().tryRetry();
     if (mayGoOn)
     {
--- a/src/proxy/ExchangeSilence.cpp
+++ b/src/proxy/ExchangeSilence.cpp
@@ -61,8 +61,7 @@
 
 void Exchange::requestRestElsewhere()
 {
-    if (! retryBudget().tryRetry())
-        return;
+    retryBudget().chargeRetry();
     if (! m_attempt.peer)
         recordBrokenAnswer();
     pinSoftwareVersion();
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -32,8 +32,8 @@
                  m_counters.cutAnswers);
             set ("fernlift_proxy_open_requests", "Requests that are open now.",
                  m_server.openExchanges());
-            set ("fernlift_proxy_unsent_bytes",
-                 "Bytes of answers that callers have not taken yet.", m_server.unsentBytes());
+            set ("fernlift_proxy_unsent_bytes", "Bytes of answers that callers have not taken yet.",
+                 m_server.unsentBytes());
             set ("fernlift_proxy_left", "Requests whose caller went away.",
                  m_counters.disconnected);
             set ("fernlift_proxy_attempts", "Attempts at runners.", m_counters.attempts);
