--- a/cmake/FernliftModule.cmake
+++ b/cmake/FernliftModule.cmake
@@ -48,7 +48,7 @@
     add_test(NAME ${test} COMMAND ${name})
     set_tests_properties(${test} PROPERTIES ENVIRONMENT
       "RC_PARAMS=seed=20261202;FERNLIFT_BIN_DIR=${CMAKE_BINARY_DIR}/bin;FERNLIFT_SOURCE_DIR=${CMAKE_SOURCE_DIR};GTEST_TOTAL_SHARDS=${shards};GTEST_SHARD_INDEX=${index}"
-      TIMEOUT 240)
+      TIMEOUT 240 LABELS gtest)
   endforeach()
 endfunction()
 
