--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -38,7 +38,7 @@
                  m_counters.disconnected);
             set ("fernlift_proxy_attempts", "Attempts at runners.", m_counters.attempts);
             set ("fernlift_proxy_retries", "Attempts after the first.", m_counters.retries);
-            set ("fernlift_proxy_resumed", "Streams that went on at another runner.",
+            set ("fernlift_proxy_resumed", "Streams whose rest was requested from another runner.",
                  m_counters.resumed);
             set ("fernlift_proxy_incomplete_streams",
                  "Streams of runners that ended inside an event.", m_counters.incompleteStreams);
