--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -16,10 +16,6 @@
 /// Shortest interval between attempts to move to the preferred controller, which may be down. A
 /// random time of up to the same length is added.
 constexpr base::Duration kMoveInterval = base::seconds (5);
-/// Time before the end of a planned stop at which requests that still wait for a runner are
-/// answered. A refusal reaches its caller within some milliseconds; a request that ends with the
-/// process gets no answer.
-constexpr base::Duration kAnswerBeforeStop = base::milliseconds (300);
 /// Part of the cell's retry reserve that its routers use. The rest is a margin for changes in the
 /// number of routers, which reach the routers at different times.
 constexpr double kUsedReserveShare = 0.8;
@@ -48,18 +44,6 @@
     return settings.cellRetryReserve == 0 ? static_cast<double> (settings.retryReserve) : 0;
 }
 
-const char* toString (StopCause cause)
-{
-    switch (cause)
-    {
-        case StopCause::kDone:
-            return "done";
-        case StopCause::kTimeLimit:
-            return "time limit";
-    }
-    return "";
-}
-
 }  // namespace
 
 ProxyProcess::ProxyProcess (ProxySettings settings, ProtocolNames names,
@@ -616,52 +600,4 @@
         m_link.setControllers (peersOf (m_settings));
 }
 
-void ProxyProcess::beginStop()
-{
-    if (m_stopBegan)
-        return;
-    log::write (log::Event::kProcessStopping,
-                { { "open_requests", m_server.openExchanges() },
-                  { "open_connections", m_server.openConnections() } });
-    m_stopBegan = m_clock.now();
-    m_server.beginClosing();
-}
-
-void ProxyProcess::checkStop()
-{
-    if (! m_stopBegan || m_isFinished)
-        return;
-    const base::Duration passed = m_clock.now() - *m_stopBegan;
-    if (passed >= m_settings.stopGrace && ! std::exchange (m_isRefusing, true))
-    {
-        m_server.beginRefusing();
-    }
-    if (passed >= m_settings.stopTimeout - kAnswerBeforeStop)
-        m_server.refuseWaiting();
-    const bool isDone =
-        m_isRefusing && m_server.openExchanges() == 0 && m_server.openConnections() == 0;
-    if (isDone)
-        finish (StopCause::kDone);
-    else if (passed >= m_settings.stopTimeout)
-        finish (StopCause::kTimeLimit);
-}
-
-void ProxyProcess::finish (StopCause cause)
-{
-    if (std::exchange (m_isFinished, true))
-        return;
-    m_ticker.stop();
-    const CutAtStop cut = m_server.logOpen();
-    log::write (log::Event::kRouterStopEnded,
-                { { "cause", toString (cause) },
-                  { "stop_ms", base::toMilliseconds (m_clock.now() - *m_stopBegan) },
-                  { "cut_requests", cut.requests() },
-                  { "cut_waiting", cut.waiting },
-                  { "cut_at_runner", cut.atRunner },
-                  { "cut_begun", cut.begun },
-                  { "cut_connections", cut.connections },
-                  { "unsent_bytes", cut.unsentBytes } });
-    m_onFinished (0);
-}
-
 }  // namespace fernlift::proxy
