A begun answer is ended and a silent attempt returned to in one place each

Exchange*, SilentStream*, DeclinedRest*, ProxyProcess*, SlowReader*, StreamSoftware* and *Rate*: 150 of 150 pass.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -513,21 +513,10 @@
         if (! m_query.isolationKey.empty())
             recordIsolationRunnerUnreachable();
         if (++m_unreachableAttempts < kMaxUnreachable)
-        {
             dispatchNext();
-        }
-        else if (m_isAnswerBegun)
-        {
-            endBegunAnswer();
-        }
-        else if (m_mayHaveRun)
-        {
-            fail (ErrorKind::kUpstreamBroken, "no runner could be reached again");
-        }
         else
-        {
-            refuse (ErrorKind::kNoCapacity, "no runner can be reached", kRetryDelay);
-        }
+            endWithoutRunner (ErrorKind::kNoCapacity, "no runner can be reached", kRetryDelay,
+                              "no runner could be reached again");
         return;
     }
     failAttempt();
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -149,9 +149,11 @@
     [[nodiscard]] base::Duration retryAfterRefusal();
     /// Key of the requests that wait for the rate limits of the same runners.
     [[nodiscard]] std::string rateQueueKey() const;
-    /// Ends a request that no runner could take in time.
+    /// Ends a request that no runner takes: a begun answer as endBegunAnswer() does, one that may
+    /// have run with the message `failure`, any other one as not executed.
     void endWithoutRunner (base::ErrorKind kind, const std::string& message,
-                           base::Duration retryAfter);
+                           base::Duration retryAfter,
+                           const char* failure = "no other runner could take the request in time");
     void endWait();
     void startAttempt (const InstanceChoice& choice);
     /// Time in which the answer to an attempt that begins now has to be complete.
@@ -208,12 +210,8 @@
     [[nodiscard]] std::optional<base::TimePoint> overlapEnd() const;
     void endSilentAttempt (AttemptEnd end);
     /// Makes the silent attempt the current one again and gives up the other, or the wait for it.
-    void returnToSilentAttempt();
-    /// Called when bytes of the silent attempt were received.
-    void goOnAtSilentRunner();
-    /// Lets a begun answer wait for its silent runner, as no other one takes the rest. Returns
-    /// false when there is no silent attempt.
-    bool waitForSilentRunner();
+    /// Logs `reason`.
+    void returnToSilentAttempt (log::Event reason);
 
     void armTimer();
     /// Ends a request for which no runner was found before the wait deadline.
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -155,12 +155,12 @@
 }
 
 void Exchange::endWithoutRunner (ErrorKind kind, const std::string& message,
-                                 base::Duration retryAfter)
+                                 base::Duration retryAfter, const char* failure)
 {
     if (m_isAnswerBegun)
         endBegunAnswer();
     else if (m_mayHaveRun)
-        fail (ErrorKind::kUpstreamBroken, "no other runner could take the request in time");
+        fail (ErrorKind::kUpstreamBroken, failure);
     else
         refuse (kind, message, retryAfter);
 }
@@ -181,7 +181,9 @@
 
 void Exchange::endBegunAnswer()
 {
-    if (! waitForSilentRunner())
+    if (m_silentAttempt)
+        returnToSilentAttempt (log::Event::kStreamWaitsForSilentRunner);
+    else
         abortAnswer();
 }
 
@@ -197,12 +199,8 @@
 {
     if (m_isEnded || ! isWaiting())
         return;
-    if (m_isAnswerBegun)
-        endBegunAnswer();
-    else if (m_mayHaveRun)
-        fail (ErrorKind::kUpstreamBroken, "this router is stopping");
-    else
-        refuse (ErrorKind::kStopping, "this router is stopping", kRetryElsewhere);
+    constexpr const char* kCause = "this router is stopping";
+    endWithoutRunner (ErrorKind::kStopping, kCause, kRetryElsewhere, kCause);
 }
 
 void Exchange::onCallerDisconnected()
--- a/src/proxy/ExchangeSilence.cpp
+++ b/src/proxy/ExchangeSilence.cpp
@@ -95,7 +95,7 @@
     m_silentAttempt.reset();
 }
 
-void Exchange::returnToSilentAttempt()
+void Exchange::returnToSilentAttempt (log::Event reason)
 {
     endWait();
     m_permitChoice.reset();
@@ -109,51 +109,32 @@
     m_attempt.connection->setListener (*this);
     extendSilenceDeadline();
     armTimer();
-}
-
-bool Exchange::waitForSilentRunner()
-{
-    if (! m_silentAttempt)
-        return false;
-    returnToSilentAttempt();
-    log::write (log::Event::kStreamWaitsForSilentRunner,
-                { { "request", m_request.headers.value (m_context.names.requestId) },
-                  { "runner", m_attempt.instance },
-                  { "attempts", m_sentAttempts } });
-    return true;
+    log::write (reason, { { "request", m_request.headers.value (m_context.names.requestId) },
+                          { "runner", m_attempt.instance },
+                          { "attempts", m_sentAttempts } });
 }
 
 void Exchange::SilentAttemptListener::onHead (http::AnswerHead head)
 {
-    m_exchange.goOnAtSilentRunner();
+    m_exchange.returnToSilentAttempt (log::Event::kSilentRunnerWentOn);
     m_exchange.onHead (std::move (head));
 }
 
 void Exchange::SilentAttemptListener::onBody (std::string_view data)
 {
-    m_exchange.goOnAtSilentRunner();
+    m_exchange.returnToSilentAttempt (log::Event::kSilentRunnerWentOn);
     m_exchange.onBody (data);
 }
 
 void Exchange::SilentAttemptListener::onDone()
 {
-    m_exchange.goOnAtSilentRunner();
+    m_exchange.returnToSilentAttempt (log::Event::kSilentRunnerWentOn);
     m_exchange.onDone();
 }
 
-void Exchange::SilentAttemptListener::onFailed (http::BackEndFailure failure)
+void Exchange::SilentAttemptListener::onFailed (http::BackEndFailure /*failure*/)
 {
-    static_cast<void> (failure);
     m_exchange.endSilentAttempt (AttemptEnd::kFailed);
 }
 
-void Exchange::goOnAtSilentRunner()
-{
-    returnToSilentAttempt();
-    log::write (log::Event::kSilentRunnerWentOn,
-                { { "request", m_request.headers.value (m_context.names.requestId) },
-                  { "runner", m_attempt.instance },
-                  { "attempts", m_sentAttempts } });
-}
-
 }  // namespace fernlift::proxy
