Signals that are read together cause one reload again, and a guard that is never reached is gone

Found by reading once more. It called onReload for each SIGHUP that waited in the pipe, where there had been one call for all of them; that is restored, and further signals are logged as before. PlannedStop::begin of the stand-ins is called only by the watcher, which begins a stop once, so that its own check was dead. SignalWatcherTest passes.

--- a/src/http/SignalWatcher.cpp
+++ b/src/http/SignalWatcher.cpp
@@ -76,24 +76,21 @@
     void drainPipe()
     {
         std::array<char, 16> bytes{};
+        bool mustStop = false;
+        bool mustReload = false;
         for (ssize_t count = 0; (count = ::read (m_ends[0], bytes.data(), bytes.size())) > 0;)
         {
             for (ssize_t index = 0; index < count; ++index)
-                onSignal (bytes.at (static_cast<std::size_t> (index)));
+            {
+                const int signal = bytes.at (static_cast<std::size_t> (index));
+                if (m_isStopping || mustStop)
+                    log::write (log::Event::kStopSignalRepeated, { { "signal", signal } });
+                (signal == SIGHUP ? mustReload : mustStop) = true;
+            }
         }
-    }
-
-    void onSignal (int signal)
-    {
-        if (m_isStopping)
-            log::write (log::Event::kStopSignalRepeated, { { "signal", signal } });
-        if (signal == SIGHUP)
-        {
-            if (m_onReload)
-                m_onReload();
-            return;
-        }
-        if (! std::exchange (m_isStopping, true))
+        if (mustReload && m_onReload)
+            m_onReload();
+        if (mustStop && ! std::exchange (m_isStopping, true))
             m_onStop();
     }
 
--- a/src/standin/StandinProcess.cpp
+++ b/src/standin/StandinProcess.cpp
@@ -116,8 +116,6 @@
 
     void begin()
     {
-        if (m_timer.isActive())
-            return;
         log::write (log::Event::kProcessStopping);
         m_began = m_clock.now();
         m_server.beginStop();
