upgrade-test and stop-soak share a runner and the configuration of its service

stop-soak had read heads, answered health checks and sent heartbeats in code of its own, beside the same in upgrade-test, and both had the same service and limits. loopback_cell.Runner does the first three and calls answer() of its subclass, configuration_of() makes the last.

--- a/scripts/loopback_cell.py
+++ b/scripts/loopback_cell.py
@@ -70,6 +70,45 @@
         connection.close()
 
 
+class Runner:
+    """Registered runner of the service "app" that answers health checks. Subclasses answer requests."""
+
+    def __init__(self, number):
+        self.id = f"runner-{number}"
+        self.sequence = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        try:
+            keeps_connection = True
+            while keeps_connection:
+                first, fields, _ = await read_message(reader)
+                if first.startswith("GET /health "):
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                else:
+                    keeps_connection = await self.answer(reader, writer, fields)
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, reader, writer, fields):
+        """Answers the request with these fields; returns whether another one may follow."""
+        raise NotImplementedError
+
+    async def beat(self, cell):
+        while True:
+            self.sequence += 1
+            beat = {"Service": "app", "Address": f"127.0.0.1:{self.port}", "Zone": "z1",
+                    "Version": "v1", "Slots": 64, "State": "ready", "ColdRemainingMs": 0,
+                    "Sequence": self.sequence}
+            await cell.control("POST", f"/fernlift/instances/{self.id}/heartbeat", beat)
+            await asyncio.sleep(0.5)
+
+
 class Process:
     """A controller or router; the build may change with each start."""
 
@@ -182,3 +221,12 @@
                 await asyncio.sleep(0.1)
             else:
                 raise RuntimeError("a router did not become ready")
+
+
+def configuration_of(version, routes):
+    """Configuration of the service "app" with these routes."""
+    return {"Version": version, "Routes": routes,
+            "Services": [{"Name": "app", "HealthPath": "/health", "MaxConnections": 1000,
+                          "Protocol": "h1", "Tls": False}],
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000,
+                       "IdleTimeoutMs": 15000}}
