Tests: which of two runners received the first request is found in one place

The wait and the choice stood six times in ExchangeTest and again in SilentStreamTest; receiverOf() of the test support has them.

--- a/src/proxy/ExchangeTest.cpp
+++ b/src/proxy/ExchangeTest.cpp
@@ -475,9 +475,7 @@
     proxy.addRunner ("i-2", other);
     RawCaller caller (proxy.listening);
     caller.write (ProxyFixture::request ("once.test"));
-    ASSERT_TRUE (
-        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
-    StubRunner& first = runner.connections.empty() ? other : runner;
+    StubRunner& first = receiverOf (runner, other);
     ASSERT_TRUE (first.waitForRequest());
     first.connections[0]->reset();
     ASSERT_TRUE (caller.waitFor ("HTTP/1.1 502"));
@@ -490,9 +488,7 @@
     proxy.addRunner ("i-2", other);
     RawCaller caller (proxy.listening);
     caller.write (ProxyFixture::request ("app.test"));
-    ASSERT_TRUE (
-        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
-    StubRunner& first = runner.connections.empty() ? other : runner;
+    StubRunner& first = receiverOf (runner, other);
     StubRunner& second = runner.connections.empty() ? runner : other;
     ASSERT_TRUE (first.waitForRequest());
     first.connections[0]->reset();
@@ -507,9 +503,7 @@
     proxy.addRunner ("i-2", other);
     RawCaller caller (proxy.listening);
     caller.write (ProxyFixture::request ("app.test"));
-    ASSERT_TRUE (
-        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
-    StubRunner& first = runner.connections.empty() ? other : runner;
+    StubRunner& first = receiverOf (runner, other);
     StubRunner& second = runner.connections.empty() ? runner : other;
     ASSERT_TRUE (first.waitForRequest());
     first.connections[0]->write ("HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Length: 400000\r\n\r\n"
@@ -551,9 +545,7 @@
     proxy.addRunner ("i-2", other);
     RawCaller caller (proxy.listening);
     caller.write (ProxyFixture::request ("resume.test"));
-    ASSERT_TRUE (
-        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
-    StubRunner& first = runner.connections.empty() ? other : runner;
+    StubRunner& first = receiverOf (runner, other);
     StubRunner& second = runner.connections.empty() ? runner : other;
     ASSERT_TRUE (first.waitForRequest());
     const std::string head =
@@ -576,9 +568,7 @@
     proxy.addRunner ("i-2", other);
     RawCaller caller (proxy.listening);
     caller.write (ProxyFixture::request ("resume.test"));
-    ASSERT_TRUE (
-        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
-    StubRunner& first = runner.connections.empty() ? other : runner;
+    StubRunner& first = receiverOf (runner, other);
     StubRunner& second = runner.connections.empty() ? runner : other;
     ASSERT_TRUE (first.waitForRequest());
     first.connections[0]->write (
@@ -598,9 +588,7 @@
     }
     RawCaller caller (proxy.listening);
     caller.write (ProxyFixture::request ("resume.test"));
-    ASSERT_TRUE (
-        waitUntil ([&] { return runner.connections.size() + other.connections.size() == 1; }));
-    StubRunner& first = runner.connections.empty() ? other : runner;
+    StubRunner& first = receiverOf (runner, other);
     ASSERT_TRUE (first.waitForRequest());
     first.connections[0]->write (
         "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nContent-Type: text/event-stream\r\n"
--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -2,6 +2,7 @@
 
 /// Helpers for the tests: a stub runner that writes raw bytes, and a proxy that forwards to it.
 
+#include <gtest/gtest.h>
 #include <sys/socket.h>
 
 #include <QTcpServer>
@@ -125,6 +126,13 @@
     std::vector<std::unique_ptr<QTcpSocket>> m_pending;
 };
 
+/// Waits until one of two runners has received the first request, and returns it.
+inline StubRunner& receiverOf (StubRunner& one, StubRunner& two)
+{
+    EXPECT_TRUE (waitUntil ([&] { return one.connections.size() + two.connections.size() == 1; }));
+    return one.connections.empty() ? two : one;
+}
+
 /// Address of a runner that no longer listens.
 inline std::string closedAddress()
 {
--- a/src/proxy/SilentStreamTest.cpp
+++ b/src/proxy/SilentStreamTest.cpp
@@ -46,11 +46,8 @@
     {
         caller = std::make_unique<RawCaller> (proxy.listening);
         caller->write (ProxyFixture::request ("resume.test"));
-        ASSERT_TRUE (
-            waitUntil ([&] { return one.connections.size() + two.connections.size() == 1; }));
-        const bool isFirst = ! one.connections.empty();
-        silent = isFirst ? &one : &two;
-        other = isFirst ? &two : &one;
+        silent = &receiverOf (one, two);
+        other = silent == &one ? &two : &one;
         ASSERT_TRUE (silent->waitForRequest());
         silent->connections[0]->write (kHead + eventOf (1));
         ASSERT_TRUE (caller->waitFor ("e1."));
