--- a/src/http/SignalWatcher.cpp
+++ b/src/http/SignalWatcher.cpp
@@ -82,9 +82,11 @@
         {
             for (ssize_t index = 0; index < count; ++index)
             {
-                const int signal = bytes.at (static_cast<std::size_t> (index));
+                const auto signal =
+                    static_cast<unsigned char> (bytes.at (static_cast<std::size_t> (index)));
                 if (m_isStopping || mustStop)
-                    log::write (log::Event::kStopSignalRepeated, { { "signal", signal } });
+                    log::write (log::Event::kStopSignalRepeated,
+                                { { "signal", static_cast<int> (signal) } });
                 (signal == SIGHUP ? mustReload : mustStop) = true;
             }
         }
