--- a/src/http/SignalWatcher.cpp
+++ b/src/http/SignalWatcher.cpp
@@ -82,11 +82,10 @@
         {
             for (ssize_t index = 0; index < count; ++index)
             {
-                const auto signal =
+                const int signal =
                     static_cast<unsigned char> (bytes.at (static_cast<std::size_t> (index)));
                 if (m_isStopping || mustStop)
-                    log::write (log::Event::kStopSignalRepeated,
-                                { { "signal", static_cast<int> (signal) } });
+                    log::write (log::Event::kStopSignalRepeated, { { "signal", signal } });
                 (signal == SIGHUP ? mustReload : mustStop) = true;
             }
         }
