Retry budgets state their reserve, their age and what they did not allow

Nothing told apart a divisor of another time, a missing divisor and arrivals that no budget counts: a router showed only the number of services whose budget was spent.

- Metrics of a router: its part of the cell's reserve, the number of routers that it divides by, the age of both; by service the requests, retries, retries that the budget did not allow, and the balance.
- Event 4045 when the part changes.
- Lines of ended requests (4010 to 4012): retry_denied=1 when the last retry that was wanted exceeded the budget.

No change of logic: `mayRunAgain` asked the budget before `tryRetry` did, which now happens once, so that a denied retry is counted.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -28,19 +28,35 @@
     m_balance = std::min (m_balance, m_limit);
 }
 
-void RetryBudget::onFirstAttempt() { m_balance = std::min (m_balance + m_share, m_limit); }
+void RetryBudget::onFirstAttempt()
+{
+    ++m_counts.firstAttempts;
+    m_balance = std::min (m_balance + m_share, m_limit);
+}
 
 bool RetryBudget::tryRetry()
 {
     if (! allowsRetry())
+    {
+        ++m_counts.denied;
         return false;
+    }
+    ++m_counts.retries;
     m_balance -= 1;
     return true;
 }
 
-void RetryBudget::returnRetry() { m_balance = std::min (m_balance + 1, m_limit); }
+void RetryBudget::returnRetry()
+{
+    --m_counts.retries;
+    m_balance = std::min (m_balance + 1, m_limit);
+}
 
-void RetryBudget::chargeRetry() { m_balance = std::max (m_balance - 1, 0.0); }
+void RetryBudget::chargeRetry()
+{
+    ++m_counts.retries;
+    m_balance = std::max (m_balance - 1, 0.0);
+}
 
 ServiceRetryBudgets::ServiceRetryBudgets (double share, double reserve)
     : m_share (share), m_reserve (reserve)
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -13,6 +13,14 @@
 namespace fernlift::dispatch
 {
 
+/// Counts of one budget since its start.
+struct RetryCounts
+{
+    std::uint64_t firstAttempts = 0;
+    std::uint64_t retries = 0;  ///< Retries taken and not given back.
+    std::uint64_t denied = 0;   ///< Retries that the budget did not allow.
+};
+
 class RetryBudget
 {
 public:
@@ -28,7 +36,10 @@
     void onFirstAttempt();
     /// Whether a retry is allowed now.
     [[nodiscard]] bool allowsRetry() const { return m_balance >= 1; }
-    /// Takes one retry from the budget; false if the budget is spent.
+    /// Number of retries that may be made now.
+    [[nodiscard]] double balance() const { return m_balance; }
+    [[nodiscard]] const RetryCounts& counts() const { return m_counts; }
+    /// Takes one retry from the budget; false, and counted as denied, if the budget is spent.
     bool tryRetry();
     /// Gives back a retry that was taken and not made.
     void returnRetry();
@@ -40,6 +51,7 @@
     double m_share;
     double m_limit;
     double m_balance;
+    RetryCounts m_counts;
 };
 
 /// One retry budget for each service, so that requests for one service pay for its own retries
@@ -56,6 +68,13 @@
     [[nodiscard]] RetryBudget& of (std::string_view service);
     /// Number of services whose budget allows no retry now.
     [[nodiscard]] std::size_t spent() const;
+    /// Maximum number of unused retries of a service; none before the first limitReserve().
+    [[nodiscard]] std::optional<double> limit() const { return m_limit; }
+    /// All budgets, by service.
+    [[nodiscard]] const std::map<std::string, RetryBudget, std::less<>>& all() const
+    {
+        return m_budgets;
+    }
 
 private:
     double m_share;
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -548,16 +548,22 @@
         m_context.onIsolated();
 }
 
-bool Exchange::mayRunAgain()
+bool Exchange::mayRepeat() const
 {
     const bool isResumable = ! m_isAnswerBegun || m_events;
     if (! isResumable)
         return false;
     if (! m_route->isRepeatable() || m_sentAttempts >= maxAttempts())
         return false;
-    if (now() >= m_deadline)
-        return false;
-    return retryBudget().allowsRetry();
+    return now() < m_deadline;
+}
+
+bool Exchange::mayRunAgain() { return mayRepeat() && retryBudget().allowsRetry(); }
+
+bool Exchange::tryRetry()
+{
+    m_isRetryDenied = ! retryBudget().tryRetry();
+    return ! m_isRetryDenied;
 }
 
 void Exchange::afterRefusal()
@@ -566,7 +572,7 @@
     // Another router may have found no runner to send the request to.
     const bool wasSent = ! m_attempt.peer || m_attempt.peerAnswer.attempts > 0;
     const bool hasAttempts = wasSent && m_sentAttempts < maxAttempts();
-    if (hasAttempts && retryBudget().tryRetry())
+    if (hasAttempts && tryRetry())
     {
         ++m_context.counters.retries;
         logResend (log::Event::kRequestResent);
@@ -604,7 +610,7 @@
             m_events->discardIncomplete();
         pinSoftwareVersion();
     }
-    const bool mayGoOn = mayRunAgain() && retryBudget().tryRetry();
+    const bool mayGoOn = mayRepeat() && tryRetry();
     if (mayGoOn)
     {
         ++(m_isAnswerBegun ? m_context.counters.resumed : m_context.counters.retries);
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -224,7 +224,12 @@
     {
         return m_context.retryBudgets.of (m_query.service);
     }
+    /// Whether the request may be sent again, apart from the retry budget.
+    [[nodiscard]] bool mayRepeat() const;
+    /// Whether the request may be sent again.
     [[nodiscard]] bool mayRunAgain();
+    /// Takes one retry from the budget of the service; false if the budget is spent.
+    bool tryRetry();
     void afterRefusal();
     void afterFailure();
     void forwardHead();
@@ -337,6 +342,7 @@
     bool m_isStreamAnnounced = false;
     bool m_isEnded = false;
     bool m_hasBrokenAnswer = false;  ///< Whether a runner broke off an answer.
+    bool m_isRetryDenied = false;    ///< Whether the last retry that was wanted exceeded the budget.
     /// Computed on first use.
     mutable std::optional<std::uint64_t> m_fingerprint;
     mutable std::optional<cell::RequestIdentity> m_identity;
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -82,6 +82,7 @@
           { "table", m_context.directory.version() },
           { "table_age_ms", m_context.directory.ageMilliseconds (now()) },
           { "attempts", m_sentAttempts },
+          { "retry_denied", m_isRetryDenied ? 1 : 0 },
           { "unreachable", m_unreachableAttempts },
           { "forwarded_to", m_attempt.peer ? m_attempt.peer->router : std::string() },
           { "forwarded_by", m_servedPeer ? m_servedPeer->router : std::string() },
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -6,6 +6,39 @@
 namespace fernlift::proxy
 {
 
+void ProxyProcess::updateRetryMetrics()
+{
+    const auto set =
+        [this] (const char* name, const char* help, double value, const http::Labels& labels)
+    { m_metrics.gauge (name, help, labels).set (value); };
+    set ("fernlift_proxy_retry_reserve_part",
+         "Retries of each service that this router may save up of the cell's reserve.",
+         m_retryBudgets.limit().value_or (0), {});
+    set ("fernlift_proxy_retry_reserve_sharers",
+         "Routers that share the cell's reserve of retries, as known here.", m_directory.routers(),
+         {});
+    set ("fernlift_proxy_retry_reserve_age_milliseconds",
+         "Since this router was told its part of the cell's reserve of retries; -1: never.",
+         m_reserveKnownAt ? static_cast<double> (
+             base::toMilliseconds (m_clock.now() - *m_reserveKnownAt))
+                          : -1,
+         {});
+    for (const auto& [service, budget] : m_retryBudgets.all())
+    {
+        const http::Labels labels{ { "service", service } };
+        const dispatch::RetryCounts& counts = budget.counts();
+        set ("fernlift_proxy_service_requests", "Requests for the service.",
+             static_cast<double> (counts.firstAttempts), labels);
+        set ("fernlift_proxy_service_retries", "Retries at the service.",
+             static_cast<double> (counts.retries), labels);
+        set ("fernlift_proxy_service_retries_denied",
+             "Retries that the budget of the service did not allow.",
+             static_cast<double> (counts.denied), labels);
+        set ("fernlift_proxy_service_retry_balance", "Retries that may be made now.",
+             budget.balance(), labels);
+    }
+}
+
 void ProxyProcess::createMetrics()
 {
     m_metrics.addProcessMetrics();
@@ -84,6 +117,7 @@
                  availability.counters().attemptsDuringBackoff);
             set ("fernlift_proxy_retry_budgets_spent",
                  "Services whose retry budget allows no retry now.", m_retryBudgets.spent());
+            updateRetryMetrics();
             set ("fernlift_proxy_unreachable_runners",
                  "Runners that this router cannot connect to.",
                  m_context.reachability.unreachable());
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -381,8 +381,15 @@
 {
     if (m_settings.cellRetryReserve == 0)
         return;
-    m_retryBudgets.limitReserve (dispatch::partOfReserve (
-        kUsedReserveShare * m_settings.cellRetryReserve, m_directory.routers(), m_settings.id));
+    const double part =
+        dispatch::partOfReserve (kUsedReserveShare * m_settings.cellRetryReserve,
+                                 m_directory.routers(), m_settings.id);
+    m_reserveKnownAt = m_clock.now();
+    if (part == m_retryBudgets.limit())
+        return;
+    m_retryBudgets.limitReserve (part);
+    log::write (log::Event::kRetryReserveChanged,
+                { { "part", part }, { "sharers", m_directory.routers() } });
 }
 
 void ProxyProcess::setControllerAnswering (bool isAnswering)
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -112,6 +112,7 @@
     void handleSuspension();
     void checkStop();
     void createMetrics();
+    void updateRetryMetrics();
     void finish (StopCause cause);
 
     ProxySettings m_settings;
@@ -125,6 +126,8 @@
     RunnerRates m_rates;
     http::BackEndPool m_pool;
     dispatch::ServiceRetryBudgets m_retryBudgets;
+    /// When this router last received its part of the cell's reserve of retries; none: never.
+    std::optional<base::TimePoint> m_reserveKnownAt;
     EngineDemands m_demands;
     TenantQuotas m_quotas;
     quarantine::SuspectRequests m_suspects;
