--- a/src/proxy/ProxyTestSupport.h
+++ b/src/proxy/ProxyTestSupport.h
@@ -137,7 +137,7 @@
 inline std::string closedAddress()
 {
     StubRunner closed;
-    const std::string address = closed.address();
+    std::string address = closed.address();
     closed.stopListening();
     return address;
 }
