The leader grants each router its share of the reserve of retries

Cause: a bound on a sum, divided by a number that each sharer learns by itself at another time. A router received the number of routers with a change of the table of runners only; the first of eight went on with 1 and saved up the whole reserve.

Change: a share of the reserve is granted for 6 s by the leader, which adds up what may be in use (RetryReserveLedger); relays forward requests and grants in batches; a router applies only the answer to its last request. A new leader renews what routers state to hold and grants more only when all earlier shares have ended. Without a valid grant a router has no reserve: two requests earn what one does with a reserve, and what is unused after 5 s is lost, which keeps any number of such routers within the users' rule. Requests go only to controllers that state that they read them (kReadsRetryReserve).

Why it works: retries in a window are at most what its requests earn and the balances at its beginning, and balances are at most the parts in use, whose sum the ledger keeps within the whole.

Routers of ForwardingCell get a seed for each start, since a holder must never be used again.

--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -18,6 +18,7 @@
 #include "cell/InstanceRateMessages.h"
 #include "cell/QuarantineMessages.h"
 #include "cell/QuotaMessages.h"
+#include "cell/RetryReserveMessages.h"
 #include "cell/RouterPeerMessages.h"
 #include "cell/SoftwareHistoryMessage.h"
 #include "consensus/Messages.h"
@@ -33,7 +34,8 @@
     /// The relay tracks which of its routers may keep their table of instances when a new leader
     /// continues that table.
     kFollowsTableOfNextLeader = 1U << 1U,
-    kReadsRouterPeers = 1U << 2U,  ///< RouterPeers.
+    kReadsRouterPeers = 1U << 2U,   ///< RouterPeers.
+    kReadsRetryReserve = 1U << 3U,  ///< RetryReserveGrants.
 };
 
 /// First message of a router on a new connection.
@@ -291,7 +293,7 @@
     std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest, OutcomeReport,
                  RunnerLeavingReport, EngineDemandReport, MemberJoinRequest, InstanceUnreachable,
                  RelayedHeartbeats, QuotaRequest, SuspectReport, InstanceLoadReport,
-                 InstanceRateReport, InstancePermitRequest, RouterPeers>;
+                 InstanceRateReport, InstancePermitRequest, RouterPeers, RetryReserveRequests>;
 
 /// This controller does not lead. `leaderAddress` is "ip:port" of the leader, empty if unknown.
 struct NotLeaderReply
@@ -551,6 +553,7 @@
 using ControllerToRouter =
     std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant, ReplicaUpdate, ClaimReply,
                  InstanceUpdate, MemberJoinReply, QuotaGrant, SuspectUpdate, SuspectReport,
-                 InstanceLoadUpdate, InstanceRateUpdate, InstancePermitGrant, RouterPeers>;
+                 InstanceLoadUpdate, InstanceRateUpdate, InstancePermitGrant, RouterPeers,
+                 RetryReserveGrants>;
 
 }  // namespace fernlift::cell
--- a/src/controller/AdminAnswers.cpp
+++ b/src/controller/AdminAnswers.cpp
@@ -207,6 +207,12 @@
              { u"instances"_s, static_cast<qint64> (instances.rows().size()) } };
 }
 
+QJsonObject retryReserveObject (const RetryReserveLedger& ledger, base::TimePoint now)
+{
+    return { { u"holders"_s, static_cast<qint64> (ledger.holders (now)) },
+             { u"shares_in_use"_s, ledger.sharesInUse (now) } };
+}
+
 template <class Wanted>
 QJsonArray journalArray (const cell::DecisionJournal& journal, Wanted&& isWanted)
 {
@@ -461,6 +467,8 @@
         object[u"engine_placement"_s] = placementObject (*view.placement);
     if (view.instances != nullptr)
         object[u"instance_table"_s] = instanceTableObject (*view.instances);
+    if (view.retryReserve != nullptr)
+        object[u"retry_reserve"_s] = retryReserveObject (*view.retryReserve, view.now);
     return answerOf (200, object);
 }
 
--- a/src/controller/AdminAnswers.h
+++ b/src/controller/AdminAnswers.h
@@ -15,6 +15,7 @@
 #include "controller/InstanceLoadTable.h"
 #include "controller/InstanceRateLedger.h"
 #include "controller/InstanceTable.h"
+#include "controller/RetryReserveLedger.h"
 #include "controller/RouterSessions.h"
 #include "controller/RunnerWatch.h"
 #include "placement/EnginePlacement.h"
@@ -54,6 +55,7 @@
     const InstanceRateLedger* rates = nullptr;                    ///< Leader only.
     const InstanceTable* instances = nullptr;                     ///< Leader only.
     std::optional<placement::EnginePlacementStatus> placement{};  ///< Leader only.
+    const RetryReserveLedger* retryReserve = nullptr;             ///< Leader only.
 };
 
 /// {"suspects": [{"request","kind","ends","quarantined","runners","last_end_ms"}]}, with the
--- a/src/controller/ControllerAdmin.cpp
+++ b/src/controller/ControllerAdmin.cpp
@@ -198,6 +198,7 @@
         view.rates = &m_leader->rates;
         view.instances = &m_leader->instances;
         view.placement = m_leader->engines.status();
+        view.retryReserve = &m_leader->retryReserve;
     }
     return view;
 }
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -33,6 +33,7 @@
 #include "controller/OrderHistory.h"
 #include "controller/OrderQueue.h"
 #include "controller/Reconciliation.h"
+#include "controller/RetryReserveLedger.h"
 #include "controller/RoutableTable.h"
 #include "controller/RouterPeerGroups.h"
 #include "controller/RouterPeerTable.h"
@@ -194,6 +195,7 @@
           orders (options.orderTimeout, options.plantedFault),
           sessions (options.routerLease),
           instances (leadTerm, options.instanceSilence),
+          retryReserve (now),
           quotas (options.quotaTolerance),
           engines (std::move (engineOptions))
     {
@@ -254,6 +256,7 @@
     RateUpdateState rateUpdateState;
     /// Heartbeats that arrived at this member itself while it leads.
     base::DecayingRate heartbeats;
+    RetryReserveLedger retryReserve;
     quota::QuotaLedger quotas;
     QuotaBasis quotaBasis;          ///< Configuration and member count that `quotas` is set up for.
     cell::RecordSuspects suspects;  ///< Runner crashes reported and not proposed yet.
@@ -610,6 +613,14 @@
     void applyLeaderRates (const cell::ControllerToRouter& message);
     void forwardPermits (const cell::InstancePermitGrant& grant);
 
+    // ControllerRetryReserve.cpp
+    /// States to a router or relay that this member reads its requests for the reserve of retries.
+    void announceRetryReserve (RouterConnection connection, const cell::RouterHello& hello);
+    void grantRetryReserve (RouterConnection connection,
+                            const cell::RetryReserveRequests& requests);
+    /// At a relay: forwards the grants of the leader.
+    void applyRetryReserveGrants (const cell::RetryReserveGrants& grants);
+
     // ControllerEngines.cpp
     [[nodiscard]] placement::EnginePlacementOptions engineOptions() const;
     void placeOnEngines();
--- a/src/controller/ControllerMetrics.cpp
+++ b/src/controller/ControllerMetrics.cpp
@@ -1,6 +1,7 @@
 // Metrics of the core, as text of /metrics.
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 
 #include "controller/ControllerImplementation.h"
@@ -79,6 +80,18 @@
                 "Requests of routers held back from runners that state a rate.", rates.refused());
 }
 
+void addRetryReserveMetrics (std::string& text, const RetryReserveLedger& ledger,
+                             base::TimePoint now)
+{
+    constexpr double kPerMille = 1000;
+    addGauge (text, "retry_reserve_holders",
+              "Routers that requested a share of the reserve of retries, at the leader.",
+              ledger.holders (now));
+    addGauge (text, "retry_reserve_in_use_per_mille",
+              "Shares of the reserve of retries that may be in use, at the leader.",
+              static_cast<std::uint64_t> (std::lround (kPerMille * ledger.sharesInUse (now))));
+}
+
 void addPlacementMetrics (std::string& text, const placement::EnginePlacementStatus& status,
                           base::Duration lastRound)
 {
@@ -154,6 +167,8 @@
                          m_leader ? m_leader->engines.status() : placement::EnginePlacementStatus(),
                          m_leader ? m_leader->placementTime : base::Duration::zero());
     addRateMetrics (text, m_leader ? m_leader->rates : InstanceRateLedger());
+    addRetryReserveMetrics (text, m_leader ? m_leader->retryReserve : RetryReserveLedger (m_now),
+                            m_now);
     return text;
 }
 
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -55,6 +55,10 @@
         if (auto answer = m_relay->quotas.onRequest (connection, *quota, m_now))
             sendToRouter (connection, std::move (answer->grant));
     }
+    else if (const auto* reserve = std::get_if<cell::RetryReserveRequests> (&message))
+    {
+        m_relay->retryReserve.onRequests (connection, *reserve);
+    }
     else if (const auto* suspects = std::get_if<cell::SuspectReport> (&message))
     {
         recordReporter (*session, *suspects);
@@ -81,6 +85,7 @@
         return false;
     RouterSession& session = m_relay->sessions.open (connection, hello, m_now);
     sendInitialRates (connection, session, hello);
+    announceRetryReserve (connection, hello);
     recordPeer (connection, hello);
     applyInstanceVersion (session, hello, m_relay->instances.term());
     if (! m_relay->instances.hasTable() && hello.configurationVersion == 0)
@@ -173,6 +178,7 @@
     m_relay->loadSum.onReporterDisconnected (connection);
     m_relay->peers.remove (connection);
     m_relay->quotas.onRouterDisconnected (connection);
+    m_relay->retryReserve.onRouterDisconnected (connection);
 }
 
 bool ControllerCore::Implementation::relayHeartbeat (const InstanceHeartbeat& heartbeat)
@@ -212,6 +218,8 @@
         m_effects.emplace_back (SendToLeader{ cell::EngineDemandReport{ std::move (demands) } });
     if (auto quota = m_relay->quotas.takeRequest (m_now))
         m_effects.emplace_back (SendToLeader{ std::move (*quota) });
+    if (auto reserve = m_relay->retryReserve.takeRequests (m_now))
+        m_effects.emplace_back (SendToLeader{ std::move (*reserve) });
     if (auto relayedHeartbeats = m_relay->heartbeats.takeDue (m_now); ! relayedHeartbeats.empty())
         m_effects.emplace_back (
             SendToLeader{ cell::RelayedHeartbeats{ std::move (relayedHeartbeats) } });
@@ -262,8 +270,8 @@
     hello.router = base::RouterId (m_relay->id);
     hello.cell = m_options.cell;
     hello.isRelay = true;
-    hello.features =
-        cell::kReadsInstanceRates | cell::kFollowsTableOfNextLeader | cell::kReadsRouterPeers;
+    hello.features = cell::kReadsInstanceRates | cell::kFollowsTableOfNextLeader
+                     | cell::kReadsRouterPeers | cell::kReadsRetryReserve;
     hello.address = ownAdminAddress();
     hello.configurationVersion =
         m_relay->sessions.confirmedVersion (m_state.configuration().identity().version, {}, m_now);
@@ -275,6 +283,7 @@
     m_relay->heartbeats.resendAll();
     m_relay->quotas.onLeaderLost();
     m_relay->rates.onLeaderLost();
+    m_relay->retryReserve.onLeaderLost();
     runRelay();
 }
 
@@ -287,6 +296,7 @@
     m_relay->session.onLost (m_now, m_relay->random);
     m_relay->quotas.onLeaderLost();
     m_relay->rates.onLeaderLost();
+    m_relay->retryReserve.onLeaderLost();
     runRelay();
 }
 
@@ -328,6 +338,10 @@
     {
         applyLeaderPeers (*peers);
     }
+    else if (const auto* reserve = std::get_if<cell::RetryReserveGrants> (&message))
+    {
+        applyRetryReserveGrants (*reserve);
+    }
     else if (std::holds_alternative<cell::SuspectReport> (message))
     {
         sendToAllOf (m_relay->sessions, message);
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -96,6 +96,11 @@
         grantPermits (connection, *permits);
         return;
     }
+    else if (const auto* reserve = std::get_if<cell::RetryReserveRequests> (&message))
+    {
+        grantRetryReserve (connection, *reserve);
+        return;
+    }
     else if (const auto* suspects = std::get_if<cell::SuspectReport> (&message))
     {
         // The reports of one tick are proposed together.
@@ -202,6 +207,7 @@
     }
     RouterSession& session = m_leader->sessions.open (connection, hello, m_now);
     sendInitialRates (connection, session, hello);
+    announceRetryReserve (connection, hello);
     recordPeer (connection, hello);
     // A router that reconnects to the same leader needs only the changes since.
     const bool holdsTable = m_leader->isTableShared && hello.replicaTableTerm == m_leader->term
--- /dev/null
+++ b/src/controller/RetryReserveLedger.cpp
@@ -0,0 +1,71 @@
+#include "controller/RetryReserveLedger.h"
+
+#include <algorithm>
+
+namespace fernlift::controller
+{
+namespace
+{
+
+/// A router's clock may run slower than the leader's by one part in this many.
+constexpr int kClockDriftParts = 100;
+constexpr base::Duration kMaxLifetime =
+    kRetryReserveLifetime + base::Duration (kRetryReserveLifetime) / kClockDriftParts;
+/// Time for which routers that need no retry leave their share to others, after one was short.
+constexpr base::Duration kShortTime = kRetryReserveLifetime;
+
+}  // namespace
+
+std::optional<cell::RetryReserveGrant> RetryReserveLedger::answer (
+    const cell::RetryReserveRequest& request, base::TimePoint now)
+{
+    std::erase_if (m_holdings, [&] (const auto& item) { return now >= item.second.end; });
+    Holding& own = m_holdings[request.holder];
+    if (request.sequence <= own.sequence)
+        return std::nullopt;
+    own = {};
+    const std::size_t connected = std::max<std::size_t> (m_routers, m_holdings.size());
+    const double equalShare = 1 / static_cast<double> (connected);
+    const double earlierBuilds = equalShare * static_cast<double> (connected - m_holdings.size());
+    const double free = std::max (1 - sharesInUse (now) - earlierBuilds, 0.0);
+    double share = shareFor (request, equalShare, free, now);
+    const bool mayHaveUnknownShares = now < m_since + kMaxLifetime;
+    if (mayHaveUnknownShares)
+        share = std::min (share, request.heldShare);
+    own = { request.sequence, std::max (request.heldShare, share), now + kMaxLifetime };
+    return cell::RetryReserveGrant{ request.holder, request.sequence, share,
+                                    std::max (equalShare, request.minShare),
+                                    base::toMilliseconds (kRetryReserveLifetime) };
+}
+
+double RetryReserveLedger::shareFor (const cell::RetryReserveRequest& request, double equalShare,
+                                     double free, base::TimePoint now)
+{
+    if (equalShare >= request.minShare)
+        return std::min (equalShare, free);
+    // An equal share is worth less than one retry: some routers hold one retry, others none.
+    const bool isLeftToOthers = ! request.isShort && now < m_shortUntil;
+    if (isLeftToOthers)
+        return 0;
+    if (free >= request.minShare)
+        return request.minShare;
+    if (request.isShort)
+        m_shortUntil = now + kShortTime;
+    return 0;
+}
+
+double RetryReserveLedger::sharesInUse (base::TimePoint now) const
+{
+    double sum = 0;
+    for (const auto& [holder, holding] : m_holdings)
+        sum += now < holding.end ? holding.share : 0;
+    return sum;
+}
+
+std::size_t RetryReserveLedger::holders (base::TimePoint now) const
+{
+    return static_cast<std::size_t> (std::ranges::count_if (
+        m_holdings, [&] (const auto& item) { return now < item.second.end; }));
+}
+
+}  // namespace fernlift::controller
--- a/src/controller/RouterRelay.h
+++ b/src/controller/RouterRelay.h
@@ -24,6 +24,7 @@
 #include "controller/QuotaRelay.h"
 #include "controller/RateRelay.h"
 #include "controller/RelayInstanceTable.h"
+#include "controller/RetryReserveRelay.h"
 #include "controller/RouterPeerTable.h"
 #include "controller/RouterSessions.h"
 #include "controller/ThrottledWork.h"
@@ -67,6 +68,7 @@
     RateUpdateState rateUpdateState;
     EngineDemandSum demands;
     HeartbeatBatch heartbeats;
+    RetryReserveRelay retryReserve;
     QuotaRelay quotas;
     QuotaBasis quotaBasis;                   ///< Inputs of the limits in `quotas`.
     bool hasRunners = false;                 ///< Some runners send their heartbeats here.
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -107,6 +107,7 @@
     std::vector<std::string> received;                ///< Kinds of received messages, in order.
     std::optional<cell::InstanceRateUpdate> rates{};  ///< Latest received rates.
     std::vector<cell::QuotaAllowance> permits;
+    std::vector<cell::RetryReserveGrants> reserveGrants;
 
     [[nodiscard]] bool hasReplica (const std::string& target) const;
 };
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -204,6 +204,10 @@
         router.permits.insert (router.permits.end(), permits->grant.allowances.begin(),
                                permits->grant.allowances.end());
     }
+    else if (const auto* reserve = std::get_if<cell::RetryReserveGrants> (&message))
+    {
+        router.reserveGrants.push_back (*reserve);
+    }
     else if (const auto* loads = std::get_if<cell::InstanceLoadUpdate> (&message))
     {
         router.onLoads (*loads);
--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -1,9 +1,7 @@
 #include "dispatch/RetryBudget.h"
 
 #include <algorithm>
-#include <cmath>
-
-#include "base/HashToUnitInterval.h"
+#include <utility>
 
 namespace fernlift::dispatch
 {
@@ -11,9 +9,13 @@
 {
 
 constexpr double kMaxBalance = 100;
-/// The number of names that hash below a threshold varies from one set of names to another. The
-/// threshold is lowered by this many standard deviations, so that the sum stays within the reserve.
-constexpr double kReservedDeviations = 3;
+/// Maximum number of unused retries of a budget without reserve.
+constexpr double kMaxWithoutReserve = 1;
+/// Part of the share that first attempts earn without a reserve.
+constexpr double kEarnedWithoutReserve = 0.5;
+/// Interval at which budgets without reserve drop unused retries: half of the 10 s within which the
+/// retries of a cell are bounded.
+constexpr base::Duration kUnusedLifetime = base::seconds (5);
 
 }  // namespace
 
@@ -24,14 +26,30 @@
 
 void RetryBudget::limitReserve (double reserve)
 {
+    m_hasReserve = true;
     m_limit = reserve;
     m_balance = std::min (m_balance, m_limit);
 }
 
+void RetryBudget::dropReserve()
+{
+    if (! std::exchange (m_hasReserve, false))
+        return;
+    m_limit = kMaxWithoutReserve;
+    m_balance = 0;
+}
+
+void RetryBudget::dropUnused()
+{
+    if (! m_hasReserve)
+        m_balance = 0;
+}
+
 void RetryBudget::onFirstAttempt()
 {
     ++m_counts.firstAttempts;
-    m_balance = std::min (m_balance + m_share, m_limit);
+    const double earned = m_hasReserve ? m_share : kEarnedWithoutReserve * m_share;
+    m_balance = std::min (m_balance + earned, m_limit);
 }
 
 bool RetryBudget::tryRetry()
@@ -66,10 +84,43 @@
 void ServiceRetryBudgets::limitReserve (double reserve)
 {
     m_limit = reserve;
+    m_reserveEnd.reset();
+    m_hasReserve = true;
     for (auto& [service, budget] : m_budgets)
         budget.limitReserve (reserve);
 }
 
+void ServiceRetryBudgets::grantReserve (double reserve, base::TimePoint end)
+{
+    if (reserve < 1)
+    {
+        dropReserve();
+        return;
+    }
+    limitReserve (reserve);
+    m_reserveEnd = end;
+}
+
+void ServiceRetryBudgets::dropReserve()
+{
+    m_limit.reset();
+    m_reserveEnd.reset();
+    m_hasReserve = false;
+    for (auto& [service, budget] : m_budgets)
+        budget.dropReserve();
+}
+
+void ServiceRetryBudgets::expire (base::TimePoint now)
+{
+    if (m_reserveEnd && now >= *m_reserveEnd)
+        dropReserve();
+    if (now < m_dropUnusedAt)
+        return;
+    m_dropUnusedAt = now + kUnusedLifetime;
+    for (auto& [service, budget] : m_budgets)
+        budget.dropUnused();
+}
+
 RetryBudget& ServiceRetryBudgets::of (std::string_view service)
 {
     const auto found = m_budgets.find (service);
@@ -78,6 +129,8 @@
     RetryBudget budget (m_share, m_reserve);
     if (m_limit)
         budget.limitReserve (*m_limit);
+    if (! m_hasReserve)
+        budget.dropReserve();
     return m_budgets.emplace (service, budget).first->second;
 }
 
@@ -87,13 +140,12 @@
         m_budgets, [] (const auto& item) { return ! item.second.allowsRetry(); }));
 }
 
-double partOfReserve (double reserve, std::uint32_t sharers, std::string_view name)
+std::uint64_t ServiceRetryBudgets::denied() const
 {
-    const double share = reserve / sharers;
-    if (share >= 1)
-        return share;
-    const double deviation = std::sqrt (share * (1 - share) / sharers);
-    return base::hashToUnitInterval (name) < share - kReservedDeviations * deviation ? 1 : 0;
+    std::uint64_t denied = 0;
+    for (const auto& [service, budget] : m_budgets)
+        denied += budget.counts().denied;
+    return denied;
 }
 
 }  // namespace fernlift::dispatch
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <string_view>
 
+#include "base/Time.h"
+
 namespace fernlift::dispatch
 {
 
@@ -32,6 +34,15 @@
     /// in that period plus `reserve`. When one reserve is divided among several budgets, the same
     /// bound with the whole reserve holds for all of them together.
     void limitReserve (double reserve);
+    /// Takes away the reserve, and with it the unused retries. Until limitReserve() is called,
+    /// first attempts allow one retry for each two that `share` states, if they were made since the
+    /// last dropUnused().
+    void dropReserve();
+    /// Takes away the unused retries of a budget without reserve. The number of retries of all such
+    /// budgets within any period is then at most `share` of the mean of the first attempts in that
+    /// period and those in the period of the same length that began earlier by the interval between
+    /// two calls, which has to be at most half of the period.
+    void dropUnused();
 
     void onFirstAttempt();
     /// Whether a retry is allowed now.
@@ -51,6 +62,7 @@
     double m_share;
     double m_limit;
     double m_balance;
+    bool m_hasReserve = true;
     RetryCounts m_counts;
 };
 
@@ -64,11 +76,22 @@
 
     /// Applies RetryBudget::limitReserve() to the budgets of all services, also to later ones.
     void limitReserve (double reserve);
+    /// The same until `end`, and RetryBudget::dropReserve() from then on. A reserve of less than
+    /// one retry counts as none.
+    void grantReserve (double reserve, base::TimePoint end);
+    /// Applies RetryBudget::dropReserve() to the budgets of all services, also to later ones.
+    void dropReserve();
+    /// Drops the reserve once its time is over, and unused retries of budgets without reserve from
+    /// time to time. To be called before a budget is used.
+    void expire (base::TimePoint now);
     /// Budget of the service, which is created on first use.
     [[nodiscard]] RetryBudget& of (std::string_view service);
     /// Number of services whose budget allows no retry now.
     [[nodiscard]] std::size_t spent() const;
-    /// Maximum number of unused retries of a service; none before the first limitReserve().
+    /// Number of retries that the budgets of all services did not allow.
+    [[nodiscard]] std::uint64_t denied() const;
+    /// Maximum number of unused retries of a service; none before the first limitReserve() and
+    /// without a reserve.
     [[nodiscard]] std::optional<double> limit() const { return m_limit; }
     /// All budgets, by service.
     [[nodiscard]] const std::map<std::string, RetryBudget, std::less<>>& all() const
@@ -79,13 +102,11 @@
 private:
     double m_share;
     double m_reserve;
-    std::optional<double> m_limit;  ///< None before the first limitReserve().
+    std::optional<double> m_limit;
+    std::optional<base::TimePoint> m_reserveEnd;  ///< None: the reserve has no end.
+    bool m_hasReserve = true;
+    base::TimePoint m_dropUnusedAt{};  ///< Next time at which unused retries are dropped.
     std::map<std::string, RetryBudget, std::less<>> m_budgets;  ///< Keyed by service.
 };
 
-/// Part that the sharer called `name` has of a common reserve of retries. In large cells an equal
-/// part is less than one retry and would allow none; each sharer then has one retry or none,
-/// depending on a hash of its name.
-[[nodiscard]] double partOfReserve (double reserve, std::uint32_t sharers, std::string_view name);
-
 }  // namespace fernlift::dispatch
--- a/src/lab/ForwardingCellTestSupport.h
+++ b/src/lab/ForwardingCellTestSupport.h
@@ -183,6 +183,7 @@
     std::uint16_t m_httpPort = 0;
     QTemporaryDir m_folder;
     std::uint32_t m_calls = 0;
+    std::uint64_t m_routersStarted = 0;  ///< Seed of the router started last.
     std::uint64_t m_heartbeatSequence = 0;
     std::vector<std::unique_ptr<controller::ControllerProcess>> m_controllers;
     std::vector<std::unique_ptr<RouterNetwork>> m_networks;  ///< Empty, or one for each router.
--- a/src/lab/RouterStub.h
+++ b/src/lab/RouterStub.h
@@ -58,6 +58,7 @@
     void on (const cell::InstanceRateUpdate& /*update*/) {}
     void on (const cell::InstancePermitGrant& /*grant*/) {}
     void on (const cell::RouterPeers& /*peers*/) {}
+    void on (const cell::RetryReserveGrants& /*grants*/) {}
     void reconnectSoon (const base::SocketAddress& address);
 
     std::string m_id;
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -222,6 +222,7 @@
     /// Retries that the service of the request may still get from this router.
     [[nodiscard]] dispatch::RetryBudget& retryBudget()
     {
+        m_context.retryBudgets.expire (now());
         return m_context.retryBudgets.of (m_query.service);
     }
     /// Whether the request may be sent again, apart from the retry budget.
@@ -342,7 +343,7 @@
     bool m_isStreamAnnounced = false;
     bool m_isEnded = false;
     bool m_hasBrokenAnswer = false;  ///< Whether a runner broke off an answer.
-    bool m_isRetryDenied = false;    ///< Whether the last retry that was wanted exceeded the budget.
+    bool m_isRetryDenied = false;  ///< Whether the last retry that was wanted exceeded the budget.
     /// Computed on first use.
     mutable std::optional<std::uint64_t> m_fingerprint;
     mutable std::optional<cell::RequestIdentity> m_identity;
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -14,15 +14,10 @@
     set ("fernlift_proxy_retry_reserve_part",
          "Retries of each service that this router may save up of the cell's reserve.",
          m_retryBudgets.limit().value_or (0), {});
-    set ("fernlift_proxy_retry_reserve_sharers",
-         "Routers that share the cell's reserve of retries, as known here.", m_directory.routers(),
-         {});
-    set ("fernlift_proxy_retry_reserve_age_milliseconds",
-         "Since this router was told its part of the cell's reserve of retries; -1: never.",
-         m_reserveKnownAt ? static_cast<double> (
-             base::toMilliseconds (m_clock.now() - *m_reserveKnownAt))
-                          : -1,
-         {});
+    const base::Duration left = m_retryReserve.end() - m_clock.now();
+    set ("fernlift_proxy_retry_reserve_left_milliseconds",
+         "Until this router's part of the cell's reserve of retries ends; 0: it has none.",
+         m_retryBudgets.limit() ? static_cast<double> (base::toMilliseconds (left)) : 0, {});
     for (const auto& [service, budget] : m_retryBudgets.all())
     {
         const http::Labels labels{ { "service", service } };
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -16,9 +16,6 @@
 /// Shortest interval between attempts to move to the preferred controller, which may be down. A
 /// random time of up to the same length is added.
 constexpr base::Duration kMoveInterval = base::seconds (5);
-/// Part of the cell's retry reserve that its routers use. The rest is a margin for changes in the
-/// number of routers, which reach the routers at different times.
-constexpr double kUsedReserveShare = 0.8;
 /// A runner's machine answers an opening packet within a few milliseconds on the known platforms; a
 /// lost one is sent again after a second.
 constexpr base::Duration kReachabilityTimeout = base::milliseconds (150);
@@ -59,6 +56,7 @@
       m_rates (randomSeed, [this] { m_demandTimer.start (0); }),
       m_pool (m_settings.connectTimeout),
       m_retryBudgets (m_settings.retryShare, initialRetries (m_settings)),
+      m_retryReserve (m_settings.cellRetryReserve, m_random.bits()),
       m_quotas (m_settings.quotaTolerance, [this] { m_demandTimer.start (0); }),
       m_context{ m_names,
                  m_clock,
@@ -102,6 +100,8 @@
           { onReachabilityProbed (instance, probeResult); }),
       m_streamFetcher (m_clock, m_pool, m_random, m_context.streams)
 {
+    if (m_settings.cellRetryReserve > 0)
+        m_retryBudgets.dropReserve();
     m_context.router = m_settings.id;
     m_context.peers = PeerRouters (m_settings.id, m_settings.zone);
     m_context.checkRunner = [this] (const std::string& instance, const base::SocketAddress& address)
@@ -156,6 +156,7 @@
     m_loadReporter.onLinkLost();
     m_directory.onLinkLost();
     m_suspects.onLinkLost();
+    m_retryReserve.onLinkLost();
 }
 
 void ProxyProcess::sendHello()
@@ -168,7 +169,7 @@
     hello.configurationVersion = m_held.version;
     hello.configurationDigest = m_held.digest;
     hello.acceptsLastKnownState = true;
-    hello.features = cell::kReadsInstanceRates;
+    hello.features = cell::kReadsInstanceRates | cell::kReadsRetryReserve;
     if (! m_peerAddress.host.empty())
     {
         hello.features |= cell::kReadsRouterPeers;
@@ -207,6 +208,10 @@
         m_quotas.onGrant (*quota, m_clock.now());
         m_server.onDirectoryChanged();
     }
+    else if (const auto* reserve = std::get_if<cell::RetryReserveGrants> (&message))
+    {
+        applyRetryReserve (*reserve);
+    }
     else if (const auto* peers = std::get_if<cell::RouterPeers> (&message))
     {
         m_context.peers.apply (*peers, m_clock.now());
@@ -345,7 +350,6 @@
     if (! preferred.empty())
         m_preferredController = preferred.front();
     m_link.setControllers (std::move (preferred));
-    limitRetries();
     m_rates.setRouters (m_directory.routers());
     m_context.reachability.setRouters (m_directory.routers());
     const bool hasOtherRunners =
@@ -377,19 +381,31 @@
     pollController();
 }
 
-void ProxyProcess::limitRetries()
+void ProxyProcess::requestRetryReserve()
 {
-    if (m_settings.cellRetryReserve == 0)
+    logRetryReserve();
+    if (! m_session.isConnected())
         return;
-    const double part =
-        dispatch::partOfReserve (kUsedReserveShare * m_settings.cellRetryReserve,
-                                 m_directory.routers(), m_settings.id);
-    m_reserveKnownAt = m_clock.now();
-    if (part == m_retryBudgets.limit())
+    if (auto request = m_retryReserve.takeRequest (m_retryBudgets.denied(), m_clock.now()))
+        m_link.send (std::move (*request));
+}
+
+void ProxyProcess::applyRetryReserve (const cell::RetryReserveGrants& grants)
+{
+    if (m_retryReserve.onGrants (grants))
+        m_retryBudgets.grantReserve (m_retryReserve.part(), m_retryReserve.end());
+    requestRetryReserve();
+}
+
+void ProxyProcess::logRetryReserve()
+{
+    const std::optional<double> part = m_retryBudgets.limit();
+    if (part == m_loggedReserve)
         return;
-    m_retryBudgets.limitReserve (part);
-    log::write (log::Event::kRetryReserveChanged,
-                { { "part", part }, { "sharers", m_directory.routers() } });
+    m_loggedReserve = part;
+    log::write (log::Event::kRetryReserveChanged, { { "part", part.value_or (0) },
+                                                    { "share", part ? m_retryReserve.share() : 0 },
+                                                    { "reserve", m_settings.cellRetryReserve } });
 }
 
 void ProxyProcess::setControllerAnswering (bool isAnswering)
@@ -587,6 +603,8 @@
     reportLoads();
     requestQuota();
     reportRates();
+    m_retryBudgets.expire (m_clock.now());
+    requestRetryReserve();
     reportSuspects();
     moveToPreferred();
     m_pool.expire (m_clock.now());
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -27,6 +27,7 @@
 #include "proxy/ProxyServer.h"
 #include "proxy/ProxySettings.h"
 #include "proxy/ReadinessServer.h"
+#include "proxy/RetryReserve.h"
 #include "proxy/RunnerProbes.h"
 #include "proxy/StreamFetcher.h"
 
@@ -73,8 +74,11 @@
     void confirmRoutes (const cell::LeaseGrant& grant);
     void applyConfiguration (const cell::ConfigurationUpdate& update);
     void applyInstances (const cell::InstanceUpdate& update);
-    /// Sets this router's part of the retries that all routers of the cell may make at a service.
-    void limitRetries();
+    /// Requests this router's share of the cell's reserve of retries from the controller.
+    void requestRetryReserve();
+    void applyRetryReserve (const cell::RetryReserveGrants& grants);
+    /// Logs when this router's part of the reserve has changed.
+    void logRetryReserve();
     void pollController();
     /// Connects to the preferred controller from time to time, if connected to another one.
     void moveToPreferred();
@@ -126,8 +130,8 @@
     RunnerRates m_rates;
     http::BackEndPool m_pool;
     dispatch::ServiceRetryBudgets m_retryBudgets;
-    /// When this router last received its part of the cell's reserve of retries; none: never.
-    std::optional<base::TimePoint> m_reserveKnownAt;
+    RetryReserve m_retryReserve;
+    std::optional<double> m_loggedReserve;  ///< Part of the reserve that was logged last.
     EngineDemands m_demands;
     TenantQuotas m_quotas;
     quarantine::SuspectRequests m_suspects;
--- a/src/router/RouterCoreImplementation.h
+++ b/src/router/RouterCoreImplementation.h
@@ -97,6 +97,7 @@
     void handle (const cell::InstanceRateUpdate& /*update*/) {}
     void handle (const cell::InstancePermitGrant& /*grant*/) {}
     void handle (const cell::RouterPeers& /*peers*/) {}
+    void handle (const cell::RetryReserveGrants& /*grants*/) {}
     /// Cell time, extrapolated from the leader's last value with the monotonic clock so that a step
     /// of this machine's wall clock has no effect; 0 before the first value.
     [[nodiscard]] base::UnixMilliseconds cellTime() const;
--- a/src/router/RouterTestHarness.h
+++ b/src/router/RouterTestHarness.h
@@ -304,6 +304,7 @@
     void takeMessage (const cell::InstanceRateReport& /*report*/) {}
     void takeMessage (const cell::InstancePermitRequest& /*request*/) {}
     void takeMessage (const cell::RouterPeers& /*peers*/) {}
+    void takeMessage (const cell::RetryReserveRequests& /*requests*/) {}
     void takeMessage (const cell::LeaseRequest& request) { leaseRequests.push_back (request); }
     void takeMessage (const cell::DemandReport& report) { demands.push_back (report); }
     void takeMessage (const cell::ClaimRequest& request) { claimRequests.push_back (request); }
