A request that another router has sent and then declines needs a retry to be sent again

A router that had sent a request to a runner could answer "unavailable" afterwards (it stops, or loses its configuration, while the request waits for a second runner).

ExchangePeersTest.RequestThatAnotherRouterSentAndDeclinedNeedsARetry failed before (2 arrivals, 1 allowed) and passes now; all Exchange* tests pass. Such an answer is now treated like a refusal of a runner.

--- a/src/proxy/ExchangePeers.cpp
+++ b/src/proxy/ExchangePeers.cpp
@@ -136,6 +136,12 @@
     else if (m_attempt.peerAnswer.outcome == PeerOutcome::kUnavailable)
         reason = PeerDecline::kUnavailable;
     m_peerSearch.onDeclined (m_context.peers, m_attempt.peer->router, reason, peerTarget(), now());
+    const bool hasArrived = m_attempt.peerAnswer.attempts > 0;
+    if (hasArrived)
+    {
+        afterRefusal();
+        return;
+    }
     m_attempt.peer.reset();
     dispatchNext();
 }
--- a/src/proxy/ExchangePeersTest.cpp
+++ b/src/proxy/ExchangePeersTest.cpp
@@ -217,6 +217,27 @@
     EXPECT_FALSE (m_far.retryBudgets.of ("service").allowsRetry());
 }
 
+TEST_F (ExchangePeersTest, RequestThatAnotherRouterSentAndDeclinedNeedsARetry)
+{
+    const auto decline = [] (const std::string&)
+    {
+        return StubReply{
+            "HTTP/1.1 503 Service Unavailable\r\nFernlift-Peer-Answer: "
+            "outcome=unavailable;attempts=1;runner=i-1;isolated=0\r\n"
+            "Content-Length: 0\r\n\r\n"
+        };
+    };
+    AnsweringRunner one (decline);
+    AnsweringRunner other (decline);
+    one.setRequestEnd ("\r\n\r\n");
+    other.setRequestEnd ("\r\n\r\n");
+    m_near.setPeers ({ { "one", "z1", one.address(), ProxyFixture::kPeerKey },
+                       { "other", "z1", other.address(), ProxyFixture::kPeerKey } });
+    m_near.retryBudgets = dispatch::ServiceRetryBudgets (0, 0);
+    EXPECT_TRUE (call ("app.test").starts_with ("HTTP/1.1 503"));
+    EXPECT_EQ (one.requests + other.requests, 1U);
+}
+
 TEST_F (ExchangePeersTest, RunnerGetsTheTimeThatIsLeft)
 {
     const std::vector<cell::RouterPeer> peers{ m_far.peerRow() };
