--- a/src/lab/RetryReserveBoundTest.cpp
+++ b/src/lab/RetryReserveBoundTest.cpp
@@ -23,6 +23,8 @@
 constexpr double kRetryShare = 0.2;
 constexpr double kReserve = 56;
 constexpr double kBrokenShare = 0.9;
+/// Part of the allowed retries that has to be made while no router is restarted.
+constexpr double kMinUse = 0.9;
 constexpr milliseconds kSoundTime (10'000);
 constexpr milliseconds kWindow (10'000);
 constexpr milliseconds kStartInterval (600);
@@ -75,6 +77,7 @@
     const auto retries = static_cast<double> (runs() - before - requests);
     const double allowed = kRetryShare * static_cast<double> (requests) + kReserve;
     EXPECT_LE (retries, allowed) << "for " << requests << " requests";
+    EXPECT_GE (retries, kMinUse * allowed) << "for " << requests << " requests";
 }
 
 INSTANTIATE_TEST_SUITE_P (Starts, RetryReserveBoundTest,
