Each lease states the number of routers of the cell

By it are divided: its fallback share of a tenant's quota while no grant arrives, its own share of a stated rate beside a leader of an earlier build, the pace of probes and of reports. The first of eight routers went on with 1: the whole quota as its fallback share.

The number now comes with each lease, every third of it, from the leader and through relays, as an optional field behind the last one: earlier builds ignore it, and a lease without it leaves the number as it was. A router that is cut off keeps the last number, so that these parts can still add up to more than the whole while routers are added meanwhile; the bounds that are judged (quotas, rates) have their own ledgers.

ControllerRetryReserveTest.EachLeaseStatesTheNumberOfRoutersOverAnUnchangedTable.

--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -7,6 +7,7 @@
 #include <boost/serialization/string.hpp>
 #include <boost/serialization/vector.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -352,12 +353,15 @@
     std::int64_t durationMilliseconds = 0;
     std::uint64_t replicaTableVersion = 0;
     base::UnixMilliseconds cellTime = 0;  ///< Clock of the leader, by which claims expire.
+    /// Number of routers of the cell; none from earlier builds, or before a relay knows it.
+    std::optional<std::uint32_t> routers{};
 
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
         archive& sequence& configurationVersion& configurationDigest& term& durationMilliseconds&
             replicaTableVersion& cellTime;
+        wire::serializeTail (archive, routers);
     }
 };
 
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -155,6 +155,7 @@
     cell::LeaseGrant grant =
         m_relay->sessions.grant (session, request, m_state.configuration().identity(),
                                  m_relay->session.term(), end - m_now, m_now);
+    grant.routers = m_relay->cellRouters;
     sendToRouter (connection, std::move (grant));
 }
 
@@ -266,6 +267,7 @@
         return;
     m_relay->session.onConnected (m_now);
     m_relay->leaderPeers.reset();
+    m_relay->cellRouters.reset();
     cell::RouterHello hello;
     hello.router = base::RouterId (m_relay->id);
     hello.cell = m_options.cell;
@@ -314,6 +316,7 @@
     else if (const auto* grant = std::get_if<cell::LeaseGrant> (&message))
     {
         m_relay->session.onGrant (*grant);
+        m_relay->cellRouters = grant->routers;
         m_relay->session.requestBy (m_now + kRenewInterval);
         for (const auto& [connection, request] : std::exchange (m_relay->pendingLeaseRequests, {}))
         {
--- a/src/controller/ControllerRetryReserveTest.cpp
+++ b/src/controller/ControllerRetryReserveTest.cpp
@@ -100,6 +100,12 @@
     EXPECT_GT (renewed, 0U);
 }
 
+TEST_F (ControllerRetryReserveTest, EachLeaseStatesTheNumberOfRoutersOverAnUnchangedTable)
+{
+    for (std::size_t number = 0; number < kRouters; ++number)
+        EXPECT_EQ (m_cell.router (number).cellRouters, kRouters) << number;
+}
+
 TEST_F (ControllerRetryReserveTest, OperatorSeesHoldersAndSharesInUse)
 {
     ASSERT_TRUE (request (0, 0));
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -282,6 +282,7 @@
     cell::LeaseGrant grant = m_leader->sessions.grant (session, request, inForce, m_leader->term,
                                                        m_options.routerLease, m_now);
     grant.cellTime = cellTime();
+    grant.routers = m_leader->sessions.countRouters();
     sendToRouter (connection, std::move (grant));
 }
 
--- a/src/controller/RouterRelay.h
+++ b/src/controller/RouterRelay.h
@@ -68,6 +68,10 @@
     RateUpdateState rateUpdateState;
     EngineDemandSum demands;
     HeartbeatBatch heartbeats;
+    /** Number of routers of the cell; none until the leader of the current connection has stated
+        it.
+    */
+    std::optional<std::uint32_t> cellRouters;
     RetryReserveRelay retryReserve;
     QuotaRelay quotas;
     QuotaBasis quotaBasis;                   ///< Inputs of the limits in `quotas`.
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -164,6 +164,7 @@
     }
     else if (const auto* grant = std::get_if<cell::LeaseGrant> (&message))
     {
+        router.cellRouters = grant->routers;
         const bool isForMine = grant->configurationVersion == router.configurationVersion
                                && grant->configurationDigest == router.configurationDigest;
         if (! isForMine)
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -160,7 +160,7 @@
     m_term = update.term;
     m_version = update.toVersion;
     m_appliedAt = now;
-    m_routers = std::max (update.routers, 1U);
+    setRouters (update.routers);
     m_controllers = update.controllers;
     return true;
 }
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -3,6 +3,7 @@
 /// The router's copy of the table of runners, and the choice of a runner for a request. Pure: time
 /// is passed in.
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -189,7 +190,9 @@
     /// Availability that the runners state in their answers.
     [[nodiscard]] routing::RunnerAvailability& availability() { return m_availability; }
 
+    /// Number of routers of the cell, as stated last; 1 before.
     [[nodiscard]] std::uint32_t routers() const { return m_routers; }
+    void setRouters (std::uint32_t routers) { m_routers = std::max (routers, 1U); }
     [[nodiscard]] const std::vector<cell::ControllerEndpoint>& controllers() const
     {
         return m_controllers;
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -196,6 +196,11 @@
         if (m_directory.onLease (m_clock.now()))
             m_streamFetcher.begin();
         setControllerAnswering (true);
+        if (grant->routers)
+        {
+            m_directory.setRouters (*grant->routers);
+            applyRouterCount();
+        }
         confirmConfiguration();
         confirmRoutes (*grant);
     }
@@ -350,17 +355,17 @@
     if (! preferred.empty())
         m_preferredController = preferred.front();
     m_link.setControllers (std::move (preferred));
-    m_rates.setRouters (m_directory.routers());
-    m_context.reachability.setRouters (m_directory.routers());
+    applyRouterCount();
+    // The last known state of a controller that does not lead does not include the number of
+    // routers.
+    if (update.term == cell::kTermOfLastKnownState)
+        m_quotas.setRouters (0);
     const bool hasOtherRunners =
         update.fromVersion == 0 || ! update.removals.empty() || m_directory.size() != sizeBefore;
     if (hasOtherRunners)
         m_context.reachability.setRunners (m_directory.instances());
     for (const std::string& id : m_directory.takeReplaced())
         m_suspects.onReplaced (id);
-    // The last known state of a controller that does not lead does not include the number of
-    // routers.
-    m_quotas.setRouters (update.term == cell::kTermOfLastKnownState ? 0 : m_directory.routers());
     m_server.onDirectoryChanged();
     if (! update.mustConfirm)
         return;
@@ -368,6 +373,14 @@
     pollController();
 }
 
+void ProxyProcess::applyRouterCount()
+{
+    const std::uint32_t routers = m_directory.routers();
+    m_rates.setRouters (routers);
+    m_context.reachability.setRouters (routers);
+    m_quotas.setRouters (routers);
+}
+
 void ProxyProcess::moveToPreferred()
 {
     const base::TimePoint now = m_clock.now();
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -74,6 +74,8 @@
     void confirmRoutes (const cell::LeaseGrant& grant);
     void applyConfiguration (const cell::ConfigurationUpdate& update);
     void applyInstances (const cell::InstanceUpdate& update);
+    /// Applies the number of routers of the cell wherever a limit is divided by it.
+    void applyRouterCount();
     /// Requests this router's share of the cell's reserve of retries from the controller.
     void requestRetryReserve();
     void applyRetryReserve (const cell::RetryReserveGrants& grants);
