A kept connection with unread bytes is not used for another request

A runner that sends half a head on a kept connection, or closes it, just before the next request goes out: the pool knew of such bytes only once the event loop had read them. The half head was then read as the beginning of the next answer, and "HTTP/1.1 200 OK", an unfinished field and the head of a refusal make a 200.

The pool asks the system whether anything is unread when it takes a connection, one call for each reused connection; for all users of the pool (router of services, router of models, controllers' client).

--- a/src/http/AnswerParserTest.cpp
+++ b/src/http/AnswerParserTest.cpp
@@ -20,13 +20,13 @@
     std::string left;
 };
 
-Reading read (const std::string& bytes, std::size_t cut, bool closes = false)
+Reading read (const std::string& bytes, std::size_t cut, bool closes = false, bool hasBody = true)
 {
     Reading reading;
     AnswerParser::Handlers handlers;
     handlers.onHead = [&] (AnswerHead head) { reading.head = std::move (head); };
     handlers.onBody = [&] (std::string_view data) { reading.body.append (data); };
-    AnswerParser parser (true, std::move (handlers));
+    AnswerParser parser (hasBody, std::move (handlers));
     std::string buffer;
     for (const std::string& part : { bytes.substr (0, cut), bytes.substr (cut) })
     {
@@ -76,6 +76,51 @@
     }
 }
 
+TEST (AnswerParserTest, TruncatedHeadIsNeverComplete)
+{
+    for (const std::string head :
+         { "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 120\r\n\r\n",
+           "HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+           "HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\nTrailer: Test-End\r\n\r\n",
+           "HTTP/1.1 204 No Content\r\nTest-Id: r1\r\n\r\n",
+           "HTTP/1.1 304 Not Modified\r\nTest-Id: r1\r\n\r\n",
+           "HTTP/1.1 200 OK\nContent-Length: 0\n\n" })
+    {
+        for (const bool hasBody : { true, false })
+        {
+            for (std::size_t length = 0; length < head.size(); ++length)
+            {
+                const Reading reading = read (head.substr (0, length), 0, true, hasBody);
+                EXPECT_FALSE (reading.head || reading.isDone || reading.isCompleteByClose)
+                    << head << " cut after " << length;
+            }
+        }
+    }
+}
+
+TEST (AnswerParserTest, HeadAboveTheLimitIsInvalid)
+{
+    constexpr std::size_t kFieldBytes = 70'000;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTest-Field: " + std::string (kFieldBytes, 'a') + "\r\n\r\n";
+    const Reading reading = read (head, head.size() / 2, true);
+    EXPECT_FALSE (reading.isValid);
+    EXPECT_FALSE (reading.head);
+}
+
+TEST (AnswerParserTest, AnswerWithTruncatedTrailersIsNeverComplete)
+{
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nhello\r\n0\r\nTest-End: 1\r\n\r\n";
+    EXPECT_TRUE (read (answer, 0, true).isDone);
+    for (std::size_t length = 0; length < answer.size(); ++length)
+    {
+        const Reading reading = read (answer.substr (0, length), 0, true);
+        EXPECT_FALSE (reading.isDone || reading.isCompleteByClose) << length;
+    }
+}
+
 TEST (AnswerParserTest, AnswerWithoutLengthEndsAtTheClose)
 {
     const Reading reading = read ("HTTP/1.1 200 OK\r\n\r\nhello", 3, true);
--- a/src/http/BackEndConnection.h
+++ b/src/http/BackEndConnection.h
@@ -80,6 +80,9 @@
     /// Whether another request may be sent: the last answer was complete, the connection is still
     /// open and persistent, no surplus bytes followed, and its keep-alive time has not passed.
     [[nodiscard]] bool isReusable (base::TimePoint now) const;
+    /// Whether the back end has sent bytes, or closed the connection, since the last answer ended.
+    /// An answer to a further request could not be told from such bytes.
+    [[nodiscard]] bool hasUnreadInput() const { return m_socket.hasUnreadInput(); }
     /// Records that the connection is idle since `now`.
     void markIdle (base::TimePoint now);
     [[nodiscard]] const base::SocketAddress& address() const { return m_address; }
--- a/src/http/BackEndPool.cpp
+++ b/src/http/BackEndPool.cpp
@@ -15,7 +15,7 @@
         // Takes the most recently used one, so that surplus connections expire.
         std::shared_ptr<BackEndConnection> connection = std::move (idle.back());
         idle.pop_back();
-        if (connection->isReusable (now))
+        if (connection->isReusable (now) && ! connection->hasUnreadInput())
             return connection;
     }
     return open (address);
--- a/src/http/StreamSocket.cpp
+++ b/src/http/StreamSocket.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -104,6 +105,12 @@
         m_readNotifier->setEnabled (isReading);
 }
 
+bool StreamSocket::hasUnreadInput() const
+{
+    pollfd input{ m_descriptor, POLLIN, 0 };
+    return m_state == State::kOpen && ::poll (&input, 1, 0) > 0;
+}
+
 void StreamSocket::setMaxReadBytes (std::size_t bytes)
 {
     m_maxReadBytes = std::clamp<std::size_t> (bytes, 1, kReadBytes);
--- a/src/http/StreamSocket.h
+++ b/src/http/StreamSocket.h
@@ -64,6 +64,8 @@
     void close();
 
     [[nodiscard]] bool isOpen() const { return m_state == State::kOpen; }
+    /// Whether the system has received bytes, or the end of the connection, that are not read yet.
+    [[nodiscard]] bool hasUnreadInput() const;
     [[nodiscard]] std::size_t bytesToWrite() const { return m_unsent.size(); }
 
 private:
