--- a/src/controller/RetryReserveLedger.cpp
+++ b/src/controller/RetryReserveLedger.cpp
@@ -2,15 +2,15 @@
 
 #include <algorithm>
 
+#include "controller/ClockDrift.h"
+
 namespace fernlift::controller
 {
 namespace
 {
 
-/// A router's clock may run slower than the leader's by one part in this many.
-constexpr int kClockDriftParts = 100;
-constexpr base::Duration kMaxLifetime =
-    kRetryReserveLifetime + base::Duration (kRetryReserveLifetime) / kClockDriftParts;
+/// Longest time on the leader's clock for which a share may be used.
+constexpr base::Duration kMaxLifetime = withDrift (kRetryReserveLifetime);
 /// Time for which routers that need no retry leave their share to others, after one was short.
 constexpr base::Duration kShortTime = kRetryReserveLifetime;
 
--- a/src/controller/RouterSessions.cpp
+++ b/src/controller/RouterSessions.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "controller/ClockDrift.h"
+
 namespace fernlift::controller
 {
 namespace
@@ -12,8 +14,6 @@
 /// are reliable, so this only affects a router that is too slow; a shorter time would add to its
 /// load.
 constexpr base::Duration kConfirmationTimeout = base::seconds (2);
-/// A router's clock may be slower than the leader's by one part in this many.
-constexpr int kClockDriftParts = 100;
 
 /// Returns the earliest version, up to `newest`, that a router with the version `reported` may use.
 std::uint64_t lowestInUse (std::uint64_t reported, const cell::ConfigurationLeases& leases,
@@ -23,12 +23,6 @@
     return mayServeEarlier ? reported : newest;
 }
 
-/// Returns the longest time on this clock in which a router's clock measures `duration`.
-base::Duration withDrift (base::Duration duration)
-{
-    return duration + duration / kClockDriftParts;
-}
-
 RouterSession::ReplicaKey keyOf (const cell::RoutableReplica& replica)
 {
     return { replica.replica, replica.runner, replica.target };
--- a/src/lab/RetryReserveCellTestSupport.h
+++ b/src/lab/RetryReserveCellTestSupport.h
@@ -21,6 +21,7 @@
 #include "controller/RetryReserveLedger.h"
 #include "controller/RetryReserveRelay.h"
 #include "dispatch/RetryBudget.h"
+#include "lab/EventQueueTestSupport.h"
 #include "proxy/RetryReserve.h"
 
 namespace fernlift::lab::test
@@ -158,8 +159,7 @@
     }
     void after (base::Duration delay, std::function<void()> work)
     {
-        m_events.push_back ({ m_now + delay, m_nextEvent++, std::move (work) });
-        std::push_heap (m_events.begin(), m_events.end(), std::greater<>());
+        m_events.add (m_now + delay, std::move (work));
     }
     base::Duration travel()
     {
@@ -171,13 +171,7 @@
     void step()
     {
         m_now += kStep;
-        while (! m_events.empty() && m_events.front().at <= m_now)
-        {
-            std::pop_heap (m_events.begin(), m_events.end(), std::greater<>());
-            const auto work = std::move (m_events.back().work);
-            m_events.pop_back();
-            work();
-        }
+        m_events.runUntil (m_now);
         injectFaults();
         for (std::size_t number = 0; number < m_routers.size(); ++number)
         {
@@ -448,18 +442,6 @@
             attempt (number, attempts + 1);
     }
 
-    struct Event
-    {
-        base::TimePoint at{};
-        std::uint64_t number = 0;
-        std::function<void()> work;
-
-        bool operator> (const Event& other) const
-        {
-            return std::pair (at, number) > std::pair (other.at, other.number);
-        }
-    };
-
     base::Random m_random;
     ReserveCellOptions m_options;
     base::TimePoint m_begin = base::TimePoint (base::seconds (100));
@@ -469,8 +451,7 @@
     std::vector<controller::RetryReserveRelay> m_relays;
     std::set<std::size_t> m_connectedRelays;  ///< Relays that are connected to the leader.
     std::vector<Router> m_routers;
-    std::vector<Event> m_events;  ///< Min-heap ordered by time.
-    std::uint64_t m_nextEvent = 0;
+    EventQueue m_events;
     double m_mostShared = 0;
     std::vector<base::TimePoint> m_requests;  ///< Times at which clients sent them, in order.
     std::vector<base::TimePoint> m_retries;   ///< Times at which they were sent, in order.
--- a/src/lab/RunnerRateCellTestSupport.h
+++ b/src/lab/RunnerRateCellTestSupport.h
@@ -19,6 +19,7 @@
 #include "base/Random.h"
 #include "controller/InstanceRateLedger.h"
 #include "controller/RateRelay.h"
+#include "lab/EventQueueTestSupport.h"
 #include "proxy/RunnerRates.h"
 
 namespace fernlift::lab::test
@@ -140,8 +141,7 @@
     bool happens (double chance) { return m_random.uniformReal() < chance; }
     void after (base::Duration delay, std::function<void()> work)
     {
-        m_events.push_back ({ m_now + delay, m_nextEvent++, std::move (work) });
-        std::push_heap (m_events.begin(), m_events.end(), std::greater<>());
+        m_events.add (m_now + delay, std::move (work));
     }
     /// Network delay between two machines; messages of a connection keep their order.
     base::Duration travel() { return base::milliseconds (2) + upTo (base::milliseconds (8)); }
@@ -149,13 +149,7 @@
     void step()
     {
         m_now += kStep;
-        while (! m_events.empty() && m_events.front().at <= m_now)
-        {
-            std::pop_heap (m_events.begin(), m_events.end(), std::greater<>());
-            const auto work = std::move (m_events.back().work);
-            m_events.pop_back();
-            work();
-        }
+        m_events.runUntil (m_now);
         if (m_now - m_begin >= m_options.faultsFrom)
             injectFaults();
         for (std::size_t number = 0; number < m_routers.size(); ++number)
@@ -421,18 +415,6 @@
         return counted;
     }
 
-    struct Event
-    {
-        base::TimePoint at{};
-        std::uint64_t number = 0;
-        std::function<void()> work;
-
-        bool operator> (const Event& other) const
-        {
-            return std::pair (at, number) > std::pair (other.at, other.number);
-        }
-    };
-
     base::Random m_random;
     RateCellOptions m_options;
     base::TimePoint m_begin = base::TimePoint (base::seconds (100));
@@ -444,8 +426,7 @@
     std::unique_ptr<controller::InstanceRateLedger> m_formerLeader;
     std::vector<controller::RateRelay> m_relays;
     std::vector<std::unique_ptr<Router>> m_routers;
-    std::vector<Event> m_events;  ///< Min-heap ordered by time.
-    std::uint64_t m_nextEvent = 0;
+    EventQueue m_events;
     std::vector<base::TimePoint> m_arrivals;
     std::optional<base::TimePoint> m_firstStated;
     base::TimePoint m_limitedUntil = m_begin;
--- a/src/proxy/RetryReserve.h
+++ b/src/proxy/RetryReserve.h
@@ -50,10 +50,10 @@
     double m_cellReserve;
     std::uint64_t m_holder;
     bool m_isControllerGranting = false;  ///< Whether the connected controller reads requests.
-    std::uint64_t m_sequence = 0;         ///< Of the last request.
+    std::uint64_t m_sequence = 0;         ///< Number of the last request.
     std::uint64_t m_answered = 0;         ///< Last request that was answered.
     base::TimePoint m_requestedAt{};
-    std::uint64_t m_denied = 0;  ///< As of the last request.
+    std::uint64_t m_denied = 0;  ///< Retries denied until the last request.
     double m_statedShare = 0;    ///< Share that the last request stated as held.
     double m_share = 0;
     double m_equalShare = 0;
