--- a/src/http/AnswerParserTest.cpp
+++ b/src/http/AnswerParserTest.cpp
@@ -101,8 +101,8 @@
 TEST (AnswerParserTest, HeadAboveTheLimitIsInvalid)
 {
     constexpr std::size_t kFieldBytes = 70'000;
-    const std::string head =
-        "HTTP/1.1 200 OK\r\nTest-Field: " + std::string (kFieldBytes, 'a') + "\r\n\r\n";
+    std::string head = "HTTP/1.1 200 OK\r\nTest-Field: ";
+    head.append (kFieldBytes, 'a').append ("\r\n\r\n");
     const Reading reading = read (head, head.size() / 2, true);
     EXPECT_FALSE (reading.isValid);
     EXPECT_FALSE (reading.head);
