A retry is taken from the budget when it is sent, not when it begins to wait

Many such retries arrive together when runners are back, beside those that were earned in the meantime, so that a window can hold more arrivals than the budget allowed in any window.

RetryWaitTest.RetryIsTakenFromTheBudgetWhenItIsSent failed before (balance 0 while the request waits, 1 expected) and passes now. A request that begins to wait gives its retry back and takes one before its next attempt; when the budget is spent by then it ends as after any failure without another runner, with its answer begun going on at its silent runner. A retry whose attempt is never sent is given back at the end of the request, too.

proxy_test: 345 pass, PeerSearchBoundTest (known red) fails; RetryReserveBoundTest and RetryBudgetBoundTest pass.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -214,7 +214,10 @@
     }
     const quarantine::SuspectStatus known = suspectStatus();
     if (isBlockedAsSuspect (known) || isBlockedByPromptPart())
+    {
+        postponeRetry();
         return;
+    }
     m_query.isolationKey = known.isSuspect() ? identity().digest : std::string();
     m_query.crashedInstances = known.instances;
     if (! m_permitChoice || ! takePermit())
@@ -236,6 +239,7 @@
         return;
     }
     m_isWaiting = true;
+    postponeRetry();
     m_waitBegan = now();
     // A runner found after this limit would answer too late; the caller should retry instead.
     const base::Duration limit = maxWaitForRunner (*m_route, m_callerTimeout);
@@ -371,7 +375,7 @@
 {
     ++m_sentAttempts;
     m_attempt.isSent = true;
-    m_isRestSent = true;
+    m_holdsRetry = false;
     m_attempt.sentAt = now();
     extendSilenceDeadline();
     armTimer();
@@ -562,8 +566,34 @@
 
 bool Exchange::tryRetry()
 {
-    m_isRetryDenied = ! retryBudget().tryRetry();
-    return ! m_isRetryDenied;
+    m_holdsRetry = retryBudget().tryRetry();
+    m_isRetryDenied = ! m_holdsRetry;
+    return m_holdsRetry;
+}
+
+void Exchange::returnUnsentRetry()
+{
+    if (std::exchange (m_holdsRetry, false))
+        retryBudget().returnRetry();
+}
+
+void Exchange::postponeRetry()
+{
+    if (! m_holdsRetry)
+        return;
+    returnUnsentRetry();
+    m_isRetryPostponed = true;
+}
+
+bool Exchange::takePostponedRetry()
+{
+    if (! std::exchange (m_isRetryPostponed, false) || tryRetry())
+        return true;
+    endWait();
+    endWithoutRunner (ErrorKind::kNoCapacity,
+                      "the retries of the service were spent while the request waited",
+                      kRetryDelay);
+    return false;
 }
 
 void Exchange::afterRefusal()
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -231,6 +231,13 @@
     [[nodiscard]] bool mayRunAgain();
     /// Takes one retry from the budget of the service; false if the budget is spent.
     bool tryRetry();
+    /// Gives back a retry whose attempt was not sent.
+    void returnUnsentRetry();
+    /// Gives back the retry of a request that waits, until it can be sent.
+    void postponeRetry();
+    /// Takes the retry of a request that waited. Returns false when the budget is spent, with which
+    /// the request has ended.
+    bool takePostponedRetry();
     void afterRefusal();
     void afterFailure();
     void forwardHead();
@@ -342,7 +349,9 @@
     bool m_isAnswerBegun = false;
     bool m_isStreamAnnounced = false;
     bool m_isEnded = false;
-    bool m_hasBrokenAnswer = false;  ///< Whether a runner broke off an answer.
+    bool m_hasBrokenAnswer = false;   ///< Whether a runner broke off an answer.
+    bool m_holdsRetry = false;        ///< A retry was taken whose attempt is not sent yet.
+    bool m_isRetryPostponed = false;  ///< A retry has to be taken before the next attempt.
     bool m_isRetryDenied = false;  ///< Whether the last retry that was wanted exceeded the budget.
     /// Computed on first use.
     mutable std::optional<std::uint64_t> m_fingerprint;
@@ -357,7 +366,6 @@
     /// another one; `m_attempt` is the one at that runner, or there is none yet.
     std::optional<Attempt> m_silentAttempt;
     SilentAttemptListener m_silentListener{ *this };
-    bool m_isRestSent = false;  ///< Whether the rest was requested since then.
     std::optional<http::EventSplitter> m_events;
     base::TimePoint m_lastEventAt{};  ///< Last event of any attempt; zero before the first.
     base::Duration m_longestPause{};  ///< Longest gap between two events, logged as a possible sole
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -220,6 +220,7 @@
     if (std::exchange (m_isEnded, true))
         return;
     m_timer.stop();
+    returnUnsentRetry();
     endSilentAttempt (AttemptEnd::kAbandoned);
     m_context.quotas.giveUp (m_quota);
     m_permitChoice.reset();
--- a/src/proxy/ExchangePeers.cpp
+++ b/src/proxy/ExchangePeers.cpp
@@ -47,6 +47,8 @@
         m_context.peers, peerTarget(), m_context.random.uniformReal(), now(), m_deadline);
     if (! peer)
         return false;
+    if (! takePostponedRetry())
+        return true;
     endWait();
     startPeerAttempt (*peer);
     return true;
--- a/src/proxy/ExchangeRates.cpp
+++ b/src/proxy/ExchangeRates.cpp
@@ -41,6 +41,8 @@
             beginWait (choice);
             return;
         }
+        if (! takePostponedRetry())
+            return;
         const bool needsPermit =
             m_context.rates.isLimited (choice.id, m_context.directory.startOf (choice.id));
         if (! needsPermit)
--- a/src/proxy/ExchangeSilence.cpp
+++ b/src/proxy/ExchangeSilence.cpp
@@ -62,6 +62,7 @@
 void Exchange::requestRestElsewhere()
 {
     retryBudget().chargeRetry();
+    m_holdsRetry = true;
     if (! m_attempt.peer)
         recordBrokenAnswer();
     pinSoftwareVersion();
@@ -70,7 +71,6 @@
     logResend (log::Event::kRequestResumed);
     m_silentAttempt = std::exchange (m_attempt, Attempt());
     m_silentAttempt->connection->setListener (m_silentListener);
-    m_isRestSent = false;
     dispatchNext();
 }
 
@@ -102,8 +102,8 @@
     m_context.rates.giveUp (m_permit);
     m_suspectHoldDeadline.reset();
     endAttempt (AttemptEnd::kAbandoned, false);
-    if (! m_isRestSent)
-        retryBudget().returnRetry();
+    returnUnsentRetry();
+    m_isRetryPostponed = false;
     m_attempt = std::move (*m_silentAttempt);
     m_silentAttempt.reset();
     m_attempt.connection->setListener (*this);
