The ledger of the reserve of retries keeps its sum

Each request of a router visited all holdings: at 2,000 routers, which request a share every 2 s, two million visits a second at the leader. The sum is kept, and holdings that have ended are removed every 100 ms, so that they count a little longer.

--- a/src/controller/RetryReserveLedger.cpp
+++ b/src/controller/RetryReserveLedger.cpp
@@ -11,6 +11,8 @@
 
 /// Longest time on the leader's clock for which a share may be used.
 constexpr base::Duration kMaxLifetime = withDrift (kRetryReserveLifetime);
+/// Shares that have ended count for up to this time more.
+constexpr base::Duration kSweepInterval = base::milliseconds (100);
 /// Time for which routers that need no retry leave their share to others, after one was short.
 constexpr base::Duration kShortTime = kRetryReserveLifetime;
 
@@ -19,25 +21,35 @@
 std::optional<cell::RetryReserveGrant> RetryReserveLedger::answer (
     const cell::RetryReserveRequest& request, base::TimePoint now)
 {
-    std::erase_if (m_holdings, [&] (const auto& item) { return now >= item.second.end; });
+    sweep (now);
     Holding& own = m_holdings[request.holder];
     if (request.sequence <= own.sequence)
         return std::nullopt;
-    own = {};
+    const double others = m_sum - own.share;
     const std::size_t connected = std::max<std::size_t> (m_routers, m_holdings.size());
     const double equalShare = 1 / static_cast<double> (connected);
     const double earlierBuilds = equalShare * static_cast<double> (connected - m_holdings.size());
-    const double free = std::max (1 - sharesInUse (now) - earlierBuilds, 0.0);
+    const double free = std::max (1 - others - earlierBuilds, 0.0);
     double share = shareFor (request, equalShare, free, now);
     const bool mayHaveUnknownShares = now < m_since + kMaxLifetime;
     if (mayHaveUnknownShares)
         share = std::min (share, request.heldShare);
     own = { request.sequence, std::max (request.heldShare, share), now + kMaxLifetime };
+    m_sum = others + own.share;
     return cell::RetryReserveGrant{ request.holder, request.sequence, share,
                                     std::max (equalShare, request.minShare),
                                     base::toMilliseconds (kRetryReserveLifetime) };
 }
 
+void RetryReserveLedger::sweep (base::TimePoint now)
+{
+    if (now < m_nextSweepAt)
+        return;
+    m_nextSweepAt = now + kSweepInterval;
+    std::erase_if (m_holdings, [&] (const auto& item) { return now >= item.second.end; });
+    m_sum = sharesInUse (now);
+}
+
 double RetryReserveLedger::shareFor (const cell::RetryReserveRequest& request, double equalShare,
                                      double free, base::TimePoint now)
 {
--- a/src/controller/RetryReserveLedger.h
+++ b/src/controller/RetryReserveLedger.h
@@ -50,12 +50,16 @@
         base::TimePoint end{};  ///< Latest end of any share of the holder.
     };
 
+    /// Removes the holdings that have ended, from time to time: large cells have many.
+    void sweep (base::TimePoint now);
     [[nodiscard]] double shareFor (const cell::RetryReserveRequest& request, double equalShare,
                                    double free, base::TimePoint now);
 
     base::TimePoint m_since;
     std::uint32_t m_routers = 0;
     std::map<std::uint64_t, Holding> m_holdings;  ///< By holder.
+    double m_sum = 0;                             ///< Sum of the shares in `m_holdings`.
+    base::TimePoint m_nextSweepAt{};
     base::TimePoint m_shortUntil{};  ///< Until then, routers that need no retry get no renewal.
 };
 
