--- a/src/cell/ReleasedMessagesTest.cpp
+++ b/src/cell/ReleasedMessagesTest.cpp
@@ -310,6 +310,22 @@
     EXPECT_EQ (std::get<InstanceUpdate> (read.value()).softwareHistory, update.softwareHistory);
 }
 
+TEST (ReleasedMessagesTest, LeaseOfEarlierControllerIsReadWithoutTheNumberOfRouters)
+{
+    LeaseGrant lease;
+    lease.sequence = 3;
+    const std::string earlier = wire::encodeMessage (ControllerToRouter (lease));
+    lease.routers = 8;
+    const std::string bytes = wire::encodeMessage (ControllerToRouter (lease));
+    EXPECT_TRUE (bytes.starts_with (earlier)) << "earlier builds ignore what follows";
+    const auto read = wire::decodeMessage<ControllerToRouter> (bytes);
+    ASSERT_TRUE (read);
+    EXPECT_EQ (std::get<LeaseGrant> (read.value()).routers, 8U);
+    const auto readEarlier = wire::decodeMessage<ControllerToRouter> (earlier);
+    ASSERT_TRUE (readEarlier);
+    EXPECT_FALSE (std::get<LeaseGrant> (readEarlier.value()).routers);
+}
+
 TEST (ReleasedMessagesTest, HeartbeatsOfEarlierRelayAreReadWithoutSoftwareVersions)
 {
     RelayedHeartbeats heartbeats;
