--- a/src/http/BackEndPool.cpp
+++ b/src/http/BackEndPool.cpp
@@ -5,6 +5,16 @@
 
 namespace fernlift::http
 {
+namespace
+{
+
+/// Whether an idle connection may be used for another request.
+bool isUsable (const BackEndConnection& connection, base::TimePoint now)
+{
+    return connection.isReusable (now) && ! connection.hasUnreadInput();
+}
+
+}  // namespace
 
 std::shared_ptr<BackEndConnection> BackEndPool::acquire (const base::SocketAddress& address,
                                                          base::TimePoint now)
@@ -15,7 +25,7 @@
         // Takes the most recently used one, so that surplus connections expire.
         std::shared_ptr<BackEndConnection> connection = std::move (idle.back());
         idle.pop_back();
-        if (connection->isReusable (now) && ! connection->hasUnreadInput())
+        if (isUsable (*connection, now))
             return connection;
     }
     return open (address);
@@ -32,7 +42,7 @@
     const auto idle = m_idle.find (address);
     return idle != m_idle.end()
            && std::ranges::any_of (
-               idle->second, [&] (const auto& connection) { return connection->isReusable (now); });
+               idle->second, [&] (const auto& connection) { return isUsable (*connection, now); });
 }
 
 void BackEndPool::release (std::shared_ptr<BackEndConnection> connection, base::TimePoint now)
