RouterSessions keeps the number of routers

Since each lease and each batch of requests for the reserve counts the sessions: where all routers are at the leader that grows with the square of their number.

--- a/src/controller/RouterSessions.cpp
+++ b/src/controller/RouterSessions.cpp
@@ -127,6 +127,7 @@
     session.configurationDigest = hello.configurationDigest;
     session.lastMessageAt = now;
     session.isRelay = hello.isRelay;
+    m_routerCount.reset();
     return session;
 }
 
@@ -142,6 +143,7 @@
                                            session.reportedInstanceVersion, session.leases };
     }
     m_sessions.erase (found);
+    m_routerCount.reset();
 }
 
 /// A router has one connection: its reports on a new one replace those on earlier ones. Leases
@@ -176,8 +178,11 @@
         session.heldInstanceVersion =
             std::max (request.instanceVersion, request.heldInstanceVersion);
     }
-    if (session.isRelay)
+    if (session.isRelay && session.routers != request.routers)
+    {
         session.routers = request.routers;
+        m_routerCount.reset();
+    }
     const bool hasLostInstances = session.heldInstanceVersion < session.instanceVersion
                                   && now - session.instancesSentAt > kConfirmationTimeout;
     if (hasLostInstances)
@@ -326,9 +331,12 @@
 
 std::uint32_t RouterSessions::countRouters() const
 {
+    if (m_routerCount)
+        return *m_routerCount;
     std::uint32_t routers = 0;
     for (const auto& [id, session] : m_sessions)
         routers += session.isSuperseded ? 0 : session.routers;
+    m_routerCount = routers;
     return routers;
 }
 
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -145,6 +145,7 @@
 
     base::Duration m_leaseDuration;
     std::map<SessionId, RouterSession> m_sessions;
+    mutable std::optional<std::uint32_t> m_routerCount;  ///< Cached countRouters().
     /// Disconnected routers, until they reconnect or their leases expire.
     std::map<base::RouterId, DisconnectedRouter> m_disconnected;
 };
