Controllers keep the streams of mixed software versions too

Cause: only routers have the records of streams, in memory. When all of them start at once nobody has them.

Change: a router records the streams that it announces at its controller as well, in batches; the controllers pass them on among themselves through the leader. A router asks its controller for a resumed stream that it doesn't know, and the request waits for the answer, as it waits for the history of versions (3 s or half of the caller's time at most). A relay asks the leader for what it lacks. Only processes that state so exchange these messages (kReadsStreams, an empty StreamRecords). StreamVersions and StreamNotice move to cell/, since routers and controllers use them.

Why it works: the records outlive the routers, and the first record of a stream holds everywhere, so that an answer can only be the version that began the stream.

--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -22,6 +22,7 @@
 #include "cell/RetryReserveMessages.h"
 #include "cell/RouterPeerMessages.h"
 #include "cell/SoftwareHistoryMessage.h"
+#include "cell/StreamMessages.h"
 #include "consensus/Messages.h"
 #include "wire/OptionalTail.h"
 
@@ -37,6 +38,7 @@
     kFollowsTableOfNextLeader = 1U << 1U,
     kReadsRouterPeers = 1U << 2U,   ///< RouterPeers.
     kReadsRetryReserve = 1U << 3U,  ///< RetryReserveGrants.
+    kReadsStreams = 1U << 4U,       ///< StreamRecords and StreamLookupReply.
 };
 
 /// First message of a router on a new connection.
@@ -294,7 +296,8 @@
     std::variant<RouterHello, LeaseRequest, DemandReport, ClaimRequest, OutcomeReport,
                  RunnerLeavingReport, EngineDemandReport, MemberJoinRequest, InstanceUnreachable,
                  RelayedHeartbeats, QuotaRequest, SuspectReport, InstanceLoadReport,
-                 InstanceRateReport, InstancePermitRequest, RouterPeers, RetryReserveRequests>;
+                 InstanceRateReport, InstancePermitRequest, RouterPeers, RetryReserveRequests,
+                 StreamRecords, StreamLookup>;
 
 /// This controller does not lead. `leaderAddress` is "ip:port" of the leader, empty if unknown.
 struct NotLeaderReply
@@ -558,6 +561,6 @@
     std::variant<NotLeaderReply, ConfigurationUpdate, LeaseGrant, ReplicaUpdate, ClaimReply,
                  InstanceUpdate, MemberJoinReply, QuotaGrant, SuspectUpdate, SuspectReport,
                  InstanceLoadUpdate, InstanceRateUpdate, InstancePermitGrant, RouterPeers,
-                 RetryReserveGrants>;
+                 RetryReserveGrants, StreamRecords, StreamLookupReply>;
 
 }  // namespace fernlift::cell
--- a/src/proxy/StreamVersions.cpp
+++ b/src/cell/StreamVersions.cpp
@@ -1,11 +1,11 @@
-#include "proxy/StreamVersions.h"
+#include "cell/StreamVersions.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/Digest.h"
 
-namespace fernlift::proxy
+namespace fernlift::cell
 {
 namespace
 {
@@ -48,6 +48,15 @@
     return found->second.version;
 }
 
+std::optional<StreamNotice> StreamVersions::findNotice (const std::string& key,
+                                                        base::TimePoint now) const
+{
+    const auto found = m_streams.find (key);
+    if (found == m_streams.end() || now >= found->second.expiresAt)
+        return std::nullopt;
+    return StreamNotice{ key, found->second.version, found->second.expiresAt - now };
+}
+
 std::vector<StreamNotice> StreamVersions::listAfter (const std::string& after, std::size_t count,
                                                      base::TimePoint now) const
 {
@@ -73,4 +82,4 @@
     }
 }
 
-}  // namespace fernlift::proxy
+}  // namespace fernlift::cell
--- a/src/proxy/StreamVersions.h
+++ b/src/cell/StreamVersions.h
@@ -1,11 +1,11 @@
 #pragma once
 
 /**
- * Software versions of streams that callers may resume at this router, wherever they began.
+ * Software versions of streams that callers may resume, wherever they began.
  *
- * While runners of several versions serve, each router tells the others of a stream before it
- * forwards the first event, so that the version is known when the router that began it is gone.
- * Nothing is kept while a service has one version.
+ * While runners of several versions serve, each router tells the other routers and the controllers
+ * of a stream before it forwards the first event, so that the version is known when the router that
+ * began it is gone. Nothing is kept while a service has one version.
  */
 
 #include <cstddef>
@@ -17,16 +17,16 @@
 #include <vector>
 
 #include "base/Time.h"
-#include "proxy/PeerMessage.h"
+#include "cell/StreamMessages.h"
 
-namespace fernlift::proxy
+namespace fernlift::cell
 {
 
 /** Identifies a stream: the request that received its first event, of one tenant and route. */
 [[nodiscard]] std::string streamKeyOf (std::string_view tenant, std::string_view route,
                                        std::string_view request);
 
-/** Pure. Threading: none; owned by one router. */
+/** Pure: time is passed in. Threading: none; owned by one router or controller. */
 class StreamVersions
 {
 public:
@@ -43,6 +43,9 @@
     /** Returns the version of a stream; none if it is not known. */
     [[nodiscard]] std::optional<std::string> find (const std::string& key,
                                                    base::TimePoint now) const;
+    /** Returns the stream with its remaining lifetime; none if it is not known. */
+    [[nodiscard]] std::optional<StreamNotice> findNotice (const std::string& key,
+                                                          base::TimePoint now) const;
     /** Returns up to `count` streams with keys after `after`, in the order of their keys. */
     [[nodiscard]] std::vector<StreamNotice> listAfter (const std::string& after, std::size_t count,
                                                        base::TimePoint now) const;
@@ -60,4 +63,4 @@
     std::deque<std::string> m_order;  ///< Keys of m_streams, the first recorded one first.
 };
 
-}  // namespace fernlift::proxy
+}  // namespace fernlift::cell
--- a/src/proxy/StreamVersionsTest.cpp
+++ b/src/cell/StreamVersionsTest.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
-#include "proxy/StreamVersions.h"
+#include "cell/StreamVersions.h"
 
-namespace fernlift::proxy
+namespace fernlift::cell
 {
 namespace
 {
@@ -56,4 +56,4 @@
 }
 
 }  // namespace
-}  // namespace fernlift::proxy
+}  // namespace fernlift::cell
--- a/src/controller/ControllerCore.cpp
+++ b/src/controller/ControllerCore.cpp
@@ -67,6 +67,7 @@
     drain();
     applyTenants();
     runRelay();
+    passOnStreams();
     if (! m_leader)
         return;
     runRoutine();
--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -33,6 +33,7 @@
 #include "controller/OrderHistory.h"
 #include "controller/OrderQueue.h"
 #include "controller/Reconciliation.h"
+#include "controller/RecordedStreams.h"
 #include "controller/RetryReserveLedger.h"
 #include "controller/RoutableTable.h"
 #include "controller/RouterPeerGroups.h"
@@ -621,6 +622,19 @@
     /// At a relay: forwards the grants of the leader.
     void applyRetryReserveGrants (const cell::RetryReserveGrants& grants);
 
+    // ControllerStreams.cpp
+    /// States to a router or relay that this member keeps streams.
+    void announceStreams (RouterConnection connection, const cell::RouterHello& hello);
+    /// Returns false when the message is not about streams.
+    bool onStreamMessage (RouterConnection connection, const cell::RouterToController& message);
+    void recordStreams (const cell::StreamRecords& records);
+    void answerStreamLookup (RouterConnection connection, const cell::StreamLookup& lookup);
+    /// At a relay: applies what the leader states of streams.
+    void applyLeaderStreams (const cell::ControllerToRouter& message);
+    /// Sends the streams that are due to the leader, or from the leader to all relays.
+    void passOnStreams();
+    void sendStreamsToRelays();
+
     // ControllerEngines.cpp
     [[nodiscard]] placement::EnginePlacementOptions engineOptions() const;
     void placeOnEngines();
@@ -708,6 +722,7 @@
     std::uint64_t m_peersVersion = 0;      ///< Version of the list in `m_peerGroups`.
     RouterPeerGroups m_peerGroups;         ///< Routers as sent to routers.
     ThrottledWork m_peersSend;             ///< Some routers may need the list of routers.
+    RecordedStreams m_streams;  ///< Streams of all routers, as far as this member received them.
     base::Random m_relaySeeds;
     std::optional<RouterRelay> m_relay;  ///< Set while this member does not lead.
     std::vector<Effect> m_effects;
--- a/src/controller/ControllerMetrics.cpp
+++ b/src/controller/ControllerMetrics.cpp
@@ -169,6 +169,11 @@
     addRateMetrics (text, m_leader ? m_leader->rates : InstanceRateLedger());
     addRetryReserveMetrics (text, m_leader ? m_leader->retryReserve : RetryReserveLedger (m_now),
                             m_now);
+    addGauge (text, "streams_recorded",
+              "Streams whose software version is known here while versions are mixed.",
+              m_streams.size());
+    addCounter (text, "stream_records_dropped_total",
+                "Streams dropped before they were sent to other controllers.", m_streams.dropped());
     return text;
 }
 
--- a/src/controller/ControllerRelay.cpp
+++ b/src/controller/ControllerRelay.cpp
@@ -36,7 +36,7 @@
     RouterSession* session = m_relay->sessions.find (connection);
     if (session == nullptr)
         return false;
-    if (relayRateMessage (connection, message))
+    if (relayRateMessage (connection, message) || onStreamMessage (connection, message))
         return true;
     if (const auto* lease = std::get_if<cell::LeaseRequest> (&message))
     {
@@ -86,6 +86,7 @@
     RouterSession& session = m_relay->sessions.open (connection, hello, m_now);
     sendInitialRates (connection, session, hello);
     announceRetryReserve (connection, hello);
+    announceStreams (connection, hello);
     recordPeer (connection, hello);
     applyInstanceVersion (session, hello, m_relay->instances.term());
     if (! m_relay->instances.hasTable() && hello.configurationVersion == 0)
@@ -180,6 +181,7 @@
     m_relay->peers.remove (connection);
     m_relay->quotas.onRouterDisconnected (connection);
     m_relay->retryReserve.onRouterDisconnected (connection);
+    m_relay->streamLookups.onRouterDisconnected (connection);
 }
 
 bool ControllerCore::Implementation::relayHeartbeat (const InstanceHeartbeat& heartbeat)
@@ -273,7 +275,7 @@
     hello.cell = m_options.cell;
     hello.isRelay = true;
     hello.features = cell::kReadsInstanceRates | cell::kFollowsTableOfNextLeader
-                     | cell::kReadsRouterPeers | cell::kReadsRetryReserve;
+                     | cell::kReadsRouterPeers | cell::kReadsRetryReserve | cell::kReadsStreams;
     hello.address = ownAdminAddress();
     hello.configurationVersion =
         m_relay->sessions.confirmedVersion (m_state.configuration().identity().version, {}, m_now);
@@ -286,6 +288,7 @@
     m_relay->quotas.onLeaderLost();
     m_relay->rates.onLeaderLost();
     m_relay->retryReserve.onLeaderLost();
+    m_relay->streamLookups.onLeaderLost();
     runRelay();
 }
 
@@ -299,6 +302,7 @@
     m_relay->quotas.onLeaderLost();
     m_relay->rates.onLeaderLost();
     m_relay->retryReserve.onLeaderLost();
+    m_relay->streamLookups.onLeaderLost();
     runRelay();
 }
 
@@ -308,6 +312,7 @@
         return;
     m_relay->session.onMessageReceived (m_now);
     applyLeaderRates (message);
+    applyLeaderStreams (message);
     if (std::holds_alternative<cell::NotLeaderReply> (message))
     {
         // This member gets the identity of the leader from consensus.
--- a/src/controller/ControllerRouters.cpp
+++ b/src/controller/ControllerRouters.cpp
@@ -101,6 +101,10 @@
         grantRetryReserve (connection, *reserve);
         return;
     }
+    else if (onStreamMessage (connection, message))
+    {
+        return;
+    }
     else if (const auto* suspects = std::get_if<cell::SuspectReport> (&message))
     {
         // The reports of one tick are proposed together.
@@ -208,6 +212,7 @@
     RouterSession& session = m_leader->sessions.open (connection, hello, m_now);
     sendInitialRates (connection, session, hello);
     announceRetryReserve (connection, hello);
+    announceStreams (connection, hello);
     recordPeer (connection, hello);
     // A router that reconnects to the same leader needs only the changes since.
     const bool holdsTable = m_leader->isTableShared && hello.replicaTableTerm == m_leader->term
--- a/src/controller/RouterRelay.h
+++ b/src/controller/RouterRelay.h
@@ -27,6 +27,7 @@
 #include "controller/RetryReserveRelay.h"
 #include "controller/RouterPeerTable.h"
 #include "controller/RouterSessions.h"
+#include "controller/StreamLookupRelay.h"
 #include "controller/ThrottledWork.h"
 
 namespace fernlift::controller
@@ -73,6 +74,7 @@
     */
     std::optional<std::uint32_t> cellRouters;
     RetryReserveRelay retryReserve;
+    StreamLookupRelay streamLookups;
     QuotaRelay quotas;
     QuotaBasis quotaBasis;                   ///< Inputs of the limits in `quotas`.
     bool hasRunners = false;                 ///< Some runners send their heartbeats here.
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -108,6 +108,8 @@
     std::optional<cell::InstanceRateUpdate> rates{};  ///< Latest received rates.
     std::vector<cell::QuotaAllowance> permits;
     std::vector<cell::RetryReserveGrants> reserveGrants;
+    std::vector<cell::StreamRecords> streamRecords;
+    std::vector<cell::StreamLookupReply> streamReplies;
     std::optional<std::uint32_t> cellRouters{};  ///< Number of routers stated with the last lease.
 
     [[nodiscard]] bool hasReplica (const std::string& target) const;
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -209,6 +209,14 @@
     {
         router.reserveGrants.push_back (*reserve);
     }
+    else if (const auto* records = std::get_if<cell::StreamRecords> (&message))
+    {
+        router.streamRecords.push_back (*records);
+    }
+    else if (const auto* streams = std::get_if<cell::StreamLookupReply> (&message))
+    {
+        router.streamReplies.push_back (*streams);
+    }
     else if (const auto* loads = std::get_if<cell::InstanceLoadUpdate> (&message))
     {
         router.onLoads (*loads);
--- a/src/lab/RouterStub.h
+++ b/src/lab/RouterStub.h
@@ -59,6 +59,8 @@
     void on (const cell::InstancePermitGrant& /*grant*/) {}
     void on (const cell::RouterPeers& /*peers*/) {}
     void on (const cell::RetryReserveGrants& /*grants*/) {}
+    void on (const cell::StreamRecords& /*records*/) {}
+    void on (const cell::StreamLookupReply& /*reply*/) {}
     void reconnectSoon (const base::SocketAddress& address);
 
     std::string m_id;
--- a/src/lab/StreamVersionRestartTest.cpp
+++ b/src/lab/StreamVersionRestartTest.cpp
@@ -341,6 +341,17 @@
     expectUnmixed (true);
 }
 
+TEST_F (StreamVersionRestartTest, StreamsOfTwoVersionsGoOnAfterAllRoutersWereKilled)
+{
+    ASSERT_TRUE (m_isReady);
+    registerOther();
+    beginStreams();
+    runFor (kStepTime);
+    restartRouters();
+    resumeBroken();
+    expectUnmixed (true);
+}
+
 TEST_F (StreamVersionRestartTest, StreamsOfOneVersionGoOnAfterAllRoutersWereKilled)
 {
     ASSERT_TRUE (m_isReady);
@@ -360,5 +371,25 @@
     expectUnmixed (true);
 }
 
+/// The parameter is the number of the controller that is killed.
+class StreamVersionControllerTest : public StreamVersionRestartTest,
+                                    public ::testing::WithParamInterface<std::size_t>
+{
+};
+
+TEST_P (StreamVersionControllerTest, StreamsOfTwoVersionsGoOnAfterAllRoutersWereKilled)
+{
+    ASSERT_TRUE (m_isReady);
+    registerOther();
+    beginStreams();
+    runFor (kStepTime);
+    m_cell.killController (GetParam());
+    restartRouters();
+    resumeBroken();
+    expectUnmixed (true);
+}
+
+INSTANTIATE_TEST_SUITE_P (Killed, StreamVersionControllerTest, ::testing::Values (0U, 1U, 2U));
+
 }  // namespace
 }  // namespace fernlift::lab
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -280,7 +280,7 @@
         if (findRoute())
             admitAndDispatch();
     }
-    else if (m_isWaitingForQuota || m_historyDeadline)
+    else if (m_isWaitingForQuota || m_streamVersionDeadline)
     {
         admitAndDispatch();
     }
@@ -394,8 +394,8 @@
         due = m_quota.waitsUntil;
     if (m_suspectHoldDeadline)
         due = std::min (m_deadline, *m_suspectHoldDeadline);
-    if (m_historyDeadline)
-        due = *m_historyDeadline;
+    if (m_streamVersionDeadline)
+        due = *m_streamVersionDeadline;
     const auto wait = std::max<base::Duration> (due - now(), base::Duration::zero());
     m_timer.start (std::chrono::ceil<base::milliseconds> (wait));
 }
@@ -416,7 +416,7 @@
         admitAndDispatch();
         return;
     }
-    if (m_historyDeadline)
+    if (m_streamVersionDeadline)
     {
         admitAndDispatch();
         return;
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -59,7 +59,7 @@
     [[nodiscard]] bool isWaiting() const
     {
         return m_isWaiting || m_isWaitingForRoutes || m_isWaitingForQuota || m_suspectHoldDeadline
-               || m_historyDeadline || m_permitChoice;
+               || m_streamVersionDeadline || m_permitChoice;
     }
     /// Whether the caller was sent a part of the answer.
     [[nodiscard]] bool isAnswerBegun() const { return m_isAnswerBegun; }
@@ -246,9 +246,11 @@
     /// Requires the software version of the stream that the caller resumes. Returns false when the
     /// request ended, as the version is not known, or waits for the controllers to state it.
     bool pinResumedStream();
-    /// Waits for the controllers to state the software versions of the past, if they probably do so
-    /// soon. Returns whether it waits.
-    bool waitForSoftwareHistory();
+    /// Whether the controllers will probably state soon which version the stream has, or which
+    /// versions there were.
+    [[nodiscard]] bool isStreamVersionAwaited (const SoftwareVersionsInUse& inUse);
+    /// Waits for the controllers' statement. Returns false when the time for that is over.
+    bool waitForStreamVersion();
     void refuseUnknownStream (const SoftwareVersionsInUse& inUse);
     /// Software versions of the runners that may have received a request since then.
     [[nodiscard]] SoftwareVersionsInUse softwareVersionsSince (base::TimePoint since) const;
@@ -324,8 +326,8 @@
     QuotaTicket m_quota;
     InstanceQuery m_query;
     PinSource m_pinSource = PinSource::kNone;
-    /// End of the wait for the software versions of the past; set while it lasts.
-    std::optional<base::TimePoint> m_historyDeadline;
+    /// End of the wait for the software version of the resumed stream; set while it lasts.
+    std::optional<base::TimePoint> m_streamVersionDeadline;
     std::optional<InstanceChoice> m_permitChoice;  ///< Runner for which a permit is pending.
     quota::QuotaClaim m_permit;
     base::TimePoint m_permitRequestedAt{};
--- a/src/proxy/ExchangeSoftware.cpp
+++ b/src/proxy/ExchangeSoftware.cpp
@@ -14,7 +14,7 @@
 /// time.
 constexpr int kLifetimeInTimeouts = 2;
 /// An election takes up to a second, and routers connect to the new leader within two more.
-constexpr base::Duration kMaxWaitForHistory = base::seconds (3);
+constexpr base::Duration kMaxWaitForStreamVersion = base::seconds (3);
 /// Retry-After time; the caller then probably reaches another router.
 constexpr base::Duration kRetryElsewhere = base::milliseconds (100);
 
@@ -59,7 +59,7 @@
 
 std::string Exchange::streamKey (const std::string& request) const
 {
-    return streamKeyOf (tenantName(), m_route->name, request);
+    return cell::streamKeyOf (tenantName(), m_route->name, request);
 }
 
 bool Exchange::pinResumedStream()
@@ -73,12 +73,11 @@
         m_context.streams.find (streamKey (resumedRequest()), now()), inUse);
     if (! pin)
     {
-        const bool isUnknown = std::holds_alternative<UnknownSoftwareVersions> (inUse);
-        if (! isUnknown || ! waitForSoftwareHistory())
+        if (! isStreamVersionAwaited (inUse) || ! waitForStreamVersion())
             refuseUnknownStream (inUse);
         return false;
     }
-    m_historyDeadline.reset();
+    m_streamVersionDeadline.reset();
     m_pinSource = pin->source;
     if (pin->source == PinSource::kNotice)
         ++m_context.counters.resumedByCallers;
@@ -87,23 +86,29 @@
     return true;
 }
 
-bool Exchange::waitForSoftwareHistory()
+bool Exchange::isStreamVersionAwaited (const SoftwareVersionsInUse& inUse)
 {
-    if (! m_context.directory.softwareVersions().isAwaitingControllers (now()))
-        return false;
-    if (! m_historyDeadline)
+    const bool isUnknown = std::holds_alternative<UnknownSoftwareVersions> (inUse);
+    if (isUnknown && m_context.directory.softwareVersions().isAwaitingControllers (now()))
+        return true;
+    return m_context.streamRecorder.lookUp (streamKey (resumedRequest()), now());
+}
+
+bool Exchange::waitForStreamVersion()
+{
+    if (! m_streamVersionDeadline)
     {
         const base::Duration longest =
-            std::min<base::Duration> (m_callerTimeout / 2, kMaxWaitForHistory);
-        m_historyDeadline = std::min (m_deadline, m_arrivedAt + longest);
+            std::min<base::Duration> (m_callerTimeout / 2, kMaxWaitForStreamVersion);
+        m_streamVersionDeadline = std::min (m_deadline, m_arrivedAt + longest);
     }
     armTimer();
-    return now() < *m_historyDeadline;
+    return now() < *m_streamVersionDeadline;
 }
 
 void Exchange::refuseUnknownStream (const SoftwareVersionsInUse& inUse)
 {
-    m_historyDeadline.reset();
+    m_streamVersionDeadline.reset();
     ++m_context.counters.unknownStreams;
     refuse (base::ErrorKind::kNoCapacity, causeOfUnknownStream (inUse), kRetryElsewhere);
 }
@@ -128,6 +133,7 @@
     notice.lifetime = streamLifetime();
     m_context.streams.record (notice, now());
     m_context.announceStream (notice);
+    m_context.streamRecorder.record (notice);
 }
 
 bool Exchange::isSoftwareVersionGone() const
--- a/src/proxy/PeerMessage.h
+++ b/src/proxy/PeerMessage.h
@@ -17,6 +17,7 @@
 
 #include "base/Error.h"
 #include "base/Time.h"
+#include "cell/StreamMessages.h"
 #include "http/Message.h"
 #include "proxy/ProtocolNames.h"
 #include "proxy/RequestParser.h"
@@ -24,15 +25,8 @@
 namespace fernlift::proxy
 {
 
-/** Software version of a stream that began, as one router tells it to the others. */
-struct StreamNotice
-{
-    std::string key;              ///< Result of streamKeyOf().
-    std::string softwareVersion;  ///< Version of the runner that wrote the first event.
-    base::Duration lifetime{};    ///< Time for which callers may resume the stream.
-
-    bool operator== (const StreamNotice&) const = default;
-};
+/** Sent to the other routers when a stream has begun. */
+using cell::StreamNotice;
 
 /** How a router reaches the runners. */
 enum class PeerPath : std::uint8_t
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -10,6 +10,7 @@
 #include "base/Random.h"
 #include "base/SocketAddress.h"
 #include "base/Time.h"
+#include "cell/StreamVersions.h"
 #include "dispatch/RetryBudget.h"
 #include "http/BackEndPool.h"
 #include "proxy/ConfigurationFreshness.h"
@@ -22,7 +23,7 @@
 #include "proxy/RouteTable.h"
 #include "proxy/RunnerRates.h"
 #include "proxy/RunnerReachability.h"
-#include "proxy/StreamVersions.h"
+#include "proxy/StreamRecorder.h"
 #include "proxy/TenantQuotas.h"
 #include "quarantine/SuspectRequests.h"
 
@@ -85,7 +86,9 @@
     std::function<void()> onIsolated = [] {};
     std::string router{};         ///< Name of this router.
     PeerRouters peers{ "", "" };  ///< The other routers of the cell.
-    StreamVersions streams{};     ///< Streams that callers may resume while versions are mixed.
+    /// Streams that callers may resume while versions are mixed.
+    cell::StreamVersions streams{};
+    StreamRecorder streamRecorder{};
     std::function<void (const StreamNotice& notice)> announceStream = [] (const StreamNotice&) {};
     /// Sends the probes that are due.
     std::function<void()> probeReachability = [] {};
--- a/src/proxy/ProxyControllerMessages.cpp
+++ b/src/proxy/ProxyControllerMessages.cpp
@@ -46,6 +46,15 @@
     {
         applyRetryReserve (*reserve);
     }
+    else if (std::holds_alternative<cell::StreamRecords> (message))
+    {
+        m_context.streamRecorder.onSupported();
+    }
+    else if (const auto* streams = std::get_if<cell::StreamLookupReply> (&message))
+    {
+        m_context.streamRecorder.onReply (*streams, m_context.streams, m_clock.now());
+        m_server.onDirectoryChanged();
+    }
     else if (const auto* peers = std::get_if<cell::RouterPeers> (&message))
     {
         m_context.peers.apply (*peers, m_clock.now());
@@ -211,6 +220,18 @@
     requestRetryReserve();
 }
 
+void ProxyProcess::sendStreams()
+{
+    StreamRecorder& recorder = m_context.streamRecorder;
+    recorder.expire (m_clock.now());
+    if (! m_session.isConnected())
+        return;
+    if (auto records = recorder.takeRecords (m_clock.now()))
+        m_link.send (std::move (*records));
+    if (auto lookup = recorder.takeLookup())
+        m_link.send (std::move (*lookup));
+}
+
 void ProxyProcess::logRetryReserve()
 {
     const std::optional<double> part = m_retryBudgets.limit();
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -82,6 +82,14 @@
             set ("fernlift_proxy_streams_fetched",
                  "Streams received from other routers after a start, or after a time without them.",
                  m_streamFetcher.received());
+            set ("fernlift_proxy_streams_looked_up",
+                 "Streams that this router did not know and asked its controller for.",
+                 m_context.streamRecorder.lookups());
+            set ("fernlift_proxy_streams_found", "Those of them that the controllers had.",
+                 m_context.streamRecorder.found());
+            set ("fernlift_proxy_stream_records_dropped",
+                 "Streams dropped before a controller received them.",
+                 m_context.streamRecorder.dropped());
             set ("fernlift_proxy_stream_notices_lost",
                  "Notices to other routers that were not sent or not answered.",
                  m_server.lostNotices());
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -157,6 +157,7 @@
     m_directory.onLinkLost();
     m_suspects.onLinkLost();
     m_retryReserve.onLinkLost();
+    m_context.streamRecorder.onLinkLost();
 }
 
 void ProxyProcess::sendHello()
@@ -169,7 +170,7 @@
     hello.configurationVersion = m_held.version;
     hello.configurationDigest = m_held.digest;
     hello.acceptsLastKnownState = true;
-    hello.features = cell::kReadsInstanceRates | cell::kReadsRetryReserve;
+    hello.features = cell::kReadsInstanceRates | cell::kReadsRetryReserve | cell::kReadsStreams;
     if (! m_peerAddress.host.empty())
     {
         hello.features |= cell::kReadsRouterPeers;
@@ -406,6 +407,7 @@
     reportRates();
     m_retryBudgets.expire (m_clock.now());
     requestRetryReserve();
+    sendStreams();
     reportSuspects();
     moveToPreferred();
     m_pool.expire (m_clock.now());
--- a/src/proxy/ProxyProcess.h
+++ b/src/proxy/ProxyProcess.h
@@ -81,6 +81,8 @@
     void applyRetryReserve (const cell::RetryReserveGrants& grants);
     /// Logs when this router's part of the reserve has changed.
     void logRetryReserve();
+    /// Sends the streams and lookups of streams that are due to the controller.
+    void sendStreams();
     void pollController();
     /// Connects to the preferred controller from time to time, if connected to another one.
     void moveToPreferred();
--- a/src/proxy/StreamFetcher.h
+++ b/src/proxy/StreamFetcher.h
@@ -16,10 +16,10 @@
 
 #include "base/Random.h"
 #include "base/Time.h"
+#include "cell/StreamVersions.h"
 #include "http/BackEndPool.h"
 #include "proxy/PeerCall.h"
 #include "proxy/PeerRouters.h"
-#include "proxy/StreamVersions.h"
 
 namespace fernlift::proxy
 {
@@ -29,7 +29,7 @@
 {
 public:
     StreamFetcher (const base::Clock& clock, http::BackEndPool& pool, base::Random& random,
-                   StreamVersions& streams)
+                   cell::StreamVersions& streams)
         : m_clock (clock), m_pool (pool), m_random (random), m_streams (streams)
     {
     }
@@ -59,7 +59,7 @@
     const base::Clock& m_clock;
     http::BackEndPool& m_pool;
     base::Random& m_random;
-    StreamVersions& m_streams;
+    cell::StreamVersions& m_streams;
     std::string m_router;
     std::size_t m_roundsLeft = 0;  ///< Including the present one.
     std::size_t m_wanted = 0;      ///< Routers that are still to be asked in this round.
--- a/src/proxy/StreamHistoryBoundTest.cpp
+++ b/src/proxy/StreamHistoryBoundTest.cpp
@@ -17,10 +17,10 @@
 
 #include "base/Random.h"
 #include "cell/SoftwareVersionHistory.h"
+#include "cell/StreamVersions.h"
 #include "proxy/ProxyTestSupport.h"
 #include "proxy/StreamPage.h"
 #include "proxy/StreamPin.h"
-#include "proxy/StreamVersions.h"
 
 namespace fernlift::proxy::test
 {
@@ -76,7 +76,7 @@
     std::uint64_t tableVersion = 0;
     std::map<std::string, std::string> table;  ///< Version of each runner.
     SoftwareVersions versions;
-    StreamVersions streams;
+    cell::StreamVersions streams;
 };
 
 struct PlayedStream
--- a/src/router/RouterCoreImplementation.h
+++ b/src/router/RouterCoreImplementation.h
@@ -98,6 +98,8 @@
     void handle (const cell::InstancePermitGrant& /*grant*/) {}
     void handle (const cell::RouterPeers& /*peers*/) {}
     void handle (const cell::RetryReserveGrants& /*grants*/) {}
+    void handle (const cell::StreamRecords& /*records*/) {}
+    void handle (const cell::StreamLookupReply& /*reply*/) {}
     /// Cell time, extrapolated from the leader's last value with the monotonic clock so that a step
     /// of this machine's wall clock has no effect; 0 before the first value.
     [[nodiscard]] base::UnixMilliseconds cellTime() const;
--- a/src/router/RouterProcessTestSupport.h
+++ b/src/router/RouterProcessTestSupport.h
@@ -114,6 +114,8 @@
     void handle (const cell::InstancePermitRequest& /*request*/) {}
     void handle (const cell::RouterPeers& /*peers*/) {}
     void handle (const cell::RetryReserveRequests& /*requests*/) {}
+    void handle (const cell::StreamRecords& /*records*/) {}
+    void handle (const cell::StreamLookup& /*lookup*/) {}
     void handle (const cell::RunnerLeavingReport& seen) { leavingSeen.push_back (seen); }
 
     std::vector<cell::RoutableReplica> m_replicas;
