--- a/src/controller/ControllerImplementation.h
+++ b/src/controller/ControllerImplementation.h
@@ -627,7 +627,6 @@
     void announceStreams (RouterConnection connection, const cell::RouterHello& hello);
     /// Returns false when the message is not about streams.
     bool onStreamMessage (RouterConnection connection, const cell::RouterToController& message);
-    void recordStreams (const cell::StreamRecords& records);
     void answerStreamLookup (RouterConnection connection, const cell::StreamLookup& lookup);
     /// At a relay: applies what the leader states of streams.
     void applyLeaderStreams (const cell::ControllerToRouter& message);
--- a/src/controller/ControllerStreams.cpp
+++ b/src/controller/ControllerStreams.cpp
@@ -24,12 +24,6 @@
         sendToRouter (connection, cell::StreamRecords{});
 }
 
-void ControllerCore::Implementation::recordStreams (const cell::StreamRecords& records)
-{
-    const bool mustPassOn = true;
-    m_streams.record (records, mustPassOn, m_now);
-}
-
 void ControllerCore::Implementation::answerStreamLookup (RouterConnection connection,
                                                          const cell::StreamLookup& lookup)
 {
@@ -49,7 +43,7 @@
                                                       const cell::RouterToController& message)
 {
     if (const auto* records = std::get_if<cell::StreamRecords> (&message))
-        recordStreams (*records);
+        m_streams.recordAndPassOn (*records, m_now);
     else if (const auto* lookup = std::get_if<cell::StreamLookup> (&message))
         answerStreamLookup (connection, *lookup);
     else
@@ -62,8 +56,7 @@
     if (const auto* records = std::get_if<cell::StreamRecords> (&message))
     {
         m_relay->streamLookups.onLeaderSupported();
-        const bool mustPassOn = false;
-        m_streams.record (*records, mustPassOn, m_now);
+        m_streams.record (*records, m_now);
     }
     else if (const auto* reply = std::get_if<cell::StreamLookupReply> (&message))
     {
--- a/src/controller/RecordedStreams.cpp
+++ b/src/controller/RecordedStreams.cpp
@@ -6,15 +6,17 @@
 namespace fernlift::controller
 {
 
-void RecordedStreams::record (const cell::StreamRecords& records, bool mustPassOn,
-                              base::TimePoint now)
+void RecordedStreams::record (const cell::StreamRecords& records, base::TimePoint now)
 {
     for (const cell::StreamNotice& stream : records.streams)
-    {
         m_streams.record (stream, now);
-        if (mustPassOn)
-            m_batch.add (stream);
-    }
+}
+
+void RecordedStreams::recordAndPassOn (const cell::StreamRecords& records, base::TimePoint now)
+{
+    record (records, now);
+    for (const cell::StreamNotice& stream : records.streams)
+        m_batch.add (stream);
 }
 
 cell::StreamLookupReply RecordedStreams::answer (const cell::StreamLookup& lookup,
--- a/src/controller/RecordedStreams.h
+++ b/src/controller/RecordedStreams.h
@@ -21,8 +21,9 @@
 class RecordedStreams
 {
 public:
-    /** Keeps the streams, and queues them for other controllers if `mustPassOn`. */
-    void record (const cell::StreamRecords& records, bool mustPassOn, base::TimePoint now);
+    void record (const cell::StreamRecords& records, base::TimePoint now);
+    /** The same, and queues the streams for other controllers. */
+    void recordAndPassOn (const cell::StreamRecords& records, base::TimePoint now);
     /** Returns those of the streams that are known here. */
     [[nodiscard]] cell::StreamLookupReply answer (const cell::StreamLookup& lookup,
                                                   base::TimePoint now) const;
