StreamHistoryBoundTest plays streams that only controllers know

Routers record streams at the controllers and look them up (StreamRecorder); all routers are killed more often (half of these draws in place of a fifth), with the controllers or without them.

--- a/src/proxy/StreamHistoryBoundTest.cpp
+++ b/src/proxy/StreamHistoryBoundTest.cpp
@@ -1,8 +1,8 @@
 // Property: whatever routers and controllers restart, and whichever software versions come, leave
 // and come back, a router never lets a stream go on at another version than the one that began it,
-// unless a message was lost; and streams whose version still has runners go on. Plays drawn
-// histories without a network. FERNLIFT_HISTORY_FIRST_SEED and FERNLIFT_HISTORY_SEEDS set the
-// seeds.
+// unless a message was lost; and streams whose version still has runners go on, also after all
+// routers were killed. Plays drawn histories without a network. FERNLIFT_HISTORY_FIRST_SEED and
+// FERNLIFT_HISTORY_SEEDS set the seeds.
 
 #include <gtest/gtest.h>
 
@@ -21,6 +21,7 @@
 #include "proxy/ProxyTestSupport.h"
 #include "proxy/StreamPage.h"
 #include "proxy/StreamPin.h"
+#include "proxy/StreamRecorder.h"
 
 namespace fernlift::proxy::test
 {
@@ -43,6 +44,9 @@
 constexpr int kMaxTries = 2;
 constexpr Duration kRetryAfter = milliseconds (100);
 constexpr std::size_t kMaxMixed = 2;
+/// Time after which the controllers have a stream that was announced.
+constexpr Duration kRecordTime = milliseconds (300);
+constexpr Duration kMaxLookupWait = seconds (3);
 constexpr std::size_t kGoOnPercent = 95;
 const std::string kService = "service";
 
@@ -51,7 +55,8 @@
 {
     kNone,
     kForgetsPast,     ///< A router takes its own start for the beginning of the service.
-    kFetchesNothing,  ///< A router that joins asks no other one for streams.
+    kFetchesNothing,  ///< A router that joins asks no other one and no controller for streams.
+    kRecordsNothing,  ///< Routers do not record streams at the controllers.
 };
 
 struct Runner
@@ -77,6 +82,7 @@
     std::map<std::string, std::string> table;  ///< Version of each runner.
     SoftwareVersions versions;
     cell::StreamVersions streams;
+    StreamRecorder recorder;
 };
 
 struct PlayedStream
@@ -91,6 +97,8 @@
     bool isAtNewRouter = false;  ///< First resumed at a router that started after the stream began,
                                  ///< while versions are mixed.
     int tries = 0;
+    TimePoint waitsSince{};  ///< Begin of the wait for a lookup; a default time point without one.
+    bool isOnlyAtControllers = false;
     bool hadChance = false;  ///< A router that could let it go on was up at the first try.
 };
 
@@ -102,6 +110,8 @@
     std::size_t wentOn = 0;
     std::size_t atNewRouter = 0;  ///< Those first resumed at a router that had just started.
     std::size_t wentOnAtNewRouter = 0;
+    std::size_t onlyAtControllers = 0;  ///< Resumable ones that no router knew any more.
+    std::size_t wentOnByControllers = 0;
 };
 
 class HistoryPlay
@@ -228,6 +238,7 @@
         router.table.clear();
         router.versions = {};
         router.streams = {};
+        router.recorder = {};
         router.fetchesAt.clear();
         if (m_fault != PlantedFault::kFetchesNothing)
             router.fetchesAt = { m_now + kJoinDelay, m_now + kJoinDelay + seconds (2) };
@@ -262,6 +273,64 @@
             router.fetchesAt.erase (router.fetchesAt.begin());
             fetch (router);
         }
+        exchangeStreams (router);
+    }
+    /// Records streams at the controllers and looks others up there.
+    void exchangeStreams (PlayedRouter& router)
+    {
+        const bool isSupported = isControlled (router) && ! m_hasEarlierControllers
+                                 && m_fault != PlantedFault::kFetchesNothing;
+        if (! isSupported)
+        {
+            router.recorder.onLinkLost();
+            return;
+        }
+        router.recorder.onSupported();
+        router.recorder.expire (m_now);
+        if (auto records = router.recorder.takeRecords (m_now))
+        {
+            later (between (1, 20),
+                   [this, records = std::move (*records)]
+                   {
+                       for (const StreamNotice& stream : records.streams)
+                           m_recorded.record (stream, m_now);
+                   });
+        }
+        if (auto lookup = router.recorder.takeLookup())
+        {
+            later (between (1, 40),
+                   [this, &router, startedAt = router.startedAt, lookup = std::move (*lookup)]
+                   {
+                       if (router.isUp && router.startedAt == startedAt)
+                           reply (router, lookup);
+                   });
+        }
+    }
+    void reply (PlayedRouter& router, const cell::StreamLookup& lookup)
+    {
+        cell::StreamLookupReply reply{ lookup.sequence, {} };
+        for (const std::string& key : lookup.keys)
+        {
+            if (auto stream = m_recorded.findNotice (key, m_now))
+                reply.streams.push_back (std::move (*stream));
+        }
+        router.recorder.onReply (reply, router.streams, m_now);
+    }
+    /// Notes that the controllers have to know the stream from some time later on.
+    void expectRecord (const PlayedRouter& router, const PlayedStream& stream)
+    {
+        if (! isControlled (router) || m_hasEarlierControllers)
+            return;
+        const std::size_t controllerStarts = m_controllerStarts;
+        later (kRecordTime,
+               [this, &router, startedAt = router.startedAt, controllerStarts, key = stream.key,
+                version = stream.version]
+               {
+                   const bool isSame = router.isUp && router.startedAt == startedAt
+                                       && controllerStarts == m_controllerStarts;
+                   if (isSame && isControlled (router))
+                       m_expected.record (key, version, m_now + lifetime() - kRecordTime);
+               });
     }
     /// The table arrives as it is now, some time later.
     void sendTable (PlayedRouter& router)
@@ -343,6 +412,9 @@
             return;
         stream.isAnnounced = true;
         router.streams.record (stream.key, stream.version, m_now + lifetime());
+        if (m_fault != PlantedFault::kRecordsNothing)
+            router.recorder.record ({ stream.key, stream.version, lifetime() });
+        expectRecord (router, stream);
         for (const auto& other : m_routers)
         {
             if (other.get() == &router || other->group != router.group || ! isKnown (*other))
@@ -383,7 +455,7 @@
                 m_controllersBackAt = m_now + between (200, 3000);
                 break;
             case 5:
-                if (chance (0.2))
+                if (chance (0.5))
                     killAll();
                 break;
             default:
@@ -399,7 +471,14 @@
                 kill (*router);
         }
         if (chance (0.5))
-            m_controllersBackAt = m_now + between (200, 3000);
+            killControllers();
+    }
+    void killControllers()
+    {
+        m_controllersBackAt = m_now + between (200, 3000);
+        ++m_controllerStarts;
+        m_recorded = {};
+        m_expected = {};
     }
 
     // Callers.
@@ -454,6 +533,13 @@
                 return router->isUp && pinResumedStream (stated, inUse (*router)).has_value();
             });
     }
+    /// Whether the controllers must have the stream and every router can ask them.
+    [[nodiscard]] bool isKnownAtControllers (const PlayedStream& stream) const
+    {
+        const bool areAllControlled = std::ranges::all_of (
+            m_routers, [&] (const auto& router) { return isControlled (*router); });
+        return areAllControlled && m_expected.find (stream.key, m_now).has_value();
+    }
     [[nodiscard]] bool isServing (const std::string& version) const
     {
         return std::ranges::all_of (
@@ -475,16 +561,22 @@
     }
     void resume (PlayedStream& stream)
     {
-        if (m_now >= stream.callerLeavesAt || ++stream.tries > kMaxTries)
+        const bool isWaiting = stream.waitsSince != TimePoint{};
+        if (m_now >= stream.callerLeavesAt || (! isWaiting && ++stream.tries > kMaxTries))
             return;
-        const std::optional<std::size_t> at = servingRouter();
-        if (! at)
+        const std::optional<std::size_t> at = isWaiting ? stream.router : servingRouter();
+        if (! at || ! m_routers[*at]->isUp)
             return;
-        const PlayedRouter& router = *m_routers[*at];
-        if (stream.tries == 1)
+        PlayedRouter& router = *m_routers[*at];
+        if (stream.tries == 1 && ! isWaiting)
         {
-            stream.hadChance = m_routers.size() <= kMaxGroup && ! m_hasEarlierControllers
-                               && isServing (stream.version) && isKnownSomewhere (stream);
+            const bool isKnownToRouter = m_routers.size() <= kMaxGroup && isKnownSomewhere (stream);
+            const bool isKnownToControllers = isKnownAtControllers (stream);
+            stream.hadChance = ! m_hasEarlierControllers && isServing (stream.version)
+                               && (isKnownToRouter || isKnownToControllers);
+            stream.isOnlyAtControllers =
+                stream.hadChance && isKnownToControllers && ! isKnownSomewhere (stream);
+            m_tally.onlyAtControllers += stream.isOnlyAtControllers ? 1 : 0;
             stream.isAtNewRouter = stream.hadChance && router.startedAt > stream.begunAt
                                    && needsNotice (inUse (router));
             m_tally.resumable += stream.hadChance ? 1 : 0;
@@ -492,6 +584,15 @@
         }
         const auto pin = pinResumedStream (router.streams.find (stream.key, m_now), inUse (router));
         const bool isServed = pin && router.versions.isListed (kService, pin->version);
+        if (! pin && mayWait (stream) && router.recorder.lookUp (stream.key, m_now))
+        {
+            if (! isWaiting)
+                stream.waitsSince = m_now;
+            stream.router = *at;
+            later (kStep, [this, stream]() mutable { resume (stream); });
+            return;
+        }
+        stream.waitsSince = {};
         if (! isServed)
         {
             later (kRetryAfter, [this, stream]() mutable { resume (stream); });
@@ -499,9 +600,15 @@
         }
         m_tally.wentOn += stream.hadChance ? 1 : 0;
         m_tally.wentOnAtNewRouter += stream.isAtNewRouter ? 1 : 0;
+        m_tally.wentOnByControllers += stream.isOnlyAtControllers ? 1 : 0;
         m_tally.mixed += pin->version == stream.version ? 0 : 1;
     }
 
+    [[nodiscard]] bool mayWait (const PlayedStream& stream) const
+    {
+        return stream.waitsSince == TimePoint{} || m_now < stream.waitsSince + kMaxLookupWait;
+    }
+
     // Time.
     void later (Duration delay, std::function<void()> action)
     {
@@ -527,6 +634,9 @@
     std::size_t m_versions = 1;
     Duration m_timeout{};
     TimePoint m_controllersBackAt{};
+    std::size_t m_controllerStarts = 0;  ///< Times at which all controllers were killed.
+    cell::StreamVersions m_recorded;     ///< Streams that the controllers have.
+    cell::StreamVersions m_expected;     ///< Streams that they have to have.
     std::uint64_t m_tableVersion = 0;
     cell::SoftwareVersionHistory m_history = cell::SoftwareVersionHistory::ofNewCell();
     std::vector<Runner> m_runners;
@@ -548,6 +658,8 @@
         wentOn += tally.wentOn;
         atNewRouter += tally.atNewRouter;
         wentOnAtNewRouter += tally.wentOnAtNewRouter;
+        onlyAtControllers += tally.onlyAtControllers;
+        wentOnByControllers += tally.wentOnByControllers;
     }
 };
 
@@ -566,16 +678,20 @@
     }
     std::cout << sum.streams << " streams, " << sum.mixed << " of two versions, " << sum.wentOn
               << " of " << sum.resumable << " resumable ones went on, " << sum.wentOnAtNewRouter
-              << " of " << sum.atNewRouter << " at routers that had started since\n";
+              << " of " << sum.atNewRouter << " at routers that had started since, "
+              << sum.wentOnByControllers << " of " << sum.onlyAtControllers
+              << " known to controllers only\n";
     return sum;
 }
 
 TEST (StreamHistoryBoundTest, RestartsMixNoSoftwareVersionsAndStreamsGoOn)
 {
     const Sum sum = playSeeds (numberFrom ("FERNLIFT_HISTORY_FIRST_SEED", 1),
-                               numberFrom ("FERNLIFT_HISTORY_SEEDS", 20), PlantedFault::kNone);
+                               numberFrom ("FERNLIFT_HISTORY_SEEDS", 60), PlantedFault::kNone);
     EXPECT_GT (sum.resumable, 0U);
     EXPECT_GE (sum.wentOn * 100, sum.resumable * kGoOnPercent);
+    EXPECT_GT (sum.onlyAtControllers, 0U);
+    EXPECT_GE (sum.wentOnByControllers * 100, sum.onlyAtControllers * kGoOnPercent);
 }
 
 TEST (StreamHistoryBoundTest, FindsRouterThatForgetsPast)
@@ -589,5 +705,11 @@
     EXPECT_LT (sum.wentOnAtNewRouter * 100, sum.atNewRouter * kGoOnPercent);
 }
 
+TEST (StreamHistoryBoundTest, FindsRouterThatRecordsNoStreamsAtControllers)
+{
+    const Sum sum = playSeeds (1, 20, PlantedFault::kRecordsNothing);
+    EXPECT_LT (sum.wentOnByControllers * 100, sum.onlyAtControllers * kGoOnPercent);
+}
+
 }  // namespace
 }  // namespace fernlift::proxy::test
