EngineClientTest: orders that are sent after their time (known red)

Read: what bounds the time from the decision to the arrival.

- a process that was stopped between the connection and the write sends the order when it goes on;
- the connection of an order that timed out is closed in order, so that the system repeats lost packets for up to 4 s.

--- a/src/controller/EngineClientTest.cpp
+++ b/src/controller/EngineClientTest.cpp
@@ -4,6 +4,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+#include <optional>
+#include <string>
+#include <thread>
+
 #include "controller/EngineClient.h"
 #include "http/HttpTestSupport.h"
 
@@ -71,6 +76,84 @@
     int m_fillers[3] = { -1, -1, -1 };
 };
 
+/// Port that accepts connections and does not answer.
+class SilentPort
+{
+public:
+    SilentPort() : m_listener (::socket (AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+        socklen_t length = sizeof address;
+        ::bind (m_listener, reinterpret_cast<sockaddr*> (&address), length);
+        ::listen (m_listener, 1);
+        ::getsockname (m_listener, reinterpret_cast<sockaddr*> (&address), &length);
+        m_port = ntohs (address.sin_port);
+    }
+    ~SilentPort() { ::close (m_listener); }
+    SilentPort (const SilentPort&) = delete;
+    SilentPort& operator= (const SilentPort&) = delete;
+
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string (m_port); }
+
+    /// What the first connection has delivered at its end.
+    struct Received
+    {
+        std::string bytes;
+        bool isReset = false;
+    };
+    [[nodiscard]] Received receiveAll() const
+    {
+        const int connection = ::accept (m_listener, nullptr, nullptr);
+        Received received;
+        char buffer[1024];
+        ssize_t count = 0;
+        while ((count = ::recv (connection, buffer, sizeof buffer, 0)) > 0)
+            received.bytes.append (buffer, static_cast<std::size_t> (count));
+        received.isReset = count < 0 && errno == ECONNRESET;
+        ::close (connection);
+        return received;
+    }
+
+private:
+    int m_listener;
+    std::uint16_t m_port = 0;
+};
+
+constexpr base::milliseconds kTimeout (50);
+
+/// Sends an order and waits for its end. The process is stopped for `pause` before the connection
+/// is open.
+engine::OrderOutcome outcomeOfOrder (const std::string& address, base::milliseconds pause)
+{
+    http::test::application();
+    EngineClient client (std::make_shared<TestCodec>(), kTimeout,
+                         [] (std::string_view, std::string_view) {});
+    std::optional<engine::OrderOutcome> outcome;
+    client.sendOrder (address, {}, [&] (engine::OrderOutcome received) { outcome = received; });
+    std::this_thread::sleep_for (pause);
+    EXPECT_TRUE (http::test::waitUntil ([&] { return outcome.has_value(); }));
+    http::test::runFor (kTimeout);
+    return outcome.value_or (engine::OrderOutcome::kInvalid);
+}
+
+TEST (EngineClientTest, OrderIsNotSentByAProcessThatWasStoppedBeyondItsTime)
+{
+    const SilentPort port;
+    EXPECT_EQ (outcomeOfOrder (port.address(), 2 * kTimeout), engine::OrderOutcome::kUnknown);
+    EXPECT_EQ (port.receiveAll().bytes, "");
+}
+
+TEST (EngineClientTest, SystemDoesNotSendAnOrderAgainAfterItsTime)
+{
+    const SilentPort port;
+    EXPECT_EQ (outcomeOfOrder (port.address(), {}), engine::OrderOutcome::kUnknown);
+    const SilentPort::Received received = port.receiveAll();
+    EXPECT_NE (received.bytes, "");
+    EXPECT_TRUE (received.isReset) << "a connection that is closed in order is sent to its end";
+}
+
 TEST (EngineClientTest, UnansweredCallEndsExactlyOnceAsUnknown)
 {
     http::test::application();
