--- a/src/cell/StreamVersions.cpp
+++ b/src/cell/StreamVersions.cpp
@@ -42,10 +42,10 @@
 
 std::optional<std::string> StreamVersions::find (const std::string& key, base::TimePoint now) const
 {
-    const auto found = m_streams.find (key);
-    if (found == m_streams.end() || now >= found->second.expiresAt)
+    std::optional<StreamNotice> notice = findNotice (key, now);
+    if (! notice)
         return std::nullopt;
-    return found->second.version;
+    return std::move (notice->softwareVersion);
 }
 
 std::optional<StreamNotice> StreamVersions::findNotice (const std::string& key,
