--- a/src/controller/EngineClientTest.cpp
+++ b/src/controller/EngineClientTest.cpp
@@ -42,37 +42,60 @@
     }
 };
 
+/// Listens at a free port of the loopback interface.
+class ListeningPort
+{
+public:
+    explicit ListeningPort (int backlog) : m_listener (::socket (AF_INET, SOCK_STREAM, 0))
+    {
+        m_address.sin_family = AF_INET;
+        m_address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+        socklen_t length = sizeof m_address;
+        ::bind (m_listener, reinterpret_cast<sockaddr*> (&m_address), length);
+        ::listen (m_listener, backlog);
+        ::getsockname (m_listener, reinterpret_cast<sockaddr*> (&m_address), &length);
+    }
+    ~ListeningPort() { ::close (m_listener); }
+    ListeningPort (const ListeningPort&) = delete;
+    ListeningPort& operator= (const ListeningPort&) = delete;
+
+    [[nodiscard]] int listener() const { return m_listener; }
+    [[nodiscard]] const sockaddr_in& socketAddress() const { return m_address; }
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string (ntohs (m_address.sin_port));
+    }
+
+private:
+    int m_listener;
+    sockaddr_in m_address{};
+};
+
 /// Port with a full accept queue, which does not answer further connection attempts.
 class UnresponsivePort
 {
 public:
-    UnresponsivePort() : m_listener (::socket (AF_INET, SOCK_STREAM, 0))
+    UnresponsivePort()
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-        socklen_t length = sizeof address;
-        ::bind (m_listener, reinterpret_cast<sockaddr*> (&address), length);
-        ::listen (m_listener, 0);
-        ::getsockname (m_listener, reinterpret_cast<sockaddr*> (&address), &length);
-        m_port = ntohs (address.sin_port);
+        const sockaddr_in& address = m_port.socketAddress();
         for (int& filler : m_fillers)
         {
             filler = ::socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            ::connect (filler, reinterpret_cast<sockaddr*> (&address), sizeof address);
+            ::connect (filler, reinterpret_cast<const sockaddr*> (&address), sizeof address);
         }
     }
     ~UnresponsivePort()
     {
         for (const int filler : m_fillers)
             ::close (filler);
-        ::close (m_listener);
     }
-    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string (m_port); }
+    UnresponsivePort (const UnresponsivePort&) = delete;
+    UnresponsivePort& operator= (const UnresponsivePort&) = delete;
+
+    [[nodiscard]] std::string address() const { return m_port.address(); }
 
 private:
-    int m_listener;
-    std::uint16_t m_port = 0;
+    ListeningPort m_port{ 0 };
     int m_fillers[3] = { -1, -1, -1 };
 };
 
@@ -80,22 +103,7 @@
 class SilentPort
 {
 public:
-    SilentPort() : m_listener (::socket (AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-        socklen_t length = sizeof address;
-        ::bind (m_listener, reinterpret_cast<sockaddr*> (&address), length);
-        ::listen (m_listener, 1);
-        ::getsockname (m_listener, reinterpret_cast<sockaddr*> (&address), &length);
-        m_port = ntohs (address.sin_port);
-    }
-    ~SilentPort() { ::close (m_listener); }
-    SilentPort (const SilentPort&) = delete;
-    SilentPort& operator= (const SilentPort&) = delete;
-
-    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string (m_port); }
+    [[nodiscard]] std::string address() const { return m_port.address(); }
 
     /// What the first connection has delivered at its end.
     struct Received
@@ -105,7 +113,7 @@
     };
     [[nodiscard]] Received receiveAll() const
     {
-        const int connection = ::accept (m_listener, nullptr, nullptr);
+        const int connection = ::accept (m_port.listener(), nullptr, nullptr);
         Received received;
         char buffer[1024];
         ssize_t count = 0;
@@ -117,8 +125,7 @@
     }
 
 private:
-    int m_listener;
-    std::uint16_t m_port = 0;
+    ListeningPort m_port{ 1 };
 };
 
 constexpr base::milliseconds kTimeout (50);
