--- a/src/controller/EngineClientTest.cpp
+++ b/src/controller/EngineClientTest.cpp
@@ -51,7 +51,7 @@
         m_address.sin_family = AF_INET;
         m_address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
         socklen_t length = sizeof m_address;
-        ::bind (m_listener, reinterpret_cast<sockaddr*> (&m_address), length);
+        EXPECT_EQ (::bind (m_listener, reinterpret_cast<sockaddr*> (&m_address), length), 0);
         ::listen (m_listener, backlog);
         ::getsockname (m_listener, reinterpret_cast<sockaddr*> (&m_address), &length);
     }
@@ -81,7 +81,9 @@
         for (int& filler : m_fillers)
         {
             filler = ::socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            ::connect (filler, reinterpret_cast<const sockaddr*> (&address), sizeof address);
+            const int result =
+                ::connect (filler, reinterpret_cast<const sockaddr*> (&address), sizeof address);
+            EXPECT_TRUE (result == 0 || errno == EINPROGRESS);
         }
     }
     ~UnresponsivePort()
