--- a/src/ctl/HttpTransport.cpp
+++ b/src/ctl/HttpTransport.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr base::Duration kConnectTimeout = base::seconds (1);
+/// Above the largest catalogue that a controller returns.
+constexpr std::size_t kMaxAnswerBytes = 64UL * 1024 * 1024;
 
 std::chrono::milliseconds toTimerInterval (base::Duration duration)
 {
@@ -33,6 +35,7 @@
     request.headersTimeout = timeout;
     request.idleTimeout = timeout;
     request.needsFreshConnection = true;
+    request.maxWholeBytes = kMaxAnswerBytes;
     return request;
 }
 
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -96,10 +96,25 @@
         whole->status = response.status;
         whole->headers = response.headers;
     };
-    callbacks.onData = [whole] (std::string_view data) { whole->body += data; };
+    const auto exchange = std::make_shared<std::weak_ptr<Exchange>>();
+    callbacks.onData =
+        [whole, exchange, onError, maxBytes = request.maxWholeBytes] (std::string_view data)
+    {
+        if (whole->body.size() + data.size() <= maxBytes)
+        {
+            whole->body += data;
+            return;
+        }
+        if (const auto endless = exchange->lock())
+            endless->cancel();
+        onError ({ ClientErrorKind::kBroken,
+                   "the answer is longer than " + std::to_string (maxBytes) + " bytes" });
+    };
     callbacks.onEnd = [whole, onResponse = std::move (onResponse)] { onResponse (*whole); };
     callbacks.onError = std::move (onError);
-    return send (std::move (request), std::move (callbacks));
+    std::shared_ptr<Exchange> begun = send (std::move (request), std::move (callbacks));
+    *exchange = begun;
+    return begun;
 }
 
 }  // namespace fernlift::http
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -29,6 +29,8 @@
     /// Maximum undelivered bytes of the answer in memory, at most 64 KiB; TCP flow control holds
     /// back the rest.
     std::size_t readBufferBytes = 64UL * 1024;
+    /// Most bytes of an answer that is collected by Client::fetch().
+    std::size_t maxWholeBytes = 8UL * 1024 * 1024;
     /// Never reuses a connection, so that the request cannot be lost to the back end closing an
     /// idle one.
     bool needsFreshConnection = false;
@@ -96,7 +98,8 @@
 
     /// Sends the request once.
     std::shared_ptr<Exchange> send (ClientRequest request, ClientCallbacks callbacks);
-    /// Sends the request once and collects the complete answer.
+    /// Sends the request once and collects the complete answer. Fails with kBroken if its body is
+    /// longer than `maxWholeBytes`.
     std::shared_ptr<Exchange> fetch (ClientRequest request,
                                      std::function<void (const WholeResponse&)> onResponse,
                                      std::function<void (const ClientError&)> onError);
--- a/src/http/ClientTest.cpp
+++ b/src/http/ClientTest.cpp
@@ -513,6 +513,32 @@
     EXPECT_EQ (backEnd.connections(), 1);
 }
 
+TEST (Client, CollectedAnswerWithoutEndIsBrokenOff)
+{
+    Server server;
+    int closed = 0;
+    std::shared_ptr<Responder> kept;
+    const std::string block (64UL * 1024, 'x');
+    server.setHandler (
+        [&] (const Request&, const std::shared_ptr<Responder>& responder)
+        {
+            kept = responder;
+            responder->onClosed ([&] { ++closed; });
+            responder->onDrained ([&] { kept->write (block); });
+            responder->begin (200, {});
+            responder->write (block);
+        });
+    Client client;
+    ClientRequest request = post (listenOnLoopback (server), "x");
+    request.maxWholeBytes = 1024UL * 1024;
+    Outcome outcome;
+    fetchInto (client, request, outcome);
+    ASSERT_TRUE (waitUntil ([&] { return outcome.isDone(); }));
+    ASSERT_TRUE (outcome.error);
+    EXPECT_EQ (outcome.error->kind, ClientErrorKind::kBroken);
+    EXPECT_TRUE (waitUntil ([&] { return closed == 1; }));
+}
+
 TEST (Client, PausingAppliesBackPressure)
 {
     constexpr std::size_t kTotal = 64UL * 1024 * 1024;
--- a/src/http/StreamSocket.cpp
+++ b/src/http/StreamSocket.cpp
@@ -24,11 +24,16 @@
 /// Below the 5 s that callers wait for the most urgent answers, and above the first three
 /// retransmissions of a lost packet, after 0.2 s, 0.6 s and 1.4 s.
 constexpr base::Duration kMaxSilence = base::seconds (4);
+/// Bytes that the system buffers while this end does not read. The system's own limit of several
+/// MiB for each connection is too much for a small machine with many of them.
+constexpr int kReceiveBufferBytes = 128 * 1024;
 
 void setOptions (int descriptor)
 {
     constexpr int kOn = 1;
     ::setsockopt (descriptor, IPPROTO_TCP, TCP_NODELAY, &kOn, sizeof kOn);
+    ::setsockopt (descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+                  sizeof kReceiveBufferBytes);
     base::enableDeadPeerDetection (descriptor, kMaxSilence);
 }
 
--- a/src/proxy/Attempt.h
+++ b/src/proxy/Attempt.h
@@ -44,7 +44,9 @@
     std::uint64_t prefillTokens = 0;  ///< Prompt tokens that the runner has to process.
     bool isSent = false;              ///< Whether the request was written.
     bool isPrefillDone = true;        ///< Whether the answer has begun.
+    bool isPaused = false;            ///< The answer is not read, as the caller is behind.
     base::TimePoint sentAt{};
+    base::TimePoint resumedAt{};        ///< End of the last pause; zero: there was none.
     base::TimePoint silenceDeadline{};  ///< The runner counts as silent without bytes until then.
     AnswerUse use = AnswerUse::kNone;
     http::AnswerHead head;
--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -32,11 +32,13 @@
 }  // namespace
 
 CallerConnection::CallerConnection (std::unique_ptr<QTcpSocket> socket, CallerLimits limits,
-                                    const Handlers& handlers)
+                                    const Handlers& handlers, http::BufferBudget& buffers)
     : m_socket (std::move (socket)),
       m_peerAddress (m_socket->peerAddress()),
       m_limits (limits),
       m_handlers (handlers),
+      m_buffers (buffers),
+      m_unsent (buffers),
       m_parser (limits.request)
 {
     m_socket->setReadBufferSize (kReadBufferBytes);
@@ -69,7 +71,11 @@
                           onSocketClosed();
                       });
     QObject::connect (m_socket.get(), &QTcpSocket::bytesWritten, m_socket.get(),
-                      [this] { onBytesWritten(); });
+                      [this]
+                      {
+                          const auto self = shared_from_this();
+                          onBytesWritten();
+                      });
     QObject::connect (&m_timer, &QTimer::timeout, m_socket.get(),
                       [this]
                       {
@@ -156,7 +162,14 @@
         return;
     }
     if (m_hasOpenRequest)
+    {
+        if (bytesToWrite() == 0)
+            return;
+        m_handlers.onAnswerCut (*this);
+        m_handlers.onDisconnected (*this);
+        abort();
         return;
+    }
     if (m_parser.state() == RequestParser::State::kReading)
     {
         m_closesAfterAnswer = true;
@@ -173,6 +186,7 @@
     if (std::exchange (m_isClosed, true))
         return;
     m_timer.stop();
+    m_unsent.set (0);
     if (m_hasOpenRequest)
         m_handlers.onDisconnected (*this);
     m_handlers.onClosed (*this);
@@ -224,6 +238,29 @@
         m_socket->write (data.data(), static_cast<qint64> (data.size()));
     }
     m_socket->flush();
+    updateUnsent();
+    if (m_cutsStalledAnswer && ! m_timer.isActive())
+        armStallTimer();
+}
+
+void CallerConnection::updateUnsent()
+{
+    const std::size_t unsent = m_isClosed ? 0 : bytesToWrite();
+    m_unsent.set (unsent);
+    const std::size_t maxBytes = m_buffers.maxBytesPerAnswer();
+    // The gap between the two limits keeps an answer from being paused and resumed at each read.
+    if (unsent > maxBytes)
+        m_isBehind = true;
+    else if (unsent <= maxBytes / 2)
+        m_isBehind = false;
+}
+
+void CallerConnection::armStallTimer()
+{
+    if (bytesToWrite() > 0)
+        m_timer.start (kCloseTimeout);
+    else
+        m_timer.stop();
 }
 
 void CallerConnection::endAnswer()
@@ -235,6 +272,7 @@
     m_socket->flush();
     m_hasOpenRequest = false;
     m_hasBegunAnswer = false;
+    m_timer.stop();
     onBytesWritten();
     if (m_closesAfterAnswer)
     {
@@ -260,6 +298,12 @@
         http::setResetOnClose (*m_socket, false);
     if (m_isClosing)
         m_timer.start (kCloseTimeout);
+    else if (m_hasOpenRequest && m_cutsStalledAnswer)
+        armStallTimer();
+    const bool wasBehind = m_isBehind;
+    updateUnsent();
+    if (wasBehind && ! m_isBehind && m_hasOpenRequest)
+        m_handlers.onCaughtUp (*this);
 }
 
 void CallerConnection::readNext()
@@ -282,6 +326,7 @@
     if (std::exchange (m_isClosed, true))
         return;
     m_timer.stop();
+    m_unsent.set (0);
     m_hasOpenRequest = false;
     m_socket->abort();
     m_handlers.onClosed (*this);
@@ -293,6 +338,14 @@
     closeIfIdle();
 }
 
+void CallerConnection::closeForStop()
+{
+    m_cutsStalledAnswer = true;
+    if (m_hasOpenRequest)
+        armStallTimer();
+    closeAfterAnswer();
+}
+
 void CallerConnection::closeIfIdle()
 {
     const bool isIdle = ! m_hasOpenRequest && m_buffer.empty() && m_socket->bytesAvailable() == 0
--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -13,6 +13,7 @@
 
 #include "base/Error.h"
 #include "base/Time.h"
+#include "http/BufferBudget.h"
 #include "http/Message.h"
 #include "proxy/RequestParser.h"
 
@@ -47,11 +48,15 @@
         std::function<void (CallerConnection& connection, const base::Error& error)> onInvalid;
         std::function<void (CallerConnection& connection)> onClosed;
         /// Called before a connection is closed whose caller has not received the last answer.
-        std::function<void (const CallerConnection& connection)> onAnswerCut;
+        std::function<void (const CallerConnection& connection)> onAnswerCut =
+            [] (const CallerConnection&) {};
+        /// Called when the caller of an open answer is no longer behind.
+        std::function<void (CallerConnection& connection)> onCaughtUp = [] (CallerConnection&) {};
     };
 
+    /// `handlers` and `buffers` must outlive the connection.
     CallerConnection (std::unique_ptr<QTcpSocket> socket, CallerLimits limits,
-                      const Handlers& handlers);
+                      const Handlers& handlers, http::BufferBudget& buffers);
     ~CallerConnection();
     CallerConnection (const CallerConnection&) = delete;
     CallerConnection& operator= (const CallerConnection&) = delete;
@@ -74,10 +79,16 @@
     void closeAfterAnswer();
     /// Closes the connection at once if no request is open or being read.
     void closeIfIdle();
+    /// Closes the connection as closeAfterAnswer() does, and cuts an answer of which its caller
+    /// reads nothing for some time.
+    void closeForStop();
     [[nodiscard]] bool isAnswering() const { return m_hasOpenRequest; }
     [[nodiscard]] bool hasBegunAnswer() const { return m_hasBegunAnswer; }
     /// Bytes of answers that the system has not taken yet.
     [[nodiscard]] std::size_t bytesToWrite() const;
+    /// Whether more of the open answer is unsent than it may hold, so that no more should be
+    /// written before `onCaughtUp`.
+    [[nodiscard]] bool isBehind() const { return m_isBehind; }
     /// Sets the id of the open request, under which an answer that is cut is logged.
     void setRequestId (std::string id) { m_requestId = std::move (id); }
     [[nodiscard]] const std::string& requestId() const { return m_requestId; }
@@ -98,11 +109,17 @@
     /// reading.
     void closeGracefully();
     void onBytesWritten();
+    /// Records how much of the answer is unsent, after more was written or sent.
+    void updateUnsent();
+    /// Restarts the time in which the caller has to read more of its answer during a stop.
+    void armStallTimer();
 
     std::unique_ptr<QTcpSocket> m_socket;
     QHostAddress m_peerAddress;  ///< Kept because the socket clears it on close.
     CallerLimits m_limits;
     const Handlers& m_handlers;
+    http::BufferBudget& m_buffers;
+    http::BufferBudget::Usage m_unsent;
     RequestParser m_parser;
     std::string m_buffer;
     std::string m_requestId;  ///< Of the last request.
@@ -113,6 +130,8 @@
     bool m_closesAfterAnswer = false;
     bool m_isClosing = false;  ///< The end of the last answer is being sent.
     bool m_isClosed = false;
+    bool m_isBehind = false;
+    bool m_cutsStalledAnswer = false;
     bool m_isHttp10 = false;
     bool m_endsByClose = false;  ///< The close of the connection ends the answer, of which bytes
                                  ///< are still to be written.
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -35,7 +35,8 @@
       m_onEnd (std::move (onEnd)),
       m_routes (context.routes),
       m_arrivedAt (context.clock.now()),
-      m_servedPeer (std::move (servedPeer))
+      m_servedPeer (std::move (servedPeer)),
+      m_keptBytes (context.answerBuffers)
 {
     m_timer.setSingleShot (true);
     m_timer.setTimerType (Qt::PreciseTimer);
@@ -349,6 +350,9 @@
     m_attempt.use = AnswerUse::kNone;
     m_attempt.bufferedBody.clear();
     m_attempt.unsplitEvents.reset();
+    updateKeptBytes();
+    m_attempt.isPaused = false;
+    m_attempt.resumedAt = {};
     m_attempt.silenceDeadline = m_deadline;
     http::BackEndConnection::Call call;
     call.bytes = std::move (bytes);
@@ -356,6 +360,7 @@
     call.requestIdHeader = m_context.names.requestId;
     call.requestId = m_request.headers.value (m_context.names.requestId);
     m_attempt.connection = m_context.pool.acquire (m_attempt.address, now());
+    m_attempt.connection->setMaxReadBytes (m_context.answerBuffers.maxBytesPerAnswer());
     armTimer();
     m_attempt.connection->send (std::move (call), this);
 }
@@ -383,7 +388,9 @@
 
 void Exchange::armTimer()
 {
-    base::TimePoint due = std::min (m_deadline, m_attempt.silenceDeadline);
+    base::TimePoint due = m_deadline;
+    if (! m_attempt.isPaused)
+        due = std::min (due, m_attempt.silenceDeadline);
     if (const auto until = overlapEnd())
         due = std::min (due, *until);
     if (m_permitChoice)
@@ -436,8 +443,8 @@
         const std::optional<base::TimePoint> until = overlapEnd();
         if (until && now() >= *until)
             endSilentAttempt (AttemptEnd::kFailed);
-        const bool isSilent =
-            m_attempt.connection && m_attempt.isSent && now() >= m_attempt.silenceDeadline;
+        const bool isSilent = m_attempt.connection && m_attempt.isSent && ! m_attempt.isPaused
+                              && now() >= m_attempt.silenceDeadline;
         if (isSilent && mayRunAgain())
         {
             onSilence();
@@ -480,6 +487,7 @@
     attempt.connection.reset();
     if (! connection)
         return;
+    resumeAnswer (attempt);
     connection->detach();
     if (std::exchange (attempt.isSent, false))
         m_mayHaveRun = true;
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -15,6 +15,7 @@
 #include "base/Error.h"
 #include "cell/RequestIdentity.h"
 #include "http/AnswerParser.h"
+#include "http/BufferBudget.h"
 #include "http/EventSplitter.h"
 #include "http/RetryAfter.h"
 #include "log/Log.h"
@@ -49,6 +50,8 @@
     void onRunnerUnavailable();
     /// Called when the caller disconnected; cancels the attempt at the runner.
     void onCallerDisconnected();
+    /// Called when the caller has read enough of its answer for more of it to be read.
+    void onCallerCaughtUp();
     /// Called shortly before the router process ends; answers a request that still waits.
     void onRouterStopping();
     /// Handles every deadline that has passed. May be called at any time.
@@ -266,6 +269,16 @@
     [[nodiscard]] bool isSoftwareVersionGone() const;
     /// Forwards complete events of a stream.
     void forwardEvents (std::string_view events);
+    /// Writes a part of the answer, and pauses the runner if the caller is behind.
+    void writeToCaller (std::string_view data);
+    /// Stops reading the answer until the caller has caught up. Meanwhile the runner is not silent.
+    void pauseAnswer();
+    void resumeAnswer (Attempt& attempt);
+    /// Records the bytes of the answer that are kept back.
+    void updateKeptBytes();
+    /// Bytes of an answer that may be kept back until it is complete.
+    [[nodiscard]] std::size_t maxBufferedBytes() const;
+    [[nodiscard]] bool isTooLong (const http::EventSplitter& events) const;
     /// Records what the head of a runner's answer shows about the runner.
     void recordHead (const http::AnswerHead& head);
     void recordBytes();
@@ -369,7 +382,8 @@
     std::optional<Attempt> m_silentAttempt;
     SilentAttemptListener m_silentListener{ *this };
     std::optional<http::EventSplitter> m_events;
-    base::TimePoint m_lastEventAt{};  ///< Last event of any attempt; zero before the first.
+    http::BufferBudget::Usage m_keptBytes;  ///< Bytes of the answer that are kept back.
+    base::TimePoint m_lastEventAt{};        ///< Last event of any attempt; zero before the first.
     base::Duration m_longestPause{};  ///< Longest gap between two events, logged as a possible sole
                                       ///< cause of a late stream.
     QTimer m_timer;
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -26,12 +26,30 @@
 constexpr int kFirstErrorStatus = 400;
 constexpr int kFirstServerError = 500;
 
-bool isTooLong (const http::EventSplitter& events)
+}  // namespace
+
+std::size_t Exchange::maxBufferedBytes() const
 {
-    return events.incompleteBytes().size() > kMaxEventBytes;
+    return std::min (kMaxBufferedBytes, m_context.answerBuffers.maxBytesPerAnswer());
 }
 
-}  // namespace
+bool Exchange::isTooLong (const http::EventSplitter& events) const
+{
+    const std::size_t maxBytes = m_context.answerBuffers.isExhausted()
+                                     ? m_context.answerBuffers.maxBytesPerAnswer()
+                                     : kMaxEventBytes;
+    return events.incompleteBytes().size() > maxBytes;
+}
+
+void Exchange::updateKeptBytes()
+{
+    std::size_t bytes = m_attempt.bufferedBody.size();
+    if (m_events)
+        bytes += m_events->incompleteBytes().size();
+    if (m_attempt.unsplitEvents)
+        bytes += m_attempt.unsplitEvents->incompleteBytes().size();
+    m_keptBytes.set (bytes);
+}
 
 void Exchange::recordPrefillEnd (Attempt& attempt)
 {
@@ -190,7 +208,7 @@
     }
     if (hasEvents)
         m_attempt.unsplitEvents.emplace();
-    const bool isSmall = ! m_attempt.head.hasLength || m_attempt.head.length <= kMaxBufferedBytes;
+    const bool isSmall = ! m_attempt.head.hasLength || m_attempt.head.length <= maxBufferedBytes();
     m_attempt.use = isSmall ? AnswerUse::kBuffer : AnswerUse::kForward;
     if (! isSmall)
         forwardHead();
@@ -213,13 +231,14 @@
     const bool isFirst = earlier == base::TimePoint{};
     if (isFirst)
         announceStream();
-    m_caller.writeBody (events);
+    writeToCaller (events);
     if (isFirst)
         return;
     const base::Duration pause = m_lastEventAt - earlier;
     m_longestPause = std::max (m_longestPause, pause);
-    // A gap that began in an earlier attempt is not due to this runner.
-    if (earlier >= m_attempt.sentAt && ! m_query.model.empty() && ! m_attempt.peer)
+    // A gap that began in an earlier attempt, or before a pause, is not due to this runner.
+    const base::TimePoint readSince = std::max (m_attempt.sentAt, m_attempt.resumedAt);
+    if (earlier >= readSince && ! m_query.model.empty() && ! m_attempt.peer)
     {
         m_context.loadReporter.onPause (m_attempt.instance, m_query.model, pause, m_events->count(),
                                         m_lastEventAt);
@@ -243,18 +262,21 @@
     {
         case AnswerUse::kBuffer:
             m_attempt.bufferedBody.append (data);
-            if (m_attempt.bufferedBody.size() > kMaxBufferedBytes)
+            if (m_attempt.bufferedBody.size() > maxBufferedBytes())
             {
                 m_attempt.use = AnswerUse::kForward;
                 forwardHead();
-                m_caller.writeBody (std::exchange (m_attempt.bufferedBody, {}));
+                writeToCaller (std::exchange (m_attempt.bufferedBody, {}));
             }
+            updateKeptBytes();
             return;
         case AnswerUse::kForward:
-            m_caller.writeBody (data);
+            writeToCaller (data);
+            updateKeptBytes();
             return;
         case AnswerUse::kEvents:
             forwardEvents (m_events->feed (data));
+            updateKeptBytes();
             if (isTooLong (*m_events))
                 onAttemptBroken();
             return;
@@ -320,6 +342,7 @@
 {
     if (m_attempt.use == AnswerUse::kBuffer)
     {
+        m_keptBytes.set (0);
         m_caller.sendAnswer (m_attempt.head.status, answerHeaders(), m_attempt.bufferedBody);
     }
     else
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -477,7 +477,7 @@
 
 bool InstanceDirectory::isQuiet (const View& view, base::TimePoint now)
 {
-    return view.own.inFlight > 0 && now - view.lastBytesAt > kQuietAfter;
+    return view.own.inFlight > view.paused && now - view.lastBytesAt > kQuietAfter;
 }
 
 bool InstanceDirectory::mayHaveFailed (const View& view, base::TimePoint now)
@@ -702,6 +702,23 @@
     pendingTokens -= std::min (pendingTokens, promptTokens);
 }
 
+void InstanceDirectory::onPaused (const std::string& id)
+{
+    const auto found = m_views.find (id);
+    if (found != m_views.end())
+        ++found->second.paused;
+}
+
+void InstanceDirectory::onResumed (const std::string& id, base::TimePoint now)
+{
+    const auto found = m_views.find (id);
+    if (found == m_views.end())
+        return;
+    View& view = found->second;
+    view.paused -= std::min (view.paused, 1U);
+    view.lastBytesAt = now;
+}
+
 void InstanceDirectory::onAttemptEnd (const std::string& id, AttemptEnd end, base::TimePoint now)
 {
     const auto found = m_views.find (id);
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -140,6 +140,9 @@
     /// Called when bytes of an answer were received from the runner.
     void onBytes (const std::string& id, base::TimePoint now);
     void onAnswerBegun (const std::string& id, std::uint64_t promptTokens);
+    /// Called when an open attempt is not read for some time, so that its runner is not silent.
+    void onPaused (const std::string& id);
+    void onResumed (const std::string& id, base::TimePoint now);
     void onAttemptEnd (const std::string& id, AttemptEnd end, base::TimePoint now);
     /// Start of the incarnation in the table; 0 if not stated or not listed.
     [[nodiscard]] base::UnixMilliseconds startOf (const std::string& id) const
@@ -229,6 +232,7 @@
         cell::RoutableInstance row;
         base::SocketAddress address;    ///< Parsed from the row; empty when invalid.
         Use own;                        ///< Load from this router.
+        std::uint32_t paused = 0;       ///< Open attempts that are not read at the moment.
         base::TimePoint lastBytesAt{};  ///< Last bytes of an answer, or start of the first open
                                         ///< attempt.
         double failureShare = 0;  ///< Decaying share of failed attempts, as of `attemptEndedAt`.
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -13,6 +13,7 @@
 #include "cell/StreamVersions.h"
 #include "dispatch/RetryBudget.h"
 #include "http/BackEndPool.h"
+#include "http/BufferBudget.h"
 #include "proxy/ConfigurationFreshness.h"
 #include "proxy/EngineDemands.h"
 #include "proxy/InstanceDirectory.h"
@@ -53,6 +54,7 @@
     std::uint64_t declinedByPeers = 0;    ///< Those that the other router did not serve.
     std::uint64_t servedForPeers = 0;     ///< Requests received from other routers.
     std::uint64_t declinedToPeers = 0;    ///< Those that this router did not serve.
+    std::uint64_t pausedAnswers = 0;      ///< Pauses of runners whose caller was behind.
 };
 
 struct ProxyContext
@@ -84,8 +86,9 @@
     RunnerReachability reachability{};
     /// Called when the connections to runners have failed so that this router became isolated.
     std::function<void()> onIsolated = [] {};
-    std::string router{};         ///< Name of this router.
-    PeerRouters peers{ "", "" };  ///< The other routers of the cell.
+    http::BufferBudget answerBuffers{};  ///< Bytes of answers that callers have not taken yet.
+    std::string router{};                ///< Name of this router.
+    PeerRouters peers{ "", "" };         ///< The other routers of the cell.
     /// Streams that callers may resume while versions are mixed.
     cell::StreamVersions streams{};
     StreamRecorder streamRecorder{};
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -62,6 +62,12 @@
                  m_server.openExchanges());
             set ("fernlift_proxy_unsent_bytes", "Bytes of answers that callers have not taken yet.",
                  m_server.unsentBytes());
+            set ("fernlift_proxy_buffered_answer_bytes",
+                 "The same, and bytes of answers that are kept back until they are complete.",
+                 m_context.answerBuffers.used());
+            set ("fernlift_proxy_paused_answers",
+                 "Pauses of runners whose answers were not read, as their callers were behind.",
+                 m_counters.pausedAnswers);
             set ("fernlift_proxy_left", "Requests whose caller went away.",
                  m_counters.disconnected);
             set ("fernlift_proxy_attempts", "Attempts at runners.", m_counters.attempts);
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -102,6 +102,7 @@
 {
     if (m_settings.cellRetryReserve > 0)
         m_retryBudgets.dropReserve();
+    m_context.answerBuffers.setMaxBytes (static_cast<std::size_t> (m_settings.answerBufferBytes));
     m_context.router = m_settings.id;
     m_context.peers = PeerRouters (m_settings.id, m_settings.zone);
     m_context.checkRunner = [this] (const std::string& instance, const base::SocketAddress& address)
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -57,6 +57,12 @@
     };
     m_handlers.onAnswerCut = [this] (const CallerConnection& connection)
     { onAnswerCut (connection); };
+    m_handlers.onCaughtUp = [this] (CallerConnection& connection)
+    {
+        const auto found = m_exchanges.find (&connection);
+        if (found != m_exchanges.end())
+            found->second->onCallerCaughtUp();
+    };
     m_sweeper.setSingleShot (true);
     QObject::connect (&m_sweeper, &QTimer::timeout, &m_sweeper,
                       [this]
@@ -133,8 +139,8 @@
     {
         accepted->setParent (nullptr);
         std::unique_ptr<QTcpSocket> socket (accepted);
-        auto connection = std::make_shared<CallerConnection> (std::move (socket),
-                                                              limitsOf (areOfPeers), m_handlers);
+        auto connection = std::make_shared<CallerConnection> (
+            std::move (socket), limitsOf (areOfPeers), m_handlers, m_context.answerBuffers);
         m_connections[connection.get()] = { connection, areOfPeers };
         connection->start();
     }
@@ -344,7 +350,7 @@
     m_isRefusing = true;
     const auto connections = m_connections;  // Copied because closing modifies the map.
     for (const auto& [key, open] : connections)
-        open.connection->closeAfterAnswer();
+        open.connection->closeForStop();
 }
 
 void ProxyServer::refuseWaiting()
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t kMaxRouters = 1'000'000;
 constexpr std::int64_t kMaxPeerRequests = 100'000;
 constexpr double kMaxCellReserve = 1'000'000;
+constexpr std::int64_t kMinAnswerBufferBytes = 1024LL * 1024;
+constexpr std::int64_t kMaxAnswerBufferBytes = 64LL * 1024 * 1024 * 1024;
 
 }  // namespace
 
@@ -32,6 +34,10 @@
                        "set: routers do not serve each other's requests");
     schema.addInteger ("max_peer_requests", &settings.maxPeerRequests, 0, kMaxPeerRequests,
                        "requests of other routers that are served at the same time");
+    schema.addInteger ("answer_buffer_bytes", &settings.answerBufferBytes, kMinAnswerBufferBytes,
+                       kMaxAnswerBufferBytes,
+                       "bytes of all answers that are held for callers which read slowly; runners "
+                       "of answers beyond their share are not read meanwhile");
     schema.addAddressList ("seeds", &settings.seeds, "control addresses of some controllers");
     schema.required();
     schema.addInteger ("seed_peer_port", &settings.seedPeerPort, 1, kMaxPort,
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -8,6 +8,7 @@
 #include "base/SocketAddress.h"
 #include "base/Time.h"
 #include "config/Settings.h"
+#include "http/BufferBudget.h"
 #include "log/Log.h"
 #include "quota/QuotaTolerance.h"
 
@@ -26,6 +27,8 @@
     /// router's are sent to others.
     base::SocketAddress peerAddress;
     std::int64_t maxPeerRequests = 200;  ///< Requests served for other routers at the same time.
+    /// Bytes of answers that may be held for callers which read slowly.
+    std::int64_t answerBufferBytes = http::BufferBudget::kDefaultBytes;
     std::vector<base::SocketAddress> seeds;
     std::int64_t seedPeerPort = 0;
     double retryShare = 0.1;        ///< Share of this router's requests for a service.
--- a/src/proxy/ReadinessServer.cpp
+++ b/src/proxy/ReadinessServer.cpp
@@ -51,8 +51,8 @@
     {
         accepted->setParent (nullptr);
         std::unique_ptr<QTcpSocket> socket (accepted);
-        auto connection =
-            std::make_shared<CallerConnection> (std::move (socket), CallerLimits{}, m_handlers);
+        auto connection = std::make_shared<CallerConnection> (std::move (socket), CallerLimits{},
+                                                              m_handlers, m_buffers);
         m_connections.emplace (connection.get(), connection);
         connection->start();
     }
--- a/src/proxy/ReadinessServer.h
+++ b/src/proxy/ReadinessServer.h
@@ -32,6 +32,7 @@
     std::string m_path;
     std::function<bool()> m_isReady;
     CallerConnection::Handlers m_handlers;
+    http::BufferBudget m_buffers;
     std::map<CallerConnection*, std::shared_ptr<CallerConnection>> m_connections;
     QTcpServer m_server;
 };
--- a/src/proxy/SlowReaderTest.cpp
+++ b/src/proxy/SlowReaderTest.cpp
@@ -19,19 +19,28 @@
 constexpr std::size_t kAnswerBytes = std::size_t{ 40 } * 1024 * 1024;
 constexpr qint64 kReadBytes = 512 * 1024;
 constexpr milliseconds kReadInterval (40);  ///< The whole answer takes some 3 s.
+constexpr base::Duration kRouteTimeout = base::seconds (30);
 
 class SlowReaderTest : public ::testing::Test
 {
 protected:
-    /// A caller that has received the begin of its answer and reads no more, of which the runner
-    /// has written everything.
+    SlowReaderTest()
+    {
+        config::ServiceCatalogue catalogue = ProxyFixture::catalogue();
+        for (config::Route& route : catalogue.routes)
+            route.timeout = kRouteTimeout;
+        m_router.context.routes = std::make_shared<const RouteTable> (1, std::move (catalogue));
+    }
+    /// A caller that has received the begin of its answer and reads no more, while the router has
+    /// more of it to write.
     std::unique_ptr<RawCaller> beginAnswer (const std::string& extra)
     {
         m_router.put (ProxyFixture::rowOf ("i-1", m_runner.address()));
         auto caller = std::make_unique<RawCaller> (m_router.listening);
         caller->stopReading (kReadBytes);
-        caller->write (ProxyFixture::request ("app.test", "r1", extra));
-        EXPECT_TRUE (waitUntil ([&] { return m_router.counters.answered == 1; }));
+        caller->write ("POST /path?q=1 HTTP/1.1\r\nHost: app.test\r\nTest-Id: r1\r\n" + extra
+                       + "Content-Length: 4\r\n\r\nbody");
+        EXPECT_TRUE (waitUntil ([&] { return m_router.server.unsentBytes() > 0; }));
         return caller;
     }
     /// Reads until the connection ends.
