--- a/src/http/BackEndConnection.cpp
+++ b/src/http/BackEndConnection.cpp
@@ -1,7 +1,9 @@
 #include "http/BackEndConnection.h"
 
 #include <QTimer>
+#include <algorithm>
 #include <charconv>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -17,6 +19,9 @@
 /// Interim answers, and answers to earlier requests, after which the connection is given up.
 constexpr std::size_t kMaxDiscardedAnswers = 32;
 
+/// Requests after which a late copy of an answer is no longer expected.
+constexpr std::size_t kMaxCarriedIds = 64;
+
 /// Parses the seconds in "timeout=5, max=100"; nothing if there are none.
 std::optional<base::Duration> keepAliveOf (const std::string& value)
 {
@@ -49,6 +54,7 @@
     m_listener = listener;
     m_isActive = true;
     ++m_callsSent;
+    remember (m_call.requestId);
     m_discardedAnswers = 0;
     beginAnswer();
     const auto self = shared_from_this();
@@ -162,13 +168,31 @@
     if (m_isStale)
         return;
     m_isHeadRead = true;
-    m_isPersistent = head.isPersistent;
+    // A late copy of an answer without an id could not be told from the answer to another request.
+    const bool lacksId = ! m_call.requestIdHeader.empty() && id.empty();
+    m_isPersistent = head.isPersistent && ! lacksId;
     const std::string keepAlive = head.headers.value ("Keep-Alive");
     m_keepAlive = keepAliveOf (keepAlive).value_or (m_defaultKeepAlive);
     if (m_listener != nullptr)
         m_listener->onHead (std::move (head));
 }
 
+void BackEndConnection::remember (std::string_view requestId)
+{
+    if (requestId.empty())
+        return;
+    if (m_carriedIds.size() == kMaxCarriedIds)
+        m_carriedIds.pop_front();
+    m_carriedIds.push_back (std::hash<std::string_view>{}(requestId));
+}
+
+bool BackEndConnection::hasCarried (std::string_view requestId) const
+{
+    return ! requestId.empty()
+           && std::ranges::find (m_carriedIds, std::hash<std::string_view>{}(requestId))
+                  != m_carriedIds.end();
+}
+
 void BackEndConnection::onEnd (StreamEnd end)
 {
     const auto self = shared_from_this();
--- a/src/http/BackEndConnection.h
+++ b/src/http/BackEndConnection.h
@@ -3,8 +3,11 @@
 /// One connection to a runner, which carries one request at a time.
 
 #include <QTimer>
+#include <cstddef>
+#include <deque>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/SocketAddress.h"
 #include "base/Time.h"
@@ -42,7 +45,8 @@
 };
 
 /// Sends a request and delivers its answer. An answer with another request's id belongs to an
-/// earlier request and is discarded.
+/// earlier request and is discarded. As the id does not tell two sends of one request apart, a
+/// connection should carry a request once: see hasCarried().
 class BackEndConnection final : public std::enable_shared_from_this<BackEndConnection>,
                                 private StreamListener
 {
@@ -87,6 +91,9 @@
     void markIdle (base::TimePoint now);
     [[nodiscard]] const base::SocketAddress& address() const { return m_address; }
     [[nodiscard]] bool wasUsedBefore() const { return m_callsSent > 1; }
+    /// Whether a request with this id was sent on the connection lately. A late copy of its answer
+    /// would be taken for the answer to a further send. May hold for other ids, too.
+    [[nodiscard]] bool hasCarried (std::string_view requestId) const;
 
 private:
     void onConnected() override;
@@ -97,6 +104,7 @@
     void parse();
     void beginAnswer();
     void onHead (AnswerHead head);
+    void remember (std::string_view requestId);
     void finish();
     void fail (BackEndFailure failure);
 
@@ -114,8 +122,9 @@
     bool m_isPersistent = false;
     bool m_isHeadRead = false;
     std::size_t m_callsSent = 0;
-    std::size_t m_discardedAnswers = 0;  ///< Stale answers since the call was sent.
-    base::Duration m_keepAlive{};        ///< Idle time that the runner allows.
+    std::deque<std::size_t> m_carriedIds;  ///< Hashes of the last ids, oldest first.
+    std::size_t m_discardedAnswers = 0;    ///< Stale answers since the call was sent.
+    base::Duration m_keepAlive{};          ///< Idle time that the runner allows.
     base::TimePoint m_idleSince{};
     std::unique_ptr<QTimer> m_connectTimer;
 };
--- a/src/http/BackEndPool.cpp
+++ b/src/http/BackEndPool.cpp
@@ -17,14 +17,18 @@
 }  // namespace
 
 std::shared_ptr<BackEndConnection> BackEndPool::acquire (const base::SocketAddress& address,
-                                                         base::TimePoint now)
+                                                         base::TimePoint now,
+                                                         std::string_view requestId)
 {
     IdleConnections& idle = m_idle[address];
-    while (! idle.empty())
+    // Takes the most recently used one, so that surplus connections expire.
+    for (auto next = idle.end(); next != idle.begin();)
     {
-        // Takes the most recently used one, so that surplus connections expire.
-        std::shared_ptr<BackEndConnection> connection = std::move (idle.back());
-        idle.pop_back();
+        --next;
+        if ((*next)->hasCarried (requestId))
+            continue;
+        const std::shared_ptr<BackEndConnection> connection = std::move (*next);
+        next = idle.erase (next);
         if (isUsable (*connection, now))
             return connection;
     }
--- a/src/http/BackEndPool.h
+++ b/src/http/BackEndPool.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/Time.h"
@@ -25,9 +26,11 @@
     }
 
     /// Returns a connection to `address`: an idle one, or a new one if none is reusable. An idle
-    /// one that the runner may be about to close is not reused, as its request would be lost.
+    /// one that the runner may be about to close is not reused, as its request would be lost, nor
+    /// one that has carried `requestId`, if there is an id.
     [[nodiscard]] std::shared_ptr<BackEndConnection> acquire (const base::SocketAddress& address,
-                                                              base::TimePoint now);
+                                                              base::TimePoint now,
+                                                              std::string_view requestId = {});
     /// Returns a new connection to `address`.
     [[nodiscard]] std::shared_ptr<BackEndConnection> open (const base::SocketAddress& address);
     /// Whether acquire() would return an idle connection.
--- a/src/http/BackEndPoolTest.cpp
+++ b/src/http/BackEndPoolTest.cpp
@@ -40,11 +40,11 @@
         m_server.listen (QHostAddress::LocalHost);
     }
     /// Makes one request and returns its connection to the pool.
-    void keepConnection()
+    void keepConnection (const std::string& requestId = "")
     {
         DoneListener listener;
         auto connection = m_pool.acquire (address(), m_clock.now());
-        connection->send ({ "GET / HTTP/1.1\r\n\r\n", true, "", "" }, &listener);
+        connection->send ({ "GET / HTTP/1.1\r\n\r\n", true, "", requestId }, &listener);
         ASSERT_TRUE (test::waitUntil ([&] { return m_server.hasPendingConnections(); }));
         m_runner.reset (m_server.nextPendingConnection());
         m_runner->setParent (nullptr);
@@ -85,6 +85,15 @@
     EXPECT_EQ (m_pool.opened(), 2U);
 }
 
+TEST_F (BackEndPoolTest, ConnectionCarriesARequestOnce)
+{
+    keepConnection ("r1");
+    (void)m_pool.acquire (address(), m_clock.now(), "r1");
+    EXPECT_EQ (m_pool.opened(), 2U);
+    (void)m_pool.acquire (address(), m_clock.now(), "r2");
+    EXPECT_EQ (m_pool.opened(), 2U);
+}
+
 TEST_F (BackEndPoolTest, KeptConnectionThatTheRunnerHasClosedIsNotUsed)
 {
     keepConnection();
--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -42,8 +42,9 @@
     std::shared_ptr<Exchange> send (ClientRequest request, ClientCallbacks callbacks)
     {
         const base::SocketAddress address = request.address;
-        auto connection = request.needsFreshConnection ? m_pool.open (address)
-                                                       : m_pool.acquire (address, m_clock.now());
+        auto connection = request.needsFreshConnection
+                              ? m_pool.open (address)
+                              : m_pool.acquire (address, m_clock.now(), request.requestId);
         const std::uint64_t key = m_nextKey++;
         callbacks.onError =
             [this, address, onError = std::move (callbacks.onError)] (const ClientError& error)
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -31,6 +31,9 @@
     std::size_t readBufferBytes = 64UL * 1024;
     /// Most bytes of an answer that is collected by Client::fetch().
     std::size_t maxWholeBytes = 8UL * 1024 * 1024;
+    /// Id that is the same at each send of the request: no connection carries it twice, so that a
+    /// late copy of one answer is not taken for the next. Empty: none.
+    std::string requestId;
     /// Never reuses a connection, so that the request cannot be lost to the back end closing an
     /// idle one.
     bool needsFreshConnection = false;
--- a/src/http/ClientExchange.cpp
+++ b/src/http/ClientExchange.cpp
@@ -81,6 +81,7 @@
     BackEndConnection::Call call;
     call.bytes = serialize (m_request);
     call.answerHasBody = m_request.method != "HEAD";
+    call.requestId = m_request.requestId;
     m_request.body.clear();
     m_connection->send (std::move (call), this);
 }
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -359,7 +359,7 @@
     call.answerHasBody = m_request.method != "HEAD";
     call.requestIdHeader = m_context.names.requestId;
     call.requestId = m_request.headers.value (m_context.names.requestId);
-    m_attempt.connection = m_context.pool.acquire (m_attempt.address, now());
+    m_attempt.connection = m_context.pool.acquire (m_attempt.address, now(), call.requestId);
     m_attempt.connection->setMaxReadBytes (m_context.answerBuffers.maxBytesPerAnswer());
     armTimer();
     m_attempt.connection->send (std::move (call), this);
--- a/src/router/BackEndRequest.cpp
+++ b/src/router/BackEndRequest.cpp
@@ -50,6 +50,7 @@
     sent.address = address;
     sent.method = request.method;
     sent.path = request.path;
+    sent.requestId = request.head.id.value;
     sent.headers = request.headers;
     sent.headers.set ("X-Request-Id", request.head.id.value);
     const bool hasKey = ! request.head.idempotencyKey.empty();
