--- a/src/lab/DeadlyRequestTest.cpp
+++ b/src/lab/DeadlyRequestTest.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "http/HttpTestSupport.h"
@@ -87,6 +88,76 @@
     EXPECT_LE (cell.crashes(), kMaxCrashesOfCopies);
 }
 
+/// Runners whose machines fail under the request: nothing is refused or reset.
+class DarkRunnerTest : public ::testing::Test
+{
+protected:
+    /// Time after the third crash from which few retries may reach runners.
+    static constexpr base::Duration kContactTime = base::seconds (3);
+    static constexpr std::uint32_t kMaxRetriesAfterwards = 3;
+
+    DarkRunnerTest()
+    {
+        m_cell.callTimeout = std::chrono::milliseconds (600);
+        for (std::size_t number = 0; number < m_cell.runners(); ++number)
+        {
+            m_cell.runner (number).crashKind = CrashKind::kDark;
+            m_cell.runner (number).darkTime = std::chrono::milliseconds (1000);
+        }
+    }
+
+    base::SystemClock m_clock;
+    ForwardingCell m_cell{ { .controllers = 3, .routers = 2, .runners = 8 } };
+};
+
+TEST_F (DarkRunnerTest, RequestThatCrashedThreeRunnersIsNotForwardedAgain)
+{
+    ASSERT_TRUE (m_cell.awaitReady());
+    std::optional<base::TimePoint> thirdCrash;
+    std::uint32_t retries = 0;
+    int status = 0;
+    constexpr int kCalls = 24;
+    for (int call = 0; call < kCalls; ++call)
+    {
+        const base::TimePoint sentAt = m_clock.now();
+        const std::uint32_t before = m_cell.crashes();
+        status = m_cell.call (static_cast<std::size_t> (call % 2), "once.test", kDeadly);
+        const bool hasCrashed = m_cell.crashes() > before;
+        if (hasCrashed && thirdCrash && sentAt > *thirdCrash + kContactTime)
+            ++retries;
+        if (! thirdCrash && m_cell.crashes() >= kMaxCrashes)
+            thirdCrash = sentAt;
+        http::test::runFor (std::chrono::milliseconds (100));
+    }
+    EXPECT_LE (retries, kMaxRetriesAfterwards);
+    EXPECT_EQ (status, 502) << "the request ran, so the status must not report that it did not";
+    EXPECT_EQ (m_cell.call (0, "app.test", "another request"), 200);
+}
+
+TEST_F (DarkRunnerTest, PopularRequestIsServedDespiteUnrelatedCrashes)
+{
+    ASSERT_TRUE (m_cell.awaitReady());
+    for (std::size_t number = 0; number < m_cell.runners(); ++number)
+        m_cell.runner (number).workTime = std::chrono::milliseconds (50);
+    constexpr std::size_t kCrashes = 6;
+    for (std::size_t round = 0; round < kCrashes; ++round)
+    {
+        const auto status = std::make_shared<int> (-1);
+        m_cell.beginCall (round % 2, "once.test", "popular", status);
+        http::test::runFor (std::chrono::milliseconds (20));
+        for (std::size_t number = 0; number < m_cell.runners(); ++number)
+        {
+            if (number % kCrashes == round)
+                m_cell.runner (number).crash();
+        }
+        http::test::waitUntil ([&] { return *status >= 0; });
+        EXPECT_EQ (m_cell.call (round % 2, "app.test", "popular"), 200);
+    }
+    http::test::runFor (std::chrono::milliseconds (1500));
+    EXPECT_EQ (m_cell.call (0, "once.test", "popular"), 200);
+    EXPECT_EQ (m_cell.call (1, "once.test", "popular"), 200);
+}
+
 TEST (DeadlyRequestTest, ServesRequestsDespiteUnrelatedCrashesAndResets)
 {
     ForwardingCell cell ({ .controllers = 3, .routers = 2, .runners = 6 });
--- a/src/lab/ForwardingCellTestSupport.h
+++ b/src/lab/ForwardingCellTestSupport.h
@@ -25,9 +25,16 @@
 namespace fernlift::lab::test
 {
 
+/// How a fake runner ends under a deadly request.
+enum class CrashKind : std::uint8_t
+{
+    kReset,  ///< Its process ends: connections are reset, new ones are refused.
+    kDark,   ///< Its machine fails: connections hang, and no new one opens.
+};
+
 /// A fake runner that can crash and restart at the same address. A request whose body begins with
 /// "deadly", or with a part of that name in its prompt, crashes it `timeToCrash` after the head of
-/// the answer; any other request is answered after `workTime`.
+/// the answer, or before it if the machine fails; any other request is answered after `workTime`.
 class CrashableRunner
 {
 public:
@@ -36,7 +43,7 @@
     CrashableRunner (const CrashableRunner&) = delete;
     CrashableRunner& operator= (const CrashableRunner&) = delete;
 
-    /// Resets every connection and stops listening.
+    /// Ends as `crashKind` says.
     void crash();
     /// Starts the next incarnation at the same address.
     void restart();
@@ -47,7 +54,7 @@
     [[nodiscard]] std::string instance() const;
     [[nodiscard]] std::string address() const;
     [[nodiscard]] const std::string& service() const { return m_service; }
-    [[nodiscard]] bool isAlive() const { return m_server.isListening(); }
+    [[nodiscard]] bool isAlive() const { return m_server.isListening() && ! m_isDark; }
     [[nodiscard]] std::uint32_t crashes() const { return m_crashes; }
     /// Requests that the runner began to run, over all incarnations.
     [[nodiscard]] std::uint32_t runs() const { return m_runs; }
@@ -57,6 +64,10 @@
 
     base::milliseconds workTime{ 1 };
     base::milliseconds timeToCrash{ 5 };
+    CrashKind crashKind = CrashKind::kReset;
+    /// Time after which a runner whose machine has failed is back as its next incarnation; zero:
+    /// only by restart().
+    base::milliseconds darkTime{ 0 };
     /// Value of the header field in which each answer states a rate; empty for no field.
     std::string statedRate;
     /// Retry-After field with which the runner declines every request; empty: it serves them.
@@ -73,6 +84,8 @@
     };
 
     void accept();
+    /// Lets connections to this runner neither open nor fail: its queue of pending ones is full.
+    void fillPendingConnections();
     void onReadable (QTcpSocket* socket);
     void answer (QTcpSocket* socket, const std::string& id);
     void resetConnection (QTcpSocket* socket);
@@ -88,6 +101,8 @@
     base::SystemClock m_clock;
     std::vector<base::TimePoint> m_arrivals;
     std::uint16_t m_port = 0;
+    bool m_isDark = false;
+    std::vector<std::unique_ptr<QTcpSocket>> m_pending;  ///< Fill the queue of a dark runner.
     std::map<QTcpSocket*, Connection> m_connections;
     QTcpServer m_server;
 };
@@ -151,6 +166,9 @@
     /// Network of a router; only with `hasRouterNetworks`.
     RouterNetwork& network (std::size_t router) { return *m_networks.at (router); }
 
+    /// Deadline of each call.
+    base::milliseconds callTimeout{ 3000 };
+
     [[nodiscard]] std::uint32_t crashes() const;
     CrashableRunner& runner (std::size_t number) { return *m_runners.at (number); }
     [[nodiscard]] std::size_t runners() const { return m_runners.size(); }
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -1,6 +1,7 @@
 // Test support: a cell that forwards to registered services. See ForwardingCellTestSupport.h.
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 
 #include <QHostAddress>
 #include <algorithm>
@@ -113,6 +114,12 @@
 
 void CrashableRunner::restart()
 {
+    if (std::exchange (m_isDark, false))
+    {
+        m_server.close();
+        m_pending.clear();
+        resetConnections();
+    }
     waitUntil ([this] { return m_server.listen (QHostAddress::LocalHost, m_port); });
     m_port = m_server.serverPort();
     ++m_incarnation;
@@ -130,8 +137,28 @@
     if (! isAlive())
         return;
     ++m_crashes;
-    m_server.close();
-    resetConnections();
+    if (crashKind == CrashKind::kReset)
+    {
+        m_server.close();
+        resetConnections();
+        return;
+    }
+    m_isDark = true;
+    fillPendingConnections();
+    if (darkTime > base::milliseconds::zero())
+        QTimer::singleShot (darkTime, &m_server, [this] { restart(); });
+}
+
+void CrashableRunner::fillPendingConnections()
+{
+    m_server.pauseAccepting();
+    ::listen (static_cast<int> (m_server.socketDescriptor()), 0);
+    constexpr int kConnections = 3;  // More than the kernel queues with this backlog.
+    for (int number = 0; number < kConnections; ++number)
+    {
+        m_pending.push_back (std::make_unique<QTcpSocket>());
+        m_pending.back()->connectToHost (QHostAddress::LocalHost, m_port);
+    }
 }
 
 void CrashableRunner::resetConnections()
@@ -182,7 +209,7 @@
         socket->flush();
         return;
     }
-    if (! isComplete (connection.received))
+    if (m_isDark || ! isComplete (connection.received))
         return;
     const std::string request = std::exchange (connection.received, {});
     ++m_runs;
@@ -202,6 +229,11 @@
         QTimer::singleShot (workTime, socket, [this, socket, id] { answer (socket, id); });
         return;
     }
+    if (crashKind == CrashKind::kDark)
+    {
+        crash();
+        return;
+    }
     const std::string head = "HTTP/1.1 200 OK\r\nTest-Id: " + id
                              + "\r\nContent-Type: text/event-stream\r\n"
                                "Transfer-Encoding: chunked\r\n\r\n";
@@ -212,7 +244,7 @@
 
 void CrashableRunner::answer (QTcpSocket* socket, const std::string& id)
 {
-    if (socket->state() != QAbstractSocket::ConnectedState)
+    if (m_isDark || socket->state() != QAbstractSocket::ConnectedState)
         return;
     const std::string status = declinesWith.empty() ? "200 OK" : "503 Service Unavailable";
     std::string fields = "Test-Id: " + id + "\r\n";
@@ -405,11 +437,11 @@
     call->socket = std::make_unique<QTcpSocket>();
     call->status = std::move (status);
     OpenCall& open = *call;
-    const std::string request = "POST /path HTTP/1.1\r\nHost: " + host + "\r\nTest-Id: c"
-                                + std::to_string (++m_calls) + "\r\nTest-Deadline: 3000\r\n"
-                                + (promptParts.empty() ? "" : "Test-Parts: " + promptParts + "\r\n")
-                                + "Content-Length: " + std::to_string (body.size()) + "\r\n\r\n"
-                                + body;
+    const std::string request =
+        "POST /path HTTP/1.1\r\nHost: " + host + "\r\nTest-Id: c" + std::to_string (++m_calls)
+        + "\r\nTest-Deadline: " + std::to_string (callTimeout.count()) + "\r\n"
+        + (promptParts.empty() ? "" : "Test-Parts: " + promptParts + "\r\n")
+        + "Content-Length: " + std::to_string (body.size()) + "\r\n\r\n" + body;
     QObject::connect (open.socket.get(), &QTcpSocket::connected, open.socket.get(),
                       [&open, request] {
                           open.socket->write (request.data(), static_cast<qint64> (request.size()));
--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -487,6 +487,8 @@
     attempt.connection.reset();
     if (! connection)
         return;
+    if (end == AttemptEnd::kAbandoned)
+        recordMissingAnswer (attempt);
     resumeAnswer (attempt);
     connection->detach();
     if (std::exchange (attempt.isSent, false))
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -113,6 +113,8 @@
     void dispatchNext();
     /// Status of this request among the requests suspected of crashing runners.
     [[nodiscard]] quarantine::SuspectStatus suspectStatus() const;
+    /// Whether anything is recorded of this request, also what does not count as a crash yet.
+    [[nodiscard]] bool isRecordedAsSuspect() const;
     /// Status of the parts of the prompt that the request shares with others.
     [[nodiscard]] quarantine::PromptPartStatus promptPartStatus() const;
     /// Ends the request if a part of its prompt is in quarantine and was for long enough. Returns
@@ -127,6 +129,10 @@
     void clearPromptParts();
     /// Records that the runner broke off its answer or stopped sending in the middle of it.
     void recordBrokenAnswer();
+    /// Records that the attempt was given up while its runner was silent, which may have crashed.
+    void recordMissingAnswer (const Attempt& attempt);
+    /// Whether the attempt may be evidence that the request crashes runners.
+    [[nodiscard]] bool mayAccuse (const Attempt& attempt) const;
     /// Records that the isolation runner of a suspect request accepted no connection.
     void recordIsolationRunnerUnreachable();
     /// Whether the suspect status makes the request wait, or has ended it in quarantine.
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -157,6 +157,11 @@
     m_context.reachability.onBytes (now());
     if (isCurrentIncarnation (m_attempt))
         m_context.directory.onBytes (m_attempt.instance, now());
+    if (m_context.suspects.hasMissingAnswers())
+    {
+        const cell::Incarnation runner{ m_attempt.instance, m_attempt.instanceStart };
+        m_context.suspects.onBytes (runner.name());
+    }
 }
 
 http::Headers Exchange::answerHeaders() const
@@ -352,7 +357,7 @@
             m_caller.writeBody (m_events->incompleteBytes());
         m_caller.endAnswer();
     }
-    if (! m_attempt.peer && suspectStatus().isSuspect())
+    if (! m_attempt.peer && isRecordedAsSuspect())
         m_context.suspects.onCompleteAnswer (identity());
     // A runner that answers with an error may not have processed the prompt.
     if (! m_attempt.peer && m_attempt.head.status < kFirstErrorStatus)
--- a/src/proxy/ExchangeQuarantine.cpp
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -25,6 +25,9 @@
 /// to the new leader within another 0.5 s.
 constexpr base::Duration kMaxWaitForIsolationRunner = base::milliseconds (1500);
 
+/// A runner that has sent bytes within this time has not failed.
+constexpr base::Duration kMinSilenceOfCrash = base::milliseconds (100);
+
 /// Time until which the request is not sent to a runner; none: it may be sent now.
 std::optional<base::TimePoint> heldUntil (const quarantine::SuspectStatus& suspectStatus)
 {
@@ -122,15 +125,19 @@
     }
 }
 
-quarantine::SuspectStatus Exchange::suspectStatus() const
+bool Exchange::isRecordedAsSuspect() const
 {
     if (m_context.suspects.isEmpty())
-        return {};
+        return false;
     if (! m_fingerprint)
         m_fingerprint = fingerprintOf (m_request, tenantName());
-    return m_context.suspects.mayContain (*m_fingerprint)
-               ? m_context.suspects.suspectStatusOf (identity())
-               : quarantine::SuspectStatus();
+    return m_context.suspects.mayContain (*m_fingerprint);
+}
+
+quarantine::SuspectStatus Exchange::suspectStatus() const
+{
+    return isRecordedAsSuspect() ? m_context.suspects.suspectStatusOf (identity())
+                                 : quarantine::SuspectStatus();
 }
 
 bool Exchange::isBlockedAsSuspect (const quarantine::SuspectStatus& suspectStatus)
@@ -167,11 +174,32 @@
     refuseQuarantinedRequest (known);
 }
 
+bool Exchange::mayAccuse (const Attempt& attempt) const
+{
+    // The end of a draining runner is planned and not caused by this request.
+    return attempt.isSent && ! m_context.directory.isDraining (attempt.instance, now());
+}
+
+void Exchange::recordMissingAnswer (const Attempt& attempt)
+{
+    if (attempt.peer || attempt.isPaused || ! mayAccuse (attempt))
+        return;
+    const bool isListed = isCurrentIncarnation (attempt);
+    const base::Duration silence =
+        isListed ? m_context.directory.silenceOf (attempt.instance, now()) : base::Duration::max();
+    if (silence < kMinSilenceOfCrash)
+        return;
+    const std::string incarnation =
+        cell::Incarnation{ attempt.instance, attempt.instanceStart }.name();
+    m_context.suspects.onAnswerMissing (identity(), incarnation, attempt.sentAt, now());
+    for (const cell::RequestIdentity& part : sharedPartIdentities())
+        m_context.suspects.onAnswerMissing (part, incarnation, attempt.sentAt, now());
+}
+
 void Exchange::recordBrokenAnswer()
 {
     m_hasBrokenAnswer = true;
-    // The end of a draining runner is planned and not caused by this request.
-    if (! m_attempt.isSent || m_context.directory.isDraining (m_attempt.instance, now()))
+    if (! mayAccuse (m_attempt))
         return;
     const std::string incarnation =
         cell::Incarnation{ m_attempt.instance, m_attempt.instanceStart }.name();
--- a/src/proxy/ProxyControllerMessages.cpp
+++ b/src/proxy/ProxyControllerMessages.cpp
@@ -188,7 +188,7 @@
     if (hasOtherRunners)
         m_context.reachability.setRunners (m_directory.instances());
     for (const std::string& id : m_directory.takeReplaced())
-        m_suspects.onReplaced (id);
+        m_suspects.onReplaced (id, m_clock.now());
     m_server.onDirectoryChanged();
     if (! update.mustConfirm)
         return;
--- a/src/quarantine/SuspectRequests.cpp
+++ b/src/quarantine/SuspectRequests.cpp
@@ -16,6 +16,9 @@
 /// Time after which an interrupted answer without proof of a crash is dropped. By then a crashed
 /// runner has registered again under another id, or its missing heartbeats have been detected.
 constexpr base::Duration kProofLifetime = base::seconds (10);
+/// Above the time limit of any usual request, whose attempt may end so much later than its runner
+/// was replaced.
+constexpr base::Duration kReplacedRunnerLifetime = base::seconds (60);
 /// A crash that no controller accepted within this time is dropped: by then it is of no use to the
 /// other routers.
 constexpr base::Duration kReportLifetime = base::seconds (60);
@@ -57,7 +60,8 @@
     {
         if (crash.request.digest != request.digest)
             continue;
-        const bool isPending = ! crash.isFromOtherRouter && crash.proof != Proof::kUnconfirmed;
+        const bool isPending = ! crash.isFromOtherRouter && crash.proof != Proof::kUnconfirmed
+                               && crash.proof != Proof::kMissingAnswer;
         if (isPending)
             suspectStatus.undecidedSince =
                 std::max (suspectStatus.undecidedSince, { crash.crashedAt });
@@ -99,6 +103,41 @@
     m_fingerprints.insert (request.fingerprint);
 }
 
+void SuspectRequests::onAnswerMissing (const cell::RequestIdentity& request,
+                                       const std::string& instance, base::TimePoint sentAt,
+                                       base::TimePoint now)
+{
+    const bool isRecorded = std::ranges::any_of (
+        m_ownCrashes, [&] (const OwnCrash& crash)
+        { return crash.instance == instance && crash.request.digest == request.digest; });
+    if (isRecorded)
+        return;
+    evictOldestMissingAnswer();
+    evictOldest();
+    const bool isReplaced = m_replacedRunners.contains (instance);
+    const Proof proof = isReplaced ? Proof::kConfirmed : Proof::kMissingAnswer;
+    m_ownCrashes.push_back ({ request, instance, sentAt, now, proof, {}, false });
+    rebuildIndex();
+}
+
+void SuspectRequests::evictOldestMissingAnswer()
+{
+    if (m_missingAnswers < kMaxMissingAnswers)
+        return;
+    m_ownCrashes.erase (std::ranges::find (m_ownCrashes, Proof::kMissingAnswer, &OwnCrash::proof));
+    ++m_evicted;
+    rebuildIndex();
+}
+
+void SuspectRequests::onBytes (const std::string& instance)
+{
+    const std::size_t erased = std::erase_if (
+        m_ownCrashes, [&] (const OwnCrash& crash)
+        { return crash.instance == instance && crash.proof == Proof::kMissingAnswer; });
+    if (erased > 0)
+        rebuildIndex();
+}
+
 bool SuspectRequests::mergeCrash (const cell::RequestIdentity& request, const std::string& instance,
                                   base::TimePoint sentAt)
 {
@@ -216,20 +255,29 @@
     }
     if (probeResult == RunnerProbeResult::kAlive)
     {
-        std::erase_if (m_ownCrashes, [&] (const OwnCrash& crash)
-                       { return crash.instance == instance && crash.proof != Proof::kConfirmed; });
+        std::erase_if (m_ownCrashes,
+                       [&] (const OwnCrash& crash)
+                       {
+                           return crash.instance == instance && crash.proof != Proof::kConfirmed
+                                  && crash.proof != Proof::kMissingAnswer;
+                       });
     }
     rebuildIndex();
     return hasConfirmed;
 }
 
-void SuspectRequests::onReplaced (const std::string& instance)
+void SuspectRequests::onReplaced (const std::string& instance, base::TimePoint now)
 {
     for (OwnCrash& crash : m_ownCrashes)
     {
-        if (crash.instance == instance)
-            crash.proof = Proof::kConfirmed;
+        if (crash.instance != instance)
+            continue;
+        if (crash.proof == Proof::kMissingAnswer)
+            --m_missingAnswers;
+        crash.proof = Proof::kConfirmed;
     }
+    if (m_replacedRunners.size() < kMaxReplacedRunners)
+        m_replacedRunners.insert_or_assign (instance, now);
 }
 
 void SuspectRequests::onCompleteAnswer (const cell::RequestIdentity& request)
@@ -393,6 +441,8 @@
                    });
     std::erase_if (m_goneIsolationRunners,
                    [&] (const auto& item) { return now - item.second.since >= kProofLifetime; });
+    std::erase_if (m_replacedRunners,
+                   [&] (const auto& item) { return now - item.second >= kReplacedRunnerLifetime; });
     const std::size_t rowsBefore = m_rows.size();
     std::erase_if (m_rows,
                    [&] (const auto& item)
@@ -410,8 +460,12 @@
     m_fingerprints.clear();
     for (const auto& [digest, row] : m_rows)
         m_fingerprints.insert (row.reported.request.fingerprint);
+    m_missingAnswers = 0;
     for (const OwnCrash& crash : m_ownCrashes)
+    {
         m_fingerprints.insert (crash.request.fingerprint);
+        m_missingAnswers += crash.proof == Proof::kMissingAnswer ? 1 : 0;
+    }
 }
 
 }  // namespace fernlift::quarantine
--- a/src/quarantine/SuspectRequests.h
+++ b/src/quarantine/SuspectRequests.h
@@ -5,7 +5,8 @@
  * cell's table, and the crashes that it observed itself and that the table does not contain yet.
  *
  * An interrupted answer does not prove a crash: the connection may have been reset. It counts once
- * a probe finds the runner gone, or once the runner is replaced at its address soon after.
+ * a probe finds the runner gone, or once the runner is replaced at its address soon after. An
+ * answer that never came counts only if the runner is replaced without a sign of life since.
  * Confirmed crashes are reported to the controllers until their table contains them. See
  * docs/design/quarantine.md.
  */
@@ -69,6 +70,10 @@
     static constexpr std::size_t kMaxAnsweredParts = 4096;
     /** Bound of the unresolved interruptions; beyond it the oldest ones are evicted. */
     static constexpr std::size_t kMaxOwnCrashes = 1024;
+    /** Bound of the missing answers among them. Many requests may reach their deadlines at once. */
+    static constexpr std::size_t kMaxMissingAnswers = 256;
+    /** Bound of the replaced runners that are remembered. */
+    static constexpr std::size_t kMaxReplacedRunners = 1024;
 
     /** True in the usual case that there are no suspects: requests then need no identity. */
     [[nodiscard]] bool isEmpty() const { return m_fingerprints.empty(); }
@@ -88,12 +93,21 @@
     /** The answer of a runner was interrupted. */
     void onAnswerInterrupted (const cell::RequestIdentity& request, const std::string& instance,
                               base::TimePoint sentAt, base::TimePoint now);
+    /** An attempt was given up before the whole answer, for example at the deadline of the
+        request. A runner whose machine has failed sends nothing and closes no connection.
+    */
+    void onAnswerMissing (const cell::RequestIdentity& request, const std::string& instance,
+                          base::TimePoint sentAt, base::TimePoint now);
+    /** Whether onBytes() has to be called for bytes of any runner. */
+    [[nodiscard]] bool hasMissingAnswers() const { return m_missingAnswers > 0; }
+    /** The runner sent bytes, so that no request given up before has crashed it. */
+    void onBytes (const std::string& instance);
     /** Applies the result of probing a runner after an interrupted answer. Returns whether the
         result confirmed a crash.
     */
     bool onProbeResult (const std::string& instance, RunnerProbeResult probeResult);
     /** The runner is no longer registered and had not announced that it would leave. */
-    void onReplaced (const std::string& instance);
+    void onReplaced (const std::string& instance, base::TimePoint now);
     /** The isolation runner, to which all copies of the request go, cannot be reached. */
     void onIsolationRunnerUnreachable (const cell::RequestIdentity& request, std::string instance,
                                        base::TimePoint now);
@@ -126,6 +140,10 @@
         kProbing,  ///< A probe of the runner is under way.
         /** The probe did not reach the runner, which may still turn out to have been replaced. */
         kUnconfirmed,
+        /** No answer came. Whether its runner accepts connections says nothing, as another
+            incarnation may do so at the same address.
+        */
+        kMissingAnswer,
         kConfirmed,
     };
     struct OwnCrash
@@ -171,6 +189,8 @@
     void keepOnly (const std::vector<cell::SuspectRow>& rows);
     void put (const cell::SuspectRow& row, base::TimePoint now);
     void remove (const std::string& digest);
+    /** Removes the oldest missing answer if there are too many. */
+    void evictOldestMissingAnswer();
     [[nodiscard]] bool wasAnsweredLately (const cell::RequestIdentity& part,
                                           base::TimePoint now) const;
     void evictOldest();
@@ -185,6 +205,9 @@
     std::map<std::string, GoneIsolationRunner> m_goneIsolationRunners;  ///< By digest.
     std::unordered_set<std::uint64_t> m_fingerprints;  ///< Fingerprints in m_rows and m_ownCrashes.
     std::uint64_t m_evicted = 0;
+    std::size_t m_missingAnswers = 0;  ///< Those of m_ownCrashes with this proof.
+    /** Runners replaced lately without having announced that they would leave. */
+    std::map<std::string, base::TimePoint> m_replacedRunners;
     /** Time of the last whole answer to requests with a part, by fingerprint of the part. */
     std::unordered_map<std::uint64_t, base::TimePoint> m_answeredParts;
 };
--- a/src/quarantine/SuspectRequestsTest.cpp
+++ b/src/quarantine/SuspectRequestsTest.cpp
@@ -161,7 +161,63 @@
     EXPECT_FALSE (suspects.suspectStatusOf (request).isUndecided())
         << "a probe that timed out does not delay requests";
     EXPECT_FALSE (suspects.suspectStatusOf (request).isSuspect());
-    suspects.onReplaced ("a");
+    suspects.onReplaced ("a", at (0));
+    EXPECT_EQ (suspects.suspectStatusOf (request).crashes, 1);
+}
+
+TEST_F (SuspectRequestsTest, CountsAMissingAnswerOnceTheRunnerIsReplaced)
+{
+    suspects.onAnswerMissing (request, "a", at (0), at (1500));
+    EXPECT_FALSE (suspects.suspectStatusOf (request).isUndecided());
+    EXPECT_FALSE (suspects.suspectStatusOf (request).isSuspect());
+    // Another incarnation may accept connections at the address.
+    suspects.onProbeResult ("a", RunnerProbeResult::kAlive);
+    suspects.onReplaced ("a", at (3000));
+    EXPECT_EQ (suspects.suspectStatusOf (request).crashes, 1);
+}
+
+TEST_F (SuspectRequestsTest, CountsAMissingAnswerOfARunnerThatIsReplacedAlready)
+{
+    suspects.onReplaced ("a", at (1000));
+    suspects.onAnswerMissing (request, "a", at (0), at (1500));
+    EXPECT_EQ (suspects.suspectStatusOf (request).crashes, 1);
+}
+
+TEST_F (SuspectRequestsTest, RunnerThatSendsBytesWasOnlySlow)
+{
+    suspects.onAnswerMissing (request, "a", at (0), at (1500));
+    ASSERT_TRUE (suspects.hasMissingAnswers());
+    suspects.onBytes ("a");
+    suspects.onReplaced ("a", at (3000));
+    EXPECT_FALSE (suspects.hasMissingAnswers());
+    EXPECT_TRUE (suspects.isEmpty());
+}
+
+TEST_F (SuspectRequestsTest, WholeAnswerClearsAMissingOne)
+{
+    suspects.onAnswerMissing (request, "a", at (0), at (1500));
+    suspects.onCompleteAnswer (request);
+    suspects.onReplaced ("a", at (3000));
+    EXPECT_TRUE (suspects.isEmpty());
+}
+
+TEST_F (SuspectRequestsTest, CountsAMissingAnswerOfARunnerOnce)
+{
+    end ("a", 0, 50);
+    suspects.onAnswerMissing (request, "a", at (60), at (1500));
+    suspects.onReplaced ("a", at (3000));
+    EXPECT_EQ (suspects.suspectStatusOf (request).crashes, 1);
+}
+
+TEST_F (SuspectRequestsTest, MissingAnswersDoNotEvictInterruptedOnes)
+{
+    suspects.onAnswerInterrupted (request, "a", at (0), at (50));
+    for (std::size_t number = 0; number < 2 * SuspectRequests::kMaxOwnCrashes; ++number)
+    {
+        const cell::RequestIdentity other{ number + 10, "other-" + std::to_string (number) };
+        suspects.onAnswerMissing (other, "b", at (0), at (100));
+    }
+    suspects.onProbeResult ("a", RunnerProbeResult::kGone);
     EXPECT_EQ (suspects.suspectStatusOf (request).crashes, 1);
 }
 
