--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -14,6 +14,15 @@
 {
 
 constexpr std::uint32_t kHeaderLimit = 64UL * 1024;
+constexpr int kMinStatus = 100;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kMaxStatus = 599;
+
+/// Whether a final or interim answer may have this status. No request asks for another protocol.
+bool isValidStatus (int status)
+{
+    return status >= kMinStatus && status <= kMaxStatus && status != kSwitchingProtocols;
+}
 
 }  // namespace
 
@@ -46,7 +55,7 @@
                            ErrorCode& error) override
     {
         m_head.status = status;
-        error = {};
+        error = isValidStatus (status) ? ErrorCode() : beast::http::error::bad_status;
     }
     void on_field_impl (beast::http::field /*field*/, beast::string_view name,
                         beast::string_view value, ErrorCode& error) override
--- a/src/http/AnswerParser.h
+++ b/src/http/AnswerParser.h
@@ -44,7 +44,8 @@
 
     /// Consumes bytes from the front of `buffer`; stops at the end of the answer. The chunks that
     /// are complete with it are delivered by one call. Fails with kMessageInvalid on bytes that are
-    /// not an HTTP answer, and when the framing of a chunk or the trailers exceed kMaxFramingBytes.
+    /// not an HTTP answer, as by a status outside of 100 to 599, and when the framing of a chunk or
+    /// the trailers exceed kMaxFramingBytes.
     base::Result<void> parse (std::string& buffer);
     /// Handles an orderly close of the connection; returns whether the answer is complete with it.
     [[nodiscard]] bool finishByClose();
--- a/src/http/AnswerParserTest.cpp
+++ b/src/http/AnswerParserTest.cpp
@@ -145,6 +145,16 @@
             .isValid);
 }
 
+TEST (AnswerParserTest, StatusOutsideOfTheProtocolIsInvalid)
+{
+    for (const char* const status : { "000", "001", "099", "101", "600", "734", "999" })
+    {
+        const std::string answer =
+            "HTTP/1.1 " + std::string (status) + " Odd\r\nContent-Length: 5\r\n\r\nhello";
+        EXPECT_FALSE (read (answer, answer.size()).isValid) << status;
+    }
+}
+
 TEST (AnswerParserTest, FramingWithoutEndIsInvalid)
 {
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
 /// Brittle runners count the requests that they decline in a second.
 constexpr base::Duration kBrittleBackoff = base::seconds (1);
+constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
@@ -192,7 +193,8 @@
     }
     if (m_events)
     {  // A resumed stream keeps the answer head of its first runner.
-        const bool isStream = m_attempt.head.status < kFirstErrorStatus;
+        const bool isStream =
+            m_attempt.head.status == kOk && http::isEventStream (m_attempt.head.headers);
         m_attempt.use = isStream ? AnswerUse::kEvents : AnswerUse::kRetry;
         if (isStream)
             endSilentAttempt (AttemptEnd::kFailed);
