A stopping router refuses work that it would cut (LOST at a planned stop)

What callers saw: requests that may run once, and take 4 to 8 s, came after the SIGTERM of their router, were taken, run, and cut at the end of the stop.

Cause: a stopping router takes requests for its grace, however long they take.

While a stop goes on, a request that no runner has received is refused at once, not run, with a Retry-After that leads elsewhere, if it will probably not end before the router and its deadline doesn't end it first.

No run of real processes yet.

--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -213,6 +213,8 @@
         onTimer();
         return;
     }
+    if (refuseIfStopsBefore())
+        return;
     const quarantine::SuspectStatus known = suspectStatus();
     if (isBlockedAsSuspect (known) || isBlockedByPromptPart())
     {
--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -111,6 +111,9 @@
     void admitAndDispatch();
     void readModel();
     void dispatchNext();
+    /// Ends a request that no runner has received if its router will probably stop before the
+    /// answer is complete. Returns whether it did.
+    bool refuseIfStopsBefore();
     /// Status of this request among the requests suspected of crashing runners.
     [[nodiscard]] quarantine::SuspectStatus suspectStatus() const;
     /// Whether anything is recorded of this request, also what does not count as a crash yet.
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -365,6 +365,8 @@
     if (! m_attempt.peer && m_attempt.head.status < kFirstErrorStatus)
         clearPromptParts();
     const bool isFailure = m_attempt.head.status >= kFirstServerError;
+    if (! m_attempt.peer && ! isFailure)
+        m_context.routeTimes.onAnswered (m_route->name, now() - m_attempt.sentAt);
     endAttempt (isFailure ? AttemptEnd::kFailed : AttemptEnd::kAnswered, true);
     ++m_context.counters.answered;
     logEnd (log::Event::kRequestAnswered, std::to_string (m_attempt.head.status));
--- a/src/proxy/ExchangeEnds.cpp
+++ b/src/proxy/ExchangeEnds.cpp
@@ -17,6 +17,7 @@
 /// Retry-After time of a stopping router; the caller then reaches another router.
 constexpr base::Duration kRetryElsewhere = base::milliseconds (50);
 constexpr std::size_t kMaxLoggedIdBytes = 64;
+constexpr const char* kStoppingCause = "this router is stopping";
 
 /// Outcome that another router is told about a request that ends with an error.
 PeerOutcome outcomeOf (ErrorKind kind)
@@ -200,8 +201,20 @@
 {
     if (m_isEnded || ! isWaiting())
         return;
-    constexpr const char* kCause = "this router is stopping";
-    endWithoutRunner (ErrorKind::kStopping, kCause, kRetryElsewhere, kCause);
+    endWithoutRunner (ErrorKind::kStopping, kStoppingCause, kRetryElsewhere, kStoppingCause);
+}
+
+bool Exchange::refuseIfStopsBefore()
+{
+    const bool isUnsent = ! m_mayHaveRun && ! m_isAnswerBegun;
+    if (! m_context.stopsAt || ! isUnsent || m_deadline <= *m_context.stopsAt)
+        return false;
+    const base::Duration expected = m_context.routeTimes.expected (m_route->name);
+    if (now() + expected <= *m_context.stopsAt)
+        return false;
+    endWait();
+    refuse (ErrorKind::kStopping, kStoppingCause, kRetryElsewhere);
+    return true;
 }
 
 void Exchange::onCallerDisconnected()
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/Random.h"
@@ -22,6 +23,7 @@
 #include "proxy/PeerRouters.h"
 #include "proxy/ProtocolNames.h"
 #include "proxy/RouteTable.h"
+#include "proxy/RouteTimes.h"
 #include "proxy/RunnerRates.h"
 #include "proxy/RunnerReachability.h"
 #include "proxy/StreamRecorder.h"
@@ -87,8 +89,11 @@
     /// Called when the connections to runners have failed so that this router became isolated.
     std::function<void()> onIsolated = [] {};
     http::BufferBudget answerBuffers{};  ///< Bytes of answers that callers have not taken yet.
-    std::string router{};                ///< Name of this router.
-    PeerRouters peers{ "", "" };         ///< The other routers of the cell.
+    RouteTimes routeTimes{};
+    /// When a planned stop ends all requests that are still open; none: no stop has begun.
+    std::optional<base::TimePoint> stopsAt{};
+    std::string router{};         ///< Name of this router.
+    PeerRouters peers{ "", "" };  ///< The other routers of the cell.
     /// Streams that callers may resume while versions are mixed.
     cell::StreamVersions streams{};
     StreamRecorder streamRecorder{};
--- a/src/proxy/ProxyProcessStop.cpp
+++ b/src/proxy/ProxyProcessStop.cpp
@@ -38,6 +38,7 @@
                 { { "open_requests", m_server.openExchanges() },
                   { "open_connections", m_server.openConnections() } });
     m_stopBegan = m_clock.now();
+    m_context.stopsAt = *m_stopBegan + m_settings.stopTimeout - kAnswerBeforeStop;
     m_server.beginClosing();
 }
 
