--- a/src/http/BufferBudget.h
+++ b/src/http/BufferBudget.h
@@ -21,7 +21,7 @@
     static constexpr std::size_t kMinBytesPerAnswer = 16UL * 1024;
     /** Bytes that one answer may hold while most of the budget is free. */
     static constexpr std::size_t kMaxBytesPerAnswer = 256UL * 1024;
-    /** Share of the free bytes that one answer may hold. */
+    /** One answer may hold the free bytes divided by this. */
     static constexpr std::size_t kAnswersPerFreeBudget = 32;
 
     /** Bytes that one holder has taken from the budget. They are free again at its end. */
--- a/src/proxy/Attempt.h
+++ b/src/proxy/Attempt.h
@@ -9,6 +9,7 @@
 
 #include "base/SocketAddress.h"
 #include "base/Time.h"
+#include "cell/ServiceInstances.h"
 #include "http/AnswerParser.h"
 #include "http/BackEndConnection.h"
 #include "http/EventSplitter.h"
@@ -53,6 +54,9 @@
     std::string bufferedBody;
     /// Events of an answer that is not forwarded event by event.
     std::optional<http::EventSplitter> unsplitEvents;
+
+    /** Incarnation of the runner that the request was sent to. */
+    [[nodiscard]] cell::Incarnation incarnation() const { return { instance, instanceStart }; }
 };
 
 }  // namespace fernlift::proxy
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -99,7 +99,7 @@
     // A misdirected request may have been answered by another instance at the same address.
     if (head.status == kMisdirected)
         return;
-    const cell::Incarnation runner{ m_attempt.instance, m_attempt.instanceStart };
+    const cell::Incarnation runner = m_attempt.incarnation();
     routing::RunnerAvailability& availability = m_context.directory.availability();
     const std::string& leaving = m_context.names.leaving;
     const bool isLeaving = ! leaving.empty() && head.headers.value (leaving) == "1";
@@ -126,7 +126,7 @@
 
 void Exchange::recordBackoff (const http::RetryAfter& stated)
 {
-    const cell::Incarnation runner{ m_attempt.instance, m_attempt.instanceStart };
+    const cell::Incarnation runner = m_attempt.incarnation();
     routing::RunnerAvailability& availability = m_context.directory.availability();
     std::visit (
         base::Overloaded{ [] (const http::NoRetryAfter&) {},
@@ -159,10 +159,7 @@
     if (isCurrentIncarnation (m_attempt))
         m_context.directory.onBytes (m_attempt.instance, now());
     if (m_context.suspects.hasMissingAnswers())
-    {
-        const cell::Incarnation runner{ m_attempt.instance, m_attempt.instanceStart };
-        m_context.suspects.onBytes (runner.name());
-    }
+        m_context.suspects.onBytes (m_attempt.incarnation().name());
 }
 
 http::Headers Exchange::answerHeaders() const
--- a/src/proxy/ExchangeQuarantine.cpp
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -189,8 +189,7 @@
         isListed ? m_context.directory.silenceOf (attempt.instance, now()) : base::Duration::max();
     if (silence < kMinSilenceOfCrash)
         return;
-    const std::string incarnation =
-        cell::Incarnation{ attempt.instance, attempt.instanceStart }.name();
+    const std::string incarnation = attempt.incarnation().name();
     m_context.suspects.onAnswerMissing (identity(), incarnation, attempt.sentAt, now());
     for (const cell::RequestIdentity& part : sharedPartIdentities())
         m_context.suspects.onAnswerMissing (part, incarnation, attempt.sentAt, now());
@@ -201,8 +200,7 @@
     m_hasBrokenAnswer = true;
     if (! mayAccuse (m_attempt))
         return;
-    const std::string incarnation =
-        cell::Incarnation{ m_attempt.instance, m_attempt.instanceStart }.name();
+    const std::string incarnation = m_attempt.incarnation().name();
     m_context.suspects.onAnswerInterrupted (identity(), incarnation, m_attempt.sentAt, now());
     for (const cell::RequestIdentity& part : sharedPartIdentities())
         m_context.suspects.onAnswerInterrupted (part, incarnation, m_attempt.sentAt, now());
@@ -211,8 +209,7 @@
 
 void Exchange::recordIsolationRunnerUnreachable()
 {
-    const std::string incarnation =
-        cell::Incarnation{ m_attempt.instance, m_attempt.instanceStart }.name();
+    const std::string incarnation = m_attempt.incarnation().name();
     m_context.suspects.onIsolationRunnerUnreachable (identity(), incarnation, now());
 }
 
