--- a/src/controller/QuarantineBoundTest.cpp
+++ b/src/controller/QuarantineBoundTest.cpp
@@ -44,6 +44,41 @@
     EXPECT_LE (sum.healthyRefused * 10'000, sum.healthy);
 }
 
+TEST (QuarantineBoundTest, PoisonRequestUnderWhichRunnersGoDarkIsNotSentAgain)
+{
+    sumOver ({ .goDark = true }, Fault::kNone,
+             [] (std::uint64_t seed, const Outcome& outcome)
+             {
+                 EXPECT_LE (outcome.sentAfterPropagation, 3) << "seed " << seed;
+                 EXPECT_EQ (outcome.healthyRefused, 0) << "seed " << seed;
+             });
+}
+
+TEST (QuarantineBoundTest, RefusesNoHealthyRequestWhileRunnersGoDark)
+{
+    const Outcome sum =
+        sumOver ({ .hasCrashes = true, .killsControllers = true, .goDark = true }, Fault::kNone,
+                 [] (std::uint64_t seed, const Outcome& outcome)
+                 { EXPECT_LE (outcome.sentAfterPropagation, 3) << "seed " << seed; });
+    // At most one in 10,000.
+    EXPECT_LE (sum.healthyRefused * 10'000, sum.healthy);
+}
+
+// Guards against a fourth retry when controllers are killed while runners go dark.
+TEST (QuarantineBoundTest, PoisonRequestIsNotSentAgainWhileControllersAreKilledAndRunnersGoDark)
+{
+    constexpr std::uint64_t kSeed = 175;
+    const FaultConditions conditions{ .hasCrashes = true,
+                                      .killsControllers = true,
+                                      .goDark = true };
+    EXPECT_LE (QuarantineCell (kSeed, conditions, Fault::kNone).run().sentAfterPropagation, 3);
+}
+
+TEST (QuarantineBoundTest, DetectsDarkRunnersThatAreNotShared)
+{
+    EXPECT_GT (sumOver ({ .goDark = true }, Fault::kNotShared, kNoCheck).sentAfterPropagation, 3);
+}
+
 TEST (QuarantineBoundTest, DetectsCrashesThatAreNotShared)
 {
     EXPECT_GT (sumOver ({}, Fault::kNotShared, kNoCheck).crashedByPoison, 5);
--- a/src/controller/QuarantineCellTestSupport.h
+++ b/src/controller/QuarantineCellTestSupport.h
@@ -41,6 +41,10 @@
 /// Wait after the last change of a part in quarantine before requests with it are refused.
 constexpr base::Duration kPartWait = milliseconds (200);
 constexpr std::uint32_t kMaxAttempts = 2;
+/// Time limit of a request whose runner is dark.
+constexpr base::Duration kDeadline = milliseconds (1500);
+/// Time for which routers go on to send requests to a runner that is dark.
+constexpr base::Duration kUnnoticed = milliseconds (700);
 
 enum class Fault : std::uint8_t
 {
@@ -62,6 +66,8 @@
     bool isFast = false;
     /// Whether one part of the prompt is the poison, in requests of which no two are equal.
     bool poisonsPart = false;
+    /// Whether the machines of runners fail: their requests hang until their deadline.
+    bool goDark = false;
 };
 
 struct Runner
@@ -69,6 +75,7 @@
     std::string name;
     std::uint32_t incarnation = 1;
     bool isAlive = true;
+    base::TimePoint crashedAt{};
     base::TimePoint backAt{};
 
     [[nodiscard]] std::string instance() const { return name + "-" + std::to_string (incarnation); }
@@ -260,7 +267,9 @@
         {
             const bool hasCrashed =
                 std::ranges::find (status.instances, runner.instance()) != status.instances.end();
-            if (! runner.isAlive || hasCrashed)
+            const bool isUnnoticed =
+                m_conditions.goDark && m_cell.now() < runner.crashedAt + kUnnoticed;
+            if ((! runner.isAlive && ! isUnnoticed) || hasCrashed)
                 continue;
             const std::uint64_t rank =
                 status.isSuspect() ? base::stableHash (runner.instance() + request.identity.digest)
@@ -300,9 +309,30 @@
         if (! runner.isAlive)
             return;
         runner.isAlive = false;
+        runner.crashedAt = m_cell.now();
         runner.backAt =
             m_cell.now() + base::Duration (m_random.uniformInteger (1'000'000, 3'000'000));
-        interruptAnswers (number, true);
+        if (! m_conditions.goDark)
+            interruptAnswers (number, true);
+    }
+    /// Whether the runner of the request has gone dark under it.
+    [[nodiscard]] bool hangs (const Request& request) const
+    {
+        const Runner& runner = m_runners[request.runner];
+        return m_conditions.goDark && (! runner.isAlive || runner.instance() != request.instance);
+    }
+    void giveUp (Request& request)
+    {
+        request.isRunning = false;
+        request.isEnded = true;
+        SuspectRequests& suspects = m_suspects[request.router];
+        // Requests that were sent to a dark runner got no sign of life from it.
+        const base::TimePoint heardAt =
+            std::max (request.sentAt, m_runners[request.runner].crashedAt);
+        const SuspectRequests::MissingAnswer missing{ request.instance, request.sentAt, heardAt };
+        suspects.onAnswerMissing (request.identity, missing, m_cell.now());
+        for (const cell::RequestIdentity& part : request.parts)
+            suspects.onAnswerMissing (part, missing, m_cell.now());
     }
     void resetConnections (std::size_t number) { interruptAnswers (number, false); }
     void interruptAnswers (std::size_t number, bool hasCrashed)
@@ -338,6 +368,12 @@
         {
             if (runner.isAlive || m_cell.now() < runner.backAt)
                 continue;
+            // A replaced runner that refuses connections was found by a probe before.
+            for (SuspectRequests& suspects : m_suspects)
+            {
+                if (m_conditions.goDark)
+                    suspects.onReplaced (runner.instance(), m_cell.now());
+            }
             runner.isAlive = true;
             ++runner.incarnation;
         }
@@ -389,7 +425,10 @@
     {
         for (Request& request : m_requests)
         {
-            if (request.isRunning && m_cell.now() >= request.endsAt)
+            const bool isHung = request.isRunning && hangs (request);
+            if (isHung && m_cell.now() >= request.sentAt + kDeadline)
+                giveUp (request);
+            if (! isHung && request.isRunning && m_cell.now() >= request.endsAt)
                 finish (request);
             if (request.isRunning || request.isEnded)
                 continue;
@@ -410,7 +449,9 @@
         request.isRunning = false;
         request.isEnded = true;
         SuspectRequests& suspects = m_suspects[request.router];
-        if (suspects.suspectStatusOf (request.identity).isSuspect())
+        if (suspects.hasMissingAnswers())
+            suspects.onBytes (request.instance);
+        if (suspects.mayContain (request.identity.fingerprint))
             suspects.onCompleteAnswer (request.identity);
         for (const cell::RequestIdentity& part : request.parts)
         {
--- a/src/proxy/ExchangeQuarantine.cpp
+++ b/src/proxy/ExchangeQuarantine.cpp
@@ -184,15 +184,18 @@
 {
     if (attempt.peer || attempt.isPaused || ! mayAccuse (attempt))
         return;
-    const bool isListed = isCurrentIncarnation (attempt);
-    const base::Duration silence =
-        isListed ? m_context.directory.silenceOf (attempt.instance, now()) : base::Duration::max();
-    if (silence < kMinSilenceOfCrash)
+    quarantine::SuspectRequests::MissingAnswer missing;
+    missing.instance = attempt.incarnation().name();
+    missing.sentAt = attempt.sentAt;
+    missing.heardAt = attempt.sentAt;
+    if (isCurrentIncarnation (attempt))
+        missing.heardAt =
+            std::max (missing.heardAt, m_context.directory.lastBytesAt (attempt.instance));
+    if (now() - missing.heardAt < kMinSilenceOfCrash)
         return;
-    const std::string incarnation = attempt.incarnation().name();
-    m_context.suspects.onAnswerMissing (identity(), incarnation, attempt.sentAt, now());
+    m_context.suspects.onAnswerMissing (identity(), missing, now());
     for (const cell::RequestIdentity& part : sharedPartIdentities())
-        m_context.suspects.onAnswerMissing (part, incarnation, attempt.sentAt, now());
+        m_context.suspects.onAnswerMissing (part, missing, now());
 }
 
 void Exchange::recordBrokenAnswer()
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -702,10 +702,10 @@
     pendingTokens -= std::min (pendingTokens, promptTokens);
 }
 
-base::Duration InstanceDirectory::silenceOf (const std::string& id, base::TimePoint now) const
+base::TimePoint InstanceDirectory::lastBytesAt (const std::string& id) const
 {
     const auto found = m_views.find (id);
-    return found == m_views.end() ? base::Duration::max() : now - found->second.lastBytesAt;
+    return found == m_views.end() ? base::TimePoint() : found->second.lastBytesAt;
 }
 
 void InstanceDirectory::onPaused (const std::string& id)
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -139,9 +139,9 @@
     void onAttemptBegin (const std::string& id, std::uint64_t promptTokens, base::TimePoint now);
     /// Called when bytes of an answer were received from the runner.
     void onBytes (const std::string& id, base::TimePoint now);
-    /// Time since the last bytes of an answer from the runner, or since the begin of the first open
-    /// attempt. For a runner that is not listed, the longest time.
-    [[nodiscard]] base::Duration silenceOf (const std::string& id, base::TimePoint now) const;
+    /// Time of the last bytes of an answer from the runner, or of the begin of the first open
+    /// attempt; zero if it is not listed.
+    [[nodiscard]] base::TimePoint lastBytesAt (const std::string& id) const;
     void onAnswerBegun (const std::string& id, std::uint64_t promptTokens);
     /// Called when an open attempt is not read for some time, so that its runner is not silent.
     void onPaused (const std::string& id);
--- a/src/quarantine/SuspectRequests.cpp
+++ b/src/quarantine/SuspectRequests.cpp
@@ -16,6 +16,9 @@
 /// Time after which an interrupted answer without proof of a crash is dropped. By then a crashed
 /// runner has registered again under another id, or its missing heartbeats have been detected.
 constexpr base::Duration kProofLifetime = base::seconds (10);
+/// Time for which routers go on to send requests to a runner that has failed. Those that it lost
+/// meanwhile were lost by one crash.
+constexpr base::Duration kUnnoticedSilence = base::milliseconds (700);
 /// Above the time limit of any usual request, whose attempt may end so much later than its runner
 /// was replaced.
 constexpr base::Duration kReplacedRunnerLifetime = base::seconds (60);
@@ -99,24 +102,29 @@
     if (request.isPromptPart() && mergeCrash (request, instance, sentAt))
         return;
     evictOldest();
-    m_ownCrashes.push_back ({ request, instance, sentAt, now, Proof::kProbing, {}, false });
+    m_ownCrashes.push_back ({ request, instance, sentAt, now, now, Proof::kProbing, {}, false });
     m_fingerprints.insert (request.fingerprint);
 }
 
 void SuspectRequests::onAnswerMissing (const cell::RequestIdentity& request,
-                                       const std::string& instance, base::TimePoint sentAt,
-                                       base::TimePoint now)
+                                       const MissingAnswer& missing, base::TimePoint now)
 {
     const bool isRecorded = std::ranges::any_of (
         m_ownCrashes, [&] (const OwnCrash& crash)
-        { return crash.instance == instance && crash.request.digest == request.digest; });
+        { return crash.instance == missing.instance && crash.request.digest == request.digest; });
     if (isRecorded)
         return;
     evictOldestMissingAnswer();
     evictOldest();
-    const bool isReplaced = m_replacedRunners.contains (instance);
-    const Proof proof = isReplaced ? Proof::kConfirmed : Proof::kMissingAnswer;
-    m_ownCrashes.push_back ({ request, instance, sentAt, now, proof, {}, false });
+    OwnCrash crash;
+    crash.request = request;
+    crash.instance = missing.instance;
+    crash.sentAt = missing.sentAt;
+    crash.crashedAt = std::min (now, missing.heardAt + kUnnoticedSilence);
+    crash.recordedAt = now;
+    const bool isReplaced = m_replacedRunners.contains (missing.instance);
+    crash.proof = isReplaced ? Proof::kConfirmed : Proof::kMissingAnswer;
+    m_ownCrashes.push_back (std::move (crash));
     rebuildIndex();
 }
 
@@ -234,6 +242,7 @@
                                   reported.instance,
                                   now - base::milliseconds (reported.sentAgoMilliseconds),
                                   now - base::milliseconds (reported.crashedAgoMilliseconds),
+                                  now - base::milliseconds (reported.crashedAgoMilliseconds),
                                   Proof::kConfirmed,
                                   {},
                                   true });
@@ -428,7 +437,7 @@
 {
     const std::size_t before = m_ownCrashes.size();
     std::erase_if (m_ownCrashes, [&] (const OwnCrash& crash)
-                   { return now - crash.crashedAt >= lifetimeOf (crash); });
+                   { return now - crash.recordedAt >= lifetimeOf (crash); });
     std::erase_if (m_clearances,
                    [&] (const auto& item)
                    {
--- a/src/quarantine/SuspectRequests.h
+++ b/src/quarantine/SuspectRequests.h
@@ -93,11 +93,19 @@
     /** The answer of a runner was interrupted. */
     void onAnswerInterrupted (const cell::RequestIdentity& request, const std::string& instance,
                               base::TimePoint sentAt, base::TimePoint now);
+    /** Last signs of life of the runner under an attempt that was given up. */
+    struct MissingAnswer
+    {
+        std::string instance;
+        base::TimePoint sentAt{};
+        base::TimePoint heardAt{};  ///< Last bytes of the runner; `sentAt` if they came before.
+    };
+
     /** An attempt was given up before the whole answer, for example at the deadline of the
         request. A runner whose machine has failed sends nothing and closes no connection.
     */
-    void onAnswerMissing (const cell::RequestIdentity& request, const std::string& instance,
-                          base::TimePoint sentAt, base::TimePoint now);
+    void onAnswerMissing (const cell::RequestIdentity& request, const MissingAnswer& missing,
+                          base::TimePoint now);
     /** Whether onBytes() has to be called for bytes of any runner. */
     [[nodiscard]] bool hasMissingAnswers() const { return m_missingAnswers > 0; }
     /** The runner sent bytes, so that no request given up before has crashed it. */
@@ -151,7 +159,8 @@
         cell::RequestIdentity request;
         std::string instance;
         base::TimePoint sentAt{};
-        base::TimePoint crashedAt{};
+        base::TimePoint crashedAt{};   ///< With a missing answer, when its runner could be avoided.
+        base::TimePoint recordedAt{};  ///< Lifetimes begin here.
         Proof proof = Proof::kProbing;
         base::TimePoint reportedAt{};  ///< Last report to the controllers; zero before the first.
         /** True if another router observed the crash; that router reports it. */
--- a/src/quarantine/SuspectRequestsTest.cpp
+++ b/src/quarantine/SuspectRequestsTest.cpp
@@ -167,7 +167,7 @@
 
 TEST_F (SuspectRequestsTest, CountsAMissingAnswerOnceTheRunnerIsReplaced)
 {
-    suspects.onAnswerMissing (request, "a", at (0), at (1500));
+    suspects.onAnswerMissing (request, { "a", at (0), at (0) }, at (1500));
     EXPECT_FALSE (suspects.suspectStatusOf (request).isUndecided());
     EXPECT_FALSE (suspects.suspectStatusOf (request).isSuspect());
     // Another incarnation may accept connections at the address.
@@ -179,13 +179,13 @@
 TEST_F (SuspectRequestsTest, CountsAMissingAnswerOfARunnerThatIsReplacedAlready)
 {
     suspects.onReplaced ("a", at (1000));
-    suspects.onAnswerMissing (request, "a", at (0), at (1500));
+    suspects.onAnswerMissing (request, { "a", at (0), at (0) }, at (1500));
     EXPECT_EQ (suspects.suspectStatusOf (request).crashes, 1);
 }
 
 TEST_F (SuspectRequestsTest, RunnerThatSendsBytesWasOnlySlow)
 {
-    suspects.onAnswerMissing (request, "a", at (0), at (1500));
+    suspects.onAnswerMissing (request, { "a", at (0), at (0) }, at (1500));
     ASSERT_TRUE (suspects.hasMissingAnswers());
     suspects.onBytes ("a");
     suspects.onReplaced ("a", at (3000));
@@ -195,7 +195,7 @@
 
 TEST_F (SuspectRequestsTest, WholeAnswerClearsAMissingOne)
 {
-    suspects.onAnswerMissing (request, "a", at (0), at (1500));
+    suspects.onAnswerMissing (request, { "a", at (0), at (0) }, at (1500));
     suspects.onCompleteAnswer (request);
     suspects.onReplaced ("a", at (3000));
     EXPECT_TRUE (suspects.isEmpty());
@@ -204,18 +204,28 @@
 TEST_F (SuspectRequestsTest, CountsAMissingAnswerOfARunnerOnce)
 {
     end ("a", 0, 50);
-    suspects.onAnswerMissing (request, "a", at (60), at (1500));
+    suspects.onAnswerMissing (request, { "a", at (60), at (60) }, at (1500));
     suspects.onReplaced ("a", at (3000));
     EXPECT_EQ (suspects.suspectStatusOf (request).crashes, 1);
 }
 
+TEST_F (SuspectRequestsTest, RequestsLostBeforeTheSilenceOfARunnerIsNoticedCountOnce)
+{
+    suspects.onAnswerMissing (request, { "a", at (0), at (0) }, at (1500));
+    suspects.onAnswerMissing (request, { "b", at (600), at (600) }, at (2100));
+    suspects.onAnswerMissing (request, { "c", at (800), at (800) }, at (2300));
+    for (const char* const runner : { "a", "b", "c" })
+        suspects.onReplaced (runner, at (3500));
+    EXPECT_EQ (suspects.suspectStatusOf (request).crashes, 2);
+}
+
 TEST_F (SuspectRequestsTest, MissingAnswersDoNotEvictInterruptedOnes)
 {
     suspects.onAnswerInterrupted (request, "a", at (0), at (50));
     for (std::size_t number = 0; number < 2 * SuspectRequests::kMaxOwnCrashes; ++number)
     {
         const cell::RequestIdentity other{ number + 10, "other-" + std::to_string (number) };
-        suspects.onAnswerMissing (other, "b", at (0), at (100));
+        suspects.onAnswerMissing (other, { "b", at (0), at (0) }, at (100));
     }
     suspects.onProbeResult ("a", RunnerProbeResult::kGone);
     EXPECT_EQ (suspects.suspectStatusOf (request).crashes, 1);
