--- a/src/http/BackEndPool.cpp
+++ b/src/http/BackEndPool.cpp
@@ -27,7 +27,7 @@
         --next;
         if ((*next)->hasCarried (requestId))
             continue;
-        const std::shared_ptr<BackEndConnection> connection = std::move (*next);
+        std::shared_ptr<BackEndConnection> connection = std::move (*next);
         next = idle.erase (next);
         if (isUsable (*connection, now))
             return connection;
