SuspectRequests: recording a missing answer doesn't rebuild the index

onAnswerMissing() rebuilt the index of fingerprints for each entry, after evictions had rebuilt it already, where its twin onAnswerInterrupted() inserts one. Many requests may reach their deadlines at once. It inserts and counts now; evictions rebuild as before. No behaviour changes.

--- a/src/quarantine/SuspectRequests.cpp
+++ b/src/quarantine/SuspectRequests.cpp
@@ -125,7 +125,8 @@
     const bool isReplaced = m_replacedRunners.contains (missing.instance);
     crash.proof = isReplaced ? Proof::kConfirmed : Proof::kMissingAnswer;
     m_ownCrashes.push_back (std::move (crash));
-    rebuildIndex();
+    m_fingerprints.insert (request.fingerprint);
+    m_missingAnswers += isReplaced ? 0 : 1;
 }
 
 void SuspectRequests::evictOldestMissingAnswer()
