Router: log event and metrics for requests that a runner declined

A request that a runner had no room for left no line: a decline showed only as a retry or a refusal, and nothing told one of a brittle runner from any other. Event 4046 has the runner with its incarnation, what it states of its brittleness, its slots, the open requests of this router and, where loads are shared, of the others, and the time since the request was sent. Metrics: fernlift_proxy_declined, fernlift_proxy_declined_by_brittle.

--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -308,6 +308,10 @@
     /// Backoff that a declining answer asks for, or that the brittleness of the runner calls for.
     [[nodiscard]] http::RetryAfter statedBackoff (const http::AnswerHead& head) const;
     void recordBackoff (const http::RetryAfter& stated);
+    /// Counts and logs that the runner had no room for the request.
+    void recordDecline (const http::AnswerHead& head);
+    /// Value of the field by which the runner states that it is brittle; empty if it does not.
+    [[nodiscard]] std::string statedBrittleness (const http::AnswerHead& head) const;
     /// Whether the runner states that it did not execute the request.
     [[nodiscard]] bool isRefusal (const http::AnswerHead& head) const;
     void finishAnswer();
--- a/src/proxy/ExchangeAnswers.cpp
+++ b/src/proxy/ExchangeAnswers.cpp
@@ -109,7 +109,10 @@
     const bool isDeclined =
         head.status == kServiceUnavailable || (head.status == kTooManyRequests && isRefusal (head));
     if (isDeclined)
+    {
+        recordDecline (head);
         recordBackoff (statedBackoff (head));
+    }
     else if (head.status < kFirstServerError && ! isRefusal (head))
         availability.onSuccess (runner, m_attempt.sentAt, now());
 }
@@ -117,13 +120,36 @@
 http::RetryAfter Exchange::statedBackoff (const http::AnswerHead& head) const
 {
     http::RetryAfter stated = http::readRetryAfter (head.headers);
-    const std::string& brittle = m_context.names.brittle;
-    const bool isBrittle = ! brittle.empty() && head.headers.contains (brittle);
-    if (isBrittle && ! std::holds_alternative<http::RetryAfterDelay> (stated))
+    if (! statedBrittleness (head).empty()
+        && ! std::holds_alternative<http::RetryAfterDelay> (stated))
         return http::RetryAfterDelay{ kBrittleBackoff };
     return stated;
 }
 
+std::string Exchange::statedBrittleness (const http::AnswerHead& head) const
+{
+    const std::string& name = m_context.names.brittle;
+    return name.empty() ? std::string() : head.headers.value (name);
+}
+
+void Exchange::recordDecline (const http::AnswerHead& head)
+{
+    const std::string brittleness = statedBrittleness (head);
+    ++m_context.counters.declined;
+    if (! brittleness.empty())
+        ++m_context.counters.declinedByBrittle;
+    const RunnerLoad load = m_context.directory.loadOf (m_attempt.instance, now());
+    log::write (log::Event::kRunnerDeclined,
+                { { "request", m_request.headers.value (m_context.names.requestId) },
+                  { "runner", m_attempt.incarnation().name() },
+                  { "status", head.status },
+                  { "brittle", brittleness },
+                  { "own_requests", load.own },
+                  { "other_requests", load.others },
+                  { "slots", load.slots },
+                  { "sent_ms", base::toMilliseconds (now() - m_attempt.sentAt) } });
+}
+
 void Exchange::recordBackoff (const http::RetryAfter& stated)
 {
     const cell::Incarnation runner = m_attempt.incarnation();
--- a/src/proxy/InstanceDirectory.cpp
+++ b/src/proxy/InstanceDirectory.cpp
@@ -388,6 +388,16 @@
     return state;
 }
 
+RunnerLoad InstanceDirectory::loadOf (const std::string& id, base::TimePoint now) const
+{
+    const auto found = m_views.find (id);
+    if (found == m_views.end())
+        return {};
+    const View& view = found->second;
+    const std::uint32_t others = weightOfOthers (now) > 0 ? view.others.inFlight : 0;
+    return { view.own.inFlight, others, view.row.instance.slots };
+}
+
 bool InstanceDirectory::isFull (const std::string& id, base::TimePoint now) const
 {
     const auto found = m_views.find (id);
--- a/src/proxy/InstanceDirectory.h
+++ b/src/proxy/InstanceDirectory.h
@@ -91,6 +91,14 @@
     double ratePerSecond = 0;  ///< Sum of the stated rates of these runners; set with kRateLimited.
 };
 
+/// Requests at a runner, as far as they are known.
+struct RunnerLoad
+{
+    std::uint32_t own = 0;     ///< Requests of this router.
+    std::uint32_t others = 0;  ///< Requests of the other routers; 0 if their loads are not shared.
+    std::uint32_t slots = 0;   ///< Requests that the runner works on at the same time.
+};
+
 /// Text for logs, for example "not_loaded".
 [[nodiscard]] std::string_view toString (NoRunnerReason reason);
 
@@ -208,6 +216,7 @@
     [[nodiscard]] std::vector<std::string> instances() const;
     /// Address of a listed instance; empty if it is not listed or its address is invalid.
     [[nodiscard]] base::SocketAddress addressOf (const std::string& id) const;
+    [[nodiscard]] RunnerLoad loadOf (const std::string& id, base::TimePoint now) const;
     /// Whether all slots of the runner are in use, as far as its load is known.
     [[nodiscard]] bool isFull (const std::string& id, base::TimePoint now) const;
     /// Records whether a probe of the runner opened a connection.
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -57,6 +57,8 @@
     std::uint64_t servedForPeers = 0;     ///< Requests received from other routers.
     std::uint64_t declinedToPeers = 0;    ///< Those that this router did not serve.
     std::uint64_t pausedAnswers = 0;      ///< Pauses of runners whose caller was behind.
+    std::uint64_t declined = 0;           ///< Attempts that a runner had no room for.
+    std::uint64_t declinedByBrittle = 0;  ///< Those at runners that state that they are brittle.
 };
 
 struct ProxyContext
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -121,6 +121,11 @@
             set ("fernlift_proxy_backoff_answers",
                  "Answers of runners that declined a request with Retry-After.",
                  availability.counters().backoffAnswers);
+            set ("fernlift_proxy_declined", "Attempts that a runner had no room for.",
+                 m_counters.declined);
+            set ("fernlift_proxy_declined_by_brittle",
+                 "Those at runners that state how many declines in a second they bear.",
+                 m_counters.declinedByBrittle);
             set ("fernlift_proxy_attempts_during_backoff",
                  "Attempts at runners that had asked for none at that time.",
                  availability.counters().attemptsDuringBackoff);
