--- a/src/lab/ForwardingCellTestSupport.h
+++ b/src/lab/ForwardingCellTestSupport.h
@@ -149,6 +149,12 @@
         return m_routers.at (router)->frontAddress();
     }
     [[nodiscard]] bool areRoutersReady() const;
+    [[nodiscard]] bool isRouterUp (std::size_t number) const
+    {
+        return m_routers.at (number) != nullptr;
+    }
+    /// Closes the connections of calls that have ended.
+    void closeEndedCalls();
 
     /// A runner of the test's own that is registered by heartbeats.
     struct OwnRunner
@@ -156,10 +162,13 @@
         std::string id;
         std::string address;
         std::string softwareVersion;
+        std::uint32_t slots = 8;
     };
     void registerRunner (const OwnRunner& runner);
     /// Deregisters the runner; it may serve on.
     void deregisterRunner (const std::string& id);
+    /// Sends no more heartbeats of the runner, which has failed.
+    void endHeartbeats (const std::string& id);
 
     /// Restarts every runner that has crashed.
     void restartRunners();
@@ -184,7 +193,6 @@
     void sendHeartbeats();
     void sendToControllers (const std::string& method, const std::string& body);
     [[nodiscard]] base::SocketAddress controlAddress (std::size_t number) const;
-    void closeEndedCalls();
 
     struct OpenCall
     {
--- a/src/lab/ForwardingCellTestSupportTest.cpp
+++ b/src/lab/ForwardingCellTestSupportTest.cpp
@@ -21,6 +21,7 @@
 using http::test::waitUntil;
 
 constexpr base::milliseconds kHeartbeatInterval (300);
+constexpr std::uint32_t kSlots = 8;  ///< Slots of a CrashableRunner.
 constexpr std::string_view kIdField = "Test-Id: ";
 
 QHostAddress hostOf (const base::SocketAddress& address)
@@ -59,9 +60,9 @@
     return answer.size() >= end + 4 + length;
 }
 
-/// Codec that reads a POST as a heartbeat with the body "ID ADDRESS SERVICE SEQUENCE VERSION", in
-/// which the version of the software may be missing, a DELETE as the deregistration of the instance
-/// in the body, and a PUT as a configuration with the text as body.
+/// Codec that reads a POST as a heartbeat with the body "ID ADDRESS SERVICE SEQUENCE SLOTS
+/// VERSION", in which the version of the software may be missing, a DELETE as the deregistration of
+/// the instance in the body, and a PUT as a configuration with the text as body.
 class TestControlCodec final : public controller::ControlCodec
 {
 public:
@@ -75,9 +76,8 @@
         controller::InstanceHeartbeat heartbeat;
         std::istringstream text (request.body);
         text >> heartbeat.instance.id >> heartbeat.instance.address >> heartbeat.instance.service
-            >> heartbeat.sequence >> heartbeat.softwareVersion;
+            >> heartbeat.sequence >> heartbeat.instance.slots >> heartbeat.softwareVersion;
         heartbeat.instance.zone = "z1";
-        heartbeat.instance.slots = 8;
         return controller::ControlRequest (heartbeat);
     }
     [[nodiscard]] http::Response format (const http::Request& /*request*/,
@@ -361,13 +361,14 @@
     for (const auto& runner : m_runners)
     {
         if (runner->isAlive())
-            sendToControllers ("POST", runner->instance() + " " + runner->address() + " "
-                                           + runner->service() + " "
-                                           + std::to_string (m_heartbeatSequence));
+            sendToControllers (
+                "POST", runner->instance() + " " + runner->address() + " " + runner->service() + " "
+                            + std::to_string (m_heartbeatSequence) + " " + std::to_string (kSlots));
     }
     for (const OwnRunner& runner : m_ownRunners)
         sendToControllers ("POST", runner.id + " " + runner.address + " service "
                                        + std::to_string (m_heartbeatSequence) + " "
+                                       + std::to_string (runner.slots) + " "
                                        + runner.softwareVersion);
 }
 
@@ -377,9 +378,14 @@
     sendHeartbeats();
 }
 
-void ForwardingCell::deregisterRunner (const std::string& id)
+void ForwardingCell::endHeartbeats (const std::string& id)
 {
     std::erase_if (m_ownRunners, [&] (const OwnRunner& runner) { return runner.id == id; });
+}
+
+void ForwardingCell::deregisterRunner (const std::string& id)
+{
+    endHeartbeats (id);
     sendToControllers ("DELETE", id);
 }
 
