Router: health checks of brittle services only open a connection (LIMIT)

Cause: a router that has heard from no runner for some tenths of a second, as with work of half a second, doubts its path and sends GET on the health path. A full runner lets it wait or declines it, as a request; and an unanswered check marks the runner as unreachable, so that the router forwarded its requests to others.

Change: while a service is brittle the check only opens a connection and waits 20 ms whether it is closed, as the checks without a health path do.

--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -298,7 +298,10 @@
         m_context.routes == nullptr
             ? nullptr
             : m_context.routes->catalogue().findService (m_directory.serviceOf (instance));
-    if (service == nullptr || service->healthPath.empty())
+    // A brittle runner that is full would have to decline the health check.
+    const bool mayBeDeclined =
+        service != nullptr && m_context.slots.isNeeded (m_directory.serviceOf (instance));
+    if (service == nullptr || service->healthPath.empty() || mayBeDeclined)
         return {};
     return "GET " + service->healthPath + " HTTP/1.1\r\nHost: "
            + m_directory.addressOf (instance).toString() + "\r\nConnection: close\r\n\r\n";
