--- a/src/lab/BrittleRunnerTestSupport.h
+++ b/src/lab/BrittleRunnerTestSupport.h
@@ -70,6 +70,11 @@
         std::unique_ptr<QTcpSocket> socket;
         std::string received;
     };
+    struct Job
+    {
+        std::string requestId;
+        std::uint64_t number = 0;
+    };
 
     void start();
     void fall();
@@ -77,7 +82,7 @@
     void onReadable (QTcpSocket* socket);
     void onClosed (QTcpSocket* socket);
     void beginNext();
-    void finish (QTcpSocket* socket);
+    void finish (QTcpSocket* socket, std::uint64_t job);
     void recordDecline();
     void write (QTcpSocket* socket, const std::string& status, const std::string& fields);
     /** Whether the statement has been made for `contactTime`. */
@@ -93,7 +98,8 @@
     bool m_isBrittle = false;
     base::TimePoint m_statedAt{};  ///< First statement; zero: none yet.
     std::map<QTcpSocket*, Connection> m_connections;
-    std::map<QTcpSocket*, std::string> m_running;  ///< Request id by connection.
+    std::uint64_t m_jobs = 0;
+    std::map<QTcpSocket*, Job> m_running;
     std::deque<std::pair<QTcpSocket*, std::string>> m_waiting;
     std::vector<base::TimePoint> m_falls;
     std::vector<base::TimePoint> m_declines;
--- a/src/lab/BrittleRunnerTestSupportTest.cpp
+++ b/src/lab/BrittleRunnerTestSupportTest.cpp
@@ -133,19 +133,21 @@
     while (m_running.size() < m_options.slots && ! m_waiting.empty())
     {
         QTcpSocket* const socket = m_waiting.front().first;
-        m_running[socket] = std::move (m_waiting.front().second);
+        const std::uint64_t job = ++m_jobs;
+        m_running[socket] = { std::move (m_waiting.front().second), job };
         m_waiting.pop_front();
-        QTimer::singleShot (m_options.workTime, Qt::PreciseTimer, socket,
-                            [this, socket] { finish (socket); });
+        // The timer may outlive the socket, but not this runner.
+        QTimer::singleShot (m_options.workTime, Qt::PreciseTimer, &m_server,
+                            [this, socket, job] { finish (socket, job); });
     }
 }
 
-void BrittleRunner::finish (QTcpSocket* socket)
+void BrittleRunner::finish (QTcpSocket* socket, std::uint64_t job)
 {
     const auto found = m_running.find (socket);
-    if (found == m_running.end())
+    if (found == m_running.end() || found->second.number != job)
         return;
-    const std::string id = std::move (found->second);
+    const std::string id = std::move (found->second.requestId);
     m_running.erase (found);
     m_served.push_back (m_clock.now());
     write (socket, "200 OK", "Test-Id: " + id + "\r\n");
