RequestParser: framing of chunks and trailers are limited as the header is

What callers did: trailers without end, one trailer line without end, a chunk extension or a chunk size of zeros without end. The router kept all that was sent: 418 MB for 4 clients that sent 100 MB each, 480 MB at the readiness and the peer port, where 120 are allowed; a process on a machine of 120 to 260 MB ends.

Cause: Beast's parser leaves the line of a chunk and the trailers in the caller's buffer until they are complete, and limits only the header and the body.

Change: what is unread behind a complete header may not exceed the limit of the header, so that trailers may be as long as a header. The request is refused with 431, as it was not run.

--- a/src/proxy/RequestParser.cpp
+++ b/src/proxy/RequestParser.cpp
@@ -127,6 +127,17 @@
         return {};
     if (! m_implementation)
         m_implementation = std::make_unique<Implementation> (m_limits);
+    BOOST_LEAF_CHECK (parseAvailable (buffer));
+    // The parser leaves the line of a chunk and the trailers unread until they are complete.
+    const bool isFraming = m_implementation->is_header_done() && ! m_implementation->is_done();
+    if (isFraming && buffer.size() > m_limits.headerBytes)
+        return base::fail (base::ErrorKind::kHeaderTooLarge,
+                           "the framing of a chunk or the trailers exceed the size limit");
+    return {};
+}
+
+base::Result<void> RequestParser::parseAvailable (std::string& buffer)
+{
     std::size_t used = 0;
     while (used < buffer.size() && ! m_implementation->is_done())
     {
--- a/src/proxy/RequestParser.h
+++ b/src/proxy/RequestParser.h
@@ -16,6 +16,7 @@
 /// Size limits of a request.
 struct RequestLimits
 {
+    /// Also the limit of the trailers, and of the line that begins a chunk.
     std::size_t headerBytes = 16UL * 1024;
     std::size_t bodyBytes = 4UL * 1024 * 1024;
 };
@@ -67,6 +68,8 @@
 
 private:
     class Implementation;
+    base::Result<void> parseAvailable (std::string& buffer);
+
     RequestLimits m_limits;
     std::unique_ptr<Implementation> m_implementation;
 };
