ExchangeBackoffTest: the backoff of a brittle runner is that of earlier controllers

Failed since: the fixture has no controller, and a router that has heard from none sends nothing new to a brittle service, so that the second request never came. The backoff of a second that the test is about is what is left beside controllers that assign no slots; the test says so now and checks the same. That nothing is sent while no controller is known is RunnerSlotsTest's.

--- a/src/proxy/ExchangeBackoffTest.cpp
+++ b/src/proxy/ExchangeBackoffTest.cpp
@@ -54,6 +54,8 @@
                                      "1\r\nContent-Length: 0\r\n\r\n"
                                  };
                              } };
+    // Beside controllers of an earlier build, which assign no slots.
+    proxy.context.slots.onOtherMessage();
     proxy.put (ProxyFixture::rowOf ("i-1", brittle.address()));
     std::vector<std::unique_ptr<RawCaller>> callers;
     for (int request = 0; request < 20; ++request)
