Requests of all callers share one bound of memory until they are answered

What callers did: 600 bodies of 256 KiB short of their end, by length, in one chunk or in small chunks, and 600 heads of 4,000 fields, with connections that stay open.

Cause: a body is limited for each connection, and connections are not limited, so that the sum isn't.

Change: http::RequestBudget counts the bytes of a request from its arrival until it is answered, with its fields, and twice once it is open (it is kept for another attempt and copied for the runner). Connections read 16 KiB at a time in place of all that is there. Readiness checks may have 8 KiB of header and 1 KiB of body.

Not bounded: the number of connections.

--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -16,6 +16,10 @@
 {
 
 constexpr qint64 kReadBufferBytes = 256LL * 1024;
+/// Bytes that are read and parsed at once.
+constexpr qint64 kMaxReadBytes = 16LL * 1024;
+/// An open request is kept for another attempt, and once more on its way to the runner.
+constexpr std::size_t kCopiesOfOpenRequest = 2;
 constexpr unsigned kUnacknowledgedTimeoutMs = 10'000;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -32,13 +36,14 @@
 }  // namespace
 
 CallerConnection::CallerConnection (std::unique_ptr<QTcpSocket> socket, CallerLimits limits,
-                                    const Handlers& handlers, http::BufferBudget& buffers)
+                                    const Handlers& handlers, CallerBuffers buffers)
     : m_socket (std::move (socket)),
       m_peerAddress (m_socket->peerAddress()),
       m_limits (limits),
       m_handlers (handlers),
-      m_buffers (buffers),
-      m_unsent (buffers),
+      m_answerBuffers (buffers.answers),
+      m_unsent (buffers.answers),
+      m_received (buffers.requests, [this] { makeRoom(); }),
       m_parser (limits.request)
 {
     m_socket->setReadBufferSize (kReadBufferBytes);
@@ -95,11 +100,13 @@
 
 void CallerConnection::onReadable()
 {
-    if (m_hasOpenRequest || m_isClosing || m_isClosed)
-        return;  // Further bytes stay in the socket.
-    const QByteArray bytes = m_socket->readAll();
-    m_buffer.append (bytes.constData(), static_cast<std::size_t> (bytes.size()));
-    parse();
+    // While a request is open, further bytes stay in the socket.
+    while (! m_hasOpenRequest && ! m_isClosing && ! m_isClosed && m_socket->bytesAvailable() > 0)
+    {
+        const QByteArray bytes = m_socket->read (kMaxReadBytes);
+        m_buffer.append (bytes.constData(), static_cast<std::size_t> (bytes.size()));
+        parse();
+    }
 }
 
 void CallerConnection::parse()
@@ -112,9 +119,13 @@
                         [&] (const base::Error& error) { fault = error; });
     if (fault)
     {
-        m_closesAfterAnswer = true;
-        m_hasOpenRequest = true;
-        m_handlers.onInvalid (*this, *fault);
+        refuse (*fault);
+        return;
+    }
+    const bool isReading = m_parser.state() == RequestParser::State::kReading;
+    if (isReading && ! m_received.receive (m_parser.keptBytes() + m_buffer.capacity()))
+    {
+        makeRoom();
         return;
     }
     if (m_parser.takeExpectsContinue())
@@ -126,15 +137,32 @@
     {
         dispatchRequest();
     }
-    else if (wasIdle && m_parser.state() == RequestParser::State::kReading)
+    else if (wasIdle && isReading)
     {
         armTimer();
     }
 }
 
+void CallerConnection::refuse (const base::Error& error)
+{
+    m_closesAfterAnswer = true;
+    m_hasOpenRequest = true;
+    m_parser.discard();
+    m_buffer = {};
+    m_received.release();
+    m_handlers.onInvalid (*this, error);
+}
+
+void CallerConnection::makeRoom()
+{
+    refuse ({ base::ErrorKind::kNoCapacity,
+              "the requests that are being received fill the memory for them" });
+}
+
 void CallerConnection::dispatchRequest()
 {
     m_timer.stop();
+    m_received.hold (kCopiesOfOpenRequest * m_parser.keptBytes());
     ParsedRequest request = m_parser.take();
     m_hasOpenRequest = true;
     m_hasBegunAnswer = false;
@@ -172,10 +200,8 @@
     }
     if (m_parser.state() == RequestParser::State::kReading)
     {
-        m_closesAfterAnswer = true;
-        m_hasOpenRequest = true;
-        m_handlers.onInvalid (*this, { base::ErrorKind::kRequestTimeout,
-                                       "request not received within the header timeout" });
+        refuse (
+            { base::ErrorKind::kRequestTimeout, "request not received within the header timeout" });
         return;
     }
     closeGracefully();
@@ -187,6 +213,7 @@
         return;
     m_timer.stop();
     m_unsent.set (0);
+    m_received.release();
     if (m_hasOpenRequest)
         m_handlers.onDisconnected (*this);
     m_handlers.onClosed (*this);
@@ -247,7 +274,7 @@
 {
     const std::size_t unsent = m_isClosed ? 0 : bytesToWrite();
     m_unsent.set (unsent);
-    const std::size_t maxBytes = m_buffers.maxBytesPerAnswer();
+    const std::size_t maxBytes = m_answerBuffers.maxBytesPerAnswer();
     // The gap between the two limits keeps an answer from being paused and resumed at each read.
     if (unsent > maxBytes)
         m_isBehind = true;
@@ -270,6 +297,7 @@
     if (m_isChunked && m_answerHasBody)
         m_socket->write ("0\r\n\r\n");
     m_socket->flush();
+    m_received.release();
     m_hasOpenRequest = false;
     m_hasBegunAnswer = false;
     m_timer.stop();
@@ -327,6 +355,7 @@
         return;
     m_timer.stop();
     m_unsent.set (0);
+    m_received.release();
     m_hasOpenRequest = false;
     m_socket->abort();
     m_handlers.onClosed (*this);
--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -15,6 +15,7 @@
 #include "base/Time.h"
 #include "http/BufferBudget.h"
 #include "http/Message.h"
+#include "http/RequestBudget.h"
 #include "proxy/RequestParser.h"
 
 namespace fernlift::proxy
@@ -29,6 +30,13 @@
     base::Duration idleTimeout = base::seconds (15);   ///< Between two requests.
 };
 
+/// Bounds of the memory that all connections of a server share.
+struct CallerBuffers
+{
+    http::BufferBudget& answers;
+    http::RequestBudget& requests;
+};
+
 /// Framing of the body of an answer to the caller.
 struct AnswerFraming
 {
@@ -56,7 +64,7 @@
 
     /// `handlers` and `buffers` must outlive the connection.
     CallerConnection (std::unique_ptr<QTcpSocket> socket, CallerLimits limits,
-                      const Handlers& handlers, http::BufferBudget& buffers);
+                      const Handlers& handlers, CallerBuffers buffers);
     ~CallerConnection();
     CallerConnection (const CallerConnection&) = delete;
     CallerConnection& operator= (const CallerConnection&) = delete;
@@ -103,6 +111,10 @@
     void onSocketClosed();
     void parse();
     void dispatchRequest();
+    /// Answers a request that was not received whole with an error, and closes the connection.
+    void refuse (const base::Error& error);
+    /// Refuses the request that is being received, since others need its memory.
+    void makeRoom();
     void armTimer();
     void onTimeout();
     /// Closes the connection once the caller has received what was written, as long as it goes on
@@ -118,8 +130,9 @@
     QHostAddress m_peerAddress;  ///< Kept because the socket clears it on close.
     CallerLimits m_limits;
     const Handlers& m_handlers;
-    http::BufferBudget& m_buffers;
+    http::BufferBudget& m_answerBuffers;
     http::BufferBudget::Usage m_unsent;
+    http::RequestBudget::Usage m_received;  ///< Bytes of the request that is received or open.
     RequestParser m_parser;
     std::string m_buffer;
     std::string m_requestId;  ///< Of the last request.
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -15,6 +15,7 @@
 #include "dispatch/RetryBudget.h"
 #include "http/BackEndPool.h"
 #include "http/BufferBudget.h"
+#include "http/RequestBudget.h"
 #include "proxy/ConfigurationFreshness.h"
 #include "proxy/EngineDemands.h"
 #include "proxy/InstanceDirectory.h"
@@ -92,7 +93,8 @@
     RunnerSlots slots{ "", 0, [] {} };  ///< Slots of runners in brittle services.
     /// Called when the connections to runners have failed so that this router became isolated.
     std::function<void()> onIsolated = [] {};
-    http::BufferBudget answerBuffers{};  ///< Bytes of answers that callers have not taken yet.
+    http::BufferBudget answerBuffers{};    ///< Bytes of answers that callers have not taken yet.
+    http::RequestBudget requestBuffers{};  ///< Bytes of requests until they are answered.
     RouteTimes routeTimes{};
     /// When a planned stop ends all requests that are still open; none: no stop has begun.
     std::optional<base::TimePoint> stopsAt{};
--- a/src/proxy/ProxyMetrics.cpp
+++ b/src/proxy/ProxyMetrics.cpp
@@ -65,6 +65,12 @@
             set ("fernlift_proxy_buffered_answer_bytes",
                  "The same, and bytes of answers that are kept back until they are complete.",
                  m_context.answerBuffers.used());
+            set ("fernlift_proxy_buffered_request_bytes",
+                 "Bytes of requests of callers that are not answered yet.",
+                 m_context.requestBuffers.used());
+            set ("fernlift_proxy_requests_refused_for_memory",
+                 "Requests refused while they were received, as others filled the memory.",
+                 m_context.requestBuffers.refused());
             set ("fernlift_proxy_paused_answers",
                  "Pauses of runners whose answers were not read, as their callers were behind.",
                  m_counters.pausedAnswers);
--- a/src/proxy/ProxyProcess.cpp
+++ b/src/proxy/ProxyProcess.cpp
@@ -103,6 +103,7 @@
     if (m_settings.cellRetryReserve > 0)
         m_retryBudgets.dropReserve();
     m_context.answerBuffers.setMaxBytes (static_cast<std::size_t> (m_settings.answerBufferBytes));
+    m_context.requestBuffers.setMaxBytes (static_cast<std::size_t> (m_settings.requestBufferBytes));
     m_context.router = m_settings.id;
     m_context.slots =
         RunnerSlots (m_settings.id, m_random.bits(), [this] { m_demandTimer.start (0); });
--- a/src/proxy/ProxyServer.cpp
+++ b/src/proxy/ProxyServer.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t kPeerFieldBytes = 1024;
 /// Retry-After in seconds; the caller then reaches another router.
 constexpr const char* kRetryElsewhere = "0.05";
+/// Retry-After in seconds; other requests have been received or answered by then.
+constexpr const char* kRetryWhenFull = "0.5";
 constexpr std::size_t kMaxLoggedAtStop = 200;
 
 void logAnswerCut (const CallerConnection& connection)
@@ -140,7 +142,8 @@
         accepted->setParent (nullptr);
         std::unique_ptr<QTcpSocket> socket (accepted);
         auto connection = std::make_shared<CallerConnection> (
-            std::move (socket), limitsOf (areOfPeers), m_handlers, m_context.answerBuffers);
+            std::move (socket), limitsOf (areOfPeers), m_handlers,
+            CallerBuffers{ m_context.answerBuffers, m_context.requestBuffers });
         m_connections[connection.get()] = { connection, areOfPeers };
         connection->start();
     }
@@ -266,7 +269,9 @@
 
 void ProxyServer::onInvalid (CallerConnection& connection, const base::Error& error)
 {
-    const http::Response response = http::errorResponse (error);
+    http::Response response = http::errorResponse (error);
+    if (error.kind == base::ErrorKind::kNoCapacity)
+        response.headers.set ("Retry-After", kRetryWhenFull);
     connection.sendAnswer (response.status, response.headers, response.body);
 }
 
--- a/src/proxy/ProxySettings.cpp
+++ b/src/proxy/ProxySettings.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t kMaxPeerRequests = 100'000;
 constexpr double kMaxCellReserve = 1'000'000;
 constexpr std::int64_t kMinAnswerBufferBytes = 1024LL * 1024;
+constexpr std::int64_t kMinRequestBufferBytes = 1024LL * 1024;
 constexpr std::int64_t kMaxAnswerBufferBytes = 64LL * 1024 * 1024 * 1024;
 
 }  // namespace
@@ -38,6 +39,10 @@
                        kMaxAnswerBufferBytes,
                        "bytes of all answers that are held for callers which read slowly; runners "
                        "of answers beyond their share are not read meanwhile");
+    schema.addInteger ("request_buffer_bytes", &settings.requestBufferBytes, kMinRequestBufferBytes,
+                       kMaxAnswerBufferBytes,
+                       "bytes of all requests of callers that are held until they are answered; "
+                       "beyond them the largest that is being received is refused");
     schema.addAddressList ("seeds", &settings.seeds, "control addresses of some controllers");
     schema.required();
     schema.addInteger ("seed_peer_port", &settings.seedPeerPort, 1, kMaxPort,
--- a/src/proxy/ProxySettings.h
+++ b/src/proxy/ProxySettings.h
@@ -9,6 +9,7 @@
 #include "base/Time.h"
 #include "config/Settings.h"
 #include "http/BufferBudget.h"
+#include "http/RequestBudget.h"
 #include "log/Log.h"
 #include "quota/QuotaTolerance.h"
 
@@ -28,6 +29,7 @@
     base::SocketAddress peerAddress;
     std::int64_t maxPeerRequests = 200;  ///< Requests served for other routers at the same time.
     /// Bytes of answers that may be held for callers which read slowly.
+    std::int64_t requestBufferBytes = http::RequestBudget::kDefaultBytes;
     std::int64_t answerBufferBytes = http::BufferBudget::kDefaultBytes;
     std::vector<base::SocketAddress> seeds;
     std::int64_t seedPeerPort = 0;
--- a/src/proxy/ReadinessServer.cpp
+++ b/src/proxy/ReadinessServer.cpp
@@ -12,6 +12,8 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
+/// A readiness check has a short header and no body.
+constexpr CallerLimits kLimits{ .request = { .headerBytes = 8UL * 1024, .bodyBytes = 1024 } };
 
 }  // namespace
 
@@ -51,8 +53,9 @@
     {
         accepted->setParent (nullptr);
         std::unique_ptr<QTcpSocket> socket (accepted);
-        auto connection = std::make_shared<CallerConnection> (std::move (socket), CallerLimits{},
-                                                              m_handlers, m_buffers);
+        auto connection =
+            std::make_shared<CallerConnection> (std::move (socket), kLimits, m_handlers,
+                                                CallerBuffers{ m_answerBuffers, m_requestBuffers });
         m_connections.emplace (connection.get(), connection);
         connection->start();
     }
--- a/src/proxy/ReadinessServer.h
+++ b/src/proxy/ReadinessServer.h
@@ -32,7 +32,8 @@
     std::string m_path;
     std::function<bool()> m_isReady;
     CallerConnection::Handlers m_handlers;
-    http::BufferBudget m_buffers;
+    http::BufferBudget m_answerBuffers;
+    http::RequestBudget m_requestBuffers;
     std::map<CallerConnection*, std::shared_ptr<CallerConnection>> m_connections;
     QTcpServer m_server;
 };
--- a/src/proxy/RequestParser.cpp
+++ b/src/proxy/RequestParser.cpp
@@ -22,6 +22,12 @@
     }
 
     [[nodiscard]] ParsedRequest& request() { return m_request; }
+    [[nodiscard]] std::size_t keptBytes() const
+    {
+        // Of a body with a stated length, only what was received takes memory.
+        const std::size_t body = chunked() ? m_request.body.capacity() : m_request.body.size();
+        return m_headerBytes + body;
+    }
     [[nodiscard]] bool takeExpectsContinue() { return std::exchange (m_expectsContinue, false); }
 
 private:
@@ -55,6 +61,7 @@
             error = {};
             return;
         }
+        m_headerBytes += sizeof (http::Header) + name.size() + value.size();
         m_request.headers.add (std::string (name.data(), name.size()),
                                std::string (value.data(), value.size()));
         error = {};
@@ -91,6 +98,7 @@
     void on_finish_impl (ErrorCode& error) override { error = {}; }
 
     ParsedRequest m_request;
+    std::size_t m_headerBytes = 0;  ///< Bytes of the fields in memory.
     bool m_expectsContinue = false;
     bool m_isHeaderRead = false;  ///< Fields after the header are trailers.
 };
@@ -172,6 +180,13 @@
     return isHeaderRead && ! m_implementation->is_done() && m_implementation->takeExpectsContinue();
 }
 
+std::size_t RequestParser::keptBytes() const
+{
+    return m_implementation ? m_implementation->keptBytes() : 0;
+}
+
+void RequestParser::discard() { m_implementation.reset(); }
+
 ParsedRequest RequestParser::take()
 {
     ParsedRequest request = std::move (m_implementation->request());
--- a/src/proxy/RequestParser.h
+++ b/src/proxy/RequestParser.h
@@ -62,6 +62,10 @@
     /// Whether the header is complete and the caller waits for "100 Continue". Returns true once
     /// per request.
     [[nodiscard]] bool takeExpectsContinue();
+    /// Bytes that are kept of the present request.
+    [[nodiscard]] std::size_t keptBytes() const;
+    /// Drops what was read of the present request.
+    void discard();
     /// Returns the complete request and resets the parser for the next one.
     ParsedRequest take();
     void setLimits (RequestLimits limits) { m_limits = limits; }
