CallerConnection: 16 KiB are read ahead of an open request, not 256

What callers did: 600 clients with one open request and 600 kB behind it, 259 MB where 120 are allowed. Cause: the socket of a connection goes on reading up to 256 KiB while its request is open, and connections are many. Change: the socket holds no more than one read of 16 KiB; the rest stays with the system, which slows the client down.

--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -15,8 +15,8 @@
 namespace
 {
 
-constexpr qint64 kReadBufferBytes = 256LL * 1024;
-/// Bytes that are read and parsed at once.
+/// Bytes that are read and parsed at once. While a request is open, its connection holds no more of
+/// what follows.
 constexpr qint64 kMaxReadBytes = 16LL * 1024;
 /// An open request is kept for another attempt, and once more on its way to the runner.
 constexpr std::size_t kCopiesOfOpenRequest = 2;
@@ -46,7 +46,7 @@
       m_received (buffers.requests, [this] { makeRoom(); }),
       m_parser (limits.request)
 {
-    m_socket->setReadBufferSize (kReadBufferBytes);
+    m_socket->setReadBufferSize (kMaxReadBytes);
     m_socket->setSocketOption (QAbstractSocket::LowDelayOption, 1);
     ::setsockopt (static_cast<int> (m_socket->socketDescriptor()), IPPROTO_TCP, TCP_USER_TIMEOUT,
                   &kUnacknowledgedTimeoutMs, sizeof kUnacknowledgedTimeoutMs);
