CallerConnection: the next request waits until earlier answers are taken

Cause: an answer ends when its bytes are handed to the socket, so that the next pipelined request was read whether or not the caller had taken anything, and each read from the socket was added to requests that were still in the buffer.

Change: a next request is read only while at most 16 KiB of earlier answers are unsent, and the socket is read only once the buffer holds no whole request. A caller that takes nothing is closed by the idle time, as before.

--- a/src/proxy/CallerConnection.cpp
+++ b/src/proxy/CallerConnection.cpp
@@ -20,6 +20,8 @@
 constexpr qint64 kMaxReadBytes = 16LL * 1024;
 /// An open request is kept for another attempt, and once more on its way to the runner.
 constexpr std::size_t kCopiesOfOpenRequest = 2;
+/// Unsent bytes of earlier answers beside which the next request is read.
+constexpr std::size_t kMaxUnsentBytes = 16UL * 1024;
 constexpr unsigned kUnacknowledgedTimeoutMs = 10'000;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -100,8 +102,8 @@
 
 void CallerConnection::onReadable()
 {
-    // While a request is open, further bytes stay in the socket.
-    while (! m_hasOpenRequest && ! m_isClosing && ! m_isClosed && m_socket->bytesAvailable() > 0)
+    // Further bytes stay in the socket. A scheduled read begins with what is in the buffer.
+    while (mayRead() && ! m_isReadScheduled && m_socket->bytesAvailable() > 0)
     {
         const QByteArray bytes = m_socket->read (kMaxReadBytes);
         m_buffer.append (bytes.constData(), static_cast<std::size_t> (bytes.size()));
@@ -109,9 +111,16 @@
     }
 }
 
-void CallerConnection::parse()
+bool CallerConnection::mayRead() const
 {
     if (m_hasOpenRequest || m_isClosing || m_isClosed)
+        return false;
+    return m_parser.state() != RequestParser::State::kIdle || bytesToWrite() <= kMaxUnsentBytes;
+}
+
+void CallerConnection::parse()
+{
+    if (! mayRead())
         return;
     const bool wasIdle = m_parser.state() == RequestParser::State::kIdle;
     std::optional<base::Error> fault;
@@ -308,8 +317,16 @@
         return;
     }
     armTimer();
+}
+
+void CallerConnection::scheduleRead()
+{
+    const bool isDue = ! m_buffer.empty() || m_socket->bytesAvailable() > 0;
+    if (! isDue || m_isReadScheduled || ! mayRead())
+        return;
     // The next request may have arrived already. It is parsed from the event loop, not within the
     // call that ended the answer.
+    m_isReadScheduled = true;
     QTimer::singleShot (0, m_socket.get(),
                         [weak = weak_from_this()]
                         {
@@ -332,14 +349,15 @@
     updateUnsent();
     if (wasBehind && ! m_isBehind && m_hasOpenRequest)
         m_handlers.onCaughtUp (*this);
+    scheduleRead();
 }
 
 void CallerConnection::readNext()
 {
+    m_isReadScheduled = false;
     if (! m_buffer.empty())
         parse();
-    if (m_socket->bytesAvailable() > 0)
-        onReadable();
+    onReadable();
 }
 
 void CallerConnection::sendAnswer (int status, const http::Headers& headers, std::string_view body)
--- a/src/proxy/CallerConnection.h
+++ b/src/proxy/CallerConnection.h
@@ -107,7 +107,12 @@
 private:
     void connectSignals();
     void onReadable();
+    /// Reads the next request, unless the caller has not taken the earlier answers yet.
     void readNext();
+    void scheduleRead();
+    /// Whether bytes may be read: no request is open, and a next one begins only once the caller
+    /// has taken most of the earlier answers.
+    [[nodiscard]] bool mayRead() const;
     void onSocketClosed();
     void parse();
     void dispatchRequest();
@@ -144,6 +149,7 @@
     bool m_isClosing = false;  ///< The end of the last answer is being sent.
     bool m_isClosed = false;
     bool m_isBehind = false;
+    bool m_isReadScheduled = false;
     bool m_cutsStalledAnswer = false;
     bool m_isHttp10 = false;
     bool m_endsByClose = false;  ///< The close of the connection ends the answer, of which bytes
