loopback_cell: ports are below the ephemeral range and never given twice

scripts/hostile-clients control-bodies failed once with "a router did not become ready": its controllers had ended at start, as http_address and peer_address were the same port (their logs). Ports are drawn below that range now, tested on all addresses of the controllers, and not given twice; by a generator of their own, so that the draws of seeded scripts stay as they were.

--- a/scripts/loopback_cell.py
+++ b/scripts/loopback_cell.py
@@ -8,13 +8,30 @@
 import time
 
 CONTROLLERS = 3
+HOSTS = [f"127.0.0.{number + 1}" for number in range(CONTROLLERS)]
+LISTENING_PORTS = (20000, 32000)
 ACKNOWLEDGED_S = 4.0  # A change of the configuration, also while builds are mixed.
+given_ports = set()
+port_choice = random.Random()  # Apart from the draws that a script seeds.
 
 
-def free_port(host="127.0.0.1"):
+def is_free(host, port):
     with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
+def free_port():
+    """A port that is free on the addresses of all controllers and was not returned before. It is below
+    the range from which the system takes the ports of outgoing connections."""
+    while True:
+        port = port_choice.randrange(*LISTENING_PORTS)
+        if port not in given_ports and all(is_free(host, port) for host in HOSTS):
+            given_ports.add(port)
+            return port
 
 
 async def read_message(reader):
@@ -143,14 +160,13 @@
     def __init__(self, folder, configuration, routers):
         self.configuration = configuration
         peer, control, http = free_port(), free_port(), free_port()
-        hosts = [f"127.0.0.{number + 1}" for number in range(CONTROLLERS)]
-        seeds = ", ".join(f'"{host}:{control}"' for host in hosts)
-        self.controls = [(host, control) for host in hosts]
+        seeds = ", ".join(f'"{host}:{control}"' for host in HOSTS)
+        self.controls = [(host, control) for host in HOSTS]
         self.version = 0
         self.slowest_change = 0.0
         self.problems = []
         self.controllers = []
-        for number, host in enumerate(hosts):
+        for number, host in enumerate(HOSTS):
             self.controllers.append(Process(folder, f"controller-{number}", ["fernlift-controller"], f"""
 cell = "main"
 zone = "z1"
