http::Server: requests of all callers share one bound of memory

What callers did at a controller's control port: 600 bodies of 256 KiB short of their end, 317 MB where its machine has 256. Cause: each of 4,096 connections may hold a body of up to 16 MiB, and the sum has no bound; the same server serves the completions router, metrics and the operators' interface.

Change: http::RequestBudget as at the router's front, 32 MiB for each server; the largest request that is being received is refused with 503, small ones never. A refused request's bytes are freed before the connection lingers, and 16 KiB are read at a time in place of 64.

No case was played at the completions router.

--- a/src/http/Connection.cpp
+++ b/src/http/Connection.cpp
@@ -19,7 +19,7 @@
 
 /// Maximum received bytes buffered per connection, apart from the request being read; TCP flow
 /// control holds back the rest.
-constexpr qint64 kReadBufferBytes = 64LL * 1024;
+constexpr qint64 kReadBufferBytes = 16LL * 1024;
 /// Low-water mark: onDrained callbacks run when at most this many bytes are unsent.
 constexpr qint64 kLowWaterBytes = 16LL * 1024;
 /// After the last answer, input is read and discarded up to this time and kLingerBytes: closing a
@@ -29,6 +29,8 @@
 constexpr base::Duration kFirstRequestGrace = base::milliseconds (250);
 constexpr std::size_t kLingerBytes = 4UL * 1024 * 1024;
 constexpr int kHexadecimal = 16;
+/// Qt's parser and the handler have a copy each.
+constexpr std::size_t kCopiesOfOpenRequest = 2;
 
 bool isFramingField (std::string_view name)
 {
@@ -51,12 +53,14 @@
 
 }  // namespace
 
-Connection::Connection (const ServerLimits& limits, Handler& handler, ServerCounters& counters)
+Connection::Connection (const ServerLimits& limits, Handler& handler, ServerCounters& counters,
+                        RequestBudget& requests)
     : m_limits (limits),
       m_handler (handler),
       m_counters (counters),
       m_feed (this),
-      m_reader (ReaderLimits{ limits.headerBytes, limits.bodyBytes })
+      m_reader (ReaderLimits{ limits.headerBytes, limits.bodyBytes }),
+      m_received (requests, [this] { makeRoom(); })
 {
     m_timer.setSingleShot (true);
     connect (&m_timer, &QTimer::timeout, this, [this] { onTimeout(); });
@@ -134,6 +138,8 @@
         m_phase = Phase::kReading;
         startTimer (m_limits.headerTimeout);
     }
+    if (state != RequestReader::State::kIdle && ! countReceived())
+        return;
     if (state == RequestReader::State::kBody && ! m_headersDone)
     {
         m_headersDone = true;
@@ -144,6 +150,20 @@
         dispatch();
 }
 
+bool Connection::countReceived()
+{
+    if (m_received.receive (m_reader.keptBytes() + m_unread.capacity()))
+        return true;
+    makeRoom();
+    return false;
+}
+
+void Connection::makeRoom()
+{
+    reject ({ base::ErrorKind::kNoCapacity,
+              "the requests that are being received fill the memory for them" });
+}
+
 void Connection::sendContinue()
 {
     if (m_reader.expectsContinue())
@@ -158,6 +178,7 @@
     m_isAnswering = true;
     m_closesAfterAnswer = m_closesAfterAnswer || m_reader.wantsClose() || m_reader.isVersion10();
     m_wasParsed = false;
+    m_received.hold (kCopiesOfOpenRequest * m_reader.keptBytes());
     m_feed.deliver (m_reader.takeCanonicalBytes());
     if (! m_wasParsed && m_phase == Phase::kAnswering)
     {
@@ -253,6 +274,7 @@
     if (m_isChunked)
         writeRaw ("0\r\n\r\n");
     m_isAnswering = false;
+    m_received.release();
     if (m_closesAfterAnswer)
     {
         beginLingering();
@@ -303,6 +325,7 @@
 {
     m_phase = Phase::kLingering;
     m_unread = {};
+    m_reader.reset();
     startTimer (m_limits.writeTimeout);
     onBytesWritten (0);
     if (m_phase == Phase::kLingering)
@@ -382,6 +405,7 @@
         return;
     m_phase = Phase::kClosed;
     m_isAnswering = false;
+    m_received.release();
     m_timer.stop();
     if (const auto responder = m_responder.lock())
         responder->notifyClosed();
--- a/src/http/Connection.h
+++ b/src/http/Connection.h
@@ -25,7 +25,8 @@
 class Connection final : public QObject
 {
 public:
-    Connection (const ServerLimits& limits, Handler& handler, ServerCounters& counters);
+    Connection (const ServerLimits& limits, Handler& handler, ServerCounters& counters,
+                RequestBudget& requests);
     ~Connection() override;
 
     /// Takes ownership of an accepted socket; returns false if the system rejects it.
@@ -65,6 +66,10 @@
     void onReadyRead();
     void processInput();
     void feedReader();
+    /// Counts the bytes of the request that is being received. Returns false when it was refused.
+    bool countReceived();
+    /// Refuses the request that is being received, since others need its memory.
+    void makeRoom();
     void sendContinue();
     void dispatch();
     void onBytesWritten (qint64 bytes);
@@ -83,7 +88,8 @@
     FeedSocket m_feed;
     QTimer m_timer;
     RequestReader m_reader;
-    std::string m_unread;  ///< Received bytes not consumed by the reader yet.
+    RequestBudget::Usage m_received;  ///< Bytes of the request that is received or open.
+    std::string m_unread;             ///< Received bytes not consumed by the reader yet.
     std::function<void()> m_finished;
     std::weak_ptr<ConnectionResponder> m_responder;
 
--- a/src/http/RequestReader.cpp
+++ b/src/http/RequestReader.cpp
@@ -366,6 +366,12 @@
     return ! m_isVersion10 && equalsIgnoringCase (m_headers.value ("Expect"), "100-continue");
 }
 
+std::size_t RequestReader::keptBytes() const
+{
+    return m_headerBlock.size() + m_headers.fields().size() * sizeof (Header) + m_body.capacity()
+           + m_line.size();
+}
+
 std::string RequestReader::takeCanonicalBytes()
 {
     std::string bytes = m_method + ' ' + m_target + " HTTP/1.1\r\n";
--- a/src/http/RequestReader.h
+++ b/src/http/RequestReader.h
@@ -51,6 +51,9 @@
     [[nodiscard]] bool wantsClose() const;
     [[nodiscard]] bool expectsContinue() const;
 
+    /// Bytes that are kept of the present request.
+    [[nodiscard]] std::size_t keptBytes() const;
+
     /// Serializes the complete request in canonical form: with Content-Length, without
     /// Transfer-Encoding, Connection, Upgrade and Expect. Moves the body out.
     [[nodiscard]] std::string takeCanonicalBytes();
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -67,7 +67,10 @@
 class Server::Implementation
 {
 public:
-    explicit Implementation (ServerLimits limits) : m_limits (limits) {}
+    explicit Implementation (ServerLimits limits)
+        : m_limits (limits), m_requests (limits.requestBytes)
+    {
+    }
     ~Implementation()
     {
         const auto connections = std::exchange (m_connections, {});
@@ -82,6 +85,7 @@
     QTcpSocket* accept (qintptr descriptor);
 
     ServerLimits m_limits;
+    RequestBudget m_requests;
     Handler m_handler;
     ServerCounters m_counters;
     std::unordered_set<Connection*> m_connections;
@@ -107,7 +111,7 @@
 QTcpSocket* Server::Implementation::accept (qintptr descriptor)
 {
     ++m_counters.connections;
-    auto connection = std::make_unique<Connection> (m_limits, m_handler, m_counters);
+    auto connection = std::make_unique<Connection> (m_limits, m_handler, m_counters, m_requests);
     if (! connection->open (descriptor))
         return nullptr;
     Connection* const raw = connection.release();
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -13,6 +13,7 @@
 #include "base/SocketAddress.h"
 #include "base/Time.h"
 #include "http/Message.h"
+#include "http/RequestBudget.h"
 
 namespace fernlift::http
 {
@@ -22,6 +23,8 @@
 {
     std::size_t headerBytes = 32UL * 1024;       ///< Request line and header fields.
     std::size_t bodyBytes = 16UL * 1024 * 1024;  ///< Body of one request.
+    /// All requests together until they are answered.
+    std::size_t requestBytes = RequestBudget::kDefaultBytes;
     std::size_t connections = 4096;  ///< Open connections; further ones are answered 503.
     base::Duration idleTimeout = base::seconds (75);     ///< Between requests of one connection.
     base::Duration headerTimeout = base::seconds (10);   ///< First byte to the end of the headers.
