--- a/src/proxy/RequestParser.cpp
+++ b/src/proxy/RequestParser.cpp
@@ -95,7 +95,12 @@
         error = {};
         return body.size();
     }
-    void on_finish_impl (ErrorCode& error) override { error = {}; }
+    void on_finish_impl (ErrorCode& error) override
+    {
+        // A body of chunks has grown beyond its size.
+        m_request.body.shrink_to_fit();
+        error = {};
+    }
 
     ParsedRequest m_request;
     std::size_t m_headerBytes = 0;  ///< Bytes of the fields in memory.
