--- a/src/cell/RouterMessages.h
+++ b/src/cell/RouterMessages.h
@@ -494,6 +494,8 @@
     std::string softwareVersion{};
 
     bool operator== (const RoutableInstance&) const = default;
+    [[nodiscard]] Incarnation incarnation() const { return { instance.id, instance.startedAt }; }
+
     template <class Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
