Exchange: a claim on a slot is renewed only when its runners have changed

Each request that waits for a slot in a brittle service dropped its claim and made another every 250 ms, by which the leader got up to 64 reports a second of each router with a long queue. It keeps the claim while all of its runners could serve it and no other could.

--- a/src/proxy/Exchange.h
+++ b/src/proxy/Exchange.h
@@ -154,6 +154,8 @@
     bool takeSlot (InstanceChoice& choice);
     /// Asks for a slot of one of the runners that could serve the request.
     void claimSlot (const InstanceChoice& choice);
+    /// Whether all runners of the claim could serve the request, and they are as many as `runners`.
+    [[nodiscard]] bool isClaimCurrent (std::size_t runners) const;
     void beginWait (const InstanceChoice& choice);
     /// Ends the request if no runner that could serve it accepts another one before its wait
     /// deadline. Returns whether it did.
--- a/src/proxy/ExchangeRates.cpp
+++ b/src/proxy/ExchangeRates.cpp
@@ -1,6 +1,7 @@
 // Choice of a runner in an exchange under the request rates and backoffs stated by runners: a
 // request to a rate-limited runner needs a permit, waits for its turn, or ends.
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -100,9 +101,11 @@
     need.instances = m_query.isolationKey.empty()
                          ? m_context.directory.rank (m_query, kMaxSlotRunners, now())
                          : std::vector<std::string>{ choice.id };
+    m_slotClaimedAt = now();
+    if (isClaimCurrent (need.instances.size()))
+        return;
     m_slotTicket.reset();
     m_slotTicket = SlotTicket (m_context.slots, m_context.slots.addClaim (std::move (need)));
-    m_slotClaimedAt = now();
 }
 
 bool Exchange::takePermit()
@@ -126,6 +129,16 @@
     return true;
 }
 
+bool Exchange::isClaimCurrent (std::size_t runners) const
+{
+    const SlotNeed* const claimed = m_slotTicket.need();
+    if (claimed == nullptr || claimed->instances.size() != runners)
+        return false;
+    return std::ranges::all_of (
+        claimed->instances, [this] (const std::string& instance)
+        { return m_context.directory.mayStillServe (instance, m_query, now()); });
+}
+
 bool Exchange::refuseIfUnavailable (const InstanceChoice& choice)
 {
     const bool isRateLimited = choice.reason == NoRunnerReason::kRateLimited;
--- a/src/proxy/RunnerSlots.h
+++ b/src/proxy/RunnerSlots.h
@@ -87,6 +87,12 @@
     /** Runner at which the request has a slot; none: it waits, or its claim was removed. */
     [[nodiscard]] std::optional<std::string> grantOf (std::uint64_t claim,
                                                       base::TimePoint now) const;
+    /** The request of a claim that waits for a slot; null for any other claim. */
+    [[nodiscard]] const SlotNeed* find (std::uint64_t claim) const
+    {
+        const auto found = m_claims.find (claim);
+        return found == m_claims.end() ? nullptr : &found->second;
+    }
     /** Whether the claim waits for a slot. */
     [[nodiscard]] bool isWaiting (std::uint64_t claim) const { return m_claims.contains (claim); }
     /** Estimated time until a request that begins to wait gets a slot; zero if it is not known. */
@@ -209,6 +215,11 @@
     /** Returns the claim, which the caller uses up; 0: none. */
     [[nodiscard]] std::uint64_t release() { return std::exchange (m_claim, 0); }
     [[nodiscard]] bool isWaiting() const { return m_claim != 0 && m_slots->isWaiting (m_claim); }
+    /** The request while it waits; null otherwise. */
+    [[nodiscard]] const SlotNeed* need() const
+    {
+        return m_claim == 0 ? nullptr : m_slots->find (m_claim);
+    }
     /** Runner at which the request has a slot; none: it waits, or there is no claim. */
     [[nodiscard]] std::optional<std::string> grant (base::TimePoint now) const
     {
