--- a/src/controller/SlotRelay.cpp
+++ b/src/controller/SlotRelay.cpp
@@ -96,6 +96,7 @@
         keepGrant (grants, grant, now);
     }
     std::vector<Answer> answers;
+    answers.reserve (byRouter.size());
     for (auto& [router, answer] : byRouter)
         answers.push_back ({ router, std::move (answer) });
     return answers;
--- a/src/proxy/RunnerSlots.cpp
+++ b/src/proxy/RunnerSlots.cpp
@@ -277,6 +277,7 @@
     for (const auto& [claim, granted] : m_granted)
         add (granted.runner, 1, granted.validUntil + granted.lasts);
     std::vector<cell::SlotUse> all;
+    all.reserve (byRunner.size());
     for (auto& [runner, use] : byRunner)
         all.push_back (std::move (use));
     return all;
@@ -285,6 +286,7 @@
 std::vector<cell::SlotClaim> RunnerSlots::claims (base::TimePoint now) const
 {
     std::vector<cell::SlotClaim> all;
+    all.reserve (m_claims.size());
     for (const auto& [id, need] : m_claims)
     {
         all.push_back ({ id, need.priority, base::toMilliseconds (now - need.waitsSince),
