--- a/src/controller/ControlTraffic.cpp
+++ b/src/controller/ControlTraffic.cpp
@@ -13,18 +13,33 @@
     "snapshot_chunk", "snapshot_reply", "transfer_leadership"
 };
 constexpr std::array<std::string_view, std::variant_size_v<cell::RouterToController>>
-    kFromRouterKinds{ "router_hello",         "lease_request",        "demand_report",
-                      "claim_request",        "outcome_report",       "runner_leaving_seen",
-                      "engine_demand",        "member_join",          "instance_unreachable",
-                      "instance_sightings",   "quota_request",        "suspect_report",
-                      "instance_load_report", "instance_rate_report", "instance_permit_request",
-                      "router_peers" };
+    kFromRouterKinds{ "router_hello",         "lease_request",         "demand_report",
+                      "claim_request",        "outcome_report",        "runner_leaving_seen",
+                      "engine_demand",        "member_join",           "instance_unreachable",
+                      "instance_sightings",   "quota_request",         "suspect_report",
+                      "instance_load_report", "instance_rate_report",  "instance_permit_request",
+                      "router_peers",         "retry_reserve_request", "stream_records",
+                      "stream_lookup",        "slot_reports" };
 constexpr std::array<std::string_view, std::variant_size_v<cell::ControllerToRouter>>
-    kToRouterKinds{ "not_leader_reply",      "configuration_update", "lease_grant",
-                    "replica_update",        "claim_reply",          "instance_update",
-                    "member_join_reply",     "quota_grant",          "suspect_update",
-                    "suspect_hint",          "instance_load_update", "instance_rate_update",
-                    "instance_permit_grant", "router_peers" };
+    kToRouterKinds{ "not_leader_reply",
+                    "configuration_update",
+                    "lease_grant",
+                    "replica_update",
+                    "claim_reply",
+                    "instance_update",
+                    "member_join_reply",
+                    "quota_grant",
+                    "suspect_update",
+                    "suspect_hint",
+                    "instance_load_update",
+                    "instance_rate_update",
+                    "instance_permit_grant",
+                    "router_peers",
+                    "retry_reserve_grants",
+                    "stream_records",
+                    "stream_lookup_reply",
+                    "brittle_services",
+                    "slot_grants" };
 
 std::string_view toString (Direction direction)
 {
--- a/src/controller/TestCell.h
+++ b/src/controller/TestCell.h
@@ -110,6 +110,8 @@
     std::vector<cell::RetryReserveGrants> reserveGrants;
     std::vector<cell::StreamRecords> streamRecords;
     std::vector<cell::StreamLookupReply> streamReplies;
+    std::optional<cell::BrittleServices> brittle{};  ///< Latest received list.
+    std::vector<cell::SlotGrant> slotGrants;
     std::optional<std::uint32_t> cellRouters{};  ///< Number of routers stated with the last lease.
 
     [[nodiscard]] bool hasReplica (const std::string& target) const;
--- a/src/controller/TestRouterTest.cpp
+++ b/src/controller/TestRouterTest.cpp
@@ -217,6 +217,15 @@
     {
         router.streamReplies.push_back (*streams);
     }
+    else if (const auto* brittle = std::get_if<cell::BrittleServices> (&message))
+    {
+        router.brittle = *brittle;
+    }
+    else if (const auto* slots = std::get_if<cell::SlotGrants> (&message))
+    {
+        router.slotGrants.insert (router.slotGrants.end(), slots->grants.begin(),
+                                  slots->grants.end());
+    }
     else if (const auto* loads = std::get_if<cell::InstanceLoadUpdate> (&message))
     {
         router.onLoads (*loads);
