--- a/cmake/FernliftModule.cmake
+++ b/cmake/FernliftModule.cmake
@@ -30,7 +30,7 @@
 # Test binaries whose cases are split over several tests, which run side by side: with the sanitizers
 # all cases of one take longer than a test may.
 set(fernlift_shards_controller_test 3)
-set(fernlift_shards_lab_test 4)
+set(fernlift_shards_lab_test 6)
 set(fernlift_shards_sim_test 2)
 
 # Runs the test binary NAME as the tests NAME, NAME_2, NAME_3 and so on, each with a part of its cases.
