http::Server: the request budget lives as long as its last connection

A connection that has closed is deleted by the event loop, which may be after its server is gone; its usage then released bytes of a budget that was freed. The connections share it now.

--- a/src/http/Connection.cpp
+++ b/src/http/Connection.cpp
@@ -54,13 +54,14 @@
 }  // namespace
 
 Connection::Connection (const ServerLimits& limits, Handler& handler, ServerCounters& counters,
-                        RequestBudget& requests)
+                        std::shared_ptr<RequestBudget> requests)
     : m_limits (limits),
       m_handler (handler),
       m_counters (counters),
       m_feed (this),
       m_reader (ReaderLimits{ limits.headerBytes, limits.bodyBytes }),
-      m_received (requests, [this] { makeRoom(); })
+      m_requests (std::move (requests)),
+      m_received (*m_requests, [this] { makeRoom(); })
 {
     m_timer.setSingleShot (true);
     connect (&m_timer, &QTimer::timeout, this, [this] { onTimeout(); });
--- a/src/http/Connection.h
+++ b/src/http/Connection.h
@@ -26,7 +26,7 @@
 {
 public:
     Connection (const ServerLimits& limits, Handler& handler, ServerCounters& counters,
-                RequestBudget& requests);
+                std::shared_ptr<RequestBudget> requests);
     ~Connection() override;
 
     /// Takes ownership of an accepted socket; returns false if the system rejects it.
@@ -88,8 +88,9 @@
     FeedSocket m_feed;
     QTimer m_timer;
     RequestReader m_reader;
-    RequestBudget::Usage m_received;  ///< Bytes of the request that is received or open.
-    std::string m_unread;             ///< Received bytes not consumed by the reader yet.
+    std::shared_ptr<RequestBudget> m_requests;  ///< A closed connection may outlive its server.
+    RequestBudget::Usage m_received;            ///< Bytes of the request that is received or open.
+    std::string m_unread;                       ///< Received bytes not consumed by the reader yet.
     std::function<void()> m_finished;
     std::weak_ptr<ConnectionResponder> m_responder;
 
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -68,7 +68,7 @@
 {
 public:
     explicit Implementation (ServerLimits limits)
-        : m_limits (limits), m_requests (limits.requestBytes)
+        : m_limits (limits), m_requests (std::make_shared<RequestBudget> (limits.requestBytes))
     {
     }
     ~Implementation()
@@ -85,7 +85,7 @@
     QTcpSocket* accept (qintptr descriptor);
 
     ServerLimits m_limits;
-    RequestBudget m_requests;
+    std::shared_ptr<RequestBudget> m_requests;
     Handler m_handler;
     ServerCounters m_counters;
     std::unordered_set<Connection*> m_connections;
