RouterSessions: routers with a feature are counted in one place

Slots copied two loops from the rates of runners: which sessions read a message, and which share of the routers does. RouterSessions has both now, for rates and slots. No behaviour changes.

Run: controller_test's cases of rates, slots, relays and sessions, 32 of 32.

--- a/src/controller/ControllerRates.cpp
+++ b/src/controller/ControllerRates.cpp
@@ -56,12 +56,7 @@
     if (updateState.sentVersion == version || m_now < updateState.nextUpdateAt)
         return;
     updateState.sentVersion = version;
-    std::vector<RouterConnection> readers;
-    for (const auto& [connection, session] : sessions.sessions())
-    {
-        if (readsRates (session))
-            readers.push_back (connection);
-    }
+    std::vector<RouterConnection> readers = sessions.sessionsWith (cell::kReadsInstanceRates);
     if (readers.empty())
         return;
     cell::InstanceRateUpdate table = rateTable();
@@ -92,15 +87,8 @@
 
 void ControllerCore::Implementation::shareRates()
 {
-    const std::uint32_t all = m_leader->sessions.countRouters();
-    std::uint32_t asking = 0;
-    for (const auto& [connection, session] : m_leader->sessions.sessions())
-    {
-        if (readsRates (session) && ! session.isSuperseded)
-            asking += session.routers;
-    }
-    if (all > 0)
-        m_leader->rates.setShare (std::min (1.0, static_cast<double> (asking) / all), m_now);
+    if (const auto share = m_leader->sessions.shareWith (cell::kReadsInstanceRates))
+        m_leader->rates.setShare (*share, m_now);
 }
 
 void ControllerCore::Implementation::updatePlacementRates()
--- a/src/controller/ControllerSlots.cpp
+++ b/src/controller/ControllerSlots.cpp
@@ -11,16 +11,6 @@
 
 namespace fernlift::controller
 {
-namespace
-{
-
-bool readsSlots (const RouterSession& session)
-{
-    return (session.features & cell::kReadsSlotGrants) != 0;
-}
-
-}  // namespace
-
 cell::BrittleServices ControllerCore::Implementation::brittleServices() const
 {
     if (! m_leader)
@@ -43,12 +33,7 @@
         m_leader ? m_leader->brittleness.version() : m_relay->slots.version();
     if (std::exchange (updateState.sentVersion, version) == version)
         return;
-    std::vector<RouterConnection> readers;
-    for (const auto& [connection, session] : sessions.sessions())
-    {
-        if (readsSlots (session))
-            readers.push_back (connection);
-    }
+    std::vector<RouterConnection> readers = sessions.sessionsWith (cell::kReadsSlotGrants);
     if (! readers.empty())
         m_effects.emplace_back (BroadcastToRouters{ std::move (readers), brittleServices() });
 }
@@ -119,15 +104,8 @@
 
 void ControllerCore::Implementation::shareSlots()
 {
-    const std::uint32_t all = m_leader->sessions.countRouters();
-    std::uint32_t asking = 0;
-    for (const auto& [connection, session] : m_leader->sessions.sessions())
-    {
-        if (readsSlots (session) && ! session.isSuperseded)
-            asking += session.routers;
-    }
-    if (all > 0)
-        m_leader->slots->setShare (std::min (1.0, static_cast<double> (asking) / all));
+    if (const auto share = m_leader->sessions.shareWith (cell::kReadsSlotGrants))
+        m_leader->slots->setShare (*share);
 }
 
 bool ControllerCore::Implementation::relaySlotReports (RouterConnection connection,
--- a/src/controller/RouterSessions.cpp
+++ b/src/controller/RouterSessions.cpp
@@ -342,4 +342,29 @@
 
 base::Duration RouterSessions::maxLeaseDuration() const { return withDrift (m_leaseDuration); }
 
+std::vector<SessionId> RouterSessions::sessionsWith (cell::RouterFeature feature) const
+{
+    std::vector<SessionId> found;
+    for (const auto& [connection, session] : m_sessions)
+    {
+        if ((session.features & feature) != 0)
+            found.push_back (connection);
+    }
+    return found;
+}
+
+std::optional<double> RouterSessions::shareWith (cell::RouterFeature feature) const
+{
+    const std::uint32_t all = countRouters();
+    std::uint32_t having = 0;
+    for (const auto& [connection, session] : m_sessions)
+    {
+        if ((session.features & feature) != 0 && ! session.isSuperseded)
+            having += session.routers;
+    }
+    if (all == 0)
+        return std::nullopt;
+    return std::min (1.0, static_cast<double> (having) / all);
+}
+
 }  // namespace fernlift::controller
--- a/src/controller/RouterSessions.h
+++ b/src/controller/RouterSessions.h
@@ -127,6 +127,10 @@
     void forgetInstanceVersions();
     /// Returns the number of connected routers, including those behind relays.
     [[nodiscard]] std::uint32_t countRouters() const;
+    /// Sessions whose router or relay stated the feature in its hello.
+    [[nodiscard]] std::vector<SessionId> sessionsWith (cell::RouterFeature feature) const;
+    /// Share of the routers that have the feature, from 0 to 1; none while there are no routers.
+    [[nodiscard]] std::optional<double> shareWith (cell::RouterFeature feature) const;
     /// Maximum duration, on the leader's clock, of a lease granted now.
     [[nodiscard]] base::Duration maxLeaseDuration() const;
     /// Fills in the connected routers that have not confirmed the late version.
