--- a/src/proxy/Exchange.cpp
+++ b/src/proxy/Exchange.cpp
@@ -226,8 +226,8 @@
     m_query.isolationKey = known.isSuspect() ? identity().digest : std::string();
     m_query.crashedInstances = known.instances;
     // The runners of a claim are chosen anew only from time to time.
-    const bool waitsForSlot =
-        m_isWaiting && m_slotTicket.isWaiting() && now() - m_slotClaimedAt < kSlotClaimLifetime;
+    const bool waitsForSlot = m_isWaiting && m_slotTicket.need() != nullptr
+                              && now() - m_slotClaimedAt < kSlotClaimLifetime;
     if (waitsForSlot && m_context.slots.isNeeded (m_query.service))
     {
         armTimer();
--- a/src/proxy/RunnerSlots.cpp
+++ b/src/proxy/RunnerSlots.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <iterator>
 
-#include "log/Log.h"
-
 namespace fernlift::proxy
 {
 namespace
--- a/src/proxy/RunnerSlots.h
+++ b/src/proxy/RunnerSlots.h
@@ -56,7 +56,7 @@
     std::uint64_t unused = 0;  ///< Grants that came too late, or for requests that had ended.
 };
 
-/** Pure except for log lines: time is passed in. Threading: none; owned by one router. */
+/** Pure: time is passed in. Threading: none; owned by one router. */
 class RunnerSlots
 {
 public:
@@ -93,8 +93,6 @@
         const auto found = m_claims.find (claim);
         return found == m_claims.end() ? nullptr : &found->second;
     }
-    /** Whether the claim waits for a slot. */
-    [[nodiscard]] bool isWaiting (std::uint64_t claim) const { return m_claims.contains (claim); }
     /** Estimated time until a request that begins to wait gets a slot; zero if it is not known. */
     [[nodiscard]] base::Duration expectedWait (const std::string& queue, base::TimePoint now) const;
 
@@ -214,7 +212,6 @@
     }
     /** Returns the claim, which the caller uses up; 0: none. */
     [[nodiscard]] std::uint64_t release() { return std::exchange (m_claim, 0); }
-    [[nodiscard]] bool isWaiting() const { return m_claim != 0 && m_slots->isWaiting (m_claim); }
     /** The request while it waits; null otherwise. */
     [[nodiscard]] const SlotNeed* need() const
     {
